--- /dev/null
+++ b/include/radishjunction/event.h
@@ -0,0 +1,118 @@
+/*
+ * What the decision core is told.
+ *
+ * An event is made by an adapter, handed to `rj_core_process` with the time
+ * at which it happened, and freed by the adapter afterwards: the core copies
+ * what it keeps.
+ */
+#ifndef RADISHJUNCTION_EVENT_H
+#define RADISHJUNCTION_EVENT_H
+
+#include "radishjunction/peer_message.h"
+#include "radishjunction/record.h"
+#include "radishjunction/types.h"
+#include "radishjunction/worker.h"
+
+enum rj_event_kind {
+	RJ_EVENT_REQUEST,      /* a caller asks */
+	RJ_EVENT_CALLER_GONE,  /* its connection closed before the answer */
+	RJ_EVENT_RECORDS,      /* a read of the log was answered */
+	RJ_EVENT_READ_FAILED,  /* a read was not answered in time */
+	RJ_EVENT_APPENDED,     /* what became of an append */
+	RJ_EVENT_INSTANCES,    /* the platform's lagging list */
+	RJ_EVENT_WORKER_REPLY, /* what became of a call to a worker */
+	RJ_EVENT_PEER_UP,      /* an authenticated link stands */
+	RJ_EVENT_PEER_DOWN,    /* the link ended; messages may be lost */
+	RJ_EVENT_PEER_MESSAGE,
+	RJ_EVENT_TIMER, /* the time of `rj_core_wake_us` has come */
+	RJ_EVENT_STOP,	/* the process was asked to stop */
+	RJ_EVENT_KIND_COUNT
+};
+
+extern const char *const rj_event_kind_string[RJ_EVENT_KIND_COUNT];
+
+enum rj_request_op {
+	RJ_REQUEST_SUBMIT,
+	RJ_REQUEST_LOOKUP,
+	RJ_REQUEST_CANCEL,
+	RJ_REQUEST_OP_COUNT
+};
+
+extern const char *const rj_request_op_string[RJ_REQUEST_OP_COUNT];
+
+struct rj_request {
+	uint64_t request_id; /* the caller adapter's handle, never reused */
+	enum rj_request_op op;
+	char token[RJ_TOKEN_BYTES];
+	struct rj_job_spec spec; /* submit; account is filled by the core */
+	uint64_t job_id;	 /* lookup, cancel */
+	bool wait;		 /* lookup: answer when the job has ended */
+};
+
+struct rj_records {
+	enum rj_stream stream;
+	uint64_t from;	 /* the offset that was asked for */
+	uint64_t oldest; /* the oldest offset still kept */
+	uint64_t next;	 /* where to read on */
+	uint64_t head;	 /* one past the newest offset */
+	struct rj_record *records;
+	uint32_t count;
+};
+
+enum rj_append_status {
+	RJ_APPEND_OK,
+	RJ_APPEND_REFUSED, /* surely without effect */
+	RJ_APPEND_LOST,	   /* may have taken effect, or may yet */
+	RJ_APPEND_STATUS_COUNT
+};
+
+extern const char *const rj_append_status_string[RJ_APPEND_STATUS_COUNT];
+
+struct rj_appended {
+	uint64_t append_id;
+	enum rj_append_status status;
+	uint64_t first_offset; /* with RJ_APPEND_OK */
+};
+
+enum rj_instance_role { RJ_ROLE_ENTRY, RJ_ROLE_WORKER, RJ_ROLE_COUNT };
+
+extern const char *const rj_instance_role_string[RJ_ROLE_COUNT];
+
+/* A line of the platform's list. It lags, and it may be wrong. */
+struct rj_instance {
+	char name[RJ_NAME_BYTES];
+	enum rj_instance_role role;
+	char domain[RJ_NAME_BYTES];
+	uint32_t rack; /* workers: number of the rack in its domain */
+	struct rj_address address; /* entry: of the peer port */
+	uint64_t incarnation;
+	bool leaving;
+};
+
+struct rj_event {
+	enum rj_event_kind kind;
+	uint64_t now_us;
+	union {
+		struct rj_request request;
+		uint64_t request_id; /* RJ_EVENT_CALLER_GONE */
+		struct rj_records records;
+		enum rj_stream stream; /* RJ_EVENT_READ_FAILED */
+		struct rj_appended appended;
+		struct {
+			const struct rj_instance *list;
+			uint32_t count;
+		} instances;
+		struct rj_worker_reply worker_reply;
+		struct {
+			char name[RJ_NAME_BYTES];
+			const struct rj_peer_message *message;
+		} peer; /* RJ_EVENT_PEER_*; message only for MESSAGE */
+	} u;
+};
+
+/* Whoever takes events: the daemon's shell, or a test. */
+struct rj_sink {
+	void (*deliver)(struct rj_sink *sink, struct rj_event *event);
+};
+
+#endif
--- /dev/null
+++ b/include/radishjunction/peer_message.h
@@ -0,0 +1,91 @@
+/*
+ * What instances tell each other, in whatever wire format.
+ *
+ * Everything here is a hint or is checked elsewhere: a lost, repeated or
+ * late message costs time, never a promise.
+ */
+#ifndef RADISHJUNCTION_PEER_MESSAGE_H
+#define RADISHJUNCTION_PEER_MESSAGE_H
+
+#include "radishjunction/types.h"
+
+/* The version of the frames; each side speaks the lower of the two. */
+#define RJ_PEER_VERSION 1
+/* A rack's workers fit one summary. */
+#define RJ_RACK_WORKERS_MAX 32
+
+enum rj_peer_message_kind {
+	RJ_PEER_HEARTBEAT,
+	RJ_PEER_SUMMARY, /* free capacity of one rack, sent on change */
+	RJ_PEER_CONFIG,	 /* the newest accepted configuration */
+	RJ_PEER_LEAVING, /* a worker that is leaving */
+	RJ_PEER_FORWARD, /* a request for the receiver to serve */
+	RJ_PEER_FORWARD_ANSWER,
+	RJ_PEER_CANCEL, /* cancel a forwarded job */
+	RJ_PEER_MESSAGE_KIND_COUNT
+};
+
+extern const char
+	*const rj_peer_message_kind_string[RJ_PEER_MESSAGE_KIND_COUNT];
+
+struct rj_peer_heartbeat {
+	char domain[RJ_NAME_BYTES];
+	uint64_t incarnation;
+	bool draining; /* takes no new work; its racks go to others */
+	uint64_t config_revision;
+	uint32_t queued;  /* jobs waiting here */
+	uint64_t wait_us; /* expected wait of a small job here */
+};
+
+struct rj_peer_summary {
+	char domain[RJ_NAME_BYTES];
+	uint32_t rack;
+	uint64_t owner;	  /* incarnation of the sender */
+	uint64_t version; /* rises; the newest of one owner wins */
+	uint32_t worker_count;
+	struct rj_resources free[RJ_RACK_WORKERS_MAX];
+};
+
+struct rj_peer_config {
+	uint64_t revision;
+	uint64_t offset; /* in the config stream */
+	char id[40];
+	const char *text;
+};
+
+struct rj_peer_leaving {
+	char worker[RJ_NAME_BYTES];
+	uint64_t incarnation;
+};
+
+struct rj_peer_forward {
+	uint64_t forward_id; /* of the sender, never reused */
+	uint32_t hops;	     /* how often it was forwarded already */
+	bool other_domain;   /* it left its own failure domain */
+	struct rj_job_spec spec;
+};
+
+struct rj_peer_forward_answer {
+	uint64_t forward_id;
+	struct rj_answer answer;
+};
+
+struct rj_peer_cancel {
+	uint64_t forward_id;
+	uint64_t job_id;
+};
+
+struct rj_peer_message {
+	enum rj_peer_message_kind kind;
+	union {
+		struct rj_peer_heartbeat heartbeat;
+		struct rj_peer_summary summary;
+		struct rj_peer_config config;
+		struct rj_peer_leaving leaving;
+		struct rj_peer_forward forward;
+		struct rj_peer_forward_answer forward_answer;
+		struct rj_peer_cancel cancel;
+	} u;
+};
+
+#endif
--- /dev/null
+++ b/include/radishjunction/planner.h
@@ -0,0 +1,140 @@
+/*
+ * Where and when jobs run: capacity, queue, guarantees and reservations of
+ * the workers that one instance plans.
+ *
+ * Life cycle: init (of the variant), configure, then any order of worker,
+ * submit, ended, requeue, adopt and withdraw, each followed by `pass`, which
+ * gives the decisions; finish. Pure: no I/O, no clock, no global.
+ * From `pass` naming a job in a START until `ended`, `requeue` or
+ * `withdraw`, the planner counts the capacity of its members as taken.
+ * A RECLAIM asks for the job to be stopped; its capacity is free after
+ * `ended` or `requeue`.
+ */
+#ifndef RADISHJUNCTION_PLANNER_H
+#define RADISHJUNCTION_PLANNER_H
+
+#include "radishjunction/config.h"
+#include "radishjunction/types.h"
+
+/* A worker as the planner sees it. */
+struct rj_plan_worker {
+	uint32_t id; /* small and stable: an index given by the caller */
+	uint32_t rack;
+	struct rj_resources capacity;
+	struct rj_resources foreign; /* taken by tasks not of this planner */
+	bool usable;		     /* may take new work */
+	bool owned; /* in a rack that this instance plans first */
+};
+
+struct rj_plan_job {
+	uint64_t job_id;
+	char account[RJ_NAME_BYTES];
+	char class_name[RJ_NAME_BYTES];
+	struct rj_shape shape;
+	enum rj_priority priority;
+	bool stoppable; /* idempotent or with checkpoints: may borrow */
+	bool checkpoint;
+	uint64_t declared_us;
+	uint64_t queued_us;   /* time of arrival */
+	uint64_t deadline_us; /* RJ_NEVER_US if none */
+};
+
+/* So many tasks of a gang on one worker. */
+struct rj_plan_member {
+	uint32_t worker;
+	uint32_t tasks;
+};
+
+enum rj_decision_kind {
+	RJ_DECISION_START,
+	RJ_DECISION_RECLAIM, /* checkpoint, then stop, within limit_us */
+	RJ_DECISION_REFUSE,  /* a waiting job that is given up */
+	RJ_DECISION_KIND_COUNT
+};
+
+extern const char *const rj_decision_kind_string[RJ_DECISION_KIND_COUNT];
+
+struct rj_decision {
+	enum rj_decision_kind kind;
+	enum rj_reason reason;
+	uint64_t job_id;
+	struct rj_plan_member *members; /* START; child of the list's mem */
+	uint32_t member_count;
+	bool checkpoint;	 /* RECLAIM */
+	uint64_t limit_us;	 /* RECLAIM */
+	uint64_t for_job;	 /* RECLAIM: whose shape is reclaimed */
+	uint64_t retry_after_us; /* REFUSE */
+	uint32_t considered;
+};
+
+struct rj_decisions {
+	struct rj_decision *list;
+	uint32_t count;
+	uint32_t capacity;
+	void *mem;
+};
+
+/* Totals for status, summaries and the policy bench. */
+struct rj_plan_view {
+	uint32_t queued;
+	uint32_t running;
+	uint32_t accelerators;
+	uint32_t accelerators_free;
+	uint32_t largest_waiting; /* accelerators of the largest waiting job */
+	/* free accelerators that the largest waiting shape cannot use */
+	uint32_t accelerators_stranded;
+	uint64_t small_wait_us; /* expected wait of a small job */
+};
+
+struct rj_planner;
+
+struct rj_planner_ops {
+	const char *name;
+	void (*configure)(struct rj_planner *planner,
+			  const struct rj_config *config, const char *domain,
+			  uint64_t now_us);
+	void (*worker)(struct rj_planner *planner,
+		       const struct rj_plan_worker *worker, uint64_t now_us);
+	void (*worker_gone)(struct rj_planner *planner, uint32_t worker,
+			    uint64_t now_us);
+	/* 0, or -1 with the reason and when to come back. */
+	int (*submit)(struct rj_planner *planner, const struct rj_plan_job *job,
+		      uint64_t now_us, enum rj_reason *reason,
+		      uint64_t *retry_after_us);
+	/* The job has ended (or was given up while waiting). */
+	void (*ended)(struct rj_planner *planner, uint64_t job_id,
+		      bool succeeded, uint64_t ran_us, uint64_t now_us);
+	/* The job goes back to waiting; `ran_us` of it may be lost. */
+	void (*requeue)(struct rj_planner *planner, uint64_t job_id,
+			uint64_t not_before_us, uint64_t now_us);
+	/* A running job that was found, with where it runs. */
+	void (*adopt)(struct rj_planner *planner, const struct rj_plan_job *job,
+		      const struct rj_plan_member *members, uint32_t count,
+		      uint64_t now_us);
+	void (*pass)(struct rj_planner *planner, uint64_t now_us,
+		     struct rj_decisions *decisions);
+	/* When `pass` should run again without an event. */
+	uint64_t (*wake_us)(const struct rj_planner *planner);
+	void (*view)(const struct rj_planner *planner, uint64_t now_us,
+		     struct rj_plan_view *view);
+	void (*finish)(struct rj_planner *planner);
+};
+
+struct rj_planner {
+	const struct rj_planner_ops *ops; /* first member, always */
+};
+
+void rj_decisions_init(struct rj_decisions *decisions, void *mem);
+struct rj_decision *rj_decisions_add(struct rj_decisions *decisions,
+				     enum rj_decision_kind kind);
+void rj_decisions_clear(struct rj_decisions *decisions);
+void rj_decisions_finish(struct rj_decisions *decisions);
+
+/* First come, first fit: the plain planner that the others differ from. */
+struct rj_planner_first_fit {
+	struct rj_planner base;
+	struct rj_first_fit_state *state;
+};
+int rj_planner_first_fit_init(struct rj_planner_first_fit *planner, void *mem);
+
+#endif
--- /dev/null
+++ b/include/radishjunction/record.h
@@ -0,0 +1,66 @@
+/*
+ * What this system writes to the platform's log.
+ *
+ * Two streams: `config` holds publications, `jobs` holds claims, voids,
+ * outcomes and accepted jobs. The order of the log decides; every reader
+ * applies the same rules to the same order. A record read from the log
+ * belongs to the event that brought it.
+ */
+#ifndef RADISHJUNCTION_RECORD_H
+#define RADISHJUNCTION_RECORD_H
+
+#include "radishjunction/config.h"
+#include "radishjunction/error.h"
+#include "radishjunction/types.h"
+
+enum rj_stream { RJ_STREAM_CONFIG, RJ_STREAM_JOBS, RJ_STREAM_COUNT };
+
+extern const char *const rj_stream_string[RJ_STREAM_COUNT];
+
+enum rj_record_kind {
+	RJ_RECORD_MALFORMED, /* could not be decoded; all skip it alike */
+	RJ_RECORD_CONFIG,
+	RJ_RECORD_CLAIM,   /* one attempt asks for the right to start */
+	RJ_RECORD_VOID,	   /* that attempt never started and never will */
+	RJ_RECORD_OUTCOME, /* how the job ended, with its result */
+	RJ_RECORD_ACCEPT,  /* the job was accepted and must not be lost */
+	RJ_RECORD_CANCEL, /* an accepted job is to end without (more) running */
+	RJ_RECORD_KIND_COUNT
+};
+
+extern const char *const rj_record_kind_string[RJ_RECORD_KIND_COUNT];
+
+/* One member of a claimed gang: the worker and its lease token. */
+struct rj_claim_member {
+	char worker[RJ_NAME_BYTES];
+	uint64_t worker_incarnation;
+	uint64_t token;
+};
+
+struct rj_record {
+	enum rj_record_kind kind;
+	bool carried;	 /* appended again, well before retention ends */
+	uint64_t offset; /* set on read */
+	uint64_t age_us; /* set on read, by the platform's clock */
+	char author[RJ_NAME_BYTES]; /* name of the instance */
+	char domain[RJ_NAME_BYTES]; /* failure domain of the job */
+	struct rj_attempt attempt;
+	struct rj_job_spec spec;	 /* claim: no body; accept: whole */
+	struct rj_claim_member *members; /* claim */
+	uint32_t member_count;
+	uint64_t lease_life_us;	     /* claim */
+	enum rj_answer_kind outcome; /* outcome */
+	enum rj_reason reason;	     /* outcome */
+	struct rj_bytes result;	     /* outcome */
+	/* config */
+	char config_id[RJ_CONFIG_ID_BYTES];
+	uint64_t base_revision;
+	uint64_t revision; /* base + 1 */
+	const char *config_text;
+};
+
+char *rj_record_encode(void *mem, const struct rj_record *record);
+int rj_record_decode(void *mem, const char *text, struct rj_record *record,
+		     struct rj_error *err);
+
+#endif
--- /dev/null
+++ b/include/radishjunction/settings.h
@@ -0,0 +1,35 @@
+/*
+ * The settings of one daemon: its own addresses and failure domain, where
+ * the platform is, which peers it knows at first, and its bounds.
+ *
+ * Life cycle: `rj_settings_parse` makes one from JSON text as a talloc child
+ * and reports every error at once; read-only afterwards; freed with talloc.
+ */
+#ifndef RADISHJUNCTION_SETTINGS_H
+#define RADISHJUNCTION_SETTINGS_H
+
+#include "radishjunction/error.h"
+#include "radishjunction/event.h"
+#include "radishjunction/types.h"
+
+struct rj_settings {
+	char name[RJ_NAME_BYTES];
+	char domain[RJ_NAME_BYTES];
+	struct rj_address caller_address; /* port 0: any free one */
+	struct rj_address peer_address;
+	struct rj_address platform_address;
+	struct rj_instance *peers; /* role entry */
+	uint32_t peer_count;
+	char peer_key[RJ_TOKEN_BYTES]; /* shared by all instances */
+	uint32_t retention_s;	       /* of the platform's log */
+	uint32_t body_max_bytes;
+	uint32_t connections_max;
+	uint32_t requests_max;	 /* open at once */
+	uint32_t idle_timeout_s; /* of a caller's connection */
+	uint32_t drain_limit_s;
+};
+
+struct rj_settings *rj_settings_parse(void *mem, const char *text,
+				      struct rj_error_list *errors);
+
+#endif
--- /dev/null
+++ b/include/radishjunction/worker.h
@@ -0,0 +1,113 @@
+/*
+ * What is asked of a worker and what it answers, in whatever wire format.
+ *
+ * A worker runs tasks under leases. It is the arbiter of its own leases: a
+ * token that has lapsed, was released or was fenced never starts a task. It
+ * remembers ended tasks for a while, so that a new owner can ask.
+ */
+#ifndef RADISHJUNCTION_WORKER_H
+#define RADISHJUNCTION_WORKER_H
+
+#include "radishjunction/types.h"
+
+enum rj_worker_op {
+	RJ_WORKER_LEASE, /* reserve; nothing runs */
+	RJ_WORKER_START, /* start under a held token; answers at once, or
+			    at the task's end with `wait` */
+	RJ_WORKER_RUN,	 /* lease and start in one, answers at the end */
+	RJ_WORKER_RENEW,
+	RJ_WORKER_CHECKPOINT, /* save, then stop, within limit_us */
+	RJ_WORKER_THROTTLE,
+	RJ_WORKER_STOP,
+	RJ_WORKER_RELEASE, /* give back a token that was not started */
+	RJ_WORKER_FENCE,   /* say what became of an attempt; a token that was
+			    not started is dead afterwards */
+	RJ_WORKER_REPORT,  /* all leases and tasks */
+	RJ_WORKER_OP_COUNT
+};
+
+extern const char *const rj_worker_op_string[RJ_WORKER_OP_COUNT];
+
+enum rj_task_state {
+	RJ_TASK_NONE, /* the worker knows no such task */
+	RJ_TASK_HELD, /* leased, not started */
+	RJ_TASK_RUNNING,
+	RJ_TASK_DONE,
+	RJ_TASK_FAILED,
+	RJ_TASK_STOPPED, /* started, then stopped before its end */
+	RJ_TASK_DEAD,	 /* its token lapsed or was fenced; never started */
+	RJ_TASK_STATE_COUNT
+};
+
+extern const char *const rj_task_state_string[RJ_TASK_STATE_COUNT];
+
+enum rj_reply_status {
+	RJ_REPLY_OK,
+	RJ_REPLY_REFUSED, /* surely without effect; see reason */
+	RJ_REPLY_LOST,	  /* no whole answer: it may have taken effect */
+	RJ_REPLY_STATUS_COUNT
+};
+
+extern const char *const rj_reply_status_string[RJ_REPLY_STATUS_COUNT];
+
+struct rj_worker_call {
+	uint64_t call_id;
+	enum rj_worker_op op;
+	char worker[RJ_NAME_BYTES];
+	struct rj_address address;
+	uint64_t timeout_us;
+	struct rj_attempt attempt;
+	uint32_t member; /* index of the task within its gang */
+	uint32_t gang;	 /* tasks of the whole gang */
+	uint64_t token;	 /* of the lease; 0 for LEASE, RUN and REPORT */
+	char account[RJ_NAME_BYTES];
+	char class_name[RJ_NAME_BYTES];
+	struct rj_resources each;
+	uint64_t life_us;  /* LEASE, RUN, RENEW */
+	uint64_t limit_us; /* CHECKPOINT */
+	uint32_t throttle_percent;
+	bool wait; /* START: answer at the end */
+	uint64_t declared_us;
+	struct rj_bytes body;
+};
+
+/* One lease or task that a worker knows of. */
+struct rj_task_report {
+	struct rj_attempt attempt;
+	uint32_t member;
+	uint32_t gang;
+	uint64_t token;
+	char account[RJ_NAME_BYTES];
+	char class_name[RJ_NAME_BYTES];
+	enum rj_task_state state;
+	struct rj_resources each;
+	uint64_t ran_us;
+	uint64_t lease_left_us;
+	struct rj_bytes result; /* DONE or FAILED */
+};
+
+struct rj_worker_report {
+	uint64_t incarnation;
+	bool leaving;
+	struct rj_resources capacity;
+	struct rj_task_report *tasks;
+	uint32_t task_count;
+};
+
+struct rj_worker_reply {
+	uint64_t call_id;
+	enum rj_worker_op op;
+	char worker[RJ_NAME_BYTES];
+	enum rj_reply_status status;
+	enum rj_reason reason;	   /* with REFUSED */
+	bool leaving;		   /* the worker says that it is leaving */
+	uint64_t incarnation;	   /* of the worker */
+	struct rj_attempt attempt; /* echoed by the worker */
+	uint64_t token;
+	enum rj_task_state state;
+	struct rj_bytes result;
+	uint64_t ran_us;
+	struct rj_worker_report report; /* REPORT */
+};
+
+#endif
--- /dev/null
+++ b/src/libradishjunction/core/decision.c
@@ -0,0 +1,59 @@
+#include "radishjunction/planner.h"
+
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+/*
+ * Start an empty list; members of its decisions are talloc children of a
+ * context that `rj_decisions_clear` empties.
+ */
+void rj_decisions_init(struct rj_decisions *decisions, void *mem)
+{
+	memset(decisions, 0, sizeof(*decisions));
+	decisions->mem = talloc_named_const(mem, 0, "decisions");
+	assert(decisions->mem);
+}
+
+/*
+ * Append a zeroed decision. The pointer is good until the next append.
+ */
+struct rj_decision *rj_decisions_add(struct rj_decisions *decisions,
+				     enum rj_decision_kind kind)
+{
+	struct rj_decision *decision;
+
+	if (decisions->count == decisions->capacity) {
+		uint32_t capacity =
+			decisions->capacity ? 2 * decisions->capacity : 16;
+
+		decisions->list = talloc_realloc(NULL, decisions->list,
+						 struct rj_decision, capacity);
+		assert(decisions->list);
+		decisions->capacity = capacity;
+	}
+	decision = &decisions->list[decisions->count++];
+	memset(decision, 0, sizeof(*decision));
+	decision->kind = kind;
+	return decision;
+}
+
+/*
+ * Empty the list and free the members of its decisions.
+ */
+void rj_decisions_clear(struct rj_decisions *decisions)
+{
+	talloc_free_children(decisions->mem);
+	decisions->count = 0;
+}
+
+/*
+ * Free the list and the members of its decisions.
+ */
+void rj_decisions_finish(struct rj_decisions *decisions)
+{
+	TALLOC_FREE(decisions->list);
+	TALLOC_FREE(decisions->mem);
+	decisions->count = 0;
+	decisions->capacity = 0;
+}
