Workers: a lease has a holder, a report renews, a gang starts held still

Cause: renewing each lease by itself would cost an owner of 500 tasks hundreds of calls a second; a gang whose members start one by one would run in part. Change: REPORT renews the holder's leases; START and THROTTLE take a percentage, 0 holding a started task still.

--- a/include/radishjunction/worker.h
+++ b/include/radishjunction/worker.h
@@ -3,7 +3,12 @@
  *
  * A worker runs tasks under leases. It is the arbiter of its own leases: a
  * token that has lapsed, was released or was fenced never starts a task. It
- * remembers ended tasks for a while, so that a new owner can ask.
+ * remembers ended tasks for a while, so that a new owner can ask. A restart
+ * gives it a new incarnation and makes it forget everything.
+ *
+ * LEASE, START, RUN, RENEW, STOP, RELEASE and FENCE are idempotent: the same
+ * call for the same attempt and member repeats its answer. A running task
+ * whose lease lapses is stopped by the worker.
  */
 #ifndef RADISHJUNCTION_WORKER_H
 #define RADISHJUNCTION_WORKER_H
@@ -11,15 +16,16 @@
 #include "radishjunction/types.h"
 
 enum rj_worker_op {
-	RJ_WORKER_LEASE, /* reserve; nothing runs */
-	RJ_WORKER_START, /* start under a held token; answers at once, or
+	RJ_WORKER_LEASE,      /* reserve; nothing runs */
+	RJ_WORKER_START,      /* start under a held token; answers at once, or
 			    at the task's end with `wait` */
-	RJ_WORKER_RUN,	 /* lease and start in one, answers at the end */
-	RJ_WORKER_RENEW,
+	RJ_WORKER_RUN,	      /* lease and start in one, answers at the end */
+	RJ_WORKER_RENEW,      /* `holder` becomes the one who renews it */
 	RJ_WORKER_CHECKPOINT, /* save, then stop, within limit_us */
 	RJ_WORKER_THROTTLE,
 	RJ_WORKER_STOP,
-	RJ_WORKER_RELEASE, /* give back a token that was not started */
+	RJ_WORKER_RELEASE, /* a token that was not started is dead; an ended
+			      task is forgotten */
 	RJ_WORKER_FENCE,   /* say what became of an attempt; a token that was
 			    not started is dead afterwards */
 	RJ_WORKER_REPORT,  /* all leases and tasks */
@@ -56,6 +62,7 @@
 	char worker[RJ_NAME_BYTES];
 	struct rj_address address;
 	uint64_t timeout_us;
+	uint64_t holder; /* incarnation of the instance that calls */
 	struct rj_attempt attempt;
 	uint32_t member; /* index of the task within its gang */
 	uint32_t gang;	 /* tasks of the whole gang */
@@ -65,8 +72,11 @@
 	struct rj_resources each;
 	uint64_t life_us;  /* LEASE, RUN, RENEW */
 	uint64_t limit_us; /* CHECKPOINT */
+	/* START, THROTTLE: 0 holds a started task still, 100 lets it run.
+	   A gang starts at 0 and is let run when all of it has started. */
 	uint32_t throttle_percent;
-	bool wait; /* START: answer at the end */
+	uint64_t resume_us; /* START, RUN: progress saved by checkpoints */
+	bool wait;	    /* START: answer at the end */
 	uint64_t declared_us;
 	struct rj_bytes body;
 };
@@ -74,6 +84,7 @@
 /* One lease or task that a worker knows of. */
 struct rj_task_report {
 	struct rj_attempt attempt;
+	uint64_t holder; /* who renews its lease */
 	uint32_t member;
 	uint32_t gang;
 	uint64_t token;
