--- a/include/radishjunction/action.h
+++ b/include/radishjunction/action.h
@@ -19,7 +19,7 @@
 	RJ_ACTION_PEER_CONNECT, /* keep a link to this peer */
 	RJ_ACTION_PEER_DROP,
 	RJ_ACTION_PEER_SEND,
-	RJ_ACTION_LOG,	/* one decision, for the log */
+	RJ_ACTION_LOG, /* one decision, for the log */
 	RJ_ACTION_EXIT, /* the stop is complete */
 	RJ_ACTION_KIND_COUNT
 };
@@ -67,7 +67,7 @@
 	char account[RJ_NAME_BYTES];
 	char target[RJ_NAME_BYTES]; /* worker, peer or domain */
 	uint64_t waited_us;
-	uint32_t considered;	    /* how many candidates were looked at */
+	uint32_t considered; /* how many candidates were looked at */
 	enum rj_answer_kind answer; /* RJ_LOG_END, RJ_LOG_REFUSE */
 };
 
--- a/include/radishjunction/config.h
+++ b/include/radishjunction/config.h
@@ -25,7 +25,7 @@
 struct rj_account {
 	char name[RJ_NAME_BYTES];
 	uint8_t token_hash[RJ_TOKEN_HASH_BYTES]; /* of the caller's token */
-	uint32_t share;	   /* weight of fair sharing above guarantees */
+	uint32_t share; /* weight of fair sharing above guarantees */
 	uint32_t open_max; /* open jobs of the account at one instance */
 	struct rj_guarantee *guarantees;
 	uint32_t guarantee_count;
@@ -35,9 +35,9 @@
 	char name[RJ_NAME_BYTES];
 	enum rj_priority priority;
 	bool idempotent;
-	bool checkpoint;      /* its tasks can be checkpointed and resumed */
+	bool checkpoint; /* its tasks can be checkpointed and resumed */
 	uint64_t expected_us; /* until run times have been learnt */
-	uint32_t open_max;    /* open jobs of the class at one instance */
+	uint32_t open_max; /* open jobs of the class at one instance */
 };
 
 struct rj_domain {
@@ -49,17 +49,17 @@
 };
 
 struct rj_config_limits {
-	uint32_t queue_max;	/* waiting jobs at one instance */
+	uint32_t queue_max; /* waiting jobs at one instance */
 	uint32_t retry_percent; /* retries as a share of successes */
 	uint32_t lease_life_ms;
 	uint32_t checkpoint_limit_ms; /* for a reclaim, then stop */
-	uint32_t key_life_s;	      /* how long an idempotency key is known */
+	uint32_t key_life_s; /* how long an idempotency key is known */
 	/* 0: completion time alone counts; 100: fragmentation alone. */
 	uint32_t fragmentation_weight;
 };
 
 struct rj_config {
-	uint64_t revision;	     /* set from the log's record */
+	uint64_t revision; /* set from the log's record */
 	char id[RJ_CONFIG_ID_BYTES]; /* of the publication */
 	struct rj_domain *domains;
 	uint32_t domain_count;
--- a/include/radishjunction/core.h
+++ b/include/radishjunction/core.h
@@ -19,11 +19,11 @@
 	char name[RJ_NAME_BYTES];
 	char domain[RJ_NAME_BYTES];
 	uint64_t incarnation; /* differs at each start of a process */
-	uint64_t seed;	      /* of jitter and of job ids */
+	uint64_t seed; /* of jitter and of job ids */
 	const struct rj_instance *peers; /* known from the settings */
 	uint32_t peer_count;
 	struct rj_planner *planner; /* the caller keeps it alive */
-	uint64_t retention_us;	    /* how long the log keeps a record */
+	uint64_t retention_us; /* how long the log keeps a record */
 };
 
 enum rj_counter {
--- a/include/radishjunction/event.h
+++ b/include/radishjunction/event.h
@@ -14,18 +14,18 @@
 #include "radishjunction/worker.h"
 
 enum rj_event_kind {
-	RJ_EVENT_REQUEST,      /* a caller asks */
-	RJ_EVENT_CALLER_GONE,  /* its connection closed before the answer */
-	RJ_EVENT_RECORDS,      /* a read of the log was answered */
-	RJ_EVENT_READ_FAILED,  /* a read was not answered in time */
-	RJ_EVENT_APPENDED,     /* what became of an append */
-	RJ_EVENT_INSTANCES,    /* the platform's lagging list */
+	RJ_EVENT_REQUEST, /* a caller asks */
+	RJ_EVENT_CALLER_GONE, /* its connection closed before the answer */
+	RJ_EVENT_RECORDS, /* a read of the log was answered */
+	RJ_EVENT_READ_FAILED, /* a read was not answered in time */
+	RJ_EVENT_APPENDED, /* what became of an append */
+	RJ_EVENT_INSTANCES, /* the platform's lagging list */
 	RJ_EVENT_WORKER_REPLY, /* what became of a call to a worker */
-	RJ_EVENT_PEER_UP,      /* an authenticated link stands */
-	RJ_EVENT_PEER_DOWN,    /* the link ended; messages may be lost */
+	RJ_EVENT_PEER_UP, /* an authenticated link stands */
+	RJ_EVENT_PEER_DOWN, /* the link ended; messages may be lost */
 	RJ_EVENT_PEER_MESSAGE,
 	RJ_EVENT_TIMER, /* the time of `rj_core_wake_us` has come */
-	RJ_EVENT_STOP,	/* the process was asked to stop */
+	RJ_EVENT_STOP, /* the process was asked to stop */
 	RJ_EVENT_KIND_COUNT
 };
 
@@ -45,16 +45,16 @@
 	enum rj_request_op op;
 	char token[RJ_TOKEN_BYTES];
 	struct rj_job_spec spec; /* submit; account is filled by the core */
-	uint64_t job_id;	 /* lookup, cancel */
-	bool wait;		 /* lookup: answer when the job has ended */
+	uint64_t job_id; /* lookup, cancel */
+	bool wait; /* lookup: answer when the job has ended */
 };
 
 struct rj_records {
 	enum rj_stream stream;
-	uint64_t from;	 /* the offset that was asked for */
+	uint64_t from; /* the offset that was asked for */
 	uint64_t oldest; /* the oldest offset still kept */
-	uint64_t next;	 /* where to read on */
-	uint64_t head;	 /* one past the newest offset */
+	uint64_t next; /* where to read on */
+	uint64_t head; /* one past the newest offset */
 	struct rj_record *records;
 	uint32_t count;
 };
@@ -62,7 +62,7 @@
 enum rj_append_status {
 	RJ_APPEND_OK,
 	RJ_APPEND_REFUSED, /* surely without effect */
-	RJ_APPEND_LOST,	   /* may have taken effect, or may yet */
+	RJ_APPEND_LOST, /* may have taken effect, or may yet */
 	RJ_APPEND_STATUS_COUNT
 };
 
--- a/include/radishjunction/peer_message.h
+++ b/include/radishjunction/peer_message.h
@@ -17,7 +17,7 @@
 enum rj_peer_message_kind {
 	RJ_PEER_HEARTBEAT,
 	RJ_PEER_SUMMARY, /* free capacity of one rack, sent on change */
-	RJ_PEER_CONFIG,	 /* the newest accepted configuration */
+	RJ_PEER_CONFIG, /* the newest accepted configuration */
 	RJ_PEER_LEAVING, /* a worker that is leaving */
 	RJ_PEER_FORWARD, /* a request for the receiver to serve */
 	RJ_PEER_FORWARD_ANSWER,
@@ -33,14 +33,14 @@
 	uint64_t incarnation;
 	bool draining; /* takes no new work; its racks go to others */
 	uint64_t config_revision;
-	uint32_t queued;  /* jobs waiting here */
+	uint32_t queued; /* jobs waiting here */
 	uint64_t wait_us; /* expected wait of a small job here */
 };
 
 struct rj_peer_summary {
 	char domain[RJ_NAME_BYTES];
 	uint32_t rack;
-	uint64_t owner;	  /* incarnation of the sender */
+	uint64_t owner; /* incarnation of the sender */
 	uint64_t version; /* rises; the newest of one owner wins */
 	uint32_t worker_count;
 	struct rj_resources free[RJ_RACK_WORKERS_MAX];
@@ -60,8 +60,8 @@
 
 struct rj_peer_forward {
 	uint64_t forward_id; /* of the sender, never reused */
-	uint32_t hops;	     /* how often it was forwarded already */
-	bool other_domain;   /* it left its own failure domain */
+	uint32_t hops; /* how often it was forwarded already */
+	bool other_domain; /* it left its own failure domain */
 	struct rj_job_spec spec;
 };
 
--- a/include/radishjunction/planner.h
+++ b/include/radishjunction/planner.h
@@ -22,7 +22,7 @@
 	uint32_t rack;
 	struct rj_resources capacity;
 	struct rj_resources foreign; /* taken by tasks not of this planner */
-	bool usable;		     /* may take new work */
+	bool usable; /* may take new work */
 	bool owned; /* in a rack that this instance plans first */
 };
 
@@ -35,7 +35,7 @@
 	bool stoppable; /* idempotent or with checkpoints: may borrow */
 	bool checkpoint;
 	uint64_t declared_us;
-	uint64_t queued_us;   /* time of arrival */
+	uint64_t queued_us; /* time of arrival */
 	uint64_t deadline_us; /* RJ_NEVER_US if none */
 };
 
@@ -48,7 +48,7 @@
 enum rj_decision_kind {
 	RJ_DECISION_START,
 	RJ_DECISION_RECLAIM, /* checkpoint, then stop, within limit_us */
-	RJ_DECISION_REFUSE,  /* a waiting job that is given up */
+	RJ_DECISION_REFUSE, /* a waiting job that is given up */
 	RJ_DECISION_KIND_COUNT
 };
 
@@ -60,9 +60,9 @@
 	uint64_t job_id;
 	struct rj_plan_member *members; /* START; child of the list's mem */
 	uint32_t member_count;
-	bool checkpoint;	 /* RECLAIM */
-	uint64_t limit_us;	 /* RECLAIM */
-	uint64_t for_job;	 /* RECLAIM: whose shape is reclaimed */
+	bool checkpoint; /* RECLAIM */
+	uint64_t limit_us; /* RECLAIM */
+	uint64_t for_job; /* RECLAIM: whose shape is reclaimed */
 	uint64_t retry_after_us; /* REFUSE */
 	uint32_t considered;
 };
--- a/include/radishjunction/record.h
+++ b/include/radishjunction/record.h
@@ -20,10 +20,10 @@
 enum rj_record_kind {
 	RJ_RECORD_MALFORMED, /* could not be decoded; all skip it alike */
 	RJ_RECORD_CONFIG,
-	RJ_RECORD_CLAIM,   /* one attempt asks for the right to start */
-	RJ_RECORD_VOID,	   /* that attempt never started and never will */
+	RJ_RECORD_CLAIM, /* one attempt asks for the right to start */
+	RJ_RECORD_VOID, /* that attempt never started and never will */
 	RJ_RECORD_OUTCOME, /* how the job ended, with its result */
-	RJ_RECORD_ACCEPT,  /* the job was accepted and must not be lost */
+	RJ_RECORD_ACCEPT, /* the job was accepted and must not be lost */
 	RJ_RECORD_CANCEL, /* an accepted job is to end without (more) running */
 	RJ_RECORD_KIND_COUNT
 };
@@ -39,19 +39,19 @@
 
 struct rj_record {
 	enum rj_record_kind kind;
-	bool carried;	 /* appended again, well before retention ends */
+	bool carried; /* appended again, well before retention ends */
 	uint64_t offset; /* set on read */
 	uint64_t age_us; /* set on read, by the platform's clock */
 	char author[RJ_NAME_BYTES]; /* name of the instance */
 	char domain[RJ_NAME_BYTES]; /* failure domain of the job */
 	struct rj_attempt attempt;
-	struct rj_job_spec spec;	 /* claim: no body; accept: whole */
+	struct rj_job_spec spec; /* claim: no body; accept: whole */
 	struct rj_claim_member *members; /* claim */
 	uint32_t member_count;
-	uint64_t lease_life_us;	     /* claim */
+	uint64_t lease_life_us; /* claim */
 	enum rj_answer_kind outcome; /* outcome */
-	enum rj_reason reason;	     /* outcome */
-	struct rj_bytes result;	     /* outcome */
+	enum rj_reason reason; /* outcome */
+	struct rj_bytes result; /* outcome */
 	/* config */
 	char config_id[RJ_CONFIG_ID_BYTES];
 	uint64_t base_revision;
--- a/include/radishjunction/settings.h
+++ b/include/radishjunction/settings.h
@@ -21,10 +21,10 @@
 	struct rj_instance *peers; /* role entry */
 	uint32_t peer_count;
 	char peer_key[RJ_TOKEN_BYTES]; /* shared by all instances */
-	uint32_t retention_s;	       /* of the platform's log */
+	uint32_t retention_s; /* of the platform's log */
 	uint32_t body_max_bytes;
 	uint32_t connections_max;
-	uint32_t requests_max;	 /* open at once */
+	uint32_t requests_max; /* open at once */
 	uint32_t idle_timeout_s; /* of a caller's connection */
 	uint32_t drain_limit_s;
 };
--- a/include/radishjunction/types.h
+++ b/include/radishjunction/types.h
@@ -14,8 +14,8 @@
 #include <stdint.h>
 
 #define RJ_NAME_BYTES 48 /* a name with its terminating zero */
-#define RJ_KEY_BYTES 72	 /* an idempotency key with its terminating zero */
-#define RJ_IP_BYTES 46	 /* the longest IPv6 text form */
+#define RJ_KEY_BYTES 72 /* an idempotency key with its terminating zero */
+#define RJ_IP_BYTES 46 /* the longest IPv6 text form */
 #define RJ_DIGEST_BYTES 16
 #define RJ_TOKEN_BYTES 72 /* a caller's token with its terminating zero */
 
@@ -66,10 +66,10 @@
 extern const char *const rj_priority_string[RJ_PRIORITY_COUNT];
 
 enum rj_answer_kind {
-	RJ_ANSWER_DONE,	    /* ran to its end; the result is whole */
-	RJ_ANSWER_FAILED,   /* ran and failed */
-	RJ_ANSWER_NOT_RUN,  /* did not run and will not run */
-	RJ_ANSWER_UNKNOWN,  /* may have run; ask again with the same key */
+	RJ_ANSWER_DONE, /* ran to its end; the result is whole */
+	RJ_ANSWER_FAILED, /* ran and failed */
+	RJ_ANSWER_NOT_RUN, /* did not run and will not run */
+	RJ_ANSWER_UNKNOWN, /* may have run; ask again with the same key */
 	RJ_ANSWER_ACCEPTED, /* its record is in the log; ask by id */
 	RJ_ANSWER_KIND_COUNT
 };
@@ -133,12 +133,12 @@
 	uint64_t job_id;
 	char account[RJ_NAME_BYTES];
 	char class_name[RJ_NAME_BYTES];
-	char key[RJ_KEY_BYTES];		 /* "" without an idempotency key */
+	char key[RJ_KEY_BYTES]; /* "" without an idempotency key */
 	uint8_t digest[RJ_DIGEST_BYTES]; /* of class, shape and body */
 	struct rj_shape shape;
-	uint64_t declared_us;	 /* the caller's estimate; 0 if not given */
+	uint64_t declared_us; /* the caller's estimate; 0 if not given */
 	uint64_t deadline_in_us; /* counted from receipt; 0 if none */
-	bool wait;		 /* the caller waits on its connection */
+	bool wait; /* the caller waits on its connection */
 	struct rj_bytes body;
 };
 
--- a/include/radishjunction/worker.h
+++ b/include/radishjunction/worker.h
@@ -16,19 +16,27 @@
 #include "radishjunction/types.h"
 
 enum rj_worker_op {
-	RJ_WORKER_LEASE,      /* reserve; nothing runs */
-	RJ_WORKER_START,      /* start under a held token; answers at once, or
-			    at the task's end with `wait` */
-	RJ_WORKER_RUN,	      /* lease and start in one, answers at the end */
-	RJ_WORKER_RENEW,      /* `holder` becomes the one who renews it */
-	RJ_WORKER_CHECKPOINT, /* save, then stop, within limit_us */
+	/* Reserve; nothing runs. */
+	RJ_WORKER_LEASE,
+	/* Start under a held token. Answers at once, or with `wait` at the
+	   task's end. */
+	RJ_WORKER_START,
+	/* Lease and start in one; answers at the task's end. */
+	RJ_WORKER_RUN,
+	/* Extend one lease; `holder` becomes the one who renews it. */
+	RJ_WORKER_RENEW,
+	/* Save the progress, then stop, within limit_us. */
+	RJ_WORKER_CHECKPOINT,
 	RJ_WORKER_THROTTLE,
 	RJ_WORKER_STOP,
-	RJ_WORKER_RELEASE, /* a token that was not started is dead; an ended
-			      task is forgotten */
-	RJ_WORKER_FENCE,   /* say what became of an attempt; a token that was
-			    not started is dead afterwards */
-	RJ_WORKER_REPORT,  /* all leases and tasks */
+	/* A token that was not started is dead; an ended task is forgotten. */
+	RJ_WORKER_RELEASE,
+	/* Say what became of an attempt; a token that was not started is
+	   dead afterwards. */
+	RJ_WORKER_FENCE,
+	/* List all leases and tasks; with life_us, first renew those of
+	   `holder` in the same call. */
+	RJ_WORKER_REPORT,
 	RJ_WORKER_OP_COUNT
 };
 
@@ -41,7 +49,7 @@
 	RJ_TASK_DONE,
 	RJ_TASK_FAILED,
 	RJ_TASK_STOPPED, /* started, then stopped before its end */
-	RJ_TASK_DEAD,	 /* its token lapsed or was fenced; never started */
+	RJ_TASK_DEAD, /* its token lapsed or was fenced; never started */
 	RJ_TASK_STATE_COUNT
 };
 
@@ -50,7 +58,7 @@
 enum rj_reply_status {
 	RJ_REPLY_OK,
 	RJ_REPLY_REFUSED, /* surely without effect; see reason */
-	RJ_REPLY_LOST,	  /* no whole answer: it may have taken effect */
+	RJ_REPLY_LOST, /* no whole answer: it may have taken effect */
 	RJ_REPLY_STATUS_COUNT
 };
 
@@ -65,18 +73,18 @@
 	uint64_t holder; /* incarnation of the instance that calls */
 	struct rj_attempt attempt;
 	uint32_t member; /* index of the task within its gang */
-	uint32_t gang;	 /* tasks of the whole gang */
-	uint64_t token;	 /* of the lease; 0 for LEASE, RUN and REPORT */
+	uint32_t gang; /* tasks of the whole gang */
+	uint64_t token; /* of the lease; 0 for LEASE, RUN and REPORT */
 	char account[RJ_NAME_BYTES];
 	char class_name[RJ_NAME_BYTES];
 	struct rj_resources each;
-	uint64_t life_us;  /* LEASE, RUN, RENEW */
+	uint64_t life_us; /* LEASE, RUN, RENEW */
 	uint64_t limit_us; /* CHECKPOINT */
 	/* START, THROTTLE: 0 holds a started task still, 100 lets it run.
 	   A gang starts at 0 and is let run when all of it has started. */
 	uint32_t throttle_percent;
 	uint64_t resume_us; /* START, RUN: progress saved by checkpoints */
-	bool wait;	    /* START: answer at the end */
+	bool wait; /* START: answer at the end */
 	uint64_t declared_us;
 	struct rj_bytes body;
 };
@@ -110,9 +118,9 @@
 	enum rj_worker_op op;
 	char worker[RJ_NAME_BYTES];
 	enum rj_reply_status status;
-	enum rj_reason reason;	   /* with REFUSED */
-	bool leaving;		   /* the worker says that it is leaving */
-	uint64_t incarnation;	   /* of the worker */
+	enum rj_reason reason; /* with REFUSED */
+	bool leaving; /* the worker says that it is leaving */
+	uint64_t incarnation; /* of the worker */
 	struct rj_attempt attempt; /* echoed by the worker */
 	uint64_t token;
 	enum rj_task_state state;
