--- a/include/radishjunction/worker.h
+++ b/include/radishjunction/worker.h
@@ -34,8 +34,10 @@
 	/* Say what became of an attempt; a token that was not started is
 	   dead afterwards. */
 	RJ_WORKER_FENCE,
-	/* List all leases and tasks; with life_us, first renew those of
-	   `holder` in the same call. */
+	/* List all leases and running tasks; with life_us, first renew those
+	   of `holder` in the same call. An ended task is listed until its end
+	   has been told: by the answer to RUN or to START with `wait`, or
+	   until RELEASE. FENCE knows it for longer. */
 	RJ_WORKER_REPORT,
 	RJ_WORKER_OP_COUNT
 };
@@ -72,8 +74,10 @@
 	uint64_t timeout_us;
 	uint64_t holder; /* incarnation of the instance that calls */
 	struct rj_attempt attempt;
-	uint32_t member; /* index of the task within its gang */
-	uint32_t gang; /* tasks of the whole gang */
+	/* A member is all of a gang's tasks on one worker: one lease, one
+	   start; `each` is what the member needs in all. */
+	uint32_t member; /* index of the member within its gang */
+	uint32_t gang; /* members of the whole gang */
 	uint64_t token; /* of the lease; 0 for LEASE, RUN and REPORT */
 	char account[RJ_NAME_BYTES];
 	char class_name[RJ_NAME_BYTES];
--- /dev/null
+++ b/src/libradishjunction/include/private/list.h
@@ -0,0 +1,53 @@
+/*
+ * A doubly linked list whose links live in its elements. Order is the order
+ * of insertion, so that iteration is the same in every run.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_LIST_H
+#define RADISHJUNCTION_PRIVATE_LIST_H
+
+#include <stddef.h>
+
+struct rj_list {
+	struct rj_list *next;
+	struct rj_list *prev;
+};
+
+#define RJ_CONTAINER(pointer, type, member) \
+	((type *)((char *)(pointer)-offsetof(type, member)))
+
+/* `next_` lets the body remove `at`. */
+#define RJ_FOR_EACH(at, next_, list)                                    \
+	for ((at) = (list)->next, (next_) = (at)->next; (at) != (list); \
+	     (at) = (next_), (next_) = (at)->next)
+
+/*
+ * Make an empty list, or a link that belongs to none.
+ */
+static inline void rj_list_init(struct rj_list *list)
+{
+	list->next = list;
+	list->prev = list;
+}
+
+/*
+ * Put `link` at the end of `list`.
+ */
+static inline void rj_list_append(struct rj_list *list, struct rj_list *link)
+{
+	link->prev = list->prev;
+	link->next = list;
+	list->prev->next = link;
+	list->prev = link;
+}
+
+/*
+ * Take `link` out of its list; harmless on one that belongs to none.
+ */
+static inline void rj_list_remove(struct rj_list *link)
+{
+	link->prev->next = link->next;
+	link->next->prev = link->prev;
+	rj_list_init(link);
+}
+
+#endif
