test: a small world of fakes, and a checker of the promises

Cause: no promise could be attacked without processes, sleeps and luck. Excluded: a cluster simulator; the fakes stand at the core's interfaces only. Change: a virtual clock and event queue, fakes of log, workers, peer links and callers, seeded fault plans, a checker that sees only what workers ran and what callers were told, and a naive version of the decisions. Before: none. The world itself is not run by a test yet: it needs the configuration's parser. Conclusion: the checker sees each planted violation (test_checker).

--- /dev/null
+++ b/src/test_libradishjunction/naive/naive_core.c
@@ -0,0 +1,426 @@
+#include "naive/naive_core.h"
+
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#define WORKERS_MAX 64
+#define PEERS_MAX 16
+#define HEARTBEAT_US RJ_US_PER_S
+#define TRY_AGAIN_US (100 * RJ_US_PER_MS)
+#define TRIES_MAX 100
+#define LEASE_LIFE_US (3 * RJ_US_PER_S)
+#define CALL_TIMEOUT_US RJ_US_PER_S
+#define RUN_TIMEOUT_US (60 * RJ_US_PER_S)
+
+struct member {
+	char worker[RJ_NAME_BYTES];
+	uint64_t call_id; /* the open one; 0: none */
+	uint64_t token;
+	bool done;
+};
+
+struct job {
+	struct job *next;
+	struct rj_job_spec spec;
+	struct rj_attempt attempt;
+	uint64_t request_id; /* who waits; 0: nobody */
+	uint64_t try_us; /* when to try again */
+	uint32_t tries;
+	bool ended;
+	struct rj_answer answer;
+	struct member *members; /* one for each task */
+};
+
+struct naive_core {
+	struct rj_core_options options;
+	uint64_t random;
+	uint64_t beat_us;
+	uint64_t next_call;
+	uint64_t revision;
+	struct rj_instance workers[WORKERS_MAX];
+	uint32_t worker_count;
+	uint32_t next_worker;
+	char peers[PEERS_MAX][RJ_NAME_BYTES];
+	uint32_t peer_count;
+	bool greeted;
+	struct job *jobs;
+};
+
+/*
+ * Make one as a talloc child of `mem`.
+ */
+struct naive_core *naive_core_create(void *mem,
+				     const struct rj_core_options *options)
+{
+	struct naive_core *core = talloc_zero(mem, struct naive_core);
+
+	assert(core && options->peer_count <= PEERS_MAX);
+	core->options = *options;
+	core->random = options->seed;
+	core->peer_count = options->peer_count;
+	for (uint32_t i = 0; i < options->peer_count; i++)
+		memcpy(core->peers[i], options->peers[i].name, RJ_NAME_BYTES);
+	return core;
+}
+
+/*
+ * When it wants its timer next.
+ */
+uint64_t naive_core_wake_us(const struct naive_core *core)
+{
+	uint64_t wake_us = core->beat_us;
+
+	for (const struct job *job = core->jobs; job; job = job->next)
+		if (!job->ended && job->try_us < wake_us)
+			wake_us = job->try_us;
+	return wake_us;
+}
+
+static struct rj_worker_call *call(struct naive_core *core,
+				   struct rj_actions *actions,
+				   const struct job *job, uint32_t member,
+				   enum rj_worker_op op)
+{
+	struct rj_action *action =
+		rj_actions_add(actions, RJ_ACTION_WORKER_CALL);
+	struct rj_worker_call *made = &action->u.worker_call;
+
+	made->call_id = ++core->next_call;
+	made->op = op;
+	made->timeout_us = CALL_TIMEOUT_US;
+	made->holder = core->options.incarnation;
+	made->life_us = LEASE_LIFE_US;
+	if (!job)
+		return made;
+	made->attempt = job->attempt;
+	made->member = member;
+	made->gang = job->spec.shape.tasks;
+	made->token = job->members[member].token;
+	made->each = job->spec.shape.each;
+	made->body = job->spec.body;
+	memcpy(made->worker, job->members[member].worker, RJ_NAME_BYTES);
+	memcpy(made->account, job->spec.account, RJ_NAME_BYTES);
+	memcpy(made->class_name, job->spec.class_name, RJ_NAME_BYTES);
+	job->members[member].call_id = made->call_id;
+	return made;
+}
+
+static void answer(struct rj_actions *actions, uint64_t request_id,
+		   const struct rj_answer *told)
+{
+	struct rj_action *action;
+
+	if (!request_id)
+		return;
+	action = rj_actions_add(actions, RJ_ACTION_ANSWER);
+	action->u.answer.request_id = request_id;
+	action->u.answer.answer = *told;
+}
+
+static void end_job(struct job *job, struct rj_actions *actions,
+		    enum rj_answer_kind kind, enum rj_reason reason,
+		    const struct rj_bytes *result)
+{
+	if (job->ended)
+		return;
+	job->ended = true;
+	job->answer.kind = kind;
+	job->answer.reason = reason;
+	job->answer.job_id = job->attempt.job_id;
+	if (result && result->length) {
+		job->answer.result.data =
+			talloc_memdup(job, result->data, result->length);
+		job->answer.result.length = result->length;
+	}
+	answer(actions, job->request_id, &job->answer);
+	job->request_id = 0;
+}
+
+/* The next worker that the list shows as live. */
+static bool choose_worker(struct naive_core *core, char worker[RJ_NAME_BYTES])
+{
+	for (uint32_t i = 0; i < core->worker_count; i++) {
+		const struct rj_instance *line =
+			&core->workers[core->next_worker++ %
+				       core->worker_count];
+
+		if (line->leaving)
+			continue;
+		memcpy(worker, line->name, RJ_NAME_BYTES);
+		return true;
+	}
+	return false;
+}
+
+static void try_job(struct naive_core *core, struct job *job, uint64_t now_us,
+		    struct rj_actions *actions)
+{
+	job->try_us = RJ_NEVER_US;
+	if (job->tries++ >= TRIES_MAX) {
+		end_job(job, actions, RJ_ANSWER_NOT_RUN, RJ_REASON_RETRY_BUDGET,
+			NULL);
+		return;
+	}
+	job->attempt.number++;
+	for (uint32_t i = 0; i < job->spec.shape.tasks; i++) {
+		struct member *member = &job->members[i];
+
+		memset(member, 0, sizeof(*member));
+		if (!choose_worker(core, member->worker)) {
+			job->try_us = now_us + TRY_AGAIN_US;
+			return;
+		}
+		(void)call(core, actions, job, i, RJ_WORKER_LEASE);
+	}
+}
+
+static struct job *find_job(struct naive_core *core, uint64_t job_id)
+{
+	struct job *job = core->jobs;
+
+	while (job && job->attempt.job_id != job_id)
+		job = job->next;
+	return job;
+}
+
+static struct job *find_key(struct naive_core *core, const char *key)
+{
+	struct job *job = core->jobs;
+
+	while (job && (!key[0] || strcmp(job->spec.key, key) != 0))
+		job = job->next;
+	return job;
+}
+
+static void submit(struct naive_core *core, const struct rj_request *request,
+		   uint64_t now_us, struct rj_actions *actions)
+{
+	struct job *job = find_key(core, request->spec.key);
+
+	if (!job) {
+		job = talloc_zero(core, struct job);
+		assert(job);
+		job->spec = request->spec;
+		job->spec.body.data =
+			talloc_memdup(job, request->spec.body.data,
+				      request->spec.body.length);
+		job->members = talloc_zero_array(job, struct member,
+						 job->spec.shape.tasks);
+		job->attempt.job_id = rj_random64(&core->random);
+		job->attempt.owner = core->options.incarnation;
+		job->next = core->jobs;
+		core->jobs = job;
+		try_job(core, job, now_us, actions);
+	}
+	if (job->ended) {
+		answer(actions, request->request_id, &job->answer);
+	} else if (request->spec.wait) {
+		job->request_id = request->request_id;
+	} else {
+		struct rj_answer told = { .kind = RJ_ANSWER_ACCEPTED };
+
+		told.job_id = job->attempt.job_id;
+		answer(actions, request->request_id, &told);
+	}
+}
+
+static void cancel(struct naive_core *core, struct job *job,
+		   struct rj_actions *actions)
+{
+	for (uint32_t i = 0; i < job->spec.shape.tasks; i++)
+		if (job->members[i].token)
+			(void)call(core, actions, job, i, RJ_WORKER_STOP);
+	end_job(job, actions, RJ_ANSWER_NOT_RUN, RJ_REASON_CANCELLED, NULL);
+}
+
+static void take_request(struct naive_core *core,
+			 const struct rj_request *request, uint64_t now_us,
+			 struct rj_actions *actions)
+{
+	struct rj_answer told = { .kind = RJ_ANSWER_NOT_RUN,
+				  .reason = RJ_REASON_NO_SUCH_JOB };
+	struct job *job;
+
+	if (request->op == RJ_REQUEST_SUBMIT) {
+		submit(core, request, now_us, actions);
+		return;
+	}
+	job = find_job(core, request->job_id);
+	if (job && request->op == RJ_REQUEST_CANCEL && !job->ended)
+		cancel(core, job, actions);
+	if (job && job->ended) {
+		told = job->answer;
+	} else if (job) {
+		told.kind = RJ_ANSWER_UNKNOWN;
+		told.reason = RJ_REASON_IN_PROGRESS;
+	}
+	answer(actions, request->request_id, &told);
+}
+
+static void member_done(struct job *job, struct member *member,
+			const struct rj_worker_reply *reply,
+			struct rj_actions *actions)
+{
+	member->done = true;
+	for (uint32_t i = 0; i < job->spec.shape.tasks; i++)
+		if (!job->members[i].done)
+			return;
+	end_job(job, actions, RJ_ANSWER_DONE, RJ_REASON_NONE, &reply->result);
+}
+
+static void take_member_reply(struct naive_core *core, struct job *job,
+			      uint32_t index,
+			      const struct rj_worker_reply *reply,
+			      uint64_t now_us, struct rj_actions *actions)
+{
+	struct member *member = &job->members[index];
+	struct rj_worker_call *start;
+
+	member->call_id = 0;
+	if (reply->status != RJ_REPLY_OK) {
+		job->try_us = now_us + TRY_AGAIN_US;
+		return;
+	}
+	if (reply->op == RJ_WORKER_LEASE) {
+		member->token = reply->token;
+		start = call(core, actions, job, index, RJ_WORKER_START);
+		start->wait = true;
+		start->throttle_percent = 100;
+		start->timeout_us = RUN_TIMEOUT_US;
+	} else if (reply->state == RJ_TASK_DONE) {
+		member_done(job, member, reply, actions);
+	} else if (reply->state == RJ_TASK_FAILED) {
+		end_job(job, actions, RJ_ANSWER_FAILED, RJ_REASON_TASK_FAILED,
+			&reply->result);
+	} else {
+		job->try_us = now_us + TRY_AGAIN_US;
+	}
+}
+
+static void take_reply(struct naive_core *core,
+		       const struct rj_worker_reply *reply, uint64_t now_us,
+		       struct rj_actions *actions)
+{
+	for (struct job *job = core->jobs; job; job = job->next) {
+		for (uint32_t i = 0; i < job->spec.shape.tasks; i++) {
+			if (job->members[i].call_id != reply->call_id ||
+			    job->ended)
+				continue;
+			take_member_reply(core, job, i, reply, now_us, actions);
+			return;
+		}
+	}
+}
+
+static void read_config(struct rj_actions *actions, uint64_t from)
+{
+	struct rj_action *action = rj_actions_add(actions, RJ_ACTION_READ);
+
+	action->u.read.stream = RJ_STREAM_CONFIG;
+	action->u.read.from = from;
+	action->u.read.wait_us = 10 * RJ_US_PER_S;
+}
+
+static void take_records(struct naive_core *core,
+			 const struct rj_records *records,
+			 struct rj_actions *actions)
+{
+	for (uint32_t i = 0; i < records->count; i++)
+		if (records->records[i].kind == RJ_RECORD_CONFIG)
+			core->revision = records->records[i].revision;
+	read_config(actions, records->next);
+}
+
+static void take_list(struct naive_core *core, const struct rj_instance *list,
+		      uint32_t count)
+{
+	core->worker_count = 0;
+	for (uint32_t i = 0; i < count && core->worker_count < WORKERS_MAX; i++)
+		if (list[i].role == RJ_ROLE_WORKER &&
+		    !strcmp(list[i].domain, core->options.domain))
+			core->workers[core->worker_count++] = list[i];
+}
+
+static void send_heartbeats(struct naive_core *core, struct rj_actions *actions)
+{
+	for (uint32_t i = 0; i < core->peer_count; i++) {
+		struct rj_peer_message *message =
+			talloc_zero(actions->mem, struct rj_peer_message);
+		struct rj_action *action;
+
+		action = rj_actions_add(actions,
+					core->greeted ? RJ_ACTION_PEER_SEND :
+							RJ_ACTION_PEER_CONNECT);
+		memcpy(action->u.peer.name, core->peers[i], RJ_NAME_BYTES);
+		message->u.heartbeat.config_revision = core->revision;
+		action->u.peer.message = message;
+	}
+}
+
+static void renew_leases(struct naive_core *core, struct rj_actions *actions)
+{
+	for (uint32_t i = 0; i < core->worker_count; i++) {
+		struct rj_worker_call *report =
+			call(core, actions, NULL, 0, RJ_WORKER_REPORT);
+
+		memcpy(report->worker, core->workers[i].name, RJ_NAME_BYTES);
+	}
+}
+
+static void take_timer(struct naive_core *core, uint64_t now_us,
+		       struct rj_actions *actions)
+{
+	for (struct job *job = core->jobs; job; job = job->next)
+		if (!job->ended && job->try_us <= now_us)
+			try_job(core, job, now_us, actions);
+	if (now_us < core->beat_us)
+		return;
+	send_heartbeats(core, actions);
+	renew_leases(core, actions);
+	(void)rj_actions_add(actions, RJ_ACTION_LIST);
+	if (!core->greeted)
+		read_config(actions, 0);
+	core->greeted = true;
+	core->beat_us = now_us + HEARTBEAT_US;
+}
+
+/*
+ * Process one event, as rj_core_process does.
+ */
+void naive_core_process(struct naive_core *core, const struct rj_event *event,
+			struct rj_actions *actions)
+{
+	switch (event->kind) {
+	case RJ_EVENT_REQUEST:
+		take_request(core, &event->u.request, event->now_us, actions);
+		break;
+	case RJ_EVENT_CALLER_GONE:
+		for (struct job *job = core->jobs; job; job = job->next)
+			if (job->request_id == event->u.request_id)
+				job->request_id = 0;
+		break;
+	case RJ_EVENT_RECORDS:
+		take_records(core, &event->u.records, actions);
+		break;
+	case RJ_EVENT_READ_FAILED:
+		read_config(actions, 0);
+		break;
+	case RJ_EVENT_INSTANCES:
+		take_list(core, event->u.instances.list,
+			  event->u.instances.count);
+		break;
+	case RJ_EVENT_WORKER_REPLY:
+		take_reply(core, &event->u.worker_reply, event->now_us,
+			   actions);
+		break;
+	case RJ_EVENT_TIMER:
+		take_timer(core, event->now_us, actions);
+		break;
+	case RJ_EVENT_STOP:
+		(void)rj_actions_add(actions, RJ_ACTION_EXIT);
+		break;
+	default:
+		break;
+	}
+}
--- /dev/null
+++ b/src/test_libradishjunction/support/checker.h
@@ -0,0 +1,157 @@
+/*
+ * Judges the promises from what workers ran and what callers were told.
+ *
+ * It sees nothing of the decisions: only starts, progress and ends at the
+ * workers, requests and answers at the callers, and what instances say
+ * outwards. Life cycle: `checker_init`, one call for each thing that
+ * happened in the order of time, `checker_tick` as time passes,
+ * `checker_finish_run` when faults have ended and the world is quiet;
+ * memory is a talloc child of init's `mem`.
+ */
+#ifndef SUPPORT_CHECKER_H
+#define SUPPORT_CHECKER_H
+
+#include <glib.h>
+
+#include "radishjunction/core.h"
+
+enum promise {
+	PROMISE_GUARANTEE,
+	PROMISE_GANG,
+	PROMISE_ANSWER,
+	PROMISE_NOT_RUN,
+	PROMISE_ONCE,
+	PROMISE_LEAVING,
+	PROMISE_STOP,
+	PROMISE_CONFIG,
+	PROMISE_ACCEPTED,
+	PROMISE_COUNT
+};
+
+extern const char *const promise_string[PROMISE_COUNT];
+
+#define CHECKER_NODES_MAX 16
+#define CHECKER_WORKERS_MAX 64
+
+/* What one caller wants done: a key (or none) with one body. */
+struct checker_intent {
+	uint32_t key; /* equal for intents that share a key; 0: unkeyed */
+	bool idempotent;
+	bool guaranteed; /* fits the free part of its guarantee */
+	uint32_t gang;
+	char result[96]; /* what each task of it gives */
+	uint32_t requests; /* submitted */
+	uint32_t refused; /* of these, answered not_run */
+	uint32_t ran; /* attempts that made progress */
+	uint32_t completed; /* attempts of which every member is done */
+	uint64_t submitted_us;
+	uint64_t ran_us; /* first progress; RJ_NEVER_US if none */
+	uint64_t answered_us; /* first final answer; RJ_NEVER_US if none */
+	enum rj_answer_kind answer; /* that answer */
+	bool accepted;
+	bool cancelled;
+	bool late_told; /* its guarantee's violation is counted */
+};
+
+struct checker_request {
+	uint32_t intent;
+	uint32_t node;
+	enum rj_request_op op;
+	uint32_t answers;
+	bool delivered;
+	bool gone; /* its caller no longer waits */
+};
+
+struct checker_attempt {
+	struct rj_attempt id;
+	uint32_t intent;
+	uint32_t gang;
+	uint32_t started;
+	uint32_t running; /* members that make progress */
+	uint32_t done;
+	uint64_t broken_us; /* a member ended otherwise; RJ_NEVER_US: none */
+	bool ran;
+	bool told;
+	uint8_t member[RJ_GANG_MAX]; /* bits of enum member_bit */
+};
+
+/* What the checker knows of an instance. */
+struct checker_node {
+	uint32_t domain;
+	uint64_t incarnation;
+	uint64_t revision;
+	uint64_t reached_us; /* since when platform or a peer is in reach */
+	uint64_t learnt_us[CHECKER_WORKERS_MAX]; /* that it is leaving */
+	uint64_t learnt[CHECKER_WORKERS_MAX]; /* incarnation that leaves */
+};
+
+struct checker {
+	void *mem;
+	uint64_t lease_life_us;
+	uint64_t guarantee_limit_us; /* checkpoint limit and bound */
+	uint64_t calm_us; /* when the last fault ended; RJ_NEVER_US: not yet */
+	uint32_t violations[PROMISE_COUNT];
+	uint64_t checks[PROMISE_COUNT]; /* how often each had a say */
+	char first[PROMISE_COUNT][200];
+	GArray *intents;
+	GHashTable *requests;
+	GHashTable *attempts;
+	GPtrArray *gangs;
+	struct checker_node nodes[CHECKER_NODES_MAX];
+	uint64_t revision;
+	uint64_t revision_us; /* when it was accepted */
+	GArray *settle_us; /* times to be in force at each instance */
+	void (*tell)(void *data, const char *text);
+	void *tell_data;
+};
+
+/* How soon a node that learnt of a leaving worker, or hears from one that
+   did, sends it nothing new. */
+#define CHECKER_LEAVING_US (5 * RJ_US_PER_S)
+#define CHECKER_CONFIG_US (13 * RJ_US_PER_S)
+/* A gang's owner notices a lapse by its next poll. */
+#define CHECKER_GANG_MARGIN_US (2 * RJ_US_PER_S)
+
+void checker_init(struct checker *checker, void *mem);
+uint32_t checker_intent_add(struct checker *checker,
+			    const struct checker_intent *intent);
+struct checker_intent *checker_intent_get(struct checker *checker,
+					  uint32_t intent);
+void checker_request(struct checker *checker, uint64_t now_us,
+		     uint64_t request_id, uint32_t node, uint32_t intent,
+		     enum rj_request_op op);
+void checker_request_delivered(struct checker *checker, uint64_t request_id);
+void checker_request_gone(struct checker *checker, uint64_t request_id);
+void checker_node_gone(struct checker *checker, uint32_t node);
+void checker_node_wakes(struct checker *checker, uint64_t now_us, uint32_t node,
+			bool empty);
+void checker_answer(struct checker *checker, uint64_t now_us, uint32_t node,
+		    uint64_t request_id, const struct rj_answer *answer);
+void checker_task_started(struct checker *checker, uint64_t now_us,
+			  const struct rj_attempt *id, uint32_t intent,
+			  uint32_t member, uint32_t gang);
+void checker_task_progress(struct checker *checker, uint64_t now_us,
+			   const struct rj_attempt *id, uint32_t member,
+			   bool progress);
+void checker_task_ended(struct checker *checker, uint64_t now_us,
+			const struct rj_attempt *id, uint32_t member,
+			enum rj_task_state state);
+void checker_leaving_learnt(struct checker *checker, uint64_t now_us,
+			    uint32_t node, uint32_t worker,
+			    uint64_t incarnation);
+void checker_new_work(struct checker *checker, uint64_t now_us, uint32_t node,
+		      uint32_t worker, uint64_t incarnation,
+		      uint64_t heard_since_us);
+void checker_exit(struct checker *checker, uint64_t now_us, uint32_t node);
+void checker_config_accepted(struct checker *checker, uint64_t now_us,
+			     uint64_t revision);
+void checker_config_seen(struct checker *checker, uint64_t now_us,
+			 uint32_t node, uint64_t incarnation,
+			 uint64_t revision);
+void checker_node_reach(struct checker *checker, uint64_t now_us, uint32_t node,
+			bool reached);
+void checker_tick(struct checker *checker, uint64_t now_us);
+void checker_finish_run(struct checker *checker, uint64_t now_us);
+uint32_t checker_violations(const struct checker *checker);
+
+#endif
--- /dev/null
+++ b/src/test_libradishjunction/support/engine.h
@@ -0,0 +1,28 @@
+/*
+ * What the world drives: the decision core or a naive version of it.
+ *
+ * Life cycle: `create` makes one as a talloc child, `process` and `wake_us`
+ * as in core.h, freed with talloc. A killed instance is freed without a word.
+ */
+#ifndef SUPPORT_ENGINE_H
+#define SUPPORT_ENGINE_H
+
+#include "radishjunction/core.h"
+
+struct engine {
+	const struct engine_ops *ops; /* first member, always */
+};
+
+struct engine_ops {
+	const char *name;
+	struct engine *(*create)(void *mem,
+				 const struct rj_core_options *options);
+	void (*process)(struct engine *engine, const struct rj_event *event,
+			struct rj_actions *actions);
+	uint64_t (*wake_us)(const struct engine *engine);
+};
+
+extern const struct engine_ops engine_core;
+extern const struct engine_ops engine_naive;
+
+#endif
--- /dev/null
+++ b/src/test_libradishjunction/support/fake_worker.h
@@ -0,0 +1,27 @@
+/*
+ * Between the two halves of the fake workers: what they do with a call, and
+ * what the network does to it.
+ */
+#ifndef SUPPORT_FAKE_WORKER_H
+#define SUPPORT_FAKE_WORKER_H
+
+#include "support/world.h"
+
+/* A call on its way, or waiting for its task's end. */
+struct fake_call {
+	struct rj_worker_call call;
+	uint32_t node;
+	uint32_t worker;
+	uint64_t life; /* of the node */
+	bool answered;
+};
+
+void fake_worker_serve(struct world *world, struct fake_worker *worker,
+		       struct fake_call *from);
+void fake_worker_answer(struct world *world, struct fake_call *call,
+			struct rj_worker_reply *reply);
+void fake_worker_deliver(struct world *world, const struct fake_call *call,
+			 uint64_t delay_us,
+			 const struct rj_worker_reply *reply);
+
+#endif
--- /dev/null
+++ b/src/test_libradishjunction/support/faults.h
@@ -0,0 +1,47 @@
+/*
+ * Seeded plans of load and faults, one profile for each promise.
+ *
+ * `faults_run` makes a world, lets load and faults strike it for a while,
+ * ends every fault, waits for quiet and judges; nothing is kept but the
+ * result. `faults_served` runs load with one kind of trouble and counts what
+ * is still served.
+ */
+#ifndef SUPPORT_FAULTS_H
+#define SUPPORT_FAULTS_H
+
+#include "support/world.h"
+
+/* The trouble under which the share of served requests is measured. */
+enum trouble {
+	TROUBLE_NONE,
+	TROUBLE_OUTAGE,
+	TROUBLE_CUT_DOMAIN,
+	TROUBLE_KILLED_INSTANCE,
+	TROUBLE_ROLLING_REPLACEMENT,
+	TROUBLE_COUNT
+};
+
+extern const char *const trouble_string[TROUBLE_COUNT];
+
+struct faults_result {
+	uint32_t violations[PROMISE_COUNT];
+	uint64_t checks[PROMISE_COUNT];
+	char first[PROMISE_COUNT][200];
+	uint64_t faults;
+	uint32_t asked;
+	uint32_t served; /* done or accepted within the patience */
+	uint32_t counts[RJ_ANSWER_KIND_COUNT]; /* first final answers */
+	uint32_t unanswered;
+	GArray *claim_settle_us; /* from the death of a claim's owner */
+	GArray *reclaim_us; /* from asking for a guaranteed shape to its run */
+	GArray *config_us; /* from acceptance to being in force at each */
+};
+
+void faults_result_init(struct faults_result *result);
+void faults_result_finish(struct faults_result *result);
+void faults_run(const struct engine_ops *engine, enum promise promise,
+		uint64_t seed, FILE *transcript, struct faults_result *result);
+void faults_served(const struct engine_ops *engine, enum trouble trouble,
+		   uint64_t seed, struct faults_result *result);
+
+#endif
--- /dev/null
+++ b/src/test_libradishjunction/support/transcript.h
@@ -0,0 +1,18 @@
+/*
+ * Events and actions as lines of text, for golden files and for reading a
+ * failing seed. Incarnations and ids are printed as they are: a seed gives
+ * the same ones each time.
+ */
+#ifndef SUPPORT_TRANSCRIPT_H
+#define SUPPORT_TRANSCRIPT_H
+
+#include <stdio.h>
+
+#include "radishjunction/action.h"
+
+void transcript_event(FILE *out, uint64_t now_us, const char *node,
+		      const struct rj_event *event);
+void transcript_action(FILE *out, uint64_t now_us, const char *node,
+		       const struct rj_action *action);
+
+#endif
--- /dev/null
+++ b/src/test_libradishjunction/support/world.h
@@ -0,0 +1,267 @@
+/*
+ * A small world for the decision core: a virtual clock, several instances of
+ * an engine, and fakes of the log, the workers, the peer links and the
+ * callers.
+ *
+ * Life cycle: `world_create` makes one as a talloc child and starts its
+ * instances, `world_run_until` lets time pass, the rest brings faults about;
+ * freed with talloc. One seed gives one history. Times are virtual
+ * microseconds; each instance's own clock differs from it by a constant.
+ */
+#ifndef SUPPORT_WORLD_H
+#define SUPPORT_WORLD_H
+
+#include <glib.h>
+#include <stdio.h>
+
+#include "support/checker.h"
+#include "support/engine.h"
+
+#define WORLD_DOMAINS_MAX 3
+#define WORLD_RETENTION_US (600 * RJ_US_PER_S)
+#define WORLD_GUARANTEED_ACCOUNT "hub"
+#define WORLD_GUARANTEED_TASKS 4
+#define WORLD_OTHER_ACCOUNT "guest"
+
+struct world;
+
+struct world_event {
+	uint64_t at_us;
+	uint64_t order; /* events of one time run in the order of making */
+	void (*run)(struct world *world, struct world_event *event);
+	uint32_t index; /* whatever the event is about */
+	uint32_t other;
+	uint64_t life; /* of the instance or worker; others are dropped */
+	void *data;
+};
+
+/* Probabilities in thousandths; all 0 without faults. */
+struct fault_rates {
+	uint32_t append_refused;
+	uint32_t append_answer_lost; /* takes effect at once */
+	uint32_t append_late; /* answered lost, takes effect later */
+	uint32_t read_failed;
+	uint32_t call_lost;
+	uint32_t call_late; /* takes effect after its timeout */
+	uint32_t reply_lost;
+	uint32_t reply_cut; /* lost, with a part of the result */
+	uint32_t reply_late; /* after the timeout was told */
+	uint32_t reply_doubled;
+	uint32_t reply_crossed; /* another task's echo under this call */
+	uint32_t peer_lost;
+	uint32_t peer_late;
+};
+
+/* An instance of the engine. */
+struct node {
+	char name[RJ_NAME_BYTES];
+	uint32_t index;
+	uint32_t domain;
+	struct engine *engine; /* NULL: killed or exited */
+	struct rj_actions actions;
+	uint64_t incarnation;
+	uint64_t life; /* rises with each start and end */
+	uint64_t clock_offset_us;
+	uint64_t wake_us; /* of the armed timer */
+	bool paused;
+	bool stopping;
+	uint64_t resumed_us; /* when it last started or went on */
+	GQueue held; /* events that came while it was paused */
+};
+
+struct fake_task {
+	struct rj_attempt attempt;
+	uint64_t holder;
+	uint32_t member;
+	uint32_t gang;
+	uint32_t intent;
+	uint64_t token;
+	char account[RJ_NAME_BYTES];
+	char class_name[RJ_NAME_BYTES];
+	enum rj_task_state state;
+	struct rj_resources each;
+	uint64_t lease_until_us;
+	uint64_t end_us; /* when it is done, if let run; else RJ_NEVER_US */
+	uint64_t counted_us; /* up to when progress is counted */
+	uint64_t progress_us;
+	uint64_t work_us; /* progress at its end */
+	uint32_t throttle_percent;
+	bool fails;
+	char result[96];
+	bool told; /* its end has been told; no longer in reports */
+	GSList *waiting; /* struct fake_call: answered at the end */
+};
+
+struct fake_worker {
+	char name[RJ_NAME_BYTES];
+	uint32_t index;
+	uint32_t domain;
+	uint32_t rack;
+	uint64_t incarnation;
+	struct rj_resources capacity;
+	struct rj_resources free;
+	GPtrArray *tasks; /* struct fake_task, in order of leases */
+	GQueue held; /* calls that came while it was paused */
+	uint64_t next_token;
+	uint64_t armed_us;
+	bool down;
+	bool paused;
+	bool silent; /* hears nothing; its own clock runs on */
+	bool fails_all;
+	bool refuses;
+	bool leaving; /* as the platform's list says it, after its lag */
+	bool tells_leaving; /* its own answers say it too */
+	uint64_t slow_us; /* added to each of its answers */
+};
+
+struct fake_log {
+	GPtrArray *streams[RJ_STREAM_COUNT]; /* struct rj_record */
+	uint64_t oldest[RJ_STREAM_COUNT];
+	GQueue *readers[RJ_STREAM_COUNT]; /* long polls */
+	uint64_t revision; /* by replaying the config stream */
+	char config_id[RJ_CONFIG_ID_BYTES];
+	GQueue lists; /* snapshots of the instance list, oldest first */
+	uint64_t list_lag_us;
+	uint64_t slow_us; /* added to each operation */
+	bool down;
+	bool cut[WORLD_DOMAINS_MAX];
+};
+
+struct fake_link {
+	bool wanted;
+	bool up;
+	bool cut; /* of this pair alone */
+	uint64_t up_us; /* since when */
+	uint64_t last_us[2]; /* arrival of the newest message, each way */
+	uint64_t life;
+};
+
+/* One caller's matter: it asks, asks again elsewhere, and looks up. */
+struct fake_caller {
+	uint32_t intent;
+	struct rj_job_spec spec;
+	char body[64];
+	uint32_t domain;
+	uint64_t request_id; /* open one; 0: none */
+	uint32_t node; /* that the open request is at */
+	uint64_t job_id;
+	uint32_t tries;
+	uint32_t tries_max;
+	uint64_t patience_us;
+	uint64_t first_us;
+	uint64_t orphaned_us; /* its instance died; 0: none */
+	uint64_t served_us; /* first done or accepted; RJ_NEVER_US: none */
+	bool cancels;
+	bool ended;
+};
+
+struct world_options {
+	const struct engine_ops *engine;
+	uint64_t seed;
+	uint32_t domains;
+	uint32_t nodes_per_domain;
+	uint32_t racks_per_domain;
+	uint32_t workers_per_rack;
+	uint64_t retention_us; /* 0: WORLD_RETENTION_US */
+	FILE *transcript; /* NULL: none */
+};
+
+struct world {
+	struct world_options options;
+	uint64_t now_us;
+	uint64_t random;
+	uint64_t next_order;
+	uint64_t next_request;
+	GSequence *queue;
+	struct checker checker;
+	struct fault_rates rates;
+	uint64_t faults; /* how many were brought about */
+	bool domain_cut[WORLD_DOMAINS_MAX]; /* from the other domains */
+	uint64_t log_retention_us;
+	struct node nodes[CHECKER_NODES_MAX];
+	uint32_t node_count;
+	struct fake_worker workers[CHECKER_WORKERS_MAX];
+	uint32_t worker_count;
+	struct fake_log log;
+	struct fake_link links[CHECKER_NODES_MAX][CHECKER_NODES_MAX];
+	GPtrArray *callers; /* struct fake_caller */
+};
+
+struct world *world_create(void *mem, const struct world_options *options);
+void world_run_until(struct world *world, uint64_t until_us);
+uint64_t world_random(struct world *world, uint64_t below);
+bool world_chance(struct world *world, uint32_t thousandths);
+struct world_event *world_after(struct world *world, uint64_t delay_us,
+				void (*run)(struct world *world,
+					    struct world_event *event));
+void world_note(struct world *world, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+bool world_domains_joined(const struct world *world, uint32_t a, uint32_t b);
+uint64_t world_delay_us(struct world *world, uint32_t from, uint32_t to);
+void world_reach_changed(struct world *world);
+char *world_config_text(const struct world *world, void *mem,
+			uint32_t variation);
+
+void node_start(struct world *world, uint32_t index);
+void node_kill(struct world *world, uint32_t index);
+void node_pause(struct world *world, uint32_t index, bool paused);
+void node_stop(struct world *world, uint32_t index);
+void node_deliver_after(struct world *world, struct node *node,
+			uint64_t delay_us, struct rj_event *event);
+struct rj_event *node_event(struct world *world, enum rj_event_kind kind);
+
+void fake_log_init(struct world *world);
+void fake_log_finish(struct world *world);
+void fake_log_append(struct world *world, struct node *node,
+		     const struct rj_append *append);
+void fake_log_read(struct world *world, struct node *node,
+		   const struct rj_read *read);
+void fake_log_list(struct world *world, struct node *node);
+void fake_log_publish(struct world *world, uint64_t base, const char *id,
+		      const char *text);
+bool fake_log_reachable(const struct world *world, uint32_t domain);
+
+void fake_worker_init(struct world *world, uint32_t index);
+void fake_worker_finish(struct world *world, uint32_t index);
+void fake_worker_call(struct world *world, struct node *node,
+		      const struct rj_worker_call *call);
+void fake_worker_pause(struct world *world, uint32_t index, bool paused);
+void fake_worker_kill(struct world *world, uint32_t index);
+void fake_worker_restart(struct world *world, uint32_t index);
+struct fake_worker *fake_worker_find(struct world *world, const char *name);
+
+void fake_peers_init(struct world *world);
+void fake_peers_connect(struct world *world, struct node *node,
+			const char *name);
+void fake_peers_drop(struct world *world, struct node *node, const char *name);
+void fake_peers_send(struct world *world, struct node *node, const char *name,
+		     const struct rj_peer_message *message);
+void fake_peers_node_gone(struct world *world, struct node *node);
+uint64_t fake_peers_heard_since(const struct world *world, uint32_t node);
+
+/* What a caller wants. */
+struct caller_plan {
+	const char *class_name;
+	const char *account;
+	uint32_t domain;
+	uint32_t key; /* 0: none */
+	uint32_t tasks;
+	uint32_t accelerators; /* of each task */
+	uint64_t run_us;
+	uint64_t deadline_us; /* 0: none */
+	bool idempotent;
+	bool adjacent;
+	bool guaranteed;
+	bool fails;
+	bool waits;
+	bool cancels;
+	bool doubled; /* the same key at two instances at once */
+};
+
+struct fake_caller *fake_caller_add(struct world *world, uint64_t delay_us,
+				    const struct caller_plan *plan);
+void fake_caller_answer(struct world *world, struct node *node,
+			uint64_t request_id, const struct rj_answer *answer);
+void fake_caller_node_gone(struct world *world, struct node *node);
+
+#endif
--- /dev/null
+++ b/src/test_libradishjunction/test_checker.c
@@ -0,0 +1,340 @@
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "support/checker.h"
+
+/* A history made by hand: one intent, asked once at node 0. */
+struct history {
+	void *mem;
+	struct checker checker;
+	uint32_t intent;
+	struct rj_attempt attempt;
+	uint64_t now_us;
+};
+
+#define REQUEST 7
+
+static void history_start(struct history *history, struct checker_intent intent)
+{
+	memset(history, 0, sizeof(*history));
+	history->mem = talloc_new(NULL);
+	checker_init(&history->checker, history->mem);
+	if (!intent.gang)
+		intent.gang = 1;
+	(void)g_strlcpy(intent.result, "whole;", sizeof(intent.result));
+	history->intent = checker_intent_add(&history->checker, &intent);
+	history->attempt.job_id = 1;
+	history->attempt.owner = 1;
+	history->attempt.number = 1;
+	history->now_us = RJ_US_PER_S;
+	checker_request(&history->checker, history->now_us, REQUEST, 0,
+			history->intent, RJ_REQUEST_SUBMIT);
+	checker_request_delivered(&history->checker, REQUEST);
+}
+
+/* Let a member start and make progress. */
+static void history_run(struct history *history, uint32_t member)
+{
+	checker_task_started(
+		&history->checker, history->now_us, &history->attempt,
+		history->intent, member,
+		checker_intent_get(&history->checker, history->intent)->gang);
+	checker_task_progress(&history->checker, history->now_us,
+			      &history->attempt, member, true);
+}
+
+static void history_end(struct history *history, uint32_t member,
+			enum rj_task_state state)
+{
+	checker_task_ended(&history->checker, history->now_us,
+			   &history->attempt, member, state);
+}
+
+static void history_answer(struct history *history, enum rj_answer_kind kind,
+			   const char *result)
+{
+	struct rj_answer answer = { .kind = kind };
+
+	answer.result.data = (const uint8_t *)result;
+	answer.result.length = (uint32_t)strlen(result);
+	checker_answer(&history->checker, history->now_us, 0, REQUEST, &answer);
+}
+
+/* Exactly this promise was seen violated, once or more. */
+static void history_expect(struct history *history, enum promise promise)
+{
+	g_assert_cmpuint(history->checker.violations[promise], >, 0);
+	g_assert_cmpuint(history->checker.violations[promise], ==,
+			 checker_violations(&history->checker));
+	talloc_free(history->mem);
+}
+
+static void test_clean_history_has_no_violation(void)
+{
+	struct history history;
+
+	history_start(&history, (struct checker_intent){ .gang = 1 });
+	history_run(&history, 0);
+	history_end(&history, 0, RJ_TASK_DONE);
+	history_answer(&history, RJ_ANSWER_DONE, "whole;");
+	checker_exit(&history.checker, history.now_us, 0);
+	checker_tick(&history.checker, 100 * RJ_US_PER_S);
+	checker_finish_run(&history.checker, 100 * RJ_US_PER_S);
+	g_assert_cmpuint(checker_violations(&history.checker), ==, 0);
+	talloc_free(history.mem);
+}
+
+/*
+ * A tutor's guaranteed shape is occupied by others, and stays so long after
+ * every fault has ended. Cause: nothing was reclaimed.
+ */
+static void test_guarantee_that_is_not_reclaimed_is_seen(void)
+{
+	struct history history;
+
+	history_start(&history, (struct checker_intent){ .guaranteed = true });
+	history.checker.calm_us = 2 * RJ_US_PER_S;
+	checker_tick(&history.checker,
+		     history.checker.guarantee_limit_us + RJ_US_PER_S);
+	g_assert_cmpuint(checker_violations(&history.checker), ==, 0);
+	checker_tick(&history.checker,
+		     history.checker.guarantee_limit_us + 3 * RJ_US_PER_S);
+	history_expect(&history, PROMISE_GUARANTEE);
+}
+
+/*
+ * One member of a gang computes while the other was never started.
+ */
+static void test_gang_that_runs_in_part_is_seen(void)
+{
+	struct history history;
+
+	history_start(&history, (struct checker_intent){ .gang = 2 });
+	history_run(&history, 0);
+	history_expect(&history, PROMISE_GANG);
+}
+
+/*
+ * A member's worker dies and the other members compute on, renewed for ever
+ * by an owner that did not notice.
+ */
+static void test_gang_that_outlives_a_member_is_seen(void)
+{
+	struct history history;
+
+	history_start(&history, (struct checker_intent){ .gang = 2 });
+	checker_task_started(&history.checker, history.now_us, &history.attempt,
+			     history.intent, 0, 2);
+	checker_task_started(&history.checker, history.now_us, &history.attempt,
+			     history.intent, 1, 2);
+	checker_task_progress(&history.checker, history.now_us,
+			      &history.attempt, 0, true);
+	checker_task_progress(&history.checker, history.now_us,
+			      &history.attempt, 1, true);
+	history_end(&history, 0, RJ_TASK_NONE);
+	checker_tick(&history.checker,
+		     history.now_us + history.checker.lease_life_us);
+	g_assert_cmpuint(checker_violations(&history.checker), ==, 0);
+	checker_tick(&history.checker, history.now_us +
+					       history.checker.lease_life_us +
+					       CHECKER_GANG_MARGIN_US + 1);
+	history_expect(&history, PROMISE_GANG);
+}
+
+/*
+ * A buyer reads half of a price, or somebody else's.
+ */
+static void test_wrong_results_are_seen(void)
+{
+	static const char *const wrong[] = { "who", "other;", "",
+					     "whole;whole" };
+
+	for (uint32_t i = 0; i < 4; i++) {
+		struct history history;
+
+		history_start(&history, (struct checker_intent){ .gang = 1 });
+		history_run(&history, 0);
+		history_end(&history, 0, RJ_TASK_DONE);
+		history_answer(&history, RJ_ANSWER_DONE, wrong[i]);
+		history_expect(&history, PROMISE_ANSWER);
+	}
+}
+
+/*
+ * A tutor is told "done" while the task still runs, "failed" of one that
+ * never started, or two answers to one request.
+ */
+static void test_answers_without_their_run_are_seen(void)
+{
+	struct history history;
+
+	history_start(&history, (struct checker_intent){ .gang = 1 });
+	history_run(&history, 0);
+	history_answer(&history, RJ_ANSWER_DONE, "whole;");
+	history_expect(&history, PROMISE_ANSWER);
+	history_start(&history, (struct checker_intent){ .gang = 1 });
+	history_answer(&history, RJ_ANSWER_FAILED, "");
+	history_expect(&history, PROMISE_ANSWER);
+	history_start(&history, (struct checker_intent){ .gang = 1 });
+	history_answer(&history, RJ_ANSWER_UNKNOWN, "");
+	history_answer(&history, RJ_ANSWER_UNKNOWN, "");
+	history_expect(&history, PROMISE_ANSWER);
+}
+
+/*
+ * A buyer is told "not run"; the quote runs afterwards, or had run before.
+ */
+static void test_untrue_not_run_is_seen(void)
+{
+	struct history history;
+
+	history_start(&history, (struct checker_intent){ .gang = 1 });
+	history_answer(&history, RJ_ANSWER_NOT_RUN, "");
+	history_run(&history, 0);
+	history_expect(&history, PROMISE_NOT_RUN);
+	history_start(&history, (struct checker_intent){ .gang = 1 });
+	history_run(&history, 0);
+	history_answer(&history, RJ_ANSWER_NOT_RUN, "");
+	history_expect(&history, PROMISE_NOT_RUN);
+}
+
+/*
+ * A refused attempt is asked again with its key, and the second one runs:
+ * that is as it should be.
+ */
+static void test_not_run_of_one_of_two_requests_is_true(void)
+{
+	struct history history;
+
+	history_start(&history, (struct checker_intent){ .key = 3 });
+	history_answer(&history, RJ_ANSWER_NOT_RUN, "");
+	checker_request(&history.checker, history.now_us, REQUEST + 1, 1,
+			history.intent, RJ_REQUEST_SUBMIT);
+	history_run(&history, 0);
+	g_assert_cmpuint(checker_violations(&history.checker), ==, 0);
+	talloc_free(history.mem);
+}
+
+/*
+ * A student is charged twice: two attempts run, of the same body or of two
+ * bodies under one key.
+ */
+static void test_second_run_is_seen(void)
+{
+	struct history history;
+	struct checker_intent other = { .key = 3, .gang = 1 };
+
+	history_start(&history, (struct checker_intent){ .key = 3 });
+	history_run(&history, 0);
+	history.attempt.owner = 2;
+	history_run(&history, 0);
+	history_expect(&history, PROMISE_ONCE);
+	history_start(&history, (struct checker_intent){ .key = 3 });
+	history_run(&history, 0);
+	history.intent = checker_intent_add(&history.checker, &other);
+	checker_request(&history.checker, history.now_us, REQUEST + 1, 1,
+			history.intent, RJ_REQUEST_SUBMIT);
+	history.attempt.job_id = 2;
+	history_run(&history, 0);
+	history_expect(&history, PROMISE_ONCE);
+}
+
+/*
+ * An upstream that has announced its leaving is given work six seconds later,
+ * by the instance that knew or by one that could hear it.
+ */
+static void test_work_for_a_leaving_worker_is_seen(void)
+{
+	uint64_t late_us = RJ_US_PER_S + CHECKER_LEAVING_US + 1;
+	struct history history;
+
+	for (uint32_t node = 0; node < 2; node++) {
+		history_start(&history, (struct checker_intent){ .gang = 1 });
+		checker_leaving_learnt(&history.checker, RJ_US_PER_S, 0, 5, 1);
+		checker_new_work(&history.checker, late_us - 1, node, 5, 1, 0);
+		checker_new_work(&history.checker, late_us, node, 5, 2, 0);
+		checker_new_work(&history.checker, late_us, 1, 5, 1, late_us);
+		g_assert_cmpuint(checker_violations(&history.checker), ==, 0);
+		checker_new_work(&history.checker, late_us, node, 5, 1, 0);
+		history_expect(&history, PROMISE_LEAVING);
+	}
+}
+
+/*
+ * An instance ends its planned stop while a caller still waits on it.
+ */
+static void test_exit_with_an_open_request_is_seen(void)
+{
+	struct history history;
+
+	history_start(&history, (struct checker_intent){ .gang = 1 });
+	checker_exit(&history.checker, history.now_us, 1);
+	g_assert_cmpuint(checker_violations(&history.checker), ==, 0);
+	checker_exit(&history.checker, history.now_us, 0);
+	history_expect(&history, PROMISE_STOP);
+}
+
+/*
+ * A published configuration is undone at an instance, never arrives at one
+ * that is in reach, or one is in force that was never accepted.
+ */
+static void test_config_violations_are_seen(void)
+{
+	struct history history;
+
+	history_start(&history, (struct checker_intent){ .gang = 1 });
+	checker_config_accepted(&history.checker, 1, 2);
+	checker_config_seen(&history.checker, 2, 0, 1, 2);
+	checker_config_seen(&history.checker, 3, 0, 1, 1);
+	history_expect(&history, PROMISE_CONFIG);
+	history_start(&history, (struct checker_intent){ .gang = 1 });
+	checker_node_reach(&history.checker, 1, 0, true);
+	checker_config_accepted(&history.checker, 1, 1);
+	checker_tick(&history.checker, 1 + CHECKER_CONFIG_US);
+	g_assert_cmpuint(checker_violations(&history.checker), ==, 0);
+	checker_tick(&history.checker, 2 + CHECKER_CONFIG_US);
+	history_expect(&history, PROMISE_CONFIG);
+	history_start(&history, (struct checker_intent){ .gang = 1 });
+	checker_config_seen(&history.checker, 2, 0, 1, 1);
+	history_expect(&history, PROMISE_CONFIG);
+}
+
+/*
+ * A tutor was told "accepted", and the lesson pack is never heard of again.
+ */
+static void test_lost_accepted_job_is_seen(void)
+{
+	struct history history;
+
+	history_start(&history, (struct checker_intent){ .gang = 1 });
+	history_answer(&history, RJ_ANSWER_ACCEPTED, "");
+	checker_finish_run(&history.checker, 100 * RJ_US_PER_S);
+	history_expect(&history, PROMISE_ACCEPTED);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/checker/clean", test_clean_history_has_no_violation);
+	g_test_add_func("/checker/guarantee",
+			test_guarantee_that_is_not_reclaimed_is_seen);
+	g_test_add_func("/checker/gang/part",
+			test_gang_that_runs_in_part_is_seen);
+	g_test_add_func("/checker/gang/outlives",
+			test_gang_that_outlives_a_member_is_seen);
+	g_test_add_func("/checker/answer/result", test_wrong_results_are_seen);
+	g_test_add_func("/checker/answer/run",
+			test_answers_without_their_run_are_seen);
+	g_test_add_func("/checker/not_run", test_untrue_not_run_is_seen);
+	g_test_add_func("/checker/not_run/one_of_two",
+			test_not_run_of_one_of_two_requests_is_true);
+	g_test_add_func("/checker/once", test_second_run_is_seen);
+	g_test_add_func("/checker/leaving",
+			test_work_for_a_leaving_worker_is_seen);
+	g_test_add_func("/checker/stop",
+			test_exit_with_an_open_request_is_seen);
+	g_test_add_func("/checker/config", test_config_violations_are_seen);
+	g_test_add_func("/checker/accepted", test_lost_accepted_job_is_seen);
+	return g_test_run();
+}
