--- a/include/radishjunction/config.h
+++ b/include/radishjunction/config.h
@@ -13,6 +13,8 @@
 #include "radishjunction/types.h"
 
 #define RJ_CONFIG_ID_BYTES 40
+/* A configuration travels in one record and one peer frame. */
+#define RJ_CONFIG_TEXT_MAX_BYTES (256 * 1024)
 #define RJ_TOKEN_HASH_BYTES 32
 
 /* A shape that the account can always get back in this failure domain. */
@@ -76,6 +78,8 @@
 				  struct rj_error_list *errors);
 struct rj_config *rj_config_ref(struct rj_config *config);
 void rj_config_unref(struct rj_config *config);
+void rj_config_notes(const struct rj_config *config,
+		     struct rj_error_list *notes);
 const struct rj_account *rj_config_account(const struct rj_config *config,
 					   const char *name);
 const struct rj_account *
--- a/include/radishjunction/settings.h
+++ b/include/radishjunction/settings.h
@@ -31,5 +31,6 @@
 
 struct rj_settings *rj_settings_parse(void *mem, const char *text,
 				      struct rj_error_list *errors);
+int rj_address_parse(struct rj_address *address, const char *text);
 
 #endif
