Records and the fold over the config stream

Cause: nothing wrote or read the log's records, and nothing said which of two racing publications is in force. Excluded: judging by 'newest revision seen' alone (a reader that starts on a log whose beginning is gone takes a refused publication); carrying the newest configuration without the offset that its author had read (a lagging author hides a publication between, and a stale one after it is accepted). Change: record.c encodes and decodes each kind by table, unknown fields and unknown reasons passed over, all else malformed; rj_record gains as_of. config_log.c folds the stream: after a gap nothing is judged until a carried record or a peer says where to start, and reading goes on from there. Before, as trials on a copy: without the gap /config-log/trimmed fails with the refused publication accepted; without reading on from as_of it fails with 'late' in force instead of 'second'. Not covered: readers of different versions may judge a text differently, so new fields are used only after all are replaced.

--- a/include/radishjunction/record.h
+++ b/include/radishjunction/record.h
@@ -13,6 +13,9 @@
 #include "radishjunction/error.h"
 #include "radishjunction/types.h"
 
+/* A whole body as base64, or a configuration with its quotes escaped. */
+#define RJ_RECORD_TEXT_MAX_BYTES (1024 * 1024)
+
 enum rj_stream { RJ_STREAM_CONFIG, RJ_STREAM_JOBS, RJ_STREAM_COUNT };
 
 extern const char *const rj_stream_string[RJ_STREAM_COUNT];
@@ -56,6 +59,7 @@
 	char config_id[RJ_CONFIG_ID_BYTES];
 	uint64_t base_revision;
 	uint64_t revision; /* base + 1 */
+	uint64_t as_of; /* carried: where its author read on in the stream */
 	const char *config_text;
 };
 
--- a/src/libradishjunction/include/private/schema.h
+++ b/src/libradishjunction/include/private/schema.h
@@ -75,12 +75,13 @@
 	const char *const *choices; /* choice: the enum's strings */
 	uint32_t size; /* text, hex: bytes of the member */
 	bool optional;
+	bool lenient; /* choice: an unknown word counts as the fallback */
 };
 
 struct rj_schema {
 	const struct rj_schema_field *fields;
-	uint32_t field_count;
 	size_t size; /* of the struct */
+	uint32_t field_count;
 	bool open; /* unknown fields are passed over */
 	bool unique_names; /* elements of an array differ in "name" */
 };
--- a/src/libradishjunction/schema_types.c
+++ b/src/libradishjunction/schema_types.c
@@ -438,6 +438,10 @@
 		snprintf(known + strlen(known), sizeof(known) - strlen(known),
 			 "%s%s", i ? ", " : "", field->choices[i]);
 	}
+	if (field->lenient) {
+		*(uint32_t *)out = (uint32_t)field->fallback;
+		return;
+	}
 	rj_schema_value(shown, value);
 	rj_schema_report(check, path, "%s is not known; use one of: %s", shown,
 			 known);
--- /dev/null
+++ b/src/test_libradishjunction/test_config_log.c
@@ -0,0 +1,252 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "radishjunction/config_log.h"
+
+#define HASH "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+#define GOOD_TEXT                                                      \
+	"{\"domains\":[{\"name\":\"d\",\"region\":\"r\",\"racks\":1,"  \
+	"\"workers_per_rack\":1,\"worker\":{\"slots\":1,"              \
+	"\"accelerators\":1,\"cores\":1,\"memory_mb\":1}}],"           \
+	"\"accounts\":[{\"name\":\"a\",\"token_hash\":\"" HASH "\"}]," \
+	"\"classes\":[{\"name\":\"c\",\"idempotent\":true,"            \
+	"\"expected_ms\":1}]}"
+#define LOG_MAX 256
+
+/* A log of records, of which those before `oldest` are gone. */
+struct stream {
+	struct rj_record records[LOG_MAX];
+	uint64_t head;
+	uint64_t oldest;
+};
+
+static struct rj_record *append(struct stream *stream)
+{
+	struct rj_record *record = &stream->records[stream->head];
+
+	g_assert_cmpuint(stream->head, <, LOG_MAX);
+	memset(record, 0, sizeof(*record));
+	record->offset = stream->head++;
+	return record;
+}
+
+static void publish(struct stream *stream, const char *id, uint64_t base,
+		    const char *text)
+{
+	struct rj_record *record = append(stream);
+
+	record->kind = RJ_RECORD_CONFIG;
+	snprintf(record->config_id, sizeof(record->config_id), "%s", id);
+	record->base_revision = base;
+	record->revision = base + 1;
+	record->config_text = text;
+}
+
+static void carry(struct stream *stream, const struct rj_config_log *log)
+{
+	struct rj_record *record = append(stream);
+	uint64_t offset = record->offset;
+
+	rj_config_log_carry(log, record);
+	record->offset = offset;
+	record->config_text = GOOD_TEXT; /* outlives the configuration */
+}
+
+/* Read at most `limit` records from where the reader stands. */
+static enum rj_config_verdict read_some(struct rj_config_log *log,
+					const struct stream *stream,
+					uint32_t limit)
+{
+	enum rj_config_verdict verdict = RJ_CONFIG_NOT_ONE;
+	struct rj_error_list errors;
+
+	rj_error_list_init(&errors, NULL);
+	rj_config_log_batch(log, stream->oldest);
+	while (limit-- && log->next < stream->head)
+		verdict = rj_config_log_apply(log, &stream->records[log->next],
+					      0, &errors);
+	rj_error_list_finish(&errors);
+	return verdict;
+}
+
+/*
+ * Two operators publish from the same revision. One wins and the other is
+ * refused, at every reader, whatever stands between them in the log.
+ */
+static void test_racing_operators(void)
+{
+	struct stream *stream = g_new0(struct stream, 1);
+	struct rj_config_log log;
+
+	rj_config_log_init(&log, NULL);
+	publish(stream, "bad", 0, "{}");
+	g_assert_cmpint(read_some(&log, stream, 9), ==, RJ_CONFIG_BAD_TEXT);
+	append(stream); /* malformed */
+	g_assert_cmpint(read_some(&log, stream, 9), ==, RJ_CONFIG_NOT_ONE);
+	publish(stream, "first", 0, GOOD_TEXT);
+	g_assert_cmpint(read_some(&log, stream, 9), ==, RJ_CONFIG_ACCEPTED);
+	publish(stream, "second", 0, GOOD_TEXT);
+	g_assert_cmpint(read_some(&log, stream, 9), ==, RJ_CONFIG_STALE);
+	publish(stream, "first", 0, GOOD_TEXT); /* its answer was lost */
+	g_assert_cmpint(read_some(&log, stream, 9), ==, RJ_CONFIG_REPEATED);
+	publish(stream, "ahead", 7, GOOD_TEXT);
+	g_assert_cmpint(read_some(&log, stream, 9), ==, RJ_CONFIG_STALE);
+	publish(stream, "third", 1, GOOD_TEXT);
+	g_assert_cmpint(read_some(&log, stream, 9), ==, RJ_CONFIG_ACCEPTED);
+	g_assert_cmpuint(rj_config_log_revision(&log), ==, 2);
+	g_assert_cmpstr(log.config->id, ==, "third");
+	rj_config_log_finish(&log);
+	g_free(stream);
+}
+
+/*
+ * A new instance starts when the log's beginning is gone, and finds a
+ * publication that had been refused, then the winner carried by an instance
+ * that had not read the newest one yet. The new instance put the refused one
+ * in force.
+ * Cause: a publication was judged without the ones before it.
+ */
+static void test_start_on_a_trimmed_log(void)
+{
+	struct stream *stream = g_new0(struct stream, 1);
+	struct rj_config_log old;
+	struct rj_config_log new;
+
+	rj_config_log_init(&old, NULL);
+	rj_config_log_init(&new, NULL);
+	publish(stream, "first", 0, GOOD_TEXT);
+	read_some(&old, stream, 1);
+	publish(stream, "loser", 0, GOOD_TEXT);
+	publish(stream, "second", 1, GOOD_TEXT);
+	carry(stream, &old);
+	publish(stream, "late", 1, GOOD_TEXT);
+	stream->oldest = 1;
+
+	g_assert_cmpint(read_some(&new, stream, 1), ==, RJ_CONFIG_UNJUDGED);
+	g_assert_null(new.config);
+	read_some(&new, stream, 99);
+	read_some(&old, stream, 99);
+	g_assert_cmpstr(old.config->id, ==, "second");
+	g_assert_cmpstr(new.config->id, ==, "second");
+	rj_config_log_finish(&old);
+	rj_config_log_finish(&new);
+	g_free(stream);
+}
+
+static void test_peer_hands_on_the_newest(void)
+{
+	struct stream *stream = g_new0(struct stream, 1);
+	struct rj_error_list errors;
+	struct rj_config_log log;
+
+	rj_error_list_init(&errors, NULL);
+	rj_config_log_init(&log, NULL);
+	publish(stream, "first", 0, GOOD_TEXT);
+	publish(stream, "second", 1, GOOD_TEXT);
+	publish(stream, "third", 2, GOOD_TEXT);
+	g_assert_true(
+		rj_config_log_adopt(&log, 2, "second", GOOD_TEXT, 2, &errors));
+	g_assert_false(
+		rj_config_log_adopt(&log, 1, "first", GOOD_TEXT, 1, &errors));
+	g_assert_false(rj_config_log_adopt(&log, 9, "bad", "{}", 2, &errors));
+	g_assert_cmpstr(log.config->id, ==, "second");
+	read_some(&log, stream, 9);
+	g_assert_cmpstr(log.config->id, ==, "third");
+	rj_error_list_finish(&errors);
+	rj_config_log_finish(&log);
+	g_free(stream);
+}
+
+static void test_carried_well_before_retention_ends(void)
+{
+	struct stream *stream = g_new0(struct stream, 1);
+	struct rj_error_list errors;
+	struct rj_config_log log;
+
+	rj_error_list_init(&errors, NULL);
+	rj_config_log_init(&log, NULL);
+	g_assert_false(rj_config_log_carry_due(&log, 0, 100));
+	publish(stream, "first", 0, GOOD_TEXT);
+	stream->records[0].age_us = 40;
+	rj_config_log_apply(&log, &stream->records[0], 1000, &errors);
+	g_assert_false(rj_config_log_carry_due(&log, 1010, 100));
+	g_assert_true(rj_config_log_carry_due(&log, 1011, 100));
+	carry(stream, &log);
+	rj_config_log_apply(&log, &stream->records[1], 1012, &errors);
+	g_assert_false(rj_config_log_carry_due(&log, 1062, 100));
+	rj_config_log_finish(&log);
+	g_free(stream);
+}
+
+/*
+ * Operators publish from old and new revisions, instances of any lag carry
+ * what they know, records drop off, readers start anywhere and pause past
+ * retention. Whoever has a configuration must have the one that a reader
+ * of the whole log had at that revision, and never an older one again.
+ */
+static void one_random_log(uint64_t seed)
+{
+	struct stream *stream = g_new0(struct stream, 1);
+	char truth[LOG_MAX][RJ_CONFIG_ID_BYTES] = { "" };
+	struct rj_config_log readers[5]; /* the first reads everything */
+	uint64_t seen[5] = { 0 };
+
+	for (uint32_t i = 0; i < 5; i++)
+		rj_config_log_init(&readers[i], NULL);
+	while (stream->head < LOG_MAX) {
+		uint64_t kept = stream->oldest;
+		uint32_t who = 1 + (uint32_t)(rj_random64(&seed) % 4);
+		struct rj_config_log *log = &readers[who];
+
+		if (rj_random64(&seed) % 3) {
+			char id[RJ_CONFIG_ID_BYTES];
+
+			snprintf(id, sizeof(id), "p%d", (int)stream->head);
+			publish(stream, id, rj_config_log_revision(log),
+				rj_random64(&seed) % 8 ? GOOD_TEXT : "{}");
+		} else if (log->config && !log->gap) {
+			carry(stream, log);
+		}
+		stream->oldest = 0;
+		read_some(&readers[0], stream, LOG_MAX);
+		if (readers[0].config)
+			memcpy(truth[readers[0].config->revision],
+			       readers[0].config->id, RJ_CONFIG_ID_BYTES);
+		stream->oldest = stream->head > kept + 12 ? kept + 3 : kept;
+		if (rj_random64(&seed) % 32 == 0) {
+			rj_config_log_finish(log); /* replaced */
+			rj_config_log_init(log, NULL);
+			seen[who] = 0;
+		}
+		if (rj_random64(&seed) % 4)
+			read_some(log, stream, rj_random64(&seed) % 6);
+		if (!log->config)
+			continue;
+		g_assert_cmpuint(log->config->revision, >=, seen[who]);
+		seen[who] = log->config->revision;
+		g_assert_cmpstr(log->config->id, ==, truth[seen[who]]);
+	}
+	for (uint32_t i = 0; i < 5; i++)
+		rj_config_log_finish(&readers[i]);
+	g_free(stream);
+}
+
+static void test_random_logs(void)
+{
+	for (uint64_t seed = 0; seed < 300; seed++)
+		one_random_log(seed);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/config-log/race", test_racing_operators);
+	g_test_add_func("/config-log/trimmed", test_start_on_a_trimmed_log);
+	g_test_add_func("/config-log/peer", test_peer_hands_on_the_newest);
+	g_test_add_func("/config-log/carry",
+			test_carried_well_before_retention_ends);
+	g_test_add_func("/config-log/random", test_random_logs);
+	return g_test_run();
+}
