planner: first come, first fit, as the version to differ from

Cause: the other planners and the core need a plain planner to run with and to be compared to. Excluded: strict head of line (one gang that waits would stop every preview behind it, which no operator would run today); it skips what does not fit. Change: capacity by rack and worker, the table of jobs, and the planner. Conclusion: kept as the baseline.

--- /dev/null
+++ b/src/libradishjunction/core/planner_first_fit.c
@@ -0,0 +1,353 @@
+#include "radishjunction/planner.h"
+
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/plan_table.h"
+
+/* When a refused caller may come back; this planner expects nothing. */
+#define RETRY_AFTER_US RJ_US_PER_S
+
+/* Waiting jobs kept while no configuration says how many. */
+#define QUEUE_MAX_DEFAULT 1000
+
+/*
+ * First come, first fit: at each pass the waiting jobs are tried in order
+ * of arrival, and each that fits starts on the first workers that have
+ * room. A job that does not fit is skipped and holds nothing, so later ones
+ * may pass it again and again. Guarantees, priorities, shares and learnt
+ * run times play no part.
+ */
+struct rj_first_fit_state {
+	struct rj_capacity capacity;
+	struct rj_plan_table table;
+	GQueue queue; /* waiting jobs in order of arrival */
+	uint32_t queue_max;
+	struct rj_domain domain;
+	struct rj_plan_member members[RJ_GANG_MAX];
+};
+
+static struct rj_first_fit_state *state_of(const struct rj_planner *planner)
+{
+	return ((const struct rj_planner_first_fit *)planner)->state;
+}
+
+/*
+ * Take over the bound of the queue and the domain's topology.
+ */
+static void first_fit_configure(struct rj_planner *planner,
+				const struct rj_config *config,
+				const char *domain, uint64_t now_us)
+{
+	struct rj_first_fit_state *state = state_of(planner);
+	const struct rj_domain *found = NULL;
+
+	for (uint32_t i = 0; i < config->domain_count; i++)
+		if (!strcmp(config->domains[i].name, domain))
+			found = &config->domains[i];
+	memset(&state->domain, 0, sizeof(state->domain));
+	if (found)
+		state->domain = *found;
+	state->queue_max = config->limits.queue_max;
+}
+
+static void first_fit_worker(struct rj_planner *planner,
+			     const struct rj_plan_worker *worker,
+			     uint64_t now_us)
+{
+	rj_capacity_set(&state_of(planner)->capacity, worker);
+}
+
+static void first_fit_worker_gone(struct rj_planner *planner, uint32_t worker,
+				  uint64_t now_us)
+{
+	rj_capacity_remove(&state_of(planner)->capacity, worker);
+}
+
+/*
+ * Queue the job, unless it could not run on an empty domain or the queue is
+ * full. Until a worker or a topology is known nothing is refused as too
+ * large.
+ */
+static int first_fit_submit(struct rj_planner *planner,
+			    const struct rj_plan_job *job, uint64_t now_us,
+			    enum rj_reason *reason, uint64_t *retry_after_us)
+{
+	struct rj_first_fit_state *state = state_of(planner);
+	bool known = state->capacity.worker_count || state->domain.racks;
+
+	*retry_after_us = 0;
+	if (known && !rj_capacity_could_fit(&state->capacity, &state->domain,
+					    &job->shape)) {
+		*reason = RJ_REASON_NEVER_FITS;
+		return -1;
+	}
+	if (state->queue.length >= state->queue_max) {
+		*reason = RJ_REASON_QUEUE_FULL;
+		*retry_after_us = RETRY_AFTER_US;
+		return -1;
+	}
+	rj_plan_queue_insert(&state->queue,
+			     rj_plan_table_add(&state->table, job));
+	return 0;
+}
+
+/*
+ * Forget a job, whether it waits or runs.
+ */
+static void forget(struct rj_first_fit_state *state,
+		   struct rj_plan_entry *entry)
+{
+	if (entry->members)
+		rj_plan_entry_unplace(entry, &state->capacity);
+	else
+		g_queue_unlink(&state->queue, &entry->link);
+	rj_plan_table_remove(&state->table, entry);
+}
+
+static void first_fit_ended(struct rj_planner *planner, uint64_t job_id,
+			    bool succeeded, uint64_t ran_us, uint64_t now_us)
+{
+	struct rj_first_fit_state *state = state_of(planner);
+	struct rj_plan_entry *entry = rj_plan_table_find(&state->table, job_id);
+
+	if (entry)
+		forget(state, entry);
+}
+
+static void first_fit_requeue(struct rj_planner *planner, uint64_t job_id,
+			      uint64_t not_before_us, uint64_t now_us)
+{
+	struct rj_first_fit_state *state = state_of(planner);
+	struct rj_plan_entry *entry = rj_plan_table_find(&state->table, job_id);
+
+	if (!entry)
+		return;
+	entry->not_before_us = not_before_us;
+	if (!entry->members)
+		return;
+	rj_plan_entry_unplace(entry, &state->capacity);
+	rj_plan_queue_insert(&state->queue, entry);
+}
+
+/*
+ * Take over a running job; one that is known and runs is left as it is.
+ */
+static void first_fit_adopt(struct rj_planner *planner,
+			    const struct rj_plan_job *job,
+			    const struct rj_plan_member *members,
+			    uint32_t count, uint64_t now_us)
+{
+	struct rj_first_fit_state *state = state_of(planner);
+	struct rj_plan_entry *entry =
+		rj_plan_table_find(&state->table, job->job_id);
+
+	if (entry && entry->members)
+		return;
+	if (entry)
+		g_queue_unlink(&state->queue, &entry->link);
+	else
+		entry = rj_plan_table_add(&state->table, job);
+	rj_plan_entry_place(entry, &state->capacity, members, count, now_us);
+}
+
+/*
+ * Put as many tasks as fit onto the workers of `rack`, in order of id, from
+ * `*placed` on. Returns how many members there are now.
+ */
+static uint32_t fill_rack(const struct rj_capacity_rack *rack,
+			  const struct rj_shape *shape,
+			  struct rj_plan_member *members, uint32_t count,
+			  uint32_t *placed)
+{
+	for (uint32_t i = 0; i < rack->count && *placed < shape->tasks; i++) {
+		uint32_t tasks = rj_resources_times(&shape->each,
+						    &rack->workers[i]->free,
+						    shape->tasks - *placed);
+
+		if (!tasks)
+			continue;
+		members[count].worker = rack->workers[i]->plan.id;
+		members[count].tasks = tasks;
+		count++;
+		*placed += tasks;
+	}
+	return count;
+}
+
+/*
+ * The first workers that hold all tasks of `shape`, or 0 members.
+ */
+static uint32_t first_fit_place(struct rj_first_fit_state *state,
+				const struct rj_shape *shape,
+				uint32_t *considered)
+{
+	uint32_t placed = 0;
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < state->capacity.rack_count; i++) {
+		const struct rj_capacity_rack *rack = state->capacity.racks[i];
+
+		if (shape->adjacent) {
+			placed = 0;
+			count = 0;
+		}
+		*considered += rack->count;
+		count = fill_rack(rack, shape, state->members, count, &placed);
+		if (placed == shape->tasks)
+			return count;
+	}
+	return 0;
+}
+
+static void refuse_late(struct rj_first_fit_state *state,
+			struct rj_plan_entry *entry,
+			struct rj_decisions *decisions)
+{
+	struct rj_decision *decision =
+		rj_decisions_add(decisions, RJ_DECISION_REFUSE);
+
+	decision->job_id = entry->job.job_id;
+	decision->reason = RJ_REASON_DEADLINE_PASSED;
+	forget(state, entry);
+}
+
+static void start(struct rj_first_fit_state *state, struct rj_plan_entry *entry,
+		  uint32_t count, uint32_t considered, uint64_t now_us,
+		  struct rj_decisions *decisions)
+{
+	struct rj_decision *decision =
+		rj_decisions_add(decisions, RJ_DECISION_START);
+
+	decision->job_id = entry->job.job_id;
+	decision->reason = RJ_REASON_FIRST_FIT;
+	decision->considered = considered;
+	decision->members = talloc_memdup(decisions->mem, state->members,
+					  sizeof(*state->members) * count);
+	assert(decision->members);
+	decision->member_count = count;
+	g_queue_unlink(&state->queue, &entry->link);
+	rj_plan_entry_place(entry, &state->capacity, state->members, count,
+			    now_us);
+}
+
+/*
+ * Try every waiting job in order of arrival. A shape that has not fitted in
+ * this pass cannot fit later in it, so the same shape in a row is not tried
+ * again: a burst of equal jobs costs one search.
+ */
+static void first_fit_pass(struct rj_planner *planner, uint64_t now_us,
+			   struct rj_decisions *decisions)
+{
+	struct rj_first_fit_state *state = state_of(planner);
+	const struct rj_shape *failed = NULL;
+	struct rj_shape last;
+	GList *next;
+
+	for (GList *at = state->queue.head; at; at = next) {
+		struct rj_plan_entry *entry = at->data;
+		uint32_t considered = 0;
+		uint32_t count;
+
+		next = at->next;
+		if (entry->job.deadline_us <= now_us) {
+			refuse_late(state, entry, decisions);
+			continue;
+		}
+		if (entry->not_before_us > now_us)
+			continue;
+		if (failed && rj_shape_equal(failed, &entry->job.shape))
+			continue;
+		count = first_fit_place(state, &entry->job.shape, &considered);
+		if (count) {
+			start(state, entry, count, considered, now_us,
+			      decisions);
+		} else {
+			last = entry->job.shape;
+			failed = &last;
+		}
+	}
+}
+
+/*
+ * The first deadline or end of a back-off of a waiting job.
+ */
+static uint64_t first_fit_wake_us(const struct rj_planner *planner)
+{
+	const struct rj_first_fit_state *state = state_of(planner);
+	uint64_t wake_us = RJ_NEVER_US;
+
+	for (const GList *at = state->queue.head; at; at = at->next) {
+		const struct rj_plan_entry *entry = at->data;
+
+		wake_us = MIN(wake_us, entry->job.deadline_us);
+		if (entry->not_before_us)
+			wake_us = MIN(wake_us, entry->not_before_us);
+	}
+	return wake_us;
+}
+
+static void first_fit_view(const struct rj_planner *planner, uint64_t now_us,
+			   struct rj_plan_view *view)
+{
+	const struct rj_first_fit_state *state = state_of(planner);
+	const struct rj_shape *largest = NULL;
+
+	memset(view, 0, sizeof(*view));
+	view->queued = state->queue.length;
+	view->running =
+		rj_plan_table_count(&state->table) - state->queue.length;
+	for (const GList *at = state->queue.head; at; at = at->next) {
+		const struct rj_plan_entry *entry = at->data;
+		uint32_t accelerators = entry->job.shape.tasks *
+					entry->job.shape.each.accelerators;
+
+		if (accelerators <= view->largest_waiting)
+			continue;
+		view->largest_waiting = accelerators;
+		largest = &entry->job.shape;
+	}
+	rj_capacity_view(&state->capacity, largest, view);
+}
+
+static void first_fit_finish(struct rj_planner *planner)
+{
+	struct rj_planner_first_fit *first_fit =
+		(struct rj_planner_first_fit *)planner;
+
+	rj_plan_table_finish(&first_fit->state->table);
+	rj_capacity_finish(&first_fit->state->capacity);
+	TALLOC_FREE(first_fit->state);
+}
+
+static const struct rj_planner_ops first_fit_ops = {
+	.name = "first_fit",
+	.configure = first_fit_configure,
+	.worker = first_fit_worker,
+	.worker_gone = first_fit_worker_gone,
+	.submit = first_fit_submit,
+	.ended = first_fit_ended,
+	.requeue = first_fit_requeue,
+	.adopt = first_fit_adopt,
+	.pass = first_fit_pass,
+	.wake_us = first_fit_wake_us,
+	.view = first_fit_view,
+	.finish = first_fit_finish,
+};
+
+/*
+ * Make the plain planner on the caller's memory; its state is a talloc
+ * child of `mem`. Returns 0.
+ */
+int rj_planner_first_fit_init(struct rj_planner_first_fit *planner, void *mem)
+{
+	planner->base.ops = &first_fit_ops;
+	planner->state = talloc_zero(mem, struct rj_first_fit_state);
+	assert(planner->state);
+	rj_capacity_init(&planner->state->capacity, planner->state);
+	rj_plan_table_init(&planner->state->table, planner->state);
+	g_queue_init(&planner->state->queue);
+	planner->state->queue_max = QUEUE_MAX_DEFAULT;
+	return 0;
+}
--- /dev/null
+++ b/src/libradishjunction/include/private/capacity.h
@@ -0,0 +1,64 @@
+/*
+ * The workers that a planner knows, by rack, and what is free on each.
+ *
+ * Life cycle: `rj_capacity_init` on the caller's memory, `rj_capacity_set`
+ * and `rj_capacity_remove` as workers come and go, `rj_capacity_take` and
+ * `rj_capacity_give` as tasks start and end, `rj_capacity_finish`. Racks are
+ * kept in ascending order of their number and the workers of a rack in
+ * ascending order of their id, so that a walk is the same every time.
+ * A worker that is removed while tasks of the planner are on it is kept,
+ * unusable, until the last of them is given back.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_CAPACITY_H
+#define RADISHJUNCTION_PRIVATE_CAPACITY_H
+
+#include <glib.h>
+
+#include "radishjunction/planner.h"
+
+struct rj_capacity_worker {
+	struct rj_plan_worker plan;
+	struct rj_resources taken; /* by tasks of this planner */
+	struct rj_resources free; /* nothing while it is not usable */
+	uint32_t tasks;
+	bool gone;
+};
+
+struct rj_capacity_rack {
+	uint32_t number;
+	struct rj_capacity_worker **workers;
+	uint32_t count;
+};
+
+struct rj_capacity {
+	struct rj_capacity_rack **racks;
+	uint32_t rack_count;
+	GHashTable *by_id;
+	uint32_t worker_count;
+	void *mem;
+};
+
+void rj_capacity_init(struct rj_capacity *capacity, void *mem);
+void rj_capacity_finish(struct rj_capacity *capacity);
+struct rj_capacity_worker *rj_capacity_find(const struct rj_capacity *capacity,
+					    uint32_t id);
+struct rj_capacity_worker *rj_capacity_set(struct rj_capacity *capacity,
+					   const struct rj_plan_worker *worker);
+void rj_capacity_remove(struct rj_capacity *capacity, uint32_t id);
+void rj_capacity_take(struct rj_capacity *capacity,
+		      const struct rj_resources *each,
+		      const struct rj_plan_member *members, uint32_t count);
+void rj_capacity_give(struct rj_capacity *capacity,
+		      const struct rj_resources *each,
+		      const struct rj_plan_member *members, uint32_t count);
+bool rj_shape_equal(const struct rj_shape *one, const struct rj_shape *two);
+uint32_t rj_resources_times(const struct rj_resources *each,
+			    const struct rj_resources *have, uint32_t most);
+bool rj_capacity_could_fit(const struct rj_capacity *capacity,
+			   const struct rj_domain *domain,
+			   const struct rj_shape *shape);
+void rj_capacity_view(const struct rj_capacity *capacity,
+		      const struct rj_shape *largest,
+		      struct rj_plan_view *view);
+
+#endif
