--- /dev/null
+++ b/src/bench/bench.h
@@ -0,0 +1,17 @@
+/*
+ * The measurements: each subcommand is a row of main.c's table and a file of
+ * its own. Every line on standard output is one JSON object.
+ */
+#ifndef BENCH_BENCH_H
+#define BENCH_BENCH_H
+
+struct bench_command {
+	const char *name;
+	const char *what;
+	/* argv[0] is the subcommand; returns the exit status. */
+	int (*run)(int argc, char **argv);
+};
+
+int bench_faults(int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/src/bench/faults.c
@@ -0,0 +1,305 @@
+#include <argtable2.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "bench.h"
+#include "support/faults.h"
+
+/* The table of what is served is settled by far fewer runs. */
+#define SERVED_SEEDS_MAX 200
+
+struct sweep {
+	const struct engine_ops *engine;
+	enum promise promise;
+	GMutex lock;
+	struct faults_result sum;
+	uint64_t first_seed[PROMISE_COUNT];
+	bool failed[PROMISE_COUNT];
+};
+
+/* Which run a failed assertion belongs to. */
+static _Thread_local uint64_t running_seed;
+static _Thread_local enum promise running_promise;
+
+/*
+ * An assertion of the core fails in one seed of thousands: name the seed, so
+ * that it can be replayed. Only async-signal-safe calls.
+ */
+static void name_seed(int signal_number)
+{
+	char digits[24];
+	size_t at = sizeof(digits);
+	uint64_t seed = running_seed;
+
+	digits[--at] = '\n';
+	do {
+		digits[--at] = (char)('0' + seed % 10);
+		seed /= 10;
+	} while (seed);
+	(void)!write(STDERR_FILENO, promise_string[running_promise],
+		     strlen(promise_string[running_promise]));
+	(void)!write(STDERR_FILENO, " seed ", 6);
+	(void)!write(STDERR_FILENO, digits + at, sizeof(digits) - at);
+	(void)signal(signal_number, SIG_DFL);
+	(void)raise(signal_number);
+}
+
+static void merge(struct sweep *sweep, uint64_t seed,
+		  const struct faults_result *one)
+{
+	struct faults_result *sum = &sweep->sum;
+
+	g_mutex_lock(&sweep->lock);
+	for (uint32_t i = 0; i < PROMISE_COUNT; i++) {
+		if (one->violations[i] &&
+		    (!sweep->failed[i] || seed < sweep->first_seed[i])) {
+			sweep->failed[i] = true;
+			sweep->first_seed[i] = seed;
+			memcpy(sum->first[i], one->first[i],
+			       sizeof(sum->first[i]));
+		}
+	}
+	faults_result_add(sum, one);
+	g_mutex_unlock(&sweep->lock);
+}
+
+static void run_seed(gpointer data, gpointer user_data)
+{
+	struct sweep *sweep = user_data;
+	uint64_t seed = GPOINTER_TO_SIZE(data);
+	struct faults_result one;
+
+	running_seed = seed;
+	running_promise = sweep->promise;
+	faults_result_init(&one);
+	faults_run(sweep->engine, sweep->promise, seed, NULL, &one);
+	merge(sweep, seed, &one);
+	faults_result_finish(&one);
+}
+
+static void print(json_t *line)
+{
+	char *text = json_dumps(line, JSON_COMPACT);
+
+	(void)puts(text);
+	(void)fflush(stdout);
+	free(text);
+	json_decref(line);
+}
+
+static gint by_size(gconstpointer left, gconstpointer right)
+{
+	uint64_t a = *(const uint64_t *)left;
+	uint64_t b = *(const uint64_t *)right;
+
+	return a < b ? -1 : a > b;
+}
+
+static void print_times(const struct sweep *sweep, const char *measure,
+			GArray *times)
+{
+	if (!times->len)
+		return;
+	g_array_sort(times, by_size);
+	print(json_pack(
+		"{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:I}", "bench", "faults",
+		"engine", sweep->engine->name, "measure", measure, "promise",
+		promise_string[sweep->promise], "samples", (int)times->len,
+		"p50_us",
+		(json_int_t)g_array_index(times, uint64_t, times->len / 2),
+		"p99_us",
+		(json_int_t)g_array_index(times, uint64_t,
+					  times->len * 99 / 100),
+		"max_us",
+		(json_int_t)g_array_index(times, uint64_t, times->len - 1)));
+}
+
+static void print_sweep(const struct sweep *sweep, uint64_t runs)
+{
+	const struct faults_result *sum = &sweep->sum;
+	enum promise promise = sweep->promise;
+	json_t *others = json_object();
+	json_t *line;
+
+	for (uint32_t i = 0; i < PROMISE_COUNT; i++)
+		if (i != promise && sum->violations[i])
+			json_object_set_new(
+				others, promise_string[i],
+				json_pack("{s:I,s:I,s:s}", "violations",
+					  (json_int_t)sum->violations[i],
+					  "first_failing_seed",
+					  (json_int_t)sweep->first_seed[i],
+					  "first", sum->first[i]));
+	line = json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:i,s:i,s:o}", "bench",
+			 "faults", "engine", sweep->engine->name, "promise",
+			 promise_string[promise], "runs", (json_int_t)runs,
+			 "faults", (json_int_t)sum->faults, "checks",
+			 (json_int_t)sum->checks[promise], "violations",
+			 (json_int_t)sum->violations[promise], "asked",
+			 (int)sum->asked, "served", (int)sum->served,
+			 "violations_of_others", others);
+	if (sweep->failed[promise]) {
+		json_object_set_new(
+			line, "first_failing_seed",
+			json_integer((json_int_t)sweep->first_seed[promise]));
+		json_object_set_new(line, "first",
+				    json_string(sum->first[promise]));
+	}
+	print(line);
+	print_times(sweep, "claim_settled", sum->claim_settle_us);
+	print_times(sweep, "shape_reclaimed", sum->reclaim_us);
+	print_times(sweep, "config_in_force", sum->config_us);
+}
+
+/* Returns whether the promise, and every other in these runs, held. */
+static bool sweep_promise(const struct engine_ops *engine, enum promise promise,
+			  uint64_t from, uint64_t seeds, int threads)
+{
+	struct sweep sweep = { .engine = engine, .promise = promise };
+	GThreadPool *pool;
+	bool held = true;
+
+	g_mutex_init(&sweep.lock);
+	faults_result_init(&sweep.sum);
+	pool = g_thread_pool_new(run_seed, &sweep, threads, TRUE, NULL);
+	for (uint64_t i = 0; i < seeds; i++)
+		(void)g_thread_pool_push(pool, GSIZE_TO_POINTER(from + i),
+					 NULL);
+	g_thread_pool_free(pool, FALSE, TRUE);
+	print_sweep(&sweep, seeds);
+	for (uint32_t i = 0; i < PROMISE_COUNT; i++)
+		held &= !sweep.failed[i];
+	faults_result_finish(&sweep.sum);
+	g_mutex_clear(&sweep.lock);
+	return held;
+}
+
+static void print_served(const struct engine_ops *engine, enum trouble trouble,
+			 uint64_t from, uint64_t seeds)
+{
+	struct faults_result sum;
+
+	faults_result_init(&sum);
+	for (uint64_t i = 0; i < seeds; i++)
+		faults_served(engine, trouble, from + i, &sum);
+	print(json_pack("{s:s,s:s,s:s,s:s,s:I,s:i,s:i,s:f,s:i,s:i}", "bench",
+			"faults", "engine", engine->name, "measure", "served",
+			"trouble", trouble_string[trouble], "runs",
+			(json_int_t)seeds, "asked", (int)sum.asked, "served",
+			(int)sum.served, "share",
+			(double)sum.served / sum.asked, "not_run",
+			(int)sum.counts[RJ_ANSWER_NOT_RUN], "unanswered",
+			(int)sum.unanswered));
+	faults_result_finish(&sum);
+}
+
+static int run_one(const struct engine_ops *engine, enum promise promise,
+		   uint64_t seed, bool transcript)
+{
+	struct faults_result result;
+	int status = 0;
+
+	running_seed = seed;
+	running_promise = promise;
+	faults_result_init(&result);
+	faults_run(engine, promise, seed, transcript ? stdout : NULL, &result);
+	for (uint32_t i = 0; i < PROMISE_COUNT; i++) {
+		if (!result.violations[i])
+			continue;
+		status = 1;
+		print(json_pack("{s:s,s:I,s:I,s:s}", "promise",
+				promise_string[i], "seed", (json_int_t)seed,
+				"violations", (json_int_t)result.violations[i],
+				"first", result.first[i]));
+	}
+	faults_result_finish(&result);
+	return status;
+}
+
+/* The promise of that name; PROMISE_COUNT when there is none. */
+static enum promise find_promise(const char *name)
+{
+	uint32_t i = 0;
+
+	while (i < PROMISE_COUNT && strcmp(promise_string[i], name) != 0)
+		i++;
+	return i;
+}
+
+static int run_all(const struct engine_ops *engine, enum promise only,
+		   uint64_t from, uint64_t seeds, int threads)
+{
+	uint64_t served = seeds < SERVED_SEEDS_MAX ? seeds : SERVED_SEEDS_MAX;
+	bool held = true;
+
+	for (uint32_t i = 0; i < PROMISE_COUNT; i++)
+		if (only == PROMISE_COUNT || only == i)
+			held &= sweep_promise(engine, i, from, seeds, threads);
+	if (only == PROMISE_COUNT)
+		for (uint32_t i = 0; i < TROUBLE_COUNT; i++)
+			print_served(engine, i, from, served);
+	return held ? 0 : 1;
+}
+
+/*
+ * Run seeds `--from` on of each promise's profile, or replay one `--seed`.
+ * Returns 0 when every promise held, 1 when one was violated, 2 on bad usage.
+ */
+int bench_faults(int argc, char **argv)
+{
+	struct arg_int *seeds = arg_int0(NULL, "seeds", "N", "runs a promise");
+	struct arg_int *from = arg_int0(NULL, "from", "K", "the first seed");
+	struct arg_int *seed = arg_int0(NULL, "seed", "K", "replay this one");
+	struct arg_str *promise =
+		arg_str0(NULL, "promise", "P", "only this promise");
+	struct arg_str *engine = arg_str0(NULL, "engine", "core|naive",
+					  "what decides; the core");
+	struct arg_int *threads =
+		arg_int0(NULL, "threads", "N", "runs side by side");
+	struct arg_lit *transcript =
+		arg_lit0(NULL, "transcript", "with --seed: every event");
+	struct arg_lit *help = arg_lit0(NULL, "help", "say this");
+	struct arg_end *end = arg_end(4);
+	void *table[] = { seeds,   from,       seed, promise, engine,
+			  threads, transcript, help, end };
+	const struct engine_ops *ops = &engine_core;
+	enum promise only = PROMISE_COUNT;
+	int status = 2;
+
+	seeds->ival[0] = 100;
+	from->ival[0] = 1;
+	threads->ival[0] = (int)g_get_num_processors() / 2;
+	if (arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, argv[0]);
+		goto out;
+	}
+	if (help->count) {
+		arg_print_glossary(stdout, table, "  %-24s %s\n");
+		status = 0;
+		goto out;
+	}
+	if (engine->count && !strcmp(engine->sval[0], engine_naive.name))
+		ops = &engine_naive;
+	if (promise->count)
+		only = find_promise(promise->sval[0]);
+	if ((promise->count || seed->count) && only == PROMISE_COUNT) {
+		(void)fputs("faults: --promise: name one, such as \"once\"\n",
+			    stderr);
+		goto out;
+	}
+	(void)signal(SIGABRT, name_seed);
+	if (seed->count)
+		status = run_one(ops, only, (uint64_t)seed->ival[0],
+				 transcript->count);
+	else
+		status = run_all(ops, only, (uint64_t)from->ival[0],
+				 (uint64_t)seeds->ival[0],
+				 threads->ival[0] > 0 ? threads->ival[0] : 1);
+out:
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return status;
+}
--- /dev/null
+++ b/src/bench/main.c
@@ -0,0 +1,31 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "bench.h"
+
+static const struct bench_command commands[] = {
+	{ "faults", "run seeded faults and judge every promise", bench_faults },
+};
+
+#define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
+
+static int usage(FILE *out)
+{
+	(void)fputs("usage: rj-bench COMMAND [OPTIONS]; COMMAND --help\n", out);
+	for (size_t i = 0; i < COMMAND_COUNT; i++)
+		(void)fprintf(out, "  %-10s %s\n", commands[i].name,
+			      commands[i].what);
+	return out == stderr ? 2 : 0;
+}
+
+int main(int argc, char **argv)
+{
+	if (argc < 2)
+		return usage(stderr);
+	if (!strcmp(argv[1], "--help"))
+		return usage(stdout);
+	for (size_t i = 0; i < COMMAND_COUNT; i++)
+		if (!strcmp(argv[1], commands[i].name))
+			return commands[i].run(argc - 1, argv + 1);
+	return usage(stderr);
+}
--- a/src/test_libradishjunction/support/checker.c
+++ b/src/test_libradishjunction/support/checker.c
@@ -110,7 +110,7 @@
 {
 	struct checker_intent copy = *intent;
 
-	copy.ran_us = RJ_NEVER_US;
+	copy.whole_us = RJ_NEVER_US;
 	copy.answered_us = RJ_NEVER_US;
 	g_array_append_val(checker->intents, copy);
 	return checker->intents->len - 1;
@@ -349,9 +349,7 @@
 	uint32_t ran = 0;
 
 	attempt->ran = true;
-	checker->checks[PROMISE_GUARANTEE] += intent->guaranteed;
-	if (!intent->ran++)
-		intent->ran_us = now_us;
+	intent->ran++;
 	checker->checks[PROMISE_NOT_RUN]++;
 	if (intent->refused >= intent->requests)
 		violation(checker, now_us, PROMISE_NOT_RUN,
@@ -373,6 +371,19 @@
 			  attempt->intent, intent->key, ran);
 }
 
+/* The account has what it asked for once all of the shape makes progress. */
+static void check_whole(struct checker *checker, uint64_t now_us,
+			const struct checker_attempt *attempt)
+{
+	struct checker_intent *intent =
+		checker_intent_get(checker, attempt->intent);
+
+	if (intent->whole_us != RJ_NEVER_US)
+		return;
+	intent->whole_us = now_us;
+	checker->checks[PROMISE_GUARANTEE] += intent->guaranteed;
+}
+
 /*
  * A started task begins or ceases to make progress.
  */
@@ -396,6 +407,8 @@
 	attempt->member[member] |= MEMBER_RAN;
 	if (!attempt->ran)
 		check_run(checker, now_us, attempt);
+	if (attempt->running == attempt->gang)
+		check_whole(checker, now_us, attempt);
 	checker->checks[PROMISE_GANG] += attempt->gang > 1;
 	if (attempt->started < attempt->gang)
 		violation(checker, now_us, PROMISE_GANG,
--- a/src/test_libradishjunction/support/checker.h
+++ b/src/test_libradishjunction/support/checker.h
@@ -45,7 +45,7 @@
 	uint32_t ran; /* attempts that made progress */
 	uint32_t completed; /* attempts of which every member is done */
 	uint64_t submitted_us;
-	uint64_t ran_us; /* first progress; RJ_NEVER_US if none */
+	uint64_t whole_us; /* all of it made progress; RJ_NEVER_US: never */
 	uint64_t answered_us; /* first final answer; RJ_NEVER_US if none */
 	enum rj_answer_kind answer; /* that answer */
 	bool accepted;
--- a/src/test_libradishjunction/support/faults.c
+++ b/src/test_libradishjunction/support/faults.c
@@ -11,7 +11,9 @@
 /* Long enough for keys to be settled and for callers to ask a few times. */
 #define END_US (75 * RJ_US_PER_S)
 #define FAULTS_MAX 8
-#define CALLERS_MAX 24
+#define CALLERS 24
+/* Long enough for work to reach it after it should have been known. */
+#define LEAVING_LASTS_US (10 * RJ_US_PER_S)
 
 const char *const trouble_string[TROUBLE_COUNT] = {
 	[TROUBLE_NONE] = "none",
@@ -58,6 +60,7 @@
 struct profile {
 	uint8_t faults[FAULT_KIND_COUNT];
 	uint8_t load[LOAD_KIND_COUNT];
+	uint32_t callers; /* 0: CALLERS */
 	struct fault_rates rates; /* the most; each run takes a share */
 };
 
@@ -74,6 +77,7 @@
 			    [FAULT_WORKER_SLOW] = 3, [FAULT_CUT_PLATFORM] = 2,
 			    [FAULT_CUT_DOMAIN] = 2, [FAULT_PUBLISH] = 2,
 			    [FAULT_WORKER_SILENT] = 1 },
+		.callers = 40,
 		.load = { [LOAD_OCCUPY] = 8, [LOAD_RENDER] = 2, [LOAD_GANG] = 1, [LOAD_GUARANTEED] = 2, [LOAD_QUOTE] = 1 },
 		.rates = { RATES_OF_WORKERS },
 	},
@@ -118,10 +122,11 @@
 		.rates = { RATES_OF_LOG, RATES_OF_WORKERS },
 	},
 	[PROMISE_LEAVING] = {
-		.faults = { [FAULT_LEAVING] = 8, [FAULT_LIST_LAG] = 2,
+		.faults = { [FAULT_LEAVING] = 8, [FAULT_LIST_LAG] = 5,
 			    [FAULT_OUTAGE] = 2, [FAULT_CUT_PLATFORM] = 2,
 			    [FAULT_PAUSE] = 1, [FAULT_CUT_LINK] = 2,
 			    [FAULT_WORKER_KILL] = 1 },
+		.callers = 80,
 		.load = { [LOAD_PREVIEW] = 8, [LOAD_QUOTE] = 2,
 			  [LOAD_GANG] = 2 },
 		.rates = { .reply_late = 50, .peer_late = 50 },
@@ -362,6 +367,8 @@
 		break;
 	default:
 		strike_worker(world, kind, &world->workers[worker]);
+		if (kind == FAULT_LEAVING)
+			lasts_us += LEAVING_LASTS_US;
 		world_after(world, lasts_us, worker_back)->index = worker;
 		break;
 	}
@@ -512,6 +519,36 @@
 	g_array_unref(result->config_us);
 }
 
+static void add_times(GArray *to, const GArray *from)
+{
+	if (from->len)
+		g_array_append_vals(to, from->data, from->len);
+}
+
+/*
+ * Add one result to a sum; the sum keeps its own first violations.
+ */
+void faults_result_add(struct faults_result *sum,
+		       const struct faults_result *one)
+{
+	for (uint32_t i = 0; i < PROMISE_COUNT; i++) {
+		if (!sum->violations[i])
+			memcpy(sum->first[i], one->first[i],
+			       sizeof(sum->first[i]));
+		sum->violations[i] += one->violations[i];
+		sum->checks[i] += one->checks[i];
+	}
+	for (uint32_t i = 0; i < RJ_ANSWER_KIND_COUNT; i++)
+		sum->counts[i] += one->counts[i];
+	sum->faults += one->faults;
+	sum->asked += one->asked;
+	sum->served += one->served;
+	sum->unanswered += one->unanswered;
+	add_times(sum->claim_settle_us, one->claim_settle_us);
+	add_times(sum->reclaim_us, one->reclaim_us);
+	add_times(sum->config_us, one->config_us);
+}
+
 static void add_callers(struct world *world, struct faults_result *result)
 {
 	for (guint i = 0; i < world->callers->len; i++) {
@@ -535,9 +572,9 @@
 
 			g_array_append_val(result->claim_settle_us, took_us);
 		}
-		if (intent->guaranteed && intent->ran) {
+		if (intent->guaranteed && intent->whole_us != RJ_NEVER_US) {
 			uint64_t took_us =
-				intent->ran_us - intent->submitted_us;
+				intent->whole_us - intent->submitted_us;
 
 			g_array_append_val(result->reclaim_us, took_us);
 		}
@@ -556,8 +593,7 @@
 		result->checks[i] += checker->checks[i];
 	}
 	result->faults += world->faults;
-	g_array_append_vals(result->config_us, checker->settle_us->data,
-			    checker->settle_us->len);
+	add_times(result->config_us, checker->settle_us);
 	add_callers(world, result);
 }
 
@@ -589,7 +625,8 @@
 	uint32_t count = 1 + (uint32_t)world_random(world, FAULTS_MAX);
 
 	share_rates(world, &profile->rates);
-	add_load(world, profile->load, CALLERS_MAX);
+	add_load(world, profile->load,
+		 profile->callers ? profile->callers : CALLERS);
 	for (uint32_t i = 0; i < count; i++) {
 		struct world_event *event = world_after(
 			world,
@@ -653,7 +690,7 @@
 	void *mem = talloc_new(NULL);
 	struct world *world = make_world(mem, engine, seed, NULL);
 
-	add_load(world, mixed, 2 * CALLERS_MAX);
+	add_load(world, mixed, 2 * CALLERS);
 	(void)world_after(world, 0, replace_stopped);
 	world_run_until(world, 8 * RJ_US_PER_S);
 	cause(world, trouble);
