--- a/include/radishjunction/core.h
+++ b/include/radishjunction/core.h
@@ -70,6 +70,8 @@
 uint64_t rj_core_counter(const struct rj_core *core, enum rj_counter counter);
 json_t *rj_core_status(const struct rj_core *core, uint64_t now_us);
 json_t *rj_core_explain(const struct rj_core *core, uint64_t job_id);
+const char *rj_core_job_account(const struct rj_core *core, uint64_t job_id);
+const struct rj_config *rj_core_config(const struct rj_core *core);
 void rj_core_finish(struct rj_core *core);
 
 #endif
--- a/include/radishjunction/planner.h
+++ b/include/radishjunction/planner.h
@@ -26,6 +26,8 @@
 	bool owned; /* in a rack that this instance plans first */
 };
 
+#define RJ_PLAN_AVOID_MAX 4
+
 struct rj_plan_job {
 	uint64_t job_id;
 	char account[RJ_NAME_BYTES];
@@ -37,6 +39,9 @@
 	uint64_t declared_us;
 	uint64_t queued_us; /* time of arrival */
 	uint64_t deadline_us; /* RJ_NEVER_US if none */
+	/* Workers on which it failed: not used while others fit. */
+	uint32_t avoid[RJ_PLAN_AVOID_MAX];
+	uint32_t avoid_count;
 };
 
 /* So many tasks of a gang on one worker. */
--- a/include/radishjunction/record.h
+++ b/include/radishjunction/record.h
@@ -38,6 +38,7 @@
 	char worker[RJ_NAME_BYTES];
 	uint64_t worker_incarnation;
 	uint64_t token;
+	uint32_t tasks; /* of the gang, on this worker */
 };
 
 struct rj_record {
--- a/include/radishjunction/worker.h
+++ b/include/radishjunction/worker.h
@@ -4,7 +4,7 @@
  * A worker runs tasks under leases. It is the arbiter of its own leases: a
  * token that has lapsed, was released or was fenced never starts a task. It
  * remembers ended tasks for a while, so that a new owner can ask. A restart
- * gives it a new incarnation and makes it forget everything.
+ * gives it a higher incarnation and makes it forget everything.
  *
  * LEASE, START, RUN, RENEW, STOP, RELEASE and FENCE are idempotent: the same
  * call for the same attempt and member repeats its answer. A running task
@@ -78,7 +78,9 @@
 	   start; `each` is what the member needs in all. */
 	uint32_t member; /* index of the member within its gang */
 	uint32_t gang; /* members of the whole gang */
-	uint64_t token; /* of the lease; 0 for LEASE, RUN and REPORT */
+	/* Of the lease; 0 for LEASE, RUN and REPORT. STOP, RELEASE and FENCE
+	   with 0 mean the lease of this attempt and member. */
+	uint64_t token;
 	char account[RJ_NAME_BYTES];
 	char class_name[RJ_NAME_BYTES];
 	struct rj_resources each;
--- /dev/null
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -0,0 +1,416 @@
+/*
+ * ACCEPTING, CLAIMING and WATCHING: what depends on the log.
+ *
+ * A claim is appended while the leases are held and nothing runs; only when
+ * it was read back as the winning one does its author start. Whoever loses
+ * watches the winner.
+ */
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/core_state.h"
+
+/* A lost append shows in the log within this time, or is given up. */
+#define APPEND_SETTLE_US (3 * RJ_US_PER_S)
+#define OUTCOME_RETRY_US (2 * RJ_US_PER_S)
+#define PLATFORM_RETRY_US (2 * RJ_US_PER_S)
+
+/* Start a record about the job's present attempt. */
+static void fill_record(const struct rj_job *job, enum rj_record_kind kind,
+			struct rj_record *record)
+{
+	memset(record, 0, sizeof(*record));
+	record->kind = kind;
+	g_strlcpy(record->domain, job->core->domain, sizeof(record->domain));
+	record->attempt = job->attempt;
+	record->spec = job->spec;
+	record->spec.body = (struct rj_bytes){ 0 };
+}
+
+/*
+ * Whether the job may start only under a claim in the log. Work that must
+ * not run twice always does. An accepted job does while the log can be had,
+ * so that its next owner finds where it runs; in an outage it goes on
+ * without, since it may run again.
+ */
+bool rj_job_needs_claim(const struct rj_job *job)
+{
+	if (!job->idempotent)
+		return true;
+	return job->accepted && rj_log_usable(job->core);
+}
+
+/*
+ * Append the record that makes the job accepted; its caller is told only
+ * when it was read back.
+ */
+void rj_job_accept(struct rj_job *job)
+{
+	struct rj_record record;
+
+	job->state = RJ_JOB_ACCEPTING;
+	job->step_started_us = job->core->now_us;
+	fill_record(job, RJ_RECORD_ACCEPT, &record);
+	record.spec.body = job->spec.body;
+	rj_log_append(job->core, RJ_STREAM_JOBS, &record);
+}
+
+/*
+ * Append the job's claim with the leases that it holds.
+ */
+void rj_job_claim(struct rj_job *job)
+{
+	struct rj_core_state *core = job->core;
+	struct rj_claim_member *members;
+	struct rj_record record;
+
+	assert(job->state == RJ_JOB_HOLDING);
+	if (!rj_log_usable(core)) {
+		rj_job_release_members(job);
+		if (job->accepted)
+			rj_job_requeue(job, PLATFORM_RETRY_US,
+				       RJ_REASON_PLATFORM_DOWN);
+		else
+			rj_job_not_started(
+				job, RJ_REASON_PLATFORM_DOWN,
+				rj_core_jitter_us(core, PLATFORM_RETRY_US));
+		return;
+	}
+	job->state = RJ_JOB_CLAIMING;
+	job->step_started_us = core->now_us;
+	fill_record(job, RJ_RECORD_CLAIM, &record);
+	record.lease_life_us = rj_upstreams_lease_life_us(core);
+	members = talloc_zero_array(core->actions->mem, struct rj_claim_member,
+				    job->member_count);
+	assert(members);
+	for (uint32_t i = 0; i < job->member_count; i++) {
+		g_strlcpy(members[i].worker, job->members[i].worker,
+			  sizeof(members[i].worker));
+		members[i].worker_incarnation = job->members[i].incarnation;
+		members[i].token = job->members[i].token;
+		members[i].tasks = job->members[i].tasks;
+	}
+	record.members = members;
+	record.member_count = job->member_count;
+	rj_log_append(core, RJ_STREAM_JOBS, &record);
+}
+
+/* Give up an attempt whose claim is not, or not surely, in the log. */
+static void claim_given_up(struct rj_job *job)
+{
+	rj_job_release_members(job);
+	if (job->accepted) {
+		rj_job_requeue(job, PLATFORM_RETRY_US, RJ_REASON_PLATFORM_DOWN);
+		return;
+	}
+	rj_job_end_plain(job, RJ_ANSWER_UNKNOWN, RJ_REASON_PLATFORM_DOWN,
+			 rj_core_jitter_us(job->core, PLATFORM_RETRY_US));
+}
+
+/*
+ * The time for a lost append to show in the log is over. A claim that shows
+ * later finds no job here, and its attempt is fenced and voided.
+ */
+void rj_claims_step_due(struct rj_job *job)
+{
+	if (job->state == RJ_JOB_CLAIMING)
+		claim_given_up(job);
+	else if (job->state == RJ_JOB_ACCEPTING)
+		rj_job_end_plain(
+			job, RJ_ANSWER_UNKNOWN, RJ_REASON_PLATFORM_DOWN,
+			rj_core_jitter_us(job->core, PLATFORM_RETRY_US));
+}
+
+/*
+ * An append of `record` was refused, or its answer was lost. Lost records
+ * may be in the log: reading tells, for a while.
+ */
+void rj_claims_appended(struct rj_core_state *core,
+			const struct rj_record *record,
+			enum rj_append_status status)
+{
+	struct rj_job *job = rj_jobs_find(core, record->attempt.job_id);
+
+	if (!job || job->attempt.owner != record->attempt.owner ||
+	    job->attempt.number != record->attempt.number)
+		return;
+	if (!(job->state == RJ_JOB_CLAIMING &&
+	      record->kind == RJ_RECORD_CLAIM) &&
+	    !(job->state == RJ_JOB_ACCEPTING &&
+	      record->kind == RJ_RECORD_ACCEPT))
+		return;
+	if (status == RJ_APPEND_LOST) {
+		rj_timer_set(&core->timers, &job->step,
+			     core->now_us + APPEND_SETTLE_US);
+		return;
+	}
+	if (job->state == RJ_JOB_CLAIMING) {
+		claim_given_up(job);
+		return;
+	}
+	job->state = RJ_JOB_QUEUED;
+	rj_job_not_started(job, RJ_REASON_PLATFORM_DOWN,
+			   rj_core_jitter_us(core, PLATFORM_RETRY_US));
+}
+
+/*
+ * The platform has stopped answering. Work that waits for a claim is
+ * answered at once with when to come back, and not held until its deadline;
+ * accepted jobs wait.
+ */
+void rj_claims_platform_down(struct rj_core_state *core)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->jobs.list) {
+		struct rj_job *job = RJ_CONTAINER(at, struct rj_job, link);
+
+		if (job->accepted || job->idempotent)
+			continue;
+		if (job->state != RJ_JOB_QUEUED && job->state != RJ_JOB_HOLDING)
+			continue;
+		rj_job_release_members(job);
+		rj_job_not_started(job, RJ_REASON_PLATFORM_DOWN,
+				   rj_core_jitter_us(core, PLATFORM_RETRY_US));
+	}
+}
+
+/*
+ * The answer that a settled entry of the log gives.
+ */
+void rj_claims_answer(const struct rj_ledger_entry *entry,
+		      struct rj_answer *answer)
+{
+	assert(entry->settled);
+	memset(answer, 0, sizeof(*answer));
+	answer->kind = entry->outcome;
+	answer->reason = entry->reason;
+	answer->job_id = entry->job_id;
+	answer->result = entry->result;
+}
+
+/*
+ * Another instance serves the job, or served it: wait for what the log says.
+ */
+void rj_job_watch(struct rj_job *job)
+{
+	rj_job_unplan(job, false);
+	rj_job_drop_members(job);
+	job->state = RJ_JOB_WATCHING;
+	job->claimed = false;
+	job->started = false;
+}
+
+/*
+ * Ask, through the log, whoever serves the job to cancel it.
+ */
+void rj_claims_cancel(struct rj_job *job)
+{
+	struct rj_record record;
+
+	fill_record(job, RJ_RECORD_CANCEL, &record);
+	rj_log_append(job->core, RJ_STREAM_JOBS, &record);
+}
+
+/*
+ * Close the job's own claim: nothing of this attempt started, or all of it
+ * was stopped and may run again.
+ */
+void rj_claims_void(struct rj_job *job)
+{
+	struct rj_record record;
+
+	rj_core_count(job->core, RJ_COUNT_VOIDS);
+	rj_core_log(job->core, RJ_LOG_VOID, RJ_REASON_LEASE_LAPSED, job, NULL);
+	fill_record(job, RJ_RECORD_VOID, &record);
+	rj_log_append(job->core, RJ_STREAM_JOBS, &record);
+	job->claimed = false;
+}
+
+/*
+ * Append how the job ended, again and again until it was read back.
+ */
+void rj_claims_outcome(struct rj_job *job)
+{
+	struct rj_core_state *core = job->core;
+	struct rj_record record;
+
+	assert(job->state == RJ_JOB_ENDED);
+	fill_record(job, RJ_RECORD_OUTCOME, &record);
+	record.outcome = job->final.kind;
+	record.reason = job->final.reason;
+	if (job->final.result.length <= RJ_RESULT_MAX_BYTES)
+		record.result = job->final.result;
+	rj_log_append(core, RJ_STREAM_JOBS, &record);
+	rj_timer_set(&core->timers, &job->step,
+		     core->now_us + rj_core_jitter_us(core, OUTCOME_RETRY_US));
+}
+
+/* The job's own claim was read back as the winning one. */
+static void claim_won(struct rj_job *job)
+{
+	struct rj_core_state *core = job->core;
+
+	rj_timer_clear(&core->timers, &job->step);
+	rj_core_count(core, RJ_COUNT_CLAIMS_WON);
+	rj_core_log(core, RJ_LOG_CLAIM, RJ_REASON_NONE, job, NULL);
+	job->claimed = true;
+	if (!job->cancelled) {
+		rj_job_start(job);
+		return;
+	}
+	rj_job_release_members(job);
+	rj_claims_void(job);
+	rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, RJ_REASON_CANCELLED, 0);
+}
+
+/* Another claim of the same key was first in the log. */
+static void claim_lost(struct rj_job *job)
+{
+	struct rj_core_state *core = job->core;
+
+	rj_timer_clear(&core->timers, &job->step);
+	rj_core_count(core, RJ_COUNT_CLAIMS_LOST);
+	rj_core_log(core, RJ_LOG_CLAIM, RJ_REASON_CLAIM_LOST, job, NULL);
+	rj_job_release_members(job);
+	rj_job_watch(job);
+}
+
+/* Whether the entry's open claim is that of the job's present attempt. */
+static bool own_claim(const struct rj_job *job,
+		      const struct rj_ledger_entry *entry)
+{
+	return entry->claimed && entry->attempt.owner == job->attempt.owner &&
+	       entry->attempt.number == job->attempt.number;
+}
+
+/* A job that was submitted here is in the log as accepted. */
+static void accept_read(struct rj_job *job)
+{
+	struct rj_core_state *core = job->core;
+	struct rj_answer answer;
+
+	rj_timer_clear(&core->timers, &job->step);
+	job->accepted = true;
+	memset(&answer, 0, sizeof(answer));
+	answer.kind = RJ_ANSWER_ACCEPTED;
+	answer.job_id = job->spec.job_id;
+	rj_job_answer_waiters(job, &answer);
+	rj_timer_clear(&core->timers, &job->deadline);
+	if (job->cancelled)
+		rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, RJ_REASON_CANCELLED,
+				 0);
+	else if (rj_membership_owns(core, core->domain, job->spec.job_id))
+		rj_job_submit(job);
+	else
+		rj_job_free(job); /* its owner reads the same record */
+}
+
+/* The job was settled, here or elsewhere. */
+static void settled_read(struct rj_job *job,
+			 const struct rj_ledger_entry *entry)
+{
+	struct rj_answer answer;
+
+	rj_claims_answer(entry, &answer);
+	switch (job->state) {
+	case RJ_JOB_ENDED:
+		rj_job_free(job);
+		break;
+	case RJ_JOB_WATCHING:
+		rj_job_answer_waiters(job, &answer);
+		rj_job_free(job);
+		break;
+	case RJ_JOB_QUEUED:
+	case RJ_JOB_HOLDING:
+	case RJ_JOB_CLAIMING:
+	case RJ_JOB_ACCEPTING:
+		rj_job_release_members(job);
+		rj_job_answer_waiters(job, &answer);
+		rj_job_free(job);
+		break;
+	case RJ_JOB_STARTING:
+	case RJ_JOB_RUNNING:
+	case RJ_JOB_STOPPING:
+	case RJ_JOB_SETTLING:
+		/* A peer gave this attempt up as unknown while it runs: its
+		   true outcome is still to be appended. */
+	case RJ_JOB_FORWARDED:
+	case RJ_JOB_STATE_COUNT:
+		break;
+	}
+}
+
+/* A claim of the job is open in the log. */
+static void claim_read(struct rj_job *job, const struct rj_ledger_entry *entry)
+{
+	if (job->state == RJ_JOB_CLAIMING) {
+		if (own_claim(job, entry))
+			claim_won(job);
+		else
+			claim_lost(job);
+		return;
+	}
+	if (own_claim(job, entry))
+		return;
+	if (job->state == RJ_JOB_QUEUED || job->state == RJ_JOB_HOLDING ||
+	    job->state == RJ_JOB_ACCEPTING) {
+		rj_job_release_members(job);
+		rj_job_watch(job);
+	}
+}
+
+/* The log says that the job is to be cancelled. */
+static void cancel_read(struct rj_job *job)
+{
+	if (job->state == RJ_JOB_WATCHING || job->state == RJ_JOB_ENDED)
+		return;
+	rj_job_cancel(job, RJ_REASON_CANCELLED);
+}
+
+/*
+ * Apply one record of the `jobs` stream, and let the job here that it is
+ * about go on from it.
+ */
+void rj_claims_record(struct rj_core_state *core,
+		      const struct rj_record *record)
+{
+	struct rj_ledger_entry *entry;
+	struct rj_job *job;
+
+	entry = rj_ledger_apply(&core->ledger, core, record, core->now_us);
+	if (!entry)
+		return;
+	job = rj_jobs_find(core, entry->job_id);
+	if (!job)
+		return;
+	if (entry->settled) {
+		settled_read(job, entry);
+		return;
+	}
+	switch (record->kind) {
+	case RJ_RECORD_ACCEPT:
+		if (job->state == RJ_JOB_ACCEPTING)
+			accept_read(job);
+		break;
+	case RJ_RECORD_CLAIM:
+		if (entry->claimed)
+			claim_read(job, entry);
+		break;
+	case RJ_RECORD_VOID:
+		/* What was watched never ran: serve it from here. */
+		if (!entry->claimed && job->state == RJ_JOB_WATCHING)
+			rj_filters_again(job);
+		break;
+	case RJ_RECORD_CANCEL:
+		cancel_read(job);
+		break;
+	case RJ_RECORD_OUTCOME:
+	case RJ_RECORD_CONFIG:
+	case RJ_RECORD_MALFORMED:
+	case RJ_RECORD_KIND_COUNT:
+		break;
+	}
+}
--- /dev/null
+++ b/src/libradishjunction/core/controllers/config_controller.c
@@ -0,0 +1,117 @@
+/*
+ * Which configuration is in force here: from the log, or from a peer when
+ * the log cannot be read; and carried forward before the log drops it.
+ */
+#include <string.h>
+#include <talloc.h>
+
+#include "private/core_state.h"
+
+/* An append that was lost shows within this time, or is made again. */
+#define CARRY_RETRY_US (10 * RJ_US_PER_S)
+
+/* A newer configuration came into force: every part that uses it is told,
+ * and so are the peers, who may not be able to read the log. */
+static void in_force(struct rj_core_state *core, const char *from)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	if (core->config)
+		rj_config_unref(core->config);
+	core->config = rj_config_ref(core->config_log.config);
+	rj_core_count(core, RJ_COUNT_CONFIGS_ACCEPTED);
+	rj_core_log(core, RJ_LOG_CONFIG, RJ_REASON_NONE, NULL, from);
+	core->planner->ops->configure(core->planner, core->config, core->domain,
+				      core->now_us);
+	core->jobs.plan_wanted = true;
+	RJ_FOR_EACH (at, next, &core->membership.members) {
+		const struct rj_member_view *member =
+			RJ_CONTAINER(at, struct rj_member_view, link);
+
+		if (member->connected &&
+		    member->config_revision < core->config->revision)
+			rj_config_controller_tell(core, member->name);
+	}
+}
+
+/*
+ * Apply what a read of the `config` stream brought.
+ */
+void rj_config_controller_records(struct rj_core_state *core,
+				  const struct rj_records *records)
+{
+	struct rj_error_list errors;
+
+	rj_config_log_batch(&core->config_log, records->oldest);
+	for (uint32_t i = 0; i < records->count; i++) {
+		enum rj_config_verdict verdict;
+
+		rj_error_list_init(&errors, core->actions->mem);
+		verdict = rj_config_log_apply(&core->config_log,
+					      &records->records[i],
+					      core->now_us, &errors);
+		if (verdict == RJ_CONFIG_ACCEPTED)
+			in_force(core, "log");
+		else if (verdict == RJ_CONFIG_STALE ||
+			 verdict == RJ_CONFIG_BAD_TEXT)
+			rj_core_count(core, RJ_COUNT_CONFIGS_REFUSED);
+	}
+}
+
+/*
+ * A peer offers the configuration that it has in force. An older one changes
+ * nothing: revisions only rise.
+ */
+void rj_config_controller_peer(struct rj_core_state *core,
+			       const struct rj_peer_config *offer)
+{
+	struct rj_error_list errors;
+
+	rj_error_list_init(&errors, core->actions->mem);
+	if (!rj_config_log_adopt(&core->config_log, offer->revision, offer->id,
+				 offer->text, offer->offset, &errors))
+		return;
+	core->streams[RJ_STREAM_CONFIG].next = core->config_log.next;
+	in_force(core, "peer");
+}
+
+/*
+ * Send the configuration in force to a peer, if there is one.
+ */
+void rj_config_controller_tell(struct rj_core_state *core, const char *peer)
+{
+	struct rj_peer_message *message;
+	struct rj_peer_config *offer;
+
+	if (!core->config)
+		return;
+	message = rj_membership_send(core, peer, RJ_PEER_CONFIG);
+	offer = &message->u.config;
+	offer->revision = core->config->revision;
+	offer->offset = core->config_log.as_of;
+	memcpy(offer->id, core->config->id, sizeof(offer->id));
+	offer->text = talloc_strdup(message, core->config->text);
+}
+
+/*
+ * Append the configuration in force again when it is due. The owner by hash
+ * does it first; a second one is harmless, since it changes nothing.
+ */
+void rj_config_controller_tick(struct rj_core_state *core)
+{
+	struct rj_record record;
+
+	if (!rj_config_log_carry_due(&core->config_log, core->now_us,
+				     core->retention_us) ||
+	    !core->platform_up || !core->streams[RJ_STREAM_CONFIG].caught_up)
+		return;
+	if (core->config_carried_us &&
+	    core->now_us < core->config_carried_us + CARRY_RETRY_US)
+		return;
+	if (!rj_membership_owns(core, core->domain, core->config->revision))
+		return;
+	core->config_carried_us = core->now_us;
+	rj_config_log_carry(&core->config_log, &record);
+	rj_log_append(core, RJ_STREAM_CONFIG, &record);
+}
--- /dev/null
+++ b/src/libradishjunction/core/controllers/drain_controller.c
@@ -0,0 +1,132 @@
+/*
+ * A planned stop: no new work, waiting jobs handed to peers, every open
+ * request answered, outcomes in the log, then the exit.
+ */
+#include <string.h>
+#include <talloc.h>
+
+#include "private/core_state.h"
+
+/* Work that takes longer is answered `unknown` with when to ask again. */
+#define DRAIN_LIMIT_US (30 * RJ_US_PER_S)
+/* After the answers, so long is left for outcomes to reach the log. */
+#define DRAIN_LOG_US (5 * RJ_US_PER_S)
+
+/* The limit of the drain has passed: answer what is still open. */
+static void limit_due(struct rj_core_state *core, struct rj_timer *timer)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	(void)timer;
+	core->drain_over = true;
+	RJ_FOR_EACH (at, next, &core->jobs.list) {
+		struct rj_job *job = RJ_CONTAINER(at, struct rj_job, link);
+		struct rj_answer answer;
+
+		memset(&answer, 0, sizeof(answer));
+		answer.kind = RJ_ANSWER_UNKNOWN;
+		answer.reason = RJ_REASON_DRAINING;
+		answer.job_id = job->spec.job_id;
+		answer.retry_after_us = RJ_US_PER_S;
+		rj_job_answer_waiters(job, &answer);
+	}
+}
+
+/*
+ * No stop was asked for yet.
+ */
+void rj_drain_init(struct rj_core_state *core)
+{
+	rj_timer_init(&core->drain, limit_due);
+}
+
+/* Whoever waits for an accepted job asks again at another instance. */
+static void send_waiters_on(struct rj_job *job)
+{
+	struct rj_answer answer;
+
+	memset(&answer, 0, sizeof(answer));
+	answer.kind = RJ_ANSWER_ACCEPTED;
+	answer.reason = RJ_REASON_DRAINING;
+	answer.job_id = job->spec.job_id;
+	answer.retry_after_us = RJ_US_PER_S;
+	rj_job_answer_waiters(job, &answer);
+}
+
+/* Hand a waiting job to a peer, or answer it with when to come back. */
+static void hand_over(struct rj_job *job)
+{
+	if (job->accepted) {
+		rj_job_free(job); /* its next owner reads it in the log */
+		return;
+	}
+	rj_job_unplan(job, false);
+	rj_filters_again(job);
+}
+
+/*
+ * The process was asked to stop. A second request changes nothing.
+ *
+ * Guards against callers that are cut off by a planned stop: their jobs
+ * would be lost or run unheard. Nothing new is let in, what has not started
+ * goes to a peer by name, and the exit waits for every answer.
+ */
+void rj_drain_stop(struct rj_core_state *core)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	if (core->stopping)
+		return;
+	core->stopping = true;
+	rj_core_log(core, RJ_LOG_DRAIN, RJ_REASON_DRAINING, NULL, NULL);
+	rj_membership_heartbeat_all(core);
+	rj_upstreams_ownership(core);
+	rj_timer_set(&core->timers, &core->drain,
+		     core->now_us + DRAIN_LIMIT_US);
+	RJ_FOR_EACH (at, next, &core->jobs.list) {
+		struct rj_job *job = RJ_CONTAINER(at, struct rj_job, link);
+
+		if (job->accepted)
+			send_waiters_on(job);
+		if (job->state == RJ_JOB_QUEUED)
+			hand_over(job);
+	}
+}
+
+/* Whether an outcome is still to be read back from the log. */
+static bool outcomes_open(const struct rj_core_state *core)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->jobs.list) {
+		const struct rj_job *job =
+			RJ_CONTAINER(at, struct rj_job, link);
+
+		if (job->state == RJ_JOB_ENDED)
+			return true;
+	}
+	return !rj_log_idle(core);
+}
+
+/*
+ * Exit when nothing is open any more. Jobs that run for nobody here, because
+ * they were accepted, stay on their workers for their next owner.
+ */
+void rj_drain_check(struct rj_core_state *core)
+{
+	if (!core->stopping || core->exited || core->jobs.open)
+		return;
+	if (!core->drain_answered_us) {
+		core->drain_answered_us = core->now_us;
+		rj_timer_set(&core->timers, &core->drain,
+			     core->now_us + DRAIN_LOG_US);
+	}
+	if (outcomes_open(core) && !core->drain_over &&
+	    core->now_us < core->drain_answered_us + DRAIN_LOG_US)
+		return;
+	core->exited = true;
+	rj_actions_add(core->actions, RJ_ACTION_EXIT);
+}
--- /dev/null
+++ b/src/libradishjunction/core/controllers/forward_controller.c
@@ -0,0 +1,174 @@
+/*
+ * FORWARDED: jobs that a peer serves for a caller here, and jobs that are
+ * served here for a peer.
+ *
+ * A job is forwarded once within its failure domain and once to another one,
+ * so that two instances never hand it back and forth.
+ */
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/core_state.h"
+
+/*
+ * Hand the job to a peer. Returns false when the peer has no link.
+ */
+bool rj_job_forward(struct rj_job *job, const char *peer, bool other_domain)
+{
+	struct rj_core_state *core = job->core;
+	struct rj_member_view *member = rj_membership_find(core, peer);
+	struct rj_peer_message *message;
+	struct rj_peer_forward *forward;
+
+	if (!member || !rj_membership_alive(core, member))
+		return false;
+	assert(!job->planned && !job->started && !job->claimed);
+	if (job->forward_id)
+		g_hash_table_remove(core->jobs.forwards, &job->forward_id);
+	job->state = RJ_JOB_FORWARDED;
+	job->forward_id = rj_core_next_id(core);
+	g_strlcpy(job->peer, peer, sizeof(job->peer));
+	g_hash_table_insert(core->jobs.forwards, &job->forward_id, job);
+	message = rj_membership_send(core, peer, RJ_PEER_FORWARD);
+	forward = &message->u.forward;
+	forward->forward_id = job->forward_id;
+	forward->hops = job->hops + 1;
+	forward->other_domain = other_domain || job->other_domain;
+	forward->spec = job->spec;
+	rj_bytes_copy(message, &forward->spec.body, &job->spec.body);
+	if (job->deadline_us != RJ_NEVER_US)
+		forward->spec.deadline_in_us =
+			job->deadline_us > core->now_us ?
+				job->deadline_us - core->now_us :
+				1;
+	rj_core_count(core, RJ_COUNT_FORWARDS);
+	if (other_domain)
+		rj_core_count(core, RJ_COUNT_FORWARDS_OTHER_DOMAIN);
+	rj_core_log(core, RJ_LOG_ROUTE,
+		    other_domain ? RJ_REASON_OTHER_DOMAIN : RJ_REASON_OWNER,
+		    job, peer);
+	return true;
+}
+
+/*
+ * A peer forwards a job to be served here.
+ */
+void rj_forward_received(struct rj_core_state *core, const char *peer,
+			 const struct rj_peer_forward *forward)
+{
+	rj_filters_forward(core, peer, forward);
+}
+
+/* The peer is draining, or had no room where this instance has some: serve
+ * the job from here. */
+static bool serve_again(const struct rj_job *job,
+			const struct rj_answer *answer)
+{
+	return answer->kind == RJ_ANSWER_NOT_RUN &&
+	       answer->reason == RJ_REASON_DRAINING && !job->core->stopping;
+}
+
+/*
+ * A peer answers for a job that was forwarded to it. An answer for another
+ * job, or from another peer, or after the job has gone on elsewhere, is
+ * dropped.
+ */
+void rj_forward_answered(struct rj_core_state *core, const char *peer,
+			 const struct rj_peer_forward_answer *answer)
+{
+	struct rj_job *job =
+		g_hash_table_lookup(core->jobs.forwards, &answer->forward_id);
+
+	if (!job || job->state != RJ_JOB_FORWARDED || strcmp(job->peer, peer) ||
+	    answer->answer.job_id != job->spec.job_id)
+		return;
+	if (serve_again(job, &answer->answer)) {
+		rj_filters_again(job);
+		return;
+	}
+	job->final.kind = answer->answer.kind;
+	rj_core_log(core, RJ_LOG_END, answer->answer.reason, job, peer);
+	rj_job_answer_waiters(job, &answer->answer);
+	rj_job_free(job);
+}
+
+/*
+ * The caller here wants the forwarded job cancelled, or is gone; the peer
+ * answers for what became of it.
+ */
+void rj_forward_cancel(struct rj_job *job)
+{
+	struct rj_peer_message *message;
+
+	message = rj_membership_send(job->core, job->peer, RJ_PEER_CANCEL);
+	message->u.cancel.forward_id = job->forward_id;
+	message->u.cancel.job_id = job->spec.job_id;
+	job->cancelled = true;
+}
+
+/* The waiter of a job that stands for a peer's forward, or NULL. */
+static struct rj_waiter *waiter_of(struct rj_job *job, const char *peer,
+				   uint64_t forward_id)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &job->waiters) {
+		struct rj_waiter *waiter =
+			RJ_CONTAINER(at, struct rj_waiter, link);
+
+		if (!waiter->request_id && waiter->forward_id == forward_id &&
+		    !strcmp(waiter->peer, peer))
+			return waiter;
+	}
+	return NULL;
+}
+
+/*
+ * A peer wants a job cancelled that it had forwarded here. Others may wait
+ * for the same job by its key: then it goes on for them.
+ */
+void rj_forward_cancelled(struct rj_core_state *core, const char *peer,
+			  const struct rj_peer_cancel *cancel)
+{
+	struct rj_job *job = rj_jobs_find(core, cancel->job_id);
+
+	if (!job || !waiter_of(job, peer, cancel->forward_id))
+		return;
+	if (job->waiters.next->next != &job->waiters)
+		return;
+	rj_job_cancel(job, RJ_REASON_CANCELLED);
+}
+
+/*
+ * The link to a peer ended. What was forwarded to it may run or may have
+ * run: work that may run again is served anew, and keyed work too, since its
+ * claim decides which attempt may start. What the peer waits for here goes
+ * on; its answers find no link and are dropped.
+ */
+void rj_forward_peer_lost(struct rj_core_state *core, const char *peer)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->jobs.list) {
+		struct rj_job *job = RJ_CONTAINER(at, struct rj_job, link);
+
+		if (job->state != RJ_JOB_FORWARDED || strcmp(job->peer, peer))
+			continue;
+		rj_core_log(core, RJ_LOG_RETRY, RJ_REASON_PEER_LOST, job, peer);
+		if (job->cancelled || job->waiters.next == &job->waiters) {
+			struct rj_answer answer;
+
+			memset(&answer, 0, sizeof(answer));
+			answer.kind = RJ_ANSWER_UNKNOWN;
+			answer.reason = RJ_REASON_PEER_LOST;
+			answer.job_id = job->spec.job_id;
+			rj_job_answer_waiters(job, &answer);
+			rj_job_free(job);
+			continue;
+		}
+		rj_filters_again(job);
+	}
+}
--- /dev/null
+++ b/src/libradishjunction/core/controllers/jobs_controller.c
@@ -0,0 +1,468 @@
+/*
+ * The table of jobs that this instance serves, who waits for them, and how
+ * they end. What happens in each state is in the controllers of placement,
+ * claims, runs and forwarding.
+ */
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/core_state.h"
+
+#define TICK_US (1 * RJ_US_PER_S)
+#define RETRY_TOKENS_FIRST 10.0
+
+const char *const rj_job_state_string[RJ_JOB_STATE_COUNT] = {
+	[RJ_JOB_ACCEPTING] = "accepting", [RJ_JOB_QUEUED] = "queued",
+	[RJ_JOB_HOLDING] = "holding",	  [RJ_JOB_CLAIMING] = "claiming",
+	[RJ_JOB_STARTING] = "starting",	  [RJ_JOB_RUNNING] = "running",
+	[RJ_JOB_STOPPING] = "stopping",	  [RJ_JOB_SETTLING] = "settling",
+	[RJ_JOB_FORWARDED] = "forwarded", [RJ_JOB_WATCHING] = "watching",
+	[RJ_JOB_ENDED] = "ended",
+};
+
+/* The regular round over what the log and dead instances left open. */
+static void tick_due(struct rj_core_state *core, struct rj_timer *timer)
+{
+	rj_claims_tick(core);
+	rj_timer_set(&core->timers, timer, core->now_us + TICK_US);
+}
+
+/* The planner wants a pass without an event. */
+static void plan_due(struct rj_core_state *core, struct rj_timer *timer)
+{
+	(void)timer;
+	core->jobs.plan_wanted = true;
+}
+
+/*
+ * Start with no job.
+ */
+void rj_jobs_init(struct rj_core_state *core)
+{
+	struct rj_jobs *jobs = &core->jobs;
+
+	rj_list_init(&jobs->list);
+	jobs->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+	jobs->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+	jobs->waiters = g_hash_table_new(g_int64_hash, g_int64_equal);
+	jobs->forwards = g_hash_table_new(g_int64_hash, g_int64_equal);
+	for (int i = 0; i < 2; i++)
+		jobs->open_by_name[i] = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, NULL);
+	jobs->retry_tokens = RETRY_TOKENS_FIRST;
+	rj_decisions_init(&jobs->decisions, core);
+	rj_timer_init(&jobs->plan, plan_due);
+	rj_timer_init(&jobs->tick, tick_due);
+	rj_timer_set(&core->timers, &jobs->tick, TICK_US);
+}
+
+/*
+ * Free the tables; jobs and calls are talloc children of the core.
+ */
+void rj_jobs_finish(struct rj_core_state *core)
+{
+	g_hash_table_destroy(core->jobs.by_id);
+	g_hash_table_destroy(core->jobs.calls);
+	g_hash_table_destroy(core->jobs.waiters);
+	g_hash_table_destroy(core->jobs.forwards);
+	for (int i = 0; i < 2; i++)
+		g_hash_table_destroy(core->jobs.open_by_name[i]);
+	rj_decisions_finish(&core->jobs.decisions);
+}
+
+/*
+ * A job of this instance by its id, or NULL.
+ */
+struct rj_job *rj_jobs_find(const struct rj_core_state *core, uint64_t job_id)
+{
+	return g_hash_table_lookup(core->jobs.by_id, &job_id);
+}
+
+/* The caller's deadline has passed. */
+static void deadline_due(struct rj_core_state *core, struct rj_timer *timer);
+
+/* The retry or the limit of the present state is due. */
+static void step_due(struct rj_core_state *core, struct rj_timer *timer);
+
+/* Count a job under its account and under its class. */
+static void count_open(struct rj_core_state *core, const struct rj_job *job,
+		       int change)
+{
+	const char *names[] = { job->spec.account, job->spec.class_name };
+
+	for (int i = 0; i < 2; i++) {
+		GHashTable *table = core->jobs.open_by_name[i];
+		int count =
+			GPOINTER_TO_INT(g_hash_table_lookup(table, names[i]));
+
+		g_hash_table_insert(table, g_strdup(names[i]),
+				    GINT_TO_POINTER(count + change));
+	}
+}
+
+/*
+ * How many jobs of an account, or of a class, this instance has open.
+ */
+uint32_t rj_jobs_open(const struct rj_core_state *core, bool of_class,
+		      const char *name)
+{
+	return GPOINTER_TO_UINT(
+		g_hash_table_lookup(core->jobs.open_by_name[of_class], name));
+}
+
+/*
+ * Add a job to the table. `class` may be NULL for one whose class was
+ * removed from the configuration: it is then treated with the most care.
+ */
+struct rj_job *rj_job_new(struct rj_core_state *core,
+			  const struct rj_job_spec *spec,
+			  const struct rj_job_class *class)
+{
+	struct rj_job *job = talloc_zero(core, struct rj_job);
+
+	assert(job);
+	assert(!rj_jobs_find(core, spec->job_id));
+	job->core = core;
+	job->spec = *spec;
+	rj_bytes_copy(job, &job->spec.body, &spec->body);
+	job->priority = class ? class->priority : RJ_PRIORITY_NORMAL;
+	job->idempotent = class && class->idempotent;
+	job->checkpoint = class && class->checkpoint;
+	job->state = RJ_JOB_QUEUED;
+	job->attempt.job_id = spec->job_id;
+	job->attempt.owner = core->incarnation;
+	job->attempt.number = ++core->next_attempt;
+	job->arrived_us = core->now_us;
+	job->deadline_us = RJ_NEVER_US;
+	rj_list_init(&job->waiters);
+	rj_timer_init(&job->deadline, deadline_due);
+	rj_timer_init(&job->step, step_due);
+	rj_list_append(&core->jobs.list, &job->link);
+	count_open(core, job, 1);
+	g_hash_table_insert(core->jobs.by_id, &job->spec.job_id, job);
+	core->jobs.count++;
+	return job;
+}
+
+/*
+ * Drop a job that nobody waits for any more.
+ */
+void rj_job_free(struct rj_job *job)
+{
+	struct rj_core_state *core = job->core;
+
+	assert(job->waiters.next == &job->waiters);
+	rj_job_unplan(job, false);
+	rj_job_drop_members(job);
+	rj_timer_clear(&core->timers, &job->deadline);
+	rj_timer_clear(&core->timers, &job->step);
+	if (job->forward_id)
+		g_hash_table_remove(core->jobs.forwards, &job->forward_id);
+	g_hash_table_remove(core->jobs.by_id, &job->spec.job_id);
+	count_open(core, job, -1);
+	rj_list_remove(&job->link);
+	core->jobs.count--;
+	talloc_free(job);
+}
+
+/*
+ * Let a caller (`request_id`) or a peer (`peer`, `forward_id`) wait for the
+ * job's answer.
+ */
+void rj_job_wait(struct rj_job *job, uint64_t request_id, const char *peer,
+		 uint64_t forward_id)
+{
+	struct rj_waiter *waiter = talloc_zero(job, struct rj_waiter);
+
+	assert(waiter);
+	waiter->job = job;
+	waiter->request_id = request_id;
+	waiter->forward_id = forward_id;
+	waiter->since_us = job->core->now_us;
+	if (peer)
+		g_strlcpy(waiter->peer, peer, sizeof(waiter->peer));
+	rj_list_append(&job->waiters, &waiter->link);
+	if (request_id)
+		g_hash_table_insert(job->core->jobs.waiters,
+				    &waiter->request_id, waiter);
+	job->core->jobs.open++;
+}
+
+/* Take a waiter off its job. */
+static void waiter_free(struct rj_waiter *waiter)
+{
+	struct rj_core_state *core = waiter->job->core;
+
+	if (waiter->request_id)
+		g_hash_table_remove(core->jobs.waiters, &waiter->request_id);
+	rj_list_remove(&waiter->link);
+	core->jobs.open--;
+	talloc_free(waiter);
+}
+
+/* Answer a peer that had forwarded the job here. */
+static void answer_peer(struct rj_core_state *core,
+			const struct rj_waiter *waiter,
+			const struct rj_answer *answer)
+{
+	struct rj_peer_message *message;
+
+	message =
+		rj_membership_send(core, waiter->peer, RJ_PEER_FORWARD_ANSWER);
+	message->u.forward_answer.forward_id = waiter->forward_id;
+	message->u.forward_answer.answer = *answer;
+	rj_bytes_copy(message, &message->u.forward_answer.answer.result,
+		      &answer->result);
+}
+
+/*
+ * Answer all who wait for the job; nobody waits afterwards.
+ */
+void rj_job_answer_waiters(struct rj_job *job, const struct rj_answer *answer)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &job->waiters) {
+		struct rj_waiter *waiter =
+			RJ_CONTAINER(at, struct rj_waiter, link);
+
+		if (waiter->request_id)
+			rj_core_answer(job->core, waiter->request_id, answer);
+		else
+			answer_peer(job->core, waiter, answer);
+		waiter_free(waiter);
+	}
+}
+
+/*
+ * End the job: its capacity is free, all who wait are answered, and an
+ * outcome goes to the log where the log knows of the job. It then stays in
+ * the table until that record was read.
+ */
+void rj_job_end(struct rj_job *job, const struct rj_answer *answer)
+{
+	struct rj_core_state *core = job->core;
+
+	job->final = *answer;
+	job->final.job_id = job->spec.job_id;
+	rj_bytes_copy(job, &job->final.result, &answer->result);
+	rj_core_log(core, RJ_LOG_END, answer->reason, job,
+		    job->member_count ? job->members[0].worker : NULL);
+	rj_job_unplan(job, answer->kind == RJ_ANSWER_DONE);
+	rj_timer_clear(&core->timers, &job->deadline);
+	rj_timer_clear(&core->timers, &job->step);
+	rj_job_answer_waiters(job, &job->final);
+	core->jobs.plan_wanted = true;
+	if (!job->accepted && !job->claimed) {
+		rj_job_free(job);
+		return;
+	}
+	job->state = RJ_JOB_ENDED;
+	rj_claims_outcome(job);
+}
+
+/*
+ * End the job with an answer that has no result.
+ */
+void rj_job_end_plain(struct rj_job *job, enum rj_answer_kind kind,
+		      enum rj_reason reason, uint64_t retry_after_us)
+{
+	struct rj_answer answer;
+
+	memset(&answer, 0, sizeof(answer));
+	answer.kind = kind;
+	answer.reason = reason;
+	answer.retry_after_us = retry_after_us;
+	rj_job_end(job, &answer);
+}
+
+/*
+ * End a job of which this instance has started nothing and will start
+ * nothing. Without a key, or with one that the whole log does not know, that
+ * is `not_run`. With a key and a log that cannot be read, an earlier attempt
+ * elsewhere may have run: `unknown`.
+ */
+void rj_job_not_started(struct rj_job *job, enum rj_reason reason,
+			uint64_t retry_after_us)
+{
+	bool known = job->idempotent || !job->spec.key[0] ||
+		     (rj_log_usable(job->core) &&
+		      !rj_ledger_find(&job->core->ledger, job->spec.job_id));
+
+	assert(!job->started);
+	rj_job_end_plain(job, known ? RJ_ANSWER_NOT_RUN : RJ_ANSWER_UNKNOWN,
+			 reason, retry_after_us);
+}
+
+/*
+ * Answer the waiters when `in_us` have passed, with what is true then.
+ */
+void rj_job_set_deadline(struct rj_job *job, uint64_t in_us)
+{
+	if (!in_us)
+		return;
+	job->deadline_us = job->core->now_us + in_us;
+	rj_timer_set(&job->core->timers, &job->deadline, job->deadline_us);
+}
+
+/* Tell the waiters that the job may have run, and that it goes on. */
+static void answer_in_progress(struct rj_job *job, enum rj_reason reason)
+{
+	struct rj_answer answer;
+
+	memset(&answer, 0, sizeof(answer));
+	answer.kind = RJ_ANSWER_UNKNOWN;
+	answer.reason = reason;
+	answer.job_id = job->spec.job_id;
+	answer.retry_after_us = rj_core_jitter_us(job->core, 2 * RJ_US_PER_S);
+	rj_job_answer_waiters(job, &answer);
+}
+
+static void deadline_due(struct rj_core_state *core, struct rj_timer *timer)
+{
+	struct rj_job *job = RJ_CONTAINER(timer, struct rj_job, deadline);
+
+	(void)core;
+	switch (job->state) {
+	case RJ_JOB_QUEUED:
+	case RJ_JOB_HOLDING:
+		if (job->accepted) {
+			answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
+			break;
+		}
+		rj_job_release_members(job);
+		rj_job_not_started(job, RJ_REASON_DEADLINE_PASSED, 0);
+		break;
+	case RJ_JOB_STARTING:
+	case RJ_JOB_RUNNING:
+		answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
+		/* Nobody waits for it and nobody can ask for it again. */
+		if (!job->accepted && !job->claimed)
+			rj_job_cancel(job, RJ_REASON_DEADLINE_PASSED);
+		break;
+	case RJ_JOB_FORWARDED:
+	case RJ_JOB_WATCHING:
+		answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
+		rj_job_free(job);
+		break;
+	case RJ_JOB_CLAIMING:
+	case RJ_JOB_SETTLING:
+		/* What has not started need not start any more. */
+		job->cancelled = !job->accepted;
+		answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
+		break;
+	case RJ_JOB_ACCEPTING:
+	case RJ_JOB_STOPPING:
+	case RJ_JOB_ENDED:
+	case RJ_JOB_STATE_COUNT:
+		answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
+		break;
+	}
+}
+
+static void step_due(struct rj_core_state *core, struct rj_timer *timer)
+{
+	struct rj_job *job = RJ_CONTAINER(timer, struct rj_job, step);
+
+	(void)core;
+	switch (job->state) {
+	case RJ_JOB_QUEUED:
+		rj_job_submit(job);
+		break;
+	case RJ_JOB_ACCEPTING:
+	case RJ_JOB_CLAIMING:
+		rj_claims_step_due(job);
+		break;
+	case RJ_JOB_SETTLING:
+		rj_job_settle(job);
+		break;
+	case RJ_JOB_STOPPING:
+		rj_job_stop(job, false, 0);
+		break;
+	case RJ_JOB_ENDED:
+		rj_claims_outcome(job);
+		break;
+	case RJ_JOB_HOLDING:
+	case RJ_JOB_STARTING:
+	case RJ_JOB_RUNNING:
+	case RJ_JOB_FORWARDED:
+	case RJ_JOB_WATCHING:
+	case RJ_JOB_STATE_COUNT:
+		break;
+	}
+}
+
+/*
+ * End the job's work for a caller's cancellation, or because nobody waits
+ * for it. What has started is stopped first; the answer then says whether it
+ * ran.
+ */
+void rj_job_cancel(struct rj_job *job, enum rj_reason reason)
+{
+	switch (job->state) {
+	case RJ_JOB_QUEUED:
+	case RJ_JOB_HOLDING:
+		rj_job_release_members(job);
+		if (job->accepted)
+			rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, reason, 0);
+		else
+			rj_job_not_started(job, reason, 0);
+		break;
+	case RJ_JOB_STARTING:
+	case RJ_JOB_RUNNING:
+		job->cancelled = true;
+		job->ending = true;
+		job->final.kind = RJ_ANSWER_FAILED;
+		job->final.reason = reason;
+		rj_job_stop(job, false, 0);
+		break;
+	case RJ_JOB_STOPPING:
+		job->cancelled = true;
+		if (job->ending)
+			break;
+		job->ending = true;
+		job->final.kind = RJ_ANSWER_FAILED;
+		job->final.reason = reason;
+		break;
+	case RJ_JOB_FORWARDED:
+		rj_forward_cancel(job);
+		break;
+	case RJ_JOB_WATCHING:
+		rj_claims_cancel(job);
+		break;
+	case RJ_JOB_ACCEPTING:
+	case RJ_JOB_CLAIMING:
+	case RJ_JOB_SETTLING:
+		job->cancelled = true;
+		break;
+	case RJ_JOB_ENDED:
+	case RJ_JOB_STATE_COUNT:
+		break;
+	}
+}
+
+/*
+ * A caller's connection has closed: nobody is answered. Work that only this
+ * caller wanted, and that nobody can ask for again, is cancelled.
+ */
+void rj_jobs_caller_gone(struct rj_core_state *core, uint64_t request_id)
+{
+	struct rj_waiter *waiter =
+		g_hash_table_lookup(core->jobs.waiters, &request_id);
+	struct rj_job *job;
+
+	if (!waiter)
+		return;
+	job = waiter->job;
+	waiter_free(waiter);
+	if (job->waiters.next != &job->waiters || job->accepted ||
+	    job->claimed || job->state == RJ_JOB_ACCEPTING ||
+	    job->state == RJ_JOB_ENDED)
+		return;
+	if (job->state == RJ_JOB_WATCHING)
+		rj_job_free(job);
+	else
+		rj_job_cancel(job, RJ_REASON_CANCELLED);
+}
--- /dev/null
+++ b/src/libradishjunction/core/controllers/log_controller.c
@@ -0,0 +1,273 @@
+/*
+ * Reading the log's streams and appending to them.
+ *
+ * Appends of one stream go one at a time and carry all that waits (group
+ * commit), at this instance's share of the log's rate. What became of an
+ * append is told to the claims controller; what was read, to the claims or
+ * the configuration controller.
+ */
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/core_state.h"
+
+/* A cut that answers nothing shows after this long and the adapter's slack. */
+#define READ_WAIT_US (2 * RJ_US_PER_S)
+#define READ_BACKOFF_FIRST_US (100 * RJ_US_PER_MS)
+#define READ_BACKOFF_MAX_US (2 * RJ_US_PER_S)
+/* Without an answer for this long, nothing new may depend on the log. */
+#define READ_STALE_US (5 * RJ_US_PER_S)
+/* 24 instances of one user stay under 500 appends a second at 50 ms. */
+#define APPEND_GAP_US (50 * RJ_US_PER_MS)
+#define APPEND_RECORDS_MAX 64
+
+/* Ask for what follows the last record that was read. */
+static void read_on(struct rj_core_state *core, struct rj_log_stream *stream)
+{
+	struct rj_action *action;
+
+	if (stream->reading)
+		return;
+	stream->reading = true;
+	action = rj_actions_add(core->actions, RJ_ACTION_READ);
+	action->u.read.stream = stream->stream;
+	action->u.read.from = stream->next;
+	action->u.read.wait_us = stream->caught_up ? READ_WAIT_US : 0;
+}
+
+/* The back-off after a failed read is over. */
+static void read_retry(struct rj_core_state *core, struct rj_timer *timer)
+{
+	read_on(core, RJ_CONTAINER(timer, struct rj_log_stream, retry));
+}
+
+/* Send all that waits in one append, unless one is out already. */
+static void append_now(struct rj_core_state *core, struct rj_log_stream *stream)
+{
+	struct rj_action *action;
+	uint32_t count = stream->waiting_count;
+
+	if (stream->append_id || !count)
+		return;
+	if (core->now_us < stream->append_after_us) {
+		rj_timer_set(&core->timers, &stream->append_timer,
+			     stream->append_after_us);
+		return;
+	}
+	if (count > APPEND_RECORDS_MAX)
+		count = APPEND_RECORDS_MAX;
+	stream->in_flight = talloc_array(core, struct rj_record, count);
+	assert(stream->in_flight);
+	for (uint32_t i = 0; i < count; i++) {
+		stream->in_flight[i] = *stream->waiting[i];
+		talloc_steal(stream->in_flight, stream->waiting[i]);
+	}
+	stream->in_flight_count = count;
+	stream->waiting_count -= count;
+	memmove(stream->waiting, stream->waiting + count,
+		stream->waiting_count * sizeof(stream->waiting[0]));
+	stream->append_id = rj_core_next_id(core);
+	stream->append_after_us = core->now_us + APPEND_GAP_US;
+	rj_core_count(core, RJ_COUNT_APPENDS);
+	action = rj_actions_add(core->actions, RJ_ACTION_APPEND);
+	action->u.append.append_id = stream->append_id;
+	action->u.append.stream = stream->stream;
+	action->u.append.records = stream->in_flight;
+	action->u.append.count = count;
+}
+
+/* This instance's share allows the next append. */
+static void append_due(struct rj_core_state *core, struct rj_timer *timer)
+{
+	append_now(core,
+		   RJ_CONTAINER(timer, struct rj_log_stream, append_timer));
+}
+
+/*
+ * Make the streams, not read yet.
+ */
+void rj_log_init(struct rj_core_state *core)
+{
+	for (int i = 0; i < RJ_STREAM_COUNT; i++) {
+		struct rj_log_stream *stream = &core->streams[i];
+
+		stream->stream = (enum rj_stream)i;
+		stream->backoff_us = READ_BACKOFF_FIRST_US;
+		rj_timer_init(&stream->retry, read_retry);
+		rj_timer_init(&stream->append_timer, append_due);
+	}
+}
+
+/*
+ * Start reading every stream from its oldest record.
+ */
+void rj_log_start(struct rj_core_state *core)
+{
+	for (int i = 0; i < RJ_STREAM_COUNT; i++)
+		read_on(core, &core->streams[i]);
+}
+
+/*
+ * Queue one record for the next append of `stream`; it is copied with all
+ * that it points to.
+ */
+void rj_log_append(struct rj_core_state *core, enum rj_stream which,
+		   const struct rj_record *record)
+{
+	struct rj_log_stream *stream = &core->streams[which];
+	struct rj_record *copy;
+
+	copy = talloc_memdup(core, record, sizeof(*record));
+	assert(copy);
+	g_strlcpy(copy->author, core->name, sizeof(copy->author));
+	rj_bytes_copy(copy, &copy->spec.body, &record->spec.body);
+	rj_bytes_copy(copy, &copy->result, &record->result);
+	if (record->member_count)
+		copy->members = talloc_memdup(copy, record->members,
+					      record->member_count *
+						      sizeof(*record->members));
+	if (record->config_text)
+		copy->config_text = talloc_strdup(copy, record->config_text);
+	stream->waiting =
+		talloc_realloc(core, stream->waiting, struct rj_record *,
+			       stream->waiting_count + 1);
+	assert(stream->waiting);
+	stream->waiting[stream->waiting_count++] = copy;
+	append_now(core, stream);
+}
+
+/*
+ * Whether nothing waits to be appended and no append is out.
+ */
+bool rj_log_idle(const struct rj_core_state *core)
+{
+	for (int i = 0; i < RJ_STREAM_COUNT; i++)
+		if (core->streams[i].append_id ||
+		    core->streams[i].waiting_count)
+			return false;
+	return true;
+}
+
+/*
+ * Whether work may be started that depends on the log: every key still in
+ * the log is known here, and the log answered a short while ago.
+ *
+ * Guards against an instance that starts empty, or was paused past the
+ * retention: it would take an old key for a new one and run its job twice.
+ */
+bool rj_log_usable(const struct rj_core_state *core)
+{
+	const struct rj_log_stream *stream = &core->streams[RJ_STREAM_JOBS];
+
+	return stream->caught_up && core->platform_up &&
+	       core->now_us < stream->answered_us + READ_STALE_US;
+}
+
+/* The platform has stopped answering, or its answers are not to be had. */
+static void platform_lost(struct rj_core_state *core)
+{
+	if (!core->platform_up)
+		return;
+	core->platform_up = false;
+	rj_claims_platform_down(core);
+}
+
+/*
+ * Records were trimmed that this reader had not seen: it was paused for
+ * longer than the log keeps them. What it knew of older keys may be
+ * incomplete, so it forgets all and reads the whole log again; until it has
+ * caught up, `rj_log_usable` says no.
+ */
+static void read_gap(struct rj_core_state *core, struct rj_log_stream *stream)
+{
+	stream->caught_up = false;
+	if (stream->stream == RJ_STREAM_JOBS)
+		rj_ledger_reset(&core->ledger);
+}
+
+/*
+ * Apply what a read of a stream brought, and read on.
+ */
+void rj_log_records(struct rj_core_state *core,
+		    const struct rj_records *records)
+{
+	struct rj_log_stream *stream = &core->streams[records->stream];
+
+	if (!stream->reading)
+		return;
+	stream->reading = false;
+	/* The place to read from has moved since: ask again from there. */
+	if (records->from != stream->next) {
+		read_on(core, stream);
+		return;
+	}
+	stream->backoff_us = READ_BACKOFF_FIRST_US;
+	stream->answered_us = core->now_us;
+	core->platform_up = true;
+	if (stream->read_before && records->oldest > stream->next)
+		read_gap(core, stream);
+	stream->read_before = true;
+	core->counters[RJ_COUNT_RECORDS_READ] += records->count;
+	if (records->stream == RJ_STREAM_CONFIG) {
+		rj_config_controller_records(core, records);
+		stream->next = core->config_log.next;
+		stream->caught_up = stream->next >= records->head;
+	} else {
+		stream->next = records->next;
+		stream->caught_up = records->next >= records->head;
+		for (uint32_t i = 0; i < records->count; i++)
+			rj_claims_record(core, &records->records[i]);
+		if (stream->caught_up)
+			core->jobs.plan_wanted = true;
+	}
+	read_on(core, stream);
+}
+
+/*
+ * A read was not answered: try again after a back-off with jitter.
+ */
+void rj_log_read_failed(struct rj_core_state *core, enum rj_stream which)
+{
+	struct rj_log_stream *stream = &core->streams[which];
+
+	if (!stream->reading)
+		return;
+	stream->reading = false;
+	platform_lost(core);
+	rj_timer_set(&core->timers, &stream->retry,
+		     core->now_us +
+			     rj_core_jitter_us(core, stream->backoff_us));
+	stream->backoff_us *= 2;
+	if (stream->backoff_us > READ_BACKOFF_MAX_US)
+		stream->backoff_us = READ_BACKOFF_MAX_US;
+}
+
+/*
+ * What became of an append. A lost answer is not a refusal: the records may
+ * be in the log, and reading will tell.
+ */
+void rj_log_appended(struct rj_core_state *core,
+		     const struct rj_appended *appended)
+{
+	struct rj_log_stream *stream = NULL;
+	struct rj_record *records;
+	uint32_t count;
+
+	for (int i = 0; i < RJ_STREAM_COUNT; i++)
+		if (core->streams[i].append_id == appended->append_id)
+			stream = &core->streams[i];
+	if (!stream || !appended->append_id)
+		return;
+	records = stream->in_flight;
+	count = stream->in_flight_count;
+	stream->append_id = 0;
+	stream->in_flight = NULL;
+	stream->in_flight_count = 0;
+	if (stream->stream == RJ_STREAM_JOBS &&
+	    appended->status != RJ_APPEND_OK)
+		for (uint32_t i = 0; i < count; i++)
+			rj_claims_appended(core, &records[i], appended->status);
+	talloc_free(records);
+	append_now(core, stream);
+}
--- /dev/null
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -0,0 +1,468 @@
+/*
+ * The other instances: who is believed alive, and who owns what.
+ *
+ * The view is built from the settings, the platform's lagging list and the
+ * peers' heartbeats, and may be wrong: ownership decides who acts first,
+ * while leases and the log's order decide who may.
+ */
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/core_state.h"
+
+#define HEARTBEAT_US (1 * RJ_US_PER_S)
+/* Three heartbeats may be lost on a bad link before a peer counts as dead. */
+#define ALIVE_US (3500 * RJ_US_PER_MS)
+#define LIST_US (2 * RJ_US_PER_S)
+/* Links to each other failure domain: one may fail, and traffic stays flat. */
+#define LINKS_TO_OTHER_DOMAIN 2
+
+/* Add a peer to the view, or find it. */
+static struct rj_member_view *member_learn(struct rj_core_state *core,
+					   const char *name)
+{
+	struct rj_member_view *member = rj_membership_find(core, name);
+
+	if (member || !strcmp(name, core->name))
+		return member;
+	member = talloc_zero(core, struct rj_member_view);
+	assert(member);
+	g_strlcpy(member->name, name, sizeof(member->name));
+	rj_list_init(&member->summaries);
+	rj_list_append(&core->membership.members, &member->link);
+	core->membership.count++;
+	return member;
+}
+
+/*
+ * A peer by its name, or NULL.
+ */
+struct rj_member_view *rj_membership_find(struct rj_core_state *core,
+					  const char *name)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->membership.members) {
+		struct rj_member_view *member =
+			RJ_CONTAINER(at, struct rj_member_view, link);
+
+		if (!strcmp(member->name, name))
+			return member;
+	}
+	return NULL;
+}
+
+/*
+ * Whether a peer is believed alive: its link stands and it was heard from a
+ * short while ago.
+ */
+bool rj_membership_alive(const struct rj_core_state *core,
+			 const struct rj_member_view *member)
+{
+	return member->connected && member->heard &&
+	       core->now_us < member->heard_us + ALIVE_US;
+}
+
+/*
+ * Whether the instance with this incarnation is believed alive; this one is.
+ */
+bool rj_membership_incarnation_alive(const struct rj_core_state *core,
+				     uint64_t incarnation)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	if (incarnation == core->incarnation)
+		return true;
+	RJ_FOR_EACH (at, next, &core->membership.members) {
+		const struct rj_member_view *member =
+			RJ_CONTAINER(at, struct rj_member_view, link);
+
+		if (member->incarnation == incarnation &&
+		    rj_membership_alive(core, member))
+			return true;
+	}
+	return false;
+}
+
+/* The weight of an instance for a key: the highest one owns it. */
+static uint64_t weight(const char *name, uint64_t key)
+{
+	return rj_hash64_string(name, key);
+}
+
+/*
+ * Whether this instance owns `key` in `domain`, by rendezvous hashing over
+ * the instances believed alive there and not draining. Nobody votes: two
+ * owners for a while cost time, since leases and the log decide. An instance
+ * of another failure domain owns nothing, unless nobody of `domain` is
+ * alive: then the instances of all domains share its keys.
+ */
+bool rj_membership_owns(const struct rj_core_state *core, const char *domain,
+			uint64_t key)
+{
+	uint64_t own = weight(core->name, key);
+	bool home = !strcmp(domain, core->domain);
+	bool owns = !core->stopping;
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->membership.members) {
+		const struct rj_member_view *member =
+			RJ_CONTAINER(at, struct rj_member_view, link);
+		bool there = !strcmp(member->domain, domain);
+
+		if (member->draining || !rj_membership_alive(core, member))
+			continue;
+		if (there && !home)
+			return false;
+		if (there == home && weight(member->name, key) > own)
+			owns = false;
+	}
+	return owns;
+}
+
+/*
+ * Start a message to a peer; the caller fills it. It is lost without a link.
+ */
+struct rj_peer_message *rj_membership_send(struct rj_core_state *core,
+					   const char *peer,
+					   enum rj_peer_message_kind kind)
+{
+	struct rj_action *action;
+	struct rj_peer_message *message;
+
+	message = talloc_zero(core->actions->mem, struct rj_peer_message);
+	assert(message);
+	message->kind = kind;
+	action = rj_actions_add(core->actions, RJ_ACTION_PEER_SEND);
+	g_strlcpy(action->u.peer.name, peer, sizeof(action->u.peer.name));
+	action->u.peer.message = message;
+	return message;
+}
+
+/*
+ * Send a copy of `message`, which points to nothing, to every connected peer
+ * of this failure domain.
+ */
+void rj_membership_send_domain(struct rj_core_state *core,
+			       const struct rj_peer_message *message)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->membership.members) {
+		const struct rj_member_view *member =
+			RJ_CONTAINER(at, struct rj_member_view, link);
+
+		if (member->connected && !strcmp(member->domain, core->domain))
+			*rj_membership_send(core, member->name, message->kind) =
+				*message;
+	}
+}
+
+/* Fill a heartbeat of this instance. */
+static void fill_heartbeat(struct rj_core_state *core,
+			   struct rj_peer_heartbeat *heartbeat)
+{
+	struct rj_plan_view view;
+
+	memset(&view, 0, sizeof(view));
+	core->planner->ops->view(core->planner, core->now_us, &view);
+	g_strlcpy(heartbeat->domain, core->domain, sizeof(heartbeat->domain));
+	heartbeat->incarnation = core->incarnation;
+	heartbeat->draining = core->stopping;
+	heartbeat->config_revision = core->config ? core->config->revision : 0;
+	heartbeat->queued = view.queued;
+	heartbeat->wait_us = view.small_wait_us;
+}
+
+/*
+ * Tell every connected peer how this instance is.
+ */
+void rj_membership_heartbeat_all(struct rj_core_state *core)
+{
+	struct rj_peer_heartbeat heartbeat;
+	struct rj_list *at;
+	struct rj_list *next;
+
+	memset(&heartbeat, 0, sizeof(heartbeat));
+	fill_heartbeat(core, &heartbeat);
+	RJ_FOR_EACH (at, next, &core->membership.members) {
+		const struct rj_member_view *member =
+			RJ_CONTAINER(at, struct rj_member_view, link);
+
+		if (member->connected)
+			rj_membership_send(core, member->name,
+					   RJ_PEER_HEARTBEAT)
+				->u.heartbeat = heartbeat;
+	}
+}
+
+/* What this instance owns may have changed. */
+static void view_changed(struct rj_core_state *core)
+{
+	core->membership.view_version++;
+	rj_upstreams_ownership(core);
+}
+
+/* A digest of who is alive and not draining, to see a change of it. */
+static uint64_t view_digest(const struct rj_core_state *core)
+{
+	uint64_t digest = core->stopping;
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->membership.members) {
+		const struct rj_member_view *member =
+			RJ_CONTAINER(at, struct rj_member_view, link);
+
+		if (!member->draining && rj_membership_alive(core, member))
+			digest += rj_hash64_string(member->name, 1);
+	}
+	return digest;
+}
+
+/* The regular round: heartbeats out, and a look at who has gone silent. */
+static void heartbeat_due(struct rj_core_state *core, struct rj_timer *timer)
+{
+	uint64_t digest = view_digest(core);
+
+	rj_membership_heartbeat_all(core);
+	if (digest != core->membership.view_digest) {
+		core->membership.view_digest = digest;
+		view_changed(core);
+	}
+	rj_config_controller_tick(core);
+	rj_timer_set(&core->timers, timer, core->now_us + HEARTBEAT_US);
+}
+
+/* Time to read the platform's list again. */
+static void list_due(struct rj_core_state *core, struct rj_timer *timer)
+{
+	rj_actions_add(core->actions, RJ_ACTION_LIST);
+	rj_timer_set(&core->timers, timer,
+		     core->now_us + rj_core_jitter_us(core, LIST_US));
+}
+
+/* How many peers of the same domain as `member` rank before it here. */
+static uint32_t rank(const struct rj_core_state *core,
+		     const struct rj_member_view *member)
+{
+	uint64_t seed = rj_hash64_string(core->name, 0);
+	uint64_t own = weight(member->name, seed);
+	uint32_t before = 0;
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->membership.members) {
+		const struct rj_member_view *other =
+			RJ_CONTAINER(at, struct rj_member_view, link);
+
+		if (other != member && other->listed &&
+		    !strcmp(other->domain, member->domain) &&
+		    weight(other->name, seed) > own)
+			before++;
+	}
+	return before;
+}
+
+/*
+ * Keep links to all of the own failure domain and to a few instances of each
+ * other one; drop the rest.
+ */
+static void choose_links(struct rj_core_state *core)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->membership.members) {
+		struct rj_member_view *member =
+			RJ_CONTAINER(at, struct rj_member_view, link);
+		bool same = !strcmp(member->domain, core->domain);
+		bool want =
+			member->listed &&
+			(same || rank(core, member) < LINKS_TO_OTHER_DOMAIN);
+		struct rj_action *action;
+
+		if (want == member->wanted)
+			continue;
+		member->wanted = want;
+		action = rj_actions_add(core->actions,
+					want ? RJ_ACTION_PEER_CONNECT :
+					       RJ_ACTION_PEER_DROP);
+		g_strlcpy(action->u.peer.name, member->name,
+			  sizeof(action->u.peer.name));
+		action->u.peer.address = member->address;
+	}
+}
+
+/* Take a line of the settings or of the platform's list into the view. */
+static void learn_instance(struct rj_core_state *core,
+			   const struct rj_instance *instance)
+{
+	struct rj_member_view *member = member_learn(core, instance->name);
+
+	if (!member)
+		return;
+	if (member->wanted &&
+	    (strcmp(member->address.ip, instance->address.ip) ||
+	     member->address.port != instance->address.port))
+		member->wanted = false; /* connect again, to the new address */
+	g_strlcpy(member->domain, instance->domain, sizeof(member->domain));
+	member->address = instance->address;
+	member->listed = true;
+	if (instance->leaving)
+		member->draining = true;
+}
+
+/*
+ * Make the view from the peers of the settings.
+ */
+void rj_membership_init(struct rj_core_state *core,
+			const struct rj_core_options *options)
+{
+	rj_list_init(&core->membership.members);
+	rj_timer_init(&core->membership.heartbeat, heartbeat_due);
+	rj_timer_init(&core->membership.list, list_due);
+	for (uint32_t i = 0; i < options->peer_count; i++)
+		learn_instance(core, &options->peers[i]);
+}
+
+/*
+ * Connect to the first peers, and start the rounds.
+ */
+void rj_membership_start(struct rj_core_state *core)
+{
+	choose_links(core);
+	rj_actions_add(core->actions, RJ_ACTION_LIST);
+	rj_timer_set(&core->timers, &core->membership.list,
+		     core->now_us + rj_core_jitter_us(core, LIST_US));
+	rj_timer_set(&core->timers, &core->membership.heartbeat,
+		     core->now_us + rj_core_jitter_us(core, HEARTBEAT_US));
+}
+
+/*
+ * Take the platform's list of entry instances. It lags: an instance that is
+ * not in it yet, or no more, keeps its link as long as that stands.
+ */
+void rj_membership_list(struct rj_core_state *core,
+			const struct rj_instance *list, uint32_t count)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->membership.members) {
+		struct rj_member_view *member =
+			RJ_CONTAINER(at, struct rj_member_view, link);
+
+		member->listed = member->connected;
+	}
+	for (uint32_t i = 0; i < count; i++)
+		if (list[i].role == RJ_ROLE_ENTRY)
+			learn_instance(core, &list[i]);
+	choose_links(core);
+}
+
+/*
+ * A link stands: say at once who this is, which configuration is in force
+ * and what is free.
+ */
+void rj_membership_up(struct rj_core_state *core, const char *name)
+{
+	struct rj_member_view *member = member_learn(core, name);
+
+	if (!member)
+		return;
+	member->connected = true;
+	member->heard = false;
+	fill_heartbeat(core, &rj_membership_send(core, name, RJ_PEER_HEARTBEAT)
+				      ->u.heartbeat);
+	rj_config_controller_tell(core, name);
+	rj_upstreams_summaries_to(core, name);
+}
+
+/*
+ * A link ended: whatever was forwarded over it may be lost, and what the
+ * peer owned is owned by others now.
+ */
+void rj_membership_down(struct rj_core_state *core, const char *name)
+{
+	struct rj_member_view *member = rj_membership_find(core, name);
+
+	if (!member)
+		return;
+	member->connected = false;
+	member->heard = false;
+	core->membership.view_digest = view_digest(core);
+	rj_forward_peer_lost(core, name);
+	view_changed(core);
+}
+
+/*
+ * A peer says how it is. One that is ahead in configuration sends it of its
+ * own accord; one that is behind is told.
+ */
+void rj_membership_heartbeat(struct rj_core_state *core, const char *name,
+			     const struct rj_peer_heartbeat *heartbeat)
+{
+	struct rj_member_view *member = member_learn(core, name);
+	uint64_t digest;
+
+	if (!member)
+		return;
+	member->connected = true;
+	member->heard = true;
+	member->heard_us = core->now_us;
+	g_strlcpy(member->domain, heartbeat->domain, sizeof(member->domain));
+	member->incarnation = heartbeat->incarnation;
+	member->draining = heartbeat->draining;
+	member->config_revision = heartbeat->config_revision;
+	member->queued = heartbeat->queued;
+	member->wait_us = heartbeat->wait_us;
+	if (core->config && member->config_revision < core->config->revision)
+		rj_config_controller_tell(core, name);
+	digest = view_digest(core);
+	if (digest == core->membership.view_digest)
+		return;
+	core->membership.view_digest = digest;
+	view_changed(core);
+}
+
+/*
+ * A peer says what is free in a rack of its own. The newest version of one
+ * owner counts; late and repeated ones are dropped.
+ */
+void rj_membership_summary(struct rj_core_state *core, const char *name,
+			   const struct rj_peer_summary *summary)
+{
+	struct rj_member_view *member = member_learn(core, name);
+	struct rj_rack_summary *mine = NULL;
+	struct rj_list *at;
+	struct rj_list *next;
+
+	if (!member || summary->worker_count > RJ_RACK_WORKERS_MAX)
+		return;
+	RJ_FOR_EACH (at, next, &member->summaries) {
+		struct rj_rack_summary *known =
+			RJ_CONTAINER(at, struct rj_rack_summary, link);
+
+		if (known->rack == summary->rack)
+			mine = known;
+	}
+	if (!mine) {
+		mine = talloc_zero(member, struct rj_rack_summary);
+		assert(mine);
+		mine->rack = summary->rack;
+		rj_list_append(&member->summaries, &mine->link);
+	}
+	if (mine->owner == summary->owner && mine->version >= summary->version)
+		return;
+	mine->owner = summary->owner;
+	mine->version = summary->version;
+	mine->worker_count = summary->worker_count;
+	memcpy(mine->free, summary->free, sizeof(mine->free));
+	rj_upstreams_peer_summary(core, summary);
+}
--- /dev/null
+++ b/src/libradishjunction/core/controllers/placement_controller.c
@@ -0,0 +1,315 @@
+/*
+ * QUEUED and HOLDING: the planner's decisions, and the leases they need.
+ *
+ * All leases of a gang are asked for at once, and one refusal gives back the
+ * rest. Nobody waits while holding a lease, so two gangs that want the same
+ * workers cannot block each other; the back-off with jitter lets one pass.
+ */
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/core_state.h"
+
+#define HOLD_BACKOFF_US (50 * RJ_US_PER_MS)
+#define ACCEPTED_BACKOFF_US (1 * RJ_US_PER_S)
+
+/*
+ * What the planner needs to know of the job.
+ */
+void rj_job_plan_view(const struct rj_job *job, struct rj_plan_job *plan)
+{
+	memset(plan, 0, sizeof(*plan));
+	plan->job_id = job->spec.job_id;
+	g_strlcpy(plan->account, job->spec.account, sizeof(plan->account));
+	g_strlcpy(plan->class_name, job->spec.class_name,
+		  sizeof(plan->class_name));
+	plan->shape = job->spec.shape;
+	plan->priority = job->priority;
+	plan->stoppable = job->idempotent || job->checkpoint;
+	plan->checkpoint = job->checkpoint;
+	plan->declared_us = job->spec.declared_us;
+	plan->queued_us = job->arrived_us;
+	plan->deadline_us = job->accepted ? RJ_NEVER_US : job->deadline_us;
+	plan->avoid_count = job->failures < RJ_PLAN_AVOID_MAX ?
+				    job->failures :
+				    RJ_PLAN_AVOID_MAX;
+	memcpy(plan->avoid, job->failed_on, sizeof(plan->avoid));
+}
+
+/*
+ * Give the job to the planner. What the planner refuses is answered at once
+ * with when to come back; an accepted job cannot be refused any more and
+ * comes back by itself.
+ */
+void rj_job_submit(struct rj_job *job)
+{
+	struct rj_core_state *core = job->core;
+	struct rj_plan_job plan;
+	enum rj_reason reason = RJ_REASON_NONE;
+	uint64_t retry_after_us = 0;
+
+	assert(!job->planned);
+	job->state = RJ_JOB_QUEUED;
+	rj_job_plan_view(job, &plan);
+	if (!core->planner->ops->submit(core->planner, &plan, core->now_us,
+					&reason, &retry_after_us)) {
+		job->planned = true;
+		core->jobs.plan_wanted = true;
+		return;
+	}
+	rj_core_log(core, RJ_LOG_REFUSE, reason, job, NULL);
+	if (!job->accepted) {
+		rj_job_not_started(job, reason, retry_after_us);
+		return;
+	}
+	rj_timer_set(&core->timers, &job->step,
+		     core->now_us +
+			     rj_core_jitter_us(core, ACCEPTED_BACKOFF_US));
+}
+
+/*
+ * The planner counts the job no more.
+ */
+void rj_job_unplan(struct rj_job *job, bool succeeded)
+{
+	struct rj_core_state *core = job->core;
+	uint64_t ran_us = 0;
+
+	if (!job->planned)
+		return;
+	if (job->started_us)
+		ran_us = core->now_us - job->started_us;
+	core->planner->ops->ended(core->planner, job->spec.job_id, succeeded,
+				  ran_us, core->now_us);
+	job->planned = false;
+	core->jobs.plan_wanted = true;
+}
+
+/*
+ * Back to waiting, as a new attempt, not before `delay_us` have passed.
+ */
+void rj_job_requeue(struct rj_job *job, uint64_t delay_us,
+		    enum rj_reason reason)
+{
+	struct rj_core_state *core = job->core;
+
+	rj_core_log(core, RJ_LOG_RETRY, reason, job, NULL);
+	rj_job_drop_members(job);
+	job->state = RJ_JOB_QUEUED;
+	job->attempt.owner = core->incarnation;
+	job->attempt.number = ++core->next_attempt;
+	job->claimed = false;
+	job->started = false;
+	job->started_us = 0;
+	job->reclaimed = false;
+	if (!job->planned || job->failures) {
+		/* Submitted anew, with the workers to avoid. */
+		rj_job_unplan(job, false);
+		rj_timer_set(&core->timers, &job->step,
+			     core->now_us + delay_us);
+		return;
+	}
+	core->planner->ops->requeue(core->planner, job->spec.job_id,
+				    core->now_us + delay_us, core->now_us);
+	core->jobs.plan_wanted = true;
+}
+
+/* The workers that a decision names become the job's members. */
+static bool take_members(struct rj_job *job, const struct rj_decision *decision)
+{
+	struct rj_core_state *core = job->core;
+
+	rj_job_set_members(job, decision->member_count);
+	for (uint32_t i = 0; i < decision->member_count; i++) {
+		uint32_t worker = decision->members[i].worker;
+
+		if (worker >= core->upstreams.count)
+			return false;
+		job->members[i].tasks = decision->members[i].tasks;
+		rj_member_attach(job, &job->members[i],
+				 core->upstreams.by_index[worker]);
+	}
+	return decision->member_count > 0;
+}
+
+/* Ask for every lease of the job. */
+static void hold(struct rj_job *job)
+{
+	job->state = RJ_JOB_HOLDING;
+	job->step_started_us = job->core->now_us;
+	for (uint32_t i = 0; i < job->member_count; i++) {
+		rj_core_count(job->core, RJ_COUNT_LEASES);
+		rj_job_call(job, &job->members[i], RJ_WORKER_LEASE);
+	}
+}
+
+/* The planner says where the job goes. */
+static void start_decided(struct rj_job *job,
+			  const struct rj_decision *decision)
+{
+	assert(job->state == RJ_JOB_QUEUED);
+	if (!take_members(job, decision)) {
+		rj_job_requeue(job, HOLD_BACKOFF_US, RJ_REASON_WORKER_LOST);
+		return;
+	}
+	rj_core_log(job->core, RJ_LOG_PLACE, decision->reason, job,
+		    job->members[0].worker);
+	if (job->member_count == 1 && job->idempotent && job->spec.wait &&
+	    !rj_job_needs_claim(job))
+		rj_job_run_on(job);
+	else
+		hold(job);
+}
+
+/* The planner wants the job's capacity for someone's guarantee. */
+static void reclaim_decided(struct rj_job *job,
+			    const struct rj_decision *decision)
+{
+	struct rj_core_state *core = job->core;
+
+	rj_core_count(core, RJ_COUNT_RECLAIMS);
+	rj_core_log(core, RJ_LOG_RECLAIM, decision->reason, job,
+		    job->member_count ? job->members[0].worker : NULL);
+	switch (job->state) {
+	case RJ_JOB_HOLDING:
+		rj_job_release_members(job);
+		rj_job_requeue(job, HOLD_BACKOFF_US, RJ_REASON_RECLAIMED);
+		break;
+	case RJ_JOB_STARTING:
+	case RJ_JOB_RUNNING:
+		job->reclaimed = true;
+		rj_job_stop(job, job->checkpoint && decision->checkpoint,
+			    decision->limit_us);
+		break;
+	case RJ_JOB_ACCEPTING:
+	case RJ_JOB_QUEUED:
+	case RJ_JOB_CLAIMING:
+	case RJ_JOB_STOPPING:
+	case RJ_JOB_SETTLING:
+	case RJ_JOB_FORWARDED:
+	case RJ_JOB_WATCHING:
+	case RJ_JOB_ENDED:
+	case RJ_JOB_STATE_COUNT:
+		break;
+	}
+}
+
+/* A waiting job that the planner gives up. */
+static void refuse_decided(struct rj_job *job,
+			   const struct rj_decision *decision)
+{
+	job->planned = false;
+	rj_core_log(job->core, RJ_LOG_REFUSE, decision->reason, job, NULL);
+	if (!job->accepted)
+		rj_job_not_started(job, decision->reason,
+				   decision->retry_after_us);
+	else if (decision->reason == RJ_REASON_NEVER_FITS)
+		rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, decision->reason, 0);
+	else
+		rj_job_requeue(job, ACCEPTED_BACKOFF_US, decision->reason);
+}
+
+/* Carry out one decision of the planner. */
+static void decided(struct rj_core_state *core,
+		    const struct rj_decision *decision)
+{
+	struct rj_job *job = rj_jobs_find(core, decision->job_id);
+
+	if (!job || !job->planned)
+		return;
+	switch (decision->kind) {
+	case RJ_DECISION_START:
+		start_decided(job, decision);
+		break;
+	case RJ_DECISION_RECLAIM:
+		reclaim_decided(job, decision);
+		break;
+	case RJ_DECISION_REFUSE:
+		refuse_decided(job, decision);
+		break;
+	case RJ_DECISION_KIND_COUNT:
+		break;
+	}
+}
+
+/*
+ * Let the planner decide, if anything has changed, and arm its timer.
+ */
+void rj_jobs_plan(struct rj_core_state *core)
+{
+	struct rj_decisions *decisions = &core->jobs.decisions;
+
+	/* A decision may free capacity or refuse, which wants another pass;
+	   two rounds are enough for that, the rest comes with the timer. */
+	for (int round = 0; round < 2 && core->jobs.plan_wanted; round++) {
+		core->jobs.plan_wanted = false;
+		core->planner->ops->pass(core->planner, core->now_us,
+					 decisions);
+		for (uint32_t i = 0; i < decisions->count; i++)
+			decided(core, &decisions->list[i]);
+		rj_decisions_clear(decisions);
+	}
+	rj_timer_set(&core->timers, &core->jobs.plan,
+		     core->jobs.plan_wanted ?
+			     core->now_us + RJ_US_PER_MS :
+			     core->planner->ops->wake_us(core->planner));
+}
+
+/*
+ * Give back every lease that is held or may be held. Nothing was started, so
+ * a lost call costs only the life of its lease.
+ */
+void rj_job_release_members(struct rj_job *job)
+{
+	assert(!job->started);
+	for (uint32_t i = 0; i < job->member_count; i++) {
+		struct rj_member *member = &job->members[i];
+
+		if (member->token || member->call_id)
+			rj_job_call(job, member, RJ_WORKER_RELEASE);
+	}
+	rj_job_drop_members(job);
+}
+
+/* Whether every member has its lease. */
+static bool all_held(const struct rj_job *job)
+{
+	for (uint32_t i = 0; i < job->member_count; i++)
+		if (!job->members[i].token)
+			return false;
+	return true;
+}
+
+/*
+ * A worker answered a request for a lease. One refusal gives back all.
+ */
+void rj_job_lease_reply(struct rj_job *job, struct rj_member *member,
+			const struct rj_worker_reply *reply)
+{
+	struct rj_core_state *core = job->core;
+	struct rj_upstream *upstream = member->upstream;
+
+	if (job->state != RJ_JOB_HOLDING)
+		return;
+	if (reply->status == RJ_REPLY_OK && reply->token) {
+		member->token = reply->token;
+		member->incarnation = reply->incarnation;
+		member->state = RJ_TASK_HELD;
+		if (!all_held(job))
+			return;
+		if (rj_job_needs_claim(job))
+			rj_job_claim(job);
+		else
+			rj_job_start(job);
+		return;
+	}
+	rj_core_count(core, RJ_COUNT_LEASES_REFUSED);
+	if (reply->status == RJ_REPLY_LOST)
+		member->call_id = reply->call_id; /* it may hold a lease */
+	rj_job_release_members(job);
+	if (upstream)
+		rj_upstreams_poll_soon(core, upstream);
+	rj_job_requeue(job, rj_core_jitter_us(core, HOLD_BACKOFF_US),
+		       RJ_REASON_LEASE_REFUSED);
+}
--- /dev/null
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -0,0 +1,437 @@
+/*
+ * SETTLING: what became of an attempt whose owner died, or whose start was
+ * not answered; and carrying records forward before the log drops them.
+ *
+ * The workers are asked with a fence, after which an attempt that had not
+ * started never will. What runs is adopted, what ended is taken as it ended,
+ * and what no worker can vouch for is `unknown`.
+ */
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/core_state.h"
+
+#define FENCE_BACKOFF_US (300 * RJ_US_PER_MS)
+/* A worker that does not answer for so long is gone, and the token with it. */
+#define FENCE_LIMIT_US (30 * RJ_US_PER_S)
+
+/* What the workers said of the members, counted. */
+struct settlement {
+	uint32_t asked; /* no answer yet */
+	uint32_t dead; /* never started */
+	uint32_t running;
+	uint32_t done;
+	uint32_t failed;
+	uint32_t stopped;
+	uint32_t lost; /* nobody can say */
+};
+
+/* Count the members by what is known of them. */
+static struct settlement count_members(const struct rj_job *job)
+{
+	struct settlement sum;
+
+	memset(&sum, 0, sizeof(sum));
+	for (uint32_t i = 0; i < job->member_count; i++) {
+		const struct rj_member *member = &job->members[i];
+
+		if (!member->settled)
+			sum.asked++;
+		else if (member->state == RJ_TASK_DEAD)
+			sum.dead++;
+		else if (member->state == RJ_TASK_RUNNING)
+			sum.running++;
+		else if (member->state == RJ_TASK_DONE)
+			sum.done++;
+		else if (member->state == RJ_TASK_FAILED)
+			sum.failed++;
+		else if (member->state == RJ_TASK_STOPPED)
+			sum.stopped++;
+		else
+			sum.lost++;
+	}
+	return sum;
+}
+
+/* Nothing of the attempt ever started: close its claim, and serve the job
+ * anew if someone wants it. */
+static void never_started(struct rj_job *job)
+{
+	struct rj_core_state *core = job->core;
+
+	job->started = false;
+	if (job->claimed)
+		rj_claims_void(job);
+	if (job->cancelled) {
+		rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, RJ_REASON_CANCELLED,
+				 0);
+		return;
+	}
+	if (!job->accepted && job->waiters.next == &job->waiters) {
+		rj_job_free(job);
+		return;
+	}
+	if (!job->accepted && !job->idempotent && !rj_log_usable(core)) {
+		rj_job_end_plain(job, RJ_ANSWER_UNKNOWN,
+				 RJ_REASON_PLATFORM_DOWN,
+				 rj_core_jitter_us(core, 2 * RJ_US_PER_S));
+		return;
+	}
+	rj_job_requeue(job, 0, RJ_REASON_LEASE_LAPSED);
+}
+
+/* Whether the planner here knows the workers of every member. */
+static bool all_in_own_domain(const struct rj_job *job)
+{
+	for (uint32_t i = 0; i < job->member_count; i++) {
+		const struct rj_upstream *upstream = job->members[i].upstream;
+
+		if (!upstream || strcmp(upstream->domain, job->core->domain))
+			return false;
+	}
+	return true;
+}
+
+/* What runs is this instance's from now on: renew every lease, and let a
+ * gang run whose owner died before it could. */
+static void adopt(struct rj_job *job)
+{
+	struct rj_core_state *core = job->core;
+	struct rj_plan_job plan;
+	struct rj_plan_member *where;
+
+	rj_core_count(core, RJ_COUNT_ADOPTIONS);
+	rj_core_log(core, RJ_LOG_ADOPT, RJ_REASON_OWNER, job,
+		    job->members[0].worker);
+	job->state = RJ_JOB_RUNNING;
+	job->started = true;
+	if (!job->started_us)
+		job->started_us = core->now_us - job->members[0].ran_us;
+	for (uint32_t i = 0; i < job->member_count; i++) {
+		struct rj_member *member = &job->members[i];
+
+		if (member->state != RJ_TASK_RUNNING)
+			continue;
+		rj_job_call(job, member, RJ_WORKER_RENEW);
+		if (job->member_count > 1)
+			rj_job_call(job, member, RJ_WORKER_THROTTLE)
+				->throttle_percent = 100;
+	}
+	if (job->planned || !all_in_own_domain(job))
+		return;
+	where = talloc_zero_array(core->actions->mem, struct rj_plan_member,
+				  job->member_count);
+	assert(where);
+	for (uint32_t i = 0; i < job->member_count; i++) {
+		where[i].worker = job->members[i].upstream->index;
+		where[i].tasks = job->members[i].tasks;
+	}
+	rj_job_plan_view(job, &plan);
+	core->planner->ops->adopt(core->planner, &plan, where,
+				  job->member_count, core->now_us);
+	job->planned = true;
+}
+
+/* The workers cannot vouch for the attempt, or it ended before its end. */
+static void ended_early(struct rj_job *job, bool lost)
+{
+	if (job->idempotent) {
+		job->ending = false;
+		job->final.reason = RJ_REASON_WORKER_LOST;
+		rj_job_stop(job, false, 0);
+		return;
+	}
+	job->ending = true;
+	job->final.kind = lost ? RJ_ANSWER_UNKNOWN : RJ_ANSWER_FAILED;
+	job->final.reason = RJ_REASON_WORKER_LOST;
+	rj_job_stop(job, false, 0);
+}
+
+/* Every member was asked: decide. */
+static void decide(struct rj_job *job)
+{
+	struct settlement sum = count_members(job);
+	uint32_t all = job->member_count;
+
+	if (sum.dead == all) {
+		never_started(job);
+		return;
+	}
+	if (sum.running + sum.done == all && sum.running) {
+		adopt(job);
+		return;
+	}
+	if (sum.done == all || (sum.failed && all == 1)) {
+		job->state = RJ_JOB_RUNNING;
+		job->started = true;
+		rj_job_check(job);
+		return;
+	}
+	job->started = true;
+	ended_early(job, sum.lost > 0);
+}
+
+/* A worker of a claim may be listed only after the claim was read. */
+static void find_worker(struct rj_job *job, struct rj_member *member)
+{
+	struct rj_upstream *upstream =
+		rj_upstreams_find(job->core, member->worker);
+
+	if (upstream)
+		rj_member_attach(job, member, upstream);
+}
+
+/*
+ * Ask the worker of every member that has not answered yet what became of
+ * the attempt. Called again by the timer until all have answered or the
+ * limit has passed; members that never answer are lost.
+ */
+void rj_job_settle(struct rj_job *job)
+{
+	struct rj_core_state *core = job->core;
+	bool first = job->state != RJ_JOB_SETTLING;
+
+	if (first) {
+		job->state = RJ_JOB_SETTLING;
+		job->step_started_us = core->now_us;
+		for (uint32_t i = 0; i < job->member_count; i++)
+			job->members[i].settled = false;
+	}
+	for (uint32_t i = 0; i < job->member_count; i++) {
+		struct rj_member *member = &job->members[i];
+
+		if (member->settled)
+			continue;
+		if (core->now_us > job->step_started_us + FENCE_LIMIT_US) {
+			member->settled = true;
+			member->state = RJ_TASK_NONE;
+			member->start_sent = false;
+			continue;
+		}
+		if (!member->upstream)
+			find_worker(job, member);
+		if (member->upstream)
+			rj_job_call(job, member, RJ_WORKER_FENCE);
+	}
+	if (!count_members(job).asked) {
+		decide(job);
+		return;
+	}
+	rj_timer_set(&core->timers, &job->step,
+		     core->now_us + rj_core_jitter_us(core, FENCE_BACKOFF_US));
+}
+
+/*
+ * A worker said what became of a member. One with another incarnation than
+ * granted the lease has forgotten it: it cannot vouch that the member never
+ * started.
+ */
+void rj_job_fence_reply(struct rj_job *job, struct rj_member *member,
+			const struct rj_worker_reply *reply)
+{
+	if (job->state != RJ_JOB_SETTLING || member->settled ||
+	    reply->status == RJ_REPLY_LOST)
+		return;
+	member->settled = true;
+	member->state = reply->state;
+	member->ran_us = reply->ran_us;
+	if (reply->status == RJ_REPLY_REFUSED ||
+	    (member->incarnation && reply->incarnation != member->incarnation))
+		member->state = RJ_TASK_NONE;
+	if (member->state == RJ_TASK_NONE)
+		member->start_sent = false;
+	if (member->state == RJ_TASK_DONE || member->state == RJ_TASK_FAILED)
+		rj_member_keep_result(job, member, &reply->result);
+	if (!count_members(job).asked) {
+		rj_timer_clear(&job->core->timers, &job->step);
+		decide(job);
+	}
+}
+
+/*
+ * A worker answered the renewal of an adopted member. A refusal means that
+ * the lease lapsed in between, and with it the task.
+ */
+void rj_job_renew_reply(struct rj_job *job, struct rj_member *member,
+			const struct rj_worker_reply *reply)
+{
+	if (job->state != RJ_JOB_RUNNING || reply->status == RJ_REPLY_LOST)
+		return;
+	if (reply->status == RJ_REPLY_REFUSED)
+		member->state = RJ_TASK_STOPPED;
+	rj_job_check(job);
+}
+
+/* Take the members of a claim from the log. */
+static void members_from_log(struct rj_job *job,
+			     const struct rj_ledger_entry *entry)
+{
+	rj_job_set_members(job, entry->member_count);
+	for (uint32_t i = 0; i < entry->member_count; i++) {
+		const struct rj_claim_member *claimed = &entry->members[i];
+		struct rj_member *member = &job->members[i];
+
+		g_strlcpy(member->worker, claimed->worker,
+			  sizeof(member->worker));
+		member->incarnation = claimed->worker_incarnation;
+		member->token = claimed->token;
+		member->tasks = claimed->tasks;
+		member->start_sent = true;
+		find_worker(job, member);
+	}
+}
+
+/*
+ * Settle the open claim of an attempt that nobody alive drives. Whoever
+ * watches the job here goes on from what the workers say.
+ */
+static void settle_entry(struct rj_core_state *core,
+			 const struct rj_ledger_entry *entry)
+{
+	struct rj_job *job = rj_jobs_find(core, entry->job_id);
+
+	if (!job) {
+		job = rj_job_new(
+			core, &entry->spec,
+			core->config ? rj_config_class(core->config,
+						       entry->spec.class_name) :
+				       NULL);
+		job->accepted = entry->accepted;
+	}
+	job->cancelled = job->cancelled || entry->cancelled;
+	job->attempt = entry->attempt;
+	job->claimed = true;
+	members_from_log(job, entry);
+	rj_job_settle(job);
+}
+
+/* Whether a job here drives the entry's open claim. */
+static bool driven_here(const struct rj_job *job,
+			const struct rj_ledger_entry *entry)
+{
+	if (!job || job->state == RJ_JOB_WATCHING)
+		return false;
+	/* A new attempt waits while its older claim is still open. */
+	return true;
+}
+
+/* Serve an accepted job that has no owner yet, or whose owner is gone. */
+static void own_accepted(struct rj_core_state *core,
+			 const struct rj_ledger_entry *entry)
+{
+	struct rj_job *job = rj_jobs_find(core, entry->job_id);
+
+	if (job && job->state != RJ_JOB_WATCHING)
+		return;
+	if (!job)
+		job = rj_job_new(
+			core, &entry->spec,
+			core->config ? rj_config_class(core->config,
+						       entry->spec.class_name) :
+				       NULL);
+	else if (!job->spec.body.length)
+		rj_bytes_copy(job, &job->spec.body, &entry->spec.body);
+	job->accepted = true;
+	rj_core_log(core, RJ_LOG_ADOPT, RJ_REASON_OWNER, job, NULL);
+	if (entry->cancelled)
+		rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, RJ_REASON_CANCELLED,
+				 0);
+	else
+		rj_job_submit(job);
+}
+
+/* Append what the log says of a job again, well before it is trimmed. */
+static void carry(struct rj_core_state *core, struct rj_ledger_entry *entry)
+{
+	struct rj_record record;
+
+	memset(&record, 0, sizeof(record));
+	record.carried = true;
+	record.attempt = entry->attempt;
+	record.attempt.job_id = entry->job_id;
+	record.spec = entry->spec;
+	g_strlcpy(record.domain, entry->domain, sizeof(record.domain));
+	entry->carry_us = core->now_us;
+	if (entry->settled) {
+		record.kind = RJ_RECORD_OUTCOME;
+		record.outcome = entry->outcome;
+		record.reason = entry->reason;
+		record.result = entry->result;
+		rj_log_append(core, RJ_STREAM_JOBS, &record);
+		return;
+	}
+	if (entry->accepted) {
+		record.kind = RJ_RECORD_ACCEPT;
+		rj_log_append(core, RJ_STREAM_JOBS, &record);
+	}
+	if (entry->claimed) {
+		record.kind = RJ_RECORD_CLAIM;
+		record.spec.body = (struct rj_bytes){ 0 };
+		record.members = entry->members;
+		record.member_count = entry->member_count;
+		record.lease_life_us = entry->lease_life_us;
+		rj_log_append(core, RJ_STREAM_JOBS, &record);
+	}
+}
+
+/*
+ * Carry an entry forward at half the retention, or forget it when its key's
+ * life is over. A key is refused a little before the log may forget it.
+ */
+static void keep_entry(struct rj_core_state *core,
+		       struct rj_ledger_entry *entry)
+{
+	uint64_t life_us =
+		core->config ? core->config->limits.key_life_s * RJ_US_PER_S :
+			       core->retention_us;
+	uint64_t half_us = core->retention_us / 2;
+
+	if (entry->settled && core->now_us > entry->first_us + life_us &&
+	    core->now_us > entry->recorded_us + half_us) {
+		rj_ledger_forget(&core->ledger, entry);
+		return;
+	}
+	if (core->now_us < entry->recorded_us + half_us ||
+	    core->now_us < entry->carry_us + half_us / 4)
+		return;
+	if (rj_membership_owns(core, entry->domain, entry->job_id))
+		carry(core, entry);
+}
+
+/*
+ * The regular round over the log's entries: settle what dead instances left
+ * open, serve accepted jobs, carry forward what must not be forgotten.
+ *
+ * An author that only seems dead is safe: its token is fenced at the worker
+ * before anyone voids its claim, so a start that it sends late is refused.
+ */
+void rj_claims_tick(struct rj_core_state *core)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	if (!core->streams[RJ_STREAM_JOBS].caught_up || core->stopping)
+		return;
+	RJ_FOR_EACH (at, next, &core->ledger.entries) {
+		struct rj_ledger_entry *entry =
+			RJ_CONTAINER(at, struct rj_ledger_entry, link);
+		struct rj_job *job = rj_jobs_find(core, entry->job_id);
+
+		if (!entry->settled && entry->claimed) {
+			bool mine = entry->attempt.owner == core->incarnation ||
+				    (!rj_membership_incarnation_alive(
+					     core, entry->attempt.owner) &&
+				     rj_membership_owns(core, entry->domain,
+							entry->job_id));
+
+			if (mine && !driven_here(job, entry))
+				settle_entry(core, entry);
+		} else if (!entry->settled && entry->accepted &&
+			   rj_membership_owns(core, entry->domain,
+					      entry->job_id)) {
+			own_accepted(core, entry);
+		}
+		keep_entry(core, entry);
+	}
+}
--- /dev/null
+++ b/src/libradishjunction/core/controllers/upstreams_controller.c
@@ -0,0 +1,546 @@
+/*
+ * The workers as targets of calls: which are known, owned, leaving, silent
+ * or set aside, and what is free on them.
+ */
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/core_state.h"
+
+/* Polling one worker costs some 400 bytes; this bounds it to 5 KB a second
+ * however many workers one instance owns. */
+#define POLL_MIN_US (500 * RJ_US_PER_MS)
+#define POLL_PER_WORKER_US (80 * RJ_US_PER_MS)
+#define POLL_TIMEOUT_US (2 * RJ_US_PER_S)
+/* One lost report may be the link; two are the worker. */
+#define POLLS_LOST_SILENT 2
+/* So many different jobs failing in a row point to the worker. */
+#define FAILED_JOBS_SET_ASIDE 3
+#define SET_ASIDE_FIRST_US (10 * RJ_US_PER_S)
+#define SET_ASIDE_MAX_US (300 * RJ_US_PER_S)
+
+static void poll_due(struct rj_core_state *core, struct rj_timer *timer);
+static void probe_due(struct rj_core_state *core, struct rj_timer *timer);
+
+/*
+ * Start with no worker known.
+ */
+void rj_upstreams_init(struct rj_core_state *core)
+{
+	struct rj_upstreams *upstreams = &core->upstreams;
+
+	rj_list_init(&upstreams->list);
+	upstreams->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+}
+
+/*
+ * A worker by its name, or NULL.
+ */
+struct rj_upstream *rj_upstreams_find(const struct rj_core_state *core,
+				      const char *name)
+{
+	return g_hash_table_lookup(core->upstreams.by_name, name);
+}
+
+/* Whether new work may go to the worker at all. */
+static bool usable(const struct rj_upstream *upstream)
+{
+	return upstream->known && !upstream->leaving &&
+	       upstream->health == RJ_UPSTREAM_HEALTHY;
+}
+
+/* Tell the planner how a worker is. */
+static void tell_planner(struct rj_core_state *core,
+			 const struct rj_upstream *upstream)
+{
+	struct rj_plan_worker worker;
+
+	if (strcmp(upstream->domain, core->domain))
+		return;
+	memset(&worker, 0, sizeof(worker));
+	worker.id = upstream->index;
+	worker.rack = upstream->rack;
+	worker.capacity = upstream->capacity;
+	worker.foreign = upstream->foreign;
+	worker.usable = usable(upstream);
+	worker.owned = upstream->owned;
+	core->planner->ops->worker(core->planner, &worker, core->now_us);
+	core->jobs.plan_wanted = true;
+}
+
+/* Add a worker to the table. */
+static struct rj_upstream *upstream_new(struct rj_core_state *core,
+					const struct rj_instance *instance)
+{
+	struct rj_upstreams *upstreams = &core->upstreams;
+	struct rj_upstream *upstream;
+
+	upstream = talloc_zero(core, struct rj_upstream);
+	assert(upstream);
+	upstream->core = core;
+	upstream->index = upstreams->count++;
+	g_strlcpy(upstream->name, instance->name, sizeof(upstream->name));
+	upstream->set_aside_us = SET_ASIDE_FIRST_US;
+	rj_timer_init(&upstream->poll, poll_due);
+	rj_timer_init(&upstream->probe, probe_due);
+	upstreams->by_index =
+		talloc_realloc(core, upstreams->by_index, struct rj_upstream *,
+			       upstreams->count);
+	assert(upstreams->by_index);
+	upstreams->by_index[upstream->index] = upstream;
+	rj_list_append(&upstreams->list, &upstream->link);
+	g_hash_table_insert(upstreams->by_name, upstream->name, upstream);
+	return upstream;
+}
+
+/* Whether reports of the worker are wanted: owned, or with own work on it. */
+static bool poll_wanted(const struct rj_upstream *upstream)
+{
+	return upstream->owned || upstream->own_members;
+}
+
+/* How many workers this instance polls. */
+static uint32_t polled_count(const struct rj_core_state *core)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < core->upstreams.count; i++)
+		if (poll_wanted(core->upstreams.by_index[i]))
+			count++;
+	return count;
+}
+
+/* The time between two reports of one worker. */
+static uint64_t poll_period_us(const struct rj_core_state *core)
+{
+	uint64_t period_us = polled_count(core) * POLL_PER_WORKER_US;
+
+	return period_us > POLL_MIN_US ? period_us : POLL_MIN_US;
+}
+
+/* The life of a lease: it must outlast three reports, which renew it. */
+static uint64_t lease_life_us(const struct rj_core_state *core)
+{
+	uint64_t life_us = 5 * RJ_US_PER_S;
+	uint64_t floor_us = 3 * poll_period_us(core) + POLL_TIMEOUT_US;
+
+	if (core->config)
+		life_us = core->config->limits.lease_life_ms * RJ_US_PER_MS;
+	return life_us > floor_us ? life_us : floor_us;
+}
+
+/*
+ * How long a lease lives that is taken or renewed now.
+ */
+uint64_t rj_upstreams_lease_life_us(const struct rj_core_state *core)
+{
+	return lease_life_us(core);
+}
+
+/* Ask a worker for its report, which renews this instance's leases there. */
+static void poll_now(struct rj_core_state *core, struct rj_upstream *upstream)
+{
+	struct rj_action *action;
+	struct rj_call *call;
+
+	if (upstream->polling)
+		return;
+	upstream->polling = true;
+	call = talloc_zero(core, struct rj_call);
+	assert(call);
+	call->call_id = rj_core_next_id(core);
+	call->op = RJ_WORKER_REPORT;
+	call->upstream = upstream->index;
+	call->sent_us = core->now_us;
+	g_hash_table_insert(core->jobs.calls, &call->call_id, call);
+	action = rj_actions_add(core->actions, RJ_ACTION_WORKER_CALL);
+	action->u.worker_call.call_id = call->call_id;
+	action->u.worker_call.op = RJ_WORKER_REPORT;
+	action->u.worker_call.address = upstream->address;
+	g_strlcpy(action->u.worker_call.worker, upstream->name,
+		  sizeof(action->u.worker_call.worker));
+	action->u.worker_call.timeout_us = POLL_TIMEOUT_US;
+	action->u.worker_call.holder = core->incarnation;
+	action->u.worker_call.life_us = lease_life_us(core);
+}
+
+/* The next report of a worker is due. */
+static void poll_due(struct rj_core_state *core, struct rj_timer *timer)
+{
+	struct rj_upstream *upstream =
+		RJ_CONTAINER(timer, struct rj_upstream, poll);
+
+	if (poll_wanted(upstream))
+		poll_now(core, upstream);
+}
+
+/*
+ * Ask for a worker's report now: what is known of it was just proved wrong,
+ * or it has work of this instance for the first time.
+ */
+void rj_upstreams_poll_soon(struct rj_core_state *core,
+			    struct rj_upstream *upstream)
+{
+	poll_now(core, upstream);
+}
+
+/*
+ * The leaving of one incarnation of a worker ends new work on it at once,
+ * whoever says so first; only a newer incarnation takes work again.
+ *
+ * Guards against an old "live" line of the lagging list, which would send
+ * work to a worker that is about to go: it names the incarnation that is
+ * known to be leaving, so it changes nothing.
+ */
+void rj_upstreams_leaving(struct rj_core_state *core,
+			  struct rj_upstream *upstream, uint64_t incarnation)
+{
+	struct rj_peer_message message;
+
+	if (incarnation < upstream->incarnation ||
+	    (upstream->leaving && upstream->left_incarnation >= incarnation))
+		return;
+	upstream->incarnation = incarnation;
+	upstream->left_incarnation = incarnation;
+	upstream->leaving = true;
+	rj_core_log(core, RJ_LOG_LEAVING, RJ_REASON_DRAINING, NULL,
+		    upstream->name);
+	tell_planner(core, upstream);
+	memset(&message, 0, sizeof(message));
+	message.kind = RJ_PEER_LEAVING;
+	g_strlcpy(message.u.leaving.worker, upstream->name,
+		  sizeof(message.u.leaving.worker));
+	message.u.leaving.incarnation = incarnation;
+	rj_membership_send_domain(core, &message);
+}
+
+/*
+ * A peer knows of a worker that is leaving.
+ */
+void rj_upstreams_peer_leaving(struct rj_core_state *core,
+			       const struct rj_peer_leaving *leaving)
+{
+	struct rj_upstream *upstream = rj_upstreams_find(core, leaving->worker);
+
+	if (upstream)
+		rj_upstreams_leaving(core, upstream, leaving->incarnation);
+}
+
+/* A newer incarnation of a worker forgets what its older one was. */
+static void renew_incarnation(struct rj_core_state *core,
+			      struct rj_upstream *upstream,
+			      uint64_t incarnation)
+{
+	if (incarnation <= upstream->incarnation)
+		return;
+	if (upstream->incarnation && upstream->own_members)
+		rj_jobs_worker_lost(core, upstream);
+	upstream->incarnation = incarnation;
+	upstream->leaving = false;
+	upstream->known = false;
+	upstream->polls_lost = 0;
+	upstream->health = RJ_UPSTREAM_HEALTHY;
+	upstream->failed_count = 0;
+}
+
+/* Take one worker's line of the list. */
+static void list_worker(struct rj_core_state *core,
+			const struct rj_instance *line)
+{
+	struct rj_upstream *upstream = rj_upstreams_find(core, line->name);
+
+	if (!upstream)
+		upstream = upstream_new(core, line);
+	if (line->incarnation < upstream->incarnation)
+		return;
+	renew_incarnation(core, upstream, line->incarnation);
+	g_strlcpy(upstream->domain, line->domain, sizeof(upstream->domain));
+	upstream->rack = line->rack;
+	upstream->address = line->address;
+	if (line->leaving)
+		rj_upstreams_leaving(core, upstream, line->incarnation);
+}
+
+/*
+ * Take the platform's list of workers. A worker that is not listed stays
+ * known: the list lags, and its own answers say more.
+ */
+void rj_upstreams_list(struct rj_core_state *core,
+		       const struct rj_instance *list, uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++)
+		if (list[i].role == RJ_ROLE_WORKER)
+			list_worker(core, &list[i]);
+	rj_upstreams_ownership(core);
+}
+
+/* The key by which a rack is owned. */
+static uint64_t rack_key(const struct rj_upstream *upstream)
+{
+	return rj_hash64_string(upstream->domain, upstream->rack + 1);
+}
+
+/*
+ * Work out again which racks this instance owns. Called when the view of the
+ * instances or of the workers has changed.
+ */
+void rj_upstreams_ownership(struct rj_core_state *core)
+{
+	for (uint32_t i = 0; i < core->upstreams.count; i++) {
+		struct rj_upstream *upstream = core->upstreams.by_index[i];
+		bool owned = !strcmp(upstream->domain, core->domain) &&
+			     rj_membership_owns(core, upstream->domain,
+						rack_key(upstream));
+
+		if (owned == upstream->owned)
+			continue;
+		upstream->owned = owned;
+		if (owned)
+			poll_now(core, upstream);
+		tell_planner(core, upstream);
+	}
+}
+
+/* What tasks that are not of this instance's jobs take on a worker. */
+static void count_foreign(struct rj_core_state *core,
+			  struct rj_upstream *upstream,
+			  const struct rj_worker_report *report)
+{
+	struct rj_resources foreign;
+
+	memset(&foreign, 0, sizeof(foreign));
+	for (uint32_t i = 0; i < report->task_count; i++) {
+		const struct rj_task_report *task = &report->tasks[i];
+		const struct rj_job *job;
+
+		if (task->state != RJ_TASK_HELD &&
+		    task->state != RJ_TASK_RUNNING)
+			continue;
+		job = rj_jobs_find(core, task->attempt.job_id);
+		if (job && job->planned && job->member_count &&
+		    job->attempt.owner == task->attempt.owner &&
+		    job->attempt.number == task->attempt.number)
+			continue;
+		rj_resources_add(&foreign, &task->each, 1);
+	}
+	upstream->foreign = foreign;
+}
+
+/* What is free on a worker for anyone. */
+static struct rj_resources free_now(const struct rj_worker_report *report)
+{
+	struct rj_resources left = report->capacity;
+
+	for (uint32_t i = 0; i < report->task_count; i++) {
+		const struct rj_task_report *task = &report->tasks[i];
+
+		if (task->state != RJ_TASK_HELD &&
+		    task->state != RJ_TASK_RUNNING)
+			continue;
+		if (!rj_resources_fit(&task->each, &left))
+			return (struct rj_resources){ 0 };
+		rj_resources_take(&left, &task->each, 1);
+	}
+	return left;
+}
+
+/* Fill the summary of an own rack; false when a worker is not known yet. */
+static bool fill_summary(struct rj_core_state *core, uint32_t rack,
+			 struct rj_peer_summary *summary)
+{
+	memset(summary, 0, sizeof(*summary));
+	g_strlcpy(summary->domain, core->domain, sizeof(summary->domain));
+	summary->rack = rack;
+	summary->owner = core->incarnation;
+	for (uint32_t i = 0; i < core->upstreams.count; i++) {
+		const struct rj_upstream *upstream =
+			core->upstreams.by_index[i];
+
+		if (!upstream->owned || upstream->rack != rack ||
+		    summary->worker_count == RJ_RACK_WORKERS_MAX)
+			continue;
+		if (usable(upstream))
+			summary->free[summary->worker_count] =
+				upstream->free_now;
+		summary->worker_count++;
+	}
+	return summary->worker_count > 0;
+}
+
+/* Tell the peers of the failure domain what is free in a rack. */
+static void send_summary(struct rj_core_state *core, uint32_t rack)
+{
+	struct rj_peer_message message;
+
+	memset(&message, 0, sizeof(message));
+	message.kind = RJ_PEER_SUMMARY;
+	if (!fill_summary(core, rack, &message.u.summary))
+		return;
+	message.u.summary.version = ++core->upstreams.summary_version;
+	rj_membership_send_domain(core, &message);
+}
+
+/*
+ * Tell one peer, whose link has just come to stand, what is free in every
+ * own rack.
+ */
+void rj_upstreams_summaries_to(struct rj_core_state *core, const char *peer)
+{
+	struct rj_peer_summary summary;
+	uint32_t last = UINT32_MAX;
+
+	for (uint32_t i = 0; i < core->upstreams.count; i++) {
+		const struct rj_upstream *upstream =
+			core->upstreams.by_index[i];
+
+		if (!upstream->owned || upstream->rack == last)
+			continue;
+		last = upstream->rack;
+		if (!fill_summary(core, last, &summary))
+			continue;
+		summary.version = ++core->upstreams.summary_version;
+		rj_membership_send(core, peer, RJ_PEER_SUMMARY)->u.summary =
+			summary;
+	}
+}
+
+/*
+ * A peer says what is free in a rack that it owns: gangs that no own rack
+ * can hold are planned from it. The lease decides whether it was true.
+ */
+void rj_upstreams_peer_summary(struct rj_core_state *core,
+			       const struct rj_peer_summary *summary)
+{
+	uint32_t at = 0;
+
+	if (strcmp(summary->domain, core->domain))
+		return;
+	for (uint32_t i = 0; i < core->upstreams.count; i++) {
+		struct rj_upstream *upstream = core->upstreams.by_index[i];
+		const struct rj_resources *left;
+
+		if (upstream->rack != summary->rack ||
+		    strcmp(upstream->domain, core->domain))
+			continue;
+		if (at == summary->worker_count)
+			break;
+		left = &summary->free[at++];
+		if (upstream->owned || upstream->own_members)
+			continue;
+		/* A summary gives what is free, not the capacity: take it
+		   as the whole, with nothing foreign on it. */
+		upstream->capacity = *left;
+		memset(&upstream->foreign, 0, sizeof(upstream->foreign));
+		upstream->known = true;
+		tell_planner(core, upstream);
+	}
+}
+
+/* A worker did not answer its report. */
+static void poll_lost(struct rj_core_state *core, struct rj_upstream *upstream)
+{
+	upstream->polls_lost++;
+	if (upstream->polls_lost == POLLS_LOST_SILENT) {
+		upstream->health = RJ_UPSTREAM_SILENT;
+		tell_planner(core, upstream);
+	}
+	/* Its own clock has ended every lease that was not renewed. */
+	if (upstream->own_members && upstream->answered_us &&
+	    core->now_us > upstream->answered_us + lease_life_us(core))
+		rj_jobs_worker_lost(core, upstream);
+}
+
+/*
+ * Take the answer to a request for a report, or its loss.
+ */
+void rj_upstreams_report(struct rj_core_state *core,
+			 struct rj_upstream *upstream,
+			 const struct rj_worker_reply *reply)
+{
+	const struct rj_worker_report *report = &reply->report;
+	struct rj_resources left;
+	bool changed;
+
+	upstream->polling = false;
+	rj_timer_set(&core->timers, &upstream->poll,
+		     core->now_us +
+			     rj_core_jitter_us(core, poll_period_us(core)));
+	if (reply->status != RJ_REPLY_OK) {
+		poll_lost(core, upstream);
+		return;
+	}
+	renew_incarnation(core, upstream, report->incarnation);
+	upstream->answered_us = core->now_us;
+	upstream->polls_lost = 0;
+	upstream->known = true;
+	upstream->capacity = report->capacity;
+	if (upstream->health == RJ_UPSTREAM_SILENT)
+		upstream->health = RJ_UPSTREAM_HEALTHY;
+	if (report->leaving)
+		rj_upstreams_leaving(core, upstream, report->incarnation);
+	rj_jobs_report(core, upstream, report);
+	count_foreign(core, upstream, report);
+	tell_planner(core, upstream);
+	left = free_now(report);
+	changed = memcmp(&left, &upstream->free_now, sizeof(left)) != 0;
+	upstream->free_now = left;
+	if (changed && upstream->owned)
+		send_summary(core, upstream->rack);
+}
+
+/* Take a worker back that was set aside: the next job there is the probe. */
+static void probe_due(struct rj_core_state *core, struct rj_timer *timer)
+{
+	struct rj_upstream *upstream =
+		RJ_CONTAINER(timer, struct rj_upstream, probe);
+
+	if (upstream->health != RJ_UPSTREAM_SET_ASIDE)
+		return;
+	upstream->health = RJ_UPSTREAM_HEALTHY;
+	/* One more failure sets it aside again, for twice as long. */
+	upstream->failed_count = FAILED_JOBS_SET_ASIDE - 1;
+	tell_planner(core, upstream);
+}
+
+/*
+ * A job failed on this worker. Several different jobs failing in a row point
+ * to the worker, which is set aside and probed later; one job failing again
+ * and again points to the job.
+ */
+void rj_upstreams_failed(struct rj_core_state *core,
+			 struct rj_upstream *upstream, uint64_t job_id)
+{
+	uint32_t known = upstream->failed_count < RJ_FAILED_JOBS ?
+				 upstream->failed_count :
+				 RJ_FAILED_JOBS;
+
+	for (uint32_t i = 0; i < known; i++)
+		if (upstream->failed_jobs[i] == job_id)
+			return;
+	upstream->failed_jobs[upstream->failed_count % RJ_FAILED_JOBS] = job_id;
+	upstream->failed_count++;
+	if (upstream->failed_count < FAILED_JOBS_SET_ASIDE ||
+	    upstream->health == RJ_UPSTREAM_SET_ASIDE)
+		return;
+	upstream->health = RJ_UPSTREAM_SET_ASIDE;
+	rj_core_log(core, RJ_LOG_LEAVING, RJ_REASON_QUARANTINED, NULL,
+		    upstream->name);
+	rj_timer_set(&core->timers, &upstream->probe,
+		     core->now_us + upstream->set_aside_us);
+	upstream->set_aside_us *= 2;
+	if (upstream->set_aside_us > SET_ASIDE_MAX_US)
+		upstream->set_aside_us = SET_ASIDE_MAX_US;
+	tell_planner(core, upstream);
+}
+
+/*
+ * A job ended well on this worker.
+ */
+void rj_upstreams_succeeded(struct rj_core_state *core,
+			    struct rj_upstream *upstream)
+{
+	(void)core;
+	upstream->failed_count = 0;
+	upstream->set_aside_us = SET_ASIDE_FIRST_US;
+}
--- /dev/null
+++ b/src/libradishjunction/core/core.c
@@ -0,0 +1,299 @@
+#include "private/core_state.h"
+
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+/*
+ * The number that the next call, append or forward is known by; never 0.
+ */
+uint64_t rj_core_next_id(struct rj_core_state *core)
+{
+	return ++core->next_id;
+}
+
+/*
+ * A time between half of and one and a half times `base_us`, so that those
+ * who were refused together do not return together.
+ */
+uint64_t rj_core_jitter_us(struct rj_core_state *core, uint64_t base_us)
+{
+	if (!base_us)
+		return 0;
+	return base_us / 2 + rj_random64(&core->random) % (base_us + 1);
+}
+
+/*
+ * Add one to a counter.
+ */
+void rj_core_count(struct rj_core_state *core, enum rj_counter counter)
+{
+	core->counters[counter]++;
+}
+
+/*
+ * Copy bytes as a talloc child of `mem`; empty bytes stay empty.
+ */
+void rj_bytes_copy(void *mem, struct rj_bytes *to, const struct rj_bytes *from)
+{
+	to->length = from->length;
+	to->data = NULL;
+	if (!from->length)
+		return;
+	to->data = talloc_memdup(mem, from->data, from->length);
+	assert(to->data);
+}
+
+/*
+ * Log one decision, and keep it for `rj_core_explain`. `job` and `target`
+ * may be NULL.
+ */
+void rj_core_log(struct rj_core_state *core, enum rj_decision_event event,
+		 enum rj_reason why, const struct rj_job *job,
+		 const char *target)
+{
+	struct rj_action *action;
+	struct rj_decision_log *log;
+	struct rj_explain_entry *entry;
+
+	action = rj_actions_add(core->actions, RJ_ACTION_LOG);
+	log = &action->u.log;
+	log->event = event;
+	log->why = why;
+	if (target)
+		g_strlcpy(log->target, target, sizeof(log->target));
+	if (job) {
+		log->job_id = job->spec.job_id;
+		g_strlcpy(log->account, job->spec.account,
+			  sizeof(log->account));
+		log->waited_us = core->now_us - job->arrived_us;
+		log->considered = job->member_count;
+		log->answer = job->final.kind;
+	}
+	entry = &core->explain[core->explain_next++ % RJ_EXPLAIN_ENTRIES];
+	entry->at_us = core->now_us;
+	entry->log = *log;
+}
+
+/*
+ * Answer a caller, once for each request.
+ */
+void rj_core_answer(struct rj_core_state *core, uint64_t request_id,
+		    const struct rj_answer *answer)
+{
+	static const enum rj_counter counters[RJ_ANSWER_KIND_COUNT] = {
+		[RJ_ANSWER_DONE] = RJ_COUNT_DONE,
+		[RJ_ANSWER_FAILED] = RJ_COUNT_FAILED,
+		[RJ_ANSWER_NOT_RUN] = RJ_COUNT_NOT_RUN,
+		[RJ_ANSWER_UNKNOWN] = RJ_COUNT_UNKNOWN,
+		[RJ_ANSWER_ACCEPTED] = RJ_COUNT_ACCEPTED,
+	};
+	struct rj_action *action;
+
+	action = rj_actions_add(core->actions, RJ_ACTION_ANSWER);
+	action->u.answer.request_id = request_id;
+	action->u.answer.answer = *answer;
+	rj_bytes_copy(core->actions->mem, &action->u.answer.answer.result,
+		      &answer->result);
+	rj_core_count(core, counters[answer->kind]);
+}
+
+/*
+ * Make the core of one instance as a talloc child of `mem`. The planner in
+ * `options` stays the caller's and outlives the core. Returns 0, or -1 with
+ * `err` of kind RJ_ERR_INVALID when a name is missing.
+ */
+int rj_core_init(struct rj_core *core, void *mem,
+		 const struct rj_core_options *options, struct rj_error *err)
+{
+	struct rj_core_state *state;
+
+	if (!options->name[0] || !options->domain[0] || !options->planner)
+		return rj_error_set(err, RJ_ERR_INVALID,
+				    "core: name, domain and planner must be "
+				    "set; take them from the settings");
+	state = talloc_zero(mem, struct rj_core_state);
+	assert(state);
+	g_strlcpy(state->name, options->name, sizeof(state->name));
+	g_strlcpy(state->domain, options->domain, sizeof(state->domain));
+	state->incarnation = options->incarnation;
+	state->random = options->seed;
+	state->retention_us = options->retention_us;
+	state->planner = options->planner;
+	state->explain = talloc_zero_array(state, struct rj_explain_entry,
+					   RJ_EXPLAIN_ENTRIES);
+	assert(state->explain);
+	rj_timers_init(&state->timers, state);
+	rj_config_log_init(&state->config_log, state);
+	rj_log_init(state);
+	rj_ledger_init(&state->ledger, state);
+	rj_membership_init(state, options);
+	rj_upstreams_init(state);
+	rj_jobs_init(state);
+	rj_drain_init(state);
+	core->state = state;
+	return 0;
+}
+
+/*
+ * Free the core with all that it holds; open requests get no answer, so a
+ * planned stop sends RJ_EVENT_STOP and waits for RJ_ACTION_EXIT first.
+ */
+void rj_core_finish(struct rj_core *core)
+{
+	struct rj_core_state *state = core->state;
+
+	if (!state)
+		return;
+	rj_jobs_finish(state);
+	rj_ledger_finish(&state->ledger);
+	g_hash_table_destroy(state->upstreams.by_name);
+	rj_config_log_finish(&state->config_log);
+	if (state->config)
+		rj_config_unref(state->config);
+	TALLOC_FREE(core->state);
+}
+
+/* Hand a message of a peer to the controller that it is for. */
+static void process_peer_message(struct rj_core_state *core, const char *peer,
+				 const struct rj_peer_message *message)
+{
+	rj_core_count(core, RJ_COUNT_PEER_MESSAGES);
+	switch (message->kind) {
+	case RJ_PEER_HEARTBEAT:
+		rj_membership_heartbeat(core, peer, &message->u.heartbeat);
+		break;
+	case RJ_PEER_SUMMARY:
+		rj_membership_summary(core, peer, &message->u.summary);
+		break;
+	case RJ_PEER_CONFIG:
+		rj_config_controller_peer(core, &message->u.config);
+		break;
+	case RJ_PEER_LEAVING:
+		rj_upstreams_peer_leaving(core, &message->u.leaving);
+		break;
+	case RJ_PEER_FORWARD:
+		rj_forward_received(core, peer, &message->u.forward);
+		break;
+	case RJ_PEER_FORWARD_ANSWER:
+		rj_forward_answered(core, peer, &message->u.forward_answer);
+		break;
+	case RJ_PEER_CANCEL:
+		rj_forward_cancelled(core, peer, &message->u.cancel);
+		break;
+	case RJ_PEER_MESSAGE_KIND_COUNT:
+		break;
+	}
+}
+
+/* Fire every timer that is due. */
+static void process_timers(struct rj_core_state *core)
+{
+	struct rj_timer *timer;
+
+	while ((timer = rj_timers_due(&core->timers, core->now_us)))
+		timer->fire(core, timer);
+}
+
+/* Hand an event to the filters or the controller that it is for. */
+static void process_event(struct rj_core_state *core,
+			  const struct rj_event *event)
+{
+	switch (event->kind) {
+	case RJ_EVENT_REQUEST:
+		rj_filters_request(core, &event->u.request);
+		break;
+	case RJ_EVENT_CALLER_GONE:
+		rj_jobs_caller_gone(core, event->u.request_id);
+		break;
+	case RJ_EVENT_RECORDS:
+		rj_log_records(core, &event->u.records);
+		break;
+	case RJ_EVENT_READ_FAILED:
+		rj_log_read_failed(core, event->u.stream);
+		break;
+	case RJ_EVENT_APPENDED:
+		rj_log_appended(core, &event->u.appended);
+		break;
+	case RJ_EVENT_INSTANCES:
+		rj_membership_list(core, event->u.instances.list,
+				   event->u.instances.count);
+		rj_upstreams_list(core, event->u.instances.list,
+				  event->u.instances.count);
+		break;
+	case RJ_EVENT_WORKER_REPLY:
+		rj_jobs_worker_reply(core, &event->u.worker_reply);
+		break;
+	case RJ_EVENT_PEER_UP:
+		rj_membership_up(core, event->u.peer.name);
+		break;
+	case RJ_EVENT_PEER_DOWN:
+		rj_membership_down(core, event->u.peer.name);
+		break;
+	case RJ_EVENT_PEER_MESSAGE:
+		process_peer_message(core, event->u.peer.name,
+				     event->u.peer.message);
+		break;
+	case RJ_EVENT_STOP:
+		rj_drain_stop(core);
+		break;
+	case RJ_EVENT_TIMER:
+	case RJ_EVENT_KIND_COUNT:
+		break;
+	}
+}
+
+/*
+ * Take one event and append what follows from it to `actions`. Times never
+ * go back: an event that carries an earlier time than the one before it is
+ * taken at the later time. The first event of any kind also starts the core:
+ * it reads the log and the list and connects to its peers.
+ */
+void rj_core_process(struct rj_core *core, const struct rj_event *event,
+		     struct rj_actions *actions)
+{
+	struct rj_core_state *state = core->state;
+	bool first = !state->actions && !state->now_us;
+
+	if (state->exited)
+		return;
+	state->actions = actions;
+	if (event->now_us > state->now_us || first)
+		state->now_us = event->now_us ? event->now_us : 1;
+	if (first) {
+		rj_log_start(state);
+		rj_membership_start(state);
+	}
+	process_event(state, event);
+	process_timers(state);
+	rj_jobs_plan(state);
+	rj_drain_check(state);
+	state->wake_us = rj_timers_next_us(&state->timers);
+	state->actions = NULL;
+}
+
+/*
+ * When to send RJ_EVENT_TIMER, on the clock of the events; RJ_NEVER_US when
+ * no timer is armed. A core that has seen no event yet wants one at once.
+ */
+uint64_t rj_core_wake_us(const struct rj_core *core)
+{
+	return core->state->now_us ? core->state->wake_us : 0;
+}
+
+/*
+ * Whether callers may be sent here: a configuration is in force and no stop
+ * was asked for.
+ */
+bool rj_core_ready(const struct rj_core *core)
+{
+	return core->state->config && !core->state->stopping;
+}
+
+/*
+ * The value of one counter since the start.
+ */
+uint64_t rj_core_counter(const struct rj_core *core, enum rj_counter counter)
+{
+	return core->state->counters[counter];
+}
--- /dev/null
+++ b/src/libradishjunction/core/filters/chain.c
@@ -0,0 +1,173 @@
+/*
+ * The chain that every request goes through, in this order, until a filter
+ * has taken it.
+ */
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/core_state.h"
+
+const char *const rj_filter_verdict_string[RJ_FILTER_VERDICT_COUNT] = {
+	[RJ_FILTER_NEXT] = "next",
+	[RJ_FILTER_TAKEN] = "taken",
+};
+
+static const struct rj_filter *const chain[] = {
+	&rj_filter_identify, /* who asks */
+	&rj_filter_find, /* look-ups and cancels end here */
+	&rj_filter_validate, /* class, shape, key */
+	&rj_filter_repeat, /* what the log or this instance knows */
+	&rj_filter_limit, /* bounds of account and class */
+	&rj_filter_route, /* here, at a peer, or in another domain */
+	&rj_filter_place, /* into the planner, or the log first */
+};
+
+#define CHAIN_LENGTH (sizeof(chain) / sizeof(chain[0]))
+
+/* Pass a submission on from filter `first`. */
+static void pass_from(struct rj_core_state *core,
+		      struct rj_submission *submission, size_t first)
+{
+	for (size_t i = first; i < CHAIN_LENGTH; i++)
+		if (chain[i]->pass(core, submission) == RJ_FILTER_TAKEN)
+			return;
+}
+
+/* The place of a filter in the chain. */
+static size_t place_of(const struct rj_filter *filter)
+{
+	size_t i = 0;
+
+	while (chain[i] != filter)
+		i++;
+	assert(i < CHAIN_LENGTH);
+	return i;
+}
+
+/*
+ * Answer a submission that no job was made for. `detail` may be NULL.
+ */
+enum rj_filter_verdict rj_filter_refuse(struct rj_core_state *core,
+					const struct rj_submission *submission,
+					enum rj_answer_kind kind,
+					enum rj_reason reason,
+					uint64_t retry_after_us,
+					const char *detail)
+{
+	struct rj_answer answer;
+	struct rj_peer_message *message;
+
+	memset(&answer, 0, sizeof(answer));
+	answer.kind = kind;
+	answer.reason = reason;
+	answer.job_id = submission->spec.job_id;
+	answer.retry_after_us = retry_after_us;
+	if (detail)
+		g_strlcpy(answer.detail, detail, sizeof(answer.detail));
+	rj_core_log(core, RJ_LOG_REFUSE, reason, NULL, submission->peer);
+	if (submission->request_id) {
+		rj_core_answer(core, submission->request_id, &answer);
+		return RJ_FILTER_TAKEN;
+	}
+	message = rj_membership_send(core, submission->peer,
+				     RJ_PEER_FORWARD_ANSWER);
+	message->u.forward_answer.forward_id = submission->forward_id;
+	message->u.forward_answer.answer = answer;
+	return RJ_FILTER_TAKEN;
+}
+
+/*
+ * The job of a submission, made now if it was not yet, with its caller
+ * waiting for it.
+ */
+struct rj_job *rj_filter_job(struct rj_core_state *core,
+			     struct rj_submission *submission)
+{
+	struct rj_job *job = submission->job;
+
+	if (job)
+		return job;
+	job = rj_job_new(core, &submission->spec, submission->class);
+	job->hops = submission->hops;
+	job->other_domain = submission->other_domain;
+	rj_job_wait(job, submission->request_id, submission->peer,
+		    submission->forward_id);
+	rj_job_set_deadline(job, submission->spec.deadline_in_us);
+	rj_core_log(core, RJ_LOG_ADMIT, RJ_REASON_NONE, job, submission->peer);
+	submission->job = job;
+	return job;
+}
+
+/*
+ * A caller asks.
+ */
+void rj_filters_request(struct rj_core_state *core,
+			const struct rj_request *request)
+{
+	struct rj_submission submission;
+
+	rj_core_count(core, RJ_COUNT_REQUESTS);
+	memset(&submission, 0, sizeof(submission));
+	submission.request_id = request->request_id;
+	submission.op = request->op;
+	submission.token = request->token;
+	submission.wait = request->wait;
+	submission.spec = request->spec;
+	if (request->op != RJ_REQUEST_SUBMIT)
+		submission.spec.job_id = request->job_id;
+	pass_from(core, &submission, 0);
+}
+
+/*
+ * A peer forwards a caller's job: who asks was settled there.
+ */
+void rj_filters_forward(struct rj_core_state *core, const char *peer,
+			const struct rj_peer_forward *forward)
+{
+	struct rj_submission submission;
+
+	memset(&submission, 0, sizeof(submission));
+	submission.peer = peer;
+	submission.forward_id = forward->forward_id;
+	submission.hops = forward->hops;
+	submission.other_domain = forward->other_domain;
+	submission.op = RJ_REQUEST_SUBMIT;
+	submission.spec = forward->spec;
+	if (core->config)
+		submission.account =
+			rj_config_account(core->config, forward->spec.account);
+	pass_from(core, &submission, place_of(&rj_filter_validate));
+}
+
+/*
+ * Serve a job anew that a peer cannot serve any more, or whose claim
+ * elsewhere was void: from the look at what the log knows of it.
+ */
+void rj_filters_again(struct rj_job *job)
+{
+	struct rj_core_state *core = job->core;
+	struct rj_submission submission;
+
+	assert(!job->planned && !job->claimed);
+	if (job->forward_id) {
+		g_hash_table_remove(core->jobs.forwards, &job->forward_id);
+		job->forward_id = 0;
+	}
+	job->state = RJ_JOB_QUEUED;
+	job->attempt.owner = core->incarnation;
+	job->attempt.number = ++core->next_attempt;
+	memset(&submission, 0, sizeof(submission));
+	submission.op = RJ_REQUEST_SUBMIT;
+	submission.spec = job->spec;
+	submission.hops = job->hops;
+	submission.other_domain = job->other_domain;
+	submission.job = job;
+	if (core->config) {
+		submission.account =
+			rj_config_account(core->config, job->spec.account);
+		submission.class =
+			rj_config_class(core->config, job->spec.class_name);
+	}
+	pass_from(core, &submission, place_of(&rj_filter_repeat));
+}
--- /dev/null
+++ b/src/libradishjunction/core/filters/identify.c
@@ -0,0 +1,35 @@
+/*
+ * Who asks: the caller's token names its account. One account never sees or
+ * cancels another's job.
+ */
+#include <string.h>
+
+#include "private/core_state.h"
+
+#define NO_CONFIG_RETRY_US (1 * RJ_US_PER_S)
+
+/* Find the account of a caller's token. */
+static enum rj_filter_verdict identify(struct rj_core_state *core,
+				       struct rj_submission *submission)
+{
+	if (!core->config)
+		return rj_filter_refuse(
+			core, submission, RJ_ANSWER_NOT_RUN,
+			RJ_REASON_NO_CONFIG,
+			rj_core_jitter_us(core, NO_CONFIG_RETRY_US),
+			"no configuration is in force here yet: publish one, "
+			"or ask another instance");
+	submission->account =
+		rj_config_account_by_token(core->config, submission->token);
+	if (!submission->account)
+		return rj_filter_refuse(
+			core, submission, RJ_ANSWER_NOT_RUN,
+			RJ_REASON_UNAUTHORIZED, 0,
+			"Authorization: this token belongs to no client "
+			"account; use the one that was made for yours");
+	g_strlcpy(submission->spec.account, submission->account->name,
+		  sizeof(submission->spec.account));
+	return RJ_FILTER_NEXT;
+}
+
+const struct rj_filter rj_filter_identify = { "identify", identify };
--- /dev/null
+++ b/src/libradishjunction/core/filters/place.c
@@ -0,0 +1,37 @@
+/*
+ * The end of the chain: into the planner of this instance, or first into the
+ * log when the caller does not wait.
+ */
+#include <string.h>
+
+#include "private/core_state.h"
+
+#define DRAINING_RETRY_US (100 * RJ_US_PER_MS)
+
+/* Serve the job here. */
+static enum rj_filter_verdict place(struct rj_core_state *core,
+				    struct rj_submission *submission)
+{
+	struct rj_job *job;
+
+	if (!submission->spec.wait && !submission->job && !rj_log_usable(core))
+		return rj_filter_refuse(
+			core, submission,
+			submission->spec.key[0] ? RJ_ANSWER_UNKNOWN :
+						  RJ_ANSWER_NOT_RUN,
+			RJ_REASON_PLATFORM_DOWN,
+			rj_core_jitter_us(core, 2 * RJ_US_PER_S),
+			"a job is accepted only once it is in the log, which "
+			"cannot be reached now: wait on the connection, or "
+			"come back");
+	job = rj_filter_job(core, submission);
+	if (core->stopping)
+		rj_job_not_started(job, RJ_REASON_DRAINING, DRAINING_RETRY_US);
+	else if (!submission->spec.wait && !job->accepted)
+		rj_job_accept(job);
+	else
+		rj_job_submit(job);
+	return RJ_FILTER_TAKEN;
+}
+
+const struct rj_filter rj_filter_place = { "place", place };
--- /dev/null
+++ b/src/libradishjunction/core/filters/repeat.c
@@ -0,0 +1,123 @@
+/*
+ * Repeats of a key: what this instance serves already, and what the log
+ * knows of the job.
+ */
+#include <assert.h>
+#include <string.h>
+
+#include "private/core_state.h"
+
+/* The same key with another body: refused, and nothing of it runs. */
+static enum rj_filter_verdict key_reused(struct rj_core_state *core,
+					 struct rj_submission *submission)
+{
+	return rj_filter_refuse(core, submission, RJ_ANSWER_NOT_RUN,
+				RJ_REASON_KEY_REUSED, 0,
+				"Idempotency-Key: was used for another class, "
+				"shape or body; use a new key for a new job");
+}
+
+/* Let the submission's caller wait for a job that is served already. */
+static enum rj_filter_verdict join(struct rj_core_state *core,
+				   struct rj_submission *submission,
+				   struct rj_job *job)
+{
+	rj_core_count(core, RJ_COUNT_REPEATS);
+	if (memcmp(job->spec.digest, submission->spec.digest, RJ_DIGEST_BYTES))
+		return key_reused(core, submission);
+	if (job->state == RJ_JOB_ENDED) {
+		rj_job_wait(job, submission->request_id, submission->peer,
+			    submission->forward_id);
+		rj_job_answer_waiters(job, &job->final);
+		return RJ_FILTER_TAKEN;
+	}
+	rj_job_wait(job, submission->request_id, submission->peer,
+		    submission->forward_id);
+	if (job->accepted && !submission->spec.wait) {
+		struct rj_answer answer;
+
+		memset(&answer, 0, sizeof(answer));
+		answer.kind = RJ_ANSWER_ACCEPTED;
+		answer.job_id = job->spec.job_id;
+		rj_job_answer_waiters(job, &answer);
+	}
+	return RJ_FILTER_TAKEN;
+}
+
+/* The log knows the job: answer from it, or wait for what it will say. */
+static enum rj_filter_verdict known_in_log(struct rj_core_state *core,
+					   struct rj_submission *submission,
+					   const struct rj_ledger_entry *entry)
+{
+	struct rj_answer answer;
+	struct rj_job *job;
+
+	rj_core_count(core, RJ_COUNT_REPEATS);
+	if (memcmp(entry->spec.digest, submission->spec.digest,
+		   RJ_DIGEST_BYTES))
+		return key_reused(core, submission);
+	if (!entry->settled && !entry->claimed && !entry->accepted)
+		return RJ_FILTER_NEXT; /* every attempt of it was void */
+	job = rj_filter_job(core, submission);
+	if (entry->settled) {
+		rj_claims_answer(entry, &answer);
+		rj_job_answer_waiters(job, &answer);
+		rj_job_free(job);
+		return RJ_FILTER_TAKEN;
+	}
+	rj_job_watch(job);
+	if (entry->accepted && !submission->spec.wait) {
+		memset(&answer, 0, sizeof(answer));
+		answer.kind = RJ_ANSWER_ACCEPTED;
+		answer.job_id = job->spec.job_id;
+		rj_job_answer_waiters(job, &answer);
+		rj_job_free(job);
+	}
+	return RJ_FILTER_TAKEN;
+}
+
+/*
+ * Refuse a keyed job that must not run twice while the log cannot be read.
+ *
+ * Guards against an earlier attempt elsewhere, perhaps in another failure
+ * domain, that this instance has not read of: the job would run twice. The
+ * answer is `unknown`, since that attempt may have run.
+ */
+static enum rj_filter_verdict log_needed(struct rj_core_state *core,
+					 struct rj_submission *submission)
+{
+	enum rj_reason reason =
+		core->platform_up ? RJ_REASON_LOG_GAP : RJ_REASON_PLATFORM_DOWN;
+	uint64_t retry_after_us = rj_core_jitter_us(core, 2 * RJ_US_PER_S);
+
+	if (submission->job) {
+		rj_job_end_plain(submission->job, RJ_ANSWER_UNKNOWN, reason,
+				 retry_after_us);
+		return RJ_FILTER_TAKEN;
+	}
+	return rj_filter_refuse(core, submission, RJ_ANSWER_UNKNOWN, reason,
+				retry_after_us,
+				"the log cannot be read now, and an earlier "
+				"request with this key may have run: ask "
+				"again with the same key");
+}
+
+/* Answer or join repeats; let first requests pass. */
+static enum rj_filter_verdict repeat(struct rj_core_state *core,
+				     struct rj_submission *submission)
+{
+	struct rj_job *job = rj_jobs_find(core, submission->spec.job_id);
+	struct rj_ledger_entry *entry;
+
+	if (job && job != submission->job)
+		return join(core, submission, job);
+	entry = rj_ledger_find(&core->ledger, submission->spec.job_id);
+	if (entry && known_in_log(core, submission, entry) == RJ_FILTER_TAKEN)
+		return RJ_FILTER_TAKEN;
+	if (submission->class && !submission->class->idempotent &&
+	    !rj_log_usable(core))
+		return log_needed(core, submission);
+	return RJ_FILTER_NEXT;
+}
+
+const struct rj_filter rj_filter_repeat = { "repeat", repeat };
--- /dev/null
+++ b/src/libradishjunction/core/ledger.c
@@ -0,0 +1,225 @@
+/*
+ * What the log says about jobs: a fold over the `jobs` stream.
+ *
+ * Every instance applies the same rules to the same records in the same
+ * order, so that all agree which claim of a job counts without talking to
+ * each other:
+ * - the first claim opens the job, and others are ignored while it is open;
+ * - a void closes the claim of just that attempt;
+ * - an outcome settles the job; after it no claim opens it again;
+ * - `unknown` may later become a definite outcome of the same attempt.
+ */
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/core_state.h"
+
+/*
+ * Start an empty ledger.
+ */
+void rj_ledger_init(struct rj_ledger *ledger, void *mem)
+{
+	(void)mem;
+	ledger->by_job = g_hash_table_new(g_int64_hash, g_int64_equal);
+	rj_list_init(&ledger->entries);
+	ledger->count = 0;
+}
+
+/*
+ * Free the index; the entries are talloc children of the core.
+ */
+void rj_ledger_finish(struct rj_ledger *ledger)
+{
+	g_hash_table_destroy(ledger->by_job);
+}
+
+/*
+ * Drop an entry.
+ */
+void rj_ledger_forget(struct rj_ledger *ledger, struct rj_ledger_entry *entry)
+{
+	g_hash_table_remove(ledger->by_job, &entry->job_id);
+	rj_list_remove(&entry->link);
+	ledger->count--;
+	talloc_free(entry);
+}
+
+/*
+ * Drop every entry, before the stream is read again from its oldest record.
+ */
+void rj_ledger_reset(struct rj_ledger *ledger)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &ledger->entries)
+		rj_ledger_forget(
+			ledger, RJ_CONTAINER(at, struct rj_ledger_entry, link));
+}
+
+/*
+ * What the log says of a job, or NULL when it says nothing.
+ */
+struct rj_ledger_entry *rj_ledger_find(const struct rj_ledger *ledger,
+				       uint64_t job_id)
+{
+	return g_hash_table_lookup(ledger->by_job, &job_id);
+}
+
+/* Whether two attempts are the same. */
+static bool same_attempt(const struct rj_attempt *a, const struct rj_attempt *b)
+{
+	return a->job_id == b->job_id && a->owner == b->owner &&
+	       a->number == b->number;
+}
+
+/* Make the entry of a job that the log had not named before. */
+static struct rj_ledger_entry *entry_new(struct rj_ledger *ledger, void *mem,
+					 const struct rj_record *record,
+					 uint64_t appended_us)
+{
+	struct rj_ledger_entry *entry;
+
+	entry = talloc_zero(mem, struct rj_ledger_entry);
+	assert(entry);
+	entry->job_id = record->attempt.job_id;
+	entry->spec = record->spec;
+	entry->spec.job_id = entry->job_id;
+	entry->spec.body = (struct rj_bytes){ 0 };
+	entry->first_us = appended_us;
+	g_strlcpy(entry->domain, record->domain, sizeof(entry->domain));
+	rj_list_append(&ledger->entries, &entry->link);
+	g_hash_table_insert(ledger->by_job, &entry->job_id, entry);
+	ledger->count++;
+	return entry;
+}
+
+/* An accepted job: its whole spec is kept until it has an outcome. */
+static void apply_accept(struct rj_ledger_entry *entry,
+			 const struct rj_record *record)
+{
+	if (entry->accepted || entry->settled)
+		return;
+	if (entry->claimed &&
+	    memcmp(entry->spec.digest, record->spec.digest, RJ_DIGEST_BYTES))
+		return;
+	entry->accepted = true;
+	entry->spec = record->spec;
+	entry->spec.job_id = entry->job_id;
+	g_strlcpy(entry->domain, record->domain, sizeof(entry->domain));
+	rj_bytes_copy(entry, &entry->spec.body, &record->spec.body);
+}
+
+/* The first claim of a job that is not open and not settled opens it. */
+static void apply_claim(struct rj_ledger_entry *entry,
+			const struct rj_record *record)
+{
+	if (entry->settled || entry->claimed)
+		return;
+	if (memcmp(entry->spec.digest, record->spec.digest, RJ_DIGEST_BYTES))
+		return;
+	entry->claimed = true;
+	entry->attempt = record->attempt;
+	entry->lease_life_us = record->lease_life_us;
+	g_strlcpy(entry->author, record->author, sizeof(entry->author));
+	g_strlcpy(entry->domain, record->domain, sizeof(entry->domain));
+	TALLOC_FREE(entry->members);
+	entry->member_count = record->member_count;
+	if (record->member_count)
+		entry->members = talloc_memdup(
+			entry, record->members,
+			record->member_count * sizeof(*record->members));
+}
+
+/* A void closes its own attempt and no other. */
+static void apply_void(struct rj_ledger_entry *entry,
+		       const struct rj_record *record)
+{
+	if (!entry->claimed || !same_attempt(&entry->attempt, &record->attempt))
+		return;
+	entry->claimed = false;
+	entry->member_count = 0;
+	TALLOC_FREE(entry->members);
+}
+
+/*
+ * An outcome of the open attempt settles the job. One of a job that is not
+ * open settles it when it was accepted (it ran without a claim, or was
+ * cancelled) or is carried forward past the trimming of its claim.
+ */
+static void apply_outcome(struct rj_ledger_entry *entry,
+			  const struct rj_record *record, bool fresh)
+{
+	bool same = same_attempt(&entry->attempt, &record->attempt);
+
+	if (entry->settled && !(entry->outcome == RJ_ANSWER_UNKNOWN && same))
+		return;
+	if (entry->claimed && !same)
+		return;
+	if (!entry->claimed && !entry->settled && !entry->accepted &&
+	    !(fresh && record->carried))
+		return;
+	entry->claimed = false;
+	entry->settled = true;
+	entry->attempt = record->attempt;
+	entry->outcome = record->outcome;
+	entry->reason = record->reason;
+	if (entry->result.data)
+		talloc_free((void *)(uintptr_t)entry->result.data);
+	rj_bytes_copy(entry, &entry->result, &record->result);
+	if (entry->spec.body.data)
+		talloc_free((void *)(uintptr_t)entry->spec.body.data);
+	entry->spec.body = (struct rj_bytes){ 0 };
+}
+
+/*
+ * Apply one record, in log order. `now_us` is the time of reading. Returns
+ * the entry of its job, or NULL for a record that is not about a job or that
+ * changes nothing that is known. Entries are talloc children of `mem`.
+ */
+struct rj_ledger_entry *rj_ledger_apply(struct rj_ledger *ledger, void *mem,
+					const struct rj_record *record,
+					uint64_t now_us)
+{
+	struct rj_ledger_entry *entry;
+	uint64_t appended_us;
+	bool fresh;
+
+	if (record->kind == RJ_RECORD_MALFORMED ||
+	    record->kind == RJ_RECORD_CONFIG)
+		return NULL;
+	appended_us = now_us > record->age_us ? now_us - record->age_us : 0;
+	entry = rj_ledger_find(ledger, record->attempt.job_id);
+	fresh = !entry;
+	if (fresh) {
+		if (record->kind == RJ_RECORD_VOID)
+			return NULL;
+		if (record->kind == RJ_RECORD_OUTCOME && !record->carried)
+			return NULL;
+		entry = entry_new(ledger, mem, record, appended_us);
+	}
+	entry->recorded_us = appended_us;
+	switch (record->kind) {
+	case RJ_RECORD_ACCEPT:
+		apply_accept(entry, record);
+		break;
+	case RJ_RECORD_CLAIM:
+		apply_claim(entry, record);
+		break;
+	case RJ_RECORD_VOID:
+		apply_void(entry, record);
+		break;
+	case RJ_RECORD_OUTCOME:
+		apply_outcome(entry, record, fresh);
+		break;
+	case RJ_RECORD_CANCEL:
+		entry->cancelled = true;
+		break;
+	case RJ_RECORD_MALFORMED:
+	case RJ_RECORD_CONFIG:
+	case RJ_RECORD_KIND_COUNT:
+		break;
+	}
+	return entry;
+}
--- a/src/libradishjunction/record.c
+++ b/src/libradishjunction/record.c
@@ -88,6 +88,7 @@
 	{ RJ_FIELD(name, rj_claim_member, worker) },
 	{ RJ_FIELD(id, rj_claim_member, worker_incarnation) },
 	{ RJ_FIELD(id, rj_claim_member, token) },
+	{ RJ_FIELD(u32, rj_claim_member, tasks), .max = RJ_GANG_MAX },
 };
 
 static const struct rj_schema member_schema = {
