--- /dev/null
+++ b/src/libradishjunction/buffer.c
@@ -0,0 +1,30 @@
+#include "private/buffer.h"
+
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#define FIRST_BYTES 1024
+
+/*
+ * Append `length` bytes; an empty part makes an empty buffer a text.
+ */
+void rj_buffer_append(struct rj_buffer *buffer, void *mem, const char *data,
+		      size_t length)
+{
+	size_t need = buffer->length + length + 1;
+
+	if (need > buffer->capacity || !buffer->data) {
+		size_t doubled =
+			buffer->capacity ? 2 * buffer->capacity : FIRST_BYTES;
+
+		buffer->capacity = doubled > need ? doubled : need;
+		buffer->data = talloc_realloc(mem, buffer->data, char,
+					      buffer->capacity);
+		assert(buffer->data);
+	}
+	if (length)
+		memcpy(buffer->data + buffer->length, data, length);
+	buffer->length += length;
+	buffer->data[buffer->length] = 0;
+}
--- /dev/null
+++ b/src/libradishjunction/http_client.c
@@ -0,0 +1,308 @@
+#include "private/http_client.h"
+
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/buffer.h"
+#include "private/clock.h"
+
+/* Idle connections kept open to all hosts together. */
+#define CACHED_CONNECTIONS_MAX 2048L
+
+const char *const rj_http_outcome_string[RJ_HTTP_OUTCOME_COUNT] = {
+	[RJ_HTTP_ANSWERED] = "answered",
+	[RJ_HTTP_NOT_SENT] = "not_sent",
+	[RJ_HTTP_LOST] = "lost",
+};
+
+struct transfer {
+	struct rj_list link; /* in the client's open transfers */
+	struct rj_http_client *client;
+	CURL *easy;
+	char *body;
+	size_t length;
+	size_t sent; /* bytes of the body that libcurl has taken */
+	bool has_body;
+	struct rj_buffer answer;
+	size_t answer_max;
+	void (*done)(void *private_data, const struct rj_http_result *result);
+	void *private_data;
+};
+
+static int transfer_destructor(struct transfer *transfer)
+{
+	rj_list_remove(&transfer->link);
+	if (!transfer->easy)
+		return 0;
+	curl_multi_remove_handle(transfer->client->multi, transfer->easy);
+	curl_easy_cleanup(transfer->easy);
+	return 0;
+}
+
+/*
+ * Give libcurl the next part of the body.
+ *
+ * Guards against libcurl sending a request twice: when a kept connection is
+ * closed before its answer, libcurl sends again on a new one, and an append
+ * that had taken effect would stand in the log twice. There is no seek
+ * function beside this one, so libcurl cannot rewind a body of which a part
+ * was taken, and fails the transfer, which is reported as lost.
+ */
+static size_t read_body(char *buffer, size_t size, size_t count,
+			void *private_data)
+{
+	struct transfer *transfer = private_data;
+	size_t left = transfer->length - transfer->sent;
+	size_t part = size * count < left ? size * count : left;
+
+	memcpy(buffer, transfer->body + transfer->sent, part);
+	transfer->sent += part;
+	return part;
+}
+
+static size_t write_answer(char *data, size_t size, size_t count,
+			   void *private_data)
+{
+	struct transfer *transfer = private_data;
+	size_t length = size * count;
+
+	if (transfer->answer.length + length > transfer->answer_max)
+		return 0;
+	rj_buffer_append(&transfer->answer, transfer, data, length);
+	return length;
+}
+
+/* Tell how the transfer ended and free it. */
+static void transfer_end(struct transfer *transfer, CURLcode code)
+{
+	struct rj_http_result result = { .outcome = RJ_HTTP_LOST };
+	long status = 0;
+
+	if (code == CURLE_OK) {
+		curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE,
+				  &status);
+		result.outcome = RJ_HTTP_ANSWERED;
+		result.status = (uint32_t)status;
+		result.body =
+			transfer->answer.data ? transfer->answer.data : "";
+		result.length = transfer->answer.length;
+	} else if (transfer->has_body && !transfer->sent) {
+		/* A server does not act on a request whose body it lacks. */
+		result.outcome = RJ_HTTP_NOT_SENT;
+	}
+	rj_list_remove(&transfer->link);
+	transfer->done(transfer->private_data, &result);
+	talloc_free(transfer);
+}
+
+/* Report every transfer that libcurl has ended. */
+static void reap(struct rj_http_client *client)
+{
+	struct transfer *transfer;
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(client->multi, &left))) {
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE,
+				  &transfer);
+		transfer_end(transfer, message->data.result);
+	}
+}
+
+static void socket_ready(struct tevent_context *ev, struct tevent_fd *fde,
+			 uint16_t flags, void *private_data)
+{
+	struct rj_http_client *client = private_data;
+	int mask = 0;
+	int running;
+
+	if (flags & TEVENT_FD_READ)
+		mask |= CURL_CSELECT_IN;
+	if (flags & TEVENT_FD_WRITE)
+		mask |= CURL_CSELECT_OUT;
+	curl_multi_socket_action(client->multi, (int)tevent_fd_get_tag(fde),
+				 mask, &running);
+	reap(client);
+}
+
+/* libcurl says which events of a socket it waits for. */
+static int socket_wanted(CURL *easy, curl_socket_t fd, int what,
+			 void *private_data, void *socket_data)
+{
+	struct rj_http_client *client = private_data;
+	struct tevent_fd *fde = socket_data;
+	uint16_t flags = 0;
+
+	if (what == CURL_POLL_REMOVE) {
+		talloc_free(fde);
+		curl_multi_assign(client->multi, fd, NULL);
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		flags |= TEVENT_FD_READ;
+	if (what & CURL_POLL_OUT)
+		flags |= TEVENT_FD_WRITE;
+	if (fde) {
+		tevent_fd_set_flags(fde, flags);
+		return 0;
+	}
+	fde = tevent_add_fd(client->ev, client->mem, fd, flags, socket_ready,
+			    client);
+	assert(fde);
+	tevent_fd_set_tag(fde, (uint64_t)fd);
+	curl_multi_assign(client->multi, fd, fde);
+	return 0;
+}
+
+static void timer_due(struct tevent_context *ev, struct tevent_timer *timer,
+		      struct timeval now, void *private_data)
+{
+	struct rj_http_client *client = private_data;
+	int running;
+
+	client->timer = NULL;
+	curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0,
+				 &running);
+	reap(client);
+}
+
+/* libcurl says when it wants to be called; -1 for never. */
+static int timer_wanted(CURLM *multi, long timeout_ms, void *private_data)
+{
+	struct rj_http_client *client = private_data;
+
+	TALLOC_FREE(client->timer);
+	if (timeout_ms < 0)
+		return 0;
+	client->timer = tevent_add_timer(
+		client->ev, client->mem,
+		rj_clock_timeval_in((uint64_t)timeout_ms * RJ_US_PER_MS),
+		timer_due, client);
+	assert(client->timer);
+	return 0;
+}
+
+/*
+ * Start a client on `ev` that sends `instance` (if not NULL) as the header
+ * X-Instance and keeps at most `host_connections_max` connections to one
+ * address and port. Returns 0, or -1 with `err` when libcurl has no memory.
+ */
+int rj_http_client_init(struct rj_http_client *client, void *mem,
+			struct tevent_context *ev, const char *instance,
+			uint32_t host_connections_max, struct rj_error *err)
+{
+	memset(client, 0, sizeof(*client));
+	client->ev = ev;
+	rj_list_init(&client->open);
+	client->multi = curl_multi_init();
+	if (!client->multi)
+		return rj_error_set(err, RJ_ERR_IO,
+				    "http client: no memory; free some");
+	client->mem = talloc_named_const(mem, 0, "http client");
+	assert(client->mem);
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION,
+			  socket_wanted);
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, timer_wanted);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
+	curl_multi_setopt(client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+			  (long)host_connections_max);
+	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
+			  CACHED_CONNECTIONS_MAX);
+	/* Without this header libcurl waits for "100 Continue". */
+	client->headers = curl_slist_append(NULL, "Expect:");
+	client->headers = curl_slist_append(client->headers,
+					    "Content-Type: application/json");
+	if (instance) {
+		char *header =
+			talloc_asprintf(NULL, "X-Instance: %s", instance);
+
+		client->headers = curl_slist_append(client->headers, header);
+		talloc_free(header);
+	}
+	assert(client->headers);
+	return 0;
+}
+
+static void timed_out(struct tevent_context *ev, struct tevent_timer *timer,
+		      struct timeval now, void *private_data)
+{
+	transfer_end(private_data, CURLE_OPERATION_TIMEDOUT);
+}
+
+static void set_options(struct transfer *transfer,
+			const struct rj_http_send *send)
+{
+	CURL *easy = transfer->easy;
+
+	curl_easy_setopt(easy, CURLOPT_URL, send->url);
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->client->headers);
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+			 (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, write_answer);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+	if (transfer->has_body) {
+		curl_easy_setopt(easy, CURLOPT_POST, 1L);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)send->length);
+		curl_easy_setopt(easy, CURLOPT_READFUNCTION, read_body);
+		curl_easy_setopt(easy, CURLOPT_READDATA, transfer);
+	}
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, send->method);
+}
+
+/*
+ * Send one request. Whatever `send` points to is copied, but for
+ * private_data, which the client takes over.
+ */
+void rj_http_client_send(struct rj_http_client *client,
+			 const struct rj_http_send *send)
+{
+	struct transfer *transfer = talloc_zero(client->mem, struct transfer);
+	struct tevent_timer *timer;
+
+	assert(transfer && send->done);
+	rj_list_append(&client->open, &transfer->link);
+	transfer->client = client;
+	transfer->has_body = send->length > 0;
+	transfer->body = talloc_memdup(transfer, send->body, send->length);
+	transfer->length = send->length;
+	transfer->answer_max = send->answer_max_bytes;
+	transfer->done = send->done;
+	transfer->private_data = talloc_steal(transfer, send->private_data);
+	transfer->easy = curl_easy_init();
+	assert(transfer->easy);
+	talloc_set_destructor(transfer, transfer_destructor);
+	set_options(transfer, send);
+	timer = tevent_add_timer(client->ev, transfer,
+				 rj_clock_timeval_in(send->timeout_us),
+				 timed_out, transfer);
+	assert(timer);
+	(void)timer;
+	curl_multi_add_handle(client->multi, transfer->easy);
+}
+
+/*
+ * Drop what is open without telling, and close all connections.
+ */
+void rj_http_client_finish(struct rj_http_client *client)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	if (!client->multi)
+		return;
+	RJ_FOR_EACH (at, next, &client->open)
+		talloc_free(RJ_CONTAINER(at, struct transfer, link));
+	curl_multi_cleanup(client->multi);
+	client->multi = NULL;
+	curl_slist_free_all(client->headers);
+	TALLOC_FREE(client->mem);
+}
--- /dev/null
+++ b/src/libradishjunction/include/private/worker_wire.h
@@ -0,0 +1,27 @@
+/*
+ * Calls to a worker and their replies as JSON, for both ends of the worker
+ * protocol (docs/WORKER-PROTOCOL.md).
+ *
+ * Encoders return text that is a talloc child of `mem`; decoders fill a
+ * struct of the caller's whose bytes and lists are talloc children of `mem`.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_WORKER_WIRE_H
+#define RADISHJUNCTION_PRIVATE_WORKER_WIRE_H
+
+#include <jansson.h>
+
+#include "radishjunction/error.h"
+#include "radishjunction/worker.h"
+
+char *rj_worker_wire_encode_call(void *mem, const struct rj_worker_call *call);
+int rj_worker_wire_decode_call(void *mem, const char *text, size_t length,
+			       struct rj_worker_call *call,
+			       struct rj_error *err);
+char *rj_worker_wire_encode_reply(void *mem, const struct rj_worker_call *call,
+				  const struct rj_worker_reply *reply);
+int rj_worker_wire_decode_reply(void *mem, const char *text, size_t length,
+				const struct rj_worker_call *call,
+				struct rj_worker_reply *reply,
+				struct rj_error *err);
+
+#endif
--- /dev/null
+++ b/src/libstandin/gate.c
@@ -0,0 +1,205 @@
+#include "gate.h"
+
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/clock.h"
+
+/* A request on its way through the gate; child of the request. */
+struct entry {
+	struct rj_list link;
+	struct rj_gate *gate;
+	struct rj_http_request *request;
+};
+
+static int entry_destructor(struct entry *entry)
+{
+	rj_list_remove(&entry->link);
+	return 0;
+}
+
+/*
+ * Start a gate without faults that hands requests to `pass`.
+ */
+void rj_gate_init(struct rj_gate *gate, void *mem, struct tevent_context *ev,
+		  void (*pass)(void *private_data,
+			       struct rj_http_request *request),
+		  void *private_data)
+{
+	memset(gate, 0, sizeof(*gate));
+	gate->ev = ev;
+	gate->mem = mem;
+	gate->pass = pass;
+	gate->private_data = private_data;
+	rj_list_init(&gate->waiting);
+}
+
+/*
+ * Whether the client that sent `request` is cut off from here.
+ */
+bool rj_gate_cuts(const struct rj_gate *gate, struct rj_http_request *request)
+{
+	const char *name = rj_http_request_header(request, "X-Instance");
+	const json_t *cut;
+	size_t i;
+
+	if (!name)
+		return false;
+	json_array_foreach(
+		gate->cut_from, i,
+		cut) if (!strcmp(name, json_string_value(cut))) return true;
+	return false;
+}
+
+static void pass(struct entry *entry)
+{
+	struct rj_gate *gate = entry->gate;
+	struct rj_http_request *request = entry->request;
+
+	talloc_free(entry);
+	if (request->aborted)
+		return;
+	gate->pass(gate->private_data, request);
+}
+
+static void delay_over(struct tevent_context *ev, struct tevent_timer *timer,
+		       struct timeval now, void *private_data)
+{
+	pass(private_data);
+}
+
+/* Let the request pass now, or after the delay. */
+static void pass_slowly(struct entry *entry)
+{
+	struct tevent_timer *timer;
+
+	if (!entry->gate->slow_us) {
+		pass(entry);
+		return;
+	}
+	timer = tevent_add_timer(entry->gate->ev, entry,
+				 rj_clock_timeval_in(entry->gate->slow_us),
+				 delay_over, entry);
+	assert(timer);
+	(void)timer;
+}
+
+/*
+ * Apply the faults to a request that has just come in.
+ */
+void rj_gate_enter(struct rj_gate *gate, struct rj_http_request *request)
+{
+	struct entry *entry;
+
+	if (gate->outage || rj_gate_cuts(gate, request)) {
+		rj_http_request_abort(request);
+		return;
+	}
+	if (!gate->paused && !gate->slow_us) {
+		gate->pass(gate->private_data, request);
+		return;
+	}
+	entry = talloc_zero(request, struct entry);
+	assert(entry);
+	rj_list_init(&entry->link);
+	entry->gate = gate;
+	entry->request = request;
+	talloc_set_destructor(entry, entry_destructor);
+	if (gate->paused)
+		rj_list_append(&gate->waiting, &entry->link);
+	else
+		pass_slowly(entry);
+}
+
+static void end_pause(struct rj_gate *gate)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &gate->waiting) {
+		struct entry *entry = RJ_CONTAINER(at, struct entry, link);
+
+		rj_list_remove(at);
+		pass_slowly(entry);
+	}
+}
+
+/* Close what the clients that are now cut off have open. */
+static void abort_cut(struct rj_gate *gate, struct rj_http_server *server,
+		      const struct rj_http_request *asking)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &server->open) {
+		struct rj_http_request *request =
+			RJ_CONTAINER(at, struct rj_http_request, link);
+
+		if (request != asking && rj_gate_cuts(gate, request))
+			rj_http_request_abort(request);
+	}
+}
+
+/* Whether `cut` is a list of strings. */
+static bool is_name_list(const json_t *cut)
+{
+	const json_t *name;
+	size_t i;
+
+	if (!json_is_array(cut))
+		return false;
+	json_array_foreach(cut, i,
+			   name) if (!json_is_string(name)) return false;
+	return true;
+}
+
+/*
+ * Take the fields of `faults` that belong here: outage, pause, slow_ms and
+ * cut_from. `asking` is the request that carries them and is spared.
+ * Returns 0, or -1 when a field has another type; nothing changes then.
+ */
+int rj_gate_set(struct rj_gate *gate, struct rj_http_server *server,
+		const json_t *faults, const struct rj_http_request *asking)
+{
+	const json_t *outage = json_object_get(faults, "outage");
+	const json_t *paused = json_object_get(faults, "pause");
+	const json_t *slow_ms = json_object_get(faults, "slow_ms");
+	json_t *cut_from = json_object_get(faults, "cut_from");
+
+	if ((outage && !json_is_boolean(outage)) ||
+	    (paused && !json_is_boolean(paused)) ||
+	    (slow_ms &&
+	     (!json_is_integer(slow_ms) || json_integer_value(slow_ms) < 0)) ||
+	    (cut_from && !is_name_list(cut_from)))
+		return -1;
+	if (slow_ms)
+		gate->slow_us =
+			(uint64_t)json_integer_value(slow_ms) * RJ_US_PER_MS;
+	if (cut_from) {
+		json_decref(gate->cut_from);
+		gate->cut_from = json_incref(cut_from);
+		abort_cut(gate, server, asking);
+	}
+	if (outage) {
+		gate->outage = json_is_true(outage);
+		if (gate->outage)
+			rj_http_server_abort_open(server, asking);
+	}
+	if (paused) {
+		gate->paused = json_is_true(paused);
+		if (!gate->paused)
+			end_pause(gate);
+	}
+	return 0;
+}
+
+/*
+ * Forget the faults. The server must have been finished before.
+ */
+void rj_gate_finish(struct rj_gate *gate)
+{
+	assert(gate->waiting.next == &gate->waiting);
+	json_decref(gate->cut_from);
+	gate->cut_from = NULL;
+}
--- /dev/null
+++ b/src/libstandin/gate.h
@@ -0,0 +1,38 @@
+/*
+ * The faults that both stand-ins have in common, applied to each request
+ * before it takes effect: an outage, clients that are cut off, a pause and
+ * slowness.
+ *
+ * Life cycle: `rj_gate_init` on the caller's memory; each request enters by
+ * `rj_gate_enter` and comes out at `pass`, now, later or never.
+ */
+#ifndef RADISHJUNCTION_STANDIN_GATE_H
+#define RADISHJUNCTION_STANDIN_GATE_H
+
+#include <jansson.h>
+
+#include "http_server.h"
+
+struct rj_gate {
+	struct tevent_context *ev;
+	void *mem;
+	bool outage; /* connections are closed without an answer */
+	bool paused; /* requests wait */
+	uint64_t slow_us; /* requests wait this long */
+	json_t *cut_from; /* names of clients that are cut off, or NULL */
+	struct rj_list waiting; /* entered while paused, in order */
+	void (*pass)(void *private_data, struct rj_http_request *request);
+	void *private_data;
+};
+
+void rj_gate_init(struct rj_gate *gate, void *mem, struct tevent_context *ev,
+		  void (*pass)(void *private_data,
+			       struct rj_http_request *request),
+		  void *private_data);
+void rj_gate_enter(struct rj_gate *gate, struct rj_http_request *request);
+int rj_gate_set(struct rj_gate *gate, struct rj_http_server *server,
+		const json_t *faults, const struct rj_http_request *asking);
+bool rj_gate_cuts(const struct rj_gate *gate, struct rj_http_request *request);
+void rj_gate_finish(struct rj_gate *gate);
+
+#endif
--- /dev/null
+++ b/src/libstandin/platform.c
@@ -0,0 +1,456 @@
+#include "platform.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/clock.h"
+#include "private/wire_json.h"
+#include "radishjunction/event.h"
+#include "stream.h"
+
+#define CONNECTIONS_MAX 4096
+/* Several records of the largest size in one append. */
+#define BODY_MAX_BYTES (8U * 1024 * 1024)
+#define READ_RECORDS_MAX 1000
+#define READ_WAIT_MAX_MS 30000
+/* A tenth of a second's appends may come at once. */
+#define APPEND_BURST_US (RJ_US_PER_S / 10)
+
+/* A long poll; child of its request. */
+struct reader {
+	struct rj_list link;
+	struct rj_standin_platform *platform;
+	struct rj_http_request *request;
+	struct rj_standin_stream *stream;
+	uint64_t from;
+	uint64_t max;
+};
+
+/* A change of the list that is not yet seen; child of the platform. */
+struct list_change {
+	struct rj_standin_platform *platform;
+	char *name;
+	json_t *instance; /* NULL to take it from the list */
+};
+
+static void answer(struct rj_http_request *request, json_t *object)
+{
+	char *text = rj_wire_text(request, object);
+
+	rj_http_request_answer(request, MHD_HTTP_OK, text, strlen(text));
+	json_decref(object);
+}
+
+/* The stream `name` without the records whose retention has ended. */
+static struct rj_standin_stream *
+get_stream(struct rj_standin_platform *platform, const char *name)
+{
+	struct rj_standin_stream *stream =
+		g_hash_table_lookup(platform->streams, name);
+	uint64_t now_us = rj_clock_now_us();
+
+	if (!stream) {
+		stream = rj_standin_stream_new(platform->mem);
+		g_hash_table_insert(platform->streams, g_strdup(name), stream);
+	}
+	if (now_us > platform->options.retention_us)
+		rj_standin_stream_expire(
+			stream, now_us - platform->options.retention_us);
+	return stream;
+}
+
+/* Whether the rate allows one more append now. */
+static bool take_append_credit(struct rj_standin_platform *platform)
+{
+	uint64_t now_us = rj_clock_now_us();
+	uint64_t cost_us;
+
+	if (!platform->options.append_rate)
+		return true;
+	cost_us = RJ_US_PER_S / platform->options.append_rate;
+	platform->append_credit_us += now_us - platform->credited_at_us;
+	platform->credited_at_us = now_us;
+	if (platform->append_credit_us > APPEND_BURST_US + cost_us)
+		platform->append_credit_us = APPEND_BURST_US + cost_us;
+	if (platform->append_credit_us < cost_us)
+		return false;
+	platform->append_credit_us -= cost_us;
+	return true;
+}
+
+static void read_answer(struct reader *reader)
+{
+	struct rj_http_request *request = reader->request;
+	json_t *object = rj_standin_stream_read(reader->stream, reader->from,
+						reader->max, rj_clock_now_us());
+
+	talloc_free(reader);
+	answer(request, object);
+}
+
+static void wake_readers(struct rj_standin_platform *platform,
+			 const struct rj_standin_stream *stream)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &platform->readers) {
+		struct reader *reader = RJ_CONTAINER(at, struct reader, link);
+
+		if (reader->stream == stream && reader->from < stream->head)
+			read_answer(reader);
+	}
+}
+
+/* The records of an append, or NULL when the body is not as it must be. */
+static json_t *append_records(const struct rj_http_request *request)
+{
+	json_t *body =
+		json_loadb(request->body.data, request->body.length, 0, NULL);
+	json_t *records = json_incref(json_object_get(body, "records"));
+	const json_t *text;
+	size_t i;
+
+	json_decref(body);
+	if (!json_is_array(records) || !json_array_size(records))
+		goto fail;
+	json_array_foreach(records, i,
+			   text) if (!json_is_string(text)) goto fail;
+	return records;
+
+fail:
+	json_decref(records);
+	return NULL;
+}
+
+static void handle_append(struct rj_standin_platform *platform,
+			  struct rj_http_request *request, const char *name)
+{
+	json_t *records = append_records(request);
+	struct rj_standin_stream *stream;
+	uint64_t first;
+	json_t *object;
+	json_t *text;
+	size_t i;
+
+	if (!records) {
+		rj_http_request_error(request, MHD_HTTP_BAD_REQUEST,
+				      "records: not a list of strings; send "
+				      "at least one");
+		return;
+	}
+	if (platform->drop_appends) {
+		platform->drop_appends--;
+		json_decref(records);
+		rj_http_request_abort(request);
+		return;
+	}
+	if (!take_append_credit(platform)) {
+		json_decref(records);
+		rj_http_request_error(request, MHD_HTTP_TOO_MANY_REQUESTS,
+				      "append: above the rate; nothing was "
+				      "appended, try again later");
+		return;
+	}
+	stream = get_stream(platform, name);
+	first = stream->head;
+	json_array_foreach(records, i, text)
+		rj_standin_stream_append(stream, text, rj_clock_now_us());
+	json_decref(records);
+	if (platform->lose_answers) {
+		platform->lose_answers--;
+		rj_http_request_abort(request);
+	} else {
+		object = json_object();
+		rj_wire_set_count(object, "first_offset", first);
+		answer(request, object);
+	}
+	wake_readers(platform, stream);
+}
+
+static uint64_t argument(struct rj_http_request *request, const char *name,
+			 uint64_t missing, uint64_t max)
+{
+	const char *text = rj_http_request_argument(request, name);
+	uint64_t value = text ? strtoull(text, NULL, 10) : missing;
+
+	return value < max ? value : max;
+}
+
+static int reader_destructor(struct reader *reader)
+{
+	rj_list_remove(&reader->link);
+	return 0;
+}
+
+static void reader_timeout(struct tevent_context *ev,
+			   struct tevent_timer *timer, struct timeval now,
+			   void *private_data)
+{
+	read_answer(private_data);
+}
+
+static void handle_read(struct rj_standin_platform *platform,
+			struct rj_http_request *request, const char *name)
+{
+	struct reader *reader = talloc_zero(request, struct reader);
+	uint64_t wait_ms = argument(request, "wait_ms", 0, READ_WAIT_MAX_MS);
+	struct tevent_timer *timer;
+
+	assert(reader);
+	rj_list_init(&reader->link);
+	talloc_set_destructor(reader, reader_destructor);
+	reader->platform = platform;
+	reader->request = request;
+	reader->stream = get_stream(platform, name);
+	reader->from = argument(request, "from", 0, UINT64_MAX);
+	reader->max =
+		argument(request, "max", READ_RECORDS_MAX, READ_RECORDS_MAX);
+	if (reader->from < reader->stream->head || !wait_ms) {
+		read_answer(reader);
+		return;
+	}
+	timer = tevent_add_timer(platform->ev, reader,
+				 rj_clock_timeval_in(wait_ms * RJ_US_PER_MS),
+				 reader_timeout, reader);
+	assert(timer);
+	(void)timer;
+	rj_list_append(&platform->readers, &reader->link);
+}
+
+/* Make a change of the list visible. */
+static void apply_change(struct list_change *change)
+{
+	json_t *instances = change->platform->instances;
+
+	if (change->instance)
+		json_object_set(instances, change->name, change->instance);
+	else
+		json_object_del(instances, change->name);
+	talloc_free(change);
+}
+
+static void change_due(struct tevent_context *ev, struct tevent_timer *timer,
+		       struct timeval now, void *private_data)
+{
+	apply_change(private_data);
+}
+
+static int change_destructor(struct list_change *change)
+{
+	json_decref(change->instance);
+	return 0;
+}
+
+/* Change the list, which shows it after its lag. */
+static void change_list(struct rj_standin_platform *platform, const char *name,
+			json_t *instance)
+{
+	struct list_change *change =
+		talloc_zero(platform->mem, struct list_change);
+	struct tevent_timer *timer;
+
+	assert(change);
+	change->platform = platform;
+	change->name = talloc_strdup(change, name);
+	change->instance = instance;
+	talloc_set_destructor(change, change_destructor);
+	if (!platform->options.list_lag_us) {
+		apply_change(change);
+		return;
+	}
+	timer = tevent_add_timer(
+		platform->ev, change,
+		rj_clock_timeval_in(platform->options.list_lag_us), change_due,
+		change);
+	assert(timer);
+	(void)timer;
+}
+
+/* An instance as it is registered, or NULL when a field is wrong. */
+static json_t *parse_instance(const struct rj_http_request *request,
+			      const char *name)
+{
+	static const char *const state_string[] = { "live", "leaving" };
+	json_t *object =
+		json_loadb(request->body.data, request->body.length, 0, NULL);
+	char text[RJ_NAME_BYTES];
+	uint64_t incarnation;
+	uint32_t number;
+
+	if (!object ||
+	    rj_wire_get_choice(object, "role", rj_instance_role_string,
+			       RJ_ROLE_COUNT, &number, NULL) ||
+	    rj_wire_get_name(object, "domain", text, NULL) ||
+	    rj_wire_get_u32(object, "rack", &number, NULL) ||
+	    rj_wire_get_name(object, "ip", text, NULL) ||
+	    rj_wire_get_u32(object, "port", &number, NULL) ||
+	    rj_wire_get_hex(object, "incarnation", &incarnation, NULL) ||
+	    rj_wire_get_choice(object, "state", state_string, 2, &number,
+			       NULL)) {
+		json_decref(object);
+		return NULL;
+	}
+	json_object_set_new(object, "name", json_string(name));
+	return object;
+}
+
+static void handle_register(struct rj_standin_platform *platform,
+			    struct rj_http_request *request, const char *name)
+{
+	json_t *instance = parse_instance(request, name);
+
+	if (!instance) {
+		rj_http_request_error(request, MHD_HTTP_BAD_REQUEST,
+				      "instance: send role, domain, rack, ip, "
+				      "port, incarnation and state");
+		return;
+	}
+	change_list(platform, name, instance);
+	answer(request, json_object());
+}
+
+static void handle_list(struct rj_standin_platform *platform,
+			struct rj_http_request *request)
+{
+	json_t *object = json_object();
+	json_t *list = json_array();
+	const char *name;
+	json_t *instance;
+
+	json_object_foreach(platform->instances, name, instance)
+		json_array_append(list, instance);
+	json_object_set_new(object, "instances", list);
+	answer(request, object);
+}
+
+static void handle_fault(struct rj_standin_platform *platform,
+			 struct rj_http_request *request)
+{
+	json_t *faults =
+		json_loadb(request->body.data, request->body.length, 0, NULL);
+	uint32_t lose = platform->lose_answers;
+	uint32_t drop = platform->drop_appends;
+
+	if (!json_is_object(faults) ||
+	    (json_object_get(faults, "lose_next_append_answers") &&
+	     rj_wire_get_u32(faults, "lose_next_append_answers", &lose,
+			     NULL)) ||
+	    (json_object_get(faults, "drop_next_appends") &&
+	     rj_wire_get_u32(faults, "drop_next_appends", &drop, NULL)) ||
+	    rj_gate_set(&platform->gate, &platform->server, faults, request)) {
+		rj_http_request_error(request, MHD_HTTP_BAD_REQUEST,
+				      "fault: a field has the wrong type; see "
+				      "the platform protocol");
+		json_decref(faults);
+		return;
+	}
+	platform->lose_answers = lose;
+	platform->drop_appends = drop;
+	json_decref(faults);
+	answer(request, json_object());
+}
+
+/* The part of `path` between `prefix` and `suffix`, or NULL. */
+static const char *path_name(struct rj_http_request *request,
+			     const char *prefix, const char *suffix)
+{
+	const char *path = request->path;
+	size_t length = strlen(path);
+	size_t before = strlen(prefix);
+	size_t after = strlen(suffix);
+
+	if (length <= before + after || strncmp(path, prefix, before) != 0 ||
+	    strcmp(path + length - after, suffix) != 0)
+		return NULL;
+	return talloc_strndup(request, path + before, length - before - after);
+}
+
+static void dispatch(void *private_data, struct rj_http_request *request)
+{
+	struct rj_standin_platform *platform = private_data;
+	const char *method = request->method;
+	const char *name;
+
+	if (!strcmp(method, "POST") &&
+	    (name = path_name(request, "/v1/streams/", "/append")))
+		handle_append(platform, request, name);
+	else if (!strcmp(method, "GET") &&
+		 (name = path_name(request, "/v1/streams/", "")))
+		handle_read(platform, request, name);
+	else if (!strcmp(method, "GET") &&
+		 !strcmp(request->path, "/v1/instances"))
+		handle_list(platform, request);
+	else if (!strcmp(method, "PUT") &&
+		 (name = path_name(request, "/v1/instances/", "")))
+		handle_register(platform, request, name);
+	else if (!strcmp(method, "DELETE") &&
+		 (name = path_name(request, "/v1/instances/", ""))) {
+		change_list(platform, name, NULL);
+		answer(request, json_object());
+	} else
+		rj_http_request_error(request, MHD_HTTP_NOT_FOUND,
+				      "path: unknown; see the platform "
+				      "protocol");
+}
+
+/* Faults are set past the gate, so that an outage can be ended. */
+static void receive(void *private_data, struct rj_http_request *request)
+{
+	struct rj_standin_platform *platform = private_data;
+
+	if (!strcmp(request->path, "/v1/fault"))
+		handle_fault(platform, request);
+	else
+		rj_gate_enter(&platform->gate, request);
+}
+
+/*
+ * Serve on options->address from `ev`. Returns 0, or -1 with `err` when the
+ * address cannot be had.
+ */
+int rj_standin_platform_init(struct rj_standin_platform *platform, void *mem,
+			     struct tevent_context *ev,
+			     const struct rj_standin_platform_options *options,
+			     struct rj_error *err)
+{
+	struct rj_http_server_options server_options = {
+		.address = options->address,
+		.connections_max = CONNECTIONS_MAX,
+		.body_max_bytes = BODY_MAX_BYTES,
+		.handle = receive,
+		.private_data = platform,
+	};
+
+	memset(platform, 0, sizeof(*platform));
+	platform->options = *options;
+	platform->ev = ev;
+	platform->credited_at_us = rj_clock_now_us();
+	rj_list_init(&platform->readers);
+	if (rj_http_server_init(&platform->server, mem, ev, &server_options,
+				err))
+		return -1;
+	platform->mem = talloc_named_const(mem, 0, "platform");
+	assert(platform->mem);
+	rj_gate_init(&platform->gate, platform->mem, ev, dispatch, platform);
+	platform->streams =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	platform->instances = json_object();
+	return 0;
+}
+
+/*
+ * Close all connections and forget all records.
+ */
+void rj_standin_platform_finish(struct rj_standin_platform *platform)
+{
+	if (!platform->mem)
+		return;
+	rj_http_server_finish(&platform->server);
+	rj_gate_finish(&platform->gate);
+	g_hash_table_destroy(platform->streams);
+	TALLOC_FREE(platform->mem);
+	json_decref(platform->instances);
+}
--- /dev/null
+++ b/src/libstandin/platform.h
@@ -0,0 +1,45 @@
+/*
+ * The platform's stand-in: an append-only log of streams with offsets and
+ * limited retention, and a lagging list of instances
+ * (docs/PLATFORM-PROTOCOL.md).
+ *
+ * Life cycle: `rj_standin_platform_init` on the caller's memory serves until
+ * `rj_standin_platform_finish`.
+ */
+#ifndef RADISHJUNCTION_STANDIN_PLATFORM_H
+#define RADISHJUNCTION_STANDIN_PLATFORM_H
+
+#include <glib.h>
+
+#include "gate.h"
+#include "http_server.h"
+
+struct rj_standin_platform_options {
+	struct rj_address address;
+	uint64_t retention_us;
+	uint64_t list_lag_us;
+	uint32_t append_rate; /* appends a second; 0 for any number */
+};
+
+struct rj_standin_platform {
+	struct rj_standin_platform_options options;
+	void *mem;
+	struct tevent_context *ev;
+	struct rj_http_server server;
+	struct rj_gate gate;
+	GHashTable *streams; /* name -> struct rj_standin_stream */
+	struct rj_list readers; /* long polls that wait for an append */
+	json_t *instances; /* as listed: name -> instance */
+	uint32_t lose_answers; /* appends to come whose answer is lost */
+	uint32_t drop_appends; /* appends to come without effect or answer */
+	uint64_t append_credit_us; /* how much of the rate is unused */
+	uint64_t credited_at_us;
+};
+
+int rj_standin_platform_init(struct rj_standin_platform *platform, void *mem,
+			     struct tevent_context *ev,
+			     const struct rj_standin_platform_options *options,
+			     struct rj_error *err);
+void rj_standin_platform_finish(struct rj_standin_platform *platform);
+
+#endif
--- /dev/null
+++ b/src/libstandin/stream.h
@@ -0,0 +1,32 @@
+/*
+ * One stream of the platform's stand-in: texts with offsets, of which the
+ * oldest are dropped when retention ends.
+ */
+#ifndef RADISHJUNCTION_STANDIN_STREAM_H
+#define RADISHJUNCTION_STANDIN_STREAM_H
+
+#include <jansson.h>
+#include <stdint.h>
+
+struct rj_standin_record {
+	json_t *text;
+	uint64_t at_us;
+};
+
+struct rj_standin_stream {
+	uint64_t oldest; /* offset of the oldest record still kept */
+	uint64_t head; /* one past the newest offset */
+	struct rj_standin_record *records; /* talloc array */
+	uint32_t first; /* index of the oldest record */
+	uint32_t capacity;
+};
+
+struct rj_standin_stream *rj_standin_stream_new(void *mem);
+void rj_standin_stream_append(struct rj_standin_stream *stream, json_t *text,
+			      uint64_t now_us);
+void rj_standin_stream_expire(struct rj_standin_stream *stream,
+			      uint64_t before_us);
+json_t *rj_standin_stream_read(const struct rj_standin_stream *stream,
+			       uint64_t from, uint64_t max, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/libstandin/task_ops.c
@@ -0,0 +1,275 @@
+#include "task_ops.h"
+
+#include <assert.h>
+#include <string.h>
+
+static void refuse(struct rj_worker_reply *reply, enum rj_reason reason)
+{
+	reply->status = RJ_REPLY_REFUSED;
+	reply->reason = reason;
+}
+
+/*
+ * Whether the call may act on `task`: it names its token, or none.
+ */
+static bool owns(const struct rj_worker_call *call, const struct rj_task *task)
+{
+	return !call->token || call->token == task->token;
+}
+
+/*
+ * Find or reserve the task of a LEASE or RUN. Returns NULL, with `reply`
+ * refused, when it must not or cannot be had.
+ *
+ * Guards against a call that was held up on its way: it arrives after its
+ * attempt was fenced and its job started elsewhere, and would run it twice.
+ * A fenced attempt is remembered, so that the late call is refused.
+ */
+static struct rj_task *lease(struct rj_tasks *tasks,
+			     const struct rj_worker_call *call, uint64_t now_us,
+			     struct rj_worker_reply *reply)
+{
+	struct rj_task *task = rj_tasks_find(tasks, call);
+
+	if (task && (task->fenced || task->state == RJ_TASK_DEAD)) {
+		refuse(reply, RJ_REASON_LEASE_LAPSED);
+		return NULL;
+	}
+	if (task)
+		return task;
+	if (tasks->leaving) {
+		refuse(reply, RJ_REASON_DRAINING);
+		return NULL;
+	}
+	if (!rj_resources_fit(&call->each, &tasks->unused)) {
+		refuse(reply, RJ_REASON_LEASE_REFUSED);
+		return NULL;
+	}
+	task = rj_task_new(tasks, call);
+	rj_task_hold(tasks, task, call, now_us);
+	return task;
+}
+
+static struct rj_task *run(struct rj_tasks *tasks,
+			   const struct rj_worker_call *call, uint64_t now_us,
+			   struct rj_worker_reply *reply)
+{
+	struct rj_task *task = lease(tasks, call, now_us, reply);
+
+	if (task && task->state == RJ_TASK_HELD)
+		rj_task_start(tasks, task, call, now_us);
+	return task;
+}
+
+/*
+ * Start under a held token.
+ *
+ * Guards against an owner that was paused past the end of its lease, which
+ * would start a job that another instance has settled: a token that has
+ * lapsed, was fenced or released, or is unknown never starts a task.
+ */
+static struct rj_task *start(struct rj_tasks *tasks,
+			     const struct rj_worker_call *call, uint64_t now_us,
+			     struct rj_worker_reply *reply)
+{
+	struct rj_task *task = rj_tasks_find(tasks, call);
+
+	if (!task || task->token != call->token || !call->token ||
+	    task->fenced || task->state == RJ_TASK_DEAD) {
+		refuse(reply, RJ_REASON_LEASE_LAPSED);
+		return NULL;
+	}
+	if (task->state == RJ_TASK_HELD)
+		rj_task_start(tasks, task, call, now_us);
+	return task;
+}
+
+static struct rj_task *renew(struct rj_tasks *tasks,
+			     const struct rj_worker_call *call, uint64_t now_us,
+			     struct rj_worker_reply *reply)
+{
+	struct rj_task *task = rj_tasks_find(tasks, call);
+
+	if (!task || !owns(call, task) || task->fenced ||
+	    task->state == RJ_TASK_DEAD) {
+		refuse(reply, RJ_REASON_LEASE_LAPSED);
+		return task;
+	}
+	if (rj_task_is_active(task)) {
+		task->holder = call->holder;
+		task->lease_until_us = now_us + call->life_us;
+	}
+	return task;
+}
+
+static void checkpoint(struct rj_task *task, const struct rj_worker_call *call,
+		       uint64_t now_us)
+{
+	if (task->state != RJ_TASK_RUNNING || task->saving)
+		return;
+	rj_task_count_progress(task, now_us);
+	task->saving = true;
+	task->checkpoint_fits = task->checkpoint_us <= call->limit_us;
+	task->checkpoint_until_us =
+		now_us +
+		(task->checkpoint_fits ? task->checkpoint_us : call->limit_us);
+}
+
+static void throttle(struct rj_task *task, const struct rj_worker_call *call,
+		     uint64_t now_us)
+{
+	rj_task_count_progress(task, now_us);
+	if (task->state == RJ_TASK_RUNNING)
+		task->throttle_percent = call->throttle_percent;
+}
+
+static void stop(struct rj_tasks *tasks, struct rj_task *task, uint64_t now_us)
+{
+	if (task->state == RJ_TASK_RUNNING)
+		rj_task_end(tasks, task, RJ_TASK_STOPPED, now_us);
+	else if (task->state == RJ_TASK_HELD)
+		rj_task_end(tasks, task, RJ_TASK_DEAD, now_us);
+}
+
+/*
+ * A held token is dead afterwards. Of an ended task the end is forgotten,
+ * but not that its attempt was here: a late START or RUN is refused.
+ */
+static void release(struct rj_tasks *tasks, struct rj_task *task,
+		    uint64_t now_us, struct rj_worker_reply *reply)
+{
+	if (task->state == RJ_TASK_RUNNING) {
+		refuse(reply, RJ_REASON_IN_PROGRESS);
+		return;
+	}
+	if (task->state == RJ_TASK_HELD) {
+		rj_task_end(tasks, task, RJ_TASK_DEAD, now_us);
+		return;
+	}
+	if (task->state != RJ_TASK_DEAD)
+		task->state = RJ_TASK_NONE;
+	task->fenced = true;
+	memset(&task->result, 0, sizeof(task->result));
+}
+
+static struct rj_task *fence(struct rj_tasks *tasks,
+			     const struct rj_worker_call *call, uint64_t now_us)
+{
+	struct rj_task *task = rj_tasks_find(tasks, call);
+
+	if (!task) {
+		task = rj_task_new(tasks, call);
+		task->fenced = true;
+		rj_task_end(tasks, task, RJ_TASK_NONE, now_us);
+	} else if (task->state == RJ_TASK_HELD) {
+		rj_task_end(tasks, task, RJ_TASK_DEAD, now_us);
+	}
+	return task;
+}
+
+/* Renew all leases of the holder that asks for a report. */
+static void renew_holder(struct rj_tasks *tasks,
+			 const struct rj_worker_call *call, uint64_t now_us)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	if (!call->life_us)
+		return;
+	RJ_FOR_EACH (at, next, &tasks->active) {
+		struct rj_task *task = RJ_CONTAINER(at, struct rj_task, link);
+
+		if (task->holder == call->holder)
+			task->lease_until_us = now_us + call->life_us;
+	}
+}
+
+/* The operations on a task that is already known. */
+static struct rj_task *act(struct rj_tasks *tasks,
+			   const struct rj_worker_call *call, uint64_t now_us,
+			   struct rj_worker_reply *reply)
+{
+	struct rj_task *task = rj_tasks_find(tasks, call);
+
+	if (!task)
+		return NULL;
+	if (!owns(call, task)) {
+		refuse(reply, RJ_REASON_LEASE_LAPSED);
+		return task;
+	}
+	if (call->op == RJ_WORKER_CHECKPOINT)
+		checkpoint(task, call, now_us);
+	else if (call->op == RJ_WORKER_THROTTLE)
+		throttle(task, call, now_us);
+	else if (call->op == RJ_WORKER_STOP)
+		stop(tasks, task, now_us);
+	else
+		release(tasks, task, now_us, reply);
+	return task;
+}
+
+/* Fill what every answer says. */
+static void begin_reply(const struct rj_tasks *tasks,
+			const struct rj_worker_call *call,
+			struct rj_worker_reply *reply)
+{
+	memset(reply, 0, sizeof(*reply));
+	reply->call_id = call->call_id;
+	reply->op = call->op;
+	memcpy(reply->worker, tasks->worker, sizeof(reply->worker));
+	reply->status = RJ_REPLY_OK;
+	reply->leaving = tasks->leaving;
+	reply->incarnation = tasks->incarnation;
+	reply->attempt = call->attempt;
+}
+
+/*
+ * Carry out one call at `now_us` and fill `reply` with what is true now; its
+ * report is left to rj_tasks_report. Returns the task that the call is
+ * about, or NULL. Whoever wants the end of a task waits until it is no
+ * longer active and then calls rj_tasks_tell.
+ */
+struct rj_task *rj_tasks_call(struct rj_tasks *tasks,
+			      const struct rj_worker_call *call,
+			      uint64_t now_us, struct rj_worker_reply *reply)
+{
+	struct rj_task *task = NULL;
+
+	assert(call->op < RJ_WORKER_OP_COUNT);
+	rj_tasks_advance(tasks, now_us);
+	begin_reply(tasks, call, reply);
+	if (call->op == RJ_WORKER_LEASE)
+		task = lease(tasks, call, now_us, reply);
+	else if (call->op == RJ_WORKER_RUN)
+		task = run(tasks, call, now_us, reply);
+	else if (call->op == RJ_WORKER_START)
+		task = start(tasks, call, now_us, reply);
+	else if (call->op == RJ_WORKER_RENEW)
+		task = renew(tasks, call, now_us, reply);
+	else if (call->op == RJ_WORKER_FENCE)
+		task = fence(tasks, call, now_us);
+	else if (call->op == RJ_WORKER_REPORT)
+		renew_holder(tasks, call, now_us);
+	else
+		task = act(tasks, call, now_us, reply);
+	rj_tasks_advance(tasks, now_us);
+	if (task)
+		rj_tasks_tell(tasks, task, now_us, reply);
+	return task;
+}
+
+/*
+ * Put what is known of `task` at `now_us` into `reply`.
+ */
+void rj_tasks_tell(struct rj_tasks *tasks, struct rj_task *task,
+		   uint64_t now_us, struct rj_worker_reply *reply)
+{
+	rj_task_count_progress(task, now_us);
+	reply->leaving = tasks->leaving;
+	reply->token = task->token;
+	reply->state = task->state;
+	reply->ran_us = task->progress_us;
+	memset(&reply->result, 0, sizeof(reply->result));
+	if (task->state == RJ_TASK_DONE || task->state == RJ_TASK_FAILED)
+		reply->result = task->result;
+}
--- /dev/null
+++ b/src/libstandin/tasks.c
@@ -0,0 +1,460 @@
+#include "tasks.h"
+
+#include <assert.h>
+#include <inttypes.h>
+#include <sodium.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/wire_json.h"
+#include "task_ops.h"
+
+/* How long, and how many of, the ended tasks are remembered. */
+#define ENDED_KEPT_US (600 * RJ_US_PER_S)
+#define ENDED_KEPT_MAX 1000
+#define FULL_SPEED_PERCENT 100
+
+static guint key_hash(gconstpointer data)
+{
+	const struct rj_task_key *key = data;
+
+	return (guint)(rj_hash64(&key->attempt.job_id, sizeof(uint64_t),
+				 key->attempt.owner) +
+		       31 * key->attempt.number + key->member);
+}
+
+static gboolean key_equal(gconstpointer a, gconstpointer b)
+{
+	const struct rj_task_key *one = a;
+	const struct rj_task_key *two = b;
+
+	return one->attempt.job_id == two->attempt.job_id &&
+	       one->attempt.owner == two->attempt.owner &&
+	       one->attempt.number == two->attempt.number &&
+	       one->member == two->member;
+}
+
+static void free_talloc(gpointer data)
+{
+	talloc_free(data);
+}
+
+static uint64_t random_id(void)
+{
+	uint64_t id;
+
+	do
+		randombytes_buf(&id, sizeof(id));
+	while (!id);
+	return id;
+}
+
+static void start_empty(struct rj_tasks *tasks)
+{
+	tasks->unused = tasks->capacity;
+	tasks->incarnation = random_id();
+	tasks->ended_count = 0;
+	rj_list_init(&tasks->active);
+	rj_list_init(&tasks->ended);
+	tasks->by_key =
+		g_hash_table_new_full(key_hash, key_equal, NULL, free_talloc);
+}
+
+/*
+ * Start a worker called `worker` that knows no task.
+ */
+void rj_tasks_init(struct rj_tasks *tasks, void *mem, const char *worker,
+		   const struct rj_resources *capacity)
+{
+	int unnamed;
+
+	memset(tasks, 0, sizeof(*tasks));
+	unnamed = rj_name_set(tasks->worker, worker);
+	assert(!unnamed);
+	(void)unnamed;
+	tasks->mem = talloc_named_const(mem, 0, "tasks");
+	assert(tasks->mem);
+	tasks->capacity = *capacity;
+	tasks->ran =
+		g_hash_table_new_full(key_hash, key_equal, NULL, free_talloc);
+	start_empty(tasks);
+}
+
+/*
+ * Forget all leases and tasks and take a new incarnation, as a process that
+ * starts again does. What ran is kept, so that a check can count it.
+ */
+void rj_tasks_restart(struct rj_tasks *tasks)
+{
+	g_hash_table_destroy(tasks->by_key);
+	start_empty(tasks);
+}
+
+/*
+ * Free all.
+ */
+void rj_tasks_finish(struct rj_tasks *tasks)
+{
+	g_hash_table_destroy(tasks->by_key);
+	g_hash_table_destroy(tasks->ran);
+	TALLOC_FREE(tasks->mem);
+}
+
+/*
+ * Whether the task holds resources.
+ */
+bool rj_task_is_active(const struct rj_task *task)
+{
+	return task->state == RJ_TASK_HELD || task->state == RJ_TASK_RUNNING;
+}
+
+/*
+ * The task of the attempt and member that `call` names, or NULL.
+ */
+struct rj_task *rj_tasks_find(const struct rj_tasks *tasks,
+			      const struct rj_worker_call *call)
+{
+	struct rj_task_key key = { call->attempt, call->member };
+
+	return g_hash_table_lookup(tasks->by_key, &key);
+}
+
+/*
+ * Remember an attempt of which nothing else is known: its state is NONE.
+ */
+struct rj_task *rj_task_new(struct rj_tasks *tasks,
+			    const struct rj_worker_call *call)
+{
+	struct rj_task *task = talloc_zero(tasks->mem, struct rj_task);
+
+	assert(task);
+	task->key.attempt = call->attempt;
+	task->key.member = call->member;
+	task->gang = call->gang;
+	rj_list_init(&task->link);
+	g_hash_table_insert(tasks->by_key, &task->key, task);
+	return task;
+}
+
+/*
+ * Reserve what the call asks for, which must be free.
+ */
+void rj_task_hold(struct rj_tasks *tasks, struct rj_task *task,
+		  const struct rj_worker_call *call, uint64_t now_us)
+{
+	assert(task->state == RJ_TASK_NONE && !task->fenced);
+	rj_resources_take(&tasks->unused, &call->each, 1);
+	task->state = RJ_TASK_HELD;
+	task->each = call->each;
+	task->token = random_id();
+	task->holder = call->holder;
+	task->lease_until_us = now_us + call->life_us;
+	memcpy(task->account, call->account, sizeof(task->account));
+	memcpy(task->class_name, call->class_name, sizeof(task->class_name));
+	rj_list_append(&tasks->active, &task->link);
+}
+
+static uint64_t body_ms(const json_t *body, const char *field)
+{
+	json_int_t ms = json_integer_value(json_object_get(body, field));
+
+	return ms > 0 ? (uint64_t)ms * RJ_US_PER_MS : 0;
+}
+
+/* The result that the task will have: it names the job and its body. */
+static void make_result(struct rj_task *task, const json_t *body,
+			const uint8_t digest[RJ_DIGEST_BYTES])
+{
+	json_t *echo = json_object_get(body, "echo");
+	char hex[2 * RJ_DIGEST_BYTES + 1];
+	json_t *result = json_object();
+	char *text;
+
+	sodium_bin2hex(hex, sizeof(hex), digest, RJ_DIGEST_BYTES);
+	rj_wire_set_hex(result, "job", task->key.attempt.job_id);
+	json_object_set_new(result, "echo",
+			    echo ? json_incref(echo) : json_null());
+	json_object_set_new(result, "digest", json_string(hex));
+	text = rj_wire_text(task, result);
+	json_decref(result);
+	task->result.data = (const uint8_t *)text;
+	task->result.length = (uint32_t)strlen(text);
+}
+
+/* Count a start, so that a check can find one too many. */
+static void note_start(struct rj_tasks *tasks, const struct rj_task *task,
+		       const uint8_t digest[RJ_DIGEST_BYTES])
+{
+	struct rj_task_ran *ran = g_hash_table_lookup(tasks->ran, &task->key);
+
+	if (!ran) {
+		ran = talloc_zero(tasks->mem, struct rj_task_ran);
+		assert(ran);
+		ran->key = task->key;
+		g_hash_table_insert(tasks->ran, &ran->key, ran);
+	}
+	ran->starts++;
+	ran->state = RJ_TASK_RUNNING;
+	memcpy(ran->digest, digest, RJ_DIGEST_BYTES);
+}
+
+/*
+ * Start a held task; its body says how it behaves (run_ms, fail,
+ * checkpoint_ms, echo). Any other body runs for no time.
+ */
+void rj_task_start(struct rj_tasks *tasks, struct rj_task *task,
+		   const struct rj_worker_call *call, uint64_t now_us)
+{
+	json_t *body = json_loadb((const char *)call->body.data,
+				  call->body.length, 0, NULL);
+	uint8_t digest[RJ_DIGEST_BYTES];
+
+	assert(task->state == RJ_TASK_HELD);
+	rj_digest(digest, &call->body, 1);
+	task->state = RJ_TASK_RUNNING;
+	task->run_us = body_ms(body, "run_ms");
+	task->checkpoint_us = body_ms(body, "checkpoint_ms");
+	task->fails = json_is_true(json_object_get(body, "fail"));
+	task->throttle_percent = call->throttle_percent;
+	task->progress_us = call->resume_us;
+	task->saved_us = call->resume_us;
+	task->counted_at_us = now_us;
+	make_result(task, body, digest);
+	json_decref(body);
+	note_start(tasks, task, digest);
+	if (tasks->fail_all)
+		rj_task_end(tasks, task, RJ_TASK_FAILED, now_us);
+	else
+		rj_tasks_advance(tasks, now_us);
+}
+
+/*
+ * Bring the progress up to `now_us`.
+ */
+void rj_task_count_progress(struct rj_task *task, uint64_t now_us)
+{
+	uint64_t elapsed_us = now_us - task->counted_at_us;
+
+	if (task->state != RJ_TASK_RUNNING || task->saving)
+		return;
+	task->progress_us +=
+		elapsed_us * task->throttle_percent / FULL_SPEED_PERCENT;
+	task->counted_at_us = now_us;
+}
+
+/* When the task, as it goes now, reaches its end. */
+static uint64_t run_end_us(const struct rj_task *task)
+{
+	uint64_t left_us;
+
+	if (task->state != RJ_TASK_RUNNING || task->saving ||
+	    !task->throttle_percent)
+		return RJ_NEVER_US;
+	if (task->progress_us >= task->run_us)
+		return task->counted_at_us;
+	left_us = task->run_us - task->progress_us;
+	return task->counted_at_us +
+	       (left_us * FULL_SPEED_PERCENT + task->throttle_percent - 1) /
+		       task->throttle_percent;
+}
+
+/*
+ * End a task in `state`, give back what it held and remember it.
+ */
+void rj_task_end(struct rj_tasks *tasks, struct rj_task *task,
+		 enum rj_task_state state, uint64_t now_us)
+{
+	struct rj_task_ran *ran;
+
+	assert(!rj_task_is_active(task) || state != task->state);
+	rj_task_count_progress(task, now_us);
+	if (rj_task_is_active(task))
+		rj_resources_add(&tasks->unused, &task->each, 1);
+	ran = g_hash_table_lookup(tasks->ran, &task->key);
+	if (ran && task->state == RJ_TASK_RUNNING)
+		ran->state = state;
+	task->state = state;
+	task->saving = false;
+	task->ended_at_us = now_us;
+	rj_list_remove(&task->link);
+	rj_list_append(&tasks->ended, &task->link);
+	tasks->ended_count++;
+}
+
+/*
+ * Forget an ended task.
+ */
+void rj_task_forget(struct rj_tasks *tasks, struct rj_task *task)
+{
+	assert(!rj_task_is_active(task));
+	rj_list_remove(&task->link);
+	tasks->ended_count--;
+	g_hash_table_remove(tasks->by_key, &task->key);
+}
+
+/* End what `task` has come to by `now_us`, the earliest cause first. */
+static void advance_task(struct rj_tasks *tasks, struct rj_task *task,
+			 uint64_t now_us)
+{
+	uint64_t end_us = run_end_us(task);
+	uint64_t lapse_us = task->lease_until_us;
+
+	if (task->saving && task->checkpoint_until_us <= now_us &&
+	    task->checkpoint_until_us <= lapse_us) {
+		if (task->checkpoint_fits)
+			task->saved_us = task->progress_us;
+		task->progress_us = task->saved_us;
+		rj_task_end(tasks, task, RJ_TASK_STOPPED,
+			    task->checkpoint_until_us);
+	} else if (end_us <= now_us && end_us <= lapse_us) {
+		rj_task_end(tasks, task,
+			    task->fails ? RJ_TASK_FAILED : RJ_TASK_DONE,
+			    end_us);
+	} else if (lapse_us <= now_us) {
+		rj_task_end(tasks, task,
+			    task->state == RJ_TASK_HELD ? RJ_TASK_DEAD :
+							  RJ_TASK_STOPPED,
+			    lapse_us);
+	}
+}
+
+/*
+ * Do all that is due by `now_us`: leases lapse, tasks end, checkpoints are
+ * saved, old ends are forgotten.
+ */
+void rj_tasks_advance(struct rj_tasks *tasks, uint64_t now_us)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &tasks->active)
+		advance_task(tasks, RJ_CONTAINER(at, struct rj_task, link),
+			     now_us);
+	RJ_FOR_EACH (at, next, &tasks->ended) {
+		struct rj_task *task = RJ_CONTAINER(at, struct rj_task, link);
+
+		if (tasks->ended_count <= ENDED_KEPT_MAX &&
+		    task->ended_at_us + ENDED_KEPT_US > now_us)
+			break;
+		rj_task_forget(tasks, task);
+	}
+}
+
+/*
+ * When rj_tasks_advance has something to do, or RJ_NEVER_US.
+ */
+uint64_t rj_tasks_due_us(const struct rj_tasks *tasks)
+{
+	uint64_t due_us = RJ_NEVER_US;
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &tasks->active) {
+		const struct rj_task *task =
+			RJ_CONTAINER(at, struct rj_task, link);
+		uint64_t end_us = task->saving ? task->checkpoint_until_us :
+						 run_end_us(task);
+
+		if (end_us < due_us)
+			due_us = end_us;
+		if (task->lease_until_us < due_us)
+			due_us = task->lease_until_us;
+	}
+	return due_us;
+}
+
+static void report_task(const struct rj_task *task, void *mem, uint64_t now_us,
+			struct rj_task_report *report)
+{
+	report->attempt = task->key.attempt;
+	report->member = task->key.member;
+	report->holder = task->holder;
+	report->gang = task->gang;
+	report->token = task->token;
+	memcpy(report->account, task->account, sizeof(report->account));
+	memcpy(report->class_name, task->class_name,
+	       sizeof(report->class_name));
+	report->state = task->state;
+	report->each = task->each;
+	report->ran_us = task->progress_us;
+	if (rj_task_is_active(task) && task->lease_until_us > now_us)
+		report->lease_left_us = task->lease_until_us - now_us;
+	if (task->state != RJ_TASK_DONE && task->state != RJ_TASK_FAILED)
+		return;
+	report->result.data =
+		talloc_memdup(mem, task->result.data, task->result.length);
+	report->result.length = task->result.length;
+}
+
+/* An ended task is listed until its end has been told. */
+static bool is_listed(const struct rj_task *task)
+{
+	return !task->told &&
+	       (task->state == RJ_TASK_DONE || task->state == RJ_TASK_FAILED ||
+		task->state == RJ_TASK_STOPPED);
+}
+
+/*
+ * List all leases, running tasks and untold ends; the list is a talloc
+ * child of `mem`.
+ */
+void rj_tasks_report(const struct rj_tasks *tasks, void *mem, uint64_t now_us,
+		     struct rj_worker_report *report)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+	uint32_t count = tasks->ended_count;
+
+	memset(report, 0, sizeof(*report));
+	report->incarnation = tasks->incarnation;
+	report->leaving = tasks->leaving;
+	report->capacity = tasks->capacity;
+	RJ_FOR_EACH (at, next, &tasks->active)
+		count++;
+	report->tasks = talloc_zero_array(mem, struct rj_task_report, count);
+	assert(report->tasks);
+	RJ_FOR_EACH (at, next, &tasks->active) {
+		struct rj_task *task = RJ_CONTAINER(at, struct rj_task, link);
+
+		rj_task_count_progress(task, now_us);
+		report_task(task, report->tasks, now_us,
+			    &report->tasks[report->task_count++]);
+	}
+	RJ_FOR_EACH (at, next, &tasks->ended) {
+		struct rj_task *task = RJ_CONTAINER(at, struct rj_task, link);
+
+		if (is_listed(task))
+			report_task(task, report->tasks, now_us,
+				    &report->tasks[report->task_count++]);
+	}
+}
+
+/*
+ * Every task that was ever started here, with how often.
+ */
+json_t *rj_tasks_ran(const struct rj_tasks *tasks)
+{
+	json_t *list = json_array();
+	char hex[2 * RJ_DIGEST_BYTES + 1];
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, tasks->ran);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct rj_task_ran *ran = value;
+		json_t *item = json_object();
+
+		sodium_bin2hex(hex, sizeof(hex), ran->digest, RJ_DIGEST_BYTES);
+		rj_wire_set_hex(item, "job", ran->key.attempt.job_id);
+		rj_wire_set_hex(item, "owner", ran->key.attempt.owner);
+		rj_wire_set_count(item, "attempt", ran->key.attempt.number);
+		rj_wire_set_count(item, "member", ran->key.member);
+		rj_wire_set_count(item, "starts", ran->starts);
+		json_object_set_new(
+			item, "state",
+			json_string(rj_task_state_string[ran->state]));
+		json_object_set_new(item, "digest", json_string(hex));
+		json_array_append_new(list, item);
+	}
+	return list;
+}
--- /dev/null
+++ b/src/libstandin/worker.c
@@ -0,0 +1,352 @@
+#include "worker.h"
+
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/clock.h"
+#include "private/wire_json.h"
+#include "private/worker_wire.h"
+
+/* A body of the largest size as base64, and the other fields. */
+#define BODY_MAX_BYTES (2U * RJ_BODY_MAX_BYTES)
+
+/* A call that waits for the end of its task; child of its request. */
+struct waiter {
+	struct rj_list link;
+	struct rj_http_request *request;
+	struct rj_worker_call call;
+	struct rj_worker_reply reply;
+};
+
+static void arm(struct rj_standin_worker *worker);
+
+/* Send an answer, unless a fault takes its place. */
+static void send_answer(struct rj_standin_worker *worker,
+			struct rj_http_request *request,
+			const struct rj_worker_call *call,
+			const struct rj_worker_reply *reply)
+{
+	char *text = rj_worker_wire_encode_reply(request, call, reply);
+	size_t length = strlen(text);
+	char *last = worker->last_answer;
+
+	worker->last_answer = talloc_strdup(worker->mem, text);
+	if (worker->lose_answers) {
+		worker->lose_answers--;
+		rj_http_request_abort(request);
+	} else if (worker->cut_answers) {
+		worker->cut_answers--;
+		rj_http_request_answer(request, MHD_HTTP_OK, text, length / 2);
+	} else if (worker->cross_answers && last) {
+		worker->cross_answers--;
+		rj_http_request_answer(request, MHD_HTTP_OK, last,
+				       strlen(last));
+	} else {
+		rj_http_request_answer(request, MHD_HTTP_OK, text, length);
+	}
+	talloc_free(last);
+}
+
+/* Answer the calls whose tasks have come to their end. */
+static void answer_waiters(struct rj_standin_worker *worker, uint64_t now_us)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &worker->waiting) {
+		struct waiter *waiter = RJ_CONTAINER(at, struct waiter, link);
+		struct rj_task *task =
+			rj_tasks_find(&worker->tasks, &waiter->call);
+
+		if (waiter->request->aborted || !task ||
+		    rj_task_is_active(task))
+			continue;
+		rj_list_remove(at);
+		rj_tasks_tell(&worker->tasks, task, now_us, &waiter->reply);
+		if (waiter->call.op != RJ_WORKER_CHECKPOINT)
+			task->told = !rj_http_request_gone(waiter->request);
+		send_answer(worker, waiter->request, &waiter->call,
+			    &waiter->reply);
+		talloc_free(waiter);
+	}
+}
+
+static void task_due(struct tevent_context *ev, struct tevent_timer *timer,
+		     struct timeval now, void *private_data)
+{
+	struct rj_standin_worker *worker = private_data;
+	uint64_t now_us = rj_clock_now_us();
+
+	worker->timer = NULL;
+	rj_tasks_advance(&worker->tasks, now_us);
+	if (!worker->gate.paused)
+		answer_waiters(worker, now_us);
+	arm(worker);
+}
+
+/* Set the timer for what is due next. */
+static void arm(struct rj_standin_worker *worker)
+{
+	uint64_t due_us = rj_tasks_due_us(&worker->tasks);
+	uint64_t now_us = rj_clock_now_us();
+
+	TALLOC_FREE(worker->timer);
+	if (due_us == RJ_NEVER_US)
+		return;
+	worker->timer = tevent_add_timer(
+		worker->ev, worker->mem,
+		rj_clock_timeval_in(due_us > now_us ? due_us - now_us : 0),
+		task_due, worker);
+	assert(worker->timer);
+}
+
+/* Whether the call is answered only when its task is no longer active. */
+static bool waits_for_end(const struct rj_worker_call *call,
+			  const struct rj_worker_reply *reply,
+			  const struct rj_task *task)
+{
+	if (!task || reply->status != RJ_REPLY_OK)
+		return false;
+	if (call->op == RJ_WORKER_CHECKPOINT)
+		return task->saving;
+	return call->op == RJ_WORKER_RUN ||
+	       (call->op == RJ_WORKER_START && call->wait);
+}
+
+static int waiter_destructor(struct waiter *waiter)
+{
+	rj_list_remove(&waiter->link);
+	return 0;
+}
+
+static void wait_for_end(struct rj_standin_worker *worker,
+			 struct rj_http_request *request,
+			 const struct rj_worker_call *call,
+			 const struct rj_worker_reply *reply)
+{
+	struct waiter *waiter = talloc_zero(request, struct waiter);
+
+	assert(waiter);
+	waiter->request = request;
+	waiter->call = *call;
+	waiter->reply = *reply;
+	rj_list_init(&waiter->link);
+	rj_list_append(&worker->waiting, &waiter->link);
+	talloc_set_destructor(waiter, waiter_destructor);
+}
+
+/* The report, as old as the lag allows. */
+static void fill_report(struct rj_standin_worker *worker, void *mem,
+			uint64_t now_us, struct rj_worker_report *report)
+{
+	bool fresh =
+		worker->old_report_mem &&
+		worker->old_report.incarnation == worker->tasks.incarnation &&
+		now_us < worker->old_report_at_us + worker->report_lag_us;
+
+	if (!worker->report_lag_us) {
+		rj_tasks_report(&worker->tasks, mem, now_us, report);
+		return;
+	}
+	if (!fresh) {
+		talloc_free(worker->old_report_mem);
+		worker->old_report_mem =
+			talloc_named_const(worker->mem, 0, "report");
+		rj_tasks_report(&worker->tasks, worker->old_report_mem, now_us,
+				&worker->old_report);
+		worker->old_report_at_us = now_us;
+	}
+	*report = worker->old_report;
+}
+
+static void handle_call(struct rj_standin_worker *worker,
+			struct rj_http_request *request,
+			const struct rj_worker_call *call)
+{
+	uint64_t now_us = rj_clock_now_us();
+	struct rj_worker_reply reply;
+	struct rj_task *task =
+		rj_tasks_call(&worker->tasks, call, now_us, &reply);
+	bool waits = waits_for_end(call, &reply, task);
+
+	if (call->op == RJ_WORKER_REPORT)
+		fill_report(worker, request, now_us, &reply.report);
+	if (waits && rj_task_is_active(task)) {
+		wait_for_end(worker, request, call, &reply);
+	} else {
+		if (waits && call->op != RJ_WORKER_CHECKPOINT)
+			task->told = true;
+		send_answer(worker, request, call, &reply);
+	}
+	answer_waiters(worker, now_us);
+	arm(worker);
+}
+
+static void handle_ran(struct rj_standin_worker *worker,
+		       struct rj_http_request *request)
+{
+	json_t *object = json_object();
+	char *text;
+
+	json_object_set_new(object, "worker",
+			    json_string(worker->options.name));
+	json_object_set_new(object, "ran", rj_tasks_ran(&worker->tasks));
+	text = rj_wire_text(request, object);
+	json_decref(object);
+	rj_http_request_answer(request, MHD_HTTP_OK, text, strlen(text));
+}
+
+/* Counts of answers to come that a fault takes. */
+static int set_counts(struct rj_standin_worker *worker, const json_t *faults)
+{
+	struct {
+		const char *field;
+		uint32_t *count;
+	} counts[] = {
+		{ "lose_next_answers", &worker->lose_answers },
+		{ "cut_next_answers", &worker->cut_answers },
+		{ "cross_next_answers", &worker->cross_answers },
+	};
+
+	for (size_t i = 0; i < sizeof(counts) / sizeof(*counts); i++)
+		if (json_object_get(faults, counts[i].field) &&
+		    rj_wire_get_u32(faults, counts[i].field, counts[i].count,
+				    NULL))
+			return -1;
+	return 0;
+}
+
+static int set_faults(struct rj_standin_worker *worker, const json_t *faults,
+		      const struct rj_http_request *request)
+{
+	json_t *fail_all = json_object_get(faults, "fail_all");
+	json_t *leaving = json_object_get(faults, "leaving");
+	json_t *lag = json_object_get(faults, "report_lag_ms");
+
+	if ((fail_all && !json_is_boolean(fail_all)) ||
+	    (leaving && !json_is_boolean(leaving)) ||
+	    (lag && (!json_is_integer(lag) || json_integer_value(lag) < 0)) ||
+	    set_counts(worker, faults) ||
+	    rj_gate_set(&worker->gate, &worker->server, faults, request))
+		return -1;
+	if (fail_all)
+		worker->tasks.fail_all = json_is_true(fail_all);
+	if (leaving)
+		worker->tasks.leaving = json_is_true(leaving);
+	if (lag)
+		worker->report_lag_us =
+			(uint64_t)json_integer_value(lag) * RJ_US_PER_MS;
+	if (json_is_true(json_object_get(faults, "restart"))) {
+		rj_tasks_restart(&worker->tasks);
+		rj_http_server_abort_open(&worker->server, request);
+	}
+	return 0;
+}
+
+static void handle_fault(struct rj_standin_worker *worker,
+			 struct rj_http_request *request)
+{
+	json_t *faults =
+		json_loadb(request->body.data, request->body.length, 0, NULL);
+
+	if (!json_is_object(faults) || set_faults(worker, faults, request)) {
+		rj_http_request_error(request, MHD_HTTP_BAD_REQUEST,
+				      "fault: a field has the wrong type; see "
+				      "the worker protocol");
+		json_decref(faults);
+		return;
+	}
+	json_decref(faults);
+	rj_http_request_answer(request, MHD_HTTP_OK, "{}", 2);
+	rj_tasks_advance(&worker->tasks, rj_clock_now_us());
+	if (!worker->gate.paused)
+		answer_waiters(worker, rj_clock_now_us());
+	arm(worker);
+	if (worker->options.changed)
+		worker->options.changed(worker);
+}
+
+/* POST /v1/OP with a call whose operation must be the one of the path. */
+static void dispatch(void *private_data, struct rj_http_request *request)
+{
+	struct rj_standin_worker *worker = private_data;
+	const char *op = request->path + strlen("/v1/");
+	struct rj_worker_call call;
+	struct rj_error err;
+
+	if (rj_worker_wire_decode_call(request, request->body.data,
+				       request->body.length, &call, &err)) {
+		rj_http_request_error(request, MHD_HTTP_BAD_REQUEST,
+				      err.message);
+		return;
+	}
+	if (strcmp(op, rj_worker_op_string[call.op]) != 0 ||
+	    strcmp(call.worker, worker->options.name) != 0) {
+		rj_http_request_error(request, MHD_HTTP_BAD_REQUEST,
+				      "op, worker: not those of this path and "
+				      "worker; ask the one that is meant");
+		return;
+	}
+	handle_call(worker, request, &call);
+}
+
+/* Faults and the check are past the gate, so that a pause can be ended. */
+static void receive(void *private_data, struct rj_http_request *request)
+{
+	struct rj_standin_worker *worker = private_data;
+
+	if (!strcmp(request->path, "/v1/fault"))
+		handle_fault(worker, request);
+	else if (!strcmp(request->path, "/v1/ran"))
+		handle_ran(worker, request);
+	else if (!strncmp(request->path, "/v1/", strlen("/v1/")))
+		rj_gate_enter(&worker->gate, request);
+	else
+		rj_http_request_error(request, MHD_HTTP_NOT_FOUND,
+				      "path: unknown; see the worker protocol");
+}
+
+/*
+ * Serve on options->address from `ev`. Returns 0, or -1 with `err` when the
+ * address cannot be had.
+ */
+int rj_standin_worker_init(struct rj_standin_worker *worker, void *mem,
+			   struct tevent_context *ev,
+			   const struct rj_standin_worker_options *options,
+			   struct rj_error *err)
+{
+	struct rj_http_server_options server_options = {
+		.address = options->address,
+		.connections_max = options->connections_max,
+		.body_max_bytes = BODY_MAX_BYTES,
+		.handle = receive,
+		.private_data = worker,
+	};
+
+	memset(worker, 0, sizeof(*worker));
+	worker->options = *options;
+	worker->ev = ev;
+	rj_list_init(&worker->waiting);
+	if (rj_http_server_init(&worker->server, mem, ev, &server_options, err))
+		return -1;
+	worker->mem = talloc_named_const(mem, 0, "worker");
+	assert(worker->mem);
+	rj_gate_init(&worker->gate, worker->mem, ev, dispatch, worker);
+	rj_tasks_init(&worker->tasks, worker->mem, options->name,
+		      &options->capacity);
+	return 0;
+}
+
+/*
+ * Close all connections and forget all tasks.
+ */
+void rj_standin_worker_finish(struct rj_standin_worker *worker)
+{
+	if (!worker->mem)
+		return;
+	rj_http_server_finish(&worker->server);
+	rj_gate_finish(&worker->gate);
+	rj_tasks_finish(&worker->tasks);
+	TALLOC_FREE(worker->mem);
+}
--- /dev/null
+++ b/src/libstandin/worker.h
@@ -0,0 +1,51 @@
+/*
+ * The stand-in of one worker: the table of leases and tasks behind HTTP,
+ * with faults on request (docs/WORKER-PROTOCOL.md).
+ *
+ * Life cycle: `rj_standin_worker_init` on the caller's memory serves until
+ * `rj_standin_worker_finish`.
+ */
+#ifndef RADISHJUNCTION_STANDIN_WORKER_H
+#define RADISHJUNCTION_STANDIN_WORKER_H
+
+#include "gate.h"
+#include "http_server.h"
+#include "tasks.h"
+
+struct rj_standin_worker;
+
+struct rj_standin_worker_options {
+	char name[RJ_NAME_BYTES];
+	struct rj_address address;
+	uint32_t connections_max;
+	struct rj_resources capacity;
+	/* Told after a fault changed the state or the incarnation. */
+	void (*changed)(struct rj_standin_worker *worker);
+};
+
+struct rj_standin_worker {
+	struct rj_standin_worker_options options;
+	void *mem;
+	struct tevent_context *ev;
+	struct rj_http_server server;
+	struct rj_gate gate;
+	struct rj_tasks tasks;
+	struct tevent_timer *timer; /* for rj_tasks_due_us */
+	struct rj_list waiting; /* requests that wait for a task's end */
+	uint64_t report_lag_us;
+	void *old_report_mem;
+	struct rj_worker_report old_report; /* told while the report lags */
+	uint64_t old_report_at_us;
+	uint32_t lose_answers; /* calls to come whose answer is lost */
+	uint32_t cut_answers; /* calls to come whose answer is cut short */
+	uint32_t cross_answers; /* calls to come with the answer before */
+	char *last_answer;
+};
+
+int rj_standin_worker_init(struct rj_standin_worker *worker, void *mem,
+			   struct tevent_context *ev,
+			   const struct rj_standin_worker_options *options,
+			   struct rj_error *err);
+void rj_standin_worker_finish(struct rj_standin_worker *worker);
+
+#endif
--- /dev/null
+++ b/src/share/http_server.h
@@ -0,0 +1,78 @@
+/*
+ * An HTTP server under a tevent loop: libmicrohttpd in external epoll mode,
+ * without threads.
+ *
+ * Life cycle: `rj_http_server_init` listens and calls `handle` once for each
+ * whole request. The handler answers at once, or keeps the request and
+ * answers later; the connection is suspended meanwhile. A request is freed
+ * after its answer was sent or its client has gone: what the handler hangs
+ * on it as a talloc child (a timer, a destructor) goes with it. `rj_http_server_finish` closes all.
+ */
+#ifndef RADISHJUNCTION_SHARE_HTTP_SERVER_H
+#define RADISHJUNCTION_SHARE_HTTP_SERVER_H
+
+#include <microhttpd.h>
+#include <tevent.h>
+
+#include "private/buffer.h"
+#include "private/list.h"
+#include "radishjunction/error.h"
+#include "radishjunction/types.h"
+
+struct rj_http_server;
+
+struct rj_http_request {
+	struct rj_list link; /* in the server's open requests */
+	struct rj_http_server *server;
+	struct MHD_Connection *connection;
+	const char *method;
+	const char *path;
+	struct rj_buffer body; /* never without data when handled */
+	bool too_large;
+	bool handled; /* the handler has been called */
+	bool suspended;
+	bool aborted;
+	struct MHD_Response *response;
+	unsigned int status;
+};
+
+struct rj_http_server_options {
+	struct rj_address address; /* port 0: any free one */
+	uint32_t connections_max; /* one more is closed at once */
+	uint32_t body_max_bytes;
+	void (*handle)(void *private_data, struct rj_http_request *request);
+	void *private_data;
+};
+
+struct rj_http_server {
+	struct rj_http_server_options options;
+	void *mem; /* parent of all requests */
+	struct tevent_context *ev;
+	struct MHD_Daemon *daemon;
+	struct tevent_timer *timer;
+	struct tevent_timer *gone_timer;
+	struct rj_address address; /* with the port that it listens on */
+	struct rj_list open; /* handled, not yet answered */
+	uint32_t connections;
+};
+
+int rj_http_server_init(struct rj_http_server *server, void *mem,
+			struct tevent_context *ev,
+			const struct rj_http_server_options *options,
+			struct rj_error *err);
+const char *rj_http_request_header(struct rj_http_request *request,
+				   const char *name);
+const char *rj_http_request_argument(struct rj_http_request *request,
+				     const char *name);
+void rj_http_request_answer(struct rj_http_request *request,
+			    unsigned int status, const char *text,
+			    size_t length);
+void rj_http_request_error(struct rj_http_request *request, unsigned int status,
+			   const char *message);
+void rj_http_request_abort(struct rj_http_request *request);
+bool rj_http_request_gone(const struct rj_http_request *request);
+void rj_http_server_abort_open(struct rj_http_server *server,
+			       const struct rj_http_request *except);
+void rj_http_server_finish(struct rj_http_server *server);
+
+#endif
--- /dev/null
+++ b/src/standin/main.c
@@ -0,0 +1,279 @@
+/*
+ * rj-standin: small stand-ins that take the place of the platform and of
+ * the workers in tests, demos and measurements.
+ */
+#include <argtable2.h>
+#include <assert.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "fleet.h"
+#include "platform.h"
+#include "private/wire_json.h"
+
+#define EXIT_USAGE 2
+#define ARG_ERRORS_MAX 20
+#define DEFAULT_RETENTION_MS (3600 * 1000)
+#define ARG_COUNT(table) (sizeof(table) / sizeof(*(table)))
+
+/* What the modes share. */
+struct shell {
+	struct tevent_context *ev;
+	bool stopped;
+};
+
+static void stop(struct tevent_context *ev, struct tevent_signal *signal,
+		 int number, int count, void *info, void *private_data)
+{
+	struct shell *shell = private_data;
+
+	shell->stopped = true;
+}
+
+/* Tell whoever started this program where it listens, then serve. */
+static void serve(struct shell *shell, json_t *listening)
+{
+	json_t *line = json_object();
+	char *text;
+
+	json_object_set_new(line, "listening", listening);
+	text = rj_wire_text(shell->ev, line);
+	json_decref(line);
+	puts(text);
+	fflush(stdout);
+	talloc_free(text);
+	while (!shell->stopped)
+		tevent_loop_once(shell->ev);
+}
+
+/* Parse the command line. Returns -1, or the status to exit with. */
+static int parse(int argc, char **argv, void **table, size_t count,
+		 struct arg_lit *help, struct arg_end *end)
+{
+	int errors = arg_parse(argc, argv, table);
+
+	if (help->count) {
+		printf("usage: rj-standin %s", argv[0]);
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-26s %s\n");
+		return EXIT_SUCCESS;
+	}
+	if (!errors)
+		return -1;
+	arg_print_errors(stderr, end, argv[0]);
+	fprintf(stderr, "see rj-standin %s --help\n", argv[0]);
+	return EXIT_USAGE;
+}
+
+static int fail(const struct rj_error *err)
+{
+	fprintf(stderr, "rj-standin: %s\n", err->message);
+	return EXIT_FAILURE;
+}
+
+/* Split IP:PORT. */
+static int parse_address(const char *text, struct rj_address *address)
+{
+	const char *colon = strrchr(text, ':');
+	char *end;
+	unsigned long port;
+
+	if (!colon || (size_t)(colon - text) >= sizeof(address->ip))
+		return -1;
+	memset(address, 0, sizeof(*address));
+	memcpy(address->ip, text, (size_t)(colon - text));
+	port = strtoul(colon + 1, &end, 10);
+	if (*end || end == colon + 1 || port > UINT16_MAX)
+		return -1;
+	address->port = (uint16_t)port;
+	return 0;
+}
+
+static int serve_platform(struct shell *shell,
+			  const struct rj_standin_platform_options *options)
+{
+	struct rj_standin_platform platform;
+	struct rj_error err;
+	json_t *list = json_array();
+
+	if (rj_standin_platform_init(&platform, shell->ev, shell->ev, options,
+				     &err)) {
+		json_decref(list);
+		return fail(&err);
+	}
+	json_array_append_new(
+		list, json_pack("{s:s, s:i}", "ip", platform.server.address.ip,
+				"port", (int)platform.server.address.port));
+	serve(shell, list);
+	rj_standin_platform_finish(&platform);
+	return EXIT_SUCCESS;
+}
+
+static int run_platform(struct shell *shell, int argc, char **argv)
+{
+	struct arg_str *listen =
+		arg_str1(NULL, "listen", "IP:PORT", "address; port 0: any");
+	struct arg_int *retention =
+		arg_int0(NULL, "retention-ms", "N", "how long records stay");
+	struct arg_int *lag =
+		arg_int0(NULL, "list-lag-ms", "N", "lag of the instance list");
+	struct arg_int *rate =
+		arg_int0(NULL, "append-rate", "N", "appends a second; 0: any");
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
+	struct arg_end *end = arg_end(ARG_ERRORS_MAX);
+	void *table[] = { listen, retention, lag, rate, help, end };
+	struct rj_standin_platform_options options;
+	int status;
+
+	retention->ival[0] = DEFAULT_RETENTION_MS;
+	lag->ival[0] = 0;
+	rate->ival[0] = 0;
+	status = parse(argc, argv, table, ARG_COUNT(table), help, end);
+	if (status >= 0)
+		goto out;
+	memset(&options, 0, sizeof(options));
+	status = EXIT_USAGE;
+	if (parse_address(listen->sval[0], &options.address)) {
+		fprintf(stderr, "listen: \"%s\" is no IP:PORT\n",
+			listen->sval[0]);
+		goto out;
+	}
+	if (retention->ival[0] <= 0 || lag->ival[0] < 0 || rate->ival[0] < 0) {
+		fprintf(stderr, "retention-ms, list-lag-ms, append-rate: give "
+				"positive numbers\n");
+		goto out;
+	}
+	options.retention_us = (uint64_t)retention->ival[0] * RJ_US_PER_MS;
+	options.list_lag_us = (uint64_t)lag->ival[0] * RJ_US_PER_MS;
+	options.append_rate = (uint32_t)rate->ival[0];
+	status = serve_platform(shell, &options);
+out:
+	arg_freetable(table, ARG_COUNT(table));
+	return status;
+}
+
+static int serve_workers(struct shell *shell,
+			 const struct rj_fleet_options *options)
+{
+	struct rj_fleet fleet;
+	struct rj_error err;
+
+	if (rj_fleet_init(&fleet, shell->ev, shell->ev, options, &err))
+		return fail(&err);
+	serve(shell, rj_fleet_listening(&fleet));
+	rj_fleet_finish(&fleet);
+	return EXIT_SUCCESS;
+}
+
+static int run_workers(struct shell *shell, int argc, char **argv)
+{
+	struct arg_str *ip =
+		arg_str1(NULL, "listen-ip", "IP", "each worker on any port");
+	struct arg_int *count = arg_int1(NULL, "count", "N", "workers");
+	struct arg_str *prefix =
+		arg_str1(NULL, "name-prefix", "P", "names P-000 and so on");
+	struct arg_str *domain =
+		arg_str1(NULL, "domain", "D", "failure domain");
+	struct arg_int *rack = arg_int0(NULL, "rack-from", "R", "first rack");
+	struct arg_int *per_rack =
+		arg_int0(NULL, "per-rack", "N", "workers in a rack");
+	struct arg_str *platform =
+		arg_str0(NULL, "platform", "IP:PORT", "where to register");
+	struct arg_int *slots = arg_int0(NULL, "slots", "N", NULL);
+	struct arg_int *connections =
+		arg_int0(NULL, "connections", "N", "open at once");
+	struct arg_int *accelerators =
+		arg_int0(NULL, "accelerators", "N", NULL);
+	struct arg_int *cores = arg_int0(NULL, "cores", "N", NULL);
+	struct arg_int *memory = arg_int0(NULL, "memory-mb", "N", NULL);
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
+	struct arg_end *end = arg_end(ARG_ERRORS_MAX);
+	void *table[] = { ip,	    count,    prefix, domain,	   rack,
+			  per_rack, platform, slots,  connections, accelerators,
+			  cores,    memory,   help,   end };
+	struct rj_fleet_options options;
+	int status;
+
+	rack->ival[0] = 0;
+	per_rack->ival[0] = 8;
+	slots->ival[0] = 8;
+	connections->ival[0] = 64;
+	accelerators->ival[0] = 8;
+	cores->ival[0] = 128;
+	memory->ival[0] = 524288;
+	status = parse(argc, argv, table, ARG_COUNT(table), help, end);
+	if (status >= 0)
+		goto out;
+	status = EXIT_USAGE;
+	if (count->ival[0] <= 0 || per_rack->ival[0] <= 0 ||
+	    rack->ival[0] < 0 || slots->ival[0] < 0 ||
+	    connections->ival[0] <= 0 || accelerators->ival[0] < 0 ||
+	    cores->ival[0] < 0 || memory->ival[0] < 0) {
+		fprintf(stderr, "count, per-rack, connections: give numbers "
+				"from 1, for the others from 0\n");
+		goto out;
+	}
+	memset(&options, 0, sizeof(options));
+	options.listen_ip = ip->sval[0];
+	options.name_prefix = prefix->sval[0];
+	options.domain = domain->sval[0];
+	options.platform = platform->count ? platform->sval[0] : NULL;
+	options.count = (uint32_t)count->ival[0];
+	options.rack_from = (uint32_t)rack->ival[0];
+	options.per_rack = (uint32_t)per_rack->ival[0];
+	options.connections_max = (uint32_t)connections->ival[0];
+	options.capacity.slots = (uint32_t)slots->ival[0];
+	options.capacity.accelerators = (uint32_t)accelerators->ival[0];
+	options.capacity.cores = (uint32_t)cores->ival[0];
+	options.capacity.memory_mb = (uint32_t)memory->ival[0];
+	status = serve_workers(shell, &options);
+out:
+	arg_freetable(table, ARG_COUNT(table));
+	return status;
+}
+
+static const struct {
+	const char *name;
+	int (*run)(struct shell *shell, int argc, char **argv);
+} modes[] = {
+	{ "platform", run_platform },
+	{ "workers", run_workers },
+};
+
+static int run_mode(struct shell *shell, int argc, char **argv)
+{
+	for (size_t i = 0; argc > 1 && i < ARG_COUNT(modes); i++)
+		if (!strcmp(argv[1], modes[i].name))
+			return modes[i].run(shell, argc - 1, argv + 1);
+	if (argc > 1 && !strcmp(argv[1], "--version")) {
+		puts("rj-standin " RJ_VERSION);
+		return EXIT_SUCCESS;
+	}
+	fprintf(stderr, "usage: rj-standin platform|workers [--help]\n");
+	return EXIT_USAGE;
+}
+
+int main(int argc, char **argv)
+{
+	struct shell shell = { .stopped = false };
+	int status;
+
+	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT)) {
+		fprintf(stderr, "rj-standin: a library cannot start\n");
+		return EXIT_FAILURE;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	shell.ev = tevent_context_init(NULL);
+	assert(shell.ev);
+	tevent_add_signal(shell.ev, shell.ev, SIGTERM, 0, stop, &shell);
+	tevent_add_signal(shell.ev, shell.ev, SIGINT, 0, stop, &shell);
+	status = run_mode(&shell, argc, argv);
+	talloc_free(shell.ev);
+	curl_global_cleanup();
+	return status;
+}
