peers: authenticated links over TCP

Cause: instances have to talk; a stranger, a replayed frame or a malformed one must harm nothing but its own link. Excluded: one key for both directions (a stranger that reflects each frame would pass), a sequence number on the wire (the counter of each side says the same, and cannot be forged). Change: a framed link, a session that seals frames, and the set of peers with back-off, one link a pair, a bounded queue and a count for each reason to close. An empty text made a memcpy from NULL; mended. Before: the undefined-behaviour sanitizer stopped test_peer_codec at that memcpy.

--- /dev/null
+++ b/include/radishjunction/tcp_peers.h
@@ -0,0 +1,63 @@
+/*
+ * Links to the other instances: msgpack in authenticated frames over TCP.
+ *
+ * Life cycle: `rj_tcp_peers_init` listens at once; the core's actions connect,
+ * send and drop; `base.ops->finish` closes every link. One link stands for a
+ * pair of instances. Both sides prove the shared key over both nonces, and
+ * each later frame carries a keyed MAC over its place in the sequence.
+ * Delivers RJ_EVENT_PEER_UP, PEER_DOWN and PEER_MESSAGE, whose `now_us` is
+ * left to the sink.
+ */
+#ifndef RADISHJUNCTION_TCP_PEERS_H
+#define RADISHJUNCTION_TCP_PEERS_H
+
+#include "radishjunction/adapter.h"
+#include "radishjunction/error.h"
+
+struct tevent_context;
+
+/* Why a link ended; each is counted. */
+enum rj_peer_close {
+	RJ_PEER_CLOSE_END, /* the other side closed it */
+	RJ_PEER_CLOSE_IO, /* the connection failed or was never made */
+	RJ_PEER_CLOSE_OVERSIZED, /* a frame above the bound */
+	RJ_PEER_CLOSE_MALFORMED,
+	RJ_PEER_CLOSE_AUTHENTICATION, /* another key, or a frame repeated */
+	RJ_PEER_CLOSE_VERSION, /* no version in common */
+	RJ_PEER_CLOSE_NAME, /* not the peer that was expected there */
+	RJ_PEER_CLOSE_TIMEOUT, /* of the handshake */
+	RJ_PEER_CLOSE_QUEUE_FULL, /* the other side reads too slowly */
+	RJ_PEER_CLOSE_REPLACED, /* by a newer link to the same peer */
+	RJ_PEER_CLOSE_DROPPED, /* on request */
+	RJ_PEER_CLOSE_TOO_MANY, /* unproven connections at once */
+	RJ_PEER_CLOSE_COUNT
+};
+
+extern const char *const rj_peer_close_string[RJ_PEER_CLOSE_COUNT];
+
+struct rj_tcp_peers_options {
+	struct tevent_context *loop;
+	struct rj_sink *sink;
+	char name[RJ_NAME_BYTES];
+	char domain[RJ_NAME_BYTES];
+	uint64_t incarnation;
+	struct rj_address address; /* port 0: any free one */
+	char key[RJ_TOKEN_BYTES]; /* shared by all instances */
+	uint64_t seed; /* of the jitter of reconnects */
+};
+
+struct rj_tcp_peers_state;
+
+struct rj_tcp_peers {
+	struct rj_peers base; /* first member, always */
+	struct rj_tcp_peers_state *state; /* talloc child of init's mem */
+};
+
+int rj_tcp_peers_init(struct rj_tcp_peers *peers, void *mem,
+		      const struct rj_tcp_peers_options *options,
+		      struct rj_error *err);
+struct rj_address rj_tcp_peers_address(const struct rj_tcp_peers *peers);
+uint64_t rj_tcp_peers_closed(const struct rj_tcp_peers *peers,
+			     enum rj_peer_close reason);
+
+#endif
--- /dev/null
+++ b/src/libradishjunction/include/private/tcp_link.h
@@ -0,0 +1,65 @@
+/*
+ * One TCP connection that carries frames: a length of four bytes, then the
+ * frame. Knows nothing of what is in them.
+ *
+ * Life cycle: init on a connected or connecting socket, which it owns from
+ * then on; `closed` is called once, from the event loop and never from
+ * within a call, and the owner finishes the link there or later.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_TCP_LINK_H
+#define RADISHJUNCTION_PRIVATE_TCP_LINK_H
+
+#include "radishjunction/tcp_peers.h"
+
+/* A body of RJ_BODY_MAX_BYTES or a configuration, with their fields. */
+#define RJ_FRAME_MAX_BYTES (512 * 1024)
+/* Some frames of the largest size; a peer that is so far behind is lost. */
+#define RJ_LINK_QUEUE_MAX_BYTES (4 * 1024 * 1024)
+
+struct tevent_fd;
+struct tevent_immediate;
+struct rj_tcp_link;
+
+struct rj_tcp_link_ops {
+	void (*connected)(struct rj_tcp_link *link);
+	/* `frame` is good until the call returns. */
+	void (*frame)(struct rj_tcp_link *link, struct rj_bytes frame);
+	void (*closed)(struct rj_tcp_link *link, enum rj_peer_close reason);
+};
+
+struct rj_link_buffer {
+	uint8_t *data;
+	uint32_t start;
+	uint32_t end;
+	uint32_t capacity;
+};
+
+struct rj_tcp_link {
+	const struct rj_tcp_link_ops *ops; /* first member, always */
+	struct tevent_context *loop;
+	struct tevent_fd *fd_event;
+	struct tevent_immediate *closing;
+	void *mem;
+	int fd;
+	bool connecting;
+	bool ended;
+	enum rj_peer_close reason; /* once it has ended */
+	uint32_t frame_max; /* small until the other side is proven */
+	struct rj_link_buffer in;
+	struct rj_link_buffer out;
+};
+
+void rj_tcp_link_init(struct rj_tcp_link *link, void *mem,
+		      const struct rj_tcp_link_ops *ops,
+		      struct tevent_context *loop, int fd, bool connecting);
+void rj_tcp_link_send(struct rj_tcp_link *link, const struct rj_bytes *parts,
+		      uint32_t count);
+void rj_tcp_link_close(struct rj_tcp_link *link, enum rj_peer_close reason);
+void rj_tcp_link_finish(struct rj_tcp_link *link);
+
+int rj_tcp_connect(const struct rj_address *address, struct rj_error *err);
+int rj_tcp_listen(const struct rj_address *address, struct rj_address *bound,
+		  struct rj_error *err);
+int rj_tcp_accept(int listener);
+
+#endif
--- a/src/libradishjunction/peer/peer_codec.c
+++ b/src/libradishjunction/peer/peer_codec.c
@@ -179,7 +179,7 @@
 		read_object(reader, field, MSGPACK_OBJECT_STR);
 
 	memset(text, 0, size);
-	if (!object)
+	if (!object || !object->via.str.size)
 		return;
 	if (object->via.str.size >= size ||
 	    memchr(object->via.str.ptr, 0, object->via.str.size)) {
--- /dev/null
+++ b/src/test_libradishjunction/test_tcp_peers.c
@@ -0,0 +1,408 @@
+#include <glib.h>
+#include <sodium.h>
+#include <string.h>
+#include <talloc.h>
+#include <tevent.h>
+
+#include "private/peer_session.h"
+#include "private/tcp_link.h"
+#include "radishjunction/tcp_peers.h"
+
+#define KEY "the key of all instances"
+/* Far above what any of this takes: a test that hangs fails. */
+#define PATIENCE_S 30
+
+/* An instance's side of the links, and what its sink was told. */
+struct node {
+	struct rj_sink sink; /* first member, always */
+	struct rj_tcp_peers peers;
+	uint32_t ups;
+	uint32_t downs;
+	uint32_t messages;
+	uint64_t last_value;
+};
+
+/* A peer that the test drives frame by frame. */
+struct raw {
+	struct rj_tcp_link link; /* first member, always */
+	struct rj_peer_session session;
+	uint32_t frames;
+	bool closed;
+};
+
+static struct tevent_context *loop;
+static bool timed_out;
+
+static void on_event(struct rj_sink *sink, struct rj_event *event)
+{
+	struct node *node = (struct node *)sink;
+
+	node->ups += event->kind == RJ_EVENT_PEER_UP;
+	node->downs += event->kind == RJ_EVENT_PEER_DOWN;
+	if (event->kind != RJ_EVENT_PEER_MESSAGE)
+		return;
+	node->messages++;
+	node->last_value = event->u.peer.message->u.cancel.job_id;
+}
+
+static void on_patience(struct tevent_context *context,
+			struct tevent_timer *timer, struct timeval now,
+			void *private_data)
+{
+	timed_out = true;
+}
+
+/* Run the loop until the condition holds; the test fails if it never does. */
+#define RUN_UNTIL(condition)                                                   \
+	do {                                                                   \
+		struct tevent_timer *patience = tevent_add_timer(              \
+			loop, loop, tevent_timeval_current_ofs(PATIENCE_S, 0), \
+			on_patience, NULL);                                    \
+		timed_out = false;                                             \
+		while (!(condition) && !timed_out)                             \
+			tevent_loop_once(loop);                                \
+		g_assert_true(condition);                                      \
+		talloc_free(patience);                                         \
+	} while (0)
+
+static void node_init(struct node *node, const char *name, const char *key,
+		      uint16_t port)
+{
+	struct rj_tcp_peers_options options = {
+		.loop = loop,
+		.sink = &node->sink,
+		.incarnation = 1,
+		.address = { "127.0.0.1", port },
+		.seed = 1,
+	};
+
+	memset(node, 0, sizeof(*node));
+	node->sink.deliver = on_event;
+	rj_name_set(options.name, name);
+	rj_name_set(options.domain, "lhr-dha");
+	g_strlcpy(options.key, key, sizeof(options.key));
+	g_assert_cmpint(rj_tcp_peers_init(&node->peers, loop, &options, NULL),
+			==, 0);
+}
+
+static void node_finish(struct node *node)
+{
+	node->peers.base.ops->finish(&node->peers.base);
+}
+
+static void node_connect(struct node *node, const char *name,
+			 const struct node *other)
+{
+	struct rj_address address = rj_tcp_peers_address(&other->peers);
+
+	node->peers.base.ops->connect(&node->peers.base, name, &address);
+}
+
+/* Send a message that carries `value`. */
+static void node_send(struct node *node, const char *name, uint64_t value)
+{
+	struct rj_peer_message message = { .kind = RJ_PEER_CANCEL };
+
+	message.u.cancel.job_id = value;
+	node->peers.base.ops->send(&node->peers.base, name, &message);
+}
+
+static void raw_frame(struct rj_tcp_link *link, struct rj_bytes frame)
+{
+	struct raw *raw = (struct raw *)link;
+	struct rj_bytes body;
+
+	if (raw->frames++ == 0)
+		rj_peer_session_take_hello(&raw->session, frame, NULL);
+	else
+		rj_peer_session_open(&raw->session, frame, &body, NULL);
+}
+
+static void raw_connected(struct rj_tcp_link *link)
+{
+	struct raw *raw = (struct raw *)link;
+	struct rj_bytes hello = { raw->session.own_bytes,
+				  raw->session.own_length };
+
+	rj_tcp_link_send(link, &hello, 1);
+}
+
+static void raw_closed(struct rj_tcp_link *link, enum rj_peer_close reason)
+{
+	((struct raw *)link)->closed = true;
+}
+
+static const struct rj_tcp_link_ops raw_ops = { raw_connected, raw_frame,
+						raw_closed };
+
+/* Connect to `node` and send a hello. */
+static void raw_init(struct raw *raw, const struct node *node, const char *name,
+		     uint32_t version)
+{
+	struct rj_address address = rj_tcp_peers_address(&node->peers);
+	struct rj_peer_hello hello = { .version = version,
+				       .version_min = version };
+
+	memset(raw, 0, sizeof(*raw));
+	rj_name_set(hello.name, name);
+	rj_name_set(hello.domain, "lhr-dha");
+	randombytes_buf(hello.nonce, sizeof(hello.nonce));
+	rj_peer_session_init(&raw->session, KEY, &hello);
+	rj_tcp_link_init(&raw->link, loop, &raw_ops, loop,
+			 rj_tcp_connect(&address, NULL), true);
+}
+
+/* Seal `body`; the whole frame is a talloc child of `loop`. */
+static struct rj_bytes raw_seal(struct raw *raw, struct rj_bytes body)
+{
+	uint8_t *data = talloc_size(loop, RJ_PEER_MAC_BYTES + body.length);
+
+	rj_peer_session_seal(&raw->session, data, body);
+	if (body.length)
+		memcpy(data + RJ_PEER_MAC_BYTES, body.data, body.length);
+	return (struct rj_bytes){ data, RJ_PEER_MAC_BYTES + body.length };
+}
+
+/* Finish the handshake as a proper peer. */
+static void raw_prove(struct raw *raw, struct node *node)
+{
+	struct rj_bytes proof;
+	uint32_t ups = node->ups;
+
+	RUN_UNTIL(raw->frames >= 1);
+	proof = raw_seal(raw, (struct rj_bytes){ NULL, 0 });
+	rj_tcp_link_send(&raw->link, &proof, 1);
+	RUN_UNTIL(node->ups == ups + 1);
+}
+
+static uint64_t closed(const struct node *node, enum rj_peer_close reason)
+{
+	return rj_tcp_peers_closed(&node->peers, reason);
+}
+
+/* Two linked instances, of which the first is then attacked. */
+static void pair_init(struct node *node, struct node *other)
+{
+	node_init(node, "b", KEY, 0);
+	node_init(other, "a", KEY, 0);
+	node_connect(other, "b", node);
+	RUN_UNTIL(node->ups == 1 && other->ups == 1);
+}
+
+/* The link of the pair still carries messages, and has never ended. */
+static void pair_finish(struct node *node, struct node *other)
+{
+	uint32_t messages = node->messages;
+
+	node_send(other, "b", 4711);
+	RUN_UNTIL(node->messages == messages + 1);
+	g_assert_cmpuint(node->last_value, ==, 4711);
+	g_assert_cmpuint(other->downs, ==, 0);
+	node_finish(node);
+	node_finish(other);
+}
+
+/* Both connect at the same time; one link stays and carries messages. */
+static void test_both_connect(void)
+{
+	struct node a;
+	struct node b;
+
+	node_init(&a, "a", KEY, 0);
+	node_init(&b, "b", KEY, 0);
+	node_connect(&b, "a", &a);
+	node_connect(&a, "b", &b);
+	RUN_UNTIL(a.ups > a.downs && b.ups > b.downs);
+	node_send(&a, "b", 1);
+	node_send(&b, "a", 2);
+	RUN_UNTIL(a.messages == 1 && b.messages == 1);
+	g_assert_cmpuint(a.last_value, ==, 2);
+	g_assert_cmpuint(b.last_value, ==, 1);
+	g_assert_cmpuint(a.ups, ==, 1);
+	g_assert_cmpuint(b.ups, ==, 1);
+	node_finish(&a);
+	node_finish(&b);
+}
+
+/* An instance that was replaced at its address is found again. */
+static void test_reconnects(void)
+{
+	struct node a;
+	struct node b;
+	struct rj_address address;
+
+	node_init(&a, "a", KEY, 0);
+	node_init(&b, "b", KEY, 0);
+	node_connect(&a, "b", &b);
+	RUN_UNTIL(a.ups == 1);
+	address = rj_tcp_peers_address(&b.peers);
+	node_finish(&b);
+	RUN_UNTIL(a.downs == 1);
+	node_init(&b, "b", KEY, address.port);
+	RUN_UNTIL(a.ups == 2 && b.ups == 1);
+	node_finish(&a);
+	node_finish(&b);
+}
+
+/*
+ * A stranger reads and forges other teams' work.
+ * It knows the addresses and the format of the frames, but not the key.
+ */
+static void test_wrong_key(void)
+{
+	struct node node;
+	struct node other;
+	struct node stranger;
+
+	pair_init(&node, &other);
+	node_init(&stranger, "a2", "another key", 0);
+	node_connect(&stranger, "b", &node);
+	RUN_UNTIL(closed(&node, RJ_PEER_CLOSE_AUTHENTICATION) == 1);
+	g_assert_cmpuint(node.ups, ==, 1);
+	g_assert_cmpuint(stranger.ups, ==, 0);
+	node_finish(&stranger);
+	pair_finish(&node, &other);
+}
+
+/*
+ * A forwarded job arrives twice.
+ * A device on the way repeats a whole frame, bit by bit.
+ * Cause: the frame verified on its own, whatever its place.
+ */
+static void test_replayed_frame(void)
+{
+	struct rj_peer_message message = { .kind = RJ_PEER_CANCEL };
+	struct rj_bytes frame;
+	struct node node;
+	struct node other;
+	struct raw raw;
+
+	pair_init(&node, &other);
+	raw_init(&raw, &node, "c", RJ_PEER_VERSION);
+	raw_prove(&raw, &node);
+	frame = raw_seal(&raw, rj_peer_encode(loop, &message));
+	rj_tcp_link_send(&raw.link, &frame, 1);
+	rj_tcp_link_send(&raw.link, &frame, 1);
+	RUN_UNTIL(closed(&node, RJ_PEER_CLOSE_AUTHENTICATION) == 1);
+	g_assert_cmpuint(node.messages, ==, 1);
+	rj_tcp_link_finish(&raw.link);
+	pair_finish(&node, &other);
+}
+
+/* A proven peer sends bytes that are no message. */
+static void test_malformed_message(void)
+{
+	struct rj_bytes garbage = { (const uint8_t *)"\xc1\xc1\xc1", 3 };
+	struct node node;
+	struct node other;
+	struct raw raw;
+
+	pair_init(&node, &other);
+	raw_init(&raw, &node, "c", RJ_PEER_VERSION);
+	raw_prove(&raw, &node);
+	garbage = raw_seal(&raw, garbage);
+	rj_tcp_link_send(&raw.link, &garbage, 1);
+	RUN_UNTIL(closed(&node, RJ_PEER_CLOSE_MALFORMED) == 1 && raw.closed);
+	g_assert_cmpuint(node.downs, ==, 1);
+	rj_tcp_link_finish(&raw.link);
+	pair_finish(&node, &other);
+}
+
+/* A stranger's first frame is larger than any hello. */
+static void test_oversized_frame(void)
+{
+	static const uint8_t zeros[RJ_PEER_HELLO_MAX_BYTES + 1];
+	struct rj_bytes frame = { zeros, sizeof(zeros) };
+	struct node node;
+	struct node other;
+	struct raw raw;
+
+	pair_init(&node, &other);
+	raw_init(&raw, &node, "c", RJ_PEER_VERSION);
+	rj_tcp_link_send(&raw.link, &frame, 1);
+	RUN_UNTIL(closed(&node, RJ_PEER_CLOSE_OVERSIZED) == 1);
+	rj_tcp_link_finish(&raw.link);
+	pair_finish(&node, &other);
+}
+
+/* A peer of a version that is not spoken any more, or not yet. */
+static void test_no_common_version(void)
+{
+	struct node node;
+	struct node other;
+	struct raw raw;
+
+	pair_init(&node, &other);
+	raw_init(&raw, &node, "c", RJ_PEER_VERSION + 1);
+	RUN_UNTIL(closed(&node, RJ_PEER_CLOSE_VERSION) == 1);
+	rj_tcp_link_finish(&raw.link);
+	pair_finish(&node, &other);
+}
+
+/*
+ * A stranger without the key is taken for a peer.
+ * It sends back every frame that it gets, the proof among them.
+ * Cause: both directions of a link used one key.
+ */
+static void test_reflected_hello(void)
+{
+	struct node node;
+	struct node other;
+	struct raw raw;
+
+	pair_init(&node, &other);
+	raw_init(&raw, &node, "b", RJ_PEER_VERSION);
+	RUN_UNTIL(closed(&node, RJ_PEER_CLOSE_NAME) == 1);
+	g_assert_cmpuint(node.ups, ==, 1);
+	rj_tcp_link_finish(&raw.link);
+	pair_finish(&node, &other);
+}
+
+/*
+ * An instance grows until it is killed.
+ * A peer was paused: its connection stands, and it reads nothing.
+ * Cause: what was to be sent to it was kept without a bound.
+ */
+static void test_slow_reader(void)
+{
+	struct rj_peer_message message = { .kind = RJ_PEER_FORWARD };
+	struct node node;
+	struct node other;
+	struct raw raw;
+	uint32_t sent;
+
+	pair_init(&node, &other);
+	raw_init(&raw, &node, "c", RJ_PEER_VERSION);
+	raw_prove(&raw, &node);
+	TALLOC_FREE(raw.link.fd_event);
+	message.u.forward.spec.body.data =
+		talloc_zero_size(loop, RJ_BODY_MAX_BYTES);
+	message.u.forward.spec.body.length = RJ_BODY_MAX_BYTES;
+	for (sent = 0; sent < RJ_LINK_QUEUE_MAX_BYTES / RJ_BODY_MAX_BYTES;
+	     sent++)
+		node.peers.base.ops->send(&node.peers.base, "c", &message);
+	RUN_UNTIL(closed(&node, RJ_PEER_CLOSE_QUEUE_FULL) == 1);
+	rj_tcp_link_finish(&raw.link);
+	pair_finish(&node, &other);
+}
+
+int main(int argc, char **argv)
+{
+	int status;
+
+	g_test_init(&argc, &argv, NULL);
+	g_assert_cmpint(sodium_init(), >=, 0);
+	loop = tevent_context_init(NULL);
+	g_test_add_func("/tcp_peers/both_connect", test_both_connect);
+	g_test_add_func("/tcp_peers/reconnects", test_reconnects);
+	g_test_add_func("/tcp_peers/wrong_key", test_wrong_key);
+	g_test_add_func("/tcp_peers/replayed", test_replayed_frame);
+	g_test_add_func("/tcp_peers/malformed", test_malformed_message);
+	g_test_add_func("/tcp_peers/oversized", test_oversized_frame);
+	g_test_add_func("/tcp_peers/version", test_no_common_version);
+	g_test_add_func("/tcp_peers/reflected", test_reflected_hello);
+	g_test_add_func("/tcp_peers/slow_reader", test_slow_reader);
+	status = g_test_run();
+	talloc_free(loop);
+	return status;
+}
