callers: HTTP and JSON

Cause: callers need the interface of docs/API.md. Excluded: threads of the HTTP library (answers come from the event loop), an answer page of the library for too many connections (spare connections get a typed refusal instead).

--- /dev/null
+++ b/include/radishjunction/http_callers.h
@@ -0,0 +1,63 @@
+/*
+ * Callers over HTTP and JSON; docs/API.md is the interface.
+ *
+ * Life cycle: `rj_http_callers_init` listens at once; each request becomes
+ * RJ_EVENT_REQUEST, whose `now_us` is left to the sink, and is answered
+ * through `base.ops->answer`. After `rj_http_callers_drain` every answer
+ * closes its connection; when `rj_http_callers_open` is 0, `base.ops->finish`
+ * cuts off nobody.
+ */
+#ifndef RADISHJUNCTION_HTTP_CALLERS_H
+#define RADISHJUNCTION_HTTP_CALLERS_H
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "radishjunction/adapter.h"
+#include "radishjunction/error.h"
+
+struct tevent_context;
+struct rj_caller_views;
+
+/* What callers may read without asking the core by an event. */
+struct rj_caller_views_ops {
+	bool (*ready)(struct rj_caller_views *views);
+	/* New references; NULL if there is nothing to tell. */
+	json_t *(*status)(struct rj_caller_views *views);
+	json_t *(*explain)(struct rj_caller_views *views, uint64_t job_id);
+	/* Append lines "name value". */
+	void (*metrics)(struct rj_caller_views *views, GString *text);
+};
+
+struct rj_caller_views {
+	const struct rj_caller_views_ops *ops; /* first member, always */
+};
+
+struct rj_http_callers_options {
+	struct tevent_context *loop;
+	struct rj_sink *sink;
+	struct rj_caller_views *views;
+	struct rj_address address; /* port 0: any free one */
+	uint32_t body_max_bytes;
+	uint32_t connections_max;
+	uint32_t requests_max; /* open at once */
+	uint32_t idle_timeout_s; /* of a connection, and of one body */
+};
+
+struct rj_http_callers_state;
+
+struct rj_http_callers {
+	struct rj_callers base; /* first member, always */
+	struct rj_http_callers_state *state; /* talloc child of init's mem */
+};
+
+int rj_http_callers_init(struct rj_http_callers *callers, void *mem,
+			 const struct rj_http_callers_options *options,
+			 struct rj_error *err);
+struct rj_address
+rj_http_callers_address(const struct rj_http_callers *callers);
+void rj_http_callers_drain(struct rj_http_callers *callers);
+uint32_t rj_http_callers_open(const struct rj_http_callers *callers);
+uint32_t rj_http_callers_connections(const struct rj_http_callers *callers);
+
+#endif
--- /dev/null
+++ b/src/libradishjunction/caller/http_callers.c
@@ -0,0 +1,421 @@
+#include "radishjunction/http_callers.h"
+
+#include <assert.h>
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <tevent.h>
+#include <unistd.h>
+
+#include "private/http_request.h"
+#include "private/tcp_socket.h"
+
+/* So many connections above the limit still get a typed refusal. */
+#define SPARE_CONNECTIONS 64
+/* Room for the headers that are allowed and a piece of the body. */
+#define CONNECTION_MEMORY_BYTES (24 * 1024)
+
+static void run_daemon(struct rj_http_callers_state *state);
+
+/* Run the daemon from the event loop, as a resumed connection wants. */
+static void on_kick(struct tevent_context *loop, struct tevent_immediate *kick,
+		    void *private_data)
+{
+	struct rj_http_callers_state *state = private_data;
+
+	state->kicked = false;
+	run_daemon(state);
+}
+
+/* See to it that the daemon runs soon. */
+static void kick(struct rj_http_callers_state *state)
+{
+	if (state->kicked)
+		return;
+	state->kicked = true;
+	tevent_schedule_immediate(state->kick, state->options.loop, on_kick,
+				  state);
+}
+
+/* A timeout of the daemon is due. */
+static void on_timer(struct tevent_context *loop, struct tevent_timer *timer,
+		     struct timeval now, void *private_data)
+{
+	struct rj_http_callers_state *state = private_data;
+
+	state->timer = NULL;
+	run_daemon(state);
+}
+
+/* Arm the one timer for the daemon's next timeout. */
+static void arm_timer(struct rj_http_callers_state *state)
+{
+	MHD_UNSIGNED_LONG_LONG timeout_ms;
+	uint64_t at_us;
+
+	if (MHD_get_timeout(state->daemon, &timeout_ms) != MHD_YES)
+		return;
+	if (!timeout_ms) {
+		kick(state);
+		return;
+	}
+	at_us = rj_http_now_us() + timeout_ms * RJ_US_PER_MS;
+	if (state->timer && state->timer_at_us <= at_us)
+		return;
+	talloc_free(state->timer);
+	state->timer_at_us = at_us;
+	state->timer = tevent_add_timer(
+		state->options.loop, state,
+		tevent_timeval_current_ofs((uint32_t)(timeout_ms / 1000),
+					   (uint32_t)(timeout_ms % 1000) *
+						   RJ_US_PER_MS),
+		on_timer, state);
+	assert(state->timer);
+}
+
+/* Let the daemon do what it can without waiting. */
+static void run_daemon(struct rj_http_callers_state *state)
+{
+	MHD_run(state->daemon);
+	arm_timer(state);
+}
+
+/* A socket of the daemon's own epoll set is ready. */
+static void on_epoll(struct tevent_context *loop, struct tevent_fd *event,
+		     uint16_t flags, void *private_data)
+{
+	run_daemon(private_data);
+}
+
+/* Take the request from those that wait for the core. */
+static void stop_waiting(struct rj_http_request *request)
+{
+	g_hash_table_remove(request->state->asked, &request->id);
+	TALLOC_FREE(request->watch);
+}
+
+/* Let the daemon go on with a connection whose answer is set. */
+static void resume(struct rj_http_request *request)
+{
+	assert(request->suspended && request->answered);
+	request->suspended = false;
+	MHD_resume_connection(request->connection);
+	kick(request->state);
+}
+
+/* The socket of a connection. */
+static int socket_of(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	return info->connect_fd;
+}
+
+/*
+ * The socket of a waiting caller can be read: it has left, or it has sent
+ * its next request early, which is left in the socket.
+ */
+static void on_watch(struct tevent_context *loop, struct tevent_fd *event,
+		     uint16_t flags, void *private_data)
+{
+	struct rj_http_request *request = private_data;
+	struct rj_http_callers_state *state = request->state;
+	struct rj_event gone = { .kind = RJ_EVENT_CALLER_GONE };
+	char byte;
+	ssize_t got = recv(socket_of(request->connection), &byte, 1,
+			   MSG_PEEK | MSG_DONTWAIT);
+
+	if (got < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	TALLOC_FREE(request->watch);
+	if (got > 0)
+		return;
+	gone.u.request_id = request->id;
+	state->metrics.gone++;
+	stop_waiting(request);
+	request->status = MHD_HTTP_SERVICE_UNAVAILABLE;
+	request->content_type = "text/plain";
+	request->answered = true;
+	resume(request);
+	state->options.sink->deliver(state->options.sink, &gone);
+}
+
+/* Set the connection aside until the core has answered. */
+static void suspend(struct rj_http_request *request)
+{
+	struct rj_http_callers_state *state = request->state;
+
+	request->suspended = true;
+	MHD_suspend_connection(request->connection);
+	request->watch = tevent_add_fd(state->options.loop, request,
+				       socket_of(request->connection),
+				       TEVENT_FD_READ, on_watch, request);
+	assert(request->watch);
+}
+
+/* Queue the response of an answered request. */
+static enum MHD_Result respond(struct rj_http_request *request)
+{
+	struct rj_http_callers_state *state = request->state;
+	struct MHD_Response *response;
+	enum MHD_Result result;
+	char seconds[24];
+
+	if (request->text)
+		response = MHD_create_response_from_buffer(
+			request->text_length, request->text,
+			MHD_RESPMEM_MUST_FREE);
+	else
+		response = MHD_create_response_from_buffer(
+			0, NULL, MHD_RESPMEM_PERSISTENT);
+	if (!response)
+		return MHD_NO;
+	request->text = NULL;
+	MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
+				request->content_type);
+	if (request->retry_after_us) {
+		snprintf(seconds, sizeof(seconds), "%llu",
+			 (unsigned long long)((request->retry_after_us +
+					       RJ_US_PER_S - 1) /
+					      RJ_US_PER_S));
+		MHD_add_response_header(response, MHD_HTTP_HEADER_RETRY_AFTER,
+					seconds);
+	}
+	if (request->status == MHD_HTTP_UNAUTHORIZED)
+		MHD_add_response_header(
+			response, MHD_HTTP_HEADER_WWW_AUTHENTICATE, "Bearer");
+	if (state->draining || request->over_limit)
+		MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION,
+					"close");
+	result = MHD_queue_response(request->connection, request->status,
+				    response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+/* Whether the connection was one too many when it came. */
+static bool is_over_limit(struct MHD_Connection *connection)
+{
+	return MHD_get_connection_info(connection,
+				       MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+		       ->socket_context != NULL;
+}
+
+/*
+ * The daemon's call for a request: once with its headers, then with each
+ * piece of its body, then at its end, and again after it was resumed.
+ */
+static enum MHD_Result on_access(void *private_data,
+				 struct MHD_Connection *connection,
+				 const char *url, const char *method,
+				 const char *version, const char *upload,
+				 size_t *upload_length, void **slot)
+{
+	struct rj_http_callers_state *state = private_data;
+	struct rj_http_request *request = *slot;
+
+	if (!request) {
+		request = rj_http_request_begin(state, connection);
+		request->over_limit = is_over_limit(connection);
+		*slot = request;
+		if (rj_http_request_early_refusal(request))
+			return respond(request);
+		return MHD_YES;
+	}
+	if (*upload_length) {
+		rj_http_request_take(request, upload, *upload_length);
+		*upload_length = 0;
+		/* A body sent byte by byte would never idle. */
+		if (rj_http_now_us() - request->began_us >
+		    state->options.idle_timeout_s * RJ_US_PER_S)
+			return MHD_NO;
+		return MHD_YES;
+	}
+	if (!request->answered)
+		rj_http_request_dispatch(request, url, method);
+	if (request->answered)
+		return respond(request);
+	suspend(request);
+	return MHD_YES;
+}
+
+/* The last byte was sent, or the connection ended before. */
+static void on_completed(void *private_data, struct MHD_Connection *connection,
+			 void **slot, enum MHD_RequestTerminationCode code)
+{
+	TALLOC_FREE(*slot);
+}
+
+/* Count connections; one above the limit is marked for a refusal. */
+static void on_connection(void *private_data, struct MHD_Connection *connection,
+			  void **slot, enum MHD_ConnectionNotificationCode code)
+{
+	struct rj_http_callers_state *state = private_data;
+
+	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+		state->connections--;
+		return;
+	}
+	state->connections++;
+	if (state->connections > state->options.connections_max)
+		*slot = state;
+}
+
+/* See rj_callers_ops. */
+static void callers_answer(struct rj_callers *base, uint64_t request_id,
+			   const struct rj_answer *answer)
+{
+	struct rj_http_callers *callers = (struct rj_http_callers *)base;
+	struct rj_http_request *request =
+		g_hash_table_lookup(callers->state->asked, &request_id);
+
+	if (!request)
+		return;
+	stop_waiting(request);
+	rj_http_request_answer(request, answer, NULL);
+	if (request->suspended)
+		resume(request);
+}
+
+/*
+ * Stop the daemon. Connections that still wait are closed without an answer;
+ * the daemon must not be stopped while any is suspended.
+ */
+static void callers_finish(struct rj_callers *base)
+{
+	struct rj_http_callers *callers = (struct rj_http_callers *)base;
+	struct rj_http_callers_state *state = callers->state;
+	struct rj_http_request *request;
+	GHashTableIter iterator;
+
+	g_hash_table_iter_init(&iterator, state->asked);
+	while (g_hash_table_iter_next(&iterator, NULL, (void **)&request)) {
+		g_hash_table_iter_remove(&iterator);
+		TALLOC_FREE(request->watch);
+		rj_http_request_refuse(request, 0, RJ_REASON_DRAINING,
+				       "the instance has stopped; ask another");
+		if (request->suspended)
+			resume(request);
+	}
+	MHD_run(state->daemon);
+	TALLOC_FREE(state->epoll_event);
+	MHD_stop_daemon(state->daemon);
+	g_hash_table_destroy(state->asked);
+	TALLOC_FREE(callers->state);
+}
+
+static const struct rj_callers_ops http_callers_ops = {
+	.name = "http",
+	.answer = callers_answer,
+	.finish = callers_finish,
+};
+
+/* Messages of the library go where all others go. */
+static void on_library_log(void *private_data, const char *format, va_list args)
+	__attribute__((format(printf, 2, 0)));
+
+static void on_library_log(void *private_data, const char *format, va_list args)
+{
+	g_logv("libmicrohttpd", G_LOG_LEVEL_DEBUG, format, args);
+}
+
+/* Start the daemon on a socket that it owns from then on. */
+static struct MHD_Daemon *start_daemon(struct rj_http_callers_state *state,
+				       int listener)
+{
+	const struct rj_http_callers_options *options = &state->options;
+
+	return MHD_start_daemon(
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, 0,
+		NULL, NULL, on_access, state, MHD_OPTION_EXTERNAL_LOGGER,
+		on_library_log, NULL, MHD_OPTION_LISTEN_SOCKET, listener,
+		MHD_OPTION_CONNECTION_LIMIT,
+		(unsigned int)options->connections_max + SPARE_CONNECTIONS,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		(size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_CONNECTION_TIMEOUT,
+		(unsigned int)options->idle_timeout_s,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
+		MHD_OPTION_NOTIFY_CONNECTION, on_connection, state,
+		MHD_OPTION_END);
+}
+
+/*
+ * Listen for callers. The state is a talloc child of `mem`.
+ *
+ * Returns 0, or -1 with `err` of kind RJ_ERR_INVALID (the address) or
+ * RJ_ERR_IO (the port is taken, or the daemon did not start).
+ */
+int rj_http_callers_init(struct rj_http_callers *callers, void *mem,
+			 const struct rj_http_callers_options *options,
+			 struct rj_error *err)
+{
+	struct rj_http_callers_state *state =
+		talloc_zero(mem, struct rj_http_callers_state);
+	const union MHD_DaemonInfo *info;
+	int listener;
+
+	assert(state);
+	state->options = *options;
+	listener = rj_tcp_listen(&options->address, &state->bound, err);
+	if (listener < 0)
+		goto free_state;
+	state->daemon = start_daemon(state, listener);
+	if (!state->daemon) {
+		rj_error_set(err, RJ_ERR_IO,
+			     "callers: the HTTP daemon did not start; raise "
+			     "the limit of open files");
+		goto close_listener;
+	}
+	info = MHD_get_daemon_info(state->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	state->asked = g_hash_table_new(g_int64_hash, g_int64_equal);
+	state->kick = tevent_create_immediate(state);
+	state->epoll_event = tevent_add_fd(options->loop, state, info->epoll_fd,
+					   TEVENT_FD_READ, on_epoll, state);
+	assert(state->kick && state->epoll_event);
+	callers->base.ops = &http_callers_ops;
+	callers->state = state;
+	arm_timer(state);
+	return 0;
+
+close_listener:
+	close(listener);
+free_state:
+	talloc_free(state);
+	return -1;
+}
+
+/*
+ * Where callers are served, with the port that was given.
+ */
+struct rj_address rj_http_callers_address(const struct rj_http_callers *callers)
+{
+	return callers->state->bound;
+}
+
+/*
+ * Not ready from now on, and every answer closes its connection, so that
+ * callers turn to other instances.
+ */
+void rj_http_callers_drain(struct rj_http_callers *callers)
+{
+	callers->state->draining = true;
+}
+
+/*
+ * Requests whose answer has not been sent whole.
+ */
+uint32_t rj_http_callers_open(const struct rj_http_callers *callers)
+{
+	return callers->state->open;
+}
+
+/*
+ * Connections that stand, also those without a request.
+ */
+uint32_t rj_http_callers_connections(const struct rj_http_callers *callers)
+{
+	return callers->state->connections;
+}
--- /dev/null
+++ b/src/libradishjunction/include/private/caller_metrics.h
@@ -0,0 +1,33 @@
+/*
+ * Counts and latencies of the answers that callers got.
+ *
+ * Life cycle: a zeroed struct is empty; it holds no memory of its own.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_CALLER_METRICS_H
+#define RADISHJUNCTION_PRIVATE_CALLER_METRICS_H
+
+#include <glib.h>
+
+#include "radishjunction/types.h"
+
+#define RJ_LATENCY_BUCKETS 16
+
+struct rj_latency {
+	uint64_t buckets[RJ_LATENCY_BUCKETS + 1]; /* the last: above all */
+	uint64_t sum_us;
+	uint64_t count;
+};
+
+struct rj_caller_metrics {
+	struct rj_latency answers[RJ_ANSWER_KIND_COUNT];
+	uint64_t reasons[RJ_REASON_COUNT];
+	uint64_t gone; /* callers that left before their answer */
+};
+
+void rj_caller_metrics_add(struct rj_caller_metrics *metrics,
+			   enum rj_answer_kind kind, enum rj_reason reason,
+			   uint64_t took_us);
+void rj_caller_metrics_write(const struct rj_caller_metrics *metrics,
+			     GString *text);
+
+#endif
--- /dev/null
+++ b/src/libradishjunction/include/private/http_request.h
@@ -0,0 +1,76 @@
+/*
+ * One HTTP request of a caller, from its headers to its answer.
+ *
+ * Life cycle: `rj_http_request_begin` when the headers have come,
+ * `rj_http_request_take` for each piece of the body, then
+ * `rj_http_request_dispatch`, which answers at once or hands the request to
+ * the core; `rj_http_request_answer` sets the answer; freed with talloc.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_HTTP_REQUEST_H
+#define RADISHJUNCTION_PRIVATE_HTTP_REQUEST_H
+
+#include <microhttpd.h>
+
+#include "private/caller_metrics.h"
+#include "radishjunction/http_callers.h"
+
+struct tevent_fd;
+struct tevent_immediate;
+struct tevent_timer;
+
+struct rj_http_callers_state {
+	struct rj_http_callers_options options;
+	struct rj_address bound;
+	struct MHD_Daemon *daemon;
+	struct tevent_fd *epoll_event;
+	struct tevent_timer *timer;
+	uint64_t timer_at_us;
+	struct tevent_immediate *kick;
+	bool kicked;
+	bool draining;
+	uint32_t connections;
+	uint32_t open; /* requests from their headers to their last byte */
+	GHashTable *asked; /* id -> request that waits for the core */
+	uint64_t last_id;
+	struct rj_caller_metrics metrics;
+};
+
+struct rj_http_request {
+	struct rj_http_callers_state *state;
+	struct MHD_Connection *connection;
+	uint64_t id; /* of the event; 0 if the core was not asked */
+	uint64_t began_us;
+	bool over_limit; /* its connection is one too many */
+	bool explain; /* the answer is the explanation, if allowed */
+	uint64_t job_id;
+	bool suspended;
+	bool answered;
+	unsigned int status;
+	uint64_t retry_after_us;
+	char *text; /* of the answer; freed by the response */
+	size_t text_length;
+	const char *content_type;
+	uint8_t *body;
+	uint32_t body_length;
+	uint32_t body_capacity;
+	uint64_t body_seen; /* also what was thrown away */
+	struct tevent_fd *watch; /* whether the caller is still there */
+};
+
+uint64_t rj_http_now_us(void);
+struct rj_http_request *
+rj_http_request_begin(struct rj_http_callers_state *state,
+		      struct MHD_Connection *connection);
+void rj_http_request_take(struct rj_http_request *request, const char *data,
+			  size_t length);
+void rj_http_request_dispatch(struct rj_http_request *request, const char *url,
+			      const char *method);
+void rj_http_request_answer(struct rj_http_request *request,
+			    const struct rj_answer *answer,
+			    const struct rj_error_list *errors);
+void rj_http_request_refuse(struct rj_http_request *request,
+			    unsigned int status, enum rj_reason reason,
+			    const char *detail);
+bool rj_http_request_early_refusal(struct rj_http_request *request);
+
+#endif
--- a/src/libradishjunction/include/private/tcp_link.h
+++ b/src/libradishjunction/include/private/tcp_link.h
@@ -57,9 +57,4 @@
 void rj_tcp_link_close(struct rj_tcp_link *link, enum rj_peer_close reason);
 void rj_tcp_link_finish(struct rj_tcp_link *link);
 
-int rj_tcp_connect(const struct rj_address *address, struct rj_error *err);
-int rj_tcp_listen(const struct rj_address *address, struct rj_address *bound,
-		  struct rj_error *err);
-int rj_tcp_accept(int listener);
-
 #endif
--- /dev/null
+++ b/src/libradishjunction/include/private/tcp_socket.h
@@ -0,0 +1,15 @@
+/*
+ * Non-blocking TCP sockets by IP number. The caller owns and closes each.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_TCP_SOCKET_H
+#define RADISHJUNCTION_PRIVATE_TCP_SOCKET_H
+
+#include "radishjunction/error.h"
+#include "radishjunction/types.h"
+
+int rj_tcp_connect(const struct rj_address *address, struct rj_error *err);
+int rj_tcp_listen(const struct rj_address *address, struct rj_address *bound,
+		  struct rj_error *err);
+int rj_tcp_accept(int listener);
+
+#endif
--- a/src/libradishjunction/peer/tcp_peers.c
+++ b/src/libradishjunction/peer/tcp_peers.c
@@ -11,6 +11,7 @@
 
 #include "private/peer_session.h"
 #include "private/tcp_link.h"
+#include "private/tcp_socket.h"
 
 /* Two round trips, also over a slow link between regions. */
 #define HANDSHAKE_LIMIT_US (5 * RJ_US_PER_S)
--- a/src/libradishjunction/peer/tcp_socket.c
+++ b/src/libradishjunction/tcp_socket.c
@@ -1,3 +1,5 @@
+#include "private/tcp_socket.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/tcp.h>
@@ -5,8 +7,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "private/tcp_link.h"
-
 /*
  * A peer that is cut off sends nothing, and without these a link to it would
  * stand for hours: it is probed after 5 s of silence and given up after 10 s
--- a/src/test_libradishjunction/test_tcp_peers.c
+++ b/src/test_libradishjunction/test_tcp_peers.c
@@ -6,6 +6,7 @@
 
 #include "private/peer_session.h"
 #include "private/tcp_link.h"
+#include "private/tcp_socket.h"
 #include "radishjunction/tcp_peers.h"
 
 #define KEY "the key of all instances"
