--- a/src/bench/faults.c
+++ b/src/bench/faults.c
@@ -292,6 +292,8 @@
 		goto out;
 	}
 	(void)signal(SIGABRT, name_seed);
+	(void)signal(SIGTRAP, name_seed);
+	(void)signal(SIGSEGV, name_seed);
 	if (seed->count)
 		status = run_one(ops, only, (uint64_t)seed->ival[0],
 				 transcript->count);
