--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -180,7 +180,7 @@
 /*
  * The answer that a settled entry of the log gives.
  */
-void rj_claims_answer(const struct rj_ledger_entry *entry,
+void rj_claims_answer(const struct rj_job_entry *entry,
 		      struct rj_answer *answer)
 {
 	assert(entry->settled);
@@ -280,7 +280,7 @@
 
 /* Whether the entry's open claim is that of the job's present attempt. */
 static bool own_claim(const struct rj_job *job,
-		      const struct rj_ledger_entry *entry)
+		      const struct rj_job_entry *entry)
 {
 	return entry->claimed && entry->attempt.owner == job->attempt.owner &&
 	       entry->attempt.number == job->attempt.number;
@@ -309,8 +309,7 @@
 }
 
 /* The job was settled, here or elsewhere. */
-static void settled_read(struct rj_job *job,
-			 const struct rj_ledger_entry *entry)
+static void settled_read(struct rj_job *job, const struct rj_job_entry *entry)
 {
 	struct rj_answer answer;
 
@@ -344,7 +343,7 @@
 }
 
 /* A claim of the job is open in the log. */
-static void claim_read(struct rj_job *job, const struct rj_ledger_entry *entry)
+static void claim_read(struct rj_job *job, const struct rj_job_entry *entry)
 {
 	if (job->state == RJ_JOB_CLAIMING) {
 		if (own_claim(job, entry))
@@ -377,10 +376,10 @@
 void rj_claims_record(struct rj_core_state *core,
 		      const struct rj_record *record)
 {
-	struct rj_ledger_entry *entry;
+	struct rj_job_entry *entry;
 	struct rj_job *job;
 
-	entry = rj_ledger_apply(&core->ledger, core, record, core->now_us);
+	entry = rj_job_ledger_apply(&core->ledger, core, record, core->now_us);
 	if (!entry)
 		return;
 	job = rj_jobs_find(core, entry->job_id);
--- a/src/libradishjunction/core/controllers/jobs_controller.c
+++ b/src/libradishjunction/core/controllers/jobs_controller.c
@@ -287,9 +287,10 @@
 void rj_job_not_started(struct rj_job *job, enum rj_reason reason,
 			uint64_t retry_after_us)
 {
-	bool known = job->idempotent || !job->spec.key[0] ||
-		     (rj_log_usable(job->core) &&
-		      !rj_ledger_find(&job->core->ledger, job->spec.job_id));
+	bool known =
+		job->idempotent || !job->spec.key[0] ||
+		(rj_log_usable(job->core) &&
+		 !rj_job_ledger_find(&job->core->ledger, job->spec.job_id));
 
 	assert(!job->started);
 	rj_job_end_plain(job, known ? RJ_ANSWER_NOT_RUN : RJ_ANSWER_UNKNOWN,
--- a/src/libradishjunction/core/controllers/log_controller.c
+++ b/src/libradishjunction/core/controllers/log_controller.c
@@ -183,7 +183,7 @@
 {
 	stream->caught_up = false;
 	if (stream->stream == RJ_STREAM_JOBS)
-		rj_ledger_reset(&core->ledger);
+		rj_job_ledger_reset(&core->ledger);
 }
 
 /*
--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -265,7 +265,7 @@
 
 /* Take the members of a claim from the log. */
 static void members_from_log(struct rj_job *job,
-			     const struct rj_ledger_entry *entry)
+			     const struct rj_job_entry *entry)
 {
 	rj_job_set_members(job, entry->member_count);
 	for (uint32_t i = 0; i < entry->member_count; i++) {
@@ -287,7 +287,7 @@
  * watches the job here goes on from what the workers say.
  */
 static void settle_entry(struct rj_core_state *core,
-			 const struct rj_ledger_entry *entry)
+			 const struct rj_job_entry *entry)
 {
 	struct rj_job *job = rj_jobs_find(core, entry->job_id);
 
@@ -308,7 +308,7 @@
 
 /* Whether a job here drives the entry's open claim. */
 static bool driven_here(const struct rj_job *job,
-			const struct rj_ledger_entry *entry)
+			const struct rj_job_entry *entry)
 {
 	if (!job || job->state == RJ_JOB_WATCHING)
 		return false;
@@ -318,7 +318,7 @@
 
 /* Serve an accepted job that has no owner yet, or whose owner is gone. */
 static void own_accepted(struct rj_core_state *core,
-			 const struct rj_ledger_entry *entry)
+			 const struct rj_job_entry *entry)
 {
 	struct rj_job *job = rj_jobs_find(core, entry->job_id);
 
@@ -342,7 +342,7 @@
 }
 
 /* Append what the log says of a job again, well before it is trimmed. */
-static void carry(struct rj_core_state *core, struct rj_ledger_entry *entry)
+static void carry(struct rj_core_state *core, struct rj_job_entry *entry)
 {
 	struct rj_record record;
 
@@ -379,8 +379,7 @@
  * Carry an entry forward at half the retention, or forget it when its key's
  * life is over. A key is refused a little before the log may forget it.
  */
-static void keep_entry(struct rj_core_state *core,
-		       struct rj_ledger_entry *entry)
+static void keep_entry(struct rj_core_state *core, struct rj_job_entry *entry)
 {
 	uint64_t life_us =
 		core->config ? core->config->limits.key_life_s * RJ_US_PER_S :
@@ -389,7 +388,7 @@
 
 	if (entry->settled && core->now_us > entry->first_us + life_us &&
 	    core->now_us > entry->recorded_us + half_us) {
-		rj_ledger_forget(&core->ledger, entry);
+		rj_job_ledger_forget(&core->ledger, entry);
 		return;
 	}
 	if (core->now_us < entry->recorded_us + half_us ||
@@ -414,8 +413,8 @@
 	if (!core->streams[RJ_STREAM_JOBS].caught_up || core->stopping)
 		return;
 	RJ_FOR_EACH (at, next, &core->ledger.entries) {
-		struct rj_ledger_entry *entry =
-			RJ_CONTAINER(at, struct rj_ledger_entry, link);
+		struct rj_job_entry *entry =
+			RJ_CONTAINER(at, struct rj_job_entry, link);
 		struct rj_job *job = rj_jobs_find(core, entry->job_id);
 
 		if (!entry->settled && entry->claimed) {
--- a/src/libradishjunction/core/core.c
+++ b/src/libradishjunction/core/core.c
@@ -126,7 +126,7 @@
 	rj_timers_init(&state->timers, state);
 	rj_config_log_init(&state->config_log, state);
 	rj_log_init(state);
-	rj_ledger_init(&state->ledger, state);
+	rj_job_ledger_init(&state->ledger, state);
 	rj_membership_init(state, options);
 	rj_upstreams_init(state);
 	rj_jobs_init(state);
@@ -146,7 +146,7 @@
 	if (!state)
 		return;
 	rj_jobs_finish(state);
-	rj_ledger_finish(&state->ledger);
+	rj_job_ledger_finish(&state->ledger);
 	g_hash_table_destroy(state->upstreams.by_name);
 	rj_config_log_finish(&state->config_log);
 	if (state->config)
--- a/src/libradishjunction/core/filters/find.c
+++ b/src/libradishjunction/core/filters/find.c
@@ -7,7 +7,7 @@
 
 /* Make a job that watches what the log will say of an entry. */
 static struct rj_job *watch_entry(struct rj_core_state *core,
-				  const struct rj_ledger_entry *entry)
+				  const struct rj_job_entry *entry)
 {
 	struct rj_job *job;
 
@@ -20,7 +20,7 @@
 /* Answer from what the log says of the job. */
 static enum rj_filter_verdict found_in_log(struct rj_core_state *core,
 					   struct rj_submission *submission,
-					   const struct rj_ledger_entry *entry)
+					   const struct rj_job_entry *entry)
 {
 	struct rj_answer answer;
 	struct rj_job *job;
@@ -68,7 +68,7 @@
 				   struct rj_submission *submission)
 {
 	uint64_t job_id = submission->spec.job_id;
-	struct rj_ledger_entry *entry;
+	struct rj_job_entry *entry;
 	struct rj_job *job;
 
 	if (submission->op == RJ_REQUEST_SUBMIT)
@@ -76,7 +76,7 @@
 	job = rj_jobs_find(core, job_id);
 	if (job && !strcmp(job->spec.account, submission->account->name))
 		return found_here(core, submission, job);
-	entry = rj_ledger_find(&core->ledger, job_id);
+	entry = rj_job_ledger_find(&core->ledger, job_id);
 	if (entry && !job &&
 	    !strcmp(entry->spec.account, submission->account->name))
 		return found_in_log(core, submission, entry);
--- a/src/libradishjunction/core/filters/repeat.c
+++ b/src/libradishjunction/core/filters/repeat.c
@@ -47,7 +47,7 @@
 /* The log knows the job: answer from it, or wait for what it will say. */
 static enum rj_filter_verdict known_in_log(struct rj_core_state *core,
 					   struct rj_submission *submission,
-					   const struct rj_ledger_entry *entry)
+					   const struct rj_job_entry *entry)
 {
 	struct rj_answer answer;
 	struct rj_job *job;
@@ -107,11 +107,11 @@
 				     struct rj_submission *submission)
 {
 	struct rj_job *job = rj_jobs_find(core, submission->spec.job_id);
-	struct rj_ledger_entry *entry;
+	struct rj_job_entry *entry;
 
 	if (job && job != submission->job)
 		return join(core, submission, job);
-	entry = rj_ledger_find(&core->ledger, submission->spec.job_id);
+	entry = rj_job_ledger_find(&core->ledger, submission->spec.job_id);
 	if (entry && known_in_log(core, submission, entry) == RJ_FILTER_TAKEN)
 		return RJ_FILTER_TAKEN;
 	if (submission->class && !submission->class->idempotent &&
--- a/src/libradishjunction/core/ledger.c
+++ b/src/libradishjunction/core/job_ledger.c
@@ -18,7 +18,7 @@
 /*
  * Start an empty ledger.
  */
-void rj_ledger_init(struct rj_ledger *ledger, void *mem)
+void rj_job_ledger_init(struct rj_job_ledger *ledger, void *mem)
 {
 	(void)mem;
 	ledger->by_job = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -29,7 +29,7 @@
 /*
  * Free the index; the entries are talloc children of the core.
  */
-void rj_ledger_finish(struct rj_ledger *ledger)
+void rj_job_ledger_finish(struct rj_job_ledger *ledger)
 {
 	g_hash_table_destroy(ledger->by_job);
 }
@@ -37,7 +37,8 @@
 /*
  * Drop an entry.
  */
-void rj_ledger_forget(struct rj_ledger *ledger, struct rj_ledger_entry *entry)
+void rj_job_ledger_forget(struct rj_job_ledger *ledger,
+			  struct rj_job_entry *entry)
 {
 	g_hash_table_remove(ledger->by_job, &entry->job_id);
 	rj_list_remove(&entry->link);
@@ -48,21 +49,21 @@
 /*
  * Drop every entry, before the stream is read again from its oldest record.
  */
-void rj_ledger_reset(struct rj_ledger *ledger)
+void rj_job_ledger_reset(struct rj_job_ledger *ledger)
 {
 	struct rj_list *at;
 	struct rj_list *next;
 
 	RJ_FOR_EACH (at, next, &ledger->entries)
-		rj_ledger_forget(
-			ledger, RJ_CONTAINER(at, struct rj_ledger_entry, link));
+		rj_job_ledger_forget(
+			ledger, RJ_CONTAINER(at, struct rj_job_entry, link));
 }
 
 /*
  * What the log says of a job, or NULL when it says nothing.
  */
-struct rj_ledger_entry *rj_ledger_find(const struct rj_ledger *ledger,
-				       uint64_t job_id)
+struct rj_job_entry *rj_job_ledger_find(const struct rj_job_ledger *ledger,
+					uint64_t job_id)
 {
 	return g_hash_table_lookup(ledger->by_job, &job_id);
 }
@@ -75,13 +76,13 @@
 }
 
 /* Make the entry of a job that the log had not named before. */
-static struct rj_ledger_entry *entry_new(struct rj_ledger *ledger, void *mem,
-					 const struct rj_record *record,
-					 uint64_t appended_us)
+static struct rj_job_entry *entry_new(struct rj_job_ledger *ledger, void *mem,
+				      const struct rj_record *record,
+				      uint64_t appended_us)
 {
-	struct rj_ledger_entry *entry;
+	struct rj_job_entry *entry;
 
-	entry = talloc_zero(mem, struct rj_ledger_entry);
+	entry = talloc_zero(mem, struct rj_job_entry);
 	assert(entry);
 	entry->job_id = record->attempt.job_id;
 	entry->spec = record->spec;
@@ -96,7 +97,7 @@
 }
 
 /* An accepted job: its whole spec is kept until it has an outcome. */
-static void apply_accept(struct rj_ledger_entry *entry,
+static void apply_accept(struct rj_job_entry *entry,
 			 const struct rj_record *record)
 {
 	if (entry->accepted || entry->settled)
@@ -112,7 +113,7 @@
 }
 
 /* The first claim of a job that is not open and not settled opens it. */
-static void apply_claim(struct rj_ledger_entry *entry,
+static void apply_claim(struct rj_job_entry *entry,
 			const struct rj_record *record)
 {
 	if (entry->settled || entry->claimed)
@@ -133,7 +134,7 @@
 }
 
 /* A void closes its own attempt and no other. */
-static void apply_void(struct rj_ledger_entry *entry,
+static void apply_void(struct rj_job_entry *entry,
 		       const struct rj_record *record)
 {
 	if (!entry->claimed || !same_attempt(&entry->attempt, &record->attempt))
@@ -148,7 +149,7 @@
  * open settles it when it was accepted (it ran without a claim, or was
  * cancelled) or is carried forward past the trimming of its claim.
  */
-static void apply_outcome(struct rj_ledger_entry *entry,
+static void apply_outcome(struct rj_job_entry *entry,
 			  const struct rj_record *record, bool fresh)
 {
 	bool same = same_attempt(&entry->attempt, &record->attempt);
@@ -178,11 +179,12 @@
  * the entry of its job, or NULL for a record that is not about a job or that
  * changes nothing that is known. Entries are talloc children of `mem`.
  */
-struct rj_ledger_entry *rj_ledger_apply(struct rj_ledger *ledger, void *mem,
-					const struct rj_record *record,
-					uint64_t now_us)
+struct rj_job_entry *rj_job_ledger_apply(struct rj_job_ledger *ledger,
+					 void *mem,
+					 const struct rj_record *record,
+					 uint64_t now_us)
 {
-	struct rj_ledger_entry *entry;
+	struct rj_job_entry *entry;
 	uint64_t appended_us;
 	bool fresh;
 
@@ -190,7 +192,7 @@
 	    record->kind == RJ_RECORD_CONFIG)
 		return NULL;
 	appended_us = now_us > record->age_us ? now_us - record->age_us : 0;
-	entry = rj_ledger_find(ledger, record->attempt.job_id);
+	entry = rj_job_ledger_find(ledger, record->attempt.job_id);
 	fresh = !entry;
 	if (fresh) {
 		if (record->kind == RJ_RECORD_VOID)
--- a/src/libradishjunction/core/status.c
+++ b/src/libradishjunction/core/status.c
@@ -179,11 +179,11 @@
 {
 	const struct rj_core_state *core = handle->state;
 	const struct rj_job *job = rj_jobs_find(core, job_id);
-	const struct rj_ledger_entry *entry;
+	const struct rj_job_entry *entry;
 
 	if (job)
 		return job->spec.account;
-	entry = rj_ledger_find(&core->ledger, job_id);
+	entry = rj_job_ledger_find(&core->ledger, job_id);
 	return entry ? entry->spec.account : NULL;
 }
 
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -45,7 +45,7 @@
 };
 
 /* What the log says of one job. */
-struct rj_ledger_entry {
+struct rj_job_entry {
 	struct rj_list link;
 	uint64_t job_id;
 	struct rj_job_spec spec; /* body only when accepted */
@@ -67,7 +67,7 @@
 	uint64_t carry_us; /* when it was last carried from here */
 };
 
-struct rj_ledger {
+struct rj_job_ledger {
 	GHashTable *by_job; /* &entry->job_id -> entry */
 	struct rj_list entries;
 	uint32_t count;
@@ -282,7 +282,7 @@
 	uint64_t config_carried_us; /* when it was last appended from here */
 	struct rj_log_stream streams[RJ_STREAM_COUNT];
 	bool platform_up;
-	struct rj_ledger ledger;
+	struct rj_job_ledger ledger;
 	struct rj_membership membership;
 	struct rj_upstreams upstreams;
 	struct rj_jobs jobs;
@@ -319,16 +319,18 @@
 		     const struct rj_appended *appended);
 bool rj_log_usable(const struct rj_core_state *core);
 
-/* ledger.c */
-void rj_ledger_init(struct rj_ledger *ledger, void *mem);
-void rj_ledger_finish(struct rj_ledger *ledger);
-void rj_ledger_reset(struct rj_ledger *ledger);
-struct rj_ledger_entry *rj_ledger_find(const struct rj_ledger *ledger,
-				       uint64_t job_id);
-struct rj_ledger_entry *rj_ledger_apply(struct rj_ledger *ledger, void *mem,
-					const struct rj_record *record,
-					uint64_t now_us);
-void rj_ledger_forget(struct rj_ledger *ledger, struct rj_ledger_entry *entry);
+/* job_ledger.c */
+void rj_job_ledger_init(struct rj_job_ledger *ledger, void *mem);
+void rj_job_ledger_finish(struct rj_job_ledger *ledger);
+void rj_job_ledger_reset(struct rj_job_ledger *ledger);
+struct rj_job_entry *rj_job_ledger_find(const struct rj_job_ledger *ledger,
+					uint64_t job_id);
+struct rj_job_entry *rj_job_ledger_apply(struct rj_job_ledger *ledger,
+					 void *mem,
+					 const struct rj_record *record,
+					 uint64_t now_us);
+void rj_job_ledger_forget(struct rj_job_ledger *ledger,
+			  struct rj_job_entry *entry);
 
 /* controllers/config_controller.c */
 void rj_config_controller_records(struct rj_core_state *core,
@@ -446,7 +448,7 @@
 			enum rj_append_status status);
 void rj_claims_void(struct rj_job *job);
 void rj_claims_outcome(struct rj_job *job);
-void rj_claims_answer(const struct rj_ledger_entry *entry,
+void rj_claims_answer(const struct rj_job_entry *entry,
 		      struct rj_answer *answer);
 void rj_claims_platform_down(struct rj_core_state *core);
 void rj_claims_step_due(struct rj_job *job);
