--- a/src/libradishjunction/core/capacity.c
+++ b/src/libradishjunction/core/capacity.c
@@ -36,8 +36,8 @@
  * What remains of `have` after `part`, and 0 where `part` is larger: a
  * report of foreign tasks may come late and be too high for a while.
  */
-static void take_or_zero(struct rj_resources *have,
-			 const struct rj_resources *part)
+void rj_resources_take_or_zero(struct rj_resources *have,
+			       const struct rj_resources *part)
 {
 	have->slots -= MIN(have->slots, part->slots);
 	have->accelerators -= MIN(have->accelerators, part->accelerators);
@@ -54,8 +54,8 @@
 	if (!worker->plan.usable || worker->gone)
 		return;
 	worker->free = worker->plan.capacity;
-	take_or_zero(&worker->free, &worker->plan.foreign);
-	take_or_zero(&worker->free, &worker->taken);
+	rj_resources_take_or_zero(&worker->free, &worker->plan.foreign);
+	rj_resources_take_or_zero(&worker->free, &worker->taken);
 }
 
 /*
@@ -77,6 +77,20 @@
 	return low;
 }
 
+/*
+ * The rack with this number, or NULL if no worker of it is known.
+ */
+const struct rj_capacity_rack *
+rj_capacity_rack_find(const struct rj_capacity *capacity, uint32_t number)
+{
+	uint32_t index = rack_index(capacity, number);
+
+	if (index == capacity->rack_count ||
+	    capacity->racks[index]->number != number)
+		return NULL;
+	return capacity->racks[index];
+}
+
 /*
  * The rack with this number, made if it is not known yet.
  */
@@ -103,6 +117,28 @@
 	return rack;
 }
 
+static bool position_is_taken(const struct rj_capacity_rack *rack,
+			      uint32_t position)
+{
+	for (uint32_t i = 0; i < rack->count; i++)
+		if (rack->workers[i]->position == position)
+			return true;
+	return false;
+}
+
+/*
+ * The lowest position of `rack` that no worker has. A replacement thus takes
+ * the place of the worker that went, and the others keep theirs.
+ */
+static uint32_t free_position(const struct rj_capacity_rack *rack)
+{
+	uint32_t position = 0;
+
+	while (position_is_taken(rack, position))
+		position++;
+	return position;
+}
+
 /*
  * Put `worker` into its rack, in order of id.
  */
@@ -112,6 +148,7 @@
 	struct rj_capacity_rack *rack = rack_of(capacity, worker->plan.rack);
 	uint32_t at = rack->count;
 
+	worker->position = free_position(rack);
 	rack->workers =
 		talloc_realloc(rack, rack->workers, struct rj_capacity_worker *,
 			       rack->count + 1);
--- /dev/null
+++ b/src/libradishjunction/core/runtime.c
@@ -0,0 +1,85 @@
+#include "private/runtime.h"
+
+#include <assert.h>
+#include <math.h>
+#include <stdbool.h>
+
+#include "radishjunction/types.h"
+
+#define STEPS_PER_OCTAVE 4
+
+/*
+ * The step that `time_us` falls into; the first and the last take all that
+ * lies beyond them.
+ */
+static uint32_t step_of(uint64_t time_us)
+{
+	double step;
+
+	if (time_us <= RJ_US_PER_MS)
+		return 0;
+	step = log2((double)time_us / RJ_US_PER_MS) * STEPS_PER_OCTAVE;
+	if (step >= RJ_RUNTIME_STEPS - 1)
+		return RJ_RUNTIME_STEPS - 1;
+	return (uint32_t)step;
+}
+
+/*
+ * The upper end of a step in microseconds.
+ */
+static uint64_t step_end_us(uint32_t step)
+{
+	return (uint64_t)(RJ_US_PER_MS * exp2((step + 1.0) / STEPS_PER_OCTAVE));
+}
+
+/*
+ * Learn that a job ran for `ran_us` to its end.
+ */
+void rj_runtime_learn(struct rj_runtime *runtime, uint64_t ran_us)
+{
+	uint32_t total = 0;
+
+	if (runtime->wider)
+		rj_runtime_learn(runtime->wider, ran_us);
+	runtime->counts[step_of(ran_us)]++;
+	if (++runtime->total < RJ_RUNTIME_FULL)
+		return;
+	for (uint32_t i = 0; i < RJ_RUNTIME_STEPS; i++) {
+		runtime->counts[i] /= 2;
+		total += runtime->counts[i];
+	}
+	runtime->total = total;
+}
+
+/*
+ * The whole run time that `percent` of the jobs that have run for
+ * `elapsed_us` do not exceed. Where nothing that long has been seen, the
+ * job is taken to be half way.
+ */
+uint64_t rj_runtime_quantile_us(const struct rj_runtime *runtime,
+				uint32_t percent, uint64_t elapsed_us)
+{
+	uint32_t first = step_of(elapsed_us);
+	uint64_t remaining = 0;
+	uint64_t seen = 0;
+
+	assert(percent <= 100);
+	if (runtime->total < RJ_RUNTIME_ENOUGH) {
+		if (runtime->wider)
+			return rj_runtime_quantile_us(runtime->wider, percent,
+						      elapsed_us);
+		return runtime->expected_us > elapsed_us ?
+			       runtime->expected_us :
+			       2 * elapsed_us;
+	}
+	for (uint32_t i = first; i < RJ_RUNTIME_STEPS; i++)
+		remaining += runtime->counts[i];
+	if (!remaining)
+		return 2 * elapsed_us;
+	for (uint32_t i = first; i < RJ_RUNTIME_STEPS; i++) {
+		seen += runtime->counts[i];
+		if (seen * 100 >= remaining * percent && seen)
+			return step_end_us(i);
+	}
+	return 2 * elapsed_us;
+}
--- /dev/null
+++ b/src/libradishjunction/core/topology_guarantee.c
@@ -0,0 +1,297 @@
+#include "private/topology.h"
+
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+/*
+ * Which workers carry which guaranteed shape is worked out from the
+ * configuration alone: from the racks and the workers that the domain is
+ * configured to have. Instances with the same configuration thus agree
+ * without a word, whichever workers they know, and a worker that comes back
+ * or is replaced stands in the same place.
+ */
+
+/* What of the domain has not been given away yet. */
+struct plan {
+	struct rj_resources *left; /* by rack, then by position */
+	uint32_t racks;
+	uint32_t width; /* workers in a rack */
+};
+
+static struct rj_resources *left_at(const struct plan *plan, uint32_t rack,
+				    uint32_t position)
+{
+	return &plan->left[rack * plan->width + position];
+}
+
+static uint32_t rack_times(const struct plan *plan, uint32_t rack,
+			   const struct rj_resources *each)
+{
+	uint32_t times = 0;
+
+	for (uint32_t i = 0; i < plan->width; i++)
+		times += rj_resources_times(each, left_at(plan, rack, i),
+					    RJ_GANG_MAX);
+	return times;
+}
+
+/*
+ * The rack that a shape goes to: the tightest that takes `want` tasks, else
+ * the one that takes most. `*times` is how many it takes.
+ */
+static uint32_t choose_rack(const struct plan *plan,
+			    const struct rj_resources *each, uint32_t want,
+			    uint32_t *times)
+{
+	uint32_t best = 0;
+
+	*times = 0;
+	for (uint32_t i = 0; i < plan->racks; i++) {
+		uint32_t here = rack_times(plan, i, each);
+		bool better = here >= want ? *times < want || here < *times :
+					     here > *times;
+
+		if (!better)
+			continue;
+		best = i;
+		*times = here;
+	}
+	return best;
+}
+
+/*
+ * Give up to `want` tasks of the rack to `home`, the tightest workers first.
+ */
+static void give(struct plan *plan, struct rj_home *home, uint32_t rack,
+		 uint32_t want)
+{
+	const struct rj_resources *each = &home->shape.each;
+
+	while (want) {
+		uint32_t best = plan->width;
+		struct rj_home_part *part;
+		uint32_t tasks = 0;
+
+		for (uint32_t i = 0; i < plan->width; i++) {
+			uint32_t here = rj_resources_times(
+				each, left_at(plan, rack, i), RJ_GANG_MAX);
+
+			if (here && (!tasks || here < tasks)) {
+				tasks = here;
+				best = i;
+			}
+		}
+		if (best == plan->width)
+			return;
+		tasks = MIN(tasks, want);
+		rj_resources_take(left_at(plan, rack, best), each, tasks);
+		home->parts =
+			talloc_realloc(home, home->parts, struct rj_home_part,
+				       home->part_count + 1);
+		assert(home->parts);
+		part = &home->parts[home->part_count++];
+		part->rack = rack;
+		part->position = best;
+		part->tasks = tasks;
+		want -= tasks;
+	}
+}
+
+/*
+ * Give one guaranteed shape its workers. A shape for which no room is left
+ * stays without; the configuration's check refuses such guarantees.
+ */
+static void assign(struct plan *plan, struct rj_home *home)
+{
+	uint32_t want = home->shape.tasks;
+
+	while (want) {
+		uint32_t times;
+		uint32_t rack =
+			choose_rack(plan, &home->shape.each, want, &times);
+
+		if (!times || (home->shape.adjacent && times < want))
+			return;
+		times = MIN(times, want);
+		give(plan, home, rack, times);
+		want -= times;
+	}
+}
+
+/*
+ * Large and adjacent shapes choose first, since they fit fewer places. Equal
+ * ones stay in the order of the configuration.
+ */
+static gint compare_homes(gconstpointer a, gconstpointer b)
+{
+	const struct rj_home *one = *(const struct rj_home *const *)a;
+	const struct rj_home *two = *(const struct rj_home *const *)b;
+	uint64_t one_size =
+		(uint64_t)one->shape.tasks * one->shape.each.accelerators;
+	uint64_t two_size =
+		(uint64_t)two->shape.tasks * two->shape.each.accelerators;
+
+	if (one->shape.adjacent != two->shape.adjacent)
+		return one->shape.adjacent ? -1 : 1;
+	if (one_size != two_size)
+		return one_size > two_size ? -1 : 1;
+	return one->number < two->number ? -1 : 1;
+}
+
+static void add_homes(struct rj_topology_state *state,
+		      const struct rj_account *configured)
+{
+	struct rj_plan_account *account =
+		rj_topology_account(state, configured->name);
+
+	for (uint32_t i = 0; i < configured->guarantee_count; i++) {
+		const struct rj_guarantee *guarantee =
+			&configured->guarantees[i];
+
+		if (strcmp(guarantee->domain, state->domain.name) != 0)
+			continue;
+		for (uint32_t j = 0; j < guarantee->count; j++) {
+			struct rj_home *home =
+				talloc_zero(state->mem, struct rj_home);
+
+			assert(home);
+			home->account = account;
+			home->shape = guarantee->shape;
+			home->number = state->homes->len;
+			account->guaranteed += (uint64_t)home->shape.tasks *
+					       home->shape.each.accelerators;
+			g_ptr_array_add(state->homes, home);
+		}
+	}
+}
+
+/*
+ * Work out the homes of all guaranteed shapes of the configuration.
+ */
+void rj_topology_assign_homes(struct rj_topology_state *state,
+			      const struct rj_config *config)
+{
+	struct plan plan = {
+		.racks = state->domain.racks,
+		.width = state->domain.workers_per_rack,
+	};
+	uint32_t workers = plan.racks * plan.width;
+
+	for (uint32_t i = 0; i < state->homes->len; i++)
+		talloc_free(g_ptr_array_index(state->homes, i));
+	g_ptr_array_set_size(state->homes, 0);
+	for (uint32_t i = 0; i < config->account_count; i++)
+		add_homes(state, &config->accounts[i]);
+	g_ptr_array_sort(state->homes, compare_homes);
+	plan.left = g_new(struct rj_resources, workers + 1);
+	for (uint32_t i = 0; i < workers; i++)
+		plan.left[i] = state->domain.worker;
+	for (uint32_t i = 0; plan.racks && i < state->homes->len; i++)
+		assign(&plan, g_ptr_array_index(state->homes, i));
+	g_free(plan.left);
+}
+
+/*
+ * The worker that stands at a part's place now, or NULL.
+ */
+static struct rj_capacity_worker *
+worker_at(const struct rj_topology_state *state,
+	  const struct rj_home_part *part)
+{
+	const struct rj_capacity_rack *rack =
+		rj_capacity_rack_find(&state->capacity, part->rack);
+
+	for (uint32_t i = 0; rack && i < rack->count; i++)
+		if (rack->workers[i]->position == part->position)
+			return rack->workers[i];
+	return NULL;
+}
+
+/*
+ * Write the guarantees of the homes into the ledgers of the known workers.
+ */
+void rj_topology_apply_homes(struct rj_topology_state *state)
+{
+	for (uint32_t i = 0; i < state->capacity.rack_count; i++) {
+		struct rj_site rack = rj_topology_rack(state, i);
+
+		for (uint32_t j = 0; j < rack.count; j++)
+			rj_ledger_clear_guarantees(rack.workers[j]);
+	}
+	for (uint32_t i = 0; i < state->homes->len; i++) {
+		const struct rj_home *home = g_ptr_array_index(state->homes, i);
+
+		for (uint32_t j = 0; j < home->part_count; j++) {
+			struct rj_capacity_worker *worker =
+				worker_at(state, &home->parts[j]);
+
+			if (worker)
+				rj_ledger_guarantee(worker, home->account,
+						    &home->shape.each,
+						    home->parts[j].tasks);
+		}
+	}
+}
+
+/*
+ * How many tasks of `entry` the account may still claim from one home: what
+ * its own work there leaves. A place whose worker is missing counts as
+ * unused, so that the account gets its shape elsewhere.
+ */
+static uint32_t home_rest(const struct rj_topology_state *state,
+			  const struct rj_home *home,
+			  const struct rj_plan_entry *entry)
+{
+	uint32_t rest = 0;
+	bool known = false;
+
+	for (uint32_t i = 0; i < home->part_count; i++) {
+		const struct rj_home_part *part = &home->parts[i];
+		const struct rj_capacity_worker *worker =
+			worker_at(state, part);
+		struct rj_resources amount = { 0 };
+		const struct rj_worker_share *share;
+
+		known |= !!rj_capacity_rack_find(&state->capacity, part->rack);
+		rj_resources_add(&amount, &home->shape.each, part->tasks);
+		share = worker ?
+				rj_ledger_share(worker->ledger, home->account) :
+				NULL;
+		if (share) {
+			struct rj_resources left = rj_resources_rest(
+				&share->guaranteed, &share->used);
+
+			rj_resources_limit(&amount, &left);
+		}
+		rest += rj_resources_times(&entry->job.shape.each, &amount,
+					   RJ_GANG_MAX);
+	}
+	return known ? rest : 0;
+}
+
+/*
+ * Whether the account may claim room for the waiting job from its guarantee
+ * in the racks that are planned here: its own work on the guarantee's
+ * workers, and what it was granted in their stead, leave enough.
+ */
+bool rj_topology_entitled(const struct rj_topology_state *state,
+			  const struct rj_plan_entry *entry)
+{
+	const struct rj_shape *shape = &entry->job.shape;
+	uint64_t claim = 0;
+
+	for (uint32_t i = 0; i < state->homes->len; i++) {
+		const struct rj_home *home = g_ptr_array_index(state->homes, i);
+		uint32_t rest;
+
+		if (home->account != entry->account)
+			continue;
+		rest = home_rest(state, home, entry);
+		if (shape->adjacent)
+			rest -= rest % shape->tasks;
+		claim += rest;
+	}
+	claim *= MAX(shape->each.accelerators, 1);
+	return claim >= entry->account->granted + rj_topology_size(entry);
+}
--- /dev/null
+++ b/src/libradishjunction/core/topology_place.c
@@ -0,0 +1,382 @@
+#include "private/topology.h"
+
+#include <assert.h>
+#include <stdlib.h>
+
+/*
+ * A job may pass a reservation if nine in ten of its kind end in time.
+ */
+#define PASS_PERCENT 90
+
+/* The parts of a score, from the weightiest down; a lower score is better. */
+#define SCORE_NOT_OWNED (1ULL << 50)
+#define SCORE_OTHERS_HOME (1ULL << 49)
+#define SCORE_RESERVED (1ULL << 48)
+#define SCORE_WHOLE_RACK (1ULL << 47)
+#define SCORE_WHOLE_WORKER (1ULL << 46)
+#define SCORE_WORKER_UNIT (1ULL << 24)
+#define SCORE_WORST UINT64_MAX
+
+/*
+ * Whether the job may run on what is kept for `reservation`: it ends in
+ * time by the run times learnt, or it can be stopped at little loss when
+ * the reservation's job starts.
+ */
+static bool may_pass(const struct rj_plan_entry *entry,
+		     const struct rj_reservation *reservation, uint64_t now_us)
+{
+	uint64_t run_us;
+
+	if (reservation->firm)
+		return false;
+	if (entry->job.stoppable && entry->job.checkpoint)
+		return true;
+	run_us = rj_runtime_quantile_us(entry->runtime, PASS_PERCENT, 0);
+	return now_us + run_us <= reservation->at_us;
+}
+
+/*
+ * What `entry` may take of `worker` now: what is free, without what is kept
+ * for others (loosely kept capacity only counts if it may not be passed, or
+ * not at all with `firm_only`), and for a job that cannot be stopped without
+ * what must stay reclaimable.
+ */
+struct rj_resources rj_topology_room(const struct rj_capacity_worker *worker,
+				     const struct rj_plan_entry *entry,
+				     uint64_t now_us, bool firm_only)
+{
+	const struct rj_ledger *ledger = worker->ledger;
+	struct rj_resources room = worker->free;
+	struct rj_resources limit;
+
+	for (uint32_t i = 0; ledger && i < ledger->hold_count; i++) {
+		const struct rj_reservation *holder =
+			ledger->holds[i].reservation;
+
+		if (holder->entry == entry || (firm_only && !holder->firm) ||
+		    may_pass(entry, holder, now_us))
+			continue;
+		rj_resources_take_or_zero(&room, &ledger->holds[i].want);
+	}
+	if (entry->job.stoppable)
+		return room;
+	limit = rj_ledger_pin_room(worker, entry->account);
+	rj_resources_limit(&room, &limit);
+	return room;
+}
+
+/*
+ * Accelerators here that are guaranteed to others and lie idle.
+ */
+static uint32_t idle_of_others(const struct rj_capacity_worker *worker,
+			       const struct rj_plan_entry *entry)
+{
+	const struct rj_ledger *ledger = worker->ledger;
+	uint32_t idle = 0;
+
+	for (uint32_t i = 0; ledger && i < ledger->share_count; i++) {
+		const struct rj_worker_share *share = &ledger->shares[i];
+		uint32_t guaranteed = share->guaranteed.accelerators;
+
+		if (share->account != entry->account)
+			idle += guaranteed -
+				MIN(guaranteed, share->used.accelerators);
+	}
+	return idle;
+}
+
+static bool rack_is_whole(struct rj_site rack)
+{
+	for (uint32_t i = 0; i < rack.count; i++)
+		if (rack.workers[i]->tasks)
+			return false;
+	return true;
+}
+
+/*
+ * How well one task fits the worker, without regard to its rack: prefer
+ * what this instance owns, then what nobody else is guaranteed or waits for,
+ * then a worker that is broken up already, then the tightest fit.
+ */
+static uint64_t score_worker(const struct rj_capacity_worker *worker,
+			     const struct rj_plan_entry *entry,
+			     const struct rj_resources *room)
+{
+	uint32_t want = entry->job.shape.each.accelerators;
+	uint32_t left = worker->free.accelerators - want;
+	uint64_t score = left * SCORE_WORKER_UNIT;
+
+	(void)room;
+	if (!worker->plan.owned)
+		score += SCORE_NOT_OWNED;
+	if (idle_of_others(worker, entry) > left)
+		score += SCORE_OTHERS_HOME;
+	if (worker->ledger && worker->ledger->hold_count)
+		score += SCORE_RESERVED;
+	if (!worker->tasks)
+		score += SCORE_WHOLE_WORKER;
+	return score;
+}
+
+/*
+ * The accelerators free in a rack.
+ */
+static uint32_t rack_free(struct rj_site rack)
+{
+	uint32_t free = 0;
+
+	for (uint32_t i = 0; i < rack.count; i++)
+		free += rack.workers[i]->free.accelerators;
+	return free;
+}
+
+/*
+ * Place a single task on the best worker. Returns 1, or 0 if none has room.
+ */
+static uint32_t place_one(struct rj_topology_state *state,
+			  struct rj_plan_entry *entry, uint64_t now_us)
+{
+	const struct rj_resources *each = &entry->job.shape.each;
+	uint64_t best = SCORE_WORST;
+
+	for (uint32_t i = 0; i < state->capacity.rack_count; i++) {
+		struct rj_site rack = rj_topology_rack(state, i);
+		uint64_t rack_score = rack_free(rack);
+
+		if (rack_is_whole(rack))
+			rack_score += SCORE_WHOLE_RACK;
+		state->considered += rack.count;
+		for (uint32_t j = 0; j < rack.count; j++) {
+			const struct rj_capacity_worker *worker =
+				rack.workers[j];
+			struct rj_resources room;
+			uint64_t score;
+
+			if (!rj_resources_fit(each, &worker->free))
+				continue;
+			room = rj_topology_room(worker, entry, now_us, false);
+			if (!rj_resources_fit(each, &room))
+				continue;
+			score = rack_score + score_worker(worker, entry, &room);
+			if (score >= best)
+				continue;
+			best = score;
+			state->members[0].worker = worker->plan.id;
+			state->members[0].tasks = 1;
+		}
+	}
+	return best != SCORE_WORST;
+}
+
+/*
+ * How many tasks of a gang the site has room for, up to all of them.
+ */
+static uint32_t site_fits(struct rj_topology_state *state, struct rj_site site,
+			  const struct rj_plan_entry *entry, uint64_t now_us)
+{
+	const struct rj_shape *shape = &entry->job.shape;
+	uint32_t fits = 0;
+
+	state->considered += site.count;
+	for (uint32_t i = 0; i < site.count && fits < shape->tasks; i++) {
+		struct rj_resources room;
+
+		if (!rj_resources_fit(&shape->each, &site.workers[i]->free))
+			continue;
+		room = rj_topology_room(site.workers[i], entry, now_us, false);
+		fits += rj_resources_times(&shape->each, &room,
+					   shape->tasks - fits);
+	}
+	return fits;
+}
+
+/*
+ * How well a gang fits a rack that has room for it.
+ */
+static uint64_t score_rack(struct rj_site rack,
+			   const struct rj_plan_entry *entry)
+{
+	uint64_t free = rack_free(rack);
+	uint64_t left = free - MIN(free, rj_topology_size(entry));
+	uint64_t score = left * SCORE_WORKER_UNIT;
+	uint64_t idle = 0;
+
+	for (uint32_t i = 0; i < rack.count; i++) {
+		const struct rj_capacity_worker *worker = rack.workers[i];
+
+		idle += idle_of_others(worker, entry);
+		if (worker->ledger && worker->ledger->hold_count)
+			score |= SCORE_RESERVED;
+	}
+	if (idle > left)
+		score += SCORE_OTHERS_HOME;
+	if (!rack.workers[0]->plan.owned)
+		score += SCORE_NOT_OWNED;
+	return score;
+}
+
+struct candidate {
+	struct rj_capacity_worker *worker;
+	uint32_t tasks;
+};
+
+static int compare_candidates(const void *a, const void *b)
+{
+	const struct candidate *one = a;
+	const struct candidate *two = b;
+	uint32_t one_free = one->worker->free.accelerators;
+	uint32_t two_free = two->worker->free.accelerators;
+
+	if (one_free != two_free)
+		return one_free < two_free ? -1 : 1;
+	return one->worker->plan.id < two->worker->plan.id ? -1 : 1;
+}
+
+/*
+ * Put up to `want` tasks on the workers of a rack, the most broken up ones
+ * first, after the `count` members there are. Returns the members then.
+ */
+static uint32_t fill_rack(struct rj_topology_state *state, struct rj_site rack,
+			  const struct rj_plan_entry *entry, uint64_t now_us,
+			  uint32_t count, uint32_t *want)
+{
+	struct candidate *candidates = g_new(struct candidate, rack.count);
+	uint32_t found = 0;
+
+	for (uint32_t i = 0; i < rack.count; i++) {
+		struct rj_resources room =
+			rj_topology_room(rack.workers[i], entry, now_us, false);
+		uint32_t tasks = rj_resources_times(&entry->job.shape.each,
+						    &room, RJ_GANG_MAX);
+
+		if (!tasks)
+			continue;
+		candidates[found].worker = rack.workers[i];
+		candidates[found].tasks = tasks;
+		found++;
+	}
+	qsort(candidates, found, sizeof(*candidates), compare_candidates);
+	for (uint32_t i = 0; i < found && *want; i++) {
+		uint32_t tasks = MIN(candidates[i].tasks, *want);
+
+		state->members[count].worker = candidates[i].worker->plan.id;
+		state->members[count].tasks = tasks;
+		count++;
+		*want -= tasks;
+	}
+	g_free(candidates);
+	return count;
+}
+
+/*
+ * The rack with the best score that has room for the whole gang, or the
+ * number of racks if none has. `fits` is filled for each rack.
+ */
+static uint32_t best_rack(struct rj_topology_state *state,
+			  const struct rj_plan_entry *entry, uint64_t now_us,
+			  uint32_t *fits)
+{
+	uint32_t best = state->capacity.rack_count;
+	uint64_t best_score = SCORE_WORST;
+
+	for (uint32_t i = 0; i < state->capacity.rack_count; i++) {
+		struct rj_site rack = rj_topology_rack(state, i);
+		uint64_t score;
+
+		fits[i] = site_fits(state, rack, entry, now_us);
+		if (fits[i] < entry->job.shape.tasks)
+			continue;
+		score = score_rack(rack, entry);
+		if (score >= best_score)
+			continue;
+		best_score = score;
+		best = i;
+	}
+	return best;
+}
+
+/*
+ * The next rack of a gang that needs several: the tightest that takes all
+ * that is left, else the one that takes most.
+ */
+static uint32_t next_rack(const struct rj_topology_state *state,
+			  const uint32_t *fits, uint32_t want)
+{
+	uint32_t best = 0;
+
+	for (uint32_t i = 1; i < state->capacity.rack_count; i++) {
+		bool takes_all = fits[i] >= want;
+
+		if (takes_all && (fits[best] < want || fits[i] < fits[best]))
+			best = i;
+		else if (!takes_all && fits[best] < want &&
+			 fits[i] > fits[best])
+			best = i;
+	}
+	return best;
+}
+
+/*
+ * Place a gang in one rack, or, unless its tasks are to be adjacent, in as
+ * few racks as will do. Returns the members, 0 if it does not fit.
+ */
+static uint32_t place_gang(struct rj_topology_state *state,
+			   struct rj_plan_entry *entry, uint64_t now_us)
+{
+	uint32_t racks = state->capacity.rack_count;
+	uint32_t *fits = g_new0(uint32_t, racks + 1);
+	uint32_t best = best_rack(state, entry, now_us, fits);
+	uint32_t want = entry->job.shape.tasks;
+	uint64_t total = 0;
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < racks; i++)
+		total += fits[i];
+	if (best < racks)
+		count = fill_rack(state, rj_topology_rack(state, best), entry,
+				  now_us, 0, &want);
+	else if (!entry->job.shape.adjacent && total >= want)
+		while (want) {
+			best = next_rack(state, fits, want);
+			assert(fits[best]);
+			count = fill_rack(state, rj_topology_rack(state, best),
+					  entry, now_us, count, &want);
+			fits[best] = 0;
+		}
+	g_free(fits);
+	return count;
+}
+
+/*
+ * Find where the waiting job fits now; the members are in `state->members`.
+ * Returns how many there are, 0 if it does not fit.
+ */
+uint32_t rj_topology_place(struct rj_topology_state *state,
+			   struct rj_plan_entry *entry, uint64_t now_us)
+{
+	state->considered = 0;
+	if (entry->job.shape.tasks == 1)
+		return place_one(state, entry, now_us);
+	return place_gang(state, entry, now_us);
+}
+
+/*
+ * Whether the members lie on capacity that is loosely kept for another job.
+ */
+bool rj_topology_passes_loosely(const struct rj_plan_entry *entry,
+				const struct rj_plan_member *members,
+				uint32_t count,
+				const struct rj_capacity *capacity)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		const struct rj_capacity_worker *worker =
+			rj_capacity_find(capacity, members[i].worker);
+
+		for (uint32_t j = 0;
+		     worker->ledger && j < worker->ledger->hold_count; j++)
+			if (worker->ledger->holds[j].reservation->entry !=
+			    entry)
+				return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/src/libradishjunction/core/topology_reclaim.c
@@ -0,0 +1,479 @@
+#include "private/topology.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+/* A reclaim that has not freed its shape by the limit and this is given up. */
+#define GRACE_US (200 * RJ_US_PER_MS)
+
+/* What a checkpoint costs a job, as run time lost. */
+#define CHECKPOINT_COST_US RJ_US_PER_S
+
+/* On which ground a job asks for room. */
+enum ground {
+	GROUND_GUARANTEE, /* its account's guarantee */
+	GROUND_URGENT, /* urgent work before borrowed capacity */
+	GROUND_LOAN, /* work that passed its reservation */
+};
+
+struct victim {
+	struct rj_plan_entry *entry;
+	double cost; /* lost accelerator time for each accelerator freed */
+	uint64_t lost;
+	bool chosen;
+};
+
+/* A search of one site for the jobs to stop. */
+struct search {
+	struct rj_topology_state *state;
+	struct rj_plan_entry *entry;
+	enum ground ground;
+	struct rj_site site;
+	uint64_t now_us;
+	uint32_t *fits;
+	uint32_t total;
+	struct victim *victims;
+	uint32_t victim_count;
+	uint64_t lost;
+};
+
+/*
+ * Accelerator time that is lost if the job is stopped now.
+ */
+static uint64_t lost_work(const struct rj_plan_entry *entry, uint64_t now_us)
+{
+	uint64_t ran_us = now_us - MIN(now_us, entry->started_us);
+
+	if (entry->job.checkpoint)
+		ran_us = MIN(ran_us, CHECKPOINT_COST_US);
+	/* A task that has just started still costs its start again. */
+	return (ran_us + RJ_US_PER_MS) * rj_topology_size(entry);
+}
+
+/*
+ * What the job may take of the worker once the chosen victims, and what is
+ * being stopped already, are gone: neither what is firmly kept for others
+ * nor what others are guaranteed and do not use.
+ */
+static struct rj_resources room_after(const struct search *search,
+				      const struct rj_capacity_worker *worker)
+{
+	const struct rj_ledger *ledger = worker->ledger;
+	struct rj_resources room = worker->free;
+	struct rj_resources limit;
+
+	if (!worker->plan.usable || worker->gone ||
+	    ledger->silent_until_us > search->now_us)
+		return (struct rj_resources){ 0 };
+	for (uint32_t i = 0; i < ledger->run_count; i++)
+		if (ledger->runs[i].entry->reclaiming)
+			rj_resources_add(&room,
+					 &ledger->runs[i].entry->job.shape.each,
+					 ledger->runs[i].tasks);
+	for (uint32_t i = 0; i < ledger->share_count; i++)
+		rj_resources_add(&room, &ledger->shares[i].evicted, 1);
+	for (uint32_t i = 0; i < ledger->hold_count; i++)
+		if (ledger->holds[i].reservation->firm)
+			rj_resources_take_or_zero(&room,
+						  &ledger->holds[i].want);
+	for (uint32_t i = 0; i < ledger->share_count; i++) {
+		const struct rj_worker_share *share = &ledger->shares[i];
+		struct rj_resources used;
+		struct rj_resources idle;
+
+		if (share->account == search->entry->account)
+			continue;
+		used = rj_resources_rest(&share->used, &share->evicted);
+		idle = rj_resources_rest(&share->guaranteed, &used);
+		rj_resources_take_or_zero(&room, &idle);
+	}
+	if (search->entry->job.stoppable)
+		return room;
+	limit = rj_ledger_pin_room(worker, search->entry->account);
+	rj_resources_limit(&room, &limit);
+	return room;
+}
+
+static void refit(struct search *search, uint32_t at)
+{
+	struct rj_resources room = room_after(search, search->site.workers[at]);
+
+	search->total -= search->fits[at];
+	search->fits[at] =
+		rj_resources_times(&search->entry->job.shape.each, &room,
+				   search->entry->job.shape.tasks);
+	search->total += search->fits[at];
+}
+
+static bool fits_now(const struct search *search)
+{
+	return search->total >= search->entry->job.shape.tasks;
+}
+
+/*
+ * Whether the ground allows to stop `entry` at all, wherever it runs.
+ */
+static bool may_stop(const struct search *search,
+		     const struct rj_plan_entry *entry)
+{
+	const struct rj_plan_job *job = &entry->job;
+
+	if (!job->stoppable || entry->reclaiming)
+		return false;
+	switch (search->ground) {
+	case GROUND_GUARANTEE:
+		return entry->account != search->entry->account ||
+		       job->priority > search->entry->job.priority;
+	case GROUND_URGENT:
+		return job->priority != RJ_PRIORITY_URGENT;
+	case GROUND_LOAN:
+		return entry->on_loan;
+	}
+	return false;
+}
+
+/*
+ * Whether the job borrows on some worker of the site: its account uses more
+ * there than its guarantee. What stays within a guarantee is never stopped
+ * for another account.
+ */
+static bool borrows(const struct search *search,
+		    const struct rj_plan_entry *entry)
+{
+	if (entry->account == search->entry->account)
+		return true;
+	for (uint32_t i = 0; i < entry->member_count; i++) {
+		const struct rj_capacity_worker *worker = rj_capacity_find(
+			&search->state->capacity, entry->members[i].worker);
+		const struct rj_worker_share *share;
+		struct rj_resources used;
+
+		if (worker->ledger->site_stamp != search->state->stamp)
+			continue;
+		share = rj_ledger_share(worker->ledger, entry->account);
+		used = rj_resources_rest(&share->used, &share->evicted);
+		if (rj_resources_exceed(&used, &share->guaranteed))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Take the job out of the workers in thought, or put it back.
+ */
+static void evict(struct search *search, struct victim *victim, bool out)
+{
+	const struct rj_plan_entry *entry = victim->entry;
+
+	for (uint32_t i = 0; i < entry->member_count; i++) {
+		const struct rj_plan_member *member = &entry->members[i];
+		struct rj_capacity_worker *worker = rj_capacity_find(
+			&search->state->capacity, member->worker);
+		struct rj_worker_share *share =
+			rj_ledger_share(worker->ledger, entry->account);
+
+		if (out)
+			rj_resources_add(&share->evicted,
+					 &entry->job.shape.each, member->tasks);
+		else
+			rj_resources_take(&share->evicted,
+					  &entry->job.shape.each,
+					  member->tasks);
+		if (worker->ledger->site_stamp == search->state->stamp)
+			refit(search, worker->ledger->site_index);
+	}
+	victim->chosen = out;
+}
+
+static int compare_victims(const void *a, const void *b)
+{
+	const struct victim *one = a;
+	const struct victim *two = b;
+
+	if (one->cost != two->cost)
+		return one->cost < two->cost ? -1 : 1;
+	return one->entry->job.job_id < two->entry->job.job_id ? -1 : 1;
+}
+
+/*
+ * Accelerators of the job that lie within the site.
+ */
+static uint64_t freed_here(const struct search *search,
+			   const struct rj_plan_entry *entry)
+{
+	uint64_t tasks = 0;
+
+	for (uint32_t i = 0; i < entry->member_count; i++) {
+		const struct rj_capacity_worker *worker = rj_capacity_find(
+			&search->state->capacity, entry->members[i].worker);
+
+		if (worker->ledger->site_stamp == search->state->stamp)
+			tasks += entry->members[i].tasks;
+	}
+	return tasks * MAX(entry->job.shape.each.accelerators, 1);
+}
+
+/*
+ * List the jobs of the site that may be stopped, cheapest first.
+ */
+static void list_victims(struct search *search)
+{
+	GArray *victims = g_array_new(FALSE, FALSE, sizeof(struct victim));
+	uint64_t seen = search->state->stamp;
+
+	for (uint32_t i = 0; i < search->site.count; i++) {
+		const struct rj_ledger *ledger =
+			search->site.workers[i]->ledger;
+
+		for (uint32_t j = 0; j < ledger->run_count; j++) {
+			struct rj_plan_entry *entry = ledger->runs[j].entry;
+			struct victim victim = { .entry = entry };
+
+			if (entry->stamp == seen || !may_stop(search, entry))
+				continue;
+			entry->stamp = seen;
+			victim.lost = lost_work(entry, search->now_us);
+			victim.cost = (double)victim.lost /
+				      (double)freed_here(search, entry);
+			g_array_append_val(victims, victim);
+		}
+	}
+	search->victim_count = victims->len;
+	search->victims = (struct victim *)g_array_free(victims, FALSE);
+	if (search->victim_count)
+		qsort(search->victims, search->victim_count,
+		      sizeof(struct victim), compare_victims);
+}
+
+static void search_init(struct search *search, struct rj_topology_state *state,
+			struct rj_plan_entry *entry, enum ground ground,
+			struct rj_site site, uint64_t now_us)
+{
+	memset(search, 0, sizeof(*search));
+	search->state = state;
+	search->entry = entry;
+	search->ground = ground;
+	search->site = site;
+	search->now_us = now_us;
+	search->fits = g_new0(uint32_t, site.count + 1);
+	state->stamp++;
+	for (uint32_t i = 0; i < site.count; i++) {
+		struct rj_ledger *ledger = rj_ledger_of(site.workers[i]);
+
+		ledger->site_index = i;
+		ledger->site_stamp = state->stamp;
+		refit(search, i);
+	}
+	list_victims(search);
+}
+
+static void search_finish(struct search *search)
+{
+	g_free(search->fits);
+	g_free(search->victims);
+}
+
+/*
+ * Choose victims, cheapest first, until the job fits; then let go those
+ * that turned out not to be needed, the dearest first. Returns whether the
+ * job fits.
+ */
+static bool search_run(struct search *search)
+{
+	for (uint32_t i = 0; i < search->victim_count && !fits_now(search); i++)
+		if (borrows(search, search->victims[i].entry))
+			evict(search, &search->victims[i], true);
+	if (!fits_now(search))
+		return false;
+	for (uint32_t i = search->victim_count; i--;) {
+		if (!search->victims[i].chosen)
+			continue;
+		evict(search, &search->victims[i], false);
+		if (!fits_now(search))
+			evict(search, &search->victims[i], true);
+		else
+			continue;
+		search->lost += search->victims[i].lost;
+	}
+	return true;
+}
+
+static void search_undo(struct search *search)
+{
+	for (uint32_t i = 0; i < search->victim_count; i++)
+		if (search->victims[i].chosen)
+			evict(search, &search->victims[i], false);
+}
+
+/*
+ * Write down where the job goes, the workers with the least room first so
+ * that they are filled.
+ */
+static uint32_t search_members(const struct search *search,
+			       struct rj_plan_member *members)
+{
+	uint32_t want = search->entry->job.shape.tasks;
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; want && i < search->site.count; i++) {
+		uint32_t tasks = MIN(want, search->fits[i]);
+
+		if (!tasks)
+			continue;
+		members[count].worker = search->site.workers[i]->plan.id;
+		members[count].tasks = tasks;
+		count++;
+		want -= tasks;
+	}
+	return count;
+}
+
+static void stop_victims(const struct search *search,
+			 struct rj_decisions *decisions)
+{
+	uint64_t limit_us =
+		search->state->limits.checkpoint_limit_ms * RJ_US_PER_MS;
+
+	for (uint32_t i = 0; i < search->victim_count; i++) {
+		struct rj_plan_entry *entry = search->victims[i].entry;
+		struct rj_decision *decision;
+
+		if (!search->victims[i].chosen)
+			continue;
+		decision = rj_decisions_add(decisions, RJ_DECISION_RECLAIM);
+		decision->job_id = entry->job.job_id;
+		decision->reason = RJ_REASON_LEAST_LOST;
+		decision->checkpoint = entry->job.checkpoint;
+		decision->limit_us = limit_us;
+		decision->for_job = search->entry->job.job_id;
+		decision->considered = search->victim_count;
+		entry->reclaiming = true;
+	}
+}
+
+/*
+ * The work that a search of the site would cost, RJ_NEVER_US if the job
+ * would not fit.
+ */
+static uint64_t cost_of(struct rj_topology_state *state,
+			struct rj_plan_entry *entry, enum ground ground,
+			struct rj_site site, uint64_t now_us)
+{
+	struct search search;
+	uint64_t cost = RJ_NEVER_US;
+
+	search_init(&search, state, entry, ground, site, now_us);
+	if (search_run(&search))
+		cost = search.lost;
+	search_undo(&search);
+	search_finish(&search);
+	return cost;
+}
+
+/*
+ * Stop what is in the way in this site and keep its room for the job.
+ */
+static bool carry_out(struct rj_topology_state *state,
+		      struct rj_plan_entry *entry, enum ground ground,
+		      struct rj_site site, uint64_t now_us,
+		      struct rj_decisions *decisions)
+{
+	struct rj_reservation *reservation;
+	struct search search;
+	uint32_t count;
+	bool fits;
+
+	search_init(&search, state, entry, ground, site, now_us);
+	fits = search_run(&search);
+	count = fits ? search_members(&search, state->members) : 0;
+	if (fits)
+		stop_victims(&search, decisions);
+	search_undo(&search);
+	search_finish(&search);
+	if (!fits)
+		return false;
+	if (entry->reservation)
+		rj_topology_unreserve(state, entry->reservation);
+	reservation = rj_topology_reserve(
+		state, entry, state->members, count, true,
+		now_us + state->limits.checkpoint_limit_ms * RJ_US_PER_MS +
+			GRACE_US);
+	reservation->reason = ground == GROUND_GUARANTEE ? RJ_REASON_GUARANTEE :
+			      ground == GROUND_URGENT	 ? RJ_REASON_RECLAIMED :
+							   RJ_REASON_RESERVATION;
+	if (ground == GROUND_GUARANTEE) {
+		entry->granted = true;
+		entry->account->granted += rj_topology_size(entry);
+	}
+	return true;
+}
+
+/*
+ * The site where the job costs others least: a rack, or all racks for a
+ * gang that may span them.
+ */
+static bool reclaim_on(struct rj_topology_state *state,
+		       struct rj_plan_entry *entry, enum ground ground,
+		       uint64_t now_us, struct rj_decisions *decisions)
+{
+	const struct rj_shape *shape = &entry->job.shape;
+	uint64_t best_cost = RJ_NEVER_US;
+	uint32_t best = 0;
+
+	for (uint32_t i = 0; i < state->capacity.rack_count; i++) {
+		uint64_t cost = cost_of(state, entry, ground,
+					rj_topology_rack(state, i), now_us);
+
+		if (cost >= best_cost)
+			continue;
+		best_cost = cost;
+		best = i;
+	}
+	if (best_cost != RJ_NEVER_US)
+		return carry_out(state, entry, ground,
+				 rj_topology_rack(state, best), now_us,
+				 decisions);
+	if (shape->adjacent || shape->tasks == 1)
+		return false;
+	return carry_out(state, entry, ground, rj_topology_all(state), now_us,
+			 decisions);
+}
+
+/*
+ * Whether urgent work of the account may stop what others borrow: it has
+ * waited a moment, and the account stays within guarantee and fair share.
+ */
+static bool may_hurry(const struct rj_topology_state *state,
+		      const struct rj_plan_entry *entry, uint64_t now_us)
+{
+	const struct rj_plan_account *account = entry->account;
+	uint64_t fair = state->accelerators * account->share /
+			MAX(state->share_total, 1);
+
+	return entry->job.priority == RJ_PRIORITY_URGENT &&
+	       now_us >= entry->job.queued_us + RJ_URGENT_PATIENCE_US &&
+	       account->used + rj_topology_size(entry) <=
+		       account->guaranteed + fair;
+}
+
+/*
+ * Make room for a job that does not fit: first on the ground of its
+ * account's guarantee, then of urgency, then of its own reservation. Whole
+ * gangs are stopped, those with the least work lost. Returns whether room
+ * is firmly kept now; it is free when all that was stopped has ended.
+ */
+bool rj_topology_reclaim(struct rj_topology_state *state,
+			 struct rj_plan_entry *entry, uint64_t now_us,
+			 struct rj_decisions *decisions)
+{
+	if (rj_topology_entitled(state, entry) &&
+	    reclaim_on(state, entry, GROUND_GUARANTEE, now_us, decisions))
+		return true;
+	if (may_hurry(state, entry, now_us) &&
+	    reclaim_on(state, entry, GROUND_URGENT, now_us, decisions))
+		return true;
+	return entry->reservation &&
+	       reclaim_on(state, entry, GROUND_LOAN, now_us, decisions);
+}
--- a/src/libradishjunction/include/private/capacity.h
+++ b/src/libradishjunction/include/private/capacity.h
@@ -21,7 +21,9 @@
 	struct rj_resources taken; /* by tasks of this planner */
 	struct rj_resources free; /* nothing while it is not usable */
 	uint32_t tasks;
+	uint32_t position; /* in its rack; kept while the worker is known */
 	bool gone;
+	struct rj_ledger *ledger; /* of a planner that keeps one */
 };
 
 struct rj_capacity_rack {
@@ -42,6 +44,8 @@
 void rj_capacity_finish(struct rj_capacity *capacity);
 struct rj_capacity_worker *rj_capacity_find(const struct rj_capacity *capacity,
 					    uint32_t id);
+const struct rj_capacity_rack *
+rj_capacity_rack_find(const struct rj_capacity *capacity, uint32_t number);
 struct rj_capacity_worker *rj_capacity_set(struct rj_capacity *capacity,
 					   const struct rj_plan_worker *worker);
 void rj_capacity_remove(struct rj_capacity *capacity, uint32_t id);
@@ -51,6 +55,8 @@
 void rj_capacity_give(struct rj_capacity *capacity,
 		      const struct rj_resources *each,
 		      const struct rj_plan_member *members, uint32_t count);
+void rj_resources_take_or_zero(struct rj_resources *have,
+			       const struct rj_resources *part);
 bool rj_shape_equal(const struct rj_shape *one, const struct rj_shape *two);
 uint32_t rj_resources_times(const struct rj_resources *each,
 			    const struct rj_resources *have, uint32_t most);
--- /dev/null
+++ b/src/libradishjunction/include/private/ledger.h
@@ -0,0 +1,88 @@
+/*
+ * Who holds what on one worker: guarantees, tasks that can be stopped,
+ * tasks that cannot, and what is kept free for a job.
+ *
+ * The rule that keeps guarantees reclaimable: on each worker, the sum over
+ * the client accounts of the larger of (its guarantee here, its tasks here
+ * that cannot be stopped) never exceeds the worker. Stopping all that can be
+ * stopped then frees every guarantee at once.
+ *
+ * Life cycle: `rj_ledger_of` makes it with its worker, which owns it.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_LEDGER_H
+#define RADISHJUNCTION_PRIVATE_LEDGER_H
+
+#include "private/plan_table.h"
+
+struct rj_plan_account;
+struct rj_reservation;
+
+/* What an account is guaranteed and uses on one worker. */
+struct rj_worker_share {
+	struct rj_plan_account *account;
+	struct rj_resources guaranteed;
+	struct rj_resources pinned; /* by tasks that cannot be stopped */
+	struct rj_resources used; /* by all of its tasks */
+	struct rj_resources evicted; /* scratch of a search for victims */
+};
+
+/* Tasks of one job on the worker. */
+struct rj_worker_run {
+	struct rj_plan_entry *entry;
+	uint32_t tasks;
+};
+
+struct rj_worker_hold {
+	struct rj_reservation *reservation;
+	struct rj_resources want;
+};
+
+struct rj_ledger {
+	struct rj_worker_share *shares;
+	uint32_t share_count;
+	struct rj_worker_run *runs;
+	uint32_t run_count;
+	struct rj_worker_hold *holds;
+	uint32_t hold_count;
+	struct rj_resources bound; /* the sum of the rule above */
+	uint64_t silent_until_us; /* did not give back what was reclaimed */
+	uint32_t site_index; /* scratch: place in the site searched last */
+	uint64_t site_stamp; /* scratch: which search that was */
+};
+
+/* Capacity that is kept for a waiting job. */
+struct rj_reservation {
+	struct rj_plan_entry *entry;
+	struct rj_plan_member *members;
+	uint32_t member_count;
+	uint64_t at_us; /* expected to be free; if firm, given up then */
+	uint64_t refresh_us; /* when a loose one is worked out again */
+	bool firm; /* nothing else may start here */
+	enum rj_reason reason;
+};
+
+struct rj_ledger *rj_ledger_of(struct rj_capacity_worker *worker);
+void rj_ledger_guarantee(struct rj_capacity_worker *worker,
+			 struct rj_plan_account *account,
+			 const struct rj_resources *each, uint32_t tasks);
+void rj_ledger_clear_guarantees(struct rj_capacity_worker *worker);
+void rj_ledger_add_run(struct rj_capacity_worker *worker,
+		       struct rj_plan_entry *entry, uint32_t tasks);
+void rj_ledger_remove_run(struct rj_capacity_worker *worker,
+			  struct rj_plan_entry *entry, uint32_t tasks);
+void rj_ledger_hold(struct rj_capacity_worker *worker,
+		    struct rj_reservation *reservation, uint32_t tasks);
+void rj_ledger_release(struct rj_capacity_worker *worker,
+		       struct rj_reservation *reservation);
+struct rj_worker_share *rj_ledger_share(const struct rj_ledger *ledger,
+					const struct rj_plan_account *account);
+struct rj_resources rj_ledger_pin_room(const struct rj_capacity_worker *worker,
+				       const struct rj_plan_account *account);
+void rj_resources_limit(struct rj_resources *have,
+			const struct rj_resources *limit);
+bool rj_resources_exceed(const struct rj_resources *one,
+			 const struct rj_resources *two);
+struct rj_resources rj_resources_rest(const struct rj_resources *have,
+				      const struct rj_resources *part);
+
+#endif
--- a/src/libradishjunction/include/private/plan_table.h
+++ b/src/libradishjunction/include/private/plan_table.h
@@ -17,6 +17,17 @@
 	uint64_t not_before_us;
 	uint64_t started_us;
 	GList link; /* of the queue that the planner keeps */
+	/* Kept by the planner by topology alone. */
+	struct rj_plan_account *account;
+	struct rj_plan_bucket *bucket;
+	struct rj_runtime *runtime;
+	struct rj_reservation *reservation;
+	GSequenceIter *deadline;
+	uint64_t backlog; /* what it added to the backlog when it came */
+	uint64_t stamp; /* of the last search that met it */
+	bool reclaiming;
+	bool on_loan; /* runs where a reservation let it pass */
+	bool granted; /* by a guarantee, and not on its home (yet) */
 };
 
 struct rj_plan_table {
--- /dev/null
+++ b/src/libradishjunction/include/private/topology.h
@@ -0,0 +1,150 @@
+/*
+ * The parts of the planner by topology, and the state that they share.
+ *
+ * planner_topology.c is the planner; the others each do one job for it:
+ * topology_queue.c (who is next), topology_place.c (where it fits),
+ * topology_guarantee.c (which workers are guaranteed to whom),
+ * topology_reserve.c (what is kept for a job that waits) and
+ * topology_reclaim.c (what is stopped for it).
+ */
+#ifndef RADISHJUNCTION_PRIVATE_TOPOLOGY_H
+#define RADISHJUNCTION_PRIVATE_TOPOLOGY_H
+
+#include "private/ledger.h"
+#include "private/runtime.h"
+#include "radishjunction/planner_topology.h"
+
+struct rj_plan_account {
+	char name[RJ_NAME_BYTES];
+	uint32_t share;
+	uint64_t guaranteed; /* accelerators in this domain */
+	uint64_t used; /* accelerators of running jobs */
+	uint64_t granted; /* on a guarantee's behalf, not on its home (yet) */
+	uint32_t queued;
+};
+
+/* Waiting jobs that differ only in their time of arrival. */
+struct rj_plan_bucket {
+	struct rj_plan_account *account;
+	enum rj_priority priority;
+	struct rj_shape shape;
+	bool stoppable;
+	GQueue queue;
+	uint64_t blocked_version; /* of the state in which it did not fit */
+	uint64_t sorted_by; /* scratch of a pass: its key */
+};
+
+/* A guaranteed shape with the worker positions it was given. */
+struct rj_home {
+	struct rj_plan_account *account;
+	struct rj_shape shape;
+	uint32_t number; /* in the order of the configuration */
+	struct rj_home_part *parts;
+	uint32_t part_count;
+};
+
+struct rj_home_part {
+	uint32_t rack;
+	uint32_t position;
+	uint32_t tasks;
+};
+
+/* Workers among which a job is placed: one rack, or all. */
+struct rj_site {
+	struct rj_capacity_worker **workers;
+	uint32_t count;
+};
+
+struct rj_topology_state {
+	struct rj_capacity capacity;
+	struct rj_plan_table table;
+	GHashTable *accounts;
+	GHashTable *runtimes;
+	GPtrArray *buckets; /* in order of their making */
+	GQueue delayed; /* waiting jobs in back-off, soonest first */
+	GSequence *deadlines;
+	GPtrArray *reservations;
+	GPtrArray *homes;
+	struct rj_domain domain;
+	struct rj_config_limits limits;
+	struct rj_job_class *classes;
+	uint32_t class_count;
+	uint64_t retry_us; /* when blocked jobs are tried again unasked */
+	uint64_t share_total;
+	uint64_t accelerators; /* usable ones */
+	uint64_t backlog[RJ_PRIORITY_COUNT]; /* accelerators times us */
+	uint64_t version; /* raised when a job that was blocked may fit */
+	uint64_t stamp;
+	uint32_t worker_accelerators; /* of the largest worker */
+	uint32_t queued;
+	bool workers_changed;
+	GPtrArray *all; /* scratch: all workers, owned racks first */
+	struct rj_plan_member members[RJ_GANG_MAX]; /* scratch */
+	uint32_t considered;
+	void *mem;
+};
+
+/* What urgent work waits before it stops what others borrow. */
+#define RJ_URGENT_PATIENCE_US RJ_US_PER_S
+
+struct rj_plan_account *rj_topology_account(struct rj_topology_state *state,
+					    const char *name);
+struct rj_runtime *rj_topology_runtime(struct rj_topology_state *state,
+				       const struct rj_plan_job *job);
+uint64_t rj_topology_ends_us(const struct rj_plan_entry *entry,
+			     uint32_t percent, uint64_t now_us);
+uint32_t rj_topology_size(const struct rj_plan_entry *entry);
+struct rj_site rj_topology_all(struct rj_topology_state *state);
+struct rj_site rj_topology_rack(const struct rj_topology_state *state,
+				uint32_t index);
+
+/* topology_queue.c */
+void rj_topology_enqueue(struct rj_topology_state *state,
+			 struct rj_plan_entry *entry, uint64_t now_us);
+void rj_topology_dequeue(struct rj_topology_state *state,
+			 struct rj_plan_entry *entry);
+void rj_topology_release_delayed(struct rj_topology_state *state,
+				 uint64_t now_us);
+struct rj_plan_bucket *rj_topology_next(struct rj_topology_state *state,
+					uint64_t now_us);
+uint64_t rj_topology_wait_us(const struct rj_topology_state *state,
+			     enum rj_priority priority);
+uint64_t rj_topology_spread_us(uint64_t wait_us, uint64_t job_id);
+bool rj_topology_queue_is_full(const struct rj_topology_state *state,
+			       const struct rj_plan_entry *entry);
+
+/* topology_place.c */
+struct rj_resources rj_topology_room(const struct rj_capacity_worker *worker,
+				     const struct rj_plan_entry *entry,
+				     uint64_t now_us, bool firm_only);
+uint32_t rj_topology_place(struct rj_topology_state *state,
+			   struct rj_plan_entry *entry, uint64_t now_us);
+bool rj_topology_passes_loosely(const struct rj_plan_entry *entry,
+				const struct rj_plan_member *members,
+				uint32_t count,
+				const struct rj_capacity *capacity);
+
+/* topology_guarantee.c */
+void rj_topology_assign_homes(struct rj_topology_state *state,
+			      const struct rj_config *config);
+void rj_topology_apply_homes(struct rj_topology_state *state);
+bool rj_topology_entitled(const struct rj_topology_state *state,
+			  const struct rj_plan_entry *entry);
+
+/* topology_reserve.c */
+struct rj_reservation *rj_topology_reserve(struct rj_topology_state *state,
+					   struct rj_plan_entry *entry,
+					   const struct rj_plan_member *members,
+					   uint32_t count, bool firm,
+					   uint64_t at_us);
+void rj_topology_unreserve(struct rj_topology_state *state,
+			   struct rj_reservation *reservation);
+void rj_topology_reserve_soonest(struct rj_topology_state *state,
+				 struct rj_plan_entry *entry, uint64_t now_us);
+
+/* topology_reclaim.c */
+bool rj_topology_reclaim(struct rj_topology_state *state,
+			 struct rj_plan_entry *entry, uint64_t now_us,
+			 struct rj_decisions *decisions);
+
+#endif
