--- a/src/libradishjunction/core/ledger.c
+++ b/src/libradishjunction/core/ledger.c
@@ -1,225 +1,250 @@
-/*
- * What the log says about jobs: a fold over the `jobs` stream.
- *
- * Every instance applies the same rules to the same records in the same
- * order, so that all agree which claim of a job counts without talking to
- * each other:
- * - the first claim opens the job, and others are ignored while it is open;
- * - a void closes the claim of just that attempt;
- * - an outcome settles the job; after it no claim opens it again;
- * - `unknown` may later become a definite outcome of the same attempt.
- */
+#include "private/ledger.h"
+
 #include <assert.h>
 #include <string.h>
 #include <talloc.h>
 
-#include "private/core_state.h"
+/*
+ * The larger of each dimension.
+ */
+static struct rj_resources larger(const struct rj_resources *one,
+				  const struct rj_resources *two)
+{
+	return (struct rj_resources){
+		MAX(one->slots, two->slots),
+		MAX(one->accelerators, two->accelerators),
+		MAX(one->cores, two->cores),
+		MAX(one->memory_mb, two->memory_mb),
+	};
+}
+
+/*
+ * Cut `have` down to `limit` in each dimension.
+ */
+void rj_resources_limit(struct rj_resources *have,
+			const struct rj_resources *limit)
+{
+	have->slots = MIN(have->slots, limit->slots);
+	have->accelerators = MIN(have->accelerators, limit->accelerators);
+	have->cores = MIN(have->cores, limit->cores);
+	have->memory_mb = MIN(have->memory_mb, limit->memory_mb);
+}
 
 /*
- * Start an empty ledger.
+ * Whether `one` is more than `two` in any dimension.
  */
-void rj_ledger_init(struct rj_ledger *ledger, void *mem)
+bool rj_resources_exceed(const struct rj_resources *one,
+			 const struct rj_resources *two)
 {
-	(void)mem;
-	ledger->by_job = g_hash_table_new(g_int64_hash, g_int64_equal);
-	rj_list_init(&ledger->entries);
-	ledger->count = 0;
+	return !rj_resources_fit(one, two);
 }
 
 /*
- * Free the index; the entries are talloc children of the core.
+ * What is left of `have` without `part`, never less than nothing.
  */
-void rj_ledger_finish(struct rj_ledger *ledger)
+struct rj_resources rj_resources_rest(const struct rj_resources *have,
+				      const struct rj_resources *part)
 {
-	g_hash_table_destroy(ledger->by_job);
+	struct rj_resources rest = *have;
+
+	rj_resources_take_or_zero(&rest, part);
+	return rest;
 }
 
 /*
- * Drop an entry.
+ * The ledger of `worker`, made at the first call.
  */
-void rj_ledger_forget(struct rj_ledger *ledger, struct rj_ledger_entry *entry)
+struct rj_ledger *rj_ledger_of(struct rj_capacity_worker *worker)
 {
-	g_hash_table_remove(ledger->by_job, &entry->job_id);
-	rj_list_remove(&entry->link);
-	ledger->count--;
-	talloc_free(entry);
+	if (!worker->ledger) {
+		worker->ledger = talloc_zero(worker, struct rj_ledger);
+		assert(worker->ledger);
+	}
+	return worker->ledger;
 }
 
 /*
- * Drop every entry, before the stream is read again from its oldest record.
+ * The share of `account`, or NULL if it has none here.
  */
-void rj_ledger_reset(struct rj_ledger *ledger)
+struct rj_worker_share *rj_ledger_share(const struct rj_ledger *ledger,
+					const struct rj_plan_account *account)
 {
-	struct rj_list *at;
-	struct rj_list *next;
+	for (uint32_t i = 0; i < ledger->share_count; i++)
+		if (ledger->shares[i].account == account)
+			return &ledger->shares[i];
+	return NULL;
+}
 
-	RJ_FOR_EACH (at, next, &ledger->entries)
-		rj_ledger_forget(
-			ledger, RJ_CONTAINER(at, struct rj_ledger_entry, link));
+static struct rj_worker_share *share_add(struct rj_ledger *ledger,
+					 struct rj_plan_account *account)
+{
+	struct rj_worker_share *share = rj_ledger_share(ledger, account);
+
+	if (share)
+		return share;
+	ledger->shares =
+		talloc_realloc(ledger, ledger->shares, struct rj_worker_share,
+			       ledger->share_count + 1);
+	assert(ledger->shares);
+	share = &ledger->shares[ledger->share_count++];
+	memset(share, 0, sizeof(*share));
+	share->account = account;
+	return share;
 }
 
 /*
- * What the log says of a job, or NULL when it says nothing.
+ * Work out the bound again, and drop shares that say nothing.
  */
-struct rj_ledger_entry *rj_ledger_find(const struct rj_ledger *ledger,
-				       uint64_t job_id)
+static void settle(struct rj_ledger *ledger)
 {
-	return g_hash_table_lookup(ledger->by_job, &job_id);
+	static const struct rj_resources none;
+	uint32_t kept = 0;
+
+	memset(&ledger->bound, 0, sizeof(ledger->bound));
+	for (uint32_t i = 0; i < ledger->share_count; i++) {
+		const struct rj_worker_share *share = &ledger->shares[i];
+		struct rj_resources most =
+			larger(&share->guaranteed, &share->pinned);
+
+		if (!rj_resources_exceed(&most, &none) &&
+		    !rj_resources_exceed(&share->used, &none))
+			continue;
+		rj_resources_add(&ledger->bound, &most, 1);
+		ledger->shares[kept++] = *share;
+	}
+	ledger->share_count = kept;
 }
 
-/* Whether two attempts are the same. */
-static bool same_attempt(const struct rj_attempt *a, const struct rj_attempt *b)
+/*
+ * Guarantee `tasks` times `each` of the worker to `account`.
+ */
+void rj_ledger_guarantee(struct rj_capacity_worker *worker,
+			 struct rj_plan_account *account,
+			 const struct rj_resources *each, uint32_t tasks)
 {
-	return a->job_id == b->job_id && a->owner == b->owner &&
-	       a->number == b->number;
+	struct rj_ledger *ledger = rj_ledger_of(worker);
+
+	rj_resources_add(&share_add(ledger, account)->guaranteed, each, tasks);
+	settle(ledger);
 }
 
-/* Make the entry of a job that the log had not named before. */
-static struct rj_ledger_entry *entry_new(struct rj_ledger *ledger, void *mem,
-					 const struct rj_record *record,
-					 uint64_t appended_us)
+/*
+ * Take back all guarantees, before a new configuration gives its own.
+ */
+void rj_ledger_clear_guarantees(struct rj_capacity_worker *worker)
 {
-	struct rj_ledger_entry *entry;
-
-	entry = talloc_zero(mem, struct rj_ledger_entry);
-	assert(entry);
-	entry->job_id = record->attempt.job_id;
-	entry->spec = record->spec;
-	entry->spec.job_id = entry->job_id;
-	entry->spec.body = (struct rj_bytes){ 0 };
-	entry->first_us = appended_us;
-	g_strlcpy(entry->domain, record->domain, sizeof(entry->domain));
-	rj_list_append(&ledger->entries, &entry->link);
-	g_hash_table_insert(ledger->by_job, &entry->job_id, entry);
-	ledger->count++;
-	return entry;
+	struct rj_ledger *ledger = rj_ledger_of(worker);
+
+	for (uint32_t i = 0; i < ledger->share_count; i++)
+		memset(&ledger->shares[i].guaranteed, 0,
+		       sizeof(struct rj_resources));
+	settle(ledger);
 }
 
-/* An accepted job: its whole spec is kept until it has an outcome. */
-static void apply_accept(struct rj_ledger_entry *entry,
-			 const struct rj_record *record)
+/*
+ * Tasks of a job have been placed on the worker.
+ */
+void rj_ledger_add_run(struct rj_capacity_worker *worker,
+		       struct rj_plan_entry *entry, uint32_t tasks)
 {
-	if (entry->accepted || entry->settled)
-		return;
-	if (entry->claimed &&
-	    memcmp(entry->spec.digest, record->spec.digest, RJ_DIGEST_BYTES))
-		return;
-	entry->accepted = true;
-	entry->spec = record->spec;
-	entry->spec.job_id = entry->job_id;
-	g_strlcpy(entry->domain, record->domain, sizeof(entry->domain));
-	rj_bytes_copy(entry, &entry->spec.body, &record->spec.body);
+	struct rj_ledger *ledger = rj_ledger_of(worker);
+	struct rj_worker_share *share = share_add(ledger, entry->account);
+	const struct rj_resources *each = &entry->job.shape.each;
+
+	rj_resources_add(&share->used, each, tasks);
+	if (!entry->job.stoppable)
+		rj_resources_add(&share->pinned, each, tasks);
+	ledger->runs =
+		talloc_realloc(ledger, ledger->runs, struct rj_worker_run,
+			       ledger->run_count + 1);
+	assert(ledger->runs);
+	ledger->runs[ledger->run_count].entry = entry;
+	ledger->runs[ledger->run_count].tasks = tasks;
+	ledger->run_count++;
+	settle(ledger);
 }
 
-/* The first claim of a job that is not open and not settled opens it. */
-static void apply_claim(struct rj_ledger_entry *entry,
-			const struct rj_record *record)
+/*
+ * Tasks of a job are no longer on the worker.
+ */
+void rj_ledger_remove_run(struct rj_capacity_worker *worker,
+			  struct rj_plan_entry *entry, uint32_t tasks)
 {
-	if (entry->settled || entry->claimed)
-		return;
-	if (memcmp(entry->spec.digest, record->spec.digest, RJ_DIGEST_BYTES))
-		return;
-	entry->claimed = true;
-	entry->attempt = record->attempt;
-	entry->lease_life_us = record->lease_life_us;
-	g_strlcpy(entry->author, record->author, sizeof(entry->author));
-	g_strlcpy(entry->domain, record->domain, sizeof(entry->domain));
-	TALLOC_FREE(entry->members);
-	entry->member_count = record->member_count;
-	if (record->member_count)
-		entry->members = talloc_memdup(
-			entry, record->members,
-			record->member_count * sizeof(*record->members));
+	struct rj_ledger *ledger = rj_ledger_of(worker);
+	struct rj_worker_share *share = rj_ledger_share(ledger, entry->account);
+	const struct rj_resources *each = &entry->job.shape.each;
+	uint32_t at = 0;
+
+	assert(share);
+	rj_resources_take(&share->used, each, tasks);
+	if (!entry->job.stoppable)
+		rj_resources_take(&share->pinned, each, tasks);
+	while (ledger->runs[at].entry != entry)
+		at++;
+	ledger->run_count--;
+	memmove(&ledger->runs[at], &ledger->runs[at + 1],
+		(ledger->run_count - at) * sizeof(*ledger->runs));
+	settle(ledger);
 }
 
-/* A void closes its own attempt and no other. */
-static void apply_void(struct rj_ledger_entry *entry,
-		       const struct rj_record *record)
+/*
+ * Keep `tasks` of the reservation's job free here, in the reservation's way.
+ */
+void rj_ledger_hold(struct rj_capacity_worker *worker,
+		    struct rj_reservation *reservation, uint32_t tasks)
 {
-	if (!entry->claimed || !same_attempt(&entry->attempt, &record->attempt))
-		return;
-	entry->claimed = false;
-	entry->member_count = 0;
-	TALLOC_FREE(entry->members);
+	struct rj_ledger *ledger = rj_ledger_of(worker);
+	struct rj_worker_hold *hold;
+
+	ledger->holds =
+		talloc_realloc(ledger, ledger->holds, struct rj_worker_hold,
+			       ledger->hold_count + 1);
+	assert(ledger->holds);
+	hold = &ledger->holds[ledger->hold_count++];
+	memset(hold, 0, sizeof(*hold));
+	hold->reservation = reservation;
+	rj_resources_add(&hold->want, &reservation->entry->job.shape.each,
+			 tasks);
 }
 
 /*
- * An outcome of the open attempt settles the job. One of a job that is not
- * open settles it when it was accepted (it ran without a claim, or was
- * cancelled) or is carried forward past the trimming of its claim.
+ * Keep nothing for the reservation any more.
  */
-static void apply_outcome(struct rj_ledger_entry *entry,
-			  const struct rj_record *record, bool fresh)
+void rj_ledger_release(struct rj_capacity_worker *worker,
+		       struct rj_reservation *reservation)
 {
-	bool same = same_attempt(&entry->attempt, &record->attempt);
-
-	if (entry->settled && !(entry->outcome == RJ_ANSWER_UNKNOWN && same))
-		return;
-	if (entry->claimed && !same)
-		return;
-	if (!entry->claimed && !entry->settled && !entry->accepted &&
-	    !(fresh && record->carried))
-		return;
-	entry->claimed = false;
-	entry->settled = true;
-	entry->attempt = record->attempt;
-	entry->outcome = record->outcome;
-	entry->reason = record->reason;
-	if (entry->result.data)
-		talloc_free((void *)(uintptr_t)entry->result.data);
-	rj_bytes_copy(entry, &entry->result, &record->result);
-	if (entry->spec.body.data)
-		talloc_free((void *)(uintptr_t)entry->spec.body.data);
-	entry->spec.body = (struct rj_bytes){ 0 };
+	struct rj_ledger *ledger = rj_ledger_of(worker);
+	uint32_t kept = 0;
+
+	for (uint32_t i = 0; i < ledger->hold_count; i++)
+		if (ledger->holds[i].reservation != reservation)
+			ledger->holds[kept++] = ledger->holds[i];
+	ledger->hold_count = kept;
 }
 
 /*
- * Apply one record, in log order. `now_us` is the time of reading. Returns
- * the entry of its job, or NULL for a record that is not about a job or that
- * changes nothing that is known. Entries are talloc children of `mem`.
+ * What tasks of `account` that cannot be stopped may still take here
+ * without breaking the rule.
  */
-struct rj_ledger_entry *rj_ledger_apply(struct rj_ledger *ledger, void *mem,
-					const struct rj_record *record,
-					uint64_t now_us)
+struct rj_resources rj_ledger_pin_room(const struct rj_capacity_worker *worker,
+				       const struct rj_plan_account *account)
 {
-	struct rj_ledger_entry *entry;
-	uint64_t appended_us;
-	bool fresh;
-
-	if (record->kind == RJ_RECORD_MALFORMED ||
-	    record->kind == RJ_RECORD_CONFIG)
-		return NULL;
-	appended_us = now_us > record->age_us ? now_us - record->age_us : 0;
-	entry = rj_ledger_find(ledger, record->attempt.job_id);
-	fresh = !entry;
-	if (fresh) {
-		if (record->kind == RJ_RECORD_VOID)
-			return NULL;
-		if (record->kind == RJ_RECORD_OUTCOME && !record->carried)
-			return NULL;
-		entry = entry_new(ledger, mem, record, appended_us);
-	}
-	entry->recorded_us = appended_us;
-	switch (record->kind) {
-	case RJ_RECORD_ACCEPT:
-		apply_accept(entry, record);
-		break;
-	case RJ_RECORD_CLAIM:
-		apply_claim(entry, record);
-		break;
-	case RJ_RECORD_VOID:
-		apply_void(entry, record);
-		break;
-	case RJ_RECORD_OUTCOME:
-		apply_outcome(entry, record, fresh);
-		break;
-	case RJ_RECORD_CANCEL:
-		entry->cancelled = true;
-		break;
-	case RJ_RECORD_MALFORMED:
-	case RJ_RECORD_CONFIG:
-	case RJ_RECORD_KIND_COUNT:
-		break;
+	const struct rj_ledger *ledger = worker->ledger;
+	const struct rj_worker_share *share;
+	struct rj_resources others;
+	struct rj_resources own;
+	struct rj_resources room = rj_resources_rest(&worker->plan.capacity,
+						     &worker->plan.foreign);
+
+	if (!ledger)
+		return room;
+	share = rj_ledger_share(ledger, account);
+	others = ledger->bound;
+	if (share) {
+		own = larger(&share->guaranteed, &share->pinned);
+		rj_resources_take(&others, &own, 1);
+		rj_resources_take_or_zero(&room, &share->pinned);
 	}
-	return entry;
+	rj_resources_take_or_zero(&room, &others);
+	return room;
 }
