core: a timer of one state does not fire into the next

Cause: the retry of a stop fired after the job was queued again and submitted it twice (the assertion in rj_job_submit); a planner pass that changed nothing armed its timer for the same instant for ever. Excluded: the fakes (the transcript shows each event once). Change: rj_job_enter clears the step timer; the pass timer lies at least a millisecond ahead.

--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -49,8 +49,7 @@
 {
 	struct rj_record record;
 
-	job->state = RJ_JOB_ACCEPTING;
-	job->step_started_us = job->core->now_us;
+	rj_job_enter(job, RJ_JOB_ACCEPTING);
 	fill_record(job, RJ_RECORD_ACCEPT, &record);
 	record.spec.body = job->spec.body;
 	rj_log_append(job->core, RJ_STREAM_JOBS, &record);
@@ -77,8 +76,7 @@
 				rj_core_jitter_us(core, PLATFORM_RETRY_US));
 		return;
 	}
-	job->state = RJ_JOB_CLAIMING;
-	job->step_started_us = core->now_us;
+	rj_job_enter(job, RJ_JOB_CLAIMING);
 	fill_record(job, RJ_RECORD_CLAIM, &record);
 	record.lease_life_us = rj_upstreams_lease_life_us(core);
 	members = talloc_zero_array(core->actions->mem, struct rj_claim_member,
@@ -149,7 +147,7 @@
 		claim_given_up(job);
 		return;
 	}
-	job->state = RJ_JOB_QUEUED;
+	rj_job_enter(job, RJ_JOB_QUEUED);
 	rj_job_not_started(job, RJ_REASON_PLATFORM_DOWN,
 			   rj_core_jitter_us(core, PLATFORM_RETRY_US));
 }
@@ -198,7 +196,7 @@
 {
 	rj_job_unplan(job, false);
 	rj_job_drop_members(job);
-	job->state = RJ_JOB_WATCHING;
+	rj_job_enter(job, RJ_JOB_WATCHING);
 	job->claimed = false;
 	job->started = false;
 }
--- a/src/libradishjunction/core/controllers/forward_controller.c
+++ b/src/libradishjunction/core/controllers/forward_controller.c
@@ -26,7 +26,7 @@
 	assert(!job->planned && !job->started && !job->claimed);
 	if (job->forward_id)
 		g_hash_table_remove(core->jobs.forwards, &job->forward_id);
-	job->state = RJ_JOB_FORWARDED;
+	rj_job_enter(job, RJ_JOB_FORWARDED);
 	job->forward_id = rj_core_next_id(core);
 	g_strlcpy(job->peer, peer, sizeof(job->peer));
 	g_hash_table_insert(core->jobs.forwards, &job->forward_id, job);
--- a/src/libradishjunction/core/controllers/jobs_controller.c
+++ b/src/libradishjunction/core/controllers/jobs_controller.c
@@ -145,6 +145,17 @@
 	return job;
 }
 
+/*
+ * Enter a state. The timer of the state before is cleared: it must not fire
+ * into this one.
+ */
+void rj_job_enter(struct rj_job *job, enum rj_job_state state)
+{
+	rj_timer_clear(&job->core->timers, &job->step);
+	job->state = state;
+	job->step_started_us = job->core->now_us;
+}
+
 /*
  * Drop a job that nobody waits for any more.
  */
@@ -259,7 +270,7 @@
 		rj_job_free(job);
 		return;
 	}
-	job->state = RJ_JOB_ENDED;
+	rj_job_enter(job, RJ_JOB_ENDED);
 	rj_claims_outcome(job);
 }
 
--- a/src/libradishjunction/core/controllers/placement_controller.c
+++ b/src/libradishjunction/core/controllers/placement_controller.c
@@ -50,7 +50,7 @@
 	uint64_t retry_after_us = 0;
 
 	assert(!job->planned);
-	job->state = RJ_JOB_QUEUED;
+	rj_job_enter(job, RJ_JOB_QUEUED);
 	rj_job_plan_view(job, &plan);
 	if (!core->planner->ops->submit(core->planner, &plan, core->now_us,
 					&reason, &retry_after_us)) {
@@ -96,7 +96,7 @@
 
 	rj_core_log(core, RJ_LOG_RETRY, reason, job, NULL);
 	rj_job_drop_members(job);
-	job->state = RJ_JOB_QUEUED;
+	rj_job_enter(job, RJ_JOB_QUEUED);
 	job->attempt.owner = core->incarnation;
 	job->attempt.number = ++core->next_attempt;
 	job->claimed = false;
@@ -136,8 +136,7 @@
 /* Ask for every lease of the job. */
 static void hold(struct rj_job *job)
 {
-	job->state = RJ_JOB_HOLDING;
-	job->step_started_us = job->core->now_us;
+	rj_job_enter(job, RJ_JOB_HOLDING);
 	for (uint32_t i = 0; i < job->member_count; i++) {
 		rj_core_count(job->core, RJ_COUNT_LEASES);
 		rj_job_call(job, &job->members[i], RJ_WORKER_LEASE);
@@ -239,6 +238,7 @@
 void rj_jobs_plan(struct rj_core_state *core)
 {
 	struct rj_decisions *decisions = &core->jobs.decisions;
+	uint64_t wake_us;
 
 	/* A decision may free capacity or refuse, which wants another pass;
 	   two rounds are enough for that, the rest comes with the timer. */
@@ -250,10 +250,11 @@
 			decided(core, &decisions->list[i]);
 		rj_decisions_clear(decisions);
 	}
-	rj_timer_set(&core->timers, &core->jobs.plan,
-		     core->jobs.plan_wanted ?
-			     core->now_us + RJ_US_PER_MS :
-			     core->planner->ops->wake_us(core->planner));
+	wake_us = core->planner->ops->wake_us(core->planner);
+	/* A pass that changed nothing is not repeated in the same instant. */
+	if (core->jobs.plan_wanted || wake_us <= core->now_us)
+		wake_us = core->now_us + RJ_US_PER_MS;
+	rj_timer_set(&core->timers, &core->jobs.plan, wake_us);
 }
 
 /*
--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -104,7 +104,7 @@
 	rj_core_count(core, RJ_COUNT_ADOPTIONS);
 	rj_core_log(core, RJ_LOG_ADOPT, RJ_REASON_OWNER, job,
 		    job->members[0].worker);
-	job->state = RJ_JOB_RUNNING;
+	rj_job_enter(job, RJ_JOB_RUNNING);
 	job->started = true;
 	if (!job->started_us)
 		job->started_us = core->now_us - job->members[0].ran_us;
@@ -163,7 +163,7 @@
 		return;
 	}
 	if (sum.done == all || (sum.failed && all == 1)) {
-		job->state = RJ_JOB_RUNNING;
+		rj_job_enter(job, RJ_JOB_RUNNING);
 		job->started = true;
 		rj_job_check(job);
 		return;
@@ -193,8 +193,7 @@
 	bool first = job->state != RJ_JOB_SETTLING;
 
 	if (first) {
-		job->state = RJ_JOB_SETTLING;
-		job->step_started_us = core->now_us;
+		rj_job_enter(job, RJ_JOB_SETTLING);
 		for (uint32_t i = 0; i < job->member_count; i++)
 			job->members[i].settled = false;
 	}
--- a/src/libradishjunction/core/controllers/run_controller.c
+++ b/src/libradishjunction/core/controllers/run_controller.c
@@ -143,7 +143,7 @@
 	struct rj_worker_call *call;
 
 	assert(job->member_count == 1 && job->idempotent);
-	job->state = RJ_JOB_RUNNING;
+	rj_job_enter(job, RJ_JOB_RUNNING);
 	job->started = true;
 	job->started_us = core->now_us;
 	job->members[0].start_sent = true;
@@ -163,7 +163,7 @@
 	struct rj_core_state *core = job->core;
 	bool single = job->member_count == 1;
 
-	job->state = RJ_JOB_STARTING;
+	rj_job_enter(job, RJ_JOB_STARTING);
 	job->started = true;
 	job->started_us = core->now_us;
 	rj_core_count(core, RJ_COUNT_STARTS);
@@ -181,7 +181,7 @@
 		fill_start(job, call);
 	}
 	if (single && job->spec.wait)
-		job->state = RJ_JOB_RUNNING;
+		rj_job_enter(job, RJ_JOB_RUNNING);
 }
 
 /*
@@ -350,7 +350,7 @@
 /* All members have started: let a gang run. */
 static void let_run(struct rj_job *job)
 {
-	job->state = RJ_JOB_RUNNING;
+	rj_job_enter(job, RJ_JOB_RUNNING);
 	if (job->member_count == 1)
 		return;
 	for (uint32_t i = 0; i < job->member_count; i++)
@@ -476,8 +476,7 @@
 	bool open = false;
 
 	if (first) {
-		job->state = RJ_JOB_STOPPING;
-		job->step_started_us = core->now_us;
+		rj_job_enter(job, RJ_JOB_STOPPING);
 	}
 	for (uint32_t i = 0; i < job->member_count; i++) {
 		struct rj_member *member = &job->members[i];
--- a/src/libradishjunction/core/filters/chain.c
+++ b/src/libradishjunction/core/filters/chain.c
@@ -154,7 +154,7 @@
 		g_hash_table_remove(core->jobs.forwards, &job->forward_id);
 		job->forward_id = 0;
 	}
-	job->state = RJ_JOB_QUEUED;
+	rj_job_enter(job, RJ_JOB_QUEUED);
 	job->attempt.owner = core->incarnation;
 	job->attempt.number = ++core->next_attempt;
 	memset(&submission, 0, sizeof(submission));
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -398,6 +398,7 @@
 struct rj_job *rj_job_new(struct rj_core_state *core,
 			  const struct rj_job_spec *spec,
 			  const struct rj_job_class *class);
+void rj_job_enter(struct rj_job *job, enum rj_job_state state);
 void rj_job_free(struct rj_job *job);
 uint32_t rj_jobs_open(const struct rj_core_state *core, bool of_class,
 		      const char *name);
