core: crossed replies, vanished starts and stops of what never ran

Cause: fault runs showed a gang let run by another task's reply, a job that hung on a start nobody told the loss of, and `failed` said of a job whose start never arrived, `not_run` of one that had run in an earlier attempt. Excluded: the fakes; each transcript was read to the first wrong step. Change: a reply must echo the attempt of its call, else it counts as lost; a report asked for after the start that does not show the member leads to the fence; all tokens dead means not run; earlier attempts are remembered.

--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -261,7 +261,7 @@
 	}
 	rj_job_release_members(job);
 	rj_claims_void(job);
-	rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, RJ_REASON_CANCELLED, 0);
+	rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
 }
 
 /* Another claim of the same key was first in the log. */
@@ -298,8 +298,7 @@
 	rj_job_answer_waiters(job, &answer);
 	rj_timer_clear(&core->timers, &job->deadline);
 	if (job->cancelled)
-		rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, RJ_REASON_CANCELLED,
-				 0);
+		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
 	else if (rj_membership_owns(core, core->domain, job->spec.job_id))
 		rj_job_submit(job);
 	else
--- a/src/libradishjunction/core/controllers/jobs_controller.c
+++ b/src/libradishjunction/core/controllers/jobs_controller.c
@@ -304,7 +304,24 @@
 		 !rj_job_ledger_find(&job->core->ledger, job->spec.job_id));
 
 	assert(!job->started);
-	rj_job_end_plain(job, known ? RJ_ANSWER_NOT_RUN : RJ_ANSWER_UNKNOWN,
+	if (job->ran_before)
+		rj_job_end_plain(job, RJ_ANSWER_FAILED, reason, retry_after_us);
+	else
+		rj_job_end_plain(job,
+				 known ? RJ_ANSWER_NOT_RUN : RJ_ANSWER_UNKNOWN,
+				 reason, retry_after_us);
+}
+
+/*
+ * End a job whose present attempt has stopped, or never started: `not_run`
+ * only if no earlier attempt started either.
+ */
+void rj_job_give_up(struct rj_job *job, enum rj_reason reason,
+		    uint64_t retry_after_us)
+{
+	bool ran = job->started || job->ran_before;
+
+	rj_job_end_plain(job, ran ? RJ_ANSWER_FAILED : RJ_ANSWER_NOT_RUN,
 			 reason, retry_after_us);
 }
 
@@ -418,7 +435,7 @@
 	case RJ_JOB_HOLDING:
 		rj_job_release_members(job);
 		if (job->accepted)
-			rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, reason, 0);
+			rj_job_give_up(job, reason, 0);
 		else
 			rj_job_not_started(job, reason, 0);
 		break;
--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -15,6 +15,8 @@
 /* Three heartbeats may be lost on a bad link before a peer counts as dead. */
 #define ALIVE_US (3500 * RJ_US_PER_MS)
 #define LIST_US (2 * RJ_US_PER_S)
+/* Until the first list has come, nothing can be served. */
+#define LIST_FIRST_US (300 * RJ_US_PER_MS)
 /* Links to each other failure domain: one may fail, and traffic stays flat. */
 #define LINKS_TO_OTHER_DOMAIN 2
 
@@ -244,7 +246,10 @@
 {
 	rj_actions_add(core->actions, RJ_ACTION_LIST);
 	rj_timer_set(&core->timers, timer,
-		     core->now_us + rj_core_jitter_us(core, LIST_US));
+		     core->now_us +
+			     rj_core_jitter_us(core, core->upstreams.count ?
+							     LIST_US :
+							     LIST_FIRST_US));
 }
 
 /* How many peers of the same domain as `member` rank before it here. */
@@ -339,7 +344,7 @@
 	choose_links(core);
 	rj_actions_add(core->actions, RJ_ACTION_LIST);
 	rj_timer_set(&core->timers, &core->membership.list,
-		     core->now_us + rj_core_jitter_us(core, LIST_US));
+		     core->now_us + rj_core_jitter_us(core, LIST_FIRST_US));
 	rj_timer_set(&core->timers, &core->membership.heartbeat,
 		     core->now_us + rj_core_jitter_us(core, HEARTBEAT_US));
 }
--- a/src/libradishjunction/core/controllers/placement_controller.c
+++ b/src/libradishjunction/core/controllers/placement_controller.c
@@ -100,6 +100,7 @@
 	job->attempt.owner = core->incarnation;
 	job->attempt.number = ++core->next_attempt;
 	job->claimed = false;
+	job->ran_before = job->ran_before || job->started;
 	job->started = false;
 	job->started_us = 0;
 	job->reclaimed = false;
@@ -204,7 +205,7 @@
 		rj_job_not_started(job, decision->reason,
 				   decision->retry_after_us);
 	else if (decision->reason == RJ_REASON_NEVER_FITS)
-		rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, decision->reason, 0);
+		rj_job_give_up(job, decision->reason, 0);
 	else
 		rj_job_requeue(job, ACCEPTED_BACKOFF_US, decision->reason);
 }
--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -64,8 +64,7 @@
 	if (job->claimed)
 		rj_claims_void(job);
 	if (job->cancelled) {
-		rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, RJ_REASON_CANCELLED,
-				 0);
+		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
 		return;
 	}
 	if (!job->accepted && job->waiters.next == &job->waiters) {
@@ -334,8 +333,7 @@
 	job->accepted = true;
 	rj_core_log(core, RJ_LOG_ADOPT, RJ_REASON_OWNER, job, NULL);
 	if (entry->cancelled)
-		rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, RJ_REASON_CANCELLED,
-				 0);
+		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
 	else
 		rj_job_submit(job);
 }
--- a/src/libradishjunction/core/controllers/run_controller.c
+++ b/src/libradishjunction/core/controllers/run_controller.c
@@ -42,7 +42,9 @@
 {
 	struct rj_core_state *core = job->core;
 
+	member->job = job;
 	member->upstream = upstream;
+	rj_list_append(&upstream->members, &member->link);
 	g_strlcpy(member->worker, upstream->name, sizeof(member->worker));
 	upstream->own_members++;
 	if (!upstream->owned && !upstream->polling && !upstream->poll.index)
@@ -62,6 +64,7 @@
 			continue;
 		assert(upstream->own_members);
 		upstream->own_members--;
+		rj_list_remove(&job->members[i].link);
 		TALLOC_FREE(job->members[i].result);
 	}
 	TALLOC_FREE(job->members);
@@ -147,6 +150,7 @@
 	job->started = true;
 	job->started_us = core->now_us;
 	job->members[0].start_sent = true;
+	job->members[0].start_us = core->now_us;
 	call = rj_job_call(job, &job->members[0], RJ_WORKER_RUN);
 	call->timeout_us = WAIT_TIMEOUT_US;
 	call->throttle_percent = 100;
@@ -173,6 +177,7 @@
 		struct rj_worker_call *call;
 
 		job->members[i].start_sent = true;
+		job->members[i].start_us = core->now_us;
 		call = rj_job_call(job, &job->members[i], RJ_WORKER_START);
 		call->throttle_percent = single ? 100 : 0;
 		call->wait = single && job->spec.wait;
@@ -226,10 +231,7 @@
 
 	assert(job->idempotent || !job->started);
 	if (job->cancelled) {
-		rj_job_end_plain(job,
-				 job->started ? RJ_ANSWER_FAILED :
-						RJ_ANSWER_NOT_RUN,
-				 RJ_REASON_CANCELLED, 0);
+		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
 		return;
 	}
 	if (job->accepted) {
@@ -238,11 +240,8 @@
 		return;
 	}
 	if (core->jobs.retry_tokens < 1.0) {
-		rj_job_end_plain(job,
-				 job->started ? RJ_ANSWER_FAILED :
-						RJ_ANSWER_NOT_RUN,
-				 RJ_REASON_RETRY_BUDGET,
-				 rj_core_jitter_us(core, 2 * RJ_US_PER_S));
+		rj_job_give_up(job, RJ_REASON_RETRY_BUDGET,
+			       rj_core_jitter_us(core, 2 * RJ_US_PER_S));
 		return;
 	}
 	core->jobs.retry_tokens -= 1.0;
@@ -443,6 +442,27 @@
 	       (member->state == RJ_TASK_NONE && member->start_sent);
 }
 
+/* Whether no member ever started: each worker says that its token died. */
+static bool all_dead(const struct rj_job *job)
+{
+	for (uint32_t i = 0; i < job->member_count; i++)
+		if (job->members[i].state != RJ_TASK_DEAD)
+			return false;
+	return job->member_count > 0;
+}
+
+/* The starts never arrived, and never will: the job did not run. */
+static void stopped_unstarted(struct rj_job *job)
+{
+	job->started = false;
+	if (job->claimed)
+		rj_claims_void(job);
+	if (job->cancelled)
+		rj_job_give_up(job, job->final.reason, 0);
+	else
+		rj_job_retry(job, RJ_REASON_LEASE_LAPSED);
+}
+
 /* Every member has stopped: end the job or let it wait again. */
 static void stopped(struct rj_job *job)
 {
@@ -450,6 +470,10 @@
 		succeeded(job);
 		return;
 	}
+	if (all_dead(job)) {
+		stopped_unstarted(job);
+		return;
+	}
 	if (job->ending) {
 		end_with_result(job, job->final.kind, job->final.reason);
 		return;
@@ -528,12 +552,13 @@
 {
 	if (job->state != RJ_JOB_STOPPING || reply->status == RJ_REPLY_LOST)
 		return; /* the timer tries again */
-	if (reply->status == RJ_REPLY_REFUSED) {
-		/* The worker knows no such lease: nothing of it runs. */
-		member->state = RJ_TASK_DEAD;
+	if (reply->status == RJ_REPLY_REFUSED || reply->state == RJ_TASK_NONE) {
+		/* The worker knows no such lease: nothing of it runs, but it
+		   may have run before the worker forgot it. */
+		member->state =
+			member->start_sent ? RJ_TASK_STOPPED : RJ_TASK_DEAD;
 	} else {
-		member->state = reply->state == RJ_TASK_NONE ? RJ_TASK_DEAD :
-							       reply->state;
+		member->state = reply->state;
 		if (reply->op == RJ_WORKER_CHECKPOINT)
 			job->resume_us = reply->ran_us;
 		if (reply->state == RJ_TASK_DONE ||
@@ -549,56 +574,158 @@
 			const struct rj_task_report *task)
 {
 	member->ran_us = task->ran_us;
-	if (member->state != RJ_TASK_HELD && member->state != RJ_TASK_RUNNING)
+	if (task->state == RJ_TASK_HELD)
+		return; /* an older picture than the start, or a lost start */
+	member->reported = true;
+	if (member->state == RJ_TASK_DONE || member->state == RJ_TASK_FAILED)
 		return;
-	if (task->state == RJ_TASK_HELD && member->state == RJ_TASK_RUNNING)
-		return; /* an older picture than the answer to the start */
-	member->state = task->state;
+	/* The result of a RUN comes with its own answer. */
+	if (!member->token && task->state != RJ_TASK_RUNNING)
+		return;
+	if (member->token)
+		member->state = task->state;
 	if (task->state == RJ_TASK_DONE || task->state == RJ_TASK_FAILED)
 		rj_member_keep_result(job, member, &task->result);
 }
 
-/* The member of a job that runs on a worker, or NULL. */
-static struct rj_member *member_on(struct rj_job *job,
-				   const struct rj_upstream *upstream)
+/* The member that a task in a report is of, or NULL. */
+static struct rj_member *member_of(struct rj_core_state *core,
+				   const struct rj_upstream *upstream,
+				   const struct rj_task_report *task)
 {
-	for (uint32_t i = 0; i < job->member_count; i++)
-		if (job->members[i].upstream == upstream)
-			return &job->members[i];
-	return NULL;
+	struct rj_job *job = rj_jobs_find(core, task->attempt.job_id);
+
+	if (!job || job->attempt.owner != task->attempt.owner ||
+	    job->attempt.number != task->attempt.number ||
+	    task->member >= job->member_count ||
+	    job->members[task->member].upstream != upstream)
+		return NULL;
+	return &job->members[task->member];
+}
+
+/*
+ * A report that was asked for well after the start does not show the member
+ * started.
+ *
+ * Guards against a start whose loss nobody tells, because the call waits for
+ * the task's end: the job would hang until its deadline. The margin is the
+ * time in which any call arrives or is given up.
+ */
+static bool vanished(const struct rj_member *member, uint64_t asked_us)
+{
+	return !member->reported && member->start_sent &&
+	       asked_us > member->start_us + CALL_TIMEOUT_US &&
+	       (member->state == RJ_TASK_NONE ||
+		member->state == RJ_TASK_HELD ||
+		member->state == RJ_TASK_RUNNING);
 }
 
-/* Whether a task in a report belongs to the present attempt of a job. */
-static bool same_attempt(const struct rj_job *job,
-			 const struct rj_task_report *task)
+/* Whether a member has ended, by what is known of it. */
+static bool ended(const struct rj_member *member)
 {
-	return job->attempt.owner == task->attempt.owner &&
-	       job->attempt.number == task->attempt.number;
+	return member->state == RJ_TASK_FAILED ||
+	       member->state == RJ_TASK_STOPPED ||
+	       member->state == RJ_TASK_DEAD;
 }
 
 /*
- * Take a worker's report: how members of own jobs are, and which of them are
- * gone without a word.
+ * Take a worker's report, asked for at `asked_us`: how members of own jobs
+ * are, and which of them are gone without a word.
  */
 void rj_jobs_report(struct rj_core_state *core, struct rj_upstream *upstream,
-		    const struct rj_worker_report *report)
+		    const struct rj_worker_report *report, uint64_t asked_us)
 {
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &upstream->members)
+		RJ_CONTAINER(at, struct rj_member, link)->reported = false;
 	for (uint32_t i = 0; i < report->task_count; i++) {
-		const struct rj_task_report *task = &report->tasks[i];
-		struct rj_job *job = rj_jobs_find(core, task->attempt.job_id);
-		struct rj_member *member;
+		struct rj_member *member =
+			member_of(core, upstream, &report->tasks[i]);
 
-		if (!job || job->state != RJ_JOB_RUNNING ||
-		    !same_attempt(job, task))
-			continue;
-		member = member_on(job, upstream);
-		if (!member || member->state == RJ_TASK_NONE)
-			continue;
-		report_task(job, member, task);
-		rj_job_check(job);
+		if (member && member->job->state == RJ_JOB_RUNNING)
+			report_task(member->job, member, &report->tasks[i]);
+	}
+	/* One member's job may end others here: start over after each. */
+	for (bool again = true; again;) {
+		again = false;
+		RJ_FOR_EACH (at, next, &upstream->members) {
+			struct rj_member *member =
+				RJ_CONTAINER(at, struct rj_member, link);
+
+			if (member->job->state != RJ_JOB_RUNNING)
+				continue;
+			if (vanished(member, asked_us))
+				start_lost(member->job, member);
+			else if (ended(member) || all_done(member->job))
+				rj_job_check(member->job);
+			else
+				continue;
+			again = true;
+			break;
+		}
 	}
 }
 
+/* Go on without a member whose worker is lost. */
+static void member_lost(struct rj_member *member)
+{
+	struct rj_job *job = member->job;
+
+	switch (job->state) {
+	case RJ_JOB_HOLDING:
+		rj_job_release_members(job);
+		rj_job_requeue(job, RETRY_DELAY_US, RJ_REASON_WORKER_LOST);
+		break;
+	case RJ_JOB_STARTING:
+	case RJ_JOB_RUNNING:
+		if (!job->idempotent) {
+			rj_job_settle(job);
+			break;
+		}
+		member->state = RJ_TASK_STOPPED;
+		stop_after_failure(job, RJ_REASON_WORKER_LOST);
+		break;
+	case RJ_JOB_STOPPING:
+		member->state = RJ_TASK_STOPPED;
+		if (none_live(job))
+			stopped(job);
+		break;
+	case RJ_JOB_ACCEPTING:
+	case RJ_JOB_QUEUED:
+	case RJ_JOB_CLAIMING:
+	case RJ_JOB_SETTLING:
+	case RJ_JOB_FORWARDED:
+	case RJ_JOB_WATCHING:
+	case RJ_JOB_ENDED:
+	case RJ_JOB_STATE_COUNT:
+		break;
+	}
+}
+
+/* A member of a job that has to go on without its worker, or NULL. */
+static struct rj_member *next_lost(const struct rj_upstream *upstream)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &upstream->members) {
+		struct rj_member *member =
+			RJ_CONTAINER(at, struct rj_member, link);
+		bool live = member->state != RJ_TASK_STOPPED &&
+			    member->state != RJ_TASK_DONE &&
+			    member->state != RJ_TASK_FAILED;
+
+		if (member->job->state == RJ_JOB_HOLDING ||
+		    (live && (member->job->state == RJ_JOB_STARTING ||
+			      member->job->state == RJ_JOB_RUNNING ||
+			      member->job->state == RJ_JOB_STOPPING)))
+			return member;
+	}
+	return NULL;
+}
+
 /*
  * A worker restarted, or was silent for longer than its leases live: all
  * that ran there has ended, and nobody can say how.
@@ -606,47 +733,11 @@
 void rj_jobs_worker_lost(struct rj_core_state *core,
 			 struct rj_upstream *upstream)
 {
-	struct rj_list *at;
-	struct rj_list *next;
-
-	RJ_FOR_EACH (at, next, &core->jobs.list) {
-		struct rj_job *job = RJ_CONTAINER(at, struct rj_job, link);
-		struct rj_member *member = member_on(job, upstream);
+	struct rj_member *member;
 
-		if (!member)
-			continue;
-		switch (job->state) {
-		case RJ_JOB_HOLDING:
-			rj_job_release_members(job);
-			rj_job_requeue(job, RETRY_DELAY_US,
-				       RJ_REASON_WORKER_LOST);
-			break;
-		case RJ_JOB_STARTING:
-		case RJ_JOB_RUNNING:
-			if (job->idempotent) {
-				member->state = RJ_TASK_DEAD;
-				member->start_sent = false;
-				stop_after_failure(job, RJ_REASON_WORKER_LOST);
-			} else {
-				rj_job_settle(job);
-			}
-			break;
-		case RJ_JOB_STOPPING:
-			member->state = RJ_TASK_STOPPED;
-			if (none_live(job))
-				stopped(job);
-			break;
-		case RJ_JOB_ACCEPTING:
-		case RJ_JOB_QUEUED:
-		case RJ_JOB_CLAIMING:
-		case RJ_JOB_SETTLING:
-		case RJ_JOB_FORWARDED:
-		case RJ_JOB_WATCHING:
-		case RJ_JOB_ENDED:
-		case RJ_JOB_STATE_COUNT:
-			break;
-		}
-	}
+	(void)core;
+	while ((member = next_lost(upstream)))
+		member_lost(member);
 }
 
 /* An answer to a call of an attempt that is over: leave nothing behind. */
@@ -673,11 +764,22 @@
 	out->token = reply->token;
 }
 
+/* Whether a reply names the attempt that was asked about. One that names
+ * another was crossed on its way, and says nothing about this one. */
+static bool echoes(const struct rj_job *job, const struct rj_call *call,
+		   const struct rj_worker_reply *reply)
+{
+	return reply->attempt.job_id == call->job_id &&
+	       reply->attempt.owner == job->attempt.owner &&
+	       reply->attempt.number == call->attempt;
+}
+
 /* Hand a reply to the job and member whose call it answers. */
 static void job_reply(struct rj_core_state *core, const struct rj_call *call,
 		      const struct rj_worker_reply *reply)
 {
 	struct rj_job *job = rj_jobs_find(core, call->job_id);
+	struct rj_worker_reply crossed;
 	struct rj_member *member;
 
 	if (!job || job->attempt.owner != call->owner ||
@@ -686,6 +788,11 @@
 		stale_reply(core, call, reply);
 		return;
 	}
+	if (!echoes(job, call, reply)) {
+		crossed = *reply;
+		crossed.status = RJ_REPLY_LOST;
+		reply = &crossed;
+	}
 	member = &job->members[call->member];
 	if (member->call_id == call->call_id)
 		member->call_id = 0;
@@ -734,8 +841,9 @@
 		return;
 	g_hash_table_remove(core->jobs.calls, &reply->call_id);
 	if (call->op == RJ_WORKER_REPORT)
-		rj_upstreams_report(
-			core, core->upstreams.by_index[call->upstream], reply);
+		rj_upstreams_report(core,
+				    core->upstreams.by_index[call->upstream],
+				    reply, call->sent_us);
 	else
 		job_reply(core, call, reply);
 	talloc_free(call);
--- a/src/libradishjunction/core/controllers/upstreams_controller.c
+++ b/src/libradishjunction/core/controllers/upstreams_controller.c
@@ -82,6 +82,7 @@
 	upstream->index = upstreams->count++;
 	g_strlcpy(upstream->name, instance->name, sizeof(upstream->name));
 	upstream->set_aside_us = SET_ASIDE_FIRST_US;
+	rj_list_init(&upstream->members);
 	rj_timer_init(&upstream->poll, poll_due);
 	rj_timer_init(&upstream->probe, probe_due);
 	upstreams->by_index =
@@ -452,11 +453,12 @@
 }
 
 /*
- * Take the answer to a request for a report, or its loss.
+ * Take the answer to a request for a report that was sent at `asked_us`, or
+ * its loss.
  */
 void rj_upstreams_report(struct rj_core_state *core,
 			 struct rj_upstream *upstream,
-			 const struct rj_worker_reply *reply)
+			 const struct rj_worker_reply *reply, uint64_t asked_us)
 {
 	const struct rj_worker_report *report = &reply->report;
 	struct rj_resources left;
@@ -479,7 +481,7 @@
 		upstream->health = RJ_UPSTREAM_HEALTHY;
 	if (report->leaving)
 		rj_upstreams_leaving(core, upstream, report->incarnation);
-	rj_jobs_report(core, upstream, report);
+	rj_jobs_report(core, upstream, report, asked_us);
 	count_foreign(core, upstream, report);
 	tell_planner(core, upstream);
 	left = free_now(report);
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -140,7 +140,8 @@
 	struct rj_resources capacity;
 	struct rj_resources foreign;
 	struct rj_resources free_now; /* for anyone, as last reported */
-	uint32_t own_members; /* members of own jobs on it */
+	struct rj_list members; /* of own jobs on it */
+	uint32_t own_members; /* how many */
 	uint64_t failed_jobs[RJ_FAILED_JOBS];
 	uint32_t failed_count;
 	uint64_t set_aside_us; /* how long it is set aside next time */
@@ -176,6 +177,8 @@
 
 /* One worker's part of a gang. */
 struct rj_member {
+	struct rj_list link; /* in its upstream's members */
+	struct rj_job *job;
 	struct rj_upstream *upstream; /* NULL when its worker is not known */
 	char worker[RJ_NAME_BYTES];
 	uint32_t tasks;
@@ -184,6 +187,8 @@
 	uint64_t lease_until_us; /* counted from before the call was sent */
 	enum rj_task_state state;
 	bool start_sent; /* a start may have reached the worker */
+	uint64_t start_us; /* when it was sent */
+	bool reported; /* in the report that is being read */
 	uint64_t call_id; /* the call that is out, or 0 */
 	uint32_t tries; /* of the present step */
 	bool settled; /* its worker said what became of it */
@@ -218,6 +223,7 @@
 	bool accepted; /* its accept record is in the log */
 	bool claimed; /* its claim is in the log, and won */
 	bool started; /* a start was sent in this attempt */
+	bool ran_before; /* an earlier attempt had started */
 	bool cancelled;
 	bool reclaimed; /* being stopped for someone's guarantee */
 	bool ending; /* STOPPING ends it with `final`, else it is requeued */
@@ -373,7 +379,8 @@
 		       const struct rj_instance *list, uint32_t count);
 void rj_upstreams_report(struct rj_core_state *core,
 			 struct rj_upstream *upstream,
-			 const struct rj_worker_reply *reply);
+			 const struct rj_worker_reply *reply,
+			 uint64_t asked_us);
 void rj_upstreams_ownership(struct rj_core_state *core);
 void rj_upstreams_leaving(struct rj_core_state *core,
 			  struct rj_upstream *upstream, uint64_t incarnation);
@@ -411,6 +418,8 @@
 		      enum rj_reason reason, uint64_t retry_after_us);
 void rj_job_not_started(struct rj_job *job, enum rj_reason reason,
 			uint64_t retry_after_us);
+void rj_job_give_up(struct rj_job *job, enum rj_reason reason,
+		    uint64_t retry_after_us);
 void rj_job_cancel(struct rj_job *job, enum rj_reason reason);
 void rj_job_set_deadline(struct rj_job *job, uint64_t in_us);
 void rj_jobs_caller_gone(struct rj_core_state *core, uint64_t request_id);
@@ -469,7 +478,7 @@
 void rj_job_run_on(struct rj_job *job);
 void rj_job_check(struct rj_job *job);
 void rj_jobs_report(struct rj_core_state *core, struct rj_upstream *upstream,
-		    const struct rj_worker_report *report);
+		    const struct rj_worker_report *report, uint64_t asked_us);
 void rj_jobs_worker_lost(struct rj_core_state *core,
 			 struct rj_upstream *upstream);
 void rj_jobs_worker_reply(struct rj_core_state *core,
