core: not run only where the log or the lack of a key proves it

Cause: an instance that woke from a pause cancelled an accepted job that a peer had claimed meanwhile, and said not_run; one whose peer was lost with a forwarded job said not_run of it. Change: an accepted job is said not to have run only when that outcome was read back; a read proves nothing beyond the time at which it was sent; a job that a lost peer may have run ends as unknown.

--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -313,8 +313,6 @@
 	rj_claims_answer(entry, &answer);
 	switch (job->state) {
 	case RJ_JOB_ENDED:
-		rj_job_free(job);
-		break;
 	case RJ_JOB_WATCHING:
 		rj_job_answer_waiters(job, &answer);
 		rj_job_free(job);
@@ -351,6 +349,13 @@
 	}
 	if (own_claim(job, entry))
 		return;
+	if (job->state == RJ_JOB_ENDED &&
+	    job->final.kind == RJ_ANSWER_NOT_RUN) {
+		/* Claimed by a peer before this outcome: ask it to cancel. */
+		rj_job_watch(job);
+		rj_claims_cancel(job);
+		return;
+	}
 	if (job->state == RJ_JOB_QUEUED || job->state == RJ_JOB_HOLDING ||
 	    job->state == RJ_JOB_ACCEPTING) {
 		rj_job_release_members(job);
--- a/src/libradishjunction/core/controllers/forward_controller.c
+++ b/src/libradishjunction/core/controllers/forward_controller.c
@@ -79,6 +79,7 @@
 {
 	struct rj_job *job =
 		g_hash_table_lookup(core->jobs.forwards, &answer->forward_id);
+	struct rj_answer passed_on;
 
 	if (!job || job->state != RJ_JOB_FORWARDED || strcmp(job->peer, peer) ||
 	    answer->answer.job_id != job->spec.job_id)
@@ -87,9 +88,13 @@
 		rj_filters_again(job);
 		return;
 	}
-	job->final.kind = answer->answer.kind;
-	rj_core_log(core, RJ_LOG_END, answer->answer.reason, job, peer);
-	rj_job_answer_waiters(job, &answer->answer);
+	passed_on = answer->answer;
+	/* True of the peer, but an earlier one was lost with this job. */
+	if (job->ran_elsewhere && passed_on.kind == RJ_ANSWER_NOT_RUN)
+		passed_on.kind = RJ_ANSWER_UNKNOWN;
+	job->final.kind = passed_on.kind;
+	rj_core_log(core, RJ_LOG_END, passed_on.reason, job, peer);
+	rj_job_answer_waiters(job, &passed_on);
 	rj_job_free(job);
 }
 
@@ -169,6 +174,7 @@
 			rj_job_free(job);
 			continue;
 		}
+		job->ran_elsewhere = true;
 		rj_filters_again(job);
 	}
 }
--- a/src/libradishjunction/core/controllers/jobs_controller.c
+++ b/src/libradishjunction/core/controllers/jobs_controller.c
@@ -251,6 +251,10 @@
  * End the job: its capacity is free, all who wait are answered, and an
  * outcome goes to the log where the log knows of the job. It then stays in
  * the table until that record was read.
+ *
+ * That an accepted job did not run is said only when its outcome was read
+ * back: a peer that took this instance for dead may have claimed the job, and
+ * the log's order decides whether that claim or this outcome came first.
  */
 void rj_job_end(struct rj_job *job, const struct rj_answer *answer)
 {
@@ -264,8 +268,9 @@
 	rj_job_unplan(job, answer->kind == RJ_ANSWER_DONE);
 	rj_timer_clear(&core->timers, &job->deadline);
 	rj_timer_clear(&core->timers, &job->step);
-	rj_job_answer_waiters(job, &job->final);
 	core->jobs.plan_wanted = true;
+	if (!job->accepted || answer->kind != RJ_ANSWER_NOT_RUN)
+		rj_job_answer_waiters(job, &job->final);
 	if (!job->accepted && !job->claimed) {
 		rj_job_free(job);
 		return;
@@ -292,37 +297,39 @@
 /*
  * End a job of which this instance has started nothing and will start
  * nothing. Without a key, or with one that the whole log does not know, that
- * is `not_run`. With a key and a log that cannot be read, an earlier attempt
- * elsewhere may have run: `unknown`.
+ * is `not_run`. With a key that may have been used before, of which the log
+ * cannot tell, an earlier attempt elsewhere may have run: `unknown`.
  */
 void rj_job_not_started(struct rj_job *job, enum rj_reason reason,
 			uint64_t retry_after_us)
 {
 	bool known =
-		job->idempotent || !job->spec.key[0] ||
-		(rj_log_usable(job->core) &&
+		!job->spec.key[0] ||
+		(!job->idempotent && rj_log_usable(job->core) &&
 		 !rj_job_ledger_find(&job->core->ledger, job->spec.job_id));
 
 	assert(!job->started);
-	if (job->ran_before)
-		rj_job_end_plain(job, RJ_ANSWER_FAILED, reason, retry_after_us);
+	if (known)
+		rj_job_give_up(job, reason, retry_after_us);
 	else
-		rj_job_end_plain(job,
-				 known ? RJ_ANSWER_NOT_RUN : RJ_ANSWER_UNKNOWN,
-				 reason, retry_after_us);
+		rj_job_end_plain(job, RJ_ANSWER_UNKNOWN, reason,
+				 retry_after_us);
 }
 
 /*
  * End a job whose present attempt has stopped, or never started: `not_run`
- * only if no earlier attempt started either.
+ * only if no earlier attempt started either, here or at a peer that was lost.
  */
 void rj_job_give_up(struct rj_job *job, enum rj_reason reason,
 		    uint64_t retry_after_us)
 {
-	bool ran = job->started || job->ran_before;
+	enum rj_answer_kind kind = RJ_ANSWER_NOT_RUN;
 
-	rj_job_end_plain(job, ran ? RJ_ANSWER_FAILED : RJ_ANSWER_NOT_RUN,
-			 reason, retry_after_us);
+	if (job->started || job->ran_before)
+		kind = RJ_ANSWER_FAILED;
+	else if (job->ran_elsewhere)
+		kind = RJ_ANSWER_UNKNOWN;
+	rj_job_end_plain(job, kind, reason, retry_after_us);
 }
 
 /*
--- a/src/libradishjunction/core/controllers/log_controller.c
+++ b/src/libradishjunction/core/controllers/log_controller.c
@@ -30,6 +30,7 @@
 	if (stream->reading)
 		return;
 	stream->reading = true;
+	stream->asked_us = core->now_us;
 	action = rj_actions_add(core->actions, RJ_ACTION_READ);
 	action->u.read.stream = stream->stream;
 	action->u.read.from = stream->next;
@@ -151,17 +152,19 @@
 
 /*
  * Whether work may be started that depends on the log: every key still in
- * the log is known here, and the log answered a short while ago.
+ * the log is known here, and a read that was sent a short while ago was answered.
  *
- * Guards against an instance that starts empty, or was paused past the
- * retention: it would take an old key for a new one and run its job twice.
+ * Guards against an instance that starts empty, or was paused: it would take
+ * an old key for a new one and run its job twice. An answer proves nothing
+ * beyond the time at which its read was sent, since it may have lain here
+ * while this process was paused.
  */
 bool rj_log_usable(const struct rj_core_state *core)
 {
 	const struct rj_log_stream *stream = &core->streams[RJ_STREAM_JOBS];
 
 	return stream->caught_up && core->platform_up &&
-	       core->now_us < stream->answered_us + READ_STALE_US;
+	       core->now_us < stream->fresh_us + READ_STALE_US;
 }
 
 /* The platform has stopped answering, or its answers are not to be had. */
@@ -203,7 +206,7 @@
 		return;
 	}
 	stream->backoff_us = READ_BACKOFF_FIRST_US;
-	stream->answered_us = core->now_us;
+	stream->fresh_us = stream->asked_us;
 	core->platform_up = true;
 	if (stream->read_before && records->oldest > stream->next)
 		read_gap(core, stream);
--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -404,6 +404,8 @@
  */
 void rj_claims_tick(struct rj_core_state *core)
 {
+	/* In an outage accepted jobs go on from what was read before it. */
+	bool current = !core->platform_up || rj_log_usable(core);
 	struct rj_list *at;
 	struct rj_list *next;
 
@@ -423,7 +425,7 @@
 
 			if (mine && !driven_here(job, entry))
 				settle_entry(core, entry);
-		} else if (!entry->settled && entry->accepted &&
+		} else if (!entry->settled && entry->accepted && current &&
 			   rj_membership_owns(core, entry->domain,
 					      entry->job_id)) {
 			own_accepted(core, entry);
--- a/src/libradishjunction/core/filters/chain.c
+++ b/src/libradishjunction/core/filters/chain.c
@@ -46,7 +46,23 @@
 }
 
 /*
- * Answer a submission that no job was made for. `detail` may be NULL.
+ * Whether an earlier request with the same key may have run. This instance
+ * can rule it out only for work that is always claimed, with a log that it
+ * has read up to now.
+ */
+static bool may_have_run(const struct rj_core_state *core,
+			 const struct rj_submission *submission)
+{
+	if (!submission->spec.key[0])
+		return false;
+	return !submission->class || submission->class->idempotent ||
+	       !rj_log_usable(core) ||
+	       rj_job_ledger_find(&core->ledger, submission->spec.job_id);
+}
+
+/*
+ * Answer a submission that no job was made for. `not_run` becomes `unknown`
+ * where an earlier request with the same key may have run. `detail` may be NULL.
  */
 enum rj_filter_verdict rj_filter_refuse(struct rj_core_state *core,
 					const struct rj_submission *submission,
@@ -62,6 +78,9 @@
 	answer.kind = kind;
 	answer.reason = reason;
 	answer.job_id = submission->spec.job_id;
+	if (kind == RJ_ANSWER_NOT_RUN && reason != RJ_REASON_KEY_REUSED &&
+	    may_have_run(core, submission))
+		answer.kind = RJ_ANSWER_UNKNOWN;
 	answer.retry_after_us = retry_after_us;
 	if (detail)
 		g_strlcpy(answer.detail, detail, sizeof(answer.detail));
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -32,7 +32,8 @@
 	bool caught_up; /* everything up to the head was applied */
 	bool reading;
 	uint64_t backoff_us;
-	uint64_t answered_us; /* when a read was last answered */
+	uint64_t asked_us; /* when the read that is out was sent */
+	uint64_t fresh_us; /* what was read holds at least up to here */
 	struct rj_timer retry;
 	/* group commit: one append at a time, the rest waits */
 	struct rj_record **waiting; /* talloc array */
@@ -224,6 +225,7 @@
 	bool claimed; /* its claim is in the log, and won */
 	bool started; /* a start was sent in this attempt */
 	bool ran_before; /* an earlier attempt had started */
+	bool ran_elsewhere; /* a peer that was lost may have run it */
 	bool cancelled;
 	bool reclaimed; /* being stopped for someone's guarantee */
 	bool ending; /* STOPPING ends it with `final`, else it is requeued */
