planner_first_fit: a back-off that has ended wakes nobody

Cause: wake_us kept giving the end of a back-off after it had passed, so an instance whose job waits for capacity woke itself at one instant for ever. Excluded: the core's timer heap (it fires each timer once). Change: a pass forgets a back-off that has ended; the job then waits for capacity.

--- a/src/libradishjunction/core/planner_first_fit.c
+++ b/src/libradishjunction/core/planner_first_fit.c
@@ -257,6 +257,8 @@
 		}
 		if (entry->not_before_us > now_us)
 			continue;
+		/* Waits for capacity from here on, not for a time. */
+		entry->not_before_us = 0;
 		if (failed && rj_shape_equal(failed, &entry->job.shape))
 			continue;
 		count = first_fit_place(state, &entry->job.shape, &considered);
--- a/src/test_libradishjunction/test_planner_first_fit.c
+++ b/src/test_libradishjunction/test_planner_first_fit.c
@@ -187,6 +187,26 @@
 	g_assert_cmpuint(f->decisions.list[0].members[0].worker, ==, 20);
 }
 
+/*
+ * A daemon spins at a whole core while a job waits for capacity.
+ * The job is put back with a back-off; the back-off ends and it still does
+ * not fit.
+ * Cause: the end of the back-off stayed the next time to wake up.
+ */
+static void test_ended_back_off_wakes_once(struct fixture *f, const void *data)
+{
+	enum rj_reason reason;
+
+	g_assert_cmpint(submit(f, 1, 8, 8, false, &reason), ==, 0);
+	g_assert_cmpint(submit(f, 2, 1, 1, false, &reason), ==, 0);
+	g_assert_cmpuint(pass(f), ==, 1);
+	f->planner->ops->requeue(f->planner, 1, 90, 80);
+	f->planner->ops->requeue(f->planner, 2, 90, 80);
+	g_assert_cmpuint(f->planner->ops->wake_us(f->planner), ==, 90);
+	g_assert_cmpuint(pass(f), ==, 1);
+	g_assert_cmpuint(f->planner->ops->wake_us(f->planner), ==, RJ_NEVER_US);
+}
+
 #define ADD(name, function)                                                 \
 	g_test_add("/planner_first_fit/" name, struct fixture, NULL, setup, \
 		   function, teardown)
@@ -201,5 +221,6 @@
 	ADD("resources", test_slots_cores_and_memory_count);
 	ADD("worker_returns", test_worker_that_returns_is_still_taken);
 	ADD("adopt_early", test_adopted_before_its_worker_is_known);
+	ADD("back_off", test_ended_back_off_wakes_once);
 	return g_test_run();
 }
