--- a/src/bench/faults.c
+++ b/src/bench/faults.c
@@ -230,6 +230,18 @@
 	return i;
 }
 
+static const struct engine_ops *find_engine(const char *name)
+{
+	static const struct engine_ops *const engines[] = {
+		&engine_core, &engine_core_first_fit, &engine_naive
+	};
+
+	for (size_t i = 0; i < sizeof(engines) / sizeof(engines[0]); i++)
+		if (!strcmp(engines[i]->name, name))
+			return engines[i];
+	return NULL;
+}
+
 static int run_all(const struct engine_ops *engine, enum promise only,
 		   uint64_t from, uint64_t seeds, int threads)
 {
@@ -256,8 +268,8 @@
 	struct arg_int *seed = arg_int0(NULL, "seed", "K", "replay this one");
 	struct arg_str *promise =
 		arg_str0(NULL, "promise", "P", "only this promise");
-	struct arg_str *engine = arg_str0(NULL, "engine", "core|naive",
-					  "what decides; the core");
+	struct arg_str *engine = arg_str0(NULL, "engine", "NAME",
+					  "core, first_fit or naive; core");
 	struct arg_int *threads =
 		arg_int0(NULL, "threads", "N", "runs side by side");
 	struct arg_lit *transcript =
@@ -282,8 +294,13 @@
 		status = 0;
 		goto out;
 	}
-	if (engine->count && !strcmp(engine->sval[0], engine_naive.name))
-		ops = &engine_naive;
+	if (engine->count)
+		ops = find_engine(engine->sval[0]);
+	if (!ops) {
+		(void)fputs("faults: --engine: core, first_fit or naive\n",
+			    stderr);
+		goto out;
+	}
 	if (promise->count)
 		only = find_promise(promise->sval[0]);
 	if ((promise->count || seed->count) && only == PROMISE_COUNT) {
--- a/src/test_libradishjunction/support/engine.h
+++ b/src/test_libradishjunction/support/engine.h
@@ -23,6 +23,7 @@
 };
 
 extern const struct engine_ops engine_core;
+extern const struct engine_ops engine_core_first_fit;
 extern const struct engine_ops engine_naive;
 
 #endif
--- a/src/test_libradishjunction/support/engine_core.c
+++ b/src/test_libradishjunction/support/engine_core.c
@@ -3,37 +3,65 @@
 #include <assert.h>
 #include <talloc.h>
 
+#include "radishjunction/planner_topology.h"
+
 struct engine_of_core {
 	struct engine base;
 	struct rj_core core;
-	struct rj_planner_first_fit planner;
+	struct rj_planner *planner;
+	struct rj_planner_topology topology;
+	struct rj_planner_first_fit first_fit;
 };
 
 static int release(struct engine_of_core *engine)
 {
 	rj_core_finish(&engine->core);
-	engine->planner.base.ops->finish(&engine->planner.base);
+	engine->planner->ops->finish(engine->planner);
 	return 0;
 }
 
-static struct engine *create(void *mem, const struct rj_core_options *options)
+/* Make the core over the planner that `engine` holds already. */
+static struct engine *start(struct engine_of_core *engine,
+			    const struct rj_core_options *options)
 {
-	struct engine_of_core *engine = talloc_zero(mem, struct engine_of_core);
 	struct rj_core_options whole = *options;
 	struct rj_error err;
 	int failed;
 
-	assert(engine);
-	engine->base.ops = &engine_core;
-	failed = rj_planner_first_fit_init(&engine->planner, engine);
-	assert(!failed);
-	whole.planner = &engine->planner.base;
+	whole.planner = engine->planner;
 	failed = rj_core_init(&engine->core, engine, &whole, &err);
 	assert(!failed);
 	talloc_set_destructor(engine, release);
 	return &engine->base;
 }
 
+static struct engine *create(void *mem, const struct rj_core_options *options)
+{
+	struct engine_of_core *engine = talloc_zero(mem, struct engine_of_core);
+	int failed;
+
+	assert(engine);
+	engine->base.ops = &engine_core;
+	failed = rj_planner_topology_init(&engine->topology, engine);
+	assert(!failed);
+	engine->planner = &engine->topology.base;
+	return start(engine, options);
+}
+
+static struct engine *create_first_fit(void *mem,
+				       const struct rj_core_options *options)
+{
+	struct engine_of_core *engine = talloc_zero(mem, struct engine_of_core);
+	int failed;
+
+	assert(engine);
+	engine->base.ops = &engine_core_first_fit;
+	failed = rj_planner_first_fit_init(&engine->first_fit, engine);
+	assert(!failed);
+	engine->planner = &engine->first_fit.base;
+	return start(engine, options);
+}
+
 static void process(struct engine *base, const struct rj_event *event,
 		    struct rj_actions *actions)
 {
@@ -56,3 +84,10 @@
 	.process = process,
 	.wake_us = wake_us,
 };
+
+const struct engine_ops engine_core_first_fit = {
+	.name = "first_fit",
+	.create = create_first_fit,
+	.process = process,
+	.wake_us = wake_us,
+};
