--- /dev/null
+++ b/src/libradishjunction/include/private/platform_wire.h
@@ -0,0 +1,49 @@
+/*
+ * The bodies of the platform's protocol (docs/PLATFORM-PROTOCOL.md), for
+ * both of its ends.
+ *
+ * Encoders return text that is a talloc child of `mem`; decoders fill a
+ * struct of the caller's whose texts and lists are talloc children of `mem`.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_PLATFORM_WIRE_H
+#define RADISHJUNCTION_PRIVATE_PLATFORM_WIRE_H
+
+#include "radishjunction/event.h"
+
+/* The most records in one answer to a read. */
+#define RJ_LOG_PAGE_MAX 1000
+/* The most instances in one list. */
+#define RJ_INSTANCES_MAX 32768
+
+struct rj_log_entry {
+	uint64_t offset;
+	uint64_t age_ms;
+	const char *text;
+};
+
+/* The answer to a read. */
+struct rj_log_page {
+	uint64_t oldest;
+	uint64_t from;
+	uint64_t next;
+	uint64_t head;
+	struct rj_log_entry *records;
+	uint32_t count;
+};
+
+char *rj_log_page_encode(void *mem, const struct rj_log_page *page);
+int rj_log_page_decode(void *mem, const char *text, struct rj_log_page *page,
+		       struct rj_error *err);
+char *rj_append_answer_encode(void *mem, uint64_t first_offset);
+int rj_append_answer_decode(const char *text, uint64_t *first_offset,
+			    struct rj_error *err);
+char *rj_instance_encode(void *mem, const struct rj_instance *instance);
+int rj_instance_decode(const char *text, struct rj_instance *instance,
+		       struct rj_error *err);
+char *rj_instances_encode(void *mem, const struct rj_instance *instances,
+			  uint32_t count);
+int rj_instances_decode(void *mem, const char *text,
+			struct rj_instance **instances, uint32_t *count,
+			struct rj_error *err);
+
+#endif
--- a/src/libradishjunction/include/private/worker_wire.h
+++ b/src/libradishjunction/include/private/worker_wire.h
@@ -8,18 +8,16 @@
 #ifndef RADISHJUNCTION_PRIVATE_WORKER_WIRE_H
 #define RADISHJUNCTION_PRIVATE_WORKER_WIRE_H
 
-#include <jansson.h>
-
 #include "radishjunction/error.h"
 #include "radishjunction/worker.h"
 
 char *rj_worker_wire_encode_call(void *mem, const struct rj_worker_call *call);
-int rj_worker_wire_decode_call(void *mem, const char *text, size_t length,
+int rj_worker_wire_decode_call(void *mem, const char *text,
 			       struct rj_worker_call *call,
 			       struct rj_error *err);
 char *rj_worker_wire_encode_reply(void *mem, const struct rj_worker_call *call,
 				  const struct rj_worker_reply *reply);
-int rj_worker_wire_decode_reply(void *mem, const char *text, size_t length,
+int rj_worker_wire_decode_reply(void *mem, const char *text,
 				const struct rj_worker_call *call,
 				struct rj_worker_reply *reply,
 				struct rj_error *err);
--- /dev/null
+++ b/src/libradishjunction/platform/platform_wire.c
@@ -0,0 +1,258 @@
+#include "private/platform_wire.h"
+
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/wire.h"
+
+/* Whole numbers of JSON have a sign. */
+#define NUMBER_MAX INT64_MAX
+
+static const struct rj_schema_field entry_fields[] = {
+	{ RJ_FIELD(u64, rj_log_entry, offset), .max = NUMBER_MAX },
+	{ RJ_FIELD(u64, rj_log_entry, age_ms), .max = NUMBER_MAX },
+	{ RJ_FIELD(string, rj_log_entry, text),
+	  .max = RJ_RECORD_TEXT_MAX_BYTES },
+};
+
+static const struct rj_schema entry_schema = {
+	.fields = entry_fields,
+	.field_count = RJ_FIELD_COUNT(entry_fields),
+	.size = sizeof(struct rj_log_entry),
+	.open = true,
+};
+
+static const struct rj_schema_field page_fields[] = {
+	{ RJ_FIELD(u64, rj_log_page, oldest), .max = NUMBER_MAX },
+	{ RJ_FIELD(u64, rj_log_page, from), .max = NUMBER_MAX },
+	{ RJ_FIELD(u64, rj_log_page, next), .max = NUMBER_MAX },
+	{ RJ_FIELD(u64, rj_log_page, head), .max = NUMBER_MAX },
+	{ RJ_FIELD(array, rj_log_page, records),
+	  .count_offset = offsetof(struct rj_log_page, count),
+	  .schema = &entry_schema, .max = RJ_LOG_PAGE_MAX },
+};
+
+static const struct rj_schema page_schema = {
+	.fields = page_fields,
+	.field_count = RJ_FIELD_COUNT(page_fields),
+	.size = sizeof(struct rj_log_page),
+	.open = true,
+};
+
+struct append_answer {
+	uint64_t first_offset;
+};
+
+static const struct rj_schema_field append_fields[] = {
+	{ RJ_FIELD(u64, append_answer, first_offset), .max = NUMBER_MAX },
+};
+
+static const struct rj_schema append_schema = {
+	.fields = append_fields,
+	.field_count = RJ_FIELD_COUNT(append_fields),
+	.size = sizeof(struct append_answer),
+	.open = true,
+};
+
+enum wire_state { STATE_LIVE, STATE_LEAVING, STATE_COUNT };
+
+static const char *const state_string[STATE_COUNT] = {
+	[STATE_LIVE] = "live",
+	[STATE_LEAVING] = "leaving",
+};
+
+/* An instance as it is listed: struct rj_instance in the platform's words. */
+struct wire_instance {
+	char name[RJ_NAME_BYTES];
+	enum rj_instance_role role;
+	char domain[RJ_NAME_BYTES];
+	uint32_t rack;
+	char ip[RJ_IP_BYTES];
+	uint32_t port;
+	uint64_t incarnation;
+	enum wire_state state;
+};
+
+static const struct rj_schema_field instance_fields[] = {
+	{ RJ_FIELD(name, wire_instance, name), .optional = true },
+	{ RJ_FIELD(choice, wire_instance, role),
+	  .choices = rj_instance_role_string, .max = RJ_ROLE_COUNT },
+	{ RJ_FIELD(name, wire_instance, domain) },
+	{ RJ_FIELD(u32, wire_instance, rack), .optional = true,
+	  .max = UINT32_MAX },
+	{ RJ_FIELD(text, wire_instance, ip), .min = 1, .size = RJ_IP_BYTES },
+	{ RJ_FIELD(u32, wire_instance, port), .min = 1, .max = UINT16_MAX },
+	{ RJ_FIELD(id, wire_instance, incarnation) },
+	{ RJ_FIELD(choice, wire_instance, state), .choices = state_string,
+	  .max = STATE_COUNT },
+};
+
+static const struct rj_schema instance_schema = {
+	.fields = instance_fields,
+	.field_count = RJ_FIELD_COUNT(instance_fields),
+	.size = sizeof(struct wire_instance),
+	.open = true,
+};
+
+struct wire_instances {
+	struct wire_instance *instances;
+	uint32_t count;
+};
+
+static const struct rj_schema_field instances_fields[] = {
+	{ RJ_FIELD(array, wire_instances, instances),
+	  .count_offset = offsetof(struct wire_instances, count),
+	  .schema = &instance_schema, .max = RJ_INSTANCES_MAX },
+};
+
+static const struct rj_schema instances_schema = {
+	.fields = instances_fields,
+	.field_count = RJ_FIELD_COUNT(instances_fields),
+	.size = sizeof(struct wire_instances),
+	.open = true,
+};
+
+/*
+ * The answer to a read.
+ */
+char *rj_log_page_encode(void *mem, const struct rj_log_page *page)
+{
+	return rj_wire_encode(mem, &page_schema, page);
+}
+
+/*
+ * Read the answer to a read. Returns 0, or -1 with `err`, also when its
+ * offsets do not follow each other: such a page would hide a record.
+ */
+int rj_log_page_decode(void *mem, const char *text, struct rj_log_page *page,
+		       struct rj_error *err)
+{
+	if (rj_wire_decode(&page_schema, mem, text, page, err))
+		return -1;
+	if (page->from < page->oldest || page->next != page->from + page->count)
+		return rj_error_set(err, RJ_ERR_MALFORMED,
+				    "next: not one past the last record; read "
+				    "again");
+	for (uint32_t i = 0; i < page->count; i++)
+		if (page->records[i].offset != page->from + i)
+			return rj_error_set(err, RJ_ERR_MALFORMED,
+					    "records[%u].offset: out of order; "
+					    "read again",
+					    i);
+	return 0;
+}
+
+/*
+ * The answer to an append.
+ */
+char *rj_append_answer_encode(void *mem, uint64_t first_offset)
+{
+	struct append_answer answer = { first_offset };
+
+	return rj_wire_encode(mem, &append_schema, &answer);
+}
+
+/*
+ * Read the answer to an append. Returns 0, or -1 with `err`.
+ */
+int rj_append_answer_decode(const char *text, uint64_t *first_offset,
+			    struct rj_error *err)
+{
+	struct append_answer answer;
+
+	if (rj_wire_decode(&append_schema, NULL, text, &answer, err))
+		return -1;
+	*first_offset = answer.first_offset;
+	return 0;
+}
+
+static void to_wire(struct wire_instance *wire,
+		    const struct rj_instance *instance)
+{
+	memset(wire, 0, sizeof(*wire));
+	memcpy(wire->name, instance->name, sizeof(wire->name));
+	wire->role = instance->role;
+	memcpy(wire->domain, instance->domain, sizeof(wire->domain));
+	wire->rack = instance->rack;
+	memcpy(wire->ip, instance->address.ip, sizeof(wire->ip));
+	wire->port = instance->address.port;
+	wire->incarnation = instance->incarnation;
+	wire->state = instance->leaving ? STATE_LEAVING : STATE_LIVE;
+}
+
+static void from_wire(struct rj_instance *instance,
+		      const struct wire_instance *wire)
+{
+	memset(instance, 0, sizeof(*instance));
+	memcpy(instance->name, wire->name, sizeof(instance->name));
+	instance->role = wire->role;
+	memcpy(instance->domain, wire->domain, sizeof(instance->domain));
+	instance->rack = wire->rack;
+	memcpy(instance->address.ip, wire->ip, sizeof(instance->address.ip));
+	instance->address.port = (uint16_t)wire->port;
+	instance->incarnation = wire->incarnation;
+	instance->leaving = wire->state == STATE_LEAVING;
+}
+
+/*
+ * One instance as it is registered.
+ */
+char *rj_instance_encode(void *mem, const struct rj_instance *instance)
+{
+	struct wire_instance wire;
+
+	to_wire(&wire, instance);
+	return rj_wire_encode(mem, &instance_schema, &wire);
+}
+
+/*
+ * Read one instance; its name may be left out. Returns 0, or -1 with `err`.
+ */
+int rj_instance_decode(const char *text, struct rj_instance *instance,
+		       struct rj_error *err)
+{
+	struct wire_instance wire;
+
+	if (rj_wire_decode(&instance_schema, NULL, text, &wire, err))
+		return -1;
+	from_wire(instance, &wire);
+	return 0;
+}
+
+/*
+ * The list of instances.
+ */
+char *rj_instances_encode(void *mem, const struct rj_instance *instances,
+			  uint32_t count)
+{
+	struct wire_instances wire = { .count = count };
+	char *text;
+
+	wire.instances = talloc_array(NULL, struct wire_instance, count);
+	assert(wire.instances);
+	for (uint32_t i = 0; i < count; i++)
+		to_wire(&wire.instances[i], &instances[i]);
+	text = rj_wire_encode(mem, &instances_schema, &wire);
+	talloc_free(wire.instances);
+	return text;
+}
+
+/*
+ * Read the list of instances. Returns 0, or -1 with `err`.
+ */
+int rj_instances_decode(void *mem, const char *text,
+			struct rj_instance **instances, uint32_t *count,
+			struct rj_error *err)
+{
+	struct wire_instances wire;
+
+	if (rj_wire_decode(&instances_schema, mem, text, &wire, err))
+		return -1;
+	*count = wire.count;
+	*instances = talloc_array(mem, struct rj_instance, wire.count);
+	assert(*instances);
+	for (uint32_t i = 0; i < wire.count; i++)
+		from_wire(&(*instances)[i], &wire.instances[i]);
+	return 0;
+}
--- /dev/null
+++ b/src/libradishjunction/wire.c
@@ -0,0 +1,49 @@
+#include "private/wire.h"
+
+#include <assert.h>
+#include <talloc.h>
+
+/*
+ * The compact text of `json`, as a talloc child of `mem`.
+ */
+char *rj_wire_text(void *mem, const json_t *json)
+{
+	size_t size = json_dumpb(json, NULL, 0, JSON_COMPACT);
+	char *text = talloc_array(mem, char, size + 1);
+
+	assert(size && text);
+	json_dumpb(json, text, size, JSON_COMPACT);
+	text[size] = 0;
+	return text;
+}
+
+/*
+ * The text of the struct at `in`, as a talloc child of `mem`.
+ */
+char *rj_wire_encode(void *mem, const struct rj_schema *schema, const void *in)
+{
+	json_t *json = rj_schema_encode(schema, in);
+	char *text = rj_wire_text(mem, json);
+
+	json_decref(json);
+	return text;
+}
+
+/*
+ * Fill the struct at `out` from `text`. Returns 0, or -1 with the first
+ * error as `err` (which may be NULL); `out` is zeroed then.
+ */
+int rj_wire_decode(const struct rj_schema *schema, void *mem, const char *text,
+		   void *out, struct rj_error *err)
+{
+	struct rj_error_list errors;
+	int result;
+
+	rj_error_list_init(&errors, NULL);
+	result = rj_schema_parse(schema, mem, text, out, &errors);
+	if (result)
+		rj_error_set(err, RJ_ERR_MALFORMED, "%s",
+			     errors.errors[0].message);
+	rj_error_list_finish(&errors);
+	return result;
+}
--- a/src/libradishjunction/worker/worker_wire.c
+++ b/src/libradishjunction/worker/worker_wire.c
@@ -1,96 +1,215 @@
 #include "private/worker_wire.h"
 
 #include <assert.h>
-#include <sodium.h>
 #include <string.h>
 #include <talloc.h>
 
-#include "private/wire_json.h"
-
-#define DIGEST_HEX_BYTES (2 * RJ_DIGEST_BYTES + 1)
-
-static void set_resources(json_t *object, const struct rj_resources *resources)
-{
-	rj_wire_set_count(object, "slots", resources->slots);
-	rj_wire_set_count(object, "accelerators", resources->accelerators);
-	rj_wire_set_count(object, "cores", resources->cores);
-	rj_wire_set_count(object, "memory_mb", resources->memory_mb);
-}
-
-static int get_resources(const json_t *object, struct rj_resources *resources,
-			 struct rj_error *err)
-{
-	if (rj_wire_get_u32(object, "slots", &resources->slots, err) ||
-	    rj_wire_get_u32(object, "accelerators", &resources->accelerators,
-			    err) ||
-	    rj_wire_get_u32(object, "cores", &resources->cores, err))
-		return -1;
-	return rj_wire_get_u32(object, "memory_mb", &resources->memory_mb, err);
-}
-
-static void set_attempt(json_t *object, const struct rj_attempt *attempt,
-			uint32_t member)
-{
-	rj_wire_set_hex(object, "job", attempt->job_id);
-	rj_wire_set_hex(object, "owner", attempt->owner);
-	rj_wire_set_count(object, "attempt", attempt->number);
-	rj_wire_set_count(object, "member", member);
-}
-
-static int get_attempt(const json_t *object, struct rj_attempt *attempt,
-		       uint32_t *member, struct rj_error *err)
-{
-	if (rj_wire_get_hex(object, "job", &attempt->job_id, err) ||
-	    rj_wire_get_hex(object, "owner", &attempt->owner, err) ||
-	    rj_wire_get_u32(object, "attempt", &attempt->number, err))
-		return -1;
-	return rj_wire_get_u32(object, "member", member, err);
-}
-
-static void digest_hex(char hex[DIGEST_HEX_BYTES], const struct rj_bytes *bytes)
-{
+#include "private/wire.h"
+
+/* Whole numbers of JSON have a sign. */
+#define NUMBER_MAX INT64_MAX
+/* More than a worker has slots and remembers ended tasks. */
+#define REPORT_TASKS_MAX 4096
+
+static const struct rj_schema_field attempt_fields[] = {
+	{ RJ_FIELD(id, rj_attempt, job_id) },
+	{ RJ_FIELD(id, rj_attempt, owner) },
+	{ RJ_FIELD(u32, rj_attempt, number), .max = UINT32_MAX },
+};
+
+static const struct rj_schema attempt_schema = {
+	.fields = attempt_fields,
+	.field_count = RJ_FIELD_COUNT(attempt_fields),
+	.size = sizeof(struct rj_attempt),
+	.open = true,
+};
+
+static const struct rj_schema_field resources_fields[] = {
+	{ RJ_FIELD(u32, rj_resources, slots), .max = UINT32_MAX },
+	{ RJ_FIELD(u32, rj_resources, accelerators), .max = UINT32_MAX },
+	{ RJ_FIELD(u32, rj_resources, cores), .max = UINT32_MAX },
+	{ RJ_FIELD(u32, rj_resources, memory_mb), .max = UINT32_MAX },
+};
+
+static const struct rj_schema resources_schema = {
+	.fields = resources_fields,
+	.field_count = RJ_FIELD_COUNT(resources_fields),
+	.size = sizeof(struct rj_resources),
+	.open = true,
+};
+
+static const struct rj_schema_field call_fields[] = {
+	{ RJ_FIELD(id, rj_worker_call, call_id) },
+	{ RJ_FIELD(choice, rj_worker_call, op), .choices = rj_worker_op_string,
+	  .max = RJ_WORKER_OP_COUNT },
+	{ RJ_FIELD(name, rj_worker_call, worker) },
+	{ RJ_FIELD(id, rj_worker_call, holder) },
+	{ RJ_FIELD(object, rj_worker_call, attempt),
+	  .schema = &attempt_schema },
+	{ RJ_FIELD(u32, rj_worker_call, member), .optional = true,
+	  .max = UINT32_MAX },
+	{ RJ_FIELD(u32, rj_worker_call, gang), .optional = true,
+	  .max = UINT32_MAX },
+	{ RJ_FIELD(id, rj_worker_call, token), .optional = true },
+	{ RJ_FIELD(name, rj_worker_call, account), .optional = true },
+	{ RJ_FIELD(name, rj_worker_call, class_name), .optional = true },
+	{ RJ_FIELD(object, rj_worker_call, each), .schema = &resources_schema },
+	{ RJ_FIELD(u64, rj_worker_call, life_us), .optional = true,
+	  .max = NUMBER_MAX },
+	{ RJ_FIELD(u64, rj_worker_call, limit_us), .optional = true,
+	  .max = NUMBER_MAX },
+	{ RJ_FIELD(u32, rj_worker_call, throttle_percent), .optional = true,
+	  .max = 100 },
+	{ RJ_FIELD(u64, rj_worker_call, resume_us), .optional = true,
+	  .max = NUMBER_MAX },
+	{ RJ_FIELD(bool, rj_worker_call, wait), .optional = true },
+	{ RJ_FIELD(u64, rj_worker_call, declared_us), .optional = true,
+	  .max = NUMBER_MAX },
+	{ RJ_FIELD(base64, rj_worker_call, body), .optional = true,
+	  .max = RJ_BODY_MAX_BYTES },
+};
+
+static const struct rj_schema call_schema = {
+	.fields = call_fields,
+	.field_count = RJ_FIELD_COUNT(call_fields),
+	.size = sizeof(struct rj_worker_call),
+	.open = true,
+};
+
+/* A result with what tells whether it is whole. */
+struct wire_result {
+	struct rj_bytes bytes;
+	uint32_t length;
 	uint8_t digest[RJ_DIGEST_BYTES];
-
-	rj_digest(digest, bytes, 1);
-	sodium_bin2hex(hex, DIGEST_HEX_BYTES, digest, sizeof(digest));
-}
-
-/* A result goes with its length and digest: see get_result. */
-static void set_result(json_t *object, const struct rj_bytes *result)
+};
+
+static const struct rj_schema_field result_fields[] = {
+	{ RJ_FIELD(base64, wire_result, bytes), .max = RJ_BODY_MAX_BYTES },
+	{ RJ_FIELD(u32, wire_result, length), .max = RJ_BODY_MAX_BYTES },
+	{ RJ_FIELD(hex, wire_result, digest), .size = RJ_DIGEST_BYTES },
+};
+
+static const struct rj_schema result_schema = {
+	.fields = result_fields,
+	.field_count = RJ_FIELD_COUNT(result_fields),
+	.size = sizeof(struct wire_result),
+	.open = true,
+};
+
+struct wire_task {
+	struct rj_task_report task; /* but for its result */
+	struct wire_result result;
+};
+
+#define TASK_FIELD(type_, member_)                    \
+	.type = &rj_schema_##type_, .name = #member_, \
+	.offset = offsetof(struct wire_task, task.member_)
+
+static const struct rj_schema_field task_fields[] = {
+	{ TASK_FIELD(object, attempt), .schema = &attempt_schema },
+	{ TASK_FIELD(id, holder) },
+	{ TASK_FIELD(u32, member), .max = UINT32_MAX },
+	{ TASK_FIELD(u32, gang), .max = UINT32_MAX },
+	{ TASK_FIELD(id, token) },
+	{ TASK_FIELD(name, account), .optional = true },
+	{ TASK_FIELD(name, class_name), .optional = true },
+	{ TASK_FIELD(choice, state), .choices = rj_task_state_string,
+	  .max = RJ_TASK_STATE_COUNT },
+	{ TASK_FIELD(object, each), .schema = &resources_schema },
+	{ TASK_FIELD(u64, ran_us), .max = NUMBER_MAX },
+	{ TASK_FIELD(u64, lease_left_us), .max = NUMBER_MAX },
+	{ RJ_FIELD(object, wire_task, result), .schema = &result_schema },
+};
+
+static const struct rj_schema task_schema = {
+	.fields = task_fields,
+	.field_count = RJ_FIELD_COUNT(task_fields),
+	.size = sizeof(struct wire_task),
+	.open = true,
+};
+
+struct wire_report {
+	uint64_t incarnation;
+	bool leaving;
+	struct rj_resources capacity;
+	struct wire_task *tasks;
+	uint32_t task_count;
+};
+
+static const struct rj_schema_field report_fields[] = {
+	{ RJ_FIELD(id, wire_report, incarnation) },
+	{ RJ_FIELD(bool, wire_report, leaving) },
+	{ RJ_FIELD(object, wire_report, capacity),
+	  .schema = &resources_schema },
+	{ RJ_FIELD(array, wire_report, tasks),
+	  .count_offset = offsetof(struct wire_report, task_count),
+	  .schema = &task_schema, .max = REPORT_TASKS_MAX },
+};
+
+static const struct rj_schema report_schema = {
+	.fields = report_fields,
+	.field_count = RJ_FIELD_COUNT(report_fields),
+	.size = sizeof(struct wire_report),
+	.open = true,
+};
+
+struct wire_reply {
+	struct rj_worker_reply reply; /* but for its result and report */
+	uint32_t member; /* echoed, as the attempt is */
+	struct wire_result result;
+	struct wire_report report;
+};
+
+#define REPLY_FIELD(type_, member_)                   \
+	.type = &rj_schema_##type_, .name = #member_, \
+	.offset = offsetof(struct wire_reply, reply.member_)
+
+/* The fields of every reply; that to a REPORT has one more, the last. */
+static const struct rj_schema_field reply_fields[] = {
+	{ REPLY_FIELD(id, call_id) },
+	{ REPLY_FIELD(choice, op), .choices = rj_worker_op_string,
+	  .max = RJ_WORKER_OP_COUNT },
+	{ REPLY_FIELD(name, worker) },
+	{ REPLY_FIELD(object, attempt), .schema = &attempt_schema },
+	{ RJ_FIELD(u32, wire_reply, member), .max = UINT32_MAX },
+	{ REPLY_FIELD(choice, status), .choices = rj_reply_status_string,
+	  .max = RJ_REPLY_LOST },
+	{ REPLY_FIELD(choice, reason), .choices = rj_reason_string,
+	  .max = RJ_REASON_COUNT },
+	{ REPLY_FIELD(bool, leaving) },
+	{ REPLY_FIELD(id, incarnation) },
+	{ REPLY_FIELD(id, token) },
+	{ REPLY_FIELD(choice, state), .choices = rj_task_state_string,
+	  .max = RJ_TASK_STATE_COUNT },
+	{ REPLY_FIELD(u64, ran_us), .max = NUMBER_MAX },
+	{ RJ_FIELD(object, wire_reply, result), .schema = &result_schema },
+	{ RJ_FIELD(object, wire_reply, report), .schema = &report_schema },
+};
+
+static const struct rj_schema reply_schema = {
+	.fields = reply_fields,
+	.field_count = RJ_FIELD_COUNT(reply_fields) - 1,
+	.size = sizeof(struct wire_reply),
+	.open = true,
+};
+
+static const struct rj_schema report_reply_schema = {
+	.fields = reply_fields,
+	.field_count = RJ_FIELD_COUNT(reply_fields),
+	.size = sizeof(struct wire_reply),
+	.open = true,
+};
+
+/* The schema of the reply to `op`. */
+static const struct rj_schema *schema_of(enum rj_worker_op op)
 {
-	char hex[DIGEST_HEX_BYTES];
-
-	digest_hex(hex, result);
-	rj_wire_set_bytes(object, "result", result);
-	rj_wire_set_count(object, "result_length", result->length);
-	json_object_set_new(object, "result_digest", json_string(hex));
+	return op == RJ_WORKER_REPORT ? &report_reply_schema : &reply_schema;
 }
 
-/*
- * Read a result and check its length and digest.
- *
- * Guards against a result that was cut or mixed with another on its way: a
- * tutor would get part of a lesson pack. The digest holds because the worker
- * took it over what the task gave.
- */
-static int get_result(void *mem, const json_t *object, struct rj_bytes *result,
-		      struct rj_error *err)
+/* What a duration such as RJ_NEVER_US becomes where JSON cannot carry it. */
+static uint64_t clamp(uint64_t duration_us)
 {
-	const char *sent =
-		json_string_value(json_object_get(object, "result_digest"));
-	char hex[DIGEST_HEX_BYTES];
-	uint32_t length;
-
-	if (rj_wire_get_bytes(mem, object, "result", result, err) ||
-	    rj_wire_get_u32(object, "result_length", &length, err))
-		return -1;
-	digest_hex(hex, result);
-	if (length != result->length || !sent || strcmp(sent, hex) != 0)
-		return rj_error_set(err, RJ_ERR_MALFORMED,
-				    "result: %u bytes do not match their "
-				    "length or digest; ask again",
-				    result->length);
-	return 0;
+	return duration_us < NUMBER_MAX ? duration_us : NUMBER_MAX;
 }
 
 /*
@@ -99,157 +218,93 @@
  */
 char *rj_worker_wire_encode_call(void *mem, const struct rj_worker_call *call)
 {
-	json_t *object = json_object();
-	char *text;
-
-	assert(object);
-	rj_wire_set_hex(object, "call", call->call_id);
-	json_object_set_new(object, "op",
-			    json_string(rj_worker_op_string[call->op]));
-	json_object_set_new(object, "worker", json_string(call->worker));
-	rj_wire_set_hex(object, "holder", call->holder);
-	set_attempt(object, &call->attempt, call->member);
-	rj_wire_set_count(object, "gang", call->gang);
-	rj_wire_set_hex(object, "token", call->token);
-	json_object_set_new(object, "account", json_string(call->account));
-	json_object_set_new(object, "class", json_string(call->class_name));
-	set_resources(object, &call->each);
-	rj_wire_set_count(object, "life_us", call->life_us);
-	rj_wire_set_count(object, "limit_us", call->limit_us);
-	rj_wire_set_count(object, "throttle_percent", call->throttle_percent);
-	rj_wire_set_count(object, "resume_us", call->resume_us);
-	json_object_set_new(object, "wait", json_boolean(call->wait));
-	rj_wire_set_count(object, "declared_us", call->declared_us);
-	rj_wire_set_bytes(object, "body", &call->body);
-	text = rj_wire_text(mem, object);
-	json_decref(object);
-	return text;
-}
+	struct rj_worker_call wire = *call;
 
-static int get_call(void *mem, const json_t *object,
-		    struct rj_worker_call *call, struct rj_error *err)
-{
-	uint32_t op;
-
-	if (rj_wire_get_hex(object, "call", &call->call_id, err) ||
-	    rj_wire_get_choice(object, "op", rj_worker_op_string,
-			       RJ_WORKER_OP_COUNT, &op, err) ||
-	    rj_wire_get_name(object, "worker", call->worker, err) ||
-	    rj_wire_get_hex(object, "holder", &call->holder, err) ||
-	    get_attempt(object, &call->attempt, &call->member, err) ||
-	    rj_wire_get_u32(object, "gang", &call->gang, err) ||
-	    rj_wire_get_hex(object, "token", &call->token, err) ||
-	    rj_wire_get_name(object, "account", call->account, err) ||
-	    rj_wire_get_name(object, "class", call->class_name, err) ||
-	    get_resources(object, &call->each, err) ||
-	    rj_wire_get_u64(object, "life_us", &call->life_us, err) ||
-	    rj_wire_get_u64(object, "limit_us", &call->limit_us, err) ||
-	    rj_wire_get_u32(object, "throttle_percent", &call->throttle_percent,
-			    err) ||
-	    rj_wire_get_u64(object, "resume_us", &call->resume_us, err) ||
-	    rj_wire_get_bool(object, "wait", &call->wait, err) ||
-	    rj_wire_get_u64(object, "declared_us", &call->declared_us, err))
-		return -1;
-	call->op = op;
-	return rj_wire_get_bytes(mem, object, "body", &call->body, err);
+	wire.life_us = clamp(call->life_us);
+	wire.limit_us = clamp(call->limit_us);
+	wire.resume_us = clamp(call->resume_us);
+	wire.declared_us = clamp(call->declared_us);
+	return rj_wire_encode(mem, &call_schema, &wire);
 }
 
 /*
  * Read what rj_worker_wire_encode_call wrote. Returns 0, or -1 with `err`
  * naming the first field that is wrong.
  */
-int rj_worker_wire_decode_call(void *mem, const char *text, size_t length,
+int rj_worker_wire_decode_call(void *mem, const char *text,
 			       struct rj_worker_call *call,
 			       struct rj_error *err)
 {
-	json_t *object = json_loadb(text, length, 0, NULL);
-	int result;
-
-	memset(call, 0, sizeof(*call));
-	if (!object)
-		return rj_error_set(err, RJ_ERR_MALFORMED,
-				    "body: not JSON; send one object");
-	result = get_call(mem, object, call, err);
-	json_decref(object);
-	return result;
+	return rj_wire_decode(&call_schema, mem, text, call, err);
 }
 
-static json_t *encode_task(const struct rj_task_report *task)
+/* Put the length and digest beside a result. */
+static void seal(struct wire_result *wire, const struct rj_bytes *result)
 {
-	json_t *object = json_object();
-
-	assert(object);
-	set_attempt(object, &task->attempt, task->member);
-	rj_wire_set_hex(object, "holder", task->holder);
-	rj_wire_set_count(object, "gang", task->gang);
-	rj_wire_set_hex(object, "token", task->token);
-	json_object_set_new(object, "account", json_string(task->account));
-	json_object_set_new(object, "class", json_string(task->class_name));
-	json_object_set_new(object, "state",
-			    json_string(rj_task_state_string[task->state]));
-	set_resources(object, &task->each);
-	rj_wire_set_count(object, "ran_us", task->ran_us);
-	rj_wire_set_count(object, "lease_left_us", task->lease_left_us);
-	set_result(object, &task->result);
-	return object;
+	wire->bytes = *result;
+	wire->length = result->length;
+	rj_digest(wire->digest, result, 1);
 }
 
-static int decode_task(void *mem, const json_t *object,
-		       struct rj_task_report *task, struct rj_error *err)
+/*
+ * Check a result against its length and digest.
+ *
+ * Guards against a result that was cut or mixed with another on its way: a
+ * tutor would get part of a lesson pack. It shows as another length or
+ * digest, for the worker took both over what the task gave.
+ */
+static int unseal(const struct wire_result *wire, struct rj_bytes *result,
+		  struct rj_error *err)
 {
-	uint32_t state;
-
-	if (get_attempt(object, &task->attempt, &task->member, err) ||
-	    rj_wire_get_hex(object, "holder", &task->holder, err) ||
-	    rj_wire_get_u32(object, "gang", &task->gang, err) ||
-	    rj_wire_get_hex(object, "token", &task->token, err) ||
-	    rj_wire_get_name(object, "account", task->account, err) ||
-	    rj_wire_get_name(object, "class", task->class_name, err) ||
-	    rj_wire_get_choice(object, "state", rj_task_state_string,
-			       RJ_TASK_STATE_COUNT, &state, err) ||
-	    get_resources(object, &task->each, err) ||
-	    rj_wire_get_u64(object, "ran_us", &task->ran_us, err) ||
-	    rj_wire_get_u64(object, "lease_left_us", &task->lease_left_us, err))
-		return -1;
-	task->state = state;
-	return get_result(mem, object, &task->result, err);
+	uint8_t digest[RJ_DIGEST_BYTES];
+
+	rj_digest(digest, &wire->bytes, 1);
+	if (wire->length != wire->bytes.length ||
+	    memcmp(wire->digest, digest, sizeof(digest)) != 0)
+		return rj_error_set(err, RJ_ERR_MALFORMED,
+				    "result: %u bytes do not match their "
+				    "length or digest; ask again",
+				    wire->bytes.length);
+	*result = wire->bytes;
+	return 0;
 }
 
-static json_t *encode_report(const struct rj_worker_report *report)
+static void encode_report(void *mem, struct wire_report *wire,
+			  const struct rj_worker_report *report)
 {
-	json_t *object = json_object();
-	json_t *tasks = json_array();
-
-	assert(object && tasks);
-	rj_wire_set_hex(object, "incarnation", report->incarnation);
-	json_object_set_new(object, "leaving", json_boolean(report->leaving));
-	set_resources(object, &report->capacity);
-	for (uint32_t i = 0; i < report->task_count; i++)
-		json_array_append_new(tasks, encode_task(&report->tasks[i]));
-	json_object_set_new(object, "tasks", tasks);
-	return object;
+	wire->incarnation = report->incarnation;
+	wire->leaving = report->leaving;
+	wire->capacity = report->capacity;
+	wire->task_count = report->task_count;
+	wire->tasks =
+		talloc_zero_array(mem, struct wire_task, report->task_count);
+	assert(wire->tasks);
+	for (uint32_t i = 0; i < report->task_count; i++) {
+		const struct rj_task_report *task = &report->tasks[i];
+
+		wire->tasks[i].task = *task;
+		wire->tasks[i].task.ran_us = clamp(task->ran_us);
+		wire->tasks[i].task.lease_left_us = clamp(task->lease_left_us);
+		seal(&wire->tasks[i].result, &task->result);
+	}
 }
 
-static int decode_report(void *mem, const json_t *object,
+static int decode_report(void *mem, const struct wire_report *wire,
 			 struct rj_worker_report *report, struct rj_error *err)
 {
-	const json_t *tasks = json_object_get(object, "tasks");
-
-	if (rj_wire_get_hex(object, "incarnation", &report->incarnation, err) ||
-	    rj_wire_get_bool(object, "leaving", &report->leaving, err) ||
-	    get_resources(object, &report->capacity, err))
-		return -1;
-	if (!json_is_array(tasks))
-		return rj_error_set(err, RJ_ERR_MALFORMED,
-				    "tasks: missing or not a list");
-	report->task_count = (uint32_t)json_array_size(tasks);
-	report->tasks = talloc_zero_array(mem, struct rj_task_report,
-					  report->task_count);
+	report->incarnation = wire->incarnation;
+	report->leaving = wire->leaving;
+	report->capacity = wire->capacity;
+	report->task_count = wire->task_count;
+	report->tasks =
+		talloc_zero_array(mem, struct rj_task_report, wire->task_count);
 	assert(report->tasks);
-	for (uint32_t i = 0; i < report->task_count; i++)
-		if (decode_task(mem, json_array_get(tasks, i),
-				&report->tasks[i], err))
+	for (uint32_t i = 0; i < wire->task_count; i++) {
+		report->tasks[i] = wire->tasks[i].task;
+		if (unseal(&wire->tasks[i].result, &report->tasks[i].result,
+			   err))
 			return -1;
+	}
 	return 0;
 }
 
@@ -260,116 +315,63 @@
 char *rj_worker_wire_encode_reply(void *mem, const struct rj_worker_call *call,
 				  const struct rj_worker_reply *reply)
 {
-	json_t *object = json_object();
+	struct wire_reply wire = { .reply = *reply, .member = call->member };
 	char *text;
 
-	assert(object);
 	assert(reply->status != RJ_REPLY_LOST);
-	rj_wire_set_hex(object, "call", call->call_id);
-	json_object_set_new(object, "op",
-			    json_string(rj_worker_op_string[call->op]));
-	json_object_set_new(object, "worker", json_string(reply->worker));
-	set_attempt(object, &reply->attempt, call->member);
-	json_object_set_new(object, "status",
-			    json_string(rj_reply_status_string[reply->status]));
-	json_object_set_new(object, "reason",
-			    json_string(rj_reason_string[reply->reason]));
-	json_object_set_new(object, "leaving", json_boolean(reply->leaving));
-	rj_wire_set_hex(object, "incarnation", reply->incarnation);
-	rj_wire_set_hex(object, "token", reply->token);
-	json_object_set_new(object, "state",
-			    json_string(rj_task_state_string[reply->state]));
-	rj_wire_set_count(object, "ran_us", reply->ran_us);
-	set_result(object, &reply->result);
+	assert(reply->op == call->op && reply->call_id == call->call_id);
+	wire.reply.ran_us = clamp(reply->ran_us);
+	seal(&wire.result, &reply->result);
 	if (call->op == RJ_WORKER_REPORT)
-		json_object_set_new(object, "report",
-				    encode_report(&reply->report));
-	text = rj_wire_text(mem, object);
-	json_decref(object);
+		encode_report(NULL, &wire.report, &reply->report);
+	text = rj_wire_encode(mem, schema_of(call->op), &wire);
+	talloc_free(wire.report.tasks);
 	return text;
 }
 
 /*
- * Check that an answer is the one to `call`.
+ * Whether a reply is the one to `call`.
  *
  * Guards against a crossed answer: one buyer would get another's quote. It
  * shows as another call, operation, worker, attempt or member, which the
  * worker echoes from the call that it answers.
  */
-static int check_echo(const json_t *object, const struct rj_worker_call *call,
-		      struct rj_worker_reply *reply, struct rj_error *err)
+static bool answers(const struct wire_reply *wire,
+		    const struct rj_worker_call *call)
 {
-	uint64_t call_id;
-	uint32_t op;
-	uint32_t member;
-
-	if (rj_wire_get_hex(object, "call", &call_id, err) ||
-	    rj_wire_get_choice(object, "op", rj_worker_op_string,
-			       RJ_WORKER_OP_COUNT, &op, err) ||
-	    rj_wire_get_name(object, "worker", reply->worker, err) ||
-	    get_attempt(object, &reply->attempt, &member, err))
-		return -1;
-	if (call_id != call->call_id || op != call->op ||
-	    strcmp(reply->worker, call->worker) != 0 ||
-	    reply->attempt.job_id != call->attempt.job_id ||
-	    reply->attempt.owner != call->attempt.owner ||
-	    reply->attempt.number != call->attempt.number ||
-	    member != call->member)
-		return rj_error_set(err, RJ_ERR_MALFORMED,
-				    "call: the answer is to another call; "
-				    "drop it");
-	reply->op = call->op;
-	reply->call_id = call->call_id;
-	return 0;
-}
-
-static int get_reply(void *mem, const json_t *object,
-		     const struct rj_worker_call *call,
-		     struct rj_worker_reply *reply, struct rj_error *err)
-{
-	uint32_t status;
-	uint32_t reason;
-	uint32_t state;
-
-	if (check_echo(object, call, reply, err) ||
-	    rj_wire_get_choice(object, "status", rj_reply_status_string,
-			       RJ_REPLY_LOST, &status, err) ||
-	    rj_wire_get_choice(object, "reason", rj_reason_string,
-			       RJ_REASON_COUNT, &reason, err) ||
-	    rj_wire_get_bool(object, "leaving", &reply->leaving, err) ||
-	    rj_wire_get_hex(object, "incarnation", &reply->incarnation, err) ||
-	    rj_wire_get_hex(object, "token", &reply->token, err) ||
-	    rj_wire_get_choice(object, "state", rj_task_state_string,
-			       RJ_TASK_STATE_COUNT, &state, err) ||
-	    rj_wire_get_u64(object, "ran_us", &reply->ran_us, err) ||
-	    get_result(mem, object, &reply->result, err))
-		return -1;
-	reply->status = status;
-	reply->reason = reason;
-	reply->state = state;
-	if (call->op != RJ_WORKER_REPORT)
-		return 0;
-	return decode_report(mem, json_object_get(object, "report"),
-			     &reply->report, err);
+	const struct rj_attempt *attempt = &wire->reply.attempt;
+
+	return wire->reply.call_id == call->call_id &&
+	       wire->reply.op == call->op &&
+	       !strcmp(wire->reply.worker, call->worker) &&
+	       attempt->job_id == call->attempt.job_id &&
+	       attempt->owner == call->attempt.owner &&
+	       attempt->number == call->attempt.number &&
+	       wire->member == call->member;
 }
 
 /*
  * Read the answer to `call`. Returns 0 when it is whole and answers this
  * very call; otherwise -1 with `err`, and nothing of `reply` may be used.
  */
-int rj_worker_wire_decode_reply(void *mem, const char *text, size_t length,
+int rj_worker_wire_decode_reply(void *mem, const char *text,
 				const struct rj_worker_call *call,
 				struct rj_worker_reply *reply,
 				struct rj_error *err)
 {
-	json_t *object = json_loadb(text, length, 0, NULL);
-	int result;
+	struct wire_reply wire;
 
 	memset(reply, 0, sizeof(*reply));
-	if (!object)
+	if (rj_wire_decode(schema_of(call->op), mem, text, &wire, err))
+		return -1;
+	if (!answers(&wire, call))
 		return rj_error_set(err, RJ_ERR_MALFORMED,
-				    "body: not JSON; the answer was cut");
-	result = get_reply(mem, object, call, reply, err);
-	json_decref(object);
-	return result;
+				    "call_id: the answer is to another call; "
+				    "drop it");
+	*reply = wire.reply;
+	if (unseal(&wire.result, &reply->result, err))
+		return -1;
+	if (call->op != RJ_WORKER_REPORT)
+		return 0;
+	return decode_report(mem, &wire.report, &reply->report, err);
 }
--- a/src/libstandin/gate.c
+++ b/src/libstandin/gate.c
@@ -154,6 +154,37 @@
 	return true;
 }
 
+/*
+ * Read a boolean of `faults` into `value`, which stays when it is left out.
+ * Returns -1 when the field has another type.
+ */
+int rj_fault_flag(const json_t *faults, const char *field, bool *value)
+{
+	const json_t *flag = json_object_get(faults, field);
+
+	if (!flag)
+		return 0;
+	if (!json_is_boolean(flag))
+		return -1;
+	*value = json_is_true(flag);
+	return 0;
+}
+
+/*
+ * As rj_fault_flag, for a count from 0.
+ */
+int rj_fault_count(const json_t *faults, const char *field, uint64_t *value)
+{
+	const json_t *count = json_object_get(faults, field);
+
+	if (!count)
+		return 0;
+	if (!json_is_integer(count) || json_integer_value(count) < 0)
+		return -1;
+	*value = (uint64_t)json_integer_value(count);
+	return 0;
+}
+
 /*
  * Take the fields of `faults` that belong here: outage, pause, slow_ms and
  * cut_from. `asking` is the request that carries them and is spared.
@@ -162,35 +193,29 @@
 int rj_gate_set(struct rj_gate *gate, struct rj_http_server *server,
 		const json_t *faults, const struct rj_http_request *asking)
 {
-	const json_t *outage = json_object_get(faults, "outage");
-	const json_t *paused = json_object_get(faults, "pause");
-	const json_t *slow_ms = json_object_get(faults, "slow_ms");
 	json_t *cut_from = json_object_get(faults, "cut_from");
-
-	if ((outage && !json_is_boolean(outage)) ||
-	    (paused && !json_is_boolean(paused)) ||
-	    (slow_ms &&
-	     (!json_is_integer(slow_ms) || json_integer_value(slow_ms) < 0)) ||
+	uint64_t slow_ms = gate->slow_us / RJ_US_PER_MS;
+	bool outage = gate->outage;
+	bool paused = gate->paused;
+
+	if (!json_is_object(faults) ||
+	    rj_fault_flag(faults, "outage", &outage) ||
+	    rj_fault_flag(faults, "pause", &paused) ||
+	    rj_fault_count(faults, "slow_ms", &slow_ms) ||
 	    (cut_from && !is_name_list(cut_from)))
 		return -1;
-	if (slow_ms)
-		gate->slow_us =
-			(uint64_t)json_integer_value(slow_ms) * RJ_US_PER_MS;
+	gate->slow_us = slow_ms * RJ_US_PER_MS;
+	gate->outage = outage;
+	gate->paused = paused;
 	if (cut_from) {
 		json_decref(gate->cut_from);
 		gate->cut_from = json_incref(cut_from);
 		abort_cut(gate, server, asking);
 	}
-	if (outage) {
-		gate->outage = json_is_true(outage);
-		if (gate->outage)
-			rj_http_server_abort_open(server, asking);
-	}
-	if (paused) {
-		gate->paused = json_is_true(paused);
-		if (!gate->paused)
-			end_pause(gate);
-	}
+	if (gate->outage)
+		rj_http_server_abort_open(server, asking);
+	if (!gate->paused)
+		end_pause(gate);
 	return 0;
 }
 
--- a/src/libstandin/gate.h
+++ b/src/libstandin/gate.h
@@ -30,6 +30,8 @@
 			       struct rj_http_request *request),
 		  void *private_data);
 void rj_gate_enter(struct rj_gate *gate, struct rj_http_request *request);
+int rj_fault_flag(const json_t *faults, const char *field, bool *value);
+int rj_fault_count(const json_t *faults, const char *field, uint64_t *value);
 int rj_gate_set(struct rj_gate *gate, struct rj_http_server *server,
 		const json_t *faults, const struct rj_http_request *asking);
 bool rj_gate_cuts(const struct rj_gate *gate, struct rj_http_request *request);
--- a/src/libstandin/platform.c
+++ b/src/libstandin/platform.c
@@ -6,14 +6,12 @@
 #include <talloc.h>
 
 #include "private/clock.h"
-#include "private/wire_json.h"
-#include "radishjunction/event.h"
+#include "private/platform_wire.h"
 #include "stream.h"
 
 #define CONNECTIONS_MAX 4096
 /* Several records of the largest size in one append. */
 #define BODY_MAX_BYTES (8U * 1024 * 1024)
-#define READ_RECORDS_MAX 1000
 #define READ_WAIT_MAX_MS 30000
 /* A tenth of a second's appends may come at once. */
 #define APPEND_BURST_US (RJ_US_PER_S / 10)
@@ -31,16 +29,13 @@
 /* A change of the list that is not yet seen; child of the platform. */
 struct list_change {
 	struct rj_standin_platform *platform;
-	char *name;
-	json_t *instance; /* NULL to take it from the list */
+	struct rj_instance instance;
+	bool gone; /* taken from the list */
 };
 
-static void answer(struct rj_http_request *request, json_t *object)
+static void answer(struct rj_http_request *request, const char *text)
 {
-	char *text = rj_wire_text(request, object);
-
 	rj_http_request_answer(request, MHD_HTTP_OK, text, strlen(text));
-	json_decref(object);
 }
 
 /* The stream `name` without the records whose retention has ended. */
@@ -83,11 +78,12 @@
 static void read_answer(struct reader *reader)
 {
 	struct rj_http_request *request = reader->request;
-	json_t *object = rj_standin_stream_read(reader->stream, reader->from,
-						reader->max, rj_clock_now_us());
+	struct rj_log_page page;
 
+	rj_standin_stream_read(reader->stream, reader, reader->from,
+			       reader->max, rj_clock_now_us(), &page);
+	answer(request, rj_log_page_encode(request, &page));
 	talloc_free(reader);
-	answer(request, object);
 }
 
 static void wake_readers(struct rj_standin_platform *platform,
@@ -131,8 +127,7 @@
 	json_t *records = append_records(request);
 	struct rj_standin_stream *stream;
 	uint64_t first;
-	json_t *object;
-	json_t *text;
+	const json_t *text;
 	size_t i;
 
 	if (!records) {
@@ -156,16 +151,14 @@
 	}
 	stream = get_stream(platform, name);
 	first = stream->head;
-	json_array_foreach(records, i, text)
-		rj_standin_stream_append(stream, text, rj_clock_now_us());
+	json_array_foreach(records, i, text) rj_standin_stream_append(
+		stream, json_string_value(text), rj_clock_now_us());
 	json_decref(records);
 	if (platform->lose_answers) {
 		platform->lose_answers--;
 		rj_http_request_abort(request);
 	} else {
-		object = json_object();
-		rj_wire_set_count(object, "first_offset", first);
-		answer(request, object);
+		answer(request, rj_append_answer_encode(request, first));
 	}
 	wake_readers(platform, stream);
 }
@@ -207,7 +200,7 @@
 	reader->stream = get_stream(platform, name);
 	reader->from = argument(request, "from", 0, UINT64_MAX);
 	reader->max =
-		argument(request, "max", READ_RECORDS_MAX, READ_RECORDS_MAX);
+		argument(request, "max", RJ_LOG_PAGE_MAX, RJ_LOG_PAGE_MAX);
 	if (reader->from < reader->stream->head || !wait_ms) {
 		read_answer(reader);
 		return;
@@ -220,15 +213,37 @@
 	rj_list_append(&platform->readers, &reader->link);
 }
 
+/* Where `name` stands in the list, or instance_count. */
+static uint32_t list_index(const struct rj_standin_platform *platform,
+			   const char *name)
+{
+	uint32_t index = 0;
+
+	while (index < platform->instance_count &&
+	       strcmp(platform->instances[index].name, name) != 0)
+		index++;
+	return index;
+}
+
 /* Make a change of the list visible. */
 static void apply_change(struct list_change *change)
 {
-	json_t *instances = change->platform->instances;
-
-	if (change->instance)
-		json_object_set(instances, change->name, change->instance);
-	else
-		json_object_del(instances, change->name);
+	struct rj_standin_platform *platform = change->platform;
+	uint32_t index = list_index(platform, change->instance.name);
+	bool listed = index < platform->instance_count;
+
+	if (change->gone && listed) {
+		platform->instance_count--;
+		platform->instances[index] =
+			platform->instances[platform->instance_count];
+	} else if (!change->gone) {
+		if (!listed)
+			platform->instances = talloc_realloc(
+				platform->mem, platform->instances,
+				struct rj_instance, ++platform->instance_count);
+		assert(platform->instances);
+		platform->instances[index] = change->instance;
+	}
 	talloc_free(change);
 }
 
@@ -238,15 +253,9 @@
 	apply_change(private_data);
 }
 
-static int change_destructor(struct list_change *change)
-{
-	json_decref(change->instance);
-	return 0;
-}
-
 /* Change the list, which shows it after its lag. */
-static void change_list(struct rj_standin_platform *platform, const char *name,
-			json_t *instance)
+static void change_list(struct rj_standin_platform *platform,
+			const struct rj_instance *instance, bool gone)
 {
 	struct list_change *change =
 		talloc_zero(platform->mem, struct list_change);
@@ -254,9 +263,8 @@
 
 	assert(change);
 	change->platform = platform;
-	change->name = talloc_strdup(change, name);
-	change->instance = instance;
-	talloc_set_destructor(change, change_destructor);
+	change->instance = *instance;
+	change->gone = gone;
 	if (!platform->options.list_lag_us) {
 		apply_change(change);
 		return;
@@ -269,61 +277,27 @@
 	(void)timer;
 }
 
-/* An instance as it is registered, or NULL when a field is wrong. */
-static json_t *parse_instance(const struct rj_http_request *request,
-			      const char *name)
-{
-	static const char *const state_string[] = { "live", "leaving" };
-	json_t *object =
-		json_loadb(request->body.data, request->body.length, 0, NULL);
-	char text[RJ_NAME_BYTES];
-	uint64_t incarnation;
-	uint32_t number;
-
-	if (!object ||
-	    rj_wire_get_choice(object, "role", rj_instance_role_string,
-			       RJ_ROLE_COUNT, &number, NULL) ||
-	    rj_wire_get_name(object, "domain", text, NULL) ||
-	    rj_wire_get_u32(object, "rack", &number, NULL) ||
-	    rj_wire_get_name(object, "ip", text, NULL) ||
-	    rj_wire_get_u32(object, "port", &number, NULL) ||
-	    rj_wire_get_hex(object, "incarnation", &incarnation, NULL) ||
-	    rj_wire_get_choice(object, "state", state_string, 2, &number,
-			       NULL)) {
-		json_decref(object);
-		return NULL;
-	}
-	json_object_set_new(object, "name", json_string(name));
-	return object;
-}
-
-static void handle_register(struct rj_standin_platform *platform,
+/* PUT registers an instance, DELETE takes it from the list. */
+static void handle_instance(struct rj_standin_platform *platform,
 			    struct rj_http_request *request, const char *name)
 {
-	json_t *instance = parse_instance(request, name);
+	bool gone = !strcmp(request->method, "DELETE");
+	struct rj_instance instance;
+	struct rj_error err;
 
-	if (!instance) {
+	memset(&instance, 0, sizeof(instance));
+	if (!gone && rj_instance_decode(request->body.data, &instance, &err)) {
 		rj_http_request_error(request, MHD_HTTP_BAD_REQUEST,
-				      "instance: send role, domain, rack, ip, "
-				      "port, incarnation and state");
+				      err.message);
 		return;
 	}
-	change_list(platform, name, instance);
-	answer(request, json_object());
-}
-
-static void handle_list(struct rj_standin_platform *platform,
-			struct rj_http_request *request)
-{
-	json_t *object = json_object();
-	json_t *list = json_array();
-	const char *name;
-	json_t *instance;
-
-	json_object_foreach(platform->instances, name, instance)
-		json_array_append(list, instance);
-	json_object_set_new(object, "instances", list);
-	answer(request, object);
+	if (rj_name_set(instance.name, name)) {
+		rj_http_request_error(request, MHD_HTTP_BAD_REQUEST,
+				      "name: too long; give a shorter one");
+		return;
+	}
+	change_list(platform, &instance, gone);
+	answer(request, "{}");
 }
 
 static void handle_fault(struct rj_standin_platform *platform,
@@ -331,26 +305,21 @@
 {
 	json_t *faults =
 		json_loadb(request->body.data, request->body.length, 0, NULL);
-	uint32_t lose = platform->lose_answers;
-	uint32_t drop = platform->drop_appends;
-
-	if (!json_is_object(faults) ||
-	    (json_object_get(faults, "lose_next_append_answers") &&
-	     rj_wire_get_u32(faults, "lose_next_append_answers", &lose,
-			     NULL)) ||
-	    (json_object_get(faults, "drop_next_appends") &&
-	     rj_wire_get_u32(faults, "drop_next_appends", &drop, NULL)) ||
+	uint64_t lose = platform->lose_answers;
+	uint64_t drop = platform->drop_appends;
+
+	if (rj_fault_count(faults, "lose_next_append_answers", &lose) ||
+	    rj_fault_count(faults, "drop_next_appends", &drop) ||
 	    rj_gate_set(&platform->gate, &platform->server, faults, request)) {
 		rj_http_request_error(request, MHD_HTTP_BAD_REQUEST,
 				      "fault: a field has the wrong type; see "
 				      "the platform protocol");
-		json_decref(faults);
-		return;
+	} else {
+		platform->lose_answers = lose;
+		platform->drop_appends = drop;
+		answer(request, "{}");
 	}
-	platform->lose_answers = lose;
-	platform->drop_appends = drop;
 	json_decref(faults);
-	answer(request, json_object());
 }
 
 /* The part of `path` between `prefix` and `suffix`, or NULL. */
@@ -382,15 +351,13 @@
 		handle_read(platform, request, name);
 	else if (!strcmp(method, "GET") &&
 		 !strcmp(request->path, "/v1/instances"))
-		handle_list(platform, request);
-	else if (!strcmp(method, "PUT") &&
+		answer(request,
+		       rj_instances_encode(request, platform->instances,
+					   platform->instance_count));
+	else if ((!strcmp(method, "PUT") || !strcmp(method, "DELETE")) &&
 		 (name = path_name(request, "/v1/instances/", "")))
-		handle_register(platform, request, name);
-	else if (!strcmp(method, "DELETE") &&
-		 (name = path_name(request, "/v1/instances/", ""))) {
-		change_list(platform, name, NULL);
-		answer(request, json_object());
-	} else
+		handle_instance(platform, request, name);
+	else
 		rj_http_request_error(request, MHD_HTTP_NOT_FOUND,
 				      "path: unknown; see the platform "
 				      "protocol");
@@ -437,7 +404,6 @@
 	rj_gate_init(&platform->gate, platform->mem, ev, dispatch, platform);
 	platform->streams =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	platform->instances = json_object();
 	return 0;
 }
 
@@ -452,5 +418,4 @@
 	rj_gate_finish(&platform->gate);
 	g_hash_table_destroy(platform->streams);
 	TALLOC_FREE(platform->mem);
-	json_decref(platform->instances);
 }
--- a/src/libstandin/platform.h
+++ b/src/libstandin/platform.h
@@ -13,6 +13,7 @@
 
 #include "gate.h"
 #include "http_server.h"
+#include "radishjunction/event.h"
 
 struct rj_standin_platform_options {
 	struct rj_address address;
@@ -29,9 +30,10 @@
 	struct rj_gate gate;
 	GHashTable *streams; /* name -> struct rj_standin_stream */
 	struct rj_list readers; /* long polls that wait for an append */
-	json_t *instances; /* as listed: name -> instance */
-	uint32_t lose_answers; /* appends to come whose answer is lost */
-	uint32_t drop_appends; /* appends to come without effect or answer */
+	struct rj_instance *instances; /* as listed, talloc array */
+	uint32_t instance_count;
+	uint64_t lose_answers; /* appends to come whose answer is lost */
+	uint64_t drop_appends; /* appends to come without effect or answer */
 	uint64_t append_credit_us; /* how much of the rate is unused */
 	uint64_t credited_at_us;
 };
--- a/src/libstandin/stream.c
+++ b/src/libstandin/stream.c
@@ -4,16 +4,8 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "private/wire_json.h"
-
 #define FIRST_CAPACITY 64
 
-static int stream_destructor(struct rj_standin_stream *stream)
-{
-	rj_standin_stream_expire(stream, UINT64_MAX);
-	return 0;
-}
-
 /*
  * An empty stream, a talloc child of `mem`.
  */
@@ -23,7 +15,6 @@
 		talloc_zero(mem, struct rj_standin_stream);
 
 	assert(stream);
-	talloc_set_destructor(stream, stream_destructor);
 	return stream;
 }
 
@@ -49,17 +40,18 @@
 }
 
 /*
- * Append `text`, of which the stream takes a reference.
+ * Append a copy of `text`.
  */
-void rj_standin_stream_append(struct rj_standin_stream *stream, json_t *text,
-			      uint64_t now_us)
+void rj_standin_stream_append(struct rj_standin_stream *stream,
+			      const char *text, uint64_t now_us)
 {
 	struct rj_standin_record *record;
 
 	make_room(stream);
 	record =
 		&stream->records[stream->first + stream->head - stream->oldest];
-	record->text = json_incref(text);
+	record->text = talloc_strdup(stream, text);
+	assert(record->text);
 	record->at_us = now_us;
 	stream->head++;
 }
@@ -72,40 +64,39 @@
 {
 	while (stream->oldest < stream->head &&
 	       stream->records[stream->first].at_us < before_us) {
-		json_decref(stream->records[stream->first].text);
+		talloc_free(stream->records[stream->first].text);
 		stream->first++;
 		stream->oldest++;
 	}
 }
 
 /*
- * The answer to a read of at most `max` records from offset `from`; it
- * starts at the oldest record when that is newer than `from`.
+ * Read at most `max` records from offset `from` into `page`, whose list is a
+ * talloc child of `mem` and whose texts are the stream's. The page starts at
+ * the oldest record when that is newer than `from`.
  */
-json_t *rj_standin_stream_read(const struct rj_standin_stream *stream,
-			       uint64_t from, uint64_t max, uint64_t now_us)
+void rj_standin_stream_read(const struct rj_standin_stream *stream, void *mem,
+			    uint64_t from, uint64_t max, uint64_t now_us,
+			    struct rj_log_page *page)
 {
-	json_t *answer = json_object();
-	json_t *list = json_array();
 	uint64_t at = from < stream->oldest ? stream->oldest : from;
-	uint64_t next = at;
+	uint64_t left = at < stream->head ? stream->head - at : 0;
 
-	assert(answer && list);
-	for (; next < stream->head && next - at < max; next++) {
+	page->count = (uint32_t)(left < max ? left : max);
+	page->oldest = stream->oldest;
+	page->from = at;
+	page->next = at + page->count;
+	page->head = stream->head;
+	page->records = talloc_array(mem, struct rj_log_entry, page->count);
+	assert(page->records);
+	for (uint32_t i = 0; i < page->count; i++) {
 		const struct rj_standin_record *record =
-			&stream->records[stream->first + next - stream->oldest];
-		json_t *item = json_object();
+			&stream->records[stream->first + at + i -
+					 stream->oldest];
 
-		rj_wire_set_count(item, "offset", next);
-		rj_wire_set_count(item, "age_ms",
-				  (now_us - record->at_us) / RJ_US_PER_MS);
-		json_object_set(item, "text", record->text);
-		json_array_append_new(list, item);
+		page->records[i].offset = at + i;
+		page->records[i].age_ms =
+			(now_us - record->at_us) / RJ_US_PER_MS;
+		page->records[i].text = record->text;
 	}
-	rj_wire_set_count(answer, "oldest", stream->oldest);
-	rj_wire_set_count(answer, "from", at);
-	rj_wire_set_count(answer, "next", next);
-	rj_wire_set_count(answer, "head", stream->head);
-	json_object_set_new(answer, "records", list);
-	return answer;
 }
--- a/src/libstandin/stream.h
+++ b/src/libstandin/stream.h
@@ -5,11 +5,10 @@
 #ifndef RADISHJUNCTION_STANDIN_STREAM_H
 #define RADISHJUNCTION_STANDIN_STREAM_H
 
-#include <jansson.h>
-#include <stdint.h>
+#include "private/platform_wire.h"
 
 struct rj_standin_record {
-	json_t *text;
+	char *text;
 	uint64_t at_us;
 };
 
@@ -22,11 +21,12 @@
 };
 
 struct rj_standin_stream *rj_standin_stream_new(void *mem);
-void rj_standin_stream_append(struct rj_standin_stream *stream, json_t *text,
-			      uint64_t now_us);
+void rj_standin_stream_append(struct rj_standin_stream *stream,
+			      const char *text, uint64_t now_us);
 void rj_standin_stream_expire(struct rj_standin_stream *stream,
 			      uint64_t before_us);
-json_t *rj_standin_stream_read(const struct rj_standin_stream *stream,
-			       uint64_t from, uint64_t max, uint64_t now_us);
+void rj_standin_stream_read(const struct rj_standin_stream *stream, void *mem,
+			    uint64_t from, uint64_t max, uint64_t now_us,
+			    struct rj_log_page *page);
 
 #endif
--- a/src/libstandin/tasks.c
+++ b/src/libstandin/tasks.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "private/wire_json.h"
+#include "private/wire.h"
 #include "task_ops.h"
 
 /* How long, and how many of, the ended tasks are remembered. */
@@ -167,14 +167,15 @@
 {
 	json_t *echo = json_object_get(body, "echo");
 	char hex[2 * RJ_DIGEST_BYTES + 1];
-	json_t *result = json_object();
+	json_t *result;
 	char *text;
 
 	sodium_bin2hex(hex, sizeof(hex), digest, RJ_DIGEST_BYTES);
-	rj_wire_set_hex(result, "job", task->key.attempt.job_id);
-	json_object_set_new(result, "echo",
-			    echo ? json_incref(echo) : json_null());
-	json_object_set_new(result, "digest", json_string(hex));
+	result = json_pack(
+		"{s:o, s:o, s:s}", "job",
+		json_sprintf("%016" PRIx64, task->key.attempt.job_id), "echo",
+		echo ? json_incref(echo) : json_null(), "digest", hex);
+	assert(result);
 	text = rj_wire_text(task, result);
 	json_decref(result);
 	task->result.data = (const uint8_t *)text;
@@ -442,18 +443,19 @@
 	g_hash_table_iter_init(&iter, tasks->ran);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct rj_task_ran *ran = value;
-		json_t *item = json_object();
+		json_t *item;
 
 		sodium_bin2hex(hex, sizeof(hex), ran->digest, RJ_DIGEST_BYTES);
-		rj_wire_set_hex(item, "job", ran->key.attempt.job_id);
-		rj_wire_set_hex(item, "owner", ran->key.attempt.owner);
-		rj_wire_set_count(item, "attempt", ran->key.attempt.number);
-		rj_wire_set_count(item, "member", ran->key.member);
-		rj_wire_set_count(item, "starts", ran->starts);
-		json_object_set_new(
-			item, "state",
-			json_string(rj_task_state_string[ran->state]));
-		json_object_set_new(item, "digest", json_string(hex));
+		item = json_pack(
+			"{s:o, s:o, s:I, s:I, s:I, s:s, s:s}", "job",
+			json_sprintf("%016" PRIx64, ran->key.attempt.job_id),
+			"owner",
+			json_sprintf("%016" PRIx64, ran->key.attempt.owner),
+			"attempt", (json_int_t)ran->key.attempt.number,
+			"member", (json_int_t)ran->key.member, "starts",
+			(json_int_t)ran->starts, "state",
+			rj_task_state_string[ran->state], "digest", hex);
+		assert(item);
 		json_array_append_new(list, item);
 	}
 	return list;
--- a/src/libstandin/worker.c
+++ b/src/libstandin/worker.c
@@ -5,7 +5,7 @@
 #include <talloc.h>
 
 #include "private/clock.h"
-#include "private/wire_json.h"
+#include "private/wire.h"
 #include "private/worker_wire.h"
 
 /* A body of the largest size as base64, and the other fields. */
@@ -186,58 +186,33 @@
 static void handle_ran(struct rj_standin_worker *worker,
 		       struct rj_http_request *request)
 {
-	json_t *object = json_object();
-	char *text;
+	json_t *object = json_pack("{s:s, s:o}", "worker", worker->options.name,
+				   "ran", rj_tasks_ran(&worker->tasks));
+	char *text = rj_wire_text(request, object);
 
-	json_object_set_new(object, "worker",
-			    json_string(worker->options.name));
-	json_object_set_new(object, "ran", rj_tasks_ran(&worker->tasks));
-	text = rj_wire_text(request, object);
 	json_decref(object);
 	rj_http_request_answer(request, MHD_HTTP_OK, text, strlen(text));
 }
 
-/* Counts of answers to come that a fault takes. */
-static int set_counts(struct rj_standin_worker *worker, const json_t *faults)
-{
-	struct {
-		const char *field;
-		uint32_t *count;
-	} counts[] = {
-		{ "lose_next_answers", &worker->lose_answers },
-		{ "cut_next_answers", &worker->cut_answers },
-		{ "cross_next_answers", &worker->cross_answers },
-	};
-
-	for (size_t i = 0; i < sizeof(counts) / sizeof(*counts); i++)
-		if (json_object_get(faults, counts[i].field) &&
-		    rj_wire_get_u32(faults, counts[i].field, counts[i].count,
-				    NULL))
-			return -1;
-	return 0;
-}
-
 static int set_faults(struct rj_standin_worker *worker, const json_t *faults,
 		      const struct rj_http_request *request)
 {
-	json_t *fail_all = json_object_get(faults, "fail_all");
-	json_t *leaving = json_object_get(faults, "leaving");
-	json_t *lag = json_object_get(faults, "report_lag_ms");
-
-	if ((fail_all && !json_is_boolean(fail_all)) ||
-	    (leaving && !json_is_boolean(leaving)) ||
-	    (lag && (!json_is_integer(lag) || json_integer_value(lag) < 0)) ||
-	    set_counts(worker, faults) ||
+	uint64_t lag_ms = worker->report_lag_us / RJ_US_PER_MS;
+	bool restart = false;
+
+	if (rj_fault_flag(faults, "fail_all", &worker->tasks.fail_all) ||
+	    rj_fault_flag(faults, "leaving", &worker->tasks.leaving) ||
+	    rj_fault_flag(faults, "restart", &restart) ||
+	    rj_fault_count(faults, "report_lag_ms", &lag_ms) ||
+	    rj_fault_count(faults, "lose_next_answers",
+			   &worker->lose_answers) ||
+	    rj_fault_count(faults, "cut_next_answers", &worker->cut_answers) ||
+	    rj_fault_count(faults, "cross_next_answers",
+			   &worker->cross_answers) ||
 	    rj_gate_set(&worker->gate, &worker->server, faults, request))
 		return -1;
-	if (fail_all)
-		worker->tasks.fail_all = json_is_true(fail_all);
-	if (leaving)
-		worker->tasks.leaving = json_is_true(leaving);
-	if (lag)
-		worker->report_lag_us =
-			(uint64_t)json_integer_value(lag) * RJ_US_PER_MS;
-	if (json_is_true(json_object_get(faults, "restart"))) {
+	worker->report_lag_us = lag_ms * RJ_US_PER_MS;
+	if (restart) {
 		rj_tasks_restart(&worker->tasks);
 		rj_http_server_abort_open(&worker->server, request);
 	}
@@ -250,7 +225,7 @@
 	json_t *faults =
 		json_loadb(request->body.data, request->body.length, 0, NULL);
 
-	if (!json_is_object(faults) || set_faults(worker, faults, request)) {
+	if (set_faults(worker, faults, request)) {
 		rj_http_request_error(request, MHD_HTTP_BAD_REQUEST,
 				      "fault: a field has the wrong type; see "
 				      "the worker protocol");
@@ -275,8 +250,8 @@
 	struct rj_worker_call call;
 	struct rj_error err;
 
-	if (rj_worker_wire_decode_call(request, request->body.data,
-				       request->body.length, &call, &err)) {
+	if (rj_worker_wire_decode_call(request, request->body.data, &call,
+				       &err)) {
 		rj_http_request_error(request, MHD_HTTP_BAD_REQUEST,
 				      err.message);
 		return;
--- a/src/libstandin/worker.h
+++ b/src/libstandin/worker.h
@@ -36,9 +36,9 @@
 	void *old_report_mem;
 	struct rj_worker_report old_report; /* told while the report lags */
 	uint64_t old_report_at_us;
-	uint32_t lose_answers; /* calls to come whose answer is lost */
-	uint32_t cut_answers; /* calls to come whose answer is cut short */
-	uint32_t cross_answers; /* calls to come with the answer before */
+	uint64_t lose_answers; /* calls to come whose answer is lost */
+	uint64_t cut_answers; /* calls to come whose answer is cut short */
+	uint64_t cross_answers; /* calls to come with the answer before */
 	char *last_answer;
 };
 
--- a/src/standin/fleet.c
+++ b/src/standin/fleet.c
@@ -6,8 +6,7 @@
 #include <talloc.h>
 
 #include "private/clock.h"
-#include "private/wire_json.h"
-#include "radishjunction/event.h"
+#include "private/platform_wire.h"
 
 #define REGISTER_TIMEOUT_US (2 * RJ_US_PER_S)
 #define REGISTER_RETRY_US (RJ_US_PER_S / 4)
@@ -58,25 +57,17 @@
 static char *registration_text(void *mem, const struct rj_fleet_member *member)
 {
 	const struct rj_standin_worker *worker = &member->worker;
-	json_t *object = json_object();
-	char *text;
-
-	json_object_set_new(
-		object, "role",
-		json_string(rj_instance_role_string[RJ_ROLE_WORKER]));
-	json_object_set_new(object, "domain",
-			    json_string(member->fleet->options.domain));
-	rj_wire_set_count(object, "rack", member->rack);
-	json_object_set_new(object, "ip",
-			    json_string(worker->server.address.ip));
-	rj_wire_set_count(object, "port", worker->server.address.port);
-	rj_wire_set_hex(object, "incarnation", worker->tasks.incarnation);
-	json_object_set_new(
-		object, "state",
-		json_string(worker->tasks.leaving ? "leaving" : "live"));
-	text = rj_wire_text(mem, object);
-	json_decref(object);
-	return text;
+	struct rj_instance instance = {
+		.role = RJ_ROLE_WORKER,
+		.rack = member->rack,
+		.address = worker->server.address,
+		.incarnation = worker->tasks.incarnation,
+		.leaving = worker->tasks.leaving,
+	};
+
+	memcpy(instance.name, worker->options.name, sizeof(instance.name));
+	memcpy(instance.domain, member->fleet->domain, sizeof(instance.domain));
+	return rj_instance_encode(mem, &instance);
 }
 
 /* Tell the platform the member's state, again until it is told. */
@@ -155,6 +146,11 @@
 {
 	memset(fleet, 0, sizeof(*fleet));
 	assert(options->per_rack);
+	if (rj_name_set(fleet->domain, options->domain))
+		return rj_error_set(err, RJ_ERR_INVALID,
+				    "domain: \"%s\" is no name; give one of "
+				    "1 to %d bytes",
+				    options->domain, RJ_NAME_BYTES - 1);
 	fleet->options = *options;
 	fleet->ev = ev;
 	fleet->mem = talloc_named_const(mem, 0, "fleet");
--- a/src/standin/fleet.h
+++ b/src/standin/fleet.h
@@ -28,6 +28,7 @@
 
 struct rj_fleet {
 	struct rj_fleet_options options;
+	char domain[RJ_NAME_BYTES];
 	void *mem;
 	struct tevent_context *ev;
 	struct rj_http_client client;
--- a/src/standin/main.c
+++ b/src/standin/main.c
@@ -14,7 +14,8 @@
 
 #include "fleet.h"
 #include "platform.h"
-#include "private/wire_json.h"
+#include "private/wire.h"
+#include "radishjunction/settings.h"
 
 #define EXIT_USAGE 2
 #define ARG_ERRORS_MAX 20
@@ -76,24 +77,6 @@
 	return EXIT_FAILURE;
 }
 
-/* Split IP:PORT. */
-static int parse_address(const char *text, struct rj_address *address)
-{
-	const char *colon = strrchr(text, ':');
-	char *end;
-	unsigned long port;
-
-	if (!colon || (size_t)(colon - text) >= sizeof(address->ip))
-		return -1;
-	memset(address, 0, sizeof(*address));
-	memcpy(address->ip, text, (size_t)(colon - text));
-	port = strtoul(colon + 1, &end, 10);
-	if (*end || end == colon + 1 || port > UINT16_MAX)
-		return -1;
-	address->port = (uint16_t)port;
-	return 0;
-}
-
 static int serve_platform(struct shell *shell,
 			  const struct rj_standin_platform_options *options)
 {
@@ -138,7 +121,7 @@
 		goto out;
 	memset(&options, 0, sizeof(options));
 	status = EXIT_USAGE;
-	if (parse_address(listen->sval[0], &options.address)) {
+	if (rj_address_parse(&options.address, listen->sval[0])) {
 		fprintf(stderr, "listen: \"%s\" is no IP:PORT\n",
 			listen->sval[0]);
 		goto out;
