callers, peers: use the clock, the buffer and the list of the library

Cause: the same logic stood twice, and a name twice: rj_http_request was also the stand-ins' server's. Change: rj_caller_request; the links flush what is queued when they finish, so that a last message of a stop is not lost in the queue.

--- a/src/libradishjunction/caller/http_request.c
+++ b/src/libradishjunction/caller/caller_request.c
@@ -1,10 +1,9 @@
-#include "private/http_request.h"
+#include "private/caller_request.h"
 
 #include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
-#include <time.h>
 
 #include "private/caller_json.h"
 
@@ -17,20 +16,8 @@
 #define BUSY_RETRY_US (1 * RJ_US_PER_S)
 #define JSON_TYPE "application/json"
 
-/*
- * Microseconds of the monotonic clock, for latencies and idle times only.
- */
-uint64_t rj_http_now_us(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_MONOTONIC, &now);
-	return (uint64_t)now.tv_sec * RJ_US_PER_S +
-	       (uint64_t)now.tv_nsec / 1000;
-}
-
 /* Free the request and what was not handed to a response. */
-static int request_destructor(struct rj_http_request *request)
+static int request_destructor(struct rj_caller_request *request)
 {
 	request->state->open--;
 	free(request->text);
@@ -40,24 +27,24 @@
 /*
  * Start a request whose headers have come; a talloc child of the state.
  */
-struct rj_http_request *
-rj_http_request_begin(struct rj_http_callers_state *state,
-		      struct MHD_Connection *connection)
+struct rj_caller_request *
+rj_caller_request_begin(struct rj_http_callers_state *state,
+			struct MHD_Connection *connection)
 {
-	struct rj_http_request *request =
-		talloc_zero(state, struct rj_http_request);
+	struct rj_caller_request *request =
+		talloc_zero(state, struct rj_caller_request);
 
 	assert(request);
 	request->state = state;
 	request->connection = connection;
-	request->began_us = rj_http_now_us();
+	request->began_us = rj_clock_now_us();
 	state->open++;
 	talloc_set_destructor(request, request_destructor);
 	return request;
 }
 
 /* Set the text to send; malloc'ed, it belongs to the request. */
-static void set_text(struct rj_http_request *request, unsigned int status,
+static void set_text(struct rj_caller_request *request, unsigned int status,
 		     char *text, const char *content_type)
 {
 	assert(!request->answered);
@@ -69,7 +56,7 @@
 }
 
 /* Set a JSON value, whose reference is taken over; NULL is an empty one. */
-static void set_json(struct rj_http_request *request, unsigned int status,
+static void set_json(struct rj_caller_request *request, unsigned int status,
 		     json_t *json)
 {
 	char *text = json ? json_dumps(json, JSON_COMPACT) : strdup("{}");
@@ -83,9 +70,9 @@
  * Set the answer. For an explanation, the answer to the lookup only says
  * whether the caller may see the job.
  */
-void rj_http_request_answer(struct rj_http_request *request,
-			    const struct rj_answer *answer,
-			    const struct rj_error_list *errors)
+void rj_caller_request_answer(struct rj_caller_request *request,
+			      const struct rj_answer *answer,
+			      const struct rj_error_list *errors)
 {
 	struct rj_caller_views *views = request->state->options.views;
 	json_t *explanation = NULL;
@@ -95,7 +82,7 @@
 		explanation = views->ops->explain(views, request->job_id);
 	rj_caller_metrics_add(&request->state->metrics, answer->kind,
 			      answer->reason,
-			      rj_http_now_us() - request->began_us);
+			      rj_clock_now_us() - request->began_us);
 	request->retry_after_us = answer->retry_after_us;
 	if (explanation) {
 		set_json(request, MHD_HTTP_OK, explanation);
@@ -109,9 +96,9 @@
  * Refuse a request that the core has not seen: nothing of it ran. `status`
  * 0 takes the one of the reason.
  */
-void rj_http_request_refuse(struct rj_http_request *request,
-			    unsigned int status, enum rj_reason reason,
-			    const char *detail)
+void rj_caller_request_refuse(struct rj_caller_request *request,
+			      unsigned int status, enum rj_reason reason,
+			      const char *detail)
 {
 	struct rj_answer answer = {
 		.kind = RJ_ANSWER_NOT_RUN,
@@ -122,7 +109,7 @@
 		answer.retry_after_us = BUSY_RETRY_US;
 	g_strlcpy(answer.detail, detail, sizeof(answer.detail));
 	request->explain = false;
-	rj_http_request_answer(request, &answer, NULL);
+	rj_caller_request_answer(request, &answer, NULL);
 	if (status)
 		request->status = status;
 }
@@ -139,7 +126,7 @@
  * Refuse by the headers alone what would be refused anyway, before a body
  * is sent. Returns whether it was refused.
  */
-bool rj_http_request_early_refusal(struct rj_http_request *request)
+bool rj_caller_request_early_refusal(struct rj_caller_request *request)
 {
 	const struct rj_http_callers_options *options =
 		&request->state->options;
@@ -151,17 +138,18 @@
 	MHD_get_connection_values(request->connection, MHD_HEADER_KIND,
 				  add_header, &headers);
 	if (request->over_limit)
-		rj_http_request_refuse(request, 0, RJ_REASON_QUEUE_FULL,
-				       "connections: all are taken; come back "
-				       "or ask another instance");
+		rj_caller_request_refuse(
+			request, 0, RJ_REASON_QUEUE_FULL,
+			"connections: all are taken; come back "
+			"or ask another instance");
 	else if (headers > HEADERS_MAX_BYTES)
-		rj_http_request_refuse(request,
-				       MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
-				       RJ_REASON_TOO_LARGE,
-				       "headers: above 8192 bytes; send fewer");
+		rj_caller_request_refuse(
+			request, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
+			RJ_REASON_TOO_LARGE,
+			"headers: above 8192 bytes; send fewer");
 	else if (length && strtoull(length, NULL, 10) > options->body_max_bytes)
-		rj_http_request_refuse(request, 0, RJ_REASON_TOO_LARGE,
-				       "body: above the limit; send less");
+		rj_caller_request_refuse(request, 0, RJ_REASON_TOO_LARGE,
+					 "body: above the limit; send less");
 	return request->answered;
 }
 
@@ -169,33 +157,16 @@
  * Keep a piece of the body, up to the bound; what is above it is counted and
  * thrown away.
  */
-void rj_http_request_take(struct rj_http_request *request, const char *data,
-			  size_t length)
+void rj_caller_request_take(struct rj_caller_request *request, const char *data,
+			    size_t length)
 {
-	uint32_t limit = request->state->options.body_max_bytes;
-	uint32_t wanted;
-
 	request->body_seen += length;
-	if (request->body_seen > limit)
-		return;
-	wanted = request->body_length + (uint32_t)length + 1;
-	if (wanted > request->body_capacity) {
-		uint32_t capacity = request->body_capacity * 2;
-
-		if (capacity < wanted)
-			capacity = wanted;
-		request->body = talloc_realloc(request, request->body, uint8_t,
-					       capacity);
-		assert(request->body);
-		request->body_capacity = capacity;
-	}
-	memcpy(request->body + request->body_length, data, length);
-	request->body_length += (uint32_t)length;
-	request->body[request->body_length] = 0;
+	if (request->body_seen <= request->state->options.body_max_bytes)
+		rj_buffer_append(&request->body, request, data, length);
 }
 
 /* Copy the caller's token; refuses and returns -1 without a good one. */
-static int take_token(struct rj_http_request *request,
+static int take_token(struct rj_caller_request *request,
 		      char token[RJ_TOKEN_BYTES])
 {
 	const char *header = MHD_lookup_connection_value(
@@ -211,14 +182,14 @@
 			return 0;
 		}
 	}
-	rj_http_request_refuse(request, 0, RJ_REASON_UNAUTHORIZED,
-			       "Authorization: no token; send \"Bearer "
-			       "TOKEN\" with the account's token");
+	rj_caller_request_refuse(request, 0, RJ_REASON_UNAUTHORIZED,
+				 "Authorization: no token; send \"Bearer "
+				 "TOKEN\" with the account's token");
 	return -1;
 }
 
 /* Copy the idempotency key, if any; refuses and returns -1 on a bad one. */
-static int take_key(struct rj_http_request *request, char key[RJ_KEY_BYTES])
+static int take_key(struct rj_caller_request *request, char key[RJ_KEY_BYTES])
 {
 	const char *header = MHD_lookup_connection_value(
 		request->connection, MHD_HEADER_KIND, "Idempotency-Key");
@@ -233,21 +204,22 @@
 		g_strlcpy(key, header, RJ_KEY_BYTES);
 		return 0;
 	}
-	rj_http_request_refuse(request, 0, RJ_REASON_BAD_REQUEST,
-			       "Idempotency-Key: not 1 to 71 printable ASCII "
-			       "characters without a space; send such a key");
+	rj_caller_request_refuse(request, 0, RJ_REASON_BAD_REQUEST,
+				 "Idempotency-Key: not 1 to 71 printable ASCII "
+				 "characters without a space; send such a key");
 	return -1;
 }
 
 /* Hand the request to the core, unless too many are open. */
-static void ask_core(struct rj_http_request *request, struct rj_event *event)
+static void ask_core(struct rj_caller_request *request, struct rj_event *event)
 {
 	struct rj_http_callers_state *state = request->state;
 
 	if (g_hash_table_size(state->asked) >= state->options.requests_max) {
-		rj_http_request_refuse(request, 0, RJ_REASON_QUEUE_FULL,
-				       "requests: too many are open; come back "
-				       "or ask another instance");
+		rj_caller_request_refuse(
+			request, 0, RJ_REASON_QUEUE_FULL,
+			"requests: too many are open; come back "
+			"or ask another instance");
 		return;
 	}
 	request->id = ++state->last_id;
@@ -258,11 +230,11 @@
 }
 
 /* POST /v1/jobs */
-static void submit(struct rj_http_request *request)
+static void submit(struct rj_caller_request *request)
 {
 	struct rj_event event = { 0 };
 	struct rj_request *asked = &event.u.request;
-	const char *text = request->body ? (const char *)request->body : "";
+	const char *text = request->body.data ? request->body.data : "";
 	struct rj_error_list errors;
 	struct rj_answer answer = {
 		.kind = RJ_ANSWER_NOT_RUN,
@@ -271,16 +243,16 @@
 
 	if (take_token(request, asked->token))
 		return;
-	if (strlen(text) != request->body_length) {
-		rj_http_request_refuse(request, 0, RJ_REASON_BAD_REQUEST,
-				       "body: holds a zero byte; send JSON");
+	if (strlen(text) != request->body.length) {
+		rj_caller_request_refuse(request, 0, RJ_REASON_BAD_REQUEST,
+					 "body: holds a zero byte; send JSON");
 		return;
 	}
 	rj_error_list_init(&errors, request);
 	if (rj_caller_parse_submit(request, text, &asked->spec, &errors)) {
 		g_strlcpy(answer.detail, errors.errors[0].message,
 			  sizeof(answer.detail));
-		rj_http_request_answer(request, &answer, &errors);
+		rj_caller_request_answer(request, &answer, &errors);
 		return;
 	}
 	if (take_key(request, asked->spec.key))
@@ -290,7 +262,7 @@
 }
 
 /* GET or DELETE of one job. */
-static void ask_about_job(struct rj_http_request *request,
+static void ask_about_job(struct rj_caller_request *request,
 			  enum rj_request_op op, const char *id)
 {
 	const char *wait = MHD_lookup_connection_value(
@@ -301,9 +273,9 @@
 	if (take_token(request, asked->token))
 		return;
 	if (rj_caller_parse_job_id(&request->job_id, id)) {
-		rj_http_request_refuse(request, 0, RJ_REASON_BAD_REQUEST,
-				       "job: not 16 hexadecimal digits; send "
-				       "the \"job\" of an answer");
+		rj_caller_request_refuse(request, 0, RJ_REASON_BAD_REQUEST,
+					 "job: not 16 hexadecimal digits; send "
+					 "the \"job\" of an answer");
 		return;
 	}
 	asked->op = op;
@@ -313,7 +285,7 @@
 }
 
 /* GET /metrics */
-static void metrics(struct rj_http_request *request)
+static void metrics(struct rj_caller_request *request)
 {
 	struct rj_http_callers_state *state = request->state;
 	struct rj_caller_views *views = state->options.views;
@@ -330,7 +302,7 @@
 }
 
 /* GET /v1/ready: 200 if it serves, else 503; for the balancer. */
-static void ready(struct rj_http_request *request)
+static void ready(struct rj_caller_request *request)
 {
 	struct rj_caller_views *views = request->state->options.views;
 	bool is_ready = !request->state->draining && views->ops->ready(views);
@@ -340,7 +312,7 @@
 }
 
 /* What is read without asking the core; false if there is no such path. */
-static bool read_view(struct rj_http_request *request, const char *url)
+static bool read_view(struct rj_caller_request *request, const char *url)
 {
 	struct rj_caller_views *views = request->state->options.views;
 
@@ -356,7 +328,7 @@
 }
 
 /* GET or DELETE under /v1/jobs/; false if there is no such path. */
-static bool job_path(struct rj_http_request *request, const char *path,
+static bool job_path(struct rj_caller_request *request, const char *path,
 		     const char *method)
 {
 	char *id;
@@ -379,14 +351,14 @@
  * Answer the whole request, or hand it to the core, which may have answered
  * on return.
  */
-void rj_http_request_dispatch(struct rj_http_request *request, const char *url,
-			      const char *method)
+void rj_caller_request_dispatch(struct rj_caller_request *request,
+				const char *url, const char *method)
 {
 	bool known = false;
 
 	if (request->body_seen > request->state->options.body_max_bytes) {
-		rj_http_request_refuse(request, 0, RJ_REASON_TOO_LARGE,
-				       "body: above the limit; send less");
+		rj_caller_request_refuse(request, 0, RJ_REASON_TOO_LARGE,
+					 "body: above the limit; send less");
 		return;
 	}
 	if (strcmp(url, JOBS_PATH) == 0 &&
@@ -399,8 +371,8 @@
 		known = read_view(request, url);
 	}
 	if (!known)
-		rj_http_request_refuse(request, MHD_HTTP_NOT_FOUND,
-				       RJ_REASON_BAD_REQUEST,
-				       "path: not known for this method; see "
-				       "docs/API.md");
+		rj_caller_request_refuse(request, MHD_HTTP_NOT_FOUND,
+					 RJ_REASON_BAD_REQUEST,
+					 "path: not known for this method; see "
+					 "docs/API.md");
 }
--- a/src/libradishjunction/caller/http_callers.c
+++ b/src/libradishjunction/caller/http_callers.c
@@ -9,7 +9,7 @@
 #include <tevent.h>
 #include <unistd.h>
 
-#include "private/http_request.h"
+#include "private/caller_request.h"
 #include "private/tcp_socket.h"
 
 /* So many connections above the limit still get a typed refusal. */
@@ -61,7 +61,7 @@
 		kick(state);
 		return;
 	}
-	at_us = rj_http_now_us() + timeout_ms * RJ_US_PER_MS;
+	at_us = rj_clock_now_us() + timeout_ms * RJ_US_PER_MS;
 	if (state->timer && state->timer_at_us <= at_us)
 		return;
 	talloc_free(state->timer);
@@ -90,14 +90,14 @@
 }
 
 /* Take the request from those that wait for the core. */
-static void stop_waiting(struct rj_http_request *request)
+static void stop_waiting(struct rj_caller_request *request)
 {
 	g_hash_table_remove(request->state->asked, &request->id);
 	TALLOC_FREE(request->watch);
 }
 
 /* Let the daemon go on with a connection whose answer is set. */
-static void resume(struct rj_http_request *request)
+static void resume(struct rj_caller_request *request)
 {
 	assert(request->suspended && request->answered);
 	request->suspended = false;
@@ -121,7 +121,7 @@
 static void on_watch(struct tevent_context *loop, struct tevent_fd *event,
 		     uint16_t flags, void *private_data)
 {
-	struct rj_http_request *request = private_data;
+	struct rj_caller_request *request = private_data;
 	struct rj_http_callers_state *state = request->state;
 	struct rj_event gone = { .kind = RJ_EVENT_CALLER_GONE };
 	char byte;
@@ -144,7 +144,7 @@
 }
 
 /* Set the connection aside until the core has answered. */
-static void suspend(struct rj_http_request *request)
+static void suspend(struct rj_caller_request *request)
 {
 	struct rj_http_callers_state *state = request->state;
 
@@ -157,7 +157,7 @@
 }
 
 /* Queue the response of an answered request. */
-static enum MHD_Result respond(struct rj_http_request *request)
+static enum MHD_Result respond(struct rj_caller_request *request)
 {
 	struct rj_http_callers_state *state = request->state;
 	struct MHD_Response *response;
@@ -215,27 +215,27 @@
 				 size_t *upload_length, void **slot)
 {
 	struct rj_http_callers_state *state = private_data;
-	struct rj_http_request *request = *slot;
+	struct rj_caller_request *request = *slot;
 
 	if (!request) {
-		request = rj_http_request_begin(state, connection);
+		request = rj_caller_request_begin(state, connection);
 		request->over_limit = is_over_limit(connection);
 		*slot = request;
-		if (rj_http_request_early_refusal(request))
+		if (rj_caller_request_early_refusal(request))
 			return respond(request);
 		return MHD_YES;
 	}
 	if (*upload_length) {
-		rj_http_request_take(request, upload, *upload_length);
+		rj_caller_request_take(request, upload, *upload_length);
 		*upload_length = 0;
 		/* A body sent byte by byte would never idle. */
-		if (rj_http_now_us() - request->began_us >
+		if (rj_clock_now_us() - request->began_us >
 		    state->options.idle_timeout_s * RJ_US_PER_S)
 			return MHD_NO;
 		return MHD_YES;
 	}
 	if (!request->answered)
-		rj_http_request_dispatch(request, url, method);
+		rj_caller_request_dispatch(request, url, method);
 	if (request->answered)
 		return respond(request);
 	suspend(request);
@@ -269,13 +269,13 @@
 			   const struct rj_answer *answer)
 {
 	struct rj_http_callers *callers = (struct rj_http_callers *)base;
-	struct rj_http_request *request =
+	struct rj_caller_request *request =
 		g_hash_table_lookup(callers->state->asked, &request_id);
 
 	if (!request)
 		return;
 	stop_waiting(request);
-	rj_http_request_answer(request, answer, NULL);
+	rj_caller_request_answer(request, answer, NULL);
 	if (request->suspended)
 		resume(request);
 }
@@ -288,15 +288,16 @@
 {
 	struct rj_http_callers *callers = (struct rj_http_callers *)base;
 	struct rj_http_callers_state *state = callers->state;
-	struct rj_http_request *request;
+	struct rj_caller_request *request;
 	GHashTableIter iterator;
 
 	g_hash_table_iter_init(&iterator, state->asked);
 	while (g_hash_table_iter_next(&iterator, NULL, (void **)&request)) {
 		g_hash_table_iter_remove(&iterator);
 		TALLOC_FREE(request->watch);
-		rj_http_request_refuse(request, 0, RJ_REASON_DRAINING,
-				       "the instance has stopped; ask another");
+		rj_caller_request_refuse(
+			request, 0, RJ_REASON_DRAINING,
+			"the instance has stopped; ask another");
 		if (request->suspended)
 			resume(request);
 	}
--- a/src/libradishjunction/include/private/http_request.h
+++ b/src/libradishjunction/include/private/caller_request.h
@@ -1,17 +1,19 @@
 /*
  * One HTTP request of a caller, from its headers to its answer.
  *
- * Life cycle: `rj_http_request_begin` when the headers have come,
- * `rj_http_request_take` for each piece of the body, then
- * `rj_http_request_dispatch`, which answers at once or hands the request to
- * the core; `rj_http_request_answer` sets the answer; freed with talloc.
+ * Life cycle: `rj_caller_request_begin` when the headers have come,
+ * `rj_caller_request_take` for each piece of the body, then
+ * `rj_caller_request_dispatch`, which answers at once or hands the request to
+ * the core; `rj_caller_request_answer` sets the answer; freed with talloc.
  */
-#ifndef RADISHJUNCTION_PRIVATE_HTTP_REQUEST_H
-#define RADISHJUNCTION_PRIVATE_HTTP_REQUEST_H
+#ifndef RADISHJUNCTION_PRIVATE_CALLER_REQUEST_H
+#define RADISHJUNCTION_PRIVATE_CALLER_REQUEST_H
 
 #include <microhttpd.h>
 
+#include "private/buffer.h"
 #include "private/caller_metrics.h"
+#include "private/clock.h"
 #include "radishjunction/http_callers.h"
 
 struct tevent_fd;
@@ -35,7 +37,7 @@
 	struct rj_caller_metrics metrics;
 };
 
-struct rj_http_request {
+struct rj_caller_request {
 	struct rj_http_callers_state *state;
 	struct MHD_Connection *connection;
 	uint64_t id; /* of the event; 0 if the core was not asked */
@@ -50,27 +52,24 @@
 	char *text; /* of the answer; freed by the response */
 	size_t text_length;
 	const char *content_type;
-	uint8_t *body;
-	uint32_t body_length;
-	uint32_t body_capacity;
+	struct rj_buffer body;
 	uint64_t body_seen; /* also what was thrown away */
 	struct tevent_fd *watch; /* whether the caller is still there */
 };
 
-uint64_t rj_http_now_us(void);
-struct rj_http_request *
-rj_http_request_begin(struct rj_http_callers_state *state,
-		      struct MHD_Connection *connection);
-void rj_http_request_take(struct rj_http_request *request, const char *data,
-			  size_t length);
-void rj_http_request_dispatch(struct rj_http_request *request, const char *url,
-			      const char *method);
-void rj_http_request_answer(struct rj_http_request *request,
-			    const struct rj_answer *answer,
-			    const struct rj_error_list *errors);
-void rj_http_request_refuse(struct rj_http_request *request,
-			    unsigned int status, enum rj_reason reason,
-			    const char *detail);
-bool rj_http_request_early_refusal(struct rj_http_request *request);
+struct rj_caller_request *
+rj_caller_request_begin(struct rj_http_callers_state *state,
+			struct MHD_Connection *connection);
+void rj_caller_request_take(struct rj_caller_request *request, const char *data,
+			    size_t length);
+void rj_caller_request_dispatch(struct rj_caller_request *request,
+				const char *url, const char *method);
+void rj_caller_request_answer(struct rj_caller_request *request,
+			      const struct rj_answer *answer,
+			      const struct rj_error_list *errors);
+void rj_caller_request_refuse(struct rj_caller_request *request,
+			      unsigned int status, enum rj_reason reason,
+			      const char *detail);
+bool rj_caller_request_early_refusal(struct rj_caller_request *request);
 
 #endif
--- a/src/libradishjunction/include/private/tcp_link.h
+++ b/src/libradishjunction/include/private/tcp_link.h
@@ -55,6 +55,7 @@
 void rj_tcp_link_send(struct rj_tcp_link *link, const struct rj_bytes *parts,
 		      uint32_t count);
 void rj_tcp_link_close(struct rj_tcp_link *link, enum rj_peer_close reason);
+void rj_tcp_link_flush(struct rj_tcp_link *link);
 void rj_tcp_link_finish(struct rj_tcp_link *link);
 
 #endif
--- a/src/libradishjunction/peer/tcp_link.c
+++ b/src/libradishjunction/peer/tcp_link.c
@@ -242,6 +242,16 @@
 	TEVENT_FD_WRITEABLE(link->fd_event);
 }
 
+/*
+ * Send what is queued at once, as far as the socket takes it; for the last
+ * frames before the link is finished.
+ */
+void rj_tcp_link_flush(struct rj_tcp_link *link)
+{
+	if (!link->ended && !link->connecting)
+		on_writable(link);
+}
+
 /*
  * Close the socket and free the buffers, also of a link that has not ended;
  * `closed` is not called any more.
--- a/src/libradishjunction/peer/tcp_peers.c
+++ b/src/libradishjunction/peer/tcp_peers.c
@@ -9,6 +9,8 @@
 #include <tevent.h>
 #include <unistd.h>
 
+#include "private/clock.h"
+#include "private/list.h"
 #include "private/peer_session.h"
 #include "private/tcp_link.h"
 #include "private/tcp_socket.h"
@@ -58,8 +60,7 @@
 struct peer_link {
 	struct rj_tcp_link tcp; /* first member, always */
 	struct rj_tcp_peers_state *state;
-	struct peer_link *next;
-	struct peer_link *previous;
+	struct rj_list node; /* in the state's links */
 	struct peer *attempt_of; /* of a connection that went out */
 	struct rj_peer_session session;
 	bool outgoing;
@@ -75,7 +76,7 @@
 	struct tevent_fd *listener_event;
 	struct tevent_timer *accept_pause;
 	GHashTable *peers; /* name -> struct peer */
-	struct peer_link *links;
+	struct rj_list links;
 	uint32_t unproven_incoming;
 	uint64_t random;
 	uint64_t closed[RJ_PEER_CLOSE_COUNT];
@@ -125,12 +126,7 @@
 
 	if (!link->outgoing && !link->proven)
 		state->unproven_incoming--;
-	if (link->previous)
-		link->previous->next = link->next;
-	else
-		state->links = link->next;
-	if (link->next)
-		link->next->previous = link->previous;
+	rj_list_remove(&link->node);
 	rj_tcp_link_finish(&link->tcp);
 	talloc_free(link);
 }
@@ -341,13 +337,6 @@
 	rj_tcp_link_close(&link->tcp, RJ_PEER_CLOSE_TIMEOUT);
 }
 
-/* A time from now on as the event loop wants it. */
-static struct timeval after_us(uint64_t delay_us)
-{
-	return tevent_timeval_current_ofs((uint32_t)(delay_us / RJ_US_PER_S),
-					  (uint32_t)(delay_us % RJ_US_PER_S));
-}
-
 /* Start the handshake over `fd`; `peer` is who it goes out to, or NULL. */
 static struct peer_link *link_new(struct rj_tcp_peers_state *state, int fd,
 				  struct peer *peer)
@@ -371,14 +360,11 @@
 	rj_tcp_link_init(&link->tcp, link, &link_ops, options->loop, fd,
 			 link->outgoing);
 	link->tcp.frame_max = RJ_PEER_HELLO_MAX_BYTES;
-	link->deadline = tevent_add_timer(options->loop, link,
-					  after_us(HANDSHAKE_LIMIT_US),
-					  on_deadline, link);
+	link->deadline = tevent_add_timer(
+		options->loop, link, rj_clock_timeval_in(HANDSHAKE_LIMIT_US),
+		on_deadline, link);
 	assert(link->deadline);
-	link->next = state->links;
-	if (link->next)
-		link->next->previous = link;
-	state->links = link;
+	rj_list_append(&state->links, &link->node);
 	if (!link->outgoing) {
 		state->unproven_incoming++;
 		on_connected(&link->tcp);
@@ -432,8 +418,9 @@
 	if (strcmp(state->options.name, peer->name) > 0)
 		delay_us += HIGHER_NAME_WAIT_US;
 	talloc_free(peer->retry);
-	peer->retry = tevent_add_timer(state->options.loop, peer,
-				       after_us(delay_us), on_retry, peer);
+	peer->retry =
+		tevent_add_timer(state->options.loop, peer,
+				 rj_clock_timeval_in(delay_us), on_retry, peer);
 	assert(peer->retry);
 }
 
@@ -491,14 +478,24 @@
 	talloc_free((void *)body.data);
 }
 
+/* Send what is still queued, as far as the socket takes it, and close. */
+static void finish_link(struct peer_link *link)
+{
+	if (link->proven)
+		rj_tcp_link_flush(&link->tcp);
+	link_free(link);
+}
+
 /* Close every link and the listener, without events. */
 static void peers_finish(struct rj_peers *base)
 {
 	struct rj_tcp_peers *peers = (struct rj_tcp_peers *)base;
 	struct rj_tcp_peers_state *state = peers->state;
+	struct rj_list *at;
+	struct rj_list *next;
 
-	while (state->links)
-		link_free(state->links);
+	RJ_FOR_EACH (at, next, &state->links)
+		finish_link(RJ_CONTAINER(at, struct peer_link, node));
 	TALLOC_FREE(state->listener_event);
 	close(state->listener);
 	g_hash_table_destroy(state->peers);
@@ -538,9 +535,9 @@
 
 	if (fd < 0 && (errno == EMFILE || errno == ENFILE)) {
 		TEVENT_FD_NOT_READABLE(state->listener_event);
-		state->accept_pause =
-			tevent_add_timer(loop, state, after_us(ACCEPT_PAUSE_US),
-					 on_accept_pause, state);
+		state->accept_pause = tevent_add_timer(
+			loop, state, rj_clock_timeval_in(ACCEPT_PAUSE_US),
+			on_accept_pause, state);
 		return;
 	}
 	if (fd < 0)
@@ -569,6 +566,7 @@
 	assert(state);
 	state->options = *options;
 	state->random = options->seed;
+	rj_list_init(&state->links);
 	state->listener = rj_tcp_listen(&options->address, &state->bound, err);
 	if (state->listener < 0) {
 		talloc_free(state);
