--- /dev/null
+++ b/src/test_libradishjunction/support/event_loop.h
@@ -0,0 +1,22 @@
+/*
+ * Waiting for conditions under a real event loop, in tests of adapters.
+ */
+#ifndef RADISHJUNCTION_TEST_EVENT_LOOP_H
+#define RADISHJUNCTION_TEST_EVENT_LOOP_H
+
+#include <talloc.h>
+#include <tevent.h>
+
+/* Run the loop until the condition holds; the test fails if it never does. */
+#define RUN_UNTIL(loop, condition)                                   \
+	do {                                                         \
+		struct tevent_timer *patience = test_patience(loop); \
+		while (!(condition))                                 \
+			test_loop_once(loop);                        \
+		talloc_free(patience);                               \
+	} while (0)
+
+struct tevent_timer *test_patience(struct tevent_context *loop);
+void test_loop_once(struct tevent_context *loop);
+
+#endif
--- a/src/test_libradishjunction/test_http_callers.c
+++ b/src/test_libradishjunction/test_http_callers.c
@@ -9,9 +9,8 @@
 
 #include "private/tcp_socket.h"
 #include "radishjunction/http_callers.h"
+#include "support/event_loop.h"
 
-/* Far above what any of this takes: a test that hangs fails. */
-#define PATIENCE_S 30
 #define BODY_MAX_BYTES 4096
 
 /* The adapter under test, with a core that answers as it is told. */
@@ -39,27 +38,6 @@
 };
 
 static struct tevent_context *loop;
-static bool timed_out;
-
-static void on_patience(struct tevent_context *context,
-			struct tevent_timer *timer, struct timeval now,
-			void *private_data)
-{
-	timed_out = true;
-}
-
-/* Run the loop until the condition holds; the test fails if it never does. */
-#define RUN_UNTIL(condition)                                                   \
-	do {                                                                   \
-		struct tevent_timer *patience = tevent_add_timer(              \
-			loop, loop, tevent_timeval_current_ofs(PATIENCE_S, 0), \
-			on_patience, NULL);                                    \
-		timed_out = false;                                             \
-		while (!(condition) && !timed_out)                             \
-			tevent_loop_once(loop);                                \
-		g_assert_true(condition);                                      \
-		talloc_free(patience);                                         \
-	} while (0)
 
 static void on_event(struct rj_sink *sink, struct rj_event *event)
 {
@@ -197,7 +175,7 @@
 	struct client client;
 
 	client_init(&client, server, text);
-	RUN_UNTIL(client.closed);
+	RUN_UNTIL(loop, client.closed);
 	if (client_status(&client) != status || !strstr(client.got->str, part))
 		g_test_message("sent %s\ngot %s", text, client.got->str);
 	g_assert_cmpuint(client_status(&client), ==, status);
@@ -346,12 +324,12 @@
 	server_init(&server, 8, 1);
 	server.hold = true;
 	client_init(&first, &server, post("{\"class\":\"q\"}"));
-	RUN_UNTIL(server.asked_count == 1);
+	RUN_UNTIL(loop, server.asked_count == 1);
 	expect(&server, post("{\"class\":\"q\"}"), 503, "Retry-After: 1");
 	g_assert_cmpuint(server.asked_count, ==, 1);
 	server.callers.base.ops->answer(&server.callers.base,
 					server.asked.request_id, &done);
-	RUN_UNTIL(first.closed);
+	RUN_UNTIL(loop, first.closed);
 	g_assert_cmpuint(client_status(&first), ==, 200);
 	client_finish(&first);
 	server_finish(&server);
@@ -359,7 +337,7 @@
 	server_init(&server, 1, 8);
 	server.hold = true;
 	client_init(&first, &server, post("{\"class\":\"q\"}"));
-	RUN_UNTIL(server.asked_count == 1);
+	RUN_UNTIL(loop, server.asked_count == 1);
 	expect(&server, post("{\"class\":\"q\"}"), 503, "connections: ");
 	client_finish(&first);
 	server_finish(&server);
@@ -377,10 +355,10 @@
 
 	server_init(&server, 8, 8);
 	client_init(&stalled, &server, "POST /v1/jobs HTTP/1.1\r\nHost: h\r\n");
-	RUN_UNTIL(stalled.sent == stalled.length);
+	RUN_UNTIL(loop, stalled.sent == stalled.length);
 	expect(&server, post("{\"class\":\"q\"}"), 200, "done");
 	g_assert_false(stalled.closed);
-	RUN_UNTIL(stalled.closed);
+	RUN_UNTIL(loop, stalled.closed);
 	g_assert_cmpuint(server.asked_count, ==, 1);
 	client_finish(&stalled);
 	server_finish(&server);
@@ -396,14 +374,14 @@
 	server_init(&server, 8, 8);
 	server.hold = true;
 	client_init(&client, &server, post("{\"class\":\"q\"}"));
-	RUN_UNTIL(server.asked_count == 1);
+	RUN_UNTIL(loop, server.asked_count == 1);
 	client_finish(&client);
-	RUN_UNTIL(server.gone_id == server.asked.request_id);
+	RUN_UNTIL(loop, server.gone_id == server.asked.request_id);
 	server.callers.base.ops->answer(&server.callers.base,
 					server.asked.request_id, &done);
 	server.hold = false;
 	expect(&server, post("{\"class\":\"q\"}"), 200, "done");
-	RUN_UNTIL(!rj_http_callers_open(&server.callers));
+	RUN_UNTIL(loop, !rj_http_callers_open(&server.callers));
 	server_finish(&server);
 }
 
--- a/src/test_libradishjunction/test_tcp_peers.c
+++ b/src/test_libradishjunction/test_tcp_peers.c
@@ -8,10 +8,9 @@
 #include "private/tcp_link.h"
 #include "private/tcp_socket.h"
 #include "radishjunction/tcp_peers.h"
+#include "support/event_loop.h"
 
 #define KEY "the key of all instances"
-/* Far above what any of this takes: a test that hangs fails. */
-#define PATIENCE_S 30
 
 /* An instance's side of the links, and what its sink was told. */
 struct node {
@@ -32,7 +31,6 @@
 };
 
 static struct tevent_context *loop;
-static bool timed_out;
 
 static void on_event(struct rj_sink *sink, struct rj_event *event)
 {
@@ -46,26 +44,6 @@
 	node->last_value = event->u.peer.message->u.cancel.job_id;
 }
 
-static void on_patience(struct tevent_context *context,
-			struct tevent_timer *timer, struct timeval now,
-			void *private_data)
-{
-	timed_out = true;
-}
-
-/* Run the loop until the condition holds; the test fails if it never does. */
-#define RUN_UNTIL(condition)                                                   \
-	do {                                                                   \
-		struct tevent_timer *patience = tevent_add_timer(              \
-			loop, loop, tevent_timeval_current_ofs(PATIENCE_S, 0), \
-			on_patience, NULL);                                    \
-		timed_out = false;                                             \
-		while (!(condition) && !timed_out)                             \
-			tevent_loop_once(loop);                                \
-		g_assert_true(condition);                                      \
-		talloc_free(patience);                                         \
-	} while (0)
-
 static void node_init(struct node *node, const char *name, const char *key,
 		      uint16_t port)
 {
@@ -170,10 +148,10 @@
 	struct rj_bytes proof;
 	uint32_t ups = node->ups;
 
-	RUN_UNTIL(raw->frames >= 1);
+	RUN_UNTIL(loop, raw->frames >= 1);
 	proof = raw_seal(raw, (struct rj_bytes){ NULL, 0 });
 	rj_tcp_link_send(&raw->link, &proof, 1);
-	RUN_UNTIL(node->ups == ups + 1);
+	RUN_UNTIL(loop, node->ups == ups + 1);
 }
 
 static uint64_t closed(const struct node *node, enum rj_peer_close reason)
@@ -187,7 +165,7 @@
 	node_init(node, "b", KEY, 0);
 	node_init(other, "a", KEY, 0);
 	node_connect(other, "b", node);
-	RUN_UNTIL(node->ups == 1 && other->ups == 1);
+	RUN_UNTIL(loop, node->ups == 1 && other->ups == 1);
 }
 
 /* The link of the pair still carries messages, and has never ended. */
@@ -196,7 +174,7 @@
 	uint32_t messages = node->messages;
 
 	node_send(other, "b", 4711);
-	RUN_UNTIL(node->messages == messages + 1);
+	RUN_UNTIL(loop, node->messages == messages + 1);
 	g_assert_cmpuint(node->last_value, ==, 4711);
 	g_assert_cmpuint(other->downs, ==, 0);
 	node_finish(node);
@@ -213,10 +191,10 @@
 	node_init(&b, "b", KEY, 0);
 	node_connect(&b, "a", &a);
 	node_connect(&a, "b", &b);
-	RUN_UNTIL(a.ups > a.downs && b.ups > b.downs);
+	RUN_UNTIL(loop, a.ups > a.downs && b.ups > b.downs);
 	node_send(&a, "b", 1);
 	node_send(&b, "a", 2);
-	RUN_UNTIL(a.messages == 1 && b.messages == 1);
+	RUN_UNTIL(loop, a.messages == 1 && b.messages == 1);
 	g_assert_cmpuint(a.last_value, ==, 2);
 	g_assert_cmpuint(b.last_value, ==, 1);
 	g_assert_cmpuint(a.ups, ==, 1);
@@ -235,12 +213,12 @@
 	node_init(&a, "a", KEY, 0);
 	node_init(&b, "b", KEY, 0);
 	node_connect(&a, "b", &b);
-	RUN_UNTIL(a.ups == 1);
+	RUN_UNTIL(loop, a.ups == 1);
 	address = rj_tcp_peers_address(&b.peers);
 	node_finish(&b);
-	RUN_UNTIL(a.downs == 1);
+	RUN_UNTIL(loop, a.downs == 1);
 	node_init(&b, "b", KEY, address.port);
-	RUN_UNTIL(a.ups == 2 && b.ups == 1);
+	RUN_UNTIL(loop, a.ups == 2 && b.ups == 1);
 	node_finish(&a);
 	node_finish(&b);
 }
@@ -258,7 +236,7 @@
 	pair_init(&node, &other);
 	node_init(&stranger, "a2", "another key", 0);
 	node_connect(&stranger, "b", &node);
-	RUN_UNTIL(closed(&node, RJ_PEER_CLOSE_AUTHENTICATION) == 1);
+	RUN_UNTIL(loop, closed(&node, RJ_PEER_CLOSE_AUTHENTICATION) == 1);
 	g_assert_cmpuint(node.ups, ==, 1);
 	g_assert_cmpuint(stranger.ups, ==, 0);
 	node_finish(&stranger);
@@ -284,7 +262,7 @@
 	frame = raw_seal(&raw, rj_peer_encode(loop, &message));
 	rj_tcp_link_send(&raw.link, &frame, 1);
 	rj_tcp_link_send(&raw.link, &frame, 1);
-	RUN_UNTIL(closed(&node, RJ_PEER_CLOSE_AUTHENTICATION) == 1);
+	RUN_UNTIL(loop, closed(&node, RJ_PEER_CLOSE_AUTHENTICATION) == 1);
 	g_assert_cmpuint(node.messages, ==, 1);
 	rj_tcp_link_finish(&raw.link);
 	pair_finish(&node, &other);
@@ -303,7 +281,8 @@
 	raw_prove(&raw, &node);
 	garbage = raw_seal(&raw, garbage);
 	rj_tcp_link_send(&raw.link, &garbage, 1);
-	RUN_UNTIL(closed(&node, RJ_PEER_CLOSE_MALFORMED) == 1 && raw.closed);
+	RUN_UNTIL(loop,
+		  closed(&node, RJ_PEER_CLOSE_MALFORMED) == 1 && raw.closed);
 	g_assert_cmpuint(node.downs, ==, 1);
 	rj_tcp_link_finish(&raw.link);
 	pair_finish(&node, &other);
@@ -321,7 +300,7 @@
 	pair_init(&node, &other);
 	raw_init(&raw, &node, "c", RJ_PEER_VERSION);
 	rj_tcp_link_send(&raw.link, &frame, 1);
-	RUN_UNTIL(closed(&node, RJ_PEER_CLOSE_OVERSIZED) == 1);
+	RUN_UNTIL(loop, closed(&node, RJ_PEER_CLOSE_OVERSIZED) == 1);
 	rj_tcp_link_finish(&raw.link);
 	pair_finish(&node, &other);
 }
@@ -335,7 +314,7 @@
 
 	pair_init(&node, &other);
 	raw_init(&raw, &node, "c", RJ_PEER_VERSION + 1);
-	RUN_UNTIL(closed(&node, RJ_PEER_CLOSE_VERSION) == 1);
+	RUN_UNTIL(loop, closed(&node, RJ_PEER_CLOSE_VERSION) == 1);
 	rj_tcp_link_finish(&raw.link);
 	pair_finish(&node, &other);
 }
@@ -353,7 +332,7 @@
 
 	pair_init(&node, &other);
 	raw_init(&raw, &node, "b", RJ_PEER_VERSION);
-	RUN_UNTIL(closed(&node, RJ_PEER_CLOSE_NAME) == 1);
+	RUN_UNTIL(loop, closed(&node, RJ_PEER_CLOSE_NAME) == 1);
 	g_assert_cmpuint(node.ups, ==, 1);
 	rj_tcp_link_finish(&raw.link);
 	pair_finish(&node, &other);
@@ -382,7 +361,7 @@
 	for (sent = 0; sent < RJ_LINK_QUEUE_MAX_BYTES / RJ_BODY_MAX_BYTES;
 	     sent++)
 		node.peers.base.ops->send(&node.peers.base, "c", &message);
-	RUN_UNTIL(closed(&node, RJ_PEER_CLOSE_QUEUE_FULL) == 1);
+	RUN_UNTIL(loop, closed(&node, RJ_PEER_CLOSE_QUEUE_FULL) == 1);
 	rj_tcp_link_finish(&raw.link);
 	pair_finish(&node, &other);
 }
