Command: ask, generate and check

Cause: a new team had no way from its answers to a configuration. Excluded: a separate table of questions' checks (an answer is checked by the same schema row as the text it ends in); tokens in the answers (they would be reviewed and kept with them). Change: src/radishjunction with one file a subcommand; ask interviews on standard input, re-runs on earlier answers and tells what does not work; generate makes tokens once, keeps earlier hashes, and writes settings; check tells the sort of a text by its fields. Before: no command.

--- a/src/libradishjunction/config.c
+++ b/src/libradishjunction/config.c
@@ -7,7 +7,7 @@
 #include <talloc.h>
 
 #include "private/config_capacity.h"
-#include "private/schema.h"
+#include "private/schemas.h"
 #include "radishjunction/peer_message.h"
 
 #define DOMAINS_MAX 64
@@ -28,7 +28,7 @@
 	{ RJ_FIELD(u32, rj_resources, memory_mb), .min = 1, .max = 1U << 30 },
 };
 
-static const struct rj_schema resources_schema = {
+const struct rj_schema rj_resources_schema = {
 	.fields = resources_fields,
 	.field_count = RJ_FIELD_COUNT(resources_fields),
 	.size = sizeof(struct rj_resources),
@@ -40,10 +40,10 @@
 	{ RJ_FIELD(u32, rj_domain, racks), .min = 1, .max = RACKS_MAX },
 	{ RJ_FIELD(u32, rj_domain, workers_per_rack), .min = 1,
 	  .max = RJ_RACK_WORKERS_MAX },
-	{ RJ_FIELD(object, rj_domain, worker), .schema = &resources_schema },
+	{ RJ_FIELD(object, rj_domain, worker), .schema = &rj_resources_schema },
 };
 
-static const struct rj_schema domain_schema = {
+const struct rj_schema rj_domain_schema = {
 	.fields = domain_fields,
 	.field_count = RJ_FIELD_COUNT(domain_fields),
 	.size = sizeof(struct rj_domain),
@@ -71,7 +71,7 @@
 	{ EACH_FIELD(memory_mb), .max = 1U << 30 },
 };
 
-static const struct rj_schema guarantee_schema = {
+const struct rj_schema rj_guarantee_schema = {
 	.fields = guarantee_fields,
 	.field_count = RJ_FIELD_COUNT(guarantee_fields),
 	.size = sizeof(struct rj_guarantee),
@@ -86,7 +86,7 @@
 	  .max = OPEN_MAX, .fallback = 1000 },
 	{ RJ_FIELD(array, rj_account, guarantees), .optional = true,
 	  .count_offset = offsetof(struct rj_account, guarantee_count),
-	  .max = GUARANTEES_MAX, .schema = &guarantee_schema },
+	  .max = GUARANTEES_MAX, .schema = &rj_guarantee_schema },
 };
 
 static const struct rj_schema account_schema = {
@@ -113,7 +113,7 @@
 	  .max = OPEN_MAX, .fallback = 1000 },
 };
 
-static const struct rj_schema class_schema = {
+const struct rj_schema rj_job_class_schema = {
 	.fields = class_fields,
 	.field_count = RJ_FIELD_COUNT(class_fields),
 	.size = sizeof(struct rj_job_class),
@@ -135,7 +135,7 @@
 	  .optional = true, .max = 100, .fallback = 30 },
 };
 
-static const struct rj_schema limits_schema = {
+const struct rj_schema rj_limits_schema = {
 	.fields = limits_fields,
 	.field_count = RJ_FIELD_COUNT(limits_fields),
 	.size = sizeof(struct rj_config_limits),
@@ -144,18 +144,18 @@
 static const struct rj_schema_field config_fields[] = {
 	{ RJ_FIELD(array, rj_config, domains), .min = 1, .max = DOMAINS_MAX,
 	  .count_offset = offsetof(struct rj_config, domain_count),
-	  .schema = &domain_schema },
+	  .schema = &rj_domain_schema },
 	{ RJ_FIELD(array, rj_config, accounts), .min = 1, .max = ACCOUNTS_MAX,
 	  .count_offset = offsetof(struct rj_config, account_count),
 	  .schema = &account_schema },
 	{ RJ_FIELD(array, rj_config, classes), .min = 1, .max = CLASSES_MAX,
 	  .count_offset = offsetof(struct rj_config, class_count),
-	  .schema = &class_schema },
+	  .schema = &rj_job_class_schema },
 	{ RJ_FIELD(object, rj_config, limits), .optional = true,
-	  .schema = &limits_schema },
+	  .schema = &rj_limits_schema },
 };
 
-static const struct rj_schema config_schema = {
+const struct rj_schema rj_config_schema = {
 	.fields = config_fields,
 	.field_count = RJ_FIELD_COUNT(config_fields),
 	.size = sizeof(struct rj_config),
@@ -241,7 +241,8 @@
 		return NULL;
 	config = talloc_zero(mem, struct rj_config);
 	assert(config);
-	rj_schema_decode_partly(&config_schema, config, json, config, errors);
+	rj_schema_decode_partly(&rj_config_schema, config, json, config,
+				errors);
 	json_decref(json);
 	check_domain_names(config, errors);
 	check_tokens(config, errors);
--- a/src/libradishjunction/include/private/schema.h
+++ b/src/libradishjunction/include/private/schema.h
@@ -101,6 +101,7 @@
 		     struct rj_error_list *errors);
 int rj_schema_parse(const struct rj_schema *schema, void *mem, const char *text,
 		    void *out, struct rj_error_list *errors);
+void rj_schema_defaults(const struct rj_schema *schema, void *out);
 json_t *rj_schema_encode(const struct rj_schema *schema, const void *in);
 
 /* For the types. */
--- a/src/libradishjunction/schema.c
+++ b/src/libradishjunction/schema.c
@@ -401,6 +401,21 @@
 	return result;
 }
 
+/*
+ * Fill the struct with the fallbacks of its optional fields; the others are
+ * zero.
+ */
+void rj_schema_defaults(const struct rj_schema *schema, void *out)
+{
+	struct rj_error_list missing;
+	json_t *empty = json_object();
+
+	rj_error_list_init(&missing, NULL);
+	rj_schema_decode_partly(schema, NULL, empty, out, &missing);
+	rj_error_list_finish(&missing);
+	json_decref(empty);
+}
+
 /*
  * The JSON of a struct: a new reference. Optional fields that equal their
  * fallback are left out, so that what is written reads back the same.
--- a/src/libradishjunction/settings.c
+++ b/src/libradishjunction/settings.c
@@ -4,7 +4,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "private/schema.h"
+#include "private/schemas.h"
 
 /* A key that is guessed lets a stranger speak as a peer. */
 #define PEER_KEY_MIN 32
@@ -50,7 +50,7 @@
 	  .max = 3600, .fallback = 30 },
 };
 
-static const struct rj_schema settings_schema = {
+const struct rj_schema rj_settings_schema = {
 	.fields = settings_fields,
 	.field_count = RJ_FIELD_COUNT(settings_fields),
 	.size = sizeof(struct rj_settings),
@@ -84,7 +84,7 @@
 	struct rj_settings *settings = talloc_zero(mem, struct rj_settings);
 
 	assert(settings);
-	if (rj_schema_parse(&settings_schema, settings, text, settings,
+	if (rj_schema_parse(&rj_settings_schema, settings, text, settings,
 			    errors)) {
 		talloc_free(settings);
 		return NULL;
--- /dev/null
+++ b/src/radishjunction/answers.h
@@ -0,0 +1,59 @@
+/*
+ * A team's answers to the questionnaire, and what is made from them.
+ *
+ * Answers hold no secrets, so that they can be kept and reviewed like any
+ * text: tokens are made with the configuration, and only their hashes are in
+ * it.
+ */
+#ifndef ANSWERS_H
+#define ANSWERS_H
+
+#include "private/schemas.h"
+#include "radishjunction/config.h"
+#include "radishjunction/settings.h"
+
+struct answer_instance {
+	char name[RJ_NAME_BYTES];
+	char domain[RJ_NAME_BYTES];
+	struct rj_address caller_address;
+	struct rj_address peer_address;
+};
+
+struct answers {
+	char team[RJ_NAME_BYTES];
+	struct rj_domain *domains;
+	uint32_t domain_count;
+	struct rj_account *accounts; /* without tokens */
+	uint32_t account_count;
+	struct rj_job_class *job_kinds;
+	uint32_t job_kind_count;
+	struct rj_config_limits limits;
+	struct rj_address platform_address;
+	uint32_t retention_s;
+	struct answer_instance *instances;
+	uint32_t instance_count;
+};
+
+/* A token made for an account; shown once and kept by nobody. */
+struct new_token {
+	char account[RJ_NAME_BYTES];
+	char token[RJ_TOKEN_BYTES];
+};
+
+extern const struct rj_schema answers_schema; /* struct answers */
+extern const struct rj_schema answer_account_schema; /* struct rj_account */
+extern const struct rj_schema answer_instance_schema;
+
+int answers_parse(struct answers *answers, void *mem, const char *text,
+		  struct rj_error_list *errors);
+char *answers_text(void *mem, const struct answers *answers);
+char *answers_config(void *mem, struct answers *answers,
+		     const struct rj_config *earlier, const char *renew,
+		     struct new_token **tokens, uint32_t *token_count);
+void answers_check(struct answers *answers, struct rj_error_list *errors);
+char *answers_settings(void *mem, const struct answers *answers,
+		       const char *name, const char *peer_key,
+		       struct rj_error *err);
+char *json_text(void *mem, json_t *json);
+
+#endif
--- /dev/null
+++ b/src/radishjunction/check.c
@@ -0,0 +1,130 @@
+#include <assert.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "answers.h"
+#include "command.h"
+
+/*
+ * The sorts of text, and the field by which each is told from the others.
+ */
+static const struct {
+	const char *name;
+	const char *field;
+} sorts[] = {
+	{ "settings", "peer_key" },
+	{ "answers", "job_kinds" },
+	{ "config", "classes" },
+};
+
+#define SORT_COUNT (sizeof(sorts) / sizeof(sorts[0]))
+
+/*
+ * What the text is, by the fields it has; a configuration if unsure.
+ */
+static const char *guess_sort(const char *text)
+{
+	json_t *json = json_loads(text, 0, NULL);
+	const char *found = "config";
+
+	for (uint32_t i = 0; i < SORT_COUNT; i++) {
+		if (json_object_get(json, sorts[i].field)) {
+			found = sorts[i].name;
+			break;
+		}
+	}
+	json_decref(json);
+	return found;
+}
+
+/*
+ * Check `text` and add its errors, or else its notes. Returns whether it is
+ * good.
+ */
+static bool check_text(void *mem, const char *sort, const char *text,
+		       struct rj_error_list *errors)
+{
+	struct rj_config *config;
+	struct answers answers;
+
+	if (!strcmp(sort, "settings"))
+		return rj_settings_parse(mem, text, errors) != NULL;
+	if (!strcmp(sort, "answers")) {
+		if (answers_parse(&answers, mem, text, errors))
+			return false;
+		answers_check(&answers, errors);
+		for (uint32_t i = 0; i < errors->count; i++)
+			if (errors->errors[i].kind != RJ_ERR_NONE)
+				return false;
+		return true;
+	}
+	config = rj_config_parse(mem, text, errors);
+	if (!config)
+		return false;
+	rj_config_notes(config, errors);
+	return true;
+}
+
+static int check(const char *path, const char *sort)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_error_list errors;
+	struct rj_error err;
+	int code = EXIT_REFUSED;
+	char *text;
+
+	assert(mem);
+	rj_error_list_init(&errors, mem);
+	text = file_read(mem, path, &err);
+	if (!text) {
+		code = print_error("check", &err);
+	} else {
+		if (!sort)
+			sort = guess_sort(text);
+		if (check_text(mem, sort, text, &errors))
+			code = EXIT_DONE;
+		print_errors(path, &errors);
+		printf("%s: %s %s\n", path, code ? "bad" : "good", sort);
+	}
+	talloc_free(mem);
+	return code;
+}
+
+/*
+ * `radishjunction check`: every error of a text at once.
+ */
+int command_check(int argc, char **argv)
+{
+	struct arg_file *file = arg_file1(NULL, NULL, "FILE",
+					  "configuration, settings or answers");
+	struct arg_str *as = arg_str0(NULL, "as", "SORT",
+				      "config, settings or answers; told by "
+				      "its fields if left out");
+	struct options options;
+	struct options_result result;
+	const char *sort;
+
+	options_init(&options);
+	void *table[] = { file, as, options.help, options.version,
+			  options.end };
+	result = options_parse(&options, command_find("check"), argc, argv,
+			       table);
+	sort = option_string(as, NULL);
+	for (uint32_t i = 0; result.go_on && sort; i++) {
+		if (i == SORT_COUNT) {
+			fprintf(stderr,
+				"radishjunction check: --as %s: not known; "
+				"use config, settings or answers\n",
+				sort);
+			result.go_on = false;
+			result.exit_code = EXIT_USAGE;
+		} else if (!strcmp(sorts[i].name, sort)) {
+			break;
+		}
+	}
+	if (result.go_on)
+		result.exit_code = check(option_file(file), sort);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return result.exit_code;
+}
--- /dev/null
+++ b/src/radishjunction/command.h
@@ -0,0 +1,66 @@
+/*
+ * What the subcommands share: their table, their options and exit codes,
+ * and reading and writing files.
+ *
+ * A subcommand is one function in one file, found in the table of main.c. It
+ * builds its argtable, calls `options_parse`, does its work and returns an
+ * exit code.
+ */
+#ifndef COMMAND_H
+#define COMMAND_H
+
+#include <argtable2.h>
+#include <stdbool.h>
+
+#include "radishjunction/error.h"
+
+/* The exit codes of every subcommand; radishjunction(1) lists them. */
+enum exit_code {
+	EXIT_DONE, /* did what was asked */
+	EXIT_REFUSED, /* refused, failed or in error; did not take effect */
+	EXIT_USAGE, /* wrong options */
+	EXIT_UNREACHABLE, /* the other side gave no answer */
+	EXIT_UNKNOWN, /* may have taken effect: ask again */
+	EXIT_PENDING, /* taken on, and not at its end yet */
+};
+
+struct command {
+	const char *name;
+	const char *summary;
+	int (*run)(int argc, char **argv);
+};
+
+/* The options that every subcommand has. */
+struct options {
+	struct arg_lit *help;
+	struct arg_lit *version;
+	struct arg_end *end;
+};
+
+/* Whether the subcommand is to go on; else it returns `exit_code`. */
+struct options_result {
+	bool go_on;
+	int exit_code;
+};
+
+void options_init(struct options *options);
+struct options_result options_parse(const struct options *options,
+				    const struct command *command, int argc,
+				    char **argv, void **table);
+const char *option_string(const struct arg_str *option, const char *fallback);
+const char *option_file(const struct arg_file *option);
+
+char *file_read(void *mem, const char *path, struct rj_error *err);
+int file_write(const char *path, const char *text, bool secret,
+	       struct rj_error *err);
+int print_error(const char *command, const struct rj_error *err);
+void print_errors(const char *what, const struct rj_error_list *errors);
+
+int command_ask(int argc, char **argv);
+int command_generate(int argc, char **argv);
+int command_check(int argc, char **argv);
+
+extern const struct command commands[];
+const struct command *command_find(const char *name);
+
+#endif
--- /dev/null
+++ b/src/radishjunction/file.c
@@ -0,0 +1,97 @@
+#include <assert.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "command.h"
+
+/* Several times the largest configuration. */
+#define FILE_MAX_BYTES (4 * 1024 * 1024)
+#define MODE_SECRET 0600
+#define MODE_OPEN 0644
+
+/*
+ * Read a whole file, or standard input for "-", as a talloc child of `mem`.
+ * Returns NULL with `err` set.
+ */
+char *file_read(void *mem, const char *path, struct rj_error *err)
+{
+	FILE *file = strcmp(path, "-") ? fopen(path, "r") : stdin;
+	char *text = NULL;
+	size_t length;
+
+	if (!file) {
+		rj_error_set(err, RJ_ERR_IO, "%s: %s; name a file that exists",
+			     path, strerror(errno));
+		return NULL;
+	}
+	text = talloc_size(mem, FILE_MAX_BYTES + 1);
+	assert(text);
+	length = fread(text, 1, FILE_MAX_BYTES + 1, file);
+	if (ferror(file) || length > FILE_MAX_BYTES) {
+		rj_error_set(err, RJ_ERR_IO,
+			     "%s: not a text file of at most %d bytes", path,
+			     FILE_MAX_BYTES);
+		TALLOC_FREE(text);
+	} else {
+		text[length] = 0;
+		text = talloc_realloc(mem, text, char, length + 1);
+	}
+	if (file != stdin)
+		fclose(file);
+	return text;
+}
+
+/*
+ * Write a whole file, or standard output for "-". A `secret` file is for its
+ * owner only. Returns 0, or -1 with `err` set.
+ */
+int file_write(const char *path, const char *text, bool secret,
+	       struct rj_error *err)
+{
+	FILE *file = stdout;
+	int result = 0;
+	int fd;
+
+	if (strcmp(path, "-") != 0) {
+		fd = open(path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
+			  secret ? MODE_SECRET : MODE_OPEN);
+		file = fd < 0 ? NULL : fdopen(fd, "w");
+	}
+	if (!file)
+		return rj_error_set(err, RJ_ERR_IO,
+				    "%s: %s; name a file that can be written",
+				    path, strerror(errno));
+	if (fputs(text, file) < 0 || fflush(file))
+		result = rj_error_set(err, RJ_ERR_IO, "%s: %s", path,
+				      strerror(errno));
+	if (file != stdout && fclose(file) && !result)
+		result = rj_error_set(err, RJ_ERR_IO, "%s: %s", path,
+				      strerror(errno));
+	return result;
+}
+
+/*
+ * Print one error and return the exit code that goes with its kind.
+ */
+int print_error(const char *command, const struct rj_error *err)
+{
+	fprintf(stderr, "radishjunction %s: %s\n", command, err->message);
+	return err->kind == RJ_ERR_UNAVAILABLE ? EXIT_UNREACHABLE :
+						 EXIT_REFUSED;
+}
+
+/*
+ * Print every error or note of a check, each on its line after `what`.
+ */
+void print_errors(const char *what, const struct rj_error_list *errors)
+{
+	for (uint32_t i = 0; i < errors->count; i++)
+		fprintf(stderr, "%s: %s%s\n", what,
+			errors->errors[i].kind == RJ_ERR_NONE ? "note: " : "",
+			errors->errors[i].message);
+}
--- /dev/null
+++ b/src/radishjunction/interview.c
@@ -0,0 +1,216 @@
+#include "interview.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "radishjunction/error.h"
+
+#define LINE_BYTES 512
+
+/*
+ * Read one line without blanks at its ends. Returns 0, or -1 at the end.
+ */
+static int read_line(struct interview *interview, char line[LINE_BYTES])
+{
+	char *start = line;
+	size_t length;
+
+	if (!fgets(line, LINE_BYTES, interview->in))
+		return -1;
+	length = strlen(line);
+	while (length && strchr(" \t\r\n", line[length - 1]))
+		line[--length] = 0;
+	start += strspn(line, " \t");
+	memmove(line, start, strlen(start) + 1);
+	return 0;
+}
+
+/*
+ * What was typed as the JSON that the field's type expects: "yes" as true,
+ * digits as a number, all else as a string.
+ */
+static json_t *typed_json(const struct rj_schema_field *field, const char *text)
+{
+	bool number =
+		field->type == &rj_schema_u32 || field->type == &rj_schema_u64;
+	char *end;
+
+	if (field->type == &rj_schema_bool) {
+		if (!strcmp(text, "y") || !strcmp(text, "yes"))
+			return json_true();
+		if (!strcmp(text, "n") || !strcmp(text, "no"))
+			return json_false();
+	}
+	if (number && text[0]) {
+		long long value = strtoll(text, &end, 10);
+
+		if (!*end)
+			return json_integer(value);
+	}
+	return json_string(text);
+}
+
+/*
+ * The field's present value as a person would type it, or NULL.
+ */
+static char *typed_text(void *mem, const struct rj_schema_field *field,
+			const void *member)
+{
+	/* As a required field also the fallback itself is encoded. */
+	struct rj_schema_field shown = *field;
+	json_t *json;
+	char *text = NULL;
+
+	shown.optional = false;
+	json = field->type->encode(&shown, member);
+	if (json_is_string(json))
+		text = talloc_strdup(mem, json_string_value(json));
+	else if (json_is_integer(json))
+		text = talloc_asprintf(mem, "%" JSON_INTEGER_FORMAT,
+				       json_integer_value(json));
+	else if (json_is_boolean(json))
+		text = talloc_strdup(mem, json_is_true(json) ? "yes" : "no");
+	json_decref(json);
+	return text;
+}
+
+/*
+ * Check one answer and store it. Returns 0, or -1 with the errors told.
+ */
+static int store(struct interview *interview,
+		 const struct rj_schema_field *field, const char *text,
+		 void *member)
+{
+	struct rj_error_list errors;
+	struct rj_schema_check check = { interview->mem, &errors, false };
+	struct rj_schema_path path = { NULL, field->name, 0 };
+	json_t *json = typed_json(field, text);
+
+	rj_error_list_init(&errors, interview->mem);
+	if (!json)
+		rj_schema_report(&check, &path, "not UTF-8; type it anew");
+	else
+		field->type->decode(&check, field, &path, json, member);
+	for (uint32_t i = 0; i < errors.count; i++)
+		fprintf(interview->out, "  %s\n", errors.errors[i].message);
+	rj_error_list_finish(&errors);
+	json_decref(json);
+	return check.failed ? -1 : 0;
+}
+
+/*
+ * Ask for one field until the answer is good. Returns 0, or -1 when the
+ * input ended before that.
+ */
+static int ask_field(struct interview *interview,
+		     const struct rj_schema_field *field, const char *text,
+		     const char *fallback, void *member)
+{
+	char line[LINE_BYTES];
+	bool ended;
+
+	for (;;) {
+		fprintf(interview->out, "%s%s%s%s: ", text,
+			fallback ? " [" : "", fallback ? fallback : "",
+			fallback ? "]" : "");
+		fflush(interview->out);
+		ended = read_line(interview, line) < 0;
+		if (ended && !(interview->defaults_at_end && fallback)) {
+			fprintf(interview->out, "\n");
+			return -1;
+		}
+		if (ended)
+			fprintf(interview->out, "\n");
+		if (ended || (!line[0] && fallback))
+			snprintf(line, sizeof(line), "%s", fallback);
+		if (!store(interview, field, line, member))
+			return 0;
+		/* A default that is wrong must not be asked for ever. */
+		if (ended)
+			return -1;
+	}
+}
+
+/*
+ * Ask for the fields that `questions` name. A struct that is `known` from
+ * earlier answers offers its own values as defaults. Returns 0, or -1 when
+ * the input ended.
+ */
+int interview_struct(struct interview *interview,
+		     const struct rj_schema *schema,
+		     const struct question *questions, uint32_t count,
+		     void *fields, bool known)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		const struct rj_schema_field *field = NULL;
+		char *member;
+		char *now = NULL;
+		int result;
+
+		for (uint32_t j = 0; j < schema->field_count && !field; j++)
+			if (!strcmp(schema->fields[j].name, questions[i].field))
+				field = &schema->fields[j];
+		assert(field);
+		member = (char *)fields + field->offset;
+		if (known)
+			now = typed_text(interview->mem, field, member);
+		result = ask_field(interview, field, questions[i].text,
+				   now ? now : questions[i].fallback, member);
+		talloc_free(now);
+		if (result)
+			return -1;
+	}
+	return 0;
+}
+
+/*
+ * Ask how many elements there are and then for each. `elements` points to
+ * the array's pointer; it is replaced by a talloc child of the interview.
+ * Elements beyond the new count are dropped, from the end. Returns 0, or -1
+ * when the input ended.
+ */
+int interview_list(struct interview *interview,
+		   const struct question_list *list, void *elements,
+		   uint32_t *count)
+{
+	struct rj_schema_field field = { .type = &rj_schema_u32,
+					 .name = list->text,
+					 .min = list->min,
+					 .max = list->max };
+	char *question =
+		talloc_asprintf(interview->mem, "How many %s?", list->text);
+	char *fallback = talloc_asprintf(
+		interview->mem, "%u", *count ? *count : list->fallback_count);
+	size_t size = list->schema->size;
+	uint32_t wanted = 0;
+	char *array;
+	char *earlier;
+
+	assert(question && fallback);
+	if (ask_field(interview, &field, question, fallback, &wanted))
+		return -1;
+	memcpy(&earlier, elements, sizeof(earlier));
+	array = talloc_zero_size(interview->mem, size * wanted + 1);
+	assert(array);
+	for (uint32_t i = 0; i < wanted; i++) {
+		char *element = array + i * size;
+		bool known = i < *count;
+
+		if (known)
+			memcpy(element, earlier + i * size, size);
+		else
+			rj_schema_defaults(list->schema, element);
+		fprintf(interview->out, "\n%s %u of %u\n", list->element, i + 1,
+			wanted);
+		if (interview_struct(interview, list->schema, list->questions,
+				     list->question_count, element, known))
+			return -1;
+		if (list->more && list->more(interview, element, known))
+			return -1;
+	}
+	memcpy(elements, &array, sizeof(array));
+	*count = wanted;
+	return 0;
+}
--- /dev/null
+++ b/src/radishjunction/main.c
@@ -0,0 +1,71 @@
+#include <curl/curl.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "command.h"
+
+const struct command commands[] = {
+	{ "ask", "answer the questionnaire of a new or changed team",
+	  command_ask },
+	{ "generate", "make a configuration or settings from the answers",
+	  command_generate },
+	{ "check", "check a configuration, settings or answers",
+	  command_check },
+	{ NULL, NULL, NULL },
+};
+
+/*
+ * The subcommand of that name, or NULL.
+ */
+const struct command *command_find(const char *name)
+{
+	for (const struct command *command = commands; command->name; command++)
+		if (!strcmp(command->name, name))
+			return command;
+	return NULL;
+}
+
+/*
+ * Print the table of subcommands.
+ */
+static void print_help(FILE *out)
+{
+	fprintf(out, "Usage: radishjunction SUBCOMMAND [OPTIONS]\n\n");
+	for (const struct command *command = commands; command->name; command++)
+		fprintf(out, "  %-10s %s\n", command->name, command->summary);
+	fprintf(out,
+		"\n`radishjunction SUBCOMMAND --help` tells the options.\n"
+		"Exit codes: 0 done, 1 refused or failed, 2 wrong options,\n"
+		"3 unreachable, 4 unknown (ask again), 5 not at its end yet.\n");
+}
+
+int main(int argc, char **argv)
+{
+	const struct command *command;
+	int result;
+
+	if (argc > 1 && !strcmp(argv[1], "--help")) {
+		print_help(stdout);
+		return EXIT_DONE;
+	}
+	if (argc > 1 && !strcmp(argv[1], "--version")) {
+		printf("radishjunction %s\n", RJ_VERSION);
+		return EXIT_DONE;
+	}
+	command = argc > 1 ? command_find(argv[1]) : NULL;
+	if (!command) {
+		if (argc > 1)
+			fprintf(stderr, "radishjunction: no subcommand %s\n",
+				argv[1]);
+		print_help(stderr);
+		return EXIT_USAGE;
+	}
+	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT)) {
+		fprintf(stderr, "radishjunction: libraries do not start\n");
+		return EXIT_REFUSED;
+	}
+	result = command->run(argc - 1, argv + 1);
+	curl_global_cleanup();
+	return result;
+}
