--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -64,8 +64,7 @@
 	if (job->claimed)
 		rj_claims_void(job);
 	if (job->cancelled) {
-		rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, RJ_REASON_CANCELLED,
-				 0);
+		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
 		return;
 	}
 	if (!job->accepted && job->waiters.next == &job->waiters) {
@@ -334,8 +333,7 @@
 	job->accepted = true;
 	rj_core_log(core, RJ_LOG_ADOPT, RJ_REASON_OWNER, job, NULL);
 	if (entry->cancelled)
-		rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, RJ_REASON_CANCELLED,
-				 0);
+		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
 	else
 		rj_job_submit(job);
 }
@@ -406,6 +404,8 @@
  */
 void rj_claims_tick(struct rj_core_state *core)
 {
+	/* In an outage accepted jobs go on from what was read before it. */
+	bool current = !core->platform_up || rj_log_usable(core);
 	struct rj_list *at;
 	struct rj_list *next;
 
@@ -425,7 +425,7 @@
 
 			if (mine && !driven_here(job, entry))
 				settle_entry(core, entry);
-		} else if (!entry->settled && entry->accepted &&
+		} else if (!entry->settled && entry->accepted && current &&
 			   rj_membership_owns(core, entry->domain,
 					      entry->job_id)) {
 			own_accepted(core, entry);
