--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -49,8 +49,7 @@
 {
 	struct rj_record record;
 
-	job->state = RJ_JOB_ACCEPTING;
-	job->step_started_us = job->core->now_us;
+	rj_job_enter(job, RJ_JOB_ACCEPTING);
 	fill_record(job, RJ_RECORD_ACCEPT, &record);
 	record.spec.body = job->spec.body;
 	rj_log_append(job->core, RJ_STREAM_JOBS, &record);
@@ -77,8 +76,7 @@
 				rj_core_jitter_us(core, PLATFORM_RETRY_US));
 		return;
 	}
-	job->state = RJ_JOB_CLAIMING;
-	job->step_started_us = core->now_us;
+	rj_job_enter(job, RJ_JOB_CLAIMING);
 	fill_record(job, RJ_RECORD_CLAIM, &record);
 	record.lease_life_us = rj_upstreams_lease_life_us(core);
 	members = talloc_zero_array(core->actions->mem, struct rj_claim_member,
@@ -149,7 +147,7 @@
 		claim_given_up(job);
 		return;
 	}
-	job->state = RJ_JOB_QUEUED;
+	rj_job_enter(job, RJ_JOB_QUEUED);
 	rj_job_not_started(job, RJ_REASON_PLATFORM_DOWN,
 			   rj_core_jitter_us(core, PLATFORM_RETRY_US));
 }
@@ -198,7 +196,7 @@
 {
 	rj_job_unplan(job, false);
 	rj_job_drop_members(job);
-	job->state = RJ_JOB_WATCHING;
+	rj_job_enter(job, RJ_JOB_WATCHING);
 	job->claimed = false;
 	job->started = false;
 }
@@ -263,7 +261,7 @@
 	}
 	rj_job_release_members(job);
 	rj_claims_void(job);
-	rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, RJ_REASON_CANCELLED, 0);
+	rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
 }
 
 /* Another claim of the same key was first in the log. */
@@ -300,8 +298,7 @@
 	rj_job_answer_waiters(job, &answer);
 	rj_timer_clear(&core->timers, &job->deadline);
 	if (job->cancelled)
-		rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, RJ_REASON_CANCELLED,
-				 0);
+		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
 	else if (rj_membership_owns(core, core->domain, job->spec.job_id))
 		rj_job_submit(job);
 	else
--- a/src/libradishjunction/core/controllers/jobs_controller.c
+++ b/src/libradishjunction/core/controllers/jobs_controller.c
@@ -145,6 +145,17 @@
 	return job;
 }
 
+/*
+ * Enter a state. The timer of the state before is cleared: it must not fire
+ * into this one.
+ */
+void rj_job_enter(struct rj_job *job, enum rj_job_state state)
+{
+	rj_timer_clear(&job->core->timers, &job->step);
+	job->state = state;
+	job->step_started_us = job->core->now_us;
+}
+
 /*
  * Drop a job that nobody waits for any more.
  */
@@ -259,7 +270,7 @@
 		rj_job_free(job);
 		return;
 	}
-	job->state = RJ_JOB_ENDED;
+	rj_job_enter(job, RJ_JOB_ENDED);
 	rj_claims_outcome(job);
 }
 
@@ -293,7 +304,24 @@
 		 !rj_job_ledger_find(&job->core->ledger, job->spec.job_id));
 
 	assert(!job->started);
-	rj_job_end_plain(job, known ? RJ_ANSWER_NOT_RUN : RJ_ANSWER_UNKNOWN,
+	if (job->ran_before)
+		rj_job_end_plain(job, RJ_ANSWER_FAILED, reason, retry_after_us);
+	else
+		rj_job_end_plain(job,
+				 known ? RJ_ANSWER_NOT_RUN : RJ_ANSWER_UNKNOWN,
+				 reason, retry_after_us);
+}
+
+/*
+ * End a job whose present attempt has stopped, or never started: `not_run`
+ * only if no earlier attempt started either.
+ */
+void rj_job_give_up(struct rj_job *job, enum rj_reason reason,
+		    uint64_t retry_after_us)
+{
+	bool ran = job->started || job->ran_before;
+
+	rj_job_end_plain(job, ran ? RJ_ANSWER_FAILED : RJ_ANSWER_NOT_RUN,
 			 reason, retry_after_us);
 }
 
@@ -407,7 +435,7 @@
 	case RJ_JOB_HOLDING:
 		rj_job_release_members(job);
 		if (job->accepted)
-			rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, reason, 0);
+			rj_job_give_up(job, reason, 0);
 		else
 			rj_job_not_started(job, reason, 0);
 		break;
