Command: publish, status, submit, wait, cancel, explain and reasons

Cause: a configuration could be made and not put in force, and nobody could ask the instances anything. Excluded: a kept connection for appends and submissions (libcurl sends a request again on a new connection when the kept one was just closed); tokens as options (they would stand in the list of processes); appending again after a lost answer (reading for the publication's id tells as much and never races with itself). Change: publish finds the revision in force by the library's own fold, appends, reads for its id, tells who won otherwise, and polls the instances; status draws racks from the owner's view; explain and reasons share one table of words. The exit codes tell not received from may have been. Before: three subcommands.

--- a/src/radishjunction/command.h
+++ b/src/radishjunction/command.h
@@ -59,6 +59,13 @@
 int command_ask(int argc, char **argv);
 int command_generate(int argc, char **argv);
 int command_check(int argc, char **argv);
+int command_publish(int argc, char **argv);
+int command_status(int argc, char **argv);
+int command_submit(int argc, char **argv);
+int command_wait(int argc, char **argv);
+int command_cancel(int argc, char **argv);
+int command_explain(int argc, char **argv);
+int command_reasons(int argc, char **argv);
 
 extern const struct command commands[];
 const struct command *command_find(const char *name);
--- /dev/null
+++ b/src/radishjunction/http.c
@@ -0,0 +1,130 @@
+#include "http.h"
+
+#include <assert.h>
+#include <curl/curl.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+/* The largest answers are pages of the config stream. */
+#define ANSWER_MAX_BYTES (64 * 1024 * 1024)
+#define CONNECT_TIMEOUT_MS 2000L
+
+struct received {
+	char *text; /* talloc */
+	size_t length;
+};
+
+/*
+ * Keep one more piece of the answer; libcurl fails the call on a short
+ * return.
+ */
+static size_t receive(char *data, size_t size, size_t count, void *user)
+{
+	struct received *received = user;
+	size_t length = size * count;
+
+	if (received->length + length > ANSWER_MAX_BYTES)
+		return 0;
+	received->text = talloc_realloc(NULL, received->text, char,
+					received->length + length + 1);
+	assert(received->text);
+	memcpy(received->text + received->length, data, length);
+	received->length += length;
+	received->text[received->length] = 0;
+	return length;
+}
+
+/*
+ * The address as text, with brackets around an IPv6 number.
+ */
+void address_text(char text[RJ_IP_BYTES + 16], const struct rj_address *address)
+{
+	snprintf(text, RJ_IP_BYTES + 16,
+		 strchr(address->ip, ':') ? "[%s]:%u" : "%s:%u", address->ip,
+		 address->port);
+}
+
+static struct curl_slist *make_headers(void *mem, const struct http_call *call)
+{
+	/* Without "Expect:" libcurl waits a second before a long body. */
+	struct curl_slist *headers = curl_slist_append(NULL, "Expect:");
+
+	headers = curl_slist_append(headers, "Content-Type: application/json");
+	headers = curl_slist_append(headers, "X-Instance: radishjunction");
+	if (call->token)
+		headers = curl_slist_append(
+			headers,
+			talloc_asprintf(mem, "Authorization: Bearer %s",
+					call->token));
+	if (call->key)
+		headers = curl_slist_append(
+			headers,
+			talloc_asprintf(mem, "Idempotency-Key: %s", call->key));
+	return headers;
+}
+
+/*
+ * Whether the failed call surely had no effect: no connection stood.
+ */
+static bool never_connected(CURL *easy, CURLcode code)
+{
+	curl_off_t connect_us = 0;
+
+	if (code == CURLE_COULDNT_CONNECT)
+		return true;
+	curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connect_us);
+	return !connect_us;
+}
+
+/*
+ * Send one request and wait for its answer.
+ *
+ * Each call has a connection of its own: on a kept one that the other side
+ * has just closed, libcurl would send the request a second time.
+ */
+void http_call(const struct http_call *call, struct http_answer *answer)
+{
+	void *mem = talloc_new(NULL);
+	struct received received = { NULL, 0 };
+	struct curl_slist *headers = make_headers(mem, call);
+	char where[RJ_IP_BYTES + 16];
+	CURL *easy = curl_easy_init();
+	CURLcode code;
+
+	assert(easy);
+	memset(answer, 0, sizeof(*answer));
+	address_text(where, &call->address);
+	curl_easy_setopt(
+		easy, CURLOPT_URL,
+		talloc_asprintf(mem, "http://%s%s", where, call->path));
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, receive);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, &received);
+	if (call->body)
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->body);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call->method);
+	code = curl_easy_perform(easy);
+	if (code == CURLE_OK) {
+		answer->outcome = HTTP_ANSWERED;
+		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE,
+				  &answer->status);
+		answer->json = json_loads(received.text ? received.text : "",
+					  JSON_DECODE_ANY, NULL);
+	} else {
+		answer->outcome = never_connected(easy, code) ?
+					  HTTP_UNREACHABLE :
+					  HTTP_LOST;
+		snprintf(answer->detail, sizeof(answer->detail), "%s: %s",
+			 where, curl_easy_strerror(code));
+	}
+	curl_easy_cleanup(easy);
+	curl_slist_free_all(headers);
+	talloc_free(received.text);
+	talloc_free(mem);
+}
--- a/src/radishjunction/main.c
+++ b/src/radishjunction/main.c
@@ -12,6 +12,17 @@
 	  command_generate },
 	{ "check", "check a configuration, settings or answers",
 	  command_check },
+	{ "publish", "put a configuration in force everywhere",
+	  command_publish },
+	{ "status", "show instances, racks, guarantees and queues",
+	  command_status },
+	{ "submit", "send one job and tell its answer", command_submit },
+	{ "wait", "wait for the answer of a job", command_wait },
+	{ "cancel", "cancel a job", command_cancel },
+	{ "explain", "tell every decision about a job in words",
+	  command_explain },
+	{ "reasons", "tell what each reason means and its remedy",
+	  command_reasons },
 	{ NULL, NULL, NULL },
 };
 
--- /dev/null
+++ b/src/radishjunction/reasons.c
@@ -0,0 +1,23 @@
+#include <stdio.h>
+
+#include "command.h"
+#include "words.h"
+
+/*
+ * `radishjunction reasons`: what each reason of an answer or of a decision
+ * means, and what to do about it.
+ */
+int command_reasons(int argc, char **argv)
+{
+	struct options options;
+	struct options_result result;
+
+	options_init(&options);
+	void *table[] = { options.help, options.version, options.end };
+	result = options_parse(&options, command_find("reasons"), argc, argv,
+			       table);
+	if (result.go_on)
+		print_reasons(stdout);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return result.exit_code;
+}
--- /dev/null
+++ b/src/radishjunction/submit.c
@@ -0,0 +1,167 @@
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "caller.h"
+#include "command.h"
+
+struct submit_options {
+	struct caller_options caller;
+	struct arg_file *body;
+	struct arg_str *class_name;
+	struct arg_int *tasks;
+	struct arg_int *accelerators;
+	struct arg_int *cores;
+	struct arg_int *memory_mb;
+	struct arg_lit *adjacent;
+	struct arg_int *declared_ms;
+	struct arg_int *deadline_ms;
+	struct arg_str *key;
+	struct arg_lit *no_wait;
+};
+
+static void make_options(struct submit_options *options)
+{
+	caller_options(&options->caller);
+	options->body = arg_file0(NULL, NULL, "BODY",
+				  "JSON file, or - for standard input");
+	options->class_name = arg_str1("c", "class", "NAME", "job class");
+	options->tasks = arg_int0(NULL, "tasks", "N",
+				  "tasks that run only together (1)");
+	options->accelerators =
+		arg_int0(NULL, "accelerators", "N", "of each task (0)");
+	options->cores = arg_int0(NULL, "cores", "N", "of each task (1)");
+	options->memory_mb = arg_int0(NULL, "memory-mb", "N", "of each task");
+	options->adjacent = arg_lit0(NULL, "adjacent", "all tasks in one rack");
+	options->declared_ms =
+		arg_int0(NULL, "declared-ms", "MS", "expected run time");
+	options->deadline_ms =
+		arg_int0(NULL, "deadline-ms", "MS", "of no use after this");
+	options->key = arg_str0("k", "key", "KEY",
+				"idempotency key: the same for every try");
+	options->no_wait =
+		arg_lit0(NULL, "no-wait", "be content with `accepted`");
+}
+
+static void set_number(json_t *json, const char *name,
+		       const struct arg_int *option)
+{
+	if (option->count)
+		json_object_set_new(json, name, json_integer(option->ival[0]));
+}
+
+/*
+ * The submission as JSON text; what was not given is left out, so that the
+ * instance's defaults and its errors hold.
+ */
+static char *submission(void *mem, const struct submit_options *options,
+			struct rj_error *err)
+{
+	const char *path = option_file(options->body);
+	json_t *json = json_object();
+	json_error_t where;
+	json_t *body;
+	char *dumped;
+	char *text;
+
+	json_object_set_new(
+		json, "class",
+		json_string(option_string(options->class_name, "")));
+	set_number(json, "tasks", options->tasks);
+	set_number(json, "accelerators", options->accelerators);
+	set_number(json, "cores", options->cores);
+	set_number(json, "memory_mb", options->memory_mb);
+	set_number(json, "declared_ms", options->declared_ms);
+	set_number(json, "deadline_ms", options->deadline_ms);
+	if (options->adjacent->count)
+		json_object_set_new(json, "adjacent", json_true());
+	if (options->no_wait->count)
+		json_object_set_new(json, "wait", json_false());
+	if (path) {
+		text = file_read(mem, path, err);
+		body = text ? json_loads(text, JSON_DECODE_ANY, &where) : NULL;
+		if (text && !body)
+			rj_error_set(err, RJ_ERR_INVALID,
+				     "%s: line %d: %s; give JSON", path,
+				     where.line, where.text);
+		if (!body) {
+			json_decref(json);
+			return NULL;
+		}
+		json_object_set_new(json, "body", body);
+	}
+	dumped = json_dumps(json, JSON_COMPACT);
+	assert(dumped);
+	text = talloc_strdup(mem, dumped);
+	free(dumped);
+	json_decref(json);
+	return text;
+}
+
+static int submit(const struct submit_options *options)
+{
+	void *mem = talloc_new(NULL);
+	struct http_call call = { .method = "POST", .path = "/v1/jobs" };
+	struct http_answer answer;
+	struct caller caller;
+	struct rj_error err;
+	int code;
+
+	assert(mem);
+	call.key = option_string(options->key, NULL);
+	call.body = submission(mem, options, &err);
+	if (!call.body || caller_load(&caller, mem, &options->caller, &err)) {
+		print_error("submit", &err);
+		talloc_free(mem);
+		return EXIT_USAGE;
+	}
+	code = caller_call(&caller, &call, &answer);
+	if (!code) {
+		code = caller_report(&answer);
+		json_decref(answer.json);
+	}
+	if (code == EXIT_PENDING && options->no_wait->count)
+		code = EXIT_DONE;
+	talloc_free(mem);
+	return code;
+}
+
+/*
+ * `radishjunction submit`: one job, and its answer.
+ */
+int command_submit(int argc, char **argv)
+{
+	struct submit_options own;
+	struct options options;
+	struct options_result result;
+
+	make_options(&own);
+	options_init(&options);
+	void *table[] = { own.body,
+			  own.class_name,
+			  own.tasks,
+			  own.accelerators,
+			  own.cores,
+			  own.memory_mb,
+			  own.adjacent,
+			  own.declared_ms,
+			  own.deadline_ms,
+			  own.key,
+			  own.no_wait,
+			  own.caller.targets.instances,
+			  own.caller.targets.answers,
+			  own.caller.tokens,
+			  own.caller.account,
+			  own.caller.timeout_s,
+			  options.help,
+			  options.version,
+			  options.end };
+	result = options_parse(&options, command_find("submit"), argc, argv,
+			       table);
+	if (result.go_on)
+		result.exit_code = submit(&own);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return result.exit_code;
+}
--- /dev/null
+++ b/src/radishjunction/targets.c
@@ -0,0 +1,107 @@
+#include "targets.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "answers.h"
+#include "command.h"
+
+/*
+ * Make the options; the subcommand puts both into its table.
+ */
+void targets_options(struct targets_options *options)
+{
+	options->instances =
+		arg_str0("i", "instances", "IP:PORT,...",
+			 "entry instances ($" INSTANCES_VARIABLE ")");
+	options->answers = arg_file0(NULL, "answers", "FILE",
+				     "take the addresses from these answers");
+	assert(options->instances && options->answers);
+}
+
+static void add_instance(struct targets *targets, void *mem,
+			 const struct rj_address *address)
+{
+	targets->instances = talloc_realloc(
+		mem, targets->instances, struct rj_address, targets->count + 1);
+	assert(targets->instances);
+	targets->instances[targets->count++] = *address;
+}
+
+/*
+ * Add the addresses of a list with commas.
+ */
+static int load_list(struct targets *targets, void *mem, const char *list,
+		     struct rj_error *err)
+{
+	char *copy = talloc_strdup(mem, list);
+	char *rest = copy;
+	char *one;
+
+	assert(copy);
+	while ((one = strsep(&rest, ",")) != NULL) {
+		struct rj_address address;
+
+		if (!one[0])
+			continue;
+		if (rj_address_parse(&address, one) || !address.port)
+			return rj_error_set(
+				err, RJ_ERR_INVALID,
+				"instances: \"%s\" is no address; give an IP "
+				"number and a port, such as 127.0.0.1:7001",
+				one);
+		add_instance(targets, mem, &address);
+	}
+	return 0;
+}
+
+static int load_answers(struct targets *targets, void *mem, const char *path,
+			struct rj_error *err)
+{
+	struct rj_error_list errors;
+	struct answers answers;
+	char *text = file_read(mem, path, err);
+
+	if (!text)
+		return -1;
+	rj_error_list_init(&errors, mem);
+	if (answers_parse(&answers, mem, text, &errors)) {
+		*err = errors.errors[0];
+		return -1;
+	}
+	targets->platform = answers.platform_address;
+	for (uint32_t i = 0; i < answers.instance_count; i++)
+		add_instance(targets, mem,
+			     &answers.instances[i].caller_address);
+	return 0;
+}
+
+/*
+ * Take the addresses from the option, else from the answers, else from the
+ * environment. Returns 0, or -1 with `err` set when an address is wrong or
+ * there is none.
+ */
+int targets_load(struct targets *targets, void *mem,
+		 const struct targets_options *options, struct rj_error *err)
+{
+	const char *list = option_string(options->instances, NULL);
+	const char *path = option_file(options->answers);
+	int result = 0;
+
+	memset(targets, 0, sizeof(*targets));
+	if (path)
+		result = load_answers(targets, mem, path, err);
+	if (!list && !path)
+		list = getenv(INSTANCES_VARIABLE);
+	if (!result && list) {
+		targets->count = 0;
+		result = load_list(targets, mem, list, err);
+	}
+	if (!result && !targets->count)
+		result = rj_error_set(err, RJ_ERR_INVALID,
+				      "instances: none named; give --instances "
+				      "IP:PORT or --answers FILE");
+	return result;
+}
--- /dev/null
+++ b/src/radishjunction/words.c
@@ -0,0 +1,183 @@
+#include "words.h"
+
+#include <string.h>
+
+#include "radishjunction/action.h"
+#include "radishjunction/types.h"
+
+static const char *const event_words[RJ_LOG_EVENT_COUNT] = {
+	[RJ_LOG_ADMIT] = "admitted",
+	[RJ_LOG_REFUSE] = "refused",
+	[RJ_LOG_ROUTE] = "handed to",
+	[RJ_LOG_PLACE] = "placed on",
+	[RJ_LOG_CLAIM] = "claimed in the log for",
+	[RJ_LOG_START] = "started on",
+	[RJ_LOG_RETRY] = "tried again",
+	[RJ_LOG_RECLAIM] = "gave its place back on",
+	[RJ_LOG_ADOPT] = "taken over from",
+	[RJ_LOG_VOID] = "its claim made void",
+	[RJ_LOG_END] = "ended",
+	[RJ_LOG_CONFIG] = "configuration judged",
+	[RJ_LOG_LEAVING] = "no new work for the leaving",
+	[RJ_LOG_DRAIN] = "handed on, for this instance stops:",
+};
+
+/* What a reason means, and what a caller or an operator can do. */
+static const struct {
+	const char *meaning;
+	const char *remedy;
+} reason_words[RJ_REASON_COUNT] = {
+	[RJ_REASON_NONE] = { "no special reason", "nothing to do" },
+	[RJ_REASON_BAD_REQUEST] = { "the request is not well formed",
+				    "mend the field that `detail` names" },
+	[RJ_REASON_TOO_LARGE] = { "the body is above the limit",
+				  "send less, or a reference to the data" },
+	[RJ_REASON_UNAUTHORIZED] = { "the token is of no client account",
+				     "send the account's token; an operator "
+				     "makes a new one with `generate "
+				     "--new-token`" },
+	[RJ_REASON_NO_SUCH_JOB] = { "no job of this account has that id",
+				    "check the id and the token" },
+	[RJ_REASON_NO_SUCH_CLASS] = { "the configuration has no such job class",
+				      "use a class of the configuration, or "
+				      "publish one with it" },
+	[RJ_REASON_KEY_REQUIRED] = { "work of this class must not run twice",
+				     "send an Idempotency-Key" },
+	[RJ_REASON_KEY_REUSED] = { "the key belongs to another request",
+				   "use a new key for a new request" },
+	[RJ_REASON_KEY_EXPIRED] = { "the key is older than its life",
+				    "look into your own records, then use a "
+				    "new key" },
+	[RJ_REASON_NEVER_FITS] = { "no failure domain could ever hold it",
+				   "ask for less, or for tasks that are not "
+				   "adjacent" },
+	[RJ_REASON_QUEUE_FULL] = { "too much is waiting already",
+				   "come back after `retry_after_ms`; if it "
+				   "stays so, add workers" },
+	[RJ_REASON_ACCOUNT_LIMIT] = { "the account has too many open jobs",
+				      "wait for some to end; an operator can "
+				      "raise `open_max`" },
+	[RJ_REASON_DEADLINE_TOO_SOON] = { "it could not end by its deadline",
+					  "give a later deadline, or send it "
+					  "elsewhere" },
+	[RJ_REASON_DEADLINE_PASSED] = { "its deadline passed while it waited",
+					"send it again if it is still of use" },
+	[RJ_REASON_NO_CONFIG] = { "this instance has no configuration yet",
+				  "publish one, or ask another instance" },
+	[RJ_REASON_DRAINING] = { "this instance is stopping",
+				 "send it again; the balancer picks another" },
+	[RJ_REASON_PLATFORM_DOWN] = { "the platform's log gives no answer",
+				      "come back after `retry_after_ms`; look "
+				      "after the platform" },
+	[RJ_REASON_LOG_GAP] = { "this instance missed records of the log",
+				"come back later, or ask another instance" },
+	[RJ_REASON_CANCELLED] = { "it was cancelled", "nothing to do" },
+	[RJ_REASON_TASK_FAILED] = { "its task ran and failed",
+				    "read the result, and mend the job" },
+	[RJ_REASON_WORKER_LOST] = { "a worker that ran it was lost",
+				    "ask again with the same key; look after "
+				    "the worker" },
+	[RJ_REASON_IN_PROGRESS] = { "it is still on its way",
+				    "ask again, or wait" },
+	[RJ_REASON_PEER_LOST] = { "the instance that had it was lost",
+				  "ask again with the same key" },
+	[RJ_REASON_RETRY_BUDGET] = { "too many retries just now",
+				     "come back after `retry_after_ms`; look "
+				     "for the failing workers" },
+	[RJ_REASON_LEASE_REFUSED] = { "the worker refused the lease",
+				      "nothing to do: another place is sought" },
+	[RJ_REASON_LEASE_LAPSED] = { "the lease ended before the start",
+				     "nothing to do: it is placed again" },
+	[RJ_REASON_CLAIM_LOST] = { "another instance claimed it first",
+				   "nothing to do: that one answers" },
+	[RJ_REASON_RECLAIMED] = { "a guarantee wanted its place back",
+				  "nothing to do: it is placed again" },
+	[RJ_REASON_FIRST_FIT] = { "the first place that fitted",
+				  "nothing to do" },
+	[RJ_REASON_BEST_FIT] = { "the place that it fills best",
+				 "nothing to do" },
+	[RJ_REASON_GUARANTEE] = { "its account is guaranteed the place",
+				  "nothing to do" },
+	[RJ_REASON_RESERVATION] = { "a place is kept for it",
+				    "nothing to do: it waits for the last of "
+				    "it" },
+	[RJ_REASON_BACKFILL] = { "it ends before the place is wanted",
+				 "nothing to do" },
+	[RJ_REASON_LEAST_LOST] = { "it had the least work to lose",
+				   "nothing to do" },
+	[RJ_REASON_OWNER] = { "the instance that plans the rack",
+			      "nothing to do" },
+	[RJ_REASON_OTHER_DOMAIN] = { "its own failure domain could not in time",
+				     "nothing to do; add workers if it recurs" },
+	[RJ_REASON_QUARANTINED] = { "the worker fails what it starts",
+				    "look after the worker; it is probed and "
+				    "taken back" },
+};
+
+/*
+ * The index of `name` in a table of strings, or `count`.
+ */
+static uint32_t find_word(const char *const *strings, uint32_t count,
+			  const char *name)
+{
+	uint32_t i = 0;
+
+	while (i < count && strcmp(strings[i], name) != 0)
+		i++;
+	return i;
+}
+
+static const char *text_of(const json_t *object, const char *name)
+{
+	const char *text = json_string_value(json_object_get(object, name));
+
+	return text ? text : "";
+}
+
+/*
+ * Print one decision as a sentence. What a newer instance may say that this
+ * version does not know is printed as it came.
+ */
+void print_decision(FILE *out, const json_t *decision)
+{
+	const char *event = text_of(decision, "event");
+	const char *why = text_of(decision, "why");
+	const char *target = text_of(decision, "target");
+	json_int_t waited_ms =
+		json_integer_value(json_object_get(decision, "waited_ms"));
+	json_int_t considered =
+		json_integer_value(json_object_get(decision, "considered"));
+	uint32_t event_index =
+		find_word(rj_decision_event_string, RJ_LOG_EVENT_COUNT, event);
+	uint32_t why_index = find_word(rj_reason_string, RJ_REASON_COUNT, why);
+
+	fputs(event_index < RJ_LOG_EVENT_COUNT ? event_words[event_index] :
+						 event,
+	      out);
+	if (target[0])
+		fprintf(out, " %s", target);
+	if (why_index != RJ_REASON_NONE)
+		fprintf(out, ": %s (%s)",
+			why_index < RJ_REASON_COUNT ?
+				reason_words[why_index].meaning :
+				"a reason that this version does not know",
+			why);
+	if (waited_ms)
+		fprintf(out, "; waited %" JSON_INTEGER_FORMAT " ms", waited_ms);
+	if (considered)
+		fprintf(out, "; %" JSON_INTEGER_FORMAT " places considered",
+			considered);
+	fprintf(out, "\n");
+}
+
+/*
+ * Print every reason with its meaning and its remedy, as a table in
+ * Markdown: docs/OPERATIONS.md holds it.
+ */
+void print_reasons(FILE *out)
+{
+	fprintf(out, "| reason | meaning | remedy |\n|---|---|---|\n");
+	for (uint32_t i = 0; i < RJ_REASON_COUNT; i++)
+		fprintf(out, "| `%s` | %s | %s |\n", rj_reason_string[i],
+			reason_words[i].meaning, reason_words[i].remedy);
+}
