--- /dev/null
+++ b/src/bench/policy.c
@@ -0,0 +1,313 @@
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bench.h"
+#include "support/plan_world.h"
+
+/* More seeds than this say nothing new. */
+#define SEEDS_MAX 200
+#define SEED_DEFAULT 1
+
+enum contender {
+	CONTENDER_TOPOLOGY,
+	CONTENDER_FIRST_FIT,
+	CONTENDER_EASY,
+	CONTENDER_COUNT
+};
+
+static const struct plan_maker *const makers[CONTENDER_COUNT] = {
+	[CONTENDER_TOPOLOGY] = &plan_maker_topology,
+	[CONTENDER_FIRST_FIT] = &plan_maker_first_fit,
+	[CONTENDER_EASY] = &plan_maker_easy,
+};
+
+/* One load with its results for each seed. */
+struct series {
+	enum stream_users users;
+	enum stream_load load;
+	uint32_t seeds;
+	struct plan_result results[CONTENDER_COUNT][SEEDS_MAX];
+	double bound_s[STREAM_CLASSES][SEEDS_MAX];
+	char class_names[STREAM_CLASSES][RJ_NAME_BYTES];
+};
+
+static int compare_doubles(const void *a, const void *b)
+{
+	double one = *(const double *)a;
+	double two = *(const double *)b;
+
+	return one < two ? -1 : one > two;
+}
+
+static double median_of(const double *values, uint32_t count)
+{
+	double sorted[SEEDS_MAX];
+
+	memcpy(sorted, values, count * sizeof(*values));
+	qsort(sorted, count, sizeof(*sorted), compare_doubles);
+	if (count % 2)
+		return sorted[count / 2];
+	return (sorted[count / 2 - 1] + sorted[count / 2]) / 2;
+}
+
+/*
+ * The median over the seeds of the member at `offset` of the result.
+ */
+static double median_at(const struct series *series, enum contender contender,
+			size_t offset)
+{
+	double values[SEEDS_MAX];
+
+	for (uint32_t i = 0; i < series->seeds; i++)
+		memcpy(&values[i],
+		       (const char *)&series->results[contender][i] + offset,
+		       sizeof(values[i]));
+	return median_of(values, series->seeds);
+}
+
+#define MEDIAN(series, contender, member) \
+	median_at(series, contender, offsetof(struct plan_result, member))
+
+/*
+ * Begin a line; the caller adds the measure and ends it.
+ */
+static void line_begin(const struct series *series, const char *planner)
+{
+	printf("{\"bench\":\"policy\",\"users\":\"%s\",\"load\":\"%s\","
+	       "\"seeds\":%u,\"planner\":\"%s\",",
+	       stream_users_string[series->users],
+	       stream_load_string[series->load], series->seeds, planner);
+}
+
+static void print_completions(const struct series *series,
+			      enum contender contender)
+{
+	for (uint32_t i = 0; i < STREAM_CLASSES; i++)
+		for (uint32_t j = 0; j <= STREAM_ACCOUNTS; j++) {
+			char account[16];
+
+			snprintf(account, sizeof(account), "account%u", j);
+			line_begin(series, makers[contender]->name);
+			printf("\"measure\":\"completion_s\",\"class\":\"%s\","
+			       "\"account\":\"%s\",\"jobs\":%.0f,"
+			       "\"p50\":%.2f,\"p95\":%.2f,\"p99\":%.2f}\n",
+			       series->class_names[i],
+			       j == STREAM_ACCOUNTS ? "all" : account,
+			       MEDIAN(series, contender, count[i][j]),
+			       MEDIAN(series, contender, completion_s[i][j][0]),
+			       MEDIAN(series, contender, completion_s[i][j][1]),
+			       MEDIAN(series, contender,
+				      completion_s[i][j][2]));
+		}
+}
+
+static void print_contender(const struct series *series,
+			    enum contender contender)
+{
+	const struct {
+		const char *name;
+		size_t offset;
+	} rows[] = {
+		{ "fragmentation",
+		  offsetof(struct plan_result, fragmentation) },
+		{ "fragmentation_waiting",
+		  offsetof(struct plan_result, fragmentation_waiting) },
+		{ "utilisation", offsetof(struct plan_result, utilisation) },
+		{ "guaranteed_due",
+		  offsetof(struct plan_result, guaranteed_due) },
+		{ "guaranteed_late",
+		  offsetof(struct plan_result, guaranteed_late) },
+		{ "guaranteed_wait_max_s",
+		  offsetof(struct plan_result, guaranteed_wait_max_s) },
+		{ "refusals", offsetof(struct plan_result, refusals) },
+		{ "lost_share", offsetof(struct plan_result, lost_share) },
+		{ "reclaims", offsetof(struct plan_result, reclaims) },
+		{ "failures", offsetof(struct plan_result, failures) },
+	};
+
+	print_completions(series, contender);
+	line_begin(series, makers[contender]->name);
+	printf("\"measure\":\"largest_gang_wait_s\",\"p50\":%.2f,\"p95\":%.2f,"
+	       "\"p99\":%.2f}\n",
+	       MEDIAN(series, contender, gang_wait_s[0]),
+	       MEDIAN(series, contender, gang_wait_s[1]),
+	       MEDIAN(series, contender, gang_wait_s[2]));
+	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		line_begin(series, makers[contender]->name);
+		printf("\"measure\":\"%s\",\"value\":%.4f}\n", rows[i].name,
+		       median_at(series, contender, rows[i].offset));
+	}
+}
+
+static void print_target(const struct series *series, const char *name,
+			 double value, double limit, bool at_most)
+{
+	line_begin(series, makers[CONTENDER_TOPOLOGY]->name);
+	printf("\"measure\":\"target\",\"name\":\"%s\",\"value\":%.3f,"
+	       "\"%s\":%.3f,\"reached\":%s}\n",
+	       name, value, at_most ? "at_most" : "at_least", limit,
+	       (at_most ? value <= limit : value >= limit) ? "true" : "false");
+}
+
+static double ratio(double value, double base)
+{
+	if (base > 0)
+		return value / base;
+	return value > 0 ? 1e9 : 0;
+}
+
+/*
+ * Print how the planner stands to what is to be reached.
+ */
+static void print_targets(const struct series *series)
+{
+	double urgent = MEDIAN(series, CONTENDER_TOPOLOGY,
+			       completion_s[STREAM_LESSON][STREAM_ACCOUNTS][1]);
+	double naive = MEDIAN(series, CONTENDER_FIRST_FIT,
+			      completion_s[STREAM_LESSON][STREAM_ACCOUNTS][1]);
+	double best = MAX(MEDIAN(series, CONTENDER_FIRST_FIT, utilisation),
+			  MEDIAN(series, CONTENDER_EASY, utilisation));
+	double late = 0;
+
+	for (uint32_t i = 0; i < series->seeds; i++)
+		late += series->results[CONTENDER_TOPOLOGY][i].guaranteed_late;
+	if (series->load == STREAM_BURST_SMALL ||
+	    series->load == STREAM_BURST_LARGE)
+		print_target(series, "urgent_p95_to_first_fit",
+			     ratio(urgent, naive), 0.5, true);
+	if (series->load == STREAM_MIXED90)
+		print_target(
+			series, "urgent_p95_to_bound",
+			ratio(urgent, median_of(series->bound_s[STREAM_LESSON],
+						series->seeds)),
+			1.25, true);
+	print_target(series, "largest_gang_wait_p95_to_first_fit",
+		     ratio(MEDIAN(series, CONTENDER_TOPOLOGY, gang_wait_s[1]),
+			   MEDIAN(series, CONTENDER_FIRST_FIT, gang_wait_s[1])),
+		     1.0 / 3, true);
+	print_target(series, "fragmentation_to_first_fit",
+		     ratio(MEDIAN(series, CONTENDER_TOPOLOGY, fragmentation),
+			   MEDIAN(series, CONTENDER_FIRST_FIT, fragmentation)),
+		     0.5, true);
+	print_target(
+		series, "utilisation_to_best_baseline",
+		ratio(MEDIAN(series, CONTENDER_TOPOLOGY, utilisation), best),
+		0.97, false);
+	print_target(series, "guaranteed_late_all_seeds", late, 0, true);
+}
+
+static void run_series(struct series *series, uint64_t seed)
+{
+	for (uint32_t i = 0; i < series->seeds; i++) {
+		struct plan_stream stream;
+
+		plan_stream_init(&stream, NULL, series->users, series->load,
+				 seed + i);
+		for (uint32_t j = 0; j < CONTENDER_COUNT; j++) {
+			struct plan_world_options options = {
+				.maker = makers[j],
+			};
+
+			plan_world_run(&stream, &options,
+				       &series->results[j][i]);
+		}
+		for (uint32_t j = 0; j < STREAM_CLASSES; j++) {
+			series->bound_s[j][i] = plan_stream_bound_s(&stream, j);
+			memcpy(series->class_names[j], stream.classes[j].name,
+			       RJ_NAME_BYTES);
+		}
+		plan_stream_finish(&stream);
+	}
+}
+
+static void print_bound(const struct series *series)
+{
+	for (uint32_t i = 0; i < STREAM_CLASSES; i++) {
+		line_begin(series, "bound");
+		printf("\"measure\":\"completion_s\",\"class\":\"%s\","
+		       "\"account\":\"all\",\"p95\":%.2f}\n",
+		       series->class_names[i],
+		       median_of(series->bound_s[i], series->seeds));
+	}
+}
+
+/*
+ * The number of `name` in a table of strings, or -1.
+ */
+static int find_string(const char *const *strings, int count, const char *name)
+{
+	for (int i = 0; i < count; i++)
+		if (!strcmp(strings[i], name))
+			return i;
+	return -1;
+}
+
+static int usage(void **table, const char *problem)
+{
+	FILE *out = problem ? stderr : stdout;
+
+	if (problem)
+		fprintf(out, "policy: %s\n", problem);
+	fputs("usage: bench policy", out);
+	arg_print_syntax(out, table, "\n");
+	arg_print_glossary(out, table, "  %-28s %s\n");
+	fputs("loads:", out);
+	for (int i = 0; i < STREAM_LOAD_COUNT; i++)
+		fprintf(out, " %s", stream_load_string[i]);
+	fputs("\n", out);
+	return problem ? 2 : 0;
+}
+
+/*
+ * Run every planner over the streams of some seeds, and print the medians.
+ */
+int bench_policy(int argc, char **argv)
+{
+	struct arg_int *seed =
+		arg_int0(NULL, "seed", "S", "the first seed (1)");
+	struct arg_int *seeds =
+		arg_int0(NULL, "seeds", "N", "how many, medians of them (1)");
+	struct arg_str *users = arg_str0(NULL, "users", "NAME",
+					 "association (default) or converter");
+	struct arg_str *load =
+		arg_str0(NULL, "load", "NAME", "mixed90 (default), or another");
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this");
+	struct arg_end *end = arg_end(5);
+	void *table[] = { seed, seeds, users, load, help, end };
+	struct series *series = g_new0(struct series, 1);
+	int errors = arg_parse(argc, argv, table);
+	int users_index;
+	int load_index;
+	int status = 2;
+
+	if (help->count) {
+		status = usage(table, NULL);
+		goto out;
+	}
+	users_index =
+		find_string(stream_users_string, STREAM_USERS_COUNT,
+			    users->count ? users->sval[0] : "association");
+	load_index = find_string(stream_load_string, STREAM_LOAD_COUNT,
+				 load->count ? load->sval[0] : "mixed90");
+	series->seeds = seeds->count ? (uint32_t)seeds->ival[0] : 1;
+	if (errors || users_index < 0 || load_index < 0 || !series->seeds ||
+	    series->seeds > SEEDS_MAX) {
+		status = usage(table, "an option is unknown or out of range");
+		goto out;
+	}
+	series->users = users_index;
+	series->load = load_index;
+	run_series(series,
+		   seed->count ? (uint64_t)seed->ival[0] : SEED_DEFAULT);
+	for (uint32_t i = 0; i < CONTENDER_COUNT; i++)
+		print_contender(series, i);
+	print_bound(series);
+	print_targets(series);
+	status = 0;
+out:
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	g_free(series);
+	return status;
+}
--- a/src/libradishjunction/core/plan_table.c
+++ b/src/libradishjunction/core/plan_table.c
@@ -121,3 +121,25 @@
 	else
 		g_queue_push_head_link(queue, &entry->link);
 }
+
+/*
+ * The shape in the queue that asks for most accelerators, NULL if none asks
+ * for any; `*accelerators` is how many.
+ */
+const struct rj_shape *rj_plan_queue_largest(const GQueue *queue,
+					     uint32_t *accelerators)
+{
+	const struct rj_shape *largest = NULL;
+
+	*accelerators = 0;
+	for (const GList *at = queue->head; at; at = at->next) {
+		const struct rj_plan_entry *entry = at->data;
+		const struct rj_shape *shape = &entry->job.shape;
+
+		if (shape->tasks * shape->each.accelerators <= *accelerators)
+			continue;
+		*accelerators = shape->tasks * shape->each.accelerators;
+		largest = shape;
+	}
+	return largest;
+}
--- /dev/null
+++ b/src/test_libradishjunction/naive/planner_easy.c
@@ -0,0 +1,427 @@
+#include "naive/planner_easy.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/plan_table.h"
+
+/* What is taken for a job whose caller declares nothing. */
+#define DECLARED_US_DEFAULT (60 * RJ_US_PER_S)
+
+/* How far down the queue backfill looks, as schedulers in use do. */
+#define BACKFILL_DEPTH 200
+
+struct easy_state {
+	struct rj_capacity capacity;
+	struct rj_plan_table table;
+	GQueue queue; /* in order of arrival */
+	GPtrArray *running; /* in order of their start */
+	struct rj_domain domain;
+	uint32_t queue_max;
+	struct rj_plan_member members[RJ_GANG_MAX];
+	struct rj_plan_member kept[RJ_GANG_MAX]; /* for the head */
+	uint32_t kept_count;
+	uint64_t shadow_us;
+	const struct rj_shape *head;
+};
+
+static struct easy_state *state_of(const struct rj_planner *planner)
+{
+	return ((const struct planner_easy *)planner)->state;
+}
+
+static void easy_configure(struct rj_planner *planner,
+			   const struct rj_config *config, const char *domain,
+			   uint64_t now_us)
+{
+	struct easy_state *state = state_of(planner);
+
+	for (uint32_t i = 0; i < config->domain_count; i++)
+		if (!strcmp(config->domains[i].name, domain))
+			state->domain = config->domains[i];
+	state->queue_max = config->limits.queue_max;
+}
+
+static void easy_worker(struct rj_planner *planner,
+			const struct rj_plan_worker *worker, uint64_t now_us)
+{
+	rj_capacity_set(&state_of(planner)->capacity, worker);
+}
+
+static void easy_worker_gone(struct rj_planner *planner, uint32_t worker,
+			     uint64_t now_us)
+{
+	rj_capacity_remove(&state_of(planner)->capacity, worker);
+}
+
+static int easy_submit(struct rj_planner *planner,
+		       const struct rj_plan_job *job, uint64_t now_us,
+		       enum rj_reason *reason, uint64_t *retry_after_us)
+{
+	struct easy_state *state = state_of(planner);
+
+	*retry_after_us = RJ_US_PER_S;
+	*reason = RJ_REASON_NEVER_FITS;
+	if (!rj_capacity_could_fit(&state->capacity, &state->domain,
+				   &job->shape))
+		return -1;
+	*reason = RJ_REASON_QUEUE_FULL;
+	if (state->queue.length >= state->queue_max)
+		return -1;
+	rj_plan_queue_insert(&state->queue,
+			     rj_plan_table_add(&state->table, job));
+	return 0;
+}
+
+static void detach(struct easy_state *state, struct rj_plan_entry *entry)
+{
+	if (!entry->members) {
+		g_queue_unlink(&state->queue, &entry->link);
+		return;
+	}
+	g_ptr_array_remove(state->running, entry);
+	rj_plan_entry_unplace(entry, &state->capacity);
+}
+
+static void easy_ended(struct rj_planner *planner, uint64_t job_id,
+		       bool succeeded, uint64_t ran_us, uint64_t now_us)
+{
+	struct easy_state *state = state_of(planner);
+	struct rj_plan_entry *entry = rj_plan_table_find(&state->table, job_id);
+
+	if (!entry)
+		return;
+	detach(state, entry);
+	rj_plan_table_remove(&state->table, entry);
+}
+
+static void easy_requeue(struct rj_planner *planner, uint64_t job_id,
+			 uint64_t not_before_us, uint64_t now_us)
+{
+	struct easy_state *state = state_of(planner);
+	struct rj_plan_entry *entry = rj_plan_table_find(&state->table, job_id);
+
+	if (!entry)
+		return;
+	detach(state, entry);
+	entry->not_before_us = not_before_us;
+	rj_plan_queue_insert(&state->queue, entry);
+}
+
+static void attach(struct easy_state *state, struct rj_plan_entry *entry,
+		   const struct rj_plan_member *members, uint32_t count,
+		   uint64_t now_us)
+{
+	rj_plan_entry_place(entry, &state->capacity, members, count, now_us);
+	g_ptr_array_add(state->running, entry);
+}
+
+static void easy_adopt(struct rj_planner *planner,
+		       const struct rj_plan_job *job,
+		       const struct rj_plan_member *members, uint32_t count,
+		       uint64_t now_us)
+{
+	struct easy_state *state = state_of(planner);
+
+	attach(state, rj_plan_table_add(&state->table, job), members, count,
+	       now_us);
+}
+
+static uint64_t declared_us(const struct rj_plan_entry *entry)
+{
+	return entry->job.declared_us ? entry->job.declared_us :
+					DECLARED_US_DEFAULT;
+}
+
+/*
+ * What is free on the worker without what is kept for the head; all that is
+ * free for a job that ends before the head may start.
+ */
+static struct rj_resources room_of(const struct easy_state *state,
+				   const struct rj_capacity_worker *worker,
+				   bool in_time)
+{
+	struct rj_resources room = worker->free;
+
+	for (uint32_t i = 0; !in_time && i < state->kept_count; i++) {
+		struct rj_resources kept = { 0 };
+
+		if (state->kept[i].worker != worker->plan.id)
+			continue;
+		rj_resources_add(&kept, &state->head->each,
+				 state->kept[i].tasks);
+		rj_resources_take_or_zero(&room, &kept);
+	}
+	return room;
+}
+
+/*
+ * Fill the workers of a rack, tightest fit first, after `count` members.
+ */
+static uint32_t fill_rack(struct easy_state *state,
+			  const struct rj_capacity_rack *rack,
+			  const struct rj_shape *shape, bool in_time,
+			  uint32_t count, uint32_t *want)
+{
+	uint32_t first = count;
+
+	while (*want) {
+		uint32_t best = rack->count;
+		uint32_t best_tasks = 0;
+
+		for (uint32_t i = 0; i < rack->count; i++) {
+			struct rj_resources room =
+				room_of(state, rack->workers[i], in_time);
+			uint32_t tasks = rj_resources_times(&shape->each, &room,
+							    RJ_GANG_MAX);
+			bool used = false;
+
+			for (uint32_t j = first; j < count; j++)
+				used |= state->members[j].worker ==
+					rack->workers[i]->plan.id;
+			if (used || !tasks ||
+			    (best_tasks && tasks >= best_tasks))
+				continue;
+			best = i;
+			best_tasks = tasks;
+		}
+		if (best == rack->count)
+			return count;
+		state->members[count].worker = rack->workers[best]->plan.id;
+		state->members[count].tasks = MIN(best_tasks, *want);
+		*want -= state->members[count].tasks;
+		count++;
+	}
+	return count;
+}
+
+/*
+ * Where the shape fits: the tightest rack, or several for one that may span.
+ */
+static uint32_t place(struct easy_state *state, const struct rj_shape *shape,
+		      bool in_time)
+{
+	uint32_t best = state->capacity.rack_count;
+	uint32_t best_fits = UINT32_MAX;
+	uint32_t want = shape->tasks;
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < state->capacity.rack_count; i++) {
+		const struct rj_capacity_rack *rack = state->capacity.racks[i];
+		uint32_t fits = 0;
+
+		for (uint32_t j = 0; j < rack->count; j++) {
+			struct rj_resources room =
+				room_of(state, rack->workers[j], in_time);
+
+			fits += rj_resources_times(&shape->each, &room,
+						   RJ_GANG_MAX);
+		}
+		if (fits < shape->tasks || fits >= best_fits)
+			continue;
+		best = i;
+		best_fits = fits;
+	}
+	if (best < state->capacity.rack_count)
+		return fill_rack(state, state->capacity.racks[best], shape,
+				 in_time, 0, &want);
+	for (uint32_t i = 0; !shape->adjacent && i < state->capacity.rack_count;
+	     i++)
+		count = fill_rack(state, state->capacity.racks[i], shape,
+				  in_time, count, &want);
+	return want ? 0 : count;
+}
+
+static void start(struct easy_state *state, struct rj_plan_entry *entry,
+		  uint32_t count, enum rj_reason reason, uint64_t now_us,
+		  struct rj_decisions *decisions)
+{
+	struct rj_decision *decision =
+		rj_decisions_add(decisions, RJ_DECISION_START);
+
+	decision->job_id = entry->job.job_id;
+	decision->reason = reason;
+	decision->members = talloc_memdup(decisions->mem, state->members,
+					  sizeof(*state->members) * count);
+	decision->member_count = count;
+	g_queue_unlink(&state->queue, &entry->link);
+	attach(state, entry, state->members, count, now_us);
+}
+
+static gint compare_ends(gconstpointer a, gconstpointer b)
+{
+	const struct rj_plan_entry *one =
+		*(const struct rj_plan_entry *const *)a;
+	const struct rj_plan_entry *two =
+		*(const struct rj_plan_entry *const *)b;
+	uint64_t one_us = one->started_us + declared_us(one);
+	uint64_t two_us = two->started_us + declared_us(two);
+
+	if (one_us != two_us)
+		return one_us < two_us ? -1 : 1;
+	return one->job.job_id < two->job.job_id ? -1 : 1;
+}
+
+/*
+ * When and where the head of the queue will fit if all run as declared: the
+ * running jobs are taken out in the order of their ends until it does, and
+ * put back.
+ */
+static void find_shadow(struct easy_state *state,
+			const struct rj_plan_entry *head, uint64_t now_us)
+{
+	GPtrArray *ends = g_ptr_array_copy(state->running, NULL, NULL);
+	uint32_t count = 0;
+	uint32_t out = 0;
+
+	g_ptr_array_sort(ends, compare_ends);
+	state->shadow_us = RJ_NEVER_US;
+	while (out < ends->len && !count) {
+		const struct rj_plan_entry *entry =
+			g_ptr_array_index(ends, out);
+
+		rj_capacity_give(&state->capacity, &entry->job.shape.each,
+				 entry->members, entry->member_count);
+		state->shadow_us =
+			MAX(entry->started_us + declared_us(entry), now_us);
+		count = place(state, &head->job.shape, true);
+		out++;
+	}
+	for (uint32_t i = 0; i < out; i++) {
+		const struct rj_plan_entry *entry = g_ptr_array_index(ends, i);
+
+		rj_capacity_take(&state->capacity, &entry->job.shape.each,
+				 entry->members, entry->member_count);
+	}
+	g_ptr_array_free(ends, TRUE);
+	if (!count)
+		return;
+	memcpy(state->kept, state->members, sizeof(*state->kept) * count);
+	state->kept_count = count;
+	state->head = &head->job.shape;
+}
+
+static void refuse_late(struct easy_state *state, struct rj_plan_entry *entry,
+			struct rj_decisions *decisions)
+{
+	struct rj_decision *decision =
+		rj_decisions_add(decisions, RJ_DECISION_REFUSE);
+
+	decision->job_id = entry->job.job_id;
+	decision->reason = RJ_REASON_DEADLINE_PASSED;
+	detach(state, entry);
+	rj_plan_table_remove(&state->table, entry);
+}
+
+/*
+ * Start in order of arrival until one is blocked; keep its place, and start
+ * of the others what does not delay it.
+ */
+static void easy_pass(struct rj_planner *planner, uint64_t now_us,
+		      struct rj_decisions *decisions)
+{
+	struct easy_state *state = state_of(planner);
+	struct rj_plan_entry *failed = NULL;
+	uint32_t depth = 0;
+	GList *next;
+
+	state->kept_count = 0;
+	for (GList *at = state->queue.head; at; at = next) {
+		struct rj_plan_entry *entry = at->data;
+		bool in_time = !failed ||
+			       now_us + declared_us(entry) <= state->shadow_us;
+		uint32_t count;
+
+		next = at->next;
+		if (entry->job.deadline_us <= now_us) {
+			refuse_late(state, entry, decisions);
+			continue;
+		}
+		if (entry->not_before_us > now_us || depth == BACKFILL_DEPTH)
+			continue;
+		entry->not_before_us = 0;
+		count = place(state, &entry->job.shape, in_time);
+		if (count) {
+			start(state, entry, count,
+			      failed ? RJ_REASON_BACKFILL : RJ_REASON_BEST_FIT,
+			      now_us, decisions);
+			continue;
+		}
+		depth++;
+		if (failed)
+			continue;
+		failed = entry;
+		find_shadow(state, entry, now_us);
+	}
+	state->kept_count = 0;
+}
+
+static uint64_t easy_wake_us(const struct rj_planner *planner)
+{
+	const struct easy_state *state = state_of(planner);
+	uint64_t wake_us = RJ_NEVER_US;
+
+	for (const GList *at = state->queue.head; at; at = at->next) {
+		const struct rj_plan_entry *entry = at->data;
+
+		wake_us = MIN(wake_us, entry->job.deadline_us);
+		if (entry->not_before_us)
+			wake_us = MIN(wake_us, entry->not_before_us);
+	}
+	return wake_us;
+}
+
+static void easy_view(const struct rj_planner *planner, uint64_t now_us,
+		      struct rj_plan_view *view)
+{
+	const struct easy_state *state = state_of(planner);
+	const struct rj_shape *largest;
+
+	memset(view, 0, sizeof(*view));
+	view->queued = state->queue.length;
+	view->running = state->running->len;
+	largest = rj_plan_queue_largest(&state->queue, &view->largest_waiting);
+	rj_capacity_view(&state->capacity, largest, view);
+}
+
+static void easy_finish(struct rj_planner *planner)
+{
+	struct planner_easy *easy = (struct planner_easy *)planner;
+
+	g_ptr_array_free(easy->state->running, TRUE);
+	rj_plan_table_finish(&easy->state->table);
+	rj_capacity_finish(&easy->state->capacity);
+	TALLOC_FREE(easy->state);
+}
+
+static const struct rj_planner_ops easy_ops = {
+	.name = "easy",
+	.configure = easy_configure,
+	.worker = easy_worker,
+	.worker_gone = easy_worker_gone,
+	.submit = easy_submit,
+	.ended = easy_ended,
+	.requeue = easy_requeue,
+	.adopt = easy_adopt,
+	.pass = easy_pass,
+	.wake_us = easy_wake_us,
+	.view = easy_view,
+	.finish = easy_finish,
+};
+
+/*
+ * Make the planner; its state is a talloc child of `mem`. Returns 0.
+ */
+int planner_easy_init(struct planner_easy *planner, void *mem)
+{
+	planner->base.ops = &easy_ops;
+	planner->state = talloc_zero(mem, struct easy_state);
+	assert(planner->state);
+	rj_capacity_init(&planner->state->capacity, planner->state);
+	rj_plan_table_init(&planner->state->table, planner->state);
+	g_queue_init(&planner->state->queue);
+	planner->state->running = g_ptr_array_new();
+	return 0;
+}
--- /dev/null
+++ b/src/test_libradishjunction/support/plan_world.c
@@ -0,0 +1,672 @@
+#include "support/plan_world.h"
+
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "naive/planner_easy.h"
+#include "radishjunction/planner_topology.h"
+
+/* How long the core takes to stop a task, and a task to be checkpointed. */
+#define STOP_US (50 * RJ_US_PER_MS)
+#define CHECKPOINT_US RJ_US_PER_S
+
+/* A failing worker fails a task after so long; how the core deals with it. */
+#define FAIL_US (200 * RJ_US_PER_MS)
+#define FAIL_BACK_OFF_US RJ_US_PER_S
+#define FAILURES_TO_SET_ASIDE 3
+#define SET_ASIDE_US (60 * RJ_US_PER_S)
+
+#define FAIL_FROM_US (600 * RJ_US_PER_S)
+#define FAIL_UNTIL_US (1200 * RJ_US_PER_S)
+
+/* A lost instance is replaced, and has read its workers, after so long. */
+#define INSTANCE_LOST_US (900 * RJ_US_PER_S)
+#define INSTANCE_GAP_US (3 * RJ_US_PER_S)
+
+/* What has not ended by then counts as if it ended then. */
+#define GIVE_UP_US (4 * STREAM_HORIZON_US)
+
+/* A guaranteed shape is late after the checkpoint limit and this. */
+#define LATE_US RJ_US_PER_S
+
+enum world_event_kind {
+	WORLD_ARRIVE,
+	WORLD_CANCEL,
+	WORLD_END,
+	WORLD_FAIL,
+	WORLD_STOPPED,
+	WORLD_WORKERS_FAIL,
+	WORLD_WORKERS_MEND,
+	WORLD_PROBE,
+	WORLD_INSTANCE_LOST,
+	WORLD_INSTANCE_BACK,
+	WORLD_WAKE,
+};
+
+struct world_event {
+	uint64_t at_us;
+	uint64_t number; /* breaks ties in the order of their making */
+	enum world_event_kind kind;
+	uint32_t index; /* of the job or the worker */
+	uint32_t attempt;
+};
+
+static struct rj_planner *make_first_fit(void *mem)
+{
+	struct rj_planner_first_fit *planner =
+		talloc_zero(mem, struct rj_planner_first_fit);
+
+	rj_planner_first_fit_init(planner, mem);
+	return &planner->base;
+}
+
+static struct rj_planner *make_easy(void *mem)
+{
+	struct planner_easy *planner = talloc_zero(mem, struct planner_easy);
+
+	planner_easy_init(planner, mem);
+	return &planner->base;
+}
+
+static struct rj_planner *make_topology(void *mem)
+{
+	struct rj_planner_topology *planner =
+		talloc_zero(mem, struct rj_planner_topology);
+
+	rj_planner_topology_init(planner, mem);
+	return &planner->base;
+}
+
+const struct plan_maker plan_maker_first_fit = { "first_fit", make_first_fit };
+const struct plan_maker plan_maker_easy = { "easy", make_easy };
+const struct plan_maker plan_maker_topology = { "topology", make_topology };
+
+static bool is_sooner(const struct world_event *one,
+		      const struct world_event *two)
+{
+	if (one->at_us != two->at_us)
+		return one->at_us < two->at_us;
+	return one->number < two->number;
+}
+
+static struct world_event *event_at(struct plan_world *world, uint32_t at)
+{
+	return &g_array_index(world->events, struct world_event, at);
+}
+
+static void event_swap(struct plan_world *world, uint32_t a, uint32_t b)
+{
+	struct world_event event = *event_at(world, a);
+
+	*event_at(world, a) = *event_at(world, b);
+	*event_at(world, b) = event;
+}
+
+static void event_push(struct plan_world *world, uint64_t at_us,
+		       enum world_event_kind kind, uint32_t index,
+		       uint32_t attempt)
+{
+	struct world_event event = { at_us, world->event_number++, kind, index,
+				     attempt };
+	uint32_t at = world->events->len;
+
+	g_array_append_val(world->events, event);
+	while (at &&
+	       is_sooner(event_at(world, at), event_at(world, (at - 1) / 2))) {
+		event_swap(world, at, (at - 1) / 2);
+		at = (at - 1) / 2;
+	}
+}
+
+static struct world_event event_pop(struct plan_world *world)
+{
+	struct world_event first = *event_at(world, 0);
+	uint32_t at = 0;
+
+	event_swap(world, 0, world->events->len - 1);
+	g_array_set_size(world->events, world->events->len - 1);
+	for (;;) {
+		uint32_t child = 2 * at + 1;
+
+		if (child >= world->events->len)
+			return first;
+		if (child + 1 < world->events->len &&
+		    is_sooner(event_at(world, child + 1),
+			      event_at(world, child)))
+			child++;
+		if (!is_sooner(event_at(world, child), event_at(world, at)))
+			return first;
+		event_swap(world, child, at);
+		at = child;
+	}
+}
+
+static const struct stream_job *truth_of(const struct plan_world *world,
+					 uint32_t index)
+{
+	return &world->stream->jobs[index];
+}
+
+static double size_of(const struct stream_job *truth)
+{
+	return truth->plan.shape.tasks * truth->plan.shape.each.accelerators;
+}
+
+/*
+ * Give the workers of a running job back.
+ */
+static void vacate(struct plan_world *world, uint32_t index)
+{
+	const struct stream_job *truth = truth_of(world, index);
+	struct world_job *job = &world->jobs[index];
+
+	for (uint32_t i = 0; i < job->member_count; i++)
+		rj_resources_take(&world->taken[job->members[i].worker],
+				  &truth->plan.shape.each,
+				  job->members[i].tasks);
+	TALLOC_FREE(job->members);
+	job->member_count = 0;
+	job->stopping = false;
+	world->busy -= (uint64_t)size_of(truth);
+}
+
+static bool is_largest(const struct plan_world *world,
+		       const struct stream_job *truth)
+{
+	return truth->class_index == STREAM_GANG && size_of(truth) >= 64;
+}
+
+/*
+ * The job has come to its end at `at_us`, whichever it was.
+ */
+static void count_end(struct plan_world *world, uint32_t index, uint64_t at_us)
+{
+	const struct stream_job *truth = truth_of(world, index);
+	struct world_job *job = &world->jobs[index];
+	double took_s = (double)(at_us - truth->plan.queued_us) / RJ_US_PER_S;
+	uint64_t started_us = MIN(job->first_us, at_us);
+	double waited_s =
+		(double)(started_us - truth->plan.queued_us) / RJ_US_PER_S;
+
+	job->state = WORLD_OVER;
+	world->open[truth->account] -= (uint64_t)size_of(truth);
+	if (truth->cancel_us != RJ_NEVER_US)
+		return;
+	g_array_append_val(
+		world->completions[truth->class_index][truth->account], took_s);
+	g_array_append_val(
+		world->completions[truth->class_index][STREAM_ACCOUNTS],
+		took_s);
+	if (is_largest(world, truth))
+		g_array_append_val(world->gang_waits, waited_s);
+}
+
+/*
+ * A refused job counts as if it had taken until its deadline.
+ */
+static void count_refusal(struct plan_world *world, uint32_t index)
+{
+	const struct stream_job *truth = truth_of(world, index);
+
+	world->result->refusals++;
+	count_end(world, index,
+		  truth->plan.deadline_us == RJ_NEVER_US ?
+			  GIVE_UP_US :
+			  truth->plan.deadline_us);
+}
+
+static void submit(struct plan_world *world, uint32_t index)
+{
+	const struct stream_job *truth = truth_of(world, index);
+	struct rj_plan_job plan = truth->plan;
+	enum rj_reason reason;
+	uint64_t retry_after_us;
+
+	world->jobs[index].state = WORLD_WAITING;
+	if (world->instance_down)
+		return;
+	if (world->planner->ops->submit(world->planner, &plan, world->now_us,
+					&reason, &retry_after_us))
+		count_refusal(world, index);
+}
+
+static void arrive(struct plan_world *world, uint32_t index)
+{
+	const struct stream_job *truth = truth_of(world, index);
+	const struct rj_guarantee *guarantee =
+		&world->stream->guarantees[truth->account];
+
+	/* All that the account has open fits into its guarantee. */
+	world->open[truth->account] += (uint64_t)size_of(truth);
+	if (truth->guaranteed && truth->cancel_us == RJ_NEVER_US &&
+	    world->open[truth->account] <=
+		    (uint64_t)guarantee->count * guarantee->shape.tasks *
+			    guarantee->shape.each.accelerators) {
+		world->jobs[index].due = true;
+		world->result->guaranteed_due++;
+	}
+	if (truth->cancel_us != RJ_NEVER_US)
+		event_push(world, truth->cancel_us, WORLD_CANCEL, index, 0);
+	submit(world, index);
+}
+
+static void cancel(struct plan_world *world, uint32_t index)
+{
+	struct world_job *job = &world->jobs[index];
+
+	if (job->state == WORLD_OVER)
+		return;
+	if (job->state == WORLD_RUNNING)
+		vacate(world, index);
+	world->planner->ops->ended(world->planner, index + 1, false, 0,
+				   world->now_us);
+	count_end(world, index, world->now_us);
+}
+
+static void end(struct plan_world *world, const struct world_event *event)
+{
+	struct world_job *job = &world->jobs[event->index];
+
+	if (job->state != WORLD_RUNNING || job->attempt != event->attempt)
+		return;
+	vacate(world, event->index);
+	count_end(world, event->index, world->now_us);
+	if (!world->instance_down)
+		world->planner->ops->ended(
+			world->planner, event->index + 1, true,
+			world->now_us - job->started_us, world->now_us);
+}
+
+static double ran_area(const struct plan_world *world, uint32_t index)
+{
+	const struct world_job *job = &world->jobs[index];
+
+	return (double)(world->now_us - job->started_us) / RJ_US_PER_S *
+	       size_of(truth_of(world, index));
+}
+
+/*
+ * A reclaimed job has stopped; what it did is kept only if it could be
+ * checkpointed.
+ */
+static void stopped(struct plan_world *world, const struct world_event *event)
+{
+	struct world_job *job = &world->jobs[event->index];
+	const struct stream_job *truth = truth_of(world, event->index);
+
+	if (job->state != WORLD_RUNNING || job->attempt != event->attempt)
+		return;
+	if (truth->plan.checkpoint)
+		job->left_us -= world->now_us - job->started_us - CHECKPOINT_US;
+	else
+		world->lost_s += ran_area(world, event->index);
+	if (truth->plan.checkpoint)
+		world->lost_s += size_of(truth) * CHECKPOINT_US / RJ_US_PER_S;
+	vacate(world, event->index);
+	job->state = WORLD_WAITING;
+	if (!world->instance_down)
+		world->planner->ops->requeue(world->planner, event->index + 1,
+					     world->now_us, world->now_us);
+}
+
+static void set_worker(struct plan_world *world, uint32_t index)
+{
+	struct rj_plan_worker worker = world->stream->workers[index];
+
+	worker.usable = !world->set_aside[index];
+	world->planner->ops->worker(world->planner, &worker, world->now_us);
+}
+
+/*
+ * A task failed on a failing worker: the job is tried again after a while,
+ * and the worker set aside after several in a row.
+ */
+static void fail(struct plan_world *world, const struct world_event *event)
+{
+	struct world_job *job = &world->jobs[event->index];
+	uint32_t count = job->member_count;
+
+	if (job->state != WORLD_RUNNING || job->attempt != event->attempt)
+		return;
+	world->result->failures++;
+	world->lost_s += ran_area(world, event->index);
+	for (uint32_t i = 0; i < count; i++) {
+		uint32_t worker = job->members[i].worker;
+
+		if (!world->failing[worker] || world->set_aside[worker] ||
+		    ++world->failed_in_row[worker] < FAILURES_TO_SET_ASIDE)
+			continue;
+		world->set_aside[worker] = true;
+		set_worker(world, worker);
+		event_push(world, world->now_us + SET_ASIDE_US, WORLD_PROBE,
+			   worker, 0);
+	}
+	vacate(world, event->index);
+	job->state = WORLD_WAITING;
+	world->planner->ops->requeue(world->planner, event->index + 1,
+				     world->now_us + FAIL_BACK_OFF_US,
+				     world->now_us);
+}
+
+/*
+ * A worker that was set aside is tried again: one more failure is enough.
+ */
+static void probe(struct plan_world *world, uint32_t worker)
+{
+	world->set_aside[worker] = false;
+	world->failed_in_row[worker] =
+		world->failing[worker] ? FAILURES_TO_SET_ASIDE - 1 : 0;
+	set_worker(world, worker);
+}
+
+static void make_planner(struct plan_world *world)
+{
+	world->planner = world->options.maker->make(world->mem);
+	world->planner->ops->configure(world->planner, &world->stream->config,
+				       STREAM_DOMAIN, world->now_us);
+	for (uint32_t i = 0; i < STREAM_WORKERS; i++)
+		set_worker(world, i);
+}
+
+/*
+ * A new instance takes over: it adopts what runs and is given what waits.
+ */
+static void instance_back(struct plan_world *world)
+{
+	world->instance_down = false;
+	world->planner->ops->finish(world->planner);
+	make_planner(world);
+	for (uint32_t i = 0; i < world->stream->count; i++) {
+		struct world_job *job = &world->jobs[i];
+
+		if (job->state == WORLD_RUNNING)
+			world->planner->ops->adopt(
+				world->planner, &truth_of(world, i)->plan,
+				job->members, job->member_count, world->now_us);
+		else if (job->state == WORLD_WAITING)
+			submit(world, i);
+	}
+}
+
+static void handle(struct plan_world *world, const struct world_event *event)
+{
+	switch (event->kind) {
+	case WORLD_ARRIVE:
+		arrive(world, event->index);
+		break;
+	case WORLD_CANCEL:
+		cancel(world, event->index);
+		break;
+	case WORLD_END:
+		end(world, event);
+		break;
+	case WORLD_FAIL:
+		fail(world, event);
+		break;
+	case WORLD_STOPPED:
+		stopped(world, event);
+		break;
+	case WORLD_WORKERS_FAIL:
+		world->failing[3] = true;
+		world->failing[9] = true;
+		break;
+	case WORLD_WORKERS_MEND:
+		memset(world->failing, 0, sizeof(world->failing));
+		break;
+	case WORLD_PROBE:
+		probe(world, event->index);
+		break;
+	case WORLD_INSTANCE_LOST:
+		world->instance_down = true;
+		break;
+	case WORLD_INSTANCE_BACK:
+		instance_back(world);
+		break;
+	case WORLD_WAKE:
+		break;
+	}
+}
+
+/*
+ * Carry out a START: whole gang or nothing, and no worker over its size.
+ */
+static void carry_start(struct plan_world *world,
+			const struct rj_decision *decision)
+{
+	uint32_t index = (uint32_t)decision->job_id - 1;
+	const struct stream_job *truth = truth_of(world, index);
+	const struct rj_shape *shape = &truth->plan.shape;
+	struct world_job *job = &world->jobs[index];
+	bool fails = false;
+	uint32_t tasks = 0;
+
+	g_assert_cmpint(job->state, ==, WORLD_WAITING);
+	for (uint32_t i = 0; i < decision->member_count; i++) {
+		const struct rj_plan_member *member = &decision->members[i];
+		struct rj_resources *taken = &world->taken[member->worker];
+
+		tasks += member->tasks;
+		rj_resources_add(taken, &shape->each, member->tasks);
+		g_assert_true(
+			rj_resources_fit(taken, &world->stream->domain.worker));
+		if (shape->adjacent)
+			g_assert_cmpuint(member->worker / STREAM_RACK_WORKERS,
+					 ==,
+					 decision->members[0].worker /
+						 STREAM_RACK_WORKERS);
+		fails |= world->failing[member->worker];
+	}
+	g_assert_cmpuint(tasks, ==, shape->tasks);
+	job->members =
+		talloc_memdup(world->mem, decision->members,
+			      sizeof(*job->members) * decision->member_count);
+	job->member_count = decision->member_count;
+	job->state = WORLD_RUNNING;
+	job->attempt++;
+	job->started_us = world->now_us;
+	if (job->first_us == RJ_NEVER_US && job->due) {
+		uint64_t wait_us = world->now_us - truth->plan.queued_us;
+		uint64_t limit_us =
+			world->stream->config.limits.checkpoint_limit_ms *
+				RJ_US_PER_MS +
+			LATE_US;
+		double wait_s = (double)wait_us / RJ_US_PER_S;
+
+		world->result->guaranteed_late += wait_us > limit_us;
+		world->result->guaranteed_wait_max_s =
+			MAX(world->result->guaranteed_wait_max_s, wait_s);
+	}
+	job->first_us = MIN(job->first_us, world->now_us);
+	world->busy += (uint64_t)size_of(truth);
+	event_push(world, world->now_us + (fails ? FAIL_US : job->left_us),
+		   fails ? WORLD_FAIL : WORLD_END, index, job->attempt);
+}
+
+static void carry_reclaim(struct plan_world *world,
+			  const struct rj_decision *decision)
+{
+	uint32_t index = (uint32_t)decision->job_id - 1;
+	struct world_job *job = &world->jobs[index];
+
+	g_assert_cmpint(job->state, ==, WORLD_RUNNING);
+	g_assert_true(truth_of(world, index)->plan.stoppable);
+	g_assert_false(job->stopping);
+	job->stopping = true;
+	world->result->reclaims++;
+	event_push(world,
+		   world->now_us +
+			   (decision->checkpoint ? CHECKPOINT_US : STOP_US),
+		   WORLD_STOPPED, index, job->attempt);
+}
+
+/*
+ * Let the planner decide, and carry it out.
+ */
+static void pass(struct plan_world *world)
+{
+	uint64_t wake_us;
+
+	if (world->instance_down)
+		return;
+	rj_decisions_clear(&world->decisions);
+	world->planner->ops->pass(world->planner, world->now_us,
+				  &world->decisions);
+	for (uint32_t i = 0; i < world->decisions.count; i++) {
+		const struct rj_decision *decision = &world->decisions.list[i];
+
+		if (decision->kind == RJ_DECISION_START)
+			carry_start(world, decision);
+		else if (decision->kind == RJ_DECISION_RECLAIM)
+			carry_reclaim(world, decision);
+		else
+			count_refusal(world, (uint32_t)decision->job_id - 1);
+	}
+	if (world->options.check)
+		world->options.check(world);
+	wake_us = world->planner->ops->wake_us(world->planner);
+	g_assert_cmpuint(wake_us, >, world->now_us);
+	if (wake_us >= world->wake_at_us && world->wake_at_us > world->now_us)
+		return;
+	world->wake_at_us = wake_us;
+	if (wake_us != RJ_NEVER_US)
+		event_push(world, wake_us, WORLD_WAKE, 0, 0);
+}
+
+/*
+ * Account for the time until `until_us`, in which nothing happens.
+ */
+static void elapse(struct plan_world *world, uint64_t until_us)
+{
+	uint64_t from_us = MIN(world->now_us, STREAM_HORIZON_US);
+	double time_s = (double)(MIN(until_us, STREAM_HORIZON_US) - from_us) /
+			RJ_US_PER_S;
+	struct rj_plan_view view;
+
+	if (time_s <= 0)
+		return;
+	world->busy_s += time_s * (double)world->busy;
+	world->planner->ops->view(world->planner, world->now_us, &view);
+	if (!view.largest_waiting)
+		return;
+	world->waiting_s += time_s;
+	if (view.accelerators_free)
+		world->stranded_s += time_s * view.accelerators_stranded /
+				     view.accelerators_free;
+}
+
+static gint compare_doubles(gconstpointer a, gconstpointer b)
+{
+	double one = *(const double *)a;
+	double two = *(const double *)b;
+
+	return one < two ? -1 : one > two;
+}
+
+static void quantiles(GArray *samples, double values[PLAN_QUANTILE_COUNT])
+{
+	static const double shares[PLAN_QUANTILE_COUNT] = { 0.5, 0.95, 0.99 };
+
+	g_array_sort(samples, compare_doubles);
+	for (uint32_t i = 0; i < PLAN_QUANTILE_COUNT; i++)
+		values[i] =
+			samples->len ?
+				g_array_index(samples, double,
+					      (uint32_t)(shares[i] *
+							 (samples->len - 1))) :
+				0;
+}
+
+static void world_init(struct plan_world *world,
+		       const struct plan_stream *stream,
+		       const struct plan_world_options *options,
+		       struct plan_result *result)
+{
+	memset(world, 0, sizeof(*world));
+	memset(result, 0, sizeof(*result));
+	world->mem = talloc_new(NULL);
+	world->stream = stream;
+	world->options = *options;
+	world->result = result;
+	world->wake_at_us = RJ_NEVER_US;
+	world->events = g_array_new(FALSE, FALSE, sizeof(struct world_event));
+	world->gang_waits = g_array_new(FALSE, FALSE, sizeof(double));
+	for (uint32_t i = 0; i < STREAM_CLASSES; i++)
+		for (uint32_t j = 0; j <= STREAM_ACCOUNTS; j++)
+			world->completions[i][j] =
+				g_array_new(FALSE, FALSE, sizeof(double));
+	world->jobs =
+		talloc_zero_array(world->mem, struct world_job, stream->count);
+	for (uint32_t i = 0; i < stream->count; i++) {
+		world->jobs[i].first_us = RJ_NEVER_US;
+		world->jobs[i].left_us = stream->jobs[i].run_us;
+		event_push(world, stream->jobs[i].plan.queued_us, WORLD_ARRIVE,
+			   i, 0);
+	}
+	rj_decisions_init(&world->decisions, world->mem);
+	make_planner(world);
+	if (stream->load == STREAM_FAILING_WORKERS) {
+		event_push(world, FAIL_FROM_US, WORLD_WORKERS_FAIL, 0, 0);
+		event_push(world, FAIL_UNTIL_US, WORLD_WORKERS_MEND, 0, 0);
+	}
+	if (stream->load == STREAM_INSTANCE_LOST) {
+		event_push(world, INSTANCE_LOST_US, WORLD_INSTANCE_LOST, 0, 0);
+		event_push(world, INSTANCE_LOST_US + INSTANCE_GAP_US,
+			   WORLD_INSTANCE_BACK, 0, 0);
+	}
+}
+
+static void world_finish(struct plan_world *world)
+{
+	struct plan_result *result = world->result;
+	double all_s = STREAM_WORKERS * 8.0 * STREAM_HORIZON_US / RJ_US_PER_S;
+
+	for (uint32_t i = 0; i < STREAM_CLASSES; i++)
+		for (uint32_t j = 0; j <= STREAM_ACCOUNTS; j++) {
+			result->count[i][j] = world->completions[i][j]->len;
+			quantiles(world->completions[i][j],
+				  result->completion_s[i][j]);
+			g_array_free(world->completions[i][j], TRUE);
+		}
+	quantiles(world->gang_waits, result->gang_wait_s);
+	result->fragmentation =
+		world->stranded_s * RJ_US_PER_S / STREAM_HORIZON_US;
+	result->fragmentation_waiting =
+		world->waiting_s > 0 ? world->stranded_s / world->waiting_s : 0;
+	result->utilisation = (world->busy_s - world->lost_s) / all_s;
+	result->lost_share =
+		world->busy_s > 0 ? world->lost_s / world->busy_s : 0;
+	g_array_free(world->gang_waits, TRUE);
+	g_array_free(world->events, TRUE);
+	rj_decisions_finish(&world->decisions);
+	world->planner->ops->finish(world->planner);
+	talloc_free(world->mem);
+}
+
+/*
+ * Run the planner over the stream until all jobs are over, or GIVE_UP_US.
+ */
+void plan_world_run(const struct plan_stream *stream,
+		    const struct plan_world_options *options,
+		    struct plan_result *result)
+{
+	struct plan_world world;
+
+	world_init(&world, stream, options, result);
+	while (world.events->len) {
+		struct world_event event = event_pop(&world);
+
+		if (event.at_us > GIVE_UP_US)
+			break;
+		elapse(&world, event.at_us);
+		world.now_us = event.at_us;
+		handle(&world, &event);
+		if (!world.events->len ||
+		    event_at(&world, 0)->at_us > world.now_us)
+			pass(&world);
+	}
+	for (uint32_t i = 0; i < stream->count; i++)
+		if (world.jobs[i].state != WORLD_OVER)
+			count_end(&world, i, GIVE_UP_US);
+	world_finish(&world);
+}
