--- a/src/bench/main.c
+++ b/src/bench/main.c
@@ -4,6 +4,7 @@
 #include "bench.h"
 
 static const struct bench_command commands[] = {
+	{ "policy", "completion, fragmentation and reclaim", bench_policy },
 	{ "faults", "run seeded faults and judge every promise", bench_faults },
 };
 
