core: one owner for each guaranteed shape, and entitled jobs go to it

Cause: a guaranteed shape that spans racks could have two owners, of whom neither sees all that runs on it; an entitled job that arrived elsewhere waited where nobody could reclaim for it. Change: racks that a guaranteed shape spans are owned as one group; where nobody has room, a job goes to the owner of its account's shape.

--- a/include/radishjunction/planner.h
+++ b/include/radishjunction/planner.h
@@ -122,6 +122,19 @@
 	uint64_t (*wake_us)(const struct rj_planner *planner);
 	void (*view)(const struct rj_planner *planner, uint64_t now_us,
 		     struct rj_plan_view *view);
+	/*
+	 * The group of a rack: racks that one guaranteed shape spans belong
+	 * together and have one owner, who can reclaim the shape whole. NULL:
+	 * each rack is a group of its own.
+	 */
+	uint32_t (*rack_group)(const struct rj_planner *planner, uint32_t rack);
+	/*
+	 * A rack that carries a guaranteed shape of `account` with room for
+	 * `shape`, or UINT32_MAX. NULL: there are no guarantees.
+	 */
+	uint32_t (*home_rack)(const struct rj_planner *planner,
+			      const char *account,
+			      const struct rj_shape *shape);
 	void (*finish)(struct rj_planner *planner);
 };
 
--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -126,6 +126,31 @@
 	return owns;
 }
 
+/*
+ * The peer of this failure domain that owns `key`, or NULL when this instance
+ * owns it.
+ */
+const char *rj_membership_owner(struct rj_core_state *core, uint64_t key)
+{
+	uint64_t highest = core->stopping ? 0 : weight(core->name, key);
+	const char *owner = NULL;
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->membership.members) {
+		const struct rj_member_view *member =
+			RJ_CONTAINER(at, struct rj_member_view, link);
+
+		if (member->draining || strcmp(member->domain, core->domain) ||
+		    !rj_membership_alive(core, member) ||
+		    weight(member->name, key) <= highest)
+			continue;
+		highest = weight(member->name, key);
+		owner = member->name;
+	}
+	return owner;
+}
+
 /*
  * Start a message to a peer; the caller fills it. It is lost without a link.
  */
--- a/src/libradishjunction/core/controllers/upstreams_controller.c
+++ b/src/libradishjunction/core/controllers/upstreams_controller.c
@@ -276,10 +276,17 @@
 	rj_upstreams_ownership(core);
 }
 
-/* The key by which a rack is owned. */
-static uint64_t rack_key(const struct rj_upstream *upstream)
+/*
+ * The key by which a rack of the own failure domain is owned: that of its
+ * group, so that no guaranteed shape has two owners.
+ */
+uint64_t rj_upstreams_rack_key(const struct rj_core_state *core, uint32_t rack)
 {
-	return rj_hash64_string(upstream->domain, upstream->rack + 1);
+	const struct rj_planner_ops *ops = core->planner->ops;
+
+	if (ops->rack_group)
+		rack = ops->rack_group(core->planner, rack);
+	return rj_hash64_string(core->domain, rack + 1);
 }
 
 /*
@@ -292,7 +299,8 @@
 		struct rj_upstream *upstream = core->upstreams.by_index[i];
 		bool owned = !strcmp(upstream->domain, core->domain) &&
 			     rj_membership_owns(core, upstream->domain,
-						rack_key(upstream));
+						rj_upstreams_rack_key(
+							core, upstream->rack));
 
 		if (owned == upstream->owned)
 			continue;
--- a/src/libradishjunction/core/filters/route.c
+++ b/src/libradishjunction/core/filters/route.c
@@ -85,6 +85,23 @@
 	return false;
 }
 
+/* The peer that owns a guaranteed shape that the job may claim, or NULL when
+ * there is none, or this instance owns it. */
+static const char *guarantee_owner(struct rj_core_state *core,
+				   const struct rj_submission *submission)
+{
+	const struct rj_planner_ops *ops = core->planner->ops;
+	uint32_t rack;
+
+	if (!ops->home_rack)
+		return NULL;
+	rack = ops->home_rack(core->planner, submission->spec.account,
+			      &submission->spec.shape);
+	if (rack == UINT32_MAX)
+		return NULL;
+	return rj_membership_owner(core, rj_upstreams_rack_key(core, rack));
+}
+
 /* A peer of the domain to serve the job, or NULL to serve it here. */
 static const char *choose_peer(struct rj_core_state *core,
 			       const struct rj_submission *submission)
@@ -118,9 +135,9 @@
 		return NULL;
 	if (must || best_room)
 		return best->name;
-	/* Nobody has room now: wait where it can ever fit, gangs over
-	   several racks here. */
-	return NULL;
+	/* Nobody has room now. Where the account has a guarantee, its owner
+	   can reclaim it; else the job waits here. */
+	return guarantee_owner(core, submission);
 }
 
 /* An instance of another domain that is much quicker, or NULL. */
--- a/src/libradishjunction/core/planner_topology.c
+++ b/src/libradishjunction/core/planner_topology.c
@@ -740,6 +740,19 @@
 	TALLOC_FREE(topology->state);
 }
 
+static uint32_t topology_rack_group(const struct rj_planner *planner,
+				    uint32_t rack)
+{
+	return rj_topology_rack_group(state_of(planner), rack);
+}
+
+static uint32_t topology_home_rack(const struct rj_planner *planner,
+				   const char *account,
+				   const struct rj_shape *shape)
+{
+	return rj_topology_home_rack(state_of(planner), account, shape);
+}
+
 static const struct rj_planner_ops topology_ops = {
 	.name = "topology",
 	.configure = topology_configure,
@@ -752,6 +765,8 @@
 	.pass = topology_pass,
 	.wake_us = topology_wake_us,
 	.view = topology_view,
+	.rack_group = topology_rack_group,
+	.home_rack = topology_home_rack,
 	.finish = topology_finish,
 };
 
--- a/src/libradishjunction/core/topology_guarantee.c
+++ b/src/libradishjunction/core/topology_guarantee.c
@@ -192,6 +192,59 @@
 	g_free(plan.left);
 }
 
+/*
+ * The lowest rack that is reached from `rack` over guaranteed shapes that
+ * span several racks. One owner of the whole group can reclaim each of its
+ * shapes; two owners would each see half of what runs there.
+ */
+uint32_t rj_topology_rack_group(const struct rj_topology_state *state,
+				uint32_t rack)
+{
+	bool again = true;
+
+	while (again) {
+		again = false;
+		for (uint32_t i = 0; i < state->homes->len; i++) {
+			const struct rj_home *home =
+				g_ptr_array_index(state->homes, i);
+			uint32_t lowest = rack;
+			bool here = false;
+
+			for (uint32_t j = 0; j < home->part_count; j++) {
+				lowest = MIN(lowest, home->parts[j].rack);
+				here |= home->parts[j].rack == rack;
+			}
+			if (here && lowest < rack) {
+				rack = lowest;
+				again = true;
+			}
+		}
+	}
+	return rack;
+}
+
+/*
+ * The first rack of a home of `account` that `shape` fits by its size, or
+ * UINT32_MAX: its owner can reclaim the guarantee.
+ */
+uint32_t rj_topology_home_rack(const struct rj_topology_state *state,
+			       const char *account,
+			       const struct rj_shape *shape)
+{
+	uint64_t want = (uint64_t)shape->tasks * shape->each.accelerators;
+
+	for (uint32_t i = 0; i < state->homes->len; i++) {
+		const struct rj_home *home = g_ptr_array_index(state->homes, i);
+		uint64_t has = (uint64_t)home->shape.tasks *
+			       home->shape.each.accelerators;
+
+		if (home->part_count && has >= want &&
+		    !strcmp(home->account->name, account))
+			return home->parts[0].rack;
+	}
+	return UINT32_MAX;
+}
+
 /*
  * The worker that stands at a part's place now, or NULL.
  */
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -367,6 +367,7 @@
 			 const struct rj_member_view *member);
 bool rj_membership_incarnation_alive(const struct rj_core_state *core,
 				     uint64_t incarnation);
+const char *rj_membership_owner(struct rj_core_state *core, uint64_t key);
 bool rj_membership_owns(const struct rj_core_state *core, const char *domain,
 			uint64_t key);
 struct rj_peer_message *rj_membership_send(struct rj_core_state *core,
@@ -394,6 +395,7 @@
 			 struct rj_upstream *upstream, uint64_t job_id);
 void rj_upstreams_succeeded(struct rj_core_state *core,
 			    struct rj_upstream *upstream);
+uint64_t rj_upstreams_rack_key(const struct rj_core_state *core, uint32_t rack);
 uint64_t rj_upstreams_lease_life_us(const struct rj_core_state *core);
 void rj_upstreams_poll_soon(struct rj_core_state *core,
 			    struct rj_upstream *upstream);
--- a/src/libradishjunction/include/private/topology.h
+++ b/src/libradishjunction/include/private/topology.h
@@ -128,6 +128,11 @@
 void rj_topology_assign_homes(struct rj_topology_state *state,
 			      const struct rj_config *config);
 void rj_topology_apply_homes(struct rj_topology_state *state);
+uint32_t rj_topology_rack_group(const struct rj_topology_state *state,
+				uint32_t rack);
+uint32_t rj_topology_home_rack(const struct rj_topology_state *state,
+			       const char *account,
+			       const struct rj_shape *shape);
 bool rj_topology_entitled(const struct rj_topology_state *state,
 			  const struct rj_plan_entry *entry);
 
