--- /dev/null
+++ b/src/libradishjunction/core/controllers/calls_controller.c
@@ -0,0 +1,236 @@
+/*
+ * Members of jobs, the calls to their workers, and the replies to those.
+ */
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/core_state.h"
+
+/*
+ * Make the members of the next attempt, without workers yet.
+ */
+void rj_job_set_members(struct rj_job *job, uint32_t count)
+{
+	rj_job_drop_members(job);
+	job->members = talloc_zero_array(job, struct rj_member, count);
+	assert(job->members);
+	job->member_count = count;
+}
+
+/*
+ * Put a member on its worker, which is polled from now on.
+ */
+void rj_member_attach(struct rj_job *job, struct rj_member *member,
+		      struct rj_upstream *upstream)
+{
+	struct rj_core_state *core = job->core;
+
+	member->job = job;
+	member->upstream = upstream;
+	rj_list_append(&upstream->members, &member->link);
+	g_strlcpy(member->worker, upstream->name, sizeof(member->worker));
+	upstream->own_members++;
+	if (!upstream->owned && !upstream->polling && !upstream->poll.index)
+		rj_timer_set(&core->timers, &upstream->poll,
+			     core->now_us + RJ_US_PER_S);
+}
+
+/*
+ * Forget the members of an attempt that is over.
+ */
+void rj_job_drop_members(struct rj_job *job)
+{
+	for (uint32_t i = 0; i < job->member_count; i++) {
+		struct rj_upstream *upstream = job->members[i].upstream;
+
+		if (!upstream)
+			continue;
+		assert(upstream->own_members);
+		upstream->own_members--;
+		rj_list_remove(&job->members[i].link);
+		TALLOC_FREE(job->members[i].result);
+	}
+	TALLOC_FREE(job->members);
+	job->member_count = 0;
+}
+
+/*
+ * Keep the result of a member until the job ends.
+ */
+void rj_member_keep_result(struct rj_job *job, struct rj_member *member,
+			   const struct rj_bytes *result)
+{
+	TALLOC_FREE(member->result);
+	member->result_length = result->length;
+	if (!result->length)
+		return;
+	member->result = talloc_memdup(job, result->data, result->length);
+	assert(member->result);
+}
+
+/* What a member needs of its worker in all. */
+static struct rj_resources member_needs(const struct rj_job *job,
+					const struct rj_member *member)
+{
+	struct rj_resources needs;
+
+	memset(&needs, 0, sizeof(needs));
+	rj_resources_add(&needs, &job->spec.shape.each, member->tasks);
+	return needs;
+}
+
+/*
+ * Call a member's worker; the reply comes back to this member as long as the
+ * attempt lasts. Returns the call, for what `op` needs besides.
+ */
+struct rj_worker_call *rj_job_call(struct rj_job *job, struct rj_member *member,
+				   enum rj_worker_op op)
+{
+	struct rj_core_state *core = job->core;
+	struct rj_action *action;
+	struct rj_worker_call *out;
+	struct rj_call *call;
+
+	call = talloc_zero(core, struct rj_call);
+	assert(call);
+	call->call_id = rj_core_next_id(core);
+	call->op = op;
+	call->job_id = job->spec.job_id;
+	call->owner = job->attempt.owner;
+	call->attempt = job->attempt.number;
+	call->member = (uint32_t)(member - job->members);
+	call->sent_us = core->now_us;
+	g_hash_table_insert(core->jobs.calls, &call->call_id, call);
+	member->call_id = call->call_id;
+	action = rj_actions_add(core->actions, RJ_ACTION_WORKER_CALL);
+	out = &action->u.worker_call;
+	out->call_id = call->call_id;
+	out->op = op;
+	g_strlcpy(out->worker, member->worker, sizeof(out->worker));
+	if (member->upstream)
+		out->address = member->upstream->address;
+	out->timeout_us = RJ_CALL_TIMEOUT_US;
+	out->holder = core->incarnation;
+	out->attempt = job->attempt;
+	out->member = call->member;
+	out->gang = job->member_count;
+	out->token = member->token;
+	g_strlcpy(out->account, job->spec.account, sizeof(out->account));
+	g_strlcpy(out->class_name, job->spec.class_name,
+		  sizeof(out->class_name));
+	out->each = member_needs(job, member);
+	out->life_us = rj_upstreams_lease_life_us(core);
+	if (op == RJ_WORKER_LEASE || op == RJ_WORKER_RENEW)
+		member->lease_until_us = core->now_us + out->life_us;
+	return out;
+}
+
+/* An answer to a call of an attempt that is over: leave nothing behind. */
+static void stale_reply(struct rj_core_state *core, const struct rj_call *call,
+			const struct rj_worker_reply *reply)
+{
+	struct rj_upstream *upstream = rj_upstreams_find(core, reply->worker);
+	struct rj_action *action;
+	struct rj_worker_call *out;
+
+	if (call->op != RJ_WORKER_LEASE || reply->status != RJ_REPLY_OK ||
+	    !upstream)
+		return;
+	action = rj_actions_add(core->actions, RJ_ACTION_WORKER_CALL);
+	out = &action->u.worker_call;
+	out->call_id = rj_core_next_id(core);
+	out->op = RJ_WORKER_RELEASE;
+	g_strlcpy(out->worker, upstream->name, sizeof(out->worker));
+	out->address = upstream->address;
+	out->timeout_us = RJ_CALL_TIMEOUT_US;
+	out->holder = core->incarnation;
+	out->attempt = reply->attempt;
+	out->member = call->member;
+	out->token = reply->token;
+}
+
+/* Whether a reply names the attempt that was asked about. One that names
+ * another was crossed on its way, and says nothing about this one. */
+static bool echoes(const struct rj_job *job, const struct rj_call *call,
+		   const struct rj_worker_reply *reply)
+{
+	return reply->attempt.job_id == call->job_id &&
+	       reply->attempt.owner == job->attempt.owner &&
+	       reply->attempt.number == call->attempt;
+}
+
+/* Hand a reply to the job and member whose call it answers. */
+static void job_reply(struct rj_core_state *core, const struct rj_call *call,
+		      const struct rj_worker_reply *reply)
+{
+	struct rj_job *job = rj_jobs_find(core, call->job_id);
+	struct rj_worker_reply crossed;
+	struct rj_member *member;
+
+	if (!job || job->attempt.owner != call->owner ||
+	    job->attempt.number != call->attempt ||
+	    call->member >= job->member_count) {
+		stale_reply(core, call, reply);
+		return;
+	}
+	if (!echoes(job, call, reply)) {
+		crossed = *reply;
+		crossed.status = RJ_REPLY_LOST;
+		reply = &crossed;
+	}
+	member = &job->members[call->member];
+	if (member->call_id == call->call_id)
+		member->call_id = 0;
+	if (reply->leaving && member->upstream)
+		rj_upstreams_leaving(core, member->upstream,
+				     reply->incarnation);
+	switch (call->op) {
+	case RJ_WORKER_LEASE:
+		rj_job_lease_reply(job, member, reply);
+		break;
+	case RJ_WORKER_START:
+	case RJ_WORKER_RUN:
+		rj_job_start_reply(job, member, reply);
+		break;
+	case RJ_WORKER_THROTTLE:
+		rj_job_throttle_reply(job, member, reply);
+		break;
+	case RJ_WORKER_STOP:
+	case RJ_WORKER_CHECKPOINT:
+		rj_job_stop_reply(job, member, reply);
+		break;
+	case RJ_WORKER_FENCE:
+		rj_job_fence_reply(job, member, reply);
+		break;
+	case RJ_WORKER_RENEW:
+		rj_job_renew_reply(job, member, reply);
+		break;
+	case RJ_WORKER_RELEASE:
+	case RJ_WORKER_REPORT:
+	case RJ_WORKER_OP_COUNT:
+		break;
+	}
+}
+
+/*
+ * What became of a call to a worker. A reply without a call is a repeat of
+ * one that was answered, and is dropped.
+ */
+void rj_jobs_worker_reply(struct rj_core_state *core,
+			  const struct rj_worker_reply *reply)
+{
+	struct rj_call *call =
+		g_hash_table_lookup(core->jobs.calls, &reply->call_id);
+
+	if (!call)
+		return;
+	g_hash_table_remove(core->jobs.calls, &reply->call_id);
+	if (call->op == RJ_WORKER_REPORT)
+		rj_upstreams_report(core,
+				    core->upstreams.by_index[call->upstream],
+				    reply, call->sent_us);
+	else
+		job_reply(core, call, reply);
+	talloc_free(call);
+}
--- /dev/null
+++ b/src/libradishjunction/core/controllers/stop_controller.c
@@ -0,0 +1,156 @@
+/*
+ * STOPPING: until no member of a job can run any more.
+ */
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/core_state.h"
+
+#define STOP_BACKOFF_US (300 * RJ_US_PER_MS)
+/* After so many unanswered stops the lease's own end is waited for. */
+#define STOP_TRIES 4
+
+/* Whether a member may still run or hold its lease. */
+static bool member_live(const struct rj_member *member)
+{
+	return member->state == RJ_TASK_HELD ||
+	       member->state == RJ_TASK_RUNNING ||
+	       (member->state == RJ_TASK_NONE && member->start_sent);
+}
+
+/* Whether no member ever started: each worker says that its token died. */
+static bool all_dead(const struct rj_job *job)
+{
+	for (uint32_t i = 0; i < job->member_count; i++)
+		if (job->members[i].state != RJ_TASK_DEAD)
+			return false;
+	return job->member_count > 0;
+}
+
+/* The starts never arrived, and never will: the job did not run. */
+static void stopped_unstarted(struct rj_job *job)
+{
+	job->started = false;
+	if (job->claimed)
+		rj_claims_void(job);
+	if (job->cancelled)
+		rj_job_give_up(job, job->final.reason, 0);
+	else
+		rj_job_retry(job, RJ_REASON_LEASE_LAPSED);
+}
+
+/* Every member has stopped: end the job or let it wait again. */
+static void stopped(struct rj_job *job)
+{
+	if (rj_job_all_done(job)) {
+		rj_job_succeeded(job);
+		return;
+	}
+	if (all_dead(job)) {
+		stopped_unstarted(job);
+		return;
+	}
+	if (job->ending) {
+		rj_job_end_with_result(job, job->final.kind, job->final.reason);
+		return;
+	}
+	if (job->claimed)
+		rj_claims_void(job);
+	if (job->reclaimed) {
+		rj_job_requeue(job, 0, RJ_REASON_RECLAIMED);
+		return;
+	}
+	rj_job_retry(job, job->final.reason);
+}
+
+/*
+ * Stop every member that may still run, with a checkpoint first where
+ * `checkpoint` says so. Called again by the timer while workers do not
+ * answer; after STOP_TRIES the end of the lease, which nobody renews, is
+ * taken for the stop.
+ */
+void rj_job_stop(struct rj_job *job, bool checkpoint, uint64_t limit_us)
+{
+	struct rj_core_state *core = job->core;
+	bool first = job->state != RJ_JOB_STOPPING;
+	bool open = false;
+
+	if (first) {
+		rj_job_enter(job, RJ_JOB_STOPPING);
+	}
+	for (uint32_t i = 0; i < job->member_count; i++) {
+		struct rj_member *member = &job->members[i];
+		struct rj_worker_call *call;
+
+		if (first)
+			member->tries = 0;
+		if (!member_live(member))
+			continue;
+		if (member->tries++ >= STOP_TRIES &&
+		    core->now_us > job->step_started_us +
+					   rj_upstreams_lease_life_us(core)) {
+			member->state = RJ_TASK_STOPPED;
+			continue;
+		}
+		open = true;
+		call = rj_job_call(job, member,
+				   checkpoint ? RJ_WORKER_CHECKPOINT :
+						RJ_WORKER_STOP);
+		call->limit_us = limit_us;
+		if (checkpoint)
+			call->timeout_us = limit_us + RJ_CALL_TIMEOUT_US;
+	}
+	if (!open) {
+		stopped(job);
+		return;
+	}
+	/* A checkpoint that is not done within its limit is cut by a stop. */
+	rj_timer_set(&core->timers, &job->step,
+		     core->now_us +
+			     (checkpoint ? limit_us : RJ_CALL_TIMEOUT_US) +
+			     STOP_BACKOFF_US);
+}
+
+/* Whether no member may still run. */
+static bool none_live(const struct rj_job *job)
+{
+	for (uint32_t i = 0; i < job->member_count; i++)
+		if (member_live(&job->members[i]))
+			return false;
+	return true;
+}
+
+/*
+ * Go on when the last member of a job that is being stopped has stopped.
+ */
+void rj_job_stopped_check(struct rj_job *job)
+{
+	if (none_live(job))
+		stopped(job);
+}
+
+/*
+ * A worker answered a STOP or a CHECKPOINT. A task that had ended before is
+ * taken as it ended: it did run.
+ */
+void rj_job_stop_reply(struct rj_job *job, struct rj_member *member,
+		       const struct rj_worker_reply *reply)
+{
+	if (job->state != RJ_JOB_STOPPING || reply->status == RJ_REPLY_LOST)
+		return; /* the timer tries again */
+	if (reply->status == RJ_REPLY_REFUSED || reply->state == RJ_TASK_NONE) {
+		/* The worker knows no such lease: nothing of it runs, but it
+		   may have run before the worker forgot it. */
+		member->state =
+			member->start_sent ? RJ_TASK_STOPPED : RJ_TASK_DEAD;
+	} else {
+		member->state = reply->state;
+		if (reply->op == RJ_WORKER_CHECKPOINT)
+			job->resume_us = reply->ran_us;
+		if (reply->state == RJ_TASK_DONE ||
+		    reply->state == RJ_TASK_FAILED)
+			rj_member_keep_result(job, member, &reply->result);
+	}
+	rj_job_stopped_check(job);
+}
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -468,32 +468,48 @@
 void rj_claims_step_due(struct rj_job *job);
 void rj_claims_cancel(struct rj_job *job);
 
-/* controllers/run_controller.c: STARTING, RUNNING, STOPPING */
+/* controllers/calls_controller.c */
+/* A call that does not wait for a task's end is answered within this. */
+#define RJ_CALL_TIMEOUT_US (2 * RJ_US_PER_S)
+
+void rj_job_set_members(struct rj_job *job, uint32_t count);
+void rj_job_drop_members(struct rj_job *job);
+void rj_member_attach(struct rj_job *job, struct rj_member *member,
+		      struct rj_upstream *upstream);
+void rj_member_keep_result(struct rj_job *job, struct rj_member *member,
+			   const struct rj_bytes *result);
 struct rj_worker_call *rj_job_call(struct rj_job *job, struct rj_member *member,
 				   enum rj_worker_op op);
+void rj_jobs_worker_reply(struct rj_core_state *core,
+			  const struct rj_worker_reply *reply);
+
+/* controllers/run_controller.c: STARTING, RUNNING */
 void rj_job_start(struct rj_job *job);
+void rj_job_run_on(struct rj_job *job);
 void rj_job_start_reply(struct rj_job *job, struct rj_member *member,
 			const struct rj_worker_reply *reply);
+void rj_job_start_lost(struct rj_job *job, struct rj_member *member);
 void rj_job_throttle_reply(struct rj_job *job, struct rj_member *member,
 			   const struct rj_worker_reply *reply);
+void rj_job_check(struct rj_job *job);
+bool rj_job_all_done(const struct rj_job *job);
+void rj_job_succeeded(struct rj_job *job);
+void rj_job_end_with_result(struct rj_job *job, enum rj_answer_kind kind,
+			    enum rj_reason reason);
+void rj_job_stop_after_failure(struct rj_job *job, enum rj_reason reason);
+void rj_job_retry(struct rj_job *job, enum rj_reason reason);
+
+/* controllers/stop_controller.c: STOPPING */
 void rj_job_stop(struct rj_job *job, bool checkpoint, uint64_t limit_us);
 void rj_job_stop_reply(struct rj_job *job, struct rj_member *member,
 		       const struct rj_worker_reply *reply);
-void rj_job_run_on(struct rj_job *job);
-void rj_job_check(struct rj_job *job);
+void rj_job_stopped_check(struct rj_job *job);
+
+/* controllers/report_controller.c */
 void rj_jobs_report(struct rj_core_state *core, struct rj_upstream *upstream,
 		    const struct rj_worker_report *report, uint64_t asked_us);
 void rj_jobs_worker_lost(struct rj_core_state *core,
 			 struct rj_upstream *upstream);
-void rj_jobs_worker_reply(struct rj_core_state *core,
-			  const struct rj_worker_reply *reply);
-void rj_job_set_members(struct rj_job *job, uint32_t count);
-void rj_job_drop_members(struct rj_job *job);
-void rj_member_attach(struct rj_job *job, struct rj_member *member,
-		      struct rj_upstream *upstream);
-void rj_job_retry(struct rj_job *job, enum rj_reason reason);
-void rj_member_keep_result(struct rj_job *job, struct rj_member *member,
-			   const struct rj_bytes *result);
 
 /* controllers/forward_controller.c: FORWARDED */
 void rj_forward_cancel(struct rj_job *job);
