core: a job known from its claim alone is not started

Cause: a claim in the log carries no body. A look-up, or the settling of a dead owner's claim, made a job from it; when the claim was void, that job was started with an empty body. Excluded: a body cut on the way (the fakes copy whole bodies). Change: such a job is marked bodiless; its waiters are told to ask again with the key, and a submission that joins it brings the body.

--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -366,6 +366,21 @@
 	rj_job_cancel(job, RJ_REASON_CANCELLED);
 }
 
+/*
+ * The attempt that was watched never ran: serve the job from here. A job that
+ * is known from its claim alone has no body here, and is left to those who
+ * submit it again.
+ */
+static void watched_is_void(struct rj_job *job)
+{
+	if (!job->bodiless) {
+		rj_filters_again(job);
+		return;
+	}
+	rj_job_answer_in_progress(job, RJ_REASON_CLAIM_LOST);
+	rj_job_free(job);
+}
+
 /*
  * Apply one record of the `jobs` stream, and let the job here that it is
  * about go on from it.
@@ -398,7 +413,7 @@
 	case RJ_RECORD_VOID:
 		/* What was watched never ran: serve it from here. */
 		if (!entry->claimed && job->state == RJ_JOB_WATCHING)
-			rj_filters_again(job);
+			watched_is_void(job);
 		break;
 	case RJ_RECORD_CANCEL:
 		cancel_read(job);
--- a/src/libradishjunction/core/controllers/jobs_controller.c
+++ b/src/libradishjunction/core/controllers/jobs_controller.c
@@ -336,8 +336,11 @@
 	rj_timer_set(&job->core->timers, &job->deadline, job->deadline_us);
 }
 
-/* Tell the waiters that the job may have run, and that it goes on. */
-static void answer_in_progress(struct rj_job *job, enum rj_reason reason)
+/*
+ * Tell the waiters that the job may have run or may still run, and when to
+ * ask again.
+ */
+void rj_job_answer_in_progress(struct rj_job *job, enum rj_reason reason)
 {
 	struct rj_answer answer;
 
@@ -358,7 +361,8 @@
 	case RJ_JOB_QUEUED:
 	case RJ_JOB_HOLDING:
 		if (job->accepted) {
-			answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
+			rj_job_answer_in_progress(job,
+						  RJ_REASON_DEADLINE_PASSED);
 			break;
 		}
 		rj_job_release_members(job);
@@ -366,27 +370,27 @@
 		break;
 	case RJ_JOB_STARTING:
 	case RJ_JOB_RUNNING:
-		answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
+		rj_job_answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
 		/* Nobody waits for it and nobody can ask for it again. */
 		if (!job->accepted && !job->claimed)
 			rj_job_cancel(job, RJ_REASON_DEADLINE_PASSED);
 		break;
 	case RJ_JOB_FORWARDED:
 	case RJ_JOB_WATCHING:
-		answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
+		rj_job_answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
 		rj_job_free(job);
 		break;
 	case RJ_JOB_CLAIMING:
 	case RJ_JOB_SETTLING:
 		/* What has not started need not start any more. */
 		job->cancelled = !job->accepted;
-		answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
+		rj_job_answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
 		break;
 	case RJ_JOB_ACCEPTING:
 	case RJ_JOB_STOPPING:
 	case RJ_JOB_ENDED:
 	case RJ_JOB_STATE_COUNT:
-		answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
+		rj_job_answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
 		break;
 	}
 }
--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -67,6 +67,8 @@
 		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
 		return;
 	}
+	if (job->bodiless)
+		rj_job_answer_in_progress(job, RJ_REASON_CLAIM_LOST);
 	if (!job->accepted && job->waiters.next == &job->waiters) {
 		rj_job_free(job);
 		return;
@@ -296,6 +298,7 @@
 						       entry->spec.class_name) :
 				       NULL);
 		job->accepted = entry->accepted;
+		job->bodiless = !entry->accepted;
 	}
 	job->cancelled = job->cancelled || entry->cancelled;
 	job->attempt = entry->attempt;
@@ -331,6 +334,7 @@
 	else if (!job->spec.body.length)
 		rj_bytes_copy(job, &job->spec.body, &entry->spec.body);
 	job->accepted = true;
+	job->bodiless = false;
 	rj_core_log(core, RJ_LOG_ADOPT, RJ_REASON_OWNER, job, NULL);
 	if (entry->cancelled)
 		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
--- a/src/libradishjunction/core/filters/find.c
+++ b/src/libradishjunction/core/filters/find.c
@@ -13,6 +13,7 @@
 
 	job = rj_job_new(core, &entry->spec,
 			 rj_config_class(core->config, entry->spec.class_name));
+	job->bodiless = !entry->accepted;
 	rj_job_watch(job);
 	return job;
 }
@@ -30,6 +31,11 @@
 		rj_core_answer(core, submission->request_id, &answer);
 		return RJ_FILTER_TAKEN;
 	}
+	if (!entry->claimed && !entry->accepted)
+		return rj_filter_refuse(core, submission, RJ_ANSWER_UNKNOWN,
+					RJ_REASON_CLAIM_LOST, RJ_US_PER_S,
+					"no attempt of this job is open: "
+					"submit it again with the same key");
 	if (submission->op == RJ_REQUEST_LOOKUP && !submission->wait)
 		return rj_filter_refuse(core, submission,
 					entry->accepted ? RJ_ANSWER_ACCEPTED :
--- a/src/libradishjunction/core/filters/repeat.c
+++ b/src/libradishjunction/core/filters/repeat.c
@@ -25,6 +25,10 @@
 	rj_core_count(core, RJ_COUNT_REPEATS);
 	if (memcmp(job->spec.digest, submission->spec.digest, RJ_DIGEST_BYTES))
 		return key_reused(core, submission);
+	if (job->bodiless) {
+		rj_bytes_copy(job, &job->spec.body, &submission->spec.body);
+		job->bodiless = false;
+	}
 	if (job->state == RJ_JOB_ENDED) {
 		rj_job_wait(job, submission->request_id, submission->peer,
 			    submission->forward_id);
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -219,6 +219,7 @@
 	struct rj_attempt attempt;
 	struct rj_member *members;
 	uint32_t member_count;
+	bool bodiless; /* known from a claim only: cannot be started here */
 	bool planned; /* the planner counts it as waiting or running */
 	bool accepted; /* its accept record is in the log */
 	bool claimed; /* its claim is in the log, and won */
@@ -413,6 +414,7 @@
 void rj_job_wait(struct rj_job *job, uint64_t request_id, const char *peer,
 		 uint64_t forward_id);
 void rj_job_answer_waiters(struct rj_job *job, const struct rj_answer *answer);
+void rj_job_answer_in_progress(struct rj_job *job, enum rj_reason reason);
 void rj_job_end(struct rj_job *job, const struct rj_answer *answer);
 void rj_job_end_plain(struct rj_job *job, enum rj_answer_kind kind,
 		      enum rj_reason reason, uint64_t retry_after_us);
--- a/src/test_libradishjunction/support/checker.c
+++ b/src/test_libradishjunction/support/checker.c
@@ -308,6 +308,18 @@
 	return g_hash_table_lookup(checker->attempts, id);
 }
 
+/*
+ * A worker was asked to start a task with a body that no caller had sent.
+ */
+void checker_foreign_body(struct checker *checker, uint64_t now_us,
+			  const struct rj_attempt *id)
+{
+	violation(checker, now_us, PROMISE_ANSWER,
+		  "job %016" PRIx64
+		  " is started with a body that no caller sent",
+		  id->job_id);
+}
+
 /*
  * A worker started a task; it makes no progress yet.
  */
--- a/src/test_libradishjunction/support/checker.h
+++ b/src/test_libradishjunction/support/checker.h
@@ -127,6 +127,8 @@
 			bool empty);
 void checker_answer(struct checker *checker, uint64_t now_us, uint32_t node,
 		    uint64_t request_id, const struct rj_answer *answer);
+void checker_foreign_body(struct checker *checker, uint64_t now_us,
+			  const struct rj_attempt *id);
 void checker_task_started(struct checker *checker, uint64_t now_us,
 			  const struct rj_attempt *id, uint32_t intent,
 			  uint32_t member, uint32_t gang);
--- a/src/test_libradishjunction/support/fake_worker.c
+++ b/src/test_libradishjunction/support/fake_worker.c
@@ -245,20 +245,31 @@
 	return task;
 }
 
+/* What the body asks for. A body that no caller sent is no request's own. */
+static bool read_body(struct world *world, struct fake_task *task,
+		      const struct rj_bytes *from)
+{
+	char body[64] = "";
+	unsigned fails = 0;
+
+	assert(from->length < sizeof(body));
+	if (from->length)
+		memcpy(body, from->data, from->length);
+	if (sscanf(body, "intent=%u run_us=%" SCNu64 " fails=%u", &task->intent,
+		   &task->work_us, &fails) != 3) {
+		checker_foreign_body(&world->checker, world->now_us,
+				     &task->attempt);
+		return false;
+	}
+	task->fails = fails;
+	return true;
+}
+
 static void start_task(struct world *world, struct fake_worker *worker,
 		       struct fake_task *task,
 		       const struct rj_worker_call *call, uint32_t percent)
 {
-	char body[64] = "";
-	unsigned fails = 0;
-	int read;
-
-	assert(call->body.length < sizeof(body));
-	memcpy(body, call->body.data, call->body.length);
-	read = sscanf(body, "intent=%u run_us=%" SCNu64 " fails=%u",
-		      &task->intent, &task->work_us, &fails);
-	assert(read == 3);
-	task->fails = fails || worker->fails_all;
+	task->fails |= worker->fails_all;
 	if (worker->fails_all)
 		task->work_us = FAIL_US;
 	memcpy(task->result,
@@ -286,7 +297,8 @@
 		refuse(world, from, task, RJ_REASON_LEASE_LAPSED);
 		return;
 	}
-	if (task->state == RJ_TASK_HELD && worker->refuses) {
+	if (task->state == RJ_TASK_HELD &&
+	    (worker->refuses || !read_body(world, task, &from->call.body))) {
 		refuse(world, from, task, RJ_REASON_LEASE_REFUSED);
 		return;
 	}
