--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -12,6 +12,7 @@
 	int (*run)(int argc, char **argv);
 };
 
+int bench_policy(int argc, char **argv);
 int bench_faults(int argc, char **argv);
 
 #endif
