core: failed is said only of what a worker saw run

Cause: a start that was sent counted as a run, so a job whose start was lost and whose retries were spent was answered failed. Excluded: a crossed answer (the transcripts show none for that job). Change: a worker's word for progress is kept with the job; without it, what may have been started is unknown.

--- a/src/libradishjunction/core/controllers/jobs_controller.c
+++ b/src/libradishjunction/core/controllers/jobs_controller.c
@@ -317,17 +317,18 @@
 }
 
 /*
- * End a job whose present attempt has stopped, or never started: `not_run`
- * only if no earlier attempt started either, here or at a peer that was lost.
+ * End a job whose present attempt has stopped, or never started: `failed`
+ * only if a worker said that it ran, and `not_run` only if no attempt was
+ * started, here or at a peer that was lost.
  */
 void rj_job_give_up(struct rj_job *job, enum rj_reason reason,
 		    uint64_t retry_after_us)
 {
 	enum rj_answer_kind kind = RJ_ANSWER_NOT_RUN;
 
-	if (job->started || job->ran_before)
+	if (job->ran)
 		kind = RJ_ANSWER_FAILED;
-	else if (job->ran_elsewhere)
+	else if (job->started || job->ran_before || job->ran_elsewhere)
 		kind = RJ_ANSWER_UNKNOWN;
 	rj_job_end_plain(job, kind, reason, retry_after_us);
 }
--- a/src/libradishjunction/core/controllers/run_controller.c
+++ b/src/libradishjunction/core/controllers/run_controller.c
@@ -475,6 +475,8 @@
 		return;
 	}
 	if (job->ending) {
+		if (job->final.kind == RJ_ANSWER_FAILED && !job->ran)
+			job->final.kind = RJ_ANSWER_UNKNOWN;
 		end_with_result(job, job->final.kind, job->final.reason);
 		return;
 	}
@@ -569,10 +571,23 @@
 		stopped(job);
 }
 
+/*
+ * A worker told how a member is. A gang's member that is held still is
+ * running, too, and has made no progress.
+ */
+static void note_progress(struct rj_job *job, enum rj_task_state state,
+			  uint64_t ran_us)
+{
+	if (state == RJ_TASK_DONE || state == RJ_TASK_FAILED || ran_us ||
+	    (state == RJ_TASK_RUNNING && job->member_count == 1))
+		job->ran = true;
+}
+
 /* Take what a report says of one task of the job. */
 static void report_task(struct rj_job *job, struct rj_member *member,
 			const struct rj_task_report *task)
 {
+	note_progress(job, task->state, task->ran_us);
 	member->ran_us = task->ran_us;
 	if (task->state == RJ_TASK_HELD)
 		return; /* an older picture than the start, or a lost start */
@@ -799,6 +814,8 @@
 	if (reply->leaving && member->upstream)
 		rj_upstreams_leaving(core, member->upstream,
 				     reply->incarnation);
+	if (reply->status == RJ_REPLY_OK)
+		note_progress(job, reply->state, reply->ran_us);
 	switch (call->op) {
 	case RJ_WORKER_LEASE:
 		rj_job_lease_reply(job, member, reply);
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -226,6 +226,7 @@
 	bool claimed; /* its claim is in the log, and won */
 	bool started; /* a start was sent in this attempt */
 	bool ran_before; /* an earlier attempt had started */
+	bool ran; /* a worker said so: some attempt made progress */
 	bool ran_elsewhere; /* a peer that was lost may have run it */
 	bool cancelled;
 	bool reclaimed; /* being stopped for someone's guarantee */
--- a/src/test_libradishjunction/test_faults.c
+++ b/src/test_libradishjunction/test_faults.c
@@ -65,8 +65,22 @@
 	check_seed(PROMISE_NOT_RUN, 73);
 }
 
+/*
+ * A tutor is told that a preview ran and failed; no worker ever saw it.
+ * Its start is lost on the way, the retry budget is spent, and the job is
+ * given up.
+ * Cause: a start that was sent was taken for a task that ran.
+ */
+static void test_lost_start_is_not_a_failed_run(void)
+{
+	check_seed(PROMISE_GANG, 49);
+	check_seed(PROMISE_NOT_RUN, 87);
+}
+
 /* Promises that the core keeps in every seed that was run. */
-static const enum promise held[] = { PROMISE_ONCE, PROMISE_LEAVING,
+static const enum promise held[] = { PROMISE_GANG,    PROMISE_ANSWER,
+				     PROMISE_NOT_RUN, PROMISE_CONFIG,
+				     PROMISE_ONCE,    PROMISE_LEAVING,
 				     PROMISE_STOP };
 
 /* Promises that the naive version breaks within the seeds of this test. */
@@ -95,5 +109,7 @@
 			    test_naive_version_breaks_promise);
 	g_test_add_func("/faults/body",
 			test_job_known_from_its_claim_is_not_started);
+	g_test_add_func("/faults/lost_start",
+			test_lost_start_is_not_a_failed_run);
 	return g_test_run();
 }
