--- a/src/libradishjunction/core/controllers/stop_controller.c
+++ b/src/libradishjunction/core/controllers/stop_controller.c
@@ -52,6 +52,8 @@
 		return;
 	}
 	if (job->ending) {
+		if (job->final.kind == RJ_ANSWER_FAILED && !job->ran)
+			job->final.kind = RJ_ANSWER_UNKNOWN;
 		rj_job_end_with_result(job, job->final.kind, job->final.reason);
 		return;
 	}
