--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -49,8 +49,7 @@
 {
 	struct rj_record record;
 
-	job->state = RJ_JOB_ACCEPTING;
-	job->step_started_us = job->core->now_us;
+	rj_job_enter(job, RJ_JOB_ACCEPTING);
 	fill_record(job, RJ_RECORD_ACCEPT, &record);
 	record.spec.body = job->spec.body;
 	rj_log_append(job->core, RJ_STREAM_JOBS, &record);
@@ -77,8 +76,7 @@
 				rj_core_jitter_us(core, PLATFORM_RETRY_US));
 		return;
 	}
-	job->state = RJ_JOB_CLAIMING;
-	job->step_started_us = core->now_us;
+	rj_job_enter(job, RJ_JOB_CLAIMING);
 	fill_record(job, RJ_RECORD_CLAIM, &record);
 	record.lease_life_us = rj_upstreams_lease_life_us(core);
 	members = talloc_zero_array(core->actions->mem, struct rj_claim_member,
@@ -149,7 +147,7 @@
 		claim_given_up(job);
 		return;
 	}
-	job->state = RJ_JOB_QUEUED;
+	rj_job_enter(job, RJ_JOB_QUEUED);
 	rj_job_not_started(job, RJ_REASON_PLATFORM_DOWN,
 			   rj_core_jitter_us(core, PLATFORM_RETRY_US));
 }
@@ -180,7 +178,7 @@
 /*
  * The answer that a settled entry of the log gives.
  */
-void rj_claims_answer(const struct rj_ledger_entry *entry,
+void rj_claims_answer(const struct rj_job_entry *entry,
 		      struct rj_answer *answer)
 {
 	assert(entry->settled);
@@ -198,7 +196,7 @@
 {
 	rj_job_unplan(job, false);
 	rj_job_drop_members(job);
-	job->state = RJ_JOB_WATCHING;
+	rj_job_enter(job, RJ_JOB_WATCHING);
 	job->claimed = false;
 	job->started = false;
 }
@@ -263,7 +261,7 @@
 	}
 	rj_job_release_members(job);
 	rj_claims_void(job);
-	rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, RJ_REASON_CANCELLED, 0);
+	rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
 }
 
 /* Another claim of the same key was first in the log. */
@@ -280,7 +278,7 @@
 
 /* Whether the entry's open claim is that of the job's present attempt. */
 static bool own_claim(const struct rj_job *job,
-		      const struct rj_ledger_entry *entry)
+		      const struct rj_job_entry *entry)
 {
 	return entry->claimed && entry->attempt.owner == job->attempt.owner &&
 	       entry->attempt.number == job->attempt.number;
@@ -300,8 +298,7 @@
 	rj_job_answer_waiters(job, &answer);
 	rj_timer_clear(&core->timers, &job->deadline);
 	if (job->cancelled)
-		rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, RJ_REASON_CANCELLED,
-				 0);
+		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
 	else if (rj_membership_owns(core, core->domain, job->spec.job_id))
 		rj_job_submit(job);
 	else
@@ -309,16 +306,13 @@
 }
 
 /* The job was settled, here or elsewhere. */
-static void settled_read(struct rj_job *job,
-			 const struct rj_ledger_entry *entry)
+static void settled_read(struct rj_job *job, const struct rj_job_entry *entry)
 {
 	struct rj_answer answer;
 
 	rj_claims_answer(entry, &answer);
 	switch (job->state) {
 	case RJ_JOB_ENDED:
-		rj_job_free(job);
-		break;
 	case RJ_JOB_WATCHING:
 		rj_job_answer_waiters(job, &answer);
 		rj_job_free(job);
@@ -344,7 +338,7 @@
 }
 
 /* A claim of the job is open in the log. */
-static void claim_read(struct rj_job *job, const struct rj_ledger_entry *entry)
+static void claim_read(struct rj_job *job, const struct rj_job_entry *entry)
 {
 	if (job->state == RJ_JOB_CLAIMING) {
 		if (own_claim(job, entry))
@@ -355,6 +349,13 @@
 	}
 	if (own_claim(job, entry))
 		return;
+	if (job->state == RJ_JOB_ENDED &&
+	    job->final.kind == RJ_ANSWER_NOT_RUN) {
+		/* Claimed by a peer before this outcome: ask it to cancel. */
+		rj_job_watch(job);
+		rj_claims_cancel(job);
+		return;
+	}
 	if (job->state == RJ_JOB_QUEUED || job->state == RJ_JOB_HOLDING ||
 	    job->state == RJ_JOB_ACCEPTING) {
 		rj_job_release_members(job);
@@ -377,10 +378,10 @@
 void rj_claims_record(struct rj_core_state *core,
 		      const struct rj_record *record)
 {
-	struct rj_ledger_entry *entry;
+	struct rj_job_entry *entry;
 	struct rj_job *job;
 
-	entry = rj_ledger_apply(&core->ledger, core, record, core->now_us);
+	entry = rj_job_ledger_apply(&core->ledger, core, record, core->now_us);
 	if (!entry)
 		return;
 	job = rj_jobs_find(core, entry->job_id);
--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -64,8 +64,7 @@
 	if (job->claimed)
 		rj_claims_void(job);
 	if (job->cancelled) {
-		rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, RJ_REASON_CANCELLED,
-				 0);
+		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
 		return;
 	}
 	if (!job->accepted && job->waiters.next == &job->waiters) {
@@ -104,7 +103,7 @@
 	rj_core_count(core, RJ_COUNT_ADOPTIONS);
 	rj_core_log(core, RJ_LOG_ADOPT, RJ_REASON_OWNER, job,
 		    job->members[0].worker);
-	job->state = RJ_JOB_RUNNING;
+	rj_job_enter(job, RJ_JOB_RUNNING);
 	job->started = true;
 	if (!job->started_us)
 		job->started_us = core->now_us - job->members[0].ran_us;
@@ -163,7 +162,7 @@
 		return;
 	}
 	if (sum.done == all || (sum.failed && all == 1)) {
-		job->state = RJ_JOB_RUNNING;
+		rj_job_enter(job, RJ_JOB_RUNNING);
 		job->started = true;
 		rj_job_check(job);
 		return;
@@ -193,8 +192,7 @@
 	bool first = job->state != RJ_JOB_SETTLING;
 
 	if (first) {
-		job->state = RJ_JOB_SETTLING;
-		job->step_started_us = core->now_us;
+		rj_job_enter(job, RJ_JOB_SETTLING);
 		for (uint32_t i = 0; i < job->member_count; i++)
 			job->members[i].settled = false;
 	}
@@ -265,7 +263,7 @@
 
 /* Take the members of a claim from the log. */
 static void members_from_log(struct rj_job *job,
-			     const struct rj_ledger_entry *entry)
+			     const struct rj_job_entry *entry)
 {
 	rj_job_set_members(job, entry->member_count);
 	for (uint32_t i = 0; i < entry->member_count; i++) {
@@ -287,7 +285,7 @@
  * watches the job here goes on from what the workers say.
  */
 static void settle_entry(struct rj_core_state *core,
-			 const struct rj_ledger_entry *entry)
+			 const struct rj_job_entry *entry)
 {
 	struct rj_job *job = rj_jobs_find(core, entry->job_id);
 
@@ -308,7 +306,7 @@
 
 /* Whether a job here drives the entry's open claim. */
 static bool driven_here(const struct rj_job *job,
-			const struct rj_ledger_entry *entry)
+			const struct rj_job_entry *entry)
 {
 	if (!job || job->state == RJ_JOB_WATCHING)
 		return false;
@@ -318,7 +316,7 @@
 
 /* Serve an accepted job that has no owner yet, or whose owner is gone. */
 static void own_accepted(struct rj_core_state *core,
-			 const struct rj_ledger_entry *entry)
+			 const struct rj_job_entry *entry)
 {
 	struct rj_job *job = rj_jobs_find(core, entry->job_id);
 
@@ -335,14 +333,13 @@
 	job->accepted = true;
 	rj_core_log(core, RJ_LOG_ADOPT, RJ_REASON_OWNER, job, NULL);
 	if (entry->cancelled)
-		rj_job_end_plain(job, RJ_ANSWER_NOT_RUN, RJ_REASON_CANCELLED,
-				 0);
+		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
 	else
 		rj_job_submit(job);
 }
 
 /* Append what the log says of a job again, well before it is trimmed. */
-static void carry(struct rj_core_state *core, struct rj_ledger_entry *entry)
+static void carry(struct rj_core_state *core, struct rj_job_entry *entry)
 {
 	struct rj_record record;
 
@@ -379,8 +376,7 @@
  * Carry an entry forward at half the retention, or forget it when its key's
  * life is over. A key is refused a little before the log may forget it.
  */
-static void keep_entry(struct rj_core_state *core,
-		       struct rj_ledger_entry *entry)
+static void keep_entry(struct rj_core_state *core, struct rj_job_entry *entry)
 {
 	uint64_t life_us =
 		core->config ? core->config->limits.key_life_s * RJ_US_PER_S :
@@ -389,7 +385,7 @@
 
 	if (entry->settled && core->now_us > entry->first_us + life_us &&
 	    core->now_us > entry->recorded_us + half_us) {
-		rj_ledger_forget(&core->ledger, entry);
+		rj_job_ledger_forget(&core->ledger, entry);
 		return;
 	}
 	if (core->now_us < entry->recorded_us + half_us ||
@@ -408,14 +404,16 @@
  */
 void rj_claims_tick(struct rj_core_state *core)
 {
+	/* In an outage accepted jobs go on from what was read before it. */
+	bool current = !core->platform_up || rj_log_usable(core);
 	struct rj_list *at;
 	struct rj_list *next;
 
 	if (!core->streams[RJ_STREAM_JOBS].caught_up || core->stopping)
 		return;
 	RJ_FOR_EACH (at, next, &core->ledger.entries) {
-		struct rj_ledger_entry *entry =
-			RJ_CONTAINER(at, struct rj_ledger_entry, link);
+		struct rj_job_entry *entry =
+			RJ_CONTAINER(at, struct rj_job_entry, link);
 		struct rj_job *job = rj_jobs_find(core, entry->job_id);
 
 		if (!entry->settled && entry->claimed) {
@@ -427,7 +425,7 @@
 
 			if (mine && !driven_here(job, entry))
 				settle_entry(core, entry);
-		} else if (!entry->settled && entry->accepted &&
+		} else if (!entry->settled && entry->accepted && current &&
 			   rj_membership_owns(core, entry->domain,
 					      entry->job_id)) {
 			own_accepted(core, entry);
