--- a/src/libradishjunction/http_client.c
+++ b/src/libradishjunction/http_client.c
@@ -30,6 +30,7 @@
 	void *private_data;
 };
 
+/* libcurl must let go of the handle before it is freed. */
 static int transfer_destructor(struct transfer *transfer)
 {
 	rj_list_remove(&transfer->link);
@@ -61,6 +62,7 @@
 	return part;
 }
 
+/* Keep a part of the answer; a short count makes libcurl fail the transfer. */
 static size_t write_answer(char *data, size_t size, size_t count,
 			   void *private_data)
 {
@@ -112,6 +114,7 @@
 	}
 }
 
+/* Tell libcurl which events a socket has, and report what ended by them. */
 static void socket_ready(struct tevent_context *ev, struct tevent_fd *fde,
 			 uint16_t flags, void *private_data)
 {
@@ -157,6 +160,7 @@
 	return 0;
 }
 
+/* The time that libcurl asked for in timer_wanted has come. */
 static void timer_due(struct tevent_context *ev, struct tevent_timer *timer,
 		      struct timeval now, void *private_data)
 {
@@ -227,12 +231,14 @@
 	return 0;
 }
 
+/* The whole answer was not here in time. */
 static void timed_out(struct tevent_context *ev, struct tevent_timer *timer,
 		      struct timeval now, void *private_data)
 {
 	transfer_end(private_data, CURLE_OPERATION_TIMEDOUT);
 }
 
+/* All that libcurl is told of one transfer. */
 static void set_options(struct transfer *transfer,
 			const struct rj_http_send *send)
 {
--- a/src/libradishjunction/platform/http_platform.c
+++ b/src/libradishjunction/platform/http_platform.c
@@ -33,6 +33,7 @@
 	uint64_t from;
 };
 
+/* What every call remembers; the client frees it with the transfer. */
 static struct pending *pending_new(struct rj_http_platform *platform)
 {
 	struct pending *pending = talloc_zero(NULL, struct pending);
@@ -92,6 +93,7 @@
 	return RJ_APPEND_OK;
 }
 
+/* Turn the end of an append into its event. */
 static void append_done(void *private_data, const struct rj_http_result *result)
 {
 	const struct pending *pending = private_data;
@@ -135,6 +137,7 @@
 	talloc_free(private_data);
 }
 
+/* See rj_platform_ops: several records in one request take effect together. */
 static void http_append(struct rj_platform *base,
 			const struct rj_append *append)
 {
@@ -185,6 +188,7 @@
 	}
 }
 
+/* Turn the end of a read into its event, whose records live until then. */
 static void read_done(void *private_data, const struct rj_http_result *result)
 {
 	const struct pending *pending = private_data;
@@ -208,6 +212,7 @@
 	talloc_free(mem);
 }
 
+/* See rj_platform_ops: the long poll of one stream. */
 static void http_read(struct rj_platform *base, const struct rj_read *read)
 {
 	struct rj_http_platform *platform = (struct rj_http_platform *)base;
@@ -227,6 +232,7 @@
 		(uint64_t)(read->wait_us / RJ_US_PER_MS));
 }
 
+/* A list that did not come whole ends in no event; the core asks again. */
 static void list_done(void *private_data, const struct rj_http_result *result)
 {
 	const struct pending *pending = private_data;
@@ -245,6 +251,7 @@
 	talloc_free(mem);
 }
 
+/* See rj_platform_ops. */
 static void http_list(struct rj_platform *base)
 {
 	struct rj_http_platform *platform = (struct rj_http_platform *)base;
@@ -258,6 +265,7 @@
 	send_to(platform, &send, "/v1/instances");
 }
 
+/* See rj_platform_ops: calls that are open end in no event. */
 static void http_finish(struct rj_platform *base)
 {
 	struct rj_http_platform *platform = (struct rj_http_platform *)base;
--- a/src/libradishjunction/platform/platform_wire.c
+++ b/src/libradishjunction/platform/platform_wire.c
@@ -167,6 +167,7 @@
 	return 0;
 }
 
+/* An instance in the words of the list. */
 static void to_wire(struct wire_instance *wire,
 		    const struct rj_instance *instance)
 {
@@ -181,6 +182,7 @@
 	wire->state = instance->leaving ? STATE_LEAVING : STATE_LIVE;
 }
 
+/* An instance in the words of the core. */
 static void from_wire(struct rj_instance *instance,
 		      const struct wire_instance *wire)
 {
--- a/src/libradishjunction/worker/http_workers.c
+++ b/src/libradishjunction/worker/http_workers.c
@@ -62,6 +62,7 @@
 		fill_reply(reply, call, RJ_REPLY_LOST, RJ_REASON_NONE);
 }
 
+/* Turn the end of a call into its event, whose bytes live until then. */
 static void call_done(void *private_data, const struct rj_http_result *result)
 {
 	const struct pending *pending = private_data;
@@ -91,6 +92,7 @@
 	return waits ? workers->waiting : workers->control;
 }
 
+/* See rj_workers_ops: every call is a POST whose path names the operation. */
 static void http_call(struct rj_workers *base,
 		      const struct rj_worker_call *call)
 {
@@ -117,6 +119,7 @@
 	rj_http_client_send(client_for(workers, call), &send);
 }
 
+/* See rj_workers_ops: calls that are open end in no event. */
 static void http_finish(struct rj_workers *base)
 {
 	struct rj_http_workers *workers = (struct rj_http_workers *)base;
--- a/src/libradishjunction/worker/worker_wire.c
+++ b/src/libradishjunction/worker/worker_wire.c
@@ -269,6 +269,7 @@
 	return 0;
 }
 
+/* Fill the report of a reply; its tasks are a talloc child of `mem`. */
 static void encode_report(void *mem, struct wire_report *wire,
 			  const struct rj_worker_report *report)
 {
@@ -289,6 +290,7 @@
 	}
 }
 
+/* Check each result of a report; one that is not whole spoils all of it. */
 static int decode_report(void *mem, const struct wire_report *wire,
 			 struct rj_worker_report *report, struct rj_error *err)
 {
--- a/src/libstandin/gate.c
+++ b/src/libstandin/gate.c
@@ -13,6 +13,7 @@
 	struct rj_http_exchange *request;
 };
 
+/* A request that ends while it waits is no longer in the list. */
 static int entry_destructor(struct entry *entry)
 {
 	rj_list_remove(&entry->link);
@@ -52,6 +53,7 @@
 	return false;
 }
 
+/* Let a request take effect, unless its client has gone meanwhile. */
 static void pass(struct entry *entry)
 {
 	struct rj_gate *gate = entry->gate;
@@ -63,6 +65,7 @@
 	gate->pass(gate->private_data, request);
 }
 
+/* A slow request has waited long enough. */
 static void delay_over(struct tevent_context *ev, struct tevent_timer *timer,
 		       struct timeval now, void *private_data)
 {
@@ -112,6 +115,7 @@
 		pass_slowly(entry);
 }
 
+/* Let what came during the pause take effect, in its order. */
 static void end_pause(struct rj_gate *gate)
 {
 	struct rj_list *at;
--- a/src/libstandin/platform.c
+++ b/src/libstandin/platform.c
@@ -33,6 +33,7 @@
 	bool gone; /* taken from the list */
 };
 
+/* Answer with a body of the protocol. */
 static void answer(struct rj_http_exchange *request, const char *text)
 {
 	rj_http_exchange_answer(request, MHD_HTTP_OK, text, strlen(text));
@@ -75,6 +76,7 @@
 	return true;
 }
 
+/* Answer a read with what the stream holds now. */
 static void read_answer(struct reader *reader)
 {
 	struct rj_http_exchange *request = reader->request;
@@ -86,6 +88,7 @@
 	talloc_free(reader);
 }
 
+/* Answer the long polls that waited for what was appended. */
 static void wake_readers(struct rj_standin_platform *platform,
 			 const struct rj_standin_stream *stream)
 {
@@ -121,6 +124,7 @@
 	return NULL;
 }
 
+/* POST /v1/streams/NAME/append, with the faults that an append can have. */
 static void handle_append(struct rj_standin_platform *platform,
 			  struct rj_http_exchange *request, const char *name)
 {
@@ -163,6 +167,7 @@
 	wake_readers(platform, stream);
 }
 
+/* A number of the query, at most `max`; `missing` when it is left out. */
 static uint64_t argument(struct rj_http_exchange *request, const char *name,
 			 uint64_t missing, uint64_t max)
 {
@@ -172,12 +177,14 @@
 	return value < max ? value : max;
 }
 
+/* A long poll whose request ends is no longer in the list. */
 static int reader_destructor(struct reader *reader)
 {
 	rj_list_remove(&reader->link);
 	return 0;
 }
 
+/* Nothing was appended while a long poll waited: its answer is empty. */
 static void reader_timeout(struct tevent_context *ev,
 			   struct tevent_timer *timer, struct timeval now,
 			   void *private_data)
@@ -185,6 +192,7 @@
 	read_answer(private_data);
 }
 
+/* GET /v1/streams/NAME: at once, or when something is appended. */
 static void handle_read(struct rj_standin_platform *platform,
 			struct rj_http_exchange *request, const char *name)
 {
@@ -247,6 +255,7 @@
 	talloc_free(change);
 }
 
+/* The lag of the list has passed. */
 static void change_due(struct tevent_context *ev, struct tevent_timer *timer,
 		       struct timeval now, void *private_data)
 {
@@ -300,6 +309,7 @@
 	answer(request, "{}");
 }
 
+/* POST /v1/fault: all of its fields are taken, or none. */
 static void handle_fault(struct rj_standin_platform *platform,
 			 struct rj_http_exchange *request)
 {
@@ -337,6 +347,7 @@
 	return talloc_strndup(request, path + before, length - before - after);
 }
 
+/* A request that the faults let pass. */
 static void dispatch(void *private_data, struct rj_http_exchange *request)
 {
 	struct rj_standin_platform *platform = private_data;
--- a/src/libstandin/task_ops.c
+++ b/src/libstandin/task_ops.c
@@ -3,6 +3,7 @@
 #include <assert.h>
 #include <string.h>
 
+/* The call has had no effect, for this reason. */
 static void refuse(struct rj_worker_reply *reply, enum rj_reason reason)
 {
 	reply->status = RJ_REPLY_REFUSED;
@@ -50,6 +51,7 @@
 	return task;
 }
 
+/* Lease and start in one. */
 static struct rj_task *run(struct rj_tasks *tasks,
 			   const struct rj_worker_call *call, uint64_t now_us,
 			   struct rj_worker_reply *reply)
@@ -84,6 +86,7 @@
 	return task;
 }
 
+/* Extend a lease; of an ended task there is nothing to extend. */
 static struct rj_task *renew(struct rj_tasks *tasks,
 			     const struct rj_worker_call *call, uint64_t now_us,
 			     struct rj_worker_reply *reply)
@@ -102,6 +105,10 @@
 	return task;
 }
 
+/*
+ * Begin to save; rj_tasks_advance stops the task when it is saved, or at the
+ * limit.
+ */
 static void checkpoint(struct rj_task *task, const struct rj_worker_call *call,
 		       uint64_t now_us)
 {
@@ -115,6 +122,7 @@
 		(task->checkpoint_fits ? task->checkpoint_us : call->limit_us);
 }
 
+/* Progress is counted up to now before the speed changes. */
 static void throttle(struct rj_task *task, const struct rj_worker_call *call,
 		     uint64_t now_us)
 {
@@ -123,6 +131,7 @@
 		task->throttle_percent = call->throttle_percent;
 }
 
+/* A running task ends before its time; a held token is dead. */
 static void stop(struct rj_tasks *tasks, struct rj_task *task, uint64_t now_us)
 {
 	if (task->state == RJ_TASK_RUNNING)
@@ -152,6 +161,7 @@
 	memset(&task->result, 0, sizeof(task->result));
 }
 
+/* Settle an attempt: whatever the answer says of it stays true. */
 static struct rj_task *fence(struct rj_tasks *tasks,
 			     const struct rj_worker_call *call, uint64_t now_us)
 {
--- a/src/libstandin/tasks.c
+++ b/src/libstandin/tasks.c
@@ -14,6 +14,7 @@
 #define ENDED_KEPT_MAX 1000
 #define FULL_SPEED_PERCENT 100
 
+/* For GHashTable. */
 static guint key_hash(gconstpointer data)
 {
 	const struct rj_task_key *key = data;
@@ -23,6 +24,7 @@
 		       31 * key->attempt.number + key->member);
 }
 
+/* For GHashTable. */
 static gboolean key_equal(gconstpointer a, gconstpointer b)
 {
 	const struct rj_task_key *one = a;
@@ -34,11 +36,13 @@
 	       one->member == two->member;
 }
 
+/* For GHashTable, whose values are talloc chunks. */
 static void free_talloc(gpointer data)
 {
 	talloc_free(data);
 }
 
+/* A token or incarnation: not 0, which stands for none. */
 static uint64_t random_id(void)
 {
 	uint64_t id;
@@ -49,6 +53,7 @@
 	return id;
 }
 
+/* What a worker knows when its process has just started. */
 static void start_empty(struct rj_tasks *tasks)
 {
 	tasks->unused = tasks->capacity;
@@ -154,6 +159,7 @@
 	rj_list_append(&tasks->active, &task->link);
 }
 
+/* A duration of the body in microseconds; 0 when it has none. */
 static uint64_t body_ms(const json_t *body, const char *field)
 {
 	json_int_t ms = json_integer_value(json_object_get(body, field));
@@ -364,6 +370,7 @@
 	return due_us;
 }
 
+/* One line of a report; only an end that has a result copies it. */
 static void report_task(const struct rj_task *task, void *mem, uint64_t now_us,
 			struct rj_task_report *report)
 {
--- a/src/libstandin/worker.c
+++ b/src/libstandin/worker.c
@@ -72,6 +72,7 @@
 	}
 }
 
+/* A lease, a task or a checkpoint has come to its end. */
 static void task_due(struct tevent_context *ev, struct tevent_timer *timer,
 		     struct timeval now, void *private_data)
 {
@@ -114,12 +115,14 @@
 	       (call->op == RJ_WORKER_START && call->wait);
 }
 
+/* A call whose client has gone is no longer in the list. */
 static int waiter_destructor(struct waiter *waiter)
 {
 	rj_list_remove(&waiter->link);
 	return 0;
 }
 
+/* Keep a call until answer_waiters finds its task ended. */
 static void wait_for_end(struct rj_standin_worker *worker,
 			 struct rj_http_exchange *request,
 			 const struct rj_worker_call *call,
@@ -160,6 +163,7 @@
 	*report = worker->old_report;
 }
 
+/* Carry out a call that the faults let pass, and answer it now or later. */
 static void handle_call(struct rj_standin_worker *worker,
 			struct rj_http_exchange *request,
 			const struct rj_worker_call *call)
@@ -183,6 +187,7 @@
 	arm(worker);
 }
 
+/* GET /v1/ran: what a check compares with what callers were told. */
 static void handle_ran(struct rj_standin_worker *worker,
 		       struct rj_http_exchange *request)
 {
@@ -194,6 +199,7 @@
 	rj_http_exchange_answer(request, MHD_HTTP_OK, text, strlen(text));
 }
 
+/* Take the fields of POST /v1/fault. Returns -1 when one has another type. */
 static int set_faults(struct rj_standin_worker *worker, const json_t *faults,
 		      const struct rj_http_exchange *request)
 {
@@ -219,6 +225,7 @@
 	return 0;
 }
 
+/* POST /v1/fault; leases go on while it is set, so what is due comes first. */
 static void handle_fault(struct rj_standin_worker *worker,
 			 struct rj_http_exchange *request)
 {
--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -77,6 +77,7 @@
 	assert(request->watch);
 }
 
+/* Hangs on every request, so that the list of open ones never dangles. */
 static int request_destructor(struct rj_http_exchange *request)
 {
 	rj_list_remove(&request->link);
@@ -85,6 +86,7 @@
 	return 0;
 }
 
+/* A request whose headers have come. */
 static struct rj_http_exchange *request_new(struct rj_http_server *server,
 					    struct MHD_Connection *connection,
 					    const char *path,
@@ -103,6 +105,7 @@
 	return request;
 }
 
+/* Hand a whole request to the handler. */
 static void handle(struct rj_http_exchange *request)
 {
 	struct rj_http_server *server = request->server;
@@ -154,6 +157,7 @@
 	return queued;
 }
 
+/* The last byte was sent, or the connection ended before. */
 static void request_completed(void *cls, struct MHD_Connection *connection,
 			      void **con_cls,
 			      enum MHD_RequestTerminationCode code)
@@ -162,6 +166,7 @@
 	*con_cls = NULL;
 }
 
+/* Count the connections that stand. */
 static void connection_changed(void *cls, struct MHD_Connection *connection,
 			       void **socket_context,
 			       enum MHD_ConnectionNotificationCode code)
@@ -174,6 +179,7 @@
 		server->connections--;
 }
 
+/* One connection above the limit is closed as soon as it is accepted. */
 static enum MHD_Result accept_policy(void *cls, const struct sockaddr *address,
 				     socklen_t length)
 {
--- a/src/standin/fleet.c
+++ b/src/standin/fleet.c
@@ -28,6 +28,7 @@
 
 static void register_member(struct rj_fleet_member *member);
 
+/* The wait before the next registration is over. */
 static void register_again(struct tevent_context *ev,
 			   struct tevent_timer *timer, struct timeval now,
 			   void *private_data)
@@ -35,6 +36,7 @@
 	register_member(private_data);
 }
 
+/* Register again after a failure, or when the state changed meanwhile. */
 static void registered(void *private_data, const struct rj_http_result *result)
 {
 	const struct registration *registration = private_data;
@@ -54,6 +56,7 @@
 	(void)timer;
 }
 
+/* The state of a member as the platform lists it. */
 static char *registration_text(void *mem, const struct rj_fleet_member *member)
 {
 	const struct rj_standin_worker *worker = &member->worker;
@@ -95,6 +98,7 @@
 	rj_http_client_send(&fleet->client, &send);
 }
 
+/* A fault changed the state or the incarnation: tell the platform. */
 static void member_changed(struct rj_standin_worker *worker)
 {
 	struct rj_fleet_member *member = (struct rj_fleet_member *)worker;
@@ -106,6 +110,7 @@
 		register_member(member);
 }
 
+/* Start one worker and register it. */
 static int init_member(struct rj_fleet *fleet, uint32_t index,
 		       struct rj_error *err)
 {
--- a/src/standin/main.c
+++ b/src/standin/main.c
@@ -28,6 +28,7 @@
 	bool stopped;
 };
 
+/* SIGTERM or SIGINT: leave the loop. */
 static void stop(struct tevent_context *ev, struct tevent_signal *signal,
 		 int number, int count, void *info, void *private_data)
 {
@@ -71,12 +72,14 @@
 	return EXIT_USAGE;
 }
 
+/* Say what went wrong and how to mend it. */
 static int fail(const struct rj_error *err)
 {
 	fprintf(stderr, "rj-standin: %s\n", err->message);
 	return EXIT_FAILURE;
 }
 
+/* Serve the platform until a signal. */
 static int serve_platform(struct shell *shell,
 			  const struct rj_standin_platform_options *options)
 {
@@ -97,6 +100,7 @@
 	return EXIT_SUCCESS;
 }
 
+/* rj-standin platform: its command line. */
 static int run_platform(struct shell *shell, int argc, char **argv)
 {
 	struct arg_str *listen =
@@ -140,6 +144,7 @@
 	return status;
 }
 
+/* Serve the workers until a signal. */
 static int serve_workers(struct shell *shell,
 			 const struct rj_fleet_options *options)
 {
@@ -153,6 +158,7 @@
 	return EXIT_SUCCESS;
 }
 
+/* rj-standin workers: its command line. */
 static int run_workers(struct shell *shell, int argc, char **argv)
 {
 	struct arg_str *ip =
@@ -228,6 +234,7 @@
 	{ "workers", run_workers },
 };
 
+/* Dispatch on the first argument. */
 static int run_mode(struct shell *shell, int argc, char **argv)
 {
 	for (size_t i = 0; argc > 1 && i < ARG_COUNT(modes); i++)
@@ -241,6 +248,7 @@
 	return EXIT_USAGE;
 }
 
+/* Start the libraries and the event loop, then the mode that was asked for. */
 int main(int argc, char **argv)
 {
 	struct shell shell = { .stopped = false };
