command: load, a mixed load whose caller accounts for every job

Cause: the demo and the process tests need a caller that counts, and compares its answers with what the workers say they ran. Change: radishjunction load; requests of the HTTP client may have headers of their own.

--- a/src/libradishjunction/include/private/http_client.h
+++ b/src/libradishjunction/include/private/http_client.h
@@ -40,6 +40,8 @@
 	size_t length;
 	uint64_t timeout_us; /* from now to the whole answer */
 	size_t answer_max_bytes; /* a longer answer is lost */
+	const char *const *headers; /* beside the client's, "Name: value" */
+	uint32_t header_count;
 	void (*done)(void *private_data, const struct rj_http_result *result);
 	void *private_data; /* talloc: owned by the client, freed after done */
 };
--- a/src/radishjunction/command.h
+++ b/src/radishjunction/command.h
@@ -59,6 +59,7 @@
 int command_ask(int argc, char **argv);
 int command_generate(int argc, char **argv);
 int command_check(int argc, char **argv);
+int command_load(int argc, char **argv);
 
 extern const struct command commands[];
 const struct command *command_find(const char *name);
--- /dev/null
+++ b/src/radishjunction/load.c
@@ -0,0 +1,462 @@
+#include "load.h"
+
+#include <assert.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "command.h"
+#include "private/clock.h"
+#include "private/wire_json.h"
+#include "radishjunction/settings.h"
+
+/* Jobs that are due are sent so often. */
+#define TICK_US (5 * RJ_US_PER_MS)
+/* Above the time that an instance needs to say that it cannot tell yet. */
+#define ANSWER_LIMIT_US (20 * RJ_US_PER_S)
+#define ANSWER_MAX_BYTES (512 * 1024)
+/* After a lost answer, and when no time to come back was told. */
+#define RETRY_US (200 * RJ_US_PER_MS)
+/* Connections to one instance, as many callers behind a balancer hold. */
+#define CONNECTIONS_MAX 256
+#define TARGETS_MAX 64
+#define HEADER_BYTES 128
+
+/* One caller that waits for the answer to one job. */
+struct ask {
+	struct load *load;
+	struct load_job *job;
+	bool posted; /* the newest request was a submission */
+	uint64_t job_id; /* 0 until an answer named it */
+	bool accepted;
+};
+
+static void ask_send(struct ask *ask);
+
+/* The caller has its final answer, or has given up with `unknown`. */
+static void ask_end(struct ask *ask, enum rj_answer_kind answer,
+		    enum rj_reason reason)
+{
+	struct load_job *job = ask->job;
+
+	job->asking--;
+	ask->load->asking--;
+	if (!job->answered || job->answer == RJ_ANSWER_UNKNOWN) {
+		job->took_us = rj_clock_now_us() - ask->load->began_us;
+		job->answer = answer;
+		job->reason = reason;
+	} else if (answer != RJ_ANSWER_UNKNOWN && answer != job->answer) {
+		fprintf(stderr, "load: job %s was told %s, then %s\n",
+			job->echo, rj_answer_kind_string[job->answer],
+			rj_answer_kind_string[answer]);
+		job->wrong = true;
+	}
+	job->answered = true;
+	talloc_free(ask);
+}
+
+/* Whether it is too late to ask again. */
+static bool too_late(const struct load *load)
+{
+	return rj_clock_now_us() >
+	       load->began_us + load->plan->limit_s * RJ_US_PER_S;
+}
+
+/* The time to ask again has come. */
+static void on_again(struct tevent_context *loop, struct tevent_timer *timer,
+		     struct timeval now, void *private_data)
+{
+	ask_send(private_data);
+}
+
+/* Ask again at another instance, or give up when time is over. */
+static void ask_again(struct ask *ask, uint64_t delay_us, enum rj_reason reason)
+{
+	struct tevent_timer *timer;
+
+	if (too_late(ask->load)) {
+		ask_end(ask, RJ_ANSWER_UNKNOWN, reason);
+		return;
+	}
+	timer = tevent_add_timer(ask->load->loop, ask,
+				 rj_clock_timeval_in(delay_us), on_again, ask);
+	assert(timer);
+	(void)timer;
+}
+
+/* A string of an answer as a value of its enum, or `count`. */
+static uint32_t enum_value(const json_t *json, const char *field,
+			   const char *const *strings, uint32_t count)
+{
+	const char *text = json_string_value(json_object_get(json, field));
+
+	for (uint32_t i = 0; text && i < count; i++)
+		if (strcmp(strings[i], text) == 0)
+			return i;
+	return count;
+}
+
+/* Whether a result is the whole result of this job. */
+static bool is_own_result(const struct ask *ask, const json_t *json)
+{
+	const json_t *result = json_object_get(json, "result");
+	const char *echo = json_string_value(json_object_get(result, "echo"));
+
+	return echo && strcmp(echo, ask->job->echo) == 0;
+}
+
+/* Take the id that an answer names; false if it is another than before. */
+static bool take_job_id(struct ask *ask, const json_t *json)
+{
+	uint64_t job_id;
+
+	if (!json_object_get(json, "job"))
+		return true;
+	if (rj_wire_get_hex(json, "job", &job_id, NULL))
+		return false;
+	if (ask->job_id && ask->job_id != job_id)
+		return false;
+	ask->job_id = job_id;
+	ask->job->job_id = job_id;
+	return true;
+}
+
+/* How long the answer says to wait before asking again. */
+static uint64_t retry_delay_us(const json_t *json)
+{
+	const json_t *retry = json_object_get(json, "retry_after_ms");
+
+	return json_is_integer(retry) ?
+		       (uint64_t)json_integer_value(retry) * RJ_US_PER_MS :
+		       RETRY_US;
+}
+
+/* Act on a whole answer. */
+static void take_answer(struct ask *ask, const json_t *json)
+{
+	uint32_t answer = enum_value(json, "answer", rj_answer_kind_string,
+				     RJ_ANSWER_KIND_COUNT);
+	uint32_t reason =
+		enum_value(json, "reason", rj_reason_string, RJ_REASON_COUNT);
+
+	if (reason == RJ_REASON_COUNT || !take_job_id(ask, json))
+		ask->job->wrong = true;
+	switch (answer) {
+	case RJ_ANSWER_DONE:
+		if (!is_own_result(ask, json))
+			ask->job->wrong = true;
+		ask_end(ask, answer, reason);
+		return;
+	case RJ_ANSWER_FAILED:
+		ask_end(ask, answer, reason);
+		return;
+	case RJ_ANSWER_ACCEPTED:
+		ask->accepted = true;
+		ask->job->accepted = true;
+		ask_again(ask, 0, reason);
+		return;
+	case RJ_ANSWER_NOT_RUN:
+		/* The instance may not have read the log that far. */
+		if (reason == RJ_REASON_NO_SUCH_JOB && ask->accepted)
+			ask_again(ask, retry_delay_us(json), reason);
+		else
+			ask_end(ask, answer, reason);
+		return;
+	case RJ_ANSWER_UNKNOWN:
+		if (ask->job->kind->keyed || ask->job_id)
+			ask_again(ask, retry_delay_us(json), reason);
+		else
+			ask_end(ask, answer, reason);
+		return;
+	default:
+		ask->job->wrong = true;
+		ask_end(ask, RJ_ANSWER_UNKNOWN, RJ_REASON_NONE);
+	}
+}
+
+/* An answer has come, or the connection was lost. */
+static void on_answer(void *private_data, const struct rj_http_result *result)
+{
+	struct ask *ask = *(struct ask **)private_data;
+	json_t *json = NULL;
+
+	if (result->outcome == RJ_HTTP_ANSWERED)
+		json = json_loadb(result->body, result->length, 0, NULL);
+	if (json)
+		take_answer(ask, json);
+	else
+		ask_again(ask, RETRY_US, RJ_REASON_NONE);
+	json_decref(json);
+}
+
+/*
+ * Submit the job, or ask for it by its id, at the next instance. A job with
+ * a key is always submitted again: the key is what makes that safe.
+ */
+static void ask_send(struct ask *ask)
+{
+	struct load *load = ask->load;
+	const struct load_kind *kind = ask->job->kind;
+	const struct rj_address *target =
+		&load->plan->targets[load->next_target++ %
+				     load->plan->target_count];
+	char token[HEADER_BYTES];
+	char key[HEADER_BYTES];
+	const char *headers[] = { token, key };
+	bool post = !ask->accepted && (kind->keyed || !ask->job_id);
+	struct ask **slot = talloc(load, struct ask *);
+	char *url;
+	struct rj_http_send send = {
+		.method = post ? "POST" : "GET",
+		.body = post ? ask->job->text : "",
+		.length = post ? strlen(ask->job->text) : 0,
+		.timeout_us = ANSWER_LIMIT_US,
+		.answer_max_bytes = ANSWER_MAX_BYTES,
+		.headers = headers,
+		.header_count = post && kind->keyed ? 2 : 1,
+		.done = on_answer,
+		.private_data = slot,
+	};
+
+	assert(slot);
+	*slot = ask;
+	snprintf(token, sizeof(token), "Authorization: Bearer %s", kind->token);
+	snprintf(key, sizeof(key), "Idempotency-Key: %s", ask->job->key);
+	if (post)
+		url = talloc_asprintf(slot, "http://%s:%u/v1/jobs", target->ip,
+				      target->port);
+	else
+		url = talloc_asprintf(
+			slot, "http://%s:%u/v1/jobs/%016llx?wait=1", target->ip,
+			target->port, (unsigned long long)ask->job_id);
+	send.url = url;
+	rj_http_client_send(&load->client, &send);
+}
+
+/* One more caller asks for the job. */
+static void ask_begin(struct load *load, struct load_job *job)
+{
+	struct ask *ask = talloc_zero(load, struct ask);
+
+	assert(ask);
+	ask->load = load;
+	ask->job = job;
+	job->asking++;
+	load->asking++;
+	ask_send(ask);
+}
+
+/* Send what is due by the rate. */
+static void on_tick(struct tevent_context *loop, struct tevent_timer *timer,
+		    struct timeval now, void *private_data)
+{
+	struct load *load = private_data;
+	uint64_t due = (rj_clock_now_us() - load->began_us) * load->plan->rate /
+		       RJ_US_PER_S;
+
+	while (load->sent < load->job_count && load->sent < due) {
+		uint32_t index = load->order[load->sent++];
+		struct load_job *job = &load->jobs[index];
+		uint32_t every = job->kind->repeat_every;
+
+		ask_begin(load, job);
+		if (every && index % every == 0)
+			ask_begin(load, job);
+	}
+	if (load->sent < load->job_count)
+		tevent_add_timer(loop, load, rj_clock_timeval_in(TICK_US),
+				 on_tick, load);
+}
+
+/* Write the submission of a job and the digest of its body. */
+static void fill_job(struct load *load, struct load_job *job,
+		     const struct load_kind *kind, uint32_t index)
+{
+	json_t *body;
+	json_t *json;
+	char *body_text;
+	struct rj_bytes part;
+
+	job->kind = kind;
+	snprintf(job->echo, sizeof(job->echo), "%u-%u-%llx", load->plan->seed,
+		 index, (unsigned long long)load->random);
+	snprintf(job->key, sizeof(job->key), "load-%s", job->echo);
+	body = json_pack("{s:i, s:s}", "run_ms", (int)kind->run_ms, "echo",
+			 job->echo);
+	body_text = json_dumps(body, JSON_COMPACT | JSON_SORT_KEYS);
+	part.data = (const uint8_t *)body_text;
+	part.length = (uint32_t)strlen(body_text);
+	rj_digest(job->digest, &part, 1);
+	json = json_pack("{s:s, s:i, s:i, s:i, s:i, s:b, s:i, s:b, s:o}",
+			 "class", kind->class_name, "tasks", (int)kind->tasks,
+			 "accelerators", (int)kind->accelerators, "cores",
+			 (int)kind->cores, "memory_mb", (int)kind->memory_mb,
+			 "adjacent", kind->adjacent, "declared_ms",
+			 (int)kind->run_ms, "wait", kind->wait, "body", body);
+	assert(json);
+	job->text = rj_wire_text(load, json);
+	json_decref(json);
+	free(body_text);
+}
+
+/* Make all jobs, and mix their order by the seed. */
+static void make_jobs(struct load *load)
+{
+	const struct load_plan *plan = load->plan;
+	uint32_t index = 0;
+
+	for (uint32_t i = 0; i < plan->kind_count; i++)
+		load->job_count += plan->kinds[i].count;
+	load->jobs = talloc_zero_array(load, struct load_job, load->job_count);
+	load->order = talloc_array(load, uint32_t, load->job_count);
+	assert(load->jobs && load->order);
+	for (uint32_t i = 0; i < plan->kind_count; i++)
+		for (uint32_t j = 0; j < plan->kinds[i].count; j++, index++)
+			fill_job(load, &load->jobs[index], &plan->kinds[i],
+				 index);
+	for (uint32_t i = 0; i < load->job_count; i++) {
+		uint32_t other =
+			(uint32_t)(rj_random64(&load->random) % (i + 1));
+
+		load->order[i] = load->order[other];
+		load->order[other] = i;
+	}
+}
+
+/*
+ * Send the whole plan, and wait until every caller has its answer or the
+ * plan's limit is over. `load` is a talloc context of its own.
+ */
+void load_run(struct load *load, void *mem, const struct load_plan *plan)
+{
+	load->loop = tevent_context_init(mem);
+	load->plan = plan;
+	load->random = plan->seed;
+	make_jobs(load);
+	if (rj_http_client_init(&load->client, load, load->loop, NULL,
+				CONNECTIONS_MAX, NULL))
+		assert(!"the client starts");
+	load->began_us = rj_clock_now_us();
+	tevent_add_timer(load->loop, load, rj_clock_timeval_in(0), on_tick,
+			 load);
+	while (load->sent < load->job_count || load->asking)
+		tevent_loop_once(load->loop);
+}
+
+/* Print the account as one JSON line. */
+static void print_totals(const struct load *load)
+{
+	const struct load_totals *totals = &load->totals;
+
+	printf("{\"submitted\":%u,\"done\":%u,\"failed\":%u,\"not_run\":%u,"
+	       "\"unknown\":%u,\"lost\":%u,\"doubled\":%u,"
+	       "\"wrong_answer\":%u}\n",
+	       load->job_count, totals->answers[RJ_ANSWER_DONE],
+	       totals->answers[RJ_ANSWER_FAILED],
+	       totals->answers[RJ_ANSWER_NOT_RUN],
+	       totals->answers[RJ_ANSWER_UNKNOWN], totals->lost,
+	       totals->doubled, totals->wrong_answer);
+	fflush(stdout);
+}
+
+/* Read the addresses; adds an error for each that is none. */
+static void parse_addresses(struct load_plan *plan, void *mem,
+			    const struct arg_str *targets, const char *platform,
+			    struct rj_error_list *errors)
+{
+	plan->target_count = (uint32_t)targets->count;
+	plan->targets =
+		talloc_zero_array(mem, struct rj_address, plan->target_count);
+	assert(plan->targets);
+	for (uint32_t i = 0; i < plan->target_count; i++)
+		if (rj_address_parse(&plan->targets[i], targets->sval[i]))
+			rj_error_list_add(errors, RJ_ERR_INVALID,
+					  "--target: \"%s\"; give IP:PORT",
+					  targets->sval[i]);
+	if (rj_address_parse(&plan->platform, platform))
+		rj_error_list_add(errors, RJ_ERR_INVALID,
+				  "--platform: \"%s\"; give IP:PORT", platform);
+}
+
+/* Read the files and addresses; 0, or -1 with all errors told. */
+static int read_plan(void *mem, const char *plan_path, const char *tokens_path,
+		     const struct arg_str *targets, const char *platform,
+		     struct load_plan *plan)
+{
+	struct rj_error_list errors;
+	struct rj_error err;
+	char *text = file_read(mem, plan_path, &err);
+	char *tokens = text ? file_read(mem, tokens_path, &err) : NULL;
+
+	if (!tokens) {
+		print_error("load", &err);
+		return -1;
+	}
+	rj_error_list_init(&errors, mem);
+	load_plan_parse(mem, text, tokens, plan, &errors);
+	parse_addresses(plan, mem, targets, platform, &errors);
+	print_errors(plan_path, &errors);
+	return errors.count ? -1 : 0;
+}
+
+/* Run a plan and print its account. */
+static int run_plan(void *mem, const struct load_plan *plan)
+{
+	struct load *load = talloc_zero(mem, struct load);
+	struct rj_error err;
+	int result = EXIT_DONE;
+
+	assert(load);
+	load_run(load, load, plan);
+	if (load_account(load, load, &err)) {
+		print_error("load", &err);
+		result = EXIT_UNREACHABLE;
+	} else {
+		print_totals(load);
+		if (load->totals.lost || load->totals.doubled ||
+		    load->totals.wrong_answer)
+			result = EXIT_REFUSED;
+	}
+	rj_http_client_finish(&load->client);
+	return result;
+}
+
+/*
+ * `radishjunction load`: send a mixed load and account for every job. Exit
+ * code 0 only if none was lost, doubled or answered wrongly.
+ */
+int command_load(int argc, char **argv)
+{
+	struct arg_file *plan_file =
+		arg_file1(NULL, "plan", "FILE", "kinds of jobs and their rate");
+	struct arg_file *tokens = arg_file1(NULL, "tokens", "FILE",
+					    "what `generate --tokens` wrote");
+	struct arg_str *targets =
+		arg_strn(NULL, "target", "IP:PORT", 1, TARGETS_MAX,
+			 "an instance; give each once");
+	struct arg_str *platform = arg_str1(NULL, "platform", "IP:PORT",
+					    "lists the workers to ask");
+	struct options options;
+	struct options_result parsed;
+	struct load_plan plan = { 0 };
+	void *mem = talloc_new(NULL);
+	int result;
+
+	options_init(&options);
+	void *table[] = { plan_file,	tokens,		 targets,    platform,
+			  options.help, options.version, options.end };
+	parsed = options_parse(&options, command_find("load"), argc, argv,
+			       table);
+	result = parsed.exit_code;
+	if (parsed.go_on)
+		result = read_plan(mem, option_file(plan_file),
+				   option_file(tokens), targets,
+				   option_string(platform, ""), &plan) ?
+				 EXIT_REFUSED :
+				 run_plan(mem, &plan);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	talloc_free(mem);
+	return result;
+}
--- /dev/null
+++ b/src/radishjunction/load_account.c
@@ -0,0 +1,208 @@
+#include <assert.h>
+#include <glib.h>
+#include <jansson.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "load.h"
+#include "private/wire_json.h"
+#include "radishjunction/event.h"
+
+#define ANSWER_LIMIT_US (10 * RJ_US_PER_S)
+/* Every task that a worker ever ran, with room for many. */
+#define ANSWER_MAX_BYTES (64 * 1024 * 1024)
+#define DIGEST_HEX_BYTES (2 * RJ_DIGEST_BYTES + 1)
+
+/* What the workers ran of one job. */
+struct ran {
+	char digest[DIGEST_HEX_BYTES];
+	uint32_t starts; /* of the first member, in all attempts */
+	uint32_t done; /* members that ended well */
+};
+
+/* One GET that is waited for. */
+struct get {
+	bool ended;
+	json_t *json;
+};
+
+/* The answer to a GET, or none. */
+static void on_got(void *private_data, const struct rj_http_result *result)
+{
+	struct get *get = *(struct get **)private_data;
+
+	get->ended = true;
+	if (result->outcome == RJ_HTTP_ANSWERED)
+		get->json = json_loadb(result->body, result->length, 0, NULL);
+}
+
+/* GET a JSON value: a new reference, or NULL. */
+static json_t *get_json(struct load *load, const struct rj_address *address,
+			const char *path)
+{
+	struct get get = { false, NULL };
+	struct get **slot = talloc(load, struct get *);
+	struct rj_http_send send = {
+		.method = "GET",
+		.url = talloc_asprintf(slot, "http://%s:%u%s", address->ip,
+				       address->port, path),
+		.body = "",
+		.timeout_us = ANSWER_LIMIT_US,
+		.answer_max_bytes = ANSWER_MAX_BYTES,
+		.done = on_got,
+		.private_data = slot,
+	};
+
+	assert(slot);
+	*slot = &get;
+	rj_http_client_send(&load->client, &send);
+	while (!get.ended)
+		tevent_loop_once(load->loop);
+	return get.json;
+}
+
+/* Add what one worker ran; 0, or -1 if an entry cannot be read. */
+static int add_ran(GHashTable *table, void *mem, const json_t *list)
+{
+	size_t index;
+	json_t *entry;
+
+	json_array_foreach(list, index, entry)
+	{
+		const char *digest =
+			json_string_value(json_object_get(entry, "digest"));
+		const char *state =
+			json_string_value(json_object_get(entry, "state"));
+		uint32_t member;
+		uint32_t starts;
+		struct ran *ran;
+
+		if (!digest || !state || strlen(digest) >= DIGEST_HEX_BYTES ||
+		    rj_wire_get_u32(entry, "member", &member, NULL) ||
+		    rj_wire_get_u32(entry, "starts", &starts, NULL))
+			return -1;
+		ran = g_hash_table_lookup(table, digest);
+		if (!ran) {
+			ran = talloc_zero(mem, struct ran);
+			assert(ran);
+			g_strlcpy(ran->digest, digest, sizeof(ran->digest));
+			g_hash_table_insert(table, ran->digest, ran);
+		}
+		if (!member)
+			ran->starts += starts;
+		if (!strcmp(state, rj_task_state_string[RJ_TASK_DONE]))
+			ran->done++;
+	}
+	return 0;
+}
+
+/* Ask every worker of the platform's list what it ran. */
+static int collect_ran(struct load *load, void *mem, GHashTable *table,
+		       struct rj_error *err)
+{
+	json_t *list = get_json(load, &load->plan->platform, "/v1/instances");
+	size_t index;
+	json_t *entry;
+	int failed = 0;
+
+	if (!list)
+		return rj_error_set(err, RJ_ERR_UNAVAILABLE,
+				    "platform %s:%u: no list of instances; see "
+				    "whether it runs",
+				    load->plan->platform.ip,
+				    load->plan->platform.port);
+	json_array_foreach(json_object_get(list, "instances"), index, entry)
+	{
+		const char *role =
+			json_string_value(json_object_get(entry, "role"));
+		const char *ip =
+			json_string_value(json_object_get(entry, "ip"));
+		struct rj_address address = { .port = 0 };
+		json_t *ran;
+
+		if (!role || !ip ||
+		    strcmp(role, rj_instance_role_string[RJ_ROLE_WORKER]) != 0)
+			continue;
+		g_strlcpy(address.ip, ip, sizeof(address.ip));
+		address.port = (uint16_t)json_integer_value(
+			json_object_get(entry, "port"));
+		ran = get_json(load, &address, "/v1/ran");
+		failed = !ran ||
+			 add_ran(table, mem, json_object_get(ran, "ran"));
+		json_decref(ran);
+		if (failed) {
+			rj_error_set(err, RJ_ERR_UNAVAILABLE,
+				     "worker %s:%u: did not say what it ran; "
+				     "see whether it runs",
+				     address.ip, address.port);
+			break;
+		}
+	}
+	json_decref(list);
+	return failed ? -1 : 0;
+}
+
+/* Whether the answer contradicts what the workers ran. */
+static bool contradicts(const struct load_job *job, const struct ran *ran)
+{
+	uint32_t starts = ran ? ran->starts : 0;
+
+	if (job->answer == RJ_ANSWER_DONE)
+		return !ran || !ran->done;
+	if (job->answer == RJ_ANSWER_NOT_RUN)
+		return starts && job->reason != RJ_REASON_CANCELLED;
+	return false;
+}
+
+/* Count one job. */
+static void count_job(struct load_totals *totals, const struct load_job *job,
+		      const struct ran *ran)
+{
+	const char *said = rj_answer_kind_string[job->answer];
+
+	if (job->accepted && job->answer == RJ_ANSWER_UNKNOWN) {
+		totals->lost++;
+		fprintf(stderr, "load: lost: %s job %016llx (%s)\n", job->echo,
+			(unsigned long long)job->job_id,
+			rj_reason_string[job->reason]);
+	} else {
+		totals->answers[job->answer]++;
+	}
+	if (job->kind->keyed && ran && ran->starts > 1) {
+		totals->doubled++;
+		fprintf(stderr, "load: doubled: %s started %u times\n",
+			job->echo, ran->starts);
+	}
+	if (job->wrong || contradicts(job, ran)) {
+		totals->wrong_answer++;
+		fprintf(stderr, "load: wrong answer: %s %s, started %u times\n",
+			job->echo, said, ran ? ran->starts : 0);
+	}
+}
+
+/*
+ * Compare every answer with what the workers say they ran, and fill the
+ * totals; what is wrong is told on standard error, a line each.
+ *
+ * Returns 0, or -1 with `err` of kind RJ_ERR_UNAVAILABLE when the platform or
+ * a worker does not tell.
+ */
+int load_account(struct load *load, void *mem, struct rj_error *err)
+{
+	GHashTable *table = g_hash_table_new(g_str_hash, g_str_equal);
+	int failed = collect_ran(load, mem, table, err);
+
+	for (uint32_t i = 0; !failed && i < load->job_count; i++) {
+		const struct load_job *job = &load->jobs[i];
+		char digest[DIGEST_HEX_BYTES];
+
+		sodium_bin2hex(digest, sizeof(digest), job->digest,
+			       RJ_DIGEST_BYTES);
+		count_job(&load->totals, job,
+			  g_hash_table_lookup(table, digest));
+	}
+	g_hash_table_destroy(table);
+	return failed;
+}
--- a/src/radishjunction/main.c
+++ b/src/radishjunction/main.c
@@ -12,6 +12,7 @@
 	  command_generate },
 	{ "check", "check a configuration, settings or answers",
 	  command_check },
+	{ "load", "send a mixed load and account for every job", command_load },
 	{ NULL, NULL, NULL },
 };
 
