--- a/src/libstandin/gate.c
+++ b/src/libstandin/gate.c
@@ -10,7 +10,7 @@
 struct entry {
 	struct rj_list link;
 	struct rj_gate *gate;
-	struct rj_http_request *request;
+	struct rj_http_exchange *request;
 };
 
 static int entry_destructor(struct entry *entry)
@@ -24,7 +24,7 @@
  */
 void rj_gate_init(struct rj_gate *gate, void *mem, struct tevent_context *ev,
 		  void (*pass)(void *private_data,
-			       struct rj_http_request *request),
+			       struct rj_http_exchange *request),
 		  void *private_data)
 {
 	memset(gate, 0, sizeof(*gate));
@@ -38,9 +38,9 @@
 /*
  * Whether the client that sent `request` is cut off from here.
  */
-bool rj_gate_cuts(const struct rj_gate *gate, struct rj_http_request *request)
+bool rj_gate_cuts(const struct rj_gate *gate, struct rj_http_exchange *request)
 {
-	const char *name = rj_http_request_header(request, "X-Instance");
+	const char *name = rj_http_exchange_header(request, "X-Instance");
 	const json_t *cut;
 	size_t i;
 
@@ -55,7 +55,7 @@
 static void pass(struct entry *entry)
 {
 	struct rj_gate *gate = entry->gate;
-	struct rj_http_request *request = entry->request;
+	struct rj_http_exchange *request = entry->request;
 
 	talloc_free(entry);
 	if (request->aborted)
@@ -88,12 +88,12 @@
 /*
  * Apply the faults to a request that has just come in.
  */
-void rj_gate_enter(struct rj_gate *gate, struct rj_http_request *request)
+void rj_gate_enter(struct rj_gate *gate, struct rj_http_exchange *request)
 {
 	struct entry *entry;
 
 	if (gate->outage || rj_gate_cuts(gate, request)) {
-		rj_http_request_abort(request);
+		rj_http_exchange_abort(request);
 		return;
 	}
 	if (!gate->paused && !gate->slow_us) {
@@ -127,17 +127,17 @@
 
 /* Close what the clients that are now cut off have open. */
 static void abort_cut(struct rj_gate *gate, struct rj_http_server *server,
-		      const struct rj_http_request *asking)
+		      const struct rj_http_exchange *asking)
 {
 	struct rj_list *at;
 	struct rj_list *next;
 
 	RJ_FOR_EACH (at, next, &server->open) {
-		struct rj_http_request *request =
-			RJ_CONTAINER(at, struct rj_http_request, link);
+		struct rj_http_exchange *request =
+			RJ_CONTAINER(at, struct rj_http_exchange, link);
 
 		if (request != asking && rj_gate_cuts(gate, request))
-			rj_http_request_abort(request);
+			rj_http_exchange_abort(request);
 	}
 }
 
@@ -154,43 +154,68 @@
 	return true;
 }
 
+/*
+ * Read a boolean of `faults` into `value`, which stays when it is left out.
+ * Returns -1 when the field has another type.
+ */
+int rj_fault_flag(const json_t *faults, const char *field, bool *value)
+{
+	const json_t *flag = json_object_get(faults, field);
+
+	if (!flag)
+		return 0;
+	if (!json_is_boolean(flag))
+		return -1;
+	*value = json_is_true(flag);
+	return 0;
+}
+
+/*
+ * As rj_fault_flag, for a count from 0.
+ */
+int rj_fault_count(const json_t *faults, const char *field, uint64_t *value)
+{
+	const json_t *count = json_object_get(faults, field);
+
+	if (!count)
+		return 0;
+	if (!json_is_integer(count) || json_integer_value(count) < 0)
+		return -1;
+	*value = (uint64_t)json_integer_value(count);
+	return 0;
+}
+
 /*
  * Take the fields of `faults` that belong here: outage, pause, slow_ms and
  * cut_from. `asking` is the request that carries them and is spared.
  * Returns 0, or -1 when a field has another type; nothing changes then.
  */
 int rj_gate_set(struct rj_gate *gate, struct rj_http_server *server,
-		const json_t *faults, const struct rj_http_request *asking)
+		const json_t *faults, const struct rj_http_exchange *asking)
 {
-	const json_t *outage = json_object_get(faults, "outage");
-	const json_t *paused = json_object_get(faults, "pause");
-	const json_t *slow_ms = json_object_get(faults, "slow_ms");
 	json_t *cut_from = json_object_get(faults, "cut_from");
-
-	if ((outage && !json_is_boolean(outage)) ||
-	    (paused && !json_is_boolean(paused)) ||
-	    (slow_ms &&
-	     (!json_is_integer(slow_ms) || json_integer_value(slow_ms) < 0)) ||
+	uint64_t slow_ms = gate->slow_us / RJ_US_PER_MS;
+	bool outage = gate->outage;
+	bool paused = gate->paused;
+
+	if (!json_is_object(faults) ||
+	    rj_fault_flag(faults, "outage", &outage) ||
+	    rj_fault_flag(faults, "pause", &paused) ||
+	    rj_fault_count(faults, "slow_ms", &slow_ms) ||
 	    (cut_from && !is_name_list(cut_from)))
 		return -1;
-	if (slow_ms)
-		gate->slow_us =
-			(uint64_t)json_integer_value(slow_ms) * RJ_US_PER_MS;
+	gate->slow_us = slow_ms * RJ_US_PER_MS;
+	gate->outage = outage;
+	gate->paused = paused;
 	if (cut_from) {
 		json_decref(gate->cut_from);
 		gate->cut_from = json_incref(cut_from);
 		abort_cut(gate, server, asking);
 	}
-	if (outage) {
-		gate->outage = json_is_true(outage);
-		if (gate->outage)
-			rj_http_server_abort_open(server, asking);
-	}
-	if (paused) {
-		gate->paused = json_is_true(paused);
-		if (!gate->paused)
-			end_pause(gate);
-	}
+	if (gate->outage)
+		rj_http_server_abort_open(server, asking);
+	if (!gate->paused)
+		end_pause(gate);
 	return 0;
 }
 
--- a/src/libstandin/worker.c
+++ b/src/libstandin/worker.c
@@ -5,7 +5,7 @@
 #include <talloc.h>
 
 #include "private/clock.h"
-#include "private/wire_json.h"
+#include "private/wire.h"
 #include "private/worker_wire.h"
 
 /* A body of the largest size as base64, and the other fields. */
@@ -14,7 +14,7 @@
 /* A call that waits for the end of its task; child of its request. */
 struct waiter {
 	struct rj_list link;
-	struct rj_http_request *request;
+	struct rj_http_exchange *request;
 	struct rj_worker_call call;
 	struct rj_worker_reply reply;
 };
@@ -23,7 +23,7 @@
 
 /* Send an answer, unless a fault takes its place. */
 static void send_answer(struct rj_standin_worker *worker,
-			struct rj_http_request *request,
+			struct rj_http_exchange *request,
 			const struct rj_worker_call *call,
 			const struct rj_worker_reply *reply)
 {
@@ -34,16 +34,16 @@
 	worker->last_answer = talloc_strdup(worker->mem, text);
 	if (worker->lose_answers) {
 		worker->lose_answers--;
-		rj_http_request_abort(request);
+		rj_http_exchange_abort(request);
 	} else if (worker->cut_answers) {
 		worker->cut_answers--;
-		rj_http_request_answer(request, MHD_HTTP_OK, text, length / 2);
+		rj_http_exchange_answer(request, MHD_HTTP_OK, text, length / 2);
 	} else if (worker->cross_answers && last) {
 		worker->cross_answers--;
-		rj_http_request_answer(request, MHD_HTTP_OK, last,
-				       strlen(last));
+		rj_http_exchange_answer(request, MHD_HTTP_OK, last,
+					strlen(last));
 	} else {
-		rj_http_request_answer(request, MHD_HTTP_OK, text, length);
+		rj_http_exchange_answer(request, MHD_HTTP_OK, text, length);
 	}
 	talloc_free(last);
 }
@@ -65,7 +65,7 @@
 		rj_list_remove(at);
 		rj_tasks_tell(&worker->tasks, task, now_us, &waiter->reply);
 		if (waiter->call.op != RJ_WORKER_CHECKPOINT)
-			task->told = !rj_http_request_gone(waiter->request);
+			task->told = !rj_http_exchange_gone(waiter->request);
 		send_answer(worker, waiter->request, &waiter->call,
 			    &waiter->reply);
 		talloc_free(waiter);
@@ -121,7 +121,7 @@
 }
 
 static void wait_for_end(struct rj_standin_worker *worker,
-			 struct rj_http_request *request,
+			 struct rj_http_exchange *request,
 			 const struct rj_worker_call *call,
 			 const struct rj_worker_reply *reply)
 {
@@ -161,7 +161,7 @@
 }
 
 static void handle_call(struct rj_standin_worker *worker,
-			struct rj_http_request *request,
+			struct rj_http_exchange *request,
 			const struct rj_worker_call *call)
 {
 	uint64_t now_us = rj_clock_now_us();
@@ -184,60 +184,35 @@
 }
 
 static void handle_ran(struct rj_standin_worker *worker,
-		       struct rj_http_request *request)
+		       struct rj_http_exchange *request)
 {
-	json_t *object = json_object();
-	char *text;
+	json_t *object = json_pack("{s:s, s:o}", "worker", worker->options.name,
+				   "ran", rj_tasks_ran(&worker->tasks));
+	char *text = rj_wire_text(request, object);
 
-	json_object_set_new(object, "worker",
-			    json_string(worker->options.name));
-	json_object_set_new(object, "ran", rj_tasks_ran(&worker->tasks));
-	text = rj_wire_text(request, object);
 	json_decref(object);
-	rj_http_request_answer(request, MHD_HTTP_OK, text, strlen(text));
-}
-
-/* Counts of answers to come that a fault takes. */
-static int set_counts(struct rj_standin_worker *worker, const json_t *faults)
-{
-	struct {
-		const char *field;
-		uint32_t *count;
-	} counts[] = {
-		{ "lose_next_answers", &worker->lose_answers },
-		{ "cut_next_answers", &worker->cut_answers },
-		{ "cross_next_answers", &worker->cross_answers },
-	};
-
-	for (size_t i = 0; i < sizeof(counts) / sizeof(*counts); i++)
-		if (json_object_get(faults, counts[i].field) &&
-		    rj_wire_get_u32(faults, counts[i].field, counts[i].count,
-				    NULL))
-			return -1;
-	return 0;
+	rj_http_exchange_answer(request, MHD_HTTP_OK, text, strlen(text));
 }
 
 static int set_faults(struct rj_standin_worker *worker, const json_t *faults,
-		      const struct rj_http_request *request)
+		      const struct rj_http_exchange *request)
 {
-	json_t *fail_all = json_object_get(faults, "fail_all");
-	json_t *leaving = json_object_get(faults, "leaving");
-	json_t *lag = json_object_get(faults, "report_lag_ms");
-
-	if ((fail_all && !json_is_boolean(fail_all)) ||
-	    (leaving && !json_is_boolean(leaving)) ||
-	    (lag && (!json_is_integer(lag) || json_integer_value(lag) < 0)) ||
-	    set_counts(worker, faults) ||
+	uint64_t lag_ms = worker->report_lag_us / RJ_US_PER_MS;
+	bool restart = false;
+
+	if (rj_fault_flag(faults, "fail_all", &worker->tasks.fail_all) ||
+	    rj_fault_flag(faults, "leaving", &worker->tasks.leaving) ||
+	    rj_fault_flag(faults, "restart", &restart) ||
+	    rj_fault_count(faults, "report_lag_ms", &lag_ms) ||
+	    rj_fault_count(faults, "lose_next_answers",
+			   &worker->lose_answers) ||
+	    rj_fault_count(faults, "cut_next_answers", &worker->cut_answers) ||
+	    rj_fault_count(faults, "cross_next_answers",
+			   &worker->cross_answers) ||
 	    rj_gate_set(&worker->gate, &worker->server, faults, request))
 		return -1;
-	if (fail_all)
-		worker->tasks.fail_all = json_is_true(fail_all);
-	if (leaving)
-		worker->tasks.leaving = json_is_true(leaving);
-	if (lag)
-		worker->report_lag_us =
-			(uint64_t)json_integer_value(lag) * RJ_US_PER_MS;
-	if (json_is_true(json_object_get(faults, "restart"))) {
+	worker->report_lag_us = lag_ms * RJ_US_PER_MS;
+	if (restart) {
 		rj_tasks_restart(&worker->tasks);
 		rj_http_server_abort_open(&worker->server, request);
 	}
@@ -245,20 +220,20 @@
 }
 
 static void handle_fault(struct rj_standin_worker *worker,
-			 struct rj_http_request *request)
+			 struct rj_http_exchange *request)
 {
 	json_t *faults =
 		json_loadb(request->body.data, request->body.length, 0, NULL);
 
-	if (!json_is_object(faults) || set_faults(worker, faults, request)) {
-		rj_http_request_error(request, MHD_HTTP_BAD_REQUEST,
-				      "fault: a field has the wrong type; see "
-				      "the worker protocol");
+	if (set_faults(worker, faults, request)) {
+		rj_http_exchange_error(request, MHD_HTTP_BAD_REQUEST,
+				       "fault: a field has the wrong type; see "
+				       "the worker protocol");
 		json_decref(faults);
 		return;
 	}
 	json_decref(faults);
-	rj_http_request_answer(request, MHD_HTTP_OK, "{}", 2);
+	rj_http_exchange_answer(request, MHD_HTTP_OK, "{}", 2);
 	rj_tasks_advance(&worker->tasks, rj_clock_now_us());
 	if (!worker->gate.paused)
 		answer_waiters(worker, rj_clock_now_us());
@@ -268,31 +243,31 @@
 }
 
 /* POST /v1/OP with a call whose operation must be the one of the path. */
-static void dispatch(void *private_data, struct rj_http_request *request)
+static void dispatch(void *private_data, struct rj_http_exchange *request)
 {
 	struct rj_standin_worker *worker = private_data;
 	const char *op = request->path + strlen("/v1/");
 	struct rj_worker_call call;
 	struct rj_error err;
 
-	if (rj_worker_wire_decode_call(request, request->body.data,
-				       request->body.length, &call, &err)) {
-		rj_http_request_error(request, MHD_HTTP_BAD_REQUEST,
-				      err.message);
+	if (rj_worker_wire_decode_call(request, request->body.data, &call,
+				       &err)) {
+		rj_http_exchange_error(request, MHD_HTTP_BAD_REQUEST,
+				       err.message);
 		return;
 	}
 	if (strcmp(op, rj_worker_op_string[call.op]) != 0 ||
 	    strcmp(call.worker, worker->options.name) != 0) {
-		rj_http_request_error(request, MHD_HTTP_BAD_REQUEST,
-				      "op, worker: not those of this path and "
-				      "worker; ask the one that is meant");
+		rj_http_exchange_error(request, MHD_HTTP_BAD_REQUEST,
+				       "op, worker: not those of this path and "
+				       "worker; ask the one that is meant");
 		return;
 	}
 	handle_call(worker, request, &call);
 }
 
 /* Faults and the check are past the gate, so that a pause can be ended. */
-static void receive(void *private_data, struct rj_http_request *request)
+static void receive(void *private_data, struct rj_http_exchange *request)
 {
 	struct rj_standin_worker *worker = private_data;
 
@@ -303,8 +278,9 @@
 	else if (!strncmp(request->path, "/v1/", strlen("/v1/")))
 		rj_gate_enter(&worker->gate, request);
 	else
-		rj_http_request_error(request, MHD_HTTP_NOT_FOUND,
-				      "path: unknown; see the worker protocol");
+		rj_http_exchange_error(
+			request, MHD_HTTP_NOT_FOUND,
+			"path: unknown; see the worker protocol");
 }
 
 /*
