daemon: the shell around the core; scripts to run a team's processes

Cause: the core and its adapters need a process. Excluded: a timer of the event loop for the core (it follows the calendar clock; set back by an hour it fires an hour late), a blocking log (a stalled reader would stop the instance). Change: radishjunctiond (settings, event loop, signals, decision log) and scripts/processes.bash, which starts stand-ins and instances on free ports. Before: no process.

--- /dev/null
+++ b/scripts/processes.bash
@@ -0,0 +1,150 @@
+# Processes of one team for the demo and the process tests: stand-ins, entry
+# instances, and the load. To be sourced by a bash script with `set -u`, after
+# `bin` (the programs) and `work` (a new folder) are set; the script traps EXIT
+# with `stop_all`. Every port is chosen by the system. Waiting is for
+# conditions; a condition that does not come true in PATIENCE_S ends the script.
+
+PATIENCE_S=${PATIENCE_S:-30}
+pids=()
+declare -A pid_of callers_of peers_of domain_of
+
+say() { echo "$*" >&2; }
+die() { say "$0: $*"; exit 1; }
+
+# wait_for WHAT COMMAND...: until the command succeeds.
+wait_for() {
+	local what=$1 end=$((SECONDS + PATIENCE_S))
+	shift
+	until "$@"; do
+		[ "$SECONDS" -lt "$end" ] || die "waited in vain for $what"
+		sleep 0.05
+	done
+}
+
+# start NAME COMMAND...: in the background; output in $work/NAME.out and .log.
+start() {
+	local name=$1
+	shift
+	"$@" >"$work/$name.out" 2>"$work/$name.log" &
+	pid_of[$name]=$!
+	pids+=($!)
+}
+
+is_listening() { grep -qs '"listening"' "$work/$1.out"; }
+
+# stop NAME SIGNAL: only what this script started, by its pid.
+stop() { kill -s "$2" "${pid_of[$1]}"; }
+
+# end_of NAME: wait for its end; the status is left in `status`.
+end_of() {
+	status=0
+	wait "${pid_of[$1]}" || status=$?
+	unset "pid_of[$1]"
+}
+
+# For EXIT: end what still runs, and keep the logs of a failure.
+stop_all() {
+	local result=$? name
+	trap - EXIT
+	for name in "${!pid_of[@]}"; do
+		kill -s CONT "${pid_of[$name]}" 2>/dev/null
+		kill -s KILL "${pid_of[$name]}" 2>/dev/null
+		wait "${pid_of[$name]}" 2>/dev/null
+	done
+	if [ "$result" -eq 0 ]; then
+		rm -rf "$work"
+	else
+		say "$0: failed with $result; logs are in $work"
+	fi
+	exit "$result"
+}
+
+# start_platform NAME [OPTIONS...]: address in `platform`.
+start_platform() {
+	local name=$1
+	shift
+	start "$name" "$bin/rj-standin" platform --listen 127.0.0.1:0 "$@"
+	wait_for "$name" is_listening "$name"
+	platform=$(sed -E 's/.*"ip": ?"([^"]+)", ?"port": ?([0-9]+).*/\1:\2/' \
+		"$work/$name.out")
+}
+
+# start_workers NAME DOMAIN COUNT OPTIONS...: registered at `platform`.
+start_workers() {
+	local name=$1 domain=$2 count=$3
+	shift 3
+	start "$name" "$bin/rj-standin" workers --listen-ip 127.0.0.1 \
+		--name-prefix "$domain" --domain "$domain" --count "$count" \
+		--platform "$platform" "$@"
+	wait_for "$name" is_listening "$name"
+}
+
+# generate TEAM ANSWERS: configuration and tokens in $work/TEAM.
+generate() {
+	mkdir -p "$work/$1"
+	"$bin/radishjunction" generate "$2" -o "$work/$1/config.json" \
+		--tokens "$work/$1/tokens.json"
+}
+
+# The settings of an instance, with its own ports free and the peers left to
+# the platform's list, since nobody knows their ports yet.
+settings_of() {
+	"$bin/radishjunction" generate "$2" --settings-for "$3" \
+		--peer-key-file "$work/$1/peer.key" |
+	sed -E -e '/^  "peers": \[/,/^  \],?$/d' \
+		-e 's/"(caller|peer)_address": "[^"]*"/"\1_address": "127.0.0.1:0"/' \
+		-e "s/\"platform_address\": \"[^\"]*\"/\"platform_address\": \"$platform\"/"
+}
+
+# register NAME INSTANCE STATE: what the platform does for its instances.
+register() {
+	local address=${peers_of[$1]}
+	curl -sf -X PUT "http://$platform/v1/instances/$2" -d "{
+		\"role\":\"entry\",\"domain\":\"${domain_of[$1]}\",\"rack\":0,
+		\"ip\":\"${address%:*}\",\"port\":${address##*:},
+		\"incarnation\":\"0000000000000000\",\"state\":\"$3\"}" >/dev/null
+}
+
+# start_instance TEAM ANSWERS INSTANCE: as process TEAM-INSTANCE.
+start_instance() {
+	local name=$1-$3 settings=$work/$1/$3.json
+	settings_of "$1" "$2" "$3" >"$settings"
+	domain_of[$name]=$(sed -nE 's/^  "domain": "([^"]+)".*/\1/p' "$settings")
+	start "$name" "$bin/radishjunctiond" --settings "$settings"
+	wait_for "$name" is_listening "$name"
+	callers_of[$name]=$(sed -E 's/.*"callers":"([^"]+)".*/\1/' "$work/$name.out")
+	peers_of[$name]=$(sed -E 's/.*"peers":"([^"]+)".*/\1/' "$work/$name.out")
+	register "$name" "$3" live
+}
+
+is_ready() { curl -sf "http://${callers_of[$1]}/v1/ready" >/dev/null; }
+
+# The addresses of all instances of a team that still run.
+targets_of() {
+	local name
+	for name in "${!callers_of[@]}"; do
+		case $name in "$1"-*)
+			[ -n "${pid_of[$name]:-}" ] && echo "${callers_of[$name]}" ;;
+		esac
+	done
+}
+
+# publish TEAM: wait until it is in force at every instance.
+publish() {
+	"$bin/radishjunction" publish "$work/$1/config.json" \
+		--platform "$platform" -i "$(targets_of "$1" | paste -sd,)" >&2
+}
+
+# start_load NAME TEAM PLAN: its line will be in $work/NAME.out.
+start_load() {
+	local name=$1 team=$2 plan=$3 target options=()
+	for target in $(targets_of "$team"); do
+		options+=(--target "$target")
+	done
+	start "$name" "$bin/radishjunction" load --plan "$plan" \
+		--tokens "$work/$team/tokens.json" --platform "$platform" \
+		"${options[@]}"
+}
+
+# field FILE NAME: a number of a load's line.
+field() { sed -nE "s/.*\"$2\":([0-9]+).*/\1/p" "$1"; }
--- a/src/radishjunction/load.c
+++ b/src/radishjunction/load.c
@@ -7,9 +7,10 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "answers.h"
 #include "command.h"
 #include "private/clock.h"
-#include "private/wire_json.h"
+#include "private/caller_json.h"
 #include "radishjunction/settings.h"
 
 /* Jobs that are due are sent so often. */
@@ -111,10 +112,11 @@
 static bool take_job_id(struct ask *ask, const json_t *json)
 {
 	uint64_t job_id;
+	const char *text = json_string_value(json_object_get(json, "job"));
 
-	if (!json_object_get(json, "job"))
+	if (!text)
 		return true;
-	if (rj_wire_get_hex(json, "job", &job_id, NULL))
+	if (rj_caller_parse_job_id(&job_id, text))
 		return false;
 	if (ask->job_id && ask->job_id != job_id)
 		return false;
@@ -296,8 +298,7 @@
 			 "adjacent", kind->adjacent, "declared_ms",
 			 (int)kind->run_ms, "wait", kind->wait, "body", body);
 	assert(json);
-	job->text = rj_wire_text(load, json);
-	json_decref(json);
+	job->text = json_text(load, json);
 	free(body_text);
 }
 
--- a/src/radishjunction/load_account.c
+++ b/src/radishjunction/load_account.c
@@ -7,7 +7,6 @@
 #include <talloc.h>
 
 #include "load.h"
-#include "private/wire_json.h"
 #include "radishjunction/event.h"
 
 #define ANSWER_LIMIT_US (10 * RJ_US_PER_S)
@@ -75,13 +74,12 @@
 			json_string_value(json_object_get(entry, "digest"));
 		const char *state =
 			json_string_value(json_object_get(entry, "state"));
-		uint32_t member;
-		uint32_t starts;
+		const json_t *member = json_object_get(entry, "member");
+		const json_t *starts = json_object_get(entry, "starts");
 		struct ran *ran;
 
 		if (!digest || !state || strlen(digest) >= DIGEST_HEX_BYTES ||
-		    rj_wire_get_u32(entry, "member", &member, NULL) ||
-		    rj_wire_get_u32(entry, "starts", &starts, NULL))
+		    !json_is_integer(member) || !json_is_integer(starts))
 			return -1;
 		ran = g_hash_table_lookup(table, digest);
 		if (!ran) {
@@ -90,8 +88,8 @@
 			g_strlcpy(ran->digest, digest, sizeof(ran->digest));
 			g_hash_table_insert(table, ran->digest, ran);
 		}
-		if (!member)
-			ran->starts += starts;
+		if (!json_integer_value(member))
+			ran->starts += (uint32_t)json_integer_value(starts);
 		if (!strcmp(state, rj_task_state_string[RJ_TASK_DONE]))
 			ran->done++;
 	}
--- /dev/null
+++ b/src/radishjunctiond/log.c
@@ -0,0 +1,236 @@
+#include "log.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <talloc.h>
+#include <tevent.h>
+#include <unistd.h>
+
+#include "private/clock.h"
+
+#define DOMAIN "radishjunction"
+/* The field of a structured message that holds a decision. */
+#define DECISION_FIELD "RADISHJUNCTION_DECISION"
+/* Lines wait so long for others, to be written in one call. */
+#define FLUSH_US (50 * RJ_US_PER_MS)
+/* A pipe that can be written has room for so much. */
+#define WRITE_BYTES 4096
+/* Above this the reader has stalled, and lines are dropped. */
+#define BUFFER_MAX_BYTES (1024 * 1024)
+
+/* GLib has one writer for the whole process, so this has one state too. */
+static struct {
+	struct tevent_context *loop;
+	struct tevent_timer *timer;
+	char instance[RJ_NAME_BYTES];
+	GString *buffer;
+	uint64_t lost;
+} logger;
+
+/* Microseconds of the calendar, so that lines of instances can be merged. */
+static uint64_t calendar_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	return (uint64_t)now.tv_sec * RJ_US_PER_S +
+	       (uint64_t)now.tv_nsec / 1000;
+}
+
+/*
+ * Write what is buffered, as far as standard error takes it.
+ *
+ * Guards against a log reader that stalls: a blocking write would stop the
+ * whole instance, and its leases would lapse. A pipe is written only while
+ * it has room; what does not fit stays, up to a bound.
+ */
+static void flush(void)
+{
+	struct pollfd stderr_poll = { .fd = STDERR_FILENO, .events = POLLOUT };
+	size_t done = 0;
+
+	while (done < logger.buffer->len) {
+		size_t length = logger.buffer->len - done;
+		ssize_t written;
+
+		if (length > WRITE_BYTES)
+			length = WRITE_BYTES;
+		if (poll(&stderr_poll, 1, 0) != 1 ||
+		    !(stderr_poll.revents & POLLOUT))
+			break;
+		written =
+			write(STDERR_FILENO, logger.buffer->str + done, length);
+		if (written <= 0)
+			break;
+		done += (size_t)written;
+	}
+	g_string_erase(logger.buffer, 0, (gssize)done);
+}
+
+/* Write what has gathered, and come back while some of it is left. */
+static void on_timer(struct tevent_context *loop, struct tevent_timer *timer,
+		     struct timeval now, void *private_data);
+
+static void arm_timer(void)
+{
+	if (logger.timer)
+		return;
+	logger.timer =
+		tevent_add_timer(logger.loop, logger.loop,
+				 rj_clock_timeval_in(FLUSH_US), on_timer, NULL);
+}
+
+static void on_timer(struct tevent_context *loop, struct tevent_timer *timer,
+		     struct timeval now, void *private_data)
+{
+	logger.timer = NULL;
+	flush();
+	if (logger.buffer->len)
+		arm_timer();
+}
+
+/* Append `,"name":"text"`, escaped where it has to be. */
+static void add_text(GString *line, const char *name, const char *text)
+{
+	json_t *json;
+	char *quoted;
+
+	if (!text[strcspn(text, "\"\\")] && g_str_is_ascii(text) &&
+	    !strpbrk(text, "\n\r\t\b\f")) {
+		g_string_append_printf(line, ",\"%s\":\"%s\"", name, text);
+		return;
+	}
+	json = json_string(text);
+	quoted = json ? json_dumps(json, JSON_ENCODE_ANY | JSON_ENSURE_ASCII) :
+			NULL;
+	g_string_append_printf(line, ",\"%s\":%s", name,
+			       quoted ? quoted : "null");
+	free(quoted);
+	json_decref(json);
+}
+
+/* Append one line for a decision. */
+static void add_decision(GString *line, const struct rj_decision_log *decision)
+{
+	add_text(line, "event", rj_decision_event_string[decision->event]);
+	if (decision->job_id)
+		g_string_append_printf(line, ",\"job\":\"%016" PRIx64 "\"",
+				       decision->job_id);
+	if (decision->account[0])
+		add_text(line, "account", decision->account);
+	if (decision->target[0])
+		add_text(line, "target", decision->target);
+	add_text(line, "why", rj_reason_string[decision->why]);
+	if (decision->event == RJ_LOG_END || decision->event == RJ_LOG_REFUSE)
+		add_text(line, "answer",
+			 rj_answer_kind_string[decision->answer]);
+	g_string_append_printf(line,
+			       ",\"waited_ms\":%" PRIu64 ",\"considered\":%u",
+			       (uint64_t)(decision->waited_us / RJ_US_PER_MS),
+			       decision->considered);
+}
+
+/* The value of a field of a structured message, or NULL. */
+static const void *field_value(const GLogField *fields, gsize count,
+			       const char *key)
+{
+	for (gsize i = 0; i < count; i++)
+		if (strcmp(fields[i].key, key) == 0)
+			return fields[i].value;
+	return NULL;
+}
+
+static const char *level_name(GLogLevelFlags level)
+{
+	if (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL))
+		return "error";
+	if (level & G_LOG_LEVEL_WARNING)
+		return "warning";
+	if (level & (G_LOG_LEVEL_MESSAGE | G_LOG_LEVEL_INFO))
+		return "info";
+	return "debug";
+}
+
+/* GLib's writer: one line of JSON for each message. */
+static GLogWriterOutput write_line(GLogLevelFlags level,
+				   const GLogField *fields, gsize count,
+				   gpointer private_data)
+{
+	const struct rj_decision_log *decision =
+		field_value(fields, count, DECISION_FIELD);
+	const char *text = field_value(fields, count, "MESSAGE");
+	GString *line = logger.buffer;
+
+	if (level & G_LOG_LEVEL_DEBUG)
+		return G_LOG_WRITER_HANDLED;
+	if (line->len > BUFFER_MAX_BYTES) {
+		logger.lost++;
+		return G_LOG_WRITER_HANDLED;
+	}
+	g_string_append_printf(line, "{\"t_us\":%" PRIu64, calendar_us());
+	add_text(line, "instance", logger.instance);
+	if (decision) {
+		add_decision(line, decision);
+	} else {
+		add_text(line, "event", "message");
+		add_text(line, "level", level_name(level));
+		add_text(line, "text", text ? text : "");
+	}
+	g_string_append(line, "}\n");
+	if (level &
+	    (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_WARNING))
+		flush();
+	else
+		arm_timer();
+	return G_LOG_WRITER_HANDLED;
+}
+
+/*
+ * Make lines of JSON of all messages from now on. `loop` must live until
+ * `log_finish`.
+ */
+void log_init(struct tevent_context *loop, const char *instance)
+{
+	logger.loop = loop;
+	g_strlcpy(logger.instance, instance, sizeof(logger.instance));
+	logger.buffer = g_string_new(NULL);
+	g_log_set_writer_func(write_line, NULL, NULL);
+}
+
+/*
+ * Log one decision as a line of its own.
+ */
+void log_decision(const struct rj_decision_log *decision)
+{
+	const GLogField fields[] = {
+		{ DECISION_FIELD, decision, sizeof(*decision) },
+		{ "GLIB_DOMAIN", DOMAIN, -1 },
+	};
+
+	g_log_structured_array(G_LOG_LEVEL_INFO, fields, G_N_ELEMENTS(fields));
+}
+
+/*
+ * Lines that were dropped because the reader of the log had stalled.
+ */
+uint64_t log_lost(void)
+{
+	return logger.lost;
+}
+
+/*
+ * Write what is left. GLib takes a writer only once, so this one stays, and
+ * writes each later message at once.
+ */
+void log_finish(void)
+{
+	TALLOC_FREE(logger.timer);
+	logger.loop = NULL;
+	flush();
+}
--- /dev/null
+++ b/src/radishjunctiond/main.c
@@ -0,0 +1,380 @@
+/*
+ * radishjunctiond: one entry instance. Reads its settings, starts the
+ * adapters around the decision core, and runs until it is asked to stop.
+ */
+#include <argtable2.h>
+#include <assert.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+#include <tevent.h>
+#include <time.h>
+
+#include "log.h"
+#include "private/clock.h"
+#include "radishjunction/http_platform.h"
+#include "radishjunction/http_workers.h"
+#include "radishjunction/planner_topology.h"
+#include "radishjunction/settings.h"
+#include "shell.h"
+
+/* The exit status; --help and the man page list the same. */
+enum exit_code {
+	EXIT_STOPPED = 0, /* after a graceful stop */
+	EXIT_USAGE = 2, /* a bad command line */
+	EXIT_SETTINGS = 3, /* bad settings; all errors were printed */
+	EXIT_START = 4, /* an address is taken or a resource is missing */
+	EXIT_DRAIN = 5, /* the stop was not complete within its limit */
+};
+
+#define ARG_ERRORS_MAX 20
+/* An idle connection may just be about to be used; see finish_callers. */
+#define LINGER_US (500 * RJ_US_PER_MS)
+/* Low bits of an incarnation that are left to chance. */
+#define INCARNATION_RANDOM_BITS 20
+
+/* Everything that runs in this process. */
+struct daemon {
+	struct tevent_context *loop;
+	const struct rj_settings *settings;
+	uint64_t incarnation;
+	struct rj_planner_topology planner;
+	struct shell shell;
+	struct rj_http_platform platform;
+	struct rj_http_workers workers;
+	struct rj_tcp_peers peers;
+	struct rj_http_callers callers;
+	bool stopping;
+	bool timed_out;
+};
+
+/*
+ * A number that differs at each start and rises with the calendar, so that a
+ * replacement under the same name is told from what it replaced.
+ */
+static uint64_t make_incarnation(void)
+{
+	struct timespec now;
+	uint64_t now_ms;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	now_ms = (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+	return now_ms << INCARNATION_RANDOM_BITS |
+	       randombytes_uniform(1U << INCARNATION_RANDOM_BITS);
+}
+
+/* Start the core with what the settings say. */
+static int start_core(struct daemon *daemon, struct rj_error *err)
+{
+	const struct rj_settings *settings = daemon->settings;
+	struct rj_core_options options = {
+		.incarnation = daemon->incarnation,
+		.seed = daemon->incarnation,
+		.peers = settings->peers,
+		.peer_count = settings->peer_count,
+		.planner = &daemon->planner.base,
+		.retention_us = settings->retention_s * RJ_US_PER_S,
+	};
+
+	rj_name_set(options.name, settings->name);
+	rj_name_set(options.domain, settings->domain);
+	if (rj_planner_topology_init(&daemon->planner, daemon->loop))
+		return rj_error_set(err, RJ_ERR_IO, "planner: no memory");
+	if (shell_init(&daemon->shell, daemon->loop, &options, err)) {
+		daemon->planner.base.ops->finish(&daemon->planner.base);
+		return -1;
+	}
+	return 0;
+}
+
+/* Start the links to other instances. */
+static int start_peers(struct daemon *daemon, struct rj_error *err)
+{
+	const struct rj_settings *settings = daemon->settings;
+	struct rj_tcp_peers_options options = {
+		.loop = daemon->loop,
+		.sink = &daemon->shell.sink,
+		.incarnation = daemon->incarnation,
+		.address = settings->peer_address,
+		.seed = daemon->incarnation,
+	};
+
+	rj_name_set(options.name, settings->name);
+	rj_name_set(options.domain, settings->domain);
+	g_strlcpy(options.key, settings->peer_key, sizeof(options.key));
+	return rj_tcp_peers_init(&daemon->peers, daemon->loop, &options, err);
+}
+
+/* Start to serve callers. */
+static int start_callers(struct daemon *daemon, struct rj_error *err)
+{
+	const struct rj_settings *settings = daemon->settings;
+	struct rj_http_callers_options options = {
+		.loop = daemon->loop,
+		.sink = &daemon->shell.sink,
+		.views = &daemon->shell.views,
+		.address = settings->caller_address,
+		.body_max_bytes = settings->body_max_bytes,
+		.connections_max = settings->connections_max,
+		.requests_max = settings->requests_max,
+		.idle_timeout_s = settings->idle_timeout_s,
+	};
+
+	return rj_http_callers_init(&daemon->callers, daemon->loop, &options,
+				    err);
+}
+
+/* Start everything, or nothing and -1. */
+static int start(struct daemon *daemon, struct rj_error *err)
+{
+	struct shell *shell = &daemon->shell;
+
+	if (start_core(daemon, err))
+		return -1;
+	if (rj_http_platform_init(&daemon->platform, daemon->loop, daemon->loop,
+				  &shell->sink,
+				  &daemon->settings->platform_address,
+				  daemon->settings->name, err))
+		goto finish_core;
+	if (rj_http_workers_init(&daemon->workers, daemon->loop, daemon->loop,
+				 &shell->sink, daemon->settings->name,
+				 RJ_WORKER_CONNECTIONS_SHARE, err))
+		goto finish_platform;
+	if (start_peers(daemon, err))
+		goto finish_workers;
+	if (start_callers(daemon, err))
+		goto finish_peers;
+	shell->platform = &daemon->platform.base;
+	shell->workers = &daemon->workers.base;
+	shell->peers = &daemon->peers.base;
+	shell->callers = &daemon->callers.base;
+	shell->links = &daemon->peers;
+	shell_start(shell);
+	return 0;
+
+finish_peers:
+	daemon->peers.base.ops->finish(&daemon->peers.base);
+finish_workers:
+	daemon->workers.base.ops->finish(&daemon->workers.base);
+finish_platform:
+	daemon->platform.base.ops->finish(&daemon->platform.base);
+finish_core:
+	shell_finish(shell);
+	daemon->planner.base.ops->finish(&daemon->planner.base);
+	return -1;
+}
+
+/* Free everything that `start` started. */
+static void finish(struct daemon *daemon)
+{
+	daemon->callers.base.ops->finish(&daemon->callers.base);
+	daemon->peers.base.ops->finish(&daemon->peers.base);
+	daemon->workers.base.ops->finish(&daemon->workers.base);
+	daemon->platform.base.ops->finish(&daemon->platform.base);
+	shell_finish(&daemon->shell);
+	daemon->planner.base.ops->finish(&daemon->planner.base);
+}
+
+/* Write an address as callers write it, an IPv6 number in brackets. */
+static void print_address(const char *name, const struct rj_address *address)
+{
+	bool brackets = strchr(address->ip, ':') != NULL;
+
+	printf("\"%s\":\"%s%s%s:%u\"", name, brackets ? "[" : "", address->ip,
+	       brackets ? "]" : "", address->port);
+}
+
+/* Tell whoever started this process where it listens. */
+static void print_listening(const struct daemon *daemon)
+{
+	struct rj_address callers = rj_http_callers_address(&daemon->callers);
+	struct rj_address peers = rj_tcp_peers_address(&daemon->peers);
+
+	printf("{\"listening\":{");
+	print_address("callers", &callers);
+	printf(",");
+	print_address("peers", &peers);
+	printf("}}\n");
+	fflush(stdout);
+}
+
+/* The first signal starts the graceful stop; later ones change nothing. */
+static void on_stop_signal(struct tevent_context *loop,
+			   struct tevent_signal *event, int number, int count,
+			   void *info, void *private_data)
+{
+	struct daemon *daemon = private_data;
+
+	if (daemon->stopping)
+		return;
+	daemon->stopping = true;
+	rj_http_callers_drain(&daemon->callers);
+	shell_stop(&daemon->shell);
+}
+
+/* The limit of the stop, or of lingering, has passed. */
+static void on_time_limit(struct tevent_context *loop,
+			  struct tevent_timer *timer, struct timeval now,
+			  void *private_data)
+{
+	((struct daemon *)private_data)->timed_out = true;
+}
+
+/* Set `timed_out` after a delay, which replaces an earlier one. */
+static struct tevent_timer *limit_time(struct daemon *daemon, uint64_t delay_us)
+{
+	daemon->timed_out = false;
+	return tevent_add_timer(daemon->loop, daemon->loop,
+				rj_clock_timeval_in(delay_us), on_time_limit,
+				daemon);
+}
+
+/*
+ * Send the last answers whole, then wait a moment for connections that stand
+ * idle: a request that is on its way on one of them gets its refusal instead
+ * of a connection that is reset.
+ */
+static void finish_callers(struct daemon *daemon)
+{
+	struct tevent_timer *timer;
+
+	while (rj_http_callers_open(&daemon->callers) && !daemon->timed_out)
+		tevent_loop_once(daemon->loop);
+	if (daemon->timed_out)
+		return;
+	timer = limit_time(daemon, LINGER_US);
+	while (rj_http_callers_connections(&daemon->callers) &&
+	       !daemon->timed_out)
+		tevent_loop_once(daemon->loop);
+	talloc_free(timer);
+	daemon->timed_out = rj_http_callers_open(&daemon->callers) != 0;
+}
+
+/* Run until the stop is complete. */
+static enum exit_code run(struct daemon *daemon)
+{
+	struct tevent_timer *limit;
+
+	while (!daemon->stopping)
+		tevent_loop_once(daemon->loop);
+	limit = limit_time(daemon,
+			   daemon->settings->drain_limit_s * RJ_US_PER_S);
+	while (!daemon->shell.exiting && !daemon->timed_out)
+		tevent_loop_once(daemon->loop);
+	if (!daemon->timed_out)
+		finish_callers(daemon);
+	if (!daemon->timed_out)
+		return EXIT_STOPPED;
+	talloc_free(limit);
+	g_warning("the stop was not complete after %u s; raise "
+		  "drain_limit_s or see what its jobs wait for",
+		  daemon->settings->drain_limit_s);
+	return EXIT_DRAIN;
+}
+
+/* Read and check the settings; prints every error and returns NULL. */
+static struct rj_settings *load_settings(void *mem, const char *path)
+{
+	struct rj_settings *settings;
+	struct rj_error_list errors;
+	GError *error = NULL;
+	char *text;
+
+	if (!g_file_get_contents(path, &text, NULL, &error)) {
+		fprintf(stderr,
+			"radishjunctiond: settings: %s; name a file that can "
+			"be read\n",
+			error->message);
+		g_error_free(error);
+		return NULL;
+	}
+	rj_error_list_init(&errors, mem);
+	settings = rj_settings_parse(mem, text, &errors);
+	for (uint32_t i = 0; i < errors.count; i++)
+		fprintf(stderr, "radishjunctiond: %s: %s\n", path,
+			errors.errors[i].message);
+	rj_error_list_finish(&errors);
+	g_free(text);
+	return settings;
+}
+
+/* Serve with the settings in `path`. */
+static enum exit_code serve(const char *path)
+{
+	struct tevent_context *loop = tevent_context_init(NULL);
+	struct daemon *daemon = talloc_zero(loop, struct daemon);
+	enum exit_code status = EXIT_SETTINGS;
+	struct rj_error err;
+
+	assert(daemon);
+	daemon->loop = loop;
+	daemon->settings = load_settings(daemon, path);
+	if (!daemon->settings)
+		goto free_loop;
+	status = EXIT_START;
+	daemon->incarnation = make_incarnation();
+	log_init(loop, daemon->settings->name);
+	if (start(daemon, &err)) {
+		g_critical("%s", err.message);
+		goto finish_log;
+	}
+	tevent_add_signal(loop, loop, SIGTERM, 0, on_stop_signal, daemon);
+	tevent_add_signal(loop, loop, SIGINT, 0, on_stop_signal, daemon);
+	print_listening(daemon);
+	status = run(daemon);
+	finish(daemon);
+finish_log:
+	log_finish();
+free_loop:
+	talloc_free(loop);
+	return status;
+}
+
+/* Print how the program is used. */
+static void print_help(void **table)
+{
+	printf("Usage: radishjunctiond");
+	arg_print_syntax(stdout, table, "\n");
+	printf("One entry instance of radishjunction.\n\n");
+	arg_print_glossary(stdout, table, "  %-20s %s\n");
+	printf("\nExit status: 0 after a graceful stop (SIGTERM or SIGINT), "
+	       "2 bad command line,\n3 bad settings, 4 could not start, "
+	       "5 stop not complete within drain_limit_s.\n");
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_file *settings =
+		arg_file1(NULL, "settings", "FILE", "settings in JSON");
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
+	struct arg_lit *version =
+		arg_lit0(NULL, "version", "print the version");
+	struct arg_end *end = arg_end(ARG_ERRORS_MAX);
+	void *table[] = { settings, help, version, end };
+	enum exit_code status = EXIT_STOPPED;
+	int errors;
+
+	if (arg_nullcheck(table) || sodium_init() < 0 ||
+	    curl_global_init(CURL_GLOBAL_DEFAULT))
+		return EXIT_START;
+	signal(SIGPIPE, SIG_IGN);
+	errors = arg_parse(argc, argv, table);
+	if (help->count) {
+		print_help(table);
+	} else if (version->count) {
+		printf("radishjunctiond %s\n", RJ_VERSION);
+	} else if (errors) {
+		arg_print_errors(stderr, end, "radishjunctiond");
+		fprintf(stderr, "see radishjunctiond --help\n");
+		status = EXIT_USAGE;
+	} else {
+		status = serve(settings->filename[0]);
+	}
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	curl_global_cleanup();
+	return status;
+}
