Command: load, a seeded load from a truthful client

Cause: a demonstration had nobody who sends, comes back when told to, and says what was wrong. Excluded: threads or a process for each caller (one libcurl multi handle under tevent carries all); random draws from one stream (request n would depend on the order of answers, so each number has a stream of its own). Before: no load.

--- a/src/libradishjunction/http_client.c
+++ b/src/libradishjunction/http_client.c
@@ -20,6 +20,7 @@
 	struct rj_list link; /* in the client's open transfers */
 	struct rj_http_client *client;
 	CURL *easy;
+	struct curl_slist *headers; /* NULL: those of the client */
 	char *body;
 	size_t length;
 	size_t sent; /* bytes of the body that libcurl has taken */
@@ -37,6 +38,7 @@
 		return 0;
 	curl_multi_remove_handle(transfer->client->multi, transfer->easy);
 	curl_easy_cleanup(transfer->easy);
+	curl_slist_free_all(transfer->headers);
 	return 0;
 }
 
@@ -233,6 +235,21 @@
 	transfer_end(private_data, CURLE_OPERATION_TIMEDOUT);
 }
 
+/* The client's headers and those of this request, if it has any. */
+static void set_headers(struct transfer *transfer, const char *const *headers)
+{
+	if (!headers)
+		return;
+	for (const struct curl_slist *at = transfer->client->headers; at;
+	     at = at->next)
+		transfer->headers =
+			curl_slist_append(transfer->headers, at->data);
+	for (; *headers; headers++)
+		transfer->headers =
+			curl_slist_append(transfer->headers, *headers);
+	assert(transfer->headers);
+}
+
 static void set_options(struct transfer *transfer,
 			const struct rj_http_send *send)
 {
@@ -240,7 +257,9 @@
 
 	curl_easy_setopt(easy, CURLOPT_URL, send->url);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
-	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->client->headers);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER,
+			 transfer->headers ? transfer->headers :
+					     transfer->client->headers);
 	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
 			 (long)CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
@@ -280,6 +299,7 @@
 	transfer->easy = curl_easy_init();
 	assert(transfer->easy);
 	talloc_set_destructor(transfer, transfer_destructor);
+	set_headers(transfer, send->headers);
 	set_options(transfer, send);
 	timer = tevent_add_timer(client->ev, transfer,
 				 rj_clock_timeval_in(send->timeout_us),
--- a/src/libradishjunction/include/private/http_client.h
+++ b/src/libradishjunction/include/private/http_client.h
@@ -38,6 +38,8 @@
 	const char *url;
 	const char *body; /* may be empty; copied */
 	size_t length;
+	/* Further headers, "Name: value", up to a NULL; or NULL. Copied. */
+	const char *const *headers;
 	uint64_t timeout_us; /* from now to the whole answer */
 	size_t answer_max_bytes; /* a longer answer is lost */
 	void (*done)(void *private_data, const struct rj_http_result *result);
--- a/src/radishjunction/command.h
+++ b/src/radishjunction/command.h
@@ -66,6 +66,7 @@
 int command_cancel(int argc, char **argv);
 int command_explain(int argc, char **argv);
 int command_reasons(int argc, char **argv);
+int command_load(int argc, char **argv);
 
 extern const struct command commands[];
 const struct command *command_find(const char *name);
--- a/src/radishjunction/main.c
+++ b/src/radishjunction/main.c
@@ -23,6 +23,7 @@
 	  command_explain },
 	{ "reasons", "tell what each reason means and its remedy",
 	  command_reasons },
+	{ "load", "send a mixed load and check its answers", command_load },
 	{ NULL, NULL, NULL },
 };
 
