--- a/src/test_libradishjunction/support/plan_world.c
+++ b/src/test_libradishjunction/support/plan_world.c
@@ -190,7 +190,8 @@
 		(double)(started_us - truth->plan.queued_us) / RJ_US_PER_S;
 
 	job->state = WORLD_OVER;
-	world->open[truth->account] -= (uint64_t)size_of(truth);
+	rj_resources_take(&world->open[truth->account], &truth->plan.shape.each,
+			  truth->plan.shape.tasks);
 	if (truth->cancel_us != RJ_NEVER_US)
 		return;
 	g_array_append_val(
@@ -236,13 +237,15 @@
 	const struct stream_job *truth = truth_of(world, index);
 	const struct rj_guarantee *guarantee =
 		&world->stream->guarantees[truth->account];
+	struct rj_resources all = { 0 };
 
 	/* All that the account has open fits into its guarantee. */
-	world->open[truth->account] += (uint64_t)size_of(truth);
+	rj_resources_add(&world->open[truth->account], &truth->plan.shape.each,
+			 truth->plan.shape.tasks);
+	rj_resources_add(&all, &guarantee->shape.each,
+			 guarantee->shape.tasks * guarantee->count);
 	if (truth->guaranteed && truth->cancel_us == RJ_NEVER_US &&
-	    world->open[truth->account] <=
-		    (uint64_t)guarantee->count * guarantee->shape.tasks *
-			    guarantee->shape.each.accelerators) {
+	    rj_resources_fit(&world->open[truth->account], &all)) {
 		world->jobs[index].due = true;
 		world->result->guaranteed_due++;
 	}
