--- a/src/bench/policy.c
+++ b/src/bench/policy.c
@@ -204,7 +204,7 @@
 		struct plan_stream stream;
 
 		plan_stream_init(&stream, NULL, series->users, series->load,
-				 seed + i);
+				 seed + i, STREAM_HORIZON_US);
 		for (uint32_t j = 0; j < CONTENDER_COUNT; j++) {
 			struct plan_world_options options = {
 				.maker = makers[j],
--- a/src/test_libradishjunction/support/plan_stream.c
+++ b/src/test_libradishjunction/support/plan_stream.c
@@ -243,7 +243,7 @@
 
 		for (;;) {
 			at_s -= log(1 - uniform(stream)) / rate;
-			if (at_s * RJ_US_PER_S >= STREAM_HORIZON_US)
+			if (at_s * RJ_US_PER_S >= stream->horizon_us)
 				break;
 			add_job(stream, i, (uint64_t)(at_s * RJ_US_PER_S));
 		}
@@ -257,7 +257,7 @@
 		       enum stream_class class_index, uint32_t count,
 		       uint64_t every_s)
 {
-	for (uint64_t at_s = every_s; at_s * RJ_US_PER_S < STREAM_HORIZON_US;
+	for (uint64_t at_s = every_s; at_s * RJ_US_PER_S < stream->horizon_us;
 	     at_s += every_s)
 		for (uint32_t i = 0; i < count; i++)
 			add_job(stream, class_index, at_s * RJ_US_PER_S + i);
@@ -268,7 +268,7 @@
  */
 static void add_reclaims(struct plan_stream *stream)
 {
-	for (uint64_t at_s = 300; at_s * RJ_US_PER_S < STREAM_HORIZON_US;
+	for (uint64_t at_s = 300; at_s * RJ_US_PER_S < stream->horizon_us;
 	     at_s += 300)
 		for (uint32_t i = 0; i < 2; i++)
 			for (uint32_t j = 0; j < stream->guarantees[i].count;
@@ -389,17 +389,19 @@
 }
 
 /*
- * Make the whole stream of `users` under `load` from `seed`. All memory is a
+ * Make the whole stream of `users` under `load` from `seed`; jobs arrive until
+ * `horizon_us`. All memory is a
  * talloc child of `mem`.
  */
 void plan_stream_init(struct plan_stream *stream, void *mem,
 		      enum stream_users users, enum stream_load load,
-		      uint64_t seed)
+		      uint64_t seed, uint64_t horizon_us)
 {
 	memset(stream, 0, sizeof(*stream));
 	stream->mem = talloc_new(mem);
 	stream->users = users;
 	stream->load = load;
+	stream->horizon_us = horizon_us;
 	stream->random = seed * 0x9e3779b97f4a7c15ULL + load;
 	make_config(stream);
 	make_workers(stream);
--- a/src/test_libradishjunction/support/plan_stream.h
+++ b/src/test_libradishjunction/support/plan_stream.h
@@ -16,7 +16,7 @@
 #define STREAM_ACCOUNTS 4
 #define STREAM_CLASSES 4
 #define STREAM_DOMAIN "domain"
-#define STREAM_HORIZON_US (1800 * RJ_US_PER_S)
+#define STREAM_HORIZON_US (1800 * RJ_US_PER_S) /* of the bench */
 
 enum stream_users { STREAM_ASSOCIATION, STREAM_CONVERTER, STREAM_USERS_COUNT };
 
@@ -66,13 +66,14 @@
 	struct rj_plan_worker workers[STREAM_WORKERS];
 	enum stream_load load;
 	enum stream_users users;
+	uint64_t horizon_us; /* no job arrives after it */
 	uint64_t random; /* while it is being made */
 	void *mem;
 };
 
 void plan_stream_init(struct plan_stream *stream, void *mem,
 		      enum stream_users users, enum stream_load load,
-		      uint64_t seed);
+		      uint64_t seed, uint64_t horizon_us);
 void plan_stream_finish(struct plan_stream *stream);
 double plan_stream_bound_s(const struct plan_stream *stream,
 			   enum stream_class class_index);
--- a/src/test_libradishjunction/support/plan_world.c
+++ b/src/test_libradishjunction/support/plan_world.c
@@ -17,15 +17,11 @@
 #define FAILURES_TO_SET_ASIDE 3
 #define SET_ASIDE_US (60 * RJ_US_PER_S)
 
-#define FAIL_FROM_US (600 * RJ_US_PER_S)
-#define FAIL_UNTIL_US (1200 * RJ_US_PER_S)
-
 /* A lost instance is replaced, and has read its workers, after so long. */
-#define INSTANCE_LOST_US (900 * RJ_US_PER_S)
 #define INSTANCE_GAP_US (3 * RJ_US_PER_S)
 
-/* What has not ended by then counts as if it ended then. */
-#define GIVE_UP_US (4 * STREAM_HORIZON_US)
+/* What has not ended after so many horizons counts as if it ended then. */
+#define GIVE_UP_HORIZONS 4
 
 /* A guaranteed shape is late after the checkpoint limit and this. */
 #define LATE_US RJ_US_PER_S
@@ -82,6 +78,11 @@
 const struct plan_maker plan_maker_easy = { "easy", make_easy };
 const struct plan_maker plan_maker_topology = { "topology", make_topology };
 
+static uint64_t give_up_us(const struct plan_world *world)
+{
+	return GIVE_UP_HORIZONS * world->stream->horizon_us;
+}
+
 static bool is_sooner(const struct world_event *one,
 		      const struct world_event *two)
 {
@@ -213,7 +214,7 @@
 	world->result->refusals++;
 	count_end(world, index,
 		  truth->plan.deadline_us == RJ_NEVER_US ?
-			  GIVE_UP_US :
+			  give_up_us(world) :
 			  truth->plan.deadline_us);
 }
 
@@ -541,9 +542,10 @@
  */
 static void elapse(struct plan_world *world, uint64_t until_us)
 {
-	uint64_t from_us = MIN(world->now_us, STREAM_HORIZON_US);
-	double time_s = (double)(MIN(until_us, STREAM_HORIZON_US) - from_us) /
-			RJ_US_PER_S;
+	uint64_t from_us = MIN(world->now_us, world->stream->horizon_us);
+	double time_s =
+		(double)(MIN(until_us, world->stream->horizon_us) - from_us) /
+		RJ_US_PER_S;
 	struct rj_plan_view view;
 
 	if (time_s <= 0)
@@ -585,6 +587,8 @@
 		       const struct plan_world_options *options,
 		       struct plan_result *result)
 {
+	uint64_t horizon_us = stream->horizon_us;
+
 	memset(world, 0, sizeof(*world));
 	memset(result, 0, sizeof(*result));
 	world->mem = talloc_new(NULL);
@@ -609,12 +613,12 @@
 	rj_decisions_init(&world->decisions, world->mem);
 	make_planner(world);
 	if (stream->load == STREAM_FAILING_WORKERS) {
-		event_push(world, FAIL_FROM_US, WORLD_WORKERS_FAIL, 0, 0);
-		event_push(world, FAIL_UNTIL_US, WORLD_WORKERS_MEND, 0, 0);
+		event_push(world, horizon_us / 3, WORLD_WORKERS_FAIL, 0, 0);
+		event_push(world, horizon_us / 3 * 2, WORLD_WORKERS_MEND, 0, 0);
 	}
 	if (stream->load == STREAM_INSTANCE_LOST) {
-		event_push(world, INSTANCE_LOST_US, WORLD_INSTANCE_LOST, 0, 0);
-		event_push(world, INSTANCE_LOST_US + INSTANCE_GAP_US,
+		event_push(world, horizon_us / 2, WORLD_INSTANCE_LOST, 0, 0);
+		event_push(world, horizon_us / 2 + INSTANCE_GAP_US,
 			   WORLD_INSTANCE_BACK, 0, 0);
 	}
 }
@@ -622,7 +626,8 @@
 static void world_finish(struct plan_world *world)
 {
 	struct plan_result *result = world->result;
-	double all_s = STREAM_WORKERS * 8.0 * STREAM_HORIZON_US / RJ_US_PER_S;
+	double all_s =
+		STREAM_WORKERS * 8.0 * world->stream->horizon_us / RJ_US_PER_S;
 
 	for (uint32_t i = 0; i < STREAM_CLASSES; i++)
 		for (uint32_t j = 0; j <= STREAM_ACCOUNTS; j++) {
@@ -633,7 +638,7 @@
 		}
 	quantiles(world->gang_waits, result->gang_wait_s);
 	result->fragmentation =
-		world->stranded_s * RJ_US_PER_S / STREAM_HORIZON_US;
+		world->stranded_s * RJ_US_PER_S / world->stream->horizon_us;
 	result->fragmentation_waiting =
 		world->waiting_s > 0 ? world->stranded_s / world->waiting_s : 0;
 	result->utilisation = (world->busy_s - world->lost_s) / all_s;
@@ -647,7 +652,7 @@
 }
 
 /*
- * Run the planner over the stream until all jobs are over, or GIVE_UP_US.
+ * Run the planner over the stream until all jobs are over, or it is given up.
  */
 void plan_world_run(const struct plan_stream *stream,
 		    const struct plan_world_options *options,
@@ -659,7 +664,7 @@
 	while (world.events->len) {
 		struct world_event event = event_pop(&world);
 
-		if (event.at_us > GIVE_UP_US)
+		if (event.at_us > give_up_us(&world))
 			break;
 		elapse(&world, event.at_us);
 		world.now_us = event.at_us;
@@ -670,6 +675,6 @@
 	}
 	for (uint32_t i = 0; i < stream->count; i++)
 		if (world.jobs[i].state != WORLD_OVER)
-			count_end(&world, i, GIVE_UP_US);
+			count_end(&world, i, give_up_us(&world));
 	world_finish(&world);
 }
--- /dev/null
+++ b/src/test_libradishjunction/test_planner_differential.c
@@ -0,0 +1,400 @@
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/topology.h"
+#include "support/plan_world.h"
+
+/* Each load of both users, for as long as its fault and two bursts take. */
+#define SEEDS 1
+#define HORIZON_US (700 * RJ_US_PER_S)
+
+/*
+ * The planner by topology, and first fit beside it in the same state: it is
+ * told all that happens, and after each pass what it decided is undone and
+ * what the other decided is put in its place.
+ */
+struct pair {
+	struct rj_planner base;
+	struct rj_planner_topology topology;
+	struct rj_planner_first_fit first_fit;
+	struct rj_decisions plain;
+};
+
+/* How the decisions of the pair differed, and why that is allowed. */
+enum difference {
+	SAME,
+	OTHER_PLACE, /* both start it; by topology elsewhere */
+	ROOM_GIVEN, /* not started: its room went to others in this pass */
+	ROOM_KEPT, /* not started: its room is kept for others */
+	ROOM_PINNED, /* not started: it could not be stopped there */
+	EARLIER, /* started, where first fit gave its room to others */
+	REFUSED, /* its time had passed; both say so */
+	DIFFERENCE_COUNT
+};
+
+static uint64_t differences[DIFFERENCE_COUNT];
+
+static struct rj_planner *topology_of(const struct rj_planner *planner)
+{
+	return &((struct pair *)planner)->topology.base;
+}
+
+static struct rj_planner *plain_of(const struct rj_planner *planner)
+{
+	return &((struct pair *)planner)->first_fit.base;
+}
+
+static void pair_configure(struct rj_planner *planner,
+			   const struct rj_config *config, const char *domain,
+			   uint64_t now_us)
+{
+	topology_of(planner)->ops->configure(topology_of(planner), config,
+					     domain, now_us);
+	plain_of(planner)->ops->configure(plain_of(planner), config, domain,
+					  now_us);
+}
+
+static void pair_worker(struct rj_planner *planner,
+			const struct rj_plan_worker *worker, uint64_t now_us)
+{
+	topology_of(planner)->ops->worker(topology_of(planner), worker, now_us);
+	plain_of(planner)->ops->worker(plain_of(planner), worker, now_us);
+}
+
+static int pair_submit(struct rj_planner *planner,
+		       const struct rj_plan_job *job, uint64_t now_us,
+		       enum rj_reason *reason, uint64_t *retry_after_us)
+{
+	enum rj_reason ignored;
+	uint64_t never_us;
+	int status = topology_of(planner)->ops->submit(
+		topology_of(planner), job, now_us, reason, retry_after_us);
+
+	if (status) {
+		g_assert_cmpint(*reason, ==, RJ_REASON_DEADLINE_TOO_SOON);
+		g_assert_cmpuint(*retry_after_us, >, 0);
+		return status;
+	}
+	g_assert_cmpint(plain_of(planner)->ops->submit(plain_of(planner), job,
+						       now_us, &ignored,
+						       &never_us),
+			==, 0);
+	return 0;
+}
+
+static void pair_ended(struct rj_planner *planner, uint64_t job_id,
+		       bool succeeded, uint64_t ran_us, uint64_t now_us)
+{
+	topology_of(planner)->ops->ended(topology_of(planner), job_id,
+					 succeeded, ran_us, now_us);
+	plain_of(planner)->ops->ended(plain_of(planner), job_id, succeeded,
+				      ran_us, now_us);
+}
+
+static void pair_requeue(struct rj_planner *planner, uint64_t job_id,
+			 uint64_t not_before_us, uint64_t now_us)
+{
+	topology_of(planner)->ops->requeue(topology_of(planner), job_id,
+					   not_before_us, now_us);
+	plain_of(planner)->ops->requeue(plain_of(planner), job_id,
+					not_before_us, now_us);
+}
+
+static void pair_adopt(struct rj_planner *planner,
+		       const struct rj_plan_job *job,
+		       const struct rj_plan_member *members, uint32_t count,
+		       uint64_t now_us)
+{
+	topology_of(planner)->ops->adopt(topology_of(planner), job, members,
+					 count, now_us);
+	plain_of(planner)->ops->adopt(plain_of(planner), job, members, count,
+				      now_us);
+}
+
+static const struct rj_decision *find(const struct rj_decisions *decisions,
+				      uint64_t job_id)
+{
+	for (uint32_t i = 0; i < decisions->count; i++)
+		if (decisions->list[i].job_id == job_id &&
+		    decisions->list[i].kind != RJ_DECISION_RECLAIM)
+			return &decisions->list[i];
+	return NULL;
+}
+
+/*
+ * Why first fit starts a job that the other leaves waiting.
+ */
+static enum difference why_waiting(const struct pair *pair,
+				   const struct rj_decisions *decisions,
+				   uint64_t job_id)
+{
+	const struct rj_topology_state *state = pair->topology.state;
+	const struct rj_plan_entry *entry =
+		rj_plan_table_find(&state->table, job_id);
+
+	for (uint32_t i = 0; i < decisions->count; i++)
+		if (decisions->list[i].kind == RJ_DECISION_START)
+			return ROOM_GIVEN;
+	if (!entry->job.stoppable)
+		return ROOM_PINNED;
+	g_assert_cmpuint(state->reservations->len, >, 0);
+	return ROOM_KEPT;
+}
+
+static enum difference why_started(const struct rj_decision *decision,
+				   const struct rj_decision *plain)
+{
+	switch (decision->reason) {
+	case RJ_REASON_BEST_FIT:
+	case RJ_REASON_BACKFILL:
+	case RJ_REASON_RESERVATION:
+	case RJ_REASON_GUARANTEE:
+	case RJ_REASON_RECLAIMED:
+		break;
+	default:
+		g_assert_not_reached();
+	}
+	if (!plain)
+		return EARLIER;
+	if (plain->member_count == decision->member_count &&
+	    !memcmp(plain->members, decision->members,
+		    sizeof(*plain->members) * plain->member_count))
+		return SAME;
+	return OTHER_PLACE;
+}
+
+static void compare(const struct pair *pair,
+		    const struct rj_decisions *decisions)
+{
+	for (uint32_t i = 0; i < decisions->count; i++) {
+		const struct rj_decision *decision = &decisions->list[i];
+		const struct rj_decision *plain =
+			find(&pair->plain, decision->job_id);
+
+		if (decision->kind == RJ_DECISION_START)
+			differences[why_started(decision, plain)]++;
+		else if (decision->kind == RJ_DECISION_REFUSE)
+			differences[REFUSED]++;
+		if (decision->kind == RJ_DECISION_REFUSE)
+			g_assert_cmpint(plain->kind, ==, RJ_DECISION_REFUSE);
+	}
+	for (uint32_t i = 0; i < pair->plain.count; i++) {
+		const struct rj_decision *plain = &pair->plain.list[i];
+
+		if (find(decisions, plain->job_id))
+			continue;
+		g_assert_cmpint(plain->kind, ==, RJ_DECISION_START);
+		differences[why_waiting(pair, decisions, plain->job_id)]++;
+	}
+}
+
+static void pair_pass(struct rj_planner *planner, uint64_t now_us,
+		      struct rj_decisions *decisions)
+{
+	struct pair *pair = (struct pair *)planner;
+	struct rj_planner *plain = plain_of(planner);
+
+	topology_of(planner)->ops->pass(topology_of(planner), now_us,
+					decisions);
+	rj_decisions_clear(&pair->plain);
+	plain->ops->pass(plain, now_us, &pair->plain);
+	compare(pair, decisions);
+	for (uint32_t i = 0; i < pair->plain.count; i++)
+		if (pair->plain.list[i].kind == RJ_DECISION_START)
+			plain->ops->requeue(plain, pair->plain.list[i].job_id,
+					    0, now_us);
+	for (uint32_t i = 0; i < decisions->count; i++) {
+		const struct rj_decision *decision = &decisions->list[i];
+		const struct rj_plan_entry *entry;
+
+		if (decision->kind != RJ_DECISION_START)
+			continue;
+		entry = rj_plan_table_find(&pair->topology.state->table,
+					   decision->job_id);
+		plain->ops->adopt(plain, &entry->job, decision->members,
+				  decision->member_count, now_us);
+	}
+}
+
+static uint64_t pair_wake_us(const struct rj_planner *planner)
+{
+	return topology_of(planner)->ops->wake_us(topology_of(planner));
+}
+
+static void pair_view(const struct rj_planner *planner, uint64_t now_us,
+		      struct rj_plan_view *view)
+{
+	struct rj_plan_view plain;
+
+	topology_of(planner)->ops->view(topology_of(planner), now_us, view);
+	plain_of(planner)->ops->view(plain_of(planner), now_us, &plain);
+	g_assert_cmpuint(view->queued, ==, plain.queued);
+	g_assert_cmpuint(view->running, ==, plain.running);
+	g_assert_cmpuint(view->accelerators_free, ==, plain.accelerators_free);
+}
+
+static void pair_finish(struct rj_planner *planner)
+{
+	topology_of(planner)->ops->finish(topology_of(planner));
+	plain_of(planner)->ops->finish(plain_of(planner));
+	rj_decisions_finish(&((struct pair *)planner)->plain);
+}
+
+static const struct rj_planner_ops pair_ops = {
+	.name = "pair",
+	.configure = pair_configure,
+	.worker = pair_worker,
+	.submit = pair_submit,
+	.ended = pair_ended,
+	.requeue = pair_requeue,
+	.adopt = pair_adopt,
+	.pass = pair_pass,
+	.wake_us = pair_wake_us,
+	.view = pair_view,
+	.finish = pair_finish,
+};
+
+static struct rj_planner *make_pair(void *mem)
+{
+	struct pair *pair = talloc_zero(mem, struct pair);
+
+	pair->base.ops = &pair_ops;
+	rj_planner_topology_init(&pair->topology, mem);
+	rj_planner_first_fit_init(&pair->first_fit, mem);
+	rj_decisions_init(&pair->plain, mem);
+	return &pair->base;
+}
+
+static const struct plan_maker maker = { "pair", make_pair };
+
+/*
+ * What the accounts' tasks that cannot be stopped take of each worker, as
+ * the world has it.
+ */
+static void add_pinned(const struct plan_world *world,
+		       struct rj_resources pinned[][STREAM_ACCOUNTS])
+{
+	for (uint32_t i = 0; i < world->stream->count; i++) {
+		const struct stream_job *truth = &world->stream->jobs[i];
+		const struct world_job *job = &world->jobs[i];
+
+		if (truth->plan.stoppable)
+			continue;
+		for (uint32_t j = 0; j < job->member_count; j++)
+			rj_resources_add(
+				&pinned[job->members[j].worker][truth->account],
+				&truth->plan.shape.each, job->members[j].tasks);
+	}
+}
+
+/*
+ * At each step: were all that can be stopped stopped, every account would
+ * find its guaranteed shapes free at their homes, but for what its own work
+ * takes of them; and no home is missing.
+ */
+static void check_reclaimable(struct plan_world *world)
+{
+	static struct rj_resources pinned[STREAM_WORKERS][STREAM_ACCOUNTS];
+	const struct pair *pair = (const struct pair *)world->planner;
+	const struct rj_topology_state *state = pair->topology.state;
+	uint64_t homes = 0;
+
+	if (world->instance_down)
+		return;
+	memset(pinned, 0, sizeof(pinned));
+	add_pinned(world, pinned);
+	for (uint32_t i = 0; i < STREAM_WORKERS; i++) {
+		const struct rj_ledger *ledger =
+			rj_capacity_find(&state->capacity, i)->ledger;
+		struct rj_resources bound = { 0 };
+
+		for (uint32_t j = 0; j < STREAM_ACCOUNTS; j++) {
+			struct rj_resources most = pinned[i][j];
+			const struct rj_worker_share *share = rj_ledger_share(
+				ledger,
+				g_hash_table_lookup(
+					state->accounts,
+					world->stream->accounts[j].name));
+
+			if (share)
+				homes += share->guaranteed.accelerators;
+			if (share) {
+				most.slots = MAX(most.slots,
+						 share->guaranteed.slots);
+				most.accelerators =
+					MAX(most.accelerators,
+					    share->guaranteed.accelerators);
+			}
+			rj_resources_add(&bound, &most, 1);
+		}
+		g_assert_true(rj_resources_fit(&bound,
+					       &world->stream->domain.worker));
+	}
+	for (uint32_t i = 0; i < STREAM_ACCOUNTS; i++) {
+		const struct rj_guarantee *guarantee =
+			&world->stream->guarantees[i];
+
+		homes -= (uint64_t)guarantee->count * guarantee->shape.tasks *
+			 guarantee->shape.each.accelerators;
+	}
+	g_assert_cmpuint(homes, ==, 0);
+}
+
+/*
+ * A job waits though a worker is free for it, and nobody can say why.
+ * Each decision that differs from first come, first fit in the same state
+ * must have one of the reasons above.
+ */
+static void test_differences_have_reasons(gconstpointer data)
+{
+	struct plan_world_options options = {
+		.maker = &maker,
+		.check = check_reclaimable,
+	};
+	enum stream_users users = GPOINTER_TO_UINT(data) / STREAM_LOAD_COUNT;
+	enum stream_load load = GPOINTER_TO_UINT(data) % STREAM_LOAD_COUNT;
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct plan_stream stream;
+		struct plan_result result;
+		uint64_t count = 0;
+
+		memset(differences, 0, sizeof(differences));
+		plan_stream_init(&stream, NULL, users, load, seed, HORIZON_US);
+		plan_world_run(&stream, &options, &result);
+		for (uint32_t i = 0; i < DIFFERENCE_COUNT; i++)
+			count += differences[i];
+		g_assert_cmpuint(count, >, stream.count / 2);
+		g_assert_cmpuint(differences[OTHER_PLACE], >, 0);
+		g_assert_cmpfloat(result.guaranteed_late, ==, 0);
+		g_test_message("same %" G_GUINT64_FORMAT
+			       ", other place %" G_GUINT64_FORMAT
+			       ", given %" G_GUINT64_FORMAT
+			       ", kept %" G_GUINT64_FORMAT
+			       ", pinned %" G_GUINT64_FORMAT
+			       ", earlier %" G_GUINT64_FORMAT
+			       ", refused %" G_GUINT64_FORMAT,
+			       differences[SAME], differences[OTHER_PLACE],
+			       differences[ROOM_GIVEN], differences[ROOM_KEPT],
+			       differences[ROOM_PINNED], differences[EARLIER],
+			       differences[REFUSED]);
+		plan_stream_finish(&stream);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (uint32_t i = 0; i < STREAM_USERS_COUNT * STREAM_LOAD_COUNT; i++) {
+		char *path = g_strdup_printf(
+			"/planner_differential/%s/%s",
+			stream_users_string[i / STREAM_LOAD_COUNT],
+			stream_load_string[i % STREAM_LOAD_COUNT]);
+
+		g_test_add_data_func(path, GUINT_TO_POINTER(i),
+				     test_differences_have_reasons);
+		g_free(path);
+	}
+	return g_test_run();
+}
