--- a/include/radishjunction/planner.h
+++ b/include/radishjunction/planner.h
@@ -26,6 +26,8 @@
 	bool owned; /* in a rack that this instance plans first */
 };
 
+#define RJ_PLAN_AVOID_MAX 4
+
 struct rj_plan_job {
 	uint64_t job_id;
 	char account[RJ_NAME_BYTES];
@@ -37,6 +39,9 @@
 	uint64_t declared_us;
 	uint64_t queued_us; /* time of arrival */
 	uint64_t deadline_us; /* RJ_NEVER_US if none */
+	/* Workers on which it failed: not used while others fit. */
+	uint32_t avoid[RJ_PLAN_AVOID_MAX];
+	uint32_t avoid_count;
 };
 
 /* So many tasks of a gang on one worker. */
@@ -117,6 +122,19 @@
 	uint64_t (*wake_us)(const struct rj_planner *planner);
 	void (*view)(const struct rj_planner *planner, uint64_t now_us,
 		     struct rj_plan_view *view);
+	/*
+	 * The group of a rack: racks that one guaranteed shape spans belong
+	 * together and have one owner, who can reclaim the shape whole. NULL:
+	 * each rack is a group of its own.
+	 */
+	uint32_t (*rack_group)(const struct rj_planner *planner, uint32_t rack);
+	/*
+	 * A rack that carries a guaranteed shape of `account` with room for
+	 * `shape`, or UINT32_MAX. NULL: there are no guarantees.
+	 */
+	uint32_t (*home_rack)(const struct rj_planner *planner,
+			      const char *account,
+			      const struct rj_shape *shape);
 	void (*finish)(struct rj_planner *planner);
 };
 
