--- a/src/libradishjunction/core/capacity.c
+++ b/src/libradishjunction/core/capacity.c
@@ -310,6 +310,9 @@
 {
 	uint32_t times = most;
 
+	/* Divisions are dear, and most searches end here. */
+	if (!rj_resources_fit(each, have))
+		return 0;
 	if (each->slots)
 		times = MIN(times, have->slots / each->slots);
 	if (each->accelerators)
--- a/src/test_libradishjunction/naive/planner_easy.c
+++ b/src/test_libradishjunction/naive/planner_easy.c
@@ -13,6 +13,9 @@
 /* How far down the queue backfill looks, as schedulers in use do. */
 #define BACKFILL_DEPTH 200
 
+/* So many shapes are remembered, so that equal jobs are not tried again. */
+#define FAILURES_MAX 16
+
 struct easy_state {
 	struct rj_capacity capacity;
 	struct rj_plan_table table;
@@ -315,6 +318,28 @@
 	rj_plan_table_remove(&state->table, entry);
 }
 
+/* Shapes that did not fit in this pass, as a job in time or any other. */
+struct failures {
+	const struct rj_shape *shapes[2][FAILURES_MAX];
+	uint32_t count[2];
+};
+
+static bool has_failed(const struct failures *failures,
+		       const struct rj_shape *shape, bool in_time)
+{
+	for (uint32_t i = 0; i < failures->count[in_time]; i++)
+		if (rj_shape_equal(failures->shapes[in_time][i], shape))
+			return true;
+	return false;
+}
+
+static void note_failure(struct failures *failures,
+			 const struct rj_shape *shape, bool in_time)
+{
+	if (failures->count[in_time] < FAILURES_MAX)
+		failures->shapes[in_time][failures->count[in_time]++] = shape;
+}
+
 /*
  * Start in order of arrival until one is blocked; keep its place, and start
  * of the others what does not delay it.
@@ -324,6 +349,7 @@
 {
 	struct easy_state *state = state_of(planner);
 	struct rj_plan_entry *failed = NULL;
+	struct failures failures = { 0 };
 	uint32_t depth = 0;
 	GList *next;
 
@@ -342,16 +368,21 @@
 		if (entry->not_before_us > now_us || depth == BACKFILL_DEPTH)
 			continue;
 		entry->not_before_us = 0;
+		depth++;
+		if (has_failed(&failures, &entry->job.shape, in_time))
+			continue;
 		count = place(state, &entry->job.shape, in_time);
 		if (count) {
+			depth--;
 			start(state, entry, count,
 			      failed ? RJ_REASON_BACKFILL : RJ_REASON_BEST_FIT,
 			      now_us, decisions);
 			continue;
 		}
-		depth++;
-		if (failed)
+		if (failed) {
+			note_failure(&failures, &entry->job.shape, in_time);
 			continue;
+		}
 		failed = entry;
 		find_shadow(state, entry, now_us);
 	}
