test: the checker sees which publication is in force, not only its number

Cause: the naive version took the loser of a race for the accepted one and was not seen: both bear the same revision. Change: what an instance hands on is compared with the log's winner; stale publications join the races; test_checker plants both.

--- a/src/test_libradishjunction/naive/naive_core.c
+++ b/src/test_libradishjunction/naive/naive_core.c
@@ -322,13 +322,39 @@
 	action->u.read.wait_us = 10 * RJ_US_PER_S;
 }
 
+static void hand_on_config(struct naive_core *core,
+			   const struct rj_record *record,
+			   struct rj_actions *actions)
+{
+	for (uint32_t i = 0; i < core->peer_count; i++) {
+		struct rj_peer_message *message =
+			talloc_zero(actions->mem, struct rj_peer_message);
+		struct rj_action *action =
+			rj_actions_add(actions, RJ_ACTION_PEER_SEND);
+
+		message->kind = RJ_PEER_CONFIG;
+		message->u.config.revision = record->revision;
+		message->u.config.text =
+			talloc_strdup(message, record->config_text);
+		memcpy(message->u.config.id, record->config_id,
+		       sizeof(message->u.config.id));
+		memcpy(action->u.peer.name, core->peers[i], RJ_NAME_BYTES);
+		action->u.peer.message = message;
+	}
+}
+
 static void take_records(struct naive_core *core,
 			 const struct rj_records *records,
 			 struct rj_actions *actions)
 {
-	for (uint32_t i = 0; i < records->count; i++)
-		if (records->records[i].kind == RJ_RECORD_CONFIG)
-			core->revision = records->records[i].revision;
+	for (uint32_t i = 0; i < records->count; i++) {
+		const struct rj_record *record = &records->records[i];
+
+		if (record->kind != RJ_RECORD_CONFIG)
+			continue;
+		core->revision = record->revision;
+		hand_on_config(core, record, actions);
+	}
 	read_config(actions, records->next);
 }
 
--- a/src/test_libradishjunction/support/checker.c
+++ b/src/test_libradishjunction/support/checker.c
@@ -70,6 +70,7 @@
 	g_hash_table_unref(checker->requests);
 	g_hash_table_unref(checker->attempts);
 	g_ptr_array_unref(checker->gangs);
+	g_ptr_array_unref(checker->config_ids);
 	return 0;
 }
 
@@ -94,6 +95,7 @@
 	checker->attempts = g_hash_table_new_full(attempt_hash, attempt_equal,
 						  NULL, g_free);
 	checker->gangs = g_ptr_array_new();
+	checker->config_ids = g_ptr_array_new_with_free_func(g_free);
 	for (uint32_t i = 0; i < CHECKER_NODES_MAX; i++)
 		checker->nodes[i].reached_us = RJ_NEVER_US;
 	holder = talloc(mem, struct checker *);
@@ -525,13 +527,31 @@
  * The log took a publication that by its order is the accepted one.
  */
 void checker_config_accepted(struct checker *checker, uint64_t now_us,
-			     uint64_t revision)
+			     uint64_t revision, const char *id)
 {
-	assert(revision > checker->revision);
+	assert(revision == checker->config_ids->len + 1);
+	g_ptr_array_add(checker->config_ids, g_strdup(id));
 	checker->revision = revision;
 	checker->revision_us = now_us;
 }
 
+/*
+ * An instance hands on what it takes for the accepted one of a revision.
+ */
+void checker_config_offered(struct checker *checker, uint64_t now_us,
+			    uint32_t node, uint64_t revision, const char *id)
+{
+	const char *accepted = NULL;
+
+	if (revision && revision <= checker->config_ids->len)
+		accepted = checker->config_ids->pdata[revision - 1];
+	checker->checks[PROMISE_CONFIG]++;
+	if (!accepted || strcmp(accepted, id) != 0)
+		violation(checker, now_us, PROMISE_CONFIG,
+			  "node %u holds %s for revision %" PRIu64 ", not %s",
+			  node, id, revision, accepted ? accepted : "none");
+}
+
 /*
  * An instance says which revision is in force at it.
  */
--- a/src/test_libradishjunction/support/checker.h
+++ b/src/test_libradishjunction/support/checker.h
@@ -99,6 +99,7 @@
 	GPtrArray *gangs;
 	struct checker_node nodes[CHECKER_NODES_MAX];
 	uint64_t revision;
+	GPtrArray *config_ids; /* of the accepted ones, by revision - 1 */
 	uint64_t revision_us; /* when it was accepted */
 	GArray *settle_us; /* times to be in force at each instance */
 	void (*tell)(void *data, const char *text);
@@ -146,7 +147,9 @@
 		      uint64_t heard_since_us);
 void checker_exit(struct checker *checker, uint64_t now_us, uint32_t node);
 void checker_config_accepted(struct checker *checker, uint64_t now_us,
-			     uint64_t revision);
+			     uint64_t revision, const char *id);
+void checker_config_offered(struct checker *checker, uint64_t now_us,
+			    uint32_t node, uint64_t revision, const char *id);
 void checker_config_seen(struct checker *checker, uint64_t now_us,
 			 uint32_t node, uint64_t incarnation,
 			 uint64_t revision);
--- a/src/test_libradishjunction/support/fake_log.c
+++ b/src/test_libradishjunction/support/fake_log.c
@@ -214,7 +214,7 @@
 	world_note(world, "revision %" PRIu64 " is accepted",
 		   world->log.revision);
 	checker_config_accepted(&world->checker, world->now_us,
-				world->log.revision);
+				world->log.revision, record->config_id);
 }
 
 static uint64_t store(struct world *world, const struct rj_append *append)
--- a/src/test_libradishjunction/support/fake_peers.c
+++ b/src/test_libradishjunction/support/fake_peers.c
@@ -171,6 +171,10 @@
 		checker_config_seen(&world->checker, world->now_us, node->index,
 				    node->incarnation,
 				    message->u.heartbeat.config_revision);
+	if (message->kind == RJ_PEER_CONFIG)
+		checker_config_offered(&world->checker, world->now_us,
+				       node->index, message->u.config.revision,
+				       message->u.config.id);
 	if (!peer || peer == node)
 		return;
 	link = link_of(world, node->index, peer->index);
--- a/src/test_libradishjunction/support/faults.c
+++ b/src/test_libradishjunction/support/faults.c
@@ -206,6 +206,11 @@
 		world_note(world, "a bad configuration is published");
 		fake_log_publish(world, base, "bad", "{\"domains\":7}");
 	}
+	if (base && world_random(world, 4) == 0) {
+		world_note(world, "a configuration made from an old one");
+		fake_log_publish(world, world_random(world, base), "stale",
+				 world_config_text(world, world, 0));
+	}
 	for (uint32_t i = 0; i < racers; i++) {
 		char id[RJ_CONFIG_ID_BYTES];
 
--- a/src/test_libradishjunction/test_checker.c
+++ b/src/test_libradishjunction/test_checker.c
@@ -277,20 +277,22 @@
 
 /*
  * A published configuration is undone at an instance, never arrives at one
- * that is in reach, or one is in force that was never accepted.
+ * that is in reach, one is in force that was never accepted, or the loser of
+ * a race is.
  */
 static void test_config_violations_are_seen(void)
 {
 	struct history history;
 
 	history_start(&history, (struct checker_intent){ .gang = 1 });
-	checker_config_accepted(&history.checker, 1, 2);
-	checker_config_seen(&history.checker, 2, 0, 1, 2);
-	checker_config_seen(&history.checker, 3, 0, 1, 1);
+	checker_config_accepted(&history.checker, 1, 1, "one");
+	checker_config_accepted(&history.checker, 2, 2, "two");
+	checker_config_seen(&history.checker, 3, 0, 1, 2);
+	checker_config_seen(&history.checker, 4, 0, 1, 1);
 	history_expect(&history, PROMISE_CONFIG);
 	history_start(&history, (struct checker_intent){ .gang = 1 });
 	checker_node_reach(&history.checker, 1, 0, true);
-	checker_config_accepted(&history.checker, 1, 1);
+	checker_config_accepted(&history.checker, 1, 1, "one");
 	checker_tick(&history.checker, 1 + CHECKER_CONFIG_US);
 	g_assert_cmpuint(checker_violations(&history.checker), ==, 0);
 	checker_tick(&history.checker, 2 + CHECKER_CONFIG_US);
@@ -298,6 +300,12 @@
 	history_start(&history, (struct checker_intent){ .gang = 1 });
 	checker_config_seen(&history.checker, 2, 0, 1, 1);
 	history_expect(&history, PROMISE_CONFIG);
+	history_start(&history, (struct checker_intent){ .gang = 1 });
+	checker_config_accepted(&history.checker, 1, 1, "one");
+	checker_config_offered(&history.checker, 2, 0, 1, "one");
+	g_assert_cmpuint(checker_violations(&history.checker), ==, 0);
+	checker_config_offered(&history.checker, 2, 0, 1, "other");
+	history_expect(&history, PROMISE_CONFIG);
 }
 
 /*
