--- a/src/libradishjunction/http_client.c
+++ b/src/libradishjunction/http_client.c
@@ -20,6 +20,7 @@
 	struct rj_list link; /* in the client's open transfers */
 	struct rj_http_client *client;
 	CURL *easy;
+	struct curl_slist *headers; /* NULL: those of the client */
 	char *body;
 	size_t length;
 	size_t sent; /* bytes of the body that libcurl has taken */
@@ -30,6 +31,7 @@
 	void *private_data;
 };
 
+/* libcurl must let go of the handle before it is freed. */
 static int transfer_destructor(struct transfer *transfer)
 {
 	rj_list_remove(&transfer->link);
@@ -37,6 +39,7 @@
 		return 0;
 	curl_multi_remove_handle(transfer->client->multi, transfer->easy);
 	curl_easy_cleanup(transfer->easy);
+	curl_slist_free_all(transfer->headers);
 	return 0;
 }
 
@@ -61,6 +64,7 @@
 	return part;
 }
 
+/* Keep a part of the answer; a short count makes libcurl fail the transfer. */
 static size_t write_answer(char *data, size_t size, size_t count,
 			   void *private_data)
 {
@@ -112,6 +116,7 @@
 	}
 }
 
+/* Tell libcurl which events a socket has, and report what ended by them. */
 static void socket_ready(struct tevent_context *ev, struct tevent_fd *fde,
 			 uint16_t flags, void *private_data)
 {
@@ -157,6 +162,7 @@
 	return 0;
 }
 
+/* The time that libcurl asked for in timer_wanted has come. */
 static void timer_due(struct tevent_context *ev, struct tevent_timer *timer,
 		      struct timeval now, void *private_data)
 {
@@ -227,12 +233,29 @@
 	return 0;
 }
 
+/* The whole answer was not here in time. */
 static void timed_out(struct tevent_context *ev, struct tevent_timer *timer,
 		      struct timeval now, void *private_data)
 {
 	transfer_end(private_data, CURLE_OPERATION_TIMEDOUT);
 }
 
+/* The client's headers and those of one request. */
+static void join_headers(struct transfer *transfer,
+			 const struct rj_http_send *send)
+{
+	const struct curl_slist *at;
+
+	for (at = transfer->client->headers; at; at = at->next)
+		transfer->headers =
+			curl_slist_append(transfer->headers, at->data);
+	for (uint32_t i = 0; i < send->header_count; i++)
+		transfer->headers =
+			curl_slist_append(transfer->headers, send->headers[i]);
+	assert(transfer->headers);
+}
+
+/* All that libcurl is told of one transfer. */
 static void set_options(struct transfer *transfer,
 			const struct rj_http_send *send)
 {
@@ -240,7 +263,11 @@
 
 	curl_easy_setopt(easy, CURLOPT_URL, send->url);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
-	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->client->headers);
+	if (send->header_count)
+		join_headers(transfer, send);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER,
+			 transfer->headers ? transfer->headers :
+					     transfer->client->headers);
 	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
 			 (long)CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
@@ -289,6 +316,20 @@
 	curl_multi_add_handle(client->multi, transfer->easy);
 }
 
+/*
+ * The URL of `path` (from its first slash) at `address`.
+ */
+char *rj_http_url(void *mem, const struct rj_address *address, const char *path)
+{
+	bool v6 = strchr(address->ip, ':');
+	char *url = talloc_asprintf(mem, "http://%s%s%s:%u%s", v6 ? "[" : "",
+				    address->ip, v6 ? "]" : "", address->port,
+				    path);
+
+	assert(url);
+	return url;
+}
+
 /*
  * Drop what is open without telling, and close all connections.
  */
