core: a look-up of a cancelled job waits for the log, too

Cause: rj_job_end waits for the log before it says that an accepted job did not run, but a look-up or a repeat that came meanwhile was answered at once. Change: one question, rj_job_may_tell, for all three.

--- a/src/libradishjunction/core/controllers/jobs_controller.c
+++ b/src/libradishjunction/core/controllers/jobs_controller.c
@@ -247,6 +247,16 @@
 	}
 }
 
+/*
+ * Whether the job has ended and its answer may be told already. That an
+ * accepted job did not run is told only when the log has said so.
+ */
+bool rj_job_may_tell(const struct rj_job *job)
+{
+	return job->state == RJ_JOB_ENDED &&
+	       !(job->accepted && job->final.kind == RJ_ANSWER_NOT_RUN);
+}
+
 /*
  * End the job: its capacity is free, all who wait are answered, and an
  * outcome goes to the log where the log knows of the job. It then stays in
@@ -269,13 +279,13 @@
 	rj_timer_clear(&core->timers, &job->deadline);
 	rj_timer_clear(&core->timers, &job->step);
 	core->jobs.plan_wanted = true;
-	if (!job->accepted || answer->kind != RJ_ANSWER_NOT_RUN)
+	rj_job_enter(job, RJ_JOB_ENDED);
+	if (rj_job_may_tell(job))
 		rj_job_answer_waiters(job, &job->final);
 	if (!job->accepted && !job->claimed) {
 		rj_job_free(job);
 		return;
 	}
-	rj_job_enter(job, RJ_JOB_ENDED);
 	rj_claims_outcome(job);
 }
 
--- a/src/libradishjunction/core/filters/find.c
+++ b/src/libradishjunction/core/filters/find.c
@@ -54,7 +54,7 @@
 					 struct rj_submission *submission,
 					 struct rj_job *job)
 {
-	if (job->state == RJ_JOB_ENDED) {
+	if (rj_job_may_tell(job)) {
 		rj_core_answer(core, submission->request_id, &job->final);
 		return RJ_FILTER_TAKEN;
 	}
--- a/src/libradishjunction/core/filters/repeat.c
+++ b/src/libradishjunction/core/filters/repeat.c
@@ -29,7 +29,7 @@
 		rj_bytes_copy(job, &job->spec.body, &submission->spec.body);
 		job->bodiless = false;
 	}
-	if (job->state == RJ_JOB_ENDED) {
+	if (rj_job_may_tell(job)) {
 		rj_job_wait(job, submission->request_id, submission->peer,
 			    submission->forward_id);
 		rj_job_answer_waiters(job, &job->final);
