core: after a pause nothing accepted starts before the log was read

Cause: in an outage an accepted job starts without a claim. An instance that had slept through its cancellation woke into the outage and started it. Excluded: an answer read before the pause and delivered after it (the read must have been asked for since). Change: a gap of two seconds between events is a pause, since timers wake the core every second; until the log was read, a claim is needed. Not covered: an owner cut off from the log and from its peers without a pause, which starts what a peer has cancelled.

--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -33,12 +33,18 @@
  * not run twice always does. An accepted job does while the log can be had,
  * so that its next owner finds where it runs; in an outage it goes on
  * without, since it may run again.
+ *
+ * Guards against an instance that was paused: while its peers took it for
+ * dead, one of them served the job, or cancelled it and told so. The symptom
+ * is a job that runs after "not run". It starts nothing accepted until it has
+ * caught up with the log.
  */
 bool rj_job_needs_claim(const struct rj_job *job)
 {
 	if (!job->idempotent)
 		return true;
-	return job->accepted && rj_log_usable(job->core);
+	return job->accepted &&
+	       (rj_log_usable(job->core) || job->core->woke_us);
 }
 
 /*
--- a/src/libradishjunction/core/controllers/log_controller.c
+++ b/src/libradishjunction/core/controllers/log_controller.c
@@ -221,8 +221,12 @@
 		stream->caught_up = records->next >= records->head;
 		for (uint32_t i = 0; i < records->count; i++)
 			rj_claims_record(core, &records->records[i]);
-		if (stream->caught_up)
+		if (stream->caught_up) {
 			core->jobs.plan_wanted = true;
+			/* An answer from before the pause proves nothing. */
+			if (stream->fresh_us >= core->woke_us)
+				core->woke_us = 0;
+		}
 	}
 	read_on(core, stream);
 }
--- a/src/libradishjunction/core/core.c
+++ b/src/libradishjunction/core/core.c
@@ -4,6 +4,10 @@
 #include <string.h>
 #include <talloc.h>
 
+/* Timers wake an instance every second; one that heard nothing for so long
+ * was paused, and its peers may have taken it for dead. */
+#define SLEPT_US (2 * RJ_US_PER_S)
+
 /*
  * The number that the next call, append or forward is known by; never 0.
  */
@@ -258,6 +262,8 @@
 	if (state->exited)
 		return;
 	state->actions = actions;
+	if (!first && event->now_us > state->now_us + SLEPT_US)
+		state->woke_us = event->now_us;
 	if (event->now_us > state->now_us || first)
 		state->now_us = event->now_us ? event->now_us : 1;
 	if (first) {
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -292,6 +292,7 @@
 	uint64_t config_carried_us; /* when it was last appended from here */
 	struct rj_log_stream streams[RJ_STREAM_COUNT];
 	bool platform_up;
+	uint64_t woke_us; /* from a pause; 0 once the log was read since */
 	struct rj_job_ledger ledger;
 	struct rj_membership membership;
 	struct rj_upstreams upstreams;
