core: summaries that come before the list of workers are taken again

Cause: an instance that starts in an outage hears its peers' summaries before it knows the workers, and they are sent again only when they change: its planner had no worker, and accepted jobs that it owns waited for ever. Excluded: the planner (it had no rack), the timers (none was missed). Change: a list that brings new workers has the summaries applied again. The checker lets an instance that wakes from a pause hear that a worker leaves.

--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -496,3 +496,34 @@
 	memcpy(mine->free, summary->free, sizeof(mine->free));
 	rj_upstreams_peer_summary(core, summary);
 }
+
+/*
+ * Take again what peers said of their racks, for workers that were not
+ * listed yet when they said it: it is sent only when it changes.
+ */
+void rj_membership_summaries_again(struct rj_core_state *core)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+	struct rj_list *rack;
+	struct rj_list *next_rack;
+
+	RJ_FOR_EACH (at, next, &core->membership.members) {
+		const struct rj_member_view *member =
+			RJ_CONTAINER(at, struct rj_member_view, link);
+
+		RJ_FOR_EACH (rack, next_rack, &member->summaries) {
+			const struct rj_rack_summary *known = RJ_CONTAINER(
+				rack, struct rj_rack_summary, link);
+			struct rj_peer_summary summary;
+
+			memset(&summary, 0, sizeof(summary));
+			memcpy(summary.domain, member->domain,
+			       sizeof(summary.domain));
+			summary.rack = known->rack;
+			summary.worker_count = known->worker_count;
+			memcpy(summary.free, known->free, sizeof(summary.free));
+			rj_upstreams_peer_summary(core, &summary);
+		}
+	}
+}
--- a/src/libradishjunction/core/controllers/upstreams_controller.c
+++ b/src/libradishjunction/core/controllers/upstreams_controller.c
@@ -270,10 +270,14 @@
 void rj_upstreams_list(struct rj_core_state *core,
 		       const struct rj_instance *list, uint32_t count)
 {
+	uint32_t known = core->upstreams.count;
+
 	for (uint32_t i = 0; i < count; i++)
 		if (list[i].role == RJ_ROLE_WORKER)
 			list_worker(core, &list[i]);
 	rj_upstreams_ownership(core);
+	if (core->upstreams.count != known)
+		rj_membership_summaries_again(core);
 }
 
 /*
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -363,6 +363,7 @@
 			     const struct rj_peer_heartbeat *heartbeat);
 void rj_membership_summary(struct rj_core_state *core, const char *name,
 			   const struct rj_peer_summary *summary);
+void rj_membership_summaries_again(struct rj_core_state *core);
 void rj_membership_heartbeat_all(struct rj_core_state *core);
 struct rj_member_view *rj_membership_find(struct rj_core_state *core,
 					  const char *name);
--- a/src/test_libradishjunction/support/fake_peers.c
+++ b/src/test_libradishjunction/support/fake_peers.c
@@ -211,11 +211,12 @@
 
 /*
  * Since when an instance has heard every other of its failure domain, or now
- * when it misses one or messages may be lost.
+ * when it misses one or messages may be lost. One that goes on after a pause
+ * hears only from then on.
  */
 uint64_t fake_peers_heard_since(const struct world *world, uint32_t node)
 {
-	uint64_t since_us = 0;
+	uint64_t since_us = world->nodes[node].resumed_us;
 
 	if (world->rates.peer_lost)
 		return world->now_us;
--- a/src/test_libradishjunction/test_faults.c
+++ b/src/test_libradishjunction/test_faults.c
@@ -77,6 +77,41 @@
 	check_seed(PROMISE_NOT_RUN, 87);
 }
 
+/*
+ * A tutor looks a cancelled job up, is told "not run", and then it runs.
+ * The instance that was asked had cancelled it in its memory and was paused
+ * before the log knew; a peer took the job over and started it.
+ * Cause: a look-up was answered from memory before the outcome was read back.
+ */
+static void test_lookup_of_a_cancelled_job_waits_for_the_log(void)
+{
+	check_seed(PROMISE_ANSWER, 265);
+}
+
+/*
+ * A tutor cancels an accepted job and is told "not run"; it runs afterwards.
+ * Its former owner slept through the cancellation, wakes while the platform
+ * is down, and starts the job without a claim.
+ * Cause: what an instance knew before a pause was taken for the present.
+ */
+static void test_sleeper_starts_nothing_accepted_before_it_has_read(void)
+{
+	check_seed(PROMISE_NOT_RUN, 316);
+}
+
+/*
+ * An accepted job waits for ever.
+ * Its owner starts while the platform is down, so that a peer's summaries of
+ * the racks come before the list of workers; they are not sent again.
+ * Cause: a summary that named no known worker was dropped.
+ */
+static void test_summary_before_the_list_is_not_lost(void)
+{
+	check_seed(PROMISE_ACCEPTED, 136);
+	check_seed(PROMISE_NOT_RUN, 194);
+	check_seed(PROMISE_GUARANTEE, 19);
+}
+
 /* Promises that the core keeps in every seed that was run. */
 static const enum promise held[] = { PROMISE_GANG,    PROMISE_ANSWER,
 				     PROMISE_NOT_RUN, PROMISE_CONFIG,
@@ -111,5 +146,12 @@
 			test_job_known_from_its_claim_is_not_started);
 	g_test_add_func("/faults/lost_start",
 			test_lost_start_is_not_a_failed_run);
+	g_test_add_func("/faults/lookup_of_cancelled",
+			test_lookup_of_a_cancelled_job_waits_for_the_log);
+	g_test_add_func(
+		"/faults/sleeper",
+		test_sleeper_starts_nothing_accepted_before_it_has_read);
+	g_test_add_func("/faults/early_summary",
+			test_summary_before_the_list_is_not_lost);
 	return g_test_run();
 }
