--- a/src/libradishjunction/core/controllers/calls_controller.c
+++ b/src/libradishjunction/core/controllers/calls_controller.c
@@ -185,6 +185,8 @@
 	if (reply->leaving && member->upstream)
 		rj_upstreams_leaving(core, member->upstream,
 				     reply->incarnation);
+	if (reply->status == RJ_REPLY_OK)
+		rj_job_note_progress(job, reply->state, reply->ran_us);
 	switch (call->op) {
 	case RJ_WORKER_LEASE:
 		rj_job_lease_reply(job, member, reply);
--- a/src/libradishjunction/include/private/http_client.h
+++ b/src/libradishjunction/include/private/http_client.h
@@ -38,10 +38,10 @@
 	const char *url;
 	const char *body; /* may be empty; copied */
 	size_t length;
-	/* Further headers, "Name: value", up to a NULL; or NULL. Copied. */
-	const char *const *headers;
 	uint64_t timeout_us; /* from now to the whole answer */
 	size_t answer_max_bytes; /* a longer answer is lost */
+	const char *const *headers; /* beside the client's, "Name: value" */
+	uint32_t header_count;
 	void (*done)(void *private_data, const struct rj_http_result *result);
 	void *private_data; /* talloc: owned by the client, freed after done */
 };
@@ -60,6 +60,8 @@
 			uint32_t host_connections_max, struct rj_error *err);
 void rj_http_client_send(struct rj_http_client *client,
 			 const struct rj_http_send *send);
+char *rj_http_url(void *mem, const struct rj_address *address,
+		  const char *path);
 void rj_http_client_finish(struct rj_http_client *client);
 
 #endif
--- a/src/libstandin/platform.c
+++ b/src/libstandin/platform.c
@@ -20,7 +20,7 @@
 struct reader {
 	struct rj_list link;
 	struct rj_standin_platform *platform;
-	struct rj_http_request *request;
+	struct rj_http_exchange *request;
 	struct rj_standin_stream *stream;
 	uint64_t from;
 	uint64_t max;
@@ -33,9 +33,10 @@
 	bool gone; /* taken from the list */
 };
 
-static void answer(struct rj_http_request *request, const char *text)
+/* Answer with a body of the protocol. */
+static void answer(struct rj_http_exchange *request, const char *text)
 {
-	rj_http_request_answer(request, MHD_HTTP_OK, text, strlen(text));
+	rj_http_exchange_answer(request, MHD_HTTP_OK, text, strlen(text));
 }
 
 /* The stream `name` without the records whose retention has ended. */
@@ -75,9 +76,10 @@
 	return true;
 }
 
+/* Answer a read with what the stream holds now. */
 static void read_answer(struct reader *reader)
 {
-	struct rj_http_request *request = reader->request;
+	struct rj_http_exchange *request = reader->request;
 	struct rj_log_page page;
 
 	rj_standin_stream_read(reader->stream, reader, reader->from,
@@ -86,6 +88,7 @@
 	talloc_free(reader);
 }
 
+/* Answer the long polls that waited for what was appended. */
 static void wake_readers(struct rj_standin_platform *platform,
 			 const struct rj_standin_stream *stream)
 {
@@ -101,7 +104,7 @@
 }
 
 /* The records of an append, or NULL when the body is not as it must be. */
-static json_t *append_records(const struct rj_http_request *request)
+static json_t *append_records(const struct rj_http_exchange *request)
 {
 	json_t *body =
 		json_loadb(request->body.data, request->body.length, 0, NULL);
@@ -121,8 +124,9 @@
 	return NULL;
 }
 
+/* POST /v1/streams/NAME/append, with the faults that an append can have. */
 static void handle_append(struct rj_standin_platform *platform,
-			  struct rj_http_request *request, const char *name)
+			  struct rj_http_exchange *request, const char *name)
 {
 	json_t *records = append_records(request);
 	struct rj_standin_stream *stream;
@@ -131,22 +135,22 @@
 	size_t i;
 
 	if (!records) {
-		rj_http_request_error(request, MHD_HTTP_BAD_REQUEST,
-				      "records: not a list of strings; send "
-				      "at least one");
+		rj_http_exchange_error(request, MHD_HTTP_BAD_REQUEST,
+				       "records: not a list of strings; send "
+				       "at least one");
 		return;
 	}
 	if (platform->drop_appends) {
 		platform->drop_appends--;
 		json_decref(records);
-		rj_http_request_abort(request);
+		rj_http_exchange_abort(request);
 		return;
 	}
 	if (!take_append_credit(platform)) {
 		json_decref(records);
-		rj_http_request_error(request, MHD_HTTP_TOO_MANY_REQUESTS,
-				      "append: above the rate; nothing was "
-				      "appended, try again later");
+		rj_http_exchange_error(request, MHD_HTTP_TOO_MANY_REQUESTS,
+				       "append: above the rate; nothing was "
+				       "appended, try again later");
 		return;
 	}
 	stream = get_stream(platform, name);
@@ -156,28 +160,31 @@
 	json_decref(records);
 	if (platform->lose_answers) {
 		platform->lose_answers--;
-		rj_http_request_abort(request);
+		rj_http_exchange_abort(request);
 	} else {
 		answer(request, rj_append_answer_encode(request, first));
 	}
 	wake_readers(platform, stream);
 }
 
-static uint64_t argument(struct rj_http_request *request, const char *name,
+/* A number of the query, at most `max`; `missing` when it is left out. */
+static uint64_t argument(struct rj_http_exchange *request, const char *name,
 			 uint64_t missing, uint64_t max)
 {
-	const char *text = rj_http_request_argument(request, name);
+	const char *text = rj_http_exchange_argument(request, name);
 	uint64_t value = text ? strtoull(text, NULL, 10) : missing;
 
 	return value < max ? value : max;
 }
 
+/* A long poll whose request ends is no longer in the list. */
 static int reader_destructor(struct reader *reader)
 {
 	rj_list_remove(&reader->link);
 	return 0;
 }
 
+/* Nothing was appended while a long poll waited: its answer is empty. */
 static void reader_timeout(struct tevent_context *ev,
 			   struct tevent_timer *timer, struct timeval now,
 			   void *private_data)
@@ -185,8 +192,9 @@
 	read_answer(private_data);
 }
 
+/* GET /v1/streams/NAME: at once, or when something is appended. */
 static void handle_read(struct rj_standin_platform *platform,
-			struct rj_http_request *request, const char *name)
+			struct rj_http_exchange *request, const char *name)
 {
 	struct reader *reader = talloc_zero(request, struct reader);
 	uint64_t wait_ms = argument(request, "wait_ms", 0, READ_WAIT_MAX_MS);
@@ -247,6 +255,7 @@
 	talloc_free(change);
 }
 
+/* The lag of the list has passed. */
 static void change_due(struct tevent_context *ev, struct tevent_timer *timer,
 		       struct timeval now, void *private_data)
 {
@@ -279,7 +288,7 @@
 
 /* PUT registers an instance, DELETE takes it from the list. */
 static void handle_instance(struct rj_standin_platform *platform,
-			    struct rj_http_request *request, const char *name)
+			    struct rj_http_exchange *request, const char *name)
 {
 	bool gone = !strcmp(request->method, "DELETE");
 	struct rj_instance instance;
@@ -287,21 +296,22 @@
 
 	memset(&instance, 0, sizeof(instance));
 	if (!gone && rj_instance_decode(request->body.data, &instance, &err)) {
-		rj_http_request_error(request, MHD_HTTP_BAD_REQUEST,
-				      err.message);
+		rj_http_exchange_error(request, MHD_HTTP_BAD_REQUEST,
+				       err.message);
 		return;
 	}
 	if (rj_name_set(instance.name, name)) {
-		rj_http_request_error(request, MHD_HTTP_BAD_REQUEST,
-				      "name: too long; give a shorter one");
+		rj_http_exchange_error(request, MHD_HTTP_BAD_REQUEST,
+				       "name: too long; give a shorter one");
 		return;
 	}
 	change_list(platform, &instance, gone);
 	answer(request, "{}");
 }
 
+/* POST /v1/fault: all of its fields are taken, or none. */
 static void handle_fault(struct rj_standin_platform *platform,
-			 struct rj_http_request *request)
+			 struct rj_http_exchange *request)
 {
 	json_t *faults =
 		json_loadb(request->body.data, request->body.length, 0, NULL);
@@ -311,9 +321,9 @@
 	if (rj_fault_count(faults, "lose_next_append_answers", &lose) ||
 	    rj_fault_count(faults, "drop_next_appends", &drop) ||
 	    rj_gate_set(&platform->gate, &platform->server, faults, request)) {
-		rj_http_request_error(request, MHD_HTTP_BAD_REQUEST,
-				      "fault: a field has the wrong type; see "
-				      "the platform protocol");
+		rj_http_exchange_error(request, MHD_HTTP_BAD_REQUEST,
+				       "fault: a field has the wrong type; see "
+				       "the platform protocol");
 	} else {
 		platform->lose_answers = lose;
 		platform->drop_appends = drop;
@@ -323,7 +333,7 @@
 }
 
 /* The part of `path` between `prefix` and `suffix`, or NULL. */
-static const char *path_name(struct rj_http_request *request,
+static const char *path_name(struct rj_http_exchange *request,
 			     const char *prefix, const char *suffix)
 {
 	const char *path = request->path;
@@ -337,7 +347,8 @@
 	return talloc_strndup(request, path + before, length - before - after);
 }
 
-static void dispatch(void *private_data, struct rj_http_request *request)
+/* A request that the faults let pass. */
+static void dispatch(void *private_data, struct rj_http_exchange *request)
 {
 	struct rj_standin_platform *platform = private_data;
 	const char *method = request->method;
@@ -358,13 +369,13 @@
 		 (name = path_name(request, "/v1/instances/", "")))
 		handle_instance(platform, request, name);
 	else
-		rj_http_request_error(request, MHD_HTTP_NOT_FOUND,
-				      "path: unknown; see the platform "
-				      "protocol");
+		rj_http_exchange_error(request, MHD_HTTP_NOT_FOUND,
+				       "path: unknown; see the platform "
+				       "protocol");
 }
 
 /* Faults are set past the gate, so that an outage can be ended. */
-static void receive(void *private_data, struct rj_http_request *request)
+static void receive(void *private_data, struct rj_http_exchange *request)
 {
 	struct rj_standin_platform *platform = private_data;
 
