planner: a gang that has waited stops small work that loses little

Cause: gangs waited for a rack to drain while small work was let in. Excluded: stopping gangs of the same size (they would take turns), urgent work, and losses above a twentieth of the gang's own work.

--- a/src/libradishjunction/core/planner_topology.c
+++ b/src/libradishjunction/core/planner_topology.c
@@ -598,7 +598,7 @@
 			   struct rj_plan_entry *entry, uint64_t now_us,
 			   struct rj_decisions *decisions)
 {
-	uint64_t patient_us = entry->job.queued_us + RJ_URGENT_PATIENCE_US;
+	uint64_t patience_us = rj_topology_patience_us(state, entry);
 
 	entry->bucket->blocked_version = state->version;
 	if (rj_topology_reclaim(state, entry, now_us, decisions)) {
@@ -607,8 +607,10 @@
 		rj_topology_enqueue(state, entry, now_us);
 		return;
 	}
-	if (entry->job.priority == RJ_PRIORITY_URGENT && patient_us > now_us)
-		state->retry_us = MIN(state->retry_us, patient_us);
+	if (patience_us != RJ_NEVER_US &&
+	    entry->job.queued_us + patience_us > now_us)
+		state->retry_us = MIN(state->retry_us,
+				      entry->job.queued_us + patience_us);
 	if (!entry->reservation && loose_count(state) < LOOSE_MAX &&
 	    rj_topology_size(entry) >= state->worker_accelerators)
 		rj_topology_reserve_soonest(state, entry, now_us);
--- a/src/libradishjunction/core/topology_reclaim.c
+++ b/src/libradishjunction/core/topology_reclaim.c
@@ -8,14 +8,24 @@
 /* A reclaim that has not freed its shape by the limit and this is given up. */
 #define GRACE_US (200 * RJ_US_PER_MS)
 
+/* A gang that has waited may cost others so much of its own work. */
+#define WAITED_LOST_PERCENT 5
+
 /* What a checkpoint costs a job, as run time lost. */
 #define CHECKPOINT_COST_US RJ_US_PER_S
 
+/* Urgent work waits this long before it stops what others borrow. */
+#define URGENT_PATIENCE_US RJ_US_PER_S
+
+/* A gang waits at least this long before it stops small work. */
+#define GANG_PATIENCE_S 10
+
 /* On which ground a job asks for room. */
 enum ground {
 	GROUND_GUARANTEE, /* its account's guarantee */
 	GROUND_URGENT, /* urgent work before borrowed capacity */
 	GROUND_LOAN, /* work that passed its reservation */
+	GROUND_WAITED, /* a gang that has waited, before cheap small work */
 };
 
 struct victim {
@@ -130,6 +140,11 @@
 		return job->priority != RJ_PRIORITY_URGENT;
 	case GROUND_LOAN:
 		return entry->on_loan;
+	case GROUND_WAITED:
+		/* Never another gang of its size: they would take turns. */
+		return job->priority != RJ_PRIORITY_URGENT &&
+		       rj_topology_size(entry) <
+			       rj_topology_size(search->entry);
 	}
 	return false;
 }
@@ -372,6 +387,24 @@
 	return cost;
 }
 
+static const enum rj_reason reason_of[] = {
+	[GROUND_GUARANTEE] = RJ_REASON_GUARANTEE,
+	[GROUND_URGENT] = RJ_REASON_RECLAIMED,
+	[GROUND_LOAN] = RJ_REASON_RESERVATION,
+	[GROUND_WAITED] = RJ_REASON_RECLAIMED,
+};
+
+/*
+ * The most work that may be lost on the ground, in accelerator microseconds.
+ */
+static uint64_t most_lost(const struct rj_plan_entry *entry, enum ground ground)
+{
+	if (ground != GROUND_WAITED)
+		return RJ_NEVER_US - 1;
+	return rj_runtime_quantile_us(entry->runtime, 50, 0) *
+	       rj_topology_size(entry) * WAITED_LOST_PERCENT / 100;
+}
+
 /*
  * Stop what is in the way in this site and keep its room for the job.
  */
@@ -386,7 +419,7 @@
 	bool fits;
 
 	search_init(&search, state, entry, ground, site, now_us);
-	fits = search_run(&search);
+	fits = search_run(&search) && search.lost <= most_lost(entry, ground);
 	count = fits ? search_members(&search, state->members) : 0;
 	if (fits)
 		stop_victims(&search, decisions);
@@ -400,9 +433,7 @@
 		state, entry, state->members, count, true,
 		now_us + state->limits.checkpoint_limit_ms * RJ_US_PER_MS +
 			GRACE_US);
-	reservation->reason = ground == GROUND_GUARANTEE ? RJ_REASON_GUARANTEE :
-			      ground == GROUND_URGENT	 ? RJ_REASON_RECLAIMED :
-							   RJ_REASON_RESERVATION;
+	reservation->reason = reason_of[ground];
 	if (ground == GROUND_GUARANTEE) {
 		entry->granted = true;
 		entry->account->granted += rj_topology_size(entry);
@@ -453,15 +484,41 @@
 			MAX(state->share_total, 1);
 
 	return entry->job.priority == RJ_PRIORITY_URGENT &&
-	       now_us >= entry->job.queued_us + RJ_URGENT_PATIENCE_US &&
+	       now_us >= entry->job.queued_us + URGENT_PATIENCE_US &&
 	       account->used + rj_topology_size(entry) <=
 		       account->guaranteed + fair;
 }
 
+/*
+ * How long a gang waits before it may stop small work: the more the
+ * operators weigh fragmentation against completion, the shorter.
+ */
+uint64_t rj_topology_patience_us(const struct rj_topology_state *state,
+				 const struct rj_plan_entry *entry)
+{
+	uint32_t weight = MIN(state->limits.fragmentation_weight, 100);
+
+	if (entry->job.priority == RJ_PRIORITY_URGENT)
+		return URGENT_PATIENCE_US;
+	if (rj_topology_size(entry) < state->worker_accelerators)
+		return RJ_NEVER_US;
+	return (GANG_PATIENCE_S + 100 - weight) * RJ_US_PER_S;
+}
+
+static bool may_make_way(const struct rj_topology_state *state,
+			 const struct rj_plan_entry *entry, uint64_t now_us)
+{
+	uint64_t patience_us = rj_topology_patience_us(state, entry);
+
+	return entry->job.priority != RJ_PRIORITY_URGENT &&
+	       patience_us != RJ_NEVER_US &&
+	       now_us >= entry->job.queued_us + patience_us;
+}
+
 /*
  * Make room for a job that does not fit: first on the ground of its
- * account's guarantee, then of urgency, then of its own reservation. Whole
- * gangs are stopped, those with the least work lost. Returns whether room
+ * account's guarantee, then of urgency, then of its own reservation, then of
+ * its wait. Whole gangs are stopped, those with the least work lost. Returns whether room
  * is firmly kept now; it is free when all that was stopped has ended.
  */
 bool rj_topology_reclaim(struct rj_topology_state *state,
@@ -474,6 +531,9 @@
 	if (may_hurry(state, entry, now_us) &&
 	    reclaim_on(state, entry, GROUND_URGENT, now_us, decisions))
 		return true;
-	return entry->reservation &&
-	       reclaim_on(state, entry, GROUND_LOAN, now_us, decisions);
+	if (entry->reservation &&
+	    reclaim_on(state, entry, GROUND_LOAN, now_us, decisions))
+		return true;
+	return may_make_way(state, entry, now_us) &&
+	       reclaim_on(state, entry, GROUND_WAITED, now_us, decisions);
 }
--- a/src/libradishjunction/include/private/topology.h
+++ b/src/libradishjunction/include/private/topology.h
@@ -84,9 +84,6 @@
 	void *mem;
 };
 
-/* What urgent work waits before it stops what others borrow. */
-#define RJ_URGENT_PATIENCE_US RJ_US_PER_S
-
 struct rj_plan_account *rj_topology_account(struct rj_topology_state *state,
 					    const char *name);
 struct rj_runtime *rj_topology_runtime(struct rj_topology_state *state,
@@ -148,6 +145,8 @@
 				 struct rj_plan_entry *entry, uint64_t now_us);
 
 /* topology_reclaim.c */
+uint64_t rj_topology_patience_us(const struct rj_topology_state *state,
+				 const struct rj_plan_entry *entry);
 bool rj_topology_reclaim(struct rj_topology_state *state,
 			 struct rj_plan_entry *entry, uint64_t now_us,
 			 struct rj_decisions *decisions);
