--- a/scripts/processes.bash
+++ b/scripts/processes.bash
@@ -46,6 +46,7 @@
 stop_all() {
 	local result=$? name
 	trap - EXIT
+	set +e
 	for name in "${!pid_of[@]}"; do
 		kill -s CONT "${pid_of[$name]}" 2>/dev/null
 		kill -s KILL "${pid_of[$name]}" 2>/dev/null
