--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -220,11 +220,13 @@
 	struct rj_attempt attempt;
 	struct rj_member *members;
 	uint32_t member_count;
+	bool bodiless; /* known from a claim only: cannot be started here */
 	bool planned; /* the planner counts it as waiting or running */
 	bool accepted; /* its accept record is in the log */
 	bool claimed; /* its claim is in the log, and won */
 	bool started; /* a start was sent in this attempt */
 	bool ran_before; /* an earlier attempt had started */
+	bool ran; /* a worker said so: some attempt made progress */
 	bool ran_elsewhere; /* a peer that was lost may have run it */
 	bool cancelled;
 	bool reclaimed; /* being stopped for someone's guarantee */
@@ -367,6 +369,7 @@
 			 const struct rj_member_view *member);
 bool rj_membership_incarnation_alive(const struct rj_core_state *core,
 				     uint64_t incarnation);
+const char *rj_membership_owner(struct rj_core_state *core, uint64_t key);
 bool rj_membership_owns(const struct rj_core_state *core, const char *domain,
 			uint64_t key);
 struct rj_peer_message *rj_membership_send(struct rj_core_state *core,
@@ -394,6 +397,7 @@
 			 struct rj_upstream *upstream, uint64_t job_id);
 void rj_upstreams_succeeded(struct rj_core_state *core,
 			    struct rj_upstream *upstream);
+uint64_t rj_upstreams_rack_key(const struct rj_core_state *core, uint32_t rack);
 uint64_t rj_upstreams_lease_life_us(const struct rj_core_state *core);
 void rj_upstreams_poll_soon(struct rj_core_state *core,
 			    struct rj_upstream *upstream);
@@ -415,6 +419,7 @@
 void rj_job_wait(struct rj_job *job, uint64_t request_id, const char *peer,
 		 uint64_t forward_id);
 void rj_job_answer_waiters(struct rj_job *job, const struct rj_answer *answer);
+void rj_job_answer_in_progress(struct rj_job *job, enum rj_reason reason);
 void rj_job_end(struct rj_job *job, const struct rj_answer *answer);
 void rj_job_end_plain(struct rj_job *job, enum rj_answer_kind kind,
 		      enum rj_reason reason, uint64_t retry_after_us);
@@ -466,32 +471,50 @@
 void rj_claims_step_due(struct rj_job *job);
 void rj_claims_cancel(struct rj_job *job);
 
-/* controllers/run_controller.c: STARTING, RUNNING, STOPPING */
+/* controllers/calls_controller.c */
+/* A call that does not wait for a task's end is answered within this. */
+#define RJ_CALL_TIMEOUT_US (2 * RJ_US_PER_S)
+
+void rj_job_set_members(struct rj_job *job, uint32_t count);
+void rj_job_drop_members(struct rj_job *job);
+void rj_member_attach(struct rj_job *job, struct rj_member *member,
+		      struct rj_upstream *upstream);
+void rj_member_keep_result(struct rj_job *job, struct rj_member *member,
+			   const struct rj_bytes *result);
 struct rj_worker_call *rj_job_call(struct rj_job *job, struct rj_member *member,
 				   enum rj_worker_op op);
+void rj_jobs_worker_reply(struct rj_core_state *core,
+			  const struct rj_worker_reply *reply);
+
+/* controllers/run_controller.c: STARTING, RUNNING */
 void rj_job_start(struct rj_job *job);
+void rj_job_run_on(struct rj_job *job);
 void rj_job_start_reply(struct rj_job *job, struct rj_member *member,
 			const struct rj_worker_reply *reply);
+void rj_job_start_lost(struct rj_job *job, struct rj_member *member);
 void rj_job_throttle_reply(struct rj_job *job, struct rj_member *member,
 			   const struct rj_worker_reply *reply);
+void rj_job_check(struct rj_job *job);
+bool rj_job_all_done(const struct rj_job *job);
+void rj_job_succeeded(struct rj_job *job);
+void rj_job_end_with_result(struct rj_job *job, enum rj_answer_kind kind,
+			    enum rj_reason reason);
+void rj_job_stop_after_failure(struct rj_job *job, enum rj_reason reason);
+void rj_job_retry(struct rj_job *job, enum rj_reason reason);
+
+/* controllers/stop_controller.c: STOPPING */
 void rj_job_stop(struct rj_job *job, bool checkpoint, uint64_t limit_us);
 void rj_job_stop_reply(struct rj_job *job, struct rj_member *member,
 		       const struct rj_worker_reply *reply);
-void rj_job_run_on(struct rj_job *job);
-void rj_job_check(struct rj_job *job);
+void rj_job_stopped_check(struct rj_job *job);
+
+/* controllers/report_controller.c */
+void rj_job_note_progress(struct rj_job *job, enum rj_task_state state,
+			  uint64_t ran_us);
 void rj_jobs_report(struct rj_core_state *core, struct rj_upstream *upstream,
 		    const struct rj_worker_report *report, uint64_t asked_us);
 void rj_jobs_worker_lost(struct rj_core_state *core,
 			 struct rj_upstream *upstream);
-void rj_jobs_worker_reply(struct rj_core_state *core,
-			  const struct rj_worker_reply *reply);
-void rj_job_set_members(struct rj_job *job, uint32_t count);
-void rj_job_drop_members(struct rj_job *job);
-void rj_member_attach(struct rj_job *job, struct rj_member *member,
-		      struct rj_upstream *upstream);
-void rj_job_retry(struct rj_job *job, enum rj_reason reason);
-void rj_member_keep_result(struct rj_job *job, struct rj_member *member,
-			   const struct rj_bytes *result);
 
 /* controllers/forward_controller.c: FORWARDED */
 void rj_forward_cancel(struct rj_job *job);
--- a/src/test_libradishjunction/support/checker.h
+++ b/src/test_libradishjunction/support/checker.h
@@ -99,6 +99,7 @@
 	GPtrArray *gangs;
 	struct checker_node nodes[CHECKER_NODES_MAX];
 	uint64_t revision;
+	GPtrArray *config_ids; /* of the accepted ones, by revision - 1 */
 	uint64_t revision_us; /* when it was accepted */
 	GArray *settle_us; /* times to be in force at each instance */
 	void (*tell)(void *data, const char *text);
@@ -127,6 +128,8 @@
 			bool empty);
 void checker_answer(struct checker *checker, uint64_t now_us, uint32_t node,
 		    uint64_t request_id, const struct rj_answer *answer);
+void checker_foreign_body(struct checker *checker, uint64_t now_us,
+			  const struct rj_attempt *id);
 void checker_task_started(struct checker *checker, uint64_t now_us,
 			  const struct rj_attempt *id, uint32_t intent,
 			  uint32_t member, uint32_t gang);
@@ -144,7 +147,9 @@
 		      uint64_t heard_since_us);
 void checker_exit(struct checker *checker, uint64_t now_us, uint32_t node);
 void checker_config_accepted(struct checker *checker, uint64_t now_us,
-			     uint64_t revision);
+			     uint64_t revision, const char *id);
+void checker_config_offered(struct checker *checker, uint64_t now_us,
+			    uint32_t node, uint64_t revision, const char *id);
 void checker_config_seen(struct checker *checker, uint64_t now_us,
 			 uint32_t node, uint64_t incarnation,
 			 uint64_t revision);
