core: an outcome closes the older claim that would keep it out

Cause: a void that an outage swallowed is not repeated; the job ran again without a claim, and every reader ignores its outcome while the older claim is open, so an accepted job had no end. Excluded: the later attempt (it was done, its outcome appended again and again). Change: before an outcome, a claim of this instance's earlier attempt is voided; a peer's only if the job is done and may run twice.

--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -233,6 +233,39 @@
 	job->claimed = false;
 }
 
+/* Whether the entry's open claim is that of the job's present attempt. */
+static bool own_claim(const struct rj_job *job,
+		      const struct rj_job_entry *entry)
+{
+	return entry->claimed && entry->attempt.owner == job->attempt.owner &&
+	       entry->attempt.number == job->attempt.number;
+}
+
+/*
+ * Close an older claim of the job that would keep its outcome out of the log.
+ *
+ * Guards against a void that an outage has swallowed: the job then ran again
+ * without a claim, and every reader ignores its outcome while the older claim
+ * is open. It shows as an accepted job that never ends. A claim of this
+ * instance is over, or the job would not have ended; one of a peer is closed
+ * only for a job that is done and may run twice.
+ */
+static void close_older_claim(const struct rj_job *job)
+{
+	const struct rj_job_entry *entry =
+		rj_job_ledger_find(&job->core->ledger, job->spec.job_id);
+	struct rj_record record;
+
+	if (!entry || !entry->claimed || own_claim(job, entry))
+		return;
+	if (entry->attempt.owner != job->core->incarnation &&
+	    !(job->idempotent && job->final.kind == RJ_ANSWER_DONE))
+		return;
+	fill_record(job, RJ_RECORD_VOID, &record);
+	record.attempt = entry->attempt;
+	rj_log_append(job->core, RJ_STREAM_JOBS, &record);
+}
+
 /*
  * Append how the job ended, again and again until it was read back.
  */
@@ -242,6 +275,7 @@
 	struct rj_record record;
 
 	assert(job->state == RJ_JOB_ENDED);
+	close_older_claim(job);
 	fill_record(job, RJ_RECORD_OUTCOME, &record);
 	record.outcome = job->final.kind;
 	record.reason = job->final.reason;
@@ -282,14 +316,6 @@
 	rj_job_watch(job);
 }
 
-/* Whether the entry's open claim is that of the job's present attempt. */
-static bool own_claim(const struct rj_job *job,
-		      const struct rj_job_entry *entry)
-{
-	return entry->claimed && entry->attempt.owner == job->attempt.owner &&
-	       entry->attempt.number == job->attempt.number;
-}
-
 /* A job that was submitted here is in the log as accepted. */
 static void accept_read(struct rj_job *job)
 {
--- a/src/test_libradishjunction/test_faults.c
+++ b/src/test_libradishjunction/test_faults.c
@@ -112,6 +112,18 @@
 	check_seed(PROMISE_GUARANTEE, 19);
 }
 
+/*
+ * An accepted job is done, and its caller asks for it for ever.
+ * Its first attempt is voided during an outage that swallows the void; the
+ * second runs without a claim, and readers ignore its outcome.
+ * Cause: the claim of an attempt that was over stayed open.
+ */
+static void test_outcome_after_a_lost_void_is_read(void)
+{
+	check_seed(PROMISE_ACCEPTED, 359);
+	check_seed(PROMISE_NOT_RUN, 500);
+}
+
 /* Promises that the core keeps in every seed that was run. */
 static const enum promise held[] = { PROMISE_GANG,    PROMISE_ANSWER,
 				     PROMISE_NOT_RUN, PROMISE_CONFIG,
@@ -153,5 +165,7 @@
 		test_sleeper_starts_nothing_accepted_before_it_has_read);
 	g_test_add_func("/faults/early_summary",
 			test_summary_before_the_list_is_not_lost);
+	g_test_add_func("/faults/lost_void",
+			test_outcome_after_a_lost_void_is_read);
 	return g_test_run();
 }
