test: the guarantee is asked for once, not beyond what is guaranteed

Cause: several jobs of the guaranteed account wanted its one shape, and one of them was held to the limit: it may wait for the others. Change: in each failure domain one job asks for the guarantee and is judged; others of that shape belong to the account without one. As strict: every request within its guarantee is held to the same limit.

--- a/src/test_libradishjunction/support/faults.c
+++ b/src/test_libradishjunction/support/faults.c
@@ -456,6 +456,7 @@
 	default:
 		plan->class_name = "pack";
 		plan->account = WORLD_GUARANTEED_ACCOUNT;
+		plan->guaranteed = true;
 		plan->tasks = WORLD_GUARANTEED_TASKS;
 		plan->accelerators = 4;
 		plan->adjacent = true;
@@ -479,9 +480,13 @@
 
 		memset(&plan, 0, sizeof(plan));
 		plan_caller(world, kind, &plan, &next_key);
-		/* One shape is guaranteed in each failure domain. */
-		if (kind == LOAD_GUARANTEED && !guaranteed[plan.domain]) {
-			plan.guaranteed = guaranteed[plan.domain] = true;
+		/* One shape is guaranteed in each failure domain: its account
+		   asks for no more, since more has no guarantee. */
+		if (plan.guaranteed && guaranteed[plan.domain])
+			plan.account = WORLD_OTHER_ACCOUNT;
+		plan.guaranteed &= !guaranteed[plan.domain];
+		if (plan.guaranteed) {
+			guaranteed[plan.domain] = true;
 			from_us = LOAD_UNTIL_US;
 			until_us = CALM_US + 2 * RJ_US_PER_S;
 		}
