core: not run is not said on a view of the log that a pause or an outage made old

Cause: (1) an instance that wakes from a pause took what it had read before for fresh and told a keyed request not run while a peer had run its key; (2) the cancellation of an accepted job, settled before an outage, was written after it, when a peer had started the job without a claim. Excluded: the order of the log (each record was applied alike everywhere). Change: the log is not usable until a read that was sent after the pause was answered; an outcome not_run that meets an outage becomes unknown. The checker now takes unknown for the end of an accepted job that was cancelled.

--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -275,6 +275,11 @@
 	struct rj_record record;
 
 	assert(job->state == RJ_JOB_ENDED);
+	/* In an outage a peer may start it without a claim before this record
+	   is read: that it did not run is not to be said for good. */
+	if (job->accepted && job->final.kind == RJ_ANSWER_NOT_RUN &&
+	    !rj_log_usable(core))
+		job->final.kind = RJ_ANSWER_UNKNOWN;
 	close_older_claim(job);
 	fill_record(job, RJ_RECORD_OUTCOME, &record);
 	record.outcome = job->final.kind;
--- a/src/libradishjunction/core/controllers/log_controller.c
+++ b/src/libradishjunction/core/controllers/log_controller.c
@@ -163,7 +163,7 @@
 {
 	const struct rj_log_stream *stream = &core->streams[RJ_STREAM_JOBS];
 
-	return stream->caught_up && core->platform_up &&
+	return stream->caught_up && core->platform_up && !core->woke_us &&
 	       core->now_us < stream->fresh_us + READ_STALE_US;
 }
 
--- a/src/test_libradishjunction/support/checker.c
+++ b/src/test_libradishjunction/support/checker.c
@@ -233,6 +233,7 @@
 		return true;
 	return answer->reason == RJ_REASON_WORKER_LOST ||
 	       answer->reason == RJ_REASON_LEASE_LAPSED ||
+	       answer->reason == RJ_REASON_CANCELLED ||
 	       answer->reason == RJ_REASON_KEY_EXPIRED;
 }
 
