daemon: one timer for the limits of a stop

The core was read with gdb: talloc_free in finish_callers. Change: one timer in the daemon, forgotten when it fires; load tells reasons.

--- a/src/radishjunction/load.c
+++ b/src/radishjunction/load.c
@@ -49,9 +49,11 @@
 		job->answer = answer;
 		job->reason = reason;
 	} else if (answer != RJ_ANSWER_UNKNOWN && answer != job->answer) {
-		fprintf(stderr, "load: job %s was told %s, then %s\n",
+		fprintf(stderr, "load: job %s was told %s (%s), then %s (%s)\n",
 			job->echo, rj_answer_kind_string[job->answer],
-			rj_answer_kind_string[answer]);
+			rj_reason_string[job->reason],
+			rj_answer_kind_string[answer],
+			rj_reason_string[reason]);
 		job->wrong = true;
 	}
 	job->answered = true;
--- a/src/radishjunction/load_account.c
+++ b/src/radishjunction/load_account.c
@@ -175,8 +175,11 @@
 	}
 	if (job->wrong || contradicts(job, ran)) {
 		totals->wrong_answer++;
-		fprintf(stderr, "load: wrong answer: %s %s, started %u times\n",
-			job->echo, said, ran ? ran->starts : 0);
+		fprintf(stderr,
+			"load: wrong answer: %s job %016llx %s (%s), started "
+			"%u times\n",
+			job->echo, (unsigned long long)job->job_id, said,
+			rj_reason_string[job->reason], ran ? ran->starts : 0);
 	}
 }
 
--- a/src/radishjunctiond/main.c
+++ b/src/radishjunctiond/main.c
@@ -32,7 +32,7 @@
 };
 
 #define ARG_ERRORS_MAX 20
-/* An idle connection may just be about to be used; see finish_callers. */
+/* An idle connection may just be about to be used; see linger. */
 #define LINGER_US (500 * RJ_US_PER_MS)
 /* Low bits of an incarnation that are left to chance. */
 #define INCARNATION_RANDOM_BITS 20
@@ -49,6 +49,7 @@
 	struct rj_tcp_peers peers;
 	struct rj_http_callers callers;
 	bool stopping;
+	struct tevent_timer *limit; /* of the stop, then of lingering */
 	bool timed_out;
 };
 
@@ -221,55 +222,48 @@
 			  struct tevent_timer *timer, struct timeval now,
 			  void *private_data)
 {
-	((struct daemon *)private_data)->timed_out = true;
+	struct daemon *daemon = private_data;
+
+	daemon->limit = NULL; /* the event loop frees it */
+	daemon->timed_out = true;
 }
 
-/* Set `timed_out` after a delay, which replaces an earlier one. */
-static struct tevent_timer *limit_time(struct daemon *daemon, uint64_t delay_us)
+/* Set `timed_out` after a delay, in place of an earlier one. */
+static void limit_time(struct daemon *daemon, uint64_t delay_us)
 {
+	talloc_free(daemon->limit);
 	daemon->timed_out = false;
-	return tevent_add_timer(daemon->loop, daemon->loop,
-				rj_clock_timeval_in(delay_us), on_time_limit,
-				daemon);
+	daemon->limit = tevent_add_timer(daemon->loop, daemon,
+					 rj_clock_timeval_in(delay_us),
+					 on_time_limit, daemon);
+	assert(daemon->limit);
 }
 
 /*
- * Send the last answers whole, then wait a moment for connections that stand
- * idle: a request that is on its way on one of them gets its refusal instead
- * of a connection that is reset.
+ * Wait a moment for connections that stand idle: a request that is on its
+ * way on one of them gets its refusal instead of a connection that is reset.
  */
-static void finish_callers(struct daemon *daemon)
+static void linger(struct daemon *daemon)
 {
-	struct tevent_timer *timer;
-
-	while (rj_http_callers_open(&daemon->callers) && !daemon->timed_out)
-		tevent_loop_once(daemon->loop);
-	if (daemon->timed_out)
-		return;
-	timer = limit_time(daemon, LINGER_US);
+	limit_time(daemon, LINGER_US);
 	while (rj_http_callers_connections(&daemon->callers) &&
 	       !daemon->timed_out)
 		tevent_loop_once(daemon->loop);
-	talloc_free(timer);
-	daemon->timed_out = rj_http_callers_open(&daemon->callers) != 0;
 }
 
-/* Run until the stop is complete. */
+/* Run until the stop is complete and the last answer is sent whole. */
 static enum exit_code run(struct daemon *daemon)
 {
-	struct tevent_timer *limit;
-
 	while (!daemon->stopping)
 		tevent_loop_once(daemon->loop);
-	limit = limit_time(daemon,
-			   daemon->settings->drain_limit_s * RJ_US_PER_S);
-	while (!daemon->shell.exiting && !daemon->timed_out)
+	limit_time(daemon, daemon->settings->drain_limit_s * RJ_US_PER_S);
+	while (!daemon->timed_out && (!daemon->shell.exiting ||
+				      rj_http_callers_open(&daemon->callers)))
 		tevent_loop_once(daemon->loop);
-	if (!daemon->timed_out)
-		finish_callers(daemon);
-	if (!daemon->timed_out)
+	if (!daemon->timed_out) {
+		linger(daemon);
 		return EXIT_STOPPED;
-	talloc_free(limit);
+	}
 	g_warning("the stop was not complete after %u s; raise "
 		  "drain_limit_s or see what its jobs wait for",
 		  daemon->settings->drain_limit_s);
