core: who has to give a guaranteed shape back is who placed there

Cause: an accepted job was owned by its own hash, so an instance without racks placed it on a peer's; a worker of a peer's rack that is guaranteed to an account was borrowed, and the rack's owner, for whom it is foreign work, could not reclaim it; a job was sent to a peer for a rack that the peer owned no more, and waited there. Excluded: the search for victims (it finds them among its own jobs). Change: a job of the log is owned with a rack; on a peer's rack nothing is placed that a guarantee there may want back; a summary counts only if its sender owns the rack in the view of the reader. The second profile end: accepted jobs there need longer than 75 s of load, so that the run is 150 s; nothing is left out.

--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -342,6 +342,15 @@
 		rj_job_submit(job);
 }
 
+/* Whether this instance serves what the log says of a job. */
+static bool owned_here(const struct rj_core_state *core,
+		       const struct rj_job_entry *entry)
+{
+	return rj_membership_owns(
+		core, entry->domain,
+		rj_upstreams_job_key(core, entry->domain, entry->job_id));
+}
+
 /* Append what the log says of a job again, well before it is trimmed. */
 static void carry(struct rj_core_state *core, struct rj_job_entry *entry)
 {
@@ -395,7 +404,7 @@
 	if (core->now_us < entry->recorded_us + half_us ||
 	    core->now_us < entry->carry_us + half_us / 4)
 		return;
-	if (rj_membership_owns(core, entry->domain, entry->job_id))
+	if (owned_here(core, entry))
 		carry(core, entry);
 }
 
@@ -424,14 +433,12 @@
 			bool mine = entry->attempt.owner == core->incarnation ||
 				    (!rj_membership_incarnation_alive(
 					     core, entry->attempt.owner) &&
-				     rj_membership_owns(core, entry->domain,
-							entry->job_id));
+				     owned_here(core, entry));
 
 			if (mine && !driven_here(job, entry))
 				settle_entry(core, entry);
 		} else if (!entry->settled && entry->accepted && current &&
-			   rj_membership_owns(core, entry->domain,
-					      entry->job_id)) {
+			   owned_here(core, entry)) {
 			own_accepted(core, entry);
 		}
 		keep_entry(core, entry);
--- a/src/libradishjunction/core/controllers/upstreams_controller.c
+++ b/src/libradishjunction/core/controllers/upstreams_controller.c
@@ -293,6 +293,26 @@
 	return rj_hash64_string(core->domain, rack + 1);
 }
 
+/*
+ * The key by which a job of the log is owned: in the own failure domain that
+ * of a rack, so that who plans the job also plans a rack for it.
+ *
+ * Guards against an owner without racks: it would place accepted jobs on its
+ * peers' racks, where they are foreign to the one who has to reclaim a
+ * guaranteed shape there, which would come late.
+ */
+uint64_t rj_upstreams_job_key(const struct rj_core_state *core,
+			      const char *domain, uint64_t job_id)
+{
+	const struct rj_domain *own = NULL;
+
+	if (core->config && !strcmp(domain, core->domain))
+		own = rj_config_domain(core->config, domain);
+	if (!own || !own->racks)
+		return job_id;
+	return rj_upstreams_rack_key(core, (uint32_t)(job_id % own->racks));
+}
+
 /*
  * Work out again which racks this instance owns. Called when the view of the
  * instances or of the workers has changed.
--- a/src/libradishjunction/core/filters/route.c
+++ b/src/libradishjunction/core/filters/route.c
@@ -27,8 +27,13 @@
 	return tasks;
 }
 
-/* Whether a peer says that one of its racks has room for the job now. */
-static bool peer_has_room(const struct rj_member_view *member,
+/*
+ * Whether a peer says that one of its racks has room for the job now. What it
+ * said of a rack that it owns no more is out of date: the job would wait at
+ * a peer that has no rack for it.
+ */
+static bool peer_has_room(struct rj_core_state *core,
+			  const struct rj_member_view *member,
 			  const struct rj_shape *shape)
 {
 	struct rj_list *at;
@@ -37,8 +42,11 @@
 	RJ_FOR_EACH (at, next, &member->summaries) {
 		const struct rj_rack_summary *summary =
 			RJ_CONTAINER(at, struct rj_rack_summary, link);
+		const char *owner = rj_membership_owner(
+			core, rj_upstreams_rack_key(core, summary->rack));
 
-		if (summary->owner == member->incarnation &&
+		if (summary->owner == member->incarnation && owner &&
+		    !strcmp(owner, member->name) &&
 		    tasks_that_fit(shape, summary->free,
 				   summary->worker_count) == shape->tasks)
 			return true;
@@ -124,7 +132,7 @@
 		    !rj_membership_alive(core, member) ||
 		    member->summaries.next == &member->summaries)
 			continue;
-		room = peer_has_room(member, shape);
+		room = peer_has_room(core, member, shape);
 		if (!best || (room && !best_room) ||
 		    (room == best_room && member->queued < best->queued)) {
 			best = member;
--- a/src/libradishjunction/core/topology_place.c
+++ b/src/libradishjunction/core/topology_place.c
@@ -40,6 +40,10 @@
  * for others (loosely kept capacity only counts if it may not be passed, or
  * not at all with `firm_only`), and for a job that cannot be stopped without
  * what must stay reclaimable.
+ *
+ * A worker of a peer's rack is treated as if no job could be stopped there:
+ * the peer, who has to give a guaranteed shape back, cannot reclaim what it
+ * does not plan, and the shape would come late.
  */
 struct rj_resources rj_topology_room(const struct rj_capacity_worker *worker,
 				     const struct rj_plan_entry *entry,
@@ -58,7 +62,7 @@
 			continue;
 		rj_resources_take_or_zero(&room, &ledger->holds[i].want);
 	}
-	if (entry->job.stoppable)
+	if (entry->job.stoppable && worker->plan.owned)
 		return room;
 	limit = rj_ledger_pin_room(worker, entry->account);
 	rj_resources_limit(&room, &limit);
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -399,6 +399,8 @@
 			 struct rj_upstream *upstream, uint64_t job_id);
 void rj_upstreams_succeeded(struct rj_core_state *core,
 			    struct rj_upstream *upstream);
+uint64_t rj_upstreams_job_key(const struct rj_core_state *core,
+			      const char *domain, uint64_t job_id);
 uint64_t rj_upstreams_rack_key(const struct rj_core_state *core, uint32_t rack);
 uint64_t rj_upstreams_lease_life_us(const struct rj_core_state *core);
 void rj_upstreams_poll_soon(struct rj_core_state *core,
--- a/src/test_libradishjunction/support/faults.c
+++ b/src/test_libradishjunction/support/faults.c
@@ -61,6 +61,7 @@
 	uint8_t faults[FAULT_KIND_COUNT];
 	uint8_t load[LOAD_KIND_COUNT];
 	uint32_t callers; /* 0: CALLERS */
+	uint64_t end_us; /* 0: END_US; later where the load takes longer */
 	struct fault_rates rates; /* the most; each run takes a share */
 };
 
@@ -78,6 +79,7 @@
 			    [FAULT_CUT_DOMAIN] = 2, [FAULT_PUBLISH] = 2,
 			    [FAULT_WORKER_SILENT] = 1 },
 		.callers = 40,
+		.end_us = 2 * END_US,
 		.load = { [LOAD_OCCUPY] = 8, [LOAD_RENDER] = 2, [LOAD_GANG] = 1, [LOAD_GUARANTEED] = 2, [LOAD_QUOTE] = 1 },
 		.rates = { RATES_OF_WORKERS },
 	},
@@ -649,7 +651,7 @@
 	}
 	(void)world_after(world, 0, replace_stopped);
 	(void)world_after(world, CALM_US, calm);
-	world_run_until(world, END_US);
+	world_run_until(world, profile->end_us ? profile->end_us : END_US);
 	checker_finish_run(&world->checker, world->now_us);
 	add_result(world, result);
 	talloc_free(mem);
--- a/src/test_libradishjunction/test_faults.c
+++ b/src/test_libradishjunction/test_faults.c
@@ -145,6 +145,19 @@
 	check_seed(PROMISE_NOT_RUN, 500);
 }
 
+/*
+ * A tutor's guaranteed shape is not given back.
+ * An accepted job of another account is placed on the rack by a peer that
+ * does not plan it; or the tutor's own job is sent to a peer that owned the
+ * rack once, and waits there.
+ * Cause: who has to reclaim was not who had placed.
+ */
+static void test_who_reclaims_has_placed(void)
+{
+	check_seed(PROMISE_GUARANTEE, 38);
+	check_seed(PROMISE_GUARANTEE, 17);
+}
+
 /* Promises that the core keeps in every seed that was run. */
 static const enum promise held[] = { PROMISE_GANG,    PROMISE_ANSWER,
 				     PROMISE_NOT_RUN, PROMISE_CONFIG,
@@ -193,5 +206,6 @@
 			test_summary_before_the_list_is_not_lost);
 	g_test_add_func("/faults/lost_void",
 			test_outcome_after_a_lost_void_is_read);
+	g_test_add_func("/faults/who_reclaims", test_who_reclaims_has_placed);
 	return g_test_run();
 }
