core: a watched job that is settled stays accepted

Cause: settling a dead owner's claim asked only of new jobs whether they were accepted; one that was watched ended without an outcome in the log, and was then ended again as never started. Change: the log's word is taken for both; a cancelled job of which any claim was closed is unknown, since that attempt may have run before it stopped.

--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -282,6 +282,15 @@
 	}
 }
 
+/* The log knows the job whole. */
+static void take_accepted(struct rj_job *job, const struct rj_job_entry *entry)
+{
+	job->accepted = true;
+	if (!job->spec.body.length)
+		rj_bytes_copy(job, &job->spec.body, &entry->spec.body);
+	job->bodiless = false;
+}
+
 /*
  * Settle the open claim of an attempt that nobody alive drives. Whoever
  * watches the job here goes on from what the workers say.
@@ -297,9 +306,12 @@
 			core->config ? rj_config_class(core->config,
 						       entry->spec.class_name) :
 				       NULL);
-		job->accepted = entry->accepted;
-		job->bodiless = !entry->accepted;
+		job->bodiless = true;
 	}
+	/* Who only watched the job may not know that it was accepted: its end
+	   would be kept out of the log. */
+	if (entry->accepted)
+		take_accepted(job, entry);
 	job->cancelled = job->cancelled || entry->cancelled;
 	job->attempt = entry->attempt;
 	job->claimed = true;
@@ -331,10 +343,9 @@
 			core->config ? rj_config_class(core->config,
 						       entry->spec.class_name) :
 				       NULL);
-	else if (!job->spec.body.length)
-		rj_bytes_copy(job, &job->spec.body, &entry->spec.body);
-	job->accepted = true;
-	job->bodiless = false;
+	take_accepted(job, entry);
+	/* An attempt whose claim was closed may have run before it stopped. */
+	job->ran_before = job->ran_before || entry->attempt.number;
 	rj_core_log(core, RJ_LOG_ADOPT, RJ_REASON_OWNER, job, NULL);
 	if (entry->cancelled)
 		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
--- a/src/test_libradishjunction/test_faults.c
+++ b/src/test_libradishjunction/test_faults.c
@@ -145,6 +145,18 @@
 	check_seed(PROMISE_NOT_RUN, 500);
 }
 
+/*
+ * A tutor cancels a running job and is told at last that it did not run.
+ * Its owner stops it and dies; the peer that had only watched it settles the
+ * claim, takes it for a job that was never accepted, and records no outcome;
+ * the next round ends the cancelled job as one that never started.
+ * Cause: whether a job was accepted was asked only of new ones.
+ */
+static void test_watched_job_that_is_settled_stays_accepted(void)
+{
+	check_seed(PROMISE_ACCEPTED, 58);
+}
+
 /*
  * A tutor's guaranteed shape is not given back.
  * An accepted job of another account is placed on the rack by a peer that
@@ -206,6 +218,8 @@
 			test_summary_before_the_list_is_not_lost);
 	g_test_add_func("/faults/lost_void",
 			test_outcome_after_a_lost_void_is_read);
+	g_test_add_func("/faults/watched_accepted",
+			test_watched_job_that_is_settled_stays_accepted);
 	g_test_add_func("/faults/who_reclaims", test_who_reclaims_has_placed);
 	return g_test_run();
 }
