core: a keyed request that is given up is unknown, never not_run

Excluded: a lag of the reader that could be waited out (a read sent after the request still leaves the time until the answer). Change: not_run only without a key, or where the submission itself can never be served; otherwise unknown, which is safe to ask again.

--- a/src/libradishjunction/core/controllers/jobs_controller.c
+++ b/src/libradishjunction/core/controllers/jobs_controller.c
@@ -296,24 +296,20 @@
 
 /*
  * End a job of which this instance has started nothing and will start
- * nothing. Without a key, or with one that the whole log does not know, that
- * is `not_run`. With a key that may have been used before, of which the log
- * cannot tell, an earlier attempt elsewhere may have run: `unknown`.
+ * nothing. Without a key that is `not_run`. With a key it is `unknown`: what
+ * was read of the log is older than this moment, and another request with
+ * the same key may have been started elsewhere since. Asking again with the
+ * same key is safe.
  */
 void rj_job_not_started(struct rj_job *job, enum rj_reason reason,
 			uint64_t retry_after_us)
 {
-	bool known =
-		!job->spec.key[0] ||
-		(!job->idempotent && rj_log_usable(job->core) &&
-		 !rj_job_ledger_find(&job->core->ledger, job->spec.job_id));
-
 	assert(!job->started);
-	if (known)
-		rj_job_give_up(job, reason, retry_after_us);
-	else
+	if (job->spec.key[0])
 		rj_job_end_plain(job, RJ_ANSWER_UNKNOWN, reason,
 				 retry_after_us);
+	else
+		rj_job_give_up(job, reason, retry_after_us);
 }
 
 /*
--- a/src/libradishjunction/core/filters/chain.c
+++ b/src/libradishjunction/core/filters/chain.c
@@ -46,21 +46,25 @@
 }
 
 /*
- * Whether an earlier request with the same key, or the job that is looked
- * up, may have run. This instance
- * can rule it out only for work that is always claimed, with a log that it
- * has read up to now.
+ * Whether another request with the same key, or the job that is looked up,
+ * may have run. What this instance has read of the log is older than the
+ * request, so at the door it cannot rule that out for any key.
  */
-static bool may_have_run(const struct rj_core_state *core,
-			 const struct rj_submission *submission)
+static bool may_have_run(const struct rj_submission *submission)
 {
-	if (submission->op != RJ_REQUEST_SUBMIT)
-		return true;
-	if (!submission->spec.key[0])
-		return false;
-	return !submission->class || submission->class->idempotent ||
-	       !rj_log_usable(core) ||
-	       rj_job_ledger_find(&core->ledger, submission->spec.job_id);
+	return submission->op != RJ_REQUEST_SUBMIT || submission->spec.key[0];
+}
+
+/*
+ * Whether no instance will ever run what was submitted, whatever became of
+ * other requests: the submission itself can never be served.
+ */
+static bool never_runs(enum rj_reason reason)
+{
+	return reason == RJ_REASON_KEY_REUSED ||
+	       reason == RJ_REASON_BAD_REQUEST ||
+	       reason == RJ_REASON_KEY_REQUIRED ||
+	       reason == RJ_REASON_UNAUTHORIZED;
 }
 
 /*
@@ -81,8 +85,8 @@
 	answer.kind = kind;
 	answer.reason = reason;
 	answer.job_id = submission->spec.job_id;
-	if (kind == RJ_ANSWER_NOT_RUN && reason != RJ_REASON_KEY_REUSED &&
-	    may_have_run(core, submission))
+	if (kind == RJ_ANSWER_NOT_RUN && !never_runs(reason) &&
+	    may_have_run(submission))
 		answer.kind = RJ_ANSWER_UNKNOWN;
 	answer.retry_after_us = retry_after_us;
 	if (detail)
