test: four process tests; a 404 for an unknown job

Cause: kill, planned stop, pause and outage were shown with fakes only. Excluded: fixed sleeps (conditions only), ports of our own (all from 0). Change: test/team starts a small team; process_kill_instance, process_graceful_stop, process_paused_owner, process_platform_outage. An answer unknown/no_such_job was 503 and is 404 now; a caller of the load does not ask on for a job that no instance knows. Open, seen with scripts/demo: an instance that is stopping tells a keyed request not_run (draining) while the same key, sent to another instance at the same time, is done; and requests that wait for another instance's job hold up its stop.

--- a/scripts/processes.bash
+++ b/scripts/processes.bash
@@ -147,5 +147,19 @@
 		"${options[@]}"
 }
 
+# metric NAME METRIC: a value of an instance, 0 if it has none yet.
+metric() {
+	local value
+	value=$(curl -sf "http://${callers_of[$1]}/metrics" |
+		grep -F "radishjunction_$2 " | sed 's/.* //')
+	echo "${value:-0}"
+}
+
+# metric_reaches NAME METRIC VALUE
+metric_reaches() { [ "$(metric "$1" "$2")" -ge "$3" ]; }
+
+# fault JSON: at the platform stand-in.
+fault() { curl -sf -X POST "http://$platform/v1/fault" -d "$1" >/dev/null; }
+
 # field FILE NAME: a number of a load's line.
 field() { sed -nE "s/.*\"$2\":([0-9]+).*/\1/p" "$1"; }
--- a/src/libradishjunction/caller/caller_json.c
+++ b/src/libradishjunction/caller/caller_json.c
@@ -135,7 +135,7 @@
 	return 0;
 }
 
-/* The HTTP status of work that did not run, by its reason. */
+/* The HTTP status of what was refused or cannot be told, by its reason. */
 static unsigned int refusal_status(enum rj_reason reason)
 {
 	switch (reason) {
@@ -159,6 +159,8 @@
 		return MHD_HTTP_TOO_MANY_REQUESTS;
 	case RJ_REASON_CANCELLED:
 		return MHD_HTTP_OK;
+	case RJ_REASON_IN_PROGRESS:
+		return MHD_HTTP_ACCEPTED;
 	default:
 		return MHD_HTTP_SERVICE_UNAVAILABLE;
 	}
@@ -175,10 +177,6 @@
 		return MHD_HTTP_OK;
 	case RJ_ANSWER_ACCEPTED:
 		return MHD_HTTP_ACCEPTED;
-	case RJ_ANSWER_UNKNOWN:
-		return answer->reason == RJ_REASON_IN_PROGRESS ?
-			       MHD_HTTP_ACCEPTED :
-			       MHD_HTTP_SERVICE_UNAVAILABLE;
 	default:
 		return refusal_status(answer->reason);
 	}
--- a/src/radishjunction/load.c
+++ b/src/radishjunction/load.c
@@ -15,8 +15,6 @@
 
 /* Jobs that are due are sent so often. */
 #define TICK_US (5 * RJ_US_PER_MS)
-/* Above the time that an instance needs to say that it cannot tell yet. */
-#define ANSWER_LIMIT_US (20 * RJ_US_PER_S)
 #define ANSWER_MAX_BYTES (512 * 1024)
 /* After a lost answer, and when no time to come back was told. */
 #define RETRY_US (200 * RJ_US_PER_MS)
@@ -154,6 +152,7 @@
 		ask_end(ask, answer, reason);
 		return;
 	case RJ_ANSWER_FAILED:
+	case RJ_ANSWER_NOT_RUN:
 		ask_end(ask, answer, reason);
 		return;
 	case RJ_ANSWER_ACCEPTED:
@@ -161,15 +160,10 @@
 		ask->job->accepted = true;
 		ask_again(ask, 0, reason);
 		return;
-	case RJ_ANSWER_NOT_RUN:
-		/* The instance may not have read the log that far. */
-		if (reason == RJ_REASON_NO_SUCH_JOB && ask->accepted)
-			ask_again(ask, retry_delay_us(json), reason);
-		else
-			ask_end(ask, answer, reason);
-		return;
 	case RJ_ANSWER_UNKNOWN:
-		if (ask->job->kind->keyed || ask->job_id)
+		/* An instance may not have read an accepted job's record. */
+		if (ask->job->kind->keyed || ask->accepted ||
+		    (ask->job_id && reason != RJ_REASON_NO_SUCH_JOB))
 			ask_again(ask, retry_delay_us(json), reason);
 		else
 			ask_end(ask, answer, reason);
@@ -216,7 +210,7 @@
 		.method = post ? "POST" : "GET",
 		.body = post ? ask->job->text : "",
 		.length = post ? strlen(ask->job->text) : 0,
-		.timeout_us = ANSWER_LIMIT_US,
+		.timeout_us = load->plan->answer_limit_s * RJ_US_PER_S,
 		.answer_max_bytes = ANSWER_MAX_BYTES,
 		.headers = headers,
 		.header_count = post && kind->keyed ? 2 : 1,
--- a/src/radishjunction/load.h
+++ b/src/radishjunction/load.h
@@ -38,7 +38,8 @@
 	struct load_kind *kinds;
 	uint32_t kind_count;
 	uint32_t rate; /* jobs a second */
-	uint32_t limit_s; /* an answer is awaited for so long */
+	uint32_t limit_s; /* of the whole plan */
+	uint32_t answer_limit_s; /* after which a caller asks elsewhere */
 	uint32_t seed;
 	struct rj_address *targets; /* instances */
 	uint32_t target_count;
--- a/src/radishjunction/load_plan.c
+++ b/src/radishjunction/load_plan.c
@@ -44,6 +44,8 @@
 	{ RJ_FIELD(u32, load_plan, rate), .min = 1, .max = JOBS_MAX },
 	{ RJ_FIELD(u32, load_plan, limit_s), .optional = true, .min = 1,
 	  .max = 3600, .fallback = 60 },
+	{ RJ_FIELD(u32, load_plan, answer_limit_s), .optional = true, .min = 1,
+	  .max = 3600, .fallback = 20 },
 	{ RJ_FIELD(u32, load_plan, seed), .optional = true, .max = UINT32_MAX,
 	  .fallback = 1 },
 };
--- /dev/null
+++ b/test/team/start.bash
@@ -0,0 +1,37 @@
+# A small team for a process test: one platform, one rack of four workers,
+# three instances with a configuration in force. To be sourced with the build
+# folder as $1.
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/../.."
+bin=$(cd "$1" && pwd)/bin
+work=$(mktemp -d)
+PATIENCE_S=20
+. scripts/processes.bash
+trap stop_all EXIT
+answers=test/team/answers.json
+start_platform platform --list-lag-ms 100
+start_workers near near 4 --per-rack 4 --slots 8 --accelerators 8 \
+	--cores 64 --memory-mb 65536
+generate team "$answers"
+for i in 1 2 3; do
+	start_instance team "$answers" "entry-$i"
+done
+publish team
+for i in 1 2 3; do
+	wait_for "entry-$i" is_ready "team-entry-$i"
+done
+
+# expect NAME FIELD VALUE: of a load's line.
+expect() {
+	local got
+	got=$(field "$work/$1.out" "$2")
+	[ "$got" = "$3" ] || die "$1: $2 is ${got:-missing} and not $3: $(
+		cat "$work/$1.out" "$work/$1.log")"
+}
+
+# expect_promises NAME: nothing lost, doubled or wrongly answered.
+expect_promises() {
+	expect "$1" lost 0
+	expect "$1" doubled 0
+	expect "$1" wrong_answer 0
+}
