--- a/src/test_libradishjunction/test_faults.c
+++ b/src/test_libradishjunction/test_faults.c
@@ -77,11 +77,79 @@
 	check_seed(PROMISE_NOT_RUN, 87);
 }
 
+/*
+ * A tutor looks a cancelled job up, is told "not run", and then it runs.
+ * The instance that was asked had cancelled it in its memory and was paused
+ * before the log knew; a peer took the job over and started it.
+ * Cause: a look-up was answered from memory before the outcome was read back.
+ */
+static void test_lookup_of_a_cancelled_job_waits_for_the_log(void)
+{
+	check_seed(PROMISE_ANSWER, 265);
+}
+
+/*
+ * A tutor cancels an accepted job and is told "not run"; it runs afterwards.
+ * Its former owner slept through the cancellation, wakes while the platform
+ * is down, and starts the job without a claim.
+ * Cause: what an instance knew before a pause was taken for the present.
+ */
+static void test_sleeper_starts_nothing_accepted_before_it_has_read(void)
+{
+	check_seed(PROMISE_NOT_RUN, 316);
+}
+
+/*
+ * A buyer asks at two instances with one key. One prices the quote; the
+ * other, which wakes from a pause and is draining, says "not run".
+ * Cause: what it had read of the log before the pause was taken for fresh.
+ */
+static void test_sleeper_does_not_know_that_a_key_is_new(void)
+{
+	check_seed(PROMISE_NOT_RUN, 894);
+	check_seed(PROMISE_ONCE, 919);
+}
+
+/*
+ * A tutor cancels an accepted job in an outage and is told "not run" once
+ * the log is back; a peer had started it meanwhile without a claim.
+ * Cause: the outcome was settled on before the outage and written after it.
+ */
+static void test_cancelled_in_an_outage_is_not_said_not_to_have_run(void)
+{
+	check_seed(PROMISE_ACCEPTED, 501);
+}
+
+/*
+ * An accepted job waits for ever.
+ * Its owner starts while the platform is down, so that a peer's summaries of
+ * the racks come before the list of workers; they are not sent again.
+ * Cause: a summary that named no known worker was dropped.
+ */
+static void test_summary_before_the_list_is_not_lost(void)
+{
+	check_seed(PROMISE_ACCEPTED, 136);
+	check_seed(PROMISE_NOT_RUN, 194);
+	check_seed(PROMISE_GUARANTEE, 19);
+}
+
+/*
+ * An accepted job is done, and its caller asks for it for ever.
+ * Its first attempt is voided during an outage that swallows the void; the
+ * second runs without a claim, and readers ignore its outcome.
+ * Cause: the claim of an attempt that was over stayed open.
+ */
+static void test_outcome_after_a_lost_void_is_read(void)
+{
+	check_seed(PROMISE_ACCEPTED, 359);
+	check_seed(PROMISE_NOT_RUN, 500);
+}
+
 /* Promises that the core keeps in every seed that was run. */
 static const enum promise held[] = { PROMISE_GANG,    PROMISE_ANSWER,
 				     PROMISE_NOT_RUN, PROMISE_CONFIG,
 				     PROMISE_ONCE,    PROMISE_LEAVING,
-				     PROMISE_STOP };
+				     PROMISE_STOP,    PROMISE_ACCEPTED };
 
 /* Promises that the naive version breaks within the seeds of this test. */
 static const enum promise broken[] = { PROMISE_GANG,	PROMISE_ANSWER,
@@ -111,5 +179,19 @@
 			test_job_known_from_its_claim_is_not_started);
 	g_test_add_func("/faults/lost_start",
 			test_lost_start_is_not_a_failed_run);
+	g_test_add_func("/faults/lookup_of_cancelled",
+			test_lookup_of_a_cancelled_job_waits_for_the_log);
+	g_test_add_func(
+		"/faults/sleeper",
+		test_sleeper_starts_nothing_accepted_before_it_has_read);
+	g_test_add_func("/faults/sleeper_key",
+			test_sleeper_does_not_know_that_a_key_is_new);
+	g_test_add_func(
+		"/faults/cancelled_in_outage",
+		test_cancelled_in_an_outage_is_not_said_not_to_have_run);
+	g_test_add_func("/faults/early_summary",
+			test_summary_before_the_list_is_not_lost);
+	g_test_add_func("/faults/lost_void",
+			test_outcome_after_a_lost_void_is_read);
 	return g_test_run();
 }
