--- a/src/libradishjunction/core/ledger.c
+++ b/src/libradishjunction/core/ledger.c
@@ -141,6 +141,14 @@
 	settle(ledger);
 }
 
+/*
+ * Whether the job's tasks are never stopped for a gang that has waited.
+ */
+bool rj_ledger_stays(const struct rj_plan_job *job)
+{
+	return !job->stoppable || job->priority == RJ_PRIORITY_URGENT;
+}
+
 /*
  * Tasks of a job have been placed on the worker.
  */
@@ -179,6 +187,8 @@
 	rj_resources_take(&share->used, each, tasks);
 	if (!entry->job.stoppable)
 		rj_resources_take(&share->pinned, each, tasks);
+	if (rj_ledger_stays(&entry->job))
+		ledger->staying -= each->accelerators * tasks;
 	while (ledger->runs[at].entry != entry)
 		at++;
 	ledger->run_count--;
--- a/src/libradishjunction/core/topology_place.c
+++ b/src/libradishjunction/core/topology_place.c
@@ -14,9 +14,13 @@
 #define SCORE_RESERVED (1ULL << 48)
 #define SCORE_WHOLE_RACK (1ULL << 47)
 #define SCORE_WHOLE_WORKER (1ULL << 46)
+#define SCORE_STAYING_UNIT (1ULL << 33)
 #define SCORE_WORKER_UNIT (1ULL << 24)
 #define SCORE_WORST UINT64_MAX
 
+/* More accelerators than this in a rack are counted as this many. */
+#define STAYING_MOST 4095
+
 /*
  * Whether the job may run on what is kept for `reservation`: it ends in
  * time by the run times learnt, or it can be stopped at little loss when
@@ -130,6 +134,22 @@
 	return free;
 }
 
+/*
+ * Work that makes way for no gang is kept together, so that it breaks few
+ * racks: the rack with most of it is best.
+ */
+static uint64_t score_staying(struct rj_site rack,
+			      const struct rj_plan_entry *entry)
+{
+	uint64_t staying = 0;
+
+	if (!rj_ledger_stays(&entry->job))
+		return 0;
+	for (uint32_t i = 0; i < rack.count; i++)
+		staying += rack.workers[i]->ledger->staying;
+	return (STAYING_MOST - MIN(staying, STAYING_MOST)) * SCORE_STAYING_UNIT;
+}
+
 /*
  * Place a single task on the best worker. Returns 1, or 0 if none has room.
  */
@@ -141,7 +161,8 @@
 
 	for (uint32_t i = 0; i < state->capacity.rack_count; i++) {
 		struct rj_site rack = rj_topology_rack(state, i);
-		uint64_t rack_score = rack_free(rack);
+		uint64_t rack_score =
+			rack_free(rack) + score_staying(rack, entry);
 
 		if (rack_is_whole(rack))
 			rack_score += SCORE_WHOLE_RACK;
--- a/src/libradishjunction/include/private/ledger.h
+++ b/src/libradishjunction/include/private/ledger.h
@@ -45,6 +45,7 @@
 	struct rj_worker_hold *holds;
 	uint32_t hold_count;
 	struct rj_resources bound; /* the sum of the rule above */
+	uint32_t staying; /* accelerators whose tasks make way for no gang */
 	uint64_t silent_until_us; /* did not give back what was reclaimed */
 	uint32_t site_index; /* scratch: place in the site searched last */
 	uint64_t site_stamp; /* scratch: which search that was */
@@ -61,6 +62,7 @@
 	enum rj_reason reason;
 };
 
+bool rj_ledger_stays(const struct rj_plan_job *job);
 struct rj_ledger *rj_ledger_of(struct rj_capacity_worker *worker);
 void rj_ledger_guarantee(struct rj_capacity_worker *worker,
 			 struct rj_plan_account *account,
