planner: a gang that has waited may borrow what lies idle of a guarantee

Change: only claims on a guarantee and work that cannot be stopped spare what others are guaranteed; a claim displaces what is kept for anything else.

--- a/src/libradishjunction/core/planner_topology.c
+++ b/src/libradishjunction/core/planner_topology.c
@@ -237,6 +237,26 @@
 	rj_topology_enqueue(state, entry, now_us);
 }
 
+/*
+ * Give up what is firmly kept on the members for anything but a guarantee.
+ */
+void rj_topology_displace(struct rj_topology_state *state,
+			  const struct rj_plan_member *members, uint32_t count,
+			  uint64_t now_us)
+{
+	for (uint32_t i = state->reservations->len; i--;) {
+		struct rj_reservation *reservation =
+			g_ptr_array_index(state->reservations, i);
+		bool in_the_way = false;
+
+		for (uint32_t j = 0; j < count; j++)
+			in_the_way |= keeps(reservation, members[j].worker);
+		if (in_the_way && reservation->firm &&
+		    reservation->reason != RJ_REASON_GUARANTEE)
+			drop_reservation(state, reservation, now_us);
+	}
+}
+
 static void topology_worker_gone(struct rj_planner *planner, uint32_t worker,
 				 uint64_t now_us)
 {
--- a/src/libradishjunction/core/topology_reclaim.c
+++ b/src/libradishjunction/core/topology_reclaim.c
@@ -62,10 +62,32 @@
 	return (ran_us + RJ_US_PER_MS) * rj_topology_size(entry);
 }
 
+/*
+ * Whether the search must leave alone what the reservation keeps. A claim on
+ * a guarantee goes before all but other such claims.
+ */
+static bool respects(const struct search *search,
+		     const struct rj_reservation *reservation)
+{
+	return reservation->firm &&
+	       (search->ground != GROUND_GUARANTEE ||
+		reservation->reason == RJ_REASON_GUARANTEE);
+}
+
+/*
+ * Whether the search must leave alone what others are guaranteed and do not
+ * use. Only work that can be stopped may borrow it, and not on the ground of
+ * a guarantee: two claims then never cross.
+ */
+static bool spares_idle(const struct search *search)
+{
+	return search->ground == GROUND_GUARANTEE ||
+	       !search->entry->job.stoppable;
+}
+
 /*
  * What the job may take of the worker once the chosen victims, and what is
- * being stopped already, are gone: neither what is firmly kept for others
- * nor what others are guaranteed and do not use.
+ * being stopped already, are gone.
  */
 static struct rj_resources room_after(const struct search *search,
 				      const struct rj_capacity_worker *worker)
@@ -85,10 +107,11 @@
 	for (uint32_t i = 0; i < ledger->share_count; i++)
 		rj_resources_add(&room, &ledger->shares[i].evicted, 1);
 	for (uint32_t i = 0; i < ledger->hold_count; i++)
-		if (ledger->holds[i].reservation->firm)
+		if (respects(search, ledger->holds[i].reservation))
 			rj_resources_take_or_zero(&room,
 						  &ledger->holds[i].want);
-	for (uint32_t i = 0; i < ledger->share_count; i++) {
+	for (uint32_t i = 0; spares_idle(search) && i < ledger->share_count;
+	     i++) {
 		const struct rj_worker_share *share = &ledger->shares[i];
 		struct rj_resources used;
 		struct rj_resources idle;
@@ -429,6 +452,8 @@
 		return false;
 	if (entry->reservation)
 		rj_topology_unreserve(state, entry->reservation);
+	if (ground == GROUND_GUARANTEE)
+		rj_topology_displace(state, state->members, count, now_us);
 	reservation = rj_topology_reserve(
 		state, entry, state->members, count, true,
 		now_us + state->limits.checkpoint_limit_ms * RJ_US_PER_MS +
--- a/src/libradishjunction/include/private/topology.h
+++ b/src/libradishjunction/include/private/topology.h
@@ -95,6 +95,10 @@
 struct rj_site rj_topology_rack(const struct rj_topology_state *state,
 				uint32_t index);
 
+void rj_topology_displace(struct rj_topology_state *state,
+			  const struct rj_plan_member *members, uint32_t count,
+			  uint64_t now_us);
+
 /* topology_queue.c */
 void rj_topology_enqueue(struct rj_topology_state *state,
 			 struct rj_plan_entry *entry, uint64_t now_us);
