planner: small victims for small jobs, and a quarter of the patience

Cause: a preview on its guarantee stopped a gang of 64, since the loss was divided by all that the gang frees; and a gang that was stopped had its whole arrival count as patience, and stopped others in turn. Change: the loss is divided by what is of use; patience is counted from the arrival or the last stop, and is a quarter as long.

--- a/src/libradishjunction/core/planner_topology.c
+++ b/src/libradishjunction/core/planner_topology.c
@@ -357,6 +357,7 @@
 		rj_plan_table_remove(&state->table, entry);
 		return -1;
 	}
+	entry->waiting_since_us = now_us;
 	rj_topology_enqueue(state, entry, now_us);
 	return 0;
 }
@@ -384,6 +385,7 @@
 		return;
 	detach(state, entry);
 	entry->not_before_us = not_before_us;
+	entry->waiting_since_us = now_us;
 	rj_topology_enqueue(state, entry, now_us);
 }
 
@@ -628,9 +630,9 @@
 		return;
 	}
 	if (patience_us != RJ_NEVER_US &&
-	    entry->job.queued_us + patience_us > now_us)
+	    entry->waiting_since_us + patience_us > now_us)
 		state->retry_us = MIN(state->retry_us,
-				      entry->job.queued_us + patience_us);
+				      entry->waiting_since_us + patience_us);
 	if (!entry->reservation && loose_count(state) < LOOSE_MAX &&
 	    rj_topology_size(entry) >= state->worker_accelerators)
 		rj_topology_reserve_soonest(state, entry, now_us);
--- a/src/libradishjunction/core/topology_reclaim.c
+++ b/src/libradishjunction/core/topology_reclaim.c
@@ -8,6 +8,9 @@
 /* A reclaim that has not freed its shape by the limit and this is given up. */
 #define GRACE_US (200 * RJ_US_PER_MS)
 
+/* Work is small beside a gang that is so many times as large. */
+#define SMALL_PART 2
+
 /* A gang that has waited may cost others so much of its own work. */
 #define WAITED_LOST_PERCENT 5
 
@@ -30,7 +33,7 @@
 
 struct victim {
 	struct rj_plan_entry *entry;
-	double cost; /* lost accelerator time for each accelerator freed */
+	double cost; /* lost accelerator time for each accelerator of use */
 	uint64_t lost;
 	bool chosen;
 };
@@ -164,9 +167,9 @@
 	case GROUND_LOAN:
 		return entry->on_loan;
 	case GROUND_WAITED:
-		/* Never another gang of its size: they would take turns. */
+		/* Never another gang: they would take turns. */
 		return job->priority != RJ_PRIORITY_URGENT &&
-		       rj_topology_size(entry) <
+		       rj_topology_size(entry) * SMALL_PART <=
 			       rj_topology_size(search->entry);
 	}
 	return false;
@@ -236,7 +239,8 @@
 }
 
 /*
- * Accelerators of the job that lie within the site.
+ * Accelerators of the job that lie within the site, as far as they are
+ * needed: a gang stopped for a preview frees no more than the preview.
  */
 static uint64_t freed_here(const struct search *search,
 			   const struct rj_plan_entry *entry)
@@ -250,7 +254,8 @@
 		if (worker->ledger->site_stamp == search->state->stamp)
 			tasks += entry->members[i].tasks;
 	}
-	return tasks * MAX(entry->job.shape.each.accelerators, 1);
+	tasks *= MAX(entry->job.shape.each.accelerators, 1);
+	return MIN(tasks, rj_topology_size(search->entry));
 }
 
 /*
@@ -527,7 +532,7 @@
 		return URGENT_PATIENCE_US;
 	if (rj_topology_size(entry) < state->worker_accelerators)
 		return RJ_NEVER_US;
-	return (GANG_PATIENCE_S + 100 - weight) * RJ_US_PER_S;
+	return (GANG_PATIENCE_S + (100 - weight) / 4) * RJ_US_PER_S;
 }
 
 static bool may_make_way(const struct rj_topology_state *state,
@@ -537,7 +542,7 @@
 
 	return entry->job.priority != RJ_PRIORITY_URGENT &&
 	       patience_us != RJ_NEVER_US &&
-	       now_us >= entry->job.queued_us + patience_us;
+	       now_us >= entry->waiting_since_us + patience_us;
 }
 
 /*
--- a/src/libradishjunction/include/private/plan_table.h
+++ b/src/libradishjunction/include/private/plan_table.h
@@ -23,6 +23,7 @@
 	struct rj_runtime *runtime;
 	struct rj_reservation *reservation;
 	GSequenceIter *deadline;
+	uint64_t waiting_since_us; /* its arrival, or when it was stopped */
 	uint64_t backlog; /* what it added to the backlog when it came */
 	uint64_t stamp; /* of the last search that met it */
 	bool reclaiming;
