--- a/src/libradishjunction/core/topology_reclaim.c
+++ b/src/libradishjunction/core/topology_reclaim.c
@@ -17,6 +17,9 @@
 /* What a checkpoint costs a job, as run time lost. */
 #define CHECKPOINT_COST_US RJ_US_PER_S
 
+/* Urgent work that is lost weighs as so much other work. */
+#define URGENT_WEIGHT 20
+
 /* Urgent work waits this long before it stops what others borrow. */
 #define URGENT_PATIENCE_US RJ_US_PER_S
 
@@ -53,7 +56,8 @@
 };
 
 /*
- * Accelerator time that is lost if the job is stopped now.
+ * Accelerator time that is lost if the job is stopped now; that of urgent
+ * work weighs more, so that it is stopped last.
  */
 static uint64_t lost_work(const struct rj_plan_entry *entry, uint64_t now_us)
 {
@@ -61,6 +65,8 @@
 
 	if (entry->job.checkpoint)
 		ran_us = MIN(ran_us, CHECKPOINT_COST_US);
+	if (entry->job.priority == RJ_PRIORITY_URGENT)
+		ran_us = (ran_us + RJ_US_PER_S) * URGENT_WEIGHT;
 	/* A task that has just started still costs its start again. */
 	return (ran_us + RJ_US_PER_MS) * rj_topology_size(entry);
 }
