planner: what is granted in a guarantee's stead is counted by resource

Excluded: silent workers, reservations in the way (traced: no claim made). Change: both are sums of slots, accelerators, cores and memory.

--- a/src/libradishjunction/core/planner_topology.c
+++ b/src/libradishjunction/core/planner_topology.c
@@ -214,7 +214,8 @@
 	if (!entry->granted)
 		return;
 	entry->granted = false;
-	entry->account->granted -= rj_topology_size(entry);
+	rj_resources_take(&entry->account->granted, &entry->job.shape.each,
+			  entry->job.shape.tasks);
 }
 
 /*
--- a/src/libradishjunction/core/topology_guarantee.c
+++ b/src/libradishjunction/core/topology_guarantee.c
@@ -288,14 +288,18 @@
 }
 
 /*
- * How many tasks of `entry` the account may still claim from one home: what
- * its own work there leaves. A place whose worker is missing counts as
- * unused, so that the account gets its shape elsewhere.
+ * What the account may still claim of one home: what its own work there
+ * leaves. A place whose worker is missing counts as unused, so that the
+ * account gets its shape elsewhere. Returns for how many tasks of `entry`
+ * that would do, and adds it to `claim` if for any.
  */
 static uint32_t home_rest(const struct rj_topology_state *state,
 			  const struct rj_home *home,
-			  const struct rj_plan_entry *entry)
+			  const struct rj_plan_entry *entry,
+			  struct rj_resources *claim)
 {
+	const struct rj_shape *shape = &entry->job.shape;
+	struct rj_resources sum = { 0 };
 	uint32_t rest = 0;
 	bool known = false;
 
@@ -317,10 +321,13 @@
 
 			rj_resources_limit(&amount, &left);
 		}
-		rest += rj_resources_times(&entry->job.shape.each, &amount,
-					   RJ_GANG_MAX);
+		rest += rj_resources_times(&shape->each, &amount, RJ_GANG_MAX);
+		rj_resources_add(&sum, &amount, 1);
 	}
-	return known ? rest : 0;
+	if (!known || !rest || (shape->adjacent && rest < shape->tasks))
+		return 0;
+	rj_resources_add(claim, &sum, 1);
+	return rest;
 }
 
 /*
@@ -332,19 +339,17 @@
 			  const struct rj_plan_entry *entry)
 {
 	const struct rj_shape *shape = &entry->job.shape;
-	uint64_t claim = 0;
+	struct rj_resources claim = { 0 };
+	struct rj_resources want = { 0 };
+	uint32_t rest = 0;
 
 	for (uint32_t i = 0; i < state->homes->len; i++) {
 		const struct rj_home *home = g_ptr_array_index(state->homes, i);
-		uint32_t rest;
 
-		if (home->account != entry->account)
-			continue;
-		rest = home_rest(state, home, entry);
-		if (shape->adjacent)
-			rest -= rest % shape->tasks;
-		claim += rest;
+		if (home->account == entry->account)
+			rest += home_rest(state, home, entry, &claim);
 	}
-	claim *= MAX(shape->each.accelerators, 1);
-	return claim >= entry->account->granted + rj_topology_size(entry);
+	rj_resources_take_or_zero(&claim, &entry->account->granted);
+	rj_resources_add(&want, &shape->each, shape->tasks);
+	return rest >= shape->tasks && rj_resources_fit(&want, &claim);
 }
--- a/src/libradishjunction/core/topology_reclaim.c
+++ b/src/libradishjunction/core/topology_reclaim.c
@@ -472,7 +472,9 @@
 	reservation->reason = reason_of[ground];
 	if (ground == GROUND_GUARANTEE) {
 		entry->granted = true;
-		entry->account->granted += rj_topology_size(entry);
+		rj_resources_add(&entry->account->granted,
+				 &entry->job.shape.each,
+				 entry->job.shape.tasks);
 	}
 	return true;
 }
--- a/src/libradishjunction/include/private/topology.h
+++ b/src/libradishjunction/include/private/topology.h
@@ -19,7 +19,8 @@
 	uint32_t share;
 	uint64_t guaranteed; /* accelerators in this domain */
 	uint64_t used; /* accelerators of running jobs */
-	uint64_t granted; /* on a guarantee's behalf, not on its home (yet) */
+	/* on a guarantee's behalf, and not on its home (yet) */
+	struct rj_resources granted;
 	uint32_t queued;
 };
 
--- a/src/test_libradishjunction/test_planner_topology.c
+++ b/src/test_libradishjunction/test_planner_topology.c
@@ -252,6 +252,42 @@
 	g_assert_true(is_in_one_rack(decision_on(f, 21)));
 }
 
+/*
+ * A tutor's second lesson waits though half of the guarantee is unused.
+ * The guarantee's worker is away; a lesson of two accelerators gets its room
+ * elsewhere, then one of one accelerator asks. Cause: what was granted was
+ * counted in tasks of the new lesson, so that the first seemed to be two.
+ */
+static void test_mixed_sizes_share_a_guarantee(struct fixture *f,
+					       const void *data)
+{
+	f->guarantees[1].shape = (struct rj_shape){ 1, { 1, 2, 1, 1 }, false };
+	f->guarantees[1].count = 2;
+	configure(f);
+	f->planner->ops->worker_gone(f->planner, RACK_WORKERS, 0);
+	submit_many(f, job_of(1, 'c', 1, 8), WORKERS - 1);
+	pass(f, 0);
+	submit(f, job_of(20, 'b', 1, 2), S);
+	pass(f, S);
+	obey(f, 0, S);
+	pass(f, S);
+	g_assert_cmpint(decision_on(f, 20)->kind, ==, RJ_DECISION_START);
+	/* The rest of that worker goes to others again. */
+	submit_many(f, job_of(30, 'c', 1, 6), 1);
+	pass(f, S);
+	submit(f, job_of(21, 'b', 1, 1), S);
+	pass(f, S);
+	g_assert_cmpuint(count_of(f, RJ_DECISION_RECLAIM), ==, 1);
+	obey(f, 0, S);
+	pass(f, S);
+	g_assert_cmpint(decision_on(f, 21)->kind, ==, RJ_DECISION_START);
+	/* Now the guarantee is used up. */
+	submit_many(f, job_of(40, 'c', 1, 5), 1);
+	submit_many(f, job_of(41, 'b', 1, 2), 1);
+	pass(f, S);
+	g_assert_cmpuint(count_of(f, RJ_DECISION_RECLAIM), ==, 0);
+}
+
 /*
  * A studio waits for ever for a worker that has hung. It claims two workers;
  * the task on one of them neither stops nor reports. Cause: the claim waited
@@ -567,6 +603,7 @@
 	    test_unstoppable_work_stays_off_guarantees);
 	ADD("guarantee/own", test_unstoppable_work_runs_on_its_own_guarantee);
 	ADD("guarantee/two", test_two_accounts_reclaim_at_once);
+	ADD("guarantee/sizes", test_mixed_sizes_share_a_guarantee);
 	ADD("guarantee/silent", test_silent_worker_gives_another_shape);
 	ADD("guarantee/dies", test_workers_die_during_reclaim);
 	ADD("guarantee/changes", test_guarantee_shrinks_and_grows);
