--- a/src/libradishjunction/core/planner_topology.c
+++ b/src/libradishjunction/core/planner_topology.c
@@ -149,12 +149,17 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		((struct rj_plan_account *)value)->share = 0;
 		((struct rj_plan_account *)value)->guaranteed = 0;
+		((struct rj_plan_account *)value)->active = false;
 	}
 	state->share_total = 0;
+	state->share_active = 0;
 	for (uint32_t i = 0; i < config->account_count; i++) {
-		rj_topology_account(state, config->accounts[i].name)->share =
-			config->accounts[i].share;
-		state->share_total += config->accounts[i].share;
+		struct rj_plan_account *account =
+			rj_topology_account(state, config->accounts[i].name);
+
+		account->share = config->accounts[i].share;
+		state->share_total += account->share;
+		rj_topology_note_active(state, account);
 	}
 	memset(&state->domain, 0, sizeof(state->domain));
 	for (uint32_t i = 0; i < config->domain_count; i++)
@@ -295,6 +300,7 @@
 		worker->ledger->silent_until_us = 0;
 	}
 	entry->account->used -= rj_topology_size(entry);
+	rj_topology_note_active(state, entry->account);
 	entry->reclaiming = false;
 	entry->on_loan = false;
 	rj_plan_entry_unplace(entry, &state->capacity);
@@ -403,6 +409,7 @@
 			rj_capacity_find(&state->capacity, members[i].worker),
 			entry, members[i].tasks);
 	entry->account->used += rj_topology_size(entry);
+	rj_topology_note_active(state, entry->account);
 }
 
 static void topology_adopt(struct rj_planner *planner,
--- a/src/libradishjunction/core/topology_queue.c
+++ b/src/libradishjunction/core/topology_queue.c
@@ -95,6 +95,34 @@
 		entry->bucket->blocked_version = 0;
 }
 
+/*
+ * The accelerators that are the account's fair share: its part of all by
+ * weight, among the accounts that have jobs at all.
+ */
+uint64_t rj_topology_fair(const struct rj_topology_state *state,
+			  const struct rj_plan_account *account)
+{
+	return state->accelerators * account->share /
+	       MAX(state->share_active, 1);
+}
+
+/*
+ * Count the account in or out after its jobs have come or gone.
+ */
+void rj_topology_note_active(struct rj_topology_state *state,
+			     struct rj_plan_account *account)
+{
+	bool active = account->queued || account->used;
+
+	if (active == account->active)
+		return;
+	account->active = active;
+	if (active)
+		state->share_active += account->share;
+	else
+		state->share_active -= account->share;
+}
+
 /*
  * Let the job wait, in its bucket or until its back-off ends.
  */
@@ -113,6 +141,7 @@
 			 rj_topology_size(entry);
 	state->backlog[entry->job.priority] += entry->backlog;
 	entry->account->queued++;
+	rj_topology_note_active(state, entry->account);
 	state->queued++;
 }
 
@@ -137,6 +166,7 @@
 	assert(state->backlog[entry->job.priority] >= entry->backlog);
 	state->backlog[entry->job.priority] -= entry->backlog;
 	entry->account->queued--;
+	rj_topology_note_active(state, entry->account);
 	state->queued--;
 }
 
@@ -166,8 +196,7 @@
 	uint64_t above = account->used > account->guaranteed ?
 				 account->used - account->guaranteed :
 				 0;
-	uint64_t fair = state->accelerators * account->share /
-			MAX(state->share_total, 1);
+	uint64_t fair = rj_topology_fair(state, account);
 	uint64_t most = FAIR_MOST * FAIR_WINDOW_US;
 
 	return MIN(above * FAIR_WINDOW_US / MAX(fair, 1), most);
--- a/src/libradishjunction/core/topology_reclaim.c
+++ b/src/libradishjunction/core/topology_reclaim.c
@@ -518,13 +518,11 @@
 		      const struct rj_plan_entry *entry, uint64_t now_us)
 {
 	const struct rj_plan_account *account = entry->account;
-	uint64_t fair = state->accelerators * account->share /
-			MAX(state->share_total, 1);
 
 	return entry->job.priority == RJ_PRIORITY_URGENT &&
 	       now_us >= entry->job.queued_us + URGENT_PATIENCE_US &&
 	       account->used + rj_topology_size(entry) <=
-		       account->guaranteed + fair;
+		       account->guaranteed + rj_topology_fair(state, account);
 }
 
 /*
--- a/src/libradishjunction/include/private/topology.h
+++ b/src/libradishjunction/include/private/topology.h
@@ -22,6 +22,7 @@
 	/* on a guarantee's behalf, and not on its home (yet) */
 	struct rj_resources granted;
 	uint32_t queued;
+	bool active; /* has jobs that wait or run */
 };
 
 /* Waiting jobs that differ only in their time of arrival. */
@@ -72,6 +73,7 @@
 	uint32_t class_count;
 	uint64_t retry_us; /* when blocked jobs are tried again unasked */
 	uint64_t share_total;
+	uint64_t share_active; /* of the accounts that have jobs */
 	uint64_t accelerators; /* usable ones */
 	uint64_t backlog[RJ_PRIORITY_COUNT]; /* accelerators times us */
 	uint64_t version; /* raised when a job that was blocked may fit */
@@ -101,6 +103,10 @@
 			  uint64_t now_us);
 
 /* topology_queue.c */
+uint64_t rj_topology_fair(const struct rj_topology_state *state,
+			  const struct rj_plan_account *account);
+void rj_topology_note_active(struct rj_topology_state *state,
+			     struct rj_plan_account *account);
 void rj_topology_enqueue(struct rj_topology_state *state,
 			 struct rj_plan_entry *entry, uint64_t now_us);
 void rj_topology_dequeue(struct rj_topology_state *state,
