--- a/include/radishjunction/settings.h
+++ b/include/radishjunction/settings.h
@@ -31,6 +31,11 @@
 
 struct rj_settings *rj_settings_parse(void *mem, const char *text,
 				      struct rj_error_list *errors);
+
+/* An address as text: IP number, brackets, colon, port, terminating zero. */
+#define RJ_ADDRESS_BYTES (RJ_IP_BYTES + 8)
 int rj_address_parse(struct rj_address *address, const char *text);
+void rj_address_format(char text[RJ_ADDRESS_BYTES],
+		       const struct rj_address *address);
 
 #endif
--- a/src/libradishjunction/config_capacity.c
+++ b/src/libradishjunction/config_capacity.c
@@ -20,6 +20,9 @@
 	uint32_t entry_count;
 };
 
+/*
+ * The lesser of two counts.
+ */
 static uint32_t fewer(uint32_t a, uint32_t b)
 {
 	return a < b ? a : b;
--- a/src/libradishjunction/schema.c
+++ b/src/libradishjunction/schema.c
@@ -165,6 +165,9 @@
 	}
 }
 
+/*
+ * An object is decoded into the nested struct that begins at the member.
+ */
 static void object_decode(struct rj_schema_check *check,
 			  const struct rj_schema_field *field,
 			  const struct rj_schema_path *path,
@@ -191,6 +194,9 @@
 	json_decref(empty);
 }
 
+/*
+ * The nested struct, left out when it is optional and all of its fields are.
+ */
 static json_t *object_encode(const struct rj_schema_field *field,
 			     const void *in)
 {
@@ -244,6 +250,10 @@
 	json_decref(seen);
 }
 
+/*
+ * Check the count, then each element into one talloc array, so that the errors
+ * of all elements are reported.
+ */
 static void array_decode(struct rj_schema_check *check,
 			 const struct rj_schema_field *field,
 			 const struct rj_schema_path *path, const json_t *value,
@@ -289,6 +299,9 @@
 	*count = (uint32_t)length;
 }
 
+/*
+ * An array that is left out is empty: NULL and a count of 0, as it was zeroed.
+ */
 static void array_fill(struct rj_schema_check *check,
 		       const struct rj_schema_field *field,
 		       const struct rj_schema_path *path, void *out)
@@ -296,6 +309,9 @@
 	assert(!field->min);
 }
 
+/*
+ * The elements in their order; an optional empty array is left out.
+ */
 static json_t *array_encode(const struct rj_schema_field *field, const void *in)
 {
 	const uint32_t *count =
--- /dev/null
+++ b/src/libradishjunction/schema_texts.c
@@ -0,0 +1,303 @@
+#include "private/schema.h"
+
+#include <assert.h>
+#include <inttypes.h>
+#include <sodium.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "radishjunction/settings.h"
+
+/*
+ * The text of a string value if its length is within min..max, or NULL after
+ * an error.
+ */
+static const char *check_text(struct rj_schema_check *check,
+			      const struct rj_schema_field *field,
+			      const struct rj_schema_path *path,
+			      const json_t *value, uint64_t max)
+{
+	if (!json_is_string(value)) {
+		rj_schema_report_type(check, field, path, value);
+		return NULL;
+	}
+	if (json_string_length(value) < field->min ||
+	    json_string_length(value) > max) {
+		rj_schema_report(check, path,
+				 "%zu characters; give from %" PRIu64
+				 " to %" PRIu64,
+				 json_string_length(value), field->min, max);
+		return NULL;
+	}
+	return json_string_value(value);
+}
+
+/*
+ * Names stand in URLs, logs and terminals, so they keep to characters that
+ * mean nothing special in any of these.
+ */
+static void name_decode(struct rj_schema_check *check,
+			const struct rj_schema_field *field,
+			const struct rj_schema_path *path, const json_t *value,
+			void *out)
+{
+	const char *text = json_string_value(value);
+	char shown[RJ_SCHEMA_VALUE_BYTES];
+
+	if (!text) {
+		rj_schema_report_type(check, field, path, value);
+		return;
+	}
+	if (strspn(text, "abcdefghijklmnopqrstuvwxyz0123456789"
+			 "ABCDEFGHIJKLMNOPQRSTUVWXYZ._-") == strlen(text) &&
+	    !rj_name_set(out, text))
+		return;
+	rj_schema_value(shown, value);
+	rj_schema_report(check, path,
+			 "%s is no name; use 1 to %d letters, digits, "
+			 "'.', '_' or '-'",
+			 shown, RJ_NAME_BYTES - 1);
+}
+
+/*
+ * The JSON of a zero-terminated text, or NULL for an optional empty one.
+ */
+static json_t *text_json(const struct rj_schema_field *field, const char *text)
+{
+	if (field->optional && (!text || !text[0]))
+		return NULL;
+	return json_string(text ? text : "");
+}
+
+/*
+ * The text in the buffer; an optional empty one is left out.
+ */
+static json_t *text_encode(const struct rj_schema_field *field, const void *in)
+{
+	return text_json(field, in);
+}
+
+const struct rj_schema_type rj_schema_name = {
+	.name = "a name",
+	.decode = name_decode,
+	.fill = rj_schema_fill_zero,
+	.encode = text_encode,
+};
+
+/*
+ * Copy a text that fits its buffer with the terminating zero.
+ */
+static void text_decode(struct rj_schema_check *check,
+			const struct rj_schema_field *field,
+			const struct rj_schema_path *path, const json_t *value,
+			void *out)
+{
+	const char *text =
+		check_text(check, field, path, value, field->size - 1);
+
+	assert(field->size);
+	if (text)
+		memcpy(out, text, strlen(text) + 1);
+}
+
+const struct rj_schema_type rj_schema_text = {
+	.name = "a text",
+	.decode = text_decode,
+	.fill = rj_schema_fill_zero,
+	.encode = text_encode,
+};
+
+/*
+ * Keep a copy of a text as a talloc child.
+ */
+static void string_decode(struct rj_schema_check *check,
+			  const struct rj_schema_field *field,
+			  const struct rj_schema_path *path,
+			  const json_t *value, void *out)
+{
+	const char *text = check_text(check, field, path, value, field->max);
+	char *copy;
+
+	if (!text)
+		return;
+	copy = talloc_strdup(check->mem, text);
+	assert(copy);
+	memcpy(out, &copy, sizeof(copy));
+}
+
+/*
+ * The text that the member points to; NULL counts as empty.
+ */
+static json_t *string_encode(const struct rj_schema_field *field,
+			     const void *in)
+{
+	const char *text;
+
+	memcpy(&text, in, sizeof(text));
+	return text_json(field, text);
+}
+
+const struct rj_schema_type rj_schema_string = {
+	.name = "a text",
+	.decode = string_decode,
+	.fill = rj_schema_fill_zero,
+	.encode = string_encode,
+};
+
+/*
+ * Fill the whole buffer from exactly twice as many digits.
+ */
+static void hex_decode(struct rj_schema_check *check,
+		       const struct rj_schema_field *field,
+		       const struct rj_schema_path *path, const json_t *value,
+		       void *out)
+{
+	const char *text = json_string_value(value);
+	const char *end = text;
+	size_t length = 0;
+
+	if (text && strlen(text) == 2 * (size_t)field->size &&
+	    !sodium_hex2bin(out, field->size, text, strlen(text), NULL, &length,
+			    &end) &&
+	    !*end && length == field->size)
+		return;
+	rj_schema_report(check, path, "give %u hexadecimal digits",
+			 2 * field->size);
+}
+
+/*
+ * Two digits a byte; optional bytes that are all 0 are left out.
+ */
+static json_t *hex_encode(const struct rj_schema_field *field, const void *in)
+{
+	char text[2 * 64 + 1];
+
+	assert(field->size <= 64);
+	if (field->optional && sodium_is_zero(in, field->size))
+		return NULL;
+	sodium_bin2hex(text, sizeof(text), in, field->size);
+	return json_string(text);
+}
+
+const struct rj_schema_type rj_schema_hex = {
+	.name = "hexadecimal digits",
+	.decode = hex_decode,
+	.fill = rj_schema_fill_zero,
+	.encode = hex_encode,
+};
+
+/*
+ * Keep the decoded bytes as a talloc child, at most `max` of them. Texts that
+ * are too long are refused before anything is decoded.
+ */
+static void base64_decode(struct rj_schema_check *check,
+			  const struct rj_schema_field *field,
+			  const struct rj_schema_path *path,
+			  const json_t *value, void *out)
+{
+	struct rj_bytes bytes = { NULL, 0 };
+	const char *text = json_string_value(value);
+	const char *end = text;
+	size_t room;
+	size_t length = 0;
+	uint8_t *data;
+
+	if (!text) {
+		rj_schema_report_type(check, field, path, value);
+		return;
+	}
+	room = strlen(text) / 4 * 3 + 3;
+	if (room > field->max + 5) {
+		rj_schema_report(check, path, "longer than %" PRIu64 " bytes",
+				 field->max);
+		return;
+	}
+	data = talloc_size(check->mem, room);
+	assert(data);
+	if (sodium_base642bin(data, room, text, strlen(text), NULL, &length,
+			      &end, sodium_base64_VARIANT_ORIGINAL) ||
+	    *end || length > field->max) {
+		rj_schema_report(check, path,
+				 "not base64 of at most %" PRIu64 " bytes",
+				 field->max);
+		return;
+	}
+	bytes.data = data;
+	bytes.length = (uint32_t)length;
+	memcpy(out, &bytes, sizeof(bytes));
+}
+
+/*
+ * The bytes as base64 with padding; optional empty ones are left out.
+ */
+static json_t *base64_encode(const struct rj_schema_field *field,
+			     const void *in)
+{
+	const struct rj_bytes *bytes = in;
+	size_t room = sodium_base64_encoded_len(bytes->length,
+						sodium_base64_VARIANT_ORIGINAL);
+	char *text;
+	json_t *json;
+
+	if (field->optional && !bytes->length)
+		return NULL;
+	text = talloc_size(NULL, room);
+	assert(text);
+	sodium_bin2base64(text, room, bytes->data, bytes->length,
+			  sodium_base64_VARIANT_ORIGINAL);
+	json = json_string(text);
+	talloc_free(text);
+	return json;
+}
+
+const struct rj_schema_type rj_schema_base64 = {
+	.name = "base64",
+	.decode = base64_decode,
+	.fill = rj_schema_fill_zero,
+	.encode = base64_encode,
+};
+
+/*
+ * `min` and `max` bound the port: 1 as the least where 0, "any free one",
+ * makes no sense.
+ */
+static void address_decode(struct rj_schema_check *check,
+			   const struct rj_schema_field *field,
+			   const struct rj_schema_path *path,
+			   const json_t *value, void *out)
+{
+	struct rj_address *address = out;
+	const char *text = json_string_value(value);
+	char shown[RJ_SCHEMA_VALUE_BYTES];
+
+	rj_schema_value(shown, value);
+	if (!text || rj_address_parse(address, text))
+		rj_schema_report(check, path,
+				 "%s is no address; give an IP number and a "
+				 "port, such as 127.0.0.1:7070 or [::1]:7070",
+				 shown);
+	else if (address->port < field->min)
+		rj_schema_report(check, path,
+				 "%s has port 0; give the port of the other "
+				 "side",
+				 shown);
+}
+
+/*
+ * The address as `rj_address_parse` reads it.
+ */
+static json_t *address_encode(const struct rj_schema_field *field,
+			      const void *in)
+{
+	char text[RJ_ADDRESS_BYTES];
+
+	rj_address_format(text, in);
+	return json_string(text);
+}
+
+const struct rj_schema_type rj_schema_address = {
+	.name = "an IP number and a port",
+	.decode = address_decode,
+	.fill = rj_schema_fill_zero,
+	.encode = address_encode,
+};
--- a/src/libradishjunction/schema_types.c
+++ b/src/libradishjunction/schema_types.c
@@ -1,27 +1,25 @@
 #include "private/schema.h"
 
-#include <arpa/inet.h>
 #include <assert.h>
 #include <inttypes.h>
-#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <talloc.h>
-
-#include "radishjunction/settings.h"
 
 #define ID_DIGITS 16
 
 /*
  * Keep the zero that the struct was filled with.
  */
-static void zero_fill(struct rj_schema_check *check,
-		      const struct rj_schema_field *field,
-		      const struct rj_schema_path *path, void *out)
+void rj_schema_fill_zero(struct rj_schema_check *check,
+			 const struct rj_schema_field *field,
+			 const struct rj_schema_path *path, void *out)
 {
 }
 
+/*
+ * Store true or false; numbers and texts are not taken for them.
+ */
 static void bool_decode(struct rj_schema_check *check,
 			const struct rj_schema_field *field,
 			const struct rj_schema_path *path, const json_t *value,
@@ -34,6 +32,9 @@
 	*(bool *)out = json_is_true(value);
 }
 
+/*
+ * Store the fallback.
+ */
 static void bool_fill(struct rj_schema_check *check,
 		      const struct rj_schema_field *field,
 		      const struct rj_schema_path *path, void *out)
@@ -41,6 +42,9 @@
 	*(bool *)out = field->fallback;
 }
 
+/*
+ * True or false, left out when it is the fallback.
+ */
 static json_t *bool_encode(const struct rj_schema_field *field, const void *in)
 {
 	bool value = *(const bool *)in;
@@ -103,6 +107,9 @@
 	return json_integer((json_int_t)(value / scale));
 }
 
+/*
+ * Store a number within bounds that fits 32 bits.
+ */
 static void u32_decode(struct rj_schema_check *check,
 		       const struct rj_schema_field *field,
 		       const struct rj_schema_path *path, const json_t *value,
@@ -112,6 +119,9 @@
 	*(uint32_t *)out = (uint32_t)check_number(check, field, path, value);
 }
 
+/*
+ * Store the fallback, which is in the unit of the member.
+ */
 static void u32_fill(struct rj_schema_check *check,
 		     const struct rj_schema_field *field,
 		     const struct rj_schema_path *path, void *out)
@@ -119,6 +129,9 @@
 	*(uint32_t *)out = (uint32_t)field->fallback;
 }
 
+/*
+ * The number in the text's unit.
+ */
 static json_t *u32_encode(const struct rj_schema_field *field, const void *in)
 {
 	return number_json(field, *(const uint32_t *)in);
@@ -131,6 +144,9 @@
 	.encode = u32_encode,
 };
 
+/*
+ * Store a number within bounds, in the member's unit.
+ */
 static void u64_decode(struct rj_schema_check *check,
 		       const struct rj_schema_field *field,
 		       const struct rj_schema_path *path, const json_t *value,
@@ -139,6 +155,9 @@
 	*(uint64_t *)out = check_number(check, field, path, value);
 }
 
+/*
+ * Store the fallback, which is in the text's unit.
+ */
 static void u64_fill(struct rj_schema_check *check,
 		     const struct rj_schema_field *field,
 		     const struct rj_schema_path *path, void *out)
@@ -146,6 +165,9 @@
 	*(uint64_t *)out = field->fallback * (field->scale ? field->scale : 1);
 }
 
+/*
+ * The number in the text's unit.
+ */
 static json_t *u64_encode(const struct rj_schema_field *field, const void *in)
 {
 	return number_json(field, *(const uint64_t *)in);
@@ -177,6 +199,9 @@
 	*(uint64_t *)out = strtoull(text, NULL, 16);
 }
 
+/*
+ * Sixteen digits; an optional 0 is left out.
+ */
 static json_t *id_encode(const struct rj_schema_field *field, const void *in)
 {
 	uint64_t value = *(const uint64_t *)in;
@@ -189,234 +214,13 @@
 const struct rj_schema_type rj_schema_id = {
 	.name = "16 hexadecimal digits in lower case",
 	.decode = id_decode,
-	.fill = zero_fill,
+	.fill = rj_schema_fill_zero,
 	.encode = id_encode,
 };
 
 /*
- * The text of a string value if its length is within min..max, or NULL after
- * an error.
- */
-static const char *check_text(struct rj_schema_check *check,
-			      const struct rj_schema_field *field,
-			      const struct rj_schema_path *path,
-			      const json_t *value, uint64_t max)
-{
-	if (!json_is_string(value)) {
-		rj_schema_report_type(check, field, path, value);
-		return NULL;
-	}
-	if (json_string_length(value) < field->min ||
-	    json_string_length(value) > max) {
-		rj_schema_report(check, path,
-				 "%zu characters; give from %" PRIu64
-				 " to %" PRIu64,
-				 json_string_length(value), field->min, max);
-		return NULL;
-	}
-	return json_string_value(value);
-}
-
-/*
- * Names stand in URLs, logs and terminals, so they keep to characters that
- * mean nothing special in any of these.
- */
-static void name_decode(struct rj_schema_check *check,
-			const struct rj_schema_field *field,
-			const struct rj_schema_path *path, const json_t *value,
-			void *out)
-{
-	const char *text = json_string_value(value);
-	char shown[RJ_SCHEMA_VALUE_BYTES];
-
-	if (!text) {
-		rj_schema_report_type(check, field, path, value);
-		return;
-	}
-	if (strspn(text, "abcdefghijklmnopqrstuvwxyz0123456789"
-			 "ABCDEFGHIJKLMNOPQRSTUVWXYZ._-") == strlen(text) &&
-	    !rj_name_set(out, text))
-		return;
-	rj_schema_value(shown, value);
-	rj_schema_report(check, path,
-			 "%s is no name; use 1 to %d letters, digits, "
-			 "'.', '_' or '-'",
-			 shown, RJ_NAME_BYTES - 1);
-}
-
-/*
- * The JSON of a zero-terminated text, or NULL for an optional empty one.
+ * Store the index of the word in the table of strings.
  */
-static json_t *text_json(const struct rj_schema_field *field, const char *text)
-{
-	if (field->optional && (!text || !text[0]))
-		return NULL;
-	return json_string(text ? text : "");
-}
-
-static json_t *text_encode(const struct rj_schema_field *field, const void *in)
-{
-	return text_json(field, in);
-}
-
-const struct rj_schema_type rj_schema_name = {
-	.name = "a name",
-	.decode = name_decode,
-	.fill = zero_fill,
-	.encode = text_encode,
-};
-
-static void text_decode(struct rj_schema_check *check,
-			const struct rj_schema_field *field,
-			const struct rj_schema_path *path, const json_t *value,
-			void *out)
-{
-	const char *text =
-		check_text(check, field, path, value, field->size - 1);
-
-	assert(field->size);
-	if (text)
-		memcpy(out, text, strlen(text) + 1);
-}
-
-const struct rj_schema_type rj_schema_text = {
-	.name = "a text",
-	.decode = text_decode,
-	.fill = zero_fill,
-	.encode = text_encode,
-};
-
-static void string_decode(struct rj_schema_check *check,
-			  const struct rj_schema_field *field,
-			  const struct rj_schema_path *path,
-			  const json_t *value, void *out)
-{
-	const char *text = check_text(check, field, path, value, field->max);
-	char *copy;
-
-	if (!text)
-		return;
-	copy = talloc_strdup(check->mem, text);
-	assert(copy);
-	memcpy(out, &copy, sizeof(copy));
-}
-
-static json_t *string_encode(const struct rj_schema_field *field,
-			     const void *in)
-{
-	const char *text;
-
-	memcpy(&text, in, sizeof(text));
-	return text_json(field, text);
-}
-
-const struct rj_schema_type rj_schema_string = {
-	.name = "a text",
-	.decode = string_decode,
-	.fill = zero_fill,
-	.encode = string_encode,
-};
-
-static void hex_decode(struct rj_schema_check *check,
-		       const struct rj_schema_field *field,
-		       const struct rj_schema_path *path, const json_t *value,
-		       void *out)
-{
-	const char *text = json_string_value(value);
-	const char *end = text;
-	size_t length = 0;
-
-	if (text && strlen(text) == 2 * (size_t)field->size &&
-	    !sodium_hex2bin(out, field->size, text, strlen(text), NULL, &length,
-			    &end) &&
-	    !*end && length == field->size)
-		return;
-	rj_schema_report(check, path, "give %u hexadecimal digits",
-			 2 * field->size);
-}
-
-static json_t *hex_encode(const struct rj_schema_field *field, const void *in)
-{
-	char text[2 * 64 + 1];
-
-	assert(field->size <= 64);
-	if (field->optional && sodium_is_zero(in, field->size))
-		return NULL;
-	sodium_bin2hex(text, sizeof(text), in, field->size);
-	return json_string(text);
-}
-
-const struct rj_schema_type rj_schema_hex = {
-	.name = "hexadecimal digits",
-	.decode = hex_decode,
-	.fill = zero_fill,
-	.encode = hex_encode,
-};
-
-static void base64_decode(struct rj_schema_check *check,
-			  const struct rj_schema_field *field,
-			  const struct rj_schema_path *path,
-			  const json_t *value, void *out)
-{
-	struct rj_bytes bytes = { NULL, 0 };
-	const char *text = json_string_value(value);
-	const char *end = text;
-	size_t room;
-	size_t length = 0;
-	uint8_t *data;
-
-	if (!text) {
-		rj_schema_report_type(check, field, path, value);
-		return;
-	}
-	room = strlen(text) / 4 * 3 + 3;
-	if (room > field->max + 5) {
-		rj_schema_report(check, path, "longer than %" PRIu64 " bytes",
-				 field->max);
-		return;
-	}
-	data = talloc_size(check->mem, room);
-	assert(data);
-	if (sodium_base642bin(data, room, text, strlen(text), NULL, &length,
-			      &end, sodium_base64_VARIANT_ORIGINAL) ||
-	    *end || length > field->max) {
-		rj_schema_report(check, path,
-				 "not base64 of at most %" PRIu64 " bytes",
-				 field->max);
-		return;
-	}
-	bytes.data = data;
-	bytes.length = (uint32_t)length;
-	memcpy(out, &bytes, sizeof(bytes));
-}
-
-static json_t *base64_encode(const struct rj_schema_field *field,
-			     const void *in)
-{
-	const struct rj_bytes *bytes = in;
-	size_t room = sodium_base64_encoded_len(bytes->length,
-						sodium_base64_VARIANT_ORIGINAL);
-	char *text;
-	json_t *json;
-
-	if (field->optional && !bytes->length)
-		return NULL;
-	text = talloc_size(NULL, room);
-	assert(text);
-	sodium_bin2base64(text, room, bytes->data, bytes->length,
-			  sodium_base64_VARIANT_ORIGINAL);
-	json = json_string(text);
-	talloc_free(text);
-	return json;
-}
-
-const struct rj_schema_type rj_schema_base64 = {
-	.name = "base64",
-	.decode = base64_decode,
-	.fill = zero_fill,
-	.encode = base64_encode,
-};
-
 static void choice_decode(struct rj_schema_check *check,
 			  const struct rj_schema_field *field,
 			  const struct rj_schema_path *path,
@@ -447,6 +251,9 @@
 			 known);
 }
 
+/*
+ * The word of the index; an optional fallback is left out.
+ */
 static json_t *choice_encode(const struct rj_schema_field *field,
 			     const void *in)
 {
@@ -464,81 +271,3 @@
 	.fill = u32_fill,
 	.encode = choice_encode,
 };
-
-/*
- * Read an address such as `127.0.0.1:7070` or `[::1]:7070`. Only IP numbers
- * are taken: nothing here resolves names. Returns 0, or -1 when `text` is no
- * such address; `address` is zeroed then.
- */
-int rj_address_parse(struct rj_address *address, const char *text)
-{
-	const char *colon = strrchr(text, ':');
-	unsigned char number[sizeof(struct in6_addr)];
-	size_t length;
-	unsigned long port;
-	char *end;
-	int family = AF_INET;
-
-	memset(address, 0, sizeof(*address));
-	if (!colon || colon == text || colon[1] < '0' || colon[1] > '9')
-		return -1;
-	length = (size_t)(colon - text);
-	if (text[0] == '[' && colon[-1] == ']') {
-		family = AF_INET6;
-		text++;
-		length -= 2;
-	}
-	port = strtoul(colon + 1, &end, 10);
-	if (*end || port > UINT16_MAX || !length ||
-	    length >= sizeof(address->ip))
-		return -1;
-	memcpy(address->ip, text, length);
-	if (inet_pton(family, address->ip, number) != 1) {
-		memset(address, 0, sizeof(*address));
-		return -1;
-	}
-	address->port = (uint16_t)port;
-	return 0;
-}
-
-/*
- * `min` and `max` bound the port: 1 as the least where 0, "any free one",
- * makes no sense.
- */
-static void address_decode(struct rj_schema_check *check,
-			   const struct rj_schema_field *field,
-			   const struct rj_schema_path *path,
-			   const json_t *value, void *out)
-{
-	struct rj_address *address = out;
-	const char *text = json_string_value(value);
-	char shown[RJ_SCHEMA_VALUE_BYTES];
-
-	rj_schema_value(shown, value);
-	if (!text || rj_address_parse(address, text))
-		rj_schema_report(check, path,
-				 "%s is no address; give an IP number and a "
-				 "port, such as 127.0.0.1:7070 or [::1]:7070",
-				 shown);
-	else if (address->port < field->min)
-		rj_schema_report(check, path,
-				 "%s has port 0; give the port of the other "
-				 "side",
-				 shown);
-}
-
-static json_t *address_encode(const struct rj_schema_field *field,
-			      const void *in)
-{
-	const struct rj_address *address = in;
-
-	return json_sprintf(strchr(address->ip, ':') ? "[%s]:%d" : "%s:%d",
-			    address->ip, (int)address->port);
-}
-
-const struct rj_schema_type rj_schema_address = {
-	.name = "an IP number and a port",
-	.decode = address_decode,
-	.fill = zero_fill,
-	.encode = address_encode,
-};
--- a/src/radishjunction/ask.c
+++ b/src/radishjunction/ask.c
@@ -74,6 +74,9 @@
 	{ "peer_address", "Its address for other instances", NULL },
 };
 
+/*
+ * Ask what each worker of the failure domain has.
+ */
 static int ask_worker(struct interview *interview, void *element, bool known)
 {
 	struct rj_domain *domain = element;
@@ -83,6 +86,9 @@
 				&domain->worker, known);
 }
 
+/*
+ * Ask for the guarantees of the client account.
+ */
 static int ask_guarantees(struct interview *interview, void *element,
 			  bool known)
 {
--- a/src/radishjunction/check.c
+++ b/src/radishjunction/check.c
@@ -66,6 +66,9 @@
 	return true;
 }
 
+/*
+ * Check one file, as `sort` or as what its fields tell, and say what it is.
+ */
 static int check(const char *path, const char *sort)
 {
 	void *mem = talloc_new(NULL);
--- a/src/radishjunction/generate.c
+++ b/src/radishjunction/generate.c
@@ -152,6 +152,9 @@
 	return EXIT_DONE;
 }
 
+/*
+ * Read the answers and make what the options ask for.
+ */
 static int generate(const struct generate_options *options)
 {
 	void *mem = talloc_new(NULL);
--- a/src/radishjunction/http.c
+++ b/src/radishjunction/http.c
@@ -1,4 +1,5 @@
 #include "http.h"
+#include "radishjunction/settings.h"
 
 #include <assert.h>
 #include <curl/curl.h>
@@ -36,15 +37,8 @@
 }
 
 /*
- * The address as text, with brackets around an IPv6 number.
+ * The headers of a call, for the caller to free.
  */
-void address_text(char text[RJ_IP_BYTES + 16], const struct rj_address *address)
-{
-	snprintf(text, RJ_IP_BYTES + 16,
-		 strchr(address->ip, ':') ? "[%s]:%u" : "%s:%u", address->ip,
-		 address->port);
-}
-
 static struct curl_slist *make_headers(void *mem, const struct http_call *call)
 {
 	/* Without "Expect:" libcurl waits a second before a long body. */
@@ -88,13 +82,13 @@
 	void *mem = talloc_new(NULL);
 	struct received received = { NULL, 0 };
 	struct curl_slist *headers = make_headers(mem, call);
-	char where[RJ_IP_BYTES + 16];
+	char where[RJ_ADDRESS_BYTES];
 	CURL *easy = curl_easy_init();
 	CURLcode code;
 
 	assert(easy);
 	memset(answer, 0, sizeof(*answer));
-	address_text(where, &call->address);
+	rj_address_format(where, &call->address);
 	curl_easy_setopt(
 		easy, CURLOPT_URL,
 		talloc_asprintf(mem, "http://%s%s", where, call->path));
--- a/src/radishjunction/http.h
+++ b/src/radishjunction/http.h
@@ -36,7 +36,5 @@
 };
 
 void http_call(const struct http_call *call, struct http_answer *answer);
-void address_text(char text[RJ_IP_BYTES + 16],
-		  const struct rj_address *address);
 
 #endif
--- a/src/radishjunction/job.c
+++ b/src/radishjunction/job.c
@@ -3,111 +3,145 @@
  */
 #include <assert.h>
 #include <stdio.h>
+#include <string.h>
 #include <talloc.h>
 
 #include "caller.h"
 #include "command.h"
 #include "words.h"
+#include "radishjunction/settings.h"
 
 /* What differs between them. */
 struct job_verb {
 	const char *name;
-	const char *method;
-	const char *rest; /* of the path, after the id */
-	int (*report)(const struct http_answer *answer);
+	/* Returns an exit code, told. */
+	int (*run)(const struct caller *caller, const char *job);
 };
 
 /*
- * Call about one job and report the answer.
+ * Call one instance about the job; `rest` follows the id in the path. Gives
+ * the answer's JSON in `answer` and returns 0, or an exit code, told.
  */
-static int call_about(const struct job_verb *verb, const char *job,
-		      const struct caller_options *options)
+static int call_about(const struct caller *caller, const char *method,
+		      const char *job, const char *rest,
+		      struct http_answer *answer)
 {
-	void *mem = talloc_new(NULL);
-	struct http_call call = { .method = verb->method };
-	struct http_answer answer;
-	struct caller caller;
-	struct rj_error err;
-	uint64_t id;
+	char *path = talloc_asprintf(NULL, "/v1/jobs/%s%s", job, rest);
+	struct http_call call = { .method = method, .path = path };
 	int code;
 
-	assert(mem);
-	if (caller_load(&caller, mem, options, &err) ||
-	    caller_job_id(job, &id, &err)) {
-		print_error(verb->name, &err);
-		talloc_free(mem);
-		return EXIT_USAGE;
-	}
-	call.path = talloc_asprintf(mem, "/v1/jobs/%s%s", job, verb->rest);
-	code = caller_call(&caller, &call, &answer);
-	if (!code) {
-		code = verb->report(&answer);
-		json_decref(answer.json);
-	}
-	talloc_free(mem);
+	assert(path);
+	code = caller_call(caller, &call, answer);
+	talloc_free(path);
 	return code;
 }
 
+/*
+ * Parse the arguments of a subcommand about one job, and run it.
+ */
 static int run_verb(const struct job_verb *verb, int argc, char **argv)
 {
 	struct arg_str *job = arg_str1(NULL, NULL, "JOB",
 				       "id of the job, as its answer gave it");
-	struct caller_options caller;
+	struct caller_options own;
 	struct options options;
 	struct options_result result;
+	struct caller caller;
+	struct rj_error err;
+	void *mem = talloc_new(NULL);
+	uint64_t id;
 
-	caller_options(&caller);
+	assert(mem);
+	caller_options(&own);
 	options_init(&options);
 	void *table[] = {
-		job,	       caller.targets.instances, caller.targets.answers,
-		caller.tokens, caller.account,		 caller.timeout_s,
-		options.help,  options.version,		 options.end
+		job,	      own.targets.instances, own.targets.answers,
+		own.tokens,   own.account,	     own.timeout_s,
+		options.help, options.version,	     options.end
 	};
 	result = options_parse(&options, command_find(verb->name), argc, argv,
 			       table);
-	if (result.go_on)
-		result.exit_code = call_about(verb, job->sval[0], &caller);
+	if (result.go_on && (caller_load(&caller, mem, &own, &err) ||
+			     caller_job_id(job->sval[0], &id, &err))) {
+		print_error(verb->name, &err);
+		result.exit_code = EXIT_USAGE;
+	} else if (result.go_on) {
+		result.exit_code = verb->run(&caller, job->sval[0]);
+	}
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	talloc_free(mem);
 	return result.exit_code;
 }
 
+/*
+ * Wait for the job's end and report its answer.
+ */
+static int wait_for_job(const struct caller *caller, const char *job)
+{
+	struct http_answer answer;
+	int code = call_about(caller, "GET", job, "?wait=1", &answer);
+
+	if (code)
+		return code;
+	code = caller_report(&answer);
+	json_decref(answer.json);
+	return code;
+}
+
 /*
  * `radishjunction wait`: the answer of a job, when it has ended.
  */
 int command_wait(int argc, char **argv)
 {
-	static const struct job_verb verb = { "wait", "GET", "?wait=1",
-					      caller_report };
+	static const struct job_verb verb = { "wait", wait_for_job };
 
 	return run_verb(&verb, argc, argv);
 }
 
+/*
+ * Cancel the job and report what became of it: that it was cancelled is what
+ * was asked for.
+ */
+static int cancel_job(const struct caller *caller, const char *job)
+{
+	struct http_answer answer;
+	const char *reason;
+	int code = call_about(caller, "DELETE", job, "", &answer);
+
+	if (code)
+		return code;
+	code = caller_report(&answer);
+	reason = json_string_value(json_object_get(answer.json, "reason"));
+	if (reason && !strcmp(reason, rj_reason_string[RJ_REASON_CANCELLED]))
+		code = EXIT_DONE;
+	json_decref(answer.json);
+	return code;
+}
+
 /*
  * `radishjunction cancel`: end a job without (more) running of it.
  */
 int command_cancel(int argc, char **argv)
 {
-	static const struct job_verb verb = { "cancel", "DELETE", "",
-					      caller_report };
+	static const struct job_verb verb = { "cancel", cancel_job };
 
 	return run_verb(&verb, argc, argv);
 }
 
 /*
- * Tell every decision in words, with its time after the first.
+ * Tell the decisions of one instance in words, each with its time after the
+ * first; clocks of two instances cannot be compared.
  */
-static int report_decisions(const struct http_answer *answer)
+static void print_decisions(const struct rj_address *address,
+			    const json_t *list)
 {
-	const json_t *list = answer->json;
+	char where[RJ_ADDRESS_BYTES];
 	json_int_t first_us = 0;
 	json_t *entry;
 	size_t i;
 
-	if (!json_is_array(list))
-		return caller_report(answer);
-	if (!json_array_size(list))
-		printf("no decision is remembered here; ask the instance that "
-		       "plans the job\n");
+	rj_address_format(where, address);
+	printf("at %s\n", where);
 	json_array_foreach(list, i, entry)
 	{
 		json_int_t at_us =
@@ -115,10 +149,43 @@
 
 		if (!i)
 			first_us = at_us;
-		printf("%+8.3f s  ", (double)(at_us - first_us) / 1e6);
+		printf("%+10.3f s  ", (double)(at_us - first_us) / 1e6);
 		print_decision(stdout, entry);
 	}
-	return EXIT_DONE;
+}
+
+/*
+ * Ask every instance what it decided about the job: a job that was handed on
+ * has a part of its story at each.
+ */
+static int explain_job(const struct caller *caller, const char *job)
+{
+	uint32_t told = 0;
+	uint32_t answered = 0;
+
+	for (uint32_t i = 0; i < caller->targets.count; i++) {
+		struct caller one = *caller;
+		struct http_answer answer;
+
+		one.targets.instances = &caller->targets.instances[i];
+		one.targets.count = 1;
+		if (call_about(&one, "GET", job, "/explain", &answer))
+			continue;
+		answered++;
+		if (json_array_size(answer.json)) {
+			print_decisions(one.targets.instances, answer.json);
+			told++;
+		}
+		json_decref(answer.json);
+	}
+	if (!answered)
+		return EXIT_UNREACHABLE;
+	if (!told)
+		fprintf(stderr,
+			"radishjunction explain: no instance that was asked "
+			"remembers this job of this account; check the id, "
+			"the token and --instances\n");
+	return told ? EXIT_DONE : EXIT_REFUSED;
 }
 
 /*
@@ -126,8 +193,7 @@
  */
 int command_explain(int argc, char **argv)
 {
-	static const struct job_verb verb = { "explain", "GET", "/explain",
-					      report_decisions };
+	static const struct job_verb verb = { "explain", explain_job };
 
 	return run_verb(&verb, argc, argv);
 }
--- a/src/radishjunction/main.c
+++ b/src/radishjunction/main.c
@@ -52,6 +52,9 @@
 		"3 unreachable, 4 unknown (ask again), 5 not at its end yet.\n");
 }
 
+/*
+ * Find the subcommand, start the libraries it may need, and run it.
+ */
 int main(int argc, char **argv)
 {
 	const struct command *command;
--- a/src/radishjunction/picture.c
+++ b/src/radishjunction/picture.c
@@ -1,13 +1,19 @@
 #include "picture.h"
 
 #include <inttypes.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "http.h"
+#include "radishjunction/peer_message.h"
+#include "radishjunction/settings.h"
 
 /* Wider workers are drawn as numbers. */
 #define BAR_ACCELERATORS_MAX 16
 
+/*
+ * A text of a status, or "?" when it is missing.
+ */
 static const char *text_of(const json_t *object, const char *name)
 {
 	const char *text = json_string_value(json_object_get(object, name));
@@ -15,11 +21,17 @@
 	return text ? text : "?";
 }
 
+/*
+ * A number of a status, 0 when it is missing.
+ */
 static json_int_t number_of(const json_t *object, const char *name)
 {
 	return json_integer_value(json_object_get(object, name));
 }
 
+/*
+ * Whether a flag of a status is true.
+ */
 static bool is_set(const json_t *object, const char *name)
 {
 	return json_is_true(json_object_get(object, name));
@@ -53,12 +65,12 @@
 		"state");
 	for (uint32_t i = 0; i < targets->count; i++) {
 		const json_t *status = statuses[i].json;
-		char where[RJ_IP_BYTES + 16];
+		char where[RJ_ADDRESS_BYTES];
 		uint32_t alive;
 		uint32_t all;
 
 		if (!status) {
-			address_text(where, &targets->instances[i]);
+			rj_address_format(where, &targets->instances[i]);
 			fprintf(out, "%-16s no answer: %s\n", where,
 				statuses[i].detail);
 			continue;
@@ -81,32 +93,30 @@
 }
 
 /*
- * Whether `view` is the one to draw a worker from: an owner's if there is
- * one, else the first that knows the worker.
+ * By each worker's name, what the instance says of it that is to be drawn: an
+ * owner's view if there is one, else the first. A new reference.
  */
-static bool draws_worker(const struct instance_status *statuses, uint32_t count,
-			 uint32_t view, const json_t *worker)
+static json_t *choose_views(const struct instance_status *statuses,
+			    uint32_t count)
 {
-	uint32_t first = UINT32_MAX;
+	json_t *views = json_object();
 
 	for (uint32_t i = 0; i < count; i++) {
 		const json_t *list =
 			json_object_get(statuses[i].json, "workers");
-		json_t *other;
+		json_t *worker;
 		size_t j;
 
-		json_array_foreach(list, j, other)
+		json_array_foreach(list, j, worker)
 		{
-			if (strcmp(text_of(other, "name"),
-				   text_of(worker, "name")) != 0)
-				continue;
-			if (is_set(other, "owned"))
-				return i == view;
-			if (first == UINT32_MAX)
-				first = i;
+			const char *name = text_of(worker, "name");
+
+			if (is_set(worker, "owned") ||
+			    !json_object_get(views, name))
+				json_object_set(views, name, worker);
 		}
 	}
-	return first == view;
+	return views;
 }
 
 /*
@@ -139,13 +149,26 @@
 }
 
 /*
- * The workers of one rack of one failure domain; the rack's line stands
- * before the first. Returns whether there was any.
+ * By name, as `qsort` wants it.
  */
-static bool print_rack(FILE *out, const struct instance_status *statuses,
-		       uint32_t count, const char *domain, json_int_t rack)
+static int compare_workers(const void *first, const void *second)
 {
-	bool any = false;
+	const json_t *const *a = first;
+	const json_t *const *b = second;
+
+	return strcmp(text_of(*a, "name"), text_of(*b, "name"));
+}
+
+/*
+ * Print the workers of one rack of one failure domain by name, after a line
+ * for the rack if there is any.
+ */
+static void print_rack(FILE *out, const struct instance_status *statuses,
+		       uint32_t count, const json_t *views, const char *domain,
+		       json_int_t rack)
+{
+	const json_t *workers[RJ_RACK_WORKERS_MAX];
+	uint32_t found = 0;
 
 	for (uint32_t i = 0; i < count; i++) {
 		const json_t *list =
@@ -157,18 +180,18 @@
 			continue;
 		json_array_foreach(list, j, worker)
 		{
-			if (number_of(worker, "rack") != rack ||
-			    !draws_worker(statuses, count, i, worker))
-				continue;
-			if (!any)
-				fprintf(out,
-					"  rack %" JSON_INTEGER_FORMAT "\n",
-					rack);
-			any = true;
-			print_worker(out, worker);
+			if (number_of(worker, "rack") == rack &&
+			    found < RJ_RACK_WORKERS_MAX &&
+			    json_object_get(views, text_of(worker, "name")) ==
+				    worker)
+				workers[found++] = worker;
 		}
 	}
-	return any;
+	if (found)
+		fprintf(out, "  rack %" JSON_INTEGER_FORMAT "\n", rack);
+	qsort(workers, found, sizeof(workers[0]), compare_workers);
+	for (uint32_t i = 0; i < found; i++)
+		print_worker(out, workers[i]);
 }
 
 /*
@@ -195,6 +218,9 @@
 	return last;
 }
 
+/*
+ * A line for each guarantee in the failure domain of an instance.
+ */
 static void print_guarantees(FILE *out, const json_t *status)
 {
 	json_t *guarantee;
@@ -218,7 +244,7 @@
  * One failure domain, drawn when its first instance comes up.
  */
 static void print_domain(FILE *out, const struct instance_status *statuses,
-			 uint32_t count, uint32_t first)
+			 uint32_t count, const json_t *views, uint32_t first)
 {
 	const char *domain = text_of(statuses[first].json, "domain");
 	json_int_t racks = last_rack(statuses, count, domain);
@@ -226,7 +252,7 @@
 	fprintf(out, "\n%s\n", domain);
 	print_guarantees(out, statuses[first].json);
 	for (json_int_t rack = 0; rack <= racks; rack++)
-		print_rack(out, statuses, count, domain, rack);
+		print_rack(out, statuses, count, views, domain, rack);
 }
 
 /*
@@ -235,6 +261,8 @@
 void picture_print(FILE *out, const struct targets *targets,
 		   const struct instance_status *statuses)
 {
+	json_t *views = choose_views(statuses, targets->count);
+
 	print_instances(out, targets, statuses);
 	for (uint32_t i = 0; i < targets->count; i++) {
 		bool first = statuses[i].json != NULL;
@@ -245,6 +273,7 @@
 				       text_of(statuses[i].json, "domain")) !=
 					0;
 		if (first)
-			print_domain(out, statuses, targets->count, i);
+			print_domain(out, statuses, targets->count, views, i);
 	}
+	json_decref(views);
 }
--- a/src/radishjunction/publish.c
+++ b/src/radishjunction/publish.c
@@ -29,6 +29,9 @@
 	struct timespec deadline;
 };
 
+/*
+ * Whether the time to wait is over.
+ */
 static bool is_past(const struct timespec *deadline)
 {
 	struct timespec now;
@@ -39,6 +42,9 @@
 		now.tv_nsec >= deadline->tv_nsec);
 }
 
+/*
+ * Leave the platform and the instances alone for a moment.
+ */
 static void pause_between_polls(void)
 {
 	struct timespec pause = { 0, POLL_MS * 1000000L };
@@ -175,11 +181,11 @@
 	printf("in force at %u of %u", done, own->targets.count);
 	for (uint32_t i = 0; i < own->targets.count; i++) {
 		const struct instance_status *status = &own->statuses[i];
-		char where[RJ_IP_BYTES + 16];
+		char where[RJ_ADDRESS_BYTES];
 
 		if (in_force(own, status))
 			continue;
-		address_text(where, &own->targets.instances[i]);
+		rj_address_format(where, &own->targets.instances[i]);
 		if (status->json)
 			printf("; not yet at %s (revision %" PRIu64 ")", where,
 			       instance_revision(status));
@@ -220,6 +226,9 @@
 	}
 }
 
+/*
+ * Append, find out what became of it, and wait until it is in force.
+ */
 static int publish(struct publication *own)
 {
 	enum http_outcome outcome;
@@ -284,6 +293,9 @@
 	struct arg_lit *restart;
 };
 
+/*
+ * Read the options, then publish.
+ */
 static int run(const struct publish_options *options)
 {
 	struct publication own = { .restart = options->restart->count > 0 };
--- a/src/radishjunction/status.c
+++ b/src/radishjunction/status.c
@@ -8,6 +8,7 @@
 #include "http.h"
 #include "instances.h"
 #include "picture.h"
+#include "radishjunction/settings.h"
 
 /*
  * Print all answers as one JSON object by address; null for no answer.
@@ -18,9 +19,9 @@
 	json_t *object = json_object();
 
 	for (uint32_t i = 0; i < targets->count; i++) {
-		char where[RJ_IP_BYTES + 16];
+		char where[RJ_ADDRESS_BYTES];
 
-		address_text(where, &targets->instances[i]);
+		rj_address_format(where, &targets->instances[i]);
 		json_object_set_new(object, where,
 				    statuses[i].json ?
 					    json_incref(statuses[i].json) :
--- a/src/radishjunction/submit.c
+++ b/src/radishjunction/submit.c
@@ -22,6 +22,9 @@
 	struct arg_lit *no_wait;
 };
 
+/*
+ * Make the options; `command_submit` puts all of them into its table.
+ */
 static void make_options(struct submit_options *options)
 {
 	caller_options(&options->caller);
@@ -45,6 +48,9 @@
 		arg_lit0(NULL, "no-wait", "be content with `accepted`");
 }
 
+/*
+ * Set a field from an option if that was given.
+ */
 static void set_number(json_t *json, const char *name,
 		       const struct arg_int *option)
 {
@@ -100,6 +106,9 @@
 	return text;
 }
 
+/*
+ * Send the job and report its answer.
+ */
 static int submit(const struct submit_options *options)
 {
 	void *mem = talloc_new(NULL);
--- a/src/radishjunction/targets.c
+++ b/src/radishjunction/targets.c
@@ -21,6 +21,9 @@
 	assert(options->instances && options->answers);
 }
 
+/*
+ * Add one address to the list.
+ */
 static void add_instance(struct targets *targets, void *mem,
 			 const struct rj_address *address)
 {
@@ -57,6 +60,9 @@
 	return 0;
 }
 
+/*
+ * Take the platform and every instance from answers.
+ */
 static int load_answers(struct targets *targets, void *mem, const char *path,
 			struct rj_error *err)
 {
--- a/src/radishjunction/words.c
+++ b/src/radishjunction/words.c
@@ -5,21 +5,27 @@
 #include "radishjunction/action.h"
 #include "radishjunction/types.h"
 
-static const char *const event_words[RJ_LOG_EVENT_COUNT] = {
-	[RJ_LOG_ADMIT] = "admitted",
-	[RJ_LOG_REFUSE] = "refused",
-	[RJ_LOG_ROUTE] = "handed to",
-	[RJ_LOG_PLACE] = "placed on",
-	[RJ_LOG_CLAIM] = "claimed in the log for",
-	[RJ_LOG_START] = "started on",
-	[RJ_LOG_RETRY] = "tried again",
-	[RJ_LOG_RECLAIM] = "gave its place back on",
-	[RJ_LOG_ADOPT] = "taken over from",
-	[RJ_LOG_VOID] = "its claim made void",
-	[RJ_LOG_END] = "ended",
-	[RJ_LOG_CONFIG] = "configuration judged",
-	[RJ_LOG_LEAVING] = "no new work for the leaving",
-	[RJ_LOG_DRAIN] = "handed on, for this instance stops:",
+/* What happened, without a target and before its name. */
+static const struct {
+	const char *alone;
+	const char *with_target;
+} event_words[RJ_LOG_EVENT_COUNT] = {
+	[RJ_LOG_ADMIT] = { "admitted", "admitted from" },
+	[RJ_LOG_REFUSE] = { "refused", "refused by" },
+	[RJ_LOG_ROUTE] = { "handed on", "handed to" },
+	[RJ_LOG_PLACE] = { "placed", "placed on" },
+	[RJ_LOG_CLAIM] = { "claimed in the log", "claimed in the log for" },
+	[RJ_LOG_START] = { "started", "started on" },
+	[RJ_LOG_RETRY] = { "to be tried again", "to be tried again after" },
+	[RJ_LOG_RECLAIM] = { "gave its place back", "gave its place back on" },
+	[RJ_LOG_ADOPT] = { "taken over", "taken over from" },
+	[RJ_LOG_VOID] = { "its claim made void", "its claim made void for" },
+	[RJ_LOG_END] = { "ended", "ended at" },
+	[RJ_LOG_CONFIG] = { "configuration judged", "configuration from" },
+	[RJ_LOG_LEAVING] = { "no new work for a leaving worker",
+			     "no new work for the leaving" },
+	[RJ_LOG_DRAIN] = { "handed on before a stop",
+			   "handed on before a stop to" },
 };
 
 /* What a reason means, and what a caller or an operator can do. */
@@ -127,6 +133,9 @@
 	return i;
 }
 
+/*
+ * A text of a decision, or "" when it is missing.
+ */
 static const char *text_of(const json_t *object, const char *name)
 {
 	const char *text = json_string_value(json_object_get(object, name));
@@ -151,9 +160,12 @@
 		find_word(rj_decision_event_string, RJ_LOG_EVENT_COUNT, event);
 	uint32_t why_index = find_word(rj_reason_string, RJ_REASON_COUNT, why);
 
-	fputs(event_index < RJ_LOG_EVENT_COUNT ? event_words[event_index] :
-						 event,
-	      out);
+	if (event_index == RJ_LOG_EVENT_COUNT)
+		fputs(event, out);
+	else if (target[0])
+		fputs(event_words[event_index].with_target, out);
+	else
+		fputs(event_words[event_index].alone, out);
 	if (target[0])
 		fprintf(out, " %s", target);
 	if (why_index != RJ_REASON_NONE)
