bench: small requests through one daemon; a refused connect is seen at once

Cause: nothing measured the whole path. The first trial of the bench showed that a refused connect took 200 ms to be told: tevent tells errors only to those who wait to read, and libcurl waits to write while it connects. Change: rj-bench path, with a load generator of its own (closed loop, or at a rate by a timerfd, counted from when a request was due); the HTTP client watches for reads wherever it waits to write.

--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -14,5 +14,6 @@
 
 int bench_policy(int argc, char **argv);
 int bench_faults(int argc, char **argv);
+int bench_path(int argc, char **argv);
 
 #endif
--- /dev/null
+++ b/src/bench/load.c
@@ -0,0 +1,185 @@
+#include "load.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/timerfd.h>
+#include <talloc.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "private/clock.h"
+
+#define ANSWER_MAX_BYTES (1024UL * 1024)
+
+/* One request; owned by the client. */
+struct shot {
+	struct load *load;
+	uint64_t due_us; /* when it should have been sent */
+};
+
+static void send_due(struct load *load);
+
+/* Count an answer and send what it made room for. */
+static void shot_done(void *private_data, const struct rj_http_result *result)
+{
+	const struct shot *shot = private_data;
+	struct load *load = shot->load;
+	uint64_t now_us = rj_clock_now_us();
+
+	load->took_us[load->ended++] = (uint32_t)(now_us - shot->due_us);
+	load->ended_us = now_us;
+	if (result->outcome != RJ_HTTP_ANSWERED ||
+	    !load->options.check(load, result->body))
+		load->wrong++;
+	send_due(load);
+}
+
+static void shoot(struct load *load, uint64_t due_us)
+{
+	struct shot *shot = talloc_zero(NULL, struct shot);
+	struct rj_http_send send = {
+		.method = "POST",
+		.timeout_us = load->options.timeout_us,
+		.answer_max_bytes = ANSWER_MAX_BYTES,
+		.done = shot_done,
+		.private_data = shot,
+	};
+
+	assert(shot);
+	shot->load = load;
+	shot->due_us = due_us;
+	load->options.make(load, shot, load->sent++, &send);
+	rj_http_client_send(&load->client, &send);
+}
+
+/* When the request after those sent is due at the rate. */
+static uint64_t next_due_us(const struct load *load)
+{
+	return load->began_us +
+	       (uint64_t)load->sent * RJ_US_PER_S / load->options.rate;
+}
+
+/*
+ * Send all that is due. At a rate a request counts from when it was due, so
+ * that a stall shows in all that it held up.
+ */
+static void send_due(struct load *load)
+{
+	uint64_t now_us = rj_clock_now_us();
+
+	while (load->sent < load->options.count &&
+	       load->sent - load->ended < load->options.concurrency) {
+		uint64_t due_us =
+			load->options.rate ? next_due_us(load) : now_us;
+
+		if (due_us > now_us)
+			return;
+		shoot(load, due_us);
+	}
+}
+
+/* The clock of a load with a rate has ticked. */
+static void ticked(struct tevent_context *ev, struct tevent_fd *fde,
+		   uint16_t flags, void *private_data)
+{
+	uint64_t ticks;
+
+	if (read((int)tevent_fd_get_tag(fde), &ticks, sizeof(ticks)) ==
+	    (ssize_t)sizeof(ticks))
+		send_due(private_data);
+}
+
+/*
+ * Tick at the load's rate. A timer of the event loop is up to a millisecond
+ * late, which would hide what is measured.
+ */
+static int start_clock(struct load *load)
+{
+	long interval_ns = 1000000000L / (long)load->options.rate;
+	struct itimerspec spec = { { 0, interval_ns }, { 0, interval_ns } };
+	int fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+	struct tevent_fd *fde;
+
+	if (fd < 0)
+		return -1;
+	if (timerfd_settime(fd, 0, &spec, NULL)) {
+		close(fd);
+		return -1;
+	}
+	fde = tevent_add_fd(load->ev, load->mem, fd, TEVENT_FD_READ, ticked,
+			    load);
+	assert(fde);
+	tevent_fd_set_tag(fde, (uint64_t)fd);
+	tevent_fd_set_auto_close(fde);
+	return 0;
+}
+
+static int compare_u32(const void *a, const void *b)
+{
+	uint32_t one = *(const uint32_t *)a;
+	uint32_t two = *(const uint32_t *)b;
+
+	return one < two ? -1 : one > two;
+}
+
+/*
+ * Send all requests and wait for all answers. Returns 0, or -1 when libcurl
+ * or the clock does not start.
+ */
+int load_run(struct load *load, const struct load_options *options)
+{
+	memset(load, 0, sizeof(*load));
+	load->options = *options;
+	load->ev = tevent_context_init(NULL);
+	load->mem = talloc_named_const(load->ev, 0, "load");
+	load->took_us = talloc_array(load->mem, uint32_t, options->count);
+	assert(load->ev && load->mem && load->took_us);
+	if (rj_http_client_init(&load->client, load->mem, load->ev, NULL,
+				options->concurrency, NULL)) {
+		TALLOC_FREE(load->ev);
+		return -1;
+	}
+	if (options->rate && start_clock(load)) {
+		load_finish(load);
+		return -1;
+	}
+	if (options->header)
+		rj_http_client_add_header(&load->client, options->header);
+	load->began_us = rj_clock_now_us();
+	if (!options->rate)
+		send_due(load);
+	while (load->ended < options->count)
+		tevent_loop_once(load->ev);
+	qsort(load->took_us, load->ended, sizeof(*load->took_us), compare_u32);
+	return 0;
+}
+
+/*
+ * The time within which `per_mille` of a thousand requests were answered.
+ */
+uint32_t load_percentile_us(const struct load *load, uint32_t per_mille)
+{
+	uint64_t index = (uint64_t)load->ended * per_mille / 1000;
+
+	assert(load->ended);
+	return load->took_us[index < load->ended ? index : load->ended - 1];
+}
+
+/*
+ * Answers a second, from the first request to the last answer.
+ */
+double load_per_second(const struct load *load)
+{
+	return (double)load->ended * (double)RJ_US_PER_S /
+	       (double)(load->ended_us - load->began_us);
+}
+
+/*
+ * Close the connections and free all.
+ */
+void load_finish(struct load *load)
+{
+	rj_http_client_finish(&load->client);
+	TALLOC_FREE(load->ev);
+}
--- /dev/null
+++ b/src/bench/load.h
@@ -0,0 +1,46 @@
+/*
+ * A stream of equal requests over HTTP, and how long each took.
+ *
+ * Life cycle: fill the options, `load_run` until all have ended, read the
+ * counts and `load_percentile_us`, then `load_finish`.
+ */
+#ifndef BENCH_LOAD_H
+#define BENCH_LOAD_H
+
+#include "private/http_client.h"
+
+struct load;
+
+struct load_options {
+	/* The URL and body of request `index`, as talloc children of `mem`. */
+	void (*make)(const struct load *load, void *mem, uint32_t index,
+		     struct rj_http_send *send);
+	/* Whether the answer is the one that was wanted. */
+	bool (*check)(const struct load *load, const char *answer);
+	const void *data; /* for these two */
+	const char *header; /* sent with each, or NULL */
+	uint32_t count;
+	uint32_t concurrency; /* open at once, at most */
+	uint32_t rate; /* from 2 a second; 0: as fast as answers come */
+	uint64_t timeout_us;
+};
+
+struct load {
+	struct load_options options;
+	void *mem;
+	struct tevent_context *ev;
+	struct rj_http_client client;
+	uint32_t sent;
+	uint32_t ended;
+	uint32_t wrong; /* without the answer that was wanted */
+	uint64_t began_us;
+	uint64_t ended_us;
+	uint32_t *took_us; /* sorted once all have ended */
+};
+
+int load_run(struct load *load, const struct load_options *options);
+uint32_t load_percentile_us(const struct load *load, uint32_t per_mille);
+double load_per_second(const struct load *load);
+void load_finish(struct load *load);
+
+#endif
--- a/src/bench/main.c
+++ b/src/bench/main.c
@@ -6,6 +6,8 @@
 static const struct bench_command commands[] = {
 	{ "policy", "completion, fragmentation and reclaim", bench_policy },
 	{ "faults", "run seeded faults and judge every promise", bench_faults },
+	{ "path", "small requests through a daemon, and added latency",
+	  bench_path },
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
--- /dev/null
+++ b/src/bench/path.c
@@ -0,0 +1,367 @@
+#include <argtable2.h>
+#include <assert.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "bench.h"
+#include "load.h"
+#include "private/worker_wire.h"
+#include "radishjunction/settings.h"
+
+#define ARG_ERRORS_MAX 10
+#define TIMEOUT_US (30 * RJ_US_PER_S)
+#define LEASE_LIFE_US (30 * RJ_US_PER_S)
+/* Half of the load that one instance is to carry. */
+#define HALF_LOAD_PER_S 2500
+/* Held open long enough to read the daemon's memory. */
+#define HELD_RUN_MS 3000
+#define SMALL_BODY "{\"run_ms\":0,\"echo\":\"preview\"}"
+
+/* What is measured, and against what. */
+struct path {
+	struct rj_address daemon;
+	struct rj_address *workers; /* of the same rack */
+	char (*names)[RJ_NAME_BYTES];
+	uint32_t worker_count;
+	const char *header; /* the account's token */
+	const char *class_name;
+	int pid; /* of the daemon */
+	uint32_t count;
+	uint32_t concurrency;
+	uint64_t run_us; /* of this run: keeps job ids apart */
+};
+
+/* A small job, submitted by a caller that waits for its answer. */
+static void make_submit(const struct load *load, void *mem, uint32_t index,
+			struct rj_http_send *send)
+{
+	const struct path *path = load->options.data;
+
+	send->url = rj_http_url(mem, &path->daemon, "/v1/jobs");
+	send->body = talloc_asprintf(mem, "{\"class\":\"%s\",\"body\":%s}",
+				     path->class_name, SMALL_BODY);
+	send->length = strlen(send->body);
+}
+
+static bool check_submit(const struct load *load, const char *answer)
+{
+	return strstr(answer, "\"done\"") && strstr(answer, "preview");
+}
+
+/* The same job, run by a worker that is called directly. */
+static void make_run(const struct load *load, void *mem, uint32_t index,
+		     struct rj_http_send *send)
+{
+	const struct path *path = load->options.data;
+	uint32_t worker = index % path->worker_count;
+	struct rj_worker_call call = {
+		.call_id = index,
+		.op = RJ_WORKER_RUN,
+		.holder = path->run_us,
+		.attempt = { index, path->run_us, 1 },
+		.gang = 1,
+		.each = { .slots = 1, .cores = 1 },
+		.life_us = LEASE_LIFE_US,
+		.throttle_percent = 100,
+	};
+
+	call.body.data = (const uint8_t *)SMALL_BODY;
+	call.body.length = sizeof(SMALL_BODY) - 1;
+	memcpy(call.worker, path->names[worker], sizeof(call.worker));
+	send->url = rj_http_url(mem, &path->workers[worker], "/v1/run");
+	send->body = rj_worker_wire_encode_call(mem, &call);
+	send->length = strlen(send->body);
+}
+
+static bool check_run(const struct load *load, const char *answer)
+{
+	return strstr(answer, "\"done\"");
+}
+
+/* Resident memory of a process in bytes, or 0. */
+static uint64_t resident_bytes(int pid)
+{
+	char name[32];
+	char line[128];
+	uint64_t kib = 0;
+	FILE *file;
+
+	snprintf(name, sizeof(name), "/proc/%d/status", pid);
+	file = fopen(name, "r");
+	if (!file)
+		return 0;
+	while (fgets(line, sizeof(line), file))
+		if (sscanf(line, "VmRSS: %" SCNu64, &kib) == 1)
+			break;
+	(void)fclose(file);
+	return kib * 1024;
+}
+
+/* Print one measure; takes over `values`. */
+static void print_measure(const char *measure, json_t *values)
+{
+	json_t *line =
+		json_pack("{s:s, s:s}", "bench", "path", "measure", measure);
+	char *text;
+
+	json_object_update(line, values);
+	json_decref(values);
+	text = json_dumps(line, JSON_COMPACT);
+	json_decref(line);
+	assert(text);
+	puts(text);
+	(void)fflush(stdout);
+	free(text);
+}
+
+static json_t *load_values(const struct load *load)
+{
+	return json_pack("{s:i, s:i, s:i, s:f, s:i, s:i, s:i}", "requests",
+			 (int)load->ended, "concurrency",
+			 (int)load->options.concurrency, "wrong",
+			 (int)load->wrong, "per_s", load_per_second(load),
+			 "p50_us", (int)load_percentile_us(load, 500), "p99_us",
+			 (int)load_percentile_us(load, 990), "max_us",
+			 (int)load_percentile_us(load, 1000));
+}
+
+/* How a request goes: through the daemon, or straight to a worker. */
+struct way {
+	const char *name;
+	void (*make)(const struct load *load, void *mem, uint32_t index,
+		     struct rj_http_send *send);
+	bool (*check)(const struct load *load, const char *answer);
+};
+
+static const struct way through = { "through", make_submit, check_submit };
+static const struct way direct = { "direct", make_run, check_run };
+
+/* Run one load, print it and add its wrong answers to `wrong`. */
+static int measure(struct path *path, const struct way *way, uint32_t rate,
+		   struct load *load, uint32_t *wrong)
+{
+	struct load_options options = {
+		.make = way->make,
+		.check = way->check,
+		.data = path,
+		.header = way == &through ? path->header : NULL,
+		.count = path->count,
+		.concurrency = path->concurrency,
+		.rate = rate,
+		.timeout_us = TIMEOUT_US,
+	};
+	char name[64];
+
+	path->run_us++;
+	if (load_run(load, &options))
+		return -1;
+	*wrong += load->wrong;
+	snprintf(name, sizeof(name), "%s_%s", way->name,
+		 rate ? "at_rate" : "at_most");
+	print_measure(name, load_values(load));
+	return 0;
+}
+
+/* The latency that the daemon adds, both ways at the same rate. */
+static int measure_added(struct path *path, uint32_t rate, uint32_t *wrong)
+{
+	struct load one;
+	struct load two;
+
+	if (measure(path, &direct, rate, &one, wrong))
+		return -1;
+	if (measure(path, &through, rate, &two, wrong)) {
+		load_finish(&one);
+		return -1;
+	}
+	print_measure("added",
+		      json_pack("{s:i, s:i, s:i}", "rate_per_s", (int)rate,
+				"p50_us",
+				(int)load_percentile_us(&two, 500) -
+					(int)load_percentile_us(&one, 500),
+				"p99_us",
+				(int)load_percentile_us(&two, 990) -
+					(int)load_percentile_us(&one, 990)));
+	load_finish(&one);
+	load_finish(&two);
+	return 0;
+}
+
+/* Requests a second, as fast as the answers come. */
+static int measure_most(struct path *path, const struct way *way,
+			uint32_t *wrong)
+{
+	struct load load;
+
+	if (measure(path, way, 0, &load, wrong))
+		return -1;
+	load_finish(&load);
+	return 0;
+}
+
+/* A job that stays open while the memory is read. */
+static void make_held(const struct load *load, void *mem, uint32_t index,
+		      struct rj_http_send *send)
+{
+	const struct path *path = load->options.data;
+
+	send->url = rj_http_url(mem, &path->daemon, "/v1/jobs");
+	send->body = talloc_asprintf(
+		mem, "{\"class\":\"%s\",\"body\":{\"run_ms\":%d}}",
+		path->class_name, HELD_RUN_MS);
+	send->length = strlen(send->body);
+}
+
+/* The memory is read when the first of the held jobs has been answered. */
+static bool check_held(const struct load *load, const char *answer)
+{
+	const struct path *path = load->options.data;
+
+	if (!load->ended)
+		return false;
+	if (load->ended == 1)
+		print_measure("memory_held",
+			      json_pack("{s:I, s:i}", "resident_bytes",
+					(json_int_t)resident_bytes(path->pid),
+					"open_requests",
+					(int)load->options.count));
+	return true;
+}
+
+static int measure_held(struct path *path)
+{
+	struct load_options options = {
+		.make = make_held,
+		.check = check_held,
+		.data = path,
+		.header = path->header,
+		.count = path->concurrency,
+		.concurrency = path->concurrency,
+		.timeout_us = TIMEOUT_US,
+	};
+	struct load load;
+
+	if (load_run(&load, &options))
+		return -1;
+	load_finish(&load);
+	return 0;
+}
+
+/* Read the line that rj-standin workers printed when it was ready. */
+static int read_workers(struct path *path, void *mem, const char *file)
+{
+	json_t *line = json_load_file(file, 0, NULL);
+	const json_t *list = json_object_get(line, "listening");
+	const json_t *item;
+	size_t i;
+
+	path->worker_count = (uint32_t)json_array_size(list);
+	path->workers =
+		talloc_zero_array(mem, struct rj_address, path->worker_count);
+	path->names = talloc_zero_size(mem, path->worker_count * RJ_NAME_BYTES);
+	json_array_foreach(list, i, item)
+	{
+		const char *name;
+		const char *ip;
+		int port;
+
+		if (json_unpack((json_t *)item, "{s:s, s:s, s:i}", "name",
+				&name, "ip", &ip, "port", &port) ||
+		    rj_name_set(path->names[i], name))
+			goto fail;
+		snprintf(path->workers[i].ip, RJ_IP_BYTES, "%s", ip);
+		path->workers[i].port = (uint16_t)port;
+	}
+	json_decref(line);
+	return path->worker_count ? 0 : -1;
+
+fail:
+	json_decref(line);
+	return -1;
+}
+
+/* All measures, the quiet ones first. */
+static int measure_all(struct path *path)
+{
+	uint32_t wrong = 0;
+
+	print_measure("memory_idle",
+		      json_pack("{s:I}", "resident_bytes",
+				(json_int_t)resident_bytes(path->pid)));
+	if (measure_held(path) ||
+	    measure_added(path, HALF_LOAD_PER_S, &wrong) ||
+	    measure_most(path, &direct, &wrong) ||
+	    measure_most(path, &through, &wrong))
+		return EXIT_FAILURE;
+	print_measure("memory_after",
+		      json_pack("{s:I}", "resident_bytes",
+				(json_int_t)resident_bytes(path->pid)));
+	return wrong ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+/*
+ * Small requests through one daemon beside direct calls to its workers.
+ * scripts/bench-path starts these and gives their addresses.
+ */
+int bench_path(int argc, char **argv)
+{
+	struct arg_str *daemon =
+		arg_str1(NULL, "daemon", "IP:PORT", "of its callers");
+	struct arg_int *pid = arg_int1(NULL, "pid", "N", "of the daemon");
+	struct arg_file *workers =
+		arg_file1(NULL, "workers", "FILE", "what rj-standin printed");
+	struct arg_str *token =
+		arg_str1(NULL, "token", "T", "of a client account");
+	struct arg_str *class_name =
+		arg_str1(NULL, "class", "C", "a class that is idempotent");
+	struct arg_int *count =
+		arg_int0(NULL, "count", "N", "requests of each load (20000)");
+	struct arg_int *concurrency =
+		arg_int0(NULL, "concurrency", "N", "open at once (48)");
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
+	struct arg_end *end = arg_end(ARG_ERRORS_MAX);
+	void *table[] = { daemon, pid,	       workers, token, class_name,
+			  count,  concurrency, help,	end };
+	struct path path = { .run_us = 1 };
+	void *mem = talloc_new(NULL);
+	int status = 2;
+	int errors;
+
+	count->ival[0] = 20000;
+	concurrency->ival[0] = 48;
+	errors = arg_parse(argc, argv, table);
+	if (help->count) {
+		printf("usage: rj-bench path");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-24s %s\n");
+		status = EXIT_SUCCESS;
+		goto out;
+	}
+	if (errors) {
+		arg_print_errors(stderr, end, "path");
+		goto out;
+	}
+	if (rj_address_parse(&path.daemon, daemon->sval[0]) ||
+	    read_workers(&path, mem, workers->filename[0]) ||
+	    count->ival[0] <= 0 || concurrency->ival[0] <= 0) {
+		(void)fputs("path: daemon, workers, count or concurrency is "
+			    "wrong; see --help\n",
+			    stderr);
+		goto out;
+	}
+	path.header = talloc_asprintf(mem, "Authorization: Bearer %s",
+				      token->sval[0]);
+	path.class_name = class_name->sval[0];
+	path.pid = pid->ival[0];
+	path.count = (uint32_t)count->ival[0];
+	path.concurrency = (uint32_t)concurrency->ival[0];
+	status = measure_all(&path);
+out:
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	talloc_free(mem);
+	return status;
+}
--- a/src/libradishjunction/http_client.c
+++ b/src/libradishjunction/http_client.c
@@ -131,7 +131,13 @@
 	reap(client);
 }
 
-/* libcurl says which events of a socket it waits for. */
+/*
+ * libcurl says which events of a socket it waits for.
+ *
+ * Guards against a refused connect that is noticed late: tevent tells errors
+ * only to those who wait to read, and libcurl waits to write until it is
+ * connected, so that it would find out by its own timer 200 ms later.
+ */
 static int socket_wanted(CURL *easy, curl_socket_t fd, int what,
 			 void *private_data, void *socket_data)
 {
@@ -147,7 +153,7 @@
 	if (what & CURL_POLL_IN)
 		flags |= TEVENT_FD_READ;
 	if (what & CURL_POLL_OUT)
-		flags |= TEVENT_FD_WRITE;
+		flags |= TEVENT_FD_WRITE | TEVENT_FD_READ;
 	if (fde) {
 		tevent_fd_set_flags(fde, flags);
 		return 0;
@@ -189,6 +195,18 @@
 	return 0;
 }
 
+/*
+ * Send `header`, such as "Name: value", with every request from now on.
+ */
+void rj_http_client_add_header(struct rj_http_client *client,
+			       const char *header)
+{
+	struct curl_slist *headers = curl_slist_append(client->headers, header);
+
+	assert(headers);
+	client->headers = headers;
+}
+
 /*
  * Start a client on `ev` that sends `instance` (if not NULL) as the header
  * X-Instance and keeps at most `host_connections_max` connections to one
@@ -224,7 +242,7 @@
 		char *header =
 			talloc_asprintf(NULL, "X-Instance: %s", instance);
 
-		client->headers = curl_slist_append(client->headers, header);
+		rj_http_client_add_header(client, header);
 		talloc_free(header);
 	}
 	assert(client->headers);
