--- a/src/libradishjunction/core/controllers/report_controller.c
+++ b/src/libradishjunction/core/controllers/report_controller.c
@@ -10,10 +10,23 @@
 
 #define RETRY_DELAY_US (100 * RJ_US_PER_MS)
 
+/*
+ * A worker told how a member is. A gang's member that is held still is
+ * running, too, and has made no progress.
+ */
+void rj_job_note_progress(struct rj_job *job, enum rj_task_state state,
+			  uint64_t ran_us)
+{
+	if (state == RJ_TASK_DONE || state == RJ_TASK_FAILED || ran_us ||
+	    (state == RJ_TASK_RUNNING && job->member_count == 1))
+		job->ran = true;
+}
+
 /* Take what a report says of one task of the job. */
 static void report_task(struct rj_job *job, struct rj_member *member,
 			const struct rj_task_report *task)
 {
+	rj_job_note_progress(job, task->state, task->ran_us);
 	member->ran_us = task->ran_us;
 	if (task->state == RJ_TASK_HELD)
 		return; /* an older picture than the start, or a lost start */
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -220,11 +220,13 @@
 	struct rj_attempt attempt;
 	struct rj_member *members;
 	uint32_t member_count;
+	bool bodiless; /* known from a claim only: cannot be started here */
 	bool planned; /* the planner counts it as waiting or running */
 	bool accepted; /* its accept record is in the log */
 	bool claimed; /* its claim is in the log, and won */
 	bool started; /* a start was sent in this attempt */
 	bool ran_before; /* an earlier attempt had started */
+	bool ran; /* a worker said so: some attempt made progress */
 	bool ran_elsewhere; /* a peer that was lost may have run it */
 	bool cancelled;
 	bool reclaimed; /* being stopped for someone's guarantee */
@@ -417,6 +419,7 @@
 void rj_job_wait(struct rj_job *job, uint64_t request_id, const char *peer,
 		 uint64_t forward_id);
 void rj_job_answer_waiters(struct rj_job *job, const struct rj_answer *answer);
+void rj_job_answer_in_progress(struct rj_job *job, enum rj_reason reason);
 void rj_job_end(struct rj_job *job, const struct rj_answer *answer);
 void rj_job_end_plain(struct rj_job *job, enum rj_answer_kind kind,
 		      enum rj_reason reason, uint64_t retry_after_us);
@@ -506,6 +509,8 @@
 void rj_job_stopped_check(struct rj_job *job);
 
 /* controllers/report_controller.c */
+void rj_job_note_progress(struct rj_job *job, enum rj_task_state state,
+			  uint64_t ran_us);
 void rj_jobs_report(struct rj_core_state *core, struct rj_upstream *upstream,
 		    const struct rj_worker_report *report, uint64_t asked_us);
 void rj_jobs_worker_lost(struct rj_core_state *core,
