--- a/src/libradishjunction/core/topology_reclaim.c
+++ b/src/libradishjunction/core/topology_reclaim.c
@@ -8,12 +8,18 @@
 /* A reclaim that has not freed its shape by the limit and this is given up. */
 #define GRACE_US (200 * RJ_US_PER_MS)
 
+/* Work is small beside a gang that is so many times as large. */
+#define SMALL_PART 2
+
 /* A gang that has waited may cost others so much of its own work. */
 #define WAITED_LOST_PERCENT 5
 
 /* What a checkpoint costs a job, as run time lost. */
 #define CHECKPOINT_COST_US RJ_US_PER_S
 
+/* Urgent work that is lost weighs as so much other work. */
+#define URGENT_WEIGHT 20
+
 /* Urgent work waits this long before it stops what others borrow. */
 #define URGENT_PATIENCE_US RJ_US_PER_S
 
@@ -30,7 +36,7 @@
 
 struct victim {
 	struct rj_plan_entry *entry;
-	double cost; /* lost accelerator time for each accelerator freed */
+	double cost; /* lost accelerator time for each accelerator of use */
 	uint64_t lost;
 	bool chosen;
 };
@@ -50,7 +56,8 @@
 };
 
 /*
- * Accelerator time that is lost if the job is stopped now.
+ * Accelerator time that is lost if the job is stopped now; that of urgent
+ * work weighs more, so that it is stopped last.
  */
 static uint64_t lost_work(const struct rj_plan_entry *entry, uint64_t now_us)
 {
@@ -58,14 +65,38 @@
 
 	if (entry->job.checkpoint)
 		ran_us = MIN(ran_us, CHECKPOINT_COST_US);
+	if (entry->job.priority == RJ_PRIORITY_URGENT)
+		ran_us = (ran_us + RJ_US_PER_S) * URGENT_WEIGHT;
 	/* A task that has just started still costs its start again. */
 	return (ran_us + RJ_US_PER_MS) * rj_topology_size(entry);
 }
 
+/*
+ * Whether the search must leave alone what the reservation keeps. A claim on
+ * a guarantee goes before all but other such claims.
+ */
+static bool respects(const struct search *search,
+		     const struct rj_reservation *reservation)
+{
+	return reservation->firm &&
+	       (search->ground != GROUND_GUARANTEE ||
+		reservation->reason == RJ_REASON_GUARANTEE);
+}
+
+/*
+ * Whether the search must leave alone what others are guaranteed and do not
+ * use. Only work that can be stopped may borrow it, and not on the ground of
+ * a guarantee: two claims then never cross.
+ */
+static bool spares_idle(const struct search *search)
+{
+	return search->ground == GROUND_GUARANTEE ||
+	       !search->entry->job.stoppable;
+}
+
 /*
  * What the job may take of the worker once the chosen victims, and what is
- * being stopped already, are gone: neither what is firmly kept for others
- * nor what others are guaranteed and do not use.
+ * being stopped already, are gone.
  */
 static struct rj_resources room_after(const struct search *search,
 				      const struct rj_capacity_worker *worker)
@@ -85,10 +116,11 @@
 	for (uint32_t i = 0; i < ledger->share_count; i++)
 		rj_resources_add(&room, &ledger->shares[i].evicted, 1);
 	for (uint32_t i = 0; i < ledger->hold_count; i++)
-		if (ledger->holds[i].reservation->firm)
+		if (respects(search, ledger->holds[i].reservation))
 			rj_resources_take_or_zero(&room,
 						  &ledger->holds[i].want);
-	for (uint32_t i = 0; i < ledger->share_count; i++) {
+	for (uint32_t i = 0; spares_idle(search) && i < ledger->share_count;
+	     i++) {
 		const struct rj_worker_share *share = &ledger->shares[i];
 		struct rj_resources used;
 		struct rj_resources idle;
@@ -141,9 +173,9 @@
 	case GROUND_LOAN:
 		return entry->on_loan;
 	case GROUND_WAITED:
-		/* Never another gang of its size: they would take turns. */
+		/* Never another gang: they would take turns. */
 		return job->priority != RJ_PRIORITY_URGENT &&
-		       rj_topology_size(entry) <
+		       rj_topology_size(entry) * SMALL_PART <=
 			       rj_topology_size(search->entry);
 	}
 	return false;
@@ -213,7 +245,8 @@
 }
 
 /*
- * Accelerators of the job that lie within the site.
+ * Accelerators of the job that lie within the site, as far as they are
+ * needed: a gang stopped for a preview frees no more than the preview.
  */
 static uint64_t freed_here(const struct search *search,
 			   const struct rj_plan_entry *entry)
@@ -227,7 +260,8 @@
 		if (worker->ledger->site_stamp == search->state->stamp)
 			tasks += entry->members[i].tasks;
 	}
-	return tasks * MAX(entry->job.shape.each.accelerators, 1);
+	tasks *= MAX(entry->job.shape.each.accelerators, 1);
+	return MIN(tasks, rj_topology_size(search->entry));
 }
 
 /*
@@ -429,6 +463,8 @@
 		return false;
 	if (entry->reservation)
 		rj_topology_unreserve(state, entry->reservation);
+	if (ground == GROUND_GUARANTEE)
+		rj_topology_displace(state, state->members, count, now_us);
 	reservation = rj_topology_reserve(
 		state, entry, state->members, count, true,
 		now_us + state->limits.checkpoint_limit_ms * RJ_US_PER_MS +
@@ -436,7 +472,9 @@
 	reservation->reason = reason_of[ground];
 	if (ground == GROUND_GUARANTEE) {
 		entry->granted = true;
-		entry->account->granted += rj_topology_size(entry);
+		rj_resources_add(&entry->account->granted,
+				 &entry->job.shape.each,
+				 entry->job.shape.tasks);
 	}
 	return true;
 }
@@ -480,13 +518,11 @@
 		      const struct rj_plan_entry *entry, uint64_t now_us)
 {
 	const struct rj_plan_account *account = entry->account;
-	uint64_t fair = state->accelerators * account->share /
-			MAX(state->share_total, 1);
 
 	return entry->job.priority == RJ_PRIORITY_URGENT &&
 	       now_us >= entry->job.queued_us + URGENT_PATIENCE_US &&
 	       account->used + rj_topology_size(entry) <=
-		       account->guaranteed + fair;
+		       account->guaranteed + rj_topology_fair(state, account);
 }
 
 /*
@@ -502,7 +538,7 @@
 		return URGENT_PATIENCE_US;
 	if (rj_topology_size(entry) < state->worker_accelerators)
 		return RJ_NEVER_US;
-	return (GANG_PATIENCE_S + 100 - weight) * RJ_US_PER_S;
+	return (GANG_PATIENCE_S + (100 - weight) / 4) * RJ_US_PER_S;
 }
 
 static bool may_make_way(const struct rj_topology_state *state,
@@ -512,7 +548,7 @@
 
 	return entry->job.priority != RJ_PRIORITY_URGENT &&
 	       patience_us != RJ_NEVER_US &&
-	       now_us >= entry->job.queued_us + patience_us;
+	       now_us >= entry->waiting_since_us + patience_us;
 }
 
 /*
