--- a/src/test_libradishjunction/support/faults.c
+++ b/src/test_libradishjunction/support/faults.c
@@ -711,3 +711,23 @@
 	add_result(world, result);
 	talloc_free(mem);
 }
+
+/*
+ * A world with load and without a fault, to be run by the caller. Nothing is
+ * cancelled, and there is room for all.
+ */
+struct world *faults_quiet_world(void *mem, const struct engine_ops *engine,
+				 uint64_t seed)
+{
+	static const uint8_t light[LOAD_KIND_COUNT] = {
+		[LOAD_PREVIEW] = 4,
+		[LOAD_QUOTE] = 3,
+		[LOAD_QUOTE_DOUBLED] = 2,
+	};
+	struct world *world = make_world(mem, engine, seed, NULL);
+
+	/* What was drawn so far depends on the engine; the callers must not. */
+	world->random = seed;
+	add_load(world, light, CALLERS);
+	return world;
+}
--- a/src/test_libradishjunction/support/faults.h
+++ b/src/test_libradishjunction/support/faults.h
@@ -43,6 +43,8 @@
 void faults_result_finish(struct faults_result *result);
 void faults_run(const struct engine_ops *engine, enum promise promise,
 		uint64_t seed, FILE *transcript, struct faults_result *result);
+struct world *faults_quiet_world(void *mem, const struct engine_ops *engine,
+				 uint64_t seed);
 void faults_served(const struct engine_ops *engine, enum trouble trouble,
 		   uint64_t seed, struct faults_result *result);
 
--- a/src/test_libradishjunction/support/transcript.c
+++ b/src/test_libradishjunction/support/transcript.c
@@ -90,6 +90,51 @@
 	}
 }
 
+static bool message_is_upkeep(const struct rj_peer_message *message)
+{
+	return message->kind == RJ_PEER_HEARTBEAT ||
+	       message->kind == RJ_PEER_SUMMARY;
+}
+
+/*
+ * Whether an event comes by itself and over again, and tells no story.
+ */
+bool transcript_event_is_upkeep(const struct rj_event *event)
+{
+	switch (event->kind) {
+	case RJ_EVENT_TIMER:
+	case RJ_EVENT_INSTANCES:
+		return true;
+	case RJ_EVENT_RECORDS:
+		return !event->u.records.count;
+	case RJ_EVENT_WORKER_REPLY:
+		return event->u.worker_reply.op == RJ_WORKER_REPORT &&
+		       event->u.worker_reply.status == RJ_REPLY_OK;
+	case RJ_EVENT_PEER_MESSAGE:
+		return message_is_upkeep(event->u.peer.message);
+	default:
+		return false;
+	}
+}
+
+/*
+ * Whether an action is done by itself and over again, and tells no story.
+ */
+bool transcript_action_is_upkeep(const struct rj_action *action)
+{
+	switch (action->kind) {
+	case RJ_ACTION_READ:
+	case RJ_ACTION_LIST:
+		return true;
+	case RJ_ACTION_WORKER_CALL:
+		return action->u.worker_call.op == RJ_WORKER_REPORT;
+	case RJ_ACTION_PEER_SEND:
+		return message_is_upkeep(action->u.peer.message);
+	default:
+		return false;
+	}
+}
+
 /*
  * Write one event as a line: `time node < kind ...`.
  */
--- a/src/test_libradishjunction/support/world.c
+++ b/src/test_libradishjunction/support/world.c
@@ -238,7 +238,8 @@
 	bool exits = false;
 
 	event->now_us = world->now_us + node->clock_offset_us;
-	if (world->options.transcript && event->kind != RJ_EVENT_TIMER)
+	if (world->options.transcript && event->kind != RJ_EVENT_TIMER &&
+	    !(world->options.brief && transcript_event_is_upkeep(event)))
 		transcript_event(world->options.transcript, world->now_us,
 				 node->name, event);
 	if (event->kind == RJ_EVENT_REQUEST)
@@ -248,7 +249,9 @@
 	for (uint32_t i = 0; i < node->actions.count; i++) {
 		const struct rj_action *action = &node->actions.list[i];
 
-		if (world->options.transcript)
+		if (world->options.transcript &&
+		    !(world->options.brief &&
+		      transcript_action_is_upkeep(action)))
 			transcript_action(world->options.transcript,
 					  world->now_us, node->name, action);
 		exits |= action->kind == RJ_ACTION_EXIT;
--- a/src/test_libradishjunction/support/world.h
+++ b/src/test_libradishjunction/support/world.h
@@ -164,6 +164,7 @@
 	uint32_t workers_per_rack;
 	uint64_t retention_us; /* 0: WORLD_RETENTION_US */
 	FILE *transcript; /* NULL: none */
+	bool brief; /* the transcript is without upkeep */
 };
 
 struct world {
--- /dev/null
+++ b/src/test_libradishjunction/test_golden.c
@@ -0,0 +1,173 @@
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <talloc.h>
+
+#include "support/world.h"
+
+/* Set, the transcripts are written anew; read the difference before it is
+   committed. */
+#define REWRITE "RJ_GOLDEN_REWRITE"
+
+/* A session: what happens in a small world of one rack and two instances. */
+struct session {
+	const char *name;
+	void (*happens)(struct world *world);
+	uint64_t end_us;
+};
+
+static const struct caller_plan preview = {
+	.class_name = "preview",
+	.account = WORLD_OTHER_ACCOUNT,
+	.tasks = 1,
+	.accelerators = 1,
+	.run_us = 300 * RJ_US_PER_MS,
+	.idempotent = true,
+	.waits = true,
+};
+
+static const struct caller_plan quote = {
+	.class_name = "quote",
+	.account = WORLD_OTHER_ACCOUNT,
+	.key = 1,
+	.tasks = 1,
+	.accelerators = 1,
+	.run_us = 500 * RJ_US_PER_MS,
+	.waits = true,
+};
+
+/* A preview is asked for, run and answered, and the log is not touched. */
+static void idempotent_job(struct world *world)
+{
+	(void)fake_caller_add(world, 3 * RJ_US_PER_S, &preview);
+}
+
+/* A buyer asks for a quote, and asks another instance with the same key. */
+static void repeated_quote(struct world *world)
+{
+	struct caller_plan doubled = quote;
+
+	doubled.doubled = true;
+	(void)fake_caller_add(world, 3 * RJ_US_PER_S, &doubled);
+}
+
+/* A gang on two workers: leases, held starts, then all are let run. */
+static void gang(struct world *world)
+{
+	struct caller_plan plan = preview;
+
+	plan.class_name = "pack";
+	plan.tasks = 2;
+	plan.accelerators = 8;
+	(void)fake_caller_add(world, 3 * RJ_US_PER_S, &plan);
+}
+
+/* The platform is down: a preview is served, a quote is told when to come
+   back, and is priced once the platform is there again. */
+static void platform_outage(struct world *world)
+{
+	world_run_until(world, 3 * RJ_US_PER_S);
+	world->log.down = true;
+	(void)fake_caller_add(world, 3 * RJ_US_PER_S, &preview);
+	(void)fake_caller_add(world, 4 * RJ_US_PER_S, &quote);
+	world_run_until(world, 9 * RJ_US_PER_S);
+	world->log.down = false;
+}
+
+/* An instance is asked to stop while it serves a quote. */
+static void graceful_stop(struct world *world)
+{
+	struct caller_plan plan = quote;
+
+	plan.run_us = 2 * RJ_US_PER_S;
+	(void)fake_caller_add(world, 3 * RJ_US_PER_S, &plan);
+	world_run_until(world, 3500 * RJ_US_PER_MS);
+	for (uint32_t i = 0; i < world->node_count; i++) {
+		const struct fake_caller *caller = world->callers->pdata[0];
+
+		if (caller->node == i)
+			node_stop(world, i);
+	}
+}
+
+/* Two operators publish from the same revision: one wins everywhere. */
+static void config_race(struct world *world)
+{
+	world_run_until(world, 3 * RJ_US_PER_S);
+	fake_log_publish(world, 1, "one", world_config_text(world, world, 1));
+	fake_log_publish(world, 1, "two", world_config_text(world, world, 2));
+	fake_log_publish(world, 2, "bad", "{\"domains\":7}");
+}
+
+static const struct session sessions[] = {
+	{ "idempotent_job", idempotent_job, 5 * RJ_US_PER_S },
+	{ "repeated_quote", repeated_quote, 6 * RJ_US_PER_S },
+	{ "gang", gang, 5 * RJ_US_PER_S },
+	{ "platform_outage", platform_outage, 15 * RJ_US_PER_S },
+	{ "graceful_stop", graceful_stop, 12 * RJ_US_PER_S },
+	{ "config_race", config_race, 5 * RJ_US_PER_S },
+};
+
+/* Play a session; the caller frees the transcript. */
+static char *play(const struct session *session)
+{
+	struct world_options options = {
+		.engine = &engine_core,
+		.seed = 1,
+		.domains = 1,
+		.nodes_per_domain = 2,
+		.racks_per_domain = 1,
+		.workers_per_rack = 4,
+		.brief = true,
+	};
+	void *mem = talloc_new(NULL);
+	struct world *world;
+	char *text = NULL;
+	size_t size = 0;
+
+	options.transcript = open_memstream(&text, &size);
+	g_assert_nonnull(options.transcript);
+	world = world_create(mem, &options);
+	session->happens(world);
+	world_run_until(world, session->end_us);
+	checker_finish_run(&world->checker, world->now_us);
+	g_assert_cmpuint(checker_violations(&world->checker), ==, 0);
+	talloc_free(mem);
+	(void)fclose(options.transcript);
+	return text;
+}
+
+/*
+ * A change that was meant to concern something else alters what an instance
+ * does in an ordinary session.
+ */
+static void test_session_is_as_recorded(gconstpointer data)
+{
+	const struct session *session = data;
+	char *path = g_strdup_printf("%s/src/test_libradishjunction/golden/"
+				     "%s.txt",
+				     RJ_SOURCE_DIR, session->name);
+	char *text = play(session);
+	char *golden = NULL;
+
+	if (g_getenv(REWRITE))
+		g_assert_true(g_file_set_contents(path, text, -1, NULL));
+	g_assert_true(g_file_get_contents(path, &golden, NULL, NULL));
+	g_assert_cmpstr(text, ==, golden);
+	g_free(golden);
+	g_free(path);
+	free(text);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(sessions); i++) {
+		char *path = g_strdup_printf("/golden/%s", sessions[i].name);
+
+		g_test_add_data_func(path, &sessions[i],
+				     test_session_is_as_recorded);
+		g_free(path);
+	}
+	return g_test_run();
+}
