core: a stopping instance without peers serves what it has let in

Excluded: the daemon (the core's own log says draining of each). Change: an instance that stops keeps owning what no peer could take, serves it, and hands it over when a peer comes alive.

--- a/src/libradishjunction/core/controllers/drain_controller.c
+++ b/src/libradishjunction/core/controllers/drain_controller.c
@@ -65,6 +65,24 @@
 	rj_filters_again(job);
 }
 
+/*
+ * Hand every waiting job to a peer. Called when the stop begins, and again
+ * when the view of the peers changes: while none is alive, the jobs are
+ * served here.
+ */
+void rj_drain_hand_over(struct rj_core_state *core)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->jobs.list) {
+		struct rj_job *job = RJ_CONTAINER(at, struct rj_job, link);
+
+		if (job->state == RJ_JOB_QUEUED)
+			hand_over(job);
+	}
+}
+
 /*
  * The process was asked to stop. A second request changes nothing.
  *
@@ -90,9 +108,8 @@
 
 		if (job->accepted)
 			send_waiters_on(job);
-		if (job->state == RJ_JOB_QUEUED)
-			hand_over(job);
 	}
+	rj_drain_hand_over(core);
 }
 
 /* Whether an outcome is still to be read back from the log. */
--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -100,14 +100,15 @@
  * the instances believed alive there and not draining. Nobody votes: two
  * owners for a while cost time, since leases and the log decide. An instance
  * of another failure domain owns nothing, unless nobody of `domain` is
- * alive: then the instances of all domains share its keys.
+ * alive: then the instances of all domains share its keys. An instance that
+ * stops owns only what nobody else could.
  */
 bool rj_membership_owns(const struct rj_core_state *core, const char *domain,
 			uint64_t key)
 {
-	uint64_t own = weight(core->name, key);
+	uint64_t own = core->stopping ? 0 : weight(core->name, key);
 	bool home = !strcmp(domain, core->domain);
-	bool owns = !core->stopping;
+	bool owns = true;
 	struct rj_list *at;
 	struct rj_list *next;
 
@@ -233,6 +234,8 @@
 {
 	core->membership.view_version++;
 	rj_upstreams_ownership(core);
+	if (core->stopping)
+		rj_drain_hand_over(core);
 }
 
 /* A digest of who is alive and not draining, to see a change of it. */
--- a/src/libradishjunction/core/filters/place.c
+++ b/src/libradishjunction/core/filters/place.c
@@ -6,9 +6,7 @@
 
 #include "private/core_state.h"
 
-#define DRAINING_RETRY_US (100 * RJ_US_PER_MS)
-
-/* Serve the job here. */
+/* Serve the job here, also during a stop when no peer could take it. */
 static enum rj_filter_verdict place(struct rj_core_state *core,
 				    struct rj_submission *submission)
 {
@@ -25,9 +23,7 @@
 			"cannot be reached now: wait on the connection, or "
 			"come back");
 	job = rj_filter_job(core, submission);
-	if (core->stopping)
-		rj_job_not_started(job, RJ_REASON_DRAINING, DRAINING_RETRY_US);
-	else if (!submission->spec.wait && !job->accepted)
+	if (!submission->spec.wait && !job->accepted)
 		rj_job_accept(job);
 	else
 		rj_job_submit(job);
--- a/src/libradishjunction/core/filters/route.c
+++ b/src/libradishjunction/core/filters/route.c
@@ -121,8 +121,11 @@
 		bool room;
 
 		if (strcmp(member->domain, core->domain) || member->draining ||
-		    !rj_membership_alive(core, member) ||
-		    member->summaries.next == &member->summaries)
+		    !rj_membership_alive(core, member))
+			continue;
+		/* One without racks is of use only to an instance that stops
+		   or has none either: it is about to own some. */
+		if (!must && member->summaries.next == &member->summaries)
 			continue;
 		room = peer_has_room(member, shape);
 		if (!best || (room && !best_room) ||
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -533,6 +533,7 @@
 /* controllers/drain_controller.c */
 void rj_drain_init(struct rj_core_state *core);
 void rj_drain_stop(struct rj_core_state *core);
+void rj_drain_hand_over(struct rj_core_state *core);
 void rj_drain_check(struct rj_core_state *core);
 
 /* filters/: a request on its way through the chain */
