--- a/src/libradishjunction/core/controllers/log_controller.c
+++ b/src/libradishjunction/core/controllers/log_controller.c
@@ -163,7 +163,7 @@
 {
 	const struct rj_log_stream *stream = &core->streams[RJ_STREAM_JOBS];
 
-	return stream->caught_up && core->platform_up &&
+	return stream->caught_up && core->platform_up && !core->woke_us &&
 	       core->now_us < stream->fresh_us + READ_STALE_US;
 }
 
@@ -221,8 +221,12 @@
 		stream->caught_up = records->next >= records->head;
 		for (uint32_t i = 0; i < records->count; i++)
 			rj_claims_record(core, &records->records[i]);
-		if (stream->caught_up)
+		if (stream->caught_up) {
 			core->jobs.plan_wanted = true;
+			/* An answer from before the pause proves nothing. */
+			if (stream->fresh_us >= core->woke_us)
+				core->woke_us = 0;
+		}
 	}
 	read_on(core, stream);
 }
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -292,6 +292,7 @@
 	uint64_t config_carried_us; /* when it was last appended from here */
 	struct rj_log_stream streams[RJ_STREAM_COUNT];
 	bool platform_up;
+	uint64_t woke_us; /* from a pause; 0 once the log was read since */
 	struct rj_job_ledger ledger;
 	struct rj_membership membership;
 	struct rj_upstreams upstreams;
@@ -362,6 +363,7 @@
 			     const struct rj_peer_heartbeat *heartbeat);
 void rj_membership_summary(struct rj_core_state *core, const char *name,
 			   const struct rj_peer_summary *summary);
+void rj_membership_summaries_again(struct rj_core_state *core);
 void rj_membership_heartbeat_all(struct rj_core_state *core);
 struct rj_member_view *rj_membership_find(struct rj_core_state *core,
 					  const char *name);
@@ -420,6 +422,7 @@
 		 uint64_t forward_id);
 void rj_job_answer_waiters(struct rj_job *job, const struct rj_answer *answer);
 void rj_job_answer_in_progress(struct rj_job *job, enum rj_reason reason);
+bool rj_job_may_tell(const struct rj_job *job);
 void rj_job_end(struct rj_job *job, const struct rj_answer *answer);
 void rj_job_end_plain(struct rj_job *job, enum rj_answer_kind kind,
 		      enum rj_reason reason, uint64_t retry_after_us);
