core: racks have a view of their own, and routing looks at racks

Cause: routing a job with no room nearby looked at every pair of an owned and a known worker (112,000 pairs at 120 owned of 940); the place of a worker in a summary went by the order in which an instance had learnt of workers, which differs between instances. Change: racks_controller.c keeps the racks of the own failure domain with their workers by name, owner and what is free; routing, ownership and summaries go by racks.

--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -337,8 +337,8 @@
 	if (job->cancelled)
 		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
 	else if (rj_membership_owns(core, core->domain,
-				    rj_upstreams_job_key(core, core->domain,
-							 job->spec.job_id)))
+				    rj_racks_job_key(core, core->domain,
+						     job->spec.job_id)))
 		rj_job_submit(job);
 	else
 		rj_job_free(job); /* its owner reads the same record */
--- a/src/libradishjunction/core/controllers/config_controller.c
+++ b/src/libradishjunction/core/controllers/config_controller.c
@@ -24,7 +24,7 @@
 	rj_core_log(core, RJ_LOG_CONFIG, RJ_REASON_NONE, NULL, from);
 	core->planner->ops->configure(core->planner, core->config, core->domain,
 				      core->now_us);
-	rj_upstreams_ownership(core); /* the groups of racks may differ */
+	rj_racks_ownership(core); /* the groups of racks may differ */
 	core->jobs.plan_wanted = true;
 	RJ_FOR_EACH (at, next, &core->membership.members) {
 		const struct rj_member_view *member =
--- a/src/libradishjunction/core/controllers/drain_controller.c
+++ b/src/libradishjunction/core/controllers/drain_controller.c
@@ -100,7 +100,7 @@
 	core->stopping = true;
 	rj_core_log(core, RJ_LOG_DRAIN, RJ_REASON_DRAINING, NULL, NULL);
 	rj_membership_heartbeat_all(core);
-	rj_upstreams_ownership(core);
+	rj_racks_ownership(core);
 	rj_timer_set(&core->timers, &core->drain,
 		     core->now_us + DRAIN_LIMIT_US);
 	RJ_FOR_EACH (at, next, &core->jobs.list) {
--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -233,7 +233,7 @@
 static void view_changed(struct rj_core_state *core)
 {
 	core->membership.view_version++;
-	rj_upstreams_ownership(core);
+	rj_racks_ownership(core);
 	if (core->stopping)
 		rj_drain_hand_over(core);
 }
@@ -414,7 +414,7 @@
 	fill_heartbeat(core, &rj_membership_send(core, name, RJ_PEER_HEARTBEAT)
 				      ->u.heartbeat);
 	rj_config_controller_tell(core, name);
-	rj_upstreams_summaries_to(core, name);
+	rj_racks_tell_peer(core, name);
 }
 
 /*
@@ -497,7 +497,7 @@
 	mine->version = summary->version;
 	mine->worker_count = summary->worker_count;
 	memcpy(mine->free, summary->free, sizeof(mine->free));
-	rj_upstreams_peer_summary(core, summary);
+	rj_racks_peer_summary(core, summary);
 }
 
 /*
@@ -526,7 +526,7 @@
 			summary.rack = known->rack;
 			summary.worker_count = known->worker_count;
 			memcpy(summary.free, known->free, sizeof(summary.free));
-			rj_upstreams_peer_summary(core, &summary);
+			rj_racks_peer_summary(core, &summary);
 		}
 	}
 }
--- /dev/null
+++ b/src/libradishjunction/core/controllers/racks_controller.c
@@ -0,0 +1,235 @@
+/*
+ * The racks of the own failure domain: who owns each, what is free in it, and
+ * what the peers are told of it.
+ */
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/core_state.h"
+
+/*
+ * The key by which a rack of the own failure domain is owned: that of its
+ * group, so that no guaranteed shape has two owners.
+ */
+uint64_t rj_racks_key(const struct rj_core_state *core, uint32_t rack)
+{
+	const struct rj_planner_ops *ops = core->planner->ops;
+
+	if (ops->rack_group)
+		rack = ops->rack_group(core->planner, rack);
+	return rj_hash64_string(core->domain, rack + 1);
+}
+
+/*
+ * The key by which a job of the log is owned: in the own failure domain that
+ * of a rack, so that who plans the job also plans a rack for it.
+ *
+ * Guards against an owner without racks: it would place accepted jobs on its
+ * peers' racks, where they are foreign to the one who has to reclaim a
+ * guaranteed shape there, which would come late.
+ */
+uint64_t rj_racks_job_key(const struct rj_core_state *core, const char *domain,
+			  uint64_t job_id)
+{
+	const struct rj_domain *own = NULL;
+
+	if (core->config && !strcmp(domain, core->domain))
+		own = rj_config_domain(core->config, domain);
+	if (!own || !own->racks)
+		return job_id;
+	return rj_racks_key(core, (uint32_t)(job_id % own->racks));
+}
+
+/* A rack by its number, made if it was not known. */
+static struct rj_rack *rack_learn(struct rj_core_state *core, uint32_t number)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+	struct rj_rack *rack;
+
+	RJ_FOR_EACH (at, next, &core->upstreams.racks) {
+		rack = RJ_CONTAINER(at, struct rj_rack, link);
+		if (rack->number == number)
+			return rack;
+	}
+	rack = talloc_zero(core, struct rj_rack);
+	assert(rack);
+	rack->number = number;
+	rj_list_append(&core->upstreams.racks, &rack->link);
+	return rack;
+}
+
+/* Take a worker out of the rack that it stood in. */
+static void rack_remove(struct rj_rack *rack, const struct rj_upstream *worker)
+{
+	uint32_t left = 0;
+
+	for (uint32_t i = 0; i < rack->count; i++)
+		if (rack->workers[i] != worker)
+			rack->workers[left++] = rack->workers[i];
+	rack->count = left;
+}
+
+/*
+ * Put a worker of the own failure domain into its rack, where its place goes
+ * by its name: a summary names no workers, so that all instances have to
+ * count them in the same order.
+ */
+void rj_racks_place(struct rj_core_state *core, struct rj_upstream *upstream)
+{
+	struct rj_rack *rack;
+	uint32_t at;
+
+	if (strcmp(upstream->domain, core->domain))
+		return;
+	rack = rack_learn(core, upstream->rack);
+	if (upstream->rack_view == rack)
+		return;
+	if (upstream->rack_view)
+		rack_remove(upstream->rack_view, upstream);
+	rack->workers = talloc_realloc(rack, rack->workers,
+				       struct rj_upstream *, rack->count + 1);
+	assert(rack->workers);
+	at = rack->count++;
+	while (at && strcmp(rack->workers[at - 1]->name, upstream->name) > 0) {
+		rack->workers[at] = rack->workers[at - 1];
+		at--;
+	}
+	rack->workers[at] = upstream;
+	upstream->rack_view = rack;
+}
+
+/*
+ * Work out again who owns each rack. Called when the view of the instances,
+ * of the workers or of the guaranteed shapes has changed.
+ */
+void rj_racks_ownership(struct rj_core_state *core)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->upstreams.racks) {
+		struct rj_rack *rack = RJ_CONTAINER(at, struct rj_rack, link);
+		uint64_t key = rj_racks_key(core, rack->number);
+
+		rack->owned = rj_membership_owns(core, core->domain, key);
+		rack->owner =
+			rack->owned ? NULL : rj_membership_owner(core, key);
+		for (uint32_t i = 0; i < rack->count; i++)
+			rj_upstreams_own(core, rack->workers[i], rack->owned);
+	}
+}
+
+/*
+ * Whether this instance owns any rack.
+ */
+bool rj_racks_any_owned(const struct rj_core_state *core)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->upstreams.racks)
+		if (RJ_CONTAINER(at, struct rj_rack, link)->owned)
+			return true;
+	return false;
+}
+
+/* How many more tasks of `shape`, up to `most`, fit on a worker now. */
+static uint32_t tasks_that_fit(const struct rj_shape *shape,
+			       const struct rj_upstream *upstream,
+			       uint32_t most)
+{
+	struct rj_resources left = upstream->free_now;
+	uint32_t tasks = 0;
+
+	if (!rj_upstreams_usable(upstream))
+		return 0;
+	while (tasks < most && rj_resources_fit(&shape->each, &left)) {
+		rj_resources_take(&left, &shape->each, 1);
+		tasks++;
+	}
+	return tasks;
+}
+
+/*
+ * Whether all of `shape` fits into the rack now, by what was last reported
+ * or told of it.
+ */
+bool rj_rack_has_room(const struct rj_rack *rack, const struct rj_shape *shape)
+{
+	uint32_t tasks = 0;
+
+	for (uint32_t i = 0; i < rack->count && tasks < shape->tasks; i++)
+		tasks += tasks_that_fit(shape, rack->workers[i],
+					shape->tasks - tasks);
+	return tasks == shape->tasks;
+}
+
+/* Fill the summary of a rack. */
+static void fill_summary(struct rj_core_state *core, const struct rj_rack *rack,
+			 struct rj_peer_summary *summary)
+{
+	memset(summary, 0, sizeof(*summary));
+	g_strlcpy(summary->domain, core->domain, sizeof(summary->domain));
+	summary->rack = rack->number;
+	summary->owner = core->incarnation;
+	summary->version = ++core->upstreams.summary_version;
+	for (uint32_t i = 0; i < rack->count && i < RJ_RACK_WORKERS_MAX; i++) {
+		if (rj_upstreams_usable(rack->workers[i]))
+			summary->free[i] = rack->workers[i]->free_now;
+		summary->worker_count++;
+	}
+}
+
+/*
+ * Tell the peers of the failure domain what is free in a rack.
+ */
+void rj_racks_tell(struct rj_core_state *core, const struct rj_rack *rack)
+{
+	struct rj_peer_message message;
+
+	memset(&message, 0, sizeof(message));
+	message.kind = RJ_PEER_SUMMARY;
+	fill_summary(core, rack, &message.u.summary);
+	rj_membership_send_domain(core, &message);
+}
+
+/*
+ * Tell one peer, whose link has just come to stand, what is free in every
+ * own rack.
+ */
+void rj_racks_tell_peer(struct rj_core_state *core, const char *peer)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->upstreams.racks) {
+		const struct rj_rack *rack =
+			RJ_CONTAINER(at, struct rj_rack, link);
+
+		if (rack->owned)
+			fill_summary(
+				core, rack,
+				&rj_membership_send(core, peer, RJ_PEER_SUMMARY)
+					 ->u.summary);
+	}
+}
+
+/*
+ * A peer says what is free in a rack that it owns: jobs are routed by it, and
+ * gangs that no own rack can hold are planned from it. The lease decides
+ * whether it was true.
+ */
+void rj_racks_peer_summary(struct rj_core_state *core,
+			   const struct rj_peer_summary *summary)
+{
+	struct rj_rack *rack;
+
+	if (strcmp(summary->domain, core->domain))
+		return;
+	rack = rack_learn(core, summary->rack);
+	for (uint32_t i = 0; i < rack->count && i < summary->worker_count; i++)
+		rj_upstreams_told_free(core, rack->workers[i],
+				       &summary->free[i]);
+}
--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -359,7 +359,7 @@
 {
 	return rj_membership_owns(
 		core, entry->domain,
-		rj_upstreams_job_key(core, entry->domain, entry->job_id));
+		rj_racks_job_key(core, entry->domain, entry->job_id));
 }
 
 /* Append what the log says of a job again, well before it is trimmed. */
--- a/src/libradishjunction/core/controllers/upstreams_controller.c
+++ b/src/libradishjunction/core/controllers/upstreams_controller.c
@@ -31,6 +31,7 @@
 	struct rj_upstreams *upstreams = &core->upstreams;
 
 	rj_list_init(&upstreams->list);
+	rj_list_init(&upstreams->racks);
 	upstreams->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 }
 
@@ -43,8 +44,10 @@
 	return g_hash_table_lookup(core->upstreams.by_name, name);
 }
 
-/* Whether new work may go to the worker at all. */
-static bool usable(const struct rj_upstream *upstream)
+/*
+ * Whether new work may go to the worker at all.
+ */
+bool rj_upstreams_usable(const struct rj_upstream *upstream)
 {
 	return upstream->known && !upstream->leaving &&
 	       upstream->health == RJ_UPSTREAM_HEALTHY;
@@ -63,7 +66,7 @@
 	worker.rack = upstream->rack;
 	worker.capacity = upstream->capacity;
 	worker.foreign = upstream->foreign;
-	worker.usable = usable(upstream);
+	worker.usable = rj_upstreams_usable(upstream);
 	worker.owned = upstream->owned;
 	core->planner->ops->worker(core->planner, &worker, core->now_us);
 	core->jobs.plan_wanted = true;
@@ -258,6 +261,7 @@
 	renew_incarnation(core, upstream, line->incarnation);
 	g_strlcpy(upstream->domain, line->domain, sizeof(upstream->domain));
 	upstream->rack = line->rack;
+	rj_racks_place(core, upstream);
 	upstream->address = line->address;
 	if (line->leaving)
 		rj_upstreams_leaving(core, upstream, line->incarnation);
@@ -275,64 +279,42 @@
 	for (uint32_t i = 0; i < count; i++)
 		if (list[i].role == RJ_ROLE_WORKER)
 			list_worker(core, &list[i]);
-	rj_upstreams_ownership(core);
+	rj_racks_ownership(core);
 	if (core->upstreams.count != known)
 		rj_membership_summaries_again(core);
 }
 
 /*
- * The key by which a rack of the own failure domain is owned: that of its
- * group, so that no guaranteed shape has two owners.
- */
-uint64_t rj_upstreams_rack_key(const struct rj_core_state *core, uint32_t rack)
-{
-	const struct rj_planner_ops *ops = core->planner->ops;
-
-	if (ops->rack_group)
-		rack = ops->rack_group(core->planner, rack);
-	return rj_hash64_string(core->domain, rack + 1);
-}
-
-/*
- * The key by which a job of the log is owned: in the own failure domain that
- * of a rack, so that who plans the job also plans a rack for it.
- *
- * Guards against an owner without racks: it would place accepted jobs on its
- * peers' racks, where they are foreign to the one who has to reclaim a
- * guaranteed shape there, which would come late.
+ * This instance owns the worker's rack from now on, or owns it no more.
  */
-uint64_t rj_upstreams_job_key(const struct rj_core_state *core,
-			      const char *domain, uint64_t job_id)
+void rj_upstreams_own(struct rj_core_state *core, struct rj_upstream *upstream,
+		      bool owned)
 {
-	const struct rj_domain *own = NULL;
-
-	if (core->config && !strcmp(domain, core->domain))
-		own = rj_config_domain(core->config, domain);
-	if (!own || !own->racks)
-		return job_id;
-	return rj_upstreams_rack_key(core, (uint32_t)(job_id % own->racks));
+	if (owned == upstream->owned)
+		return;
+	upstream->owned = owned;
+	if (owned)
+		poll_now(core, upstream);
+	tell_planner(core, upstream);
 }
 
 /*
- * Work out again which racks this instance owns. Called when the view of the
- * instances or of the workers has changed.
+ * The owner of the worker's rack says what is free on it. What this instance
+ * asked the worker itself says more.
  */
-void rj_upstreams_ownership(struct rj_core_state *core)
+void rj_upstreams_told_free(struct rj_core_state *core,
+			    struct rj_upstream *upstream,
+			    const struct rj_resources *left)
 {
-	for (uint32_t i = 0; i < core->upstreams.count; i++) {
-		struct rj_upstream *upstream = core->upstreams.by_index[i];
-		bool owned = !strcmp(upstream->domain, core->domain) &&
-			     rj_membership_owns(core, upstream->domain,
-						rj_upstreams_rack_key(
-							core, upstream->rack));
-
-		if (owned == upstream->owned)
-			continue;
-		upstream->owned = owned;
-		if (owned)
-			poll_now(core, upstream);
-		tell_planner(core, upstream);
-	}
+	if (upstream->owned || upstream->own_members)
+		return;
+	/* What is free is told, not the capacity: take it as the whole, with
+	   nothing foreign on it. */
+	upstream->free_now = *left;
+	upstream->capacity = *left;
+	memset(&upstream->foreign, 0, sizeof(upstream->foreign));
+	upstream->known = true;
+	tell_planner(core, upstream);
 }
 
 /* What tasks that are not of this instance's jobs take on a worker. */
@@ -378,98 +360,6 @@
 	return left;
 }
 
-/* Fill the summary of an own rack; false when a worker is not known yet. */
-static bool fill_summary(struct rj_core_state *core, uint32_t rack,
-			 struct rj_peer_summary *summary)
-{
-	memset(summary, 0, sizeof(*summary));
-	g_strlcpy(summary->domain, core->domain, sizeof(summary->domain));
-	summary->rack = rack;
-	summary->owner = core->incarnation;
-	for (uint32_t i = 0; i < core->upstreams.count; i++) {
-		const struct rj_upstream *upstream =
-			core->upstreams.by_index[i];
-
-		if (!upstream->owned || upstream->rack != rack ||
-		    summary->worker_count == RJ_RACK_WORKERS_MAX)
-			continue;
-		if (usable(upstream))
-			summary->free[summary->worker_count] =
-				upstream->free_now;
-		summary->worker_count++;
-	}
-	return summary->worker_count > 0;
-}
-
-/* Tell the peers of the failure domain what is free in a rack. */
-static void send_summary(struct rj_core_state *core, uint32_t rack)
-{
-	struct rj_peer_message message;
-
-	memset(&message, 0, sizeof(message));
-	message.kind = RJ_PEER_SUMMARY;
-	if (!fill_summary(core, rack, &message.u.summary))
-		return;
-	message.u.summary.version = ++core->upstreams.summary_version;
-	rj_membership_send_domain(core, &message);
-}
-
-/*
- * Tell one peer, whose link has just come to stand, what is free in every
- * own rack.
- */
-void rj_upstreams_summaries_to(struct rj_core_state *core, const char *peer)
-{
-	struct rj_peer_summary summary;
-	uint32_t last = UINT32_MAX;
-
-	for (uint32_t i = 0; i < core->upstreams.count; i++) {
-		const struct rj_upstream *upstream =
-			core->upstreams.by_index[i];
-
-		if (!upstream->owned || upstream->rack == last)
-			continue;
-		last = upstream->rack;
-		if (!fill_summary(core, last, &summary))
-			continue;
-		summary.version = ++core->upstreams.summary_version;
-		rj_membership_send(core, peer, RJ_PEER_SUMMARY)->u.summary =
-			summary;
-	}
-}
-
-/*
- * A peer says what is free in a rack that it owns: gangs that no own rack
- * can hold are planned from it. The lease decides whether it was true.
- */
-void rj_upstreams_peer_summary(struct rj_core_state *core,
-			       const struct rj_peer_summary *summary)
-{
-	uint32_t at = 0;
-
-	if (strcmp(summary->domain, core->domain))
-		return;
-	for (uint32_t i = 0; i < core->upstreams.count; i++) {
-		struct rj_upstream *upstream = core->upstreams.by_index[i];
-		const struct rj_resources *left;
-
-		if (upstream->rack != summary->rack ||
-		    strcmp(upstream->domain, core->domain))
-			continue;
-		if (at == summary->worker_count)
-			break;
-		left = &summary->free[at++];
-		if (upstream->owned || upstream->own_members)
-			continue;
-		/* A summary gives what is free, not the capacity: take it
-		   as the whole, with nothing foreign on it. */
-		upstream->capacity = *left;
-		memset(&upstream->foreign, 0, sizeof(upstream->foreign));
-		upstream->known = true;
-		tell_planner(core, upstream);
-	}
-}
-
 /* A worker did not answer its report. */
 static void poll_lost(struct rj_core_state *core, struct rj_upstream *upstream)
 {
@@ -520,7 +410,7 @@
 	changed = memcmp(&left, &upstream->free_now, sizeof(left)) != 0;
 	upstream->free_now = left;
 	if (changed && upstream->owned)
-		send_summary(core, upstream->rack);
+		rj_racks_tell(core, upstream->rack_view);
 }
 
 /* Take a worker back that was set aside: the next job there is the probe. */
--- a/src/libradishjunction/core/filters/route.c
+++ b/src/libradishjunction/core/filters/route.c
@@ -9,90 +9,6 @@
 /* Another domain must be this much quicker: the link costs time and money. */
 #define OTHER_DOMAIN_MARGIN_US (2 * RJ_US_PER_S)
 
-/* How many tasks of `shape` fit on the listed free resources. */
-static uint32_t tasks_that_fit(const struct rj_shape *shape,
-			       const struct rj_resources *free, uint32_t count)
-{
-	uint32_t tasks = 0;
-
-	for (uint32_t i = 0; i < count && tasks < shape->tasks; i++) {
-		struct rj_resources left = free[i];
-
-		while (tasks < shape->tasks &&
-		       rj_resources_fit(&shape->each, &left)) {
-			rj_resources_take(&left, &shape->each, 1);
-			tasks++;
-		}
-	}
-	return tasks;
-}
-
-/*
- * Whether a peer says that one of its racks has room for the job now. What it
- * said of a rack that it owns no more is out of date: the job would wait at
- * a peer that has no rack for it.
- */
-static bool peer_has_room(struct rj_core_state *core,
-			  const struct rj_member_view *member,
-			  const struct rj_shape *shape)
-{
-	struct rj_list *at;
-	struct rj_list *next;
-
-	RJ_FOR_EACH (at, next, &member->summaries) {
-		const struct rj_rack_summary *summary =
-			RJ_CONTAINER(at, struct rj_rack_summary, link);
-		const char *owner = rj_membership_owner(
-			core, rj_upstreams_rack_key(core, summary->rack));
-
-		if (summary->owner == member->incarnation && owner &&
-		    !strcmp(owner, member->name) &&
-		    tasks_that_fit(shape, summary->free,
-				   summary->worker_count) == shape->tasks)
-			return true;
-	}
-	return false;
-}
-
-/* Whether an own rack has room for the job now, or could ever have. */
-static bool own_rack_fits(const struct rj_core_state *core,
-			  const struct rj_shape *shape, bool ever)
-{
-	for (uint32_t i = 0; i < core->upstreams.count; i++) {
-		const struct rj_upstream *first = core->upstreams.by_index[i];
-		uint32_t tasks = 0;
-
-		if (!first->owned || !first->known)
-			continue;
-		for (uint32_t j = i; j < core->upstreams.count; j++) {
-			const struct rj_upstream *upstream =
-				core->upstreams.by_index[j];
-
-			if (!upstream->owned || !upstream->known ||
-			    upstream->rack != first->rack ||
-			    upstream->leaving ||
-			    upstream->health != RJ_UPSTREAM_HEALTHY)
-				continue;
-			tasks += tasks_that_fit(shape,
-						ever ? &upstream->capacity :
-						       &upstream->free_now,
-						1);
-			if (tasks >= shape->tasks)
-				return true;
-		}
-	}
-	return false;
-}
-
-/* Whether this instance owns any rack. */
-static bool owns_racks(const struct rj_core_state *core)
-{
-	for (uint32_t i = 0; i < core->upstreams.count; i++)
-		if (core->upstreams.by_index[i]->owned)
-			return true;
-	return false;
-}
-
 /* The peer that owns a guaranteed shape that the job may claim, or NULL when
  * there is none, or this instance owns it. */
 static const char *guarantee_owner(struct rj_core_state *core,
@@ -107,48 +23,89 @@
 			      &submission->spec.shape);
 	if (rack == UINT32_MAX)
 		return NULL;
-	return rj_membership_owner(core, rj_upstreams_rack_key(core, rack));
+	return rj_membership_owner(core, rj_racks_key(core, rack));
 }
 
-/* A peer of the domain to serve the job, or NULL to serve it here. */
-static const char *choose_peer(struct rj_core_state *core,
-			       const struct rj_submission *submission)
+/* Whether work may be handed to a peer. */
+static bool takes_work(const struct rj_core_state *core,
+		       const struct rj_member_view *member)
+{
+	return !member->draining && rj_membership_alive(core, member);
+}
+
+/* The peer with the shortest queue of those that own a rack with room now;
+ * `*here` is set when an own rack has room. */
+static const struct rj_member_view *
+owner_with_room(struct rj_core_state *core, const struct rj_shape *shape,
+		bool *here)
+{
+	const struct rj_member_view *best = NULL;
+	struct rj_list *at;
+	struct rj_list *next;
+
+	*here = false;
+	RJ_FOR_EACH (at, next, &core->upstreams.racks) {
+		const struct rj_rack *rack =
+			RJ_CONTAINER(at, struct rj_rack, link);
+		const struct rj_member_view *member;
+
+		if ((!rack->owned && !rack->owner) ||
+		    !rj_rack_has_room(rack, shape))
+			continue;
+		if (rack->owned) {
+			*here = true;
+			return NULL;
+		}
+		member = rj_membership_find(core, rack->owner);
+		if (member && takes_work(core, member) &&
+		    (!best || member->queued < best->queued))
+			best = member;
+	}
+	return best;
+}
+
+/* The peer of the failure domain with the shortest queue, or NULL. */
+static const struct rj_member_view *shortest_queue(struct rj_core_state *core)
 {
-	const struct rj_shape *shape = &submission->spec.shape;
-	bool must = core->stopping || !owns_racks(core);
 	const struct rj_member_view *best = NULL;
-	bool best_room = false;
 	struct rj_list *at;
 	struct rj_list *next;
 
-	if (!must && own_rack_fits(core, shape, false))
-		return NULL;
 	RJ_FOR_EACH (at, next, &core->membership.members) {
 		const struct rj_member_view *member =
 			RJ_CONTAINER(at, struct rj_member_view, link);
-		bool room;
 
-		if (strcmp(member->domain, core->domain) || member->draining ||
-		    !rj_membership_alive(core, member))
-			continue;
-		/* One without racks is of use only to an instance that stops
-		   or has none either: it is about to own some. */
-		if (!must && member->summaries.next == &member->summaries)
-			continue;
-		room = peer_has_room(core, member, shape);
-		if (!best || (room && !best_room) ||
-		    (room == best_room && member->queued < best->queued)) {
+		if (!strcmp(member->domain, core->domain) &&
+		    takes_work(core, member) &&
+		    (!best || member->queued < best->queued))
 			best = member;
-			best_room = room;
-		}
 	}
-	if (!best)
+	return best;
+}
+
+/* A peer of the domain to serve the job, or NULL to serve it here. */
+static const char *choose_peer(struct rj_core_state *core,
+			       const struct rj_submission *submission)
+{
+	const struct rj_member_view *best;
+	const char *owner;
+	bool here;
+
+	best = owner_with_room(core, &submission->spec.shape, &here);
+	if (here)
 		return NULL;
-	if (must || best_room)
+	if (best)
 		return best->name;
 	/* Nobody has room now. Where the account has a guarantee, its owner
-	   can reclaim it; else the job waits here. */
-	return guarantee_owner(core, submission);
+	   can reclaim it; else the job waits here, or at any peer when this
+	   instance has no rack or is to stop. */
+	owner = guarantee_owner(core, submission);
+	if (owner)
+		return owner;
+	if (!core->stopping && rj_racks_any_owned(core))
+		return NULL;
+	best = shortest_queue(core);
+	return best ? best->name : NULL;
 }
 
 /* An instance of another domain that is much quicker, or NULL. */
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -121,6 +121,16 @@
 /* Jobs whose failure on one worker is remembered, to tell a bad worker. */
 #define RJ_FAILED_JOBS 4
 
+/* A rack of the own failure domain. */
+struct rj_rack {
+	struct rj_list link;
+	uint32_t number;
+	struct rj_upstream **workers; /* talloc array, by name */
+	uint32_t count;
+	bool owned; /* by this instance */
+	const char *owner; /* the peer that owns it, or NULL */
+};
+
 /* A worker as a target of calls. */
 struct rj_upstream {
 	struct rj_list link;
@@ -128,6 +138,7 @@
 	char name[RJ_NAME_BYTES];
 	char domain[RJ_NAME_BYTES];
 	uint32_t rack;
+	struct rj_rack *rack_view; /* of the own failure domain */
 	struct rj_address address;
 	uint64_t incarnation;
 	uint64_t left_incarnation; /* the one that is or was leaving */
@@ -153,6 +164,7 @@
 
 struct rj_upstreams {
 	struct rj_list list;
+	struct rj_list racks;
 	GHashTable *by_name;
 	struct rj_upstream **by_index; /* talloc array */
 	uint32_t count;
@@ -388,26 +400,39 @@
 			 struct rj_upstream *upstream,
 			 const struct rj_worker_reply *reply,
 			 uint64_t asked_us);
-void rj_upstreams_ownership(struct rj_core_state *core);
 void rj_upstreams_leaving(struct rj_core_state *core,
 			  struct rj_upstream *upstream, uint64_t incarnation);
 void rj_upstreams_peer_leaving(struct rj_core_state *core,
 			       const struct rj_peer_leaving *leaving);
-void rj_upstreams_peer_summary(struct rj_core_state *core,
-			       const struct rj_peer_summary *summary);
 void rj_upstreams_failed(struct rj_core_state *core,
 			 struct rj_upstream *upstream, uint64_t job_id);
 void rj_upstreams_succeeded(struct rj_core_state *core,
 			    struct rj_upstream *upstream);
-uint64_t rj_upstreams_job_key(const struct rj_core_state *core,
-			      const char *domain, uint64_t job_id);
-uint64_t rj_upstreams_rack_key(const struct rj_core_state *core, uint32_t rack);
 uint64_t rj_upstreams_lease_life_us(const struct rj_core_state *core);
 void rj_upstreams_poll_soon(struct rj_core_state *core,
 			    struct rj_upstream *upstream);
 struct rj_upstream *rj_upstreams_find(const struct rj_core_state *core,
 				      const char *name);
-void rj_upstreams_summaries_to(struct rj_core_state *core, const char *peer);
+
+bool rj_upstreams_usable(const struct rj_upstream *upstream);
+void rj_upstreams_own(struct rj_core_state *core, struct rj_upstream *upstream,
+		      bool owned);
+void rj_upstreams_told_free(struct rj_core_state *core,
+			    struct rj_upstream *upstream,
+			    const struct rj_resources *left);
+
+/* controllers/racks_controller.c */
+uint64_t rj_racks_key(const struct rj_core_state *core, uint32_t rack);
+uint64_t rj_racks_job_key(const struct rj_core_state *core, const char *domain,
+			  uint64_t job_id);
+void rj_racks_place(struct rj_core_state *core, struct rj_upstream *upstream);
+void rj_racks_ownership(struct rj_core_state *core);
+bool rj_racks_any_owned(const struct rj_core_state *core);
+bool rj_rack_has_room(const struct rj_rack *rack, const struct rj_shape *shape);
+void rj_racks_tell(struct rj_core_state *core, const struct rj_rack *rack);
+void rj_racks_tell_peer(struct rj_core_state *core, const char *peer);
+void rj_racks_peer_summary(struct rj_core_state *core,
+			   const struct rj_peer_summary *summary);
 
 /* controllers/jobs_controller.c */
 void rj_jobs_init(struct rj_core_state *core);
