workers: a pool of connections for each way of waiting

Cause: 6 of an instance's 8 connections to a worker were for calls that wait for a task's end, but a worker has 8 slots: a start for a free slot was not sent until a long task ended. Checkpoints shared the other 2 with the reports that renew leases; two slow ones made the worker silent. Excluded: 8 connections for an instance whatever its domain, of which no split serves 8 slots; one pool with priorities, as libcurl has none. Change: pools of 8 (run), 4 (checkpoint) and 2 (control). Only instances of a worker's own domain start anything on it, so 4 of these and 4 others take at most 4 x 14 + 4 x 2 = 64. rj_http_workers_init takes no number any more. TCP keep-alive finds a host that was replaced; that part is not tested, as it needs a machine that vanishes. Before: /http_workers/slots and /http_workers/renewal fail at 2 slots unused after 10 s.

--- a/include/radishjunction/http_workers.h
+++ b/include/radishjunction/http_workers.h
@@ -13,8 +13,31 @@
 #include "radishjunction/adapter.h"
 #include "radishjunction/error.h"
 
-/* A worker takes 64 connections; 8 instances share them. */
-#define RJ_WORKER_CONNECTIONS_SHARE 8
+/*
+ * How a call uses a connection, and so from which pool it gets one. One pool
+ * never waits for another, so that no call that must not wait is held up.
+ */
+enum rj_worker_pool {
+	RJ_WORKER_POOL_RUN, /* RUN, START with wait: until a task's end */
+	RJ_WORKER_POOL_CHECKPOINT, /* until the progress is saved */
+	RJ_WORKER_POOL_CONTROL, /* all others: answered at once */
+	RJ_WORKER_POOL_COUNT
+};
+
+extern const char *const rj_worker_pool_string[RJ_WORKER_POOL_COUNT];
+
+/* A worker has 8 slots, and a task in each may be waited for. */
+#define RJ_WORKER_RUN_CONNECTIONS 8
+#define RJ_WORKER_CHECKPOINT_CONNECTIONS 4
+#define RJ_WORKER_CONTROL_CONNECTIONS 2
+/*
+ * Of a worker's 64 connections, one instance of its failure domain takes at
+ * most 14. Instances of other domains start nothing there and only ask: 2
+ * each. So 8 instances, 4 of them in one domain, take at most 64.
+ */
+#define RJ_WORKER_CONNECTIONS_OWNER                                     \
+	(RJ_WORKER_RUN_CONNECTIONS + RJ_WORKER_CHECKPOINT_CONNECTIONS + \
+	 RJ_WORKER_CONTROL_CONNECTIONS)
 
 struct rj_http_client;
 
@@ -22,13 +45,11 @@
 	struct rj_workers base; /* first member, always */
 	struct rj_sink *sink;
 	/* Talloc children of init's mem. */
-	struct rj_http_client *waiting; /* calls answered at a task's end */
-	struct rj_http_client *control; /* all others */
+	struct rj_http_client *pools[RJ_WORKER_POOL_COUNT];
 };
 
 int rj_http_workers_init(struct rj_http_workers *workers, void *mem,
 			 struct tevent_context *ev, struct rj_sink *sink,
-			 const char *instance_name, uint32_t connections_max,
-			 struct rj_error *err);
+			 const char *instance_name, struct rj_error *err);
 
 #endif
--- a/src/libradishjunction/http_client.c
+++ b/src/libradishjunction/http_client.c
@@ -9,6 +9,13 @@
 
 /* Idle connections kept open to all hosts together. */
 #define CACHED_CONNECTIONS_MAX 2048L
+/*
+ * Guards against a host that was replaced at its address while a call waited
+ * on it: without probes the call would hold its connection until its
+ * timeout, and a few such calls all connections to the new host, which
+ * answers the first probe with a reset.
+ */
+#define KEEPALIVE_S 5L
 
 const char *const rj_http_outcome_string[RJ_HTTP_OUTCOME_COUNT] = {
 	[RJ_HTTP_ANSWERED] = "answered",
@@ -291,6 +298,9 @@
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_S);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_S);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, write_answer);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
 	if (transfer->has_body) {
--- a/src/libradishjunction/worker/http_workers.c
+++ b/src/libradishjunction/worker/http_workers.c
@@ -8,13 +8,23 @@
 #include "private/http_client.h"
 #include "private/worker_wire.h"
 
-/* One connection in four is kept for calls that are answered at once. */
-#define CONTROL_DIVISOR 4
 /* A result of the largest size as base64, or a report of many tasks. */
 #define ANSWER_MAX_BYTES (4UL * 1024 * 1024)
 #define STATUS_OK 200
 #define STATUS_BAD_REQUEST 400
 
+const char *const rj_worker_pool_string[RJ_WORKER_POOL_COUNT] = {
+	[RJ_WORKER_POOL_RUN] = "run",
+	[RJ_WORKER_POOL_CHECKPOINT] = "checkpoint",
+	[RJ_WORKER_POOL_CONTROL] = "control",
+};
+
+static const uint32_t connections_max[RJ_WORKER_POOL_COUNT] = {
+	[RJ_WORKER_POOL_RUN] = RJ_WORKER_RUN_CONNECTIONS,
+	[RJ_WORKER_POOL_CHECKPOINT] = RJ_WORKER_CHECKPOINT_CONNECTIONS,
+	[RJ_WORKER_POOL_CONTROL] = RJ_WORKER_CONTROL_CONNECTIONS,
+};
+
 /* What is remembered of a call until its answer; owned by the client. */
 struct pending {
 	struct rj_http_workers *workers;
@@ -77,19 +87,20 @@
 }
 
 /*
- * The client whose connections the call may use.
+ * The pool whose connections the call may use.
  *
- * Guards against tasks that are stopped while they run: with all connections
- * taken by calls that wait for a task's end, no renewal gets through, and
- * the leases lapse. Control calls have connections that nothing waits on.
+ * Guards against tasks that are stopped while their owner lives: with all
+ * connections taken by calls that wait, no renewal gets through, and the
+ * leases lapse. It holds because nothing that waits uses the control pool.
  */
-static struct rj_http_client *client_for(struct rj_http_workers *workers,
-					 const struct rj_worker_call *call)
+static enum rj_worker_pool pool_of(const struct rj_worker_call *call)
 {
-	bool waits = call->op == RJ_WORKER_RUN ||
-		     (call->op == RJ_WORKER_START && call->wait);
-
-	return waits ? workers->waiting : workers->control;
+	if (call->op == RJ_WORKER_RUN ||
+	    (call->op == RJ_WORKER_START && call->wait))
+		return RJ_WORKER_POOL_RUN;
+	if (call->op == RJ_WORKER_CHECKPOINT)
+		return RJ_WORKER_POOL_CHECKPOINT;
+	return RJ_WORKER_POOL_CONTROL;
 }
 
 /* See rj_workers_ops: every call is a POST whose path names the operation. */
@@ -116,7 +127,7 @@
 	send.url = rj_http_url(pending, &call->address, path);
 	send.body = rj_worker_wire_encode_call(pending, call);
 	send.length = strlen(send.body);
-	rj_http_client_send(client_for(workers, call), &send);
+	rj_http_client_send(workers->pools[pool_of(call)], &send);
 }
 
 /* See rj_workers_ops: calls that are open end in no event. */
@@ -124,10 +135,12 @@
 {
 	struct rj_http_workers *workers = (struct rj_http_workers *)base;
 
-	rj_http_client_finish(workers->waiting);
-	TALLOC_FREE(workers->waiting);
-	rj_http_client_finish(workers->control);
-	TALLOC_FREE(workers->control);
+	for (uint32_t i = 0; i < RJ_WORKER_POOL_COUNT; i++) {
+		if (!workers->pools[i])
+			continue;
+		rj_http_client_finish(workers->pools[i]);
+		TALLOC_FREE(workers->pools[i]);
+	}
 }
 
 static const struct rj_workers_ops http_workers_ops = {
@@ -137,32 +150,29 @@
 };
 
 /*
- * Speak to workers as `instance_name` over at most `connections_max` (from
- * 2) kept connections to each; events go to `sink` from the loop `ev`, never
- * from within a call. Returns 0, or -1 with `err`.
+ * Speak to workers as `instance_name`; events go to `sink` from the loop
+ * `ev`, never from within a call. Returns 0, or -1 with `err`.
  */
 int rj_http_workers_init(struct rj_http_workers *workers, void *mem,
 			 struct tevent_context *ev, struct rj_sink *sink,
-			 const char *instance_name, uint32_t connections_max,
-			 struct rj_error *err)
+			 const char *instance_name, struct rj_error *err)
 {
-	uint32_t control = connections_max / CONTROL_DIVISOR;
-
-	assert(connections_max >= 2);
-	if (!control)
-		control = 1;
 	memset(workers, 0, sizeof(*workers));
 	workers->base.ops = &http_workers_ops;
 	workers->sink = sink;
-	workers->waiting = talloc_zero(mem, struct rj_http_client);
-	workers->control = talloc_zero(mem, struct rj_http_client);
-	assert(workers->waiting && workers->control);
-	if (!rj_http_client_init(workers->waiting, workers->waiting, ev,
-				 instance_name, connections_max - control,
-				 err) &&
-	    !rj_http_client_init(workers->control, workers->control, ev,
-				 instance_name, control, err))
-		return 0;
+	for (uint32_t i = 0; i < RJ_WORKER_POOL_COUNT; i++) {
+		struct rj_http_client *pool =
+			talloc_zero(mem, struct rj_http_client);
+
+		assert(pool);
+		workers->pools[i] = pool;
+		if (rj_http_client_init(pool, pool, ev, instance_name,
+					connections_max[i], err))
+			goto fail;
+	}
+	return 0;
+
+fail:
 	http_finish(&workers->base);
 	return -1;
 }
--- a/src/radishjunctiond/main.c
+++ b/src/radishjunctiond/main.c
@@ -142,8 +142,7 @@
 				  daemon->settings->name, err))
 		goto finish_core;
 	if (rj_http_workers_init(&daemon->workers, daemon->loop, daemon->loop,
-				 &shell->sink, daemon->settings->name,
-				 RJ_WORKER_CONNECTIONS_SHARE, err))
+				 &shell->sink, daemon->settings->name, err))
 		goto finish_platform;
 	if (start_peers(daemon, err))
 		goto finish_workers;
--- a/src/test_libradishjunction/test_http_workers.c
+++ b/src/test_libradishjunction/test_http_workers.c
@@ -8,6 +8,8 @@
 #define TIMEOUT_US (60 * RJ_US_PER_S)
 #define SHORT_US (20 * RJ_US_PER_MS)
 #define LIFE_US (60 * RJ_US_PER_S)
+/* A call that is not served by then shows the fault. */
+#define GIVE_UP_US (10 * RJ_US_PER_S)
 #define RESULT_MAX_BYTES 512
 
 struct fixture {
@@ -64,8 +66,7 @@
 			==, 0);
 	g_assert_cmpint(rj_http_workers_init(&fixture->workers, fixture->ev,
 					     fixture->ev, &fixture->sink,
-					     "entry-1",
-					     RJ_WORKER_CONNECTIONS_SHARE, NULL),
+					     "entry-1", NULL),
 			==, 0);
 	memcpy(call->worker, "w-000", sizeof("w-000"));
 	call->address = fixture->worker.server.address;
@@ -274,26 +275,58 @@
 	g_assert_cmpuint(starts(fixture), ==, 0);
 }
 
+/* Post a run of a minute in each slot, and wait until all have started. */
+static void fill_slots(struct fixture *fixture)
+{
+	const struct rj_resources *unused = &fixture->worker.tasks.unused;
+
+	set_body(fixture, "{\"run_ms\":60000,\"checkpoint_ms\":60000}");
+	fixture->call.timeout_us = GIVE_UP_US;
+	for (uint32_t i = 0; i < fixture->worker.tasks.capacity.slots; i++) {
+		fixture->call.member = i;
+		post(fixture, RJ_WORKER_RUN);
+	}
+	while (unused->slots && !fixture->replies)
+		tevent_loop_once(fixture->ev);
+	g_assert_cmpuint(unused->slots, ==, 0);
+	fixture->call.timeout_us = TIMEOUT_US;
+}
+
+/*
+ * A lesson pack waits although a slot is free.
+ * Long renders run in some of a worker's slots; the start of the pack is
+ * not sent until one of them ends.
+ * Cause: each waits for its end on a connection, and there were fewer of
+ * these than slots.
+ */
+static void test_every_slot_can_be_waited_on(struct fixture *fixture,
+					     gconstpointer data)
+{
+	fill_slots(fixture);
+	g_assert_cmpuint(fixture->replies, ==, 0);
+}
+
 /*
  * Running lesson packs are stopped although their owner lives.
- * Runs take all connections to a worker; the report that renews their
- * leases waits behind them until the leases have lapsed.
+ * Runs and checkpoints wait for their ends on all connections to a worker;
+ * the report that renews the leases waits behind them until these lapse.
  * Cause: calls that wait and calls that must not wait share connections.
  */
-static void test_renewal_passes_waiting_runs(struct fixture *fixture,
-					     gconstpointer data)
+static void test_renewal_passes_what_waits(struct fixture *fixture,
+					   gconstpointer data)
 {
-	set_body(fixture, "{\"run_ms\":60000}");
-	for (uint32_t i = 0; i < 2 * RJ_WORKER_CONNECTIONS_SHARE; i++) {
+	fill_slots(fixture);
+	fixture->call.limit_us = LIFE_US;
+	for (uint32_t i = 0; i < fixture->worker.tasks.capacity.slots; i++) {
 		fixture->call.member = i;
-		post(fixture, RJ_WORKER_RUN);
+		post(fixture, RJ_WORKER_CHECKPOINT);
 	}
-	fixture->call.member = 0;
+	fixture->call.timeout_us = GIVE_UP_US;
 	call(fixture, RJ_WORKER_REPORT);
 	assert_status(fixture, RJ_REPLY_OK, RJ_REASON_NONE);
 	g_assert_cmpuint(fixture->replies, ==, 1);
 	g_assert_cmpuint(fixture->worker.server.connections, <=,
-			 RJ_WORKER_CONNECTIONS_SHARE);
+			 RJ_WORKER_CONNECTIONS_OWNER);
 }
 
 static void add(const char *path,
@@ -314,6 +347,7 @@
 	add("/http_workers/pause", test_fence_after_a_pause_tells_the_truth);
 	add("/http_workers/closed", test_closed_worker_refuses);
 	add("/http_workers/other", test_call_for_another_worker_is_refused);
-	add("/http_workers/connections", test_renewal_passes_waiting_runs);
+	add("/http_workers/slots", test_every_slot_can_be_waited_on);
+	add("/http_workers/renewal", test_renewal_passes_what_waits);
 	return g_test_run();
 }
--- a/src/test_libradishjunction/test_types.c
+++ b/src/test_libradishjunction/test_types.c
@@ -3,6 +3,7 @@
 
 #include "radishjunction/config_log.h"
 #include "radishjunction/core.h"
+#include "radishjunction/http_workers.h"
 #include "radishjunction/types.h"
 
 /*
@@ -38,6 +39,7 @@
 	check_table(rj_instance_role_string, RJ_ROLE_COUNT);
 	check_table(rj_priority_string, RJ_PRIORITY_COUNT);
 	check_table(rj_stream_string, RJ_STREAM_COUNT);
+	check_table(rj_worker_pool_string, RJ_WORKER_POOL_COUNT);
 	check_table(rj_config_verdict_string, RJ_CONFIG_VERDICT_COUNT);
 }
 
