--- a/src/test_libradishjunction/test_http_workers.c
+++ b/src/test_libradishjunction/test_http_workers.c
@@ -243,7 +243,10 @@
 
 	worker->gate.paused = true;
 	fixture->call.timeout_us = SHORT_US;
-	call(fixture, RJ_WORKER_RUN);
+	/* On a busy machine the time may be over before it is sent. */
+	do
+		call(fixture, RJ_WORKER_RUN);
+	while (fixture->reply.status == RJ_REPLY_REFUSED);
 	assert_status(fixture, RJ_REPLY_LOST, RJ_REASON_NONE);
 	g_assert_cmpint(
 		rj_gate_set(&worker->gate, &worker->server, awake, NULL), ==,
