--- a/src/libradishjunction/core/planner_topology.c
+++ b/src/libradishjunction/core/planner_topology.c
@@ -149,12 +149,17 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		((struct rj_plan_account *)value)->share = 0;
 		((struct rj_plan_account *)value)->guaranteed = 0;
+		((struct rj_plan_account *)value)->active = false;
 	}
 	state->share_total = 0;
+	state->share_active = 0;
 	for (uint32_t i = 0; i < config->account_count; i++) {
-		rj_topology_account(state, config->accounts[i].name)->share =
-			config->accounts[i].share;
-		state->share_total += config->accounts[i].share;
+		struct rj_plan_account *account =
+			rj_topology_account(state, config->accounts[i].name);
+
+		account->share = config->accounts[i].share;
+		state->share_total += account->share;
+		rj_topology_note_active(state, account);
 	}
 	memset(&state->domain, 0, sizeof(state->domain));
 	for (uint32_t i = 0; i < config->domain_count; i++)
@@ -214,7 +219,8 @@
 	if (!entry->granted)
 		return;
 	entry->granted = false;
-	entry->account->granted -= rj_topology_size(entry);
+	rj_resources_take(&entry->account->granted, &entry->job.shape.each,
+			  entry->job.shape.tasks);
 }
 
 /*
@@ -237,6 +243,26 @@
 	rj_topology_enqueue(state, entry, now_us);
 }
 
+/*
+ * Give up what is firmly kept on the members for anything but a guarantee.
+ */
+void rj_topology_displace(struct rj_topology_state *state,
+			  const struct rj_plan_member *members, uint32_t count,
+			  uint64_t now_us)
+{
+	for (uint32_t i = state->reservations->len; i--;) {
+		struct rj_reservation *reservation =
+			g_ptr_array_index(state->reservations, i);
+		bool in_the_way = false;
+
+		for (uint32_t j = 0; j < count; j++)
+			in_the_way |= keeps(reservation, members[j].worker);
+		if (in_the_way && reservation->firm &&
+		    reservation->reason != RJ_REASON_GUARANTEE)
+			drop_reservation(state, reservation, now_us);
+	}
+}
+
 static void topology_worker_gone(struct rj_planner *planner, uint32_t worker,
 				 uint64_t now_us)
 {
@@ -274,6 +300,7 @@
 		worker->ledger->silent_until_us = 0;
 	}
 	entry->account->used -= rj_topology_size(entry);
+	rj_topology_note_active(state, entry->account);
 	entry->reclaiming = false;
 	entry->on_loan = false;
 	rj_plan_entry_unplace(entry, &state->capacity);
@@ -337,6 +364,7 @@
 		rj_plan_table_remove(&state->table, entry);
 		return -1;
 	}
+	entry->waiting_since_us = now_us;
 	rj_topology_enqueue(state, entry, now_us);
 	return 0;
 }
@@ -364,6 +392,7 @@
 		return;
 	detach(state, entry);
 	entry->not_before_us = not_before_us;
+	entry->waiting_since_us = now_us;
 	rj_topology_enqueue(state, entry, now_us);
 }
 
@@ -380,6 +409,7 @@
 			rj_capacity_find(&state->capacity, members[i].worker),
 			entry, members[i].tasks);
 	entry->account->used += rj_topology_size(entry);
+	rj_topology_note_active(state, entry->account);
 }
 
 static void topology_adopt(struct rj_planner *planner,
@@ -608,9 +638,9 @@
 		return;
 	}
 	if (patience_us != RJ_NEVER_US &&
-	    entry->job.queued_us + patience_us > now_us)
+	    entry->waiting_since_us + patience_us > now_us)
 		state->retry_us = MIN(state->retry_us,
-				      entry->job.queued_us + patience_us);
+				      entry->waiting_since_us + patience_us);
 	if (!entry->reservation && loose_count(state) < LOOSE_MAX &&
 	    rj_topology_size(entry) >= state->worker_accelerators)
 		rj_topology_reserve_soonest(state, entry, now_us);
