callers: what the core does not answer is unknown, not not_run

Cause: scripts/demo told keyed jobs not_run (draining) that ran elsewhere. The core passes over events after its exit; for half a second the daemon still took requests, and at its end it called all that was open not_run. What the core has taken is answered unknown at once; later, and without room, a submission without a key is refused as not_run and everything else as unknown.

--- a/include/radishjunction/http_callers.h
+++ b/include/radishjunction/http_callers.h
@@ -4,8 +4,9 @@
  * Life cycle: `rj_http_callers_init` listens at once; each request becomes
  * RJ_EVENT_REQUEST, whose `now_us` is left to the sink, and is answered
  * through `base.ops->answer`. After `rj_http_callers_drain` every answer
- * closes its connection; when `rj_http_callers_open` is 0, `base.ops->finish`
- * cuts off nobody.
+ * closes its connection. `rj_http_callers_close` comes when the core takes no
+ * more events; when `rj_http_callers_open` is 0 then, `base.ops->finish` cuts
+ * off nobody.
  */
 #ifndef RADISHJUNCTION_HTTP_CALLERS_H
 #define RADISHJUNCTION_HTTP_CALLERS_H
@@ -57,6 +58,7 @@
 struct rj_address
 rj_http_callers_address(const struct rj_http_callers *callers);
 void rj_http_callers_drain(struct rj_http_callers *callers);
+void rj_http_callers_close(struct rj_http_callers *callers);
 uint32_t rj_http_callers_open(const struct rj_http_callers *callers);
 uint32_t rj_http_callers_connections(const struct rj_http_callers *callers);
 
--- a/src/libradishjunction/caller/caller_request.c
+++ b/src/libradishjunction/caller/caller_request.c
@@ -10,6 +10,7 @@
 #define JOBS_PATH "/v1/jobs"
 #define EXPLAIN_SUFFIX "/explain"
 #define BEARER "Bearer "
+#define KEY_HEADER "Idempotency-Key"
 /* Of names and values of all headers of a request. */
 #define HEADERS_MAX_BYTES 8192
 /* A caller that was refused for want of room comes back after this. */
@@ -29,7 +30,7 @@
  */
 struct rj_caller_request *
 rj_caller_request_begin(struct rj_http_callers_state *state,
-			struct MHD_Connection *connection)
+			struct MHD_Connection *connection, const char *method)
 {
 	struct rj_caller_request *request =
 		talloc_zero(state, struct rj_caller_request);
@@ -38,6 +39,9 @@
 	request->state = state;
 	request->connection = connection;
 	request->began_us = rj_clock_now_us();
+	request->plain = strcmp(method, MHD_HTTP_METHOD_POST) == 0 &&
+			 !MHD_lookup_connection_value(
+				 connection, MHD_HEADER_KIND, KEY_HEADER);
 	state->open++;
 	talloc_set_destructor(request, request_destructor);
 	return request;
@@ -93,8 +97,12 @@
 }
 
 /*
- * Refuse a request that the core has not seen: nothing of it ran. `status`
- * 0 takes the one of the reason.
+ * Refuse a request that the core has not seen. `status` 0 takes the one of
+ * the reason.
+ *
+ * Without room, or at a stop, nothing of a submission without a key ran. But
+ * one with a key may run for a request at another instance, and a job that
+ * is asked about may have run: to say `not_run` of these would be untrue.
  */
 void rj_caller_request_refuse(struct rj_caller_request *request,
 			      unsigned int status, enum rj_reason reason,
@@ -105,8 +113,11 @@
 		.reason = reason,
 	};
 
-	if (reason == RJ_REASON_QUEUE_FULL)
+	if (reason == RJ_REASON_QUEUE_FULL || reason == RJ_REASON_DRAINING) {
 		answer.retry_after_us = BUSY_RETRY_US;
+		if (!request->plain)
+			answer.kind = RJ_ANSWER_UNKNOWN;
+	}
 	g_strlcpy(answer.detail, detail, sizeof(answer.detail));
 	request->explain = false;
 	rj_caller_request_answer(request, &answer, NULL);
@@ -114,6 +125,23 @@
 		request->status = status;
 }
 
+/*
+ * Answer a request that the core has taken and does not answer any more: its
+ * job may have run.
+ */
+void rj_caller_request_abandon(struct rj_caller_request *request)
+{
+	struct rj_answer answer = {
+		.kind = RJ_ANSWER_UNKNOWN,
+		.reason = RJ_REASON_DRAINING,
+		.retry_after_us = BUSY_RETRY_US,
+		.detail = "this instance has stopped: ask another one",
+	};
+
+	request->explain = false;
+	rj_caller_request_answer(request, &answer, NULL);
+}
+
 /* Add up the bytes of one header. */
 static enum MHD_Result add_header(void *sum, enum MHD_ValueKind kind,
 				  const char *name, const char *value)
@@ -192,7 +220,7 @@
 static int take_key(struct rj_caller_request *request, char key[RJ_KEY_BYTES])
 {
 	const char *header = MHD_lookup_connection_value(
-		request->connection, MHD_HEADER_KIND, "Idempotency-Key");
+		request->connection, MHD_HEADER_KIND, KEY_HEADER);
 	size_t length = header ? strlen(header) : 0;
 
 	if (!header)
@@ -215,6 +243,12 @@
 {
 	struct rj_http_callers_state *state = request->state;
 
+	if (state->closed) {
+		rj_caller_request_refuse(request, 0, RJ_REASON_DRAINING,
+					 "this instance has stopped: ask "
+					 "another one");
+		return;
+	}
 	if (g_hash_table_size(state->asked) >= state->options.requests_max) {
 		rj_caller_request_refuse(
 			request, 0, RJ_REASON_QUEUE_FULL,
--- a/src/libradishjunction/caller/http_callers.c
+++ b/src/libradishjunction/caller/http_callers.c
@@ -218,7 +218,7 @@
 	struct rj_caller_request *request = *slot;
 
 	if (!request) {
-		request = rj_caller_request_begin(state, connection);
+		request = rj_caller_request_begin(state, connection, method);
 		request->over_limit = is_over_limit(connection);
 		*slot = request;
 		if (rj_caller_request_early_refusal(request))
@@ -280,14 +280,9 @@
 		resume(request);
 }
 
-/*
- * Stop the daemon. Connections that still wait are closed without an answer;
- * the daemon must not be stopped while any is suspended.
- */
-static void callers_finish(struct rj_callers *base)
+/* Answer all that the core has taken and will not answer. */
+static void abandon_all(struct rj_http_callers_state *state)
 {
-	struct rj_http_callers *callers = (struct rj_http_callers *)base;
-	struct rj_http_callers_state *state = callers->state;
 	struct rj_caller_request *request;
 	GHashTableIter iterator;
 
@@ -295,12 +290,19 @@
 	while (g_hash_table_iter_next(&iterator, NULL, (void **)&request)) {
 		g_hash_table_iter_remove(&iterator);
 		TALLOC_FREE(request->watch);
-		rj_caller_request_refuse(
-			request, 0, RJ_REASON_DRAINING,
-			"the instance has stopped; ask another");
+		rj_caller_request_abandon(request);
 		if (request->suspended)
 			resume(request);
 	}
+}
+
+/* Stop the daemon, which must not be while a connection is suspended. */
+static void callers_finish(struct rj_callers *base)
+{
+	struct rj_http_callers *callers = (struct rj_http_callers *)base;
+	struct rj_http_callers_state *state = callers->state;
+
+	abandon_all(state);
 	MHD_run(state->daemon);
 	TALLOC_FREE(state->epoll_event);
 	MHD_stop_daemon(state->daemon);
@@ -405,6 +407,19 @@
 	callers->state->draining = true;
 }
 
+/*
+ * The core takes no more events: what it has not answered is answered
+ * `unknown` now, and what still comes is refused here.
+ *
+ * Guards against requests that come while the last answers are sent: the
+ * core would pass over them, and their callers would wait in vain.
+ */
+void rj_http_callers_close(struct rj_http_callers *callers)
+{
+	callers->state->closed = true;
+	abandon_all(callers->state);
+}
+
 /*
  * Requests whose answer has not been sent whole.
  */
--- a/src/libradishjunction/include/private/caller_request.h
+++ b/src/libradishjunction/include/private/caller_request.h
@@ -30,6 +30,7 @@
 	struct tevent_immediate *kick;
 	bool kicked;
 	bool draining;
+	bool closed; /* the core takes no more events */
 	uint32_t connections;
 	uint32_t open; /* requests from their headers to their last byte */
 	GHashTable *asked; /* id -> request that waits for the core */
@@ -42,6 +43,7 @@
 	struct MHD_Connection *connection;
 	uint64_t id; /* of the event; 0 if the core was not asked */
 	uint64_t began_us;
+	bool plain; /* a submission without a key */
 	bool over_limit; /* its connection is one too many */
 	bool explain; /* the answer is the explanation, if allowed */
 	uint64_t job_id;
@@ -59,7 +61,7 @@
 
 struct rj_caller_request *
 rj_caller_request_begin(struct rj_http_callers_state *state,
-			struct MHD_Connection *connection);
+			struct MHD_Connection *connection, const char *method);
 void rj_caller_request_take(struct rj_caller_request *request, const char *data,
 			    size_t length);
 void rj_caller_request_dispatch(struct rj_caller_request *request,
@@ -70,6 +72,7 @@
 void rj_caller_request_refuse(struct rj_caller_request *request,
 			      unsigned int status, enum rj_reason reason,
 			      const char *detail);
+void rj_caller_request_abandon(struct rj_caller_request *request);
 bool rj_caller_request_early_refusal(struct rj_caller_request *request);
 
 #endif
--- a/src/radishjunctiond/main.c
+++ b/src/radishjunctiond/main.c
@@ -34,6 +34,8 @@
 #define ARG_ERRORS_MAX 20
 /* An idle connection may just be about to be used; see linger. */
 #define LINGER_US (500 * RJ_US_PER_MS)
+/* The core answers what is open at the limit; this is for its last steps. */
+#define DRAIN_MARGIN_US (10 * RJ_US_PER_S)
 /* Low bits of an incarnation that are left to chance. */
 #define INCARNATION_RANDOM_BITS 20
 
--- a/src/test_libradishjunction/test_http_callers.c
+++ b/src/test_libradishjunction/test_http_callers.c
@@ -464,6 +464,37 @@
 	server_finish(&server);
 }
 
+/*
+ * A buyer is told "not run", and the quote has run.
+ * Callers with and without a key reach an instance in its last moments, when
+ * the core takes no more events; one still waits for a job that was started.
+ * Cause: whatever was open at the end was called not run.
+ */
+static void test_answers_after_the_core(void)
+{
+	static const char *jobs = "POST /v1/jobs";
+	static const char *job = "GET /v1/jobs/00000000000000ff";
+	static const char *token = "Authorization: Bearer t\r\n";
+	struct server server;
+	struct client waiting;
+
+	server_init(&server, 8, 8);
+	server.hold = true;
+	client_init(&waiting, &server,
+		    request(jobs, token, "{\"class\":\"q\"}"));
+	RUN_UNTIL(loop, server.asked_count == 1);
+	rj_http_callers_close(&server.callers);
+	RUN_UNTIL(loop, waiting.closed);
+	g_assert_nonnull(strstr(waiting.got->str, "\"unknown\""));
+	expect(&server, post("{\"class\":\"q\"}"), 503, "\"unknown\"");
+	expect(&server, request(jobs, token, "{\"class\":\"q\"}"), 503,
+	       "\"not_run\"");
+	expect(&server, request(job, token, ""), 503, "\"unknown\"");
+	g_assert_cmpuint(server.asked_count, ==, 1);
+	client_finish(&waiting);
+	server_finish(&server);
+}
+
 /* A result that is no JSON comes as text, one that is no text in base64. */
 static void test_results_of_any_bytes(void)
 {
@@ -495,6 +526,8 @@
 	g_test_add_func("/http_callers/explain", test_explain);
 	g_test_add_func("/http_callers/lookup", test_lookup_and_cancel);
 	g_test_add_func("/http_callers/statuses", test_statuses);
+	g_test_add_func("/http_callers/after_the_core",
+			test_answers_after_the_core);
 	g_test_add_func("/http_callers/results", test_results_of_any_bytes);
 	status = g_test_run();
 	talloc_free(loop);
