--- /dev/null
+++ b/src/test_libradishjunction/support/fuzz_targets.c
@@ -0,0 +1,171 @@
+#include "support/fuzz_targets.h"
+
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/caller_json.h"
+#include "private/peer_codec.h"
+#include "private/worker_wire.h"
+#include "radishjunction/config.h"
+#include "radishjunction/record.h"
+#include "radishjunction/settings.h"
+
+/*
+ * The bytes as zero-terminated text, as adapters hand them on.
+ */
+static char *as_text(void *mem, const uint8_t *data, size_t length)
+{
+	char *text = talloc_strndup(mem, (const char *)data, length);
+
+	assert(text);
+	return text;
+}
+
+/*
+ * A configuration is refused with an error, or parses again from its own
+ * text.
+ */
+static void fuzz_config(const uint8_t *data, size_t length)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_error_list errors;
+	struct rj_config *config;
+	struct rj_config *again;
+
+	rj_error_list_init(&errors, mem);
+	config = rj_config_parse(mem, as_text(mem, data, length), &errors);
+	assert(config ? !errors.count : errors.count > 0);
+	if (config) {
+		again = rj_config_parse(mem, config->text, &errors);
+		assert(again && again->account_count == config->account_count);
+		rj_config_unref(again);
+		rj_config_unref(config);
+	}
+	talloc_free(mem);
+}
+
+/*
+ * Settings are refused with an error, or are within their bounds.
+ */
+static void fuzz_settings(const uint8_t *data, size_t length)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_error_list errors;
+	struct rj_settings *settings;
+
+	rj_error_list_init(&errors, mem);
+	settings = rj_settings_parse(mem, as_text(mem, data, length), &errors);
+	assert(settings ? !errors.count : errors.count > 0);
+	assert(!settings || settings->platform_address.port);
+	talloc_free(mem);
+}
+
+/*
+ * A record is refused and left empty, or encodes to a text that decodes to
+ * the same.
+ */
+static void fuzz_record(const uint8_t *data, size_t length)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_record record;
+	struct rj_record again;
+	char *text;
+
+	if (rj_record_decode(mem, as_text(mem, data, length), &record, NULL)) {
+		assert(record.kind == RJ_RECORD_MALFORMED && !record.members);
+	} else {
+		text = rj_record_encode(mem, &record);
+		assert(text);
+		assert(!rj_record_decode(mem, text, &again, NULL));
+		assert(!strcmp(text, rj_record_encode(mem, &again)));
+	}
+	talloc_free(mem);
+}
+
+/*
+ * A peer's message is refused, or can be sent on.
+ */
+static void fuzz_peer(const uint8_t *data, size_t length)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_bytes bytes = { data, (uint32_t)length };
+	struct rj_peer_message message;
+
+	if (!rj_peer_decode(mem, bytes, &message, NULL))
+		assert(rj_peer_encode(mem, &message).length);
+	talloc_free(mem);
+}
+
+/*
+ * A peer's first frame is refused, or can be sent on.
+ */
+static void fuzz_hello(const uint8_t *data, size_t length)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_bytes bytes = { data, (uint32_t)length };
+	struct rj_peer_hello hello;
+
+	if (!rj_peer_hello_decode(bytes, &hello, NULL))
+		assert(rj_peer_hello_encode(mem, &hello).length);
+	talloc_free(mem);
+}
+
+/*
+ * A caller's submission is refused with an error, or has a class.
+ */
+static void fuzz_submit(const uint8_t *data, size_t length)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_error_list errors;
+	struct rj_job_spec spec;
+
+	rj_error_list_init(&errors, mem);
+	if (rj_caller_parse_submit(mem, as_text(mem, data, length), &spec,
+				   &errors))
+		assert(errors.count);
+	else
+		assert(spec.class_name[0] && spec.shape.tasks);
+	talloc_free(mem);
+}
+
+/*
+ * A worker's answer to the call of the example is refused, or is of that
+ * call's attempt.
+ */
+static void fuzz_reply(const uint8_t *data, size_t length)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_worker_call call = {
+		.call_id = 1,
+		.op = RJ_WORKER_START,
+		.worker = "w",
+		.attempt = { .job_id = 1, .owner = 1, .number = 1 },
+	};
+	struct rj_worker_reply reply;
+
+	memset(&reply, 0, sizeof(reply));
+	if (!rj_worker_wire_decode_reply(mem, as_text(mem, data, length), &call,
+					 &reply, NULL))
+		assert(reply.attempt.job_id == call.attempt.job_id);
+	talloc_free(mem);
+}
+
+const struct fuzz_target fuzz_targets[] = {
+	{ "config", fuzz_config }, { "settings", fuzz_settings },
+	{ "record", fuzz_record }, { "peer", fuzz_peer },
+	{ "hello", fuzz_hello },   { "submit", fuzz_submit },
+	{ "reply", fuzz_reply },   { NULL, NULL },
+};
+
+/*
+ * The target of that name, or NULL.
+ */
+const struct fuzz_target *fuzz_target_find(const char *name)
+{
+	for (const struct fuzz_target *target = fuzz_targets; target->name;
+	     target++)
+		if (!strcmp(target->name, name))
+			return target;
+	return NULL;
+}
