--- a/src/test_libradishjunction/support/faults.c
+++ b/src/test_libradishjunction/support/faults.c
@@ -61,6 +61,7 @@
 	uint8_t faults[FAULT_KIND_COUNT];
 	uint8_t load[LOAD_KIND_COUNT];
 	uint32_t callers; /* 0: CALLERS */
+	uint64_t end_us; /* 0: END_US; later where the load takes longer */
 	struct fault_rates rates; /* the most; each run takes a share */
 };
 
@@ -78,6 +79,7 @@
 			    [FAULT_CUT_DOMAIN] = 2, [FAULT_PUBLISH] = 2,
 			    [FAULT_WORKER_SILENT] = 1 },
 		.callers = 40,
+		.end_us = 2 * END_US,
 		.load = { [LOAD_OCCUPY] = 8, [LOAD_RENDER] = 2, [LOAD_GANG] = 1, [LOAD_GUARANTEED] = 2, [LOAD_QUOTE] = 1 },
 		.rates = { RATES_OF_WORKERS },
 	},
@@ -456,6 +458,7 @@
 	default:
 		plan->class_name = "pack";
 		plan->account = WORLD_GUARANTEED_ACCOUNT;
+		plan->guaranteed = true;
 		plan->tasks = WORLD_GUARANTEED_TASKS;
 		plan->accelerators = 4;
 		plan->adjacent = true;
@@ -479,9 +482,13 @@
 
 		memset(&plan, 0, sizeof(plan));
 		plan_caller(world, kind, &plan, &next_key);
-		/* One shape is guaranteed in each failure domain. */
-		if (kind == LOAD_GUARANTEED && !guaranteed[plan.domain]) {
-			plan.guaranteed = guaranteed[plan.domain] = true;
+		/* One shape is guaranteed in each failure domain: its account
+		   asks for no more, since more has no guarantee. */
+		if (plan.guaranteed && guaranteed[plan.domain])
+			plan.account = WORLD_OTHER_ACCOUNT;
+		plan.guaranteed &= !guaranteed[plan.domain];
+		if (plan.guaranteed) {
+			guaranteed[plan.domain] = true;
 			from_us = LOAD_UNTIL_US;
 			until_us = CALM_US + 2 * RJ_US_PER_S;
 		}
@@ -644,7 +651,7 @@
 	}
 	(void)world_after(world, 0, replace_stopped);
 	(void)world_after(world, CALM_US, calm);
-	world_run_until(world, END_US);
+	world_run_until(world, profile->end_us ? profile->end_us : END_US);
 	checker_finish_run(&world->checker, world->now_us);
 	add_result(world, result);
 	talloc_free(mem);
