--- a/src/radishjunction/ask.c
+++ b/src/radishjunction/ask.c
@@ -1,6 +1,7 @@
 #include <assert.h>
 #include <stdio.h>
 #include <talloc.h>
+#include <unistd.h>
 
 #include "answers.h"
 #include "command.h"
@@ -260,6 +261,7 @@
 		interview.mem = talloc_new(NULL);
 		assert(interview.mem);
 		interview.defaults_at_end = defaults->count > 0;
+		interview.echo = !isatty(STDIN_FILENO);
 		code = ask(&interview, option_file(earlier),
 			   output->count ? option_file(output) : "-");
 		talloc_free(interview.mem);
--- a/src/radishjunction/interview.c
+++ b/src/radishjunction/interview.c
@@ -24,6 +24,8 @@
 		line[--length] = 0;
 	start += strspn(line, " \t");
 	memmove(line, start, strlen(start) + 1);
+	if (interview->echo)
+		fprintf(interview->out, "%s\n", line);
 	return 0;
 }
 
--- a/src/radishjunction/interview.h
+++ b/src/radishjunction/interview.h
@@ -17,6 +17,7 @@
 	FILE *in;
 	FILE *out; /* questions and errors */
 	void *mem;
+	bool echo; /* `in` is no terminal: print what was read */
 	bool defaults_at_end; /* when `in` ends, defaults answer the rest */
 };
 
