--- a/src/libradishjunction/core/planner_topology.c
+++ b/src/libradishjunction/core/planner_topology.c
@@ -13,7 +13,7 @@
 #define EXPECTED_US_DEFAULT (10 * RJ_US_PER_S)
 
 /* So many blocked gangs have room kept for them at once. */
-#define LOOSE_MAX 3
+#define LOOSE_MAX 2
 
 /* A worker that kept what was reclaimed is not asked again for this long. */
 #define SILENT_US (30 * RJ_US_PER_S)
--- a/src/libradishjunction/core/topology_reclaim.c
+++ b/src/libradishjunction/core/topology_reclaim.c
@@ -12,7 +12,7 @@
 #define SMALL_PART 2
 
 /* A gang that has waited may cost others so much of its own work. */
-#define WAITED_LOST_PERCENT 3
+#define WAITED_LOST_PERCENT 5
 
 /* What a checkpoint costs a job, as run time lost. */
 #define CHECKPOINT_COST_US RJ_US_PER_S
--- a/src/libradishjunction/core/topology_reserve.c
+++ b/src/libradishjunction/core/topology_reserve.c
@@ -256,7 +256,6 @@
 void rj_topology_reserve_soonest(struct rj_topology_state *state,
 				 struct rj_plan_entry *entry, uint64_t now_us)
 {
-	uint64_t patience_us = rj_topology_patience_us(state, entry);
 	uint64_t best_us = RJ_NEVER_US;
 	uint32_t count = 0;
 
@@ -274,10 +273,6 @@
 	}
 	if (!count)
 		return;
-	/* It may stop what is in its way then; nothing should start before. */
-	if (patience_us != RJ_NEVER_US &&
-	    entry->waiting_since_us + patience_us > now_us)
-		best_us = MIN(best_us, entry->waiting_since_us + patience_us);
 	rj_topology_reserve(state, entry, state->members, count, false, best_us)
 		->refresh_us = now_us + REFRESH_US;
 }
