planner: room is kept for what is larger than a worker

Cause: renders of a worker's size took the places in which room is kept for gangs, and stopped previews after the gangs' patience.

--- a/src/libradishjunction/core/planner_topology.c
+++ b/src/libradishjunction/core/planner_topology.c
@@ -642,7 +642,7 @@
 		state->retry_us = MIN(state->retry_us,
 				      entry->waiting_since_us + patience_us);
 	if (!entry->reservation && loose_count(state) < LOOSE_MAX &&
-	    rj_topology_size(entry) >= state->worker_accelerators)
+	    rj_topology_size(entry) > state->worker_accelerators)
 		rj_topology_reserve_soonest(state, entry, now_us);
 }
 
--- a/src/libradishjunction/core/topology_reclaim.c
+++ b/src/libradishjunction/core/topology_reclaim.c
@@ -536,7 +536,7 @@
 
 	if (entry->job.priority == RJ_PRIORITY_URGENT)
 		return URGENT_PATIENCE_US;
-	if (rj_topology_size(entry) < state->worker_accelerators)
+	if (rj_topology_size(entry) <= state->worker_accelerators)
 		return RJ_NEVER_US;
 	return (GANG_PATIENCE_S + (100 - weight) / 4) * RJ_US_PER_S;
 }
