--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -13,6 +13,7 @@
 };
 
 int bench_policy(int argc, char **argv);
+int bench_cost(int argc, char **argv);
 int bench_faults(int argc, char **argv);
 
 #endif
--- /dev/null
+++ b/src/bench/cost.c
@@ -0,0 +1,413 @@
+#include <argtable2.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <time.h>
+
+#include "bench.h"
+#include "radishjunction/planner_topology.h"
+
+#define RACK_WORKERS 8
+#define WORKER_ACCELERATORS 8
+
+/* Tasks on each worker: 33,000 on 7,500 workers are 4.4. */
+#define TASKS_RUNNING 3
+
+#define GANG_TASKS 512
+#define WAVE_JOBS 1000
+#define REPEATS_MAX 1000
+
+/* The sizes asked for, and an owner's share of the largest. */
+static const uint32_t worker_counts[] = { 50, 120, 500, 1000, 7500 };
+static const uint32_t account_counts[] = { 4, 290 };
+
+#define SIZES (sizeof(worker_counts) / sizeof(worker_counts[0]))
+
+struct site {
+	struct rj_planner_topology topology;
+	struct rj_planner *planner;
+	struct rj_decisions decisions;
+	struct rj_domain domain;
+	struct rj_account *accounts;
+	struct rj_guarantee *guarantees;
+	struct rj_config config;
+	uint32_t workers;
+	uint64_t next_id;
+	uint64_t now_us;
+	void *mem;
+};
+
+/* What is measured; each gives its time in nanoseconds. */
+struct cost {
+	const char *name;
+	double (*run)(struct site *site);
+	uint32_t repeats; /* on one site; 1 if it changes the site for good */
+	uint32_t workers_min; /* it needs this many */
+};
+
+static double now_ns(void)
+{
+	struct timespec time;
+
+	clock_gettime(CLOCK_MONOTONIC, &time);
+	return (double)time.tv_sec * 1e9 + (double)time.tv_nsec;
+}
+
+/*
+ * Every account is guaranteed something: the first a gang of a rack's half,
+ * the others one task each, as long as there is room.
+ */
+static void site_configure(struct site *site, uint32_t accounts)
+{
+	site->accounts =
+		talloc_zero_array(site->mem, struct rj_account, accounts);
+	site->guarantees =
+		talloc_zero_array(site->mem, struct rj_guarantee, accounts);
+	for (uint32_t i = 0; i < accounts; i++) {
+		struct rj_guarantee *guarantee = &site->guarantees[i];
+
+		snprintf(site->accounts[i].name, RJ_NAME_BYTES, "account%u", i);
+		rj_name_set(guarantee->domain, "domain");
+		guarantee->shape =
+			i ? (struct rj_shape){ 1, { 1, 1, 1, 1 }, false } :
+			    (struct rj_shape){ 4, { 1, 8, 1, 1 }, true };
+		guarantee->count = 1;
+		site->accounts[i].share = 1;
+		site->accounts[i].guarantees = guarantee;
+		site->accounts[i].guarantee_count = 1;
+	}
+	rj_name_set(site->domain.name, "domain");
+	site->domain.racks = (site->workers + RACK_WORKERS - 1) / RACK_WORKERS;
+	site->domain.workers_per_rack = RACK_WORKERS;
+	site->domain.worker =
+		(struct rj_resources){ 64, WORKER_ACCELERATORS, 128, 1 << 19 };
+	site->config = (struct rj_config){
+		.domains = &site->domain,
+		.domain_count = 1,
+		.accounts = site->accounts,
+		.account_count = accounts,
+		.limits = { .queue_max = 100000, .checkpoint_limit_ms = 3000 },
+	};
+	site->planner->ops->configure(site->planner, &site->config, "domain",
+				      0);
+}
+
+static struct rj_plan_job job_of(struct site *site, uint32_t tasks,
+				 uint32_t accelerators, bool adjacent)
+{
+	struct rj_plan_job job = {
+		.job_id = ++site->next_id,
+		.class_name = "class",
+		.shape = { tasks, { 1, accelerators, 1, 1 }, adjacent },
+		.priority = RJ_PRIORITY_NORMAL,
+		.stoppable = true,
+		.queued_us = site->now_us,
+		.deadline_us = RJ_NEVER_US,
+	};
+
+	snprintf(job.account, sizeof(job.account), "account%u",
+		 (uint32_t)(1 + site->next_id % 3));
+	return job;
+}
+
+static void site_init(struct site *site, uint32_t workers, uint32_t accounts,
+		      uint32_t tasks_running)
+{
+	memset(site, 0, sizeof(*site));
+	site->mem = talloc_new(NULL);
+	site->workers = workers;
+	site->now_us = RJ_US_PER_S;
+	rj_planner_topology_init(&site->topology, site->mem);
+	site->planner = &site->topology.base;
+	rj_decisions_init(&site->decisions, site->mem);
+	site_configure(site, accounts);
+	for (uint32_t i = 0; i < workers; i++) {
+		struct rj_plan_worker worker = {
+			.id = i,
+			.rack = i / RACK_WORKERS,
+			.capacity = site->domain.worker,
+			.usable = true,
+			.owned = true,
+		};
+
+		site->planner->ops->worker(site->planner, &worker, 0);
+	}
+	for (uint32_t i = 0; i < workers * tasks_running; i++) {
+		struct rj_plan_job job = job_of(site, 1, 1, false);
+		struct rj_plan_member member = { i % workers, 1 };
+
+		site->planner->ops->adopt(site->planner, &job, &member, 1, 0);
+	}
+	site->planner->ops->pass(site->planner, site->now_us, &site->decisions);
+}
+
+static void site_finish(struct site *site)
+{
+	rj_decisions_finish(&site->decisions);
+	site->planner->ops->finish(site->planner);
+	talloc_free(site->mem);
+}
+
+/*
+ * Time the admission of a job and the pass that starts it (or, with
+ * `reclaims`, asks for room); the job is taken away again.
+ */
+static double time_job(struct site *site, struct rj_plan_job job, bool reclaims)
+{
+	uint64_t retry_after_us;
+	enum rj_reason reason;
+	double from_ns;
+	double took_ns;
+
+	rj_decisions_clear(&site->decisions);
+	from_ns = now_ns();
+	site->planner->ops->submit(site->planner, &job, site->now_us, &reason,
+				   &retry_after_us);
+	site->planner->ops->pass(site->planner, site->now_us, &site->decisions);
+	took_ns = now_ns() - from_ns;
+	if (!site->decisions.count ||
+	    (site->decisions.list[0].kind == RJ_DECISION_RECLAIM) != reclaims) {
+		(void)fprintf(stderr, "cost: the job was not decided on\n");
+		exit(1);
+	}
+	site->planner->ops->ended(site->planner, job.job_id, true, RJ_US_PER_S,
+				  site->now_us);
+	return took_ns;
+}
+
+static double cost_small(struct site *site)
+{
+	return time_job(site, job_of(site, 1, 1, false), false);
+}
+
+static double cost_gang(struct site *site)
+{
+	return time_job(site, job_of(site, GANG_TASKS, 1, false), false);
+}
+
+/*
+ * The first account asks for its gang, and all workers are full.
+ */
+static double cost_reclaim(struct site *site)
+{
+	struct rj_plan_job job = job_of(site, 4, 8, true);
+
+	for (uint32_t i = 0; i < site->workers; i++) {
+		struct rj_plan_job filler = job_of(
+			site, 1, WORKER_ACCELERATORS - TASKS_RUNNING, false);
+		struct rj_plan_member member = { i, 1 };
+
+		site->planner->ops->adopt(site->planner, &filler, &member, 1,
+					  0);
+	}
+	snprintf(job.account, sizeof(job.account), "account0");
+	return time_job(site, job, true);
+}
+
+/*
+ * Half of the wave runs and half waits when all of it is cancelled: the time
+ * for one job, with the pass at the end.
+ */
+static double cost_wave(struct site *site)
+{
+	uint64_t first = site->next_id + 1;
+	double from_ns;
+
+	for (uint32_t i = 0; i < WAVE_JOBS; i++) {
+		struct rj_plan_job job = job_of(site, 1, 1 + i % 8, false);
+		uint64_t retry_after_us;
+		enum rj_reason reason;
+
+		site->planner->ops->submit(site->planner, &job, site->now_us,
+					   &reason, &retry_after_us);
+		if (i == WAVE_JOBS / 2)
+			site->planner->ops->pass(site->planner, site->now_us,
+						 &site->decisions);
+	}
+	from_ns = now_ns();
+	for (uint64_t id = first; id < first + WAVE_JOBS; id++)
+		site->planner->ops->ended(site->planner, id, false, 0,
+					  site->now_us);
+	rj_decisions_clear(&site->decisions);
+	site->planner->ops->pass(site->planner, site->now_us, &site->decisions);
+	return (now_ns() - from_ns) / WAVE_JOBS;
+}
+
+/*
+ * One worker's report changes what is known of it.
+ */
+static double cost_worker(struct site *site)
+{
+	struct rj_plan_worker worker = {
+		.capacity = site->domain.worker,
+		.usable = true,
+		.owned = true,
+		.foreign = { .cores = (uint32_t)(++site->next_id % 2) },
+	};
+	double from_ns = now_ns();
+
+	site->planner->ops->worker(site->planner, &worker, site->now_us);
+	site->planner->ops->pass(site->planner, site->now_us, &site->decisions);
+	return now_ns() - from_ns;
+}
+
+static double cost_configure(struct site *site)
+{
+	double from_ns = now_ns();
+
+	site->planner->ops->configure(site->planner, &site->config, "domain",
+				      site->now_us);
+	site->planner->ops->pass(site->planner, site->now_us, &site->decisions);
+	return now_ns() - from_ns;
+}
+
+static const struct cost costs[] = {
+	{ "small_placement", cost_small, 500, 1 },
+	{ "gang_512", cost_gang, 50, 120 },
+	{ "worker_report", cost_worker, 50, 1 },
+	{ "configure", cost_configure, 5, 1 },
+	{ "cancel_one_of_wave", cost_wave, 5, 1 },
+	{ "reclaim", cost_reclaim, 1, 1 },
+};
+
+static int compare_doubles(const void *a, const void *b)
+{
+	double one = *(const double *)a;
+	double two = *(const double *)b;
+
+	return one < two ? -1 : one > two;
+}
+
+/*
+ * The median of a cost in microseconds; a cost that changes its site for
+ * good is run on `sites` of them.
+ */
+static double measure(const struct cost *cost, uint32_t workers,
+		      uint32_t accounts, uint32_t sites)
+{
+	double took[REPEATS_MAX];
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < sites; i++) {
+		struct site site;
+
+		site_init(&site, workers, accounts, TASKS_RUNNING);
+		for (uint32_t j = 0; j < cost->repeats && count < REPEATS_MAX;
+		     j++)
+			took[count++] = cost->run(&site);
+		site_finish(&site);
+	}
+	qsort(took, count, sizeof(*took), compare_doubles);
+	return took[count / 2] / 1000;
+}
+
+/*
+ * Print the bytes of state with nothing running and with all, and note the
+ * former in `*idle`. What GLib keeps (hash tables, lists) is not in it.
+ */
+static void print_state(uint32_t workers, uint32_t accounts, double *idle)
+{
+	struct site site;
+	size_t empty;
+	size_t full;
+
+	site_init(&site, workers, accounts, 0);
+	empty = talloc_total_size(site.topology.state);
+	site_finish(&site);
+	site_init(&site, workers, accounts, TASKS_RUNNING);
+	full = talloc_total_size(site.topology.state);
+	site_finish(&site);
+	*idle = (double)empty;
+	printf("{\"bench\":\"cost\",\"measure\":\"state\",\"workers\":%u,"
+	       "\"accounts\":%u,\"bytes_idle\":%zu,\"bytes\":%zu,"
+	       "\"bytes_a_running_job\":%.0f}\n",
+	       workers, accounts, empty, full,
+	       (double)(full - empty) / (workers * TASKS_RUNNING));
+}
+
+/*
+ * Print the line by least squares through what was measured at each size:
+ * so many of `unit`, and so many for each worker more.
+ */
+static void print_slope(const char *name, const char *unit, uint32_t accounts,
+			const double *took, uint32_t from)
+{
+	double n = 0;
+	double x = 0;
+	double y = 0;
+	double xx = 0;
+	double xy = 0;
+	double slope;
+
+	for (uint32_t i = from; i < SIZES; i++) {
+		double workers = worker_counts[i];
+
+		n++;
+		x += workers;
+		y += took[i];
+		xx += workers * workers;
+		xy += workers * took[i];
+	}
+	slope = (n * xy - x * y) / (n * xx - x * x);
+	printf("{\"bench\":\"cost\",\"measure\":\"slope\",\"of\":\"%s\","
+	       "\"accounts\":%u,\"%s\":%.2f,\"%s_a_worker\":%.5f}\n",
+	       name, accounts, unit, (y - slope * x) / n, unit, slope);
+}
+
+static void run_cost(const struct cost *cost, uint32_t accounts, uint32_t sites)
+{
+	double took[SIZES] = { 0 };
+	uint32_t from = 0;
+
+	for (uint32_t i = 0; i < SIZES; i++) {
+		if (worker_counts[i] < cost->workers_min) {
+			from = i + 1;
+			continue;
+		}
+		took[i] = measure(cost, worker_counts[i], accounts, sites);
+		printf("{\"bench\":\"cost\",\"measure\":\"%s\",\"workers\":%u,"
+		       "\"accounts\":%u,\"us\":%.2f}\n",
+		       cost->name, worker_counts[i], accounts, took[i]);
+		(void)fflush(stdout);
+	}
+	print_slope(cost->name, "us", accounts, took, from);
+}
+
+/*
+ * Print the time of each decision, the bytes of state, and their slopes.
+ */
+int bench_cost(int argc, char **argv)
+{
+	struct arg_int *sites =
+		arg_int0(NULL, "sites", "N", "medians over so many sites (5)");
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this");
+	struct arg_end *end = arg_end(5);
+	void *table[] = { sites, help, end };
+	int errors = arg_parse(argc, argv, table);
+	uint32_t count = sites->count ? (uint32_t)sites->ival[0] : 5;
+	double idle[SIZES];
+	int status = 0;
+
+	if (help->count || errors || !count) {
+		FILE *out = help->count ? stdout : stderr;
+
+		(void)fputs("usage: bench cost", out);
+		arg_print_syntax(out, table, "\n");
+		arg_print_glossary(out, table, "  %-20s %s\n");
+		status = help->count ? 0 : 2;
+		goto out;
+	}
+	for (size_t i = 0; i < 2; i++) {
+		for (size_t j = 0; j < sizeof(costs) / sizeof(costs[0]); j++)
+			run_cost(&costs[j], account_counts[i], count);
+		for (size_t j = 0; j < SIZES; j++)
+			print_state(worker_counts[j], account_counts[i],
+				    &idle[j]);
+		print_slope("state", "bytes", account_counts[i], idle, 0);
+	}
+out:
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return status;
+}
--- a/src/bench/main.c
+++ b/src/bench/main.c
@@ -5,6 +5,7 @@
 
 static const struct bench_command commands[] = {
 	{ "policy", "completion, fragmentation and reclaim", bench_policy },
+	{ "cost", "time and state of decisions, with slopes", bench_cost },
 	{ "faults", "run seeded faults and judge every promise", bench_faults },
 };
 
