--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -33,12 +33,18 @@
  * not run twice always does. An accepted job does while the log can be had,
  * so that its next owner finds where it runs; in an outage it goes on
  * without, since it may run again.
+ *
+ * Guards against an instance that was paused: while its peers took it for
+ * dead, one of them served the job, or cancelled it and told so. The symptom
+ * is a job that runs after "not run". It starts nothing accepted until it has
+ * caught up with the log.
  */
 bool rj_job_needs_claim(const struct rj_job *job)
 {
 	if (!job->idempotent)
 		return true;
-	return job->accepted && rj_log_usable(job->core);
+	return job->accepted &&
+	       (rj_log_usable(job->core) || job->core->woke_us);
 }
 
 /*
@@ -227,6 +233,39 @@
 	job->claimed = false;
 }
 
+/* Whether the entry's open claim is that of the job's present attempt. */
+static bool own_claim(const struct rj_job *job,
+		      const struct rj_job_entry *entry)
+{
+	return entry->claimed && entry->attempt.owner == job->attempt.owner &&
+	       entry->attempt.number == job->attempt.number;
+}
+
+/*
+ * Close an older claim of the job that would keep its outcome out of the log.
+ *
+ * Guards against a void that an outage has swallowed: the job then ran again
+ * without a claim, and every reader ignores its outcome while the older claim
+ * is open. It shows as an accepted job that never ends. A claim of this
+ * instance is over, or the job would not have ended; one of a peer is closed
+ * only for a job that is done and may run twice.
+ */
+static void close_older_claim(const struct rj_job *job)
+{
+	const struct rj_job_entry *entry =
+		rj_job_ledger_find(&job->core->ledger, job->spec.job_id);
+	struct rj_record record;
+
+	if (!entry || !entry->claimed || own_claim(job, entry))
+		return;
+	if (entry->attempt.owner != job->core->incarnation &&
+	    !(job->idempotent && job->final.kind == RJ_ANSWER_DONE))
+		return;
+	fill_record(job, RJ_RECORD_VOID, &record);
+	record.attempt = entry->attempt;
+	rj_log_append(job->core, RJ_STREAM_JOBS, &record);
+}
+
 /*
  * Append how the job ended, again and again until it was read back.
  */
@@ -236,6 +275,12 @@
 	struct rj_record record;
 
 	assert(job->state == RJ_JOB_ENDED);
+	/* In an outage a peer may start it without a claim before this record
+	   is read: that it did not run is not to be said for good. */
+	if (job->accepted && job->final.kind == RJ_ANSWER_NOT_RUN &&
+	    !rj_log_usable(core))
+		job->final.kind = RJ_ANSWER_UNKNOWN;
+	close_older_claim(job);
 	fill_record(job, RJ_RECORD_OUTCOME, &record);
 	record.outcome = job->final.kind;
 	record.reason = job->final.reason;
@@ -276,14 +321,6 @@
 	rj_job_watch(job);
 }
 
-/* Whether the entry's open claim is that of the job's present attempt. */
-static bool own_claim(const struct rj_job *job,
-		      const struct rj_job_entry *entry)
-{
-	return entry->claimed && entry->attempt.owner == job->attempt.owner &&
-	       entry->attempt.number == job->attempt.number;
-}
-
 /* A job that was submitted here is in the log as accepted. */
 static void accept_read(struct rj_job *job)
 {
@@ -299,7 +336,9 @@
 	rj_timer_clear(&core->timers, &job->deadline);
 	if (job->cancelled)
 		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
-	else if (rj_membership_owns(core, core->domain, job->spec.job_id))
+	else if (rj_membership_owns(core, core->domain,
+				    rj_upstreams_job_key(core, core->domain,
+							 job->spec.job_id)))
 		rj_job_submit(job);
 	else
 		rj_job_free(job); /* its owner reads the same record */
@@ -371,6 +410,21 @@
 	rj_job_cancel(job, RJ_REASON_CANCELLED);
 }
 
+/*
+ * The attempt that was watched never ran: serve the job from here. A job that
+ * is known from its claim alone has no body here, and is left to those who
+ * submit it again.
+ */
+static void watched_is_void(struct rj_job *job)
+{
+	if (!job->bodiless) {
+		rj_filters_again(job);
+		return;
+	}
+	rj_job_answer_in_progress(job, RJ_REASON_CLAIM_LOST);
+	rj_job_free(job);
+}
+
 /*
  * Apply one record of the `jobs` stream, and let the job here that it is
  * about go on from it.
@@ -403,7 +457,7 @@
 	case RJ_RECORD_VOID:
 		/* What was watched never ran: serve it from here. */
 		if (!entry->claimed && job->state == RJ_JOB_WATCHING)
-			rj_filters_again(job);
+			watched_is_void(job);
 		break;
 	case RJ_RECORD_CANCEL:
 		cancel_read(job);
--- a/src/libradishjunction/core/controllers/jobs_controller.c
+++ b/src/libradishjunction/core/controllers/jobs_controller.c
@@ -247,6 +247,16 @@
 	}
 }
 
+/*
+ * Whether the job has ended and its answer may be told already. That an
+ * accepted job did not run is told only when the log has said so.
+ */
+bool rj_job_may_tell(const struct rj_job *job)
+{
+	return job->state == RJ_JOB_ENDED &&
+	       !(job->accepted && job->final.kind == RJ_ANSWER_NOT_RUN);
+}
+
 /*
  * End the job: its capacity is free, all who wait are answered, and an
  * outcome goes to the log where the log knows of the job. It then stays in
@@ -269,13 +279,13 @@
 	rj_timer_clear(&core->timers, &job->deadline);
 	rj_timer_clear(&core->timers, &job->step);
 	core->jobs.plan_wanted = true;
-	if (!job->accepted || answer->kind != RJ_ANSWER_NOT_RUN)
+	rj_job_enter(job, RJ_JOB_ENDED);
+	if (rj_job_may_tell(job))
 		rj_job_answer_waiters(job, &job->final);
 	if (!job->accepted && !job->claimed) {
 		rj_job_free(job);
 		return;
 	}
-	rj_job_enter(job, RJ_JOB_ENDED);
 	rj_claims_outcome(job);
 }
 
@@ -296,38 +306,35 @@
 
 /*
  * End a job of which this instance has started nothing and will start
- * nothing. Without a key, or with one that the whole log does not know, that
- * is `not_run`. With a key that may have been used before, of which the log
- * cannot tell, an earlier attempt elsewhere may have run: `unknown`.
+ * nothing. Without a key that is `not_run`. With a key it is `unknown`: what
+ * was read of the log is older than this moment, and another request with
+ * the same key may have been started elsewhere since. Asking again with the
+ * same key is safe.
  */
 void rj_job_not_started(struct rj_job *job, enum rj_reason reason,
 			uint64_t retry_after_us)
 {
-	bool known =
-		!job->spec.key[0] ||
-		(!job->idempotent && rj_log_usable(job->core) &&
-		 !rj_job_ledger_find(&job->core->ledger, job->spec.job_id));
-
 	assert(!job->started);
-	if (known)
-		rj_job_give_up(job, reason, retry_after_us);
-	else
+	if (job->spec.key[0])
 		rj_job_end_plain(job, RJ_ANSWER_UNKNOWN, reason,
 				 retry_after_us);
+	else
+		rj_job_give_up(job, reason, retry_after_us);
 }
 
 /*
- * End a job whose present attempt has stopped, or never started: `not_run`
- * only if no earlier attempt started either, here or at a peer that was lost.
+ * End a job whose present attempt has stopped, or never started: `failed`
+ * only if a worker said that it ran, and `not_run` only if no attempt was
+ * started, here or at a peer that was lost.
  */
 void rj_job_give_up(struct rj_job *job, enum rj_reason reason,
 		    uint64_t retry_after_us)
 {
 	enum rj_answer_kind kind = RJ_ANSWER_NOT_RUN;
 
-	if (job->started || job->ran_before)
+	if (job->ran)
 		kind = RJ_ANSWER_FAILED;
-	else if (job->ran_elsewhere)
+	else if (job->started || job->ran_before || job->ran_elsewhere)
 		kind = RJ_ANSWER_UNKNOWN;
 	rj_job_end_plain(job, kind, reason, retry_after_us);
 }
@@ -343,8 +350,11 @@
 	rj_timer_set(&job->core->timers, &job->deadline, job->deadline_us);
 }
 
-/* Tell the waiters that the job may have run, and that it goes on. */
-static void answer_in_progress(struct rj_job *job, enum rj_reason reason)
+/*
+ * Tell the waiters that the job may have run or may still run, and when to
+ * ask again.
+ */
+void rj_job_answer_in_progress(struct rj_job *job, enum rj_reason reason)
 {
 	struct rj_answer answer;
 
@@ -365,7 +375,8 @@
 	case RJ_JOB_QUEUED:
 	case RJ_JOB_HOLDING:
 		if (job->accepted) {
-			answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
+			rj_job_answer_in_progress(job,
+						  RJ_REASON_DEADLINE_PASSED);
 			break;
 		}
 		rj_job_release_members(job);
@@ -373,27 +384,27 @@
 		break;
 	case RJ_JOB_STARTING:
 	case RJ_JOB_RUNNING:
-		answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
+		rj_job_answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
 		/* Nobody waits for it and nobody can ask for it again. */
 		if (!job->accepted && !job->claimed)
 			rj_job_cancel(job, RJ_REASON_DEADLINE_PASSED);
 		break;
 	case RJ_JOB_FORWARDED:
 	case RJ_JOB_WATCHING:
-		answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
+		rj_job_answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
 		rj_job_free(job);
 		break;
 	case RJ_JOB_CLAIMING:
 	case RJ_JOB_SETTLING:
 		/* What has not started need not start any more. */
 		job->cancelled = !job->accepted;
-		answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
+		rj_job_answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
 		break;
 	case RJ_JOB_ACCEPTING:
 	case RJ_JOB_STOPPING:
 	case RJ_JOB_ENDED:
 	case RJ_JOB_STATE_COUNT:
-		answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
+		rj_job_answer_in_progress(job, RJ_REASON_DEADLINE_PASSED);
 		break;
 	}
 }
--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -100,14 +100,15 @@
  * the instances believed alive there and not draining. Nobody votes: two
  * owners for a while cost time, since leases and the log decide. An instance
  * of another failure domain owns nothing, unless nobody of `domain` is
- * alive: then the instances of all domains share its keys.
+ * alive: then the instances of all domains share its keys. An instance that
+ * stops owns only what nobody else could.
  */
 bool rj_membership_owns(const struct rj_core_state *core, const char *domain,
 			uint64_t key)
 {
-	uint64_t own = weight(core->name, key);
+	uint64_t own = core->stopping ? 0 : weight(core->name, key);
 	bool home = !strcmp(domain, core->domain);
-	bool owns = !core->stopping;
+	bool owns = true;
 	struct rj_list *at;
 	struct rj_list *next;
 
@@ -233,6 +234,8 @@
 {
 	core->membership.view_version++;
 	rj_upstreams_ownership(core);
+	if (core->stopping)
+		rj_drain_hand_over(core);
 }
 
 /* A digest of who is alive and not draining, to see a change of it. */
@@ -496,3 +499,34 @@
 	memcpy(mine->free, summary->free, sizeof(mine->free));
 	rj_upstreams_peer_summary(core, summary);
 }
+
+/*
+ * Take again what peers said of their racks, for workers that were not
+ * listed yet when they said it: it is sent only when it changes.
+ */
+void rj_membership_summaries_again(struct rj_core_state *core)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+	struct rj_list *rack;
+	struct rj_list *next_rack;
+
+	RJ_FOR_EACH (at, next, &core->membership.members) {
+		const struct rj_member_view *member =
+			RJ_CONTAINER(at, struct rj_member_view, link);
+
+		RJ_FOR_EACH (rack, next_rack, &member->summaries) {
+			const struct rj_rack_summary *known = RJ_CONTAINER(
+				rack, struct rj_rack_summary, link);
+			struct rj_peer_summary summary;
+
+			memset(&summary, 0, sizeof(summary));
+			memcpy(summary.domain, member->domain,
+			       sizeof(summary.domain));
+			summary.rack = known->rack;
+			summary.worker_count = known->worker_count;
+			memcpy(summary.free, known->free, sizeof(summary.free));
+			rj_upstreams_peer_summary(core, &summary);
+		}
+	}
+}
--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -67,6 +67,8 @@
 		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
 		return;
 	}
+	if (job->bodiless)
+		rj_job_answer_in_progress(job, RJ_REASON_CLAIM_LOST);
 	if (!job->accepted && job->waiters.next == &job->waiters) {
 		rj_job_free(job);
 		return;
@@ -280,6 +282,15 @@
 	}
 }
 
+/* The log knows the job whole. */
+static void take_accepted(struct rj_job *job, const struct rj_job_entry *entry)
+{
+	job->accepted = true;
+	if (!job->spec.body.length)
+		rj_bytes_copy(job, &job->spec.body, &entry->spec.body);
+	job->bodiless = false;
+}
+
 /*
  * Settle the open claim of an attempt that nobody alive drives. Whoever
  * watches the job here goes on from what the workers say.
@@ -295,8 +306,12 @@
 			core->config ? rj_config_class(core->config,
 						       entry->spec.class_name) :
 				       NULL);
-		job->accepted = entry->accepted;
+		job->bodiless = true;
 	}
+	/* Who only watched the job may not know that it was accepted: its end
+	   would be kept out of the log. */
+	if (entry->accepted)
+		take_accepted(job, entry);
 	job->cancelled = job->cancelled || entry->cancelled;
 	job->attempt = entry->attempt;
 	job->claimed = true;
@@ -328,9 +343,9 @@
 			core->config ? rj_config_class(core->config,
 						       entry->spec.class_name) :
 				       NULL);
-	else if (!job->spec.body.length)
-		rj_bytes_copy(job, &job->spec.body, &entry->spec.body);
-	job->accepted = true;
+	take_accepted(job, entry);
+	/* An attempt whose claim was closed may have run before it stopped. */
+	job->ran_before = job->ran_before || entry->attempt.number;
 	rj_core_log(core, RJ_LOG_ADOPT, RJ_REASON_OWNER, job, NULL);
 	if (entry->cancelled)
 		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
@@ -338,6 +353,15 @@
 		rj_job_submit(job);
 }
 
+/* Whether this instance serves what the log says of a job. */
+static bool owned_here(const struct rj_core_state *core,
+		       const struct rj_job_entry *entry)
+{
+	return rj_membership_owns(
+		core, entry->domain,
+		rj_upstreams_job_key(core, entry->domain, entry->job_id));
+}
+
 /* Append what the log says of a job again, well before it is trimmed. */
 static void carry(struct rj_core_state *core, struct rj_job_entry *entry)
 {
@@ -391,7 +415,7 @@
 	if (core->now_us < entry->recorded_us + half_us ||
 	    core->now_us < entry->carry_us + half_us / 4)
 		return;
-	if (rj_membership_owns(core, entry->domain, entry->job_id))
+	if (owned_here(core, entry))
 		carry(core, entry);
 }
 
@@ -420,14 +444,12 @@
 			bool mine = entry->attempt.owner == core->incarnation ||
 				    (!rj_membership_incarnation_alive(
 					     core, entry->attempt.owner) &&
-				     rj_membership_owns(core, entry->domain,
-							entry->job_id));
+				     owned_here(core, entry));
 
 			if (mine && !driven_here(job, entry))
 				settle_entry(core, entry);
 		} else if (!entry->settled && entry->accepted && current &&
-			   rj_membership_owns(core, entry->domain,
-					      entry->job_id)) {
+			   owned_here(core, entry)) {
 			own_accepted(core, entry);
 		}
 		keep_entry(core, entry);
--- a/src/libradishjunction/include/private/http_client.h
+++ b/src/libradishjunction/include/private/http_client.h
@@ -40,6 +40,8 @@
 	size_t length;
 	uint64_t timeout_us; /* from now to the whole answer */
 	size_t answer_max_bytes; /* a longer answer is lost */
+	const char *const *headers; /* beside the client's, "Name: value" */
+	uint32_t header_count;
 	void (*done)(void *private_data, const struct rj_http_result *result);
 	void *private_data; /* talloc: owned by the client, freed after done */
 };
@@ -56,8 +58,12 @@
 int rj_http_client_init(struct rj_http_client *client, void *mem,
 			struct tevent_context *ev, const char *instance,
 			uint32_t host_connections_max, struct rj_error *err);
+void rj_http_client_add_header(struct rj_http_client *client,
+			       const char *header);
 void rj_http_client_send(struct rj_http_client *client,
 			 const struct rj_http_send *send);
+char *rj_http_url(void *mem, const struct rj_address *address,
+		  const char *path);
 void rj_http_client_finish(struct rj_http_client *client);
 
 #endif
--- a/src/radishjunction/main.c
+++ b/src/radishjunction/main.c
@@ -23,6 +23,7 @@
 	  command_explain },
 	{ "reasons", "tell what each reason means and its remedy",
 	  command_reasons },
+	{ "load", "send a mixed load and account for every job", command_load },
 	{ NULL, NULL, NULL },
 };
 
@@ -51,6 +52,9 @@
 		"3 unreachable, 4 unknown (ask again), 5 not at its end yet.\n");
 }
 
+/*
+ * Find the subcommand, start the libraries it may need, and run it.
+ */
 int main(int argc, char **argv)
 {
 	const struct command *command;
--- a/src/test_libradishjunction/support/fake_peers.c
+++ b/src/test_libradishjunction/support/fake_peers.c
@@ -171,6 +171,10 @@
 		checker_config_seen(&world->checker, world->now_us, node->index,
 				    node->incarnation,
 				    message->u.heartbeat.config_revision);
+	if (message->kind == RJ_PEER_CONFIG)
+		checker_config_offered(&world->checker, world->now_us,
+				       node->index, message->u.config.revision,
+				       message->u.config.id);
 	if (!peer || peer == node)
 		return;
 	link = link_of(world, node->index, peer->index);
@@ -207,11 +211,12 @@
 
 /*
  * Since when an instance has heard every other of its failure domain, or now
- * when it misses one or messages may be lost.
+ * when it misses one or messages may be lost. One that goes on after a pause
+ * hears only from then on.
  */
 uint64_t fake_peers_heard_since(const struct world *world, uint32_t node)
 {
-	uint64_t since_us = 0;
+	uint64_t since_us = world->nodes[node].resumed_us;
 
 	if (world->rates.peer_lost)
 		return world->now_us;
--- /dev/null
+++ b/src/test_libradishjunction/test_faults.c
@@ -0,0 +1,225 @@
+#include <glib.h>
+
+#include "support/faults.h"
+
+/* Few enough to be quick; scripts/bench faults runs any number. */
+#define SEEDS 40
+
+/* Violations of `promise` in its own profile's first seeds. */
+static uint32_t violations_of(const struct engine_ops *engine,
+			      enum promise promise)
+{
+	struct faults_result result;
+	uint32_t count;
+
+	faults_result_init(&result);
+	for (uint64_t seed = 1; seed <= SEEDS; seed++)
+		faults_run(engine, promise, seed, NULL, &result);
+	g_assert_cmpuint(result.checks[promise], >, 0);
+	count = result.violations[promise];
+	if (count)
+		g_test_message("%s", result.first[promise]);
+	faults_result_finish(&result);
+	return count;
+}
+
+static void test_promise_holds(gconstpointer data)
+{
+	enum promise promise = GPOINTER_TO_UINT(data);
+
+	g_assert_cmpuint(violations_of(&engine_core, promise), ==, 0);
+}
+
+/*
+ * The same faults against decisions without claims, read-back, fences and
+ * reclaim: if these were not seen to fail, the proof would prove nothing.
+ */
+static void test_naive_version_breaks_promise(gconstpointer data)
+{
+	enum promise promise = GPOINTER_TO_UINT(data);
+
+	g_assert_cmpuint(violations_of(&engine_naive, promise), >, 0);
+}
+
+/* A seed that once failed: nothing at all may be violated in it. */
+static void check_seed(enum promise promise, uint64_t seed)
+{
+	struct faults_result result;
+
+	faults_result_init(&result);
+	faults_run(&engine_core, promise, seed, NULL, &result);
+	for (uint32_t i = 0; i < PROMISE_COUNT; i++)
+		g_assert_cmpstr(result.first[i], ==, "");
+	faults_result_finish(&result);
+}
+
+/*
+ * A quote with an empty body is priced.
+ * The owner of a claim dies; a buyer looks its job up at another instance,
+ * which settles the claim as never started and starts the job anew.
+ * Cause: a claim in the log has no body, and the look-up brought none.
+ */
+static void test_job_known_from_its_claim_is_not_started(void)
+{
+	check_seed(PROMISE_ONCE, 277);
+	check_seed(PROMISE_NOT_RUN, 73);
+}
+
+/*
+ * A tutor is told that a preview ran and failed; no worker ever saw it.
+ * Its start is lost on the way, the retry budget is spent, and the job is
+ * given up.
+ * Cause: a start that was sent was taken for a task that ran.
+ */
+static void test_lost_start_is_not_a_failed_run(void)
+{
+	check_seed(PROMISE_GANG, 49);
+	check_seed(PROMISE_NOT_RUN, 87);
+}
+
+/*
+ * A tutor looks a cancelled job up, is told "not run", and then it runs.
+ * The instance that was asked had cancelled it in its memory and was paused
+ * before the log knew; a peer took the job over and started it.
+ * Cause: a look-up was answered from memory before the outcome was read back.
+ */
+static void test_lookup_of_a_cancelled_job_waits_for_the_log(void)
+{
+	check_seed(PROMISE_ANSWER, 265);
+}
+
+/*
+ * A tutor cancels an accepted job and is told "not run"; it runs afterwards.
+ * Its former owner slept through the cancellation, wakes while the platform
+ * is down, and starts the job without a claim.
+ * Cause: what an instance knew before a pause was taken for the present.
+ */
+static void test_sleeper_starts_nothing_accepted_before_it_has_read(void)
+{
+	check_seed(PROMISE_NOT_RUN, 316);
+}
+
+/*
+ * A buyer asks at two instances with one key. One prices the quote; the
+ * other, which wakes from a pause and is draining, says "not run".
+ * Cause: what it had read of the log before the pause was taken for fresh.
+ */
+static void test_sleeper_does_not_know_that_a_key_is_new(void)
+{
+	check_seed(PROMISE_NOT_RUN, 894);
+	check_seed(PROMISE_ONCE, 919);
+}
+
+/*
+ * A tutor cancels an accepted job in an outage and is told "not run" once
+ * the log is back; a peer had started it meanwhile without a claim.
+ * Cause: the outcome was settled on before the outage and written after it.
+ */
+static void test_cancelled_in_an_outage_is_not_said_not_to_have_run(void)
+{
+	check_seed(PROMISE_ACCEPTED, 501);
+}
+
+/*
+ * An accepted job waits for ever.
+ * Its owner starts while the platform is down, so that a peer's summaries of
+ * the racks come before the list of workers; they are not sent again.
+ * Cause: a summary that named no known worker was dropped.
+ */
+static void test_summary_before_the_list_is_not_lost(void)
+{
+	check_seed(PROMISE_ACCEPTED, 136);
+	check_seed(PROMISE_NOT_RUN, 194);
+	check_seed(PROMISE_GUARANTEE, 19);
+}
+
+/*
+ * An accepted job is done, and its caller asks for it for ever.
+ * Its first attempt is voided during an outage that swallows the void; the
+ * second runs without a claim, and readers ignore its outcome.
+ * Cause: the claim of an attempt that was over stayed open.
+ */
+static void test_outcome_after_a_lost_void_is_read(void)
+{
+	check_seed(PROMISE_ACCEPTED, 359);
+	check_seed(PROMISE_NOT_RUN, 500);
+}
+
+/*
+ * A tutor cancels a running job and is told at last that it did not run.
+ * Its owner stops it and dies; the peer that had only watched it settles the
+ * claim, takes it for a job that was never accepted, and records no outcome;
+ * the next round ends the cancelled job as one that never started.
+ * Cause: whether a job was accepted was asked only of new ones.
+ */
+static void test_watched_job_that_is_settled_stays_accepted(void)
+{
+	check_seed(PROMISE_ACCEPTED, 58);
+}
+
+/*
+ * A tutor's guaranteed shape is not given back.
+ * An accepted job of another account is placed on the rack by a peer that
+ * does not plan it; or the tutor's own job is sent to a peer that owned the
+ * rack once, and waits there.
+ * Cause: who has to reclaim was not who had placed.
+ */
+static void test_who_reclaims_has_placed(void)
+{
+	check_seed(PROMISE_GUARANTEE, 38);
+	check_seed(PROMISE_GUARANTEE, 17);
+}
+
+/* Promises that the core keeps in every seed that was run. */
+static const enum promise held[] = { PROMISE_GANG,    PROMISE_ANSWER,
+				     PROMISE_NOT_RUN, PROMISE_CONFIG,
+				     PROMISE_ONCE,    PROMISE_LEAVING,
+				     PROMISE_STOP,    PROMISE_ACCEPTED };
+
+/* Promises that the naive version breaks within the seeds of this test. */
+static const enum promise broken[] = { PROMISE_GANG,	PROMISE_ANSWER,
+				       PROMISE_NOT_RUN, PROMISE_ONCE,
+				       PROMISE_LEAVING, PROMISE_STOP,
+				       PROMISE_CONFIG,	PROMISE_ACCEPTED };
+
+static void add_promise(const char *prefix, enum promise promise,
+			GTestDataFunc test)
+{
+	char *path = g_strdup_printf("/faults/%s/%s", prefix,
+				     promise_string[promise]);
+
+	g_test_add_data_func(path, GUINT_TO_POINTER(promise), test);
+	g_free(path);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < sizeof(held) / sizeof(held[0]); i++)
+		add_promise("core", held[i], test_promise_holds);
+	for (size_t i = 0; i < sizeof(broken) / sizeof(broken[0]); i++)
+		add_promise("naive", broken[i],
+			    test_naive_version_breaks_promise);
+	g_test_add_func("/faults/body",
+			test_job_known_from_its_claim_is_not_started);
+	g_test_add_func("/faults/lost_start",
+			test_lost_start_is_not_a_failed_run);
+	g_test_add_func("/faults/lookup_of_cancelled",
+			test_lookup_of_a_cancelled_job_waits_for_the_log);
+	g_test_add_func(
+		"/faults/sleeper",
+		test_sleeper_starts_nothing_accepted_before_it_has_read);
+	g_test_add_func("/faults/sleeper_key",
+			test_sleeper_does_not_know_that_a_key_is_new);
+	g_test_add_func(
+		"/faults/cancelled_in_outage",
+		test_cancelled_in_an_outage_is_not_said_not_to_have_run);
+	g_test_add_func("/faults/early_summary",
+			test_summary_before_the_list_is_not_lost);
+	g_test_add_func("/faults/lost_void",
+			test_outcome_after_a_lost_void_is_read);
+	g_test_add_func("/faults/watched_accepted",
+			test_watched_job_that_is_settled_stays_accepted);
+	g_test_add_func("/faults/who_reclaims", test_who_reclaims_has_placed);
+	return g_test_run();
+}
