--- a/src/libradishjunction/config_capacity.c
+++ b/src/libradishjunction/config_capacity.c
@@ -4,6 +4,9 @@
 #include <stdlib.h>
 #include <talloc.h>
 
+#include "private/capacity.h"
+#include "private/guarantee_layout.h"
+
 /* One guarantee of one account in the failure domain that is checked. */
 struct entry {
 	const struct rj_guarantee *guarantee;
@@ -15,7 +18,7 @@
 /* The workers of one failure domain while guarantees are laid out on them. */
 struct layout {
 	const struct rj_domain *domain;
-	struct rj_resources *free; /* racks x workers_per_rack */
+	struct rj_layout workers;
 	struct entry *entries;
 	uint32_t entry_count;
 };
@@ -23,139 +26,32 @@
 /*
  * The lesser of two counts.
  */
-static uint32_t fewer(uint32_t a, uint32_t b)
-{
-	return a < b ? a : b;
-}
-
-/*
- * How many tasks of `each` fit into `have` at once.
- */
-static uint32_t tasks_fitting(const struct rj_resources *each,
-			      const struct rj_resources *have)
-{
-	uint32_t count = UINT32_MAX;
-
-	if (each->slots)
-		count = fewer(count, have->slots / each->slots);
-	if (each->accelerators)
-		count = fewer(count, have->accelerators / each->accelerators);
-	if (each->cores)
-		count = fewer(count, have->cores / each->cores);
-	if (each->memory_mb)
-		count = fewer(count, have->memory_mb / each->memory_mb);
-	return count;
-}
-
-/*
- * How many tasks of `each` fit onto `count` workers, each task whole on one.
- */
-static uint64_t tasks_on(const struct rj_resources *each,
-			 const struct rj_resources *workers, uint32_t count)
-{
-	uint64_t sum = 0;
-
-	for (uint32_t i = 0; i < count; i++)
-		sum += tasks_fitting(each, &workers[i]);
-	return sum;
-}
-
-/*
- * Put up to `tasks` tasks onto the workers, those first that hold the fewest
- * of them, so that whole workers stay whole. Returns how many found no place.
- */
-static uint64_t lay_tasks(const struct rj_resources *each, uint64_t tasks,
-			  struct rj_resources *workers, uint32_t count)
-{
-	while (tasks) {
-		uint32_t best_fit = UINT32_MAX;
-		uint32_t best = 0;
-
-		for (uint32_t i = 0; i < count; i++) {
-			uint32_t fit = tasks_fitting(each, &workers[i]);
-
-			if (fit && fit < best_fit) {
-				best_fit = fit;
-				best = i;
-			}
-		}
-		if (best_fit == UINT32_MAX)
-			return tasks;
-		if (best_fit > tasks)
-			best_fit = (uint32_t)tasks;
-		rj_resources_take(&workers[best], each, best_fit);
-		tasks -= best_fit;
-	}
-	return 0;
-}
-
-/*
- * Put one adjacent shape into the rack that it fills most. Returns false
- * when no rack has room for all of it.
- */
-static bool lay_adjacent(struct layout *layout, const struct rj_shape *shape)
-{
-	uint32_t workers = layout->domain->workers_per_rack;
-	uint64_t best_room = UINT64_MAX;
-	uint32_t best = 0;
-
-	for (uint32_t rack = 0; rack < layout->domain->racks; rack++) {
-		uint64_t room = tasks_on(
-			&shape->each, &layout->free[rack * workers], workers);
-
-		if (room >= shape->tasks && room < best_room) {
-			best_room = room;
-			best = rack;
-		}
-	}
-	if (best_room == UINT64_MAX)
-		return false;
-	lay_tasks(&shape->each, shape->tasks, &layout->free[best * workers],
-		  workers);
-	return true;
-}
-
 /*
  * Put all shapes of a guarantee; returns how many tasks found no place.
  */
 static uint64_t lay_guarantee(struct layout *layout,
 			      const struct rj_guarantee *guarantee)
 {
-	const struct rj_shape *shape = &guarantee->shape;
-	uint32_t workers =
-		layout->domain->racks * layout->domain->workers_per_rack;
+	uint64_t left = 0;
 
-	/* Shapes that may lie anywhere are as good as all their tasks. */
-	if (!shape->adjacent)
-		return lay_tasks(&shape->each,
-				 (uint64_t)shape->tasks * guarantee->count,
-				 layout->free, workers);
 	for (uint32_t i = 0; i < guarantee->count; i++)
-		if (!lay_adjacent(layout, shape))
-			return (uint64_t)(guarantee->count - i) * shape->tasks;
-	return 0;
+		left += rj_layout_place(&layout->workers, &guarantee->shape,
+					NULL);
+	return left;
 }
 
 /*
- * The hardest to place first: adjacent shapes by size, then large tasks.
+ * The hardest to place first, equal ones in the order of the configuration.
  */
 static int compare_entries(const void *first, const void *second)
 {
 	const struct entry *a = first;
 	const struct entry *b = second;
-	const struct rj_shape *x = &a->guarantee->shape;
-	const struct rj_shape *y = &b->guarantee->shape;
-	uint64_t x_size =
-		(uint64_t)x->each.accelerators * (x->adjacent ? x->tasks : 1);
-	uint64_t y_size =
-		(uint64_t)y->each.accelerators * (y->adjacent ? y->tasks : 1);
+	int order =
+		rj_layout_compare(&a->guarantee->shape, &b->guarantee->shape);
 
-	if (x->adjacent != y->adjacent)
-		return x->adjacent ? -1 : 1;
-	if (x_size != y_size)
-		return x_size > y_size ? -1 : 1;
-	if (x->each.slots != y->each.slots)
-		return x->each.slots > y->each.slots ? -1 : 1;
+	if (order)
+		return order;
 	if (a->account != b->account)
 		return a->account < b->account ? -1 : 1;
 	return a->index < b->index ? -1 : 1;
@@ -204,7 +100,8 @@
 {
 	const struct rj_domain *domain = layout->domain;
 	const struct rj_shape *shape = &entry->guarantee->shape;
-	uint64_t room = (uint64_t)tasks_fitting(&shape->each, &domain->worker) *
+	uint64_t room = (uint64_t)rj_resources_times(
+				&shape->each, &domain->worker, UINT32_MAX) *
 			domain->workers_per_rack;
 
 	if (!shape->adjacent)
@@ -245,8 +142,8 @@
 			    !guarantee->shape.each.slots || !guarantee->count)
 				continue;
 			layout->entries = talloc_realloc(
-				layout->free, layout->entries, struct entry,
-				layout->entry_count + 1);
+				layout->workers.free, layout->entries,
+				struct entry, layout->entry_count + 1);
 			assert(layout->entries);
 			entry = &layout->entries[layout->entry_count++];
 			entry->guarantee = guarantee;
@@ -273,13 +170,9 @@
 			 const struct rj_domain *domain,
 			 struct rj_error_list *errors)
 {
-	uint32_t workers = domain->racks * domain->workers_per_rack;
 	struct layout layout = { .domain = domain };
 
-	layout.free = talloc_array(NULL, struct rj_resources, workers);
-	assert(layout.free);
-	for (uint32_t i = 0; i < workers; i++)
-		layout.free[i] = domain->worker;
+	rj_layout_init(&layout.workers, NULL, domain);
 	collect_entries(&layout, config, errors);
 	if (layout.entry_count)
 		qsort(layout.entries, layout.entry_count,
@@ -302,7 +195,7 @@
 			entry->guarantee->shape.tasks, domain->name,
 			(unsigned long long)left);
 	}
-	talloc_free(layout.free);
+	rj_layout_finish(&layout.workers);
 }
 
 /*
--- a/src/libradishjunction/core/planner_topology.c
+++ b/src/libradishjunction/core/planner_topology.c
@@ -10,130 +10,12 @@
 /* Until a configuration says otherwise. */
 #define QUEUE_MAX_DEFAULT 1000
 #define CHECKPOINT_LIMIT_MS_DEFAULT 5000
-#define EXPECTED_US_DEFAULT (10 * RJ_US_PER_S)
-
-/* So many blocked gangs have room kept for them at once. */
-#define LOOSE_MAX 2
-
-/* A worker that kept what was reclaimed is not asked again for this long. */
-#define SILENT_US (30 * RJ_US_PER_S)
 
 static struct rj_topology_state *state_of(const struct rj_planner *planner)
 {
 	return ((const struct rj_planner_topology *)planner)->state;
 }
 
-/*
- * The account of this name, made at the first call; it is never freed
- * before the planner, so that its name may come and go in configurations.
- */
-struct rj_plan_account *rj_topology_account(struct rj_topology_state *state,
-					    const char *name)
-{
-	struct rj_plan_account *account =
-		g_hash_table_lookup(state->accounts, name);
-
-	if (account)
-		return account;
-	account = talloc_zero(state->mem, struct rj_plan_account);
-	assert(account);
-	snprintf(account->name, sizeof(account->name), "%s", name);
-	g_hash_table_insert(state->accounts, account->name, account);
-	return account;
-}
-
-static uint64_t expected_us(const struct rj_topology_state *state,
-			    const char *class_name)
-{
-	for (uint32_t i = 0; i < state->class_count; i++)
-		if (!strcmp(state->classes[i].name, class_name) &&
-		    state->classes[i].expected_us)
-			return state->classes[i].expected_us;
-	return EXPECTED_US_DEFAULT;
-}
-
-static struct rj_runtime *runtime_at(struct rj_topology_state *state,
-				     const char *key, const char *class_name,
-				     struct rj_runtime *wider)
-{
-	struct rj_runtime *runtime = g_hash_table_lookup(state->runtimes, key);
-
-	if (runtime)
-		return runtime;
-	runtime = talloc_zero(state->mem, struct rj_runtime);
-	assert(runtime);
-	runtime->expected_us = expected_us(state, class_name);
-	runtime->wider = wider;
-	g_hash_table_insert(state->runtimes, talloc_strdup(runtime, key),
-			    runtime);
-	return runtime;
-}
-
-/*
- * What has been learnt of the job's class and account.
- */
-struct rj_runtime *rj_topology_runtime(struct rj_topology_state *state,
-				       const struct rj_plan_job *job)
-{
-	char key[2 * RJ_NAME_BYTES];
-
-	snprintf(key, sizeof(key), "%s/%s", job->class_name, job->account);
-	return runtime_at(
-		state, key, job->class_name,
-		runtime_at(state, job->class_name, job->class_name, NULL));
-}
-
-/*
- * When `percent` of the jobs like this running one have ended.
- */
-uint64_t rj_topology_ends_us(const struct rj_plan_entry *entry,
-			     uint32_t percent, uint64_t now_us)
-{
-	uint64_t elapsed_us = now_us - MIN(now_us, entry->started_us);
-	uint64_t whole_us =
-		rj_runtime_quantile_us(entry->runtime, percent, elapsed_us);
-
-	return MAX(entry->started_us + whole_us, now_us);
-}
-
-/*
- * The accelerators of the job; a task without any counts as one.
- */
-uint32_t rj_topology_size(const struct rj_plan_entry *entry)
-{
-	return entry->job.shape.tasks *
-	       MAX(entry->job.shape.each.accelerators, 1);
-}
-
-/*
- * The workers of the rack at `index`.
- */
-struct rj_site rj_topology_rack(const struct rj_topology_state *state,
-				uint32_t index)
-{
-	const struct rj_capacity_rack *rack = state->capacity.racks[index];
-
-	return (struct rj_site){ rack->workers, rack->count };
-}
-
-/*
- * All workers, those of racks that this instance owns first.
- */
-struct rj_site rj_topology_all(struct rj_topology_state *state)
-{
-	g_ptr_array_set_size(state->all, 0);
-	for (uint32_t owned = 2; owned--;)
-		for (uint32_t i = 0; i < state->capacity.rack_count; i++) {
-			struct rj_site rack = rj_topology_rack(state, i);
-
-			for (uint32_t j = 0; j < rack.count; j++)
-				if (rack.workers[j]->plan.owned == owned)
-					g_ptr_array_add(state->all,
-							rack.workers[j]);
-		}
-	return (struct rj_site){ (void *)state->all->pdata, state->all->len };
-}
-
 /*
  * Take over shares, guarantees, classes, limits and the topology.
  */
@@ -200,69 +82,6 @@
 	state->workers_changed = true;
 }
 
-/*
- * Whether a reservation keeps part of the worker.
- */
-static bool keeps(const struct rj_reservation *reservation, uint32_t worker)
-{
-	for (uint32_t i = 0; i < reservation->member_count; i++)
-		if (reservation->members[i].worker == worker)
-			return true;
-	return false;
-}
-
-/*
- * The job's account no longer has room on its guarantee's behalf by it.
- */
-static void revoke_grant(struct rj_plan_entry *entry)
-{
-	if (!entry->granted)
-		return;
-	entry->granted = false;
-	rj_resources_take(&entry->account->granted, &entry->job.shape.each,
-			  entry->job.shape.tasks);
-}
-
-/*
- * Keep nothing for the job any more. One that waited outside of its bucket
- * for firmly kept room goes back to it.
- */
-static void drop_reservation(struct rj_topology_state *state,
-			     struct rj_reservation *reservation,
-			     uint64_t now_us)
-{
-	struct rj_plan_entry *entry = reservation->entry;
-	bool firm = reservation->firm;
-
-	revoke_grant(entry);
-	rj_topology_unreserve(state, reservation);
-	if (!firm)
-		return;
-	rj_topology_dequeue(state, entry);
-	entry->not_before_us = now_us;
-	rj_topology_enqueue(state, entry, now_us);
-}
-
-/*
- * Give up what is firmly kept on the members for anything but a guarantee.
- */
-void rj_topology_displace(struct rj_topology_state *state,
-			  const struct rj_plan_member *members, uint32_t count,
-			  uint64_t now_us)
-{
-	for (uint32_t i = state->reservations->len; i--;) {
-		struct rj_reservation *reservation =
-			g_ptr_array_index(state->reservations, i);
-		bool in_the_way = false;
-
-		for (uint32_t j = 0; j < count; j++)
-			in_the_way |= keeps(reservation, members[j].worker);
-		if (in_the_way && reservation->firm &&
-		    reservation->reason != RJ_REASON_GUARANTEE)
-			drop_reservation(state, reservation, now_us);
-	}
-}
-
 static void topology_worker_gone(struct rj_planner *planner, uint32_t worker,
 				 uint64_t now_us)
 {
@@ -272,47 +91,13 @@
 		struct rj_reservation *reservation =
 			g_ptr_array_index(state->reservations, i);
 
-		if (keeps(reservation, worker))
-			drop_reservation(state, reservation, now_us);
+		if (rj_topology_keeps(reservation, worker))
+			rj_topology_drop(state, reservation, now_us);
 	}
 	rj_capacity_remove(&state->capacity, worker);
 	state->workers_changed = true;
 }
 
-/*
- * The job gives back what it holds; it waits for nothing and runs nowhere
- * afterwards.
- */
-static void detach(struct rj_topology_state *state, struct rj_plan_entry *entry)
-{
-	if (entry->reservation)
-		rj_topology_unreserve(state, entry->reservation);
-	revoke_grant(entry);
-	if (!entry->members) {
-		rj_topology_dequeue(state, entry);
-		return;
-	}
-	for (uint32_t i = 0; i < entry->member_count; i++) {
-		struct rj_capacity_worker *worker = rj_capacity_find(
-			&state->capacity, entry->members[i].worker);
-
-		rj_ledger_remove_run(worker, entry, entry->members[i].tasks);
-		worker->ledger->silent_until_us = 0;
-	}
-	entry->account->used -= rj_topology_size(entry);
-	rj_topology_note_active(state, entry->account);
-	entry->reclaiming = false;
-	entry->on_loan = false;
-	rj_plan_entry_unplace(entry, &state->capacity);
-	state->version++;
-}
-
-static void forget(struct rj_topology_state *state, struct rj_plan_entry *entry)
-{
-	detach(state, entry);
-	rj_plan_table_remove(&state->table, entry);
-}
-
 static struct rj_plan_entry *add_entry(struct rj_topology_state *state,
 				       const struct rj_plan_job *job)
 {
@@ -379,7 +164,7 @@
 		return;
 	if (succeeded)
 		rj_runtime_learn(entry->runtime, ran_us);
-	forget(state, entry);
+	rj_topology_forget(state, entry);
 }
 
 static void topology_requeue(struct rj_planner *planner, uint64_t job_id,
@@ -390,28 +175,12 @@
 
 	if (!entry)
 		return;
-	detach(state, entry);
+	rj_topology_detach(state, entry);
 	entry->not_before_us = not_before_us;
 	entry->waiting_since_us = now_us;
 	rj_topology_enqueue(state, entry, now_us);
 }
 
-/*
- * Count the job as running on the members.
- */
-static void attach(struct rj_topology_state *state, struct rj_plan_entry *entry,
-		   const struct rj_plan_member *members, uint32_t count,
-		   uint64_t now_us)
-{
-	rj_plan_entry_place(entry, &state->capacity, members, count, now_us);
-	for (uint32_t i = 0; i < count; i++)
-		rj_ledger_add_run(
-			rj_capacity_find(&state->capacity, members[i].worker),
-			entry, members[i].tasks);
-	entry->account->used += rj_topology_size(entry);
-	rj_topology_note_active(state, entry->account);
-}
-
 static void topology_adopt(struct rj_planner *planner,
 			   const struct rj_plan_job *job,
 			   const struct rj_plan_member *members, uint32_t count,
@@ -424,280 +193,16 @@
 	if (entry && entry->members)
 		return;
 	if (entry)
-		detach(state, entry);
+		rj_topology_detach(state, entry);
 	else
 		entry = add_entry(state, job);
-	attach(state, entry, members, count, now_us);
-}
-
-/*
- * Whether all members lie on what the account is guaranteed there.
- */
-static bool is_at_home(const struct rj_topology_state *state,
-		       const struct rj_plan_entry *entry)
-{
-	for (uint32_t i = 0; i < entry->member_count; i++) {
-		const struct rj_capacity_worker *worker = rj_capacity_find(
-			&state->capacity, entry->members[i].worker);
-		const struct rj_worker_share *share =
-			rj_ledger_share(worker->ledger, entry->account);
-
-		if (rj_resources_exceed(&share->used, &share->guaranteed))
-			return false;
-	}
-	return true;
-}
-
-/*
- * Start a waiting job on the members in `state->members`.
- */
-static void start(struct rj_topology_state *state, struct rj_plan_entry *entry,
-		  uint32_t count, enum rj_reason reason, uint64_t now_us,
-		  struct rj_decisions *decisions)
-{
-	struct rj_decision *decision =
-		rj_decisions_add(decisions, RJ_DECISION_START);
-
-	decision->job_id = entry->job.job_id;
-	decision->reason = reason;
-	decision->considered = state->considered;
-	decision->members = talloc_memdup(decisions->mem, state->members,
-					  sizeof(*state->members) * count);
-	assert(decision->members);
-	decision->member_count = count;
-	if (entry->reservation)
-		rj_topology_unreserve(state, entry->reservation);
-	entry->on_loan = reason == RJ_REASON_BACKFILL;
-	rj_topology_dequeue(state, entry);
-	attach(state, entry, decision->members, count, now_us);
-	if (is_at_home(state, entry))
-		revoke_grant(entry);
-}
-
-static void refuse(struct rj_topology_state *state, struct rj_plan_entry *entry,
-		   enum rj_reason reason, struct rj_decisions *decisions)
-{
-	struct rj_decision *decision =
-		rj_decisions_add(decisions, RJ_DECISION_REFUSE);
-
-	decision->job_id = entry->job.job_id;
-	decision->reason = reason;
-	decision->retry_after_us = rj_topology_spread_us(
-		rj_topology_wait_us(state, entry->job.priority),
-		entry->job.job_id);
-	forget(state, entry);
+	rj_topology_attach(state, entry, members, count, now_us);
 }
 
-static void refuse_late(struct rj_topology_state *state, uint64_t now_us,
-			struct rj_decisions *decisions)
-{
-	for (;;) {
-		GSequenceIter *first =
-			g_sequence_get_begin_iter(state->deadlines);
-		struct rj_plan_entry *entry;
-
-		if (g_sequence_iter_is_end(first))
-			return;
-		entry = g_sequence_get(first);
-		if (entry->job.deadline_us > now_us)
-			return;
-		refuse(state, entry, RJ_REASON_DEADLINE_PASSED, decisions);
-	}
-}
-
-/*
- * Whether all that is firmly kept is free by now. Of two that wait for parts
- * of the same worker the older is served first, so that one silent task
- * cannot keep both waiting.
- */
-static bool is_ready(const struct rj_topology_state *state,
-		     const struct rj_reservation *reservation)
-{
-	const struct rj_plan_entry *entry = reservation->entry;
-
-	for (uint32_t i = 0; i < reservation->member_count; i++) {
-		const struct rj_plan_member *member = &reservation->members[i];
-		const struct rj_capacity_worker *worker =
-			rj_capacity_find(&state->capacity, member->worker);
-		struct rj_resources room = worker->free;
-		struct rj_resources limit =
-			rj_ledger_pin_room(worker, entry->account);
-
-		for (uint32_t j = 0;
-		     worker->ledger->holds[j].reservation != reservation; j++)
-			if (worker->ledger->holds[j].reservation->firm)
-				rj_resources_take_or_zero(
-					&room, &worker->ledger->holds[j].want);
-		if (!entry->job.stoppable)
-			rj_resources_limit(&room, &limit);
-		if (rj_resources_times(&entry->job.shape.each, &room,
-				       member->tasks) < member->tasks)
-			return false;
-	}
-	return true;
-}
-
-/*
- * Note the workers that did not give back what was reclaimed in time, so
- * that the next search chooses another shape.
- */
-static void note_silent(struct rj_topology_state *state,
-			const struct rj_reservation *reservation,
-			uint64_t now_us)
-{
-	for (uint32_t i = 0; i < reservation->member_count; i++) {
-		struct rj_ledger *ledger =
-			rj_capacity_find(&state->capacity,
-					 reservation->members[i].worker)
-				->ledger;
-
-		for (uint32_t j = 0; j < ledger->run_count; j++)
-			if (ledger->runs[j].entry->reclaiming)
-				ledger->silent_until_us = now_us + SILENT_US;
-	}
-}
-
-/*
- * Start what is ready, and give up what is overdue.
- */
-static void serve_reservations(struct rj_topology_state *state, uint64_t now_us,
-			       struct rj_decisions *decisions)
-{
-	for (uint32_t i = 0; i < state->reservations->len;) {
-		struct rj_reservation *reservation =
-			g_ptr_array_index(state->reservations, i);
-		struct rj_plan_entry *entry = reservation->entry;
-
-		if (reservation->firm && is_ready(state, reservation)) {
-			memcpy(state->members, reservation->members,
-			       sizeof(*state->members) *
-				       reservation->member_count);
-			start(state, entry, reservation->member_count,
-			      reservation->reason, now_us, decisions);
-		} else if (reservation->firm && reservation->at_us <= now_us) {
-			note_silent(state, reservation, now_us);
-			drop_reservation(state, reservation, now_us);
-		} else if (!reservation->firm &&
-			   reservation->refresh_us <= now_us) {
-			drop_reservation(state, reservation, now_us);
-		} else {
-			i++;
-		}
-	}
-}
-
-/*
- * Try to start the job at the head of a bucket as things lie.
- */
-static bool try_start(struct rj_topology_state *state,
-		      struct rj_plan_entry *entry, uint64_t now_us,
-		      struct rj_decisions *decisions)
-{
-	uint32_t count = rj_topology_place(state, entry, now_us);
-	enum rj_reason reason = RJ_REASON_BEST_FIT;
-
-	if (!count)
-		return false;
-	if (rj_topology_passes_loosely(entry, state->members, count,
-				       &state->capacity))
-		reason = RJ_REASON_BACKFILL;
-	else if (entry->reservation)
-		reason = RJ_REASON_RESERVATION;
-	start(state, entry, count, reason, now_us, decisions);
-	return true;
-}
-
-static uint32_t loose_count(const struct rj_topology_state *state)
-{
-	uint32_t count = 0;
-
-	for (uint32_t i = 0; i < state->reservations->len; i++) {
-		const struct rj_reservation *reservation =
-			g_ptr_array_index(state->reservations, i);
-
-		count += !reservation->firm;
-	}
-	return count;
-}
-
-/*
- * Do for a job that does not fit what may be done: reclaim, or keep room.
- * One that has room firmly kept waits for it outside of its bucket.
- */
-static void handle_blocked(struct rj_topology_state *state,
-			   struct rj_plan_entry *entry, uint64_t now_us,
-			   struct rj_decisions *decisions)
-{
-	uint64_t patience_us = rj_topology_patience_us(state, entry);
-
-	entry->bucket->blocked_version = state->version;
-	if (rj_topology_reclaim(state, entry, now_us, decisions)) {
-		rj_topology_dequeue(state, entry);
-		entry->not_before_us = entry->reservation->at_us;
-		rj_topology_enqueue(state, entry, now_us);
-		return;
-	}
-	if (patience_us != RJ_NEVER_US &&
-	    entry->waiting_since_us + patience_us > now_us)
-		state->retry_us = MIN(state->retry_us,
-				      entry->waiting_since_us + patience_us);
-	if (!entry->reservation && loose_count(state) < LOOSE_MAX &&
-	    rj_topology_size(entry) > state->worker_accelerators)
-		rj_topology_reserve_soonest(state, entry, now_us);
-}
-
-/*
- * Take over what has changed of the workers as a whole.
- */
-static void survey(struct rj_topology_state *state)
-{
-	state->accelerators = 0;
-	state->worker_accelerators = 1;
-	for (uint32_t i = 0; i < state->capacity.rack_count; i++) {
-		struct rj_site rack = rj_topology_rack(state, i);
-
-		for (uint32_t j = 0; j < rack.count; j++) {
-			uint32_t has =
-				rack.workers[j]->plan.capacity.accelerators;
-
-			rj_ledger_of(rack.workers[j]);
-			if (rack.workers[j]->plan.usable)
-				state->accelerators += has;
-			state->worker_accelerators =
-				MAX(state->worker_accelerators, has);
-		}
-	}
-	rj_topology_apply_homes(state);
-	state->workers_changed = false;
-	state->version++;
-}
-
-/*
- * Decide all that can be decided now. Jobs are tried in the order of the
- * queue; one that does not fit keeps no other back but by a reservation.
- */
 static void topology_pass(struct rj_planner *planner, uint64_t now_us,
 			  struct rj_decisions *decisions)
 {
-	struct rj_topology_state *state = state_of(planner);
-	struct rj_plan_bucket *bucket;
-
-	if (state->workers_changed)
-		survey(state);
-	if (state->retry_us <= now_us)
-		state->version++;
-	if (state->retry_us <= now_us)
-		state->retry_us = RJ_NEVER_US;
-	refuse_late(state, now_us, decisions);
-	serve_reservations(state, now_us, decisions);
-	rj_topology_release_delayed(state, now_us);
-	while ((bucket = rj_topology_next(state, now_us))) {
-		struct rj_plan_entry *entry = bucket->queue.head->data;
-
-		if (!try_start(state, entry, now_us, decisions))
-			handle_blocked(state, entry, now_us, decisions);
-	}
-	serve_reservations(state, now_us, decisions);
+	rj_topology_pass(state_of(planner), now_us, decisions);
 }
 
 /*
--- a/src/libradishjunction/core/topology_guarantee.c
+++ b/src/libradishjunction/core/topology_guarantee.c
@@ -12,130 +12,17 @@
  * or is replaced stands in the same place.
  */
 
-/* What of the domain has not been given away yet. */
-struct plan {
-	struct rj_resources *left; /* by rack, then by position */
-	uint32_t racks;
-	uint32_t width; /* workers in a rack */
-};
-
-static struct rj_resources *left_at(const struct plan *plan, uint32_t rack,
-				    uint32_t position)
-{
-	return &plan->left[rack * plan->width + position];
-}
-
-static uint32_t rack_times(const struct plan *plan, uint32_t rack,
-			   const struct rj_resources *each)
-{
-	uint32_t times = 0;
-
-	for (uint32_t i = 0; i < plan->width; i++)
-		times += rj_resources_times(each, left_at(plan, rack, i),
-					    RJ_GANG_MAX);
-	return times;
-}
-
-/*
- * The rack that a shape goes to: the tightest that takes `want` tasks, else
- * the one that takes most. `*times` is how many it takes.
- */
-static uint32_t choose_rack(const struct plan *plan,
-			    const struct rj_resources *each, uint32_t want,
-			    uint32_t *times)
-{
-	uint32_t best = 0;
-
-	*times = 0;
-	for (uint32_t i = 0; i < plan->racks; i++) {
-		uint32_t here = rack_times(plan, i, each);
-		bool better = here >= want ? *times < want || here < *times :
-					     here > *times;
-
-		if (!better)
-			continue;
-		best = i;
-		*times = here;
-	}
-	return best;
-}
-
 /*
- * Give up to `want` tasks of the rack to `home`, the tightest workers first.
- */
-static void give(struct plan *plan, struct rj_home *home, uint32_t rack,
-		 uint32_t want)
-{
-	const struct rj_resources *each = &home->shape.each;
-
-	while (want) {
-		uint32_t best = plan->width;
-		struct rj_home_part *part;
-		uint32_t tasks = 0;
-
-		for (uint32_t i = 0; i < plan->width; i++) {
-			uint32_t here = rj_resources_times(
-				each, left_at(plan, rack, i), RJ_GANG_MAX);
-
-			if (here && (!tasks || here < tasks)) {
-				tasks = here;
-				best = i;
-			}
-		}
-		if (best == plan->width)
-			return;
-		tasks = MIN(tasks, want);
-		rj_resources_take(left_at(plan, rack, best), each, tasks);
-		home->parts =
-			talloc_realloc(home, home->parts, struct rj_home_part,
-				       home->part_count + 1);
-		assert(home->parts);
-		part = &home->parts[home->part_count++];
-		part->rack = rack;
-		part->position = best;
-		part->tasks = tasks;
-		want -= tasks;
-	}
-}
-
-/*
- * Give one guaranteed shape its workers. A shape for which no room is left
- * stays without; the configuration's check refuses such guarantees.
- */
-static void assign(struct plan *plan, struct rj_home *home)
-{
-	uint32_t want = home->shape.tasks;
-
-	while (want) {
-		uint32_t times;
-		uint32_t rack =
-			choose_rack(plan, &home->shape.each, want, &times);
-
-		if (!times || (home->shape.adjacent && times < want))
-			return;
-		times = MIN(times, want);
-		give(plan, home, rack, times);
-		want -= times;
-	}
-}
-
-/*
- * Large and adjacent shapes choose first, since they fit fewer places. Equal
- * ones stay in the order of the configuration.
+ * In the order of the layout; equal ones stay in that of the configuration.
  */
 static gint compare_homes(gconstpointer a, gconstpointer b)
 {
 	const struct rj_home *one = *(const struct rj_home *const *)a;
 	const struct rj_home *two = *(const struct rj_home *const *)b;
-	uint64_t one_size =
-		(uint64_t)one->shape.tasks * one->shape.each.accelerators;
-	uint64_t two_size =
-		(uint64_t)two->shape.tasks * two->shape.each.accelerators;
+	int order = rj_layout_compare(&one->shape, &two->shape);
 
-	if (one->shape.adjacent != two->shape.adjacent)
-		return one->shape.adjacent ? -1 : 1;
-	if (one_size != two_size)
-		return one_size > two_size ? -1 : 1;
+	if (order)
+		return order;
 	return one->number < two->number ? -1 : 1;
 }
 
@@ -167,16 +54,14 @@
 }
 
 /*
- * Work out the homes of all guaranteed shapes of the configuration.
+ * Work out the homes of all guaranteed shapes of the configuration. A shape
+ * for which no room is left stays without; the configuration's check refuses
+ * such guarantees by the same layout.
  */
 void rj_topology_assign_homes(struct rj_topology_state *state,
 			      const struct rj_config *config)
 {
-	struct plan plan = {
-		.racks = state->domain.racks,
-		.width = state->domain.workers_per_rack,
-	};
-	uint32_t workers = plan.racks * plan.width;
+	struct rj_layout layout;
 
 	for (uint32_t i = 0; i < state->homes->len; i++)
 		talloc_free(g_ptr_array_index(state->homes, i));
@@ -184,12 +69,14 @@
 	for (uint32_t i = 0; i < config->account_count; i++)
 		add_homes(state, &config->accounts[i]);
 	g_ptr_array_sort(state->homes, compare_homes);
-	plan.left = g_new(struct rj_resources, workers + 1);
-	for (uint32_t i = 0; i < workers; i++)
-		plan.left[i] = state->domain.worker;
-	for (uint32_t i = 0; plan.racks && i < state->homes->len; i++)
-		assign(&plan, g_ptr_array_index(state->homes, i));
-	g_free(plan.left);
+	rj_layout_init(&layout, state->mem, &state->domain);
+	for (uint32_t i = 0; i < state->homes->len; i++) {
+		struct rj_home *home = g_ptr_array_index(state->homes, i);
+
+		home->parts.mem = home;
+		rj_layout_place(&layout, &home->shape, &home->parts);
+	}
+	rj_layout_finish(&layout);
 }
 
 /*
@@ -210,9 +97,9 @@
 			uint32_t lowest = rack;
 			bool here = false;
 
-			for (uint32_t j = 0; j < home->part_count; j++) {
-				lowest = MIN(lowest, home->parts[j].rack);
-				here |= home->parts[j].rack == rack;
+			for (uint32_t j = 0; j < home->parts.count; j++) {
+				lowest = MIN(lowest, home->parts.list[j].rack);
+				here |= home->parts.list[j].rack == rack;
 			}
 			if (here && lowest < rack) {
 				rack = lowest;
@@ -238,9 +125,9 @@
 		uint64_t has = (uint64_t)home->shape.tasks *
 			       home->shape.each.accelerators;
 
-		if (home->part_count && has >= want &&
+		if (home->parts.count && has >= want &&
 		    !strcmp(home->account->name, account))
-			return home->parts[0].rack;
+			return home->parts.list[0].rack;
 	}
 	return UINT32_MAX;
 }
@@ -250,7 +137,7 @@
  */
 static struct rj_capacity_worker *
 worker_at(const struct rj_topology_state *state,
-	  const struct rj_home_part *part)
+	  const struct rj_layout_part *part)
 {
 	const struct rj_capacity_rack *rack =
 		rj_capacity_rack_find(&state->capacity, part->rack);
@@ -275,14 +162,14 @@
 	for (uint32_t i = 0; i < state->homes->len; i++) {
 		const struct rj_home *home = g_ptr_array_index(state->homes, i);
 
-		for (uint32_t j = 0; j < home->part_count; j++) {
+		for (uint32_t j = 0; j < home->parts.count; j++) {
 			struct rj_capacity_worker *worker =
-				worker_at(state, &home->parts[j]);
+				worker_at(state, &home->parts.list[j]);
 
 			if (worker)
 				rj_ledger_guarantee(worker, home->account,
 						    &home->shape.each,
-						    home->parts[j].tasks);
+						    home->parts.list[j].tasks);
 		}
 	}
 }
@@ -303,8 +190,8 @@
 	uint32_t rest = 0;
 	bool known = false;
 
-	for (uint32_t i = 0; i < home->part_count; i++) {
-		const struct rj_home_part *part = &home->parts[i];
+	for (uint32_t i = 0; i < home->parts.count; i++) {
+		const struct rj_layout_part *part = &home->parts.list[i];
 		const struct rj_capacity_worker *worker =
 			worker_at(state, part);
 		struct rj_resources amount = { 0 };
--- /dev/null
+++ b/src/libradishjunction/core/topology_pass.c
@@ -0,0 +1,280 @@
+#include "private/topology.h"
+
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+/* So many blocked gangs have room kept for them at once. */
+#define LOOSE_MAX 2
+
+/* A worker that kept what was reclaimed is not asked again for this long. */
+#define SILENT_US (30 * RJ_US_PER_S)
+
+/*
+ * Whether all members lie on what the account is guaranteed there.
+ */
+static bool is_at_home(const struct rj_topology_state *state,
+		       const struct rj_plan_entry *entry)
+{
+	for (uint32_t i = 0; i < entry->member_count; i++) {
+		const struct rj_capacity_worker *worker = rj_capacity_find(
+			&state->capacity, entry->members[i].worker);
+		const struct rj_worker_share *share =
+			rj_ledger_share(worker->ledger, entry->account);
+
+		if (rj_resources_exceed(&share->used, &share->guaranteed))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Start a waiting job on the members in `state->members`.
+ */
+static void start(struct rj_topology_state *state, struct rj_plan_entry *entry,
+		  uint32_t count, enum rj_reason reason, uint64_t now_us,
+		  struct rj_decisions *decisions)
+{
+	struct rj_decision *decision =
+		rj_decisions_add(decisions, RJ_DECISION_START);
+
+	decision->job_id = entry->job.job_id;
+	decision->reason = reason;
+	decision->considered = state->considered;
+	decision->members = talloc_memdup(decisions->mem, state->members,
+					  sizeof(*state->members) * count);
+	assert(decision->members);
+	decision->member_count = count;
+	if (entry->reservation)
+		rj_topology_unreserve(state, entry->reservation);
+	entry->on_loan = reason == RJ_REASON_BACKFILL;
+	rj_topology_dequeue(state, entry);
+	rj_topology_attach(state, entry, decision->members, count, now_us);
+	if (is_at_home(state, entry))
+		rj_topology_revoke(entry);
+}
+
+static void refuse(struct rj_topology_state *state, struct rj_plan_entry *entry,
+		   enum rj_reason reason, struct rj_decisions *decisions)
+{
+	struct rj_decision *decision =
+		rj_decisions_add(decisions, RJ_DECISION_REFUSE);
+
+	decision->job_id = entry->job.job_id;
+	decision->reason = reason;
+	decision->retry_after_us = rj_topology_spread_us(
+		rj_topology_wait_us(state, entry->job.priority),
+		entry->job.job_id);
+	rj_topology_forget(state, entry);
+}
+
+static void refuse_late(struct rj_topology_state *state, uint64_t now_us,
+			struct rj_decisions *decisions)
+{
+	for (;;) {
+		GSequenceIter *first =
+			g_sequence_get_begin_iter(state->deadlines);
+		struct rj_plan_entry *entry;
+
+		if (g_sequence_iter_is_end(first))
+			return;
+		entry = g_sequence_get(first);
+		if (entry->job.deadline_us > now_us)
+			return;
+		refuse(state, entry, RJ_REASON_DEADLINE_PASSED, decisions);
+	}
+}
+
+/*
+ * Whether all that is firmly kept is free by now. Of two that wait for parts
+ * of the same worker the older is served first, so that one silent task
+ * cannot keep both waiting.
+ */
+static bool is_ready(const struct rj_topology_state *state,
+		     const struct rj_reservation *reservation)
+{
+	const struct rj_plan_entry *entry = reservation->entry;
+
+	for (uint32_t i = 0; i < reservation->member_count; i++) {
+		const struct rj_plan_member *member = &reservation->members[i];
+		const struct rj_capacity_worker *worker =
+			rj_capacity_find(&state->capacity, member->worker);
+		struct rj_resources room = worker->free;
+		struct rj_resources limit =
+			rj_ledger_pin_room(worker, entry->account);
+
+		for (uint32_t j = 0;
+		     worker->ledger->holds[j].reservation != reservation; j++)
+			if (worker->ledger->holds[j].reservation->firm)
+				rj_resources_take_or_zero(
+					&room, &worker->ledger->holds[j].want);
+		if (!entry->job.stoppable)
+			rj_resources_limit(&room, &limit);
+		if (rj_resources_times(&entry->job.shape.each, &room,
+				       member->tasks) < member->tasks)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Note the workers that did not give back what was reclaimed in time, so
+ * that the next search chooses another shape.
+ */
+static void note_silent(struct rj_topology_state *state,
+			const struct rj_reservation *reservation,
+			uint64_t now_us)
+{
+	for (uint32_t i = 0; i < reservation->member_count; i++) {
+		struct rj_ledger *ledger =
+			rj_capacity_find(&state->capacity,
+					 reservation->members[i].worker)
+				->ledger;
+
+		for (uint32_t j = 0; j < ledger->run_count; j++)
+			if (ledger->runs[j].entry->reclaiming)
+				ledger->silent_until_us = now_us + SILENT_US;
+	}
+}
+
+/*
+ * Start what is ready, and give up what is overdue.
+ */
+static void serve_reservations(struct rj_topology_state *state, uint64_t now_us,
+			       struct rj_decisions *decisions)
+{
+	for (uint32_t i = 0; i < state->reservations->len;) {
+		struct rj_reservation *reservation =
+			g_ptr_array_index(state->reservations, i);
+		struct rj_plan_entry *entry = reservation->entry;
+
+		if (reservation->firm && is_ready(state, reservation)) {
+			memcpy(state->members, reservation->members,
+			       sizeof(*state->members) *
+				       reservation->member_count);
+			start(state, entry, reservation->member_count,
+			      reservation->reason, now_us, decisions);
+		} else if (reservation->firm && reservation->at_us <= now_us) {
+			note_silent(state, reservation, now_us);
+			rj_topology_drop(state, reservation, now_us);
+		} else if (!reservation->firm &&
+			   reservation->refresh_us <= now_us) {
+			rj_topology_drop(state, reservation, now_us);
+		} else {
+			i++;
+		}
+	}
+}
+
+/*
+ * Try to start the job at the head of a bucket as things lie.
+ */
+static bool try_start(struct rj_topology_state *state,
+		      struct rj_plan_entry *entry, uint64_t now_us,
+		      struct rj_decisions *decisions)
+{
+	uint32_t count = rj_topology_place(state, entry, now_us);
+	enum rj_reason reason = RJ_REASON_BEST_FIT;
+
+	if (!count)
+		return false;
+	if (rj_topology_passes_loosely(entry, state->members, count,
+				       &state->capacity))
+		reason = RJ_REASON_BACKFILL;
+	else if (entry->reservation)
+		reason = RJ_REASON_RESERVATION;
+	start(state, entry, count, reason, now_us, decisions);
+	return true;
+}
+
+static uint32_t loose_count(const struct rj_topology_state *state)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < state->reservations->len; i++) {
+		const struct rj_reservation *reservation =
+			g_ptr_array_index(state->reservations, i);
+
+		count += !reservation->firm;
+	}
+	return count;
+}
+
+/*
+ * Do for a job that does not fit what may be done: reclaim, or keep room.
+ * One that has room firmly kept waits for it outside of its bucket.
+ */
+static void handle_blocked(struct rj_topology_state *state,
+			   struct rj_plan_entry *entry, uint64_t now_us,
+			   struct rj_decisions *decisions)
+{
+	uint64_t patience_us = rj_topology_patience_us(state, entry);
+
+	entry->bucket->blocked_version = state->version;
+	if (rj_topology_reclaim(state, entry, now_us, decisions)) {
+		rj_topology_dequeue(state, entry);
+		entry->not_before_us = entry->reservation->at_us;
+		rj_topology_enqueue(state, entry, now_us);
+		return;
+	}
+	if (patience_us != RJ_NEVER_US &&
+	    entry->waiting_since_us + patience_us > now_us)
+		state->retry_us = MIN(state->retry_us,
+				      entry->waiting_since_us + patience_us);
+	if (!entry->reservation && loose_count(state) < LOOSE_MAX &&
+	    rj_topology_size(entry) > state->worker_accelerators)
+		rj_topology_reserve_soonest(state, entry, now_us);
+}
+
+/*
+ * Take over what has changed of the workers as a whole.
+ */
+static void survey(struct rj_topology_state *state)
+{
+	state->accelerators = 0;
+	state->worker_accelerators = 1;
+	for (uint32_t i = 0; i < state->capacity.rack_count; i++) {
+		struct rj_site rack = rj_topology_rack(state, i);
+
+		for (uint32_t j = 0; j < rack.count; j++) {
+			uint32_t has =
+				rack.workers[j]->plan.capacity.accelerators;
+
+			rj_ledger_of(rack.workers[j]);
+			if (rack.workers[j]->plan.usable)
+				state->accelerators += has;
+			state->worker_accelerators =
+				MAX(state->worker_accelerators, has);
+		}
+	}
+	rj_topology_apply_homes(state);
+	state->workers_changed = false;
+	state->version++;
+}
+
+/*
+ * Decide all that can be decided now. Jobs are tried in the order of the
+ * queue; one that does not fit keeps no other back but by a reservation.
+ */
+void rj_topology_pass(struct rj_topology_state *state, uint64_t now_us,
+		      struct rj_decisions *decisions)
+{
+	struct rj_plan_bucket *bucket;
+
+	if (state->workers_changed)
+		survey(state);
+	if (state->retry_us <= now_us)
+		state->version++;
+	if (state->retry_us <= now_us)
+		state->retry_us = RJ_NEVER_US;
+	refuse_late(state, now_us, decisions);
+	serve_reservations(state, now_us, decisions);
+	rj_topology_release_delayed(state, now_us);
+	while ((bucket = rj_topology_next(state, now_us))) {
+		struct rj_plan_entry *entry = bucket->queue.head->data;
+
+		if (!try_start(state, entry, now_us, decisions))
+			handle_blocked(state, entry, now_us, decisions);
+	}
+	serve_reservations(state, now_us, decisions);
+}
--- a/src/libradishjunction/core/topology_reclaim.c
+++ b/src/libradishjunction/core/topology_reclaim.c
@@ -85,13 +85,14 @@
 
 /*
  * Whether the search must leave alone what others are guaranteed and do not
- * use. Only work that can be stopped may borrow it, and not on the ground of
- * a guarantee: two claims then never cross.
+ * use. Only work that can be stopped may borrow it, in racks whose owner can
+ * stop it, and not on the ground of a guarantee: two claims then never cross.
  */
-static bool spares_idle(const struct search *search)
+static bool spares_idle(const struct search *search,
+			const struct rj_capacity_worker *worker)
 {
 	return search->ground == GROUND_GUARANTEE ||
-	       !search->entry->job.stoppable;
+	       !search->entry->job.stoppable || !worker->plan.owned;
 }
 
 /*
@@ -119,8 +120,8 @@
 		if (respects(search, ledger->holds[i].reservation))
 			rj_resources_take_or_zero(&room,
 						  &ledger->holds[i].want);
-	for (uint32_t i = 0; spares_idle(search) && i < ledger->share_count;
-	     i++) {
+	for (uint32_t i = 0;
+	     spares_idle(search, worker) && i < ledger->share_count; i++) {
 		const struct rj_worker_share *share = &ledger->shares[i];
 		struct rj_resources used;
 		struct rj_resources idle;
@@ -131,7 +132,7 @@
 		idle = rj_resources_rest(&share->guaranteed, &used);
 		rj_resources_take_or_zero(&room, &idle);
 	}
-	if (search->entry->job.stoppable)
+	if (search->entry->job.stoppable && worker->plan.owned)
 		return room;
 	limit = rj_ledger_pin_room(worker, search->entry->account);
 	rj_resources_limit(&room, &limit);
--- a/src/libradishjunction/core/topology_reserve.c
+++ b/src/libradishjunction/core/topology_reserve.c
@@ -59,6 +59,70 @@
 	state->version++;
 }
 
+/*
+ * Whether a reservation keeps part of the worker.
+ */
+bool rj_topology_keeps(const struct rj_reservation *reservation,
+		       uint32_t worker)
+{
+	for (uint32_t i = 0; i < reservation->member_count; i++)
+		if (reservation->members[i].worker == worker)
+			return true;
+	return false;
+}
+
+/*
+ * The job's account no longer has room on its guarantee's behalf by it.
+ */
+void rj_topology_revoke(struct rj_plan_entry *entry)
+{
+	if (!entry->granted)
+		return;
+	entry->granted = false;
+	rj_resources_take(&entry->account->granted, &entry->job.shape.each,
+			  entry->job.shape.tasks);
+}
+
+/*
+ * Keep nothing for the job any more. One that waited outside of its bucket
+ * for firmly kept room goes back to it.
+ */
+void rj_topology_drop(struct rj_topology_state *state,
+		      struct rj_reservation *reservation, uint64_t now_us)
+{
+	struct rj_plan_entry *entry = reservation->entry;
+	bool firm = reservation->firm;
+
+	rj_topology_revoke(entry);
+	rj_topology_unreserve(state, reservation);
+	if (!firm)
+		return;
+	rj_topology_dequeue(state, entry);
+	entry->not_before_us = now_us;
+	rj_topology_enqueue(state, entry, now_us);
+}
+
+/*
+ * Give up what is firmly kept on the members for anything but a guarantee.
+ */
+void rj_topology_displace(struct rj_topology_state *state,
+			  const struct rj_plan_member *members, uint32_t count,
+			  uint64_t now_us)
+{
+	for (uint32_t i = state->reservations->len; i--;) {
+		struct rj_reservation *reservation =
+			g_ptr_array_index(state->reservations, i);
+		bool in_the_way = false;
+
+		for (uint32_t j = 0; j < count; j++)
+			in_the_way |= rj_topology_keeps(reservation,
+							members[j].worker);
+		if (in_the_way && reservation->firm &&
+		    reservation->reason != RJ_REASON_GUARANTEE)
+			rj_topology_drop(state, reservation, now_us);
+	}
+}
+
 /* A run that is expected to end and free part of a worker. */
 struct ending {
 	uint64_t at_us;
--- /dev/null
+++ b/src/libradishjunction/core/topology_state.c
@@ -0,0 +1,173 @@
+#include "private/topology.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+/* The run time of a class of which nothing is known. */
+#define EXPECTED_US_DEFAULT (10 * RJ_US_PER_S)
+
+/*
+ * The account of this name, made at the first call; it is never freed
+ * before the planner, so that its name may come and go in configurations.
+ */
+struct rj_plan_account *rj_topology_account(struct rj_topology_state *state,
+					    const char *name)
+{
+	struct rj_plan_account *account =
+		g_hash_table_lookup(state->accounts, name);
+
+	if (account)
+		return account;
+	account = talloc_zero(state->mem, struct rj_plan_account);
+	assert(account);
+	snprintf(account->name, sizeof(account->name), "%s", name);
+	g_hash_table_insert(state->accounts, account->name, account);
+	return account;
+}
+
+static uint64_t expected_us(const struct rj_topology_state *state,
+			    const char *class_name)
+{
+	for (uint32_t i = 0; i < state->class_count; i++)
+		if (!strcmp(state->classes[i].name, class_name) &&
+		    state->classes[i].expected_us)
+			return state->classes[i].expected_us;
+	return EXPECTED_US_DEFAULT;
+}
+
+static struct rj_runtime *runtime_at(struct rj_topology_state *state,
+				     const char *key, const char *class_name,
+				     struct rj_runtime *wider)
+{
+	struct rj_runtime *runtime = g_hash_table_lookup(state->runtimes, key);
+
+	if (runtime)
+		return runtime;
+	runtime = talloc_zero(state->mem, struct rj_runtime);
+	assert(runtime);
+	runtime->expected_us = expected_us(state, class_name);
+	runtime->wider = wider;
+	g_hash_table_insert(state->runtimes, talloc_strdup(runtime, key),
+			    runtime);
+	return runtime;
+}
+
+/*
+ * What has been learnt of the job's class and account.
+ */
+struct rj_runtime *rj_topology_runtime(struct rj_topology_state *state,
+				       const struct rj_plan_job *job)
+{
+	char key[2 * RJ_NAME_BYTES];
+
+	snprintf(key, sizeof(key), "%s/%s", job->class_name, job->account);
+	return runtime_at(
+		state, key, job->class_name,
+		runtime_at(state, job->class_name, job->class_name, NULL));
+}
+
+/*
+ * When `percent` of the jobs like this running one have ended.
+ */
+uint64_t rj_topology_ends_us(const struct rj_plan_entry *entry,
+			     uint32_t percent, uint64_t now_us)
+{
+	uint64_t elapsed_us = now_us - MIN(now_us, entry->started_us);
+	uint64_t whole_us =
+		rj_runtime_quantile_us(entry->runtime, percent, elapsed_us);
+
+	return MAX(entry->started_us + whole_us, now_us);
+}
+
+/*
+ * The accelerators of the job; a task without any counts as one.
+ */
+uint32_t rj_topology_size(const struct rj_plan_entry *entry)
+{
+	return entry->job.shape.tasks *
+	       MAX(entry->job.shape.each.accelerators, 1);
+}
+
+/*
+ * The workers of the rack at `index`.
+ */
+struct rj_site rj_topology_rack(const struct rj_topology_state *state,
+				uint32_t index)
+{
+	const struct rj_capacity_rack *rack = state->capacity.racks[index];
+
+	return (struct rj_site){ rack->workers, rack->count };
+}
+
+/*
+ * All workers, those of racks that this instance owns first.
+ */
+struct rj_site rj_topology_all(struct rj_topology_state *state)
+{
+	g_ptr_array_set_size(state->all, 0);
+	for (uint32_t owned = 2; owned--;)
+		for (uint32_t i = 0; i < state->capacity.rack_count; i++) {
+			struct rj_site rack = rj_topology_rack(state, i);
+
+			for (uint32_t j = 0; j < rack.count; j++)
+				if (rack.workers[j]->plan.owned == owned)
+					g_ptr_array_add(state->all,
+							rack.workers[j]);
+		}
+	return (struct rj_site){ (void *)state->all->pdata, state->all->len };
+}
+
+/*
+ * Count the job as running on the members.
+ */
+void rj_topology_attach(struct rj_topology_state *state,
+			struct rj_plan_entry *entry,
+			const struct rj_plan_member *members, uint32_t count,
+			uint64_t now_us)
+{
+	rj_plan_entry_place(entry, &state->capacity, members, count, now_us);
+	for (uint32_t i = 0; i < count; i++)
+		rj_ledger_add_run(
+			rj_capacity_find(&state->capacity, members[i].worker),
+			entry, members[i].tasks);
+	entry->account->used += rj_topology_size(entry);
+	rj_topology_note_active(state, entry->account);
+}
+
+/*
+ * The job gives back what it holds; it waits for nothing and runs nowhere
+ * afterwards.
+ */
+void rj_topology_detach(struct rj_topology_state *state,
+			struct rj_plan_entry *entry)
+{
+	if (entry->reservation)
+		rj_topology_unreserve(state, entry->reservation);
+	rj_topology_revoke(entry);
+	if (!entry->members) {
+		rj_topology_dequeue(state, entry);
+		return;
+	}
+	for (uint32_t i = 0; i < entry->member_count; i++) {
+		struct rj_capacity_worker *worker = rj_capacity_find(
+			&state->capacity, entry->members[i].worker);
+
+		rj_ledger_remove_run(worker, entry, entry->members[i].tasks);
+		worker->ledger->silent_until_us = 0;
+	}
+	entry->account->used -= rj_topology_size(entry);
+	rj_topology_note_active(state, entry->account);
+	entry->reclaiming = false;
+	entry->on_loan = false;
+	rj_plan_entry_unplace(entry, &state->capacity);
+	state->version++;
+}
+
+void rj_topology_forget(struct rj_topology_state *state,
+			struct rj_plan_entry *entry)
+{
+	rj_topology_detach(state, entry);
+	rj_plan_table_remove(&state->table, entry);
+}
--- /dev/null
+++ b/src/libradishjunction/guarantee_layout.c
@@ -0,0 +1,146 @@
+#include "private/guarantee_layout.h"
+
+#include <assert.h>
+#include <talloc.h>
+
+#include "private/capacity.h"
+
+/*
+ * Start with the empty domain; all memory is a talloc child of `mem`.
+ */
+void rj_layout_init(struct rj_layout *layout, void *mem,
+		    const struct rj_domain *domain)
+{
+	uint32_t workers = domain->racks * domain->workers_per_rack;
+
+	layout->domain = domain;
+	layout->free = talloc_array(mem, struct rj_resources, workers);
+	assert(layout->free);
+	for (uint32_t i = 0; i < workers; i++)
+		layout->free[i] = domain->worker;
+}
+
+/*
+ * Free what the layout took.
+ */
+void rj_layout_finish(struct rj_layout *layout)
+{
+	TALLOC_FREE(layout->free);
+}
+
+/*
+ * The hardest to place first: adjacent shapes by size, then large tasks.
+ * Equal ones (0) are to stay in the order of the configuration.
+ */
+int rj_layout_compare(const struct rj_shape *one, const struct rj_shape *two)
+{
+	uint64_t one_size = (uint64_t)one->each.accelerators *
+			    (one->adjacent ? one->tasks : 1);
+	uint64_t two_size = (uint64_t)two->each.accelerators *
+			    (two->adjacent ? two->tasks : 1);
+
+	if (one->adjacent != two->adjacent)
+		return one->adjacent ? -1 : 1;
+	if (one_size != two_size)
+		return one_size > two_size ? -1 : 1;
+	if (one->each.slots != two->each.slots)
+		return one->each.slots > two->each.slots ? -1 : 1;
+	return 0;
+}
+
+static void note_part(const struct rj_layout *layout,
+		      struct rj_layout_parts *parts, uint32_t worker,
+		      uint32_t tasks)
+{
+	uint32_t width = layout->domain->workers_per_rack;
+
+	if (!parts)
+		return;
+	parts->list = talloc_realloc(parts->mem, parts->list,
+				     struct rj_layout_part, parts->count + 1);
+	assert(parts->list);
+	parts->list[parts->count].rack = worker / width;
+	parts->list[parts->count].position = worker % width;
+	parts->list[parts->count].tasks = tasks;
+	parts->count++;
+}
+
+/*
+ * Put up to `tasks` tasks onto `count` workers from `first` on, those first
+ * that hold the fewest of them, so that whole workers stay whole. Returns
+ * how many found no place.
+ */
+static uint32_t lay_tasks(struct rj_layout *layout,
+			  const struct rj_resources *each, uint32_t tasks,
+			  uint32_t first, uint32_t count,
+			  struct rj_layout_parts *parts)
+{
+	while (tasks) {
+		uint32_t best_fit = UINT32_MAX;
+		uint32_t best = 0;
+
+		for (uint32_t i = first; i < first + count; i++) {
+			uint32_t fit = rj_resources_times(
+				each, &layout->free[i], UINT32_MAX);
+
+			if (fit && fit < best_fit) {
+				best_fit = fit;
+				best = i;
+			}
+		}
+		if (best_fit == UINT32_MAX)
+			return tasks;
+		best_fit = MIN(best_fit, tasks);
+		rj_resources_take(&layout->free[best], each, best_fit);
+		note_part(layout, parts, best, best_fit);
+		tasks -= best_fit;
+	}
+	return 0;
+}
+
+/*
+ * How many tasks of `each` fit onto the workers of a rack, each task whole
+ * on one.
+ */
+static uint64_t tasks_in_rack(const struct rj_layout *layout, uint32_t rack,
+			      const struct rj_resources *each)
+{
+	uint32_t width = layout->domain->workers_per_rack;
+	uint64_t sum = 0;
+
+	for (uint32_t i = 0; i < width; i++)
+		sum += rj_resources_times(each, &layout->free[rack * width + i],
+					  UINT32_MAX);
+	return sum;
+}
+
+/*
+ * Put the shape into the rack that it fills most; one that need not be
+ * adjacent and fits no rack goes onto the workers that hold fewest of its
+ * tasks, wherever. One rack is better, as all of it then has one owner. Notes
+ * where in `parts`, which may be NULL. Returns how many tasks found no
+ * place: of an adjacent shape all or none.
+ */
+uint32_t rj_layout_place(struct rj_layout *layout, const struct rj_shape *shape,
+			 struct rj_layout_parts *parts)
+{
+	uint32_t width = layout->domain->workers_per_rack;
+	uint64_t best_room = UINT64_MAX;
+	uint32_t best = 0;
+
+	for (uint32_t rack = 0; rack < layout->domain->racks; rack++) {
+		uint64_t room = tasks_in_rack(layout, rack, &shape->each);
+
+		if (room >= shape->tasks && room < best_room) {
+			best_room = room;
+			best = rack;
+		}
+	}
+	if (best_room == UINT64_MAX && shape->adjacent)
+		return shape->tasks;
+	if (best_room == UINT64_MAX)
+		return lay_tasks(layout, &shape->each, shape->tasks, 0,
+				 layout->domain->racks * width, parts);
+	return lay_tasks(layout, &shape->each, shape->tasks, best * width,
+			 width, parts);
+}
--- a/src/libradishjunction/include/private/topology.h
+++ b/src/libradishjunction/include/private/topology.h
@@ -2,14 +2,16 @@
  * The parts of the planner by topology, and the state that they share.
  *
  * planner_topology.c is the planner; the others each do one job for it:
- * topology_queue.c (who is next), topology_place.c (where it fits),
- * topology_guarantee.c (which workers are guaranteed to whom),
+ * topology_state.c (what the others ask of the state), topology_pass.c (the
+ * steps of a pass), topology_queue.c (who is next), topology_place.c (where
+ * it fits), topology_guarantee.c (which workers are guaranteed to whom),
  * topology_reserve.c (what is kept for a job that waits) and
  * topology_reclaim.c (what is stopped for it).
  */
 #ifndef RADISHJUNCTION_PRIVATE_TOPOLOGY_H
 #define RADISHJUNCTION_PRIVATE_TOPOLOGY_H
 
+#include "private/guarantee_layout.h"
 #include "private/ledger.h"
 #include "private/runtime.h"
 #include "radishjunction/planner_topology.h"
@@ -41,14 +43,7 @@
 	struct rj_plan_account *account;
 	struct rj_shape shape;
 	uint32_t number; /* in the order of the configuration */
-	struct rj_home_part *parts;
-	uint32_t part_count;
-};
-
-struct rj_home_part {
-	uint32_t rack;
-	uint32_t position;
-	uint32_t tasks;
+	struct rj_layout_parts parts;
 };
 
 /* Workers among which a job is placed: one rack, or all. */
@@ -87,6 +82,7 @@
 	void *mem;
 };
 
+/* topology_state.c */
 struct rj_plan_account *rj_topology_account(struct rj_topology_state *state,
 					    const char *name);
 struct rj_runtime *rj_topology_runtime(struct rj_topology_state *state,
@@ -98,9 +94,18 @@
 struct rj_site rj_topology_rack(const struct rj_topology_state *state,
 				uint32_t index);
 
-void rj_topology_displace(struct rj_topology_state *state,
-			  const struct rj_plan_member *members, uint32_t count,
-			  uint64_t now_us);
+void rj_topology_attach(struct rj_topology_state *state,
+			struct rj_plan_entry *entry,
+			const struct rj_plan_member *members, uint32_t count,
+			uint64_t now_us);
+void rj_topology_detach(struct rj_topology_state *state,
+			struct rj_plan_entry *entry);
+void rj_topology_forget(struct rj_topology_state *state,
+			struct rj_plan_entry *entry);
+
+/* topology_pass.c */
+void rj_topology_pass(struct rj_topology_state *state, uint64_t now_us,
+		      struct rj_decisions *decisions);
 
 /* topology_queue.c */
 uint64_t rj_topology_fair(const struct rj_topology_state *state,
@@ -152,6 +157,14 @@
 					   uint64_t at_us);
 void rj_topology_unreserve(struct rj_topology_state *state,
 			   struct rj_reservation *reservation);
+bool rj_topology_keeps(const struct rj_reservation *reservation,
+		       uint32_t worker);
+void rj_topology_revoke(struct rj_plan_entry *entry);
+void rj_topology_drop(struct rj_topology_state *state,
+		      struct rj_reservation *reservation, uint64_t now_us);
+void rj_topology_displace(struct rj_topology_state *state,
+			  const struct rj_plan_member *members, uint32_t count,
+			  uint64_t now_us);
 void rj_topology_reserve_soonest(struct rj_topology_state *state,
 				 struct rj_plan_entry *entry, uint64_t now_us);
 
