core: who looks up a job during a drain is sent on, too

Cause: only those who waited when the stop began were sent on; a job that went back to the queue later was freed with its waiters. Change: they are sent on when the job is handed over.

--- a/src/libradishjunction/core/controllers/drain_controller.c
+++ b/src/libradishjunction/core/controllers/drain_controller.c
@@ -58,6 +58,8 @@
 static void hand_over(struct rj_job *job)
 {
 	if (job->accepted) {
+		/* Look-ups may have come since the stop began. */
+		send_waiters_on(job);
 		rj_job_free(job); /* its next owner reads it in the log */
 		return;
 	}
