core: what abandoned attempts left at a worker is cleared

Cause: a report renews all leases of its holder, those of attempts whose release or stop was lost as well, and nobody looked at them: a worker stayed taken for as long as the instance lived. Excluded: the planner (it saw the tasks as foreign), the worker (it renews what it is asked to). Change: a reported lease or task of this instance that belongs to no job of it is released or stopped.

--- a/src/libradishjunction/core/controllers/calls_controller.c
+++ b/src/libradishjunction/core/controllers/calls_controller.c
@@ -126,28 +126,41 @@
 	return out;
 }
 
-/* An answer to a call of an attempt that is over: leave nothing behind. */
-static void stale_reply(struct rj_core_state *core, const struct rj_call *call,
-			const struct rj_worker_reply *reply)
+/*
+ * Clear away what an attempt that is over has left at a worker: RELEASE what
+ * is held or has ended, STOP what runs. Nobody waits for the answer.
+ */
+void rj_call_clear(struct rj_core_state *core,
+		   const struct rj_upstream *upstream, enum rj_worker_op op,
+		   const struct rj_attempt *attempt, uint32_t member,
+		   uint64_t token)
 {
-	struct rj_upstream *upstream = rj_upstreams_find(core, reply->worker);
-	struct rj_action *action;
-	struct rj_worker_call *out;
+	struct rj_action *action =
+		rj_actions_add(core->actions, RJ_ACTION_WORKER_CALL);
+	struct rj_worker_call *out = &action->u.worker_call;
 
-	if (call->op != RJ_WORKER_LEASE || reply->status != RJ_REPLY_OK ||
-	    !upstream)
-		return;
-	action = rj_actions_add(core->actions, RJ_ACTION_WORKER_CALL);
-	out = &action->u.worker_call;
 	out->call_id = rj_core_next_id(core);
-	out->op = RJ_WORKER_RELEASE;
+	out->op = op;
 	g_strlcpy(out->worker, upstream->name, sizeof(out->worker));
 	out->address = upstream->address;
 	out->timeout_us = RJ_CALL_TIMEOUT_US;
 	out->holder = core->incarnation;
-	out->attempt = reply->attempt;
-	out->member = call->member;
-	out->token = reply->token;
+	out->attempt = *attempt;
+	out->member = member;
+	out->token = token;
+}
+
+/* An answer to a call of an attempt that is over: leave nothing behind. */
+static void stale_reply(struct rj_core_state *core, const struct rj_call *call,
+			const struct rj_worker_reply *reply)
+{
+	const struct rj_upstream *upstream =
+		rj_upstreams_find(core, reply->worker);
+
+	if (call->op == RJ_WORKER_LEASE && reply->status == RJ_REPLY_OK &&
+	    upstream)
+		rj_call_clear(core, upstream, RJ_WORKER_RELEASE,
+			      &reply->attempt, call->member, reply->token);
 }
 
 /* Whether a reply names the attempt that was asked about. One that names
--- a/src/libradishjunction/core/controllers/report_controller.c
+++ b/src/libradishjunction/core/controllers/report_controller.c
@@ -57,6 +57,26 @@
 	return &job->members[task->member];
 }
 
+/*
+ * Clear away a lease or task of this instance that belongs to no job of it.
+ *
+ * Guards against a release or a stop that was lost: reports renew all leases
+ * of this instance, those of abandoned attempts as well, so the worker would
+ * stay taken for as long as the instance lives. It shows as workers full of
+ * foreign tasks that nobody runs.
+ */
+static void clear_left_over(struct rj_core_state *core,
+			    const struct rj_upstream *upstream,
+			    const struct rj_task_report *task)
+{
+	if (task->holder != core->incarnation)
+		return;
+	rj_call_clear(core, upstream,
+		      task->state == RJ_TASK_RUNNING ? RJ_WORKER_STOP :
+						       RJ_WORKER_RELEASE,
+		      &task->attempt, task->member, task->token);
+}
+
 /*
  * A report that was asked for well after the start does not show the member
  * started.
@@ -98,7 +118,9 @@
 		struct rj_member *member =
 			member_of(core, upstream, &report->tasks[i]);
 
-		if (member && member->job->state == RJ_JOB_RUNNING)
+		if (!member)
+			clear_left_over(core, upstream, &report->tasks[i]);
+		else if (member->job->state == RJ_JOB_RUNNING)
 			report_task(member->job, member, &report->tasks[i]);
 	}
 	/* One member's job may end others here: start over after each. */
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -486,6 +486,10 @@
 		      struct rj_upstream *upstream);
 void rj_member_keep_result(struct rj_job *job, struct rj_member *member,
 			   const struct rj_bytes *result);
+void rj_call_clear(struct rj_core_state *core,
+		   const struct rj_upstream *upstream, enum rj_worker_op op,
+		   const struct rj_attempt *attempt, uint32_t member,
+		   uint64_t token);
 struct rj_worker_call *rj_job_call(struct rj_job *job, struct rj_member *member,
 				   enum rj_worker_op op);
 void rj_jobs_worker_reply(struct rj_core_state *core,
--- a/src/test_libradishjunction/test_faults.c
+++ b/src/test_libradishjunction/test_faults.c
@@ -170,6 +170,30 @@
 	check_seed(PROMISE_GUARANTEE, 17);
 }
 
+/*
+ * A failure domain slowly fills with leases that nobody uses, until nothing
+ * starts there any more.
+ * A lease's answer is lost, then its release; the attempt is given up, and
+ * every report renews the lease with all others of the instance.
+ * Cause: what a report showed of abandoned attempts was not looked at.
+ */
+static void test_leases_of_abandoned_attempts_are_cleared(void)
+{
+	check_seed(PROMISE_GUARANTEE, 32);
+}
+
+/*
+ * An instance that drains ends with a failed assertion, and its callers are
+ * cut off.
+ * A tutor looks an accepted job up while it is being stopped; it goes back to
+ * the queue and is handed to its next owner.
+ * Cause: only those who waited when the stop began were sent on.
+ */
+static void test_lookup_during_a_drain_is_sent_on(void)
+{
+	check_seed(PROMISE_NOT_RUN, 770);
+}
+
 /* Promises that the core keeps in every seed that was run. */
 static const enum promise held[] = { PROMISE_GANG,    PROMISE_ANSWER,
 				     PROMISE_NOT_RUN, PROMISE_CONFIG,
@@ -221,5 +245,9 @@
 	g_test_add_func("/faults/watched_accepted",
 			test_watched_job_that_is_settled_stays_accepted);
 	g_test_add_func("/faults/who_reclaims", test_who_reclaims_has_placed);
+	g_test_add_func("/faults/left_over_leases",
+			test_leases_of_abandoned_attempts_are_cleared);
+	g_test_add_func("/faults/drain_lookup",
+			test_lookup_during_a_drain_is_sent_on);
 	return g_test_run();
 }
