core: what still arrives during a stop is handed to peers

Change: for ten seconds of a stop requests are let in and forwarded, if a peer is alive; after that, or without a peer, they are refused as before.

--- a/src/libradishjunction/core/controllers/drain_controller.c
+++ b/src/libradishjunction/core/controllers/drain_controller.c
@@ -12,6 +12,10 @@
 /* After the answers, so long is left for outcomes to reach the log. */
 #define DRAIN_LOG_US (5 * RJ_US_PER_S)
 
+/* The balancer learns within this that the instance is not ready; what it
+ * still sends until then is handed to peers. */
+#define DRAIN_FORWARDS_US (10 * RJ_US_PER_S)
+
 /* The limit of the drain has passed: answer what is still open. */
 static void limit_due(struct rj_core_state *core, struct rj_timer *timer)
 {
@@ -85,6 +89,28 @@
 	}
 }
 
+/*
+ * Whether a request that arrives during a stop is still let in: for a while,
+ * and only if a peer can take it.
+ */
+bool rj_drain_takes_more(const struct rj_core_state *core)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	if (core->now_us > core->stopping_us + DRAIN_FORWARDS_US)
+		return false;
+	RJ_FOR_EACH (at, next, &core->membership.members) {
+		const struct rj_member_view *member =
+			RJ_CONTAINER(at, struct rj_member_view, link);
+
+		if (!strcmp(member->domain, core->domain) &&
+		    !member->draining && rj_membership_alive(core, member))
+			return true;
+	}
+	return false;
+}
+
 /*
  * The process was asked to stop. A second request changes nothing.
  *
@@ -100,6 +126,7 @@
 	if (core->stopping)
 		return;
 	core->stopping = true;
+	core->stopping_us = core->now_us;
 	rj_core_log(core, RJ_LOG_DRAIN, RJ_REASON_DRAINING, NULL, NULL);
 	rj_membership_heartbeat_all(core);
 	rj_racks_ownership(core);
--- a/src/libradishjunction/core/filters/limit.c
+++ b/src/libradishjunction/core/filters/limit.c
@@ -1,6 +1,6 @@
 /*
- * The bounds of an account and of a class at this instance, and the refusal
- * of new work during a stop.
+ * The bounds of an account and of a class at this instance, and the end of
+ * new work during a stop.
  */
 #include <string.h>
 
@@ -17,7 +17,7 @@
 
 	if (submission->job)
 		return RJ_FILTER_NEXT; /* it was let in before */
-	if (core->stopping)
+	if (core->stopping && !rj_drain_takes_more(core))
 		return rj_filter_refuse(
 			core, submission, RJ_ANSWER_NOT_RUN, RJ_REASON_DRAINING,
 			DRAINING_RETRY_US,
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -310,6 +310,7 @@
 	struct rj_upstreams upstreams;
 	struct rj_jobs jobs;
 	bool stopping;
+	uint64_t stopping_us; /* since when */
 	bool exited;
 	struct rj_timer drain;
 	uint64_t drain_answered_us; /* when the last request was answered */
@@ -564,6 +565,7 @@
 /* controllers/drain_controller.c */
 void rj_drain_init(struct rj_core_state *core);
 void rj_drain_stop(struct rj_core_state *core);
+bool rj_drain_takes_more(const struct rj_core_state *core);
 void rj_drain_hand_over(struct rj_core_state *core);
 void rj_drain_check(struct rj_core_state *core);
 
