Configuration: cheaper checks at the large size, and published compact

Cause: every instance parses every publication. With 290 accounts, 870 guarantees, 8 failure domains and 7,552 workers, looking for room scanned all workers once for each worker that was filled, the tokens were compared with a constant-time function that hashes need not have, and the text was published with its white space. Excluded: checking only the domains that changed (a reader would need the text before, and a new instance has none). Change: one pass for each number of tasks that a worker can hold; plain comparison of hashes; publish, check and generate take the white space out first.

--- a/src/libradishjunction/config.c
+++ b/src/libradishjunction/config.c
@@ -196,21 +196,22 @@
 			 struct rj_error_list *errors)
 {
 	for (uint32_t i = 1; i < config->account_count; i++) {
-		for (uint32_t j = 0; j < i; j++) {
-			const uint8_t *token = config->accounts[i].token_hash;
+		const uint8_t *hash = config->accounts[i].token_hash;
+		uint32_t j = 0;
 
-			if (sodium_is_zero(token, RJ_TOKEN_HASH_BYTES) ||
-			    sodium_memcmp(token, config->accounts[j].token_hash,
-					  RJ_TOKEN_HASH_BYTES) != 0)
-				continue;
+		/* A hash that was in error itself is zero. */
+		if (sodium_is_zero(hash, RJ_TOKEN_HASH_BYTES))
+			continue;
+		while (j < i && memcmp(hash, config->accounts[j].token_hash,
+				       RJ_TOKEN_HASH_BYTES) != 0)
+			j++;
+		if (j < i)
 			rj_error_list_add(
 				errors, RJ_ERR_INVALID,
 				"accounts[%u].token_hash: the same as that of "
 				"accounts[%u]; give each account a token of "
 				"its own",
 				i, j);
-			break;
-		}
 	}
 }
 
--- a/src/libradishjunction/config_capacity.c
+++ b/src/libradishjunction/config_capacity.c
@@ -63,28 +63,34 @@
 /*
  * Put up to `tasks` tasks onto the workers, those first that hold the fewest
  * of them, so that whole workers stay whole. Returns how many found no place.
+ * A worker that is used is filled, so each number of tasks that a worker can
+ * hold needs one pass.
  */
 static uint64_t lay_tasks(const struct rj_resources *each, uint64_t tasks,
 			  struct rj_resources *workers, uint32_t count)
 {
+	uint32_t level = 0;
+
 	while (tasks) {
-		uint32_t best_fit = UINT32_MAX;
-		uint32_t best = 0;
+		uint32_t next = UINT32_MAX;
 
 		for (uint32_t i = 0; i < count; i++) {
 			uint32_t fit = tasks_fitting(each, &workers[i]);
 
-			if (fit && fit < best_fit) {
-				best_fit = fit;
-				best = i;
-			}
+			if (fit > level && fit < next)
+				next = fit;
 		}
-		if (best_fit == UINT32_MAX)
+		if (next == UINT32_MAX)
 			return tasks;
-		if (best_fit > tasks)
-			best_fit = (uint32_t)tasks;
-		rj_resources_take(&workers[best], each, best_fit);
-		tasks -= best_fit;
+		level = next;
+		for (uint32_t i = 0; i < count && tasks; i++) {
+			if (tasks_fitting(each, &workers[i]) != level)
+				continue;
+			if (next > tasks)
+				next = (uint32_t)tasks;
+			rj_resources_take(&workers[i], each, next);
+			tasks -= next;
+		}
 	}
 	return 0;
 }
--- a/src/radishjunction/answers.c
+++ b/src/radishjunction/answers.c
@@ -89,6 +89,23 @@
 	return text;
 }
 
+/*
+ * The text of a configuration without white space, as it is published: every
+ * instance reads and keeps it. A text that is no JSON comes back unchanged,
+ * for the check to tell where.
+ */
+char *config_compact(void *mem, const char *text)
+{
+	json_t *json = json_loads(text, JSON_REJECT_DUPLICATES, NULL);
+	char *dumped = json ? json_dumps(json, JSON_COMPACT) : NULL;
+	char *compact = talloc_strdup(mem, dumped ? dumped : text);
+
+	assert(compact);
+	free(dumped);
+	json_decref(json);
+	return compact;
+}
+
 /*
  * Read answers from JSON text. Returns 0, or -1 with every error added to
  * `errors`; only form is checked, for `answers_check` does the rest.
@@ -200,7 +217,7 @@
 
 	assert(mem);
 	text = answers_config(mem, answers, NULL, NULL, &tokens, &token_count);
-	config = rj_config_parse(mem, text, errors);
+	config = rj_config_parse(mem, config_compact(mem, text), errors);
 	check_instances(answers, errors);
 	if (config && errors->count == before)
 		rj_config_notes(config, errors);
--- a/src/radishjunction/answers.h
+++ b/src/radishjunction/answers.h
@@ -54,6 +54,7 @@
 char *answers_settings(void *mem, const struct answers *answers,
 		       const char *name, const char *peer_key,
 		       struct rj_error *err);
+char *config_compact(void *mem, const char *text);
 char *json_text(void *mem, json_t *json);
 
 #endif
--- a/src/radishjunction/check.c
+++ b/src/radishjunction/check.c
@@ -59,7 +59,7 @@
 				return false;
 		return true;
 	}
-	config = rj_config_parse(mem, text, errors);
+	config = rj_config_parse(mem, config_compact(mem, text), errors);
 	if (!config)
 		return false;
 	rj_config_notes(config, errors);
--- a/src/radishjunction/generate.c
+++ b/src/radishjunction/generate.c
@@ -62,7 +62,7 @@
 		return -1;
 	}
 	rj_error_list_init(&errors, mem);
-	*config = rj_config_parse(mem, text, &errors);
+	*config = rj_config_parse(mem, config_compact(mem, text), &errors);
 	print_errors(path, &errors);
 	return *config ? 0 : -1;
 }
@@ -86,7 +86,7 @@
 	text = answers_config(mem, answers, earlier, options->renew, &tokens,
 			      &count);
 	rj_error_list_init(&errors, mem);
-	config = rj_config_parse(mem, text, &errors);
+	config = rj_config_parse(mem, config_compact(mem, text), &errors);
 	if (!config) {
 		print_errors(options->answers, &errors);
 		return EXIT_REFUSED;
--- a/src/radishjunction/publish.c
+++ b/src/radishjunction/publish.c
@@ -7,6 +7,7 @@
 #include <talloc.h>
 #include <time.h>
 
+#include "answers.h"
 #include "command.h"
 #include "instances.h"
 #include "stream.h"
@@ -260,6 +261,7 @@
 	if (!text)
 		return print_error("publish", &err);
 	rj_error_list_init(&errors, own->mem);
+	text = config_compact(own->mem, text);
 	if (!rj_config_parse(own->mem, text, &errors)) {
 		print_errors(path, &errors);
 		return EXIT_REFUSED;
