planner: a comment above every function, one way to append a start

Cause: a hundred functions had no comment; three planners built a START each their way, four files compared doubles.

--- a/include/radishjunction/planner.h
+++ b/include/radishjunction/planner.h
@@ -145,6 +145,11 @@
 void rj_decisions_init(struct rj_decisions *decisions, void *mem);
 struct rj_decision *rj_decisions_add(struct rj_decisions *decisions,
 				     enum rj_decision_kind kind);
+struct rj_decision *rj_decisions_add_start(struct rj_decisions *decisions,
+					   uint64_t job_id,
+					   enum rj_reason reason,
+					   const struct rj_plan_member *members,
+					   uint32_t count);
 void rj_decisions_clear(struct rj_decisions *decisions);
 void rj_decisions_finish(struct rj_decisions *decisions);
 
--- a/src/bench/cost.c
+++ b/src/bench/cost.c
@@ -8,6 +8,7 @@
 
 #include "bench.h"
 #include "radishjunction/planner_topology.h"
+#include "support/quantile.h"
 
 #define RACK_WORKERS 8
 #define WORKER_ACCELERATORS 8
@@ -47,6 +48,9 @@
 	uint32_t workers_min; /* it needs this many */
 };
 
+/*
+ * The time of a clock that is never set, in nanoseconds.
+ */
 static double now_ns(void)
 {
 	struct timespec time;
@@ -94,6 +98,9 @@
 				      0);
 }
 
+/*
+ * A stoppable job with the next id, of one of three accounts.
+ */
 static struct rj_plan_job job_of(struct site *site, uint32_t tasks,
 				 uint32_t accelerators, bool adjacent)
 {
@@ -112,6 +119,9 @@
 	return job;
 }
 
+/*
+ * A domain with so many workers, all owned, and so many tasks on each.
+ */
 static void site_init(struct site *site, uint32_t workers, uint32_t accounts,
 		      uint32_t tasks_running)
 {
@@ -143,6 +153,9 @@
 	site->planner->ops->pass(site->planner, site->now_us, &site->decisions);
 }
 
+/*
+ * Free the site.
+ */
 static void site_finish(struct site *site)
 {
 	rj_decisions_finish(&site->decisions);
@@ -177,11 +190,17 @@
 	return took_ns;
 }
 
+/*
+ * One task of one accelerator comes and is placed.
+ */
 static double cost_small(struct site *site)
 {
 	return time_job(site, job_of(site, 1, 1, false), false);
 }
 
+/*
+ * A gang that may span racks comes and is placed.
+ */
 static double cost_gang(struct site *site)
 {
 	return time_job(site, job_of(site, GANG_TASKS, 1, false), false);
@@ -253,6 +272,9 @@
 	return now_ns() - from_ns;
 }
 
+/*
+ * A configuration is taken over.
+ */
 static double cost_configure(struct site *site)
 {
 	double from_ns = now_ns();
@@ -272,14 +294,6 @@
 	{ "reclaim", cost_reclaim, 1, 1 },
 };
 
-static int compare_doubles(const void *a, const void *b)
-{
-	double one = *(const double *)a;
-	double two = *(const double *)b;
-
-	return one < two ? -1 : one > two;
-}
-
 /*
  * The median of a cost in microseconds; a cost that changes its site for
  * good is run on `sites` of them.
@@ -299,8 +313,7 @@
 			took[count++] = cost->run(&site);
 		site_finish(&site);
 	}
-	qsort(took, count, sizeof(*took), compare_doubles);
-	return took[count / 2] / 1000;
+	return quantile_of(took, count, 0.5) / 1000;
 }
 
 /*
@@ -356,6 +369,9 @@
 	       name, accounts, unit, (y - slope * x) / n, unit, slope);
 }
 
+/*
+ * Print a cost at each size, and its slope.
+ */
 static void run_cost(const struct cost *cost, uint32_t accounts, uint32_t sites)
 {
 	double took[SIZES] = { 0 };
--- a/src/bench/policy.c
+++ b/src/bench/policy.c
@@ -5,6 +5,7 @@
 
 #include "bench.h"
 #include "support/plan_world.h"
+#include "support/quantile.h"
 
 /* More seeds than this say nothing new. */
 #define SEEDS_MAX 200
@@ -33,23 +34,15 @@
 	char class_names[STREAM_CLASSES][RJ_NAME_BYTES];
 };
 
-static int compare_doubles(const void *a, const void *b)
-{
-	double one = *(const double *)a;
-	double two = *(const double *)b;
-
-	return one < two ? -1 : one > two;
-}
-
+/*
+ * The median of the values.
+ */
 static double median_of(const double *values, uint32_t count)
 {
 	double sorted[SEEDS_MAX];
 
 	memcpy(sorted, values, count * sizeof(*values));
-	qsort(sorted, count, sizeof(*sorted), compare_doubles);
-	if (count % 2)
-		return sorted[count / 2];
-	return (sorted[count / 2 - 1] + sorted[count / 2]) / 2;
+	return quantile_of(sorted, count, 0.5);
 }
 
 /*
@@ -81,6 +74,9 @@
 	       stream_load_string[series->load], series->seeds, planner);
 }
 
+/*
+ * Print the completion times of each class and account.
+ */
 static void print_completions(const struct series *series,
 			      enum contender contender)
 {
@@ -103,6 +99,9 @@
 		}
 }
 
+/*
+ * Print all that was measured of one planner.
+ */
 static void print_contender(const struct series *series,
 			    enum contender contender)
 {
@@ -141,6 +140,9 @@
 	}
 }
 
+/*
+ * Print one of the figures to be reached, and whether it is.
+ */
 static void print_target(const struct series *series, const char *name,
 			 double value, double limit, bool at_most)
 {
@@ -151,6 +153,9 @@
 	       (at_most ? value <= limit : value >= limit) ? "true" : "false");
 }
 
+/*
+ * `value` to `base`; nothing to nothing is 0.
+ */
 static double ratio(double value, double base)
 {
 	if (base > 0)
@@ -198,6 +203,9 @@
 	print_target(series, "guaranteed_late_all_seeds", late, 0, true);
 }
 
+/*
+ * Run every planner over the streams of all seeds.
+ */
 static void run_series(struct series *series, uint64_t seed)
 {
 	for (uint32_t i = 0; i < series->seeds; i++) {
@@ -222,6 +230,9 @@
 	}
 }
 
+/*
+ * Print the bound of each class.
+ */
 static void print_bound(const struct series *series)
 {
 	for (uint32_t i = 0; i < STREAM_CLASSES; i++) {
@@ -244,6 +255,9 @@
 	return -1;
 }
 
+/*
+ * Print how to call; returns the exit status.
+ */
 static int usage(void **table, const char *problem)
 {
 	FILE *out = problem ? stderr : stdout;
--- a/src/libradishjunction/core/capacity.c
+++ b/src/libradishjunction/core/capacity.c
@@ -117,6 +117,9 @@
 	return rack;
 }
 
+/*
+ * Whether a worker of `rack` has this position.
+ */
 static bool position_is_taken(const struct rj_capacity_rack *rack,
 			      uint32_t position)
 {
--- a/src/libradishjunction/core/decision.c
+++ b/src/libradishjunction/core/decision.c
@@ -38,6 +38,28 @@
 	return decision;
 }
 
+/*
+ * Append the start of a job on a copy of `members`.
+ */
+struct rj_decision *rj_decisions_add_start(struct rj_decisions *decisions,
+					   uint64_t job_id,
+					   enum rj_reason reason,
+					   const struct rj_plan_member *members,
+					   uint32_t count)
+{
+	struct rj_decision *decision =
+		rj_decisions_add(decisions, RJ_DECISION_START);
+
+	assert(count && count <= RJ_GANG_MAX);
+	decision->job_id = job_id;
+	decision->reason = reason;
+	decision->members = talloc_memdup(decisions->mem, members,
+					  sizeof(*members) * count);
+	assert(decision->members);
+	decision->member_count = count;
+	return decision;
+}
+
 /*
  * Empty the list and free the members of its decisions.
  */
--- a/src/libradishjunction/core/ledger.c
+++ b/src/libradishjunction/core/ledger.c
@@ -75,6 +75,9 @@
 	return NULL;
 }
 
+/*
+ * The share of `account`, made if it has none here yet.
+ */
 static struct rj_worker_share *share_add(struct rj_ledger *ledger,
 					 struct rj_plan_account *account)
 {
--- a/src/libradishjunction/core/planner_first_fit.c
+++ b/src/libradishjunction/core/planner_first_fit.c
@@ -28,6 +28,9 @@
 	struct rj_plan_member members[RJ_GANG_MAX];
 };
 
+/*
+ * The state behind the vtable.
+ */
 static struct rj_first_fit_state *state_of(const struct rj_planner *planner)
 {
 	return ((const struct rj_planner_first_fit *)planner)->state;
@@ -52,6 +55,9 @@
 	state->queue_max = config->limits.queue_max;
 }
 
+/*
+ * A worker is known, or known to have changed.
+ */
 static void first_fit_worker(struct rj_planner *planner,
 			     const struct rj_plan_worker *worker,
 			     uint64_t now_us)
@@ -59,6 +65,9 @@
 	rj_capacity_set(&state_of(planner)->capacity, worker);
 }
 
+/*
+ * A worker is no more; what ran there is ended or requeued by the caller.
+ */
 static void first_fit_worker_gone(struct rj_planner *planner, uint32_t worker,
 				  uint64_t now_us)
 {
@@ -106,6 +115,10 @@
 	rj_plan_table_remove(&state->table, entry);
 }
 
+/*
+ * Forget a job that has ended or was cancelled; one that is not known is
+ * passed over.
+ */
 static void first_fit_ended(struct rj_planner *planner, uint64_t job_id,
 			    bool succeeded, uint64_t ran_us, uint64_t now_us)
 {
@@ -116,6 +129,9 @@
 		forget(state, entry);
 }
 
+/*
+ * The job waits again, at its old place in the order of arrival.
+ */
 static void first_fit_requeue(struct rj_planner *planner, uint64_t job_id,
 			      uint64_t not_before_us, uint64_t now_us)
 {
@@ -201,6 +217,10 @@
 	return 0;
 }
 
+/*
+ * Give up a waiting job whose deadline has passed, so that its caller is told
+ * at once.
+ */
 static void refuse_late(struct rj_first_fit_state *state,
 			struct rj_plan_entry *entry,
 			struct rj_decisions *decisions)
@@ -213,20 +233,18 @@
 	forget(state, entry);
 }
 
+/*
+ * Start a waiting job on the first `count` members of the state.
+ */
 static void start(struct rj_first_fit_state *state, struct rj_plan_entry *entry,
 		  uint32_t count, uint32_t considered, uint64_t now_us,
 		  struct rj_decisions *decisions)
 {
-	struct rj_decision *decision =
-		rj_decisions_add(decisions, RJ_DECISION_START);
+	struct rj_decision *decision = rj_decisions_add_start(
+		decisions, entry->job.job_id, RJ_REASON_FIRST_FIT,
+		state->members, count);
 
-	decision->job_id = entry->job.job_id;
-	decision->reason = RJ_REASON_FIRST_FIT;
 	decision->considered = considered;
-	decision->members = talloc_memdup(decisions->mem, state->members,
-					  sizeof(*state->members) * count);
-	assert(decision->members);
-	decision->member_count = count;
 	g_queue_unlink(&state->queue, &entry->link);
 	rj_plan_entry_place(entry, &state->capacity, state->members, count,
 			    now_us);
@@ -290,6 +308,9 @@
 	return wake_us;
 }
 
+/*
+ * Count what waits, runs and is free.
+ */
 static void first_fit_view(const struct rj_planner *planner, uint64_t now_us,
 			   struct rj_plan_view *view)
 {
@@ -313,6 +334,9 @@
 	rj_capacity_view(&state->capacity, largest, view);
 }
 
+/*
+ * Free the state; the planner itself is the caller's.
+ */
 static void first_fit_finish(struct rj_planner *planner)
 {
 	struct rj_planner_first_fit *first_fit =
--- a/src/libradishjunction/core/planner_topology.c
+++ b/src/libradishjunction/core/planner_topology.c
@@ -11,6 +11,9 @@
 #define QUEUE_MAX_DEFAULT 1000
 #define CHECKPOINT_LIMIT_MS_DEFAULT 5000
 
+/*
+ * The state behind the vtable.
+ */
 static struct rj_topology_state *state_of(const struct rj_planner *planner)
 {
 	return ((const struct rj_planner_topology *)planner)->state;
@@ -58,6 +61,9 @@
 	state->workers_changed = true;
 }
 
+/*
+ * Whether a report says nothing new of a worker.
+ */
 static bool is_same_worker(const struct rj_plan_worker *one,
 			   const struct rj_plan_worker *two)
 {
@@ -67,6 +73,10 @@
 	       !memcmp(&one->foreign, &two->foreign, sizeof(one->foreign));
 }
 
+/*
+ * A worker is known, or known to have changed. What follows for the whole is
+ * worked out once, in the next pass.
+ */
 static void topology_worker(struct rj_planner *planner,
 			    const struct rj_plan_worker *worker,
 			    uint64_t now_us)
@@ -82,6 +92,10 @@
 	state->workers_changed = true;
 }
 
+/*
+ * A worker is no more. Jobs for which room was kept there look for another
+ * place in the next pass.
+ */
 static void topology_worker_gone(struct rj_planner *planner, uint32_t worker,
 				 uint64_t now_us)
 {
@@ -98,6 +112,10 @@
 	state->workers_changed = true;
 }
 
+/*
+ * Take a job into the table, with its account and what is known of its run
+ * time.
+ */
 static struct rj_plan_entry *add_entry(struct rj_topology_state *state,
 				       const struct rj_plan_job *job)
 {
@@ -138,6 +156,9 @@
 	return true;
 }
 
+/*
+ * Let the job wait, or say why not and when to come back.
+ */
 static int topology_submit(struct rj_planner *planner,
 			   const struct rj_plan_job *job, uint64_t now_us,
 			   enum rj_reason *reason, uint64_t *retry_after_us)
@@ -154,6 +175,10 @@
 	return 0;
 }
 
+/*
+ * Forget a job; a run that succeeded is learnt from. One that failed says
+ * nothing of how long such jobs take.
+ */
 static void topology_ended(struct rj_planner *planner, uint64_t job_id,
 			   bool succeeded, uint64_t ran_us, uint64_t now_us)
 {
@@ -167,6 +192,9 @@
 	rj_topology_forget(state, entry);
 }
 
+/*
+ * The job waits again from `not_before_us` on, in the order of its arrival.
+ */
 static void topology_requeue(struct rj_planner *planner, uint64_t job_id,
 			     uint64_t not_before_us, uint64_t now_us)
 {
@@ -181,6 +209,9 @@
 	rj_topology_enqueue(state, entry, now_us);
 }
 
+/*
+ * Take over a job that runs; one that is known to run is left as it is.
+ */
 static void topology_adopt(struct rj_planner *planner,
 			   const struct rj_plan_job *job,
 			   const struct rj_plan_member *members, uint32_t count,
@@ -199,6 +230,9 @@
 	rj_topology_attach(state, entry, members, count, now_us);
 }
 
+/*
+ * See `rj_topology_pass`.
+ */
 static void topology_pass(struct rj_planner *planner, uint64_t now_us,
 			  struct rj_decisions *decisions)
 {
@@ -235,6 +269,9 @@
 	return wake_us;
 }
 
+/*
+ * Count what waits, runs and is free.
+ */
 static void topology_view(const struct rj_planner *planner, uint64_t now_us,
 			  struct rj_plan_view *view)
 {
@@ -259,6 +296,9 @@
 	view->small_wait_us = rj_topology_wait_us(state, RJ_PRIORITY_NORMAL);
 }
 
+/*
+ * Free the state; the planner itself is the caller's.
+ */
 static void topology_finish(struct rj_planner *planner)
 {
 	struct rj_planner_topology *topology =
@@ -277,12 +317,18 @@
 	TALLOC_FREE(topology->state);
 }
 
+/*
+ * See `rj_topology_rack_group`.
+ */
 static uint32_t topology_rack_group(const struct rj_planner *planner,
 				    uint32_t rack)
 {
 	return rj_topology_rack_group(state_of(planner), rack);
 }
 
+/*
+ * See `rj_topology_home_rack`.
+ */
 static uint32_t topology_home_rack(const struct rj_planner *planner,
 				   const char *account,
 				   const struct rj_shape *shape)
--- a/src/libradishjunction/core/topology_guarantee.c
+++ b/src/libradishjunction/core/topology_guarantee.c
@@ -26,6 +26,9 @@
 	return one->number < two->number ? -1 : 1;
 }
 
+/*
+ * List the shapes that a configured account is guaranteed in this domain.
+ */
 static void add_homes(struct rj_topology_state *state,
 		      const struct rj_account *configured)
 {
--- a/src/libradishjunction/core/topology_pass.c
+++ b/src/libradishjunction/core/topology_pass.c
@@ -35,16 +35,10 @@
 		  uint32_t count, enum rj_reason reason, uint64_t now_us,
 		  struct rj_decisions *decisions)
 {
-	struct rj_decision *decision =
-		rj_decisions_add(decisions, RJ_DECISION_START);
+	struct rj_decision *decision = rj_decisions_add_start(
+		decisions, entry->job.job_id, reason, state->members, count);
 
-	decision->job_id = entry->job.job_id;
-	decision->reason = reason;
 	decision->considered = state->considered;
-	decision->members = talloc_memdup(decisions->mem, state->members,
-					  sizeof(*state->members) * count);
-	assert(decision->members);
-	decision->member_count = count;
 	if (entry->reservation)
 		rj_topology_unreserve(state, entry->reservation);
 	entry->on_loan = reason == RJ_REASON_BACKFILL;
@@ -54,6 +48,9 @@
 		rj_topology_revoke(entry);
 }
 
+/*
+ * Give up a waiting job, with a time to come back.
+ */
 static void refuse(struct rj_topology_state *state, struct rj_plan_entry *entry,
 		   enum rj_reason reason, struct rj_decisions *decisions)
 {
@@ -68,6 +65,9 @@
 	rj_topology_forget(state, entry);
 }
 
+/*
+ * Give up every job whose deadline has passed, so that none waits in vain.
+ */
 static void refuse_late(struct rj_topology_state *state, uint64_t now_us,
 			struct rj_decisions *decisions)
 {
@@ -187,6 +187,9 @@
 	return true;
 }
 
+/*
+ * For how many jobs room is loosely kept.
+ */
 static uint32_t loose_count(const struct rj_topology_state *state)
 {
 	uint32_t count = 0;
--- a/src/libradishjunction/core/topology_place.c
+++ b/src/libradishjunction/core/topology_place.c
@@ -93,6 +93,9 @@
 	return idle;
 }
 
+/*
+ * Whether nothing of ours runs in the rack.
+ */
 static bool rack_is_whole(struct rj_site rack)
 {
 	for (uint32_t i = 0; i < rack.count; i++)
@@ -245,6 +248,9 @@
 	uint32_t tasks;
 };
 
+/*
+ * The most broken up worker first.
+ */
 static int compare_candidates(const void *a, const void *b)
 {
 	const struct candidate *one = a;
--- a/src/libradishjunction/core/topology_queue.c
+++ b/src/libradishjunction/core/topology_queue.c
@@ -73,6 +73,9 @@
 		g_queue_push_head_link(&state->delayed, &entry->link);
 }
 
+/*
+ * The soonest deadline first; the job's id breaks ties.
+ */
 static gint compare_deadlines(gconstpointer a, gconstpointer b, gpointer data)
 {
 	const struct rj_plan_entry *one = a;
@@ -85,6 +88,10 @@
 		       one->job.job_id > two->job.job_id;
 }
 
+/*
+ * Let the job wait in its bucket. A job that comes first there may fit where
+ * the former first did not, so the bucket is tried again.
+ */
 static void insert_into_bucket(struct rj_topology_state *state,
 			       struct rj_plan_entry *entry)
 {
--- a/src/libradishjunction/core/topology_reclaim.c
+++ b/src/libradishjunction/core/topology_reclaim.c
@@ -139,6 +139,9 @@
 	return room;
 }
 
+/*
+ * Count again how many tasks fit the worker at this place of the site.
+ */
 static void refit(struct search *search, uint32_t at)
 {
 	struct rj_resources room = room_after(search, search->site.workers[at]);
@@ -150,6 +153,9 @@
 	search->total += search->fits[at];
 }
 
+/*
+ * Whether the whole job fits after what was evicted so far.
+ */
 static bool fits_now(const struct search *search)
 {
 	return search->total >= search->entry->job.shape.tasks;
@@ -235,6 +241,9 @@
 	victim->chosen = out;
 }
 
+/*
+ * The cheapest first; the job's id breaks ties.
+ */
 static int compare_victims(const void *a, const void *b)
 {
 	const struct victim *one = a;
@@ -297,6 +306,9 @@
 		      sizeof(struct victim), compare_victims);
 }
 
+/*
+ * Start a search of the site: nothing is evicted, the victims are listed.
+ */
 static void search_init(struct search *search, struct rj_topology_state *state,
 			struct rj_plan_entry *entry, enum ground ground,
 			struct rj_site site, uint64_t now_us)
@@ -319,6 +331,9 @@
 	list_victims(search);
 }
 
+/*
+ * Free what the search took.
+ */
 static void search_finish(struct search *search)
 {
 	g_free(search->fits);
@@ -350,6 +365,9 @@
 	return true;
 }
 
+/*
+ * Put every chosen victim back; the ledgers are as before the search.
+ */
 static void search_undo(struct search *search)
 {
 	for (uint32_t i = 0; i < search->victim_count; i++)
@@ -380,6 +398,9 @@
 	return count;
 }
 
+/*
+ * Ask for every chosen victim to be stopped.
+ */
 static void stop_victims(const struct search *search,
 			 struct rj_decisions *decisions)
 {
@@ -542,6 +563,9 @@
 	return (GANG_PATIENCE_S + (100 - weight) / 4) * RJ_US_PER_S;
 }
 
+/*
+ * Whether the gang has waited long enough for small work to make way.
+ */
 static bool may_make_way(const struct rj_topology_state *state,
 			 const struct rj_plan_entry *entry, uint64_t now_us)
 {
--- a/src/libradishjunction/core/topology_reserve.c
+++ b/src/libradishjunction/core/topology_reserve.c
@@ -130,6 +130,9 @@
 	const struct rj_worker_run *run;
 };
 
+/*
+ * The soonest first; the place in the site breaks ties.
+ */
 static int compare_endings(const void *a, const void *b)
 {
 	const struct ending *one = a;
@@ -183,6 +186,9 @@
 	uint32_t ending_count;
 };
 
+/*
+ * Count again how many tasks fit the worker at this place of the site.
+ */
 static void forecast_refit(struct forecast *forecast,
 			   const struct rj_plan_entry *entry, uint32_t at)
 {
@@ -195,6 +201,9 @@
 	forecast->total += forecast->fits[at];
 }
 
+/*
+ * Begin with what is free on the worker now, and list its runs.
+ */
 static void forecast_worker(struct forecast *forecast,
 			    const struct rj_plan_entry *entry, uint32_t at,
 			    uint64_t now_us)
@@ -218,6 +227,9 @@
 	}
 }
 
+/*
+ * Begin with the site as it is now, and list its runs by their expected ends.
+ */
 static void forecast_init(struct forecast *forecast, struct rj_site site,
 			  const struct rj_plan_entry *entry, uint64_t now_us)
 {
@@ -238,6 +250,9 @@
 	      compare_endings);
 }
 
+/*
+ * Free what the forecast took.
+ */
 static void forecast_finish(struct forecast *forecast)
 {
 	g_free(forecast->free);
@@ -269,6 +284,9 @@
 	return forecast->total >= entry->job.shape.tasks ? at_us : RJ_NEVER_US;
 }
 
+/*
+ * Write down the places that the job has at the forecast's time.
+ */
 static uint32_t forecast_members(const struct forecast *forecast,
 				 const struct rj_plan_entry *entry,
 				 struct rj_plan_member *members)
--- a/src/libradishjunction/core/topology_state.c
+++ b/src/libradishjunction/core/topology_state.c
@@ -27,6 +27,9 @@
 	return account;
 }
 
+/*
+ * What the configuration expects of a class.
+ */
 static uint64_t expected_us(const struct rj_topology_state *state,
 			    const char *class_name)
 {
@@ -37,6 +40,9 @@
 	return EXPECTED_US_DEFAULT;
 }
 
+/*
+ * The run times under this key, an empty record if there are none yet.
+ */
 static struct rj_runtime *runtime_at(struct rj_topology_state *state,
 				     const char *key, const char *class_name,
 				     struct rj_runtime *wider)
@@ -165,6 +171,9 @@
 	state->version++;
 }
 
+/*
+ * The job is over: it gives back what it holds and leaves the table.
+ */
 void rj_topology_forget(struct rj_topology_state *state,
 			struct rj_plan_entry *entry)
 {
--- a/src/libradishjunction/guarantee_layout.c
+++ b/src/libradishjunction/guarantee_layout.c
@@ -48,6 +48,9 @@
 	return 0;
 }
 
+/*
+ * Note that tasks were put on a worker, if the caller wants to know.
+ */
 static void note_part(const struct rj_layout *layout,
 		      struct rj_layout_parts *parts, uint32_t worker,
 		      uint32_t tasks)
--- a/src/test_libradishjunction/naive/planner_easy.c
+++ b/src/test_libradishjunction/naive/planner_easy.c
@@ -30,11 +30,17 @@
 	const struct rj_shape *head;
 };
 
+/*
+ * The state behind the vtable.
+ */
 static struct easy_state *state_of(const struct rj_planner *planner)
 {
 	return ((const struct planner_easy *)planner)->state;
 }
 
+/*
+ * Take over the bound of the queue and the domain's topology.
+ */
 static void easy_configure(struct rj_planner *planner,
 			   const struct rj_config *config, const char *domain,
 			   uint64_t now_us)
@@ -47,18 +53,27 @@
 	state->queue_max = config->limits.queue_max;
 }
 
+/*
+ * A worker is known, or known to have changed.
+ */
 static void easy_worker(struct rj_planner *planner,
 			const struct rj_plan_worker *worker, uint64_t now_us)
 {
 	rj_capacity_set(&state_of(planner)->capacity, worker);
 }
 
+/*
+ * A worker is no more.
+ */
 static void easy_worker_gone(struct rj_planner *planner, uint32_t worker,
 			     uint64_t now_us)
 {
 	rj_capacity_remove(&state_of(planner)->capacity, worker);
 }
 
+/*
+ * Queue the job, unless it could never run or the queue is full.
+ */
 static int easy_submit(struct rj_planner *planner,
 		       const struct rj_plan_job *job, uint64_t now_us,
 		       enum rj_reason *reason, uint64_t *retry_after_us)
@@ -78,6 +93,9 @@
 	return 0;
 }
 
+/*
+ * The job neither waits nor runs any more.
+ */
 static void detach(struct easy_state *state, struct rj_plan_entry *entry)
 {
 	if (!entry->members) {
@@ -88,6 +106,9 @@
 	rj_plan_entry_unplace(entry, &state->capacity);
 }
 
+/*
+ * Forget a job.
+ */
 static void easy_ended(struct rj_planner *planner, uint64_t job_id,
 		       bool succeeded, uint64_t ran_us, uint64_t now_us)
 {
@@ -100,6 +121,9 @@
 	rj_plan_table_remove(&state->table, entry);
 }
 
+/*
+ * The job waits again, at its old place.
+ */
 static void easy_requeue(struct rj_planner *planner, uint64_t job_id,
 			 uint64_t not_before_us, uint64_t now_us)
 {
@@ -113,6 +137,9 @@
 	rj_plan_queue_insert(&state->queue, entry);
 }
 
+/*
+ * The job runs on the members.
+ */
 static void attach(struct easy_state *state, struct rj_plan_entry *entry,
 		   const struct rj_plan_member *members, uint32_t count,
 		   uint64_t now_us)
@@ -121,6 +148,9 @@
 	g_ptr_array_add(state->running, entry);
 }
 
+/*
+ * Take over a job that runs.
+ */
 static void easy_adopt(struct rj_planner *planner,
 		       const struct rj_plan_job *job,
 		       const struct rj_plan_member *members, uint32_t count,
@@ -132,6 +162,9 @@
 	       now_us);
 }
 
+/*
+ * The run time that the planner goes by.
+ */
 static uint64_t declared_us(const struct rj_plan_entry *entry)
 {
 	return entry->job.declared_us ? entry->job.declared_us :
@@ -237,22 +270,22 @@
 	return want ? 0 : count;
 }
 
+/*
+ * Start a waiting job on the first `count` members of the state.
+ */
 static void start(struct easy_state *state, struct rj_plan_entry *entry,
 		  uint32_t count, enum rj_reason reason, uint64_t now_us,
 		  struct rj_decisions *decisions)
 {
-	struct rj_decision *decision =
-		rj_decisions_add(decisions, RJ_DECISION_START);
-
-	decision->job_id = entry->job.job_id;
-	decision->reason = reason;
-	decision->members = talloc_memdup(decisions->mem, state->members,
-					  sizeof(*state->members) * count);
-	decision->member_count = count;
+	rj_decisions_add_start(decisions, entry->job.job_id, reason,
+			       state->members, count);
 	g_queue_unlink(&state->queue, &entry->link);
 	attach(state, entry, state->members, count, now_us);
 }
 
+/*
+ * The soonest declared end first.
+ */
 static gint compare_ends(gconstpointer a, gconstpointer b)
 {
 	const struct rj_plan_entry *one =
@@ -306,6 +339,9 @@
 	state->head = &head->job.shape;
 }
 
+/*
+ * Give up a waiting job whose deadline has passed.
+ */
 static void refuse_late(struct easy_state *state, struct rj_plan_entry *entry,
 			struct rj_decisions *decisions)
 {
@@ -324,6 +360,9 @@
 	uint32_t count[2];
 };
 
+/*
+ * Whether a job of this shape did not fit before in this pass.
+ */
 static bool has_failed(const struct failures *failures,
 		       const struct rj_shape *shape, bool in_time)
 {
@@ -333,6 +372,9 @@
 	return false;
 }
 
+/*
+ * Remember a shape that did not fit.
+ */
 static void note_failure(struct failures *failures,
 			 const struct rj_shape *shape, bool in_time)
 {
@@ -389,6 +431,9 @@
 	state->kept_count = 0;
 }
 
+/*
+ * The first deadline or end of a back-off.
+ */
 static uint64_t easy_wake_us(const struct rj_planner *planner)
 {
 	const struct easy_state *state = state_of(planner);
@@ -404,6 +449,9 @@
 	return wake_us;
 }
 
+/*
+ * Count what waits, runs and is free.
+ */
 static void easy_view(const struct rj_planner *planner, uint64_t now_us,
 		      struct rj_plan_view *view)
 {
@@ -417,6 +465,9 @@
 	rj_capacity_view(&state->capacity, largest, view);
 }
 
+/*
+ * Free the state.
+ */
 static void easy_finish(struct rj_planner *planner)
 {
 	struct planner_easy *easy = (struct planner_easy *)planner;
--- a/src/test_libradishjunction/support/plan_stream.c
+++ b/src/test_libradishjunction/support/plan_stream.c
@@ -8,6 +8,8 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "support/quantile.h"
+
 const char *const stream_users_string[STREAM_USERS_COUNT] = {
 	[STREAM_ASSOCIATION] = "association",
 	[STREAM_CONVERTER] = "converter",
@@ -138,11 +140,17 @@
 /* Weights by which jobs fall to the accounts: a few are large. */
 static const uint32_t account_weight[STREAM_ACCOUNTS] = { 40, 30, 20, 10 };
 
+/*
+ * A number from 0 up to 1.
+ */
 static double uniform(struct plan_stream *stream)
 {
 	return (double)(rj_random64(&stream->random) >> 11) * 0x1p-53;
 }
 
+/*
+ * A number of the normal distribution.
+ */
 static double normal(struct plan_stream *stream)
 {
 	double radius = sqrt(-2 * log(1 - uniform(stream)));
@@ -169,6 +177,9 @@
 	return STREAM_ACCOUNTS - 1;
 }
 
+/*
+ * Whether a job is of the guaranteed shape, or asks for less of each task.
+ */
 static bool covers(const struct rj_shape *guarantee,
 		   const struct rj_shape *shape)
 {
@@ -301,6 +312,9 @@
 	}
 }
 
+/*
+ * In order of arrival.
+ */
 static int compare_jobs(const void *a, const void *b)
 {
 	const struct stream_job *one = a;
@@ -311,6 +325,9 @@
 	return one->run_us < two->run_us ? -1 : one->run_us > two->run_us;
 }
 
+/*
+ * The workers, by id in racks of eight; the last rack has but one.
+ */
 static void make_workers(struct plan_stream *stream)
 {
 	for (uint32_t i = 0; i < STREAM_WORKERS; i++)
@@ -349,6 +366,9 @@
 	}
 }
 
+/*
+ * The configuration of the users.
+ */
 static void make_config(struct plan_stream *stream)
 {
 	uint32_t cores = stream->users == STREAM_ASSOCIATION ? 128 : 64;
@@ -433,14 +453,6 @@
 	TALLOC_FREE(stream->mem);
 }
 
-static int compare_doubles(const void *a, const void *b)
-{
-	double one = *(const double *)a;
-	double two = *(const double *)b;
-
-	return one < two ? -1 : one > two;
-}
-
 /* More jobs of a class than this are bounded by their run times alone. */
 #define BOUND_JOBS_MAX 3000
 
@@ -487,9 +499,7 @@
 						   (at[j] - at[i]));
 		}
 	}
-	qsort(runs, count, sizeof(*runs), compare_doubles);
-	if (count)
-		bound = MAX(bound, runs[(uint32_t)(0.95 * (count - 1))]);
+	bound = MAX(bound, quantile_of(runs, count, 0.95));
 	g_free(runs);
 	g_free(areas);
 	g_free(at);
--- a/src/test_libradishjunction/support/plan_world.c
+++ b/src/test_libradishjunction/support/plan_world.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #include "naive/planner_easy.h"
+#include "support/quantile.h"
 #include "radishjunction/planner_topology.h"
 
 /* How long the core takes to stop a task, and a task to be checkpointed. */
@@ -48,6 +49,9 @@
 	uint32_t attempt;
 };
 
+/*
+ * First come, first fit, as a child of `mem`.
+ */
 static struct rj_planner *make_first_fit(void *mem)
 {
 	struct rj_planner_first_fit *planner =
@@ -57,6 +61,9 @@
 	return &planner->base;
 }
 
+/*
+ * EASY backfill, as a child of `mem`.
+ */
 static struct rj_planner *make_easy(void *mem)
 {
 	struct planner_easy *planner = talloc_zero(mem, struct planner_easy);
@@ -65,6 +72,9 @@
 	return &planner->base;
 }
 
+/*
+ * The planner by topology, as a child of `mem`.
+ */
 static struct rj_planner *make_topology(void *mem)
 {
 	struct rj_planner_topology *planner =
@@ -78,11 +88,17 @@
 const struct plan_maker plan_maker_easy = { "easy", make_easy };
 const struct plan_maker plan_maker_topology = { "topology", make_topology };
 
+/*
+ * When the world ends, whatever still waits.
+ */
 static uint64_t give_up_us(const struct plan_world *world)
 {
 	return GIVE_UP_HORIZONS * world->stream->horizon_us;
 }
 
+/*
+ * Whether the event happens before the other.
+ */
 static bool is_sooner(const struct world_event *one,
 		      const struct world_event *two)
 {
@@ -91,11 +107,17 @@
 	return one->number < two->number;
 }
 
+/*
+ * The event at this place of the heap.
+ */
 static struct world_event *event_at(struct plan_world *world, uint32_t at)
 {
 	return &g_array_index(world->events, struct world_event, at);
 }
 
+/*
+ * Change the places of two events.
+ */
 static void event_swap(struct plan_world *world, uint32_t a, uint32_t b)
 {
 	struct world_event event = *event_at(world, a);
@@ -104,6 +126,9 @@
 	*event_at(world, b) = event;
 }
 
+/*
+ * Let something happen at `at_us`.
+ */
 static void event_push(struct plan_world *world, uint64_t at_us,
 		       enum world_event_kind kind, uint32_t index,
 		       uint32_t attempt)
@@ -120,6 +145,9 @@
 	}
 }
 
+/*
+ * Take the soonest event out of the heap.
+ */
 static struct world_event event_pop(struct plan_world *world)
 {
 	struct world_event first = *event_at(world, 0);
@@ -143,12 +171,18 @@
 	}
 }
 
+/*
+ * The job as the stream has it.
+ */
 static const struct stream_job *truth_of(const struct plan_world *world,
 					 uint32_t index)
 {
 	return &world->stream->jobs[index];
 }
 
+/*
+ * The accelerators of the job.
+ */
 static double size_of(const struct stream_job *truth)
 {
 	return truth->plan.shape.tasks * truth->plan.shape.each.accelerators;
@@ -172,6 +206,9 @@
 	world->busy -= (uint64_t)size_of(truth);
 }
 
+/*
+ * Whether the job is a gang of the largest shape.
+ */
 static bool is_largest(const struct plan_world *world,
 		       const struct stream_job *truth)
 {
@@ -218,6 +255,9 @@
 			  truth->plan.deadline_us);
 }
 
+/*
+ * Hand a job to the planner; while no instance lives it waits outside.
+ */
 static void submit(struct plan_world *world, uint32_t index)
 {
 	const struct stream_job *truth = truth_of(world, index);
@@ -233,6 +273,9 @@
 		count_refusal(world, index);
 }
 
+/*
+ * A job arrives.
+ */
 static void arrive(struct plan_world *world, uint32_t index)
 {
 	const struct stream_job *truth = truth_of(world, index);
@@ -255,6 +298,9 @@
 	submit(world, index);
 }
 
+/*
+ * The caller cancels the job, wherever it is.
+ */
 static void cancel(struct plan_world *world, uint32_t index)
 {
 	struct world_job *job = &world->jobs[index];
@@ -268,6 +314,9 @@
 	count_end(world, index, world->now_us);
 }
 
+/*
+ * A job has run to its end, unless it was stopped before.
+ */
 static void end(struct plan_world *world, const struct world_event *event)
 {
 	struct world_job *job = &world->jobs[event->index];
@@ -282,6 +331,9 @@
 			world->now_us - job->started_us, world->now_us);
 }
 
+/*
+ * Accelerator seconds since the job was started.
+ */
 static double ran_area(const struct plan_world *world, uint32_t index)
 {
 	const struct world_job *job = &world->jobs[index];
@@ -314,6 +366,9 @@
 					     world->now_us, world->now_us);
 }
 
+/*
+ * Tell the planner how a worker is.
+ */
 static void set_worker(struct plan_world *world, uint32_t index)
 {
 	struct rj_plan_worker worker = world->stream->workers[index];
@@ -364,6 +419,9 @@
 	set_worker(world, worker);
 }
 
+/*
+ * Make a planner as a new instance would have it.
+ */
 static void make_planner(struct plan_world *world)
 {
 	world->planner = world->options.maker->make(world->mem);
@@ -393,6 +451,9 @@
 	}
 }
 
+/*
+ * Let an event happen.
+ */
 static void handle(struct plan_world *world, const struct world_event *event)
 {
 	switch (event->kind) {
@@ -487,6 +548,9 @@
 		   fails ? WORLD_FAIL : WORLD_END, index, job->attempt);
 }
 
+/*
+ * Carry out a RECLAIM: only what can be stopped, and only once.
+ */
 static void carry_reclaim(struct plan_world *world,
 			  const struct rj_decision *decision)
 {
@@ -560,28 +624,21 @@
 				     view.accelerators_free;
 }
 
-static gint compare_doubles(gconstpointer a, gconstpointer b)
-{
-	double one = *(const double *)a;
-	double two = *(const double *)b;
-
-	return one < two ? -1 : one > two;
-}
-
+/*
+ * The median, p95 and p99 of the samples.
+ */
 static void quantiles(GArray *samples, double values[PLAN_QUANTILE_COUNT])
 {
 	static const double shares[PLAN_QUANTILE_COUNT] = { 0.5, 0.95, 0.99 };
 
-	g_array_sort(samples, compare_doubles);
 	for (uint32_t i = 0; i < PLAN_QUANTILE_COUNT; i++)
-		values[i] =
-			samples->len ?
-				g_array_index(samples, double,
-					      (uint32_t)(shares[i] *
-							 (samples->len - 1))) :
-				0;
+		values[i] = quantile_of((double *)samples->data, samples->len,
+					shares[i]);
 }
 
+/*
+ * Make the world at its first moment, with all arrivals and faults to come.
+ */
 static void world_init(struct plan_world *world,
 		       const struct plan_stream *stream,
 		       const struct plan_world_options *options,
@@ -623,6 +680,9 @@
 	}
 }
 
+/*
+ * Write the result, and free the world.
+ */
 static void world_finish(struct plan_world *world)
 {
 	struct plan_result *result = world->result;
