--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -310,6 +310,7 @@
 	struct rj_upstreams upstreams;
 	struct rj_jobs jobs;
 	bool stopping;
+	uint64_t stopping_us; /* since when */
 	bool exited;
 	struct rj_timer drain;
 	uint64_t drain_answered_us; /* when the last request was answered */
@@ -511,6 +512,10 @@
 		      struct rj_upstream *upstream);
 void rj_member_keep_result(struct rj_job *job, struct rj_member *member,
 			   const struct rj_bytes *result);
+void rj_call_clear(struct rj_core_state *core,
+		   const struct rj_upstream *upstream, enum rj_worker_op op,
+		   const struct rj_attempt *attempt, uint32_t member,
+		   uint64_t token);
 struct rj_worker_call *rj_job_call(struct rj_job *job, struct rj_member *member,
 				   enum rj_worker_op op);
 void rj_jobs_worker_reply(struct rj_core_state *core,
@@ -560,6 +565,7 @@
 /* controllers/drain_controller.c */
 void rj_drain_init(struct rj_core_state *core);
 void rj_drain_stop(struct rj_core_state *core);
+bool rj_drain_takes_more(const struct rj_core_state *core);
 void rj_drain_hand_over(struct rj_core_state *core);
 void rj_drain_check(struct rj_core_state *core);
 
