--- a/src/bench/main.c
+++ b/src/bench/main.c
@@ -6,6 +6,7 @@
 static const struct bench_command commands[] = {
 	{ "policy", "completion, fragmentation and reclaim", bench_policy },
 	{ "cost", "time and state of decisions, with slopes", bench_cost },
+	{ "control", "what one instance spends on control", bench_control },
 	{ "faults", "run seeded faults and judge every promise", bench_faults },
 	{ "path", "small requests through a daemon, and added latency",
 	  bench_path },
