core: fewer reports and reads while nothing happens

Cause: 4.9 KB a second of reports and 0.8 of reads left nothing of the 5 KB for the rest of control. Change: one report for each 0.25 s times workers, every seventeenth whole; the config stream's long poll lasts ten seconds, since a publication ends it.

--- a/src/bench/control.c
+++ b/src/bench/control.c
@@ -44,6 +44,12 @@
 	uint64_t bytes;
 };
 
+/* A long poll, and when it ends without news. */
+struct waiting_read {
+	struct rj_read read;
+	uint64_t due_us;
+};
+
 struct control {
 	void *mem;
 	struct rj_core core;
@@ -185,8 +191,8 @@
 }
 
 /*
- * Carry out what the core asked for. A long poll is answered when it ends:
- * its answer is queued with the round of the peers, once a second.
+ * Carry out what the core asked for. A long poll is answered when it ends,
+ * to the second.
  */
 static void carry_out(struct control *control, const char *config_text,
 		      GArray *reads)
@@ -200,9 +206,14 @@
 				answer_report(control, &action->u.worker_call);
 			break;
 		case RJ_ACTION_READ:
-			if (action->u.read.wait_us)
-				g_array_append_val(reads, action->u.read);
-			else
+			if (action->u.read.wait_us) {
+				struct waiting_read waiting = {
+					action->u.read,
+					control->now_us + action->u.read.wait_us
+				};
+
+				g_array_append_val(reads, waiting);
+			} else
 				answer_read(control, &action->u.read,
 					    config_text);
 			break;
@@ -223,6 +234,23 @@
 	rj_actions_clear(&control->actions);
 }
 
+/*
+ * Answer the long polls that have waited long enough.
+ */
+static void end_polls(struct control *control, const char *config_text,
+		      GArray *reads)
+{
+	for (guint i = reads->len; i > 0; i--) {
+		struct waiting_read waiting =
+			g_array_index(reads, struct waiting_read, i - 1);
+
+		if (control->now_us < waiting.due_us)
+			continue;
+		answer_read(control, &waiting.read, config_text);
+		g_array_remove_index(reads, i - 1);
+	}
+}
+
 /*
  * The heartbeats of the peers, each second; they are alive from the first.
  */
@@ -275,12 +303,7 @@
 		}
 		if (control->now_us >= control->peers_due_us) {
 			peers_round(control);
-			for (guint i = 0; i < reads->len; i++)
-				answer_read(control,
-					    &g_array_index(reads,
-							   struct rj_read, i),
-					    config_text);
-			g_array_set_size(reads, 0);
+			end_polls(control, config_text, reads);
 			control->peers_due_us += RJ_US_PER_S;
 			continue;
 		}
@@ -364,7 +387,7 @@
 	struct control control;
 	struct rj_core_options options;
 	struct rj_error err;
-	GArray *reads = g_array_new(FALSE, FALSE, sizeof(struct rj_read));
+	GArray *reads = g_array_new(FALSE, FALSE, sizeof(struct waiting_read));
 	char *text;
 	double started_us;
 
--- a/src/libradishjunction/core/controllers/log_controller.c
+++ b/src/libradishjunction/core/controllers/log_controller.c
@@ -14,6 +14,8 @@
 
 /* A cut that answers nothing shows after this long and the adapter's slack. */
 #define READ_WAIT_US (2 * RJ_US_PER_S)
+/* A publication ends the wait at once; nothing else hangs on this stream. */
+#define CONFIG_READ_WAIT_US (10 * RJ_US_PER_S)
 #define READ_BACKOFF_FIRST_US (100 * RJ_US_PER_MS)
 #define READ_BACKOFF_MAX_US (2 * RJ_US_PER_S)
 /* Without an answer for this long, nothing new may depend on the log. */
@@ -34,7 +36,11 @@
 	action = rj_actions_add(core->actions, RJ_ACTION_READ);
 	action->u.read.stream = stream->stream;
 	action->u.read.from = stream->next;
-	action->u.read.wait_us = stream->caught_up ? READ_WAIT_US : 0;
+	if (!stream->caught_up)
+		return;
+	action->u.read.wait_us = stream->stream == RJ_STREAM_CONFIG ?
+					 CONFIG_READ_WAIT_US :
+					 READ_WAIT_US;
 }
 
 /* The back-off after a failed read is over. */
--- a/src/libradishjunction/core/controllers/upstreams_controller.c
+++ b/src/libradishjunction/core/controllers/upstreams_controller.c
@@ -11,9 +11,9 @@
 /* A report without news costs some 600 bytes; this bounds them to 3 KB a
  * second however many workers one instance owns. */
 #define POLL_MIN_US (500 * RJ_US_PER_MS)
-#define POLL_PER_WORKER_US (200 * RJ_US_PER_MS)
+#define POLL_PER_WORKER_US (250 * RJ_US_PER_MS)
 /* A whole report in between shows what a lost call has left behind. */
-#define SHORT_REPORTS_MAX 8
+#define SHORT_REPORTS_MAX 16
 #define POLL_TIMEOUT_US (2 * RJ_US_PER_S)
 /* One lost report may be the link; two are the worker. */
 #define POLLS_LOST_SILENT 2
