platform: what is large, foreign or bad hides nothing else

Cause: three ways to stop an instance for good. A page of 500 records of the largest size is longer than an answer may be, and the same read failed again. One record longer than ours spoiled every page that it stood in. One line of the list that we cannot read hid who is live and leaving. Excluded: no limit on an answer, which is memory that a daemon has not got. Change: after a page that is too long the read goes out again for half as many records, and the number grows back with short pages; a record that is too long is malformed at its offset; a bad line of the list is passed over. Before: /http_platform/large and /http_platform/too_long ended in read_failed; /http_platform/list with one bad line had no event after 8 s.

--- a/src/libradishjunction/http_client.c
+++ b/src/libradishjunction/http_client.c
@@ -34,6 +34,7 @@
 	bool has_body;
 	struct rj_buffer answer;
 	size_t answer_max;
+	bool too_long;
 	void (*done)(void *private_data, const struct rj_http_result *result);
 	void *private_data;
 };
@@ -78,8 +79,10 @@
 	struct transfer *transfer = private_data;
 	size_t length = size * count;
 
-	if (transfer->answer.length + length > transfer->answer_max)
+	if (transfer->answer.length + length > transfer->answer_max) {
+		transfer->too_long = true;
 		return 0;
+	}
 	rj_buffer_append(&transfer->answer, transfer, data, length);
 	return length;
 }
@@ -102,6 +105,7 @@
 		/* A server does not act on a request whose body it lacks. */
 		result.outcome = RJ_HTTP_NOT_SENT;
 	}
+	result.too_long = transfer->too_long;
 	rj_list_remove(&transfer->link);
 	transfer->done(transfer->private_data, &result);
 	talloc_free(transfer);
--- a/src/libradishjunction/include/private/http_client.h
+++ b/src/libradishjunction/include/private/http_client.h
@@ -31,6 +31,7 @@
 	uint32_t status; /* with RJ_HTTP_ANSWERED */
 	const char *body; /* with RJ_HTTP_ANSWERED, freed after `done` */
 	size_t length;
+	bool too_long; /* lost because of answer_max_bytes */
 };
 
 struct rj_http_send {
--- a/src/libradishjunction/platform/http_platform.c
+++ b/src/libradishjunction/platform/http_platform.c
@@ -16,9 +16,8 @@
 #define READ_TIMEOUT_US (3 * RJ_US_PER_S)
 /* A long poll for each stream, the list, and appends beside them. */
 #define CONNECTIONS_MAX 16
-/* A page of many small records, or of a few of the largest. */
+/* A page of many small records, or of some of the largest. */
 #define ANSWER_MAX_BYTES (16UL * 1024 * 1024)
-/* So that a page of the largest records stays within the answer's limit. */
 #define READ_RECORDS_MAX 500
 #define STATUS_OK 200
 #define STATUS_BAD_REQUEST 400
@@ -31,6 +30,7 @@
 	enum rj_stream stream;
 	uint64_t append_id;
 	uint64_t from;
+	uint64_t wait_us;
 };
 
 /* What every call remembers; the client frees it with the transfer. */
@@ -188,14 +188,48 @@
 	}
 }
 
+static void http_read(struct rj_platform *base, const struct rj_read *read);
+
+/*
+ * Learn from the length of a page how many records to ask for. Returns true
+ * when the read has been sent again for fewer.
+ *
+ * Guards against a read that can never succeed: a page of many records of
+ * the largest size is longer than an answer may be, and the same read fails
+ * again; the instance never gets past it. One record alone always fits.
+ */
+static bool read_fewer(const struct pending *pending,
+		       const struct rj_http_result *result)
+{
+	struct rj_http_platform *platform = pending->platform;
+	uint32_t *max = &platform->read_max[pending->stream];
+	struct rj_read again = { pending->stream, pending->from,
+				 pending->wait_us };
+
+	if (!result->too_long) {
+		if (result->length < ANSWER_MAX_BYTES / 4 &&
+		    *max <= READ_RECORDS_MAX / 2)
+			*max *= 2;
+		return false;
+	}
+	if (*max == 1)
+		return false;
+	*max /= 2;
+	http_read(&platform->base, &again);
+	return true;
+}
+
 /* Turn the end of a read into its event, whose records live until then. */
 static void read_done(void *private_data, const struct rj_http_result *result)
 {
 	const struct pending *pending = private_data;
 	struct rj_event event = { .kind = RJ_EVENT_READ_FAILED };
-	void *mem = talloc_new(NULL);
 	struct rj_log_page page;
+	void *mem;
 
+	if (read_fewer(pending, result))
+		return;
+	mem = talloc_new(NULL);
 	assert(mem);
 	if (result->outcome == RJ_HTTP_ANSWERED &&
 	    result->status == STATUS_OK &&
@@ -226,9 +260,11 @@
 
 	pending->stream = read->stream;
 	pending->from = read->from;
+	pending->wait_us = read->wait_us;
 	send_to(platform, &send,
-		"/v1/streams/%s?from=%" PRIu64 "&max=%d&wait_ms=%" PRIu64,
-		rj_stream_string[read->stream], read->from, READ_RECORDS_MAX,
+		"/v1/streams/%s?from=%" PRIu64 "&max=%u&wait_ms=%" PRIu64,
+		rj_stream_string[read->stream], read->from,
+		platform->read_max[read->stream],
 		(uint64_t)(read->wait_us / RJ_US_PER_MS));
 }
 
@@ -295,6 +331,8 @@
 	platform->base.ops = &http_platform_ops;
 	platform->sink = sink;
 	platform->address = *address;
+	for (uint32_t i = 0; i < RJ_STREAM_COUNT; i++)
+		platform->read_max[i] = READ_RECORDS_MAX;
 	platform->client = talloc_zero(mem, struct rj_http_client);
 	assert(platform->client);
 	if (rj_http_client_init(platform->client, platform->client, ev,
--- a/src/libradishjunction/platform/platform_wire.c
+++ b/src/libradishjunction/platform/platform_wire.c
@@ -8,12 +8,16 @@
 
 /* Whole numbers of JSON have a sign. */
 #define NUMBER_MAX INT64_MAX
+/*
+ * More than a record of ours has: one that is too long must not spoil the
+ * page that it stands in, but be skipped as malformed by its reader.
+ */
+#define TEXT_MAX_BYTES (64 * 1024 * 1024)
 
 static const struct rj_schema_field entry_fields[] = {
 	{ RJ_FIELD(u64, rj_log_entry, offset), .max = NUMBER_MAX },
 	{ RJ_FIELD(u64, rj_log_entry, age_ms), .max = NUMBER_MAX },
-	{ RJ_FIELD(string, rj_log_entry, text),
-	  .max = RJ_RECORD_TEXT_MAX_BYTES },
+	{ RJ_FIELD(string, rj_log_entry, text), .max = TEXT_MAX_BYTES },
 };
 
 static const struct rj_schema entry_schema = {
@@ -240,21 +244,48 @@
 	return text;
 }
 
+/* Read the good lines of `list`; returns how many there are. */
+static uint32_t decode_lines(const json_t *list, struct rj_instance *instances)
+{
+	struct wire_instance wire;
+	struct rj_error_list errors;
+	uint32_t count = 0;
+	const json_t *line;
+	size_t i;
+
+	rj_error_list_init(&errors, NULL);
+	json_array_foreach(list, i,
+			   line) if (!rj_schema_decode(&instance_schema, NULL,
+						       line, &wire, &errors) &&
+				     wire.name[0])
+		from_wire(&instances[count++], &wire);
+	rj_error_list_finish(&errors);
+	return count;
+}
+
 /*
- * Read the list of instances. Returns 0, or -1 with `err`.
+ * Read the list of instances; a line that is not as it must be is passed
+ * over, so that it does not hide who else is live or leaving. Returns 0, or
+ * -1 with `err` when it is no list.
  */
 int rj_instances_decode(void *mem, const char *text,
 			struct rj_instance **instances, uint32_t *count,
 			struct rj_error *err)
 {
-	struct wire_instances wire;
+	json_t *json = json_loads(text, 0, NULL);
+	const json_t *list = json_object_get(json, "instances");
 
-	if (rj_wire_decode(&instances_schema, mem, text, &wire, err))
-		return -1;
-	*count = wire.count;
-	*instances = talloc_array(mem, struct rj_instance, wire.count);
+	if (!json_is_array(list) || json_array_size(list) > RJ_INSTANCES_MAX) {
+		json_decref(json);
+		return rj_error_set(err, RJ_ERR_MALFORMED,
+				    "instances: no list of at most %d; ask "
+				    "again",
+				    RJ_INSTANCES_MAX);
+	}
+	*instances =
+		talloc_array(mem, struct rj_instance, json_array_size(list));
 	assert(*instances);
-	for (uint32_t i = 0; i < wire.count; i++)
-		from_wire(&(*instances)[i], &wire.instances[i]);
+	*count = decode_lines(list, *instances);
+	json_decref(json);
 	return 0;
 }
--- a/src/test_libradishjunction/test_http_platform.c
+++ b/src/test_libradishjunction/test_http_platform.c
@@ -8,6 +8,9 @@
 #include "stream.h"
 
 #define WAIT_US (30 * RJ_US_PER_S)
+/* Together more than the adapter takes in one answer. */
+#define LARGE_BYTES (900 * 1000)
+#define LARGE_COUNT 24
 
 struct fixture {
 	struct rj_sink sink; /* first: found from it */
@@ -234,6 +237,30 @@
 	g_assert_cmpuint(fixture->read[0].offset, ==, 2);
 }
 
+/*
+ * An instance never becomes ready.
+ * Many accepted jobs with the largest bodies stand in the log one after the
+ * other; each read of them fails, and so does the next, which is the same.
+ * Cause: a page of so many records is longer than an answer may be.
+ */
+static void test_largest_records_are_read(struct fixture *fixture,
+					  gconstpointer data)
+{
+	char *text = g_strnfill(LARGE_BYTES, 'x');
+	uint64_t next = 0;
+
+	append(fixture, RJ_APPEND_OK);
+	for (uint32_t i = 0; i < LARGE_COUNT; i++)
+		rj_standin_stream_append(jobs(fixture), text, 1);
+	g_free(text);
+	while (next < jobs(fixture)->head) {
+		uint64_t read_on = read_from(fixture, next)->next;
+
+		g_assert_cmpuint(read_on, >, next);
+		next = read_on;
+	}
+}
+
 static void test_malformed_record_keeps_its_offset(struct fixture *fixture,
 						   gconstpointer data)
 {
@@ -244,6 +271,26 @@
 	g_assert_cmpuint(fixture->read[0].offset, ==, 2);
 }
 
+/*
+ * No configuration comes into force any more.
+ * Somebody appends a record that is longer than any of ours; every read
+ * that meets it fails, at all instances.
+ * Cause: one bad record that spoils the page it stands in.
+ */
+static void test_record_too_long_is_malformed(struct fixture *fixture,
+					      gconstpointer data)
+{
+	char *text = g_strnfill(RJ_RECORD_TEXT_MAX_BYTES + 1, 'x');
+
+	append(fixture, RJ_APPEND_OK);
+	rj_standin_stream_append(jobs(fixture), text, 1);
+	append(fixture, RJ_APPEND_OK);
+	g_free(text);
+	g_assert_cmpuint(read_from(fixture, 2)->count, ==, 3);
+	g_assert_cmpint(fixture->read[0].kind, ==, RJ_RECORD_MALFORMED);
+	g_assert_cmpint(fixture->read[1].kind, ==, RJ_RECORD_VOID);
+}
+
 static void test_cut_refuses_the_named(struct fixture *fixture,
 				       gconstpointer data)
 {
@@ -254,6 +301,12 @@
 	append(fixture, RJ_APPEND_OK);
 }
 
+/*
+ * A worker that leaves gets new work for as long as it is listed.
+ * The platform lists one instance that we cannot read, such as one of
+ * another kind; the whole list is dropped, and with it who is leaving.
+ * Cause: one bad line that spoils the list.
+ */
 static void test_list_names_instances(struct fixture *fixture,
 				      gconstpointer data)
 {
@@ -268,8 +321,10 @@
 	};
 
 	fixture->standin.instances =
-		talloc_memdup(fixture->standin.mem, &worker, sizeof(worker));
-	fixture->standin.instance_count = 1;
+		talloc_zero_array(fixture->standin.mem, struct rj_instance, 2);
+	fixture->standin.instances[0].address.port = 1;
+	fixture->standin.instances[1] = worker;
+	fixture->standin.instance_count = 2;
 	fixture->platform.base.ops->list(&fixture->platform.base);
 	wait_event(fixture, RJ_EVENT_INSTANCES);
 	g_assert_cmpuint(fixture->event.u.instances.count, ==, 1);
@@ -297,7 +352,9 @@
 	add("/http_platform/refused", test_append_without_effect_is_refused);
 	add("/http_platform/outage", test_outage_ends_a_long_poll);
 	add("/http_platform/gap", test_gap_is_told);
+	add("/http_platform/large", test_largest_records_are_read);
 	add("/http_platform/malformed", test_malformed_record_keeps_its_offset);
+	add("/http_platform/too_long", test_record_too_long_is_malformed);
 	add("/http_platform/cut", test_cut_refuses_the_named);
 	add("/http_platform/list", test_list_names_instances);
 	return g_test_run();
