--- a/src/libradishjunction/core/topology_reserve.c
+++ b/src/libradishjunction/core/topology_reserve.c
@@ -59,6 +59,70 @@
 	state->version++;
 }
 
+/*
+ * Whether a reservation keeps part of the worker.
+ */
+bool rj_topology_keeps(const struct rj_reservation *reservation,
+		       uint32_t worker)
+{
+	for (uint32_t i = 0; i < reservation->member_count; i++)
+		if (reservation->members[i].worker == worker)
+			return true;
+	return false;
+}
+
+/*
+ * The job's account no longer has room on its guarantee's behalf by it.
+ */
+void rj_topology_revoke(struct rj_plan_entry *entry)
+{
+	if (!entry->granted)
+		return;
+	entry->granted = false;
+	rj_resources_take(&entry->account->granted, &entry->job.shape.each,
+			  entry->job.shape.tasks);
+}
+
+/*
+ * Keep nothing for the job any more. One that waited outside of its bucket
+ * for firmly kept room goes back to it.
+ */
+void rj_topology_drop(struct rj_topology_state *state,
+		      struct rj_reservation *reservation, uint64_t now_us)
+{
+	struct rj_plan_entry *entry = reservation->entry;
+	bool firm = reservation->firm;
+
+	rj_topology_revoke(entry);
+	rj_topology_unreserve(state, reservation);
+	if (!firm)
+		return;
+	rj_topology_dequeue(state, entry);
+	entry->not_before_us = now_us;
+	rj_topology_enqueue(state, entry, now_us);
+}
+
+/*
+ * Give up what is firmly kept on the members for anything but a guarantee.
+ */
+void rj_topology_displace(struct rj_topology_state *state,
+			  const struct rj_plan_member *members, uint32_t count,
+			  uint64_t now_us)
+{
+	for (uint32_t i = state->reservations->len; i--;) {
+		struct rj_reservation *reservation =
+			g_ptr_array_index(state->reservations, i);
+		bool in_the_way = false;
+
+		for (uint32_t j = 0; j < count; j++)
+			in_the_way |= rj_topology_keeps(reservation,
+							members[j].worker);
+		if (in_the_way && reservation->firm &&
+		    reservation->reason != RJ_REASON_GUARANTEE)
+			rj_topology_drop(state, reservation, now_us);
+	}
+}
+
 /* A run that is expected to end and free part of a worker. */
 struct ending {
 	uint64_t at_us;
@@ -66,6 +130,9 @@
 	const struct rj_worker_run *run;
 };
 
+/*
+ * The soonest first; the place in the site breaks ties.
+ */
 static int compare_endings(const void *a, const void *b)
 {
 	const struct ending *one = a;
@@ -119,6 +186,9 @@
 	uint32_t ending_count;
 };
 
+/*
+ * Count again how many tasks fit the worker at this place of the site.
+ */
 static void forecast_refit(struct forecast *forecast,
 			   const struct rj_plan_entry *entry, uint32_t at)
 {
@@ -131,6 +201,9 @@
 	forecast->total += forecast->fits[at];
 }
 
+/*
+ * Begin with what is free on the worker now, and list its runs.
+ */
 static void forecast_worker(struct forecast *forecast,
 			    const struct rj_plan_entry *entry, uint32_t at,
 			    uint64_t now_us)
@@ -154,6 +227,9 @@
 	}
 }
 
+/*
+ * Begin with the site as it is now, and list its runs by their expected ends.
+ */
 static void forecast_init(struct forecast *forecast, struct rj_site site,
 			  const struct rj_plan_entry *entry, uint64_t now_us)
 {
@@ -174,6 +250,9 @@
 	      compare_endings);
 }
 
+/*
+ * Free what the forecast took.
+ */
 static void forecast_finish(struct forecast *forecast)
 {
 	g_free(forecast->free);
@@ -205,6 +284,9 @@
 	return forecast->total >= entry->job.shape.tasks ? at_us : RJ_NEVER_US;
 }
 
+/*
+ * Write down the places that the job has at the forecast's time.
+ */
 static uint32_t forecast_members(const struct forecast *forecast,
 				 const struct rj_plan_entry *entry,
 				 struct rj_plan_member *members)
