daemon: callers are closed with the core's exit, in the same round

Change: the shell closes the callers as it carries out the exit; load tells how many jobs were not done, and why.

--- a/src/radishjunction/load_account.c
+++ b/src/radishjunction/load_account.c
@@ -183,6 +183,21 @@
 	}
 }
 
+/* Tell how many jobs were not done, by answer and reason. */
+static void tell_reasons(const struct load *load)
+{
+	uint32_t counts[RJ_ANSWER_KIND_COUNT][RJ_REASON_COUNT] = { { 0 } };
+
+	for (uint32_t i = 0; i < load->job_count; i++)
+		counts[load->jobs[i].answer][load->jobs[i].reason]++;
+	for (uint32_t i = 0; i < RJ_ANSWER_KIND_COUNT; i++)
+		for (uint32_t j = 0; j < RJ_REASON_COUNT; j++)
+			if (i != RJ_ANSWER_DONE && counts[i][j])
+				fprintf(stderr, "load: %u %s (%s)\n",
+					counts[i][j], rj_answer_kind_string[i],
+					rj_reason_string[j]);
+}
+
 /*
  * Compare every answer with what the workers say they ran, and fill the
  * totals; what is wrong is told on standard error, a line each.
@@ -205,5 +220,6 @@
 			  g_hash_table_lookup(table, digest));
 	}
 	g_hash_table_destroy(table);
+	tell_reasons(load);
 	return failed;
 }
--- a/src/radishjunctiond/main.c
+++ b/src/radishjunctiond/main.c
@@ -155,6 +155,7 @@
 	shell->workers = &daemon->workers.base;
 	shell->peers = &daemon->peers.base;
 	shell->callers = &daemon->callers.base;
+	shell->entry = &daemon->callers;
 	shell->links = &daemon->peers;
 	shell_start(shell);
 	return 0;
--- a/src/radishjunctiond/shell.c
+++ b/src/radishjunctiond/shell.c
@@ -80,6 +80,8 @@
 		log_decision(&action->u.log);
 		break;
 	case RJ_ACTION_EXIT:
+		/* At once: a request of the same round may come next. */
+		rj_http_callers_close(shell->entry);
 		shell->exiting = true;
 		break;
 	case RJ_ACTION_KIND_COUNT:
@@ -256,7 +258,7 @@
 	struct rj_event timer = { .kind = RJ_EVENT_TIMER };
 
 	assert(shell->platform && shell->workers);
-	assert(shell->peers && shell->callers);
+	assert(shell->peers && shell->callers && shell->entry);
 	shell_deliver(&shell->sink, &timer);
 }
 
--- a/src/radishjunctiond/shell.h
+++ b/src/radishjunctiond/shell.h
@@ -27,6 +27,7 @@
 	struct rj_workers *workers;
 	struct rj_peers *peers;
 	struct rj_callers *callers;
+	struct rj_http_callers *entry; /* the same as callers */
 	const struct rj_tcp_peers *links; /* for the metrics */
 	struct shell_batch *first; /* actions to carry out, in order */
 	struct shell_batch *last;
