publish: say when no instance can judge a publication

Cause: when all instances missed records of the log, each publication stayed unjudged and publish only said 'not in force everywhere yet'.

--- a/src/radishjunction/publish.c
+++ b/src/radishjunction/publish.c
@@ -197,6 +197,24 @@
 	fflush(stdout);
 }
 
+/*
+ * Say what to do about a publication that is not in force everywhere in
+ * time. One that no reader can judge never comes into force: all of them
+ * missed records, so that none can carry the configuration for the others.
+ */
+static void print_not_everywhere(const struct publication *own, uint32_t done)
+{
+	if (!done && own->stream.verdict == RJ_CONFIG_UNJUDGED)
+		fprintf(stderr,
+			"radishjunction publish: no instance has judged it; "
+			"if every one answers and shows the same revision, all "
+			"missed records of the log: publish with --restart\n");
+	else
+		fprintf(stderr, "radishjunction publish: accepted, and not in "
+				"force everywhere yet; see `radishjunction "
+				"status`\n");
+}
+
 /*
  * Wait until every instance has it in force, telling each change.
  */
@@ -217,10 +235,7 @@
 		if (done == own->targets.count)
 			return EXIT_DONE;
 		if (is_past(&own->deadline)) {
-			fprintf(stderr,
-				"radishjunction publish: accepted, and not in "
-				"force everywhere yet; see `radishjunction "
-				"status`\n");
+			print_not_everywhere(own, done);
 			return EXIT_PENDING;
 		}
 		pause_between_polls();
--- a/src/test_libradishjunction/test_config_log.c
+++ b/src/test_libradishjunction/test_config_log.c
@@ -135,6 +135,45 @@
 	g_free(stream);
 }
 
+/*
+ * No publication comes into force any more, at any instance.
+ * All were cut off from the log past its retention, while an operator
+ * published: each has a gap, judges nothing, and none may carry. An operator
+ * starts anew from the revision that all show; of two who do, one wins.
+ */
+static void test_restart_when_all_missed_records(void)
+{
+	struct stream *stream = g_new0(struct stream, 1);
+	struct rj_config_log logs[2];
+
+	for (int i = 0; i < 2; i++)
+		rj_config_log_init(&logs[i], NULL);
+	publish(stream, "first", 0, GOOD_TEXT);
+	for (int i = 0; i < 2; i++)
+		read_some(&logs[i], stream, 9);
+	publish(stream, "missed", 1, GOOD_TEXT);
+	publish(stream, "unjudged", 1, GOOD_TEXT);
+	stream->oldest = 2;
+	publish(stream, "restart", 1, GOOD_TEXT);
+	stream->records[3].carried = true;
+	stream->records[3].as_of = 3;
+	publish(stream, "other", 1, GOOD_TEXT);
+	stream->records[4].carried = true;
+	stream->records[4].as_of = 3;
+
+	for (int i = 0; i < 2; i++) {
+		g_assert_cmpint(read_some(&logs[i], stream, 1), ==,
+				RJ_CONFIG_UNJUDGED);
+		g_assert_false(rj_config_log_carry_due(&logs[i], 0, 0));
+		read_some(&logs[i], stream, 99);
+		g_assert_cmpstr(logs[i].config->id, ==, "restart");
+		g_assert_cmpuint(logs[i].config->revision, ==, 2);
+		g_assert_false(logs[i].gap);
+		rj_config_log_finish(&logs[i]);
+	}
+	g_free(stream);
+}
+
 static void test_peer_hands_on_the_newest(void)
 {
 	struct stream *stream = g_new0(struct stream, 1);
@@ -244,6 +283,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/config-log/race", test_racing_operators);
 	g_test_add_func("/config-log/trimmed", test_start_on_a_trimmed_log);
+	g_test_add_func("/config-log/restart",
+			test_restart_when_all_missed_records);
 	g_test_add_func("/config-log/peer", test_peer_hands_on_the_newest);
 	g_test_add_func("/config-log/carry",
 			test_carried_well_before_retention_ends);
