--- a/src/libradishjunction/core/topology_reclaim.c
+++ b/src/libradishjunction/core/topology_reclaim.c
@@ -85,13 +85,14 @@
 
 /*
  * Whether the search must leave alone what others are guaranteed and do not
- * use. Only work that can be stopped may borrow it, and not on the ground of
- * a guarantee: two claims then never cross.
+ * use. Only work that can be stopped may borrow it, in racks whose owner can
+ * stop it, and not on the ground of a guarantee: two claims then never cross.
  */
-static bool spares_idle(const struct search *search)
+static bool spares_idle(const struct search *search,
+			const struct rj_capacity_worker *worker)
 {
 	return search->ground == GROUND_GUARANTEE ||
-	       !search->entry->job.stoppable;
+	       !search->entry->job.stoppable || !worker->plan.owned;
 }
 
 /*
@@ -119,8 +120,8 @@
 		if (respects(search, ledger->holds[i].reservation))
 			rj_resources_take_or_zero(&room,
 						  &ledger->holds[i].want);
-	for (uint32_t i = 0; spares_idle(search) && i < ledger->share_count;
-	     i++) {
+	for (uint32_t i = 0;
+	     spares_idle(search, worker) && i < ledger->share_count; i++) {
 		const struct rj_worker_share *share = &ledger->shares[i];
 		struct rj_resources used;
 		struct rj_resources idle;
@@ -131,13 +132,16 @@
 		idle = rj_resources_rest(&share->guaranteed, &used);
 		rj_resources_take_or_zero(&room, &idle);
 	}
-	if (search->entry->job.stoppable)
+	if (search->entry->job.stoppable && worker->plan.owned)
 		return room;
 	limit = rj_ledger_pin_room(worker, search->entry->account);
 	rj_resources_limit(&room, &limit);
 	return room;
 }
 
+/*
+ * Count again how many tasks fit the worker at this place of the site.
+ */
 static void refit(struct search *search, uint32_t at)
 {
 	struct rj_resources room = room_after(search, search->site.workers[at]);
@@ -149,6 +153,9 @@
 	search->total += search->fits[at];
 }
 
+/*
+ * Whether the whole job fits after what was evicted so far.
+ */
 static bool fits_now(const struct search *search)
 {
 	return search->total >= search->entry->job.shape.tasks;
@@ -234,6 +241,9 @@
 	victim->chosen = out;
 }
 
+/*
+ * The cheapest first; the job's id breaks ties.
+ */
 static int compare_victims(const void *a, const void *b)
 {
 	const struct victim *one = a;
@@ -296,6 +306,9 @@
 		      sizeof(struct victim), compare_victims);
 }
 
+/*
+ * Start a search of the site: nothing is evicted, the victims are listed.
+ */
 static void search_init(struct search *search, struct rj_topology_state *state,
 			struct rj_plan_entry *entry, enum ground ground,
 			struct rj_site site, uint64_t now_us)
@@ -318,6 +331,9 @@
 	list_victims(search);
 }
 
+/*
+ * Free what the search took.
+ */
 static void search_finish(struct search *search)
 {
 	g_free(search->fits);
@@ -349,6 +365,9 @@
 	return true;
 }
 
+/*
+ * Put every chosen victim back; the ledgers are as before the search.
+ */
 static void search_undo(struct search *search)
 {
 	for (uint32_t i = 0; i < search->victim_count; i++)
@@ -379,6 +398,9 @@
 	return count;
 }
 
+/*
+ * Ask for every chosen victim to be stopped.
+ */
 static void stop_victims(const struct search *search,
 			 struct rj_decisions *decisions)
 {
@@ -536,11 +558,14 @@
 
 	if (entry->job.priority == RJ_PRIORITY_URGENT)
 		return URGENT_PATIENCE_US;
-	if (rj_topology_size(entry) < state->worker_accelerators)
+	if (rj_topology_size(entry) <= state->worker_accelerators)
 		return RJ_NEVER_US;
 	return (GANG_PATIENCE_S + (100 - weight) / 4) * RJ_US_PER_S;
 }
 
+/*
+ * Whether the gang has waited long enough for small work to make way.
+ */
 static bool may_make_way(const struct rj_topology_state *state,
 			 const struct rj_plan_entry *entry, uint64_t now_us)
 {
