--- a/src/libradishjunction/core/planner_topology.c
+++ b/src/libradishjunction/core/planner_topology.c
@@ -58,6 +58,7 @@
 						       config->class_count);
 	state->limits = config->limits;
 	rj_topology_assign_homes(state, config);
+	state->homes_changed = true;
 	state->workers_changed = true;
 }
 
@@ -88,6 +89,8 @@
 	/* Most reports repeat what is known. */
 	if (known && !known->gone && is_same_worker(&known->plan, worker))
 		return;
+	if (!known || known->gone || known->plan.rack != worker->rack)
+		state->homes_changed = true;
 	rj_ledger_of(rj_capacity_set(&state->capacity, worker));
 	state->workers_changed = true;
 }
--- a/src/libradishjunction/core/topology_pass.c
+++ b/src/libradishjunction/core/topology_pass.c
@@ -250,7 +250,9 @@
 				MAX(state->worker_accelerators, has);
 		}
 	}
-	rj_topology_apply_homes(state);
+	if (state->homes_changed)
+		rj_topology_apply_homes(state);
+	state->homes_changed = false;
 	state->workers_changed = false;
 	state->version++;
 }
--- a/src/libradishjunction/include/private/topology.h
+++ b/src/libradishjunction/include/private/topology.h
@@ -75,7 +75,8 @@
 	uint64_t stamp;
 	uint32_t worker_accelerators; /* of the largest worker */
 	uint32_t queued;
-	bool workers_changed;
+	bool workers_changed; /* something of any worker */
+	bool homes_changed; /* which workers there are, or the homes */
 	GPtrArray *all; /* scratch: all workers, owned racks first */
 	struct rj_plan_member members[RJ_GANG_MAX]; /* scratch */
 	uint32_t considered;
