planner: a claim displaces what is kept for others only if it must

Change: a claim first looks where nothing firm is kept; a gang that was displaced waits its patience again.

--- a/src/libradishjunction/core/topology_reclaim.c
+++ b/src/libradishjunction/core/topology_reclaim.c
@@ -29,6 +29,7 @@
 /* On which ground a job asks for room. */
 enum ground {
 	GROUND_GUARANTEE, /* its account's guarantee */
+	GROUND_LAST_RESORT, /* the same, before what is kept for others */
 	GROUND_URGENT, /* urgent work before borrowed capacity */
 	GROUND_LOAN, /* work that passed its reservation */
 	GROUND_WAITED, /* a gang that has waited, before cheap small work */
@@ -71,15 +72,23 @@
 	return (ran_us + RJ_US_PER_MS) * rj_topology_size(entry);
 }
 
+/*
+ * Whether the ground is the account's guarantee.
+ */
+static bool is_claim(enum ground ground)
+{
+	return ground == GROUND_GUARANTEE || ground == GROUND_LAST_RESORT;
+}
+
 /*
  * Whether the search must leave alone what the reservation keeps. A claim on
- * a guarantee goes before all but other such claims.
+ * a guarantee that finds no other room goes before all but such claims.
  */
 static bool respects(const struct search *search,
 		     const struct rj_reservation *reservation)
 {
 	return reservation->firm &&
-	       (search->ground != GROUND_GUARANTEE ||
+	       (search->ground != GROUND_LAST_RESORT ||
 		reservation->reason == RJ_REASON_GUARANTEE);
 }
 
@@ -91,8 +100,8 @@
 static bool spares_idle(const struct search *search,
 			const struct rj_capacity_worker *worker)
 {
-	return search->ground == GROUND_GUARANTEE ||
-	       !search->entry->job.stoppable || !worker->plan.owned;
+	return is_claim(search->ground) || !search->entry->job.stoppable ||
+	       !worker->plan.owned;
 }
 
 /*
@@ -173,6 +182,7 @@
 		return false;
 	switch (search->ground) {
 	case GROUND_GUARANTEE:
+	case GROUND_LAST_RESORT:
 		return entry->account != search->entry->account ||
 		       job->priority > search->entry->job.priority;
 	case GROUND_URGENT:
@@ -445,6 +455,7 @@
 
 static const enum rj_reason reason_of[] = {
 	[GROUND_GUARANTEE] = RJ_REASON_GUARANTEE,
+	[GROUND_LAST_RESORT] = RJ_REASON_GUARANTEE,
 	[GROUND_URGENT] = RJ_REASON_RECLAIMED,
 	[GROUND_LOAN] = RJ_REASON_RESERVATION,
 	[GROUND_WAITED] = RJ_REASON_RECLAIMED,
@@ -485,14 +496,14 @@
 		return false;
 	if (entry->reservation)
 		rj_topology_unreserve(state, entry->reservation);
-	if (ground == GROUND_GUARANTEE)
+	if (ground == GROUND_LAST_RESORT)
 		rj_topology_displace(state, state->members, count, now_us);
 	reservation = rj_topology_reserve(
 		state, entry, state->members, count, true,
 		now_us + state->limits.checkpoint_limit_ms * RJ_US_PER_MS +
 			GRACE_US);
 	reservation->reason = reason_of[ground];
-	if (ground == GROUND_GUARANTEE) {
+	if (is_claim(ground)) {
 		entry->granted = true;
 		rj_resources_add(&entry->account->granted,
 				 &entry->job.shape.each,
@@ -587,7 +598,8 @@
 			 struct rj_decisions *decisions)
 {
 	if (rj_topology_entitled(state, entry) &&
-	    reclaim_on(state, entry, GROUND_GUARANTEE, now_us, decisions))
+	    (reclaim_on(state, entry, GROUND_GUARANTEE, now_us, decisions) ||
+	     reclaim_on(state, entry, GROUND_LAST_RESORT, now_us, decisions)))
 		return true;
 	if (may_hurry(state, entry, now_us) &&
 	    reclaim_on(state, entry, GROUND_URGENT, now_us, decisions))
--- a/src/libradishjunction/core/topology_reserve.c
+++ b/src/libradishjunction/core/topology_reserve.c
@@ -117,9 +117,12 @@
 		for (uint32_t j = 0; j < count; j++)
 			in_the_way |= rj_topology_keeps(reservation,
 							members[j].worker);
-		if (in_the_way && reservation->firm &&
-		    reservation->reason != RJ_REASON_GUARANTEE)
-			rj_topology_drop(state, reservation, now_us);
+		if (!in_the_way || !reservation->firm ||
+		    reservation->reason == RJ_REASON_GUARANTEE)
+			continue;
+		/* Or it would stop others again at once, for nothing. */
+		reservation->entry->waiting_since_us = now_us;
+		rj_topology_drop(state, reservation, now_us);
 	}
 }
 
