core: a job within its guarantee stays in its failure domain

Cause: a domain full of borrowers sent the entitled job to a quicker one, where its account has nothing to get back, instead of reclaiming. Excluded: an account beyond its guarantees (its jobs may still go). Change: another domain is chosen only for jobs beyond the account's guarantees here, or where this domain has no accelerator at all.

--- a/src/libradishjunction/core/filters/route.c
+++ b/src/libradishjunction/core/filters/route.c
@@ -93,18 +93,26 @@
 	return false;
 }
 
+/* The rack of a guaranteed shape of this failure domain that the job may
+ * claim, or UINT32_MAX. */
+static uint32_t guaranteed_rack(const struct rj_core_state *core,
+				const struct rj_submission *submission)
+{
+	const struct rj_planner_ops *ops = core->planner->ops;
+
+	if (!ops->home_rack)
+		return UINT32_MAX;
+	return ops->home_rack(core->planner, submission->spec.account,
+			      &submission->spec.shape);
+}
+
 /* The peer that owns a guaranteed shape that the job may claim, or NULL when
  * there is none, or this instance owns it. */
 static const char *guarantee_owner(struct rj_core_state *core,
 				   const struct rj_submission *submission)
 {
-	const struct rj_planner_ops *ops = core->planner->ops;
-	uint32_t rack;
+	uint32_t rack = guaranteed_rack(core, submission);
 
-	if (!ops->home_rack)
-		return NULL;
-	rack = ops->home_rack(core->planner, submission->spec.account,
-			      &submission->spec.shape);
 	if (rack == UINT32_MAX)
 		return NULL;
 	return rj_membership_owner(core, rj_upstreams_rack_key(core, rack));
@@ -151,8 +159,29 @@
 	return guarantee_owner(core, submission);
 }
 
-/* An instance of another domain that is much quicker, or NULL. */
-static const char *choose_domain(struct rj_core_state *core)
+/*
+ * Whether the account can have a guaranteed shape for the job here, counting
+ * the jobs that it has open at this instance against its guarantees.
+ */
+static bool within_guarantee(const struct rj_core_state *core,
+			     const struct rj_submission *submission)
+{
+	const struct rj_account *account = submission->account;
+	uint32_t count = 0;
+
+	if (!account || guaranteed_rack(core, submission) == UINT32_MAX)
+		return false;
+	for (uint32_t i = 0; i < account->guarantee_count; i++)
+		if (!strcmp(account->guarantees[i].domain, core->domain))
+			count += account->guarantees[i].count;
+	return rj_jobs_open(core, false, account->name) <= count;
+}
+
+/* An instance of another domain that is much quicker, or NULL. A guarantee
+ * holds in its own failure domain: elsewhere the job would wait its turn with
+ * others, and its shape would come late. */
+static const char *choose_domain(struct rj_core_state *core,
+				 const struct rj_submission *submission)
 {
 	const struct rj_member_view *best = NULL;
 	struct rj_plan_view view;
@@ -161,7 +190,8 @@
 
 	memset(&view, 0, sizeof(view));
 	core->planner->ops->view(core->planner, core->now_us, &view);
-	if (view.accelerators && view.small_wait_us < OTHER_DOMAIN_MARGIN_US)
+	if (view.accelerators && (view.small_wait_us < OTHER_DOMAIN_MARGIN_US ||
+				  within_guarantee(core, submission)))
 		return NULL;
 	RJ_FOR_EACH (at, next, &core->membership.members) {
 		const struct rj_member_view *member =
@@ -193,7 +223,7 @@
 	if (!submission->hops || core->stopping)
 		peer = choose_peer(core, submission);
 	if (!peer && !submission->other_domain && !submission->hops) {
-		peer = choose_domain(core);
+		peer = choose_domain(core, submission);
 		other = peer != NULL;
 	}
 	if (!peer)
