core: what was started in an outage is claimed when the log is back

Cause: an accepted job that started without a claim left no trace in the log; after the outage a peer ended its cancellation as never run, while it ran. Change: each round claims running accepted jobs that have no open claim, while the log is usable; read back, the claim is the job's.

--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -61,28 +61,13 @@
 	rj_log_append(job->core, RJ_STREAM_JOBS, &record);
 }
 
-/*
- * Append the job's claim with the leases that it holds.
- */
-void rj_job_claim(struct rj_job *job)
+/* Append a claim of the job's present attempt, with its leases. */
+static void append_claim(struct rj_job *job)
 {
 	struct rj_core_state *core = job->core;
 	struct rj_claim_member *members;
 	struct rj_record record;
 
-	assert(job->state == RJ_JOB_HOLDING);
-	if (!rj_log_usable(core)) {
-		rj_job_release_members(job);
-		if (job->accepted)
-			rj_job_requeue(job, PLATFORM_RETRY_US,
-				       RJ_REASON_PLATFORM_DOWN);
-		else
-			rj_job_not_started(
-				job, RJ_REASON_PLATFORM_DOWN,
-				rj_core_jitter_us(core, PLATFORM_RETRY_US));
-		return;
-	}
-	rj_job_enter(job, RJ_JOB_CLAIMING);
 	fill_record(job, RJ_RECORD_CLAIM, &record);
 	record.lease_life_us = rj_upstreams_lease_life_us(core);
 	members = talloc_zero_array(core->actions->mem, struct rj_claim_member,
@@ -100,6 +85,42 @@
 	rj_log_append(core, RJ_STREAM_JOBS, &record);
 }
 
+/*
+ * Append the job's claim with the leases that it holds.
+ */
+void rj_job_claim(struct rj_job *job)
+{
+	struct rj_core_state *core = job->core;
+
+	assert(job->state == RJ_JOB_HOLDING);
+	if (!rj_log_usable(core)) {
+		rj_job_release_members(job);
+		if (job->accepted)
+			rj_job_requeue(job, PLATFORM_RETRY_US,
+				       RJ_REASON_PLATFORM_DOWN);
+		else
+			rj_job_not_started(
+				job, RJ_REASON_PLATFORM_DOWN,
+				rj_core_jitter_us(core, PLATFORM_RETRY_US));
+		return;
+	}
+	rj_job_enter(job, RJ_JOB_CLAIMING);
+	append_claim(job);
+}
+
+/*
+ * Claim what was started without a claim, now that the log can be had again.
+ *
+ * Guards against a peer that knows nothing of it: it would start the job
+ * once more, or end a cancelled one as never run while it runs here.
+ */
+void rj_claims_running(struct rj_job *job)
+{
+	if (job->state == RJ_JOB_RUNNING && !job->claimed &&
+	    rj_log_usable(job->core))
+		append_claim(job);
+}
+
 /* Give up an attempt whose claim is not, or not surely, in the log. */
 static void claim_given_up(struct rj_job *job)
 {
@@ -386,8 +407,11 @@
 			claim_lost(job);
 		return;
 	}
-	if (own_claim(job, entry))
+	if (own_claim(job, entry)) {
+		if (job->state == RJ_JOB_RUNNING)
+			job->claimed = true;
 		return;
+	}
 	if (job->state == RJ_JOB_ENDED &&
 	    job->final.kind == RJ_ANSWER_NOT_RUN) {
 		/* Claimed by a peer before this outcome: ask it to cancel. */
--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -448,6 +448,9 @@
 
 			if (mine && !driven_here(job, entry))
 				settle_entry(core, entry);
+		} else if (!entry->settled && entry->accepted && job &&
+			   job->state == RJ_JOB_RUNNING) {
+			rj_claims_running(job);
 		} else if (!entry->settled && entry->accepted && current &&
 			   owned_here(core, entry)) {
 			own_accepted(core, entry);
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -495,6 +495,7 @@
 			const struct rj_record *record,
 			enum rj_append_status status);
 void rj_claims_void(struct rj_job *job);
+void rj_claims_running(struct rj_job *job);
 void rj_claims_outcome(struct rj_job *job);
 void rj_claims_answer(const struct rj_job_entry *entry,
 		      struct rj_answer *answer);
--- a/src/test_libradishjunction/test_faults.c
+++ b/src/test_libradishjunction/test_faults.c
@@ -120,6 +120,17 @@
 	check_seed(PROMISE_ACCEPTED, 501);
 }
 
+/*
+ * A tutor cancels an accepted job after an outage and is told "not run"; it
+ * was started during the outage by a peer, where it runs to its end.
+ * Cause: what was started without a claim was not claimed when the log was
+ * there again, so that nobody else knew of it.
+ */
+static void test_started_in_an_outage_is_claimed_after_it(void)
+{
+	check_seed(PROMISE_NOT_RUN, 554);
+}
+
 /*
  * An accepted job waits for ever.
  * Its owner starts while the platform is down, so that a peer's summaries of
@@ -252,6 +263,8 @@
 	g_test_add_func(
 		"/faults/cancelled_in_outage",
 		test_cancelled_in_an_outage_is_not_said_not_to_have_run);
+	g_test_add_func("/faults/claimed_after_outage",
+			test_started_in_an_outage_is_claimed_after_it);
 	g_test_add_func("/faults/early_summary",
 			test_summary_before_the_list_is_not_lost);
 	g_test_add_func("/faults/lost_void",
