platform: a list of instances without news is short

Change: the list has a version, and a caller that knows it gets no lines; a platform without versions is read as before. Not carried: at 7,500 workers each change of the list is a megabyte.

--- a/src/bench/control.c
+++ b/src/bench/control.c
@@ -56,6 +56,7 @@
 	struct rj_planner_topology planner;
 	struct rj_actions actions;
 	struct rj_instance *instances;
+	uint64_t list_known; /* the version of the list last given */
 	uint32_t instance_count;
 	uint32_t workers;
 	uint64_t now_us;
@@ -177,16 +178,25 @@
 }
 
 /*
- * The whole list of the platform, each time that it is asked for.
+ * The list of the platform; whole only when it has changed.
  */
 static void answer_list(struct control *control)
 {
 	struct rj_event *event = queue_event(control, RJ_EVENT_INSTANCES);
 	char *text = rj_instances_encode(event, control->instances,
-					 control->instance_count);
-
-	event->u.instances.list = control->instances;
-	event->u.instances.count = control->instance_count;
+					 control->instance_count,
+					 control->list_known);
+
+	uint64_t version;
+	struct rj_instance *list;
+
+	g_assert(!rj_instances_decode(
+		event, text, &list, &event->u.instances.count, &version, NULL));
+	if (list)
+		event->u.instances.list = list;
+	else
+		event->kind = RJ_EVENT_TIMER; /* nothing is delivered */
+	control->list_known = version;
 	count(control, &control->list, strlen(text) + HTTP_BYTES);
 }
 
--- a/src/libradishjunction/include/private/platform_wire.h
+++ b/src/libradishjunction/include/private/platform_wire.h
@@ -41,9 +41,9 @@
 int rj_instance_decode(const char *text, struct rj_instance *instance,
 		       struct rj_error *err);
 char *rj_instances_encode(void *mem, const struct rj_instance *instances,
-			  uint32_t count);
+			  uint32_t count, uint64_t known);
 int rj_instances_decode(void *mem, const char *text,
 			struct rj_instance **instances, uint32_t *count,
-			struct rj_error *err);
+			uint64_t *version, struct rj_error *err);
 
 #endif
--- a/src/libradishjunction/platform/http_platform.c
+++ b/src/libradishjunction/platform/http_platform.c
@@ -268,20 +268,24 @@
 		(uint64_t)(read->wait_us / RJ_US_PER_MS));
 }
 
-/* A list that did not come whole ends in no event; the core asks again. */
+/* A list that did not come whole, or that is as it was, ends in no event; the
+ * core asks again. */
 static void list_done(void *private_data, const struct rj_http_result *result)
 {
 	const struct pending *pending = private_data;
 	struct rj_event event = { .kind = RJ_EVENT_INSTANCES };
 	void *mem = talloc_new(NULL);
 	struct rj_instance *list;
+	uint64_t version;
 
 	assert(mem);
 	if (result->outcome == RJ_HTTP_ANSWERED &&
 	    result->status == STATUS_OK &&
 	    !rj_instances_decode(mem, result->body, &list,
-				 &event.u.instances.count, NULL)) {
+				 &event.u.instances.count, &version, NULL) &&
+	    list) {
 		event.u.instances.list = list;
+		pending->platform->list_version = version;
 		deliver(pending->platform, &event);
 	}
 	talloc_free(mem);
@@ -298,7 +302,8 @@
 		.private_data = pending_new(platform),
 	};
 
-	send_to(platform, &send, "/v1/instances");
+	send_to(platform, &send, "/v1/instances?known=%016" PRIx64,
+		platform->list_version);
 }
 
 /* See rj_platform_ops: calls that are open end in no event. */
--- a/src/libradishjunction/platform/platform_wire.c
+++ b/src/libradishjunction/platform/platform_wire.c
@@ -1,6 +1,7 @@
 #include "private/platform_wire.h"
 
 #include <assert.h>
+#include <glib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -100,12 +101,16 @@
 };
 
 struct wire_instances {
+	uint64_t version;
+	bool unchanged; /* as in the list that the caller knows */
 	struct wire_instance *instances;
 	uint32_t count;
 };
 
 static const struct rj_schema_field instances_fields[] = {
-	{ RJ_FIELD(array, wire_instances, instances),
+	{ RJ_FIELD(id, wire_instances, version), .optional = true },
+	{ RJ_FIELD(bool, wire_instances, unchanged), .optional = true },
+	{ RJ_FIELD(array, wire_instances, instances), .optional = true,
 	  .count_offset = offsetof(struct wire_instances, count),
 	  .schema = &instance_schema, .max = RJ_INSTANCES_MAX },
 };
@@ -226,15 +231,42 @@
 	return 0;
 }
 
+/* A digest of the list; a worker's address moves with its incarnation. */
+static uint64_t list_version(const struct rj_instance *instances,
+			     uint32_t count)
+{
+	uint64_t digest = count + 1;
+
+	for (uint32_t i = 0; i < count; i++) {
+		const uint64_t numbers[] = { instances[i].incarnation,
+					     instances[i].address.port,
+					     instances[i].rack,
+					     instances[i].leaving };
+
+		digest = rj_hash64_string(instances[i].name, digest);
+		digest = rj_hash64(numbers, sizeof(numbers), digest);
+	}
+	return digest ? digest : 1;
+}
+
 /*
- * The list of instances.
+ * The list of instances with its version; without its lines when the caller
+ * knows that version already.
  */
 char *rj_instances_encode(void *mem, const struct rj_instance *instances,
-			  uint32_t count)
+			  uint32_t count, uint64_t known)
 {
-	struct wire_instances wire = { .count = count };
+	struct wire_instances wire = {
+		.count = count,
+		.version = list_version(instances, count),
+	};
 	char *text;
 
+	wire.unchanged = wire.version == known;
+	if (wire.unchanged) {
+		wire.count = 0;
+		return rj_wire_encode(mem, &instances_schema, &wire);
+	}
 	wire.instances = talloc_array(NULL, struct wire_instance, count);
 	assert(wire.instances);
 	for (uint32_t i = 0; i < count; i++)
@@ -263,18 +295,34 @@
 	return count;
 }
 
+/* The version that a list names, or 0. */
+static uint64_t version_of(const json_t *json)
+{
+	const char *text = json_string_value(json_object_get(json, "version"));
+
+	return text ? g_ascii_strtoull(text, NULL, 16) : 0;
+}
+
 /*
  * Read the list of instances; a line that is not as it must be is passed
  * over, so that it does not hide who else is live or leaving. Returns 0, or
- * -1 with `err` when it is no list.
+ * -1 with `err` when it is no list. `*instances` is NULL when the list is as
+ * in the version that was asked about; `*version` is that of this list.
  */
 int rj_instances_decode(void *mem, const char *text,
 			struct rj_instance **instances, uint32_t *count,
-			struct rj_error *err)
+			uint64_t *version, struct rj_error *err)
 {
 	json_t *json = json_loads(text, 0, NULL);
 	const json_t *list = json_object_get(json, "instances");
 
+	*instances = NULL;
+	*count = 0;
+	*version = version_of(json);
+	if (json_is_true(json_object_get(json, "unchanged"))) {
+		json_decref(json);
+		return 0;
+	}
 	if (!json_is_array(list) || json_array_size(list) > RJ_INSTANCES_MAX) {
 		json_decref(json);
 		return rj_error_set(err, RJ_ERR_MALFORMED,
--- a/src/libradishjunction/worker/worker_wire.c
+++ b/src/libradishjunction/worker/worker_wire.c
@@ -390,6 +390,10 @@
 	memset(reply, 0, sizeof(*reply));
 	if (rj_wire_decode(schema_of(call->op), mem, text, &wire, err))
 		return -1;
+	if (call->op == RJ_WORKER_REPORT) {
+		wire.reply.attempt = call->attempt; /* it is about none */
+		wire.member = call->member;
+	}
 	if (!answers(&wire, call))
 		return rj_error_set(err, RJ_ERR_MALFORMED,
 				    "call_id: the answer is to another call; "
--- a/src/libstandin/platform.c
+++ b/src/libstandin/platform.c
@@ -347,6 +347,17 @@
 	return talloc_strndup(request, path + before, length - before - after);
 }
 
+/* The list, or only that it is as the caller knows it. */
+static void handle_list(struct rj_standin_platform *platform,
+			struct rj_http_exchange *request)
+{
+	const char *text = rj_http_exchange_argument(request, "known");
+	uint64_t known = text ? strtoull(text, NULL, 16) : 0;
+
+	answer(request, rj_instances_encode(request, platform->instances,
+					    platform->instance_count, known));
+}
+
 /* A request that the faults let pass. */
 static void dispatch(void *private_data, struct rj_http_exchange *request)
 {
@@ -362,9 +373,7 @@
 		handle_read(platform, request, name);
 	else if (!strcmp(method, "GET") &&
 		 !strcmp(request->path, "/v1/instances"))
-		answer(request,
-		       rj_instances_encode(request, platform->instances,
-					   platform->instance_count));
+		handle_list(platform, request);
 	else if ((!strcmp(method, "PUT") || !strcmp(method, "DELETE")) &&
 		 (name = path_name(request, "/v1/instances/", "")))
 		handle_instance(platform, request, name);
