http: callers and stand-ins run their daemons by the same loop

Cause: http_callers and http_loop each had the epoll socket, the timer and the kick of a libmicrohttpd daemon. Excluded: the loop as it was, which made a new timer at every turn; that of the callers, which keeps an earlier one, is the one that stays. Change: http_callers uses http_loop; 70 lines of it go. Conclusion: kept, for one place to mend.

--- a/src/libradishjunction/caller/http_callers.c
+++ b/src/libradishjunction/caller/http_callers.c
@@ -17,78 +17,6 @@
 /* Room for the headers that are allowed and a piece of the body. */
 #define CONNECTION_MEMORY_BYTES (24 * 1024)
 
-static void run_daemon(struct rj_http_callers_state *state);
-
-/* Run the daemon from the event loop, as a resumed connection wants. */
-static void on_kick(struct tevent_context *loop, struct tevent_immediate *kick,
-		    void *private_data)
-{
-	struct rj_http_callers_state *state = private_data;
-
-	state->kicked = false;
-	run_daemon(state);
-}
-
-/* See to it that the daemon runs soon. */
-static void kick(struct rj_http_callers_state *state)
-{
-	if (state->kicked)
-		return;
-	state->kicked = true;
-	tevent_schedule_immediate(state->kick, state->options.loop, on_kick,
-				  state);
-}
-
-/* A timeout of the daemon is due. */
-static void on_timer(struct tevent_context *loop, struct tevent_timer *timer,
-		     struct timeval now, void *private_data)
-{
-	struct rj_http_callers_state *state = private_data;
-
-	state->timer = NULL;
-	run_daemon(state);
-}
-
-/* Arm the one timer for the daemon's next timeout. */
-static void arm_timer(struct rj_http_callers_state *state)
-{
-	MHD_UNSIGNED_LONG_LONG timeout_ms;
-	uint64_t at_us;
-
-	if (MHD_get_timeout(state->daemon, &timeout_ms) != MHD_YES)
-		return;
-	if (!timeout_ms) {
-		kick(state);
-		return;
-	}
-	at_us = rj_clock_now_us() + timeout_ms * RJ_US_PER_MS;
-	if (state->timer && state->timer_at_us <= at_us)
-		return;
-	talloc_free(state->timer);
-	state->timer_at_us = at_us;
-	state->timer = tevent_add_timer(
-		state->options.loop, state,
-		tevent_timeval_current_ofs((uint32_t)(timeout_ms / 1000),
-					   (uint32_t)(timeout_ms % 1000) *
-						   RJ_US_PER_MS),
-		on_timer, state);
-	assert(state->timer);
-}
-
-/* Let the daemon do what it can without waiting. */
-static void run_daemon(struct rj_http_callers_state *state)
-{
-	MHD_run(state->daemon);
-	arm_timer(state);
-}
-
-/* A socket of the daemon's own epoll set is ready. */
-static void on_epoll(struct tevent_context *loop, struct tevent_fd *event,
-		     uint16_t flags, void *private_data)
-{
-	run_daemon(private_data);
-}
-
 /* Take the request from those that wait for the core. */
 static void stop_waiting(struct rj_caller_request *request)
 {
@@ -102,7 +30,7 @@
 	assert(request->suspended && request->answered);
 	request->suspended = false;
 	MHD_resume_connection(request->connection);
-	kick(request->state);
+	rj_http_loop_kick(&request->state->loop);
 }
 
 /* The socket of a connection. */
@@ -304,7 +232,7 @@
 
 	abandon_all(state);
 	MHD_run(state->daemon);
-	TALLOC_FREE(state->epoll_event);
+	rj_http_loop_finish(&state->loop);
 	MHD_stop_daemon(state->daemon);
 	g_hash_table_destroy(state->asked);
 	TALLOC_FREE(callers->state);
@@ -357,7 +285,6 @@
 {
 	struct rj_http_callers_state *state =
 		talloc_zero(mem, struct rj_http_callers_state);
-	const union MHD_DaemonInfo *info;
 	int listener;
 
 	assert(state);
@@ -372,15 +299,10 @@
 			     "the limit of open files");
 		goto close_listener;
 	}
-	info = MHD_get_daemon_info(state->daemon, MHD_DAEMON_INFO_EPOLL_FD);
 	state->asked = g_hash_table_new(g_int64_hash, g_int64_equal);
-	state->kick = tevent_create_immediate(state);
-	state->epoll_event = tevent_add_fd(options->loop, state, info->epoll_fd,
-					   TEVENT_FD_READ, on_epoll, state);
-	assert(state->kick && state->epoll_event);
+	rj_http_loop_init(&state->loop, state, options->loop, state->daemon);
 	callers->base.ops = &http_callers_ops;
 	callers->state = state;
-	arm_timer(state);
 	return 0;
 
 close_listener:
--- a/src/libradishjunction/http_loop.c
+++ b/src/libradishjunction/http_loop.c
@@ -36,19 +36,23 @@
 	run(private_data);
 }
 
-/* Let the daemon do what it can without waiting, and come back in time. */
-static void run(struct rj_http_loop *loop)
+/* Come back when the daemon asks; a timer that is due before that stays. */
+static void arm_timer(struct rj_http_loop *loop)
 {
 	MHD_UNSIGNED_LONG_LONG timeout_ms;
+	uint64_t at_us;
 
-	MHD_run(loop->daemon);
-	TALLOC_FREE(loop->timer);
 	if (MHD_get_timeout(loop->daemon, &timeout_ms) != MHD_YES)
 		return;
 	if (!timeout_ms) {
 		rj_http_loop_kick(loop);
 		return;
 	}
+	at_us = rj_clock_now_us() + timeout_ms * RJ_US_PER_MS;
+	if (loop->timer && loop->timer_at_us <= at_us)
+		return;
+	talloc_free(loop->timer);
+	loop->timer_at_us = at_us;
 	loop->timer =
 		tevent_add_timer(loop->ev, loop->mem,
 				 rj_clock_timeval_in(timeout_ms * RJ_US_PER_MS),
@@ -56,6 +60,13 @@
 	assert(loop->timer);
 }
 
+/* Let the daemon do what it can without waiting. */
+static void run(struct rj_http_loop *loop)
+{
+	MHD_run(loop->daemon);
+	arm_timer(loop);
+}
+
 /*
  * Run `daemon` from `ev`. The loop's events are talloc children of `mem`.
  */
@@ -76,6 +87,7 @@
 			    epoll_ready, loop);
 	assert(loop->mem && loop->kick && fde);
 	(void)fde;
+	arm_timer(loop);
 }
 
 /*
@@ -84,7 +96,7 @@
  * Guards against a resumed connection that is never served: a connection
  * that is resumed while the daemon runs is not in its epoll set, and the
  * daemon asks for no timeout. Its client waits until some other connection
- * has traffic. The kick is apart from the timer, which each run replaces.
+ * has traffic. The kick is apart from the timer, which may be due later.
  */
 void rj_http_loop_kick(struct rj_http_loop *loop)
 {
--- a/src/libradishjunction/include/private/caller_request.h
+++ b/src/libradishjunction/include/private/caller_request.h
@@ -9,26 +9,19 @@
 #ifndef RADISHJUNCTION_PRIVATE_CALLER_REQUEST_H
 #define RADISHJUNCTION_PRIVATE_CALLER_REQUEST_H
 
-#include <microhttpd.h>
-
 #include "private/buffer.h"
 #include "private/caller_metrics.h"
 #include "private/clock.h"
+#include "private/http_loop.h"
 #include "radishjunction/http_callers.h"
 
 struct tevent_fd;
-struct tevent_immediate;
-struct tevent_timer;
 
 struct rj_http_callers_state {
 	struct rj_http_callers_options options;
 	struct rj_address bound;
 	struct MHD_Daemon *daemon;
-	struct tevent_fd *epoll_event;
-	struct tevent_timer *timer;
-	uint64_t timer_at_us;
-	struct tevent_immediate *kick;
-	bool kicked;
+	struct rj_http_loop loop;
 	bool draining;
 	bool closed; /* the core takes no more events */
 	uint32_t connections;
--- a/src/libradishjunction/include/private/http_loop.h
+++ b/src/libradishjunction/include/private/http_loop.h
@@ -10,13 +10,15 @@
 
 #include <microhttpd.h>
 #include <stdbool.h>
+#include <stdint.h>
 #include <tevent.h>
 
 struct rj_http_loop {
 	struct MHD_Daemon *daemon;
 	struct tevent_context *ev;
 	void *mem; /* parent of the loop's events */
-	struct tevent_timer *timer; /* the daemon's next timeout */
+	struct tevent_timer *timer; /* for the daemon's next timeout */
+	uint64_t timer_at_us;
 	struct tevent_immediate *kick;
 	bool kicked;
 };
