--- a/src/test_libradishjunction/test_planner_topology.c
+++ b/src/test_libradishjunction/test_planner_topology.c
@@ -432,6 +432,39 @@
 	g_assert_cmpint(decision_on(f, 200)->kind, ==, RJ_DECISION_START);
 }
 
+/*
+ * A pricing gang waits for hours while previews come and go in its rack: at
+ * no time are all of them gone at once.
+ */
+static void test_small_work_makes_way_for_a_gang(struct fixture *f,
+						 const void *data)
+{
+	struct rj_job_class class = { .name = "class", .expected_us = 100 * S };
+	struct rj_plan_job small = job_of(1, 'c', 1, 1);
+
+	f->accounts[0].guarantee_count = 0;
+	f->accounts[1].guarantee_count = 0;
+	f->config.classes = &class;
+	f->config.class_count = 1;
+	f->config.limits.fragmentation_weight = 100;
+	configure(f);
+	small.checkpoint = true;
+	submit_many(f, small, 8 * WORKERS);
+	pass(f, 0);
+	submit(f, job_of(200, 'c', 4, 8), 0);
+	pass(f, 0);
+	g_assert_cmpuint(f->decisions.count, ==, 0);
+	pass(f, 9 * S);
+	g_assert_cmpuint(f->decisions.count, ==, 0);
+	g_assert_cmpuint(f->planner->ops->wake_us(f->planner), <=, 10 * S);
+	pass(f, 10 * S);
+	g_assert_cmpuint(count_of(f, RJ_DECISION_RECLAIM), ==, 32);
+	g_assert_true(f->decisions.list[0].checkpoint);
+	obey(f, 0, 10 * S);
+	pass(f, 10 * S);
+	g_assert_cmpint(decision_on(f, 200)->reason, ==, RJ_REASON_RECLAIMED);
+}
+
 /*
  * A tutor waits for a lesson pack that was dead an hour ago: it sits in the
  * queue past its deadline and nobody says so.
@@ -612,6 +645,7 @@
 	ADD("guarantee/cancelled", test_cancelled_while_reclaiming);
 	ADD("reservation/never", test_nothing_is_kept_for_what_cannot_run);
 	ADD("reservation/learnt", test_learnt_run_time_decides_who_passes);
+	ADD("reservation/waited", test_small_work_makes_way_for_a_gang);
 	ADD("queue/late", test_late_jobs_are_given_up);
 	ADD("queue/apart", test_refused_callers_return_apart);
 	ADD("queue/shared", test_queue_is_shared);
