--- a/src/test_libradishjunction/test_faults.c
+++ b/src/test_libradishjunction/test_faults.c
@@ -120,6 +120,17 @@
 	check_seed(PROMISE_ACCEPTED, 501);
 }
 
+/*
+ * A tutor cancels an accepted job after an outage and is told "not run"; it
+ * was started during the outage by a peer, where it runs to its end.
+ * Cause: what was started without a claim was not claimed when the log was
+ * there again, so that nobody else knew of it.
+ */
+static void test_started_in_an_outage_is_claimed_after_it(void)
+{
+	check_seed(PROMISE_NOT_RUN, 554);
+}
+
 /*
  * An accepted job waits for ever.
  * Its owner starts while the platform is down, so that a peer's summaries of
@@ -182,6 +193,18 @@
 	check_seed(PROMISE_GUARANTEE, 32);
 }
 
+/*
+ * A tutor's job with a guarantee waits its turn in another failure domain.
+ * Its own domain is full of borrowers, so it was sent to a quicker one, where
+ * the account has nothing to get back.
+ * Cause: the way to another domain did not ask for a guarantee at home.
+ */
+static void test_entitled_job_stays_in_its_domain(void)
+{
+	check_seed(PROMISE_GUARANTEE, 1);
+	check_seed(PROMISE_GUARANTEE, 79);
+}
+
 /*
  * An instance that drains ends with a failed assertion, and its callers are
  * cut off.
@@ -195,16 +218,18 @@
 }
 
 /* Promises that the core keeps in every seed that was run. */
-static const enum promise held[] = { PROMISE_GANG,    PROMISE_ANSWER,
-				     PROMISE_NOT_RUN, PROMISE_CONFIG,
-				     PROMISE_ONCE,    PROMISE_LEAVING,
-				     PROMISE_STOP,    PROMISE_ACCEPTED };
+static const enum promise held[] = { PROMISE_GUARANTEE, PROMISE_GANG,
+				     PROMISE_ANSWER,	PROMISE_NOT_RUN,
+				     PROMISE_CONFIG,	PROMISE_ONCE,
+				     PROMISE_LEAVING,	PROMISE_STOP,
+				     PROMISE_ACCEPTED };
 
 /* Promises that the naive version breaks within the seeds of this test. */
-static const enum promise broken[] = { PROMISE_GANG,	PROMISE_ANSWER,
-				       PROMISE_NOT_RUN, PROMISE_ONCE,
-				       PROMISE_LEAVING, PROMISE_STOP,
-				       PROMISE_CONFIG,	PROMISE_ACCEPTED };
+static const enum promise broken[] = { PROMISE_GUARANTEE, PROMISE_GANG,
+				       PROMISE_ANSWER,	  PROMISE_NOT_RUN,
+				       PROMISE_ONCE,	  PROMISE_LEAVING,
+				       PROMISE_STOP,	  PROMISE_CONFIG,
+				       PROMISE_ACCEPTED };
 
 static void add_promise(const char *prefix, enum promise promise,
 			GTestDataFunc test)
@@ -238,6 +263,8 @@
 	g_test_add_func(
 		"/faults/cancelled_in_outage",
 		test_cancelled_in_an_outage_is_not_said_not_to_have_run);
+	g_test_add_func("/faults/claimed_after_outage",
+			test_started_in_an_outage_is_claimed_after_it);
 	g_test_add_func("/faults/early_summary",
 			test_summary_before_the_list_is_not_lost);
 	g_test_add_func("/faults/lost_void",
@@ -247,6 +274,8 @@
 	g_test_add_func("/faults/who_reclaims", test_who_reclaims_has_placed);
 	g_test_add_func("/faults/left_over_leases",
 			test_leases_of_abandoned_attempts_are_cleared);
+	g_test_add_func("/faults/entitled",
+			test_entitled_job_stays_in_its_domain);
 	g_test_add_func("/faults/drain_lookup",
 			test_lookup_during_a_drain_is_sent_on);
 	return g_test_run();
