core: accepted jobs start only under a claim; stops do not wait for others

A stop lasted as long as another instance's job that someone waited for here. Peers of the settings that the platform's list lacked lost their links. Excluded: asking the workers before not_run is said (a worker that is cut off cannot answer). Change: every accepted job needs a claim, so in an outage those that have not started wait; those who wait for another instance's job are sent on three seconds into a stop; the setting drain_limit_s reaches the core; peers of the settings are tried for good; a refusal's log line says its answer.

--- a/include/radishjunction/core.h
+++ b/include/radishjunction/core.h
@@ -24,6 +24,7 @@
 	uint32_t peer_count;
 	struct rj_planner *planner; /* the caller keeps it alive */
 	uint64_t retention_us; /* how long the log keeps a record */
+	uint64_t drain_limit_us; /* of a stop; 0: 30 s */
 };
 
 enum rj_counter {
--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -29,21 +29,18 @@
 }
 
 /*
- * Whether the job may start only under a claim in the log. Work that must
- * not run twice always does. An accepted job does while the log can be had,
- * so that its next owner finds where it runs; in an outage it goes on
- * without, since it may run again.
+ * Whether the job may start only under a claim in the log: work that must
+ * not run twice, and every accepted job.
  *
- * Guards against an instance that was paused: while its peers took it for
- * dead, one of them served the job, or cancelled it and told so. The symptom
- * is a job that runs after "not run". It starts nothing accepted until it has
- * caught up with the log.
+ * Guards against two owners of an accepted job that do not see each other:
+ * one would run it while the other, which reads a cancellation first, says
+ * that it did not run. With a claim the log's order decides. In an outage
+ * accepted jobs that have not started wait; what runs goes on, and so does
+ * idempotent work whose caller waits.
  */
 bool rj_job_needs_claim(const struct rj_job *job)
 {
-	if (!job->idempotent)
-		return true;
-	return job->accepted && !rj_log_outage(job->core);
+	return !job->idempotent || job->accepted;
 }
 
 /*
--- a/src/libradishjunction/core/controllers/drain_controller.c
+++ b/src/libradishjunction/core/controllers/drain_controller.c
@@ -11,10 +11,24 @@
 #define DRAIN_LIMIT_US (30 * RJ_US_PER_S)
 /* After the answers, so long is left for outcomes to reach the log. */
 #define DRAIN_LOG_US (5 * RJ_US_PER_S)
-
 /* The balancer learns within this that the instance is not ready; what it
  * still sends until then is handed to peers. */
 #define DRAIN_FORWARDS_US (10 * RJ_US_PER_S)
+/* Who waits for another instance's job can wait at any instance. */
+#define DRAIN_WATCH_US (3 * RJ_US_PER_S)
+
+/* Answer all who wait for a job: they ask again at another instance. */
+static void send_waiters_on(struct rj_job *job, enum rj_answer_kind kind)
+{
+	struct rj_answer answer;
+
+	memset(&answer, 0, sizeof(answer));
+	answer.kind = kind;
+	answer.reason = RJ_REASON_DRAINING;
+	answer.job_id = job->spec.job_id;
+	answer.retry_after_us = RJ_US_PER_S;
+	rj_job_answer_waiters(job, &answer);
+}
 
 /* The limit of the drain has passed: answer what is still open. */
 static void limit_due(struct rj_core_state *core, struct rj_timer *timer)
@@ -24,17 +38,31 @@
 
 	(void)timer;
 	core->drain_over = true;
+	RJ_FOR_EACH (at, next, &core->jobs.list)
+		send_waiters_on(RJ_CONTAINER(at, struct rj_job, link),
+				RJ_ANSWER_UNKNOWN);
+}
+
+/*
+ * Those who wait here for a job of another instance have waited a while.
+ *
+ * Guards against a stop that lasts as long as another instance's job: the
+ * platform would end the process, and cut off those who wait.
+ */
+static void watch_due(struct rj_core_state *core, struct rj_timer *timer)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
 	RJ_FOR_EACH (at, next, &core->jobs.list) {
 		struct rj_job *job = RJ_CONTAINER(at, struct rj_job, link);
-		struct rj_answer answer;
-
-		memset(&answer, 0, sizeof(answer));
-		answer.kind = RJ_ANSWER_UNKNOWN;
-		answer.reason = RJ_REASON_DRAINING;
-		answer.job_id = job->spec.job_id;
-		answer.retry_after_us = RJ_US_PER_S;
-		rj_job_answer_waiters(job, &answer);
+
+		if (job->state != RJ_JOB_WATCHING)
+			continue;
+		send_waiters_on(job, RJ_ANSWER_UNKNOWN);
+		rj_job_free(job);
 	}
+	rj_timer_set(&core->timers, timer, core->now_us + RJ_US_PER_S);
 }
 
 /*
@@ -42,20 +70,10 @@
  */
 void rj_drain_init(struct rj_core_state *core)
 {
+	if (!core->drain_limit_us)
+		core->drain_limit_us = DRAIN_LIMIT_US;
 	rj_timer_init(&core->drain, limit_due);
-}
-
-/* Whoever waits for an accepted job asks again at another instance. */
-static void send_waiters_on(struct rj_job *job)
-{
-	struct rj_answer answer;
-
-	memset(&answer, 0, sizeof(answer));
-	answer.kind = RJ_ANSWER_ACCEPTED;
-	answer.reason = RJ_REASON_DRAINING;
-	answer.job_id = job->spec.job_id;
-	answer.retry_after_us = RJ_US_PER_S;
-	rj_job_answer_waiters(job, &answer);
+	rj_timer_init(&core->drain_watch, watch_due);
 }
 
 /* Hand a waiting job to a peer, or answer it with when to come back. */
@@ -63,7 +81,7 @@
 {
 	if (job->accepted) {
 		/* Look-ups may have come since the stop began. */
-		send_waiters_on(job);
+		send_waiters_on(job, RJ_ANSWER_ACCEPTED);
 		rj_job_free(job); /* its next owner reads it in the log */
 		return;
 	}
@@ -131,12 +149,14 @@
 	rj_membership_heartbeat_all(core);
 	rj_racks_ownership(core);
 	rj_timer_set(&core->timers, &core->drain,
-		     core->now_us + DRAIN_LIMIT_US);
+		     core->now_us + core->drain_limit_us);
+	rj_timer_set(&core->timers, &core->drain_watch,
+		     core->now_us + DRAIN_WATCH_US);
 	RJ_FOR_EACH (at, next, &core->jobs.list) {
 		struct rj_job *job = RJ_CONTAINER(at, struct rj_job, link);
 
 		if (job->accepted)
-			send_waiters_on(job);
+			send_waiters_on(job, RJ_ANSWER_ACCEPTED);
 	}
 	rj_drain_hand_over(core);
 }
--- a/src/libradishjunction/core/controllers/log_controller.c
+++ b/src/libradishjunction/core/controllers/log_controller.c
@@ -173,22 +173,6 @@
 	       core->now_us < stream->fresh_us + READ_STALE_US;
 }
 
-/*
- * Whether the log is out of reach for longer than a read or two may be lost,
- * so that accepted work goes on without it.
- *
- * Guards against one lost read that is taken for an outage: the instance
- * would start without a claim what a peer has just ended in the log. Nor is
- * it an outage when this instance was paused: see `woke_us`.
- */
-bool rj_log_outage(const struct rj_core_state *core)
-{
-	const struct rj_log_stream *stream = &core->streams[RJ_STREAM_JOBS];
-
-	return stream->caught_up && !core->woke_us &&
-	       core->now_us >= stream->fresh_us + READ_STALE_US;
-}
-
 /* The platform has stopped answering, or its answers are not to be had. */
 static void platform_lost(struct rj_core_state *core)
 {
--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -357,11 +357,17 @@
 void rj_membership_init(struct rj_core_state *core,
 			const struct rj_core_options *options)
 {
+	struct rj_member_view *member;
+
 	rj_list_init(&core->membership.members);
 	rj_timer_init(&core->membership.heartbeat, heartbeat_due);
 	rj_timer_init(&core->membership.list, list_due);
-	for (uint32_t i = 0; i < options->peer_count; i++)
+	for (uint32_t i = 0; i < options->peer_count; i++) {
 		learn_instance(core, &options->peers[i]);
+		member = rj_membership_find(core, options->peers[i].name);
+		if (member)
+			member->in_settings = true;
+	}
 }
 
 /*
@@ -379,7 +385,8 @@
 
 /*
  * Take the platform's list of entry instances. It lags: an instance that is
- * not in it yet, or no more, keeps its link as long as that stands.
+ * not in it yet, or no more, keeps its link as long as that stands, and one
+ * that the settings name is tried for good.
  */
 void rj_membership_list(struct rj_core_state *core,
 			const struct rj_instance *list, uint32_t count)
@@ -391,7 +398,7 @@
 		struct rj_member_view *member =
 			RJ_CONTAINER(at, struct rj_member_view, link);
 
-		member->listed = member->connected;
+		member->listed = member->connected || member->in_settings;
 	}
 	for (uint32_t i = 0; i < count; i++)
 		if (list[i].role == RJ_ROLE_ENTRY)
--- a/src/libradishjunction/core/controllers/placement_controller.c
+++ b/src/libradishjunction/core/controllers/placement_controller.c
@@ -149,6 +149,12 @@
 			  const struct rj_decision *decision)
 {
 	assert(job->state == RJ_JOB_QUEUED);
+	if (job->accepted && !rj_log_usable(job->core)) {
+		/* No lease is held in vain while nothing can be claimed. */
+		rj_job_requeue(job, ACCEPTED_BACKOFF_US,
+			       RJ_REASON_PLATFORM_DOWN);
+		return;
+	}
 	if (!take_members(job, decision)) {
 		rj_job_requeue(job, HOLD_BACKOFF_US, RJ_REASON_WORKER_LOST);
 		return;
--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -428,8 +428,7 @@
  */
 void rj_claims_tick(struct rj_core_state *core)
 {
-	/* In an outage accepted jobs go on from what was read before it. */
-	bool current = rj_log_outage(core) || rj_log_usable(core);
+	bool current = rj_log_usable(core);
 	struct rj_list *at;
 	struct rj_list *next;
 
--- a/src/libradishjunction/core/core.c
+++ b/src/libradishjunction/core/core.c
@@ -50,11 +50,12 @@
 
 /*
  * Log one decision, and keep it for `rj_core_explain`. `job` and `target`
- * may be NULL.
+ * may be NULL. Returns the line, for what only some decisions have; it is good
+ * until the next action.
  */
-void rj_core_log(struct rj_core_state *core, enum rj_decision_event event,
-		 enum rj_reason why, const struct rj_job *job,
-		 const char *target)
+struct rj_decision_log *
+rj_core_log(struct rj_core_state *core, enum rj_decision_event event,
+	    enum rj_reason why, const struct rj_job *job, const char *target)
 {
 	struct rj_action *action;
 	struct rj_decision_log *log;
@@ -77,6 +78,7 @@
 	entry = &core->explain[core->explain_next++ % RJ_EXPLAIN_ENTRIES];
 	entry->at_us = core->now_us;
 	entry->log = *log;
+	return log;
 }
 
 /*
@@ -123,6 +125,7 @@
 	state->incarnation = options->incarnation;
 	state->random = options->seed;
 	state->retention_us = options->retention_us;
+	state->drain_limit_us = options->drain_limit_us;
 	state->planner = options->planner;
 	state->explain = talloc_zero_array(state, struct rj_explain_entry,
 					   RJ_EXPLAIN_ENTRIES);
--- a/src/libradishjunction/core/filters/chain.c
+++ b/src/libradishjunction/core/filters/chain.c
@@ -91,7 +91,8 @@
 	answer.retry_after_us = retry_after_us;
 	if (detail)
 		g_strlcpy(answer.detail, detail, sizeof(answer.detail));
-	rj_core_log(core, RJ_LOG_REFUSE, reason, NULL, submission->peer);
+	rj_core_log(core, RJ_LOG_REFUSE, reason, NULL, submission->peer)
+		->answer = answer.kind;
 	if (submission->request_id) {
 		rj_core_answer(core, submission->request_id, &answer);
 		return RJ_FILTER_TAKEN;
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -94,6 +94,7 @@
 	bool heard; /* a heartbeat came since the link stood */
 	bool draining;
 	bool listed; /* by the platform or the settings */
+	bool in_settings; /* tried for good */
 	uint64_t incarnation;
 	uint64_t heard_us;
 	uint64_t config_revision;
@@ -315,6 +316,8 @@
 	uint64_t stopping_us; /* since when */
 	bool exited;
 	struct rj_timer drain;
+	struct rj_timer drain_watch;
+	uint64_t drain_limit_us;
 	uint64_t drain_answered_us; /* when the last request was answered */
 	bool drain_over; /* the limit of the drain has passed */
 	uint64_t counters[RJ_COUNT_COUNT];
@@ -324,9 +327,9 @@
 };
 
 /* core.c */
-void rj_core_log(struct rj_core_state *core, enum rj_decision_event event,
-		 enum rj_reason why, const struct rj_job *job,
-		 const char *target);
+struct rj_decision_log *
+rj_core_log(struct rj_core_state *core, enum rj_decision_event event,
+	    enum rj_reason why, const struct rj_job *job, const char *target);
 void rj_core_count(struct rj_core_state *core, enum rj_counter counter);
 uint64_t rj_core_jitter_us(struct rj_core_state *core, uint64_t base_us);
 uint64_t rj_core_next_id(struct rj_core_state *core);
@@ -344,7 +347,6 @@
 void rj_log_appended(struct rj_core_state *core,
 		     const struct rj_appended *appended);
 bool rj_log_usable(const struct rj_core_state *core);
-bool rj_log_outage(const struct rj_core_state *core);
 
 /* job_ledger.c */
 void rj_job_ledger_init(struct rj_job_ledger *ledger, void *mem);
--- a/src/radishjunctiond/main.c
+++ b/src/radishjunctiond/main.c
@@ -81,6 +81,7 @@
 		.peer_count = settings->peer_count,
 		.planner = &daemon->planner.base,
 		.retention_us = settings->retention_s * RJ_US_PER_S,
+		.drain_limit_us = settings->drain_limit_s * RJ_US_PER_S,
 	};
 
 	rj_name_set(options.name, settings->name);
--- /dev/null
+++ b/src/test_libradishjunction/test_accepted.c
@@ -0,0 +1,84 @@
+#include <glib.h>
+#include <talloc.h>
+
+#include "support/world.h"
+
+#define SETTLED_US (5 * RJ_US_PER_S)
+#define LONG_RUN_US (10 * RJ_US_PER_S)
+#define OUTAGE_US (30 * RJ_US_PER_S)
+
+/*
+ * Whether any worker was ever asked to start a task of the job.
+ */
+static bool has_started(const struct world *world, uint64_t job_id)
+{
+	for (uint32_t i = 0; i < world->worker_count; i++) {
+		const GPtrArray *tasks = world->workers[i].tasks;
+
+		for (guint j = 0; j < tasks->len; j++) {
+			const struct fake_task *task = tasks->pdata[j];
+
+			if (task->attempt.job_id == job_id &&
+			    task->state != RJ_TASK_HELD &&
+			    task->state != RJ_TASK_DEAD)
+				return true;
+		}
+	}
+	return false;
+}
+
+/*
+ * A tutor is told that a cancelled render did not run, and finds it charged
+ * to the studio's quota.
+ * A render is accepted and waits for capacity; the log goes away; capacity
+ * comes free. The instance starts the render; another one, which can read
+ * the log, reads the cancellation and says that it did not run.
+ * Cause: an accepted job was started without a claim in an outage.
+ */
+static void test_accepted_jobs_wait_for_the_log(void)
+{
+	struct world_options options = { .engine = &engine_core,
+					 .seed = 1639,
+					 .domains = 1,
+					 .nodes_per_domain = 1,
+					 .racks_per_domain = 1,
+					 .workers_per_rack = 4 };
+	struct world *world = world_create(NULL, &options);
+	const uint32_t whole = world->workers[0].capacity.accelerators;
+	struct caller_plan first = { .class_name = "preview",
+				     .account = WORLD_OTHER_ACCOUNT,
+				     .tasks = 4,
+				     .accelerators = whole,
+				     .run_us = LONG_RUN_US,
+				     .idempotent = true,
+				     .waits = true };
+	struct caller_plan second = first;
+	struct fake_caller *render;
+
+	fake_log_publish(world, 0, "first", world_config_text(world, world, 0));
+	world_run_until(world, SETTLED_US);
+	fake_caller_add(world, 0, &first);
+	second.waits = false;
+	second.key = 7;
+	second.tasks = 1;
+	render = fake_caller_add(world, RJ_US_PER_S, &second);
+	world_run_until(world, SETTLED_US + 3 * RJ_US_PER_S);
+	g_assert_cmpuint(render->job_id, !=, 0);
+	world->log.down = true;
+	world_reach_changed(world);
+	world_run_until(world, SETTLED_US + OUTAGE_US);
+	g_assert_false(has_started(world, render->job_id));
+	world->log.down = false;
+	world_reach_changed(world);
+	world_run_until(world, SETTLED_US + OUTAGE_US + LONG_RUN_US);
+	g_assert_true(has_started(world, render->job_id));
+	talloc_free(world);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/accepted/waits_for_the_log",
+			test_accepted_jobs_wait_for_the_log);
+	return g_test_run();
+}
