--- a/src/bench/load.c
+++ b/src/bench/load.c
@@ -35,6 +35,7 @@
 	send_due(load);
 }
 
+/* Send the next request, whose time counts from `due_us`. */
 static void shoot(struct load *load, uint64_t due_us)
 {
 	struct shot *shot = talloc_zero(NULL, struct shot);
@@ -115,6 +116,7 @@
 	return 0;
 }
 
+/* For qsort. */
 static int compare_u32(const void *a, const void *b)
 {
 	uint32_t one = *(const uint32_t *)a;
--- a/src/bench/path.c
+++ b/src/bench/path.c
@@ -51,6 +51,7 @@
 	send->length = strlen(send->body);
 }
 
+/* Done, and with the echo of its own body. */
 static bool check_submit(const struct load *load, const char *answer)
 {
 	return strstr(answer, "\"done\"") && strstr(answer, "preview");
@@ -81,6 +82,7 @@
 	send->length = strlen(send->body);
 }
 
+/* Done; the result itself is base64 here. */
 static bool check_run(const struct load *load, const char *answer)
 {
 	return strstr(answer, "\"done\"");
@@ -144,6 +146,7 @@
 	free(text);
 }
 
+/* What every load is measured by. */
 static json_t *load_values(const struct load *load)
 {
 	return json_pack(
