--- /dev/null
+++ b/src/test_libradishjunction/support/plan_maker.c
@@ -0,0 +1,44 @@
+#include <talloc.h>
+
+#include "naive/planner_easy.h"
+#include "radishjunction/planner_topology.h"
+#include "support/plan_world.h"
+
+/*
+ * First come, first fit, as a child of `mem`.
+ */
+static struct rj_planner *make_first_fit(void *mem)
+{
+	struct rj_planner_first_fit *planner =
+		talloc_zero(mem, struct rj_planner_first_fit);
+
+	rj_planner_first_fit_init(planner, mem);
+	return &planner->base;
+}
+
+/*
+ * EASY backfill, as a child of `mem`.
+ */
+static struct rj_planner *make_easy(void *mem)
+{
+	struct planner_easy *planner = talloc_zero(mem, struct planner_easy);
+
+	planner_easy_init(planner, mem);
+	return &planner->base;
+}
+
+/*
+ * The planner by topology, as a child of `mem`.
+ */
+static struct rj_planner *make_topology(void *mem)
+{
+	struct rj_planner_topology *planner =
+		talloc_zero(mem, struct rj_planner_topology);
+
+	rj_planner_topology_init(planner, mem);
+	return &planner->base;
+}
+
+const struct plan_maker plan_maker_first_fit = { "first_fit", make_first_fit };
+const struct plan_maker plan_maker_easy = { "easy", make_easy };
+const struct plan_maker plan_maker_topology = { "topology", make_topology };
--- a/src/test_libradishjunction/support/plan_world.c
+++ b/src/test_libradishjunction/support/plan_world.c
@@ -4,9 +4,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "naive/planner_easy.h"
 #include "support/quantile.h"
-#include "radishjunction/planner_topology.h"
 
 /* How long the core takes to stop a task, and a task to be checkpointed. */
 #define STOP_US (50 * RJ_US_PER_MS)
@@ -27,67 +25,6 @@
 /* A guaranteed shape is late after the checkpoint limit and this. */
 #define LATE_US RJ_US_PER_S
 
-enum world_event_kind {
-	WORLD_ARRIVE,
-	WORLD_CANCEL,
-	WORLD_END,
-	WORLD_FAIL,
-	WORLD_STOPPED,
-	WORLD_WORKERS_FAIL,
-	WORLD_WORKERS_MEND,
-	WORLD_PROBE,
-	WORLD_INSTANCE_LOST,
-	WORLD_INSTANCE_BACK,
-	WORLD_WAKE,
-};
-
-struct world_event {
-	uint64_t at_us;
-	uint64_t number; /* breaks ties in the order of their making */
-	enum world_event_kind kind;
-	uint32_t index; /* of the job or the worker */
-	uint32_t attempt;
-};
-
-/*
- * First come, first fit, as a child of `mem`.
- */
-static struct rj_planner *make_first_fit(void *mem)
-{
-	struct rj_planner_first_fit *planner =
-		talloc_zero(mem, struct rj_planner_first_fit);
-
-	rj_planner_first_fit_init(planner, mem);
-	return &planner->base;
-}
-
-/*
- * EASY backfill, as a child of `mem`.
- */
-static struct rj_planner *make_easy(void *mem)
-{
-	struct planner_easy *planner = talloc_zero(mem, struct planner_easy);
-
-	planner_easy_init(planner, mem);
-	return &planner->base;
-}
-
-/*
- * The planner by topology, as a child of `mem`.
- */
-static struct rj_planner *make_topology(void *mem)
-{
-	struct rj_planner_topology *planner =
-		talloc_zero(mem, struct rj_planner_topology);
-
-	rj_planner_topology_init(planner, mem);
-	return &planner->base;
-}
-
-const struct plan_maker plan_maker_first_fit = { "first_fit", make_first_fit };
-const struct plan_maker plan_maker_easy = { "easy", make_easy };
-const struct plan_maker plan_maker_topology = { "topology", make_topology };
-
 /*
  * When the world ends, whatever still waits.
  */
@@ -96,81 +33,6 @@
 	return GIVE_UP_HORIZONS * world->stream->horizon_us;
 }
 
-/*
- * Whether the event happens before the other.
- */
-static bool is_sooner(const struct world_event *one,
-		      const struct world_event *two)
-{
-	if (one->at_us != two->at_us)
-		return one->at_us < two->at_us;
-	return one->number < two->number;
-}
-
-/*
- * The event at this place of the heap.
- */
-static struct world_event *event_at(struct plan_world *world, uint32_t at)
-{
-	return &g_array_index(world->events, struct world_event, at);
-}
-
-/*
- * Change the places of two events.
- */
-static void event_swap(struct plan_world *world, uint32_t a, uint32_t b)
-{
-	struct world_event event = *event_at(world, a);
-
-	*event_at(world, a) = *event_at(world, b);
-	*event_at(world, b) = event;
-}
-
-/*
- * Let something happen at `at_us`.
- */
-static void event_push(struct plan_world *world, uint64_t at_us,
-		       enum world_event_kind kind, uint32_t index,
-		       uint32_t attempt)
-{
-	struct world_event event = { at_us, world->event_number++, kind, index,
-				     attempt };
-	uint32_t at = world->events->len;
-
-	g_array_append_val(world->events, event);
-	while (at &&
-	       is_sooner(event_at(world, at), event_at(world, (at - 1) / 2))) {
-		event_swap(world, at, (at - 1) / 2);
-		at = (at - 1) / 2;
-	}
-}
-
-/*
- * Take the soonest event out of the heap.
- */
-static struct world_event event_pop(struct plan_world *world)
-{
-	struct world_event first = *event_at(world, 0);
-	uint32_t at = 0;
-
-	event_swap(world, 0, world->events->len - 1);
-	g_array_set_size(world->events, world->events->len - 1);
-	for (;;) {
-		uint32_t child = 2 * at + 1;
-
-		if (child >= world->events->len)
-			return first;
-		if (child + 1 < world->events->len &&
-		    is_sooner(event_at(world, child + 1),
-			      event_at(world, child)))
-			child++;
-		if (!is_sooner(event_at(world, child), event_at(world, at)))
-			return first;
-		event_swap(world, child, at);
-		at = child;
-	}
-}
-
 /*
  * The job as the stream has it.
  */
@@ -294,7 +156,8 @@
 		world->result->guaranteed_due++;
 	}
 	if (truth->cancel_us != RJ_NEVER_US)
-		event_push(world, truth->cancel_us, WORLD_CANCEL, index, 0);
+		plan_world_push(world, truth->cancel_us, WORLD_CANCEL, index,
+				0);
 	submit(world, index);
 }
 
@@ -398,8 +261,8 @@
 			continue;
 		world->set_aside[worker] = true;
 		set_worker(world, worker);
-		event_push(world, world->now_us + SET_ASIDE_US, WORLD_PROBE,
-			   worker, 0);
+		plan_world_push(world, world->now_us + SET_ASIDE_US,
+				WORLD_PROBE, worker, 0);
 	}
 	vacate(world, event->index);
 	job->state = WORLD_WAITING;
@@ -544,8 +407,8 @@
 	}
 	job->first_us = MIN(job->first_us, world->now_us);
 	world->busy += (uint64_t)size_of(truth);
-	event_push(world, world->now_us + (fails ? FAIL_US : job->left_us),
-		   fails ? WORLD_FAIL : WORLD_END, index, job->attempt);
+	plan_world_push(world, world->now_us + (fails ? FAIL_US : job->left_us),
+			fails ? WORLD_FAIL : WORLD_END, index, job->attempt);
 }
 
 /*
@@ -562,10 +425,10 @@
 	g_assert_false(job->stopping);
 	job->stopping = true;
 	world->result->reclaims++;
-	event_push(world,
-		   world->now_us +
-			   (decision->checkpoint ? CHECKPOINT_US : STOP_US),
-		   WORLD_STOPPED, index, job->attempt);
+	plan_world_push(world,
+			world->now_us + (decision->checkpoint ? CHECKPOINT_US :
+								STOP_US),
+			WORLD_STOPPED, index, job->attempt);
 }
 
 /*
@@ -598,7 +461,7 @@
 		return;
 	world->wake_at_us = wake_us;
 	if (wake_us != RJ_NEVER_US)
-		event_push(world, wake_us, WORLD_WAKE, 0, 0);
+		plan_world_push(world, wake_us, WORLD_WAKE, 0, 0);
 }
 
 /*
@@ -664,19 +527,22 @@
 	for (uint32_t i = 0; i < stream->count; i++) {
 		world->jobs[i].first_us = RJ_NEVER_US;
 		world->jobs[i].left_us = stream->jobs[i].run_us;
-		event_push(world, stream->jobs[i].plan.queued_us, WORLD_ARRIVE,
-			   i, 0);
+		plan_world_push(world, stream->jobs[i].plan.queued_us,
+				WORLD_ARRIVE, i, 0);
 	}
 	rj_decisions_init(&world->decisions, world->mem);
 	make_planner(world);
 	if (stream->load == STREAM_FAILING_WORKERS) {
-		event_push(world, horizon_us / 3, WORLD_WORKERS_FAIL, 0, 0);
-		event_push(world, horizon_us / 3 * 2, WORLD_WORKERS_MEND, 0, 0);
+		plan_world_push(world, horizon_us / 3, WORLD_WORKERS_FAIL, 0,
+				0);
+		plan_world_push(world, horizon_us / 3 * 2, WORLD_WORKERS_MEND,
+				0, 0);
 	}
 	if (stream->load == STREAM_INSTANCE_LOST) {
-		event_push(world, horizon_us / 2, WORLD_INSTANCE_LOST, 0, 0);
-		event_push(world, horizon_us / 2 + INSTANCE_GAP_US,
-			   WORLD_INSTANCE_BACK, 0, 0);
+		plan_world_push(world, horizon_us / 2, WORLD_INSTANCE_LOST, 0,
+				0);
+		plan_world_push(world, horizon_us / 2 + INSTANCE_GAP_US,
+				WORLD_INSTANCE_BACK, 0, 0);
 	}
 }
 
@@ -722,7 +588,7 @@
 
 	world_init(&world, stream, options, result);
 	while (world.events->len) {
-		struct world_event event = event_pop(&world);
+		struct world_event event = plan_world_pop(&world);
 
 		if (event.at_us > give_up_us(&world))
 			break;
@@ -730,7 +596,7 @@
 		world.now_us = event.at_us;
 		handle(&world, &event);
 		if (!world.events->len ||
-		    event_at(&world, 0)->at_us > world.now_us)
+		    plan_world_event(&world, 0)->at_us > world.now_us)
 			pass(&world);
 	}
 	for (uint32_t i = 0; i < stream->count; i++)
--- a/src/test_libradishjunction/support/plan_world.h
+++ b/src/test_libradishjunction/support/plan_world.h
@@ -35,6 +35,28 @@
 	uint32_t member_count;
 };
 
+enum world_event_kind {
+	WORLD_ARRIVE,
+	WORLD_CANCEL,
+	WORLD_END,
+	WORLD_FAIL,
+	WORLD_STOPPED,
+	WORLD_WORKERS_FAIL,
+	WORLD_WORKERS_MEND,
+	WORLD_PROBE,
+	WORLD_INSTANCE_LOST,
+	WORLD_INSTANCE_BACK,
+	WORLD_WAKE,
+};
+
+struct world_event {
+	uint64_t at_us;
+	uint64_t number; /* breaks ties in the order of their making */
+	enum world_event_kind kind;
+	uint32_t index; /* of the job or the worker */
+	uint32_t attempt;
+};
+
 struct plan_world;
 
 /* How a planner is made and looked at. */
@@ -97,6 +119,14 @@
 		    const struct plan_world_options *options,
 		    struct plan_result *result);
 
+/* plan_event.c: what is to happen, as a heap. */
+struct world_event *plan_world_event(struct plan_world *world, uint32_t at);
+void plan_world_push(struct plan_world *world, uint64_t at_us,
+		     enum world_event_kind kind, uint32_t index,
+		     uint32_t attempt);
+struct world_event plan_world_pop(struct plan_world *world);
+
+/* plan_maker.c */
 extern const struct plan_maker plan_maker_first_fit;
 extern const struct plan_maker plan_maker_easy;
 extern const struct plan_maker plan_maker_topology;
