--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -261,11 +261,11 @@
 /*
  * Close an older claim of the job that would keep its outcome out of the log.
  *
- * Guards against a void that an outage has swallowed: the job then ran again
- * without a claim, and every reader ignores its outcome while the older claim
- * is open. It shows as an accepted job that never ends. A claim of this
- * instance is over, or the job would not have ended; one of a peer is closed
- * only for a job that is done and may run twice.
+ * Guards against a void that was lost on its way to the log: every reader
+ * ignores the job's outcome while the older claim is open. It shows as an
+ * accepted job that never ends. A claim of this instance is over, or the job
+ * would not have ended; one of a peer is closed only for a job that is done
+ * and may run twice.
  */
 static void close_older_claim(const struct rj_job *job)
 {
@@ -292,11 +292,6 @@
 	struct rj_record record;
 
 	assert(job->state == RJ_JOB_ENDED);
-	/* In an outage a peer may start it without a claim before this record
-	   is read: that it did not run is not to be said for good. */
-	if (job->accepted && job->final.kind == RJ_ANSWER_NOT_RUN &&
-	    !rj_log_usable(core))
-		job->final.kind = RJ_ANSWER_UNKNOWN;
 	close_older_claim(job);
 	fill_record(job, RJ_RECORD_OUTCOME, &record);
 	record.outcome = job->final.kind;
