--- a/src/bench/faults.c
+++ b/src/bench/faults.c
@@ -186,12 +186,13 @@
 	faults_result_init(&sum);
 	for (uint64_t i = 0; i < seeds; i++)
 		faults_served(engine, trouble, from + i, &sum);
-	print(json_pack("{s:s,s:s,s:s,s:s,s:I,s:i,s:i,s:f,s:i,s:i}", "bench",
-			"faults", "engine", engine->name, "measure", "served",
-			"trouble", trouble_string[trouble], "runs",
+	print(json_pack("{s:s,s:s,s:s,s:s,s:I,s:i,s:i,s:f,s:f,s:i,s:i}",
+			"bench", "faults", "engine", engine->name, "measure",
+			"served", "trouble", trouble_string[trouble], "runs",
 			(json_int_t)seeds, "asked", (int)sum.asked, "served",
 			(int)sum.served, "share",
-			(double)sum.served / sum.asked, "not_run",
+			(double)sum.served / sum.asked, "share_prompt",
+			(double)sum.prompt / sum.asked, "not_run",
 			(int)sum.counts[RJ_ANSWER_NOT_RUN], "unanswered",
 			(int)sum.unanswered));
 	faults_result_finish(&sum);
--- a/src/test_libradishjunction/support/faults.c
+++ b/src/test_libradishjunction/support/faults.c
@@ -556,6 +556,7 @@
 	sum->faults += one->faults;
 	sum->asked += one->asked;
 	sum->served += one->served;
+	sum->prompt += one->prompt;
 	sum->unanswered += one->unanswered;
 	add_times(sum->claim_settle_us, one->claim_settle_us);
 	add_times(sum->reclaim_us, one->reclaim_us);
@@ -573,6 +574,9 @@
 		if (caller->served_us != RJ_NEVER_US &&
 		    caller->served_us - caller->first_us <= caller->patience_us)
 			result->served++;
+		if (caller->served_us != RJ_NEVER_US &&
+		    caller->served_us - caller->first_us <= FAULTS_PROMPT_US)
+			result->prompt++;
 		if (intent->answered_us == RJ_NEVER_US)
 			result->unanswered++;
 		else
--- a/src/test_libradishjunction/support/faults.h
+++ b/src/test_libradishjunction/support/faults.h
@@ -21,6 +21,9 @@
 	TROUBLE_COUNT
 };
 
+/* A caller who is served so soon has not noticed any trouble. */
+#define FAULTS_PROMPT_US (3 * RJ_US_PER_S)
+
 extern const char *const trouble_string[TROUBLE_COUNT];
 
 struct faults_result {
@@ -30,6 +33,7 @@
 	uint64_t faults;
 	uint32_t asked;
 	uint32_t served; /* done or accepted within the patience */
+	uint32_t prompt; /* of these, within FAULTS_PROMPT_US */
 	uint32_t counts[RJ_ANSWER_KIND_COUNT]; /* first final answers */
 	uint32_t unanswered;
 	GArray *claim_settle_us; /* from the death of a claim's owner */
