core: a repeat that does not wait answers its own caller alone; leases as configured

Cause: who waited for an accepted job's end was told accepted when someone repeated the job without waiting. Change: accepted_already answers one caller; reports come often enough for the configured lease life, of which three seconds are the least; one function tells waiters without a result.

--- a/src/libradishjunction/config.c
+++ b/src/libradishjunction/config.c
@@ -126,7 +126,7 @@
 	{ RJ_FIELD(u32, rj_config_limits, retry_percent), .optional = true,
 	  .max = 100, .fallback = 10 },
 	{ RJ_FIELD(u32, rj_config_limits, lease_life_ms), .optional = true,
-	  .min = 1000, .max = 10 * 60 * 1000, .fallback = 5000 },
+	  .min = 3000, .max = 10 * 60 * 1000, .fallback = 5000 },
 	{ RJ_FIELD(u32, rj_config_limits, checkpoint_limit_ms),
 	  .optional = true, .min = 100, .max = HOUR_MS, .fallback = 5000 },
 	{ RJ_FIELD(u32, rj_config_limits, key_life_s), .optional = true,
--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -337,14 +337,10 @@
 static void accept_read(struct rj_job *job)
 {
 	struct rj_core_state *core = job->core;
-	struct rj_answer answer;
 
 	rj_timer_clear(&core->timers, &job->step);
 	job->accepted = true;
-	memset(&answer, 0, sizeof(answer));
-	answer.kind = RJ_ANSWER_ACCEPTED;
-	answer.job_id = job->spec.job_id;
-	rj_job_answer_waiters(job, &answer);
+	rj_job_tell_waiters(job, RJ_ANSWER_ACCEPTED, RJ_REASON_NONE, 0);
 	rj_timer_clear(&core->timers, &job->deadline);
 	if (job->cancelled)
 		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
--- a/src/libradishjunction/core/controllers/drain_controller.c
+++ b/src/libradishjunction/core/controllers/drain_controller.c
@@ -20,14 +20,7 @@
 /* Answer all who wait for a job: they ask again at another instance. */
 static void send_waiters_on(struct rj_job *job, enum rj_answer_kind kind)
 {
-	struct rj_answer answer;
-
-	memset(&answer, 0, sizeof(answer));
-	answer.kind = kind;
-	answer.reason = RJ_REASON_DRAINING;
-	answer.job_id = job->spec.job_id;
-	answer.retry_after_us = RJ_US_PER_S;
-	rj_job_answer_waiters(job, &answer);
+	rj_job_tell_waiters(job, kind, RJ_REASON_DRAINING, RJ_US_PER_S);
 }
 
 /* The limit of the drain has passed: answer what is still open. */
--- a/src/libradishjunction/core/controllers/forward_controller.c
+++ b/src/libradishjunction/core/controllers/forward_controller.c
@@ -164,13 +164,8 @@
 			continue;
 		rj_core_log(core, RJ_LOG_RETRY, RJ_REASON_PEER_LOST, job, peer);
 		if (job->cancelled || job->waiters.next == &job->waiters) {
-			struct rj_answer answer;
-
-			memset(&answer, 0, sizeof(answer));
-			answer.kind = RJ_ANSWER_UNKNOWN;
-			answer.reason = RJ_REASON_PEER_LOST;
-			answer.job_id = job->spec.job_id;
-			rj_job_answer_waiters(job, &answer);
+			rj_job_tell_waiters(job, RJ_ANSWER_UNKNOWN,
+					    RJ_REASON_PEER_LOST, 0);
 			rj_job_free(job);
 			continue;
 		}
--- a/src/libradishjunction/core/controllers/jobs_controller.c
+++ b/src/libradishjunction/core/controllers/jobs_controller.c
@@ -257,6 +257,22 @@
 	       !(job->accepted && job->final.kind == RJ_ANSWER_NOT_RUN);
 }
 
+/*
+ * Answer all who wait for the job, without a result.
+ */
+void rj_job_tell_waiters(struct rj_job *job, enum rj_answer_kind kind,
+			 enum rj_reason reason, uint64_t retry_after_us)
+{
+	struct rj_answer answer;
+
+	memset(&answer, 0, sizeof(answer));
+	answer.kind = kind;
+	answer.reason = reason;
+	answer.job_id = job->spec.job_id;
+	answer.retry_after_us = retry_after_us;
+	rj_job_answer_waiters(job, &answer);
+}
+
 /*
  * End the job: its capacity is free, all who wait are answered, and an
  * outcome goes to the log where the log knows of the job. It then stays in
@@ -356,14 +372,8 @@
  */
 void rj_job_answer_in_progress(struct rj_job *job, enum rj_reason reason)
 {
-	struct rj_answer answer;
-
-	memset(&answer, 0, sizeof(answer));
-	answer.kind = RJ_ANSWER_UNKNOWN;
-	answer.reason = reason;
-	answer.job_id = job->spec.job_id;
-	answer.retry_after_us = rj_core_jitter_us(job->core, 2 * RJ_US_PER_S);
-	rj_job_answer_waiters(job, &answer);
+	rj_job_tell_waiters(job, RJ_ANSWER_UNKNOWN, reason,
+			    rj_core_jitter_us(job->core, 2 * RJ_US_PER_S));
 }
 
 static void deadline_due(struct rj_core_state *core, struct rj_timer *timer)
--- a/src/libradishjunction/core/controllers/log_controller.c
+++ b/src/libradishjunction/core/controllers/log_controller.c
@@ -17,7 +17,7 @@
 /* A publication ends the wait at once; nothing else hangs on this stream. */
 #define CONFIG_READ_WAIT_US (10 * RJ_US_PER_S)
 #define READ_BACKOFF_FIRST_US (100 * RJ_US_PER_MS)
-#define READ_BACKOFF_MAX_US (2 * RJ_US_PER_S)
+#define READ_BACKOFF_MAX_US (1 * RJ_US_PER_S)
 /* Without an answer for this long, nothing new may depend on the log. */
 #define READ_STALE_US (5 * RJ_US_PER_S)
 /* 24 instances of one user stay under 500 appends a second at 50 ms. */
--- a/src/libradishjunction/core/controllers/upstreams_controller.c
+++ b/src/libradishjunction/core/controllers/upstreams_controller.c
@@ -8,8 +8,10 @@
 
 #include "private/core_state.h"
 
+/* The life of a lease until a configuration says it. */
+#define LEASE_LIFE_US (5 * RJ_US_PER_S)
 /* A report without news costs some 600 bytes; this bounds them to 3 KB a
- * second however many workers one instance owns. */
+ * second however many workers one instance owns, if leases live that long. */
 #define POLL_MIN_US (500 * RJ_US_PER_MS)
 #define POLL_PER_WORKER_US (250 * RJ_US_PER_MS)
 /* A whole report in between shows what a lost call has left behind. */
@@ -117,23 +119,27 @@
 	return count;
 }
 
-/* The time between two reports of one worker. */
-static uint64_t poll_period_us(const struct rj_core_state *core)
+/* The life of a lease, as configured: how soon a gang's rest stops when its
+ * owner is gone. */
+static uint64_t lease_life_us(const struct rj_core_state *core)
 {
-	uint64_t period_us = polled_count(core) * POLL_PER_WORKER_US;
-
-	return period_us > POLL_MIN_US ? period_us : POLL_MIN_US;
+	if (!core->config)
+		return LEASE_LIFE_US;
+	return core->config->limits.lease_life_ms * RJ_US_PER_MS;
 }
 
-/* The life of a lease: it must outlast three reports, which renew it. */
-static uint64_t lease_life_us(const struct rj_core_state *core)
+/* The time between two reports of one worker. A lease outlasts three of
+ * them, which renew it, and the loss of a call; within that the period grows
+ * with the workers polled, so that their number costs no traffic. */
+static uint64_t poll_period_us(const struct rj_core_state *core)
 {
-	uint64_t life_us = 5 * RJ_US_PER_S;
-	uint64_t floor_us = 3 * poll_period_us(core) + POLL_TIMEOUT_US;
+	uint64_t most_us = (lease_life_us(core) - POLL_TIMEOUT_US) / 3;
+	uint64_t period_us = polled_count(core) * POLL_PER_WORKER_US;
 
-	if (core->config)
-		life_us = core->config->limits.lease_life_ms * RJ_US_PER_MS;
-	return life_us > floor_us ? life_us : floor_us;
+	assert(lease_life_us(core) > POLL_TIMEOUT_US);
+	if (period_us < POLL_MIN_US)
+		period_us = POLL_MIN_US;
+	return period_us < most_us ? period_us : most_us;
 }
 
 /*
--- a/src/libradishjunction/core/filters/repeat.c
+++ b/src/libradishjunction/core/filters/repeat.c
@@ -17,6 +17,22 @@
 				"shape or body; use a new key for a new job");
 }
 
+/* A repeat that does not wait: the job is accepted. Others may wait for its
+ * end, so only this caller is answered. */
+static enum rj_filter_verdict
+accepted_already(struct rj_core_state *core,
+		 const struct rj_submission *submission)
+{
+	struct rj_answer answer;
+
+	assert(submission->request_id); /* only waiting jobs are forwarded */
+	memset(&answer, 0, sizeof(answer));
+	answer.kind = RJ_ANSWER_ACCEPTED;
+	answer.job_id = submission->spec.job_id;
+	rj_core_answer(core, submission->request_id, &answer);
+	return RJ_FILTER_TAKEN;
+}
+
 /* Let the submission's caller wait for a job that is served already. */
 static enum rj_filter_verdict join(struct rj_core_state *core,
 				   struct rj_submission *submission,
@@ -35,16 +51,10 @@
 		rj_job_answer_waiters(job, &job->final);
 		return RJ_FILTER_TAKEN;
 	}
+	if (job->accepted && !submission->spec.wait)
+		return accepted_already(core, submission);
 	rj_job_wait(job, submission->request_id, submission->peer,
 		    submission->forward_id);
-	if (job->accepted && !submission->spec.wait) {
-		struct rj_answer answer;
-
-		memset(&answer, 0, sizeof(answer));
-		answer.kind = RJ_ANSWER_ACCEPTED;
-		answer.job_id = job->spec.job_id;
-		rj_job_answer_waiters(job, &answer);
-	}
 	return RJ_FILTER_TAKEN;
 }
 
@@ -71,10 +81,7 @@
 	}
 	rj_job_watch(job);
 	if (entry->accepted && !submission->spec.wait) {
-		memset(&answer, 0, sizeof(answer));
-		answer.kind = RJ_ANSWER_ACCEPTED;
-		answer.job_id = job->spec.job_id;
-		rj_job_answer_waiters(job, &answer);
+		rj_job_tell_waiters(job, RJ_ANSWER_ACCEPTED, RJ_REASON_NONE, 0);
 		rj_job_free(job);
 	}
 	return RJ_FILTER_TAKEN;
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -454,6 +454,8 @@
 void rj_job_wait(struct rj_job *job, uint64_t request_id, const char *peer,
 		 uint64_t forward_id);
 void rj_job_answer_waiters(struct rj_job *job, const struct rj_answer *answer);
+void rj_job_tell_waiters(struct rj_job *job, enum rj_answer_kind kind,
+			 enum rj_reason reason, uint64_t retry_after_us);
 void rj_job_answer_in_progress(struct rj_job *job, enum rj_reason reason);
 bool rj_job_may_tell(const struct rj_job *job);
 void rj_job_end(struct rj_job *job, const struct rj_answer *answer);
