--- a/src/test_libradishjunction/test_accepted.c
+++ b/src/test_libradishjunction/test_accepted.c
@@ -1,10 +1,16 @@
 #include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 #include <talloc.h>
 
 #include "support/world.h"
 
 #define SETTLED_US (5 * RJ_US_PER_S)
 #define LONG_RUN_US (10 * RJ_US_PER_S)
+/* Requests that the fake callers did not make; the transcript names them. */
+#define WAITING_ID 901
+#define REPEAT_ID 902
 #define OUTAGE_US (30 * RJ_US_PER_S)
 
 /*
@@ -75,10 +81,85 @@
 	talloc_free(world);
 }
 
+/*
+ * Ask the first instance about a caller's job, under an id of the test's.
+ */
+static void ask(struct world *world, const struct fake_caller *caller,
+		enum rj_request_op op, uint64_t request_id)
+{
+	struct node *node = &world->nodes[0];
+	struct rj_event *event = node_event(world, RJ_EVENT_REQUEST);
+	struct rj_request *request = &event->u.request;
+
+	request->request_id = request_id;
+	request->op = op;
+	(void)g_strlcpy(request->token, caller->spec.account,
+			sizeof(request->token));
+	request->job_id = caller->job_id;
+	request->wait = true;
+	if (op == RJ_REQUEST_SUBMIT) {
+		request->spec = caller->spec;
+		request->spec.body.data = talloc_memdup(
+			event, caller->body, caller->spec.body.length);
+		request->spec.job_id = 0;
+	}
+	checker_request(&world->checker, world->now_us, request_id, node->index,
+			caller->intent, op);
+	node_deliver_after(world, node, 1, event);
+}
+
+/*
+ * A tutor who waits for a lesson pack's end hears only that it is accepted.
+ * The pack was accepted; the tutor looks it up and waits; the studio's page
+ * submits it again with the same key and does not wait.
+ * Cause: the repeat's answer went to all who waited for the job.
+ */
+static void test_repeat_answers_its_own_caller(void)
+{
+	char *text = NULL;
+	size_t size = 0;
+	FILE *transcript = open_memstream(&text, &size);
+	struct world_options options = { .engine = &engine_core,
+					 .seed = 1,
+					 .domains = 1,
+					 .nodes_per_domain = 1,
+					 .racks_per_domain = 1,
+					 .workers_per_rack = 4,
+					 .transcript = transcript };
+	struct world *world = world_create(NULL, &options);
+	struct caller_plan plan = { .class_name = "preview",
+				    .account = WORLD_OTHER_ACCOUNT,
+				    .key = 7,
+				    .tasks = 1,
+				    .accelerators = 1,
+				    .run_us = LONG_RUN_US,
+				    .idempotent = true };
+	struct fake_caller *pack;
+
+	fake_log_publish(world, 0, "first", world_config_text(world, world, 0));
+	world_run_until(world, SETTLED_US);
+	pack = fake_caller_add(world, 0, &plan);
+	world_run_until(world, SETTLED_US + RJ_US_PER_S);
+	g_assert_cmpuint(pack->job_id, !=, 0);
+	ask(world, pack, RJ_REQUEST_LOOKUP, WAITING_ID);
+	ask(world, pack, RJ_REQUEST_SUBMIT, REPEAT_ID);
+	world_run_until(world, SETTLED_US + 2 * RJ_US_PER_S);
+	fflush(transcript);
+	g_assert_nonnull(strstr(text, "answer id=902 accepted"));
+	g_assert_null(strstr(text, "answer id=901 "));
+	world_run_until(world, SETTLED_US + 2 * LONG_RUN_US);
+	fflush(transcript);
+	g_assert_nonnull(strstr(text, "answer id=901 done"));
+	talloc_free(world);
+	fclose(transcript);
+	free(text);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/accepted/waits_for_the_log",
 			test_accepted_jobs_wait_for_the_log);
+	g_test_add_func("/accepted/repeat", test_repeat_answers_its_own_caller);
 	return g_test_run();
 }
