core: an instance that alone is cut off gives its racks away

Excluded: serving keyed work on peers' racks (a planner without racks places nothing, and should not: its work would be foreign to who has to reclaim). Change: an instance that for ten seconds alone has lost the log comes last for ownership; what waits at an instance without racks is handed on; a job is not handed back to its sender, and one that comes round is served by the sender; an answer of platform_down from a peer is not passed on where the log can be read.

--- a/include/radishjunction/peer_message.h
+++ b/include/radishjunction/peer_message.h
@@ -32,6 +32,8 @@
 	char domain[RJ_NAME_BYTES];
 	uint64_t incarnation;
 	bool draining; /* takes no new work; its racks go to others */
+	bool log_usable; /* it can have claims read back */
+	bool cut_off; /* it alone has lost the log, for a while */
 	uint64_t config_revision;
 	uint32_t queued; /* jobs waiting here */
 	uint64_t wait_us; /* expected wait of a small job here */
--- a/src/libradishjunction/core/controllers/drain_controller.c
+++ b/src/libradishjunction/core/controllers/drain_controller.c
@@ -79,13 +79,14 @@
 		return;
 	}
 	rj_job_unplan(job, false);
+	job->hops = 0; /* who owns the racks has changed since */
 	rj_filters_again(job);
 }
 
 /*
- * Hand every waiting job to a peer. Called when the stop begins, and again
- * when the view of the peers changes: while none is alive, the jobs are
- * served here.
+ * Hand every waiting job to a peer: this instance stops, or owns no rack any
+ * more. Called again when the view of the peers changes: while none is alive,
+ * the jobs are served here.
  */
 void rj_drain_hand_over(struct rj_core_state *core)
 {
--- a/src/libradishjunction/core/controllers/forward_controller.c
+++ b/src/libradishjunction/core/controllers/forward_controller.c
@@ -60,13 +60,25 @@
 	rj_filters_forward(core, peer, forward);
 }
 
-/* The peer is draining, or had no room where this instance has some: serve
- * the job from here. */
+/* The peer stops, or has lost the log, and this instance does not and has
+ * not: serve the job from here. A claim that the peer may have appended
+ * decides as any other. */
 static bool serve_again(const struct rj_job *job,
 			const struct rj_answer *answer)
 {
-	return answer->kind == RJ_ANSWER_NOT_RUN &&
-	       answer->reason == RJ_REASON_DRAINING && !job->core->stopping;
+	const struct rj_core_state *core = job->core;
+
+	if (core->stopping || job->cancelled)
+		return false;
+	if (answer->kind == RJ_ANSWER_NOT_RUN)
+		return answer->reason == RJ_REASON_DRAINING;
+	if (answer->kind != RJ_ANSWER_UNKNOWN)
+		return false;
+	if (answer->reason == RJ_REASON_IN_PROGRESS)
+		return true; /* it went round: see the filter of repeats */
+	return rj_log_usable(core) &&
+	       (answer->reason == RJ_REASON_PLATFORM_DOWN ||
+		answer->reason == RJ_REASON_LOG_GAP);
 }
 
 /*
@@ -85,6 +97,7 @@
 	    answer->answer.job_id != job->spec.job_id)
 		return;
 	if (serve_again(job, &answer->answer)) {
+		job->hops++; /* not handed back and forth */
 		rj_filters_again(job);
 		return;
 	}
--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -89,10 +89,43 @@
 	return false;
 }
 
-/* The weight of an instance for a key: the highest one owns it. */
-static uint64_t weight(const char *name, uint64_t key)
+/* An instance that alone has lost the log for so long gives its racks away.
+ * An outage, which strikes all, moves none. */
+#define CUT_OFF_US (10 * RJ_US_PER_S)
+/* Above every weight of an instance that is cut off. */
+#define LOG_WEIGHT (1ULL << 63)
+
+/*
+ * The weight of an instance for a key: the highest one owns it. One that is
+ * cut off from the log comes after all others.
+ *
+ * Guards against an owner that alone is cut off from the platform: it would
+ * refuse the charges of a whole rack, though its peers could serve them.
+ */
+static uint64_t weight(const char *name, uint64_t key, bool cut_off)
+{
+	uint64_t base = rj_hash64_string(name, key) >> 1;
+
+	return cut_off ? base : base | LOG_WEIGHT;
+}
+
+/* The weight of a peer. */
+static uint64_t peer_weight(const struct rj_member_view *member, uint64_t key)
+{
+	return weight(member->name, key, member->cut_off);
+}
+
+/* Whether this instance alone has lost the log, for a while. */
+static bool cut_off(const struct rj_core_state *core)
+{
+	return core->membership.alone_us &&
+	       core->now_us > core->membership.alone_us + CUT_OFF_US;
+}
+
+/* The weight of this instance; one that stops owns what nobody else could. */
+static uint64_t own_weight(const struct rj_core_state *core, uint64_t key)
 {
-	return rj_hash64_string(name, key);
+	return core->stopping ? 0 : weight(core->name, key, cut_off(core));
 }
 
 /*
@@ -106,7 +139,7 @@
 bool rj_membership_owns(const struct rj_core_state *core, const char *domain,
 			uint64_t key)
 {
-	uint64_t own = core->stopping ? 0 : weight(core->name, key);
+	uint64_t own = own_weight(core, key);
 	bool home = !strcmp(domain, core->domain);
 	bool owns = true;
 	struct rj_list *at;
@@ -121,7 +154,7 @@
 			continue;
 		if (there && !home)
 			return false;
-		if (there == home && weight(member->name, key) > own)
+		if (there == home && peer_weight(member, key) > own)
 			owns = false;
 	}
 	return owns;
@@ -133,7 +166,7 @@
  */
 const char *rj_membership_owner(struct rj_core_state *core, uint64_t key)
 {
-	uint64_t highest = core->stopping ? 0 : weight(core->name, key);
+	uint64_t highest = own_weight(core, key);
 	const char *owner = NULL;
 	struct rj_list *at;
 	struct rj_list *next;
@@ -144,9 +177,9 @@
 
 		if (member->draining || strcmp(member->domain, core->domain) ||
 		    !rj_membership_alive(core, member) ||
-		    weight(member->name, key) <= highest)
+		    peer_weight(member, key) <= highest)
 			continue;
-		highest = weight(member->name, key);
+		highest = peer_weight(member, key);
 		owner = member->name;
 	}
 	return owner;
@@ -202,6 +235,8 @@
 	g_strlcpy(heartbeat->domain, core->domain, sizeof(heartbeat->domain));
 	heartbeat->incarnation = core->incarnation;
 	heartbeat->draining = core->stopping;
+	heartbeat->log_usable = rj_log_usable(core);
+	heartbeat->cut_off = cut_off(core);
 	heartbeat->config_revision = core->config ? core->config->revision : 0;
 	heartbeat->queued = view.queued;
 	heartbeat->wait_us = view.small_wait_us;
@@ -234,14 +269,15 @@
 {
 	core->membership.view_version++;
 	rj_racks_ownership(core);
-	if (core->stopping)
+	/* What waits here waits in vain without a rack. */
+	if (core->stopping || !rj_racks_any_owned(core))
 		rj_drain_hand_over(core);
 }
 
 /* A digest of who is alive and not draining, to see a change of it. */
 static uint64_t view_digest(const struct rj_core_state *core)
 {
-	uint64_t digest = core->stopping;
+	uint64_t digest = core->stopping + 2 * cut_off(core);
 	struct rj_list *at;
 	struct rj_list *next;
 
@@ -250,16 +286,40 @@
 			RJ_CONTAINER(at, struct rj_member_view, link);
 
 		if (!member->draining && rj_membership_alive(core, member))
-			digest += rj_hash64_string(member->name, 1);
+			digest += rj_hash64_string(member->name,
+						   1 + member->cut_off);
 	}
 	return digest;
 }
 
+/* Note since when only peers of the failure domain have the log. */
+static void note_alone(struct rj_core_state *core)
+{
+	bool alone = false;
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->membership.members) {
+		const struct rj_member_view *member =
+			RJ_CONTAINER(at, struct rj_member_view, link);
+
+		if (member->log_usable && rj_membership_alive(core, member) &&
+		    !strcmp(member->domain, core->domain))
+			alone = !rj_log_usable(core);
+	}
+	if (!alone)
+		core->membership.alone_us = 0;
+	else if (!core->membership.alone_us)
+		core->membership.alone_us = core->now_us;
+}
+
 /* The regular round: heartbeats out, and a look at who has gone silent. */
 static void heartbeat_due(struct rj_core_state *core, struct rj_timer *timer)
 {
-	uint64_t digest = view_digest(core);
+	uint64_t digest;
 
+	note_alone(core);
+	digest = view_digest(core);
 	rj_membership_heartbeat_all(core);
 	if (digest != core->membership.view_digest) {
 		core->membership.view_digest = digest;
@@ -285,7 +345,7 @@
 		     const struct rj_member_view *member)
 {
 	uint64_t seed = rj_hash64_string(core->name, 0);
-	uint64_t own = weight(member->name, seed);
+	uint64_t own = weight(member->name, seed, false);
 	uint32_t before = 0;
 	struct rj_list *at;
 	struct rj_list *next;
@@ -296,7 +356,7 @@
 
 		if (other != member && other->listed &&
 		    !strcmp(other->domain, member->domain) &&
-		    weight(other->name, seed) > own)
+		    weight(other->name, seed, false) > own)
 			before++;
 	}
 	return before;
@@ -459,6 +519,8 @@
 	g_strlcpy(member->domain, heartbeat->domain, sizeof(member->domain));
 	member->incarnation = heartbeat->incarnation;
 	member->draining = heartbeat->draining;
+	member->log_usable = heartbeat->log_usable;
+	member->cut_off = heartbeat->cut_off;
 	member->config_revision = heartbeat->config_revision;
 	member->queued = heartbeat->queued;
 	member->wait_us = heartbeat->wait_us;
--- a/src/libradishjunction/core/filters/repeat.c
+++ b/src/libradishjunction/core/filters/repeat.c
@@ -33,6 +33,18 @@
 	return RJ_FILTER_TAKEN;
 }
 
+/* A job that this instance has handed on comes back to it.
+ *
+ * Guards against instances whose views of the racks' owners differ: each
+ * would wait for the next, and the caller for ever. Nothing was started here;
+ * the sender serves the job itself. */
+static enum rj_filter_verdict sent_round(struct rj_core_state *core,
+					 struct rj_submission *submission)
+{
+	return rj_filter_refuse(core, submission, RJ_ANSWER_UNKNOWN,
+				RJ_REASON_IN_PROGRESS, 0, NULL);
+}
+
 /* Let the submission's caller wait for a job that is served already. */
 static enum rj_filter_verdict join(struct rj_core_state *core,
 				   struct rj_submission *submission,
@@ -51,6 +63,8 @@
 		rj_job_answer_waiters(job, &job->final);
 		return RJ_FILTER_TAKEN;
 	}
+	if (submission->peer && job->state == RJ_JOB_FORWARDED)
+		return sent_round(core, submission);
 	if (job->accepted && !submission->spec.wait)
 		return accepted_already(core, submission);
 	rj_job_wait(job, submission->request_id, submission->peer,
--- a/src/libradishjunction/core/filters/route.c
+++ b/src/libradishjunction/core/filters/route.c
@@ -6,6 +6,8 @@
 
 #include "private/core_state.h"
 
+/* Views of who owns a rack may differ for a moment, not for long. */
+#define HOPS_MAX 3
 /* Another domain must be this much quicker: the link costs time and money. */
 #define OTHER_DOMAIN_MARGIN_US (2 * RJ_US_PER_S)
 
@@ -34,6 +36,12 @@
 	return rj_membership_owner(core, rj_racks_key(core, rack));
 }
 
+/* Whether what waits here would wait in vain. */
+static bool without_racks(const struct rj_core_state *core)
+{
+	return core->stopping || !rj_racks_any_owned(core);
+}
+
 /* Whether work may be handed to a peer. */
 static bool takes_work(const struct rj_core_state *core,
 		       const struct rj_member_view *member)
@@ -72,8 +80,16 @@
 	return best;
 }
 
+/* Whether a peer has just handed the job here: it is not handed back. */
+static bool is_sender(const struct rj_submission *submission, const char *peer)
+{
+	return submission->peer && !strcmp(submission->peer, peer);
+}
+
 /* The peer of the failure domain with the shortest queue, or NULL. */
-static const struct rj_member_view *shortest_queue(struct rj_core_state *core)
+static const struct rj_member_view *
+shortest_queue(struct rj_core_state *core,
+	       const struct rj_submission *submission)
 {
 	const struct rj_member_view *best = NULL;
 	struct rj_list *at;
@@ -85,6 +101,7 @@
 
 		if (!strcmp(member->domain, core->domain) &&
 		    takes_work(core, member) &&
+		    !is_sender(submission, member->name) &&
 		    (!best || member->queued < best->queued))
 			best = member;
 	}
@@ -102,17 +119,17 @@
 	best = owner_with_room(core, &submission->spec.shape, &here);
 	if (here)
 		return NULL;
-	if (best)
+	if (best && !is_sender(submission, best->name))
 		return best->name;
 	/* Nobody has room now. Where the account has a guarantee, its owner
 	   can reclaim it; else the job waits here, or at any peer when this
 	   instance has no rack or is to stop. */
 	owner = guarantee_owner(core, submission);
-	if (owner)
+	if (owner && !is_sender(submission, owner))
 		return owner;
-	if (!core->stopping && rj_racks_any_owned(core))
+	if (!without_racks(core))
 		return NULL;
-	best = shortest_queue(core);
+	best = shortest_queue(core, submission);
 	return best ? best->name : NULL;
 }
 
@@ -177,7 +194,8 @@
 
 	if (!submission->spec.wait)
 		return RJ_FILTER_NEXT; /* the log gives it an owner */
-	if (!submission->hops || core->stopping)
+	if (!submission->hops ||
+	    (submission->hops < HOPS_MAX && without_racks(core)))
 		peer = choose_peer(core, submission);
 	if (!peer && !submission->other_domain && !submission->hops) {
 		peer = choose_domain(core, submission);
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -93,6 +93,8 @@
 	bool connected;
 	bool heard; /* a heartbeat came since the link stood */
 	bool draining;
+	bool log_usable;
+	bool cut_off; /* it alone has lost the log */
 	bool listed; /* by the platform or the settings */
 	bool in_settings; /* tried for good */
 	uint64_t incarnation;
@@ -110,6 +112,7 @@
 	struct rj_timer list;
 	uint64_t view_version; /* rises when the set of live ones changes */
 	uint64_t view_digest;
+	uint64_t alone_us; /* since when only peers have the log; 0: not so */
 };
 
 enum rj_upstream_health {
--- a/src/libradishjunction/peer/peer_codec.c
+++ b/src/libradishjunction/peer/peer_codec.c
@@ -285,6 +285,8 @@
 	write_text(writer, heartbeat->domain);
 	write_number(writer, heartbeat->incarnation);
 	write_bool(writer, heartbeat->draining);
+	write_bool(writer, heartbeat->log_usable);
+	write_bool(writer, heartbeat->cut_off);
 	write_number(writer, heartbeat->config_revision);
 	write_number(writer, heartbeat->queued);
 	write_number(writer, heartbeat->wait_us);
@@ -297,6 +299,8 @@
 	read_text(reader, "domain", heartbeat->domain, RJ_NAME_BYTES);
 	heartbeat->incarnation = read_number(reader, "incarnation", UINT64_MAX);
 	heartbeat->draining = read_bool(reader, "draining");
+	heartbeat->log_usable = read_bool(reader, "log_usable");
+	heartbeat->cut_off = read_bool(reader, "cut_off");
 	heartbeat->config_revision =
 		read_number(reader, "config_revision", UINT64_MAX);
 	heartbeat->queued = (uint32_t)read_number(reader, "queued", UINT32_MAX);
