core: not run is not said of what a peer may have run and given up

Change: an accepted job of which another instance ever had a claim open ends as unknown, not as not_run, unless a worker saw it run.

--- a/src/libradishjunction/core/controllers/jobs_controller.c
+++ b/src/libradishjunction/core/controllers/jobs_controller.c
@@ -338,6 +338,24 @@
 		rj_job_give_up(job, reason, retry_after_us);
 }
 
+/*
+ * Whether another instance ever had a claim of the job open.
+ *
+ * Guards against a void that says less than it seems: work that may run again
+ * is voided also after a start whose answer was lost. It shows as "not run" of
+ * a job that ran at a peer in an attempt that the peer gave up.
+ */
+static bool claimed_elsewhere(const struct rj_job *job)
+{
+	const struct rj_job_entry *entry =
+		rj_job_ledger_find(&job->core->ledger, job->spec.job_id);
+
+	if (!entry || !entry->first_owner)
+		return false;
+	return entry->several_owners ||
+	       entry->first_owner != job->core->incarnation;
+}
+
 /*
  * End a job whose present attempt has stopped, or never started: `failed`
  * only if a worker said that it ran, and `not_run` only if no attempt was
@@ -350,7 +368,8 @@
 
 	if (job->ran)
 		kind = RJ_ANSWER_FAILED;
-	else if (job->started || job->ran_before || job->ran_elsewhere)
+	else if (job->started || job->ran_before || job->ran_elsewhere ||
+		 claimed_elsewhere(job))
 		kind = RJ_ANSWER_UNKNOWN;
 	rj_job_end_plain(job, kind, reason, retry_after_us);
 }
--- a/src/libradishjunction/core/job_ledger.c
+++ b/src/libradishjunction/core/job_ledger.c
@@ -121,6 +121,10 @@
 	if (memcmp(entry->spec.digest, record->spec.digest, RJ_DIGEST_BYTES))
 		return;
 	entry->claimed = true;
+	if (!entry->first_owner)
+		entry->first_owner = record->attempt.owner;
+	else if (entry->first_owner != record->attempt.owner)
+		entry->several_owners = true;
 	entry->attempt = record->attempt;
 	entry->lease_life_us = record->lease_life_us;
 	g_strlcpy(entry->author, record->author, sizeof(entry->author));
