One way to open a socket, and one question whether work is handed on

Connect and listen checked the address and opened their socket in the same lines twice; routing and the view of the peers each asked whether this instance stops or owns no rack; three fields of the core's state were written or declared and never read.

--- a/src/libradishjunction/core/controllers/calls_controller.c
+++ b/src/libradishjunction/core/controllers/calls_controller.c
@@ -121,8 +121,6 @@
 		  sizeof(out->class_name));
 	out->each = member_needs(job, member);
 	out->life_us = rj_upstreams_lease_life_us(core);
-	if (op == RJ_WORKER_LEASE || op == RJ_WORKER_RENEW)
-		member->lease_until_us = core->now_us + out->life_us;
 	return out;
 }
 
--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -267,10 +267,9 @@
 /* What this instance owns may have changed. */
 static void view_changed(struct rj_core_state *core)
 {
-	core->membership.view_version++;
 	rj_racks_ownership(core);
 	/* What waits here waits in vain without a rack. */
-	if (core->stopping || !rj_racks_any_owned(core))
+	if (rj_racks_hand_on(core))
 		rj_drain_hand_over(core);
 }
 
--- a/src/libradishjunction/core/controllers/racks_controller.c
+++ b/src/libradishjunction/core/controllers/racks_controller.c
@@ -122,17 +122,20 @@
 }
 
 /*
- * Whether this instance owns any rack.
+ * Whether what waits here would wait in vain, and is to be handed on: this
+ * instance stops, or owns no rack.
  */
-bool rj_racks_any_owned(const struct rj_core_state *core)
+bool rj_racks_hand_on(const struct rj_core_state *core)
 {
 	struct rj_list *at;
 	struct rj_list *next;
 
+	if (core->stopping)
+		return true;
 	RJ_FOR_EACH (at, next, &core->upstreams.racks)
 		if (RJ_CONTAINER(at, struct rj_rack, link)->owned)
-			return true;
-	return false;
+			return false;
+	return true;
 }
 
 /* How many more tasks of `shape`, up to `most`, fit on a worker now. */
--- a/src/libradishjunction/core/filters/route.c
+++ b/src/libradishjunction/core/filters/route.c
@@ -36,12 +36,6 @@
 	return rj_membership_owner(core, rj_racks_key(core, rack));
 }
 
-/* Whether what waits here would wait in vain. */
-static bool without_racks(const struct rj_core_state *core)
-{
-	return core->stopping || !rj_racks_any_owned(core);
-}
-
 /* Whether work may be handed to a peer. */
 static bool takes_work(const struct rj_core_state *core,
 		       const struct rj_member_view *member)
@@ -127,7 +121,7 @@
 	owner = guarantee_owner(core, submission);
 	if (owner && !is_sender(submission, owner))
 		return owner;
-	if (!without_racks(core))
+	if (!rj_racks_hand_on(core))
 		return NULL;
 	best = shortest_queue(core, submission);
 	return best ? best->name : NULL;
@@ -195,7 +189,7 @@
 	if (!submission->spec.wait)
 		return RJ_FILTER_NEXT; /* the log gives it an owner */
 	if (!submission->hops ||
-	    (submission->hops < HOPS_MAX && without_racks(core)))
+	    (submission->hops < HOPS_MAX && rj_racks_hand_on(core)))
 		peer = choose_peer(core, submission);
 	if (!peer && !submission->other_domain && !submission->hops) {
 		peer = choose_domain(core, submission);
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -112,7 +112,6 @@
 	uint32_t count;
 	struct rj_timer heartbeat;
 	struct rj_timer list;
-	uint64_t view_version; /* rises when the set of live ones changes */
 	uint64_t view_digest;
 	uint64_t alone_us; /* since when only peers have the log; 0: not so */
 };
@@ -205,7 +204,6 @@
 	uint32_t tasks;
 	uint64_t token;
 	uint64_t incarnation; /* of the worker that granted the lease */
-	uint64_t lease_until_us; /* counted from before the call was sent */
 	enum rj_task_state state;
 	bool start_sent; /* a start may have reached the worker */
 	uint64_t start_us; /* when it was sent */
@@ -221,7 +219,6 @@
 /* Who waits for a job's answer. */
 struct rj_waiter {
 	struct rj_list link;
-	struct rj_list request_link; /* in open_requests */
 	uint64_t request_id; /* 0 when a peer waits */
 	char peer[RJ_NAME_BYTES];
 	uint64_t forward_id;
@@ -438,7 +435,7 @@
 			  uint64_t job_id);
 void rj_racks_place(struct rj_core_state *core, struct rj_upstream *upstream);
 void rj_racks_ownership(struct rj_core_state *core);
-bool rj_racks_any_owned(const struct rj_core_state *core);
+bool rj_racks_hand_on(const struct rj_core_state *core);
 bool rj_rack_has_room(const struct rj_rack *rack, const struct rj_shape *shape);
 void rj_racks_tell(struct rj_core_state *core, const struct rj_rack *rack);
 void rj_racks_tell_peer(struct rj_core_state *core, const char *peer);
--- a/src/libradishjunction/tcp_socket.c
+++ b/src/libradishjunction/tcp_socket.c
@@ -59,28 +59,41 @@
 		   sizeof(unacknowledged_ms));
 }
 
-/*
- * Start to connect. Returns a non-blocking socket that becomes writable when
- * the connection stands or has failed, or -1 with `err` of kind
- * RJ_ERR_INVALID or RJ_ERR_IO.
- */
-int rj_tcp_connect(const struct rj_address *address, struct rj_error *err)
+/* A non-blocking socket for `address`, which is put into `storage`; or -1. */
+static int open_socket(const struct rj_address *address,
+		       struct sockaddr_storage *storage, socklen_t *length,
+		       struct rj_error *err)
 {
-	struct sockaddr_storage storage;
-	socklen_t length = to_sockaddr(address, &storage);
 	int fd;
 
-	if (!length)
+	*length = to_sockaddr(address, storage);
+	if (!*length)
 		return rj_error_set(err, RJ_ERR_INVALID,
 				    "address: \"%s\" is no IP number; write "
 				    "one",
 				    address->ip);
-	fd = socket(storage.ss_family,
+	fd = socket(storage->ss_family,
 		    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
 		return rj_error_set(err, RJ_ERR_IO,
 				    "socket: %s; raise the limit of open files",
 				    strerror(errno));
+	return fd;
+}
+
+/*
+ * Start to connect. Returns a non-blocking socket that becomes writable when
+ * the connection stands or has failed, or -1 with `err` of kind
+ * RJ_ERR_INVALID or RJ_ERR_IO.
+ */
+int rj_tcp_connect(const struct rj_address *address, struct rj_error *err)
+{
+	struct sockaddr_storage storage;
+	socklen_t length;
+	int fd = open_socket(address, &storage, &length, err);
+
+	if (fd < 0)
+		return -1;
 	set_link_options(fd);
 	if (!connect(fd, (struct sockaddr *)&storage, length) ||
 	    errno == EINPROGRESS)
@@ -115,21 +128,12 @@
 		  struct rj_error *err)
 {
 	struct sockaddr_storage storage;
-	socklen_t length = to_sockaddr(address, &storage);
+	socklen_t length;
 	int on = 1;
-	int fd;
+	int fd = open_socket(address, &storage, &length, err);
 
-	if (!length)
-		return rj_error_set(err, RJ_ERR_INVALID,
-				    "address: \"%s\" is no IP number; write "
-				    "one",
-				    address->ip);
-	fd = socket(storage.ss_family,
-		    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
-		return rj_error_set(err, RJ_ERR_IO,
-				    "socket: %s; raise the limit of open files",
-				    strerror(errno));
+		return -1;
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	if (bind(fd, (struct sockaddr *)&storage, length) ||
 	    listen(fd, BACKLOG)) {
