--- a/src/test_libradishjunction/support/fake_caller.c
+++ b/src/test_libradishjunction/support/fake_caller.c
@@ -56,14 +56,19 @@
 	ask_after(world, caller, COME_BACK_US);
 }
 
-static void put_request(struct world *world, struct fake_caller *caller,
-			struct node *node, enum rj_request_op op)
+/*
+ * A caller's request to an instance, which the checker knows of; whoever
+ * makes it delivers it.
+ */
+struct rj_event *fake_caller_event(struct world *world,
+				   const struct fake_caller *caller,
+				   const struct node *node,
+				   enum rj_request_op op, uint64_t request_id)
 {
 	struct rj_event *event = node_event(world, RJ_EVENT_REQUEST);
 	struct rj_request *request = &event->u.request;
-	struct world_event *patience;
 
-	request->request_id = world->next_request++;
+	request->request_id = request_id;
 	request->op = op;
 	(void)g_strlcpy(request->token, caller->spec.account,
 			sizeof(request->token));
@@ -75,12 +80,23 @@
 			event, caller->body, caller->spec.body.length);
 		request->spec.job_id = 0;
 	}
-	checker_request(&world->checker, world->now_us, request->request_id,
-			node->index, caller->intent, op);
+	checker_request(&world->checker, world->now_us, request_id, node->index,
+			caller->intent, op);
+	return event;
+}
+
+static void put_request(struct world *world, struct fake_caller *caller,
+			struct node *node, enum rj_request_op op)
+{
+	uint64_t request_id = world->next_request++;
+	struct rj_event *event =
+		fake_caller_event(world, caller, node, op, request_id);
+	struct world_event *patience;
+
 	node_deliver_after(world, node, CALLER_DELAY_US, event);
 	if (op == RJ_REQUEST_CANCEL)
 		return;
-	caller->request_id = request->request_id;
+	caller->request_id = request_id;
 	caller->node = node->index;
 	patience = world_after(world, caller->patience_us, patience_ends);
 	patience->data = caller;
--- a/src/test_libradishjunction/support/world.h
+++ b/src/test_libradishjunction/support/world.h
@@ -261,6 +261,10 @@
 
 struct fake_caller *fake_caller_add(struct world *world, uint64_t delay_us,
 				    const struct caller_plan *plan);
+struct rj_event *fake_caller_event(struct world *world,
+				   const struct fake_caller *caller,
+				   const struct node *node,
+				   enum rj_request_op op, uint64_t request_id);
 void fake_caller_answer(struct world *world, struct node *node,
 			uint64_t request_id, const struct rj_answer *answer);
 void fake_caller_node_gone(struct world *world, struct node *node);
--- a/src/test_libradishjunction/test_accepted.c
+++ b/src/test_libradishjunction/test_accepted.c
@@ -88,23 +88,9 @@
 		enum rj_request_op op, uint64_t request_id)
 {
 	struct node *node = &world->nodes[0];
-	struct rj_event *event = node_event(world, RJ_EVENT_REQUEST);
-	struct rj_request *request = &event->u.request;
+	struct rj_event *event =
+		fake_caller_event(world, caller, node, op, request_id);
 
-	request->request_id = request_id;
-	request->op = op;
-	(void)g_strlcpy(request->token, caller->spec.account,
-			sizeof(request->token));
-	request->job_id = caller->job_id;
-	request->wait = true;
-	if (op == RJ_REQUEST_SUBMIT) {
-		request->spec = caller->spec;
-		request->spec.body.data = talloc_memdup(
-			event, caller->body, caller->spec.body.length);
-		request->spec.job_id = 0;
-	}
-	checker_request(&world->checker, world->now_us, request_id, node->index,
-			caller->intent, op);
 	node_deliver_after(world, node, 1, event);
 }
 
