planner: what passed a reservation makes way together with small work

What passed was stopped only if that alone was enough, and so was small work, never both together. Excluded: the limit on lost work (15 % in place of 5 % changed nothing). Change: on the ground of its wait a gang may also stop what runs on loan, whatever its size or priority, within the same limit on what may be lost.

--- a/src/libradishjunction/core/topology_reclaim.c
+++ b/src/libradishjunction/core/topology_reclaim.c
@@ -190,10 +190,16 @@
 	case GROUND_LOAN:
 		return entry->on_loan;
 	case GROUND_WAITED:
-		/* Never another gang: they would take turns. */
-		return job->priority != RJ_PRIORITY_URGENT &&
-		       rj_topology_size(entry) * SMALL_PART <=
-			       rj_topology_size(search->entry);
+		/*
+		 * Never another gang: they would take turns. What passed a
+		 * reservation was let run only until the room is wanted, and
+		 * goes with the small work, urgent or not: the most that may
+		 * be lost holds for both.
+		 */
+		return entry->on_loan ||
+		       (job->priority != RJ_PRIORITY_URGENT &&
+			rj_topology_size(entry) * SMALL_PART <=
+				rj_topology_size(search->entry));
 	}
 	return false;
 }
--- a/src/test_libradishjunction/test_planner_topology.c
+++ b/src/test_libradishjunction/test_planner_topology.c
@@ -465,6 +465,44 @@
 	g_assert_cmpint(decision_on(f, 200)->reason, ==, RJ_REASON_RECLAIMED);
 }
 
+/*
+ * A pricing gang waits for hours though all that is in its way may be
+ * stopped. A smaller gang with checkpoints was let pass it and took half of
+ * the rack, a render the other half. Cause: what was let pass was stopped
+ * only if that was enough, and so was small work, but never both together.
+ */
+static void test_loans_and_small_work_make_way_together(struct fixture *f,
+							const void *data)
+{
+	struct rj_job_class class = { .name = "class", .expected_us = 100 * S };
+	struct rj_plan_job render = job_of(1, 'c', 1, 8);
+	struct rj_plan_job passing = job_of(300, 'c', 3, 8);
+
+	f->accounts[0].guarantee_count = 0;
+	f->accounts[1].guarantee_count = 0;
+	f->config.classes = &class;
+	f->config.class_count = 1;
+	f->config.limits.fragmentation_weight = 100;
+	configure(f);
+	for (uint32_t i = 1; i < RACK_WORKERS; i++)
+		f->planner->ops->worker_gone(f->planner, RACK_WORKERS + i, 0);
+	/* One fills the only worker of the other rack. */
+	render.checkpoint = true;
+	submit_many(f, render, 2);
+	pass(f, 0);
+	submit(f, job_of(200, 'c', 4, 8), 0);
+	pass(f, 0);
+	passing.checkpoint = true;
+	submit(f, passing, S);
+	pass(f, S);
+	g_assert_cmpint(decision_on(f, 300)->reason, ==, RJ_REASON_BACKFILL);
+	pass(f, 30 * S);
+	g_assert_cmpuint(count_of(f, RJ_DECISION_RECLAIM), ==, 2);
+	obey(f, 0, 30 * S);
+	pass(f, 30 * S);
+	g_assert_cmpint(decision_on(f, 200)->kind, ==, RJ_DECISION_START);
+}
+
 /*
  * A tutor waits for a lesson pack that was dead an hour ago: it sits in the
  * queue past its deadline and nobody says so.
@@ -646,6 +684,8 @@
 	ADD("reservation/never", test_nothing_is_kept_for_what_cannot_run);
 	ADD("reservation/learnt", test_learnt_run_time_decides_who_passes);
 	ADD("reservation/waited", test_small_work_makes_way_for_a_gang);
+	ADD("reservation/together",
+	    test_loans_and_small_work_make_way_together);
 	ADD("queue/late", test_late_jobs_are_given_up);
 	ADD("queue/apart", test_refused_callers_return_apart);
 	ADD("queue/shared", test_queue_is_shared);
