planner: a gang's size counts in its place in the queue

Cause: a bulk gang was taken to have come 30 minutes later, so that renders and previews of the last half hour took the room that it waited for; what it needs comes together seldom, and goes in bits to what comes before it. Change: a job larger than a worker makes up for 5 minutes of its priority's penalty for each worker that it fills; it never goes before urgent work.

--- a/src/libradishjunction/core/topology_queue.c
+++ b/src/libradishjunction/core/topology_queue.c
@@ -15,6 +15,13 @@
 	[RJ_PRIORITY_BULK] = 1800 * RJ_US_PER_S,
 };
 
+/*
+ * How much earlier a job larger than a worker is taken to have come, for each
+ * worker that it fills: what it needs comes together seldom, and goes in bits
+ * to what comes before it. A gang of six workers thus goes with urgent work.
+ */
+#define SIZE_WORKER_US (300 * RJ_US_PER_S)
+
 /*
  * An account that uses twice its fair share above its guarantee goes this
  * much behind one that uses none of it.
@@ -209,10 +216,26 @@
 	return MIN(above * FAIR_WINDOW_US / MAX(fair, 1), most);
 }
 
+/*
+ * How far behind its arrival a job is put for its priority. A gang makes up
+ * for some of it by its size, but never goes before urgent work.
+ */
+static uint64_t priority_penalty_us(const struct rj_topology_state *state,
+				    const struct rj_plan_entry *entry)
+{
+	uint64_t penalty_us = head_start_us[entry->job.priority];
+	uint64_t size = rj_topology_size(entry);
+
+	if (size <= state->worker_accelerators)
+		return penalty_us;
+	return penalty_us - MIN(penalty_us, size * SIZE_WORKER_US /
+						    state->worker_accelerators);
+}
+
 /*
  * The bucket whose first job is next in this state, or NULL when each has
- * been found blocked. A job is taken in order of its arrival, its priority's
- * head start and its account's use above the guarantee.
+ * been found blocked. A job is taken in order of its arrival, its priority,
+ * its size and its account's use above the guarantee.
  */
 struct rj_plan_bucket *rj_topology_next(struct rj_topology_state *state,
 					uint64_t now_us)
@@ -228,7 +251,7 @@
 			continue;
 		head = bucket->queue.head->data;
 		bucket->sorted_by = head->job.queued_us +
-				    head_start_us[bucket->priority] +
+				    priority_penalty_us(state, head) +
 				    fair_penalty_us(state, bucket->account);
 		if (!best || bucket->sorted_by < best->sorted_by)
 			best = bucket;
--- a/src/test_libradishjunction/test_planner_topology.c
+++ b/src/test_libradishjunction/test_planner_topology.c
@@ -551,6 +551,35 @@
 	g_hash_table_destroy(times);
 }
 
+/*
+ * A portfolio gang waits while the rooms that it needs go to previews that
+ * came minutes later. All ends at once, and the previews are served first.
+ * Cause: the gang is of low priority, and its size counted for nothing.
+ */
+static void test_a_large_gang_goes_before_later_small_work(struct fixture *f,
+							   const void *data)
+{
+	struct rj_plan_job gang = job_of(2, 'c', WORKERS, 8);
+	struct rj_plan_job small = job_of(3, 'c', 1, 8);
+	struct rj_plan_job first = gang;
+
+	first.job_id = 1;
+	first.shape.adjacent = false;
+	gang.shape.adjacent = false;
+	gang.priority = RJ_PRIORITY_BULK;
+	small.checkpoint = true;
+	submit(f, first, 0);
+	pass(f, 0);
+	submit(f, gang, 0);
+	submit(f, small, 100 * S);
+	pass(f, 100 * S);
+	g_assert_cmpuint(f->decisions.count, ==, 0);
+	ended(f, 1, 200 * S, 200 * S);
+	pass(f, 200 * S);
+	g_assert_cmpuint(f->decisions.count, ==, 1);
+	g_assert_cmpint(decision_on(f, 2)->kind, ==, RJ_DECISION_START);
+}
+
 /*
  * One account's burst of previews shuts everybody out: it fills the queue.
  */
@@ -689,6 +718,7 @@
 	ADD("queue/late", test_late_jobs_are_given_up);
 	ADD("queue/apart", test_refused_callers_return_apart);
 	ADD("queue/shared", test_queue_is_shared);
+	ADD("queue/size", test_a_large_gang_goes_before_later_small_work);
 	ADD("place/broken", test_small_jobs_fill_broken_workers);
 	ADD("place/span", test_gangs_span_as_few_racks_as_will_do);
 	return g_test_run();
