planner: a gang waits a third as long before it stops small work

Cause: at 50 % of capacity the association's gangs of 64 waited 28 s at p95, which is the patience of 27.5 s and the stop; what ends by itself within the patience is previews of four seconds, and new ones come meanwhile. Change: 3 s and a tenth of a second for each point of fragmentation_weight below 100 (10 s for the association, 6 s for the converter), from 10 s and a quarter.

--- a/src/libradishjunction/core/topology_reclaim.c
+++ b/src/libradishjunction/core/topology_reclaim.c
@@ -23,8 +23,14 @@
 /* Urgent work waits this long before it stops what others borrow. */
 #define URGENT_PATIENCE_US RJ_US_PER_S
 
-/* A gang waits at least this long before it stops small work. */
-#define GANG_PATIENCE_S 10
+/*
+ * A gang waits at least this long before it stops small work: most of what
+ * ends within seconds has ended then, and need not be lost.
+ */
+#define GANG_PATIENCE_US (3 * RJ_US_PER_S)
+
+/* It waits so much longer for each point that fragmentation weighs less. */
+#define POINT_PATIENCE_US (100 * RJ_US_PER_MS)
 
 /* On which ground a job asks for room. */
 enum ground {
@@ -577,7 +583,7 @@
 		return URGENT_PATIENCE_US;
 	if (rj_topology_size(entry) <= state->worker_accelerators)
 		return RJ_NEVER_US;
-	return (GANG_PATIENCE_S + (100 - weight) / 4) * RJ_US_PER_S;
+	return GANG_PATIENCE_US + (100 - weight) * POINT_PATIENCE_US;
 }
 
 /*
