planner: short small work passes a reservation

Cause: previews waited beside accelerators that were kept for a gang whose turn was a minute away; one of four seconds does not surely end in time, and has no checkpoint, though stopping it loses less than a render's checkpoint. Change: a job passes if its learnt p90 times its size is at most 12 accelerator seconds and it is not urgent; it is stopped when in the way.

--- a/src/libradishjunction/core/topology_place.c
+++ b/src/libradishjunction/core/topology_place.c
@@ -8,6 +8,13 @@
  */
 #define PASS_PERCENT 90
 
+/*
+ * What a job may lose, in accelerator time, and still pass a reservation. It
+ * is what a gang of a worker and a half loses by its checkpoint, and lets
+ * pass a preview of ten seconds.
+ */
+#define PASS_LOST_US (12 * RJ_US_PER_S)
+
 /* The parts of a score, from the weightiest down; a lower score is better. */
 #define SCORE_NOT_OWNED (1ULL << 50)
 #define SCORE_OTHERS_HOME (1ULL << 49)
@@ -21,6 +28,21 @@
 /* More accelerators than this in a rack are counted as this many. */
 #define STAYING_MOST 4095
 
+/*
+ * Whether so little of the job is lost when it is stopped that it may start
+ * where that is to be expected: it has checkpoints, or is small and short by
+ * the run times learnt. Urgent work is not started to be stopped.
+ */
+static bool loses_little(const struct rj_plan_entry *entry, uint64_t run_us)
+{
+	if (!entry->job.stoppable)
+		return false;
+	if (entry->job.checkpoint)
+		return true;
+	return entry->job.priority != RJ_PRIORITY_URGENT &&
+	       run_us * rj_topology_size(entry) <= PASS_LOST_US;
+}
+
 /*
  * Whether the job may run on what is kept for `reservation`: it ends in
  * time by the run times learnt, or it can be stopped at little loss when
@@ -33,10 +55,9 @@
 
 	if (reservation->firm)
 		return false;
-	if (entry->job.stoppable && entry->job.checkpoint)
-		return true;
 	run_us = rj_runtime_quantile_us(entry->runtime, PASS_PERCENT, 0);
-	return now_us + run_us <= reservation->at_us;
+	return loses_little(entry, run_us) ||
+	       now_us + run_us <= reservation->at_us;
 }
 
 /*
--- a/src/test_libradishjunction/test_planner_topology.c
+++ b/src/test_libradishjunction/test_planner_topology.c
@@ -503,6 +503,46 @@
 	g_assert_cmpint(decision_on(f, 200)->kind, ==, RJ_DECISION_START);
 }
 
+/*
+ * Previews wait beside idle accelerators, which are kept for a gang whose
+ * turn is minutes away, though stopping them would cost a few seconds.
+ * Cause: only what ends in time or has checkpoints was let pass.
+ */
+static void test_short_small_work_passes_a_reservation(struct fixture *f,
+						       const void *data)
+{
+	struct rj_job_class classes[] = {
+		{ .name = "class", .expected_us = 100 * S },
+		{ .name = "preview", .expected_us = 6 * S },
+	};
+	struct rj_plan_job preview = job_of(300, 'c', 1, 2);
+	struct rj_plan_job gang = job_of(200, 'c', WORKERS, 8);
+
+	f->accounts[0].guarantee_count = 0;
+	f->accounts[1].guarantee_count = 0;
+	f->config.classes = classes;
+	f->config.class_count = 2;
+	configure(f);
+	/* It may end at any moment: nothing is sure to end before it. */
+	submit(f, job_of(1, 'c', 1, 8), 0);
+	pass(f, 0);
+	gang.shape.adjacent = false;
+	submit(f, gang, 0);
+	pass(f, 99 * S);
+	strcpy(preview.class_name, "preview");
+	submit(f, preview, 99 * S);
+	preview.job_id++;
+	preview.priority = RJ_PRIORITY_URGENT;
+	submit(f, preview, 99 * S);
+	preview.job_id++;
+	preview.priority = RJ_PRIORITY_NORMAL;
+	preview.shape.each.accelerators = 4;
+	submit(f, preview, 99 * S);
+	pass(f, 99 * S);
+	g_assert_cmpuint(f->decisions.count, ==, 1);
+	g_assert_cmpint(decision_on(f, 300)->reason, ==, RJ_REASON_BACKFILL);
+}
+
 /*
  * A tutor waits for a lesson pack that was dead an hour ago: it sits in the
  * queue past its deadline and nobody says so.
@@ -715,6 +755,7 @@
 	ADD("reservation/waited", test_small_work_makes_way_for_a_gang);
 	ADD("reservation/together",
 	    test_loans_and_small_work_make_way_together);
+	ADD("reservation/short", test_short_small_work_passes_a_reservation);
 	ADD("queue/late", test_late_jobs_are_given_up);
 	ADD("queue/apart", test_refused_callers_return_apart);
 	ADD("queue/shared", test_queue_is_shared);
