A rolling replacement refuses nobody

Three ways lead there, found from the instances' decision logs (which a replacement used to overwrite): 1. an instance that is replaced a second after its start knows no peer yet and refused what it could have served; 2. once the core had said that the stop is complete, whatever came on the last connections was refused by the adapter; 3. a replacement served callers before its first read of the log was answered, and refused jobs to be accepted as in an outage. Excluded: late heartbeats (the peers were never heard, not heard too long ago); the load's own retries (it rightly takes not_run for final). Change: a stop lets in what a peer can take or what is expected to end here within half of the drain's limit, for ten seconds as before; EXIT is said for as long as nothing is open and the core serves on; the daemon then stops listening and lingers for idle connections; ready means that the log was read or is known to be out, and callers wait in the listening socket until then, one second at most.

--- a/include/radishjunction/action.h
+++ b/include/radishjunction/action.h
@@ -20,7 +20,7 @@
 	RJ_ACTION_PEER_DROP,
 	RJ_ACTION_PEER_SEND,
 	RJ_ACTION_LOG, /* one decision, for the log */
-	RJ_ACTION_EXIT, /* the stop is complete */
+	RJ_ACTION_EXIT, /* nothing is open: a stopping process may end */
 	RJ_ACTION_KIND_COUNT
 };
 
--- a/include/radishjunction/http_callers.h
+++ b/include/radishjunction/http_callers.h
@@ -1,12 +1,14 @@
 /*
  * Callers over HTTP and JSON; docs/API.md is the interface.
  *
- * Life cycle: `rj_http_callers_init` listens at once; each request becomes
+ * Life cycle: `rj_http_callers_init` listens and serves at once, or from
+ * `rj_http_callers_serve` on when the options defer it; each request becomes
  * RJ_EVENT_REQUEST, whose `now_us` is left to the sink, and is answered
  * through `base.ops->answer`. After `rj_http_callers_drain` every answer
- * closes its connection. `rj_http_callers_close` comes when the core takes no
- * more events; when `rj_http_callers_open` is 0 then, `base.ops->finish` cuts
- * off nobody.
+ * closes its connection; after `rj_http_callers_stop_listening` connections
+ * are refused. `rj_http_callers_close` comes when the core takes no more
+ * events; when `rj_http_callers_open` is 0 then, `base.ops->finish` cuts off
+ * nobody.
  */
 #ifndef RADISHJUNCTION_HTTP_CALLERS_H
 #define RADISHJUNCTION_HTTP_CALLERS_H
@@ -43,6 +45,7 @@
 	uint32_t connections_max;
 	uint32_t requests_max; /* open at once */
 	uint32_t idle_timeout_s; /* of a connection, and of one body */
+	bool deferred; /* callers wait for `rj_http_callers_serve` */
 };
 
 struct rj_http_callers_state;
@@ -57,7 +60,9 @@
 			 struct rj_error *err);
 struct rj_address
 rj_http_callers_address(const struct rj_http_callers *callers);
+void rj_http_callers_serve(struct rj_http_callers *callers);
 void rj_http_callers_drain(struct rj_http_callers *callers);
+void rj_http_callers_stop_listening(struct rj_http_callers *callers);
 void rj_http_callers_close(struct rj_http_callers *callers);
 uint32_t rj_http_callers_open(const struct rj_http_callers *callers);
 uint32_t rj_http_callers_connections(const struct rj_http_callers *callers);
--- a/scripts/processes.bash
+++ b/scripts/processes.bash
@@ -25,7 +25,7 @@
 start() {
 	local name=$1
 	shift
-	"$@" >"$work/$name.out" 2>"$work/$name.log" &
+	"$@" >"$work/$name.out" 2>>"$work/$name.log" &
 	pid_of[$name]=$!
 	pids+=($!)
 }
--- a/src/libradishjunction/caller/http_callers.c
+++ b/src/libradishjunction/caller/http_callers.c
@@ -300,7 +300,9 @@
 		goto close_listener;
 	}
 	state->asked = g_hash_table_new(g_int64_hash, g_int64_equal);
-	rj_http_loop_init(&state->loop, state, options->loop, state->daemon);
+	if (!options->deferred)
+		rj_http_loop_init(&state->loop, state, options->loop,
+				  state->daemon);
 	callers->base.ops = &http_callers_ops;
 	callers->state = state;
 	return 0;
@@ -312,6 +314,23 @@
 	return -1;
 }
 
+/*
+ * Serve from now on, where the options deferred it.
+ *
+ * Guards against refusals by an instance that has just started: callers that
+ * reach it before it has its configuration, from a balancer that does not ask
+ * whether it is ready, wait in the listening socket for the moment that this
+ * takes instead of being told "not run".
+ */
+void rj_http_callers_serve(struct rj_http_callers *callers)
+{
+	struct rj_http_callers_state *state = callers->state;
+
+	if (!state->loop.daemon)
+		rj_http_loop_init(&state->loop, state, state->options.loop,
+				  state->daemon);
+}
+
 /*
  * Where callers are served, with the port that was given.
  */
@@ -329,6 +348,25 @@
 	callers->state->draining = true;
 }
 
+/*
+ * Take no more connections; those that stand are served on.
+ *
+ * Guards against callers that connect while the process ends: a connection
+ * that is refused can be tried elsewhere without a doubt, one that is reset
+ * after the request was sent cannot. Those that the system had taken for the
+ * daemon are served first.
+ */
+void rj_http_callers_stop_listening(struct rj_http_callers *callers)
+{
+	MHD_socket listener;
+
+	MHD_run(callers->state->daemon);
+	listener = MHD_quiesce_daemon(callers->state->daemon);
+	if (listener != MHD_INVALID_SOCKET)
+		close(listener);
+	rj_http_loop_kick(&callers->state->loop);
+}
+
 /*
  * The core takes no more events: what it has not answered is answered
  * `unknown` now, and what still comes is refused here.
--- a/src/libradishjunction/core/controllers/drain_controller.c
+++ b/src/libradishjunction/core/controllers/drain_controller.c
@@ -101,17 +101,12 @@
 	}
 }
 
-/*
- * Whether a request that arrives during a stop is still let in: for a while,
- * and only if a peer can take it.
- */
-bool rj_drain_takes_more(const struct rj_core_state *core)
+/* Whether a peer of the failure domain can take work. */
+static bool peer_takes_work(const struct rj_core_state *core)
 {
 	struct rj_list *at;
 	struct rj_list *next;
 
-	if (core->now_us > core->stopping_us + DRAIN_FORWARDS_US)
-		return false;
 	RJ_FOR_EACH (at, next, &core->membership.members) {
 		const struct rj_member_view *member =
 			RJ_CONTAINER(at, struct rj_member_view, link);
@@ -123,6 +118,25 @@
 	return false;
 }
 
+/*
+ * Whether a request of `class` that arrives during a stop is still let in:
+ * for a while, if a peer can take it or it is expected to end here well
+ * before the drain's limit.
+ *
+ * Guards against refusals by an instance that is replaced right after its
+ * start and knows no peer yet: its caller would be told "not run" though
+ * nothing was wrong. The stop stays bounded, since nothing is let in after
+ * DRAIN_FORWARDS_US, and what is let in has half of the limit to spare.
+ */
+bool rj_drain_takes_more(const struct rj_core_state *core,
+			 const struct rj_job_class *class)
+{
+	if (core->now_us > core->stopping_us + DRAIN_FORWARDS_US)
+		return false;
+	return peer_takes_work(core) ||
+	       2 * class->expected_us < core->drain_limit_us;
+}
+
 /*
  * The process was asked to stop. A second request changes nothing.
  *
@@ -171,14 +185,33 @@
 	return !rj_log_idle(core);
 }
 
+/* A request came after all had been answered: the drain's limit holds again,
+ * and not the shorter one for outcomes alone. */
+static void reopened(struct rj_core_state *core)
+{
+	if (!core->drain_answered_us)
+		return;
+	core->drain_answered_us = 0;
+	rj_timer_set(&core->timers, &core->drain,
+		     core->stopping_us + core->drain_limit_us);
+}
+
 /*
  * Exit when nothing is open any more. Jobs that run for nobody here, because
  * they were accepted, stay on their workers for their next owner.
+ *
+ * Said after every event for as long as it holds: a request that still comes
+ * on a caller's last connection is served or handed on like any other, and
+ * the process may end once it is answered.
  */
 void rj_drain_check(struct rj_core_state *core)
 {
-	if (!core->stopping || core->exited || core->jobs.open)
+	if (!core->stopping)
 		return;
+	if (core->jobs.open) {
+		reopened(core);
+		return;
+	}
 	if (!core->drain_answered_us) {
 		core->drain_answered_us = core->now_us;
 		rj_timer_set(&core->timers, &core->drain,
@@ -187,6 +220,5 @@
 	if (outcomes_open(core) && !core->drain_over &&
 	    core->now_us < core->drain_answered_us + DRAIN_LOG_US)
 		return;
-	core->exited = true;
 	rj_actions_add(core->actions, RJ_ACTION_EXIT);
 }
--- a/src/libradishjunction/core/controllers/log_controller.c
+++ b/src/libradishjunction/core/controllers/log_controller.c
@@ -225,6 +225,7 @@
 	} else {
 		stream->next = records->next;
 		stream->caught_up = records->next >= records->head;
+		stream->tried |= stream->caught_up;
 		for (uint32_t i = 0; i < records->count; i++)
 			rj_claims_record(core, &records->records[i]);
 		if (stream->caught_up) {
@@ -247,6 +248,7 @@
 	if (!stream->reading)
 		return;
 	stream->reading = false;
+	stream->tried = true;
 	platform_lost(core);
 	rj_timer_set(&core->timers, &stream->retry,
 		     core->now_us +
--- a/src/libradishjunction/core/core.c
+++ b/src/libradishjunction/core/core.c
@@ -262,8 +262,6 @@
 	struct rj_core_state *state = core->state;
 	bool first = !state->actions && !state->now_us;
 
-	if (state->exited)
-		return;
 	state->actions = actions;
 	if (!first && event->now_us > state->now_us + SLEPT_US)
 		state->woke_us = event->now_us;
@@ -291,12 +289,20 @@
 }
 
 /*
- * Whether callers may be sent here: a configuration is in force and no stop
- * was asked for.
+ * Whether callers may be sent here: a configuration is in force, the log was
+ * read or is known to be out, and no stop was asked for.
+ *
+ * Guards against refusals by an instance that has just started: a peer gives
+ * it the configuration before its first read of the log is answered, and in
+ * between it would refuse what has to be accepted into the log as if there
+ * were an outage. In a real one it is ready, since idempotent work goes on.
  */
 bool rj_core_ready(const struct rj_core *core)
 {
-	return core->state->config && !core->state->stopping;
+	const struct rj_core_state *state = core->state;
+
+	return state->config && state->streams[RJ_STREAM_JOBS].tried &&
+	       !state->stopping;
 }
 
 /*
--- a/src/libradishjunction/core/filters/limit.c
+++ b/src/libradishjunction/core/filters/limit.c
@@ -17,7 +17,7 @@
 
 	if (submission->job)
 		return RJ_FILTER_NEXT; /* it was let in before */
-	if (core->stopping && !rj_drain_takes_more(core))
+	if (core->stopping && !rj_drain_takes_more(core, submission->class))
 		return rj_filter_refuse(
 			core, submission, RJ_ANSWER_NOT_RUN, RJ_REASON_DRAINING,
 			DRAINING_RETRY_US,
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -30,6 +30,7 @@
 	uint64_t next; /* the offset to read on from */
 	bool read_before; /* a read was answered since the start */
 	bool caught_up; /* everything up to the head was applied */
+	bool tried; /* was caught up once, or a read has failed */
 	bool reading;
 	uint64_t backoff_us;
 	uint64_t asked_us; /* when the read that is out was sent */
@@ -316,7 +317,6 @@
 	struct rj_jobs jobs;
 	bool stopping;
 	uint64_t stopping_us; /* since when */
-	bool exited;
 	struct rj_timer drain;
 	struct rj_timer drain_watch;
 	uint64_t drain_limit_us;
@@ -576,7 +576,8 @@
 /* controllers/drain_controller.c */
 void rj_drain_init(struct rj_core_state *core);
 void rj_drain_stop(struct rj_core_state *core);
-bool rj_drain_takes_more(const struct rj_core_state *core);
+bool rj_drain_takes_more(const struct rj_core_state *core,
+			 const struct rj_job_class *class);
 void rj_drain_hand_over(struct rj_core_state *core);
 void rj_drain_check(struct rj_core_state *core);
 
--- a/src/radishjunctiond/main.c
+++ b/src/radishjunctiond/main.c
@@ -32,10 +32,11 @@
 };
 
 #define ARG_ERRORS_MAX 20
-/* An idle connection may just be about to be used; see linger. */
+/* An idle connection may just be about to be used, or an answer be on its
+ * way out; see linger. */
 #define LINGER_US (500 * RJ_US_PER_MS)
-/* The core answers what is open at the limit; this is for its last steps. */
-#define DRAIN_MARGIN_US (10 * RJ_US_PER_S)
+/* Peers and the log give a configuration and the first read well within it. */
+#define START_PATIENCE_US (1 * RJ_US_PER_S)
 /* Low bits of an incarnation that are left to chance. */
 #define INCARNATION_RANDOM_BITS 20
 
@@ -126,6 +127,7 @@
 		.connections_max = settings->connections_max,
 		.requests_max = settings->requests_max,
 		.idle_timeout_s = settings->idle_timeout_s,
+		.deferred = true,
 	};
 
 	return rj_http_callers_init(&daemon->callers, daemon->loop, &options,
@@ -155,7 +157,6 @@
 	shell->workers = &daemon->workers.base;
 	shell->peers = &daemon->peers.base;
 	shell->callers = &daemon->callers.base;
-	shell->entry = &daemon->callers;
 	shell->links = &daemon->peers;
 	shell_start(shell);
 	return 0;
@@ -242,35 +243,68 @@
 	assert(daemon->limit);
 }
 
+/* Whether nothing is open and the last answer was sent whole. */
+static bool is_drained(const struct daemon *daemon)
+{
+	return daemon->shell.exiting && !rj_http_callers_open(&daemon->callers);
+}
+
 /*
- * Wait a moment for connections that stand idle: a request that is on its
- * way on one of them gets its refusal instead of a connection that is reset.
+ * Take no more connections, and wait a moment for those that stand idle.
+ *
+ * Guards against a request that is on its way on an idle connection when the
+ * stop is complete: its caller would see a reset, or hear "not run" though a
+ * peer could serve it. Until the connection has ended, the core serves it or
+ * hands it on like any other request of the stop.
  */
 static void linger(struct daemon *daemon)
 {
+	rj_http_callers_stop_listening(&daemon->callers);
+	limit_time(daemon, LINGER_US);
+	while (!is_drained(daemon) ||
+	       (rj_http_callers_connections(&daemon->callers) &&
+		!daemon->timed_out))
+		tevent_loop_once(daemon->loop);
+}
+
+/* The limit of the stop has passed: answer what is open, and say so. */
+static void give_up(struct daemon *daemon)
+{
+	g_warning("the stop was not complete after %u s; raise "
+		  "drain_limit_s or see what its jobs wait for",
+		  daemon->settings->drain_limit_s);
+	rj_http_callers_close(&daemon->callers);
 	limit_time(daemon, LINGER_US);
-	while (rj_http_callers_connections(&daemon->callers) &&
-	       !daemon->timed_out)
+	while (rj_http_callers_open(&daemon->callers) && !daemon->timed_out)
 		tevent_loop_once(daemon->loop);
 }
 
+/* Let callers in when there is something to serve them with, or it is clear
+ * that this takes longer: then they are told so. */
+static void open_door(struct daemon *daemon)
+{
+	limit_time(daemon, START_PATIENCE_US);
+	while (!rj_core_ready(&daemon->shell.core) && !daemon->timed_out &&
+	       !daemon->stopping)
+		tevent_loop_once(daemon->loop);
+	rj_http_callers_serve(&daemon->callers);
+}
+
 /* Run until the stop is complete and the last answer is sent whole. */
 static enum exit_code run(struct daemon *daemon)
 {
+	open_door(daemon);
 	while (!daemon->stopping)
 		tevent_loop_once(daemon->loop);
 	limit_time(daemon, daemon->settings->drain_limit_s * RJ_US_PER_S);
-	while (!daemon->timed_out && (!daemon->shell.exiting ||
-				      rj_http_callers_open(&daemon->callers)))
+	while (!daemon->timed_out && !is_drained(daemon))
 		tevent_loop_once(daemon->loop);
-	if (!daemon->timed_out) {
-		linger(daemon);
-		return EXIT_STOPPED;
+	if (daemon->timed_out) {
+		give_up(daemon);
+		return EXIT_DRAIN;
 	}
-	g_warning("the stop was not complete after %u s; raise "
-		  "drain_limit_s or see what its jobs wait for",
-		  daemon->settings->drain_limit_s);
-	return EXIT_DRAIN;
+	linger(daemon);
+	return EXIT_STOPPED;
 }
 
 /* Read and check the settings; prints every error and returns NULL. */
--- a/src/radishjunctiond/shell.c
+++ b/src/radishjunctiond/shell.c
@@ -80,8 +80,6 @@
 		log_decision(&action->u.log);
 		break;
 	case RJ_ACTION_EXIT:
-		/* At once: a request of the same round may come next. */
-		rj_http_callers_close(shell->entry);
 		shell->exiting = true;
 		break;
 	case RJ_ACTION_KIND_COUNT:
@@ -146,6 +144,7 @@
 	struct shell_batch *batch = batch_get(shell);
 
 	event->now_us = rj_clock_now_us();
+	shell->exiting = false; /* the core says it again if it still holds */
 	rj_core_process(&shell->core, event, &batch->actions);
 	if (shell->last)
 		shell->last->next = batch;
@@ -258,12 +257,12 @@
 	struct rj_event timer = { .kind = RJ_EVENT_TIMER };
 
 	assert(shell->platform && shell->workers);
-	assert(shell->peers && shell->callers && shell->entry);
+	assert(shell->peers && shell->callers);
 	shell_deliver(&shell->sink, &timer);
 }
 
 /*
- * Ask for a graceful stop; `exiting` is set when it is complete.
+ * Ask for a graceful stop; `exiting` is set while nothing is open.
  */
 void shell_stop(struct shell *shell)
 {
--- a/src/radishjunctiond/shell.h
+++ b/src/radishjunctiond/shell.h
@@ -27,13 +27,12 @@
 	struct rj_workers *workers;
 	struct rj_peers *peers;
 	struct rj_callers *callers;
-	struct rj_http_callers *entry; /* the same as callers */
 	const struct rj_tcp_peers *links; /* for the metrics */
 	struct shell_batch *first; /* actions to carry out, in order */
 	struct shell_batch *last;
 	struct shell_batch *spare;
 	bool carrying_out;
-	bool exiting; /* the core has said that the stop is complete */
+	bool exiting; /* a stop was asked for, and nothing is open */
 	int timer_fd;
 	struct tevent_fd *timer_event;
 	uint64_t armed_us;
--- a/src/test_libradishjunction/test_http_callers.c
+++ b/src/test_libradishjunction/test_http_callers.c
@@ -85,8 +85,8 @@
 						      view_explain,
 						      view_metrics };
 
-static void server_init(struct server *server, uint32_t connections,
-			uint32_t requests)
+static void server_init_as(struct server *server, uint32_t connections,
+			   uint32_t requests, bool deferred)
 {
 	struct rj_http_callers_options options = {
 		.loop = loop,
@@ -97,6 +97,7 @@
 		.connections_max = connections,
 		.requests_max = requests,
 		.idle_timeout_s = 1,
+		.deferred = deferred,
 	};
 
 	memset(server, 0, sizeof(*server));
@@ -107,6 +108,12 @@
 		==, 0);
 }
 
+static void server_init(struct server *server, uint32_t connections,
+			uint32_t requests)
+{
+	server_init_as(server, connections, requests, false);
+}
+
 static void server_finish(struct server *server)
 {
 	server->callers.base.ops->finish(&server->callers.base);
@@ -495,6 +502,60 @@
 	server_finish(&server);
 }
 
+/*
+ * A tutor is told "not run" by an instance that has started a moment ago.
+ * The preview arrives before the instance has its configuration.
+ * Cause: callers were served before there was anything to serve them with.
+ */
+static void test_callers_wait_for_the_start(void)
+{
+	struct server server;
+	struct client early;
+
+	server_init_as(&server, 8, 8, true);
+	client_init(&early, &server, post("{\"class\":\"q\"}"));
+	RUN_UNTIL(loop, early.sent == early.length);
+	g_assert_cmpuint(server.asked_count, ==, 0);
+	server.answer.kind = RJ_ANSWER_DONE;
+	rj_http_callers_serve(&server.callers);
+	RUN_UNTIL(loop, early.closed);
+	g_assert_cmpuint(client_status(&early), ==, 200);
+	client_finish(&early);
+	server_finish(&server);
+}
+
+/*
+ * A preview is told "not run" by an instance whose stop is complete, though
+ * its peers could serve it.
+ * The request comes on a connection that was idle; another caller connects.
+ * Cause: the last connections were refused, not served, and new ones reset.
+ */
+static void test_last_connections_are_served(void)
+{
+	struct server server;
+	struct client idle;
+	struct client late;
+	const char *text = post("{\"class\":\"q\"}");
+
+	server_init(&server, 8, 8);
+	server.answer.kind = RJ_ANSWER_DONE;
+	client_init(&idle, &server, "");
+	RUN_UNTIL(loop, rj_http_callers_connections(&server.callers) == 1);
+	rj_http_callers_stop_listening(&server.callers);
+	client_init(&late, &server, text);
+	idle.text = text;
+	idle.length = strlen(text);
+	TEVENT_FD_WRITEABLE(idle.event);
+	RUN_UNTIL(loop, idle.closed);
+	g_assert_cmpuint(client_status(&idle), ==, 200);
+	RUN_UNTIL(loop, late.closed);
+	g_assert_cmpuint(client_status(&late), ==, 0);
+	g_assert_cmpuint(server.asked_count, ==, 1);
+	client_finish(&late);
+	client_finish(&idle);
+	server_finish(&server);
+}
+
 /* A result that is no JSON comes as text, one that is no text in base64. */
 static void test_results_of_any_bytes(void)
 {
@@ -528,6 +589,9 @@
 	g_test_add_func("/http_callers/statuses", test_statuses);
 	g_test_add_func("/http_callers/after_the_core",
 			test_answers_after_the_core);
+	g_test_add_func("/http_callers/start", test_callers_wait_for_the_start);
+	g_test_add_func("/http_callers/last_connections",
+			test_last_connections_are_served);
 	g_test_add_func("/http_callers/results", test_results_of_any_bytes);
 	status = g_test_run();
 	talloc_free(loop);
