test: the checker and the faults, one file for each job

Excluded: any change of a verdict, of a draw or of their order. Change: checker_answers, _tasks, _guarantee, _leaving and _config judge a group of promises each; fault_profiles, _strikes, _load and _result hold one part each of what faults.c did. Functions moved whole; those that are now called from another file got a prefix and a comment.

--- /dev/null
+++ b/src/test_libradishjunction/support/checker_answers.c
@@ -0,0 +1,194 @@
+#include "support/checker_private.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/*
+ * A request was put to an instance.
+ */
+void checker_request(struct checker *checker, uint64_t now_us,
+		     uint64_t request_id, uint32_t node, uint32_t intent,
+		     enum rj_request_op op)
+{
+	struct checker_intent *wanted = checker_intent_get(checker, intent);
+	struct checker_request *request = g_new0(struct checker_request, 1);
+	uint64_t *key = g_new(uint64_t, 1);
+
+	*key = request_id;
+	request->intent = intent;
+	request->node = node;
+	request->op = op;
+	g_hash_table_insert(checker->requests, key, request);
+	if (op == RJ_REQUEST_CANCEL)
+		wanted->cancelled = true;
+	if (op != RJ_REQUEST_SUBMIT)
+		return;
+	if (!wanted->requests++)
+		wanted->submitted_us = now_us;
+}
+
+/*
+ * The caller has stopped waiting, or its instance died.
+ */
+void checker_request_gone(struct checker *checker, uint64_t request_id)
+{
+	struct checker_request *request =
+		g_hash_table_lookup(checker->requests, &request_id);
+
+	if (request)
+		request->gone = true;
+}
+
+/*
+ * The request has reached its instance, which owes it an answer from now on.
+ */
+void checker_request_delivered(struct checker *checker, uint64_t request_id)
+{
+	struct checker_request *request =
+		g_hash_table_lookup(checker->requests, &request_id);
+
+	if (request)
+		request->delivered = true;
+}
+
+static void mark_gone(gpointer key, gpointer value, gpointer data)
+{
+	struct checker_request *request = value;
+	const uint32_t *node = data;
+
+	if (request->node == *node)
+		request->gone = true;
+}
+
+/*
+ * An instance has ended, and the connections of its callers with it.
+ */
+void checker_node_gone(struct checker *checker, uint32_t node)
+{
+	g_hash_table_foreach(checker->requests, mark_gone, &node);
+}
+
+/* Whether `result` is one or more whole results of the intent. */
+static bool result_is_whole(const struct checker_intent *intent,
+			    const struct rj_bytes *result)
+{
+	uint32_t length = (uint32_t)strlen(intent->result);
+
+	if (!result->length || result->length % length)
+		return false;
+	for (uint32_t at = 0; at < result->length; at += length)
+		if (memcmp(result->data + at, intent->result, length) != 0)
+			return false;
+	return true;
+}
+
+/* An answer that ends the matter: asking again would bring no other. */
+static bool is_final(const struct rj_answer *answer)
+{
+	if (answer->kind == RJ_ANSWER_ACCEPTED)
+		return false;
+	if (answer->kind != RJ_ANSWER_UNKNOWN)
+		return true;
+	return answer->reason == RJ_REASON_WORKER_LOST ||
+	       answer->reason == RJ_REASON_LEASE_LAPSED ||
+	       answer->reason == RJ_REASON_CANCELLED ||
+	       answer->reason == RJ_REASON_KEY_EXPIRED;
+}
+
+/* "Not run" must be true of all that has happened so far. */
+static void check_not_run(struct checker *checker, uint64_t now_us,
+			  const struct checker_request *request,
+			  struct checker_intent *intent,
+			  const struct rj_answer *answer)
+{
+	checker->checks[PROMISE_NOT_RUN]++;
+	if (intent->ran)
+		checker_violation(checker, now_us, PROMISE_NOT_RUN,
+				  "intent %u was told not_run (%s) and had run",
+				  request->intent,
+				  rj_reason_string[answer->reason]);
+	if (intent->accepted && answer->reason == RJ_REASON_NO_SUCH_JOB)
+		checker_violation(checker, now_us, PROMISE_ACCEPTED,
+				  "accepted intent %u is no longer known",
+				  request->intent);
+	if (request->op == RJ_REQUEST_SUBMIT)
+		intent->refused++;
+	else if (request->op == RJ_REQUEST_CANCEL && !intent->key)
+		intent->refused = intent->requests;
+}
+
+/*
+ * An instance answered a request.
+ */
+void checker_answer(struct checker *checker, uint64_t now_us, uint32_t node,
+		    uint64_t request_id, const struct rj_answer *answer)
+{
+	struct checker_request *request =
+		g_hash_table_lookup(checker->requests, &request_id);
+	struct checker_intent *intent;
+
+	checker->checks[PROMISE_ANSWER]++;
+	if (!request || request->node != node) {
+		checker_violation(checker, now_us, PROMISE_ANSWER,
+				  "node %u answered request %" PRIu64
+				  ", which it never got",
+				  node, request_id);
+		return;
+	}
+	intent = checker_intent_get(checker, request->intent);
+	if (request->answers++)
+		checker_violation(checker, now_us, PROMISE_ANSWER,
+				  "request %" PRIu64 " was answered twice",
+				  request_id);
+	if (answer->kind == RJ_ANSWER_DONE) {
+		if (!result_is_whole(intent, &answer->result))
+			checker_violation(
+				checker, now_us, PROMISE_ANSWER,
+				"intent %u: the result is not its own whole",
+				request->intent);
+		if (!intent->completed)
+			checker_violation(
+				checker, now_us, PROMISE_ANSWER,
+				"intent %u: done, but no run of it ended",
+				request->intent);
+	}
+	if (answer->kind == RJ_ANSWER_FAILED && !intent->ran)
+		checker_violation(checker, now_us, PROMISE_ANSWER,
+				  "intent %u: failed (%s), but it never ran",
+				  request->intent,
+				  rj_reason_string[answer->reason]);
+	if (answer->kind == RJ_ANSWER_NOT_RUN)
+		check_not_run(checker, now_us, request, intent, answer);
+	if (answer->kind == RJ_ANSWER_ACCEPTED)
+		intent->accepted = true;
+	if (!request->gone && is_final(answer) &&
+	    intent->answered_us == RJ_NEVER_US) {
+		intent->answered_us = now_us;
+		intent->answer = answer->kind;
+	}
+}
+
+static gboolean is_open_at(gpointer key, gpointer value, gpointer data)
+{
+	const struct checker_request *request = value;
+	const uint32_t *node = data;
+
+	return request->node == *node && request->delivered &&
+	       !request->answers && !request->gone;
+}
+
+/*
+ * An instance says that its stop is complete.
+ */
+void checker_exit(struct checker *checker, uint64_t now_us, uint32_t node)
+{
+	const struct checker_request *open =
+		g_hash_table_find(checker->requests, is_open_at, &node);
+
+	checker->checks[PROMISE_STOP]++;
+	if (open)
+		checker_violation(
+			checker, now_us, PROMISE_STOP,
+			"node %u exits with a request of intent %u open", node,
+			open->intent);
+}
--- /dev/null
+++ b/src/test_libradishjunction/support/checker_config.c
@@ -0,0 +1,104 @@
+#include "support/checker_private.h"
+
+#include <assert.h>
+#include <inttypes.h>
+#include <string.h>
+
+/*
+ * The log took a publication that by its order is the accepted one.
+ */
+void checker_config_accepted(struct checker *checker, uint64_t now_us,
+			     uint64_t revision, const char *id)
+{
+	assert(revision == checker->config_ids->len + 1);
+	g_ptr_array_add(checker->config_ids, g_strdup(id));
+	checker->revision = revision;
+	checker->revision_us = now_us;
+}
+
+/*
+ * An instance hands on what it takes for the accepted one of a revision.
+ */
+void checker_config_offered(struct checker *checker, uint64_t now_us,
+			    uint32_t node, uint64_t revision, const char *id)
+{
+	const char *accepted = NULL;
+
+	if (revision && revision <= checker->config_ids->len)
+		accepted = checker->config_ids->pdata[revision - 1];
+	checker->checks[PROMISE_CONFIG]++;
+	if (!accepted || strcmp(accepted, id) != 0)
+		checker_violation(
+			checker, now_us, PROMISE_CONFIG,
+			"node %u holds %s for revision %" PRIu64 ", not %s",
+			node, id, revision, accepted ? accepted : "none");
+}
+
+/*
+ * An instance says which revision is in force at it.
+ */
+void checker_config_seen(struct checker *checker, uint64_t now_us,
+			 uint32_t node, uint64_t incarnation, uint64_t revision)
+{
+	struct checker_node *seen = &checker->nodes[node];
+
+	checker->checks[PROMISE_CONFIG]++;
+	if (seen->incarnation != incarnation) {
+		seen->incarnation = incarnation;
+		seen->revision = 0;
+	}
+	if (revision > checker->revision)
+		checker_violation(checker, now_us, PROMISE_CONFIG,
+				  "node %u has revision %" PRIu64
+				  ", which was not accepted",
+				  node, revision);
+	if (revision < seen->revision)
+		checker_violation(checker, now_us, PROMISE_CONFIG,
+				  "node %u went back from revision %" PRIu64
+				  " to %" PRIu64,
+				  node, seen->revision, revision);
+	if (revision > seen->revision && revision == checker->revision) {
+		uint64_t took_us = now_us - checker->revision_us;
+
+		g_array_append_val(checker->settle_us, took_us);
+	}
+	seen->revision = revision;
+}
+
+/*
+ * An instance can, or cannot, reach the platform.
+ */
+void checker_node_reach(struct checker *checker, uint64_t now_us, uint32_t node,
+			bool reached)
+{
+	struct checker_node *seen = &checker->nodes[node];
+
+	if (!reached)
+		seen->reached_us = RJ_NEVER_US;
+	else if (seen->reached_us == RJ_NEVER_US)
+		seen->reached_us = now_us;
+}
+
+/*
+ * Time has passed: where should the newest configuration be in force by now?
+ */
+void checker_config_tick(struct checker *checker, uint64_t now_us)
+{
+	for (uint32_t i = 0; i < CHECKER_NODES_MAX; i++) {
+		struct checker_node *seen = &checker->nodes[i];
+		uint64_t since_us = checker->revision_us;
+
+		if (seen->reached_us == RJ_NEVER_US ||
+		    seen->revision >= checker->revision)
+			continue;
+		if (seen->reached_us > since_us)
+			since_us = seen->reached_us;
+		if (now_us <= since_us + CHECKER_CONFIG_US)
+			continue;
+		checker_violation(checker, now_us, PROMISE_CONFIG,
+				  "node %u has revision %" PRIu64
+				  ", not %" PRIu64,
+				  i, seen->revision, checker->revision);
+		seen->reached_us = now_us;
+	}
+}
--- /dev/null
+++ b/src/test_libradishjunction/support/checker_guarantee.c
@@ -0,0 +1,46 @@
+#include "support/checker_private.h"
+
+#include <inttypes.h>
+
+/*
+ * The account has what it asked for once all of the shape has progressed.
+ */
+void checker_guarantee_whole(struct checker *checker, uint64_t now_us,
+			     const struct checker_attempt *attempt)
+{
+	struct checker_intent *intent =
+		checker_intent_get(checker, attempt->intent);
+
+	if (intent->whole_us != RJ_NEVER_US)
+		return;
+	intent->whole_us = now_us;
+	checker->checks[PROMISE_GUARANTEE] += intent->guaranteed;
+}
+
+/*
+ * Time has passed: whose guaranteed shape should be running by now?
+ */
+void checker_guarantee_tick(struct checker *checker, uint64_t now_us)
+{
+	for (guint i = 0; i < checker->intents->len; i++) {
+		struct checker_intent *intent = checker_intent_get(checker, i);
+		uint64_t since_us = intent->submitted_us;
+
+		if (!intent->guaranteed || !intent->requests ||
+		    intent->whole_us != RJ_NEVER_US || intent->late_told ||
+		    intent->cancelled)
+			continue;
+		if (checker->calm_us == RJ_NEVER_US)
+			continue;
+		if (checker->calm_us > since_us)
+			since_us = checker->calm_us;
+		if (now_us <= since_us + checker->guarantee_limit_us)
+			continue;
+		intent->late_told = true;
+		checker_violation(
+			checker, now_us, PROMISE_GUARANTEE,
+			"intent %u waits for its guaranteed shape since "
+			"%" PRIu64,
+			i, since_us);
+	}
+}
--- /dev/null
+++ b/src/test_libradishjunction/support/checker_leaving.c
@@ -0,0 +1,66 @@
+#include "support/checker_private.h"
+
+#include <inttypes.h>
+
+/*
+ * An instance starts empty, or goes on after a pause: what it was told
+ * meanwhile it learns only now.
+ */
+void checker_node_wakes(struct checker *checker, uint64_t now_us, uint32_t node,
+			bool empty)
+{
+	struct checker_node *self = &checker->nodes[node];
+
+	for (uint32_t i = 0; i < CHECKER_WORKERS_MAX; i++) {
+		if (empty)
+			self->learnt[i] = 0;
+		if (self->learnt_us[i])
+			self->learnt_us[i] = now_us;
+	}
+}
+
+/*
+ * An instance was told that a worker leaves.
+ */
+void checker_leaving_learnt(struct checker *checker, uint64_t now_us,
+			    uint32_t node, uint32_t worker,
+			    uint64_t incarnation)
+{
+	struct checker_node *known = &checker->nodes[node];
+
+	if (known->learnt[worker] >= incarnation)
+		return;
+	known->learnt[worker] = incarnation;
+	known->learnt_us[worker] = now_us;
+}
+
+/*
+ * An instance sends new work to a worker that would take it.
+ * `heard_since_us` is since when it has heard all of its domain's instances
+ * without a break.
+ */
+void checker_new_work(struct checker *checker, uint64_t now_us, uint32_t node,
+		      uint32_t worker, uint64_t incarnation,
+		      uint64_t heard_since_us)
+{
+	struct checker_node *self = &checker->nodes[node];
+
+	checker->checks[PROMISE_LEAVING]++;
+	for (uint32_t i = 0; i < CHECKER_NODES_MAX; i++) {
+		struct checker_node *other = &checker->nodes[i];
+		uint64_t since_us = other->learnt_us[worker];
+
+		if (other->domain != self->domain ||
+		    other->learnt[worker] != incarnation)
+			continue;
+		if (i != node && heard_since_us > since_us)
+			since_us = heard_since_us;
+		if (now_us > since_us + CHECKER_LEAVING_US)
+			checker_violation(
+				checker, now_us, PROMISE_LEAVING,
+				"node %u sends work to worker %u, known to "
+				"leave for %" PRIu64 " us",
+				node, worker,
+				now_us - other->learnt_us[worker]);
+	}
+}
--- /dev/null
+++ b/src/test_libradishjunction/support/checker_tasks.c
@@ -0,0 +1,176 @@
+#include "support/checker_private.h"
+
+#include <assert.h>
+#include <inttypes.h>
+
+enum member_bit {
+	MEMBER_STARTED = 1,
+	MEMBER_RUNNING = 2,
+	MEMBER_RAN = 4,
+	MEMBER_ENDED = 8,
+};
+
+static struct checker_attempt *attempt_get(struct checker *checker,
+					   const struct rj_attempt *id)
+{
+	return g_hash_table_lookup(checker->attempts, id);
+}
+
+/*
+ * A worker was asked to start a task with a body that no caller had sent.
+ */
+void checker_foreign_body(struct checker *checker, uint64_t now_us,
+			  const struct rj_attempt *id)
+{
+	checker_violation(checker, now_us, PROMISE_ANSWER,
+			  "job %016" PRIx64
+			  " is started with a body that no caller sent",
+			  id->job_id);
+}
+
+/*
+ * A worker started a task; it makes no progress yet.
+ */
+void checker_task_started(struct checker *checker, uint64_t now_us,
+			  const struct rj_attempt *id, uint32_t intent,
+			  uint32_t member, uint32_t gang)
+{
+	struct checker_attempt *attempt = attempt_get(checker, id);
+
+	assert(member < RJ_GANG_MAX);
+	if (!attempt) {
+		attempt = g_new0(struct checker_attempt, 1);
+		attempt->id = *id;
+		attempt->intent = intent;
+		attempt->gang = gang;
+		attempt->broken_us = RJ_NEVER_US;
+		g_hash_table_insert(checker->attempts, &attempt->id, attempt);
+		if (gang > 1)
+			g_ptr_array_add(checker->gangs, attempt);
+	}
+	if (attempt->intent != intent)
+		checker_violation(checker, now_us, PROMISE_ANSWER,
+				  "an attempt of intent %u runs the body of %u",
+				  attempt->intent, intent);
+	if (!(attempt->member[member] & MEMBER_STARTED))
+		attempt->started++;
+	else if (!checker_intent_get(checker, intent)->idempotent)
+		checker_violation(checker, now_us, PROMISE_ONCE,
+				  "intent %u: member %u started twice", intent,
+				  member);
+	attempt->member[member] |= MEMBER_STARTED;
+}
+
+/* The first progress of an attempt is what counts as a run. */
+static void check_run(struct checker *checker, uint64_t now_us,
+		      struct checker_attempt *attempt)
+{
+	struct checker_intent *intent =
+		checker_intent_get(checker, attempt->intent);
+	uint32_t ran = 0;
+
+	attempt->ran = true;
+	intent->ran++;
+	checker->checks[PROMISE_NOT_RUN]++;
+	if (intent->refused >= intent->requests)
+		checker_violation(
+			checker, now_us, PROMISE_NOT_RUN,
+			"intent %u runs after every answer was not_run",
+			attempt->intent);
+	if (intent->idempotent)
+		return;
+	checker->checks[PROMISE_ONCE]++;
+	for (uint32_t i = 0; i < checker->intents->len; i++) {
+		struct checker_intent *other = checker_intent_get(checker, i);
+
+		if (i == attempt->intent ||
+		    (intent->key && other->key == intent->key))
+			ran += other->ran;
+	}
+	if (ran > 1)
+		checker_violation(checker, now_us, PROMISE_ONCE,
+				  "intent %u (key %u) runs for the %uth time",
+				  attempt->intent, intent->key, ran);
+}
+
+/*
+ * A started task begins or ceases to make progress.
+ */
+void checker_task_progress(struct checker *checker, uint64_t now_us,
+			   const struct rj_attempt *id, uint32_t member,
+			   bool progress)
+{
+	struct checker_attempt *attempt = attempt_get(checker, id);
+	bool was;
+
+	assert(attempt && (attempt->member[member] & MEMBER_STARTED));
+	was = attempt->member[member] & MEMBER_RUNNING;
+	if (was == progress)
+		return;
+	attempt->member[member] ^= MEMBER_RUNNING;
+	if (!progress) {
+		attempt->running--;
+		return;
+	}
+	attempt->running++;
+	if (!(attempt->member[member] & MEMBER_RAN))
+		attempt->progressed++;
+	attempt->member[member] |= MEMBER_RAN;
+	if (!attempt->ran)
+		check_run(checker, now_us, attempt);
+	if (attempt->progressed == attempt->gang)
+		checker_guarantee_whole(checker, now_us, attempt);
+	checker->checks[PROMISE_GANG] += attempt->gang > 1;
+	if (attempt->started < attempt->gang)
+		checker_violation(
+			checker, now_us, PROMISE_GANG,
+			"intent %u: member %u runs with %u of %u started",
+			attempt->intent, member, attempt->started,
+			attempt->gang);
+}
+
+/*
+ * A task ended: done, failed, stopped, or lost with its worker (NONE).
+ */
+void checker_task_ended(struct checker *checker, uint64_t now_us,
+			const struct rj_attempt *id, uint32_t member,
+			enum rj_task_state state)
+{
+	struct checker_attempt *attempt = attempt_get(checker, id);
+
+	if (!attempt || !(attempt->member[member] & MEMBER_STARTED) ||
+	    (attempt->member[member] & MEMBER_ENDED))
+		return;
+	checker_task_progress(checker, now_us, id, member, false);
+	attempt->member[member] |= MEMBER_ENDED;
+	if (state != RJ_TASK_DONE) {
+		if (attempt->broken_us == RJ_NEVER_US)
+			attempt->broken_us = now_us;
+		return;
+	}
+	if (++attempt->done == attempt->gang)
+		checker_intent_get(checker, attempt->intent)->completed++;
+}
+
+/*
+ * Time has passed: no member of a gang may run on for long after another
+ * member has ended.
+ */
+void checker_gang_tick(struct checker *checker, uint64_t now_us)
+{
+	uint64_t limit_us = checker->lease_life_us + CHECKER_GANG_MARGIN_US;
+
+	for (guint i = 0; i < checker->gangs->len; i++) {
+		struct checker_attempt *attempt =
+			g_ptr_array_index(checker->gangs, i);
+
+		if (attempt->broken_us == RJ_NEVER_US || !attempt->running ||
+		    attempt->told || now_us <= attempt->broken_us + limit_us)
+			continue;
+		attempt->told = true;
+		checker_violation(
+			checker, now_us, PROMISE_GANG,
+			"intent %u: %u members still run, one ended at %" PRIu64,
+			attempt->intent, attempt->running, attempt->broken_us);
+	}
+}
--- /dev/null
+++ b/src/test_libradishjunction/support/fault_load.c
@@ -0,0 +1,95 @@
+#include "support/fault_load.h"
+
+#include <string.h>
+
+static void plan_caller(struct world *world, enum load_kind kind,
+			struct caller_plan *plan, uint32_t *next_key)
+{
+	plan->account = WORLD_OTHER_ACCOUNT;
+	plan->domain = (uint32_t)world_random(world, world->options.domains);
+	plan->tasks = 1;
+	plan->accelerators = 1;
+	plan->waits = true;
+	plan->idempotent = true;
+	plan->run_us = 20 * RJ_US_PER_MS + world_random(world, RJ_US_PER_S);
+	switch (kind) {
+	case LOAD_PREVIEW:
+		plan->class_name = "preview";
+		plan->fails = world_random(world, 10) == 0;
+		break;
+	case LOAD_QUOTE:
+	case LOAD_QUOTE_DOUBLED:
+		plan->class_name = "quote";
+		plan->key = (*next_key)++;
+		plan->idempotent = false;
+		plan->doubled = kind == LOAD_QUOTE_DOUBLED;
+		break;
+	case LOAD_GANG:
+		plan->class_name = "pack";
+		plan->tasks = 2 + (uint32_t)world_random(world, 3);
+		plan->accelerators = 4 + 4 * (uint32_t)world_random(world, 2);
+		plan->adjacent = world_random(world, 2) == 0;
+		plan->run_us *= 3;
+		break;
+	case LOAD_RENDER:
+		plan->class_name = "render";
+		plan->key = (*next_key)++;
+		plan->accelerators = 2 + 2 * (uint32_t)world_random(world, 3);
+		plan->run_us *= 8;
+		plan->waits = false;
+		plan->cancels = world_random(world, 5) == 0;
+		break;
+	case LOAD_OCCUPY:
+		plan->class_name = "render";
+		plan->key = (*next_key)++;
+		plan->accelerators = 8;
+		plan->run_us = 10 * RJ_US_PER_S +
+			       world_random(world, 15 * RJ_US_PER_S);
+		plan->waits = false;
+		break;
+	default:
+		plan->class_name = "pack";
+		plan->account = WORLD_GUARANTEED_ACCOUNT;
+		plan->guaranteed = true;
+		plan->tasks = WORLD_GUARANTEED_TASKS;
+		plan->accelerators = 4;
+		plan->adjacent = true;
+		plan->run_us = 2 * RJ_US_PER_S;
+		plan->key = (*next_key)++;
+		break;
+	}
+}
+
+/*
+ * Add `callers` callers, whose kinds are drawn by these weights.
+ */
+void load_add(struct world *world, const uint8_t *weights, uint32_t callers)
+{
+	uint32_t next_key = 1;
+	bool guaranteed[WORLD_DOMAINS_MAX] = { false };
+
+	for (uint32_t i = 0; i < callers; i++) {
+		enum load_kind kind =
+			profile_pick(world, weights, LOAD_KIND_COUNT);
+		uint64_t from_us = FAULTS_LOAD_FROM_US;
+		uint64_t until_us = FAULTS_LOAD_UNTIL_US;
+		struct caller_plan plan;
+
+		memset(&plan, 0, sizeof(plan));
+		plan_caller(world, kind, &plan, &next_key);
+		/* One shape is guaranteed in each failure domain: its account
+		   asks for no more, since more has no guarantee. */
+		if (plan.guaranteed && guaranteed[plan.domain])
+			plan.account = WORLD_OTHER_ACCOUNT;
+		plan.guaranteed &= !guaranteed[plan.domain];
+		if (plan.guaranteed) {
+			guaranteed[plan.domain] = true;
+			from_us = FAULTS_LOAD_UNTIL_US;
+			until_us = FAULTS_CALM_US + 2 * RJ_US_PER_S;
+		}
+		(void)fake_caller_add(
+			world,
+			from_us + world_random(world, until_us - from_us),
+			&plan);
+	}
+}
--- /dev/null
+++ b/src/test_libradishjunction/support/fault_profiles.c
@@ -0,0 +1,118 @@
+#include "support/fault_profiles.h"
+
+#define RATES_OF_LOG                                                         \
+	.append_refused = 30, .append_answer_lost = 150, .append_late = 100, \
+	.read_failed = 50
+#define RATES_OF_WORKERS                                                     \
+	.call_lost = 30, .call_late = 30, .reply_lost = 50, .reply_cut = 30, \
+	.reply_late = 30, .reply_doubled = 50, .reply_crossed = 30
+
+const struct fault_profile fault_profiles[PROMISE_COUNT] = {
+	[PROMISE_GUARANTEE] = {
+		.faults = { [FAULT_KILL] = 3, [FAULT_WORKER_PAUSE] = 3,
+			    [FAULT_WORKER_SLOW] = 3, [FAULT_CUT_PLATFORM] = 2,
+			    [FAULT_CUT_DOMAIN] = 2, [FAULT_PUBLISH] = 2,
+			    [FAULT_WORKER_SILENT] = 1 },
+		.callers = 40,
+		.end_us = 2 * FAULTS_END_US,
+		.load = { [LOAD_OCCUPY] = 8, [LOAD_RENDER] = 2, [LOAD_GANG] = 1, [LOAD_GUARANTEED] = 2, [LOAD_QUOTE] = 1 },
+		.rates = { RATES_OF_WORKERS },
+	},
+	[PROMISE_GANG] = {
+		.faults = { [FAULT_KILL] = 4, [FAULT_PAUSE] = 4,
+			    [FAULT_WORKER_KILL] = 3, [FAULT_WORKER_PAUSE] = 2,
+			    [FAULT_WORKER_SILENT] = 2,
+			    [FAULT_WORKER_FAILS] = 1,
+			    [FAULT_WORKER_REFUSES] = 2, [FAULT_CUT_LINK] = 2,
+			    [FAULT_STOP] = 1 },
+		.load = { [LOAD_GANG] = 8, [LOAD_PREVIEW] = 3,
+			  [LOAD_RENDER] = 1 },
+		.rates = { RATES_OF_WORKERS, RATES_OF_LOG },
+	},
+	[PROMISE_ANSWER] = {
+		.faults = { [FAULT_KILL] = 2, [FAULT_PAUSE] = 3,
+			    [FAULT_WORKER_KILL] = 2, [FAULT_CUT_LINK] = 2,
+			    [FAULT_WORKER_SLOW] = 2, [FAULT_CUT_DOMAIN] = 1 },
+		.load = { [LOAD_PREVIEW] = 6, [LOAD_QUOTE] = 3,
+			  [LOAD_QUOTE_DOUBLED] = 2, [LOAD_GANG] = 1,
+			  [LOAD_RENDER] = 2 },
+		.rates = { RATES_OF_WORKERS, .peer_late = 100,
+			   .peer_lost = 50 },
+	},
+	[PROMISE_NOT_RUN] = {
+		.faults = { [FAULT_PAUSE] = 4, [FAULT_KILL] = 3,
+			    [FAULT_OUTAGE] = 2, [FAULT_WORKER_REFUSES] = 2,
+			    [FAULT_WORKER_PAUSE] = 2, [FAULT_CUT_PLATFORM] = 1,
+			    [FAULT_STOP] = 1 },
+		.load = { [LOAD_QUOTE] = 5, [LOAD_QUOTE_DOUBLED] = 3,
+			  [LOAD_RENDER] = 3, [LOAD_PREVIEW] = 2 },
+		.rates = { RATES_OF_WORKERS, RATES_OF_LOG },
+	},
+	[PROMISE_ONCE] = {
+		.faults = { [FAULT_PAUSE] = 4, [FAULT_KILL] = 4,
+			    [FAULT_OUTAGE] = 2, [FAULT_SLOW_LOG] = 2,
+			    [FAULT_CUT_PLATFORM] = 2, [FAULT_CUT_DOMAIN] = 2,
+			    [FAULT_WORKER_KILL] = 2, [FAULT_WORKER_PAUSE] = 2,
+			    [FAULT_KILL_DOMAIN] = 1, [FAULT_STOP] = 1 },
+		.load = { [LOAD_QUOTE] = 5, [LOAD_QUOTE_DOUBLED] = 5,
+			  [LOAD_PREVIEW] = 1 },
+		.rates = { RATES_OF_LOG, RATES_OF_WORKERS },
+	},
+	[PROMISE_LEAVING] = {
+		.faults = { [FAULT_LEAVING] = 8, [FAULT_LIST_LAG] = 5,
+			    [FAULT_OUTAGE] = 2, [FAULT_CUT_PLATFORM] = 2,
+			    [FAULT_PAUSE] = 1, [FAULT_CUT_LINK] = 2,
+			    [FAULT_WORKER_KILL] = 1 },
+		.callers = 80,
+		.load = { [LOAD_PREVIEW] = 8, [LOAD_QUOTE] = 2,
+			  [LOAD_GANG] = 2 },
+		.rates = { .reply_late = 50, .peer_late = 50 },
+	},
+	[PROMISE_STOP] = {
+		.faults = { [FAULT_STOP] = 8, [FAULT_KILL] = 1,
+			    [FAULT_OUTAGE] = 1, [FAULT_SLOW_LOG] = 1,
+			    [FAULT_CUT_LINK] = 2, [FAULT_CUT_DOMAIN] = 1,
+			    [FAULT_WORKER_PAUSE] = 1 },
+		.load = { [LOAD_PREVIEW] = 5, [LOAD_QUOTE] = 4,
+			  [LOAD_GANG] = 2, [LOAD_RENDER] = 2,
+			  [LOAD_GUARANTEED] = 1 },
+		.rates = { RATES_OF_LOG, .reply_lost = 20 },
+	},
+	[PROMISE_CONFIG] = {
+		.faults = { [FAULT_PUBLISH] = 8, [FAULT_OUTAGE] = 3,
+			    [FAULT_KILL] = 3, [FAULT_KILL_DOMAIN] = 2,
+			    [FAULT_CUT_PLATFORM] = 3, [FAULT_PAUSE] = 2,
+			    [FAULT_CUT_DOMAIN] = 1 },
+		.load = { [LOAD_PREVIEW] = 1 },
+		.rates = { .read_failed = 100, .peer_late = 100,
+			   .peer_lost = 50 },
+	},
+	[PROMISE_ACCEPTED] = {
+		.faults = { [FAULT_KILL] = 5, [FAULT_KILL_DOMAIN] = 3,
+			    [FAULT_STOP] = 3, [FAULT_OUTAGE] = 3,
+			    [FAULT_CUT_PLATFORM] = 2, [FAULT_WORKER_KILL] = 2,
+			    [FAULT_PAUSE] = 2 },
+		.load = { [LOAD_RENDER] = 8, [LOAD_GANG] = 3,
+			  [LOAD_PREVIEW] = 1 },
+		.rates = { RATES_OF_LOG, .reply_lost = 30 },
+	},
+};
+
+/*
+ * A number below `count`, drawn by these weights.
+ */
+uint32_t profile_pick(struct world *world, const uint8_t *weights,
+		      uint32_t count)
+{
+	uint32_t sum = 0;
+	uint32_t at;
+
+	for (uint32_t i = 0; i < count; i++)
+		sum += weights[i];
+	at = (uint32_t)world_random(world, sum);
+	for (uint32_t i = 0;; i++) {
+		if (at < weights[i])
+			return i;
+		at -= weights[i];
+	}
+}
--- /dev/null
+++ b/src/test_libradishjunction/support/fault_result.c
@@ -0,0 +1,109 @@
+#include "support/faults.h"
+
+#include <string.h>
+
+/*
+ * Start an empty result, to which runs are added.
+ */
+void faults_result_init(struct faults_result *result)
+{
+	memset(result, 0, sizeof(*result));
+	result->claim_settle_us = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+	result->reclaim_us = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+	result->config_us = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+}
+
+/*
+ * Free a result.
+ */
+void faults_result_finish(struct faults_result *result)
+{
+	g_array_unref(result->claim_settle_us);
+	g_array_unref(result->reclaim_us);
+	g_array_unref(result->config_us);
+}
+
+static void add_times(GArray *to, const GArray *from)
+{
+	if (from->len)
+		g_array_append_vals(to, from->data, from->len);
+}
+
+/*
+ * Add one result to a sum; the sum keeps its own first violations.
+ */
+void faults_result_add(struct faults_result *sum,
+		       const struct faults_result *one)
+{
+	for (uint32_t i = 0; i < PROMISE_COUNT; i++) {
+		if (!sum->violations[i])
+			memcpy(sum->first[i], one->first[i],
+			       sizeof(sum->first[i]));
+		sum->violations[i] += one->violations[i];
+		sum->checks[i] += one->checks[i];
+	}
+	for (uint32_t i = 0; i < RJ_ANSWER_KIND_COUNT; i++)
+		sum->counts[i] += one->counts[i];
+	sum->faults += one->faults;
+	sum->asked += one->asked;
+	sum->served += one->served;
+	sum->prompt += one->prompt;
+	sum->unanswered += one->unanswered;
+	add_times(sum->claim_settle_us, one->claim_settle_us);
+	add_times(sum->reclaim_us, one->reclaim_us);
+	add_times(sum->config_us, one->config_us);
+}
+
+static void add_callers(struct world *world, struct faults_result *result)
+{
+	for (guint i = 0; i < world->callers->len; i++) {
+		const struct fake_caller *caller = world->callers->pdata[i];
+		const struct checker_intent *intent =
+			checker_intent_get(&world->checker, caller->intent);
+
+		result->asked++;
+		if (caller->served_us != RJ_NEVER_US &&
+		    caller->served_us - caller->first_us <= caller->patience_us)
+			result->served++;
+		if (caller->served_us != RJ_NEVER_US &&
+		    caller->served_us - caller->first_us <= FAULTS_PROMPT_US)
+			result->prompt++;
+		if (intent->answered_us == RJ_NEVER_US)
+			result->unanswered++;
+		else
+			result->counts[intent->answer]++;
+		if (!intent->idempotent && caller->orphaned_us &&
+		    intent->answered_us != RJ_NEVER_US &&
+		    intent->answered_us > caller->orphaned_us) {
+			uint64_t took_us =
+				intent->answered_us - caller->orphaned_us;
+
+			g_array_append_val(result->claim_settle_us, took_us);
+		}
+		if (intent->guaranteed && intent->whole_us != RJ_NEVER_US) {
+			uint64_t took_us =
+				intent->whole_us - intent->submitted_us;
+
+			g_array_append_val(result->reclaim_us, took_us);
+		}
+	}
+}
+
+/*
+ * Add what came of a world that has run.
+ */
+void faults_result_add_world(struct world *world, struct faults_result *result)
+{
+	const struct checker *checker = &world->checker;
+
+	for (uint32_t i = 0; i < PROMISE_COUNT; i++) {
+		if (!result->violations[i])
+			memcpy(result->first[i], checker->first[i],
+			       sizeof(result->first[i]));
+		result->violations[i] += checker->violations[i];
+		result->checks[i] += checker->checks[i];
+	}
+	result->faults += world->faults;
+	add_times(result->config_us, checker->settle_us);
+	add_callers(world, result);
+}
--- a/src/test_libradishjunction/support/faults.h
+++ b/src/test_libradishjunction/support/faults.h
@@ -44,6 +44,7 @@
 void faults_result_init(struct faults_result *result);
 void faults_result_add(struct faults_result *sum,
 		       const struct faults_result *one);
+void faults_result_add_world(struct world *world, struct faults_result *result);
 void faults_result_finish(struct faults_result *result);
 void faults_run(const struct engine_ops *engine, enum promise promise,
 		uint64_t seed, FILE *transcript, struct faults_result *result);
