core: a keyed job that is not accepted is never said not to have run

The logs of the instances show it: entry-2 was paused with its claim in flight, a peer voided the claim and served the charge; entry-2 woke, heard that its caller had gone (the job was cancelled) and that another caller asks with the key, read its claim back, voided it, and told that caller that the charge did not run. Excluded: a start that was not fenced (the worker ran the charge once). Change: giving up a keyed job that is not accepted answers `unknown`, in every way of giving up; it was so already for what had never been claimed. Before: test_paused_claim fails with "intent 0 was told not_run (cancelled) and had run".

--- a/src/libradishjunction/core/controllers/jobs_controller.c
+++ b/src/libradishjunction/core/controllers/jobs_controller.c
@@ -356,10 +356,25 @@
 	       entry->first_owner != job->core->incarnation;
 }
 
+/*
+ * Whether another request with the job's key may be served elsewhere by now,
+ * whatever became of this one. What an accepted job came to is told only
+ * when it was read back from the log; what was read of any other is older
+ * than this moment.
+ *
+ * Guards against an instance that reads its own claim back after a pause: a
+ * peer may have voided it since and served the key. It shows as a charge
+ * that is done and "not run".
+ */
+static bool key_may_run(const struct rj_job *job)
+{
+	return job->spec.key[0] && !job->accepted;
+}
+
 /*
  * End a job whose present attempt has stopped, or never started: `failed`
  * only if a worker said that it ran, and `not_run` only if no attempt was
- * started, here or at a peer that was lost.
+ * started, here, at a peer that was lost or under the same key.
  */
 void rj_job_give_up(struct rj_job *job, enum rj_reason reason,
 		    uint64_t retry_after_us)
@@ -369,7 +384,7 @@
 	if (job->ran)
 		kind = RJ_ANSWER_FAILED;
 	else if (job->started || job->ran_before || job->ran_elsewhere ||
-		 claimed_elsewhere(job))
+		 key_may_run(job) || claimed_elsewhere(job))
 		kind = RJ_ANSWER_UNKNOWN;
 	rj_job_end_plain(job, kind, reason, retry_after_us);
 }
--- /dev/null
+++ b/src/test_libradishjunction/test_paused_claim.c
@@ -0,0 +1,92 @@
+#include <glib.h>
+#include <talloc.h>
+
+#include "support/world.h"
+
+#define SETTLED_US (5 * RJ_US_PER_S)
+#define REPEAT_ID 901
+#define RUN_US (200 * RJ_US_PER_MS)
+
+/* An event that a paused instance hears before all that it was told. */
+static void hold_first(struct world *world, struct node *node,
+		       struct rj_event *event)
+{
+	g_queue_push_head(&node->held, talloc_steal(world, event));
+}
+
+static struct rj_event *caller_gone(struct world *world, uint64_t request_id)
+{
+	struct rj_event *event = node_event(world, RJ_EVENT_CALLER_GONE);
+
+	event->u.request_id = request_id;
+	return event;
+}
+
+/* Let the world go on until an instance has a claim of `key` in flight. */
+static struct node *claiming_node(struct world *world,
+				  const struct fake_caller *caller)
+{
+	guint claims = world->log.streams[RJ_STREAM_JOBS]->len;
+
+	while (world->log.streams[RJ_STREAM_JOBS]->len == claims)
+		world_run_until(world, world->now_us + 100);
+	return &world->nodes[caller->node];
+}
+
+/*
+ * A student hears "done" of a charge, and then "not run" of the same.
+ * The instance that claimed the charge is paused before it reads its claim
+ * back; its caller gives up, and a peer voids the claim and serves the
+ * charge. A repeat reaches the paused instance, which wakes, finds its claim
+ * in the log, cancelled, and answers the repeat.
+ * Cause: a claim read back was taken for the present, though the log had
+ * more to say.
+ */
+static void test_cancelled_claim_of_a_sleeper(void)
+{
+	struct world_options options = { .engine = &engine_core,
+					 .seed = 5,
+					 .domains = 1,
+					 .nodes_per_domain = 2,
+					 .racks_per_domain = 2,
+					 .workers_per_rack = 4 };
+	struct world *world = world_create(NULL, &options);
+	struct caller_plan plan = { .class_name = "quote",
+				    .account = WORLD_OTHER_ACCOUNT,
+				    .key = 7,
+				    .tasks = 1,
+				    .accelerators = 1,
+				    .run_us = RUN_US,
+				    .waits = true };
+	struct fake_caller *charge;
+	struct node *sleeper;
+	uint64_t request_id;
+
+	world_run_until(world, SETTLED_US);
+	charge = fake_caller_add(world, 0, &plan);
+	charge->patience_us = RJ_US_PER_S;
+	sleeper = claiming_node(world, charge);
+	request_id = charge->request_id;
+	node_pause(world, sleeper->index, true);
+	world_run_until(world, SETTLED_US + 20 * RJ_US_PER_S);
+	g_assert_cmpuint(
+		checker_intent_get(&world->checker, charge->intent)->answer, ==,
+		RJ_ANSWER_DONE);
+	hold_first(world, sleeper,
+		   fake_caller_event(world, charge, sleeper, RJ_REQUEST_SUBMIT,
+				     REPEAT_ID));
+	hold_first(world, sleeper, caller_gone(world, request_id));
+	node_pause(world, sleeper->index, false);
+	world_run_until(world, SETTLED_US + 40 * RJ_US_PER_S);
+	g_assert_cmpstr(world->checker.first[PROMISE_NOT_RUN], ==, "");
+	g_assert_cmpuint(checker_violations(&world->checker), ==, 0);
+	talloc_free(world);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/paused_claim/cancelled",
+			test_cancelled_claim_of_a_sleeper);
+	return g_test_run();
+}
