bench: what one read of the log costs, and a catch-up

Cause: `bench cost` measured every decision but the taking in of records, and nobody had measured what an empty instance spends on a whole retention. Before: not measured.

--- a/src/bench/cost.c
+++ b/src/bench/cost.c
@@ -7,6 +7,7 @@
 #include <time.h>
 
 #include "bench.h"
+#include "cost.h"
 #include "radishjunction/planner_topology.h"
 #include "support/quantile.h"
 
@@ -21,11 +22,9 @@
 #define REPEATS_MAX 1000
 
 /* The sizes asked for, and an owner's share of the largest. */
-static const uint32_t worker_counts[] = { 50, 120, 500, 1000, 7500 };
+const uint32_t cost_worker_counts[COST_SIZES] = { 50, 120, 500, 1000, 7500 };
 static const uint32_t account_counts[] = { 4, 290 };
 
-#define SIZES (sizeof(worker_counts) / sizeof(worker_counts[0]))
-
 struct site {
 	struct rj_planner_topology topology;
 	struct rj_planner *planner;
@@ -51,7 +50,7 @@
 /*
  * The time of a clock that is never set, in nanoseconds.
  */
-static double now_ns(void)
+double cost_now_ns(void)
 {
 	struct timespec time;
 
@@ -175,11 +174,11 @@
 	double took_ns;
 
 	rj_decisions_clear(&site->decisions);
-	from_ns = now_ns();
+	from_ns = cost_now_ns();
 	site->planner->ops->submit(site->planner, &job, site->now_us, &reason,
 				   &retry_after_us);
 	site->planner->ops->pass(site->planner, site->now_us, &site->decisions);
-	took_ns = now_ns() - from_ns;
+	took_ns = cost_now_ns() - from_ns;
 	if (!site->decisions.count ||
 	    (site->decisions.list[0].kind == RJ_DECISION_RECLAIM) != reclaims) {
 		(void)fprintf(stderr, "cost: the job was not decided on\n");
@@ -245,13 +244,13 @@
 			site->planner->ops->pass(site->planner, site->now_us,
 						 &site->decisions);
 	}
-	from_ns = now_ns();
+	from_ns = cost_now_ns();
 	for (uint64_t id = first; id < first + WAVE_JOBS; id++)
 		site->planner->ops->ended(site->planner, id, false, 0,
 					  site->now_us);
 	rj_decisions_clear(&site->decisions);
 	site->planner->ops->pass(site->planner, site->now_us, &site->decisions);
-	return (now_ns() - from_ns) / WAVE_JOBS;
+	return (cost_now_ns() - from_ns) / WAVE_JOBS;
 }
 
 /*
@@ -265,11 +264,11 @@
 		.owned = true,
 		.foreign = { .cores = (uint32_t)(++site->next_id % 2) },
 	};
-	double from_ns = now_ns();
+	double from_ns = cost_now_ns();
 
 	site->planner->ops->worker(site->planner, &worker, site->now_us);
 	site->planner->ops->pass(site->planner, site->now_us, &site->decisions);
-	return now_ns() - from_ns;
+	return cost_now_ns() - from_ns;
 }
 
 /*
@@ -277,12 +276,12 @@
  */
 static double cost_configure(struct site *site)
 {
-	double from_ns = now_ns();
+	double from_ns = cost_now_ns();
 
 	site->planner->ops->configure(site->planner, &site->config, "domain",
 				      site->now_us);
 	site->planner->ops->pass(site->planner, site->now_us, &site->decisions);
-	return now_ns() - from_ns;
+	return cost_now_ns() - from_ns;
 }
 
 static const struct cost costs[] = {
@@ -344,8 +343,8 @@
  * Print the line by least squares through what was measured at each size:
  * so many of `unit`, and so many for each worker more.
  */
-static void print_slope(const char *name, const char *unit, uint32_t accounts,
-			const double *took, uint32_t from)
+void cost_print_slope(const char *name, const char *unit, uint32_t accounts,
+		      const double *took, uint32_t from)
 {
 	double n = 0;
 	double x = 0;
@@ -354,8 +353,8 @@
 	double xy = 0;
 	double slope;
 
-	for (uint32_t i = from; i < SIZES; i++) {
-		double workers = worker_counts[i];
+	for (uint32_t i = from; i < COST_SIZES; i++) {
+		double workers = cost_worker_counts[i];
 
 		n++;
 		x += workers;
@@ -374,21 +373,21 @@
  */
 static void run_cost(const struct cost *cost, uint32_t accounts, uint32_t sites)
 {
-	double took[SIZES] = { 0 };
+	double took[COST_SIZES] = { 0 };
 	uint32_t from = 0;
 
-	for (uint32_t i = 0; i < SIZES; i++) {
-		if (worker_counts[i] < cost->workers_min) {
+	for (uint32_t i = 0; i < COST_SIZES; i++) {
+		if (cost_worker_counts[i] < cost->workers_min) {
 			from = i + 1;
 			continue;
 		}
-		took[i] = measure(cost, worker_counts[i], accounts, sites);
+		took[i] = measure(cost, cost_worker_counts[i], accounts, sites);
 		printf("{\"bench\":\"cost\",\"measure\":\"%s\",\"workers\":%u,"
 		       "\"accounts\":%u,\"us\":%.2f}\n",
-		       cost->name, worker_counts[i], accounts, took[i]);
+		       cost->name, cost_worker_counts[i], accounts, took[i]);
 		(void)fflush(stdout);
 	}
-	print_slope(cost->name, "us", accounts, took, from);
+	cost_print_slope(cost->name, "us", accounts, took, from);
 }
 
 /*
@@ -403,7 +402,7 @@
 	void *table[] = { sites, help, end };
 	int errors = arg_parse(argc, argv, table);
 	uint32_t count = sites->count ? (uint32_t)sites->ival[0] : 5;
-	double idle[SIZES];
+	double idle[COST_SIZES];
 	int status = 0;
 
 	if (help->count || errors || !count) {
@@ -418,10 +417,12 @@
 	for (size_t i = 0; i < 2; i++) {
 		for (size_t j = 0; j < sizeof(costs) / sizeof(costs[0]); j++)
 			run_cost(&costs[j], account_counts[i], count);
-		for (size_t j = 0; j < SIZES; j++)
-			print_state(worker_counts[j], account_counts[i],
+		for (size_t j = 0; j < COST_SIZES; j++)
+			print_state(cost_worker_counts[j], account_counts[i],
 				    &idle[j]);
-		print_slope("state", "bytes", account_counts[i], idle, 0);
+		cost_print_slope("state", "bytes", account_counts[i], idle, 0);
+		cost_read(account_counts[i], count);
+		cost_catch_up(account_counts[i]);
 	}
 out:
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
