peers: old and new builds side by side, tried with two builds and pinned by frames

Cause: that old and new instances work side by side was tested in the codec alone, with a frame that this build wrote itself. The rule for new fields stands at RJ_PEER_VERSION. After: trials with that change made again, and with a field that is demanded at the end: test_peer_codec and test_tcp_peers fail on both. Conclusion: kept.

--- a/include/radishjunction/peer_message.h
+++ b/include/radishjunction/peer_message.h
@@ -9,7 +9,13 @@
 
 #include "radishjunction/types.h"
 
-/* The version of the frames; each side speaks the lower of the two. */
+/*
+ * The version of the frames; each side speaks the lower of the two. A field
+ * that is added goes behind all others of its message, and a reader does
+ * without it: an instance that is replaced last sends none. Whatever changes
+ * the order or the meaning of fields takes a new version, and the older one
+ * is written and read until no instance speaks it.
+ */
 #define RJ_PEER_VERSION 1
 /* A rack's workers fit one summary. */
 #define RJ_RACK_WORKERS_MAX 32
--- a/scripts/processes.bash
+++ b/scripts/processes.bash
@@ -130,6 +130,26 @@
 	done
 }
 
+# replace TEAM INSTANCE PROGRAM: list it as leaving, stop it gracefully, and
+# start PROGRAM with the same settings at its addresses.
+replace() {
+	local name=$1-$2 settings=$work/$1/$2.json kind address
+	register "$name" "$2" leaving
+	stop "$name" TERM
+	end_of "$name"
+	[ "$status" -eq 0 ] || die "$2 ended with status $status"
+	for kind in caller peer; do
+		address=${callers_of[$name]}
+		[ "$kind" = caller ] || address=${peers_of[$name]}
+		sed -i "s/\"${kind}_address\": \"[^\"]*\"/\"${kind}_address\": \"$address\"/" \
+			"$settings"
+	done
+	start "$name" "$3" --settings "$settings"
+	wait_for "$2" is_listening "$name"
+	register "$name" "$2" live
+	wait_for "$2 again" is_ready "$name"
+}
+
 # publish TEAM: wait until it is in force at every instance.
 publish() {
 	"$bin/radishjunction" publish "$work/$1/config.json" \
--- a/src/test_libradishjunction/test_peer_codec.c
+++ b/src/test_libradishjunction/test_peer_codec.c
@@ -4,75 +4,12 @@
 #include <talloc.h>
 
 #include "private/peer_codec.h"
+#include "support/peer_frames.h"
 
 #define FUZZ_ROUNDS 20000
 /* Far more than a frame needs, far less than what the array announces. */
 #define GROWTH_MAX_KB (64 * 1024)
 
-static const uint8_t body[] = { 0x00, 0xff, 'x', 0x93 };
-
-/* A message of each kind with no field left at zero. */
-static void fill(struct rj_peer_message *message,
-		 enum rj_peer_message_kind kind)
-{
-	memset(message, 0, sizeof(*message));
-	message->kind = kind;
-	switch (kind) {
-	case RJ_PEER_HEARTBEAT:
-		message->u.heartbeat =
-			(struct rj_peer_heartbeat){ "lhr-dha", UINT64_MAX, true,
-						    true,      true,	   7,
-						    9,	       1ULL << 40 };
-		break;
-	case RJ_PEER_SUMMARY:
-		message->u.summary = (struct rj_peer_summary){
-			"caxias", 3, 5,
-			11,	  2, { { 8, 8, 64, 131072 }, { 1, 2, 3, 4 } }
-		};
-		break;
-	case RJ_PEER_CONFIG:
-		message->u.config =
-			(struct rj_peer_config){ 4, 17, "id-1", "{}" };
-		break;
-	case RJ_PEER_LEAVING:
-		message->u.leaving = (struct rj_peer_leaving){ "w-1", 99 };
-		break;
-	case RJ_PEER_FORWARD:
-		message->u.forward.forward_id = 12;
-		message->u.forward.hops = 1;
-		message->u.forward.other_domain = true;
-		message->u.forward.spec = (struct rj_job_spec){
-			.job_id = 77,
-			.account = "studio",
-			.class_name = "quote",
-			.key = "k-1",
-			.digest = { 1, 2, 3 },
-			.shape = { 2, { 1, 4, 8, 1024 }, true },
-			.declared_us = 5,
-			.deadline_in_us = 6,
-			.wait = true,
-			.body = { body, sizeof(body) },
-		};
-		break;
-	case RJ_PEER_FORWARD_ANSWER:
-		message->u.forward_answer.forward_id = 12;
-		message->u.forward_answer.answer = (struct rj_answer){
-			RJ_ANSWER_NOT_RUN,
-			RJ_REASON_QUEUE_FULL,
-			77,
-			1000,
-			{ body, sizeof(body) },
-			"queue: full; come back",
-		};
-		break;
-	case RJ_PEER_CANCEL:
-		message->u.cancel = (struct rj_peer_cancel){ 12, 77 };
-		break;
-	case RJ_PEER_MESSAGE_KIND_COUNT:
-		g_assert_not_reached();
-	}
-}
-
 static void test_round_trip(void)
 {
 	for (uint32_t kind = 0; kind < RJ_PEER_MESSAGE_KIND_COUNT; kind++) {
@@ -82,7 +19,7 @@
 		struct rj_bytes first;
 		struct rj_bytes second;
 
-		fill(&sent, kind);
+		peer_frames_fill(&sent, kind);
 		first = rj_peer_encode(mem, &sent);
 		g_assert_cmpint(rj_peer_decode(mem, first, &got, NULL), ==, 0);
 		second = rj_peer_encode(mem, &got);
@@ -106,7 +43,7 @@
 	struct rj_bytes bytes;
 	uint8_t *longer;
 
-	fill(&sent, RJ_PEER_FORWARD);
+	peer_frames_fill(&sent, RJ_PEER_FORWARD);
 	bytes = rj_peer_encode(mem, &sent);
 	longer = talloc_size(mem, bytes.length + 3);
 	memcpy(longer, bytes.data, bytes.length);
@@ -126,7 +63,7 @@
 		struct rj_bytes bytes;
 		uint32_t whole;
 
-		fill(&message, kind);
+		peer_frames_fill(&message, kind);
 		bytes = rj_peer_encode(mem, &message);
 		whole = bytes.length;
 		for (bytes.length = 0; bytes.length < whole; bytes.length++) {
@@ -185,8 +122,8 @@
 		struct rj_bytes bytes;
 		uint8_t *data;
 
-		fill(&message,
-		     rj_random64(&random) % RJ_PEER_MESSAGE_KIND_COUNT);
+		peer_frames_fill(&message, rj_random64(&random) %
+						   RJ_PEER_MESSAGE_KIND_COUNT);
 		bytes = rj_peer_encode(mem, &message);
 		data = talloc_memdup(mem, bytes.data, bytes.length);
 		for (uint32_t i = 0; i <= round % 4; i++)
@@ -204,6 +141,51 @@
 	g_assert_cmpuint(accepted, <, FUZZ_ROUNDS);
 }
 
+/*
+ * On the evening of a release every request waits for its own instance alone.
+ * A new instance puts a field between two others of the heartbeat; each side
+ * takes the other's frames for malformed and closes the link, again and again.
+ * Cause: two layouts with one version number.
+ */
+static void test_recorded_frames_are_spoken(void)
+{
+	for (uint32_t kind = 0; kind < RJ_PEER_MESSAGE_KIND_COUNT; kind++) {
+		void *mem = talloc_new(NULL);
+		struct rj_peer_message filled;
+		struct rj_peer_message got;
+		struct rj_bytes recorded = peer_frames_recorded(mem, kind);
+		struct rj_bytes written;
+
+		peer_frames_fill(&filled, kind);
+		written = rj_peer_encode(mem, &filled);
+		g_assert_cmpuint(written.length, >=, recorded.length);
+		g_assert_cmpmem(written.data, recorded.length, recorded.data,
+				recorded.length);
+		g_assert_cmpint(rj_peer_decode(mem, recorded, &got, NULL), ==,
+				0);
+		written = rj_peer_encode(mem, &got);
+		g_assert_cmpmem(written.data, recorded.length, recorded.data,
+				recorded.length);
+		talloc_free(mem);
+	}
+}
+
+static void test_recorded_hello_is_spoken(void)
+{
+	struct rj_peer_hello sent = PEER_FRAMES_HELLO;
+	struct rj_peer_hello got;
+	void *mem = talloc_new(NULL);
+	struct rj_bytes recorded = peer_frames_recorded_hello(mem);
+	struct rj_bytes written = rj_peer_hello_encode(mem, &sent);
+
+	g_assert_cmpuint(written.length, >=, recorded.length);
+	g_assert_cmpmem(written.data, recorded.length, recorded.data,
+			recorded.length);
+	g_assert_cmpint(rj_peer_hello_decode(recorded, &got, NULL), ==, 0);
+	g_assert_cmpmem(&sent, sizeof(sent), &got, sizeof(got));
+	talloc_free(mem);
+}
+
 static void test_hello(void)
 {
 	struct rj_peer_hello sent = { 2, 1, "a", "lhr-dha", 9, { 1, 2 } };
@@ -223,6 +205,10 @@
 	g_test_add_func("/peer_codec/round_trip", test_round_trip);
 	g_test_add_func("/peer_codec/newer",
 			test_fields_of_a_newer_version_are_ignored);
+	g_test_add_func("/peer_codec/recorded",
+			test_recorded_frames_are_spoken);
+	g_test_add_func("/peer_codec/recorded_hello",
+			test_recorded_hello_is_spoken);
 	g_test_add_func("/peer_codec/cut", test_cut_frames_are_malformed);
 	g_test_add_func("/peer_codec/array", test_announced_arrays_are_refused);
 	g_test_add_func("/peer_codec/fuzz", test_changed_bytes_do_no_harm);
--- a/src/test_libradishjunction/test_tcp_peers.c
+++ b/src/test_libradishjunction/test_tcp_peers.c
@@ -9,6 +9,7 @@
 #include "private/tcp_socket.h"
 #include "radishjunction/tcp_peers.h"
 #include "support/event_loop.h"
+#include "support/peer_frames.h"
 
 #define KEY "the key of all instances"
 
@@ -27,6 +28,7 @@
 	struct rj_tcp_link link; /* first member, always */
 	struct rj_peer_session session;
 	uint32_t frames;
+	struct rj_bytes body; /* of the newest frame after the hello */
 	bool closed;
 };
 
@@ -89,12 +91,15 @@
 static void raw_frame(struct rj_tcp_link *link, struct rj_bytes frame)
 {
 	struct raw *raw = (struct raw *)link;
-	struct rj_bytes body;
 
-	if (raw->frames++ == 0)
+	if (raw->frames++ == 0) {
 		rj_peer_session_take_hello(&raw->session, frame, NULL);
-	else
-		rj_peer_session_open(&raw->session, frame, &body, NULL);
+		return;
+	}
+	g_assert_cmpint(
+		rj_peer_session_open(&raw->session, frame, &raw->body, NULL),
+		==, 0);
+	raw->body.data = talloc_memdup(loop, raw->body.data, raw->body.length);
 }
 
 static void raw_connected(struct rj_tcp_link *link)
@@ -114,21 +119,29 @@
 static const struct rj_tcp_link_ops raw_ops = { raw_connected, raw_frame,
 						raw_closed };
 
-/* Connect to `node` and send a hello. */
+/* Connect to `node` and send `hello`. */
+static void raw_init_hello(struct raw *raw, const struct node *node,
+			   const struct rj_peer_hello *hello)
+{
+	struct rj_address address = rj_tcp_peers_address(&node->peers);
+
+	memset(raw, 0, sizeof(*raw));
+	rj_peer_session_init(&raw->session, KEY, hello);
+	rj_tcp_link_init(&raw->link, loop, &raw_ops, loop,
+			 rj_tcp_connect(&address, NULL), true);
+}
+
+/* Connect to `node` with a hello of that one version. */
 static void raw_init(struct raw *raw, const struct node *node, const char *name,
 		     uint32_t version)
 {
-	struct rj_address address = rj_tcp_peers_address(&node->peers);
 	struct rj_peer_hello hello = { .version = version,
 				       .version_min = version };
 
-	memset(raw, 0, sizeof(*raw));
 	rj_name_set(hello.name, name);
 	rj_name_set(hello.domain, "lhr-dha");
 	randombytes_buf(hello.nonce, sizeof(hello.nonce));
-	rj_peer_session_init(&raw->session, KEY, &hello);
-	rj_tcp_link_init(&raw->link, loop, &raw_ops, loop,
-			 rj_tcp_connect(&address, NULL), true);
+	raw_init_hello(raw, node, &hello);
 }
 
 /* Seal `body`; the whole frame is a talloc child of `loop`. */
@@ -319,6 +332,108 @@
 	pair_finish(&node, &other);
 }
 
+/* Send a message of each kind, which must all arrive. */
+static void raw_send_all(struct raw *raw, struct node *node,
+			 struct rj_bytes (*body_of)(enum rj_peer_message_kind))
+{
+	for (uint32_t kind = 0; kind < RJ_PEER_MESSAGE_KIND_COUNT; kind++) {
+		struct rj_bytes frame = raw_seal(raw, body_of(kind));
+
+		rj_tcp_link_send(&raw->link, &frame, 1);
+	}
+	RUN_UNTIL(loop, node->messages == RJ_PEER_MESSAGE_KIND_COUNT);
+	g_assert_cmpuint(node->last_value, ==, 77);
+	g_assert_cmpuint(node->downs, ==, 0);
+	g_assert_false(raw->closed);
+}
+
+/* What an instance of the oldest accepted version sends. */
+static struct rj_bytes recorded_body(enum rj_peer_message_kind kind)
+{
+	return peer_frames_recorded(loop, kind);
+}
+
+/*
+ * On the evening of a release nothing is handed on between instances.
+ * The first instance is replaced; its links to old ones, which speak the
+ * frames that were recorded from their version, are closed over and over.
+ * Cause: the new one wants fields that old ones do not send.
+ */
+static void test_older_instance(void)
+{
+	struct rj_peer_hello hello = PEER_FRAMES_HELLO;
+	struct rj_bytes recorded = peer_frames_recorded_hello(loop);
+	struct rj_peer_message message;
+	struct node node;
+	struct node other;
+	struct raw raw;
+	uint32_t frames;
+
+	pair_init(&node, &other);
+	raw_init_hello(&raw, &node, &hello);
+	g_assert_cmpmem(raw.session.own_bytes, recorded.length, recorded.data,
+			recorded.length);
+	memcpy(raw.session.own_bytes, recorded.data, recorded.length);
+	raw.session.own_length = recorded.length;
+	raw_prove(&raw, &node);
+	raw_send_all(&raw, &node, recorded_body);
+
+	/* What comes back begins with what the old one knows. */
+	frames = raw.frames;
+	peer_frames_fill(&message, RJ_PEER_HEARTBEAT);
+	node.peers.base.ops->send(&node.peers.base, "c", &message);
+	RUN_UNTIL(loop, raw.frames == frames + 1);
+	recorded = peer_frames_recorded(loop, RJ_PEER_HEARTBEAT);
+	g_assert_cmpuint(raw.body.length, >=, recorded.length);
+	g_assert_cmpmem(raw.body.data, recorded.length, recorded.data,
+			recorded.length);
+	rj_tcp_link_finish(&raw.link);
+	pair_finish(&node, &other);
+}
+
+/* What an instance of a later version might send: more fields at the end. */
+static struct rj_bytes longer_body(enum rj_peer_message_kind kind)
+{
+	static const uint8_t more[] = { 0x92, 0x01, 0xa1, 'x' };
+	struct rj_peer_message message;
+	struct rj_bytes bytes;
+	uint8_t *data;
+
+	peer_frames_fill(&message, kind);
+	bytes = rj_peer_encode(loop, &message);
+	data = talloc_size(loop, bytes.length + sizeof(more));
+	memcpy(data, bytes.data, bytes.length);
+	memcpy(data + bytes.length, more, sizeof(more));
+	return (struct rj_bytes){ data, bytes.length + sizeof(more) };
+}
+
+/*
+ * On the evening of a release nothing is handed on between instances.
+ * The last old instance has two new peers, which speak a version that it does
+ * not know yet beside its own, and append fields to every message.
+ * Cause: it refuses a hello of a higher version, or a frame that goes on.
+ */
+static void test_newer_instance(void)
+{
+	struct rj_peer_hello hello = { RJ_PEER_VERSION + 1,
+				       RJ_PEER_VERSION,
+				       "c",
+				       "lhr-dha",
+				       9,
+				       { 1, 2 } };
+	struct node node;
+	struct node other;
+	struct raw raw;
+
+	pair_init(&node, &other);
+	raw_init_hello(&raw, &node, &hello);
+	raw_prove(&raw, &node);
+	g_assert_cmpuint(raw.session.version, ==, RJ_PEER_VERSION);
+	raw_send_all(&raw, &node, longer_body);
+	rj_tcp_link_finish(&raw.link);
+	pair_finish(&node, &other);
+}
+
 /*
  * A stranger without the key is taken for a peer.
  * It sends back every frame that it gets, the proof among them.
@@ -380,6 +495,8 @@
 	g_test_add_func("/tcp_peers/malformed", test_malformed_message);
 	g_test_add_func("/tcp_peers/oversized", test_oversized_frame);
 	g_test_add_func("/tcp_peers/version", test_no_common_version);
+	g_test_add_func("/tcp_peers/older", test_older_instance);
+	g_test_add_func("/tcp_peers/newer", test_newer_instance);
 	g_test_add_func("/tcp_peers/reflected", test_reflected_hello);
 	g_test_add_func("/tcp_peers/slow_reader", test_slow_reader);
 	status = g_test_run();
