core: an outcome is no younger than its claim

The transcript: a quote is claimed at 3.9 s and settled at 9.9 s; retention is 20 s; the platform is out from 17.6 to 24.2 s. The outcome was due to be carried at 19.9 s, half a retention after itself, and by 23.9 s its claim was trimmed. An instance that starts then passes over an outcome without a claim, and takes the key for a new one. Excluded: the forward (the second run's instance had the log); a late append. Change: what is carried when counts from the oldest record that an entry is known from; an outcome without its claim settles the key as `unknown` until who knows it carries it. The fault was there before; other histories hid it.

--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -397,8 +397,10 @@
 }
 
 /*
- * Carry an entry forward at half the retention, or forget it when its key's
- * life is over. A key is refused a little before the log may forget it.
+ * Carry an entry forward at half the retention, counted from the oldest
+ * record that it is known from, since an outcome means nothing without its
+ * claim; or forget it when its key's life is over. A key is refused a little
+ * before the log may forget it.
  */
 static void keep_entry(struct rj_core_state *core, struct rj_job_entry *entry)
 {
@@ -412,7 +414,7 @@
 		rj_job_ledger_forget(&core->ledger, entry);
 		return;
 	}
-	if (core->now_us < entry->recorded_us + half_us ||
+	if (core->now_us < entry->base_us + half_us ||
 	    core->now_us < entry->carry_us + half_us / 4)
 		return;
 	if (owned_here(core, entry))
--- a/src/libradishjunction/core/job_ledger.c
+++ b/src/libradishjunction/core/job_ledger.c
@@ -89,6 +89,7 @@
 	entry->spec.job_id = entry->job_id;
 	entry->spec.body = (struct rj_bytes){ 0 };
 	entry->first_us = appended_us;
+	entry->base_us = appended_us;
 	g_strlcpy(entry->domain, record->domain, sizeof(entry->domain));
 	rj_list_append(&ledger->entries, &entry->link);
 	g_hash_table_insert(ledger->by_job, &entry->job_id, entry);
@@ -114,13 +115,15 @@
 
 /* The first claim of a job that is not open and not settled opens it. */
 static void apply_claim(struct rj_job_entry *entry,
-			const struct rj_record *record)
+			const struct rj_record *record, uint64_t appended_us)
 {
 	if (entry->settled || entry->claimed)
 		return;
 	if (memcmp(entry->spec.digest, record->spec.digest, RJ_DIGEST_BYTES))
 		return;
 	entry->claimed = true;
+	if (!entry->accepted)
+		entry->base_us = appended_us;
 	if (!entry->first_owner)
 		entry->first_owner = record->attempt.owner;
 	else if (entry->first_owner != record->attempt.owner)
@@ -178,6 +181,24 @@
 	entry->spec.body = (struct rj_bytes){ 0 };
 }
 
+/*
+ * Note an outcome whose claim is gone from the log: something ran under this
+ * key, and whether this was its valid attempt cannot be told any more.
+ *
+ * Guards against a reader that starts after the claim was trimmed and before
+ * the outcome was carried, as in a long outage: it would take the key for a
+ * new one and run the job twice. Until whoever knows carries the outcome, the
+ * answer is `unknown`.
+ */
+static void note_orphan(struct rj_job_entry *entry,
+			const struct rj_record *record)
+{
+	entry->settled = true;
+	entry->attempt = record->attempt;
+	entry->outcome = RJ_ANSWER_UNKNOWN;
+	entry->reason = RJ_REASON_LOG_GAP;
+}
+
 /*
  * Apply one record, in log order. `now_us` is the time of reading. Returns
  * the entry of its job, or NULL for a record that is not about a job or that
@@ -201,23 +222,26 @@
 	if (fresh) {
 		if (record->kind == RJ_RECORD_VOID)
 			return NULL;
-		if (record->kind == RJ_RECORD_OUTCOME && !record->carried)
-			return NULL;
 		entry = entry_new(ledger, mem, record, appended_us);
 	}
 	entry->recorded_us = appended_us;
+	if (record->carried)
+		entry->base_us = appended_us;
 	switch (record->kind) {
 	case RJ_RECORD_ACCEPT:
 		apply_accept(entry, record);
 		break;
 	case RJ_RECORD_CLAIM:
-		apply_claim(entry, record);
+		apply_claim(entry, record, appended_us);
 		break;
 	case RJ_RECORD_VOID:
 		apply_void(entry, record);
 		break;
 	case RJ_RECORD_OUTCOME:
-		apply_outcome(entry, record, fresh);
+		if (fresh && !record->carried)
+			note_orphan(entry, record);
+		else
+			apply_outcome(entry, record, fresh);
 		break;
 	case RJ_RECORD_CANCEL:
 		entry->cancelled = true;
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -68,6 +68,7 @@
 	struct rj_bytes result;
 	uint64_t first_us; /* when its first record was appended */
 	uint64_t recorded_us; /* when its newest record was appended */
+	uint64_t base_us; /* when the oldest was that it is known from */
 	uint64_t carry_us; /* when it was last carried from here */
 };
 
