core: a job that the log gives to this instance is taken back from a peer

Its first request had been forwarded and the answer was lost while the link stood; a later one was accepted at the peer, and the log made the first instance its owner, where the job was still "forwarded". Excluded: a lost accept record (all had read it). Change: a forwarded job counts as not driven here, when the log says that this instance is to serve or settle it; the forward is dropped, and a late answer to it with it.

--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -291,6 +291,23 @@
 	job->bodiless = false;
 }
 
+/*
+ * Take back a job that was handed to a peer, since the log says that it is
+ * this instance's.
+ *
+ * Guards against a forward whose answer was lost: the job would stay with the
+ * peer for this instance alone, and nobody would serve it. It shows as an
+ * accepted job without an end. An answer that comes late is dropped.
+ */
+static void take_back(struct rj_job *job, const struct rj_job_entry *entry)
+{
+	if (entry->accepted && !job->spec.wait)
+		rj_job_tell_waiters(job, RJ_ANSWER_ACCEPTED, RJ_REASON_NONE, 0);
+	g_hash_table_remove(job->core->jobs.forwards, &job->forward_id);
+	job->forward_id = 0;
+	rj_job_watch(job);
+}
+
 /*
  * Settle the open claim of an attempt that nobody alive drives. Whoever
  * watches the job here goes on from what the workers say.
@@ -308,6 +325,8 @@
 				       NULL);
 		job->bodiless = true;
 	}
+	if (job->state == RJ_JOB_FORWARDED)
+		take_back(job, entry);
 	/* Who only watched the job may not know that it was accepted: its end
 	   would be kept out of the log. */
 	if (entry->accepted)
@@ -323,7 +342,8 @@
 static bool driven_here(const struct rj_job *job,
 			const struct rj_job_entry *entry)
 {
-	if (!job || job->state == RJ_JOB_WATCHING)
+	if (!job || job->state == RJ_JOB_WATCHING ||
+	    job->state == RJ_JOB_FORWARDED)
 		return false;
 	/* A new attempt waits while its older claim is still open. */
 	return true;
@@ -335,8 +355,10 @@
 {
 	struct rj_job *job = rj_jobs_find(core, entry->job_id);
 
-	if (job && job->state != RJ_JOB_WATCHING)
+	if (driven_here(job, entry))
 		return;
+	if (job && job->state == RJ_JOB_FORWARDED)
+		take_back(job, entry);
 	if (!job)
 		job = rj_job_new(
 			core, &entry->spec,
