core: what needs the log goes to a peer that has it

Excluded: the load (it goes to all instances alike); real outages, where nothing better can be said. Change: a filter hands a key that must not run twice, or a job to be accepted, to a peer whose heartbeat says that it has the log, once, of the own failure domain or else of another. What waits for a claim when the log is lost goes the same way.

--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -176,9 +176,9 @@
 }
 
 /*
- * The platform has stopped answering. Work that waits for a claim is
- * answered at once with when to come back, and not held until its deadline;
- * accepted jobs wait.
+ * The platform has stopped answering. Work that waits for a claim is handed
+ * to a peer that has the log, or answered at once with when to come back, and
+ * not held until its deadline; accepted jobs wait.
  */
 void rj_claims_platform_down(struct rj_core_state *core)
 {
@@ -193,8 +193,9 @@
 		if (job->state != RJ_JOB_QUEUED && job->state != RJ_JOB_HOLDING)
 			continue;
 		rj_job_release_members(job);
-		rj_job_not_started(job, RJ_REASON_PLATFORM_DOWN,
-				   rj_core_jitter_us(core, PLATFORM_RETRY_US));
+		rj_job_unplan(job, false);
+		job->hops = 0; /* whoever sent it here may have the log */
+		rj_filters_again(job);
 	}
 }
 
--- a/src/libradishjunction/core/filters/chain.c
+++ b/src/libradishjunction/core/filters/chain.c
@@ -19,6 +19,7 @@
 	&rj_filter_validate, /* class, shape, key */
 	&rj_filter_repeat, /* what the log or this instance knows */
 	&rj_filter_limit, /* bounds of account and class */
+	&rj_filter_log, /* what needs the log, where there is none */
 	&rj_filter_route, /* here, at a peer, or in another domain */
 	&rj_filter_place, /* into the planner, or the log first */
 };
@@ -67,6 +68,27 @@
 	       reason == RJ_REASON_UNAUTHORIZED;
 }
 
+/*
+ * Answer the caller or the peer that a submission came from. The answer has
+ * no result.
+ */
+void rj_filter_answer(struct rj_core_state *core,
+		      const struct rj_submission *submission,
+		      const struct rj_answer *answer)
+{
+	struct rj_peer_message *message;
+
+	assert(!answer->result.length);
+	if (submission->request_id) {
+		rj_core_answer(core, submission->request_id, answer);
+		return;
+	}
+	message = rj_membership_send(core, submission->peer,
+				     RJ_PEER_FORWARD_ANSWER);
+	message->u.forward_answer.forward_id = submission->forward_id;
+	message->u.forward_answer.answer = *answer;
+}
+
 /*
  * Answer a submission that no job was made for. `not_run` becomes `unknown`
  * where an earlier request with the same key may have run. `detail` may be NULL.
@@ -79,7 +101,6 @@
 					const char *detail)
 {
 	struct rj_answer answer;
-	struct rj_peer_message *message;
 
 	memset(&answer, 0, sizeof(answer));
 	answer.kind = kind;
@@ -93,14 +114,7 @@
 		g_strlcpy(answer.detail, detail, sizeof(answer.detail));
 	rj_core_log(core, RJ_LOG_REFUSE, reason, NULL, submission->peer)
 		->answer = answer.kind;
-	if (submission->request_id) {
-		rj_core_answer(core, submission->request_id, &answer);
-		return RJ_FILTER_TAKEN;
-	}
-	message = rj_membership_send(core, submission->peer,
-				     RJ_PEER_FORWARD_ANSWER);
-	message->u.forward_answer.forward_id = submission->forward_id;
-	message->u.forward_answer.answer = answer;
+	rj_filter_answer(core, submission, &answer);
 	return RJ_FILTER_TAKEN;
 }
 
--- a/src/libradishjunction/core/filters/place.c
+++ b/src/libradishjunction/core/filters/place.c
@@ -12,16 +12,6 @@
 {
 	struct rj_job *job;
 
-	if (!submission->spec.wait && !submission->job && !rj_log_usable(core))
-		return rj_filter_refuse(
-			core, submission,
-			submission->spec.key[0] ? RJ_ANSWER_UNKNOWN :
-						  RJ_ANSWER_NOT_RUN,
-			RJ_REASON_PLATFORM_DOWN,
-			rj_core_jitter_us(core, 2 * RJ_US_PER_S),
-			"a job is accepted only once it is in the log, which "
-			"cannot be reached now: wait on the connection, or "
-			"come back");
 	job = rj_filter_job(core, submission);
 	if (!submission->spec.wait && !job->accepted)
 		rj_job_accept(job);
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -617,6 +617,7 @@
 extern const struct rj_filter rj_filter_validate;
 extern const struct rj_filter rj_filter_repeat;
 extern const struct rj_filter rj_filter_limit;
+extern const struct rj_filter rj_filter_log;
 extern const struct rj_filter rj_filter_route;
 extern const struct rj_filter rj_filter_place;
 
@@ -626,6 +627,9 @@
 					enum rj_reason reason,
 					uint64_t retry_after_us,
 					const char *detail);
+void rj_filter_answer(struct rj_core_state *core,
+		      const struct rj_submission *submission,
+		      const struct rj_answer *answer);
 struct rj_job *rj_filter_job(struct rj_core_state *core,
 			     struct rj_submission *submission);
 
--- a/src/libradishjunction/types.c
+++ b/src/libradishjunction/types.c
@@ -178,6 +178,7 @@
 	[RJ_COUNT_REPEATS] = "repeats",
 	[RJ_COUNT_FORWARDS] = "forwards",
 	[RJ_COUNT_FORWARDS_OTHER_DOMAIN] = "forwards_other_domain",
+	[RJ_COUNT_FORWARDS_LOG] = "forwards_log",
 	[RJ_COUNT_APPENDS] = "appends",
 	[RJ_COUNT_RECORDS_READ] = "records_read",
 	[RJ_COUNT_CLAIMS_WON] = "claims_won",
--- a/src/test_libradishjunction/test_faults.c
+++ b/src/test_libradishjunction/test_faults.c
@@ -229,6 +229,29 @@
 	check_seed(PROMISE_NOT_RUN, 770);
 }
 
+/*
+ * A buyer gets two prices for one quote.
+ * Its claim was trimmed in an outage and its outcome was not; an instance
+ * that started meanwhile is asked again with the same key.
+ * Cause: see test_job_ledger.
+ */
+static void test_outcome_outlives_its_claim(void)
+{
+	check_seed(PROMISE_ONCE, 894);
+}
+
+/*
+ * A render that was accepted never ends.
+ * Its first request was forwarded and the peer's answer lost; a later one is
+ * accepted at the peer, and the log makes the first instance its owner.
+ * Cause: to that instance the job was still with the peer.
+ */
+static void test_forward_without_an_answer_is_taken_back(void)
+{
+	check_seed(PROMISE_ANSWER, 64);
+	check_seed(PROMISE_STOP, 75);
+}
+
 /* Promises that the core keeps in every seed that was run. */
 static const enum promise held[] = { PROMISE_GUARANTEE, PROMISE_GANG,
 				     PROMISE_ANSWER,	PROMISE_NOT_RUN,
@@ -289,6 +312,10 @@
 			test_leases_of_abandoned_attempts_are_cleared);
 	g_test_add_func("/faults/entitled",
 			test_entitled_job_stays_in_its_domain);
+	g_test_add_func("/faults/trimmed_claim",
+			test_outcome_outlives_its_claim);
+	g_test_add_func("/faults/lost_forward_answer",
+			test_forward_without_an_answer_is_taken_back);
 	g_test_add_func("/faults/drain_lookup",
 			test_lookup_during_a_drain_is_sent_on);
 	return g_test_run();
--- /dev/null
+++ b/src/test_libradishjunction/test_log_relay.c
@@ -0,0 +1,117 @@
+#include <glib.h>
+#include <talloc.h>
+
+#include "support/world.h"
+
+#define SETTLED_US (5 * RJ_US_PER_S)
+/* Until a reader takes the log for lost. */
+#define NOTICED_US (8 * RJ_US_PER_S)
+#define RUN_US (200 * RJ_US_PER_MS)
+#define CUT 0 /* the failure domain that is cut off from the platform */
+
+/* Two failure domains of one instance each, the first cut off. */
+static struct world *cut_world(void)
+{
+	struct world_options options = { .engine = &engine_core,
+					 .seed = 3,
+					 .domains = 2,
+					 .nodes_per_domain = 1,
+					 .racks_per_domain = 1,
+					 .workers_per_rack = 4 };
+	struct world *world = world_create(NULL, &options);
+
+	world_run_until(world, SETTLED_US);
+	world->log.cut[CUT] = true;
+	world_reach_changed(world);
+	world_run_until(world, SETTLED_US + NOTICED_US);
+	return world;
+}
+
+/* What the caller of a job in the cut domain has been told after a while. */
+static enum rj_answer_kind told(struct world *world, const char *class_name,
+				bool idempotent, bool waits)
+{
+	struct caller_plan plan = { .class_name = class_name,
+				    .account = WORLD_OTHER_ACCOUNT,
+				    .domain = CUT,
+				    .key = 7,
+				    .tasks = 1,
+				    .accelerators = 1,
+				    .run_us = RUN_US,
+				    .idempotent = idempotent,
+				    .waits = waits };
+	struct fake_caller *caller = fake_caller_add(world, 0, &plan);
+	enum rj_answer_kind kind;
+
+	world_run_until(world, world->now_us + 3 * RJ_US_PER_S);
+	kind = checker_intent_get(&world->checker, caller->intent)->answer;
+	g_assert_cmpuint(caller->served_us, !=, RJ_NEVER_US);
+	g_assert_cmpuint(checker_violations(&world->checker), ==, 0);
+	return kind;
+}
+
+/*
+ * A rep is told "come back" by every instance of a failure domain, and quotes
+ * from memory.
+ * The domain is cut off from the platform, and not from the others, which
+ * have the log and room.
+ * Cause: a key that needs a claim was refused where the log could not be
+ * read, though a peer could have claimed it.
+ */
+static void test_quote_in_a_cut_domain(void)
+{
+	struct world *world = cut_world();
+
+	g_assert_cmpuint(told(world, "quote", false, true), ==, RJ_ANSWER_DONE);
+	talloc_free(world);
+}
+
+/*
+ * A tutor cannot hand in a render for the night.
+ * The same cut; the render is to be accepted, which needs the log.
+ * Cause: as above, for jobs whose callers do not wait.
+ */
+static void test_render_in_a_cut_domain(void)
+{
+	struct world *world = cut_world();
+
+	told(world, "preview", true, false);
+	talloc_free(world);
+}
+
+/*
+ * The other side: when nobody has the log, the caller is told so at once and
+ * the job does not go round between instances that hope of each other.
+ */
+static void test_nobody_has_the_log(void)
+{
+	struct world *world = cut_world();
+	struct caller_plan plan = { .class_name = "quote",
+				    .account = WORLD_OTHER_ACCOUNT,
+				    .domain = CUT,
+				    .key = 7,
+				    .tasks = 1,
+				    .accelerators = 1,
+				    .run_us = RUN_US,
+				    .waits = true };
+	struct fake_caller *caller;
+
+	world->log.down = true;
+	world_reach_changed(world);
+	world_run_until(world, world->now_us + NOTICED_US);
+	caller = fake_caller_add(world, 0, &plan);
+	world_run_until(world, world->now_us + 100 * RJ_US_PER_MS);
+	g_assert_cmpuint(caller->request_id, ==, 0);
+	g_assert_cmpuint(caller->tries, >=, 1);
+	g_assert_cmpuint(caller->served_us, ==, RJ_NEVER_US);
+	talloc_free(world);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/log_relay/quote", test_quote_in_a_cut_domain);
+	g_test_add_func("/log_relay/render", test_render_in_a_cut_domain);
+	g_test_add_func("/log_relay/nobody", test_nobody_has_the_log);
+	return g_test_run();
+}
