test: fault runs at a large place, with clocks that drift

Cause: docs/PROOFS.md: worlds of two failure domains of two instances, runs of 75 to 150 s, clocks that differ by a constant only; callers were more patient than any pause. Change: a place says how large a world is, how long its load and its faults last and which faults strike beside the profile's. `large`: three domains of four instances and twelve workers, load of a minute, up to 24 faults of up to 16 s, a domain cut off from the others and the platform at once, all links within a domain cut, clocks of instances and workers up to 500 ppm fast or slow, callers in a hurry.

--- a/src/bench/faults.c
+++ b/src/bench/faults.c
@@ -14,6 +14,7 @@
 
 struct sweep {
 	const struct engine_ops *engine;
+	enum fault_place place;
 	enum promise promise;
 	GMutex lock;
 	struct faults_result sum;
@@ -76,7 +77,8 @@
 	running_seed = seed;
 	running_promise = sweep->promise;
 	faults_result_init(&one);
-	faults_run(sweep->engine, sweep->promise, seed, NULL, &one);
+	faults_run_at(sweep->engine, sweep->place, sweep->promise, seed, NULL,
+		      &one);
 	merge(sweep, seed, &one);
 	faults_result_finish(&one);
 }
@@ -156,10 +158,13 @@
 }
 
 /* Returns whether the promise, and every other in these runs, held. */
-static bool sweep_promise(const struct engine_ops *engine, enum promise promise,
+static bool sweep_promise(const struct engine_ops *engine,
+			  enum fault_place place, enum promise promise,
 			  uint64_t from, uint64_t seeds, int threads)
 {
-	struct sweep sweep = { .engine = engine, .promise = promise };
+	struct sweep sweep = { .engine = engine,
+			       .place = place,
+			       .promise = promise };
 	GThreadPool *pool;
 	bool held = true;
 
@@ -198,8 +203,8 @@
 	faults_result_finish(&sum);
 }
 
-static int run_one(const struct engine_ops *engine, enum promise promise,
-		   uint64_t seed, bool transcript)
+static int run_one(const struct engine_ops *engine, enum fault_place place,
+		   enum promise promise, uint64_t seed, bool transcript)
 {
 	struct faults_result result;
 	int status = 0;
@@ -209,7 +214,8 @@
 	/* A failed assertion must not take the last lines with it. */
 	(void)setvbuf(stdout, NULL, _IOLBF, 0);
 	faults_result_init(&result);
-	faults_run(engine, promise, seed, transcript ? stdout : NULL, &result);
+	faults_run_at(engine, place, promise, seed, transcript ? stdout : NULL,
+		      &result);
 	for (uint32_t i = 0; i < PROMISE_COUNT; i++) {
 		if (!result.violations[i])
 			continue;
@@ -233,6 +239,16 @@
 	return i;
 }
 
+/* The place of that name; FAULT_PLACE_COUNT when there is none. */
+static enum fault_place find_place(const char *name)
+{
+	uint32_t i = 0;
+
+	while (i < FAULT_PLACE_COUNT && strcmp(fault_places[i].name, name) != 0)
+		i++;
+	return i;
+}
+
 static const struct engine_ops *find_engine(const char *name)
 {
 	static const struct engine_ops *const engines[] = {
@@ -245,16 +261,18 @@
 	return NULL;
 }
 
-static int run_all(const struct engine_ops *engine, enum promise only,
-		   uint64_t from, uint64_t seeds, int threads)
+static int run_all(const struct engine_ops *engine, enum fault_place place,
+		   enum promise only, uint64_t from, uint64_t seeds,
+		   int threads)
 {
 	uint64_t served = seeds < SERVED_SEEDS_MAX ? seeds : SERVED_SEEDS_MAX;
 	bool held = true;
 
 	for (uint32_t i = 0; i < PROMISE_COUNT; i++)
 		if (only == PROMISE_COUNT || only == i)
-			held &= sweep_promise(engine, i, from, seeds, threads);
-	if (only == PROMISE_COUNT)
+			held &= sweep_promise(engine, place, i, from, seeds,
+					      threads);
+	if (only == PROMISE_COUNT && place == FAULT_PLACE_SMALL)
 		for (uint32_t i = 0; i < TROUBLE_COUNT; i++)
 			print_served(engine, i, from, served);
 	return held ? 0 : 1;
@@ -273,16 +291,19 @@
 		arg_str0(NULL, "promise", "P", "only this promise");
 	struct arg_str *engine = arg_str0(NULL, "engine", "NAME",
 					  "core, first_fit or naive; core");
+	struct arg_str *place = arg_str0(NULL, "place", "NAME",
+					 "small, large or trimmed; small");
 	struct arg_int *threads =
 		arg_int0(NULL, "threads", "N", "runs side by side");
 	struct arg_lit *transcript =
 		arg_lit0(NULL, "transcript", "with --seed: every event");
 	struct arg_lit *help = arg_lit0(NULL, "help", "say this");
 	struct arg_end *end = arg_end(4);
-	void *table[] = { seeds,   from,       seed, promise, engine,
-			  threads, transcript, help, end };
+	void *table[] = { seeds, from,	  seed,	      promise, engine,
+			  place, threads, transcript, help,    end };
 	const struct engine_ops *ops = &engine_core;
 	enum promise only = PROMISE_COUNT;
+	enum fault_place where = FAULT_PLACE_SMALL;
 	int status = 2;
 
 	seeds->ival[0] = 100;
@@ -304,6 +325,13 @@
 			    stderr);
 		goto out;
 	}
+	if (place->count)
+		where = find_place(place->sval[0]);
+	if (where == FAULT_PLACE_COUNT) {
+		(void)fputs("faults: --place: small, large or trimmed\n",
+			    stderr);
+		goto out;
+	}
 	if (promise->count)
 		only = find_promise(promise->sval[0]);
 	if ((promise->count || seed->count) && only == PROMISE_COUNT) {
@@ -315,10 +343,10 @@
 	(void)signal(SIGTRAP, name_seed);
 	(void)signal(SIGSEGV, name_seed);
 	if (seed->count)
-		status = run_one(ops, only, (uint64_t)seed->ival[0],
+		status = run_one(ops, where, only, (uint64_t)seed->ival[0],
 				 transcript->count);
 	else
-		status = run_all(ops, only, (uint64_t)from->ival[0],
+		status = run_all(ops, where, only, (uint64_t)from->ival[0],
 				 (uint64_t)seeds->ival[0],
 				 threads->ival[0] > 0 ? threads->ival[0] : 1);
 out:
--- a/src/test_libradishjunction/support/fake_worker.c
+++ b/src/test_libradishjunction/support/fake_worker.c
@@ -21,6 +21,7 @@
 
 	worker->index = index;
 	worker->incarnation = 1;
+	worker->drift_ppm = world_drift_ppm(world);
 	worker->capacity = capacity;
 	worker->free = capacity;
 	worker->armed_us = RJ_NEVER_US;
@@ -77,6 +78,15 @@
 	fake_worker_answer(world, call, &reply);
 }
 
+/* Let a lease live on for a time that the worker's own clock counts. */
+static void renew(struct world *world, const struct fake_worker *worker,
+		  struct fake_task *task, uint64_t life_us)
+{
+	int64_t lost_us = (int64_t)life_us * worker->drift_ppm / WORLD_PPM;
+
+	task->lease_until_us = world->now_us + life_us - (uint64_t)lost_us;
+}
+
 /* Tell the waiting callers of a task how it ended. */
 static void task_end(struct world *world, struct fake_worker *worker,
 		     struct fake_task *task, enum rj_task_state state)
@@ -240,7 +250,7 @@
 	task->state = RJ_TASK_HELD;
 	task->token = (uint64_t)(worker->index + 1) << 48 |
 		      worker->incarnation << 32 | ++worker->next_token;
-	task->lease_until_us = world->now_us + call->life_us;
+	renew(world, worker, task, call->life_us);
 	rj_resources_take(&worker->free, &task->each, 1);
 	return task;
 }
@@ -369,8 +379,7 @@
 			continue;
 		if (!has_ended(task) && from->call.life_us &&
 		    task->holder == from->call.holder)
-			task->lease_until_us =
-				world->now_us + from->call.life_us;
+			renew(world, worker, task, from->call.life_us);
 		report->task_count++;
 		line->attempt = task->attempt;
 		line->holder = task->holder;
@@ -422,7 +431,7 @@
 			refuse(world, from, task, RJ_REASON_LEASE_LAPSED);
 			return;
 		}
-		task->lease_until_us = world->now_us + call->life_us;
+		renew(world, worker, task, call->life_us);
 		task->holder = call->holder;
 		break;
 	case RJ_WORKER_CHECKPOINT:
--- a/src/test_libradishjunction/support/fault_load.c
+++ b/src/test_libradishjunction/support/fault_load.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* The shortest time that a caller in a hurry waits on a connection. */
+#define HASTY_US (2 * RJ_US_PER_S)
+
 static void plan_caller(struct world *world, enum load_kind kind,
 			struct caller_plan *plan, uint32_t *next_key)
 {
@@ -63,7 +66,8 @@
 /*
  * Add `callers` callers, whose kinds are drawn by these weights.
  */
-void load_add(struct world *world, const uint8_t *weights, uint32_t callers)
+void load_add(struct world *world, const struct fault_place_options *place,
+	      const uint8_t *weights, uint32_t callers)
 {
 	uint32_t next_key = 1;
 	bool guaranteed[WORLD_DOMAINS_MAX] = { false };
@@ -72,7 +76,8 @@
 		enum load_kind kind =
 			profile_pick(world, weights, LOAD_KIND_COUNT);
 		uint64_t from_us = FAULTS_LOAD_FROM_US;
-		uint64_t until_us = FAULTS_LOAD_UNTIL_US;
+		uint64_t until_us = place->load_until_us;
+		struct fake_caller *caller;
 		struct caller_plan plan;
 
 		memset(&plan, 0, sizeof(plan));
@@ -84,12 +89,15 @@
 		plan.guaranteed &= !guaranteed[plan.domain];
 		if (plan.guaranteed) {
 			guaranteed[plan.domain] = true;
-			from_us = FAULTS_LOAD_UNTIL_US;
-			until_us = FAULTS_CALM_US + 2 * RJ_US_PER_S;
+			from_us = place->load_until_us;
+			until_us = place->calm_us + 2 * RJ_US_PER_S;
 		}
-		(void)fake_caller_add(
+		caller = fake_caller_add(
 			world,
 			from_us + world_random(world, until_us - from_us),
 			&plan);
+		if (place->hasty && world_random(world, 2) == 0)
+			caller->patience_us =
+				HASTY_US + world_random(world, HASTY_US);
 	}
 }
--- a/src/test_libradishjunction/support/fault_load.h
+++ b/src/test_libradishjunction/support/fault_load.h
@@ -6,6 +6,7 @@
 
 #include "support/fault_profiles.h"
 
-void load_add(struct world *world, const uint8_t *weights, uint32_t callers);
+void load_add(struct world *world, const struct fault_place_options *place,
+	      const uint8_t *weights, uint32_t callers);
 
 #endif
--- a/src/test_libradishjunction/support/fault_profiles.c
+++ b/src/test_libradishjunction/support/fault_profiles.c
@@ -98,6 +98,54 @@
 	},
 };
 
+const struct fault_place_options fault_places[FAULT_PLACE_COUNT] = {
+	[FAULT_PLACE_SMALL] = {
+		.name = "small",
+		.domains = 2,
+		.nodes_per_domain = 2,
+		.racks_per_domain = 2,
+		.workers_per_rack = 4,
+		.callers = 24,
+		.faults_max = 8,
+		.load_until_us = 20 * RJ_US_PER_S,
+		.calm_us = 24 * RJ_US_PER_S,
+		.lasts_max_us = 8 * RJ_US_PER_S,
+		.short_retention_us = 20 * RJ_US_PER_S,
+	},
+	[FAULT_PLACE_TRIMMED] = {
+		.name = "trimmed",
+		.domains = 2,
+		.nodes_per_domain = 2,
+		.racks_per_domain = 2,
+		.workers_per_rack = 4,
+		.callers = 24,
+		.hasty = true,
+		.faults_max = 8,
+		.faults = { [FAULT_TRIM] = 8 },
+		.load_until_us = 20 * RJ_US_PER_S,
+		.calm_us = 24 * RJ_US_PER_S,
+		.lasts_max_us = 8 * RJ_US_PER_S,
+		.short_retention_us = 20 * RJ_US_PER_S,
+	},
+	[FAULT_PLACE_LARGE] = {
+		.name = "large",
+		.domains = 3,
+		.nodes_per_domain = 4,
+		.racks_per_domain = 3,
+		.workers_per_rack = 4,
+		.drift_ppm = 500,
+		.callers = 90,
+		.hasty = true,
+		.faults_max = 24,
+		.faults = { [FAULT_CUT_ALONE] = 2, [FAULT_CUT_WITHIN] = 2 },
+		.load_until_us = 60 * RJ_US_PER_S,
+		.calm_us = 66 * RJ_US_PER_S,
+		.lasts_max_us = 15 * RJ_US_PER_S,
+		.short_retention_us = 40 * RJ_US_PER_S,
+		.more_us = 60 * RJ_US_PER_S,
+	},
+};
+
 /*
  * A number below `count`, drawn by these weights.
  */
--- a/src/test_libradishjunction/support/fault_profiles.h
+++ b/src/test_libradishjunction/support/fault_profiles.h
@@ -7,8 +7,6 @@
 #include "support/world.h"
 
 #define FAULTS_LOAD_FROM_US (3 * RJ_US_PER_S)
-#define FAULTS_LOAD_UNTIL_US (20 * RJ_US_PER_S)
-#define FAULTS_CALM_US (24 * RJ_US_PER_S)
 /* Long enough for keys to be settled and for callers to ask a few times. */
 #define FAULTS_END_US (75 * RJ_US_PER_S)
 
@@ -31,6 +29,9 @@
 	FAULT_LEAVING,
 	FAULT_LIST_LAG,
 	FAULT_PUBLISH,
+	FAULT_CUT_ALONE, /* a domain, from the others and the platform */
+	FAULT_CUT_WITHIN, /* all links among the instances of a domain */
+	FAULT_TRIM, /* the log drops what it should still keep */
 	FAULT_KIND_COUNT
 };
 
@@ -49,12 +50,39 @@
 struct fault_profile {
 	uint8_t faults[FAULT_KIND_COUNT];
 	uint8_t load[LOAD_KIND_COUNT];
-	uint32_t callers; /* 0: the usual number */
+	uint32_t callers; /* 0: the usual number of the place */
 	uint64_t
 		end_us; /* 0: FAULTS_END_US; later where the load takes longer */
 	struct fault_rates rates; /* the most; each run takes a share */
 };
 
+/* Where the profiles are run, and for how long. */
+enum fault_place {
+	FAULT_PLACE_SMALL, /* two domains of two instances */
+	FAULT_PLACE_LARGE, /* three of four; clocks drift, callers hurry */
+	FAULT_PLACE_TRIMMED, /* the small one; the log drops too much */
+	FAULT_PLACE_COUNT
+};
+
+struct fault_place_options {
+	const char *name;
+	uint32_t domains;
+	uint32_t nodes_per_domain;
+	uint32_t racks_per_domain;
+	uint32_t workers_per_rack;
+	uint32_t drift_ppm;
+	uint32_t callers;
+	bool hasty; /* some callers give up before a pause ends */
+	uint32_t faults_max;
+	uint8_t faults[FAULT_KIND_COUNT]; /* beside those of the profile */
+	uint64_t load_until_us;
+	uint64_t calm_us;
+	uint64_t lasts_max_us; /* the most that a fault lasts beyond 1 s */
+	uint64_t short_retention_us; /* twice the longest fault, and more */
+	uint64_t more_us; /* beyond the end of the profile */
+};
+
+extern const struct fault_place_options fault_places[FAULT_PLACE_COUNT];
 extern const struct fault_profile fault_profiles[PROMISE_COUNT];
 
 uint32_t profile_pick(struct world *world, const uint8_t *weights,
--- a/src/test_libradishjunction/support/fault_strikes.c
+++ b/src/test_libradishjunction/support/fault_strikes.c
@@ -178,12 +178,48 @@
 }
 
 /*
- * Bring about the fault of kind `event->other` somewhere.
+ * Cut a failure domain off from the others and from the platform at once.
+ */
+void fault_cut_alone(struct world *world, uint32_t domain, uint64_t lasts_us)
+{
+	world_note(world, "domain %u is cut off", domain);
+	world->domain_cut[domain] = true;
+	world->log.cut[domain] = true;
+	world_reach_changed(world);
+	(void)world_after(world, lasts_us, fault_links_back);
+	(void)world_after(world, lasts_us, fault_platform_back);
+}
+
+/* No instance of the domain hears another one of it: each takes itself for
+ * the owner of all racks. */
+static void cut_within(struct world *world, uint32_t domain)
+{
+	uint32_t per_domain = world->options.nodes_per_domain;
+	uint32_t first = domain * per_domain;
+
+	world_note(world, "links within domain %u are cut", domain);
+	for (uint32_t a = first; a < first + per_domain; a++)
+		for (uint32_t b = a + 1; b < first + per_domain; b++)
+			world->links[a][b].cut = true;
+}
+
+/* The log drops all jobs' records that it holds, however young. */
+static void trim(struct world *world)
+{
+	world_note(world, "the log is trimmed before its time");
+	world->log.oldest[RJ_STREAM_JOBS] =
+		world->log.streams[RJ_STREAM_JOBS]->len;
+}
+
+/*
+ * Bring about the fault of kind `event->other` somewhere, for up to
+ * `event->life` beyond a second.
  */
 void fault_strike(struct world *world, struct world_event *event)
 {
 	enum fault_kind kind = event->other;
-	uint64_t lasts_us = RJ_US_PER_S + world_random(world, 8 * RJ_US_PER_S);
+	uint64_t lasts_us =
+		RJ_US_PER_S + world_random(world, (uint64_t)event->life);
 	uint32_t node = (uint32_t)world_random(world, world->node_count);
 	uint32_t other = (uint32_t)world_random(world, world->node_count);
 	uint32_t worker = (uint32_t)world_random(world, world->worker_count);
@@ -216,6 +252,16 @@
 	case FAULT_PUBLISH:
 		publish_race(world);
 		break;
+	case FAULT_CUT_ALONE:
+		fault_cut_alone(world, world->nodes[node].domain, lasts_us);
+		break;
+	case FAULT_CUT_WITHIN:
+		cut_within(world, world->nodes[node].domain);
+		(void)world_after(world, lasts_us, fault_links_back);
+		break;
+	case FAULT_TRIM:
+		trim(world);
+		break;
 	default:
 		strike_worker(world, kind, &world->workers[worker]);
 		if (kind == FAULT_LEAVING)
--- a/src/test_libradishjunction/support/faults.c
+++ b/src/test_libradishjunction/support/faults.c
@@ -6,10 +6,6 @@
 #include "support/fault_load.h"
 #include "support/fault_strikes.h"
 
-#define FAULTS_MAX 8
-#define SHORT_RETENTION_US (20 * RJ_US_PER_S)
-#define CALLERS 24
-
 const char *const trouble_string[TROUBLE_COUNT] = {
 	[TROUBLE_NONE] = "none",
 	[TROUBLE_OUTAGE] = "outage",
@@ -30,17 +26,19 @@
 }
 
 static struct world *make_world(void *mem, const struct engine_ops *engine,
+				const struct fault_place_options *place,
 				uint64_t seed, uint64_t retention_us,
 				FILE *transcript)
 {
 	struct world_options options = {
 		.engine = engine,
 		.seed = rj_hash64(&seed, sizeof(seed), 1),
-		.domains = 2,
-		.nodes_per_domain = 2,
-		.racks_per_domain = 2,
-		.workers_per_rack = 4,
+		.domains = place->domains,
+		.nodes_per_domain = place->nodes_per_domain,
+		.racks_per_domain = place->racks_per_domain,
+		.workers_per_rack = place->workers_per_rack,
 		.retention_us = retention_us,
+		.drift_ppm = place->drift_ppm,
 		.transcript = transcript,
 	};
 
@@ -49,51 +47,75 @@
 
 /* Where claims, outcomes and configurations matter, the log forgets within
  * the run in two seeds of seven. */
-static uint64_t short_retention_us(enum promise promise, uint64_t seed)
+static uint64_t retention_us(const struct fault_place_options *place,
+			     enum promise promise, uint64_t seed)
 {
 	bool matters = promise == PROMISE_ONCE || promise == PROMISE_CONFIG ||
 		       promise == PROMISE_ACCEPTED;
 
-	return matters && seed % 7 >= 5 ? SHORT_RETENTION_US : 0;
+	return matters && seed % 7 >= 5 ? place->short_retention_us : 0;
 }
 
-/*
- * Run one seed of a promise's profile and add what came of it.
- */
-void faults_run(const struct engine_ops *engine, enum promise promise,
-		uint64_t seed, FILE *transcript, struct faults_result *result)
+/* Plan the faults of one run: those of the profile and of the place. */
+static void add_faults(struct world *world,
+		       const struct fault_place_options *place,
+		       const struct fault_profile *profile, uint32_t count)
 {
-	const struct fault_profile *profile = &fault_profiles[promise];
-	void *mem = talloc_new(NULL);
-	struct world *world =
-		make_world(mem, engine, seed, short_retention_us(promise, seed),
-			   transcript);
-	uint32_t count = 1 + (uint32_t)world_random(world, FAULTS_MAX);
+	uint8_t weights[FAULT_KIND_COUNT];
 
-	share_rates(world, &profile->rates);
-	load_add(world, profile->load,
-		 profile->callers ? profile->callers : CALLERS);
+	for (uint32_t i = 0; i < FAULT_KIND_COUNT; i++)
+		weights[i] = profile->faults[i] + place->faults[i];
 	for (uint32_t i = 0; i < count; i++) {
+		uint64_t span_us = place->load_until_us - FAULTS_LOAD_FROM_US;
 		struct world_event *event = world_after(
 			world,
-			FAULTS_LOAD_FROM_US +
-				world_random(world,
-					     FAULTS_LOAD_UNTIL_US -
-						     FAULTS_LOAD_FROM_US),
+			FAULTS_LOAD_FROM_US + world_random(world, span_us),
 			fault_strike);
 
-		event->other =
-			profile_pick(world, profile->faults, FAULT_KIND_COUNT);
+		event->other = profile_pick(world, weights, FAULT_KIND_COUNT);
+		event->life = place->lasts_max_us;
 	}
+}
+
+/*
+ * Run one seed of a promise's profile at a place and add what came of it.
+ */
+void faults_run_at(const struct engine_ops *engine, enum fault_place where,
+		   enum promise promise, uint64_t seed, FILE *transcript,
+		   struct faults_result *result)
+{
+	const struct fault_place_options *place = &fault_places[where];
+	const struct fault_profile *profile = &fault_profiles[promise];
+	uint64_t end_us = profile->end_us ? profile->end_us : FAULTS_END_US;
+	void *mem = talloc_new(NULL);
+	struct world *world =
+		make_world(mem, engine, place, seed,
+			   retention_us(place, promise, seed), transcript);
+	uint32_t count = 1 + (uint32_t)world_random(world, place->faults_max);
+
+	share_rates(world, &profile->rates);
+	load_add(world, place, profile->load,
+		 profile->callers > place->callers ? profile->callers :
+						     place->callers);
+	add_faults(world, place, profile, count);
 	(void)world_after(world, 0, fault_replace_stopped);
-	(void)world_after(world, FAULTS_CALM_US, fault_calm);
-	world_run_until(world,
-			profile->end_us ? profile->end_us : FAULTS_END_US);
+	(void)world_after(world, place->calm_us, fault_calm);
+	world_run_until(world, end_us + place->more_us);
 	checker_finish_run(&world->checker, world->now_us);
 	faults_result_add_world(world, result);
 	talloc_free(mem);
 }
 
+/*
+ * Run one seed of a promise's profile in the small world.
+ */
+void faults_run(const struct engine_ops *engine, enum promise promise,
+		uint64_t seed, FILE *transcript, struct faults_result *result)
+{
+	faults_run_at(engine, FAULT_PLACE_SMALL, promise, seed, transcript,
+		      result);
+}
+
 static void stop_one(struct world *world, struct world_event *event)
 {
 	node_stop(world, event->index);
@@ -106,11 +128,7 @@
 		fault_strike_platform(world, FAULT_OUTAGE, 10 * RJ_US_PER_S);
 		break;
 	case TROUBLE_CUT_DOMAIN:
-		world->domain_cut[0] = true;
-		world->log.cut[0] = true;
-		world_reach_changed(world);
-		(void)world_after(world, 10 * RJ_US_PER_S, fault_links_back);
-		(void)world_after(world, 10 * RJ_US_PER_S, fault_platform_back);
+		fault_cut_alone(world, 0, 10 * RJ_US_PER_S);
 		break;
 	case TROUBLE_KILLED_INSTANCE:
 		fault_kill_nodes(world, 0, 1);
@@ -136,10 +154,12 @@
 		[LOAD_PREVIEW] = 6, [LOAD_QUOTE] = 4,  [LOAD_QUOTE_DOUBLED] = 1,
 		[LOAD_GANG] = 1,    [LOAD_RENDER] = 2,
 	};
+	const struct fault_place_options *place =
+		&fault_places[FAULT_PLACE_SMALL];
 	void *mem = talloc_new(NULL);
-	struct world *world = make_world(mem, engine, seed, 0, NULL);
+	struct world *world = make_world(mem, engine, place, seed, 0, NULL);
 
-	load_add(world, mixed, 2 * CALLERS);
+	load_add(world, place, mixed, 2 * place->callers);
 	(void)world_after(world, 0, fault_replace_stopped);
 	world_run_until(world, 8 * RJ_US_PER_S);
 	cause(world, trouble);
@@ -161,10 +181,12 @@
 		[LOAD_QUOTE] = 3,
 		[LOAD_QUOTE_DOUBLED] = 2,
 	};
-	struct world *world = make_world(mem, engine, seed, 0, NULL);
+	const struct fault_place_options *place =
+		&fault_places[FAULT_PLACE_SMALL];
+	struct world *world = make_world(mem, engine, place, seed, 0, NULL);
 
 	/* What was drawn so far depends on the engine; the callers must not. */
 	world->random = seed;
-	load_add(world, light, CALLERS);
+	load_add(world, place, light, place->callers);
 	return world;
 }
--- a/src/test_libradishjunction/support/faults.h
+++ b/src/test_libradishjunction/support/faults.h
@@ -9,7 +9,7 @@
 #ifndef SUPPORT_FAULTS_H
 #define SUPPORT_FAULTS_H
 
-#include "support/world.h"
+#include "support/fault_profiles.h"
 
 /* The trouble under which the share of served requests is measured. */
 enum trouble {
@@ -48,6 +48,9 @@
 void faults_result_finish(struct faults_result *result);
 void faults_run(const struct engine_ops *engine, enum promise promise,
 		uint64_t seed, FILE *transcript, struct faults_result *result);
+void faults_run_at(const struct engine_ops *engine, enum fault_place where,
+		   enum promise promise, uint64_t seed, FILE *transcript,
+		   struct faults_result *result);
 struct world *faults_quiet_world(void *mem, const struct engine_ops *engine,
 				 uint64_t seed);
 void faults_served(const struct engine_ops *engine, enum trouble trouble,
--- a/src/test_libradishjunction/support/world.c
+++ b/src/test_libradishjunction/support/world.c
@@ -43,6 +43,18 @@
 	return true;
 }
 
+/*
+ * How fast a clock that is made now runs; draws nothing without drift.
+ */
+int64_t world_drift_ppm(struct world *world)
+{
+	int64_t most = world->options.drift_ppm;
+
+	if (!most)
+		return 0;
+	return (int64_t)world_random(world, 2 * (uint64_t)most + 1) - most;
+}
+
 /*
  * Have `run` called after `delay_us`. The event is freed when it has run;
  * what hangs on it goes with it.
@@ -212,6 +224,26 @@
 
 static void wake(struct world *world, struct world_event *event);
 
+/* What an instance's clock says at a time of the world. */
+static uint64_t node_clock_us(const struct node *node, uint64_t at_us)
+{
+	int64_t gained_us = (int64_t)at_us * node->drift_ppm / WORLD_PPM;
+
+	return at_us + node->clock_offset_us + (uint64_t)gained_us;
+}
+
+/* The first time at which an instance's clock says `own_us` or more. */
+static uint64_t node_when_us(const struct node *node, uint64_t own_us)
+{
+	int64_t at_us = (int64_t)(own_us - node->clock_offset_us);
+
+	at_us -= at_us * node->drift_ppm / WORLD_PPM;
+	while (node_clock_us(node, (uint64_t)at_us) < own_us)
+		at_us += (int64_t)(own_us -
+				   node_clock_us(node, (uint64_t)at_us));
+	return (uint64_t)at_us;
+}
+
 /* Arm the instance's one timer, if it has to come earlier than the armed. */
 static void arm(struct world *world, struct node *node)
 {
@@ -220,7 +252,7 @@
 
 	if (wake_us == RJ_NEVER_US)
 		return;
-	wake_us -= node->clock_offset_us;
+	wake_us = node_when_us(node, wake_us);
 	if ((int64_t)wake_us < (int64_t)world->now_us)
 		wake_us = world->now_us;
 	if (node->wake_us <= wake_us)
@@ -237,7 +269,7 @@
 {
 	bool exits = false;
 
-	event->now_us = world->now_us + node->clock_offset_us;
+	event->now_us = node_clock_us(node, world->now_us);
 	if (world->options.transcript && event->kind != RJ_EVENT_TIMER &&
 	    !(world->options.brief && transcript_event_is_upkeep(event)))
 		transcript_event(world->options.transcript, world->now_us,
@@ -351,6 +383,7 @@
 	node->life++;
 	node->incarnation = (uint64_t)(index + 1) << 16 | node->life;
 	node->clock_offset_us = RJ_US_PER_S + world_random(world, 1ULL << 40);
+	node->drift_ppm = world_drift_ppm(world);
 	node->wake_us = RJ_NEVER_US;
 	node->stopping = false;
 	node->paused = false;
--- a/src/test_libradishjunction/support/world.h
+++ b/src/test_libradishjunction/support/world.h
@@ -6,7 +6,8 @@
  * Life cycle: `world_create` makes one as a talloc child and starts its
  * instances, `world_run_until` lets time pass, the rest brings faults about;
  * freed with talloc. One seed gives one history. Times are virtual
- * microseconds; each instance's own clock differs from it by a constant.
+ * microseconds; each instance's own clock differs from it by a constant, and
+ * where `drift_ppm` is set, it and the workers' clocks run fast or slow.
  */
 #ifndef SUPPORT_WORLD_H
 #define SUPPORT_WORLD_H
@@ -18,6 +19,7 @@
 #include "support/engine.h"
 
 #define WORLD_DOMAINS_MAX 3
+#define WORLD_PPM 1000000
 #define WORLD_RETENTION_US (600 * RJ_US_PER_S)
 #define WORLD_GUARANTEED_ACCOUNT "hub"
 #define WORLD_GUARANTEED_TASKS 4
@@ -62,6 +64,7 @@
 	uint64_t incarnation;
 	uint64_t life; /* rises with each start and end */
 	uint64_t clock_offset_us;
+	int64_t drift_ppm; /* its clock runs fast, or slow below 0 */
 	uint64_t wake_us; /* of the armed timer */
 	bool paused;
 	bool stopping;
@@ -112,6 +115,7 @@
 	bool leaving; /* as the platform's list says it, after its lag */
 	bool tells_leaving; /* its own answers say it too */
 	uint64_t slow_us; /* added to each of its answers */
+	int64_t drift_ppm; /* its clock runs fast, or slow below 0 */
 };
 
 struct fake_log {
@@ -163,6 +167,7 @@
 	uint32_t racks_per_domain;
 	uint32_t workers_per_rack;
 	uint64_t retention_us; /* 0: WORLD_RETENTION_US */
+	uint32_t drift_ppm; /* the most by which a clock is fast or slow */
 	FILE *transcript; /* NULL: none */
 	bool brief; /* the transcript is without upkeep */
 };
@@ -192,6 +197,7 @@
 void world_run_until(struct world *world, uint64_t until_us);
 uint64_t world_random(struct world *world, uint64_t below);
 bool world_chance(struct world *world, uint32_t thousandths);
+int64_t world_drift_ppm(struct world *world);
 struct world_event *world_after(struct world *world, uint64_t delay_us,
 				void (*run)(struct world *world,
 					    struct world_event *event));
