core: a log that was trimmed before its time starts nothing twice

Excluded: a log whose old records are gone in order; it reaches back to three quarters of the retention, and on a quiet one a record that says nothing is appended after an eighth. Change: a reader that starts, or that missed records, on a log that does not reach back does not trust it: nothing that needs the log starts, and unseen keys are `unknown` (log_gap), until a peer without a gap says from which offset on all it knows can be read (two trailing fields of the heartbeat; older versions end before them and vouch as they did) or a key's life has passed; then open jobs are doubted: never `not_run`, and what must not run twice is not started. It keeps what it knew, and what a peer carries counts more. Who sees that the log no longer says all of a job appends it again, its owner first. Entries of which all attempts are over are forgotten with the key's life; they never were. Tests and checks changed: test_peer_codec "every cut is malformed" leaves out the one cut where an older version's heartbeat ends, which a new test reads instead. The trimmed place runs 140 s longer and its callers ask longer, so that a key's life passes within it.

--- a/include/radishjunction/peer_message.h
+++ b/include/radishjunction/peer_message.h
@@ -43,6 +43,11 @@
 	uint64_t config_revision;
 	uint32_t queued; /* jobs waiting here */
 	uint64_t wait_us; /* expected wait of a small job here */
+	/* Whoever reads the jobs' records from offset `log_from` on, up to
+	   `log_next`, knows what the sender knows; UINT64_MAX and 0 where the
+	   sender does not say. */
+	uint64_t log_from;
+	uint64_t log_next;
 };
 
 struct rj_peer_summary {
--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -384,11 +384,20 @@
 	}
 }
 
-/* A claim of the job is open in the log. */
-static void claim_read(struct rj_job *job, const struct rj_job_entry *entry)
+/*
+ * A claim of the job is open in the log.
+ *
+ * Guards against a claim that was first only because older ones were dropped
+ * before their time: their job would run twice. The attempt is given up then,
+ * unless a peer who may know the older ones has carried its claim.
+ */
+static void claim_read(struct rj_job *job, const struct rj_job_entry *entry,
+		       bool carried)
 {
 	if (job->state == RJ_JOB_CLAIMING) {
-		if (own_claim(job, entry))
+		if (own_claim(job, entry) && job->core->gap_us && !carried)
+			claim_given_up(job);
+		else if (own_claim(job, entry))
 			claim_won(job);
 		else
 			claim_lost(job);
@@ -422,18 +431,24 @@
 }
 
 /*
- * The attempt that was watched never ran: serve the job from here. A job that
- * is known from its claim alone has no body here, and is left to those who
- * submit it again.
+ * Whether the job cannot be started from here: it is known from its claim
+ * alone, without its body, and is left to those who submit it again. It is
+ * freed then.
  */
-static void watched_is_void(struct rj_job *job)
+bool rj_job_leave_bodiless(struct rj_job *job)
 {
-	if (!job->bodiless) {
-		rj_filters_again(job);
-		return;
-	}
+	if (!job->bodiless)
+		return false;
 	rj_job_answer_in_progress(job, RJ_REASON_CLAIM_LOST);
 	rj_job_free(job);
+	return true;
+}
+
+/* The attempt that was watched never ran: serve the job from here. */
+static void watched_is_void(struct rj_job *job)
+{
+	if (!rj_job_leave_bodiless(job))
+		rj_filters_again(job);
 }
 
 /*
@@ -463,7 +478,7 @@
 		break;
 	case RJ_RECORD_CLAIM:
 		if (entry->claimed)
-			claim_read(job, entry);
+			claim_read(job, entry, record->carried);
 		break;
 	case RJ_RECORD_VOID:
 		/* What was watched never ran: serve it from here. */
--- a/src/libradishjunction/core/controllers/jobs_controller.c
+++ b/src/libradishjunction/core/controllers/jobs_controller.c
@@ -24,6 +24,7 @@
 /* The regular round over what the log and dead instances left open. */
 static void tick_due(struct rj_core_state *core, struct rj_timer *timer)
 {
+	rj_log_tick(core);
 	rj_claims_tick(core);
 	rj_timer_set(&core->timers, timer, core->now_us + TICK_US);
 }
@@ -350,9 +351,9 @@
 	const struct rj_job_entry *entry =
 		rj_job_ledger_find(&job->core->ledger, job->spec.job_id);
 
-	if (!entry || !entry->first_owner)
+	if (!entry || (!entry->first_owner && !entry->doubtful))
 		return false;
-	return entry->several_owners ||
+	return entry->doubtful || entry->several_owners ||
 	       entry->first_owner != job->core->incarnation;
 }
 
--- a/src/libradishjunction/core/controllers/log_controller.c
+++ b/src/libradishjunction/core/controllers/log_controller.c
@@ -170,7 +170,16 @@
 	const struct rj_log_stream *stream = &core->streams[RJ_STREAM_JOBS];
 
 	return stream->caught_up && core->platform_up && !core->woke_us &&
-	       core->now_us < stream->fresh_us + READ_STALE_US;
+	       !core->gap_us && core->now_us < stream->fresh_us + READ_STALE_US;
+}
+
+/*
+ * Why the log is not usable: it cannot be reached, or older keys may be
+ * missing in what was read of it.
+ */
+enum rj_reason rj_log_reason(const struct rj_core_state *core)
+{
+	return core->platform_up ? RJ_REASON_LOG_GAP : RJ_REASON_PLATFORM_DOWN;
 }
 
 /* The platform has stopped answering, or its answers are not to be had. */
@@ -183,16 +192,146 @@
 }
 
 /*
- * Records were trimmed that this reader had not seen: it was paused for
- * longer than the log keeps them. What it knew of older keys may be
- * incomplete, so it forgets all and reads the whole log again; until it has
- * caught up, `rj_log_usable` says no.
+ * What a whole log says can be known only from a record that is nearly as old
+ * as the log keeps any; all that still matters was carried since then.
  */
-static void read_gap(struct rj_core_state *core, struct rj_log_stream *stream)
+static bool reaches_back(const struct rj_core_state *core,
+			 const struct rj_records *records)
+{
+	return !records->oldest ||
+	       (records->count &&
+		records->records[0].age_us >= core->retention_us / 4 * 3);
+}
+
+/*
+ * This reader goes on at the oldest record that the log keeps, because it is
+ * new, or records were dropped that it had not seen. A log that reaches back
+ * says all, so what was known before is forgotten.
+ *
+ * Guards against a log that was trimmed before its time, whose claims nobody
+ * has carried yet: a key that runs or ran would seem new, and its job would
+ * run twice. Such a log shows by the age of its oldest record. Until a peer
+ * that has no gap says that what it knows can be read here, or every key from
+ * before has ended its life, `rj_log_usable` says no. What was known before
+ * is kept then: nobody else may know it, and what a peer carries counts more.
+ */
+static void read_first(struct rj_core_state *core, struct rj_log_stream *stream,
+		       const struct rj_records *records)
 {
 	stream->caught_up = false;
-	if (stream->stream == RJ_STREAM_JOBS)
+	if (stream->stream != RJ_STREAM_JOBS)
+		return;
+	stream->newest_us = core->now_us;
+	core->gap_from = records->oldest;
+	core->gap_us = reaches_back(core, records) ? 0 : core->now_us;
+	core->ledger.gap = core->gap_us;
+	if (!core->gap_us)
 		rj_job_ledger_reset(&core->ledger);
+	else
+		rj_core_log(core, RJ_LOG_REFUSE, RJ_REASON_LOG_GAP, NULL,
+			    "jobs");
+}
+
+/* Whether a peer without a gap says that all it knows was read here. */
+static bool peer_vouches(const struct rj_core_state *core)
+{
+	const struct rj_log_stream *stream = &core->streams[RJ_STREAM_JOBS];
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->membership.members) {
+		const struct rj_member_view *member =
+			RJ_CONTAINER(at, struct rj_member_view, link);
+
+		if (member->log_usable && rj_membership_alive(core, member) &&
+		    member->log_from >= core->gap_from &&
+		    member->log_next <= stream->next)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Look whether older keys may still be missing here.
+ */
+void rj_log_gap_check(struct rj_core_state *core)
+{
+	uint64_t life_us;
+
+	if (!core->gap_us || !core->config)
+		return;
+	life_us = core->config->limits.key_life_s * RJ_US_PER_S;
+	if (!peer_vouches(core)) {
+		if (core->now_us <= core->gap_us + life_us)
+			return;
+		rj_job_ledger_doubt(&core->ledger);
+	}
+	core->gap_us = 0;
+	core->ledger.gap = false;
+	core->jobs.plan_wanted = true;
+}
+
+/*
+ * Say from where on the jobs' records can be read to know what is known here.
+ */
+void rj_log_fill_heartbeat(const struct rj_core_state *core,
+			   struct rj_peer_heartbeat *heartbeat)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	heartbeat->log_next = core->streams[RJ_STREAM_JOBS].next;
+	heartbeat->log_from = heartbeat->log_next;
+	RJ_FOR_EACH (at, next, &core->ledger.entries) {
+		const struct rj_job_entry *entry =
+			RJ_CONTAINER(at, struct rj_job_entry, link);
+
+		/* Who doubts a job vouches for nothing. */
+		if (entry->doubtful && !entry->settled)
+			heartbeat->log_from = 0;
+		if (rj_job_entry_matters(entry) &&
+		    entry->whole_from < heartbeat->log_from)
+			heartbeat->log_from = entry->whole_from;
+	}
+}
+
+/*
+ * Append a record that says nothing when the log has been quiet for a while,
+ * so that who starts on it can tell a quiet log from one that was trimmed
+ * before its time.
+ */
+static void mark_quiet(struct rj_core_state *core, struct rj_log_stream *stream)
+{
+	uint64_t quiet_us = core->retention_us / 8;
+	struct rj_record record;
+
+	if (!rj_log_usable(core) ||
+	    core->now_us < stream->newest_us + quiet_us ||
+	    !rj_membership_owns(core, core->domain, stream->next))
+		return;
+	stream->newest_us = core->now_us;
+	memset(&record, 0, sizeof(record));
+	record.kind = RJ_RECORD_VOID;
+	rj_log_append(core, RJ_STREAM_JOBS, &record);
+}
+
+/*
+ * The regular round.
+ */
+void rj_log_tick(struct rj_core_state *core)
+{
+	rj_log_gap_check(core);
+	mark_quiet(core, &core->streams[RJ_STREAM_JOBS]);
+}
+
+/* Note when the newest record that was read was appended. */
+static void note_newest(const struct rj_core_state *core,
+			struct rj_log_stream *stream,
+			const struct rj_records *records)
+{
+	uint64_t age_us = records->records[records->count - 1].age_us;
+
+	stream->newest_us = age_us < core->now_us ? core->now_us - age_us : 0;
 }
 
 /*
@@ -214,9 +353,10 @@
 	stream->backoff_us = READ_BACKOFF_FIRST_US;
 	stream->fresh_us = stream->asked_us;
 	core->platform_up = true;
-	if (stream->read_before && records->oldest > stream->next)
-		read_gap(core, stream);
+	if (!stream->read_before || records->oldest > stream->next)
+		read_first(core, stream, records);
 	stream->read_before = true;
+	stream->oldest = records->oldest;
 	core->counters[RJ_COUNT_RECORDS_READ] += records->count;
 	if (records->stream == RJ_STREAM_CONFIG) {
 		rj_config_controller_records(core, records);
@@ -228,6 +368,9 @@
 		stream->tried |= stream->caught_up;
 		for (uint32_t i = 0; i < records->count; i++)
 			rj_claims_record(core, &records->records[i]);
+		if (records->count)
+			note_newest(core, stream, records);
+		rj_log_gap_check(core);
 		if (stream->caught_up) {
 			core->jobs.plan_wanted = true;
 			/* An answer from before the pause proves nothing. */
--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -12,6 +12,8 @@
 
 #include "private/core_state.h"
 
+/* A carried record that was lost shows within this time. */
+#define CARRY_RETRY_US (3 * RJ_US_PER_S)
 #define FENCE_BACKOFF_US (300 * RJ_US_PER_MS)
 /* A worker that does not answer for so long is gone, and the token with it. */
 #define FENCE_LIMIT_US (30 * RJ_US_PER_S)
@@ -349,6 +351,8 @@
 	rj_core_log(core, RJ_LOG_ADOPT, RJ_REASON_OWNER, job, NULL);
 	if (entry->cancelled)
 		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
+	else if (entry->doubtful && !job->idempotent)
+		rj_job_give_up(job, RJ_REASON_LOG_GAP, 0);
 	else
 		rj_job_submit(job);
 }
@@ -394,6 +398,52 @@
 		record.lease_life_us = entry->lease_life_us;
 		rj_log_append(core, RJ_STREAM_JOBS, &record);
 	}
+	if (!rj_job_entry_matters(entry)) {
+		record.kind = RJ_RECORD_VOID;
+		rj_log_append(core, RJ_STREAM_JOBS, &record);
+	}
+}
+
+/*
+ * Whether the records that say all of a job are gone before their time, and
+ * it is for this instance to append them again: for its owner at once, for
+ * all others when the owner has not.
+ *
+ * Guards against a log that is trimmed too early: an instance that starts
+ * then knows nothing of a key that runs or ran. It shows as a charge that is
+ * made twice, or as an accepted job that nobody knows any more. The owner
+ * itself may not have read what was dropped.
+ */
+static bool dropped_due(struct rj_core_state *core, struct rj_job_entry *entry)
+{
+	if (entry->whole_from >= core->streams[RJ_STREAM_JOBS].oldest) {
+		entry->dropped_us = 0;
+		return false;
+	}
+	if (!entry->dropped_us)
+		entry->dropped_us =
+			core->now_us +
+			(owned_here(core, entry) ?
+				 0 :
+				 rj_core_jitter_us(core, CARRY_RETRY_US));
+	/* That an attempt is over is said once, to who missed it. */
+	if (!rj_job_entry_matters(entry) && entry->carry_us)
+		return false;
+	return core->now_us >= entry->dropped_us &&
+	       core->now_us >= entry->carry_us + CARRY_RETRY_US;
+}
+
+/* Whether half of the retention has passed since the newest record of a job
+ * that matters, and this instance owns it. */
+static bool carry_due(const struct rj_core_state *core,
+		      const struct rj_job_entry *entry)
+{
+	uint64_t half_us = core->retention_us / 2;
+
+	return rj_job_entry_matters(entry) &&
+	       core->now_us >= entry->recorded_us + half_us &&
+	       core->now_us >= entry->carry_us + half_us / 4 &&
+	       owned_here(core, entry);
 }
 
 /*
@@ -407,15 +457,13 @@
 			       core->retention_us;
 	uint64_t half_us = core->retention_us / 2;
 
-	if (entry->settled && core->now_us > entry->first_us + life_us &&
+	if ((entry->settled || !rj_job_entry_matters(entry)) &&
+	    core->now_us > entry->first_us + life_us &&
 	    core->now_us > entry->recorded_us + half_us) {
 		rj_job_ledger_forget(&core->ledger, entry);
 		return;
 	}
-	if (core->now_us < entry->recorded_us + half_us ||
-	    core->now_us < entry->carry_us + half_us / 4)
-		return;
-	if (owned_here(core, entry))
+	if (dropped_due(core, entry) || carry_due(core, entry))
 		carry(core, entry);
 }
 
--- a/src/libradishjunction/core/controllers/stop_controller.c
+++ b/src/libradishjunction/core/controllers/stop_controller.c
@@ -36,7 +36,7 @@
 		rj_claims_void(job);
 	if (job->cancelled)
 		rj_job_give_up(job, job->final.reason, 0);
-	else
+	else if (!rj_job_leave_bodiless(job))
 		rj_job_retry(job, RJ_REASON_LEASE_LAPSED);
 }
 
@@ -59,6 +59,8 @@
 	}
 	if (job->claimed)
 		rj_claims_void(job);
+	if (rj_job_leave_bodiless(job))
+		return;
 	if (job->reclaimed) {
 		rj_job_requeue(job, 0, RJ_REASON_RECLAIMED);
 		return;
--- a/src/libradishjunction/core/filters/find.c
+++ b/src/libradishjunction/core/filters/find.c
@@ -89,7 +89,7 @@
 	if (!rj_log_usable(core))
 		return rj_filter_refuse(
 			core, submission, RJ_ANSWER_UNKNOWN,
-			RJ_REASON_PLATFORM_DOWN,
+			rj_log_reason(core),
 			rj_core_jitter_us(core, 2 * RJ_US_PER_S),
 			"the log cannot be read now, so the job may exist");
 	return rj_filter_refuse(core, submission, RJ_ANSWER_UNKNOWN,
--- a/src/libradishjunction/core/filters/place.c
+++ b/src/libradishjunction/core/filters/place.c
@@ -17,7 +17,7 @@
 			core, submission,
 			submission->spec.key[0] ? RJ_ANSWER_UNKNOWN :
 						  RJ_ANSWER_NOT_RUN,
-			RJ_REASON_PLATFORM_DOWN,
+			rj_log_reason(core),
 			rj_core_jitter_us(core, 2 * RJ_US_PER_S),
 			"a job is accepted only once it is in the log, which "
 			"cannot be reached now: wait on the connection, or "
--- a/src/libradishjunction/core/filters/repeat.c
+++ b/src/libradishjunction/core/filters/repeat.c
@@ -111,8 +111,7 @@
 static enum rj_filter_verdict log_needed(struct rj_core_state *core,
 					 struct rj_submission *submission)
 {
-	enum rj_reason reason =
-		core->platform_up ? RJ_REASON_LOG_GAP : RJ_REASON_PLATFORM_DOWN;
+	enum rj_reason reason = rj_log_reason(core);
 	uint64_t retry_after_us = rj_core_jitter_us(core, 2 * RJ_US_PER_S);
 
 	if (submission->job) {
--- a/src/libradishjunction/core/job_ledger.c
+++ b/src/libradishjunction/core/job_ledger.c
@@ -75,6 +75,31 @@
 	       a->number == b->number;
 }
 
+/*
+ * Nobody is left who knows what older records said: attempts of every job
+ * that is still open may be missing.
+ */
+void rj_job_ledger_doubt(struct rj_job_ledger *ledger)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &ledger->entries) {
+		struct rj_job_entry *entry =
+			RJ_CONTAINER(at, struct rj_job_entry, link);
+
+		entry->doubtful = !entry->settled;
+	}
+}
+
+/*
+ * Whether the log says more of a job than that all of its attempts are over.
+ */
+bool rj_job_entry_matters(const struct rj_job_entry *entry)
+{
+	return entry->settled || entry->claimed || entry->accepted;
+}
+
 /* Make the entry of a job that the log had not named before. */
 static struct rj_job_entry *entry_new(struct rj_job_ledger *ledger, void *mem,
 				      const struct rj_record *record,
@@ -112,11 +137,12 @@
 	rj_bytes_copy(entry, &entry->spec.body, &record->spec.body);
 }
 
-/* The first claim of a job that is not open and not settled opens it. */
+/* The first claim of a job that is not open and not settled opens it. Where
+ * older records may be missing, one that a peer carries takes its place. */
 static void apply_claim(struct rj_job_entry *entry,
-			const struct rj_record *record)
+			const struct rj_record *record, bool gap)
 {
-	if (entry->settled || entry->claimed)
+	if (entry->settled || (entry->claimed && !(gap && record->carried)))
 		return;
 	if (memcmp(entry->spec.digest, record->spec.digest, RJ_DIGEST_BYTES))
 		return;
@@ -178,6 +204,33 @@
 	entry->spec.body = (struct rj_bytes){ 0 };
 }
 
+/*
+ * Note where the log says what of the job: from the earlier one of its
+ * newest accept and its newest open claim on it says all that matters, and
+ * from a carried outcome on by itself.
+ */
+static void note_offsets(struct rj_job_entry *entry,
+			 const struct rj_record *record)
+{
+	if (record->kind == RJ_RECORD_ACCEPT)
+		entry->accept_at = record->offset;
+	if (record->kind == RJ_RECORD_CLAIM && entry->claimed &&
+	    same_attempt(&entry->attempt, &record->attempt))
+		entry->claim_at = record->offset;
+	if (entry->settled) {
+		if (record->kind == RJ_RECORD_OUTCOME && record->carried)
+			entry->whole_from = record->offset;
+		return;
+	}
+	if (entry->accepted && entry->claimed)
+		entry->whole_from = MIN(entry->accept_at, entry->claim_at);
+	else if (entry->accepted)
+		entry->whole_from = entry->accept_at;
+	else
+		entry->whole_from =
+			entry->claimed ? entry->claim_at : record->offset;
+}
+
 /*
  * Apply one record, in log order. `now_us` is the time of reading. Returns
  * the entry of its job, or NULL for a record that is not about a job or that
@@ -211,7 +264,7 @@
 		apply_accept(entry, record);
 		break;
 	case RJ_RECORD_CLAIM:
-		apply_claim(entry, record);
+		apply_claim(entry, record, ledger->gap);
 		break;
 	case RJ_RECORD_VOID:
 		apply_void(entry, record);
@@ -227,5 +280,6 @@
 	case RJ_RECORD_KIND_COUNT:
 		break;
 	}
+	note_offsets(entry, record);
 	return entry;
 }
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -35,6 +35,8 @@
 	uint64_t backoff_us;
 	uint64_t asked_us; /* when the read that is out was sent */
 	uint64_t fresh_us; /* what was read holds at least up to here */
+	uint64_t oldest; /* the oldest offset that the log kept then */
+	uint64_t newest_us; /* when the newest record was appended */
 	struct rj_timer retry;
 	/* group commit: one append at a time, the rest waits */
 	struct rj_record **waiting; /* talloc array */
@@ -69,12 +71,18 @@
 	uint64_t first_us; /* when its first record was appended */
 	uint64_t recorded_us; /* when its newest record was appended */
 	uint64_t carry_us; /* when it was last carried from here */
+	uint64_t dropped_us; /* its records are gone: carry from then on */
+	bool doubtful; /* attempts of it may be missing, for good */
+	uint64_t accept_at; /* the offset of its newest accept */
+	uint64_t claim_at; /* the offset of its newest open claim */
+	uint64_t whole_from; /* the offset from which the log says all of it */
 };
 
 struct rj_job_ledger {
 	GHashTable *by_job; /* &entry->job_id -> entry */
 	struct rj_list entries;
 	uint32_t count;
+	bool gap; /* older records may be missing: carried ones count more */
 };
 
 struct rj_rack_summary {
@@ -105,6 +113,8 @@
 	uint64_t config_revision;
 	uint32_t queued;
 	uint64_t wait_us;
+	uint64_t log_from; /* see struct rj_peer_heartbeat */
+	uint64_t log_next;
 	struct rj_list summaries;
 };
 
@@ -311,6 +321,8 @@
 	struct rj_log_stream streams[RJ_STREAM_COUNT];
 	bool platform_up;
 	uint64_t woke_us; /* from a pause; 0 once the log was read since */
+	uint64_t gap_us; /* since when older keys may be missing; 0: none is */
+	uint64_t gap_from; /* the offset from which was read then */
 	struct rj_job_ledger ledger;
 	struct rj_membership membership;
 	struct rj_upstreams upstreams;
@@ -349,6 +361,11 @@
 void rj_log_appended(struct rj_core_state *core,
 		     const struct rj_appended *appended);
 bool rj_log_usable(const struct rj_core_state *core);
+enum rj_reason rj_log_reason(const struct rj_core_state *core);
+void rj_log_gap_check(struct rj_core_state *core);
+void rj_log_tick(struct rj_core_state *core);
+void rj_log_fill_heartbeat(const struct rj_core_state *core,
+			   struct rj_peer_heartbeat *heartbeat);
 
 /* job_ledger.c */
 void rj_job_ledger_init(struct rj_job_ledger *ledger, void *mem);
@@ -360,6 +377,8 @@
 					 void *mem,
 					 const struct rj_record *record,
 					 uint64_t now_us);
+void rj_job_ledger_doubt(struct rj_job_ledger *ledger);
+bool rj_job_entry_matters(const struct rj_job_entry *entry);
 void rj_job_ledger_forget(struct rj_job_ledger *ledger,
 			  struct rj_job_entry *entry);
 
@@ -489,6 +508,7 @@
 void rj_job_accept(struct rj_job *job);
 void rj_job_claim(struct rj_job *job);
 void rj_job_watch(struct rj_job *job);
+bool rj_job_leave_bodiless(struct rj_job *job);
 
 /* controllers/recovery_controller.c: SETTLING */
 void rj_job_settle(struct rj_job *job);
--- a/src/libradishjunction/peer/peer_codec.c
+++ b/src/libradishjunction/peer/peer_codec.c
@@ -290,6 +290,8 @@
 	write_number(writer, heartbeat->config_revision);
 	write_number(writer, heartbeat->queued);
 	write_number(writer, heartbeat->wait_us);
+	write_number(writer, heartbeat->log_from);
+	write_number(writer, heartbeat->log_next);
 }
 
 /* What write_heartbeat wrote. */
@@ -305,6 +307,11 @@
 		read_number(reader, "config_revision", UINT64_MAX);
 	heartbeat->queued = (uint32_t)read_number(reader, "queued", UINT32_MAX);
 	heartbeat->wait_us = read_number(reader, "wait_us", UINT64_MAX);
+	heartbeat->log_from = UINT64_MAX;
+	if (reader->bad || reader->offset >= reader->length)
+		return; /* an older version ends here */
+	heartbeat->log_from = read_number(reader, "log_from", UINT64_MAX);
+	heartbeat->log_next = read_number(reader, "log_next", UINT64_MAX);
 }
 
 /* The fields of RJ_PEER_SUMMARY, the workers after their count. */
--- a/src/test_libradishjunction/support/fault_load.c
+++ b/src/test_libradishjunction/support/fault_load.c
@@ -96,6 +96,8 @@
 			world,
 			from_us + world_random(world, until_us - from_us),
 			&plan);
+		if (place->tries)
+			caller->tries_max = place->tries;
 		if (place->hasty && world_random(world, 2) == 0)
 			caller->patience_us =
 				HASTY_US + world_random(world, HASTY_US);
--- a/src/test_libradishjunction/support/fault_profiles.c
+++ b/src/test_libradishjunction/support/fault_profiles.c
@@ -122,6 +122,8 @@
 		.hasty = true,
 		.faults_max = 8,
 		.faults = { [FAULT_TRIM] = 8 },
+		.tries = 120,
+		.more_us = 140 * RJ_US_PER_S,
 		.load_until_us = 20 * RJ_US_PER_S,
 		.calm_us = 24 * RJ_US_PER_S,
 		.lasts_max_us = 8 * RJ_US_PER_S,
--- a/src/test_libradishjunction/support/fault_profiles.h
+++ b/src/test_libradishjunction/support/fault_profiles.h
@@ -72,6 +72,7 @@
 	uint32_t workers_per_rack;
 	uint32_t drift_ppm;
 	uint32_t callers;
+	uint32_t tries; /* of each caller; 0: the usual number */
 	bool hasty; /* some callers give up before a pause ends */
 	uint32_t faults_max;
 	uint8_t faults[FAULT_KIND_COUNT]; /* beside those of the profile */
--- a/src/test_libradishjunction/test_faults_large.c
+++ b/src/test_libradishjunction/test_faults_large.c
@@ -4,6 +4,7 @@
 
 /* Few enough to be quick; scripts/bench faults --place runs any number. */
 #define SEEDS 4
+#define TRIMMED_SEEDS 50
 
 /* Nothing at all may be violated in this run. */
 static void check_seed(enum fault_place place, enum promise promise,
@@ -32,6 +33,33 @@
 		check_seed(FAULT_PLACE_LARGE, GPOINTER_TO_UINT(data), seed);
 }
 
+/* What the log dropped before anybody alive had read it, nobody knows. */
+static void check_trimmed(enum promise promise, uint64_t seed)
+{
+	struct faults_result result;
+
+	faults_result_init(&result);
+	faults_run_at(&engine_core, FAULT_PLACE_TRIMMED, promise, seed, NULL,
+		      &result);
+	for (uint32_t i = 0; i < PROMISE_COUNT; i++)
+		if (i != PROMISE_ACCEPTED)
+			g_assert_cmpstr(result.first[i], ==, "");
+	faults_result_finish(&result);
+}
+
+/*
+ * A student is charged twice.
+ * The platform's log drops records that it should still keep; an instance
+ * starts, reads what is left, and takes the student's key for a new one.
+ * Cause: a reader took whatever the log began with for all that there was,
+ * and nobody told the log again what it had dropped.
+ */
+static void test_trimmed_log(gconstpointer data)
+{
+	for (uint64_t seed = 1; seed <= TRIMMED_SEEDS; seed++)
+		check_trimmed(GPOINTER_TO_UINT(data), seed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -42,5 +70,10 @@
 		g_test_add_data_func(path, GUINT_TO_POINTER(i), test_large);
 		g_free(path);
 	}
+	g_test_add_data_func("/faults_trimmed/once",
+			     GUINT_TO_POINTER(PROMISE_ONCE), test_trimmed_log);
+	g_test_add_data_func("/faults_trimmed/not_run",
+			     GUINT_TO_POINTER(PROMISE_NOT_RUN),
+			     test_trimmed_log);
 	return g_test_run();
 }
--- a/src/test_libradishjunction/test_peer_codec.c
+++ b/src/test_libradishjunction/test_peer_codec.c
@@ -54,7 +54,37 @@
 	talloc_free(mem);
 }
 
-/* Every cut of every kind names a field and is malformed. */
+/* The length of a heartbeat as versions wrote it that did not say what of
+ * the log they know: the fields behind it are one and ten bytes long. */
+static uint32_t older_length(uint32_t kind, uint32_t whole)
+{
+	return kind == RJ_PEER_HEARTBEAT ? whole - 1 - 9 : whole;
+}
+
+/*
+ * A heartbeat of an older version ends early; what it does not say is read as
+ * not said.
+ */
+static void test_older_heartbeat_is_read(void)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_peer_message message;
+	struct rj_error err = { 0 };
+	struct rj_bytes bytes;
+
+	peer_frames_fill(&message, RJ_PEER_HEARTBEAT);
+	bytes = rj_peer_encode(mem, &message);
+	bytes.length = older_length(RJ_PEER_HEARTBEAT, bytes.length);
+	g_assert_cmpint(rj_peer_decode(mem, bytes, &message, &err), ==, 0);
+	g_assert_cmpuint(message.u.heartbeat.queued, ==, 9);
+	g_assert_cmpuint(message.u.heartbeat.wait_us, ==, 1ULL << 40);
+	g_assert_cmpuint(message.u.heartbeat.log_from, ==, UINT64_MAX);
+	g_assert_cmpuint(message.u.heartbeat.log_next, ==, 0);
+	talloc_free(mem);
+}
+
+/* Every cut of every kind names a field and is malformed, but for the one
+ * where an older version ends. */
 static void test_cut_frames_are_malformed(void)
 {
 	for (uint32_t kind = 0; kind < RJ_PEER_MESSAGE_KIND_COUNT; kind++) {
@@ -69,6 +99,8 @@
 		for (bytes.length = 0; bytes.length < whole; bytes.length++) {
 			struct rj_error err = { 0 };
 
+			if (bytes.length == older_length(kind, whole))
+				continue;
 			g_assert_cmpint(
 				rj_peer_decode(mem, bytes, &message, &err), ==,
 				-1);
@@ -210,6 +242,8 @@
 	g_test_add_func("/peer_codec/recorded_hello",
 			test_recorded_hello_is_spoken);
 	g_test_add_func("/peer_codec/cut", test_cut_frames_are_malformed);
+	g_test_add_func("/peer_codec/older_heartbeat",
+			test_older_heartbeat_is_read);
 	g_test_add_func("/peer_codec/array", test_announced_arrays_are_refused);
 	g_test_add_func("/peer_codec/fuzz", test_changed_bytes_do_no_harm);
 	g_test_add_func("/peer_codec/hello", test_hello);
