core: what ran here before it was handed on is not said not to have run

Change: a peer's `not_run` is passed on as `failed` where a worker said that the job ran here, and as `unknown` where it may have.

--- a/src/libradishjunction/core/controllers/forward_controller.c
+++ b/src/libradishjunction/core/controllers/forward_controller.c
@@ -102,8 +102,12 @@
 		return;
 	}
 	passed_on = answer->answer;
-	/* True of the peer, but an earlier one was lost with this job. */
-	if (job->ran_elsewhere && passed_on.kind == RJ_ANSWER_NOT_RUN)
+	/* True of the peer, but the job ran here before it was handed on, or
+	   may have run at an earlier peer that was lost with it. */
+	if (passed_on.kind == RJ_ANSWER_NOT_RUN && job->ran)
+		passed_on.kind = RJ_ANSWER_FAILED;
+	else if (passed_on.kind == RJ_ANSWER_NOT_RUN &&
+		 (job->ran_before || job->ran_elsewhere))
 		passed_on.kind = RJ_ANSWER_UNKNOWN;
 	job->final.kind = passed_on.kind;
 	rj_core_log(core, RJ_LOG_END, passed_on.reason, job, peer);
--- a/src/test_libradishjunction/test_faults_large.c
+++ b/src/test_libradishjunction/test_faults_large.c
@@ -60,6 +60,17 @@
 		check_trimmed(GPOINTER_TO_UINT(data), seed);
 }
 
+/*
+ * A tutor is told that a preview did not run; it had run, twice, and failed.
+ * Its instance hands the third attempt to a peer, whose worker refuses it;
+ * the peer says truly of itself that it ran nothing.
+ * Cause: the peer's answer was passed on as it came.
+ */
+static void test_ran_before_it_was_handed_on(void)
+{
+	check_trimmed(PROMISE_GANG, 75);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -75,5 +86,7 @@
 	g_test_add_data_func("/faults_trimmed/not_run",
 			     GUINT_TO_POINTER(PROMISE_NOT_RUN),
 			     test_trimmed_log);
+	g_test_add_func("/faults_trimmed/handed_on",
+			test_ran_before_it_was_handed_on);
 	return g_test_run();
 }
