test: leaving and config are judged wherever a peer could tell

Cause: docs/PROOFS.md: `leaving` was judged only for instances that hear all of their domain without a break and while no message is lost, `config` only for those that reach the platform. Excluded: judging through several peers in a row. Change: an instance is judged by each one that knew and that it has heard without a break since, lost messages included; a configuration has to be in force 13 s after an instance hears one peer that reaches the platform all the while. At the large place single instances are cut off from the platform, and in these two profiles a tenth of the peers' messages may be lost. Both are stricter than before; a planted violation of each is seen by test_checker (an instance that hears one and no other; one that only hears a peer).

--- a/src/test_libradishjunction/support/checker.c
+++ b/src/test_libradishjunction/support/checker.c
@@ -88,8 +88,10 @@
 						  NULL, g_free);
 	checker->gangs = g_ptr_array_new();
 	checker->config_ids = g_ptr_array_new_with_free_func(g_free);
-	for (uint32_t i = 0; i < CHECKER_NODES_MAX; i++)
+	for (uint32_t i = 0; i < CHECKER_NODES_MAX; i++) {
 		checker->nodes[i].reached_us = RJ_NEVER_US;
+		checker->nodes[i].peer_us = RJ_NEVER_US;
+	}
 	holder = talloc(mem, struct checker *);
 	assert(holder);
 	*holder = checker;
--- a/src/test_libradishjunction/support/checker.h
+++ b/src/test_libradishjunction/support/checker.h
@@ -81,7 +81,9 @@
 	uint32_t domain;
 	uint64_t incarnation;
 	uint64_t revision;
-	uint64_t reached_us; /* since when platform or a peer is in reach */
+	uint64_t reached_us; /* since when it reaches the platform */
+	uint64_t peer_us; /* since when it hears a peer that does */
+	uint64_t late_told; /* the revision whose lateness is counted */
 	uint64_t learnt_us[CHECKER_WORKERS_MAX]; /* that it is leaving */
 	uint64_t learnt[CHECKER_WORKERS_MAX]; /* incarnation that leaves */
 };
@@ -145,7 +147,7 @@
 			    uint64_t incarnation);
 void checker_new_work(struct checker *checker, uint64_t now_us, uint32_t node,
 		      uint32_t worker, uint64_t incarnation,
-		      uint64_t heard_since_us);
+		      const uint64_t heard_us[CHECKER_NODES_MAX]);
 void checker_exit(struct checker *checker, uint64_t now_us, uint32_t node);
 void checker_config_accepted(struct checker *checker, uint64_t now_us,
 			     uint64_t revision, const char *id);
@@ -156,6 +158,8 @@
 			 uint64_t revision);
 void checker_node_reach(struct checker *checker, uint64_t now_us, uint32_t node,
 			bool reached);
+void checker_node_peer(struct checker *checker, uint32_t node,
+		       uint64_t since_us);
 void checker_tick(struct checker *checker, uint64_t now_us);
 void checker_finish_run(struct checker *checker, uint64_t now_us);
 uint32_t checker_violations(const struct checker *checker);
--- a/src/test_libradishjunction/support/checker_config.c
+++ b/src/test_libradishjunction/support/checker_config.c
@@ -80,25 +80,36 @@
 }
 
 /*
- * Time has passed: where should the newest configuration be in force by now?
+ * Since when an instance hears one peer that reached the platform all the
+ * while; RJ_NEVER_US when there is none.
+ */
+void checker_node_peer(struct checker *checker, uint32_t node,
+		       uint64_t since_us)
+{
+	checker->nodes[node].peer_us = since_us;
+}
+
+/*
+ * Time has passed: where should the newest configuration be in force by now,
+ * read from the platform or told by a peer?
  */
 void checker_config_tick(struct checker *checker, uint64_t now_us)
 {
 	for (uint32_t i = 0; i < CHECKER_NODES_MAX; i++) {
 		struct checker_node *seen = &checker->nodes[i];
-		uint64_t since_us = checker->revision_us;
+		uint64_t since_us = MIN(seen->reached_us, seen->peer_us);
 
-		if (seen->reached_us == RJ_NEVER_US ||
-		    seen->revision >= checker->revision)
+		if (since_us == RJ_NEVER_US ||
+		    seen->revision >= checker->revision ||
+		    seen->late_told == checker->revision)
 			continue;
-		if (seen->reached_us > since_us)
-			since_us = seen->reached_us;
+		since_us = MAX(since_us, checker->revision_us);
 		if (now_us <= since_us + CHECKER_CONFIG_US)
 			continue;
 		checker_violation(checker, now_us, PROMISE_CONFIG,
 				  "node %u has revision %" PRIu64
 				  ", not %" PRIu64,
 				  i, seen->revision, checker->revision);
-		seen->reached_us = now_us;
+		seen->late_told = checker->revision;
 	}
 }
--- a/src/test_libradishjunction/support/checker_leaving.c
+++ b/src/test_libradishjunction/support/checker_leaving.c
@@ -36,12 +36,12 @@
 
 /*
  * An instance sends new work to a worker that would take it.
- * `heard_since_us` is since when it has heard all of its domain's instances
- * without a break.
+ * `heard_us` is since when it has heard each other instance without a break,
+ * RJ_NEVER_US where it does not.
  */
 void checker_new_work(struct checker *checker, uint64_t now_us, uint32_t node,
 		      uint32_t worker, uint64_t incarnation,
-		      uint64_t heard_since_us)
+		      const uint64_t heard_us[CHECKER_NODES_MAX])
 {
 	struct checker_node *self = &checker->nodes[node];
 
@@ -51,10 +51,11 @@
 		uint64_t since_us = other->learnt_us[worker];
 
 		if (other->domain != self->domain ||
-		    other->learnt[worker] != incarnation)
+		    other->learnt[worker] != incarnation ||
+		    (i != node && heard_us[i] == RJ_NEVER_US))
 			continue;
-		if (i != node && heard_since_us > since_us)
-			since_us = heard_since_us;
+		if (i != node && heard_us[i] > since_us)
+			since_us = heard_us[i];
 		if (now_us > since_us + CHECKER_LEAVING_US)
 			checker_violation(
 				checker, now_us, PROMISE_LEAVING,
--- a/src/test_libradishjunction/support/fake_log.c
+++ b/src/test_libradishjunction/support/fake_log.c
@@ -24,7 +24,6 @@
 /* An append on its way. */
 struct pending_append {
 	struct rj_append append;
-	uint32_t domain;
 };
 
 struct list_snapshot {
@@ -34,11 +33,12 @@
 };
 
 /*
- * Whether a failure domain reaches the platform.
+ * Whether an instance reaches the platform.
  */
-bool fake_log_reachable(const struct world *world, uint32_t domain)
+bool fake_log_reachable(const struct world *world, const struct node *node)
 {
-	return !world->log.down && !world->log.cut[domain];
+	return !world->log.down && !world->log.cut[node->domain] &&
+	       !world->log.cut_node[node->index];
 }
 
 static uint64_t round_trip_us(struct world *world)
@@ -185,7 +185,7 @@
 		struct node *node = &world->nodes[reader->index];
 
 		if (reader->run && node->life == reader->life) {
-			if (fake_log_reachable(world, node->domain))
+			if (fake_log_reachable(world, node))
 				answer_read(world, node, stream, reader->order);
 			else
 				fail_read(world, node, stream);
@@ -255,7 +255,7 @@
 	uint64_t delay_us = round_trip_us(world) / 2;
 
 	appended->append_id = pending->append.append_id;
-	if (!fake_log_reachable(world, pending->domain)) {
+	if (!fake_log_reachable(world, node)) {
 		appended->status = RJ_APPEND_LOST;
 		delay_us = TIMEOUT_US;
 	} else if (world_chance(world, world->rates.append_refused)) {
@@ -294,7 +294,6 @@
 
 	assert(pending);
 	pending->append = *append;
-	pending->domain = node->domain;
 	pending->append.records =
 		talloc_array(pending, struct rj_record, append->count);
 	for (uint32_t i = 0; i < append->count; i++)
@@ -313,7 +312,7 @@
 	if (!reader->run || node->life != event->life)
 		return;
 	reader->run = NULL;
-	if (fake_log_reachable(world, node->domain))
+	if (fake_log_reachable(world, node))
 		answer_read(world, node, event->other, reader->order);
 	else
 		fail_read(world, node, event->other);
@@ -328,7 +327,7 @@
 
 	if (node->life != event->life)
 		return;
-	if (!fake_log_reachable(world, node->domain) ||
+	if (!fake_log_reachable(world, node) ||
 	    world_chance(world, world->rates.read_failed)) {
 		fail_read(world, node, read->stream);
 		return;
@@ -376,7 +375,7 @@
 	const struct list_snapshot *shown = NULL;
 	struct rj_event *event;
 
-	if (!fake_log_reachable(world, node->domain))
+	if (!fake_log_reachable(world, node))
 		return;
 	for (GList *at = world->log.lists.head; at; at = at->next) {
 		const struct list_snapshot *snapshot = at->data;
--- a/src/test_libradishjunction/support/fake_peers.c
+++ b/src/test_libradishjunction/support/fake_peers.c
@@ -210,30 +210,40 @@
 }
 
 /*
- * Since when an instance has heard every other of its failure domain, or now
- * when it misses one or messages may be lost. One that goes on after a pause
- * hears only from then on.
+ * Since when an instance has heard each other one without a break;
+ * RJ_NEVER_US where it does not. One that goes on after a pause hears, and is
+ * heard, only from then on.
  */
-uint64_t fake_peers_heard_since(const struct world *world, uint32_t node)
+void fake_peers_heard(const struct world *world, uint32_t node,
+		      uint64_t heard_us[CHECKER_NODES_MAX])
 {
-	uint64_t since_us = world->nodes[node].resumed_us;
-
-	if (world->rates.peer_lost)
-		return world->now_us;
+	for (uint32_t i = 0; i < CHECKER_NODES_MAX; i++)
+		heard_us[i] = RJ_NEVER_US;
 	for (uint32_t i = 0; i < world->node_count; i++) {
 		const struct fake_link *link = i < node ?
 						       &world->links[i][node] :
 						       &world->links[node][i];
 
-		if (i == node ||
-		    world->nodes[i].domain != world->nodes[node].domain)
+		if (i == node || !link->up || !can_pass(world, i, node) ||
+		    world->nodes[i].paused)
 			continue;
-		if (!link->up || link->cut || world->nodes[i].paused)
-			return world->now_us;
-		if (link->up_us > since_us)
-			since_us = link->up_us;
-		if (world->nodes[i].resumed_us > since_us)
-			since_us = world->nodes[i].resumed_us;
+		heard_us[i] = MAX(link->up_us, link->whole_us);
+		heard_us[i] = MAX(heard_us[i], world->nodes[i].resumed_us);
+		heard_us[i] = MAX(heard_us[i], world->nodes[node].resumed_us);
 	}
-	return since_us;
+}
+
+/*
+ * End every cut between instances and between failure domains.
+ */
+void fake_peers_mend(struct world *world)
+{
+	for (uint32_t a = 0; a < world->node_count; a++)
+		for (uint32_t b = a + 1; b < world->node_count; b++)
+			if (!can_pass(world, a, b))
+				world->links[a][b].whole_us = world->now_us;
+	memset(world->domain_cut, 0, sizeof(world->domain_cut));
+	for (uint32_t a = 0; a < world->node_count; a++)
+		for (uint32_t b = a + 1; b < world->node_count; b++)
+			world->links[a][b].cut = false;
 }
--- a/src/test_libradishjunction/support/fake_worker_link.c
+++ b/src/test_libradishjunction/support/fake_worker_link.c
@@ -131,6 +131,7 @@
 {
 	struct fake_worker *worker = fake_worker_find(world, asked->worker);
 	struct fake_call *call = talloc_zero(world, struct fake_call);
+	uint64_t heard_us[CHECKER_NODES_MAX];
 	uint64_t delay_us;
 
 	assert(worker && call && asked->timeout_us);
@@ -139,10 +140,11 @@
 	call->node = node->index;
 	call->worker = worker->index;
 	call->life = node->life;
-	if (asked->op == RJ_WORKER_LEASE || asked->op == RJ_WORKER_RUN)
+	if (asked->op == RJ_WORKER_LEASE || asked->op == RJ_WORKER_RUN) {
+		fake_peers_heard(world, node->index, heard_us);
 		checker_new_work(&world->checker, world->now_us, node->index,
-				 worker->index, worker->incarnation,
-				 fake_peers_heard_since(world, node->index));
+				 worker->index, worker->incarnation, heard_us);
+	}
 	world_after(world, asked->timeout_us, call_times_out)->data = call;
 	if (world_chance(world, world->rates.call_lost))
 		return;
--- a/src/test_libradishjunction/support/fault_profiles.c
+++ b/src/test_libradishjunction/support/fault_profiles.c
@@ -59,6 +59,7 @@
 		.rates = { RATES_OF_LOG, RATES_OF_WORKERS },
 	},
 	[PROMISE_LEAVING] = {
+		.peers_lose = true,
 		.faults = { [FAULT_LEAVING] = 8, [FAULT_LIST_LAG] = 5,
 			    [FAULT_OUTAGE] = 2, [FAULT_CUT_PLATFORM] = 2,
 			    [FAULT_PAUSE] = 1, [FAULT_CUT_LINK] = 2,
@@ -79,6 +80,7 @@
 		.rates = { RATES_OF_LOG, .reply_lost = 20 },
 	},
 	[PROMISE_CONFIG] = {
+		.peers_lose = true,
 		.faults = { [FAULT_PUBLISH] = 8, [FAULT_OUTAGE] = 3,
 			    [FAULT_KILL] = 3, [FAULT_KILL_DOMAIN] = 2,
 			    [FAULT_CUT_PLATFORM] = 3, [FAULT_PAUSE] = 2,
@@ -139,7 +141,9 @@
 		.callers = 90,
 		.hasty = true,
 		.faults_max = 24,
-		.faults = { [FAULT_CUT_ALONE] = 2, [FAULT_CUT_WITHIN] = 2 },
+		.faults = { [FAULT_CUT_ALONE] = 2, [FAULT_CUT_WITHIN] = 2,
+			    [FAULT_CUT_INSTANCE] = 2 },
+		.rates = { .peer_lost = 100, .peer_late = 100 },
 		.load_until_us = 60 * RJ_US_PER_S,
 		.calm_us = 66 * RJ_US_PER_S,
 		.lasts_max_us = 15 * RJ_US_PER_S,
--- a/src/test_libradishjunction/support/fault_profiles.h
+++ b/src/test_libradishjunction/support/fault_profiles.h
@@ -31,6 +31,7 @@
 	FAULT_PUBLISH,
 	FAULT_CUT_ALONE, /* a domain, from the others and the platform */
 	FAULT_CUT_WITHIN, /* all links among the instances of a domain */
+	FAULT_CUT_INSTANCE, /* one, from the platform alone */
 	FAULT_TRIM, /* the log drops what it should still keep */
 	FAULT_KIND_COUNT
 };
@@ -51,8 +52,8 @@
 	uint8_t faults[FAULT_KIND_COUNT];
 	uint8_t load[LOAD_KIND_COUNT];
 	uint32_t callers; /* 0: the usual number of the place */
-	uint64_t
-		end_us; /* 0: FAULTS_END_US; later where the load takes longer */
+	bool peers_lose; /* messages, where the place says so */
+	uint64_t end_us; /* 0: FAULTS_END_US */
 	struct fault_rates rates; /* the most; each run takes a share */
 };
 
@@ -76,6 +77,7 @@
 	bool hasty; /* some callers give up before a pause ends */
 	uint32_t faults_max;
 	uint8_t faults[FAULT_KIND_COUNT]; /* beside those of the profile */
+	struct fault_rates rates; /* of profiles whose peers lose messages */
 	uint64_t load_until_us;
 	uint64_t calm_us;
 	uint64_t lasts_max_us; /* the most that a fault lasts beyond 1 s */
--- a/src/test_libradishjunction/support/fault_strikes.c
+++ b/src/test_libradishjunction/support/fault_strikes.c
@@ -116,6 +116,7 @@
 	world->log.slow_us = 0;
 	world->log.list_lag_us = RJ_US_PER_S;
 	memset(world->log.cut, 0, sizeof(world->log.cut));
+	memset(world->log.cut_node, 0, sizeof(world->log.cut_node));
 	world_reach_changed(world);
 }
 
@@ -125,10 +126,7 @@
 void fault_links_back(struct world *world, struct world_event *event)
 {
 	world_note(world, "links are whole");
-	memset(world->domain_cut, 0, sizeof(world->domain_cut));
-	for (uint32_t a = 0; a < world->node_count; a++)
-		for (uint32_t b = a + 1; b < world->node_count; b++)
-			world->links[a][b].cut = false;
+	fake_peers_mend(world);
 }
 
 static void strike_node(struct world *world, enum fault_kind kind,
@@ -170,6 +168,9 @@
 		world->log.slow_us = world_random(world, 4 * RJ_US_PER_S);
 	else if (kind == FAULT_LIST_LAG)
 		world->log.list_lag_us = world_random(world, 15 * RJ_US_PER_S);
+	else if (kind == FAULT_CUT_INSTANCE)
+		world->log.cut_node[world_random(world, world->node_count)] =
+			true;
 	else
 		world->log.cut[world_random(world, world->options.domains)] =
 			true;
@@ -236,6 +237,7 @@
 	case FAULT_SLOW_LOG:
 	case FAULT_LIST_LAG:
 	case FAULT_CUT_PLATFORM:
+	case FAULT_CUT_INSTANCE:
 		fault_strike_platform(world, kind, lasts_us);
 		break;
 	case FAULT_CUT_DOMAIN:
--- a/src/test_libradishjunction/support/faults.c
+++ b/src/test_libradishjunction/support/faults.c
@@ -94,6 +94,8 @@
 	uint32_t count = 1 + (uint32_t)world_random(world, place->faults_max);
 
 	share_rates(world, &profile->rates);
+	if (profile->peers_lose)
+		share_rates(world, &place->rates);
 	load_add(world, place, profile->load,
 		 profile->callers > place->callers ? profile->callers :
 						     place->callers);
--- a/src/test_libradishjunction/support/world.c
+++ b/src/test_libradishjunction/support/world.c
@@ -347,10 +347,10 @@
 	for (uint32_t i = 0; i < world->node_count; i++) {
 		const struct node *node = &world->nodes[i];
 
-		checker_node_reach(
-			&world->checker, world->now_us, i,
-			node->engine && !node->paused && !node->stopping &&
-				fake_log_reachable(world, node->domain));
+		checker_node_reach(&world->checker, world->now_us, i,
+				   node->engine && !node->paused &&
+					   !node->stopping &&
+					   fake_log_reachable(world, node));
 	}
 }
 
@@ -398,7 +398,7 @@
 		   node->incarnation);
 	node->engine = world->options.engine->create(world, &options);
 	checker_node_reach(&world->checker, world->now_us, index,
-			   fake_log_reachable(world, node->domain));
+			   fake_log_reachable(world, node));
 	process(world, node, &timer);
 }
 
@@ -438,7 +438,7 @@
 	world_note(world, "%s %s", node->name, paused ? "pauses" : "goes on");
 	node->paused = paused;
 	checker_node_reach(&world->checker, world->now_us, index,
-			   !paused && fake_log_reachable(world, node->domain));
+			   !paused && fake_log_reachable(world, node));
 	if (paused)
 		return;
 	node->resumed_us = world->now_us;
@@ -466,8 +466,29 @@
 	node_deliver_after(world, node, 0, node_event(world, RJ_EVENT_STOP));
 }
 
+/* Since when an instance hears a peer that reaches the platform: by the
+ * longest of all ways. */
+static uint64_t reached_by_peer_us(const struct world *world, uint32_t index)
+{
+	const struct node *node = &world->nodes[index];
+	uint64_t heard_us[CHECKER_NODES_MAX];
+	uint64_t since_us = RJ_NEVER_US;
+
+	if (!node->engine || node->paused || node->stopping)
+		return RJ_NEVER_US;
+	fake_peers_heard(world, index, heard_us);
+	for (uint32_t i = 0; i < world->node_count; i++)
+		since_us =
+			MIN(since_us, MAX(heard_us[i],
+					  world->checker.nodes[i].reached_us));
+	return since_us;
+}
+
 static void tick(struct world *world, struct world_event *event)
 {
+	for (uint32_t i = 0; i < world->node_count; i++)
+		checker_node_peer(&world->checker, i,
+				  reached_by_peer_us(world, i));
 	checker_tick(&world->checker, world->now_us);
 	(void)world_after(world, TICK_US, tick);
 }
--- a/src/test_libradishjunction/support/world.h
+++ b/src/test_libradishjunction/support/world.h
@@ -129,6 +129,7 @@
 	uint64_t slow_us; /* added to each operation */
 	bool down;
 	bool cut[WORLD_DOMAINS_MAX];
+	bool cut_node[CHECKER_NODES_MAX]; /* one instance alone */
 };
 
 struct fake_link {
@@ -136,6 +137,7 @@
 	bool up;
 	bool cut; /* of this pair alone */
 	uint64_t up_us; /* since when */
+	uint64_t whole_us; /* when a cut that struck it ended */
 	uint64_t last_us[2]; /* arrival of the newest message, each way */
 	uint64_t life;
 };
@@ -226,7 +228,7 @@
 void fake_log_list(struct world *world, struct node *node);
 void fake_log_publish(struct world *world, uint64_t base, const char *id,
 		      const char *text);
-bool fake_log_reachable(const struct world *world, uint32_t domain);
+bool fake_log_reachable(const struct world *world, const struct node *node);
 
 void fake_worker_init(struct world *world, uint32_t index);
 void fake_worker_finish(struct world *world, uint32_t index);
@@ -244,7 +246,9 @@
 void fake_peers_send(struct world *world, struct node *node, const char *name,
 		     const struct rj_peer_message *message);
 void fake_peers_node_gone(struct world *world, struct node *node);
-uint64_t fake_peers_heard_since(const struct world *world, uint32_t node);
+void fake_peers_heard(const struct world *world, uint32_t node,
+		      uint64_t heard_us[CHECKER_NODES_MAX]);
+void fake_peers_mend(struct world *world);
 
 /* What a caller wants. */
 struct caller_plan {
--- a/src/test_libradishjunction/test_checker.c
+++ b/src/test_libradishjunction/test_checker.c
@@ -242,21 +242,27 @@
 
 /*
  * An upstream that has announced its leaving is given work six seconds later,
- * by the instance that knew or by one that could hear it.
+ * by the instance that knew or by one that could hear it, also when that one
+ * hears no third one.
  */
 static void test_work_for_a_leaving_worker_is_seen(void)
 {
 	uint64_t late_us = RJ_US_PER_S + CHECKER_LEAVING_US + 1;
+	uint64_t heard[CHECKER_NODES_MAX] = { 0, 0, RJ_NEVER_US };
+	uint64_t later[CHECKER_NODES_MAX] = { late_us };
+	uint64_t never[CHECKER_NODES_MAX] = { RJ_NEVER_US };
 	struct history history;
 
 	for (uint32_t node = 0; node < 2; node++) {
 		history_start(&history, (struct checker_intent){ .gang = 1 });
 		checker_leaving_learnt(&history.checker, RJ_US_PER_S, 0, 5, 1);
-		checker_new_work(&history.checker, late_us - 1, node, 5, 1, 0);
-		checker_new_work(&history.checker, late_us, node, 5, 2, 0);
-		checker_new_work(&history.checker, late_us, 1, 5, 1, late_us);
+		checker_new_work(&history.checker, late_us - 1, node, 5, 1,
+				 heard);
+		checker_new_work(&history.checker, late_us, node, 5, 2, heard);
+		checker_new_work(&history.checker, late_us, 1, 5, 1, later);
+		checker_new_work(&history.checker, late_us, 1, 5, 1, never);
 		g_assert_cmpuint(checker_violations(&history.checker), ==, 0);
-		checker_new_work(&history.checker, late_us, node, 5, 1, 0);
+		checker_new_work(&history.checker, late_us, node, 5, 1, heard);
 		history_expect(&history, PROMISE_LEAVING);
 	}
 }
@@ -277,7 +283,7 @@
 
 /*
  * A published configuration is undone at an instance, never arrives at one
- * that is in reach, one is in force that was never accepted, or the loser of
+ * that is in reach, or that hears a peer that is, one is in force that was never accepted, or the loser of
  * a race is.
  */
 static void test_config_violations_are_seen(void)
@@ -298,6 +304,13 @@
 	checker_tick(&history.checker, 2 + CHECKER_CONFIG_US);
 	history_expect(&history, PROMISE_CONFIG);
 	history_start(&history, (struct checker_intent){ .gang = 1 });
+	checker_config_accepted(&history.checker, 1, 1, "one");
+	checker_node_peer(&history.checker, 0, 5);
+	checker_tick(&history.checker, 5 + CHECKER_CONFIG_US);
+	g_assert_cmpuint(checker_violations(&history.checker), ==, 0);
+	checker_tick(&history.checker, 6 + CHECKER_CONFIG_US);
+	history_expect(&history, PROMISE_CONFIG);
+	history_start(&history, (struct checker_intent){ .gang = 1 });
 	checker_config_seen(&history.checker, 2, 0, 1, 1);
 	history_expect(&history, PROMISE_CONFIG);
 	history_start(&history, (struct checker_intent){ .gang = 1 });
