core: who is leaving is said again on a new link

Cause: an instance tells its peers once that a worker leaves. One whose link is down at that moment, and that is cut off from the platform, goes on sending work there after the link stands again (test_leaving: 9.4 s after it was known, at the end of a break of 6 s). Excluded: the list (the owner cannot read it), the worker's own answers (this one does not say that it leaves), ownership (an instance gives its racks away only after 10 s alone). Change: with a new link within the failure domain all who leave are named; and what was learnt is repeated with the heartbeats of four seconds, for a break that is too short to be noticed. Before: test_leaving fails: "node 0 sends work to worker 2, known to leave for 9445741 us". After: it passes.

--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -321,6 +321,7 @@
 	note_alone(core);
 	digest = view_digest(core);
 	rj_membership_heartbeat_all(core);
+	rj_upstreams_leaving_again(core);
 	if (digest != core->membership.view_digest) {
 		core->membership.view_digest = digest;
 		view_changed(core);
@@ -482,6 +483,8 @@
 				      ->u.heartbeat);
 	rj_config_controller_tell(core, name);
 	rj_racks_tell_peer(core, name);
+	if (!strcmp(member->domain, core->domain))
+		rj_upstreams_tell_leaving(core, name);
 }
 
 /*
--- a/src/libradishjunction/core/controllers/upstreams_controller.c
+++ b/src/libradishjunction/core/controllers/upstreams_controller.c
@@ -21,6 +21,8 @@
 #define POLLS_LOST_SILENT 2
 /* So many different jobs failing in a row point to the worker. */
 #define FAILED_JOBS_SET_ASIDE 3
+/* Leaving is said with so many heartbeats; it must be known within 5 s. */
+#define LEAVING_REPEAT_US (4 * RJ_US_PER_S)
 #define SET_ASIDE_FIRST_US (10 * RJ_US_PER_S)
 #define SET_ASIDE_MAX_US (300 * RJ_US_PER_S)
 
@@ -200,6 +202,62 @@
 	poll_now(core, upstream);
 }
 
+/* Say of a worker that it leaves. */
+static void fill_leaving(const struct rj_upstream *upstream,
+			 struct rj_peer_leaving *leaving)
+{
+	g_strlcpy(leaving->worker, upstream->name, sizeof(leaving->worker));
+	leaving->incarnation = upstream->left_incarnation;
+}
+
+/* Tell the peers of the failure domain that a worker leaves. */
+static void tell_leaving(struct rj_core_state *core,
+			 const struct rj_upstream *upstream)
+{
+	struct rj_peer_message message;
+
+	memset(&message, 0, sizeof(message));
+	message.kind = RJ_PEER_LEAVING;
+	fill_leaving(upstream, &message.u.leaving);
+	rj_membership_send_domain(core, &message);
+}
+
+/*
+ * Tell one peer, whose link has just come to stand, who is leaving.
+ *
+ * Guards against a peer that cannot read the list and whose link was down
+ * when it was told: it would go on sending work to a worker that goes.
+ */
+void rj_upstreams_tell_leaving(struct rj_core_state *core, const char *peer)
+{
+	for (uint32_t i = 0; i < core->upstreams.count; i++) {
+		const struct rj_upstream *upstream =
+			core->upstreams.by_index[i];
+
+		if (upstream->leaving)
+			fill_leaving(
+				upstream,
+				&rj_membership_send(core, peer, RJ_PEER_LEAVING)
+					 ->u.leaving);
+	}
+}
+
+/*
+ * Repeat for a few seconds what was learnt of leaving workers: a message may
+ * be lost with a break of its link that is too short to be noticed.
+ */
+void rj_upstreams_leaving_again(struct rj_core_state *core)
+{
+	for (uint32_t i = 0; i < core->upstreams.count; i++) {
+		const struct rj_upstream *upstream =
+			core->upstreams.by_index[i];
+
+		if (upstream->leaving &&
+		    core->now_us < upstream->left_us + LEAVING_REPEAT_US)
+			tell_leaving(core, upstream);
+	}
+}
+
 /*
  * The leaving of one incarnation of a worker ends new work on it at once,
  * whoever says so first; only a newer incarnation takes work again.
@@ -211,23 +269,17 @@
 void rj_upstreams_leaving(struct rj_core_state *core,
 			  struct rj_upstream *upstream, uint64_t incarnation)
 {
-	struct rj_peer_message message;
-
 	if (incarnation < upstream->incarnation ||
 	    (upstream->leaving && upstream->left_incarnation >= incarnation))
 		return;
 	upstream->incarnation = incarnation;
 	upstream->left_incarnation = incarnation;
 	upstream->leaving = true;
+	upstream->left_us = core->now_us;
 	rj_core_log(core, RJ_LOG_LEAVING, RJ_REASON_DRAINING, NULL,
 		    upstream->name);
 	tell_planner(core, upstream);
-	memset(&message, 0, sizeof(message));
-	message.kind = RJ_PEER_LEAVING;
-	g_strlcpy(message.u.leaving.worker, upstream->name,
-		  sizeof(message.u.leaving.worker));
-	message.u.leaving.incarnation = incarnation;
-	rj_membership_send_domain(core, &message);
+	tell_leaving(core, upstream);
 }
 
 /*
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -158,6 +158,7 @@
 	struct rj_address address;
 	uint64_t incarnation;
 	uint64_t left_incarnation; /* the one that is or was leaving */
+	uint64_t left_us; /* when that was learnt */
 	bool leaving;
 	bool owned;
 	bool known; /* has answered a report */
@@ -429,6 +430,8 @@
 			 uint64_t asked_us);
 void rj_upstreams_leaving(struct rj_core_state *core,
 			  struct rj_upstream *upstream, uint64_t incarnation);
+void rj_upstreams_tell_leaving(struct rj_core_state *core, const char *peer);
+void rj_upstreams_leaving_again(struct rj_core_state *core);
 void rj_upstreams_peer_leaving(struct rj_core_state *core,
 			       const struct rj_peer_leaving *leaving);
 void rj_upstreams_failed(struct rj_core_state *core,
--- /dev/null
+++ b/src/test_libradishjunction/test_leaving.c
@@ -0,0 +1,65 @@
+#include <glib.h>
+#include <talloc.h>
+
+#include "support/world.h"
+
+#define SETTLED_US (5 * RJ_US_PER_S)
+#define BREAK_US (6 * RJ_US_PER_S)
+#define CALLERS 40
+
+/* Previews that are asked for one after the other, until `until_us`. */
+static void ask_previews(struct world *world, uint64_t until_us)
+{
+	struct caller_plan plan = { .class_name = "preview",
+				    .account = WORLD_OTHER_ACCOUNT,
+				    .tasks = 1,
+				    .accelerators = 1,
+				    .run_us = RJ_US_PER_S,
+				    .idempotent = true,
+				    .waits = true };
+
+	for (uint32_t i = 0; i < CALLERS; i++)
+		(void)fake_caller_add(
+			world, i * (until_us - world->now_us) / CALLERS, &plan);
+}
+
+/*
+ * A tutor's preview is cut off half-way.
+ * An upstream is about to go. One instance reads it in the platform's list
+ * and tells its peers, but the link to one of them is down at that moment,
+ * and that peer is cut off from the platform; it goes on sending work there
+ * after the link stands again.
+ * Cause: who is leaving was said once, and not again on a new link.
+ */
+static void test_leaving_is_told_on_a_new_link(void)
+{
+	struct world_options options = { .engine = &engine_core,
+					 .seed = 11,
+					 .domains = 1,
+					 .nodes_per_domain = 2,
+					 .racks_per_domain = 2,
+					 .workers_per_rack = 4 };
+	struct world *world = world_create(NULL, &options);
+
+	world_run_until(world, SETTLED_US);
+	for (uint32_t i = 0; i < world->worker_count; i++)
+		world->workers[i].leaving = true;
+	/* It owns both racks. */
+	world->log.cut_node[0] = true;
+	world_reach_changed(world);
+	world->links[0][1].cut = true;
+	world_run_until(world, SETTLED_US + BREAK_US);
+	fake_peers_mend(world);
+	ask_previews(world, SETTLED_US + 4 * BREAK_US);
+	world_run_until(world, SETTLED_US + 5 * BREAK_US);
+	g_assert_cmpstr(world->checker.first[PROMISE_LEAVING], ==, "");
+	talloc_free(world);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/leaving/new_link",
+			test_leaving_is_told_on_a_new_link);
+	return g_test_run();
+}
