core: instances that do not hear each other share a worker's connections

Cause: an instance takes up to 14 connections to a worker of its failure domain, because only the owner of a rack starts work there. Eight that do not hear each other all take themselves for the owner: 112 of 64. What a worker refuses may be the report that renews leases. Excluded: two domains of four, the size of today, stay within 64 in any case. Change: a call says how many connections its instance may have. One that does not hear listed others of its domain leaves each its share, and the former owner the 14 that it may have open; all heard: 14 as before. The pools of the adapter are cut down to it. Weighed: a fixed bound of 64 by the instances known (halves what an owner of eight may wait for, for ever, for a rare fault); asking the worker (it has no such call). Before: test_connections, eight instances with all links cut, fails with "112 <= 64". After: it passes; test_http_workers shows that the share is kept. What a worker of 64 connections refuses in such a cut, and what the smaller share costs then, was not measured: the fakes have no connections.

--- a/include/radishjunction/http_workers.h
+++ b/include/radishjunction/http_workers.h
@@ -30,20 +30,12 @@
 #define RJ_WORKER_RUN_CONNECTIONS 8
 #define RJ_WORKER_CHECKPOINT_CONNECTIONS 4
 #define RJ_WORKER_CONTROL_CONNECTIONS 2
-/*
- * Of a worker's 64 connections, one instance of its failure domain takes at
- * most 14. Instances of other domains start nothing there and only ask: 2
- * each. So 8 instances, 4 of them in one domain, take at most 64.
- */
-#define RJ_WORKER_CONNECTIONS_OWNER                                     \
-	(RJ_WORKER_RUN_CONNECTIONS + RJ_WORKER_CHECKPOINT_CONNECTIONS + \
-	 RJ_WORKER_CONTROL_CONNECTIONS)
-
 struct rj_http_client;
 
 struct rj_http_workers {
 	struct rj_workers base; /* first member, always */
 	struct rj_sink *sink;
+	uint32_t connections_max; /* to one worker, by the last call */
 	/* Talloc children of init's mem. */
 	struct rj_http_client *pools[RJ_WORKER_POOL_COUNT];
 };
--- a/include/radishjunction/worker.h
+++ b/include/radishjunction/worker.h
@@ -93,9 +93,20 @@
 	bool wait; /* START: answer at the end */
 	uint64_t declared_us;
 	uint64_t known_version; /* REPORT: the caller has this one; 0: none */
+	/* How many connections to a worker the caller may have now. */
+	uint32_t connections_max;
 	struct rj_bytes body;
 };
 
+/*
+ * Of a worker's 64 connections, the owner of its rack takes at most 14 and
+ * each other instance, which only asks, at most 2.
+ */
+#define RJ_WORKER_CONNECTIONS 64
+#define RJ_WORKER_CONNECTIONS_OWNER 14
+#define RJ_WORKER_CONNECTIONS_OTHER 2
+#define RJ_WORKER_CONNECTIONS_MIN 3 /* one for each way of waiting */
+
 /* One lease or task that a worker knows of. */
 struct rj_task_report {
 	struct rj_attempt attempt;
--- a/src/libradishjunction/core/controllers/calls_controller.c
+++ b/src/libradishjunction/core/controllers/calls_controller.c
@@ -121,6 +121,7 @@
 		  sizeof(out->class_name));
 	out->each = member_needs(job, member);
 	out->life_us = rj_upstreams_lease_life_us(core);
+	out->connections_max = rj_membership_connections(core);
 	return out;
 }
 
--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -185,6 +185,44 @@
 	return owner;
 }
 
+/*
+ * How many connections to a worker of the own failure domain this instance
+ * may have now: those of an owner, as long as it hears all the others.
+ *
+ * Guards against instances that do not hear each other, each of which takes
+ * itself for the owner of every rack: eight of them would ask a worker for
+ * 112 connections of its 64, and whom it refuses could not renew its leases.
+ * Each of them knows the others from the settings and the list and leaves
+ * them their share, and the former owner what it has open.
+ */
+uint32_t rj_membership_connections(const struct rj_core_state *core)
+{
+	uint32_t left = RJ_WORKER_CONNECTIONS - RJ_WORKER_CONNECTIONS_OWNER;
+	uint32_t others = 0;
+	uint32_t owners = 1;
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->membership.members) {
+		const struct rj_member_view *member =
+			RJ_CONTAINER(at, struct rj_member_view, link);
+
+		if (!member->listed)
+			continue;
+		if (!strcmp(member->domain, core->domain) &&
+		    !rj_membership_alive(core, member))
+			owners++;
+		else
+			others++;
+	}
+	if (owners == 1)
+		return RJ_WORKER_CONNECTIONS_OWNER;
+	others *= RJ_WORKER_CONNECTIONS_OTHER;
+	left = left > others ? (left - others) / owners : 0;
+	return CLAMP(left, RJ_WORKER_CONNECTIONS_MIN,
+		     RJ_WORKER_CONNECTIONS_OWNER);
+}
+
 /*
  * Start a message to a peer; the caller fills it. It is lost without a link.
  */
--- a/src/libradishjunction/core/controllers/upstreams_controller.c
+++ b/src/libradishjunction/core/controllers/upstreams_controller.c
@@ -175,6 +175,7 @@
 	g_strlcpy(action->u.worker_call.worker, upstream->name,
 		  sizeof(action->u.worker_call.worker));
 	action->u.worker_call.timeout_us = POLL_TIMEOUT_US;
+	action->u.worker_call.connections_max = rj_membership_connections(core);
 	action->u.worker_call.holder = core->incarnation;
 	action->u.worker_call.life_us = lease_life_us(core);
 	if (upstream->short_reports < SHORT_REPORTS_MAX)
--- a/src/libradishjunction/http_client.c
+++ b/src/libradishjunction/http_client.c
@@ -220,6 +220,17 @@
 	client->headers = headers;
 }
 
+/*
+ * Open at most so many connections to one address and port from now on; those
+ * that stand are not closed for it.
+ */
+void rj_http_client_limit(struct rj_http_client *client,
+			  uint32_t host_connections_max)
+{
+	curl_multi_setopt(client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+			  (long)host_connections_max);
+}
+
 /*
  * Start a client on `ev` that sends `instance` (if not NULL) as the header
  * X-Instance and keeps at most `host_connections_max` connections to one
@@ -243,8 +254,7 @@
 	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
 	curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, timer_wanted);
 	curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
-	curl_multi_setopt(client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-			  (long)host_connections_max);
+	rj_http_client_limit(client, host_connections_max);
 	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
 			  CACHED_CONNECTIONS_MAX);
 	/* Without this header libcurl waits for "100 Continue". */
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -411,6 +411,7 @@
 			 const struct rj_member_view *member);
 bool rj_membership_incarnation_alive(const struct rj_core_state *core,
 				     uint64_t incarnation);
+uint32_t rj_membership_connections(const struct rj_core_state *core);
 const char *rj_membership_owner(struct rj_core_state *core, uint64_t key);
 bool rj_membership_owns(const struct rj_core_state *core, const char *domain,
 			uint64_t key);
--- a/src/libradishjunction/worker/http_workers.c
+++ b/src/libradishjunction/worker/http_workers.c
@@ -103,6 +103,30 @@
 	return RJ_WORKER_POOL_CONTROL;
 }
 
+/*
+ * Share what the caller may have of a worker's connections among the pools:
+ * each keeps one at least, and what starts work comes last.
+ */
+static void share_connections(struct rj_http_workers *workers, uint32_t most)
+{
+	uint32_t share[RJ_WORKER_POOL_COUNT];
+	uint32_t control = most > RJ_WORKER_CONNECTIONS_MIN ?
+				   RJ_WORKER_CONTROL_CONNECTIONS :
+				   1;
+	uint32_t checkpoint = (most - control) / 3;
+
+	assert(most >= RJ_WORKER_CONNECTIONS_MIN &&
+	       most <= RJ_WORKER_CONNECTIONS_OWNER);
+	if (!checkpoint)
+		checkpoint = 1;
+	share[RJ_WORKER_POOL_CONTROL] = control;
+	share[RJ_WORKER_POOL_CHECKPOINT] = checkpoint;
+	share[RJ_WORKER_POOL_RUN] = most - control - checkpoint;
+	workers->connections_max = most;
+	for (uint32_t i = 0; i < RJ_WORKER_POOL_COUNT; i++)
+		rj_http_client_limit(workers->pools[i], share[i]);
+}
+
 /* See rj_workers_ops: every call is a POST whose path names the operation. */
 static void http_call(struct rj_workers *base,
 		      const struct rj_worker_call *call)
@@ -119,6 +143,9 @@
 	char *path;
 
 	assert(pending && call->op < RJ_WORKER_OP_COUNT);
+	if (call->connections_max &&
+	    call->connections_max != workers->connections_max)
+		share_connections(workers, call->connections_max);
 	pending->workers = workers;
 	pending->call = *call;
 	memset(&pending->call.body, 0, sizeof(pending->call.body));
--- a/src/test_libradishjunction/support/fake_worker_link.c
+++ b/src/test_libradishjunction/support/fake_worker_link.c
@@ -136,6 +136,7 @@
 
 	assert(worker && call && asked->timeout_us);
 	call->call = *asked;
+	worker->connections_max[node->index] = asked->connections_max;
 	call->call.body = copy_bytes(call, &asked->body);
 	call->node = node->index;
 	call->worker = worker->index;
--- a/src/test_libradishjunction/support/world.h
+++ b/src/test_libradishjunction/support/world.h
@@ -116,6 +116,8 @@
 	bool tells_leaving; /* its own answers say it too */
 	uint64_t slow_us; /* added to each of its answers */
 	int64_t drift_ppm; /* its clock runs fast, or slow below 0 */
+	/* The connections that each instance may have, by its last call. */
+	uint32_t connections_max[CHECKER_NODES_MAX];
 };
 
 struct fake_log {
--- /dev/null
+++ b/src/test_libradishjunction/test_connections.c
@@ -0,0 +1,70 @@
+#include <glib.h>
+#include <talloc.h>
+
+#include "support/world.h"
+
+#define SETTLED_US (5 * RJ_US_PER_S)
+#define CUT_US (10 * RJ_US_PER_S)
+#define NODES 8
+
+/*
+ * What all instances together may open to a worker, by their last calls; one
+ * may still have open what it had as the owner.
+ */
+static uint32_t connections_to(const struct fake_worker *worker)
+{
+	uint32_t sum = 0;
+	uint32_t most = 0;
+
+	for (uint32_t i = 0; i < NODES; i++) {
+		uint32_t one = worker->connections_max[i];
+
+		sum += one;
+		most = MAX(most, one);
+	}
+	return sum - most + RJ_WORKER_CONNECTIONS_OWNER;
+}
+
+static void cut_all_links(struct world *world)
+{
+	for (uint32_t a = 0; a < NODES; a++)
+		for (uint32_t b = a + 1; b < NODES; b++)
+			world->links[a][b].cut = true;
+}
+
+/*
+ * Lesson packs are stopped though their owner lives.
+ * The eight instances of a failure domain cease to hear each other, and each
+ * takes itself for the owner of every rack; a worker that has 64 connections
+ * is asked for 112, and refuses some of those on which leases are renewed.
+ * Cause: each took the connections of a rack's only owner.
+ */
+static void test_instances_that_hear_nobody_share(void)
+{
+	struct world_options options = { .engine = &engine_core,
+					 .seed = 3,
+					 .domains = 1,
+					 .nodes_per_domain = NODES,
+					 .racks_per_domain = 2,
+					 .workers_per_rack = 4 };
+	struct world *world = world_create(NULL, &options);
+
+	world_run_until(world, SETTLED_US);
+	for (uint32_t i = 0; i < world->worker_count; i++)
+		g_assert_cmpuint(connections_to(&world->workers[i]), <=,
+				 RJ_WORKER_CONNECTIONS);
+	cut_all_links(world);
+	world_run_until(world, SETTLED_US + CUT_US);
+	for (uint32_t i = 0; i < world->worker_count; i++)
+		g_assert_cmpuint(connections_to(&world->workers[i]), <=,
+				 RJ_WORKER_CONNECTIONS);
+	talloc_free(world);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/connections/split",
+			test_instances_that_hear_nobody_share);
+	return g_test_run();
+}
--- a/src/test_libradishjunction/test_http_workers.c
+++ b/src/test_libradishjunction/test_http_workers.c
@@ -332,6 +332,27 @@
 			 RJ_WORKER_CONNECTIONS_OWNER);
 }
 
+/*
+ * A worker refuses the report that would have renewed its leases.
+ * Instances that do not hear each other take its connections from each
+ * other; each is told to leave the others their share.
+ * Cause: a fixed number of connections, whoever else needs some.
+ */
+static void test_told_share_is_kept(struct fixture *fixture, gconstpointer data)
+{
+	set_body(fixture, "{\"run_ms\":60000}");
+	fixture->call.connections_max = RJ_WORKER_CONNECTIONS_MIN;
+	fixture->call.timeout_us = GIVE_UP_US;
+	for (uint32_t i = 0; i < fixture->worker.tasks.capacity.slots; i++) {
+		fixture->call.member = i;
+		post(fixture, RJ_WORKER_RUN);
+	}
+	call(fixture, RJ_WORKER_REPORT);
+	assert_status(fixture, RJ_REPLY_OK, RJ_REASON_NONE);
+	g_assert_cmpuint(fixture->worker.server.connections, <=,
+			 RJ_WORKER_CONNECTIONS_MIN);
+}
+
 static void add(const char *path,
 		void (*test)(struct fixture *fixture, gconstpointer data))
 {
@@ -352,5 +373,6 @@
 	add("/http_workers/other", test_call_for_another_worker_is_refused);
 	add("/http_workers/slots", test_every_slot_can_be_waited_on);
 	add("/http_workers/renewal", test_renewal_passes_what_waits);
+	add("/http_workers/share", test_told_share_is_kept);
 	return g_test_run();
 }
