--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -185,6 +185,44 @@
 	return owner;
 }
 
+/*
+ * How many connections to a worker of the own failure domain this instance
+ * may have now: those of an owner, as long as it hears all the others.
+ *
+ * Guards against instances that do not hear each other, each of which takes
+ * itself for the owner of every rack: eight of them would ask a worker for
+ * 112 connections of its 64, and whom it refuses could not renew its leases.
+ * Each of them knows the others from the settings and the list and leaves
+ * them their share, and the former owner what it has open.
+ */
+uint32_t rj_membership_connections(const struct rj_core_state *core)
+{
+	uint32_t left = RJ_WORKER_CONNECTIONS - RJ_WORKER_CONNECTIONS_OWNER;
+	uint32_t others = 0;
+	uint32_t owners = 1;
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->membership.members) {
+		const struct rj_member_view *member =
+			RJ_CONTAINER(at, struct rj_member_view, link);
+
+		if (!member->listed)
+			continue;
+		if (!strcmp(member->domain, core->domain) &&
+		    !rj_membership_alive(core, member))
+			owners++;
+		else
+			others++;
+	}
+	if (owners == 1)
+		return RJ_WORKER_CONNECTIONS_OWNER;
+	others *= RJ_WORKER_CONNECTIONS_OTHER;
+	left = left > others ? (left - others) / owners : 0;
+	return CLAMP(left, RJ_WORKER_CONNECTIONS_MIN,
+		     RJ_WORKER_CONNECTIONS_OWNER);
+}
+
 /*
  * Start a message to a peer; the caller fills it. It is lost without a link.
  */
@@ -240,6 +278,7 @@
 	heartbeat->config_revision = core->config ? core->config->revision : 0;
 	heartbeat->queued = view.queued;
 	heartbeat->wait_us = view.small_wait_us;
+	rj_log_fill_heartbeat(core, heartbeat);
 }
 
 /*
@@ -320,6 +359,7 @@
 	note_alone(core);
 	digest = view_digest(core);
 	rj_membership_heartbeat_all(core);
+	rj_upstreams_leaving_again(core);
 	if (digest != core->membership.view_digest) {
 		core->membership.view_digest = digest;
 		view_changed(core);
@@ -481,6 +521,8 @@
 				      ->u.heartbeat);
 	rj_config_controller_tell(core, name);
 	rj_racks_tell_peer(core, name);
+	if (!strcmp(member->domain, core->domain))
+		rj_upstreams_tell_leaving(core, name);
 }
 
 /*
@@ -523,6 +565,9 @@
 	member->config_revision = heartbeat->config_revision;
 	member->queued = heartbeat->queued;
 	member->wait_us = heartbeat->wait_us;
+	member->log_from = heartbeat->log_from;
+	member->log_next = heartbeat->log_next;
+	rj_log_gap_check(core);
 	if (core->config && member->config_revision < core->config->revision)
 		rj_config_controller_tell(core, name);
 	digest = view_digest(core);
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -35,6 +35,8 @@
 	uint64_t backoff_us;
 	uint64_t asked_us; /* when the read that is out was sent */
 	uint64_t fresh_us; /* what was read holds at least up to here */
+	uint64_t oldest; /* the oldest offset that the log kept then */
+	uint64_t newest_us; /* when the newest record was appended */
 	struct rj_timer retry;
 	/* group commit: one append at a time, the rest waits */
 	struct rj_record **waiting; /* talloc array */
@@ -70,12 +72,18 @@
 	uint64_t recorded_us; /* when its newest record was appended */
 	uint64_t base_us; /* when the oldest was that it is known from */
 	uint64_t carry_us; /* when it was last carried from here */
+	uint64_t dropped_us; /* its records are gone: carry from then on */
+	bool doubtful; /* attempts of it may be missing, for good */
+	uint64_t accept_at; /* the offset of its newest accept */
+	uint64_t claim_at; /* the offset of its newest open claim */
+	uint64_t whole_from; /* the offset from which the log says all of it */
 };
 
 struct rj_job_ledger {
 	GHashTable *by_job; /* &entry->job_id -> entry */
 	struct rj_list entries;
 	uint32_t count;
+	bool gap; /* older records may be missing: carried ones count more */
 };
 
 struct rj_rack_summary {
@@ -106,6 +114,8 @@
 	uint64_t config_revision;
 	uint32_t queued;
 	uint64_t wait_us;
+	uint64_t log_from; /* see struct rj_peer_heartbeat */
+	uint64_t log_next;
 	struct rj_list summaries;
 };
 
@@ -149,6 +159,7 @@
 	struct rj_address address;
 	uint64_t incarnation;
 	uint64_t left_incarnation; /* the one that is or was leaving */
+	uint64_t left_us; /* when that was learnt */
 	bool leaving;
 	bool owned;
 	bool known; /* has answered a report */
@@ -312,6 +323,8 @@
 	struct rj_log_stream streams[RJ_STREAM_COUNT];
 	bool platform_up;
 	uint64_t woke_us; /* from a pause; 0 once the log was read since */
+	uint64_t gap_us; /* since when older keys may be missing; 0: none is */
+	uint64_t gap_from; /* the offset from which was read then */
 	struct rj_job_ledger ledger;
 	struct rj_membership membership;
 	struct rj_upstreams upstreams;
@@ -350,6 +363,11 @@
 void rj_log_appended(struct rj_core_state *core,
 		     const struct rj_appended *appended);
 bool rj_log_usable(const struct rj_core_state *core);
+enum rj_reason rj_log_reason(const struct rj_core_state *core);
+void rj_log_gap_check(struct rj_core_state *core);
+void rj_log_tick(struct rj_core_state *core);
+void rj_log_fill_heartbeat(const struct rj_core_state *core,
+			   struct rj_peer_heartbeat *heartbeat);
 
 /* job_ledger.c */
 void rj_job_ledger_init(struct rj_job_ledger *ledger, void *mem);
@@ -361,6 +379,8 @@
 					 void *mem,
 					 const struct rj_record *record,
 					 uint64_t now_us);
+void rj_job_ledger_doubt(struct rj_job_ledger *ledger);
+bool rj_job_entry_matters(const struct rj_job_entry *entry);
 void rj_job_ledger_forget(struct rj_job_ledger *ledger,
 			  struct rj_job_entry *entry);
 
@@ -392,6 +412,7 @@
 			 const struct rj_member_view *member);
 bool rj_membership_incarnation_alive(const struct rj_core_state *core,
 				     uint64_t incarnation);
+uint32_t rj_membership_connections(const struct rj_core_state *core);
 const char *rj_membership_owner(struct rj_core_state *core, uint64_t key);
 bool rj_membership_owns(const struct rj_core_state *core, const char *domain,
 			uint64_t key);
@@ -411,6 +432,8 @@
 			 uint64_t asked_us);
 void rj_upstreams_leaving(struct rj_core_state *core,
 			  struct rj_upstream *upstream, uint64_t incarnation);
+void rj_upstreams_tell_leaving(struct rj_core_state *core, const char *peer);
+void rj_upstreams_leaving_again(struct rj_core_state *core);
 void rj_upstreams_peer_leaving(struct rj_core_state *core,
 			       const struct rj_peer_leaving *leaving);
 void rj_upstreams_failed(struct rj_core_state *core,
@@ -490,6 +513,7 @@
 void rj_job_accept(struct rj_job *job);
 void rj_job_claim(struct rj_job *job);
 void rj_job_watch(struct rj_job *job);
+bool rj_job_leave_bodiless(struct rj_job *job);
 
 /* controllers/recovery_controller.c: SETTLING */
 void rj_job_settle(struct rj_job *job);
