core: the owner of a rack reclaims what others drive there

An instance dies and its peer places work on all racks; the instance comes back, owns racks again, and finds them full of its peer's jobs. Excluded: a wrong view of the owner (one owner by both views from 1 s before the request), homes that differ (no home was free of such work), work that cannot be stopped (all of it was renders with checkpoints). Change: the owner plans stoppable tasks of others, by what workers report of them, as running work of their accounts. It asks the instance that drives one to stop its whole job, in trailing fields of the cancel message that an older peer ignores; where that instance is not believed alive, or the checkpoint limit passes, it stops idempotent tasks at the worker.

--- a/include/radishjunction/peer_message.h
+++ b/include/radishjunction/peer_message.h
@@ -27,7 +27,7 @@
 	RJ_PEER_LEAVING, /* a worker that is leaving */
 	RJ_PEER_FORWARD, /* a request for the receiver to serve */
 	RJ_PEER_FORWARD_ANSWER,
-	RJ_PEER_CANCEL, /* cancel a forwarded job */
+	RJ_PEER_CANCEL, /* cancel a forwarded job, or reclaim its room */
 	RJ_PEER_MESSAGE_KIND_COUNT
 };
 
@@ -79,8 +79,16 @@
 };
 
 struct rj_peer_cancel {
-	uint64_t forward_id;
+	uint64_t forward_id; /* 0 with a reclaim */
 	uint64_t job_id;
+	/*
+	 * Of a reclaim: this attempt is to give its room back within limit_us,
+	 * and the job waits again. 0: a plain cancellation. An older peer
+	 * ignores these fields, and knows no forward 0.
+	 */
+	uint64_t reclaim_owner;
+	uint32_t reclaim_attempt;
+	uint64_t limit_us;
 };
 
 struct rj_peer_message {
--- a/include/radishjunction/planner.h
+++ b/include/radishjunction/planner.h
@@ -24,6 +24,9 @@
 	struct rj_resources foreign; /* taken by tasks not of this planner */
 	bool usable; /* may take new work */
 	bool owned; /* in a rack that this instance plans first */
+	/* In a rack of a peer, which offers so much of it. */
+	bool limited;
+	struct rj_resources offered;
 };
 
 #define RJ_PLAN_AVOID_MAX 4
@@ -135,6 +138,12 @@
 	uint32_t (*home_rack)(const struct rj_planner *planner,
 			      const char *account,
 			      const struct rj_shape *shape);
+	/*
+	 * What of a worker is firmly kept for jobs that wait, and is not to
+	 * be offered to others. NULL: nothing ever is.
+	 */
+	void (*kept)(const struct rj_planner *planner, uint32_t worker,
+		     struct rj_resources *kept);
 	void (*finish)(struct rj_planner *planner);
 };
 
--- a/src/libradishjunction/core/capacity.c
+++ b/src/libradishjunction/core/capacity.c
@@ -46,7 +46,25 @@
 }
 
 /*
- * Work out again what is free on `worker`.
+ * Cut `have` down to `limit` in each dimension.
+ */
+void rj_resources_limit(struct rj_resources *have,
+			const struct rj_resources *limit)
+{
+	have->slots = MIN(have->slots, limit->slots);
+	have->accelerators = MIN(have->accelerators, limit->accelerators);
+	have->cores = MIN(have->cores, limit->cores);
+	have->memory_mb = MIN(have->memory_mb, limit->memory_mb);
+}
+
+/*
+ * Work out again what is free on `worker`. In the rack of a peer it is no
+ * more than that peer offers.
+ *
+ * Guards against an instance that drives work in a rack that is not its own:
+ * it would fill what its own job leaves before the rack's owner hears of it,
+ * even if the job was stopped for a guarantee. It shows as a shape that is
+ * reclaimed again and again.
  */
 static void refresh(struct rj_capacity_worker *worker)
 {
@@ -56,6 +74,8 @@
 	worker->free = worker->plan.capacity;
 	rj_resources_take_or_zero(&worker->free, &worker->plan.foreign);
 	rj_resources_take_or_zero(&worker->free, &worker->taken);
+	if (worker->plan.limited)
+		rj_resources_limit(&worker->free, &worker->plan.offered);
 }
 
 /*
--- a/src/libradishjunction/core/controllers/forward_controller.c
+++ b/src/libradishjunction/core/controllers/forward_controller.c
@@ -144,14 +144,17 @@
 }
 
 /*
- * A peer wants a job cancelled that it had forwarded here. Others may wait
- * for the same job by its key: then it goes on for them.
+ * A peer wants a job cancelled that it had forwarded here, or stopped since
+ * it runs in the place of a guarantee. Others may wait for a cancelled job by
+ * its key: then it goes on for them.
  */
 void rj_forward_cancelled(struct rj_core_state *core, const char *peer,
 			  const struct rj_peer_cancel *cancel)
 {
 	struct rj_job *job = rj_jobs_find(core, cancel->job_id);
 
+	if (cancel->reclaim_owner)
+		rj_job_reclaim_for_peer(core, cancel);
 	if (!job || !waiter_of(job, peer, cancel->forward_id))
 		return;
 	if (job->waiters.next->next != &job->waiters)
--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -68,25 +68,34 @@
 }
 
 /*
- * Whether the instance with this incarnation is believed alive; this one is.
+ * The peer with this incarnation, or NULL when none that is believed alive
+ * has it.
  */
-bool rj_membership_incarnation_alive(const struct rj_core_state *core,
-				     uint64_t incarnation)
+const char *rj_membership_name_of(const struct rj_core_state *core,
+				  uint64_t incarnation)
 {
 	struct rj_list *at;
 	struct rj_list *next;
 
-	if (incarnation == core->incarnation)
-		return true;
 	RJ_FOR_EACH (at, next, &core->membership.members) {
 		const struct rj_member_view *member =
 			RJ_CONTAINER(at, struct rj_member_view, link);
 
 		if (member->incarnation == incarnation &&
 		    rj_membership_alive(core, member))
-			return true;
+			return member->name;
 	}
-	return false;
+	return NULL;
+}
+
+/*
+ * Whether the instance with this incarnation is believed alive; this one is.
+ */
+bool rj_membership_incarnation_alive(const struct rj_core_state *core,
+				     uint64_t incarnation)
+{
+	return incarnation == core->incarnation ||
+	       rj_membership_name_of(core, incarnation);
 }
 
 /* An instance that alone has lost the log for so long gives its racks away.
--- a/src/libradishjunction/core/controllers/placement_controller.c
+++ b/src/libradishjunction/core/controllers/placement_controller.c
@@ -168,14 +168,14 @@
 		hold(job);
 }
 
-/* The planner wants the job's capacity for someone's guarantee. */
-static void reclaim_decided(struct rj_job *job,
-			    const struct rj_decision *decision)
+/* Have the job give its capacity back, within `limit_us`. */
+static void reclaim(struct rj_job *job, enum rj_reason reason,
+		    uint64_t limit_us)
 {
 	struct rj_core_state *core = job->core;
 
 	rj_core_count(core, RJ_COUNT_RECLAIMS);
-	rj_core_log(core, RJ_LOG_RECLAIM, decision->reason, job,
+	rj_core_log(core, RJ_LOG_RECLAIM, reason, job,
 		    job->member_count ? job->members[0].worker : NULL);
 	switch (job->state) {
 	case RJ_JOB_HOLDING:
@@ -185,8 +185,7 @@
 	case RJ_JOB_STARTING:
 	case RJ_JOB_RUNNING:
 		job->reclaimed = true;
-		rj_job_stop(job, job->checkpoint && decision->checkpoint,
-			    decision->limit_us);
+		rj_job_stop(job, job->checkpoint, limit_us);
 		break;
 	case RJ_JOB_ACCEPTING:
 	case RJ_JOB_QUEUED:
@@ -201,6 +200,30 @@
 	}
 }
 
+/* Tell the peers that the job's room is kept for someone here. */
+static void offer_less(const struct rj_job *job)
+{
+	for (uint32_t i = 0; i < job->member_count; i++)
+		if (job->members[i].upstream)
+			rj_upstreams_offer(job->core, job->members[i].upstream);
+}
+
+/*
+ * The owner of a rack wants the room of a job that is driven from here. An
+ * attempt that is over, and work that cannot be stopped, stay as they are.
+ */
+void rj_job_reclaim_for_peer(struct rj_core_state *core,
+			     const struct rj_peer_cancel *cancel)
+{
+	struct rj_job *job = rj_jobs_find(core, cancel->job_id);
+
+	if (!job || job->attempt.owner != cancel->reclaim_owner ||
+	    job->attempt.number != cancel->reclaim_attempt ||
+	    (!job->idempotent && !job->checkpoint))
+		return;
+	reclaim(job, RJ_REASON_OWNER, cancel->limit_us);
+}
+
 /* A waiting job that the planner gives up. */
 static void refuse_decided(struct rj_job *job,
 			   const struct rj_decision *decision)
@@ -222,6 +245,8 @@
 {
 	struct rj_job *job = rj_jobs_find(core, decision->job_id);
 
+	if (!job && decision->kind == RJ_DECISION_RECLAIM)
+		rj_foreign_reclaim(core, decision);
 	if (!job || !job->planned)
 		return;
 	switch (decision->kind) {
@@ -229,7 +254,8 @@
 		start_decided(job, decision);
 		break;
 	case RJ_DECISION_RECLAIM:
-		reclaim_decided(job, decision);
+		offer_less(job);
+		reclaim(job, decision->reason, decision->limit_us);
 		break;
 	case RJ_DECISION_REFUSE:
 		refuse_decided(job, decision);
--- a/src/libradishjunction/core/controllers/racks_controller.c
+++ b/src/libradishjunction/core/controllers/racks_controller.c
@@ -180,7 +180,7 @@
 	summary->version = ++core->upstreams.summary_version;
 	for (uint32_t i = 0; i < rack->count && i < RJ_RACK_WORKERS_MAX; i++) {
 		if (rj_upstreams_usable(rack->workers[i]))
-			summary->free[i] = rack->workers[i]->free_now;
+			summary->free[i] = rack->workers[i]->offered;
 		summary->worker_count++;
 	}
 }
--- a/src/libradishjunction/core/controllers/upstreams_controller.c
+++ b/src/libradishjunction/core/controllers/upstreams_controller.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "private/capacity.h"
 #include "private/core_state.h"
 
 /* The life of a lease until a configuration says it. */
@@ -72,6 +73,8 @@
 	worker.foreign = upstream->foreign;
 	worker.usable = rj_upstreams_usable(upstream);
 	worker.owned = upstream->owned;
+	worker.limited = !upstream->owned;
+	worker.offered = upstream->offered;
 	core->planner->ops->worker(core->planner, &worker, core->now_us);
 	core->jobs.plan_wanted = true;
 }
@@ -90,6 +93,7 @@
 	g_strlcpy(upstream->name, instance->name, sizeof(upstream->name));
 	upstream->set_aside_us = SET_ASIDE_FIRST_US;
 	rj_list_init(&upstream->members);
+	rj_list_init(&upstream->foreign_tasks);
 	rj_timer_init(&upstream->poll, poll_due);
 	rj_timer_init(&upstream->probe, probe_due);
 	upstreams->by_index =
@@ -305,8 +309,14 @@
 	if (owned == upstream->owned)
 		return;
 	upstream->owned = owned;
+	/* Only a whole report shows what others run there. */
+	upstream->report_version = 0;
 	if (owned)
 		poll_now(core, upstream);
+	else
+		rj_foreign_disown(core, upstream);
+	/* Its new owner will say what is free. */
+	memset(&upstream->offered, 0, sizeof(upstream->offered));
 	tell_planner(core, upstream);
 }
 
@@ -318,8 +328,13 @@
 			    struct rj_upstream *upstream,
 			    const struct rj_resources *left)
 {
-	if (upstream->owned || upstream->own_members)
+	if (upstream->owned)
+		return;
+	upstream->offered = *left;
+	if (upstream->own_members) {
+		tell_planner(core, upstream);
 		return;
+	}
 	upstream->report_version = 0;
 	/* What is free is told, not the capacity: take it as the whole, with
 	   nothing foreign on it. */
@@ -330,7 +345,7 @@
 	tell_planner(core, upstream);
 }
 
-/* What tasks that are not of this instance's jobs take on a worker. */
+/* What tasks that the planner does not know take on a worker. */
 static void count_foreign(struct rj_core_state *core,
 			  struct rj_upstream *upstream,
 			  const struct rj_worker_report *report)
@@ -345,6 +360,8 @@
 		if (task->state != RJ_TASK_HELD &&
 		    task->state != RJ_TASK_RUNNING)
 			continue;
+		if (rj_foreign_is_planned(core, upstream, task))
+			continue;
 		job = rj_jobs_find(core, task->attempt.job_id);
 		if (job && job->planned && job->member_count &&
 		    job->attempt.owner == task->attempt.owner &&
@@ -387,6 +404,29 @@
 		rj_jobs_worker_lost(core, upstream);
 }
 
+/*
+ * Offer the peers of the failure domain what is free on an owned worker and
+ * is not kept for a job that waits here, if that has changed.
+ */
+void rj_upstreams_offer(struct rj_core_state *core,
+			struct rj_upstream *upstream)
+{
+	const struct rj_planner_ops *ops = core->planner->ops;
+	struct rj_resources offered = upstream->free_now;
+	struct rj_resources kept;
+
+	if (!upstream->owned)
+		return;
+	if (ops->kept) {
+		ops->kept(core->planner, upstream->index, &kept);
+		rj_resources_take_or_zero(&offered, &kept);
+	}
+	if (!memcmp(&offered, &upstream->offered, sizeof(offered)))
+		return;
+	upstream->offered = offered;
+	rj_racks_tell(core, upstream->rack_view);
+}
+
 /*
  * Take the answer to a request for a report that was sent at `asked_us`, or
  * its loss.
@@ -396,8 +436,6 @@
 			 const struct rj_worker_reply *reply, uint64_t asked_us)
 {
 	const struct rj_worker_report *report = &reply->report;
-	struct rj_resources left;
-	bool changed;
 
 	upstream->polling = false;
 	rj_timer_set(&core->timers, &upstream->poll,
@@ -421,18 +459,17 @@
 		if (!rj_jobs_report_unchanged(upstream))
 			upstream->report_version = 0;
 		tell_planner(core, upstream);
+		rj_upstreams_offer(core, upstream);
 		return;
 	}
 	upstream->report_version = report->version;
 	upstream->short_reports = 0;
 	rj_jobs_report(core, upstream, report, asked_us);
+	rj_foreign_report(core, upstream, report);
 	count_foreign(core, upstream, report);
 	tell_planner(core, upstream);
-	left = free_now(report);
-	changed = memcmp(&left, &upstream->free_now, sizeof(left)) != 0;
-	upstream->free_now = left;
-	if (changed && upstream->owned)
-		rj_racks_tell(core, upstream->rack_view);
+	upstream->free_now = free_now(report);
+	rj_upstreams_offer(core, upstream);
 }
 
 /* Take a worker back that was set aside: the next job there is the probe. */
--- a/src/libradishjunction/core/core.c
+++ b/src/libradishjunction/core/core.c
@@ -137,6 +137,7 @@
 	rj_membership_init(state, options);
 	rj_upstreams_init(state);
 	rj_jobs_init(state);
+	rj_foreign_init(state);
 	rj_drain_init(state);
 	core->state = state;
 	return 0;
@@ -153,6 +154,7 @@
 	if (!state)
 		return;
 	rj_jobs_finish(state);
+	rj_foreign_finish(state);
 	rj_job_ledger_finish(&state->ledger);
 	g_hash_table_destroy(state->upstreams.by_name);
 	rj_config_log_finish(&state->config_log);
--- a/src/libradishjunction/core/ledger.c
+++ b/src/libradishjunction/core/ledger.c
@@ -18,18 +18,6 @@
 	};
 }
 
-/*
- * Cut `have` down to `limit` in each dimension.
- */
-void rj_resources_limit(struct rj_resources *have,
-			const struct rj_resources *limit)
-{
-	have->slots = MIN(have->slots, limit->slots);
-	have->accelerators = MIN(have->accelerators, limit->accelerators);
-	have->cores = MIN(have->cores, limit->cores);
-	have->memory_mb = MIN(have->memory_mb, limit->memory_mb);
-}
-
 /*
  * Whether `one` is more than `two` in any dimension.
  */
--- a/src/libradishjunction/core/planner_topology.c
+++ b/src/libradishjunction/core/planner_topology.c
@@ -69,7 +69,8 @@
 			   const struct rj_plan_worker *two)
 {
 	return one->rack == two->rack && one->usable == two->usable &&
-	       one->owned == two->owned &&
+	       one->owned == two->owned && one->limited == two->limited &&
+	       !memcmp(&one->offered, &two->offered, sizeof(one->offered)) &&
 	       !memcmp(&one->capacity, &two->capacity, sizeof(one->capacity)) &&
 	       !memcmp(&one->foreign, &two->foreign, sizeof(one->foreign));
 }
@@ -339,6 +340,26 @@
 	return rj_topology_home_rack(state_of(planner), account, shape);
 }
 
+/*
+ * What firm reservations keep of the worker.
+ */
+static void topology_kept(const struct rj_planner *planner, uint32_t worker,
+			  struct rj_resources *kept)
+{
+	const struct rj_capacity_worker *known =
+		rj_capacity_find(&state_of(planner)->capacity, worker);
+
+	memset(kept, 0, sizeof(*kept));
+	if (!known || !known->ledger)
+		return;
+	for (uint32_t i = 0; i < known->ledger->hold_count; i++) {
+		const struct rj_worker_hold *hold = &known->ledger->holds[i];
+
+		if (hold->reservation->firm)
+			rj_resources_add(kept, &hold->want, 1);
+	}
+}
+
 static const struct rj_planner_ops topology_ops = {
 	.name = "topology",
 	.configure = topology_configure,
@@ -353,6 +374,7 @@
 	.view = topology_view,
 	.rack_group = topology_rack_group,
 	.home_rack = topology_home_rack,
+	.kept = topology_kept,
 	.finish = topology_finish,
 };
 
--- a/src/libradishjunction/include/private/capacity.h
+++ b/src/libradishjunction/include/private/capacity.h
@@ -55,6 +55,8 @@
 void rj_capacity_give(struct rj_capacity *capacity,
 		      const struct rj_resources *each,
 		      const struct rj_plan_member *members, uint32_t count);
+void rj_resources_limit(struct rj_resources *have,
+			const struct rj_resources *limit);
 void rj_resources_take_or_zero(struct rj_resources *have,
 			       const struct rj_resources *part);
 bool rj_shape_equal(const struct rj_shape *one, const struct rj_shape *two);
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -160,7 +160,10 @@
 	struct rj_resources capacity;
 	struct rj_resources foreign;
 	struct rj_resources free_now; /* for anyone, as last reported */
+	/* What the rack's owner offers to its peers: told, or heard. */
+	struct rj_resources offered;
 	struct rj_list members; /* of own jobs on it */
+	struct rj_list foreign_tasks; /* of others, which may be stopped */
 	uint32_t own_members; /* how many */
 	uint64_t failed_jobs[RJ_FAILED_JOBS];
 	uint32_t failed_count;
@@ -315,6 +318,7 @@
 	struct rj_membership membership;
 	struct rj_upstreams upstreams;
 	struct rj_jobs jobs;
+	GHashTable *foreign; /* &task->plan_id -> task of another instance */
 	bool stopping;
 	uint64_t stopping_us; /* since when */
 	struct rj_timer drain;
@@ -391,6 +395,8 @@
 			 const struct rj_member_view *member);
 bool rj_membership_incarnation_alive(const struct rj_core_state *core,
 				     uint64_t incarnation);
+const char *rj_membership_name_of(const struct rj_core_state *core,
+				  uint64_t incarnation);
 const char *rj_membership_owner(struct rj_core_state *core, uint64_t key);
 bool rj_membership_owns(const struct rj_core_state *core, const char *domain,
 			uint64_t key);
@@ -425,10 +431,25 @@
 bool rj_upstreams_usable(const struct rj_upstream *upstream);
 void rj_upstreams_own(struct rj_core_state *core, struct rj_upstream *upstream,
 		      bool owned);
+void rj_upstreams_offer(struct rj_core_state *core,
+			struct rj_upstream *upstream);
 void rj_upstreams_told_free(struct rj_core_state *core,
 			    struct rj_upstream *upstream,
 			    const struct rj_resources *left);
 
+/* controllers/foreign_controller.c */
+void rj_foreign_init(struct rj_core_state *core);
+void rj_foreign_finish(struct rj_core_state *core);
+bool rj_foreign_is_planned(const struct rj_core_state *core,
+			   const struct rj_upstream *upstream,
+			   const struct rj_task_report *line);
+void rj_foreign_report(struct rj_core_state *core, struct rj_upstream *upstream,
+		       const struct rj_worker_report *report);
+void rj_foreign_disown(struct rj_core_state *core,
+		       struct rj_upstream *upstream);
+void rj_foreign_reclaim(struct rj_core_state *core,
+			const struct rj_decision *decision);
+
 /* controllers/racks_controller.c */
 uint64_t rj_racks_key(const struct rj_core_state *core, uint32_t rack);
 uint64_t rj_racks_job_key(const struct rj_core_state *core, const char *domain,
@@ -479,6 +500,8 @@
 void rj_job_requeue(struct rj_job *job, uint64_t delay_us,
 		    enum rj_reason reason);
 void rj_jobs_plan(struct rj_core_state *core);
+void rj_job_reclaim_for_peer(struct rj_core_state *core,
+			     const struct rj_peer_cancel *cancel);
 void rj_job_release_members(struct rj_job *job);
 void rj_job_unplan(struct rj_job *job, bool succeeded);
 void rj_job_lease_reply(struct rj_job *job, struct rj_member *member,
--- a/src/libradishjunction/include/private/ledger.h
+++ b/src/libradishjunction/include/private/ledger.h
@@ -80,8 +80,6 @@
 					const struct rj_plan_account *account);
 struct rj_resources rj_ledger_pin_room(const struct rj_capacity_worker *worker,
 				       const struct rj_plan_account *account);
-void rj_resources_limit(struct rj_resources *have,
-			const struct rj_resources *limit);
 bool rj_resources_exceed(const struct rj_resources *one,
 			 const struct rj_resources *two);
 struct rj_resources rj_resources_rest(const struct rj_resources *have,
--- a/src/libradishjunction/peer/peer_codec.c
+++ b/src/libradishjunction/peer/peer_codec.c
@@ -146,6 +146,12 @@
 	return &reader->unpacked.data;
 }
 
+/* Whether nothing is left: an older peer ends its message here. */
+static bool at_end(const struct reader *reader)
+{
+	return !reader->bad && reader->offset >= reader->length;
+}
+
 /* An unsigned number of at most `max`. */
 static uint64_t read_number(struct reader *reader, const char *field,
 			    uint64_t max)
@@ -401,6 +407,31 @@
 	read_spec(reader, &forward->spec);
 }
 
+/* The fields of RJ_PEER_CANCEL. */
+static void write_cancel(struct writer *writer,
+			 const struct rj_peer_cancel *cancel)
+{
+	write_number(writer, cancel->forward_id);
+	write_number(writer, cancel->job_id);
+	write_number(writer, cancel->reclaim_owner);
+	write_number(writer, cancel->reclaim_attempt);
+	write_number(writer, cancel->limit_us);
+}
+
+/* What write_cancel wrote, or an older peer, which reclaims nothing. */
+static void read_cancel(struct reader *reader, struct rj_peer_cancel *cancel)
+{
+	cancel->forward_id = read_number(reader, "forward_id", UINT64_MAX);
+	cancel->job_id = read_number(reader, "job_id", UINT64_MAX);
+	if (at_end(reader))
+		return;
+	cancel->reclaim_owner =
+		read_number(reader, "reclaim_owner", UINT64_MAX);
+	cancel->reclaim_attempt =
+		(uint32_t)read_number(reader, "reclaim_attempt", UINT32_MAX);
+	cancel->limit_us = read_number(reader, "limit_us", UINT64_MAX);
+}
+
 /*
  * Encode one message, whose names and counts must be within their bounds.
  * Returns its bytes as a talloc child of `mem`.
@@ -433,8 +464,7 @@
 		write_answer(&writer, &message->u.forward_answer.answer);
 		break;
 	case RJ_PEER_CANCEL:
-		write_number(&writer, message->u.cancel.forward_id);
-		write_number(&writer, message->u.cancel.job_id);
+		write_cancel(&writer, &message->u.cancel);
 		break;
 	case RJ_PEER_MESSAGE_KIND_COUNT:
 		assert(!"a message has a kind");
@@ -486,10 +516,7 @@
 		read_answer(&reader, &message->u.forward_answer.answer);
 		break;
 	case RJ_PEER_CANCEL:
-		message->u.cancel.forward_id =
-			read_number(&reader, "forward_id", UINT64_MAX);
-		message->u.cancel.job_id =
-			read_number(&reader, "job_id", UINT64_MAX);
+		read_cancel(&reader, &message->u.cancel);
 		break;
 	case RJ_PEER_MESSAGE_KIND_COUNT:
 		assert(!"a number is at most its bound");
--- a/src/test_libradishjunction/support/peer_frames.c
+++ b/src/test_libradishjunction/support/peer_frames.c
@@ -66,7 +66,8 @@
 		};
 		break;
 	case RJ_PEER_CANCEL:
-		message->u.cancel = (struct rj_peer_cancel){ 12, 77 };
+		message->u.cancel =
+			(struct rj_peer_cancel){ 12, 77, 10001, 3, 2000000 };
 		break;
 	case RJ_PEER_MESSAGE_KIND_COUNT:
 		g_assert_not_reached();
