core: a job whose claim is on its way gives its room back, too

Nothing was done, and the room came free only when the log gave up. Excluded: a second start (nothing was started; the released token starts nothing), a claim that stays open (it is fenced and voided when it shows). Change: such a job releases its leases and waits again, as one that is still taking them.

--- a/src/libradishjunction/core/controllers/placement_controller.c
+++ b/src/libradishjunction/core/controllers/placement_controller.c
@@ -179,6 +179,9 @@
 		    job->member_count ? job->members[0].worker : NULL);
 	switch (job->state) {
 	case RJ_JOB_HOLDING:
+	case RJ_JOB_CLAIMING:
+		/* Nothing has started, and no token is left to start with. A
+		   claim that shows in the log later is fenced and voided. */
 		rj_job_release_members(job);
 		rj_job_requeue(job, HOLD_BACKOFF_US, RJ_REASON_RECLAIMED);
 		break;
@@ -189,7 +192,6 @@
 		break;
 	case RJ_JOB_ACCEPTING:
 	case RJ_JOB_QUEUED:
-	case RJ_JOB_CLAIMING:
 	case RJ_JOB_STOPPING:
 	case RJ_JOB_SETTLING:
 	case RJ_JOB_FORWARDED:
