core: a lease that is not answered in half a second is sought elsewhere

Cause: a lease call that is lost, or goes to a worker that has just been paused, was waited for 2 s, with the rest of a freed shape held and idle. Excluded: a doubled run (nothing has started; the lease is released, and a report shows and clears what a lost release leaves). Change: the call for a lease has 0.5 s; all others keep 2 s.

--- a/src/libradishjunction/core/controllers/calls_controller.c
+++ b/src/libradishjunction/core/controllers/calls_controller.c
@@ -7,6 +7,11 @@
 
 #include "private/core_state.h"
 
+/* A worker grants or refuses a lease at once, and nothing has started that a
+ * lost answer could leave behind: another place is sought early, since a
+ * guaranteed shape may have been freed for it. */
+#define LEASE_TIMEOUT_US (500 * RJ_US_PER_MS)
+
 /*
  * Make the members of the next attempt, without workers yet.
  */
@@ -110,7 +115,8 @@
 	g_strlcpy(out->worker, member->worker, sizeof(out->worker));
 	if (member->upstream)
 		out->address = member->upstream->address;
-	out->timeout_us = RJ_CALL_TIMEOUT_US;
+	out->timeout_us =
+		op == RJ_WORKER_LEASE ? LEASE_TIMEOUT_US : RJ_CALL_TIMEOUT_US;
 	out->holder = core->incarnation;
 	out->attempt = job->attempt;
 	out->member = call->member;
