planner: a claim on a guarantee keeps its room over a refused lease

Excluded: a retry without a back-off (it would be refused again before the release has arrived, at the rate of round trips). Change: a job placed on its account's guarantee that goes back to waiting for less than 0.3 s keeps its room until 0.3 s after its back-off.

--- a/src/libradishjunction/core/planner_topology.c
+++ b/src/libradishjunction/core/planner_topology.c
@@ -11,6 +11,9 @@
 #define QUEUE_MAX_DEFAULT 1000
 #define CHECKPOINT_LIMIT_MS_DEFAULT 5000
 
+/* How long the room of a claim is kept after its back-off. */
+#define CLAIM_KEPT_US (300 * RJ_US_PER_MS)
+
 /*
  * The state behind the vtable.
  */
@@ -196,6 +199,32 @@
 	rj_topology_forget(state, entry);
 }
 
+/*
+ * Keep the room of a claim on a guarantee, whose leases were not all granted,
+ * for the job's next attempt. The job waits outside of its bucket meanwhile.
+ *
+ * Guards against the refusal of one lease, as by a release that is still on
+ * its way: other jobs would fill the whole shape during the back-off, and it
+ * would be reclaimed anew. It shows as a shape that comes a reclaim later.
+ */
+static void keep_claim(struct rj_topology_state *state,
+		       struct rj_plan_entry *entry,
+		       const struct rj_plan_member *members, uint32_t count,
+		       uint64_t from_us)
+{
+	struct rj_reservation *reservation;
+
+	for (uint32_t i = 0; i < count; i++)
+		if (!rj_capacity_find(&state->capacity, members[i].worker))
+			return;
+	reservation = rj_topology_reserve(state, entry, members, count, true,
+					  from_us + CLAIM_KEPT_US);
+	reservation->from_us = from_us;
+	reservation->reason = RJ_REASON_GUARANTEE;
+	rj_topology_grant(entry);
+	entry->not_before_us = reservation->at_us;
+}
+
 /*
  * The job waits again from `not_before_us` on, in the order of its arrival.
  */
@@ -204,11 +233,21 @@
 {
 	struct rj_topology_state *state = state_of(planner);
 	struct rj_plan_entry *entry = rj_plan_table_find(&state->table, job_id);
+	uint32_t count = 0;
 
 	if (!entry)
 		return;
+	if (entry->members && entry->claims &&
+	    not_before_us < now_us + CLAIM_KEPT_US) {
+		count = entry->member_count;
+		memcpy(state->members, entry->members,
+		       sizeof(*entry->members) * count);
+	}
 	rj_topology_detach(state, entry);
+	entry->claims = false;
 	entry->not_before_us = not_before_us;
+	if (count)
+		keep_claim(state, entry, state->members, count, not_before_us);
 	entry->waiting_since_us = now_us;
 	rj_topology_enqueue(state, entry, now_us);
 }
@@ -243,6 +282,17 @@
 	rj_topology_pass(state_of(planner), now_us, decisions);
 }
 
+/*
+ * When something of the reservation is due: its job's back-off, its end, or
+ * its refresh.
+ */
+static uint64_t reservation_due_us(const struct rj_reservation *reservation)
+{
+	if (!reservation->firm)
+		return reservation->refresh_us;
+	return reservation->from_us ? reservation->from_us : reservation->at_us;
+}
+
 /*
  * The first deadline, end of a back-off, refresh or retry.
  */
@@ -266,9 +316,7 @@
 		const struct rj_reservation *reservation =
 			g_ptr_array_index(state->reservations, i);
 
-		wake_us = MIN(wake_us, reservation->firm ?
-					       reservation->at_us :
-					       reservation->refresh_us);
+		wake_us = MIN(wake_us, reservation_due_us(reservation));
 	}
 	return wake_us;
 }
--- a/src/libradishjunction/core/topology_pass.c
+++ b/src/libradishjunction/core/topology_pass.c
@@ -42,6 +42,7 @@
 	if (entry->reservation)
 		rj_topology_unreserve(state, entry->reservation);
 	entry->on_loan = reason == RJ_REASON_BACKFILL;
+	entry->claims = reason == RJ_REASON_GUARANTEE;
 	rj_topology_dequeue(state, entry);
 	rj_topology_attach(state, entry, decision->members, count, now_us);
 	if (is_at_home(state, entry))
@@ -148,7 +149,10 @@
 			g_ptr_array_index(state->reservations, i);
 		struct rj_plan_entry *entry = reservation->entry;
 
-		if (reservation->firm && is_ready(state, reservation)) {
+		if (reservation->from_us <= now_us)
+			reservation->from_us = 0;
+		if (reservation->firm && !reservation->from_us &&
+		    is_ready(state, reservation)) {
 			memcpy(state->members, reservation->members,
 			       sizeof(*state->members) *
 				       reservation->member_count);
--- a/src/libradishjunction/core/topology_reclaim.c
+++ b/src/libradishjunction/core/topology_reclaim.c
@@ -503,12 +503,8 @@
 		now_us + state->limits.checkpoint_limit_ms * RJ_US_PER_MS +
 			GRACE_US);
 	reservation->reason = reason_of[ground];
-	if (is_claim(ground)) {
-		entry->granted = true;
-		rj_resources_add(&entry->account->granted,
-				 &entry->job.shape.each,
-				 entry->job.shape.tasks);
-	}
+	if (is_claim(ground))
+		rj_topology_grant(entry);
 	return true;
 }
 
--- a/src/libradishjunction/core/topology_reserve.c
+++ b/src/libradishjunction/core/topology_reserve.c
@@ -71,6 +71,16 @@
 	return false;
 }
 
+/*
+ * The job's account has room on its guarantee's behalf by it.
+ */
+void rj_topology_grant(struct rj_plan_entry *entry)
+{
+	entry->granted = true;
+	rj_resources_add(&entry->account->granted, &entry->job.shape.each,
+			 entry->job.shape.tasks);
+}
+
 /*
  * The job's account no longer has room on its guarantee's behalf by it.
  */
--- a/src/libradishjunction/include/private/ledger.h
+++ b/src/libradishjunction/include/private/ledger.h
@@ -57,6 +57,7 @@
 	struct rj_plan_member *members;
 	uint32_t member_count;
 	uint64_t at_us; /* expected to be free; if firm, given up then */
+	uint64_t from_us; /* if firm, its job backs off until then; or 0 */
 	uint64_t refresh_us; /* when a loose one is worked out again */
 	bool firm; /* nothing else may start here */
 	enum rj_reason reason;
--- a/src/libradishjunction/include/private/topology.h
+++ b/src/libradishjunction/include/private/topology.h
@@ -160,6 +160,7 @@
 			   struct rj_reservation *reservation);
 bool rj_topology_keeps(const struct rj_reservation *reservation,
 		       uint32_t worker);
+void rj_topology_grant(struct rj_plan_entry *entry);
 void rj_topology_revoke(struct rj_plan_entry *entry);
 void rj_topology_drop(struct rj_topology_state *state,
 		      struct rj_reservation *reservation, uint64_t now_us);
