core: a forwarded job that is lost on a standing link is served anew

The frame is lost, the link stands, and the job is in neither instance's queue until its caller asks again 21 s later. Excluded: work of an interim owner in the way, as was suspected (every worker of that domain reports no task from 23 s on). Change: heartbeats count, in trailing fields, the other messages that were sent on the link and those of the peer that never came. A link delivers in order, so a message that was sent before a heartbeat that has come is lost. Both sides then serve anew what they had forwarded there, as when the link ends, and the peer is told again what is free.

--- a/include/radishjunction/peer_message.h
+++ b/include/radishjunction/peer_message.h
@@ -43,6 +43,11 @@
 	uint64_t config_revision;
 	uint32_t queued; /* jobs waiting here */
 	uint64_t wait_us; /* expected wait of a small job here */
+	/* Messages other than heartbeats on this link since it stands: sent
+	   before this one, and of the receiver's, lost. An older peer sends
+	   neither. */
+	uint64_t sent;
+	uint64_t lost;
 };
 
 struct rj_peer_summary {
--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -201,12 +201,15 @@
 					   const char *peer,
 					   enum rj_peer_message_kind kind)
 {
+	struct rj_member_view *member = rj_membership_find(core, peer);
 	struct rj_action *action;
 	struct rj_peer_message *message;
 
 	message = talloc_zero(core->actions->mem, struct rj_peer_message);
 	assert(message);
 	message->kind = kind;
+	if (member && kind != RJ_PEER_HEARTBEAT)
+		member->sent++;
 	action = rj_actions_add(core->actions, RJ_ACTION_PEER_SEND);
 	g_strlcpy(action->u.peer.name, peer, sizeof(action->u.peer.name));
 	action->u.peer.message = message;
@@ -251,6 +254,20 @@
 	heartbeat->wait_us = view.small_wait_us;
 }
 
+/* Tell one peer how this instance is, and what was lost on the link. */
+static void send_heartbeat(struct rj_core_state *core,
+			   const struct rj_member_view *member,
+			   const struct rj_peer_heartbeat *heartbeat)
+{
+	struct rj_peer_heartbeat *out =
+		&rj_membership_send(core, member->name, RJ_PEER_HEARTBEAT)
+			 ->u.heartbeat;
+
+	*out = *heartbeat;
+	out->sent = member->sent;
+	out->lost = member->lost;
+}
+
 /*
  * Tell every connected peer how this instance is.
  */
@@ -267,9 +284,7 @@
 			RJ_CONTAINER(at, struct rj_member_view, link);
 
 		if (member->connected)
-			rj_membership_send(core, member->name,
-					   RJ_PEER_HEARTBEAT)
-				->u.heartbeat = heartbeat;
+			send_heartbeat(core, member, &heartbeat);
 	}
 }
 
@@ -486,6 +501,10 @@
 		return;
 	member->connected = true;
 	member->heard = false;
+	member->sent = 0;
+	member->received = 0;
+	member->lost = 0;
+	member->lost_there = 0;
 	fill_heartbeat(core, &rj_membership_send(core, name, RJ_PEER_HEARTBEAT)
 				      ->u.heartbeat);
 	rj_config_controller_tell(core, name);
@@ -509,6 +528,49 @@
 	view_changed(core);
 }
 
+/*
+ * A message other than a heartbeat came from a peer.
+ */
+void rj_membership_received(struct rj_core_state *core, const char *name)
+{
+	struct rj_member_view *member = rj_membership_find(core, name);
+
+	if (member)
+		member->received++;
+}
+
+/*
+ * See by a peer's heartbeat whether the link has lost messages, either way.
+ * A link delivers in order, so what was sent before the heartbeat and has not
+ * come will not come.
+ *
+ * Guards against a forwarded job, or the answer to one, that is lost on a
+ * link that goes on to stand: its caller would wait until it loses patience,
+ * for a guaranteed shape, too. What was forwarded is served anew, as when the
+ * link ends: by its key or its id it meets what may run there already.
+ */
+static void look_for_losses(struct rj_core_state *core,
+			    struct rj_member_view *member,
+			    const struct rj_peer_heartbeat *heartbeat)
+{
+	bool here = heartbeat->sent > member->received + member->lost;
+	bool there = heartbeat->lost > member->lost_there;
+	struct rj_peer_heartbeat own;
+
+	if (!here && !there)
+		return;
+	member->lost_there = heartbeat->lost;
+	if (here) {
+		member->lost = heartbeat->sent - member->received;
+		memset(&own, 0, sizeof(own));
+		fill_heartbeat(core, &own);
+		send_heartbeat(core, member, &own);
+	}
+	if (there)
+		rj_racks_tell_peer(core, member->name);
+	rj_forward_peer_lost(core, member->name);
+}
+
 /*
  * A peer says how it is. One that is ahead in configuration sends it of its
  * own accord; one that is behind is told.
@@ -534,6 +596,7 @@
 	member->wait_us = heartbeat->wait_us;
 	if (core->config && member->config_revision < core->config->revision)
 		rj_config_controller_tell(core, name);
+	look_for_losses(core, member, heartbeat);
 	digest = view_digest(core);
 	if (digest == core->membership.view_digest)
 		return;
--- a/src/libradishjunction/core/core.c
+++ b/src/libradishjunction/core/core.c
@@ -168,6 +168,8 @@
 				 const struct rj_peer_message *message)
 {
 	rj_core_count(core, RJ_COUNT_PEER_MESSAGES);
+	if (message->kind != RJ_PEER_HEARTBEAT)
+		rj_membership_received(core, peer);
 	switch (message->kind) {
 	case RJ_PEER_HEARTBEAT:
 		rj_membership_heartbeat(core, peer, &message->u.heartbeat);
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -106,6 +106,11 @@
 	uint32_t queued;
 	uint64_t wait_us;
 	struct rj_list summaries;
+	/* Messages but for heartbeats since the link stands. */
+	uint64_t sent;
+	uint64_t received;
+	uint64_t lost; /* of the peer's */
+	uint64_t lost_there; /* of ours, as the peer says */
 };
 
 struct rj_membership {
@@ -381,6 +386,7 @@
 void rj_membership_start(struct rj_core_state *core);
 void rj_membership_list(struct rj_core_state *core,
 			const struct rj_instance *list, uint32_t count);
+void rj_membership_received(struct rj_core_state *core, const char *name);
 void rj_membership_up(struct rj_core_state *core, const char *name);
 void rj_membership_down(struct rj_core_state *core, const char *name);
 void rj_membership_heartbeat(struct rj_core_state *core, const char *name,
--- a/src/libradishjunction/peer/peer_codec.c
+++ b/src/libradishjunction/peer/peer_codec.c
@@ -296,9 +296,11 @@
 	write_number(writer, heartbeat->config_revision);
 	write_number(writer, heartbeat->queued);
 	write_number(writer, heartbeat->wait_us);
+	write_number(writer, heartbeat->sent);
+	write_number(writer, heartbeat->lost);
 }
 
-/* What write_heartbeat wrote. */
+/* What write_heartbeat wrote, or an older peer, which counts nothing. */
 static void read_heartbeat(struct reader *reader,
 			   struct rj_peer_heartbeat *heartbeat)
 {
@@ -311,6 +313,10 @@
 		read_number(reader, "config_revision", UINT64_MAX);
 	heartbeat->queued = (uint32_t)read_number(reader, "queued", UINT32_MAX);
 	heartbeat->wait_us = read_number(reader, "wait_us", UINT64_MAX);
+	if (at_end(reader))
+		return;
+	heartbeat->sent = read_number(reader, "sent", UINT64_MAX);
+	heartbeat->lost = read_number(reader, "lost", UINT64_MAX);
 }
 
 /* The fields of RJ_PEER_SUMMARY, the workers after their count. */
--- a/src/test_libradishjunction/support/peer_frames.c
+++ b/src/test_libradishjunction/support/peer_frames.c
@@ -19,10 +19,10 @@
 	message->kind = kind;
 	switch (kind) {
 	case RJ_PEER_HEARTBEAT:
-		message->u.heartbeat =
-			(struct rj_peer_heartbeat){ "lhr-dha", UINT64_MAX, true,
-						    true,      true,	   7,
-						    9,	       1ULL << 40 };
+		message->u.heartbeat = (struct rj_peer_heartbeat){
+			"lhr-dha", UINT64_MAX, true,	   true, true,
+			7,	   9,	       1ULL << 40, 4,	 1
+		};
 		break;
 	case RJ_PEER_SUMMARY:
 		message->u.summary = (struct rj_peer_summary){
--- a/src/test_libradishjunction/test_faults.c
+++ b/src/test_libradishjunction/test_faults.c
@@ -229,6 +229,18 @@
 	check_seed(PROMISE_NOT_RUN, 770);
 }
 
+/*
+ * A tutor's guaranteed lesson pack is not started, though all workers are
+ * free.
+ * Its instance forwards it to the owner of the rack over a link that is cut
+ * for a moment and goes on to stand; nobody hears of the loss.
+ * Cause: only the end of a link said that what it carried may be lost.
+ */
+static void test_forward_lost_on_a_standing_link(void)
+{
+	check_seed(PROMISE_STOP, 8745);
+}
+
 /* Promises that the core keeps in every seed that was run. */
 static const enum promise held[] = { PROMISE_GUARANTEE, PROMISE_GANG,
 				     PROMISE_ANSWER,	PROMISE_NOT_RUN,
@@ -291,5 +303,7 @@
 			test_entitled_job_stays_in_its_domain);
 	g_test_add_func("/faults/drain_lookup",
 			test_lookup_during_a_drain_is_sent_on);
+	g_test_add_func("/faults/lost_forward",
+			test_forward_lost_on_a_standing_link);
 	return g_test_run();
 }
