core: a job waits for its guaranteed shape at the shape's owner

Excluded: a wrong choice at the door (the interim owner was the owner then). What had started here before is never said not to have run by it.

--- a/src/libradishjunction/core/controllers/drain_controller.c
+++ b/src/libradishjunction/core/controllers/drain_controller.c
@@ -69,8 +69,10 @@
 	rj_timer_init(&core->drain_watch, watch_due);
 }
 
-/* Hand a waiting job to a peer, or answer it with when to come back. */
-static void hand_over(struct rj_job *job)
+/*
+ * Hand a waiting job to a peer, or answer it with when to come back.
+ */
+void rj_job_hand_over(struct rj_job *job)
 {
 	if (job->accepted) {
 		/* Look-ups may have come since the stop began. */
@@ -97,7 +99,24 @@
 		struct rj_job *job = RJ_CONTAINER(at, struct rj_job, link);
 
 		if (job->state == RJ_JOB_QUEUED)
-			hand_over(job);
+			rj_job_hand_over(job);
+	}
+}
+
+/*
+ * Hand the jobs that wait for a guaranteed shape to the peer that owns it
+ * now. Called when the view of the peers has changed.
+ */
+void rj_drain_hand_back(struct rj_core_state *core)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->jobs.list) {
+		struct rj_job *job = RJ_CONTAINER(at, struct rj_job, link);
+
+		if (job->state == RJ_JOB_QUEUED && rj_route_leads_away(job))
+			rj_job_hand_over(job);
 	}
 }
 
--- a/src/libradishjunction/core/controllers/jobs_controller.c
+++ b/src/libradishjunction/core/controllers/jobs_controller.c
@@ -460,7 +460,10 @@
 	(void)core;
 	switch (job->state) {
 	case RJ_JOB_QUEUED:
-		rj_job_submit(job);
+		if (rj_route_leads_away(job))
+			rj_job_hand_over(job);
+		else
+			rj_job_submit(job);
 		break;
 	case RJ_JOB_ACCEPTING:
 	case RJ_JOB_CLAIMING:
--- a/src/libradishjunction/core/controllers/placement_controller.c
+++ b/src/libradishjunction/core/controllers/placement_controller.c
@@ -104,8 +104,8 @@
 	job->started = false;
 	job->started_us = 0;
 	job->reclaimed = false;
-	if (!job->planned || job->failures) {
-		/* Submitted anew, with the workers to avoid. */
+	if (!job->planned || job->failures || rj_route_leads_away(job)) {
+		/* Submitted anew, with the workers to avoid, or handed on. */
 		rj_job_unplan(job, false);
 		rj_timer_set(&core->timers, &job->step,
 			     core->now_us + delay_us);
--- a/src/libradishjunction/core/filters/route.c
+++ b/src/libradishjunction/core/filters/route.c
@@ -36,6 +36,22 @@
 	return rj_membership_owner(core, rj_racks_key(core, rack));
 }
 
+/*
+ * Whether the job waits here for a guaranteed shape that a peer owns.
+ *
+ * Guards against a rack that changes its owner while a job on its account's
+ * guarantee starts: its former owner cannot reclaim the shape, and takes from
+ * the rack only what its owner offers. It shows as a guaranteed shape that is
+ * late, though the owner would have had it.
+ */
+bool rj_route_leads_away(const struct rj_job *job)
+{
+	struct rj_submission submission = { .spec = job->spec };
+
+	return job->spec.wait && !job->accepted &&
+	       guarantee_owner(job->core, &submission);
+}
+
 /* Whether work may be handed to a peer. */
 static bool takes_work(const struct rj_core_state *core,
 		       const struct rj_member_view *member)
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -608,6 +608,8 @@
 bool rj_drain_takes_more(const struct rj_core_state *core,
 			 const struct rj_job_class *class);
 void rj_drain_hand_over(struct rj_core_state *core);
+void rj_drain_hand_back(struct rj_core_state *core);
+void rj_job_hand_over(struct rj_job *job);
 void rj_drain_check(struct rj_core_state *core);
 
 /* filters/: a request on its way through the chain */
@@ -657,6 +659,9 @@
 struct rj_job *rj_filter_job(struct rj_core_state *core,
 			     struct rj_submission *submission);
 
+/* filters/route.c */
+bool rj_route_leads_away(const struct rj_job *job);
+
 /* filters/chain.c */
 void rj_filters_request(struct rj_core_state *core,
 			const struct rj_request *request);
