--- a/include/radishjunction/worker.h
+++ b/include/radishjunction/worker.h
@@ -78,8 +78,8 @@
 	   start; `each` is what the member needs in all. */
 	uint32_t member; /* index of the member within its gang */
 	uint32_t gang; /* members of the whole gang */
-	/* Of the lease; 0 for LEASE, RUN and REPORT. STOP, RELEASE and FENCE
-	   with 0 mean the lease of this attempt and member. */
+	/* Of the lease; 0 for LEASE, RUN and REPORT. CHECKPOINT, STOP, RELEASE
+	   and FENCE with 0 mean the lease of this attempt and member. */
 	uint64_t token;
 	char account[RJ_NAME_BYTES];
 	char class_name[RJ_NAME_BYTES];
--- a/src/test_libradishjunction/support/fake_worker.c
+++ b/src/test_libradishjunction/support/fake_worker.c
@@ -312,11 +312,21 @@
 		task->told = true;
 }
 
+/* The task that a call names by its token, or, since who asks for a RUN knows
+ * none, by its attempt and member: see worker.h. */
+static struct fake_task *find_named(struct fake_worker *worker,
+				    const struct rj_worker_call *call)
+{
+	if (call->token)
+		return find_token(worker, call->token);
+	return find_task(worker, &call->attempt, call->member);
+}
+
 static void end_checkpoint(struct world *world, struct world_event *event)
 {
 	struct fake_call *from = event->data;
 	struct fake_worker *worker = &world->workers[from->worker];
-	struct fake_task *task = find_token(worker, from->call.token);
+	struct fake_task *task = find_named(worker, &from->call);
 
 	if (worker->down || worker->paused ||
 	    worker->incarnation != event->life)
@@ -485,8 +495,8 @@
 		serve_report(world, worker, from);
 		break;
 	default:
-		serve_token(world, worker, from,
-			    find_token(worker, call->token));
+		task = find_named(worker, call);
+		serve_token(world, worker, from, task);
 		break;
 	}
 	settle(world, worker);
