drain: one function hands waiting jobs on

Cause: two loops over the waiting jobs differed by one condition. Change: rj_drain_hand_over asks itself whether all go or only those that wait for a peer's shape. Tests: test_faults, 37 passed. No change of behaviour.

--- a/src/libradishjunction/core/controllers/drain_controller.c
+++ b/src/libradishjunction/core/controllers/drain_controller.c
@@ -86,36 +86,22 @@
 }
 
 /*
- * Hand every waiting job to a peer: this instance stops, or owns no rack any
- * more. Called again when the view of the peers changes: while none is alive,
+ * Hand waiting jobs to peers: all of them if this instance stops or owns no
+ * rack any more, else those that wait for a guaranteed shape that a peer owns
+ * now. Called again when the view of the peers changes: while none is alive,
  * the jobs are served here.
  */
 void rj_drain_hand_over(struct rj_core_state *core)
 {
+	bool all = rj_racks_hand_on(core);
 	struct rj_list *at;
 	struct rj_list *next;
 
 	RJ_FOR_EACH (at, next, &core->jobs.list) {
 		struct rj_job *job = RJ_CONTAINER(at, struct rj_job, link);
 
-		if (job->state == RJ_JOB_QUEUED)
-			rj_job_hand_over(job);
-	}
-}
-
-/*
- * Hand the jobs that wait for a guaranteed shape to the peer that owns it
- * now. Called when the view of the peers has changed.
- */
-void rj_drain_hand_back(struct rj_core_state *core)
-{
-	struct rj_list *at;
-	struct rj_list *next;
-
-	RJ_FOR_EACH (at, next, &core->jobs.list) {
-		struct rj_job *job = RJ_CONTAINER(at, struct rj_job, link);
-
-		if (job->state == RJ_JOB_QUEUED && rj_route_leads_away(job))
+		if (job->state == RJ_JOB_QUEUED &&
+		    (all || rj_route_leads_away(job)))
 			rj_job_hand_over(job);
 	}
 }
--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -292,11 +292,7 @@
 static void view_changed(struct rj_core_state *core)
 {
 	rj_racks_ownership(core);
-	/* What waits here waits in vain without a rack. */
-	if (rj_racks_hand_on(core))
-		rj_drain_hand_over(core);
-	else
-		rj_drain_hand_back(core);
+	rj_drain_hand_over(core);
 }
 
 /* A digest of who is alive and not draining, to see a change of it. */
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -608,7 +608,6 @@
 bool rj_drain_takes_more(const struct rj_core_state *core,
 			 const struct rj_job_class *class);
 void rj_drain_hand_over(struct rj_core_state *core);
-void rj_drain_hand_back(struct rj_core_state *core);
 void rj_job_hand_over(struct rj_job *job);
 void rj_drain_check(struct rj_core_state *core);
 
