--- a/src/libradishjunction/core/controllers/forward_controller.c
+++ b/src/libradishjunction/core/controllers/forward_controller.c
@@ -29,6 +29,8 @@
 	rj_job_enter(job, RJ_JOB_FORWARDED);
 	job->forward_id = rj_core_next_id(core);
 	g_strlcpy(job->peer, peer, sizeof(job->peer));
+	/* What the peer does not run may have run here before. */
+	job->ran_elsewhere = job->ran_elsewhere || job->ran_before;
 	g_hash_table_insert(core->jobs.forwards, &job->forward_id, job);
 	message = rj_membership_send(core, peer, RJ_PEER_FORWARD);
 	forward = &message->u.forward;
@@ -148,14 +150,17 @@
 }
 
 /*
- * A peer wants a job cancelled that it had forwarded here. Others may wait
- * for the same job by its key: then it goes on for them.
+ * A peer wants a job cancelled that it had forwarded here, or stopped since
+ * it runs in the place of a guarantee. Others may wait for a cancelled job by
+ * its key: then it goes on for them.
  */
 void rj_forward_cancelled(struct rj_core_state *core, const char *peer,
 			  const struct rj_peer_cancel *cancel)
 {
 	struct rj_job *job = rj_jobs_find(core, cancel->job_id);
 
+	if (cancel->reclaim_owner)
+		rj_job_reclaim_for_peer(core, cancel);
 	if (!job || !waiter_of(job, peer, cancel->forward_id))
 		return;
 	if (job->waiters.next->next != &job->waiters)
