--- a/include/radishjunction/peer_message.h
+++ b/include/radishjunction/peer_message.h
@@ -9,7 +9,13 @@
 
 #include "radishjunction/types.h"
 
-/* The version of the frames; each side speaks the lower of the two. */
+/*
+ * The version of the frames; each side speaks the lower of the two. A field
+ * that is added goes behind all others of its message, and a reader does
+ * without it: an instance that is replaced last sends none. Whatever changes
+ * the order or the meaning of fields takes a new version, and the older one
+ * is written and read until no instance speaks it.
+ */
 #define RJ_PEER_VERSION 1
 /* A rack's workers fit one summary. */
 #define RJ_RACK_WORKERS_MAX 32
@@ -21,7 +27,7 @@
 	RJ_PEER_LEAVING, /* a worker that is leaving */
 	RJ_PEER_FORWARD, /* a request for the receiver to serve */
 	RJ_PEER_FORWARD_ANSWER,
-	RJ_PEER_CANCEL, /* cancel a forwarded job */
+	RJ_PEER_CANCEL, /* cancel a forwarded job, or reclaim its room */
 	RJ_PEER_MESSAGE_KIND_COUNT
 };
 
@@ -37,6 +43,16 @@
 	uint64_t config_revision;
 	uint32_t queued; /* jobs waiting here */
 	uint64_t wait_us; /* expected wait of a small job here */
+	/* Whoever reads the jobs' records from offset `log_from` on, up to
+	   `log_next`, knows what the sender knows; UINT64_MAX and 0 where the
+	   sender does not say. */
+	uint64_t log_from;
+	uint64_t log_next;
+	/* Messages other than heartbeats on this link since it stands: sent
+	   before this one, and of the receiver's, lost. An older peer sends
+	   neither. */
+	uint64_t sent;
+	uint64_t lost;
 };
 
 struct rj_peer_summary {
@@ -73,8 +89,16 @@
 };
 
 struct rj_peer_cancel {
-	uint64_t forward_id;
+	uint64_t forward_id; /* 0 with a reclaim */
 	uint64_t job_id;
+	/*
+	 * Of a reclaim: this attempt is to give its room back within limit_us,
+	 * and the job waits again. 0: a plain cancellation. An older peer
+	 * ignores these fields, and knows no forward 0.
+	 */
+	uint64_t reclaim_owner;
+	uint32_t reclaim_attempt;
+	uint64_t limit_us;
 };
 
 struct rj_peer_message {
--- a/src/libradishjunction/core/controllers/jobs_controller.c
+++ b/src/libradishjunction/core/controllers/jobs_controller.c
@@ -24,6 +24,7 @@
 /* The regular round over what the log and dead instances left open. */
 static void tick_due(struct rj_core_state *core, struct rj_timer *timer)
 {
+	rj_log_tick(core);
 	rj_claims_tick(core);
 	rj_timer_set(&core->timers, timer, core->now_us + TICK_US);
 }
@@ -350,16 +351,31 @@
 	const struct rj_job_entry *entry =
 		rj_job_ledger_find(&job->core->ledger, job->spec.job_id);
 
-	if (!entry || !entry->first_owner)
+	if (!entry || (!entry->first_owner && !entry->doubtful))
 		return false;
-	return entry->several_owners ||
+	return entry->doubtful || entry->several_owners ||
 	       entry->first_owner != job->core->incarnation;
 }
 
+/*
+ * Whether another request with the job's key may be served elsewhere by now,
+ * whatever became of this one. What an accepted job came to is told only
+ * when it was read back from the log; what was read of any other is older
+ * than this moment.
+ *
+ * Guards against an instance that reads its own claim back after a pause: a
+ * peer may have voided it since and served the key. It shows as a charge
+ * that is done and "not run".
+ */
+static bool key_may_run(const struct rj_job *job)
+{
+	return job->spec.key[0] && !job->accepted;
+}
+
 /*
  * End a job whose present attempt has stopped, or never started: `failed`
  * only if a worker said that it ran, and `not_run` only if no attempt was
- * started, here or at a peer that was lost.
+ * started, here, at a peer that was lost or under the same key.
  */
 void rj_job_give_up(struct rj_job *job, enum rj_reason reason,
 		    uint64_t retry_after_us)
@@ -369,7 +385,7 @@
 	if (job->ran)
 		kind = RJ_ANSWER_FAILED;
 	else if (job->started || job->ran_before || job->ran_elsewhere ||
-		 claimed_elsewhere(job))
+		 key_may_run(job) || claimed_elsewhere(job))
 		kind = RJ_ANSWER_UNKNOWN;
 	rj_job_end_plain(job, kind, reason, retry_after_us);
 }
@@ -445,7 +461,10 @@
 	(void)core;
 	switch (job->state) {
 	case RJ_JOB_QUEUED:
-		rj_job_submit(job);
+		if (rj_route_leads_away(job))
+			rj_job_hand_over(job);
+		else
+			rj_job_submit(job);
 		break;
 	case RJ_JOB_ACCEPTING:
 	case RJ_JOB_CLAIMING:
--- a/src/libradishjunction/core/controllers/upstreams_controller.c
+++ b/src/libradishjunction/core/controllers/upstreams_controller.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "private/capacity.h"
 #include "private/core_state.h"
 
 /* The life of a lease until a configuration says it. */
@@ -21,6 +22,8 @@
 #define POLLS_LOST_SILENT 2
 /* So many different jobs failing in a row point to the worker. */
 #define FAILED_JOBS_SET_ASIDE 3
+/* Leaving is said with so many heartbeats; it must be known within 5 s. */
+#define LEAVING_REPEAT_US (4 * RJ_US_PER_S)
 #define SET_ASIDE_FIRST_US (10 * RJ_US_PER_S)
 #define SET_ASIDE_MAX_US (300 * RJ_US_PER_S)
 
@@ -67,11 +70,14 @@
 		return;
 	memset(&worker, 0, sizeof(worker));
 	worker.id = upstream->index;
+	g_strlcpy(worker.name, upstream->name, sizeof(worker.name));
 	worker.rack = upstream->rack;
 	worker.capacity = upstream->capacity;
 	worker.foreign = upstream->foreign;
 	worker.usable = rj_upstreams_usable(upstream);
 	worker.owned = upstream->owned;
+	worker.limited = !upstream->owned;
+	worker.offered = upstream->offered;
 	core->planner->ops->worker(core->planner, &worker, core->now_us);
 	core->jobs.plan_wanted = true;
 }
@@ -90,6 +96,7 @@
 	g_strlcpy(upstream->name, instance->name, sizeof(upstream->name));
 	upstream->set_aside_us = SET_ASIDE_FIRST_US;
 	rj_list_init(&upstream->members);
+	rj_list_init(&upstream->foreign_tasks);
 	rj_timer_init(&upstream->poll, poll_due);
 	rj_timer_init(&upstream->probe, probe_due);
 	upstreams->by_index =
@@ -173,6 +180,7 @@
 	g_strlcpy(action->u.worker_call.worker, upstream->name,
 		  sizeof(action->u.worker_call.worker));
 	action->u.worker_call.timeout_us = POLL_TIMEOUT_US;
+	action->u.worker_call.connections_max = rj_membership_connections(core);
 	action->u.worker_call.holder = core->incarnation;
 	action->u.worker_call.life_us = lease_life_us(core);
 	if (upstream->short_reports < SHORT_REPORTS_MAX)
@@ -200,6 +208,62 @@
 	poll_now(core, upstream);
 }
 
+/* Say of a worker that it leaves. */
+static void fill_leaving(const struct rj_upstream *upstream,
+			 struct rj_peer_leaving *leaving)
+{
+	g_strlcpy(leaving->worker, upstream->name, sizeof(leaving->worker));
+	leaving->incarnation = upstream->left_incarnation;
+}
+
+/* Tell the peers of the failure domain that a worker leaves. */
+static void tell_leaving(struct rj_core_state *core,
+			 const struct rj_upstream *upstream)
+{
+	struct rj_peer_message message;
+
+	memset(&message, 0, sizeof(message));
+	message.kind = RJ_PEER_LEAVING;
+	fill_leaving(upstream, &message.u.leaving);
+	rj_membership_send_domain(core, &message);
+}
+
+/*
+ * Tell one peer, whose link has just come to stand, who is leaving.
+ *
+ * Guards against a peer that cannot read the list and whose link was down
+ * when it was told: it would go on sending work to a worker that goes.
+ */
+void rj_upstreams_tell_leaving(struct rj_core_state *core, const char *peer)
+{
+	for (uint32_t i = 0; i < core->upstreams.count; i++) {
+		const struct rj_upstream *upstream =
+			core->upstreams.by_index[i];
+
+		if (upstream->leaving)
+			fill_leaving(
+				upstream,
+				&rj_membership_send(core, peer, RJ_PEER_LEAVING)
+					 ->u.leaving);
+	}
+}
+
+/*
+ * Repeat for a few seconds what was learnt of leaving workers: a message may
+ * be lost with a break of its link that is too short to be noticed.
+ */
+void rj_upstreams_leaving_again(struct rj_core_state *core)
+{
+	for (uint32_t i = 0; i < core->upstreams.count; i++) {
+		const struct rj_upstream *upstream =
+			core->upstreams.by_index[i];
+
+		if (upstream->leaving &&
+		    core->now_us < upstream->left_us + LEAVING_REPEAT_US)
+			tell_leaving(core, upstream);
+	}
+}
+
 /*
  * The leaving of one incarnation of a worker ends new work on it at once,
  * whoever says so first; only a newer incarnation takes work again.
@@ -211,23 +275,17 @@
 void rj_upstreams_leaving(struct rj_core_state *core,
 			  struct rj_upstream *upstream, uint64_t incarnation)
 {
-	struct rj_peer_message message;
-
 	if (incarnation < upstream->incarnation ||
 	    (upstream->leaving && upstream->left_incarnation >= incarnation))
 		return;
 	upstream->incarnation = incarnation;
 	upstream->left_incarnation = incarnation;
 	upstream->leaving = true;
+	upstream->left_us = core->now_us;
 	rj_core_log(core, RJ_LOG_LEAVING, RJ_REASON_DRAINING, NULL,
 		    upstream->name);
 	tell_planner(core, upstream);
-	memset(&message, 0, sizeof(message));
-	message.kind = RJ_PEER_LEAVING;
-	g_strlcpy(message.u.leaving.worker, upstream->name,
-		  sizeof(message.u.leaving.worker));
-	message.u.leaving.incarnation = incarnation;
-	rj_membership_send_domain(core, &message);
+	tell_leaving(core, upstream);
 }
 
 /*
@@ -305,8 +363,14 @@
 	if (owned == upstream->owned)
 		return;
 	upstream->owned = owned;
+	/* Only a whole report shows what others run there. */
+	upstream->report_version = 0;
 	if (owned)
 		poll_now(core, upstream);
+	else
+		rj_foreign_disown(core, upstream);
+	/* Its new owner will say what is free. */
+	memset(&upstream->offered, 0, sizeof(upstream->offered));
 	tell_planner(core, upstream);
 }
 
@@ -318,8 +382,13 @@
 			    struct rj_upstream *upstream,
 			    const struct rj_resources *left)
 {
-	if (upstream->owned || upstream->own_members)
+	if (upstream->owned)
+		return;
+	upstream->offered = *left;
+	if (upstream->own_members) {
+		tell_planner(core, upstream);
 		return;
+	}
 	upstream->report_version = 0;
 	/* What is free is told, not the capacity: take it as the whole, with
 	   nothing foreign on it. */
@@ -330,7 +399,7 @@
 	tell_planner(core, upstream);
 }
 
-/* What tasks that are not of this instance's jobs take on a worker. */
+/* What tasks that the planner does not know take on a worker. */
 static void count_foreign(struct rj_core_state *core,
 			  struct rj_upstream *upstream,
 			  const struct rj_worker_report *report)
@@ -345,6 +414,8 @@
 		if (task->state != RJ_TASK_HELD &&
 		    task->state != RJ_TASK_RUNNING)
 			continue;
+		if (rj_foreign_is_planned(core, upstream, task))
+			continue;
 		job = rj_jobs_find(core, task->attempt.job_id);
 		if (job && job->planned && job->member_count &&
 		    job->attempt.owner == task->attempt.owner &&
@@ -387,6 +458,29 @@
 		rj_jobs_worker_lost(core, upstream);
 }
 
+/*
+ * Offer the peers of the failure domain what is free on an owned worker and
+ * is not kept for a job that waits here, if that has changed.
+ */
+void rj_upstreams_offer(struct rj_core_state *core,
+			struct rj_upstream *upstream)
+{
+	const struct rj_planner_ops *ops = core->planner->ops;
+	struct rj_resources offered = upstream->free_now;
+	struct rj_resources kept;
+
+	if (!upstream->owned)
+		return;
+	if (ops->kept) {
+		ops->kept(core->planner, upstream->index, &kept);
+		rj_resources_take_or_zero(&offered, &kept);
+	}
+	if (!memcmp(&offered, &upstream->offered, sizeof(offered)))
+		return;
+	upstream->offered = offered;
+	rj_racks_tell(core, upstream->rack_view);
+}
+
 /*
  * Take the answer to a request for a report that was sent at `asked_us`, or
  * its loss.
@@ -396,8 +490,6 @@
 			 const struct rj_worker_reply *reply, uint64_t asked_us)
 {
 	const struct rj_worker_report *report = &reply->report;
-	struct rj_resources left;
-	bool changed;
 
 	upstream->polling = false;
 	rj_timer_set(&core->timers, &upstream->poll,
@@ -421,18 +513,17 @@
 		if (!rj_jobs_report_unchanged(upstream))
 			upstream->report_version = 0;
 		tell_planner(core, upstream);
+		rj_upstreams_offer(core, upstream);
 		return;
 	}
 	upstream->report_version = report->version;
 	upstream->short_reports = 0;
 	rj_jobs_report(core, upstream, report, asked_us);
+	rj_foreign_report(core, upstream, report);
 	count_foreign(core, upstream, report);
 	tell_planner(core, upstream);
-	left = free_now(report);
-	changed = memcmp(&left, &upstream->free_now, sizeof(left)) != 0;
-	upstream->free_now = left;
-	if (changed && upstream->owned)
-		rj_racks_tell(core, upstream->rack_view);
+	upstream->free_now = free_now(report);
+	rj_upstreams_offer(core, upstream);
 }
 
 /* Take a worker back that was set aside: the next job there is the probe. */
--- a/src/libradishjunction/core/core.c
+++ b/src/libradishjunction/core/core.c
@@ -137,6 +137,7 @@
 	rj_membership_init(state, options);
 	rj_upstreams_init(state);
 	rj_jobs_init(state);
+	rj_foreign_init(state);
 	rj_drain_init(state);
 	core->state = state;
 	return 0;
@@ -153,6 +154,7 @@
 	if (!state)
 		return;
 	rj_jobs_finish(state);
+	rj_foreign_finish(state);
 	rj_job_ledger_finish(&state->ledger);
 	g_hash_table_destroy(state->upstreams.by_name);
 	rj_config_log_finish(&state->config_log);
@@ -166,6 +168,8 @@
 				 const struct rj_peer_message *message)
 {
 	rj_core_count(core, RJ_COUNT_PEER_MESSAGES);
+	if (message->kind != RJ_PEER_HEARTBEAT)
+		rj_membership_received(core, peer);
 	switch (message->kind) {
 	case RJ_PEER_HEARTBEAT:
 		rj_membership_heartbeat(core, peer, &message->u.heartbeat);
@@ -262,8 +266,6 @@
 	struct rj_core_state *state = core->state;
 	bool first = !state->actions && !state->now_us;
 
-	if (state->exited)
-		return;
 	state->actions = actions;
 	if (!first && event->now_us > state->now_us + SLEPT_US)
 		state->woke_us = event->now_us;
@@ -291,12 +293,20 @@
 }
 
 /*
- * Whether callers may be sent here: a configuration is in force and no stop
- * was asked for.
+ * Whether callers may be sent here: a configuration is in force, the log was
+ * read or is known to be out, and no stop was asked for.
+ *
+ * Guards against refusals by an instance that has just started: a peer gives
+ * it the configuration before its first read of the log is answered, and in
+ * between it would refuse what has to be accepted into the log as if there
+ * were an outage. In a real one it is ready, since idempotent work goes on.
  */
 bool rj_core_ready(const struct rj_core *core)
 {
-	return core->state->config && !core->state->stopping;
+	const struct rj_core_state *state = core->state;
+
+	return state->config && state->streams[RJ_STREAM_JOBS].tried &&
+	       !state->stopping;
 }
 
 /*
--- a/src/libradishjunction/include/private/capacity.h
+++ b/src/libradishjunction/include/private/capacity.h
@@ -21,7 +21,7 @@
 	struct rj_resources taken; /* by tasks of this planner */
 	struct rj_resources free; /* nothing while it is not usable */
 	uint32_t tasks;
-	uint32_t position; /* in its rack; kept while the worker is known */
+	uint32_t position; /* in its rack, by name where workers have one */
 	bool gone;
 	struct rj_ledger *ledger; /* of a planner that keeps one */
 };
@@ -55,6 +55,8 @@
 void rj_capacity_give(struct rj_capacity *capacity,
 		      const struct rj_resources *each,
 		      const struct rj_plan_member *members, uint32_t count);
+void rj_resources_limit(struct rj_resources *have,
+			const struct rj_resources *limit);
 void rj_resources_take_or_zero(struct rj_resources *have,
 			       const struct rj_resources *part);
 bool rj_shape_equal(const struct rj_shape *one, const struct rj_shape *two);
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -30,10 +30,13 @@
 	uint64_t next; /* the offset to read on from */
 	bool read_before; /* a read was answered since the start */
 	bool caught_up; /* everything up to the head was applied */
+	bool tried; /* was caught up once, or a read has failed */
 	bool reading;
 	uint64_t backoff_us;
 	uint64_t asked_us; /* when the read that is out was sent */
 	uint64_t fresh_us; /* what was read holds at least up to here */
+	uint64_t oldest; /* the oldest offset that the log kept then */
+	uint64_t newest_us; /* when the newest record was appended */
 	struct rj_timer retry;
 	/* group commit: one append at a time, the rest waits */
 	struct rj_record **waiting; /* talloc array */
@@ -67,13 +70,20 @@
 	struct rj_bytes result;
 	uint64_t first_us; /* when its first record was appended */
 	uint64_t recorded_us; /* when its newest record was appended */
+	uint64_t base_us; /* when the oldest was that it is known from */
 	uint64_t carry_us; /* when it was last carried from here */
+	uint64_t dropped_us; /* its records are gone: carry from then on */
+	bool doubtful; /* attempts of it may be missing, for good */
+	uint64_t accept_at; /* the offset of its newest accept */
+	uint64_t claim_at; /* the offset of its newest open claim */
+	uint64_t whole_from; /* the offset from which the log says all of it */
 };
 
 struct rj_job_ledger {
 	GHashTable *by_job; /* &entry->job_id -> entry */
 	struct rj_list entries;
 	uint32_t count;
+	bool gap; /* older records may be missing: carried ones count more */
 };
 
 struct rj_rack_summary {
@@ -104,7 +114,14 @@
 	uint64_t config_revision;
 	uint32_t queued;
 	uint64_t wait_us;
+	uint64_t log_from; /* see struct rj_peer_heartbeat */
+	uint64_t log_next;
 	struct rj_list summaries;
+	/* Messages but for heartbeats since the link stands. */
+	uint64_t sent;
+	uint64_t received;
+	uint64_t lost; /* of the peer's */
+	uint64_t lost_there; /* of ours, as the peer says */
 };
 
 struct rj_membership {
@@ -147,6 +164,7 @@
 	struct rj_address address;
 	uint64_t incarnation;
 	uint64_t left_incarnation; /* the one that is or was leaving */
+	uint64_t left_us; /* when that was learnt */
 	bool leaving;
 	bool owned;
 	bool known; /* has answered a report */
@@ -159,7 +177,10 @@
 	struct rj_resources capacity;
 	struct rj_resources foreign;
 	struct rj_resources free_now; /* for anyone, as last reported */
+	/* What the rack's owner offers to its peers: told, or heard. */
+	struct rj_resources offered;
 	struct rj_list members; /* of own jobs on it */
+	struct rj_list foreign_tasks; /* of others, which may be stopped */
 	uint32_t own_members; /* how many */
 	uint64_t failed_jobs[RJ_FAILED_JOBS];
 	uint32_t failed_count;
@@ -310,13 +331,15 @@
 	struct rj_log_stream streams[RJ_STREAM_COUNT];
 	bool platform_up;
 	uint64_t woke_us; /* from a pause; 0 once the log was read since */
+	uint64_t gap_us; /* since when older keys may be missing; 0: none is */
+	uint64_t gap_from; /* the offset from which was read then */
 	struct rj_job_ledger ledger;
 	struct rj_membership membership;
 	struct rj_upstreams upstreams;
 	struct rj_jobs jobs;
+	GHashTable *foreign; /* &task->plan_id -> task of another instance */
 	bool stopping;
 	uint64_t stopping_us; /* since when */
-	bool exited;
 	struct rj_timer drain;
 	struct rj_timer drain_watch;
 	uint64_t drain_limit_us;
@@ -349,6 +372,11 @@
 void rj_log_appended(struct rj_core_state *core,
 		     const struct rj_appended *appended);
 bool rj_log_usable(const struct rj_core_state *core);
+enum rj_reason rj_log_reason(const struct rj_core_state *core);
+void rj_log_gap_check(struct rj_core_state *core);
+void rj_log_tick(struct rj_core_state *core);
+void rj_log_fill_heartbeat(const struct rj_core_state *core,
+			   struct rj_peer_heartbeat *heartbeat);
 
 /* job_ledger.c */
 void rj_job_ledger_init(struct rj_job_ledger *ledger, void *mem);
@@ -360,6 +388,8 @@
 					 void *mem,
 					 const struct rj_record *record,
 					 uint64_t now_us);
+void rj_job_ledger_doubt(struct rj_job_ledger *ledger);
+bool rj_job_entry_matters(const struct rj_job_entry *entry);
 void rj_job_ledger_forget(struct rj_job_ledger *ledger,
 			  struct rj_job_entry *entry);
 
@@ -377,6 +407,7 @@
 void rj_membership_start(struct rj_core_state *core);
 void rj_membership_list(struct rj_core_state *core,
 			const struct rj_instance *list, uint32_t count);
+void rj_membership_received(struct rj_core_state *core, const char *name);
 void rj_membership_up(struct rj_core_state *core, const char *name);
 void rj_membership_down(struct rj_core_state *core, const char *name);
 void rj_membership_heartbeat(struct rj_core_state *core, const char *name,
@@ -391,6 +422,9 @@
 			 const struct rj_member_view *member);
 bool rj_membership_incarnation_alive(const struct rj_core_state *core,
 				     uint64_t incarnation);
+uint32_t rj_membership_connections(const struct rj_core_state *core);
+const char *rj_membership_name_of(const struct rj_core_state *core,
+				  uint64_t incarnation);
 const char *rj_membership_owner(struct rj_core_state *core, uint64_t key);
 bool rj_membership_owns(const struct rj_core_state *core, const char *domain,
 			uint64_t key);
@@ -410,6 +444,8 @@
 			 uint64_t asked_us);
 void rj_upstreams_leaving(struct rj_core_state *core,
 			  struct rj_upstream *upstream, uint64_t incarnation);
+void rj_upstreams_tell_leaving(struct rj_core_state *core, const char *peer);
+void rj_upstreams_leaving_again(struct rj_core_state *core);
 void rj_upstreams_peer_leaving(struct rj_core_state *core,
 			       const struct rj_peer_leaving *leaving);
 void rj_upstreams_failed(struct rj_core_state *core,
@@ -425,10 +461,25 @@
 bool rj_upstreams_usable(const struct rj_upstream *upstream);
 void rj_upstreams_own(struct rj_core_state *core, struct rj_upstream *upstream,
 		      bool owned);
+void rj_upstreams_offer(struct rj_core_state *core,
+			struct rj_upstream *upstream);
 void rj_upstreams_told_free(struct rj_core_state *core,
 			    struct rj_upstream *upstream,
 			    const struct rj_resources *left);
 
+/* controllers/foreign_controller.c */
+void rj_foreign_init(struct rj_core_state *core);
+void rj_foreign_finish(struct rj_core_state *core);
+bool rj_foreign_is_planned(const struct rj_core_state *core,
+			   const struct rj_upstream *upstream,
+			   const struct rj_task_report *line);
+void rj_foreign_report(struct rj_core_state *core, struct rj_upstream *upstream,
+		       const struct rj_worker_report *report);
+void rj_foreign_disown(struct rj_core_state *core,
+		       struct rj_upstream *upstream);
+void rj_foreign_reclaim(struct rj_core_state *core,
+			const struct rj_decision *decision);
+
 /* controllers/racks_controller.c */
 uint64_t rj_racks_key(const struct rj_core_state *core, uint32_t rack);
 uint64_t rj_racks_job_key(const struct rj_core_state *core, const char *domain,
@@ -479,6 +530,8 @@
 void rj_job_requeue(struct rj_job *job, uint64_t delay_us,
 		    enum rj_reason reason);
 void rj_jobs_plan(struct rj_core_state *core);
+void rj_job_reclaim_for_peer(struct rj_core_state *core,
+			     const struct rj_peer_cancel *cancel);
 void rj_job_release_members(struct rj_job *job);
 void rj_job_unplan(struct rj_job *job, bool succeeded);
 void rj_job_lease_reply(struct rj_job *job, struct rj_member *member,
@@ -489,6 +542,7 @@
 void rj_job_accept(struct rj_job *job);
 void rj_job_claim(struct rj_job *job);
 void rj_job_watch(struct rj_job *job);
+bool rj_job_leave_bodiless(struct rj_job *job);
 
 /* controllers/recovery_controller.c: SETTLING */
 void rj_job_settle(struct rj_job *job);
@@ -576,8 +630,10 @@
 /* controllers/drain_controller.c */
 void rj_drain_init(struct rj_core_state *core);
 void rj_drain_stop(struct rj_core_state *core);
-bool rj_drain_takes_more(const struct rj_core_state *core);
+bool rj_drain_takes_more(const struct rj_core_state *core,
+			 const struct rj_job_class *class);
 void rj_drain_hand_over(struct rj_core_state *core);
+void rj_job_hand_over(struct rj_job *job);
 void rj_drain_check(struct rj_core_state *core);
 
 /* filters/: a request on its way through the chain */
@@ -615,6 +671,7 @@
 extern const struct rj_filter rj_filter_validate;
 extern const struct rj_filter rj_filter_repeat;
 extern const struct rj_filter rj_filter_limit;
+extern const struct rj_filter rj_filter_log;
 extern const struct rj_filter rj_filter_route;
 extern const struct rj_filter rj_filter_place;
 
@@ -624,9 +681,15 @@
 					enum rj_reason reason,
 					uint64_t retry_after_us,
 					const char *detail);
+void rj_filter_answer(struct rj_core_state *core,
+		      const struct rj_submission *submission,
+		      const struct rj_answer *answer);
 struct rj_job *rj_filter_job(struct rj_core_state *core,
 			     struct rj_submission *submission);
 
+/* filters/route.c */
+bool rj_route_leads_away(const struct rj_job *job);
+
 /* filters/chain.c */
 void rj_filters_request(struct rj_core_state *core,
 			const struct rj_request *request);
--- /dev/null
+++ b/src/test_libradishjunction/support/fault_load.h
@@ -0,0 +1,12 @@
+/*
+ * The load under which faults strike: what callers want, and when they ask.
+ */
+#ifndef SUPPORT_FAULT_LOAD_H
+#define SUPPORT_FAULT_LOAD_H
+
+#include "support/fault_profiles.h"
+
+void load_add(struct world *world, const struct fault_place_options *place,
+	      const uint8_t *weights, uint32_t callers);
+
+#endif
