test: one way to plan without guarantees

Cause: three new tests set up the same configuration, six lines each. Change: configure_classes; the story of reservation/together says how much of the rack is taken. No check is changed.

--- a/src/test_libradishjunction/test_planner_topology.c
+++ b/src/test_libradishjunction/test_planner_topology.c
@@ -76,6 +76,17 @@
 	f->planner->ops->worker(f->planner, &worker, 0);
 }
 
+/* Guarantee nothing to anybody, and expect of the classes what they say. */
+static void configure_classes(struct fixture *f, struct rj_job_class *classes,
+			      uint32_t count)
+{
+	f->accounts[0].guarantee_count = 0;
+	f->accounts[1].guarantee_count = 0;
+	f->config.classes = classes;
+	f->config.class_count = count;
+	configure(f);
+}
+
 /*
  * Two racks of four workers with 8 accelerators. Account a is guaranteed a
  * whole rack, b two adjacent workers, c nothing.
@@ -455,12 +466,8 @@
 	struct rj_job_class class = { .name = "class", .expected_us = 100 * S };
 	struct rj_plan_job small = job_of(1, 'c', 1, 1);
 
-	f->accounts[0].guarantee_count = 0;
-	f->accounts[1].guarantee_count = 0;
-	f->config.classes = &class;
-	f->config.class_count = 1;
 	f->config.limits.fragmentation_weight = 100;
-	configure(f);
+	configure_classes(f, &class, 1);
 	small.checkpoint = true;
 	submit_many(f, small, 8 * WORKERS);
 	pass(f, 0);
@@ -480,8 +487,8 @@
 
 /*
  * A pricing gang waits for hours though all that is in its way may be
- * stopped. A smaller gang with checkpoints was let pass it and took half of
- * the rack, a render the other half. Cause: what was let pass was stopped
+ * stopped. A smaller gang with checkpoints was let pass it and took most of
+ * the rack, a render the rest. Cause: what was let pass was stopped
  * only if that was enough, and so was small work, but never both together.
  */
 static void test_loans_and_small_work_make_way_together(struct fixture *f,
@@ -491,12 +498,8 @@
 	struct rj_plan_job render = job_of(1, 'c', 1, 8);
 	struct rj_plan_job passing = job_of(300, 'c', 3, 8);
 
-	f->accounts[0].guarantee_count = 0;
-	f->accounts[1].guarantee_count = 0;
-	f->config.classes = &class;
-	f->config.class_count = 1;
 	f->config.limits.fragmentation_weight = 100;
-	configure(f);
+	configure_classes(f, &class, 1);
 	for (uint32_t i = 1; i < RACK_WORKERS; i++)
 		f->planner->ops->worker_gone(f->planner, RACK_WORKERS + i, 0);
 	/* One fills the only worker of the other rack. */
@@ -531,11 +534,7 @@
 	struct rj_plan_job preview = job_of(300, 'c', 1, 2);
 	struct rj_plan_job gang = job_of(200, 'c', WORKERS, 8);
 
-	f->accounts[0].guarantee_count = 0;
-	f->accounts[1].guarantee_count = 0;
-	f->config.classes = classes;
-	f->config.class_count = 2;
-	configure(f);
+	configure_classes(f, classes, 2);
 	/* It may end at any moment: nothing is sure to end before it. */
 	submit(f, job_of(1, 'c', 1, 8), 0);
 	pass(f, 0);
