--- a/src/libradishjunction/core/topology_pass.c
+++ b/src/libradishjunction/core/topology_pass.c
@@ -163,7 +163,7 @@
 			rj_topology_drop(state, reservation, now_us);
 		} else if (!reservation->firm &&
 			   reservation->refresh_us <= now_us) {
-			rj_topology_refresh(state, reservation, now_us);
+			rj_topology_drop(state, reservation, now_us);
 		} else {
 			i++;
 		}
--- a/src/libradishjunction/core/topology_reserve.c
+++ b/src/libradishjunction/core/topology_reserve.c
@@ -371,21 +371,3 @@
 	rj_topology_reserve(state, entry, state->members, count, false, best_us)
 		->refresh_us = now_us + REFRESH_US;
 }
-
-/*
- * Work out again what is loosely kept for a job, as estimates change.
- *
- * Guards against giving the room up in between: jobs that come before the
- * gang in the queue would take it as if nothing were kept, every few
- * seconds, and the gang would wait for them as well. The old place is given
- * up and the new one kept in one step, so that no job is placed between.
- */
-void rj_topology_refresh(struct rj_topology_state *state,
-			 struct rj_reservation *reservation, uint64_t now_us)
-{
-	struct rj_plan_entry *entry = reservation->entry;
-
-	assert(!reservation->firm);
-	rj_topology_unreserve(state, reservation);
-	rj_topology_reserve_soonest(state, entry, now_us);
-}
--- a/src/libradishjunction/include/private/topology.h
+++ b/src/libradishjunction/include/private/topology.h
@@ -169,8 +169,6 @@
 			  uint64_t now_us);
 void rj_topology_reserve_soonest(struct rj_topology_state *state,
 				 struct rj_plan_entry *entry, uint64_t now_us);
-void rj_topology_refresh(struct rj_topology_state *state,
-			 struct rj_reservation *reservation, uint64_t now_us);
 
 /* topology_reclaim.c */
 uint64_t rj_topology_patience_us(const struct rj_topology_state *state,
