test: a region that loses the others and the platform for an hour

Excluded: faults beside it; three domains of two instances, clocks that drift, callers in a hurry, load when the cut begins and when it ends. Keys live two hours there and the log keeps records as long: a caller that asks with a key for an hour needs one that lives as long. A result counts the keyed requests that never got a final answer. Keys of two loads in one world differ.

--- a/src/bench/faults.c
+++ b/src/bench/faults.c
@@ -77,8 +77,11 @@
 	running_seed = seed;
 	running_promise = sweep->promise;
 	faults_result_init(&one);
-	faults_run_at(sweep->engine, sweep->place, sweep->promise, seed, NULL,
-		      &one);
+	if (sweep->place == FAULT_PLACE_APART)
+		faults_apart(sweep->engine, seed, NULL, &one);
+	else
+		faults_run_at(sweep->engine, sweep->place, sweep->promise, seed,
+			      NULL, &one);
 	merge(sweep, seed, &one);
 	faults_result_finish(&one);
 }
@@ -136,13 +139,14 @@
 					  "first_failing_seed",
 					  (json_int_t)sweep->first_seed[i],
 					  "first", sum->first[i]));
-	line = json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:i,s:i,s:o}", "bench",
-			 "faults", "engine", sweep->engine->name, "promise",
-			 promise_string[promise], "runs", (json_int_t)runs,
-			 "faults", (json_int_t)sum->faults, "checks",
-			 (json_int_t)sum->checks[promise], "violations",
-			 (json_int_t)sum->violations[promise], "asked",
-			 (int)sum->asked, "served", (int)sum->served,
+	line = json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:o}",
+			 "bench", "faults", "engine", sweep->engine->name,
+			 "promise", promise_string[promise], "runs",
+			 (json_int_t)runs, "faults", (json_int_t)sum->faults,
+			 "checks", (json_int_t)sum->checks[promise],
+			 "violations", (json_int_t)sum->violations[promise],
+			 "asked", (int)sum->asked, "served", (int)sum->served,
+			 "unsettled", (int)sum->unsettled,
 			 "violations_of_others", others);
 	if (sweep->failed[promise]) {
 		json_object_set_new(
@@ -214,8 +218,11 @@
 	/* A failed assertion must not take the last lines with it. */
 	(void)setvbuf(stdout, NULL, _IOLBF, 0);
 	faults_result_init(&result);
-	faults_run_at(engine, place, promise, seed, transcript ? stdout : NULL,
-		      &result);
+	if (place == FAULT_PLACE_APART)
+		faults_apart(engine, seed, transcript ? stdout : NULL, &result);
+	else
+		faults_run_at(engine, place, promise, seed,
+			      transcript ? stdout : NULL, &result);
 	for (uint32_t i = 0; i < PROMISE_COUNT; i++) {
 		if (!result.violations[i])
 			continue;
@@ -291,8 +298,8 @@
 		arg_str0(NULL, "promise", "P", "only this promise");
 	struct arg_str *engine = arg_str0(NULL, "engine", "NAME",
 					  "core, first_fit or naive; core");
-	struct arg_str *place = arg_str0(NULL, "place", "NAME",
-					 "small, large or trimmed; small");
+	struct arg_str *place = arg_str0(
+		NULL, "place", "NAME", "small, large, trimmed or apart; small");
 	struct arg_int *threads =
 		arg_int0(NULL, "threads", "N", "runs side by side");
 	struct arg_lit *transcript =
@@ -328,7 +335,7 @@
 	if (place->count)
 		where = find_place(place->sval[0]);
 	if (where == FAULT_PLACE_COUNT) {
-		(void)fputs("faults: --place: small, large or trimmed\n",
+		(void)fputs("faults: --place: small, large, trimmed or apart\n",
 			    stderr);
 		goto out;
 	}
--- a/src/test_libradishjunction/support/fault_load.c
+++ b/src/test_libradishjunction/support/fault_load.c
@@ -6,7 +6,7 @@
 #define HASTY_US (2 * RJ_US_PER_S)
 
 static void plan_caller(struct world *world, enum load_kind kind,
-			struct caller_plan *plan, uint32_t *next_key)
+			struct caller_plan *plan)
 {
 	plan->account = WORLD_OTHER_ACCOUNT;
 	plan->domain = (uint32_t)world_random(world, world->options.domains);
@@ -23,7 +23,7 @@
 	case LOAD_QUOTE:
 	case LOAD_QUOTE_DOUBLED:
 		plan->class_name = "quote";
-		plan->key = (*next_key)++;
+		plan->key = world->next_key++;
 		plan->idempotent = false;
 		plan->doubled = kind == LOAD_QUOTE_DOUBLED;
 		break;
@@ -36,7 +36,7 @@
 		break;
 	case LOAD_RENDER:
 		plan->class_name = "render";
-		plan->key = (*next_key)++;
+		plan->key = world->next_key++;
 		plan->accelerators = 2 + 2 * (uint32_t)world_random(world, 3);
 		plan->run_us *= 8;
 		plan->waits = false;
@@ -44,7 +44,7 @@
 		break;
 	case LOAD_OCCUPY:
 		plan->class_name = "render";
-		plan->key = (*next_key)++;
+		plan->key = world->next_key++;
 		plan->accelerators = 8;
 		plan->run_us = 10 * RJ_US_PER_S +
 			       world_random(world, 15 * RJ_US_PER_S);
@@ -58,7 +58,7 @@
 		plan->accelerators = 4;
 		plan->adjacent = true;
 		plan->run_us = 2 * RJ_US_PER_S;
-		plan->key = (*next_key)++;
+		plan->key = world->next_key++;
 		break;
 	}
 }
@@ -69,7 +69,6 @@
 void load_add(struct world *world, const struct fault_place_options *place,
 	      const uint8_t *weights, uint32_t callers)
 {
-	uint32_t next_key = 1;
 	bool guaranteed[WORLD_DOMAINS_MAX] = { false };
 
 	for (uint32_t i = 0; i < callers; i++) {
@@ -81,7 +80,7 @@
 		struct caller_plan plan;
 
 		memset(&plan, 0, sizeof(plan));
-		plan_caller(world, kind, &plan, &next_key);
+		plan_caller(world, kind, &plan);
 		/* One shape is guaranteed in each failure domain: its account
 		   asks for no more, since more has no guarantee. */
 		if (plan.guaranteed && guaranteed[plan.domain])
--- a/src/test_libradishjunction/support/fault_profiles.h
+++ b/src/test_libradishjunction/support/fault_profiles.h
@@ -62,6 +62,7 @@
 	FAULT_PLACE_SMALL, /* two domains of two instances */
 	FAULT_PLACE_LARGE, /* three of four; clocks drift, callers hurry */
 	FAULT_PLACE_TRIMMED, /* the small one; the log drops too much */
+	FAULT_PLACE_APART, /* a region loses the other and the platform */
 	FAULT_PLACE_COUNT
 };
 
@@ -72,6 +73,7 @@
 	uint32_t racks_per_domain;
 	uint32_t workers_per_rack;
 	uint32_t drift_ppm;
+	uint32_t key_life_s; /* 0: the usual one */
 	uint32_t callers;
 	uint32_t tries; /* of each caller; 0: the usual number */
 	bool hasty; /* some callers give up before a pause ends */
--- a/src/test_libradishjunction/support/fault_result.c
+++ b/src/test_libradishjunction/support/fault_result.c
@@ -49,6 +49,7 @@
 	sum->served += one->served;
 	sum->prompt += one->prompt;
 	sum->unanswered += one->unanswered;
+	sum->unsettled += one->unsettled;
 	add_times(sum->claim_settle_us, one->claim_settle_us);
 	add_times(sum->reclaim_us, one->reclaim_us);
 	add_times(sum->config_us, one->config_us);
@@ -68,10 +69,12 @@
 		if (caller->served_us != RJ_NEVER_US &&
 		    caller->served_us - caller->first_us <= FAULTS_PROMPT_US)
 			result->prompt++;
-		if (intent->answered_us == RJ_NEVER_US)
-			result->unanswered++;
-		else
+		if (intent->answered_us != RJ_NEVER_US)
 			result->counts[intent->answer]++;
+		else
+			result->unanswered++;
+		if (intent->answered_us == RJ_NEVER_US && intent->key)
+			result->unsettled++;
 		if (!intent->idempotent && caller->orphaned_us &&
 		    intent->answered_us != RJ_NEVER_US &&
 		    intent->answered_us > caller->orphaned_us) {
--- a/src/test_libradishjunction/support/faults.c
+++ b/src/test_libradishjunction/support/faults.c
@@ -6,6 +6,14 @@
 #include "support/fault_load.h"
 #include "support/fault_strikes.h"
 
+#define APART_US (3600 * RJ_US_PER_S)
+
+/* A little of everything that callers ask for. */
+static const uint8_t mixed[LOAD_KIND_COUNT] = {
+	[LOAD_PREVIEW] = 6, [LOAD_QUOTE] = 4,  [LOAD_QUOTE_DOUBLED] = 1,
+	[LOAD_GANG] = 1,    [LOAD_RENDER] = 2,
+};
+
 const char *const trouble_string[TROUBLE_COUNT] = {
 	[TROUBLE_NONE] = "none",
 	[TROUBLE_OUTAGE] = "outage",
@@ -38,6 +46,7 @@
 		.racks_per_domain = place->racks_per_domain,
 		.workers_per_rack = place->workers_per_rack,
 		.retention_us = retention_us,
+		.key_life_s = place->key_life_s,
 		.drift_ppm = place->drift_ppm,
 		.transcript = transcript,
 	};
@@ -152,10 +161,6 @@
 void faults_served(const struct engine_ops *engine, enum trouble trouble,
 		   uint64_t seed, struct faults_result *result)
 {
-	static const uint8_t mixed[LOAD_KIND_COUNT] = {
-		[LOAD_PREVIEW] = 6, [LOAD_QUOTE] = 4,  [LOAD_QUOTE_DOUBLED] = 1,
-		[LOAD_GANG] = 1,    [LOAD_RENDER] = 2,
-	};
 	const struct fault_place_options *place =
 		&fault_places[FAULT_PLACE_SMALL];
 	void *mem = talloc_new(NULL);
@@ -171,6 +176,33 @@
 	talloc_free(mem);
 }
 
+/*
+ * Let one region lose the others and the platform for an hour, in the midst
+ * of its load; its links come back in the midst of more of it. Keys live
+ * longer than that, and the log keeps its records for two hours.
+ */
+void faults_apart(const struct engine_ops *engine, uint64_t seed,
+		  FILE *transcript, struct faults_result *result)
+{
+	const struct fault_place_options *place =
+		&fault_places[FAULT_PLACE_APART];
+	const uint64_t cut_us = place->load_until_us / 2;
+	void *mem = talloc_new(NULL);
+	struct world *world =
+		make_world(mem, engine, place, seed, 2 * APART_US, transcript);
+
+	load_add(world, place, mixed, place->callers);
+	world_run_until(world, cut_us);
+	fault_cut_alone(world, 0, APART_US);
+	world_run_until(world, APART_US);
+	load_add(world, place, mixed, place->callers);
+	(void)world_after(world, place->calm_us, fault_calm);
+	world_run_until(world, APART_US + 2 * FAULTS_END_US);
+	checker_finish_run(&world->checker, world->now_us);
+	faults_result_add_world(world, result);
+	talloc_free(mem);
+}
+
 /*
  * A world with load and without a fault, to be run by the caller. Nothing is
  * cancelled, and there is room for all.
--- a/src/test_libradishjunction/support/faults.h
+++ b/src/test_libradishjunction/support/faults.h
@@ -36,6 +36,7 @@
 	uint32_t prompt; /* of these, within FAULTS_PROMPT_US */
 	uint32_t counts[RJ_ANSWER_KIND_COUNT]; /* first final answers */
 	uint32_t unanswered;
+	uint32_t unsettled; /* of these, with a key: they asked again */
 	GArray *claim_settle_us; /* from the death of a claim's owner */
 	GArray *reclaim_us; /* from asking for a guaranteed shape to its run */
 	GArray *config_us; /* from acceptance to being in force at each */
@@ -51,6 +52,8 @@
 void faults_run_at(const struct engine_ops *engine, enum fault_place where,
 		   enum promise promise, uint64_t seed, FILE *transcript,
 		   struct faults_result *result);
+void faults_apart(const struct engine_ops *engine, uint64_t seed,
+		  FILE *transcript, struct faults_result *result);
 struct world *faults_quiet_world(void *mem, const struct engine_ops *engine,
 				 uint64_t seed);
 void faults_served(const struct engine_ops *engine, enum trouble trouble,
--- a/src/test_libradishjunction/support/world.c
+++ b/src/test_libradishjunction/support/world.c
@@ -165,8 +165,10 @@
 		"\"expected_ms\":500}],"
 		"\"limits\":{\"lease_life_ms\":3000,"
 		"\"checkpoint_limit_ms\":2000,\"retry_percent\":100,"
-		"\"key_life_s\":120}}",
-		domains, accounts);
+		"\"key_life_s\":%u}}",
+		domains, accounts,
+		world->options.key_life_s ? world->options.key_life_s :
+					    WORLD_KEY_LIFE_S);
 }
 
 /*
@@ -570,6 +572,7 @@
 	world->options = *options;
 	world->random = options->seed;
 	world->next_request = 1;
+	world->next_key = 1;
 	world->queue = g_sequence_new(NULL);
 	world->callers = g_ptr_array_new();
 	world->log_retention_us = options->retention_us ?
--- a/src/test_libradishjunction/support/world.h
+++ b/src/test_libradishjunction/support/world.h
@@ -21,6 +21,7 @@
 #define WORLD_DOMAINS_MAX 3
 #define WORLD_PPM 1000000
 #define WORLD_RETENTION_US (600 * RJ_US_PER_S)
+#define WORLD_KEY_LIFE_S 120
 #define WORLD_GUARANTEED_ACCOUNT "hub"
 #define WORLD_GUARANTEED_TASKS 4
 #define WORLD_OTHER_ACCOUNT "guest"
@@ -171,6 +172,7 @@
 	uint32_t racks_per_domain;
 	uint32_t workers_per_rack;
 	uint64_t retention_us; /* 0: WORLD_RETENTION_US */
+	uint32_t key_life_s; /* 0: WORLD_KEY_LIFE_S */
 	uint32_t drift_ppm; /* the most by which a clock is fast or slow */
 	FILE *transcript; /* NULL: none */
 	bool brief; /* the transcript is without upkeep */
@@ -182,6 +184,7 @@
 	uint64_t random;
 	uint64_t next_order;
 	uint64_t next_request;
+	uint32_t next_key;
 	GSequence *queue;
 	struct checker checker;
 	struct fault_rates rates;
--- a/src/test_libradishjunction/test_faults_large.c
+++ b/src/test_libradishjunction/test_faults_large.c
@@ -5,6 +5,7 @@
 /* Few enough to be quick; scripts/bench faults --place runs any number. */
 #define SEEDS 4
 #define TRIMMED_SEEDS 50
+#define APART_SEEDS 3
 
 /* Nothing at all may be violated in this run. */
 static void check_seed(enum fault_place place, enum promise promise,
@@ -33,6 +34,24 @@
 		check_seed(FAULT_PLACE_LARGE, GPOINTER_TO_UINT(data), seed);
 }
 
+/*
+ * A rep is told two prices, or that a quote did not run which did.
+ * A region loses the others and the platform for an hour, with quotes and
+ * renders under way there, and their callers ask elsewhere meanwhile.
+ */
+static void test_region_apart_for_an_hour(void)
+{
+	struct faults_result result;
+
+	faults_result_init(&result);
+	for (uint64_t seed = 1; seed <= APART_SEEDS; seed++)
+		faults_apart(&engine_core, seed, NULL, &result);
+	for (uint32_t i = 0; i < PROMISE_COUNT; i++)
+		g_assert_cmpstr(result.first[i], ==, "");
+	g_assert_cmpuint(result.unsettled, ==, 0);
+	faults_result_finish(&result);
+}
+
 /* What the log dropped before anybody alive had read it, nobody knows. */
 static void check_trimmed(enum promise promise, uint64_t seed)
 {
@@ -81,6 +100,7 @@
 		g_test_add_data_func(path, GUINT_TO_POINTER(i), test_large);
 		g_free(path);
 	}
+	g_test_add_func("/faults_apart/hour", test_region_apart_for_an_hour);
 	g_test_add_data_func("/faults_trimmed/once",
 			     GUINT_TO_POINTER(PROMISE_ONCE), test_trimmed_log);
 	g_test_add_data_func("/faults_trimmed/not_run",
