--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -70,6 +70,7 @@
 	struct rj_bytes result;
 	uint64_t first_us; /* when its first record was appended */
 	uint64_t recorded_us; /* when its newest record was appended */
+	uint64_t base_us; /* when the oldest was that it is known from */
 	uint64_t carry_us; /* when it was last carried from here */
 	uint64_t dropped_us; /* its records are gone: carry from then on */
 	bool doubtful; /* attempts of it may be missing, for good */
@@ -640,6 +641,7 @@
 extern const struct rj_filter rj_filter_validate;
 extern const struct rj_filter rj_filter_repeat;
 extern const struct rj_filter rj_filter_limit;
+extern const struct rj_filter rj_filter_log;
 extern const struct rj_filter rj_filter_route;
 extern const struct rj_filter rj_filter_place;
 
@@ -649,6 +651,9 @@
 					enum rj_reason reason,
 					uint64_t retry_after_us,
 					const char *detail);
+void rj_filter_answer(struct rj_core_state *core,
+		      const struct rj_submission *submission,
+		      const struct rj_answer *answer);
 struct rj_job *rj_filter_job(struct rj_core_state *core,
 			     struct rj_submission *submission);
 
