--- a/include/radishjunction/peer_message.h
+++ b/include/radishjunction/peer_message.h
@@ -7,6 +7,7 @@
 #ifndef RADISHJUNCTION_PEER_MESSAGE_H
 #define RADISHJUNCTION_PEER_MESSAGE_H
 
+#include "radishjunction/config_change.h"
 #include "radishjunction/types.h"
 
 /* The version of the frames; each side speaks the lower of the two. */
@@ -37,6 +38,7 @@
 	uint64_t config_revision;
 	uint32_t queued; /* jobs waiting here */
 	uint64_t wait_us; /* expected wait of a small job here */
+	bool config_changes; /* it takes changes of configuration */
 };
 
 struct rj_peer_summary {
@@ -52,7 +54,8 @@
 	uint64_t revision;
 	uint64_t offset; /* in the config stream */
 	char id[40];
-	const char *text;
+	const char *text; /* the whole; empty with a change */
+	struct rj_config_change change; /* of the revision before */
 };
 
 struct rj_peer_leaving {
--- a/include/radishjunction/record.h
+++ b/include/radishjunction/record.h
@@ -10,6 +10,7 @@
 #define RADISHJUNCTION_RECORD_H
 
 #include "radishjunction/config.h"
+#include "radishjunction/config_change.h"
 #include "radishjunction/error.h"
 #include "radishjunction/types.h"
 
@@ -61,7 +62,8 @@
 	uint64_t base_revision;
 	uint64_t revision; /* base + 1 */
 	uint64_t as_of; /* carried: where its author read on in the stream */
-	const char *config_text;
+	const char *config_text; /* the whole, or NULL with a change */
+	struct rj_config_change config_change; /* of the base revision */
 };
 
 char *rj_record_encode(void *mem, const struct rj_record *record);
--- a/src/libradishjunction/core/controllers/config_controller.c
+++ b/src/libradishjunction/core/controllers/config_controller.c
@@ -45,6 +45,7 @@
 	struct rj_error_list errors;
 
 	rj_config_log_batch(&core->config_log, records->oldest);
+	rj_config_log_skip(&core->config_log, records->head);
 	for (uint32_t i = 0; i < records->count; i++) {
 		enum rj_config_verdict verdict;
 
@@ -55,11 +56,30 @@
 		if (verdict == RJ_CONFIG_ACCEPTED)
 			in_force(core, "log");
 		else if (verdict == RJ_CONFIG_STALE ||
-			 verdict == RJ_CONFIG_BAD_TEXT)
+			 verdict == RJ_CONFIG_BAD_TEXT ||
+			 verdict == RJ_CONFIG_BAD_CHANGE)
 			rj_core_count(core, RJ_COUNT_CONFIGS_REFUSED);
 	}
 }
 
+/*
+ * Take over what a peer has in force; whether it is newer than what is here.
+ */
+static bool adopt(struct rj_core_state *core,
+		  const struct rj_peer_config *offer)
+{
+	struct rj_error_list errors;
+
+	rj_error_list_init(&errors, core->actions->mem);
+	if (offer->change.patch)
+		return rj_config_log_adopt_change(
+			&core->config_log, offer->revision, offer->id,
+			&offer->change, offer->offset, &errors);
+	return rj_config_log_adopt(&core->config_log, offer->revision,
+				   offer->id, offer->text, offer->offset,
+				   &errors);
+}
+
 /*
  * A peer offers the configuration that it has in force. An older one changes
  * nothing: revisions only rise.
@@ -67,18 +87,28 @@
 void rj_config_controller_peer(struct rj_core_state *core,
 			       const struct rj_peer_config *offer)
 {
-	struct rj_error_list errors;
-
-	rj_error_list_init(&errors, core->actions->mem);
-	if (!rj_config_log_adopt(&core->config_log, offer->revision, offer->id,
-				 offer->text, offer->offset, &errors))
+	if (!adopt(core, offer))
 		return;
 	core->streams[RJ_STREAM_CONFIG].next = core->config_log.next;
 	in_force(core, "peer");
 }
 
 /*
- * Send the configuration in force to a peer, if there is one.
+ * Whether a peer needs no more than the change that made the configuration
+ * in force: it said that it takes changes, and has the revision before. The
+ * view of it may be old; a change that does not fit it changes nothing there.
+ */
+static bool change_is_enough(const struct rj_core_state *core,
+			     const struct rj_member_view *member)
+{
+	return core->config_log.change.patch && member && member->heard &&
+	       member->config_changes &&
+	       member->config_revision + 1 == core->config->revision;
+}
+
+/*
+ * Send the configuration in force to a peer, if there is one: the change
+ * alone if that is enough, else the whole.
  */
 void rj_config_controller_tell(struct rj_core_state *core, const char *peer)
 {
@@ -92,6 +122,13 @@
 	offer->revision = core->config->revision;
 	offer->offset = core->config_log.as_of;
 	memcpy(offer->id, core->config->id, sizeof(offer->id));
+	offer->text = "";
+	if (change_is_enough(core, rj_membership_find(core, peer))) {
+		offer->change = core->config_log.change;
+		offer->change.patch =
+			talloc_strdup(message, offer->change.patch);
+		return;
+	}
 	offer->text = talloc_strdup(message, core->config->text);
 }
 
--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -240,6 +240,7 @@
 	heartbeat->config_revision = core->config ? core->config->revision : 0;
 	heartbeat->queued = view.queued;
 	heartbeat->wait_us = view.small_wait_us;
+	heartbeat->config_changes = true;
 }
 
 /*
@@ -523,6 +524,7 @@
 	member->config_revision = heartbeat->config_revision;
 	member->queued = heartbeat->queued;
 	member->wait_us = heartbeat->wait_us;
+	member->config_changes = heartbeat->config_changes;
 	if (core->config && member->config_revision < core->config->revision)
 		rj_config_controller_tell(core, name);
 	digest = view_digest(core);
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -104,6 +104,7 @@
 	uint64_t config_revision;
 	uint32_t queued;
 	uint64_t wait_us;
+	bool config_changes; /* it takes changes of configuration */
 	struct rj_list summaries;
 };
 
--- a/src/libradishjunction/peer/peer_codec.c
+++ b/src/libradishjunction/peer/peer_codec.c
@@ -208,6 +208,14 @@
 	return bytes;
 }
 
+/*
+ * Whether fields follow that an older version does not write.
+ */
+static bool has_more(const struct reader *reader)
+{
+	return !reader->bad && reader->offset < reader->length;
+}
+
 /* Exactly `length` bytes. */
 static void read_exactly(struct reader *reader, const char *field,
 			 uint8_t *data, uint32_t length)
@@ -290,6 +298,9 @@
 	write_number(writer, heartbeat->config_revision);
 	write_number(writer, heartbeat->queued);
 	write_number(writer, heartbeat->wait_us);
+	/* A version that knows nothing of changes ends here. */
+	if (heartbeat->config_changes)
+		write_bool(writer, true);
 }
 
 /* What write_heartbeat wrote. */
@@ -305,6 +316,8 @@
 		read_number(reader, "config_revision", UINT64_MAX);
 	heartbeat->queued = (uint32_t)read_number(reader, "queued", UINT32_MAX);
 	heartbeat->wait_us = read_number(reader, "wait_us", UINT64_MAX);
+	if (has_more(reader))
+		heartbeat->config_changes = read_bool(reader, "config_changes");
 }
 
 /* The fields of RJ_PEER_SUMMARY, the workers after their count. */
@@ -342,21 +355,38 @@
 	write_number(writer, config->offset);
 	write_text(writer, config->id);
 	write_data(writer, config->text, strlen(config->text));
+	if (!config->change.patch)
+		return;
+	write_data(writer, config->change.patch, strlen(config->change.patch));
+	write_data(writer, config->change.digest, RJ_DIGEST_BYTES);
 }
 
-/* What write_config wrote; the text is a talloc child of `mem`. */
+/* A text that a frame holds as bytes, as a talloc child of `mem`. */
+static char *read_long_text(struct reader *reader, const char *field, void *mem,
+			    uint32_t max)
+{
+	struct rj_bytes bytes = read_data(reader, field, max);
+	char *text = talloc_strndup(
+		mem, bytes.data ? (const char *)bytes.data : "", bytes.length);
+
+	assert(text);
+	return text;
+}
+
+/* What write_config wrote; its texts are talloc children of `mem`. */
 static void read_config(struct reader *reader, void *mem,
 			struct rj_peer_config *config)
 {
-	struct rj_bytes text;
-
 	config->revision = read_number(reader, "revision", UINT64_MAX);
 	config->offset = read_number(reader, "offset", UINT64_MAX);
 	read_text(reader, "id", config->id, sizeof(config->id));
-	text = read_data(reader, "text", CONFIG_TEXT_MAX_BYTES);
-	config->text = talloc_strndup(
-		mem, text.data ? (const char *)text.data : "", text.length);
-	assert(config->text);
+	config->text =
+		read_long_text(reader, "text", mem, CONFIG_TEXT_MAX_BYTES);
+	if (!has_more(reader))
+		return;
+	config->change.patch = read_long_text(reader, "change", mem,
+					      RJ_CONFIG_CHANGE_MAX_BYTES);
+	read_exactly(reader, "digest", config->change.digest, RJ_DIGEST_BYTES);
 }
 
 /* An answer with its whole result. */
--- a/src/libradishjunction/record.c
+++ b/src/libradishjunction/record.c
@@ -152,8 +152,18 @@
 	{ RJ_FIELD(u64, rj_record, revision), .min = 1, .max = NUMBER_MAX },
 	{ RJ_FIELD(u64, rj_record, as_of), .optional = true,
 	  .max = NUMBER_MAX },
-	{ RJ_FIELD(string, rj_record, config_text),
+	{ RJ_FIELD(string, rj_record, config_text), .optional = true,
 	  .max = RJ_CONFIG_TEXT_MAX_BYTES },
+	{ .type = &rj_schema_string,
+	  .name = "config_change",
+	  .optional = true,
+	  .offset = offsetof(struct rj_record, config_change.patch),
+	  .max = RJ_CONFIG_CHANGE_MAX_BYTES },
+	{ .type = &rj_schema_hex,
+	  .name = "config_digest",
+	  .optional = true,
+	  .offset = offsetof(struct rj_record, config_change.digest),
+	  .size = RJ_DIGEST_BYTES },
 };
 
 #define RECORD_SCHEMA(fields_)                                               \
@@ -183,7 +193,7 @@
 		record->spec.key,	 record->spec.account,
 		record->spec.class_name, record->author,
 		record->domain,		 record->config_id,
-		record->config_text,
+		record->config_text,	 record->config_change.patch,
 	};
 
 	for (uint32_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++)
--- a/src/radishjunction/stream.c
+++ b/src/radishjunction/stream.c
@@ -90,6 +90,7 @@
 				    json_object_get(answer.json, "oldest")));
 	stream->head = (uint64_t)json_integer_value(
 		json_object_get(answer.json, "head"));
+	rj_config_log_skip(&stream->log, stream->head);
 	json_array_foreach(records, i, record) fold_record(stream, record);
 out:
 	json_decref(answer.json);
--- a/src/test_libradishjunction/naive/naive_core.c
+++ b/src/test_libradishjunction/naive/naive_core.c
@@ -334,8 +334,9 @@
 
 		message->kind = RJ_PEER_CONFIG;
 		message->u.config.revision = record->revision;
-		message->u.config.text =
-			talloc_strdup(message, record->config_text);
+		message->u.config.text = talloc_strdup(
+			message,
+			record->config_text ? record->config_text : "");
 		memcpy(message->u.config.id, record->config_id,
 		       sizeof(message->u.config.id));
 		memcpy(action->u.peer.name, core->peers[i], RJ_NAME_BYTES);
--- a/src/test_libradishjunction/support/copy.c
+++ b/src/test_libradishjunction/support/copy.c
@@ -36,6 +36,9 @@
 	}
 	if (from->config_text)
 		to->config_text = talloc_strdup(mem, from->config_text);
+	if (from->config_change.patch)
+		to->config_change.patch =
+			talloc_strdup(mem, from->config_change.patch);
 }
 
 /*
@@ -49,6 +52,9 @@
 	assert(to);
 	if (to->kind == RJ_PEER_CONFIG)
 		to->u.config.text = talloc_strdup(to, from->u.config.text);
+	if (to->kind == RJ_PEER_CONFIG && from->u.config.change.patch)
+		to->u.config.change.patch =
+			talloc_strdup(to, from->u.config.change.patch);
 	if (to->kind == RJ_PEER_FORWARD)
 		to->u.forward.spec.body =
 			copy_bytes(to, &from->u.forward.spec.body);
--- a/src/test_libradishjunction/support/fake_log.c
+++ b/src/test_libradishjunction/support/fake_log.c
@@ -197,16 +197,21 @@
 /* The config stream's rule, by which the checker knows what was accepted. */
 static void replay_config(struct world *world, const struct rj_record *record)
 {
+	const char *text = record->config_text;
 	struct rj_error_list errors;
 	struct rj_config *config;
 
 	if (record->base_revision != world->log.revision)
 		return;
 	rj_error_list_init(&errors, world);
-	config = rj_config_parse(world, record->config_text, &errors);
+	if (!text)
+		text = rj_config_change_apply(world, world->log.config_text,
+					      &record->config_change, &errors);
+	config = text ? rj_config_parse(world, text, &errors) : NULL;
 	rj_error_list_finish(&errors);
 	if (!config)
 		return;
+	world->log.config_text = talloc_strdup(world, text);
 	rj_config_unref(config);
 	world->log.revision++;
 	(void)snprintf(world->log.config_id, RJ_CONFIG_ID_BYTES, "%s",
@@ -404,21 +409,42 @@
 	node_deliver_after(world, node, round_trip_us(world), event);
 }
 
+/* Append an operator's publication of `record`, which has its content. */
+static void publish(struct world *world, uint64_t base, const char *id,
+		    struct rj_record *record)
+{
+	struct rj_append append = { .stream = RJ_STREAM_CONFIG,
+				    .records = record,
+				    .count = 1 };
+
+	record->kind = RJ_RECORD_CONFIG;
+	record->base_revision = base;
+	record->revision = base + 1;
+	(void)snprintf(record->config_id, sizeof(record->config_id), "%s", id);
+	(void)rj_name_set(record->author, "operator");
+	(void)store(world, &append);
+}
+
 /*
  * Publish a configuration as an operator does, without a fault on the way.
  */
 void fake_log_publish(struct world *world, uint64_t base, const char *id,
 		      const char *text)
 {
-	struct rj_record record = { .kind = RJ_RECORD_CONFIG,
-				    .base_revision = base,
-				    .revision = base + 1,
-				    .config_text = text };
-	struct rj_append append = { .stream = RJ_STREAM_CONFIG,
-				    .records = &record,
-				    .count = 1 };
+	struct rj_record record = { .config_text = text };
 
-	(void)snprintf(record.config_id, sizeof(record.config_id), "%s", id);
-	(void)rj_name_set(record.author, "operator");
-	(void)store(world, &append);
+	publish(world, base, id, &record);
+}
+
+/*
+ * Publish what changes the newest accepted configuration into `text`.
+ */
+void fake_log_publish_change(struct world *world, uint64_t base, const char *id,
+			     const char *text)
+{
+	struct rj_record record = { 0 };
+
+	(void)rj_config_change_make(world, world->log.config_text, text,
+				    &record.config_change);
+	publish(world, base, id, &record);
 }
--- a/src/test_libradishjunction/support/faults.c
+++ b/src/test_libradishjunction/support/faults.c
@@ -216,11 +216,15 @@
 	}
 	for (uint32_t i = 0; i < racers; i++) {
 		char id[RJ_CONFIG_ID_BYTES];
+		const char *text;
 
 		(void)snprintf(id, sizeof(id), "p%" PRIu64 "-%u", base, i);
-		fake_log_publish(
-			world, base, id,
-			world_config_text(world, world, (uint32_t)base + i));
+		text = world_config_text(world, world, (uint32_t)base + i);
+		/* Changes race with whole configurations, and follow them. */
+		if (base && (base + i) % 3)
+			fake_log_publish_change(world, base, id, text);
+		else
+			fake_log_publish(world, base, id, text);
 	}
 }
 
--- a/src/test_libradishjunction/support/fuzz_targets.c
+++ b/src/test_libradishjunction/support/fuzz_targets.c
@@ -8,6 +8,7 @@
 #include "private/peer_codec.h"
 #include "private/worker_wire.h"
 #include "radishjunction/config.h"
+#include "radishjunction/config_change.h"
 #include "radishjunction/record.h"
 #include "radishjunction/settings.h"
 
@@ -129,6 +130,29 @@
 	talloc_free(mem);
 }
 
+/*
+ * A change is refused with an error, or is what its author had. The digest is
+ * that of the unchanged base.
+ */
+static void fuzz_change(const uint8_t *data, size_t length)
+{
+	static const char base[] =
+		"{\"accounts\":[{\"name\":\"a\",\"guarantees\":[{\"count\":1},"
+		"{\"count\":2}]},{\"name\":\"b\"}],\"limits\":{\"x/y~\":3}}";
+	void *mem = talloc_new(NULL);
+	struct rj_config_change change;
+	struct rj_error_list errors;
+	char *result;
+
+	rj_error_list_init(&errors, mem);
+	rj_config_change_make(mem, base, base, &change);
+	change.patch = as_text(mem, data, length);
+	result = rj_config_change_apply(mem, base, &change, &errors);
+	assert(!result == (errors.count > 0));
+	assert(!result || !strcmp(result, rj_config_canonical(mem, base)));
+	talloc_free(mem);
+}
+
 /*
  * A worker's answer to the call of the example is refused, or is of that
  * call's attempt.
@@ -152,10 +176,15 @@
 }
 
 const struct fuzz_target fuzz_targets[] = {
-	{ "config", fuzz_config }, { "settings", fuzz_settings },
-	{ "record", fuzz_record }, { "peer", fuzz_peer },
-	{ "hello", fuzz_hello },   { "submit", fuzz_submit },
-	{ "reply", fuzz_reply },   { NULL, NULL },
+	{ "config", fuzz_config },
+	{ "settings", fuzz_settings },
+	{ "record", fuzz_record },
+	{ "peer", fuzz_peer },
+	{ "hello", fuzz_hello },
+	{ "submit", fuzz_submit },
+	{ "reply", fuzz_reply },
+	{ "change", fuzz_change },
+	{ NULL, NULL },
 };
 
 /*
--- a/src/test_libradishjunction/support/world.h
+++ b/src/test_libradishjunction/support/world.h
@@ -120,6 +120,7 @@
 	GQueue *readers[RJ_STREAM_COUNT]; /* long polls */
 	uint64_t revision; /* by replaying the config stream */
 	char config_id[RJ_CONFIG_ID_BYTES];
+	char *config_text; /* of that revision, whole */
 	GQueue lists; /* snapshots of the instance list, oldest first */
 	uint64_t list_lag_us;
 	uint64_t slow_us; /* added to each operation */
@@ -220,6 +221,8 @@
 void fake_log_list(struct world *world, struct node *node);
 void fake_log_publish(struct world *world, uint64_t base, const char *id,
 		      const char *text);
+void fake_log_publish_change(struct world *world, uint64_t base, const char *id,
+			     const char *text);
 bool fake_log_reachable(const struct world *world, uint32_t domain);
 
 void fake_worker_init(struct world *world, uint32_t index);
--- /dev/null
+++ b/src/test_libradishjunction/test_config_changes.c
@@ -0,0 +1,585 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "support/config_stream.h"
+
+/* What most tests start from: revision 1 in force at some readers. */
+struct site {
+	struct config_stream *stream;
+	struct rj_error_list errors;
+	struct rj_config_log readers[2];
+	char *text[8]; /* configurations that differ in one limit */
+};
+
+static void site_init(struct site *site)
+{
+	site->stream = config_stream_new();
+	rj_error_list_init(&site->errors, site->stream->mem);
+	for (uint32_t i = 0; i < 8; i++)
+		site->text[i] = config_stream_text(site->stream->mem, 10 + i);
+	config_stream_publish(site->stream, "first", 0, site->text[1]);
+	for (int i = 0; i < 2; i++) {
+		rj_config_log_init(&site->readers[i], site->stream->mem);
+		config_stream_read(site->stream, &site->readers[i], 1);
+	}
+}
+
+static void site_finish(struct site *site)
+{
+	for (int i = 0; i < 2; i++)
+		rj_config_log_finish(&site->readers[i]);
+	config_stream_free(site->stream);
+}
+
+/* Whether a reader has that publication and that text in force. */
+static void expect(const struct site *site, const struct rj_config_log *log,
+		   uint64_t revision, const char *id, const char *text)
+{
+	g_assert_cmpuint(rj_config_log_revision(log), ==, revision);
+	g_assert_cmpstr(log->config->id, ==, id);
+	g_assert_cmpstr(
+		rj_config_canonical(site->stream->mem, log->config->text), ==,
+		rj_config_canonical(site->stream->mem, text));
+}
+
+/*
+ * Two operators change the same revision, and the answer to the winner's
+ * append is lost, so that it shows twice. Every reader has the winner's
+ * change alone in force; the loser's would undo it.
+ */
+static void test_racing_changes(void)
+{
+	struct site site;
+	struct config_stream *stream;
+	struct rj_config_log *log = &site.readers[0];
+
+	site_init(&site);
+	stream = site.stream;
+	config_stream_change(stream, "winner", 1, site.text[1], site.text[2]);
+	config_stream_change(stream, "loser", 1, site.text[1], site.text[3]);
+	config_stream_change(stream, "winner", 1, site.text[1], site.text[2]);
+	g_assert_cmpint(config_stream_read(stream, log, 1), ==,
+			RJ_CONFIG_ACCEPTED);
+	g_assert_cmpint(config_stream_read(stream, log, 1), ==,
+			RJ_CONFIG_STALE);
+	g_assert_cmpint(config_stream_read(stream, log, 1), ==,
+			RJ_CONFIG_REPEATED);
+	expect(&site, log, 2, "winner", site.text[2]);
+	config_stream_publish(stream, "whole", 1, site.text[4]);
+	g_assert_cmpint(config_stream_read(stream, log, 1), ==,
+			RJ_CONFIG_STALE);
+	config_stream_change(stream, "next", 2, site.text[2], site.text[3]);
+	g_assert_cmpint(config_stream_read(stream, log, 1), ==,
+			RJ_CONFIG_ACCEPTED);
+	expect(&site, log, 3, "next", site.text[3]);
+	site_finish(&site);
+}
+
+/*
+ * An operator's change makes a configuration that nobody wrote.
+ * The log lost every record, an operator started anew from an older file,
+ * and another one's change, made from what had been lost, names the same
+ * revision.
+ * Cause: a revision alone does not say which text it has.
+ */
+static void test_change_of_another_base(void)
+{
+	struct site site;
+	struct config_stream *stream;
+
+	site_init(&site);
+	stream = site.stream;
+	config_stream_change(stream, "lost", 1, site.text[5], site.text[6]);
+	stream->records[1].config_change.patch =
+		"[{\"op\":\"replace\",\"path\":\"/classes/0/expected_ms\","
+		"\"value\":7}]";
+	for (int i = 0; i < 2; i++) {
+		g_assert_cmpint(config_stream_read(stream, &site.readers[i], 9),
+				==, RJ_CONFIG_BAD_CHANGE);
+		expect(&site, &site.readers[i], 1, "first", site.text[1]);
+	}
+	site_finish(&site);
+}
+
+/*
+ * A change takes away what must be there, another fits nothing, a third is
+ * no patch, a fourth is the first of all; one carries a change, and one holds
+ * both a change and a text. All are refused in the same way by all, and the
+ * next good one of the same base is accepted.
+ */
+static void test_bad_changes_change_nothing(void)
+{
+	struct site site;
+	struct config_stream *stream;
+	struct rj_config_log *log = &site.readers[0];
+	struct rj_config_log empty;
+	struct rj_record *record;
+
+	site_init(&site);
+	stream = site.stream;
+	config_stream_change(stream, "invalid", 1, site.text[1],
+			     "{\"domains\":[]}");
+	g_assert_cmpint(config_stream_read(stream, log, 1), ==,
+			RJ_CONFIG_BAD_TEXT);
+	config_stream_change(stream, "unfit", 1, "{}", site.text[2])
+		->config_change.patch =
+		"[{\"op\":\"remove\",\"path\":\"/nothing\"}]";
+	g_assert_cmpint(config_stream_read(stream, log, 1), ==,
+			RJ_CONFIG_BAD_CHANGE);
+	config_stream_change(stream, "text", 1, "{}", site.text[2])
+		->config_change.patch = "{}";
+	g_assert_cmpint(config_stream_read(stream, log, 1), ==,
+			RJ_CONFIG_BAD_CHANGE);
+	config_stream_change(stream, "both", 1, site.text[1], site.text[2])
+		->config_text = site.text[2];
+	g_assert_cmpint(config_stream_read(stream, log, 1), ==,
+			RJ_CONFIG_NOT_ONE);
+	record = config_stream_change(stream, "carried", 1, site.text[1],
+				      site.text[2]);
+	record->carried = true;
+	record->as_of = 1;
+	g_assert_cmpint(config_stream_read(stream, log, 1), ==,
+			RJ_CONFIG_NOT_ONE);
+	expect(&site, log, 1, "first", site.text[1]);
+	config_stream_change(stream, "good", 1, site.text[1], site.text[2]);
+	g_assert_cmpint(config_stream_read(stream, log, 1), ==,
+			RJ_CONFIG_ACCEPTED);
+	expect(&site, log, 2, "good", site.text[2]);
+
+	rj_config_log_init(&empty, NULL);
+	stream->records[0] = stream->records[stream->head - 1];
+	stream->records[0].offset = 0;
+	stream->records[0].base_revision = 0;
+	stream->records[0].revision = 1;
+	g_assert_cmpint(config_stream_read(stream, &empty, 1), ==,
+			RJ_CONFIG_BAD_CHANGE);
+	g_assert_null(empty.config);
+	rj_config_log_finish(&empty);
+	site_finish(&site);
+}
+
+/* Offer a peer what `from` has in force: its change, or the whole. */
+static bool offer(struct site *site, const struct rj_config_log *from,
+		  struct rj_config_log *to, bool change)
+{
+	if (change)
+		return rj_config_log_adopt_change(
+			to, from->config->revision, from->config->id,
+			&from->change, from->as_of, &site->errors);
+	return rj_config_log_adopt(to, from->config->revision, from->config->id,
+				   from->config->text, from->as_of,
+				   &site->errors);
+}
+
+/*
+ * An instance that is cut off from the log puts half of two changes in force.
+ * Its peer hands on the second change, and the link lost the first.
+ * Cause: a change was applied to whatever was in force.
+ */
+static void test_change_comes_before_its_base(void)
+{
+	struct site site;
+	struct rj_config_log *peer = &site.readers[0];
+	struct rj_config_log *cut_off = &site.readers[1];
+
+	site_init(&site);
+	config_stream_change(site.stream, "second", 1, site.text[1],
+			     site.text[2]);
+	config_stream_change(site.stream, "third", 2, site.text[2],
+			     "{\"accounts\":[]}");
+	/* It fits revision 1 too, and even its digest is right there. */
+	site.stream->records[2].config_change =
+		site.stream->records[1].config_change;
+	config_stream_read(site.stream, peer, 1);
+	peer->config->revision = 3;
+	g_assert_false(offer(&site, peer, cut_off, true));
+	expect(&site, cut_off, 1, "first", site.text[1]);
+	peer->config->revision = 2;
+	/* The next heartbeat shows that it is behind. */
+	g_assert_true(offer(&site, peer, cut_off, false));
+	expect(&site, cut_off, 2, "second", site.text[2]);
+	site_finish(&site);
+}
+
+/*
+ * A peer's view of another is old: it offers the change to a revision that
+ * the other has long left. Nothing may revert. One that fits comes into
+ * force at once, and is handed on in the same way.
+ */
+static void test_peers_hand_on_changes(void)
+{
+	struct site site;
+	struct rj_config_log *peer = &site.readers[0];
+	struct rj_config_log *cut_off = &site.readers[1];
+	struct rj_config_log third;
+
+	site_init(&site);
+	rj_config_log_init(&third, NULL);
+	g_assert_true(offer(&site, peer, &third, false));
+	config_stream_change(site.stream, "second", 1, site.text[1],
+			     site.text[2]);
+	config_stream_read(site.stream, peer, 1);
+	g_assert_true(offer(&site, peer, cut_off, true));
+	expect(&site, cut_off, 2, "second", site.text[2]);
+	g_assert_true(offer(&site, cut_off, &third, true));
+	expect(&site, &third, 2, "second", site.text[2]);
+	g_assert_false(offer(&site, peer, cut_off, true));
+
+	config_stream_change(site.stream, "third", 2, site.text[2],
+			     site.text[3]);
+	config_stream_read(site.stream, &third, 1);
+	expect(&site, &third, 3, "third", site.text[3]);
+	g_assert_false(offer(&site, peer, &third, true));
+	expect(&site, &third, 3, "third", site.text[3]);
+	/* A whole publication is no change to hand on. */
+	config_stream_publish(site.stream, "whole", 3, site.text[4]);
+	config_stream_read(site.stream, &third, 1);
+	g_assert_null(third.change.patch);
+	rj_config_log_finish(&third);
+	site_finish(&site);
+}
+
+/*
+ * A new instance starts when the log has dropped the base of a change that
+ * it still keeps. It judges nothing until a carried configuration tells
+ * where to start, and then applies the changes after it; the refused ones
+ * stay refused.
+ */
+static void test_retention_passes_over_the_base(void)
+{
+	struct site site;
+	struct config_stream *stream;
+	struct rj_config_log new;
+
+	site_init(&site);
+	stream = site.stream;
+	rj_config_log_init(&new, NULL);
+	config_stream_change(stream, "second", 1, site.text[1], site.text[2]);
+	config_stream_change(stream, "third", 2, site.text[2], site.text[3]);
+	config_stream_change(stream, "loser", 2, site.text[2], site.text[4]);
+	config_stream_read(stream, &site.readers[0], 2);
+	config_stream_carry(stream, &site.readers[0]); /* as of "loser" */
+	config_stream_change(stream, "fourth", 3, site.text[3], site.text[5]);
+	stream->oldest = 2;
+	g_assert_cmpint(config_stream_read(stream, &new, 1), ==,
+			RJ_CONFIG_UNJUDGED);
+	g_assert_cmpint(config_stream_read(stream, &new, 1), ==,
+			RJ_CONFIG_UNJUDGED);
+	config_stream_read(stream, &new, 99);
+	config_stream_read(stream, &site.readers[0], 99);
+	expect(&site, &new, 4, "fourth", site.text[5]);
+	expect(&site, &site.readers[0], 4, "fourth", site.text[5]);
+	rj_config_log_finish(&new);
+	site_finish(&site);
+}
+
+/* Publish changes one after another, with a carried one now and then. */
+static void publish_many(struct site *site, uint32_t count, bool carried)
+{
+	struct rj_config_log *log = &site->readers[0];
+
+	for (uint32_t i = 0; i < count; i++) {
+		char id[RJ_CONFIG_ID_BYTES];
+
+		snprintf(id, sizeof(id), "p%u", i);
+		config_stream_change(
+			site->stream, id, rj_config_log_revision(log),
+			log->config->text,
+			site->text[rj_config_log_revision(log) % 8]);
+		config_stream_read(site->stream, log, 1);
+		if (carried && rj_config_log_carry_due(log, 0, UINT64_MAX)) {
+			config_stream_carry(site->stream, log);
+			config_stream_read(site->stream, log, 1);
+		}
+	}
+}
+
+/*
+ * An instance that starts alone spends minutes on a week of changes before
+ * it is ready.
+ * Cause: it applied each of them, though one carried an hour ago tells all.
+ */
+static void test_new_reader_starts_near_the_end(void)
+{
+	struct site site;
+	struct rj_config_log new;
+	uint32_t read = 0;
+
+	site_init(&site);
+	rj_config_log_init(&new, NULL);
+	for (int i = 0; i < 35; i++) {
+		publish_many(&site, 100, true);
+		config_stream_publish(site.stream, "stale", 0, site.text[0]);
+		config_stream_read(site.stream, &site.readers[0], 1);
+	}
+	while (new.next < site.stream->head && read < CONFIG_STREAM_MAX) {
+		config_stream_read(site.stream, &new, 1);
+		g_assert_true(!new.config || new.config->revision > 1);
+		read++;
+	}
+	/* It reads what is newest, and goes back to the carried one's start. */
+	g_assert_cmpuint(read, <, 4 * RJ_CONFIG_CARRY_RECORDS + 100);
+	expect(&site, &new, 3501, "p99", site.readers[0].config->text);
+	rj_config_log_finish(&new);
+	site_finish(&site);
+}
+
+/*
+ * An instance that starts alone never gets ready: it goes straight to the
+ * newest records, and nobody has carried a configuration there.
+ */
+static void test_new_reader_goes_back(void)
+{
+	struct site site;
+	struct rj_config_log new;
+
+	site_init(&site);
+	rj_config_log_init(&new, NULL);
+	publish_many(&site, 3000, false);
+	config_stream_read(site.stream, &new, CONFIG_STREAM_MAX);
+	g_assert_null(new.config);
+	config_stream_read(site.stream, &new, CONFIG_STREAM_MAX);
+	expect(&site, &new, 3001, "p2999", site.readers[0].config->text);
+	rj_config_log_finish(&new);
+	site_finish(&site);
+}
+
+/* A reader that applies whole configurations, as its records hold them. */
+struct naive_reader {
+	uint64_t revision;
+	char id[RJ_CONFIG_ID_BYTES];
+	const char *text;
+};
+
+/* The verdict of the naive reader on a record and its whole text. */
+static bool naive_accepts(struct naive_reader *naive,
+			  const struct rj_record *record, const char *whole)
+{
+	struct rj_config *config;
+	struct rj_error_list errors;
+
+	if (record->kind != RJ_RECORD_CONFIG || record->carried ||
+	    record->base_revision != naive->revision ||
+	    !strcmp(record->config_id, naive->id))
+		return false;
+	rj_error_list_init(&errors, NULL);
+	config = rj_config_parse(NULL, whole, &errors);
+	rj_error_list_finish(&errors);
+	if (!config)
+		return false;
+	rj_config_unref(config);
+	naive->revision++;
+	memcpy(naive->id, record->config_id, sizeof(naive->id));
+	naive->text = whole;
+	return true;
+}
+
+#define READERS 4
+#define RECORDS 200
+#define SEEDS 300
+
+/* One history: what was accepted at each revision, and who knows what. */
+struct history {
+	struct config_stream *stream;
+	struct rj_error_list errors;
+	uint64_t random;
+	struct naive_reader naive;
+	char ids[RECORDS + 2][RJ_CONFIG_ID_BYTES];
+	char *texts[RECORDS + 2];
+	struct rj_config_log readers[READERS];
+	uint64_t seen[READERS];
+	struct {
+		uint64_t revision;
+		uint64_t as_of;
+		char id[RJ_CONFIG_ID_BYTES];
+		char *text;
+		struct rj_config_change change;
+	} offer; /* one under way between peers */
+	uint32_t changes_accepted;
+	uint32_t changes_adopted;
+};
+
+static uint64_t chance(struct history *history, uint64_t count)
+{
+	return rj_random64(&history->random) % count;
+}
+
+/* An operator publishes from what one reader has in force. */
+static void history_publish(struct history *history,
+			    const struct rj_config_log *log)
+{
+	struct config_stream *stream = history->stream;
+	uint64_t base = rj_config_log_revision(log);
+	const char *text = config_stream_text(
+		stream->mem, 1 + (uint32_t)chance(history, 50));
+	char id[RJ_CONFIG_ID_BYTES];
+	struct rj_record *record;
+	const char *whole = text;
+
+	snprintf(id, sizeof(id), "p%u", (uint32_t)stream->head);
+	if (!log->config || chance(history, 4) == 0) {
+		if (chance(history, 8) == 0)
+			whole = "{}";
+		record = config_stream_publish(stream, id, base, whole);
+	} else {
+		if (chance(history, 12) == 0)
+			text = whole = "{\"domains\":[],\"accounts\":[]}";
+		record = config_stream_change(stream, id, base,
+					      log->config->text, text);
+		if (chance(history, 10) == 0) {
+			record->config_change.digest[3] ^= 1;
+			whole = "";
+		} else if (chance(history, 10) == 0) {
+			record->config_change.patch = "[{\"op\":\"remove\","
+						      "\"path\":\"/none\"}]";
+			whole = "";
+		}
+	}
+	if (naive_accepts(&history->naive, record, whole)) {
+		memcpy(history->ids[history->naive.revision], id, sizeof(id));
+		history->texts[history->naive.revision] =
+			rj_config_canonical(stream->mem, whole);
+		history->changes_accepted += record->config_text == NULL;
+	}
+	if (chance(history, 6) == 0) { /* appended again: no answer came */
+		struct rj_record *again = config_stream_append(stream);
+		uint64_t offset = again->offset;
+
+		*again = *record;
+		again->offset = offset;
+		(void)naive_accepts(&history->naive, again, whole);
+	}
+}
+
+/* A peer's offer leaves, with a change or whole. */
+static void history_offer(struct history *history,
+			  const struct rj_config_log *from)
+{
+	void *mem = history->stream->mem;
+	bool change = from->change.patch && chance(history, 3);
+
+	history->offer.revision = from->config->revision;
+	history->offer.as_of = from->as_of;
+	memcpy(history->offer.id, from->config->id, RJ_CONFIG_ID_BYTES);
+	history->offer.text = talloc_strdup(mem, from->config->text);
+	history->offer.change = from->change;
+	history->offer.change.patch =
+		change ? talloc_strdup(mem, from->change.patch) : NULL;
+}
+
+/* The offer arrives, perhaps late or at the wrong one. */
+static void history_adopt(struct history *history, struct rj_config_log *to)
+{
+	if (!history->offer.revision)
+		return;
+	if (!history->offer.change.patch)
+		rj_config_log_adopt(to, history->offer.revision,
+				    history->offer.id, history->offer.text,
+				    history->offer.as_of, &history->errors);
+	else if (rj_config_log_adopt_change(
+			 to, history->offer.revision, history->offer.id,
+			 &history->offer.change, history->offer.as_of,
+			 &history->errors))
+		history->changes_adopted++;
+}
+
+/* Whoever has a configuration has what the naive reader had at its revision. */
+static void history_check(struct history *history, uint32_t who)
+{
+	struct rj_config_log *log = &history->readers[who];
+	uint64_t revision = rj_config_log_revision(log);
+
+	g_assert_cmpuint(revision, >=, history->seen[who]);
+	history->seen[who] = revision;
+	if (!revision)
+		return;
+	g_assert_cmpstr(log->config->id, ==, history->ids[revision]);
+	g_assert_cmpstr(
+		rj_config_canonical(history->stream->mem, log->config->text),
+		==, history->texts[revision]);
+}
+
+/* One step of one reader and of whoever acts on what it has. */
+static void history_step(struct history *history)
+{
+	struct config_stream *stream = history->stream;
+	uint32_t who = (uint32_t)chance(history, READERS);
+	struct rj_config_log *log = &history->readers[who];
+
+	if (chance(history, 2))
+		history_publish(history, log);
+	else if (log->config && !log->gap)
+		config_stream_carry(stream, log);
+	if (stream->head > stream->oldest + 24)
+		stream->oldest += 3;
+	if (chance(history, 32) == 0) {
+		rj_config_log_finish(log); /* replaced */
+		rj_config_log_init(log, NULL);
+		history->seen[who] = 0;
+	}
+	if (chance(history, 4))
+		config_stream_read(stream, log, (uint32_t)chance(history, 16));
+	if (log->config && chance(history, 3) == 0)
+		history_offer(history, log);
+	if (chance(history, 3) == 0) {
+		who = (uint32_t)chance(history, READERS);
+		history_adopt(history, &history->readers[who]);
+	}
+	for (who = 0; who < READERS; who++)
+		history_check(history, who);
+}
+
+/*
+ * Operators publish changes and whole configurations from old and new
+ * revisions, good and bad, some twice; instances carry what they know, are
+ * replaced, and offer each other changes that come late; records drop off.
+ * Every reader has, at every revision, what a naive reader of the whole log
+ * has, to whom every publication came whole.
+ */
+static void test_differs_nowhere_from_whole_ones(void)
+{
+	uint32_t accepted = 0;
+	uint32_t adopted = 0;
+
+	for (uint64_t seed = 0; seed < SEEDS; seed++) {
+		struct history *history = g_new0(struct history, 1);
+
+		history->random = seed;
+		history->stream = config_stream_new();
+		rj_error_list_init(&history->errors, history->stream->mem);
+		for (uint32_t i = 0; i < READERS; i++)
+			rj_config_log_init(&history->readers[i], NULL);
+		while (history->stream->head < RECORDS)
+			history_step(history);
+		accepted += history->changes_accepted;
+		adopted += history->changes_adopted;
+		for (uint32_t i = 0; i < READERS; i++)
+			rj_config_log_finish(&history->readers[i]);
+		config_stream_free(history->stream);
+		g_free(history);
+	}
+	g_test_message("%u changes accepted, %u adopted", accepted, adopted);
+	g_assert_cmpuint(accepted, >, 10 * SEEDS);
+	g_assert_cmpuint(adopted, >, SEEDS);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/config-changes/race", test_racing_changes);
+	g_test_add_func("/config-changes/base", test_change_of_another_base);
+	g_test_add_func("/config-changes/bad", test_bad_changes_change_nothing);
+	g_test_add_func("/config-changes/early",
+			test_change_comes_before_its_base);
+	g_test_add_func("/config-changes/peers", test_peers_hand_on_changes);
+	g_test_add_func("/config-changes/retention",
+			test_retention_passes_over_the_base);
+	g_test_add_func("/config-changes/start",
+			test_new_reader_starts_near_the_end);
+	g_test_add_func("/config-changes/back", test_new_reader_goes_back);
+	g_test_add_func("/config-changes/differential",
+			test_differs_nowhere_from_whole_ones);
+	return g_test_run();
+}
--- a/src/test_libradishjunction/test_config_log.c
+++ b/src/test_libradishjunction/test_config_log.c
@@ -3,7 +3,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "radishjunction/config_log.h"
+#include "support/config_stream.h"
 
 #define HASH "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
 #define GOOD_TEXT                                                      \
@@ -15,90 +15,42 @@
 	"\"expected_ms\":1}]}"
 #define LOG_MAX 256
 
-/* A log of records, of which those before `oldest` are gone. */
-struct stream {
-	struct rj_record records[LOG_MAX];
-	uint64_t head;
-	uint64_t oldest;
-};
-
-static struct rj_record *append(struct stream *stream)
-{
-	struct rj_record *record = &stream->records[stream->head];
-
-	g_assert_cmpuint(stream->head, <, LOG_MAX);
-	memset(record, 0, sizeof(*record));
-	record->offset = stream->head++;
-	return record;
-}
-
-static void publish(struct stream *stream, const char *id, uint64_t base,
-		    const char *text)
-{
-	struct rj_record *record = append(stream);
-
-	record->kind = RJ_RECORD_CONFIG;
-	snprintf(record->config_id, sizeof(record->config_id), "%s", id);
-	record->base_revision = base;
-	record->revision = base + 1;
-	record->config_text = text;
-}
-
-static void carry(struct stream *stream, const struct rj_config_log *log)
-{
-	struct rj_record *record = append(stream);
-	uint64_t offset = record->offset;
-
-	rj_config_log_carry(log, record);
-	record->offset = offset;
-	record->config_text = GOOD_TEXT; /* outlives the configuration */
-}
-
-/* Read at most `limit` records from where the reader stands. */
-static enum rj_config_verdict read_some(struct rj_config_log *log,
-					const struct stream *stream,
-					uint32_t limit)
-{
-	enum rj_config_verdict verdict = RJ_CONFIG_NOT_ONE;
-	struct rj_error_list errors;
-
-	rj_error_list_init(&errors, NULL);
-	rj_config_log_batch(log, stream->oldest);
-	while (limit-- && log->next < stream->head)
-		verdict = rj_config_log_apply(log, &stream->records[log->next],
-					      0, &errors);
-	rj_error_list_finish(&errors);
-	return verdict;
-}
-
 /*
  * Two operators publish from the same revision. One wins and the other is
  * refused, at every reader, whatever stands between them in the log.
  */
 static void test_racing_operators(void)
 {
-	struct stream *stream = g_new0(struct stream, 1);
+	struct config_stream *stream = config_stream_new();
 	struct rj_config_log log;
 
 	rj_config_log_init(&log, NULL);
-	publish(stream, "bad", 0, "{}");
-	g_assert_cmpint(read_some(&log, stream, 9), ==, RJ_CONFIG_BAD_TEXT);
-	append(stream); /* malformed */
-	g_assert_cmpint(read_some(&log, stream, 9), ==, RJ_CONFIG_NOT_ONE);
-	publish(stream, "first", 0, GOOD_TEXT);
-	g_assert_cmpint(read_some(&log, stream, 9), ==, RJ_CONFIG_ACCEPTED);
-	publish(stream, "second", 0, GOOD_TEXT);
-	g_assert_cmpint(read_some(&log, stream, 9), ==, RJ_CONFIG_STALE);
-	publish(stream, "first", 0, GOOD_TEXT); /* its answer was lost */
-	g_assert_cmpint(read_some(&log, stream, 9), ==, RJ_CONFIG_REPEATED);
-	publish(stream, "ahead", 7, GOOD_TEXT);
-	g_assert_cmpint(read_some(&log, stream, 9), ==, RJ_CONFIG_STALE);
-	publish(stream, "third", 1, GOOD_TEXT);
-	g_assert_cmpint(read_some(&log, stream, 9), ==, RJ_CONFIG_ACCEPTED);
+	config_stream_publish(stream, "bad", 0, "{}");
+	g_assert_cmpint(config_stream_read(stream, &log, 9), ==,
+			RJ_CONFIG_BAD_TEXT);
+	config_stream_append(stream); /* malformed */
+	g_assert_cmpint(config_stream_read(stream, &log, 9), ==,
+			RJ_CONFIG_NOT_ONE);
+	config_stream_publish(stream, "first", 0, GOOD_TEXT);
+	g_assert_cmpint(config_stream_read(stream, &log, 9), ==,
+			RJ_CONFIG_ACCEPTED);
+	config_stream_publish(stream, "second", 0, GOOD_TEXT);
+	g_assert_cmpint(config_stream_read(stream, &log, 9), ==,
+			RJ_CONFIG_STALE);
+	config_stream_publish(stream, "first", 0,
+			      GOOD_TEXT); /* its answer was lost */
+	g_assert_cmpint(config_stream_read(stream, &log, 9), ==,
+			RJ_CONFIG_REPEATED);
+	config_stream_publish(stream, "ahead", 7, GOOD_TEXT);
+	g_assert_cmpint(config_stream_read(stream, &log, 9), ==,
+			RJ_CONFIG_STALE);
+	config_stream_publish(stream, "third", 1, GOOD_TEXT);
+	g_assert_cmpint(config_stream_read(stream, &log, 9), ==,
+			RJ_CONFIG_ACCEPTED);
 	g_assert_cmpuint(rj_config_log_revision(&log), ==, 2);
 	g_assert_cmpstr(log.config->id, ==, "third");
 	rj_config_log_finish(&log);
-	g_free(stream);
+	config_stream_free(stream);
 }
 
 /*
@@ -110,29 +62,30 @@
  */
 static void test_start_on_a_trimmed_log(void)
 {
-	struct stream *stream = g_new0(struct stream, 1);
+	struct config_stream *stream = config_stream_new();
 	struct rj_config_log old;
 	struct rj_config_log new;
 
 	rj_config_log_init(&old, NULL);
 	rj_config_log_init(&new, NULL);
-	publish(stream, "first", 0, GOOD_TEXT);
-	read_some(&old, stream, 1);
-	publish(stream, "loser", 0, GOOD_TEXT);
-	publish(stream, "second", 1, GOOD_TEXT);
-	carry(stream, &old);
-	publish(stream, "late", 1, GOOD_TEXT);
+	config_stream_publish(stream, "first", 0, GOOD_TEXT);
+	config_stream_read(stream, &old, 1);
+	config_stream_publish(stream, "loser", 0, GOOD_TEXT);
+	config_stream_publish(stream, "second", 1, GOOD_TEXT);
+	config_stream_carry(stream, &old);
+	config_stream_publish(stream, "late", 1, GOOD_TEXT);
 	stream->oldest = 1;
 
-	g_assert_cmpint(read_some(&new, stream, 1), ==, RJ_CONFIG_UNJUDGED);
+	g_assert_cmpint(config_stream_read(stream, &new, 1), ==,
+			RJ_CONFIG_UNJUDGED);
 	g_assert_null(new.config);
-	read_some(&new, stream, 99);
-	read_some(&old, stream, 99);
+	config_stream_read(stream, &new, 99);
+	config_stream_read(stream, &old, 99);
 	g_assert_cmpstr(old.config->id, ==, "second");
 	g_assert_cmpstr(new.config->id, ==, "second");
 	rj_config_log_finish(&old);
 	rj_config_log_finish(&new);
-	g_free(stream);
+	config_stream_free(stream);
 }
 
 /*
@@ -143,80 +96,80 @@
  */
 static void test_restart_when_all_missed_records(void)
 {
-	struct stream *stream = g_new0(struct stream, 1);
+	struct config_stream *stream = config_stream_new();
 	struct rj_config_log logs[2];
 
 	for (int i = 0; i < 2; i++)
 		rj_config_log_init(&logs[i], NULL);
-	publish(stream, "first", 0, GOOD_TEXT);
+	config_stream_publish(stream, "first", 0, GOOD_TEXT);
 	for (int i = 0; i < 2; i++)
-		read_some(&logs[i], stream, 9);
-	publish(stream, "missed", 1, GOOD_TEXT);
-	publish(stream, "unjudged", 1, GOOD_TEXT);
+		config_stream_read(stream, &logs[i], 9);
+	config_stream_publish(stream, "missed", 1, GOOD_TEXT);
+	config_stream_publish(stream, "unjudged", 1, GOOD_TEXT);
 	stream->oldest = 2;
-	publish(stream, "restart", 1, GOOD_TEXT);
+	config_stream_publish(stream, "restart", 1, GOOD_TEXT);
 	stream->records[3].carried = true;
 	stream->records[3].as_of = 3;
-	publish(stream, "other", 1, GOOD_TEXT);
+	config_stream_publish(stream, "other", 1, GOOD_TEXT);
 	stream->records[4].carried = true;
 	stream->records[4].as_of = 3;
 
 	for (int i = 0; i < 2; i++) {
-		g_assert_cmpint(read_some(&logs[i], stream, 1), ==,
+		g_assert_cmpint(config_stream_read(stream, &logs[i], 1), ==,
 				RJ_CONFIG_UNJUDGED);
 		g_assert_false(rj_config_log_carry_due(&logs[i], 0, 0));
-		read_some(&logs[i], stream, 99);
+		config_stream_read(stream, &logs[i], 99);
 		g_assert_cmpstr(logs[i].config->id, ==, "restart");
 		g_assert_cmpuint(logs[i].config->revision, ==, 2);
 		g_assert_false(logs[i].gap);
 		rj_config_log_finish(&logs[i]);
 	}
-	g_free(stream);
+	config_stream_free(stream);
 }
 
 static void test_peer_hands_on_the_newest(void)
 {
-	struct stream *stream = g_new0(struct stream, 1);
+	struct config_stream *stream = config_stream_new();
 	struct rj_error_list errors;
 	struct rj_config_log log;
 
 	rj_error_list_init(&errors, NULL);
 	rj_config_log_init(&log, NULL);
-	publish(stream, "first", 0, GOOD_TEXT);
-	publish(stream, "second", 1, GOOD_TEXT);
-	publish(stream, "third", 2, GOOD_TEXT);
+	config_stream_publish(stream, "first", 0, GOOD_TEXT);
+	config_stream_publish(stream, "second", 1, GOOD_TEXT);
+	config_stream_publish(stream, "third", 2, GOOD_TEXT);
 	g_assert_true(
 		rj_config_log_adopt(&log, 2, "second", GOOD_TEXT, 2, &errors));
 	g_assert_false(
 		rj_config_log_adopt(&log, 1, "first", GOOD_TEXT, 1, &errors));
 	g_assert_false(rj_config_log_adopt(&log, 9, "bad", "{}", 2, &errors));
 	g_assert_cmpstr(log.config->id, ==, "second");
-	read_some(&log, stream, 9);
+	config_stream_read(stream, &log, 9);
 	g_assert_cmpstr(log.config->id, ==, "third");
 	rj_error_list_finish(&errors);
 	rj_config_log_finish(&log);
-	g_free(stream);
+	config_stream_free(stream);
 }
 
 static void test_carried_well_before_retention_ends(void)
 {
-	struct stream *stream = g_new0(struct stream, 1);
+	struct config_stream *stream = config_stream_new();
 	struct rj_error_list errors;
 	struct rj_config_log log;
 
 	rj_error_list_init(&errors, NULL);
 	rj_config_log_init(&log, NULL);
 	g_assert_false(rj_config_log_carry_due(&log, 0, 100));
-	publish(stream, "first", 0, GOOD_TEXT);
+	config_stream_publish(stream, "first", 0, GOOD_TEXT);
 	stream->records[0].age_us = 40;
 	rj_config_log_apply(&log, &stream->records[0], 1000, &errors);
 	g_assert_false(rj_config_log_carry_due(&log, 1010, 100));
 	g_assert_true(rj_config_log_carry_due(&log, 1011, 100));
-	carry(stream, &log);
+	config_stream_carry(stream, &log);
 	rj_config_log_apply(&log, &stream->records[1], 1012, &errors);
 	g_assert_false(rj_config_log_carry_due(&log, 1062, 100));
 	rj_config_log_finish(&log);
-	g_free(stream);
+	config_stream_free(stream);
 }
 
 /*
@@ -227,7 +180,7 @@
  */
 static void one_random_log(uint64_t seed)
 {
-	struct stream *stream = g_new0(struct stream, 1);
+	struct config_stream *stream = config_stream_new();
 	char truth[LOG_MAX][RJ_CONFIG_ID_BYTES] = { "" };
 	struct rj_config_log readers[5]; /* the first reads everything */
 	uint64_t seen[5] = { 0 };
@@ -243,13 +196,14 @@
 			char id[RJ_CONFIG_ID_BYTES];
 
 			snprintf(id, sizeof(id), "p%d", (int)stream->head);
-			publish(stream, id, rj_config_log_revision(log),
+			config_stream_publish(
+				stream, id, rj_config_log_revision(log),
 				rj_random64(&seed) % 8 ? GOOD_TEXT : "{}");
 		} else if (log->config && !log->gap) {
-			carry(stream, log);
+			config_stream_carry(stream, log);
 		}
 		stream->oldest = 0;
-		read_some(&readers[0], stream, LOG_MAX);
+		config_stream_read(stream, &readers[0], LOG_MAX);
 		if (readers[0].config)
 			memcpy(truth[readers[0].config->revision],
 			       readers[0].config->id, RJ_CONFIG_ID_BYTES);
@@ -260,7 +214,7 @@
 			seen[who] = 0;
 		}
 		if (rj_random64(&seed) % 4)
-			read_some(log, stream, rj_random64(&seed) % 6);
+			config_stream_read(stream, log, rj_random64(&seed) % 6);
 		if (!log->config)
 			continue;
 		g_assert_cmpuint(log->config->revision, >=, seen[who]);
@@ -269,7 +223,7 @@
 	}
 	for (uint32_t i = 0; i < 5; i++)
 		rj_config_log_finish(&readers[i]);
-	g_free(stream);
+	config_stream_free(stream);
 }
 
 static void test_random_logs(void)
--- a/src/test_libradishjunction/test_peer_codec.c
+++ b/src/test_libradishjunction/test_peer_codec.c
@@ -19,10 +19,10 @@
 	message->kind = kind;
 	switch (kind) {
 	case RJ_PEER_HEARTBEAT:
-		message->u.heartbeat =
-			(struct rj_peer_heartbeat){ "lhr-dha", UINT64_MAX, true,
-						    true,      true,	   7,
-						    9,	       1ULL << 40 };
+		message->u.heartbeat = (struct rj_peer_heartbeat){
+			"lhr-dha", UINT64_MAX, true,	   true, true,
+			7,	   9,	       1ULL << 40, true
+		};
 		break;
 	case RJ_PEER_SUMMARY:
 		message->u.summary = (struct rj_peer_summary){
@@ -31,8 +31,9 @@
 		};
 		break;
 	case RJ_PEER_CONFIG:
-		message->u.config =
-			(struct rj_peer_config){ 4, 17, "id-1", "{}" };
+		message->u.config = (struct rj_peer_config){
+			4, 17, "id-1", "{}", { "[]", { 1, 2, 3 } }
+		};
 		break;
 	case RJ_PEER_LEAVING:
 		message->u.leaving = (struct rj_peer_leaving){ "w-1", 99 };
@@ -117,21 +118,68 @@
 	talloc_free(mem);
 }
 
-/* Every cut of every kind names a field and is malformed. */
+/* The length of what a version without the newest fields sends. */
+static uint32_t earlier_length(void *mem, struct rj_peer_message message)
+{
+	if (message.kind == RJ_PEER_HEARTBEAT)
+		message.u.heartbeat.config_changes = false;
+	if (message.kind == RJ_PEER_CONFIG)
+		message.u.config.change.patch = NULL;
+	return rj_peer_encode(mem, &message).length;
+}
+
+/*
+ * During a rolling replacement no instance hears another.
+ * A new instance reads the heartbeat of an old one, which ends before the
+ * field that the new version added, and closes the link.
+ * Cause: the new field was not optional.
+ */
+static void test_frames_of_an_older_version_are_read(void)
+{
+	for (uint32_t kind = 0; kind < RJ_PEER_MESSAGE_KIND_COUNT; kind++) {
+		void *mem = talloc_new(NULL);
+		struct rj_peer_message message;
+		struct rj_bytes bytes;
+
+		fill(&message, kind);
+		bytes = rj_peer_encode(mem, &message);
+		bytes.length = earlier_length(mem, message);
+		g_assert_cmpint(rj_peer_decode(mem, bytes, &message, NULL), ==,
+				0);
+		if (kind == RJ_PEER_HEARTBEAT) {
+			g_assert_cmpuint(message.u.heartbeat.wait_us, ==,
+					 1ULL << 40);
+			g_assert_false(message.u.heartbeat.config_changes);
+		}
+		if (kind == RJ_PEER_CONFIG) {
+			g_assert_cmpstr(message.u.config.text, ==, "{}");
+			g_assert_null(message.u.config.change.patch);
+		}
+		talloc_free(mem);
+	}
+}
+
+/* Every cut of every kind names a field and is malformed, but for the one
+ * that an older version sends. */
 static void test_cut_frames_are_malformed(void)
 {
 	for (uint32_t kind = 0; kind < RJ_PEER_MESSAGE_KIND_COUNT; kind++) {
 		void *mem = talloc_new(NULL);
 		struct rj_peer_message message;
 		struct rj_bytes bytes;
+		uint32_t earlier;
 		uint32_t whole;
 
 		fill(&message, kind);
 		bytes = rj_peer_encode(mem, &message);
 		whole = bytes.length;
+		earlier = earlier_length(mem, message);
 		for (bytes.length = 0; bytes.length < whole; bytes.length++) {
 			struct rj_error err = { 0 };
 
+			if (bytes.length == earlier)
+				continue;
+
 			g_assert_cmpint(
 				rj_peer_decode(mem, bytes, &message, &err), ==,
 				-1);
@@ -223,6 +271,8 @@
 	g_test_add_func("/peer_codec/round_trip", test_round_trip);
 	g_test_add_func("/peer_codec/newer",
 			test_fields_of_a_newer_version_are_ignored);
+	g_test_add_func("/peer_codec/older",
+			test_frames_of_an_older_version_are_read);
 	g_test_add_func("/peer_codec/cut", test_cut_frames_are_malformed);
 	g_test_add_func("/peer_codec/array", test_announced_arrays_are_refused);
 	g_test_add_func("/peer_codec/fuzz", test_changed_bytes_do_no_harm);
