publish: send the change where every instance takes it

Cause: instances take changes, and nobody sent any. Excluded: asking each instance for its whole status, which names every worker (some 140 KB at 940) and was asked for every 0.3 s. An older instance knows no such path and is asked for its status.

--- a/include/radishjunction/core.h
+++ b/include/radishjunction/core.h
@@ -69,6 +69,7 @@
 uint64_t rj_core_wake_us(const struct rj_core *core);
 bool rj_core_ready(const struct rj_core *core);
 uint64_t rj_core_counter(const struct rj_core *core, enum rj_counter counter);
+json_t *rj_core_revision(const struct rj_core *core);
 json_t *rj_core_status(const struct rj_core *core, uint64_t now_us);
 json_t *rj_core_explain(const struct rj_core *core, uint64_t job_id);
 const char *rj_core_job_account(const struct rj_core *core, uint64_t job_id);
--- a/include/radishjunction/http_callers.h
+++ b/include/radishjunction/http_callers.h
@@ -28,6 +28,7 @@
 	json_t *(*explain)(struct rj_caller_views *views, uint64_t job_id);
 	/* Append lines "name value". */
 	void (*metrics)(struct rj_caller_views *views, GString *text);
+	json_t *(*revision)(struct rj_caller_views *views);
 };
 
 struct rj_caller_views {
--- a/src/libradishjunction/caller/caller_request.c
+++ b/src/libradishjunction/caller/caller_request.c
@@ -354,6 +354,8 @@
 		ready(request);
 	else if (strcmp(url, "/v1/status") == 0)
 		set_json(request, MHD_HTTP_OK, views->ops->status(views));
+	else if (strcmp(url, "/v1/revision") == 0)
+		set_json(request, MHD_HTTP_OK, views->ops->revision(views));
 	else if (strcmp(url, "/metrics") == 0)
 		metrics(request);
 	else
--- a/src/libradishjunction/core/status.c
+++ b/src/libradishjunction/core/status.c
@@ -109,6 +109,22 @@
 	return list;
 }
 
+/*
+ * Which configuration is in force here, as a JSON object that the caller
+ * owns: what a publication asks of each instance again and again, so that it
+ * has no more than that. `config_changes` says that this version takes
+ * publications that hold the change alone.
+ */
+json_t *rj_core_revision(const struct rj_core *handle)
+{
+	const struct rj_config *config = handle->state->config;
+
+	return json_pack(
+		"{s:s,s:I,s:s,s:b}", "name", handle->state->name, "revision",
+		(json_int_t)(config ? config->revision : 0), "publication",
+		config ? config->id : "", "config_changes", true);
+}
+
 /*
  * The view of this instance as a JSON object that the caller owns: who it
  * is, which revision is in force, peers, workers, guarantees and queues.
--- a/src/radishjunction/instances.c
+++ b/src/radishjunction/instances.c
@@ -7,33 +7,67 @@
 
 #define STATUS_TIMEOUT_MS 5000
 
+/*
+ * Ask one instance for `path`.
+ */
+static void ask(const struct rj_address *instance, const char *path,
+		struct instance_status *status)
+{
+	struct http_call call = { .method = "GET",
+				  .address = *instance,
+				  .path = path,
+				  .timeout_ms = STATUS_TIMEOUT_MS };
+	struct http_answer answer;
+
+	http_call(&call, &answer);
+	memset(status, 0, sizeof(*status));
+	if (json_is_object(answer.json)) {
+		status->json = answer.json;
+		return;
+	}
+	snprintf(status->detail, sizeof(status->detail), "%s",
+		 answer.outcome == HTTP_ANSWERED ? "its answer is no status" :
+						   answer.detail);
+	json_decref(answer.json);
+}
+
 /*
  * Ask every instance in turn; `statuses` has room for all of them.
  */
 void instances_status(const struct targets *targets,
 		      struct instance_status *statuses)
+{
+	for (uint32_t i = 0; i < targets->count; i++)
+		ask(&targets->instances[i], "/v1/status", &statuses[i]);
+}
+
+/*
+ * Ask every instance in turn which configuration it has in force, and no
+ * more: its whole status names every worker. An older version knows no such
+ * question and is asked for its status.
+ */
+void instances_revision(const struct targets *targets,
+			struct instance_status *statuses)
 {
 	for (uint32_t i = 0; i < targets->count; i++) {
-		struct http_call call = { .method = "GET",
-					  .address = targets->instances[i],
-					  .path = "/v1/status",
-					  .timeout_ms = STATUS_TIMEOUT_MS };
-		struct http_answer answer;
-
-		http_call(&call, &answer);
-		memset(&statuses[i], 0, sizeof(statuses[i]));
-		if (json_is_object(answer.json)) {
-			statuses[i].json = answer.json;
+		ask(&targets->instances[i], "/v1/revision", &statuses[i]);
+		if (!statuses[i].json ||
+		    json_object_get(statuses[i].json, "revision"))
 			continue;
-		}
-		snprintf(statuses[i].detail, sizeof(statuses[i].detail), "%s",
-			 answer.outcome == HTTP_ANSWERED ?
-				 "its answer is no status" :
-				 answer.detail);
-		json_decref(answer.json);
+		json_decref(statuses[i].json);
+		ask(&targets->instances[i], "/v1/status", &statuses[i]);
 	}
 }
 
+/*
+ * Whether an instance takes publications that hold the change alone. An
+ * older version does not say so, nor does one that gives no answer.
+ */
+bool instance_takes_changes(const struct instance_status *status)
+{
+	return json_is_true(json_object_get(status->json, "config_changes"));
+}
+
 /*
  * Give the answers back.
  */
--- a/src/radishjunction/instances.h
+++ b/src/radishjunction/instances.h
@@ -8,7 +8,7 @@
 
 #include "targets.h"
 
-/* One instance's answer to GET /v1/status. */
+/* One instance's answer to GET /v1/status or GET /v1/revision. */
 struct instance_status {
 	json_t *json; /* NULL when it gave no answer */
 	char detail[128]; /* why not */
@@ -16,7 +16,10 @@
 
 void instances_status(const struct targets *targets,
 		      struct instance_status *statuses);
+void instances_revision(const struct targets *targets,
+			struct instance_status *statuses);
 void instances_status_finish(struct instance_status *statuses, uint32_t count);
+bool instance_takes_changes(const struct instance_status *status);
 uint64_t instance_revision(const struct instance_status *status);
 
 #endif
--- a/src/radishjunction/publish.c
+++ b/src/radishjunction/publish.c
@@ -27,6 +27,8 @@
 	char id[2 * ID_RANDOM_BYTES + 1];
 	uint64_t base;
 	bool restart;
+	bool whole; /* asked for by the operator */
+	struct rj_config_change change; /* its patch is NULL without one */
 	struct timespec deadline;
 };
 
@@ -67,7 +69,7 @@
 	own->base = rj_config_log_revision(&own->stream.log);
 	if (!own->stream.log.gap)
 		return 0;
-	instances_status(&own->targets, own->statuses);
+	instances_revision(&own->targets, own->statuses);
 	for (uint32_t i = 0; i < own->targets.count; i++)
 		if (instance_revision(&own->statuses[i]) > own->base)
 			own->base = instance_revision(&own->statuses[i]);
@@ -80,6 +82,45 @@
 			    "were asked, start anew with --restart");
 }
 
+/*
+ * Whether every instance says that it takes publications that hold the
+ * change alone.
+ *
+ * Guards against an instance of an older version during a rolling
+ * replacement: it passes over a change, and would accept a whole publication
+ * of the same base that all others have refused. It holds for the instances
+ * that are named to this command, so that all have to be.
+ */
+static bool all_take_changes(struct publication *own)
+{
+	bool all = own->targets.count > 0;
+
+	instances_revision(&own->targets, own->statuses);
+	for (uint32_t i = 0; i < own->targets.count; i++)
+		all = all && instance_takes_changes(&own->statuses[i]);
+	instances_status_finish(own->statuses, own->targets.count);
+	return all;
+}
+
+/*
+ * Make the change from the base, if it may be published instead of the whole
+ * configuration and is shorter.
+ */
+static void make_change(struct publication *own)
+{
+	const struct rj_config_log *log = &own->stream.log;
+
+	if (own->whole || own->restart || log->gap || !log->config ||
+	    log->config->revision != own->base || !all_take_changes(own))
+		return;
+	if (rj_config_change_make(own->mem, log->config->text, own->text,
+				  &own->change))
+		own->change.patch = NULL;
+	else
+		printf("a change of %zu bytes to revision %" PRIu64 "\n",
+		       strlen(own->change.patch), own->base);
+}
+
 /*
  * Append the publication. Returns whether it may have taken effect; `err` is
  * set unless it surely has.
@@ -97,7 +138,10 @@
 	rj_name_set(record.author, own->author);
 	record.base_revision = own->base;
 	record.revision = own->base + 1;
-	record.config_text = own->text;
+	if (own->change.patch)
+		record.config_change = own->change;
+	else
+		record.config_text = own->text;
 	/* Nobody can judge it by what is gone, so it says where to start. */
 	record.carried = own->restart && own->stream.log.gap;
 	record.as_of = own->stream.log.next;
@@ -150,6 +194,12 @@
 			stream->winner_id,
 			rj_config_log_revision(&stream->log));
 		return EXIT_REFUSED;
+	case RJ_CONFIG_BAD_CHANGE:
+		fprintf(stderr,
+			"radishjunction publish: refused: the change does not "
+			"fit revision %" PRIu64 "; publish with --whole\n",
+			own->base);
+		return EXIT_REFUSED;
 	default:
 		fprintf(stderr,
 			"radishjunction publish: refused: %s; check it with "
@@ -225,7 +275,7 @@
 	for (;;) {
 		uint32_t done = 0;
 
-		instances_status(&own->targets, own->statuses);
+		instances_revision(&own->targets, own->statuses);
 		for (uint32_t i = 0; i < own->targets.count; i++)
 			done += in_force(own, &own->statuses[i]);
 		if (done != told || is_past(&own->deadline))
@@ -253,6 +303,7 @@
 
 	if (find_base(own, &err))
 		return print_error("publish", &err);
+	make_change(own);
 	outcome = append(own, &err);
 	if (outcome == HTTP_UNREACHABLE)
 		return print_error("publish", &err);
@@ -308,6 +359,7 @@
 	struct arg_str *author;
 	struct arg_int *timeout_s;
 	struct arg_lit *restart;
+	struct arg_lit *whole;
 };
 
 /*
@@ -315,7 +367,8 @@
  */
 static int run(const struct publish_options *options)
 {
-	struct publication own = { .restart = options->restart->count > 0 };
+	struct publication own = { .restart = options->restart->count > 0,
+				   .whole = options->whole->count > 0 };
 	const char *platform = option_string(options->platform, NULL);
 	struct rj_error err;
 	int code;
@@ -373,6 +426,8 @@
 				 "wait so long for it to be in force (60)");
 	own.restart = arg_lit0(NULL, "restart",
 			       "the log lost every configuration: start anew");
+	own.whole = arg_lit0(NULL, "whole",
+			     "not the change alone, though all could take it");
 	options_init(&options);
 	void *table[] = { own.file,
 			  own.platform,
@@ -381,6 +436,7 @@
 			  own.author,
 			  own.timeout_s,
 			  own.restart,
+			  own.whole,
 			  options.help,
 			  options.version,
 			  options.end };
--- a/src/radishjunctiond/shell.c
+++ b/src/radishjunctiond/shell.c
@@ -189,6 +189,11 @@
 	return rj_core_status(&shell_of(views)->core, rj_clock_now_us());
 }
 
+static json_t *view_revision(struct rj_caller_views *views)
+{
+	return rj_core_revision(&shell_of(views)->core);
+}
+
 static json_t *view_explain(struct rj_caller_views *views, uint64_t job_id)
 {
 	return rj_core_explain(&shell_of(views)->core, job_id);
@@ -219,6 +224,7 @@
 	.status = view_status,
 	.explain = view_explain,
 	.metrics = view_metrics,
+	.revision = view_revision,
 };
 
 /*
--- a/src/test_libradishjunction/test_http_callers.c
+++ b/src/test_libradishjunction/test_http_callers.c
@@ -81,9 +81,14 @@
 	g_string_append(text, "of_the_core 1\n");
 }
 
-static const struct rj_caller_views_ops views_ops = { view_ready, view_status,
-						      view_explain,
-						      view_metrics };
+static json_t *view_revision(struct rj_caller_views *views)
+{
+	return json_pack("{s:i}", "revision", 7);
+}
+
+static const struct rj_caller_views_ops views_ops = {
+	view_ready, view_status, view_explain, view_metrics, view_revision
+};
 
 static void server_init(struct server *server, uint32_t connections,
 			uint32_t requests)
@@ -459,6 +464,8 @@
 	expect(&server, request("GET /metrics", "", ""), 200,
 	       "radishjunction_answer_ms_count{answer=\"failed\"} 2");
 	expect(&server, request("GET /v1/status", "", ""), 200, "\"racks\":6");
+	expect(&server, request("GET /v1/revision", "", ""), 200,
+	       "\"revision\":7");
 	rj_http_callers_drain(&server.callers);
 	expect(&server, request("GET /v1/ready", "", ""), 503, "false");
 	server_finish(&server);
