bench control: publications, replacements and other failure domains

Excluded: processor time of the peers that the bench plays (it is in the percentage, so that this is an upper bound). The site is large_site's.

--- a/src/bench/control.c
+++ b/src/bench/control.c
@@ -1,6 +1,7 @@
 /*
  * What one instance spends on control while nothing is submitted: a core
- * with its peers, workers and log played by this file, over virtual time.
+ * with its peers, workers and log played by this file, over virtual time;
+ * at rest, or while operators publish and instances are replaced.
  *
  * Bytes are those of the real codecs, plus a constant for the HTTP headers
  * of each exchange. Processor time is that of the decisions and codecs here,
@@ -14,6 +15,7 @@
 #include <time.h>
 
 #include "bench.h"
+#include "large_site.h"
 #include "private/peer_codec.h"
 #include "private/platform_wire.h"
 #include "private/worker_wire.h"
@@ -21,9 +23,6 @@
 #include "radishjunction/core.h"
 #include "radishjunction/planner_topology.h"
 
-#define RACK_WORKERS 8
-#define WORKER_ACCELERATORS 8
-#define WORKER_SLOTS 8
 /* 33,000 tasks on 7,500 workers are 4.4. */
 #define TASKS_A_WORKER 4
 #define INSTANCES 8
@@ -31,17 +30,28 @@
  * and libmicrohttpd send them. */
 #define HTTP_BYTES 330
 #define FRAME_BYTES 48 /* length, sequence number and MAC of a peer frame */
-/* Leases that live long enough for rare reports: docs/CONFIGURATION.md. */
-#define LEASE_A_WORKER_MS 750
-#define LEASE_LEAST_MS 5000
+/* Of the instances of another failure domain that keep no link from here, so
+ * many to one keep a link to here: each chooses 2 of 8. */
+#define LINK_ONE_OF 4
+#define DAY_US (86400 * RJ_US_PER_S)
 #define WARM_UP_US (60 * RJ_US_PER_S)
 #define MEASURED_US (300 * RJ_US_PER_S)
+#define MEASURED_LOAD_US (7200 * RJ_US_PER_S)
+#define PAGE_RECORDS 500
 #define START_US RJ_US_PER_S
 
 /* Workers of the failure domain: the users' today, and letter sizes up to an
  * eighth of 7,500. */
 static const uint32_t worker_counts[] = { 17, 120, 470, 940 };
 
+/* What goes on beside the reports and heartbeats. */
+struct load {
+	struct large_site site;
+	uint32_t changes_a_day; /* of the configuration */
+	uint32_t replacements_a_day; /* of workers, all over the site */
+	bool whole; /* each publication is a whole configuration */
+};
+
 struct tally {
 	uint64_t exchanges;
 	uint64_t bytes;
@@ -61,7 +71,15 @@
 	struct rj_instance *instances;
 	uint64_t list_known; /* the version of the list last given */
 	uint32_t instance_count;
-	uint32_t workers;
+	const struct load *load;
+	struct large_site site; /* with the configuration as it is now */
+	GPtrArray *config; /* struct rj_record of the `config` stream */
+	GHashTable *wanted; /* names of peers that the core links to */
+	GArray *reads; /* struct waiting_read */
+	char *text; /* of the configuration in force */
+	uint64_t change_due_us;
+	uint64_t replace_due_us;
+	uint32_t replaced; /* so far */
 	uint64_t now_us;
 	uint64_t peers_due_us;
 	GQueue pending; /* struct rj_event, to be delivered next */
@@ -70,6 +88,7 @@
 	struct tally peers;
 	struct tally log;
 	struct tally list;
+	struct tally publications; /* in peers' messages and in the log */
 };
 
 /*
@@ -127,8 +146,8 @@
 	reply->incarnation = 1;
 	reply->report.incarnation = 1;
 	reply->report.capacity =
-		(struct rj_resources){ WORKER_SLOTS, WORKER_ACCELERATORS, 128,
-				       524288 };
+		(struct rj_resources){ LARGE_SITE_SLOTS,
+				       LARGE_SITE_ACCELERATORS, 128, 524288 };
 	tasks = talloc_zero_array(event, struct rj_task_report, TASKS_A_WORKER);
 	g_assert(tasks);
 	for (uint32_t i = 0; i < TASKS_A_WORKER; i++) {
@@ -153,31 +172,87 @@
 }
 
 /*
- * An answer to a read of a log that holds the configuration alone.
+ * An answer to a read of a log that holds configurations alone.
  */
-static void answer_read(struct control *control, const struct rj_read *read,
-			const char *config_text)
+static void answer_read(struct control *control, const struct rj_read *read)
 {
 	struct rj_event *event = queue_event(control, RJ_EVENT_RECORDS);
+	struct rj_log_entry entries[PAGE_RECORDS];
 	struct rj_records *records = &event->u.records;
-	struct rj_record *record;
+	struct rj_log_page page = { .from = read->from, .records = entries };
 
 	records->stream = read->stream;
 	records->from = read->from;
-	records->next = read->from;
-	records->head = read->stream == RJ_STREAM_CONFIG ? 1 : 0;
-	if (read->stream == RJ_STREAM_CONFIG && !read->from) {
-		record = talloc_zero(event, struct rj_record);
-		g_assert(record);
-		record->kind = RJ_RECORD_CONFIG;
-		g_strlcpy(record->config_id, "first", RJ_CONFIG_ID_BYTES);
-		record->revision = 1;
-		record->config_text = config_text;
-		records->records = record;
-		records->count = 1;
-		records->next = 1;
+	if (read->stream == RJ_STREAM_CONFIG)
+		records->head = control->config->len;
+	records->records =
+		talloc_zero_array(event, struct rj_record, PAGE_RECORDS);
+	g_assert(records->records);
+	while (read->from + page.count < records->head &&
+	       page.count < PAGE_RECORDS) {
+		struct rj_record *record = &records->records[page.count];
+
+		*record = *(struct rj_record *)control->config
+				   ->pdata[read->from + page.count];
+		entries[page.count++] = (struct rj_log_entry){
+			record->offset, 0, rj_record_encode(event, record)
+		};
+	}
+	records->count = page.count;
+	records->next = read->from + page.count;
+	count(control, page.count ? &control->publications : &control->log,
+	      HTTP_BYTES + strlen(rj_log_page_encode(event, &page)));
+}
+
+/*
+ * End the long polls of the `config` stream, which has a new record.
+ */
+static void end_config_polls(struct control *control)
+{
+	for (guint i = control->reads->len; i > 0; i--) {
+		struct waiting_read waiting = g_array_index(
+			control->reads, struct waiting_read, i - 1);
+
+		if (waiting.read.stream != RJ_STREAM_CONFIG)
+			continue;
+		answer_read(control, &waiting.read);
+		g_array_remove_index(control->reads, i - 1);
+	}
+}
+
+/*
+ * Append a record to the `config` stream; what it points to must last.
+ */
+static void append_config(struct control *control,
+			  const struct rj_record *record)
+{
+	struct rj_record *copy =
+		talloc_memdup(control->mem, record, sizeof(*record));
+
+	g_assert(copy);
+	copy->offset = control->config->len;
+	g_ptr_array_add(control->config, copy);
+	end_config_polls(control);
+}
+
+/*
+ * The core carries the configuration: its append takes effect.
+ */
+static void answer_append(struct control *control,
+			  const struct rj_append *append)
+{
+	struct rj_event *event = queue_event(control, RJ_EVENT_APPENDED);
+
+	event->u.appended.append_id = append->append_id;
+	for (uint32_t i = 0; i < append->count; i++) {
+		struct rj_record record = append->records[i];
+
+		record.config_text =
+			talloc_strdup(control->mem, record.config_text);
+		append_config(control, &record);
+		count(control, &control->publications,
+		      HTTP_BYTES + strlen(rj_record_encode(event, &record)));
 	}
-	count(control, &control->log, HTTP_BYTES + 64);
 }
 
 /*
@@ -203,12 +278,26 @@
 	count(control, &control->list, strlen(text) + HTTP_BYTES);
 }
 
+/*
+ * Count a message to or from a peer.
+ */
+static void count_message(struct control *control,
+			  const struct rj_peer_message *message)
+{
+	void *mem = talloc_new(NULL);
+
+	count(control,
+	      message->kind == RJ_PEER_CONFIG ? &control->publications :
+						&control->peers,
+	      rj_peer_encode(mem, message).length + FRAME_BYTES);
+	talloc_free(mem);
+}
+
 /*
  * Carry out what the core asked for. A long poll is answered when it ends,
  * to the second.
  */
-static void carry_out(struct control *control, const char *config_text,
-		      GArray *reads)
+static void carry_out(struct control *control)
 {
 	for (uint32_t i = 0; i < control->actions.count; i++) {
 		struct rj_action *action = &control->actions.list[i];
@@ -225,20 +314,27 @@
 					control->now_us + action->u.read.wait_us
 				};
 
-				g_array_append_val(reads, waiting);
-			} else
-				answer_read(control, &action->u.read,
-					    config_text);
+				g_array_append_val(control->reads, waiting);
+			} else {
+				answer_read(control, &action->u.read);
+			}
+			break;
+		case RJ_ACTION_APPEND:
+			answer_append(control, &action->u.append);
+			break;
+		case RJ_ACTION_PEER_CONNECT:
+			g_hash_table_add(control->wanted,
+					 g_strdup(action->u.peer.name));
+			break;
+		case RJ_ACTION_PEER_DROP:
+			g_hash_table_remove(control->wanted,
+					    action->u.peer.name);
 			break;
 		case RJ_ACTION_LIST:
 			answer_list(control);
 			break;
 		case RJ_ACTION_PEER_SEND:
-			count(control, &control->peers,
-			      rj_peer_encode(control->actions.mem,
-					     action->u.peer.message)
-					      .length +
-				      FRAME_BYTES);
+			count_message(control, action->u.peer.message);
 			break;
 		default:
 			break;
@@ -250,59 +346,161 @@
 /*
  * Answer the long polls that have waited long enough.
  */
-static void end_polls(struct control *control, const char *config_text,
-		      GArray *reads)
+static void end_polls(struct control *control)
 {
-	for (guint i = reads->len; i > 0; i--) {
-		struct waiting_read waiting =
-			g_array_index(reads, struct waiting_read, i - 1);
+	for (guint i = control->reads->len; i > 0; i--) {
+		struct waiting_read waiting = g_array_index(
+			control->reads, struct waiting_read, i - 1);
 
 		if (control->now_us < waiting.due_us)
 			continue;
-		answer_read(control, &waiting.read, config_text);
-		g_array_remove_index(reads, i - 1);
+		answer_read(control, &waiting.read);
+		g_array_remove_index(control->reads, i - 1);
 	}
 }
 
+/*
+ * A message that is delivered to the core; NULL for an instance that has no
+ * link with it.
+ */
+static struct rj_peer_message *message_from(struct control *control,
+					    uint32_t index,
+					    enum rj_peer_message_kind kind)
+{
+	const struct rj_instance *line = &control->instances[index];
+	struct rj_peer_message *message;
+	struct rj_event *event;
+
+	if (!index || line->role != RJ_ROLE_ENTRY ||
+	    (strcmp(line->domain, LARGE_SITE_DOMAIN) != 0 &&
+	     index % LINK_ONE_OF &&
+	     !g_hash_table_contains(control->wanted, line->name)))
+		return NULL;
+	event = queue_event(control, RJ_EVENT_PEER_MESSAGE);
+	message = talloc_zero(event, struct rj_peer_message);
+	g_assert(message);
+	g_strlcpy(event->u.peer.name, line->name, RJ_NAME_BYTES);
+	event->u.peer.message = message;
+	message->kind = kind;
+	return message;
+}
+
 /*
  * The heartbeats of the peers, each second; they are alive from the first.
  */
 static void peers_round(struct control *control)
 {
-	for (uint32_t i = 1; i < INSTANCES; i++) {
-		struct rj_event *event =
-			queue_event(control, RJ_EVENT_PEER_MESSAGE);
+	for (uint32_t i = 0; i < control->instance_count; i++) {
 		struct rj_peer_message *message =
-			talloc_zero(event, struct rj_peer_message);
+			message_from(control, i, RJ_PEER_HEARTBEAT);
 
-		g_assert(message);
-		g_snprintf(event->u.peer.name, RJ_NAME_BYTES, "entry-%u", i);
-		event->u.peer.message = message;
-		message->kind = RJ_PEER_HEARTBEAT;
-		g_strlcpy(message->u.heartbeat.domain, "domain", RJ_NAME_BYTES);
+		if (!message)
+			continue;
+		g_strlcpy(message->u.heartbeat.domain,
+			  control->instances[i].domain, RJ_NAME_BYTES);
 		message->u.heartbeat.incarnation = 100 + i;
-		message->u.heartbeat.config_revision = 1;
-		count(control, &control->peers,
-		      rj_peer_encode(event, message).length + FRAME_BYTES);
+		message->u.heartbeat.config_revision =
+			1 + control->site.open_max;
+		message->u.heartbeat.config_changes = !control->load->whole;
+		count_message(control, message);
 	}
 }
 
+/*
+ * Every peer has read the newest publication and tells this instance of it,
+ * whose heartbeat with that revision has not come yet.
+ */
+static void peers_tell(struct control *control, const struct rj_record *record)
+{
+	for (uint32_t i = 0; i < control->instance_count; i++) {
+		struct rj_peer_message *message =
+			message_from(control, i, RJ_PEER_CONFIG);
+		struct rj_peer_config *offer;
+
+		if (!message)
+			continue;
+		offer = &message->u.config;
+		offer->revision = record->revision;
+		offer->offset = control->config->len;
+		memcpy(offer->id, record->config_id, sizeof(offer->id));
+		offer->text = record->config_text ? record->config_text : "";
+		offer->change = record->config_change;
+		count_message(control, message);
+	}
+}
+
+/*
+ * An operator alters a limit of one account.
+ */
+static void publish(struct control *control)
+{
+	struct rj_record record = { .kind = RJ_RECORD_CONFIG,
+				    .author = "operator" };
+	char *text;
+
+	control->site.open_max++;
+	text = large_site_config(control->mem, &control->site);
+	record.base_revision = control->site.open_max;
+	record.revision = record.base_revision + 1;
+	g_snprintf(record.config_id, RJ_CONFIG_ID_BYTES, "%016x",
+		   control->site.open_max);
+	if (control->load->whole)
+		record.config_text = text;
+	else if (rj_config_change_make(control->mem, control->text, text,
+				       &record.config_change))
+		g_error("the change cannot be made");
+	control->text = text;
+	append_config(control, &record);
+	peers_tell(control, &record);
+}
+
+/*
+ * A worker somewhere is replaced by one of another address.
+ */
+static void replace_worker(struct control *control)
+{
+	struct rj_instance *line;
+	uint32_t at = 0;
+
+	do {
+		at = control->replaced++ * 7919 % control->instance_count;
+		line = &control->instances[at];
+	} while (line->role != RJ_ROLE_WORKER);
+	line->address.port ^= 1;
+}
+
 /*
  * Deliver one event to the core.
  */
-static void deliver(struct control *control, struct rj_event *event,
-		    const char *config_text, GArray *reads)
+static void deliver(struct control *control, struct rj_event *event)
 {
 	event->now_us = control->now_us;
 	rj_core_process(&control->core, event, &control->actions);
-	carry_out(control, config_text, reads);
+	carry_out(control);
+}
+
+/*
+ * What is due of the load at a time when the peers' round is.
+ */
+static void load_round(struct control *control)
+{
+	const struct load *load = control->load;
+
+	if (load->changes_a_day && control->now_us >= control->change_due_us) {
+		control->change_due_us += DAY_US / load->changes_a_day;
+		publish(control);
+	}
+	if (load->replacements_a_day &&
+	    control->now_us >= control->replace_due_us) {
+		control->replace_due_us += DAY_US / load->replacements_a_day;
+		replace_worker(control);
+	}
 }
 
 /*
  * Let virtual time pass up to `until_us`.
  */
-static void run_until(struct control *control, uint64_t until_us,
-		      const char *config_text, GArray *reads)
+static void run_until(struct control *control, uint64_t until_us)
 {
 	struct rj_event timer = { .kind = RJ_EVENT_TIMER };
 	struct rj_event *event;
@@ -311,155 +509,189 @@
 		uint64_t wake_us = rj_core_wake_us(&control->core);
 
 		while ((event = g_queue_pop_head(&control->pending))) {
-			deliver(control, event, config_text, reads);
+			deliver(control, event);
 			talloc_free(event);
 		}
 		if (control->now_us >= control->peers_due_us) {
 			peers_round(control);
-			end_polls(control, config_text, reads);
+			load_round(control);
+			end_polls(control);
 			control->peers_due_us += RJ_US_PER_S;
 			continue;
 		}
 		control->now_us = MIN(wake_us, control->peers_due_us);
-		deliver(control, &timer, config_text, reads);
+		deliver(control, &timer);
 	}
 }
 
 /*
- * A configuration of one failure domain with `workers` workers.
+ * Print what was counted, per second.
  */
-static char *config_text(void *mem, uint32_t workers)
+static void print(const struct control *control, uint64_t measured_us,
+		  double used_us, size_t state_bytes)
 {
-	return talloc_asprintf(
-		mem,
-		"{\"domains\":[{\"name\":\"domain\",\"region\":\"region\","
-		"\"racks\":%u,\"workers_per_rack\":%u,\"worker\":{\"slots\":%u,"
-		"\"accelerators\":%u,\"cores\":128,\"memory_mb\":524288}}],"
-		"\"accounts\":[{\"name\":\"account\",\"token_hash\":\"%064d\","
-		"\"guarantees\":[]}],\"classes\":[{\"name\":\"render\","
-		"\"priority\":\"normal\",\"idempotent\":true,"
-		"\"checkpoint\":true,\"expected_ms\":1000}],"
-		"\"limits\":{\"lease_life_ms\":%u}}",
-		(workers + RACK_WORKERS - 1) / RACK_WORKERS, RACK_WORKERS,
-		WORKER_SLOTS, WORKER_ACCELERATORS, 1,
-		LEASE_A_WORKER_MS * workers / INSTANCES + LEASE_LEAST_MS);
+	double seconds = (double)measured_us / RJ_US_PER_S;
+	const struct tally *all[] = { &control->reports, &control->peers,
+				      &control->log, &control->list,
+				      &control->publications };
+	static const char *const names[] = { "reports", "peers", "log", "list",
+					     "publications" };
+	double sum = 0;
+
+	for (int i = 0; i < 5; i++) {
+		sum += (double)all[i]->bytes / seconds;
+		printf("{\"bench\":\"control\",\"measure\":\"%s\","
+		       "\"workers\":%u,\"instances\":%d,\"per_s\":%.2f,"
+		       "\"bytes_per_s\":%.0f}\n",
+		       names[i], control->site.workers, INSTANCES,
+		       (double)all[i]->exchanges / seconds,
+		       (double)all[i]->bytes / seconds);
+	}
+	printf("{\"bench\":\"control\",\"measure\":\"core\",\"workers\":%u,"
+	       "\"instances\":%d,\"bytes_per_s\":%.0f,"
+	       "\"cpu_percent\":%.3f,\"state_bytes\":%zu,"
+	       "\"config_bytes\":%zu,\"revision\":%" G_GUINT64_FORMAT "}\n",
+	       control->site.workers, INSTANCES, sum,
+	       used_us / (double)measured_us * 100.0, state_bytes,
+	       strlen(control->text), rj_core_config(&control->core)->revision);
 }
 
 /*
- * The platform's list: the instances and workers of one failure domain.
+ * Make the instance and all that it talks to.
  */
-static void make_list(struct control *control)
+static void control_init(struct control *control, const struct load *load)
 {
-	control->instance_count = INSTANCES + control->workers;
-	control->instances = talloc_zero_array(control->mem, struct rj_instance,
-					       control->instance_count);
-	g_assert(control->instances);
-	for (uint32_t i = 0; i < control->instance_count; i++) {
-		struct rj_instance *line = &control->instances[i];
-		bool entry = i < INSTANCES;
-
-		line->role = entry ? RJ_ROLE_ENTRY : RJ_ROLE_WORKER;
-		g_snprintf(line->name, RJ_NAME_BYTES,
-			   entry ? "entry-%u" : "worker-%05u", i);
-		g_strlcpy(line->domain, "domain", RJ_NAME_BYTES);
-		g_strlcpy(line->address.ip, "127.0.0.1", RJ_IP_BYTES);
-		line->address.port = (uint16_t)(1024 + i);
-		line->incarnation = 1;
-		line->rack = entry ? 0 : (i - INSTANCES) / RACK_WORKERS;
-	}
+	struct rj_core_options options = { .name = "entry-0",
+					   .domain = LARGE_SITE_DOMAIN,
+					   .incarnation = 100,
+					   .seed = 1,
+					   .retention_us = 7 * DAY_US };
+	struct rj_record first = { .kind = RJ_RECORD_CONFIG,
+				   .config_id = "first",
+				   .revision = 1 };
+	struct rj_error err;
+
+	memset(control, 0, sizeof(*control));
+	control->mem = talloc_named_const(NULL, 0, "control");
+	control->load = load;
+	control->site = load->site;
+	control->now_us = START_US;
+	control->peers_due_us = START_US;
+	control->change_due_us = START_US + WARM_UP_US;
+	control->replace_due_us = START_US + WARM_UP_US;
+	control->config = g_ptr_array_new();
+	control->wanted =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	control->reads = g_array_new(FALSE, FALSE, sizeof(struct waiting_read));
+	g_queue_init(&control->pending);
+	control->text = large_site_config(control->mem, &control->site);
+	first.config_text = control->text;
+	append_config(control, &first);
+	control->instances = large_site_list(control->mem, &control->site,
+					     &control->instance_count);
+	rj_actions_init(&control->actions, control->mem);
+	if (rj_planner_topology_init(&control->planner, control->mem))
+		g_error("the planner cannot be made");
+	options.planner = &control->planner.base;
+	if (rj_core_init(&control->core, control->mem, &options, &err))
+		g_error("%s", err.message);
 }
 
 /*
- * Print what was counted, per second.
+ * Free all of it.
  */
-static void print(const struct control *control, double used_us,
-		  size_t state_bytes)
+static void control_finish(struct control *control)
 {
-	double seconds = (double)MEASURED_US / RJ_US_PER_S;
-	const struct tally *all[] = { &control->reports, &control->peers,
-				      &control->log, &control->list };
-	static const char *const names[] = { "reports", "peers", "log",
-					     "list" };
-
-	for (int i = 0; i < 4; i++)
-		printf("{\"bench\":\"control\",\"measure\":\"%s\","
-		       "\"workers\":%u,\"instances\":%d,\"per_s\":%.2f,"
-		       "\"bytes_per_s\":%.0f}\n",
-		       names[i], control->workers, INSTANCES,
-		       (double)all[i]->exchanges / seconds,
-		       (double)all[i]->bytes / seconds);
-	printf("{\"bench\":\"control\",\"measure\":\"core\",\"workers\":%u,"
-	       "\"instances\":%d,\"cpu_percent\":%.3f,\"state_bytes\":%zu}\n",
-	       control->workers, INSTANCES, used_us / MEASURED_US * 100.0,
-	       state_bytes);
+	rj_core_finish(&control->core);
+	control->planner.base.ops->finish(&control->planner.base);
+	g_queue_clear(&control->pending);
+	g_array_free(control->reads, TRUE);
+	g_hash_table_destroy(control->wanted);
+	g_ptr_array_free(control->config, TRUE);
+	talloc_free(control->mem);
 }
 
 /*
- * Measure one instance of a failure domain with `workers` workers.
+ * Measure one instance under a load.
  */
-static void measure(uint32_t workers)
+static void measure(const struct load *load)
 {
+	uint64_t measured_us = load->changes_a_day || load->replacements_a_day ?
+				       MEASURED_LOAD_US :
+				       MEASURED_US;
 	struct control control;
-	struct rj_core_options options;
-	struct rj_error err;
-	GArray *reads = g_array_new(FALSE, FALSE, sizeof(struct waiting_read));
-	char *text;
 	double started_us;
 
-	memset(&control, 0, sizeof(control));
-	memset(&options, 0, sizeof(options));
-	control.mem = talloc_named_const(NULL, 0, "control");
-	control.workers = workers;
-	control.now_us = START_US;
-	control.peers_due_us = START_US;
-	g_queue_init(&control.pending);
-	text = config_text(control.mem, workers);
-	make_list(&control);
-	rj_actions_init(&control.actions, control.mem);
-	if (rj_planner_topology_init(&control.planner, control.mem))
-		g_error("the planner cannot be made");
-	g_strlcpy(options.name, "entry-0", sizeof(options.name));
-	g_strlcpy(options.domain, "domain", sizeof(options.domain));
-	options.incarnation = 100;
-	options.seed = 1;
-	options.planner = &control.planner.base;
-	options.retention_us = 3600 * RJ_US_PER_S;
-	if (rj_core_init(&control.core, control.mem, &options, &err))
-		g_error("%s", err.message);
-	run_until(&control, START_US + WARM_UP_US, text, reads);
+	control_init(&control, load);
+	run_until(&control, START_US + WARM_UP_US);
 	control.measuring = true;
 	started_us = cpu_us();
-	run_until(&control, control.now_us + MEASURED_US, text, reads);
-	print(&control, cpu_us() - started_us,
+	run_until(&control, control.now_us + measured_us);
+	print(&control, measured_us, cpu_us() - started_us,
 	      talloc_total_size(control.core.state) +
 		      talloc_total_size(control.planner.state));
-	rj_core_finish(&control.core);
-	control.planner.base.ops->finish(&control.planner.base);
-	g_queue_clear(&control.pending);
-	g_array_free(reads, TRUE);
-	talloc_free(control.mem);
+	control_finish(&control);
+}
+
+/*
+ * An option's number, or what it is when left out.
+ */
+static uint32_t number(const struct arg_int *option, uint32_t otherwise)
+{
+	return option->count ? (uint32_t)option->ival[0] : otherwise;
 }
 
 /*
  * `rj-bench control`: bytes, exchanges, processor time and state of one
- * instance's control at several sizes of its failure domain.
+ * instance's control at several sizes of its failure domain, or at one size
+ * under a load.
  */
 int bench_control(int argc, char **argv)
 {
+	struct arg_int *workers =
+		arg_int0(NULL, "workers", "N", "of a failure domain (several)");
+	struct arg_int *domains =
+		arg_int0(NULL, "domains", "N", "failure domains (1)");
+	struct arg_int *accounts =
+		arg_int0(NULL, "accounts", "N", "client accounts (1)");
+	struct arg_int *changes =
+		arg_int0(NULL, "changes", "N", "of configuration, a day (0)");
+	struct arg_int *replacements =
+		arg_int0(NULL, "replacements", "N", "of workers, a day (0)");
+	struct arg_lit *whole = arg_lit0(
+		NULL, "whole", "publish whole configurations, not changes");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_end *end = arg_end(4);
-	void *table[] = { help, end };
+	void *table[] = { workers,	domains, accounts, changes,
+			  replacements, whole,	 help,	   end };
 	int errors = arg_parse(argc, argv, table);
-	bool wants_help = help->count > 0;
-
-	arg_freetable(table, 2);
-	if (errors || wants_help) {
-		fputs("usage: bench control [--help]\n",
-		      errors ? stderr : stdout);
-		return errors ? 2 : 0;
+	struct load load = { .site = { .domains = number(domains, 1),
+				       .workers = number(workers, 0),
+				       .instances = INSTANCES,
+				       .accounts = number(accounts, 1),
+				       .guarantees = number(accounts, 1) > 1 },
+			     .changes_a_day = number(changes, 0),
+			     .replacements_a_day = number(replacements, 0),
+			     .whole = whole->count > 0 };
+	int status = 0;
+
+	if (errors || help->count) {
+		FILE *out = help->count ? stdout : stderr;
+
+		(void)fputs("usage: bench control", out);
+		arg_print_syntax(out, table, "\n");
+		arg_print_glossary(out, table, "  %-20s %s\n");
+		status = help->count ? 0 : 2;
+	} else if (load.site.workers) {
+		measure(&load);
+	} else {
+		for (size_t i = 0;
+		     i < sizeof(worker_counts) / sizeof(worker_counts[0]);
+		     i++) {
+			load.site.workers = worker_counts[i];
+			measure(&load);
+		}
 	}
-	for (size_t i = 0; i < sizeof(worker_counts) / sizeof(worker_counts[0]);
-	     i++)
-		measure(worker_counts[i]);
-	return 0;
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return status;
 }
