bench ownership: owners of racks against any instance

Cause: that any instance plans any rack was weighed against ownership on paper only, and what two owners for a while cost was not known. Excluded: a switch in the core; an instance that hears of no other owns all. Change: `bench ownership`, real cores over the fakes at 4 and 8 instances, in three modes: owned, links cut for 10 s in 30, and no links at all. Before: not measured.

--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -15,6 +15,7 @@
 int bench_policy(int argc, char **argv);
 int bench_cost(int argc, char **argv);
 int bench_control(int argc, char **argv);
+int bench_ownership(int argc, char **argv);
 int bench_faults(int argc, char **argv);
 int bench_path(int argc, char **argv);
 
--- a/src/bench/main.c
+++ b/src/bench/main.c
@@ -7,6 +7,8 @@
 	{ "policy", "completion, fragmentation and reclaim", bench_policy },
 	{ "cost", "time and state of decisions, with slopes", bench_cost },
 	{ "control", "what one instance spends on control", bench_control },
+	{ "ownership", "owners of racks against any instance",
+	  bench_ownership },
 	{ "faults", "run seeded faults and judge every promise", bench_faults },
 	{ "path", "small requests through a daemon, and added latency",
 	  bench_path },
--- /dev/null
+++ b/src/bench/ownership.c
@@ -0,0 +1,380 @@
+/*
+ * Ownership of racks against its alternative, in which any instance plans any
+ * rack: real cores of one failure domain over the fakes, under the same load.
+ *
+ * An instance that hears of no other owns all racks, so that the alternative
+ * is a domain whose peers have no links; with links cut for a while, racks
+ * have several owners for a while.
+ */
+#include <argtable2.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "bench.h"
+#include "private/peer_codec.h"
+#include "private/worker_wire.h"
+#include "support/quantile.h"
+#include "support/world.h"
+
+#define RACKS 8
+#define RACK_WORKERS 8
+#define ACCELERATORS (RACKS * RACK_WORKERS * 8)
+/* Of a job of the mix below: what it occupies, in microseconds. */
+#define MEAN_ACCELERATOR_US (6300 * RJ_US_PER_MS)
+#define HTTP_BYTES 330 /* as in `bench control` */
+#define FRAME_BYTES 48
+#define LOAD_FROM_US (10 * RJ_US_PER_S)
+#define LOAD_US (60 * RJ_US_PER_S)
+#define END_US (130 * RJ_US_PER_S)
+/* In the mode `cut`: links fail for so long, in each such period. */
+#define CUT_US (10 * RJ_US_PER_S)
+#define CUT_PERIOD_US (30 * RJ_US_PER_S)
+#define SEEDS_DEFAULT 5
+
+enum mode { MODE_OWNED, MODE_CUT, MODE_ANY, MODE_COUNT };
+
+static const char *const mode_string[MODE_COUNT] = { "owned", "cut", "any" };
+
+struct tally {
+	uint64_t calls;
+	uint64_t reports;
+	uint64_t report_bytes;
+	uint64_t refused; /* calls that a worker refused */
+	uint64_t claims_lost;
+	uint64_t peer_bytes;
+	uint64_t links; /* pairs of an instance and a worker that it called */
+};
+
+/* A core whose actions and replies are counted. */
+struct counted {
+	struct engine base;
+	struct engine *inner;
+	GHashTable *calls; /* call_id -> struct rj_worker_call, reports */
+	GHashTable *workers; /* names of those called */
+	struct tally tally;
+};
+
+static int counted_release(struct counted *counted)
+{
+	g_hash_table_destroy(counted->calls);
+	g_hash_table_destroy(counted->workers);
+	return 0;
+}
+
+static const struct engine_ops engine_counted;
+
+/* Make a core and what counts it. */
+static struct engine *counted_create(void *mem,
+				     const struct rj_core_options *options)
+{
+	struct counted *counted = talloc_zero(mem, struct counted);
+
+	g_assert(counted);
+	counted->base.ops = &engine_counted;
+	counted->inner = engine_core.create(counted, options);
+	counted->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       NULL, g_free);
+	counted->workers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	talloc_set_destructor(counted, counted_release);
+	return &counted->base;
+}
+
+/* Count a call to a worker; a report is kept until its answer comes. */
+static void count_call(struct counted *counted,
+		       const struct rj_worker_call *call)
+{
+	struct rj_worker_call *copy;
+	void *mem;
+
+	counted->tally.calls++;
+	g_hash_table_add(counted->workers, g_strdup(call->worker));
+	if (call->op != RJ_WORKER_REPORT)
+		return;
+	mem = talloc_new(NULL);
+	counted->tally.reports++;
+	counted->tally.report_bytes +=
+		strlen(rj_worker_wire_encode_call(mem, call)) + HTTP_BYTES;
+	talloc_free(mem);
+	copy = g_memdup2(call, sizeof(*call));
+	g_hash_table_insert(counted->calls, &copy->call_id, copy);
+}
+
+/* Count the answer to a call. */
+static void count_reply(struct counted *counted,
+			const struct rj_worker_reply *reply)
+{
+	const struct rj_worker_call *call =
+		g_hash_table_lookup(counted->calls, &reply->call_id);
+	void *mem;
+
+	counted->tally.refused += reply->status == RJ_REPLY_REFUSED;
+	if (!call)
+		return;
+	if (reply->status == RJ_REPLY_OK) {
+		mem = talloc_new(NULL);
+		counted->tally.report_bytes +=
+			strlen(rj_worker_wire_encode_reply(mem, call, reply));
+		talloc_free(mem);
+	}
+	g_hash_table_remove(counted->calls, &reply->call_id);
+}
+
+/* Count what goes to a peer. */
+static void count_message(struct counted *counted,
+			  const struct rj_peer_message *message)
+{
+	void *mem = talloc_new(NULL);
+
+	counted->tally.peer_bytes +=
+		rj_peer_encode(mem, message).length + FRAME_BYTES;
+	talloc_free(mem);
+}
+
+/* Let the core decide, and count what it was told and what it does. */
+static void counted_process(struct engine *base, const struct rj_event *event,
+			    struct rj_actions *actions)
+{
+	struct counted *counted = (struct counted *)base;
+
+	if (event->kind == RJ_EVENT_WORKER_REPLY)
+		count_reply(counted, &event->u.worker_reply);
+	counted->inner->ops->process(counted->inner, event, actions);
+	for (uint32_t i = 0; i < actions->count; i++) {
+		const struct rj_action *action = &actions->list[i];
+
+		if (action->kind == RJ_ACTION_WORKER_CALL)
+			count_call(counted, &action->u.worker_call);
+		else if (action->kind == RJ_ACTION_PEER_SEND)
+			count_message(counted, action->u.peer.message);
+		else if (action->kind == RJ_ACTION_LOG)
+			counted->tally.claims_lost +=
+				action->u.log.why == RJ_REASON_CLAIM_LOST;
+	}
+}
+
+static uint64_t counted_wake_us(const struct engine *base)
+{
+	const struct counted *counted = (const struct counted *)base;
+
+	return counted->inner->ops->wake_us(counted->inner);
+}
+
+static const struct engine_ops engine_counted = {
+	.name = "counted",
+	.create = counted_create,
+	.process = counted_process,
+	.wake_us = counted_wake_us,
+};
+
+/* Cut or mend all links between the instances. */
+static void cut_links(struct world *world, bool cut)
+{
+	for (uint32_t a = 0; a < world->node_count; a++)
+		for (uint32_t b = a + 1; b < world->node_count; b++)
+			world->links[a][b].cut = cut;
+}
+
+/* Small jobs, keyed quotes, and gangs that may have to be adjacent. */
+static void add_callers(struct world *world, uint32_t load_percent)
+{
+	uint32_t callers = (uint32_t)((uint64_t)ACCELERATORS * LOAD_US *
+				      load_percent / 100 / MEAN_ACCELERATOR_US);
+
+	for (uint32_t i = 0; i < callers; i++) {
+		struct caller_plan plan = {
+			.class_name = "preview",
+			.account = WORLD_OTHER_ACCOUNT,
+			.tasks = 1,
+			.accelerators = 1,
+			.run_us = 20 * RJ_US_PER_MS +
+				  world_random(world, RJ_US_PER_S),
+			.idempotent = true,
+			.waits = true,
+		};
+		uint64_t kind = world_random(world, 5);
+
+		if (kind == 3) {
+			plan.class_name = "quote";
+			plan.key = i + 1;
+			plan.idempotent = false;
+		} else if (kind == 4) {
+			plan.class_name = "pack";
+			plan.tasks = 2 + (uint32_t)world_random(world, 3);
+			plan.accelerators =
+				4 + 4 * (uint32_t)world_random(world, 2);
+			plan.adjacent = world_random(world, 2) == 0;
+			plan.run_us *= 3;
+		}
+		fake_caller_add(world,
+				LOAD_FROM_US + world_random(world, LOAD_US),
+				&plan);
+	}
+}
+
+/* Let the time of one run pass, with the links as the mode has them. */
+static void run_mode(struct world *world, enum mode mode)
+{
+	cut_links(world, mode == MODE_ANY);
+	for (uint64_t at_us = 0; mode == MODE_CUT && at_us < LOAD_US;
+	     at_us += CUT_PERIOD_US) {
+		world_run_until(world, LOAD_FROM_US + at_us);
+		cut_links(world, true);
+		world_run_until(world, LOAD_FROM_US + at_us + CUT_US);
+		cut_links(world, false);
+	}
+	world_run_until(world, END_US);
+}
+
+/* Add one instance's counts. */
+static void add_tally(struct tally *sum, const struct counted *counted)
+{
+	sum->calls += counted->tally.calls;
+	sum->reports += counted->tally.reports;
+	sum->report_bytes += counted->tally.report_bytes;
+	sum->refused += counted->tally.refused;
+	sum->claims_lost += counted->tally.claims_lost;
+	sum->peer_bytes += counted->tally.peer_bytes;
+	sum->links += g_hash_table_size(counted->workers);
+}
+
+/* What several runs of one mode came to. */
+struct outcome {
+	struct tally tally;
+	GArray *small_ms; /* double: completion of previews and quotes */
+	GArray *gang_ms;
+	uint32_t asked;
+	uint64_t violations;
+};
+
+/* Run one seed and add to the outcome. */
+static void run_seed(struct outcome *outcome, enum mode mode,
+		     uint32_t instances, uint32_t load_percent, uint64_t seed)
+{
+	struct world_options options = { .engine = &engine_counted,
+					 .seed = seed,
+					 .domains = 1,
+					 .nodes_per_domain = instances,
+					 .racks_per_domain = RACKS,
+					 .workers_per_rack = RACK_WORKERS };
+	void *mem = talloc_new(NULL);
+	struct world *world = world_create(mem, &options);
+
+	add_callers(world, load_percent);
+	run_mode(world, mode);
+	for (uint32_t i = 0; i < world->node_count; i++)
+		add_tally(&outcome->tally,
+			  (struct counted *)world->nodes[i].engine);
+	for (guint i = 0; i < world->callers->len; i++) {
+		const struct fake_caller *caller = world->callers->pdata[i];
+		double took_ms =
+			(double)(caller->served_us - caller->first_us) /
+			RJ_US_PER_MS;
+
+		outcome->asked++;
+		if (caller->served_us == RJ_NEVER_US)
+			continue;
+		g_array_append_val(caller->spec.shape.tasks > 1 ?
+					   outcome->gang_ms :
+					   outcome->small_ms,
+				   took_ms);
+	}
+	/* Which configuration is in force is told by heartbeats alone, and
+	   without links there are none. */
+	for (int i = 0; i < PROMISE_COUNT; i++)
+		if (i != PROMISE_CONFIG)
+			outcome->violations += world->checker.violations[i];
+	talloc_free(mem);
+}
+
+/* A quantile of times, 0 of none. */
+static double quantile(const GArray *times, double share)
+{
+	return times->len ? quantile_of((double *)(void *)times->data,
+					times->len, share) :
+			    0;
+}
+
+/* Print one mode's line. */
+static void print(const struct outcome *outcome, enum mode mode,
+		  uint32_t instances, uint32_t seeds)
+{
+	const struct tally *tally = &outcome->tally;
+	double seconds = (double)END_US / RJ_US_PER_S * seeds;
+	double each = seconds * instances;
+
+	printf("{\"bench\":\"ownership\",\"mode\":\"%s\",\"instances\":%u,"
+	       "\"workers\":%u,\"seeds\":%u,\"instances_a_worker\":%.1f,"
+	       "\"reports_a_worker_s\":%.2f,\"report_bytes_s\":%.0f,"
+	       "\"peer_bytes_s\":%.0f,\"calls\":%" G_GUINT64_FORMAT
+	       ",\"refused\":%" G_GUINT64_FORMAT
+	       ",\"claims_lost\":%" G_GUINT64_FORMAT
+	       ",\"asked\":%u,\"served\":%u,\"small_p50_ms\":%.0f,"
+	       "\"small_p95_ms\":%.0f,\"gang_p50_ms\":%.0f,"
+	       "\"gang_p95_ms\":%.0f,\"violations\":%" G_GUINT64_FORMAT "}\n",
+	       mode_string[mode], instances, RACKS * RACK_WORKERS, seeds,
+	       (double)tally->links / (RACKS * RACK_WORKERS) / seeds,
+	       (double)tally->reports / seconds / (RACKS * RACK_WORKERS),
+	       (double)tally->report_bytes / each,
+	       (double)tally->peer_bytes / each, tally->calls, tally->refused,
+	       tally->claims_lost, outcome->asked,
+	       outcome->small_ms->len + outcome->gang_ms->len,
+	       quantile(outcome->small_ms, 0.5),
+	       quantile(outcome->small_ms, 0.95),
+	       quantile(outcome->gang_ms, 0.5),
+	       quantile(outcome->gang_ms, 0.95), outcome->violations);
+	(void)fflush(stdout);
+}
+
+/* Measure one mode at one number of instances. */
+static void measure(enum mode mode, uint32_t instances, uint32_t load_percent,
+		    uint32_t seeds)
+{
+	struct outcome outcome = {
+		.small_ms = g_array_new(FALSE, FALSE, sizeof(double)),
+		.gang_ms = g_array_new(FALSE, FALSE, sizeof(double)),
+	};
+
+	for (uint32_t seed = 1; seed <= seeds; seed++)
+		run_seed(&outcome, mode, instances, load_percent, seed);
+	print(&outcome, mode, instances, seeds);
+	g_array_unref(outcome.small_ms);
+	g_array_unref(outcome.gang_ms);
+}
+
+/*
+ * `rj-bench ownership`: connections, reports, refused calls, completion and
+ * control bytes at 4 and 8 instances.
+ */
+int bench_ownership(int argc, char **argv)
+{
+	struct arg_int *seeds =
+		arg_int0(NULL, "seeds", "N", "runs of each mode (5)");
+	struct arg_int *load =
+		arg_int0(NULL, "load", "PERCENT", "of the accelerators (80)");
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
+	struct arg_end *end = arg_end(4);
+	void *table[] = { seeds, load, help, end };
+	int errors = arg_parse(argc, argv, table);
+	uint32_t runs = seeds->count ? (uint32_t)seeds->ival[0] : SEEDS_DEFAULT;
+	uint32_t percent = load->count ? (uint32_t)load->ival[0] : 80;
+	int status = 0;
+
+	if (errors || help->count) {
+		FILE *out = help->count ? stdout : stderr;
+
+		(void)fputs("usage: bench ownership", out);
+		arg_print_syntax(out, table, "\n");
+		arg_print_glossary(out, table, "  %-20s %s\n");
+		status = help->count ? 0 : 2;
+		goto out;
+	}
+	for (uint32_t instances = 4; instances <= 8; instances += 4)
+		for (int mode = 0; mode < MODE_COUNT; mode++)
+			measure(mode, instances, percent, runs);
+out:
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return status;
+}
