platform: the list of instances by its changes

Excluded: asking for the own failure domain alone (the claims of a lost domain are settled by the others, who need its workers' addresses); changes over the peer links (a second way of the same list). Change: `changes=1` asks for what differs from the known version; the answer names that version, and the adapter holds the list. Changes against another version are passed over, and a list of another length is asked for whole. A platform that knows no changes answers whole, as before. Conclusion: the list is carried.

--- a/include/radishjunction/http_platform.h
+++ b/include/radishjunction/http_platform.h
@@ -12,6 +12,7 @@
 
 #include "radishjunction/adapter.h"
 #include "radishjunction/error.h"
+#include "radishjunction/instance_list.h"
 
 struct rj_http_client;
 
@@ -20,7 +21,7 @@
 	struct rj_sink *sink;
 	struct rj_http_client *client; /* talloc child of init's mem */
 	struct rj_address address;
-	uint64_t list_version; /* of the list that was delivered last */
+	struct rj_instance_list list; /* as it was delivered last */
 	/* So many records are asked for; fewer after a page was too long. */
 	uint32_t read_max[RJ_STREAM_COUNT];
 };
--- a/src/bench/control.c
+++ b/src/bench/control.c
@@ -16,6 +16,8 @@
 
 #include "bench.h"
 #include "large_site.h"
+#include "list_history.h"
+#include "private/instance_list.h"
 #include "private/peer_codec.h"
 #include "private/platform_wire.h"
 #include "private/worker_wire.h"
@@ -49,7 +51,7 @@
 	struct large_site site;
 	uint32_t changes_a_day; /* of the configuration */
 	uint32_t replacements_a_day; /* of workers, all over the site */
-	bool whole; /* each publication is a whole configuration */
+	bool whole; /* configurations and lists are sent whole */
 };
 
 struct tally {
@@ -69,7 +71,8 @@
 	struct rj_planner_topology planner;
 	struct rj_actions actions;
 	struct rj_instance *instances;
-	uint64_t list_known; /* the version of the list last given */
+	struct rj_standin_history *history; /* of the list */
+	struct rj_instance_list list; /* as the instance has it */
 	uint32_t instance_count;
 	const struct load *load;
 	struct large_site site; /* with the configuration as it is now */
@@ -87,7 +90,7 @@
 	struct tally reports;
 	struct tally peers;
 	struct tally log;
-	struct tally list;
+	struct tally list_tally;
 	struct tally publications; /* in peers' messages and in the log */
 };
 
@@ -256,26 +259,31 @@
 }
 
 /*
- * The list of the platform; whole only when it has changed.
+ * The list of the platform, as the adapter takes it: whole at first, then
+ * what has changed (or whole each time, as before there were changes).
  */
 static void answer_list(struct control *control)
 {
 	struct rj_event *event = queue_event(control, RJ_EVENT_INSTANCES);
-	char *text = rj_instances_encode(event, control->instances,
-					 control->instance_count,
-					 control->list_known);
-
-	uint64_t version;
-	struct rj_instance *list;
+	uint64_t known = control->list.version;
+	struct rj_instances_answer answer;
+	char *text;
 
-	g_assert(!rj_instances_decode(
-		event, text, &list, &event->u.instances.count, &version, NULL));
-	if (list)
-		event->u.instances.list = list;
+	if (control->load->whole ||
+	    !rj_standin_history_since(control->history, event, known,
+				      control->instances,
+				      control->instance_count, &answer) ||
+	    answer.version == known)
+		text = rj_instances_encode(event, control->instances,
+					   control->instance_count, known);
 	else
+		text = rj_instances_encode_changes(event, &answer);
+	g_assert(!rj_instances_decode(event, text, &answer, NULL));
+	if (!rj_instance_list_take(&control->list, &answer))
 		event->kind = RJ_EVENT_TIMER; /* nothing is delivered */
-	control->list_known = version;
-	count(control, &control->list, strlen(text) + HTTP_BYTES);
+	event->u.instances.list = control->list.lines;
+	event->u.instances.count = control->list.count;
+	count(control, &control->list_tally, strlen(text) + HTTP_BYTES);
 }
 
 /*
@@ -466,6 +474,10 @@
 		at = control->replaced++ * 7919 % control->instance_count;
 		line = &control->instances[at];
 	} while (line->role != RJ_ROLE_WORKER);
+	rj_standin_history_note(control->history,
+				rj_instances_version(control->instances,
+						     control->instance_count),
+				line->name);
 	line->address.port ^= 1;
 }
 
@@ -532,7 +544,7 @@
 {
 	double seconds = (double)measured_us / RJ_US_PER_S;
 	const struct tally *all[] = { &control->reports, &control->peers,
-				      &control->log, &control->list,
+				      &control->log, &control->list_tally,
 				      &control->publications };
 	static const char *const names[] = { "reports", "peers", "log", "list",
 					     "publications" };
@@ -589,6 +601,9 @@
 	append_config(control, &first);
 	control->instances = large_site_list(control->mem, &control->site,
 					     &control->instance_count);
+	rj_instance_list_init(&control->list, control->mem);
+	control->history = talloc_zero(control->mem, struct rj_standin_history);
+	g_assert(control->history);
 	rj_actions_init(&control->actions, control->mem);
 	if (rj_planner_topology_init(&control->planner, control->mem))
 		g_error("the planner cannot be made");
@@ -659,7 +674,7 @@
 	struct arg_int *replacements =
 		arg_int0(NULL, "replacements", "N", "of workers, a day (0)");
 	struct arg_lit *whole = arg_lit0(
-		NULL, "whole", "publish whole configurations, not changes");
+		NULL, "whole", "whole configurations and lists, not changes");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_end *end = arg_end(4);
 	void *table[] = { workers,	domains, accounts, changes,
--- a/src/libradishjunction/include/private/platform_wire.h
+++ b/src/libradishjunction/include/private/platform_wire.h
@@ -21,6 +21,22 @@
 	const char *text;
 };
 
+struct rj_instance_name {
+	char name[RJ_NAME_BYTES];
+};
+
+/* What the platform says of the list of instances. */
+struct rj_instances_answer {
+	uint64_t version; /* of the list as it is now; 0: it has none */
+	uint64_t since; /* only what differs from that version; 0: all */
+	bool unchanged; /* as in the version that was asked about */
+	uint32_t total; /* with `since`: lines of the list as it is now */
+	struct rj_instance *instances;
+	uint32_t count;
+	struct rj_instance_name *gone; /* with `since`: no longer listed */
+	uint32_t gone_count;
+};
+
 /* The answer to a read. */
 struct rj_log_page {
 	uint64_t oldest;
@@ -42,8 +58,12 @@
 		       struct rj_error *err);
 char *rj_instances_encode(void *mem, const struct rj_instance *instances,
 			  uint32_t count, uint64_t known);
+uint64_t rj_instances_version(const struct rj_instance *instances,
+			      uint32_t count);
+char *rj_instances_encode_changes(void *mem,
+				  const struct rj_instances_answer *answer);
 int rj_instances_decode(void *mem, const char *text,
-			struct rj_instance **instances, uint32_t *count,
-			uint64_t *version, struct rj_error *err);
+			struct rj_instances_answer *answer,
+			struct rj_error *err);
 
 #endif
--- a/src/libradishjunction/platform/http_platform.c
+++ b/src/libradishjunction/platform/http_platform.c
@@ -7,6 +7,7 @@
 
 #include "private/clock.h"
 #include "private/http_client.h"
+#include "private/instance_list.h"
 #include "private/platform_wire.h"
 #include "private/wire.h"
 
@@ -274,18 +275,17 @@
 {
 	const struct pending *pending = private_data;
 	struct rj_event event = { .kind = RJ_EVENT_INSTANCES };
+	struct rj_instance_list *list = &pending->platform->list;
 	void *mem = talloc_new(NULL);
-	struct rj_instance *list;
-	uint64_t version;
+	struct rj_instances_answer answer;
 
 	assert(mem);
 	if (result->outcome == RJ_HTTP_ANSWERED &&
 	    result->status == STATUS_OK &&
-	    !rj_instances_decode(mem, result->body, &list,
-				 &event.u.instances.count, &version, NULL) &&
-	    list) {
-		event.u.instances.list = list;
-		pending->platform->list_version = version;
+	    !rj_instances_decode(mem, result->body, &answer, NULL) &&
+	    rj_instance_list_take(list, &answer)) {
+		event.u.instances.list = list->lines;
+		event.u.instances.count = list->count;
 		deliver(pending->platform, &event);
 	}
 	talloc_free(mem);
@@ -302,8 +302,8 @@
 		.private_data = pending_new(platform),
 	};
 
-	send_to(platform, &send, "/v1/instances?known=%016" PRIx64,
-		platform->list_version);
+	send_to(platform, &send, "/v1/instances?known=%016" PRIx64 "&changes=1",
+		platform->list.version);
 }
 
 /* See rj_platform_ops: calls that are open end in no event. */
@@ -338,6 +338,7 @@
 	platform->address = *address;
 	for (uint32_t i = 0; i < RJ_STREAM_COUNT; i++)
 		platform->read_max[i] = READ_RECORDS_MAX;
+	rj_instance_list_init(&platform->list, mem);
 	platform->client = talloc_zero(mem, struct rj_http_client);
 	assert(platform->client);
 	if (rj_http_client_init(platform->client, platform->client, ev,
--- a/src/libradishjunction/platform/platform_wire.c
+++ b/src/libradishjunction/platform/platform_wire.c
@@ -100,19 +100,40 @@
 	.open = true,
 };
 
+static const struct rj_schema_field name_fields[] = {
+	{ RJ_FIELD(name, rj_instance_name, name) },
+};
+
+static const struct rj_schema name_schema = {
+	.fields = name_fields,
+	.field_count = RJ_FIELD_COUNT(name_fields),
+	.size = sizeof(struct rj_instance_name),
+	.open = true,
+};
+
 struct wire_instances {
 	uint64_t version;
+	uint64_t since; /* only what differs from that version */
 	bool unchanged; /* as in the list that the caller knows */
+	uint32_t total; /* with `since` */
 	struct wire_instance *instances;
 	uint32_t count;
+	struct rj_instance_name *gone; /* with `since` */
+	uint32_t gone_count;
 };
 
 static const struct rj_schema_field instances_fields[] = {
 	{ RJ_FIELD(id, wire_instances, version), .optional = true },
+	{ RJ_FIELD(id, wire_instances, since), .optional = true },
 	{ RJ_FIELD(bool, wire_instances, unchanged), .optional = true },
+	{ RJ_FIELD(u32, wire_instances, total), .optional = true,
+	  .max = RJ_INSTANCES_MAX },
 	{ RJ_FIELD(array, wire_instances, instances), .optional = true,
 	  .count_offset = offsetof(struct wire_instances, count),
 	  .schema = &instance_schema, .max = RJ_INSTANCES_MAX },
+	{ RJ_FIELD(array, wire_instances, gone), .optional = true,
+	  .count_offset = offsetof(struct wire_instances, gone_count),
+	  .schema = &name_schema, .max = RJ_INSTANCES_MAX },
 };
 
 static const struct rj_schema instances_schema = {
@@ -231,9 +252,12 @@
 	return 0;
 }
 
-/* A digest of the list; a worker's address moves with its incarnation. */
-static uint64_t list_version(const struct rj_instance *instances,
-			     uint32_t count)
+/*
+ * The version of a list: a digest of it; a worker's address moves with its
+ * incarnation.
+ */
+uint64_t rj_instances_version(const struct rj_instance *instances,
+			      uint32_t count)
 {
 	uint64_t digest = count + 1;
 
@@ -258,7 +282,7 @@
 {
 	struct wire_instances wire = {
 		.count = count,
-		.version = list_version(instances, count),
+		.version = rj_instances_version(instances, count),
 	};
 	char *text;
 
@@ -276,6 +300,33 @@
 	return text;
 }
 
+/*
+ * What differs from the version `answer->since` in the list that is now of
+ * `answer->version`.
+ */
+char *rj_instances_encode_changes(void *mem,
+				  const struct rj_instances_answer *answer)
+{
+	struct wire_instances wire = {
+		.version = answer->version,
+		.since = answer->since,
+		.total = answer->total,
+		.count = answer->count,
+		.gone = answer->gone,
+		.gone_count = answer->gone_count,
+	};
+	void *own = talloc_new(NULL);
+	char *text;
+
+	wire.instances = talloc_array(own, struct wire_instance, answer->count);
+	assert(wire.instances);
+	for (uint32_t i = 0; i < answer->count; i++)
+		to_wire(&wire.instances[i], &answer->instances[i]);
+	text = rj_wire_encode(mem, &instances_schema, &wire);
+	talloc_free(own);
+	return text;
+}
+
 /* Read the good lines of `list`; returns how many there are. */
 static uint32_t decode_lines(const json_t *list, struct rj_instance *instances)
 {
@@ -295,45 +346,72 @@
 	return count;
 }
 
-/* The version that a list names, or 0. */
-static uint64_t version_of(const json_t *json)
+/* The version of that field, or 0. */
+static uint64_t version_of(const json_t *json, const char *field)
 {
-	const char *text = json_string_value(json_object_get(json, "version"));
+	const char *text = json_string_value(json_object_get(json, field));
 
 	return text ? g_ascii_strtoull(text, NULL, 16) : 0;
 }
 
+/* Read the names of those that are no longer listed. */
+static void decode_gone(void *mem, const json_t *list,
+			struct rj_instances_answer *answer)
+{
+	const json_t *line;
+	size_t i;
+
+	answer->gone = talloc_zero_array(mem, struct rj_instance_name,
+					 json_array_size(list));
+	assert(answer->gone);
+	json_array_foreach(list, i, line)
+	{
+		const char *name =
+			json_string_value(json_object_get(line, "name"));
+
+		if (name &&
+		    !rj_name_set(answer->gone[answer->gone_count].name, name))
+			answer->gone_count++;
+	}
+}
+
 /*
- * Read the list of instances; a line that is not as it must be is passed
- * over, so that it does not hide who else is live or leaving. Returns 0, or
- * -1 with `err` when it is no list. `*instances` is NULL when the list is as
- * in the version that was asked about; `*version` is that of this list.
+ * Read what the platform says of the list; a line that is not as it must be
+ * is passed over, so that it does not hide who else is live or leaving.
+ * Returns 0, or -1 with `err` when it is no list.
  */
 int rj_instances_decode(void *mem, const char *text,
-			struct rj_instance **instances, uint32_t *count,
-			uint64_t *version, struct rj_error *err)
+			struct rj_instances_answer *answer,
+			struct rj_error *err)
 {
 	json_t *json = json_loads(text, 0, NULL);
 	const json_t *list = json_object_get(json, "instances");
-
-	*instances = NULL;
-	*count = 0;
-	*version = version_of(json);
-	if (json_is_true(json_object_get(json, "unchanged"))) {
+	const json_t *gone = json_object_get(json, "gone");
+
+	memset(answer, 0, sizeof(*answer));
+	answer->version = version_of(json, "version");
+	answer->since = version_of(json, "since");
+	answer->unchanged = json_is_true(json_object_get(json, "unchanged"));
+	answer->total =
+		(uint32_t)json_integer_value(json_object_get(json, "total"));
+	if (!answer->unchanged && !answer->since && !json_is_array(list)) {
 		json_decref(json);
-		return 0;
+		return rj_error_set(err, RJ_ERR_MALFORMED,
+				    "instances: no list; ask again");
 	}
-	if (!json_is_array(list) || json_array_size(list) > RJ_INSTANCES_MAX) {
+	if (json_array_size(list) > RJ_INSTANCES_MAX ||
+	    json_array_size(gone) > RJ_INSTANCES_MAX) {
 		json_decref(json);
 		return rj_error_set(err, RJ_ERR_MALFORMED,
 				    "instances: no list of at most %d; ask "
 				    "again",
 				    RJ_INSTANCES_MAX);
 	}
-	*instances =
+	answer->instances =
 		talloc_array(mem, struct rj_instance, json_array_size(list));
-	assert(*instances);
-	*count = decode_lines(list, *instances);
+	assert(answer->instances);
+	answer->count = decode_lines(list, answer->instances);
+	decode_gone(mem, gone, answer);
 	json_decref(json);
 	return 0;
 }
--- /dev/null
+++ b/src/libstandin/list_history.c
@@ -0,0 +1,69 @@
+#include "list_history.h"
+
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+/*
+ * Note a change of the line of `name` in the list of version `before`.
+ */
+void rj_standin_history_note(struct rj_standin_history *history,
+			     uint64_t before, const char *name)
+{
+	uint64_t at = history->count++ % RJ_STANDIN_HISTORY_KEPT;
+
+	history->changes[at].before = before;
+	(void)rj_name_set(history->changes[at].name, name);
+}
+
+/* Add what has become of the line of `name`. */
+static void add_change(struct rj_instances_answer *answer, const char *name,
+		       const struct rj_instance *instances, uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		if (strcmp(instances[i].name, name) != 0)
+			continue;
+		answer->instances[answer->count++] = instances[i];
+		return;
+	}
+	(void)rj_name_set(answer->gone[answer->gone_count++].name, name);
+}
+
+/*
+ * Fill `answer` with what differs from the version `known` in the list as it
+ * is now, as talloc children of `mem`. False if that version is not known any
+ * more: then the list goes whole.
+ */
+bool rj_standin_history_since(const struct rj_standin_history *history,
+			      void *mem, uint64_t known,
+			      const struct rj_instance *instances,
+			      uint32_t count,
+			      struct rj_instances_answer *answer)
+{
+	uint64_t oldest = history->count > RJ_STANDIN_HISTORY_KEPT ?
+				  history->count - RJ_STANDIN_HISTORY_KEPT :
+				  0;
+	uint64_t from = history->count;
+
+	while (from > oldest &&
+	       history->changes[(from - 1) % RJ_STANDIN_HISTORY_KEPT].before !=
+		       known)
+		from--;
+	if (from-- == oldest || !known)
+		return false;
+	memset(answer, 0, sizeof(*answer));
+	answer->version = rj_instances_version(instances, count);
+	answer->since = known;
+	answer->total = count;
+	answer->instances =
+		talloc_array(mem, struct rj_instance, history->count - from);
+	answer->gone = talloc_zero_array(mem, struct rj_instance_name,
+					 history->count - from);
+	assert(answer->instances && answer->gone);
+	for (; from < history->count; from++)
+		add_change(
+			answer,
+			history->changes[from % RJ_STANDIN_HISTORY_KEPT].name,
+			instances, count);
+	return true;
+}
--- a/src/libstandin/platform.c
+++ b/src/libstandin/platform.c
@@ -240,6 +240,10 @@
 	uint32_t index = list_index(platform, change->instance.name);
 	bool listed = index < platform->instance_count;
 
+	rj_standin_history_note(&platform->history,
+				rj_instances_version(platform->instances,
+						     platform->instance_count),
+				change->instance.name);
 	if (change->gone && listed) {
 		platform->instance_count--;
 		platform->instances[index] =
@@ -347,13 +351,25 @@
 	return talloc_strndup(request, path + before, length - before - after);
 }
 
-/* The list, or only that it is as the caller knows it. */
+/* The list, or what differs from the version that the caller knows, or only
+ * that nothing does. */
 static void handle_list(struct rj_standin_platform *platform,
 			struct rj_http_exchange *request)
 {
 	const char *text = rj_http_exchange_argument(request, "known");
 	uint64_t known = text ? strtoull(text, NULL, 16) : 0;
-
+	bool changes = argument(request, "changes", 0, 1);
+	struct rj_instances_answer part;
+
+	if (changes &&
+	    known != rj_instances_version(platform->instances,
+					  platform->instance_count) &&
+	    rj_standin_history_since(&platform->history, request, known,
+				     platform->instances,
+				     platform->instance_count, &part)) {
+		answer(request, rj_instances_encode_changes(request, &part));
+		return;
+	}
 	answer(request, rj_instances_encode(request, platform->instances,
 					    platform->instance_count, known));
 }
--- a/src/libstandin/platform.h
+++ b/src/libstandin/platform.h
@@ -11,6 +11,7 @@
 
 #include <glib.h>
 
+#include "list_history.h"
 #include "gate.h"
 #include "http_server.h"
 #include "radishjunction/event.h"
@@ -32,6 +33,7 @@
 	struct rj_list readers; /* long polls that wait for an append */
 	struct rj_instance *instances; /* as listed, talloc array */
 	uint32_t instance_count;
+	struct rj_standin_history history; /* of the list */
 	uint64_t lose_answers; /* appends to come whose answer is lost */
 	uint64_t drop_appends; /* appends to come without effect or answer */
 	uint64_t append_credit_us; /* how much of the rate is unused */
