bench: what a publication costs its reader; one usage for three benches

Cause: the processor time of a change was guessed at 3 ms; and since an instance is ready only once it has tried to read the log, `bench cost` stopped at an assertion. Excluded: the planner's part, which `configure` measures. Change: rows publication_whole and publication_change; the reader waits for a configuration and not for readiness; bench_usage stands once. Before: not measured.

--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -5,6 +5,8 @@
 #ifndef BENCH_BENCH_H
 #define BENCH_BENCH_H
 
+#include <stdbool.h>
+
 struct bench_command {
 	const char *name;
 	const char *what;
@@ -12,6 +14,8 @@
 	int (*run)(int argc, char **argv);
 };
 
+int bench_usage(const char *command, void **table, bool asked);
+
 int bench_policy(int argc, char **argv);
 int bench_cost(int argc, char **argv);
 int bench_control(int argc, char **argv);
--- a/src/bench/cost.h
+++ b/src/bench/cost.h
@@ -5,6 +5,7 @@
 #ifndef BENCH_COST_H
 #define BENCH_COST_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #define COST_SIZES 5
@@ -17,5 +18,6 @@
 		      const double *took, uint32_t from);
 void cost_read(uint32_t accounts, uint32_t repeats);
 void cost_catch_up(uint32_t accounts);
+void cost_publication(uint32_t accounts, bool whole);
 
 #endif
--- a/src/bench/cost_read.c
+++ b/src/bench/cost_read.c
@@ -11,6 +11,7 @@
 #include "cost.h"
 #include "large_site.h"
 #include "private/platform_wire.h"
+#include "radishjunction/config_log.h"
 #include "radishjunction/core.h"
 #include "radishjunction/planner_topology.h"
 #include "support/quantile.h"
@@ -30,6 +31,7 @@
 #define RETENTION_DAYS 7 /* as the settings have it when left out */
 #define DAY_US (86400 * RJ_US_PER_S)
 #define START_US (30 * DAY_US)
+#define PUBLICATIONS 101 /* the first is whole */
 #define CATCH_UP_WORKERS 940 /* of a failure domain at the letter's size */
 
 /* Of each job, in this order. */
@@ -117,7 +119,7 @@
 					       .records = &config,
 					       .count = 1 };
 	process(reader, &event);
-	g_assert(rj_core_ready(&reader->core));
+	g_assert(rj_core_config(&reader->core));
 	list.u.instances.list =
 		large_site_list(reader->mem, &site, &list.u.instances.count);
 	process(reader, &list);
@@ -344,3 +346,52 @@
 	       talloc_total_size(reader.core.state) - before, round_ns / 1e3);
 	reader_finish(&reader);
 }
+
+/*
+ * Print what one publication costs a reader, from its record to what is in
+ * force, without the planner: whole ones, or changes of one limit.
+ */
+void cost_publication(uint32_t accounts, bool whole)
+{
+	struct large_site site = { .domains = 8,
+				   .workers = CATCH_UP_WORKERS,
+				   .instances = INSTANCES,
+				   .accounts = accounts,
+				   .guarantees = true };
+	void *mem = talloc_new(NULL);
+	double took[PUBLICATIONS];
+	char *before = NULL;
+	struct rj_config_log log;
+	struct rj_error_list errors;
+
+	rj_error_list_init(&errors, mem);
+	rj_config_log_init(&log, mem);
+	for (uint32_t i = 0; i < PUBLICATIONS; i++) {
+		char *text = large_site_config(mem, &site);
+		struct rj_record record = { .kind = RJ_RECORD_CONFIG,
+					    .offset = i,
+					    .base_revision = i,
+					    .revision = i + 1 };
+
+		g_snprintf(record.config_id, RJ_CONFIG_ID_BYTES, "p%u", i);
+		if (whole || !i)
+			record.config_text = text;
+		else if (rj_config_change_make(mem, before, text,
+					       &record.config_change))
+			g_error("the change cannot be made");
+		took[i] = cost_now_ns();
+		if (rj_config_log_apply(&log, &record, START_US, &errors) !=
+		    RJ_CONFIG_ACCEPTED)
+			g_error("the publication is not accepted");
+		took[i] = cost_now_ns() - took[i];
+		before = text;
+		site.open_max++;
+	}
+	printf("{\"bench\":\"cost\",\"measure\":\"%s\",\"accounts\":%u,"
+	       "\"config_bytes\":%zu,\"us\":%.0f}\n",
+	       whole ? "publication_whole" : "publication_change", accounts,
+	       strlen(before),
+	       quantile_of(took + 1, PUBLICATIONS - 1, 0.5) / 1000);
+	rj_config_log_finish(&log);
+	talloc_free(mem);
+}
