--- a/include/radishjunction/peer_message.h
+++ b/include/radishjunction/peer_message.h
@@ -7,6 +7,7 @@
 #ifndef RADISHJUNCTION_PEER_MESSAGE_H
 #define RADISHJUNCTION_PEER_MESSAGE_H
 
+#include "radishjunction/config_change.h"
 #include "radishjunction/types.h"
 
 /*
@@ -53,6 +54,7 @@
 	   neither. */
 	uint64_t sent;
 	uint64_t lost;
+	bool config_changes; /* it takes changes of configuration */
 };
 
 struct rj_peer_summary {
@@ -68,7 +70,8 @@
 	uint64_t revision;
 	uint64_t offset; /* in the config stream */
 	char id[40];
-	const char *text;
+	const char *text; /* the whole; empty with a change */
+	struct rj_config_change change; /* of the revision before */
 };
 
 struct rj_peer_leaving {
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -116,6 +116,7 @@
 	uint64_t wait_us;
 	uint64_t log_from; /* see struct rj_peer_heartbeat */
 	uint64_t log_next;
+	bool config_changes; /* it takes changes of configuration */
 	struct rj_list summaries;
 	/* Messages but for heartbeats since the link stands. */
 	uint64_t sent;
