callers: refused callers come back apart; a request sent byte by byte ends

Cause: whoever found no room at the door (connections or open requests) was told to come back in exactly 1 s, so all who were refused together returned together; only the core spread its refusals. And headers sent byte by byte had no limit: each byte is activity for libmicrohttpd, so as many such callers as connections_max shut everyone else out for good. Excluded: slow bodies (there was a limit, untested till now) and silent callers (tested already). Change: refusals at the door are spread from 0.5 to 1.5 s. A connection whose next headers are not whole within twice idle_timeout_s of its start or its last answer is shut down; the connections are a module of their own. Before: /spread: 1 different time among 32 refused; /dribbling: the connection stood after 30 s.

--- a/include/radishjunction/http_callers.h
+++ b/include/radishjunction/http_callers.h
@@ -43,6 +43,7 @@
 	uint32_t connections_max;
 	uint32_t requests_max; /* open at once */
 	uint32_t idle_timeout_s; /* of a connection, and of one body */
+	uint64_t seed; /* of the times at which refused callers come back */
 };
 
 struct rj_http_callers_state;
--- a/scripts/processes.bash
+++ b/scripts/processes.bash
@@ -88,13 +88,15 @@
 }
 
 # The settings of an instance, with its own ports free and the peers left to
-# the platform's list, since nobody knows their ports yet.
+# the platform's list, since nobody knows their ports yet. A script that wants
+# other settings sets SETTINGS_EDIT to a sed expression.
 settings_of() {
 	"$bin/radishjunction" generate "$2" --settings-for "$3" \
 		--peer-key-file "$work/$1/peer.key" |
 	sed -E -e '/^  "peers": \[/,/^  \],?$/d' \
 		-e 's/"(caller|peer)_address": "[^"]*"/"\1_address": "127.0.0.1:0"/' \
-		-e "s/\"platform_address\": \"[^\"]*\"/\"platform_address\": \"$platform\"/"
+		-e "s/\"platform_address\": \"[^\"]*\"/\"platform_address\": \"$platform\"/" \
+		-e "${SETTINGS_EDIT:-}"
 }
 
 # register NAME INSTANCE STATE: what the platform does for its instances.
--- a/src/libradishjunction/caller/caller_request.c
+++ b/src/libradishjunction/caller/caller_request.c
@@ -13,7 +13,8 @@
 #define KEY_HEADER "Idempotency-Key"
 /* Of names and values of all headers of a request. */
 #define HEADERS_MAX_BYTES 8192
-/* A caller that was refused for want of room comes back after this. */
+/* Callers that were refused for want of room come back after this, half of it
+ * sooner or later. */
 #define BUSY_RETRY_US (1 * RJ_US_PER_S)
 #define JSON_TYPE "application/json"
 
@@ -96,6 +97,19 @@
 		 rj_caller_answer_text(answer, errors), JSON_TYPE);
 }
 
+/*
+ * When a caller that finds no room comes back.
+ *
+ * Guards against callers that are refused together and told the same time:
+ * they would return together, find no room again, and so on, while it stands
+ * empty in between.
+ */
+static uint64_t busy_retry_us(struct rj_http_callers_state *state)
+{
+	return BUSY_RETRY_US / 2 +
+	       rj_random64(&state->random) % (BUSY_RETRY_US + 1);
+}
+
 /*
  * Refuse a request that the core has not seen. `status` 0 takes the one of
  * the reason.
@@ -114,7 +128,7 @@
 	};
 
 	if (reason == RJ_REASON_QUEUE_FULL || reason == RJ_REASON_DRAINING) {
-		answer.retry_after_us = BUSY_RETRY_US;
+		answer.retry_after_us = busy_retry_us(request->state);
 		if (!request->plain)
 			answer.kind = RJ_ANSWER_UNKNOWN;
 	}
@@ -134,7 +148,7 @@
 	struct rj_answer answer = {
 		.kind = RJ_ANSWER_UNKNOWN,
 		.reason = RJ_REASON_DRAINING,
-		.retry_after_us = BUSY_RETRY_US,
+		.retry_after_us = busy_retry_us(request->state),
 		.detail = "this instance has stopped: ask another one",
 	};
 
@@ -327,7 +341,7 @@
 
 	rj_caller_metrics_write(&state->metrics, text);
 	g_string_append_printf(text, "radishjunction_caller_connections %u\n",
-			       state->connections);
+			       state->connections.count);
 	g_string_append_printf(text, "radishjunction_requests_open %u\n",
 			       g_hash_table_size(state->asked));
 	views->ops->metrics(views, text);
--- a/src/libradishjunction/caller/http_callers.c
+++ b/src/libradishjunction/caller/http_callers.c
@@ -16,6 +16,9 @@
 #define SPARE_CONNECTIONS 64
 /* Room for the headers that are allowed and a piece of the body. */
 #define CONNECTION_MEMORY_BYTES (24 * 1024)
+/* The headers of a request may begin when the connection is nearly idle for
+ * too long, and take as long again. */
+#define HEADERS_LIMIT_IDLES 2
 
 /* Take the request from those that wait for the core. */
 static void stop_waiting(struct rj_caller_request *request)
@@ -124,12 +127,12 @@
 	return result;
 }
 
-/* Whether the connection was one too many when it came. */
-static bool is_over_limit(struct MHD_Connection *connection)
+/* What on_connection keeps for a connection. */
+static struct rj_caller_connection *kept(struct MHD_Connection *connection)
 {
 	return MHD_get_connection_info(connection,
 				       MHD_CONNECTION_INFO_SOCKET_CONTEXT)
-		       ->socket_context != NULL;
+		->socket_context;
 }
 
 /*
@@ -147,7 +150,8 @@
 
 	if (!request) {
 		request = rj_caller_request_begin(state, connection, method);
-		request->over_limit = is_over_limit(connection);
+		request->over_limit = kept(connection)->over_limit;
+		rj_caller_connection_busy(kept(connection));
 		*slot = request;
 		if (rj_caller_request_early_refusal(request))
 			return respond(request);
@@ -175,21 +179,20 @@
 			 void **slot, enum MHD_RequestTerminationCode code)
 {
 	TALLOC_FREE(*slot);
+	rj_caller_connection_idle(kept(connection));
 }
 
-/* Count connections; one above the limit is marked for a refusal. */
+/* Keep the connections; one above the limit is marked for a refusal. */
 static void on_connection(void *private_data, struct MHD_Connection *connection,
 			  void **slot, enum MHD_ConnectionNotificationCode code)
 {
 	struct rj_http_callers_state *state = private_data;
 
-	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
-		state->connections--;
-		return;
-	}
-	state->connections++;
-	if (state->connections > state->options.connections_max)
-		*slot = state;
+	if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+		rj_caller_connection_close(*slot);
+	else
+		*slot = rj_caller_connection_open(&state->connections,
+						  socket_of(connection));
 }
 
 /* See rj_callers_ops. */
@@ -289,6 +292,11 @@
 
 	assert(state);
 	state->options = *options;
+	state->random = options->seed;
+	rj_caller_connections_init(
+		&state->connections, state, options->loop,
+		options->connections_max,
+		HEADERS_LIMIT_IDLES * options->idle_timeout_s * RJ_US_PER_S);
 	listener = rj_tcp_listen(&options->address, &state->bound, err);
 	if (listener < 0)
 		goto free_state;
@@ -355,5 +363,5 @@
  */
 uint32_t rj_http_callers_connections(const struct rj_http_callers *callers)
 {
-	return callers->state->connections;
+	return callers->state->connections.count;
 }
--- /dev/null
+++ b/src/libradishjunction/include/private/caller_connections.h
@@ -0,0 +1,48 @@
+/*
+ * The connections of callers: how many stand, and which wait too long for the
+ * headers of a request.
+ *
+ * Life cycle: `rj_caller_connections_init`, then for each connection
+ * `rj_caller_connection_open`, `rj_caller_connection_busy` and
+ * `rj_caller_connection_idle` around each of its requests, and
+ * `rj_caller_connection_close`, after which it is gone.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_CALLER_CONNECTIONS_H
+#define RADISHJUNCTION_PRIVATE_CALLER_CONNECTIONS_H
+
+#include <stdbool.h>
+
+#include "private/list.h"
+#include "radishjunction/types.h"
+
+struct tevent_context;
+struct tevent_timer;
+
+struct rj_caller_connections {
+	struct rj_list list;
+	void *mem; /* parent of all connections */
+	struct tevent_context *loop;
+	struct tevent_timer *timer; /* NULL while none stands */
+	uint64_t headers_limit_us;
+	uint32_t max; /* one more is marked */
+	uint32_t count;
+};
+
+struct rj_caller_connection {
+	struct rj_list link;
+	struct rj_caller_connections *all;
+	int fd;
+	uint64_t idle_since_us; /* 0 while a request is open */
+	bool over_limit; /* it was one too many when it came */
+};
+
+void rj_caller_connections_init(struct rj_caller_connections *connections,
+				void *mem, struct tevent_context *loop,
+				uint32_t max, uint64_t headers_limit_us);
+struct rj_caller_connection *
+rj_caller_connection_open(struct rj_caller_connections *connections, int fd);
+void rj_caller_connection_busy(struct rj_caller_connection *connection);
+void rj_caller_connection_idle(struct rj_caller_connection *connection);
+void rj_caller_connection_close(struct rj_caller_connection *connection);
+
+#endif
--- a/src/libradishjunction/include/private/caller_request.h
+++ b/src/libradishjunction/include/private/caller_request.h
@@ -10,6 +10,7 @@
 #define RADISHJUNCTION_PRIVATE_CALLER_REQUEST_H
 
 #include "private/buffer.h"
+#include "private/caller_connections.h"
 #include "private/caller_metrics.h"
 #include "private/clock.h"
 #include "private/http_loop.h"
@@ -24,7 +25,8 @@
 	struct rj_http_loop loop;
 	bool draining;
 	bool closed; /* the core takes no more events */
-	uint32_t connections;
+	struct rj_caller_connections connections;
+	uint64_t random; /* of the spread of refused callers */
 	uint32_t open; /* requests from their headers to their last byte */
 	GHashTable *asked; /* id -> request that waits for the core */
 	uint64_t last_id;
--- a/src/radishjunctiond/main.c
+++ b/src/radishjunctiond/main.c
@@ -126,6 +126,7 @@
 		.connections_max = settings->connections_max,
 		.requests_max = settings->requests_max,
 		.idle_timeout_s = settings->idle_timeout_s,
+		.seed = daemon->incarnation,
 	};
 
 	return rj_http_callers_init(&daemon->callers, daemon->loop, &options,
--- a/src/test_libradishjunction/test_http_callers.c
+++ b/src/test_libradishjunction/test_http_callers.c
@@ -364,6 +364,140 @@
 	server_finish(&server);
 }
 
+/* A caller that sends one byte at a time, however long it takes. */
+struct dribble {
+	struct client client;
+	struct tevent_timer *timer;
+};
+
+static void dribble_next(struct dribble *dribble);
+
+static void on_dribble(struct tevent_context *context,
+		       struct tevent_timer *timer, struct timeval now,
+		       void *private_data)
+{
+	struct dribble *dribble = private_data;
+	struct client *client = &dribble->client;
+
+	dribble->timer = NULL;
+	if (client->sent == client->length || client->closed)
+		return;
+	if (send(client->fd, client->text + client->sent, 1, MSG_NOSIGNAL) == 1)
+		client->sent++;
+	dribble_next(dribble);
+}
+
+/* Far more often than the server's limit of one second. */
+static void dribble_next(struct dribble *dribble)
+{
+	dribble->timer = tevent_add_timer(loop, loop,
+					  tevent_timeval_current_ofs(0, 50000),
+					  on_dribble, dribble);
+}
+
+static void dribble_init(struct dribble *dribble, const struct server *server,
+			 const char *text)
+{
+	client_init(&dribble->client, server, "");
+	TEVENT_FD_NOT_WRITEABLE(dribble->client.event);
+	dribble->client.text = text;
+	dribble->client.length = strlen(text);
+	dribble_next(dribble);
+}
+
+static void dribble_finish(struct dribble *dribble)
+{
+	talloc_free(dribble->timer);
+	client_finish(&dribble->client);
+}
+
+/*
+ * No caller gets in any more, though hardly anything is asked for.
+ * Some send a request byte by byte, and never the last one.
+ * Cause: each byte counts as a sign of life, and the connection is kept.
+ */
+static void test_dribbling_callers(void)
+{
+	char *endless = g_strnfill(1000, 'x');
+	char *headers =
+		g_strdup_printf("POST /v1/jobs HTTP/1.1\r\nX: %s", endless);
+	char *body = g_strdup_printf("POST /v1/jobs HTTP/1.1\r\nHost: h\r\n"
+				     "Authorization: Bearer t\r\n"
+				     "Content-Length: 1000\r\n\r\n{%s",
+				     endless);
+	struct server server;
+	struct dribble in_headers;
+	struct dribble in_body;
+
+	server_init(&server, 2, 8);
+	dribble_init(&in_headers, &server, headers);
+	dribble_init(&in_body, &server, body);
+	RUN_UNTIL(loop, in_body.client.closed && in_headers.client.closed);
+	g_assert_cmpuint(in_headers.client.sent, <, in_headers.client.length);
+	g_assert_cmpuint(in_body.client.sent, <, in_body.client.length);
+	RUN_UNTIL(loop, !rj_http_callers_connections(&server.callers));
+	g_assert_cmpuint(server.asked_count, ==, 0);
+	expect(&server, post("{\"class\":\"q\"}"), 200, "done");
+	dribble_finish(&in_headers);
+	dribble_finish(&in_body);
+	server_finish(&server);
+	g_free(endless);
+	g_free(headers);
+	g_free(body);
+}
+
+/* The number after "retry_after_ms" in an answer. */
+static uint64_t retry_after_ms(const struct client *client)
+{
+	static const char *name = "\"retry_after_ms\":";
+	const char *found = strstr(client->got->str, name);
+
+	g_assert_nonnull(found);
+	return strtoull(found + strlen(name), NULL, 10);
+}
+
+/*
+ * A class hub sends 32 previews at once, then all of them again at once, and
+ * so on; hardly any gets in.
+ * All were refused for want of room, and told to come back a second later.
+ * Cause: the door gave each the same time, unlike the core.
+ */
+static void test_refused_do_not_return_together(void)
+{
+	struct client clients[32];
+	struct client held;
+	struct server server;
+	bool seen[1501] = { false };
+	uint32_t different = 0;
+
+	server_init(&server, G_N_ELEMENTS(clients) + 1, 1);
+	server.hold = true;
+	client_init(&held, &server, post("{\"class\":\"q\"}"));
+	RUN_UNTIL(loop, server.asked_count == 1);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(clients); i++)
+		client_init(&clients[i], &server, post("{\"class\":\"q\"}"));
+	for (uint32_t i = 0; i < G_N_ELEMENTS(clients); i++) {
+		uint64_t after_ms;
+
+		RUN_UNTIL(loop, clients[i].closed);
+		g_assert_cmpuint(client_status(&clients[i]), ==, 503);
+		after_ms = retry_after_ms(&clients[i]);
+		g_assert_cmpuint(after_ms, >=, 500);
+		g_assert_cmpuint(after_ms, <, G_N_ELEMENTS(seen));
+		g_assert_nonnull(strstr(clients[i].got->str,
+					after_ms <= 1000 ?
+						"Retry-After: 1\r\n" :
+						"Retry-After: 2\r\n"));
+		different += !seen[after_ms];
+		seen[after_ms] = true;
+		client_finish(&clients[i]);
+	}
+	g_assert_cmpuint(different, >, G_N_ELEMENTS(clients) / 2);
+	g_assert_cmpuint(server.asked_count, ==, 1);
+	client_finish(&held);
+	server_finish(&server);
+}
+
 /* The core learns that the caller left; its late answer harms nothing. */
 static void test_caller_gone(void)
 {
@@ -522,6 +656,9 @@
 	g_test_add_func("/http_callers/request", test_bounds_of_a_request);
 	g_test_add_func("/http_callers/server", test_bounds_of_the_server);
 	g_test_add_func("/http_callers/stalled", test_stalled_caller);
+	g_test_add_func("/http_callers/dribbling", test_dribbling_callers);
+	g_test_add_func("/http_callers/spread",
+			test_refused_do_not_return_together);
 	g_test_add_func("/http_callers/gone", test_caller_gone);
 	g_test_add_func("/http_callers/explain", test_explain);
 	g_test_add_func("/http_callers/lookup", test_lookup_and_cancel);
