--- a/src/bench/path.c
+++ b/src/bench/path.c
@@ -22,6 +22,8 @@
 #define HELD_RUN_MS 1000
 /* Enough that the memory of each tells from the allocator's steps. */
 #define HELD_REQUESTS 1000
+/* Enough points to tell a slope from a level that is reached. */
+#define SOAK_STEPS 10
 #define SMALL_BODY "{\"run_ms\":0,\"echo\":\"preview\"}"
 
 /* What is measured, and against what. */
@@ -129,6 +131,27 @@
 	return (user + system) * RJ_US_PER_S / (uint64_t)sysconf(_SC_CLK_TCK);
 }
 
+/*
+ * How long a process of one thread has stood ready without a core, in
+ * microseconds, or 0. On a machine that does other work as well this tells
+ * the daemon's latency from the machine's.
+ */
+static uint64_t without_core_us(int pid)
+{
+	char name[32];
+	uint64_t waited_ns = 0;
+	FILE *file;
+
+	snprintf(name, sizeof(name), "/proc/%d/schedstat", pid);
+	file = fopen(name, "r");
+	if (!file)
+		return 0;
+	if (fscanf(file, "%*s %" SCNu64, &waited_ns) != 1)
+		waited_ns = 0;
+	(void)fclose(file);
+	return waited_ns / 1000;
+}
+
 /* Print one measure; takes over `values`. */
 static void print_measure(const char *measure, json_t *values)
 {
@@ -150,13 +173,15 @@
 static json_t *load_values(const struct load *load)
 {
 	return json_pack(
-		"{s:i, s:i, s:i, s:f, s:i, s:i, s:i, s:f}", "requests",
+		"{s:i, s:i, s:i, s:f, s:i, s:i, s:i, s:f, s:f}", "requests",
 		(int)load->ended, "concurrency", (int)load->options.concurrency,
 		"wrong", (int)load->wrong, "per_s", load_per_second(load),
 		"p50_us", (int)load_percentile_us(load, 500), "p99_us",
 		(int)load_percentile_us(load, 990), "max_us",
 		(int)load_percentile_us(load, 1000), "daemon_cpu_us_each",
-		(double)load->processor_us / (double)load->ended);
+		(double)load->processor_us / (double)load->ended,
+		"daemon_without_core_us_each",
+		(double)load->without_core_us / (double)load->ended);
 }
 
 /* How a request goes: through the daemon, or straight to a worker. */
@@ -185,6 +210,7 @@
 		.timeout_us = TIMEOUT_US,
 	};
 	uint64_t before_us = processor_us(path->pid);
+	uint64_t waited_us = without_core_us(path->pid);
 	char name[64];
 
 	path->run_id++;
@@ -192,6 +218,7 @@
 		return -1;
 	*wrong += load->wrong;
 	load->processor_us = processor_us(path->pid) - before_us;
+	load->without_core_us = without_core_us(path->pid) - waited_us;
 	snprintf(name, sizeof(name), "%s_%s", way->name,
 		 rate ? "at_rate" : "at_most");
 	print_measure(name, load_values(load));
@@ -286,6 +313,27 @@
 	return 0;
 }
 
+/*
+ * The memory of the daemon after each tenth of `requests`: a leak grows from
+ * step to step, what is bounded or fragmented reaches a level.
+ */
+static int measure_soak(struct path *path, uint32_t requests)
+{
+	uint32_t wrong = 0;
+
+	path->count = requests / SOAK_STEPS;
+	for (uint32_t step = 1; step <= SOAK_STEPS; step++) {
+		if (measure_most(path, &through, &wrong))
+			return EXIT_FAILURE;
+		print_measure("memory_soak",
+			      json_pack("{s:I, s:I}", "requests",
+					(json_int_t)path->count * step,
+					"resident_bytes",
+					(json_int_t)resident_bytes(path->pid)));
+	}
+	return wrong ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
 /* Read the line that rj-standin workers printed when it was ready. */
 static int read_workers(struct path *path, void *mem, const char *file)
 {
@@ -357,10 +405,12 @@
 		arg_int0(NULL, "count", "N", "requests of each load (20000)");
 	struct arg_int *concurrency =
 		arg_int0(NULL, "concurrency", "N", "open at once (48)");
+	struct arg_int *soak = arg_int0(
+		NULL, "soak", "N", "only the memory over so many requests");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_end *end = arg_end(ARG_ERRORS_MAX);
 	void *table[] = { daemon, pid,	       workers, token, class_name,
-			  count,  concurrency, help,	end };
+			  count,  concurrency, soak,	help,  end };
 	struct path path = { .run_id = 1 };
 	void *mem = talloc_new(NULL);
 	int status = 2;
@@ -368,6 +418,7 @@
 
 	count->ival[0] = 20000;
 	concurrency->ival[0] = 48;
+	soak->ival[0] = 0;
 	errors = arg_parse(argc, argv, table);
 	if (help->count) {
 		printf("usage: rj-bench path");
@@ -382,9 +433,10 @@
 	}
 	if (rj_address_parse(&path.daemon, daemon->sval[0]) ||
 	    read_workers(&path, mem, workers->filename[0]) ||
-	    count->ival[0] <= 0 || concurrency->ival[0] <= 0) {
-		(void)fputs("path: daemon, workers, count or concurrency is "
-			    "wrong; see --help\n",
+	    count->ival[0] <= 0 || concurrency->ival[0] <= 0 ||
+	    (soak->count && soak->ival[0] < SOAK_STEPS)) {
+		(void)fputs("path: daemon, workers, count, concurrency or soak "
+			    "is wrong; see --help\n",
 			    stderr);
 		goto out;
 	}
@@ -394,7 +446,8 @@
 	path.pid = pid->ival[0];
 	path.count = (uint32_t)count->ival[0];
 	path.concurrency = (uint32_t)concurrency->ival[0];
-	status = measure_all(&path);
+	status = soak->count ? measure_soak(&path, (uint32_t)soak->ival[0]) :
+			       measure_all(&path);
 out:
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	talloc_free(mem);
