planner: the queue's next time and its largest job are asked in one place

Cause: first fit and EASY backfill each walked the queue for its next deadline or end of a back-off, line for line, and first fit had its own search for the largest job beside plan_table's. Excluded: the planner by topology, which keeps deadlines sorted. Late refusals stay with each planner: what they give up differs. Change: rj_plan_queue_wake_us in plan_table; first fit uses rj_plan_queue_largest. No behaviour is meant to change. Before and after: test_planner_first_fit 8, test_planner_differential 22, test_planner_topology 19, test_golden 6 pass; golden files unchanged.

--- a/src/libradishjunction/core/plan_table.c
+++ b/src/libradishjunction/core/plan_table.c
@@ -122,6 +122,23 @@
 		g_queue_push_head_link(queue, &entry->link);
 }
 
+/*
+ * The first deadline or end of a back-off of a waiting job, or RJ_NEVER_US.
+ */
+uint64_t rj_plan_queue_wake_us(const GQueue *queue)
+{
+	uint64_t wake_us = RJ_NEVER_US;
+
+	for (const GList *at = queue->head; at; at = at->next) {
+		const struct rj_plan_entry *entry = at->data;
+
+		wake_us = MIN(wake_us, entry->job.deadline_us);
+		if (entry->not_before_us)
+			wake_us = MIN(wake_us, entry->not_before_us);
+	}
+	return wake_us;
+}
+
 /*
  * The shape in the queue that asks for most accelerators, NULL if none asks
  * for any; `*accelerators` is how many.
--- a/src/libradishjunction/core/planner_first_fit.c
+++ b/src/libradishjunction/core/planner_first_fit.c
@@ -295,17 +295,7 @@
  */
 static uint64_t first_fit_wake_us(const struct rj_planner *planner)
 {
-	const struct rj_first_fit_state *state = state_of(planner);
-	uint64_t wake_us = RJ_NEVER_US;
-
-	for (const GList *at = state->queue.head; at; at = at->next) {
-		const struct rj_plan_entry *entry = at->data;
-
-		wake_us = MIN(wake_us, entry->job.deadline_us);
-		if (entry->not_before_us)
-			wake_us = MIN(wake_us, entry->not_before_us);
-	}
-	return wake_us;
+	return rj_plan_queue_wake_us(&state_of(planner)->queue);
 }
 
 /*
@@ -315,22 +305,13 @@
 			   struct rj_plan_view *view)
 {
 	const struct rj_first_fit_state *state = state_of(planner);
-	const struct rj_shape *largest = NULL;
+	const struct rj_shape *largest;
 
 	memset(view, 0, sizeof(*view));
 	view->queued = state->queue.length;
 	view->running =
 		rj_plan_table_count(&state->table) - state->queue.length;
-	for (const GList *at = state->queue.head; at; at = at->next) {
-		const struct rj_plan_entry *entry = at->data;
-		uint32_t accelerators = entry->job.shape.tasks *
-					entry->job.shape.each.accelerators;
-
-		if (accelerators <= view->largest_waiting)
-			continue;
-		view->largest_waiting = accelerators;
-		largest = &entry->job.shape;
-	}
+	largest = rj_plan_queue_largest(&state->queue, &view->largest_waiting);
 	rj_capacity_view(&state->capacity, largest, view);
 }
 
--- a/src/libradishjunction/include/private/plan_table.h
+++ b/src/libradishjunction/include/private/plan_table.h
@@ -52,6 +52,7 @@
 void rj_plan_entry_unplace(struct rj_plan_entry *entry,
 			   struct rj_capacity *capacity);
 void rj_plan_queue_insert(GQueue *queue, struct rj_plan_entry *entry);
+uint64_t rj_plan_queue_wake_us(const GQueue *queue);
 const struct rj_shape *rj_plan_queue_largest(const GQueue *queue,
 					     uint32_t *accelerators);
 
--- a/src/test_libradishjunction/naive/planner_easy.c
+++ b/src/test_libradishjunction/naive/planner_easy.c
@@ -436,17 +436,7 @@
  */
 static uint64_t easy_wake_us(const struct rj_planner *planner)
 {
-	const struct easy_state *state = state_of(planner);
-	uint64_t wake_us = RJ_NEVER_US;
-
-	for (const GList *at = state->queue.head; at; at = at->next) {
-		const struct rj_plan_entry *entry = at->data;
-
-		wake_us = MIN(wake_us, entry->job.deadline_us);
-		if (entry->not_before_us)
-			wake_us = MIN(wake_us, entry->not_before_us);
-	}
-	return wake_us;
+	return rj_plan_queue_wake_us(&state_of(planner)->queue);
 }
 
 /*
