--- a/src/bench/path.c
+++ b/src/bench/path.c
@@ -1,4 +1,3 @@
-#include <argtable2.h>
 #include <assert.h>
 #include <inttypes.h>
 #include <jansson.h>
@@ -11,9 +10,9 @@
 #include "bench.h"
 #include "load.h"
 #include "private/worker_wire.h"
+#include "program_options.h"
 #include "radishjunction/settings.h"
 
-#define ARG_ERRORS_MAX 10
 #define TIMEOUT_US (30 * RJ_US_PER_S)
 #define LEASE_LIFE_US (30 * RJ_US_PER_S)
 /* Half of the load that one instance is to carry. */
@@ -407,30 +406,22 @@
 		arg_int0(NULL, "concurrency", "N", "open at once (48)");
 	struct arg_int *soak = arg_int0(
 		NULL, "soak", "N", "only the memory over so many requests");
-	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
-	struct arg_end *end = arg_end(ARG_ERRORS_MAX);
-	void *table[] = { daemon, pid,	       workers, token, class_name,
-			  count,  concurrency, soak,	help,  end };
+	struct program_options common = program_options_of("rj-bench");
+	void *table[] = {
+		daemon, pid,	     workers, token,	   class_name,
+		count,	concurrency, soak,    common.help, common.end
+	};
 	struct path path = { .run_id = 1 };
 	void *mem = talloc_new(NULL);
-	int status = 2;
-	int errors;
+	int status;
 
 	count->ival[0] = 20000;
 	concurrency->ival[0] = 48;
 	soak->ival[0] = 0;
-	errors = arg_parse(argc, argv, table);
-	if (help->count) {
-		printf("usage: rj-bench path");
-		arg_print_syntax(stdout, table, "\n");
-		arg_print_glossary(stdout, table, "  %-24s %s\n");
-		status = EXIT_SUCCESS;
-		goto out;
-	}
-	if (errors) {
-		arg_print_errors(stderr, end, "path");
+	status = program_options_parse(&common, argc, argv, table);
+	if (status >= 0)
 		goto out;
-	}
+	status = PROGRAM_EXIT_USAGE;
 	if (rj_address_parse(&path.daemon, daemon->sval[0]) ||
 	    read_workers(&path, mem, workers->filename[0]) ||
 	    count->ival[0] <= 0 || concurrency->ival[0] <= 0 ||
@@ -449,7 +440,7 @@
 	status = soak->count ? measure_soak(&path, (uint32_t)soak->ival[0]) :
 			       measure_all(&path);
 out:
-	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	arg_freetable(table, PROGRAM_OPTIONS_COUNT(table));
 	talloc_free(mem);
 	return status;
 }
--- a/src/standin/main.c
+++ b/src/standin/main.c
@@ -2,7 +2,6 @@
  * rj-standin: small stand-ins that take the place of the platform and of
  * the workers in tests, demos and measurements.
  */
-#include <argtable2.h>
 #include <assert.h>
 #include <curl/curl.h>
 #include <signal.h>
@@ -15,12 +14,10 @@
 #include "fleet.h"
 #include "platform.h"
 #include "private/wire.h"
+#include "program_options.h"
 #include "radishjunction/settings.h"
 
-#define EXIT_USAGE 2
-#define ARG_ERRORS_MAX 20
 #define DEFAULT_RETENTION_MS (3600 * 1000)
-#define ARG_COUNT(table) (sizeof(table) / sizeof(*(table)))
 
 /* What the modes share. */
 struct shell {
@@ -53,25 +50,6 @@
 		tevent_loop_once(shell->ev);
 }
 
-/* Parse the command line. Returns -1, or the status to exit with. */
-static int parse(int argc, char **argv, void **table, size_t count,
-		 struct arg_lit *help, struct arg_end *end)
-{
-	int errors = arg_parse(argc, argv, table);
-
-	if (help->count) {
-		printf("usage: rj-standin %s", argv[0]);
-		arg_print_syntax(stdout, table, "\n");
-		arg_print_glossary(stdout, table, "  %-26s %s\n");
-		return EXIT_SUCCESS;
-	}
-	if (!errors)
-		return -1;
-	arg_print_errors(stderr, end, argv[0]);
-	fprintf(stderr, "see rj-standin %s --help\n", argv[0]);
-	return EXIT_USAGE;
-}
-
 /* Say what went wrong and how to mend it. */
 static int fail(const struct rj_error *err)
 {
@@ -111,20 +89,21 @@
 		arg_int0(NULL, "list-lag-ms", "N", "lag of the instance list");
 	struct arg_int *rate =
 		arg_int0(NULL, "append-rate", "N", "appends a second; 0: any");
-	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
-	struct arg_end *end = arg_end(ARG_ERRORS_MAX);
-	void *table[] = { listen, retention, lag, rate, help, end };
+	struct program_options common = program_options_of("rj-standin");
+	void *table[] = {
+		listen, retention, lag, rate, common.help, common.end
+	};
 	struct rj_standin_platform_options options;
 	int status;
 
 	retention->ival[0] = DEFAULT_RETENTION_MS;
 	lag->ival[0] = 0;
 	rate->ival[0] = 0;
-	status = parse(argc, argv, table, ARG_COUNT(table), help, end);
+	status = program_options_parse(&common, argc, argv, table);
 	if (status >= 0)
 		goto out;
 	memset(&options, 0, sizeof(options));
-	status = EXIT_USAGE;
+	status = PROGRAM_EXIT_USAGE;
 	if (rj_address_parse(&options.address, listen->sval[0])) {
 		fprintf(stderr, "listen: \"%s\" is no IP:PORT\n",
 			listen->sval[0]);
@@ -140,7 +119,7 @@
 	options.append_rate = (uint32_t)rate->ival[0];
 	status = serve_platform(shell, &options);
 out:
-	arg_freetable(table, ARG_COUNT(table));
+	arg_freetable(table, PROGRAM_OPTIONS_COUNT(table));
 	return status;
 }
 
@@ -180,11 +159,11 @@
 		arg_int0(NULL, "accelerators", "N", NULL);
 	struct arg_int *cores = arg_int0(NULL, "cores", "N", NULL);
 	struct arg_int *memory = arg_int0(NULL, "memory-mb", "N", NULL);
-	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
-	struct arg_end *end = arg_end(ARG_ERRORS_MAX);
-	void *table[] = { ip,	    count,    prefix, domain,	   rack,
-			  per_rack, platform, slots,  connections, accelerators,
-			  cores,    memory,   help,   end };
+	struct program_options common = program_options_of("rj-standin");
+	void *table[] = { ip,	       count,	     prefix,   domain,
+			  rack,	       per_rack,     platform, slots,
+			  connections, accelerators, cores,    memory,
+			  common.help, common.end };
 	struct rj_fleet_options options;
 	int status;
 
@@ -195,10 +174,10 @@
 	accelerators->ival[0] = 8;
 	cores->ival[0] = 128;
 	memory->ival[0] = 524288;
-	status = parse(argc, argv, table, ARG_COUNT(table), help, end);
+	status = program_options_parse(&common, argc, argv, table);
 	if (status >= 0)
 		goto out;
-	status = EXIT_USAGE;
+	status = PROGRAM_EXIT_USAGE;
 	if (count->ival[0] <= 0 || per_rack->ival[0] <= 0 ||
 	    rack->ival[0] < 0 || slots->ival[0] < 0 ||
 	    connections->ival[0] <= 0 || accelerators->ival[0] < 0 ||
@@ -222,7 +201,7 @@
 	options.capacity.memory_mb = (uint32_t)memory->ival[0];
 	status = serve_workers(shell, &options);
 out:
-	arg_freetable(table, ARG_COUNT(table));
+	arg_freetable(table, PROGRAM_OPTIONS_COUNT(table));
 	return status;
 }
 
@@ -237,7 +216,7 @@
 /* Dispatch on the first argument. */
 static int run_mode(struct shell *shell, int argc, char **argv)
 {
-	for (size_t i = 0; argc > 1 && i < ARG_COUNT(modes); i++)
+	for (size_t i = 0; argc > 1 && i < PROGRAM_OPTIONS_COUNT(modes); i++)
 		if (!strcmp(argv[1], modes[i].name))
 			return modes[i].run(shell, argc - 1, argv + 1);
 	if (argc > 1 && !strcmp(argv[1], "--version")) {
@@ -245,7 +224,7 @@
 		return EXIT_SUCCESS;
 	}
 	fprintf(stderr, "usage: rj-standin platform|workers [--help]\n");
-	return EXIT_USAGE;
+	return PROGRAM_EXIT_USAGE;
 }
 
 /* Start the libraries and the event loop, then the mode that was asked for. */
