peers: a link and the set of links are a file each

Cause: tcp_peers.c (601 lines) did the handshake and the messages of one link, and the choice, the reconnects and the listener of all of them. Excluded: a change of behaviour, or of what is counted. Change: peer_link.c has one link from its hello to its end, behind a vtable of three calls; tcp_peers.c (467 lines) keeps the rest. Before and after: test_tcp_peers 11 pass, three runs of three, also with address and undefined-behaviour sanitizers; test/process_kill_instance, process_rolling_replacement pass; scripts/mixed-versions 0 links misunderstood.

--- /dev/null
+++ b/src/libradishjunction/include/private/peer_link.h
@@ -0,0 +1,46 @@
+/*
+ * One link between two instances, from the handshake to its messages.
+ *
+ * Life cycle: init on a connected or connecting socket, which it owns from
+ * then on; `proven` is called once the other side has shown the key, then
+ * `message` for each of its messages, and `closed` once at the end, from the
+ * event loop and never from within a call; the owner finishes the link there
+ * or later.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_PEER_LINK_H
+#define RADISHJUNCTION_PRIVATE_PEER_LINK_H
+
+#include "private/peer_session.h"
+#include "private/tcp_link.h"
+
+struct tevent_timer;
+struct rj_peer_link;
+
+struct rj_peer_link_ops {
+	void (*proven)(struct rj_peer_link *link);
+	/* `message` is good until the call returns. */
+	void (*message)(struct rj_peer_link *link,
+			const struct rj_peer_message *message);
+	void (*closed)(struct rj_peer_link *link, enum rj_peer_close reason);
+};
+
+struct rj_peer_link {
+	struct rj_tcp_link tcp; /* first member, always */
+	const struct rj_peer_link_ops *ops;
+	struct rj_peer_session session;
+	const char *expected; /* who it goes out to; NULL if it came in */
+	bool hello_taken;
+	bool proven;
+	struct tevent_timer *deadline;
+};
+
+void rj_peer_link_init(struct rj_peer_link *link, void *mem,
+		       const struct rj_peer_link_ops *ops,
+		       const struct rj_tcp_peers_options *options, int fd,
+		       const char *expected);
+void rj_peer_link_send(struct rj_peer_link *link,
+		       const struct rj_peer_message *message);
+void rj_peer_link_close(struct rj_peer_link *link, enum rj_peer_close reason);
+void rj_peer_link_finish(struct rj_peer_link *link);
+
+#endif
--- /dev/null
+++ b/src/libradishjunction/peer/peer_link.c
@@ -0,0 +1,212 @@
+#include "private/peer_link.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <sodium.h>
+#include <string.h>
+#include <talloc.h>
+#include <tevent.h>
+
+#include "private/clock.h"
+
+/* Two round trips, also over a slow link between regions. */
+#define HANDSHAKE_LIMIT_US (5 * RJ_US_PER_S)
+
+/* Seal and queue one frame. */
+static void send_sealed(struct rj_peer_link *link, struct rj_bytes body)
+{
+	uint8_t mac[RJ_PEER_MAC_BYTES];
+	struct rj_bytes parts[2] = { { mac, sizeof(mac) }, body };
+
+	rj_peer_session_seal(&link->session, mac, body);
+	rj_tcp_link_send(&link->tcp, parts, 2);
+}
+
+/* The reason to close after a bad frame. */
+static enum rj_peer_close close_reason(const struct rj_error *err)
+{
+	switch (err->kind) {
+	case RJ_ERR_VERSION:
+		return RJ_PEER_CLOSE_VERSION;
+	case RJ_ERR_CONFLICT:
+		return RJ_PEER_CLOSE_NAME;
+	case RJ_ERR_UNAUTHORIZED:
+		return RJ_PEER_CLOSE_AUTHENTICATION;
+	default:
+		return RJ_PEER_CLOSE_MALFORMED;
+	}
+}
+
+/* The first frame: learn who it is and prove the key. */
+static int take_hello(struct rj_peer_link *link, struct rj_bytes frame,
+		      struct rj_error *err)
+{
+	static const struct rj_bytes nothing = { NULL, 0 };
+	const struct rj_peer_hello *other = &link->session.other;
+
+	if (rj_peer_session_take_hello(&link->session, frame, err))
+		return -1;
+	if (link->expected && strcmp(other->name, link->expected) != 0)
+		return rj_error_set(err, RJ_ERR_CONFLICT,
+				    "hello: %s answers at the address of %s; "
+				    "correct the peers of the settings",
+				    other->name, link->expected);
+	link->hello_taken = true;
+	send_sealed(link, nothing);
+	return 0;
+}
+
+/* The first sealed frame proves the key: larger ones may follow. */
+static void take_proof(struct rj_peer_link *link)
+{
+	TALLOC_FREE(link->deadline);
+	link->proven = true;
+	link->tcp.frame_max = RJ_FRAME_MAX_BYTES;
+	link->ops->proven(link);
+}
+
+/* A later frame: check it and hand its message to the owner. */
+static int take_sealed(struct rj_peer_link *link, struct rj_bytes frame,
+		       struct rj_error *err)
+{
+	struct rj_peer_message message;
+	struct rj_bytes body;
+	void *mem;
+
+	if (rj_peer_session_open(&link->session, frame, &body, err))
+		return -1;
+	if (!link->proven) {
+		take_proof(link);
+		return 0;
+	}
+	mem = talloc_new(NULL);
+	if (rj_peer_decode(mem, body, &message, err)) {
+		talloc_free(mem);
+		return -1;
+	}
+	link->ops->message(link, &message);
+	talloc_free(mem);
+	return 0;
+}
+
+/*
+ * A frame has come. A bad one closes its link and nothing else: what one
+ * peer sends wrongly must not cut this instance off from the others.
+ */
+static void on_frame(struct rj_tcp_link *tcp, struct rj_bytes frame)
+{
+	struct rj_peer_link *link = (struct rj_peer_link *)tcp;
+	struct rj_error err;
+	int failed;
+
+	if (!link->hello_taken)
+		failed = take_hello(link, frame, &err);
+	else
+		failed = take_sealed(link, frame, &err);
+	if (!failed)
+		return;
+	g_info("peer link closed: %s", err.message);
+	rj_tcp_link_close(tcp, close_reason(&err));
+}
+
+/* The connection stands: introduce this instance. */
+static void on_connected(struct rj_tcp_link *tcp)
+{
+	struct rj_peer_link *link = (struct rj_peer_link *)tcp;
+	struct rj_bytes hello = { link->session.own_bytes,
+				  link->session.own_length };
+
+	rj_tcp_link_send(tcp, &hello, 1);
+}
+
+/* The connection has ended, whoever ended it. */
+static void on_closed(struct rj_tcp_link *tcp, enum rj_peer_close reason)
+{
+	struct rj_peer_link *link = (struct rj_peer_link *)tcp;
+
+	link->ops->closed(link, reason);
+}
+
+static const struct rj_tcp_link_ops tcp_ops = {
+	.connected = on_connected,
+	.frame = on_frame,
+	.closed = on_closed,
+};
+
+/* The other side did not prove itself in time. */
+static void on_deadline(struct tevent_context *loop, struct tevent_timer *timer,
+			struct timeval now, void *private_data)
+{
+	struct rj_peer_link *link = private_data;
+
+	link->deadline = NULL;
+	rj_tcp_link_close(&link->tcp, RJ_PEER_CLOSE_TIMEOUT);
+}
+
+/*
+ * Start the handshake over `fd`; `expected` is who the connection goes out
+ * to, or NULL if it came in, and lives as long as the link. What the link
+ * needs is a talloc child of `mem`.
+ */
+void rj_peer_link_init(struct rj_peer_link *link, void *mem,
+		       const struct rj_peer_link_ops *ops,
+		       const struct rj_tcp_peers_options *options, int fd,
+		       const char *expected)
+{
+	struct rj_peer_hello hello = {
+		.version = RJ_PEER_VERSION,
+		.version_min = RJ_PEER_VERSION,
+		.incarnation = options->incarnation,
+	};
+
+	rj_name_set(hello.name, options->name);
+	rj_name_set(hello.domain, options->domain);
+	randombytes_buf(hello.nonce, sizeof(hello.nonce));
+	link->ops = ops;
+	link->expected = expected;
+	link->hello_taken = false;
+	link->proven = false;
+	rj_peer_session_init(&link->session, options->key, &hello);
+	rj_tcp_link_init(&link->tcp, mem, &tcp_ops, options->loop, fd,
+			 expected != NULL);
+	link->tcp.frame_max = RJ_PEER_HELLO_MAX_BYTES;
+	link->deadline = tevent_add_timer(
+		options->loop, mem, rj_clock_timeval_in(HANDSHAKE_LIMIT_US),
+		on_deadline, link);
+	assert(link->deadline);
+	if (!expected)
+		on_connected(&link->tcp);
+}
+
+/*
+ * Queue a message on a proven link; one that has ended takes none.
+ */
+void rj_peer_link_send(struct rj_peer_link *link,
+		       const struct rj_peer_message *message)
+{
+	struct rj_bytes body;
+
+	assert(link->proven);
+	if (link->tcp.ended)
+		return;
+	body = rj_peer_encode(NULL, message);
+	send_sealed(link, body);
+	talloc_free((void *)body.data);
+}
+
+/*
+ * End the link; `closed` is called later, from the event loop.
+ */
+void rj_peer_link_close(struct rj_peer_link *link, enum rj_peer_close reason)
+{
+	rj_tcp_link_close(&link->tcp, reason);
+}
+
+/*
+ * Close the socket at once and free what the link holds.
+ */
+void rj_peer_link_finish(struct rj_peer_link *link)
+{
+	TALLOC_FREE(link->deadline);
+	rj_tcp_link_finish(&link->tcp);
+}
--- a/src/libradishjunction/peer/tcp_peers.c
+++ b/src/libradishjunction/peer/tcp_peers.c
@@ -3,7 +3,6 @@
 #include <assert.h>
 #include <errno.h>
 #include <glib.h>
-#include <sodium.h>
 #include <string.h>
 #include <talloc.h>
 #include <tevent.h>
@@ -11,12 +10,9 @@
 
 #include "private/clock.h"
 #include "private/list.h"
-#include "private/peer_session.h"
-#include "private/tcp_link.h"
+#include "private/peer_link.h"
 #include "private/tcp_socket.h"
 
-/* Two round trips, also over a slow link between regions. */
-#define HANDSHAKE_LIMIT_US (5 * RJ_US_PER_S)
 /* Strangers hold at most so many connections at once. */
 #define UNPROVEN_MAX 64
 /* Reconnects back off from here to there, doubling. */
@@ -58,15 +54,10 @@
 
 /* A connection, proven or not. */
 struct peer_link {
-	struct rj_tcp_link tcp; /* first member, always */
+	struct rj_peer_link base; /* first member, always */
 	struct rj_tcp_peers_state *state;
 	struct rj_list node; /* in the state's links */
 	struct peer *attempt_of; /* of a connection that went out */
-	struct rj_peer_session session;
-	bool outgoing;
-	bool hello_taken;
-	bool proven;
-	struct tevent_timer *deadline;
 };
 
 struct rj_tcp_peers_state {
@@ -124,35 +115,33 @@
 {
 	struct rj_tcp_peers_state *state = link->state;
 
-	if (!link->outgoing && !link->proven)
+	if (!link->attempt_of && !link->base.proven)
 		state->unproven_incoming--;
 	rj_list_remove(&link->node);
-	rj_tcp_link_finish(&link->tcp);
+	rj_peer_link_finish(&link->base);
 	talloc_free(link);
 }
 
 /* The connection has ended: tell, count and, if it is wanted, come back. */
-static void on_closed(struct rj_tcp_link *tcp, enum rj_peer_close reason)
+static void on_closed(struct rj_peer_link *base, enum rj_peer_close reason)
 {
-	struct peer_link *link = (struct peer_link *)tcp;
+	struct peer_link *link = (struct peer_link *)base;
+	const char *name = base->session.other.name;
 	struct rj_tcp_peers_state *state = link->state;
 	struct peer *peer = link->attempt_of;
 
 	state->closed[reason]++;
-	if (link->proven)
-		peer = g_hash_table_lookup(state->peers,
-					   link->session.other.name);
+	if (base->proven)
+		peer = g_hash_table_lookup(state->peers, name);
 	if (peer && peer->attempt == link) {
 		peer->attempt = NULL;
 		peer->failures++;
 	} else if (peer && peer->link == link) {
 		peer->link = NULL;
 		peer->failures = 1;
-		deliver(state, RJ_EVENT_PEER_DOWN, link->session.other.name,
-			NULL);
+		deliver(state, RJ_EVENT_PEER_DOWN, name, NULL);
 		/* The sink may have dropped it. */
-		peer = g_hash_table_lookup(state->peers,
-					   link->session.other.name);
+		peer = g_hash_table_lookup(state->peers, name);
 	} else {
 		peer = NULL;
 	}
@@ -165,9 +154,9 @@
 }
 
 /* The instance that made the connection. */
-static const char *initiator(const struct peer_link *link)
+static const char *initiator(const struct rj_peer_link *link)
 {
-	return link->outgoing ? link->session.own.name :
+	return link->expected ? link->session.own.name :
 				link->session.other.name;
 }
 
@@ -178,8 +167,8 @@
  * closed. The link that the lower name made stays, which both sides see
  * alike. Of two by one maker, or after a restart, the older one is dead.
  */
-static bool newer_stays(const struct peer_link *older,
-			const struct peer_link *newer)
+static bool newer_stays(const struct rj_peer_link *older,
+			const struct rj_peer_link *newer)
 {
 	const char *own = newer->session.own.name;
 	const char *other = newer->session.other.name;
@@ -194,181 +183,62 @@
 }
 
 /* The other side has proven the key: the link may stand. */
-static void on_proven(struct peer_link *link)
+static void on_proven(struct rj_peer_link *base)
 {
+	struct peer_link *link = (struct peer_link *)base;
 	struct rj_tcp_peers_state *state = link->state;
-	struct peer *peer = peer_get(state, link->session.other.name);
+	const char *name = base->session.other.name;
+	struct peer *peer = peer_get(state, name);
 	struct peer_link *older = peer->link;
 
-	TALLOC_FREE(link->deadline);
-	if (!link->outgoing)
+	if (!link->attempt_of)
 		state->unproven_incoming--;
-	link->proven = true;
-	link->tcp.frame_max = RJ_FRAME_MAX_BYTES;
 	if (peer->attempt == link)
 		peer->attempt = NULL;
-	if (older && !newer_stays(older, link)) {
-		rj_tcp_link_close(&link->tcp, RJ_PEER_CLOSE_REPLACED);
+	if (older && !newer_stays(&older->base, base)) {
+		rj_peer_link_close(base, RJ_PEER_CLOSE_REPLACED);
 		return;
 	}
 	peer->link = link;
 	peer->failures = 0;
 	TALLOC_FREE(peer->retry);
 	if (older) {
-		rj_tcp_link_close(&older->tcp, RJ_PEER_CLOSE_REPLACED);
-		deliver(state, RJ_EVENT_PEER_DOWN, link->session.other.name,
-			NULL);
+		rj_peer_link_close(&older->base, RJ_PEER_CLOSE_REPLACED);
+		deliver(state, RJ_EVENT_PEER_DOWN, name, NULL);
 	}
-	deliver(state, RJ_EVENT_PEER_UP, link->session.other.name, NULL);
+	deliver(state, RJ_EVENT_PEER_UP, name, NULL);
 }
 
-/* Seal and queue one frame. */
-static void send_sealed(struct peer_link *link, struct rj_bytes body)
-{
-	uint8_t mac[RJ_PEER_MAC_BYTES];
-	struct rj_bytes parts[2] = { { mac, sizeof(mac) }, body };
-
-	rj_peer_session_seal(&link->session, mac, body);
-	rj_tcp_link_send(&link->tcp, parts, 2);
-}
-
-/* The reason to close after a bad frame. */
-static enum rj_peer_close close_reason(const struct rj_error *err)
-{
-	switch (err->kind) {
-	case RJ_ERR_VERSION:
-		return RJ_PEER_CLOSE_VERSION;
-	case RJ_ERR_CONFLICT:
-		return RJ_PEER_CLOSE_NAME;
-	case RJ_ERR_UNAUTHORIZED:
-		return RJ_PEER_CLOSE_AUTHENTICATION;
-	default:
-		return RJ_PEER_CLOSE_MALFORMED;
-	}
-}
-
-/* The first frame: learn who it is and prove the key. */
-static int take_hello(struct peer_link *link, struct rj_bytes frame,
-		      struct rj_error *err)
-{
-	static const struct rj_bytes nothing = { NULL, 0 };
-	const struct rj_peer_hello *other = &link->session.other;
-
-	if (rj_peer_session_take_hello(&link->session, frame, err))
-		return -1;
-	if (link->outgoing && strcmp(other->name, link->attempt_of->name) != 0)
-		return rj_error_set(err, RJ_ERR_CONFLICT,
-				    "hello: %s answers at the address of %s; "
-				    "correct the peers of the settings",
-				    other->name, link->attempt_of->name);
-	link->hello_taken = true;
-	send_sealed(link, nothing);
-	return 0;
-}
-
-/* A later frame: check it and hand its message to the sink. */
-static int take_sealed(struct peer_link *link, struct rj_bytes frame,
-		       struct rj_error *err)
-{
-	struct rj_peer_message message;
-	struct rj_bytes body;
-	void *mem;
-
-	if (rj_peer_session_open(&link->session, frame, &body, err))
-		return -1;
-	if (!link->proven) {
-		on_proven(link);
-		return 0;
-	}
-	mem = talloc_new(link->state);
-	if (rj_peer_decode(mem, body, &message, err)) {
-		talloc_free(mem);
-		return -1;
-	}
-	deliver(link->state, RJ_EVENT_PEER_MESSAGE, link->session.other.name,
-		&message);
-	talloc_free(mem);
-	return 0;
-}
-
-/*
- * A frame has come. A bad one closes its link and nothing else: what one
- * peer sends wrongly must not cut this instance off from the others.
- */
-static void on_frame(struct rj_tcp_link *tcp, struct rj_bytes frame)
-{
-	struct peer_link *link = (struct peer_link *)tcp;
-	struct rj_error err;
-	int failed;
-
-	if (!link->hello_taken)
-		failed = take_hello(link, frame, &err);
-	else
-		failed = take_sealed(link, frame, &err);
-	if (!failed)
-		return;
-	g_info("peer link closed: %s", err.message);
-	rj_tcp_link_close(tcp, close_reason(&err));
-}
-
-/* The connection stands: introduce this instance. */
-static void on_connected(struct rj_tcp_link *tcp)
+/* A message has come over a link that may stand. */
+static void on_message(struct rj_peer_link *base,
+		       const struct rj_peer_message *message)
 {
-	struct peer_link *link = (struct peer_link *)tcp;
-	struct rj_bytes hello = { link->session.own_bytes,
-				  link->session.own_length };
+	struct peer_link *link = (struct peer_link *)base;
 
-	rj_tcp_link_send(tcp, &hello, 1);
+	deliver(link->state, RJ_EVENT_PEER_MESSAGE, base->session.other.name,
+		message);
 }
 
-static const struct rj_tcp_link_ops link_ops = {
-	.connected = on_connected,
-	.frame = on_frame,
+static const struct rj_peer_link_ops link_ops = {
+	.proven = on_proven,
+	.message = on_message,
 	.closed = on_closed,
 };
 
-/* The other side did not prove itself in time. */
-static void on_deadline(struct tevent_context *loop, struct tevent_timer *timer,
-			struct timeval now, void *private_data)
-{
-	struct peer_link *link = private_data;
-
-	link->deadline = NULL;
-	rj_tcp_link_close(&link->tcp, RJ_PEER_CLOSE_TIMEOUT);
-}
-
 /* Start the handshake over `fd`; `peer` is who it goes out to, or NULL. */
 static struct peer_link *link_new(struct rj_tcp_peers_state *state, int fd,
 				  struct peer *peer)
 {
-	const struct rj_tcp_peers_options *options = &state->options;
 	struct peer_link *link = talloc_zero(state, struct peer_link);
-	struct rj_peer_hello hello = {
-		.version = RJ_PEER_VERSION,
-		.version_min = RJ_PEER_VERSION,
-		.incarnation = options->incarnation,
-	};
 
 	assert(link);
-	rj_name_set(hello.name, options->name);
-	rj_name_set(hello.domain, options->domain);
-	randombytes_buf(hello.nonce, sizeof(hello.nonce));
 	link->state = state;
 	link->attempt_of = peer;
-	link->outgoing = peer != NULL;
-	rj_peer_session_init(&link->session, options->key, &hello);
-	rj_tcp_link_init(&link->tcp, link, &link_ops, options->loop, fd,
-			 link->outgoing);
-	link->tcp.frame_max = RJ_PEER_HELLO_MAX_BYTES;
-	link->deadline = tevent_add_timer(
-		options->loop, link, rj_clock_timeval_in(HANDSHAKE_LIMIT_US),
-		on_deadline, link);
-	assert(link->deadline);
 	rj_list_append(&state->links, &link->node);
-	if (!link->outgoing) {
+	if (!peer)
 		state->unproven_incoming++;
-		on_connected(&link->tcp);
-	}
+	rj_peer_link_init(&link->base, link, &link_ops, &state->options, fd,
+			  peer ? peer->name : NULL);
 	return link;
 }
 
@@ -457,9 +327,9 @@
 	peer->wanted = false;
 	TALLOC_FREE(peer->retry);
 	if (peer->link)
-		rj_tcp_link_close(&peer->link->tcp, RJ_PEER_CLOSE_DROPPED);
+		rj_peer_link_close(&peer->link->base, RJ_PEER_CLOSE_DROPPED);
 	if (peer->attempt)
-		rj_tcp_link_close(&peer->attempt->tcp, RJ_PEER_CLOSE_DROPPED);
+		rj_peer_link_close(&peer->attempt->base, RJ_PEER_CLOSE_DROPPED);
 	peer_release(peer);
 }
 
@@ -469,20 +339,16 @@
 {
 	struct rj_tcp_peers *peers = (struct rj_tcp_peers *)base;
 	struct peer *peer = g_hash_table_lookup(peers->state->peers, name);
-	struct rj_bytes body;
 
-	if (!peer || !peer->link || peer->link->tcp.ended)
-		return;
-	body = rj_peer_encode(peers->state, message);
-	send_sealed(peer->link, body);
-	talloc_free((void *)body.data);
+	if (peer && peer->link)
+		rj_peer_link_send(&peer->link->base, message);
 }
 
 /* Send what is still queued, as far as the socket takes it, and close. */
 static void finish_link(struct peer_link *link)
 {
-	if (link->proven)
-		rj_tcp_link_flush(&link->tcp);
+	if (link->base.proven)
+		rj_tcp_link_flush(&link->base.tcp);
 	link_free(link);
 }
 
