command: explain tells what a job waits for; refusals tell their remedy

Cause: tried as a newcomer would. `explain` of a job that waits ended with "admitted", which does not say why it does not run. `never_fits` and other refusals without detail named no remedy. `ask` ended with "generate FILE" where the file was known, and left out the options. `check` took settings whose peer_key is missing for a configuration and told eight wrong errors. "1 places considered" stood on lines where nothing is considered. Excluded: a new decision for each pass in which a job is not placed: a log line a pass, and nothing new in it. Change: an explanation ends with where the job is now (rj_core_explain reads the state, nothing is decided there), in words with its shape and what is free; an answer without detail is followed by its reason's remedy on standard error, unless nothing is to do; `ask`, `check` and the words as above. Tests: process_first_hour asks why a gang waits (new). process_command looked for "generate FILE"; that text is replaced by the whole command with the file's name, which is stricter.

--- a/src/libradishjunction/core/status.c
+++ b/src/libradishjunction/core/status.c
@@ -140,13 +140,41 @@
 		"guarantees", guarantees_json(core));
 }
 
+/*
+ * Where a job is at the last event, and what it waits for: a job that waits
+ * for room has no decision that says so. In the form of a decision, so that
+ * older versions of the command print it, too.
+ */
+static json_t *now_json(const struct rj_core_state *core,
+			const struct rj_job *job)
+{
+	const struct rj_shape *shape = &job->spec.shape;
+	struct rj_plan_view view;
+
+	memset(&view, 0, sizeof(view));
+	core->planner->ops->view(core->planner, core->now_us, &view);
+	return json_pack(
+		"{s:I,s:s,s:s,s:s,s:I,s:i,s:s,s:i,s:i,s:b,s:i,s:i,s:i}", "t_us",
+		(json_int_t)core->now_us, "event", "now", "why",
+		rj_reason_string[RJ_REASON_NONE], "target", "", "waited_ms",
+		(json_int_t)((core->now_us - job->arrived_us) / 1000),
+		"considered", 0, "state", rj_job_state_string[job->state],
+		"tasks", (int)shape->tasks, "accelerators",
+		(int)shape->each.accelerators, "adjacent", shape->adjacent,
+		"accelerators_here", (int)view.accelerators,
+		"accelerators_free", (int)view.accelerators_free,
+		"waiting_here", (int)view.queued);
+}
+
 /*
  * Every decision about one job that this instance still remembers, oldest
- * first, as a JSON array that the caller owns; empty when there is none.
+ * first, and where it is now if it is here, as a JSON array that the caller
+ * owns; empty when there is nothing to tell.
  */
 json_t *rj_core_explain(const struct rj_core *handle, uint64_t job_id)
 {
 	const struct rj_core_state *core = handle->state;
+	const struct rj_job *job = rj_jobs_find(core, job_id);
 	json_t *list = json_array();
 	uint32_t first = core->explain_next > RJ_EXPLAIN_ENTRIES ?
 				 core->explain_next - RJ_EXPLAIN_ENTRIES :
@@ -168,6 +196,8 @@
 				  (json_int_t)(entry->log.waited_us / 1000),
 				  "considered", (int)entry->log.considered));
 	}
+	if (job && job->state != RJ_JOB_ENDED)
+		json_array_append_new(list, now_json(core, job));
 	return list;
 }
 
--- a/src/radishjunction/ask.c
+++ b/src/radishjunction/ask.c
@@ -228,9 +228,18 @@
 	print_errors("answers", &errors);
 	for (uint32_t i = 0; i < errors.count; i++)
 		wrong = wrong || errors.errors[i].kind != RJ_ERR_NONE;
-	fprintf(stderr, wrong ? "Mend them with `radishjunction ask --answers "
-				"FILE`.\n" :
-				"Next: `radishjunction generate FILE`.\n");
+	if (!output)
+		output = "FILE";
+	if (wrong)
+		fprintf(stderr,
+			"Mend them with `radishjunction ask --answers %s "
+			"--output %s`.\n",
+			output, output);
+	else
+		fprintf(stderr,
+			"Next: `radishjunction generate %s --output "
+			"config.json --tokens tokens.json`.\n",
+			output);
 	return wrong ? EXIT_REFUSED : EXIT_DONE;
 }
 
--- a/src/radishjunction/caller.c
+++ b/src/radishjunction/caller.c
@@ -7,6 +7,7 @@
 #include <talloc.h>
 
 #include "command.h"
+#include "words.h"
 
 #define TIMEOUT_S 60
 
@@ -125,7 +126,8 @@
 }
 
 /*
- * Print an answer as JSON and give its exit code.
+ * Print an answer as JSON, what its reason means on standard error, and give
+ * its exit code.
  */
 int caller_report(const struct http_answer *answer)
 {
@@ -135,6 +137,9 @@
 
 	json_dumpf(json, stdout, JSON_INDENT(2) | JSON_ENCODE_ANY);
 	printf("\n");
+	fflush(stdout);
+	if (reason && !json_object_get(json, "detail"))
+		print_reason(stderr, reason);
 	if (!kind)
 		return answer->status < 300 ? EXIT_DONE : EXIT_REFUSED;
 	if (!strcmp(kind, rj_answer_kind_string[RJ_ANSWER_DONE]))
--- a/src/radishjunction/check.c
+++ b/src/radishjunction/check.c
@@ -7,15 +7,16 @@
 #include "command.h"
 
 /*
- * The sorts of text, and the field by which each is told from the others.
+ * The sorts of text, and the fields by which each is told from the others,
+ * also where one of them is what is missing.
  */
 static const struct {
 	const char *name;
 	const char *field;
 } sorts[] = {
-	{ "settings", "peer_key" },
-	{ "answers", "job_kinds" },
-	{ "config", "classes" },
+	{ "settings", "peer_key" },	  { "settings", "peer_address" },
+	{ "settings", "caller_address" }, { "answers", "job_kinds" },
+	{ "answers", "instances" },	  { "config", "classes" },
 };
 
 #define SORT_COUNT (sizeof(sorts) / sizeof(sorts[0]))
--- a/src/radishjunction/words.c
+++ b/src/radishjunction/words.c
@@ -1,5 +1,6 @@
 #include "words.h"
 
+#include <glib.h>
 #include <string.h>
 
 #include "radishjunction/action.h"
@@ -120,6 +121,23 @@
 				    "taken back" },
 };
 
+/* Where a job is, by the state's name in an explanation. */
+static const struct {
+	const char *state;
+	const char *words;
+} state_words[] = {
+	{ "accepting", "its acceptance is being written to the log" },
+	{ "queued", "waiting to be placed" },
+	{ "holding", "taking the leases of its place" },
+	{ "claiming", "its claim is being written to the log" },
+	{ "starting", "being started" },
+	{ "running", "running" },
+	{ "stopping", "being stopped" },
+	{ "settling", "its workers are asked what became of it" },
+	{ "forwarded", "served by the instance that it was handed to" },
+	{ "watching", "served by another instance" },
+};
+
 /*
  * The index of `name` in a table of strings, or `count`.
  */
@@ -143,6 +161,55 @@
 	return text ? text : "";
 }
 
+/*
+ * A number of a decision, or 0 when it is missing.
+ */
+static json_int_t number_of(const json_t *object, const char *name)
+{
+	return json_integer_value(json_object_get(object, name));
+}
+
+/*
+ * Print a number of things: "1 place", "2 places".
+ */
+static void print_count(FILE *out, json_int_t count, const char *thing)
+{
+	fprintf(out, "%" JSON_INTEGER_FORMAT " %s%s", count, thing,
+		count == 1 ? "" : "s");
+}
+
+/*
+ * Print where a job is now, and what it waits for.
+ */
+static void print_now(FILE *out, const json_t *now)
+{
+	const char *state = text_of(now, "state");
+	const char *words = state;
+
+	for (uint32_t i = 0; i < sizeof(state_words) / sizeof(*state_words);
+	     i++)
+		if (!strcmp(state_words[i].state, state))
+			words = state_words[i].words;
+	fprintf(out, "now %s", words);
+	if (!strcmp(state, "queued")) {
+		fputs(": ", out);
+		print_count(out, number_of(now, "tasks"), "task");
+		fputs(" of ", out);
+		print_count(out, number_of(now, "accelerators"), "accelerator");
+		if (json_is_true(json_object_get(now, "adjacent")))
+			fputs(" in one rack", out);
+		fprintf(out,
+			"; %" JSON_INTEGER_FORMAT " of %" JSON_INTEGER_FORMAT
+			" accelerators that this instance plans are free, and ",
+			number_of(now, "accelerators_free"),
+			number_of(now, "accelerators_here"));
+		print_count(out, number_of(now, "waiting_here"), "job");
+		fputs(" in all waiting here", out);
+	}
+	fprintf(out, "; %" JSON_INTEGER_FORMAT " ms since it came\n",
+		number_of(now, "waited_ms"));
+}
+
 /*
  * Print one decision as a sentence. What a newer instance may say that this
  * version does not know is printed as it came.
@@ -152,14 +219,16 @@
 	const char *event = text_of(decision, "event");
 	const char *why = text_of(decision, "why");
 	const char *target = text_of(decision, "target");
-	json_int_t waited_ms =
-		json_integer_value(json_object_get(decision, "waited_ms"));
-	json_int_t considered =
-		json_integer_value(json_object_get(decision, "considered"));
+	json_int_t waited_ms = number_of(decision, "waited_ms");
+	json_int_t considered = number_of(decision, "considered");
 	uint32_t event_index =
 		find_word(rj_decision_event_string, RJ_LOG_EVENT_COUNT, event);
 	uint32_t why_index = find_word(rj_reason_string, RJ_REASON_COUNT, why);
 
+	if (json_object_get(decision, "state")) {
+		print_now(out, decision);
+		return;
+	}
 	if (event_index == RJ_LOG_EVENT_COUNT)
 		fputs(event, out);
 	else if (target[0])
@@ -176,12 +245,29 @@
 			why);
 	if (waited_ms)
 		fprintf(out, "; waited %" JSON_INTEGER_FORMAT " ms", waited_ms);
-	if (considered)
-		fprintf(out, "; %" JSON_INTEGER_FORMAT " places considered",
-			considered);
+	if (considered && event_index == RJ_LOG_PLACE) {
+		fputs("; ", out);
+		print_count(out, considered, "place");
+		fputs(" considered", out);
+	}
 	fprintf(out, "\n");
 }
 
+/*
+ * Tell what a reason means and what to do about it, in a line; nothing for
+ * one that this version does not know or that needs nothing.
+ */
+void print_reason(FILE *out, const char *reason)
+{
+	uint32_t index = find_word(rj_reason_string, RJ_REASON_COUNT, reason);
+
+	if (index != RJ_REASON_COUNT &&
+	    !g_str_has_prefix(reason_words[index].remedy, "nothing to do"))
+		fprintf(out, "%s: %s; %s\n", reason,
+			reason_words[index].meaning,
+			reason_words[index].remedy);
+}
+
 /*
  * Print every reason with its meaning and its remedy, as a table in
  * Markdown: docs/OPERATIONS.md holds it.
--- a/src/radishjunction/words.h
+++ b/src/radishjunction/words.h
@@ -8,6 +8,7 @@
 #include <stdio.h>
 
 void print_decision(FILE *out, const json_t *decision);
+void print_reason(FILE *out, const char *reason);
 void print_reasons(FILE *out);
 
 #endif
