--- a/src/libradishjunction/core/controllers/placement_controller.c
+++ b/src/libradishjunction/core/controllers/placement_controller.c
@@ -104,8 +104,8 @@
 	job->started = false;
 	job->started_us = 0;
 	job->reclaimed = false;
-	if (!job->planned || job->failures) {
-		/* Submitted anew, with the workers to avoid. */
+	if (!job->planned || job->failures || rj_route_leads_away(job)) {
+		/* Submitted anew, with the workers to avoid, or handed on. */
 		rj_job_unplan(job, false);
 		rj_timer_set(&core->timers, &job->step,
 			     core->now_us + delay_us);
@@ -168,29 +168,30 @@
 		hold(job);
 }
 
-/* The planner wants the job's capacity for someone's guarantee. */
-static void reclaim_decided(struct rj_job *job,
-			    const struct rj_decision *decision)
+/* Have the job give its capacity back, within `limit_us`. */
+static void reclaim(struct rj_job *job, enum rj_reason reason,
+		    uint64_t limit_us)
 {
 	struct rj_core_state *core = job->core;
 
 	rj_core_count(core, RJ_COUNT_RECLAIMS);
-	rj_core_log(core, RJ_LOG_RECLAIM, decision->reason, job,
+	rj_core_log(core, RJ_LOG_RECLAIM, reason, job,
 		    job->member_count ? job->members[0].worker : NULL);
 	switch (job->state) {
 	case RJ_JOB_HOLDING:
+	case RJ_JOB_CLAIMING:
+		/* Nothing has started, and no token is left to start with. A
+		   claim that shows in the log later is fenced and voided. */
 		rj_job_release_members(job);
 		rj_job_requeue(job, HOLD_BACKOFF_US, RJ_REASON_RECLAIMED);
 		break;
 	case RJ_JOB_STARTING:
 	case RJ_JOB_RUNNING:
 		job->reclaimed = true;
-		rj_job_stop(job, job->checkpoint && decision->checkpoint,
-			    decision->limit_us);
+		rj_job_stop(job, job->checkpoint, limit_us);
 		break;
 	case RJ_JOB_ACCEPTING:
 	case RJ_JOB_QUEUED:
-	case RJ_JOB_CLAIMING:
 	case RJ_JOB_STOPPING:
 	case RJ_JOB_SETTLING:
 	case RJ_JOB_FORWARDED:
@@ -201,6 +202,30 @@
 	}
 }
 
+/* Tell the peers that the job's room is kept for someone here. */
+static void offer_less(const struct rj_job *job)
+{
+	for (uint32_t i = 0; i < job->member_count; i++)
+		if (job->members[i].upstream)
+			rj_upstreams_offer(job->core, job->members[i].upstream);
+}
+
+/*
+ * The owner of a rack wants the room of a job that is driven from here. An
+ * attempt that is over, and work that cannot be stopped, stay as they are.
+ */
+void rj_job_reclaim_for_peer(struct rj_core_state *core,
+			     const struct rj_peer_cancel *cancel)
+{
+	struct rj_job *job = rj_jobs_find(core, cancel->job_id);
+
+	if (!job || job->attempt.owner != cancel->reclaim_owner ||
+	    job->attempt.number != cancel->reclaim_attempt ||
+	    (!job->idempotent && !job->checkpoint))
+		return;
+	reclaim(job, RJ_REASON_OWNER, cancel->limit_us);
+}
+
 /* A waiting job that the planner gives up. */
 static void refuse_decided(struct rj_job *job,
 			   const struct rj_decision *decision)
@@ -222,6 +247,8 @@
 {
 	struct rj_job *job = rj_jobs_find(core, decision->job_id);
 
+	if (!job && decision->kind == RJ_DECISION_RECLAIM)
+		rj_foreign_reclaim(core, decision);
 	if (!job || !job->planned)
 		return;
 	switch (decision->kind) {
@@ -229,7 +256,8 @@
 		start_decided(job, decision);
 		break;
 	case RJ_DECISION_RECLAIM:
-		reclaim_decided(job, decision);
+		offer_less(job);
+		reclaim(job, decision->reason, decision->limit_us);
 		break;
 	case RJ_DECISION_REFUSE:
 		refuse_decided(job, decision);
--- a/src/libradishjunction/core/job_ledger.c
+++ b/src/libradishjunction/core/job_ledger.c
@@ -75,6 +75,31 @@
 	       a->number == b->number;
 }
 
+/*
+ * Nobody is left who knows what older records said: attempts of every job
+ * that is still open may be missing.
+ */
+void rj_job_ledger_doubt(struct rj_job_ledger *ledger)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &ledger->entries) {
+		struct rj_job_entry *entry =
+			RJ_CONTAINER(at, struct rj_job_entry, link);
+
+		entry->doubtful = !entry->settled;
+	}
+}
+
+/*
+ * Whether the log says more of a job than that all of its attempts are over.
+ */
+bool rj_job_entry_matters(const struct rj_job_entry *entry)
+{
+	return entry->settled || entry->claimed || entry->accepted;
+}
+
 /* Make the entry of a job that the log had not named before. */
 static struct rj_job_entry *entry_new(struct rj_job_ledger *ledger, void *mem,
 				      const struct rj_record *record,
@@ -89,6 +114,7 @@
 	entry->spec.job_id = entry->job_id;
 	entry->spec.body = (struct rj_bytes){ 0 };
 	entry->first_us = appended_us;
+	entry->base_us = appended_us;
 	g_strlcpy(entry->domain, record->domain, sizeof(entry->domain));
 	rj_list_append(&ledger->entries, &entry->link);
 	g_hash_table_insert(ledger->by_job, &entry->job_id, entry);
@@ -112,15 +138,19 @@
 	rj_bytes_copy(entry, &entry->spec.body, &record->spec.body);
 }
 
-/* The first claim of a job that is not open and not settled opens it. */
+/* The first claim of a job that is not open and not settled opens it. Where
+ * older records may be missing, one that a peer carries takes its place. */
 static void apply_claim(struct rj_job_entry *entry,
-			const struct rj_record *record)
+			const struct rj_record *record, uint64_t appended_us,
+			bool gap)
 {
-	if (entry->settled || entry->claimed)
+	if (entry->settled || (entry->claimed && !(gap && record->carried)))
 		return;
 	if (memcmp(entry->spec.digest, record->spec.digest, RJ_DIGEST_BYTES))
 		return;
 	entry->claimed = true;
+	if (!entry->accepted)
+		entry->base_us = appended_us;
 	if (!entry->first_owner)
 		entry->first_owner = record->attempt.owner;
 	else if (entry->first_owner != record->attempt.owner)
@@ -178,6 +208,52 @@
 	entry->spec.body = (struct rj_bytes){ 0 };
 }
 
+/*
+ * Note an outcome whose claim is gone from the log: something ran under this
+ * key, and whether this was its valid attempt cannot be told any more.
+ *
+ * Guards against a reader that starts after the claim was trimmed and before
+ * the outcome was carried, as in a long outage: it would take the key for a
+ * new one and run the job twice. Until whoever knows carries the outcome, the
+ * answer is `unknown`.
+ */
+static void note_orphan(struct rj_job_entry *entry,
+			const struct rj_record *record)
+{
+	entry->settled = true;
+	entry->attempt = record->attempt;
+	entry->outcome = RJ_ANSWER_UNKNOWN;
+	entry->reason = RJ_REASON_LOG_GAP;
+	entry->whole_from = record->offset;
+}
+
+/*
+ * Note where the log says what of the job: from the earlier one of its
+ * newest accept and its newest open claim on it says all that matters, and
+ * from a carried outcome on by itself.
+ */
+static void note_offsets(struct rj_job_entry *entry,
+			 const struct rj_record *record)
+{
+	if (record->kind == RJ_RECORD_ACCEPT)
+		entry->accept_at = record->offset;
+	if (record->kind == RJ_RECORD_CLAIM && entry->claimed &&
+	    same_attempt(&entry->attempt, &record->attempt))
+		entry->claim_at = record->offset;
+	if (entry->settled) {
+		if (record->kind == RJ_RECORD_OUTCOME && record->carried)
+			entry->whole_from = record->offset;
+		return;
+	}
+	if (entry->accepted && entry->claimed)
+		entry->whole_from = MIN(entry->accept_at, entry->claim_at);
+	else if (entry->accepted)
+		entry->whole_from = entry->accept_at;
+	else
+		entry->whole_from =
+			entry->claimed ? entry->claim_at : record->offset;
+}
+
 /*
  * Apply one record, in log order. `now_us` is the time of reading. Returns
  * the entry of its job, or NULL for a record that is not about a job or that
@@ -201,23 +277,26 @@
 	if (fresh) {
 		if (record->kind == RJ_RECORD_VOID)
 			return NULL;
-		if (record->kind == RJ_RECORD_OUTCOME && !record->carried)
-			return NULL;
 		entry = entry_new(ledger, mem, record, appended_us);
 	}
 	entry->recorded_us = appended_us;
+	if (record->carried)
+		entry->base_us = appended_us;
 	switch (record->kind) {
 	case RJ_RECORD_ACCEPT:
 		apply_accept(entry, record);
 		break;
 	case RJ_RECORD_CLAIM:
-		apply_claim(entry, record);
+		apply_claim(entry, record, appended_us, ledger->gap);
 		break;
 	case RJ_RECORD_VOID:
 		apply_void(entry, record);
 		break;
 	case RJ_RECORD_OUTCOME:
-		apply_outcome(entry, record, fresh);
+		if (fresh && !record->carried)
+			note_orphan(entry, record);
+		else
+			apply_outcome(entry, record, fresh);
 		break;
 	case RJ_RECORD_CANCEL:
 		entry->cancelled = true;
@@ -227,5 +306,6 @@
 	case RJ_RECORD_KIND_COUNT:
 		break;
 	}
+	note_offsets(entry, record);
 	return entry;
 }
--- a/src/libradishjunction/include/private/ledger.h
+++ b/src/libradishjunction/include/private/ledger.h
@@ -57,6 +57,7 @@
 	struct rj_plan_member *members;
 	uint32_t member_count;
 	uint64_t at_us; /* expected to be free; if firm, given up then */
+	uint64_t from_us; /* if firm, its job backs off until then; or 0 */
 	uint64_t refresh_us; /* when a loose one is worked out again */
 	bool firm; /* nothing else may start here */
 	enum rj_reason reason;
@@ -80,8 +81,6 @@
 					const struct rj_plan_account *account);
 struct rj_resources rj_ledger_pin_room(const struct rj_capacity_worker *worker,
 				       const struct rj_plan_account *account);
-void rj_resources_limit(struct rj_resources *have,
-			const struct rj_resources *limit);
 bool rj_resources_exceed(const struct rj_resources *one,
 			 const struct rj_resources *two);
 struct rj_resources rj_resources_rest(const struct rj_resources *have,
--- a/src/libradishjunction/peer/peer_codec.c
+++ b/src/libradishjunction/peer/peer_codec.c
@@ -146,6 +146,12 @@
 	return &reader->unpacked.data;
 }
 
+/* Whether nothing is left: an older peer ends its message here. */
+static bool at_end(const struct reader *reader)
+{
+	return !reader->bad && reader->offset >= reader->length;
+}
+
 /* An unsigned number of at most `max`. */
 static uint64_t read_number(struct reader *reader, const char *field,
 			    uint64_t max)
@@ -290,9 +296,13 @@
 	write_number(writer, heartbeat->config_revision);
 	write_number(writer, heartbeat->queued);
 	write_number(writer, heartbeat->wait_us);
+	write_number(writer, heartbeat->log_from);
+	write_number(writer, heartbeat->log_next);
+	write_number(writer, heartbeat->sent);
+	write_number(writer, heartbeat->lost);
 }
 
-/* What write_heartbeat wrote. */
+/* What write_heartbeat wrote, or an older peer, which counts nothing. */
 static void read_heartbeat(struct reader *reader,
 			   struct rj_peer_heartbeat *heartbeat)
 {
@@ -305,6 +315,13 @@
 		read_number(reader, "config_revision", UINT64_MAX);
 	heartbeat->queued = (uint32_t)read_number(reader, "queued", UINT32_MAX);
 	heartbeat->wait_us = read_number(reader, "wait_us", UINT64_MAX);
+	heartbeat->log_from = UINT64_MAX;
+	if (at_end(reader))
+		return;
+	heartbeat->log_from = read_number(reader, "log_from", UINT64_MAX);
+	heartbeat->log_next = read_number(reader, "log_next", UINT64_MAX);
+	heartbeat->sent = read_number(reader, "sent", UINT64_MAX);
+	heartbeat->lost = read_number(reader, "lost", UINT64_MAX);
 }
 
 /* The fields of RJ_PEER_SUMMARY, the workers after their count. */
@@ -401,6 +418,31 @@
 	read_spec(reader, &forward->spec);
 }
 
+/* The fields of RJ_PEER_CANCEL. */
+static void write_cancel(struct writer *writer,
+			 const struct rj_peer_cancel *cancel)
+{
+	write_number(writer, cancel->forward_id);
+	write_number(writer, cancel->job_id);
+	write_number(writer, cancel->reclaim_owner);
+	write_number(writer, cancel->reclaim_attempt);
+	write_number(writer, cancel->limit_us);
+}
+
+/* What write_cancel wrote, or an older peer, which reclaims nothing. */
+static void read_cancel(struct reader *reader, struct rj_peer_cancel *cancel)
+{
+	cancel->forward_id = read_number(reader, "forward_id", UINT64_MAX);
+	cancel->job_id = read_number(reader, "job_id", UINT64_MAX);
+	if (at_end(reader))
+		return;
+	cancel->reclaim_owner =
+		read_number(reader, "reclaim_owner", UINT64_MAX);
+	cancel->reclaim_attempt =
+		(uint32_t)read_number(reader, "reclaim_attempt", UINT32_MAX);
+	cancel->limit_us = read_number(reader, "limit_us", UINT64_MAX);
+}
+
 /*
  * Encode one message, whose names and counts must be within their bounds.
  * Returns its bytes as a talloc child of `mem`.
@@ -433,8 +475,7 @@
 		write_answer(&writer, &message->u.forward_answer.answer);
 		break;
 	case RJ_PEER_CANCEL:
-		write_number(&writer, message->u.cancel.forward_id);
-		write_number(&writer, message->u.cancel.job_id);
+		write_cancel(&writer, &message->u.cancel);
 		break;
 	case RJ_PEER_MESSAGE_KIND_COUNT:
 		assert(!"a message has a kind");
@@ -486,10 +527,7 @@
 		read_answer(&reader, &message->u.forward_answer.answer);
 		break;
 	case RJ_PEER_CANCEL:
-		message->u.cancel.forward_id =
-			read_number(&reader, "forward_id", UINT64_MAX);
-		message->u.cancel.job_id =
-			read_number(&reader, "job_id", UINT64_MAX);
+		read_cancel(&reader, &message->u.cancel);
 		break;
 	case RJ_PEER_MESSAGE_KIND_COUNT:
 		assert(!"a number is at most its bound");
--- a/src/test_libradishjunction/support/world.c
+++ b/src/test_libradishjunction/support/world.c
@@ -43,6 +43,18 @@
 	return true;
 }
 
+/*
+ * How fast a clock that is made now runs; draws nothing without drift.
+ */
+int64_t world_drift_ppm(struct world *world)
+{
+	int64_t most = world->options.drift_ppm;
+
+	if (!most)
+		return 0;
+	return (int64_t)world_random(world, 2 * (uint64_t)most + 1) - most;
+}
+
 /*
  * Have `run` called after `delay_us`. The event is freed when it has run;
  * what hangs on it goes with it.
@@ -212,6 +224,26 @@
 
 static void wake(struct world *world, struct world_event *event);
 
+/* What an instance's clock says at a time of the world. */
+static uint64_t node_clock_us(const struct node *node, uint64_t at_us)
+{
+	int64_t gained_us = (int64_t)at_us * node->drift_ppm / WORLD_PPM;
+
+	return at_us + node->clock_offset_us + (uint64_t)gained_us;
+}
+
+/* The first time at which an instance's clock says `own_us` or more. */
+static uint64_t node_when_us(const struct node *node, uint64_t own_us)
+{
+	int64_t at_us = (int64_t)(own_us - node->clock_offset_us);
+
+	at_us -= at_us * node->drift_ppm / WORLD_PPM;
+	while (node_clock_us(node, (uint64_t)at_us) < own_us)
+		at_us += (int64_t)(own_us -
+				   node_clock_us(node, (uint64_t)at_us));
+	return (uint64_t)at_us;
+}
+
 /* Arm the instance's one timer, if it has to come earlier than the armed. */
 static void arm(struct world *world, struct node *node)
 {
@@ -220,7 +252,7 @@
 
 	if (wake_us == RJ_NEVER_US)
 		return;
-	wake_us -= node->clock_offset_us;
+	wake_us = node_when_us(node, wake_us);
 	if ((int64_t)wake_us < (int64_t)world->now_us)
 		wake_us = world->now_us;
 	if (node->wake_us <= wake_us)
@@ -237,7 +269,7 @@
 {
 	bool exits = false;
 
-	event->now_us = world->now_us + node->clock_offset_us;
+	event->now_us = node_clock_us(node, world->now_us);
 	if (world->options.transcript && event->kind != RJ_EVENT_TIMER &&
 	    !(world->options.brief && transcript_event_is_upkeep(event)))
 		transcript_event(world->options.transcript, world->now_us,
@@ -315,10 +347,10 @@
 	for (uint32_t i = 0; i < world->node_count; i++) {
 		const struct node *node = &world->nodes[i];
 
-		checker_node_reach(
-			&world->checker, world->now_us, i,
-			node->engine && !node->paused && !node->stopping &&
-				fake_log_reachable(world, node->domain));
+		checker_node_reach(&world->checker, world->now_us, i,
+				   node->engine && !node->paused &&
+					   !node->stopping &&
+					   fake_log_reachable(world, node));
 	}
 }
 
@@ -351,6 +383,7 @@
 	node->life++;
 	node->incarnation = (uint64_t)(index + 1) << 16 | node->life;
 	node->clock_offset_us = RJ_US_PER_S + world_random(world, 1ULL << 40);
+	node->drift_ppm = world_drift_ppm(world);
 	node->wake_us = RJ_NEVER_US;
 	node->stopping = false;
 	node->paused = false;
@@ -365,7 +398,7 @@
 		   node->incarnation);
 	node->engine = world->options.engine->create(world, &options);
 	checker_node_reach(&world->checker, world->now_us, index,
-			   fake_log_reachable(world, node->domain));
+			   fake_log_reachable(world, node));
 	process(world, node, &timer);
 }
 
@@ -405,7 +438,7 @@
 	world_note(world, "%s %s", node->name, paused ? "pauses" : "goes on");
 	node->paused = paused;
 	checker_node_reach(&world->checker, world->now_us, index,
-			   !paused && fake_log_reachable(world, node->domain));
+			   !paused && fake_log_reachable(world, node));
 	if (paused)
 		return;
 	node->resumed_us = world->now_us;
@@ -433,8 +466,29 @@
 	node_deliver_after(world, node, 0, node_event(world, RJ_EVENT_STOP));
 }
 
+/* Since when an instance hears a peer that reaches the platform: by the
+ * longest of all ways. */
+static uint64_t reached_by_peer_us(const struct world *world, uint32_t index)
+{
+	const struct node *node = &world->nodes[index];
+	uint64_t heard_us[CHECKER_NODES_MAX];
+	uint64_t since_us = RJ_NEVER_US;
+
+	if (!node->engine || node->paused || node->stopping)
+		return RJ_NEVER_US;
+	fake_peers_heard(world, index, heard_us);
+	for (uint32_t i = 0; i < world->node_count; i++)
+		since_us =
+			MIN(since_us, MAX(heard_us[i],
+					  world->checker.nodes[i].reached_us));
+	return since_us;
+}
+
 static void tick(struct world *world, struct world_event *event)
 {
+	for (uint32_t i = 0; i < world->node_count; i++)
+		checker_node_peer(&world->checker, i,
+				  reached_by_peer_us(world, i));
 	checker_tick(&world->checker, world->now_us);
 	(void)world_after(world, TICK_US, tick);
 }
