--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -116,7 +116,13 @@
 	uint64_t wait_us;
 	uint64_t log_from; /* see struct rj_peer_heartbeat */
 	uint64_t log_next;
+	bool config_changes; /* it takes changes of configuration */
 	struct rj_list summaries;
+	/* Messages but for heartbeats since the link stands. */
+	uint64_t sent;
+	uint64_t received;
+	uint64_t lost; /* of the peer's */
+	uint64_t lost_there; /* of ours, as the peer says */
 };
 
 struct rj_membership {
@@ -172,7 +178,10 @@
 	struct rj_resources capacity;
 	struct rj_resources foreign;
 	struct rj_resources free_now; /* for anyone, as last reported */
+	/* What the rack's owner offers to its peers: told, or heard. */
+	struct rj_resources offered;
 	struct rj_list members; /* of own jobs on it */
+	struct rj_list foreign_tasks; /* of others, which may be stopped */
 	uint32_t own_members; /* how many */
 	uint64_t failed_jobs[RJ_FAILED_JOBS];
 	uint32_t failed_count;
@@ -329,6 +338,7 @@
 	struct rj_membership membership;
 	struct rj_upstreams upstreams;
 	struct rj_jobs jobs;
+	GHashTable *foreign; /* &task->plan_id -> task of another instance */
 	bool stopping;
 	uint64_t stopping_us; /* since when */
 	struct rj_timer drain;
@@ -398,6 +408,7 @@
 void rj_membership_start(struct rj_core_state *core);
 void rj_membership_list(struct rj_core_state *core,
 			const struct rj_instance *list, uint32_t count);
+void rj_membership_received(struct rj_core_state *core, const char *name);
 void rj_membership_up(struct rj_core_state *core, const char *name);
 void rj_membership_down(struct rj_core_state *core, const char *name);
 void rj_membership_heartbeat(struct rj_core_state *core, const char *name,
@@ -413,6 +424,8 @@
 bool rj_membership_incarnation_alive(const struct rj_core_state *core,
 				     uint64_t incarnation);
 uint32_t rj_membership_connections(const struct rj_core_state *core);
+const char *rj_membership_name_of(const struct rj_core_state *core,
+				  uint64_t incarnation);
 const char *rj_membership_owner(struct rj_core_state *core, uint64_t key);
 bool rj_membership_owns(const struct rj_core_state *core, const char *domain,
 			uint64_t key);
@@ -449,10 +462,25 @@
 bool rj_upstreams_usable(const struct rj_upstream *upstream);
 void rj_upstreams_own(struct rj_core_state *core, struct rj_upstream *upstream,
 		      bool owned);
+void rj_upstreams_offer(struct rj_core_state *core,
+			struct rj_upstream *upstream);
 void rj_upstreams_told_free(struct rj_core_state *core,
 			    struct rj_upstream *upstream,
 			    const struct rj_resources *left);
 
+/* controllers/foreign_controller.c */
+void rj_foreign_init(struct rj_core_state *core);
+void rj_foreign_finish(struct rj_core_state *core);
+bool rj_foreign_is_planned(const struct rj_core_state *core,
+			   const struct rj_upstream *upstream,
+			   const struct rj_task_report *line);
+void rj_foreign_report(struct rj_core_state *core, struct rj_upstream *upstream,
+		       const struct rj_worker_report *report);
+void rj_foreign_disown(struct rj_core_state *core,
+		       struct rj_upstream *upstream);
+void rj_foreign_reclaim(struct rj_core_state *core,
+			const struct rj_decision *decision);
+
 /* controllers/racks_controller.c */
 uint64_t rj_racks_key(const struct rj_core_state *core, uint32_t rack);
 uint64_t rj_racks_job_key(const struct rj_core_state *core, const char *domain,
@@ -503,6 +531,8 @@
 void rj_job_requeue(struct rj_job *job, uint64_t delay_us,
 		    enum rj_reason reason);
 void rj_jobs_plan(struct rj_core_state *core);
+void rj_job_reclaim_for_peer(struct rj_core_state *core,
+			     const struct rj_peer_cancel *cancel);
 void rj_job_release_members(struct rj_job *job);
 void rj_job_unplan(struct rj_job *job, bool succeeded);
 void rj_job_lease_reply(struct rj_job *job, struct rj_member *member,
@@ -604,6 +634,7 @@
 bool rj_drain_takes_more(const struct rj_core_state *core,
 			 const struct rj_job_class *class);
 void rj_drain_hand_over(struct rj_core_state *core);
+void rj_job_hand_over(struct rj_job *job);
 void rj_drain_check(struct rj_core_state *core);
 
 /* filters/: a request on its way through the chain */
@@ -657,6 +688,9 @@
 struct rj_job *rj_filter_job(struct rj_core_state *core,
 			     struct rj_submission *submission);
 
+/* filters/route.c */
+bool rj_route_leads_away(const struct rj_job *job);
+
 /* filters/chain.c */
 void rj_filters_request(struct rj_core_state *core,
 			const struct rj_request *request);
--- a/src/libradishjunction/peer/peer_codec.c
+++ b/src/libradishjunction/peer/peer_codec.c
@@ -208,6 +208,14 @@
 	return bytes;
 }
 
+/*
+ * Whether fields follow that an older version does not write.
+ */
+static bool has_more(const struct reader *reader)
+{
+	return !reader->bad && reader->offset < reader->length;
+}
+
 /* Exactly `length` bytes. */
 static void read_exactly(struct reader *reader, const char *field,
 			 uint8_t *data, uint32_t length)
@@ -292,9 +300,12 @@
 	write_number(writer, heartbeat->wait_us);
 	write_number(writer, heartbeat->log_from);
 	write_number(writer, heartbeat->log_next);
+	write_number(writer, heartbeat->sent);
+	write_number(writer, heartbeat->lost);
+	write_bool(writer, heartbeat->config_changes);
 }
 
-/* What write_heartbeat wrote. */
+/* What write_heartbeat wrote, or an older peer, which counts nothing. */
 static void read_heartbeat(struct reader *reader,
 			   struct rj_peer_heartbeat *heartbeat)
 {
@@ -308,10 +319,13 @@
 	heartbeat->queued = (uint32_t)read_number(reader, "queued", UINT32_MAX);
 	heartbeat->wait_us = read_number(reader, "wait_us", UINT64_MAX);
 	heartbeat->log_from = UINT64_MAX;
-	if (reader->bad || reader->offset >= reader->length)
-		return; /* an older version ends here */
+	if (!has_more(reader))
+		return;
 	heartbeat->log_from = read_number(reader, "log_from", UINT64_MAX);
 	heartbeat->log_next = read_number(reader, "log_next", UINT64_MAX);
+	heartbeat->sent = read_number(reader, "sent", UINT64_MAX);
+	heartbeat->lost = read_number(reader, "lost", UINT64_MAX);
+	heartbeat->config_changes = read_bool(reader, "config_changes");
 }
 
 /* The fields of RJ_PEER_SUMMARY, the workers after their count. */
@@ -349,21 +363,38 @@
 	write_number(writer, config->offset);
 	write_text(writer, config->id);
 	write_data(writer, config->text, strlen(config->text));
+	if (!config->change.patch)
+		return;
+	write_data(writer, config->change.patch, strlen(config->change.patch));
+	write_data(writer, config->change.digest, RJ_DIGEST_BYTES);
+}
+
+/* A text that a frame holds as bytes, as a talloc child of `mem`. */
+static char *read_long_text(struct reader *reader, const char *field, void *mem,
+			    uint32_t max)
+{
+	struct rj_bytes bytes = read_data(reader, field, max);
+	char *text = talloc_strndup(
+		mem, bytes.data ? (const char *)bytes.data : "", bytes.length);
+
+	assert(text);
+	return text;
 }
 
-/* What write_config wrote; the text is a talloc child of `mem`. */
+/* What write_config wrote; its texts are talloc children of `mem`. */
 static void read_config(struct reader *reader, void *mem,
 			struct rj_peer_config *config)
 {
-	struct rj_bytes text;
-
 	config->revision = read_number(reader, "revision", UINT64_MAX);
 	config->offset = read_number(reader, "offset", UINT64_MAX);
 	read_text(reader, "id", config->id, sizeof(config->id));
-	text = read_data(reader, "text", CONFIG_TEXT_MAX_BYTES);
-	config->text = talloc_strndup(
-		mem, text.data ? (const char *)text.data : "", text.length);
-	assert(config->text);
+	config->text =
+		read_long_text(reader, "text", mem, CONFIG_TEXT_MAX_BYTES);
+	if (!has_more(reader))
+		return;
+	config->change.patch = read_long_text(reader, "change", mem,
+					      RJ_CONFIG_CHANGE_MAX_BYTES);
+	read_exactly(reader, "digest", config->change.digest, RJ_DIGEST_BYTES);
 }
 
 /* An answer with its whole result. */
@@ -408,6 +439,31 @@
 	read_spec(reader, &forward->spec);
 }
 
+/* The fields of RJ_PEER_CANCEL. */
+static void write_cancel(struct writer *writer,
+			 const struct rj_peer_cancel *cancel)
+{
+	write_number(writer, cancel->forward_id);
+	write_number(writer, cancel->job_id);
+	write_number(writer, cancel->reclaim_owner);
+	write_number(writer, cancel->reclaim_attempt);
+	write_number(writer, cancel->limit_us);
+}
+
+/* What write_cancel wrote, or an older peer, which reclaims nothing. */
+static void read_cancel(struct reader *reader, struct rj_peer_cancel *cancel)
+{
+	cancel->forward_id = read_number(reader, "forward_id", UINT64_MAX);
+	cancel->job_id = read_number(reader, "job_id", UINT64_MAX);
+	if (!has_more(reader))
+		return;
+	cancel->reclaim_owner =
+		read_number(reader, "reclaim_owner", UINT64_MAX);
+	cancel->reclaim_attempt =
+		(uint32_t)read_number(reader, "reclaim_attempt", UINT32_MAX);
+	cancel->limit_us = read_number(reader, "limit_us", UINT64_MAX);
+}
+
 /*
  * Encode one message, whose names and counts must be within their bounds.
  * Returns its bytes as a talloc child of `mem`.
@@ -440,8 +496,7 @@
 		write_answer(&writer, &message->u.forward_answer.answer);
 		break;
 	case RJ_PEER_CANCEL:
-		write_number(&writer, message->u.cancel.forward_id);
-		write_number(&writer, message->u.cancel.job_id);
+		write_cancel(&writer, &message->u.cancel);
 		break;
 	case RJ_PEER_MESSAGE_KIND_COUNT:
 		assert(!"a message has a kind");
@@ -493,10 +548,7 @@
 		read_answer(&reader, &message->u.forward_answer.answer);
 		break;
 	case RJ_PEER_CANCEL:
-		message->u.cancel.forward_id =
-			read_number(&reader, "forward_id", UINT64_MAX);
-		message->u.cancel.job_id =
-			read_number(&reader, "job_id", UINT64_MAX);
+		read_cancel(&reader, &message->u.cancel);
 		break;
 	case RJ_PEER_MESSAGE_KIND_COUNT:
 		assert(!"a number is at most its bound");
--- a/src/test_libradishjunction/support/peer_frames.c
+++ b/src/test_libradishjunction/support/peer_frames.c
@@ -20,8 +20,8 @@
 	switch (kind) {
 	case RJ_PEER_HEARTBEAT:
 		message->u.heartbeat = (struct rj_peer_heartbeat){
-			"lhr-dha", UINT64_MAX, true,	   true, true,
-			7,	   9,	       1ULL << 40, 12,	 UINT64_MAX
+			"lhr-dha",  UINT64_MAX, true,	    true, true, 7,   9,
+			1ULL << 40, 12,		UINT64_MAX, 4,	  1,	true
 		};
 		break;
 	case RJ_PEER_SUMMARY:
@@ -31,8 +31,9 @@
 		};
 		break;
 	case RJ_PEER_CONFIG:
-		message->u.config =
-			(struct rj_peer_config){ 4, 17, "id-1", "{}" };
+		message->u.config = (struct rj_peer_config){
+			4, 17, "id-1", "{}", { "[]", { 1, 2, 3 } }
+		};
 		break;
 	case RJ_PEER_LEAVING:
 		message->u.leaving = (struct rj_peer_leaving){ "w-1", 99 };
@@ -66,7 +67,8 @@
 		};
 		break;
 	case RJ_PEER_CANCEL:
-		message->u.cancel = (struct rj_peer_cancel){ 12, 77 };
+		message->u.cancel =
+			(struct rj_peer_cancel){ 12, 77, 10001, 3, 2000000 };
 		break;
 	case RJ_PEER_MESSAGE_KIND_COUNT:
 		g_assert_not_reached();
