core: what a report showed before the configuration is looked at again

Without a class a task was taken for one that cannot be stopped, and the reports after it had no news, so the next whole one, 6 s later, was the first to show that it can. Excluded: a silent worker, a refused lease (no reclaim was tried at all). Change: a configuration in force asks every worker for a whole report next time; who gives up a rack takes its new owner's last offer again.

--- a/src/libradishjunction/core/controllers/config_controller.c
+++ b/src/libradishjunction/core/controllers/config_controller.c
@@ -25,6 +25,7 @@
 	core->planner->ops->configure(core->planner, core->config, core->domain,
 				      core->now_us);
 	rj_racks_ownership(core); /* the groups of racks may differ */
+	rj_upstreams_whole_reports(core);
 	core->jobs.plan_wanted = true;
 	RJ_FOR_EACH (at, next, &core->membership.members) {
 		const struct rj_member_view *member =
--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -639,8 +639,9 @@
 }
 
 /*
- * Take again what peers said of their racks, for workers that were not
- * listed yet when they said it: it is sent only when it changes.
+ * Take again what peers said of the racks that they own, for workers that
+ * were not listed yet when they said it, or were owned here: it is sent only
+ * when it changes.
  */
 void rj_membership_summaries_again(struct rj_core_state *core)
 {
@@ -658,6 +659,8 @@
 				rack, struct rj_rack_summary, link);
 			struct rj_peer_summary summary;
 
+			if (!rj_racks_owned_by(core, known->rack, member->name))
+				continue;
 			memset(&summary, 0, sizeof(summary));
 			memcpy(summary.domain, member->domain,
 			       sizeof(summary.domain));
--- a/src/libradishjunction/core/controllers/racks_controller.c
+++ b/src/libradishjunction/core/controllers/racks_controller.c
@@ -100,25 +100,50 @@
 	upstream->rack_view = rack;
 }
 
+/*
+ * Whether the peer of that name owns the rack of the own failure domain.
+ */
+bool rj_racks_owned_by(const struct rj_core_state *core, uint32_t number,
+		       const char *name)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &core->upstreams.racks) {
+		const struct rj_rack *rack =
+			RJ_CONTAINER(at, struct rj_rack, link);
+
+		if (rack->number == number)
+			return rack->owner && !strcmp(rack->owner, name);
+	}
+	return false;
+}
+
 /*
  * Work out again who owns each rack. Called when the view of the instances,
- * of the workers or of the guaranteed shapes has changed.
+ * of the workers or of the guaranteed shapes has changed. What the new owner
+ * of a rack said of it before it was known here as the owner counts now.
  */
 void rj_racks_ownership(struct rj_core_state *core)
 {
+	bool given_up = false;
 	struct rj_list *at;
 	struct rj_list *next;
 
 	RJ_FOR_EACH (at, next, &core->upstreams.racks) {
 		struct rj_rack *rack = RJ_CONTAINER(at, struct rj_rack, link);
 		uint64_t key = rj_racks_key(core, rack->number);
+		bool before = rack->owned;
 
 		rack->owned = rj_membership_owns(core, core->domain, key);
 		rack->owner =
 			rack->owned ? NULL : rj_membership_owner(core, key);
 		for (uint32_t i = 0; i < rack->count; i++)
 			rj_upstreams_own(core, rack->workers[i], rack->owned);
+		given_up |= before && !rack->owned;
 	}
+	if (given_up)
+		rj_membership_summaries_again(core);
 }
 
 /*
--- a/src/libradishjunction/core/controllers/upstreams_controller.c
+++ b/src/libradishjunction/core/controllers/upstreams_controller.c
@@ -405,6 +405,21 @@
 		rj_jobs_worker_lost(core, upstream);
 }
 
+/*
+ * Have every worker report whole next time: a configuration says which tasks
+ * may be stopped.
+ *
+ * Guards against reports that came before the first configuration: what they
+ * showed was taken for work that cannot be stopped, and reports without news
+ * do not show it again. It shows as a guaranteed shape that is reclaimed
+ * seconds late after a restart.
+ */
+void rj_upstreams_whole_reports(struct rj_core_state *core)
+{
+	for (uint32_t i = 0; i < core->upstreams.count; i++)
+		core->upstreams.by_index[i]->report_version = 0;
+}
+
 /*
  * Offer the peers of the failure domain what is free on an owned worker and
  * is not kept for a job that waits here, if that has changed.
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -437,6 +437,7 @@
 bool rj_upstreams_usable(const struct rj_upstream *upstream);
 void rj_upstreams_own(struct rj_core_state *core, struct rj_upstream *upstream,
 		      bool owned);
+void rj_upstreams_whole_reports(struct rj_core_state *core);
 void rj_upstreams_offer(struct rj_core_state *core,
 			struct rj_upstream *upstream);
 void rj_upstreams_told_free(struct rj_core_state *core,
@@ -461,6 +462,8 @@
 uint64_t rj_racks_job_key(const struct rj_core_state *core, const char *domain,
 			  uint64_t job_id);
 void rj_racks_place(struct rj_core_state *core, struct rj_upstream *upstream);
+bool rj_racks_owned_by(const struct rj_core_state *core, uint32_t number,
+		       const char *name);
 void rj_racks_ownership(struct rj_core_state *core);
 bool rj_racks_hand_on(const struct rj_core_state *core);
 bool rj_rack_has_room(const struct rj_rack *rack, const struct rj_shape *shape);
--- a/src/test_libradishjunction/test_faults.c
+++ b/src/test_libradishjunction/test_faults.c
@@ -256,6 +256,17 @@
 	check_seed(PROMISE_GUARANTEE, 857);
 }
 
+/*
+ * A tutor's guaranteed shape is reclaimed 3 s late after a restart.
+ * The instance hears what runs on its workers before its configuration, and
+ * reports without news do not say it again.
+ * Cause: without a class, a task was taken for one that cannot be stopped.
+ */
+static void test_tasks_seen_before_the_configuration_are_reclaimed(void)
+{
+	check_seed(PROMISE_GUARANTEE, 4642);
+}
+
 /*
  * A tutor's guaranteed shape is freed in time and starts seconds later.
  * A lease is lost, or refused by a release that is still on its way; or what
@@ -349,6 +360,8 @@
 			test_forward_lost_on_a_standing_link);
 	g_test_add_func("/faults/interim_owner",
 			test_work_of_an_interim_owner_is_reclaimed);
+	g_test_add_func("/faults/before_config",
+			test_tasks_seen_before_the_configuration_are_reclaimed);
 	g_test_add_func("/faults/freed_shape",
 			test_freed_shape_is_not_lost_again);
 	g_test_add_func("/faults/waits_at_owner",
