--- a/src/libradishjunction/peer/peer_codec.c
+++ b/src/libradishjunction/peer/peer_codec.c
@@ -296,6 +296,8 @@
 	write_number(writer, heartbeat->config_revision);
 	write_number(writer, heartbeat->queued);
 	write_number(writer, heartbeat->wait_us);
+	write_number(writer, heartbeat->log_from);
+	write_number(writer, heartbeat->log_next);
 	write_number(writer, heartbeat->sent);
 	write_number(writer, heartbeat->lost);
 }
@@ -313,8 +315,11 @@
 		read_number(reader, "config_revision", UINT64_MAX);
 	heartbeat->queued = (uint32_t)read_number(reader, "queued", UINT32_MAX);
 	heartbeat->wait_us = read_number(reader, "wait_us", UINT64_MAX);
+	heartbeat->log_from = UINT64_MAX;
 	if (at_end(reader))
 		return;
+	heartbeat->log_from = read_number(reader, "log_from", UINT64_MAX);
+	heartbeat->log_next = read_number(reader, "log_next", UINT64_MAX);
 	heartbeat->sent = read_number(reader, "sent", UINT64_MAX);
 	heartbeat->lost = read_number(reader, "lost", UINT64_MAX);
 }
--- a/src/test_libradishjunction/support/peer_frames.c
+++ b/src/test_libradishjunction/support/peer_frames.c
@@ -20,8 +20,8 @@
 	switch (kind) {
 	case RJ_PEER_HEARTBEAT:
 		message->u.heartbeat = (struct rj_peer_heartbeat){
-			"lhr-dha", UINT64_MAX, true,	   true, true,
-			7,	   9,	       1ULL << 40, 4,	 1
+			"lhr-dha", UINT64_MAX, true, true,	 true, 7,
+			9,	   1ULL << 40, 12,   UINT64_MAX, 4,    1
 		};
 		break;
 	case RJ_PEER_SUMMARY:
--- a/src/test_libradishjunction/test_peer_codec.c
+++ b/src/test_libradishjunction/test_peer_codec.c
@@ -54,6 +54,27 @@
 	talloc_free(mem);
 }
 
+/*
+ * A heartbeat of an older version ends early; what it does not say is read as
+ * not said.
+ */
+static void test_older_heartbeat_is_read(void)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_peer_message message;
+	struct rj_error err = { 0 };
+	struct rj_bytes bytes;
+
+	bytes = peer_frames_recorded(mem, RJ_PEER_HEARTBEAT);
+	g_assert_cmpint(rj_peer_decode(mem, bytes, &message, &err), ==, 0);
+	g_assert_cmpuint(message.u.heartbeat.queued, ==, 9);
+	g_assert_cmpuint(message.u.heartbeat.wait_us, ==, 1ULL << 40);
+	g_assert_cmpuint(message.u.heartbeat.log_from, ==, UINT64_MAX);
+	g_assert_cmpuint(message.u.heartbeat.log_next, ==, 0);
+	g_assert_cmpuint(message.u.heartbeat.sent, ==, 0);
+	talloc_free(mem);
+}
+
 /*
  * During a rolling replacement a cancellation ends the link.
  * An older instance sends one that ends before the fields of a reclaim.
@@ -234,6 +255,8 @@
 	g_test_add_func("/peer_codec/recorded_hello",
 			test_recorded_hello_is_spoken);
 	g_test_add_func("/peer_codec/cut", test_cut_frames_are_malformed);
+	g_test_add_func("/peer_codec/older_heartbeat",
+			test_older_heartbeat_is_read);
 	g_test_add_func("/peer_codec/array", test_announced_arrays_are_refused);
 	g_test_add_func("/peer_codec/fuzz", test_changed_bytes_do_no_harm);
 	g_test_add_func("/peer_codec/hello", test_hello);
