--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -12,6 +12,8 @@
 
 #include "private/core_state.h"
 
+/* A carried record that was lost shows within this time. */
+#define CARRY_RETRY_US (3 * RJ_US_PER_S)
 #define FENCE_BACKOFF_US (300 * RJ_US_PER_MS)
 /* A worker that does not answer for so long is gone, and the token with it. */
 #define FENCE_LIMIT_US (30 * RJ_US_PER_S)
@@ -291,6 +293,23 @@
 	job->bodiless = false;
 }
 
+/*
+ * Take back a job that was handed to a peer, since the log says that it is
+ * this instance's.
+ *
+ * Guards against a forward whose answer was lost: the job would stay with the
+ * peer for this instance alone, and nobody would serve it. It shows as an
+ * accepted job without an end. An answer that comes late is dropped.
+ */
+static void take_back(struct rj_job *job, const struct rj_job_entry *entry)
+{
+	if (entry->accepted && !job->spec.wait)
+		rj_job_tell_waiters(job, RJ_ANSWER_ACCEPTED, RJ_REASON_NONE, 0);
+	g_hash_table_remove(job->core->jobs.forwards, &job->forward_id);
+	job->forward_id = 0;
+	rj_job_watch(job);
+}
+
 /*
  * Settle the open claim of an attempt that nobody alive drives. Whoever
  * watches the job here goes on from what the workers say.
@@ -308,6 +327,8 @@
 				       NULL);
 		job->bodiless = true;
 	}
+	if (job->state == RJ_JOB_FORWARDED)
+		take_back(job, entry);
 	/* Who only watched the job may not know that it was accepted: its end
 	   would be kept out of the log. */
 	if (entry->accepted)
@@ -323,7 +344,8 @@
 static bool driven_here(const struct rj_job *job,
 			const struct rj_job_entry *entry)
 {
-	if (!job || job->state == RJ_JOB_WATCHING)
+	if (!job || job->state == RJ_JOB_WATCHING ||
+	    job->state == RJ_JOB_FORWARDED)
 		return false;
 	/* A new attempt waits while its older claim is still open. */
 	return true;
@@ -335,8 +357,10 @@
 {
 	struct rj_job *job = rj_jobs_find(core, entry->job_id);
 
-	if (job && job->state != RJ_JOB_WATCHING)
+	if (driven_here(job, entry))
 		return;
+	if (job && job->state == RJ_JOB_FORWARDED)
+		take_back(job, entry);
 	if (!job)
 		job = rj_job_new(
 			core, &entry->spec,
@@ -349,6 +373,8 @@
 	rj_core_log(core, RJ_LOG_ADOPT, RJ_REASON_OWNER, job, NULL);
 	if (entry->cancelled)
 		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
+	else if (entry->doubtful && !job->idempotent)
+		rj_job_give_up(job, RJ_REASON_LOG_GAP, 0);
 	else
 		rj_job_submit(job);
 }
@@ -394,11 +420,59 @@
 		record.lease_life_us = entry->lease_life_us;
 		rj_log_append(core, RJ_STREAM_JOBS, &record);
 	}
+	if (!rj_job_entry_matters(entry)) {
+		record.kind = RJ_RECORD_VOID;
+		rj_log_append(core, RJ_STREAM_JOBS, &record);
+	}
 }
 
 /*
- * Carry an entry forward at half the retention, or forget it when its key's
- * life is over. A key is refused a little before the log may forget it.
+ * Whether the records that say all of a job are gone before their time, and
+ * it is for this instance to append them again: for its owner at once, for
+ * all others when the owner has not.
+ *
+ * Guards against a log that is trimmed too early: an instance that starts
+ * then knows nothing of a key that runs or ran. It shows as a charge that is
+ * made twice, or as an accepted job that nobody knows any more. The owner
+ * itself may not have read what was dropped.
+ */
+static bool dropped_due(struct rj_core_state *core, struct rj_job_entry *entry)
+{
+	if (entry->whole_from >= core->streams[RJ_STREAM_JOBS].oldest) {
+		entry->dropped_us = 0;
+		return false;
+	}
+	if (!entry->dropped_us)
+		entry->dropped_us =
+			core->now_us +
+			(owned_here(core, entry) ?
+				 0 :
+				 rj_core_jitter_us(core, CARRY_RETRY_US));
+	/* That an attempt is over is said once, to who missed it. */
+	if (!rj_job_entry_matters(entry) && entry->carry_us)
+		return false;
+	return core->now_us >= entry->dropped_us &&
+	       core->now_us >= entry->carry_us + CARRY_RETRY_US;
+}
+
+/* Whether half of the retention has passed since the oldest record that a job
+ * which matters is known from, and this instance owns it. */
+static bool carry_due(const struct rj_core_state *core,
+		      const struct rj_job_entry *entry)
+{
+	uint64_t half_us = core->retention_us / 2;
+
+	return rj_job_entry_matters(entry) &&
+	       core->now_us >= entry->base_us + half_us &&
+	       core->now_us >= entry->carry_us + half_us / 4 &&
+	       owned_here(core, entry);
+}
+
+/*
+ * Carry an entry forward at half the retention, counted from the oldest
+ * record that it is known from, since an outcome means nothing without its
+ * claim; or forget it when its key's life is over. A key is refused a little
+ * before the log may forget it.
  */
 static void keep_entry(struct rj_core_state *core, struct rj_job_entry *entry)
 {
@@ -407,15 +481,13 @@
 			       core->retention_us;
 	uint64_t half_us = core->retention_us / 2;
 
-	if (entry->settled && core->now_us > entry->first_us + life_us &&
+	if ((entry->settled || !rj_job_entry_matters(entry)) &&
+	    core->now_us > entry->first_us + life_us &&
 	    core->now_us > entry->recorded_us + half_us) {
 		rj_job_ledger_forget(&core->ledger, entry);
 		return;
 	}
-	if (core->now_us < entry->recorded_us + half_us ||
-	    core->now_us < entry->carry_us + half_us / 4)
-		return;
-	if (owned_here(core, entry))
+	if (dropped_due(core, entry) || carry_due(core, entry))
 		carry(core, entry);
 }
 
--- a/src/libradishjunction/peer/peer_codec.c
+++ b/src/libradishjunction/peer/peer_codec.c
@@ -298,6 +298,8 @@
 	write_number(writer, heartbeat->config_revision);
 	write_number(writer, heartbeat->queued);
 	write_number(writer, heartbeat->wait_us);
+	write_number(writer, heartbeat->log_from);
+	write_number(writer, heartbeat->log_next);
 	/* A version that knows nothing of changes ends here. */
 	if (heartbeat->config_changes)
 		write_bool(writer, true);
@@ -316,6 +318,11 @@
 		read_number(reader, "config_revision", UINT64_MAX);
 	heartbeat->queued = (uint32_t)read_number(reader, "queued", UINT32_MAX);
 	heartbeat->wait_us = read_number(reader, "wait_us", UINT64_MAX);
+	heartbeat->log_from = UINT64_MAX;
+	if (!has_more(reader))
+		return; /* an older version ends here */
+	heartbeat->log_from = read_number(reader, "log_from", UINT64_MAX);
+	heartbeat->log_next = read_number(reader, "log_next", UINT64_MAX);
 	if (has_more(reader))
 		heartbeat->config_changes = read_bool(reader, "config_changes");
 }
