--- a/include/radishjunction/http_callers.h
+++ b/include/radishjunction/http_callers.h
@@ -30,6 +30,7 @@
 	json_t *(*explain)(struct rj_caller_views *views, uint64_t job_id);
 	/* Append lines "name value". */
 	void (*metrics)(struct rj_caller_views *views, GString *text);
+	json_t *(*revision)(struct rj_caller_views *views);
 };
 
 struct rj_caller_views {
@@ -45,6 +46,7 @@
 	uint32_t connections_max;
 	uint32_t requests_max; /* open at once */
 	uint32_t idle_timeout_s; /* of a connection, and of one body */
+	uint64_t seed; /* of the times at which refused callers come back */
 	bool deferred; /* callers wait for `rj_http_callers_serve` */
 };
 
--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -290,6 +290,7 @@
 	heartbeat->config_revision = core->config ? core->config->revision : 0;
 	heartbeat->queued = view.queued;
 	heartbeat->wait_us = view.small_wait_us;
+	heartbeat->config_changes = true;
 	rj_log_fill_heartbeat(core, heartbeat);
 }
 
@@ -636,6 +637,7 @@
 	member->wait_us = heartbeat->wait_us;
 	member->log_from = heartbeat->log_from;
 	member->log_next = heartbeat->log_next;
+	member->config_changes = heartbeat->config_changes;
 	rj_log_gap_check(core);
 	if (core->config && member->config_revision < core->config->revision)
 		rj_config_controller_tell(core, name);
@@ -684,8 +686,9 @@
 }
 
 /*
- * Take again what peers said of their racks, for workers that were not
- * listed yet when they said it: it is sent only when it changes.
+ * Take again what peers said of the racks that they own, for workers that
+ * were not listed yet when they said it, or were owned here: it is sent only
+ * when it changes.
  */
 void rj_membership_summaries_again(struct rj_core_state *core)
 {
@@ -703,6 +706,8 @@
 				rack, struct rj_rack_summary, link);
 			struct rj_peer_summary summary;
 
+			if (!rj_racks_owned_by(core, known->rack, member->name))
+				continue;
 			memset(&summary, 0, sizeof(summary));
 			memcpy(summary.domain, member->domain,
 			       sizeof(summary.domain));
--- a/src/test_libradishjunction/support/world.h
+++ b/src/test_libradishjunction/support/world.h
@@ -21,6 +21,7 @@
 #define WORLD_DOMAINS_MAX 3
 #define WORLD_PPM 1000000
 #define WORLD_RETENTION_US (600 * RJ_US_PER_S)
+#define WORLD_KEY_LIFE_S 120
 #define WORLD_GUARANTEED_ACCOUNT "hub"
 #define WORLD_GUARANTEED_TASKS 4
 #define WORLD_OTHER_ACCOUNT "guest"
@@ -126,6 +127,7 @@
 	GQueue *readers[RJ_STREAM_COUNT]; /* long polls */
 	uint64_t revision; /* by replaying the config stream */
 	char config_id[RJ_CONFIG_ID_BYTES];
+	char *config_text; /* of that revision, whole */
 	GQueue lists; /* snapshots of the instance list, oldest first */
 	uint64_t list_lag_us;
 	uint64_t slow_us; /* added to each operation */
@@ -171,6 +173,7 @@
 	uint32_t racks_per_domain;
 	uint32_t workers_per_rack;
 	uint64_t retention_us; /* 0: WORLD_RETENTION_US */
+	uint32_t key_life_s; /* 0: WORLD_KEY_LIFE_S */
 	uint32_t drift_ppm; /* the most by which a clock is fast or slow */
 	FILE *transcript; /* NULL: none */
 	bool brief; /* the transcript is without upkeep */
@@ -182,6 +185,7 @@
 	uint64_t random;
 	uint64_t next_order;
 	uint64_t next_request;
+	uint32_t next_key;
 	GSequence *queue;
 	struct checker checker;
 	struct fault_rates rates;
@@ -230,6 +234,8 @@
 void fake_log_list(struct world *world, struct node *node);
 void fake_log_publish(struct world *world, uint64_t base, const char *id,
 		      const char *text);
+void fake_log_publish_change(struct world *world, uint64_t base, const char *id,
+			     const char *text);
 bool fake_log_reachable(const struct world *world, const struct node *node);
 
 void fake_worker_init(struct world *world, uint32_t index);
