--- a/src/libradishjunction/core/controllers/upstreams_controller.c
+++ b/src/libradishjunction/core/controllers/upstreams_controller.c
@@ -18,8 +18,6 @@
 /* A whole report in between shows what a lost call has left behind. */
 #define SHORT_REPORTS_MAX 16
 #define POLL_TIMEOUT_US (2 * RJ_US_PER_S)
-/* A report that is wanted now is asked for again after this. */
-#define POLL_LATE_US (500 * RJ_US_PER_MS)
 /* One lost report may be the link; two are the worker. */
 #define POLLS_LOST_SILENT 2
 /* So many different jobs failing in a row point to the worker. */
@@ -168,7 +166,6 @@
 	if (upstream->polling)
 		return;
 	upstream->polling = true;
-	upstream->asked_us = core->now_us;
 	call = talloc_zero(core, struct rj_call);
 	assert(call);
 	call->call_id = rj_core_next_id(core);
@@ -203,16 +200,10 @@
 /*
  * Ask for a worker's report now: what is known of it was just proved wrong,
  * or it has work of this instance for the first time.
- *
- * Guards against a report that is lost on its way: for as long as it is
- * waited for, nobody would see that what was reclaimed is free. It is taken
- * for lost after a while, and its answer, if it comes, is dropped.
  */
 void rj_upstreams_poll_soon(struct rj_core_state *core,
 			    struct rj_upstream *upstream)
 {
-	if (core->now_us > upstream->asked_us + POLL_LATE_US)
-		upstream->polling = false;
 	upstream->report_version = 0;
 	poll_now(core, upstream);
 }
@@ -515,14 +506,6 @@
 {
 	const struct rj_worker_report *report = &reply->report;
 
-	if (asked_us < upstream->asked_us) {
-		/* A newer report was asked for; a loss still counts, unless
-		   the worker has answered since. */
-		if (reply->status != RJ_REPLY_OK &&
-		    asked_us > upstream->answered_us)
-			poll_lost(core, upstream);
-		return;
-	}
 	upstream->polling = false;
 	rj_timer_set(&core->timers, &upstream->poll,
 		     core->now_us +
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -172,7 +172,6 @@
 	uint32_t polls_lost;
 	uint64_t report_version; /* of the last whole report; 0: none */
 	uint32_t short_reports; /* since then, with nothing changed */
-	uint64_t asked_us; /* when the newest report was asked for */
 	uint64_t answered_us;
 	enum rj_upstream_health health;
 	struct rj_resources capacity;
