--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -290,6 +290,7 @@
 	heartbeat->config_revision = core->config ? core->config->revision : 0;
 	heartbeat->queued = view.queued;
 	heartbeat->wait_us = view.small_wait_us;
+	heartbeat->config_changes = true;
 	rj_log_fill_heartbeat(core, heartbeat);
 }
 
@@ -636,6 +637,7 @@
 	member->wait_us = heartbeat->wait_us;
 	member->log_from = heartbeat->log_from;
 	member->log_next = heartbeat->log_next;
+	member->config_changes = heartbeat->config_changes;
 	rj_log_gap_check(core);
 	if (core->config && member->config_revision < core->config->revision)
 		rj_config_controller_tell(core, name);
--- a/src/test_libradishjunction/test_peer_codec.c
+++ b/src/test_libradishjunction/test_peer_codec.c
@@ -101,8 +101,8 @@
 		void *mem = talloc_new(NULL);
 		struct rj_peer_message message;
 		struct rj_bytes bytes;
-		uint32_t whole;
 		uint32_t older = peer_frames_recorded(mem, kind).length;
+		uint32_t whole;
 
 		peer_frames_fill(&message, kind);
 		bytes = rj_peer_encode(mem, &message);
@@ -206,6 +206,10 @@
 				recorded.length);
 		g_assert_cmpint(rj_peer_decode(mem, recorded, &got, NULL), ==,
 				0);
+		g_assert_false(kind == RJ_PEER_HEARTBEAT &&
+			       got.u.heartbeat.config_changes);
+		g_assert_false(kind == RJ_PEER_CONFIG &&
+			       got.u.config.change.patch);
 		written = rj_peer_encode(mem, &got);
 		g_assert_cmpmem(written.data, recorded.length, recorded.data,
 				recorded.length);
