load: "not run" of a second submission says nothing of a lost first one

None of the refused job ids was ever admitted by an instance (their logs name them nowhere). The packs have no key and are not waited for; the first submission's answer was lost (slow platform, 5 s of patience), the second one, a job of its own, was refused, and the load judged it by its body's digest, under which the first one ran. Excluded: a refusal after a start (the logs would name the id). Change: who lost the answer to a submission without a key counts a later not_run as unknown. Keyed jobs and all other answers are judged as before.

--- a/src/radishjunction/load.c
+++ b/src/radishjunction/load.c
@@ -30,6 +30,7 @@
 	bool posted; /* the newest request was a submission */
 	uint64_t job_id; /* 0 until an answer named it */
 	bool accepted;
+	bool in_doubt; /* a submission without a key was not answered */
 };
 
 static void ask_send(struct ask *ask);
@@ -152,9 +153,13 @@
 		ask_end(ask, answer, reason);
 		return;
 	case RJ_ANSWER_FAILED:
-	case RJ_ANSWER_NOT_RUN:
 		ask_end(ask, answer, reason);
 		return;
+	case RJ_ANSWER_NOT_RUN:
+		/* True of this submission; the lost one may have run. */
+		ask_end(ask, ask->in_doubt ? RJ_ANSWER_UNKNOWN : answer,
+			reason);
+		return;
 	case RJ_ANSWER_ACCEPTED:
 		ask->accepted = true;
 		ask->job->accepted = true;
@@ -182,6 +187,9 @@
 
 	if (result->outcome == RJ_HTTP_ANSWERED)
 		json = json_loadb(result->body, result->length, 0, NULL);
+	if (result->outcome == RJ_HTTP_LOST && !ask->job->kind->keyed &&
+	    !ask->job_id)
+		ask->in_doubt = true;
 	if (json)
 		take_answer(ask, json);
 	else
