--- a/src/libradishjunction/core/controllers/drain_controller.c
+++ b/src/libradishjunction/core/controllers/drain_controller.c
@@ -69,8 +69,10 @@
 	rj_timer_init(&core->drain_watch, watch_due);
 }
 
-/* Hand a waiting job to a peer, or answer it with when to come back. */
-static void hand_over(struct rj_job *job)
+/*
+ * Hand a waiting job to a peer, or answer it with when to come back.
+ */
+void rj_job_hand_over(struct rj_job *job)
 {
 	if (job->accepted) {
 		/* Look-ups may have come since the stop began. */
@@ -84,20 +86,23 @@
 }
 
 /*
- * Hand every waiting job to a peer: this instance stops, or owns no rack any
- * more. Called again when the view of the peers changes: while none is alive,
+ * Hand waiting jobs to peers: all of them if this instance stops or owns no
+ * rack any more, else those that wait for a guaranteed shape that a peer owns
+ * now. Called again when the view of the peers changes: while none is alive,
  * the jobs are served here.
  */
 void rj_drain_hand_over(struct rj_core_state *core)
 {
+	bool all = rj_racks_hand_on(core);
 	struct rj_list *at;
 	struct rj_list *next;
 
 	RJ_FOR_EACH (at, next, &core->jobs.list) {
 		struct rj_job *job = RJ_CONTAINER(at, struct rj_job, link);
 
-		if (job->state == RJ_JOB_QUEUED)
-			hand_over(job);
+		if (job->state == RJ_JOB_QUEUED &&
+		    (all || rj_route_leads_away(job)))
+			rj_job_hand_over(job);
 	}
 }
 
--- a/src/libradishjunction/include/private/plan_table.h
+++ b/src/libradishjunction/include/private/plan_table.h
@@ -27,6 +27,7 @@
 	uint64_t backlog; /* what it added to the backlog when it came */
 	uint64_t stamp; /* of the last search that met it */
 	bool reclaiming;
+	bool claims; /* was placed on its account's guarantee */
 	bool on_loan; /* runs where a reservation let it pass */
 	bool granted; /* by a guarantee, and not on its home (yet) */
 };
@@ -52,6 +53,7 @@
 void rj_plan_entry_unplace(struct rj_plan_entry *entry,
 			   struct rj_capacity *capacity);
 void rj_plan_queue_insert(GQueue *queue, struct rj_plan_entry *entry);
+uint64_t rj_plan_queue_wake_us(const GQueue *queue);
 const struct rj_shape *rj_plan_queue_largest(const GQueue *queue,
 					     uint32_t *accelerators);
 
--- a/src/test_libradishjunction/support/peer_frames.c
+++ b/src/test_libradishjunction/support/peer_frames.c
@@ -20,8 +20,8 @@
 	switch (kind) {
 	case RJ_PEER_HEARTBEAT:
 		message->u.heartbeat = (struct rj_peer_heartbeat){
-			"lhr-dha", UINT64_MAX, true, true,	 true, 7,
-			9,	   1ULL << 40, 12,   UINT64_MAX, true
+			"lhr-dha",  UINT64_MAX, true,	    true, true, 7,   9,
+			1ULL << 40, 12,		UINT64_MAX, 4,	  1,	true
 		};
 		break;
 	case RJ_PEER_SUMMARY:
@@ -67,7 +67,8 @@
 		};
 		break;
 	case RJ_PEER_CANCEL:
-		message->u.cancel = (struct rj_peer_cancel){ 12, 77 };
+		message->u.cancel =
+			(struct rj_peer_cancel){ 12, 77, 10001, 3, 2000000 };
 		break;
 	case RJ_PEER_MESSAGE_KIND_COUNT:
 		g_assert_not_reached();
