--- a/src/test_libradishjunction/test_planner_topology.c
+++ b/src/test_libradishjunction/test_planner_topology.c
@@ -76,6 +76,17 @@
 	f->planner->ops->worker(f->planner, &worker, 0);
 }
 
+/* Guarantee nothing to anybody, and expect of the classes what they say. */
+static void configure_classes(struct fixture *f, struct rj_job_class *classes,
+			      uint32_t count)
+{
+	f->accounts[0].guarantee_count = 0;
+	f->accounts[1].guarantee_count = 0;
+	f->config.classes = classes;
+	f->config.class_count = count;
+	configure(f);
+}
+
 /*
  * Two racks of four workers with 8 accelerators. Account a is guaranteed a
  * whole rack, b two adjacent workers, c nothing.
@@ -455,29 +466,95 @@
 	struct rj_job_class class = { .name = "class", .expected_us = 100 * S };
 	struct rj_plan_job small = job_of(1, 'c', 1, 1);
 
-	f->accounts[0].guarantee_count = 0;
-	f->accounts[1].guarantee_count = 0;
-	f->config.classes = &class;
-	f->config.class_count = 1;
 	f->config.limits.fragmentation_weight = 100;
-	configure(f);
+	configure_classes(f, &class, 1);
 	small.checkpoint = true;
 	submit_many(f, small, 8 * WORKERS);
 	pass(f, 0);
 	submit(f, job_of(200, 'c', 4, 8), 0);
 	pass(f, 0);
 	g_assert_cmpuint(f->decisions.count, ==, 0);
-	pass(f, 9 * S);
+	pass(f, 2 * S);
 	g_assert_cmpuint(f->decisions.count, ==, 0);
-	g_assert_cmpuint(f->planner->ops->wake_us(f->planner), <=, 10 * S);
-	pass(f, 10 * S);
+	g_assert_cmpuint(f->planner->ops->wake_us(f->planner), <=, 3 * S);
+	pass(f, 3 * S);
 	g_assert_cmpuint(count_of(f, RJ_DECISION_RECLAIM), ==, 32);
 	g_assert_true(f->decisions.list[0].checkpoint);
-	obey(f, 0, 10 * S);
-	pass(f, 10 * S);
+	obey(f, 0, 3 * S);
+	pass(f, 3 * S);
 	g_assert_cmpint(decision_on(f, 200)->reason, ==, RJ_REASON_RECLAIMED);
 }
 
+/*
+ * A pricing gang waits for hours though all that is in its way may be
+ * stopped. A smaller gang with checkpoints was let pass it and took most of
+ * the rack, a render the rest. Cause: what was let pass was stopped
+ * only if that was enough, and so was small work, but never both together.
+ */
+static void test_loans_and_small_work_make_way_together(struct fixture *f,
+							const void *data)
+{
+	struct rj_job_class class = { .name = "class", .expected_us = 100 * S };
+	struct rj_plan_job render = job_of(1, 'c', 1, 8);
+	struct rj_plan_job passing = job_of(300, 'c', 3, 8);
+
+	f->config.limits.fragmentation_weight = 100;
+	configure_classes(f, &class, 1);
+	for (uint32_t i = 1; i < RACK_WORKERS; i++)
+		f->planner->ops->worker_gone(f->planner, RACK_WORKERS + i, 0);
+	/* One fills the only worker of the other rack. */
+	render.checkpoint = true;
+	submit_many(f, render, 2);
+	pass(f, 0);
+	submit(f, job_of(200, 'c', 4, 8), 0);
+	pass(f, 0);
+	passing.checkpoint = true;
+	submit(f, passing, S);
+	pass(f, S);
+	g_assert_cmpint(decision_on(f, 300)->reason, ==, RJ_REASON_BACKFILL);
+	pass(f, 30 * S);
+	g_assert_cmpuint(count_of(f, RJ_DECISION_RECLAIM), ==, 2);
+	obey(f, 0, 30 * S);
+	pass(f, 30 * S);
+	g_assert_cmpint(decision_on(f, 200)->kind, ==, RJ_DECISION_START);
+}
+
+/*
+ * Previews wait beside idle accelerators, which are kept for a gang whose
+ * turn is minutes away, though stopping them would cost a few seconds.
+ * Cause: only what ends in time or has checkpoints was let pass.
+ */
+static void test_short_small_work_passes_a_reservation(struct fixture *f,
+						       const void *data)
+{
+	struct rj_job_class classes[] = {
+		{ .name = "class", .expected_us = 100 * S },
+		{ .name = "preview", .expected_us = 6 * S },
+	};
+	struct rj_plan_job preview = job_of(300, 'c', 1, 2);
+	struct rj_plan_job gang = job_of(200, 'c', WORKERS, 8);
+
+	configure_classes(f, classes, 2);
+	/* It may end at any moment: nothing is sure to end before it. */
+	submit(f, job_of(1, 'c', 1, 8), 0);
+	pass(f, 0);
+	gang.shape.adjacent = false;
+	submit(f, gang, 0);
+	pass(f, 99 * S);
+	strcpy(preview.class_name, "preview");
+	submit(f, preview, 99 * S);
+	preview.job_id++;
+	preview.priority = RJ_PRIORITY_URGENT;
+	submit(f, preview, 99 * S);
+	preview.job_id++;
+	preview.priority = RJ_PRIORITY_NORMAL;
+	preview.shape.each.accelerators = 4;
+	submit(f, preview, 99 * S);
+	pass(f, 99 * S);
+	g_assert_cmpuint(f->decisions.count, ==, 1);
+	g_assert_cmpint(decision_on(f, 300)->reason, ==, RJ_REASON_BACKFILL);
+}
+
 /*
  * A tutor waits for a lesson pack that was dead an hour ago: it sits in the
  * queue past its deadline and nobody says so.
@@ -526,6 +603,35 @@
 	g_hash_table_destroy(times);
 }
 
+/*
+ * A portfolio gang waits while the rooms that it needs go to previews that
+ * came minutes later. All ends at once, and the previews are served first.
+ * Cause: the gang is of low priority, and its size counted for nothing.
+ */
+static void test_a_large_gang_goes_before_later_small_work(struct fixture *f,
+							   const void *data)
+{
+	struct rj_plan_job gang = job_of(2, 'c', WORKERS, 8);
+	struct rj_plan_job small = job_of(3, 'c', 1, 8);
+	struct rj_plan_job first = gang;
+
+	first.job_id = 1;
+	first.shape.adjacent = false;
+	gang.shape.adjacent = false;
+	gang.priority = RJ_PRIORITY_BULK;
+	small.checkpoint = true;
+	submit(f, first, 0);
+	pass(f, 0);
+	submit(f, gang, 0);
+	submit(f, small, 100 * S);
+	pass(f, 100 * S);
+	g_assert_cmpuint(f->decisions.count, ==, 0);
+	ended(f, 1, 200 * S, 200 * S);
+	pass(f, 200 * S);
+	g_assert_cmpuint(f->decisions.count, ==, 1);
+	g_assert_cmpint(decision_on(f, 2)->kind, ==, RJ_DECISION_START);
+}
+
 /*
  * One account's burst of previews shuts everybody out: it fills the queue.
  */
@@ -702,9 +808,13 @@
 	ADD("reservation/never", test_nothing_is_kept_for_what_cannot_run);
 	ADD("reservation/learnt", test_learnt_run_time_decides_who_passes);
 	ADD("reservation/waited", test_small_work_makes_way_for_a_gang);
+	ADD("reservation/together",
+	    test_loans_and_small_work_make_way_together);
+	ADD("reservation/short", test_short_small_work_passes_a_reservation);
 	ADD("queue/late", test_late_jobs_are_given_up);
 	ADD("queue/apart", test_refused_callers_return_apart);
 	ADD("queue/shared", test_queue_is_shared);
+	ADD("queue/size", test_a_large_gang_goes_before_later_small_work);
 	ADD("place/broken", test_small_jobs_fill_broken_workers);
 	ADD("place/span", test_gangs_span_as_few_racks_as_will_do);
 	g_test_add_func("/planner_topology/home/order",
