core: a configuration asks for whole reports only if tasks mean something else

Cause: asks every worker for a whole report at each configuration, so that tasks seen before the first one are looked at again. Change: it asks only when there was no configuration before, or when a class or the accounts differ.

--- a/src/libradishjunction/core/controllers/config_controller.c
+++ b/src/libradishjunction/core/controllers/config_controller.c
@@ -10,12 +10,37 @@
 /* An append that was lost shows within this time, or is made again. */
 #define CARRY_RETRY_US (10 * RJ_US_PER_S)
 
+/* Whether two configurations have the same classes for the same accounts, so
+ * that a task means the same under both. */
+static bool same_tasks(const struct rj_config *a, const struct rj_config *b)
+{
+	if (a->class_count != b->class_count ||
+	    a->account_count != b->account_count)
+		return false;
+	for (uint32_t i = 0; i < a->class_count; i++) {
+		const struct rj_job_class *class = &a->classes[i];
+		const struct rj_job_class *other =
+			rj_config_class(b, class->name);
+
+		if (!other || class->priority != other->priority ||
+		    class->idempotent != other->idempotent ||
+		    class->checkpoint != other->checkpoint)
+			return false;
+	}
+	for (uint32_t i = 0; i < a->account_count; i++)
+		if (strcmp(a->accounts[i].name, b->accounts[i].name) != 0)
+			return false;
+	return true;
+}
+
 /* A newer configuration came into force: every part that uses it is told,
  * and so are the peers, who may not be able to read the log. */
 static void in_force(struct rj_core_state *core, const char *from)
 {
 	struct rj_list *at;
 	struct rj_list *next;
+	bool same = core->config &&
+		    same_tasks(core->config, core->config_log.config);
 
 	if (core->config)
 		rj_config_unref(core->config);
@@ -25,7 +50,8 @@
 	core->planner->ops->configure(core->planner, core->config, core->domain,
 				      core->now_us);
 	rj_racks_ownership(core); /* the groups of racks may differ */
-	rj_upstreams_whole_reports(core);
+	if (!same)
+		rj_upstreams_whole_reports(core);
 	core->jobs.plan_wanted = true;
 	RJ_FOR_EACH (at, next, &core->membership.members) {
 		const struct rj_member_view *member =
