core: heartbeats between failure domains stay flat as domains grow

Change: with more than four domains one heartbeat in (domains - 1) / 2 goes to other domains, and a peer there is believed alive for so much longer. Worlds of two and three domains behave as before.

--- a/src/bench/control.c
+++ b/src/bench/control.c
@@ -17,6 +17,7 @@
 #include "bench.h"
 #include "large_site.h"
 #include "list_history.h"
+#include "private/core_state.h"
 #include "private/instance_list.h"
 #include "private/peer_codec.h"
 #include "private/platform_wire.h"
@@ -85,6 +86,7 @@
 	uint32_t replaced; /* so far */
 	uint64_t now_us;
 	uint64_t peers_due_us;
+	uint32_t beats; /* rounds of heartbeats so far */
 	GQueue pending; /* struct rj_event, to be delivered next */
 	bool measuring;
 	struct tally reports;
@@ -395,13 +397,22 @@
 
 /*
  * The heartbeats of the peers, each second; they are alive from the first.
+ * Those of other failure domains send as seldom as this instance does.
  */
 static void peers_round(struct control *control)
 {
+	uint32_t every =
+		rj_membership_beats_between(control->load->site.domains);
+	bool others = control->beats++ % every == 0;
+
 	for (uint32_t i = 0; i < control->instance_count; i++) {
-		struct rj_peer_message *message =
-			message_from(control, i, RJ_PEER_HEARTBEAT);
+		const char *domain = control->instances[i].domain;
+		struct rj_peer_message *message;
 
+		if (!others &&
+		    strcmp(domain, control->instances[0].domain) != 0)
+			continue;
+		message = message_from(control, i, RJ_PEER_HEARTBEAT);
 		if (!message)
 			continue;
 		g_strlcpy(message->u.heartbeat.domain,
--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -12,13 +12,14 @@
 #include "private/core_state.h"
 
 #define HEARTBEAT_US (1 * RJ_US_PER_S)
-/* Three heartbeats may be lost on a bad link before a peer counts as dead. */
-#define ALIVE_US (3500 * RJ_US_PER_MS)
+/* So many may be lost on a bad link before a peer counts as dead. */
+#define BEATS_LOST_MAX 3
+#define ALIVE_US (BEATS_LOST_MAX * HEARTBEAT_US + 500 * RJ_US_PER_MS)
+/* Links to each other failure domain: one may fail, and traffic stays flat. */
+#define LINKS_TO_OTHER_DOMAIN 2
 #define LIST_US (2 * RJ_US_PER_S)
 /* Until the first list has come, nothing can be served. */
 #define LIST_FIRST_US (300 * RJ_US_PER_MS)
-/* Links to each other failure domain: one may fail, and traffic stays flat. */
-#define LINKS_TO_OTHER_DOMAIN 2
 
 /* Add a peer to the view, or find it. */
 static struct rj_member_view *member_learn(struct rj_core_state *core,
@@ -56,6 +57,24 @@
 	return NULL;
 }
 
+/*
+ * Of how many heartbeats one goes to other failure domains, where there are
+ * `domains` of them in all: the more there are, the fewer each one hears, so
+ * that their sum stays flat. Up to four domains each one is sent. An instance
+ * that dies shows at once by its link; only one that is cut off shows later.
+ */
+uint32_t rj_membership_beats_between(uint32_t domains)
+{
+	return MAX((domains - 1) / LINKS_TO_OTHER_DOMAIN, 1);
+}
+
+/* The same for the domains of the configuration in force. */
+static uint32_t beats_to_other_domains(const struct rj_core_state *core)
+{
+	return rj_membership_beats_between(
+		core->config ? core->config->domain_count : 1);
+}
+
 /*
  * Whether a peer is believed alive: its link stands and it was heard from a
  * short while ago.
@@ -63,8 +82,13 @@
 bool rj_membership_alive(const struct rj_core_state *core,
 			 const struct rj_member_view *member)
 {
+	uint64_t alive_us = ALIVE_US;
+
+	if (strcmp(member->domain, core->domain) != 0)
+		alive_us += BEATS_LOST_MAX * HEARTBEAT_US *
+			    (beats_to_other_domains(core) - 1);
 	return member->connected && member->heard &&
-	       core->now_us < member->heard_us + ALIVE_US;
+	       core->now_us < member->heard_us + alive_us;
 }
 
 /*
@@ -308,26 +332,34 @@
 	out->lost = member->lost;
 }
 
-/*
- * Tell every connected peer how this instance is.
- */
-void rj_membership_heartbeat_all(struct rj_core_state *core)
+/* Tell the connected peers how this instance is: those of its own failure
+ * domain, and all others too where `others` says so. */
+static void heartbeat(struct rj_core_state *core, bool others)
 {
-	struct rj_peer_heartbeat heartbeat;
+	struct rj_peer_heartbeat message;
 	struct rj_list *at;
 	struct rj_list *next;
 
-	memset(&heartbeat, 0, sizeof(heartbeat));
-	fill_heartbeat(core, &heartbeat);
+	memset(&message, 0, sizeof(message));
+	fill_heartbeat(core, &message);
 	RJ_FOR_EACH (at, next, &core->membership.members) {
 		const struct rj_member_view *member =
 			RJ_CONTAINER(at, struct rj_member_view, link);
 
-		if (member->connected)
-			send_heartbeat(core, member, &heartbeat);
+		if (member->connected &&
+		    (others || !strcmp(member->domain, core->domain)))
+			send_heartbeat(core, member, &message);
 	}
 }
 
+/*
+ * Tell every connected peer how this instance is.
+ */
+void rj_membership_heartbeat_all(struct rj_core_state *core)
+{
+	heartbeat(core, true);
+}
+
 /* What this instance owns may have changed. */
 static void view_changed(struct rj_core_state *core)
 {
@@ -381,7 +413,8 @@
 
 	note_alone(core);
 	digest = view_digest(core);
-	rj_membership_heartbeat_all(core);
+	heartbeat(core,
+		  core->membership.beats++ % beats_to_other_domains(core) == 0);
 	rj_upstreams_leaving_again(core);
 	if (digest != core->membership.view_digest) {
 		core->membership.view_digest = digest;
--- a/src/libradishjunction/core/job_ledger.c
+++ b/src/libradishjunction/core/job_ledger.c
@@ -122,7 +122,14 @@
 	return entry;
 }
 
-/* An accepted job: its whole spec is kept until it has an outcome. */
+/*
+ * An accepted job: its whole spec is kept until it has an outcome. One that
+ * is carried names the last attempt that had claimed the job, if any has.
+ *
+ * Guards against a reader that starts after that claim and its void were
+ * trimmed: it would say of a cancelled job that ran and was stopped that it
+ * did not run.
+ */
 static void apply_accept(struct rj_job_entry *entry,
 			 const struct rj_record *record)
 {
@@ -132,6 +139,8 @@
 	    memcmp(entry->spec.digest, record->spec.digest, RJ_DIGEST_BYTES))
 		return;
 	entry->accepted = true;
+	if (record->carried && !entry->claimed)
+		entry->attempt = record->attempt;
 	entry->spec = record->spec;
 	entry->spec.job_id = entry->job_id;
 	g_strlcpy(entry->domain, record->domain, sizeof(entry->domain));
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -129,6 +129,7 @@
 	struct rj_list members; /* of all failure domains, without this one */
 	uint32_t count;
 	struct rj_timer heartbeat;
+	uint64_t beats; /* heartbeats so far */
 	struct rj_timer list;
 	uint64_t view_digest;
 	uint64_t alone_us; /* since when only peers have the log; 0: not so */
@@ -416,6 +417,7 @@
 void rj_membership_summary(struct rj_core_state *core, const char *name,
 			   const struct rj_peer_summary *summary);
 void rj_membership_summaries_again(struct rj_core_state *core);
+uint32_t rj_membership_beats_between(uint32_t domains);
 void rj_membership_heartbeat_all(struct rj_core_state *core);
 struct rj_member_view *rj_membership_find(struct rj_core_state *core,
 					  const char *name);
--- a/src/test_libradishjunction/test_job_ledger.c
+++ b/src/test_libradishjunction/test_job_ledger.c
@@ -100,6 +100,30 @@
 	g_assert_cmpuint(entry->base_us, ==, NOW_US - RJ_US_PER_S);
 }
 
+/*
+ * A tutor hears that a render did not run, and sees half of it on the worker.
+ * The accepted render runs and is stopped for another's guarantee; its claim
+ * and void are trimmed, the acceptance is carried. An instance that starts
+ * then reads that it is cancelled.
+ * Cause: that the job had been claimed was lost with the claim.
+ */
+static void test_carried_acceptance_names_the_attempt(struct fixture *fixture,
+						      gconstpointer data)
+{
+	struct rj_record first = record(RJ_RECORD_ACCEPT, 0);
+	struct rj_record carried = first;
+	struct rj_job_entry *entry;
+
+	(void)data;
+	carried.carried = true;
+	entry = apply(fixture, carried);
+	g_assert_true(entry->accepted);
+	g_assert_cmpuint(entry->attempt.number, ==, 1);
+	rj_job_ledger_reset(&fixture->ledger);
+	entry = apply(fixture, first);
+	g_assert_cmpuint(entry->attempt.number, ==, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -109,5 +133,7 @@
 		   test_carried_outcome_is_known, teardown);
 	g_test_add("/job_ledger/base", struct fixture, NULL, setup,
 		   test_an_outcome_is_as_old_as_its_claim, teardown);
+	g_test_add("/job_ledger/accepted", struct fixture, NULL, setup,
+		   test_carried_acceptance_names_the_attempt, teardown);
 	return g_test_run();
 }
--- /dev/null
+++ b/src/test_libradishjunction/test_membership.c
@@ -0,0 +1,60 @@
+#include <glib.h>
+#include <string.h>
+
+#include "private/core_state.h"
+
+#define DOMAINS 8
+#define HEARD_US (100 * RJ_US_PER_S)
+
+/* Whether a peer of `domain` is alive so long after it was heard, as an
+ * instance of "a" sees it in a configuration of DOMAINS domains. */
+static bool alive_after(const char *domain, uint64_t silence_us)
+{
+	struct rj_config config = { .domain_count = DOMAINS };
+	struct rj_core_state core = { .config = &config };
+	struct rj_member_view member = { .connected = true,
+					 .heard = true,
+					 .heard_us = HEARD_US };
+
+	rj_name_set(core.domain, "a");
+	rj_name_set(member.domain, domain);
+	core.now_us = HEARD_US + silence_us;
+	return rj_membership_alive(&core, &member);
+}
+
+/*
+ * A buyer's quote is not forwarded to another failure domain, and its claims
+ * are settled by strangers, though that domain is well.
+ * In a large site its heartbeats come seldom, and two are lost.
+ * Cause: it was counted dead by the patience of the own domain.
+ */
+static void test_seldom_heard_is_not_dead(void)
+{
+	uint32_t every = rj_membership_beats_between(DOMAINS);
+
+	g_assert_true(alive_after("a", 3 * RJ_US_PER_S));
+	g_assert_false(alive_after("a", 4 * RJ_US_PER_S));
+	g_assert_true(alive_after("b", 3 * every * RJ_US_PER_S));
+	g_assert_false(alive_after("b", (3 * every + 1) * RJ_US_PER_S));
+}
+
+/* Small sites hear each other every second; in large ones what an instance
+ * sends to all other domains together stays about the same. */
+static void test_heartbeats_between_domains_stay_flat(void)
+{
+	for (uint32_t domains = 1; domains <= 4; domains++)
+		g_assert_cmpuint(rj_membership_beats_between(domains), ==, 1);
+	for (uint32_t domains = 5; domains <= 64; domains++)
+		g_assert_cmpuint(domains - 1, <=,
+				 3 * rj_membership_beats_between(domains));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/membership/seldom_heard",
+			test_seldom_heard_is_not_dead);
+	g_test_add_func("/membership/between_domains",
+			test_heartbeats_between_domains_stay_flat);
+	return g_test_run();
+}
