planner: urgent work that was stopped is not stopped again for a gang's wait

Change: what is urgent and was stopped before is let finish, unless an account claims its guarantee.

--- a/src/libradishjunction/core/topology_reclaim.c
+++ b/src/libradishjunction/core/topology_reclaim.c
@@ -176,6 +176,15 @@
 	return search->total >= search->entry->job.shape.tasks;
 }
 
+/*
+ * Whether the job is urgent and was stopped before: it waits since then.
+ */
+static bool urgent_again(const struct rj_plan_entry *entry)
+{
+	return entry->job.priority == RJ_PRIORITY_URGENT &&
+	       entry->waiting_since_us > entry->job.queued_us;
+}
+
 /*
  * Whether the ground allows to stop `entry` at all, wherever it runs.
  */
@@ -194,7 +203,7 @@
 	case GROUND_URGENT:
 		return job->priority != RJ_PRIORITY_URGENT;
 	case GROUND_LOAN:
-		return entry->on_loan;
+		return entry->on_loan && !urgent_again(entry);
 	case GROUND_WAITED:
 		/*
 		 * Never another gang: they would take turns. What passed a
@@ -202,7 +211,7 @@
 		 * goes with the small work, urgent or not: the most that may
 		 * be lost holds for both.
 		 */
-		return entry->on_loan ||
+		return (entry->on_loan && !urgent_again(entry)) ||
 		       (job->priority != RJ_PRIORITY_URGENT &&
 			rj_topology_size(entry) * SMALL_PART <=
 				rj_topology_size(search->entry));
--- a/src/test_libradishjunction/test_planner_topology.c
+++ b/src/test_libradishjunction/test_planner_topology.c
@@ -519,6 +519,40 @@
 	g_assert_cmpint(decision_on(f, 200)->kind, ==, RJ_DECISION_START);
 }
 
+/*
+ * A lesson pack is stopped again and again, and handed out after the class.
+ * It was stopped for a guarantee, came back where a waiting gang let it pass,
+ * and was stopped for the gang. Cause: that it had been stopped before and
+ * that it is urgent counted for nothing there.
+ */
+static void test_urgent_work_is_not_stopped_again_for_a_gang(struct fixture *f,
+							     const void *data)
+{
+	struct rj_job_class class = { .name = "class",
+				      .expected_us = 1000 * S };
+	struct rj_plan_job render = job_of(1, 'c', 1, 8);
+	struct rj_plan_job lesson = job_of(300, 'c', 3, 8);
+
+	f->config.limits.fragmentation_weight = 100;
+	configure_classes(f, &class, 1);
+	for (uint32_t i = 1; i < RACK_WORKERS; i++)
+		f->planner->ops->worker_gone(f->planner, RACK_WORKERS + i, 0);
+	lesson.checkpoint = true;
+	lesson.priority = RJ_PRIORITY_URGENT;
+	submit(f, lesson, 0);
+	pass(f, 0);
+	f->planner->ops->requeue(f->planner, lesson.job_id, 2 * S, S);
+	render.checkpoint = true;
+	submit_many(f, render, 2);
+	pass(f, S);
+	submit(f, job_of(200, 'c', 4, 8), S);
+	pass(f, S);
+	pass(f, 2 * S);
+	g_assert_cmpint(decision_on(f, 300)->reason, ==, RJ_REASON_BACKFILL);
+	pass(f, 30 * S);
+	g_assert_cmpuint(count_of(f, RJ_DECISION_RECLAIM), ==, 0);
+}
+
 /*
  * Previews wait beside idle accelerators, which are kept for a gang whose
  * turn is minutes away, though stopping them would cost a few seconds.
@@ -810,6 +844,8 @@
 	ADD("reservation/waited", test_small_work_makes_way_for_a_gang);
 	ADD("reservation/together",
 	    test_loans_and_small_work_make_way_together);
+	ADD("reservation/urgent_again",
+	    test_urgent_work_is_not_stopped_again_for_a_gang);
 	ADD("reservation/short", test_short_small_work_passes_a_reservation);
 	ADD("queue/late", test_late_jobs_are_given_up);
 	ADD("queue/apart", test_refused_callers_return_apart);
