--- a/src/libradishjunction/core/controllers/upstreams_controller.c
+++ b/src/libradishjunction/core/controllers/upstreams_controller.c
@@ -17,11 +17,9 @@
 #define POLL_PER_WORKER_US (250 * RJ_US_PER_MS)
 /* A whole report in between shows what a lost call has left behind. */
 #define SHORT_REPORTS_MAX 16
-/* A report is a small call within the failure domain. A worker that is slower
- * gets no new work for a while; what runs there goes on with its leases. */
-#define POLL_TIMEOUT_US (1 * RJ_US_PER_S)
+#define POLL_TIMEOUT_US (2 * RJ_US_PER_S)
 /* One lost report may be the link; two are the worker. */
-#define POLLS_LOST_SILENT 3
+#define POLLS_LOST_SILENT 2
 /* So many different jobs failing in a row point to the worker. */
 #define FAILED_JOBS_SET_ASIDE 3
 /* Leaving is said with so many heartbeats; it must be known within 5 s. */
@@ -446,29 +444,6 @@
 	return left;
 }
 
-/* Ask for the next report in about `period_us`. */
-static void poll_after(struct rj_core_state *core, struct rj_upstream *upstream,
-		       uint64_t period_us)
-{
-	rj_timer_set(&core->timers, &upstream->poll,
-		     core->now_us + rj_core_jitter_us(core, period_us));
-}
-
-/*
- * How long after a lost report the next is asked for: soon, until it is clear
- * whether the link or the worker was the cause.
- *
- * Guards against work that is sent to a dead worker: an owner of many workers
- * asks each of them seldom, and at the large size two lost reports took over
- * a minute.
- */
-static uint64_t lost_period_us(const struct rj_core_state *core,
-			       const struct rj_upstream *upstream)
-{
-	return upstream->polls_lost < POLLS_LOST_SILENT ? POLL_MIN_US :
-							  poll_period_us(core);
-}
-
 /* A worker did not answer its report. */
 static void poll_lost(struct rj_core_state *core, struct rj_upstream *upstream)
 {
@@ -532,12 +507,13 @@
 	const struct rj_worker_report *report = &reply->report;
 
 	upstream->polling = false;
+	rj_timer_set(&core->timers, &upstream->poll,
+		     core->now_us +
+			     rj_core_jitter_us(core, poll_period_us(core)));
 	if (reply->status != RJ_REPLY_OK) {
 		poll_lost(core, upstream);
-		poll_after(core, upstream, lost_period_us(core, upstream));
 		return;
 	}
-	poll_after(core, upstream, poll_period_us(core));
 	renew_incarnation(core, upstream, report->incarnation);
 	upstream->answered_us = core->now_us;
 	upstream->polls_lost = 0;
