core: a settled attempt says nothing of the attempts before it

Whoever settles the open claim hears from the worker that it never started and says "not run". Excluded: the trimmed log itself (nothing that mattered was missing). Change: the entry keeps that an attempt before the open one was closed, and who settles the open one knows that the job may have run.

--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -334,6 +334,8 @@
 	if (entry->accepted)
 		take_accepted(job, entry);
 	job->cancelled = job->cancelled || entry->cancelled;
+	/* That the open attempt never ran says nothing of earlier ones. */
+	job->ran_before = job->ran_before || entry->claimed_before;
 	job->attempt = entry->attempt;
 	job->claimed = true;
 	members_from_log(job, entry);
--- a/src/libradishjunction/core/job_ledger.c
+++ b/src/libradishjunction/core/job_ledger.c
@@ -183,6 +183,7 @@
 	if (!entry->claimed || !same_attempt(&entry->attempt, &record->attempt))
 		return;
 	entry->claimed = false;
+	entry->claimed_before = true;
 	entry->member_count = 0;
 	TALLOC_FREE(entry->members);
 }
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -59,6 +59,7 @@
 	bool cancelled;
 	bool claimed; /* a claim is open */
 	uint64_t first_owner; /* of the first claim that was ever open */
+	bool claimed_before; /* an attempt before the present one */
 	bool several_owners; /* others had claims open after it */
 	struct rj_attempt attempt; /* of the open or the settled claim */
 	struct rj_claim_member *members;
--- a/src/test_libradishjunction/test_faults_large.c
+++ b/src/test_libradishjunction/test_faults_large.c
@@ -90,6 +90,18 @@
 	check_trimmed(PROMISE_GANG, 75);
 }
 
+/*
+ * A tutor is told that a render did not run, and half of it had.
+ * It is accepted, runs, and is stopped for another's guarantee; its next
+ * attempt is claimed and not started, and it is cancelled. Who settles that
+ * attempt hears that it never ran.
+ * Cause: the log's void of the first attempt left no trace.
+ */
+static void test_settled_attempt_was_not_the_first(void)
+{
+	check_trimmed(PROMISE_ACCEPTED, 93);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -108,5 +120,7 @@
 			     test_trimmed_log);
 	g_test_add_func("/faults_trimmed/handed_on",
 			test_ran_before_it_was_handed_on);
+	g_test_add_func("/faults_trimmed/earlier_attempt",
+			test_settled_attempt_was_not_the_first);
 	return g_test_run();
 }
