core: who owns what is a file of its own

Cause: membership_controller.c had grown to 753 lines with two jobs, who is believed alive and who owns what. Excluded: any change of a decision. Change: ownership.c holds the weights and the two questions about owners, by their own prefix. A test's two equal plans are one.

--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -345,9 +345,9 @@
 	rj_timer_clear(&core->timers, &job->deadline);
 	if (job->cancelled)
 		rj_job_give_up(job, RJ_REASON_CANCELLED, 0);
-	else if (rj_membership_owns(core, core->domain,
-				    rj_racks_job_key(core, core->domain,
-						     job->spec.job_id)))
+	else if (rj_ownership_owns(core, core->domain,
+				   rj_racks_job_key(core, core->domain,
+						    job->spec.job_id)))
 		rj_job_submit(job);
 	else
 		rj_job_free(job); /* its owner reads the same record */
--- a/src/libradishjunction/core/controllers/config_controller.c
+++ b/src/libradishjunction/core/controllers/config_controller.c
@@ -174,7 +174,7 @@
 	if (core->config_carried_us &&
 	    core->now_us < core->config_carried_us + CARRY_RETRY_US)
 		return;
-	if (!rj_membership_owns(core, core->domain, core->config->revision))
+	if (!rj_ownership_owns(core, core->domain, core->config->revision))
 		return;
 	core->config_carried_us = core->now_us;
 	rj_config_log_carry(&core->config_log, &record);
--- a/src/libradishjunction/core/controllers/log_controller.c
+++ b/src/libradishjunction/core/controllers/log_controller.c
@@ -307,7 +307,7 @@
 
 	if (!rj_log_usable(core) ||
 	    core->now_us < stream->newest_us + quiet_us ||
-	    !rj_membership_owns(core, core->domain, stream->next))
+	    !rj_ownership_owns(core, core->domain, stream->next))
 		return;
 	stream->newest_us = core->now_us;
 	memset(&record, 0, sizeof(record));
--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -122,102 +122,6 @@
 	       rj_membership_name_of(core, incarnation);
 }
 
-/* An instance that alone has lost the log for so long gives its racks away.
- * An outage, which strikes all, moves none. */
-#define CUT_OFF_US (10 * RJ_US_PER_S)
-/* Above every weight of an instance that is cut off. */
-#define LOG_WEIGHT (1ULL << 63)
-
-/*
- * The weight of an instance for a key: the highest one owns it. One that is
- * cut off from the log comes after all others.
- *
- * Guards against an owner that alone is cut off from the platform: it would
- * refuse the charges of a whole rack, though its peers could serve them.
- */
-static uint64_t weight(const char *name, uint64_t key, bool cut_off)
-{
-	uint64_t base = rj_hash64_string(name, key) >> 1;
-
-	return cut_off ? base : base | LOG_WEIGHT;
-}
-
-/* The weight of a peer. */
-static uint64_t peer_weight(const struct rj_member_view *member, uint64_t key)
-{
-	return weight(member->name, key, member->cut_off);
-}
-
-/* Whether this instance alone has lost the log, for a while. */
-static bool cut_off(const struct rj_core_state *core)
-{
-	return core->membership.alone_us &&
-	       core->now_us > core->membership.alone_us + CUT_OFF_US;
-}
-
-/* The weight of this instance; one that stops owns what nobody else could. */
-static uint64_t own_weight(const struct rj_core_state *core, uint64_t key)
-{
-	return core->stopping ? 0 : weight(core->name, key, cut_off(core));
-}
-
-/*
- * Whether this instance owns `key` in `domain`, by rendezvous hashing over
- * the instances believed alive there and not draining. Nobody votes: two
- * owners for a while cost time, since leases and the log decide. An instance
- * of another failure domain owns nothing, unless nobody of `domain` is
- * alive: then the instances of all domains share its keys. An instance that
- * stops owns only what nobody else could.
- */
-bool rj_membership_owns(const struct rj_core_state *core, const char *domain,
-			uint64_t key)
-{
-	uint64_t own = own_weight(core, key);
-	bool home = !strcmp(domain, core->domain);
-	bool owns = true;
-	struct rj_list *at;
-	struct rj_list *next;
-
-	RJ_FOR_EACH (at, next, &core->membership.members) {
-		const struct rj_member_view *member =
-			RJ_CONTAINER(at, struct rj_member_view, link);
-		bool there = !strcmp(member->domain, domain);
-
-		if (member->draining || !rj_membership_alive(core, member))
-			continue;
-		if (there && !home)
-			return false;
-		if (there == home && peer_weight(member, key) > own)
-			owns = false;
-	}
-	return owns;
-}
-
-/*
- * The peer of this failure domain that owns `key`, or NULL when this instance
- * owns it.
- */
-const char *rj_membership_owner(struct rj_core_state *core, uint64_t key)
-{
-	uint64_t highest = own_weight(core, key);
-	const char *owner = NULL;
-	struct rj_list *at;
-	struct rj_list *next;
-
-	RJ_FOR_EACH (at, next, &core->membership.members) {
-		const struct rj_member_view *member =
-			RJ_CONTAINER(at, struct rj_member_view, link);
-
-		if (member->draining || strcmp(member->domain, core->domain) ||
-		    !rj_membership_alive(core, member) ||
-		    peer_weight(member, key) <= highest)
-			continue;
-		highest = peer_weight(member, key);
-		owner = member->name;
-	}
-	return owner;
-}
-
 /*
  * How many connections to a worker of the own failure domain this instance
  * may have now: those of an owner, as long as it hears all the others.
@@ -310,7 +214,7 @@
 	heartbeat->incarnation = core->incarnation;
 	heartbeat->draining = core->stopping;
 	heartbeat->log_usable = rj_log_usable(core);
-	heartbeat->cut_off = cut_off(core);
+	heartbeat->cut_off = rj_ownership_cut_off(core);
 	heartbeat->config_revision = core->config ? core->config->revision : 0;
 	heartbeat->queued = view.queued;
 	heartbeat->wait_us = view.small_wait_us;
@@ -370,7 +274,7 @@
 /* A digest of who is alive and not draining, to see a change of it. */
 static uint64_t view_digest(const struct rj_core_state *core)
 {
-	uint64_t digest = core->stopping + 2 * cut_off(core);
+	uint64_t digest = core->stopping + 2 * rj_ownership_cut_off(core);
 	struct rj_list *at;
 	struct rj_list *next;
 
@@ -440,7 +344,7 @@
 		     const struct rj_member_view *member)
 {
 	uint64_t seed = rj_hash64_string(core->name, 0);
-	uint64_t own = weight(member->name, seed, false);
+	uint64_t own = rj_ownership_weight(member->name, seed, false);
 	uint32_t before = 0;
 	struct rj_list *at;
 	struct rj_list *next;
@@ -451,7 +355,7 @@
 
 		if (other != member && other->listed &&
 		    !strcmp(other->domain, member->domain) &&
-		    weight(other->name, seed, false) > own)
+		    rj_ownership_weight(other->name, seed, false) > own)
 			before++;
 	}
 	return before;
--- a/src/libradishjunction/core/controllers/racks_controller.c
+++ b/src/libradishjunction/core/controllers/racks_controller.c
@@ -135,9 +135,9 @@
 		uint64_t key = rj_racks_key(core, rack->number);
 		bool before = rack->owned;
 
-		rack->owned = rj_membership_owns(core, core->domain, key);
+		rack->owned = rj_ownership_owns(core, core->domain, key);
 		rack->owner =
-			rack->owned ? NULL : rj_membership_owner(core, key);
+			rack->owned ? NULL : rj_ownership_owner(core, key);
 		for (uint32_t i = 0; i < rack->count; i++)
 			rj_upstreams_own(core, rack->workers[i], rack->owned);
 		given_up |= before && !rack->owned;
--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -385,7 +385,7 @@
 static bool owned_here(const struct rj_core_state *core,
 		       const struct rj_job_entry *entry)
 {
-	return rj_membership_owns(
+	return rj_ownership_owns(
 		core, entry->domain,
 		rj_racks_job_key(core, entry->domain, entry->job_id));
 }
--- a/src/libradishjunction/core/filters/route.c
+++ b/src/libradishjunction/core/filters/route.c
@@ -33,7 +33,7 @@
 
 	if (rack == UINT32_MAX)
 		return NULL;
-	return rj_membership_owner(core, rj_racks_key(core, rack));
+	return rj_ownership_owner(core, rj_racks_key(core, rack));
 }
 
 /*
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -429,15 +429,19 @@
 uint32_t rj_membership_connections(const struct rj_core_state *core);
 const char *rj_membership_name_of(const struct rj_core_state *core,
 				  uint64_t incarnation);
-const char *rj_membership_owner(struct rj_core_state *core, uint64_t key);
-bool rj_membership_owns(const struct rj_core_state *core, const char *domain,
-			uint64_t key);
 struct rj_peer_message *rj_membership_send(struct rj_core_state *core,
 					   const char *peer,
 					   enum rj_peer_message_kind kind);
 void rj_membership_send_domain(struct rj_core_state *core,
 			       const struct rj_peer_message *message);
 
+/* ownership.c */
+uint64_t rj_ownership_weight(const char *name, uint64_t key, bool cut_off);
+bool rj_ownership_cut_off(const struct rj_core_state *core);
+bool rj_ownership_owns(const struct rj_core_state *core, const char *domain,
+		       uint64_t key);
+const char *rj_ownership_owner(struct rj_core_state *core, uint64_t key);
+
 /* controllers/upstreams_controller.c */
 void rj_upstreams_init(struct rj_core_state *core);
 void rj_upstreams_list(struct rj_core_state *core,
--- a/src/test_libradishjunction/test_log_relay.c
+++ b/src/test_libradishjunction/test_log_relay.c
@@ -27,9 +27,9 @@
 	return world;
 }
 
-/* What the caller of a job in the cut domain has been told after a while. */
-static enum rj_answer_kind told(struct world *world, const char *class_name,
-				bool idempotent, bool waits)
+/* A caller in the cut domain asks now. */
+static struct fake_caller *ask(struct world *world, const char *class_name,
+			       bool idempotent, bool waits)
 {
 	struct caller_plan plan = { .class_name = class_name,
 				    .account = WORLD_OTHER_ACCOUNT,
@@ -40,7 +40,15 @@
 				    .run_us = RUN_US,
 				    .idempotent = idempotent,
 				    .waits = waits };
-	struct fake_caller *caller = fake_caller_add(world, 0, &plan);
+
+	return fake_caller_add(world, 0, &plan);
+}
+
+/* What the caller of a job in the cut domain has been told after a while. */
+static enum rj_answer_kind told(struct world *world, const char *class_name,
+				bool idempotent, bool waits)
+{
+	struct fake_caller *caller = ask(world, class_name, idempotent, waits);
 	enum rj_answer_kind kind;
 
 	world_run_until(world, world->now_us + 3 * RJ_US_PER_S);
@@ -86,20 +94,12 @@
 static void test_nobody_has_the_log(void)
 {
 	struct world *world = cut_world();
-	struct caller_plan plan = { .class_name = "quote",
-				    .account = WORLD_OTHER_ACCOUNT,
-				    .domain = CUT,
-				    .key = 7,
-				    .tasks = 1,
-				    .accelerators = 1,
-				    .run_us = RUN_US,
-				    .waits = true };
 	struct fake_caller *caller;
 
 	world->log.down = true;
 	world_reach_changed(world);
 	world_run_until(world, world->now_us + NOTICED_US);
-	caller = fake_caller_add(world, 0, &plan);
+	caller = ask(world, "quote", false, true);
 	world_run_until(world, world->now_us + 100 * RJ_US_PER_MS);
 	g_assert_cmpuint(caller->request_id, ==, 0);
 	g_assert_cmpuint(caller->tries, >=, 1);
