config: a patch of the path "/" crashes no reader

Cause: scripts/fuzz change, run for the first time on this target, ended in a read out of bounds: g_strsplit makes no parts of an empty text, and the last part was taken. Such a publication in the log would have crashed every instance that reads it, again and again. Change: the path "/" leads nowhere: a configuration has no field without a name. All readers refuse it alike.

--- a/src/libradishjunction/config_change.c
+++ b/src/libradishjunction/config_change.c
@@ -265,6 +265,10 @@
 /*
  * Walk a path down to its last part. Returns whether it leads somewhere; the
  * key is a talloc child of `mem`.
+ *
+ * The path "/" names a field without a name, which no configuration has.
+ * Guards against a patch with it, which would crash every reader of the log,
+ * since the library splits an empty text into no parts at all.
  */
 static bool find_place(void *mem, json_t *document, const char *path,
 		       struct place *place)
@@ -273,7 +277,7 @@
 	guint count;
 	bool found = false;
 
-	if (path[0] != '/')
+	if (path[0] != '/' || !path[1])
 		return false;
 	parts = g_strsplit(path + 1, "/", 0);
 	count = g_strv_length(parts);
--- a/src/test_libradishjunction/test_config_change.c
+++ b/src/test_libradishjunction/test_config_change.c
@@ -161,6 +161,7 @@
 		"[{}]",
 		"[{\"op\":\"add\",\"path\":\"/c\"}]",
 		"[{\"op\":\"add\",\"path\":\"\",\"value\":{}}]",
+		"[{\"op\":\"add\",\"path\":\"/\",\"value\":3}]",
 		"[{\"op\":\"add\",\"path\":\"c\",\"value\":3}]",
 		"[{\"op\":\"set\",\"path\":\"/c\",\"value\":3}]",
 		"[{\"op\":\"move\",\"path\":\"/c\",\"from\":\"/a\","
