--- a/src/libradishjunction/core/controllers/claims_controller.c
+++ b/src/libradishjunction/core/controllers/claims_controller.c
@@ -396,7 +396,8 @@
 		       bool carried)
 {
 	if (job->state == RJ_JOB_CLAIMING) {
-		if (own_claim(job, entry) && job->core->gap_us && !carried)
+		if (own_claim(job, entry) && job->core->ledger.gap_us &&
+		    !carried)
 			claim_given_up(job);
 		else if (own_claim(job, entry))
 			claim_won(job);
--- a/src/libradishjunction/core/controllers/drain_controller.c
+++ b/src/libradishjunction/core/controllers/drain_controller.c
@@ -117,7 +117,7 @@
 			RJ_CONTAINER(at, struct rj_member_view, link);
 
 		if (!strcmp(member->domain, core->domain) &&
-		    !member->draining && rj_membership_alive(core, member))
+		    rj_membership_takes_work(core, member))
 			return true;
 	}
 	return false;
--- a/src/libradishjunction/core/controllers/foreign_controller.c
+++ b/src/libradishjunction/core/controllers/foreign_controller.c
@@ -175,8 +175,9 @@
 }
 
 /* Count a task as running work of its account. */
-static void plan(struct rj_core_state *core, struct rj_upstream *upstream,
-		 const struct rj_task_report *line)
+static struct rj_foreign_task *plan(struct rj_core_state *core,
+				    struct rj_upstream *upstream,
+				    const struct rj_task_report *line)
 {
 	const struct rj_job_class *class =
 		rj_config_class(core->config, line->class_name);
@@ -193,7 +194,6 @@
 	task->token = line->token;
 	task->each = line->each;
 	task->idempotent = class->idempotent;
-	task->reported = true;
 	g_strlcpy(task->account, line->account, sizeof(task->account));
 	rj_timer_init(&task->look, look_due);
 	rj_list_append(&upstream->foreign_tasks, &task->link);
@@ -212,6 +212,7 @@
 	core->planner->ops->adopt(core->planner, &job, &where, 1,
 				  core->now_us -
 					  MIN(core->now_us, line->ran_us));
+	return task;
 }
 
 /*
@@ -232,10 +233,7 @@
 			continue;
 		task = find(core, upstream, line);
 		if (!task)
-			plan(core, upstream, line);
-		task = find(core, upstream, line);
-		if (!task)
-			continue;
+			task = plan(core, upstream, line);
 		task->reported = true;
 		task->holder = line->holder;
 	}
--- a/src/libradishjunction/core/controllers/forward_controller.c
+++ b/src/libradishjunction/core/controllers/forward_controller.c
@@ -29,8 +29,6 @@
 	rj_job_enter(job, RJ_JOB_FORWARDED);
 	job->forward_id = rj_core_next_id(core);
 	g_strlcpy(job->peer, peer, sizeof(job->peer));
-	/* What the peer does not run may have run here before. */
-	job->ran_elsewhere = job->ran_elsewhere || job->ran_before;
 	g_hash_table_insert(core->jobs.forwards, &job->forward_id, job);
 	message = rj_membership_send(core, peer, RJ_PEER_FORWARD);
 	forward = &message->u.forward;
--- a/src/libradishjunction/core/controllers/jobs_controller.c
+++ b/src/libradishjunction/core/controllers/jobs_controller.c
@@ -408,7 +408,7 @@
 void rj_job_answer_in_progress(struct rj_job *job, enum rj_reason reason)
 {
 	rj_job_tell_waiters(job, RJ_ANSWER_UNKNOWN, reason,
-			    rj_core_jitter_us(job->core, 2 * RJ_US_PER_S));
+			    rj_core_jitter_us(job->core, RJ_COME_BACK_US));
 }
 
 static void deadline_due(struct rj_core_state *core, struct rj_timer *timer)
--- a/src/libradishjunction/core/controllers/log_controller.c
+++ b/src/libradishjunction/core/controllers/log_controller.c
@@ -170,7 +170,8 @@
 	const struct rj_log_stream *stream = &core->streams[RJ_STREAM_JOBS];
 
 	return stream->caught_up && core->platform_up && !core->woke_us &&
-	       !core->gap_us && core->now_us < stream->fresh_us + READ_STALE_US;
+	       !core->ledger.gap_us &&
+	       core->now_us < stream->fresh_us + READ_STALE_US;
 }
 
 /*
@@ -223,9 +224,8 @@
 		return;
 	stream->newest_us = core->now_us;
 	core->gap_from = records->oldest;
-	core->gap_us = reaches_back(core, records) ? 0 : core->now_us;
-	core->ledger.gap = core->gap_us;
-	if (!core->gap_us)
+	core->ledger.gap_us = reaches_back(core, records) ? 0 : core->now_us;
+	if (!core->ledger.gap_us)
 		rj_job_ledger_reset(&core->ledger);
 	else
 		rj_core_log(core, RJ_LOG_REFUSE, RJ_REASON_LOG_GAP, NULL,
@@ -258,16 +258,15 @@
 {
 	uint64_t life_us;
 
-	if (!core->gap_us || !core->config)
+	if (!core->ledger.gap_us || !core->config)
 		return;
 	life_us = core->config->limits.key_life_s * RJ_US_PER_S;
 	if (!peer_vouches(core)) {
-		if (core->now_us <= core->gap_us + life_us)
+		if (core->now_us <= core->ledger.gap_us + life_us)
 			return;
 		rj_job_ledger_doubt(&core->ledger);
 	}
-	core->gap_us = 0;
-	core->ledger.gap = false;
+	core->ledger.gap_us = 0;
 	core->jobs.plan_wanted = true;
 }
 
--- a/src/libradishjunction/core/controllers/membership_controller.c
+++ b/src/libradishjunction/core/controllers/membership_controller.c
@@ -91,6 +91,16 @@
 	       core->now_us < member->heard_us + alive_us;
 }
 
+/*
+ * Whether work may be handed to a peer: it is believed alive and does not
+ * stop.
+ */
+bool rj_membership_takes_work(const struct rj_core_state *core,
+			      const struct rj_member_view *member)
+{
+	return !member->draining && rj_membership_alive(core, member);
+}
+
 /*
  * The peer with this incarnation, or NULL when none that is believed alive
  * has it.
@@ -202,12 +212,13 @@
 	}
 }
 
-/* Fill a heartbeat of this instance. */
+/* Fill a heartbeat of this instance, but for what differs by link. */
 static void fill_heartbeat(struct rj_core_state *core,
 			   struct rj_peer_heartbeat *heartbeat)
 {
 	struct rj_plan_view view;
 
+	memset(heartbeat, 0, sizeof(*heartbeat));
 	memset(&view, 0, sizeof(view));
 	core->planner->ops->view(core->planner, core->now_us, &view);
 	g_strlcpy(heartbeat->domain, core->domain, sizeof(heartbeat->domain));
@@ -244,7 +255,6 @@
 	struct rj_list *at;
 	struct rj_list *next;
 
-	memset(&message, 0, sizeof(message));
 	fill_heartbeat(core, &message);
 	RJ_FOR_EACH (at, next, &core->membership.members) {
 		const struct rj_member_view *member =
@@ -282,7 +292,7 @@
 		const struct rj_member_view *member =
 			RJ_CONTAINER(at, struct rj_member_view, link);
 
-		if (!member->draining && rj_membership_alive(core, member))
+		if (rj_membership_takes_work(core, member))
 			digest += rj_hash64_string(member->name,
 						   1 + member->cut_off);
 	}
@@ -472,6 +482,7 @@
 void rj_membership_up(struct rj_core_state *core, const char *name)
 {
 	struct rj_member_view *member = member_learn(core, name);
+	struct rj_peer_heartbeat own;
 
 	if (!member)
 		return;
@@ -481,8 +492,8 @@
 	member->received = 0;
 	member->lost = 0;
 	member->lost_there = 0;
-	fill_heartbeat(core, &rj_membership_send(core, name, RJ_PEER_HEARTBEAT)
-				      ->u.heartbeat);
+	fill_heartbeat(core, &own);
+	send_heartbeat(core, member, &own);
 	rj_config_controller_tell(core, name);
 	rj_racks_tell_peer(core, name);
 	if (!strcmp(member->domain, core->domain))
@@ -540,7 +551,6 @@
 	member->lost_there = heartbeat->lost;
 	if (here) {
 		member->lost = heartbeat->sent - member->received;
-		memset(&own, 0, sizeof(own));
 		fill_heartbeat(core, &own);
 		send_heartbeat(core, member, &own);
 	}
--- a/src/libradishjunction/core/controllers/racks_controller.c
+++ b/src/libradishjunction/core/controllers/racks_controller.c
@@ -41,18 +41,29 @@
 	return rj_racks_key(core, (uint32_t)(job_id % own->racks));
 }
 
-/* A rack by its number, made if it was not known. */
-static struct rj_rack *rack_learn(struct rj_core_state *core, uint32_t number)
+/* A rack of the own failure domain by its number, or NULL. */
+static struct rj_rack *rack_find(const struct rj_core_state *core,
+				 uint32_t number)
 {
 	struct rj_list *at;
 	struct rj_list *next;
-	struct rj_rack *rack;
 
 	RJ_FOR_EACH (at, next, &core->upstreams.racks) {
-		rack = RJ_CONTAINER(at, struct rj_rack, link);
+		struct rj_rack *rack = RJ_CONTAINER(at, struct rj_rack, link);
+
 		if (rack->number == number)
 			return rack;
 	}
+	return NULL;
+}
+
+/* A rack by its number, made if it was not known. */
+static struct rj_rack *rack_learn(struct rj_core_state *core, uint32_t number)
+{
+	struct rj_rack *rack = rack_find(core, number);
+
+	if (rack)
+		return rack;
 	rack = talloc_zero(core, struct rj_rack);
 	assert(rack);
 	rack->number = number;
@@ -106,17 +117,9 @@
 bool rj_racks_owned_by(const struct rj_core_state *core, uint32_t number,
 		       const char *name)
 {
-	struct rj_list *at;
-	struct rj_list *next;
+	const struct rj_rack *rack = rack_find(core, number);
 
-	RJ_FOR_EACH (at, next, &core->upstreams.racks) {
-		const struct rj_rack *rack =
-			RJ_CONTAINER(at, struct rj_rack, link);
-
-		if (rack->number == number)
-			return rack->owner && !strcmp(rack->owner, name);
-	}
-	return false;
+	return rack && rack->owner && !strcmp(rack->owner, name);
 }
 
 /*
@@ -135,9 +138,8 @@
 		uint64_t key = rj_racks_key(core, rack->number);
 		bool before = rack->owned;
 
-		rack->owned = rj_ownership_owns(core, core->domain, key);
-		rack->owner =
-			rack->owned ? NULL : rj_ownership_owner(core, key);
+		rack->owner = rj_ownership_owner(core, key);
+		rack->owned = !rack->owner;
 		for (uint32_t i = 0; i < rack->count; i++)
 			rj_upstreams_own(core, rack->workers[i], rack->owned);
 		given_up |= before && !rack->owned;
--- a/src/libradishjunction/core/controllers/recovery_controller.c
+++ b/src/libradishjunction/core/controllers/recovery_controller.c
@@ -78,7 +78,7 @@
 	if (!job->accepted && !job->idempotent && !rj_log_usable(core)) {
 		rj_job_end_plain(job, RJ_ANSWER_UNKNOWN,
 				 RJ_REASON_PLATFORM_DOWN,
-				 rj_core_jitter_us(core, 2 * RJ_US_PER_S));
+				 rj_core_jitter_us(core, RJ_COME_BACK_US));
 		return;
 	}
 	rj_job_requeue(job, 0, RJ_REASON_LEASE_LAPSED);
--- a/src/libradishjunction/core/filters/find.c
+++ b/src/libradishjunction/core/filters/find.c
@@ -90,7 +90,7 @@
 		return rj_filter_refuse(
 			core, submission, RJ_ANSWER_UNKNOWN,
 			rj_log_reason(core),
-			rj_core_jitter_us(core, 2 * RJ_US_PER_S),
+			rj_core_jitter_us(core, RJ_COME_BACK_US),
 			"the log cannot be read now, so the job may exist");
 	return rj_filter_refuse(core, submission, RJ_ANSWER_UNKNOWN,
 				RJ_REASON_NO_SUCH_JOB, 0,
--- a/src/libradishjunction/core/filters/log.c
+++ b/src/libradishjunction/core/filters/log.c
@@ -19,14 +19,6 @@
 	       !submission->class->idempotent;
 }
 
-/* Whether a peer says that it has the log, and may be handed work. */
-static bool has_log(const struct rj_core_state *core,
-		    const struct rj_member_view *member)
-{
-	return member->log_usable && !member->draining &&
-	       rj_membership_alive(core, member);
-}
-
 /*
  * The peer with the shortest queue of those that have the log, of the own
  * failure domain if there is one, or NULL. A job that was forwarded here is
@@ -48,7 +40,8 @@
 			RJ_CONTAINER(at, struct rj_member_view, link);
 
 		if (!strcmp(member->domain, core->domain) == other_domain ||
-		    !has_log(core, member))
+		    !member->log_usable ||
+		    !rj_membership_takes_work(core, member))
 			continue;
 		if (!best || member->queued < best->queued)
 			best = member;
@@ -86,7 +79,7 @@
 				     struct rj_submission *submission)
 {
 	enum rj_reason reason = rj_log_reason(core);
-	uint64_t retry_after_us = rj_core_jitter_us(core, 2 * RJ_US_PER_S);
+	uint64_t retry_after_us = rj_core_jitter_us(core, RJ_COME_BACK_US);
 
 	if (submission->job) {
 		rj_job_give_up(submission->job, reason, retry_after_us);
--- a/src/libradishjunction/core/filters/route.c
+++ b/src/libradishjunction/core/filters/route.c
@@ -52,13 +52,6 @@
 	       guarantee_owner(job->core, &submission);
 }
 
-/* Whether work may be handed to a peer. */
-static bool takes_work(const struct rj_core_state *core,
-		       const struct rj_member_view *member)
-{
-	return !member->draining && rj_membership_alive(core, member);
-}
-
 /* The peer with the shortest queue of those that own a rack with room now;
  * `*here` is set when an own rack has room. */
 static const struct rj_member_view *
@@ -83,7 +76,7 @@
 			return NULL;
 		}
 		member = rj_membership_find(core, rack->owner);
-		if (member && takes_work(core, member) &&
+		if (member && rj_membership_takes_work(core, member) &&
 		    (!best || member->queued < best->queued))
 			best = member;
 	}
@@ -110,7 +103,7 @@
 			RJ_CONTAINER(at, struct rj_member_view, link);
 
 		if (!strcmp(member->domain, core->domain) &&
-		    takes_work(core, member) &&
+		    rj_membership_takes_work(core, member) &&
 		    !is_sender(submission, member->name) &&
 		    (!best || member->queued < best->queued))
 			best = member;
@@ -181,8 +174,8 @@
 		const struct rj_member_view *member =
 			RJ_CONTAINER(at, struct rj_member_view, link);
 
-		if (!strcmp(member->domain, core->domain) || member->draining ||
-		    !rj_membership_alive(core, member))
+		if (!strcmp(member->domain, core->domain) ||
+		    !rj_membership_takes_work(core, member))
 			continue;
 		if (!best || member->wait_us < best->wait_us)
 			best = member;
--- a/src/libradishjunction/core/job_ledger.c
+++ b/src/libradishjunction/core/job_ledger.c
@@ -297,7 +297,7 @@
 		apply_accept(entry, record);
 		break;
 	case RJ_RECORD_CLAIM:
-		apply_claim(entry, record, appended_us, ledger->gap);
+		apply_claim(entry, record, appended_us, ledger->gap_us);
 		break;
 	case RJ_RECORD_VOID:
 		apply_void(entry, record);
--- a/src/libradishjunction/core/ownership.c
+++ b/src/libradishjunction/core/ownership.c
@@ -72,7 +72,7 @@
 			RJ_CONTAINER(at, struct rj_member_view, link);
 		bool there = !strcmp(member->domain, domain);
 
-		if (member->draining || !rj_membership_alive(core, member))
+		if (!rj_membership_takes_work(core, member))
 			continue;
 		if (there && !home)
 			return false;
@@ -97,8 +97,8 @@
 		const struct rj_member_view *member =
 			RJ_CONTAINER(at, struct rj_member_view, link);
 
-		if (member->draining || strcmp(member->domain, core->domain) ||
-		    !rj_membership_alive(core, member) ||
+		if (strcmp(member->domain, core->domain) ||
+		    !rj_membership_takes_work(core, member) ||
 		    peer_weight(member, key) <= highest)
 			continue;
 		highest = peer_weight(member, key);
--- a/src/libradishjunction/include/private/core_state.h
+++ b/src/libradishjunction/include/private/core_state.h
@@ -84,7 +84,9 @@
 	GHashTable *by_job; /* &entry->job_id -> entry */
 	struct rj_list entries;
 	uint32_t count;
-	bool gap; /* older records may be missing: carried ones count more */
+	/* Since when older records may be missing, so that carried ones count
+	   more; 0: none is. */
+	uint64_t gap_us;
 };
 
 struct rj_rack_summary {
@@ -334,7 +336,6 @@
 	struct rj_log_stream streams[RJ_STREAM_COUNT];
 	bool platform_up;
 	uint64_t woke_us; /* from a pause; 0 once the log was read since */
-	uint64_t gap_us; /* since when older keys may be missing; 0: none is */
 	uint64_t gap_from; /* the offset from which was read then */
 	struct rj_job_ledger ledger;
 	struct rj_membership membership;
@@ -354,6 +355,9 @@
 	uint64_t wake_us;
 };
 
+/* Who cannot be told more for now is told to come back after about this. */
+#define RJ_COME_BACK_US (2 * RJ_US_PER_S)
+
 /* core.c */
 struct rj_decision_log *
 rj_core_log(struct rj_core_state *core, enum rj_decision_event event,
@@ -424,6 +428,8 @@
 					  const char *name);
 bool rj_membership_alive(const struct rj_core_state *core,
 			 const struct rj_member_view *member);
+bool rj_membership_takes_work(const struct rj_core_state *core,
+			      const struct rj_member_view *member);
 bool rj_membership_incarnation_alive(const struct rj_core_state *core,
 				     uint64_t incarnation);
 uint32_t rj_membership_connections(const struct rj_core_state *core);
