--- /dev/null
+++ b/src/libradishjunction/include/private/upstreams.h
@@ -0,0 +1,147 @@
+/*
+ * The workers as targets of calls, their racks, and what other instances run
+ * on them.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_UPSTREAMS_H
+#define RADISHJUNCTION_PRIVATE_UPSTREAMS_H
+
+#include <glib.h>
+#include "private/list.h"
+#include "private/timer.h"
+#include "radishjunction/planner.h"
+#include "radishjunction/worker.h"
+
+struct rj_core_state;
+struct rj_peer_leaving;
+struct rj_peer_summary;
+struct rj_instance;
+
+enum rj_upstream_health {
+	RJ_UPSTREAM_HEALTHY,
+	RJ_UPSTREAM_SILENT, /* does not answer */
+	RJ_UPSTREAM_SET_ASIDE, /* fails what it starts; probed later */
+	RJ_UPSTREAM_HEALTH_COUNT
+};
+
+/* Jobs whose failure on one worker is remembered, to tell a bad worker. */
+#define RJ_FAILED_JOBS 4
+
+/* A rack of the own failure domain. */
+struct rj_rack {
+	struct rj_list link;
+	uint32_t number;
+	struct rj_upstream **workers; /* talloc array, by name */
+	uint32_t count;
+	bool owned; /* by this instance */
+	const char *owner; /* the peer that owns it, or NULL */
+};
+
+/* A worker as a target of calls. */
+struct rj_upstream {
+	struct rj_list link;
+	uint32_t index; /* its id towards the planner */
+	char name[RJ_NAME_BYTES];
+	char domain[RJ_NAME_BYTES];
+	uint32_t rack;
+	struct rj_rack *rack_view; /* of the own failure domain */
+	struct rj_address address;
+	uint64_t incarnation;
+	uint64_t left_incarnation; /* the one that is or was leaving */
+	uint64_t left_us; /* when that was learnt */
+	bool leaving;
+	bool owned;
+	bool known; /* has answered a report */
+	bool polling;
+	uint32_t polls_lost;
+	uint64_t report_version; /* of the last whole report; 0: none */
+	uint32_t short_reports; /* since then, with nothing changed */
+	uint64_t answered_us;
+	enum rj_upstream_health health;
+	struct rj_resources capacity;
+	struct rj_resources foreign;
+	struct rj_resources free_now; /* for anyone, as last reported */
+	/* What the rack's owner offers to its peers: told, or heard. */
+	struct rj_resources offered;
+	struct rj_list members; /* of own jobs on it */
+	struct rj_list foreign_tasks; /* of others, which may be stopped */
+	uint32_t own_members; /* how many */
+	uint64_t failed_jobs[RJ_FAILED_JOBS];
+	uint32_t failed_count;
+	uint64_t set_aside_us; /* how long it is set aside next time */
+	struct rj_timer poll;
+	struct rj_timer probe;
+	struct rj_core_state *core;
+};
+
+struct rj_upstreams {
+	struct rj_list list;
+	struct rj_list racks;
+	GHashTable *by_name;
+	struct rj_upstream **by_index; /* talloc array */
+	uint32_t count;
+	uint64_t summary_version;
+};
+
+/* controllers/upstreams_controller.c */
+void rj_upstreams_init(struct rj_core_state *core);
+void rj_upstreams_list(struct rj_core_state *core,
+		       const struct rj_instance *list, uint32_t count);
+void rj_upstreams_report(struct rj_core_state *core,
+			 struct rj_upstream *upstream,
+			 const struct rj_worker_reply *reply,
+			 uint64_t asked_us);
+void rj_upstreams_leaving(struct rj_core_state *core,
+			  struct rj_upstream *upstream, uint64_t incarnation);
+void rj_upstreams_tell_leaving(struct rj_core_state *core, const char *peer);
+void rj_upstreams_leaving_again(struct rj_core_state *core);
+void rj_upstreams_peer_leaving(struct rj_core_state *core,
+			       const struct rj_peer_leaving *leaving);
+void rj_upstreams_failed(struct rj_core_state *core,
+			 struct rj_upstream *upstream, uint64_t job_id);
+void rj_upstreams_succeeded(struct rj_core_state *core,
+			    struct rj_upstream *upstream);
+uint64_t rj_upstreams_lease_life_us(const struct rj_core_state *core);
+void rj_upstreams_poll_soon(struct rj_core_state *core,
+			    struct rj_upstream *upstream);
+struct rj_upstream *rj_upstreams_find(const struct rj_core_state *core,
+				      const char *name);
+
+bool rj_upstreams_usable(const struct rj_upstream *upstream);
+void rj_upstreams_own(struct rj_core_state *core, struct rj_upstream *upstream,
+		      bool owned);
+void rj_upstreams_whole_reports(struct rj_core_state *core);
+void rj_upstreams_offer(struct rj_core_state *core,
+			struct rj_upstream *upstream);
+void rj_upstreams_told_free(struct rj_core_state *core,
+			    struct rj_upstream *upstream,
+			    const struct rj_resources *left);
+
+/* controllers/foreign_controller.c */
+void rj_foreign_init(struct rj_core_state *core);
+void rj_foreign_finish(struct rj_core_state *core);
+bool rj_foreign_is_planned(const struct rj_core_state *core,
+			   const struct rj_upstream *upstream,
+			   const struct rj_task_report *line);
+void rj_foreign_report(struct rj_core_state *core, struct rj_upstream *upstream,
+		       const struct rj_worker_report *report);
+void rj_foreign_disown(struct rj_core_state *core,
+		       struct rj_upstream *upstream);
+void rj_foreign_reclaim(struct rj_core_state *core,
+			const struct rj_decision *decision);
+
+/* controllers/racks_controller.c */
+uint64_t rj_racks_key(const struct rj_core_state *core, uint32_t rack);
+uint64_t rj_racks_job_key(const struct rj_core_state *core, const char *domain,
+			  uint64_t job_id);
+void rj_racks_place(struct rj_core_state *core, struct rj_upstream *upstream);
+bool rj_racks_owned_by(const struct rj_core_state *core, uint32_t number,
+		       const char *name);
+void rj_racks_ownership(struct rj_core_state *core);
+bool rj_racks_hand_on(const struct rj_core_state *core);
+bool rj_rack_has_room(const struct rj_rack *rack, const struct rj_shape *shape);
+void rj_racks_tell(struct rj_core_state *core, const struct rj_rack *rack);
+void rj_racks_tell_peer(struct rj_core_state *core, const char *peer);
+void rj_racks_peer_summary(struct rj_core_state *core,
+			   const struct rj_peer_summary *summary);
+
+#endif
