scripts: one way to start an instance again

Excluded: any change of what is done, or in which order. Change: `pin` and `start_again` are in processes.bash, and `replace` uses them.

--- a/scripts/processes.bash
+++ b/scripts/processes.bash
@@ -132,23 +132,34 @@
 	done
 }
 
+# pin TEAM INSTANCE: whoever follows it listens at its addresses.
+pin() {
+	local name=$1-$2 kind address
+	for kind in caller peer; do
+		address=${callers_of[$name]}
+		[ "$kind" = caller ] || address=${peers_of[$name]}
+		sed -i "s/\"${kind}_address\": \"[^\"]*\"/\"${kind}_address\": \"$address\"/" \
+			"$work/$1/$2.json"
+	done
+}
+
+# start_again TEAM INSTANCE PROGRAM: with the settings of before, listed live.
+start_again() {
+	start "$1-$2" "$3" --settings "$work/$1/$2.json"
+	wait_for "$2" is_listening "$1-$2"
+	register "$1-$2" "$2" live
+}
+
 # replace TEAM INSTANCE PROGRAM: list it as leaving, stop it gracefully, and
 # start PROGRAM with the same settings at its addresses.
 replace() {
-	local name=$1-$2 settings=$work/$1/$2.json kind address
+	local name=$1-$2
 	register "$name" "$2" leaving
 	stop "$name" TERM
 	end_of "$name"
 	[ "$status" -eq 0 ] || die "$2 ended with status $status"
-	for kind in caller peer; do
-		address=${callers_of[$name]}
-		[ "$kind" = caller ] || address=${peers_of[$name]}
-		sed -i "s/\"${kind}_address\": \"[^\"]*\"/\"${kind}_address\": \"$address\"/" \
-			"$settings"
-	done
-	start "$name" "$3" --settings "$settings"
-	wait_for "$2" is_listening "$name"
-	register "$name" "$2" live
+	pin "$1" "$2"
+	start_again "$1" "$2" "$3"
 	wait_for "$2 again" is_ready "$name"
 }
 
