--- a/src/bench/control.c
+++ b/src/bench/control.c
@@ -1,6 +1,6 @@
 /*
  * What one instance spends on control while nothing is submitted: a core
- * with its peers, workers and log played by this file, over virtual time;
+ * with its peers, workers and log played over virtual time (control_site.h),
  * at rest, or while operators publish and instances are replaced.
  *
  * Bytes are those of the real codecs, plus a constant for the HTTP headers
@@ -8,105 +8,21 @@
  * not of the daemon's sockets.
  */
 #include <argtable2.h>
-#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 #include <talloc.h>
 #include <time.h>
 
 #include "bench.h"
-#include "large_site.h"
-#include "list_history.h"
-#include "private/core_state.h"
-#include "private/instance_list.h"
-#include "private/peer_codec.h"
-#include "private/platform_wire.h"
-#include "private/worker_wire.h"
-#include "radishjunction/config_log.h"
-#include "radishjunction/core.h"
-#include "radishjunction/planner_topology.h"
+#include "control_site.h"
 
-/* 33,000 tasks on 7,500 workers are 4.4. */
-#define TASKS_A_WORKER 4
-#define INSTANCES 8
-/* Request line, status line and headers of one exchange, both ways, as curl
- * and libmicrohttpd send them. */
-#define HTTP_BYTES 330
-#define FRAME_BYTES 48 /* length, sequence number and MAC of a peer frame */
-/* Of the instances of another failure domain that keep no link from here, so
- * many to one keep a link to here: each chooses 2 of 8. */
-#define LINK_ONE_OF 4
-#define DAY_US (86400 * RJ_US_PER_S)
-#define WARM_UP_US (60 * RJ_US_PER_S)
 #define MEASURED_US (300 * RJ_US_PER_S)
 #define MEASURED_LOAD_US (7200 * RJ_US_PER_S)
-#define PAGE_RECORDS 500
-#define START_US RJ_US_PER_S
 
 /* Workers of the failure domain: the users' today, and letter sizes up to an
  * eighth of 7,500. */
 static const uint32_t worker_counts[] = { 17, 120, 470, 940 };
 
-/* What goes on beside the reports and heartbeats. */
-struct load {
-	struct large_site site;
-	uint32_t changes_a_day; /* of the configuration */
-	uint32_t replacements_a_day; /* of workers, all over the site */
-	bool whole; /* configurations and lists are sent whole */
-};
-
-struct tally {
-	uint64_t exchanges;
-	uint64_t bytes;
-};
-
-/* A long poll, and when it ends without news. */
-struct waiting_read {
-	struct rj_read read;
-	uint64_t due_us;
-};
-
-struct control {
-	void *mem;
-	struct rj_core core;
-	struct rj_planner_topology planner;
-	struct rj_actions actions;
-	struct rj_instance *instances;
-	struct rj_standin_history *history; /* of the list */
-	struct rj_instance_list list; /* as the instance has it */
-	uint32_t instance_count;
-	const struct load *load;
-	struct large_site site; /* with the configuration as it is now */
-	GPtrArray *config; /* struct rj_record of the `config` stream */
-	GHashTable *wanted; /* names of peers that the core links to */
-	GArray *reads; /* struct waiting_read */
-	char *text; /* of the configuration in force */
-	uint64_t change_due_us;
-	uint64_t replace_due_us;
-	uint32_t replaced; /* so far */
-	uint64_t now_us;
-	uint64_t peers_due_us;
-	uint32_t beats; /* rounds of heartbeats so far */
-	GQueue pending; /* struct rj_event, to be delivered next */
-	bool measuring;
-	struct tally reports;
-	struct tally peers;
-	struct tally log;
-	struct tally list_tally;
-	struct tally publications; /* in peers' messages and in the log */
-};
-
-/*
- * Count one exchange, once the warm-up is over.
- */
-static void count(struct control *control, struct tally *tally, size_t bytes)
-{
-	if (!control->measuring)
-		return;
-	tally->exchanges++;
-	tally->bytes += bytes;
-}
-
 /*
  * The processor time of this thread, in microseconds.
  */
@@ -118,435 +34,6 @@
 	return (double)time.tv_sec * 1e6 + (double)time.tv_nsec / 1e3;
 }
 
-/*
- * An event that is delivered after the present one.
- */
-static struct rj_event *queue_event(struct control *control,
-				    enum rj_event_kind kind)
-{
-	struct rj_event *event = talloc_zero(control->mem, struct rj_event);
-
-	g_assert(event);
-	event->kind = kind;
-	g_queue_push_tail(&control->pending, event);
-	return event;
-}
-
-/*
- * A worker's report: a few running tasks of other instances' jobs.
- */
-static void answer_report(struct control *control,
-			  const struct rj_worker_call *call)
-{
-	struct rj_event *event = queue_event(control, RJ_EVENT_WORKER_REPLY);
-	struct rj_worker_reply *reply = &event->u.worker_reply;
-	struct rj_task_report *tasks;
-	char *out;
-	char *in;
-
-	reply->call_id = call->call_id;
-	reply->op = call->op;
-	g_strlcpy(reply->worker, call->worker, sizeof(reply->worker));
-	reply->status = RJ_REPLY_OK;
-	reply->incarnation = 1;
-	reply->report.incarnation = 1;
-	reply->report.capacity =
-		(struct rj_resources){ LARGE_SITE_SLOTS,
-				       LARGE_SITE_ACCELERATORS, 128, 524288 };
-	tasks = talloc_zero_array(event, struct rj_task_report, TASKS_A_WORKER);
-	g_assert(tasks);
-	for (uint32_t i = 0; i < TASKS_A_WORKER; i++) {
-		tasks[i].attempt.job_id = 1000 + i;
-		tasks[i].attempt.owner = 77;
-		tasks[i].attempt.number = 1;
-		tasks[i].holder = 77;
-		tasks[i].token = 0x1234567890abcdefULL + i;
-		tasks[i].gang = 1;
-		tasks[i].state = RJ_TASK_RUNNING;
-		tasks[i].each = (struct rj_resources){ 1, 1, 8, 4096 };
-		g_strlcpy(tasks[i].account, "account", RJ_NAME_BYTES);
-		g_strlcpy(tasks[i].class_name, "render", RJ_NAME_BYTES);
-	}
-	reply->report.tasks = tasks;
-	reply->report.task_count = TASKS_A_WORKER;
-	rj_worker_report_seal(&reply->report, call->known_version);
-	out = rj_worker_wire_encode_call(event, call);
-	in = rj_worker_wire_encode_reply(event, call, reply);
-	count(control, &control->reports,
-	      strlen(out) + strlen(in) + HTTP_BYTES);
-}
-
-/*
- * An answer to a read of a log that holds configurations alone.
- */
-static void answer_read(struct control *control, const struct rj_read *read)
-{
-	struct rj_event *event = queue_event(control, RJ_EVENT_RECORDS);
-	struct rj_log_entry entries[PAGE_RECORDS];
-	struct rj_records *records = &event->u.records;
-	struct rj_log_page page = { .from = read->from, .records = entries };
-
-	records->stream = read->stream;
-	records->from = read->from;
-	if (read->stream == RJ_STREAM_CONFIG)
-		records->head = control->config->len;
-	records->records =
-		talloc_zero_array(event, struct rj_record, PAGE_RECORDS);
-	g_assert(records->records);
-	while (read->from + page.count < records->head &&
-	       page.count < PAGE_RECORDS) {
-		struct rj_record *record = &records->records[page.count];
-
-		*record = *(struct rj_record *)control->config
-				   ->pdata[read->from + page.count];
-		entries[page.count++] = (struct rj_log_entry){
-			record->offset, 0, rj_record_encode(event, record)
-		};
-	}
-	records->count = page.count;
-	records->next = read->from + page.count;
-	count(control, page.count ? &control->publications : &control->log,
-	      HTTP_BYTES + strlen(rj_log_page_encode(event, &page)));
-}
-
-/*
- * End the long polls of the `config` stream, which has a new record.
- */
-static void end_config_polls(struct control *control)
-{
-	for (guint i = control->reads->len; i > 0; i--) {
-		struct waiting_read waiting = g_array_index(
-			control->reads, struct waiting_read, i - 1);
-
-		if (waiting.read.stream != RJ_STREAM_CONFIG)
-			continue;
-		answer_read(control, &waiting.read);
-		g_array_remove_index(control->reads, i - 1);
-	}
-}
-
-/*
- * Append a record to the `config` stream; what it points to must last.
- */
-static void append_config(struct control *control,
-			  const struct rj_record *record)
-{
-	struct rj_record *copy =
-		talloc_memdup(control->mem, record, sizeof(*record));
-
-	g_assert(copy);
-	copy->offset = control->config->len;
-	g_ptr_array_add(control->config, copy);
-	end_config_polls(control);
-}
-
-/*
- * The core carries the configuration: its append takes effect.
- */
-static void answer_append(struct control *control,
-			  const struct rj_append *append)
-{
-	struct rj_event *event = queue_event(control, RJ_EVENT_APPENDED);
-
-	event->u.appended.append_id = append->append_id;
-	for (uint32_t i = 0; i < append->count; i++) {
-		struct rj_record record = append->records[i];
-
-		record.config_text =
-			talloc_strdup(control->mem, record.config_text);
-		append_config(control, &record);
-		count(control, &control->publications,
-		      HTTP_BYTES + strlen(rj_record_encode(event, &record)));
-	}
-}
-
-/*
- * The list of the platform, as the adapter takes it: whole at first, then
- * what has changed (or whole each time, as before there were changes).
- */
-static void answer_list(struct control *control)
-{
-	struct rj_event *event = queue_event(control, RJ_EVENT_INSTANCES);
-	uint64_t known = control->list.version;
-	struct rj_instances_answer answer;
-	char *text;
-
-	if (control->load->whole ||
-	    !rj_standin_history_since(control->history, event, known,
-				      control->instances,
-				      control->instance_count, &answer) ||
-	    answer.version == known)
-		text = rj_instances_encode(event, control->instances,
-					   control->instance_count, known);
-	else
-		text = rj_instances_encode_changes(event, &answer);
-	g_assert(!rj_instances_decode(event, text, &answer, NULL));
-	if (!rj_instance_list_take(&control->list, &answer))
-		event->kind = RJ_EVENT_TIMER; /* nothing is delivered */
-	event->u.instances.list = control->list.lines;
-	event->u.instances.count = control->list.count;
-	count(control, &control->list_tally, strlen(text) + HTTP_BYTES);
-}
-
-/*
- * Count a message to or from a peer.
- */
-static void count_message(struct control *control,
-			  const struct rj_peer_message *message)
-{
-	void *mem = talloc_new(NULL);
-
-	count(control,
-	      message->kind == RJ_PEER_CONFIG ? &control->publications :
-						&control->peers,
-	      rj_peer_encode(mem, message).length + FRAME_BYTES);
-	talloc_free(mem);
-}
-
-/*
- * Carry out what the core asked for. A long poll is answered when it ends,
- * to the second.
- */
-static void carry_out(struct control *control)
-{
-	for (uint32_t i = 0; i < control->actions.count; i++) {
-		struct rj_action *action = &control->actions.list[i];
-
-		switch (action->kind) {
-		case RJ_ACTION_WORKER_CALL:
-			if (action->u.worker_call.op == RJ_WORKER_REPORT)
-				answer_report(control, &action->u.worker_call);
-			break;
-		case RJ_ACTION_READ:
-			if (action->u.read.wait_us) {
-				struct waiting_read waiting = {
-					action->u.read,
-					control->now_us + action->u.read.wait_us
-				};
-
-				g_array_append_val(control->reads, waiting);
-			} else {
-				answer_read(control, &action->u.read);
-			}
-			break;
-		case RJ_ACTION_APPEND:
-			answer_append(control, &action->u.append);
-			break;
-		case RJ_ACTION_PEER_CONNECT:
-			g_hash_table_add(control->wanted,
-					 g_strdup(action->u.peer.name));
-			break;
-		case RJ_ACTION_PEER_DROP:
-			g_hash_table_remove(control->wanted,
-					    action->u.peer.name);
-			break;
-		case RJ_ACTION_LIST:
-			answer_list(control);
-			break;
-		case RJ_ACTION_PEER_SEND:
-			count_message(control, action->u.peer.message);
-			break;
-		default:
-			break;
-		}
-	}
-	rj_actions_clear(&control->actions);
-}
-
-/*
- * Answer the long polls that have waited long enough.
- */
-static void end_polls(struct control *control)
-{
-	for (guint i = control->reads->len; i > 0; i--) {
-		struct waiting_read waiting = g_array_index(
-			control->reads, struct waiting_read, i - 1);
-
-		if (control->now_us < waiting.due_us)
-			continue;
-		answer_read(control, &waiting.read);
-		g_array_remove_index(control->reads, i - 1);
-	}
-}
-
-/*
- * A message that is delivered to the core; NULL for an instance that has no
- * link with it.
- */
-static struct rj_peer_message *message_from(struct control *control,
-					    uint32_t index,
-					    enum rj_peer_message_kind kind)
-{
-	const struct rj_instance *line = &control->instances[index];
-	struct rj_peer_message *message;
-	struct rj_event *event;
-
-	if (!index || line->role != RJ_ROLE_ENTRY ||
-	    (strcmp(line->domain, LARGE_SITE_DOMAIN) != 0 &&
-	     index % LINK_ONE_OF &&
-	     !g_hash_table_contains(control->wanted, line->name)))
-		return NULL;
-	event = queue_event(control, RJ_EVENT_PEER_MESSAGE);
-	message = talloc_zero(event, struct rj_peer_message);
-	g_assert(message);
-	g_strlcpy(event->u.peer.name, line->name, RJ_NAME_BYTES);
-	event->u.peer.message = message;
-	message->kind = kind;
-	return message;
-}
-
-/*
- * The heartbeats of the peers, each second; they are alive from the first.
- * Those of other failure domains send as seldom as this instance does.
- */
-static void peers_round(struct control *control)
-{
-	uint32_t every =
-		rj_membership_beats_between(control->load->site.domains);
-	bool others = control->beats++ % every == 0;
-
-	for (uint32_t i = 0; i < control->instance_count; i++) {
-		const char *domain = control->instances[i].domain;
-		struct rj_peer_message *message;
-
-		if (!others &&
-		    strcmp(domain, control->instances[0].domain) != 0)
-			continue;
-		message = message_from(control, i, RJ_PEER_HEARTBEAT);
-		if (!message)
-			continue;
-		g_strlcpy(message->u.heartbeat.domain,
-			  control->instances[i].domain, RJ_NAME_BYTES);
-		message->u.heartbeat.incarnation = 100 + i;
-		message->u.heartbeat.config_revision =
-			1 + control->site.open_max;
-		message->u.heartbeat.config_changes = !control->load->whole;
-		count_message(control, message);
-	}
-}
-
-/*
- * Every peer has read the newest publication and tells this instance of it,
- * whose heartbeat with that revision has not come yet.
- */
-static void peers_tell(struct control *control, const struct rj_record *record)
-{
-	for (uint32_t i = 0; i < control->instance_count; i++) {
-		struct rj_peer_message *message =
-			message_from(control, i, RJ_PEER_CONFIG);
-		struct rj_peer_config *offer;
-
-		if (!message)
-			continue;
-		offer = &message->u.config;
-		offer->revision = record->revision;
-		offer->offset = control->config->len;
-		memcpy(offer->id, record->config_id, sizeof(offer->id));
-		offer->text = record->config_text ? record->config_text : "";
-		offer->change = record->config_change;
-		count_message(control, message);
-	}
-}
-
-/*
- * An operator alters a limit of one account.
- */
-static void publish(struct control *control)
-{
-	struct rj_record record = { .kind = RJ_RECORD_CONFIG,
-				    .author = "operator" };
-	char *text;
-
-	control->site.open_max++;
-	text = large_site_config(control->mem, &control->site);
-	record.base_revision = control->site.open_max;
-	record.revision = record.base_revision + 1;
-	g_snprintf(record.config_id, RJ_CONFIG_ID_BYTES, "%016x",
-		   control->site.open_max);
-	if (control->load->whole)
-		record.config_text = text;
-	else if (rj_config_change_make(control->mem, control->text, text,
-				       &record.config_change))
-		g_error("the change cannot be made");
-	control->text = text;
-	append_config(control, &record);
-	peers_tell(control, &record);
-}
-
-/*
- * A worker somewhere is replaced by one of another address.
- */
-static void replace_worker(struct control *control)
-{
-	struct rj_instance *line;
-	uint32_t at = 0;
-
-	do {
-		at = control->replaced++ * 7919 % control->instance_count;
-		line = &control->instances[at];
-	} while (line->role != RJ_ROLE_WORKER);
-	rj_standin_history_note(control->history,
-				rj_instances_version(control->instances,
-						     control->instance_count),
-				line->name);
-	line->address.port ^= 1;
-}
-
-/*
- * Deliver one event to the core.
- */
-static void deliver(struct control *control, struct rj_event *event)
-{
-	event->now_us = control->now_us;
-	rj_core_process(&control->core, event, &control->actions);
-	carry_out(control);
-}
-
-/*
- * What is due of the load at a time when the peers' round is.
- */
-static void load_round(struct control *control)
-{
-	const struct load *load = control->load;
-
-	if (load->changes_a_day && control->now_us >= control->change_due_us) {
-		control->change_due_us += DAY_US / load->changes_a_day;
-		publish(control);
-	}
-	if (load->replacements_a_day &&
-	    control->now_us >= control->replace_due_us) {
-		control->replace_due_us += DAY_US / load->replacements_a_day;
-		replace_worker(control);
-	}
-}
-
-/*
- * Let virtual time pass up to `until_us`.
- */
-static void run_until(struct control *control, uint64_t until_us)
-{
-	struct rj_event timer = { .kind = RJ_EVENT_TIMER };
-	struct rj_event *event;
-
-	while (control->now_us < until_us) {
-		uint64_t wake_us = rj_core_wake_us(&control->core);
-
-		while ((event = g_queue_pop_head(&control->pending))) {
-			deliver(control, event);
-			talloc_free(event);
-		}
-		if (control->now_us >= control->peers_due_us) {
-			peers_round(control);
-			load_round(control);
-			end_polls(control);
-			control->peers_due_us += RJ_US_PER_S;
-			continue;
-		}
-		control->now_us = MIN(wake_us, control->peers_due_us);
-		deliver(control, &timer);
-	}
-}
-
 /*
  * Print what was counted, per second.
  */
@@ -566,7 +53,7 @@
 		printf("{\"bench\":\"control\",\"measure\":\"%s\","
 		       "\"workers\":%u,\"instances\":%d,\"per_s\":%.2f,"
 		       "\"bytes_per_s\":%.0f}\n",
-		       names[i], control->site.workers, INSTANCES,
+		       names[i], control->site.workers, CONTROL_INSTANCES,
 		       (double)all[i]->exchanges / seconds,
 		       (double)all[i]->bytes / seconds);
 	}
@@ -574,73 +61,15 @@
 	       "\"instances\":%d,\"bytes_per_s\":%.0f,"
 	       "\"cpu_percent\":%.3f,\"state_bytes\":%zu,"
 	       "\"config_bytes\":%zu,\"revision\":%" G_GUINT64_FORMAT "}\n",
-	       control->site.workers, INSTANCES, sum,
+	       control->site.workers, CONTROL_INSTANCES, sum,
 	       used_us / (double)measured_us * 100.0, state_bytes,
 	       strlen(control->text), rj_core_config(&control->core)->revision);
 }
 
-/*
- * Make the instance and all that it talks to.
- */
-static void control_init(struct control *control, const struct load *load)
-{
-	struct rj_core_options options = { .name = "entry-0",
-					   .domain = LARGE_SITE_DOMAIN,
-					   .incarnation = 100,
-					   .seed = 1,
-					   .retention_us = 7 * DAY_US };
-	struct rj_record first = { .kind = RJ_RECORD_CONFIG,
-				   .config_id = "first",
-				   .revision = 1 };
-	struct rj_error err;
-
-	memset(control, 0, sizeof(*control));
-	control->mem = talloc_named_const(NULL, 0, "control");
-	control->load = load;
-	control->site = load->site;
-	control->now_us = START_US;
-	control->peers_due_us = START_US;
-	control->change_due_us = START_US + WARM_UP_US;
-	control->replace_due_us = START_US + WARM_UP_US;
-	control->config = g_ptr_array_new();
-	control->wanted =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	control->reads = g_array_new(FALSE, FALSE, sizeof(struct waiting_read));
-	g_queue_init(&control->pending);
-	control->text = large_site_config(control->mem, &control->site);
-	first.config_text = control->text;
-	append_config(control, &first);
-	control->instances = large_site_list(control->mem, &control->site,
-					     &control->instance_count);
-	rj_instance_list_init(&control->list, control->mem);
-	control->history = talloc_zero(control->mem, struct rj_standin_history);
-	g_assert(control->history);
-	rj_actions_init(&control->actions, control->mem);
-	if (rj_planner_topology_init(&control->planner, control->mem))
-		g_error("the planner cannot be made");
-	options.planner = &control->planner.base;
-	if (rj_core_init(&control->core, control->mem, &options, &err))
-		g_error("%s", err.message);
-}
-
-/*
- * Free all of it.
- */
-static void control_finish(struct control *control)
-{
-	rj_core_finish(&control->core);
-	control->planner.base.ops->finish(&control->planner.base);
-	g_queue_clear(&control->pending);
-	g_array_free(control->reads, TRUE);
-	g_hash_table_destroy(control->wanted);
-	g_ptr_array_free(control->config, TRUE);
-	talloc_free(control->mem);
-}
-
 /*
  * Measure one instance under a load.
  */
-static void measure(const struct load *load)
+static void measure(const struct control_load *load)
 {
 	uint64_t measured_us = load->changes_a_day || load->replacements_a_day ?
 				       MEASURED_LOAD_US :
@@ -649,10 +78,10 @@
 	double started_us;
 
 	control_init(&control, load);
-	run_until(&control, START_US + WARM_UP_US);
+	control_run_until(&control, CONTROL_START_US + CONTROL_WARM_UP_US);
 	control.measuring = true;
 	started_us = cpu_us();
-	run_until(&control, control.now_us + measured_us);
+	control_run_until(&control, control.now_us + measured_us);
 	print(&control, measured_us, cpu_us() - started_us,
 	      talloc_total_size(control.core.state) +
 		      talloc_total_size(control.planner.state));
@@ -691,14 +120,16 @@
 	void *table[] = { workers,	domains, accounts, changes,
 			  replacements, whole,	 help,	   end };
 	int errors = arg_parse(argc, argv, table);
-	struct load load = { .site = { .domains = number(domains, 1),
-				       .workers = number(workers, 0),
-				       .instances = INSTANCES,
-				       .accounts = number(accounts, 1),
-				       .guarantees = number(accounts, 1) > 1 },
-			     .changes_a_day = number(changes, 0),
-			     .replacements_a_day = number(replacements, 0),
-			     .whole = whole->count > 0 };
+	struct control_load load = {
+		.site = { .domains = number(domains, 1),
+			  .workers = number(workers, 0),
+			  .instances = CONTROL_INSTANCES,
+			  .accounts = number(accounts, 1),
+			  .guarantees = number(accounts, 1) > 1 },
+		.changes_a_day = number(changes, 0),
+		.replacements_a_day = number(replacements, 0),
+		.whole = whole->count > 0
+	};
 	int status = 0;
 
 	if (errors || help->count) {
