--- /dev/null
+++ b/src/libradishjunction/cell/cell_ends.c
@@ -0,0 +1,310 @@
+#include <assert.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/cell_owner.h"
+#include "private/note.h"
+
+const char *const rj_cell_end_string[RJ_CELL_END_COUNT] = {
+	[RJ_CELL_END_DONE] = "done",	   [RJ_CELL_END_FAILED] = "failed",
+	[RJ_CELL_END_STOPPED] = "stopped", [RJ_CELL_END_LAPSED] = "lapsed",
+	[RJ_CELL_END_BROKEN] = "broken",   [RJ_CELL_END_ALONE] = "alone",
+	[RJ_CELL_END_LOST] = "lost",
+};
+
+/* A task that failed starts again after this, times its failures: a worker
+ * or a store that is briefly unwell is left alone meanwhile. */
+#define FAILURE_PAUSE_US (50 * RJ_US_PER_MS)
+/*
+ * After so many bad ends in a row a worker gets no work for a while: a
+ * worker that fails all that it starts would use up the attempts of every
+ * job. Three are rare by chance, as a twentieth of tasks fail at most.
+ */
+#define BAD_STREAK_MAX 2
+#define SUSPECT_US (6 * RJ_US_PER_S)
+
+/*
+ * A stop was decided for a run; the order goes out with the next tick.
+ */
+void rj_cell_ends_stop_run(struct rj_cell_owner *owner, struct rj_cell_run *run,
+			   const char *why)
+{
+	if (run->state == RJ_CELL_RUN_STOPPING)
+		return;
+	/* Nobody has been told of it: there is nothing to stop. */
+	if (run->state == RJ_CELL_RUN_INTENDED) {
+		rj_cell_owner_dirty(owner, run->task->round->work);
+		rj_cell_run_free(run);
+		return;
+	}
+	run->state = RJ_CELL_RUN_STOPPING;
+	run->why = why;
+	run->settled_us = 0;
+	run->order_due_us = owner->now_us;
+	run->order_tries = 0;
+}
+
+/* Stop all runs of one task but `except`. */
+static void stop_task(struct rj_cell_owner *owner, struct rj_cell_task *task,
+		      const struct rj_cell_run *except, const char *why)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &task->runs) {
+		struct rj_cell_run *run =
+			RJ_CONTAINER(at, struct rj_cell_run, in_task);
+
+		if (run != except)
+			rj_cell_ends_stop_run(owner, run, why);
+	}
+}
+
+/*
+ * Stop all that runs of a job.
+ */
+void rj_cell_ends_stop_work(struct rj_cell_owner *owner,
+			    struct rj_cell_work *work, const char *why)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &work->rounds) {
+		struct rj_cell_round *round =
+			RJ_CONTAINER(at, struct rj_cell_round, link);
+
+		for (uint32_t i = 0; i < work->def->task_count; i++)
+			stop_task(owner, &round->tasks[i], NULL, why);
+	}
+}
+
+/*
+ * A job has ended as `state`: what still runs of it is stopped.
+ */
+void rj_cell_ends_close(struct rj_cell_owner *owner, struct rj_cell_work *work,
+			enum rj_cell_job_state state)
+{
+	if (work->state >= RJ_CELL_JOB_COMPLETED)
+		return;
+	work->state = state;
+	if (state == RJ_CELL_JOB_COMPLETED)
+		owner->counters.completed++;
+	if (state == RJ_CELL_JOB_FAILED)
+		owner->counters.failed++;
+	rj_note("job_end", RJ_NOTE_TEXT("job", work->def->id),
+		RJ_NOTE_TEXT("account", work->def->account),
+		RJ_NOTE_TEXT("state", rj_cell_job_state_string[state]),
+		RJ_NOTE_AGE_MS("after_ms", owner->now_us - work->accepted_us),
+		RJ_NOTE_AGE_MS("objective_ms",
+			       work->objective_us - work->accepted_us));
+	if (state != RJ_CELL_JOB_COMPLETED)
+		rj_cell_ends_stop_work(owner, work,
+				       rj_cell_job_state_string[state]);
+	rj_cell_owner_dirty(owner, work);
+}
+
+/*
+ * Begin the occurrences of a job whose time has come.
+ */
+void rj_cell_ends_begin_rounds(struct rj_cell_owner *owner,
+			       struct rj_cell_work *work)
+{
+	const struct rj_cell_def *def = work->def;
+	uint32_t rounds = def->repeats ? def->repeats : 1;
+
+	while (work->rounds_begun < rounds &&
+	       (!def->repeats ||
+		owner->wall_ms >=
+			def->first_run_ms +
+				work->rounds_begun * def->interval_ms)) {
+		rj_cell_work_begin_round(work, work->rounds_begun,
+					 owner->now_us);
+		owner->plan_wanted = true;
+	}
+}
+
+/* The first task of a gang stands for all of its members. */
+static struct rj_cell_task *gang_head(struct rj_cell_task *task)
+{
+	return task - task->index;
+}
+
+/* Whether nothing of an occurrence is listed by a worker any more. */
+static bool is_idle(const struct rj_cell_round *round)
+{
+	for (uint32_t i = 0; i < round->work->def->task_count; i++)
+		if (round->tasks[i].runs.next != &round->tasks[i].runs)
+			return false;
+	return true;
+}
+
+/*
+ * All tasks of an occurrence are done; with the last one, the job is. Runs
+ * that are still listed, members of a gang whose end is not seen yet, keep
+ * the occurrence in memory.
+ */
+static void end_round(struct rj_cell_owner *owner, struct rj_cell_round *round)
+{
+	struct rj_cell_work *work = round->work;
+	uint32_t rounds = work->def->repeats ? work->def->repeats : 1;
+
+	if (!round->closed) {
+		round->closed = true;
+		work->rounds_done++;
+		if (work->rounds_done >= rounds)
+			rj_cell_ends_close(owner, work, RJ_CELL_JOB_COMPLETED);
+	}
+	if (is_idle(round)) {
+		rj_list_remove(&round->link);
+		talloc_free(round);
+	}
+}
+
+/* A task has ended well: a gang has as a whole. */
+static void note_done(struct rj_cell_owner *owner, struct rj_cell_task *task)
+{
+	const struct rj_cell_step *step = rj_cell_task_step(task);
+	struct rj_cell_task *first = step->gang ? gang_head(task) : task;
+	uint32_t count = step->gang ? step->task_count : 1;
+
+	if (step->perpetual)
+		return;
+	for (uint32_t i = 0; i < count; i++)
+		if (!first[i].done)
+			rj_cell_round_task_done(&first[i]);
+	/* Members of a gang end by themselves; copies have to be stopped. */
+	if (!step->gang)
+		stop_task(owner, task, NULL, "copy_done");
+}
+
+/* The saved progress of a run counts for its task, or for its whole gang. */
+static void note_saved(struct rj_cell_task *task, const char *saved)
+{
+	const struct rj_cell_step *step = rj_cell_task_step(task);
+	struct rj_cell_task *first = step->gang ? gang_head(task) : task;
+	uint32_t count = step->gang ? step->task_count : 1;
+
+	if (!saved[0] || !step->checkpoints)
+		return;
+	for (uint32_t i = 0; i < count; i++)
+		g_strlcpy(first[i].checkpoint, saved,
+			  sizeof(first[i].checkpoint));
+}
+
+/* A run failed: the task gets another attempt, elsewhere, or the job ends. */
+static void note_failed(struct rj_cell_owner *owner, struct rj_cell_task *task,
+			const struct rj_cell_run *run)
+{
+	const struct rj_cell_step *step = rj_cell_task_step(task);
+	struct rj_cell_task *head = step->gang ? gang_head(task) : task;
+	struct rj_cell_work *work = task->round->work;
+
+	/* Members that fail in the same run are one failure of the gang. */
+	if (head->failed_run != run->number)
+		head->failures++;
+	head->failed_run = run->number;
+	g_strlcpy(task->avoid, run->worker->id, sizeof(task->avoid));
+	task->not_before_us = owner->now_us + FAILURE_PAUSE_US * head->failures;
+	if (!step->perpetual && head->failures >= work->def->attempts_max)
+		rj_cell_ends_close(owner, work, RJ_CELL_JOB_FAILED);
+}
+
+/* Judge a worker by what has become of a run there. */
+static void judge_worker(struct rj_cell_owner *owner,
+			 struct rj_cell_worker *worker, enum rj_cell_end end)
+{
+	if (end == RJ_CELL_END_DONE)
+		worker->bad_streak = 0;
+	if (end != RJ_CELL_END_FAILED || ++worker->bad_streak < BAD_STREAK_MAX)
+		return;
+	if (owner->now_us >= worker->suspect_until_us)
+		rj_note("worker_suspect", RJ_NOTE_TEXT("worker", worker->id),
+			RJ_NOTE_TEXT("why", "failures"),
+			RJ_NOTE_NUMBER("streak", worker->bad_streak));
+	worker->suspect_until_us = owner->now_us + SUSPECT_US;
+}
+
+/* The other members of a gang of which one has ended without success. */
+static void break_gang(struct rj_cell_owner *owner, struct rj_cell_task *task)
+{
+	struct rj_cell_task *head = gang_head(task);
+
+	for (uint32_t i = 0; i < rj_cell_task_step(task)->task_count; i++)
+		stop_task(owner, &head[i], NULL, "gang_broken");
+}
+
+/*
+ * A run has ended: say what that does to its task and its job, and free it.
+ * What changes must be stored before the worker forgets the end.
+ */
+void rj_cell_ends_run(struct rj_cell_owner *owner, struct rj_cell_run *run,
+		      enum rj_cell_end end, const char *saved)
+{
+	struct rj_cell_task *task = run->task;
+	struct rj_cell_worker *worker = run->worker;
+	struct rj_cell_work *work;
+	struct rj_cell_round *round;
+
+	owner->counters.ends[end]++;
+	owner->plan_wanted = true;
+	rj_note("run_end", RJ_NOTE_TEXT("task", run->name),
+		RJ_NOTE_NUMBER("run", run->number),
+		RJ_NOTE_TEXT("worker", worker->id),
+		RJ_NOTE_TEXT("end", rj_cell_end_string[end]),
+		RJ_NOTE_TEXT("why", run->why),
+		RJ_NOTE_AGE_MS("ran_ms", owner->now_us - run->begun_us));
+	if (!task) {
+		rj_cell_run_free(run);
+		return;
+	}
+	judge_worker(owner, worker, end);
+	round = task->round;
+	work = round->work;
+	note_saved(task, saved && saved[0] ? saved : run->saved);
+	if (work->state < RJ_CELL_JOB_COMPLETED && !task->done) {
+		if (end == RJ_CELL_END_DONE)
+			note_done(owner, task);
+		else if (end == RJ_CELL_END_FAILED)
+			note_failed(owner, task, run);
+		else
+			task->losses++;
+		task->waiting_us = 0;
+	}
+	rj_cell_run_free(run);
+	if (end != RJ_CELL_END_DONE && rj_cell_task_step(task)->gang &&
+	    !task->done)
+		break_gang(owner, task);
+	rj_cell_owner_dirty(owner, work);
+	if (!round->steps_left)
+		end_round(owner, round);
+}
+
+/*
+ * An end of a run that is not noted at the worker: it was given up, or
+ * never known. Work that has ended well counts all the same, unless it was
+ * begun again.
+ *
+ * Guards against running a task again whose end was seen late: the worker
+ * came back after the run was taken for lost. An end that is told to be
+ * stored makes any later start of the task a second one.
+ */
+void rj_cell_ends_orphan(struct rj_cell_owner *owner,
+			 struct rj_cell_worker *worker,
+			 const struct rj_cell_end_row *row)
+{
+	struct rj_cell_task *task = rj_cell_owner_task(owner, row->name, NULL);
+
+	rj_note("orphan_end", RJ_NOTE_TEXT("task", row->name),
+		RJ_NOTE_NUMBER("run", row->number),
+		RJ_NOTE_TEXT("worker", worker->id),
+		RJ_NOTE_TEXT("end", rj_cell_end_string[row->end]));
+	if (!task || task->done || row->end != RJ_CELL_END_DONE ||
+	    rj_cell_task_step(task)->gang)
+		return;
+	note_done(owner, task);
+	owner->plan_wanted = true;
+	rj_cell_owner_dirty(owner, task->round->work);
+	if (!task->round->steps_left)
+		end_round(owner, task->round);
+}
--- /dev/null
+++ b/src/libradishjunction/cell/cell_fleet.c
@@ -0,0 +1,120 @@
+#include "private/cell_fleet.h"
+
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+/* A worker's clock may run 2 % slow, so a lease lasts that much longer; a
+ * little more covers the time that its answer took to come here. */
+#define CLOCK_SLOW_PERCENT 2
+#define ANSWER_SLACK_US (50 * RJ_US_PER_MS)
+
+/*
+ * Prepare an empty fleet.
+ */
+void rj_cell_fleet_init(struct rj_cell_fleet *fleet, void *mem)
+{
+	memset(fleet, 0, sizeof(*fleet));
+	fleet->mem = talloc_named_const(mem, 0, "cell fleet");
+	fleet->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	rj_list_init(&fleet->workers);
+}
+
+/*
+ * Free all workers and what is noted of their runs.
+ */
+void rj_cell_fleet_finish(struct rj_cell_fleet *fleet)
+{
+	if (!fleet->by_id)
+		return;
+	while (fleet->workers.next != &fleet->workers)
+		rj_cell_fleet_drop(fleet,
+				   RJ_CONTAINER(fleet->workers.next,
+						struct rj_cell_worker, link));
+	g_hash_table_destroy(fleet->by_id);
+	fleet->by_id = NULL;
+	TALLOC_FREE(fleet->mem);
+}
+
+/*
+ * The worker of an id, or NULL.
+ */
+struct rj_cell_worker *rj_cell_fleet_find(const struct rj_cell_fleet *fleet,
+					  const char *id)
+{
+	return g_hash_table_lookup(fleet->by_id, id);
+}
+
+/*
+ * The worker of an id; a new one has no address yet.
+ */
+struct rj_cell_worker *rj_cell_fleet_obtain(struct rj_cell_fleet *fleet,
+					    const char *id)
+{
+	struct rj_cell_worker *worker = rj_cell_fleet_find(fleet, id);
+
+	if (worker)
+		return worker;
+	worker = talloc_zero(fleet->mem, struct rj_cell_worker);
+	assert(worker);
+	g_strlcpy(worker->id, id, sizeof(worker->id));
+	rj_list_init(&worker->runs);
+	rj_list_append(&fleet->workers, &worker->link);
+	g_hash_table_insert(fleet->by_id, worker->id, worker);
+	fleet->count++;
+	return worker;
+}
+
+/*
+ * Forget a worker and its runs.
+ */
+void rj_cell_fleet_drop(struct rj_cell_fleet *fleet,
+			struct rj_cell_worker *worker)
+{
+	while (worker->runs.next != &worker->runs)
+		rj_cell_run_free(RJ_CONTAINER(worker->runs.next,
+					      struct rj_cell_run, in_worker));
+	rj_list_remove(&worker->link);
+	g_hash_table_remove(fleet->by_id, worker->id);
+	fleet->count--;
+	talloc_free(worker);
+}
+
+/*
+ * What the worker's clock shows about now, in its milliseconds; never more
+ * than it really shows, but for a clock that runs slow.
+ */
+uint64_t rj_cell_worker_clock_ms(const struct rj_cell_worker *worker,
+				 uint64_t now_us)
+{
+	return worker->clock_ms + (now_us - worker->clock_at_us) / RJ_US_PER_MS;
+}
+
+/*
+ * An order with this deadline goes to the worker: what runs there may go on
+ * until its own clock shows it, which can be a little later by ours.
+ */
+void rj_cell_worker_note_lease(struct rj_cell_worker *worker,
+			       uint64_t deadline_ms)
+{
+	uint64_t left_us;
+	uint64_t lapsed_us;
+
+	if (deadline_ms > worker->lease_ms)
+		worker->lease_ms = deadline_ms;
+	left_us = (worker->lease_ms - worker->clock_ms) * RJ_US_PER_MS;
+	lapsed_us = worker->clock_at_us + ANSWER_SLACK_US +
+		    left_us * (100 + CLOCK_SLOW_PERCENT) / 100;
+	if (lapsed_us > worker->lapsed_us)
+		worker->lapsed_us = lapsed_us;
+}
+
+/*
+ * Whether new work may go there: listed, not about to leave, answering, and
+ * not suspected of failing what it is given.
+ */
+bool rj_cell_worker_usable(const struct rj_cell_worker *worker, uint64_t now_us)
+{
+	return worker->listed && !worker->said.draining && worker->answers &&
+	       worker->incarnation && now_us >= worker->suspect_until_us;
+}
--- /dev/null
+++ b/src/libradishjunction/cell/cell_job.c
@@ -0,0 +1,243 @@
+#include "private/cell_job.h"
+
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/pack.h"
+
+/* Raised when the order of the fields changes. */
+#define DEF_FORMAT 1
+
+/* One step: sane numbers, and only earlier steps before it. */
+static int check_step(const struct rj_cell_def *def, uint32_t number,
+		      struct rj_error *err)
+{
+	const struct rj_cell_step *step = &def->steps[number];
+
+	if (!step->task_count)
+		return rj_error_set(err, RJ_ERR_INVALID,
+				    "steps[%u]: no tasks; give at least one",
+				    number);
+	for (uint32_t i = 0; i < step->after_count; i++)
+		if (step->after[i] >= number)
+			return rj_error_set(
+				err, RJ_ERR_INVALID,
+				"steps[%u]: waits for step %u; name only "
+				"earlier steps",
+				number, step->after[i]);
+	return 0;
+}
+
+/*
+ * Check a definition and count its tasks. Returns 0, or -1 with `err` when
+ * it could never run as it is.
+ */
+int rj_cell_def_check(struct rj_cell_def *def, struct rj_error *err)
+{
+	uint64_t tasks = 0;
+
+	if (!def->step_count || def->step_count > RJ_CELL_STEPS_MAX)
+		return rj_error_set(err, RJ_ERR_INVALID,
+				    "steps: %u; give 1 to %u", def->step_count,
+				    RJ_CELL_STEPS_MAX);
+	for (uint32_t i = 0; i < def->step_count; i++) {
+		if (check_step(def, i, err))
+			return -1;
+		tasks += def->steps[i].task_count;
+	}
+	if (tasks > RJ_CELL_TASKS_MAX)
+		return rj_error_set(err, RJ_ERR_TOO_LARGE,
+				    "steps: more than %u tasks; split the job",
+				    RJ_CELL_TASKS_MAX);
+	def->task_count = (uint32_t)tasks;
+	return 0;
+}
+
+/* The fields of one step. */
+static void write_step(struct rj_packer *out, const struct rj_cell_step *step)
+{
+	rj_pack_number(out, step->task_count);
+	rj_pack_number(out, step->each.cpu_milli);
+	rj_pack_number(out, step->each.memory_mb);
+	rj_pack_number(out, step->each.accelerators);
+	rj_pack_number(out, step->estimate_ms);
+	rj_pack_number(out, step->after_count);
+	for (uint32_t i = 0; i < step->after_count; i++)
+		rj_pack_number(out, step->after[i]);
+	rj_pack_bool(out, step->checkpoints);
+	rj_pack_bool(out, step->gang);
+	rj_pack_bool(out, step->one_rack);
+	rj_pack_bool(out, step->speculative);
+	rj_pack_bool(out, step->perpetual);
+	rj_pack_bool(out, step->scavenges);
+	rj_pack_text(out, step->label);
+	rj_pack_text(out, step->rack);
+	rj_pack_number(out, step->per_worker_max);
+	rj_pack_number(out, step->may_miss);
+	rj_pack_text(out, step->image);
+	rj_pack_number(out, step->target_ms);
+}
+
+/* What write_step wrote. */
+static void read_step(struct rj_unpacker *in, void *mem,
+		      struct rj_cell_step *step)
+{
+	step->task_count =
+		(uint32_t)rj_unpack_number(in, "task_count", RJ_CELL_TASKS_MAX);
+	step->each.cpu_milli =
+		(uint32_t)rj_unpack_number(in, "cpu_milli", UINT32_MAX);
+	step->each.memory_mb =
+		(uint32_t)rj_unpack_number(in, "memory_mb", UINT32_MAX);
+	step->each.accelerators =
+		(uint32_t)rj_unpack_number(in, "accelerators", UINT32_MAX);
+	step->estimate_ms =
+		(uint32_t)rj_unpack_number(in, "estimate_ms", UINT32_MAX);
+	step->after_count = (uint32_t)rj_unpack_number(in, "after_count",
+						       RJ_CELL_STEPS_MAX);
+	step->after = talloc_array(mem, uint32_t, step->after_count);
+	for (uint32_t i = 0; i < step->after_count; i++)
+		step->after[i] = (uint32_t)rj_unpack_number(in, "after",
+							    RJ_CELL_STEPS_MAX);
+	step->checkpoints = rj_unpack_bool(in, "checkpoints");
+	step->gang = rj_unpack_bool(in, "gang");
+	step->one_rack = rj_unpack_bool(in, "one_rack");
+	step->speculative = rj_unpack_bool(in, "speculative");
+	step->perpetual = rj_unpack_bool(in, "perpetual");
+	step->scavenges = rj_unpack_bool(in, "scavenges");
+	rj_unpack_text(in, "label", step->label, RJ_NAME_BYTES);
+	rj_unpack_text(in, "rack", step->rack, RJ_NAME_BYTES);
+	step->per_worker_max =
+		(uint32_t)rj_unpack_number(in, "per_worker_max", UINT32_MAX);
+	step->may_miss = (uint32_t)rj_unpack_number(in, "may_miss", UINT32_MAX);
+	rj_unpack_text(in, "image", step->image, RJ_NAME_BYTES);
+	step->target_ms =
+		(uint32_t)rj_unpack_number(in, "target_ms", UINT32_MAX);
+}
+
+/*
+ * The definition as it is kept in the log; a talloc child of `mem`.
+ */
+struct rj_bytes rj_cell_def_encode(void *mem, const struct rj_cell_def *def)
+{
+	struct rj_packer out;
+
+	rj_pack_init(&out);
+	rj_pack_number(&out, DEF_FORMAT);
+	rj_pack_text(&out, def->id);
+	rj_pack_text(&out, def->queue);
+	rj_pack_text(&out, def->service);
+	rj_pack_text(&out, def->account);
+	rj_pack_data(&out, def->spec, strlen(def->spec));
+	rj_pack_number(&out, def->priority);
+	rj_pack_number(&out, def->attempts_max);
+	rj_pack_number(&out, def->stretch_milli);
+	rj_pack_number(&out, def->latency_ms);
+	rj_pack_number(&out, def->accepted_ms);
+	rj_pack_number(&out, def->first_run_ms);
+	rj_pack_number(&out, def->interval_ms);
+	rj_pack_number(&out, def->repeats);
+	rj_pack_number(&out, def->step_count);
+	for (uint32_t i = 0; i < def->step_count; i++)
+		write_step(&out, &def->steps[i]);
+	return rj_pack_finish(&out, mem);
+}
+
+/* The fields before the steps. */
+static void read_terms(struct rj_unpacker *in, struct rj_cell_def *def)
+{
+	struct rj_bytes spec;
+
+	if (rj_unpack_number(in, "format", UINT32_MAX) != DEF_FORMAT)
+		rj_unpack_fail(in, "format");
+	rj_unpack_text(in, "id", def->id, RJ_CELL_ID_BYTES);
+	rj_unpack_text(in, "queue", def->queue, RJ_NAME_BYTES);
+	rj_unpack_text(in, "service", def->service, RJ_NAME_BYTES);
+	rj_unpack_text(in, "account", def->account, RJ_NAME_BYTES);
+	spec = rj_unpack_data(in, "spec", RJ_CELL_SPEC_MAX_BYTES);
+	def->spec = talloc_strndup(
+		def, spec.data ? (const char *)spec.data : "", spec.length);
+	def->priority = (uint32_t)rj_unpack_number(in, "priority", UINT32_MAX);
+	def->attempts_max =
+		(uint32_t)rj_unpack_number(in, "attempts_max", UINT32_MAX);
+	def->stretch_milli =
+		(uint32_t)rj_unpack_number(in, "stretch_milli", UINT32_MAX);
+	def->latency_ms =
+		(uint32_t)rj_unpack_number(in, "latency_ms", UINT32_MAX);
+	def->accepted_ms = rj_unpack_number(in, "accepted_ms", UINT64_MAX);
+	def->first_run_ms = rj_unpack_number(in, "first_run_ms", UINT64_MAX);
+	def->interval_ms = rj_unpack_number(in, "interval_ms", UINT64_MAX);
+	def->repeats = (uint32_t)rj_unpack_number(in, "repeats", UINT32_MAX);
+}
+
+/*
+ * A definition out of the log, or NULL with `err` when it was not written by
+ * rj_cell_def_encode.
+ */
+struct rj_cell_def *rj_cell_def_decode(void *mem, struct rj_bytes bytes,
+				       struct rj_error *err)
+{
+	struct rj_cell_def *def = talloc_zero(mem, struct rj_cell_def);
+	struct rj_unpacker in;
+
+	assert(def);
+	rj_unpack_init(&in, bytes);
+	read_terms(&in, def);
+	def->step_count = (uint32_t)rj_unpack_number(&in, "step_count",
+						     RJ_CELL_STEPS_MAX);
+	def->steps =
+		talloc_zero_array(def, struct rj_cell_step, def->step_count);
+	for (uint32_t i = 0; i < def->step_count; i++)
+		read_step(&in, def, &def->steps[i]);
+	if (rj_unpack_finish(&in, err) || rj_cell_def_check(def, err)) {
+		talloc_free(def);
+		return NULL;
+	}
+	return def;
+}
+
+/*
+ * The index of a step's first task among the tasks of all steps.
+ */
+uint32_t rj_cell_def_first_task(const struct rj_cell_def *def, uint32_t step)
+{
+	uint32_t first = 0;
+
+	assert(step < def->step_count);
+	for (uint32_t i = 0; i < step; i++)
+		first += def->steps[i].task_count;
+	return first;
+}
+
+/*
+ * The longest chain of steps that wait for each other, by the caller's
+ * estimates, in milliseconds.
+ */
+uint64_t rj_cell_def_chain_ms(const struct rj_cell_def *def)
+{
+	uint64_t ends_ms[RJ_CELL_STEPS_MAX];
+	uint64_t longest_ms = 0;
+
+	for (uint32_t i = 0; i < def->step_count; i++) {
+		const struct rj_cell_step *step = &def->steps[i];
+		uint64_t begin_ms = 0;
+
+		for (uint32_t j = 0; j < step->after_count; j++)
+			if (ends_ms[step->after[j]] > begin_ms)
+				begin_ms = ends_ms[step->after[j]];
+		ends_ms[i] = begin_ms + step->estimate_ms;
+		if (ends_ms[i] > longest_ms)
+			longest_ms = ends_ms[i];
+	}
+	return longest_ms;
+}
+
+/*
+ * How long after its submission the job should have ended, by the terms of
+ * its queue and the caller's estimates, in milliseconds.
+ */
+uint64_t rj_cell_def_objective_ms(const struct rj_cell_def *def)
+{
+	return rj_cell_def_chain_ms(def) * def->stretch_milli / 1000 +
+	       def->latency_ms;
+}
--- /dev/null
+++ b/src/libradishjunction/cell/cell_node.c
@@ -0,0 +1,404 @@
+#include "private/cell_node.h"
+
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/note.h"
+
+/* Long polls: short enough that the age of what is known stays well below
+ * what keys allow, and that an owner's silence shows. */
+#define CONFIG_WAIT_MS 1000
+#define JOBS_WAIT_MS 1000
+#define FLEET_WAIT_MS 1000
+/* Pauses between reads gather records: each read has a price, and a state
+ * may be shown so much later. */
+#define JOBS_PAUSE_US (60 * RJ_US_PER_MS)
+#define OWNER_JOBS_PAUSE_US (5 * RJ_US_PER_MS)
+#define FLEET_PAUSE_US (150 * RJ_US_PER_MS)
+/*
+ * An owner that has written nothing for so long, though the log could be
+ * read, is taken to be gone. It writes every 0.4 s; an append takes up to a
+ * quarter of a second when the log is slow.
+ */
+#define OWNER_SILENT_US (1400 * RJ_US_PER_MS)
+/* Those who would take over do so one after the other. */
+#define STAGGER_STEPS 8
+#define STAGGER_STEP_US (70 * RJ_US_PER_MS)
+/* An instance that has just tried waits before it tries again. */
+#define BID_PAUSE_US (300 * RJ_US_PER_MS)
+
+/* One page of the log of workers: a heartbeat, or an entry that is gone. */
+static void fleet_record(void *private_data,
+			 const struct rj_cell_record *record)
+{
+	struct rj_cell_node *node = private_data;
+	struct rj_cell_heartbeat heartbeat;
+	struct rj_error err;
+
+	if (!node->owner.active)
+		return;
+	node->owner.now_us = node->fleet.now_us;
+	if (!record->value.length) {
+		rj_cell_owner_worker(&node->owner, record->key, NULL);
+		return;
+	}
+	if (strlen(record->key) >= RJ_NAME_BYTES ||
+	    node->options.codec->decode_worker(record->value, &heartbeat,
+					       &err)) {
+		rj_note("worker_entry_bad", RJ_NOTE_TEXT("worker", record->key),
+			RJ_NOTE_TEXT("error", err.message));
+		return;
+	}
+	rj_cell_owner_worker(&node->owner, record->key, &heartbeat);
+}
+
+/* Nothing more to do when a read has ended. */
+static void no_progress(void *private_data, struct rj_cell_follow *follow)
+{
+}
+
+static const struct rj_cell_follow_ops fleet_ops = { fleet_record,
+						     no_progress };
+
+/* A new version of the configuration, if it is one. */
+static void config_record(void *private_data,
+			  const struct rj_cell_record *record)
+{
+	struct rj_cell_node *node = private_data;
+	struct rj_cell_config *config;
+	struct rj_error err = { .kind = RJ_ERR_NONE };
+
+	if (!record->value.length)
+		return;
+	config = node->options.codec->decode_config(node->mem, record->key,
+						    record->value, &err);
+	if (!config) {
+		if (err.kind != RJ_ERR_NONE)
+			rj_note("config_bad", RJ_NOTE_TEXT("key", record->key),
+				RJ_NOTE_TEXT("error", err.message));
+		return;
+	}
+	/* Versions rise; a load may show an older one again. */
+	if (node->config && config->version <= node->config->version) {
+		talloc_free(config);
+		return;
+	}
+	rj_note("config", RJ_NOTE_NUMBER("version", config->version),
+		RJ_NOTE_NUMBER("before",
+			       node->config ? node->config->version : 0),
+		RJ_NOTE_NUMBER("queues", config->queue_count),
+		RJ_NOTE_NUMBER("accounts", config->account_count));
+	talloc_free(node->config);
+	node->config = config;
+	node->front.config = config;
+	node->owner.config = config;
+	node->owner.plan_wanted = true;
+}
+
+static const struct rj_cell_follow_ops config_ops = { config_record,
+						      no_progress };
+
+/* Somebody has taken the cell over. */
+static void owner_record(struct rj_cell_node *node,
+			 const struct rj_cell_record *record)
+{
+	struct rj_cell_owner_record owner;
+	struct rj_error err;
+
+	if (rj_cell_owner_decode(record->value, &owner, &err)) {
+		rj_note("record_bad", RJ_NOTE_TEXT("key", record->key),
+			RJ_NOTE_TEXT("error", err.message));
+		return;
+	}
+	if (node->tenure.known && record->offset + 1 <= node->tenure.token)
+		return;
+	node->tenure.known = true;
+	node->tenure.record = owner;
+	node->tenure.token = record->offset + 1;
+	node->tenure.seen_us = node->jobs.now_us;
+	rj_note("owner_seen", RJ_NOTE_TEXT("instance", owner.name),
+		RJ_NOTE_NUMBER("token", node->tenure.token),
+		RJ_NOTE_NUMBER("leaving", owner.leaving));
+}
+
+/* The owner shows that it lives, and how loaded the cell is. */
+static void beat_record(struct rj_cell_node *node,
+			const struct rj_cell_record *record)
+{
+	struct rj_cell_beat beat;
+	struct rj_error err;
+
+	if (rj_cell_beat_decode(record->value, &beat, &err)) {
+		rj_note("record_bad", RJ_NOTE_TEXT("key", record->key),
+			RJ_NOTE_TEXT("error", err.message));
+		return;
+	}
+	node->front.beat = beat;
+	node->front.beat_us = node->jobs.now_us;
+}
+
+/* One record of the jobs' log. */
+static void jobs_record(void *private_data, const struct rj_cell_record *record)
+{
+	struct rj_cell_node *node = private_data;
+	enum rj_cell_record_kind kind;
+	struct rj_cell_entry *entry;
+	const char *id;
+
+	if (rj_cell_record_kind(record->key, &kind, &id)) {
+		rj_note("record_bad", RJ_NOTE_TEXT("key", record->key),
+			RJ_NOTE_TEXT("error", "a key that we did not write"));
+		return;
+	}
+	if (kind == RJ_CELL_RECORD_PROGRESS || kind == RJ_CELL_RECORD_BEAT ||
+	    kind == RJ_CELL_RECORD_OWNER)
+		node->tenure.seen_us = node->jobs.now_us;
+	if (kind == RJ_CELL_RECORD_OWNER) {
+		owner_record(node, record);
+		return;
+	}
+	if (kind == RJ_CELL_RECORD_BEAT) {
+		beat_record(node, record);
+		return;
+	}
+	entry = rj_cell_view_apply(&node->view, record, node->jobs.now_us);
+	if (entry && node->owner.active && kind != RJ_CELL_RECORD_PROGRESS) {
+		node->owner.now_us = node->jobs.now_us;
+		rj_cell_owner_entry(&node->owner, entry);
+	}
+}
+
+/* Whether the newest ownership record is ours, of this life. */
+static bool is_ours(const struct rj_cell_node *node)
+{
+	return node->tenure.known && !node->tenure.record.leaving &&
+	       node->tenure.record.incarnation == node->options.incarnation &&
+	       !strcmp(node->tenure.record.name, node->options.name);
+}
+
+/* Give the cell up. What was decided and not stored has not been shown. */
+static void step_down(struct rj_cell_node *node, const char *why)
+{
+	rj_cell_owner_resign(&node->owner, why);
+	rj_cell_follow_stop(&node->fleet);
+	node->jobs.pause_us = JOBS_PAUSE_US;
+	node->bid_due_us = node->now_us + BID_PAUSE_US;
+}
+
+/* Take the cell: the log up to our own record has been read. */
+static void step_up(struct rj_cell_node *node)
+{
+	rj_cell_owner_take(&node->owner, node->tenure.token, node->now_us,
+			   node->wall_ms);
+	node->jobs.pause_us = OWNER_JOBS_PAUSE_US;
+	rj_cell_follow_start(&node->fleet, node->now_us);
+}
+
+/* A read of the jobs has ended: see who owns the cell now. */
+static void jobs_progress(void *private_data, struct rj_cell_follow *follow)
+{
+	struct rj_cell_node *node = private_data;
+
+	node->now_us = follow->now_us;
+	if (node->owner.active && node->owner.token != node->tenure.token)
+		step_down(node, "superseded");
+	else if (!node->owner.active && follow->caught_up && is_ours(node) &&
+		 !node->draining)
+		step_up(node);
+}
+
+static const struct rj_cell_follow_ops jobs_ops = { jobs_record,
+						    jobs_progress };
+
+/*
+ * Prepare a node. Nothing is read before rj_cell_node_start.
+ */
+void rj_cell_node_init(struct rj_cell_node *node, void *mem,
+		       const struct rj_cell_node_options *options)
+{
+	char producer[RJ_NAME_BYTES * 2];
+	uint64_t place = rj_hash64_string(options->name, 0) % STAGGER_STEPS;
+
+	memset(node, 0, sizeof(*node));
+	node->mem = mem;
+	node->options = *options;
+	node->stagger_us = (uint32_t)(place * STAGGER_STEP_US);
+	rj_cell_view_init(&node->view, mem);
+	rj_cell_follow_init(&node->jobs, mem, options->store,
+			    RJ_CELL_TOPIC_JOBS, &jobs_ops, node);
+	rj_cell_follow_init(&node->configs, mem, options->store,
+			    RJ_CELL_TOPIC_CONFIG, &config_ops, node);
+	rj_cell_follow_init(&node->fleet, mem, options->store,
+			    RJ_CELL_TOPIC_WORKERS, &fleet_ops, node);
+	node->jobs.wait_ms = JOBS_WAIT_MS;
+	node->jobs.pause_us = JOBS_PAUSE_US;
+	node->configs.wait_ms = CONFIG_WAIT_MS;
+	node->fleet.wait_ms = FLEET_WAIT_MS;
+	node->fleet.pause_us = FLEET_PAUSE_US;
+	(void)g_snprintf(producer, sizeof(producer),
+			 "%s-%" G_GINT64_MODIFIER "x", options->name,
+			 options->incarnation);
+	rj_cell_writer_init(&node->writer, mem, options->store, producer);
+	rj_cell_front_init(&node->front, mem, &node->view, &node->jobs,
+			   &node->configs, &node->writer, options->codec,
+			   options->terms.revoke_ms);
+	rj_cell_owner_init(&node->owner, mem, options->name,
+			   options->incarnation, &node->view, options->store,
+			   options->workers, &options->terms);
+}
+
+/*
+ * Begin to follow the log and to answer clients.
+ */
+void rj_cell_node_start(struct rj_cell_node *node, uint64_t now_us,
+			uint64_t wall_ms)
+{
+	node->now_us = now_us;
+	node->wall_ms = wall_ms;
+	rj_cell_writer_open(&node->writer, 1, 0, now_us);
+	rj_cell_follow_start(&node->configs, now_us);
+	rj_cell_follow_start(&node->jobs, now_us);
+}
+
+/* The answer to a bid says little: whether it was won is read in the log. */
+static void bid_done(void *private_data,
+		     const struct rj_cell_store_reply *reply)
+{
+	struct rj_cell_node *node = private_data;
+
+	node->bidding = false;
+	node->bid_due_us = reply->now_us + BID_PAUSE_US + node->stagger_us;
+	rj_note("bid",
+		RJ_NOTE_TEXT("outcome",
+			     rj_cell_store_status_string[reply->status]),
+		RJ_NOTE_NUMBER("end", reply->end));
+	node->jobs.due_us = reply->now_us;
+}
+
+/*
+ * Write an ownership record, if the log ends where we have read it to.
+ *
+ * Guards against two owners: the record's offset is the fencing token, and
+ * it is written under that epoch, so that from then on the log takes nothing
+ * from the former owner. What it had written before has been read, as the
+ * log must end there.
+ */
+static void write_owner(struct rj_cell_node *node)
+{
+	struct rj_cell_owner_record owner = {
+		.incarnation = node->options.incarnation
+	};
+	struct rj_cell_record record;
+	struct rj_cell_append append = { .producer = "owner",
+					 .epoch = node->jobs.next + 1,
+					 .conditional = true,
+					 .at = node->jobs.next,
+					 .records = &record,
+					 .count = 1 };
+	char key[RJ_CELL_KEY_BYTES];
+
+	memcpy(owner.name, node->options.name, sizeof(owner.name));
+	rj_cell_record_key(key, RJ_CELL_RECORD_OWNER, "");
+	record.key = key;
+	record.value = rj_cell_owner_encode(node->mem, &owner);
+	node->bidding = true;
+	node->options.store->ops->append(
+		node->options.store, &append,
+		(struct rj_cell_store_done){ bid_done, node });
+	talloc_free((void *)record.value.data);
+}
+
+/* How long the owner may be silent before this instance steps in. */
+static uint64_t patience_us(const struct rj_cell_node *node)
+{
+	if (!node->tenure.known || node->tenure.record.leaving)
+		return node->stagger_us / 4;
+	return OWNER_SILENT_US + node->stagger_us;
+}
+
+/*
+ * Take over from an owner that is silent. Only a reader whose reads reach
+ * the end of the log can tell silence from a log that is out of reach.
+ */
+static void watch_owner(struct rj_cell_node *node)
+{
+	uint64_t silent_us = node->now_us - node->tenure.seen_us;
+
+	if (node->owner.active || node->bidding || node->draining ||
+	    !node->jobs.caught_up || !node->config ||
+	    node->now_us < node->bid_due_us || silent_us < patience_us(node) ||
+	    rj_cell_follow_age_us(&node->jobs, node->now_us) > silent_us)
+		return;
+	rj_note("owner_silent",
+		RJ_NOTE_TEXT("instance", node->tenure.record.name),
+		RJ_NOTE_NUMBER("token", node->tenure.token),
+		RJ_NOTE_AGE_MS("silent_ms", silent_us));
+	write_owner(node);
+}
+
+/*
+ * Do all that is due.
+ */
+void rj_cell_node_advance(struct rj_cell_node *node, uint64_t now_us,
+			  uint64_t wall_ms)
+{
+	node->now_us = now_us;
+	node->wall_ms = wall_ms;
+	rj_cell_follow_tick(&node->configs, now_us);
+	rj_cell_follow_tick(&node->jobs, now_us);
+	rj_cell_follow_tick(&node->fleet, now_us);
+	rj_cell_writer_tick(&node->writer, now_us);
+	rj_cell_front_tick(&node->front, now_us);
+	rj_cell_owner_advance(&node->owner, now_us, wall_ms);
+	if (node->owner.lost)
+		step_down(node, "fenced");
+	watch_owner(node);
+}
+
+/*
+ * Whether new clients should come here: the jobs are known, and keys may be
+ * believed.
+ */
+bool rj_cell_node_ready(const struct rj_cell_node *node, uint64_t now_us)
+{
+	return !node->draining && node->jobs.caught_up &&
+	       rj_cell_front_keys_fresh(&node->front, now_us);
+}
+
+/*
+ * Leave: take no new clients, and give the cell up so that another instance
+ * takes it at once. Clients that are connected are served on.
+ */
+void rj_cell_node_drain(struct rj_cell_node *node, uint64_t now_us)
+{
+	if (node->draining)
+		return;
+	node->now_us = now_us;
+	node->draining = true;
+	rj_note("drain", RJ_NOTE_NUMBER("open", node->front.open),
+		RJ_NOTE_NUMBER("owner", node->owner.active));
+	rj_cell_owner_leave(&node->owner, now_us);
+}
+
+/*
+ * Whether no client waits for an answer.
+ */
+bool rj_cell_node_drained(const struct rj_cell_node *node)
+{
+	return node->draining && !node->front.open;
+}
+
+/*
+ * Stop all. Answers on their way are dropped.
+ */
+void rj_cell_node_finish(struct rj_cell_node *node)
+{
+	rj_cell_front_finish(&node->front);
+	rj_cell_owner_resign(&node->owner, "finish");
+	rj_cell_writer_close(&node->writer);
+	rj_cell_follow_stop(&node->jobs);
+	rj_cell_follow_stop(&node->configs);
+	rj_cell_follow_stop(&node->fleet);
+	rj_cell_view_finish(&node->view);
+}
--- /dev/null
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -0,0 +1,628 @@
+#include "private/cell_owner.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/cell_admit.h"
+#include "private/cell_plan.h"
+#include "private/note.h"
+
+/* Plans are this far apart at least, so that what ends together is planned
+ * for together. */
+#define PLAN_PAUSE_US (8 * RJ_US_PER_MS)
+/* Without other events a plan is made so often, as waiting changes what may
+ * be done. */
+#define PLAN_IDLE_US (200 * RJ_US_PER_MS)
+/* The owner shows its life in the log so often. Others wait for three of
+ * these in vain before they take over. */
+#define BEAT_US (400 * RJ_US_PER_MS)
+/*
+ * An owner that cannot write the log goes on for so long: it keeps what runs,
+ * as the log may be away for all, and starts nothing. Then it lets leases
+ * lapse, so that an heir who cannot reach some workers knows when nothing
+ * runs there. The users' log is away for 9 s at most.
+ */
+#define BLIND_US (10 * RJ_US_PER_S)
+/* Ended jobs are looked through for those to be forgotten so often. */
+#define DROP_CHECK_US (5 * RJ_US_PER_S)
+/* A worker's clock may run so much slow. */
+#define CLOCK_SLOW_PERCENT 2
+
+/* What a write of a job's progress remembers until it is stored. */
+struct progress_write {
+	struct rj_cell_owner *owner;
+	uint32_t generation;
+	char id[RJ_CELL_ID_BYTES]; /* "" for records of no job */
+	struct rj_cell_summary summary;
+};
+
+/*
+ * Prepare an owner that owns nothing yet.
+ */
+void rj_cell_owner_init(struct rj_cell_owner *owner, void *mem,
+			const char *name, uint64_t incarnation,
+			struct rj_cell_view *view, struct rj_cell_store *store,
+			struct rj_cell_workers *workers,
+			const struct rj_cell_terms *terms)
+{
+	memset(owner, 0, sizeof(*owner));
+	owner->mem = mem;
+	g_strlcpy(owner->name, name, sizeof(owner->name));
+	owner->incarnation = incarnation;
+	owner->view = view;
+	owner->store = store;
+	owner->workers = workers;
+	owner->terms = *terms;
+	rj_list_init(&owner->works);
+	rj_cell_writer_init(&owner->writer, mem, store, "owner");
+}
+
+/*
+ * Whether the log has been out of reach for too long to renew leases.
+ */
+bool rj_cell_owner_blind(const struct rj_cell_owner *owner)
+{
+	return owner->now_us > owner->writer.stored_us + BLIND_US;
+}
+
+/*
+ * A job's progress has changed and is to be stored.
+ */
+void rj_cell_owner_dirty(struct rj_cell_owner *owner, struct rj_cell_work *work)
+{
+	work->dirty = true;
+	owner->plan_wanted = true;
+}
+
+/*
+ * The task of a name as workers list it, or NULL when it is not under way;
+ * `entry` (may be NULL) is that of its job, if that is known.
+ */
+struct rj_cell_task *rj_cell_owner_task(struct rj_cell_owner *owner,
+					const char *name,
+					struct rj_cell_entry **entry)
+{
+	struct rj_cell_entry *found;
+	char id[RJ_CELL_ID_BYTES];
+	unsigned int round;
+	unsigned int step;
+	unsigned int index;
+
+	if (sscanf(name, "%16[0-9a-fA-F].%u.%u.%u", id, &round, &step,
+		   &index) != 4)
+		return NULL;
+	found = rj_cell_view_find(owner->view, id);
+	if (entry)
+		*entry = found;
+	if (!found || !found->work)
+		return NULL;
+	return rj_cell_work_find(found->work, round, step, index);
+}
+
+/* Until when a job is of use, by this node's clock. */
+static void set_times(struct rj_cell_owner *owner, struct rj_cell_work *work)
+{
+	const struct rj_cell_def *def = work->def;
+	uint64_t age_ms = owner->wall_ms > def->accepted_ms ?
+				  owner->wall_ms - def->accepted_ms :
+				  0;
+	uint64_t objective_us = rj_cell_def_objective_ms(def) * RJ_US_PER_MS;
+
+	work->accepted_us = owner->now_us > age_ms * RJ_US_PER_MS ?
+				    owner->now_us - age_ms * RJ_US_PER_MS :
+				    0;
+	work->objective_us = work->accepted_us + objective_us;
+	/* Up to three times the objective a job is late, then of no use. */
+	work->late_us = work->accepted_us + 3 * objective_us;
+}
+
+/* Take up a job that has not ended, with what its progress says. */
+static void adopt(struct rj_cell_owner *owner, struct rj_cell_entry *entry)
+{
+	struct rj_cell_work *work = rj_cell_work_new(owner->mem, entry->def);
+	struct rj_error err;
+
+	work->entry = entry;
+	entry->work = work;
+	rj_list_append(&owner->works, &work->link);
+	set_times(owner, work);
+	if (entry->progress.length &&
+	    rj_cell_progress_decode(entry->progress, work, &owner->fleet,
+				    owner->now_us, &err))
+		rj_note("record_bad", RJ_NOTE_TEXT("job", entry->id),
+			RJ_NOTE_TEXT("error", err.message));
+	rj_cell_ends_begin_rounds(owner, work);
+}
+
+/*
+ * A job's definition or a wish to cancel it has come.
+ */
+void rj_cell_owner_entry(struct rj_cell_owner *owner,
+			 struct rj_cell_entry *entry)
+{
+	if (!owner->active || !entry->def ||
+	    entry->told.state >= RJ_CELL_JOB_COMPLETED)
+		return;
+	if (!entry->work) {
+		adopt(owner, entry);
+		rj_note("job_taken", RJ_NOTE_TEXT("job", entry->id),
+			RJ_NOTE_TEXT("account", entry->def->account),
+			RJ_NOTE_TEXT("queue", entry->def->queue),
+			RJ_NOTE_NUMBER("tasks", entry->def->task_count));
+	}
+	if (entry->cancelled && !entry->work->cancelled) {
+		entry->work->cancelled = true;
+		rj_cell_ends_close(owner, entry->work, RJ_CELL_JOB_CANCELLED);
+	}
+	owner->plan_wanted = true;
+}
+
+/*
+ * A worker's entry has changed; NULL when it is gone.
+ */
+void rj_cell_owner_worker(struct rj_cell_owner *owner, const char *id,
+			  const struct rj_cell_heartbeat *heartbeat)
+{
+	struct rj_cell_worker *worker = rj_cell_fleet_find(&owner->fleet, id);
+	bool was_draining;
+
+	if (!heartbeat && (!worker || !worker->listed))
+		return;
+	if (!heartbeat) {
+		rj_note("worker_unlisted", RJ_NOTE_TEXT("worker", id),
+			RJ_NOTE_NUMBER("holds", worker->held.memory_mb));
+		worker->listed = false;
+		worker->listed_us = owner->now_us;
+		owner->plan_wanted = true;
+		return;
+	}
+	worker = rj_cell_fleet_obtain(&owner->fleet, id);
+	was_draining = worker->said.draining;
+	worker->said = *heartbeat;
+	if (!worker->listed || was_draining != heartbeat->draining) {
+		rj_note("worker_listed", RJ_NOTE_TEXT("worker", id),
+			RJ_NOTE_TEXT("domain", heartbeat->domain),
+			RJ_NOTE_NUMBER("draining", heartbeat->draining));
+		worker->listed_us = owner->now_us;
+		worker->look_due_us = owner->now_us;
+		owner->plan_wanted = true;
+	}
+	worker->listed = true;
+}
+
+/*
+ * Nothing is known of workers that a former owner has used until they
+ * answer; it may have renewed their leases until it had to stop.
+ */
+static void bound_leases(struct rj_cell_owner *owner)
+{
+	uint64_t lease_us = owner->terms.lease_max_ms * RJ_US_PER_MS *
+			    (100 + CLOCK_SLOW_PERCENT) / 100;
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &owner->fleet.workers)
+		RJ_CONTAINER(at, struct rj_cell_worker, link)->lapsed_us =
+			owner->now_us + BLIND_US + lease_us;
+}
+
+/*
+ * Own the cell under `token`: adopt every job that has not ended and all
+ * that may run. The view must be complete up to the ownership record.
+ */
+void rj_cell_owner_take(struct rj_cell_owner *owner, uint64_t token,
+			uint64_t now_us, uint64_t wall_ms)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+	uint32_t jobs = 0;
+
+	assert(!owner->active);
+	owner->active = true;
+	owner->lost = false;
+	owner->leaving = false;
+	owner->generation++;
+	owner->token = token;
+	owner->taken_us = now_us;
+	owner->now_us = now_us;
+	owner->wall_ms = wall_ms;
+	owner->writes_open = 0;
+	owner->beat_due_us = now_us;
+	owner->counters.takeovers++;
+	rj_cell_fleet_init(&owner->fleet, owner->mem);
+	rj_cell_writer_open(&owner->writer, token, 1, now_us);
+	RJ_FOR_EACH (at, next, &owner->view->entries) {
+		struct rj_cell_entry *entry =
+			RJ_CONTAINER(at, struct rj_cell_entry, link);
+
+		if (entry->def && entry->told.state < RJ_CELL_JOB_COMPLETED)
+			jobs++;
+		rj_cell_owner_entry(owner, entry);
+	}
+	bound_leases(owner);
+	rj_note("own", RJ_NOTE_NUMBER("token", token),
+		RJ_NOTE_NUMBER("jobs", jobs),
+		RJ_NOTE_NUMBER("workers", owner->fleet.count));
+}
+
+/*
+ * Own nothing any more. What ran goes on under its leases until an heir
+ * takes it over. The view may be ahead of the log and has to be loaded anew.
+ */
+void rj_cell_owner_resign(struct rj_cell_owner *owner, const char *why)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	if (!owner->active)
+		return;
+	rj_note("resign", RJ_NOTE_NUMBER("token", owner->token),
+		RJ_NOTE_TEXT("why", why),
+		RJ_NOTE_AGE_MS("stored_ms",
+			       owner->now_us - owner->writer.stored_us));
+	owner->active = false;
+	owner->lost = false;
+	owner->generation++;
+	owner->counters.resigns++;
+	rj_cell_writer_close(&owner->writer);
+	RJ_FOR_EACH (at, next, &owner->works) {
+		struct rj_cell_work *work =
+			RJ_CONTAINER(at, struct rj_cell_work, link);
+
+		((struct rj_cell_entry *)work->entry)->work = NULL;
+		talloc_free(work);
+	}
+	rj_cell_fleet_finish(&owner->fleet);
+}
+
+/* Forget the work of a job that has ended and runs nowhere. */
+static void free_ended(struct rj_cell_owner *owner, struct rj_cell_work *work)
+{
+	struct rj_cell_entry *entry = work->entry;
+
+	if (work->dirty || work->state < RJ_CELL_JOB_COMPLETED ||
+	    entry->told.state < RJ_CELL_JOB_COMPLETED ||
+	    !rj_cell_work_idle(work))
+		return;
+	entry->work = NULL;
+	talloc_free(work);
+}
+
+/* The intents of a job are stored: its runs may be started. */
+static void release_runs(struct rj_cell_owner *owner, struct rj_cell_work *work)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &work->rounds) {
+		struct rj_cell_round *round =
+			RJ_CONTAINER(at, struct rj_cell_round, link);
+
+		for (uint32_t i = 0; i < work->def->task_count; i++) {
+			struct rj_list *runs = &round->tasks[i].runs;
+			struct rj_list *run_at;
+
+			for (run_at = runs->next; run_at != runs;
+			     run_at = run_at->next) {
+				struct rj_cell_run *run = RJ_CONTAINER(
+					run_at, struct rj_cell_run, in_task);
+
+				if (!run->recording ||
+				    run->state != RJ_CELL_RUN_INTENDED)
+					continue;
+				run->recording = false;
+				run->state = RJ_CELL_RUN_STARTING;
+				run->order_due_us = owner->now_us;
+				run->order_tries = 0;
+			}
+		}
+	}
+}
+
+/* All that was flushed together is stored: workers may forget these ends. */
+static void ends_stored(struct rj_cell_owner *owner)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &owner->fleet.workers) {
+		struct rj_cell_worker *worker =
+			RJ_CONTAINER(at, struct rj_cell_worker, link);
+
+		if (worker->seen_storing <= worker->seen)
+			continue;
+		worker->seen = worker->seen_storing;
+		worker->look_due_us = owner->now_us;
+	}
+}
+
+/* One record of a flush has ended. */
+static void progress_stored(void *private_data,
+			    enum rj_cell_write_outcome outcome)
+{
+	struct progress_write *write = private_data;
+	struct rj_cell_owner *owner = write->owner;
+	struct rj_cell_entry *entry;
+	bool current = write->generation == owner->generation && owner->active;
+
+	if (!current) {
+		talloc_free(write);
+		return;
+	}
+	owner->now_us = owner->writer.now_us;
+	owner->writes_open--;
+	entry = write->id[0] ? rj_cell_view_find(owner->view, write->id) : NULL;
+	if (outcome == RJ_CELL_WRITE_STORED && entry) {
+		rj_cell_view_tell(entry, &write->summary, owner->now_us);
+		if (entry->work)
+			release_runs(owner, entry->work);
+	} else if (outcome == RJ_CELL_WRITE_NOT_STORED) {
+		if (entry && entry->work)
+			entry->work->dirty = true;
+		owner->beat_due_us = owner->now_us;
+	} else if (outcome != RJ_CELL_WRITE_STORED) {
+		owner->lost = true;
+	}
+	if (!owner->writes_open && !owner->lost &&
+	    outcome == RJ_CELL_WRITE_STORED)
+		ends_stored(owner);
+	if (entry && entry->work)
+		free_ended(owner, entry->work);
+	talloc_free(write);
+}
+
+/* Add one record to the flush. */
+static void add_write(struct rj_cell_owner *owner,
+		      enum rj_cell_record_kind kind, const char *id,
+		      struct rj_bytes value,
+		      const struct rj_cell_summary *summary)
+{
+	struct progress_write *write =
+		talloc_zero(owner->mem, struct progress_write);
+	char key[RJ_CELL_KEY_BYTES];
+
+	assert(write);
+	write->owner = owner;
+	write->generation = owner->generation;
+	if (summary) {
+		g_strlcpy(write->id, id, sizeof(write->id));
+		write->summary = *summary;
+	}
+	rj_cell_record_key(key, kind, id);
+	owner->writes_open++;
+	rj_cell_writer_add(
+		&owner->writer, key, value,
+		(struct rj_cell_write_done){ progress_stored, write });
+}
+
+/* Mark the runs of a job whose intents go out with its record. */
+static void mark_recording(struct rj_cell_work *work)
+{
+	struct rj_list *at;
+
+	for (at = work->rounds.next; at != &work->rounds; at = at->next) {
+		struct rj_cell_round *round =
+			RJ_CONTAINER(at, struct rj_cell_round, link);
+
+		for (uint32_t i = 0; i < work->def->task_count; i++) {
+			struct rj_list *runs = &round->tasks[i].runs;
+			struct rj_list *run;
+
+			for (run = runs->next; run != runs; run = run->next)
+				RJ_CONTAINER(run, struct rj_cell_run, in_task)
+					->recording = true;
+		}
+	}
+}
+
+/* Add the owner's heartbeat, with what it tells of the load. */
+static void add_beat(struct rj_cell_owner *owner)
+{
+	struct rj_cell_beat beat = { .incarnation = owner->incarnation,
+				     .number = owner->beat_number++ };
+	struct rj_bytes value;
+
+	rj_cell_admit_shares(owner, &beat);
+	value = rj_cell_beat_encode(owner->mem, &beat);
+	add_write(owner, RJ_CELL_RECORD_BEAT, "", value, NULL);
+	talloc_free((void *)value.data);
+	owner->beat_due_us = owner->now_us + BEAT_US;
+}
+
+/*
+ * Give the cell away in the log, behind all that is to be stored. Whoever
+ * reads it may take over at once; until then this owner goes on.
+ */
+void rj_cell_owner_leave(struct rj_cell_owner *owner, uint64_t now_us)
+{
+	if (!owner->active)
+		return;
+	owner->now_us = now_us;
+	owner->leaving = true;
+}
+
+/* Add the record that gives the cell away. */
+static void add_leave(struct rj_cell_owner *owner)
+{
+	struct rj_cell_owner_record record = { .incarnation =
+						       owner->incarnation,
+					       .leaving = true };
+	struct rj_bytes value;
+
+	memcpy(record.name, owner->name, sizeof(record.name));
+	value = rj_cell_owner_encode(owner->mem, &record);
+	add_write(owner, RJ_CELL_RECORD_OWNER, "", value, NULL);
+	talloc_free((void *)value.data);
+	owner->leaving = false;
+}
+
+/* Store all changes in one append, if none is on its way. */
+static void flush(struct rj_cell_owner *owner)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	if (owner->writes_open)
+		return;
+	RJ_FOR_EACH (at, next, &owner->works) {
+		struct rj_cell_work *work =
+			RJ_CONTAINER(at, struct rj_cell_work, link);
+		struct rj_cell_summary summary = { work->state, work->started };
+		struct rj_bytes value;
+
+		if (!work->dirty)
+			continue;
+		work->dirty = false;
+		mark_recording(work);
+		value = rj_cell_progress_encode(owner->mem, work);
+		add_write(owner, RJ_CELL_RECORD_PROGRESS, work->def->id, value,
+			  &summary);
+		talloc_free((void *)value.data);
+	}
+	if (owner->now_us >= owner->beat_due_us)
+		add_beat(owner);
+	if (owner->leaving)
+		add_leave(owner);
+	RJ_FOR_EACH (at, next, &owner->fleet.workers) {
+		struct rj_cell_worker *worker =
+			RJ_CONTAINER(at, struct rj_cell_worker, link);
+
+		worker->seen_storing = worker->seen_taken;
+	}
+	if (owner->writes_open)
+		rj_cell_writer_flush(&owner->writer, owner->now_us);
+	else
+		ends_stored(owner);
+}
+
+/* Note a decided start; it goes out once that is stored. */
+static void begin_run(struct rj_cell_owner *owner,
+		      const struct rj_cell_choice *choice)
+{
+	struct rj_cell_task *task = choice->task;
+	struct rj_cell_work *work = task->round->work;
+	struct rj_cell_run *run =
+		rj_cell_run_new(choice->worker, task, task->run + 1);
+
+	task->run = run->number;
+	work->started = true;
+	if (work->state == RJ_CELL_JOB_QUEUED)
+		work->state = RJ_CELL_JOB_RUNNING;
+	rj_cell_owner_dirty(owner, work);
+	rj_note("place", RJ_NOTE_TEXT("task", run->name),
+		RJ_NOTE_NUMBER("run", run->number),
+		RJ_NOTE_TEXT("worker", choice->worker->id),
+		RJ_NOTE_AGE_MS("heard_ms",
+			       owner->now_us - choice->worker->answered_us),
+		RJ_NOTE_AGE_MS("waited_ms", owner->now_us - task->waiting_us));
+}
+
+/* The members of a gang start under one number. */
+static void level_gang_runs(const struct rj_cell_plan *plan)
+{
+	for (guint i = 0; i < plan->starts->len; i++) {
+		struct rj_cell_task *task =
+			g_array_index(plan->starts, struct rj_cell_choice, i)
+				.task;
+		const struct rj_cell_step *step = rj_cell_task_step(task);
+		struct rj_cell_task *head = task - task->index;
+		uint32_t highest = 0;
+
+		if (!step->gang || task->index)
+			continue;
+		for (uint32_t j = 0; j < step->task_count; j++)
+			highest = MAX(highest, head[j].run);
+		for (uint32_t j = 0; j < step->task_count; j++)
+			head[j].run = highest;
+	}
+}
+
+/* Plan, and note what was decided. */
+static void plan_work(struct rj_cell_owner *owner)
+{
+	struct rj_cell_plan plan;
+
+	rj_cell_plan_init(&plan);
+	plan.fleet = &owner->fleet;
+	plan.works = &owner->works;
+	plan.config = owner->config;
+	plan.now_us = owner->now_us;
+	rj_cell_plan_make(&plan);
+	owner->counters.plans++;
+	level_gang_runs(&plan);
+	for (guint i = 0; i < plan.starts->len; i++)
+		begin_run(owner, &g_array_index(plan.starts,
+						struct rj_cell_choice, i));
+	for (guint i = 0; i < plan.stops->len; i++)
+		rj_cell_ends_stop_run(owner, plan.stops->pdata[i],
+				      RJ_CELL_WHY_RECLAIMED);
+	rj_cell_plan_finish(&plan);
+	owner->plan_wanted = false;
+	owner->plan_due_us = owner->now_us + PLAN_IDLE_US;
+}
+
+/* Begin what has come due of jobs with times. */
+static void begin_rounds(struct rj_cell_owner *owner)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &owner->works) {
+		struct rj_cell_work *work =
+			RJ_CONTAINER(at, struct rj_cell_work, link);
+
+		if (work->def->repeats && work->state < RJ_CELL_JOB_COMPLETED)
+			rj_cell_ends_begin_rounds(owner, work);
+	}
+}
+
+/* Drop the keys of jobs that ended long ago. */
+static void drop_old(struct rj_cell_owner *owner)
+{
+	const struct rj_cell_summary none = { RJ_CELL_JOB_COMPLETED, true };
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &owner->view->entries) {
+		struct rj_cell_entry *entry =
+			RJ_CONTAINER(at, struct rj_cell_entry, link);
+		uint64_t keep_us = owner->terms.status_ms * RJ_US_PER_MS;
+
+		if (entry->work || !entry->ended_us ||
+		    owner->now_us < entry->ended_us + keep_us)
+			continue;
+		for (int kind = RJ_CELL_RECORD_DEFINITION;
+		     kind <= RJ_CELL_RECORD_CANCEL; kind++)
+			add_write(owner, (enum rj_cell_record_kind)kind,
+				  entry->id, (struct rj_bytes){ NULL, 0 },
+				  &none);
+		entry->ended_us = owner->now_us; /* once, unless it fails */
+	}
+}
+
+/*
+ * Do all that is due: orders, plans, stores. To be called after each event
+ * and every few milliseconds.
+ */
+void rj_cell_owner_advance(struct rj_cell_owner *owner, uint64_t now_us,
+			   uint64_t wall_ms)
+{
+	if (!owner->active || owner->lost)
+		return;
+	owner->now_us = now_us;
+	owner->wall_ms = wall_ms;
+	begin_rounds(owner);
+	if ((owner->plan_wanted || now_us >= owner->plan_due_us) &&
+	    !owner->writes_open &&
+	    now_us + PLAN_IDLE_US >= owner->plan_due_us + PLAN_PAUSE_US)
+		plan_work(owner);
+	if (!owner->writes_open && now_us >= owner->drop_due_us) {
+		owner->drop_due_us = now_us + DROP_CHECK_US;
+		drop_old(owner);
+	}
+	flush(owner);
+	rj_cell_orders_tick(owner);
+	rj_cell_writer_tick(&owner->writer, now_us);
+}
--- /dev/null
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -0,0 +1,456 @@
+#include "private/cell_plan.h"
+
+#include <assert.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/cell_place.h"
+
+/*
+ * Data that is far away makes a task take three times as long, so it waits
+ * for a worker near it for half of its own estimate, and no longer than
+ * this: users expect idle capacity to be used within 3 s.
+ */
+#define FAR_WAIT_MAX_MS 1500
+
+/* Work goes in this order, whatever its priority. */
+enum tier {
+	TIER_GUARANTEED, /* its account has a right to the room at once */
+	TIER_USEFUL, /* it can still be of use to its caller */
+	TIER_HOPELESS, /* too late; it only has to end some day */
+};
+
+/* A demand that found no room, and where it may run. */
+struct miss {
+	const struct rj_cell_step *step;
+	const char *service;
+	bool far;
+};
+
+/*
+ * Prepare a plan without inputs.
+ */
+void rj_cell_plan_init(struct rj_cell_plan *plan)
+{
+	memset(plan, 0, sizeof(*plan));
+	plan->starts = g_array_new(FALSE, FALSE, sizeof(struct rj_cell_choice));
+	plan->stops = g_ptr_array_new();
+	plan->units = g_array_new(FALSE, FALSE, sizeof(struct rj_cell_unit));
+	plan->misses = g_array_new(FALSE, FALSE, sizeof(struct miss));
+}
+
+/*
+ * Free what the plan holds.
+ */
+void rj_cell_plan_finish(struct rj_cell_plan *plan)
+{
+	g_array_free(plan->starts, TRUE);
+	g_ptr_array_free(plan->stops, TRUE);
+	g_array_free(plan->units, TRUE);
+	g_array_free(plan->misses, TRUE);
+	TALLOC_FREE(plan->rooms);
+}
+
+/* What is left of a capacity. */
+static struct rj_cell_demand room_of(const struct rj_cell_worker *worker)
+{
+	const struct rj_cell_demand *all = &worker->said.capacity;
+	const struct rj_cell_demand *held = &worker->held;
+
+	return (struct rj_cell_demand){
+		all->cpu_milli - MIN(all->cpu_milli, held->cpu_milli),
+		all->memory_mb - MIN(all->memory_mb, held->memory_mb),
+		all->accelerators - MIN(all->accelerators, held->accelerators),
+	};
+}
+
+/* Room that comes free when what is stopping has gone. */
+static void add_stopping(struct rj_cell_room *room)
+{
+	const struct rj_list *at;
+
+	for (at = room->worker->runs.next; at != &room->worker->runs;
+	     at = at->next) {
+		const struct rj_cell_run *run =
+			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
+
+		if (run->state != RJ_CELL_RUN_STOPPING)
+			continue;
+		room->soon.cpu_milli += run->held.cpu_milli;
+		room->soon.memory_mb += run->held.memory_mb;
+		room->soon.accelerators += run->held.accelerators;
+	}
+}
+
+/* Gather the rooms of all workers that may get work. */
+static void gather_rooms(struct rj_cell_plan *plan)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	plan->rooms = talloc_zero_array(NULL, struct rj_cell_room,
+					plan->fleet->count);
+	assert(plan->rooms || !plan->fleet->count);
+	RJ_FOR_EACH (at, next, &plan->fleet->workers) {
+		struct rj_cell_room *room = &plan->rooms[plan->room_count];
+
+		room->worker = RJ_CONTAINER(at, struct rj_cell_worker, link);
+		if (!rj_cell_worker_usable(room->worker, plan->now_us))
+			continue;
+		room->usable = true;
+		room->now = room_of(room->worker);
+		room->soon = room->now;
+		add_stopping(room);
+		plan->room_count++;
+	}
+}
+
+/* Whether a task waits for room. */
+static bool waits(const struct rj_cell_plan *plan,
+		  const struct rj_cell_task *task)
+{
+	return !task->done && task->runs.next == &task->runs &&
+	       plan->now_us >= task->not_before_us;
+}
+
+/* Note since when the waiting tasks of a step wait. Returns their number;
+ * 0 for a gang of which a member still runs or may not start yet. */
+static uint32_t count_waiting(const struct rj_cell_plan *plan,
+			      struct rj_cell_round *round, uint32_t step,
+			      uint64_t *since_us)
+{
+	const struct rj_cell_def *def = round->work->def;
+	uint32_t first = rj_cell_def_first_task(def, step);
+	uint32_t waiting = 0;
+
+	*since_us = plan->now_us;
+	for (uint32_t i = first; i < first + def->steps[step].task_count; i++) {
+		struct rj_cell_task *task = &round->tasks[i];
+
+		if (!waits(plan, task)) {
+			if (def->steps[step].gang)
+				return 0;
+			continue;
+		}
+		if (!task->waiting_us)
+			task->waiting_us = plan->now_us;
+		if (task->waiting_us < *since_us)
+			*since_us = task->waiting_us;
+		waiting++;
+	}
+	return waiting;
+}
+
+/* The service whose workers run a job now. */
+static const char *service_of(const struct rj_cell_plan *plan,
+			      const struct rj_cell_def *def)
+{
+	const struct rj_cell_queue *queue =
+		plan->config ? rj_cell_config_queue(plan->config, def->queue) :
+			       NULL;
+
+	return queue ? queue->service : def->service;
+}
+
+/* Whether a step has waited long enough to run away from its data. */
+static bool may_be_far(const struct rj_cell_plan *plan,
+		       const struct rj_cell_step *step, uint64_t since_us)
+{
+	uint64_t patience_ms = step->estimate_ms / 2;
+
+	if (patience_ms > FAR_WAIT_MAX_MS)
+		patience_ms = FAR_WAIT_MAX_MS;
+	return plan->now_us - since_us >= patience_ms * RJ_US_PER_MS;
+}
+
+/* The accelerators that the urgent jobs of an account that have not ended
+ * need in all. */
+static uint64_t urgent_need(const struct rj_cell_plan *plan,
+			    const char *account)
+{
+	const struct rj_list *at;
+	uint64_t need = 0;
+
+	for (at = plan->works->next; at != plan->works; at = at->next) {
+		const struct rj_cell_work *work =
+			RJ_CONTAINER(at, struct rj_cell_work, link);
+
+		if (work->def->priority || work->cancelled ||
+		    work->state >= RJ_CELL_JOB_COMPLETED ||
+		    strcmp(work->def->account, account) != 0)
+			continue;
+		for (uint32_t i = 0; i < work->def->step_count; i++)
+			need += (uint64_t)work->def->steps[i].task_count *
+				work->def->steps[i].each.accelerators;
+	}
+	return need;
+}
+
+/* Whether a job has a right to its room at once. */
+static bool is_guaranteed(const struct rj_cell_plan *plan,
+			  const struct rj_cell_work *work)
+{
+	const struct rj_cell_account *account =
+		plan->config ? rj_cell_config_account(plan->config,
+						      work->def->account) :
+			       NULL;
+
+	return !work->def->priority && account &&
+	       urgent_need(plan, account->name) <=
+		       account->guaranteed_accelerators;
+}
+
+/* Note the waiting tasks of one step. */
+static void add_unit(struct rj_cell_plan *plan, struct rj_cell_round *round,
+		     uint32_t step)
+{
+	struct rj_cell_work *work = round->work;
+	struct rj_cell_unit unit = { .work = work,
+				     .round = round,
+				     .step = step };
+
+	unit.waiting = count_waiting(plan, round, step, &unit.waiting_us);
+	if (!unit.waiting)
+		return;
+	unit.service = service_of(plan, work->def);
+	unit.far = may_be_far(plan, &work->def->steps[step], unit.waiting_us);
+	if (is_guaranteed(plan, work))
+		unit.tier = TIER_GUARANTEED;
+	else if (plan->now_us > work->late_us)
+		unit.tier = TIER_HOPELESS;
+	else
+		unit.tier = TIER_USEFUL;
+	unit.order_us = work->accepted_us;
+	g_array_append_val(plan->units, unit);
+}
+
+/* Gather all steps whose turn has come. */
+static void gather_units(struct rj_cell_plan *plan)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, plan->works) {
+		struct rj_cell_work *work =
+			RJ_CONTAINER(at, struct rj_cell_work, link);
+		struct rj_list *round_at;
+		struct rj_list *round_next;
+
+		if (work->state >= RJ_CELL_JOB_COMPLETED || work->cancelled)
+			continue;
+		RJ_FOR_EACH (round_at, round_next, &work->rounds) {
+			struct rj_cell_round *round = RJ_CONTAINER(
+				round_at, struct rj_cell_round, link);
+
+			for (uint32_t i = 0; i < work->def->step_count; i++)
+				if (round->left[i] &&
+				    rj_cell_round_ready(round, i))
+					add_unit(plan, round, i);
+		}
+	}
+}
+
+/* Useful work first, by priority, then in the order of acceptance. */
+static gint by_order(gconstpointer a, gconstpointer b)
+{
+	const struct rj_cell_unit *left = a;
+	const struct rj_cell_unit *right = b;
+
+	if (left->tier != right->tier)
+		return left->tier < right->tier ? -1 : 1;
+	if (left->work->def->priority != right->work->def->priority)
+		return left->work->def->priority < right->work->def->priority ?
+			       -1 :
+			       1;
+	if (left->order_us != right->order_us)
+		return left->order_us < right->order_us ? -1 : 1;
+	return strcmp(left->work->def->id, right->work->def->id);
+}
+
+/*
+ * Whether a demand as small as this one has found no room in this plan.
+ *
+ * Guards against a backlog that makes each plan longer: under load most
+ * waiting steps find no room, and each would look at every worker.
+ */
+static bool is_missed(const struct rj_cell_plan *plan,
+		      const struct rj_cell_unit *unit)
+{
+	const struct rj_cell_step *step = &unit->work->def->steps[unit->step];
+
+	for (guint i = 0; i < plan->misses->len; i++) {
+		const struct miss *miss =
+			&g_array_index(plan->misses, struct miss, i);
+
+		if (step->each.cpu_milli >= miss->step->each.cpu_milli &&
+		    step->each.memory_mb >= miss->step->each.memory_mb &&
+		    step->each.accelerators >= miss->step->each.accelerators &&
+		    step->scavenges == miss->step->scavenges &&
+		    (miss->far || !unit->far) &&
+		    (!miss->step->label[0] ||
+		     !strcmp(miss->step->label, step->label)) &&
+		    (!miss->step->rack[0] || miss->far ||
+		     !strcmp(miss->step->rack, step->rack)) &&
+		    !strcmp(miss->service, unit->service))
+			return true;
+	}
+	return false;
+}
+
+/* Remember that one task of a step found no room. */
+static void note_miss(struct rj_cell_plan *plan,
+		      const struct rj_cell_unit *unit)
+{
+	struct miss miss = { &unit->work->def->steps[unit->step], unit->service,
+			     unit->far };
+
+	/* Such a limit does not hold for other steps. */
+	if (!miss.step->per_worker_max)
+		g_array_append_val(plan->misses, miss);
+}
+
+/* One task starts there. */
+static void add_start(struct rj_cell_plan *plan, struct rj_cell_task *task,
+		      struct rj_cell_worker *worker)
+{
+	struct rj_cell_choice choice = { task, worker };
+
+	g_array_append_val(plan->starts, choice);
+}
+
+/* Place a group in the rack where that loses least, or across racks. */
+static bool place_gang_by_rack(struct rj_cell_plan *plan,
+			       const struct rj_cell_unit *unit,
+			       struct rj_cell_task **tasks, uint32_t count,
+			       enum rj_cell_when when, bool stop_others,
+			       struct rj_cell_trial *best)
+{
+	GHashTable *racks = g_hash_table_new(g_str_hash, g_str_equal);
+	bool found = false;
+
+	for (uint32_t i = 0; i < plan->room_count; i++) {
+		char *rack = plan->rooms[i].worker->said.rack;
+		struct rj_cell_trial trial;
+
+		if (!g_hash_table_add(racks, rack))
+			continue;
+		rj_cell_trial_init(&trial, plan);
+		if (rj_cell_place_group(plan, &trial, unit, tasks, count, when,
+					rack, stop_others) &&
+		    (!found || trial.loss_milli < best->loss_milli)) {
+			struct rj_cell_trial worse = *best;
+
+			*best = trial;
+			trial = worse;
+			found = true;
+		}
+		rj_cell_trial_finish(&trial);
+	}
+	g_hash_table_destroy(racks);
+	return found;
+}
+
+/* Try to place a group: within one rack if it must or can be, else
+ * anywhere. */
+static bool try_group(struct rj_cell_plan *plan,
+		      const struct rj_cell_unit *unit,
+		      struct rj_cell_task **tasks, uint32_t count,
+		      enum rj_cell_when when, bool stop_others,
+		      struct rj_cell_trial *trial)
+{
+	const struct rj_cell_step *step = rj_cell_task_step(tasks[0]);
+
+	if (step->one_rack && count > 1) {
+		if (place_gang_by_rack(plan, unit, tasks, count, when,
+				       stop_others, trial))
+			return true;
+		if (!unit->far)
+			return false;
+		rj_cell_trial_finish(trial);
+		rj_cell_trial_init(trial, plan);
+	}
+	return rj_cell_place_group(plan, trial, unit, tasks, count, when, NULL,
+				   stop_others);
+}
+
+/* Try once; when it works out, the room is taken, and with RJ_CELL_NOW the
+ * tasks start. */
+static bool attempt(struct rj_cell_plan *plan, const struct rj_cell_unit *unit,
+		    struct rj_cell_task **tasks, uint32_t count,
+		    enum rj_cell_when when, bool stop_others)
+{
+	struct rj_cell_trial trial;
+	bool placed;
+
+	rj_cell_trial_init(&trial, plan);
+	placed = try_group(plan, unit, tasks, count, when, stop_others, &trial);
+	for (uint32_t i = 0; placed && when == RJ_CELL_NOW && i < count; i++)
+		add_start(plan, tasks[i], trial.workers->pdata[i]);
+	if (placed)
+		rj_cell_trial_take(plan, &trial);
+	rj_cell_trial_finish(&trial);
+	return placed;
+}
+
+/*
+ * Place a group of tasks now. For urgent work, room that is coming free is
+ * kept, or made. Returns whether it starts now.
+ */
+static bool place_tasks(struct rj_cell_plan *plan,
+			const struct rj_cell_unit *unit,
+			struct rj_cell_task **tasks, uint32_t count)
+{
+	if (attempt(plan, unit, tasks, count, RJ_CELL_NOW, false))
+		return true;
+	if (!unit->work->def->priority &&
+	    !attempt(plan, unit, tasks, count, RJ_CELL_SOON, false))
+		attempt(plan, unit, tasks, count, RJ_CELL_SOON, true);
+	return false;
+}
+
+/* Place the waiting tasks of a step: a gang as a whole, others singly. */
+static void place_unit(struct rj_cell_plan *plan,
+		       const struct rj_cell_unit *unit)
+{
+	const struct rj_cell_def *def = unit->work->def;
+	const struct rj_cell_step *step = &def->steps[unit->step];
+	uint32_t first = rj_cell_def_first_task(def, unit->step);
+	struct rj_cell_task **tasks;
+	uint32_t count = 0;
+
+	if (is_missed(plan, unit) && def->priority) {
+		plan->waiting += unit->waiting;
+		return;
+	}
+	tasks = talloc_array(NULL, struct rj_cell_task *, step->task_count);
+	for (uint32_t i = first; i < first + step->task_count; i++)
+		if (waits(plan, &unit->round->tasks[i]))
+			tasks[count++] = &unit->round->tasks[i];
+	if (step->gang) {
+		if (!place_tasks(plan, unit, tasks, count))
+			plan->waiting += count;
+	} else {
+		for (uint32_t i = 0; i < count; i++) {
+			if (place_tasks(plan, unit, &tasks[i], 1))
+				continue;
+			plan->waiting += count - i;
+			note_miss(plan, unit);
+			if (def->priority)
+				break;
+		}
+	}
+	talloc_free(tasks);
+}
+
+/*
+ * Decide what starts now, and what is stopped to make room.
+ */
+void rj_cell_plan_make(struct rj_cell_plan *plan)
+{
+	gather_rooms(plan);
+	gather_units(plan);
+	g_array_sort(plan->units, by_order);
+	for (guint i = 0; i < plan->units->len; i++)
+		place_unit(plan,
+			   &g_array_index(plan->units, struct rj_cell_unit, i));
+}
--- /dev/null
+++ b/src/libradishjunction/cell/cell_writer.c
@@ -0,0 +1,290 @@
+#include "private/cell_writer.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/note.h"
+
+/* An append that was lost is repeated after this: the store answers in 4 ms,
+ * and in a quarter of a second when it is slow. */
+#define RETRY_US (60 * RJ_US_PER_MS)
+#define RETRY_MAX_US (480 * RJ_US_PER_MS)
+/* The store takes 2 MiB a call and 256 KiB a record. */
+#define BATCH_BYTES (1024 * 1024)
+#define BATCH_RECORDS 512
+
+/* One record on its way into the log. */
+struct write {
+	struct rj_list link;
+	char *key;
+	struct rj_bytes value;
+	struct rj_cell_write_done done;
+};
+
+/* What an append remembers until its answer. */
+struct call {
+	struct rj_cell_writer *writer;
+	uint32_t generation;
+};
+
+/*
+ * Prepare a writer. Nothing can be added before rj_cell_writer_open.
+ */
+void rj_cell_writer_init(struct rj_cell_writer *writer, void *mem,
+			 struct rj_cell_store *store, const char *producer)
+{
+	memset(writer, 0, sizeof(*writer));
+	writer->mem = mem;
+	writer->store = store;
+	g_strlcpy(writer->producer, producer, sizeof(writer->producer));
+	rj_list_init(&writer->waiting);
+	rj_list_init(&writer->sent);
+}
+
+/*
+ * Write under `epoch` from now on; `sequence` is that of the first append.
+ */
+void rj_cell_writer_open(struct rj_cell_writer *writer, uint64_t epoch,
+			 uint64_t sequence, uint64_t now_us)
+{
+	rj_cell_writer_close(writer);
+	writer->open = true;
+	writer->epoch = epoch;
+	writer->sequence = sequence;
+	writer->stored_us = now_us;
+	writer->now_us = now_us;
+}
+
+/*
+ * Whether an append is on its way or waits to be repeated.
+ */
+bool rj_cell_writer_busy(const struct rj_cell_writer *writer)
+{
+	return writer->sent.next != &writer->sent;
+}
+
+/* Tell the owners of all writes of a list how they ended. */
+static void end_writes(struct rj_list *list, enum rj_cell_write_outcome outcome)
+{
+	struct rj_list ended;
+
+	/* What `done` adds belongs to the next batch. */
+	rj_list_init(&ended);
+	while (list->next != list) {
+		struct rj_list *link = list->next;
+
+		rj_list_remove(link);
+		rj_list_append(&ended, link);
+	}
+	while (ended.next != &ended) {
+		struct write *write =
+			RJ_CONTAINER(ended.next, struct write, link);
+
+		rj_list_remove(&write->link);
+		write->done.call(write->done.private_data, outcome);
+		talloc_free(write);
+	}
+}
+
+/* Move what waits into the batch, as much as one call takes. */
+static void fill_batch(struct rj_cell_writer *writer)
+{
+	size_t bytes = 0;
+	uint32_t count = 0;
+
+	while (writer->waiting.next != &writer->waiting &&
+	       count < BATCH_RECORDS) {
+		struct write *write =
+			RJ_CONTAINER(writer->waiting.next, struct write, link);
+
+		bytes += strlen(write->key) + write->value.length;
+		if (count && bytes > BATCH_BYTES)
+			break;
+		rj_list_remove(&write->link);
+		rj_list_append(&writer->sent, &write->link);
+		count++;
+	}
+	writer->tries = 0;
+	writer->uncertain = false;
+}
+
+static void append_done(void *private_data,
+			const struct rj_cell_store_reply *reply);
+
+/* Send the batch, for the first time or again. */
+static void send_batch(struct rj_cell_writer *writer)
+{
+	struct rj_cell_record *records =
+		talloc_array(writer->mem, struct rj_cell_record, BATCH_RECORDS);
+	struct rj_cell_append append = { .producer = writer->producer,
+					 .epoch = writer->epoch,
+					 .sequence = writer->sequence,
+					 .records = records };
+	struct call *call = talloc_zero(writer->mem, struct call);
+	struct rj_list *at;
+	struct rj_list *next;
+
+	assert(records && call);
+	RJ_FOR_EACH (at, next, &writer->sent) {
+		struct write *write = RJ_CONTAINER(at, struct write, link);
+
+		records[append.count].key = write->key;
+		records[append.count].value = write->value;
+		append.count++;
+	}
+	call->writer = writer;
+	call->generation = writer->generation;
+	writer->in_flight = true;
+	writer->sent_us = writer->now_us;
+	writer->tries++;
+	writer->store->ops->append(
+		writer->store, &append,
+		(struct rj_cell_store_done){ append_done, call });
+	talloc_free(records);
+}
+
+/* The outcome of the batch is known: tell it and go on with the next. */
+static void end_batch(struct rj_cell_writer *writer,
+		      enum rj_cell_write_outcome outcome)
+{
+	uint32_t generation = writer->generation;
+
+	if (outcome == RJ_CELL_WRITE_STORED) {
+		writer->sequence++;
+		writer->stored_us = writer->sent_us;
+	}
+	end_writes(&writer->sent, outcome);
+	if (generation == writer->generation)
+		rj_cell_writer_flush(writer, writer->now_us);
+}
+
+/* Come back with the same batch and the same sequence number. */
+static void retry_later(struct rj_cell_writer *writer)
+{
+	uint64_t delay_us = RETRY_US << (writer->tries < 4 ? writer->tries : 4);
+
+	if (delay_us > RETRY_MAX_US)
+		delay_us = RETRY_MAX_US;
+	writer->retry_us = writer->now_us + delay_us;
+}
+
+/* The log holds another sequence number than ours: the batch is in doubt,
+ * and a higher epoch lets us go on. */
+static void renew_epoch(struct rj_cell_writer *writer)
+{
+	rj_note("append_out_of_sequence",
+		RJ_NOTE_TEXT("producer", writer->producer),
+		RJ_NOTE_NUMBER("epoch", writer->epoch),
+		RJ_NOTE_NUMBER("sequence", writer->sequence));
+	writer->epoch++;
+	writer->sequence = 0;
+	end_batch(writer, RJ_CELL_WRITE_UNKNOWN);
+}
+
+/*
+ * The answer to an append.
+ *
+ * Guards against a refusal that turns out to be a lie: an append whose
+ * answer was lost may still be carried out, so that a later "nothing was
+ * done" speaks only for itself. Such a batch is repeated until the log
+ * says that it has it; the sequence number keeps it from going in twice.
+ */
+static void append_done(void *private_data,
+			const struct rj_cell_store_reply *reply)
+{
+	struct call *call = private_data;
+	struct rj_cell_writer *writer = call->writer;
+	bool current = call->generation == writer->generation;
+
+	talloc_free(call);
+	if (!current)
+		return;
+	writer->in_flight = false;
+	writer->now_us = reply->now_us;
+	switch (reply->status) {
+	case RJ_CELL_STORE_OK:
+		end_batch(writer, RJ_CELL_WRITE_STORED);
+		break;
+	case RJ_CELL_STORE_FENCED:
+		end_batch(writer, RJ_CELL_WRITE_FENCED);
+		break;
+	case RJ_CELL_STORE_SEQUENCE:
+		renew_epoch(writer);
+		break;
+	case RJ_CELL_STORE_REFUSED:
+		if (!writer->uncertain) {
+			end_batch(writer, RJ_CELL_WRITE_NOT_STORED);
+			break;
+		}
+		retry_later(writer);
+		break;
+	default:
+		if (!writer->uncertain)
+			rj_note("append_lost",
+				RJ_NOTE_TEXT("producer", writer->producer),
+				RJ_NOTE_NUMBER("sequence", writer->sequence));
+		writer->uncertain = true;
+		retry_later(writer);
+	}
+}
+
+/*
+ * Add one record; key and value are copied, an empty value drops the key. It
+ * is sent with rj_cell_writer_flush, or behind the call on its way.
+ */
+void rj_cell_writer_add(struct rj_cell_writer *writer, const char *key,
+			struct rj_bytes value, struct rj_cell_write_done done)
+{
+	struct write *write = talloc_zero(writer->mem, struct write);
+
+	assert(write && writer->open);
+	write->key = talloc_strdup(write, key);
+	if (value.length) {
+		write->value.data =
+			talloc_memdup(write, value.data, value.length);
+		write->value.length = value.length;
+	}
+	write->done = done;
+	rj_list_append(&writer->waiting, &write->link);
+}
+
+/*
+ * Send what has been added, if no call is on its way.
+ */
+void rj_cell_writer_flush(struct rj_cell_writer *writer, uint64_t now_us)
+{
+	writer->now_us = now_us;
+	if (!writer->open || rj_cell_writer_busy(writer) ||
+	    writer->waiting.next == &writer->waiting)
+		return;
+	fill_batch(writer);
+	send_batch(writer);
+}
+
+/*
+ * Repeat what is due.
+ */
+void rj_cell_writer_tick(struct rj_cell_writer *writer, uint64_t now_us)
+{
+	writer->now_us = now_us;
+	if (rj_cell_writer_busy(writer) && !writer->in_flight &&
+	    now_us >= writer->retry_us)
+		send_batch(writer);
+	else
+		rj_cell_writer_flush(writer, now_us);
+}
+
+/*
+ * Give up all that is open: its outcome is unknown, unless it was never
+ * sent.
+ */
+void rj_cell_writer_close(struct rj_cell_writer *writer)
+{
+	writer->generation++;
+	writer->open = false;
+	writer->in_flight = false;
+	end_writes(&writer->sent, RJ_CELL_WRITE_UNKNOWN);
+	end_writes(&writer->waiting, RJ_CELL_WRITE_NOT_STORED);
+}
--- a/src/libradishjunction/clock.c
+++ b/src/libradishjunction/clock.c
@@ -7,13 +7,17 @@
 #include "radishjunction/types.h"
 
 /*
- * Microseconds of the monotonic clock. Unlike the wall clock it is never
- * set back, so a lease counted with it cannot be made longer by an operator.
+ * Microseconds since the machine was started, the time that it slept
+ * included. Unlike the wall clock it is never set back, so a lease counted
+ * with it cannot be made longer by an operator.
+ *
+ * Guards against an instance that was suspended: a clock that stands still
+ * meanwhile would show its leases and its keys as young as before.
  */
 uint64_t rj_clock_now_us(void)
 {
 	struct timespec now;
-	int failed = clock_gettime(CLOCK_MONOTONIC, &now);
+	int failed = clock_gettime(CLOCK_BOOTTIME, &now);
 
 	assert(!failed);
 	(void)failed;
--- /dev/null
+++ b/src/libradishjunction/include/private/cell_config.h
@@ -0,0 +1,63 @@
+/*
+ * The configuration that operators publish, as the cells use it: queues,
+ * services and client accounts.
+ *
+ * An adapter makes one whole value for each version, a talloc tree; the node
+ * replaces the former by it and frees that. Versions only rise in one run of
+ * a process.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_CELL_CONFIG_H
+#define RADISHJUNCTION_PRIVATE_CELL_CONFIG_H
+
+#include "radishjunction/types.h"
+
+struct rj_cell_queue {
+	char name[RJ_NAME_BYTES];
+	char host[256];
+	char prefix[256]; /* of the path */
+	char service[RJ_NAME_BYTES];
+	uint32_t priority;
+	uint32_t attempts_max;
+	uint32_t stretch_milli;
+	uint32_t latency_ms;
+	uint32_t timeout_ms; /* a caller's call, at most */
+	bool open; /* needs no key */
+	bool advised; /* an outside policy says which workers may run it */
+};
+
+struct rj_cell_service {
+	char name[RJ_NAME_BYTES];
+	bool guarded; /* its workers refuse what does not fit */
+};
+
+struct rj_cell_account {
+	char name[RJ_NAME_BYTES];
+	const char **keys;
+	uint32_t key_count;
+	uint32_t guaranteed_accelerators; /* for jobs of priority 0 */
+};
+
+struct rj_cell_config {
+	uint64_t version;
+	struct rj_cell_queue *queues;
+	uint32_t queue_count;
+	struct rj_cell_service *services;
+	uint32_t service_count;
+	struct rj_cell_account *accounts;
+	uint32_t account_count;
+	uint32_t body_max_bytes;
+};
+
+const struct rj_cell_queue *
+rj_cell_config_route(const struct rj_cell_config *config, const char *host,
+		     const char *path);
+const struct rj_cell_queue *
+rj_cell_config_queue(const struct rj_cell_config *config, const char *name);
+const struct rj_cell_account *
+rj_cell_config_key(const struct rj_cell_config *config, const char *key);
+const struct rj_cell_account *
+rj_cell_config_account(const struct rj_cell_config *config, const char *name);
+bool rj_cell_config_guarded(const struct rj_cell_config *config,
+			    const char *service);
+
+#endif
--- /dev/null
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -0,0 +1,85 @@
+/*
+ * The workers of a cell as its owner knows them: who they are, what they
+ * have, what runs on them and until when they may go on without us.
+ *
+ * Life cycle: `rj_cell_fleet_init`; workers come from the workers' log or
+ * from the record of a run, and stay until they are gone and hold nothing.
+ * `rj_cell_fleet_finish` frees all.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_CELL_FLEET_H
+#define RADISHJUNCTION_PRIVATE_CELL_FLEET_H
+
+#include <glib.h>
+
+#include "private/cell_config.h"
+#include "private/cell_work.h"
+
+/* What a worker says of itself in the workers' log. */
+struct rj_cell_heartbeat {
+	char service[RJ_NAME_BYTES];
+	struct rj_address address;
+	char domain[RJ_NAME_BYTES]; /* failure domain */
+	bool draining;
+	uint64_t drain_left_ms;
+	uint64_t cold_left_ms; /* slow for so long after its start */
+	struct rj_cell_demand capacity;
+	char kind[RJ_NAME_BYTES]; /* a label that steps may ask for */
+	char rack[RJ_NAME_BYTES];
+	uint64_t incarnation; /* differs in each life of the worker */
+};
+
+struct rj_cell_worker {
+	struct rj_list link; /* in the fleet */
+	char id[RJ_NAME_BYTES];
+	struct rj_cell_heartbeat said;
+	bool listed; /* its entry stands in the log */
+	uint64_t listed_us; /* when that last changed */
+	uint32_t index; /* in the fleet's order, while a plan is made */
+	uint64_t incarnation; /* that answered last; 0: none yet */
+	bool answers; /* the last call to it was answered */
+	uint64_t answered_us;
+	/* Its clock, as read from the last answer. */
+	uint64_t clock_ms;
+	uint64_t clock_at_us;
+	/* The latest deadline that was sent, by its clock; what runs there
+	 * ends then, unless it is renewed. */
+	uint64_t lease_ms;
+	uint64_t lapsed_us; /* nothing runs there after this, if silent */
+	bool look_open; /* a call for its lists is on its way */
+	uint64_t look_sent_us;
+	uint64_t look_due_us;
+	uint32_t look_failures;
+	uint64_t seen; /* ends up to this number are stored */
+	uint64_t seen_taken; /* ... are noted in memory */
+	uint64_t seen_storing; /* ... are in the append on its way */
+	uint64_t seen_sent; /* ... have been told to the worker */
+	struct rj_list runs;
+	struct rj_cell_demand held; /* by all runs */
+	/* Health, from what happened there. */
+	uint32_t bad_streak; /* runs in a row that failed or stood still */
+	uint64_t suspect_until_us;
+};
+
+struct rj_cell_fleet {
+	void *mem;
+	GHashTable *by_id;
+	struct rj_list workers;
+	uint32_t count;
+};
+
+void rj_cell_fleet_init(struct rj_cell_fleet *fleet, void *mem);
+void rj_cell_fleet_finish(struct rj_cell_fleet *fleet);
+struct rj_cell_worker *rj_cell_fleet_find(const struct rj_cell_fleet *fleet,
+					  const char *id);
+struct rj_cell_worker *rj_cell_fleet_obtain(struct rj_cell_fleet *fleet,
+					    const char *id);
+void rj_cell_fleet_drop(struct rj_cell_fleet *fleet,
+			struct rj_cell_worker *worker);
+uint64_t rj_cell_worker_clock_ms(const struct rj_cell_worker *worker,
+				 uint64_t now_us);
+void rj_cell_worker_note_lease(struct rj_cell_worker *worker,
+			       uint64_t deadline_ms);
+bool rj_cell_worker_usable(const struct rj_cell_worker *worker,
+			   uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/libradishjunction/include/private/cell_follow.h
@@ -0,0 +1,73 @@
+/*
+ * Follows one log: loads the newest record of each key, then reads what is
+ * appended, and hands each record on in the order of the log.
+ *
+ * Life cycle: `rj_cell_follow_init`, `rj_cell_follow_start`, then a tick
+ * every few milliseconds; `rj_cell_follow_stop` forgets where it was.
+ * Records may be handed on again after a load; taking one in twice must be
+ * harmless.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_CELL_FOLLOW_H
+#define RADISHJUNCTION_PRIVATE_CELL_FOLLOW_H
+
+#include "private/cell_store.h"
+#include "private/list.h"
+
+enum rj_cell_follow_state {
+	RJ_CELL_FOLLOW_IDLE,
+	RJ_CELL_FOLLOW_LOADING, /* the newest record of each key */
+	RJ_CELL_FOLLOW_READING,
+};
+
+struct rj_cell_follow;
+
+struct rj_cell_follow_ops {
+	void (*record)(void *private_data, const struct rj_cell_record *record);
+	/* A read has ended; follow->caught_up tells whether at the end. */
+	void (*progress)(void *private_data, struct rj_cell_follow *follow);
+};
+
+/* Called once a read that began after the wait reached the end (true), or
+ * when that failed (false). */
+struct rj_cell_sync {
+	struct rj_list link;
+	uint64_t since_us;
+	void (*done)(struct rj_cell_sync *sync, bool reached);
+};
+
+struct rj_cell_follow {
+	struct rj_cell_store *store;
+	enum rj_cell_topic topic;
+	const struct rj_cell_follow_ops *ops;
+	void *private_data;
+	void *mem;
+	uint32_t wait_ms; /* of a long poll */
+	uint64_t pause_us; /* between two reads, to take more at once */
+	enum rj_cell_follow_state state;
+	uint32_t generation; /* answers to calls of an earlier one are late */
+	uint64_t next; /* offset to read from */
+	char *after; /* loading: the last key seen, or NULL */
+	bool loaded_once; /* loading: the first page has been seen */
+	bool caught_up; /* has reached the end since it was started */
+	bool poll_open;
+	bool quick_open; /* a read for the syncs, which does not wait */
+	uint64_t due_us; /* of the next read */
+	uint64_t confirmed_us; /* all that was appended before is known */
+	uint32_t failures; /* reads in a row */
+	struct rj_list syncs;
+	uint64_t now_us;
+};
+
+void rj_cell_follow_init(struct rj_cell_follow *follow, void *mem,
+			 struct rj_cell_store *store, enum rj_cell_topic topic,
+			 const struct rj_cell_follow_ops *ops,
+			 void *private_data);
+void rj_cell_follow_start(struct rj_cell_follow *follow, uint64_t now_us);
+void rj_cell_follow_stop(struct rj_cell_follow *follow);
+void rj_cell_follow_tick(struct rj_cell_follow *follow, uint64_t now_us);
+void rj_cell_follow_sync(struct rj_cell_follow *follow,
+			 struct rj_cell_sync *sync, uint64_t now_us);
+uint64_t rj_cell_follow_age_us(const struct rj_cell_follow *follow,
+			       uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -0,0 +1,110 @@
+/*
+ * The owner of a cell: the one instance that orders its workers.
+ *
+ * Life cycle: `rj_cell_owner_init`; `rj_cell_owner_take` once the ownership
+ * record has been read back, with its offset as the fencing token, which
+ * adopts all that runs; `rj_cell_owner_resign` when a higher token is seen or
+ * the log has been out of reach too long. Between these, records, workers'
+ * entries and ticks come in; everything that must last goes out through the
+ * owner's writer before it takes effect.
+ *
+ * Dependencies go one way: records and replies -> ends (what they do to
+ * tasks and jobs) -> plan -> orders.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_CELL_OWNER_H
+#define RADISHJUNCTION_PRIVATE_CELL_OWNER_H
+
+#include "private/cell_fleet.h"
+#include "private/cell_view.h"
+#include "private/cell_workers.h"
+#include "private/cell_writer.h"
+
+/* What the deployment lays down. */
+struct rj_cell_terms {
+	uint32_t lease_max_ms; /* a worker shortens longer leases */
+	uint32_t stop_ms; /* a stop takes so long at most */
+	uint32_t gang_wait_ms; /* members wait so long for each other */
+	uint32_t status_ms; /* an ended job is remembered so long */
+	uint32_t revoke_ms; /* a key is good so long after its removal */
+};
+
+struct rj_cell_owner_counters {
+	uint64_t starts;
+	uint64_t stops;
+	uint64_t looks;
+	uint64_t ends[RJ_CELL_END_COUNT];
+	uint64_t completed;
+	uint64_t failed;
+	uint64_t takeovers;
+	uint64_t resigns;
+	uint64_t plans;
+};
+
+struct rj_cell_owner {
+	void *mem;
+	char name[RJ_NAME_BYTES];
+	uint64_t incarnation;
+	struct rj_cell_view *view;
+	struct rj_cell_store *store;
+	struct rj_cell_workers *workers;
+	struct rj_cell_terms terms;
+	const struct rj_cell_config *config; /* replaced by the node */
+	bool active;
+	bool leaving; /* says in the log that the cell is free */
+	bool lost; /* fenced: resign as soon as the present event is done */
+	uint32_t generation; /* answers to orders of an earlier one are late */
+	uint64_t token;
+	uint64_t taken_us;
+	struct rj_cell_writer writer;
+	struct rj_cell_fleet fleet;
+	struct rj_list works;
+	bool plan_wanted;
+	uint64_t plan_due_us;
+	uint32_t writes_open; /* records on their way into the log */
+	uint64_t drop_due_us; /* when ended jobs are looked through */
+	uint64_t beat_due_us;
+	uint32_t beat_number;
+	uint64_t now_us;
+	uint64_t wall_ms; /* since 1970 */
+	struct rj_cell_owner_counters counters;
+};
+
+void rj_cell_owner_init(struct rj_cell_owner *owner, void *mem,
+			const char *name, uint64_t incarnation,
+			struct rj_cell_view *view, struct rj_cell_store *store,
+			struct rj_cell_workers *workers,
+			const struct rj_cell_terms *terms);
+void rj_cell_owner_take(struct rj_cell_owner *owner, uint64_t token,
+			uint64_t now_us, uint64_t wall_ms);
+void rj_cell_owner_resign(struct rj_cell_owner *owner, const char *why);
+void rj_cell_owner_leave(struct rj_cell_owner *owner, uint64_t now_us);
+void rj_cell_owner_entry(struct rj_cell_owner *owner,
+			 struct rj_cell_entry *entry);
+void rj_cell_owner_worker(struct rj_cell_owner *owner, const char *id,
+			  const struct rj_cell_heartbeat *heartbeat);
+void rj_cell_owner_advance(struct rj_cell_owner *owner, uint64_t now_us,
+			   uint64_t wall_ms);
+
+/* Between the files of the owner. */
+void rj_cell_owner_dirty(struct rj_cell_owner *owner,
+			 struct rj_cell_work *work);
+bool rj_cell_owner_blind(const struct rj_cell_owner *owner);
+void rj_cell_orders_tick(struct rj_cell_owner *owner);
+void rj_cell_ends_run(struct rj_cell_owner *owner, struct rj_cell_run *run,
+		      enum rj_cell_end end, const char *saved);
+void rj_cell_ends_orphan(struct rj_cell_owner *owner,
+			 struct rj_cell_worker *worker,
+			 const struct rj_cell_end_row *row);
+void rj_cell_ends_stop_work(struct rj_cell_owner *owner,
+			    struct rj_cell_work *work, const char *why);
+void rj_cell_ends_stop_run(struct rj_cell_owner *owner, struct rj_cell_run *run,
+			   const char *why);
+void rj_cell_ends_close(struct rj_cell_owner *owner, struct rj_cell_work *work,
+			enum rj_cell_job_state state);
+void rj_cell_ends_begin_rounds(struct rj_cell_owner *owner,
+			       struct rj_cell_work *work);
+struct rj_cell_task *rj_cell_owner_task(struct rj_cell_owner *owner,
+					const char *name,
+					struct rj_cell_entry **entry);
+
+#endif
--- /dev/null
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -0,0 +1,52 @@
+/*
+ * Decides which waiting tasks start where, and what is stopped for them.
+ *
+ * A plan is made from the owner's work and fleet and a time; it reads no
+ * clock and sends nothing. Life cycle: `rj_cell_plan_init`, set the inputs,
+ * `rj_cell_plan_make`, read starts and stops, `rj_cell_plan_finish`.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_CELL_PLAN_H
+#define RADISHJUNCTION_PRIVATE_CELL_PLAN_H
+
+#include <glib.h>
+
+#include "private/cell_fleet.h"
+
+#define RJ_CELL_WHY_RECLAIMED "reclaimed"
+
+/* A worker's room while a plan is made. */
+struct rj_cell_room {
+	struct rj_cell_worker *worker;
+	bool usable;
+	struct rj_cell_demand now; /* free */
+	struct rj_cell_demand soon; /* free once what is stopping has gone */
+};
+
+/* One task is to start on one worker. */
+struct rj_cell_choice {
+	struct rj_cell_task *task;
+	struct rj_cell_worker *worker;
+};
+
+struct rj_cell_plan {
+	/* inputs */
+	struct rj_cell_fleet *fleet;
+	struct rj_list *works; /* struct rj_cell_work */
+	const struct rj_cell_config *config;
+	uint64_t now_us;
+	/* outputs; the runs to be stopped have their reason set */
+	GArray *starts; /* struct rj_cell_choice */
+	GPtrArray *stops; /* struct rj_cell_run */
+	uint32_t waiting; /* tasks whose turn has come and that found no room */
+	/* while it is made */
+	struct rj_cell_room *rooms;
+	uint32_t room_count;
+	GArray *units;
+	GArray *misses; /* demands that found no room in this plan */
+};
+
+void rj_cell_plan_init(struct rj_cell_plan *plan);
+void rj_cell_plan_make(struct rj_cell_plan *plan);
+void rj_cell_plan_finish(struct rj_cell_plan *plan);
+
+#endif
--- /dev/null
+++ b/src/libradishjunction/include/private/cell_record.h
@@ -0,0 +1,74 @@
+/*
+ * What stands in the jobs' log: for each job its definition, its progress
+ * and a wish to cancel it, each under a key of its own, so that a repeated
+ * submission cannot reset the progress; and who owns the cell.
+ *
+ * All functions are pure. Decoded texts and bytes are copies.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_CELL_RECORD_H
+#define RADISHJUNCTION_PRIVATE_CELL_RECORD_H
+
+#include "private/cell_fleet.h"
+#include "private/cell_work.h"
+
+#define RJ_CELL_KEY_BYTES (RJ_CELL_ID_BYTES + 1)
+#define RJ_CELL_SHARES_MAX 32
+
+enum rj_cell_record_kind {
+	RJ_CELL_RECORD_DEFINITION,
+	RJ_CELL_RECORD_PROGRESS,
+	RJ_CELL_RECORD_CANCEL,
+	RJ_CELL_RECORD_OWNER, /* its offset is the fencing token */
+	RJ_CELL_RECORD_BEAT, /* the owner lives, and how loaded the cell is */
+	RJ_CELL_RECORD_KIND_COUNT
+};
+
+struct rj_cell_owner_record {
+	char name[RJ_NAME_BYTES]; /* of the instance */
+	uint64_t incarnation;
+	bool leaving; /* the cell is free: whoever is first may take it */
+};
+
+/* What the owner tells the entries about the load of one queue. */
+struct rj_cell_share {
+	char queue[RJ_NAME_BYTES];
+	bool refuse; /* new jobs would not be served in time */
+	uint32_t come_back_ms; /* when room is likely */
+	uint32_t room_ms; /* core-milliseconds that may still be accepted */
+};
+
+struct rj_cell_beat {
+	uint64_t incarnation; /* of the owner */
+	uint32_t number; /* rises by one */
+	uint32_t share_count;
+	struct rj_cell_share shares[RJ_CELL_SHARES_MAX];
+};
+
+/* The part of a job's progress that callers are told. */
+struct rj_cell_summary {
+	enum rj_cell_job_state state;
+	bool started;
+};
+
+void rj_cell_record_key(char key[RJ_CELL_KEY_BYTES],
+			enum rj_cell_record_kind kind, const char *id);
+int rj_cell_record_kind(const char *key, enum rj_cell_record_kind *kind,
+			const char **id);
+struct rj_bytes rj_cell_progress_encode(void *mem,
+					const struct rj_cell_work *work);
+int rj_cell_progress_summary(struct rj_bytes bytes,
+			     struct rj_cell_summary *summary,
+			     struct rj_error *err);
+int rj_cell_progress_decode(struct rj_bytes bytes, struct rj_cell_work *work,
+			    struct rj_cell_fleet *fleet, uint64_t now_us,
+			    struct rj_error *err);
+struct rj_bytes rj_cell_owner_encode(void *mem,
+				     const struct rj_cell_owner_record *owner);
+int rj_cell_owner_decode(struct rj_bytes bytes,
+			 struct rj_cell_owner_record *owner,
+			 struct rj_error *err);
+struct rj_bytes rj_cell_beat_encode(void *mem, const struct rj_cell_beat *beat);
+int rj_cell_beat_decode(struct rj_bytes bytes, struct rj_cell_beat *beat,
+			struct rj_error *err);
+
+#endif
--- /dev/null
+++ b/src/libradishjunction/include/private/cell_work.h
@@ -0,0 +1,132 @@
+/*
+ * The work of a cell as its owner knows it: jobs, their occurrences, tasks,
+ * and the runs of tasks on workers.
+ *
+ * A job's work is a talloc tree below its own context. Whoever frees a run
+ * takes it out of its worker's and its task's list first, with
+ * `rj_cell_run_free`. The owner alone writes any of this.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_CELL_WORK_H
+#define RADISHJUNCTION_PRIVATE_CELL_WORK_H
+
+#include "private/cell_job.h"
+#include "private/list.h"
+
+/* Long enough for what workers name a saved state, with the zero. */
+#define RJ_CELL_CHECKPOINT_BYTES 40
+
+enum rj_cell_job_state {
+	RJ_CELL_JOB_QUEUED, /* accepted, nothing has started */
+	RJ_CELL_JOB_RUNNING,
+	RJ_CELL_JOB_COMPLETED,
+	RJ_CELL_JOB_FAILED,
+	RJ_CELL_JOB_CANCELLED,
+	RJ_CELL_JOB_STATE_COUNT
+};
+
+extern const char *const rj_cell_job_state_string[RJ_CELL_JOB_STATE_COUNT];
+
+enum rj_cell_run_state {
+	RJ_CELL_RUN_INTENDED, /* its record is not stored yet */
+	RJ_CELL_RUN_STARTING, /* the order is on its way */
+	RJ_CELL_RUN_PLACED, /* the worker has taken the order */
+	RJ_CELL_RUN_SEEN, /* the worker has listed it */
+	RJ_CELL_RUN_STOPPING, /* to be stopped; its room is still taken */
+	RJ_CELL_RUN_STATE_COUNT
+};
+
+extern const char *const rj_cell_run_state_string[RJ_CELL_RUN_STATE_COUNT];
+
+struct rj_cell_worker;
+struct rj_cell_task;
+
+/* One start of one task on one worker. */
+struct rj_cell_run {
+	struct rj_list in_worker;
+	struct rj_list in_task;
+	struct rj_cell_worker *worker;
+	struct rj_cell_task *task; /* NULL: of a job that is not known */
+	char *name; /* as the worker lists it */
+	uint32_t number; /* rises with each start of the task */
+	uint64_t incarnation; /* of the worker that it was meant for */
+	enum rj_cell_run_state state;
+	struct rj_cell_demand held;
+	bool recording; /* its record is on its way into the log */
+	/* When the last order was answered for good: a list that was asked for
+	 * later tells whether the run is there. 0: not yet. */
+	uint64_t settled_us;
+	bool start_open; /* a call to start it is on its way */
+	bool stop_open;
+	uint32_t order_tries;
+	uint64_t order_due_us; /* when to send the next order */
+	uint64_t begun_us; /* when it was placed */
+	uint32_t percent;
+	uint64_t progress_us; /* when the percentage last rose */
+	char checkpoint[RJ_CELL_CHECKPOINT_BYTES]; /* it started from this */
+	char saved[RJ_CELL_CHECKPOINT_BYTES]; /* what it has saved since */
+	const char *why; /* it is being stopped, for the log */
+};
+
+/* One task of one occurrence. */
+struct rj_cell_task {
+	struct rj_cell_round *round;
+	uint32_t step;
+	uint32_t index; /* within the step */
+	bool done;
+	uint32_t run; /* the highest run number that was used */
+	uint32_t failures; /* runs that ended failed; a gang's: of its head */
+	uint32_t failed_run; /* the last of them */
+	uint32_t losses; /* runs that ended for other causes */
+	char checkpoint[RJ_CELL_CHECKPOINT_BYTES];
+	struct rj_list runs;
+	uint64_t waiting_us; /* since when it waits, once its turn has come */
+	uint64_t not_before_us;
+	char avoid[RJ_NAME_BYTES]; /* the worker of its last failure */
+};
+
+struct rj_cell_round {
+	struct rj_list link; /* in the job */
+	struct rj_cell_work *work;
+	uint32_t number; /* the occurrence, from 0 */
+	struct rj_cell_task *tasks; /* of all steps, in their order */
+	uint32_t *left; /* of each step: tasks that are not done */
+	uint32_t steps_left;
+	uint64_t begun_us;
+	bool closed; /* all its tasks are done; runs may still be listed */
+};
+
+/* One job that has not ended. */
+struct rj_cell_work {
+	struct rj_list link; /* in the owner's list */
+	const struct rj_cell_def *def; /* owned by the job's entry */
+	enum rj_cell_job_state state;
+	bool cancelled; /* asked for; its runs are being stopped */
+	bool dirty; /* has changes that are not stored */
+	bool started; /* some task has begun */
+	uint32_t rounds_begun;
+	uint32_t rounds_done;
+	struct rj_list rounds; /* begun and not done */
+	uint64_t accepted_us; /* by this node's clock, about */
+	uint64_t objective_us; /* when it should have ended */
+	uint64_t late_us; /* when it is of no use any more */
+	void *entry; /* of the view */
+};
+
+struct rj_cell_work *rj_cell_work_new(void *mem, const struct rj_cell_def *def);
+struct rj_cell_round *rj_cell_work_begin_round(struct rj_cell_work *work,
+					       uint32_t number,
+					       uint64_t now_us);
+bool rj_cell_round_ready(const struct rj_cell_round *round, uint32_t step);
+void rj_cell_round_task_done(struct rj_cell_task *task);
+const struct rj_cell_step *rj_cell_task_step(const struct rj_cell_task *task);
+void rj_cell_task_name(const struct rj_cell_task *task, char *name,
+		       size_t size);
+struct rj_cell_task *rj_cell_work_find(struct rj_cell_work *work,
+				       uint32_t round, uint32_t step,
+				       uint32_t index);
+struct rj_cell_run *rj_cell_run_new(struct rj_cell_worker *worker,
+				    struct rj_cell_task *task, uint32_t number);
+void rj_cell_run_free(struct rj_cell_run *run);
+bool rj_cell_work_idle(const struct rj_cell_work *work);
+
+#endif
--- a/src/radishjunctiond/main.c
+++ b/src/radishjunctiond/main.c
@@ -11,10 +11,11 @@
 #include <stdio.h>
 #include <string.h>
 #include <talloc.h>
+#include <unistd.h>
 #include <tevent.h>
 #include <time.h>
 
-#include "log.h"
+#include "log_writer.h"
 #include "private/clock.h"
 #include "radishjunction/http_platform.h"
 #include "radishjunction/http_workers.h"
@@ -349,7 +350,7 @@
 		goto free_loop;
 	status = EXIT_START;
 	daemon->incarnation = make_incarnation();
-	log_init(loop, daemon->settings->name);
+	rj_log_writer_init(loop, daemon->settings->name, STDERR_FILENO);
 	if (start(daemon, &err)) {
 		g_critical("%s", err.message);
 		goto finish_log;
@@ -360,7 +361,7 @@
 	status = run(daemon);
 	finish(daemon);
 finish_log:
-	log_finish();
+	rj_log_writer_finish();
 free_loop:
 	talloc_free(loop);
 	return status;
--- a/src/radishjunctiond/shell.c
+++ b/src/radishjunctiond/shell.c
@@ -9,7 +9,7 @@
 #include <tevent.h>
 #include <unistd.h>
 
-#include "log.h"
+#include "log_writer.h"
 #include "private/clock.h"
 
 /* The actions of one event. */
@@ -77,7 +77,7 @@
 					action->u.peer.message);
 		break;
 	case RJ_ACTION_LOG:
-		log_decision(&action->u.log);
+		rj_log_writer_decision(&action->u.log);
 		break;
 	case RJ_ACTION_EXIT:
 		shell->exiting = true;
@@ -215,7 +215,7 @@
 			rj_tcp_peers_closed(shell->links, i));
 	g_string_append_printf(text,
 			       "radishjunction_log_lines_lost %" PRIu64 "\n",
-			       log_lost());
+			       rj_log_writer_lost());
 }
 
 static const struct rj_caller_views_ops views_ops = {
--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -261,6 +261,17 @@
 	rj_http_loop_kick(&request->server->loop);
 }
 
+/*
+ * Send one header more with the answer, which must follow.
+ */
+void rj_http_exchange_add_header(struct rj_http_exchange *request,
+				 const char *name, const char *value)
+{
+	assert(!request->response && !request->extra_name);
+	request->extra_name = talloc_strdup(request, name);
+	request->extra_value = talloc_strdup(request, value);
+}
+
 /*
  * Answer with `length` bytes of JSON, which are copied. Once a request; the
  * answer to an aborted one is dropped.
@@ -277,6 +288,9 @@
 	assert(request->response);
 	MHD_add_response_header(request->response, MHD_HTTP_HEADER_CONTENT_TYPE,
 				"application/json");
+	if (request->extra_name)
+		MHD_add_response_header(request->response, request->extra_name,
+					request->extra_value);
 	request->status = status;
 	resume(request);
 }
--- a/src/share/http_server.h
+++ b/src/share/http_server.h
@@ -32,6 +32,8 @@
 	bool suspended;
 	bool aborted;
 	struct tevent_fd *watch; /* while suspended: has the client gone */
+	const char *extra_name; /* of one header more, or NULL */
+	const char *extra_value;
 	struct MHD_Response *response;
 	unsigned int status;
 };
@@ -63,6 +65,8 @@
 				    const char *name);
 const char *rj_http_exchange_argument(struct rj_http_exchange *request,
 				      const char *name);
+void rj_http_exchange_add_header(struct rj_http_exchange *request,
+				 const char *name, const char *value);
 void rj_http_exchange_answer(struct rj_http_exchange *request,
 			     unsigned int status, const char *text,
 			     size_t length);
--- a/src/radishjunctiond/log.c
+++ b/src/share/log_writer.c
@@ -1,4 +1,4 @@
-#include "log.h"
+#include "log_writer.h"
 
 #include <assert.h>
 #include <glib.h>
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include "private/clock.h"
+#include "private/note.h"
 
 #define DOMAIN "radishjunction"
 /* The field of a structured message that holds a decision. */
@@ -29,10 +30,17 @@
 	struct tevent_context *loop;
 	struct tevent_timer *timer;
 	char instance[RJ_NAME_BYTES];
+	int fd;
 	GString *buffer;
 	uint64_t lost;
+	uint64_t second; /* of the calendar, that the rates are counted in */
+	GHashTable *rates; /* event -> notes of it in that second */
 } logger;
 
+/* Notes of one event in a second: enough to follow a burst, and few enough
+ * that a storm costs no more than a hundredth of a core. */
+#define NOTES_PER_SECOND 60
+
 /* Microseconds of the calendar, so that lines of instances can be merged. */
 static uint64_t calendar_us(void)
 {
@@ -44,7 +52,7 @@
 }
 
 /*
- * Write what is buffered, as far as standard error takes it.
+ * Write what is buffered, as far as the reader takes it.
  *
  * Guards against a log reader that stalls: a blocking write would stop the
  * whole instance, and its leases would lapse. A pipe is written only while
@@ -52,7 +60,7 @@
  */
 static void flush(void)
 {
-	struct pollfd stderr_poll = { .fd = STDERR_FILENO, .events = POLLOUT };
+	struct pollfd poll_fd = { .fd = logger.fd, .events = POLLOUT };
 	size_t done = 0;
 
 	while (done < logger.buffer->len) {
@@ -61,11 +69,9 @@
 
 		if (length > WRITE_BYTES)
 			length = WRITE_BYTES;
-		if (poll(&stderr_poll, 1, 0) != 1 ||
-		    !(stderr_poll.revents & POLLOUT))
+		if (poll(&poll_fd, 1, 0) != 1 || !(poll_fd.revents & POLLOUT))
 			break;
-		written =
-			write(STDERR_FILENO, logger.buffer->str + done, length);
+		written = write(logger.fd, logger.buffer->str + done, length);
 		if (written <= 0)
 			break;
 		done += (size_t)written;
@@ -136,6 +142,66 @@
 			       decision->considered);
 }
 
+/* Append the fields of a note. */
+static void add_note(GString *line, const struct rj_note *note)
+{
+	const struct rj_note_field *field;
+
+	add_text(line, "event", note->event);
+	for (field = note->fields; field->name; field++) {
+		if (field->text)
+			add_text(line, field->name, field->text);
+		else
+			g_string_append_printf(line, ",\"%s\":%" PRId64,
+					       field->name, field->number);
+	}
+}
+
+/* Say how many notes of each event were left out in the second before. */
+static void tell_left_out(void)
+{
+	GHashTableIter iter;
+	gpointer event;
+	gpointer count;
+
+	g_hash_table_iter_init(&iter, logger.rates);
+	while (g_hash_table_iter_next(&iter, &event, &count)) {
+		uint32_t number = GPOINTER_TO_UINT(count);
+
+		if (number <= NOTES_PER_SECOND)
+			continue;
+		g_string_append_printf(logger.buffer, "{\"t_us\":%" PRIu64,
+				       calendar_us());
+		add_text(logger.buffer, "instance", logger.instance);
+		add_text(logger.buffer, "event", "left_out");
+		add_text(logger.buffer, "of", event);
+		g_string_append_printf(logger.buffer, ",\"count\":%u}\n",
+				       number - NOTES_PER_SECOND);
+	}
+	g_hash_table_remove_all(logger.rates);
+}
+
+/*
+ * Whether a note of this event may still be written in this second.
+ *
+ * Guards against a storm that makes the log the main work of an instance:
+ * each refused call and each lost run is a line.
+ */
+static bool within_rate(const char *event)
+{
+	uint64_t second = calendar_us() / RJ_US_PER_S;
+	uint32_t count;
+
+	if (second != logger.second) {
+		tell_left_out();
+		logger.second = second;
+	}
+	count = GPOINTER_TO_UINT(g_hash_table_lookup(logger.rates, event)) + 1;
+	g_hash_table_insert(logger.rates, (gpointer)event,
+			    GUINT_TO_POINTER(count));
+	return count <= NOTES_PER_SECOND;
+}
+
 /* The value of a field of a structured message, or NULL. */
 static const void *field_value(const GLogField *fields, gsize count,
 			       const char *key)
@@ -164,10 +230,11 @@
 {
 	const struct rj_decision_log *decision =
 		field_value(fields, count, DECISION_FIELD);
+	const struct rj_note *note = field_value(fields, count, RJ_NOTE_FIELD);
 	const char *text = field_value(fields, count, "MESSAGE");
 	GString *line = logger.buffer;
 
-	if (level & G_LOG_LEVEL_DEBUG)
+	if (level & G_LOG_LEVEL_DEBUG || (note && !within_rate(note->event)))
 		return G_LOG_WRITER_HANDLED;
 	if (line->len > BUFFER_MAX_BYTES) {
 		logger.lost++;
@@ -175,7 +242,9 @@
 	}
 	g_string_append_printf(line, "{\"t_us\":%" PRIu64, calendar_us());
 	add_text(line, "instance", logger.instance);
-	if (decision) {
+	if (note) {
+		add_note(line, note);
+	} else if (decision) {
 		add_decision(line, decision);
 	} else {
 		add_text(line, "event", "message");
@@ -192,12 +261,15 @@
 }
 
 /*
- * Make lines of JSON of all messages from now on. `loop` must live until
- * `log_finish`.
+ * Write lines of JSON of all messages to `fd` from now on. `loop` must live
+ * until `rj_log_writer_finish`.
  */
-void log_init(struct tevent_context *loop, const char *instance)
+void rj_log_writer_init(struct tevent_context *loop, const char *instance,
+			int fd)
 {
 	logger.loop = loop;
+	logger.fd = fd;
+	logger.rates = g_hash_table_new(g_str_hash, g_str_equal);
 	g_strlcpy(logger.instance, instance, sizeof(logger.instance));
 	logger.buffer = g_string_new(NULL);
 	g_log_set_writer_func(write_line, NULL, NULL);
@@ -206,7 +278,7 @@
 /*
  * Log one decision as a line of its own.
  */
-void log_decision(const struct rj_decision_log *decision)
+void rj_log_writer_decision(const struct rj_decision_log *decision)
 {
 	const GLogField fields[] = {
 		{ DECISION_FIELD, decision, sizeof(*decision) },
@@ -219,7 +291,7 @@
 /*
  * Lines that were dropped because the reader of the log had stalled.
  */
-uint64_t log_lost(void)
+uint64_t rj_log_writer_lost(void)
 {
 	return logger.lost;
 }
@@ -228,7 +300,7 @@
  * Write what is left. GLib takes a writer only once, so this one stays, and
  * writes each later message at once.
  */
-void log_finish(void)
+void rj_log_writer_finish(void)
 {
 	TALLOC_FREE(logger.timer);
 	logger.loop = NULL;
