--- /dev/null
+++ b/src/libradishjunction/cell/cell_forecast.c
@@ -0,0 +1,194 @@
+#include "private/cell_forecast.h"
+
+#include <assert.h>
+#include <math.h>
+#include <string.h>
+
+/* A new run time counts for this part of a mean: fast enough to follow a
+ * slow spell of some seconds at ten ends a second. */
+#define LEARN_PART 0.05
+/* The first ends count fully, up to this many. */
+#define LEARN_FIRST 20
+/* Demand for urgent work is forgotten with this time constant: a burst
+ * lasts some 6 s, and room for it is kept about as long. */
+#define URGENT_DECAY_US (5 * RJ_US_PER_S)
+/* A percentage below this says too little of the time that is left. */
+#define PERCENT_MIN 15
+
+/* The mean run time of the tasks of one queue. */
+struct mean {
+	double ms;
+	uint32_t ends;
+};
+
+/*
+ * Prepare a forecast that knows nothing.
+ */
+void rj_cell_forecast_init(struct rj_cell_forecast *forecast)
+{
+	memset(forecast, 0, sizeof(*forecast));
+	forecast->means =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+/*
+ * Forget what was learnt.
+ */
+void rj_cell_forecast_finish(struct rj_cell_forecast *forecast)
+{
+	if (forecast->means)
+		g_hash_table_destroy(forecast->means);
+	forecast->means = NULL;
+}
+
+/* The mean of a queue, made when it is missing. */
+static struct mean *obtain(struct rj_cell_forecast *forecast, const char *queue)
+{
+	struct mean *mean = g_hash_table_lookup(forecast->means, queue);
+
+	if (mean)
+		return mean;
+	mean = g_new0(struct mean, 1);
+	g_hash_table_insert(forecast->means, g_strdup(queue), mean);
+	return mean;
+}
+
+/*
+ * A task of the queue has ended well after `ran_us`.
+ */
+void rj_cell_forecast_learn(struct rj_cell_forecast *forecast,
+			    const char *queue, uint64_t ran_us)
+{
+	struct mean *mean = obtain(forecast, queue);
+	double ms = (double)ran_us / RJ_US_PER_MS;
+	double part = 1.0 / (mean->ends + 1);
+
+	if (mean->ends >= LEARN_FIRST)
+		part = LEARN_PART;
+	mean->ms += part * (ms - mean->ms);
+	mean->ends++;
+}
+
+/*
+ * Take over what a former owner had learnt.
+ */
+void rj_cell_forecast_set(struct rj_cell_forecast *forecast, const char *queue,
+			  uint32_t mean_ms)
+{
+	struct mean *mean = obtain(forecast, queue);
+
+	if (!mean_ms || mean->ends)
+		return;
+	mean->ms = mean_ms;
+	mean->ends = LEARN_FIRST;
+}
+
+/*
+ * The mean run time of a queue's tasks, 0 when nothing was learnt.
+ */
+uint32_t rj_cell_forecast_mean_ms(const struct rj_cell_forecast *forecast,
+				  const char *queue)
+{
+	const struct mean *mean = g_hash_table_lookup(forecast->means, queue);
+
+	return mean && mean->ends ? (uint32_t)mean->ms : 0;
+}
+
+/*
+ * How long a task of a step will run, in milliseconds.
+ */
+uint64_t rj_cell_forecast_task_ms(const struct rj_cell_forecast *forecast,
+				  const struct rj_cell_def *def, uint32_t step)
+{
+	uint32_t mean_ms = rj_cell_forecast_mean_ms(forecast, def->queue);
+
+	return mean_ms ? mean_ms : def->steps[step].estimate_ms;
+}
+
+/*
+ * The longest chain of steps, by what was learnt, in milliseconds.
+ */
+uint64_t rj_cell_forecast_chain_ms(const struct rj_cell_forecast *forecast,
+				   const struct rj_cell_def *def)
+{
+	uint64_t ends_ms[RJ_CELL_STEPS_MAX];
+	uint64_t longest_ms = 0;
+
+	for (uint32_t i = 0; i < def->step_count; i++) {
+		const struct rj_cell_step *step = &def->steps[i];
+		uint64_t begin_ms = 0;
+
+		for (uint32_t j = 0; j < step->after_count; j++)
+			if (ends_ms[step->after[j]] > begin_ms)
+				begin_ms = ends_ms[step->after[j]];
+		ends_ms[i] =
+			begin_ms + rj_cell_forecast_task_ms(forecast, def, i);
+		if (ends_ms[i] > longest_ms)
+			longest_ms = ends_ms[i];
+	}
+	return longest_ms;
+}
+
+/*
+ * How long a run will go on, in microseconds: by its own progress once that
+ * says enough, else by what was learnt.
+ */
+uint64_t rj_cell_forecast_left_us(const struct rj_cell_forecast *forecast,
+				  const struct rj_cell_run *run,
+				  uint64_t now_us)
+{
+	const struct rj_cell_task *task = run->task;
+	uint64_t whole_us;
+	uint64_t ran_us = run->begun_us && now_us > run->begun_us ?
+				  now_us - run->begun_us :
+				  0;
+
+	if (!task)
+		return 0;
+	if (run->percent >= PERCENT_MIN && run->listed_us > run->begun_us)
+		whole_us =
+			(run->listed_us - run->begun_us) * 100 / run->percent;
+	else
+		whole_us = rj_cell_forecast_task_ms(forecast,
+						    task->round->work->def,
+						    task->step) *
+			   RJ_US_PER_MS;
+	return whole_us > ran_us ? whole_us - ran_us : 0;
+}
+
+/* Bring the demand up to date. */
+static double decayed(const struct rj_cell_forecast *forecast, uint64_t now_us)
+{
+	uint64_t age_us =
+		now_us > forecast->urgent_us ? now_us - forecast->urgent_us : 0;
+
+	return forecast->urgent_load *
+	       exp(-(double)age_us / (double)URGENT_DECAY_US);
+}
+
+/*
+ * An urgent job has come: it asks for accelerators for as long as it runs.
+ */
+void rj_cell_forecast_demand(struct rj_cell_forecast *forecast,
+			     const struct rj_cell_def *def, uint64_t now_us)
+{
+	double need = 0;
+
+	for (uint32_t i = 0; i < def->step_count; i++)
+		need += (double)def->steps[i].task_count *
+			def->steps[i].each.accelerators *
+			(double)rj_cell_forecast_task_ms(forecast, def, i) *
+			RJ_US_PER_MS;
+	forecast->urgent_load =
+		decayed(forecast, now_us) + need / (double)URGENT_DECAY_US;
+	forecast->urgent_us = now_us;
+}
+
+/*
+ * How many accelerators urgent work keeps busy, on average of late.
+ */
+double rj_cell_forecast_urgent(const struct rj_cell_forecast *forecast,
+			       uint64_t now_us)
+{
+	return decayed(forecast, now_us);
+}
--- a/src/libradishjunction/cell/cell_job.c
+++ b/src/libradishjunction/cell/cell_job.c
@@ -208,36 +208,3 @@
 		first += def->steps[i].task_count;
 	return first;
 }
-
-/*
- * The longest chain of steps that wait for each other, by the caller's
- * estimates, in milliseconds.
- */
-uint64_t rj_cell_def_chain_ms(const struct rj_cell_def *def)
-{
-	uint64_t ends_ms[RJ_CELL_STEPS_MAX];
-	uint64_t longest_ms = 0;
-
-	for (uint32_t i = 0; i < def->step_count; i++) {
-		const struct rj_cell_step *step = &def->steps[i];
-		uint64_t begin_ms = 0;
-
-		for (uint32_t j = 0; j < step->after_count; j++)
-			if (ends_ms[step->after[j]] > begin_ms)
-				begin_ms = ends_ms[step->after[j]];
-		ends_ms[i] = begin_ms + step->estimate_ms;
-		if (ends_ms[i] > longest_ms)
-			longest_ms = ends_ms[i];
-	}
-	return longest_ms;
-}
-
-/*
- * How long after its submission the job should have ended, by the terms of
- * its queue and the caller's estimates, in milliseconds.
- */
-uint64_t rj_cell_def_objective_ms(const struct rj_cell_def *def)
-{
-	return rj_cell_def_chain_ms(def) * def->stretch_milli / 1000 +
-	       def->latency_ms;
-}
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -312,6 +312,11 @@
 /* How long the owner may be silent before this instance steps in. */
 static uint64_t patience_us(const struct rj_cell_node *node)
 {
+	/* The owner was this process, in a life that has ended. */
+	if (node->tenure.known &&
+	    !strcmp(node->tenure.record.name, node->options.name) &&
+	    node->tenure.record.incarnation != node->options.incarnation)
+		return 0;
 	if (!node->tenure.known || node->tenure.record.leaving)
 		return node->stagger_us / 4;
 	return OWNER_SILENT_US + node->stagger_us;
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -27,6 +27,7 @@
 /* A run whose percentage does not rise for so long stands still: even at a
  * seventh of the usual speed a task of 11 s gains a percent in a second. */
 #define STALL_US (3 * RJ_US_PER_S)
+#define PERCENT_ALL 100
 /* New work stays off the worker where a run stood still. */
 #define STALL_SUSPECT_US (6 * RJ_US_PER_S)
 
@@ -356,9 +357,7 @@
 		run->held = worker->said.capacity;
 	rj_list_init(&run->in_task);
 	rj_list_append(&worker->runs, &run->in_worker);
-	worker->held.cpu_milli += run->held.cpu_milli;
-	worker->held.memory_mb += run->held.memory_mb;
-	worker->held.accelerators += run->held.accelerators;
+	rj_cell_demand_give(&worker->held, &run->held);
 }
 
 /* What a listed run says of its progress. */
@@ -375,6 +374,7 @@
 	if (row->percent != run->percent || !run->progress_us)
 		run->progress_us = owner->now_us;
 	run->percent = row->percent;
+	run->listed_us = owner->now_us;
 	g_strlcpy(run->saved, row->saved, sizeof(run->saved));
 }
 
@@ -492,7 +492,9 @@
 		struct rj_cell_run *run =
 			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
 
+		/* A member of a gang that is through waits for the others. */
 		if (run->state != RJ_CELL_RUN_SEEN || !run->task ||
+		    run->percent >= PERCENT_ALL ||
 		    rj_cell_task_step(run->task)->perpetual ||
 		    owner->now_us - run->progress_us < STALL_US)
 			continue;
@@ -567,7 +569,13 @@
 
 	if (worker->incarnation && worker->answers)
 		look.wait_ms = LOOK_WAIT_MS;
-	if (worker->incarnation && worker->runs.next != &worker->runs)
+	/*
+	 * Guards against leases that never lapse: a worker that is silent may
+	 * carry a look out late, so each deadline that was sent counts, and
+	 * with it the time until its tasks may start elsewhere.
+	 */
+	if (worker->incarnation && worker->answers &&
+	    worker->runs.next != &worker->runs)
 		look.deadline_ms = deadline_for(owner, worker);
 	done.call = look_done;
 	done.private_data = call_new(owner, worker, NULL);
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -56,6 +56,7 @@
 	owner->workers = workers;
 	owner->terms = *terms;
 	rj_list_init(&owner->works);
+	rj_cell_forecast_init(&owner->forecast);
 	rj_cell_writer_init(&owner->writer, mem, store, "owner");
 }
 
@@ -108,7 +109,10 @@
 	uint64_t age_ms = owner->wall_ms > def->accepted_ms ?
 				  owner->wall_ms - def->accepted_ms :
 				  0;
-	uint64_t objective_us = rj_cell_def_objective_ms(def) * RJ_US_PER_MS;
+	uint64_t chain_ms = rj_cell_forecast_chain_ms(&owner->forecast, def);
+	uint64_t objective_us =
+		(chain_ms * def->stretch_milli / 1000 + def->latency_ms) *
+		RJ_US_PER_MS;
 
 	work->accepted_us = owner->now_us > age_ms * RJ_US_PER_MS ?
 				    owner->now_us - age_ms * RJ_US_PER_MS :
@@ -136,6 +140,36 @@
 	rj_cell_ends_begin_rounds(owner, work);
 }
 
+/* Say what has come, with the figures that decide on its first step. */
+static void note_taken(const struct rj_cell_entry *entry)
+{
+	const struct rj_cell_def *def = entry->def;
+	const struct rj_cell_step *step = &def->steps[0];
+
+	rj_note("job_taken", RJ_NOTE_TEXT("job", entry->id),
+		RJ_NOTE_TEXT("account", def->account),
+		RJ_NOTE_TEXT("queue", def->queue),
+		RJ_NOTE_NUMBER("priority", def->priority),
+		RJ_NOTE_NUMBER("steps", def->step_count),
+		RJ_NOTE_NUMBER("tasks", def->task_count),
+		RJ_NOTE_NUMBER("cpu_milli", step->each.cpu_milli),
+		RJ_NOTE_NUMBER("memory_mb", step->each.memory_mb),
+		RJ_NOTE_NUMBER("accelerators", step->each.accelerators),
+		RJ_NOTE_NUMBER("estimate_ms", step->estimate_ms),
+		RJ_NOTE_NUMBER("gang", step->gang),
+		RJ_NOTE_NUMBER("one_rack", step->one_rack),
+		RJ_NOTE_NUMBER("checkpoints", step->checkpoints),
+		RJ_NOTE_NUMBER("speculative", step->speculative),
+		RJ_NOTE_NUMBER("perpetual", step->perpetual),
+		RJ_NOTE_NUMBER("scavenges", step->scavenges),
+		RJ_NOTE_TEXT("rack", step->rack),
+		RJ_NOTE_TEXT("label", step->label),
+		RJ_NOTE_NUMBER("per_worker_max", step->per_worker_max),
+		RJ_NOTE_NUMBER("may_miss", step->may_miss),
+		RJ_NOTE_NUMBER("target_ms", step->target_ms),
+		RJ_NOTE_NUMBER("repeats", def->repeats));
+}
+
 /*
  * A job's definition or a wish to cancel it has come.
  */
@@ -147,10 +181,10 @@
 		return;
 	if (!entry->work) {
 		adopt(owner, entry);
-		rj_note("job_taken", RJ_NOTE_TEXT("job", entry->id),
-			RJ_NOTE_TEXT("account", entry->def->account),
-			RJ_NOTE_TEXT("queue", entry->def->queue),
-			RJ_NOTE_NUMBER("tasks", entry->def->task_count));
+		if (!entry->def->priority)
+			rj_cell_forecast_demand(&owner->forecast, entry->def,
+						owner->now_us);
+		note_taken(entry);
 	}
 	if (entry->cancelled && !entry->work->cancelled) {
 		entry->work->cancelled = true;
@@ -548,6 +582,8 @@
 	plan.fleet = &owner->fleet;
 	plan.works = &owner->works;
 	plan.config = owner->config;
+	plan.forecast = &owner->forecast;
+	plan.reclaim_ms = owner->terms.reclaim_ms;
 	plan.now_us = owner->now_us;
 	rj_cell_plan_make(&plan);
 	owner->counters.plans++;
--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -13,6 +13,25 @@
  */
 #define FAR_WAIT_MAX_MS 1500
 
+/*
+ * What is kept for urgent work is opened to others that have waited so long
+ * when less than this is in use: users expect idle capacity to be used.
+ */
+#define KEPT_WAIT_US (2 * RJ_US_PER_S)
+#define KEPT_USED_PERCENT 55
+/* Gangs of lower priority that room is promised to at a time. More would
+ * leave too much of it idle. */
+#define PROMISES_MAX 2
+/* Urgent work that has no right to its room may throw away so many times its
+ * own work: it is worth about ten times as much a core-second, half of which
+ * is left for the wait of those that it stops. */
+#define LOSS_FACTOR 4
+/* A stop and the start after it take so long; guaranteed work that has
+ * waited until so shortly before its bound gets room by stopping others. */
+#define RECLAIM_MARGIN_MS 900
+/* Room for urgent work is made before it is late by this much. */
+#define START_MARGIN_US (300 * RJ_US_PER_MS)
+
 /* Work goes in this order, whatever its priority. */
 enum tier {
 	TIER_GUARANTEED, /* its account has a right to the room at once */
@@ -25,6 +44,7 @@
 	const struct rj_cell_step *step;
 	const char *service;
 	bool far;
+	bool into_kept;
 };
 
 /*
@@ -51,60 +71,6 @@
 	TALLOC_FREE(plan->rooms);
 }
 
-/* What is left of a capacity. */
-static struct rj_cell_demand room_of(const struct rj_cell_worker *worker)
-{
-	const struct rj_cell_demand *all = &worker->said.capacity;
-	const struct rj_cell_demand *held = &worker->held;
-
-	return (struct rj_cell_demand){
-		all->cpu_milli - MIN(all->cpu_milli, held->cpu_milli),
-		all->memory_mb - MIN(all->memory_mb, held->memory_mb),
-		all->accelerators - MIN(all->accelerators, held->accelerators),
-	};
-}
-
-/* Room that comes free when what is stopping has gone. */
-static void add_stopping(struct rj_cell_room *room)
-{
-	const struct rj_list *at;
-
-	for (at = room->worker->runs.next; at != &room->worker->runs;
-	     at = at->next) {
-		const struct rj_cell_run *run =
-			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
-
-		if (run->state != RJ_CELL_RUN_STOPPING)
-			continue;
-		room->soon.cpu_milli += run->held.cpu_milli;
-		room->soon.memory_mb += run->held.memory_mb;
-		room->soon.accelerators += run->held.accelerators;
-	}
-}
-
-/* Gather the rooms of all workers that may get work. */
-static void gather_rooms(struct rj_cell_plan *plan)
-{
-	struct rj_list *at;
-	struct rj_list *next;
-
-	plan->rooms = talloc_zero_array(NULL, struct rj_cell_room,
-					plan->fleet->count);
-	assert(plan->rooms || !plan->fleet->count);
-	RJ_FOR_EACH (at, next, &plan->fleet->workers) {
-		struct rj_cell_room *room = &plan->rooms[plan->room_count];
-
-		room->worker = RJ_CONTAINER(at, struct rj_cell_worker, link);
-		if (!rj_cell_worker_usable(room->worker, plan->now_us))
-			continue;
-		room->usable = true;
-		room->now = room_of(room->worker);
-		room->soon = room->now;
-		add_stopping(room);
-		plan->room_count++;
-	}
-}
-
 /* Whether a task waits for room. */
 static bool waits(const struct rj_cell_plan *plan,
 		  const struct rj_cell_task *task)
@@ -200,6 +166,22 @@
 		       account->guaranteed_accelerators;
 }
 
+/*
+ * Whether a step may use what is kept for urgent work: if it is urgent, or
+ * can be stopped at no loss, or else only while much is idle.
+ */
+static bool may_use_kept(const struct rj_cell_plan *plan,
+			 const struct rj_cell_unit *unit)
+{
+	const struct rj_cell_def *def = unit->work->def;
+	const struct rj_cell_step *step = &def->steps[unit->step];
+
+	if (!def->priority || (step->checkpoints && !step->perpetual))
+		return true;
+	return plan->used_percent < KEPT_USED_PERCENT &&
+	       plan->now_us - unit->waiting_us >= KEPT_WAIT_US;
+}
+
 /* Note the waiting tasks of one step. */
 static void add_unit(struct rj_cell_plan *plan, struct rj_cell_round *round,
 		     uint32_t step)
@@ -214,7 +196,9 @@
 		return;
 	unit.service = service_of(plan, work->def);
 	unit.far = may_be_far(plan, &work->def->steps[step], unit.waiting_us);
-	if (is_guaranteed(plan, work))
+	unit.guaranteed = is_guaranteed(plan, work);
+	unit.into_kept = may_use_kept(plan, &unit);
+	if (unit.guaranteed)
 		unit.tier = TIER_GUARANTEED;
 	else if (plan->now_us > work->late_us)
 		unit.tier = TIER_HOPELESS;
@@ -286,6 +270,7 @@
 		    step->each.memory_mb >= miss->step->each.memory_mb &&
 		    step->each.accelerators >= miss->step->each.accelerators &&
 		    step->scavenges == miss->step->scavenges &&
+		    (miss->into_kept || !unit->into_kept) &&
 		    (miss->far || !unit->far) &&
 		    (!miss->step->label[0] ||
 		     !strcmp(miss->step->label, step->label)) &&
@@ -302,7 +287,7 @@
 		      const struct rj_cell_unit *unit)
 {
 	struct miss miss = { &unit->work->def->steps[unit->step], unit->service,
-			     unit->far };
+			     unit->far, unit->into_kept };
 
 	/* Such a limit does not hold for other steps. */
 	if (!miss.step->per_worker_max)
@@ -318,26 +303,38 @@
 	g_array_append_val(plan->starts, choice);
 }
 
-/* Place a group in the rack where that loses least, or across racks. */
-static bool place_gang_by_rack(struct rj_cell_plan *plan,
-			       const struct rj_cell_unit *unit,
-			       struct rj_cell_task **tasks, uint32_t count,
-			       enum rj_cell_when when, bool stop_others,
-			       struct rj_cell_trial *best)
+/* Whether one trial is better than another: it loses less, or is ready
+ * sooner. */
+static bool is_better(const struct rj_cell_trial *a,
+		      const struct rj_cell_trial *b)
+{
+	if (a->loss_milli != b->loss_milli)
+		return a->loss_milli < b->loss_milli;
+	return a->ready_us < b->ready_us;
+}
+
+/* Place a group in the one rack where that is best. */
+static bool place_in_a_rack(struct rj_cell_plan *plan,
+			    const struct rj_cell_unit *unit,
+			    struct rj_cell_task **tasks, uint32_t count,
+			    const struct rj_cell_way *way,
+			    struct rj_cell_trial *best)
 {
 	GHashTable *racks = g_hash_table_new(g_str_hash, g_str_equal);
 	bool found = false;
 
 	for (uint32_t i = 0; i < plan->room_count; i++) {
 		char *rack = plan->rooms[i].worker->said.rack;
+		struct rj_cell_way here = *way;
 		struct rj_cell_trial trial;
 
 		if (!g_hash_table_add(racks, rack))
 			continue;
+		here.rack = rack;
 		rj_cell_trial_init(&trial, plan);
-		if (rj_cell_place_group(plan, &trial, unit, tasks, count, when,
-					rack, stop_others) &&
-		    (!found || trial.loss_milli < best->loss_milli)) {
+		if (rj_cell_place_group(plan, &trial, unit, tasks, count,
+					&here) &&
+		    (!found || is_better(&trial, best))) {
 			struct rj_cell_trial worse = *best;
 
 			*best = trial;
@@ -350,41 +347,48 @@
 	return found;
 }
 
-/* Try to place a group: within one rack if it must or can be, else
- * anywhere. */
+/* Try to place a group: within one rack if it should be, and else anywhere
+ * once it has waited long enough. */
 static bool try_group(struct rj_cell_plan *plan,
 		      const struct rj_cell_unit *unit,
 		      struct rj_cell_task **tasks, uint32_t count,
-		      enum rj_cell_when when, bool stop_others,
+		      const struct rj_cell_way *way,
 		      struct rj_cell_trial *trial)
 {
 	const struct rj_cell_step *step = rj_cell_task_step(tasks[0]);
 
 	if (step->one_rack && count > 1) {
-		if (place_gang_by_rack(plan, unit, tasks, count, when,
-				       stop_others, trial))
+		if (place_in_a_rack(plan, unit, tasks, count, way, trial))
 			return true;
 		if (!unit->far)
 			return false;
 		rj_cell_trial_finish(trial);
 		rj_cell_trial_init(trial, plan);
 	}
-	return rj_cell_place_group(plan, trial, unit, tasks, count, when, NULL,
-				   stop_others);
+	return rj_cell_place_group(plan, trial, unit, tasks, count, way);
 }
 
-/* Try once; when it works out, the room is taken, and with RJ_CELL_NOW the
- * tasks start. */
+/* What a way to place a group may cost at most. */
+struct limits {
+	uint64_t loss_milli;
+	uint64_t ready_us;
+};
+
+/* Try one way; when it works out within the limits, the room is taken, and
+ * with RJ_CELL_NOW the tasks start. */
 static bool attempt(struct rj_cell_plan *plan, const struct rj_cell_unit *unit,
 		    struct rj_cell_task **tasks, uint32_t count,
-		    enum rj_cell_when when, bool stop_others)
+		    const struct rj_cell_way *way, const struct limits *limits)
 {
 	struct rj_cell_trial trial;
 	bool placed;
 
 	rj_cell_trial_init(&trial, plan);
-	placed = try_group(plan, unit, tasks, count, when, stop_others, &trial);
-	for (uint32_t i = 0; placed && when == RJ_CELL_NOW && i < count; i++)
+	placed = try_group(plan, unit, tasks, count, way, &trial) &&
+		 trial.loss_milli <= limits->loss_milli &&
+		 trial.ready_us <= limits->ready_us;
+	for (uint32_t i = 0; placed && way->when == RJ_CELL_NOW && i < count;
+	     i++)
 		add_start(plan, tasks[i], trial.workers->pdata[i]);
 	if (placed)
 		rj_cell_trial_take(plan, &trial);
@@ -392,19 +396,81 @@
 	return placed;
 }
 
+/* How long urgent work can still wait for room: until it would end late, or
+ * until just before it has to have begun. */
+static uint64_t patience_us(const struct rj_cell_plan *plan,
+			    const struct rj_cell_unit *unit)
+{
+	const struct rj_cell_work *work = unit->work;
+	uint64_t run_us = rj_cell_forecast_task_ms(plan->forecast, work->def,
+						   unit->step) *
+				  RJ_US_PER_MS +
+			  START_MARGIN_US;
+	uint64_t latest_us =
+		work->objective_us > run_us ? work->objective_us - run_us : 0;
+
+	if (unit->guaranteed && plan->reclaim_ms > RECLAIM_MARGIN_MS)
+		latest_us = MIN(latest_us,
+				work->accepted_us +
+					(plan->reclaim_ms - RECLAIM_MARGIN_MS) *
+						RJ_US_PER_MS);
+	return latest_us > plan->now_us ? latest_us - plan->now_us : 0;
+}
+
+/* Work that urgent tasks may throw away. */
+static uint64_t loss_allowed(const struct rj_cell_plan *plan,
+			     const struct rj_cell_unit *unit, uint32_t count)
+{
+	if (unit->guaranteed &&
+	    plan->now_us <=
+		    unit->work->accepted_us + plan->reclaim_ms * RJ_US_PER_MS)
+		return UINT64_MAX;
+	return LOSS_FACTOR * rj_cell_reclaim_own_milli(plan, unit, count);
+}
+
 /*
- * Place a group of tasks now. For urgent work, room that is coming free is
- * kept, or made. Returns whether it starts now.
+ * Find room for urgent tasks that do not fit now: what is stopping already,
+ * what ends by itself in time, what has to be stopped; else what ends first.
+ */
+static void find_urgent(struct rj_cell_plan *plan,
+			const struct rj_cell_unit *unit,
+			struct rj_cell_task **tasks, uint32_t count)
+{
+	const struct rj_cell_way soon = { RJ_CELL_SOON, NULL, false };
+	const struct rj_cell_way later = { RJ_CELL_LATER, NULL, false };
+	const struct rj_cell_way stop = { RJ_CELL_SOON, NULL, true };
+	const struct limits none = { 0, UINT64_MAX };
+	const struct limits in_time = { 0, patience_us(plan, unit) };
+	const struct limits losing = { loss_allowed(plan, unit, count),
+				       UINT64_MAX };
+
+	if (attempt(plan, unit, tasks, count, &soon, &none) ||
+	    attempt(plan, unit, tasks, count, &later, &in_time) ||
+	    attempt(plan, unit, tasks, count, &stop, &losing))
+		return;
+	attempt(plan, unit, tasks, count, &later, &none);
+}
+
+/*
+ * Place a group of tasks now; or find room for it that comes free. Returns
+ * whether it starts now.
  */
 static bool place_tasks(struct rj_cell_plan *plan,
 			const struct rj_cell_unit *unit,
 			struct rj_cell_task **tasks, uint32_t count)
 {
-	if (attempt(plan, unit, tasks, count, RJ_CELL_NOW, false))
+	const struct rj_cell_way now = { RJ_CELL_NOW, NULL, false };
+	const struct rj_cell_way later = { RJ_CELL_LATER, NULL, false };
+	const struct limits none = { 0, UINT64_MAX };
+
+	if (attempt(plan, unit, tasks, count, &now, &none))
 		return true;
-	if (!unit->work->def->priority &&
-	    !attempt(plan, unit, tasks, count, RJ_CELL_SOON, false))
-		attempt(plan, unit, tasks, count, RJ_CELL_SOON, true);
+	if (!unit->work->def->priority)
+		find_urgent(plan, unit, tasks, count);
+	else if (rj_cell_task_step(tasks[0])->gang &&
+		 plan->promises < PROMISES_MAX &&
+		 attempt(plan, unit, tasks, count, &later, &none))
+		plan->promises++;
 	return false;
 }
 
@@ -447,7 +513,7 @@
  */
 void rj_cell_plan_make(struct rj_cell_plan *plan)
 {
-	gather_rooms(plan);
+	rj_cell_plan_gather_rooms(plan);
 	gather_units(plan);
 	g_array_sort(plan->units, by_order);
 	for (guint i = 0; i < plan->units->len; i++)
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -372,6 +372,7 @@
 		const struct rj_cell_share *share = &beat->shares[i];
 
 		rj_pack_text(&out, share->queue);
+		rj_pack_number(&out, share->mean_ms);
 		rj_pack_bool(&out, share->refuse);
 		rj_pack_number(&out, share->come_back_ms);
 		rj_pack_number(&out, share->room_ms);
@@ -400,6 +401,8 @@
 
 		rj_unpack_text(&in, "queue", share->queue,
 			       sizeof(share->queue));
+		share->mean_ms =
+			(uint32_t)rj_unpack_number(&in, "mean_ms", UINT32_MAX);
 		share->refuse = rj_unpack_bool(&in, "refuse");
 		share->come_back_ms = (uint32_t)rj_unpack_number(
 			&in, "come_back_ms", UINT32_MAX);
--- a/src/libradishjunction/cell/cell_work.c
+++ b/src/libradishjunction/cell/cell_work.c
@@ -165,17 +165,6 @@
 	return NULL;
 }
 
-/* What a run takes; cores of scavenging steps are not counted. */
-static struct rj_cell_demand demand_of(const struct rj_cell_task *task)
-{
-	const struct rj_cell_step *step = rj_cell_task_step(task);
-	struct rj_cell_demand demand = step->each;
-
-	if (step->scavenges)
-		demand.cpu_milli = 0;
-	return demand;
-}
-
 /*
  * Note a run of a task on a worker; its room is taken from now on.
  */
@@ -190,15 +179,13 @@
 	run->task = task;
 	run->number = number;
 	run->incarnation = worker->incarnation;
-	run->held = demand_of(task);
+	run->held = rj_cell_step_counted(rj_cell_task_step(task));
 	rj_cell_task_name(task, name, sizeof(name));
 	run->name = talloc_strdup(run, name);
 	memcpy(run->checkpoint, task->checkpoint, sizeof(run->checkpoint));
 	rj_list_append(&worker->runs, &run->in_worker);
 	rj_list_append(&task->runs, &run->in_task);
-	worker->held.cpu_milli += run->held.cpu_milli;
-	worker->held.memory_mb += run->held.memory_mb;
-	worker->held.accelerators += run->held.accelerators;
+	rj_cell_demand_give(&worker->held, &run->held);
 	return run;
 }
 
@@ -209,9 +196,7 @@
 {
 	struct rj_cell_worker *worker = run->worker;
 
-	worker->held.cpu_milli -= run->held.cpu_milli;
-	worker->held.memory_mb -= run->held.memory_mb;
-	worker->held.accelerators -= run->held.accelerators;
+	rj_cell_demand_take(&worker->held, &run->held);
 	rj_list_remove(&run->in_worker);
 	rj_list_remove(&run->in_task);
 	talloc_free(run);
--- /dev/null
+++ b/src/libradishjunction/include/private/cell_forecast.h
@@ -0,0 +1,43 @@
+/*
+ * What a cell has learnt of its work: how long tasks of a queue run, how much
+ * room urgent jobs ask for, and so when the runs of a worker will end.
+ *
+ * Callers' estimates are off by a factor of two and more, so measured run
+ * times replace them as soon as there are some. Life cycle:
+ * `rj_cell_forecast_init`, `_learn` at each good end, `_demand` at each urgent
+ * job, `_finish`. It reads no clock.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_CELL_FORECAST_H
+#define RADISHJUNCTION_PRIVATE_CELL_FORECAST_H
+
+#include <glib.h>
+
+#include "private/cell_work.h"
+
+struct rj_cell_forecast {
+	GHashTable *means; /* name of a queue -> struct mean */
+	double urgent_load; /* accelerators, decayed */
+	uint64_t urgent_us; /* when that was last brought up to date */
+};
+
+void rj_cell_forecast_init(struct rj_cell_forecast *forecast);
+void rj_cell_forecast_finish(struct rj_cell_forecast *forecast);
+void rj_cell_forecast_learn(struct rj_cell_forecast *forecast,
+			    const char *queue, uint64_t ran_us);
+void rj_cell_forecast_set(struct rj_cell_forecast *forecast, const char *queue,
+			  uint32_t mean_ms);
+uint32_t rj_cell_forecast_mean_ms(const struct rj_cell_forecast *forecast,
+				  const char *queue);
+uint64_t rj_cell_forecast_task_ms(const struct rj_cell_forecast *forecast,
+				  const struct rj_cell_def *def, uint32_t step);
+uint64_t rj_cell_forecast_chain_ms(const struct rj_cell_forecast *forecast,
+				   const struct rj_cell_def *def);
+uint64_t rj_cell_forecast_left_us(const struct rj_cell_forecast *forecast,
+				  const struct rj_cell_run *run,
+				  uint64_t now_us);
+void rj_cell_forecast_demand(struct rj_cell_forecast *forecast,
+			     const struct rj_cell_def *def, uint64_t now_us);
+double rj_cell_forecast_urgent(const struct rj_cell_forecast *forecast,
+			       uint64_t now_us);
+
+#endif
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -15,6 +15,7 @@
 #define RADISHJUNCTION_PRIVATE_CELL_OWNER_H
 
 #include "private/cell_fleet.h"
+#include "private/cell_forecast.h"
 #include "private/cell_view.h"
 #include "private/cell_workers.h"
 #include "private/cell_writer.h"
@@ -25,6 +26,7 @@
 	uint32_t stop_ms; /* a stop takes so long at most */
 	uint32_t gang_wait_ms; /* members wait so long for each other */
 	uint32_t status_ms; /* an ended job is remembered so long */
+	uint32_t reclaim_ms; /* guaranteed work begins so soon */
 	uint32_t revoke_ms; /* a key is good so long after its removal */
 };
 
@@ -58,6 +60,7 @@
 	struct rj_cell_writer writer;
 	struct rj_cell_fleet fleet;
 	struct rj_list works;
+	struct rj_cell_forecast forecast;
 	bool plan_wanted;
 	uint64_t plan_due_us;
 	uint32_t writes_open; /* records on their way into the log */
--- a/src/libradishjunction/include/private/cell_place.h
+++ b/src/libradishjunction/include/private/cell_place.h
@@ -1,6 +1,7 @@
 /*
- * Finds workers for tasks: what fits where, which fit is best, and what
- * would have to be stopped for it. Part of making a plan; see cell_plan.h.
+ * Finds workers for tasks: what fits where, which fit is best, when room
+ * will come free, and what would have to be stopped for it. Part of making a
+ * plan; see cell_plan.h.
  */
 #ifndef RADISHJUNCTION_PRIVATE_CELL_PLACE_H
 #define RADISHJUNCTION_PRIVATE_CELL_PLACE_H
@@ -17,13 +18,24 @@
 	uint64_t waiting_us; /* since when */
 	uint32_t waiting; /* tasks */
 	bool far; /* may run away from its data */
+	bool guaranteed; /* its account has a right to the room at once */
+	bool into_kept; /* may use what is kept for urgent work */
 	const char *service;
 };
 
-/* Room as it is now, or as it is once what is stopping has gone. */
+/* Room as it is now, as it is once what is stopping has gone, or as it is
+ * once enough has ended by itself. */
 enum rj_cell_when {
 	RJ_CELL_NOW,
 	RJ_CELL_SOON,
+	RJ_CELL_LATER,
+};
+
+/* How a group is to be placed. */
+struct rj_cell_way {
+	enum rj_cell_when when;
+	const char *rack; /* NULL: anywhere */
+	bool stop_others; /* work of lower priority makes way */
 };
 
 /* A trial to place a group of tasks, which changes nothing until taken. */
@@ -32,24 +44,28 @@
 	GPtrArray *workers; /* one for each task */
 	GPtrArray *victims; /* struct rj_cell_run */
 	uint64_t loss_milli; /* core-milliseconds that would be lost */
+	uint64_t ready_us; /* RJ_CELL_LATER: in so long all have room */
 };
 
 void rj_cell_trial_init(struct rj_cell_trial *trial,
 			const struct rj_cell_plan *plan);
 void rj_cell_trial_finish(struct rj_cell_trial *trial);
-struct rj_cell_room *rj_cell_place_best(struct rj_cell_plan *plan,
-					struct rj_cell_room *rooms,
-					const struct rj_cell_unit *unit,
-					const struct rj_cell_task *task,
-					enum rj_cell_when when,
-					const char *rack);
-void rj_cell_place_take(struct rj_cell_room *room,
-			const struct rj_cell_step *step);
+void rj_cell_trial_take(struct rj_cell_plan *plan, struct rj_cell_trial *trial);
+bool rj_cell_place_may_run(const struct rj_cell_plan *plan,
+			   const struct rj_cell_room *room,
+			   const struct rj_cell_unit *unit,
+			   const struct rj_cell_task *task, const char *rack);
 bool rj_cell_place_group(struct rj_cell_plan *plan, struct rj_cell_trial *trial,
 			 const struct rj_cell_unit *unit,
 			 struct rj_cell_task **tasks, uint32_t count,
-			 enum rj_cell_when when, const char *rack,
-			 bool stop_others);
-void rj_cell_trial_take(struct rj_cell_plan *plan, struct rj_cell_trial *trial);
+			 const struct rj_cell_way *way);
+struct rj_cell_room *rj_cell_reclaim_room(struct rj_cell_plan *plan,
+					  struct rj_cell_trial *trial,
+					  const struct rj_cell_unit *unit,
+					  const struct rj_cell_task *task,
+					  const char *rack);
+uint64_t rj_cell_reclaim_own_milli(const struct rj_cell_plan *plan,
+				   const struct rj_cell_unit *unit,
+				   uint32_t count);
 
 #endif
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -11,6 +11,7 @@
 #include <glib.h>
 
 #include "private/cell_fleet.h"
+#include "private/cell_forecast.h"
 
 #define RJ_CELL_WHY_RECLAIMED "reclaimed"
 
@@ -18,8 +19,10 @@
 struct rj_cell_room {
 	struct rj_cell_worker *worker;
 	bool usable;
+	bool kept; /* for urgent work; others only if they can be stopped */
 	struct rj_cell_demand now; /* free */
 	struct rj_cell_demand soon; /* free once what is stopping has gone */
+	struct rj_cell_demand promised; /* of what will come free later */
 };
 
 /* One task is to start on one worker. */
@@ -33,6 +36,8 @@
 	struct rj_cell_fleet *fleet;
 	struct rj_list *works; /* struct rj_cell_work */
 	const struct rj_cell_config *config;
+	const struct rj_cell_forecast *forecast;
+	uint32_t reclaim_ms; /* guaranteed work begins so soon */
 	uint64_t now_us;
 	/* outputs; the runs to be stopped have their reason set */
 	GArray *starts; /* struct rj_cell_choice */
@@ -41,12 +46,15 @@
 	/* while it is made */
 	struct rj_cell_room *rooms;
 	uint32_t room_count;
+	uint32_t used_percent; /* of the memory or accelerators of all */
 	GArray *units;
+	uint32_t promises; /* groups of others that have room promised */
 	GArray *misses; /* demands that found no room in this plan */
 };
 
 void rj_cell_plan_init(struct rj_cell_plan *plan);
 void rj_cell_plan_make(struct rj_cell_plan *plan);
+void rj_cell_plan_gather_rooms(struct rj_cell_plan *plan);
 void rj_cell_plan_finish(struct rj_cell_plan *plan);
 
 #endif
--- a/src/libradishjunction/include/private/cell_record.h
+++ b/src/libradishjunction/include/private/cell_record.h
@@ -32,6 +32,7 @@
 /* What the owner tells the entries about the load of one queue. */
 struct rj_cell_share {
 	char queue[RJ_NAME_BYTES];
+	uint32_t mean_ms; /* run time of its tasks, as learnt; 0: unknown */
 	bool refuse; /* new jobs would not be served in time */
 	uint32_t come_back_ms; /* when room is likely */
 	uint32_t room_ms; /* core-milliseconds that may still be accepted */
--- a/src/libradishjunction/include/private/cell_work.h
+++ b/src/libradishjunction/include/private/cell_work.h
@@ -61,6 +61,7 @@
 	uint64_t order_due_us; /* when to send the next order */
 	uint64_t begun_us; /* when it was placed */
 	uint32_t percent;
+	uint64_t listed_us; /* when the worker said so */
 	uint64_t progress_us; /* when the percentage last rose */
 	char checkpoint[RJ_CELL_CHECKPOINT_BYTES]; /* it started from this */
 	char saved[RJ_CELL_CHECKPOINT_BYTES]; /* what it has saved since */
