cell: guaranteed work is not kept waiting by runs that are overdue

Change: what is overdue is taken to go on for half as long again; guaranteed work may stop urgent work that is beyond a guarantee, last of all.

--- a/src/libradishjunction/cell/cell_forecast.c
+++ b/src/libradishjunction/cell/cell_forecast.c
@@ -129,9 +129,27 @@
 	return longest_ms;
 }
 
+/* How long a run will go on by its own progress; false when that says too
+ * little. */
+static bool left_by_progress(const struct rj_cell_run *run, uint64_t ran_us,
+			     uint64_t *left_us)
+{
+	uint64_t whole_us;
+
+	if (run->percent < PERCENT_MIN || run->listed_us <= run->begun_us)
+		return false;
+	whole_us = (run->listed_us - run->begun_us) * 100 / run->percent;
+	*left_us = whole_us > ran_us ? whole_us - ran_us : 0;
+	return true;
+}
+
 /*
  * How long a run will go on, in microseconds: by its own progress once that
- * says enough, else by what was learnt.
+ * says enough, else by what was learnt. What has run for longer than usual
+ * is taken to go on for half as long again.
+ *
+ * Guards against urgent work that waits for ever for a run which should have
+ * ended: one that is overdue may be slow, and is not about to end.
  */
 uint64_t rj_cell_forecast_left_us(const struct rj_cell_forecast *forecast,
 				  const struct rj_cell_run *run,
@@ -139,21 +157,19 @@
 {
 	const struct rj_cell_task *task = run->task;
 	uint64_t whole_us;
+	uint64_t left_us;
 	uint64_t ran_us = run->begun_us && now_us > run->begun_us ?
 				  now_us - run->begun_us :
 				  0;
 
 	if (!task)
 		return 0;
-	if (run->percent >= PERCENT_MIN && run->listed_us > run->begun_us)
-		whole_us =
-			(run->listed_us - run->begun_us) * 100 / run->percent;
-	else
-		whole_us = rj_cell_forecast_task_ms(forecast,
-						    task->round->work->def,
-						    task->step) *
-			   RJ_US_PER_MS;
-	return whole_us > ran_us ? whole_us - ran_us : 0;
+	if (left_by_progress(run, ran_us, &left_us) && left_us)
+		return left_us;
+	whole_us = rj_cell_forecast_task_ms(forecast, task->round->work->def,
+					    task->step) *
+		   RJ_US_PER_MS;
+	return whole_us > ran_us ? whole_us - ran_us : whole_us / 2;
 }
 
 /* Bring the demand up to date. */
--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -55,6 +55,7 @@
 	memset(plan, 0, sizeof(*plan));
 	plan->starts = g_array_new(FALSE, FALSE, sizeof(struct rj_cell_choice));
 	plan->stops = g_ptr_array_new();
+	plan->needs = g_hash_table_new(g_str_hash, g_str_equal);
 	plan->units = g_array_new(FALSE, FALSE, sizeof(struct rj_cell_unit));
 	plan->misses = g_array_new(FALSE, FALSE, sizeof(struct miss));
 }
@@ -68,6 +69,7 @@
 	g_ptr_array_free(plan->stops, TRUE);
 	g_array_free(plan->units, TRUE);
 	g_array_free(plan->misses, TRUE);
+	g_hash_table_destroy(plan->needs);
 	TALLOC_FREE(plan->rooms);
 }
 
@@ -129,30 +131,38 @@
 	return plan->now_us - since_us >= patience_ms * RJ_US_PER_MS;
 }
 
-/* The accelerators that the urgent jobs of an account that have not ended
- * need in all. */
-static uint64_t urgent_need(const struct rj_cell_plan *plan,
-			    const char *account)
+/* Whether a job is urgent and has not ended. */
+static bool is_urgent(const struct rj_cell_work *work)
+{
+	return !work->def->priority && !work->cancelled &&
+	       work->state < RJ_CELL_JOB_COMPLETED;
+}
+
+/* Add up the accelerators that the urgent jobs of each account need. */
+static void sum_needs(struct rj_cell_plan *plan)
 {
 	const struct rj_list *at;
-	uint64_t need = 0;
 
 	for (at = plan->works->next; at != plan->works; at = at->next) {
 		const struct rj_cell_work *work =
 			RJ_CONTAINER(at, struct rj_cell_work, link);
+		const struct rj_cell_def *def = work->def;
+		guint need;
 
-		if (work->def->priority || work->cancelled ||
-		    work->state >= RJ_CELL_JOB_COMPLETED ||
-		    strcmp(work->def->account, account) != 0)
+		if (!is_urgent(work))
 			continue;
-		for (uint32_t i = 0; i < work->def->step_count; i++)
-			need += (uint64_t)work->def->steps[i].task_count *
-				work->def->steps[i].each.accelerators;
+		need = GPOINTER_TO_UINT(
+			g_hash_table_lookup(plan->needs, def->account));
+		for (uint32_t i = 0; i < def->step_count; i++)
+			need += def->steps[i].task_count *
+				def->steps[i].each.accelerators;
+		g_hash_table_insert(plan->needs, (gpointer)def->account,
+				    GUINT_TO_POINTER(need));
 	}
-	return need;
 }
 
-/* Whether a job has a right to its room at once. */
+/* Whether a job has a right to its room at once: the urgent jobs of its
+ * account need no more than is guaranteed to it. */
 static bool is_guaranteed(const struct rj_cell_plan *plan,
 			  const struct rj_cell_work *work)
 {
@@ -161,8 +171,9 @@
 						      work->def->account) :
 			       NULL;
 
-	return !work->def->priority && account &&
-	       urgent_need(plan, account->name) <=
+	return is_urgent(work) && account &&
+	       GPOINTER_TO_UINT(
+		       g_hash_table_lookup(plan->needs, account->name)) <=
 		       account->guaranteed_accelerators;
 }
 
@@ -196,7 +207,7 @@
 		return;
 	unit.service = service_of(plan, work->def);
 	unit.far = may_be_far(plan, &work->def->steps[step], unit.waiting_us);
-	unit.guaranteed = is_guaranteed(plan, work);
+	unit.guaranteed = work->guaranteed;
 	unit.into_kept = may_use_kept(plan, &unit);
 	if (unit.guaranteed)
 		unit.tier = TIER_GUARANTEED;
@@ -222,6 +233,7 @@
 
 		if (work->state >= RJ_CELL_JOB_COMPLETED || work->cancelled)
 			continue;
+		work->guaranteed = is_guaranteed(plan, work);
 		RJ_FOR_EACH (round_at, round_next, &work->rounds) {
 			struct rj_cell_round *round = RJ_CONTAINER(
 				round_at, struct rj_cell_round, link);
@@ -514,6 +526,7 @@
 void rj_cell_plan_make(struct rj_cell_plan *plan)
 {
 	rj_cell_plan_gather_rooms(plan);
+	sum_needs(plan);
 	gather_units(plan);
 	g_array_sort(plan->units, by_order);
 	for (guint i = 0; i < plan->units->len; i++)
--- a/src/libradishjunction/cell/cell_reclaim.c
+++ b/src/libradishjunction/cell/cell_reclaim.c
@@ -8,6 +8,8 @@
 #define ACCELERATOR_CORES 8
 /* Stopping a task that saves its progress loses about its restoring. */
 #define RESTORE_LOSS_MS 300
+/* Urgent work is stopped last: it is worth so much more a core-second. */
+#define URGENT_WEIGHT 10
 /* What ends by itself within this is waited for: a stop takes as long. */
 #define ENDS_SOON_US (400 * RJ_US_PER_MS)
 
@@ -44,6 +46,16 @@
 	return cores_milli(step) * lost_ms / 1000;
 }
 
+/* Whether the work of one job gives way to that of a unit: by priority, and
+ * to guaranteed work also what others have beyond their guarantees. */
+static bool gives_way(const struct rj_cell_work *work,
+		      const struct rj_cell_unit *unit)
+{
+	if (work->def->priority > unit->work->def->priority)
+		return true;
+	return unit->guaranteed && !work->guaranteed;
+}
+
 /* Whether a run may be stopped for the work of a unit. */
 static bool may_stop(const struct rj_cell_run *run,
 		     const struct rj_cell_unit *unit)
@@ -51,8 +63,7 @@
 	return run->task && !run->why && run->state != RJ_CELL_RUN_STOPPING &&
 	       run->state != RJ_CELL_RUN_INTENDED &&
 	       run->state != RJ_CELL_RUN_STARTING &&
-	       run->task->round->work->def->priority >
-		       unit->work->def->priority &&
+	       gives_way(run->task->round->work, unit) &&
 	       !rj_cell_task_step(run->task)->perpetual;
 }
 
@@ -72,7 +83,11 @@
 {
 	const struct rj_cell_step *step = rj_cell_task_step(run->task);
 
-	return loss_of(plan, run) * (step->gang ? step->task_count : 1);
+	uint64_t loss =
+		loss_of(plan, run) * (step->gang ? step->task_count : 1);
+
+	return run->task->round->work->def->priority ? loss :
+						       loss * URGENT_WEIGHT;
 }
 
 /* A run that may have to go, and what that loses. */
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -49,6 +49,7 @@
 	uint32_t used_percent; /* of the memory or accelerators of all */
 	GArray *units;
 	uint32_t promises; /* groups of others that have room promised */
+	GHashTable *needs; /* account -> accelerators of its urgent jobs */
 	GArray *misses; /* demands that found no room in this plan */
 };
 
--- a/src/libradishjunction/include/private/cell_work.h
+++ b/src/libradishjunction/include/private/cell_work.h
@@ -104,6 +104,7 @@
 	bool cancelled; /* asked for; its runs are being stopped */
 	bool dirty; /* has changes that are not stored */
 	bool started; /* some task has begun */
+	bool guaranteed; /* its account has a right to the room, as planned */
 	uint32_t rounds_begun;
 	uint32_t rounds_done;
 	struct rj_list rounds; /* begun and not done */
