--- a/src/libradishjunction/cell/cell_ends.c
+++ b/src/libradishjunction/cell/cell_ends.c
@@ -124,12 +124,6 @@
 	}
 }
 
-/* The first task of a gang stands for all of its members. */
-static struct rj_cell_task *gang_head(struct rj_cell_task *task)
-{
-	return task - task->index;
-}
-
 /* Whether nothing of an occurrence is listed by a worker any more. */
 static bool is_idle(const struct rj_cell_round *round)
 {
@@ -165,7 +159,7 @@
 static void note_done(struct rj_cell_owner *owner, struct rj_cell_task *task)
 {
 	const struct rj_cell_step *step = rj_cell_task_step(task);
-	struct rj_cell_task *first = step->gang ? gang_head(task) : task;
+	struct rj_cell_task *first = rj_cell_task_head(task);
 	uint32_t count = step->gang ? step->task_count : 1;
 
 	if (step->perpetual)
@@ -182,7 +176,7 @@
 static void note_saved(struct rj_cell_task *task, const char *saved)
 {
 	const struct rj_cell_step *step = rj_cell_task_step(task);
-	struct rj_cell_task *first = step->gang ? gang_head(task) : task;
+	struct rj_cell_task *first = rj_cell_task_head(task);
 	uint32_t count = step->gang ? step->task_count : 1;
 
 	if (!saved[0] || !step->checkpoints)
@@ -197,7 +191,7 @@
 			const struct rj_cell_run *run)
 {
 	const struct rj_cell_step *step = rj_cell_task_step(task);
-	struct rj_cell_task *head = step->gang ? gang_head(task) : task;
+	struct rj_cell_task *head = rj_cell_task_head(task);
 	struct rj_cell_work *work = task->round->work;
 
 	/* Members that fail in the same run are one failure of the gang. */
@@ -228,7 +222,7 @@
 /* The other members of a gang of which one has ended without success. */
 static void break_gang(struct rj_cell_owner *owner, struct rj_cell_task *task)
 {
-	struct rj_cell_task *head = gang_head(task);
+	struct rj_cell_task *head = rj_cell_task_head(task);
 
 	for (uint32_t i = 0; i < rj_cell_task_step(task)->task_count; i++)
 		stop_task(owner, &head[i], NULL, "gang_broken");
@@ -284,30 +278,17 @@
 }
 
 /*
- * An end of a run that is not noted at the worker: it was given up, or
- * never known. Work that has ended well counts all the same, unless it was
- * begun again.
- *
- * Guards against running a task again whose end was seen late: the worker
- * came back after the run was taken for lost. An end that is told to be
- * stored makes any later start of the task a second one.
+ * An end of a run that is not noted at the worker: it was given up when the
+ * worker's lease had lapsed, or never known. Whatever it says, it does not
+ * count: by then the task may run elsewhere, and an end from before a lapse
+ * is not taken to be noted by the worker's listing it again.
  */
 void rj_cell_ends_orphan(struct rj_cell_owner *owner,
 			 struct rj_cell_worker *worker,
 			 const struct rj_cell_end_row *row)
 {
-	struct rj_cell_task *task = rj_cell_owner_task(owner, row->name, NULL);
-
 	rj_note("orphan_end", RJ_NOTE_TEXT("task", row->name),
 		RJ_NOTE_NUMBER("run", row->number),
 		RJ_NOTE_TEXT("worker", worker->id),
 		RJ_NOTE_TEXT("end", rj_cell_end_string[row->end]));
-	if (!task || task->done || row->end != RJ_CELL_END_DONE ||
-	    rj_cell_task_step(task)->gang)
-		return;
-	note_done(owner, task);
-	owner->plan_wanted = true;
-	rj_cell_owner_dirty(owner, task->round->work);
-	if (!task->round->steps_left)
-		end_round(owner, task->round);
 }
--- a/src/libradishjunction/cell/cell_front.c
+++ b/src/libradishjunction/cell/cell_front.c
@@ -14,6 +14,9 @@
 /* When to come back to an instance that is cut off from the log: its health
  * check takes it out of rotation after two seconds. */
 #define AWAY_COME_BACK_MS 1000
+/* States are told from what was read so lately; the owner's heartbeats make
+ * reads return every 0.4 s. */
+#define STATE_AGE_MAX_US (1200 * RJ_US_PER_MS)
 /*
  * Keys are used while the configuration is known to be younger than this
  * part of what operators were promised; the rest covers a call's way to a
@@ -106,6 +109,7 @@
 
 	if (request->answered)
 		return;
+	assert(request->call);
 	request->answered = true;
 	rj_list_remove(&request->link);
 	front->open--;
@@ -246,7 +250,7 @@
 		return;
 	}
 	entry = known(request);
-	if (!entry && !reached)
+	if (!reached)
 		answer_plain(request, RJ_CELL_VERDICT_AWAY, "log_unread",
 			     AWAY_COME_BACK_MS);
 	else if (!entry)
@@ -333,6 +337,20 @@
 	answer(request, &what);
 }
 
+/*
+ * Whether what is known of a job may be told without reading the log.
+ *
+ * Guards against a state that goes back: a client that was told that its job
+ * has ended asks again, at an instance that has been cut off since before.
+ */
+static bool is_current(const struct rj_cell_front *front,
+		       const struct rj_cell_entry *entry)
+{
+	return entry->told.state >= RJ_CELL_JOB_COMPLETED ||
+	       rj_cell_follow_age_us(front->jobs, front->now_us) <
+		       STATE_AGE_MAX_US;
+}
+
 /* The call is allowed: do what it asks. */
 static void serve(struct request *request, const struct rj_cell_queue *queue)
 {
@@ -357,7 +375,7 @@
 	entry = known(request);
 	if (call->verb == RJ_CELL_VERB_SUBMIT)
 		submit(request, queue);
-	else if (!entry)
+	else if (!entry || !is_current(front, entry))
 		look_up(request);
 	else if (call->verb == RJ_CELL_VERB_CANCEL)
 		cancel_known(request, entry);
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -172,7 +172,9 @@
 /* Whether the newest ownership record is ours, of this life. */
 static bool is_ours(const struct rj_cell_node *node)
 {
+	/* A fenced owner may not have read yet who has taken over. */
 	return node->tenure.known && !node->tenure.record.leaving &&
+	       node->tenure.token > node->fenced_token &&
 	       node->tenure.record.incarnation == node->options.incarnation &&
 	       !strcmp(node->tenure.record.name, node->options.name);
 }
@@ -180,6 +182,7 @@
 /* Give the cell up. What was decided and not stored has not been shown. */
 static void step_down(struct rj_cell_node *node, const char *why)
 {
+	node->fenced_token = node->owner.token;
 	rj_cell_owner_resign(&node->owner, why);
 	rj_cell_follow_stop(&node->fleet);
 	node->jobs.pause_us = JOBS_PAUSE_US;
@@ -355,6 +358,7 @@
 	rj_cell_follow_tick(&node->fleet, now_us);
 	rj_cell_writer_tick(&node->writer, now_us);
 	rj_cell_front_tick(&node->front, now_us);
+	node->owner.read_us = node->jobs.confirmed_us;
 	rj_cell_owner_advance(&node->owner, now_us, wall_ms);
 	if (node->owner.lost)
 		step_down(node, "fenced");
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -64,7 +64,7 @@
 {
 	struct order_call *call = talloc_zero(owner->mem, struct order_call);
 
-	assert(call);
+	assert(call && worker);
 	call->owner = owner;
 	call->generation = owner->generation;
 	call->sent_us = owner->now_us;
@@ -118,22 +118,15 @@
 
 /* Every run of a worker has ended without a trace. */
 static void lose_runs(struct rj_cell_owner *owner,
-		      struct rj_cell_worker *worker, uint64_t but_incarnation,
-		      const char *why)
+		      struct rj_cell_worker *worker, const char *why)
 {
-	struct rj_list *at;
-	struct rj_list *next;
-
-	RJ_FOR_EACH (at, next, &worker->runs) {
-		struct rj_cell_run *run =
-			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
+	/* The end of one run may free others of its gang. */
+	while (worker->runs.next != &worker->runs) {
+		struct rj_cell_run *run = RJ_CONTAINER(
+			worker->runs.next, struct rj_cell_run, in_worker);
 
-		if (run->incarnation == but_incarnation)
-			continue;
 		run->why = why;
 		rj_cell_ends_run(owner, run, RJ_CELL_END_LOST, NULL);
-		/* The end of one run may have freed others of its gang. */
-		next = worker->runs.next;
 	}
 }
 
@@ -170,7 +163,7 @@
 			    struct rj_cell_worker *worker)
 {
 	set_answers(owner, worker, false, RJ_CELL_ORDER_OTHER);
-	lose_runs(owner, worker, 0, "worker_reborn");
+	lose_runs(owner, worker, "worker_reborn");
 }
 
 /*
@@ -345,7 +338,6 @@
 	run->worker = worker;
 	run->name = talloc_strdup(run, row->name);
 	run->number = row->number;
-	run->incarnation = worker->incarnation;
 	run->state = RJ_CELL_RUN_STOPPING;
 	run->why = "stray";
 	run->begun_us = owner->now_us;
@@ -460,7 +452,12 @@
 	}
 }
 
-/* A worker has answered with another incarnation, or for the first time. */
+/*
+ * A worker has answered with another incarnation, or for the first time. Its
+ * runs are not taken for lost by that alone: a start that was sent while the
+ * worker was away may have arrived in its new life, as orders name the worker
+ * and not its life. The lists that came with the answer tell.
+ */
 static void meet(struct rj_cell_owner *owner, struct rj_cell_worker *worker,
 		 const struct rj_cell_order_reply *reply)
 {
@@ -477,7 +474,6 @@
 	worker->lease_ms = worker->clock_ms + owner->terms.lease_max_ms;
 	worker->lapsed_us = 0;
 	rj_cell_worker_note_lease(worker, worker->lease_ms);
-	lose_runs(owner, worker, reply->incarnation, "worker_reborn");
 	owner->plan_wanted = true;
 }
 
@@ -563,10 +559,16 @@
 static void send_look(struct rj_cell_owner *owner,
 		      struct rj_cell_worker *worker)
 {
-	struct rj_cell_look look = { .token = owner->token,
-				     .seen = worker->seen };
+	struct rj_cell_look look = { .token = owner->token };
 	struct rj_cell_order_done done;
 
+	/*
+	 * Guards against ends that are forgotten unseen: a worker that went
+	 * silent may have been reborn, and its new life counts its ends from
+	 * one again. Until it has answered, nothing counts as seen.
+	 */
+	if (worker->answers)
+		look.seen = worker->seen;
 	if (worker->incarnation && worker->answers)
 		look.wait_ms = LOOK_WAIT_MS;
 	/*
@@ -619,7 +621,7 @@
 	rj_note("worker_lapsed", RJ_NOTE_TEXT("worker", worker->id),
 		RJ_NOTE_AGE_MS("answered_ms",
 			       owner->now_us - worker->answered_us));
-	lose_runs(owner, worker, 0, "lease_lapsed");
+	lose_runs(owner, worker, "lease_lapsed");
 }
 
 /*
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -25,6 +25,9 @@
  * runs there. The users' log is away for 9 s at most.
  */
 #define BLIND_US (10 * RJ_US_PER_S)
+/* Nothing starts by knowledge of the log that is older; the owner's own
+ * heartbeats make its reads return every 0.4 s. */
+#define READ_AGE_MAX_US (1500 * RJ_US_PER_MS)
 /* Ended jobs are looked through for those to be forgotten so often. */
 #define DROP_CHECK_US (5 * RJ_US_PER_S)
 /* A worker's clock may run so much slow. */
@@ -214,6 +217,12 @@
 	}
 	worker = rj_cell_fleet_obtain(&owner->fleet, id);
 	was_draining = worker->said.draining;
+	/* Another life: nothing is sent there until it has answered. */
+	if (worker->incarnation && heartbeat->incarnation &&
+	    worker->incarnation != heartbeat->incarnation) {
+		worker->answers = false;
+		worker->look_due_us = owner->now_us;
+	}
 	worker->said = *heartbeat;
 	if (!worker->listed || was_draining != heartbeat->draining) {
 		rj_note("worker_listed", RJ_NOTE_TEXT("worker", id),
@@ -260,6 +269,7 @@
 	owner->generation++;
 	owner->token = token;
 	owner->taken_us = now_us;
+	owner->read_us = now_us;
 	owner->now_us = now_us;
 	owner->wall_ms = wall_ms;
 	owner->writes_open = 0;
@@ -638,6 +648,17 @@
 	}
 }
 
+/*
+ * Whether new work may start.
+ *
+ * Guards against starting what was cancelled long ago: an owner that was cut
+ * off from the log can write it again before it has read what it missed.
+ */
+static bool may_start(const struct rj_cell_owner *owner)
+{
+	return owner->now_us <= owner->read_us + READ_AGE_MAX_US;
+}
+
 /*
  * Do all that is due: orders, plans, stores. To be called after each event
  * and every few milliseconds.
@@ -651,7 +672,7 @@
 	owner->wall_ms = wall_ms;
 	begin_rounds(owner);
 	if ((owner->plan_wanted || now_us >= owner->plan_due_us) &&
-	    !owner->writes_open &&
+	    !owner->writes_open && may_start(owner) &&
 	    now_us + PLAN_IDLE_US >= owner->plan_due_us + PLAN_PAUSE_US)
 		plan_work(owner);
 	if (!owner->writes_open && now_us >= owner->drop_due_us) {
--- a/src/libradishjunction/cell/cell_place.c
+++ b/src/libradishjunction/cell/cell_place.c
@@ -6,6 +6,7 @@
 
 /* Parts of how bad a fit is, from the least weight to the greatest. */
 #define BAD_MEMORY_BITS 32 /* of what would be left over, in MB */
+#define BAD_UNPROVEN_BIT 49 /* last failed, and so did the task */
 #define BAD_FAR_BIT 48 /* away from the task's data */
 #define BAD_KEPT_BIT 47 /* on the wrong side of what is kept */
 
@@ -76,19 +77,25 @@
  * How bad a fit is. Accelerators that would be left over come first, so that
  * small tasks fill workers that are in use already and whole workers stay
  * free for gangs; then memory, of which the large tasks need half a worker.
- * Data that is far away outweighs all, and urgent work goes to what is kept
- * for it before it takes other workers.
+ * Data that is far away outweighs these, and urgent work goes to what is kept
+ * for it before it takes other workers. A task that has failed goes, if it
+ * can, where the last run did not fail: a worker that fails all it starts has
+ * room again at once, and would use up the task's attempts.
  */
 static uint64_t badness(const struct rj_cell_room *room,
 			const struct rj_cell_unit *unit,
-			const struct rj_cell_step *step,
+			struct rj_cell_task *task,
 			const struct rj_cell_demand *have)
 {
+	const struct rj_cell_step *step = rj_cell_task_step(task);
 	uint64_t left = have->accelerators - step->each.accelerators;
 	bool far = step->rack[0] && strcmp(step->rack, room->worker->said.rack);
+	bool unproven =
+		room->worker->bad_streak && rj_cell_task_head(task)->failures;
 	bool wrong_side = room->kept != !unit->work->def->priority;
 
-	return ((uint64_t)far << BAD_FAR_BIT) |
+	return ((uint64_t)unproven << BAD_UNPROVEN_BIT) |
+	       ((uint64_t)far << BAD_FAR_BIT) |
 	       ((uint64_t)wrong_side << BAD_KEPT_BIT) |
 	       (left << BAD_MEMORY_BITS) |
 	       (have->memory_mb - step->each.memory_mb);
@@ -98,11 +105,11 @@
 static struct rj_cell_room *best_fit(struct rj_cell_plan *plan,
 				     struct rj_cell_trial *trial,
 				     const struct rj_cell_unit *unit,
-				     const struct rj_cell_task *task,
+				     struct rj_cell_task *task,
 				     const struct rj_cell_way *way)
 {
-	const struct rj_cell_step *step = rj_cell_task_step(task);
-	struct rj_cell_demand want = rj_cell_step_counted(step);
+	struct rj_cell_demand want =
+		rj_cell_step_counted(rj_cell_task_step(task));
 	struct rj_cell_room *best = NULL;
 	uint64_t best_badness = 0;
 
@@ -115,7 +122,7 @@
 		if (!rj_cell_demand_fits(&want, have) ||
 		    !rj_cell_place_may_run(plan, room, unit, task, way->rack))
 			continue;
-		bad = badness(room, unit, step, have);
+		bad = badness(room, unit, task, have);
 		if (best && bad >= best_badness)
 			continue;
 		best = room;
--- a/src/libradishjunction/cell/cell_reclaim.c
+++ b/src/libradishjunction/cell/cell_reclaim.c
@@ -77,7 +77,8 @@
 	return false;
 }
 
-/* The runs of a gang end together: what stopping one of them loses. */
+/* The runs of a gang end together: what stopping one of them loses. What
+ * has been stopped before counts more each time, so that it ends some day. */
 static uint64_t loss_with_gang(const struct rj_cell_plan *plan,
 			       const struct rj_cell_run *run)
 {
@@ -86,6 +87,7 @@
 	uint64_t loss =
 		loss_of(plan, run) * (step->gang ? step->task_count : 1);
 
+	loss *= 1 + run->task->losses;
 	return run->task->round->work->def->priority ? loss :
 						       loss * URGENT_WEIGHT;
 }
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -108,7 +108,6 @@
 					    table->index, run->worker)) -
 					    1);
 		rj_pack_number(out, run->number);
-		rj_pack_number(out, run->incarnation);
 	}
 }
 
@@ -228,8 +227,6 @@
 			in, "worker", workers->len ? workers->len - 1 : 0);
 		uint32_t number =
 			(uint32_t)rj_unpack_number(in, "number", UINT32_MAX);
-		uint64_t incarnation =
-			rj_unpack_number(in, "incarnation", UINT64_MAX);
 		struct rj_cell_run *run;
 
 		if (in->bad || place >= workers->len) {
@@ -237,7 +234,6 @@
 			return;
 		}
 		run = rj_cell_run_new(workers->pdata[place], task, number);
-		run->incarnation = incarnation;
 		run->state = RJ_CELL_RUN_PLACED;
 		/* The former owner's orders are fenced: what is not listed
 		 * from now on will never come. */
--- a/src/libradishjunction/cell/cell_work.c
+++ b/src/libradishjunction/cell/cell_work.c
@@ -131,6 +131,15 @@
 	return &task->round->work->def->steps[task->step];
 }
 
+/*
+ * The task that stands for `task` where failures are counted: of a gang, its
+ * first member.
+ */
+struct rj_cell_task *rj_cell_task_head(struct rj_cell_task *task)
+{
+	return rj_cell_task_step(task)->gang ? task - task->index : task;
+}
+
 /*
  * How workers list a task: job, occurrence, step and index.
  */
@@ -178,7 +187,6 @@
 	run->worker = worker;
 	run->task = task;
 	run->number = number;
-	run->incarnation = worker->incarnation;
 	run->held = rj_cell_step_counted(rj_cell_task_step(task));
 	rj_cell_task_name(task, name, sizeof(name));
 	run->name = talloc_strdup(run, name);
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -67,6 +67,7 @@
 	uint64_t drop_due_us; /* when ended jobs are looked through */
 	uint64_t beat_due_us;
 	uint32_t beat_number;
+	uint64_t read_us; /* all that was in the log then is known */
 	uint64_t now_us;
 	uint64_t wall_ms; /* since 1970 */
 	struct rj_cell_owner_counters counters;
--- a/src/libradishjunction/include/private/cell_work.h
+++ b/src/libradishjunction/include/private/cell_work.h
@@ -48,7 +48,6 @@
 	struct rj_cell_task *task; /* NULL: of a job that is not known */
 	char *name; /* as the worker lists it */
 	uint32_t number; /* rises with each start of the task */
-	uint64_t incarnation; /* of the worker that it was meant for */
 	enum rj_cell_run_state state;
 	struct rj_cell_demand held;
 	bool recording; /* its record is on its way into the log */
@@ -120,6 +119,7 @@
 					       uint64_t now_us);
 bool rj_cell_round_ready(const struct rj_cell_round *round, uint32_t step);
 void rj_cell_round_task_done(struct rj_cell_task *task);
+struct rj_cell_task *rj_cell_task_head(struct rj_cell_task *task);
 const struct rj_cell_step *rj_cell_task_step(const struct rj_cell_task *task);
 void rj_cell_task_name(const struct rj_cell_task *task, char *name,
 		       size_t size);
--- a/src/libradishjunction/include/private/note.h
+++ b/src/libradishjunction/include/private/note.h
@@ -24,9 +24,15 @@
 	const struct rj_note_field *fields;
 };
 
+/* A text that may be missing. */
+static inline const char *rj_note_or_empty(const char *text)
+{
+	return text ? text : "";
+}
+
 #define RJ_NOTE_TEXT(name_, text_)                \
 	((struct rj_note_field){ .name = (name_), \
-				 .text = (text_) ? (text_) : "" })
+				 .text = rj_note_or_empty(text_) })
 #define RJ_NOTE_NUMBER(name_, number_)            \
 	((struct rj_note_field){ .name = (name_), \
 				 .number = (int64_t)(number_) })
--- /dev/null
+++ b/src/test_libradishjunction/support/cell_fake_workers.c
@@ -0,0 +1,833 @@
+/*
+ * Workers as their contract says: leases on their own clock, fencing tokens,
+ * runs that are barred once stopped or ended, ends that are listed until they
+ * are seen, gangs that work only all together.
+ */
+#include <string.h>
+#include <talloc.h>
+
+#include "private/cell_workers.h"
+#include "support/cell_world.h"
+
+#define STEP_US (20 * MS)
+#define STOP_US (150 * MS)
+#define GANG_WAIT_US (3 * S)
+#define LEASE_MAX_MS 6000
+#define LATENCY_US (3 * MS)
+#define TIMEOUT_US (700 * MS)
+#define SAVE_EVERY_US (2 * S)
+#define HEARTBEAT_US (1500 * MS)
+/* A lost order is carried out between these. */
+#define LATE_MIN_MS 2000
+#define LATE_SPREAD_MS 6000
+
+/* One run on a worker. */
+struct cell_fake_run {
+	char *name;
+	uint32_t number;
+	char *gang; /* what its members share, or NULL */
+	uint32_t members;
+	uint64_t work_us; /* to be done */
+	uint64_t done_us;
+	uint64_t fails_at_us; /* of done_us; 0: never */
+	bool saves;
+	char saved[RJ_CELL_CHECKPOINT_BYTES];
+	uint64_t placed_us;
+	uint64_t stopped_us; /* when it is to be gone; 0: not stopped */
+	struct rj_cell_demand held;
+	bool unguarded; /* its job is not known to the world */
+};
+
+/* One end that is listed. */
+struct cell_fake_end {
+	uint64_t position;
+	char name[64];
+	uint32_t number;
+	enum rj_cell_end end;
+	char saved[RJ_CELL_CHECKPOINT_BYTES];
+	uint64_t ended_us;
+};
+
+enum order_kind {
+	ORDER_START,
+	ORDER_STOP,
+	ORDER_LOOK,
+};
+
+/* An order on its way. */
+struct order {
+	struct cell_world_node *node;
+	uint32_t life;
+	struct cell_fake_worker *worker;
+	uint64_t incarnation;
+	enum order_kind kind;
+	struct rj_cell_order_done done;
+	struct rj_cell_start start;
+	struct rj_cell_look look;
+	bool late; /* it is carried out, and nobody hears of it */
+	uint64_t until_us;
+	struct rj_cell_order_reply reply;
+};
+
+/*
+ * A run of a worker, as the checker needs it.
+ */
+struct cell_fake_row cell_fake_row_at(struct cell_fake_worker *worker,
+				      guint place)
+{
+	const struct cell_fake_run *run = worker->runs->pdata[place];
+
+	return (struct cell_fake_row){ run->name, run->held };
+}
+
+/* What the worker's clock shows. */
+static uint64_t clock_ms(const struct cell_world *world,
+			 const struct cell_fake_worker *worker)
+{
+	return 1000 + (uint64_t)((double)(world->now_us - worker->born_us) *
+				 worker->clock_rate / 1000.0);
+}
+
+/* The run of a name, or NULL. */
+static struct cell_fake_run *find_run(const struct cell_fake_worker *worker,
+				      const char *name)
+{
+	for (guint i = 0; i < worker->runs->len; i++) {
+		struct cell_fake_run *run = worker->runs->pdata[i];
+
+		if (!strcmp(run->name, name))
+			return run;
+	}
+	return NULL;
+}
+
+/* Whether the caller of an order can still hear. */
+static void deliver(void *data)
+{
+	struct order *order = data;
+	struct cell_world_node *node = order->node;
+
+	if (!cell_world_reaches(node, order->life)) {
+		talloc_free(order);
+		return;
+	}
+	if (node->paused_until_us > node->world->now_us) {
+		cell_world_at(node->world,
+			      node->paused_until_us - node->world->now_us + 1,
+			      deliver, order);
+		return;
+	}
+	cell_world_speak(node);
+	order->reply.now_us = node->world->now_us;
+	order->done.call(order->done.private_data, &order->reply);
+	rj_cell_node_advance(&node->node, node->world->now_us,
+			     cell_world_wall_ms(node->world));
+	talloc_free(order);
+}
+
+/* The order gets no answer. */
+static void lose(struct order *order)
+{
+	uint64_t wait_us =
+		order->kind == ORDER_LOOK ? order->look.wait_ms * MS : 0;
+
+	order->reply.status = RJ_CELL_ORDER_LOST;
+	cell_world_at(order->node->world, TIMEOUT_US + wait_us, deliver, order);
+}
+
+/* The answer is on its way back. */
+static void answer(struct order *order, enum rj_cell_order_status status)
+{
+	struct cell_world *world = order->node->world;
+
+	if (order->late) {
+		talloc_free(order);
+		return;
+	}
+	if (order->worker->cut[order->node->index]) {
+		lose(order);
+		return;
+	}
+	order->reply.status = status;
+	order->reply.clock_ms = clock_ms(world, order->worker);
+	order->reply.incarnation = order->worker->incarnation;
+	cell_world_at(world, LATENCY_US, deliver, order);
+}
+
+/* List the runs. */
+static void list_runs(struct order *order)
+{
+	struct cell_fake_worker *worker = order->worker;
+	struct rj_cell_row *rows =
+		talloc_zero_array(order, struct rj_cell_row, worker->runs->len);
+
+	for (guint i = 0; i < worker->runs->len; i++) {
+		struct cell_fake_run *run = worker->runs->pdata[i];
+
+		rows[i].name = talloc_strdup(order, run->name);
+		rows[i].number = run->number;
+		rows[i].saved = talloc_strdup(order, run->saved);
+		rows[i].percent =
+			(uint32_t)MIN(100, run->done_us * 100 / run->work_us);
+	}
+	order->reply.rows = rows;
+	order->reply.row_count = worker->runs->len;
+}
+
+/* List the ends. */
+static void list_ends(struct order *order)
+{
+	struct cell_fake_worker *worker = order->worker;
+	struct rj_cell_end_row *ends = talloc_zero_array(
+		order, struct rj_cell_end_row, worker->ends->len);
+
+	for (guint i = 0; i < worker->ends->len; i++) {
+		struct cell_fake_end *end =
+			&g_array_index(worker->ends, struct cell_fake_end, i);
+
+		ends[i].position = end->position;
+		ends[i].name = talloc_strdup(order, end->name);
+		ends[i].number = end->number;
+		ends[i].end = end->end;
+		ends[i].saved = talloc_strdup(order, end->saved);
+	}
+	order->reply.ends = ends;
+	order->reply.end_count = worker->ends->len;
+}
+
+/* Answer a look with both lists. */
+static void answer_look(struct order *order)
+{
+	list_runs(order);
+	list_ends(order);
+	answer(order, RJ_CELL_ORDER_OK);
+}
+
+/* Answer the looks that wait, as something has ended. */
+static void wake_looks(struct cell_fake_worker *worker)
+{
+	while (worker->looks->len) {
+		struct order *order = worker->looks->pdata[0];
+
+		g_ptr_array_remove_index(worker->looks, 0);
+		answer_look(order);
+	}
+}
+
+/* Bar a run of a name and all before it. */
+static void bar(struct cell_fake_worker *worker, const char *name,
+		uint32_t number)
+{
+	guint before =
+		GPOINTER_TO_UINT(g_hash_table_lookup(worker->barred, name));
+
+	if (number > before)
+		g_hash_table_insert(worker->barred, g_strdup(name),
+				    GUINT_TO_POINTER(number));
+}
+
+/* Free a run. */
+static void run_free(struct cell_fake_run *run)
+{
+	g_free(run->name);
+	g_free(run->gang);
+	g_free(run);
+}
+
+/* A run ends: it is listed until it is seen. */
+static void end_run(struct cell_world *world, struct cell_fake_worker *worker,
+		    struct cell_fake_run *run, enum rj_cell_end how)
+{
+	struct cell_fake_end end = { .position = ++worker->ends_count,
+				     .number = run->number,
+				     .end = how,
+				     .ended_us = world->now_us };
+
+	g_strlcpy(end.name, run->name, sizeof(end.name));
+	if (how == RJ_CELL_END_STOPPED && run->saves)
+		(void)g_snprintf(run->saved, sizeof(run->saved),
+				 "%016" G_GINT64_MODIFIER "x", run->done_us);
+	g_strlcpy(end.saved, run->saved, sizeof(end.saved));
+	g_array_append_val(worker->ends, end);
+	bar(worker, run->name, run->number);
+	if (how != RJ_CELL_END_DONE)
+		world->wasted_us += run->done_us;
+	cell_check_end(world, worker, run->name, run->number, how);
+	g_ptr_array_remove(worker->runs, run);
+	run_free(run);
+	wake_looks(worker);
+}
+
+/* The runs of a gang, on all workers. */
+static GPtrArray *gang_of(struct cell_world *world, const char *gang,
+			  GPtrArray *workers)
+{
+	GPtrArray *runs = g_ptr_array_new();
+
+	for (uint32_t i = 0; i < world->plan.workers; i++) {
+		struct cell_fake_worker *worker = &world->workers[i];
+
+		for (guint j = 0; j < worker->runs->len; j++) {
+			struct cell_fake_run *run = worker->runs->pdata[j];
+
+			if (!run->gang || strcmp(run->gang, gang) != 0)
+				continue;
+			g_ptr_array_add(runs, run);
+			if (workers)
+				g_ptr_array_add(workers, worker);
+		}
+	}
+	return runs;
+}
+
+/* Members of a gang end with the first that ends without success. */
+static void break_gang(struct cell_world *world, const char *gang)
+{
+	GPtrArray *workers = g_ptr_array_new();
+	GPtrArray *runs = gang_of(world, gang, workers);
+
+	for (guint i = 0; i < runs->len; i++)
+		end_run(world, workers->pdata[i], runs->pdata[i],
+			RJ_CELL_END_BROKEN);
+	g_ptr_array_free(runs, TRUE);
+	g_ptr_array_free(workers, TRUE);
+}
+
+/* A run ends, and with it its gang, unless that is through. */
+static void end_with_gang(struct cell_world *world,
+			  struct cell_fake_worker *worker,
+			  struct cell_fake_run *run, enum rj_cell_end how)
+{
+	char *gang = g_strdup(run->gang);
+
+	end_run(world, worker, run, how);
+	if (gang && how != RJ_CELL_END_DONE)
+		break_gang(world, gang);
+	g_free(gang);
+}
+
+/* Whether all members of a run's gang are there. */
+static bool is_complete(struct cell_world *world,
+			const struct cell_fake_run *run, bool *all_through)
+{
+	GPtrArray *runs;
+	bool complete;
+
+	*all_through = true;
+	if (!run->gang)
+		return true;
+	runs = gang_of(world, run->gang, NULL);
+	complete = runs->len >= run->members;
+	for (guint i = 0; i < runs->len; i++) {
+		const struct cell_fake_run *member = runs->pdata[i];
+
+		if (member->done_us < member->work_us)
+			*all_through = false;
+	}
+	g_ptr_array_free(runs, TRUE);
+	return complete;
+}
+
+/* All members of a gang are through: they end together. */
+static void end_gang(struct cell_world *world, struct cell_fake_run *run)
+{
+	GPtrArray *workers = g_ptr_array_new();
+	GPtrArray *runs = gang_of(world, run->gang, workers);
+
+	for (guint i = 0; i < runs->len; i++)
+		end_run(world, workers->pdata[i], runs->pdata[i],
+			RJ_CELL_END_DONE);
+	g_ptr_array_free(runs, TRUE);
+	g_ptr_array_free(workers, TRUE);
+}
+
+/* One run works on. Returns false when it has ended. */
+static bool step_run(struct cell_world *world, struct cell_fake_worker *worker,
+		     struct cell_fake_run *run)
+{
+	bool all_through;
+
+	if (run->stopped_us && world->now_us >= run->stopped_us) {
+		end_with_gang(world, worker, run, RJ_CELL_END_STOPPED);
+		return false;
+	}
+	if (clock_ms(world, worker) > worker->lease_ms) {
+		end_with_gang(world, worker, run, RJ_CELL_END_LAPSED);
+		return false;
+	}
+	if (!is_complete(world, run, &all_through)) {
+		if (world->now_us - run->placed_us < GANG_WAIT_US)
+			return true;
+		end_with_gang(world, worker, run, RJ_CELL_END_ALONE);
+		return false;
+	}
+	if (!worker->stands_still)
+		run->done_us += (uint64_t)(STEP_US * worker->speed);
+	if (run->saves && run->done_us / SAVE_EVERY_US)
+		(void)g_snprintf(run->saved, sizeof(run->saved),
+				 "%016" G_GINT64_MODIFIER "x",
+				 (uint64_t)(run->done_us / SAVE_EVERY_US *
+					    SAVE_EVERY_US));
+	if (run->fails_at_us && run->done_us >= run->fails_at_us) {
+		end_with_gang(world, worker, run, RJ_CELL_END_FAILED);
+		return false;
+	}
+	if (run->done_us < run->work_us)
+		return true;
+	if (run->gang && !all_through)
+		return true;
+	if (run->gang)
+		end_gang(world, run);
+	else
+		end_run(world, worker, run, RJ_CELL_END_DONE);
+	return false;
+}
+
+/* All workers work on, and looks that have waited long enough end. */
+static void step_all(void *data)
+{
+	struct cell_world *world = data;
+
+	for (uint32_t i = 0; i < world->plan.workers; i++) {
+		struct cell_fake_worker *worker = &world->workers[i];
+
+		if (worker->up && clock_ms(world, worker) > worker->lease_ms)
+			worker->lapsed_us = world->now_us;
+		for (guint j = 0; worker->up && j < worker->runs->len;) {
+			guint before = worker->runs->len;
+
+			if (step_run(world, worker, worker->runs->pdata[j]))
+				j++;
+			else if (worker->runs->len != before - 1)
+				j = 0; /* others of its gang went with it */
+		}
+		for (guint j = 0; j < worker->looks->len;) {
+			struct order *order = worker->looks->pdata[j];
+
+			if (world->now_us < order->until_us) {
+				j++;
+				continue;
+			}
+			g_ptr_array_remove_index(worker->looks, j);
+			answer_look(order);
+		}
+	}
+	cell_world_at(world, STEP_US, step_all, world);
+}
+
+/* A worker shows in the log that it lives. */
+static void beat(void *data)
+{
+	struct cell_fake_worker *worker = data;
+	struct cell_world *world =
+		(struct cell_world *)(void *)((char *)(worker - worker->index) -
+					      offsetof(struct cell_world,
+						       workers));
+
+	if (worker->up && !worker->cut_from_log) {
+		worker->listed = true;
+		cell_log_put(world, RJ_CELL_TOPIC_WORKERS, worker->id,
+			     &worker->said, sizeof(worker->said));
+	} else if (worker->listed) {
+		worker->listed = false;
+		cell_log_put(world, RJ_CELL_TOPIC_WORKERS, worker->id, NULL, 0);
+	}
+	cell_world_at(world, HEARTBEAT_US, beat, worker);
+}
+
+/* A run of a start that is accepted. */
+static void begin_run(struct cell_world *world, struct cell_fake_worker *worker,
+		      const struct rj_cell_start *start)
+{
+	struct cell_fake_run *run = g_new0(struct cell_fake_run, 1);
+	const struct rj_cell_step *step = NULL;
+	struct cell_client_job *job;
+	uint32_t step_number = 0;
+	uint32_t index = 0;
+
+	run->name = g_strdup(start->name);
+	run->number = start->number;
+	run->placed_us = world->now_us;
+	job = cell_check_job(world, start->name, &step_number, &index);
+	run->work_us = job ? job->work_us : S;
+	if (job) {
+		step = &job->def->steps[step_number];
+		run->held = step->each;
+		run->saves = step->checkpoints;
+		if (start->number <= job->fail_times)
+			run->fails_at_us = run->work_us / 2;
+	}
+	if (worker->fails_all)
+		run->fails_at_us = 100 * MS;
+	if (step && step->gang) {
+		char *dot = strrchr(run->name, '.');
+
+		run->gang = g_strdup_printf("%.*s/%u", (int)(dot - run->name),
+					    run->name, run->number);
+		run->members = step->task_count;
+	}
+	g_strlcpy(run->saved, start->checkpoint, sizeof(run->saved));
+	run->done_us = g_ascii_strtoull(start->checkpoint, NULL, 16);
+	g_ptr_array_add(worker->runs, run);
+}
+
+/* Whether a start does not fit a worker that guards its room. */
+static bool is_full(struct cell_world *world, struct cell_fake_worker *worker,
+		    const char *name)
+{
+	struct rj_cell_demand left = worker->said.capacity;
+	struct cell_client_job *job;
+	uint32_t step = 0;
+	uint32_t index = 0;
+
+	job = cell_check_job(world, name, &step, &index);
+	if (!world->plan.guarded || !job)
+		return false;
+	for (guint i = 0; i < worker->runs->len; i++)
+		rj_cell_demand_take(
+			&left, &((struct cell_fake_run *)worker->runs->pdata[i])
+					->held);
+	return !rj_cell_demand_fits(&job->def->steps[step].each, &left);
+}
+
+/* A start arrives. */
+static enum rj_cell_order_status do_start(struct cell_world *world,
+					  struct order *order)
+{
+	struct cell_fake_worker *worker = order->worker;
+	const struct rj_cell_start *start = &order->start;
+	struct cell_fake_run *run = find_run(worker, start->name);
+	uint64_t longest_ms = clock_ms(world, worker) + LEASE_MAX_MS;
+
+	if (worker->refuses)
+		return RJ_CELL_ORDER_SICK;
+	if (start->token < worker->token)
+		return RJ_CELL_ORDER_FENCED;
+	worker->token = start->token;
+	if (clock_ms(world, worker) > start->deadline_ms)
+		return RJ_CELL_ORDER_LATE;
+	worker->lease_ms =
+		MAX(worker->lease_ms, MIN(start->deadline_ms, longest_ms));
+	if (run && run->number == start->number)
+		return RJ_CELL_ORDER_OK;
+	if (GPOINTER_TO_UINT(g_hash_table_lookup(
+		    worker->barred, start->name)) >= start->number ||
+	    run)
+		return RJ_CELL_ORDER_OLD;
+	if (is_full(world, worker, start->name))
+		return RJ_CELL_ORDER_FULL;
+	cell_check_start(world, worker, start);
+	begin_run(world, worker, start);
+	return RJ_CELL_ORDER_OK;
+}
+
+/* A stop arrives. */
+static enum rj_cell_order_status do_stop(struct cell_world *world,
+					 struct order *order)
+{
+	struct cell_fake_worker *worker = order->worker;
+	struct cell_fake_run *run = find_run(worker, order->start.name);
+
+	if (order->start.token < worker->token)
+		return RJ_CELL_ORDER_FENCED;
+	worker->token = order->start.token;
+	bar(worker, order->start.name, order->start.number);
+	if (run && run->number == order->start.number && !run->stopped_us)
+		run->stopped_us = world->now_us + STOP_US;
+	return RJ_CELL_ORDER_OK;
+}
+
+/* Ends that have been seen are forgotten. */
+static void forget_ends(struct cell_world *world,
+			struct cell_fake_worker *worker, uint64_t seen)
+{
+	while (worker->ends->len) {
+		struct cell_fake_end *end =
+			&g_array_index(worker->ends, struct cell_fake_end, 0);
+
+		if (end->position > seen)
+			break;
+		/* What ended before a lease lapsed is not noted by this. */
+		if (worker->lapsed_us < end->ended_us)
+			cell_check_seen(world, worker, end->name, end->number,
+					end->end);
+		g_array_remove_index(worker->ends, 0);
+	}
+}
+
+/* A look arrives: it may wait for an end. */
+static void do_look(struct cell_world *world, struct order *order)
+{
+	struct cell_fake_worker *worker = order->worker;
+	const struct rj_cell_look *look = &order->look;
+	uint64_t longest_ms = clock_ms(world, worker) + LEASE_MAX_MS;
+
+	if (look->token < worker->token) {
+		answer(order, RJ_CELL_ORDER_FENCED);
+		return;
+	}
+	worker->token = look->token;
+	if (look->deadline_ms)
+		worker->lease_ms = MAX(worker->lease_ms,
+				       MIN(look->deadline_ms, longest_ms));
+	forget_ends(world, worker, look->seen);
+	if (!look->wait_ms || worker->ends->len || order->late) {
+		answer_look(order);
+		return;
+	}
+	order->until_us = world->now_us + look->wait_ms * MS;
+	g_ptr_array_add(worker->looks, order);
+}
+
+/* An order arrives at the worker. */
+static void arrive(void *data)
+{
+	struct order *order = data;
+	struct cell_world *world = order->node->world;
+	struct cell_fake_worker *worker = order->worker;
+
+	if (!worker->up) {
+		if (order->late) {
+			talloc_free(order);
+			return;
+		}
+		order->reply.status = RJ_CELL_ORDER_UNSENT;
+		cell_world_at(world, LATENCY_US, deliver, order);
+		return;
+	}
+	if (worker->cut[order->node->index] && !order->late) {
+		lose(order);
+		return;
+	}
+	if (order->incarnation && order->incarnation != worker->incarnation) {
+		answer(order, RJ_CELL_ORDER_OTHER);
+		return;
+	}
+	if (order->kind == ORDER_START)
+		answer(order, do_start(world, order));
+	else if (order->kind == ORDER_STOP)
+		answer(order, do_stop(world, order));
+	else
+		do_look(world, order);
+}
+
+/* Send an order; some are carried out late, and never answered. */
+static void send(struct order *order)
+{
+	struct cell_world *world = order->node->world;
+	struct cell_fake_worker *worker = order->worker;
+
+	if (order->kind != ORDER_LOOK && worker->leave_percent &&
+	    cell_world_random(world, 100) < worker->leave_percent) {
+		struct order *late =
+			talloc_memdup(world->mem, order, sizeof(*order));
+
+		late->late = true;
+		/* No order reaches another life than it was sent to late. */
+		late->incarnation = worker->incarnation;
+		late->start.name = talloc_strdup(late, order->start.name);
+		late->start.checkpoint = talloc_strdup(
+			late,
+			order->start.checkpoint ? order->start.checkpoint : "");
+		cell_world_at(world,
+			      (LATE_MIN_MS +
+			       cell_world_random(world, LATE_SPREAD_MS)) *
+				      MS,
+			      arrive, late);
+		lose(order);
+		return;
+	}
+	cell_world_at(world, LATENCY_US, arrive, order);
+}
+
+/* Remember one order. */
+static struct order *order_new(struct rj_cell_workers *workers,
+			       const struct rj_cell_worker *worker,
+			       enum order_kind kind,
+			       struct rj_cell_order_done done)
+{
+	struct cell_world_node *node =
+		RJ_CONTAINER(workers, struct cell_world_node, workers);
+	struct cell_world *world = node->world;
+	struct order *order = talloc_zero(world->mem, struct order);
+
+	order->node = node;
+	order->life = node->life;
+	order->kind = kind;
+	order->done = done;
+	for (uint32_t i = 0; i < world->plan.workers; i++)
+		if (!strcmp(world->workers[i].id, worker->id))
+			order->worker = &world->workers[i];
+	g_assert(order->worker);
+	return order;
+}
+
+/* A node orders a start. */
+static void workers_start(struct rj_cell_workers *workers,
+			  const struct rj_cell_worker *worker,
+			  const struct rj_cell_start *start,
+			  struct rj_cell_order_done done)
+{
+	struct order *order = order_new(workers, worker, ORDER_START, done);
+
+	order->start = *start;
+	order->start.name = talloc_strdup(order, start->name);
+	order->start.spec = "";
+	order->start.checkpoint = talloc_strdup(order, start->checkpoint);
+	send(order);
+}
+
+/* A node orders a stop. */
+static void workers_stop(struct rj_cell_workers *workers,
+			 const struct rj_cell_worker *worker, const char *name,
+			 uint32_t number, uint64_t token,
+			 struct rj_cell_order_done done)
+{
+	struct order *order = order_new(workers, worker, ORDER_STOP, done);
+
+	order->start.name = talloc_strdup(order, name);
+	order->start.number = number;
+	order->start.token = token;
+	send(order);
+}
+
+/* A node asks for the lists. */
+static void workers_look(struct rj_cell_workers *workers,
+			 const struct rj_cell_worker *worker,
+			 const struct rj_cell_look *look,
+			 struct rj_cell_order_done done)
+{
+	struct order *order = order_new(workers, worker, ORDER_LOOK, done);
+
+	order->look = *look;
+	send(order);
+}
+
+const struct rj_cell_workers_ops cell_workers_ops = {
+	.start = workers_start,
+	.stop = workers_stop,
+	.look = workers_look,
+};
+
+/* Begin a life of a worker. */
+static void be_born(struct cell_world *world, struct cell_fake_worker *worker)
+{
+	worker->up = true;
+	worker->born_us = world->now_us;
+	worker->incarnation = 1000 + world->now_us + worker->index;
+	worker->said.incarnation = worker->incarnation;
+	worker->token = 0;
+	worker->lease_ms = 0;
+	worker->ends_count = 0;
+}
+
+/*
+ * Make all workers; their racks and speeds follow from their place.
+ */
+void cell_workers_init(struct cell_world *world)
+{
+	static const double speeds[] = { 1.0, 0.8, 1.25 };
+
+	for (uint32_t i = 0; i < world->plan.workers; i++) {
+		struct cell_fake_worker *worker = &world->workers[i];
+
+		worker->index = i;
+		(void)g_snprintf(worker->id, sizeof(worker->id), "w%02u", i);
+		g_strlcpy(worker->said.service, "render", RJ_NAME_BYTES);
+		g_strlcpy(worker->said.kind, "a", RJ_NAME_BYTES);
+		(void)g_snprintf(worker->said.rack, RJ_NAME_BYTES, "r%u",
+				 i / world->plan.rack_workers);
+		worker->said.address.port = (uint16_t)(1000 + i);
+		worker->said.capacity = world->plan.capacity;
+		worker->speed = speeds[i % G_N_ELEMENTS(speeds)];
+		worker->clock_rate = i % 2 ? 1.0 : 0.98;
+		worker->runs = g_ptr_array_new();
+		worker->ends =
+			g_array_new(FALSE, FALSE, sizeof(struct cell_fake_end));
+		worker->barred = g_hash_table_new_full(g_str_hash, g_str_equal,
+						       g_free, NULL);
+		worker->looks = g_ptr_array_new();
+		be_born(world, worker);
+		cell_world_at(world, i * MS, beat, worker);
+	}
+	cell_world_at(world, STEP_US, step_all, world);
+}
+
+/* All runs of a worker end unseen. */
+static void drop_runs(struct cell_world *world, struct cell_fake_worker *worker)
+{
+	while (worker->runs->len) {
+		struct cell_fake_run *run = worker->runs->pdata[0];
+		char *gang = g_strdup(run->gang);
+
+		cell_check_end(world, worker, run->name, run->number,
+			       RJ_CELL_END_LOST);
+		world->wasted_us += run->done_us;
+		g_ptr_array_remove_index(worker->runs, 0);
+		run_free(run);
+		if (gang)
+			break_gang(world, gang);
+		g_free(gang);
+	}
+	g_array_set_size(worker->ends, 0);
+	g_hash_table_remove_all(worker->barred);
+}
+
+/*
+ * A worker crashes: nothing runs there any more, and nobody is told.
+ */
+void cell_world_worker_kill(struct cell_world *world, uint32_t index)
+{
+	struct cell_fake_worker *worker = &world->workers[index];
+
+	if (!worker->up)
+		return;
+	worker->up = false;
+	while (worker->looks->len) {
+		struct order *order = worker->looks->pdata[0];
+
+		g_ptr_array_remove_index(worker->looks, 0);
+		lose(order);
+	}
+	drop_runs(world, worker);
+}
+
+/*
+ * A worker starts again, under its old id, with another incarnation.
+ */
+void cell_world_worker_start(struct cell_world *world, uint32_t index)
+{
+	struct cell_fake_worker *worker = &world->workers[index];
+
+	if (!worker->up)
+		be_born(world, worker);
+}
+
+/*
+ * A worker is cut off from all nodes and from the log, or is back.
+ */
+void cell_world_worker_cut(struct cell_world *world, uint32_t index, bool cut)
+{
+	for (uint32_t i = 0; i < world->plan.nodes; i++)
+		world->workers[index].cut[i] = cut;
+	world->workers[index].cut_from_log = cut;
+}
+
+/*
+ * Free all workers.
+ */
+void cell_workers_finish(struct cell_world *world)
+{
+	for (uint32_t i = 0; i < world->plan.workers; i++) {
+		struct cell_fake_worker *worker = &world->workers[i];
+
+		while (worker->runs->len) {
+			run_free(worker->runs->pdata[0]);
+			g_ptr_array_remove_index(worker->runs, 0);
+		}
+		g_ptr_array_free(worker->runs, TRUE);
+		g_array_free(worker->ends, TRUE);
+		g_hash_table_destroy(worker->barred);
+		g_ptr_array_free(worker->looks, TRUE);
+	}
+}
--- /dev/null
+++ b/src/test_libradishjunction/support/cell_faults.h
@@ -0,0 +1,23 @@
+/*
+ * Seeded days of trouble in a cell_world: random jobs, random strikes that
+ * overlap, then calm, then judgement. One call plays one day.
+ */
+#ifndef TEST_SUPPORT_CELL_FAULTS_H
+#define TEST_SUPPORT_CELL_FAULTS_H
+
+#include "support/cell_world.h"
+
+struct cell_fault_result {
+	uint32_t jobs;
+	uint32_t accepted;
+	uint32_t completed;
+	uint32_t strikes;
+	uint64_t starts;
+	uint32_t violations;
+	char *first; /* text of the first violation, or NULL; g_free */
+};
+
+void cell_faults_play(uint64_t seed, bool trace,
+		      struct cell_fault_result *result);
+
+#endif
--- /dev/null
+++ b/src/test_libradishjunction/support/cell_world.h
@@ -0,0 +1,210 @@
+/*
+ * A whole site in virtual time: nodes of the real code over a fake log and
+ * fake workers that speak the platform's contracts, with a checker of the
+ * users' rules.
+ *
+ * Life cycle: `cell_world_init` with a plan of the site, then calls that run
+ * time on, strike, or speak as a client; `cell_world_finish` frees all. The
+ * same seed gives the same run.
+ */
+#ifndef TEST_SUPPORT_CELL_WORLD_H
+#define TEST_SUPPORT_CELL_WORLD_H
+
+#include <glib.h>
+
+#include "private/cell_node.h"
+
+#define CELL_WORLD_NODES_MAX 16
+#define CELL_WORLD_WORKERS_MAX 64
+#define MS RJ_US_PER_MS
+#define S RJ_US_PER_S
+
+struct cell_world;
+
+/* What a client was told last of a job it has handed in. */
+struct cell_client_job {
+	char id[RJ_CELL_ID_BYTES];
+	struct rj_cell_def *def;
+	uint32_t tries;
+	uint32_t refusals; /* answers that say "not accepted" */
+	bool accepted;
+	bool cancel_sent;
+	bool cancelled; /* the wish was acknowledged */
+	uint64_t cancelled_us;
+	enum rj_cell_job_state shown;
+	bool has_shown;
+	bool gone; /* "no such job" was said of it */
+	uint64_t sent_us;
+	uint64_t accepted_us;
+	uint64_t begun_us; /* when all tasks of the first step had begun */
+	uint64_t ended_us; /* when it was shown to have ended */
+	/* how the fake workers treat its tasks */
+	uint64_t work_us; /* of each task */
+	uint32_t fail_times; /* the first runs of each task fail */
+	GHashTable *tasks; /* name -> struct cell_task_log, by the checker */
+};
+
+/* How the log treats the calls of a node. */
+enum cell_log_mode {
+	CELL_LOG_OK,
+	CELL_LOG_REFUSES,
+	CELL_LOG_SILENT,
+};
+
+struct cell_log_record {
+	char *key;
+	GBytes *value; /* NULL: dropped */
+};
+
+struct cell_log {
+	GPtrArray *records[RJ_CELL_TOPIC_COUNT];
+	GHashTable *producers; /* name -> struct producer */
+	uint64_t latency_us;
+	uint32_t lose_percent; /* appends done and not answered */
+	uint64_t late_us; /* lost appends are done so much later; 0: at once */
+	enum cell_log_mode modes[CELL_WORLD_NODES_MAX];
+	uint64_t first_kept[RJ_CELL_TOPIC_COUNT]; /* older records are gone */
+	uint64_t appends;
+	uint64_t reads;
+};
+
+/* A row of a worker's list of runs. */
+struct cell_fake_row {
+	const char *name;
+	struct rj_cell_demand held;
+};
+
+/* One fake worker. */
+struct cell_fake_worker {
+	uint32_t index;
+	char id[RJ_NAME_BYTES];
+	struct rj_cell_heartbeat said;
+	bool up;
+	bool listed;
+	bool cut[CELL_WORLD_NODES_MAX]; /* its calls get no answer */
+	bool cut_from_log; /* its entry lapses, it runs on */
+	bool refuses; /* starts: it says it is not well */
+	bool fails_all;
+	bool stands_still;
+	uint32_t leave_percent; /* orders done late and not answered */
+	double speed;
+	double clock_rate;
+	uint64_t born_us;
+	uint64_t incarnation;
+	uint64_t token;
+	uint64_t lease_ms;
+	uint64_t lapsed_us; /* when its lease was last found to have lapsed */
+	GPtrArray *runs; /* struct cell_fake_run */
+	GArray *ends; /* struct cell_fake_end */
+	uint64_t ends_count;
+	GHashTable *barred; /* name -> highest run that ended or was stopped */
+	GPtrArray *looks; /* struct cell_fake_look that wait */
+};
+
+struct cell_world_node {
+	struct rj_cell_store store; /* first member: found from the vtable */
+	struct rj_cell_workers workers;
+	struct cell_world *world;
+	uint32_t index;
+	uint32_t life;
+	bool up;
+	uint64_t paused_until_us;
+	void *mem;
+	struct rj_cell_node node;
+};
+
+struct cell_world_plan {
+	uint64_t seed;
+	uint32_t nodes;
+	uint32_t workers;
+	uint32_t rack_workers;
+	struct rj_cell_demand capacity;
+	bool guarded;
+	uint32_t guaranteed; /* accelerators of each account */
+};
+
+struct cell_world {
+	struct cell_world_plan plan;
+	void *mem;
+	uint64_t now_us;
+	uint64_t random;
+	uint64_t sequence; /* of events */
+	GSequence *events;
+	struct cell_log log;
+	struct cell_fake_worker workers[CELL_WORLD_WORKERS_MAX];
+	struct cell_world_node nodes[CELL_WORLD_NODES_MAX];
+	GHashTable *jobs; /* id -> struct cell_client_job */
+	GPtrArray *job_list;
+	uint32_t job_count;
+	uint64_t config_version;
+	const char *key; /* of the account, in the newest configuration */
+	GPtrArray *violations; /* texts */
+	uint64_t starts;
+	uint64_t wasted_us; /* of runs that ended otherwise than done */
+};
+
+/* Print every note of a world, with its time and node. */
+void cell_world_trace(struct cell_world *world);
+void cell_world_speak(struct cell_world_node *node);
+void cell_world_init(struct cell_world *world,
+		     const struct cell_world_plan *plan);
+void cell_world_finish(struct cell_world *world);
+void cell_world_run(struct cell_world *world, uint64_t for_us);
+void cell_world_at(struct cell_world *world, uint64_t delay_us,
+		   void (*call)(void *), void *data);
+uint32_t cell_world_random(struct cell_world *world, uint32_t below);
+
+/* Clients. */
+struct rj_cell_step cell_world_step(uint32_t tasks, uint32_t accelerators,
+				    uint32_t estimate_ms);
+struct cell_client_job *cell_world_job(struct cell_world *world,
+				       const char *queue, const char *account,
+				       const struct rj_cell_step *steps,
+				       uint32_t step_count, uint64_t work_us);
+void cell_world_submit(struct cell_world *world, uint32_t node,
+		       struct cell_client_job *job);
+void cell_world_ask(struct cell_world *world, uint32_t node,
+		    struct cell_client_job *job);
+void cell_world_cancel(struct cell_world *world, uint32_t node,
+		       struct cell_client_job *job);
+
+/* Strikes. */
+void cell_world_kill(struct cell_world *world, uint32_t node);
+void cell_world_start(struct cell_world *world, uint32_t node);
+void cell_world_pause(struct cell_world *world, uint32_t node, uint64_t for_us);
+int cell_world_owner(const struct cell_world *world);
+void cell_world_publish(struct cell_world *world, const char *key);
+void cell_world_worker_kill(struct cell_world *world, uint32_t worker);
+void cell_world_worker_start(struct cell_world *world, uint32_t worker);
+void cell_world_worker_cut(struct cell_world *world, uint32_t worker, bool cut);
+
+/* Judgement. */
+void cell_world_violation(struct cell_world *world, const char *format, ...)
+	G_GNUC_PRINTF(2, 3);
+void cell_world_check_end(struct cell_world *world);
+
+/* Between the files of the world. */
+struct cell_world_event;
+void cell_log_init(struct cell_world *world);
+void cell_log_finish(struct cell_world *world);
+void cell_log_put(struct cell_world *world, enum rj_cell_topic topic,
+		  const char *key, const void *value, size_t length);
+extern const struct rj_cell_store_ops cell_log_ops;
+void cell_workers_init(struct cell_world *world);
+void cell_workers_finish(struct cell_world *world);
+extern const struct rj_cell_workers_ops cell_workers_ops;
+struct cell_fake_row cell_fake_row_at(struct cell_fake_worker *worker,
+				      guint place);
+bool cell_world_reaches(const struct cell_world_node *node, uint32_t life);
+uint64_t cell_world_wall_ms(const struct cell_world *world);
+void cell_check_start(struct cell_world *world, struct cell_fake_worker *worker,
+		      const struct rj_cell_start *start);
+void cell_check_end(struct cell_world *world, struct cell_fake_worker *worker,
+		    const char *name, uint32_t run, enum rj_cell_end end);
+void cell_check_seen(struct cell_world *world, struct cell_fake_worker *worker,
+		     const char *name, uint32_t run, enum rj_cell_end end);
+struct cell_client_job *cell_check_job(struct cell_world *world,
+				       const char *name, uint32_t *step,
+				       uint32_t *index);
+
+#endif
--- /dev/null
+++ b/src/test_libradishjunction/test_cell_faults.c
@@ -0,0 +1,66 @@
+/*
+ * The users' rules under seeded trouble in virtual time. With arguments
+ * `--seeds N --from K` more days can be played by hand, and `--trace K`
+ * prints what the nodes of one noted.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "support/cell_faults.h"
+
+#define SEEDS 60
+
+/* Play some days; returns how many broke a rule. */
+static uint32_t play(uint64_t from, uint64_t count, bool verbose)
+{
+	uint32_t broken = 0;
+	uint64_t accepted = 0;
+	uint64_t completed = 0;
+
+	for (uint64_t seed = from; seed < from + count; seed++) {
+		struct cell_fault_result result;
+
+		cell_faults_play(seed, false, &result);
+		accepted += result.accepted;
+		completed += result.completed;
+		if (result.violations) {
+			broken++;
+			printf("# seed %" G_GUINT64_FORMAT ": %u: %s\n", seed,
+			       result.violations, result.first);
+		}
+		g_free(result.first);
+	}
+	if (verbose)
+		printf("{\"seeds\":%" G_GUINT64_FORMAT ",\"broken\":%u,"
+		       "\"accepted\":%" G_GUINT64_FORMAT
+		       ",\"completed\":%" G_GUINT64_FORMAT "}\n",
+		       count, broken, accepted, completed);
+	/* A day on which nothing is served proves nothing. */
+	g_assert_cmpuint(completed, >, accepted / 2);
+	return broken;
+}
+
+/* No seed of the short run breaks a rule. */
+static void test_short_run(void)
+{
+	g_assert_cmpuint(play(1, SEEDS, false), ==, 0);
+}
+
+int main(int argc, char **argv)
+{
+	if (argc == 5 && !strcmp(argv[1], "--seeds"))
+		return play(strtoull(argv[4], NULL, 10),
+			    strtoull(argv[2], NULL, 10), true) != 0;
+	if (argc == 3 && !strcmp(argv[1], "--trace")) {
+		struct cell_fault_result result;
+
+		cell_faults_play(strtoull(argv[2], NULL, 10), true, &result);
+		printf("%u: %s\n", result.violations,
+		       result.first ? result.first : "");
+		return result.violations != 0;
+	}
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/cell_faults/short", test_short_run);
+	return g_test_run();
+}
--- /dev/null
+++ b/src/test_libradishjunction/test_cell_path.c
@@ -0,0 +1,204 @@
+/*
+ * The whole path over fakes in virtual time: submit, place, run, store, show.
+ */
+#include <string.h>
+#include <talloc.h>
+
+#include "support/cell_world.h"
+
+/* Twelve workers of eight accelerators in three racks, three nodes. */
+static const struct cell_world_plan small = {
+	.seed = 1,
+	.nodes = 3,
+	.workers = 12,
+	.rack_workers = 4,
+	.capacity = { 64000, 64000, 8 },
+	.guaranteed = 32,
+};
+
+struct fixture {
+	struct cell_world world;
+};
+
+static void setup(struct fixture *f, const void *data)
+{
+	cell_world_init(&f->world, &small);
+	cell_world_run(&f->world, 3 * S);
+	g_assert_cmpint(cell_world_owner(&f->world), >=, 0);
+}
+
+static void teardown(struct fixture *f, const void *data)
+{
+	for (guint i = 0; i < f->world.violations->len; i++)
+		g_test_message("%s", (char *)f->world.violations->pdata[i]);
+	g_assert_cmpuint(f->world.violations->len, ==, 0);
+	cell_world_finish(&f->world);
+}
+
+/* Let time pass while a client asks for each job now and then. */
+static void follow(struct cell_world *world, uint64_t for_us)
+{
+	for (uint64_t ran_us = 0; ran_us < for_us; ran_us += 200 * MS) {
+		cell_world_run(world, 200 * MS);
+		for (guint i = 0; i < world->job_list->len; i++)
+			cell_world_ask(world, (i + 1) % world->plan.nodes,
+				       world->job_list->pdata[i]);
+	}
+}
+
+/* A job of two steps is accepted in milliseconds, ends, and is shown so at an
+ * instance that did not take it. */
+static void test_a_job_runs(struct fixture *f, const void *data)
+{
+	uint32_t first = 0;
+	struct rj_cell_step steps[2] = { cell_world_step(4, 1, 1000),
+					 cell_world_step(2, 2, 1000) };
+	struct cell_client_job *job;
+
+	steps[1].after = &first;
+	steps[1].after_count = 1;
+	job = cell_world_job(&f->world, "normal", "a", steps, 2, S);
+	cell_world_submit(&f->world, 0, job);
+	cell_world_run(&f->world, 50 * MS);
+	g_assert_true(job->accepted);
+	follow(&f->world, 6 * S);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
+	cell_world_check_end(&f->world);
+}
+
+/* A gang over two workers of a rack works together and ends as one. */
+static void test_a_gang_runs(struct fixture *f, const void *data)
+{
+	struct rj_cell_step step = cell_world_step(3, 8, 1000);
+	struct cell_client_job *job;
+
+	step.gang = true;
+	step.one_rack = true;
+	job = cell_world_job(&f->world, "urgent", "a", &step, 1, 2 * S);
+	cell_world_submit(&f->world, 1, job);
+	follow(&f->world, 5 * S);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
+	g_assert_cmpuint(f->world.starts, ==, 3);
+	cell_world_check_end(&f->world);
+}
+
+/* What is cancelled stops, and is shown so. */
+static void test_a_cancelled_job_stops(struct fixture *f, const void *data)
+{
+	struct rj_cell_step step = cell_world_step(4, 1, 1000);
+	struct cell_client_job *job =
+		cell_world_job(&f->world, "bulk", "a", &step, 1, 60 * S);
+
+	cell_world_submit(&f->world, 0, job);
+	follow(&f->world, S);
+	cell_world_cancel(&f->world, 2, job);
+	follow(&f->world, 2 * S);
+	g_assert_true(job->cancelled);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_CANCELLED);
+	for (uint32_t i = 0; i < small.workers; i++)
+		g_assert_cmpuint(f->world.workers[i].runs->len, ==, 0);
+}
+
+/* A job whose tasks fail three times ends on the fourth attempt; one that
+ * always fails is shown as failed after its attempts. */
+static void test_attempts_are_counted(struct fixture *f, const void *data)
+{
+	struct rj_cell_step step = cell_world_step(1, 1, 500);
+	struct cell_client_job *lucky =
+		cell_world_job(&f->world, "normal", "a", &step, 1, 500 * MS);
+	struct cell_client_job *hopeless =
+		cell_world_job(&f->world, "normal", "a", &step, 1, 500 * MS);
+
+	lucky->fail_times = 3;
+	hopeless->fail_times = 99;
+	cell_world_submit(&f->world, 0, lucky);
+	cell_world_submit(&f->world, 0, hopeless);
+	follow(&f->world, 8 * S);
+	g_assert_cmpint(lucky->shown, ==, RJ_CELL_JOB_COMPLETED);
+	g_assert_cmpint(hopeless->shown, ==, RJ_CELL_JOB_FAILED);
+}
+
+/* A submission that is repeated, also after the end, stays one job. */
+static void test_a_repeated_submission_is_one_job(struct fixture *f,
+						  const void *data)
+{
+	struct rj_cell_step step = cell_world_step(2, 1, 500);
+	struct cell_client_job *job =
+		cell_world_job(&f->world, "normal", "a", &step, 1, 500 * MS);
+
+	cell_world_submit(&f->world, 0, job);
+	cell_world_submit(&f->world, 1, job);
+	follow(&f->world, 3 * S);
+	cell_world_submit(&f->world, 2, job);
+	follow(&f->world, 3 * S);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
+	g_assert_cmpuint(f->world.starts, ==, 2);
+}
+
+/*
+ * Two tasks that must not share a worker are started on one.
+ * Both are placed by one plan, and the rule was checked only against what the
+ * worker runs already.
+ */
+static void test_tasks_kept_apart_in_one_plan(struct fixture *f,
+					      const void *data)
+{
+	struct rj_cell_step step = cell_world_step(6, 1, 500);
+	struct cell_client_job *job;
+
+	step.per_worker_max = 1;
+	job = cell_world_job(&f->world, "bulk", "a", &step, 1, S);
+	cell_world_submit(&f->world, 0, job);
+	follow(&f->world, 3 * S);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
+}
+
+/*
+ * A gang starts anew just before its end.
+ * Its members run at different speeds; the fast ones are through and wait,
+ * their percentage stands at 100, and they were taken for stuck.
+ */
+static void test_a_member_that_is_through_is_not_stuck(struct fixture *f,
+						       const void *data)
+{
+	struct rj_cell_step step = cell_world_step(3, 8, 1000);
+	struct cell_client_job *job;
+
+	step.gang = true;
+	job = cell_world_job(&f->world, "normal", "a", &step, 1, 16 * S);
+	cell_world_submit(&f->world, 0, job);
+	follow(&f->world, 24 * S);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
+	g_assert_cmpuint(f->world.starts, ==, 3);
+}
+
+/* A job that nobody has handed in does not exist, once the log was read. */
+static void test_an_unknown_job_is_gone(struct fixture *f, const void *data)
+{
+	struct rj_cell_step step = cell_world_step(1, 1, 500);
+	struct cell_client_job *job =
+		cell_world_job(&f->world, "normal", "a", &step, 1, S);
+
+	job->accepted = true; /* so that the answer is noted */
+	cell_world_ask(&f->world, 0, job);
+	cell_world_run(&f->world, 50 * MS);
+	g_assert_true(job->gone);
+}
+
+#define ADD(name, function)                                                   \
+	g_test_add("/cell_path/" name, struct fixture, NULL, setup, function, \
+		   teardown)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD("job", test_a_job_runs);
+	ADD("gang", test_a_gang_runs);
+	ADD("cancel", test_a_cancelled_job_stops);
+	ADD("attempts", test_attempts_are_counted);
+	ADD("repeat", test_a_repeated_submission_is_one_job);
+	ADD("apart", test_tasks_kept_apart_in_one_plan);
+	ADD("through", test_a_member_that_is_through_is_not_stuck);
+	ADD("unknown", test_an_unknown_job_is_gone);
+	return g_test_run();
+}
