--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -192,6 +192,11 @@
 /* Take the cell: the log up to our own record has been read. */
 static void step_up(struct rj_cell_node *node)
 {
+	for (uint32_t i = 0;
+	     node->front.beat_us && i < node->front.beat.share_count; i++)
+		rj_cell_forecast_set(&node->owner.forecast,
+				     node->front.beat.shares[i].queue,
+				     node->front.beat.shares[i].mean_ms);
 	rj_cell_owner_take(&node->owner, node->tenure.token, node->now_us,
 			   node->wall_ms);
 	node->jobs.pause_us = OWNER_JOBS_PAUSE_US;
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -27,6 +27,7 @@
 /* A run whose percentage does not rise for so long stands still: even at a
  * seventh of the usual speed a task of 11 s gains a percent in a second. */
 #define STALL_US (3 * RJ_US_PER_S)
+
 #define PERCENT_ALL 100
 /* New work stays off the worker where a run stood still. */
 #define STALL_SUSPECT_US (6 * RJ_US_PER_S)
@@ -352,6 +353,22 @@
 	rj_cell_demand_give(&worker->held, &run->held);
 }
 
+/* About when a run that was taken over has begun. */
+static uint64_t begun_by_progress(const struct rj_cell_owner *owner,
+				  const struct rj_cell_run *run,
+				  uint32_t percent)
+{
+	uint64_t ran_us;
+
+	if (!run->task)
+		return owner->now_us;
+	ran_us = rj_cell_forecast_task_ms(&owner->forecast,
+					  run->task->round->work->def,
+					  run->task->step) *
+		 RJ_US_PER_MS * percent / PERCENT_ALL;
+	return owner->now_us > ran_us ? owner->now_us - ran_us : 0;
+}
+
 /* What a listed run says of its progress. */
 static void note_progress(struct rj_cell_owner *owner, struct rj_cell_run *run,
 			  const struct rj_cell_row *row)
@@ -362,6 +379,9 @@
 		run->progress_us = owner->now_us;
 		if (!run->begun_us)
 			run->begun_us = owner->now_us;
+		if (run->adopted)
+			run->begun_us =
+				begun_by_progress(owner, run, row->percent);
 	}
 	if (row->percent != run->percent || !run->progress_us)
 		run->progress_us = owner->now_us;
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -238,6 +238,7 @@
 		/* The former owner's orders are fenced: what is not listed
 		 * from now on will never come. */
 		run->settled_us = 1;
+		run->adopted = true;
 		run->begun_us = now_us;
 	}
 }
--- a/src/libradishjunction/include/private/cell_work.h
+++ b/src/libradishjunction/include/private/cell_work.h
@@ -50,6 +50,7 @@
 	uint32_t number; /* rises with each start of the task */
 	enum rj_cell_run_state state;
 	struct rj_cell_demand held;
+	bool adopted; /* begun by a former owner, nobody here knows when */
 	bool recording; /* its record is on its way into the log */
 	/* When the last order was answered for good: a list that was asked for
 	 * later tells whether the run is there. 0: not yet. */
