--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -21,11 +21,15 @@
 #define KEPT_USED_PERCENT 55
 /* Gangs of lower priority that room is promised to at a time. More would
  * leave too much of it idle. */
-#define PROMISES_MAX 2
+#define PROMISES_MAX 4
 /* Urgent work that has no right to its room may throw away so many times its
  * own work: it is worth about ten times as much a core-second, half of which
  * is left for the wait of those that it stops. */
 #define LOSS_FACTOR 4
+/* Work that is not urgent may stop work of lower priority once it has waited
+ * for a while, where that throws away at most this part of its own. */
+#define CHEAP_WAIT_US RJ_US_PER_S
+#define CHEAP_LOSS_PART 8
 /* A stop and the start after it take so long; guaranteed work that has
  * waited until so shortly before its bound gets room by stopping others. */
 #define RECLAIM_MARGIN_MS 900
@@ -472,13 +476,23 @@
 			struct rj_cell_task **tasks, uint32_t count)
 {
 	const struct rj_cell_way now = { RJ_CELL_NOW, NULL, false };
+	const struct rj_cell_way soon = { RJ_CELL_SOON, NULL, false };
 	const struct rj_cell_way later = { RJ_CELL_LATER, NULL, false };
+	const struct rj_cell_way stop = { RJ_CELL_SOON, NULL, true };
 	const struct limits none = { 0, UINT64_MAX };
+	const struct limits cheap = {
+		rj_cell_reclaim_own_milli(plan, unit, count) / CHEAP_LOSS_PART,
+		UINT64_MAX
+	};
 
 	if (attempt(plan, unit, tasks, count, &now, &none))
 		return true;
 	if (!unit->work->def->priority)
 		find_urgent(plan, unit, tasks, count);
+	else if (plan->now_us - unit->waiting_us >= CHEAP_WAIT_US &&
+		 (attempt(plan, unit, tasks, count, &soon, &none) ||
+		  attempt(plan, unit, tasks, count, &stop, &cheap)))
+		return false;
 	else if (rj_cell_task_step(tasks[0])->gang &&
 		 plan->promises < PROMISES_MAX &&
 		 attempt(plan, unit, tasks, count, &later, &none))
