--- a/src/libradishjunction/cell/cell_front.c
+++ b/src/libradishjunction/cell/cell_front.c
@@ -250,7 +250,8 @@
 		return;
 	}
 	entry = known(request);
-	if (!reached)
+	/* A read that ends so late tells what was, not what is. */
+	if (!reached || request->front->now_us >= request->due_us)
 		answer_plain(request, RJ_CELL_VERDICT_AWAY, "log_unread",
 			     AWAY_COME_BACK_MS);
 	else if (!entry)
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -25,6 +25,16 @@
 /* Those who would take over do so one after the other. */
 #define STAGGER_STEPS 8
 #define STAGGER_STEP_US (70 * RJ_US_PER_MS)
+/*
+ * An owner's work grows with its workers, so the cell goes to a strong
+ * instance: one with half as much again takes it from a weaker one, once it
+ * has been up for a while, and a weaker one leaves it to others first. An
+ * eighth of a core cannot keep up with 350 workers; its looks time out.
+ */
+#define WEAKER_PART 3
+#define WEAKER_OF 2
+#define WEAK_WAIT_US (1000 * RJ_US_PER_MS)
+#define STRONG_WAIT_US (2 * RJ_US_PER_S)
 /* An instance that has just tried waits before it tries again. */
 #define BID_PAUSE_US (300 * RJ_US_PER_MS)
 
@@ -256,6 +266,8 @@
 			   options->workers, &options->terms);
 }
 
+static void probed(struct rj_cell_sync *sync, bool reached);
+
 /*
  * Begin to follow the log and to answer clients.
  */
@@ -264,6 +276,8 @@
 {
 	node->now_us = now_us;
 	node->wall_ms = wall_ms;
+	node->started_us = now_us;
+	node->probe.done = probed;
 	rj_cell_writer_open(&node->writer, 1, 0, now_us);
 	rj_cell_follow_start(&node->configs, now_us);
 	rj_cell_follow_start(&node->jobs, now_us);
@@ -294,9 +308,10 @@
  */
 static void write_owner(struct rj_cell_node *node)
 {
-	struct rj_cell_owner_record owner = {
-		.incarnation = node->options.incarnation
-	};
+	struct rj_cell_owner_record owner = { .incarnation =
+						      node->options.incarnation,
+					      .strength =
+						      node->options.strength };
 	struct rj_cell_record record;
 	struct rj_cell_append append = { .producer = "owner",
 					 .epoch = node->jobs.next + 1,
@@ -317,39 +332,86 @@
 	talloc_free((void *)record.value.data);
 }
 
+/* Whether one instance is so much weaker than another that the cell had
+ * better be owned by the other. */
+static bool is_weaker(uint32_t strength, uint32_t than)
+{
+	return strength * WEAKER_PART < than * WEAKER_OF;
+}
+
 /* How long the owner may be silent before this instance steps in. */
 static uint64_t patience_us(const struct rj_cell_node *node)
 {
+	const struct rj_cell_owner_record *record = &node->tenure.record;
+	uint64_t patience_us = OWNER_SILENT_US + node->stagger_us;
+
 	/* The owner was this process, in a life that has ended. */
-	if (node->tenure.known &&
-	    !strcmp(node->tenure.record.name, node->options.name) &&
-	    node->tenure.record.incarnation != node->options.incarnation)
+	if (node->tenure.known && !strcmp(record->name, node->options.name) &&
+	    record->incarnation != node->options.incarnation)
 		return 0;
-	if (!node->tenure.known || node->tenure.record.leaving)
-		return node->stagger_us / 4;
-	return OWNER_SILENT_US + node->stagger_us;
+	if (!node->tenure.known || record->leaving)
+		patience_us = node->stagger_us / 4;
+	if (node->tenure.known &&
+	    is_weaker(node->options.strength, record->strength))
+		patience_us += WEAK_WAIT_US;
+	return patience_us;
 }
 
-/*
- * Take over from an owner that is silent. Only a reader whose reads reach
- * the end of the log can tell silence from a log that is out of reach.
- */
-static void watch_owner(struct rj_cell_node *node)
+/* Whether the owner has been silent for too long, or is too weak. */
+static bool should_bid(const struct rj_cell_node *node)
 {
 	uint64_t silent_us = node->now_us - node->tenure.seen_us;
 
+	if (node->tenure.known &&
+	    is_weaker(node->tenure.record.strength, node->options.strength) &&
+	    node->now_us >=
+		    node->started_us + STRONG_WAIT_US + node->stagger_us)
+		return true;
+	return silent_us >= patience_us(node);
+}
+
+/* The log has been read to its end since the owner seemed silent: bid, if it
+ * still does. */
+static void probed(struct rj_cell_sync *sync, bool reached)
+{
+	struct rj_cell_node *node =
+		RJ_CONTAINER(sync, struct rj_cell_node, probe);
+
+	node->probing = false;
+	node->now_us = node->jobs.now_us;
+	if (!reached) {
+		node->bid_due_us = node->now_us + BID_PAUSE_US;
+		return;
+	}
 	if (node->owner.active || node->bidding || node->draining ||
-	    !node->jobs.caught_up || !node->config ||
-	    node->now_us < node->bid_due_us || silent_us < patience_us(node) ||
-	    rj_cell_follow_age_us(&node->jobs, node->now_us) > silent_us)
+	    !should_bid(node))
 		return;
 	rj_note("owner_silent",
 		RJ_NOTE_TEXT("instance", node->tenure.record.name),
 		RJ_NOTE_NUMBER("token", node->tenure.token),
-		RJ_NOTE_AGE_MS("silent_ms", silent_us));
+		RJ_NOTE_NUMBER("strength", node->tenure.record.strength),
+		RJ_NOTE_AGE_MS("silent_ms",
+			       node->now_us - node->tenure.seen_us));
 	write_owner(node);
 }
 
+/*
+ * Take over from an owner that is silent.
+ *
+ * Guards against an instance that is cut off from the log and takes its own
+ * silence for the owner's: before it bids, it reads the log to the end once
+ * more.
+ */
+static void watch_owner(struct rj_cell_node *node)
+{
+	if (node->owner.active || node->bidding || node->probing ||
+	    node->draining || !node->jobs.caught_up || !node->config ||
+	    node->now_us < node->bid_due_us || !should_bid(node))
+		return;
+	node->probing = true;
+	rj_cell_follow_sync(&node->jobs, &node->probe, node->now_us);
+}
+
 /*
  * Do all that is due.
  */
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -331,6 +331,7 @@
 	rj_pack_number(&out, OWNER_FORMAT);
 	rj_pack_text(&out, owner->name);
 	rj_pack_number(&out, owner->incarnation);
+	rj_pack_number(&out, owner->strength);
 	rj_pack_bool(&out, owner->leaving);
 	return rj_pack_finish(&out, mem);
 }
@@ -349,6 +350,8 @@
 		rj_unpack_fail(&in, "format");
 	rj_unpack_text(&in, "name", owner->name, sizeof(owner->name));
 	owner->incarnation = rj_unpack_number(&in, "incarnation", UINT64_MAX);
+	owner->strength =
+		(uint32_t)rj_unpack_number(&in, "strength", UINT32_MAX);
 	owner->leaving = rj_unpack_bool(&in, "leaving");
 	return rj_unpack_finish(&in, err);
 }
--- a/src/libradishjunction/include/private/cell_node.h
+++ b/src/libradishjunction/include/private/cell_node.h
@@ -44,6 +44,9 @@
 	struct rj_cell_owner owner;
 	struct rj_cell_tenure tenure;
 	uint64_t fenced_token; /* the last that was taken from us */
+	bool probing; /* reading the log to its end before a bid */
+	struct rj_cell_sync probe;
+	uint64_t started_us;
 	bool bidding; /* an ownership record is on its way */
 	uint64_t bid_due_us;
 	uint32_t stagger_us; /* this instance waits so much longer */
--- a/src/libradishjunction/include/private/cell_record.h
+++ b/src/libradishjunction/include/private/cell_record.h
@@ -26,6 +26,7 @@
 struct rj_cell_owner_record {
 	char name[RJ_NAME_BYTES]; /* of the instance */
 	uint64_t incarnation;
+	uint32_t strength; /* hundredths of a core */
 	bool leaving; /* the cell is free: whoever is first may take it */
 };
 
