metrics: counters and latency histograms of a node on its metrics address

The histogram of callers' answers is a module of its own (latency.c), used by both cores. Appends, first starts by priority, start orders and answers by verdict have one each; the rest are counters and gauges.

--- a/src/libradishjunction/cell/cell_front.c
+++ b/src/libradishjunction/cell/cell_front.c
@@ -116,7 +116,8 @@
 	request->answered = true;
 	rj_list_remove(&request->link);
 	front->open--;
-	front->counters.answers[what->verdict]++;
+	rj_latency_add(&front->counters.answers[what->verdict],
+		       front->now_us - request->begun_us);
 	if (request->call->verb != RJ_CELL_VERB_ASK ||
 	    what->verdict >= RJ_CELL_VERDICT_NO_QUEUE)
 		rj_note("answer", RJ_NOTE_TEXT("job", request->id),
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -52,7 +52,6 @@
 	struct rj_cell_owner *owner;
 	uint32_t generation;
 	uint64_t sent_us;
-	uint64_t seen; /* looks */
 	char worker[RJ_NAME_BYTES];
 	char *name;
 	uint32_t number;
@@ -209,6 +208,8 @@
 	struct rj_cell_run *run =
 		worker ? find_run(worker, call->name, call->number) : NULL;
 
+	uint64_t sent_us = call->sent_us;
+
 	talloc_free(call);
 	if (!run)
 		return;
@@ -222,6 +223,8 @@
 		return; /* it is being stopped; the stop settles it */
 	switch (reply->status) {
 	case RJ_CELL_ORDER_OK:
+		rj_latency_add(&owner->counters.orders,
+			       owner->now_us - sent_us);
 		run->state = RJ_CELL_RUN_PLACED;
 		run->begun_us = owner->now_us;
 		run->progress_us = owner->now_us;
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -551,6 +551,11 @@
 		rj_cell_run_new(choice->worker, task, task->run + 1);
 
 	task->run = run->number;
+	if (!work->started)
+		rj_latency_add(
+			&owner->counters.waits[MIN(work->def->priority,
+						   RJ_CELL_PRIORITIES - 1)],
+			owner->now_us - work->accepted_us);
 	work->started = true;
 	if (work->state == RJ_CELL_JOB_QUEUED)
 		work->state = RJ_CELL_JOB_RUNNING;
--- a/src/libradishjunction/cell/cell_writer.c
+++ b/src/libradishjunction/cell/cell_writer.c
@@ -205,6 +205,8 @@
 	writer->now_us = reply->now_us;
 	switch (reply->status) {
 	case RJ_CELL_STORE_OK:
+		rj_latency_add(&writer->appends,
+			       writer->now_us - writer->sent_us);
 		end_batch(writer, RJ_CELL_WRITE_STORED);
 		break;
 	case RJ_CELL_STORE_FENCED:
@@ -214,6 +216,7 @@
 		renew_epoch(writer);
 		break;
 	case RJ_CELL_STORE_REFUSED:
+		writer->refused++;
 		if (!writer->uncertain) {
 			end_batch(writer, RJ_CELL_WRITE_NOT_STORED);
 			break;
@@ -225,6 +228,7 @@
 			rj_note("append_lost",
 				RJ_NOTE_TEXT("producer", writer->producer),
 				RJ_NOTE_NUMBER("sequence", writer->sequence));
+		writer->lost++;
 		writer->uncertain = true;
 		retry_later(writer);
 	}
--- a/src/libradishjunction/include/private/caller_metrics.h
+++ b/src/libradishjunction/include/private/caller_metrics.h
@@ -8,16 +8,9 @@
 
 #include <glib.h>
 
+#include "private/latency.h"
 #include "radishjunction/types.h"
 
-#define RJ_LATENCY_BUCKETS 16
-
-struct rj_latency {
-	uint64_t buckets[RJ_LATENCY_BUCKETS + 1]; /* the last: above all */
-	uint64_t sum_us;
-	uint64_t count;
-};
-
 struct rj_caller_metrics {
 	struct rj_latency answers[RJ_ANSWER_KIND_COUNT];
 	uint64_t reasons[RJ_REASON_COUNT];
--- a/src/libradishjunction/include/private/cell_front.h
+++ b/src/libradishjunction/include/private/cell_front.h
@@ -14,6 +14,7 @@
 #include "private/cell_follow.h"
 #include "private/cell_view.h"
 #include "private/cell_writer.h"
+#include "private/latency.h"
 
 enum rj_cell_verb {
 	RJ_CELL_VERB_SUBMIT,
@@ -82,7 +83,7 @@
 
 struct rj_cell_front_counters {
 	uint64_t calls[RJ_CELL_VERB_COUNT];
-	uint64_t answers[RJ_CELL_VERDICT_COUNT];
+	struct rj_latency answers[RJ_CELL_VERDICT_COUNT];
 };
 
 struct rj_cell_front {
--- /dev/null
+++ b/src/libradishjunction/include/private/cell_metrics.h
@@ -0,0 +1,12 @@
+/*
+ * Counters, gauges and latency histograms of one node, as lines of text.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_CELL_METRICS_H
+#define RADISHJUNCTION_PRIVATE_CELL_METRICS_H
+
+#include "private/cell_node.h"
+
+void rj_cell_metrics_write(const struct rj_cell_node *node, uint64_t now_us,
+			   GString *text);
+
+#endif
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -30,7 +30,12 @@
 	uint32_t revoke_ms; /* a key is good so long after its removal */
 };
 
+/* Priorities are counted apart up to this; the rest together. */
+#define RJ_CELL_PRIORITIES 3
+
 struct rj_cell_owner_counters {
+	struct rj_latency waits[RJ_CELL_PRIORITIES]; /* until the first start */
+	struct rj_latency orders; /* starts that were taken */
 	uint64_t starts;
 	uint64_t stops;
 	uint64_t looks;
--- a/src/libradishjunction/include/private/cell_writer.h
+++ b/src/libradishjunction/include/private/cell_writer.h
@@ -14,6 +14,7 @@
 #define RADISHJUNCTION_PRIVATE_CELL_WRITER_H
 
 #include "private/cell_store.h"
+#include "private/latency.h"
 #include "private/list.h"
 
 enum rj_cell_write_outcome {
@@ -48,6 +49,9 @@
 	uint64_t stored_us; /* when the last append that succeeded was sent */
 	uint64_t sent_us;
 	uint64_t now_us;
+	struct rj_latency appends; /* of those that were answered */
+	uint64_t lost;
+	uint64_t refused;
 };
 
 void rj_cell_writer_init(struct rj_cell_writer *writer, void *mem,
--- /dev/null
+++ b/src/libradishjunction/include/private/latency.h
@@ -0,0 +1,24 @@
+/*
+ * A histogram of latencies, as it is shown on a metrics address.
+ *
+ * Life cycle: a zeroed struct is empty; it holds no memory of its own.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_LATENCY_H
+#define RADISHJUNCTION_PRIVATE_LATENCY_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#define RJ_LATENCY_BUCKETS 16
+
+struct rj_latency {
+	uint64_t buckets[RJ_LATENCY_BUCKETS + 1]; /* the last: above all */
+	uint64_t sum_us;
+	uint64_t count;
+};
+
+void rj_latency_add(struct rj_latency *latency, uint64_t took_us);
+void rj_latency_write(const struct rj_latency *latency, const char *name,
+		      const char *label, const char *value, GString *text);
+
+#endif
