--- a/src/libradishjunction/cell/cell_ends.c
+++ b/src/libradishjunction/cell/cell_ends.c
@@ -247,7 +247,9 @@
 		RJ_NOTE_TEXT("worker", worker->id),
 		RJ_NOTE_TEXT("end", rj_cell_end_string[end]),
 		RJ_NOTE_TEXT("why", run->why),
-		RJ_NOTE_AGE_MS("ran_ms", owner->now_us - run->begun_us));
+		RJ_NOTE_AGE_MS("ran_ms", run->begun_us ?
+						 owner->now_us - run->begun_us :
+						 0));
 	if (!task) {
 		rj_cell_run_free(run);
 		return;
--- a/src/libradishjunction/cell/cell_front.c
+++ b/src/libradishjunction/cell/cell_front.c
@@ -11,6 +11,8 @@
 #define WAIT_MS 3000
 /* The last answer leaves so long before the client gives up. */
 #define ANSWER_MARGIN_MS 120
+/* One who has little time left still gets most of it: an append takes 10 ms. */
+#define ANSWER_MARGIN_PART 4
 /* When to come back to an instance that is cut off from the log: its health
  * check takes it out of rotation after two seconds. */
 #define AWAY_COME_BACK_MS 1000
@@ -445,9 +447,10 @@
 	request->front = front;
 	request->call = call;
 	request->begun_us = call->now_us;
-	request->due_us = call->now_us;
-	if (wait_ms > ANSWER_MARGIN_MS)
-		request->due_us += (wait_ms - ANSWER_MARGIN_MS) * RJ_US_PER_MS;
+	request->due_us =
+		call->now_us + (wait_ms - MIN(ANSWER_MARGIN_MS,
+					      wait_ms / ANSWER_MARGIN_PART)) *
+				       RJ_US_PER_MS;
 	rj_list_init(&request->sync.link);
 	request->sync.done = sync_done;
 	rj_list_append(&front->requests, &request->link);
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -421,6 +421,35 @@
 	return false;
 }
 
+/*
+ * Order a run that was taken over and is not there, if its former owner may
+ * have been stopped between storing the intent and sending the order.
+ *
+ * Load that it answers: an owner that dies while a gang starts. The members
+ * that have started wait for the others for a few seconds; with these they
+ * go on, where the whole gang would have to begin anew.
+ */
+static bool order_again(struct rj_cell_owner *owner, struct rj_cell_run *run)
+{
+	if (!run->adopted || run->state != RJ_CELL_RUN_PLACED || !run->task ||
+	    run->worker->said.draining)
+		return false;
+	/* A gang's end speaks for members whose worker was reborn since. */
+	if (run->task->done ||
+	    run->task->round->work->state >= RJ_CELL_JOB_COMPLETED)
+		return false;
+	run->adopted = false;
+	run->begun_us = 0;
+	run->settled_us = 0;
+	run->state = RJ_CELL_RUN_STARTING;
+	run->order_tries = 0;
+	run->order_due_us = owner->now_us;
+	rj_note("start_again", RJ_NOTE_TEXT("task", run->name),
+		RJ_NOTE_NUMBER("run", run->number),
+		RJ_NOTE_TEXT("worker", run->worker->id));
+	return true;
+}
+
 /*
  * End the runs that the worker should list and does not.
  *
@@ -442,7 +471,7 @@
 		bool settled = run->settled_us && run->settled_us < sent_us;
 
 		if (run->state == RJ_CELL_RUN_INTENDED || !settled ||
-		    is_listed(reply, run))
+		    is_listed(reply, run) || order_again(owner, run))
 			continue;
 		if (!run->why)
 			run->why = "not_listed";
--- a/src/test_libradishjunction/support/cell_fake_workers.c
+++ b/src/test_libradishjunction/support/cell_fake_workers.c
@@ -596,7 +596,13 @@
 		return;
 	}
 	if (worker->cut[order->node->index] && !order->late) {
-		lose(order);
+		/* Kept connections hang; new ones are never made. */
+		if (worker->index % 2) {
+			lose(order);
+			return;
+		}
+		order->reply.status = RJ_CELL_ORDER_UNSENT;
+		cell_world_at(world, TIMEOUT_US, deliver, order);
 		return;
 	}
 	if (order->incarnation && order->incarnation != worker->incarnation) {
--- a/src/test_libradishjunction/support/cell_faults.c
+++ b/src/test_libradishjunction/support/cell_faults.c
@@ -198,6 +198,47 @@
 	}
 }
 
+/* A worker that has left is replaced, under its old id. */
+static void replace(void *data)
+{
+	struct strike *strike = data;
+
+	strike->world->workers[strike->target].said.draining = false;
+	cell_world_worker_start(strike->world, strike->target);
+	g_free(strike);
+}
+
+/* A worker that said so leaves. */
+static void leave(void *data)
+{
+	struct strike *strike = data;
+	struct cell_world *world = strike->world;
+
+	cell_world_worker_cut(world, strike->target, false);
+	cell_world_worker_kill(world, strike->target);
+	cell_world_at(world, 3 * S, replace, strike);
+}
+
+/*
+ * Workers are taken away: they say so, serve on for some seconds, and leave;
+ * some are cut off meanwhile, so that their entries lapse while they run.
+ */
+static void strike_drain(struct cell_world *world)
+{
+	uint32_t target = cell_world_random(world, world->plan.workers);
+	struct cell_fake_worker *worker = &world->workers[target];
+
+	if (!worker->up || worker->said.draining)
+		return;
+	worker->said.draining = true;
+	cell_log_put(world, RJ_CELL_TOPIC_WORKERS, worker->id, &worker->said,
+		     sizeof(worker->said));
+	if (cell_world_random(world, 2))
+		cell_world_worker_cut(world, target, true);
+	cell_world_at(world, (2000 + cell_world_random(world, 8000)) * MS,
+		      leave, strike_new(world, target));
+}
+
 /* Operators take a key away and give another. */
 static void strike_key(struct cell_world *world)
 {
@@ -210,7 +251,8 @@
 	strike_kill,	strike_kill,	strike_kill_all, strike_pause,
 	strike_pause,	strike_log,	strike_log,	 strike_answers,
 	strike_history, strike_worker,	strike_worker,	 strike_workers,
-	strike_workers, strike_workers, strike_key,
+	strike_workers, strike_workers, strike_key,	 strike_drain,
+	strike_drain,
 };
 
 /* A random job. */
