--- a/src/test_libradishjunction/support/fuzz_targets.c
+++ b/src/test_libradishjunction/support/fuzz_targets.c
@@ -5,12 +5,14 @@
 #include <talloc.h>
 
 #include "private/caller_json.h"
+#include "private/cell_record.h"
 #include "private/peer_codec.h"
 #include "private/worker_wire.h"
 #include "radishjunction/config.h"
 #include "radishjunction/config_change.h"
 #include "radishjunction/record.h"
 #include "radishjunction/settings.h"
+#include "wire.h"
 
 /*
  * The bytes as zero-terminated text, as adapters hand them on.
@@ -175,6 +177,80 @@
 	talloc_free(mem);
 }
 
+/*
+ * A client's job on the users' platform is refused, or can be kept in the log
+ * and read back as it is.
+ */
+static void fuzz_platform_job(const uint8_t *data, size_t length)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_error err;
+	struct rj_cell_def *def = platform_wire_job(
+		mem, (struct rj_bytes){ data, (uint32_t)length }, &err);
+	struct rj_cell_def *back;
+
+	if (def) {
+		back = rj_cell_def_decode(mem, rj_cell_def_encode(mem, def),
+					  &err);
+		assert(back && back->task_count == def->task_count &&
+		       !strcmp(back->spec, def->spec));
+	}
+	talloc_free(mem);
+}
+
+/*
+ * What operators and workers put into the platform's log.
+ */
+static void fuzz_platform_entry(const uint8_t *data, size_t length)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_bytes text = { data, (uint32_t)length };
+	struct rj_cell_heartbeat heartbeat;
+	struct rj_error err;
+
+	if (!platform_wire_worker(text, &heartbeat, &err))
+		assert(heartbeat.address.port && heartbeat.service[0]);
+	platform_wire_config(mem, "config", text, &err);
+	talloc_free(mem);
+}
+
+/*
+ * Answers of the platform's log and of its workers.
+ */
+static void fuzz_platform_answer(const uint8_t *data, size_t length)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_cell_store_reply reply = { 0 };
+	struct rj_cell_order_reply order = { 0 };
+	char reason[RJ_NAME_BYTES];
+
+	if (!platform_wire_records(mem, (const char *)data, length, 0, &reply))
+		assert(reply.next == reply.count);
+	platform_wire_newest(mem, (const char *)data, length, &reply);
+	platform_wire_order_reply(mem, (const char *)data, length, &order,
+				  reason);
+	talloc_free(mem);
+}
+
+/*
+ * A record of the jobs' log of the cells.
+ */
+static void fuzz_cell_record(const uint8_t *data, size_t length)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_bytes bytes = { data, (uint32_t)length };
+	struct rj_cell_owner_record owner;
+	struct rj_cell_summary summary;
+	struct rj_cell_beat beat;
+	struct rj_error err;
+
+	rj_cell_def_decode(mem, bytes, &err);
+	rj_cell_progress_summary(bytes, &summary, &err);
+	rj_cell_owner_decode(bytes, &owner, &err);
+	rj_cell_beat_decode(bytes, &beat, &err);
+	talloc_free(mem);
+}
+
 const struct fuzz_target fuzz_targets[] = {
 	{ "config", fuzz_config },
 	{ "settings", fuzz_settings },
@@ -184,6 +260,10 @@
 	{ "submit", fuzz_submit },
 	{ "reply", fuzz_reply },
 	{ "change", fuzz_change },
+	{ "platformjob", fuzz_platform_job },
+	{ "platformentry", fuzz_platform_entry },
+	{ "platformanswer", fuzz_platform_answer },
+	{ "cellrecord", fuzz_cell_record },
 	{ NULL, NULL },
 };
 
--- /dev/null
+++ b/src/test_libradishjunction/test_platform_calls.c
@@ -0,0 +1,261 @@
+/*
+ * The adapters of the users' platform over loopback, against a server that
+ * answers as each test says: what each answer, or none, is taken for.
+ */
+#include <curl/curl.h>
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "adapters.h"
+
+/* What the stand-in answers next; status 0 closes the connection. */
+struct script {
+	unsigned int status;
+	const char *body;
+};
+
+struct fixture {
+	struct tevent_context *loop;
+	struct rj_http_server server;
+	struct script script;
+	char path[512]; /* of the last call */
+	char target[64]; /* its header that names a worker */
+	char body[512];
+	struct platform_store store;
+	struct platform_workers workers;
+	bool done;
+	struct rj_cell_store_reply reply;
+	struct rj_cell_order_reply order;
+};
+
+/* Answer one call as the script says. */
+static void handle(void *private_data, struct rj_http_exchange *exchange)
+{
+	struct fixture *f = private_data;
+	const char *topic = rj_http_exchange_argument(exchange, "Topic");
+	const char *epoch = rj_http_exchange_argument(exchange, "epoch");
+	const char *at = rj_http_exchange_argument(exchange, "At");
+	const char *target =
+		rj_http_exchange_header(exchange, "Target-Instance");
+
+	(void)g_snprintf(f->path, sizeof(f->path), "%s %s %s %s",
+			 exchange->path, topic ? topic : "-",
+			 epoch ? epoch : "-", at ? at : "-");
+	g_strlcpy(f->target, target ? target : "", sizeof(f->target));
+	g_strlcpy(f->body, exchange->body.data, sizeof(f->body));
+	if (!f->script.status)
+		rj_http_exchange_abort(exchange);
+	else
+		rj_http_exchange_answer(exchange, f->script.status,
+					f->script.body, strlen(f->script.body));
+}
+
+/* Nothing else is due after an event. */
+static void after(void *private_data)
+{
+}
+
+static void setup(struct fixture *f, const void *data)
+{
+	const struct platform_sink sink = { after, f };
+	struct rj_http_server_options options = {
+		.address = { .ip = "127.0.0.1" },
+		.connections_max = 32,
+		.body_max_bytes = 65536,
+		.handle = handle,
+		.private_data = f
+	};
+	struct rj_error err;
+
+	memset(f, 0, sizeof(*f));
+	f->loop = tevent_context_init(NULL);
+	g_assert_false(rj_http_server_init(&f->server, f->loop, f->loop,
+					   &options, &err));
+	g_assert_false(platform_store_init(&f->store, f->loop, f->loop,
+					   &f->server.address, &sink, &err));
+	g_assert_false(platform_workers_init(&f->workers, f->loop, f->loop,
+					     &sink, &err));
+}
+
+static void teardown(struct fixture *f, const void *data)
+{
+	platform_store_finish(&f->store);
+	platform_workers_finish(&f->workers);
+	rj_http_server_finish(&f->server);
+	talloc_free(f->loop);
+}
+
+/* The store has answered. */
+static void store_done(void *private_data,
+		       const struct rj_cell_store_reply *reply)
+{
+	struct fixture *f = private_data;
+
+	f->reply = *reply;
+	f->done = true;
+}
+
+/* A worker has answered. */
+static void order_done(void *private_data,
+		       const struct rj_cell_order_reply *reply)
+{
+	struct fixture *f = private_data;
+
+	f->order = *reply;
+	f->done = true;
+}
+
+/* Run the loop until the call has ended. */
+static void wait_done(struct fixture *f)
+{
+	while (!f->done)
+		tevent_loop_once(f->loop);
+	f->done = false;
+}
+
+/* Append once, with an answer. */
+static enum rj_cell_store_status append(struct fixture *f, unsigned int status,
+					const char *body)
+{
+	const struct rj_cell_record record = {
+		.key = "o", .value = { (const uint8_t *)"v", 1 }
+	};
+	const struct rj_cell_append what = { .producer = "owner",
+					     .epoch = 8,
+					     .conditional = true,
+					     .at = 7,
+					     .records = &record,
+					     .count = 1 };
+
+	f->script = (struct script){ status, body };
+	f->store.store.ops->append(
+		&f->store.store, &what,
+		(struct rj_cell_store_done){ store_done, f });
+	wait_done(f);
+	return f->reply.status;
+}
+
+/* Each answer to an append means what the protocol says. */
+static void test_answers_to_an_append(struct fixture *f, const void *data)
+{
+	g_assert_cmpint(append(f, 200, "{\"Offset\":7,\"EndOffset\":8}"), ==,
+			RJ_CELL_STORE_OK);
+	g_assert_cmpstr(f->path, ==, "/-/log-append keyed.jobs 8 7");
+	g_assert_cmpuint(f->reply.end, ==, 8);
+	g_assert_cmpint(append(f, 412, "{\"EndOffset\":9}"), ==,
+			RJ_CELL_STORE_CONFLICT);
+	g_assert_cmpint(append(f, 409, "{\"Reason\":\"fenced\"}"), ==,
+			RJ_CELL_STORE_FENCED);
+	g_assert_cmpint(append(f, 409, "{\"Reason\":\"seq\"}"), ==,
+			RJ_CELL_STORE_SEQUENCE);
+	g_assert_cmpint(append(f, 503, ""), ==, RJ_CELL_STORE_REFUSED);
+	g_assert_cmpint(append(f, 429, ""), ==, RJ_CELL_STORE_REFUSED);
+	g_assert_cmpint(append(f, 507, ""), ==, RJ_CELL_STORE_REFUSED);
+	g_assert_cmpint(append(f, 400, ""), ==, RJ_CELL_STORE_BAD);
+}
+
+/*
+ * A job that was refused runs all the same.
+ * The store carried its append out and the connection broke before the
+ * answer: that is no refusal.
+ */
+static void test_a_broken_append_is_no_refusal(struct fixture *f,
+					       const void *data)
+{
+	g_assert_cmpint(append(f, 0, ""), ==, RJ_CELL_STORE_LOST);
+}
+
+/* Nobody listens: nothing can have been done. */
+static void test_an_append_that_never_left(struct fixture *f, const void *data)
+{
+	rj_http_server_finish(&f->server);
+	g_assert_cmpint(append(f, 200, ""), ==, RJ_CELL_STORE_REFUSED);
+}
+
+/* Read once, with an answer. */
+static enum rj_cell_store_status read_once(struct fixture *f,
+					   unsigned int status)
+{
+	f->script = (struct script){ status, "" };
+	f->store.store.ops->read(&f->store.store, RJ_CELL_TOPIC_CONFIG, 5, 0,
+				 (struct rj_cell_store_done){ store_done, f });
+	wait_done(f);
+	return f->reply.status;
+}
+
+/* Expired records, a log that nobody has written, a body that is cut off. */
+static void test_answers_to_a_read(struct fixture *f, const void *data)
+{
+	g_assert_cmpint(read_once(f, 410), ==, RJ_CELL_STORE_GONE);
+	g_assert_cmpstr(f->path, ==, "/-/log-read keyed.op - -");
+	g_assert_cmpint(read_once(f, 404), ==, RJ_CELL_STORE_OK);
+	g_assert_cmpuint(f->reply.next, ==, 5);
+	g_assert_cmpint(read_once(f, 503), ==, RJ_CELL_STORE_REFUSED);
+	g_assert_cmpint(read_once(f, 200), ==, RJ_CELL_STORE_BAD);
+}
+
+/* Order one start, with an answer. */
+static enum rj_cell_order_status start(struct fixture *f, unsigned int status,
+				       const char *body)
+{
+	struct rj_cell_worker worker = { .id = "i-1" };
+	const struct rj_cell_start what = { .name = "a.0.0.0",
+					    .number = 2,
+					    .spec = "say \"hi\"",
+					    .checkpoint = "",
+					    .deadline_ms = 10,
+					    .token = 3 };
+
+	worker.said.address = f->server.address;
+	f->script = (struct script){ status, body };
+	f->workers.workers.ops->start(
+		&f->workers.workers, &worker, &what,
+		(struct rj_cell_order_done){ order_done, f });
+	wait_done(f);
+	return f->order.status;
+}
+
+/* Each answer of a worker means what the protocol says. */
+static void test_answers_of_a_worker(struct fixture *f, const void *data)
+{
+	g_assert_cmpint(start(f, 200, "{\"ClockMs\":7}"), ==, RJ_CELL_ORDER_OK);
+	g_assert_cmpuint(f->order.clock_ms, ==, 7);
+	g_assert_cmpstr(f->target, ==, "i-1");
+	g_assert_nonnull(strstr(f->body, "say \\\"hi\\\""));
+	g_assert_null(strstr(f->body, "LastCheckpoint"));
+	g_assert_cmpint(start(f, 409, "{\"Reason\":\"fence\"}"), ==,
+			RJ_CELL_ORDER_FENCED);
+	g_assert_cmpint(start(f, 409, "{\"Reason\":\"old\"}"), ==,
+			RJ_CELL_ORDER_OLD);
+	g_assert_cmpint(start(f, 409, "{\"Reason\":\"late\"}"), ==,
+			RJ_CELL_ORDER_LATE);
+	g_assert_cmpint(start(f, 409, "{\"Reason\":\"room\"}"), ==,
+			RJ_CELL_ORDER_FULL);
+	g_assert_cmpint(start(f, 409, "{\"Reason\":\"ticket\"}"), ==,
+			RJ_CELL_ORDER_TICKET);
+	g_assert_cmpint(start(f, 421, ""), ==, RJ_CELL_ORDER_OTHER);
+	g_assert_cmpint(start(f, 503, ""), ==, RJ_CELL_ORDER_SICK);
+	g_assert_cmpint(start(f, 429, ""), ==, RJ_CELL_ORDER_SICK);
+	g_assert_cmpint(start(f, 400, "{}"), ==, RJ_CELL_ORDER_BAD);
+	g_assert_cmpint(start(f, 200, "<html>"), ==, RJ_CELL_ORDER_BAD);
+	g_assert_cmpint(start(f, 0, ""), ==, RJ_CELL_ORDER_LOST);
+	rj_http_server_finish(&f->server);
+	g_assert_cmpint(start(f, 200, "{}"), ==, RJ_CELL_ORDER_UNSENT);
+}
+
+#define ADD(name, function)                                              \
+	g_test_add("/platform_calls/" name, struct fixture, NULL, setup, \
+		   function, teardown)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	ADD("append", test_answers_to_an_append);
+	ADD("broken", test_a_broken_append_is_no_refusal);
+	ADD("unsent", test_an_append_that_never_left);
+	ADD("read", test_answers_to_a_read);
+	ADD("worker", test_answers_of_a_worker);
+	return g_test_run();
+}
--- /dev/null
+++ b/src/test_libradishjunction/test_platform_wire.c
@@ -0,0 +1,276 @@
+/*
+ * The codecs of the users' platform: what they read, and what they make of
+ * input that is not as its protocol says.
+ */
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "wire.h"
+
+/* A text as bytes. */
+static struct rj_bytes bytes_of(const char *text)
+{
+	return (struct rj_bytes){ (const uint8_t *)text,
+				  (uint32_t)strlen(text) };
+}
+
+/* Every field of a job and of its steps is read. */
+static void test_a_job_is_read(void)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_error err;
+	struct rj_cell_def *def = platform_wire_job(
+		mem,
+		bytes_of("{\"Spec\":\"x\",\"RepeatCount\":3,\"FirstRunMs\":5,"
+			 "\"IntervalMs\":7,\"New\":1,\"Steps\":[{\"Count\":4,"
+			 "\"Cpu\":500,\"MemMb\":256,\"Gpu\":2,"
+			 "\"EstimateMs\":900,\"Affinity\":\"r1-3\"},"
+			 "{\"Count\":20,\"After\":[0],\"Checkpoints\":true,"
+			 "\"Gang\":true,\"SameRack\":true,"
+			 "\"Constraints\":\"a\",\"AntiAffinity\":2,"
+			 "\"Perpetual\":true,\"MayMiss\":1,"
+			 "\"Utilization\":true,\"TargetMs\":40,"
+			 "\"Image\":\"i\",\"Speculative\":true}]}"),
+		&err);
+
+	g_assert_nonnull(def);
+	g_assert_cmpuint(def->step_count, ==, 2);
+	g_assert_cmpuint(def->task_count, ==, 24);
+	g_assert_cmpuint(def->repeats, ==, 3);
+	g_assert_cmpuint(def->first_run_ms, ==, 5);
+	g_assert_cmpuint(def->interval_ms, ==, 7);
+	g_assert_cmpuint(def->steps[0].each.accelerators, ==, 2);
+	g_assert_cmpuint(def->steps[0].each.cpu_milli, ==, 500);
+	g_assert_cmpstr(def->steps[0].rack, ==, "r1-3");
+	g_assert_cmpuint(def->steps[1].after[0], ==, 0);
+	g_assert_true(def->steps[1].gang && def->steps[1].one_rack &&
+		      def->steps[1].checkpoints && def->steps[1].perpetual &&
+		      def->steps[1].scavenges && def->steps[1].speculative);
+	g_assert_cmpstr(def->steps[1].label, ==, "a");
+	g_assert_cmpuint(def->steps[1].per_worker_max, ==, 2);
+	g_assert_cmpuint(def->steps[1].may_miss, ==, 1);
+	g_assert_cmpuint(def->steps[1].target_ms, ==, 40);
+	talloc_free(mem);
+}
+
+/* A body that cannot run is refused with the field at fault. */
+static void test_bad_jobs_are_refused(void)
+{
+	static const struct {
+		const char *body;
+		const char *fault; /* part of the message */
+	} cases[] = {
+		{ "", "no JSON" },
+		{ "[]", "job" },
+		{ "{\"Spec\":1,\"Steps\":[{\"Count\":1}]}", "Spec" },
+		{ "{\"Spec\":\"x\"}", "steps" },
+		{ "{\"Spec\":\"x\",\"Steps\":[{\"Count\":0}]}", "no tasks" },
+		{ "{\"Spec\":\"x\",\"Steps\":[{\"Count\":-1}]}", "Count" },
+		{ "{\"Spec\":\"x\",\"Steps\":[{\"Count\":9999999}]}", "Count" },
+		{ "{\"Spec\":\"x\",\"Steps\":[{\"Count\":1,\"After\":[0]}]}",
+		  "earlier steps" },
+		{ "{\"Spec\":\"x\",\"Steps\":[{\"Count\":1,\"After\":[-1]}]}",
+		  "After" },
+		{ "{\"Spec\":\"x\",\"Steps\":[{\"Count\":1,\"Gang\":\"yes\"}]}",
+		  "Gang" },
+		{ "{\"Spec\":\"x\",\"Steps\":[7]}", "object" },
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+		void *mem = talloc_new(NULL);
+		struct rj_error err = { .message = "" };
+
+		g_assert_null(
+			platform_wire_job(mem, bytes_of(cases[i].body), &err));
+		if (!strstr(err.message, cases[i].fault))
+			g_error("%s: %s", cases[i].body, err.message);
+		talloc_free(mem);
+	}
+}
+
+/* Queues, keys and guarantees of one version. */
+static void test_a_configuration_is_read(void)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_error err;
+	struct rj_cell_config *config = platform_wire_config(
+		mem, "config",
+		bytes_of("{\"Version\":7,\"Routes\":[{\"Name\":\"r\","
+			 "\"Host\":\"h.example\",\"PathPrefix\":\"/p/\","
+			 "\"TimeoutMs\":3000,\"TargetLatencyMs\":250,"
+			 "\"Priority\":0,\"Service\":\"s\",\"MaxAttempts\":4,"
+			 "\"Stretch\":1.5,\"Public\":false}],"
+			 "\"Services\":[{\"Name\":\"s\","
+			 "\"EnforceLimits\":true}],\"Limits\":{},"
+			 "\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":[\"k\"],"
+			 "\"Guaranteed\":{\"Gpu\":72}}]}"),
+		&err);
+
+	g_assert_nonnull(config);
+	g_assert_cmpuint(config->queues[0].stretch_milli, ==, 1500);
+	g_assert_nonnull(
+		rj_cell_config_route(config, "H.example:80", "/p/0123"));
+	g_assert_null(rj_cell_config_route(config, "h.example", "/q/0123"));
+	g_assert_nonnull(rj_cell_config_key(config, "k"));
+	g_assert_null(rj_cell_config_key(config, "K"));
+	g_assert_cmpuint(config->accounts[0].guaranteed_accelerators, ==, 72);
+	g_assert_true(rj_cell_config_guarded(config, "s"));
+	talloc_free(mem);
+}
+
+/* A wave of upkeep is no configuration and no error; a broken one is. */
+static void test_other_operator_records(void)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_error err = { .kind = RJ_ERR_NONE };
+
+	g_assert_null(
+		platform_wire_config(mem, "wave/1", bytes_of("{}"), &err));
+	g_assert_cmpint(err.kind, ==, RJ_ERR_NONE);
+	g_assert_null(platform_wire_config(mem, "config", bytes_of("{"), &err));
+	g_assert_cmpint(err.kind, ==, RJ_ERR_MALFORMED);
+	talloc_free(mem);
+}
+
+/*
+ * Work is sent to a worker that does not exist.
+ * Another writer has put an entry among those of the workers, with fields
+ * missing, of another type, or unreadable. Such an entry names no worker.
+ */
+static void test_entries_of_other_writers(void)
+{
+	static const char good[] =
+		"{\"Service\":\"s\",\"Address\":\"10.1.0.9:8080\","
+		"\"Zone\":\"z\",\"State\":\"draining\","
+		"\"DrainRemainingMs\":1500,\"Capacity\":{\"Cpu\":1,"
+		"\"MemMb\":2,\"Gpu\":3},\"Labels\":[\"a\",\"r1\"],"
+		"\"born\":1700000000123}";
+	static const char *const bad[] = {
+		"",
+		"\xff\xfe",
+		"[]",
+		"{}",
+		"{\"Service\":\"s\",\"Address\":\"10.1.0.9:8080\","
+		"\"State\":\"asleep\",\"Labels\":[\"a\"]}",
+		"{\"Service\":\"s\",\"Address\":\"10.1.0.9\","
+		"\"State\":\"ready\",\"Labels\":[\"a\"]}",
+		"{\"Service\":\"s\",\"Address\":\"10.1.0.9:8080\","
+		"\"State\":\"ready\",\"Labels\":[]}",
+		"{\"Service\":5,\"Address\":\"10.1.0.9:8080\","
+		"\"State\":\"ready\",\"Labels\":[\"a\"]}",
+	};
+	struct rj_cell_heartbeat heartbeat;
+	struct rj_error err;
+
+	g_assert_false(platform_wire_worker(bytes_of(good), &heartbeat, &err));
+	g_assert_true(heartbeat.draining);
+	g_assert_cmpuint(heartbeat.incarnation, ==, 1700000000123);
+	g_assert_cmpuint(heartbeat.address.port, ==, 8080);
+	g_assert_cmpstr(heartbeat.rack, ==, "r1");
+	for (guint i = 0; i < G_N_ELEMENTS(bad); i++)
+		g_assert_true(platform_wire_worker(bytes_of(bad[i]), &heartbeat,
+						   &err));
+}
+
+/* What is appended is read back; a record that is cut off is an error, and
+ * none of another writer's is passed over unseen. */
+static void test_records_go_there_and_back(void)
+{
+	void *mem = talloc_new(NULL);
+	const struct rj_cell_record records[] = {
+		{ .key = "j1", .value = { (const uint8_t *)"ab", 2 } },
+		{ .key = "s1", .value = { NULL, 0 } },
+	};
+	const struct rj_cell_append append = { .records = records, .count = 2 };
+	struct rj_bytes body = platform_wire_append(mem, &append);
+	GString *read = g_string_new(NULL);
+	struct rj_cell_store_reply reply = { 0 };
+	static const char head[16] = { 0, 0, 0, 0, 0, 0, 0, 9,
+				       0, 0, 0, 0, 0, 0, 0, 3 };
+
+	g_string_append_len(read, head, sizeof(head));
+	g_string_append_len(read, (const char *)body.data, body.length);
+	g_assert_false(
+		platform_wire_records(mem, read->str, read->len, 7, &reply));
+	g_assert_cmpuint(reply.count, ==, 2);
+	g_assert_cmpuint(reply.end, ==, 9);
+	g_assert_cmpuint(reply.next, ==, 9);
+	g_assert_cmpuint(reply.records[1].offset, ==, 8);
+	g_assert_cmpstr(reply.records[0].key, ==, "j1");
+	g_assert_cmpuint(reply.records[0].value.length, ==, 2);
+	g_assert_cmpuint(reply.records[1].value.length, ==, 0);
+	for (gsize length = 0; length < read->len; length++) {
+		bool whole = length == sizeof(head) ||
+			     length == sizeof(head) + 4 + 1 + 2 + 2;
+
+		g_assert_cmpint(!platform_wire_records(mem, read->str, length,
+						       7, &reply),
+				==, whole);
+	}
+	g_string_free(read, TRUE);
+	talloc_free(mem);
+}
+
+/* A page of newest records. */
+static void test_newest_records_are_read(void)
+{
+	void *mem = talloc_new(NULL);
+	static const char page[] =
+		"{\"items\":[{\"Key\":\"j1\",\"Value\":\"YWI=\",\"Offset\":4}],"
+		"\"HasMore\":true,\"EndOffset\":6}";
+	struct rj_cell_store_reply reply = { 0 };
+
+	g_assert_false(platform_wire_newest(mem, page, strlen(page), &reply));
+	g_assert_true(reply.more);
+	g_assert_cmpuint(reply.end, ==, 6);
+	g_assert_cmpuint(reply.records[0].offset, ==, 4);
+	g_assert_cmpmem(reply.records[0].value.data,
+			reply.records[0].value.length, "ab", 2);
+	g_assert_true(platform_wire_newest(mem, "{", 1, &reply));
+	talloc_free(mem);
+}
+
+/* A worker's lists, with rows that are short or of other types. */
+static void test_lists_of_a_worker_are_read(void)
+{
+	void *mem = talloc_new(NULL);
+	static const char body[] =
+		"{\"ClockMs\":482113,\"born\":17,"
+		"\"Running\":[[\"a.0.1.17\",2,\"0b\",41,7],[\"b\"],3],"
+		"\"Finished\":[[58,\"a.0.1.9\",1,\"done\",\"\"],"
+		"[59,\"a.0.1.8\",1,\"melted\",\"\"]]}";
+	struct rj_cell_order_reply reply = { 0 };
+	char reason[RJ_NAME_BYTES];
+
+	g_assert_false(platform_wire_order_reply(mem, body, strlen(body),
+						 &reply, reason));
+	g_assert_cmpuint(reply.clock_ms, ==, 482113);
+	g_assert_cmpuint(reply.incarnation, ==, 17);
+	g_assert_cmpuint(reply.row_count, ==, 3);
+	g_assert_cmpuint(reply.rows[0].percent, ==, 41);
+	g_assert_cmpuint(reply.rows[0].figure, ==, 7);
+	g_assert_cmpstr(reply.rows[1].saved, ==, "");
+	g_assert_cmpint(reply.ends[0].end, ==, RJ_CELL_END_DONE);
+	g_assert_cmpint(reply.ends[1].end, ==, RJ_CELL_END_LOST);
+	g_assert_true(
+		platform_wire_order_reply(mem, "<html>", 6, &reply, reason));
+	talloc_free(mem);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/platform_wire/job", test_a_job_is_read);
+	g_test_add_func("/platform_wire/bad_jobs", test_bad_jobs_are_refused);
+	g_test_add_func("/platform_wire/config", test_a_configuration_is_read);
+	g_test_add_func("/platform_wire/other", test_other_operator_records);
+	g_test_add_func("/platform_wire/entries",
+			test_entries_of_other_writers);
+	g_test_add_func("/platform_wire/records",
+			test_records_go_there_and_back);
+	g_test_add_func("/platform_wire/newest", test_newest_records_are_read);
+	g_test_add_func("/platform_wire/lists",
+			test_lists_of_a_worker_are_read);
+	return g_test_run();
+}
