--- a/src/libradishjunction/cell/cell_rooms.c
+++ b/src/libradishjunction/cell/cell_rooms.c
@@ -9,14 +9,14 @@
  * it: for this much more than it has used of late, and for one gang more. A
  * gang of the users' median takes 12 accelerators.
  */
-#define KEPT_FACTOR 1.3
+#define KEPT_FACTOR 1.6
 #define KEPT_EXTRA 16.0
 /*
  * Of what urgent work has used of late this part is closed to all others:
  * there it starts at once, where stopping others first takes some 0.4 s of
  * the 1.5 s that it can wait.
  */
-#define CLOSED_FACTOR 0.8
+#define CLOSED_FACTOR 1.2
 /* Never more than this part of the racks; the rest serves all others. */
 #define KEPT_RACKS_PART 2
 
