cell: up to two thirds of the racks are kept for urgent work

Bursts of urgent work use up to four fifths of the accelerators for a while. Closed for 1.6 times what it has used of late (was 1.2), kept for 1.8 (was 1.6), up to 67 % of the racks (was half).

--- a/src/libradishjunction/cell/cell_rooms.c
+++ b/src/libradishjunction/cell/cell_rooms.c
@@ -9,16 +9,16 @@
  * it: for this much more than it has used of late, and for one gang more. A
  * gang of the users' median takes 12 accelerators.
  */
-#define KEPT_FACTOR 1.6
+#define KEPT_FACTOR 1.8
 #define KEPT_EXTRA 16.0
 /*
  * Of what urgent work has used of late this part is closed to all others:
  * there it starts at once, where stopping others first takes some 0.4 s of
  * the 1.5 s that it can wait.
  */
-#define CLOSED_FACTOR 1.2
+#define CLOSED_FACTOR 1.6
 /* Never more than this part of the racks; the rest serves all others. */
-#define KEPT_RACKS_PART 2
+#define KEPT_RACKS_PERCENT 67
 
 /* What is left of a capacity. */
 static struct rj_cell_demand room_of(const struct rj_cell_worker *worker)
@@ -131,7 +131,8 @@
 	if (!plan->forecast->urgent_us)
 		return;
 	racks = list_racks(plan);
-	for (guint i = 0; i < racks->len / KEPT_RACKS_PART && need > 0; i++) {
+	for (guint i = 0; i < racks->len * KEPT_RACKS_PERCENT / 100 && need > 0;
+	     i++) {
 		double kept = keep_rack(plan, racks->pdata[i], closed > 0);
 
 		need -= kept;
