cell: one way to walk a job's runs; refusals that repeat are not repeated at once

Five loops over occurrences, tasks and runs are one function. Tests of occurrences and of perpetual tasks.

--- a/src/libradishjunction/cell/cell_ends.c
+++ b/src/libradishjunction/cell/cell_ends.c
@@ -61,22 +61,29 @@
 	}
 }
 
+/* What stops a whole job. */
+struct job_stop {
+	struct rj_cell_owner *owner;
+	const char *why;
+};
+
+/* Stop one run of it. */
+static void stop_for_job(struct rj_cell_run *run, void *private_data)
+{
+	const struct job_stop *stop = private_data;
+
+	rj_cell_ends_stop_run(stop->owner, run, stop->why);
+}
+
 /*
  * Stop all that runs of a job.
  */
 void rj_cell_ends_stop_work(struct rj_cell_owner *owner,
 			    struct rj_cell_work *work, const char *why)
 {
-	struct rj_list *at;
-	struct rj_list *next;
+	struct job_stop stop = { owner, why };
 
-	RJ_FOR_EACH (at, next, &work->rounds) {
-		struct rj_cell_round *round =
-			RJ_CONTAINER(at, struct rj_cell_round, link);
-
-		for (uint32_t i = 0; i < work->def->task_count; i++)
-			stop_task(owner, &round->tasks[i], NULL, why);
-	}
+	rj_cell_work_each_run(work, stop_for_job, &stop);
 }
 
 /*
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -24,6 +24,8 @@
 #define FULL_PAUSE_US (300 * RJ_US_PER_MS)
 /* A task that its worker does not understand is not sent again at once. */
 #define BAD_PAUSE_US RJ_US_PER_S
+/* A run of the task may still be listed there. */
+#define OLD_PAUSE_US (100 * RJ_US_PER_MS)
 /* A run whose percentage does not rise for so long stands still: even at a
  * seventh of the usual speed a task of 11 s gains a percent in a second. */
 #define STALL_US (3 * RJ_US_PER_S)
@@ -166,6 +168,26 @@
 	lose_runs(owner, worker, "worker_reborn");
 }
 
+/*
+ * How long a task waits after a refusal that another worker would repeat.
+ *
+ * Guards against orders without end: a task that no worker takes has room
+ * everywhere, and would be ordered anew with each plan.
+ */
+static uint64_t refusal_pause_us(enum rj_cell_order_status status)
+{
+	switch (status) {
+	case RJ_CELL_ORDER_BAD:
+	case RJ_CELL_ORDER_TICKET:
+		return BAD_PAUSE_US;
+	case RJ_CELL_ORDER_OLD:
+	case RJ_CELL_ORDER_LATE:
+		return OLD_PAUSE_US;
+	default:
+		return 0;
+	}
+}
+
 /*
  * A run could not be started: its task waits again, and so does the rest of
  * its gang.
@@ -178,8 +200,9 @@
 		RJ_NOTE_TEXT("worker", run->worker->id),
 		RJ_NOTE_TEXT("why", rj_cell_order_status_string[status]));
 	run->why = rj_cell_order_status_string[status];
-	if (status == RJ_CELL_ORDER_BAD && run->task)
-		run->task->not_before_us = owner->now_us + BAD_PAUSE_US;
+	if (run->task)
+		run->task->not_before_us =
+			owner->now_us + refusal_pause_us(status);
 	rj_cell_ends_run(owner, run, RJ_CELL_END_LOST, NULL);
 }
 
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -334,35 +334,17 @@
 	talloc_free(work);
 }
 
-/* The intents of a job are stored: its runs may be started. */
-static void release_runs(struct rj_cell_owner *owner, struct rj_cell_work *work)
+/* The intent of a run is stored: it may be started. */
+static void release_run(struct rj_cell_run *run, void *private_data)
 {
-	struct rj_list *at;
-	struct rj_list *next;
+	const struct rj_cell_owner *owner = private_data;
 
-	RJ_FOR_EACH (at, next, &work->rounds) {
-		struct rj_cell_round *round =
-			RJ_CONTAINER(at, struct rj_cell_round, link);
-
-		for (uint32_t i = 0; i < work->def->task_count; i++) {
-			struct rj_list *runs = &round->tasks[i].runs;
-			struct rj_list *run_at;
-
-			for (run_at = runs->next; run_at != runs;
-			     run_at = run_at->next) {
-				struct rj_cell_run *run = RJ_CONTAINER(
-					run_at, struct rj_cell_run, in_task);
-
-				if (!run->recording ||
-				    run->state != RJ_CELL_RUN_INTENDED)
-					continue;
-				run->recording = false;
-				run->state = RJ_CELL_RUN_STARTING;
-				run->order_due_us = owner->now_us;
-				run->order_tries = 0;
-			}
-		}
-	}
+	if (!run->recording || run->state != RJ_CELL_RUN_INTENDED)
+		return;
+	run->recording = false;
+	run->state = RJ_CELL_RUN_STARTING;
+	run->order_due_us = owner->now_us;
+	run->order_tries = 0;
 }
 
 /* All that was flushed together is stored: workers may forget these ends. */
@@ -401,7 +383,7 @@
 	if (outcome == RJ_CELL_WRITE_STORED && entry) {
 		rj_cell_view_tell(entry, &write->summary, owner->now_us);
 		if (entry->work)
-			release_runs(owner, entry->work);
+			rj_cell_work_each_run(entry->work, release_run, owner);
 	} else if (outcome == RJ_CELL_WRITE_NOT_STORED) {
 		if (entry && entry->work)
 			entry->work->dirty = true;
@@ -441,24 +423,10 @@
 		(struct rj_cell_write_done){ progress_stored, write });
 }
 
-/* Mark the runs of a job whose intents go out with its record. */
-static void mark_recording(struct rj_cell_work *work)
+/* The intent of a run goes out with its job's record. */
+static void mark_recording(struct rj_cell_run *run, void *unused)
 {
-	struct rj_list *at;
-
-	for (at = work->rounds.next; at != &work->rounds; at = at->next) {
-		struct rj_cell_round *round =
-			RJ_CONTAINER(at, struct rj_cell_round, link);
-
-		for (uint32_t i = 0; i < work->def->task_count; i++) {
-			struct rj_list *runs = &round->tasks[i].runs;
-			struct rj_list *run;
-
-			for (run = runs->next; run != runs; run = run->next)
-				RJ_CONTAINER(run, struct rj_cell_run, in_task)
-					->recording = true;
-		}
-	}
+	run->recording = true;
 }
 
 /* Add the owner's heartbeat, with what it tells of the load. */
@@ -519,7 +487,7 @@
 		if (!work->dirty)
 			continue;
 		work->dirty = false;
-		mark_recording(work);
+		rj_cell_work_each_run(work, mark_recording, NULL);
 		value = rj_cell_progress_encode(owner->mem, work);
 		add_write(owner, RJ_CELL_RECORD_PROGRESS, work->def->id, value,
 			  &summary);
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -60,8 +60,10 @@
 };
 
 /* Note the worker of one run. */
-static void table_add(struct worker_table *table, const struct rj_cell_run *run)
+static void table_add(struct rj_cell_run *run, void *private_data)
 {
+	struct worker_table *table = private_data;
+
 	if (g_hash_table_contains(table->index, run->worker))
 		return;
 	g_ptr_array_add(table->workers, run->worker);
@@ -111,28 +113,6 @@
 	}
 }
 
-/* Gather the workers of all runs of a job. */
-static void fill_table(struct worker_table *table,
-		       const struct rj_cell_work *work)
-{
-	const struct rj_list *at;
-
-	for (at = work->rounds.next; at != &work->rounds; at = at->next) {
-		const struct rj_cell_round *round =
-			RJ_CONTAINER(at, struct rj_cell_round, link);
-
-		for (uint32_t i = 0; i < work->def->task_count; i++) {
-			const struct rj_list *runs = &round->tasks[i].runs;
-			const struct rj_list *run;
-
-			for (run = runs->next; run != runs; run = run->next)
-				table_add(table,
-					  RJ_CONTAINER(run, struct rj_cell_run,
-						       in_task));
-		}
-	}
-}
-
 /* Whether the job has ended, so that its tasks do not matter any more. */
 static bool has_ended(enum rj_cell_job_state state)
 {
@@ -176,7 +156,7 @@
 	rj_pack_number(&out, work->rounds_begun);
 	rj_pack_number(&out, work->rounds_done);
 	if (!has_ended(work->state)) {
-		fill_table(&table, work);
+		rj_cell_work_each_run(work, table_add, &table);
 		rj_pack_number(&out, table.workers->len);
 		for (uint32_t i = 0; i < table.workers->len; i++) {
 			const struct rj_cell_worker *worker =
--- a/src/libradishjunction/cell/cell_work.c
+++ b/src/libradishjunction/cell/cell_work.c
@@ -23,25 +23,15 @@
 	[RJ_CELL_RUN_STOPPING] = "stopping",
 };
 
-/* Runs end with the work that they belong to. */
-static int work_destructor(struct rj_cell_work *work)
+/* A run ends with the work that it belongs to. */
+static void drop_run(struct rj_cell_run *run, void *unused)
 {
-	struct rj_list *at;
-	struct rj_list *next;
-
-	RJ_FOR_EACH (at, next, &work->rounds) {
-		struct rj_cell_round *round =
-			RJ_CONTAINER(at, struct rj_cell_round, link);
-
-		for (uint32_t i = 0; i < work->def->task_count; i++) {
-			struct rj_list *runs = &round->tasks[i].runs;
+	rj_cell_run_free(run);
+}
 
-			while (runs->next != runs)
-				rj_cell_run_free(RJ_CONTAINER(
-					runs->next, struct rj_cell_run,
-					in_task));
-		}
-	}
+static int work_destructor(struct rj_cell_work *work)
+{
+	rj_cell_work_each_run(work, drop_run, NULL);
 	rj_list_remove(&work->link);
 	return 0;
 }
@@ -211,9 +201,12 @@
 }
 
 /*
- * Whether nothing of the job runs or is being stopped.
+ * Call `call` with each run of a job; it may free that run.
  */
-bool rj_cell_work_idle(const struct rj_cell_work *work)
+void rj_cell_work_each_run(const struct rj_cell_work *work,
+			   void (*call)(struct rj_cell_run *run,
+					void *private_data),
+			   void *private_data)
 {
 	struct rj_list *at;
 	struct rj_list *next;
@@ -222,9 +215,31 @@
 		struct rj_cell_round *round =
 			RJ_CONTAINER(at, struct rj_cell_round, link);
 
-		for (uint32_t i = 0; i < work->def->task_count; i++)
-			if (round->tasks[i].runs.next != &round->tasks[i].runs)
-				return false;
+		for (uint32_t i = 0; i < work->def->task_count; i++) {
+			struct rj_list *run_at;
+			struct rj_list *run_next;
+
+			RJ_FOR_EACH (run_at, run_next, &round->tasks[i].runs)
+				call(RJ_CONTAINER(run_at, struct rj_cell_run,
+						  in_task),
+				     private_data);
+		}
 	}
-	return true;
+}
+
+/* There is a run. */
+static void note_busy(struct rj_cell_run *run, void *private_data)
+{
+	*(bool *)private_data = true;
+}
+
+/*
+ * Whether nothing of the job runs or is being stopped.
+ */
+bool rj_cell_work_idle(const struct rj_cell_work *work)
+{
+	bool busy = false;
+
+	rj_cell_work_each_run(work, note_busy, &busy);
+	return !busy;
 }
--- a/src/libradishjunction/include/private/cell_work.h
+++ b/src/libradishjunction/include/private/cell_work.h
@@ -130,6 +130,10 @@
 struct rj_cell_run *rj_cell_run_new(struct rj_cell_worker *worker,
 				    struct rj_cell_task *task, uint32_t number);
 void rj_cell_run_free(struct rj_cell_run *run);
+void rj_cell_work_each_run(const struct rj_cell_work *work,
+			   void (*call)(struct rj_cell_run *run,
+					void *private_data),
+			   void *private_data);
 bool rj_cell_work_idle(const struct rj_cell_work *work);
 
 #endif
--- a/src/test_libradishjunction/support/cell_check.c
+++ b/src/test_libradishjunction/support/cell_check.c
@@ -178,7 +178,7 @@
 		cell_world_violation(world, "twice: %s run %u on %s, %u run",
 				     start->name, start->number, worker->id,
 				     log->running);
-	if (log->done_seen)
+	if (log->done_seen && !of->perpetual)
 		cell_world_violation(world, "twice: %s run %u after its end",
 				     start->name, start->number);
 	if (log->failures >= job->def->attempts_max && !of->perpetual)
@@ -240,7 +240,8 @@
 		return;
 	if (end == RJ_CELL_END_DONE) {
 		log->done_seen = true;
-		if (log->running && !job->def->steps[step].speculative)
+		if (log->running && !job->def->steps[step].speculative &&
+		    !job->def->steps[step].perpetual)
 			cell_world_violation(world,
 					     "twice: %s run %u noted done "
 					     "while it runs",
--- a/src/test_libradishjunction/support/cell_fake_workers.c
+++ b/src/test_libradishjunction/support/cell_fake_workers.c
@@ -501,6 +501,10 @@
 
 	if (worker->refuses)
 		return RJ_CELL_ORDER_SICK;
+	if (worker->wants_ticket) {
+		world->refused_starts++;
+		return RJ_CELL_ORDER_TICKET;
+	}
 	if (start->token < worker->token)
 		return RJ_CELL_ORDER_FENCED;
 	worker->token = start->token;
--- a/src/test_libradishjunction/support/cell_world.h
+++ b/src/test_libradishjunction/support/cell_world.h
@@ -84,6 +84,7 @@
 	bool listed;
 	bool cut[CELL_WORLD_NODES_MAX]; /* its calls get no answer */
 	bool cut_from_log; /* its entry lapses, it runs on */
+	bool wants_ticket; /* starts without one are turned away */
 	bool refuses; /* starts: it says it is not well */
 	bool fails_all;
 	bool stands_still;
@@ -141,6 +142,7 @@
 	const char *key; /* of the account, in the newest configuration */
 	GPtrArray *violations; /* texts */
 	uint64_t starts;
+	uint64_t refused_starts;
 	uint64_t wasted_us; /* of runs that ended otherwise than done */
 };
 
--- a/src/test_libradishjunction/test_cell_path.c
+++ b/src/test_libradishjunction/test_cell_path.c
@@ -172,6 +172,75 @@
 	g_assert_cmpuint(f->world.starts, ==, 3);
 }
 
+/*
+ * A queue whose tasks no worker takes keeps the workers busy with orders.
+ * Each refusal made room for the next one, many times a second.
+ */
+static void test_refusals_are_not_repeated_at_once(struct fixture *f,
+						   const void *data)
+{
+	struct rj_cell_step step = cell_world_step(1, 1, 500);
+	struct cell_client_job *job =
+		cell_world_job(&f->world, "normal", "a", &step, 1, S);
+
+	for (uint32_t i = 0; i < small.workers; i++)
+		f->world.workers[i].wants_ticket = true;
+	cell_world_submit(&f->world, 0, job);
+	cell_world_run(&f->world, 5 * S);
+	g_assert_true(job->accepted);
+	g_assert_cmpuint(f->world.refused_starts, >, 0);
+	g_assert_cmpuint(f->world.refused_starts, <, 10);
+}
+
+/* An occurrence starts when it is due, not before; the last one ends the
+ * job. */
+static void test_occurrences_start_when_due(struct fixture *f, const void *data)
+{
+	struct rj_cell_step step = cell_world_step(2, 1, 300);
+	struct cell_client_job *job =
+		cell_world_job(&f->world, "normal", "a", &step, 1, 300 * MS);
+
+	job->def->repeats = 3;
+	job->def->first_run_ms = cell_world_wall_ms(&f->world) + 2000;
+	job->def->interval_ms = 1500;
+	cell_world_submit(&f->world, 0, job);
+	cell_world_run(&f->world, 1900 * MS);
+	g_assert_cmpuint(job->starts, ==, 0);
+	cell_world_run(&f->world, 300 * MS);
+	g_assert_cmpuint(job->starts, ==, 2);
+	follow(&f->world, 2 * S);
+	g_assert_cmpuint(job->starts, ==, 4);
+	follow(&f->world, 3 * S);
+	g_assert_cmpuint(job->starts, ==, 6);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
+}
+
+/* A perpetual task is started again however it ends, at another instance's
+ * hands too, until its job is cancelled. */
+static void test_perpetual_tasks_are_restarted(struct fixture *f,
+					       const void *data)
+{
+	struct rj_cell_step step = cell_world_step(2, 1, 300);
+	struct cell_client_job *job;
+	int owner;
+
+	step.perpetual = true;
+	job = cell_world_job(&f->world, "normal", "a", &step, 1, 900 * S);
+	job->fail_times = 6;
+	job->work_us = 2 * S; /* they fail half-way, six times */
+	cell_world_submit(&f->world, 0, job);
+	follow(&f->world, 4 * S);
+	owner = cell_world_owner(&f->world);
+	cell_world_kill(&f->world, (uint32_t)owner);
+	follow(&f->world, 12 * S);
+	g_assert_cmpuint(job->starts, >=, 12);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_RUNNING);
+	cell_world_cancel(&f->world, (uint32_t)(owner + 1) % small.nodes, job);
+	follow(&f->world, 3 * S);
+	for (uint32_t i = 0; i < small.workers; i++)
+		g_assert_cmpuint(f->world.workers[i].runs->len, ==, 0);
+}
+
 /* A job that nobody has handed in does not exist, once the log was read. */
 static void test_an_unknown_job_is_gone(struct fixture *f, const void *data)
 {
@@ -200,5 +269,8 @@
 	ADD("apart", test_tasks_kept_apart_in_one_plan);
 	ADD("through", test_a_member_that_is_through_is_not_stuck);
 	ADD("unknown", test_an_unknown_job_is_gone);
+	ADD("refusals", test_refusals_are_not_repeated_at_once);
+	ADD("occurrences", test_occurrences_start_when_due);
+	ADD("perpetual", test_perpetual_tasks_are_restarted);
 	return g_test_run();
 }
