--- /dev/null
+++ b/src/libradishjunction/cell/cell_looks.c
@@ -0,0 +1,344 @@
+#include <assert.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/cell_calls.h"
+#include "private/note.h"
+
+/* A look waits so long for an end; at most 2,000 by the workers' protocol.
+ * Shorter ones find a silent worker sooner, but each has its price. */
+#define LOOK_WAIT_MS 1500
+/* Looks at a worker that does not answer. */
+#define LOOK_RETRY_US (150 * RJ_US_PER_MS)
+#define LOOK_RETRY_MAX_US (1000 * RJ_US_PER_MS)
+/* Ends that cannot be stored make looks return at once; until they are,
+ * leases are renewed at this pace. */
+#define LOOK_UNSTORED_US (700 * RJ_US_PER_MS)
+/* A run whose percentage does not rise for so long stands still: even at a
+ * seventh of the usual speed a task of 11 s gains a percent in a second. */
+#define STALL_US (3 * RJ_US_PER_S)
+/* New work stays off the worker where a run stood still. */
+#define STALL_SUSPECT_US (6 * RJ_US_PER_S)
+
+/* A listed run that is not ours: stop it, and count its room meanwhile. */
+static void stop_stray(struct rj_cell_owner *owner,
+		       struct rj_cell_worker *worker,
+		       const struct rj_cell_row *row)
+{
+	struct rj_cell_entry *entry = NULL;
+	struct rj_cell_run *run = talloc_zero(NULL, struct rj_cell_run);
+	unsigned int step = 0;
+
+	assert(run);
+	(void)rj_cell_owner_task(owner, row->name, &entry);
+	run->worker = worker;
+	run->name = talloc_strdup(run, row->name);
+	run->number = row->number;
+	run->state = RJ_CELL_RUN_STOPPING;
+	run->why = "stray";
+	run->begun_us = owner->now_us;
+	if (entry && entry->def &&
+	    sscanf(row->name, "%*[^.].%*u.%u", &step) == 1 &&
+	    step < entry->def->step_count)
+		run->held = entry->def->steps[step].each;
+	else
+		run->held = worker->said.capacity;
+	rj_list_init(&run->in_task);
+	rj_list_append(&worker->runs, &run->in_worker);
+	rj_cell_demand_give(&worker->held, &run->held);
+}
+
+/* About when a run that was taken over has begun. */
+static uint64_t begun_by_progress(const struct rj_cell_owner *owner,
+				  const struct rj_cell_run *run,
+				  uint32_t percent)
+{
+	uint64_t ran_us;
+
+	if (!run->task)
+		return owner->now_us;
+	ran_us = rj_cell_forecast_task_ms(&owner->forecast,
+					  run->task->round->work->def,
+					  run->task->step) *
+		 RJ_US_PER_MS * percent / RJ_CELL_PERCENT_ALL;
+	return owner->now_us > ran_us ? owner->now_us - ran_us : 0;
+}
+
+/* What a listed run says of its progress. */
+static void note_progress(struct rj_cell_owner *owner, struct rj_cell_run *run,
+			  const struct rj_cell_row *row)
+{
+	if (run->state == RJ_CELL_RUN_PLACED ||
+	    run->state == RJ_CELL_RUN_STARTING) {
+		run->state = RJ_CELL_RUN_SEEN;
+		run->progress_us = owner->now_us;
+		if (!run->begun_us)
+			run->begun_us = owner->now_us;
+		if (run->adopted)
+			run->begun_us =
+				begun_by_progress(owner, run, row->percent);
+	}
+	if (row->percent != run->percent || !run->progress_us)
+		run->progress_us = owner->now_us;
+	run->percent = row->percent;
+	run->listed_us = owner->now_us;
+	g_strlcpy(run->saved, row->saved, sizeof(run->saved));
+}
+
+/* Mark the runs that the worker lists. */
+static void take_rows(struct rj_cell_owner *owner,
+		      struct rj_cell_worker *worker,
+		      const struct rj_cell_order_reply *reply)
+{
+	for (uint32_t i = 0; i < reply->row_count; i++) {
+		const struct rj_cell_row *row = &reply->rows[i];
+		struct rj_cell_run *run =
+			rj_cell_call_run(worker, row->name, row->number);
+
+		if (run)
+			note_progress(owner, run, row);
+		else
+			stop_stray(owner, worker, row);
+	}
+}
+
+/* Whether a worker lists a run. */
+static bool is_listed(const struct rj_cell_order_reply *reply,
+		      const struct rj_cell_run *run)
+{
+	for (uint32_t i = 0; i < reply->row_count; i++)
+		if (reply->rows[i].number == run->number &&
+		    !strcmp(reply->rows[i].name, run->name))
+			return true;
+	return false;
+}
+
+/*
+ * Order a run that was taken over and is not there, if its former owner may
+ * have been stopped between storing the intent and sending the order.
+ *
+ * Load that it answers: an owner that dies while a gang starts. The members
+ * that have started wait for the others for a few seconds; with these they
+ * go on, where the whole gang would have to begin anew.
+ */
+static bool order_again(struct rj_cell_owner *owner, struct rj_cell_run *run)
+{
+	if (!run->adopted || run->state != RJ_CELL_RUN_PLACED || !run->task ||
+	    run->worker->said.draining)
+		return false;
+	/* A gang's end speaks for members whose worker was reborn since. */
+	if (run->task->done ||
+	    run->task->round->work->state >= RJ_CELL_JOB_COMPLETED)
+		return false;
+	run->adopted = false;
+	run->begun_us = 0;
+	run->settled_us = 0;
+	run->state = RJ_CELL_RUN_STARTING;
+	run->order_tries = 0;
+	run->order_due_us = owner->now_us;
+	rj_note("start_again", RJ_NOTE_TEXT("task", run->name),
+		RJ_NOTE_NUMBER("run", run->number),
+		RJ_NOTE_TEXT("worker", run->worker->id));
+	return true;
+}
+
+/*
+ * End the runs that the worker should list and does not.
+ *
+ * Guards against taking a run for lost whose start is still on its way: only
+ * a list that was asked for after the order had been answered counts. Runs
+ * taken over from a former owner are settled from the start, as the fencing
+ * token keeps its orders from being carried out.
+ */
+static void drop_missing(struct rj_cell_owner *owner,
+			 struct rj_cell_worker *worker, uint64_t sent_us,
+			 const struct rj_cell_order_reply *reply)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &worker->runs) {
+		struct rj_cell_run *run =
+			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
+		bool settled = run->settled_us && run->settled_us < sent_us;
+
+		if (run->state == RJ_CELL_RUN_INTENDED || !settled ||
+		    is_listed(reply, run) || order_again(owner, run))
+			continue;
+		if (!run->why)
+			run->why = "not_listed";
+		rj_cell_ends_run(owner, run,
+				 run->state == RJ_CELL_RUN_STOPPING ?
+					 RJ_CELL_END_STOPPED :
+					 RJ_CELL_END_LOST,
+				 NULL);
+		next = worker->runs.next;
+	}
+}
+
+/* Take the ends in that are new. */
+static void take_ends(struct rj_cell_owner *owner,
+		      struct rj_cell_worker *worker,
+		      const struct rj_cell_order_reply *reply)
+{
+	for (uint32_t i = 0; i < reply->end_count; i++) {
+		const struct rj_cell_end_row *row = &reply->ends[i];
+		struct rj_cell_run *run;
+
+		if (row->position <= worker->seen_taken)
+			continue;
+		worker->seen_taken = row->position;
+		run = rj_cell_call_run(worker, row->name, row->number);
+		if (run)
+			rj_cell_ends_run(owner, run, row->end, row->saved);
+		else
+			rj_cell_ends_orphan(owner, worker, row);
+	}
+}
+
+/*
+ * A worker has answered with another incarnation, or for the first time. Its
+ * runs are not taken for lost by that alone: a start that was sent while the
+ * worker was away may have arrived in its new life, as orders name the worker
+ * and not its life. The lists that came with the answer tell.
+ */
+static void meet(struct rj_cell_owner *owner, struct rj_cell_worker *worker,
+		 const struct rj_cell_order_reply *reply)
+{
+	rj_note("worker_met", RJ_NOTE_TEXT("worker", worker->id),
+		RJ_NOTE_NUMBER("incarnation", reply->incarnation),
+		RJ_NOTE_NUMBER("before", worker->incarnation),
+		RJ_NOTE_NUMBER("rows", reply->row_count));
+	worker->incarnation = reply->incarnation;
+	worker->seen = 0;
+	worker->seen_taken = 0;
+	worker->seen_storing = 0;
+	worker->bad_streak = 0;
+	/* From here on only our orders count, so that no lease is longer. */
+	worker->lease_ms = worker->clock_ms + owner->terms.lease_max_ms;
+	worker->lapsed_us = 0;
+	rj_cell_worker_note_lease(worker, worker->lease_ms);
+	owner->plan_wanted = true;
+}
+
+/* Stop runs that do not get on. */
+static void check_stalls(struct rj_cell_owner *owner,
+			 struct rj_cell_worker *worker)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &worker->runs) {
+		struct rj_cell_run *run =
+			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
+
+		/* A member of a gang that is through waits for the others. */
+		if (run->state != RJ_CELL_RUN_SEEN || !run->task ||
+		    run->percent >= RJ_CELL_PERCENT_ALL ||
+		    rj_cell_task_step(run->task)->perpetual ||
+		    owner->now_us - run->progress_us < STALL_US)
+			continue;
+		worker->suspect_until_us = owner->now_us + STALL_SUSPECT_US;
+		g_strlcpy(run->task->avoid, worker->id,
+			  sizeof(run->task->avoid));
+		rj_note("run_stalled", RJ_NOTE_TEXT("task", run->name),
+			RJ_NOTE_TEXT("worker", worker->id),
+			RJ_NOTE_NUMBER("percent", run->percent));
+		rj_cell_ends_stop_run(owner, run, "stalled");
+	}
+}
+
+/* A worker's lists have come. */
+static void take_look(struct rj_cell_owner *owner,
+		      struct rj_cell_worker *worker, uint64_t sent_us,
+		      const struct rj_cell_order_reply *reply)
+{
+	rj_cell_call_clock(worker, reply);
+	worker->answered_us = reply->now_us;
+	worker->look_failures = 0;
+	rj_cell_call_answers(owner, worker, true, reply->status);
+	if (worker->incarnation != reply->incarnation)
+		meet(owner, worker, reply);
+	take_ends(owner, worker, reply);
+	take_rows(owner, worker, reply);
+	drop_missing(owner, worker, sent_us, reply);
+	check_stalls(owner, worker);
+	worker->look_due_us = owner->now_us;
+	if (worker->seen_taken > worker->seen)
+		worker->look_due_us += LOOK_UNSTORED_US;
+}
+
+/* The answer to a look. */
+static void look_done(void *private_data,
+		      const struct rj_cell_order_reply *reply)
+{
+	struct rj_cell_call_note *call = private_data;
+	struct rj_cell_owner *owner = call->owner;
+	struct rj_cell_worker *worker = rj_cell_call_worker(call, reply);
+	uint64_t sent_us = call->sent_us;
+	uint64_t delay_us;
+
+	talloc_free(call);
+	if (!worker)
+		return;
+	worker->look_open = false;
+	if (reply->status == RJ_CELL_ORDER_OK) {
+		take_look(owner, worker, sent_us, reply);
+		return;
+	}
+	if (reply->status == RJ_CELL_ORDER_FENCED) {
+		owner->lost = true;
+		return;
+	}
+	if (reply->status == RJ_CELL_ORDER_OTHER)
+		rj_cell_call_other_life(owner, worker);
+	else
+		rj_cell_call_answers(owner, worker, false, reply->status);
+	delay_us = LOOK_RETRY_US << MIN(worker->look_failures, 3U);
+	worker->look_failures++;
+	worker->look_due_us = owner->now_us + MIN(delay_us, LOOK_RETRY_MAX_US);
+}
+
+/* Ask a worker for its lists, renewing what runs there. */
+static void send_look(struct rj_cell_owner *owner,
+		      struct rj_cell_worker *worker)
+{
+	struct rj_cell_look look = { .token = owner->token };
+	struct rj_cell_order_done done;
+
+	/*
+	 * Guards against ends that are forgotten unseen: a worker that went
+	 * silent may have been reborn, and its new life counts its ends from
+	 * one again. Until it has answered, nothing counts as seen.
+	 */
+	if (worker->answers)
+		look.seen = worker->seen;
+	if (worker->incarnation && worker->answers)
+		look.wait_ms = LOOK_WAIT_MS;
+	/*
+	 * Guards against leases that never lapse: a worker that is silent may
+	 * carry a look out late, so each deadline that was sent counts, and
+	 * with it the time until its tasks may start elsewhere.
+	 */
+	if (worker->incarnation && worker->answers &&
+	    worker->runs.next != &worker->runs)
+		look.deadline_ms = rj_cell_call_deadline(owner, worker);
+	done.call = look_done;
+	done.private_data = rj_cell_call_new(owner, worker, NULL);
+	worker->look_open = true;
+	worker->look_sent_us = owner->now_us;
+	owner->counters.looks++;
+	owner->workers->ops->look(owner->workers, worker, &look, done);
+}
+
+/*
+ * Look at a worker, if that is due.
+ */
+void rj_cell_looks_tick(struct rj_cell_owner *owner,
+			struct rj_cell_worker *worker)
+{
+	if (!worker->look_open && owner->now_us >= worker->look_due_us &&
+	    (worker->listed || worker->runs.next != &worker->runs))
+		send_look(owner, worker);
+}
--- /dev/null
+++ b/src/libradishjunction/include/private/cell_calls.h
@@ -0,0 +1,47 @@
+/*
+ * What the owner's calls to workers have in common: what a call remembers,
+ * what every answer says of its worker, and the deadline that it carries.
+ *
+ * A note lives from its call to the answer; by then the run, the worker or
+ * the ownership may have gone, so a note names them.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_CELL_CALLS_H
+#define RADISHJUNCTION_PRIVATE_CELL_CALLS_H
+
+#include "private/cell_owner.h"
+
+/* A run is through; a member of a gang then waits for the others. */
+#define RJ_CELL_PERCENT_ALL 100
+
+struct rj_cell_call_note {
+	struct rj_cell_owner *owner;
+	uint32_t generation;
+	uint64_t sent_us;
+	char worker[RJ_NAME_BYTES];
+	char *name; /* of the run; NULL for looks */
+	uint32_t number;
+};
+
+struct rj_cell_call_note *rj_cell_call_new(struct rj_cell_owner *owner,
+					   const struct rj_cell_worker *worker,
+					   const struct rj_cell_run *run);
+struct rj_cell_run *rj_cell_call_run(const struct rj_cell_worker *worker,
+				     const char *name, uint32_t number);
+void rj_cell_call_clock(struct rj_cell_worker *worker,
+			const struct rj_cell_order_reply *reply);
+uint64_t rj_cell_call_deadline(struct rj_cell_owner *owner,
+			       struct rj_cell_worker *worker);
+void rj_cell_call_lose_runs(struct rj_cell_owner *owner,
+			    struct rj_cell_worker *worker, const char *why);
+void rj_cell_call_answers(struct rj_cell_owner *owner,
+			  struct rj_cell_worker *worker, bool answers,
+			  enum rj_cell_order_status status);
+struct rj_cell_worker *
+rj_cell_call_worker(struct rj_cell_call_note *call,
+		    const struct rj_cell_order_reply *reply);
+void rj_cell_call_other_life(struct rj_cell_owner *owner,
+			     struct rj_cell_worker *worker);
+void rj_cell_looks_tick(struct rj_cell_owner *owner,
+			struct rj_cell_worker *worker);
+
+#endif
