--- a/src/libradishjunction/cell/cell_looks.c
+++ b/src/libradishjunction/cell/cell_looks.c
@@ -327,7 +327,6 @@
 	done.call = look_done;
 	done.private_data = rj_cell_call_new(owner, worker, NULL);
 	worker->look_open = true;
-	worker->look_sent_us = owner->now_us;
 	owner->counters.looks++;
 	owner->workers->ops->look(owner->workers, worker, &look, done);
 }
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -211,7 +211,6 @@
 		rj_note("worker_unlisted", RJ_NOTE_TEXT("worker", id),
 			RJ_NOTE_NUMBER("holds", worker->held.memory_mb));
 		worker->listed = false;
-		worker->listed_us = owner->now_us;
 		owner->plan_wanted = true;
 		return;
 	}
@@ -228,7 +227,6 @@
 		rj_note("worker_listed", RJ_NOTE_TEXT("worker", id),
 			RJ_NOTE_TEXT("domain", heartbeat->domain),
 			RJ_NOTE_NUMBER("draining", heartbeat->draining));
-		worker->listed_us = owner->now_us;
 		worker->look_due_us = owner->now_us;
 		owner->plan_wanted = true;
 	}
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -20,8 +20,6 @@
 	struct rj_address address;
 	char domain[RJ_NAME_BYTES]; /* failure domain */
 	bool draining;
-	uint64_t drain_left_ms;
-	uint64_t cold_left_ms; /* slow for so long after its start */
 	struct rj_cell_demand capacity;
 	char kind[RJ_NAME_BYTES]; /* a label that steps may ask for */
 	char rack[RJ_NAME_BYTES];
@@ -33,8 +31,6 @@
 	char id[RJ_NAME_BYTES];
 	struct rj_cell_heartbeat said;
 	bool listed; /* its entry stands in the log */
-	uint64_t listed_us; /* when that last changed */
-	uint32_t index; /* in the fleet's order, while a plan is made */
 	uint64_t incarnation; /* that answered last; 0: none yet */
 	bool answers; /* the last call to it was answered */
 	uint64_t answered_us;
@@ -46,13 +42,11 @@
 	uint64_t lease_ms;
 	uint64_t lapsed_us; /* nothing runs there after this, if silent */
 	bool look_open; /* a call for its lists is on its way */
-	uint64_t look_sent_us;
 	uint64_t look_due_us;
 	uint32_t look_failures;
 	uint64_t seen; /* ends up to this number are stored */
 	uint64_t seen_taken; /* ... are noted in memory */
 	uint64_t seen_storing; /* ... are in the append on its way */
-	uint64_t seen_sent; /* ... have been told to the worker */
 	struct rj_list runs;
 	struct rj_cell_demand held; /* by all runs */
 	/* Health, from what happened there. */
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -23,8 +23,6 @@
 /* What the deployment lays down. */
 struct rj_cell_terms {
 	uint32_t lease_max_ms; /* a worker shortens longer leases */
-	uint32_t stop_ms; /* a stop takes so long at most */
-	uint32_t gang_wait_ms; /* members wait so long for each other */
 	uint32_t status_ms; /* an ended job is remembered so long */
 	uint32_t reclaim_ms; /* guaranteed work begins so soon */
 	uint32_t revoke_ms; /* a key is good so long after its removal */
--- a/src/test_libradishjunction/support/cell_world.c
+++ b/src/test_libradishjunction/support/cell_world.c
@@ -265,8 +265,6 @@
 	struct cell_world_node *node = &world->nodes[index];
 	struct rj_cell_node_options options = { .strength = 25,
 						.terms = { .lease_max_ms = 6000,
-							   .stop_ms = 400,
-							   .gang_wait_ms = 3000,
 							   .status_ms = 120000,
 							   .reclaim_ms = 2900,
 							   .revoke_ms = 5000 },
