--- /dev/null
+++ b/src/standin_users/log.c
@@ -0,0 +1,323 @@
+#include <arpa/inet.h>
+#include <assert.h>
+#include <endian.h>
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/clock.h"
+#include "private/wire.h"
+#include "standin.h"
+
+#define BODY_MAX_BYTES (4 * 1024 * 1024)
+#define CONNECTIONS_MAX 256
+#define LENGTH_BYTES 4
+
+/* What is known of one producer. */
+struct producer {
+	uint64_t epoch;
+	bool has_appended;
+	uint64_t sequence;
+	uint64_t end; /* after the last append */
+};
+
+/* A read that waits for a record. */
+struct waiting_read {
+	struct standin_log *log;
+	struct rj_http_exchange *exchange;
+	struct standin_topic *topic;
+	uint64_t from;
+	struct waiting_read **hook; /* freed with the exchange */
+};
+
+/* A topic, made on its first use. */
+static struct standin_topic *topic_of(struct standin_log *log, const char *name)
+{
+	struct standin_topic *topic = g_hash_table_lookup(log->topics, name);
+
+	if (topic)
+		return topic;
+	topic = g_new0(struct standin_topic, 1);
+	topic->records = g_ptr_array_new();
+	g_hash_table_insert(log->topics, g_strdup(name), topic);
+	return topic;
+}
+
+/* A number out of the query. */
+static uint64_t query_number(struct rj_http_exchange *exchange,
+			     const char *name)
+{
+	const char *text = rj_http_exchange_argument(exchange, name);
+
+	return text ? g_ascii_strtoull(text, NULL, 10) : 0;
+}
+
+/* Answer a read with all records from an offset on. */
+static void answer_read(struct rj_http_exchange *exchange,
+			const struct standin_topic *topic, uint64_t from)
+{
+	GByteArray *body = g_byte_array_new();
+	uint64_t head[2] = { htobe64(topic->records->len), 0 };
+
+	g_byte_array_append(body, (const guint8 *)head, sizeof(head));
+	for (uint64_t i = from; i < topic->records->len; i++) {
+		const struct standin_record *record = topic->records->pdata[i];
+		uint8_t key_length = (uint8_t)strlen(record->key);
+		uint32_t size =
+			htonl((uint32_t)(1 + key_length + record->length));
+
+		g_byte_array_append(body, (const guint8 *)&size, LENGTH_BYTES);
+		g_byte_array_append(body, &key_length, 1);
+		g_byte_array_append(body, (const guint8 *)record->key,
+				    key_length);
+		if (record->length)
+			g_byte_array_append(body, (const guint8 *)record->value,
+					    (guint)record->length);
+	}
+	rj_http_exchange_answer(exchange, 200, (const char *)body->data,
+				body->len);
+	g_byte_array_free(body, TRUE);
+}
+
+/* End a read that waits. */
+static void end_waiting(struct waiting_read *read)
+{
+	struct rj_http_exchange *exchange = read->exchange;
+
+	g_ptr_array_remove(read->log->waiting, read);
+	*read->hook = NULL;
+	answer_read(exchange, read->topic, read->from);
+	g_free(read);
+}
+
+/* The client of a waiting read has gone. */
+static int hook_destructor(struct waiting_read **hook)
+{
+	if (*hook) {
+		g_ptr_array_remove((*hook)->log->waiting, *hook);
+		g_free(*hook);
+	}
+	return 0;
+}
+
+/* A read has waited for as long as it asked to. */
+static void waited(struct tevent_context *ev, struct tevent_timer *timer,
+		   struct timeval now, void *private_data)
+{
+	struct waiting_read **hook = private_data;
+
+	if (*hook)
+		end_waiting(*hook);
+}
+
+/* A read: at once, or when there is a record. */
+static void handle_read(struct standin_log *log,
+			struct rj_http_exchange *exchange)
+{
+	const char *name = rj_http_exchange_argument(exchange, "Topic");
+	struct standin_topic *topic = topic_of(log, name ? name : "");
+	uint64_t from = query_number(exchange, "From");
+	uint64_t wait_ms = query_number(exchange, "WaitMs");
+	struct waiting_read *read;
+	struct tevent_timer *timer;
+
+	if (from < topic->records->len || !wait_ms) {
+		answer_read(exchange, topic, from);
+		return;
+	}
+	read = g_new0(struct waiting_read, 1);
+	read->log = log;
+	read->exchange = exchange;
+	read->topic = topic;
+	read->from = from;
+	read->hook = talloc(exchange, struct waiting_read *);
+	*read->hook = read;
+	talloc_set_destructor(read->hook, hook_destructor);
+	g_ptr_array_add(log->waiting, read);
+	timer = tevent_add_timer(log->ev, read->hook,
+				 rj_clock_timeval_in(wait_ms * RJ_US_PER_MS),
+				 waited, read->hook);
+	assert(timer);
+	(void)timer;
+}
+
+/*
+ * Append one record, and answer the reads that waited for it.
+ */
+void standin_log_put(struct standin_log *log, const char *name, const char *key,
+		     const char *value, size_t length)
+{
+	struct standin_topic *topic = topic_of(log, name);
+	struct standin_record *record = g_new0(struct standin_record, 1);
+
+	record->key = g_strdup(key);
+	record->value = length ? g_memdup2(value, length) : NULL;
+	record->length = length;
+	g_ptr_array_add(topic->records, record);
+	for (guint i = log->waiting->len; i > 0; i--) {
+		struct waiting_read *read = log->waiting->pdata[i - 1];
+
+		if (read->topic == topic)
+			end_waiting(read);
+	}
+}
+
+/* The newest record of each key. */
+static void handle_newest(struct standin_log *log,
+			  struct rj_http_exchange *exchange)
+{
+	const char *name = rj_http_exchange_argument(exchange, "Topic");
+	struct standin_topic *topic = topic_of(log, name ? name : "");
+	GHashTable *newest = g_hash_table_new(g_str_hash, g_str_equal);
+	json_t *items = json_array();
+	json_t *answer;
+	char *text;
+
+	for (guint i = 0; i < topic->records->len; i++) {
+		struct standin_record *record = topic->records->pdata[i];
+
+		g_hash_table_insert(newest, record->key, GUINT_TO_POINTER(i));
+	}
+	for (guint i = 0; i < topic->records->len; i++) {
+		struct standin_record *record = topic->records->pdata[i];
+		char *value;
+
+		if (!record->length || GPOINTER_TO_UINT(g_hash_table_lookup(
+					       newest, record->key)) != i)
+			continue;
+		value = g_base64_encode((const guchar *)record->value,
+					record->length);
+		json_array_append_new(items,
+				      json_pack("{s:s,s:s,s:I}", "Key",
+						record->key, "Value", value,
+						"Offset", (json_int_t)i));
+		g_free(value);
+	}
+	answer = json_pack("{s:o,s:b,s:I}", "items", items, "HasMore", 0,
+			   "EndOffset", (json_int_t)topic->records->len);
+	text = rj_wire_text(exchange, answer);
+	rj_http_exchange_answer(exchange, 200, text, strlen(text));
+	json_decref(answer);
+	g_hash_table_destroy(newest);
+}
+
+/* Answer an append. */
+static void answer_append(struct rj_http_exchange *exchange,
+			  unsigned int status, uint64_t end, const char *reason)
+{
+	char *text = talloc_asprintf(exchange,
+				     "{\"EndOffset\":%" G_GUINT64_FORMAT
+				     ",\"Reason\":\"%s\"}",
+				     end, reason);
+
+	rj_http_exchange_answer(exchange, status, text, strlen(text));
+}
+
+/* Add the records of a body. */
+static void put_body(struct standin_log *log, const char *name,
+		     const struct rj_buffer *body)
+{
+	size_t at = 0;
+
+	while (at + LENGTH_BYTES < body->length) {
+		uint32_t size;
+		uint8_t key_length;
+		char *key;
+
+		memcpy(&size, body->data + at, sizeof(size));
+		size = ntohl(size);
+		at += LENGTH_BYTES;
+		key_length = (uint8_t)body->data[at];
+		key = g_strndup(body->data + at + 1, key_length);
+		standin_log_put(log, name, key,
+				body->data + at + 1 + key_length,
+				size - 1 - key_length);
+		g_free(key);
+		at += size;
+	}
+}
+
+/* An append, under the rules of producers and conditions. */
+static void handle_append(struct standin_log *log,
+			  struct rj_http_exchange *exchange)
+{
+	const char *name = rj_http_exchange_argument(exchange, "Topic");
+	const char *who = rj_http_exchange_argument(exchange, "ProducerId");
+	const char *at = rj_http_exchange_argument(exchange, "At");
+	uint64_t epoch = query_number(exchange, "epoch");
+	uint64_t sequence = query_number(exchange, "Sequence");
+	struct standin_topic *topic = topic_of(log, name ? name : "");
+	struct producer *producer =
+		g_hash_table_lookup(log->producers, who ? who : "");
+
+	if (!producer) {
+		producer = g_new0(struct producer, 1);
+		g_hash_table_insert(log->producers, g_strdup(who ? who : ""),
+				    producer);
+	}
+	if (epoch < producer->epoch) {
+		answer_append(exchange, 409, topic->records->len, "fenced");
+		return;
+	}
+	if (epoch == producer->epoch && producer->has_appended &&
+	    sequence == producer->sequence) {
+		answer_append(exchange, 200, producer->end, "");
+		return;
+	}
+	if (at && query_number(exchange, "At") != topic->records->len) {
+		answer_append(exchange, 412, topic->records->len, "");
+		return;
+	}
+	if (epoch == producer->epoch && producer->has_appended &&
+	    sequence != producer->sequence + 1) {
+		answer_append(exchange, 409, topic->records->len, "seq");
+		return;
+	}
+	producer->epoch = epoch;
+	producer->sequence = sequence;
+	producer->has_appended = true;
+	put_body(log, name, &exchange->body);
+	producer->end = topic->records->len;
+	answer_append(exchange, 200, producer->end, "");
+}
+
+/* A call of an instance, or of the test: its own call puts a configuration. */
+static void handle(void *private_data, struct rj_http_exchange *exchange)
+{
+	struct standin_log *log = private_data;
+
+	if (!strcmp(exchange->path, "/-/log-append")) {
+		handle_append(log, exchange);
+	} else if (!strcmp(exchange->path, "/-/log-read")) {
+		handle_read(log, exchange);
+	} else if (!strcmp(exchange->path, "/-/log-newest")) {
+		handle_newest(log, exchange);
+	} else if (!strcmp(exchange->path, "/standin/config")) {
+		standin_log_put(log, "keyed.op", "config", exchange->body.data,
+				exchange->body.length);
+		rj_http_exchange_answer(exchange, 200, "{}", 2);
+	} else {
+		rj_http_exchange_error(exchange, 404, "no such call");
+	}
+}
+
+/*
+ * Serve the log on any free port of loopback. Returns 0, or -1 with `err`.
+ */
+int standin_log_init(struct standin_log *log, void *mem,
+		     struct tevent_context *ev, struct rj_error *err)
+{
+	struct rj_http_server_options options = {
+		.address = { .ip = "127.0.0.1" },
+		.connections_max = CONNECTIONS_MAX,
+		.body_max_bytes = BODY_MAX_BYTES,
+		.handle = handle,
+		.private_data = log
+	};
+
+	log->ev = ev;
+	log->topics = g_hash_table_new(g_str_hash, g_str_equal);
+	log->producers = g_hash_table_new(g_str_hash, g_str_equal);
+	log->waiting = g_ptr_array_new();
+	return rj_http_server_init(&log->server, mem, ev, &options, err);
+}
--- /dev/null
+++ b/src/standin_users/main.c
@@ -0,0 +1,77 @@
+/*
+ * rj-standin-users: a log and some workers that speak the users' protocol.
+ */
+#include <argtable2.h>
+#include <assert.h>
+#include <stdio.h>
+#include <talloc.h>
+
+#include "private/clock.h"
+#include "standin.h"
+
+#define WORKERS_MAX 64
+#define HEARTBEAT_US (500 * RJ_US_PER_MS)
+#define ERRORS_MAX 8
+
+/* All workers of this process. */
+struct fleet {
+	struct standin_worker workers[WORKERS_MAX];
+	uint32_t count;
+};
+
+/* All workers show that they live. */
+static void beat(struct tevent_context *ev, struct tevent_timer *timer,
+		 struct timeval now, void *private_data)
+{
+	struct fleet *fleet = private_data;
+
+	for (uint32_t i = 0; i < fleet->count; i++)
+		standin_worker_beat(&fleet->workers[i]);
+	timer = tevent_add_timer(ev, fleet, rj_clock_timeval_in(HEARTBEAT_US),
+				 beat, fleet);
+	assert(timer);
+}
+
+/* Tell where everything listens. */
+static void print_listening(const struct standin_log *log,
+			    const struct fleet *fleet)
+{
+	printf("{\"listening\":{\"log\":\"127.0.0.1:%u\",\"workers\":[",
+	       log->server.address.port);
+	for (uint32_t i = 0; i < fleet->count; i++)
+		printf("%s\"127.0.0.1:%u\"", i ? "," : "",
+		       fleet->workers[i].server.address.port);
+	printf("]}}\n");
+	fflush(stdout);
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_int *workers =
+		arg_int0(NULL, "workers", "N", "workers, 4 by default");
+	struct arg_end *end = arg_end(ERRORS_MAX);
+	void *table[] = { workers, end };
+	struct tevent_context *ev = tevent_context_init(NULL);
+	struct standin_log *log = talloc_zero(ev, struct standin_log);
+	struct fleet *fleet = talloc_zero(ev, struct fleet);
+	struct rj_error err;
+
+	if (arg_nullcheck(table) || arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, "rj-standin-users");
+		return 2;
+	}
+	fleet->count = workers->count ? (uint32_t)workers->ival[0] : 4;
+	if (fleet->count > WORKERS_MAX)
+		fleet->count = WORKERS_MAX;
+	if (standin_log_init(log, ev, ev, &err))
+		goto fail;
+	for (uint32_t i = 0; i < fleet->count; i++)
+		if (standin_worker_init(&fleet->workers[i], ev, log, i, &err))
+			goto fail;
+	beat(ev, NULL, tevent_timeval_zero(), fleet);
+	print_listening(log, fleet);
+	return tevent_loop_wait(ev);
+fail:
+	fprintf(stderr, "rj-standin-users: %s\n", err.message);
+	return 4;
+}
--- /dev/null
+++ b/src/standin_users/standin.h
@@ -0,0 +1,62 @@
+/*
+ * A small stand-in of the users' platform: its log, and workers that run
+ * what they are told, by the users' published protocol. For process tests.
+ *
+ * Life cycle: `standin_log_init`, then `standin_worker_init` for each worker;
+ * all live until the process ends.
+ */
+#ifndef STANDIN_USERS_STANDIN_H
+#define STANDIN_USERS_STANDIN_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <tevent.h>
+
+#include "http_server.h"
+
+/* One record of a log of one partition. */
+struct standin_record {
+	char *key;
+	char *value; /* NULL: the key is dropped */
+	size_t length;
+};
+
+struct standin_topic {
+	GPtrArray *records; /* struct standin_record */
+};
+
+struct standin_log {
+	struct tevent_context *ev;
+	struct rj_http_server server;
+	GHashTable *topics; /* name -> struct standin_topic */
+	GHashTable *producers; /* name -> struct producer */
+	GPtrArray *waiting; /* struct waiting_read */
+};
+
+/* One worker; it remembers every task that it has run, for the verdict. */
+struct standin_worker {
+	struct standin_log *log;
+	struct rj_http_server server;
+	char id[RJ_NAME_BYTES];
+	uint64_t born_ms;
+	uint64_t token;
+	uint64_t lease_ms;
+	json_t *running; /* name -> { run, until_ms } */
+	json_t *finished; /* rows */
+	json_t *barred; /* name -> run */
+	uint64_t ends;
+	GPtrArray *waiting; /* struct waiting_look */
+	json_t *done; /* name -> how often it has ended well */
+};
+
+uint64_t standin_now_ms(void);
+int standin_log_init(struct standin_log *log, void *mem,
+		     struct tevent_context *ev, struct rj_error *err);
+void standin_log_put(struct standin_log *log, const char *topic,
+		     const char *key, const char *value, size_t length);
+int standin_worker_init(struct standin_worker *worker, void *mem,
+			struct standin_log *log, uint32_t number,
+			struct rj_error *err);
+void standin_worker_beat(struct standin_worker *worker);
+
+#endif
--- /dev/null
+++ b/src/standin_users/worker.c
@@ -0,0 +1,324 @@
+#include <assert.h>
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/clock.h"
+#include "private/wire.h"
+#include "standin.h"
+
+#define BODY_MAX_BYTES (1024 * 1024)
+#define CONNECTIONS_MAX 64
+#define LEASE_MAX_MS 6000
+#define STEP_US (20 * RJ_US_PER_MS)
+#define RACK_WORKERS 4
+
+/* A look that waits for an end. */
+struct waiting_look {
+	struct standin_worker *worker;
+	struct rj_http_exchange *exchange;
+	uint64_t until_ms;
+	struct waiting_look **hook; /* freed with the exchange */
+};
+
+/*
+ * Milliseconds of the clock that all workers here share.
+ */
+uint64_t standin_now_ms(void)
+{
+	return rj_clock_now_us() / RJ_US_PER_MS;
+}
+
+/* Send an answer; takes `body`. */
+static void answer(struct rj_http_exchange *exchange, unsigned int status,
+		   json_t *body)
+{
+	char *text;
+
+	json_object_set_new(body, "ClockMs",
+			    json_integer((json_int_t)standin_now_ms()));
+	text = rj_wire_text(exchange, body);
+	rj_http_exchange_answer(exchange, status, text, strlen(text));
+	json_decref(body);
+}
+
+/* Turn an order away. */
+static void refuse(struct rj_http_exchange *exchange, const char *reason)
+{
+	answer(exchange, 409, json_pack("{s:s}", "Reason", reason));
+}
+
+/* Answer a look with both lists. */
+static void answer_look(struct standin_worker *worker,
+			struct rj_http_exchange *exchange)
+{
+	json_t *rows = json_array();
+	const char *name;
+	json_t *run;
+
+	json_object_foreach(worker->running, name, run)
+	{
+		uint64_t now_ms = standin_now_ms();
+		json_int_t from =
+			json_integer_value(json_object_get(run, "from_ms"));
+		json_int_t until =
+			json_integer_value(json_object_get(run, "until_ms"));
+		json_int_t percent = ((json_int_t)now_ms - from) * 100 /
+				     MAX(until - from, 1);
+
+		json_array_append_new(rows,
+				      json_pack("[s,O,s,I,i]", name,
+						json_object_get(run, "run"), "",
+						CLAMP(percent, 0, 100), 0));
+	}
+	answer(exchange, 200,
+	       json_pack("{s:I,s:o,s:O}", "born", (json_int_t)worker->born_ms,
+			 "Running", rows, "Finished", worker->finished));
+}
+
+/* The client of a waiting look has gone. */
+static int hook_destructor(struct waiting_look **hook)
+{
+	if (*hook) {
+		g_ptr_array_remove((*hook)->worker->waiting, *hook);
+		g_free(*hook);
+	}
+	return 0;
+}
+
+/* End the looks that have waited long enough, or all. */
+static void end_looks(struct standin_worker *worker, bool all)
+{
+	for (guint i = worker->waiting->len; i > 0; i--) {
+		struct waiting_look *look = worker->waiting->pdata[i - 1];
+
+		if (!all && standin_now_ms() < look->until_ms)
+			continue;
+		g_ptr_array_remove_index(worker->waiting, i - 1);
+		*look->hook = NULL;
+		answer_look(worker, look->exchange);
+		g_free(look);
+	}
+}
+
+/* A run ends: it is listed until it is seen. */
+static void end_run(struct standin_worker *worker, const char *name,
+		    const char *how)
+{
+	json_t *run = json_object_get(worker->running, name);
+	json_t *number = json_object_get(run, "run");
+
+	json_array_append_new(worker->finished,
+			      json_pack("[I,s,O,s,s]",
+					(json_int_t)++worker->ends, name,
+					number, how, ""));
+	json_object_set(worker->barred, name, number);
+	if (!strcmp(how, "done"))
+		json_object_set_new(
+			worker->done, name,
+			json_integer(1 + json_integer_value(json_object_get(
+						 worker->done, name))));
+	json_object_del(worker->running, name);
+}
+
+/* Work on: runs end, leases lapse, looks have waited long enough. */
+static void step(struct tevent_context *ev, struct tevent_timer *timer,
+		 struct timeval now, void *private_data)
+{
+	struct standin_worker *worker = private_data;
+	uint64_t now_ms = standin_now_ms();
+	bool ended = false;
+	const char *name;
+	json_t *run;
+	void *next;
+
+	json_object_foreach_safe(worker->running, next, name, run)
+	{
+		uint64_t until_ms = (uint64_t)json_integer_value(
+			json_object_get(run, "until_ms"));
+
+		if (now_ms <= worker->lease_ms && now_ms < until_ms)
+			continue;
+		end_run(worker, name,
+			now_ms > worker->lease_ms ? "lapsed" : "done");
+		ended = true;
+	}
+	end_looks(worker, ended);
+	timer = tevent_add_timer(ev, worker->log->server.mem,
+				 rj_clock_timeval_in(STEP_US), step, worker);
+	assert(timer);
+}
+
+/* The fields that all orders have in common; false when the order has been
+ * turned away. */
+static bool take_order(struct standin_worker *worker,
+		       struct rj_http_exchange *exchange, const json_t *body)
+{
+	uint64_t token = (uint64_t)json_integer_value(
+		json_object_get(body, "FencingToken"));
+	uint64_t deadline_ms = (uint64_t)json_integer_value(
+		json_object_get(body, "DeadlineMs"));
+	uint64_t longest_ms = standin_now_ms() + LEASE_MAX_MS;
+
+	if (token < worker->token) {
+		refuse(exchange, "fence");
+		return false;
+	}
+	worker->token = token;
+	worker->lease_ms = MAX(worker->lease_ms, MIN(deadline_ms, longest_ms));
+	return true;
+}
+
+/* A start: the spec says how many milliseconds the task takes. */
+static void handle_start(struct standin_worker *worker,
+			 struct rj_http_exchange *exchange, const json_t *body)
+{
+	const char *name = json_string_value(json_object_get(body, "Task"));
+	const char *spec = json_string_value(json_object_get(body, "Spec"));
+	json_t *number = json_object_get(body, "RunId");
+	json_t *run = json_object_get(worker->running, name);
+	json_int_t barred =
+		json_integer_value(json_object_get(worker->barred, name));
+	uint64_t now_ms = standin_now_ms();
+
+	if (!take_order(worker, exchange, body))
+		return;
+	if (run && json_equal(json_object_get(run, "run"), number)) {
+		answer(exchange, 200, json_object());
+		return;
+	}
+	if (run || json_integer_value(number) <= barred) {
+		refuse(exchange, "old");
+		return;
+	}
+	json_object_set_new(
+		worker->running, name,
+		json_pack("{s:O,s:I,s:I}", "run", number, "from_ms",
+			  (json_int_t)now_ms, "until_ms",
+			  (json_int_t)(now_ms +
+				       g_ascii_strtoull(spec, NULL, 10))));
+	answer(exchange, 200, json_object());
+}
+
+/* A stop, also of what has not come yet. */
+static void handle_stop(struct standin_worker *worker,
+			struct rj_http_exchange *exchange, const json_t *body)
+{
+	const char *name = json_string_value(json_object_get(body, "Task"));
+
+	if (!take_order(worker, exchange, body))
+		return;
+	if (json_object_get(worker->running, name))
+		end_run(worker, name, "stopped");
+	else
+		json_object_set(worker->barred, name,
+				json_object_get(body, "RunId"));
+	answer(exchange, 200, json_object());
+	end_looks(worker, true);
+}
+
+/* A look: ends that were seen are forgotten. */
+static void handle_look(struct standin_worker *worker,
+			struct rj_http_exchange *exchange, const json_t *body)
+{
+	json_int_t seen = json_integer_value(json_object_get(body, "LastSeen"));
+	json_int_t wait_ms =
+		json_integer_value(json_object_get(body, "WaitMs"));
+	struct waiting_look *look;
+
+	if (!take_order(worker, exchange, body))
+		return;
+	while (json_array_size(worker->finished) &&
+	       json_integer_value(json_array_get(
+		       json_array_get(worker->finished, 0), 0)) <= seen)
+		json_array_remove(worker->finished, 0);
+	if (!wait_ms || json_array_size(worker->finished)) {
+		answer_look(worker, exchange);
+		return;
+	}
+	look = g_new0(struct waiting_look, 1);
+	look->worker = worker;
+	look->exchange = exchange;
+	look->until_ms = standin_now_ms() + (uint64_t)wait_ms;
+	look->hook = talloc(exchange, struct waiting_look *);
+	*look->hook = look;
+	talloc_set_destructor(look->hook, hook_destructor);
+	g_ptr_array_add(worker->waiting, look);
+}
+
+/* An order of an instance, or the test's question what has been done. */
+static void handle(void *private_data, struct rj_http_exchange *exchange)
+{
+	struct standin_worker *worker = private_data;
+	json_t *body =
+		json_loadb(exchange->body.data, exchange->body.length, 0, NULL);
+
+	if (!strcmp(exchange->path, "/-/run-start"))
+		handle_start(worker, exchange, body);
+	else if (!strcmp(exchange->path, "/-/run-stop"))
+		handle_stop(worker, exchange, body);
+	else if (!strcmp(exchange->path, "/-/hold"))
+		handle_look(worker, exchange, body);
+	else if (!strcmp(exchange->path, "/standin/done"))
+		answer(exchange, 200, json_deep_copy(worker->done));
+	else
+		rj_http_exchange_error(exchange, 404, "no such call");
+	json_decref(body);
+}
+
+/*
+ * Show in the log that the worker lives.
+ */
+void standin_worker_beat(struct standin_worker *worker)
+{
+	char address[RJ_IP_BYTES + 8];
+	char rack[16];
+	json_t *entry;
+	char *text;
+
+	(void)g_snprintf(address, sizeof(address), "%s:%u",
+			 worker->server.address.ip,
+			 worker->server.address.port);
+	(void)g_snprintf(rack, sizeof(rack), "r%u",
+			 (uint32_t)(worker->born_ms % RACK_WORKERS));
+	entry = json_pack("{s:s,s:s,s:s,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I}",
+			  "Service", "render", "Address", address, "Zone", "z",
+			  "State", "ready", "Capacity", "Cpu", 64000, "MemMb",
+			  65536, "Gpu", 8, "Labels", "a", rack, "born",
+			  (json_int_t)worker->born_ms);
+	text = json_dumps(entry, JSON_COMPACT);
+	standin_log_put(worker->log, "keyed.servers", worker->id, text,
+			strlen(text));
+	free(text);
+	json_decref(entry);
+}
+
+/*
+ * Serve one worker on any free port of loopback. Returns 0, or -1 with `err`.
+ */
+int standin_worker_init(struct standin_worker *worker, void *mem,
+			struct standin_log *log, uint32_t number,
+			struct rj_error *err)
+{
+	struct rj_http_server_options options = {
+		.address = { .ip = "127.0.0.1" },
+		.connections_max = CONNECTIONS_MAX,
+		.body_max_bytes = BODY_MAX_BYTES,
+		.handle = handle,
+		.private_data = worker
+	};
+
+	memset(worker, 0, sizeof(*worker));
+	worker->log = log;
+	worker->born_ms = standin_now_ms() + number;
+	worker->running = json_object();
+	worker->finished = json_array();
+	worker->barred = json_object();
+	worker->done = json_object();
+	worker->waiting = g_ptr_array_new();
+	(void)g_snprintf(worker->id, sizeof(worker->id), "w%u", number);
+	if (rj_http_server_init(&worker->server, mem, log->ev, &options, err))
+		return -1;
+	step(log->ev, NULL, tevent_timeval_zero(), worker);
+	return 0;
+}
