--- a/src/standin_users/log.c
+++ b/src/standin_users/log.c
@@ -278,14 +278,56 @@
 	producer->has_appended = true;
 	put_body(log, name, &exchange->body);
 	producer->end = topic->records->len;
-	answer_append(exchange, 200, producer->end, "");
+	if (log->mode == STANDIN_LOSE)
+		rj_http_exchange_abort(exchange);
+	else
+		answer_append(exchange, 200, producer->end, "");
+}
+
+/* The test says how calls are treated from now on. */
+static void handle_mode(struct standin_log *log,
+			struct rj_http_exchange *exchange)
+{
+	static const char *const words[] = {
+		[STANDIN_OK] = "ok",
+		[STANDIN_REFUSE] = "refuse",
+		[STANDIN_SILENT] = "silent",
+		[STANDIN_LOSE] = "lose",
+	};
+
+	for (int i = 0; i < (int)G_N_ELEMENTS(words); i++)
+		if (!strcmp(words[i], exchange->body.data))
+			log->mode = (enum standin_mode)i;
+	rj_http_exchange_answer(exchange, 200, "{}", 2);
 }
 
-/* A call of an instance, or of the test: its own call puts a configuration. */
+/* Whether a call meets trouble that was asked for. */
+static bool meets_trouble(struct standin_log *log,
+			  struct rj_http_exchange *exchange)
+{
+	bool appends = !strcmp(exchange->path, "/-/log-append");
+
+	if (log->mode == STANDIN_REFUSE)
+		rj_http_exchange_error(exchange, 503, "refused, as asked");
+	/* A silent call is left open; its client gives up. */
+	return log->mode == STANDIN_REFUSE || log->mode == STANDIN_SILENT ||
+	       (log->mode == STANDIN_LOSE && !appends &&
+		g_random_int_range(0, 3) == 0);
+}
+
+/* A call of an instance, or of the test: its own calls put a configuration
+ * and bring trouble. */
 static void handle(void *private_data, struct rj_http_exchange *exchange)
 {
 	struct standin_log *log = private_data;
 
+	if (!strcmp(exchange->path, "/standin/mode")) {
+		handle_mode(log, exchange);
+		return;
+	}
+	if (g_str_has_prefix(exchange->path, "/-/") &&
+	    meets_trouble(log, exchange))
+		return;
 	if (!strcmp(exchange->path, "/-/log-append")) {
 		handle_append(log, exchange);
 	} else if (!strcmp(exchange->path, "/-/log-read")) {
--- a/src/standin_users/standin.h
+++ b/src/standin_users/standin.h
@@ -25,8 +25,17 @@
 	GPtrArray *records; /* struct standin_record */
 };
 
+/* How the log treats calls, until it is told otherwise. */
+enum standin_mode {
+	STANDIN_OK,
+	STANDIN_REFUSE, /* nothing is done, and said so */
+	STANDIN_SILENT, /* nothing is done, and nothing said */
+	STANDIN_LOSE, /* appends are done, and nothing said */
+};
+
 struct standin_log {
 	struct tevent_context *ev;
+	enum standin_mode mode;
 	struct rj_http_server server;
 	GHashTable *topics; /* name -> struct standin_topic */
 	GHashTable *producers; /* name -> struct producer */
