--- a/src/standin_users/worker.c
+++ b/src/standin_users/worker.c
@@ -180,6 +180,7 @@
 	json_int_t barred =
 		json_integer_value(json_object_get(worker->barred, name));
 	uint64_t now_ms = standin_now_ms();
+	uint64_t until_ms = now_ms + g_ascii_strtoull(spec, NULL, 10);
 
 	if (!take_order(worker, exchange, body))
 		return;
@@ -191,12 +192,10 @@
 		refuse(exchange, "old");
 		return;
 	}
-	json_object_set_new(
-		worker->running, name,
-		json_pack("{s:O,s:I,s:I}", "run", number, "from_ms",
-			  (json_int_t)now_ms, "until_ms",
-			  (json_int_t)(now_ms +
-				       g_ascii_strtoull(spec, NULL, 10))));
+	json_object_set_new(worker->running, name,
+			    json_pack("{s:O,s:I,s:I}", "run", number, "from_ms",
+				      (json_int_t)now_ms, "until_ms",
+				      (json_int_t)until_ms));
 	answer(exchange, 200, json_object());
 }
 
