--- a/src/test_libradishjunction/support/cell_world.h
+++ b/src/test_libradishjunction/support/cell_world.h
@@ -34,6 +34,7 @@
 	uint64_t cancelled_us;
 	enum rj_cell_job_state shown;
 	bool has_shown;
+	uint64_t shown_us; /* when that state was shown first */
 	bool gone; /* "no such job" was said of it */
 	uint64_t sent_us;
 	uint64_t accepted_us;
