cell: remove dead state and share what stood twice

Behaviour stays as it is, but for one log line.

- A worker's entry in the log whose name is too long was logged with an uninitialised error text; the line now says what is wrong.
- Set and never read: a request's waits_for, the owner's taken_us, an occurrence's begun_us, and with it a parameter of begin_round; the parameter of stop_task that was always NULL.
- The bound on a slow clock stood in the owner and in the fleet, the factor up to which a late job is of use in the owner and in admission, the look-up of an answer's run in the answers to starts and to stops, that of a task's log twice in the tests' checker: each stands once.
- The comment above resign told of a reload that does not happen.

--- a/src/libradishjunction/cell/cell_admit.c
+++ b/src/libradishjunction/cell/cell_admit.c
@@ -7,9 +7,6 @@
  * wait is good to about a fifth, as racks and gangs leave some room idle.
  */
 #define USABLE_PERCENT 80
-/* Up to so many times its objective a job is late; after that its caller has
- * no use for it. */
-#define LATE_FACTOR 3
 /* Without most of its workers the owner does not judge: it has just taken
  * over, and will know in a moment. */
 #define KNOWN_PERCENT 50
@@ -103,7 +100,7 @@
 {
 	if (load <= 0)
 		return 0;
-	return room > 0 ? load / room : COME_BACK_MAX_MS * LATE_FACTOR;
+	return room > 0 ? load / room : COME_BACK_MAX_MS * RJ_CELL_LATE_FACTOR;
 }
 
 /* How long a new job of a queue would wait, in milliseconds. */
@@ -138,7 +135,7 @@
 		  struct rj_cell_share *share)
 {
 	struct load room;
-	double late_ms = LATE_FACTOR *
+	double late_ms = RJ_CELL_LATE_FACTOR *
 			 ((double)share->mean_ms * queue->stretch_milli / 1000 +
 			  queue->latency_ms);
 	double over_ms;
--- a/src/libradishjunction/cell/cell_ends.c
+++ b/src/libradishjunction/cell/cell_ends.c
@@ -45,20 +45,17 @@
 	run->order_tries = 0;
 }
 
-/* Stop all runs of one task but `except`. */
+/* Stop all runs of one task. */
 static void stop_task(struct rj_cell_owner *owner, struct rj_cell_task *task,
-		      const struct rj_cell_run *except, const char *why)
+		      const char *why)
 {
 	struct rj_list *at;
 	struct rj_list *next;
 
-	RJ_FOR_EACH (at, next, &task->runs) {
-		struct rj_cell_run *run =
-			RJ_CONTAINER(at, struct rj_cell_run, in_task);
-
-		if (run != except)
-			rj_cell_ends_stop_run(owner, run, why);
-	}
+	RJ_FOR_EACH (at, next, &task->runs)
+		rj_cell_ends_stop_run(
+			owner, RJ_CONTAINER(at, struct rj_cell_run, in_task),
+			why);
 }
 
 /* What stops a whole job. */
@@ -125,8 +122,7 @@
 		owner->wall_ms >=
 			def->first_run_ms +
 				work->rounds_begun * def->interval_ms)) {
-		rj_cell_work_begin_round(work, work->rounds_begun,
-					 owner->now_us);
+		rj_cell_work_begin_round(work, work->rounds_begun);
 		owner->plan_wanted = true;
 	}
 }
@@ -176,7 +172,7 @@
 			rj_cell_round_task_done(&first[i]);
 	/* Members of a gang end by themselves; copies have to be stopped. */
 	if (!step->gang)
-		stop_task(owner, task, NULL, "copy_done");
+		stop_task(owner, task, "copy_done");
 }
 
 /* The saved progress of a run counts for its task, or for its whole gang. */
@@ -232,7 +228,7 @@
 	struct rj_cell_task *head = rj_cell_task_head(task);
 
 	for (uint32_t i = 0; i < rj_cell_task_step(task)->task_count; i++)
-		stop_task(owner, &head[i], NULL, "gang_broken");
+		stop_task(owner, &head[i], "gang_broken");
 }
 
 /*
--- a/src/libradishjunction/cell/cell_fleet.c
+++ b/src/libradishjunction/cell/cell_fleet.c
@@ -4,9 +4,9 @@
 #include <string.h>
 #include <talloc.h>
 
-/* A worker's clock may run 2 % slow, so a lease lasts that much longer; a
- * little more covers the time that its answer took to come here. */
+/* A worker's clock may run so much slow. */
 #define CLOCK_SLOW_PERCENT 2
+/* Covers the time that a worker's answer took to come here. */
 #define ANSWER_SLACK_US (50 * RJ_US_PER_MS)
 
 /*
@@ -90,6 +90,14 @@
 	return worker->clock_ms + (now_us - worker->clock_at_us) / RJ_US_PER_MS;
 }
 
+/*
+ * How long a lease of `lease_us` by a worker's clock may last by ours.
+ */
+uint64_t rj_cell_lease_longest_us(uint64_t lease_us)
+{
+	return lease_us * (100 + CLOCK_SLOW_PERCENT) / 100;
+}
+
 /*
  * An order with this deadline goes to the worker: what runs there may go on
  * until its own clock shows it, which can be a little later by ours.
@@ -104,7 +112,7 @@
 		worker->lease_ms = deadline_ms;
 	left_us = (worker->lease_ms - worker->clock_ms) * RJ_US_PER_MS;
 	lapsed_us = worker->clock_at_us + ANSWER_SLACK_US +
-		    left_us * (100 + CLOCK_SLOW_PERCENT) / 100;
+		    rj_cell_lease_longest_us(left_us);
 	if (lapsed_us > worker->lapsed_us)
 		worker->lapsed_us = lapsed_us;
 }
--- a/src/libradishjunction/cell/cell_front.c
+++ b/src/libradishjunction/cell/cell_front.c
@@ -56,7 +56,6 @@
 	struct rj_cell_call *call;
 	char id[RJ_CELL_ID_BYTES];
 	char account[RJ_NAME_BYTES];
-	const char *waits_for; /* for the log */
 	uint64_t begun_us;
 	uint64_t due_us; /* the last answer leaves then */
 	bool answered;
@@ -225,7 +224,6 @@
 
 	rj_cell_record_key(key, kind, request->id);
 	request->writing = true;
-	request->waits_for = "log";
 	rj_cell_writer_add(writer, key, value,
 			   (struct rj_cell_write_done){ write_done, request });
 	rj_cell_writer_flush(writer, request->front->now_us);
@@ -272,7 +270,6 @@
 static void look_up(struct request *request)
 {
 	request->syncing = true;
-	request->waits_for = "log_end";
 	rj_cell_follow_sync(request->front->jobs, &request->sync,
 			    request->front->now_us);
 }
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -44,7 +44,7 @@
 {
 	struct rj_cell_node *node = private_data;
 	struct rj_cell_heartbeat heartbeat;
-	struct rj_error err;
+	struct rj_error err = { .message = "the worker's name is too long" };
 
 	if (!node->owner.active)
 		return;
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -71,17 +71,26 @@
 		worker->suspect_until_us = owner->now_us + pause_us;
 }
 
+/* The run that an answer is about, with its worker, or NULL if it is of no
+ * more interest. */
+static struct rj_cell_run *find_run(struct rj_cell_call_note *call,
+				    const struct rj_cell_order_reply *reply,
+				    struct rj_cell_worker **worker)
+{
+	*worker = rj_cell_call_worker(call, reply);
+	if (!*worker)
+		return NULL;
+	return rj_cell_call_run(*worker, call->name, call->number);
+}
+
 /* The answer to a start. */
 static void start_done(void *private_data,
 		       const struct rj_cell_order_reply *reply)
 {
 	struct rj_cell_call_note *call = private_data;
 	struct rj_cell_owner *owner = call->owner;
-	struct rj_cell_worker *worker = rj_cell_call_worker(call, reply);
-	struct rj_cell_run *run =
-		worker ? rj_cell_call_run(worker, call->name, call->number) :
-			 NULL;
-
+	struct rj_cell_worker *worker;
+	struct rj_cell_run *run = find_run(call, reply, &worker);
 	uint64_t sent_us = call->sent_us;
 
 	talloc_free(call);
@@ -159,10 +168,8 @@
 {
 	struct rj_cell_call_note *call = private_data;
 	struct rj_cell_owner *owner = call->owner;
-	struct rj_cell_worker *worker = rj_cell_call_worker(call, reply);
-	struct rj_cell_run *run =
-		worker ? rj_cell_call_run(worker, call->name, call->number) :
-			 NULL;
+	struct rj_cell_worker *worker;
+	struct rj_cell_run *run = find_run(call, reply, &worker);
 
 	talloc_free(call);
 	if (!run)
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -30,8 +30,6 @@
 #define READ_AGE_MAX_US (1500 * RJ_US_PER_MS)
 /* Ended jobs are looked through for those to be forgotten so often. */
 #define DROP_CHECK_US (5 * RJ_US_PER_S)
-/* A worker's clock may run so much slow. */
-#define CLOCK_SLOW_PERCENT 2
 
 /* What a write of a job's progress remembers until it is stored. */
 struct progress_write {
@@ -121,8 +119,7 @@
 				    owner->now_us - age_ms * RJ_US_PER_MS :
 				    0;
 	work->objective_us = work->accepted_us + objective_us;
-	/* Up to three times the objective a job is late, then of no use. */
-	work->late_us = work->accepted_us + 3 * objective_us;
+	work->late_us = work->accepted_us + RJ_CELL_LATE_FACTOR * objective_us;
 }
 
 /* Take up a job that has not ended, with what its progress says. */
@@ -239,8 +236,8 @@
  */
 static void bound_leases(struct rj_cell_owner *owner)
 {
-	uint64_t lease_us = owner->terms.lease_max_ms * RJ_US_PER_MS *
-			    (100 + CLOCK_SLOW_PERCENT) / 100;
+	uint64_t lease_us = rj_cell_lease_longest_us(owner->terms.lease_max_ms *
+						     RJ_US_PER_MS);
 	struct rj_list *at;
 	struct rj_list *next;
 
@@ -266,7 +263,6 @@
 	owner->leaving = false;
 	owner->generation++;
 	owner->token = token;
-	owner->taken_us = now_us;
 	owner->read_us = now_us;
 	owner->now_us = now_us;
 	owner->wall_ms = wall_ms;
@@ -291,7 +287,8 @@
 
 /*
  * Own nothing any more. What ran goes on under its leases until an heir
- * takes it over. The view may be ahead of the log and has to be loaded anew.
+ * takes it over. Callers have been told only what is stored, so the view stays
+ * as it is.
  */
 void rj_cell_owner_resign(struct rj_cell_owner *owner, const char *why)
 {
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -254,7 +254,7 @@
 		uint32_t number =
 			(uint32_t)rj_unpack_number(in, "round", UINT32_MAX - 1);
 		struct rj_cell_round *round =
-			rj_cell_work_begin_round(work, number, now_us);
+			rj_cell_work_begin_round(work, number);
 
 		for (uint32_t j = 0; j < work->def->task_count && !in->bad; j++)
 			read_task(in, &round->tasks[j], workers, now_us);
--- a/src/libradishjunction/cell/cell_work.c
+++ b/src/libradishjunction/cell/cell_work.c
@@ -55,7 +55,7 @@
  * Begin an occurrence: all its tasks wait.
  */
 struct rj_cell_round *rj_cell_work_begin_round(struct rj_cell_work *work,
-					       uint32_t number, uint64_t now_us)
+					       uint32_t number)
 {
 	const struct rj_cell_def *def = work->def;
 	struct rj_cell_round *round = talloc_zero(work, struct rj_cell_round);
@@ -64,7 +64,6 @@
 	assert(round);
 	round->work = work;
 	round->number = number;
-	round->begun_us = now_us;
 	round->steps_left = def->step_count;
 	round->tasks =
 		talloc_zero_array(round, struct rj_cell_task, def->task_count);
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -71,6 +71,7 @@
 			struct rj_cell_worker *worker);
 uint64_t rj_cell_worker_clock_ms(const struct rj_cell_worker *worker,
 				 uint64_t now_us);
+uint64_t rj_cell_lease_longest_us(uint64_t lease_us);
 void rj_cell_worker_note_lease(struct rj_cell_worker *worker,
 			       uint64_t deadline_ms);
 bool rj_cell_worker_usable(const struct rj_cell_worker *worker,
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -59,7 +59,6 @@
 	bool lost; /* fenced: resign as soon as the present event is done */
 	uint32_t generation; /* answers to orders of an earlier one are late */
 	uint64_t token;
-	uint64_t taken_us;
 	struct rj_cell_writer writer;
 	struct rj_cell_fleet fleet;
 	struct rj_list works;
--- a/src/libradishjunction/include/private/cell_work.h
+++ b/src/libradishjunction/include/private/cell_work.h
@@ -35,6 +35,10 @@
 	RJ_CELL_RUN_STATE_COUNT
 };
 
+/* Up to so many times its objective a job is late; after that its caller has
+ * no use for it. */
+#define RJ_CELL_LATE_FACTOR 3
+
 extern const char *const rj_cell_run_state_string[RJ_CELL_RUN_STATE_COUNT];
 
 struct rj_cell_worker;
@@ -92,7 +96,6 @@
 	struct rj_cell_task *tasks; /* of all steps, in their order */
 	uint32_t *left; /* of each step: tasks that are not done */
 	uint32_t steps_left;
-	uint64_t begun_us;
 	bool closed; /* all its tasks are done; runs may still be listed */
 };
 
@@ -116,8 +119,7 @@
 
 struct rj_cell_work *rj_cell_work_new(void *mem, const struct rj_cell_def *def);
 struct rj_cell_round *rj_cell_work_begin_round(struct rj_cell_work *work,
-					       uint32_t number,
-					       uint64_t now_us);
+					       uint32_t number);
 bool rj_cell_round_ready(const struct rj_cell_round *round, uint32_t step);
 void rj_cell_round_task_done(struct rj_cell_task *task);
 struct rj_cell_task *rj_cell_task_head(struct rj_cell_task *task);
--- a/src/test_libradishjunction/support/cell_check.c
+++ b/src/test_libradishjunction/support/cell_check.c
@@ -74,6 +74,18 @@
 	return log;
 }
 
+/* The log of the task that has this name, with its job and its step, or NULL
+ * if no client knows the job. */
+static struct cell_task_log *log_of(struct cell_world *world, const char *name,
+				    struct cell_client_job **job,
+				    uint32_t *step)
+{
+	uint32_t index = 0;
+
+	*job = cell_check_job(world, name, step, &index);
+	return *job ? task_log(*job, name) : NULL;
+}
+
 /* Whether all tasks of a step have ended well; for a gang one end speaks
  * for all. */
 static bool step_done(struct cell_client_job *job, const char *name,
@@ -209,10 +221,8 @@
 		    const char *name, uint32_t run, enum rj_cell_end end)
 {
 	uint32_t step = 0;
-	uint32_t index = 0;
-	struct cell_client_job *job =
-		cell_check_job(world, name, &step, &index);
-	struct cell_task_log *log = job ? task_log(job, name) : NULL;
+	struct cell_client_job *job;
+	struct cell_task_log *log = log_of(world, name, &job, &step);
 
 	if (!log)
 		return;
@@ -231,10 +241,8 @@
 		     const char *name, uint32_t run, enum rj_cell_end end)
 {
 	uint32_t step = 0;
-	uint32_t index = 0;
-	struct cell_client_job *job =
-		cell_check_job(world, name, &step, &index);
-	struct cell_task_log *log = job ? task_log(job, name) : NULL;
+	struct cell_client_job *job;
+	struct cell_task_log *log = log_of(world, name, &job, &step);
 
 	if (!log)
 		return;
