--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -22,5 +22,6 @@
 int bench_ownership(int argc, char **argv);
 int bench_faults(int argc, char **argv);
 int bench_path(int argc, char **argv);
+int bench_cell(int argc, char **argv);
 
 #endif
--- /dev/null
+++ b/src/bench/cell.c
@@ -0,0 +1,199 @@
+/*
+ * What the owner of a cell spends, against the number of its workers and
+ * against its load: the code of the instances alone, in virtual time.
+ *
+ * Processor time is that of the decisions, not of sockets and codecs.
+ */
+#include <argtable2.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "bench.h"
+#include "support/cell_world.h"
+#include "support/quantile.h"
+
+#define INSTANCES 4
+#define RACK_WORKERS 20
+#define WARM_UP_US (15 * S)
+#define MEASURED_US (20 * S)
+#define STEP_US (100 * MS)
+#define STEPS_PER_S (S / STEP_US)
+/* A job of the users' urgent kind has about so many tasks. */
+#define TASKS_A_JOB 5
+#define TASK_MS 2500
+
+static const uint32_t worker_counts[] = { 50, 100, 350, 1000, 3000, 7500 };
+
+struct load {
+	uint32_t workers;
+	uint32_t tasks_per_s;
+	bool gangs;
+};
+
+/* What was counted up to some moment. */
+struct counted {
+	uint64_t owner_ns;
+	uint64_t all_ns;
+	uint64_t looks;
+	uint64_t plans;
+	uint64_t appends;
+	uint64_t reads;
+	uint32_t jobs;
+};
+
+/* Hand in the jobs of one step of the load. */
+static void hand_in(struct cell_world *world, const struct load *load,
+		    double *due)
+{
+	static const char *const queues[] = { "urgent", "normal", "bulk" };
+
+	*due += (double)load->tasks_per_s / TASKS_A_JOB / STEPS_PER_S;
+	for (; *due >= 1; (*due)--) {
+		uint32_t number = world->job_count;
+		struct rj_cell_step step =
+			cell_world_step(TASKS_A_JOB, 1U << number % 4, TASK_MS);
+
+		step.gang = load->gangs && number % 2;
+		step.one_rack = step.gang;
+		cell_world_submit(world, number % INSTANCES,
+				  cell_world_job(world, queues[number % 3],
+						 number % 2 ? "a" : "b", &step,
+						 1, TASK_MS * MS));
+	}
+}
+
+/* Play on under the load. */
+static void play(struct cell_world *world, const struct load *load,
+		 uint64_t for_us)
+{
+	uint64_t end_us = world->now_us + for_us;
+	double due = 0;
+
+	while (world->now_us < end_us) {
+		hand_in(world, load, &due);
+		cell_world_run(world, STEP_US);
+	}
+}
+
+/* Read all counters. */
+static struct counted count(const struct cell_world *world)
+{
+	int owner = cell_world_owner(world);
+	struct counted counted = { .appends = world->log.appends,
+				   .reads = world->log.reads,
+				   .jobs = world->job_count };
+
+	g_assert_cmpint(owner, >=, 0);
+	counted.owner_ns = world->nodes[owner].cpu_ns;
+	counted.looks = world->nodes[owner].node.owner.counters.looks;
+	counted.plans = world->nodes[owner].node.owner.counters.plans;
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		counted.all_ns += world->nodes[i].cpu_ns;
+	return counted;
+}
+
+/* How long jobs handed in since `first` waited for their first step, in
+ * milliseconds; a job that has not begun has waited until now. */
+static double wait_ms(const struct cell_world *world, uint32_t first, double at)
+{
+	GArray *waits = g_array_new(FALSE, FALSE, sizeof(double));
+	double result;
+
+	for (guint i = first; i < world->job_list->len; i++) {
+		const struct cell_client_job *job = world->job_list->pdata[i];
+		uint64_t begun_us =
+			job->begun_us ? job->begun_us : world->now_us;
+		double ms = (double)(begun_us - job->sent_us) / MS;
+
+		if (job->accepted)
+			g_array_append_val(waits, ms);
+	}
+	result = waits->len ? quantile_of((double *)(void *)waits->data,
+					  waits->len, at) :
+			      0;
+	g_array_free(waits, TRUE);
+	return result;
+}
+
+/* Measure one size and load. */
+static void measure(const struct load *load)
+{
+	const struct cell_world_plan plan = {
+		.seed = 1,
+		.nodes = INSTANCES,
+		.workers = load->workers,
+		.rack_workers = RACK_WORKERS,
+		.capacity = { 64000, 64000, 8 },
+		.guaranteed = load->workers * 2,
+	};
+	struct cell_world *world = g_new0(struct cell_world, 1);
+	double seconds = (double)MEASURED_US / S;
+	struct counted before;
+	struct counted after;
+
+	cell_world_init(world, &plan);
+	cell_world_run(world, 3 * S);
+	play(world, load, WARM_UP_US);
+	before = count(world);
+	play(world, load, MEASURED_US);
+	after = count(world);
+	printf("{\"bench\":\"cell\",\"workers\":%u,\"tasks_per_s\":%u,"
+	       "\"gangs\":%s,\"owner_cpu_percent\":%.2f,"
+	       "\"other_cpu_percent\":%.2f,\"looks_per_s\":%.0f,"
+	       "\"plans_per_s\":%.0f,\"appends_per_s\":%.1f,"
+	       "\"reads_per_s\":%.1f,\"owner_state_bytes\":%zu,"
+	       "\"wait_p50_ms\":%.0f,\"wait_p99_ms\":%.0f}\n",
+	       load->workers, load->tasks_per_s, load->gangs ? "true" : "false",
+	       (double)(after.owner_ns - before.owner_ns) / seconds / 1e7,
+	       (double)(after.all_ns - after.owner_ns - before.all_ns +
+			before.owner_ns) /
+		       (INSTANCES - 1) / seconds / 1e7,
+	       (double)(after.looks - before.looks) / seconds,
+	       (double)(after.plans - before.plans) / seconds,
+	       (double)(after.appends - before.appends) / seconds,
+	       (double)(after.reads - before.reads) / seconds,
+	       talloc_total_size(world->nodes[cell_world_owner(world)].mem),
+	       wait_ms(world, before.jobs, 0.5),
+	       wait_ms(world, before.jobs, 0.99));
+	fflush(stdout);
+	cell_world_finish(world);
+	g_free(world);
+}
+
+/*
+ * `rj-bench cell`: the owner's processor time, calls and state, and the wait
+ * of jobs, at several sizes of a cell or at one.
+ */
+int bench_cell(int argc, char **argv)
+{
+	struct arg_int *workers =
+		arg_int0(NULL, "workers", "N", "of the cell (several)");
+	struct arg_int *tasks = arg_int0(NULL, "tasks-per-s", "N",
+					 "tasks handed in a second (80)");
+	struct arg_lit *gangs =
+		arg_lit0(NULL, "gangs", "half of the jobs are gangs in a rack");
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
+	struct arg_end *end = arg_end(4);
+	void *table[] = { workers, tasks, gangs, help, end };
+	int errors = arg_parse(argc, argv, table);
+	struct load load = {
+		.workers = workers->count ? (uint32_t)workers->ival[0] : 0,
+		.tasks_per_s = tasks->count ? (uint32_t)tasks->ival[0] : 80,
+		.gangs = gangs->count > 0
+	};
+	int status = 0;
+
+	if (errors || help->count || load.workers > CELL_WORLD_WORKERS_MAX) {
+		status = bench_usage("cell", table, help->count > 0);
+	} else if (load.workers) {
+		measure(&load);
+	} else {
+		for (size_t i = 0; i < G_N_ELEMENTS(worker_counts); i++) {
+			load.workers = worker_counts[i];
+			measure(&load);
+		}
+	}
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return status;
+}
--- a/src/bench/main.c
+++ b/src/bench/main.c
@@ -12,6 +12,8 @@
 	{ "faults", "run seeded faults and judge every promise", bench_faults },
 	{ "path", "small requests through a daemon, and added latency",
 	  bench_path },
+	{ "cell", "what the owner of a cell spends, by workers and load",
+	  bench_cell },
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
--- a/src/libradishjunction/cell/cell_fleet.c
+++ b/src/libradishjunction/cell/cell_fleet.c
@@ -20,6 +20,7 @@
 	rj_list_init(&fleet->workers);
 	for (int i = 0; i < RJ_CELL_WATCH_COUNT; i++)
 		rj_list_init(&fleet->watched[i]);
+	fleet->racks = g_ptr_array_new();
 }
 
 /*
@@ -35,6 +36,8 @@
 						struct rj_cell_worker, link));
 	g_hash_table_destroy(fleet->by_id);
 	fleet->by_id = NULL;
+	g_ptr_array_free(fleet->racks, TRUE);
+	fleet->racks = NULL;
 	TALLOC_FREE(fleet->mem);
 }
 
@@ -63,6 +66,7 @@
 	worker->fleet = fleet;
 	rj_list_init(&worker->runs);
 	rj_list_init(&worker->in_watch);
+	rj_list_init(&worker->in_rack);
 	rj_list_append(&fleet->workers, &worker->link);
 	rj_cell_worker_watch(worker, RJ_CELL_WATCH_IDLE);
 	g_hash_table_insert(fleet->by_id, worker->id, worker);
@@ -81,11 +85,59 @@
 					      struct rj_cell_run, in_worker));
 	rj_list_remove(&worker->link);
 	rj_list_remove(&worker->in_watch);
+	rj_list_remove(&worker->in_rack);
 	g_hash_table_remove(fleet->by_id, worker->id);
 	fleet->count--;
 	talloc_free(worker);
 }
 
+/* The rack of a name, made when it is new. Racks stay, as their number is
+ * that of the site. */
+static struct rj_cell_rack *obtain_rack(struct rj_cell_fleet *fleet,
+					const char *name)
+{
+	struct rj_cell_rack *rack;
+	guint from = 0;
+	guint to = fleet->racks->len;
+
+	while (from < to) {
+		guint middle = (from + to) / 2;
+		int order;
+
+		rack = fleet->racks->pdata[middle];
+		order = strcmp(name, rack->name);
+		if (!order)
+			return rack;
+		if (order < 0)
+			to = middle;
+		else
+			from = middle + 1;
+	}
+	rack = talloc_zero(fleet->mem, struct rj_cell_rack);
+	assert(rack);
+	g_strlcpy(rack->name, name, sizeof(rack->name));
+	rj_list_init(&rack->workers);
+	g_ptr_array_insert(fleet->racks, (gint)from, rack);
+	return rack;
+}
+
+/*
+ * Take note of what a worker says of itself.
+ */
+void rj_cell_worker_say(struct rj_cell_worker *worker,
+			const struct rj_cell_heartbeat *heartbeat)
+{
+	bool moved = !worker->rack ||
+		     strcmp(worker->said.rack, heartbeat->rack) != 0;
+
+	worker->said = *heartbeat;
+	if (!moved)
+		return;
+	rj_list_remove(&worker->in_rack);
+	worker->rack = obtain_rack(worker->fleet, heartbeat->rack);
+	rj_list_append(&worker->rack->workers, &worker->in_rack);
+}
+
 /*
  * Watch a worker in another way; it goes to the end of that list.
  */
@@ -141,5 +193,5 @@
 bool rj_cell_worker_usable(const struct rj_cell_worker *worker, uint64_t now_us)
 {
 	return worker->listed && !worker->said.draining && worker->answers &&
-	       worker->incarnation && now_us >= worker->suspect_until_us;
+	       worker->clock_ms && now_us >= worker->suspect_until_us;
 }
--- a/src/libradishjunction/cell/cell_looks.c
+++ b/src/libradishjunction/cell/cell_looks.c
@@ -17,12 +17,21 @@
 #define LOOK_UNSTORED_US (700 * RJ_US_PER_MS)
 /*
  * Idle workers are looked at in turn, all of them together so often a second,
- * and so many at once after a pause or a takeover. A look costs an owner some
- * 0.2 ms of a core, so that these take a twentieth of one, whatever the number
- * of workers; up to 450 workers it is a look each 1.5 s for all.
+ * and so many at once after a takeover. A look costs an owner 0.25 ms of a
+ * core with all that belongs to it, so that these take a thirteenth of one,
+ * whatever the number of workers; up to 450 workers it is a look each 1.5 s
+ * for all.
  */
 #define IDLE_LOOKS_PER_S 300
 #define IDLE_LOOKS_AT_ONCE 450
+/*
+ * Connections to more workers than this are not kept, for want of memory and
+ * descriptors (the smallest instance has 160 MB and 4,100 of these), so that
+ * each look there opens one: fewer looks then, and workers are taken to be as
+ * well as their heartbeats say until the first order to them.
+ */
+#define KNOWN_CLOSELY_MAX 1500
+#define IDLE_LOOKS_FAR_PER_S 50
 /* A run whose percentage does not rise for so long stands still: even at a
  * seventh of the usual speed a task of 11 s gains a percent in a second. */
 #define STALL_US (3 * RJ_US_PER_S)
@@ -374,6 +383,26 @@
 	owner->idle_looks_us = owner->now_us;
 }
 
+/*
+ * A heartbeat of a worker has been read: whether that is enough to give it
+ * work, before it has answered any call.
+ *
+ * Load that it answers: a takeover of a large fleet, which would wait until
+ * thousands of workers have answered. The clock that the entry names is behind
+ * the worker's by the age of the entry, so that a lease reckoned from it ends
+ * early rather than late, and the first look renews it.
+ */
+void rj_cell_looks_trust(struct rj_cell_owner *owner,
+			 struct rj_cell_worker *worker)
+{
+	if (owner->fleet.count <= KNOWN_CLOSELY_MAX || worker->incarnation ||
+	    worker->look_failures || !worker->said.clock_ms)
+		return;
+	worker->answers = true;
+	worker->clock_ms = worker->said.clock_ms;
+	worker->clock_at_us = owner->now_us;
+}
+
 /*
  * Look at a worker as soon as can be, as there is news of it.
  */
@@ -432,9 +461,12 @@
 void rj_cell_looks_tick(struct rj_cell_owner *owner)
 {
 	uint64_t passed_us = owner->now_us - owner->idle_looks_us;
+	uint32_t per_s = owner->fleet.count > KNOWN_CLOSELY_MAX ?
+				 IDLE_LOOKS_FAR_PER_S :
+				 IDLE_LOOKS_PER_S;
 
 	owner->idle_looks_us = owner->now_us;
-	owner->idle_looks += (double)passed_us * IDLE_LOOKS_PER_S / RJ_US_PER_S;
+	owner->idle_looks += (double)passed_us * per_s / RJ_US_PER_S;
 	owner->idle_looks = MIN(owner->idle_looks, IDLE_LOOKS_AT_ONCE);
 	look_at_idle(owner, RJ_CELL_WATCH_IDLE);
 	look_at_idle(owner, RJ_CELL_WATCH_SILENT);
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -225,7 +225,8 @@
 		worker->answers = false;
 		rj_cell_looks_soon(owner, worker);
 	}
-	worker->said = *heartbeat;
+	rj_cell_worker_say(worker, heartbeat);
+	rj_cell_looks_trust(owner, worker);
 	if (!worker->listed || was_draining != heartbeat->draining) {
 		rj_note("worker_listed", RJ_NOTE_TEXT("worker", id),
 			RJ_NOTE_TEXT("domain", heartbeat->domain),
--- a/src/libradishjunction/cell/cell_place.c
+++ b/src/libradishjunction/cell/cell_place.c
@@ -50,18 +50,16 @@
 bool rj_cell_place_may_run(const struct rj_cell_plan *plan,
 			   const struct rj_cell_room *room,
 			   const struct rj_cell_unit *unit,
-			   const struct rj_cell_task *task, const char *rack)
+			   const struct rj_cell_task *task)
 {
 	const struct rj_cell_step *step = rj_cell_task_step(task);
 	const struct rj_cell_worker *worker = room->worker;
 
-	if (!room->usable || (room->kept && !unit->into_kept) ||
+	if ((room->kept && !unit->into_kept) ||
 	    (room->closed && !unit->into_closed))
 		return false;
 	if (strcmp(worker->said.service, unit->service) != 0)
 		return false;
-	if (rack && strcmp(worker->said.rack, rack) != 0)
-		return false;
 	if (step->label[0] && strcmp(step->label, worker->said.kind) != 0 &&
 	    strcmp(step->label, worker->said.rack) != 0)
 		return false;
@@ -74,6 +72,17 @@
 	       siblings_on(plan, worker, task) < step->per_worker_max;
 }
 
+/*
+ * The rooms that a way allows: those of a rack, or all.
+ */
+void rj_cell_place_range(const struct rj_cell_plan *plan,
+			 const struct rj_cell_way *way,
+			 struct rj_cell_room **from, struct rj_cell_room **to)
+{
+	*from = plan->rooms + (way->rack ? way->rack->first : 0);
+	*to = *from + (way->rack ? way->rack->count : plan->room_count);
+}
+
 /*
  * How bad a fit is. Accelerators that would be left over come first, so that
  * small tasks fill workers that are in use already and whole workers stay
@@ -104,7 +113,6 @@
 
 /* The best room for one task in what is free now or soon, or NULL. */
 static struct rj_cell_room *best_fit(struct rj_cell_plan *plan,
-				     struct rj_cell_trial *trial,
 				     const struct rj_cell_unit *unit,
 				     struct rj_cell_task *task,
 				     const struct rj_cell_way *way)
@@ -112,16 +120,18 @@
 	struct rj_cell_demand want =
 		rj_cell_step_counted(rj_cell_task_step(task));
 	struct rj_cell_room *best = NULL;
+	struct rj_cell_room *room;
+	struct rj_cell_room *end;
 	uint64_t best_badness = 0;
 
-	for (uint32_t i = 0; i < plan->room_count; i++) {
-		struct rj_cell_room *room = &trial->rooms[i];
+	rj_cell_place_range(plan, way, &room, &end);
+	for (; room < end; room++) {
 		const struct rj_cell_demand *have =
 			way->when == RJ_CELL_NOW ? &room->now : &room->soon;
 		uint64_t bad;
 
 		if (!rj_cell_demand_fits(&want, have) ||
-		    !rj_cell_place_may_run(plan, room, unit, task, way->rack))
+		    !rj_cell_place_may_run(plan, room, unit, task))
 			continue;
 		bad = badness(room, unit, task, have);
 		if (best && bad >= best_badness)
@@ -204,13 +214,15 @@
 	struct rj_cell_demand want =
 		rj_cell_step_counted(rj_cell_task_step(task));
 	struct rj_cell_room *best = NULL;
+	struct rj_cell_room *room;
+	struct rj_cell_room *end;
 	uint64_t best_us = RJ_NEVER_US;
 
-	for (uint32_t i = 0; i < plan->room_count; i++) {
-		struct rj_cell_room *room = &trial->rooms[i];
+	rj_cell_place_range(plan, way, &room, &end);
+	for (; room < end; room++) {
 		uint64_t ready_us;
 
-		if (!rj_cell_place_may_run(plan, room, unit, task, way->rack))
+		if (!rj_cell_place_may_run(plan, room, unit, task))
 			continue;
 		ready_us = ready_in_us(plan, room, &want);
 		if (ready_us >= best_us)
@@ -237,25 +249,38 @@
 }
 
 /*
- * Begin a trial on a copy of the plan's rooms.
+ * Begin a trial.
  */
-void rj_cell_trial_init(struct rj_cell_trial *trial,
-			const struct rj_cell_plan *plan)
+void rj_cell_trial_init(struct rj_cell_trial *trial, struct rj_cell_plan *plan)
 {
 	memset(trial, 0, sizeof(*trial));
-	trial->rooms = talloc_memdup(NULL, plan->rooms,
-				     sizeof(*plan->rooms) * plan->room_count);
+	trial->plan = plan;
+	trial->changes = g_array_new(FALSE, FALSE, sizeof(struct rj_cell_room));
 	trial->workers = g_ptr_array_new();
 	trial->victims = g_ptr_array_new();
-	assert(trial->rooms || !plan->room_count);
 }
 
 /*
- * End a trial, whether taken or not.
+ * A room is about to be changed by a trial.
+ */
+void rj_cell_trial_change(struct rj_cell_trial *trial,
+			  struct rj_cell_room *room)
+{
+	g_array_append_val(trial->changes, *room);
+}
+
+/*
+ * End a trial: what has not been taken is undone.
  */
 void rj_cell_trial_finish(struct rj_cell_trial *trial)
 {
-	talloc_free(trial->rooms);
+	for (guint i = trial->changes->len; i > 0; i--) {
+		const struct rj_cell_room *before = &g_array_index(
+			trial->changes, struct rj_cell_room, i - 1);
+
+		*before->worker->room = *before;
+	}
+	g_array_free(trial->changes, TRUE);
 	g_ptr_array_free(trial->workers, TRUE);
 	g_ptr_array_free(trial->victims, TRUE);
 }
@@ -272,13 +297,14 @@
 		struct rj_cell_room *room =
 			way->when == RJ_CELL_LATER ?
 				first_ready(plan, trial, unit, tasks[i], way) :
-				best_fit(plan, trial, unit, tasks[i], way);
+				best_fit(plan, unit, tasks[i], way);
 
 		if (!room && way->stop_others)
 			room = rj_cell_reclaim_room(plan, trial, unit, tasks[i],
-						    way->rack);
+						    way);
 		if (!room)
 			return false;
+		rj_cell_trial_change(trial, room);
 		take_room(room, rj_cell_task_step(tasks[i]), way->when);
 		g_ptr_array_add(trial->workers, room->worker);
 	}
@@ -286,17 +312,16 @@
 }
 
 /*
- * Make the rooms of a trial those of the plan, and list its victims, which
- * the owner has to stop.
+ * Keep what a trial has changed, and list its victims, which the owner has to
+ * stop.
  */
-void rj_cell_trial_take(struct rj_cell_plan *plan, struct rj_cell_trial *trial)
+void rj_cell_trial_take(struct rj_cell_trial *trial)
 {
-	memcpy(plan->rooms, trial->rooms,
-	       sizeof(*plan->rooms) * plan->room_count);
+	g_array_set_size(trial->changes, 0);
 	for (guint i = 0; i < trial->victims->len; i++) {
 		struct rj_cell_run *run = trial->victims->pdata[i];
 
 		run->why = RJ_CELL_WHY_RECLAIMED;
-		g_ptr_array_add(plan->stops, run);
+		g_ptr_array_add(trial->plan->stops, run);
 	}
 }
--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -60,6 +60,8 @@
 	memset(plan, 0, sizeof(*plan));
 	plan->starts = g_array_new(FALSE, FALSE, sizeof(struct rj_cell_choice));
 	plan->stops = g_ptr_array_new();
+	plan->racks =
+		g_array_new(FALSE, FALSE, sizeof(struct rj_cell_rack_rooms));
 	plan->needs = g_hash_table_new(g_str_hash, g_str_equal);
 	plan->units = g_array_new(FALSE, FALSE, sizeof(struct rj_cell_unit));
 	plan->misses = g_array_new(FALSE, FALSE, sizeof(struct miss));
@@ -72,6 +74,7 @@
 {
 	g_array_free(plan->starts, TRUE);
 	g_ptr_array_free(plan->stops, TRUE);
+	g_array_free(plan->racks, TRUE);
 	g_array_free(plan->units, TRUE);
 	g_array_free(plan->misses, TRUE);
 	g_hash_table_destroy(plan->needs);
@@ -336,38 +339,35 @@
 	return a->ready_us < b->ready_us;
 }
 
-/* Place a group in the one rack where that is best. */
-static bool place_in_a_rack(struct rj_cell_plan *plan,
-			    const struct rj_cell_unit *unit,
-			    struct rj_cell_task **tasks, uint32_t count,
-			    const struct rj_cell_way *way,
-			    struct rj_cell_trial *best)
+/* The rack where a group is placed best, or NULL. */
+static const struct rj_cell_rack_rooms *
+best_rack(struct rj_cell_plan *plan, const struct rj_cell_unit *unit,
+	  struct rj_cell_task **tasks, uint32_t count,
+	  const struct rj_cell_way *way)
 {
-	GHashTable *racks = g_hash_table_new(g_str_hash, g_str_equal);
-	bool found = false;
+	const struct rj_cell_rack_rooms *best = NULL;
+	struct rj_cell_trial best_trial = { .loss_milli = 0 };
 
-	for (uint32_t i = 0; i < plan->room_count; i++) {
-		char *rack = plan->rooms[i].worker->said.rack;
+	for (guint i = 0; i < plan->racks->len; i++) {
 		struct rj_cell_way here = *way;
 		struct rj_cell_trial trial;
 
-		if (!g_hash_table_add(racks, rack))
-			continue;
-		here.rack = rack;
+		here.rack = &g_array_index(plan->racks,
+					   struct rj_cell_rack_rooms, i);
 		rj_cell_trial_init(&trial, plan);
 		if (rj_cell_place_group(plan, &trial, unit, tasks, count,
 					&here) &&
-		    (!found || is_better(&trial, best))) {
-			struct rj_cell_trial worse = *best;
-
-			*best = trial;
-			trial = worse;
-			found = true;
+		    (!best || is_better(&trial, &best_trial))) {
+			best = here.rack;
+			best_trial.loss_milli = trial.loss_milli;
+			best_trial.ready_us = trial.ready_us;
 		}
 		rj_cell_trial_finish(&trial);
+		/* Nothing is better than a place at once and at no loss. */
+		if (best && !best_trial.loss_milli && !best_trial.ready_us)
+			break;
 	}
-	g_hash_table_destroy(racks);
-	return found;
+	return best;
 }
 
 /* Try to place a group: within one rack if it should be, and else anywhere
@@ -379,16 +379,14 @@
 		      struct rj_cell_trial *trial)
 {
 	const struct rj_cell_step *step = rj_cell_task_step(tasks[0]);
+	struct rj_cell_way chosen = *way;
 
 	if (step->one_rack && count > 1) {
-		if (place_in_a_rack(plan, unit, tasks, count, way, trial))
-			return true;
-		if (!unit->far)
+		chosen.rack = best_rack(plan, unit, tasks, count, way);
+		if (!chosen.rack && !unit->far)
 			return false;
-		rj_cell_trial_finish(trial);
-		rj_cell_trial_init(trial, plan);
 	}
-	return rj_cell_place_group(plan, trial, unit, tasks, count, way);
+	return rj_cell_place_group(plan, trial, unit, tasks, count, &chosen);
 }
 
 /* What a way to place a group may cost at most. */
@@ -414,7 +412,7 @@
 	     i++)
 		add_start(plan, tasks[i], trial.workers->pdata[i]);
 	if (placed)
-		rj_cell_trial_take(plan, &trial);
+		rj_cell_trial_take(&trial);
 	rj_cell_trial_finish(&trial);
 	return placed;
 }
--- a/src/libradishjunction/cell/cell_reclaim.c
+++ b/src/libradishjunction/cell/cell_reclaim.c
@@ -168,18 +168,19 @@
 }
 
 /* The room of a victim comes free. */
-static void free_victim(const struct rj_cell_plan *plan,
-			struct rj_cell_trial *trial, struct rj_cell_run *run)
+static void free_victim(struct rj_cell_trial *trial, struct rj_cell_run *run)
 {
+	struct rj_cell_room *room = run->worker->room;
+
 	g_ptr_array_add(trial->victims, run);
-	for (uint32_t i = 0; i < plan->room_count; i++)
-		if (trial->rooms[i].worker == run->worker)
-			rj_cell_demand_give(&trial->rooms[i].soon, &run->held);
+	if (!room)
+		return;
+	rj_cell_trial_change(trial, room);
+	rj_cell_demand_give(&room->soon, &run->held);
 }
 
 /* Note one victim and, with it, the other members of its gang. */
-static void add_victim(const struct rj_cell_plan *plan,
-		       struct rj_cell_trial *trial, struct rj_cell_run *run)
+static void add_victim(struct rj_cell_trial *trial, struct rj_cell_run *run)
 {
 	const struct rj_cell_round *round = run->task->round;
 	const struct rj_cell_step *step = rj_cell_task_step(run->task);
@@ -201,7 +202,7 @@
 			if (!member->why &&
 			    member->state != RJ_CELL_RUN_STOPPING &&
 			    !is_victim(trial, member))
-				free_victim(plan, trial, member);
+				free_victim(trial, member);
 		}
 	}
 }
@@ -214,20 +215,22 @@
 					  struct rj_cell_trial *trial,
 					  const struct rj_cell_unit *unit,
 					  const struct rj_cell_task *task,
-					  const char *rack)
+					  const struct rj_cell_way *way)
 {
 	struct rj_cell_demand want =
 		rj_cell_step_counted(rj_cell_task_step(task));
 	struct rj_cell_room *best = NULL;
+	struct rj_cell_room *room;
+	struct rj_cell_room *end;
 	uint64_t best_loss = UINT64_MAX;
 	GPtrArray *best_victims = g_ptr_array_new();
 
-	for (uint32_t i = 0; i < plan->room_count; i++) {
-		struct rj_cell_room *room = &trial->rooms[i];
+	rj_cell_place_range(plan, way, &room, &end);
+	for (; room < end; room++) {
 		GPtrArray *chosen;
 		uint64_t loss;
 
-		if (!rj_cell_place_may_run(plan, room, unit, task, rack))
+		if (!rj_cell_place_may_run(plan, room, unit, task))
 			continue;
 		chosen = g_ptr_array_new();
 		loss = choose_victims(plan, trial, unit, room, &want, chosen);
@@ -242,7 +245,7 @@
 		g_ptr_array_free(chosen, TRUE);
 	}
 	for (guint i = 0; best && i < best_victims->len; i++)
-		add_victim(plan, trial, best_victims->pdata[i]);
+		add_victim(trial, best_victims->pdata[i]);
 	if (best)
 		trial->loss_milli += best_loss;
 	g_ptr_array_free(best_victims, TRUE);
--- a/src/libradishjunction/cell/cell_rooms.c
+++ b/src/libradishjunction/cell/cell_rooms.c
@@ -72,40 +72,15 @@
 		       percent(accelerators[0], accelerators[1])));
 }
 
-/* Names in their order. */
-static gint by_name(gconstpointer a, gconstpointer b)
-{
-	return strcmp(*(const char *const *)a, *(const char *const *)b);
-}
-
-/* The racks of all rooms, each once, in an order that does not change. */
-static GPtrArray *list_racks(const struct rj_cell_plan *plan)
-{
-	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
-	GPtrArray *racks = g_ptr_array_new();
-
-	for (uint32_t i = 0; i < plan->room_count; i++) {
-		char *rack = plan->rooms[i].worker->said.rack;
-
-		if (g_hash_table_add(seen, rack))
-			g_ptr_array_add(racks, rack);
-	}
-	g_hash_table_destroy(seen);
-	g_ptr_array_sort(racks, by_name);
-	return racks;
-}
-
 /* Keep one rack; returns its accelerators. */
-static double keep_rack(struct rj_cell_plan *plan, const char *rack,
-			bool closed)
+static double keep_rack(struct rj_cell_plan *plan,
+			const struct rj_cell_rack_rooms *rack, bool closed)
 {
 	double accelerators = 0;
 
-	for (uint32_t i = 0; i < plan->room_count; i++) {
+	for (uint32_t i = rack->first; i < rack->first + rack->count; i++) {
 		struct rj_cell_room *room = &plan->rooms[i];
 
-		if (strcmp(room->worker->said.rack, rack) != 0)
-			continue;
 		room->kept = true;
 		room->closed = closed;
 		accelerators += room->worker->said.capacity.accelerators;
@@ -126,43 +101,62 @@
 	double urgent = rj_cell_forecast_urgent(plan->forecast, plan->now_us);
 	double need = KEPT_FACTOR * urgent + KEPT_EXTRA;
 	double closed = CLOSED_FACTOR * urgent;
-	GPtrArray *racks;
+	guint count = plan->racks->len * KEPT_RACKS_PERCENT / 100;
 
 	if (!plan->forecast->urgent_us)
 		return;
-	racks = list_racks(plan);
-	for (guint i = 0; i < racks->len * KEPT_RACKS_PERCENT / 100 && need > 0;
-	     i++) {
-		double kept = keep_rack(plan, racks->pdata[i], closed > 0);
+	for (guint i = 0; i < count && need > 0; i++) {
+		double kept =
+			keep_rack(plan,
+				  &g_array_index(plan->racks,
+						 struct rj_cell_rack_rooms, i),
+				  closed > 0);
 
 		need -= kept;
 		closed -= kept;
 	}
-	g_ptr_array_free(racks, TRUE);
+}
+
+/* Add the room of one worker, if it may get work. */
+static void add_room(struct rj_cell_plan *plan, struct rj_cell_worker *worker)
+{
+	struct rj_cell_room *room = &plan->rooms[plan->room_count];
+
+	worker->room = NULL;
+	if (!rj_cell_worker_usable(worker, plan->now_us))
+		return;
+	worker->room = room;
+	room->worker = worker;
+	room->now = room_of(worker);
+	room->soon = room->now;
+	add_stopping(room);
+	plan->room_count++;
 }
 
 /*
- * Gather the rooms of all workers that may get work.
+ * Gather the rooms of all workers that may get work, rack by rack in an order
+ * that does not change.
  */
 void rj_cell_plan_gather_rooms(struct rj_cell_plan *plan)
 {
-	struct rj_list *at;
-	struct rj_list *next;
+	const GPtrArray *racks = plan->fleet->racks;
 
 	plan->rooms = talloc_zero_array(NULL, struct rj_cell_room,
 					plan->fleet->count);
 	assert(plan->rooms || !plan->fleet->count);
-	RJ_FOR_EACH (at, next, &plan->fleet->workers) {
-		struct rj_cell_room *room = &plan->rooms[plan->room_count];
-
-		room->worker = RJ_CONTAINER(at, struct rj_cell_worker, link);
-		if (!rj_cell_worker_usable(room->worker, plan->now_us))
-			continue;
-		room->usable = true;
-		room->now = room_of(room->worker);
-		room->soon = room->now;
-		add_stopping(room);
-		plan->room_count++;
+	for (guint i = 0; i < racks->len; i++) {
+		struct rj_cell_rack *rack = racks->pdata[i];
+		struct rj_cell_rack_rooms rooms = { rack->name,
+						    plan->room_count, 0 };
+		struct rj_list *at;
+		struct rj_list *next;
+
+		RJ_FOR_EACH (at, next, &rack->workers)
+			add_room(plan, RJ_CONTAINER(at, struct rj_cell_worker,
+						    in_rack));
+		rooms.count = plan->room_count - rooms.first;
+		if (rooms.count)
+			g_array_append_val(plan->racks, rooms);
 	}
 	plan->used_percent = used_percent(plan);
 	keep_racks(plan);
--- a/src/libradishjunction/http_client.c
+++ b/src/libradishjunction/http_client.c
@@ -16,6 +16,8 @@
  * answers the first probe with a reset.
  */
 #define KEEPALIVE_S 5L
+/* Handles kept for the next calls: an owner ends so many at a time. */
+#define SPARE_HANDLES_MAX 64
 
 const char *const rj_http_outcome_string[RJ_HTTP_OUTCOME_COUNT] = {
 	[RJ_HTTP_ANSWERED] = "answered",
@@ -26,6 +28,8 @@
 struct transfer {
 	struct rj_list link; /* in the client's open transfers */
 	struct rj_http_client *client;
+	uint64_t deadline_us;
+	GSequenceIter *in_deadlines;
 	CURL *easy;
 	struct curl_slist *headers; /* NULL: those of the client */
 	char *body;
@@ -39,14 +43,37 @@
 	void *private_data;
 };
 
-/* libcurl must let go of the handle before it is freed. */
+/* A handle: one that was used before, or a new one. */
+static CURL *obtain_handle(struct rj_http_client *client)
+{
+	CURL *easy;
+
+	if (client->spare->len)
+		return g_ptr_array_steal_index_fast(client->spare,
+						    client->spare->len - 1);
+	easy = curl_easy_init();
+	assert(easy);
+	return easy;
+}
+
+/* Keep a handle for the next call; its options are those of a new one. */
+static void release_handle(struct rj_http_client *client, CURL *easy)
+{
+	if (client->spare->len >= SPARE_HANDLES_MAX) {
+		curl_easy_cleanup(easy);
+		return;
+	}
+	curl_easy_reset(easy);
+	g_ptr_array_add(client->spare, easy);
+}
+
+/* libcurl must let go of the handle before it is used again. */
 static int transfer_destructor(struct transfer *transfer)
 {
 	rj_list_remove(&transfer->link);
-	if (!transfer->easy)
-		return 0;
+	g_sequence_remove(transfer->in_deadlines);
 	curl_multi_remove_handle(transfer->client->multi, transfer->easy);
-	curl_easy_cleanup(transfer->easy);
+	release_handle(transfer->client, transfer->easy);
 	curl_slist_free_all(transfer->headers);
 	return 0;
 }
@@ -127,6 +154,69 @@
 	}
 }
 
+static void arm_deadlines(struct rj_http_client *client);
+
+/* Earlier deadlines first. */
+static gint by_deadline(gconstpointer a, gconstpointer b, gpointer unused)
+{
+	const struct transfer *left = a;
+	const struct transfer *right = b;
+
+	return left->deadline_us < right->deadline_us ? -1 :
+	       left->deadline_us > right->deadline_us ? 1 :
+							0;
+}
+
+/* End the transfers whose whole answer was not here in time. */
+static void deadline_due(struct tevent_context *ev, struct tevent_timer *timer,
+			 struct timeval now, void *private_data)
+{
+	struct rj_http_client *client = private_data;
+	uint64_t now_us = rj_clock_now_us();
+
+	client->deadline_timer = NULL;
+	client->deadline_us = RJ_NEVER_US;
+	while (!g_sequence_is_empty(client->deadlines)) {
+		struct transfer *first = g_sequence_get(
+			g_sequence_get_begin_iter(client->deadlines));
+
+		if (first->deadline_us > now_us)
+			break;
+		transfer_end(first, CURLE_OPERATION_TIMEDOUT);
+	}
+	arm_deadlines(client);
+}
+
+/*
+ * Wake up at the earliest deadline.
+ *
+ * Guards against work that grows with the number of open calls: tevent keeps
+ * its timers in a list, and one for each of a thousand calls made each new
+ * timer walk past them. libcurl's own time limit does not hold for a call
+ * that waits for a connection.
+ */
+static void arm_deadlines(struct rj_http_client *client)
+{
+	const struct transfer *first;
+	uint64_t now_us;
+
+	if (g_sequence_is_empty(client->deadlines))
+		return;
+	first = g_sequence_get(g_sequence_get_begin_iter(client->deadlines));
+	if (first->deadline_us >= client->deadline_us)
+		return;
+	now_us = rj_clock_now_us();
+	TALLOC_FREE(client->deadline_timer);
+	client->deadline_us = first->deadline_us;
+	client->deadline_timer = tevent_add_timer(
+		client->ev, client->mem,
+		rj_clock_timeval_in(first->deadline_us > now_us ?
+					    first->deadline_us - now_us :
+					    0),
+		deadline_due, client);
+	assert(client->deadline_timer);
+}
+
 /* Tell libcurl which events a socket has, and report what ended by them. */
 static void socket_ready(struct tevent_context *ev, struct tevent_fd *fde,
 			 uint16_t flags, void *private_data)
@@ -249,6 +339,9 @@
 				    "http client: no memory; free some");
 	client->mem = talloc_named_const(mem, 0, "http client");
 	assert(client->mem);
+	client->deadlines = g_sequence_new(NULL);
+	client->deadline_us = RJ_NEVER_US;
+	client->spare = g_ptr_array_new_with_free_func(curl_easy_cleanup);
 	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION,
 			  socket_wanted);
 	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
@@ -272,13 +365,6 @@
 	return 0;
 }
 
-/* The whole answer was not here in time. */
-static void timed_out(struct tevent_context *ev, struct tevent_timer *timer,
-		      struct timeval now, void *private_data)
-{
-	transfer_end(private_data, CURLE_OPERATION_TIMEDOUT);
-}
-
 /* The client's headers and those of one request. */
 static void join_headers(struct transfer *transfer,
 			 const struct rj_http_send *send)
@@ -312,6 +398,9 @@
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	/* Addresses are numbers; libcurl would look through all that it has
+	 * kept for old ones at each call. */
+	curl_easy_setopt(easy, CURLOPT_DNS_CACHE_TIMEOUT, -1L);
 	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
 	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_S);
 	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_S);
@@ -335,7 +424,6 @@
 			 const struct rj_http_send *send)
 {
 	struct transfer *transfer = talloc_zero(client->mem, struct transfer);
-	struct tevent_timer *timer;
 
 	assert(transfer && send->done);
 	rj_list_append(&client->open, &transfer->link);
@@ -346,15 +434,13 @@
 	transfer->answer_max = send->answer_max_bytes;
 	transfer->done = send->done;
 	transfer->private_data = talloc_steal(transfer, send->private_data);
-	transfer->easy = curl_easy_init();
-	assert(transfer->easy);
+	transfer->easy = obtain_handle(client);
+	transfer->deadline_us = rj_clock_now_us() + send->timeout_us;
+	transfer->in_deadlines = g_sequence_insert_sorted(
+		client->deadlines, transfer, by_deadline, NULL);
 	talloc_set_destructor(transfer, transfer_destructor);
 	set_options(transfer, send);
-	timer = tevent_add_timer(client->ev, transfer,
-				 rj_clock_timeval_in(send->timeout_us),
-				 timed_out, transfer);
-	assert(timer);
-	(void)timer;
+	arm_deadlines(client);
 	curl_multi_add_handle(client->multi, transfer->easy);
 }
 
@@ -384,6 +470,8 @@
 		return;
 	RJ_FOR_EACH (at, next, &client->open)
 		talloc_free(RJ_CONTAINER(at, struct transfer, link));
+	g_sequence_free(client->deadlines);
+	g_ptr_array_free(client->spare, TRUE);
 	curl_multi_cleanup(client->multi);
 	client->multi = NULL;
 	curl_slist_free_all(client->headers);
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -24,6 +24,7 @@
 	char kind[RJ_NAME_BYTES]; /* a label that steps may ask for */
 	char rack[RJ_NAME_BYTES];
 	uint64_t incarnation; /* differs in each life of the worker */
+	uint64_t clock_ms; /* its clock when it said so; 0: not said */
 };
 
 /* How an owner keeps an eye on a worker; see rj_cell_looks_tick. */
@@ -36,10 +37,20 @@
 };
 
 struct rj_cell_fleet;
+struct rj_cell_room;
+
+/* The workers of one rack that have said so. */
+struct rj_cell_rack {
+	char name[RJ_NAME_BYTES];
+	struct rj_list workers;
+};
 
 struct rj_cell_worker {
 	struct rj_list link; /* in the fleet */
 	struct rj_cell_fleet *fleet;
+	struct rj_cell_rack *rack; /* NULL until it has said which */
+	struct rj_list in_rack;
+	struct rj_cell_room *room; /* in the plan that is being made */
 	enum rj_cell_watch watch;
 	struct rj_list in_watch; /* in the fleet's list of its watch */
 	char id[RJ_NAME_BYTES];
@@ -77,6 +88,7 @@
 	/* Each worker is in one; those of idle and silent in the order in
 	 * which they are to be looked at. */
 	struct rj_list watched[RJ_CELL_WATCH_COUNT];
+	GPtrArray *racks; /* struct rj_cell_rack, by name */
 };
 
 void rj_cell_fleet_init(struct rj_cell_fleet *fleet, void *mem);
@@ -87,6 +99,8 @@
 					    const char *id);
 void rj_cell_fleet_drop(struct rj_cell_fleet *fleet,
 			struct rj_cell_worker *worker);
+void rj_cell_worker_say(struct rj_cell_worker *worker,
+			const struct rj_cell_heartbeat *heartbeat);
 void rj_cell_worker_watch(struct rj_cell_worker *worker,
 			  enum rj_cell_watch watch);
 uint64_t rj_cell_worker_clock_ms(const struct rj_cell_worker *worker,
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -102,6 +102,8 @@
 bool rj_cell_owner_blind(const struct rj_cell_owner *owner);
 void rj_cell_orders_tick(struct rj_cell_owner *owner);
 void rj_cell_looks_begin(struct rj_cell_owner *owner);
+void rj_cell_looks_trust(struct rj_cell_owner *owner,
+			 struct rj_cell_worker *worker);
 void rj_cell_looks_soon(struct rj_cell_owner *owner,
 			struct rj_cell_worker *worker);
 void rj_cell_ends_run(struct rj_cell_owner *owner, struct rj_cell_run *run,
--- a/src/libradishjunction/include/private/cell_place.h
+++ b/src/libradishjunction/include/private/cell_place.h
@@ -35,27 +35,35 @@
 /* How a group is to be placed. */
 struct rj_cell_way {
 	enum rj_cell_when when;
-	const char *rack; /* NULL: anywhere */
+	const struct rj_cell_rack_rooms *rack; /* NULL: anywhere */
 	bool stop_others; /* work of lower priority makes way */
 };
 
-/* A trial to place a group of tasks, which changes nothing until taken. */
+/*
+ * A trial to place a group of tasks. It changes the plan's rooms, and unless
+ * it is taken its end undoes that; one trial at a time.
+ */
 struct rj_cell_trial {
-	struct rj_cell_room *rooms; /* a copy of the plan's */
+	struct rj_cell_plan *plan;
+	GArray *changes; /* rooms as they were, in the order of changes */
 	GPtrArray *workers; /* one for each task */
 	GPtrArray *victims; /* struct rj_cell_run */
 	uint64_t loss_milli; /* core-milliseconds that would be lost */
 	uint64_t ready_us; /* RJ_CELL_LATER: in so long all have room */
 };
 
-void rj_cell_trial_init(struct rj_cell_trial *trial,
-			const struct rj_cell_plan *plan);
+void rj_cell_trial_init(struct rj_cell_trial *trial, struct rj_cell_plan *plan);
+void rj_cell_trial_change(struct rj_cell_trial *trial,
+			  struct rj_cell_room *room);
 void rj_cell_trial_finish(struct rj_cell_trial *trial);
-void rj_cell_trial_take(struct rj_cell_plan *plan, struct rj_cell_trial *trial);
+void rj_cell_trial_take(struct rj_cell_trial *trial);
+void rj_cell_place_range(const struct rj_cell_plan *plan,
+			 const struct rj_cell_way *way,
+			 struct rj_cell_room **from, struct rj_cell_room **to);
 bool rj_cell_place_may_run(const struct rj_cell_plan *plan,
 			   const struct rj_cell_room *room,
 			   const struct rj_cell_unit *unit,
-			   const struct rj_cell_task *task, const char *rack);
+			   const struct rj_cell_task *task);
 bool rj_cell_place_group(struct rj_cell_plan *plan, struct rj_cell_trial *trial,
 			 const struct rj_cell_unit *unit,
 			 struct rj_cell_task **tasks, uint32_t count,
@@ -64,7 +72,7 @@
 					  struct rj_cell_trial *trial,
 					  const struct rj_cell_unit *unit,
 					  const struct rj_cell_task *task,
-					  const char *rack);
+					  const struct rj_cell_way *way);
 uint64_t rj_cell_reclaim_own_milli(const struct rj_cell_plan *plan,
 				   const struct rj_cell_unit *unit,
 				   uint32_t count);
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -18,7 +18,6 @@
 /* A worker's room while a plan is made. */
 struct rj_cell_room {
 	struct rj_cell_worker *worker;
-	bool usable;
 	bool kept; /* for urgent work; others only if they can be stopped */
 	bool closed; /* for urgent work alone */
 	struct rj_cell_demand now; /* free */
@@ -26,6 +25,13 @@
 	struct rj_cell_demand promised; /* of what will come free later */
 };
 
+/* The rooms of one rack, which stand side by side. */
+struct rj_cell_rack_rooms {
+	const char *name;
+	uint32_t first;
+	uint32_t count;
+};
+
 /* One task is to start on one worker. */
 struct rj_cell_choice {
 	struct rj_cell_task *task;
@@ -47,6 +53,7 @@
 	/* while it is made */
 	struct rj_cell_room *rooms;
 	uint32_t room_count;
+	GArray *racks; /* struct rj_cell_rack_rooms, by name */
 	uint32_t used_percent; /* of the memory or accelerators of all */
 	GArray *units;
 	uint32_t promises; /* groups of others that have room promised */
--- a/src/libradishjunction/include/private/http_client.h
+++ b/src/libradishjunction/include/private/http_client.h
@@ -11,6 +11,7 @@
 #define RADISHJUNCTION_PRIVATE_HTTP_CLIENT_H
 
 #include <curl/curl.h>
+#include <glib.h>
 #include <tevent.h>
 
 #include "private/list.h"
@@ -54,6 +55,10 @@
 	struct curl_slist *headers;
 	struct tevent_timer *timer;
 	struct rj_list open;
+	GSequence *deadlines; /* of the open transfers, the earliest first */
+	struct tevent_timer *deadline_timer;
+	uint64_t deadline_us; /* that it is for */
+	GPtrArray *spare; /* CURL handles for the next calls */
 };
 
 int rj_http_client_init(struct rj_http_client *client, void *mem,
--- a/src/standin_users/main.c
+++ b/src/standin_users/main.c
@@ -9,7 +9,8 @@
 #include "private/clock.h"
 #include "standin.h"
 
-#define WORKERS_MAX 64
+#define WORKERS_MAX 2048
+#define STEP_US (20 * RJ_US_PER_MS)
 #define HEARTBEAT_US (500 * RJ_US_PER_MS)
 #define ERRORS_MAX 8
 
@@ -19,6 +20,19 @@
 	uint32_t count;
 };
 
+/* All workers work on. */
+static void step(struct tevent_context *ev, struct tevent_timer *timer,
+		 struct timeval now, void *private_data)
+{
+	struct fleet *fleet = private_data;
+
+	for (uint32_t i = 0; i < fleet->count; i++)
+		standin_worker_step(&fleet->workers[i]);
+	timer = tevent_add_timer(ev, fleet, rj_clock_timeval_in(STEP_US), step,
+				 fleet);
+	assert(timer);
+}
+
 /* All workers show that they live. */
 static void beat(struct tevent_context *ev, struct tevent_timer *timer,
 		 struct timeval now, void *private_data)
@@ -68,6 +82,7 @@
 	for (uint32_t i = 0; i < fleet->count; i++)
 		if (standin_worker_init(&fleet->workers[i], ev, log, i, &err))
 			goto fail;
+	step(ev, NULL, tevent_timeval_zero(), fleet);
 	beat(ev, NULL, tevent_timeval_zero(), fleet);
 	print_listening(log, fleet);
 	return tevent_loop_wait(ev);
--- a/src/standin_users/standin.h
+++ b/src/standin_users/standin.h
@@ -66,6 +66,7 @@
 int standin_worker_init(struct standin_worker *worker, void *mem,
 			struct standin_log *log, uint32_t number,
 			struct rj_error *err);
+void standin_worker_step(struct standin_worker *worker);
 void standin_worker_beat(struct standin_worker *worker);
 
 #endif
--- a/src/standin_users/worker.c
+++ b/src/standin_users/worker.c
@@ -10,7 +10,6 @@
 #define BODY_MAX_BYTES (1024 * 1024)
 #define CONNECTIONS_MAX 64
 #define LEASE_MAX_MS 6000
-#define STEP_US (20 * RJ_US_PER_MS)
 #define RACK_WORKERS 4
 
 /* A look that waits for an end. */
@@ -121,11 +120,11 @@
 	json_object_del(worker->running, name);
 }
 
-/* Work on: runs end, leases lapse, looks have waited long enough. */
-static void step(struct tevent_context *ev, struct tevent_timer *timer,
-		 struct timeval now, void *private_data)
+/*
+ * Work on: runs end, leases lapse, looks have waited long enough.
+ */
+void standin_worker_step(struct standin_worker *worker)
 {
-	struct standin_worker *worker = private_data;
 	uint64_t now_ms = standin_now_ms();
 	bool ended = false;
 	const char *name;
@@ -144,9 +143,6 @@
 		ended = true;
 	}
 	end_looks(worker, ended);
-	timer = tevent_add_timer(ev, worker->log->server.mem,
-				 rj_clock_timeval_in(STEP_US), step, worker);
-	assert(timer);
 }
 
 /* The fields that all orders have in common; false when the order has been
@@ -316,8 +312,6 @@
 	worker->done = json_object();
 	worker->waiting = g_ptr_array_new();
 	(void)g_snprintf(worker->id, sizeof(worker->id), "w%u", number);
-	if (rj_http_server_init(&worker->server, mem, log->ev, &options, err))
-		return -1;
-	step(log->ev, NULL, tevent_timeval_zero(), worker);
-	return 0;
+	return rj_http_server_init(&worker->server, mem, log->ev, &options,
+				   err);
 }
--- a/src/test_libradishjunction/support/cell_fake_log.c
+++ b/src/test_libradishjunction/support/cell_fake_log.c
@@ -100,11 +100,12 @@
 			      deliver, call);
 		return;
 	}
-	cell_world_speak(node);
+	cell_world_enter(node);
 	call->reply.now_us = node->world->now_us;
 	call->done.call(call->done.private_data, &call->reply);
 	rj_cell_node_advance(&node->node, node->world->now_us,
 			     cell_world_wall_ms(node->world));
+	cell_world_leave(node);
 	talloc_free(call);
 }
 
--- a/src/test_libradishjunction/support/cell_fake_workers.c
+++ b/src/test_libradishjunction/support/cell_fake_workers.c
@@ -117,11 +117,12 @@
 			      deliver, order);
 		return;
 	}
-	cell_world_speak(node);
+	cell_world_enter(node);
 	order->reply.now_us = node->world->now_us;
 	order->done.call(order->done.private_data, &order->reply);
 	rj_cell_node_advance(&node->node, node->world->now_us,
 			     cell_world_wall_ms(node->world));
+	cell_world_leave(node);
 	talloc_free(order);
 }
 
@@ -426,6 +427,7 @@
 
 	if (worker->up && !worker->cut_from_log) {
 		worker->listed = true;
+		worker->said.clock_ms = clock_ms(world, worker);
 		cell_log_put(world, RJ_CELL_TOPIC_WORKERS, worker->id,
 			     &worker->said, sizeof(worker->said));
 	} else if (worker->listed) {
--- a/src/test_libradishjunction/support/cell_world.c
+++ b/src/test_libradishjunction/support/cell_world.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <talloc.h>
+#include <time.h>
 
 #include "private/note.h"
 #include "private/pack.h"
@@ -236,12 +237,32 @@
 	g_log_set_writer_func(print_note, NULL, NULL);
 }
 
+/* The processor time of this thread. */
+static uint64_t cpu_now_ns(void)
+{
+	struct timespec time;
+
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+	return (uint64_t)time.tv_sec * G_GUINT64_CONSTANT(1000000000) +
+	       (uint64_t)time.tv_nsec;
+}
+
 /*
- * The notes that follow are this node's.
+ * The code of a node runs from here on: notes are its own, and so is the
+ * processor time.
  */
-void cell_world_speak(struct cell_world_node *node)
+void cell_world_enter(struct cell_world_node *node)
 {
 	trace.node = node;
+	node->cpu_ns -= cpu_now_ns();
+}
+
+/*
+ * The code of a node has returned.
+ */
+void cell_world_leave(struct cell_world_node *node)
+{
+	node->cpu_ns += cpu_now_ns();
 }
 
 /* A node looks for what is due. */
@@ -250,10 +271,11 @@
 	struct cell_world_node *node = data;
 	struct cell_world *world = node->world;
 
-	cell_world_speak(node);
+	cell_world_enter(node);
 	if (node->up && node->paused_until_us <= world->now_us)
 		rj_cell_node_advance(&node->node, world->now_us,
 				     cell_world_wall_ms(world));
+	cell_world_leave(node);
 	cell_world_at(world, TICK_US, tick, node);
 }
 
@@ -274,7 +296,7 @@
 
 	if (node->up)
 		return;
-	cell_world_speak(node);
+	cell_world_enter(node);
 	node->up = true;
 	node->life++;
 	node->mem = talloc_named_const(world->mem, 0, "node");
@@ -283,6 +305,7 @@
 	rj_cell_node_init(&node->node, node->mem, &options);
 	rj_cell_node_start(&node->node, world->now_us,
 			   cell_world_wall_ms(world));
+	cell_world_leave(node);
 }
 
 /*
@@ -520,8 +543,9 @@
 	call->call.answer = answered;
 	if (verb == RJ_CELL_VERB_SUBMIT)
 		call->call.body = rj_cell_def_encode(call, job->def);
-	cell_world_speak(node);
+	cell_world_enter(node);
 	rj_cell_front_take(&node->node.front, &call->call);
+	cell_world_leave(node);
 }
 
 /*
--- a/src/test_libradishjunction/support/cell_world.h
+++ b/src/test_libradishjunction/support/cell_world.h
@@ -68,6 +68,7 @@
 	uint64_t first_kept[RJ_CELL_TOPIC_COUNT]; /* older records are gone */
 	uint64_t appends;
 	uint64_t reads;
+	uint64_t read_bytes;
 };
 
 /* A row of a worker's list of runs. */
@@ -114,6 +115,7 @@
 	uint64_t paused_until_us;
 	void *mem;
 	struct rj_cell_node node;
+	uint64_t cpu_ns; /* that its code has taken */
 };
 
 struct cell_world_plan {
@@ -149,7 +151,8 @@
 
 /* Print every note of a world, with its time and node. */
 void cell_world_trace(struct cell_world *world);
-void cell_world_speak(struct cell_world_node *node);
+void cell_world_enter(struct cell_world_node *node);
+void cell_world_leave(struct cell_world_node *node);
 void cell_world_init(struct cell_world *world,
 		     const struct cell_world_plan *plan);
 void cell_world_finish(struct cell_world *world);
