--- a/src/test_libradishjunction/support/cell_check.c
+++ b/src/test_libradishjunction/support/cell_check.c
@@ -165,10 +165,12 @@
 }
 
 /*
- * A worker begins a task.
+ * A worker begins a task on an order that was sent at `sent_us`. The bound
+ * for what is cancelled counts for the sending: a worker may carry an order
+ * out late, and then has to be told to stop.
  */
 void cell_check_start(struct cell_world *world, struct cell_fake_worker *worker,
-		      const struct rj_cell_start *start)
+		      const struct rj_cell_start *start, uint64_t sent_us)
 {
 	uint32_t step = 0;
 	uint32_t index = 0;
@@ -196,7 +198,7 @@
 	if (log->failures >= job->def->attempts_max && !of->perpetual)
 		cell_world_violation(world, "attempts: %s run %u", start->name,
 				     start->number);
-	if (job->cancelled && world->now_us > job->cancelled_us + CANCEL_US)
+	if (job->cancelled && sent_us > job->cancelled_us + CANCEL_US)
 		cell_world_violation(world, "unasked: %s is cancelled",
 				     start->name);
 	if (!job->accepted && job->refusals && job->refusals == job->tries)
@@ -280,12 +282,35 @@
 	return false;
 }
 
+/* Nothing of a job that has ended runs any more. */
+static void check_leftovers(struct cell_world *world)
+{
+	for (uint32_t i = 0; i < world->plan.workers; i++) {
+		struct cell_fake_worker *worker = &world->workers[i];
+
+		for (guint j = 0; j < worker->runs->len; j++) {
+			const char *name = cell_fake_row_at(worker, j).name;
+			uint32_t step = 0;
+			uint32_t index = 0;
+			const struct cell_client_job *job =
+				cell_check_job(world, name, &step, &index);
+
+			if (!job || job->shown >= RJ_CELL_JOB_COMPLETED)
+				cell_world_violation(
+					world, "unasked: %s still runs on %s",
+					name, worker->id);
+		}
+	}
+}
+
 /*
  * Judge what must hold once everything has calmed down: every accepted job
- * is known and has ended, and no task of a completed job is missing.
+ * is known and has ended, no task of a completed job is missing, and nothing
+ * of an ended job runs.
  */
 void cell_world_check_end(struct cell_world *world)
 {
+	check_leftovers(world);
 	for (guint i = 0; i < world->job_list->len; i++) {
 		struct cell_client_job *job = world->job_list->pdata[i];
 
--- a/src/test_libradishjunction/support/cell_fake_workers.c
+++ b/src/test_libradishjunction/support/cell_fake_workers.c
@@ -61,6 +61,7 @@
 	struct cell_fake_worker *worker;
 	uint64_t incarnation;
 	enum order_kind kind;
+	uint64_t sent_us;
 	struct rj_cell_order_done done;
 	struct rj_cell_start start;
 	struct rj_cell_look look;
@@ -522,7 +523,7 @@
 		return RJ_CELL_ORDER_OLD;
 	if (is_full(world, worker, start->name))
 		return RJ_CELL_ORDER_FULL;
-	cell_check_start(world, worker, start);
+	cell_check_start(world, worker, start, order->sent_us);
 	begin_run(world, worker, start);
 	return RJ_CELL_ORDER_OK;
 }
@@ -667,6 +668,7 @@
 	order->node = node;
 	order->life = node->life;
 	order->kind = kind;
+	order->sent_us = world->now_us;
 	order->done = done;
 	index = (uint32_t)g_ascii_strtoull(worker->id + 1, NULL, 10);
 	g_assert_cmpuint(index, <, world->plan.workers);
--- a/src/test_libradishjunction/support/cell_world.h
+++ b/src/test_libradishjunction/support/cell_world.h
@@ -205,7 +205,7 @@
 bool cell_world_reaches(const struct cell_world_node *node, uint32_t life);
 uint64_t cell_world_wall_ms(const struct cell_world *world);
 void cell_check_start(struct cell_world *world, struct cell_fake_worker *worker,
-		      const struct rj_cell_start *start);
+		      const struct rj_cell_start *start, uint64_t sent_us);
 void cell_check_end(struct cell_world *world, struct cell_fake_worker *worker,
 		    const char *name, uint32_t run, enum rj_cell_end end);
 void cell_check_seen(struct cell_world *world, struct cell_fake_worker *worker,
