platform: figures of the settings may be fractions, or missing

Cause: the template joined GraceS with three zeros, so that 2.5 s became 2.5 ms or nothing readable, and a figure that a deployment does not have left a gap that is no JSON: no process would start. Found by reading; deployments that were not seen may have either. Test: test_platform_settings (the file could not be written before).

--- /dev/null
+++ b/src/test_libradishjunction/test_platform_settings.c
@@ -0,0 +1,81 @@
+/*
+ * The settings file that the platform makes of our template: figures may be
+ * fractions, and a deployment need not have all of them.
+ */
+#include <glib.h>
+#include <glib/gstdio.h>
+
+#include "adapters.h"
+
+/* Load a file that ends with these lines. */
+static int load(const char *figures, struct platform_settings *settings,
+		struct rj_error *err)
+{
+	char *path = NULL;
+	int fd = g_file_open_tmp("settings-XXXXXX", &path, NULL);
+	char *text = g_strdup_printf(
+		"{\"name\":\"n1\",\"domain\":\"z\",\"callers\":\"127.0.0.1:1\","
+		"\"ready\":\"127.0.0.1:2\",\"metrics\":\"127.0.0.1:3\","
+		"\"store\":\"127.0.0.1:4\",\"orders\":\"rpc\",%s}",
+		figures);
+	int result;
+
+	g_assert_cmpint(fd, >=, 0);
+	g_assert_true(g_close(fd, NULL));
+	g_assert_true(g_file_set_contents(path, text, -1, NULL));
+	result = platform_settings_load(path, settings, err);
+	g_assert_cmpint(g_unlink(path), ==, 0);
+	g_free(text);
+	g_free(path);
+	return result;
+}
+
+/*
+ * No process of a deployment starts.
+ * Its bounds have fractions, or lack a figure that belongs to a part of the
+ * rules that is not in force there.
+ * Cause: the template joined figures with digits, and left gaps.
+ */
+static void test_fractions_and_gaps(void)
+{
+	struct platform_settings settings;
+	struct rj_error err;
+
+	g_assert_cmpint(load("\"cpu_share\":\"0.125\",\"cpu_speed\":\"1.0\","
+			     "\"grace_s\":\"2.5\",\"lease_max_ms\":\"10000.0\","
+			     "\"status_s\":\"120\",\"reclaim_ms\":\"\","
+			     "\"revoke_ms\":\"\"",
+			     &settings, &err),
+			==, 0);
+	g_assert_cmpuint(settings.cpu_share_percent, ==, 13);
+	g_assert_cmpuint(settings.grace_ms, ==, 2500);
+	g_assert_cmpuint(settings.terms.lease_max_ms, ==, 10000);
+	g_assert_cmpuint(settings.terms.status_ms, ==, 120000);
+	g_assert_cmpuint(settings.terms.reclaim_ms, ==, 2900);
+	g_assert_cmpuint(settings.terms.revoke_ms, ==, 5000);
+}
+
+/* A figure that is none is named, with the remedy. */
+static void test_bad_figure(void)
+{
+	struct platform_settings settings;
+	struct rj_error err;
+
+	g_assert_cmpint(load("\"cpu_share\":\"0.25\",\"cpu_speed\":\"1\","
+			     "\"grace_s\":\"soon\",\"lease_max_ms\":\"6000\","
+			     "\"status_s\":\"120\",\"reclaim_ms\":\"2900\","
+			     "\"revoke_ms\":\"5000\"",
+			     &settings, &err),
+			==, -1);
+	g_assert_nonnull(strstr(err.message, "grace_s"));
+	g_assert_nonnull(strstr(err.message, "set a decimal number"));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/platform_settings/fractions",
+			test_fractions_and_gaps);
+	g_test_add_func("/platform_settings/bad", test_bad_figure);
+	return g_test_run();
+}
