soak: a program of its own, with proxies; front: the log is read when a caller asks

Soak: rj-soak (src/soak) starts the real programs and stands between them with loopback proxies that delay, hold one way or both, reset, refuse, or leave open connections silent; instances are killed, stopped, suspended, reloaded; the log refuses, is silent, loses answers; workers fail, stand still, are sick, leave, crash. It judges while it runs, from what workers tell and callers are told. Change: followers pause 300 ms; a caller's question reads the log first when the view is older than 80 ms (it was told from a view of up to 1.2 s).

--- a/src/libradishjunction/cell/cell_front.c
+++ b/src/libradishjunction/cell/cell_front.c
@@ -16,8 +16,13 @@
 /* When to come back to an instance that is cut off from the log: its health
  * check takes it out of rotation after two seconds. */
 #define AWAY_COME_BACK_MS 1000
-/* States are told from what was read so lately; the owner's heartbeats make
- * reads return every 0.4 s. */
+/*
+ * States are told at once from what was read so lately; else the log is read
+ * first, which takes some 6 ms. Callers ask once or twice a job, so that this
+ * costs far fewer reads than to follow the log closely at every instance.
+ */
+#define STATE_FRESH_US (80 * RJ_US_PER_MS)
+/* Where the log cannot be read, states are told that are no older. */
 #define STATE_AGE_MAX_US (1200 * RJ_US_PER_MS)
 /* What the owner said of its backlog counts for so long; it says so anew
  * every 0.4 s. */
@@ -241,6 +246,31 @@
 	store(request, RJ_CELL_RECORD_CANCEL, mark);
 }
 
+/*
+ * Whether what is known of a job is no older than `age_max_us`; an end stays.
+ *
+ * Guards against a state that goes back: a client that was told that its job
+ * has ended asks again, at an instance that has been cut off since before.
+ */
+static bool is_current(const struct rj_cell_front *front,
+		       const struct rj_cell_entry *entry, uint64_t age_max_us)
+{
+	return entry->told.state >= RJ_CELL_JOB_COMPLETED ||
+	       rj_cell_follow_age_us(front->jobs, front->now_us) < age_max_us;
+}
+
+/* The log could not be read: a state may still be told, if it is not old. */
+static void answer_unread(struct request *request,
+			  const struct rj_cell_entry *entry)
+{
+	if (entry && request->call->verb == RJ_CELL_VERB_ASK &&
+	    is_current(request->front, entry, STATE_AGE_MAX_US))
+		answer_state(request, entry);
+	else
+		answer_plain(request, RJ_CELL_VERDICT_AWAY, "log_unread",
+			     AWAY_COME_BACK_MS);
+}
+
 /* The log has been read to its end: what is not known now does not exist. */
 static void sync_done(struct rj_cell_sync *sync, bool reached)
 {
@@ -256,8 +286,7 @@
 	entry = known(request);
 	/* A read that ends so late tells what was, not what is. */
 	if (!reached || request->front->now_us >= request->due_us)
-		answer_plain(request, RJ_CELL_VERDICT_AWAY, "log_unread",
-			     AWAY_COME_BACK_MS);
+		answer_unread(request, entry);
 	else if (!entry)
 		answer_plain(request, RJ_CELL_VERDICT_NO_JOB, "not_in_log", 0);
 	else if (request->call->verb == RJ_CELL_VERB_CANCEL)
@@ -355,26 +384,15 @@
 	answer(request, &what);
 }
 
-/*
- * Whether what is known of a job may be told without reading the log.
- *
- * Guards against a state that goes back: a client that was told that its job
- * has ended asks again, at an instance that has been cut off since before.
- */
-static bool is_current(const struct rj_cell_front *front,
-		       const struct rj_cell_entry *entry)
-{
-	return entry->told.state >= RJ_CELL_JOB_COMPLETED ||
-	       rj_cell_follow_age_us(front->jobs, front->now_us) <
-		       STATE_AGE_MAX_US;
-}
-
 /* The call is allowed: do what it asks. */
 static void serve(struct request *request, const struct rj_cell_queue *queue)
 {
 	struct rj_cell_front *front = request->front;
 	const struct rj_cell_call *call = request->call;
 	const char *rest = call->path + strlen(queue->prefix);
+	uint64_t age_max_us = call->verb == RJ_CELL_VERB_CANCEL ?
+				      STATE_AGE_MAX_US :
+				      STATE_FRESH_US;
 	struct rj_cell_entry *entry;
 
 	if (!front->jobs->caught_up) {
@@ -393,7 +411,7 @@
 	entry = known(request);
 	if (call->verb == RJ_CELL_VERB_SUBMIT)
 		submit(request, queue);
-	else if (!entry || !is_current(front, entry))
+	else if (!entry || !is_current(front, entry, age_max_us))
 		look_up(request);
 	else if (call->verb == RJ_CELL_VERB_CANCEL)
 		cancel_known(request, entry);
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -11,9 +11,13 @@
 #define CONFIG_WAIT_MS 1000
 #define JOBS_WAIT_MS 1000
 #define FLEET_WAIT_MS 1000
-/* Pauses between reads gather records: each read has a price, and a state
- * may be shown so much later. */
-#define JOBS_PAUSE_US (60 * RJ_US_PER_MS)
+/*
+ * Pauses between reads gather records. An instance that does not own the cell
+ * needs the jobs for callers, who make it read when they ask, and to see that
+ * the owner lives, whose silence shows so much later at most. At 31 instances
+ * a pause of 60 ms made 500 reads a second, four fifths of all calls.
+ */
+#define JOBS_PAUSE_US (300 * RJ_US_PER_MS)
 #define OWNER_JOBS_PAUSE_US (5 * RJ_US_PER_MS)
 #define FLEET_PAUSE_US (150 * RJ_US_PER_MS)
 /*
--- /dev/null
+++ b/src/soak/judge.c
@@ -0,0 +1,231 @@
+/*
+ * The promises, judged from what workers tell and callers are told. Messages
+ * open with the rule: unasked, refused, twice, order, attempts, capacity,
+ * mixed, lost.
+ */
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "soak.h"
+
+/* What a worker of the stand-in has. */
+#define WORKER_CPU_MILLI 64000
+#define WORKER_ACCELERATORS 8
+/* A job is known everywhere so long after its acknowledgement. */
+#define VISIBLE_US (3 * RJ_US_PER_S)
+
+/*
+ * A promise was broken.
+ */
+void soak_violation(struct soak *soak, const char *format, ...)
+{
+	va_list arguments;
+	char *text;
+
+	va_start(arguments, format);
+	text = g_strdup_vprintf(format, arguments);
+	va_end(arguments);
+	fprintf(stderr, "seed %" G_GUINT64_FORMAT ": %s\n", soak->seed, text);
+	g_free(text);
+	soak->violations++;
+}
+
+/* What is known of a task. */
+static struct soak_task *task_of(struct soak_job *job, const char *name)
+{
+	struct soak_task *task = g_hash_table_lookup(job->tasks, name);
+
+	if (task)
+		return task;
+	task = g_new0(struct soak_task, 1);
+	g_hash_table_insert(job->tasks, g_strdup(name), task);
+	return task;
+}
+
+/* Whether all tasks of a step have ended well. */
+static bool is_step_done(struct soak_job *job, uint32_t step)
+{
+	for (uint32_t i = 0; i < job->steps[step].tasks; i++) {
+		char name[48];
+
+		(void)g_snprintf(name, sizeof(name), "%s.0.%u.%u", job->id,
+				 step, i);
+		if (!task_of(job, name)->done)
+			return false;
+	}
+	return true;
+}
+
+/* The step of a task's name; -1 when the job has no such step. */
+static int step_of(const struct soak_job *job, const char *name)
+{
+	unsigned int step;
+
+	if (sscanf(name, "%*[^.].0.%u.", &step) != 1 || step >= job->step_count)
+		return -1;
+	return (int)step;
+}
+
+/* A worker has more or less to do. */
+static void hold(struct soak *soak, const char *worker_id,
+		 const struct soak_step *step, bool begins)
+{
+	struct soak_worker *worker;
+	unsigned int number;
+
+	if (sscanf(worker_id, "w%u", &number) != 1 ||
+	    number >= soak->worker_count)
+		return;
+	worker = &soak->workers[number];
+	if (!begins) {
+		worker->held.cpu_milli -= step->cpu_milli;
+		worker->held.accelerators -= step->accelerators;
+		return;
+	}
+	worker->held.cpu_milli += step->cpu_milli;
+	worker->held.accelerators += step->accelerators;
+	if (worker->held.cpu_milli > WORKER_CPU_MILLI ||
+	    worker->held.accelerators > WORKER_ACCELERATORS)
+		soak_violation(soak, "capacity: %s holds %u accelerators",
+			       worker_id, worker->held.accelerators);
+}
+
+/* A run has begun. */
+static void judge_begin(struct soak_job *job, struct soak_task *task,
+			const char *name, int step, const char *spec)
+{
+	struct soak *soak = job->soak;
+
+	job->begun++;
+	if (strcmp(spec, job->spec) != 0)
+		soak_violation(soak, "unasked: %s has spec %s", name, spec);
+	if (task->running++)
+		soak_violation(soak, "twice: %s runs already", name);
+	if (task->noted)
+		soak_violation(soak, "twice: %s had ended", name);
+	if (task->failed >= SOAK_ATTEMPTS_MAX)
+		soak_violation(soak, "attempts: %s", name);
+	if (step > 0 && !is_step_done(job, (uint32_t)step - 1))
+		soak_violation(soak, "order: %s", name);
+}
+
+/*
+ * A line of the stand-in about a run.
+ */
+void soak_judge_event(struct soak *soak, const json_t *event)
+{
+	const char *what = json_string_value(json_object_get(event, "event"));
+	const char *name = json_string_value(json_object_get(event, "task"));
+	const char *worker =
+		json_string_value(json_object_get(event, "worker"));
+	const char *how = json_string_value(json_object_get(event, "how"));
+	char id[SOAK_ID_BYTES] = "";
+	struct soak_job *job;
+	struct soak_task *task;
+	int step;
+
+	if (!what || !name || !worker || !how)
+		return;
+	g_strlcpy(id, name, sizeof(id));
+	job = g_hash_table_lookup(soak->jobs, id);
+	step = job ? step_of(job, name) : -1;
+	if (step < 0) {
+		soak_violation(soak, "unasked: %s", name);
+		return;
+	}
+	task = task_of(job, name);
+	if (!strcmp(what, "begin")) {
+		judge_begin(job, task, name, step, how);
+		hold(soak, worker, &job->steps[step], true);
+	} else if (!strcmp(what, "end")) {
+		task->running--;
+		task->done |= !strcmp(how, "done");
+		task->failed += !strcmp(how, "failed");
+		hold(soak, worker, &job->steps[step], false);
+	} else if (!strcmp(what, "noted")) {
+		task->noted |= !strcmp(how, "done");
+	}
+}
+
+/* Whether some task has failed as often as it may. */
+static bool has_failed(const struct soak_job *job)
+{
+	GHashTableIter at;
+	gpointer task;
+
+	g_hash_table_iter_init(&at, job->tasks);
+	while (g_hash_table_iter_next(&at, NULL, &task))
+		if (((struct soak_task *)task)->failed >= SOAK_ATTEMPTS_MAX)
+			return true;
+	return false;
+}
+
+/*
+ * A caller was told a state on a question asked at `asked_us`.
+ */
+void soak_judge_state(struct soak_job *job, const char *state,
+		      uint64_t asked_us)
+{
+	struct soak *soak = job->soak;
+	bool ended = !strcmp(state, "completed") || !strcmp(state, "failed") ||
+		     !strcmp(state, "cancelled");
+
+	/* What workers told before this answer is known before it. */
+	soak_process_drain(&soak->standin);
+
+	if (job->ended && strcmp(state, job->shown) != 0) {
+		/* A question from before the end was shown may tell what was
+		 * before it. */
+		if (asked_us > job->shown_us)
+			soak_violation(soak, "mixed: %s was %s, is %s", job->id,
+				       job->shown, state);
+		return;
+	}
+	if (!strcmp(state, "completed"))
+		for (uint32_t i = 0; i < job->step_count; i++)
+			if (!is_step_done(job, i))
+				soak_violation(soak, "mixed: %s, step %u",
+					       job->id, i);
+	if (!strcmp(state, "failed") && !has_failed(job))
+		soak_violation(soak, "lost: %s has failed", job->id);
+	if (!strcmp(state, "cancelled") && !job->cancel_sent)
+		soak_violation(soak, "lost: %s is cancelled", job->id);
+	if (!job->ended)
+		job->shown_us = rj_clock_now_us();
+	g_strlcpy(job->shown, state, sizeof(job->shown));
+	job->ended = ended;
+}
+
+/*
+ * A caller was told that there is no such job.
+ */
+void soak_judge_gone(struct soak_job *job, uint64_t asked_us)
+{
+	if (job->accepted && asked_us > job->accepted_us + VISIBLE_US)
+		soak_violation(job->soak, "lost: %s is not known", job->id);
+}
+
+/*
+ * Judge what must hold once all is calm.
+ */
+void soak_judge_end(struct soak *soak)
+{
+	for (guint i = 0; i < soak->job_list->len; i++) {
+		struct soak_job *job = soak->job_list->pdata[i];
+		GHashTableIter at;
+		gpointer name;
+		gpointer task;
+
+		if (job->begun && !job->accepted && job->refusals == job->tries)
+			soak_violation(soak, "refused: %s has run", job->id);
+		if (job->accepted && !job->ended)
+			soak_violation(soak, "lost: %s is %s", job->id,
+				       job->shown);
+		g_hash_table_iter_init(&at, job->tasks);
+		while (g_hash_table_iter_next(&at, &name, &task))
+			if (job->ended && ((struct soak_task *)task)->running)
+				soak_violation(soak, "unasked: %s still runs",
+					       (char *)name);
+	}
+}
--- /dev/null
+++ b/src/soak/main.c
@@ -0,0 +1,116 @@
+/*
+ * rj-soak: the fault soak; see soak.h. Ends with one line of JSON, and with
+ * status 1 when a promise was broken.
+ */
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "soak.h"
+
+/* All is to be over so long after the trouble: leases of 6 s, ten seconds
+ * until an unreachable owner lets go, and the longest jobs. */
+#define CALM_US (75 * RJ_US_PER_S)
+/* Stops of what is left over take so long. */
+#define SETTLE_US (8 * RJ_US_PER_S)
+#define ERRORS_MAX 8
+
+/* What all seeds came to. */
+struct totals {
+	uint32_t seeds;
+	uint32_t broken;
+	uint32_t strikes;
+	uint32_t jobs;
+	uint32_t accepted;
+	uint32_t ended;
+};
+
+/* Play one seed. */
+static void play(const struct soak_options *options, uint64_t seed,
+		 struct totals *totals)
+{
+	struct soak *soak = g_new0(struct soak, 1);
+	uint64_t until_us;
+
+	soak->options = *options;
+	soak->seed = seed;
+	soak_site_start(soak);
+	soak_site_run(soak, options->seconds * RJ_US_PER_S);
+	soak_site_calm(soak);
+	until_us = rj_clock_now_us() + CALM_US;
+	while (!soak_callers_done(soak) && rj_clock_now_us() < until_us)
+		soak_site_run(soak, RJ_US_PER_S / 10);
+	soak_site_run(soak, SETTLE_US);
+	soak_judge_end(soak);
+	totals->seeds++;
+	totals->broken += soak->violations > 0;
+	totals->strikes += soak->strikes;
+	totals->jobs += soak->job_list->len;
+	for (guint i = 0; i < soak->job_list->len; i++) {
+		const struct soak_job *job = soak->job_list->pdata[i];
+
+		totals->accepted += job->accepted;
+		totals->ended += job->accepted && job->ended;
+	}
+	soak_site_finish(soak);
+	g_free(soak);
+}
+
+/* An option's number, within its bounds, or what it is when left out. */
+static uint32_t number(const struct arg_int *option, uint32_t otherwise,
+		       uint32_t most)
+{
+	if (!option->count)
+		return otherwise;
+	return CLAMP((uint32_t)option->ival[0], 1, most);
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_int *seeds =
+		arg_int0(NULL, "seeds", "N", "how many are played (1)");
+	struct arg_int *from = arg_int0(NULL, "from", "K", "the first (1)");
+	struct arg_int *seconds =
+		arg_int0(NULL, "seconds", "N", "of trouble in each (15)");
+	struct arg_int *instances =
+		arg_int0(NULL, "instances", "N", "processes (4)");
+	struct arg_int *workers = arg_int0(NULL, "workers", "N", "(12)");
+	struct arg_int *jobs =
+		arg_int0(NULL, "jobs-per-s", "N", "handed in (4)");
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
+	struct arg_end *end = arg_end(ERRORS_MAX);
+	void *table[] = { seeds,   from, seconds, instances,
+			  workers, jobs, help,	  end };
+	struct totals totals = { 0 };
+	struct soak_options options;
+
+	if (arg_nullcheck(table) || arg_parse(argc, argv, table) ||
+	    help->count) {
+		arg_print_errors(stderr, end, "rj-soak");
+		arg_print_glossary(stderr, table, "  %-18s %s\n");
+		return help->count ? 0 : 2;
+	}
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	signal(SIGPIPE, SIG_IGN);
+	options = (struct soak_options){
+		.programs = g_path_get_dirname(argv[0]),
+		.instances = number(instances, 4, SOAK_INSTANCES_MAX),
+		.workers = number(workers, 12, SOAK_WORKERS_MAX),
+		.seconds = number(seconds, 15, 3600),
+		.jobs_per_s = number(jobs, 4, 1000),
+	};
+	for (uint32_t i = 0; i < number(seeds, 1, 100000); i++)
+		play(&options, number(from, 1, INT32_MAX) + i, &totals);
+	printf("{\"seeds\":%u,\"from\":%u,\"instances\":%u,\"workers\":%u,"
+	       "\"strikes\":%u,\"jobs\":%u,\"accepted\":%u,\"ended\":%u,"
+	       "\"broken\":%u}\n",
+	       totals.seeds, number(from, 1, INT32_MAX), options.instances,
+	       options.workers, totals.strikes, totals.jobs, totals.accepted,
+	       totals.ended, totals.broken);
+	g_free(options.programs);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	curl_global_cleanup();
+	return totals.broken > 0;
+}
--- /dev/null
+++ b/src/soak/process.c
@@ -0,0 +1,108 @@
+#include "process.h"
+
+#include <assert.h>
+#include <errno.h>
+#include <poll.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#define CHUNK_BYTES 65536
+
+/* Hand on the whole lines. */
+static void split(struct soak_process *process)
+{
+	char *end;
+
+	while ((end = strchr(process->part->str, '\n'))) {
+		*end = '\0';
+		process->line(process->private_data, process->part->str);
+		g_string_erase(process->part, 0, end + 1 - process->part->str);
+	}
+}
+
+/* The program has written something, or has ended. */
+static void readable(struct tevent_context *ev, struct tevent_fd *event,
+		     uint16_t flags, void *private_data)
+{
+	struct soak_process *process = private_data;
+	char chunk[CHUNK_BYTES];
+	ssize_t count = read(process->fd, chunk, sizeof(chunk));
+
+	if (count < 0 && (errno == EINTR || errno == EAGAIN))
+		return;
+	if (count <= 0) {
+		process->ended = true;
+		TALLOC_FREE(process->event);
+		return;
+	}
+	(void)fwrite(chunk, 1, (size_t)count, process->log);
+	g_string_append_len(process->part, chunk, count);
+	split(process);
+}
+
+/*
+ * Start a program; `line` and `private_data` are set. Its output is appended
+ * to the file.
+ */
+void soak_process_start(struct soak_process *process, struct tevent_context *ev,
+			const char *const *argv, const char *log_path)
+{
+	GError *error = NULL;
+
+	assert(!process->pid && process->line);
+	if (!g_spawn_async_with_pipes(
+		    NULL, (char **)argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL,
+		    NULL, &process->pid, NULL, &process->fd, NULL, &error))
+		g_error("%s: %s; build it first", argv[0], error->message);
+	process->log = fopen(log_path, "a");
+	process->part = g_string_new(NULL);
+	process->ended = false;
+	process->event = tevent_add_fd(ev, ev, process->fd, TEVENT_FD_READ,
+				       readable, process);
+	assert(process->log && process->event);
+}
+
+/*
+ * Hand on all that the program has written by now.
+ */
+void soak_process_drain(struct soak_process *process)
+{
+	struct pollfd waits = { .fd = process->fd, .events = POLLIN };
+
+	while (process->pid && !process->ended && poll(&waits, 1, 0) > 0)
+		readable(NULL, NULL, 0, process);
+}
+
+/*
+ * Send a signal to the program, by its id.
+ */
+void soak_process_signal(const struct soak_process *process, int number)
+{
+	if (process->pid)
+		(void)kill(process->pid, number);
+}
+
+/*
+ * End the program, if it still runs, and wait until it is gone. What it has
+ * written last is handed on.
+ */
+void soak_process_end(struct soak_process *process)
+{
+	int status;
+
+	if (!process->pid)
+		return;
+	(void)kill(process->pid, SIGKILL);
+	while (waitpid(process->pid, &status, 0) < 0 && errno == EINTR)
+		;
+	while (!process->ended)
+		readable(NULL, NULL, 0, process);
+	close(process->fd);
+	(void)fclose(process->log);
+	g_string_free(process->part, TRUE);
+	g_spawn_close_pid(process->pid);
+	process->pid = 0;
+}
--- /dev/null
+++ b/src/soak/site.c
@@ -0,0 +1,335 @@
+/*
+ * The processes of one seed and the ways between them.
+ */
+#include <assert.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "soak.h"
+
+#define STEP_US (20 * RJ_US_PER_MS)
+#define START_PATIENCE_US (30 * RJ_US_PER_S)
+#define CONTROL_TIMEOUT_US (3 * RJ_US_PER_S)
+#define CONNECTIONS_MAX 64
+#define ANSWER_MAX_BYTES 65536
+
+/*
+ * A number below a bound, the same in every run of a seed as long as the
+ * processes behave alike.
+ */
+uint32_t soak_random(struct soak *soak, uint32_t below)
+{
+	return (uint32_t)(rj_random64(&soak->random) % below);
+}
+
+/* The end of a call whose answer nobody needs. */
+static void ignore(void *private_data, const struct rj_http_result *result)
+{
+}
+
+/*
+ * Call the stand-in's own interface.
+ */
+void soak_post(struct soak *soak, const struct rj_address *to, const char *path,
+	       const char *body)
+{
+	struct rj_http_send send = { .method = "POST",
+				     .url = rj_http_url(soak->ev, to, path),
+				     .body = body,
+				     .length = strlen(body),
+				     .timeout_us = CONTROL_TIMEOUT_US,
+				     .answer_max_bytes = ANSWER_MAX_BYTES,
+				     .done = ignore };
+
+	rj_http_client_send(&soak->http, &send);
+	talloc_free((void *)send.url);
+}
+
+/* An address of the stand-in's first line. */
+static struct rj_address address_of(const json_t *text)
+{
+	const char *colon = strrchr(json_string_value(text), ':');
+	struct rj_address address = { .ip = "127.0.0.1" };
+
+	address.port = (uint16_t)g_ascii_strtoull(colon + 1, NULL, 10);
+	return address;
+}
+
+/* The stand-in listens: put a proxy before each worker. */
+static void take_listening(struct soak *soak, const json_t *listening)
+{
+	const json_t *workers = json_object_get(listening, "workers");
+	size_t i;
+	const json_t *worker;
+
+	soak->log = address_of(json_object_get(listening, "log"));
+	json_array_foreach(workers, i, worker)
+	{
+		struct soak_worker *to = &soak->workers[i];
+
+		to->address = address_of(worker);
+		soak_proxy_init(&to->orders, soak->ev, soak->ev);
+		to->orders.target = to->address.port;
+	}
+	soak->worker_count = (uint32_t)json_array_size(workers);
+}
+
+/* A line of the stand-in. */
+static void standin_line(void *private_data, const char *line)
+{
+	struct soak *soak = private_data;
+	json_t *object = json_loads(line, 0, NULL);
+	const json_t *listening = json_object_get(object, "listening");
+
+	if (listening)
+		take_listening(soak, listening);
+	else if (object)
+		soak_judge_event(soak, object);
+	json_decref(object);
+}
+
+/* A line of an instance: its ports stand in the one of its start. */
+static void instance_line(void *private_data, const char *line)
+{
+	struct soak_instance *instance = private_data;
+	json_t *object;
+
+	if (!strstr(line, "\"event\":\"start\""))
+		return;
+	object = json_loads(line, 0, NULL);
+	instance->callers.target = (uint16_t)json_integer_value(
+		json_object_get(object, "callers_port"));
+	instance->ready_port = (uint16_t)json_integer_value(
+		json_object_get(object, "ready_port"));
+	instance->up = true;
+	json_decref(object);
+}
+
+/* The settings of an instance: each of its ways leads through a proxy. */
+static void write_settings(struct soak_instance *instance)
+{
+	char *text = g_strdup_printf(
+		"{\"name\":\"%s\",\"domain\":\"z\","
+		"\"callers\":\"127.0.0.1:0\",\"ready\":\"127.0.0.1:0\","
+		"\"metrics\":\"127.0.0.1:0\",\"store\":\"127.0.0.1:%u\","
+		"\"orders\":\"rpc\",\"cpu_share\":\"0.25\","
+		"\"cpu_speed\":\"1\",\"grace_s\":\"6\","
+		"\"lease_max_ms\":\"6000\",\"status_s\":\"120\","
+		"\"reclaim_ms\":\"2900\",\"revoke_ms\":\"5000\"}",
+		instance->name, instance->store.port);
+
+	if (!g_file_set_contents(instance->settings, text, -1, NULL))
+		g_error("%s cannot be written; free some room",
+			instance->settings);
+	g_free(text);
+}
+
+/*
+ * Start the process of an instance, for the first time or anew.
+ */
+void soak_instance_start(struct soak_instance *instance)
+{
+	struct soak *soak = instance->soak;
+	char *program = g_build_filename(soak->options.programs,
+					 "radishjunction-entry", NULL);
+	char *log = g_strdup_printf("%s/%s.log", soak->folder, instance->name);
+	const char *const argv[] = { program, "--settings", instance->settings,
+				     NULL };
+
+	instance->up = false;
+	instance->stopping = false;
+	instance->callers.target = 0;
+	soak_process_start(&instance->process, soak->ev, argv, log);
+	g_free(program);
+	g_free(log);
+}
+
+/* Wake the loop up regularly. */
+static void tick(struct tevent_context *ev, struct tevent_timer *timer,
+		 struct timeval now, void *private_data)
+{
+	struct soak *soak = private_data;
+
+	timer = tevent_add_timer(ev, ev, rj_clock_timeval_in(STEP_US), tick,
+				 soak);
+	assert(timer);
+}
+
+/*
+ * Let time pass, with callers and strikes.
+ */
+void soak_site_run(struct soak *soak, uint64_t for_us)
+{
+	uint64_t until_us = rj_clock_now_us() + for_us;
+
+	while (rj_clock_now_us() < until_us) {
+		tevent_loop_once(soak->ev);
+		soak_callers_tick(soak);
+		if (!soak->calm)
+			soak_strikes_tick(soak);
+	}
+}
+
+/* Wait until all instances have started. */
+static void wait_for_all(struct soak *soak)
+{
+	uint64_t until_us = rj_clock_now_us() + START_PATIENCE_US;
+
+	for (uint32_t i = 0; i < soak->options.instances; i++)
+		while (!soak->instances[i].up) {
+			if (rj_clock_now_us() > until_us)
+				g_error("%s did not start; see its log in %s",
+					soak->instances[i].name, soak->folder);
+			tevent_loop_once(soak->ev);
+		}
+}
+
+/* Start the stand-in and give it a configuration. */
+static void start_standin(struct soak *soak)
+{
+	char *program = g_build_filename(soak->options.programs,
+					 "rj-standin-users", NULL);
+	char *log = g_build_filename(soak->folder, "standin.log", NULL);
+	char *workers = g_strdup_printf("%u", soak->options.workers);
+	const char *const argv[] = { program, "--events", "--workers", workers,
+				     NULL };
+
+	soak->standin.line = standin_line;
+	soak->standin.private_data = soak;
+	soak_process_start(&soak->standin, soak->ev, argv, log);
+	while (!soak->worker_count)
+		tevent_loop_once(soak->ev);
+	soak_post(
+		soak, &soak->log, "/standin/config",
+		"{\"Version\":1,\"Routes\":[{\"Name\":\"q\",\"Host\":"
+		"\"h.example\",\"PathPrefix\":\"/p/\",\"TimeoutMs\":3000,"
+		"\"TargetLatencyMs\":1000,\"Priority\":1,\"Service\":"
+		"\"render\",\"MaxAttempts\":4,\"Stretch\":3.0}],\"Services\":"
+		"[{\"Name\":\"render\"}],\"Limits\":{},\"Tenants\":[{\"Name\":"
+		"\"t\",\"ApiKeys\":[\"k1\"],\"Guaranteed\":{\"Gpu\":8}}]}");
+	for (uint32_t i = 0; i < soak->worker_count; i++) {
+		char *body = g_strdup_printf("{\"published\":\"127.0.0.1:%u\"}",
+					     soak->workers[i].orders.port);
+
+		soak_post(soak, &soak->workers[i].address, "/standin/fault",
+			  body);
+		g_free(body);
+	}
+	g_free(program);
+	g_free(log);
+	g_free(workers);
+}
+
+/*
+ * Start all processes; options and seed are set.
+ */
+void soak_site_start(struct soak *soak)
+{
+	struct rj_error err;
+
+	soak->ev = tevent_context_init(NULL);
+	soak->random = soak->seed * 0x9e3779b97f4a7c15ULL + 1;
+	soak->folder = g_dir_make_tmp("soak-XXXXXX", NULL);
+	soak->jobs = g_hash_table_new(g_str_hash, g_str_equal);
+	soak->job_list = g_ptr_array_new();
+	if (!soak->folder ||
+	    rj_http_client_init(&soak->http, soak->ev, soak->ev, NULL,
+				CONNECTIONS_MAX, &err))
+		g_error("soak: no folder for logs; free some room");
+	tick(soak->ev, NULL, tevent_timeval_zero(), soak);
+	start_standin(soak);
+	for (uint32_t i = 0; i < soak->options.instances; i++) {
+		struct soak_instance *instance = &soak->instances[i];
+
+		instance->soak = soak;
+		(void)g_snprintf(instance->name, sizeof(instance->name), "e%u",
+				 i);
+		instance->settings = g_strdup_printf("%s/%s.json", soak->folder,
+						     instance->name);
+		instance->process.line = instance_line;
+		instance->process.private_data = instance;
+		soak_proxy_init(&instance->callers, soak->ev, soak->ev);
+		soak_proxy_init(&instance->store, soak->ev, soak->ev);
+		instance->store.target = soak->log.port;
+		write_settings(instance);
+		soak_instance_start(instance);
+	}
+	wait_for_all(soak);
+}
+
+/*
+ * End all trouble: whatever was harmed works again.
+ */
+void soak_site_calm(struct soak *soak)
+{
+	soak->calm = true;
+	soak_post(soak, &soak->log, "/standin/mode", "ok");
+	for (uint32_t i = 0; i < soak->worker_count; i++) {
+		soak_proxy_set(&soak->workers[i].orders, SOAK_PROXY_PASS);
+		soak_post(soak, &soak->workers[i].address, "/standin/fault",
+			  "{}");
+	}
+	for (uint32_t i = 0; i < soak->options.instances; i++) {
+		struct soak_instance *instance = &soak->instances[i];
+
+		soak_proxy_set(&instance->callers, SOAK_PROXY_PASS);
+		soak_proxy_set(&instance->store, SOAK_PROXY_PASS);
+		soak_process_signal(&instance->process, SIGCONT);
+		if (!instance->process.pid || instance->stopping) {
+			soak_process_end(&instance->process);
+			soak_instance_start(instance);
+		}
+	}
+	wait_for_all(soak);
+}
+
+/* Free what is known of a job. */
+static void free_job(struct soak_job *job)
+{
+	g_hash_table_destroy(job->tasks);
+	g_free(job);
+}
+
+/*
+ * End all processes and forget the seed. Its folder stays when a promise was
+ * broken.
+ */
+void soak_site_finish(struct soak *soak)
+{
+	rj_http_client_finish(&soak->http);
+	for (uint32_t i = 0; i < soak->options.instances; i++) {
+		struct soak_instance *instance = &soak->instances[i];
+
+		soak_process_end(&instance->process);
+		soak_proxy_finish(&instance->callers);
+		soak_proxy_finish(&instance->store);
+		g_free(instance->settings);
+	}
+	soak_process_end(&soak->standin);
+	for (uint32_t i = 0; i < soak->worker_count; i++)
+		soak_proxy_finish(&soak->workers[i].orders);
+	for (guint i = 0; i < soak->job_list->len; i++)
+		free_job(soak->job_list->pdata[i]);
+	g_ptr_array_free(soak->job_list, TRUE);
+	g_hash_table_destroy(soak->jobs);
+	talloc_free(soak->ev);
+	if (soak->violations) {
+		fprintf(stderr, "seed %" G_GUINT64_FORMAT ": logs in %s\n",
+			soak->seed, soak->folder);
+	} else {
+		GDir *folder = g_dir_open(soak->folder, 0, NULL);
+		const char *name;
+
+		while (folder && (name = g_dir_read_name(folder))) {
+			char *path = g_build_filename(soak->folder, name, NULL);
+
+			(void)g_unlink(path);
+			g_free(path);
+		}
+		g_dir_close(folder);
+		(void)g_rmdir(soak->folder);
+	}
+	g_free(soak->folder);
+}
--- a/src/standin_users/main.c
+++ b/src/standin_users/main.c
@@ -63,8 +63,10 @@
 {
 	struct arg_int *workers =
 		arg_int0(NULL, "workers", "N", "workers, 4 by default");
+	struct arg_lit *events =
+		arg_lit0(NULL, "events", "tell what the workers do");
 	struct arg_end *end = arg_end(ERRORS_MAX);
-	void *table[] = { workers, end };
+	void *table[] = { workers, events, end };
 	struct tevent_context *ev = tevent_context_init(NULL);
 	struct standin_log *log = talloc_zero(ev, struct standin_log);
 	struct fleet *fleet = talloc_zero(ev, struct fleet);
@@ -79,9 +81,11 @@
 		fleet->count = WORKERS_MAX;
 	if (standin_log_init(log, ev, ev, &err))
 		goto fail;
-	for (uint32_t i = 0; i < fleet->count; i++)
+	for (uint32_t i = 0; i < fleet->count; i++) {
 		if (standin_worker_init(&fleet->workers[i], ev, log, i, &err))
 			goto fail;
+		fleet->workers[i].tells = events->count > 0;
+	}
 	step(ev, NULL, tevent_timeval_zero(), fleet);
 	beat(ev, NULL, tevent_timeval_zero(), fleet);
 	print_listening(log, fleet);
--- a/src/standin_users/standin.h
+++ b/src/standin_users/standin.h
@@ -42,11 +42,23 @@
 	GPtrArray *waiting; /* struct waiting_read */
 };
 
+/* What a worker does with what it is told. */
+struct standin_faults {
+	bool fails; /* all that it starts */
+	bool stands_still;
+	bool sick; /* it turns starts away */
+	bool leaving; /* it says so; it serves on */
+};
+
 /* One worker; it remembers every task that it has run, for the verdict. */
 struct standin_worker {
 	struct standin_log *log;
 	struct rj_http_server server;
 	char id[RJ_NAME_BYTES];
+	uint32_t number;
+	char published[RJ_IP_BYTES + 8]; /* where callers are sent */
+	struct standin_faults faults;
+	bool tells; /* what it does, on standard output */
 	uint64_t born_ms;
 	uint64_t token;
 	uint64_t lease_ms;
--- a/src/standin_users/worker.c
+++ b/src/standin_users/worker.c
@@ -1,5 +1,6 @@
 #include <assert.h>
 #include <glib.h>
+#include <stdio.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -28,6 +29,18 @@
 	return rj_clock_now_us() / RJ_US_PER_MS;
 }
 
+/* Tell a test what happens to a run. */
+static void tell(const struct standin_worker *worker, const char *event,
+		 const char *name, json_int_t run, const char *how)
+{
+	if (!worker->tells)
+		return;
+	printf("{\"event\":\"%s\",\"worker\":\"%s\",\"task\":\"%s\","
+	       "\"run\":%" JSON_INTEGER_FORMAT ",\"how\":\"%s\"}\n",
+	       event, worker->id, name, run, how);
+	fflush(stdout);
+}
+
 /* Send an answer; takes `body`. */
 static void answer(struct rj_http_exchange *exchange, unsigned int status,
 		   json_t *body)
@@ -112,6 +125,7 @@
 					(json_int_t)++worker->ends, name,
 					number, how, ""));
 	json_object_set(worker->barred, name, number);
+	tell(worker, "end", name, json_integer_value(number), how);
 	if (!strcmp(how, "done"))
 		json_object_set_new(
 			worker->done, name,
@@ -126,6 +140,7 @@
 void standin_worker_step(struct standin_worker *worker)
 {
 	uint64_t now_ms = standin_now_ms();
+	const char *how = worker->faults.fails ? "failed" : "done";
 	bool ended = false;
 	const char *name;
 	json_t *run;
@@ -136,10 +151,11 @@
 		uint64_t until_ms = (uint64_t)json_integer_value(
 			json_object_get(run, "until_ms"));
 
-		if (now_ms <= worker->lease_ms && now_ms < until_ms)
+		if (now_ms <= worker->lease_ms &&
+		    (now_ms < until_ms || worker->faults.stands_still))
 			continue;
 		end_run(worker, name,
-			now_ms > worker->lease_ms ? "lapsed" : "done");
+			now_ms > worker->lease_ms ? "lapsed" : how);
 		ended = true;
 	}
 	end_looks(worker, ended);
@@ -178,6 +194,10 @@
 	uint64_t now_ms = standin_now_ms();
 	uint64_t until_ms = now_ms + g_ascii_strtoull(spec, NULL, 10);
 
+	if (worker->faults.sick) {
+		rj_http_exchange_error(exchange, 503, "not well, as asked");
+		return;
+	}
 	if (!take_order(worker, exchange, body))
 		return;
 	if (run && json_equal(json_object_get(run, "run"), number)) {
@@ -188,6 +208,7 @@
 		refuse(exchange, "old");
 		return;
 	}
+	tell(worker, "begin", name, json_integer_value(number), spec);
 	json_object_set_new(worker->running, name,
 			    json_pack("{s:O,s:I,s:I}", "run", number, "from_ms",
 				      (json_int_t)now_ms, "until_ms",
@@ -212,6 +233,21 @@
 	end_looks(worker, true);
 }
 
+/* Ends up to a number have been taken note of. */
+static void forget_ends(struct standin_worker *worker, json_int_t seen)
+{
+	while (json_array_size(worker->finished)) {
+		const json_t *row = json_array_get(worker->finished, 0);
+
+		if (json_integer_value(json_array_get(row, 0)) > seen)
+			break;
+		tell(worker, "noted", json_string_value(json_array_get(row, 1)),
+		     json_integer_value(json_array_get(row, 2)),
+		     json_string_value(json_array_get(row, 3)));
+		json_array_remove(worker->finished, 0);
+	}
+}
+
 /* A look: ends that were seen are forgotten. */
 static void handle_look(struct standin_worker *worker,
 			struct rj_http_exchange *exchange, const json_t *body)
@@ -223,10 +259,7 @@
 
 	if (!take_order(worker, exchange, body))
 		return;
-	while (json_array_size(worker->finished) &&
-	       json_integer_value(json_array_get(
-		       json_array_get(worker->finished, 0), 0)) <= seen)
-		json_array_remove(worker->finished, 0);
+	forget_ends(worker, seen);
 	if (!wait_ms || json_array_size(worker->finished)) {
 		answer_look(worker, exchange);
 		return;
@@ -241,6 +274,47 @@
 	g_ptr_array_add(worker->waiting, look);
 }
 
+/* The worker crashes, and starts again under its id: it holds nothing. */
+static void crash(struct standin_worker *worker)
+{
+	const char *name;
+	json_t *run;
+
+	json_object_foreach(worker->running, name, run)
+		tell(worker, "end", name,
+		     json_integer_value(json_object_get(run, "run")), "gone");
+	json_object_clear(worker->running);
+	json_array_clear(worker->finished);
+	json_object_clear(worker->barred);
+	worker->ends = 0;
+	worker->token = 0;
+	worker->lease_ms = 0;
+	worker->born_ms = standin_now_ms();
+	end_looks(worker, true);
+}
+
+/* The test says what the worker does from now on, and where it is. */
+static void handle_fault(struct standin_worker *worker,
+			 struct rj_http_exchange *exchange, const json_t *body)
+{
+	struct standin_faults *faults = &worker->faults;
+	const char *published =
+		json_string_value(json_object_get(body, "published"));
+
+	faults->fails = json_is_true(json_object_get(body, "fails"));
+	faults->stands_still =
+		json_is_true(json_object_get(body, "stands_still"));
+	faults->sick = json_is_true(json_object_get(body, "sick"));
+	faults->leaving = json_is_true(json_object_get(body, "leaving"));
+	if (published)
+		g_strlcpy(worker->published, published,
+			  sizeof(worker->published));
+	if (json_is_true(json_object_get(body, "crash")))
+		crash(worker);
+	standin_worker_beat(worker);
+	answer(exchange, 200, json_object());
+}
+
 /* An order of an instance, or the test's question what has been done. */
 static void handle(void *private_data, struct rj_http_exchange *exchange)
 {
@@ -254,6 +328,8 @@
 		handle_stop(worker, exchange, body);
 	else if (!strcmp(exchange->path, "/-/hold"))
 		handle_look(worker, exchange, body);
+	else if (!strcmp(exchange->path, "/standin/fault"))
+		handle_fault(worker, exchange, body);
 	else if (!strcmp(exchange->path, "/standin/done"))
 		answer(exchange, 200, json_deep_copy(worker->done));
 	else
@@ -266,21 +342,18 @@
  */
 void standin_worker_beat(struct standin_worker *worker)
 {
-	char address[RJ_IP_BYTES + 8];
 	char rack[16];
 	json_t *entry;
 	char *text;
 
-	(void)g_snprintf(address, sizeof(address), "%s:%u",
-			 worker->server.address.ip,
-			 worker->server.address.port);
 	(void)g_snprintf(rack, sizeof(rack), "r%u",
-			 (uint32_t)(worker->born_ms % RACK_WORKERS));
-	entry = json_pack("{s:s,s:s,s:s,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I}",
-			  "Service", "render", "Address", address, "Zone", "z",
-			  "State", "ready", "Capacity", "Cpu", 64000, "MemMb",
-			  65536, "Gpu", 8, "Labels", "a", rack, "born",
-			  (json_int_t)worker->born_ms);
+			 worker->number / RACK_WORKERS);
+	entry = json_pack(
+		"{s:s,s:s,s:s,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I}", "Service",
+		"render", "Address", worker->published, "Zone", "z", "State",
+		worker->faults.leaving ? "draining" : "ready", "Capacity",
+		"Cpu", 64000, "MemMb", 65536, "Gpu", 8, "Labels", "a", rack,
+		"born", (json_int_t)worker->born_ms);
 	text = json_dumps(entry, JSON_COMPACT);
 	standin_log_put(worker->log, "keyed.servers", worker->id, text,
 			strlen(text));
@@ -305,13 +378,18 @@
 
 	memset(worker, 0, sizeof(*worker));
 	worker->log = log;
-	worker->born_ms = standin_now_ms() + number;
+	worker->number = number;
+	worker->born_ms = standin_now_ms();
 	worker->running = json_object();
 	worker->finished = json_array();
 	worker->barred = json_object();
 	worker->done = json_object();
 	worker->waiting = g_ptr_array_new();
 	(void)g_snprintf(worker->id, sizeof(worker->id), "w%u", number);
-	return rj_http_server_init(&worker->server, mem, log->ev, &options,
-				   err);
+	if (rj_http_server_init(&worker->server, mem, log->ev, &options, err))
+		return -1;
+	(void)g_snprintf(worker->published, sizeof(worker->published), "%s:%u",
+			 worker->server.address.ip,
+			 worker->server.address.port);
+	return 0;
 }
