--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -19,7 +19,7 @@
 #include "process.h"
 #include "proxy.h"
 
-#define SOAK_INSTANCES_MAX 64
+#define SOAK_INSTANCES_MAX 256
 #define SOAK_WORKERS_MAX 256
 #define SOAK_ID_BYTES 17
 #define SOAK_STEPS 2
