cell: work that serves within a bound stands apart from work that fills

Cause: a task with a bound on its users' waiting was placed beside any other work, and nothing looked at what its worker says of it; on such a queue the bound would be missed for as long as the other work runs. Change: both kinds share a worker only where there is no other; what has been over its bound for 1.5 s gets its worker for itself: the others are stopped and nothing is put there for 20 s. Pacing is not used: stopping is enough, and what is stopped can run elsewhere.

--- a/src/libradishjunction/cell/cell_looks.c
+++ b/src/libradishjunction/cell/cell_looks.c
@@ -35,6 +35,14 @@
 /* A run whose percentage does not rise for so long stands still: even at a
  * seventh of the usual speed a task of 11 s gains a percent in a second. */
 #define STALL_US (3 * RJ_US_PER_S)
+/*
+ * What serves and has been over its bound for so long gets its worker for
+ * itself: users allow 4 s on end, of which a stop takes up to half a second,
+ * and the worker's figure is of its last half second.
+ */
+#define SLOW_US (1500 * RJ_US_PER_MS)
+/* Nothing is put beside it for so long then. */
+#define HARMED_US (20 * RJ_US_PER_S)
 /* New work stays off the worker where a run stood still. */
 #define STALL_SUSPECT_US (6 * RJ_US_PER_S)
 
@@ -99,6 +107,11 @@
 		run->progress_us = owner->now_us;
 	run->percent = row->percent;
 	run->listed_us = owner->now_us;
+	if (!rj_cell_run_serves(run) ||
+	    row->figure <= rj_cell_task_step(run->task)->target_ms)
+		run->slow_us = 0;
+	else if (!run->slow_us)
+		run->slow_us = owner->now_us;
 	g_strlcpy(run->saved, row->saved, sizeof(run->saved));
 }
 
@@ -273,6 +286,52 @@
 	       worker->seen_told >= worker->seen_taken;
 }
 
+/* Stop what fills the room of a worker beside work that serves. */
+static void stop_filling(struct rj_cell_owner *owner,
+			 struct rj_cell_worker *worker)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	worker->harmed_until_us = owner->now_us + HARMED_US;
+	RJ_FOR_EACH (at, next, &worker->runs) {
+		struct rj_cell_run *run =
+			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
+
+		if (!rj_cell_run_serves(run))
+			rj_cell_ends_stop_run(owner, run, "slows_others");
+	}
+}
+
+/*
+ * See whether work that serves is kept from its bound.
+ *
+ * Load that it answers: a full site, on which work that serves users within a
+ * bound and work that fills share workers. What fills goes, as it can be done
+ * elsewhere or later.
+ */
+static void check_bounds(struct rj_cell_owner *owner,
+			 struct rj_cell_worker *worker)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	if (!worker->serving || !worker->filling)
+		return;
+	RJ_FOR_EACH (at, next, &worker->runs) {
+		struct rj_cell_run *run =
+			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
+
+		if (!run->slow_us || owner->now_us - run->slow_us < SLOW_US)
+			continue;
+		rj_note("bound_missed", RJ_NOTE_TEXT("task", run->name),
+			RJ_NOTE_TEXT("worker", worker->id),
+			RJ_NOTE_NUMBER("beside", worker->filling));
+		stop_filling(owner, worker);
+		return;
+	}
+}
+
 /* A worker's lists have come. */
 static void take_look(struct rj_cell_owner *owner,
 		      struct rj_cell_worker *worker,
@@ -291,6 +350,7 @@
 	take_rows(owner, worker, reply);
 	drop_missing(owner, worker, call->sent_us, reply);
 	check_stalls(owner, worker);
+	check_bounds(owner, worker);
 	worker->look_due_us = owner->now_us;
 	if (worker->seen_taken > worker->seen)
 		worker->look_due_us += LOOK_UNSTORED_US;
--- a/src/libradishjunction/cell/cell_place.c
+++ b/src/libradishjunction/cell/cell_place.c
@@ -6,6 +6,7 @@
 
 /* Parts of how bad a fit is, from the least weight to the greatest. */
 #define BAD_MEMORY_BITS 32 /* of what would be left over, in MB */
+#define BAD_MIXED_BIT 50 /* work that serves beside work that fills */
 #define BAD_UNPROVEN_BIT 49 /* last failed, and so did the task */
 #define BAD_FAR_BIT 48 /* away from the task's data */
 #define BAD_KEPT_BIT 47 /* on the wrong side of what is kept */
@@ -68,6 +69,8 @@
 		return false;
 	if (task->avoid[0] && !strcmp(task->avoid, worker->id))
 		return false;
+	if (!step->target_ms && plan->now_us < worker->harmed_until_us)
+		return false;
 	return !step->per_worker_max ||
 	       siblings_on(plan, worker, task) < step->per_worker_max;
 }
@@ -90,7 +93,9 @@
  * Data that is far away outweighs these, and urgent work goes to what is kept
  * for it before it takes other workers. A task that has failed goes, if it
  * can, where the last run did not fail: a worker that fails all it starts has
- * room again at once, and would use up the task's attempts.
+ * room again at once, and would use up the task's attempts. What serves users
+ * within a bound and what fills the room beside it disturb each other, so
+ * they share a worker only where there is no other.
  */
 static uint64_t badness(const struct rj_cell_room *room,
 			const struct rj_cell_unit *unit,
@@ -103,8 +108,10 @@
 	bool unproven =
 		room->worker->bad_streak && rj_cell_task_head(task)->failures;
 	bool wrong_side = room->kept != !unit->work->def->priority;
+	bool mixed = step->target_ms ? room->filling : room->serving;
 
-	return ((uint64_t)unproven << BAD_UNPROVEN_BIT) |
+	return ((uint64_t)mixed << BAD_MIXED_BIT) |
+	       ((uint64_t)unproven << BAD_UNPROVEN_BIT) |
 	       ((uint64_t)far << BAD_FAR_BIT) |
 	       ((uint64_t)wrong_side << BAD_KEPT_BIT) |
 	       (left << BAD_MEMORY_BITS) |
@@ -246,6 +253,10 @@
 	else
 		rj_cell_demand_take(&room->soon, &want);
 	rj_cell_demand_take(&room->now, &want);
+	if (step->target_ms)
+		room->serving++;
+	else
+		room->filling++;
 }
 
 /*
--- a/src/libradishjunction/cell/cell_rooms.c
+++ b/src/libradishjunction/cell/cell_rooms.c
@@ -128,6 +128,8 @@
 	worker->room = room;
 	room->worker = worker;
 	room->now = room_of(worker);
+	room->serving = worker->serving;
+	room->filling = worker->filling;
 	room->soon = room->now;
 	add_stopping(room);
 	plan->room_count++;
--- a/src/libradishjunction/cell/cell_work.c
+++ b/src/libradishjunction/cell/cell_work.c
@@ -187,6 +187,22 @@
 	return run;
 }
 
+/*
+ * Whether a run serves users of its own within a bound of its step; what
+ * fills the room beside it may slow it down.
+ */
+bool rj_cell_run_serves(const struct rj_cell_run *run)
+{
+	return run->task && rj_cell_task_step(run->task)->target_ms;
+}
+
+/* The worker's count of runs of this kind. */
+static uint32_t *count_of(const struct rj_cell_run *run)
+{
+	return rj_cell_run_serves(run) ? &run->worker->serving :
+					 &run->worker->filling;
+}
+
 /*
  * Count a run at its worker: it takes room there, and is looked after.
  */
@@ -196,6 +212,7 @@
 
 	rj_list_append(&worker->runs, &run->in_worker);
 	rj_cell_demand_give(&worker->held, &run->held);
+	(*count_of(run))++;
 	if (worker->watch != RJ_CELL_WATCH_BUSY)
 		rj_cell_worker_watch(worker, RJ_CELL_WATCH_BUSY);
 }
@@ -208,6 +225,7 @@
 	struct rj_cell_worker *worker = run->worker;
 
 	rj_cell_demand_take(&worker->held, &run->held);
+	(*count_of(run))--;
 	rj_list_remove(&run->in_worker);
 	rj_list_remove(&run->in_task);
 	talloc_free(run);
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -75,6 +75,9 @@
 	uint64_t seen_told; /* ... may have been forgotten by the worker */
 	struct rj_list runs;
 	struct rj_cell_demand held; /* by all runs */
+	uint32_t serving; /* runs that serve users of their own, with a bound */
+	uint32_t filling; /* all others */
+	uint64_t harmed_until_us; /* nothing is put beside what serves there */
 	/* Health, from what happened there. */
 	uint32_t bad_streak; /* runs in a row that failed or stood still */
 	uint64_t suspect_until_us;
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -23,6 +23,8 @@
 	struct rj_cell_demand now; /* free */
 	struct rj_cell_demand soon; /* free once what is stopping has gone */
 	struct rj_cell_demand promised; /* of what will come free later */
+	uint32_t serving; /* runs there, as the worker counts them */
+	uint32_t filling;
 };
 
 /* The rooms of one rack, which stand side by side. */
--- a/src/libradishjunction/include/private/cell_work.h
+++ b/src/libradishjunction/include/private/cell_work.h
@@ -67,6 +67,7 @@
 	uint32_t percent;
 	uint64_t listed_us; /* when the worker said so */
 	uint64_t progress_us; /* when the percentage last rose */
+	uint64_t slow_us; /* since when it has been over its bound, or 0 */
 	char checkpoint[RJ_CELL_CHECKPOINT_BYTES]; /* it started from this */
 	char saved[RJ_CELL_CHECKPOINT_BYTES]; /* what it has saved since */
 	const char *why; /* it is being stopped, for the log */
@@ -132,6 +133,7 @@
 				       uint32_t index);
 struct rj_cell_run *rj_cell_run_new(struct rj_cell_worker *worker,
 				    struct rj_cell_task *task, uint32_t number);
+bool rj_cell_run_serves(const struct rj_cell_run *run);
 void rj_cell_run_hold(struct rj_cell_run *run);
 void rj_cell_run_free(struct rj_cell_run *run);
 void rj_cell_work_each_run(const struct rj_cell_work *work,
--- a/src/test_libradishjunction/support/cell_fake_workers.c
+++ b/src/test_libradishjunction/support/cell_fake_workers.c
@@ -36,6 +36,8 @@
 	uint64_t stopped_us; /* when it is to be gone; 0: not stopped */
 	struct rj_cell_demand held;
 	bool unguarded; /* its job is not known to the world */
+	uint32_t target_ms; /* it serves within this bound; 0: it fills */
+	uint64_t slow_us; /* for so long it has been over that */
 };
 
 /* One end that is listed. */
@@ -156,6 +158,19 @@
 	cell_world_at(world, LATENCY_US, deliver, order);
 }
 
+/* The tail of what serves: over its bound when work that fills is beside. */
+static uint32_t tail_ms(const struct cell_fake_worker *worker,
+			const struct cell_fake_run *run)
+{
+	for (guint i = 0; i < worker->runs->len; i++) {
+		const struct cell_fake_run *other = worker->runs->pdata[i];
+
+		if (run->target_ms && !other->target_ms)
+			return run->target_ms * 2;
+	}
+	return run->target_ms / 2;
+}
+
 /* List the runs. */
 static void list_runs(struct order *order)
 {
@@ -171,6 +186,7 @@
 		rows[i].saved = talloc_strdup(order, run->saved);
 		rows[i].percent =
 			(uint32_t)MIN(100, run->done_us * 100 / run->work_us);
+		rows[i].figure = tail_ms(worker, run);
 	}
 	order->reply.rows = rows;
 	order->reply.row_count = worker->runs->len;
@@ -363,6 +379,10 @@
 		end_with_gang(world, worker, run, RJ_CELL_END_ALONE);
 		return false;
 	}
+	run->slow_us = tail_ms(worker, run) > run->target_ms ?
+			       run->slow_us + STEP_US :
+			       0;
+	world->harmed_us = MAX(world->harmed_us, run->slow_us);
 	if (!worker->stands_still)
 		run->done_us += (uint64_t)(STEP_US * worker->speed);
 	if (run->saves && run->done_us / SAVE_EVERY_US)
@@ -457,6 +477,9 @@
 		step = &job->def->steps[step_number];
 		run->held = step->each;
 		run->saves = step->checkpoints;
+		run->target_ms = step->target_ms;
+		if (step->perpetual && !job->fail_times)
+			run->work_us = RJ_NEVER_US / 200;
 		if (start->number <= job->fail_times)
 			run->fails_at_us = run->work_us / 2;
 	}
--- a/src/test_libradishjunction/support/cell_world.h
+++ b/src/test_libradishjunction/support/cell_world.h
@@ -147,6 +147,7 @@
 	uint64_t starts;
 	uint64_t refused_starts;
 	uint64_t wasted_us; /* of runs that ended otherwise than done */
+	uint64_t harmed_us; /* longest that a run was over its bound on end */
 };
 
 /* Print every note of a world, with its time and node. */
--- a/src/test_libradishjunction/test_cell_load.c
+++ b/src/test_libradishjunction/test_cell_load.c
@@ -18,6 +18,8 @@
 };
 /* Begun so soon after the acceptance, as the site's terms say. */
 #define RECLAIM_US (2900 * MS)
+/* Work that serves may be over its bound for so long on end. */
+#define HARM_US (4 * S)
 
 struct fixture {
 	struct cell_world world;
@@ -265,6 +267,51 @@
 	g_test_add("/cell_load/" name, struct fixture, NULL, setup, function, \
 		   teardown)
 
+/* Hand in a job whose tasks serve users of their own until it is cancelled. */
+static struct cell_client_job *serve_users(struct cell_world *world,
+					   uint32_t tasks)
+{
+	struct rj_cell_step step = cell_world_step(tasks, 1, 1000);
+
+	step.perpetual = true;
+	step.target_ms = 100;
+	return hand_in(world, "normal", "a", &step, S);
+}
+
+/*
+ * Load: work that serves within a bound, and bulk work that leaves room.
+ * They do not share a worker, so that neither is disturbed.
+ */
+static void test_serving_work_stands_apart(struct fixture *f, const void *data)
+{
+	struct cell_client_job *job = serve_users(&f->world, 4);
+
+	fill_with_bulk(&f->world, 6, true, 3 * S);
+	follow(&f->world, 12 * S);
+	g_assert_cmpuint(job->begun_us, !=, 0);
+	g_assert_cmpuint(f->world.harmed_us, ==, 0);
+}
+
+/*
+ * Load: the site is full of bulk work when work comes that serves within a
+ * bound.
+ * Its users wait too long for their answers, for as long as the bulk work runs
+ * beside it: that is stopped, and nothing is put there again.
+ */
+static void test_serving_work_on_a_full_site(struct fixture *f,
+					     const void *data)
+{
+	struct cell_client_job *job;
+
+	fill_with_bulk(&f->world, 8, true, 20 * S);
+	job = serve_users(&f->world, 4);
+	fill_with_bulk(&f->world, 2, true, 20 * S);
+	follow(&f->world, 20 * S);
+	g_assert_cmpuint(job->begun_us, !=, 0);
+	g_assert_cmpuint(f->world.harmed_us, >, 0);
+	g_assert_cmpuint(f->world.harmed_us, <, HARM_US);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -275,5 +322,7 @@
 	ADD("overload", test_overload_is_turned_away_at_once);
 	ADD("fails_all", test_a_worker_that_fails_all_is_left_alone);
 	ADD("still", test_tasks_that_stand_still_are_moved);
+	ADD("apart", test_serving_work_stands_apart);
+	ADD("beside", test_serving_work_on_a_full_site);
 	return g_test_run();
 }
