--- /dev/null
+++ b/src/test_libradishjunction/support/cell_fake.h
@@ -0,0 +1,67 @@
+/*
+ * What the files of the fake workers share: how runs work and end
+ * (cell_fake_workers.c), and how orders arrive and are answered
+ * (cell_fake_orders.c).
+ */
+#ifndef TEST_SUPPORT_CELL_FAKE_H
+#define TEST_SUPPORT_CELL_FAKE_H
+
+#include "private/cell_workers.h"
+#include "support/cell_world.h"
+
+#define CELL_FAKE_LEASE_MAX_MS 6000
+/* A stop takes so long. */
+#define CELL_FAKE_STOP_US (150 * MS)
+
+/* One run on a worker. */
+struct cell_fake_run {
+	char *name;
+	uint32_t number;
+	char *gang; /* what its members share, or NULL */
+	uint32_t members;
+	uint64_t work_us; /* to be done */
+	uint64_t done_us;
+	uint64_t fails_at_us; /* of done_us; 0: never */
+	bool saves;
+	char saved[RJ_CELL_CHECKPOINT_BYTES];
+	uint64_t placed_us;
+	uint64_t stopped_us; /* when it is to be gone; 0: not stopped */
+	struct rj_cell_demand held;
+	bool unguarded; /* its job is not known to the world */
+	uint32_t target_ms; /* it serves within this bound; 0: it fills */
+	uint64_t slow_us; /* for so long it has been over that */
+};
+
+/* One end that is listed. */
+struct cell_fake_end {
+	uint64_t position;
+	char name[64];
+	uint32_t number;
+	enum rj_cell_end end;
+	char saved[RJ_CELL_CHECKPOINT_BYTES];
+	uint64_t ended_us;
+};
+
+/* Runs and ends. */
+uint64_t cell_fake_clock_ms(const struct cell_world *world,
+			    const struct cell_fake_worker *worker);
+struct cell_fake_run *cell_fake_run_of(const struct cell_fake_worker *worker,
+				       const char *name);
+uint32_t cell_fake_tail_ms(const struct cell_fake_worker *worker,
+			   const struct cell_fake_run *run);
+void cell_fake_bar(struct cell_fake_worker *worker, const char *name,
+		   uint32_t number);
+void cell_fake_begin(struct cell_world *world, struct cell_fake_worker *worker,
+		     const struct rj_cell_start *start);
+bool cell_fake_is_full(struct cell_world *world,
+		       struct cell_fake_worker *worker, const char *name);
+void cell_fake_forget(struct cell_world *world, struct cell_fake_worker *worker,
+		      uint64_t seen);
+
+/* Looks that wait. */
+void cell_fake_wake_looks(struct cell_fake_worker *worker);
+void cell_fake_end_looks(struct cell_world *world,
+			 struct cell_fake_worker *worker);
+void cell_fake_lose_looks(struct cell_fake_worker *worker);
+
+#endif
