http server: a process ends once its answers are sent, and sends its clients elsewhere before

Cause: the process ended once no call waited for an answer; an answer that was given in the last turn of the loop still stood in the HTTP library and went with the process. Change: the server counts requests from their first line to the last byte of their answers, and the process waits for none; from the signal on, answers end their connections, so that few come until the end. Test: test_http_server/sent: an answered request still counts until it is sent (nothing counted it before), /elsewhere.

--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -81,6 +81,7 @@
 static int request_destructor(struct rj_http_exchange *request)
 {
 	rj_list_remove(&request->link);
+	request->server->requests--;
 	if (request->response)
 		MHD_destroy_response(request->response);
 	return 0;
@@ -98,6 +99,7 @@
 	assert(request);
 	rj_list_init(&request->link);
 	request->server = server;
+	server->requests++;
 	request->connection = connection;
 	request->path = talloc_strdup(request, path);
 	request->method = talloc_strdup(request, method);
@@ -288,6 +290,9 @@
 	assert(request->response);
 	MHD_add_response_header(request->response, MHD_HTTP_HEADER_CONTENT_TYPE,
 				"application/json");
+	if (request->server->leaving)
+		MHD_add_response_header(request->response,
+					MHD_HTTP_HEADER_CONNECTION, "close");
 	if (request->extra_name)
 		MHD_add_response_header(request->response, request->extra_name,
 					request->extra_value);
@@ -340,6 +345,15 @@
 	}
 }
 
+/*
+ * Clients are to go elsewhere: from now on each answer ends its connection.
+ * `requests` tells when all answers have been sent.
+ */
+void rj_http_server_leave(struct rj_http_server *server)
+{
+	server->leaving = true;
+}
+
 /*
  * Close all connections, without answers to what is open, and stop
  * listening. Not from within a handler.
--- a/src/share/http_server.h
+++ b/src/share/http_server.h
@@ -54,6 +54,8 @@
 	struct rj_http_loop loop;
 	struct rj_address address; /* with the port that it listens on */
 	struct rj_list open; /* handled, not yet answered */
+	uint32_t requests; /* begun, and their answers not yet sent whole */
+	bool leaving; /* each answer ends its connection */
 	uint32_t connections;
 };
 
@@ -76,6 +78,7 @@
 bool rj_http_exchange_gone(const struct rj_http_exchange *request);
 void rj_http_server_abort_open(struct rj_http_server *server,
 			       const struct rj_http_exchange *except);
+void rj_http_server_leave(struct rj_http_server *server);
 void rj_http_server_finish(struct rj_http_server *server);
 
 #endif
--- /dev/null
+++ b/src/test_libradishjunction/test_http_server.c
@@ -0,0 +1,125 @@
+/*
+ * How a server that is about to end parts from its clients.
+ */
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "http_server.h"
+#include "private/http_client.h"
+#include "support/event_loop.h"
+
+struct fixture {
+	struct tevent_context *ev;
+	struct rj_http_server server;
+	struct rj_http_client client;
+	struct rj_http_exchange *request; /* that waits for its answer */
+	uint32_t answered;
+};
+
+/* Keep the request; the test answers it. */
+static void receive(void *private_data, struct rj_http_exchange *request)
+{
+	struct fixture *f = private_data;
+
+	f->request = request;
+}
+
+static void set_up(struct fixture *f, gconstpointer data)
+{
+	struct rj_http_server_options options = {
+		.address = { "127.0.0.1", 0 },
+		.connections_max = 4,
+		.body_max_bytes = 1024,
+		.handle = receive,
+		.private_data = f,
+	};
+
+	f->ev = tevent_context_init(NULL);
+	g_assert_cmpint(
+		rj_http_server_init(&f->server, f->ev, f->ev, &options, NULL),
+		==, 0);
+	g_assert_cmpint(
+		rj_http_client_init(&f->client, f->ev, f->ev, NULL, 1, NULL),
+		==, 0);
+}
+
+static void tear_down(struct fixture *f, gconstpointer data)
+{
+	rj_http_client_finish(&f->client);
+	rj_http_server_finish(&f->server);
+	talloc_free(f->ev);
+}
+
+/* The client has its answer. */
+static void done(void *private_data, const struct rj_http_result *result)
+{
+	struct fixture *f = *(struct fixture **)private_data;
+
+	g_assert_cmpint(result->outcome, ==, RJ_HTTP_ANSWERED);
+	f->answered++;
+}
+
+/* Send a request, and wait until the server has it. */
+static void send_one(struct fixture *f)
+{
+	struct fixture **self = talloc(f->ev, struct fixture *);
+	char *url = rj_http_url(f->ev, &f->server.address, "/");
+	struct rj_http_send send = { .method = "POST",
+				     .url = url,
+				     .body = "{}",
+				     .length = 2,
+				     .timeout_us = 60 * RJ_US_PER_S,
+				     .answer_max_bytes = 64,
+				     .done = done,
+				     .private_data = self };
+
+	*self = f;
+	f->request = NULL;
+	rj_http_client_send(&f->client, &send);
+	RUN_UNTIL(f->ev, f->request);
+}
+
+/*
+ * A caller's job is stored, and the caller hears nothing.
+ * Its instance is asked to stop, stores the job, answers, and ends before the
+ * answer has left the process.
+ * Cause: it looked only for calls without an answer.
+ */
+static void test_answers_are_sent_before_the_end(struct fixture *f,
+						 gconstpointer data)
+{
+	send_one(f);
+	g_assert_cmpuint(f->server.requests, ==, 1);
+	rj_http_exchange_answer(f->request, MHD_HTTP_OK, "{}", 2);
+	g_assert_true(f->server.open.next == &f->server.open);
+	g_assert_cmpuint(f->server.requests, ==, 1);
+	RUN_UNTIL(f->ev, f->answered == 1);
+	RUN_UNTIL(f->ev, !f->server.requests);
+	g_assert_cmpuint(f->server.connections, ==, 1);
+}
+
+/*
+ * Calls come to an instance until it is gone, over connections that stand.
+ * Once it is to end, each answer sends its client elsewhere.
+ */
+static void test_clients_are_sent_elsewhere(struct fixture *f,
+					    gconstpointer data)
+{
+	send_one(f);
+	rj_http_server_leave(&f->server);
+	rj_http_exchange_answer(f->request, MHD_HTTP_OK, "{}", 2);
+	RUN_UNTIL(f->ev, f->answered == 1);
+	RUN_UNTIL(f->ev, !f->server.connections);
+	g_assert_cmpuint(f->server.requests, ==, 0);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add("/http_server/sent", struct fixture, NULL, set_up,
+		   test_answers_are_sent_before_the_end, tear_down);
+	g_test_add("/http_server/elsewhere", struct fixture, NULL, set_up,
+		   test_clients_are_sent_elsewhere, tear_down);
+	return g_test_run();
+}
