--- a/src/test_libradishjunction/support/cell_world.c
+++ b/src/test_libradishjunction/support/cell_world.c
@@ -11,6 +11,10 @@
 #define TICK_US (20 * MS)
 #define WALL_MS 1700000000000ULL
 #define CONFIG_KEY "config"
+/* A key is served no longer than this after its removal. */
+#define REVOKE_MS 5000
+/* A call in so many still carries the key that was removed last. */
+#define OLD_KEY_ONE_IN 7
 
 struct cell_world_event {
 	uint64_t at_us;
@@ -194,6 +198,10 @@
 	text = rj_pack_finish(&out, world->mem);
 	cell_log_put(world, RJ_CELL_TOPIC_CONFIG, CONFIG_KEY, text.data,
 		     text.length);
+	if (world->key && strcmp(world->key, key) != 0) {
+		world->old_key = world->key;
+		world->removed_us = world->now_us;
+	}
 	world->key = key;
 	talloc_free((void *)text.data);
 }
@@ -291,7 +299,8 @@
 						.terms = { .lease_max_ms = 6000,
 							   .status_ms = 120000,
 							   .reclaim_ms = 2900,
-							   .revoke_ms = 5000 },
+							   .revoke_ms =
+								   REVOKE_MS },
 						.codec = &codec,
 						.store = &node->store,
 						.workers = &node->workers,
@@ -455,6 +464,7 @@
 	struct cell_world_node *node;
 	uint32_t life;
 	struct cell_client_job *job;
+	bool removed; /* its key had been removed for too long when sent */
 	char path[64];
 	char key[RJ_NAME_BYTES];
 };
@@ -471,6 +481,9 @@
 		talloc_free(call);
 		return;
 	}
+	if (call->removed && answer->verdict <= RJ_CELL_VERDICT_CANCELLED)
+		cell_world_violation(world, "key: %s is served with %s",
+				     job->id, call->key);
 	switch (answer->verdict) {
 	case RJ_CELL_VERDICT_ACCEPTED:
 		if (!job->accepted)
@@ -521,6 +534,7 @@
 {
 	struct cell_world_node *node = &world->nodes[index];
 	struct client_call *call;
+	const char *key = world->key;
 	const char *prefix = "";
 
 	if (!node->up || node->paused_until_us > world->now_us)
@@ -531,7 +545,12 @@
 			prefix = queues[i].prefix;
 	(void)g_snprintf(call->path, sizeof(call->path), "%s%s", prefix,
 			 job->id);
-	(void)g_snprintf(call->key, sizeof(call->key), "%s-%s", world->key,
+	if (world->old_key && world->now_us / MS % OLD_KEY_ONE_IN == 0) {
+		key = world->old_key;
+		call->removed =
+			world->now_us > world->removed_us + REVOKE_MS * MS;
+	}
+	(void)g_snprintf(call->key, sizeof(call->key), "%s-%s", key,
 			 job->def->account);
 	call->world = world;
 	call->node = node;
--- a/src/test_libradishjunction/support/cell_world.h
+++ b/src/test_libradishjunction/support/cell_world.h
@@ -144,6 +144,8 @@
 	uint32_t job_count;
 	uint64_t config_version;
 	const char *key; /* of the account, in the newest configuration */
+	const char *old_key; /* that was removed last, or NULL */
+	uint64_t removed_us; /* when it was */
 	GPtrArray *violations; /* texts */
 	uint64_t starts;
 	uint64_t refused_starts;
