--- a/src/test_libradishjunction/test_platform_calls.c
+++ b/src/test_libradishjunction/test_platform_calls.c
@@ -204,6 +204,7 @@
 					    .number = 2,
 					    .spec = "say \"hi\"",
 					    .checkpoint = "",
+					    .ticket = "t-9",
 					    .deadline_ms = 10,
 					    .token = 3 };
 
@@ -224,6 +225,7 @@
 	g_assert_cmpstr(f->target, ==, "i-1");
 	g_assert_nonnull(strstr(f->body, "say \\\"hi\\\""));
 	g_assert_null(strstr(f->body, "LastCheckpoint"));
+	g_assert_nonnull(strstr(f->body, "\"Ticket\":\"t-9\""));
 	g_assert_cmpint(start(f, 409, "{\"Reason\":\"fence\"}"), ==,
 			RJ_CELL_ORDER_FENCED);
 	g_assert_cmpint(start(f, 409, "{\"Reason\":\"old\"}"), ==,
