--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -216,7 +216,6 @@
 	unit.advised = queue && queue->advised;
 	unit.far = may_be_far(plan, &work->def->steps[step], unit.waiting_us);
 	unit.guaranteed = work->guaranteed;
-	set_kept(plan, &unit);
 	if (unit.guaranteed)
 		unit.tier = TIER_GUARANTEED;
 	else if (plan->now_us > work->late_us)
@@ -539,11 +538,18 @@
  */
 void rj_cell_plan_make(struct rj_cell_plan *plan)
 {
-	rj_cell_plan_gather_rooms(plan);
 	sum_needs(plan);
 	gather_units(plan);
+	/* Most plans follow an end that nobody waited for. */
+	if (!plan->units->len)
+		return;
+	rj_cell_plan_gather_rooms(plan);
 	g_array_sort(plan->units, by_order);
-	for (guint i = 0; i < plan->units->len; i++)
-		place_unit(plan,
-			   &g_array_index(plan->units, struct rj_cell_unit, i));
+	for (guint i = 0; i < plan->units->len; i++) {
+		struct rj_cell_unit *unit =
+			&g_array_index(plan->units, struct rj_cell_unit, i);
+
+		set_kept(plan, unit);
+		place_unit(plan, unit);
+	}
 }
--- a/src/libradishjunction/cell/cell_rooms.c
+++ b/src/libradishjunction/cell/cell_rooms.c
@@ -50,26 +50,41 @@
 	return whole ? (uint32_t)(part * 100 / whole) : 0;
 }
 
+/* What is in use, and what there is, of one kind of room. */
+struct share {
+	uint64_t used;
+	uint64_t all;
+};
+
+/* The sums over all rooms. */
+struct shares {
+	struct share cpu;
+	struct share memory;
+	struct share accelerators;
+};
+
+/* Add what one worker has. */
+static void add_shares(struct shares *shares,
+		       const struct rj_cell_worker *worker)
+{
+	const struct rj_cell_demand *held = &worker->held;
+	const struct rj_cell_demand *all = &worker->said.capacity;
+
+	shares->cpu.used += held->cpu_milli;
+	shares->cpu.all += all->cpu_milli;
+	shares->memory.used += held->memory_mb;
+	shares->memory.all += all->memory_mb;
+	shares->accelerators.used += held->accelerators;
+	shares->accelerators.all += all->accelerators;
+}
+
 /* How much of what counts most is in use. */
-static uint32_t used_percent(const struct rj_cell_plan *plan)
+static uint32_t used_percent(const struct shares *shares)
 {
-	uint64_t cpu[2] = { 0 };
-	uint64_t memory[2] = { 0 };
-	uint64_t accelerators[2] = { 0 };
-
-	for (uint32_t i = 0; i < plan->room_count; i++) {
-		const struct rj_cell_worker *worker = plan->rooms[i].worker;
-
-		cpu[0] += worker->held.cpu_milli;
-		cpu[1] += worker->said.capacity.cpu_milli;
-		memory[0] += worker->held.memory_mb;
-		memory[1] += worker->said.capacity.memory_mb;
-		accelerators[0] += worker->held.accelerators;
-		accelerators[1] += worker->said.capacity.accelerators;
-	}
-	return MAX(percent(cpu[0], cpu[1]),
-		   MAX(percent(memory[0], memory[1]),
-		       percent(accelerators[0], accelerators[1])));
+	return MAX(percent(shares->cpu.used, shares->cpu.all),
+		   MAX(percent(shares->memory.used, shares->memory.all),
+		       percent(shares->accelerators.used,
+			       shares->accelerators.all)));
 }
 
 /* Keep one rack; returns its accelerators. */
@@ -118,7 +133,8 @@
 }
 
 /* Add the room of one worker, if it may get work. */
-static void add_room(struct rj_cell_plan *plan, struct rj_cell_worker *worker)
+static void add_room(struct rj_cell_plan *plan, struct rj_cell_worker *worker,
+		     struct shares *shares)
 {
 	struct rj_cell_room *room = &plan->rooms[plan->room_count];
 
@@ -132,6 +148,7 @@
 	room->filling = worker->filling;
 	room->soon = room->now;
 	add_stopping(room);
+	add_shares(shares, worker);
 	plan->room_count++;
 }
 
@@ -142,6 +159,7 @@
 void rj_cell_plan_gather_rooms(struct rj_cell_plan *plan)
 {
 	const GPtrArray *racks = plan->fleet->racks;
+	struct shares shares = { .cpu = { 0, 0 } };
 
 	plan->rooms = talloc_zero_array(NULL, struct rj_cell_room,
 					plan->fleet->count);
@@ -154,12 +172,14 @@
 		struct rj_list *next;
 
 		RJ_FOR_EACH (at, next, &rack->workers)
-			add_room(plan, RJ_CONTAINER(at, struct rj_cell_worker,
-						    in_rack));
+			add_room(plan,
+				 RJ_CONTAINER(at, struct rj_cell_worker,
+					      in_rack),
+				 &shares);
 		rooms.count = plan->room_count - rooms.first;
 		if (rooms.count)
 			g_array_append_val(plan->racks, rooms);
 	}
-	plan->used_percent = used_percent(plan);
+	plan->used_percent = used_percent(&shares);
 	keep_racks(plan);
 }
