cell: looks and the configuration are asked for in time on deployments with short leases and bounds

Cause: a look waits 1.5 s and the configuration's long poll 1 s, whatever the deployment lays down; with leases of 1.2 s every run lapsed, and with keys good for 1.2 s every call was refused. Change: a quarter of the lease, and of the bound, at most; the users' two deployments keep theirs. Test: cell_path/short_leases, failed before.

--- a/src/libradishjunction/cell/cell_looks.c
+++ b/src/libradishjunction/cell/cell_looks.c
@@ -9,6 +9,9 @@
 /* A look waits so long for an end; at most 2,000 by the workers' protocol.
  * Shorter ones find a silent worker sooner, but each has its price. */
 #define LOOK_WAIT_MS 1500
+/* ... and no longer than this part of a lease, so that two looks may be lost
+ * before it lapses. */
+#define LOOK_WAIT_LEASE_PART 4
 /* Looks at a worker that does not answer. */
 #define LOOK_RETRY_US (150 * RJ_US_PER_MS)
 #define LOOK_RETRY_MAX_US (1000 * RJ_US_PER_MS)
@@ -415,7 +418,8 @@
 	if (worker->answers)
 		look.seen = worker->seen;
 	if (worker->incarnation && worker->answers)
-		look.wait_ms = LOOK_WAIT_MS;
+		look.wait_ms = MIN(LOOK_WAIT_MS, owner->terms.lease_max_ms /
+							 LOOK_WAIT_LEASE_PART);
 	/*
 	 * Guards against leases that never lapse: a worker that is silent may
 	 * carry a look out late, so each deadline that was sent counts, and
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -9,6 +9,8 @@
 /* Long polls: short enough that the age of what is known stays well below
  * what keys allow, and that an owner's silence shows. */
 #define CONFIG_WAIT_MS 1000
+/* ... a part of what operators were promised about keys. */
+#define CONFIG_WAIT_REVOKE_PART 4
 #define JOBS_WAIT_MS 1000
 #define FLEET_WAIT_MS 1000
 /*
@@ -255,7 +257,9 @@
 			    RJ_CELL_TOPIC_WORKERS, &fleet_ops, node);
 	node->jobs.wait_ms = JOBS_WAIT_MS;
 	node->jobs.pause_us = JOBS_PAUSE_US;
-	node->configs.wait_ms = CONFIG_WAIT_MS;
+	node->configs.wait_ms =
+		MIN(CONFIG_WAIT_MS,
+		    options->terms.revoke_ms / CONFIG_WAIT_REVOKE_PART);
 	node->fleet.wait_ms = FLEET_WAIT_MS;
 	node->fleet.pause_us = FLEET_PAUSE_US;
 	(void)g_snprintf(producer, sizeof(producer),
--- a/src/test_libradishjunction/support/cell_fake.h
+++ b/src/test_libradishjunction/support/cell_fake.h
@@ -9,7 +9,6 @@
 #include "private/cell_workers.h"
 #include "support/cell_world.h"
 
-#define CELL_FAKE_LEASE_MAX_MS 6000
 /* A stop takes so long. */
 #define CELL_FAKE_STOP_US (150 * MS)
 
--- a/src/test_libradishjunction/support/cell_fake_orders.c
+++ b/src/test_libradishjunction/support/cell_fake_orders.c
@@ -205,7 +205,7 @@
 	const struct rj_cell_start *start = &order->start;
 	struct cell_fake_run *run = cell_fake_run_of(worker, start->name);
 	uint64_t longest_ms =
-		cell_fake_clock_ms(world, worker) + CELL_FAKE_LEASE_MAX_MS;
+		cell_fake_clock_ms(world, worker) + world->plan.lease_max_ms;
 
 	if (worker->refuses)
 		return RJ_CELL_ORDER_SICK;
@@ -255,7 +255,7 @@
 	struct cell_fake_worker *worker = order->worker;
 	const struct rj_cell_look *look = &order->look;
 	uint64_t longest_ms =
-		cell_fake_clock_ms(world, worker) + CELL_FAKE_LEASE_MAX_MS;
+		cell_fake_clock_ms(world, worker) + world->plan.lease_max_ms;
 
 	if (look->token < worker->token) {
 		answer(order, RJ_CELL_ORDER_FENCED);
--- a/src/test_libradishjunction/support/cell_world.c
+++ b/src/test_libradishjunction/support/cell_world.c
@@ -11,6 +11,7 @@
 #define TICK_US (20 * MS)
 #define WALL_MS 1700000000000ULL
 #define CONFIG_KEY "config"
+#define LEASE_MAX_MS 6000
 /* A key is served no longer than this after its removal. */
 #define REVOKE_MS 5000
 /* A call in so many still carries the key that was removed last. */
@@ -296,16 +297,15 @@
 {
 	struct cell_world_node *node = &world->nodes[index];
 	struct rj_cell_node_options options = { .strength = 25,
-						.terms = { .lease_max_ms = 6000,
-							   .status_ms = 120000,
-							   .reclaim_ms = 2900,
-							   .revoke_ms =
-								   REVOKE_MS },
+						.terms = { .status_ms = 120000,
+							   .reclaim_ms = 2900 },
 						.codec = &codec,
 						.store = &node->store,
 						.workers = &node->workers,
 						.advisor = &node->advisor };
 
+	options.terms.lease_max_ms = world->plan.lease_max_ms;
+	options.terms.revoke_ms = world->plan.revoke_ms;
 	if (node->up)
 		return;
 	cell_world_enter(node);
@@ -361,6 +361,10 @@
 {
 	memset(world, 0, sizeof(*world));
 	world->plan = *plan;
+	if (!plan->lease_max_ms)
+		world->plan.lease_max_ms = LEASE_MAX_MS;
+	if (!plan->revoke_ms)
+		world->plan.revoke_ms = REVOKE_MS;
 	world->mem = talloc_named_const(NULL, 0, "cell world");
 	world->random = plan->seed ^ 0x9e3779b97f4a7c15ULL;
 	world->now_us = 3600 * S;
@@ -547,8 +551,8 @@
 			 job->id);
 	if (world->old_key && world->now_us / MS % OLD_KEY_ONE_IN == 0) {
 		key = world->old_key;
-		call->removed =
-			world->now_us > world->removed_us + REVOKE_MS * MS;
+		call->removed = world->now_us >
+				world->removed_us + world->plan.revoke_ms * MS;
 	}
 	(void)g_snprintf(call->key, sizeof(call->key), "%s-%s", key,
 			 job->def->account);
--- a/src/test_libradishjunction/support/cell_world.h
+++ b/src/test_libradishjunction/support/cell_world.h
@@ -127,6 +127,8 @@
 	struct rj_cell_demand capacity;
 	bool guarded;
 	uint32_t guaranteed; /* accelerators of each account */
+	uint32_t lease_max_ms; /* 0: 6,000 */
+	uint32_t revoke_ms; /* 0: 5,000 */
 };
 
 struct cell_world {
--- a/src/test_libradishjunction/test_cell_path.c
+++ b/src/test_libradishjunction/test_cell_path.c
@@ -239,6 +239,32 @@
 	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
 }
 
+/*
+ * On a deployment with short leases no task ever ends, and no call is served.
+ * The owner's looks waited longer than a lease lasts, and the configuration
+ * was asked for less often than keys are good.
+ */
+static void test_short_leases_and_bounds(void)
+{
+	struct cell_world_plan plan = small;
+	struct cell_world *world = g_new0(struct cell_world, 1);
+	struct rj_cell_step step = cell_world_step(4, 1, 5000);
+	struct cell_client_job *job;
+
+	plan.lease_max_ms = 1200;
+	plan.revoke_ms = 1200;
+	cell_world_init(world, &plan);
+	cell_world_run(world, 3 * S);
+	job = cell_world_job(world, "normal", "a", &step, 1, 5 * S);
+	cell_world_submit(world, 0, job);
+	follow(world, 8 * S);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
+	g_assert_cmpuint(job->starts, ==, 4);
+	g_assert_cmpuint(world->violations->len, ==, 0);
+	cell_world_finish(world);
+	g_free(world);
+}
+
 /* A perpetual task is started again however it ends, at another instance's
  * hands too, until its job is cancelled. */
 static void test_perpetual_tasks_are_restarted(struct fixture *f,
@@ -297,5 +323,7 @@
 	ADD("occurrences", test_occurrences_start_when_due);
 	ADD("only_worker", test_the_only_worker_is_tried_again);
 	ADD("perpetual", test_perpetual_tasks_are_restarted);
+	g_test_add_func("/cell_path/short_leases",
+			test_short_leases_and_bounds);
 	return g_test_run();
 }
