--- a/src/libradishjunction/cell/cell_looks.c
+++ b/src/libradishjunction/cell/cell_looks.c
@@ -20,8 +20,8 @@
 #define LOOK_UNSTORED_US (700 * RJ_US_PER_MS)
 /*
  * Idle workers are looked at in turn, all of them together so often a second,
- * and so many at once after a takeover. A look costs an owner 0.25 ms of a
- * core with all that belongs to it, so that these take a thirteenth of one,
+ * and so many at once after a takeover. A look costs an owner 0.16 ms of a
+ * core with all that belongs to it, so that these take a twentieth of one,
  * whatever the number of workers; up to 450 workers it is a look each 1.5 s
  * for all.
  */
