--- a/src/test_libradishjunction/support/cell_fake_advice.c
+++ b/src/test_libradishjunction/support/cell_fake_advice.c
@@ -64,6 +64,8 @@
 	struct question *question = data;
 	struct cell_world_node *node = question->node;
 
+	if (cell_world_waits(node, deliver, question))
+		return;
 	if (cell_world_reaches(node, question->life)) {
 		cell_world_enter(node);
 		question->reply.now_us = node->world->now_us;
--- a/src/test_libradishjunction/support/cell_fake_log.c
+++ b/src/test_libradishjunction/support/cell_fake_log.c
@@ -94,12 +94,8 @@
 		talloc_free(call);
 		return;
 	}
-	if (node->paused_until_us > node->world->now_us) {
-		cell_world_at(node->world,
-			      node->paused_until_us - node->world->now_us + 1,
-			      deliver, call);
+	if (cell_world_waits(node, deliver, call))
 		return;
-	}
 	cell_world_enter(node);
 	call->reply.now_us = node->world->now_us;
 	call->done.call(call->done.private_data, &call->reply);
--- a/src/test_libradishjunction/support/cell_fake_orders.c
+++ b/src/test_libradishjunction/support/cell_fake_orders.c
@@ -45,12 +45,8 @@
 		talloc_free(order);
 		return;
 	}
-	if (node->paused_until_us > node->world->now_us) {
-		cell_world_at(node->world,
-			      node->paused_until_us - node->world->now_us + 1,
-			      deliver, order);
+	if (cell_world_waits(node, deliver, order))
 		return;
-	}
 	cell_world_enter(node);
 	order->reply.now_us = node->world->now_us;
 	order->done.call(order->done.private_data, &order->reply);
--- /dev/null
+++ b/src/test_libradishjunction/support/cell_fixture.h
@@ -0,0 +1,25 @@
+/*
+ * A site in virtual time for one test: it has settled when the test begins,
+ * and no rule may have been broken when it ends.
+ *
+ * Life cycle: `cell_fixture_setup` with the site's plan as the test's data,
+ * and `cell_fixture_teardown`, both called by the test framework.
+ */
+#ifndef TEST_SUPPORT_CELL_FIXTURE_H
+#define TEST_SUPPORT_CELL_FIXTURE_H
+
+#include "support/cell_world.h"
+
+struct cell_fixture {
+	struct cell_world world;
+};
+
+void cell_fixture_setup(struct cell_fixture *f, const void *plan);
+void cell_fixture_teardown(struct cell_fixture *f, const void *plan);
+
+/* Add a test of a site; `plan` is a struct cell_world_plan. */
+#define CELL_TEST(path, plan, function)                                 \
+	g_test_add(path, struct cell_fixture, plan, cell_fixture_setup, \
+		   function, cell_fixture_teardown)
+
+#endif
--- a/src/test_libradishjunction/support/cell_world.c
+++ b/src/test_libradishjunction/support/cell_world.c
@@ -98,6 +98,21 @@
 	return node->up && node->life == life;
 }
 
+/*
+ * Whether a node stands still just now: `call` is made again once it goes on.
+ */
+bool cell_world_waits(struct cell_world_node *node, void (*call)(void *),
+		      void *data)
+{
+	uint64_t now_us = node->world->now_us;
+
+	if (node->paused_until_us <= now_us)
+		return false;
+	cell_world_at(node->world, node->paused_until_us - now_us + 1, call,
+		      data);
+	return true;
+}
+
 /* A job out of a body, which is a definition as the log has it. */
 static struct rj_cell_def *decode_job(void *mem, struct rj_bytes body,
 				      struct rj_error *err)
--- a/src/test_libradishjunction/support/cell_world.h
+++ b/src/test_libradishjunction/support/cell_world.h
@@ -216,6 +216,8 @@
 			 const struct cell_fake_worker *worker,
 			 const struct rj_cell_start *start);
 bool cell_world_reaches(const struct cell_world_node *node, uint32_t life);
+bool cell_world_waits(struct cell_world_node *node, void (*call)(void *),
+		      void *data);
 uint64_t cell_world_wall_ms(const struct cell_world *world);
 void cell_check_start(struct cell_world *world, struct cell_fake_worker *worker,
 		      const struct rj_cell_start *start, uint64_t sent_us);
--- a/src/test_libradishjunction/test_cell_advice.c
+++ b/src/test_libradishjunction/test_cell_advice.c
@@ -1,7 +1,7 @@
 /*
  * Queues for which an outside policy says which workers may run a step.
  */
-#include "support/cell_world.h"
+#include "support/cell_fixture.h"
 
 static const struct cell_world_plan site = {
 	.seed = 11,
@@ -12,27 +12,10 @@
 	.guaranteed = 64,
 };
 
-struct fixture {
-	struct cell_world world;
-};
-
-static void setup(struct fixture *f, const void *data)
-{
-	cell_world_init(&f->world, &site);
-	cell_world_run(&f->world, 3 * S);
-}
-
-static void teardown(struct fixture *f, const void *data)
-{
-	for (guint i = 0; i < f->world.violations->len; i++)
-		g_test_message("%s", (char *)f->world.violations->pdata[i]);
-	g_assert_cmpuint(f->world.violations->len, ==, 0);
-	cell_world_finish(&f->world);
-}
-
 /* Hand a job of an advised queue in. */
-static struct cell_client_job *
-hand_in(struct fixture *f, const struct rj_cell_step *step, uint64_t work_us)
+static struct cell_client_job *hand_in(struct cell_fixture *f,
+				       const struct rj_cell_step *step,
+				       uint64_t work_us)
 {
 	struct cell_client_job *job =
 		cell_world_job(&f->world, "advised", "a", step, 1, work_us);
@@ -42,7 +25,7 @@
 }
 
 /* Let time pass while the job's client asks, until it has ended. */
-static void follow(struct fixture *f, struct cell_client_job *job,
+static void follow(struct cell_fixture *f, struct cell_client_job *job,
 		   uint32_t seconds)
 {
 	for (uint32_t i = 0; i < seconds * 10 && !job->ended_us; i++) {
@@ -56,7 +39,8 @@
  * Three of four workers may run it, and they take no start without a ticket.
  * Cause: nobody asked the policy.
  */
-static void test_a_gang_runs_where_it_may(struct fixture *f, const void *data)
+static void test_a_gang_runs_where_it_may(struct cell_fixture *f,
+					  const void *data)
 {
 	struct rj_cell_step step = cell_world_step(40, 8, 2000);
 	struct cell_client_job *job;
@@ -75,7 +59,7 @@
  * is room again its tickets are too old.
  * It goes on with new ones, and no start is sent with an old one.
  */
-static void test_tickets_are_renewed(struct fixture *f, const void *data)
+static void test_tickets_are_renewed(struct cell_fixture *f, const void *data)
 {
 	struct rj_cell_step step = cell_world_step(120, 8, 2000);
 	struct cell_client_job *job = hand_in(f, &step, 4 * S);
@@ -89,7 +73,7 @@
  * The policy does not answer for some seconds, and its owner dies meanwhile.
  * The job runs once it answers again.
  */
-static void test_silent_policy(struct fixture *f, const void *data)
+static void test_silent_policy(struct cell_fixture *f, const void *data)
 {
 	struct rj_cell_step step = cell_world_step(2, 2, 1000);
 	struct cell_client_job *job;
@@ -110,11 +94,8 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	g_test_add("/cell_advice/gang", struct fixture, NULL, setup,
-		   test_a_gang_runs_where_it_may, teardown);
-	g_test_add("/cell_advice/renewed", struct fixture, NULL, setup,
-		   test_tickets_are_renewed, teardown);
-	g_test_add("/cell_advice/silent", struct fixture, NULL, setup,
-		   test_silent_policy, teardown);
+	CELL_TEST("/cell_advice/gang", &site, test_a_gang_runs_where_it_may);
+	CELL_TEST("/cell_advice/renewed", &site, test_tickets_are_renewed);
+	CELL_TEST("/cell_advice/silent", &site, test_silent_policy);
 	return g_test_run();
 }
--- a/src/test_libradishjunction/test_cell_load.c
+++ b/src/test_libradishjunction/test_cell_load.c
@@ -5,7 +5,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "support/cell_world.h"
+#include "support/cell_fixture.h"
 
 /* 24 workers of eight accelerators in six racks, three nodes. */
 static const struct cell_world_plan site = {
@@ -21,24 +21,6 @@
 /* Work that serves may be over its bound for so long on end. */
 #define HARM_US (4 * S)
 
-struct fixture {
-	struct cell_world world;
-};
-
-static void setup(struct fixture *f, const void *data)
-{
-	cell_world_init(&f->world, &site);
-	cell_world_run(&f->world, 3 * S);
-}
-
-static void teardown(struct fixture *f, const void *data)
-{
-	for (guint i = 0; i < f->world.violations->len; i++)
-		g_test_message("%s", (char *)f->world.violations->pdata[i]);
-	g_assert_cmpuint(f->world.violations->len, ==, 0);
-	cell_world_finish(&f->world);
-}
-
 /* Hand one job in, at a node that changes. */
 static struct cell_client_job *hand_in(struct cell_world *world,
 				       const char *queue, const char *account,
@@ -86,7 +68,7 @@
  * The teacher stands before the class: it begins within the bound, and not
  * more is thrown away than its own room needs.
  */
-static void test_guaranteed_gang_on_a_full_site(struct fixture *f,
+static void test_guaranteed_gang_on_a_full_site(struct cell_fixture *f,
 						const void *data)
 {
 	struct rj_cell_step step = cell_world_step(4, 8, 2500);
@@ -108,7 +90,7 @@
  * After the first ones racks are kept for them: the later gangs begin at once
  * and stop nothing that does not save its progress.
  */
-static void test_later_gangs_find_kept_racks(struct fixture *f,
+static void test_later_gangs_find_kept_racks(struct cell_fixture *f,
 					     const void *data)
 {
 	struct rj_cell_step step = cell_world_step(4, 8, 2500);
@@ -135,7 +117,7 @@
  * What is stopped goes on from where it was: all of it ends, and what it
  * did is not done again.
  */
-static void test_work_that_saves_is_stopped_first(struct fixture *f,
+static void test_work_that_saves_is_stopped_first(struct cell_fixture *f,
 						  const void *data)
 {
 	struct rj_cell_step step = cell_world_step(2, 8, 2500);
@@ -160,7 +142,7 @@
  * Room is promised to it as runs end, so that it begins before its objective
  * is lost: three times 6 s and a second.
  */
-static void test_wide_gang_among_small_tasks(struct fixture *f,
+static void test_wide_gang_among_small_tasks(struct cell_fixture *f,
 					     const void *data)
 {
 	struct rj_cell_step small = cell_world_step(30, 1, 6000);
@@ -184,7 +166,7 @@
  * them; what is accepted ends in three times its objective; urgent work is
  * never turned away for it.
  */
-static void test_overload_is_turned_away_at_once(struct fixture *f,
+static void test_overload_is_turned_away_at_once(struct cell_fixture *f,
 						 const void *data)
 {
 	struct rj_cell_step step = cell_world_step(40, 1, 6000);
@@ -227,7 +209,7 @@
  * they always have room, under a queue of single tasks.
  * No job uses up its attempts there.
  */
-static void test_a_worker_that_fails_all_is_left_alone(struct fixture *f,
+static void test_a_worker_that_fails_all_is_left_alone(struct cell_fixture *f,
 						       const void *data)
 {
 	struct rj_cell_step step = cell_world_step(6, 1, 1000);
@@ -250,7 +232,7 @@
  * Load: tasks on one worker stand still, though it answers.
  * They are moved within some seconds; nothing else tells.
  */
-static void test_tasks_that_stand_still_are_moved(struct fixture *f,
+static void test_tasks_that_stand_still_are_moved(struct cell_fixture *f,
 						  const void *data)
 {
 	struct rj_cell_step step = cell_world_step(24, 1, 2000);
@@ -263,9 +245,7 @@
 	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
 }
 
-#define ADD(name, function)                                                   \
-	g_test_add("/cell_load/" name, struct fixture, NULL, setup, function, \
-		   teardown)
+#define ADD(name, function) CELL_TEST("/cell_load/" name, &site, function)
 
 /* Hand in a job whose tasks serve users of their own until it is cancelled. */
 static struct cell_client_job *serve_users(struct cell_world *world,
@@ -282,7 +262,8 @@
  * Load: work that serves within a bound, and bulk work that leaves room.
  * They do not share a worker, so that neither is disturbed.
  */
-static void test_serving_work_stands_apart(struct fixture *f, const void *data)
+static void test_serving_work_stands_apart(struct cell_fixture *f,
+					   const void *data)
 {
 	struct cell_client_job *job = serve_users(&f->world, 4);
 
@@ -298,7 +279,7 @@
  * Its users wait too long for their answers, for as long as the bulk work runs
  * beside it: that is stopped, and nothing is put there again.
  */
-static void test_serving_work_on_a_full_site(struct fixture *f,
+static void test_serving_work_on_a_full_site(struct cell_fixture *f,
 					     const void *data)
 {
 	struct cell_client_job *job;
--- a/src/test_libradishjunction/test_cell_path.c
+++ b/src/test_libradishjunction/test_cell_path.c
@@ -4,7 +4,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "support/cell_world.h"
+#include "support/cell_fixture.h"
 
 /* Twelve workers of eight accelerators in three racks, three nodes. */
 static const struct cell_world_plan small = {
@@ -16,25 +16,6 @@
 	.guaranteed = 32,
 };
 
-struct fixture {
-	struct cell_world world;
-};
-
-static void setup(struct fixture *f, const void *data)
-{
-	cell_world_init(&f->world, &small);
-	cell_world_run(&f->world, 3 * S);
-	g_assert_cmpint(cell_world_owner(&f->world), >=, 0);
-}
-
-static void teardown(struct fixture *f, const void *data)
-{
-	for (guint i = 0; i < f->world.violations->len; i++)
-		g_test_message("%s", (char *)f->world.violations->pdata[i]);
-	g_assert_cmpuint(f->world.violations->len, ==, 0);
-	cell_world_finish(&f->world);
-}
-
 /* Let time pass while a client asks for each job now and then. */
 static void follow(struct cell_world *world, uint64_t for_us)
 {
@@ -48,7 +29,7 @@
 
 /* A job of two steps is accepted in milliseconds, ends, and is shown so at an
  * instance that did not take it. */
-static void test_a_job_runs(struct fixture *f, const void *data)
+static void test_a_job_runs(struct cell_fixture *f, const void *data)
 {
 	uint32_t first = 0;
 	struct rj_cell_step steps[2] = { cell_world_step(4, 1, 1000),
@@ -67,7 +48,7 @@
 }
 
 /* A gang over two workers of a rack works together and ends as one. */
-static void test_a_gang_runs(struct fixture *f, const void *data)
+static void test_a_gang_runs(struct cell_fixture *f, const void *data)
 {
 	struct rj_cell_step step = cell_world_step(3, 8, 1000);
 	struct cell_client_job *job;
@@ -83,7 +64,7 @@
 }
 
 /* What is cancelled stops, and is shown so. */
-static void test_a_cancelled_job_stops(struct fixture *f, const void *data)
+static void test_a_cancelled_job_stops(struct cell_fixture *f, const void *data)
 {
 	struct rj_cell_step step = cell_world_step(4, 1, 1000);
 	struct cell_client_job *job =
@@ -101,7 +82,7 @@
 
 /* A job whose tasks fail three times ends on the fourth attempt; one that
  * always fails is shown as failed after its attempts. */
-static void test_attempts_are_counted(struct fixture *f, const void *data)
+static void test_attempts_are_counted(struct cell_fixture *f, const void *data)
 {
 	struct rj_cell_step step = cell_world_step(1, 1, 500);
 	struct cell_client_job *lucky =
@@ -119,7 +100,7 @@
 }
 
 /* A submission that is repeated, also after the end, stays one job. */
-static void test_a_repeated_submission_is_one_job(struct fixture *f,
+static void test_a_repeated_submission_is_one_job(struct cell_fixture *f,
 						  const void *data)
 {
 	struct rj_cell_step step = cell_world_step(2, 1, 500);
@@ -140,7 +121,7 @@
  * Both are placed by one plan, and the rule was checked only against what the
  * worker runs already.
  */
-static void test_tasks_kept_apart_in_one_plan(struct fixture *f,
+static void test_tasks_kept_apart_in_one_plan(struct cell_fixture *f,
 					      const void *data)
 {
 	struct rj_cell_step step = cell_world_step(6, 1, 500);
@@ -158,7 +139,7 @@
  * Its members run at different speeds; the fast ones are through and wait,
  * their percentage stands at 100, and they were taken for stuck.
  */
-static void test_a_member_that_is_through_is_not_stuck(struct fixture *f,
+static void test_a_member_that_is_through_is_not_stuck(struct cell_fixture *f,
 						       const void *data)
 {
 	struct rj_cell_step step = cell_world_step(3, 8, 1000);
@@ -176,7 +157,7 @@
  * A queue whose tasks no worker takes keeps the workers busy with orders.
  * Each refusal made room for the next one, many times a second.
  */
-static void test_refusals_are_not_repeated_at_once(struct fixture *f,
+static void test_refusals_are_not_repeated_at_once(struct cell_fixture *f,
 						   const void *data)
 {
 	struct rj_cell_step step = cell_world_step(1, 1, 500);
@@ -194,7 +175,8 @@
 
 /* An occurrence starts when it is due, not before; the last one ends the
  * job. */
-static void test_occurrences_start_when_due(struct fixture *f, const void *data)
+static void test_occurrences_start_when_due(struct cell_fixture *f,
+					    const void *data)
 {
 	struct rj_cell_step step = cell_world_step(2, 1, 300);
 	struct cell_client_job *job =
@@ -220,7 +202,7 @@
  * The first run failed there, by the job's own fault.
  * Cause: a task never went back to the worker of its last failure.
  */
-static void test_the_only_worker_is_tried_again(struct fixture *f,
+static void test_the_only_worker_is_tried_again(struct cell_fixture *f,
 						const void *data)
 {
 	struct rj_cell_step step = cell_world_step(1, 1, 500);
@@ -267,7 +249,7 @@
 
 /* A perpetual task is started again however it ends, at another instance's
  * hands too, until its job is cancelled. */
-static void test_perpetual_tasks_are_restarted(struct fixture *f,
+static void test_perpetual_tasks_are_restarted(struct cell_fixture *f,
 					       const void *data)
 {
 	struct rj_cell_step step = cell_world_step(2, 1, 300);
@@ -292,7 +274,8 @@
 }
 
 /* A job that nobody has handed in does not exist, once the log was read. */
-static void test_an_unknown_job_is_gone(struct fixture *f, const void *data)
+static void test_an_unknown_job_is_gone(struct cell_fixture *f,
+					const void *data)
 {
 	struct rj_cell_step step = cell_world_step(1, 1, 500);
 	struct cell_client_job *job =
@@ -304,9 +287,7 @@
 	g_assert_true(job->gone);
 }
 
-#define ADD(name, function)                                                   \
-	g_test_add("/cell_path/" name, struct fixture, NULL, setup, function, \
-		   teardown)
+#define ADD(name, function) CELL_TEST("/cell_path/" name, &small, function)
 
 int main(int argc, char **argv)
 {
