--- a/src/test_soak/judge.c
+++ b/src/test_soak/judge.c
@@ -26,6 +26,7 @@
 	va_start(arguments, format);
 	text = g_strdup_vprintf(format, arguments);
 	va_end(arguments);
+	soak_note(soak, "broken: %s", text);
 	fprintf(stderr, "seed %" G_GUINT64_FORMAT ": %s\n", soak->seed, text);
 	g_free(text);
 	soak->violations++;
--- a/src/test_soak/site.c
+++ b/src/test_soak/site.c
@@ -4,6 +4,7 @@
 #include <assert.h>
 #include <glib/gstdio.h>
 #include <signal.h>
+#include <stdarg.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -24,6 +25,22 @@
 	return (uint32_t)(rj_random64(&soak->random) % below);
 }
 
+/*
+ * Write down what is done to the site; the time is that of the instances'
+ * lines.
+ */
+void soak_note(struct soak *soak, const char *format, ...)
+{
+	va_list arguments;
+
+	fprintf(soak->journal, "%" G_GINT64_FORMAT " ", g_get_real_time());
+	va_start(arguments, format);
+	(void)vfprintf(soak->journal, format, arguments);
+	va_end(arguments);
+	fprintf(soak->journal, "\n");
+	(void)fflush(soak->journal);
+}
+
 /* The end of a call whose answer nobody needs. */
 static void ignore(void *private_data, const struct rj_http_result *result)
 {
@@ -222,6 +239,16 @@
 	g_free(workers);
 }
 
+/* Open the journal; false when that fails. */
+static bool open_journal(struct soak *soak)
+{
+	char *path = g_build_filename(soak->folder, "journal", NULL);
+
+	soak->journal = fopen(path, "w");
+	g_free(path);
+	return soak->journal != NULL;
+}
+
 /*
  * Start all processes; options and seed are set.
  */
@@ -234,7 +261,7 @@
 	soak->folder = g_dir_make_tmp("soak-XXXXXX", NULL);
 	soak->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	soak->job_list = g_ptr_array_new();
-	if (!soak->folder ||
+	if (!soak->folder || !open_journal(soak) ||
 	    rj_http_client_init(&soak->http, soak->ev, soak->ev, NULL,
 				CONNECTIONS_MAX, &err))
 		g_error("soak: no folder for logs; free some room");
@@ -265,6 +292,7 @@
 void soak_site_calm(struct soak *soak)
 {
 	soak->calm = true;
+	soak_note(soak, "calm");
 	soak_post(soak, &soak->log, "/standin/mode", "ok");
 	for (uint32_t i = 0; i < soak->worker_count; i++) {
 		soak_proxy_set(&soak->workers[i].orders, SOAK_PROXY_PASS);
@@ -315,6 +343,7 @@
 	g_ptr_array_free(soak->job_list, TRUE);
 	g_hash_table_destroy(soak->jobs);
 	talloc_free(soak->ev);
+	(void)fclose(soak->journal);
 	if (soak->violations) {
 		fprintf(stderr, "seed %" G_GUINT64_FORMAT ": logs in %s\n",
 			soak->seed, soak->folder);
--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -101,6 +101,7 @@
 	uint64_t seed;
 	uint64_t random;
 	char *folder; /* of logs and settings */
+	FILE *journal; /* what was done to the site, and when */
 	struct rj_http_client http;
 	struct soak_process standin;
 	struct rj_address log;
@@ -116,6 +117,9 @@
 	uint32_t violations;
 };
 
+/* A line of the journal. */
+void soak_note(struct soak *soak, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
 /* Chance. */
 uint32_t soak_random(struct soak *soak, uint32_t below);
 
--- a/src/test_soak/strikes.c
+++ b/src/test_soak/strikes.c
@@ -73,6 +73,7 @@
 /* An instance starts anew. */
 static void start_again(struct ending *ending)
 {
+	soak_note(ending->soak, "start %s", ending->instance->name);
 	soak_process_end(&ending->instance->process);
 	soak_instance_start(ending->instance);
 }
@@ -84,6 +85,7 @@
 
 	if (!instance->process.pid || instance->stopping)
 		return;
+	soak_note(soak, "kill %s", instance->name);
 	instance->stopping = true;
 	soak_process_signal(&instance->process, SIGKILL);
 	end_in(soak, some_time_us(soak), start_again)->instance = instance;
@@ -92,6 +94,7 @@
 /* All instances are killed. */
 static void strike_kill_all(struct soak *soak)
 {
+	soak_note(soak, "kill all");
 	for (uint32_t i = 0; i < soak->options.instances; i++) {
 		struct soak_instance *instance = &soak->instances[i];
 
@@ -111,6 +114,7 @@
 
 	if (!instance->process.pid || instance->stopping)
 		return;
+	soak_note(soak, "stop %s", instance->name);
 	instance->stopping = true;
 	soak_process_signal(&instance->process, SIGTERM);
 	end_in(soak, GRACE_US, start_again)->instance = instance;
@@ -119,6 +123,7 @@
 /* An instance goes on. */
 static void resume(struct ending *ending)
 {
+	soak_note(ending->soak, "resume %s", ending->instance->name);
 	soak_process_signal(&ending->instance->process, SIGCONT);
 }
 
@@ -127,6 +132,7 @@
 {
 	struct soak_instance *instance = some_instance(soak);
 
+	soak_note(soak, "suspend %s", instance->name);
 	soak_process_signal(&instance->process, SIGSTOP);
 	end_in(soak,
 	       (PAUSE_MIN_MS + soak_random(soak, PAUSE_SPREAD_MS) *
@@ -145,51 +151,66 @@
 /* A way works again. */
 static void heal(struct ending *ending)
 {
+	soak_note(ending->soak, "pass port %u", ending->proxy->port);
 	soak_proxy_set(ending->proxy, SOAK_PROXY_PASS);
 }
 
-/* A way is harmed for a while, or its connections at once. */
-static void harm(struct soak *soak, struct soak_proxy *proxy)
+/* Any harm that lasts a while. */
+static enum soak_proxy_mode some_mode(struct soak *soak)
 {
-	switch (soak_random(soak, 4)) {
-	case 0:
+	uint32_t harms = SOAK_PROXY_MODE_COUNT - SOAK_PROXY_DELAY;
+
+	return (enum soak_proxy_mode)(SOAK_PROXY_DELAY +
+				      soak_random(soak, harms));
+}
+
+/* A way is harmed for a while, or its connections at once; `what` says which
+ * way. */
+static void harm(struct soak *soak, struct soak_proxy *proxy, const char *what)
+{
+	uint32_t how = soak_random(soak, 4);
+	enum soak_proxy_mode mode;
+
+	if (how == 0) {
+		soak_note(soak, "reset %s, port %u", what, proxy->port);
 		soak_proxy_reset(proxy);
-		break;
-	case 1:
+		return;
+	}
+	if (how == 1) {
+		soak_note(soak, "silence %s, port %u", what, proxy->port);
 		soak_proxy_silence(proxy);
-		break;
-	default:
-		soak_proxy_set(
-			proxy,
-			(enum soak_proxy_mode)(
-				1 +
-				soak_random(soak, SOAK_PROXY_MODE_COUNT - 1)));
-		end_in(soak, some_time_us(soak), heal)->proxy = proxy;
+		return;
 	}
+	mode = some_mode(soak);
+	soak_note(soak, "%s %s, port %u", soak_proxy_mode_string[mode], what,
+		  proxy->port);
+	soak_proxy_set(proxy, mode);
+	end_in(soak, some_time_us(soak), heal)->proxy = proxy;
 }
 
 /* The way of an instance to the log is harmed. */
 static void strike_store_way(struct soak *soak)
 {
-	harm(soak, &some_instance(soak)->store);
+	harm(soak, &some_instance(soak)->store, "instance to log");
 }
 
 /* The way of callers to an instance is harmed. */
 static void strike_caller_way(struct soak *soak)
 {
-	harm(soak, &some_instance(soak)->callers);
+	harm(soak, &some_instance(soak)->callers, "callers to instance");
 }
 
 /* The ways to some workers are harmed. */
 static void strike_worker_ways(struct soak *soak)
 {
 	for (uint32_t i = 0; i <= soak->worker_count / 8; i++)
-		harm(soak, &some_worker(soak)->orders);
+		harm(soak, &some_worker(soak)->orders, "instances to worker");
 }
 
 /* The log serves again. */
 static void heal_log(struct ending *ending)
 {
+	soak_note(ending->soak, "log: ok");
 	soak_post(ending->soak, &ending->soak->log, "/standin/mode", "ok");
 }
 
@@ -198,8 +219,10 @@
 {
 	static const char *const modes[] = { "refuse", "silent", "lose" };
 
-	soak_post(soak, &soak->log, "/standin/mode",
-		  modes[soak_random(soak, G_N_ELEMENTS(modes))]);
+	const char *mode = modes[soak_random(soak, G_N_ELEMENTS(modes))];
+
+	soak_note(soak, "log: %s", mode);
+	soak_post(soak, &soak->log, "/standin/mode", mode);
 	end_in(soak, some_time_us(soak) / 2, heal_log);
 }
 
@@ -218,10 +241,11 @@
 		"{\"sick\":true}",  "{\"leaving\":true}",
 		"{\"crash\":true}", "{\"leaving\":true,\"crash\":true}",
 	};
+	const char *fault = faults[soak_random(soak, G_N_ELEMENTS(faults))];
 	struct soak_worker *worker = some_worker(soak);
 
-	soak_post(soak, &worker->address, "/standin/fault",
-		  faults[soak_random(soak, G_N_ELEMENTS(faults))]);
+	soak_note(soak, "worker w%d: %s", (int)(worker - soak->workers), fault);
+	soak_post(soak, &worker->address, "/standin/fault", fault);
 	end_in(soak, some_time_us(soak), heal_worker)->worker = worker;
 }
 
