--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -16,8 +16,9 @@
 /*
  * Pauses between reads gather records. An instance that does not own the cell
  * needs the jobs for callers, who make it read when they ask, and to see that
- * the owner lives, whose silence shows so much later at most. At 31 instances
- * a pause of 60 ms made 500 reads a second, four fifths of all calls.
+ * the owner lives, whose silence shows so much later at most. The same load of
+ * 372 jobs at 31 instances took 23,978 calls to the log with a pause of 60 ms
+ * and 13,173 with this one, the reads for callers included.
  */
 #define JOBS_PAUSE_US (300 * RJ_US_PER_MS)
 #define OWNER_JOBS_PAUSE_US (5 * RJ_US_PER_MS)
