soak: callers no longer reach a process that has taken an ended one's port

The proxy went on to lead to the port of the killed process, which the system had given to a process of another soak. A fault of the soak, not of the product. Change: an instance that is killed or has ended has no callers until it has started again.

--- a/src/test_soak/site.c
+++ b/src/test_soak/site.c
@@ -174,6 +174,30 @@
 	assert(timer);
 }
 
+/*
+ * Take an instance that has ended out of its callers' way.
+ *
+ * Guards against a caller that reaches another process: the system gives the
+ * port of an ended one to whoever asks next, such as an instance of a soak that
+ * runs beside this one. It shows as jobs that are accepted and then unknown.
+ */
+void soak_instance_gone(struct soak_instance *instance)
+{
+	instance->callers.target = 0;
+	soak_proxy_reset(&instance->callers);
+}
+
+/* Note the instances that have ended by now. */
+static void note_ended(struct soak *soak)
+{
+	for (uint32_t i = 0; i < soak->options.instances; i++) {
+		struct soak_instance *instance = &soak->instances[i];
+
+		if (instance->process.ended && instance->callers.target)
+			soak_instance_gone(instance);
+	}
+}
+
 /*
  * Let time pass, with callers and strikes.
  */
@@ -183,6 +207,7 @@
 
 	while (rj_clock_now_us() < until_us) {
 		tevent_loop_once(soak->ev);
+		note_ended(soak);
 		soak_callers_tick(soak);
 		if (!soak->calm)
 			soak_strikes_tick(soak);
--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -129,6 +129,7 @@
 void soak_site_calm(struct soak *soak);
 void soak_site_finish(struct soak *soak);
 void soak_instance_start(struct soak_instance *instance);
+void soak_instance_gone(struct soak_instance *instance);
 void soak_post(struct soak *soak, const struct rj_address *to, const char *path,
 	       const char *body);
 
--- a/src/test_soak/strikes.c
+++ b/src/test_soak/strikes.c
@@ -88,6 +88,7 @@
 	soak_note(soak, "kill %s", instance->name);
 	instance->stopping = true;
 	soak_process_signal(&instance->process, SIGKILL);
+	soak_instance_gone(instance);
 	end_in(soak, some_time_us(soak), start_again)->instance = instance;
 }
 
@@ -102,6 +103,7 @@
 			continue;
 		instance->stopping = true;
 		soak_process_signal(&instance->process, SIGKILL);
+		soak_instance_gone(instance);
 		end_in(soak, some_time_us(soak), start_again)->instance =
 			instance;
 	}
