cell: a task at its end that never ends is started elsewhere; soak: three findings traced

An owner took any run at 100 percent for a gang's member that waits for the others. A fault of the product: now only members of gangs may stand there.

--- a/src/libradishjunction/cell/cell_looks.c
+++ b/src/libradishjunction/cell/cell_looks.c
@@ -255,6 +255,16 @@
 	owner->plan_wanted = true;
 }
 
+/* Whether a run may stand still: a member of a gang that is through waits for
+ * the others, and what serves for good has no end to get to. */
+static bool may_stand(const struct rj_cell_run *run)
+{
+	const struct rj_cell_step *step = rj_cell_task_step(run->task);
+
+	return step->perpetual ||
+	       (step->gang && run->percent >= RJ_CELL_PERCENT_ALL);
+}
+
 /* Stop runs that do not get on. */
 static void check_stalls(struct rj_cell_owner *owner,
 			 struct rj_cell_worker *worker)
@@ -266,10 +276,8 @@
 		struct rj_cell_run *run =
 			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
 
-		/* A member of a gang that is through waits for the others. */
 		if (run->state != RJ_CELL_RUN_SEEN || !run->task ||
-		    run->percent >= RJ_CELL_PERCENT_ALL ||
-		    rj_cell_task_step(run->task)->perpetual ||
+		    may_stand(run) ||
 		    owner->now_us - run->progress_us < STALL_US)
 			continue;
 		worker->suspect_until_us = owner->now_us + STALL_SUSPECT_US;
--- a/src/standin_users/standin.h
+++ b/src/standin_users/standin.h
@@ -66,6 +66,8 @@
 	json_t *finished; /* rows */
 	json_t *barred; /* name -> run */
 	uint64_t ends;
+	uint64_t lapsed_ms; /* when its lease was last found to have lapsed */
+	GArray *ended_ms; /* uint64_t: of each row of finished */
 	GPtrArray *waiting; /* struct waiting_look */
 	json_t *done; /* name -> how often it has ended well */
 };
--- a/src/standin_users/worker.c
+++ b/src/standin_users/worker.c
@@ -12,6 +12,8 @@
 #define CONNECTIONS_MAX 64
 #define LEASE_MAX_MS 6000
 #define RACK_WORKERS 4
+/* What stands still does not get beyond this. */
+#define STILL_PERCENT 60
 
 /* A look that waits for an end. */
 struct waiting_look {
@@ -65,6 +67,7 @@
 			struct rj_http_exchange *exchange)
 {
 	json_t *rows = json_array();
+	json_int_t most = worker->faults.stands_still ? STILL_PERCENT : 100;
 	const char *name;
 	json_t *run;
 
@@ -81,7 +84,7 @@
 		json_array_append_new(rows,
 				      json_pack("[s,O,s,I,i]", name,
 						json_object_get(run, "run"), "",
-						CLAMP(percent, 0, 100), 0));
+						CLAMP(percent, 0, most), 0));
 	}
 	answer(exchange, 200,
 	       json_pack("{s:I,s:o,s:O}", "born", (json_int_t)worker->born_ms,
@@ -119,11 +122,13 @@
 {
 	json_t *run = json_object_get(worker->running, name);
 	json_t *number = json_object_get(run, "run");
+	uint64_t now_ms = standin_now_ms();
 
 	json_array_append_new(worker->finished,
 			      json_pack("[I,s,O,s,s]",
 					(json_int_t)++worker->ends, name,
 					number, how, ""));
+	g_array_append_val(worker->ended_ms, now_ms);
 	json_object_set(worker->barred, name, number);
 	tell(worker, "end", name, json_integer_value(number), how);
 	if (!strcmp(how, "done"))
@@ -146,6 +151,9 @@
 	json_t *run;
 	void *next;
 
+	if (now_ms > worker->lease_ms)
+		worker->lapsed_ms = now_ms;
+
 	json_object_foreach_safe(worker->running, next, name, run)
 	{
 		uint64_t until_ms = (uint64_t)json_integer_value(
@@ -241,10 +249,17 @@
 
 		if (json_integer_value(json_array_get(row, 0)) > seen)
 			break;
-		tell(worker, "noted", json_string_value(json_array_get(row, 1)),
+		/* What ended before a lease lapsed is not noted by this. */
+		tell(worker,
+		     g_array_index(worker->ended_ms, uint64_t, 0) >
+				     worker->lapsed_ms ?
+			     "noted" :
+			     "forgotten",
+		     json_string_value(json_array_get(row, 1)),
 		     json_integer_value(json_array_get(row, 2)),
 		     json_string_value(json_array_get(row, 3)));
 		json_array_remove(worker->finished, 0);
+		g_array_remove_index(worker->ended_ms, 0);
 	}
 }
 
@@ -285,6 +300,7 @@
 		     json_integer_value(json_object_get(run, "run")), "gone");
 	json_object_clear(worker->running);
 	json_array_clear(worker->finished);
+	g_array_set_size(worker->ended_ms, 0);
 	json_object_clear(worker->barred);
 	worker->ends = 0;
 	worker->token = 0;
@@ -382,6 +398,7 @@
 	worker->born_ms = standin_now_ms();
 	worker->running = json_object();
 	worker->finished = json_array();
+	worker->ended_ms = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	worker->barred = json_object();
 	worker->done = json_object();
 	worker->waiting = g_ptr_array_new();
--- a/src/test_libradishjunction/support/cell_fake_workers.c
+++ b/src/test_libradishjunction/support/cell_fake_workers.c
@@ -228,7 +228,7 @@
 		end_with_gang(world, worker, run, RJ_CELL_END_FAILED);
 		return false;
 	}
-	if (run->done_us < run->work_us)
+	if (run->done_us < run->work_us || worker->never_ends)
 		return true;
 	if (run->gang && !all_through)
 		return true;
--- a/src/test_libradishjunction/support/cell_world.h
+++ b/src/test_libradishjunction/support/cell_world.h
@@ -90,6 +90,7 @@
 	bool refuses; /* starts: it says it is not well */
 	bool fails_all;
 	bool stands_still;
+	bool never_ends; /* what is through is not reported so */
 	uint32_t leave_percent; /* orders done late and not answered */
 	double speed;
 	double clock_rate;
--- a/src/test_libradishjunction/test_cell_load.c
+++ b/src/test_libradishjunction/test_cell_load.c
@@ -247,6 +247,23 @@
 
 #define ADD(name, function) CELL_TEST("/cell_load/" name, &site, function)
 
+/*
+ * Load: workers whose tasks get to their end and are never reported as ended.
+ * Their callers wait for ever; the tasks have to be started elsewhere.
+ */
+static void test_tasks_that_never_end_are_moved(struct cell_fixture *f,
+						const void *data)
+{
+	struct rj_cell_step step = cell_world_step(8, 1, 2000);
+	struct cell_client_job *job;
+
+	for (uint32_t i = 0; i < site.workers; i += 2)
+		f->world.workers[i].never_ends = true;
+	job = hand_in(&f->world, "normal", "a", &step, 2 * S);
+	follow(&f->world, 20 * S);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
+}
+
 /* Hand in a job whose tasks serve users of their own until it is cancelled. */
 static struct cell_client_job *serve_users(struct cell_world *world,
 					   uint32_t tasks)
@@ -303,6 +320,7 @@
 	ADD("overload", test_overload_is_turned_away_at_once);
 	ADD("fails_all", test_a_worker_that_fails_all_is_left_alone);
 	ADD("still", test_tasks_that_stand_still_are_moved);
+	ADD("never_ends", test_tasks_that_never_end_are_moved);
 	ADD("apart", test_serving_work_stands_apart);
 	ADD("beside", test_serving_work_on_a_full_site);
 	return g_test_run();
--- a/src/test_soak/site.c
+++ b/src/test_soak/site.c
@@ -41,9 +41,27 @@
 	(void)fflush(soak->journal);
 }
 
-/* The end of a call whose answer nobody needs. */
-static void ignore(void *private_data, const struct rj_http_result *result)
+/* A call to the stand-in's own interface. */
+struct post {
+	struct soak *soak;
+	struct rj_address to;
+	char *path;
+	char *body;
+	bool calms; /* it is sent until it has arrived */
+};
+
+/*
+ * Its answer.
+ *
+ * Guards against a site that is never calm: on a busy machine a call may get no
+ * answer in time, and a worker would misbehave for good.
+ */
+static void posted(void *private_data, const struct rj_http_result *result)
 {
+	const struct post *post = private_data;
+
+	if (post->calms && result->outcome != RJ_HTTP_ANSWERED)
+		soak_post(post->soak, &post->to, post->path, post->body);
 }
 
 /*
@@ -52,16 +70,22 @@
 void soak_post(struct soak *soak, const struct rj_address *to, const char *path,
 	       const char *body)
 {
+	struct post *post = talloc_zero(soak->ev, struct post);
 	struct rj_http_send send = { .method = "POST",
-				     .url = rj_http_url(soak->ev, to, path),
+				     .url = rj_http_url(post, to, path),
 				     .body = body,
 				     .length = strlen(body),
 				     .timeout_us = CONTROL_TIMEOUT_US,
 				     .answer_max_bytes = ANSWER_MAX_BYTES,
-				     .done = ignore };
-
+				     .done = posted,
+				     .private_data = post };
+
+	post->soak = soak;
+	post->to = *to;
+	post->path = talloc_strdup(post, path);
+	post->body = talloc_strdup(post, body);
+	post->calms = soak->calm;
 	rj_http_client_send(&soak->http, &send);
-	talloc_free((void *)send.url);
 }
 
 /* An address of the stand-in's first line. */
