cell: an owner that starts anew does not wait for renewals of its former life

Cause: power fails everywhere at 41.4 s, with a task's end listed by a worker that leaves meanwhile. Nobody can learn of it; the heir gives the run up when its lease must have lapsed, 16.1 s after it took over at 43.5 s: a lease and the ten seconds for which an owner goes on without the log. Change: ownership records say when they were written. Where the former owner was this instance in a life that has ended, and had owned the cell for longer than an owner goes on without the log, no lease is renewed any more: such runs are given up after a lease.

--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -42,6 +42,8 @@
 #define WEAKER_OF 2
 #define WEAK_WAIT_US (1000 * RJ_US_PER_MS)
 #define STRONG_WAIT_US (2 * RJ_US_PER_S)
+/* Times of day of one machine may jump by so much between two moments. */
+#define CLOCKS_APART_US (5 * RJ_US_PER_S)
 /* An instance that has just tried waits before it tries again. */
 #define BID_PAUSE_US (300 * RJ_US_PER_MS)
 
@@ -130,6 +132,8 @@
 	}
 	if (node->tenure.known && record->offset + 1 <= node->tenure.token)
 		return;
+	if (node->tenure.known)
+		node->former = node->tenure.record;
 	node->tenure.known = true;
 	node->tenure.record = owner;
 	node->tenure.token = record->offset + 1;
@@ -206,6 +210,31 @@
 	node->bid_due_us = node->now_us + BID_PAUSE_US;
 }
 
+/*
+ * For how long former owners may still renew leases.
+ *
+ * Load that it answers: all instances lose power, and a worker has gone with
+ * its tasks meanwhile: they wait until its lease must have lapsed. Where the
+ * former owner was this instance, in a life that has ended, it renews nothing
+ * any more; those before it were fenced by its bid, and go on without the log
+ * for no longer than an owner does.
+ */
+static uint64_t renewals_us(const struct rj_cell_node *node)
+{
+	const struct rj_cell_owner_record *former = &node->former;
+	uint64_t settled_us = RJ_CELL_BLIND_US + CLOCKS_APART_US;
+	uint64_t age_us;
+
+	if (strcmp(former->name, node->options.name) != 0 ||
+	    former->incarnation == node->options.incarnation ||
+	    !former->since_ms || node->wall_ms < former->since_ms)
+		return RJ_CELL_BLIND_US;
+	age_us = (node->wall_ms - former->since_ms) * RJ_US_PER_MS;
+	if (age_us >= settled_us)
+		return 0;
+	return MIN(RJ_CELL_BLIND_US, settled_us - age_us);
+}
+
 /* Take the cell: the log up to our own record has been read. */
 static void step_up(struct rj_cell_node *node)
 {
@@ -214,8 +243,8 @@
 		rj_cell_forecast_set(&node->owner.forecast,
 				     node->front.beat.shares[i].queue,
 				     node->front.beat.shares[i].mean_ms);
-	rj_cell_owner_take(&node->owner, node->tenure.token, node->now_us,
-			   node->wall_ms);
+	rj_cell_owner_take(&node->owner, node->tenure.token, renewals_us(node),
+			   node->now_us, node->wall_ms);
 	node->jobs.pause_us = OWNER_JOBS_PAUSE_US;
 	rj_cell_follow_start(&node->fleet, node->now_us);
 }
@@ -321,7 +350,8 @@
 	struct rj_cell_owner_record owner = { .incarnation =
 						      node->options.incarnation,
 					      .strength =
-						      node->options.strength };
+						      node->options.strength,
+					      .since_ms = node->wall_ms };
 	struct rj_cell_record record;
 	struct rj_cell_append append = { .producer = "owner",
 					 .epoch = node->jobs.next + 1,
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -15,13 +15,6 @@
 /* Without other events a plan is made so often, as waiting changes what may
  * be done. */
 #define PLAN_IDLE_US (200 * RJ_US_PER_MS)
-/*
- * An owner that cannot write the log goes on for so long: it keeps what runs,
- * as the log may be away for all, and starts nothing. Then it lets leases
- * lapse, so that an heir who cannot reach some workers knows when nothing
- * runs there. The users' log is away for 9 s at most.
- */
-#define BLIND_US (10 * RJ_US_PER_S)
 /* Nothing starts by knowledge of the log that is older; the owner's own
  * heartbeats make its reads return every 0.4 s. */
 #define READ_AGE_MAX_US (1500 * RJ_US_PER_MS)
@@ -57,7 +50,7 @@
  */
 bool rj_cell_owner_blind(const struct rj_cell_owner *owner)
 {
-	return owner->now_us > owner->writer.stored_us + BLIND_US;
+	return owner->now_us > owner->writer.stored_us + RJ_CELL_BLIND_US;
 }
 
 /*
@@ -226,9 +219,9 @@
 
 /*
  * Nothing is known of workers that a former owner has used until they
- * answer; it may have renewed their leases until it had to stop.
+ * answer; it may renew their leases for `renewals_us` from now.
  */
-static void bound_leases(struct rj_cell_owner *owner)
+static void bound_leases(struct rj_cell_owner *owner, uint64_t renewals_us)
 {
 	uint64_t lease_us = rj_cell_lease_longest_us(owner->terms.lease_max_ms *
 						     RJ_US_PER_MS);
@@ -237,15 +230,16 @@
 
 	RJ_FOR_EACH (at, next, &owner->fleet.workers)
 		RJ_CONTAINER(at, struct rj_cell_worker, link)->lapsed_us =
-			owner->now_us + BLIND_US + lease_us;
+			owner->now_us + renewals_us + lease_us;
 }
 
 /*
  * Own the cell under `token`: adopt every job that has not ended and all
- * that may run. The view must be complete up to the ownership record.
+ * that may run. The view must be complete up to the ownership record; former
+ * owners renew no lease after `renewals_us` from now.
  */
 void rj_cell_owner_take(struct rj_cell_owner *owner, uint64_t token,
-			uint64_t now_us, uint64_t wall_ms)
+			uint64_t renewals_us, uint64_t now_us, uint64_t wall_ms)
 {
 	struct rj_list *at;
 	struct rj_list *next;
@@ -276,8 +270,9 @@
 			jobs++;
 		rj_cell_owner_entry(owner, entry);
 	}
-	bound_leases(owner);
+	bound_leases(owner, renewals_us);
 	rj_note("own", RJ_NOTE_NUMBER("token", token),
+		RJ_NOTE_AGE_MS("renewals_ms", renewals_us),
 		RJ_NOTE_NUMBER("jobs", jobs),
 		RJ_NOTE_NUMBER("workers", owner->fleet.count));
 }
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -7,7 +7,9 @@
 #include "private/pack.h"
 
 #define PROGRESS_FORMAT 1
-#define OWNER_FORMAT 1
+/* The first had no time in it; instances of both may run side by side. */
+#define OWNER_FORMAT_UNTIMED 1
+#define OWNER_FORMAT 2
 #define BEAT_FORMAT 1
 
 /* The first character of a key. */
@@ -313,6 +315,7 @@
 	rj_pack_number(&out, owner->incarnation);
 	rj_pack_number(&out, owner->strength);
 	rj_pack_bool(&out, owner->leaving);
+	rj_pack_number(&out, owner->since_ms);
 	return rj_pack_finish(&out, mem);
 }
 
@@ -324,15 +327,20 @@
 			 struct rj_error *err)
 {
 	struct rj_unpacker in;
+	uint64_t format;
 
 	rj_unpack_init(&in, bytes);
-	if (rj_unpack_number(&in, "format", UINT32_MAX) != OWNER_FORMAT)
+	format = rj_unpack_number(&in, "format", OWNER_FORMAT);
+	if (format < OWNER_FORMAT_UNTIMED)
 		rj_unpack_fail(&in, "format");
 	rj_unpack_text(&in, "name", owner->name, sizeof(owner->name));
 	owner->incarnation = rj_unpack_number(&in, "incarnation", UINT64_MAX);
 	owner->strength =
 		(uint32_t)rj_unpack_number(&in, "strength", UINT32_MAX);
 	owner->leaving = rj_unpack_bool(&in, "leaving");
+	owner->since_ms = format > OWNER_FORMAT_UNTIMED ?
+				  rj_unpack_number(&in, "since", UINT64_MAX) :
+				  0;
 	return rj_unpack_finish(&in, err);
 }
 
--- a/src/libradishjunction/include/private/cell_node.h
+++ b/src/libradishjunction/include/private/cell_node.h
@@ -44,6 +44,7 @@
 	struct rj_cell_front front;
 	struct rj_cell_owner owner;
 	struct rj_cell_tenure tenure;
+	struct rj_cell_owner_record former; /* of the tenure before */
 	uint64_t fenced_token; /* the last that was taken from us */
 	bool probing; /* reading the log to its end before a bid */
 	struct rj_cell_sync probe;
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -88,8 +88,17 @@
 			struct rj_cell_view *view, struct rj_cell_store *store,
 			struct rj_cell_workers *workers,
 			const struct rj_cell_terms *terms);
+/*
+ * An owner that cannot write the log goes on for so long: it keeps what runs,
+ * as the log may be away for all, and starts nothing. Then it lets leases
+ * lapse, so that an heir who cannot reach some workers knows when nothing
+ * runs there. The users' log is away for 9 s at most.
+ */
+#define RJ_CELL_BLIND_US (10 * RJ_US_PER_S)
+
 void rj_cell_owner_take(struct rj_cell_owner *owner, uint64_t token,
-			uint64_t now_us, uint64_t wall_ms);
+			uint64_t renewals_us, uint64_t now_us,
+			uint64_t wall_ms);
 void rj_cell_owner_resign(struct rj_cell_owner *owner, const char *why);
 void rj_cell_owner_leave(struct rj_cell_owner *owner, uint64_t now_us);
 void rj_cell_owner_entry(struct rj_cell_owner *owner,
--- a/src/test_libradishjunction/test_cell_path.c
+++ b/src/test_libradishjunction/test_cell_path.c
@@ -247,6 +247,36 @@
 	g_free(world);
 }
 
+/*
+ * All instances lose power, and a worker leaves meanwhile with a task on it.
+ * Its caller waits: nobody can reach the worker, and its lease has to lapse.
+ * That takes a lease's time, and not ten seconds more, for which an owner that
+ * lives goes on without the log: the former owner has just started anew.
+ */
+static void test_a_task_lost_with_all_power(struct cell_fixture *f,
+					    const void *data)
+{
+	struct rj_cell_step step = cell_world_step(1, 1, 2000);
+	struct cell_client_job *job;
+
+	follow(&f->world, 20 * S);
+	job = cell_world_job(&f->world, "normal", "a", &step, 1, 2 * S);
+	cell_world_submit(&f->world, 0, job);
+	cell_world_run(&f->world, S);
+	g_assert_cmpuint(job->starts, ==, 1);
+	for (uint32_t i = 0; i < small.nodes; i++)
+		cell_world_kill(&f->world, i);
+	for (uint32_t i = 0; i < small.workers; i++)
+		if (f->world.workers[i].runs->len)
+			cell_world_worker_kill(&f->world, i);
+	cell_world_run(&f->world, S);
+	for (uint32_t i = 0; i < small.nodes; i++)
+		cell_world_start(&f->world, i);
+	follow(&f->world, 10 * S);
+	g_assert_cmpuint(job->starts, ==, 2);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
+}
+
 /* A perpetual task is started again however it ends, at another instance's
  * hands too, until its job is cancelled. */
 static void test_perpetual_tasks_are_restarted(struct cell_fixture *f,
@@ -303,6 +333,7 @@
 	ADD("refusals", test_refusals_are_not_repeated_at_once);
 	ADD("occurrences", test_occurrences_start_when_due);
 	ADD("only_worker", test_the_only_worker_is_tried_again);
+	ADD("all_power", test_a_task_lost_with_all_power);
 	ADD("perpetual", test_perpetual_tasks_are_restarted);
 	g_test_add_func("/cell_path/short_leases",
 			test_short_leases_and_bounds);
