--- a/src/test_soak/process.c
+++ b/src/test_soak/process.c
@@ -65,6 +65,20 @@
 	assert(process->log && process->event);
 }
 
+/*
+ * How a program has ended: its exit status, or minus the signal that ended it;
+ * 0 as well while it runs.
+ */
+int soak_process_outcome(const struct soak_process *process)
+{
+	siginfo_t info = { .si_pid = 0 };
+
+	if (!process->pid || waitid(P_PID, (id_t)process->pid, &info,
+				    WEXITED | WNOHANG | WNOWAIT))
+		return 0;
+	return info.si_code == CLD_EXITED ? info.si_status : -info.si_status;
+}
+
 /*
  * Hand on all that the program has written by now.
  */
--- a/src/test_soak/process.h
+++ b/src/test_soak/process.h
@@ -26,6 +26,7 @@
 
 void soak_process_start(struct soak_process *process, struct tevent_context *ev,
 			const char *const *argv, const char *log_path);
+int soak_process_outcome(const struct soak_process *process);
 void soak_process_drain(struct soak_process *process);
 void soak_process_signal(const struct soak_process *process, int number);
 void soak_process_end(struct soak_process *process);
--- a/src/test_soak/site.c
+++ b/src/test_soak/site.c
@@ -180,6 +180,7 @@
 				     NULL };
 
 	instance->up = false;
+	instance->noted = false;
 	instance->stopping = false;
 	instance->callers.target = 0;
 	soak_process_start(&instance->process, soak->ev, argv, log);
@@ -217,8 +218,12 @@
 	for (uint32_t i = 0; i < soak->options.instances; i++) {
 		struct soak_instance *instance = &soak->instances[i];
 
-		if (instance->process.ended && instance->callers.target)
-			soak_instance_gone(instance);
+		if (!instance->process.ended || instance->noted)
+			continue;
+		instance->noted = true;
+		soak_note(soak, "%s has ended: %d", instance->name,
+			  soak_process_outcome(&instance->process));
+		soak_instance_gone(instance);
 	}
 }
 
@@ -245,10 +250,13 @@
 
 	for (uint32_t i = 0; i < soak->options.instances; i++)
 		while (!soak->instances[i].up) {
-			if (rj_clock_now_us() > until_us)
-				g_error("%s did not start; see its log in %s",
-					soak->instances[i].name, soak->folder);
+			if (rj_clock_now_us() > until_us) {
+				soak_violation(soak, "lost: %s did not start",
+					       soak->instances[i].name);
+				break;
+			}
 			tevent_loop_once(soak->ev);
+			note_ended(soak);
 		}
 }
 
--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -44,6 +44,7 @@
 	struct soak_proxy store; /* instance -> log */
 	bool up; /* its line of the start has come */
 	bool stopping; /* it was asked to stop */
+	bool noted; /* its end stands in the journal */
 	uint16_t ready_port;
 };
 
