cell: a worker that deregisters ends its runs at once

Excluded: a task that is not planned (all that waited was placed at once). Change: an entry that goes sooner after it was written than it could have expired, of a worker that is draining, was taken back by the worker itself; its runs end once it does not answer one more poll. Needs the heartbeat's period from the settings. Fake workers now keep their entry for three heartbeats, as the pages say; before, one missed heartbeat removed it. Test: cell_path/left, fails without.

--- a/src/libradishjunction/cell/cell_looks.c
+++ b/src/libradishjunction/cell/cell_looks.c
@@ -351,6 +351,7 @@
 	rj_cell_call_clock(worker, reply);
 	worker->answered_us = reply->now_us;
 	worker->look_failures = 0;
+	worker->left_us = 0;
 	rj_cell_call_answers(owner, worker, true, reply->status);
 	if (worker->incarnation != reply->incarnation)
 		meet(owner, worker, reply);
@@ -366,13 +367,20 @@
 		worker->look_due_us += LOOK_UNSTORED_US;
 }
 
-/* A look has failed. */
+/*
+ * A poll that was sent at `sent_us` has failed.
+ *
+ * A worker that deregistered ends all its runs. It is polled once more before
+ * these are given up, as the inference rests on the timing of its entry.
+ */
 static void note_failure(struct rj_cell_owner *owner,
-			 struct rj_cell_worker *worker,
+			 struct rj_cell_worker *worker, uint64_t sent_us,
 			 enum rj_cell_order_status status)
 {
 	uint64_t delay_us = LOOK_RETRY_US << MIN(worker->look_failures, 3U);
 
+	if (worker->left_us && sent_us >= worker->left_us)
+		rj_cell_call_lose_runs(owner, worker, "worker_left");
 	if (status == RJ_CELL_ORDER_OTHER)
 		rj_cell_call_other_life(owner, worker);
 	else
@@ -399,7 +407,7 @@
 	if (reply->status == RJ_CELL_ORDER_OK)
 		take_look(owner, worker, call, reply);
 	else
-		note_failure(owner, worker, reply->status);
+		note_failure(owner, worker, call->sent_us, reply->status);
 	if (!is_idle(worker))
 		rj_cell_worker_watch(worker, RJ_CELL_WATCH_BUSY);
 	else if (worker->answers)
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -54,12 +54,16 @@
 	struct rj_cell_node *node = private_data;
 	struct rj_cell_heartbeat heartbeat;
 	struct rj_error err = { .message = "the worker's name is too long" };
+	/* A load shows entries of any age. */
+	uint64_t written_us = node->fleet.state == RJ_CELL_FOLLOW_READING ?
+				      node->fleet.confirmed_us :
+				      0;
 
 	if (!node->owner.active)
 		return;
 	node->owner.now_us = node->fleet.now_us;
 	if (!record->value.length) {
-		rj_cell_owner_worker(&node->owner, record->key, NULL);
+		rj_cell_owner_worker(&node->owner, record->key, NULL, 0);
 		return;
 	}
 	if (strlen(record->key) >= RJ_NAME_BYTES ||
@@ -69,7 +73,7 @@
 			RJ_NOTE_TEXT("error", err.message));
 		return;
 	}
-	rj_cell_owner_worker(&node->owner, record->key, &heartbeat);
+	rj_cell_owner_worker(&node->owner, record->key, &heartbeat, written_us);
 }
 
 /* Nothing more to do when a read has ended. */
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -180,21 +180,46 @@
 }
 
 /*
- * A worker's entry has changed; NULL when it is gone.
+ * Whether a worker whose entry is gone has deregistered: it was draining, and
+ * its entry went sooner than it could have expired.
+ */
+static bool has_deregistered(const struct rj_cell_owner *owner,
+			     const struct rj_cell_worker *worker)
+{
+	return worker->said.draining && worker->written_us &&
+	       owner->now_us < worker->written_us +
+				       owner->terms.entry_life_ms *
+					       RJ_US_PER_MS;
+}
+
+/* A worker's entry is gone. */
+static void unlist(struct rj_cell_owner *owner, struct rj_cell_worker *worker)
+{
+	worker->listed = false;
+	if (has_deregistered(owner, worker)) {
+		worker->left_us = owner->now_us;
+		worker->look_due_us = owner->now_us;
+	}
+	rj_note("worker_unlisted", RJ_NOTE_TEXT("worker", worker->id),
+		RJ_NOTE_NUMBER("holds", worker->held.memory_mb),
+		RJ_NOTE_NUMBER("left", worker->left_us != 0));
+	owner->plan_wanted = true;
+}
+
+/*
+ * A worker's entry has changed, and was written after `written_us` (0: not
+ * known); NULL when it is gone.
  */
 void rj_cell_owner_worker(struct rj_cell_owner *owner, const char *id,
-			  const struct rj_cell_heartbeat *heartbeat)
+			  const struct rj_cell_heartbeat *heartbeat,
+			  uint64_t written_us)
 {
 	struct rj_cell_worker *worker = rj_cell_fleet_find(&owner->fleet, id);
 	bool was_draining;
 
-	if (!heartbeat && (!worker || !worker->listed))
-		return;
 	if (!heartbeat) {
-		rj_note("worker_unlisted", RJ_NOTE_TEXT("worker", id),
-			RJ_NOTE_NUMBER("holds", worker->held.memory_mb));
-		worker->listed = false;
-		owner->plan_wanted = true;
+		if (worker && worker->listed)
+			unlist(owner, worker);
 		return;
 	}
 	worker = rj_cell_fleet_obtain(&owner->fleet, id);
@@ -206,6 +231,8 @@
 		rj_cell_looks_soon(owner, worker);
 	}
 	rj_cell_worker_say(worker, heartbeat);
+	worker->written_us = written_us;
+	worker->left_us = 0;
 	rj_cell_looks_trust(owner, worker);
 	if (!worker->listed || was_draining != heartbeat->draining) {
 		rj_note("worker_listed", RJ_NOTE_TEXT("worker", id),
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -56,6 +56,8 @@
 	char id[RJ_NAME_BYTES];
 	struct rj_cell_heartbeat said;
 	bool listed; /* its entry stands in the log */
+	uint64_t written_us; /* the entry was written after this; 0: unknown */
+	uint64_t left_us; /* it deregistered before this; 0: it has not */
 	uint64_t incarnation; /* that answered last; 0: none yet */
 	bool answers; /* the last call to it was answered */
 	uint64_t answered_us;
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -27,6 +27,7 @@
 	uint32_t status_ms; /* an ended job is remembered so long */
 	uint32_t reclaim_ms; /* guaranteed work begins so soon */
 	uint32_t revoke_ms; /* a key is good so long after its removal */
+	uint32_t entry_life_ms; /* a silent worker's entry expires after this */
 };
 
 /* Priorities are counted apart up to this; the rest together. */
@@ -104,7 +105,8 @@
 void rj_cell_owner_entry(struct rj_cell_owner *owner,
 			 struct rj_cell_entry *entry);
 void rj_cell_owner_worker(struct rj_cell_owner *owner, const char *id,
-			  const struct rj_cell_heartbeat *heartbeat);
+			  const struct rj_cell_heartbeat *heartbeat,
+			  uint64_t written_us);
 void rj_cell_owner_advance(struct rj_cell_owner *owner, uint64_t now_us,
 			   uint64_t wall_ms);
 
--- a/src/test_libradishjunction/support/cell_fake_workers.c
+++ b/src/test_libradishjunction/support/cell_fake_workers.c
@@ -11,7 +11,6 @@
 #define STEP_US (20 * MS)
 #define GANG_WAIT_US (3 * S)
 #define SAVE_EVERY_US (2 * S)
-#define HEARTBEAT_US (1500 * MS)
 
 /*
  * A run of a worker, as the checker needs it.
@@ -274,14 +273,16 @@
 
 	if (worker->up && !worker->cut_from_log) {
 		worker->listed = true;
+		worker->beats_missed = 0;
 		worker->said.clock_ms = cell_fake_clock_ms(world, worker);
 		cell_log_put(world, RJ_CELL_TOPIC_WORKERS, worker->id,
 			     &worker->said, sizeof(worker->said));
-	} else if (worker->listed) {
+	} else if (worker->listed &&
+		   ++worker->beats_missed >= CELL_WORLD_ENTRY_BEATS) {
 		worker->listed = false;
 		cell_log_put(world, RJ_CELL_TOPIC_WORKERS, worker->id, NULL, 0);
 	}
-	cell_world_at(world, HEARTBEAT_US, beat, worker);
+	cell_world_at(world, CELL_WORLD_HEARTBEAT_MS * MS, beat, worker);
 }
 
 /*
@@ -465,6 +466,21 @@
 	world->workers[index].cut_from_log = cut;
 }
 
+/*
+ * A worker leaves as planned: it says that it drains, and deregisters.
+ */
+void cell_world_worker_leave(struct cell_world *world, uint32_t index)
+{
+	struct cell_fake_worker *worker = &world->workers[index];
+
+	worker->said.draining = true;
+	cell_log_put(world, RJ_CELL_TOPIC_WORKERS, worker->id, &worker->said,
+		     sizeof(worker->said));
+	cell_world_worker_kill(world, index);
+	worker->listed = false;
+	cell_log_put(world, RJ_CELL_TOPIC_WORKERS, worker->id, NULL, 0);
+}
+
 /*
  * Free all workers.
  */
--- a/src/test_libradishjunction/support/cell_world.c
+++ b/src/test_libradishjunction/support/cell_world.c
@@ -321,6 +321,8 @@
 
 	options.terms.lease_max_ms = world->plan.lease_max_ms;
 	options.terms.revoke_ms = world->plan.revoke_ms;
+	options.terms.entry_life_ms =
+		CELL_WORLD_HEARTBEAT_MS * CELL_WORLD_ENTRY_BEATS;
 	if (node->up)
 		return;
 	cell_world_enter(node);
--- a/src/test_libradishjunction/support/cell_world.h
+++ b/src/test_libradishjunction/support/cell_world.h
@@ -16,6 +16,9 @@
 
 #define CELL_WORLD_NODES_MAX 16
 #define CELL_WORLD_WORKERS_MAX 8192
+/* Workers write their entries so often; one expires after so many misses. */
+#define CELL_WORLD_HEARTBEAT_MS 1500
+#define CELL_WORLD_ENTRY_BEATS 3
 #define MS RJ_US_PER_MS
 #define S RJ_US_PER_S
 
@@ -99,6 +102,7 @@
 	uint64_t token;
 	uint64_t lease_ms;
 	uint64_t lapsed_us; /* when its lease was last found to have lapsed */
+	uint32_t beats_missed; /* in a row; its entry expires after three */
 	GPtrArray *runs; /* struct cell_fake_run */
 	GArray *ends; /* struct cell_fake_end */
 	uint64_t ends_count;
@@ -193,6 +197,7 @@
 void cell_world_worker_kill(struct cell_world *world, uint32_t worker);
 void cell_world_worker_start(struct cell_world *world, uint32_t worker);
 void cell_world_worker_cut(struct cell_world *world, uint32_t worker, bool cut);
+void cell_world_worker_leave(struct cell_world *world, uint32_t worker);
 
 /* Judgement. */
 void cell_world_violation(struct cell_world *world, const char *format, ...)
--- a/src/test_libradishjunction/test_cell_path.c
+++ b/src/test_libradishjunction/test_cell_path.c
@@ -277,6 +277,31 @@
 	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
 }
 
+/* A worker that ends its tasks behind a cut and then deregisters keeps them
+ * until its lease lapses, though the next step could run. */
+static void test_a_worker_that_left_after_a_cut(struct cell_fixture *f,
+						const void *data)
+{
+	struct rj_cell_step step = cell_world_step(1, 1, 2000);
+	struct cell_client_job *job =
+		cell_world_job(&f->world, "normal", "a", &step, 1, 2 * S);
+	uint32_t worker = 0;
+
+	cell_world_submit(&f->world, 0, job);
+	follow(&f->world, S);
+	while (!f->world.workers[worker].runs->len)
+		worker++;
+	cell_world_worker_cut(&f->world, worker, true);
+	follow(&f->world, 2 * S);
+	g_assert_cmpuint(f->world.workers[worker].ends->len, ==, 1);
+	cell_world_worker_cut(&f->world, worker, false);
+	cell_world_worker_leave(&f->world, worker);
+	follow(&f->world, 2 * S);
+	g_assert_cmpuint(job->starts, ==, 2);
+	follow(&f->world, 3 * S);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
+}
+
 /* A perpetual task is started again however it ends, at another instance's
  * hands too, until its job is cancelled. */
 static void test_perpetual_tasks_are_restarted(struct cell_fixture *f,
@@ -334,6 +359,7 @@
 	ADD("occurrences", test_occurrences_start_when_due);
 	ADD("only_worker", test_the_only_worker_is_tried_again);
 	ADD("all_power", test_a_task_lost_with_all_power);
+	ADD("left", test_a_worker_that_left_after_a_cut);
 	ADD("perpetual", test_perpetual_tasks_are_restarted);
 	g_test_add_func("/cell_path/short_leases",
 			test_short_leases_and_bounds);
--- a/src/test_soak/site.c
+++ b/src/test_soak/site.c
@@ -158,7 +158,8 @@
 		"\"advice\":\"\",\"orders\":\"rpc\",\"cpu_share\":\"0.25\","
 		"\"cpu_speed\":\"1\",\"grace_s\":\"6\","
 		"\"lease_max_ms\":\"6000\",\"status_s\":\"120\","
-		"\"reclaim_ms\":\"2900\",\"revoke_ms\":\"5000\"}",
+		"\"reclaim_ms\":\"2900\",\"revoke_ms\":\"5000\","
+		"\"heartbeat_ms\":\"500\"}",
 		instance->name, instance->store.port);
 
 	if (!g_file_set_contents(instance->settings, text, -1, NULL))
