cell: send clients elsewhere while the log is out of reach

Hypothesis: finished work counts for nothing when its caller asks an instance that cannot read the log.

--- a/src/libradishjunction/cell/cell_follow.c
+++ b/src/libradishjunction/cell/cell_follow.c
@@ -121,6 +121,7 @@
 				     rj_cell_topic_string[follow->topic]),
 			RJ_NOTE_NUMBER("failures", follow->failures));
 	follow->failures = 0;
+	follow->answered_us = follow->now_us;
 }
 
 /* Hand on the records of a read that the follower has not seen yet; a long
--- a/src/libradishjunction/cell/cell_front.c
+++ b/src/libradishjunction/cell/cell_front.c
@@ -13,9 +13,22 @@
 #define ANSWER_MARGIN_MS 120
 /* One who has little time left still gets most of it: an append takes 10 ms. */
 #define ANSWER_MARGIN_PART 4
-/* When to come back to an instance that is cut off from the log: its health
- * check takes it out of rotation after two seconds. */
+/*
+ * The log is out of reach when it has not answered for so long, and for the
+ * shorter time when it turns reads away. In between two answers an instance
+ * waits for the owner's heartbeat, every 0.4 s, and pauses for 0.3 s.
+ */
+#define LOG_SILENT_US (1000 * RJ_US_PER_MS)
+#define LOG_REFUSES_US (200 * RJ_US_PER_MS)
+/*
+ * When to come back to an instance that cannot reach the log: health checks
+ * take it out of rotation within three seconds, so that the next tries reach
+ * others. Where that does not help, the longer the log has been away the
+ * later, as clients try only a few times.
+ */
 #define AWAY_COME_BACK_MS 1000
+#define AWAY_COME_BACK_MAX_MS 4000
+#define AWAY_COME_BACK_PART 2
 /*
  * States are told at once from what was read so lately; else the log is read
  * first, which takes some 6 ms. Callers ask once or twice a job, so that this
@@ -104,6 +117,32 @@
 	       rj_cell_follow_age_us(front->configs, now_us) < limit_us;
 }
 
+/* When the store last answered this instance. */
+static uint64_t contact_us(const struct rj_cell_front *front)
+{
+	return MAX(MAX(front->jobs->answered_us, front->configs->answered_us),
+		   front->writer->answered_us);
+}
+
+/*
+ * Whether the log can be reached, as far as is known.
+ */
+bool rj_cell_front_reaches_log(const struct rj_cell_front *front)
+{
+	return !front->away_us;
+}
+
+/* When a client is to come back while the log is out of reach. */
+static uint32_t away_come_back_ms(const struct rj_cell_front *front)
+{
+	uint64_t away_ms = front->away_us ? (front->now_us - front->away_us) /
+						    RJ_US_PER_MS :
+					    0;
+
+	return (uint32_t)CLAMP(away_ms / AWAY_COME_BACK_PART, AWAY_COME_BACK_MS,
+			       AWAY_COME_BACK_MAX_MS);
+}
+
 /* Free a request that nothing refers to any more. */
 static void release(struct request *request)
 {
@@ -161,6 +200,13 @@
 	answer(request, &what);
 }
 
+/* Nothing can be done without the log, or has been. */
+static void answer_away(struct request *request, const char *why)
+{
+	answer_plain(request, RJ_CELL_VERDICT_AWAY, why,
+		     away_come_back_ms(request->front));
+}
+
 /* The last part of the path as the id of a job. Returns 0, or -1. */
 static int take_id(const char *text, char id[RJ_CELL_ID_BYTES])
 {
@@ -213,8 +259,7 @@
 				     RJ_CELL_VERDICT_ACCEPTED,
 			     "stored", 0);
 	else if (outcome == RJ_CELL_WRITE_NOT_STORED)
-		answer_plain(request, RJ_CELL_VERDICT_AWAY, "log_refused",
-			     AWAY_COME_BACK_MS);
+		answer_away(request, "log_refused");
 	else
 		answer_plain(request, RJ_CELL_VERDICT_UNKNOWN, "log_unknown",
 			     0);
@@ -243,6 +288,10 @@
 		answer_plain(request, RJ_CELL_VERDICT_CANCELLED, "ended", 0);
 		return;
 	}
+	if (request->front->away_us) {
+		answer_away(request, "log_away");
+		return;
+	}
 	store(request, RJ_CELL_RECORD_CANCEL, mark);
 }
 
@@ -267,8 +316,7 @@
 	    is_current(request->front, entry, STATE_AGE_MAX_US))
 		answer_state(request, entry);
 	else
-		answer_plain(request, RJ_CELL_VERDICT_AWAY, "log_unread",
-			     AWAY_COME_BACK_MS);
+		answer_away(request, "log_unread");
 }
 
 /* The log has been read to its end: what is not known now does not exist. */
@@ -298,6 +346,10 @@
 /* Read the log to its end before the job is said not to exist. */
 static void look_up(struct request *request)
 {
+	if (request->front->away_us) {
+		answer_unread(request, known(request));
+		return;
+	}
 	request->syncing = true;
 	rj_cell_follow_sync(request->front->jobs, &request->sync,
 			    request->front->now_us);
@@ -354,6 +406,10 @@
 		answer_plain(request, RJ_CELL_VERDICT_ACCEPTED, "known", 0);
 		return;
 	}
+	if (front->away_us) {
+		answer_away(request, "log_away");
+		return;
+	}
 	def = front->codec->decode_job(request, request->call->body, &err);
 	if (!def) {
 		answer_plain(request, RJ_CELL_VERDICT_MALFORMED, err.message,
@@ -396,8 +452,7 @@
 	struct rj_cell_entry *entry;
 
 	if (!front->jobs->caught_up) {
-		answer_plain(request, RJ_CELL_VERDICT_AWAY, "jobs_unread",
-			     AWAY_COME_BACK_MS);
+		answer_away(request, "jobs_unread");
 		return;
 	}
 	if (!*rest && call->verb == RJ_CELL_VERB_ASK) {
@@ -429,8 +484,7 @@
 	if (queue->open)
 		return true;
 	if (!rj_cell_front_keys_fresh(front, front->now_us)) {
-		answer_plain(request, RJ_CELL_VERDICT_AWAY, "keys_too_old",
-			     AWAY_COME_BACK_MS);
+		answer_away(request, "keys_too_old");
 		return false;
 	}
 	account = request->call->key ? rj_cell_config_key(front->config,
@@ -470,8 +524,7 @@
 	request->sync.done = sync_done;
 	rj_list_append(&front->requests, &request->link);
 	if (!front->config) {
-		answer_plain(request, RJ_CELL_VERDICT_AWAY, "no_config",
-			     AWAY_COME_BACK_MS);
+		answer_away(request, "no_config");
 		return;
 	}
 	queue = rj_cell_config_route(front->config, call->host, call->path);
@@ -483,9 +536,44 @@
 		serve(request, queue);
 }
 
+/* The last answer to a request that waits for the log: what is on its way
+ * there may arrive, so nothing else can be said of it. */
+static void answer_open(struct request *request, const char *why)
+{
+	if (request->writing)
+		answer_plain(request, RJ_CELL_VERDICT_UNKNOWN, why, 0);
+	else
+		answer_away(request, why);
+}
+
 /*
- * Answer the calls whose clients are about to give up: what is on its way
- * into the log may get there, so nothing else can be said of it.
+ * See whether the log can be reached.
+ *
+ * Load that it answers: an instance that is cut off from the log, alone or
+ * with its failure domain, while others serve. Its clients are sent to these
+ * at once; held until they give up they would come too late.
+ */
+static void watch_log(struct rj_cell_front *front)
+{
+	uint64_t silent_us = front->now_us - contact_us(front);
+	bool refuses = front->jobs->failures && front->configs->failures;
+	bool away = silent_us >= (refuses ? LOG_REFUSES_US : LOG_SILENT_US);
+
+	if (!contact_us(front) || away == !!front->away_us)
+		return;
+	rj_note(away ? "log_away" : "log_back",
+		RJ_NOTE_AGE_MS("silent_ms", silent_us),
+		RJ_NOTE_AGE_MS("away_ms", away ? 0 :
+						 front->now_us -
+							 front->away_us),
+		RJ_NOTE_NUMBER("refuses", refuses),
+		RJ_NOTE_NUMBER("open", front->open));
+	front->away_us = away ? front->now_us : 0;
+}
+
+/*
+ * Answer the calls whose clients are about to give up, and all that wait for
+ * a log that is out of reach.
  */
 void rj_cell_front_tick(struct rj_cell_front *front, uint64_t now_us)
 {
@@ -493,18 +581,15 @@
 	struct rj_list *next;
 
 	front->now_us = now_us;
+	watch_log(front);
 	RJ_FOR_EACH (at, next, &front->requests) {
 		struct request *request =
 			RJ_CONTAINER(at, struct request, link);
 
-		if (now_us < request->due_us)
-			continue;
-		if (request->writing)
-			answer_plain(request, RJ_CELL_VERDICT_UNKNOWN,
-				     "log_slow", 0);
-		else
-			answer_plain(request, RJ_CELL_VERDICT_AWAY, "log_slow",
-				     AWAY_COME_BACK_MS);
+		if (front->away_us)
+			answer_open(request, "log_away");
+		else if (now_us >= request->due_us)
+			answer_open(request, "log_slow");
 	}
 }
 
@@ -517,9 +602,6 @@
 		struct request *request = RJ_CONTAINER(front->requests.next,
 						       struct request, link);
 
-		answer_plain(request,
-			     request->writing ? RJ_CELL_VERDICT_UNKNOWN :
-						RJ_CELL_VERDICT_AWAY,
-			     "stopping", AWAY_COME_BACK_MS);
+		answer_open(request, "stopping");
 	}
 }
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -483,6 +483,7 @@
 bool rj_cell_node_ready(const struct rj_cell_node *node, uint64_t now_us)
 {
 	return !node->draining && node->jobs.caught_up &&
+	       rj_cell_front_reaches_log(&node->front) &&
 	       rj_cell_front_keys_fresh(&node->front, now_us);
 }
 
--- a/src/libradishjunction/cell/cell_writer.c
+++ b/src/libradishjunction/cell/cell_writer.c
@@ -183,6 +183,13 @@
 	end_batch(writer, RJ_CELL_WRITE_UNKNOWN);
 }
 
+/* Whether a status shows that the store serves this instance. */
+static bool is_answer(enum rj_cell_store_status status)
+{
+	return status != RJ_CELL_STORE_REFUSED &&
+	       status != RJ_CELL_STORE_LOST && status != RJ_CELL_STORE_BAD;
+}
+
 /*
  * The answer to an append.
  *
@@ -203,6 +210,8 @@
 		return;
 	writer->in_flight = false;
 	writer->now_us = reply->now_us;
+	if (is_answer(reply->status))
+		writer->answered_us = writer->now_us;
 	switch (reply->status) {
 	case RJ_CELL_STORE_OK:
 		rj_latency_add(&writer->appends,
--- a/src/libradishjunction/include/private/cell_follow.h
+++ b/src/libradishjunction/include/private/cell_follow.h
@@ -53,6 +53,7 @@
 	bool quick_open; /* a read for the syncs, which does not wait */
 	uint64_t due_us; /* of the next read */
 	uint64_t confirmed_us; /* all that was appended before is known */
+	uint64_t answered_us; /* when the store last answered a read */
 	uint32_t failures; /* reads in a row */
 	struct rj_list syncs;
 	uint64_t now_us;
--- a/src/libradishjunction/include/private/cell_front.h
+++ b/src/libradishjunction/include/private/cell_front.h
@@ -97,6 +97,7 @@
 	struct rj_cell_beat beat; /* the newest of the owner */
 	uint64_t beat_us; /* when it came; 0: none */
 	uint32_t revoke_ms; /* a key is good so long after its removal */
+	uint64_t away_us; /* since when the log is out of reach, or 0 */
 	struct rj_list requests;
 	uint32_t open;
 	uint64_t now_us;
@@ -110,6 +111,7 @@
 			const struct rj_cell_codec *codec, uint32_t revoke_ms);
 void rj_cell_front_take(struct rj_cell_front *front, struct rj_cell_call *call);
 void rj_cell_front_tick(struct rj_cell_front *front, uint64_t now_us);
+bool rj_cell_front_reaches_log(const struct rj_cell_front *front);
 bool rj_cell_front_keys_fresh(const struct rj_cell_front *front,
 			      uint64_t now_us);
 void rj_cell_front_finish(struct rj_cell_front *front);
--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -274,6 +274,14 @@
 	request->extra_value = talloc_strdup(request, value);
 }
 
+/*
+ * End the connection with the answer, which must follow.
+ */
+void rj_http_exchange_close(struct rj_http_exchange *request)
+{
+	request->last = true;
+}
+
 /*
  * Answer with `length` bytes of JSON, which are copied. Once a request; the
  * answer to an aborted one is dropped.
@@ -290,7 +298,7 @@
 	assert(request->response);
 	MHD_add_response_header(request->response, MHD_HTTP_HEADER_CONTENT_TYPE,
 				"application/json");
-	if (request->server->leaving)
+	if (request->server->leaving || request->last)
 		MHD_add_response_header(request->response,
 					MHD_HTTP_HEADER_CONNECTION, "close");
 	if (request->extra_name)
--- a/src/share/http_server.h
+++ b/src/share/http_server.h
@@ -32,6 +32,7 @@
 	bool suspended;
 	bool aborted;
 	struct tevent_fd *watch; /* while suspended: has the client gone */
+	bool last; /* its answer ends the connection */
 	const char *extra_name; /* of one header more, or NULL */
 	const char *extra_value;
 	struct MHD_Response *response;
@@ -69,6 +70,7 @@
 				      const char *name);
 void rj_http_exchange_add_header(struct rj_http_exchange *request,
 				 const char *name, const char *value);
+void rj_http_exchange_close(struct rj_http_exchange *request);
 void rj_http_exchange_answer(struct rj_http_exchange *request,
 			     unsigned int status, const char *text,
 			     size_t length);
