cell: read the log to the end that an append has shown

Change: the answer to an append says where the log ends; what the long poll does not bring within 30 ms is read without waiting.

--- a/src/libradishjunction/cell/cell_follow.c
+++ b/src/libradishjunction/cell/cell_follow.c
@@ -28,6 +28,10 @@
 	[RJ_CELL_STORE_BAD] = "bad",
 };
 
+/* A long poll brings what was appended within a round trip; what is known to
+ * be there for longer is read without waiting. */
+#define LAG_US (30 * RJ_US_PER_MS)
+
 /* What one call remembers until its answer. */
 struct call {
 	struct rj_cell_follow *follow;
@@ -285,12 +289,41 @@
 	end_syncs(follow, RJ_NEVER_US, false);
 }
 
+/*
+ * The log is known to end at `end` or later, from the answer to an append.
+ */
+void rj_cell_follow_expect(struct rj_cell_follow *follow, uint64_t end,
+			   uint64_t now_us)
+{
+	if (end <= follow->known_end)
+		return;
+	follow->known_end = end;
+	follow->known_us = now_us;
+}
+
+/*
+ * Read what is known to be there when the long poll does not bring it.
+ *
+ * Load that it answers: a store that wakes no long poll for a second while it
+ * drops its history.
+ */
+static void catch_up(struct rj_cell_follow *follow)
+{
+	if (follow->state != RJ_CELL_FOLLOW_READING || follow->quick_open ||
+	    follow->next >= follow->known_end ||
+	    follow->now_us < follow->known_us + LAG_US)
+		return;
+	follow->known_us = follow->now_us;
+	send_read(follow, true);
+}
+
 /*
  * Send what is due.
  */
 void rj_cell_follow_tick(struct rj_cell_follow *follow, uint64_t now_us)
 {
 	follow->now_us = now_us;
+	catch_up(follow);
 	if (follow->state == RJ_CELL_FOLLOW_IDLE || now_us < follow->due_us)
 		return;
 	if (follow->poll_open)
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -464,6 +464,11 @@
 {
 	node->now_us = now_us;
 	node->wall_ms = wall_ms;
+	if (node->owner.active)
+		rj_cell_follow_expect(&node->jobs,
+				      MAX(node->owner.writer.end,
+					  node->writer.end),
+				      now_us);
 	rj_cell_follow_tick(&node->configs, now_us);
 	rj_cell_follow_tick(&node->jobs, now_us);
 	rj_cell_follow_tick(&node->fleet, now_us);
--- a/src/libradishjunction/cell/cell_writer.c
+++ b/src/libradishjunction/cell/cell_writer.c
@@ -214,6 +214,7 @@
 		writer->answered_us = writer->now_us;
 	switch (reply->status) {
 	case RJ_CELL_STORE_OK:
+		writer->end = MAX(writer->end, reply->end);
 		rj_latency_add(&writer->appends,
 			       writer->now_us - writer->sent_us);
 		end_batch(writer, RJ_CELL_WRITE_STORED);
--- a/src/libradishjunction/include/private/cell_follow.h
+++ b/src/libradishjunction/include/private/cell_follow.h
@@ -54,6 +54,8 @@
 	uint64_t due_us; /* of the next read */
 	uint64_t confirmed_us; /* all that was appended before is known */
 	uint64_t answered_us; /* when the store last answered a read */
+	uint64_t known_end; /* the log is known to reach here */
+	uint64_t known_us; /* since when, or when it was last read for */
 	uint32_t failures; /* reads in a row */
 	struct rj_list syncs;
 	uint64_t now_us;
@@ -68,6 +70,8 @@
 void rj_cell_follow_tick(struct rj_cell_follow *follow, uint64_t now_us);
 void rj_cell_follow_sync(struct rj_cell_follow *follow,
 			 struct rj_cell_sync *sync, uint64_t now_us);
+void rj_cell_follow_expect(struct rj_cell_follow *follow, uint64_t end,
+			   uint64_t now_us);
 uint64_t rj_cell_follow_age_us(const struct rj_cell_follow *follow,
 			       uint64_t now_us);
 
