cell: a silent owner is replaced after 0.9 s

Hypothesis: urgent work handed in while the owner is cut off waits 1.4 to 1.9 s for a successor, more than it has. Change: 0.9 s of silence in place of 1.4, and 30 ms between bidders in place of 70; a bid only succeeds at the log's end, so that bidders do no harm. Test: cell_reach/successor.

--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -28,10 +28,10 @@
  * read, is taken to be gone. It writes every 0.4 s; an append takes up to a
  * quarter of a second when the log is slow.
  */
-#define OWNER_SILENT_US (1400 * RJ_US_PER_MS)
+#define OWNER_SILENT_US (900 * RJ_US_PER_MS)
 /* Those who would take over do so one after the other. */
 #define STAGGER_STEPS 8
-#define STAGGER_STEP_US (70 * RJ_US_PER_MS)
+#define STAGGER_STEP_US (30 * RJ_US_PER_MS)
 /*
  * An owner's work grows with its workers, so the cell goes to a strong
  * instance: one with half as much again takes it from a weaker one, once it
