tests: what happens when somebody cannot be reached

Workers of the fake site belong to three failure domains. Polls of silent workers share an allowance, like those of idle ones.

--- a/src/libradishjunction/cell/cell_looks.c
+++ b/src/libradishjunction/cell/cell_looks.c
@@ -20,6 +20,7 @@
 #define LOOK_RETRY_MAX_US (1000 * RJ_US_PER_MS)
 /* Retries of all silent workers that hold runs, together. */
 #define LOOK_RETRIES_PER_S 200
+#define LOOK_RETRIES_AT_ONCE 200
 /* Ends that cannot be stored make looks return at once; until they are,
  * leases are renewed at this pace. */
 #define LOOK_UNSTORED_US (700 * RJ_US_PER_MS)
@@ -468,8 +469,30 @@
  */
 void rj_cell_looks_begin(struct rj_cell_owner *owner)
 {
-	owner->idle_looks = IDLE_LOOKS_AT_ONCE;
-	owner->idle_looks_us = owner->now_us;
+	owner->idle_looks.calls = IDLE_LOOKS_AT_ONCE;
+	owner->idle_looks.updated_us = owner->now_us;
+	owner->retried_looks.calls = LOOK_RETRIES_AT_ONCE;
+	owner->retried_looks.updated_us = owner->now_us;
+}
+
+/* Add what has come free of an allowance since. */
+static void refill(struct rj_cell_allowance *allowance, uint64_t now_us,
+		   uint32_t per_s, double most)
+{
+	uint64_t passed_us = now_us - allowance->updated_us;
+
+	allowance->updated_us = now_us;
+	allowance->calls += (double)passed_us * per_s / RJ_US_PER_S;
+	allowance->calls = MIN(allowance->calls, most);
+}
+
+/* Take one call out of an allowance, if there is one. */
+static bool take_one(struct rj_cell_allowance *allowance)
+{
+	if (allowance->calls < 1)
+		return false;
+	allowance->calls--;
+	return true;
 }
 
 /*
@@ -511,6 +534,8 @@
 {
 	if (worker->look_open || owner->now_us < worker->look_due_us)
 		return;
+	if (worker->look_failures && !take_one(&owner->retried_looks))
+		return;
 	if (worker->said.address.port &&
 	    (worker->listed || worker->runs.next != &worker->runs))
 		send_look(owner, worker);
@@ -523,7 +548,7 @@
 {
 	struct rj_list *list = &owner->fleet.watched[watch];
 
-	while (owner->idle_looks >= 1 && list->next != list) {
+	while (owner->idle_looks.calls >= 1 && list->next != list) {
 		struct rj_cell_worker *worker = RJ_CONTAINER(
 			list->next, struct rj_cell_worker, in_watch);
 
@@ -534,7 +559,7 @@
 		}
 		if (owner->now_us < worker->look_due_us)
 			break;
-		owner->idle_looks--;
+		(void)take_one(&owner->idle_looks);
 		rj_cell_worker_watch(worker, RJ_CELL_WATCH_CALLED);
 		send_look(owner, worker);
 	}
@@ -549,14 +574,13 @@
  */
 void rj_cell_looks_tick(struct rj_cell_owner *owner)
 {
-	uint64_t passed_us = owner->now_us - owner->idle_looks_us;
 	uint32_t per_s = owner->fleet.count > KNOWN_CLOSELY_MAX ?
 				 IDLE_LOOKS_FAR_PER_S :
 				 IDLE_LOOKS_PER_S;
 
-	owner->idle_looks_us = owner->now_us;
-	owner->idle_looks += (double)passed_us * per_s / RJ_US_PER_S;
-	owner->idle_looks = MIN(owner->idle_looks, IDLE_LOOKS_AT_ONCE);
+	refill(&owner->idle_looks, owner->now_us, per_s, IDLE_LOOKS_AT_ONCE);
+	refill(&owner->retried_looks, owner->now_us, LOOK_RETRIES_PER_S,
+	       LOOK_RETRIES_AT_ONCE);
 	look_at_idle(owner, RJ_CELL_WATCH_IDLE);
 	look_at_idle(owner, RJ_CELL_WATCH_SILENT);
 }
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -48,6 +48,12 @@
 	uint64_t plans;
 };
 
+/* Calls that may be sent now, and when that was last brought up to date. */
+struct rj_cell_allowance {
+	double calls;
+	uint64_t updated_us;
+};
+
 struct rj_cell_owner {
 	void *mem;
 	char name[RJ_NAME_BYTES];
@@ -74,8 +80,8 @@
 	uint64_t plan_due_us;
 	uint32_t writes_open; /* records on their way into the log */
 	uint64_t rounds_due_us; /* when jobs with times are looked through */
-	double idle_looks; /* that may be sent now */
-	uint64_t idle_looks_us; /* when that was last brought up to date */
+	struct rj_cell_allowance idle_looks; /* at workers that hold nothing */
+	struct rj_cell_allowance retried_looks; /* at silent ones that do */
 	uint64_t drop_due_us; /* when ended jobs are looked through */
 	uint64_t beat_due_us;
 	uint32_t beat_number;
--- a/src/test_libradishjunction/support/cell_fake_log.c
+++ b/src/test_libradishjunction/support/cell_fake_log.c
@@ -168,7 +168,9 @@
 		answer(call, RJ_CELL_STORE_GONE);
 		return;
 	}
-	if (call->from >= log->len && world->now_us < call->until_us) {
+	if ((call->from >= log->len ||
+	     world->now_us < world->log.deaf_until_us) &&
+	    world->now_us < call->until_us) {
 		cell_world_at(world, 2 * MS, try_read, call);
 		return;
 	}
--- a/src/test_libradishjunction/support/cell_fake_workers.c
+++ b/src/test_libradishjunction/support/cell_fake_workers.c
@@ -11,6 +11,8 @@
 #define STEP_US (20 * MS)
 #define GANG_WAIT_US (3 * S)
 #define SAVE_EVERY_US (2 * S)
+/* Racks belong to these failure domains in turn. */
+#define DOMAINS 3
 
 /*
  * A run of a worker, as the checker needs it.
@@ -395,6 +397,8 @@
 		g_strlcpy(worker->said.kind, "a", RJ_NAME_BYTES);
 		(void)g_snprintf(worker->said.rack, RJ_NAME_BYTES, "r%u",
 				 i / world->plan.rack_workers);
+		(void)g_snprintf(worker->said.domain, RJ_NAME_BYTES, "d%u",
+				 i / world->plan.rack_workers % DOMAINS);
 		worker->said.address.port = (uint16_t)(1000 + i);
 		worker->said.capacity = world->plan.capacity;
 		worker->speed = speeds[i % G_N_ELEMENTS(speeds)];
--- a/src/test_libradishjunction/support/cell_world.h
+++ b/src/test_libradishjunction/support/cell_world.h
@@ -69,6 +69,7 @@
 	uint64_t late_us; /* lost appends are done so much later; 0: at once */
 	enum cell_log_mode modes[CELL_WORLD_NODES_MAX];
 	uint64_t first_kept[RJ_CELL_TOPIC_COUNT]; /* older records are gone */
+	uint64_t deaf_until_us; /* until then no append wakes a long poll */
 	uint64_t appends;
 	uint64_t reads;
 	uint64_t read_bytes;
--- /dev/null
+++ b/src/test_libradishjunction/test_cell_reach.c
@@ -0,0 +1,201 @@
+/*
+ * What happens when somebody cannot be reached: workers, failure domains, the
+ * log, the owner.
+ */
+#include <string.h>
+#include <talloc.h>
+
+#include "support/cell_fixture.h"
+
+/* Twelve workers of eight accelerators in three racks, one for each failure
+ * domain; three nodes. */
+static const struct cell_world_plan site = {
+	.seed = 3,
+	.nodes = 3,
+	.workers = 12,
+	.rack_workers = 4,
+	.capacity = { 64000, 64000, 8 },
+	.guaranteed = 32,
+};
+
+/* A failure domain is cut off from all nodes, or is back. */
+static void cut_domain(struct cell_world *world, const char *domain, bool cut)
+{
+	for (uint32_t i = 0; i < world->plan.workers; i++)
+		if (!strcmp(world->workers[i].said.domain, domain))
+			cell_world_worker_cut(world, i, cut);
+}
+
+/* Runs on the workers of a failure domain. */
+static guint runs_in(const struct cell_world *world, const char *domain)
+{
+	guint runs = 0;
+
+	for (uint32_t i = 0; i < world->plan.workers; i++)
+		if (!strcmp(world->workers[i].said.domain, domain))
+			runs += world->workers[i].runs->len;
+	return runs;
+}
+
+/* A node that does not own the cell. */
+static uint32_t other_node(const struct cell_world *world)
+{
+	return (uint32_t)(cell_world_owner(world) + 1) % world->plan.nodes;
+}
+
+/* Hand in an urgent job of one step. */
+static struct cell_client_job *hand_in(struct cell_world *world, uint32_t node,
+				       const struct rj_cell_step *step)
+{
+	struct cell_client_job *job =
+		cell_world_job(world, "urgent", "a", step, 1, 2 * S);
+
+	cell_world_submit(world, node, job);
+	return job;
+}
+
+/* Tasks that are started in a failure domain just after it was cut off wait
+ * there until their leases expire. */
+static void test_starts_avoid_a_cut_domain(struct cell_fixture *f,
+					   const void *data)
+{
+	static const char *const domains[] = { "d0", "d1", "d2" };
+	struct rj_cell_step step = cell_world_step(4, 4, 2000);
+
+	step.gang = true;
+	for (guint i = 0; i < G_N_ELEMENTS(domains); i++) {
+		struct cell_client_job *job;
+
+		cut_domain(&f->world, domains[i], true);
+		cell_world_run(&f->world, 30 * MS);
+		job = hand_in(&f->world, 0, &step);
+		cell_world_run(&f->world, 600 * MS);
+		g_assert_cmpuint(job->begun_us, !=, 0);
+		g_assert_cmpuint(runs_in(&f->world, domains[i]), ==, 0);
+		cut_domain(&f->world, domains[i], false);
+		cell_world_run(&f->world, 4 * S);
+	}
+}
+
+/* What ended behind a cut is learnt too late: the worker leaves a second after
+ * the cut has healed, and its tasks run again. */
+static void test_completions_are_polled_after_a_cut(struct cell_fixture *f,
+						    const void *data)
+{
+	struct rj_cell_step step = cell_world_step(1, 1, 2000);
+	struct cell_client_job *job = hand_in(&f->world, 0, &step);
+	uint32_t worker = 0;
+
+	cell_world_run(&f->world, S);
+	while (!f->world.workers[worker].runs->len)
+		worker++;
+	cell_world_worker_cut(&f->world, worker, true);
+	cell_world_run(&f->world, 4600 * MS);
+	cell_world_worker_cut(&f->world, worker, false);
+	cell_world_run(&f->world, 500 * MS);
+	cell_world_worker_leave(&f->world, worker);
+	cell_world_run(&f->world, 2 * S);
+	cell_world_ask(&f->world, 1, job);
+	cell_world_run(&f->world, 100 * MS);
+	g_assert_cmpuint(job->starts, ==, 1);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
+}
+
+/* Urgent work concentrates in the first racks, and the loss of their failure
+ * domain takes all of it. */
+static void test_urgent_work_spreads_over_domains(struct cell_fixture *f,
+						  const void *data)
+{
+	struct rj_cell_step step = cell_world_step(2, 4, 2000);
+
+	step.gang = true;
+	for (uint32_t i = 0; i < 6; i++) {
+		hand_in(&f->world, i % site.nodes, &step);
+		cell_world_run(&f->world, 50 * MS);
+	}
+	cell_world_run(&f->world, 300 * MS);
+	g_assert_cmpuint(runs_in(&f->world, "d0"), ==, 4);
+	g_assert_cmpuint(runs_in(&f->world, "d1"), ==, 4);
+	g_assert_cmpuint(runs_in(&f->world, "d2"), ==, 4);
+}
+
+/* Clients of an instance that is cut off from the log are held until they
+ * give up, and no health check sends them elsewhere. */
+static void test_an_instance_without_the_log(struct cell_fixture *f,
+					     const void *data)
+{
+	struct rj_cell_step step = cell_world_step(1, 1, 2000);
+	uint32_t node = other_node(&f->world);
+	const struct rj_cell_node *cut = &f->world.nodes[node].node;
+	struct cell_client_job *job;
+
+	g_assert_true(rj_cell_node_ready(cut, f->world.now_us));
+	f->world.log.modes[node] = CELL_LOG_SILENT;
+	cell_world_run(&f->world, 1100 * MS);
+	g_assert_false(rj_cell_node_ready(cut, f->world.now_us));
+	job = hand_in(&f->world, node, &step);
+	cell_world_run(&f->world, 10 * MS);
+	g_assert_cmpuint(job->refusals, ==, 1);
+	f->world.log.modes[node] = CELL_LOG_OK;
+	cell_world_run(&f->world, 2 * S);
+	g_assert_true(rj_cell_node_ready(cut, f->world.now_us));
+	cell_world_submit(&f->world, node, job);
+	cell_world_run(&f->world, 50 * MS);
+	g_assert_true(job->accepted);
+}
+
+/* An instance that the log turns away shows itself ready for seconds. */
+static void test_an_instance_that_the_log_refuses(struct cell_fixture *f,
+						  const void *data)
+{
+	uint32_t node = other_node(&f->world);
+
+	f->world.log.modes[node] = CELL_LOG_REFUSES;
+	cell_world_run(&f->world, 1300 * MS);
+	g_assert_false(rj_cell_node_ready(&f->world.nodes[node].node,
+					  f->world.now_us));
+}
+
+/* The owner learns of no job while the log wakes no long poll. */
+static void test_a_log_that_wakes_nobody(struct cell_fixture *f,
+					 const void *data)
+{
+	struct rj_cell_step step = cell_world_step(1, 1, 2000);
+	struct cell_client_job *job;
+
+	cell_world_run(&f->world, S);
+	f->world.log.deaf_until_us = f->world.now_us + 2 * S;
+	cell_world_run(&f->world, 200 * MS);
+	job = hand_in(&f->world, other_node(&f->world), &step);
+	cell_world_run(&f->world, 600 * MS);
+	g_assert_cmpuint(job->begun_us, !=, 0);
+}
+
+/* Urgent work waits longer than it can for the successor of a killed owner. */
+static void test_a_killed_owner_is_replaced_in_time(struct cell_fixture *f,
+						    const void *data)
+{
+	struct rj_cell_step step = cell_world_step(1, 1, 2000);
+	uint32_t node = other_node(&f->world);
+	struct cell_client_job *job;
+
+	cell_world_kill(&f->world, (uint32_t)cell_world_owner(&f->world));
+	job = hand_in(&f->world, node, &step);
+	cell_world_run(&f->world, 1350 * MS);
+	g_assert_cmpuint(job->begun_us, !=, 0);
+}
+
+#define ADD(name, function) CELL_TEST("/cell_reach/" name, &site, function)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD("cut_domain", test_starts_avoid_a_cut_domain);
+	ADD("completions", test_completions_are_polled_after_a_cut);
+	ADD("spread", test_urgent_work_spreads_over_domains);
+	ADD("log_silent", test_an_instance_without_the_log);
+	ADD("log_refuses", test_an_instance_that_the_log_refuses);
+	ADD("log_deaf", test_a_log_that_wakes_nobody);
+	ADD("successor", test_a_killed_owner_is_replaced_in_time);
+	return g_test_run();
+}
