cell: a proof of a worker lasts while appends are slow

Plans are made between appends of 0.3 s and more, and by the next plan each probe's answer was older than 100 ms. Change: a proof lasts two appends, a second at most.

--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -420,7 +420,7 @@
 		struct rj_cell_worker *worker =
 			g_array_index(starts, struct rj_cell_choice, i).worker;
 
-		if (rj_cell_reach_proven(worker, owner->now_us))
+		if (rj_cell_reach_proven(owner, worker))
 			continue;
 		rj_cell_reach_probe(owner, worker);
 		proven = false;
--- a/src/libradishjunction/cell/cell_reach.c
+++ b/src/libradishjunction/cell/cell_reach.c
@@ -4,17 +4,26 @@
 
 #include "private/cell_calls.h"
 
-/* An answer proves the path to its worker for so long. */
+/*
+ * An answer proves the path to its worker for so long, and while the log is
+ * slow for as long as some appends take, since plans are made between these.
+ */
 #define PROOF_US (100 * RJ_US_PER_MS)
+#define PROOF_APPENDS 2
+#define PROOF_MAX_US (1000 * RJ_US_PER_MS)
 /* Many times a round trip between failure domains. */
 #define PROBE_TIMEOUT_MS 150
 
 /*
  * Whether a start may be sent to the worker: it has answered a moment ago.
  */
-bool rj_cell_reach_proven(const struct rj_cell_worker *worker, uint64_t now_us)
+bool rj_cell_reach_proven(const struct rj_cell_owner *owner,
+			  const struct rj_cell_worker *worker)
 {
-	return now_us <= worker->answered_us + PROOF_US;
+	uint64_t proof_us = CLAMP(owner->writer.took_us * PROOF_APPENDS,
+				  PROOF_US, PROOF_MAX_US);
+
+	return owner->now_us <= worker->answered_us + proof_us;
 }
 
 /* The answer to a probe. Its lists are left to the polls, which are in order. */
--- a/src/libradishjunction/cell/cell_writer.c
+++ b/src/libradishjunction/cell/cell_writer.c
@@ -215,8 +215,8 @@
 	switch (reply->status) {
 	case RJ_CELL_STORE_OK:
 		writer->end = MAX(writer->end, reply->end);
-		rj_latency_add(&writer->appends,
-			       writer->now_us - writer->sent_us);
+		writer->took_us = writer->now_us - writer->sent_us;
+		rj_latency_add(&writer->appends, writer->took_us);
 		end_batch(writer, RJ_CELL_WRITE_STORED);
 		break;
 	case RJ_CELL_STORE_FENCED:
--- a/src/libradishjunction/include/private/cell_reach.h
+++ b/src/libradishjunction/include/private/cell_reach.h
@@ -12,7 +12,8 @@
 
 #include "private/cell_owner.h"
 
-bool rj_cell_reach_proven(const struct rj_cell_worker *worker, uint64_t now_us);
+bool rj_cell_reach_proven(const struct rj_cell_owner *owner,
+			  const struct rj_cell_worker *worker);
 void rj_cell_reach_probe(struct rj_cell_owner *owner,
 			 struct rj_cell_worker *worker);
 
--- a/src/libradishjunction/include/private/cell_writer.h
+++ b/src/libradishjunction/include/private/cell_writer.h
@@ -47,6 +47,7 @@
 	uint32_t tries; /* of the batch */
 	uint64_t retry_us; /* when to send the batch again */
 	uint64_t end; /* of the log, after the last append that went in */
+	uint64_t took_us; /* the last append that went in */
 	uint64_t answered_us; /* when the store last took or judged an append */
 	uint64_t stored_us; /* when the last append that succeeded was sent */
 	uint64_t sent_us;
