--- a/src/test_libradishjunction/test_cell_reach.c
+++ b/src/test_libradishjunction/test_cell_reach.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "private/cell_reach.h"
 #include "support/cell_fixture.h"
 
 /* Twelve workers of eight accelerators in three racks, one for each failure
@@ -185,6 +186,25 @@
 	g_assert_cmpuint(job->begun_us, !=, 0);
 }
 
+/* While the log is slow nothing starts: each answer of a worker is too old
+ * again by the time that a plan may be made. */
+static void test_proofs_outlast_slow_appends(struct cell_fixture *f,
+					     const void *data)
+{
+	struct rj_cell_owner *owner =
+		&f->world.nodes[cell_world_owner(&f->world)].node.owner;
+	struct rj_cell_worker *worker = RJ_CONTAINER(
+		owner->fleet.workers.next, struct rj_cell_worker, link);
+
+	worker->answered_us = owner->now_us - 400 * MS;
+	owner->writer.took_us = 6 * MS;
+	g_assert_false(rj_cell_reach_proven(owner, worker));
+	owner->writer.took_us = 300 * MS;
+	g_assert_true(rj_cell_reach_proven(owner, worker));
+	worker->answered_us = owner->now_us - 700 * MS;
+	g_assert_false(rj_cell_reach_proven(owner, worker));
+}
+
 #define ADD(name, function) CELL_TEST("/cell_reach/" name, &site, function)
 
 int main(int argc, char **argv)
@@ -196,6 +216,7 @@
 	ADD("log_silent", test_an_instance_without_the_log);
 	ADD("log_refuses", test_an_instance_that_the_log_refuses);
 	ADD("log_deaf", test_a_log_that_wakes_nobody);
+	ADD("log_slow", test_proofs_outlast_slow_appends);
 	ADD("successor", test_a_killed_owner_is_replaced_in_time);
 	return g_test_run();
 }
