cell: a completion that comes after its lease counts

Change: a listed end "done" of a run that was given up completes its task; what runs of it since is stopped. Test: cell_reach/late_completion, fails without.

--- a/src/libradishjunction/cell/cell_ends.c
+++ b/src/libradishjunction/cell/cell_ends.c
@@ -306,18 +306,40 @@
 		end_round(owner, round);
 }
 
+/* Whether a task is done by a run that was given up before: it ended well
+ * while its worker was out of reach, and the task has run anew since. */
+static bool was_done_before(const struct rj_cell_task *task,
+			    const struct rj_cell_end_row *row)
+{
+	return task && row->end == RJ_CELL_END_DONE && !task->done &&
+	       row->number <= task->run &&
+	       !rj_cell_task_step(task)->perpetual &&
+	       task->round->work->state < RJ_CELL_JOB_COMPLETED;
+}
+
 /*
- * An end of a run that is not noted at the worker: it was given up when the
- * worker's lease had lapsed, or never known. Whatever it says, it does not
- * count: by then the task may run elsewhere, and an end from before a lapse
- * is not taken to be noted by the worker's listing it again.
+ * An end of a run that is not known at the worker: it was given up when the
+ * worker's lease had lapsed, or was never known. A task that ended well is
+ * done, and what runs of it since is stopped; no other end counts any more.
  */
 void rj_cell_ends_orphan(struct rj_cell_owner *owner,
 			 struct rj_cell_worker *worker,
 			 const struct rj_cell_end_row *row)
 {
+	struct rj_cell_task *task = rj_cell_owner_task(owner, row->name, NULL);
+	struct rj_cell_round *round;
+
 	rj_note("orphan_end", RJ_NOTE_TEXT("task", row->name),
 		RJ_NOTE_NUMBER("run", row->number),
 		RJ_NOTE_TEXT("worker", worker->id),
 		RJ_NOTE_TEXT("end", rj_cell_end_string[row->end]));
+	if (!was_done_before(task, row))
+		return;
+	round = task->round;
+	note_done(owner, task);
+	if (rj_cell_task_step(task)->gang)
+		break_gang(owner, task);
+	rj_cell_owner_dirty(owner, round->work);
+	if (!round->steps_left)
+		end_round(owner, round);
 }
--- a/src/test_libradishjunction/test_cell_reach.c
+++ b/src/test_libradishjunction/test_cell_reach.c
@@ -110,6 +110,31 @@
 		end_behind_cut(&f->world, (3400 + 300 * i) * MS);
 }
 
+/* A task that ended behind a cut is run anew to its end, though its first
+ * worker lists it as done once the cut has healed. */
+static void test_a_completion_that_comes_late(struct cell_fixture *f,
+					      const void *data)
+{
+	struct rj_cell_step step = cell_world_step(1, 1, 2000);
+	struct cell_client_job *job = hand_in(&f->world, 0, &step);
+	uint32_t worker = 0;
+
+	cell_world_run(&f->world, S);
+	while (!f->world.workers[worker].runs->len)
+		worker++;
+	job->work_us = 30 * S; /* of the second run */
+	cell_world_worker_cut(&f->world, worker, true);
+	cell_world_run(&f->world, 8 * S);
+	g_assert_cmpuint(job->starts, ==, 2);
+	cell_world_worker_cut(&f->world, worker, false);
+	cell_world_run(&f->world, 2 * S);
+	cell_world_ask(&f->world, 1, job);
+	cell_world_run(&f->world, 100 * MS);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
+	for (uint32_t i = 0; i < site.workers; i++)
+		g_assert_cmpuint(f->world.workers[i].runs->len, ==, 0);
+}
+
 /* Urgent work concentrates in the first racks, and the loss of their failure
  * domain takes all of it. */
 static void test_urgent_work_spreads_over_domains(struct cell_fixture *f,
@@ -249,6 +274,7 @@
 	g_test_init(&argc, &argv, NULL);
 	ADD("cut_domain", test_starts_avoid_a_cut_domain);
 	ADD("completions", test_completions_are_polled_after_a_cut);
+	ADD("late_completion", test_a_completion_that_comes_late);
 	ADD("spread", test_urgent_work_spreads_over_domains);
 	ADD("log_silent", test_an_instance_without_the_log);
 	ADD("log_refuses", test_an_instance_that_the_log_refuses);
