cell: poll a worker on whose lease has lapsed

Change: such a worker is polled like one that holds runs for 15 s, or until it answers. Test: cell_reach/late_completion, whose worker now leaves half a second after the cut; fails without.

--- a/src/libradishjunction/cell/cell_looks.c
+++ b/src/libradishjunction/cell/cell_looks.c
@@ -22,6 +22,8 @@
 /* Retries of all silent workers that hold runs, together. */
 #define LOOK_RETRIES_PER_S 200
 #define LOOK_RETRIES_AT_ONCE 200
+/* A worker whose lease has lapsed is still polled for so long. */
+#define GIVEN_UP_POLL_US (15 * RJ_US_PER_S)
 /* Ends that cannot be stored make looks return at once; until they are,
  * leases are renewed at this pace. */
 #define LOOK_UNSTORED_US (700 * RJ_US_PER_MS)
@@ -206,10 +208,30 @@
 	owner->plan_wanted = true;
 }
 
+/*
+ * Whether a worker may list completions of runs that were given up: it is
+ * polled like one that holds runs, as it may leave soon after it is back.
+ */
+static bool may_list_more(const struct rj_cell_owner *owner,
+			  const struct rj_cell_worker *worker)
+{
+	return worker->given_up_us &&
+	       owner->now_us < worker->given_up_us + GIVEN_UP_POLL_US;
+}
+
+/* Whether a worker is polled as long as it is silent. */
+static bool is_wanted(const struct rj_cell_owner *owner,
+		      const struct rj_cell_worker *worker)
+{
+	return worker->runs.next != &worker->runs ||
+	       may_list_more(owner, worker);
+}
+
 /* Whether nothing runs on a worker, and all its ends are settled. */
-static bool is_idle(const struct rj_cell_worker *worker)
+static bool is_idle(const struct rj_cell_owner *owner,
+		    const struct rj_cell_worker *worker)
 {
-	return worker->runs.next == &worker->runs &&
+	return !is_wanted(owner, worker) &&
 	       worker->seen_told >= worker->seen_taken;
 }
 
@@ -222,6 +244,7 @@
 	rj_cell_call_clock(worker, reply);
 	worker->look_failures = 0;
 	worker->left_us = 0;
+	worker->given_up_us = 0;
 	rj_cell_call_answers(owner, worker, true, reply->status);
 	if (worker->incarnation != reply->incarnation)
 		meet(owner, worker, reply);
@@ -254,7 +277,7 @@
 		rj_cell_call_other_life(owner, worker);
 	else
 		rj_cell_call_answers(owner, worker, false, status);
-	if (worker->runs.next == &worker->runs)
+	if (!is_wanted(owner, worker))
 		delay_us <<= MIN(worker->look_failures, 3U);
 	worker->look_failures++;
 	worker->look_due_us = owner->now_us + MIN(delay_us, LOOK_RETRY_MAX_US);
@@ -279,7 +302,7 @@
 		take_look(owner, worker, call, reply);
 	else
 		note_failure(owner, worker, call->sent_us, reply->status);
-	if (!is_idle(worker))
+	if (!is_idle(owner, worker))
 		rj_cell_worker_watch(worker, RJ_CELL_WATCH_BUSY);
 	else if (worker->answers)
 		rj_cell_worker_watch(worker, RJ_CELL_WATCH_IDLE);
@@ -401,9 +424,9 @@
 	if (worker->look_failures && !take_one(&owner->retried_looks))
 		return;
 	if (worker->said.address.port &&
-	    (worker->listed || worker->runs.next != &worker->runs))
+	    (worker->listed || is_wanted(owner, worker)))
 		send_look(owner, worker);
-	else if (worker->runs.next == &worker->runs)
+	else if (!is_wanted(owner, worker))
 		rj_cell_worker_watch(worker, RJ_CELL_WATCH_IDLE); /* to go */
 }
 
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -248,6 +248,7 @@
 	rj_note("worker_lapsed", RJ_NOTE_TEXT("worker", worker->id),
 		RJ_NOTE_AGE_MS("answered_ms",
 			       owner->now_us - worker->answered_us));
+	worker->given_up_us = owner->now_us;
 	rj_cell_call_lose_runs(owner, worker, "lease_lapsed");
 }
 
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -77,6 +77,7 @@
 	 * ends then, unless it is renewed. */
 	uint64_t lease_ms;
 	uint64_t lapsed_us; /* nothing runs there after this, if silent */
+	uint64_t given_up_us; /* when its runs were, as that passed; or 0 */
 	bool look_open; /* a call for its lists is on its way */
 	uint64_t look_due_us;
 	uint32_t look_failures;
--- a/src/test_libradishjunction/test_cell_reach.c
+++ b/src/test_libradishjunction/test_cell_reach.c
@@ -111,7 +111,7 @@
 }
 
 /* A task that ended behind a cut is run anew to its end, though its first
- * worker lists it as done once the cut has healed. */
+ * worker lists it as done once the cut has healed, and then leaves. */
 static void test_a_completion_that_comes_late(struct cell_fixture *f,
 					      const void *data)
 {
@@ -127,7 +127,9 @@
 	cell_world_run(&f->world, 8 * S);
 	g_assert_cmpuint(job->starts, ==, 2);
 	cell_world_worker_cut(&f->world, worker, false);
-	cell_world_run(&f->world, 2 * S);
+	cell_world_run(&f->world, 500 * MS);
+	cell_world_worker_leave(&f->world, worker);
+	cell_world_run(&f->world, 1500 * MS);
 	cell_world_ask(&f->world, 1, job);
 	cell_world_run(&f->world, 100 * MS);
 	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
