cell: urgent work waits for no run that should end in time

Found by ablation: urgent work that found no room waited, up to its latest start, for runs that were forecast to end; forecasts are off by half and more, and it then stopped others all the same, too late. Removed, with its constants.

--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -30,11 +30,6 @@
  * for a while, where that throws away at most this part of its own. */
 #define CHEAP_WAIT_US RJ_US_PER_S
 #define CHEAP_LOSS_PART 8
-/* A stop and the start after it take so long; guaranteed work that has
- * waited until so shortly before its bound gets room by stopping others. */
-#define RECLAIM_MARGIN_MS 900
-/* Room for urgent work is made before it is late by this much. */
-#define START_MARGIN_US (300 * RJ_US_PER_MS)
 
 /* Work goes in this order, whatever its priority. */
 enum tier {
@@ -411,27 +406,6 @@
 	return placed;
 }
 
-/* How long urgent work can still wait for room: until it would end late, or
- * until just before it has to have begun. */
-static uint64_t patience_us(const struct rj_cell_plan *plan,
-			    const struct rj_cell_unit *unit)
-{
-	const struct rj_cell_work *work = unit->work;
-	uint64_t run_us = rj_cell_forecast_task_ms(plan->forecast, work->def,
-						   unit->step) *
-				  RJ_US_PER_MS +
-			  START_MARGIN_US;
-	uint64_t latest_us =
-		work->objective_us > run_us ? work->objective_us - run_us : 0;
-
-	if (unit->guaranteed && plan->reclaim_ms > RECLAIM_MARGIN_MS)
-		latest_us = MIN(latest_us,
-				work->accepted_us +
-					(plan->reclaim_ms - RECLAIM_MARGIN_MS) *
-						RJ_US_PER_MS);
-	return latest_us > plan->now_us ? latest_us - plan->now_us : 0;
-}
-
 /* Work that urgent tasks may throw away. */
 static uint64_t loss_allowed(const struct rj_cell_plan *plan,
 			     const struct rj_cell_unit *unit, uint32_t count)
@@ -445,7 +419,7 @@
 
 /*
  * Find room for urgent tasks that do not fit now: what is stopping already,
- * what ends by itself in time, what has to be stopped; else what ends first.
+ * what has to be stopped; else what ends first.
  */
 static void find_urgent(struct rj_cell_plan *plan,
 			const struct rj_cell_unit *unit,
@@ -455,12 +429,10 @@
 	const struct rj_cell_way later = { RJ_CELL_LATER, NULL, false };
 	const struct rj_cell_way stop = { RJ_CELL_SOON, NULL, true };
 	const struct limits none = { 0, UINT64_MAX };
-	const struct limits in_time = { 0, patience_us(plan, unit) };
 	const struct limits losing = { loss_allowed(plan, unit, count),
 				       UINT64_MAX };
 
 	if (attempt(plan, unit, tasks, count, &soon, &none) ||
-	    attempt(plan, unit, tasks, count, &later, &in_time) ||
 	    attempt(plan, unit, tasks, count, &stop, &losing))
 		return;
 	attempt(plan, unit, tasks, count, &later, &none);
