--- a/src/libradishjunction/cell/cell_place.c
+++ b/src/libradishjunction/cell/cell_place.c
@@ -52,11 +52,14 @@
 bool rj_cell_place_may_run(const struct rj_cell_plan *plan,
 			   const struct rj_cell_room *room,
 			   const struct rj_cell_unit *unit,
-			   const struct rj_cell_task *task)
+			   const struct rj_cell_task *task,
+			   const struct rj_cell_way *way)
 {
 	const struct rj_cell_step *step = rj_cell_task_step(task);
 	const struct rj_cell_worker *worker = room->worker;
 
+	if (way->domain && worker->domain != way->domain)
+		return false;
 	if ((room->kept && !unit->into_kept) ||
 	    (room->closed && !unit->into_closed))
 		return false;
@@ -143,7 +146,7 @@
 		uint64_t bad;
 
 		if (!rj_cell_demand_fits(&want, have) ||
-		    !rj_cell_place_may_run(plan, room, unit, task))
+		    !rj_cell_place_may_run(plan, room, unit, task, way))
 			continue;
 		bad = badness(room, unit, task, have);
 		if (best && bad >= best_badness)
@@ -234,7 +237,7 @@
 	for (; room < end; room++) {
 		uint64_t ready_us;
 
-		if (!rj_cell_place_may_run(plan, room, unit, task))
+		if (!rj_cell_place_may_run(plan, room, unit, task, way))
 			continue;
 		ready_us = ready_in_us(plan, room, &want);
 		if (ready_us >= best_us)
--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -316,6 +316,9 @@
 	struct rj_cell_choice choice = { task, worker };
 
 	g_array_append_val(plan->starts, choice);
+	if (worker->domain && !task->round->work->def->priority)
+		worker->domain->urgent +=
+			rj_cell_task_step(task)->each.accelerators;
 }
 
 /* Whether one trial is better than another: it loses less, or is ready
@@ -343,6 +346,8 @@
 
 		here.rack = &g_array_index(plan->racks,
 					   struct rj_cell_rack_rooms, i);
+		if (way->domain && here.rack->domain != way->domain)
+			continue;
 		rj_cell_trial_init(&trial, plan);
 		if (rj_cell_place_group(plan, &trial, unit, tasks, count,
 					&here) &&
@@ -384,17 +389,47 @@
 	uint64_t ready_us;
 };
 
+/* The failure domain with the least urgent work of those where a group finds
+ * its place, or NULL. */
+static const struct rj_cell_domain *best_domain(struct rj_cell_plan *plan,
+						const struct rj_cell_unit *unit,
+						struct rj_cell_task **tasks,
+						uint32_t count,
+						const struct rj_cell_way *way)
+{
+	const GPtrArray *domains = plan->fleet->domains;
+	const struct rj_cell_domain *best = NULL;
+
+	for (guint i = 0; i < domains->len; i++) {
+		const struct rj_cell_domain *domain = domains->pdata[i];
+		struct rj_cell_way here = *way;
+		struct rj_cell_trial trial;
+
+		if (best && domain->urgent >= best->urgent)
+			continue;
+		here.domain = domain;
+		rj_cell_trial_init(&trial, plan);
+		if (try_group(plan, unit, tasks, count, &here, &trial))
+			best = domain;
+		rj_cell_trial_finish(&trial);
+	}
+	return best;
+}
+
 /* Try one way; when it works out within the limits, the room is taken, and
  * with RJ_CELL_NOW the tasks start. */
 static bool attempt(struct rj_cell_plan *plan, const struct rj_cell_unit *unit,
 		    struct rj_cell_task **tasks, uint32_t count,
 		    const struct rj_cell_way *way, const struct limits *limits)
 {
+	struct rj_cell_way chosen = *way;
 	struct rj_cell_trial trial;
 	bool placed;
 
+	if (!unit->work->def->priority && way->when == RJ_CELL_NOW)
+		chosen.domain = best_domain(plan, unit, tasks, count, way);
 	rj_cell_trial_init(&trial, plan);
-	placed = try_group(plan, unit, tasks, count, way, &trial) &&
+	placed = try_group(plan, unit, tasks, count, &chosen, &trial) &&
 		 trial.loss_milli <= limits->loss_milli &&
 		 trial.ready_us <= limits->ready_us;
 	for (uint32_t i = 0; placed && way->when == RJ_CELL_NOW && i < count;
@@ -425,9 +460,10 @@
 			const struct rj_cell_unit *unit,
 			struct rj_cell_task **tasks, uint32_t count)
 {
-	const struct rj_cell_way soon = { RJ_CELL_SOON, NULL, false };
-	const struct rj_cell_way later = { RJ_CELL_LATER, NULL, false };
-	const struct rj_cell_way stop = { RJ_CELL_SOON, NULL, true };
+	const struct rj_cell_way soon = { .when = RJ_CELL_SOON };
+	const struct rj_cell_way later = { .when = RJ_CELL_LATER };
+	const struct rj_cell_way stop = { .when = RJ_CELL_SOON,
+					  .stop_others = true };
 	const struct limits none = { 0, UINT64_MAX };
 	const struct limits losing = { loss_allowed(plan, unit, count),
 				       UINT64_MAX };
@@ -446,10 +482,11 @@
 			const struct rj_cell_unit *unit,
 			struct rj_cell_task **tasks, uint32_t count)
 {
-	const struct rj_cell_way now = { RJ_CELL_NOW, NULL, false };
-	const struct rj_cell_way soon = { RJ_CELL_SOON, NULL, false };
-	const struct rj_cell_way later = { RJ_CELL_LATER, NULL, false };
-	const struct rj_cell_way stop = { RJ_CELL_SOON, NULL, true };
+	const struct rj_cell_way now = { .when = RJ_CELL_NOW };
+	const struct rj_cell_way soon = { .when = RJ_CELL_SOON };
+	const struct rj_cell_way later = { .when = RJ_CELL_LATER };
+	const struct rj_cell_way stop = { .when = RJ_CELL_SOON,
+					  .stop_others = true };
 	const struct limits none = { 0, UINT64_MAX };
 	const struct limits cheap = {
 		rj_cell_reclaim_own_milli(plan, unit, count) / CHEAP_LOSS_PART,
--- a/src/libradishjunction/cell/cell_reclaim.c
+++ b/src/libradishjunction/cell/cell_reclaim.c
@@ -230,7 +230,7 @@
 		GPtrArray *chosen;
 		uint64_t loss;
 
-		if (!rj_cell_place_may_run(plan, room, unit, task))
+		if (!rj_cell_place_may_run(plan, room, unit, task, way))
 			continue;
 		chosen = g_ptr_array_new();
 		loss = choose_victims(plan, trial, unit, room, &want, chosen);
--- a/src/libradishjunction/cell/cell_rooms.c
+++ b/src/libradishjunction/cell/cell_rooms.c
@@ -132,6 +132,38 @@
 	}
 }
 
+/* Racks of different failure domains take turns. */
+static gint by_rank(gconstpointer a, gconstpointer b)
+{
+	const struct rj_cell_rack_rooms *left = a;
+	const struct rj_cell_rack_rooms *right = b;
+
+	if (left->rank != right->rank)
+		return left->rank < right->rank ? -1 : 1;
+	return left->first < right->first ? -1 : 1;
+}
+
+/*
+ * Put the racks in an order in which failure domains take turns.
+ *
+ * Load that it answers: the loss of a failure domain. What is reserved for
+ * urgent work is at the front of that order.
+ */
+static void order_racks(struct rj_cell_plan *plan)
+{
+	for (guint i = 0; i < plan->racks->len; i++) {
+		struct rj_cell_rack_rooms *rack = &g_array_index(
+			plan->racks, struct rj_cell_rack_rooms, i);
+
+		for (guint j = 0; j < i; j++)
+			if (g_array_index(plan->racks,
+					  struct rj_cell_rack_rooms, j)
+				    .domain == rack->domain)
+				rack->rank++;
+	}
+	g_array_sort(plan->racks, by_rank);
+}
+
 /* Add the room of one worker, if it may get work. */
 static void add_room(struct rj_cell_plan *plan, struct rj_cell_worker *worker,
 		     struct shares *shares)
@@ -148,6 +180,8 @@
 	room->filling = worker->filling;
 	room->soon = room->now;
 	add_stopping(room);
+	if (worker->domain)
+		worker->domain->urgent += worker->urgent;
 	add_shares(shares, worker);
 	plan->room_count++;
 }
@@ -164,10 +198,13 @@
 	plan->rooms = talloc_zero_array(NULL, struct rj_cell_room,
 					plan->fleet->count);
 	assert(plan->rooms || !plan->fleet->count);
+	for (guint i = 0; i < plan->fleet->domains->len; i++)
+		((struct rj_cell_domain *)plan->fleet->domains->pdata[i])
+			->urgent = 0;
 	for (guint i = 0; i < racks->len; i++) {
 		struct rj_cell_rack *rack = racks->pdata[i];
-		struct rj_cell_rack_rooms rooms = { rack->name,
-						    plan->room_count, 0 };
+		struct rj_cell_rack_rooms rooms = { .name = rack->name,
+						    .first = plan->room_count };
 		struct rj_list *at;
 		struct rj_list *next;
 
@@ -177,9 +214,12 @@
 					      in_rack),
 				 &shares);
 		rooms.count = plan->room_count - rooms.first;
-		if (rooms.count)
-			g_array_append_val(plan->racks, rooms);
+		if (!rooms.count)
+			continue;
+		rooms.domain = plan->rooms[rooms.first].worker->domain;
+		g_array_append_val(plan->racks, rooms);
 	}
+	order_racks(plan);
 	plan->used_percent = used_percent(&shares);
 	keep_racks(plan);
 }
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -50,6 +50,8 @@
 	char name[RJ_NAME_BYTES];
 	uint64_t answered_us; /* when a worker there last answered */
 	uint64_t missed_us; /* when the last call that was lost was sent */
+	uint32_t
+		urgent; /* accelerators of urgent work, in the plan being made */
 };
 
 struct rj_cell_worker {
@@ -87,6 +89,7 @@
 	uint64_t seen_told; /* ... may have been forgotten by the worker */
 	struct rj_list runs;
 	struct rj_cell_demand held; /* by all runs */
+	uint32_t urgent; /* accelerators held by urgent runs */
 	uint32_t serving; /* runs that serve users of their own, with a bound */
 	uint32_t filling; /* all others */
 	uint64_t harmed_until_us; /* nothing is put beside what serves there */
--- a/src/libradishjunction/include/private/cell_place.h
+++ b/src/libradishjunction/include/private/cell_place.h
@@ -36,6 +36,7 @@
 /* How a group is to be placed. */
 struct rj_cell_way {
 	enum rj_cell_when when;
+	const struct rj_cell_domain *domain; /* NULL: anywhere */
 	const struct rj_cell_rack_rooms *rack; /* NULL: anywhere */
 	bool stop_others; /* work of lower priority makes way */
 };
@@ -64,7 +65,8 @@
 bool rj_cell_place_may_run(const struct rj_cell_plan *plan,
 			   const struct rj_cell_room *room,
 			   const struct rj_cell_unit *unit,
-			   const struct rj_cell_task *task);
+			   const struct rj_cell_task *task,
+			   const struct rj_cell_way *way);
 bool rj_cell_place_group(struct rj_cell_plan *plan, struct rj_cell_trial *trial,
 			 const struct rj_cell_unit *unit,
 			 struct rj_cell_task **tasks, uint32_t count,
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -30,6 +30,8 @@
 /* The rooms of one rack, which stand side by side. */
 struct rj_cell_rack_rooms {
 	const char *name;
+	const struct rj_cell_domain *domain; /* of its first worker */
+	uint32_t rank; /* among the racks of its domain */
 	uint32_t first;
 	uint32_t count;
 };
--- a/src/test_libradishjunction/test_cell_reach.c
+++ b/src/test_libradishjunction/test_cell_reach.c
@@ -137,6 +137,24 @@
 		g_assert_cmpuint(f->world.workers[i].runs->len, ==, 0);
 }
 
+/* Urgent work concentrates in the first racks, and the loss of their failure
+ * domain takes all of it. */
+static void test_urgent_work_spreads_over_domains(struct cell_fixture *f,
+						  const void *data)
+{
+	struct rj_cell_step step = cell_world_step(2, 4, 2000);
+
+	step.gang = true;
+	for (uint32_t i = 0; i < 6; i++) {
+		hand_in(&f->world, i % site.nodes, &step);
+		cell_world_run(&f->world, 50 * MS);
+	}
+	cell_world_run(&f->world, 300 * MS);
+	g_assert_cmpuint(runs_in(&f->world, "d0"), ==, 4);
+	g_assert_cmpuint(runs_in(&f->world, "d1"), ==, 4);
+	g_assert_cmpuint(runs_in(&f->world, "d2"), ==, 4);
+}
+
 /* Clients of an instance that is cut off from the log are held until they
  * give up, and no health check sends them elsewhere. */
 static void test_an_instance_without_the_log(struct cell_fixture *f,
@@ -259,6 +277,7 @@
 	ADD("cut_domain", test_starts_avoid_a_cut_domain);
 	ADD("completions", test_completions_are_polled_after_a_cut);
 	ADD("late_completion", test_a_completion_that_comes_late);
+	ADD("spread", test_urgent_work_spreads_over_domains);
 	ADD("log_silent", test_an_instance_without_the_log);
 	ADD("log_refuses", test_an_instance_that_the_log_refuses);
 	ADD("log_deaf", test_a_log_that_wakes_nobody);
