--- a/scripts/users.bash
+++ b/scripts/users.bash
@@ -18,6 +18,7 @@
 		-e 's/{{Bounds.status_s}}/120/' \
 		-e 's/{{Bounds.ReclaimMs}}/2900/' \
 		-e 's/{{Bounds.RevokeMs}}/5000/' \
+		-e 's/{{HeartbeatMs}}/500/' \
 		deploy/settings.json >"$work/$1.json"
 }
 
