--- a/src/libradishjunction/cell/cell_contact.c
+++ b/src/libradishjunction/cell/cell_contact.c
@@ -18,6 +18,7 @@
 #define COME_BACK_MS 1000
 #define COME_BACK_MAX_MS 4000
 #define COME_BACK_PART 2
+
 /*
  * Judge by when the log last answered, and by whether it turns reads away.
  * Returns whether the judgement has changed.
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -50,8 +50,7 @@
 	char name[RJ_NAME_BYTES];
 	uint64_t answered_us; /* when a worker there last answered */
 	uint64_t missed_us; /* when the last call that was lost was sent */
-	uint32_t
-		urgent; /* accelerators of urgent work, in the plan being made */
+	uint32_t urgent; /* accelerators of urgent work in the present plan */
 };
 
 struct rj_cell_worker {
