cell: count racks by domain in one pass; a way to place has no limit of time

Found while reading the change: ranking the racks compared each with all before it in every plan, a cost by the square of the fleet; and since urgent work no longer waits for room in time, the limit on that time was dead, so that struct limits held a loss alone.

--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -383,12 +383,6 @@
 	return rj_cell_place_group(plan, trial, unit, tasks, count, &chosen);
 }
 
-/* What a way to place a group may cost at most. */
-struct limits {
-	uint64_t loss_milli;
-	uint64_t ready_us;
-};
-
 /* The failure domain with the least urgent work of those where a group finds
  * its place, or NULL. */
 static const struct rj_cell_domain *best_domain(struct rj_cell_plan *plan,
@@ -416,11 +410,11 @@
 	return best;
 }
 
-/* Try one way; when it works out within the limits, the room is taken, and
- * with RJ_CELL_NOW the tasks start. */
+/* Try one way; when it works out and loses at most so much, the room is taken,
+ * and with RJ_CELL_NOW the tasks start. */
 static bool attempt(struct rj_cell_plan *plan, const struct rj_cell_unit *unit,
 		    struct rj_cell_task **tasks, uint32_t count,
-		    const struct rj_cell_way *way, const struct limits *limits)
+		    const struct rj_cell_way *way, uint64_t loss_max_milli)
 {
 	struct rj_cell_way chosen = *way;
 	struct rj_cell_trial trial;
@@ -430,8 +424,7 @@
 		chosen.domain = best_domain(plan, unit, tasks, count, way);
 	rj_cell_trial_init(&trial, plan);
 	placed = try_group(plan, unit, tasks, count, &chosen, &trial) &&
-		 trial.loss_milli <= limits->loss_milli &&
-		 trial.ready_us <= limits->ready_us;
+		 trial.loss_milli <= loss_max_milli;
 	for (uint32_t i = 0; placed && way->when == RJ_CELL_NOW && i < count;
 	     i++)
 		add_start(plan, tasks[i], trial.workers->pdata[i]);
@@ -464,14 +457,12 @@
 	const struct rj_cell_way later = { .when = RJ_CELL_LATER };
 	const struct rj_cell_way stop = { .when = RJ_CELL_SOON,
 					  .stop_others = true };
-	const struct limits none = { 0, UINT64_MAX };
-	const struct limits losing = { loss_allowed(plan, unit, count),
-				       UINT64_MAX };
+	uint64_t loss_max = loss_allowed(plan, unit, count);
 
-	if (attempt(plan, unit, tasks, count, &soon, &none) ||
-	    attempt(plan, unit, tasks, count, &stop, &losing))
+	if (attempt(plan, unit, tasks, count, &soon, 0) ||
+	    attempt(plan, unit, tasks, count, &stop, loss_max))
 		return;
-	attempt(plan, unit, tasks, count, &later, &none);
+	attempt(plan, unit, tasks, count, &later, 0);
 }
 
 /*
@@ -487,23 +478,20 @@
 	const struct rj_cell_way later = { .when = RJ_CELL_LATER };
 	const struct rj_cell_way stop = { .when = RJ_CELL_SOON,
 					  .stop_others = true };
-	const struct limits none = { 0, UINT64_MAX };
-	const struct limits cheap = {
-		rj_cell_reclaim_own_milli(plan, unit, count) / CHEAP_LOSS_PART,
-		UINT64_MAX
-	};
+	uint64_t cheap =
+		rj_cell_reclaim_own_milli(plan, unit, count) / CHEAP_LOSS_PART;
 
-	if (attempt(plan, unit, tasks, count, &now, &none))
+	if (attempt(plan, unit, tasks, count, &now, 0))
 		return true;
 	if (!unit->work->def->priority)
 		find_urgent(plan, unit, tasks, count);
 	else if (plan->now_us - unit->waiting_us >= CHEAP_WAIT_US &&
-		 (attempt(plan, unit, tasks, count, &soon, &none) ||
-		  attempt(plan, unit, tasks, count, &stop, &cheap)))
+		 (attempt(plan, unit, tasks, count, &soon, 0) ||
+		  attempt(plan, unit, tasks, count, &stop, cheap)))
 		return false;
 	else if (rj_cell_task_step(tasks[0])->gang &&
 		 plan->promises < PROMISES_MAX &&
-		 attempt(plan, unit, tasks, count, &later, &none))
+		 attempt(plan, unit, tasks, count, &later, 0))
 		plan->promises++;
 	return false;
 }
--- a/src/libradishjunction/cell/cell_rooms.c
+++ b/src/libradishjunction/cell/cell_rooms.c
@@ -151,16 +151,6 @@
  */
 static void order_racks(struct rj_cell_plan *plan)
 {
-	for (guint i = 0; i < plan->racks->len; i++) {
-		struct rj_cell_rack_rooms *rack = &g_array_index(
-			plan->racks, struct rj_cell_rack_rooms, i);
-
-		for (guint j = 0; j < i; j++)
-			if (g_array_index(plan->racks,
-					  struct rj_cell_rack_rooms, j)
-				    .domain == rack->domain)
-				rack->rank++;
-	}
 	g_array_sort(plan->racks, by_rank);
 }
 
@@ -194,13 +184,16 @@
 {
 	const GPtrArray *racks = plan->fleet->racks;
 	struct shares shares = { .cpu = { 0, 0 } };
+	struct rj_cell_domain *domain;
 
 	plan->rooms = talloc_zero_array(NULL, struct rj_cell_room,
 					plan->fleet->count);
 	assert(plan->rooms || !plan->fleet->count);
-	for (guint i = 0; i < plan->fleet->domains->len; i++)
-		((struct rj_cell_domain *)plan->fleet->domains->pdata[i])
-			->urgent = 0;
+	for (guint i = 0; i < plan->fleet->domains->len; i++) {
+		domain = plan->fleet->domains->pdata[i];
+		domain->urgent = 0;
+		domain->racks = 0;
+	}
 	for (guint i = 0; i < racks->len; i++) {
 		struct rj_cell_rack *rack = racks->pdata[i];
 		struct rj_cell_rack_rooms rooms = { .name = rack->name,
@@ -216,7 +209,9 @@
 		rooms.count = plan->room_count - rooms.first;
 		if (!rooms.count)
 			continue;
-		rooms.domain = plan->rooms[rooms.first].worker->domain;
+		domain = plan->rooms[rooms.first].worker->domain;
+		rooms.domain = domain;
+		rooms.rank = domain->racks++;
 		g_array_append_val(plan->racks, rooms);
 	}
 	order_racks(plan);
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -50,7 +50,9 @@
 	char name[RJ_NAME_BYTES];
 	uint64_t answered_us; /* when a worker there last answered */
 	uint64_t missed_us; /* when the last call that was lost was sent */
-	uint32_t urgent; /* accelerators of urgent work in the present plan */
+	/* In the present plan. */
+	uint32_t urgent; /* accelerators of urgent work */
+	uint32_t racks; /* with workers that may get work */
 };
 
 struct rj_cell_worker {
