--- a/src/libradishjunction/cell/cell_reach.c
+++ b/src/libradishjunction/cell/cell_reach.c
@@ -67,7 +67,6 @@
 	if (worker->probe_open)
 		return;
 	worker->probe_open = true;
-	owner->counters.probes++;
 	done.private_data = rj_cell_call_new(owner, worker, NULL);
 	owner->workers->ops->look(owner->workers, worker, &look, done);
 }
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -39,7 +39,6 @@
 	uint64_t starts;
 	uint64_t stops;
 	uint64_t looks;
-	uint64_t probes; /* looks that only test the path */
 	uint64_t ends[RJ_CELL_END_COUNT];
 	uint64_t completed;
 	uint64_t failed;
