cell: list what a worker's runs would free once a plan

Runs do not change while a plan is made, so each worker's are now listed at most once, in both orders.

--- a/src/libradishjunction/cell/cell_place.c
+++ b/src/libradishjunction/cell/cell_place.c
@@ -1,5 +1,6 @@
 #include "private/cell_advice.h"
 #include "private/cell_place.h"
+#include "private/cell_release.h"
 
 #include <assert.h>
 #include <string.h>
@@ -157,35 +158,17 @@
 	return best;
 }
 
-/* A run, and when it will have ended. */
-struct release {
-	uint64_t left_us;
-	const struct rj_cell_run *run;
-};
-
-/* What ends first comes first. */
-static gint by_left(gconstpointer a, gconstpointer b)
-{
-	const struct release *left = a;
-	const struct release *right = b;
-
-	return left->left_us < right->left_us ? -1 :
-	       left->left_us > right->left_us ? 1 :
-						0;
-}
-
 /*
  * In how long a worker will have room for `want` beside what is promised
  * there, if nothing else starts on it; RJ_NEVER_US when it never will.
  */
-static uint64_t ready_in_us(const struct rj_cell_plan *plan,
+static uint64_t ready_in_us(struct rj_cell_plan *plan,
 			    const struct rj_cell_room *room,
 			    const struct rj_cell_demand *want)
 {
 	struct rj_cell_demand need = *want;
 	struct rj_cell_demand have = room->soon;
-	GArray *releases;
-	const struct rj_list *at;
+	const struct rj_cell_releases *releases;
 	uint64_t ready_us = 0;
 
 	rj_cell_demand_give(&need, &room->promised);
@@ -193,29 +176,17 @@
 		return 0;
 	if (!rj_cell_demand_fits(&need, &room->worker->said.capacity))
 		return RJ_NEVER_US;
-	releases = g_array_new(FALSE, FALSE, sizeof(struct release));
-	for (at = room->worker->runs.next; at != &room->worker->runs;
-	     at = at->next) {
-		struct release release = {
-			.run = RJ_CONTAINER(at, struct rj_cell_run, in_worker)
-		};
+	releases = rj_cell_releases_of(plan, room);
+	for (uint32_t i = 0;
+	     i < releases->count && !rj_cell_demand_fits(&need, &have); i++) {
+		const struct rj_cell_release *release = &releases->by_time[i];
 
-		if (release.run->state == RJ_CELL_RUN_STOPPING)
+		/* The room of a victim is counted as free already. */
+		if (release->run->victim || release->run->why)
 			continue;
-		release.left_us = rj_cell_forecast_left_us(
-			plan->forecast, release.run, plan->now_us);
-		g_array_append_val(releases, release);
-	}
-	g_array_sort(releases, by_left);
-	for (guint i = 0;
-	     i < releases->len && !rj_cell_demand_fits(&need, &have); i++) {
-		const struct release *release =
-			&g_array_index(releases, struct release, i);
-
 		rj_cell_demand_give(&have, &release->run->held);
 		ready_us = release->left_us;
 	}
-	g_array_free(releases, TRUE);
 	return rj_cell_demand_fits(&need, &have) ? ready_us : RJ_NEVER_US;
 }
 
@@ -299,6 +270,9 @@
 
 		*before->worker->room = *before;
 	}
+	for (guint i = 0; i < trial->victims->len; i++)
+		((struct rj_cell_run *)trial->victims->pdata[i])->victim =
+			false;
 	g_array_free(trial->changes, TRUE);
 	g_ptr_array_free(trial->workers, TRUE);
 	g_ptr_array_free(trial->victims, TRUE);
--- a/src/libradishjunction/cell/cell_reclaim.c
+++ b/src/libradishjunction/cell/cell_reclaim.c
@@ -2,6 +2,7 @@
 #include <talloc.h>
 
 #include "private/cell_place.h"
+#include "private/cell_release.h"
 
 /* An accelerator counts as so many cores when work lost is weighed; so the
  * users price it. */
@@ -67,103 +68,65 @@
 	       !rj_cell_task_step(run->task)->perpetual;
 }
 
-/* Whether a run is among the victims of a trial. */
-static bool is_victim(const struct rj_cell_trial *trial,
-		      const struct rj_cell_run *run)
-{
-	for (guint i = 0; i < trial->victims->len; i++)
-		if (trial->victims->pdata[i] == run)
-			return true;
-	return false;
-}
-
-/* The runs of a gang end together: what stopping one of them loses. What
- * has been stopped before counts more each time, so that it ends some day. */
-static uint64_t loss_with_gang(const struct rj_cell_plan *plan,
-			       const struct rj_cell_run *run)
+/*
+ * What stopping a run loses, in core-milliseconds; the runs of a gang end
+ * together. What has been stopped before counts more each time, so that it
+ * ends some day.
+ */
+uint64_t rj_cell_reclaim_loss(const struct rj_cell_plan *plan,
+			      const struct rj_cell_run *run)
 {
-	const struct rj_cell_step *step = rj_cell_task_step(run->task);
-
-	uint64_t loss =
-		loss_of(plan, run) * (step->gang ? step->task_count : 1);
+	const struct rj_cell_step *step;
+	uint64_t loss;
 
+	if (!run->task)
+		return 0;
+	step = rj_cell_task_step(run->task);
+	loss = loss_of(plan, run) * (step->gang ? step->task_count : 1);
 	loss *= 1 + run->task->losses;
 	return run->task->round->work->def->priority ? loss :
 						       loss * URGENT_WEIGHT;
 }
 
-/* A run that may have to go, and what that loses. */
-struct victim {
-	struct rj_cell_run *run;
-	uint64_t loss_milli;
-	bool ends_soon; /* by itself */
-};
-
-/* What loses least goes first. */
-static gint by_loss(gconstpointer a, gconstpointer b)
-{
-	const struct victim *left = a;
-	const struct victim *right = b;
-
-	return left->loss_milli < right->loss_milli ? -1 :
-	       left->loss_milli > right->loss_milli ? 1 :
-						      0;
-}
-
-/* All runs of a worker that may have to go, the cheapest first. */
-static GArray *list_victims(const struct rj_cell_plan *plan,
-			    const struct rj_cell_trial *trial,
-			    const struct rj_cell_unit *unit,
-			    const struct rj_cell_room *room)
+/* Whether a run may be stopped for a unit, and is not going to be. */
+static bool is_candidate(const struct rj_cell_release *release,
+			 const struct rj_cell_unit *unit)
 {
-	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct victim));
-	const struct rj_list *at;
-
-	for (at = room->worker->runs.next; at != &room->worker->runs;
-	     at = at->next) {
-		struct rj_cell_run *run =
-			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
-		struct victim victim = { .run = run };
-
-		if (!may_stop(run, unit) || is_victim(trial, run))
-			continue;
-		victim.ends_soon =
-			rj_cell_forecast_left_us(plan->forecast, run,
-						 plan->now_us) < ENDS_SOON_US;
-		if (!victim.ends_soon)
-			victim.loss_milli = loss_with_gang(plan, run);
-		g_array_append_val(all, victim);
-	}
-	g_array_sort(all, by_loss);
-	return all;
+	return !release->run->victim && may_stop(release->run, unit);
 }
 
 /*
  * The cheapest runs of one worker that make room for `want`, added to
- * `chosen`. Returns what is lost, or UINT64_MAX when there is no way.
+ * `chosen` unless that is NULL. Returns what is lost, or UINT64_MAX when there
+ * is no way.
  */
-static uint64_t choose_victims(const struct rj_cell_plan *plan,
-			       const struct rj_cell_trial *trial,
+static uint64_t choose_victims(struct rj_cell_plan *plan,
 			       const struct rj_cell_unit *unit,
 			       const struct rj_cell_room *room,
 			       const struct rj_cell_demand *want,
 			       GPtrArray *chosen)
 {
-	GArray *all = list_victims(plan, trial, unit, room);
+	const struct rj_cell_releases *releases =
+		rj_cell_releases_of(plan, room);
+	const struct rj_cell_release *end = releases->by_time + releases->count;
+	const struct rj_cell_release *at;
 	struct rj_cell_demand have = room->soon;
 	uint64_t loss_milli = 0;
 
-	for (guint i = 0; i < all->len && !rj_cell_demand_fits(want, &have);
-	     i++) {
-		const struct victim *victim =
-			&g_array_index(all, struct victim, i);
-
-		rj_cell_demand_give(&have, &victim->run->held);
-		loss_milli += victim->loss_milli;
-		if (!victim->ends_soon)
-			g_ptr_array_add(chosen, victim->run);
+	for (at = releases->by_time; at < end && at->left_us < ENDS_SOON_US;
+	     at++)
+		if (is_candidate(at, unit))
+			rj_cell_demand_give(&have, &at->run->held);
+	end = releases->by_loss + releases->count;
+	for (at = releases->by_loss;
+	     at < end && !rj_cell_demand_fits(want, &have); at++) {
+		if (at->left_us < ENDS_SOON_US || !is_candidate(at, unit))
+			continue;
+		rj_cell_demand_give(&have, &at->run->held);
+		loss_milli += at->loss_milli;
+		if (chosen)
+			g_ptr_array_add(chosen, at->run);
 	}
-	g_array_free(all, TRUE);
 	return rj_cell_demand_fits(want, &have) ? loss_milli : UINT64_MAX;
 }
 
@@ -172,6 +135,7 @@
 {
 	struct rj_cell_room *room = run->worker->room;
 
+	run->victim = true;
 	g_ptr_array_add(trial->victims, run);
 	if (!room)
 		return;
@@ -201,7 +165,7 @@
 
 			if (!member->why &&
 			    member->state != RJ_CELL_RUN_STOPPING &&
-			    !is_victim(trial, member))
+			    !member->victim)
 				free_victim(trial, member);
 		}
 	}
@@ -223,31 +187,28 @@
 	struct rj_cell_room *room;
 	struct rj_cell_room *end;
 	uint64_t best_loss = UINT64_MAX;
-	GPtrArray *best_victims = g_ptr_array_new();
+	GPtrArray *victims;
 
 	rj_cell_place_range(plan, way, &room, &end);
-	for (; room < end; room++) {
-		GPtrArray *chosen;
+	for (; room < end && best_loss; room++) {
 		uint64_t loss;
 
-		if (!rj_cell_place_may_run(plan, room, unit, task, way))
+		if (!rj_cell_demand_fits(&want, &room->worker->said.capacity) ||
+		    !rj_cell_place_may_run(plan, room, unit, task, way))
 			continue;
-		chosen = g_ptr_array_new();
-		loss = choose_victims(plan, trial, unit, room, &want, chosen);
-		if (loss < best_loss) {
-			GPtrArray *worse = best_victims;
-
-			best = room;
-			best_loss = loss;
-			best_victims = chosen;
-			chosen = worse;
-		}
-		g_ptr_array_free(chosen, TRUE);
+		loss = choose_victims(plan, unit, room, &want, NULL);
+		if (loss >= best_loss)
+			continue;
+		best = room;
+		best_loss = loss;
 	}
-	for (guint i = 0; best && i < best_victims->len; i++)
-		add_victim(trial, best_victims->pdata[i]);
-	if (best)
-		trial->loss_milli += best_loss;
-	g_ptr_array_free(best_victims, TRUE);
+	if (!best)
+		return NULL;
+	victims = g_ptr_array_new();
+	(void)choose_victims(plan, unit, best, &want, victims);
+	for (guint i = 0; i < victims->len; i++)
+		add_victim(trial, victims->pdata[i]);
+	g_ptr_array_free(victims, TRUE);
+	trial->loss_milli += best_loss;
 	return best;
 }
--- /dev/null
+++ b/src/libradishjunction/cell/cell_release.c
@@ -0,0 +1,85 @@
+#include "private/cell_release.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/cell_place.h"
+
+/* What ends first comes first. */
+static int by_time(const void *a, const void *b)
+{
+	const struct rj_cell_release *left = a;
+	const struct rj_cell_release *right = b;
+
+	return left->left_us < right->left_us ? -1 :
+	       left->left_us > right->left_us ? 1 :
+						0;
+}
+
+/* What loses least comes first. */
+static int by_loss(const void *a, const void *b)
+{
+	const struct rj_cell_release *left = a;
+	const struct rj_cell_release *right = b;
+
+	return left->loss_milli < right->loss_milli ? -1 :
+	       left->loss_milli > right->loss_milli ? 1 :
+						      0;
+}
+
+/* List the runs of one worker, in both orders. */
+static void list_runs(struct rj_cell_plan *plan,
+		      struct rj_cell_releases *releases,
+		      const struct rj_cell_worker *worker)
+{
+	uint32_t most = worker->serving + worker->filling;
+	const struct rj_list *at;
+
+	releases->listed = true;
+	if (!most)
+		return;
+	releases->by_time =
+		talloc_array(plan->rooms, struct rj_cell_release, most);
+	releases->by_loss =
+		talloc_array(plan->rooms, struct rj_cell_release, most);
+	assert(releases->by_time && releases->by_loss);
+	for (at = worker->runs.next; at != &worker->runs; at = at->next) {
+		struct rj_cell_run *run =
+			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
+		struct rj_cell_release *release;
+
+		if (run->state == RJ_CELL_RUN_STOPPING)
+			continue;
+		assert(releases->count < most);
+		release = &releases->by_time[releases->count++];
+		release->run = run;
+		release->left_us = rj_cell_forecast_left_us(
+			plan->forecast, run, plan->now_us);
+		release->loss_milli = rj_cell_reclaim_loss(plan, run);
+	}
+	memcpy(releases->by_loss, releases->by_time,
+	       releases->count * sizeof(*releases->by_loss));
+	qsort(releases->by_time, releases->count, sizeof(*releases->by_time),
+	      by_time);
+	qsort(releases->by_loss, releases->count, sizeof(*releases->by_loss),
+	      by_loss);
+}
+
+/*
+ * What the runs of a room's worker would free.
+ *
+ * Load that it answers: a full site with a backlog. Each waiting task weighs
+ * all workers, and their runs change only between plans.
+ */
+const struct rj_cell_releases *
+rj_cell_releases_of(struct rj_cell_plan *plan, const struct rj_cell_room *room)
+{
+	struct rj_cell_releases *releases =
+		&plan->releases[room - plan->rooms];
+
+	if (!releases->listed)
+		list_runs(plan, releases, room->worker);
+	return releases;
+}
--- a/src/libradishjunction/cell/cell_rooms.c
+++ b/src/libradishjunction/cell/cell_rooms.c
@@ -3,6 +3,7 @@
 #include <talloc.h>
 
 #include "private/cell_plan.h"
+#include "private/cell_release.h"
 
 /*
  * Urgent work comes in bursts and has no time to wait, so racks are kept for
@@ -189,6 +190,9 @@
 	plan->rooms = talloc_zero_array(NULL, struct rj_cell_room,
 					plan->fleet->count);
 	assert(plan->rooms || !plan->fleet->count);
+	plan->releases = talloc_zero_array(
+		plan->rooms, struct rj_cell_releases, plan->fleet->count);
+	assert(plan->releases || !plan->fleet->count);
 	for (guint i = 0; i < plan->fleet->domains->len; i++) {
 		domain = plan->fleet->domains->pdata[i];
 		domain->urgent = 0;
--- a/src/libradishjunction/include/private/cell_place.h
+++ b/src/libradishjunction/include/private/cell_place.h
@@ -76,6 +76,8 @@
 					  const struct rj_cell_unit *unit,
 					  const struct rj_cell_task *task,
 					  const struct rj_cell_way *way);
+uint64_t rj_cell_reclaim_loss(const struct rj_cell_plan *plan,
+			      const struct rj_cell_run *run);
 uint64_t rj_cell_reclaim_own_milli(const struct rj_cell_plan *plan,
 				   const struct rj_cell_unit *unit,
 				   uint32_t count);
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -15,6 +15,8 @@
 
 #define RJ_CELL_WHY_RECLAIMED "reclaimed"
 
+struct rj_cell_releases;
+
 /* A worker's room while a plan is made. */
 struct rj_cell_room {
 	struct rj_cell_worker *worker;
@@ -56,6 +58,7 @@
 	uint32_t waiting; /* tasks whose turn has come and that found no room */
 	/* while it is made */
 	struct rj_cell_room *rooms;
+	struct rj_cell_releases *releases; /* of each room, once asked for */
 	uint32_t room_count;
 	GArray *racks; /* struct rj_cell_rack_rooms, by name */
 	uint32_t used_percent; /* of the memory or accelerators of all */
