cell: visit only workers with an order to send

A tenth of the owner's processor time went into looking through all runs of all busy workers after each event (perf, the large fleet). Workers with an order that is due now stand in a list of their own; polls and leases of the others are checked every 4 ms at most.

--- a/src/libradishjunction/cell/cell_ends.c
+++ b/src/libradishjunction/cell/cell_ends.c
@@ -44,8 +44,8 @@
 	run->state = RJ_CELL_RUN_STOPPING;
 	run->why = why;
 	run->settled_us = 0;
-	run->order_due_us = owner->now_us;
 	run->order_tries = 0;
+	rj_cell_run_order(run, owner->now_us);
 }
 
 /* Stop all runs of one task. */
--- a/src/libradishjunction/cell/cell_flush.c
+++ b/src/libradishjunction/cell/cell_flush.c
@@ -43,8 +43,8 @@
 		return;
 	run->recording = false;
 	run->state = RJ_CELL_RUN_STARTING;
-	run->order_due_us = owner->now_us;
 	run->order_tries = 0;
+	rj_cell_run_order(run, owner->now_us);
 }
 
 /* All that was flushed together is stored: workers may forget these ends. */
--- a/src/libradishjunction/cell/cell_looks.c
+++ b/src/libradishjunction/cell/cell_looks.c
@@ -69,6 +69,7 @@
 		run->held = worker->said.capacity;
 	rj_list_init(&run->in_task);
 	rj_cell_run_hold(run);
+	rj_cell_run_order(run, owner->now_us);
 }
 
 /* Mark the runs that the worker lists. */
@@ -121,7 +122,7 @@
 	run->settled_us = 0;
 	run->state = RJ_CELL_RUN_STARTING;
 	run->order_tries = 0;
-	run->order_due_us = owner->now_us;
+	rj_cell_run_order(run, owner->now_us);
 	rj_note("start_again", RJ_NOTE_TEXT("task", run->name),
 		RJ_NOTE_NUMBER("run", run->number),
 		RJ_NOTE_TEXT("worker", run->worker->id));
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -15,6 +15,8 @@
 #define FULL_PAUSE_US (300 * RJ_US_PER_MS)
 /* A task that its worker does not understand is not sent again at once. */
 #define BAD_PAUSE_US RJ_US_PER_S
+/* Workers that hold something are visited so often at most. */
+#define WATCH_PAUSE_US (4 * RJ_US_PER_MS)
 /* A run of the task may still be listed there. */
 #define OLD_PAUSE_US (100 * RJ_US_PER_MS)
 
@@ -114,7 +116,7 @@
 		run->settled_us = owner->now_us;
 		break;
 	case RJ_CELL_ORDER_LOST:
-		run->order_due_us = owner->now_us + ORDER_RETRY_US;
+		rj_cell_run_order(run, owner->now_us + ORDER_RETRY_US);
 		if (run->order_tries >= START_TRIES_MAX)
 			rj_cell_ends_stop_run(owner, run, "no_answer");
 		break;
@@ -190,7 +192,7 @@
 		rj_cell_call_other_life(owner, worker);
 		break;
 	default:
-		run->order_due_us = owner->now_us + ORDER_RETRY_US;
+		rj_cell_run_order(run, owner->now_us + ORDER_RETRY_US);
 	}
 }
 
@@ -213,10 +215,30 @@
 				  run->number, owner->token, done);
 }
 
-/* Send the orders that are due for the runs of a worker. */
-static void tick_runs(struct rj_cell_owner *owner,
+/* Whether a run has an order that is not on its way. */
+static bool needs_order(const struct rj_cell_run *run)
+{
+	if (run->state == RJ_CELL_RUN_STARTING)
+		return !run->start_open;
+	return run->state == RJ_CELL_RUN_STOPPING && !run->stop_open &&
+	       !run->settled_us;
+}
+
+/* Send the next order of a run. */
+static void send_order(struct rj_cell_owner *owner, struct rj_cell_run *run)
+{
+	if (run->state == RJ_CELL_RUN_STOPPING)
+		send_stop(owner, run);
+	else if (rj_cell_owner_may_start(owner))
+		send_start(owner, run);
+}
+
+/* Send the orders that are due for the runs of a worker. Returns whether
+ * there are more. */
+static bool tick_runs(struct rj_cell_owner *owner,
 		      struct rj_cell_worker *worker)
 {
+	bool more = false;
 	struct rj_list *at;
 	struct rj_list *next;
 
@@ -224,15 +246,14 @@
 		struct rj_cell_run *run =
 			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
 
-		if (owner->now_us < run->order_due_us)
+		if (!needs_order(run))
 			continue;
-		if (run->state == RJ_CELL_RUN_STARTING && !run->start_open &&
-		    rj_cell_owner_may_start(owner))
-			send_start(owner, run);
-		if (run->state == RJ_CELL_RUN_STOPPING && !run->stop_open &&
-		    !run->settled_us)
-			send_stop(owner, run);
+		if (owner->now_us >= run->order_due_us &&
+		    worker->said.address.port)
+			send_order(owner, run);
+		more |= needs_order(run);
 	}
+	return more;
 }
 
 /*
@@ -253,21 +274,49 @@
 }
 
 /*
- * Send what is due, and take note of leases that have lapsed.
+ * Send the orders that are due.
+ *
+ * Load that it answers: thousands of runs, of which a few begin or end between
+ * two calls; only workers with an order to be sent are visited.
  */
-void rj_cell_orders_tick(struct rj_cell_owner *owner)
+static void send_orders(struct rj_cell_owner *owner)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &owner->fleet.ordered) {
+		struct rj_cell_worker *worker =
+			RJ_CONTAINER(at, struct rj_cell_worker, in_ordered);
+
+		if (!tick_runs(owner, worker))
+			rj_list_remove(&worker->in_ordered);
+	}
+}
+
+/* Poll the workers that hold something, and see whether leases lapsed. */
+static void watch_busy(struct rj_cell_owner *owner)
 {
 	struct rj_list *at;
 	struct rj_list *next;
 
+	if (owner->now_us < owner->watch_due_us)
+		return;
+	owner->watch_due_us = owner->now_us + WATCH_PAUSE_US;
 	RJ_FOR_EACH (at, next, &owner->fleet.watched[RJ_CELL_WATCH_BUSY]) {
 		struct rj_cell_worker *worker =
 			RJ_CONTAINER(at, struct rj_cell_worker, in_watch);
 
 		check_lapse(owner, worker);
-		if (worker->said.address.port)
-			tick_runs(owner, worker);
 		rj_cell_looks_busy(owner, worker);
 	}
+}
+
+/*
+ * Send what is due, and take note of leases that have lapsed.
+ */
+void rj_cell_orders_tick(struct rj_cell_owner *owner)
+{
+	send_orders(owner);
+	watch_busy(owner);
 	rj_cell_looks_tick(owner);
 }
--- a/src/libradishjunction/cell/cell_work.c
+++ b/src/libradishjunction/cell/cell_work.c
@@ -209,6 +209,19 @@
 					 &run->worker->filling;
 }
 
+/*
+ * The next order of a run, a start or a stop by its state, is to be sent at
+ * `due_us`.
+ */
+void rj_cell_run_order(struct rj_cell_run *run, uint64_t due_us)
+{
+	struct rj_cell_worker *worker = run->worker;
+
+	run->order_due_us = due_us;
+	if (worker->in_ordered.next == &worker->in_ordered)
+		rj_list_append(&worker->fleet->ordered, &worker->in_ordered);
+}
+
 /*
  * Count a run at its worker: it takes room there, and is looked after.
  */
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -63,6 +63,7 @@
 	struct rj_cell_room *room; /* in the plan that is being made */
 	enum rj_cell_watch watch;
 	struct rj_list in_watch; /* in the fleet's list of its watch */
+	struct rj_list in_ordered; /* in the fleet's list, if an order is due */
 	char id[RJ_NAME_BYTES];
 	struct rj_cell_heartbeat said;
 	bool listed; /* its entry stands in the log */
@@ -107,6 +108,7 @@
 	/* Each worker is in one; those of idle and silent in the order in
 	 * which they are to be looked at. */
 	struct rj_list watched[RJ_CELL_WATCH_COUNT];
+	struct rj_list ordered; /* workers with orders to be sent */
 	GPtrArray *racks; /* struct rj_cell_rack, by name */
 	GPtrArray *domains; /* struct rj_cell_domain */
 };
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -78,6 +78,7 @@
 	bool plan_wanted;
 	uint64_t plan_due_us;
 	uint32_t writes_open; /* records on their way into the log */
+	uint64_t watch_due_us; /* when busy workers are visited */
 	uint64_t rounds_due_us; /* when jobs with times are looked through */
 	struct rj_cell_allowance idle_looks; /* at workers that hold nothing */
 	struct rj_cell_allowance retried_looks; /* at silent ones that do */
--- a/src/libradishjunction/include/private/cell_work.h
+++ b/src/libradishjunction/include/private/cell_work.h
@@ -64,7 +64,7 @@
 	bool start_open; /* a call to start it is on its way */
 	bool stop_open;
 	uint32_t order_tries;
-	uint64_t order_due_us; /* when to send the next order */
+	uint64_t order_due_us; /* when to send the next; rj_cell_run_order */
 	uint64_t begun_us; /* when it was placed */
 	uint32_t percent;
 	uint64_t listed_us; /* when the worker said so */
@@ -142,6 +142,7 @@
 struct rj_cell_run *rj_cell_run_new(struct rj_cell_worker *worker,
 				    struct rj_cell_task *task, uint32_t number);
 bool rj_cell_run_serves(const struct rj_cell_run *run);
+void rj_cell_run_order(struct rj_cell_run *run, uint64_t due_us);
 void rj_cell_run_hold(struct rj_cell_run *run);
 void rj_cell_run_free(struct rj_cell_run *run);
 void rj_cell_work_each_run(const struct rj_cell_work *work,
