cell: what a plan starts counts when reserved racks are opened

When much work ended at one moment, a single plan filled the site, reserved racks with it, and each later urgent gang stopped work.

--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -169,12 +169,15 @@
 		       account->guaranteed_accelerators;
 }
 
-/* Whether so much is idle that what is kept for urgent work is open to a
- * step that has waited for a while. */
+/*
+ * Whether so much is idle that what is kept for urgent work is open to a step
+ * that has waited for a while. What the plan has started counts as in use, as
+ * much work may end at once and make way for the next.
+ */
 static bool is_idle(const struct rj_cell_plan *plan,
 		    const struct rj_cell_unit *unit)
 {
-	return plan->used_percent < KEPT_USED_PERCENT &&
+	return rj_cell_usage_percent(&plan->usage) < KEPT_USED_PERCENT &&
 	       plan->now_us - unit->waiting_us >= KEPT_WAIT_US;
 }
 
@@ -314,8 +317,11 @@
 		      struct rj_cell_worker *worker)
 {
 	struct rj_cell_choice choice = { task, worker };
+	struct rj_cell_demand used =
+		rj_cell_step_counted(rj_cell_task_step(task));
 
 	g_array_append_val(plan->starts, choice);
+	rj_cell_usage_add(&plan->usage, &used);
 	if (worker->domain && !task->round->work->def->priority)
 		worker->domain->urgent +=
 			rj_cell_task_step(task)->each.accelerators;
--- a/src/libradishjunction/cell/cell_rooms.c
+++ b/src/libradishjunction/cell/cell_rooms.c
@@ -45,47 +45,42 @@
 	}
 }
 
-/* A part of a whole in percent. */
-static uint32_t percent(uint64_t part, uint64_t whole)
+/*
+ * Add what is in use.
+ */
+void rj_cell_usage_add(struct rj_cell_usage *usage,
+		       const struct rj_cell_demand *used)
 {
-	return whole ? (uint32_t)(part * 100 / whole) : 0;
+	usage->cpu.used += used->cpu_milli;
+	usage->memory.used += used->memory_mb;
+	usage->accelerators.used += used->accelerators;
 }
 
-/* What is in use, and what there is, of one kind of room. */
-struct share {
-	uint64_t used;
-	uint64_t all;
-};
-
-/* The sums over all rooms. */
-struct shares {
-	struct share cpu;
-	struct share memory;
-	struct share accelerators;
-};
-
 /* Add what one worker has. */
-static void add_shares(struct shares *shares,
+static void add_worker(struct rj_cell_usage *usage,
 		       const struct rj_cell_worker *worker)
 {
-	const struct rj_cell_demand *held = &worker->held;
 	const struct rj_cell_demand *all = &worker->said.capacity;
 
-	shares->cpu.used += held->cpu_milli;
-	shares->cpu.all += all->cpu_milli;
-	shares->memory.used += held->memory_mb;
-	shares->memory.all += all->memory_mb;
-	shares->accelerators.used += held->accelerators;
-	shares->accelerators.all += all->accelerators;
+	rj_cell_usage_add(usage, &worker->held);
+	usage->cpu.all += all->cpu_milli;
+	usage->memory.all += all->memory_mb;
+	usage->accelerators.all += all->accelerators;
 }
 
-/* How much of what counts most is in use. */
-static uint32_t used_percent(const struct shares *shares)
+/* How much of one kind of room is in use. */
+static uint32_t percent(const struct rj_cell_share_used *share)
+{
+	return share->all ? (uint32_t)(share->used * 100 / share->all) : 0;
+}
+
+/*
+ * How much of what counts most is in use, in percent.
+ */
+uint32_t rj_cell_usage_percent(const struct rj_cell_usage *usage)
 {
-	return MAX(percent(shares->cpu.used, shares->cpu.all),
-		   MAX(percent(shares->memory.used, shares->memory.all),
-		       percent(shares->accelerators.used,
-			       shares->accelerators.all)));
+	return MAX(percent(&usage->cpu), MAX(percent(&usage->memory),
+					     percent(&usage->accelerators)));
 }
 
 /* Keep one rack; returns its accelerators. */
@@ -156,8 +151,7 @@
 }
 
 /* Add the room of one worker, if it may get work. */
-static void add_room(struct rj_cell_plan *plan, struct rj_cell_worker *worker,
-		     struct shares *shares)
+static void add_room(struct rj_cell_plan *plan, struct rj_cell_worker *worker)
 {
 	struct rj_cell_room *room = &plan->rooms[plan->room_count];
 
@@ -173,7 +167,7 @@
 	add_stopping(room);
 	if (worker->domain)
 		worker->domain->urgent += worker->urgent;
-	add_shares(shares, worker);
+	add_worker(&plan->usage, worker);
 	plan->room_count++;
 }
 
@@ -184,7 +178,6 @@
 void rj_cell_plan_gather_rooms(struct rj_cell_plan *plan)
 {
 	const GPtrArray *racks = plan->fleet->racks;
-	struct shares shares = { .cpu = { 0, 0 } };
 	struct rj_cell_domain *domain;
 
 	plan->rooms = talloc_zero_array(NULL, struct rj_cell_room,
@@ -206,10 +199,8 @@
 		struct rj_list *next;
 
 		RJ_FOR_EACH (at, next, &rack->workers)
-			add_room(plan,
-				 RJ_CONTAINER(at, struct rj_cell_worker,
-					      in_rack),
-				 &shares);
+			add_room(plan, RJ_CONTAINER(at, struct rj_cell_worker,
+						    in_rack));
 		rooms.count = plan->room_count - rooms.first;
 		if (!rooms.count)
 			continue;
@@ -219,6 +210,5 @@
 		g_array_append_val(plan->racks, rooms);
 	}
 	order_racks(plan);
-	plan->used_percent = used_percent(&shares);
 	keep_racks(plan);
 }
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -38,6 +38,19 @@
 	uint32_t count;
 };
 
+/* What is in use, and what there is, of one kind of room. */
+struct rj_cell_share_used {
+	uint64_t used;
+	uint64_t all;
+};
+
+/* The sums over all rooms. */
+struct rj_cell_usage {
+	struct rj_cell_share_used cpu;
+	struct rj_cell_share_used memory;
+	struct rj_cell_share_used accelerators;
+};
+
 /* One task is to start on one worker. */
 struct rj_cell_choice {
 	struct rj_cell_task *task;
@@ -61,7 +74,7 @@
 	struct rj_cell_releases *releases; /* of each room, once asked for */
 	uint32_t room_count;
 	GArray *racks; /* struct rj_cell_rack_rooms, by name */
-	uint32_t used_percent; /* of the memory or accelerators of all */
+	struct rj_cell_usage usage; /* with what this plan starts */
 	GArray *units;
 	uint32_t promises; /* groups of others that have room promised */
 	GHashTable *needs; /* account -> accelerators of its urgent jobs */
@@ -71,6 +84,9 @@
 void rj_cell_plan_init(struct rj_cell_plan *plan);
 void rj_cell_plan_make(struct rj_cell_plan *plan);
 void rj_cell_plan_gather_rooms(struct rj_cell_plan *plan);
+void rj_cell_usage_add(struct rj_cell_usage *usage,
+		       const struct rj_cell_demand *used);
+uint32_t rj_cell_usage_percent(const struct rj_cell_usage *usage);
 void rj_cell_plan_finish(struct rj_cell_plan *plan);
 
 #endif
