cell: an answer of its failure domain proves a worker's path

Hypothesis: starts wait for a probe of their worker, and two plans each, to find out about cuts, which take whole domains. A domain of 220 workers answers some hundreds of times a second.

A worker that did not answer its last poll, or not for 2.5 s, is probed as before, and so is each one in a domain that was silent for 0.1 s.

--- a/src/libradishjunction/cell/cell_reach.c
+++ b/src/libradishjunction/cell/cell_reach.c
@@ -11,11 +11,21 @@
 #define PROOF_US (100 * RJ_US_PER_MS)
 #define PROOF_APPENDS 2
 #define PROOF_MAX_US (1000 * RJ_US_PER_MS)
+/*
+ * A worker that has answered its last poll is as reachable as its failure
+ * domain. Polls are answered within about two seconds.
+ */
+#define POLL_PROOF_US (2500 * RJ_US_PER_MS)
 /* Many times a round trip between failure domains. */
 #define PROBE_TIMEOUT_MS 150
 
 /*
- * Whether a start may be sent to the worker: it has answered a moment ago.
+ * Whether a start may be sent to the worker: a moment ago it has answered, or
+ * its failure domain has.
+ *
+ * Load that it answers: hundreds of starts a second in a large domain, each of
+ * which would wait for a probe. Domains are cut off as a whole, and any worker
+ * there shows that this one is not.
  */
 bool rj_cell_reach_proven(const struct rj_cell_owner *owner,
 			  const struct rj_cell_worker *worker)
@@ -23,7 +33,11 @@
 	uint64_t proof_us = CLAMP(owner->writer.took_us * PROOF_APPENDS,
 				  PROOF_US, PROOF_MAX_US);
 
-	return owner->now_us <= worker->answered_us + proof_us;
+	if (owner->now_us <= worker->answered_us + proof_us)
+		return true;
+	return worker->answers && worker->domain &&
+	       owner->now_us <= worker->answered_us + POLL_PROOF_US &&
+	       owner->now_us <= worker->domain->answered_us + proof_us;
 }
 
 /* The answer to a probe. Its lists are left to the polls, which are in order. */
