cell: a bid for the cell does not need a quiet log

Cause: an ownership record was appended on condition that the log still ended where it had been read. A log that takes records of clients faster than a read and an append take refuses every such bid; on the large fleet bids of strong instances ended in conflict while weak ones stayed owners.

Change: the condition goes. The bid's epoch, one more than the offset read, is higher than that of each owner whose record has been read, and the winner writes under it; all that a former owner stored stands before the record, which the winner reads before it owns the cell. The record names its epoch, as a bid whose answer was lost may go in after a later one was made.

Test: cell_reach/busy_log, one foreign record a millisecond: without the change nobody owns the cell after 1.35 s.

--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -29,9 +29,10 @@
  * quarter of a second when the log is slow.
  */
 #define OWNER_SILENT_US (900 * RJ_US_PER_MS)
-/* Those who would take over do so one after the other. */
-#define STAGGER_STEPS 8
-#define STAGGER_STEP_US (30 * RJ_US_PER_MS)
+/* Those who would take over do so one after the other; each reads the log
+ * first, which takes some 6 ms, and sees who was before it. */
+#define STAGGER_STEPS 32
+#define STAGGER_STEP_US (8 * RJ_US_PER_MS)
 /*
  * An owner's work grows with its workers, so the cell goes to a strong
  * instance: one with half as much again takes it from a weaker one, once it
@@ -247,7 +248,8 @@
 		rj_cell_forecast_set(&node->owner.forecast,
 				     node->front.beat.shares[i].queue,
 				     node->front.beat.shares[i].mean_ms);
-	rj_cell_owner_take(&node->owner, node->tenure.token, renewals_us(node),
+	rj_cell_owner_take(&node->owner, node->tenure.token,
+			   node->tenure.record.epoch, renewals_us(node),
 			   node->now_us, node->wall_ms);
 	node->jobs.pause_us = OWNER_JOBS_PAUSE_US;
 	rj_cell_follow_start(&node->fleet, node->now_us);
@@ -342,12 +344,17 @@
 }
 
 /*
- * Write an ownership record, if the log ends where we have read it to.
+ * Write an ownership record.
  *
  * Guards against two owners: the record's offset is the fencing token, and
- * it is written under that epoch, so that from then on the log takes nothing
- * from the former owner. What it had written before has been read, as the
- * log must end there.
+ * its epoch is higher than that of any owner whose record has been read, so
+ * that behind it the log takes nothing from them. All that they had written
+ * stands before it, and is read before this instance owns the cell. An epoch
+ * that is too low is refused, and one that another instance has used for the
+ * same offset appends nothing.
+ *
+ * The log need not be quiet: under load it takes records from clients faster
+ * than it can be read and appended to.
  */
 static void write_owner(struct rj_cell_node *node)
 {
@@ -355,12 +362,11 @@
 						      node->options.incarnation,
 					      .strength =
 						      node->options.strength,
-					      .since_ms = node->wall_ms };
+					      .since_ms = node->wall_ms,
+					      .epoch = node->jobs.next + 1 };
 	struct rj_cell_record record;
 	struct rj_cell_append append = { .producer = "owner",
-					 .epoch = node->jobs.next + 1,
-					 .conditional = true,
-					 .at = node->jobs.next,
+					 .epoch = owner.epoch,
 					 .records = &record,
 					 .count = 1 };
 	char key[RJ_CELL_KEY_BYTES];
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -262,12 +262,13 @@
 }
 
 /*
- * Own the cell under `token`: adopt every job that has not ended and all
+ * Own the cell under `token`, and write under `epoch`: adopt every job that has not ended and all
  * that may run. The view must be complete up to the ownership record; former
  * owners renew no lease after `renewals_us` from now.
  */
 void rj_cell_owner_take(struct rj_cell_owner *owner, uint64_t token,
-			uint64_t renewals_us, uint64_t now_us, uint64_t wall_ms)
+			uint64_t epoch, uint64_t renewals_us, uint64_t now_us,
+			uint64_t wall_ms)
 {
 	struct rj_list *at;
 	struct rj_list *next;
@@ -289,7 +290,7 @@
 	rj_cell_looks_begin(owner);
 	owner->counters.takeovers++;
 	rj_cell_fleet_init(&owner->fleet, owner->mem);
-	rj_cell_writer_open(&owner->writer, token, 1, now_us);
+	rj_cell_writer_open(&owner->writer, epoch, 1, now_us);
 	RJ_FOR_EACH (at, next, &owner->view->entries) {
 		struct rj_cell_entry *entry =
 			RJ_CONTAINER(at, struct rj_cell_entry, link);
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -7,9 +7,11 @@
 #include "private/pack.h"
 
 #define PROGRESS_FORMAT 1
-/* The first had no time in it; instances of both may run side by side. */
+/* Earlier formats had no time, then no epoch in them; instances of all may
+ * run side by side. */
 #define OWNER_FORMAT_UNTIMED 1
-#define OWNER_FORMAT 2
+#define OWNER_FORMAT_TIMED 2
+#define OWNER_FORMAT 3
 #define BEAT_FORMAT 1
 
 /* The first character of a key. */
@@ -316,6 +318,7 @@
 	rj_pack_number(&out, owner->strength);
 	rj_pack_bool(&out, owner->leaving);
 	rj_pack_number(&out, owner->since_ms);
+	rj_pack_number(&out, owner->epoch);
 	return rj_pack_finish(&out, mem);
 }
 
@@ -341,6 +344,9 @@
 	owner->since_ms = format > OWNER_FORMAT_UNTIMED ?
 				  rj_unpack_number(&in, "since", UINT64_MAX) :
 				  0;
+	owner->epoch = format > OWNER_FORMAT_TIMED ?
+			       rj_unpack_number(&in, "epoch", UINT64_MAX) :
+			       0;
 	return rj_unpack_finish(&in, err);
 }
 
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -105,7 +105,7 @@
 #define RJ_CELL_BLIND_US (10 * RJ_US_PER_S)
 
 void rj_cell_owner_take(struct rj_cell_owner *owner, uint64_t token,
-			uint64_t renewals_us, uint64_t now_us,
+			uint64_t epoch, uint64_t renewals_us, uint64_t now_us,
 			uint64_t wall_ms);
 void rj_cell_owner_resign(struct rj_cell_owner *owner, const char *why);
 void rj_cell_owner_leave(struct rj_cell_owner *owner, uint64_t now_us);
--- a/src/libradishjunction/include/private/cell_record.h
+++ b/src/libradishjunction/include/private/cell_record.h
@@ -29,6 +29,7 @@
 	uint32_t strength; /* hundredths of a core */
 	bool leaving; /* the cell is free: whoever is first may take it */
 	uint64_t since_ms; /* 1970, by its clock, when it bid; 0: not said */
+	uint64_t epoch; /* under which it writes the log; 0: not said */
 };
 
 /* What the owner tells the entries about the load of one queue. */
--- a/src/test_libradishjunction/test_cell_reach.c
+++ b/src/test_libradishjunction/test_cell_reach.c
@@ -8,6 +8,9 @@
 #include "private/cell_reach.h"
 #include "support/cell_fixture.h"
 
+/* An owner that was killed is replaced within this time. */
+#define TAKEOVER_MAX_US (1350 * MS)
+
 /* Twelve workers of eight accelerators in three racks, one for each failure
  * domain; three nodes. */
 static const struct cell_world_plan site = {
@@ -269,6 +272,24 @@
 			 ==, 4000);
 }
 
+/* A successor loses each bid against records that come all the time. */
+static void test_a_busy_log_is_taken_over(struct cell_fixture *f,
+					  const void *data)
+{
+	struct cell_world *world = &f->world;
+	int owner = cell_world_owner(world);
+	uint64_t silent_us = world->now_us;
+
+	cell_world_kill(world, (uint32_t)owner);
+	while (cell_world_owner(world) < 0 &&
+	       world->now_us < silent_us + TAKEOVER_MAX_US) {
+		cell_log_put(world, RJ_CELL_TOPIC_JOBS, "c00000000000000ff",
+			     "\xc0", 1);
+		cell_world_run(world, MS);
+	}
+	g_assert_cmpint(cell_world_owner(world), >=, 0);
+}
+
 #define ADD(name, function) CELL_TEST("/cell_reach/" name, &site, function)
 
 int main(int argc, char **argv)
@@ -283,6 +304,7 @@
 	ADD("log_deaf", test_a_log_that_wakes_nobody);
 	ADD("log_slow", test_proofs_outlast_slow_appends);
 	ADD("successor", test_a_killed_owner_is_replaced_in_time);
+	ADD("busy_log", test_a_busy_log_is_taken_over);
 	g_test_add_func("/cell_reach/come_back", test_when_to_come_back);
 	return g_test_run();
 }
