--- a/src/libradishjunction/cell/cell_flush.c
+++ b/src/libradishjunction/cell/cell_flush.c
@@ -13,12 +13,14 @@
 /* Ended jobs are looked through for those to be forgotten so often. */
 #define DROP_CHECK_US (5 * RJ_US_PER_S)
 
-/* What a write of a job's progress remembers until it is stored. */
-struct progress_write {
+/* What a write remembers until it is stored. */
+struct owner_write {
 	struct rj_cell_owner *owner;
+	struct rj_cell_writer *writer;
 	uint32_t generation;
+	enum rj_cell_record_kind kind;
 	char id[RJ_CELL_ID_BYTES]; /* "" for records of no job */
-	struct rj_cell_summary summary;
+	struct rj_cell_summary summary; /* of a job's state */
 };
 
 /* Forget the work of a job that has ended and runs nowhere. */
@@ -32,6 +34,7 @@
 		return;
 	entry->work = NULL;
 	talloc_free(work);
+	g_ptr_array_add(owner->ended, g_strdup(entry->id));
 }
 
 /* The intent of a run is stored: it may be started. */
@@ -64,63 +67,79 @@
 	}
 }
 
+/* A record about a job is in the log. */
+static void take_effect(struct rj_cell_owner *owner,
+			const struct owner_write *write,
+			struct rj_cell_entry *entry)
+{
+	if (write->kind == RJ_CELL_RECORD_STATE)
+		rj_cell_view_tell(entry, &write->summary, owner->now_us);
+	else if (write->kind == RJ_CELL_RECORD_PROGRESS && entry->work)
+		rj_cell_work_each_run(entry->work, release_run, owner);
+}
+
 /* One record of a flush has ended. */
-static void progress_stored(void *private_data,
-			    enum rj_cell_write_outcome outcome)
+static void write_done(void *private_data, enum rj_cell_write_outcome outcome)
 {
-	struct progress_write *write = private_data;
+	struct owner_write *write = private_data;
 	struct rj_cell_owner *owner = write->owner;
 	struct rj_cell_entry *entry;
-	bool current = write->generation == owner->generation && owner->active;
 
-	if (!current) {
+	if (write->generation != owner->generation) {
 		talloc_free(write);
 		return;
 	}
-	owner->now_us = owner->writer.now_us;
+	owner->now_us = write->writer->now_us;
 	owner->writes_open--;
 	entry = write->id[0] ? rj_cell_view_find(owner->view, write->id) : NULL;
 	if (outcome == RJ_CELL_WRITE_STORED && entry) {
-		rj_cell_view_tell(entry, &write->summary, owner->now_us);
-		if (entry->work)
-			rj_cell_work_each_run(entry->work, release_run, owner);
+		take_effect(owner, write, entry);
 	} else if (outcome == RJ_CELL_WRITE_NOT_STORED) {
+		owner->write_failed = true;
 		if (entry && entry->work)
 			rj_cell_owner_dirty(owner, entry->work);
 		owner->beat_due_us = owner->now_us;
 	} else if (outcome != RJ_CELL_WRITE_STORED) {
 		owner->lost = true;
 	}
-	if (!owner->writes_open && !owner->lost &&
-	    outcome == RJ_CELL_WRITE_STORED)
+	if (!owner->writes_open && !owner->lost && !owner->write_failed)
 		ends_stored(owner);
 	if (entry && entry->work)
 		free_ended(owner, entry->work);
 	talloc_free(write);
 }
 
-/* Add one record to the flush. */
+/* Add one record to the flush; `summary` is that of a job's state. */
 static void add_write(struct rj_cell_owner *owner,
 		      enum rj_cell_record_kind kind, const char *id,
 		      struct rj_bytes value,
 		      const struct rj_cell_summary *summary)
 {
-	struct progress_write *write =
-		talloc_zero(owner->mem, struct progress_write);
+	struct owner_write *write = talloc_zero(owner->mem, struct owner_write);
 	char key[RJ_CELL_KEY_BYTES];
 
 	assert(write);
 	write->owner = owner;
+	write->writer = kind == RJ_CELL_RECORD_PROGRESS ? &owner->progress :
+							  &owner->writer;
 	write->generation = owner->generation;
-	if (summary) {
-		g_strlcpy(write->id, id, sizeof(write->id));
+	write->kind = kind;
+	g_strlcpy(write->id, id, sizeof(write->id));
+	if (summary)
 		write->summary = *summary;
-	}
 	rj_cell_record_key(key, kind, id);
 	owner->writes_open++;
-	rj_cell_writer_add(
-		&owner->writer, key, value,
-		(struct rj_cell_write_done){ progress_stored, write });
+	rj_cell_writer_add(write->writer, key, value,
+			   (struct rj_cell_write_done){ write_done, write });
+}
+
+/* Add the removal of a key. */
+static void add_drop(struct rj_cell_owner *owner, enum rj_cell_record_kind kind,
+		     const char *id)
+{
+	const struct rj_cell_summary ended = { RJ_CELL_JOB_COMPLETED, true };
+
+	add_write(owner, kind, id, (struct rj_bytes){ NULL, 0 }, &ended);
 }
 
 /* The intent of a run goes out with its job's record. */
@@ -158,8 +177,46 @@
 	owner->leaving = false;
 }
 
+/* Add what has changed of a job; its state only where callers are told more
+ * by it. */
+static void add_work(struct rj_cell_owner *owner, struct rj_cell_work *work)
+{
+	const struct rj_cell_entry *entry = work->entry;
+	struct rj_cell_summary summary = { work->state, work->started };
+	struct rj_bytes value;
+
+	rj_cell_work_each_run(work, mark_recording, NULL);
+	value = rj_cell_progress_encode(owner->mem, work);
+	add_write(owner, RJ_CELL_RECORD_PROGRESS, work->def->id, value, NULL);
+	talloc_free((void *)value.data);
+	if (summary.state <= entry->told.state &&
+	    summary.started == entry->told.started)
+		return;
+	value = rj_cell_summary_encode(owner->mem, &summary);
+	add_write(owner, RJ_CELL_RECORD_STATE, work->def->id, value, &summary);
+	talloc_free((void *)value.data);
+}
+
+/*
+ * Drop what only the work of a job needs, for jobs that were shown to have
+ * ended and run nowhere.
+ *
+ * Load that it answers: all instances start at once, and each loads all that
+ * is kept.
+ */
+static void add_drops(struct rj_cell_owner *owner)
+{
+	for (guint i = 0; i < owner->ended->len; i++) {
+		const char *id = owner->ended->pdata[i];
+
+		add_drop(owner, RJ_CELL_RECORD_PROGRESS, id);
+		add_drop(owner, RJ_CELL_RECORD_DEFINITION, id);
+	}
+	g_ptr_array_set_size(owner->ended, 0);
+}
+
 /*
- * Store all changes in one append, if none is on its way.
+ * Store all changes, in one append to each log, if none is on its way.
  */
 void rj_cell_flush(struct rj_cell_owner *owner)
 {
@@ -168,22 +225,19 @@
 
 	if (owner->writes_open)
 		return;
+	owner->write_failed = false;
 	RJ_FOR_EACH (at, next, &owner->dirty) {
 		struct rj_cell_work *work =
 			RJ_CONTAINER(at, struct rj_cell_work, in_dirty);
-		struct rj_cell_summary summary = { work->state, work->started };
-		struct rj_bytes value;
 
 		work->dirty = false;
 		rj_list_remove(&work->in_dirty);
-		rj_cell_work_each_run(work, mark_recording, NULL);
-		value = rj_cell_progress_encode(owner->mem, work);
-		add_write(owner, RJ_CELL_RECORD_PROGRESS, work->def->id, value,
-			  &summary);
-		talloc_free((void *)value.data);
+		add_work(owner, work);
 	}
-	if (owner->now_us >= owner->beat_due_us)
+	if (owner->now_us >= owner->beat_due_us) {
 		add_beat(owner);
+		add_drops(owner);
+	}
 	if (owner->leaving)
 		add_leave(owner);
 	RJ_FOR_EACH (at, next, &owner->fleet.watched[RJ_CELL_WATCH_BUSY]) {
@@ -192,10 +246,12 @@
 
 		worker->seen_storing = worker->seen_taken;
 	}
-	if (owner->writes_open)
-		rj_cell_writer_flush(&owner->writer, owner->now_us);
-	else
+	if (!owner->writes_open) {
 		ends_stored(owner);
+		return;
+	}
+	rj_cell_writer_flush(&owner->progress, owner->now_us);
+	rj_cell_writer_flush(&owner->writer, owner->now_us);
 }
 
 /*
@@ -203,7 +259,6 @@
  */
 void rj_cell_flush_old(struct rj_cell_owner *owner)
 {
-	const struct rj_cell_summary none = { RJ_CELL_JOB_COMPLETED, true };
 	struct rj_list *at;
 	struct rj_list *next;
 
@@ -220,9 +275,8 @@
 			continue;
 		for (int kind = RJ_CELL_RECORD_DEFINITION;
 		     kind <= RJ_CELL_RECORD_CANCEL; kind++)
-			add_write(owner, (enum rj_cell_record_kind)kind,
-				  entry->id, (struct rj_bytes){ NULL, 0 },
-				  &none);
+			add_drop(owner, (enum rj_cell_record_kind)kind,
+				 entry->id);
 		entry->ended_us = owner->now_us; /* once, unless it fails */
 	}
 }
--- a/src/libradishjunction/cell/cell_front.c
+++ b/src/libradishjunction/cell/cell_front.c
@@ -197,7 +197,7 @@
 	struct rj_cell_entry *entry =
 		rj_cell_view_find(request->front->view, request->id);
 
-	return entry && entry->def ? entry : NULL;
+	return rj_cell_view_knows(entry) ? entry : NULL;
 }
 
 /* What was to be stored is, or is not. */
--- a/src/libradishjunction/cell/cell_metrics.c
+++ b/src/libradishjunction/cell/cell_metrics.c
@@ -125,5 +125,6 @@
 	write_front(text, &node->front);
 	write_appends(text, "front", &node->writer);
 	write_appends(text, "owner", &node->owner.writer);
+	write_appends(text, "owner_progress", &node->owner.progress);
 	write_owner(text, &node->owner, now_us);
 }
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -177,7 +177,7 @@
 			RJ_NOTE_TEXT("error", "a key that we did not write"));
 		return;
 	}
-	if (kind == RJ_CELL_RECORD_PROGRESS || kind == RJ_CELL_RECORD_BEAT ||
+	if (kind == RJ_CELL_RECORD_STATE || kind == RJ_CELL_RECORD_BEAT ||
 	    kind == RJ_CELL_RECORD_OWNER)
 		node->tenure.seen_us = node->jobs.now_us;
 	if (kind == RJ_CELL_RECORD_OWNER) {
@@ -189,7 +189,7 @@
 		return;
 	}
 	entry = rj_cell_view_apply(&node->view, record, node->jobs.now_us);
-	if (entry && node->owner.active && kind != RJ_CELL_RECORD_PROGRESS) {
+	if (entry && node->owner.active && kind != RJ_CELL_RECORD_STATE) {
 		node->owner.now_us = node->jobs.now_us;
 		rj_cell_owner_entry(&node->owner, entry);
 	}
@@ -205,10 +205,17 @@
 	       !strcmp(node->tenure.record.name, node->options.name);
 }
 
+/* Whether this instance owns the cell, or is taking it over. */
+static bool is_owner(const struct rj_cell_node *node)
+{
+	return node->owner.active || node->owner.taking;
+}
+
 /* Give the cell up. What was decided and not stored has not been shown. */
 static void step_down(struct rj_cell_node *node, const char *why)
 {
 	node->fenced_token = node->owner.token;
+	rj_cell_takeover_stop(&node->takeover);
 	rj_cell_owner_resign(&node->owner, why);
 	rj_cell_follow_stop(&node->fleet);
 	node->jobs.pause_us = JOBS_PAUSE_US;
@@ -240,18 +247,26 @@
 	return MIN(RJ_CELL_BLIND_US, settled_us - age_us);
 }
 
-/* Take the cell: the log up to our own record has been read. */
-static void step_up(struct rj_cell_node *node)
+/* Begin to take the cell: the log up to our own record has been read. */
+static void begin_takeover(struct rj_cell_node *node)
 {
 	for (uint32_t i = 0;
 	     node->front.beat_us && i < node->front.beat.share_count; i++)
 		rj_cell_forecast_set(&node->owner.forecast,
 				     node->front.beat.shares[i].queue,
 				     node->front.beat.shares[i].mean_ms);
-	rj_cell_owner_take(&node->owner, node->tenure.token,
-			   node->tenure.record.epoch, renewals_us(node),
-			   node->now_us, node->wall_ms);
+	rj_cell_takeover_begin(&node->takeover, node->tenure.token,
+			       node->tenure.record.epoch, node->now_us,
+			       node->wall_ms);
 	node->jobs.pause_us = OWNER_JOBS_PAUSE_US;
+}
+
+/* Take the cell: the progress of all jobs is known. */
+static void step_up(struct rj_cell_node *node)
+{
+	rj_cell_takeover_stop(&node->takeover);
+	rj_cell_owner_take(&node->owner, renewals_us(node), node->now_us,
+			   node->wall_ms);
 	rj_cell_follow_start(&node->fleet, node->now_us);
 }
 
@@ -261,11 +276,11 @@
 	struct rj_cell_node *node = private_data;
 
 	node->now_us = follow->now_us;
-	if (node->owner.active && node->owner.token != node->tenure.token)
+	if (is_owner(node) && node->owner.token != node->tenure.token)
 		step_down(node, "superseded");
-	else if (!node->owner.active && follow->caught_up && is_ours(node) &&
+	else if (!is_owner(node) && follow->caught_up && is_ours(node) &&
 		 !node->draining)
-		step_up(node);
+		begin_takeover(node);
 }
 
 static const struct rj_cell_follow_ops jobs_ops = { jobs_record,
@@ -301,7 +316,8 @@
 	(void)g_snprintf(producer, sizeof(producer),
 			 "%s-%" G_GINT64_MODIFIER "x", options->name,
 			 options->incarnation);
-	rj_cell_writer_init(&node->writer, mem, options->store, producer);
+	rj_cell_writer_init(&node->writer, mem, options->store,
+			    RJ_CELL_TOPIC_JOBS, producer);
 	rj_cell_front_init(&node->front, mem, &node->view, &node->jobs,
 			   &node->configs, &node->writer, options->codec,
 			   options->terms.revoke_ms);
@@ -309,6 +325,8 @@
 			   options->incarnation, &node->view, options->store,
 			   options->workers, &options->terms);
 	node->owner.advisor = options->advisor;
+	rj_cell_takeover_init(&node->takeover, mem, options->store,
+			      &node->owner);
 }
 
 static void probed(struct rj_cell_sync *sync, bool reached);
@@ -365,7 +383,8 @@
 					      .since_ms = node->wall_ms,
 					      .epoch = node->jobs.next + 1 };
 	struct rj_cell_record record;
-	struct rj_cell_append append = { .producer = "owner",
+	struct rj_cell_append append = { .topic = RJ_CELL_TOPIC_JOBS,
+					 .producer = "owner",
 					 .epoch = owner.epoch,
 					 .records = &record,
 					 .count = 1 };
@@ -433,7 +452,7 @@
 		node->bid_due_us = node->now_us + BID_PAUSE_US;
 		return;
 	}
-	if (node->owner.active || node->bidding || node->draining ||
+	if (is_owner(node) || node->bidding || node->draining ||
 	    !should_bid(node))
 		return;
 	rj_note("owner_silent",
@@ -454,7 +473,7 @@
  */
 static void watch_owner(struct rj_cell_node *node)
 {
-	if (node->owner.active || node->bidding || node->probing ||
+	if (is_owner(node) || node->bidding || node->probing ||
 	    node->draining || !node->jobs.caught_up || !node->config ||
 	    node->now_us < node->bid_due_us || !should_bid(node))
 		return;
@@ -480,6 +499,9 @@
 	rj_cell_writer_tick(&node->writer, now_us);
 	rj_cell_front_tick(&node->front, now_us);
 	node->owner.read_us = node->jobs.confirmed_us;
+	rj_cell_takeover_tick(&node->takeover, now_us);
+	if (rj_cell_takeover_is_loaded(&node->takeover))
+		step_up(node);
 	rj_cell_owner_advance(&node->owner, now_us, wall_ms);
 	if (node->owner.lost)
 		step_down(node, "fenced");
@@ -508,7 +530,7 @@
 	node->now_us = now_us;
 	node->draining = true;
 	rj_note("drain", RJ_NOTE_NUMBER("open", node->front.open),
-		RJ_NOTE_NUMBER("owner", node->owner.active));
+		RJ_NOTE_NUMBER("owner", is_owner(node)));
 	rj_cell_owner_leave(&node->owner, now_us);
 }
 
@@ -526,7 +548,8 @@
 void rj_cell_node_finish(struct rj_cell_node *node)
 {
 	rj_cell_front_finish(&node->front);
-	rj_cell_owner_resign(&node->owner, "finish");
+	rj_cell_takeover_stop(&node->takeover);
+	rj_cell_owner_finish(&node->owner);
 	rj_cell_writer_close(&node->writer);
 	rj_cell_follow_stop(&node->jobs);
 	rj_cell_follow_stop(&node->configs);
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -43,7 +43,11 @@
 	rj_list_init(&owner->works);
 	rj_list_init(&owner->dirty);
 	rj_cell_forecast_init(&owner->forecast);
-	rj_cell_writer_init(&owner->writer, mem, store, "owner");
+	owner->ended = g_ptr_array_new_with_free_func(g_free);
+	rj_cell_writer_init(&owner->writer, mem, store, RJ_CELL_TOPIC_JOBS,
+			    "owner");
+	rj_cell_writer_init(&owner->progress, mem, store,
+			    RJ_CELL_TOPIC_PROGRESS, "owner");
 }
 
 /*
@@ -124,7 +128,11 @@
 				    owner->now_us, &err))
 		rj_note("record_bad", RJ_NOTE_TEXT("job", entry->id),
 			RJ_NOTE_TEXT("error", err.message));
-	rj_cell_ends_begin_rounds(owner, work);
+	/* The former owner stored that it has ended, and nobody was told. */
+	if (work->state >= RJ_CELL_JOB_COMPLETED)
+		rj_cell_owner_dirty(owner, work);
+	else
+		rj_cell_ends_begin_rounds(owner, work);
 }
 
 /* Say what has come, with the figures that decide on its first step. */
@@ -262,35 +270,51 @@
 }
 
 /*
- * Own the cell under `token`, and write under `epoch`: adopt every job that has not ended and all
- * that may run. The view must be complete up to the ownership record; former
- * owners renew no lease after `renewals_us` from now.
+ * Begin to take the cell over under `token`, writing under `epoch`: this
+ * instance shows its life in the log, and decides nothing until
+ * rj_cell_owner_take. The progress writer starts behind the fence that the
+ * takeover puts into its log.
  */
-void rj_cell_owner_take(struct rj_cell_owner *owner, uint64_t token,
-			uint64_t epoch, uint64_t renewals_us, uint64_t now_us,
-			uint64_t wall_ms)
+void rj_cell_owner_begin(struct rj_cell_owner *owner, uint64_t token,
+			 uint64_t epoch, uint64_t now_us, uint64_t wall_ms)
 {
-	struct rj_list *at;
-	struct rj_list *next;
-	uint32_t jobs = 0;
-
-	assert(!owner->active);
+	assert(!owner->active && !owner->taking);
 	assert(owner->dirty.next == &owner->dirty);
-	owner->active = true;
+	owner->taking = true;
 	owner->lost = false;
 	owner->leaving = false;
 	owner->generation++;
 	owner->token = token;
-	owner->read_us = now_us;
 	owner->now_us = now_us;
 	owner->wall_ms = wall_ms;
 	owner->writes_open = 0;
-	owner->advice_open = false;
 	owner->beat_due_us = now_us;
-	rj_cell_looks_begin(owner);
-	owner->counters.takeovers++;
 	rj_cell_fleet_init(&owner->fleet, owner->mem);
 	rj_cell_writer_open(&owner->writer, epoch, 1, now_us);
+	rj_cell_writer_open(&owner->progress, epoch, 0, now_us);
+}
+
+/*
+ * Own the cell: adopt every job that has not ended and all that may run. The
+ * view must be complete up to the ownership record, and hold the progress of
+ * all jobs; former owners renew no lease after `renewals_us` from now.
+ */
+void rj_cell_owner_take(struct rj_cell_owner *owner, uint64_t renewals_us,
+			uint64_t now_us, uint64_t wall_ms)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+	uint32_t jobs = 0;
+
+	assert(owner->taking);
+	owner->taking = false;
+	owner->active = true;
+	owner->read_us = now_us;
+	owner->now_us = now_us;
+	owner->wall_ms = wall_ms;
+	owner->advice_open = false;
+	rj_cell_looks_begin(owner);
+	owner->counters.takeovers++;
 	RJ_FOR_EACH (at, next, &owner->view->entries) {
 		struct rj_cell_entry *entry =
 			RJ_CONTAINER(at, struct rj_cell_entry, link);
@@ -299,8 +323,9 @@
 			jobs++;
 		rj_cell_owner_entry(owner, entry);
 	}
+	rj_cell_view_drop_progress(owner->view);
 	bound_leases(owner, renewals_us);
-	rj_note("own", RJ_NOTE_NUMBER("token", token),
+	rj_note("own", RJ_NOTE_NUMBER("token", owner->token),
 		RJ_NOTE_AGE_MS("renewals_ms", renewals_us),
 		RJ_NOTE_NUMBER("jobs", jobs),
 		RJ_NOTE_NUMBER("workers", owner->fleet.count));
@@ -316,17 +341,21 @@
 	struct rj_list *at;
 	struct rj_list *next;
 
-	if (!owner->active)
+	if (!owner->active && !owner->taking)
 		return;
 	rj_note("resign", RJ_NOTE_NUMBER("token", owner->token),
 		RJ_NOTE_TEXT("why", why),
 		RJ_NOTE_AGE_MS("stored_ms",
 			       owner->now_us - owner->writer.stored_us));
 	owner->active = false;
+	owner->taking = false;
 	owner->lost = false;
 	owner->generation++;
 	owner->counters.resigns++;
 	rj_cell_writer_close(&owner->writer);
+	rj_cell_writer_close(&owner->progress);
+	rj_cell_view_drop_progress(owner->view);
+	g_ptr_array_set_size(owner->ended, 0);
 	RJ_FOR_EACH (at, next, &owner->works) {
 		struct rj_cell_work *work =
 			RJ_CONTAINER(at, struct rj_cell_work, link);
@@ -337,13 +366,23 @@
 	rj_cell_fleet_finish(&owner->fleet);
 }
 
+/*
+ * End: own nothing any more, and free what the owner holds.
+ */
+void rj_cell_owner_finish(struct rj_cell_owner *owner)
+{
+	rj_cell_owner_resign(owner, "finish");
+	rj_cell_forecast_finish(&owner->forecast);
+	g_ptr_array_free(owner->ended, TRUE);
+}
+
 /*
  * Give the cell away in the log, behind all that is to be stored. Whoever
  * reads it may take over at once; until then this owner goes on.
  */
 void rj_cell_owner_leave(struct rj_cell_owner *owner, uint64_t now_us)
 {
-	if (!owner->active)
+	if (!owner->active && !owner->taking)
 		return;
 	owner->now_us = now_us;
 	owner->leaving = true;
@@ -403,6 +442,17 @@
 	return owner->now_us <= owner->read_us + READ_AGE_MAX_US;
 }
 
+/* Decide what is due. */
+static void decide(struct rj_cell_owner *owner)
+{
+	begin_rounds(owner);
+	if ((owner->plan_wanted || owner->now_us >= owner->plan_due_us) &&
+	    !owner->writes_open && rj_cell_owner_may_start(owner) &&
+	    owner->now_us + PLAN_IDLE_US >= owner->plan_due_us + PLAN_PAUSE_US)
+		plan_work(owner);
+	rj_cell_flush_old(owner);
+}
+
 /*
  * Do all that is due: orders, plans, stores. To be called after each event
  * and every few milliseconds.
@@ -410,17 +460,15 @@
 void rj_cell_owner_advance(struct rj_cell_owner *owner, uint64_t now_us,
 			   uint64_t wall_ms)
 {
-	if (!owner->active || owner->lost)
+	if ((!owner->active && !owner->taking) || owner->lost)
 		return;
 	owner->now_us = now_us;
 	owner->wall_ms = wall_ms;
-	begin_rounds(owner);
-	if ((owner->plan_wanted || now_us >= owner->plan_due_us) &&
-	    !owner->writes_open && rj_cell_owner_may_start(owner) &&
-	    now_us + PLAN_IDLE_US >= owner->plan_due_us + PLAN_PAUSE_US)
-		plan_work(owner);
-	rj_cell_flush_old(owner);
+	if (owner->active)
+		decide(owner);
 	rj_cell_flush(owner);
-	rj_cell_orders_tick(owner);
+	if (owner->active)
+		rj_cell_orders_tick(owner);
+	rj_cell_writer_tick(&owner->progress, now_us);
 	rj_cell_writer_tick(&owner->writer, now_us);
 }
--- a/src/libradishjunction/cell/cell_reach.c
+++ b/src/libradishjunction/cell/cell_reach.c
@@ -30,8 +30,9 @@
 bool rj_cell_reach_proven(const struct rj_cell_owner *owner,
 			  const struct rj_cell_worker *worker)
 {
-	uint64_t proof_us = CLAMP(owner->writer.took_us * PROOF_APPENDS,
-				  PROOF_US, PROOF_MAX_US);
+	uint64_t took_us = MAX(owner->writer.took_us, owner->progress.took_us);
+	uint64_t proof_us =
+		CLAMP(took_us * PROOF_APPENDS, PROOF_US, PROOF_MAX_US);
 
 	if (owner->now_us <= worker->answered_us + proof_us)
 		return true;
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -7,6 +7,7 @@
 #include "private/pack.h"
 
 #define PROGRESS_FORMAT 1
+#define STATE_FORMAT 1
 /* Earlier formats had no time, then no epoch in them; instances of all may
  * run side by side. */
 #define OWNER_FORMAT_UNTIMED 1
@@ -17,8 +18,8 @@
 /* The first character of a key. */
 static const char kind_letter[RJ_CELL_RECORD_KIND_COUNT] = {
 	[RJ_CELL_RECORD_DEFINITION] = 'j', [RJ_CELL_RECORD_PROGRESS] = 's',
-	[RJ_CELL_RECORD_CANCEL] = 'c',	   [RJ_CELL_RECORD_OWNER] = 'o',
-	[RJ_CELL_RECORD_BEAT] = 'b',
+	[RJ_CELL_RECORD_STATE] = 't',	   [RJ_CELL_RECORD_CANCEL] = 'c',
+	[RJ_CELL_RECORD_OWNER] = 'o',	   [RJ_CELL_RECORD_BEAT] = 'b',
 };
 
 /* How much of a task is written. */
@@ -175,11 +176,26 @@
 	return rj_pack_finish(&out, mem);
 }
 
-/* The fields that come before the workers. */
-static void read_summary(struct rj_unpacker *in,
+/*
+ * What callers are told of a job; a talloc child of `mem`.
+ */
+struct rj_bytes rj_cell_summary_encode(void *mem,
+				       const struct rj_cell_summary *summary)
+{
+	struct rj_packer out;
+
+	rj_pack_init(&out);
+	rj_pack_number(&out, STATE_FORMAT);
+	rj_pack_number(&out, summary->state);
+	rj_pack_bool(&out, summary->started);
+	return rj_pack_finish(&out, mem);
+}
+
+/* The fields of a summary, behind a format. */
+static void read_summary(struct rj_unpacker *in, uint64_t format,
 			 struct rj_cell_summary *summary)
 {
-	if (rj_unpack_number(in, "format", UINT32_MAX) != PROGRESS_FORMAT)
+	if (rj_unpack_number(in, "format", UINT32_MAX) != format)
 		rj_unpack_fail(in, "format");
 	summary->state = (enum rj_cell_job_state)rj_unpack_number(
 		in, "state", RJ_CELL_JOB_STATE_COUNT - 1);
@@ -187,16 +203,16 @@
 }
 
 /*
- * What callers are told of a job. Returns 0, or -1 with `err`.
+ * What rj_cell_summary_encode wrote. Returns 0, or -1 with `err`.
  */
-int rj_cell_progress_summary(struct rj_bytes bytes,
-			     struct rj_cell_summary *summary,
-			     struct rj_error *err)
+int rj_cell_summary_decode(struct rj_bytes bytes,
+			   struct rj_cell_summary *summary,
+			   struct rj_error *err)
 {
 	struct rj_unpacker in;
 
 	rj_unpack_init(&in, bytes);
-	read_summary(&in, summary);
+	read_summary(&in, STATE_FORMAT, summary);
 	return rj_unpack_finish(&in, err);
 }
 
@@ -280,7 +296,7 @@
 	uint32_t begun;
 
 	rj_unpack_init(&in, bytes);
-	read_summary(&in, &summary);
+	read_summary(&in, PROGRESS_FORMAT, &summary);
 	work->state = summary.state;
 	work->started = summary.started;
 	begun = (uint32_t)rj_unpack_number(&in, "begun", UINT32_MAX);
--- a/src/libradishjunction/cell/cell_rooms.c
+++ b/src/libradishjunction/cell/cell_rooms.c
@@ -79,8 +79,8 @@
  */
 uint32_t rj_cell_usage_percent(const struct rj_cell_usage *usage)
 {
-	return MAX(percent(&usage->cpu), MAX(percent(&usage->memory),
-					     percent(&usage->accelerators)));
+	return MAX(percent(&usage->cpu),
+		   MAX(percent(&usage->memory), percent(&usage->accelerators)));
 }
 
 /* Keep one rack; returns its accelerators. */
@@ -183,8 +183,8 @@
 	plan->rooms = talloc_zero_array(NULL, struct rj_cell_room,
 					plan->fleet->count);
 	assert(plan->rooms || !plan->fleet->count);
-	plan->releases = talloc_zero_array(
-		plan->rooms, struct rj_cell_releases, plan->fleet->count);
+	plan->releases = talloc_zero_array(plan->rooms, struct rj_cell_releases,
+					   plan->fleet->count);
 	assert(plan->releases || !plan->fleet->count);
 	for (guint i = 0; i < plan->fleet->domains->len; i++) {
 		domain = plan->fleet->domains->pdata[i];
--- /dev/null
+++ b/src/libradishjunction/cell/cell_takeover.c
@@ -0,0 +1,134 @@
+#include "private/cell_takeover.h"
+
+#include <string.h>
+
+/* A fence that the store has turned away is sent again after this. */
+#define FENCE_RETRY_US (100 * RJ_US_PER_MS)
+
+/* One record of the progress log. */
+static void progress_record(void *private_data,
+			    const struct rj_cell_record *record)
+{
+	struct rj_cell_takeover *takeover = private_data;
+	enum rj_cell_record_kind kind;
+	const char *id;
+
+	if (rj_cell_record_kind(record->key, &kind, &id) ||
+	    kind != RJ_CELL_RECORD_PROGRESS || !record->value.length)
+		return;
+	rj_cell_view_keep_progress(takeover->owner->view, id, record->value);
+}
+
+/* A read of the progress log has ended. Behind the fence nobody else writes
+ * there, so that its end is reached once. */
+static void progress_read(void *private_data, struct rj_cell_follow *follow)
+{
+	struct rj_cell_takeover *takeover = private_data;
+
+	if (!follow->caught_up)
+		return;
+	rj_cell_follow_stop(follow);
+	takeover->state = RJ_CELL_TAKEOVER_LOADED;
+}
+
+static const struct rj_cell_follow_ops progress_ops = { progress_record,
+							progress_read };
+
+/*
+ * Prepare for takeovers by `owner`.
+ */
+void rj_cell_takeover_init(struct rj_cell_takeover *takeover, void *mem,
+			   struct rj_cell_store *store,
+			   struct rj_cell_owner *owner)
+{
+	memset(takeover, 0, sizeof(*takeover));
+	takeover->owner = owner;
+	rj_cell_follow_init(&takeover->progress, mem, store,
+			    RJ_CELL_TOPIC_PROGRESS, &progress_ops, takeover);
+}
+
+/* The outcome of the fence. */
+static void fence_done(void *private_data, enum rj_cell_write_outcome outcome)
+{
+	struct rj_cell_takeover *takeover = private_data;
+	struct rj_cell_owner *owner = takeover->owner;
+	uint64_t now_us = owner->progress.now_us;
+
+	takeover->fence_open = false;
+	if (takeover->state != RJ_CELL_TAKEOVER_FENCING ||
+	    takeover->generation != owner->generation)
+		return;
+	switch (outcome) {
+	case RJ_CELL_WRITE_STORED:
+		takeover->state = RJ_CELL_TAKEOVER_LOADING;
+		rj_cell_follow_start(&takeover->progress, now_us);
+		break;
+	case RJ_CELL_WRITE_NOT_STORED:
+		takeover->fence_due_us = now_us + FENCE_RETRY_US;
+		break;
+	default:
+		owner->lost = true;
+	}
+}
+
+/*
+ * Append the fence.
+ *
+ * Guards against an owner that does not know yet that it has been replaced,
+ * and stores intents that its successor never reads: the record's epoch makes
+ * the log refuse whatever comes after it from former owners.
+ */
+static void send_fence(struct rj_cell_takeover *takeover, uint64_t now_us)
+{
+	struct rj_cell_owner *owner = takeover->owner;
+	const struct rj_bytes mark = { (const uint8_t *)"\xc0", 1 };
+	char key[RJ_CELL_KEY_BYTES];
+
+	takeover->fence_open = true;
+	takeover->generation = owner->generation;
+	rj_cell_record_key(key, RJ_CELL_RECORD_OWNER, "");
+	rj_cell_writer_add(&owner->progress, key, mark,
+			   (struct rj_cell_write_done){ fence_done, takeover });
+	rj_cell_writer_flush(&owner->progress, now_us);
+}
+
+/*
+ * Begin to take the cell over under `token`, writing under `epoch`.
+ */
+void rj_cell_takeover_begin(struct rj_cell_takeover *takeover, uint64_t token,
+			    uint64_t epoch, uint64_t now_us, uint64_t wall_ms)
+{
+	takeover->state = RJ_CELL_TAKEOVER_FENCING;
+	takeover->fence_due_us = now_us;
+	rj_cell_owner_begin(takeover->owner, token, epoch, now_us, wall_ms);
+	rj_cell_takeover_tick(takeover, now_us);
+}
+
+/*
+ * Send what is due.
+ */
+void rj_cell_takeover_tick(struct rj_cell_takeover *takeover, uint64_t now_us)
+{
+	if (takeover->state == RJ_CELL_TAKEOVER_FENCING &&
+	    !takeover->fence_open && now_us >= takeover->fence_due_us)
+		send_fence(takeover, now_us);
+	rj_cell_follow_tick(&takeover->progress, now_us);
+}
+
+/*
+ * Whether the progress of all jobs is known, so that the owner may take the
+ * cell.
+ */
+bool rj_cell_takeover_is_loaded(const struct rj_cell_takeover *takeover)
+{
+	return takeover->state == RJ_CELL_TAKEOVER_LOADED;
+}
+
+/*
+ * End a takeover, whether the cell was taken or not.
+ */
+void rj_cell_takeover_stop(struct rj_cell_takeover *takeover)
+{
+	takeover->state = RJ_CELL_TAKEOVER_IDLE;
+	rj_cell_follow_stop(&takeover->progress);
+}
--- a/src/libradishjunction/cell/cell_view.c
+++ b/src/libradishjunction/cell/cell_view.c
@@ -97,25 +97,36 @@
 		entry->ended_us = now_us;
 }
 
-/* What the owner has stored of a job. */
-static void apply_progress(struct rj_cell_entry *entry,
-			   const struct rj_cell_record *record, uint64_t now_us)
+/* What the owner lets callers know of a job. */
+static void apply_state(struct rj_cell_entry *entry,
+			const struct rj_cell_record *record, uint64_t now_us)
 {
 	struct rj_cell_summary summary;
 	struct rj_error err;
 
-	if (rj_cell_progress_summary(record->value, &summary, &err)) {
+	if (rj_cell_summary_decode(record->value, &summary, &err)) {
 		rj_note("record_bad", RJ_NOTE_TEXT("job", entry->id),
 			RJ_NOTE_TEXT("error", err.message));
 		return;
 	}
-	talloc_free((void *)entry->progress.data);
-	entry->progress.data =
-		talloc_memdup(entry, record->value.data, record->value.length);
-	entry->progress.length = record->value.length;
 	rj_cell_view_tell(entry, &summary, now_us);
 }
 
+/* A key of a job was dropped: its definition once it has ended, and its state
+ * when nobody has to be told of it any more. */
+static void apply_drop(struct rj_cell_view *view, const char *id,
+		       enum rj_cell_record_kind kind)
+{
+	struct rj_cell_entry *entry = rj_cell_view_find(view, id);
+
+	if (!entry || entry->work)
+		return;
+	if (kind == RJ_CELL_RECORD_STATE)
+		rj_cell_view_drop(view, entry);
+	else if (kind == RJ_CELL_RECORD_DEFINITION)
+		TALLOC_FREE(entry->def);
+}
+
 /*
  * Take one record of a job in. Returns its entry, or NULL when the record
  * is of no job, or has dropped the job.
@@ -132,21 +143,61 @@
 	    kind > RJ_CELL_RECORD_CANCEL)
 		return NULL;
 	if (!record->value.length) {
-		entry = rj_cell_view_find(view, id);
-		if (entry && kind == RJ_CELL_RECORD_DEFINITION && !entry->work)
-			rj_cell_view_drop(view, entry);
+		apply_drop(view, id, kind);
 		return NULL;
 	}
 	entry = obtain(view, id);
 	if (kind == RJ_CELL_RECORD_DEFINITION)
 		apply_definition(entry, record, now_us);
-	else if (kind == RJ_CELL_RECORD_PROGRESS)
-		apply_progress(entry, record, now_us);
-	else
+	else if (kind == RJ_CELL_RECORD_STATE)
+		apply_state(entry, record, now_us);
+	else if (kind == RJ_CELL_RECORD_CANCEL)
 		entry->cancelled = true;
 	return entry;
 }
 
+/*
+ * Whether a job has been accepted; its definition is gone once it has ended.
+ */
+bool rj_cell_view_knows(const struct rj_cell_entry *entry)
+{
+	return entry &&
+	       (entry->def || entry->told.state >= RJ_CELL_JOB_COMPLETED);
+}
+
+/*
+ * Keep a job's progress, as an owner has stored it, for the one that takes
+ * over.
+ */
+void rj_cell_view_keep_progress(struct rj_cell_view *view, const char *id,
+				struct rj_bytes value)
+{
+	struct rj_cell_entry *entry = rj_cell_view_find(view, id);
+
+	if (!entry || !entry->def)
+		return;
+	talloc_free((void *)entry->progress.data);
+	entry->progress.data = talloc_memdup(entry, value.data, value.length);
+	entry->progress.length = value.length;
+}
+
+/*
+ * Forget the progress of all jobs.
+ */
+void rj_cell_view_drop_progress(struct rj_cell_view *view)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &view->entries) {
+		struct rj_cell_entry *entry =
+			RJ_CONTAINER(at, struct rj_cell_entry, link);
+
+		talloc_free((void *)entry->progress.data);
+		entry->progress = (struct rj_bytes){ NULL, 0 };
+	}
+}
+
 /*
  * How many jobs of a queue wait without anything begun, those that wait for
  * their time left out.
--- a/src/libradishjunction/cell/cell_writer.c
+++ b/src/libradishjunction/cell/cell_writer.c
@@ -33,11 +33,13 @@
  * Prepare a writer. Nothing can be added before rj_cell_writer_open.
  */
 void rj_cell_writer_init(struct rj_cell_writer *writer, void *mem,
-			 struct rj_cell_store *store, const char *producer)
+			 struct rj_cell_store *store, enum rj_cell_topic topic,
+			 const char *producer)
 {
 	memset(writer, 0, sizeof(*writer));
 	writer->mem = mem;
 	writer->store = store;
+	writer->topic = topic;
 	g_strlcpy(writer->producer, producer, sizeof(writer->producer));
 	rj_list_init(&writer->waiting);
 	rj_list_init(&writer->sent);
@@ -118,7 +120,8 @@
 {
 	struct rj_cell_record *records =
 		talloc_array(writer->mem, struct rj_cell_record, BATCH_RECORDS);
-	struct rj_cell_append append = { .producer = writer->producer,
+	struct rj_cell_append append = { .topic = writer->topic,
+					 .producer = writer->producer,
 					 .epoch = writer->epoch,
 					 .sequence = writer->sequence,
 					 .records = records };
--- a/src/libradishjunction/include/private/cell_node.h
+++ b/src/libradishjunction/include/private/cell_node.h
@@ -11,7 +11,7 @@
 #define RADISHJUNCTION_PRIVATE_CELL_NODE_H
 
 #include "private/cell_front.h"
-#include "private/cell_owner.h"
+#include "private/cell_takeover.h"
 
 struct rj_cell_node_options {
 	char name[RJ_NAME_BYTES];
@@ -43,6 +43,7 @@
 	struct rj_cell_writer writer; /* of what clients ask for */
 	struct rj_cell_front front;
 	struct rj_cell_owner owner;
+	struct rj_cell_takeover takeover;
 	struct rj_cell_tenure tenure;
 	struct rj_cell_owner_record former; /* of the tenure before */
 	uint64_t fenced_token; /* the last that was taken from us */
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -65,19 +65,23 @@
 	uint64_t advice_due_us; /* when the next one may be sent */
 	struct rj_cell_terms terms;
 	const struct rj_cell_config *config; /* replaced by the node */
+	bool taking; /* the cell is being taken over */
 	bool active;
 	bool leaving; /* says in the log that the cell is free */
 	bool lost; /* fenced: resign as soon as the present event is done */
 	uint32_t generation; /* answers to orders of an earlier one are late */
 	uint64_t token;
-	struct rj_cell_writer writer;
+	struct rj_cell_writer writer; /* of states, and of its life */
+	struct rj_cell_writer progress;
 	struct rj_cell_fleet fleet;
 	struct rj_list works;
 	struct rj_list dirty; /* works with changes that are not stored */
+	GPtrArray *ended; /* ids of jobs whose keys may go */
 	struct rj_cell_forecast forecast;
 	bool plan_wanted;
 	uint64_t plan_due_us;
-	uint32_t writes_open; /* records on their way into the log */
+	uint32_t writes_open; /* records on their way into the logs */
+	bool write_failed; /* one of the present flush was not stored */
 	uint64_t watch_due_us; /* when busy workers are visited */
 	uint64_t rounds_due_us; /* when jobs with times are looked through */
 	struct rj_cell_allowance idle_looks; /* at workers that hold nothing */
@@ -104,10 +108,12 @@
  */
 #define RJ_CELL_BLIND_US (10 * RJ_US_PER_S)
 
-void rj_cell_owner_take(struct rj_cell_owner *owner, uint64_t token,
-			uint64_t epoch, uint64_t renewals_us, uint64_t now_us,
-			uint64_t wall_ms);
+void rj_cell_owner_begin(struct rj_cell_owner *owner, uint64_t token,
+			 uint64_t epoch, uint64_t now_us, uint64_t wall_ms);
+void rj_cell_owner_take(struct rj_cell_owner *owner, uint64_t renewals_us,
+			uint64_t now_us, uint64_t wall_ms);
 void rj_cell_owner_resign(struct rj_cell_owner *owner, const char *why);
+void rj_cell_owner_finish(struct rj_cell_owner *owner);
 void rj_cell_owner_leave(struct rj_cell_owner *owner, uint64_t now_us);
 void rj_cell_owner_entry(struct rj_cell_owner *owner,
 			 struct rj_cell_entry *entry);
--- a/src/libradishjunction/include/private/cell_record.h
+++ b/src/libradishjunction/include/private/cell_record.h
@@ -1,7 +1,8 @@
 /*
- * What stands in the jobs' log: for each job its definition, its progress
- * and a wish to cancel it, each under a key of its own, so that a repeated
- * submission cannot reset the progress; and who owns the cell.
+ * What stands in our logs: for each job its definition, its state, a wish to
+ * cancel it and, in a log that only owners read, its progress, each under a
+ * key of its own, so that a repeated submission cannot reset the progress; and
+ * who owns the cell.
  *
  * All functions are pure. Decoded texts and bytes are copies.
  */
@@ -16,7 +17,8 @@
 
 enum rj_cell_record_kind {
 	RJ_CELL_RECORD_DEFINITION,
-	RJ_CELL_RECORD_PROGRESS,
+	RJ_CELL_RECORD_PROGRESS, /* in a log of its own */
+	RJ_CELL_RECORD_STATE, /* the part of it that callers are told */
 	RJ_CELL_RECORD_CANCEL,
 	RJ_CELL_RECORD_OWNER, /* its offset is the fencing token */
 	RJ_CELL_RECORD_BEAT, /* the owner lives, and how loaded the cell is */
@@ -59,9 +61,11 @@
 			const char **id);
 struct rj_bytes rj_cell_progress_encode(void *mem,
 					const struct rj_cell_work *work);
-int rj_cell_progress_summary(struct rj_bytes bytes,
-			     struct rj_cell_summary *summary,
-			     struct rj_error *err);
+struct rj_bytes rj_cell_summary_encode(void *mem,
+				       const struct rj_cell_summary *summary);
+int rj_cell_summary_decode(struct rj_bytes bytes,
+			   struct rj_cell_summary *summary,
+			   struct rj_error *err);
 int rj_cell_progress_decode(struct rj_bytes bytes, struct rj_cell_work *work,
 			    struct rj_cell_fleet *fleet, uint64_t now_us,
 			    struct rj_error *err);
--- a/src/libradishjunction/include/private/cell_store.h
+++ b/src/libradishjunction/include/private/cell_store.h
@@ -11,7 +11,8 @@
 
 /* The logs that a node follows. Each keeps the newest record of a key. */
 enum rj_cell_topic {
-	RJ_CELL_TOPIC_JOBS, /* ours: jobs, their progress, ownership */
+	RJ_CELL_TOPIC_JOBS, /* ours: jobs, their states, ownership */
+	RJ_CELL_TOPIC_PROGRESS, /* ours: tasks and runs, for owners alone */
 	RJ_CELL_TOPIC_CONFIG, /* what operators publish */
 	RJ_CELL_TOPIC_WORKERS, /* the workers' heartbeats */
 	RJ_CELL_TOPIC_COUNT
@@ -41,11 +42,10 @@
 	*const rj_cell_store_status_string[RJ_CELL_STORE_STATUS_COUNT];
 
 struct rj_cell_append {
+	enum rj_cell_topic topic; /* one of ours */
 	const char *producer;
 	uint64_t epoch;
 	uint64_t sequence; /* one more than that of the append before */
-	bool conditional; /* only if the log ends at `at` */
-	uint64_t at;
 	const struct rj_cell_record *records;
 	uint32_t count;
 };
--- a/src/libradishjunction/include/private/cell_writer.h
+++ b/src/libradishjunction/include/private/cell_writer.h
@@ -1,5 +1,5 @@
 /*
- * Appends records to the jobs' log, one call at a time: what comes while a
+ * Appends records to one of our logs, one call at a time: what comes while a
  * call is on its way goes together with the next one.
  *
  * A call whose answer is lost is repeated under the same sequence number,
@@ -34,6 +34,7 @@
 
 struct rj_cell_writer {
 	struct rj_cell_store *store;
+	enum rj_cell_topic topic;
 	void *mem;
 	char producer[RJ_NAME_BYTES * 2];
 	uint64_t epoch;
@@ -58,7 +59,8 @@
 };
 
 void rj_cell_writer_init(struct rj_cell_writer *writer, void *mem,
-			 struct rj_cell_store *store, const char *producer);
+			 struct rj_cell_store *store, enum rj_cell_topic topic,
+			 const char *producer);
 void rj_cell_writer_open(struct rj_cell_writer *writer, uint64_t epoch,
 			 uint64_t sequence, uint64_t now_us);
 void rj_cell_writer_add(struct rj_cell_writer *writer, const char *key,
--- a/src/test_libradishjunction/support/cell_fake_log.c
+++ b/src/test_libradishjunction/support/cell_fake_log.c
@@ -1,6 +1,6 @@
 /*
  * The platform's log as its contract says: keyed topics of one partition,
- * conditional appends, producers with epochs and sequence numbers.
+ * producers with epochs and sequence numbers in each.
  */
 #include <string.h>
 #include <talloc.h>
@@ -135,6 +135,7 @@
 	copy.key = talloc_strdup(call, record->key);
 	copy.value.data = talloc_memdup(call, data, length);
 	copy.value.length = (uint32_t)length;
+	call->node->world->log.read_bytes[call->node->index] += length;
 	g_array_append_val(records, copy);
 }
 
@@ -236,24 +237,18 @@
 }
 
 /* Whether an append may be done; else its status. */
-static enum rj_cell_store_status
-judge(struct cell_world *world, struct call *call, struct producer *producer)
+static enum rj_cell_store_status judge(const struct call *call,
+				       struct producer *producer)
 {
 	const struct rj_cell_append *append = &call->append;
-	GPtrArray *log = world->log.records[RJ_CELL_TOPIC_JOBS];
 
 	if (append->epoch < producer->epoch)
 		return RJ_CELL_STORE_FENCED;
 	if (append->epoch > producer->epoch) {
-		if (append->conditional && append->at != log->len)
-			return RJ_CELL_STORE_CONFLICT;
 		producer->epoch = append->epoch;
 		producer->has_appended = false;
 		return RJ_CELL_STORE_OK;
 	}
-	if (append->conditional && append->at != log->len &&
-	    !producer->has_appended)
-		return RJ_CELL_STORE_CONFLICT;
 	if (producer->has_appended &&
 	    append->sequence != producer->sequence + 1)
 		return RJ_CELL_STORE_SEQUENCE;
@@ -270,34 +265,47 @@
 	       producer->sequence - append->sequence < REPEATS;
 }
 
+/* The producer of a name in one topic, made when it is new. */
+static struct producer *obtain_producer(struct cell_world *world,
+					enum rj_cell_topic topic,
+					const char *name)
+{
+	char *key = g_strdup_printf("%d %s", topic, name);
+	struct producer *producer =
+		g_hash_table_lookup(world->log.producers, key);
+
+	if (producer) {
+		g_free(key);
+		return producer;
+	}
+	producer = g_new0(struct producer, 1);
+	g_hash_table_insert(world->log.producers, key, producer);
+	return producer;
+}
+
 /* Carry an append out. */
 static enum rj_cell_store_status apply(struct cell_world *world,
 				       struct call *call)
 {
 	const struct rj_cell_append *append = &call->append;
 	struct producer *producer =
-		g_hash_table_lookup(world->log.producers, append->producer);
+		obtain_producer(world, append->topic, append->producer);
 	enum rj_cell_store_status status;
 
-	if (!producer) {
-		producer = g_new0(struct producer, 1);
-		g_hash_table_insert(world->log.producers,
-				    g_strdup(append->producer), producer);
-	}
 	if (is_repeat(call, producer)) {
 		call->reply.end = producer->ends[append->sequence % REPEATS];
 		return RJ_CELL_STORE_OK;
 	}
-	status = judge(world, call, producer);
+	status = judge(call, producer);
 	if (status != RJ_CELL_STORE_OK)
 		return status;
 	for (uint32_t i = 0; i < append->count; i++)
-		cell_log_put(world, RJ_CELL_TOPIC_JOBS, call->records[i].key,
+		cell_log_put(world, append->topic, call->records[i].key,
 			     call->records[i].value.data,
 			     call->records[i].value.length);
 	producer->has_appended = true;
 	producer->sequence = append->sequence;
-	call->reply.end = world->log.records[RJ_CELL_TOPIC_JOBS]->len;
+	call->reply.end = world->log.records[append->topic]->len;
 	producer->ends[append->sequence % REPEATS] = call->reply.end;
 	return RJ_CELL_STORE_OK;
 }
--- a/src/test_libradishjunction/support/cell_world.h
+++ b/src/test_libradishjunction/support/cell_world.h
@@ -72,7 +72,7 @@
 	uint64_t deaf_until_us; /* until then no append wakes a long poll */
 	uint64_t appends;
 	uint64_t reads;
-	uint64_t read_bytes;
+	uint64_t read_bytes[CELL_WORLD_NODES_MAX]; /* of values, by node */
 };
 
 /* A row of a worker's list of runs. */
--- a/src/test_libradishjunction/support/fuzz_targets.c
+++ b/src/test_libradishjunction/support/fuzz_targets.c
@@ -245,7 +245,7 @@
 	struct rj_error err;
 
 	rj_cell_def_decode(mem, bytes, &err);
-	rj_cell_progress_summary(bytes, &summary, &err);
+	rj_cell_summary_decode(bytes, &summary, &err);
 	rj_cell_owner_decode(bytes, &owner, &err);
 	rj_cell_beat_decode(bytes, &beat, &err);
 	talloc_free(mem);
--- a/src/test_libradishjunction/test_cell_reach.c
+++ b/src/test_libradishjunction/test_cell_reach.c
@@ -290,6 +290,42 @@
 	g_assert_cmpint(cell_world_owner(world), >=, 0);
 }
 
+/* What the store has answered. */
+static void note_status(void *private_data,
+			const struct rj_cell_store_reply *reply)
+{
+	*(enum rj_cell_store_status *)private_data = reply->status;
+}
+
+/* A former owner stores an intent that its successor never reads. */
+static void test_a_former_owner_stores_no_progress(struct cell_fixture *f,
+						   const void *data)
+{
+	struct cell_world *world = &f->world;
+	int owner = cell_world_owner(world);
+	enum rj_cell_store_status status = RJ_CELL_STORE_OK;
+	struct rj_cell_record record = { .key = "s00000000000000ff",
+					 .value = { (const uint8_t *)"x", 1 } };
+	struct rj_cell_append late = {
+		.topic = RJ_CELL_TOPIC_PROGRESS,
+		.producer = "owner",
+		.epoch = world->nodes[owner].node.owner.progress.epoch,
+		.sequence = world->nodes[owner].node.owner.progress.sequence,
+		.records = &record,
+		.count = 1
+	};
+	struct cell_world_node *other = &world->nodes[other_node(world)];
+
+	cell_world_kill(world, (uint32_t)owner);
+	cell_world_run(world, TAKEOVER_MAX_US);
+	g_assert_cmpint(cell_world_owner(world), >=, 0);
+	other->store.ops->append(
+		&other->store, &late,
+		(struct rj_cell_store_done){ note_status, &status });
+	cell_world_run(world, 50 * MS);
+	g_assert_cmpint(status, ==, RJ_CELL_STORE_FENCED);
+}
+
 #define ADD(name, function) CELL_TEST("/cell_reach/" name, &site, function)
 
 int main(int argc, char **argv)
@@ -304,6 +340,7 @@
 	ADD("log_deaf", test_a_log_that_wakes_nobody);
 	ADD("log_slow", test_proofs_outlast_slow_appends);
 	ADD("successor", test_a_killed_owner_is_replaced_in_time);
+	ADD("progress_fenced", test_a_former_owner_stores_no_progress);
 	ADD("busy_log", test_a_busy_log_is_taken_over);
 	g_test_add_func("/cell_reach/come_back", test_when_to_come_back);
 	return g_test_run();
--- a/src/test_libradishjunction/test_cell_scale.c
+++ b/src/test_libradishjunction/test_cell_scale.c
@@ -8,6 +8,10 @@
 /* A quarter of a core makes so many calls to workers a second beside its
  * other work; see docs/CAPACITY.md. */
 #define LOOKS_PER_S_MAX 320
+/* Jobs of 100 tasks, and what an instance may read of each: its definition,
+ * its states, and heartbeats of the owner. */
+#define PROGRESS_JOBS 20
+#define JOB_BYTES_MAX 1500
 
 /* Begin a calm site of two nodes. */
 static void begin(struct cell_world *world, uint32_t workers)
@@ -100,6 +104,33 @@
 	g_free(world);
 }
 
+/* Each instance reads what happens to all tasks, and a large fleet of them
+ * shares what the log can be read at. */
+static void test_only_owners_read_progress(void)
+{
+	struct cell_world *world = g_new0(struct cell_world, 1);
+	struct rj_cell_step step = cell_world_step(100, 1, 1000);
+	uint64_t before;
+	uint32_t other;
+
+	begin(world, 48);
+	cell_world_run(world, 5 * S);
+	other = cell_world_owner(world) ? 0 : 1;
+	before = world->log.read_bytes[other];
+	for (uint32_t i = 0; i < PROGRESS_JOBS; i++) {
+		struct cell_client_job *job = cell_world_job(
+			world, "normal", "a", &step, 1, (1 + i % 5) * S);
+
+		cell_world_submit(world, other, job);
+		cell_world_run(world, 200 * MS);
+	}
+	cell_world_run(world, 20 * S);
+	g_assert_cmpuint(world->log.read_bytes[other] - before, <,
+			 PROGRESS_JOBS * JOB_BYTES_MAX);
+	cell_world_finish(world);
+	g_free(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -107,5 +138,6 @@
 	g_test_add_func("/cell_scale/small", test_small_site_is_watched);
 	g_test_add_func("/cell_scale/takeover",
 			test_large_site_serves_after_a_takeover);
+	g_test_add_func("/cell_scale/progress", test_only_owners_read_progress);
 	return g_test_run();
 }
--- a/src/test_libradishjunction/test_platform_calls.c
+++ b/src/test_libradishjunction/test_platform_calls.c
@@ -121,12 +121,9 @@
 	const struct rj_cell_record record = {
 		.key = "o", .value = { (const uint8_t *)"v", 1 }
 	};
-	const struct rj_cell_append what = { .producer = "owner",
-					     .epoch = 8,
-					     .conditional = true,
-					     .at = 7,
-					     .records = &record,
-					     .count = 1 };
+	const struct rj_cell_append what = {
+		.producer = "owner", .epoch = 8, .records = &record, .count = 1
+	};
 
 	f->script = (struct script){ status, body };
 	f->store.store.ops->append(
