--- a/src/libradishjunction/include/private/cell_store.h
+++ b/src/libradishjunction/include/private/cell_store.h
@@ -29,7 +29,6 @@
 enum rj_cell_store_status {
 	RJ_CELL_STORE_OK,
 	RJ_CELL_STORE_REFUSED, /* nothing was done: overloaded or away */
-	RJ_CELL_STORE_CONFLICT, /* the log does not end where it should */
 	RJ_CELL_STORE_FENCED, /* a producer of a higher epoch has written */
 	RJ_CELL_STORE_SEQUENCE, /* not the next append of this producer */
 	RJ_CELL_STORE_GONE, /* the records asked for have expired */
