cell: members of a gang that has ended are not waited for

Cause: when a worker crashes, the gangs with members there end at once; the other workers list that. The member on the dead worker was stopped in vain until its lease must have lapsed, up to 10 s, and only then did the gang start again.

Change: members of a gang end together, so an end that a worker has listed tells of those on workers that do not answer. Runs whose start was never answered are left out, as it may arrive late.

Test: cell_reach/dead_member, which fails without the change.

--- a/src/libradishjunction/cell/cell_ends.c
+++ b/src/libradishjunction/cell/cell_ends.c
@@ -247,6 +247,50 @@
 		stop_task(owner, &head[i], "gang_broken");
 }
 
+/* Whether a run is known to have begun: a start that was never answered may
+ * still arrive at its worker. */
+static bool has_begun(const struct rj_cell_run *run)
+{
+	return run->begun_us && (!run->adopted || run->listed_us);
+}
+
+/*
+ * A worker has listed the end of a gang's run: its members end together, so
+ * that those on workers that do not answer have ended too.
+ *
+ * Load that it answers: workers that crash with members of many gangs, which
+ * would wait for the end of a lease.
+ */
+static void end_silent_members(struct rj_cell_owner *owner,
+			       struct rj_cell_task *task)
+{
+	struct rj_cell_task *head = rj_cell_task_head(task);
+
+	for (uint32_t i = 0; i < rj_cell_task_step(task)->task_count; i++) {
+		struct rj_list *at;
+		struct rj_list *next;
+
+		RJ_FOR_EACH (at, next, &head[i].runs) {
+			struct rj_cell_run *run =
+				RJ_CONTAINER(at, struct rj_cell_run, in_task);
+
+			run->over = has_begun(run);
+			if (run->over && !run->worker->answers)
+				rj_cell_ends_gang_over(owner, run);
+		}
+	}
+}
+
+/*
+ * A member of a gang that has ended, on a worker that cannot be asked.
+ */
+void rj_cell_ends_gang_over(struct rj_cell_owner *owner,
+			    struct rj_cell_run *run)
+{
+	run->why = "gang_over";
+	rj_cell_ends_run(owner, run, RJ_CELL_END_LOST, NULL);
+}
+
 /*
  * A run has ended: say what that does to its task and its job, and free it.
  * What changes must be stored before the worker forgets the end.
@@ -299,8 +343,11 @@
 	}
 	rj_cell_run_free(run);
 	if (end != RJ_CELL_END_DONE && rj_cell_task_step(task)->gang &&
-	    !task->done)
+	    !task->done) {
 		break_gang(owner, task);
+		if (end != RJ_CELL_END_LOST)
+			end_silent_members(owner, task);
+	}
 	rj_cell_owner_dirty(owner, work);
 	if (!round->steps_left)
 		end_round(owner, round);
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -193,6 +193,10 @@
 		break;
 	default:
 		rj_cell_run_order(run, owner->now_us + ORDER_RETRY_US);
+		if (!run->over)
+			break;
+		rj_cell_call_answers(owner, worker, false, reply->status);
+		rj_cell_ends_gang_over(owner, run);
 	}
 }
 
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -134,6 +134,8 @@
 			 struct rj_cell_worker *worker);
 void rj_cell_looks_soon(struct rj_cell_owner *owner,
 			struct rj_cell_worker *worker);
+void rj_cell_ends_gang_over(struct rj_cell_owner *owner,
+			    struct rj_cell_run *run);
 void rj_cell_ends_run(struct rj_cell_owner *owner, struct rj_cell_run *run,
 		      enum rj_cell_end end, const char *saved);
 void rj_cell_ends_orphan(struct rj_cell_owner *owner,
--- a/src/libradishjunction/include/private/cell_work.h
+++ b/src/libradishjunction/include/private/cell_work.h
@@ -72,6 +72,7 @@
 	uint64_t slow_us; /* since when it has been over its bound, or 0 */
 	char checkpoint[RJ_CELL_CHECKPOINT_BYTES]; /* it started from this */
 	char saved[RJ_CELL_CHECKPOINT_BYTES]; /* what it has saved since */
+	bool over; /* of a gang, another member of which has ended */
 	bool victim; /* in the trial that is being made, it would be stopped */
 	const char *why; /* it is being stopped, for the log */
 	char *ticket; /* of an outside policy, or NULL */
--- a/src/test_libradishjunction/test_cell_reach.c
+++ b/src/test_libradishjunction/test_cell_reach.c
@@ -290,6 +290,25 @@
 	g_assert_cmpint(cell_world_owner(world), >=, 0);
 }
 
+/* A gang that lost a member with its worker waits for the end of a lease. */
+static void test_a_gang_does_not_wait_for_a_dead_worker(struct cell_fixture *f,
+							const void *data)
+{
+	struct rj_cell_step step = cell_world_step(4, 8, 3000);
+	struct cell_client_job *job;
+	uint32_t worker = 0;
+
+	step.gang = true;
+	job = hand_in(&f->world, other_node(&f->world), &step);
+	cell_world_run(&f->world, S);
+	g_assert_cmpuint(job->starts, ==, 4);
+	while (!f->world.workers[worker].runs->len)
+		worker++;
+	cell_world_worker_kill(&f->world, worker);
+	cell_world_run(&f->world, 1500 * MS);
+	g_assert_cmpuint(job->starts, ==, 8);
+}
+
 /* What the store has answered. */
 static void note_status(void *private_data,
 			const struct rj_cell_store_reply *reply)
@@ -340,6 +359,7 @@
 	ADD("log_deaf", test_a_log_that_wakes_nobody);
 	ADD("log_slow", test_proofs_outlast_slow_appends);
 	ADD("successor", test_a_killed_owner_is_replaced_in_time);
+	ADD("dead_member", test_a_gang_does_not_wait_for_a_dead_worker);
 	ADD("progress_fenced", test_a_former_owner_stores_no_progress);
 	ADD("busy_log", test_a_busy_log_is_taken_over);
 	g_test_add_func("/cell_reach/come_back", test_when_to_come_back);
