cell: work leaves a worker at short notice before the worker does

Change: a worker says for how long it stays at least. Runs that cannot end before are stopped: those that save at the last moment, others at once.

Tests: cell_load/short_notice, which fails without it, and /ends_in_time.

--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -3,6 +3,7 @@
 #include <talloc.h>
 
 #include "private/cell_calls.h"
+#include "private/cell_evacuate.h"
 #include "private/note.h"
 
 /* An order without an answer is sent again after this. */
@@ -311,6 +312,8 @@
 			RJ_CONTAINER(at, struct rj_cell_worker, in_watch);
 
 		check_lapse(owner, worker);
+		if (worker->leaves_us)
+			rj_cell_evacuate(owner, worker);
 		rj_cell_looks_busy(owner, worker);
 	}
 }
--- a/src/test_libradishjunction/support/cell_fake_workers.c
+++ b/src/test_libradishjunction/support/cell_fake_workers.c
@@ -485,6 +485,20 @@
 	cell_log_put(world, RJ_CELL_TOPIC_WORKERS, worker->id, NULL, 0);
 }
 
+/*
+ * A worker says that it drains, and stays for `left_ms` at least.
+ */
+void cell_world_worker_drain(struct cell_world *world, uint32_t index,
+			     uint32_t left_ms)
+{
+	struct cell_fake_worker *worker = &world->workers[index];
+
+	worker->said.draining = true;
+	worker->said.drain_left_ms = left_ms;
+	cell_log_put(world, RJ_CELL_TOPIC_WORKERS, worker->id, &worker->said,
+		     sizeof(worker->said));
+}
+
 /*
  * Free all workers.
  */
--- a/src/test_libradishjunction/test_cell_load.c
+++ b/src/test_libradishjunction/test_cell_load.c
@@ -310,6 +310,60 @@
 	g_assert_cmpuint(f->world.harmed_us, <, HARM_US);
 }
 
+/* Where the first run of a job is, or -1. */
+static int worker_with_runs(const struct cell_world *world)
+{
+	for (uint32_t i = 0; i < world->plan.workers; i++)
+		if (world->workers[i].runs->len)
+			return (int)i;
+	return -1;
+}
+
+/*
+ * Load: a worker is taken away at short notice, with a task of 6 s that
+ * cannot end there.
+ * It starts elsewhere at once, and not when its lease must have lapsed.
+ */
+static void test_work_leaves_a_worker_at_short_notice(struct cell_fixture *f,
+						      const void *data)
+{
+	struct rj_cell_step step = cell_world_step(1, 8, 6000);
+	struct cell_client_job *job =
+		hand_in(&f->world, "normal", "a", &step, 6 * S);
+	int worker;
+
+	follow(&f->world, S);
+	worker = worker_with_runs(&f->world);
+	g_assert_cmpint(worker, >=, 0);
+	cell_world_worker_drain(&f->world, (uint32_t)worker, 1600);
+	cell_world_run(&f->world, 1600 * MS);
+	cell_world_worker_kill(&f->world, (uint32_t)worker);
+	g_assert_cmpuint(job->starts, ==, 2);
+	follow(&f->world, 9 * S);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
+}
+
+/*
+ * Load: a worker is taken away with a task that ends before.
+ * It is left to end there.
+ */
+static void test_work_that_ends_in_time_stays(struct cell_fixture *f,
+					      const void *data)
+{
+	struct rj_cell_step step = cell_world_step(1, 8, 2000);
+	struct cell_client_job *job =
+		hand_in(&f->world, "normal", "a", &step, 2 * S);
+	int worker;
+
+	follow(&f->world, S);
+	worker = worker_with_runs(&f->world);
+	g_assert_cmpint(worker, >=, 0);
+	cell_world_worker_drain(&f->world, (uint32_t)worker, 1600);
+	follow(&f->world, 1600 * MS);
+	g_assert_cmpuint(job->starts, ==, 1);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -321,6 +375,8 @@
 	ADD("fails_all", test_a_worker_that_fails_all_is_left_alone);
 	ADD("still", test_tasks_that_stand_still_are_moved);
 	ADD("never_ends", test_tasks_that_never_end_are_moved);
+	ADD("short_notice", test_work_leaves_a_worker_at_short_notice);
+	ADD("ends_in_time", test_work_that_ends_in_time_stays);
 	ADD("apart", test_serving_work_stands_apart);
 	ADD("beside", test_serving_work_on_a_full_site);
 	return g_test_run();
--- a/src/test_libradishjunction/test_platform_wire.c
+++ b/src/test_libradishjunction/test_platform_wire.c
@@ -165,6 +165,7 @@
 
 	g_assert_false(platform_wire_worker(bytes_of(good), &heartbeat, &err));
 	g_assert_true(heartbeat.draining);
+	g_assert_cmpuint(heartbeat.drain_left_ms, ==, 1500);
 	g_assert_cmpuint(heartbeat.incarnation, ==, 1700000000123);
 	g_assert_cmpuint(heartbeat.address.port, ==, 8080);
 	g_assert_cmpstr(heartbeat.rack, ==, "r1");
