cell: what the version before stored is taken over

Progress of the version before stands in the jobs' log. Without this, jobs that had ended within the last two minutes would run again after an upgrade, and others would begin anew. Test: cell_path/upgrade, which fails without.

--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -128,7 +128,11 @@
 				    owner->now_us, &err))
 		rj_note("record_bad", RJ_NOTE_TEXT("job", entry->id),
 			RJ_NOTE_TEXT("error", err.message));
-	/* The former owner stored that it has ended, and nobody was told. */
+	/* It has ended and nobody was told, or it was stored by the version
+	 * before. */
+	if (entry->progress.length && !entry->moved)
+		rj_cell_owner_dirty(owner, work);
+	entry->moved = true;
 	if (work->state >= RJ_CELL_JOB_COMPLETED)
 		rj_cell_owner_dirty(owner, work);
 	else
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -216,6 +216,21 @@
 	return rj_unpack_finish(&in, err);
 }
 
+/*
+ * The part of a job's progress that callers are told. Returns 0, or -1 with
+ * `err`.
+ */
+int rj_cell_progress_summary(struct rj_bytes bytes,
+			     struct rj_cell_summary *summary,
+			     struct rj_error *err)
+{
+	struct rj_unpacker in;
+
+	rj_unpack_init(&in, bytes);
+	read_summary(&in, PROGRESS_FORMAT, summary);
+	return rj_unpack_finish(&in, err);
+}
+
 /* The runs of one task, whose workers may not be known otherwise yet. */
 static void read_runs(struct rj_unpacker *in, struct rj_cell_task *task,
 		      GPtrArray *workers, uint64_t now_us)
--- a/src/libradishjunction/cell/cell_view.c
+++ b/src/libradishjunction/cell/cell_view.c
@@ -127,6 +127,46 @@
 		TALLOC_FREE(entry->def);
 }
 
+/* Keep what an owner has stored of a job, for the one that takes over. */
+static void keep_progress(struct rj_cell_entry *entry, struct rj_bytes value)
+{
+	talloc_free((void *)entry->progress.data);
+	entry->progress.data = talloc_memdup(entry, value.data, value.length);
+	entry->progress.length = value.length;
+}
+
+/*
+ * Keep a record of the progress log.
+ */
+void rj_cell_view_keep_progress(struct rj_cell_view *view, const char *id,
+				struct rj_bytes value)
+{
+	struct rj_cell_entry *entry = rj_cell_view_find(view, id);
+
+	if (!entry || !entry->def)
+		return;
+	keep_progress(entry, value);
+	entry->moved = true;
+}
+
+/* Progress in the jobs' log was written by the version before. */
+static void apply_former_progress(struct rj_cell_entry *entry,
+				  const struct rj_cell_record *record,
+				  uint64_t now_us)
+{
+	struct rj_cell_summary summary;
+	struct rj_error err;
+
+	if (rj_cell_progress_summary(record->value, &summary, &err)) {
+		rj_note("record_bad", RJ_NOTE_TEXT("job", entry->id),
+			RJ_NOTE_TEXT("error", err.message));
+		return;
+	}
+	rj_cell_view_tell(entry, &summary, now_us);
+	if (!entry->moved)
+		keep_progress(entry, record->value);
+}
+
 /*
  * Take one record of a job in. Returns its entry, or NULL when the record
  * is of no job, or has dropped the job.
@@ -151,7 +191,9 @@
 		apply_definition(entry, record, now_us);
 	else if (kind == RJ_CELL_RECORD_STATE)
 		apply_state(entry, record, now_us);
-	else if (kind == RJ_CELL_RECORD_CANCEL)
+	else if (kind == RJ_CELL_RECORD_PROGRESS)
+		apply_former_progress(entry, record, now_us);
+	else
 		entry->cancelled = true;
 	return entry;
 }
@@ -165,22 +207,6 @@
 	       (entry->def || entry->told.state >= RJ_CELL_JOB_COMPLETED);
 }
 
-/*
- * Keep a job's progress, as an owner has stored it, for the one that takes
- * over.
- */
-void rj_cell_view_keep_progress(struct rj_cell_view *view, const char *id,
-				struct rj_bytes value)
-{
-	struct rj_cell_entry *entry = rj_cell_view_find(view, id);
-
-	if (!entry || !entry->def)
-		return;
-	talloc_free((void *)entry->progress.data);
-	entry->progress.data = talloc_memdup(entry, value.data, value.length);
-	entry->progress.length = value.length;
-}
-
 /*
  * Forget the progress of all jobs.
  */
--- a/src/libradishjunction/include/private/cell_record.h
+++ b/src/libradishjunction/include/private/cell_record.h
@@ -61,6 +61,9 @@
 			const char **id);
 struct rj_bytes rj_cell_progress_encode(void *mem,
 					const struct rj_cell_work *work);
+int rj_cell_progress_summary(struct rj_bytes bytes,
+			     struct rj_cell_summary *summary,
+			     struct rj_error *err);
 struct rj_bytes rj_cell_summary_encode(void *mem,
 				       const struct rj_cell_summary *summary);
 int rj_cell_summary_decode(struct rj_bytes bytes,
--- a/src/libradishjunction/include/private/cell_view.h
+++ b/src/libradishjunction/include/private/cell_view.h
@@ -21,6 +21,7 @@
 	bool cancelled; /* a wish to cancel it stands in the log */
 	struct rj_cell_summary told; /* what callers may be told */
 	struct rj_bytes progress; /* while a takeover is under way */
+	bool moved; /* its progress stands in the progress log */
 	uint64_t seen_us; /* when its definition was seen here */
 	uint64_t ended_us; /* when it was seen to have ended, or 0 */
 	struct rj_cell_work *work; /* of the owner, or NULL */
--- a/src/test_libradishjunction/test_cell_path.c
+++ b/src/test_libradishjunction/test_cell_path.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "private/pack.h"
 #include "support/cell_fixture.h"
 
 /* Twelve workers of eight accelerators in three racks, three nodes. */
@@ -342,6 +343,48 @@
 	g_assert_true(job->gone);
 }
 
+/* Put a job into the jobs' log as the version before did. */
+static void put_former(struct cell_world *world,
+		       const struct cell_client_job *job, uint32_t state)
+{
+	char key[RJ_CELL_KEY_BYTES];
+	struct rj_packer out;
+	struct rj_bytes bytes = rj_cell_def_encode(world->mem, job->def);
+
+	rj_cell_record_key(key, RJ_CELL_RECORD_DEFINITION, job->id);
+	cell_log_put(world, RJ_CELL_TOPIC_JOBS, key, bytes.data, bytes.length);
+	rj_pack_init(&out);
+	rj_pack_number(&out, 1); /* format */
+	rj_pack_number(&out, state);
+	rj_pack_bool(&out, true); /* started */
+	rj_pack_number(&out, 1); /* occurrences begun, and done */
+	rj_pack_number(&out, 1);
+	bytes = rj_pack_finish(&out, world->mem);
+	rj_cell_record_key(key, RJ_CELL_RECORD_PROGRESS, job->id);
+	cell_log_put(world, RJ_CELL_TOPIC_JOBS, key, bytes.data, bytes.length);
+}
+
+/* After an upgrade, a job that had ended before runs again. */
+static void test_ended_before_an_upgrade(struct cell_fixture *f,
+					 const void *data)
+{
+	struct cell_world *world = &f->world;
+	struct rj_cell_step step = cell_world_step(2, 1, 1000);
+	struct cell_client_job *job =
+		cell_world_job(world, "normal", "a", &step, 1, S);
+
+	for (uint32_t i = 0; i < world->plan.nodes; i++)
+		cell_world_kill(world, i);
+	put_former(world, job, RJ_CELL_JOB_COMPLETED);
+	for (uint32_t i = 0; i < world->plan.nodes; i++)
+		cell_world_start(world, i);
+	cell_world_run(world, 3 * S);
+	cell_world_ask(world, 0, job);
+	cell_world_run(world, 100 * MS);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
+	g_assert_cmpuint(job->starts, ==, 0);
+}
+
 #define ADD(name, function) CELL_TEST("/cell_path/" name, &small, function)
 
 int main(int argc, char **argv)
@@ -363,5 +406,6 @@
 	ADD("perpetual", test_perpetual_tasks_are_restarted);
 	g_test_add_func("/cell_path/short_leases",
 			test_short_leases_and_bounds);
+	ADD("upgrade", test_ended_before_an_upgrade);
 	return g_test_run();
 }
