cell: only what a gang itself ends tells of members that are out of reach

The member that we stopped and saw stopped said nothing of another, whose worker did not answer for a moment and which was stopped 34 ms after it had begun elsewhere. Now only `broken` and `failed` count, which a worker lists of a whole gang.

Now such ends are counted as possible failures until they are listed or their lease must have lapsed, and no attempt is made that they may have used up.

Tests: cell_reach/stopped_member, /unseen_failure, each failing without.

--- a/src/libradishjunction/cell/cell_ends.c
+++ b/src/libradishjunction/cell/cell_ends.c
@@ -270,8 +270,30 @@
 }
 
 /*
- * A worker has listed the end of a gang's run: its members end together, so
- * that those on workers that do not answer have ended too.
+ * Whether an end that a worker lists tells that the whole gang has ended. One
+ * that we stopped does not: a gang that is not complete yet does not end with
+ * its first member.
+ */
+static bool ends_gang(enum rj_cell_end end)
+{
+	return end == RJ_CELL_END_BROKEN || end == RJ_CELL_END_FAILED;
+}
+
+/*
+ * Whether a gang may start again though the ends of some of its members are
+ * not known: each may be a failure, which the users count when they hear of
+ * it.
+ */
+static bool has_attempts(const struct rj_cell_task *head)
+{
+	return rj_cell_task_step(head)->perpetual ||
+	       head->failures + head->unseen + 1 <
+		       head->round->work->def->attempts_max;
+}
+
+/*
+ * A worker has listed the end of a gang: its members end together, so that
+ * those on workers that do not answer have ended too.
  *
  * Load that it answers: workers that crash with members of many gangs, which
  * would wait for the end of a lease.
@@ -281,6 +303,8 @@
 {
 	struct rj_cell_task *head = rj_cell_task_head(task);
 
+	if (!has_attempts(head))
+		return;
 	for (uint32_t i = 0; i < rj_cell_task_step(task)->task_count; i++) {
 		struct rj_list *at;
 		struct rj_list *next;
@@ -302,6 +326,14 @@
 void rj_cell_ends_gang_over(struct rj_cell_owner *owner,
 			    struct rj_cell_run *run)
 {
+	struct rj_cell_task *head = rj_cell_task_head(run->task);
+
+	/* Members of one run are one failure at most. */
+	if (head->unseen_run != run->number && head->failed_run != run->number)
+		head->unseen++;
+	head->unseen_run = run->number;
+	head->unseen_until_us =
+		MAX(head->unseen_until_us, run->worker->lapsed_us);
 	run->why = "gang_over";
 	rj_cell_ends_run(owner, run, RJ_CELL_END_LOST, NULL);
 }
@@ -360,7 +392,7 @@
 	if (end != RJ_CELL_END_DONE && rj_cell_task_step(task)->gang &&
 	    !task->done) {
 		break_gang(owner, task);
-		if (end != RJ_CELL_END_LOST)
+		if (ends_gang(end))
 			end_silent_members(owner, task);
 	}
 	rj_cell_owner_dirty(owner, work);
@@ -379,10 +411,30 @@
 	       task->round->work->state < RJ_CELL_JOB_COMPLETED;
 }
 
+/* A failure of a run that was taken to have ended with its gang. */
+static void count_unseen(struct rj_cell_owner *owner, struct rj_cell_task *task,
+			 const struct rj_cell_end_row *row)
+{
+	struct rj_cell_task *head = task ? rj_cell_task_head(task) : NULL;
+	struct rj_cell_work *work;
+
+	if (!head || row->end != RJ_CELL_END_FAILED || !head->unseen ||
+	    head->failed_run == row->number)
+		return;
+	head->unseen--;
+	head->failures++;
+	work = head->round->work;
+	if (!rj_cell_task_step(head)->perpetual &&
+	    head->failures >= work->def->attempts_max)
+		rj_cell_ends_close(owner, work, RJ_CELL_JOB_FAILED);
+	rj_cell_owner_dirty(owner, work);
+}
+
 /*
  * An end of a run that is not known at the worker: it was given up when the
- * worker's lease had lapsed, or was never known. A task that ended well is
- * done, and what runs of it since is stopped; no other end counts any more.
+ * worker's lease had lapsed or its gang had ended, or was never known. A task
+ * that ended well is done, and what runs of it since is stopped; of other ends
+ * only failures count.
  */
 void rj_cell_ends_orphan(struct rj_cell_owner *owner,
 			 struct rj_cell_worker *worker,
@@ -395,6 +447,7 @@
 		RJ_NOTE_NUMBER("run", row->number),
 		RJ_NOTE_TEXT("worker", worker->id),
 		RJ_NOTE_TEXT("end", rj_cell_end_string[row->end]));
+	count_unseen(owner, task, row);
 	if (!was_done_before(task, row))
 		return;
 	round = task->round;
--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -193,6 +193,24 @@
 		unit->into_closed || (step->checkpoints && !step->perpetual);
 }
 
+/*
+ * Whether ends that nobody has listed may have used up a gang's attempts.
+ *
+ * Guards against one attempt too many: a failure on a worker that was cut off
+ * is listed once the worker is back.
+ */
+static bool may_be_used_up(const struct rj_cell_plan *plan,
+			   const struct rj_cell_round *round, uint32_t step)
+{
+	const struct rj_cell_def *def = round->work->def;
+	const struct rj_cell_task *head =
+		&round->tasks[rj_cell_def_first_task(def, step)];
+
+	return def->steps[step].gang && !def->steps[step].perpetual &&
+	       head->unseen && plan->now_us < head->unseen_until_us &&
+	       head->failures + head->unseen >= def->attempts_max;
+}
+
 /* Note the waiting tasks of one step. */
 static void add_unit(struct rj_cell_plan *plan, struct rj_cell_round *round,
 		     uint32_t step)
@@ -207,7 +225,7 @@
 				     .step = step };
 
 	unit.waiting = count_waiting(plan, round, step, &unit.waiting_us);
-	if (!unit.waiting)
+	if (!unit.waiting || may_be_used_up(plan, round, step))
 		return;
 	/* A queue that has gone leaves its jobs where it last sent them. */
 	unit.service = queue ? queue->service : work->def->service;
--- a/src/libradishjunction/include/private/cell_work.h
+++ b/src/libradishjunction/include/private/cell_work.h
@@ -86,6 +86,9 @@
 	bool done;
 	uint32_t run; /* the highest run number that was used */
 	uint32_t failures; /* runs that ended failed; a gang's: of its head */
+	uint32_t unseen; /* runs of a gang whose ends nobody has listed */
+	uint32_t unseen_run; /* the last of them */
+	uint64_t unseen_until_us; /* then they count no more */
 	uint32_t failed_run; /* the last of them */
 	uint32_t losses; /* runs that ended for other causes */
 	char checkpoint[RJ_CELL_CHECKPOINT_BYTES];
--- a/src/test_libradishjunction/test_cell_reach.c
+++ b/src/test_libradishjunction/test_cell_reach.c
@@ -22,6 +22,17 @@
 	.guaranteed = 32,
 };
 
+/* The same with tasks that may fail once. */
+static const struct cell_world_plan two_attempts = {
+	.seed = 3,
+	.nodes = 3,
+	.workers = 12,
+	.rack_workers = 4,
+	.capacity = { 64000, 64000, 8 },
+	.guaranteed = 32,
+	.attempts_max = 2,
+};
+
 /* A failure domain is cut off from all nodes, or is back. */
 static void cut_domain(struct cell_world *world, const char *domain, bool cut)
 {
@@ -309,6 +320,61 @@
 	g_assert_cmpuint(job->starts, ==, 8);
 }
 
+/* A gang that is not complete yet runs on where its worker is silent, though
+ * one of its members was stopped. */
+static void test_a_stopped_member_ends_no_other(struct cell_fixture *f,
+						const void *data)
+{
+	struct rj_cell_owner *owner =
+		&f->world.nodes[cell_world_owner(&f->world)].node.owner;
+	struct rj_cell_step step = cell_world_step(2, 8, 2000);
+	struct cell_client_job *job;
+	struct rj_cell_task *tasks;
+	struct rj_cell_run *runs[2];
+
+	step.gang = true;
+	job = hand_in(&f->world, 0, &step);
+	cell_world_run(&f->world, 300 * MS);
+	tasks = rj_cell_work_find(rj_cell_view_find(owner->view, job->id)->work,
+				  0, 0, 0);
+	for (uint32_t i = 0; i < 2; i++)
+		runs[i] = RJ_CONTAINER(tasks[i].runs.next, struct rj_cell_run,
+				       in_task);
+	runs[0]->worker->answers = false;
+	rj_cell_ends_run(owner, runs[1], RJ_CELL_END_STOPPED, NULL);
+	g_assert_true(tasks[0].runs.next == &runs[0]->in_task);
+}
+
+/* A failure that is not seen, as its worker is cut off, is one attempt too
+ * many once it is. */
+static void test_unseen_failures_count(struct cell_fixture *f, const void *data)
+{
+	for (uint32_t cut = 0; cut < 2; cut++) {
+		struct rj_cell_step step = cell_world_step(2, 8, 2000);
+		struct cell_client_job *job;
+		uint32_t members[2];
+		uint32_t found = 0;
+
+		step.gang = true;
+		job = cell_world_job(&f->world, "normal", "a", &step, 1, 2 * S);
+		job->fail_times = 9;
+		cell_world_submit(&f->world, 0, job);
+		cell_world_run(&f->world, 500 * MS);
+		for (uint32_t i = 0; i < site.workers && found < 2; i++)
+			if (f->world.workers[i].runs->len)
+				members[found++] = i;
+		g_assert_cmpuint(found, ==, 2);
+		cell_world_worker_cut(&f->world, members[cut], true);
+		cell_world_run(&f->world, 4 * S);
+		cell_world_worker_cut(&f->world, members[cut], false);
+		cell_world_run(&f->world, 12 * S);
+		cell_world_ask(&f->world, 0, job);
+		cell_world_run(&f->world, 100 * MS);
+		g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_FAILED);
+		g_assert_cmpuint(job->starts, ==, 4);
+	}
+}
+
 /* What the store has answered. */
 static void note_status(void *private_data,
 			const struct rj_cell_store_reply *reply)
@@ -360,6 +426,9 @@
 	ADD("log_slow", test_proofs_outlast_slow_appends);
 	ADD("successor", test_a_killed_owner_is_replaced_in_time);
 	ADD("dead_member", test_a_gang_does_not_wait_for_a_dead_worker);
+	ADD("stopped_member", test_a_stopped_member_ends_no_other);
+	CELL_TEST("/cell_reach/unseen_failure", &two_attempts,
+		  test_unseen_failures_count);
 	ADD("progress_fenced", test_a_former_owner_stores_no_progress);
 	ADD("busy_log", test_a_busy_log_is_taken_over);
 	g_test_add_func("/cell_reach/come_back", test_when_to_come_back);
