cell: an owner shows its life beside appends to the progress log

Cause: heartbeats waited for all appends of a flush.

Test: cell_reach/shows_life, which fails without.

--- a/src/libradishjunction/cell/cell_flush.c
+++ b/src/libradishjunction/cell/cell_flush.c
@@ -215,6 +215,22 @@
 	g_ptr_array_set_size(owner->ended, 0);
 }
 
+/*
+ * Show the owner's life while an append to the progress log is on its way.
+ *
+ * Guards against an owner that is replaced while it lives: an append that
+ * nobody answers is repeated after a second, and until then nothing else is
+ * stored.
+ */
+static void flush_beat(struct rj_cell_owner *owner)
+{
+	if (owner->now_us < owner->beat_due_us ||
+	    rj_cell_writer_busy(&owner->writer))
+		return;
+	add_beat(owner);
+	rj_cell_writer_flush(&owner->writer, owner->now_us);
+}
+
 /*
  * Store all changes, in one append to each log, if none is on its way.
  */
@@ -223,8 +239,10 @@
 	struct rj_list *at;
 	struct rj_list *next;
 
-	if (owner->writes_open)
+	if (owner->writes_open) {
+		flush_beat(owner);
 		return;
+	}
 	owner->write_failed = false;
 	RJ_FOR_EACH (at, next, &owner->dirty) {
 		struct rj_cell_work *work =
--- a/src/test_libradishjunction/support/cell_fake_log.c
+++ b/src/test_libradishjunction/support/cell_fake_log.c
@@ -327,7 +327,9 @@
 	struct cell_log *log = &world->log;
 
 	log->appends++;
-	if (log->modes[call->node->index] == CELL_LOG_SILENT) {
+	if (log->modes[call->node->index] == CELL_LOG_SILENT ||
+	    (log->progress_silent &&
+	     call->append.topic == RJ_CELL_TOPIC_PROGRESS)) {
 		lose(call);
 		return;
 	}
--- a/src/test_libradishjunction/support/cell_world.h
+++ b/src/test_libradishjunction/support/cell_world.h
@@ -65,6 +65,7 @@
 	GPtrArray *records[RJ_CELL_TOPIC_COUNT];
 	GHashTable *producers; /* name -> struct producer */
 	uint64_t latency_us;
+	bool progress_silent; /* appends to it are lost, and not done */
 	uint32_t lose_percent; /* appends done and not answered */
 	uint64_t late_us; /* lost appends are done so much later; 0: at once */
 	enum cell_log_mode modes[CELL_WORLD_NODES_MAX];
--- a/src/test_libradishjunction/test_cell_reach.c
+++ b/src/test_libradishjunction/test_cell_reach.c
@@ -375,6 +375,23 @@
 	}
 }
 
+/* An owner is replaced because an append to the progress log gets no answer,
+ * though it lives and everybody can read the jobs' log. */
+static void test_an_owner_shows_its_life(struct cell_fixture *f,
+					 const void *data)
+{
+	struct rj_cell_step step = cell_world_step(4, 1, 2000);
+	int owner = cell_world_owner(&f->world);
+
+	cell_world_run(&f->world, S);
+	f->world.log.progress_silent = true;
+	hand_in(&f->world, other_node(&f->world), &step);
+	cell_world_run(&f->world, 3 * S);
+	g_assert_cmpint(cell_world_owner(&f->world), ==, owner);
+	f->world.log.progress_silent = false;
+	cell_world_run(&f->world, 6 * S);
+}
+
 /* What the store has answered. */
 static void note_status(void *private_data,
 			const struct rj_cell_store_reply *reply)
@@ -426,6 +443,7 @@
 	ADD("log_slow", test_proofs_outlast_slow_appends);
 	ADD("successor", test_a_killed_owner_is_replaced_in_time);
 	ADD("dead_member", test_a_gang_does_not_wait_for_a_dead_worker);
+	ADD("shows_life", test_an_owner_shows_its_life);
 	ADD("stopped_member", test_a_stopped_member_ends_no_other);
 	CELL_TEST("/cell_reach/unseen_failure", &two_attempts,
 		  test_unseen_failures_count);
