tests: one site and one way to find a busy worker in each file

What the change wrote twice: the sites of cell_load and cell_reach beside those with two attempts, the beginning of the two tests of a worker that leaves, and the search for a worker with runs, which stood in four places. Assertions and figures stay; product code is untouched.

--- a/src/test_libradishjunction/support/cell_fake_workers.c
+++ b/src/test_libradishjunction/support/cell_fake_workers.c
@@ -485,6 +485,19 @@
 	cell_log_put(world, RJ_CELL_TOPIC_WORKERS, worker->id, NULL, 0);
 }
 
+/*
+ * The first worker on which something runs; there must be one.
+ */
+uint32_t cell_world_busy_worker(const struct cell_world *world)
+{
+	uint32_t index = 0;
+
+	while (index < world->plan.workers && !world->workers[index].runs->len)
+		index++;
+	g_assert_cmpuint(index, <, world->plan.workers);
+	return index;
+}
+
 /*
  * A worker says that it drains, and stays for `left_ms` at least.
  */
--- a/src/test_libradishjunction/support/cell_world.h
+++ b/src/test_libradishjunction/support/cell_world.h
@@ -200,6 +200,7 @@
 void cell_world_worker_kill(struct cell_world *world, uint32_t worker);
 void cell_world_worker_start(struct cell_world *world, uint32_t worker);
 void cell_world_worker_cut(struct cell_world *world, uint32_t worker, bool cut);
+uint32_t cell_world_busy_worker(const struct cell_world *world);
 void cell_world_worker_drain(struct cell_world *world, uint32_t worker,
 			     uint32_t left_ms);
 void cell_world_worker_leave(struct cell_world *world, uint32_t worker);
--- a/src/test_libradishjunction/test_cell_load.c
+++ b/src/test_libradishjunction/test_cell_load.c
@@ -8,24 +8,12 @@
 #include "support/cell_fixture.h"
 
 /* 24 workers of eight accelerators in six racks, three nodes. */
-static const struct cell_world_plan site = {
-	.seed = 7,
-	.nodes = 3,
-	.workers = 24,
-	.rack_workers = 4,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 64,
-};
+#define SITE                                                     \
+	.seed = 7, .nodes = 3, .workers = 24, .rack_workers = 4, \
+	.capacity = { 64000, 64000, 8 }, .guaranteed = 64
+static const struct cell_world_plan site = { SITE };
 /* The same with tasks that may fail once. */
-static const struct cell_world_plan two_attempts = {
-	.seed = 7,
-	.nodes = 3,
-	.workers = 24,
-	.rack_workers = 4,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 64,
-	.attempts_max = 2,
-};
+static const struct cell_world_plan two_attempts = { SITE, .attempts_max = 2 };
 /* Begun so soon after the acceptance, as the site's terms say. */
 #define RECLAIM_US (2900 * MS)
 /* Work that serves may be over its bound for so long on end. */
@@ -349,13 +337,20 @@
 			==, RJ_CELL_JOB_COMPLETED);
 }
 
-/* Where the first run of a job is, or -1. */
-static int worker_with_runs(const struct cell_world *world)
+/* A job of one task that has run for a second, on a worker that then says it
+ * stays for 1.6 s more. */
+static struct cell_client_job *
+run_on_leaving(struct cell_world *world, uint64_t work_us, uint32_t *worker)
 {
-	for (uint32_t i = 0; i < world->plan.workers; i++)
-		if (world->workers[i].runs->len)
-			return (int)i;
-	return -1;
+	struct rj_cell_step step =
+		cell_world_step(1, 8, (uint32_t)(work_us / MS));
+	struct cell_client_job *job =
+		hand_in(world, "normal", "a", &step, work_us);
+
+	follow(world, S);
+	*worker = cell_world_busy_worker(world);
+	cell_world_worker_drain(world, *worker, 1600);
+	return job;
 }
 
 /*
@@ -366,17 +361,11 @@
 static void test_work_leaves_a_worker_at_short_notice(struct cell_fixture *f,
 						      const void *data)
 {
-	struct rj_cell_step step = cell_world_step(1, 8, 6000);
-	struct cell_client_job *job =
-		hand_in(&f->world, "normal", "a", &step, 6 * S);
-	int worker;
+	uint32_t worker;
+	struct cell_client_job *job = run_on_leaving(&f->world, 6 * S, &worker);
 
-	follow(&f->world, S);
-	worker = worker_with_runs(&f->world);
-	g_assert_cmpint(worker, >=, 0);
-	cell_world_worker_drain(&f->world, (uint32_t)worker, 1600);
 	cell_world_run(&f->world, 1600 * MS);
-	cell_world_worker_kill(&f->world, (uint32_t)worker);
+	cell_world_worker_kill(&f->world, worker);
 	g_assert_cmpuint(job->starts, ==, 2);
 	follow(&f->world, 9 * S);
 	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
@@ -389,15 +378,9 @@
 static void test_work_that_ends_in_time_stays(struct cell_fixture *f,
 					      const void *data)
 {
-	struct rj_cell_step step = cell_world_step(1, 8, 2000);
-	struct cell_client_job *job =
-		hand_in(&f->world, "normal", "a", &step, 2 * S);
-	int worker;
+	uint32_t worker;
+	struct cell_client_job *job = run_on_leaving(&f->world, 2 * S, &worker);
 
-	follow(&f->world, S);
-	worker = worker_with_runs(&f->world);
-	g_assert_cmpint(worker, >=, 0);
-	cell_world_worker_drain(&f->world, (uint32_t)worker, 1600);
 	follow(&f->world, 1600 * MS);
 	g_assert_cmpuint(job->starts, ==, 1);
 	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
--- a/src/test_libradishjunction/test_cell_reach.c
+++ b/src/test_libradishjunction/test_cell_reach.c
@@ -13,25 +13,12 @@
 
 /* Twelve workers of eight accelerators in three racks, one for each failure
  * domain; three nodes. */
-static const struct cell_world_plan site = {
-	.seed = 3,
-	.nodes = 3,
-	.workers = 12,
-	.rack_workers = 4,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 32,
-};
-
+#define SITE                                                     \
+	.seed = 3, .nodes = 3, .workers = 12, .rack_workers = 4, \
+	.capacity = { 64000, 64000, 8 }, .guaranteed = 32
+static const struct cell_world_plan site = { SITE };
 /* The same with tasks that may fail once. */
-static const struct cell_world_plan two_attempts = {
-	.seed = 3,
-	.nodes = 3,
-	.workers = 12,
-	.rack_workers = 4,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 32,
-	.attempts_max = 2,
-};
+static const struct cell_world_plan two_attempts = { SITE, .attempts_max = 2 };
 
 /* A failure domain is cut off from all nodes, or is back. */
 static void cut_domain(struct cell_world *world, const char *domain, bool cut)
@@ -98,11 +85,10 @@
 {
 	struct rj_cell_step step = cell_world_step(1, 1, 2000);
 	struct cell_client_job *job = hand_in(world, 0, &step);
-	uint32_t worker = 0;
+	uint32_t worker;
 
 	cell_world_run(world, S);
-	while (!world->workers[worker].runs->len)
-		worker++;
+	worker = cell_world_busy_worker(world);
 	cell_world_worker_cut(world, worker, true);
 	cell_world_run(world, cut_us);
 	cell_world_worker_cut(world, worker, false);
@@ -131,11 +117,10 @@
 {
 	struct rj_cell_step step = cell_world_step(1, 1, 2000);
 	struct cell_client_job *job = hand_in(&f->world, 0, &step);
-	uint32_t worker = 0;
+	uint32_t worker;
 
 	cell_world_run(&f->world, S);
-	while (!f->world.workers[worker].runs->len)
-		worker++;
+	worker = cell_world_busy_worker(&f->world);
 	job->work_us = 30 * S; /* of the second run */
 	cell_world_worker_cut(&f->world, worker, true);
 	cell_world_run(&f->world, 8 * S);
@@ -307,14 +292,13 @@
 {
 	struct rj_cell_step step = cell_world_step(4, 8, 3000);
 	struct cell_client_job *job;
-	uint32_t worker = 0;
+	uint32_t worker;
 
 	step.gang = true;
 	job = hand_in(&f->world, other_node(&f->world), &step);
 	cell_world_run(&f->world, S);
 	g_assert_cmpuint(job->starts, ==, 4);
-	while (!f->world.workers[worker].runs->len)
-		worker++;
+	worker = cell_world_busy_worker(&f->world);
 	cell_world_worker_kill(&f->world, worker);
 	cell_world_run(&f->world, 1500 * MS);
 	g_assert_cmpuint(job->starts, ==, 8);
