cell: plans weigh no worker that cannot take a task

- Bounds on what is free in each rack let a search pass whole racks.
- Tasks of a group that weigh workers alike take them from a heap that is filled once, and so do the first tasks of wide jobs.
- Before runs are weighed for a stop, the sum held by lower priorities says whether a worker can make room at all; a trial ends once it loses more than it may.
- Only workers with unstored ends are visited to mark these as stored.

The fake workers index their gangs, as their search for members hid the product in profiles.

--- a/src/bench/cell.c
+++ b/src/bench/cell.c
@@ -29,6 +29,25 @@
 	uint32_t workers;
 	uint32_t tasks_per_s;
 	bool gangs;
+	bool mixed; /* three kinds of jobs in place of one */
+};
+
+/* One kind of a mixed load. */
+struct kind {
+	const char *queue;
+	uint32_t tasks; /* of a job */
+	uint32_t task_ms;
+	uint32_t memory_mb; /* of a task */
+	uint32_t accelerators_max; /* of a task: a power of two up to this */
+	uint32_t share; /* of all tasks, in percent */
+	bool gang;
+};
+
+/* Short urgent gangs, longer ones, and wide jobs of small tasks. */
+static const struct kind kinds[] = {
+	{ "urgent", 8, 2500, 7500, 8, 19, true },
+	{ "normal", 26, 8500, 26000, 8, 20, true },
+	{ "bulk", 78, 6100, 7500, 1, 61, false },
 };
 
 /* What was counted up to some moment. */
@@ -63,15 +82,46 @@
 	}
 }
 
+/* Hand in the jobs of one step of a mixed load. */
+static void hand_in_mixed(struct cell_world *world, const struct load *load,
+			  double due[G_N_ELEMENTS(kinds)])
+{
+	for (guint i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		const struct kind *kind = &kinds[i];
+
+		due[i] += (double)load->tasks_per_s * kind->share / 100 /
+			  kind->tasks / STEPS_PER_S;
+		for (; due[i] >= 1; due[i]--) {
+			uint32_t number = world->job_count;
+			struct rj_cell_step step = cell_world_step(
+				kind->tasks,
+				MIN(kind->accelerators_max, 1U << number % 4),
+				kind->task_ms);
+
+			step.gang = kind->gang;
+			step.one_rack = kind->gang && number % 5 < 3;
+			step.each.memory_mb = kind->memory_mb;
+			cell_world_submit(world, number % INSTANCES,
+					  cell_world_job(world, kind->queue,
+							 number % 2 ? "a" : "b",
+							 &step, 1,
+							 kind->task_ms * MS));
+		}
+	}
+}
+
 /* Play on under the load. */
 static void play(struct cell_world *world, const struct load *load,
 		 uint64_t for_us)
 {
 	uint64_t end_us = world->now_us + for_us;
-	double due = 0;
+	double due[G_N_ELEMENTS(kinds)] = { 0 };
 
 	while (world->now_us < end_us) {
-		hand_in(world, load, &due);
+		if (load->mixed)
+			hand_in_mixed(world, load, due);
+		else
+			hand_in(world, load, &due[0]);
 		cell_world_run(world, STEP_US);
 	}
 }
@@ -139,12 +189,13 @@
 	play(world, load, MEASURED_US);
 	after = count(world);
 	printf("{\"bench\":\"cell\",\"workers\":%u,\"tasks_per_s\":%u,"
-	       "\"gangs\":%s,\"owner_cpu_percent\":%.2f,"
+	       "\"gangs\":%s,\"mixed\":%s,\"owner_cpu_percent\":%.2f,"
 	       "\"other_cpu_percent\":%.2f,\"looks_per_s\":%.0f,"
 	       "\"plans_per_s\":%.0f,\"appends_per_s\":%.1f,"
 	       "\"reads_per_s\":%.1f,\"owner_state_bytes\":%zu,"
 	       "\"wait_p50_ms\":%.0f,\"wait_p99_ms\":%.0f}\n",
 	       load->workers, load->tasks_per_s, load->gangs ? "true" : "false",
+	       load->mixed ? "true" : "false",
 	       (double)(after.owner_ns - before.owner_ns) / seconds / 1e7,
 	       (double)(after.all_ns - after.owner_ns - before.all_ns +
 			before.owner_ns) /
@@ -173,14 +224,17 @@
 					 "tasks handed in a second (80)");
 	struct arg_lit *gangs =
 		arg_lit0(NULL, "gangs", "half of the jobs are gangs in a rack");
+	struct arg_lit *mixed = arg_lit0(
+		NULL, "mixed", "urgent gangs, longer gangs and wide jobs");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_end *end = arg_end(4);
-	void *table[] = { workers, tasks, gangs, help, end };
+	void *table[] = { workers, tasks, gangs, mixed, help, end };
 	int errors = arg_parse(argc, argv, table);
 	struct load load = {
 		.workers = workers->count ? (uint32_t)workers->ival[0] : 0,
 		.tasks_per_s = tasks->count ? (uint32_t)tasks->ival[0] : 80,
-		.gangs = gangs->count > 0
+		.gangs = gangs->count > 0,
+		.mixed = mixed->count > 0
 	};
 	int status = 0;
 
--- a/src/libradishjunction/cell/cell_fleet.c
+++ b/src/libradishjunction/cell/cell_fleet.c
@@ -23,6 +23,7 @@
 	for (int i = 0; i < RJ_CELL_WATCH_COUNT; i++)
 		rj_list_init(&fleet->watched[i]);
 	rj_list_init(&fleet->ordered);
+	rj_list_init(&fleet->unstored);
 	fleet->racks = g_ptr_array_new();
 	fleet->domains = g_ptr_array_new();
 }
@@ -73,6 +74,7 @@
 	rj_list_init(&worker->runs);
 	rj_list_init(&worker->in_watch);
 	rj_list_init(&worker->in_ordered);
+	rj_list_init(&worker->in_unstored);
 	rj_list_init(&worker->in_rack);
 	rj_list_append(&fleet->workers, &worker->link);
 	rj_cell_worker_watch(worker, RJ_CELL_WATCH_IDLE);
@@ -93,6 +95,7 @@
 	rj_list_remove(&worker->link);
 	rj_list_remove(&worker->in_watch);
 	rj_list_remove(&worker->in_ordered);
+	rj_list_remove(&worker->in_unstored);
 	rj_list_remove(&worker->in_rack);
 	g_hash_table_remove(fleet->by_id, worker->id);
 	fleet->count--;
@@ -235,6 +238,9 @@
 	    strcmp(worker->domain->name, heartbeat->domain) != 0)
 		worker->domain =
 			obtain_domain(worker->fleet, heartbeat->domain);
+	if (!worker->service ||
+	    strcmp(worker->service, heartbeat->service) != 0)
+		worker->service = g_intern_string(heartbeat->service);
 	worker->said = *heartbeat;
 	if (!moved)
 		return;
--- a/src/libradishjunction/cell/cell_flush.c
+++ b/src/libradishjunction/cell/cell_flush.c
@@ -56,14 +56,16 @@
 	struct rj_list *at;
 	struct rj_list *next;
 
-	RJ_FOR_EACH (at, next, &owner->fleet.watched[RJ_CELL_WATCH_BUSY]) {
+	RJ_FOR_EACH (at, next, &owner->fleet.unstored) {
 		struct rj_cell_worker *worker =
-			RJ_CONTAINER(at, struct rj_cell_worker, in_watch);
-
-		if (worker->seen_storing <= worker->seen)
-			continue;
-		worker->seen = worker->seen_storing;
-		worker->look_due_us = owner->now_us;
+			RJ_CONTAINER(at, struct rj_cell_worker, in_unstored);
+
+		if (worker->seen_storing > worker->seen) {
+			worker->seen = worker->seen_storing;
+			worker->look_due_us = owner->now_us;
+		}
+		if (worker->seen >= worker->seen_taken)
+			rj_list_remove(at);
 	}
 }
 
@@ -258,9 +260,9 @@
 	}
 	if (owner->leaving)
 		add_leave(owner);
-	RJ_FOR_EACH (at, next, &owner->fleet.watched[RJ_CELL_WATCH_BUSY]) {
+	RJ_FOR_EACH (at, next, &owner->fleet.unstored) {
 		struct rj_cell_worker *worker =
-			RJ_CONTAINER(at, struct rj_cell_worker, in_watch);
+			RJ_CONTAINER(at, struct rj_cell_worker, in_unstored);
 
 		worker->seen_storing = worker->seen_taken;
 	}
--- a/src/libradishjunction/cell/cell_looks.c
+++ b/src/libradishjunction/cell/cell_looks.c
@@ -181,6 +181,9 @@
 		else
 			rj_cell_ends_orphan(owner, worker, row);
 	}
+	if (worker->seen_taken > worker->seen &&
+	    worker->in_unstored.next == &worker->in_unstored)
+		rj_list_append(&owner->fleet.unstored, &worker->in_unstored);
 }
 
 /*
--- a/src/libradishjunction/cell/cell_place.c
+++ b/src/libradishjunction/cell/cell_place.c
@@ -1,4 +1,5 @@
 #include "private/cell_advice.h"
+#include "private/cell_candidates.h"
 #include "private/cell_place.h"
 #include "private/cell_release.h"
 
@@ -98,7 +99,7 @@
 	if ((room->kept && !unit->into_kept) ||
 	    (room->closed && !unit->into_closed))
 		return false;
-	if (strcmp(worker->said.service, unit->service) != 0)
+	if (worker->service != unit->service)
 		return false;
 	if (step->label[0] && strcmp(step->label, worker->said.kind) != 0 &&
 	    strcmp(step->label, worker->said.rack) != 0)
@@ -120,15 +121,95 @@
 	       siblings_on(plan, worker, task) < step->per_worker_max;
 }
 
+/* The bounds on what is free in a range for a way, or NULL where others may be
+ * stopped or are waited for. */
+static const struct rj_cell_rack_free *
+free_for(const struct rj_cell_range *range, const struct rj_cell_way *way)
+{
+	if (way->stop_others || way->when == RJ_CELL_LATER)
+		return NULL;
+	return way->when == RJ_CELL_NOW ? &range->now : &range->soon;
+}
+
+/* Whether a range is allowed, and may hold one task that wants so much. */
+static bool may_hold_one(const struct rj_cell_range *range,
+			 const struct rj_cell_way *way,
+			 const struct rj_cell_demand *want)
+{
+	const struct rj_cell_rack_free *have = free_for(range, way);
+
+	if (way->domain && range->domain && range->domain != way->domain)
+		return false;
+	return !have || rj_cell_demand_fits(want, &have->most);
+}
+
 /*
- * The rooms that a way allows: those of a rack, or all.
+ * Begin a walk over the rooms that a way allows, those of a rack or all, for
+ * tasks that want so much each. `way` must outlast it.
  */
-void rj_cell_place_range(const struct rj_cell_plan *plan,
-			 const struct rj_cell_way *way,
-			 struct rj_cell_room **from, struct rj_cell_room **to)
+void rj_cell_walk_init(struct rj_cell_walk *walk,
+		       const struct rj_cell_plan *plan,
+		       const struct rj_cell_way *way,
+		       const struct rj_cell_demand *want)
+{
+	memset(walk, 0, sizeof(*walk));
+	walk->plan = plan;
+	walk->way = way;
+	walk->want = *want;
+	walk->range = way->rack ? way->rack->range : 0;
+	walk->ranges_end = way->rack ? walk->range + 1 : plan->ranges->len;
+}
+
+/*
+ * The next room, in the order of the plan's rooms, or NULL at the end.
+ */
+struct rj_cell_room *rj_cell_walk_next(struct rj_cell_walk *walk)
+{
+	while (walk->room == walk->end) {
+		const struct rj_cell_range *range;
+
+		if (walk->range >= walk->ranges_end)
+			return NULL;
+		range = &g_array_index(walk->plan->ranges, struct rj_cell_range,
+				       walk->range++);
+		if (!may_hold_one(range, walk->way, &walk->want))
+			continue;
+		walk->room = walk->plan->rooms + range->first;
+		walk->end = walk->room + range->count;
+	}
+	return walk->room++;
+}
+
+/*
+ * Whether the rooms that a way allows may hold `count` tasks that want so much
+ * each, by bounds that are cheap to look up.
+ *
+ * Load that it answers: a full site with a backlog of gangs, each of which
+ * would weigh all workers for each of its members in each plan.
+ */
+bool rj_cell_place_may_hold(const struct rj_cell_plan *plan,
+			    const struct rj_cell_way *way,
+			    const struct rj_cell_demand *want, uint32_t count)
 {
-	*from = plan->rooms + (way->rack ? way->rack->first : 0);
-	*to = *from + (way->rack ? way->rack->count : plan->room_count);
+	uint64_t wanted = (uint64_t)want->accelerators * count;
+	guint first = way->rack ? way->rack->range : 0;
+	guint end = way->rack ? first + 1 : plan->ranges->len;
+	uint64_t sum = 0;
+
+	for (guint i = first; i < end; i++) {
+		const struct rj_cell_range *range =
+			&g_array_index(plan->ranges, struct rj_cell_range, i);
+		const struct rj_cell_rack_free *have = free_for(range, way);
+
+		if (!have)
+			return true;
+		if (!may_hold_one(range, way, want))
+			continue;
+		sum += have->accelerators;
+		if (sum >= wanted)
+			return true;
+	}
+	return false;
 }
 
 /*
@@ -191,11 +272,11 @@
 		rj_cell_step_counted(rj_cell_task_step(task));
 	struct rj_cell_room *best = NULL;
 	struct rj_cell_room *room;
-	struct rj_cell_room *end;
+	struct rj_cell_walk walk;
 	uint64_t best_badness = 0;
 
-	rj_cell_place_range(plan, way, &room, &end);
-	for (; room < end; room++) {
+	rj_cell_walk_init(&walk, plan, way, &want);
+	while ((room = rj_cell_walk_next(&walk))) {
 		const struct rj_cell_demand *have =
 			way->when == RJ_CELL_NOW ? &room->now : &room->soon;
 		uint64_t bad;
@@ -255,11 +336,11 @@
 		rj_cell_step_counted(rj_cell_task_step(task));
 	struct rj_cell_room *best = NULL;
 	struct rj_cell_room *room;
-	struct rj_cell_room *end;
+	struct rj_cell_walk walk;
 	uint64_t best_us = RJ_NEVER_US;
 
-	rj_cell_place_range(plan, way, &room, &end);
-	for (; room < end; room++) {
+	rj_cell_walk_init(&walk, plan, way, &want);
+	while ((room = rj_cell_walk_next(&walk))) {
 		uint64_t ready_us;
 
 		if (!rj_cell_place_may_run(plan, room, unit, task, way))
@@ -332,6 +413,97 @@
 	g_ptr_array_free(trial->victims, TRUE);
 }
 
+/*
+ * Whether what decides on a task's worker is the same for all tasks of its
+ * step, or of its gang: it keeps off no worker, and is in no danger of using
+ * up its attempts.
+ */
+bool rj_cell_place_is_plain(const struct rj_cell_plan *plan,
+			    struct rj_cell_task *task)
+{
+	return plan->now_us >= task->avoid_until_us &&
+	       !rj_cell_task_head(task)->failures;
+}
+
+/* Whether all of a group's tasks weigh workers alike. */
+static bool are_alike(const struct rj_cell_plan *plan,
+		      struct rj_cell_task **tasks, uint32_t count)
+{
+	if (rj_cell_task_step(tasks[0])->per_worker_max)
+		return false;
+	for (uint32_t i = 0; i < count; i++)
+		if (!rj_cell_place_is_plain(plan, tasks[i]))
+			return false;
+	return true;
+}
+
+/* What placing one more of some tasks in a room costs, or RJ_NEVER_US where it
+ * cannot be placed there. */
+static uint64_t cost_of(struct rj_cell_plan *plan, struct rj_cell_room *room,
+			const struct rj_cell_unit *unit,
+			struct rj_cell_task *task,
+			const struct rj_cell_demand *want,
+			const struct rj_cell_way *way)
+{
+	const struct rj_cell_demand *have =
+		way->when == RJ_CELL_NOW ? &room->now : &room->soon;
+
+	if (way->when == RJ_CELL_LATER)
+		return ready_in_us(plan, room, want);
+	if (!rj_cell_demand_fits(want, have))
+		return RJ_NEVER_US;
+	return badness(plan, room, unit, task, have);
+}
+
+/*
+ * Try to place tasks that weigh workers alike, as many as find a place.
+ * Returns how many do. They go where they would go one by one: a room that has
+ * taken one only changes its own cost.
+ */
+uint32_t rj_cell_place_alike(struct rj_cell_plan *plan,
+			     struct rj_cell_trial *trial,
+			     const struct rj_cell_unit *unit,
+			     struct rj_cell_task **tasks, uint32_t count,
+			     const struct rj_cell_way *way)
+{
+	const struct rj_cell_step *step = rj_cell_task_step(tasks[0]);
+	struct rj_cell_demand want = rj_cell_step_counted(step);
+	struct rj_cell_candidates candidates;
+	struct rj_cell_walk walk;
+	struct rj_cell_room *room;
+	uint32_t placed = 0;
+
+	assert(!way->stop_others);
+	rj_cell_candidates_init(&candidates);
+	rj_cell_walk_init(&walk, plan, way, &want);
+	while ((room = rj_cell_walk_next(&walk))) {
+		uint64_t cost = cost_of(plan, room, unit, tasks[0], &want, way);
+
+		if (cost != RJ_NEVER_US &&
+		    rj_cell_place_may_run(plan, room, unit, tasks[0], way))
+			rj_cell_candidates_push(&candidates, cost, room);
+	}
+	while (placed < count) {
+		struct rj_cell_candidate best =
+			rj_cell_candidates_pop(&candidates);
+		uint64_t cost;
+
+		if (!best.room)
+			break;
+		if (way->when == RJ_CELL_LATER && best.cost > trial->ready_us)
+			trial->ready_us = best.cost;
+		rj_cell_trial_change(trial, best.room);
+		take_room(best.room, step, way->when);
+		g_ptr_array_add(trial->workers, best.room->worker);
+		placed++;
+		cost = cost_of(plan, best.room, unit, tasks[0], &want, way);
+		if (cost != RJ_NEVER_US)
+			rj_cell_candidates_push(&candidates, cost, best.room);
+	}
+	rj_cell_candidates_finish(&candidates);
+	return placed;
+}
+
 /*
  * Try to place all of `tasks`. Returns whether all of them have a place.
  */
@@ -340,6 +512,14 @@
 			 struct rj_cell_task **tasks, uint32_t count,
 			 const struct rj_cell_way *way)
 {
+	struct rj_cell_demand want =
+		rj_cell_step_counted(rj_cell_task_step(tasks[0]));
+
+	if (!rj_cell_place_may_hold(plan, way, &want, count))
+		return false;
+	if (count > 1 && !way->stop_others && are_alike(plan, tasks, count))
+		return rj_cell_place_alike(plan, trial, unit, tasks, count,
+					   way) == count;
 	for (uint32_t i = 0; i < count; i++) {
 		struct rj_cell_room *room =
 			way->when == RJ_CELL_LATER ?
@@ -349,7 +529,7 @@
 		if (!room && way->stop_others)
 			room = rj_cell_reclaim_room(plan, trial, unit, tasks[i],
 						    way);
-		if (!room)
+		if (!room || trial->loss_milli > way->loss_max_milli)
 			return false;
 		rj_cell_trial_change(trial, room);
 		take_room(room, rj_cell_task_step(tasks[i]), way->when);
--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -57,6 +57,7 @@
 	plan->stops = g_ptr_array_new();
 	plan->racks =
 		g_array_new(FALSE, FALSE, sizeof(struct rj_cell_rack_rooms));
+	plan->ranges = g_array_new(FALSE, FALSE, sizeof(struct rj_cell_range));
 	plan->needs = g_hash_table_new(g_str_hash, g_str_equal);
 	plan->units = g_array_new(FALSE, FALSE, sizeof(struct rj_cell_unit));
 	plan->misses = g_array_new(FALSE, FALSE, sizeof(struct miss));
@@ -70,6 +71,7 @@
 	g_array_free(plan->starts, TRUE);
 	g_ptr_array_free(plan->stops, TRUE);
 	g_array_free(plan->racks, TRUE);
+	g_array_free(plan->ranges, TRUE);
 	g_array_free(plan->units, TRUE);
 	g_array_free(plan->misses, TRUE);
 	g_hash_table_destroy(plan->needs);
@@ -232,7 +234,8 @@
 	if (!unit.waiting || may_be_used_up(plan, round, step))
 		return;
 	/* A queue that has gone leaves its jobs where it last sent them. */
-	unit.service = queue ? queue->service : work->def->service;
+	unit.service =
+		g_intern_string(queue ? queue->service : work->def->service);
 	unit.advised = queue && queue->advised;
 	unit.far = may_be_far(plan, &work->def->steps[step], unit.waiting_us);
 	unit.guaranteed = work->guaranteed;
@@ -438,11 +441,11 @@
 	return best;
 }
 
-/* Try one way; when it works out and loses at most so much, the room is taken,
- * and with RJ_CELL_NOW the tasks start. */
+/* Try one way; when it works out the room is taken, and with RJ_CELL_NOW the
+ * tasks start. */
 static bool attempt(struct rj_cell_plan *plan, const struct rj_cell_unit *unit,
 		    struct rj_cell_task **tasks, uint32_t count,
-		    const struct rj_cell_way *way, uint64_t loss_max_milli)
+		    const struct rj_cell_way *way)
 {
 	struct rj_cell_way chosen = *way;
 	struct rj_cell_trial trial;
@@ -451,8 +454,7 @@
 	if (!unit->work->def->priority && way->when == RJ_CELL_NOW)
 		chosen.domain = best_domain(plan, unit, tasks, count, way);
 	rj_cell_trial_init(&trial, plan);
-	placed = try_group(plan, unit, tasks, count, &chosen, &trial) &&
-		 trial.loss_milli <= loss_max_milli;
+	placed = try_group(plan, unit, tasks, count, &chosen, &trial);
 	for (uint32_t i = 0; placed && way->when == RJ_CELL_NOW && i < count;
 	     i++)
 		add_start(plan, tasks[i], trial.workers->pdata[i]);
@@ -483,14 +485,16 @@
 {
 	const struct rj_cell_way soon = { .when = RJ_CELL_SOON };
 	const struct rj_cell_way later = { .when = RJ_CELL_LATER };
-	const struct rj_cell_way stop = { .when = RJ_CELL_SOON,
-					  .stop_others = true };
-	uint64_t loss_max = loss_allowed(plan, unit, count);
-
-	if (attempt(plan, unit, tasks, count, &soon, 0) ||
-	    attempt(plan, unit, tasks, count, &stop, loss_max))
+	const struct rj_cell_way stop = {
+		.when = RJ_CELL_SOON,
+		.stop_others = true,
+		.loss_max_milli = loss_allowed(plan, unit, count),
+	};
+
+	if (attempt(plan, unit, tasks, count, &soon) ||
+	    attempt(plan, unit, tasks, count, &stop))
 		return;
-	attempt(plan, unit, tasks, count, &later, 0);
+	attempt(plan, unit, tasks, count, &later);
 }
 
 /*
@@ -504,26 +508,71 @@
 	const struct rj_cell_way now = { .when = RJ_CELL_NOW };
 	const struct rj_cell_way soon = { .when = RJ_CELL_SOON };
 	const struct rj_cell_way later = { .when = RJ_CELL_LATER };
-	const struct rj_cell_way stop = { .when = RJ_CELL_SOON,
-					  .stop_others = true };
-	uint64_t cheap =
-		rj_cell_reclaim_own_milli(plan, unit, count) / CHEAP_LOSS_PART;
-
-	if (attempt(plan, unit, tasks, count, &now, 0))
+	const struct rj_cell_way stop = {
+		.when = RJ_CELL_SOON,
+		.stop_others = true,
+		.loss_max_milli = rj_cell_reclaim_own_milli(plan, unit, count) /
+				  CHEAP_LOSS_PART,
+	};
+
+	if (attempt(plan, unit, tasks, count, &now))
 		return true;
 	if (!unit->work->def->priority)
 		find_urgent(plan, unit, tasks, count);
 	else if (plan->now_us - unit->waiting_us >= CHEAP_WAIT_US &&
-		 (attempt(plan, unit, tasks, count, &soon, 0) ||
-		  attempt(plan, unit, tasks, count, &stop, cheap)))
+		 (attempt(plan, unit, tasks, count, &soon) ||
+		  attempt(plan, unit, tasks, count, &stop)))
 		return false;
 	else if (rj_cell_task_step(tasks[0])->gang &&
 		 plan->promises < PROMISES_MAX &&
-		 attempt(plan, unit, tasks, count, &later, 0))
+		 attempt(plan, unit, tasks, count, &later))
 		plan->promises++;
 	return false;
 }
 
+/* How many of the first tasks weigh workers alike, so that they can be placed
+ * together though each starts by itself. */
+static uint32_t count_plain(const struct rj_cell_plan *plan,
+			    const struct rj_cell_unit *unit,
+			    struct rj_cell_task **tasks, uint32_t count)
+{
+	uint32_t plain = 0;
+
+	if (!unit->work->def->priority ||
+	    rj_cell_task_step(tasks[0])->per_worker_max)
+		return 0;
+	while (plain < count && rj_cell_place_is_plain(plan, tasks[plain]))
+		plain++;
+	return plain;
+}
+
+/*
+ * Start those of the first tasks of a unit that find a place now. Returns how
+ * many.
+ *
+ * Load that it answers: wide jobs of small tasks; each task by itself would
+ * weigh all workers.
+ */
+static uint32_t start_plain(struct rj_cell_plan *plan,
+			    const struct rj_cell_unit *unit,
+			    struct rj_cell_task **tasks, uint32_t count)
+{
+	const struct rj_cell_way now = { .when = RJ_CELL_NOW };
+	uint32_t plain = count_plain(plan, unit, tasks, count);
+	struct rj_cell_trial trial;
+	uint32_t placed;
+
+	if (!plain)
+		return 0;
+	rj_cell_trial_init(&trial, plan);
+	placed = rj_cell_place_alike(plan, &trial, unit, tasks, plain, &now);
+	for (uint32_t i = 0; i < placed; i++)
+		add_start(plan, tasks[i], trial.workers->pdata[i]);
+	rj_cell_trial_take(&trial);
+	rj_cell_trial_finish(&trial);
+	return placed;
+}
+
 /* Place the waiting tasks of a step: a gang as a whole, others singly. */
 static void place_unit(struct rj_cell_plan *plan,
 		       const struct rj_cell_unit *unit)
@@ -546,7 +595,8 @@
 		if (!place_tasks(plan, unit, tasks, count))
 			plan->waiting += count;
 	} else {
-		for (uint32_t i = 0; i < count; i++) {
+		for (uint32_t i = start_plain(plan, unit, tasks, count);
+		     i < count; i++) {
 			if (place_tasks(plan, unit, &tasks[i], 1))
 				continue;
 			/* That it is choosy says nothing of the others. */
--- a/src/libradishjunction/cell/cell_reclaim.c
+++ b/src/libradishjunction/cell/cell_reclaim.c
@@ -141,6 +141,7 @@
 		return;
 	rj_cell_trial_change(trial, room);
 	rj_cell_demand_give(&room->soon, &run->held);
+	rj_cell_plan_note_freed(trial->plan, room);
 }
 
 /* Note one victim and, with it, the other members of its gang. */
@@ -171,6 +172,23 @@
 	}
 }
 
+/*
+ * Whether enough accelerators of a worker are free or held by work that may
+ * give way to a unit; a bound that is cheap to look up.
+ */
+static bool may_give_way(const struct rj_cell_room *room,
+			 const struct rj_cell_unit *unit, uint32_t want)
+{
+	uint32_t sum = room->soon.accelerators;
+	uint32_t from = unit->guaranteed ? 0 : unit->work->def->priority + 1;
+
+	/* The last sum is of several priorities. */
+	for (uint32_t i = MIN(from, RJ_CELL_PRIORITIES - 1);
+	     i < RJ_CELL_PRIORITIES; i++)
+		sum += room->worker->held_by[i];
+	return sum >= want;
+}
+
 /*
  * The worker on which making room for a task loses least, or NULL. Its
  * victims are noted in the trial.
@@ -185,15 +203,17 @@
 		rj_cell_step_counted(rj_cell_task_step(task));
 	struct rj_cell_room *best = NULL;
 	struct rj_cell_room *room;
-	struct rj_cell_room *end;
-	uint64_t best_loss = UINT64_MAX;
+	struct rj_cell_walk walk;
+	uint64_t left = way->loss_max_milli - trial->loss_milli;
+	uint64_t best_loss = left < UINT64_MAX ? left + 1 : left;
 	GPtrArray *victims;
 
-	rj_cell_place_range(plan, way, &room, &end);
-	for (; room < end && best_loss; room++) {
+	rj_cell_walk_init(&walk, plan, way, &want);
+	while (best_loss && (room = rj_cell_walk_next(&walk))) {
 		uint64_t loss;
 
-		if (!rj_cell_demand_fits(&want, &room->worker->said.capacity) ||
+		if (!may_give_way(room, unit, want.accelerators) ||
+		    !rj_cell_demand_fits(&want, &room->worker->said.capacity) ||
 		    !rj_cell_place_may_run(plan, room, unit, task, way))
 			continue;
 		loss = choose_victims(plan, unit, room, &want, NULL);
--- a/src/libradishjunction/cell/cell_rooms.c
+++ b/src/libradishjunction/cell/cell_rooms.c
@@ -150,6 +150,50 @@
 	g_array_sort(plan->racks, by_rank);
 }
 
+/* Raise one bound by a room's share of it. */
+static void raise_bound(struct rj_cell_demand *most,
+			const struct rj_cell_demand *have)
+{
+	most->cpu_milli = MAX(most->cpu_milli, have->cpu_milli);
+	most->memory_mb = MAX(most->memory_mb, have->memory_mb);
+	most->accelerators = MAX(most->accelerators, have->accelerators);
+}
+
+/* Add the rooms of one rack, with bounds on what is free there. */
+static void add_range(struct rj_cell_plan *plan,
+		      const struct rj_cell_rack_rooms *rack)
+{
+	struct rj_cell_range range = { .domain = rack->mixed ? NULL :
+							       rack->domain,
+				       .first = rack->first,
+				       .count = rack->count };
+
+	for (uint32_t i = rack->first; i < rack->first + rack->count; i++) {
+		struct rj_cell_room *room = &plan->rooms[i];
+
+		room->rack = plan->ranges->len;
+		raise_bound(&range.now.most, &room->now);
+		raise_bound(&range.soon.most, &room->soon);
+		range.now.accelerators += room->now.accelerators;
+		range.soon.accelerators += room->soon.accelerators;
+	}
+	g_array_append_val(plan->ranges, range);
+}
+
+/*
+ * A trial has freed something of a room that comes free soon: the bounds of
+ * its rack must not be too low.
+ */
+void rj_cell_plan_note_freed(struct rj_cell_plan *plan,
+			     const struct rj_cell_room *room)
+{
+	struct rj_cell_range *range =
+		&g_array_index(plan->ranges, struct rj_cell_range, room->rack);
+
+	raise_bound(&range->soon.most, &room->soon);
+	range->soon.accelerators += room->worker->said.capacity.accelerators;
+}
+
 /* Add the room of one worker, if it may get work. */
 static void add_room(struct rj_cell_plan *plan, struct rj_cell_worker *worker)
 {
@@ -166,7 +210,7 @@
 	room->soon = room->now;
 	add_stopping(room);
 	if (worker->domain)
-		worker->domain->urgent += worker->urgent;
+		worker->domain->urgent += worker->held_by[0];
 	add_worker(&plan->usage, worker);
 	plan->room_count++;
 }
@@ -206,7 +250,13 @@
 			continue;
 		domain = plan->rooms[rooms.first].worker->domain;
 		rooms.domain = domain;
+		for (uint32_t j = 1; j < rooms.count; j++)
+			rooms.mixed |=
+				plan->rooms[rooms.first + j].worker->domain !=
+				domain;
 		rooms.rank = domain->racks++;
+		rooms.range = plan->ranges->len;
+		add_range(plan, &rooms);
 		g_array_append_val(plan->racks, rooms);
 	}
 	order_racks(plan);
--- a/src/libradishjunction/cell/cell_work.c
+++ b/src/libradishjunction/cell/cell_work.c
@@ -196,10 +196,12 @@
 	return run->task && rj_cell_task_step(run->task)->target_ms;
 }
 
-/* Whether a run is of an urgent job. */
-static bool is_urgent(const struct rj_cell_run *run)
+/* The worker's sum over runs of this run's priority; its job is known. */
+static uint32_t *held_by(const struct rj_cell_run *run)
 {
-	return run->task && !run->task->round->work->def->priority;
+	uint32_t priority = run->task->round->work->def->priority;
+
+	return &run->worker->held_by[MIN(priority, RJ_CELL_PRIORITIES - 1)];
 }
 
 /* The worker's count of runs of this kind. */
@@ -232,8 +234,8 @@
 	rj_list_append(&worker->runs, &run->in_worker);
 	rj_cell_demand_give(&worker->held, &run->held);
 	(*count_of(run))++;
-	if (is_urgent(run))
-		worker->urgent += run->held.accelerators;
+	if (run->task)
+		*held_by(run) += run->held.accelerators;
 	if (worker->watch != RJ_CELL_WATCH_BUSY)
 		rj_cell_worker_watch(worker, RJ_CELL_WATCH_BUSY);
 }
@@ -247,8 +249,8 @@
 
 	rj_cell_demand_take(&worker->held, &run->held);
 	(*count_of(run))--;
-	if (is_urgent(run))
-		worker->urgent -= run->held.accelerators;
+	if (run->task)
+		*held_by(run) -= run->held.accelerators;
 	rj_list_remove(&run->in_worker);
 	rj_list_remove(&run->in_task);
 	talloc_free(run);
--- /dev/null
+++ b/src/libradishjunction/include/private/cell_candidates.h
@@ -0,0 +1,33 @@
+/*
+ * The workers that a task may go to, the cheapest first: a binary heap.
+ *
+ * Life cycle: `rj_cell_candidates_init`; push each candidate, pop the cheapest;
+ * one whose cost has changed is pushed again. `rj_cell_candidates_finish`.
+ */
+#ifndef RADISHJUNCTION_PRIVATE_CELL_CANDIDATES_H
+#define RADISHJUNCTION_PRIVATE_CELL_CANDIDATES_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct rj_cell_room;
+
+struct rj_cell_candidate {
+	uint64_t
+		cost; /* of equal ones the room at the lower address goes first */
+	struct rj_cell_room *room;
+};
+
+struct rj_cell_candidates {
+	GArray *heap; /* struct rj_cell_candidate */
+};
+
+void rj_cell_candidates_init(struct rj_cell_candidates *candidates);
+void rj_cell_candidates_finish(struct rj_cell_candidates *candidates);
+void rj_cell_candidates_push(struct rj_cell_candidates *candidates,
+			     uint64_t cost, struct rj_cell_room *room);
+struct rj_cell_candidate
+rj_cell_candidates_pop(struct rj_cell_candidates *candidates);
+
+#endif
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -67,8 +67,10 @@
 	enum rj_cell_watch watch;
 	struct rj_list in_watch; /* in the fleet's list of its watch */
 	struct rj_list in_ordered; /* in the fleet's list, if an order is due */
+	struct rj_list in_unstored; /* ... if ends are not stored */
 	char id[RJ_NAME_BYTES];
 	struct rj_cell_heartbeat said;
+	const char *service; /* that it named, interned */
 	bool listed; /* its entry stands in the log */
 	uint64_t written_us; /* the entry was written after this; 0: unknown */
 	uint64_t leaves_us; /* it may leave from then on; 0: not said */
@@ -95,7 +97,8 @@
 	uint64_t seen_told; /* ... may have been forgotten by the worker */
 	struct rj_list runs;
 	struct rj_cell_demand held; /* by all runs */
-	uint32_t urgent; /* accelerators held by urgent runs */
+	/* Accelerators held by runs of jobs, by their priority. */
+	uint32_t held_by[RJ_CELL_PRIORITIES];
 	uint32_t serving; /* runs that serve users of their own, with a bound */
 	uint32_t filling; /* all others */
 	uint64_t harmed_until_us; /* nothing is put beside what serves there */
@@ -114,6 +117,7 @@
 	 * which they are to be looked at. */
 	struct rj_list watched[RJ_CELL_WATCH_COUNT];
 	struct rj_list ordered; /* workers with orders to be sent */
+	struct rj_list unstored; /* workers with ends that are not stored */
 	GPtrArray *racks; /* struct rj_cell_rack, by name */
 	GPtrArray *domains; /* struct rj_cell_domain */
 	/* Of the operators, or NULL; the domains show its state as of the
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -35,9 +35,6 @@
 	uint32_t cordon_ms;
 };
 
-/* Priorities are counted apart up to this; the rest together. */
-#define RJ_CELL_PRIORITIES 3
-
 struct rj_cell_owner_counters {
 	struct rj_latency waits[RJ_CELL_PRIORITIES]; /* until the first start */
 	struct rj_latency orders; /* starts that were taken */
--- a/src/libradishjunction/include/private/cell_place.h
+++ b/src/libradishjunction/include/private/cell_place.h
@@ -22,7 +22,7 @@
 	bool guaranteed; /* its account has a right to the room at once */
 	bool into_closed; /* is urgent, or much is idle */
 	bool into_kept; /* may use what is kept for urgent work */
-	const char *service;
+	const char *service; /* interned */
 };
 
 /* Room as it is now, as it is once what is stopping has gone, or as it is
@@ -38,7 +38,8 @@
 	enum rj_cell_when when;
 	const struct rj_cell_domain *domain; /* NULL: anywhere */
 	const struct rj_cell_rack_rooms *rack; /* NULL: anywhere */
-	bool stop_others; /* work of lower priority makes way */
+	bool stop_others; /* work of lower priority makes way, */
+	uint64_t loss_max_milli; /* of which so much may be thrown away */
 };
 
 /*
@@ -59,9 +60,33 @@
 			  struct rj_cell_room *room);
 void rj_cell_trial_finish(struct rj_cell_trial *trial);
 void rj_cell_trial_take(struct rj_cell_trial *trial);
-void rj_cell_place_range(const struct rj_cell_plan *plan,
-			 const struct rj_cell_way *way,
-			 struct rj_cell_room **from, struct rj_cell_room **to);
+/* A walk over the rooms that a way allows, without racks that can't hold a
+ * demand. */
+struct rj_cell_walk {
+	const struct rj_cell_plan *plan;
+	const struct rj_cell_way *way;
+	struct rj_cell_demand want;
+	guint range; /* the next one */
+	guint ranges_end;
+	struct rj_cell_room *room; /* the next one, of those up to `end` */
+	struct rj_cell_room *end;
+};
+
+void rj_cell_walk_init(struct rj_cell_walk *walk,
+		       const struct rj_cell_plan *plan,
+		       const struct rj_cell_way *way,
+		       const struct rj_cell_demand *want);
+struct rj_cell_room *rj_cell_walk_next(struct rj_cell_walk *walk);
+bool rj_cell_place_may_hold(const struct rj_cell_plan *plan,
+			    const struct rj_cell_way *way,
+			    const struct rj_cell_demand *want, uint32_t count);
+uint32_t rj_cell_place_alike(struct rj_cell_plan *plan,
+			     struct rj_cell_trial *trial,
+			     const struct rj_cell_unit *unit,
+			     struct rj_cell_task **tasks, uint32_t count,
+			     const struct rj_cell_way *way);
+bool rj_cell_place_is_plain(const struct rj_cell_plan *plan,
+			    struct rj_cell_task *task);
 bool rj_cell_place_may_run(const struct rj_cell_plan *plan,
 			   const struct rj_cell_room *room,
 			   const struct rj_cell_unit *unit,
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -21,6 +21,7 @@
 /* A worker's room while a plan is made. */
 struct rj_cell_room {
 	struct rj_cell_worker *worker;
+	uint32_t rack; /* its place among the plan's ranges */
 	bool kept; /* for urgent work; others only if they can be stopped */
 	bool closed; /* for urgent work alone */
 	struct rj_cell_demand now; /* free */
@@ -30,13 +31,31 @@
 	uint32_t filling;
 };
 
+/* At most so much is free in a rack: the most on one worker, of each kind of
+ * room apart, and the accelerators of all workers together. */
+struct rj_cell_rack_free {
+	struct rj_cell_demand most;
+	uint32_t accelerators;
+};
+
 /* The rooms of one rack, which stand side by side. */
 struct rj_cell_rack_rooms {
 	const char *name;
 	const struct rj_cell_domain *domain; /* of its first worker */
+	bool mixed; /* some of its workers are in other domains */
 	uint32_t rank; /* among the racks of its domain */
 	uint32_t first;
 	uint32_t count;
+	uint32_t range; /* its place among the plan's ranges */
+};
+
+/* The rooms from `first` on, with bounds on what is free there. */
+struct rj_cell_range {
+	const struct rj_cell_domain *domain; /* NULL: of several */
+	uint32_t first;
+	uint32_t count;
+	struct rj_cell_rack_free now;
+	struct rj_cell_rack_free soon;
 };
 
 /* What is in use, and what there is, of one kind of room. */
@@ -75,7 +94,8 @@
 	struct rj_cell_room *rooms;
 	struct rj_cell_releases *releases; /* of each room, once asked for */
 	uint32_t room_count;
-	GArray *racks; /* struct rj_cell_rack_rooms, by name */
+	GArray *racks; /* struct rj_cell_rack_rooms, domains take turns */
+	GArray *ranges; /* struct rj_cell_range: each rack, in room order */
 	struct rj_cell_usage usage; /* with what this plan starts */
 	GArray *units;
 	uint32_t promises; /* groups of others that have room promised */
@@ -86,6 +106,8 @@
 void rj_cell_plan_init(struct rj_cell_plan *plan);
 void rj_cell_plan_make(struct rj_cell_plan *plan);
 void rj_cell_plan_gather_rooms(struct rj_cell_plan *plan);
+void rj_cell_plan_note_freed(struct rj_cell_plan *plan,
+			     const struct rj_cell_room *room);
 void rj_cell_usage_add(struct rj_cell_usage *usage,
 		       const struct rj_cell_demand *used);
 uint32_t rj_cell_usage_percent(const struct rj_cell_usage *usage);
--- a/src/libradishjunction/include/private/cell_work.h
+++ b/src/libradishjunction/include/private/cell_work.h
@@ -43,6 +43,9 @@
 
 extern const char *const rj_cell_run_state_string[RJ_CELL_RUN_STATE_COUNT];
 
+/* Priorities are counted apart up to this; the rest together. */
+#define RJ_CELL_PRIORITIES 3
+
 struct rj_cell_worker;
 struct rj_cell_task;
 
--- a/src/test_libradishjunction/support/cell_fake.h
+++ b/src/test_libradishjunction/support/cell_fake.h
@@ -17,6 +17,7 @@
 	char *name;
 	uint32_t number;
 	char *gang; /* what its members share, or NULL */
+	struct cell_fake_worker *worker;
 	uint32_t members;
 	uint64_t work_us; /* to be done */
 	uint64_t done_us;
--- a/src/test_libradishjunction/support/cell_fake_workers.c
+++ b/src/test_libradishjunction/support/cell_fake_workers.c
@@ -80,8 +80,11 @@
 }
 
 /* Free a run. */
-static void run_free(struct cell_fake_run *run)
+static void run_free(struct cell_world *world, struct cell_fake_run *run)
 {
+	if (run->gang)
+		g_ptr_array_remove(g_hash_table_lookup(world->gangs, run->gang),
+				   run);
 	g_free(run->name);
 	g_free(run->gang);
 	g_free(run);
@@ -107,28 +110,35 @@
 		world->wasted_us += run->done_us;
 	cell_check_end(world, worker, run->name, run->number, how);
 	g_ptr_array_remove(worker->runs, run);
-	run_free(run);
+	run_free(world, run);
 	cell_fake_wake_looks(worker);
 }
 
+/* Runs of earlier workers come first; of one worker, those that began first. */
+static gint by_worker(gconstpointer a, gconstpointer b)
+{
+	const struct cell_fake_run *left = *(struct cell_fake_run *const *)a;
+	const struct cell_fake_run *right = *(struct cell_fake_run *const *)b;
+
+	if (left->worker != right->worker)
+		return left->worker->index < right->worker->index ? -1 : 1;
+	return 0;
+}
+
 /* The runs of a gang, on all workers. */
 static GPtrArray *gang_of(struct cell_world *world, const char *gang,
 			  GPtrArray *workers)
 {
+	const GPtrArray *members = g_hash_table_lookup(world->gangs, gang);
 	GPtrArray *runs = g_ptr_array_new();
 
-	for (uint32_t i = 0; i < world->plan.workers; i++) {
-		struct cell_fake_worker *worker = &world->workers[i];
-
-		for (guint j = 0; j < worker->runs->len; j++) {
-			struct cell_fake_run *run = worker->runs->pdata[j];
+	for (guint i = 0; members && i < members->len; i++)
+		g_ptr_array_add(runs, members->pdata[i]);
+	g_ptr_array_sort(runs, by_worker);
+	for (guint i = 0; workers && i < runs->len; i++) {
+		const struct cell_fake_run *run = runs->pdata[i];
 
-			if (!run->gang || strcmp(run->gang, gang) != 0)
-				continue;
-			g_ptr_array_add(runs, run);
-			if (workers)
-				g_ptr_array_add(workers, worker);
-		}
+		g_ptr_array_add(workers, run->worker);
 	}
 	return runs;
 }
@@ -287,6 +297,18 @@
 	cell_world_at(world, CELL_WORLD_HEARTBEAT_MS * MS, beat, worker);
 }
 
+/* Count a run among the members of its gang. */
+static void join_gang(struct cell_world *world, struct cell_fake_run *run)
+{
+	GPtrArray *members = g_hash_table_lookup(world->gangs, run->gang);
+
+	if (!members) {
+		members = g_ptr_array_new();
+		g_hash_table_insert(world->gangs, g_strdup(run->gang), members);
+	}
+	g_ptr_array_add(members, run);
+}
+
 /*
  * A run of a start that is accepted.
  */
@@ -299,6 +321,7 @@
 	uint32_t step_number = 0;
 	uint32_t index = 0;
 
+	run->worker = worker;
 	run->name = g_strdup(start->name);
 	run->number = start->number;
 	run->placed_us = world->now_us;
@@ -322,6 +345,7 @@
 		run->gang = g_strdup_printf("%.*s/%u", (int)(dot - run->name),
 					    run->name, run->number);
 		run->members = step->task_count;
+		join_gang(world, run);
 	}
 	g_strlcpy(run->saved, start->checkpoint, sizeof(run->saved));
 	run->done_us = g_ascii_strtoull(start->checkpoint, NULL, 16);
@@ -426,7 +450,7 @@
 			       RJ_CELL_END_LOST);
 		world->wasted_us += run->done_us;
 		g_ptr_array_remove_index(worker->runs, 0);
-		run_free(run);
+		run_free(world, run);
 		if (gang)
 			break_gang(world, gang);
 		g_free(gang);
@@ -523,7 +547,7 @@
 		struct cell_fake_worker *worker = &world->workers[i];
 
 		while (worker->runs->len) {
-			run_free(worker->runs->pdata[0]);
+			run_free(world, worker->runs->pdata[0]);
 			g_ptr_array_remove_index(worker->runs, 0);
 		}
 		g_ptr_array_free(worker->runs, TRUE);
--- a/src/test_libradishjunction/support/cell_world.c
+++ b/src/test_libradishjunction/support/cell_world.c
@@ -432,6 +432,8 @@
 	world->now_us = 3600 * S;
 	world->events = g_sequence_new(NULL);
 	world->jobs = g_hash_table_new(g_str_hash, g_str_equal);
+	world->gangs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     (GDestroyNotify)g_ptr_array_unref);
 	world->job_list = g_ptr_array_new();
 	world->violations = g_ptr_array_new_with_free_func(g_free);
 	world->cordons =
@@ -466,6 +468,7 @@
 		g_free(g_sequence_get(at));
 	g_sequence_free(world->events);
 	cell_workers_finish(world);
+	g_hash_table_destroy(world->gangs);
 	cell_log_finish(world);
 	for (guint i = 0; i < world->job_list->len; i++)
 		g_hash_table_destroy(
--- a/src/test_libradishjunction/support/cell_world.h
+++ b/src/test_libradishjunction/support/cell_world.h
@@ -152,6 +152,7 @@
 	struct cell_fake_worker workers[CELL_WORLD_WORKERS_MAX];
 	struct cell_world_node nodes[CELL_WORLD_NODES_MAX];
 	GHashTable *jobs; /* id -> struct cell_client_job */
+	GHashTable *gangs; /* name -> GPtrArray of struct cell_fake_run */
 	GPtrArray *job_list;
 	uint32_t job_count;
 	uint64_t config_version;
