cell: plans are bounded; futile searches for work to stop are not repeated at once

At 300 instances and 3,000 workers single plans took up to 4.1 s of processor time (a trial copy that timed its sections): each of hundreds of waiting urgent groups weighed the runs of all workers for work to stop. The owner was taken for dead, and each successor loaded all and did the same.

- A group that found no work to stop does not search again for 100 ms, and a plan makes eight such searches at most.
They change nothing when they fail.
- Sixteen urgent groups have room promised in a plan; those behind them wait.
- A demand that found no room says so for all that want as much or more.
- The next plan waits twice as long as the last took by what it weighed and by the instance's share of a core, which the owner knows; 8 ms at least.

--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -392,6 +392,7 @@
 			   options->workers, &options->terms);
 	node->owner.advisor = options->advisor;
 	node->owner.cordons = &node->cordons;
+	node->owner.strength = options->strength;
 	rj_cell_takeover_init(&node->takeover, mem, options->store,
 			      &node->owner);
 }
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -13,6 +13,11 @@
 /* Plans are this far apart at least, so that what ends together is planned
  * for together. */
 #define PLAN_PAUSE_US (8 * RJ_US_PER_MS)
+/* ... and by so many times what a plan takes, so that most of the time is left
+ * for polls, orders and heartbeats. */
+#define PLAN_PAUSE_FACTOR 2
+/* Weighing one worker takes so long on a whole core. */
+#define EFFORT_NS 20
 /* Without other events a plan is made so often, as waiting changes what may
  * be done. */
 #define PLAN_IDLE_US (200 * RJ_US_PER_MS)
@@ -399,6 +404,15 @@
 	owner->leaving = true;
 }
 
+/* How long a plan has taken, by what it weighed. */
+static uint64_t plan_took_us(const struct rj_cell_owner *owner,
+			     const struct rj_cell_plan *plan)
+{
+	uint64_t strength = owner->strength ? owner->strength : 100;
+
+	return plan->effort * EFFORT_NS * 100 / strength / 1000;
+}
+
 /* Plan, and note what was decided. */
 static void plan_work(struct rj_cell_owner *owner)
 {
@@ -420,8 +434,12 @@
 				      RJ_CELL_WHY_RECLAIMED);
 	owner->plan_wanted = false;
 	rj_cell_advice_ask(owner, &plan);
-	rj_cell_plan_finish(&plan);
 	owner->plan_due_us = owner->now_us + PLAN_IDLE_US;
+	owner->plan_from_us =
+		owner->now_us +
+		MAX(PLAN_PAUSE_US,
+		    (1 + PLAN_PAUSE_FACTOR) * plan_took_us(owner, &plan));
+	rj_cell_plan_finish(&plan);
 }
 
 /* Begin what has come due of jobs with times. */
@@ -473,7 +491,7 @@
 	begin_rounds(owner);
 	if ((owner->plan_wanted || owner->now_us >= owner->plan_due_us) &&
 	    !owner->writes_open && rj_cell_owner_may_start(owner) &&
-	    owner->now_us + PLAN_IDLE_US >= owner->plan_due_us + PLAN_PAUSE_US)
+	    owner->now_us >= owner->plan_from_us)
 		plan_work(owner);
 	rj_cell_flush_old(owner);
 }
--- a/src/libradishjunction/cell/cell_place.c
+++ b/src/libradishjunction/cell/cell_place.c
@@ -147,8 +147,7 @@
  * Begin a walk over the rooms that a way allows, those of a rack or all, for
  * tasks that want so much each. `way` must outlast it.
  */
-void rj_cell_walk_init(struct rj_cell_walk *walk,
-		       const struct rj_cell_plan *plan,
+void rj_cell_walk_init(struct rj_cell_walk *walk, struct rj_cell_plan *plan,
 		       const struct rj_cell_way *way,
 		       const struct rj_cell_demand *want)
 {
@@ -176,6 +175,7 @@
 			continue;
 		walk->room = walk->plan->rooms + range->first;
 		walk->end = walk->room + range->count;
+		walk->plan->effort += range->count;
 	}
 	return walk->room++;
 }
--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -5,20 +5,9 @@
 #include <talloc.h>
 
 #include "private/cell_place.h"
+#include "private/cell_shortage.h"
+#include "private/cell_units.h"
 
-/*
- * Data that is far away makes a task take three times as long, so it waits
- * for a worker near it for half of its own estimate, and no longer than
- * this: users expect idle capacity to be used within 3 s.
- */
-#define FAR_WAIT_MAX_MS 1500
-
-/*
- * What is kept for urgent work is opened to others that have waited so long
- * when less than this is in use: users expect idle capacity to be used.
- */
-#define KEPT_WAIT_US (2 * RJ_US_PER_S)
-#define KEPT_USED_PERCENT 55
 /* Gangs of lower priority that room is promised to at a time. More would
  * leave too much of it idle. */
 #define PROMISES_MAX 4
@@ -30,22 +19,16 @@
  * for a while, where that throws away at most this part of its own. */
 #define CHEAP_WAIT_US RJ_US_PER_S
 #define CHEAP_LOSS_PART 8
-
-/* Work goes in this order, whatever its priority. */
-enum tier {
-	TIER_GUARANTEED, /* its account has a right to the room at once */
-	TIER_USEFUL, /* it can still be of use to its caller */
-	TIER_HOPELESS, /* too late; it only has to end some day */
-};
-
-/* A demand that found no room, and where it may run. */
-struct miss {
-	const struct rj_cell_step *step;
-	const char *service;
-	bool far;
-	bool into_kept;
-	bool into_closed;
-};
+/* Urgent groups that room is promised to in one plan; those behind them have
+ * to wait for more than the next ends. */
+#define URGENT_PROMISES_MAX 16
+/*
+ * Searches for work to stop that found too little, in one plan, and the pause
+ * before the same group searches again. Such a search changes nothing, so that
+ * leaving it out only delays the next.
+ */
+#define FUTILE_MAX 8
+#define FUTILE_PAUSE_US (100 * RJ_US_PER_MS)
 
 /*
  * Prepare a plan without inputs.
@@ -60,7 +43,8 @@
 	plan->ranges = g_array_new(FALSE, FALSE, sizeof(struct rj_cell_range));
 	plan->needs = g_hash_table_new(g_str_hash, g_str_equal);
 	plan->units = g_array_new(FALSE, FALSE, sizeof(struct rj_cell_unit));
-	plan->misses = g_array_new(FALSE, FALSE, sizeof(struct miss));
+	plan->shortages =
+		g_array_new(FALSE, FALSE, sizeof(struct rj_cell_shortage));
 }
 
 /*
@@ -73,270 +57,11 @@
 	g_array_free(plan->racks, TRUE);
 	g_array_free(plan->ranges, TRUE);
 	g_array_free(plan->units, TRUE);
-	g_array_free(plan->misses, TRUE);
+	g_array_free(plan->shortages, TRUE);
 	g_hash_table_destroy(plan->needs);
 	TALLOC_FREE(plan->rooms);
 }
 
-/* Whether a task waits for room. */
-static bool waits(const struct rj_cell_plan *plan,
-		  const struct rj_cell_task *task)
-{
-	return !task->done && task->runs.next == &task->runs &&
-	       plan->now_us >= task->not_before_us;
-}
-
-/* Note since when the waiting tasks of a step wait. Returns their number;
- * 0 for a gang of which a member still runs or may not start yet. */
-static uint32_t count_waiting(const struct rj_cell_plan *plan,
-			      struct rj_cell_round *round, uint32_t step,
-			      uint64_t *since_us)
-{
-	const struct rj_cell_def *def = round->work->def;
-	uint32_t first = rj_cell_def_first_task(def, step);
-	uint32_t waiting = 0;
-
-	*since_us = plan->now_us;
-	for (uint32_t i = first; i < first + def->steps[step].task_count; i++) {
-		struct rj_cell_task *task = &round->tasks[i];
-
-		if (!waits(plan, task)) {
-			if (def->steps[step].gang)
-				return 0;
-			continue;
-		}
-		if (!task->waiting_us)
-			task->waiting_us = plan->now_us;
-		if (task->waiting_us < *since_us)
-			*since_us = task->waiting_us;
-		waiting++;
-	}
-	return waiting;
-}
-
-/* Whether a step has waited long enough to run away from its data, or has
- * nothing to wait for. */
-static bool may_be_far(const struct rj_cell_plan *plan,
-		       const struct rj_cell_step *step, uint64_t since_us)
-{
-	uint64_t patience_ms = step->estimate_ms / 2;
-
-	if (step->rack[0] &&
-	    rj_cell_fleet_rack_cordoned(plan->fleet, step->rack))
-		return true;
-	if (patience_ms > FAR_WAIT_MAX_MS)
-		patience_ms = FAR_WAIT_MAX_MS;
-	return plan->now_us - since_us >= patience_ms * RJ_US_PER_MS;
-}
-
-/* Whether a job is urgent and has not ended. */
-static bool is_urgent(const struct rj_cell_work *work)
-{
-	return !work->def->priority && !work->cancelled &&
-	       work->state < RJ_CELL_JOB_COMPLETED;
-}
-
-/* Add up the accelerators that the urgent jobs of each account need. */
-static void sum_needs(struct rj_cell_plan *plan)
-{
-	const struct rj_list *at;
-
-	for (at = plan->works->next; at != plan->works; at = at->next) {
-		const struct rj_cell_work *work =
-			RJ_CONTAINER(at, struct rj_cell_work, link);
-		const struct rj_cell_def *def = work->def;
-		guint need;
-
-		if (!is_urgent(work))
-			continue;
-		need = GPOINTER_TO_UINT(
-			g_hash_table_lookup(plan->needs, def->account));
-		for (uint32_t i = 0; i < def->step_count; i++)
-			need += def->steps[i].task_count *
-				def->steps[i].each.accelerators;
-		g_hash_table_insert(plan->needs, (gpointer)def->account,
-				    GUINT_TO_POINTER(need));
-	}
-}
-
-/* Whether a job has a right to its room at once: the urgent jobs of its
- * account need no more than is guaranteed to it. */
-static bool is_guaranteed(const struct rj_cell_plan *plan,
-			  const struct rj_cell_work *work)
-{
-	const struct rj_cell_account *account =
-		plan->config ? rj_cell_config_account(plan->config,
-						      work->def->account) :
-			       NULL;
-
-	return is_urgent(work) && account &&
-	       GPOINTER_TO_UINT(
-		       g_hash_table_lookup(plan->needs, account->name)) <=
-		       account->guaranteed_accelerators;
-}
-
-/*
- * Whether so much is idle that what is kept for urgent work is open to a step
- * that has waited for a while. What the plan has started counts as in use, as
- * much work may end at once and make way for the next.
- */
-static bool is_idle(const struct rj_cell_plan *plan,
-		    const struct rj_cell_unit *unit)
-{
-	return rj_cell_usage_percent(&plan->usage) < KEPT_USED_PERCENT &&
-	       plan->now_us - unit->waiting_us >= KEPT_WAIT_US;
-}
-
-/* Say what a step may use of what is kept for urgent work: all of it if it
- * is urgent, and the open part if it can be stopped at no loss. */
-static void set_kept(const struct rj_cell_plan *plan, struct rj_cell_unit *unit)
-{
-	const struct rj_cell_def *def = unit->work->def;
-	const struct rj_cell_step *step = &def->steps[unit->step];
-
-	unit->into_closed = !def->priority || is_idle(plan, unit);
-	unit->into_kept =
-		unit->into_closed || (step->checkpoints && !step->perpetual);
-}
-
-/*
- * Whether ends that nobody has listed may have used up a gang's attempts.
- *
- * Guards against one attempt too many: a failure on a worker that was cut off
- * is listed once the worker is back.
- */
-static bool may_be_used_up(const struct rj_cell_plan *plan,
-			   const struct rj_cell_round *round, uint32_t step)
-{
-	const struct rj_cell_def *def = round->work->def;
-	const struct rj_cell_task *head =
-		&round->tasks[rj_cell_def_first_task(def, step)];
-
-	return def->steps[step].gang && !def->steps[step].perpetual &&
-	       head->unseen && plan->now_us < head->unseen_until_us &&
-	       head->failures + head->unseen >= def->attempts_max;
-}
-
-/* Note the waiting tasks of one step. */
-static void add_unit(struct rj_cell_plan *plan, struct rj_cell_round *round,
-		     uint32_t step)
-{
-	struct rj_cell_work *work = round->work;
-	const struct rj_cell_queue *queue =
-		plan->config ?
-			rj_cell_config_queue(plan->config, work->def->queue) :
-			NULL;
-	struct rj_cell_unit unit = { .work = work,
-				     .round = round,
-				     .step = step };
-
-	unit.waiting = count_waiting(plan, round, step, &unit.waiting_us);
-	if (!unit.waiting || may_be_used_up(plan, round, step))
-		return;
-	/* A queue that has gone leaves its jobs where it last sent them. */
-	unit.service =
-		g_intern_string(queue ? queue->service : work->def->service);
-	unit.advised = queue && queue->advised;
-	unit.far = may_be_far(plan, &work->def->steps[step], unit.waiting_us);
-	unit.guaranteed = work->guaranteed;
-	if (unit.guaranteed)
-		unit.tier = TIER_GUARANTEED;
-	else if (plan->now_us > work->late_us)
-		unit.tier = TIER_HOPELESS;
-	else
-		unit.tier = TIER_USEFUL;
-	unit.order_us = work->accepted_us;
-	g_array_append_val(plan->units, unit);
-}
-
-/* Gather all steps whose turn has come. */
-static void gather_units(struct rj_cell_plan *plan)
-{
-	struct rj_list *at;
-	struct rj_list *next;
-
-	RJ_FOR_EACH (at, next, plan->works) {
-		struct rj_cell_work *work =
-			RJ_CONTAINER(at, struct rj_cell_work, link);
-		struct rj_list *round_at;
-		struct rj_list *round_next;
-
-		if (work->state >= RJ_CELL_JOB_COMPLETED || work->cancelled)
-			continue;
-		work->guaranteed = is_guaranteed(plan, work);
-		RJ_FOR_EACH (round_at, round_next, &work->rounds) {
-			struct rj_cell_round *round = RJ_CONTAINER(
-				round_at, struct rj_cell_round, link);
-
-			for (uint32_t i = 0; i < work->def->step_count; i++)
-				if (round->left[i] &&
-				    rj_cell_round_ready(round, i))
-					add_unit(plan, round, i);
-		}
-	}
-}
-
-/* Useful work first, by priority, then in the order of acceptance. */
-static gint by_order(gconstpointer a, gconstpointer b)
-{
-	const struct rj_cell_unit *left = a;
-	const struct rj_cell_unit *right = b;
-
-	if (left->tier != right->tier)
-		return left->tier < right->tier ? -1 : 1;
-	if (left->work->def->priority != right->work->def->priority)
-		return left->work->def->priority < right->work->def->priority ?
-			       -1 :
-			       1;
-	if (left->order_us != right->order_us)
-		return left->order_us < right->order_us ? -1 : 1;
-	return strcmp(left->work->def->id, right->work->def->id);
-}
-
-/*
- * Whether a demand as small as this one has found no room in this plan.
- *
- * Guards against a backlog that makes each plan longer: under load most
- * waiting steps find no room, and each would look at every worker.
- */
-static bool is_missed(const struct rj_cell_plan *plan,
-		      const struct rj_cell_unit *unit)
-{
-	const struct rj_cell_step *step = &unit->work->def->steps[unit->step];
-
-	for (guint i = 0; i < plan->misses->len; i++) {
-		const struct miss *miss =
-			&g_array_index(plan->misses, struct miss, i);
-
-		if (step->each.cpu_milli >= miss->step->each.cpu_milli &&
-		    step->each.memory_mb >= miss->step->each.memory_mb &&
-		    step->each.accelerators >= miss->step->each.accelerators &&
-		    step->scavenges == miss->step->scavenges &&
-		    (miss->into_kept || !unit->into_kept) &&
-		    (miss->into_closed || !unit->into_closed) &&
-		    (miss->far || !unit->far) &&
-		    (!miss->step->label[0] ||
-		     !strcmp(miss->step->label, step->label)) &&
-		    (!miss->step->rack[0] || miss->far ||
-		     !strcmp(miss->step->rack, step->rack)) &&
-		    !strcmp(miss->service, unit->service))
-			return true;
-	}
-	return false;
-}
-
-/* Remember that one task of a step found no room. */
-static void note_miss(struct rj_cell_plan *plan,
-		      const struct rj_cell_unit *unit)
-{
-	struct miss miss = { &unit->work->def->steps[unit->step], unit->service,
-			     unit->far, unit->into_kept, unit->into_closed };
-
-	/* Such limits do not hold for other steps. */
-	if (!miss.step->per_worker_max && !unit->advised)
-		g_array_append_val(plan->misses, miss);
-}
-
 /* One task starts there. */
 static void add_start(struct rj_cell_plan *plan, struct rj_cell_task *task,
 		      struct rj_cell_worker *worker)
@@ -475,6 +200,73 @@
 	return LOSS_FACTOR * rj_cell_reclaim_own_milli(plan, unit, count);
 }
 
+/* Whether all of some tasks weigh workers alike. */
+static bool are_plain(const struct rj_cell_plan *plan,
+		      struct rj_cell_task **tasks, uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++)
+		if (!rj_cell_place_is_plain(plan, tasks[i]))
+			return false;
+	return true;
+}
+
+/* Try to place a group without stopping others, unless others have shown that
+ * there is no room. */
+static bool attempt_free(struct rj_cell_plan *plan,
+			 const struct rj_cell_unit *unit,
+			 struct rj_cell_task **tasks, uint32_t count,
+			 enum rj_cell_when when)
+{
+	const struct rj_cell_way way = { .when = when };
+
+	if (rj_cell_shortage_is_known(plan, unit, count, when))
+		return false;
+	if (attempt(plan, unit, tasks, count, &way))
+		return true;
+	if (are_plain(plan, tasks, count))
+		rj_cell_shortage_note(plan, unit, count, when);
+	return false;
+}
+
+/*
+ * Try to place a group where others are stopped, at a loss of at most
+ * `loss_max_milli`.
+ *
+ * Load that it answers: hundreds of urgent groups that wait on a full site.
+ * Each search weighs the runs of all workers, and a plan that takes a second
+ * has the owner taken for dead.
+ */
+static bool attempt_stop(struct rj_cell_plan *plan,
+			 const struct rj_cell_unit *unit,
+			 struct rj_cell_task **tasks, uint32_t count,
+			 uint64_t loss_max_milli)
+{
+	const struct rj_cell_way way = { .when = RJ_CELL_SOON,
+					 .stop_others = true,
+					 .loss_max_milli = loss_max_milli };
+
+	if (plan->futile >= FUTILE_MAX ||
+	    plan->now_us < tasks[0]->search_due_us)
+		return false;
+	if (attempt(plan, unit, tasks, count, &way))
+		return true;
+	plan->futile++;
+	tasks[0]->search_due_us = plan->now_us + FUTILE_PAUSE_US;
+	return false;
+}
+
+/* Promise a group what comes free first, if few others have a promise. */
+static void promise(struct rj_cell_plan *plan, const struct rj_cell_unit *unit,
+		    struct rj_cell_task **tasks, uint32_t count,
+		    uint32_t *promises, uint32_t promises_max)
+{
+	const struct rj_cell_way later = { .when = RJ_CELL_LATER };
+
+	if (*promises < promises_max &&
+	    attempt(plan, unit, tasks, count, &later))
+		(*promises)++;
+}
+
 /*
  * Find room for urgent tasks that do not fit now: what is stopping already,
  * what has to be stopped; else what ends first.
@@ -483,18 +275,31 @@
 			const struct rj_cell_unit *unit,
 			struct rj_cell_task **tasks, uint32_t count)
 {
-	const struct rj_cell_way soon = { .when = RJ_CELL_SOON };
-	const struct rj_cell_way later = { .when = RJ_CELL_LATER };
-	const struct rj_cell_way stop = {
-		.when = RJ_CELL_SOON,
-		.stop_others = true,
-		.loss_max_milli = loss_allowed(plan, unit, count),
-	};
-
-	if (attempt(plan, unit, tasks, count, &soon) ||
-	    attempt(plan, unit, tasks, count, &stop))
+	if (attempt_free(plan, unit, tasks, count, RJ_CELL_SOON) ||
+	    attempt_stop(plan, unit, tasks, count,
+			 loss_allowed(plan, unit, count)))
 		return;
-	attempt(plan, unit, tasks, count, &later);
+	promise(plan, unit, tasks, count, &plan->urgent_promises,
+		URGENT_PROMISES_MAX);
+}
+
+/* Find room for other tasks that do not fit now: once they have waited for a
+ * while, what is stopping already or can be stopped at little loss; for gangs
+ * what ends first. */
+static void find_other(struct rj_cell_plan *plan,
+		       const struct rj_cell_unit *unit,
+		       struct rj_cell_task **tasks, uint32_t count)
+{
+	uint64_t cheap_milli =
+		rj_cell_reclaim_own_milli(plan, unit, count) / CHEAP_LOSS_PART;
+
+	if (plan->now_us - unit->waiting_us >= CHEAP_WAIT_US &&
+	    (attempt_free(plan, unit, tasks, count, RJ_CELL_SOON) ||
+	     attempt_stop(plan, unit, tasks, count, cheap_milli)))
+		return;
+	if (rj_cell_task_step(tasks[0])->gang)
+		promise(plan, unit, tasks, count, &plan->promises,
+			PROMISES_MAX);
 }
 
 /*
@@ -505,28 +310,12 @@
 			const struct rj_cell_unit *unit,
 			struct rj_cell_task **tasks, uint32_t count)
 {
-	const struct rj_cell_way now = { .when = RJ_CELL_NOW };
-	const struct rj_cell_way soon = { .when = RJ_CELL_SOON };
-	const struct rj_cell_way later = { .when = RJ_CELL_LATER };
-	const struct rj_cell_way stop = {
-		.when = RJ_CELL_SOON,
-		.stop_others = true,
-		.loss_max_milli = rj_cell_reclaim_own_milli(plan, unit, count) /
-				  CHEAP_LOSS_PART,
-	};
-
-	if (attempt(plan, unit, tasks, count, &now))
+	if (attempt_free(plan, unit, tasks, count, RJ_CELL_NOW))
 		return true;
-	if (!unit->work->def->priority)
+	if (unit->work->def->priority)
+		find_other(plan, unit, tasks, count);
+	else
 		find_urgent(plan, unit, tasks, count);
-	else if (plan->now_us - unit->waiting_us >= CHEAP_WAIT_US &&
-		 (attempt(plan, unit, tasks, count, &soon) ||
-		  attempt(plan, unit, tasks, count, &stop)))
-		return false;
-	else if (rj_cell_task_step(tasks[0])->gang &&
-		 plan->promises < PROMISES_MAX &&
-		 attempt(plan, unit, tasks, count, &later))
-		plan->promises++;
 	return false;
 }
 
@@ -541,7 +330,7 @@
 	if (!unit->work->def->priority ||
 	    rj_cell_task_step(tasks[0])->per_worker_max)
 		return 0;
-	while (plain < count && rj_cell_place_is_plain(plan, tasks[plain]))
+	while (plain < count && are_plain(plan, &tasks[plain], 1))
 		plain++;
 	return plain;
 }
@@ -583,13 +372,14 @@
 	struct rj_cell_task **tasks;
 	uint32_t count = 0;
 
-	if (is_missed(plan, unit) && def->priority) {
+	if (def->priority &&
+	    rj_cell_shortage_is_known(plan, unit, 1, RJ_CELL_NOW)) {
 		plan->waiting += unit->waiting;
 		return;
 	}
 	tasks = talloc_array(NULL, struct rj_cell_task *, step->task_count);
 	for (uint32_t i = first; i < first + step->task_count; i++)
-		if (waits(plan, &unit->round->tasks[i]))
+		if (rj_cell_unit_waits(plan, &unit->round->tasks[i]))
 			tasks[count++] = &unit->round->tasks[i];
 	if (step->gang) {
 		if (!place_tasks(plan, unit, tasks, count))
@@ -605,7 +395,6 @@
 				continue;
 			}
 			plan->waiting += count - i;
-			note_miss(plan, unit);
 			if (def->priority)
 				break;
 		}
@@ -618,18 +407,16 @@
  */
 void rj_cell_plan_make(struct rj_cell_plan *plan)
 {
-	sum_needs(plan);
-	gather_units(plan);
+	rj_cell_units_gather(plan);
 	/* Most plans follow an end that nobody waited for. */
 	if (!plan->units->len)
 		return;
 	rj_cell_plan_gather_rooms(plan);
-	g_array_sort(plan->units, by_order);
 	for (guint i = 0; i < plan->units->len; i++) {
 		struct rj_cell_unit *unit =
 			&g_array_index(plan->units, struct rj_cell_unit, i);
 
-		set_kept(plan, unit);
+		rj_cell_unit_set_reserved(plan, unit);
 		place_unit(plan, unit);
 	}
 }
--- a/src/libradishjunction/cell/cell_reclaim.c
+++ b/src/libradishjunction/cell/cell_reclaim.c
@@ -13,6 +13,8 @@
 #define URGENT_WEIGHT 10
 /* What ends by itself within this is waited for: a stop takes as long. */
 #define ENDS_SOON_US (400 * RJ_US_PER_MS)
+/* Weighing the runs of a worker takes so many times as long as its room. */
+#define VICTIMS_EFFORT 6
 
 /* Thousandths of cores that a task of a step keeps busy. */
 static uint64_t cores_milli(const struct rj_cell_step *step)
@@ -216,6 +218,7 @@
 		    !rj_cell_demand_fits(&want, &room->worker->said.capacity) ||
 		    !rj_cell_place_may_run(plan, room, unit, task, way))
 			continue;
+		plan->effort += VICTIMS_EFFORT;
 		loss = choose_victims(plan, unit, room, &want, NULL);
 		if (loss >= best_loss)
 			continue;
--- a/src/libradishjunction/cell/cell_release.c
+++ b/src/libradishjunction/cell/cell_release.c
@@ -7,6 +7,10 @@
 
 #include "private/cell_place.h"
 
+/* Listing the runs of a worker takes so many times as long as weighing its
+ * room. */
+#define LIST_EFFORT 40
+
 /* What ends first comes first. */
 static int by_time(const void *a, const void *b)
 {
@@ -38,6 +42,7 @@
 	const struct rj_list *at;
 
 	releases->listed = true;
+	plan->effort += LIST_EFFORT;
 	if (!most)
 		return;
 	releases->by_time =
--- a/src/libradishjunction/cell/cell_rooms.c
+++ b/src/libradishjunction/cell/cell_rooms.c
@@ -21,6 +21,9 @@
 /* Never more than this part of the racks; the rest serves all others. */
 #define KEPT_RACKS_PERCENT 67
 
+/* Gathering a room takes so many times as long as weighing it. */
+#define GATHER_EFFORT 4
+
 /* What is left of a capacity. */
 static struct rj_cell_demand room_of(const struct rj_cell_worker *worker)
 {
@@ -259,6 +262,7 @@
 		add_range(plan, &rooms);
 		g_array_append_val(plan->racks, rooms);
 	}
+	plan->effort += (uint64_t)plan->room_count * GATHER_EFFORT;
 	order_racks(plan);
 	keep_racks(plan);
 }
--- /dev/null
+++ b/src/libradishjunction/cell/cell_units.c
@@ -0,0 +1,253 @@
+#include "private/cell_units.h"
+
+#include <string.h>
+
+/*
+ * Data that is far away makes a task take three times as long, so it waits
+ * for a worker near it for half of its own estimate, and no longer than
+ * this: users expect idle capacity to be used within 3 s.
+ */
+#define FAR_WAIT_MAX_MS 1500
+
+/*
+ * What is kept for urgent work is opened to others that have waited so long
+ * when less than this is in use: users expect idle capacity to be used.
+ */
+#define KEPT_WAIT_US (2 * RJ_US_PER_S)
+#define KEPT_USED_PERCENT 55
+/* Work goes in this order, whatever its priority. */
+enum tier {
+	TIER_GUARANTEED, /* its account has a right to the room at once */
+	TIER_USEFUL, /* it can still be of use to its caller */
+	TIER_HOPELESS, /* too late; it only has to end some day */
+};
+
+/*
+ * Whether a task waits for room.
+ */
+bool rj_cell_unit_waits(const struct rj_cell_plan *plan,
+			const struct rj_cell_task *task)
+{
+	return !task->done && task->runs.next == &task->runs &&
+	       plan->now_us >= task->not_before_us;
+}
+
+/* Note since when the waiting tasks of a step wait. Returns their number;
+ * 0 for a gang of which a member still runs or may not start yet. */
+static uint32_t count_waiting(const struct rj_cell_plan *plan,
+			      struct rj_cell_round *round, uint32_t step,
+			      uint64_t *since_us)
+{
+	const struct rj_cell_def *def = round->work->def;
+	uint32_t first = rj_cell_def_first_task(def, step);
+	uint32_t waiting = 0;
+
+	*since_us = plan->now_us;
+	for (uint32_t i = first; i < first + def->steps[step].task_count; i++) {
+		struct rj_cell_task *task = &round->tasks[i];
+
+		if (!rj_cell_unit_waits(plan, task)) {
+			if (def->steps[step].gang)
+				return 0;
+			continue;
+		}
+		if (!task->waiting_us)
+			task->waiting_us = plan->now_us;
+		if (task->waiting_us < *since_us)
+			*since_us = task->waiting_us;
+		waiting++;
+	}
+	return waiting;
+}
+
+/* Whether a step has waited long enough to run away from its data, or has
+ * nothing to wait for. */
+static bool may_be_far(const struct rj_cell_plan *plan,
+		       const struct rj_cell_step *step, uint64_t since_us)
+{
+	uint64_t patience_ms = step->estimate_ms / 2;
+
+	if (step->rack[0] &&
+	    rj_cell_fleet_rack_cordoned(plan->fleet, step->rack))
+		return true;
+	if (patience_ms > FAR_WAIT_MAX_MS)
+		patience_ms = FAR_WAIT_MAX_MS;
+	return plan->now_us - since_us >= patience_ms * RJ_US_PER_MS;
+}
+
+/* Whether a job is urgent and has not ended. */
+static bool is_urgent(const struct rj_cell_work *work)
+{
+	return !work->def->priority && !work->cancelled &&
+	       work->state < RJ_CELL_JOB_COMPLETED;
+}
+
+/* Add up the accelerators that the urgent jobs of each account need. */
+static void sum_needs(struct rj_cell_plan *plan)
+{
+	const struct rj_list *at;
+
+	for (at = plan->works->next; at != plan->works; at = at->next) {
+		const struct rj_cell_work *work =
+			RJ_CONTAINER(at, struct rj_cell_work, link);
+		const struct rj_cell_def *def = work->def;
+		guint need;
+
+		if (!is_urgent(work))
+			continue;
+		need = GPOINTER_TO_UINT(
+			g_hash_table_lookup(plan->needs, def->account));
+		for (uint32_t i = 0; i < def->step_count; i++)
+			need += def->steps[i].task_count *
+				def->steps[i].each.accelerators;
+		g_hash_table_insert(plan->needs, (gpointer)def->account,
+				    GUINT_TO_POINTER(need));
+	}
+}
+
+/* Whether a job has a right to its room at once: the urgent jobs of its
+ * account need no more than is guaranteed to it. */
+static bool is_guaranteed(const struct rj_cell_plan *plan,
+			  const struct rj_cell_work *work)
+{
+	const struct rj_cell_account *account =
+		plan->config ? rj_cell_config_account(plan->config,
+						      work->def->account) :
+			       NULL;
+
+	return is_urgent(work) && account &&
+	       GPOINTER_TO_UINT(
+		       g_hash_table_lookup(plan->needs, account->name)) <=
+		       account->guaranteed_accelerators;
+}
+
+/*
+ * Whether so much is idle that what is kept for urgent work is open to a step
+ * that has waited for a while. What the plan has started counts as in use, as
+ * much work may end at once and make way for the next.
+ */
+static bool is_idle(const struct rj_cell_plan *plan,
+		    const struct rj_cell_unit *unit)
+{
+	return rj_cell_usage_percent(&plan->usage) < KEPT_USED_PERCENT &&
+	       plan->now_us - unit->waiting_us >= KEPT_WAIT_US;
+}
+
+/*
+ * Say what a step may use of what is reserved for urgent work: all of it if it
+ * is urgent, and the open part if it can be stopped at no loss.
+ */
+void rj_cell_unit_set_reserved(const struct rj_cell_plan *plan,
+			       struct rj_cell_unit *unit)
+{
+	const struct rj_cell_def *def = unit->work->def;
+	const struct rj_cell_step *step = &def->steps[unit->step];
+
+	unit->into_closed = !def->priority || is_idle(plan, unit);
+	unit->into_kept =
+		unit->into_closed || (step->checkpoints && !step->perpetual);
+}
+
+/*
+ * Whether ends that nobody has listed may have used up a gang's attempts.
+ *
+ * Guards against one attempt too many: a failure on a worker that was cut off
+ * is listed once the worker is back.
+ */
+static bool may_be_used_up(const struct rj_cell_plan *plan,
+			   const struct rj_cell_round *round, uint32_t step)
+{
+	const struct rj_cell_def *def = round->work->def;
+	const struct rj_cell_task *head =
+		&round->tasks[rj_cell_def_first_task(def, step)];
+
+	return def->steps[step].gang && !def->steps[step].perpetual &&
+	       head->unseen && plan->now_us < head->unseen_until_us &&
+	       head->failures + head->unseen >= def->attempts_max;
+}
+
+/* Note the waiting tasks of one step. */
+static void add_unit(struct rj_cell_plan *plan, struct rj_cell_round *round,
+		     uint32_t step)
+{
+	struct rj_cell_work *work = round->work;
+	const struct rj_cell_queue *queue =
+		plan->config ?
+			rj_cell_config_queue(plan->config, work->def->queue) :
+			NULL;
+	struct rj_cell_unit unit = { .work = work,
+				     .round = round,
+				     .step = step };
+
+	unit.waiting = count_waiting(plan, round, step, &unit.waiting_us);
+	if (!unit.waiting || may_be_used_up(plan, round, step))
+		return;
+	/* A queue that has gone leaves its jobs where it last sent them. */
+	unit.service =
+		g_intern_string(queue ? queue->service : work->def->service);
+	unit.advised = queue && queue->advised;
+	unit.far = may_be_far(plan, &work->def->steps[step], unit.waiting_us);
+	unit.guaranteed = work->guaranteed;
+	if (unit.guaranteed)
+		unit.tier = TIER_GUARANTEED;
+	else if (plan->now_us > work->late_us)
+		unit.tier = TIER_HOPELESS;
+	else
+		unit.tier = TIER_USEFUL;
+	unit.order_us = work->accepted_us;
+	g_array_append_val(plan->units, unit);
+}
+
+/* Gather all steps whose turn has come. */
+static void gather(struct rj_cell_plan *plan)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, plan->works) {
+		struct rj_cell_work *work =
+			RJ_CONTAINER(at, struct rj_cell_work, link);
+		struct rj_list *round_at;
+		struct rj_list *round_next;
+
+		if (work->state >= RJ_CELL_JOB_COMPLETED || work->cancelled)
+			continue;
+		work->guaranteed = is_guaranteed(plan, work);
+		RJ_FOR_EACH (round_at, round_next, &work->rounds) {
+			struct rj_cell_round *round = RJ_CONTAINER(
+				round_at, struct rj_cell_round, link);
+
+			for (uint32_t i = 0; i < work->def->step_count; i++)
+				if (round->left[i] &&
+				    rj_cell_round_ready(round, i))
+					add_unit(plan, round, i);
+		}
+	}
+}
+
+/* Useful work first, by priority, then in the order of acceptance. */
+static gint by_order(gconstpointer a, gconstpointer b)
+{
+	const struct rj_cell_unit *left = a;
+	const struct rj_cell_unit *right = b;
+
+	if (left->tier != right->tier)
+		return left->tier < right->tier ? -1 : 1;
+	if (left->work->def->priority != right->work->def->priority)
+		return left->work->def->priority < right->work->def->priority ?
+			       -1 :
+			       1;
+	if (left->order_us != right->order_us)
+		return left->order_us < right->order_us ? -1 : 1;
+	return strcmp(left->work->def->id, right->work->def->id);
+}
+
+/*
+ * Gather the steps whose tasks wait for room, those that go first at the front.
+ */
+void rj_cell_units_gather(struct rj_cell_plan *plan)
+{
+	sum_needs(plan);
+	gather(plan);
+	g_array_sort(plan->units, by_order);
+}
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -82,8 +82,10 @@
 	GPtrArray *ended; /* ids of jobs whose keys may go */
 	struct rj_cell_forecast forecast;
 	struct rj_cell_failure_burst failures;
+	uint32_t strength; /* of the instance, in hundredths of a core */
 	bool plan_wanted;
-	uint64_t plan_due_us;
+	uint64_t plan_due_us; /* without other events */
+	uint64_t plan_from_us; /* no earlier */
 	uint32_t writes_open; /* records on their way into the logs */
 	bool write_failed; /* one of the present flush was not stored */
 	uint64_t watch_due_us; /* when busy workers are visited */
--- a/src/libradishjunction/include/private/cell_place.h
+++ b/src/libradishjunction/include/private/cell_place.h
@@ -63,7 +63,7 @@
 /* A walk over the rooms that a way allows, without racks that can't hold a
  * demand. */
 struct rj_cell_walk {
-	const struct rj_cell_plan *plan;
+	struct rj_cell_plan *plan;
 	const struct rj_cell_way *way;
 	struct rj_cell_demand want;
 	guint range; /* the next one */
@@ -72,8 +72,7 @@
 	struct rj_cell_room *end;
 };
 
-void rj_cell_walk_init(struct rj_cell_walk *walk,
-		       const struct rj_cell_plan *plan,
+void rj_cell_walk_init(struct rj_cell_walk *walk, struct rj_cell_plan *plan,
 		       const struct rj_cell_way *way,
 		       const struct rj_cell_demand *want);
 struct rj_cell_room *rj_cell_walk_next(struct rj_cell_walk *walk);
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -99,8 +99,11 @@
 	struct rj_cell_usage usage; /* with what this plan starts */
 	GArray *units;
 	uint32_t promises; /* groups of others that have room promised */
+	uint32_t urgent_promises; /* urgent groups that have */
 	GHashTable *needs; /* account -> accelerators of its urgent jobs */
-	GArray *misses; /* demands that found no room in this plan */
+	GArray *shortages; /* struct rj_cell_shortage, found by this plan */
+	uint32_t futile; /* searches for work to stop that found too little */
+	uint64_t effort; /* workers weighed, some of them many times */
 };
 
 void rj_cell_plan_init(struct rj_cell_plan *plan);
