cell: runs of a step that are kept apart are counted once

A step may say how many of its tasks one worker may have. The runs are counted once, before the step is placed, and tasks that are alike are placed together there as well.

--- a/src/bench/cell.c
+++ b/src/bench/cell.c
@@ -101,6 +101,8 @@
 			step.gang = kind->gang;
 			step.one_rack = kind->gang && number % 5 < 3;
 			step.each.memory_mb = kind->memory_mb;
+			if (!kind->gang && number % 8 == 0)
+				step.per_worker_max = 1;
 			cell_world_submit(world, number % INSTANCES,
 					  cell_world_job(world, kind->queue,
 							 number % 2 ? "a" : "b",
--- a/src/libradishjunction/cell/cell_place.c
+++ b/src/libradishjunction/cell/cell_place.c
@@ -14,38 +14,45 @@
 #define BAD_FAR_BIT 48 /* away from the task's data */
 #define BAD_KEPT_BIT 47 /* on the wrong side of what is kept */
 
-/* Whether two tasks are of one step of one occurrence. */
-static bool are_siblings(const struct rj_cell_task *a,
-			 const struct rj_cell_task *b)
+/* Count one run of the step that is being placed at its worker. */
+static void count_sibling(const struct rj_cell_run *run)
 {
-	return a->round == b->round && a->step == b->step;
+	if (run->worker->room)
+		run->worker->room->siblings++;
 }
 
-/* How many runs of the task's step and occurrence the worker has, those that
- * this plan starts included. */
-static uint32_t siblings_on(const struct rj_cell_plan *plan,
-			    const struct rj_cell_worker *worker,
-			    const struct rj_cell_task *task)
+/*
+ * Count at each worker the runs of a step of which one worker may have so many.
+ *
+ * Load that it answers: steps of hundreds of tasks that are to be kept apart;
+ * each task would count all of them on each worker.
+ */
+void rj_cell_place_count_siblings(struct rj_cell_plan *plan,
+				  const struct rj_cell_unit *unit)
 {
-	const struct rj_list *at;
-	uint32_t count = 0;
-
-	for (guint i = 0; i < plan->starts->len; i++) {
-		const struct rj_cell_choice *choice =
-			&g_array_index(plan->starts, struct rj_cell_choice, i);
-
-		if (choice->worker == worker &&
-		    are_siblings(choice->task, task))
-			count++;
+	const struct rj_cell_def *def = unit->work->def;
+	uint32_t first = rj_cell_def_first_task(def, unit->step);
+
+	if (!def->steps[unit->step].per_worker_max)
+		return;
+	for (uint32_t i = 0; i < plan->room_count; i++)
+		plan->rooms[i].siblings = 0;
+	for (uint32_t i = 0; i < def->steps[unit->step].task_count; i++) {
+		const struct rj_list *runs =
+			&unit->round->tasks[first + i].runs;
+		const struct rj_list *at;
+
+		for (at = runs->next; at != runs; at = at->next)
+			count_sibling(
+				RJ_CONTAINER(at, struct rj_cell_run, in_task));
 	}
-	for (at = worker->runs.next; at != &worker->runs; at = at->next) {
-		const struct rj_cell_run *run =
-			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
+}
 
-		if (run->task && are_siblings(run->task, task))
-			count++;
-	}
-	return count;
+/* Whether a worker has as many runs of a step as it may. */
+static bool has_all_siblings(const struct rj_cell_room *room,
+			     const struct rj_cell_step *step)
+{
+	return step->per_worker_max && room->siblings >= step->per_worker_max;
 }
 
 /* Whether a task has no attempt left after the next one. */
@@ -117,8 +124,7 @@
 		return false;
 	if (!step->target_ms && plan->now_us < worker->harmed_until_us)
 		return false;
-	return !step->per_worker_max ||
-	       siblings_on(plan, worker, task) < step->per_worker_max;
+	return !has_all_siblings(room, step);
 }
 
 /* The bounds on what is free in a range for a way, or NULL where others may be
@@ -367,6 +373,7 @@
 	else
 		rj_cell_demand_take(&room->soon, &want);
 	rj_cell_demand_take(&room->now, &want);
+	room->siblings++;
 	if (step->target_ms)
 		room->serving++;
 	else
@@ -429,8 +436,6 @@
 static bool are_alike(const struct rj_cell_plan *plan,
 		      struct rj_cell_task **tasks, uint32_t count)
 {
-	if (rj_cell_task_step(tasks[0])->per_worker_max)
-		return false;
 	for (uint32_t i = 0; i < count; i++)
 		if (!rj_cell_place_is_plain(plan, tasks[i]))
 			return false;
@@ -448,6 +453,8 @@
 	const struct rj_cell_demand *have =
 		way->when == RJ_CELL_NOW ? &room->now : &room->soon;
 
+	if (has_all_siblings(room, rj_cell_task_step(task)))
+		return RJ_NEVER_US;
 	if (way->when == RJ_CELL_LATER)
 		return ready_in_us(plan, room, want);
 	if (!rj_cell_demand_fits(want, have))
--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -327,8 +327,7 @@
 {
 	uint32_t plain = 0;
 
-	if (!unit->work->def->priority ||
-	    rj_cell_task_step(tasks[0])->per_worker_max)
+	if (!unit->work->def->priority)
 		return 0;
 	while (plain < count && are_plain(plan, &tasks[plain], 1))
 		plain++;
@@ -377,6 +376,7 @@
 		plan->waiting += unit->waiting;
 		return;
 	}
+	rj_cell_place_count_siblings(plan, unit);
 	tasks = talloc_array(NULL, struct rj_cell_task *, step->task_count);
 	for (uint32_t i = first; i < first + step->task_count; i++)
 		if (rj_cell_unit_waits(plan, &unit->round->tasks[i]))
--- a/src/libradishjunction/include/private/cell_place.h
+++ b/src/libradishjunction/include/private/cell_place.h
@@ -84,6 +84,8 @@
 			     const struct rj_cell_unit *unit,
 			     struct rj_cell_task **tasks, uint32_t count,
 			     const struct rj_cell_way *way);
+void rj_cell_place_count_siblings(struct rj_cell_plan *plan,
+				  const struct rj_cell_unit *unit);
 bool rj_cell_place_is_plain(const struct rj_cell_plan *plan,
 			    struct rj_cell_task *task);
 bool rj_cell_place_may_run(const struct rj_cell_plan *plan,
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -27,6 +27,8 @@
 	struct rj_cell_demand now; /* free */
 	struct rj_cell_demand soon; /* free once what is stopping has gone */
 	struct rj_cell_demand promised; /* of what will come free later */
+	/* Runs there of the step that is being placed, if that has a limit. */
+	uint32_t siblings;
 	uint32_t serving; /* runs there, as the worker counts them */
 	uint32_t filling;
 };
