platform: connections to workers are kept by descriptors, reads sized by the link

At 3,000 workers an owner's client kept 2,048 connections and opened up to 1,003 new ones a second in place of those that it had closed, and a read of the workers' log brought 256 KB where 800 KB a second are written, so that what the owner knew of workers was 2 to 6 s old under load. Both limits now come from the machine's own: its descriptors, and what its link carries in a fifth of a second.

--- a/src/libradishjunction/http_client.c
+++ b/src/libradishjunction/http_client.c
@@ -7,7 +7,7 @@
 #include "private/buffer.h"
 #include "private/clock.h"
 
-/* Idle connections kept open to all hosts together. */
+/* Idle connections kept open to all hosts together, unless told otherwise. */
 #define CACHED_CONNECTIONS_MAX 2048L
 /*
  * Guards against a host that was replaced at its address while a call waited
@@ -321,6 +321,17 @@
 			  (long)host_connections_max);
 }
 
+/*
+ * Keep so many connections open to all hosts together, in use or idle; each
+ * takes a descriptor and some kilobytes.
+ */
+void rj_http_client_keep(struct rj_http_client *client,
+			 uint32_t connections_max)
+{
+	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
+			  (long)connections_max);
+}
+
 /*
  * Start a client on `ev` that sends `instance` (if not NULL) as the header
  * X-Instance and keeps at most `host_connections_max` connections to one
--- a/src/libradishjunction/include/private/http_client.h
+++ b/src/libradishjunction/include/private/http_client.h
@@ -64,6 +64,8 @@
 int rj_http_client_init(struct rj_http_client *client, void *mem,
 			struct tevent_context *ev, const char *instance,
 			uint32_t host_connections_max, struct rj_error *err);
+void rj_http_client_keep(struct rj_http_client *client,
+			 uint32_t connections_max);
 void rj_http_client_limit(struct rj_http_client *client,
 			  uint32_t host_connections_max);
 void rj_http_client_add_header(struct rj_http_client *client,
--- a/src/test_libradishjunction/test_platform_calls.c
+++ b/src/test_libradishjunction/test_platform_calls.c
@@ -66,16 +66,19 @@
 		.handle = handle,
 		.private_data = f
 	};
+	struct platform_settings settings = { .descriptors_max = 1024,
+					      .link_kbps = 1000000 };
 	struct rj_error err;
 
 	memset(f, 0, sizeof(*f));
 	f->loop = tevent_context_init(NULL);
 	g_assert_false(rj_http_server_init(&f->server, f->loop, f->loop,
 					   &options, &err));
+	settings.store = f->server.address;
 	g_assert_false(platform_store_init(&f->store, f->loop, f->loop,
-					   &f->server.address, &sink, &err));
+					   &settings, &sink, &err));
 	g_assert_false(platform_workers_init(&f->workers, f->loop, f->loop,
-					     &sink, &err));
+					     &settings, &sink, &err));
 }
 
 static void teardown(struct fixture *f, const void *data)
--- a/src/test_libradishjunction/test_platform_settings.c
+++ b/src/test_libradishjunction/test_platform_settings.c
@@ -41,15 +41,19 @@
 	struct platform_settings settings;
 	struct rj_error err;
 
-	g_assert_cmpint(load("\"cpu_share\":\"0.125\",\"cpu_speed\":\"1.0\","
-			     "\"grace_s\":\"2.5\",\"lease_max_ms\":\"10000.0\","
-			     "\"status_s\":\"120\",\"reclaim_ms\":\"\","
-			     "\"revoke_ms\":\"\",\"drain_ms\":\"2000.0\","
-			     "\"cordon_ms\":\"\",\"heartbeat_ms\":\"1500\"",
-			     &settings, &err),
-			==, 0);
+	g_assert_cmpint(
+		load("\"cpu_share\":\"0.125\",\"cpu_speed\":\"1.0\","
+		     "\"grace_s\":\"2.5\",\"descriptors_max\":\"8192\","
+		     "\"link_mbps\":\"0.5\",\"lease_max_ms\":\"10000.0\","
+		     "\"status_s\":\"120\",\"reclaim_ms\":\"\","
+		     "\"revoke_ms\":\"\",\"drain_ms\":\"2000.0\","
+		     "\"cordon_ms\":\"\",\"heartbeat_ms\":\"1500\"",
+		     &settings, &err),
+		==, 0);
 	g_assert_cmpuint(settings.cpu_share_percent, ==, 13);
 	g_assert_cmpuint(settings.grace_ms, ==, 2500);
+	g_assert_cmpuint(settings.descriptors_max, ==, 8192);
+	g_assert_cmpuint(settings.link_kbps, ==, 500);
 	g_assert_cmpuint(settings.terms.lease_max_ms, ==, 10000);
 	g_assert_cmpuint(settings.terms.status_ms, ==, 120000);
 	g_assert_cmpuint(settings.terms.reclaim_ms, ==, 2900);
@@ -66,7 +70,8 @@
 	struct rj_error err;
 
 	g_assert_cmpint(load("\"cpu_share\":\"0.25\",\"cpu_speed\":\"1\","
-			     "\"grace_s\":\"soon\",\"lease_max_ms\":\"6000\","
+			     "\"grace_s\":\"soon\",\"descriptors_max\":\"\","
+			     "\"link_mbps\":\"\",\"lease_max_ms\":\"6000\","
 			     "\"status_s\":\"120\",\"reclaim_ms\":\"2900\","
 			     "\"revoke_ms\":\"5000\",\"drain_ms\":\"\","
 			     "\"cordon_ms\":\"5000\",\"heartbeat_ms\":\"\"",
--- a/src/test_soak/site.c
+++ b/src/test_soak/site.c
@@ -157,6 +157,7 @@
 		"\"metrics\":\"127.0.0.1:0\",\"store\":\"127.0.0.1:%u\","
 		"\"advice\":\"\",\"orders\":\"rpc\",\"cpu_share\":\"0.25\","
 		"\"cpu_speed\":\"1\",\"grace_s\":\"6\","
+		"\"descriptors_max\":\"4096\",\"link_mbps\":\"1000\","
 		"\"lease_max_ms\":\"6000\",\"status_s\":\"120\","
 		"\"reclaim_ms\":\"2900\",\"revoke_ms\":\"5000\","
 		"\"drain_ms\":\"2000\",\"cordon_ms\":\"5000\","
