--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -36,6 +36,7 @@
 void rj_cell_plan_init(struct rj_cell_plan *plan)
 {
 	memset(plan, 0, sizeof(*plan));
+	plan->next_us = RJ_NEVER_US;
 	plan->starts = g_array_new(FALSE, FALSE, sizeof(struct rj_cell_choice));
 	plan->stops = g_ptr_array_new();
 	plan->racks =
--- a/src/libradishjunction/cell/cell_starts.c
+++ b/src/libradishjunction/cell/cell_starts.c
@@ -5,6 +5,20 @@
 #include "private/cell_reach.h"
 #include "private/note.h"
 
+/* Whether a member of a gang that had better be in one rack starts in another
+ * rack than the first. */
+static bool is_split(const struct rj_cell_task *task,
+		     const struct rj_cell_worker *worker)
+{
+	const struct rj_cell_step *step = rj_cell_task_step(task);
+	const struct rj_list *first = task[-(ptrdiff_t)task->index].runs.next;
+
+	if (!step->gang || !step->one_rack || !task->index)
+		return false;
+	return RJ_CONTAINER(first, struct rj_cell_run, in_task)->worker->rack !=
+	       worker->rack;
+}
+
 /* Note a decided start; it goes out once that is stored. */
 static void begin_run(struct rj_cell_owner *owner,
 		      const struct rj_cell_choice *choice)
@@ -24,6 +38,9 @@
 						   RJ_CELL_PRIORITIES - 1)],
 			owner->now_us - work->accepted_us);
 	work->started = true;
+	if (!work->began_us)
+		work->began_us = owner->now_us;
+	work->split |= is_split(task, choice->worker);
 	if (work->state == RJ_CELL_JOB_QUEUED)
 		work->state = RJ_CELL_JOB_RUNNING;
 	rj_cell_owner_dirty(owner, work);
--- a/src/libradishjunction/cell/cell_units.c
+++ b/src/libradishjunction/cell/cell_units.c
@@ -34,7 +34,7 @@
 
 /* Note since when the waiting tasks of a step wait. Returns their number;
  * 0 for a gang of which a member still runs or may not start yet. */
-static uint32_t count_waiting(const struct rj_cell_plan *plan,
+static uint32_t count_waiting(struct rj_cell_plan *plan,
 			      struct rj_cell_round *round, uint32_t step,
 			      uint64_t *since_us)
 {
@@ -46,6 +46,8 @@
 	for (uint32_t i = first; i < first + def->steps[step].task_count; i++) {
 		struct rj_cell_task *task = &round->tasks[i];
 
+		if (plan->now_us < task->not_before_us)
+			plan->next_us = MIN(plan->next_us, task->not_before_us);
 		if (!rj_cell_unit_waits(plan, task)) {
 			if (def->steps[step].gang)
 				return 0;
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -92,6 +92,7 @@
 	GArray *starts; /* struct rj_cell_choice */
 	GPtrArray *stops; /* struct rj_cell_run */
 	uint32_t waiting; /* tasks whose turn has come and that found no room */
+	uint64_t next_us; /* when the first pause of a task ends */
 	/* while it is made */
 	struct rj_cell_room *rooms;
 	struct rj_cell_releases *releases; /* of each room, once asked for */
--- a/src/libradishjunction/include/private/cell_work.h
+++ b/src/libradishjunction/include/private/cell_work.h
@@ -75,7 +75,7 @@
 	uint64_t slow_us; /* since when it has been over its bound, or 0 */
 	char checkpoint[RJ_CELL_CHECKPOINT_BYTES]; /* it started from this */
 	char saved[RJ_CELL_CHECKPOINT_BYTES]; /* what it has saved since */
-	bool over; /* of a gang, another member of which has ended */
+	uint64_t over_us; /* its gang has ended, and by then so has it; 0: no */
 	bool victim; /* in the trial that is being made, it would be stopped */
 	const char *why; /* it is being stopped, for the log */
 	char *ticket; /* of an outside policy, or NULL */
@@ -132,6 +132,11 @@
 	uint64_t accepted_us; /* by this node's clock, about */
 	uint64_t objective_us; /* when it should have ended */
 	uint64_t late_us; /* when it is of no use any more */
+	/* What its end is explained by. */
+	uint64_t
+		began_us; /* its first start; 0: not yet, or by a former owner */
+	uint32_t runs_lost; /* that ended otherwise than done */
+	bool split; /* a gang that had better be in one rack was not */
 	void *entry; /* of the view */
 };
 
