cell: silent members of an ended gang are given the time that a stop takes

Members of a gang end with the first, but as fast as a stop does, not at once. The owner took those on silent workers for ended the moment it heard of the first.

Such a run now counts as ended once the longest stop has passed, which the settings name.

--- a/src/libradishjunction/cell/cell_ends.c
+++ b/src/libradishjunction/cell/cell_ends.c
@@ -28,6 +28,8 @@
 /* A task keeps off the worker of its last trouble for so long: users expect
  * idle capacity to be used within 3 s of calm. */
 #define AVOID_US (2 * RJ_US_PER_S)
+/* Covers the steps in which workers end runs. */
+#define MEMBERS_END_SLACK_US (50 * RJ_US_PER_MS)
 
 /*
  * A stop was decided for a run; the order goes out with the next tick.
@@ -106,7 +108,13 @@
 		RJ_NOTE_TEXT("state", rj_cell_job_state_string[state]),
 		RJ_NOTE_AGE_MS("after_ms", owner->now_us - work->accepted_us),
 		RJ_NOTE_AGE_MS("objective_ms",
-			       work->objective_us - work->accepted_us));
+			       work->objective_us - work->accepted_us),
+		RJ_NOTE_AGE_MS("began_ms",
+			       work->began_us ?
+				       work->began_us - work->accepted_us :
+				       RJ_NEVER_US),
+		RJ_NOTE_NUMBER("runs_lost", work->runs_lost),
+		RJ_NOTE_NUMBER("split", work->split));
 	if (state != RJ_CELL_JOB_COMPLETED)
 		rj_cell_ends_stop_work(owner, work,
 				       rj_cell_job_state_string[state]);
@@ -292,16 +300,18 @@
 }
 
 /*
- * A worker has listed the end of a gang: its members end together, so that
- * those on workers that do not answer have ended too.
+ * A worker has listed the end of a gang: its members end with it, as fast as a
+ * stop takes, so that those on workers that do not answer have ended by then.
  *
  * Load that it answers: workers that crash with members of many gangs, which
  * would wait for the end of a lease.
  */
-static void end_silent_members(struct rj_cell_owner *owner,
-			       struct rj_cell_task *task)
+static void note_members_over(struct rj_cell_owner *owner,
+			      struct rj_cell_task *task)
 {
 	struct rj_cell_task *head = rj_cell_task_head(task);
+	uint64_t members_end_us =
+		owner->terms.stop_ms * RJ_US_PER_MS + MEMBERS_END_SLACK_US;
 
 	if (!has_attempts(head))
 		return;
@@ -313,18 +323,14 @@
 			struct rj_cell_run *run =
 				RJ_CONTAINER(at, struct rj_cell_run, in_task);
 
-			run->over = has_begun(run);
-			if (run->over && !run->worker->answers)
-				rj_cell_ends_gang_over(owner, run);
+			if (has_begun(run) && !run->over_us)
+				run->over_us = owner->now_us + members_end_us;
 		}
 	}
 }
 
-/*
- * A member of a gang that has ended, on a worker that cannot be asked.
- */
-void rj_cell_ends_gang_over(struct rj_cell_owner *owner,
-			    struct rj_cell_run *run)
+/* A member of a gang that has ended, on a worker that cannot be asked. */
+static void end_over(struct rj_cell_owner *owner, struct rj_cell_run *run)
 {
 	struct rj_cell_task *head = rj_cell_task_head(run->task);
 
@@ -338,6 +344,27 @@
 	rj_cell_ends_run(owner, run, RJ_CELL_END_LOST, NULL);
 }
 
+/*
+ * End the runs of a worker that does not answer whose gangs have ended.
+ */
+void rj_cell_ends_over(struct rj_cell_owner *owner,
+		       struct rj_cell_worker *worker)
+{
+	struct rj_list *at = worker->runs.next;
+
+	while (at != &worker->runs) {
+		struct rj_cell_run *run =
+			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
+
+		at = at->next;
+		if (!run->over_us || owner->now_us < run->over_us)
+			continue;
+		end_over(owner, run);
+		/* Others of its gang may have gone with it. */
+		at = worker->runs.next;
+	}
+}
+
 /*
  * A run has ended: say what that does to its task and its job, and free it.
  * What changes must be stored before the worker forgets the end.
@@ -374,6 +401,7 @@
 	judge_worker(owner, run, end);
 	round = task->round;
 	work = round->work;
+	work->runs_lost += end != RJ_CELL_END_DONE;
 	note_saved(task, saved && saved[0] ? saved : run->saved);
 	if (end == RJ_CELL_END_DONE && run->begun_us && !run->adopted &&
 	    !run->checkpoint[0])
@@ -393,7 +421,7 @@
 	    !task->done) {
 		break_gang(owner, task);
 		if (ends_gang(end))
-			end_silent_members(owner, task);
+			note_members_over(owner, task);
 	}
 	rj_cell_owner_dirty(owner, work);
 	if (!round->steps_left)
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -194,10 +194,9 @@
 		break;
 	default:
 		rj_cell_run_order(run, owner->now_us + ORDER_RETRY_US);
-		if (!run->over)
-			break;
-		rj_cell_call_answers(owner, worker, false, reply->status);
-		rj_cell_ends_gang_over(owner, run);
+		if (run->over_us)
+			rj_cell_call_answers(owner, worker, false,
+					     reply->status);
 	}
 }
 
@@ -356,6 +355,8 @@
 			RJ_CONTAINER(at, struct rj_cell_worker, in_watch);
 
 		check_lapse(owner, worker);
+		if (!worker->answers)
+			rj_cell_ends_over(owner, worker);
 		if (worker->leaves_us)
 			rj_cell_evacuate(owner, worker);
 		rj_cell_looks_busy(owner, worker);
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -434,7 +434,7 @@
 				      RJ_CELL_WHY_RECLAIMED);
 	owner->plan_wanted = false;
 	rj_cell_advice_ask(owner, &plan);
-	owner->plan_due_us = owner->now_us + PLAN_IDLE_US;
+	owner->plan_due_us = MIN(plan.next_us, owner->now_us + PLAN_IDLE_US);
 	owner->plan_from_us =
 		owner->now_us +
 		MAX(PLAN_PAUSE_US,
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -33,6 +33,7 @@
 	 * domain, so long after that was published; 0: no bound. */
 	uint32_t drain_ms;
 	uint32_t cordon_ms;
+	uint32_t stop_ms; /* a run that is to end is gone after this */
 };
 
 struct rj_cell_owner_counters {
@@ -143,8 +144,8 @@
 			 struct rj_cell_worker *worker);
 void rj_cell_looks_soon(struct rj_cell_owner *owner,
 			struct rj_cell_worker *worker);
-void rj_cell_ends_gang_over(struct rj_cell_owner *owner,
-			    struct rj_cell_run *run);
+void rj_cell_ends_over(struct rj_cell_owner *owner,
+		       struct rj_cell_worker *worker);
 void rj_cell_ends_run(struct rj_cell_owner *owner, struct rj_cell_run *run,
 		      enum rj_cell_end end, const char *saved);
 void rj_cell_ends_orphan(struct rj_cell_owner *owner,
--- a/src/test_libradishjunction/support/cell_fake.h
+++ b/src/test_libradishjunction/support/cell_fake.h
@@ -26,6 +26,7 @@
 	char saved[RJ_CELL_CHECKPOINT_BYTES];
 	uint64_t placed_us;
 	uint64_t stopped_us; /* when it is to be gone; 0: not stopped */
+	uint64_t broken_us; /* ... as another member of its gang has ended */
 	struct rj_cell_demand held;
 	bool unguarded; /* its job is not known to the world */
 	uint32_t target_ms; /* it serves within this bound; 0: it fills */
--- a/src/test_libradishjunction/support/cell_fake_workers.c
+++ b/src/test_libradishjunction/support/cell_fake_workers.c
@@ -149,9 +149,15 @@
 	GPtrArray *workers = g_ptr_array_new();
 	GPtrArray *runs = gang_of(world, gang, workers);
 
-	for (guint i = 0; i < runs->len; i++)
-		end_run(world, workers->pdata[i], runs->pdata[i],
-			RJ_CELL_END_BROKEN);
+	for (guint i = 0; i < runs->len; i++) {
+		struct cell_fake_run *run = runs->pdata[i];
+
+		if (!world->plan.break_us)
+			end_run(world, workers->pdata[i], run,
+				RJ_CELL_END_BROKEN);
+		else if (!run->broken_us)
+			run->broken_us = world->now_us + world->plan.break_us;
+	}
 	g_ptr_array_free(runs, TRUE);
 	g_ptr_array_free(workers, TRUE);
 }
@@ -210,6 +216,12 @@
 {
 	bool all_through;
 
+	if (run->broken_us) {
+		if (world->now_us < run->broken_us)
+			return true;
+		end_run(world, worker, run, RJ_CELL_END_BROKEN);
+		return false;
+	}
 	if (run->stopped_us && world->now_us >= run->stopped_us) {
 		end_with_gang(world, worker, run, RJ_CELL_END_STOPPED);
 		return false;
@@ -289,11 +301,12 @@
 		worker->said.clock_ms = cell_fake_clock_ms(world, worker);
 		cell_log_put(world, RJ_CELL_TOPIC_WORKERS, worker->id,
 			     &worker->said, sizeof(worker->said));
-	} else if (worker->listed &&
+	} else if (worker->listed && !worker->wrote &&
 		   ++worker->beats_missed >= CELL_WORLD_ENTRY_BEATS) {
 		worker->listed = false;
 		cell_log_put(world, RJ_CELL_TOPIC_WORKERS, worker->id, NULL, 0);
 	}
+	worker->wrote = false;
 	cell_world_at(world, CELL_WORLD_HEARTBEAT_MS * MS, beat, worker);
 }
 
@@ -534,6 +547,8 @@
 		worker->drained_us = world->now_us;
 	worker->said.draining = true;
 	worker->said.drain_left_ms = left_ms;
+	worker->wrote = true;
+	worker->beats_missed = 0;
 	cell_log_put(world, RJ_CELL_TOPIC_WORKERS, worker->id, &worker->said,
 		     sizeof(worker->said));
 }
--- a/src/test_libradishjunction/support/cell_faults.c
+++ b/src/test_libradishjunction/support/cell_faults.c
@@ -11,6 +11,8 @@
 /* ... and on such a part operators cordon failure domains, and reads of one
  * log may fail. */
 #define CORDONS_ONE_IN 2
+/* ... and members of a gang end so long after the first. */
+#define BREAK_US (190 * MS)
 
 /* What a strike does, and what ends it. */
 struct strike {
@@ -380,6 +382,7 @@
 	seeded.seed = seed;
 	seeded.guarded = seed % 3 == 0;
 	cordons = seed % CORDONS_ONE_IN == 1;
+	seeded.break_us = cordons ? BREAK_US : 0;
 	memset(result, 0, sizeof(*result));
 	if (trace)
 		cell_world_trace(world);
--- a/src/test_libradishjunction/support/cell_world.c
+++ b/src/test_libradishjunction/support/cell_world.c
@@ -18,6 +18,8 @@
 #define REVOKE_MS 5000
 /* Nothing starts on a draining worker or in a cordoned domain after this. */
 #define DRAIN_MS 2000
+/* A stop takes no longer, nor the end of a gang's members. */
+#define STOP_MS 200
 #define CORDON_MS 5000
 /* A call in so many still carries the key that was removed last. */
 #define OLD_KEY_ONE_IN 7
@@ -363,6 +365,7 @@
 	options.terms.lease_max_ms = world->plan.lease_max_ms;
 	options.terms.revoke_ms = world->plan.revoke_ms;
 	options.terms.drain_ms = DRAIN_MS;
+	options.terms.stop_ms = STOP_MS;
 	options.terms.cordon_ms = CORDON_MS;
 	options.terms.entry_life_ms =
 		CELL_WORLD_HEARTBEAT_MS * CELL_WORLD_ENTRY_BEATS;
--- a/src/test_libradishjunction/support/cell_world.h
+++ b/src/test_libradishjunction/support/cell_world.h
@@ -106,6 +106,7 @@
 	uint64_t lease_ms;
 	uint64_t lapsed_us; /* when its lease was last found to have lapsed */
 	uint64_t drained_us; /* when it said that it drains, if it does */
+	bool wrote; /* something else since its last heartbeat was due */
 	uint32_t beats_missed; /* in a row; its entry expires after three */
 	GPtrArray *runs; /* struct cell_fake_run */
 	GArray *ends; /* struct cell_fake_end */
@@ -139,6 +140,7 @@
 	uint32_t lease_max_ms; /* 0: 6,000 */
 	uint32_t attempts_max; /* 0: 4 */
 	uint32_t revoke_ms; /* 0: 5,000 */
+	uint64_t break_us; /* members of a gang end so long after the first */
 };
 
 struct cell_world {
--- a/src/test_libradishjunction/test_cell_faults.c
+++ b/src/test_libradishjunction/test_cell_faults.c
@@ -45,12 +45,15 @@
  * Seeds that once broke a rule: 16012, where a call that began before a job's
  * end was shown told the earlier state, which is allowed; 72140, where a
  * worker carried a start out after its job had been cancelled, 5.9 s late,
- * which is allowed too, and had to be told to stop.
+ * which is allowed too, and had to be told to stop; 170013, where a fake worker
+ * that had said that it drains was taken off the list before its entry could
+ * expire.
  */
 static void test_kept_seeds(void)
 {
 	g_assert_cmpuint(play(16012, 1, false), ==, 0);
 	g_assert_cmpuint(play(72140, 1, false), ==, 0);
+	g_assert_cmpuint(play(170013, 1, false), ==, 0);
 }
 
 /* No seed of the short run breaks a rule. */
--- a/src/test_libradishjunction/test_cell_reach.c
+++ b/src/test_libradishjunction/test_cell_reach.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "private/cell_reach.h"
+#include "support/cell_fake.h"
 #include "support/cell_fixture.h"
 
 /* An owner that was killed is replaced within this time. */
@@ -304,6 +305,36 @@
 	g_assert_cmpuint(job->starts, ==, 8);
 }
 
+/* A gang starts again while a member still runs on a worker that does not
+ * answer: members end a moment after the first. */
+static void test_members_take_a_moment_to_end(struct cell_fixture *f,
+					      const void *data)
+{
+	struct rj_cell_step step = cell_world_step(2, 8, 6000);
+	struct cell_client_job *job;
+	uint32_t members[2];
+	uint32_t found = 0;
+	struct cell_fake_run *run;
+
+	f->world.plan.break_us = 190 * MS;
+	step.gang = true;
+	job = cell_world_job(&f->world, "urgent", "a", &step, 1, 6 * S);
+	cell_world_submit(&f->world, 0, job);
+	cell_world_run(&f->world, 500 * MS);
+	for (uint32_t i = 0; i < site.workers && found < 2; i++)
+		if (f->world.workers[i].runs->len)
+			members[found++] = i;
+	g_assert_cmpuint(found, ==, 2);
+	cell_world_worker_cut(&f->world, members[1], true);
+	cell_world_run(&f->world, 3500 * MS);
+	run = f->world.workers[members[0]].runs->pdata[0];
+	run->fails_at_us = run->done_us;
+	cell_world_run(&f->world, 700 * MS);
+	g_assert_cmpuint(job->starts, ==, 4);
+	cell_world_worker_cut(&f->world, members[1], false);
+	cell_world_run(&f->world, 8 * S);
+}
+
 /* A gang that is not complete yet runs on where its worker is silent, though
  * one of its members was stopped. */
 static void test_a_stopped_member_ends_no_other(struct cell_fixture *f,
@@ -479,6 +510,7 @@
 	ADD("log_slow", test_proofs_outlast_slow_appends);
 	ADD("successor", test_a_killed_owner_is_replaced_in_time);
 	ADD("dead_member", test_a_gang_does_not_wait_for_a_dead_worker);
+	ADD("slow_break", test_members_take_a_moment_to_end);
 	ADD("shows_life", test_an_owner_shows_its_life);
 	ADD("stopped_member", test_a_stopped_member_ends_no_other);
 	CELL_TEST("/cell_reach/unseen_failure", &two_attempts,
--- a/src/test_libradishjunction/test_platform_settings.c
+++ b/src/test_libradishjunction/test_platform_settings.c
@@ -47,7 +47,7 @@
 		     "\"link_mbps\":\"0.5\",\"lease_max_ms\":\"10000.0\","
 		     "\"status_s\":\"120\",\"reclaim_ms\":\"\","
 		     "\"revoke_ms\":\"\",\"drain_ms\":\"2000.0\","
-		     "\"cordon_ms\":\"\",\"heartbeat_ms\":\"1500\"",
+		     "\"cordon_ms\":\"\",\"stop_ms\":\"\",\"heartbeat_ms\":\"1500\"",
 		     &settings, &err),
 		==, 0);
 	g_assert_cmpuint(settings.cpu_share_percent, ==, 13);
@@ -60,6 +60,7 @@
 	g_assert_cmpuint(settings.terms.revoke_ms, ==, 5000);
 	g_assert_cmpuint(settings.terms.drain_ms, ==, 2000);
 	g_assert_cmpuint(settings.terms.cordon_ms, ==, 0);
+	g_assert_cmpuint(settings.terms.stop_ms, ==, 1000);
 	g_assert_cmpuint(settings.terms.entry_life_ms, ==, 4500);
 }
 
@@ -69,14 +70,15 @@
 	struct platform_settings settings;
 	struct rj_error err;
 
-	g_assert_cmpint(load("\"cpu_share\":\"0.25\",\"cpu_speed\":\"1\","
-			     "\"grace_s\":\"soon\",\"descriptors_max\":\"\","
-			     "\"link_mbps\":\"\",\"lease_max_ms\":\"6000\","
-			     "\"status_s\":\"120\",\"reclaim_ms\":\"2900\","
-			     "\"revoke_ms\":\"5000\",\"drain_ms\":\"\","
-			     "\"cordon_ms\":\"5000\",\"heartbeat_ms\":\"\"",
-			     &settings, &err),
-			==, -1);
+	g_assert_cmpint(
+		load("\"cpu_share\":\"0.25\",\"cpu_speed\":\"1\","
+		     "\"grace_s\":\"soon\",\"descriptors_max\":\"\","
+		     "\"link_mbps\":\"\",\"lease_max_ms\":\"6000\","
+		     "\"status_s\":\"120\",\"reclaim_ms\":\"2900\","
+		     "\"revoke_ms\":\"5000\",\"drain_ms\":\"\","
+		     "\"cordon_ms\":\"5000\",\"stop_ms\":\"200\",\"heartbeat_ms\":\"\"",
+		     &settings, &err),
+		==, -1);
 	g_assert_nonnull(strstr(err.message, "grace_s"));
 	g_assert_nonnull(strstr(err.message, "set a decimal number"));
 }
--- a/src/test_soak/site.c
+++ b/src/test_soak/site.c
@@ -160,7 +160,7 @@
 		"\"descriptors_max\":\"4096\",\"link_mbps\":\"1000\","
 		"\"lease_max_ms\":\"6000\",\"status_s\":\"120\","
 		"\"reclaim_ms\":\"2900\",\"revoke_ms\":\"5000\","
-		"\"drain_ms\":\"2000\",\"cordon_ms\":\"5000\","
+		"\"drain_ms\":\"2000\",\"cordon_ms\":\"5000\",\"stop_ms\":\"400\","
 		"\"heartbeat_ms\":\"500\"}",
 		instance->name, instance->store.port);
 
