--- a/src/bench/cell.c
+++ b/src/bench/cell.c
@@ -54,7 +54,7 @@
 struct counted {
 	uint64_t owner_ns;
 	uint64_t all_ns;
-	uint64_t looks;
+	uint64_t polls;
 	uint64_t plans;
 	uint64_t appends;
 	uint64_t reads;
@@ -138,7 +138,7 @@
 
 	g_assert_cmpint(owner, >=, 0);
 	counted.owner_ns = world->nodes[owner].cpu_ns;
-	counted.looks = world->nodes[owner].node.owner.counters.looks;
+	counted.polls = world->nodes[owner].node.owner.counters.polls;
 	counted.plans = world->nodes[owner].node.owner.counters.plans;
 	for (uint32_t i = 0; i < INSTANCES; i++)
 		counted.all_ns += world->nodes[i].cpu_ns;
@@ -192,7 +192,7 @@
 	after = count(world);
 	printf("{\"bench\":\"cell\",\"workers\":%u,\"tasks_per_s\":%u,"
 	       "\"gangs\":%s,\"mixed\":%s,\"owner_cpu_percent\":%.2f,"
-	       "\"other_cpu_percent\":%.2f,\"looks_per_s\":%.0f,"
+	       "\"other_cpu_percent\":%.2f,\"polls_per_s\":%.0f,"
 	       "\"plans_per_s\":%.0f,\"appends_per_s\":%.1f,"
 	       "\"reads_per_s\":%.1f,\"owner_state_bytes\":%zu,"
 	       "\"wait_p50_ms\":%.0f,\"wait_p99_ms\":%.0f}\n",
@@ -202,7 +202,7 @@
 	       (double)(after.all_ns - after.owner_ns - before.all_ns +
 			before.owner_ns) /
 		       (INSTANCES - 1) / seconds / 1e7,
-	       (double)(after.looks - before.looks) / seconds,
+	       (double)(after.polls - before.polls) / seconds,
 	       (double)(after.plans - before.plans) / seconds,
 	       (double)(after.appends - before.appends) / seconds,
 	       (double)(after.reads - before.reads) / seconds,
--- a/src/libradishjunction/cell/cell_ends.c
+++ b/src/libradishjunction/cell/cell_ends.c
@@ -393,7 +393,7 @@
 	}
 	/*
 	 * Guards against freeing the run twice: an owner that does not know
-	 * yet that it was fenced may see the end of its heir's run under the
+	 * yet that it was fenced may see the end of its successor's run under the
 	 * number of one that it only intended, and with the job's end all
 	 * that is only intended goes.
 	 */
--- a/src/libradishjunction/cell/cell_flush.c
+++ b/src/libradishjunction/cell/cell_flush.c
@@ -62,7 +62,7 @@
 
 		if (worker->seen_storing > worker->seen) {
 			worker->seen = worker->seen_storing;
-			worker->look_due_us = owner->now_us;
+			worker->poll_due_us = owner->now_us;
 		}
 		if (worker->seen >= worker->seen_taken)
 			rj_list_remove(at);
--- a/src/libradishjunction/cell/cell_metrics.c
+++ b/src/libradishjunction/cell/cell_metrics.c
@@ -94,7 +94,7 @@
 	number(text, "resigns", counters->resigns);
 	number(text, "starts", counters->starts);
 	number(text, "stops", counters->stops);
-	number(text, "looks", counters->looks);
+	number(text, "polls", counters->polls);
 	number(text, "plans", counters->plans);
 	number(text, "jobs_completed", counters->completed);
 	number(text, "jobs_failed", counters->failed);
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -38,7 +38,7 @@
  * An owner's work grows with its workers, so the cell goes to a strong
  * instance: one with half as much again takes it from a weaker one, once it
  * has been up for a while, and a weaker one leaves it to others first. An
- * eighth of a core cannot keep up with 350 workers; its looks time out.
+ * eighth of a core cannot keep up with 350 workers; its polls time out.
  */
 #define WEAKER_PART 3
 #define WEAKER_OF 2
@@ -47,7 +47,7 @@
 /* Times of day of one machine may jump by so much between two moments. */
 #define CLOCKS_APART_US (5 * RJ_US_PER_S)
 /* An instance that has just tried waits before it tries again. */
-#define BID_PAUSE_US (300 * RJ_US_PER_MS)
+#define ACQUIRE_PAUSE_US (300 * RJ_US_PER_MS)
 
 /* One page of the log of workers: a heartbeat, or an entry that is gone. */
 static void fleet_record(void *private_data,
@@ -276,7 +276,7 @@
 	rj_cell_owner_resign(&node->owner, why);
 	rj_cell_follow_stop(&node->fleet);
 	node->jobs.pause_us = JOBS_PAUSE_US;
-	node->bid_due_us = node->now_us + BID_PAUSE_US;
+	node->acquire_due_us = node->now_us + ACQUIRE_PAUSE_US;
 }
 
 /*
@@ -285,7 +285,7 @@
  * Load that it answers: all instances lose power, and a worker has gone with
  * its tasks meanwhile: they wait until its lease must have lapsed. Where the
  * former owner was this instance, in a life that has ended, it renews nothing
- * any more; those before it were fenced by its bid, and go on without the log
+ * any more; those before it were fenced by its record, and go on without the log
  * for no longer than an owner does.
  */
 static uint64_t renewals_us(const struct rj_cell_node *node)
@@ -414,15 +414,16 @@
 	rj_cell_follow_start(&node->jobs, now_us);
 }
 
-/* The answer to a bid says little: whether it was won is read in the log. */
-static void bid_done(void *private_data,
-		     const struct rj_cell_store_reply *reply)
+/* The answer says little: whether the cell was acquired is read in the log. */
+static void acquire_done(void *private_data,
+			 const struct rj_cell_store_reply *reply)
 {
 	struct rj_cell_node *node = private_data;
 
-	node->bidding = false;
-	node->bid_due_us = reply->now_us + BID_PAUSE_US + node->stagger_us;
-	rj_note("bid",
+	node->acquiring = false;
+	node->acquire_due_us =
+		reply->now_us + ACQUIRE_PAUSE_US + node->stagger_us;
+	rj_note("acquire",
 		RJ_NOTE_TEXT("outcome",
 			     rj_cell_store_status_string[reply->status]),
 		RJ_NOTE_NUMBER("end", reply->end));
@@ -462,10 +463,10 @@
 	rj_cell_record_key(key, RJ_CELL_RECORD_OWNER, "");
 	record.key = key;
 	record.value = rj_cell_owner_encode(node->mem, &owner);
-	node->bidding = true;
+	node->acquiring = true;
 	node->options.store->ops->append(
 		node->options.store, &append,
-		(struct rj_cell_store_done){ bid_done, node });
+		(struct rj_cell_store_done){ acquire_done, node });
 	talloc_free((void *)record.value.data);
 }
 
@@ -495,7 +496,7 @@
 }
 
 /* Whether the owner has been silent for too long, or is too weak. */
-static bool should_bid(const struct rj_cell_node *node)
+static bool should_acquire(const struct rj_cell_node *node)
 {
 	uint64_t silent_us = node->now_us - node->tenure.seen_us;
 
@@ -507,8 +508,8 @@
 	return silent_us >= patience_us(node);
 }
 
-/* The log has been read to its end since the owner seemed silent: bid, if it
- * still does. */
+/* The log has been read to its end since the owner seemed silent: acquire
+ * the cell, if it still does. */
 static void probed(struct rj_cell_sync *sync, bool reached)
 {
 	struct rj_cell_node *node =
@@ -517,11 +518,11 @@
 	node->probing = false;
 	node->now_us = node->jobs.now_us;
 	if (!reached) {
-		node->bid_due_us = node->now_us + BID_PAUSE_US;
+		node->acquire_due_us = node->now_us + ACQUIRE_PAUSE_US;
 		return;
 	}
-	if (is_owner(node) || node->bidding || node->draining ||
-	    !should_bid(node))
+	if (is_owner(node) || node->acquiring || node->draining ||
+	    !should_acquire(node))
 		return;
 	rj_note("owner_silent",
 		RJ_NOTE_TEXT("instance", node->tenure.record.name),
@@ -536,14 +537,14 @@
  * Take over from an owner that is silent.
  *
  * Guards against an instance that is cut off from the log and takes its own
- * silence for the owner's: before it bids, it reads the log to the end once
+ * silence for the owner's: before it acquires the cell, it reads the log to the end once
  * more.
  */
 static void watch_owner(struct rj_cell_node *node)
 {
-	if (is_owner(node) || node->bidding || node->probing ||
+	if (is_owner(node) || node->acquiring || node->probing ||
 	    node->draining || !node->jobs.caught_up || !node->config ||
-	    node->now_us < node->bid_due_us || !should_bid(node))
+	    node->now_us < node->acquire_due_us || !should_acquire(node))
 		return;
 	node->probing = true;
 	rj_cell_follow_sync(&node->jobs, &node->probe, node->now_us);
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -359,7 +359,7 @@
 			rj_cell_ends_over(owner, worker);
 		if (worker->leaves_us)
 			rj_cell_evacuate(owner, worker);
-		rj_cell_looks_busy(owner, worker);
+		rj_cell_polls_busy(owner, worker);
 	}
 }
 
@@ -370,5 +370,5 @@
 {
 	send_orders(owner);
 	watch_busy(owner);
-	rj_cell_looks_tick(owner);
+	rj_cell_polls_tick(owner);
 }
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -218,7 +218,7 @@
 	worker->listed = false;
 	if (has_deregistered(owner, worker)) {
 		worker->left_us = owner->now_us;
-		worker->look_due_us = owner->now_us;
+		worker->poll_due_us = owner->now_us;
 	}
 	rj_note("worker_unlisted", RJ_NOTE_TEXT("worker", worker->id),
 		RJ_NOTE_NUMBER("holds", worker->held.memory_mb),
@@ -248,7 +248,7 @@
 	if (worker->incarnation && heartbeat->incarnation &&
 	    worker->incarnation != heartbeat->incarnation) {
 		worker->answers = false;
-		rj_cell_looks_soon(owner, worker);
+		rj_cell_polls_soon(owner, worker);
 	}
 	rj_cell_worker_say(worker, heartbeat);
 	worker->written_us = written_us;
@@ -257,13 +257,13 @@
 		worker->leaves_us = (written_us ? written_us : owner->now_us) +
 				    heartbeat->drain_left_ms * RJ_US_PER_MS;
 	worker->left_us = 0;
-	rj_cell_looks_trust(owner, worker);
+	rj_cell_polls_trust(owner, worker);
 	if (!worker->listed || was_draining != heartbeat->draining) {
 		rj_note("worker_listed", RJ_NOTE_TEXT("worker", id),
 			RJ_NOTE_TEXT("domain", heartbeat->domain),
 			RJ_NOTE_TEXT("rack", heartbeat->rack),
 			RJ_NOTE_NUMBER("draining", heartbeat->draining));
-		rj_cell_looks_soon(owner, worker);
+		rj_cell_polls_soon(owner, worker);
 		owner->plan_wanted = true;
 	}
 	worker->listed = true;
@@ -329,7 +329,7 @@
 	owner->now_us = now_us;
 	owner->wall_ms = wall_ms;
 	owner->advice_open = false;
-	rj_cell_looks_begin(owner);
+	rj_cell_polls_begin(owner);
 	owner->counters.takeovers++;
 	RJ_FOR_EACH (at, next, &owner->view->entries) {
 		struct rj_cell_entry *entry =
@@ -348,7 +348,7 @@
 }
 
 /*
- * Own nothing any more. What ran goes on under its leases until an heir
+ * Own nothing any more. What ran goes on under its leases until an successor
  * takes it over. Callers have been told only what is stored, so the view stays
  * as it is.
  */
--- a/src/libradishjunction/cell/cell_place.c
+++ b/src/libradishjunction/cell/cell_place.c
@@ -8,11 +8,11 @@
 #include <talloc.h>
 
 /* Parts of how bad a fit is, from the least weight to the greatest. */
-#define BAD_MEMORY_BITS 32 /* of what would be left over, in MB */
-#define BAD_MIXED_BIT 50 /* work that serves beside work that fills */
-#define BAD_UNPROVEN_BIT 49 /* last failed, and so did the task */
-#define BAD_FAR_BIT 48 /* away from the task's data */
-#define BAD_KEPT_BIT 47 /* on the wrong side of what is kept */
+#define COST_MEMORY_BITS 32 /* of what would be left over, in MB */
+#define COST_MIXED_BIT 50 /* work that serves beside work that fills */
+#define COST_UNPROVEN_BIT 49 /* last failed, and so did the task */
+#define COST_FAR_BIT 48 /* away from the task's data */
+#define COST_RESERVED_BIT 47 /* on the wrong side of what is kept */
 
 /* Count one run of the step that is being placed at its worker. */
 static void count_sibling(const struct rj_cell_run *run)
@@ -103,8 +103,8 @@
 
 	if (way->domain && worker->domain != way->domain)
 		return false;
-	if ((room->kept && !unit->into_kept) ||
-	    (room->closed && !unit->into_closed))
+	if ((room->reserved && !unit->into_reserved) ||
+	    (room->exclusive && !unit->into_exclusive))
 		return false;
 	if (worker->service != unit->service)
 		return false;
@@ -247,24 +247,24 @@
  * within a bound and what fills the room beside it disturb each other, so
  * they share a worker only where there is no other.
  */
-static uint64_t badness(const struct rj_cell_plan *plan,
-			const struct rj_cell_room *room,
-			const struct rj_cell_unit *unit,
-			struct rj_cell_task *task,
-			const struct rj_cell_demand *have)
+static uint64_t placement_cost(const struct rj_cell_plan *plan,
+			       const struct rj_cell_room *room,
+			       const struct rj_cell_unit *unit,
+			       struct rj_cell_task *task,
+			       const struct rj_cell_demand *have)
 {
 	const struct rj_cell_step *step = rj_cell_task_step(task);
 	uint64_t left = have->accelerators - step->each.accelerators;
 	bool far = step->rack[0] && strcmp(step->rack, room->worker->said.rack);
 	bool unproven = is_unproven(plan, room->worker, task);
-	bool wrong_side = room->kept != !unit->work->def->priority;
+	bool wrong_side = room->reserved != !unit->work->def->priority;
 	bool mixed = step->target_ms ? room->filling : room->serving;
 
-	return ((uint64_t)mixed << BAD_MIXED_BIT) |
-	       ((uint64_t)unproven << BAD_UNPROVEN_BIT) |
-	       ((uint64_t)far << BAD_FAR_BIT) |
-	       ((uint64_t)wrong_side << BAD_KEPT_BIT) |
-	       (left << BAD_MEMORY_BITS) |
+	return ((uint64_t)mixed << COST_MIXED_BIT) |
+	       ((uint64_t)unproven << COST_UNPROVEN_BIT) |
+	       ((uint64_t)far << COST_FAR_BIT) |
+	       ((uint64_t)wrong_side << COST_RESERVED_BIT) |
+	       (left << COST_MEMORY_BITS) |
 	       (have->memory_mb - step->each.memory_mb);
 }
 
@@ -279,7 +279,7 @@
 	struct rj_cell_room *best = NULL;
 	struct rj_cell_room *room;
 	struct rj_cell_walk walk;
-	uint64_t best_badness = 0;
+	uint64_t best_cost = 0;
 
 	rj_cell_walk_init(&walk, plan, way, &want);
 	while ((room = rj_cell_walk_next(&walk))) {
@@ -290,11 +290,11 @@
 		if (!rj_cell_demand_fits(&want, have) ||
 		    !rj_cell_place_may_run(plan, room, unit, task, way))
 			continue;
-		bad = badness(plan, room, unit, task, have);
-		if (best && bad >= best_badness)
+		bad = placement_cost(plan, room, unit, task, have);
+		if (best && bad >= best_cost)
 			continue;
 		best = room;
-		best_badness = bad;
+		best_cost = bad;
 	}
 	return best;
 }
@@ -459,7 +459,7 @@
 		return ready_in_us(plan, room, want);
 	if (!rj_cell_demand_fits(want, have))
 		return RJ_NEVER_US;
-	return badness(plan, room, unit, task, have);
+	return placement_cost(plan, room, unit, task, have);
 }
 
 /*
--- a/src/libradishjunction/cell/cell_looks.c
+++ b/src/libradishjunction/cell/cell_polls.c
@@ -7,47 +7,41 @@
 #include "private/cell_health.h"
 #include "private/note.h"
 
-/* A look waits so long for an end; at most 2,000 by the workers' protocol.
+/* A poll waits so long for an end; at most 2,000 by the workers' protocol.
  * Shorter ones find a silent worker sooner, but each has its price. */
-#define LOOK_WAIT_MS 1500
-/* ... and no longer than this part of a lease, so that two looks may be lost
+#define POLL_WAIT_MS 1500
+/* ... and no longer than this part of a lease, so that two polls may be lost
  * before it lapses. */
-#define LOOK_WAIT_LEASE_PART 4
-/* A look may take this much longer than it asks the worker to wait. */
-#define LOOK_TIMEOUT_MS 700
-/* Looks at a worker that does not answer; those at idle ones back off. */
-#define LOOK_RETRY_TIMEOUT_MS 300
-#define LOOK_RETRY_US (150 * RJ_US_PER_MS)
-#define LOOK_RETRY_MAX_US (1000 * RJ_US_PER_MS)
+#define POLL_WAIT_LEASE_PART 4
+/* A poll may take this much longer than it asks the worker to wait. */
+#define POLL_TIMEOUT_MS 700
+/* Polls of a worker that does not answer; those at idle ones back off. */
+#define POLL_RETRY_TIMEOUT_MS 300
+#define POLL_RETRY_US (150 * RJ_US_PER_MS)
+#define POLL_RETRY_MAX_US (1000 * RJ_US_PER_MS)
 /* Retries of all silent workers that hold runs, together. */
-#define LOOK_RETRIES_PER_S 200
-#define LOOK_RETRIES_AT_ONCE 200
+#define POLL_RETRIES_PER_S 200
+#define POLL_RETRIES_AT_ONCE 200
 /* A worker whose lease has lapsed is still polled for so long. */
 #define GIVEN_UP_POLL_US (15 * RJ_US_PER_S)
-/* Ends that cannot be stored make looks return at once; until they are,
+/* Ends that cannot be stored make polls return at once; until they are,
  * leases are renewed at this pace. */
-#define LOOK_UNSTORED_US (700 * RJ_US_PER_MS)
-/*
- * Idle workers are looked at in turn, all of them together so often a second,
- * and so many at once after a takeover. A look costs an owner 0.16 ms of a
- * core with all that belongs to it, so that these take a twentieth of one,
- * whatever the number of workers; up to 450 workers it is a look each 1.5 s
- * for all.
- */
-#define IDLE_LOOKS_PER_S 300
-#define IDLE_LOOKS_AT_ONCE 450
-/*
- * Connections to more workers than this are not kept, for want of memory and
- * descriptors (the smallest instance has 160 MB and 4,100 of these), so that
- * each look there opens one: fewer looks then, and workers are taken to be as
- * well as their heartbeats say until the first order to them.
- */
+#define POLL_UNSTORED_US (700 * RJ_US_PER_MS)
+/* Idle workers are polled in turn, all of them together so often a second, and
+ * so many at once after a takeover, so that their cost does not follow their
+ * number. */
+#define IDLE_POLLS_PER_S 300
+#define IDLE_POLLS_AT_ONCE 450
+/* Of more workers than this no instance is sure to keep a connection to each,
+ * so that polls open new ones: fewer of them then, and workers are taken to be
+ * as well as their heartbeats say until the first order to them. */
 #define KNOWN_CLOSELY_MAX 1500
-#define IDLE_LOOKS_FAR_PER_S 50
+#define IDLE_POLLS_FAR_PER_S 50
+
 /* A listed run that is not ours: stop it, and count its room meanwhile. */
-static void stop_stray(struct rj_cell_owner *owner,
-		       struct rj_cell_worker *worker,
-		       const struct rj_cell_row *row)
+static void stop_orphan(struct rj_cell_owner *owner,
+			struct rj_cell_worker *worker,
+			const struct rj_cell_row *row)
 {
 	struct rj_cell_entry *entry = NULL;
 	struct rj_cell_run *run = talloc_zero(NULL, struct rj_cell_run);
@@ -59,7 +53,7 @@
 	run->name = talloc_strdup(run, row->name);
 	run->number = row->number;
 	run->state = RJ_CELL_RUN_STOPPING;
-	run->why = "stray";
+	run->why = "orphaned";
 	run->begun_us = owner->now_us;
 	if (entry && entry->def &&
 	    sscanf(row->name, "%*[^.].%*u.%u", &step) == 1 &&
@@ -85,7 +79,7 @@
 		if (run)
 			rj_cell_health_progress(owner, run, row);
 		else
-			stop_stray(owner, worker, row);
+			stop_orphan(owner, worker, row);
 	}
 }
 
@@ -240,13 +234,13 @@
 }
 
 /* A worker's lists have come. */
-static void take_look(struct rj_cell_owner *owner,
+static void take_poll(struct rj_cell_owner *owner,
 		      struct rj_cell_worker *worker,
 		      const struct rj_cell_call_note *call,
 		      const struct rj_cell_order_reply *reply)
 {
 	rj_cell_call_clock(worker, reply);
-	worker->look_failures = 0;
+	worker->poll_failures = 0;
 	worker->left_us = 0;
 	worker->given_up_us = 0;
 	rj_cell_call_answers(owner, worker, true, reply->status);
@@ -258,9 +252,9 @@
 	take_rows(owner, worker, reply);
 	drop_missing(owner, worker, call->sent_us, reply);
 	rj_cell_health_check(owner, worker);
-	worker->look_due_us = owner->now_us;
+	worker->poll_due_us = owner->now_us;
 	if (worker->seen_taken > worker->seen)
-		worker->look_due_us += LOOK_UNSTORED_US;
+		worker->poll_due_us += POLL_UNSTORED_US;
 }
 
 /*
@@ -273,7 +267,7 @@
 			 struct rj_cell_worker *worker, uint64_t sent_us,
 			 enum rj_cell_order_status status)
 {
-	uint64_t delay_us = LOOK_RETRY_US;
+	uint64_t delay_us = POLL_RETRY_US;
 
 	if (worker->left_us && sent_us >= worker->left_us)
 		rj_cell_call_lose_runs(owner, worker, "worker_left");
@@ -282,13 +276,13 @@
 	else
 		rj_cell_call_answers(owner, worker, false, status);
 	if (!is_wanted(owner, worker))
-		delay_us <<= MIN(worker->look_failures, 3U);
-	worker->look_failures++;
-	worker->look_due_us = owner->now_us + MIN(delay_us, LOOK_RETRY_MAX_US);
+		delay_us <<= MIN(worker->poll_failures, 3U);
+	worker->poll_failures++;
+	worker->poll_due_us = owner->now_us + MIN(delay_us, POLL_RETRY_MAX_US);
 }
 
-/* The answer to a look. */
-static void look_done(void *private_data,
+/* The answer to a poll. */
+static void poll_done(void *private_data,
 		      const struct rj_cell_order_reply *reply)
 {
 	struct rj_cell_call_note *call = private_data;
@@ -297,13 +291,13 @@
 
 	if (!worker)
 		goto free_call;
-	worker->look_open = false;
+	worker->poll_open = false;
 	if (reply->status == RJ_CELL_ORDER_FENCED) {
 		owner->lost = true;
 		goto free_call;
 	}
 	if (reply->status == RJ_CELL_ORDER_OK)
-		take_look(owner, worker, call, reply);
+		take_poll(owner, worker, call, reply);
 	else
 		note_failure(owner, worker, call->sent_us, reply->status);
 	if (!is_idle(owner, worker))
@@ -317,14 +311,14 @@
 }
 
 /* Ask a worker for its lists, renewing what runs there. */
-static void send_look(struct rj_cell_owner *owner,
+static void send_poll(struct rj_cell_owner *owner,
 		      struct rj_cell_worker *worker)
 {
-	struct rj_cell_look look = { .token = owner->token,
+	struct rj_cell_poll poll = { .token = owner->token,
 				     .timeout_ms =
-					     worker->look_failures ?
-						     LOOK_RETRY_TIMEOUT_MS :
-						     LOOK_TIMEOUT_MS };
+					     worker->poll_failures ?
+						     POLL_RETRY_TIMEOUT_MS :
+						     POLL_TIMEOUT_MS };
 	struct rj_cell_order_done done;
 	struct rj_cell_call_note *call;
 
@@ -334,36 +328,36 @@
 	 * one again. Until it has answered, nothing counts as seen.
 	 */
 	if (worker->answers)
-		look.seen = worker->seen;
+		poll.seen = worker->seen;
 	if (worker->incarnation && worker->answers)
-		look.wait_ms = MIN(LOOK_WAIT_MS, owner->terms.lease_max_ms /
-							 LOOK_WAIT_LEASE_PART);
+		poll.wait_ms = MIN(POLL_WAIT_MS, owner->terms.lease_max_ms /
+							 POLL_WAIT_LEASE_PART);
 	/*
 	 * Guards against leases that never lapse: a worker that is silent may
-	 * carry a look out late, so each deadline that was sent counts, and
+	 * carry a poll out late, so each deadline that was sent counts, and
 	 * with it the time until its tasks may start elsewhere.
 	 */
 	if (worker->incarnation && worker->answers &&
 	    worker->runs.next != &worker->runs)
-		look.deadline_ms = rj_cell_call_deadline(owner, worker);
+		poll.deadline_ms = rj_cell_call_deadline(owner, worker);
 	call = rj_cell_call_new(owner, worker, NULL);
-	call->seen = look.seen;
-	done.call = look_done;
+	call->seen = poll.seen;
+	done.call = poll_done;
 	done.private_data = call;
-	worker->look_open = true;
-	owner->counters.looks++;
-	owner->workers->ops->look(owner->workers, worker, &look, done);
+	worker->poll_open = true;
+	owner->counters.polls++;
+	owner->workers->ops->poll(owner->workers, worker, &poll, done);
 }
 
 /*
- * Nothing has been looked at yet: all idle workers may be met.
+ * Nothing has been polled yet: all idle workers may be met.
  */
-void rj_cell_looks_begin(struct rj_cell_owner *owner)
+void rj_cell_polls_begin(struct rj_cell_owner *owner)
 {
-	owner->idle_looks.calls = IDLE_LOOKS_AT_ONCE;
-	owner->idle_looks.updated_us = owner->now_us;
-	owner->retried_looks.calls = LOOK_RETRIES_AT_ONCE;
-	owner->retried_looks.updated_us = owner->now_us;
+	owner->idle_polls.calls = IDLE_POLLS_AT_ONCE;
+	owner->idle_polls.updated_us = owner->now_us;
+	owner->retried_polls.calls = POLL_RETRIES_AT_ONCE;
+	owner->retried_polls.updated_us = owner->now_us;
 }
 
 /* Add what has come free of an allowance since. */
@@ -393,13 +387,13 @@
  * Load that it answers: a takeover of a large fleet, which would wait until
  * thousands of workers have answered. The clock that the entry names is behind
  * the worker's by the age of the entry, so that a lease reckoned from it ends
- * early rather than late, and the first look renews it.
+ * early rather than late, and the first poll renews it.
  */
-void rj_cell_looks_trust(struct rj_cell_owner *owner,
+void rj_cell_polls_trust(struct rj_cell_owner *owner,
 			 struct rj_cell_worker *worker)
 {
 	if (owner->fleet.count <= KNOWN_CLOSELY_MAX || worker->incarnation ||
-	    worker->look_failures || !worker->said.clock_ms)
+	    worker->poll_failures || !worker->said.clock_ms)
 		return;
 	worker->answers = true;
 	worker->clock_ms = worker->said.clock_ms;
@@ -407,39 +401,39 @@
 }
 
 /*
- * Look at a worker as soon as can be, as there is news of it.
+ * Poll a worker as soon as can be, as there is news of it.
  */
-void rj_cell_looks_soon(struct rj_cell_owner *owner,
+void rj_cell_polls_soon(struct rj_cell_owner *owner,
 			struct rj_cell_worker *worker)
 {
-	worker->look_due_us = owner->now_us;
+	worker->poll_due_us = owner->now_us;
 	if (worker->watch != RJ_CELL_WATCH_CALLED)
 		rj_cell_worker_watch(worker, RJ_CELL_WATCH_BUSY);
 }
 
 /*
- * Look at a worker that holds something, if that is due.
+ * Poll a worker that holds something, if that is due.
  */
-void rj_cell_looks_busy(struct rj_cell_owner *owner,
+void rj_cell_polls_busy(struct rj_cell_owner *owner,
 			struct rj_cell_worker *worker)
 {
-	if (worker->look_open || owner->now_us < worker->look_due_us)
+	if (worker->poll_open || owner->now_us < worker->poll_due_us)
 		return;
-	if (worker->look_failures && !take_one(&owner->retried_looks))
+	if (worker->poll_failures && !take_one(&owner->retried_polls))
 		return;
 	if (worker->said.address.port &&
 	    (worker->listed || is_wanted(owner, worker)))
-		send_look(owner, worker);
+		send_poll(owner, worker);
 	else if (!is_wanted(owner, worker))
 		rj_cell_worker_watch(worker, RJ_CELL_WATCH_IDLE); /* to go */
 }
 
-/* Look at idle workers in their order, as far as the allowance goes. */
-static void look_at_idle(struct rj_cell_owner *owner, enum rj_cell_watch watch)
+/* Poll idle workers in their order, as far as the allowance goes. */
+static void poll_idle(struct rj_cell_owner *owner, enum rj_cell_watch watch)
 {
 	struct rj_list *list = &owner->fleet.watched[watch];
 
-	while (owner->idle_looks.calls >= 1 && list->next != list) {
+	while (owner->idle_polls.calls >= 1 && list->next != list) {
 		struct rj_cell_worker *worker = RJ_CONTAINER(
 			list->next, struct rj_cell_worker, in_watch);
 
@@ -448,30 +442,30 @@
 			rj_cell_fleet_drop(&owner->fleet, worker);
 			continue;
 		}
-		if (owner->now_us < worker->look_due_us)
+		if (owner->now_us < worker->poll_due_us)
 			break;
-		(void)take_one(&owner->idle_looks);
+		(void)take_one(&owner->idle_polls);
 		rj_cell_worker_watch(worker, RJ_CELL_WATCH_CALLED);
-		send_look(owner, worker);
+		send_poll(owner, worker);
 	}
 }
 
 /*
- * Look at idle workers.
+ * Poll idle workers.
  *
  * Load that it answers: many more workers than work. Those that hold runs are
- * looked at without a break, as their leases and ends depend on it; the rest
+ * polled without a break, as their leases and ends depend on it; the rest
  * share an allowance, so that an owner's cost follows its work.
  */
-void rj_cell_looks_tick(struct rj_cell_owner *owner)
+void rj_cell_polls_tick(struct rj_cell_owner *owner)
 {
 	uint32_t per_s = owner->fleet.count > KNOWN_CLOSELY_MAX ?
-				 IDLE_LOOKS_FAR_PER_S :
-				 IDLE_LOOKS_PER_S;
-
-	refill(&owner->idle_looks, owner->now_us, per_s, IDLE_LOOKS_AT_ONCE);
-	refill(&owner->retried_looks, owner->now_us, LOOK_RETRIES_PER_S,
-	       LOOK_RETRIES_AT_ONCE);
-	look_at_idle(owner, RJ_CELL_WATCH_IDLE);
-	look_at_idle(owner, RJ_CELL_WATCH_SILENT);
+				 IDLE_POLLS_FAR_PER_S :
+				 IDLE_POLLS_PER_S;
+
+	refill(&owner->idle_polls, owner->now_us, per_s, IDLE_POLLS_AT_ONCE);
+	refill(&owner->retried_polls, owner->now_us, POLL_RETRIES_PER_S,
+	       POLL_RETRIES_AT_ONCE);
+	poll_idle(owner, RJ_CELL_WATCH_IDLE);
+	poll_idle(owner, RJ_CELL_WATCH_SILENT);
 }
--- a/src/libradishjunction/cell/cell_reach.c
+++ b/src/libradishjunction/cell/cell_reach.c
@@ -64,7 +64,7 @@
 	}
 	rj_cell_call_clock(worker, reply);
 	if (reply->incarnation != worker->incarnation)
-		worker->look_due_us = owner->now_us;
+		worker->poll_due_us = owner->now_us;
 }
 
 /*
@@ -74,7 +74,7 @@
 void rj_cell_reach_probe(struct rj_cell_owner *owner,
 			 struct rj_cell_worker *worker)
 {
-	struct rj_cell_look look = { .token = owner->token,
+	struct rj_cell_poll poll = { .token = owner->token,
 				     .seen = worker->seen,
 				     .timeout_ms = PROBE_TIMEOUT_MS };
 	struct rj_cell_order_done done = { probe_done, NULL };
@@ -83,5 +83,5 @@
 		return;
 	worker->probe_open = true;
 	done.private_data = rj_cell_call_new(owner, worker, NULL);
-	owner->workers->ops->look(owner->workers, worker, &look, done);
+	owner->workers->ops->poll(owner->workers, worker, &poll, done);
 }
--- a/src/libradishjunction/cell/cell_rooms.c
+++ b/src/libradishjunction/cell/cell_rooms.c
@@ -10,16 +10,16 @@
  * it: for this much more than it has used of late, and for one gang more. A
  * gang of the users' median takes 12 accelerators.
  */
-#define KEPT_FACTOR 1.8
-#define KEPT_EXTRA 16.0
+#define RESERVED_FACTOR 1.8
+#define RESERVED_EXTRA 16.0
 /*
  * Of what urgent work has used of late this part is closed to all others:
  * there it starts at once, where stopping others first takes some 0.4 s of
  * the 1.5 s that it can wait.
  */
-#define CLOSED_FACTOR 1.6
+#define EXCLUSIVE_FACTOR 1.6
 /* Never more than this part of the racks; the rest serves all others. */
-#define KEPT_RACKS_PERCENT 67
+#define RESERVED_RACKS_PERCENT 67
 
 /* Gathering a room takes so many times as long as weighing it. */
 #define GATHER_EFFORT 4
@@ -87,16 +87,16 @@
 }
 
 /* Keep one rack; returns its accelerators. */
-static double keep_rack(struct rj_cell_plan *plan,
-			const struct rj_cell_rack_rooms *rack, bool closed)
+static double reserve_rack(struct rj_cell_plan *plan,
+			   const struct rj_cell_rack_rooms *rack, bool closed)
 {
 	double accelerators = 0;
 
 	for (uint32_t i = rack->first; i < rack->first + rack->count; i++) {
 		struct rj_cell_room *room = &plan->rooms[i];
 
-		room->kept = true;
-		room->closed = closed;
+		room->reserved = true;
+		room->exclusive = closed;
 		accelerators += room->worker->said.capacity.accelerators;
 	}
 	return accelerators;
@@ -110,21 +110,21 @@
  * stopped work that does not save its progress. Whole racks are kept, as
  * room that is spread over all racks holds no gang.
  */
-static void keep_racks(struct rj_cell_plan *plan)
+static void reserve_racks(struct rj_cell_plan *plan)
 {
 	double urgent = rj_cell_forecast_urgent(plan->forecast, plan->now_us);
-	double need = KEPT_FACTOR * urgent + KEPT_EXTRA;
-	double closed = CLOSED_FACTOR * urgent;
-	guint count = plan->racks->len * KEPT_RACKS_PERCENT / 100;
+	double need = RESERVED_FACTOR * urgent + RESERVED_EXTRA;
+	double closed = EXCLUSIVE_FACTOR * urgent;
+	guint count = plan->racks->len * RESERVED_RACKS_PERCENT / 100;
 
 	if (!plan->forecast->urgent_us)
 		return;
 	for (guint i = 0; i < count && need > 0; i++) {
-		double kept =
-			keep_rack(plan,
-				  &g_array_index(plan->racks,
-						 struct rj_cell_rack_rooms, i),
-				  closed > 0);
+		double kept = reserve_rack(
+			plan,
+			&g_array_index(plan->racks, struct rj_cell_rack_rooms,
+				       i),
+			closed > 0);
 
 		need -= kept;
 		closed -= kept;
@@ -264,5 +264,5 @@
 	}
 	plan->effort += (uint64_t)plan->room_count * GATHER_EFFORT;
 	order_racks(plan);
-	keep_racks(plan);
+	reserve_racks(plan);
 }
--- a/src/libradishjunction/cell/cell_shortage.c
+++ b/src/libradishjunction/cell/cell_shortage.c
@@ -18,8 +18,8 @@
 	const struct rj_cell_step *other = shortage->step;
 
 	return step->scavenges == other->scavenges &&
-	       (shortage->into_kept || !unit->into_kept) &&
-	       (shortage->into_closed || !unit->into_closed) &&
+	       (shortage->into_reserved || !unit->into_reserved) &&
+	       (shortage->into_exclusive || !unit->into_exclusive) &&
 	       (shortage->far || !unit->far) &&
 	       (!other->label[0] || !strcmp(other->label, step->label)) &&
 	       (!other->rack[0] || shortage->far ||
@@ -70,8 +70,8 @@
 		.when = when,
 		.count = count,
 		.far = unit->far,
-		.into_kept = unit->into_kept,
-		.into_closed = unit->into_closed,
+		.into_reserved = unit->into_reserved,
+		.into_exclusive = unit->into_exclusive,
 		.in_one_rack = is_confined(unit, count),
 	};
 
--- a/src/libradishjunction/cell/cell_units.c
+++ b/src/libradishjunction/cell/cell_units.c
@@ -13,8 +13,8 @@
  * What is kept for urgent work is opened to others that have waited so long
  * when less than this is in use: users expect idle capacity to be used.
  */
-#define KEPT_WAIT_US (2 * RJ_US_PER_S)
-#define KEPT_USED_PERCENT 55
+#define RESERVED_WAIT_US (2 * RJ_US_PER_S)
+#define RESERVED_USED_PERCENT 55
 /* Work goes in this order, whatever its priority. */
 enum tier {
 	TIER_GUARANTEED, /* its account has a right to the room at once */
@@ -131,8 +131,8 @@
 static bool is_idle(const struct rj_cell_plan *plan,
 		    const struct rj_cell_unit *unit)
 {
-	return rj_cell_usage_percent(&plan->usage) < KEPT_USED_PERCENT &&
-	       plan->now_us - unit->waiting_us >= KEPT_WAIT_US;
+	return rj_cell_usage_percent(&plan->usage) < RESERVED_USED_PERCENT &&
+	       plan->now_us - unit->waiting_us >= RESERVED_WAIT_US;
 }
 
 /*
@@ -145,9 +145,9 @@
 	const struct rj_cell_def *def = unit->work->def;
 	const struct rj_cell_step *step = &def->steps[unit->step];
 
-	unit->into_closed = !def->priority || is_idle(plan, unit);
-	unit->into_kept =
-		unit->into_closed || (step->checkpoints && !step->perpetual);
+	unit->into_exclusive = !def->priority || is_idle(plan, unit);
+	unit->into_reserved =
+		unit->into_exclusive || (step->checkpoints && !step->perpetual);
 }
 
 /*
--- a/src/libradishjunction/include/private/cell_calls.h
+++ b/src/libradishjunction/include/private/cell_calls.h
@@ -18,9 +18,9 @@
 	uint32_t generation;
 	uint64_t sent_us;
 	char worker[RJ_NAME_BYTES];
-	char *name; /* of the run; NULL for looks */
+	char *name; /* of the run; NULL for polls */
 	uint32_t number;
-	uint64_t seen; /* looks: ends that the worker may forget */
+	uint64_t seen; /* polls: ends that the worker may forget */
 };
 
 struct rj_cell_call_note *rj_cell_call_new(struct rj_cell_owner *owner,
@@ -42,8 +42,8 @@
 		    const struct rj_cell_order_reply *reply);
 void rj_cell_call_other_life(struct rj_cell_owner *owner,
 			     struct rj_cell_worker *worker);
-void rj_cell_looks_busy(struct rj_cell_owner *owner,
+void rj_cell_polls_busy(struct rj_cell_owner *owner,
 			struct rj_cell_worker *worker);
-void rj_cell_looks_tick(struct rj_cell_owner *owner);
+void rj_cell_polls_tick(struct rj_cell_owner *owner);
 
 #endif
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -29,12 +29,12 @@
 	uint64_t clock_ms; /* its clock when it said so; 0: not said */
 };
 
-/* How an owner keeps an eye on a worker; see rj_cell_looks_tick. */
+/* How an owner keeps an eye on a worker; see rj_cell_polls_tick. */
 enum rj_cell_watch {
 	RJ_CELL_WATCH_BUSY, /* it holds runs, or ends that are not stored */
-	RJ_CELL_WATCH_IDLE, /* it waits for its turn to be looked at */
-	RJ_CELL_WATCH_SILENT, /* idle, and its last look was not answered */
-	RJ_CELL_WATCH_CALLED, /* a look at an idle worker is on its way */
+	RJ_CELL_WATCH_IDLE, /* it waits for its turn to be polled */
+	RJ_CELL_WATCH_SILENT, /* idle, and its last poll was not answered */
+	RJ_CELL_WATCH_CALLED, /* a poll at an idle worker is on its way */
 	RJ_CELL_WATCH_COUNT
 };
 
@@ -88,9 +88,9 @@
 	uint64_t lease_ms;
 	uint64_t lapsed_us; /* nothing runs there after this, if silent */
 	uint64_t given_up_us; /* when its runs were, as that passed; or 0 */
-	bool look_open; /* a call for its lists is on its way */
-	uint64_t look_due_us;
-	uint32_t look_failures;
+	bool poll_open; /* a call for its lists is on its way */
+	uint64_t poll_due_us;
+	uint32_t poll_failures;
 	uint64_t seen; /* ends up to this number are stored */
 	uint64_t seen_taken; /* ... are noted in memory */
 	uint64_t seen_storing; /* ... are in the append on its way */
@@ -114,7 +114,7 @@
 	struct rj_list workers;
 	uint32_t count;
 	/* Each worker is in one; those of idle and silent in the order in
-	 * which they are to be looked at. */
+	 * which they are to be polled. */
 	struct rj_list watched[RJ_CELL_WATCH_COUNT];
 	struct rj_list ordered; /* workers with orders to be sent */
 	struct rj_list unstored; /* workers with ends that are not stored */
--- a/src/libradishjunction/include/private/cell_node.h
+++ b/src/libradishjunction/include/private/cell_node.h
@@ -48,11 +48,11 @@
 	struct rj_cell_tenure tenure;
 	struct rj_cell_owner_record former; /* of the tenure before */
 	uint64_t fenced_token; /* the last that was taken from us */
-	bool probing; /* reading the log to its end before a bid */
+	bool probing; /* reading the log to its end before it acquires */
 	struct rj_cell_sync probe;
 	uint64_t started_us;
-	bool bidding; /* an ownership record is on its way */
-	uint64_t bid_due_us;
+	bool acquiring; /* an ownership record is on its way */
+	uint64_t acquire_due_us;
 	uint32_t stagger_us; /* this instance waits so much longer */
 	bool draining;
 	uint64_t now_us;
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -41,7 +41,7 @@
 	struct rj_latency orders; /* starts that were taken */
 	uint64_t starts;
 	uint64_t stops;
-	uint64_t looks;
+	uint64_t polls;
 	uint64_t ends[RJ_CELL_END_COUNT];
 	uint64_t completed;
 	uint64_t failed;
@@ -91,8 +91,8 @@
 	bool write_failed; /* one of the present flush was not stored */
 	uint64_t watch_due_us; /* when busy workers are visited */
 	uint64_t rounds_due_us; /* when jobs with times are looked through */
-	struct rj_cell_allowance idle_looks; /* at workers that hold nothing */
-	struct rj_cell_allowance retried_looks; /* at silent ones that do */
+	struct rj_cell_allowance idle_polls; /* at workers that hold nothing */
+	struct rj_cell_allowance retried_polls; /* at silent ones that do */
 	uint64_t drop_due_us; /* when ended jobs are looked through */
 	uint64_t beat_due_us;
 	uint32_t beat_number;
@@ -113,7 +113,7 @@
 /*
  * An owner that cannot write the log goes on for so long: it keeps what runs,
  * as the log may be away for all, and starts nothing. Then it lets leases
- * lapse, so that an heir who cannot reach some workers knows when nothing
+ * lapse, so that an successor who cannot reach some workers knows when nothing
  * runs there. The users' log is away for 9 s at most.
  */
 #define RJ_CELL_BLIND_US (10 * RJ_US_PER_S)
@@ -139,10 +139,10 @@
 bool rj_cell_owner_may_start(const struct rj_cell_owner *owner);
 bool rj_cell_owner_blind(const struct rj_cell_owner *owner);
 void rj_cell_orders_tick(struct rj_cell_owner *owner);
-void rj_cell_looks_begin(struct rj_cell_owner *owner);
-void rj_cell_looks_trust(struct rj_cell_owner *owner,
+void rj_cell_polls_begin(struct rj_cell_owner *owner);
+void rj_cell_polls_trust(struct rj_cell_owner *owner,
 			 struct rj_cell_worker *worker);
-void rj_cell_looks_soon(struct rj_cell_owner *owner,
+void rj_cell_polls_soon(struct rj_cell_owner *owner,
 			struct rj_cell_worker *worker);
 void rj_cell_ends_over(struct rj_cell_owner *owner,
 		       struct rj_cell_worker *worker);
--- a/src/libradishjunction/include/private/cell_place.h
+++ b/src/libradishjunction/include/private/cell_place.h
@@ -20,8 +20,8 @@
 	bool far; /* may run away from its data */
 	bool advised; /* an outside policy says which workers may run it */
 	bool guaranteed; /* its account has a right to the room at once */
-	bool into_closed; /* is urgent, or much is idle */
-	bool into_kept; /* may use what is kept for urgent work */
+	bool into_exclusive; /* is urgent, or much is idle */
+	bool into_reserved; /* may use what is kept for urgent work */
 	const char *service; /* interned */
 };
 
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -22,8 +22,8 @@
 struct rj_cell_room {
 	struct rj_cell_worker *worker;
 	uint32_t rack; /* its place among the plan's ranges */
-	bool kept; /* for urgent work; others only if they can be stopped */
-	bool closed; /* for urgent work alone */
+	bool reserved; /* for urgent work; others only if they can be stopped */
+	bool exclusive; /* for urgent work alone */
 	struct rj_cell_demand now; /* free */
 	struct rj_cell_demand soon; /* free once what is stopping has gone */
 	struct rj_cell_demand promised; /* of what will come free later */
--- a/src/libradishjunction/include/private/cell_record.h
+++ b/src/libradishjunction/include/private/cell_record.h
@@ -30,7 +30,8 @@
 	uint64_t incarnation;
 	uint32_t strength; /* hundredths of a core */
 	bool leaving; /* the cell is free: whoever is first may take it */
-	uint64_t since_ms; /* 1970, by its clock, when it bid; 0: not said */
+	uint64_t
+		since_ms; /* 1970, by its clock, when it wrote this; 0: not said */
 	uint64_t epoch; /* under which it writes the log; 0: not said */
 };
 
--- a/src/libradishjunction/include/private/cell_shortage.h
+++ b/src/libradishjunction/include/private/cell_shortage.h
@@ -15,8 +15,8 @@
 	enum rj_cell_when when;
 	uint32_t count; /* of tasks that were to be placed together */
 	bool far;
-	bool into_kept;
-	bool into_closed;
+	bool into_reserved;
+	bool into_exclusive;
 	bool in_one_rack;
 };
 
--- a/src/libradishjunction/include/private/cell_workers.h
+++ b/src/libradishjunction/include/private/cell_workers.h
@@ -62,7 +62,7 @@
 	enum rj_cell_order_status status;
 	uint64_t now_us; /* when the answer came, by the node's clock */
 	uint64_t clock_ms; /* of the worker; 0 when it was not said */
-	uint64_t incarnation; /* looks: of the worker */
+	uint64_t incarnation; /* polls: of the worker */
 	const struct rj_cell_row *rows;
 	uint32_t row_count;
 	const struct rj_cell_end_row *ends;
@@ -86,7 +86,7 @@
 	uint64_t token;
 };
 
-struct rj_cell_look {
+struct rj_cell_poll {
 	uint64_t token;
 	uint64_t seen; /* ends up to here may be forgotten */
 	uint64_t deadline_ms; /* 0: the leases stay as they are */
@@ -105,9 +105,9 @@
 		     const struct rj_cell_worker *worker, const char *name,
 		     uint32_t number, uint64_t token,
 		     struct rj_cell_order_done done);
-	void (*look)(struct rj_cell_workers *workers,
+	void (*poll)(struct rj_cell_workers *workers,
 		     const struct rj_cell_worker *worker,
-		     const struct rj_cell_look *look,
+		     const struct rj_cell_poll *poll,
 		     struct rj_cell_order_done done);
 };
 
--- a/src/standin_users/standin.h
+++ b/src/standin_users/standin.h
@@ -68,7 +68,7 @@
 	uint64_t ends;
 	uint64_t lapsed_ms; /* when its lease was last found to have lapsed */
 	GArray *ended_ms; /* uint64_t: of each row of finished */
-	GPtrArray *waiting; /* struct waiting_look */
+	GPtrArray *waiting; /* struct waiting_poll */
 	json_t *done; /* name -> how often it has ended well */
 };
 
--- a/src/standin_users/worker.c
+++ b/src/standin_users/worker.c
@@ -15,12 +15,12 @@
 /* What stands still does not get beyond this. */
 #define STILL_PERCENT 60
 
-/* A look that waits for an end. */
-struct waiting_look {
+/* A poll that waits for an end. */
+struct waiting_poll {
 	struct standin_worker *worker;
 	struct rj_http_exchange *exchange;
 	uint64_t until_ms;
-	struct waiting_look **hook; /* freed with the exchange */
+	struct waiting_poll **hook; /* freed with the exchange */
 };
 
 /*
@@ -62,8 +62,8 @@
 	answer(exchange, 409, json_pack("{s:s}", "Reason", reason));
 }
 
-/* Answer a look with both lists. */
-static void answer_look(struct standin_worker *worker,
+/* Answer a poll with both lists. */
+static void answer_poll(struct standin_worker *worker,
 			struct rj_http_exchange *exchange)
 {
 	json_t *rows = json_array();
@@ -91,8 +91,8 @@
 			 "Running", rows, "Finished", worker->finished));
 }
 
-/* The client of a waiting look has gone. */
-static int hook_destructor(struct waiting_look **hook)
+/* The client of a waiting poll has gone. */
+static int hook_destructor(struct waiting_poll **hook)
 {
 	if (*hook) {
 		g_ptr_array_remove((*hook)->worker->waiting, *hook);
@@ -101,18 +101,18 @@
 	return 0;
 }
 
-/* End the looks that have waited long enough, or all. */
-static void end_looks(struct standin_worker *worker, bool all)
+/* End the polls that have waited long enough, or all. */
+static void end_polls(struct standin_worker *worker, bool all)
 {
 	for (guint i = worker->waiting->len; i > 0; i--) {
-		struct waiting_look *look = worker->waiting->pdata[i - 1];
+		struct waiting_poll *poll = worker->waiting->pdata[i - 1];
 
-		if (!all && standin_now_ms() < look->until_ms)
+		if (!all && standin_now_ms() < poll->until_ms)
 			continue;
 		g_ptr_array_remove_index(worker->waiting, i - 1);
-		*look->hook = NULL;
-		answer_look(worker, look->exchange);
-		g_free(look);
+		*poll->hook = NULL;
+		answer_poll(worker, poll->exchange);
+		g_free(poll);
 	}
 }
 
@@ -140,7 +140,7 @@
 }
 
 /*
- * Work on: runs end, leases lapse, looks have waited long enough.
+ * Work on: runs end, leases lapse, polls have waited long enough.
  */
 void standin_worker_step(struct standin_worker *worker)
 {
@@ -166,7 +166,7 @@
 			now_ms > worker->lease_ms ? "lapsed" : how);
 		ended = true;
 	}
-	end_looks(worker, ended);
+	end_polls(worker, ended);
 }
 
 /* The fields that all orders have in common; false when the order has been
@@ -238,7 +238,7 @@
 		json_object_set(worker->barred, name,
 				json_object_get(body, "RunId"));
 	answer(exchange, 200, json_object());
-	end_looks(worker, true);
+	end_polls(worker, true);
 }
 
 /* Ends up to a number have been taken note of. */
@@ -263,30 +263,30 @@
 	}
 }
 
-/* A look: ends that were seen are forgotten. */
-static void handle_look(struct standin_worker *worker,
+/* A poll: ends that were seen are forgotten. */
+static void handle_poll(struct standin_worker *worker,
 			struct rj_http_exchange *exchange, const json_t *body)
 {
 	json_int_t seen = json_integer_value(json_object_get(body, "LastSeen"));
 	json_int_t wait_ms =
 		json_integer_value(json_object_get(body, "WaitMs"));
-	struct waiting_look *look;
+	struct waiting_poll *poll;
 
 	if (!take_order(worker, exchange, body))
 		return;
 	forget_ends(worker, seen);
 	if (!wait_ms || json_array_size(worker->finished)) {
-		answer_look(worker, exchange);
+		answer_poll(worker, exchange);
 		return;
 	}
-	look = g_new0(struct waiting_look, 1);
-	look->worker = worker;
-	look->exchange = exchange;
-	look->until_ms = standin_now_ms() + (uint64_t)wait_ms;
-	look->hook = talloc(exchange, struct waiting_look *);
-	*look->hook = look;
-	talloc_set_destructor(look->hook, hook_destructor);
-	g_ptr_array_add(worker->waiting, look);
+	poll = g_new0(struct waiting_poll, 1);
+	poll->worker = worker;
+	poll->exchange = exchange;
+	poll->until_ms = standin_now_ms() + (uint64_t)wait_ms;
+	poll->hook = talloc(exchange, struct waiting_poll *);
+	*poll->hook = poll;
+	talloc_set_destructor(poll->hook, hook_destructor);
+	g_ptr_array_add(worker->waiting, poll);
 }
 
 /* The worker crashes, and starts again under its id: it holds nothing. */
@@ -306,7 +306,7 @@
 	worker->token = 0;
 	worker->lease_ms = 0;
 	worker->born_ms = standin_now_ms();
-	end_looks(worker, true);
+	end_polls(worker, true);
 }
 
 /* The test says what the worker does from now on, and where it is. */
@@ -343,7 +343,7 @@
 	else if (!strcmp(exchange->path, "/-/run-stop"))
 		handle_stop(worker, exchange, body);
 	else if (!strcmp(exchange->path, "/-/hold"))
-		handle_look(worker, exchange, body);
+		handle_poll(worker, exchange, body);
 	else if (!strcmp(exchange->path, "/standin/fault"))
 		handle_fault(worker, exchange, body);
 	else if (!strcmp(exchange->path, "/standin/done"))
--- a/src/test_libradishjunction/support/cell_fake.h
+++ b/src/test_libradishjunction/support/cell_fake.h
@@ -59,10 +59,10 @@
 void cell_fake_forget(struct cell_world *world, struct cell_fake_worker *worker,
 		      uint64_t seen);
 
-/* Looks that wait. */
-void cell_fake_wake_looks(struct cell_fake_worker *worker);
-void cell_fake_end_looks(struct cell_world *world,
+/* Polls that wait. */
+void cell_fake_wake_polls(struct cell_fake_worker *worker);
+void cell_fake_end_polls(struct cell_world *world,
 			 struct cell_fake_worker *worker);
-void cell_fake_lose_looks(struct cell_fake_worker *worker);
+void cell_fake_lose_polls(struct cell_fake_worker *worker);
 
 #endif
--- a/src/test_libradishjunction/support/cell_fake_orders.c
+++ b/src/test_libradishjunction/support/cell_fake_orders.c
@@ -16,7 +16,7 @@
 enum order_kind {
 	ORDER_START,
 	ORDER_STOP,
-	ORDER_LOOK,
+	ORDER_POLL,
 };
 
 /* An order on its way. */
@@ -29,7 +29,7 @@
 	uint64_t sent_us;
 	struct rj_cell_order_done done;
 	struct rj_cell_start start;
-	struct rj_cell_look look;
+	struct rj_cell_poll poll;
 	bool late; /* it is carried out, and nobody hears of it */
 	uint64_t until_us;
 	struct rj_cell_order_reply reply;
@@ -59,9 +59,9 @@
 /* After how long an order counts as lost. */
 static uint64_t timeout_us(const struct order *order)
 {
-	if (order->kind != ORDER_LOOK)
+	if (order->kind != ORDER_POLL)
 		return TIMEOUT_US;
-	return (order->look.wait_ms + order->look.timeout_ms) * MS;
+	return (order->poll.wait_ms + order->poll.timeout_ms) * MS;
 }
 
 /* The order gets no answer. */
@@ -132,8 +132,8 @@
 	order->reply.end_count = worker->ends->len;
 }
 
-/* Answer a look with both lists. */
-static void answer_look(struct order *order)
+/* Answer a poll with both lists. */
+static void answer_poll(struct order *order)
 {
 	list_runs(order);
 	list_ends(order);
@@ -141,45 +141,45 @@
 }
 
 /*
- * Answer the looks that wait, as something has ended.
+ * Answer the polls that wait, as something has ended.
  */
-void cell_fake_wake_looks(struct cell_fake_worker *worker)
+void cell_fake_wake_polls(struct cell_fake_worker *worker)
 {
-	while (worker->looks->len) {
-		struct order *order = worker->looks->pdata[0];
+	while (worker->polls->len) {
+		struct order *order = worker->polls->pdata[0];
 
-		g_ptr_array_remove_index(worker->looks, 0);
-		answer_look(order);
+		g_ptr_array_remove_index(worker->polls, 0);
+		answer_poll(order);
 	}
 }
 
 /*
- * End the looks that have waited long enough.
+ * End the polls that have waited long enough.
  */
-void cell_fake_end_looks(struct cell_world *world,
+void cell_fake_end_polls(struct cell_world *world,
 			 struct cell_fake_worker *worker)
 {
-	for (guint i = 0; i < worker->looks->len;) {
-		struct order *order = worker->looks->pdata[i];
+	for (guint i = 0; i < worker->polls->len;) {
+		struct order *order = worker->polls->pdata[i];
 
 		if (world->now_us < order->until_us) {
 			i++;
 			continue;
 		}
-		g_ptr_array_remove_index(worker->looks, i);
-		answer_look(order);
+		g_ptr_array_remove_index(worker->polls, i);
+		answer_poll(order);
 	}
 }
 
 /*
- * The looks that wait get no answer, as the worker has gone.
+ * The polls that wait get no answer, as the worker has gone.
  */
-void cell_fake_lose_looks(struct cell_fake_worker *worker)
+void cell_fake_lose_polls(struct cell_fake_worker *worker)
 {
-	while (worker->looks->len) {
-		struct order *order = worker->looks->pdata[0];
+	while (worker->polls->len) {
+		struct order *order = worker->polls->pdata[0];
 
-		g_ptr_array_remove_index(worker->looks, 0);
+		g_ptr_array_remove_index(worker->polls, 0);
 		lose(order);
 	}
 }
@@ -250,29 +250,29 @@
 	return RJ_CELL_ORDER_OK;
 }
 
-/* A look arrives: it may wait for an end. */
-static void do_look(struct cell_world *world, struct order *order)
+/* A poll arrives: it may wait for an end. */
+static void do_poll(struct cell_world *world, struct order *order)
 {
 	struct cell_fake_worker *worker = order->worker;
-	const struct rj_cell_look *look = &order->look;
+	const struct rj_cell_poll *poll = &order->poll;
 	uint64_t longest_ms =
 		cell_fake_clock_ms(world, worker) + world->plan.lease_max_ms;
 
-	if (look->token < worker->token) {
+	if (poll->token < worker->token) {
 		answer(order, RJ_CELL_ORDER_FENCED);
 		return;
 	}
-	worker->token = look->token;
-	if (look->deadline_ms)
+	worker->token = poll->token;
+	if (poll->deadline_ms)
 		worker->lease_ms = MAX(worker->lease_ms,
-				       MIN(look->deadline_ms, longest_ms));
-	cell_fake_forget(world, worker, look->seen);
-	if (!look->wait_ms || worker->ends->len || order->late) {
-		answer_look(order);
+				       MIN(poll->deadline_ms, longest_ms));
+	cell_fake_forget(world, worker, poll->seen);
+	if (!poll->wait_ms || worker->ends->len || order->late) {
+		answer_poll(order);
 		return;
 	}
-	order->until_us = world->now_us + look->wait_ms * MS;
-	g_ptr_array_add(worker->looks, order);
+	order->until_us = world->now_us + poll->wait_ms * MS;
+	g_ptr_array_add(worker->polls, order);
 }
 
 /* An order arrives at the worker. */
@@ -310,7 +310,7 @@
 	else if (order->kind == ORDER_STOP)
 		answer(order, do_stop(world, order));
 	else
-		do_look(world, order);
+		do_poll(world, order);
 }
 
 /* Send an order; some are carried out late, and never answered. */
@@ -319,7 +319,7 @@
 	struct cell_world *world = order->node->world;
 	struct cell_fake_worker *worker = order->worker;
 
-	if (order->kind != ORDER_LOOK && worker->leave_percent &&
+	if (order->kind != ORDER_POLL && worker->leave_percent &&
 	    cell_world_random(world, 100) < worker->leave_percent) {
 		struct order *late =
 			talloc_memdup(world->mem, order, sizeof(*order));
@@ -398,19 +398,19 @@
 }
 
 /* A node asks for the lists. */
-static void workers_look(struct rj_cell_workers *workers,
+static void workers_poll(struct rj_cell_workers *workers,
 			 const struct rj_cell_worker *worker,
-			 const struct rj_cell_look *look,
+			 const struct rj_cell_poll *poll,
 			 struct rj_cell_order_done done)
 {
-	struct order *order = order_new(workers, worker, ORDER_LOOK, done);
+	struct order *order = order_new(workers, worker, ORDER_POLL, done);
 
-	order->look = *look;
+	order->poll = *poll;
 	send(order);
 }
 
 const struct rj_cell_workers_ops cell_workers_ops = {
 	.start = workers_start,
 	.stop = workers_stop,
-	.look = workers_look,
+	.poll = workers_poll,
 };
--- a/src/test_libradishjunction/support/cell_fake_workers.c
+++ b/src/test_libradishjunction/support/cell_fake_workers.c
@@ -111,7 +111,7 @@
 	cell_check_end(world, worker, run->name, run->number, how);
 	g_ptr_array_remove(worker->runs, run);
 	run_free(world, run);
-	cell_fake_wake_looks(worker);
+	cell_fake_wake_polls(worker);
 }
 
 /* Runs of earlier workers come first; of one worker, those that began first. */
@@ -262,7 +262,7 @@
 	return false;
 }
 
-/* All workers work on, and looks that have waited long enough end. */
+/* All workers work on, and polls that have waited long enough end. */
 static void step_all(void *data)
 {
 	struct cell_world *world = data;
@@ -281,7 +281,7 @@
 			else if (worker->runs->len != before - 1)
 				j = 0; /* others of its gang went with it */
 		}
-		cell_fake_end_looks(world, worker);
+		cell_fake_end_polls(world, worker);
 	}
 	cell_world_at(world, STEP_US, step_all, world);
 }
@@ -445,7 +445,7 @@
 			g_array_new(FALSE, FALSE, sizeof(struct cell_fake_end));
 		worker->barred = g_hash_table_new_full(g_str_hash, g_str_equal,
 						       g_free, NULL);
-		worker->looks = g_ptr_array_new();
+		worker->polls = g_ptr_array_new();
 		be_born(world, worker);
 		cell_world_at(world, i * MS, beat, worker);
 	}
@@ -482,7 +482,7 @@
 	if (!worker->up)
 		return;
 	worker->up = false;
-	cell_fake_lose_looks(worker);
+	cell_fake_lose_polls(worker);
 	drop_runs(world, worker);
 }
 
@@ -568,6 +568,6 @@
 		g_ptr_array_free(worker->runs, TRUE);
 		g_array_free(worker->ends, TRUE);
 		g_hash_table_destroy(worker->barred);
-		g_ptr_array_free(worker->looks, TRUE);
+		g_ptr_array_free(worker->polls, TRUE);
 	}
 }
--- a/src/test_libradishjunction/support/cell_world.c
+++ b/src/test_libradishjunction/support/cell_world.c
@@ -334,7 +334,7 @@
 	node->cpu_ns += cpu_now_ns();
 }
 
-/* A node looks for what is due. */
+/* A node polls for what is due. */
 static void tick(void *data)
 {
 	struct cell_world_node *node = data;
--- a/src/test_libradishjunction/support/cell_world.h
+++ b/src/test_libradishjunction/support/cell_world.h
@@ -112,7 +112,7 @@
 	GArray *ends; /* struct cell_fake_end */
 	uint64_t ends_count;
 	GHashTable *barred; /* name -> highest run that ended or was stopped */
-	GPtrArray *looks; /* struct cell_fake_look that wait */
+	GPtrArray *polls; /* struct cell_fake_poll that wait */
 };
 
 struct cell_world_node {
--- a/src/test_libradishjunction/test_cell_path.c
+++ b/src/test_libradishjunction/test_cell_path.c
@@ -224,7 +224,7 @@
 
 /*
  * On a deployment with short leases no task ever ends, and no call is served.
- * The owner's looks waited longer than a lease lasts, and the configuration
+ * The owner's polls waited longer than a lease lasts, and the configuration
  * was asked for less often than keys are good.
  */
 static void test_short_leases_and_bounds(void)
--- a/src/test_libradishjunction/test_cell_reach.c
+++ b/src/test_libradishjunction/test_cell_reach.c
@@ -269,7 +269,7 @@
 			 ==, 4000);
 }
 
-/* A successor loses each bid against records that come all the time. */
+/* A successor loses each attempt to acquire the cell against records that come all the time. */
 static void test_a_busy_log_is_taken_over(struct cell_fixture *f,
 					  const void *data)
 {
--- a/src/test_libradishjunction/test_cell_scale.c
+++ b/src/test_libradishjunction/test_cell_scale.c
@@ -7,7 +7,7 @@
 #define LARGE_WORKERS 3000
 /* A quarter of a core makes so many calls to workers a second beside its
  * other work; see docs/CAPACITY.md. */
-#define LOOKS_PER_S_MAX 320
+#define POLLS_PER_S_MAX 320
 /* Jobs of 100 tasks, and what an instance may read of each: its definition,
  * its states, and heartbeats of the owner. */
 #define PROGRESS_JOBS 20
@@ -29,16 +29,16 @@
 }
 
 /* How many calls for lists the owner makes in the next seconds. */
-static uint64_t looks_in(struct cell_world *world, uint32_t seconds)
+static uint64_t polls_in(struct cell_world *world, uint32_t seconds)
 {
 	int owner = cell_world_owner(world);
 	uint64_t before;
 
 	g_assert_cmpint(owner, >=, 0);
-	before = world->nodes[owner].node.owner.counters.looks;
+	before = world->nodes[owner].node.owner.counters.polls;
 	cell_world_run(world, seconds * S);
 	g_assert_cmpint(cell_world_owner(world), ==, owner);
-	return world->nodes[owner].node.owner.counters.looks - before;
+	return world->nodes[owner].node.owner.counters.polls - before;
 }
 
 /*
@@ -54,7 +54,7 @@
 
 	begin(world, LARGE_WORKERS);
 	cell_world_run(world, 20 * S);
-	g_assert_cmpuint(looks_in(world, 10), <, 10 * LOOKS_PER_S_MAX);
+	g_assert_cmpuint(polls_in(world, 10), <, 10 * POLLS_PER_S_MAX);
 	cell_world_finish(world);
 	g_free(world);
 }
@@ -68,14 +68,14 @@
 
 	begin(world, 48);
 	cell_world_run(world, 5 * S);
-	g_assert_cmpuint(looks_in(world, 6), >=, 48 * 3);
+	g_assert_cmpuint(polls_in(world, 6), >=, 48 * 3);
 	cell_world_finish(world);
 	g_free(world);
 }
 
 /*
  * A job comes to a large site just after an owner has died: it begins
- * although the heir has not met all workers yet, and what runs is renewed.
+ * although the successor has not met all workers yet, and what runs is renewed.
  */
 static void test_large_site_serves_after_a_takeover(void)
 {
