cell: workers that are slow after their start come last

A domain that operators give back has workers that say how much longer they are slow. They get work once no other worker can take it, so that the domain's load comes back by what it can do. Test cell_cordon/cold, which failed with the preference taken out.

--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -253,6 +253,8 @@
 	rj_cell_worker_say(worker, heartbeat);
 	worker->written_us = written_us;
 	worker->leaves_us = 0;
+	worker->cold_until_us =
+		owner->now_us + heartbeat->cold_left_ms * RJ_US_PER_MS;
 	if (heartbeat->draining && heartbeat->drain_left_ms)
 		worker->leaves_us = (written_us ? written_us : owner->now_us) +
 				    heartbeat->drain_left_ms * RJ_US_PER_MS;
--- a/src/libradishjunction/cell/cell_place.c
+++ b/src/libradishjunction/cell/cell_place.c
@@ -12,7 +12,8 @@
 #define COST_MIXED_BIT 50 /* work that serves beside work that fills */
 #define COST_UNPROVEN_BIT 49 /* last failed, and so did the task */
 #define COST_FAR_BIT 48 /* away from the task's data */
-#define COST_RESERVED_BIT 47 /* on the wrong side of what is kept */
+#define COST_COLD_BIT 47 /* on a worker that is slow after its start */
+#define COST_RESERVED_BIT 46 /* on the wrong side of what is reserved */
 
 /* Count one run of the step that is being placed at its worker. */
 static void count_sibling(const struct rj_cell_run *run)
@@ -240,8 +241,9 @@
  * How bad a fit is. Accelerators that would be left over come first, so that
  * small tasks fill workers that are in use already and whole workers stay
  * free for gangs; then memory, of which the large tasks need half a worker.
- * Data that is far away outweighs these, and urgent work goes to what is kept
- * for it before it takes other workers. A task that has failed goes, if it
+ * Data that is far away outweighs these, and urgent work goes to what is
+ * reserved for it before it takes other workers. Workers that are slow after
+ * their start come after all that are not. A task that has failed goes, if it
  * can, where the last run did not fail: a worker that fails all it starts has
  * room again at once, and would use up the task's attempts. What serves users
  * within a bound and what fills the room beside it disturb each other, so
@@ -258,11 +260,13 @@
 	bool far = step->rack[0] && strcmp(step->rack, room->worker->said.rack);
 	bool unproven = is_unproven(plan, room->worker, task);
 	bool wrong_side = room->reserved != !unit->work->def->priority;
+	bool cold = plan->now_us < room->worker->cold_until_us;
 	bool mixed = step->target_ms ? room->filling : room->serving;
 
 	return ((uint64_t)mixed << COST_MIXED_BIT) |
 	       ((uint64_t)unproven << COST_UNPROVEN_BIT) |
 	       ((uint64_t)far << COST_FAR_BIT) |
+	       ((uint64_t)cold << COST_COLD_BIT) |
 	       ((uint64_t)wrong_side << COST_RESERVED_BIT) |
 	       (left << COST_MEMORY_BITS) |
 	       (have->memory_mb - step->each.memory_mb);
--- a/src/libradishjunction/cell/cell_rooms.c
+++ b/src/libradishjunction/cell/cell_rooms.c
@@ -6,7 +6,7 @@
 #include "private/cell_release.h"
 
 /*
- * Urgent work comes in bursts and has no time to wait, so racks are kept for
+ * Urgent work comes in bursts and has no time to wait, so racks are reserved for
  * it: for this much more than it has used of late, and for one gang more. A
  * gang of the users' median takes 12 accelerators.
  */
@@ -86,9 +86,10 @@
 		   MAX(percent(&usage->memory), percent(&usage->accelerators)));
 }
 
-/* Keep one rack; returns its accelerators. */
+/* Reserve one rack; returns its accelerators. */
 static double reserve_rack(struct rj_cell_plan *plan,
-			   const struct rj_cell_rack_rooms *rack, bool closed)
+			   const struct rj_cell_rack_rooms *rack,
+			   bool exclusive)
 {
 	double accelerators = 0;
 
@@ -96,38 +97,38 @@
 		struct rj_cell_room *room = &plan->rooms[i];
 
 		room->reserved = true;
-		room->exclusive = closed;
+		room->exclusive = exclusive;
 		accelerators += room->worker->said.capacity.accelerators;
 	}
 	return accelerators;
 }
 
 /*
- * Keep racks for urgent work.
+ * Reserve racks for urgent work.
  *
  * Load that it answers: bursts of urgent gangs, of which half must be in one
  * rack, over a site that longer work has filled. Without it each of them
- * stopped work that does not save its progress. Whole racks are kept, as
+ * stopped work that does not save its progress. Whole racks are reserved, as
  * room that is spread over all racks holds no gang.
  */
 static void reserve_racks(struct rj_cell_plan *plan)
 {
 	double urgent = rj_cell_forecast_urgent(plan->forecast, plan->now_us);
 	double need = RESERVED_FACTOR * urgent + RESERVED_EXTRA;
-	double closed = EXCLUSIVE_FACTOR * urgent;
+	double exclusive = EXCLUSIVE_FACTOR * urgent;
 	guint count = plan->racks->len * RESERVED_RACKS_PERCENT / 100;
 
 	if (!plan->forecast->urgent_us)
 		return;
 	for (guint i = 0; i < count && need > 0; i++) {
-		double kept = reserve_rack(
+		double reserved = reserve_rack(
 			plan,
 			&g_array_index(plan->racks, struct rj_cell_rack_rooms,
 				       i),
-			closed > 0);
+			exclusive > 0);
 
-		need -= kept;
-		closed -= kept;
+		need -= reserved;
+		exclusive -= reserved;
 	}
 }
 
--- a/src/libradishjunction/cell/cell_units.c
+++ b/src/libradishjunction/cell/cell_units.c
@@ -10,7 +10,7 @@
 #define FAR_WAIT_MAX_MS 1500
 
 /*
- * What is kept for urgent work is opened to others that have waited so long
+ * What is reserved for urgent work is opened to others that have waited so long
  * when less than this is in use: users expect idle capacity to be used.
  */
 #define RESERVED_WAIT_US (2 * RJ_US_PER_S)
@@ -124,7 +124,7 @@
 }
 
 /*
- * Whether so much is idle that what is kept for urgent work is open to a step
+ * Whether so much is idle that what is reserved for urgent work is open to a step
  * that has waited for a while. What the plan has started counts as in use, as
  * much work may end at once and make way for the next.
  */
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -22,6 +22,7 @@
 	char domain[RJ_NAME_BYTES]; /* failure domain */
 	bool draining;
 	uint32_t drain_left_ms; /* it stays for so long at least; 0: unknown */
+	uint32_t cold_left_ms; /* it stays slow for so long after its start */
 	struct rj_cell_demand capacity;
 	char kind[RJ_NAME_BYTES]; /* a label that steps may ask for */
 	char rack[RJ_NAME_BYTES];
@@ -74,6 +75,7 @@
 	bool listed; /* its entry stands in the log */
 	uint64_t written_us; /* the entry was written after this; 0: unknown */
 	uint64_t leaves_us; /* it may leave from then on; 0: not said */
+	uint64_t cold_until_us; /* it is slow until then */
 	uint64_t left_us; /* it deregistered before this; 0: it has not */
 	uint64_t incarnation; /* that answered last; 0: none yet */
 	bool answers; /* the last call to it was answered */
--- a/src/test_libradishjunction/test_cell_cordon.c
+++ b/src/test_libradishjunction/test_cell_cordon.c
@@ -399,6 +399,27 @@
 	g_assert_cmpuint(f->world.workers[4].runs->len, ==, 0);
 }
 
+/* A domain that is given back gets work at once though its workers are slow
+ * after their start and others are free. */
+static void test_cold_workers_come_last(struct cell_fixture *f,
+					const void *data)
+{
+	struct rj_cell_step step = cell_world_step(8, 8, 2000);
+	struct cell_client_job *job;
+
+	for (uint32_t i = 0; i < site.workers; i++)
+		if (!strcmp(f->world.workers[i].said.domain, "d0"))
+			f->world.workers[i].said.cold_left_ms = 10000;
+	cell_world_run(&f->world, 2 * S);
+	job = hand_in(&f->world, "normal", &step, 3 * S);
+	cell_world_run(&f->world, 300 * MS);
+	g_assert_cmpuint(job->starts, ==, 8);
+	g_assert_cmpuint(runs_in(&f->world, "d0"), ==, 0);
+	hand_in(&f->world, "normal", &step, 3 * S);
+	cell_world_run(&f->world, 300 * MS);
+	g_assert_cmpuint(runs_in(&f->world, "d0"), ==, 4);
+}
+
 /* A cordon that a load does not show again ends before the load has. */
 static void test_cordons_of_a_load(void)
 {
@@ -438,6 +459,7 @@
 	ADD("data", test_data_in_a_cordoned_domain);
 	ADD("all", test_all_domains);
 	ADD("guarantee", test_guarantees_hold_beside_a_cordon);
+	ADD("cold", test_cold_workers_come_last);
 	ADD("joins", test_a_worker_joins);
 	return g_test_run();
 }
