--- a/src/libradishjunction/cell/cell_metrics.c
+++ b/src/libradishjunction/cell/cell_metrics.c
@@ -96,6 +96,7 @@
 	number(text, "stops", counters->stops);
 	number(text, "polls", counters->polls);
 	number(text, "plans", counters->plans);
+	number(text, "plan_effort_max", counters->plan_effort_max);
 	number(text, "jobs_completed", counters->completed);
 	number(text, "jobs_failed", counters->failed);
 	for (int i = 0; i < RJ_CELL_END_COUNT; i++)
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -430,6 +430,8 @@
 	plan.now_us = owner->now_us;
 	rj_cell_plan_make(&plan);
 	owner->counters.plans++;
+	owner->counters.plan_effort_max =
+		MAX(owner->counters.plan_effort_max, plan.effort);
 	rj_cell_starts_begin(owner, &plan);
 	for (guint i = 0; i < plan.stops->len; i++)
 		rj_cell_ends_stop_run(owner, plan.stops->pdata[i],
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -48,6 +48,7 @@
 	uint64_t takeovers;
 	uint64_t resigns;
 	uint64_t plans;
+	uint64_t plan_effort_max; /* the most that one plan has weighed */
 };
 
 /* Calls that may be sent now, and when that was last brought up to date. */
--- a/src/test_libradishjunction/test_cell_scale.c
+++ b/src/test_libradishjunction/test_cell_scale.c
@@ -131,6 +131,71 @@
 	g_free(world);
 }
 
+/* Weighing each worker so many times takes a plan a tenth of a second on half a
+ * core. */
+#define EFFORT_A_WORKER_MAX 900
+
+/* Hand in so many jobs of one step. */
+static void hand_in(struct cell_world *world, const char *queue, uint32_t jobs,
+		    const struct rj_cell_step *step, uint64_t work_us)
+{
+	for (uint32_t i = 0; i < jobs; i++)
+		cell_world_submit(
+			world, i % world->plan.nodes,
+			cell_world_job(world, queue, "a", step, 1, work_us));
+}
+
+/* The most that a plan of the owner has weighed, a worker of the site. */
+static uint64_t effort_a_worker(const struct cell_world *world)
+{
+	int owner = cell_world_owner(world);
+
+	g_assert_cmpint(owner, >=, 0);
+	return world->nodes[owner].node.owner.counters.plan_effort_max /
+	       world->plan.workers;
+}
+
+/* Hundreds of urgent gangs wait on a full site, and one plan takes seconds, as
+ * each of them weighs the runs of all workers for work to stop. */
+static void test_a_backlog_of_urgent_gangs(void)
+{
+	struct cell_world *world = g_new0(struct cell_world, 1);
+	struct rj_cell_step full = cell_world_step(8, 8, 20000);
+	struct rj_cell_step urgent = cell_world_step(8, 4, 2500);
+
+	full.gang = true;
+	urgent.gang = true;
+	begin(world, 200);
+	cell_world_run(world, 4 * S);
+	hand_in(world, "normal", 25, &full, 20 * S);
+	cell_world_run(world, 8 * S);
+	hand_in(world, "urgent", 300, &urgent, 2500 * MS);
+	cell_world_run(world, 3 * S);
+	g_assert_cmpuint(effort_a_worker(world), <, EFFORT_A_WORKER_MAX);
+	g_assert_cmpuint(world->violations->len, ==, 0);
+	cell_world_finish(world);
+	g_free(world);
+}
+
+/* A job of hundreds of tasks that are kept apart takes one plan seconds, as
+ * each task weighs each worker by itself. */
+static void test_many_tasks_apart(void)
+{
+	struct cell_world *world = g_new0(struct cell_world, 1);
+	struct rj_cell_step apart = cell_world_step(300, 1, 3000);
+
+	apart.per_worker_max = 1;
+	begin(world, 400);
+	cell_world_run(world, 5 * S);
+	hand_in(world, "bulk", 2, &apart, 3 * S);
+	cell_world_run(world, 2 * S);
+	g_assert_cmpuint(world->starts, ==, 600);
+	g_assert_cmpuint(effort_a_worker(world), <, 30);
+	g_assert_cmpuint(world->violations->len, ==, 0);
+	cell_world_finish(world);
+	g_free(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -138,6 +203,8 @@
 	g_test_add_func("/cell_scale/small", test_small_site_is_watched);
 	g_test_add_func("/cell_scale/takeover",
 			test_large_site_serves_after_a_takeover);
+	g_test_add_func("/cell_scale/backlog", test_a_backlog_of_urgent_gangs);
+	g_test_add_func("/cell_scale/apart", test_many_tasks_apart);
 	g_test_add_func("/cell_scale/progress", test_only_owners_read_progress);
 	return g_test_run();
 }
