cell: a successor takes a large fleet at its word once all entries are loaded

A successor polled each worker as its entry was loaded, since the fleet looked small until then: 3,543 polls in its first second on 3,000 workers, before it started anything. Entries are judged once all are there: a small fleet is polled at once, a large one is believed by its heartbeats.

Test cell_scale/taken_at_its_word failed before.

--- a/src/libradishjunction/cell/cell_admit.c
+++ b/src/libradishjunction/cell/cell_admit.c
@@ -177,7 +177,7 @@
 }
 
 /*
- * Fill in what the entries, and an successor, are told of each queue that work has
+ * Fill in what the entries, and a successor, are told of each queue that work has
  * been done for.
  */
 void rj_cell_admit_shares(const struct rj_cell_owner *owner,
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -83,8 +83,22 @@
 {
 }
 
-static const struct rj_cell_follow_ops fleet_ops = { .record = fleet_record,
-						     .progress = no_progress };
+/* All entries of workers have been shown. */
+static void fleet_load_end(void *private_data)
+{
+	struct rj_cell_node *node = private_data;
+
+	if (!node->owner.active)
+		return;
+	node->owner.now_us = node->fleet.now_us;
+	rj_cell_polls_loaded(&node->owner);
+}
+
+static const struct rj_cell_follow_ops fleet_ops = {
+	.record = fleet_record,
+	.progress = no_progress,
+	.load_end = fleet_load_end,
+};
 
 /* A new version of the configuration, if it is one. */
 static void config_record(struct rj_cell_node *node,
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -265,7 +265,9 @@
 			RJ_NOTE_TEXT("domain", heartbeat->domain),
 			RJ_NOTE_TEXT("rack", heartbeat->rack),
 			RJ_NOTE_NUMBER("draining", heartbeat->draining));
-		rj_cell_polls_soon(owner, worker);
+		/* In a load there is news of all; see rj_cell_polls_loaded. */
+		if (written_us)
+			rj_cell_polls_soon(owner, worker);
 		owner->plan_wanted = true;
 	}
 	worker->listed = true;
@@ -350,7 +352,7 @@
 }
 
 /*
- * Own nothing any more. What ran goes on under its leases until an successor
+ * Own nothing any more. What ran goes on under its leases until a successor
  * takes it over. Callers have been told only what is stored, so the view stays
  * as it is.
  */
--- a/src/libradishjunction/cell/cell_place.c
+++ b/src/libradishjunction/cell/cell_place.c
@@ -7,7 +7,7 @@
 #include <string.h>
 #include <talloc.h>
 
-/* Parts of how bad a fit is, from the least weight to the greatest. */
+/* Parts of a placement's cost, from the least weight to the greatest. */
 #define COST_MEMORY_BITS 32 /* of what would be left over, in MB */
 #define COST_MIXED_BIT 50 /* work that serves beside work that fills */
 #define COST_UNPROVEN_BIT 49 /* last failed, and so did the task */
@@ -238,7 +238,7 @@
 }
 
 /*
- * How bad a fit is. Accelerators that would be left over come first, so that
+ * What placing a task on a worker costs. Accelerators that would be left over come first, so that
  * small tasks fill workers that are in use already and whole workers stay
  * free for gangs; then memory, of which the large tasks need half a worker.
  * Data that is far away outweighs these, and urgent work goes to what is
@@ -289,16 +289,16 @@
 	while ((room = rj_cell_walk_next(&walk))) {
 		const struct rj_cell_demand *have =
 			way->when == RJ_CELL_NOW ? &room->now : &room->soon;
-		uint64_t bad;
+		uint64_t cost;
 
 		if (!rj_cell_demand_fits(&want, have) ||
 		    !rj_cell_place_may_run(plan, room, unit, task, way))
 			continue;
-		bad = placement_cost(plan, room, unit, task, have);
-		if (best && bad >= best_cost)
+		cost = placement_cost(plan, room, unit, task, have);
+		if (best && cost >= best_cost)
 			continue;
 		best = room;
-		best_cost = bad;
+		best_cost = cost;
 	}
 	return best;
 }
--- a/src/libradishjunction/cell/cell_polls.c
+++ b/src/libradishjunction/cell/cell_polls.c
@@ -400,6 +400,33 @@
 	worker->clock_at_us = owner->now_us;
 }
 
+/*
+ * All entries of workers have been loaded, so that the size of the fleet is
+ * known: a small one is polled at once, a large one is taken at its word.
+ *
+ * Load that it answers: a takeover of a large fleet by an instance with a part
+ * of a core, which would poll thousands of idle workers before it starts
+ * anything.
+ */
+void rj_cell_polls_loaded(struct rj_cell_owner *owner)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &owner->fleet.workers) {
+		struct rj_cell_worker *worker =
+			RJ_CONTAINER(at, struct rj_cell_worker, link);
+
+		if (!worker->listed)
+			continue;
+		if (owner->fleet.count > KNOWN_CLOSELY_MAX)
+			rj_cell_polls_trust(owner, worker);
+		else
+			rj_cell_polls_soon(owner, worker);
+	}
+	owner->plan_wanted = true;
+}
+
 /*
  * Poll a worker as soon as can be, as there is news of it.
  */
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -77,7 +77,7 @@
 }
 
 /* Runs that are being stopped stay in the record: until their end is known,
- * an successor must not start the task elsewhere. */
+ * a successor must not start the task elsewhere. */
 static uint32_t count_runs(const struct rj_cell_task *task)
 {
 	const struct rj_list *at;
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -114,7 +114,7 @@
 /*
  * An owner that cannot write the log goes on for so long: it keeps what runs,
  * as the log may be away for all, and starts nothing. Then it lets leases
- * lapse, so that an successor who cannot reach some workers knows when nothing
+ * lapse, so that a successor who cannot reach some workers knows when nothing
  * runs there. The users' log is away for 9 s at most.
  */
 #define RJ_CELL_BLIND_US (10 * RJ_US_PER_S)
@@ -143,6 +143,7 @@
 void rj_cell_polls_begin(struct rj_cell_owner *owner);
 void rj_cell_polls_trust(struct rj_cell_owner *owner,
 			 struct rj_cell_worker *worker);
+void rj_cell_polls_loaded(struct rj_cell_owner *owner);
 void rj_cell_polls_soon(struct rj_cell_owner *owner,
 			struct rj_cell_worker *worker);
 void rj_cell_ends_over(struct rj_cell_owner *owner,
--- a/src/test_libradishjunction/test_cell_scale.c
+++ b/src/test_libradishjunction/test_cell_scale.c
@@ -104,6 +104,28 @@
 	g_free(world);
 }
 
+/* A successor polls all of a large fleet before it starts anything. */
+static void test_a_successor_takes_a_large_fleet_at_its_word(void)
+{
+	struct cell_world *world = g_new0(struct cell_world, 1);
+	struct rj_cell_step step = cell_world_step(24, 8, 3000);
+	struct cell_client_job *job;
+	int owner;
+
+	begin(world, LARGE_WORKERS);
+	cell_world_run(world, 10 * S);
+	owner = cell_world_owner(world);
+	cell_world_kill(world, (uint32_t)owner);
+	while (cell_world_owner(world) < 0)
+		cell_world_run(world, 10 * MS);
+	job = cell_world_job(world, "normal", "a", &step, 1, 3 * S);
+	cell_world_submit(world, (uint32_t)cell_world_owner(world), job);
+	g_assert_cmpuint(polls_in(world, 1), <, 2 * POLLS_PER_S_MAX);
+	g_assert_cmpuint(job->starts, ==, 24);
+	cell_world_finish(world);
+	g_free(world);
+}
+
 /* Each instance reads what happens to all tasks, and a large fleet of them
  * shares what the log can be read at. */
 static void test_only_owners_read_progress(void)
@@ -203,6 +225,8 @@
 	g_test_add_func("/cell_scale/small", test_small_site_is_watched);
 	g_test_add_func("/cell_scale/takeover",
 			test_large_site_serves_after_a_takeover);
+	g_test_add_func("/cell_scale/taken_at_its_word",
+			test_a_successor_takes_a_large_fleet_at_its_word);
 	g_test_add_func("/cell_scale/backlog", test_a_backlog_of_urgent_gangs);
 	g_test_add_func("/cell_scale/apart", test_many_tasks_apart);
 	g_test_add_func("/cell_scale/progress", test_only_owners_read_progress);
