--- a/src/test_libradishjunction/test_cell_cordon.c
+++ b/src/test_libradishjunction/test_cell_cordon.c
@@ -227,7 +227,7 @@
 	hand_in(&f->world, "normal", &step, 500 * MS);
 	cell_world_run(&f->world, 300 * MS);
 	g_assert_cmpuint(runs_in(&f->world, "d0"), >, 0);
-	job = hand_in(&f->world, "normal", &step, 500 * MS);
+	hand_in(&f->world, "normal", &step, 500 * MS);
 	cell_world_run(&f->world, CORDON_BOUND_US);
 	job = cell_world_job(&f->world, "normal", "a", &step, 1, 500 * MS);
 	f->world.log.reads_silent[RJ_CELL_TOPIC_CONFIG] = false;
@@ -346,8 +346,9 @@
 static void test_all_domains(struct cell_fixture *f, const void *data)
 {
 	struct rj_cell_step step = cell_world_step(2, 4, 1000);
-	struct cell_client_job *job = hand_in(&f->world, "normal", &step, S);
+	struct cell_client_job *job;
 
+	hand_in(&f->world, "normal", &step, S);
 	cell_world_run(&f->world, 3 * S);
 	for (guint i = 0; i < G_N_ELEMENTS(domains); i++)
 		cell_world_cordon(&f->world, domains[i], true);
