--- a/scripts/users.bash
+++ b/scripts/users.bash
@@ -18,6 +18,11 @@
 		-e 's/{{Bounds.status_s}}/120/' \
 		-e 's/{{Bounds.ReclaimMs}}/2900/' \
 		-e 's/{{Bounds.RevokeMs}}/5000/' \
+		-e 's/{{Bounds.DrainMs}}/2000/' \
+		-e 's/{{Bounds.StopMs}}/400/' \
+		-e 's/{{Bounds.EvacuateMs}}/5000/' \
+		-e 's/{{Limits.MaxFds}}/4096/' \
+		-e 's/{{Limits.LinkMbps}}/1000/' \
 		-e 's/{{HeartbeatMs}}/500/' \
 		deploy/settings.json >"$work/$1.json"
 }
