cell: the owner logs what waits and what stands idle

Neither logs nor metrics could tell a full site from one whose free room is reserved for urgent work or promised to gangs. Once a second, while tasks wait, the owner logs one line with what waits of each priority and for how long, what is in use of each kind of room, and what is reserved, free of that, and promised; the metrics show the same. Summed from the plan that was just made, so that it costs one pass over the plan's rooms. Test cell_load/backlog.

--- a/src/libradishjunction/cell/cell_metrics.c
+++ b/src/libradishjunction/cell/cell_metrics.c
@@ -108,8 +108,22 @@
 				 priorities[i], text);
 	rj_latency_write(&counters->orders, "radishjunction_order_ms", "order",
 			 "start", text);
-	if (owner->active)
-		write_fleet(text, owner, now_us);
+	if (!owner->active)
+		return;
+	for (int i = 0; i < RJ_CELL_PRIORITIES; i++) {
+		const struct rj_cell_backlog_class *waiting =
+			&owner->backlog.classes[i];
+
+		labelled(text, "tasks_waiting", "priority", priorities[i],
+			 waiting->tasks);
+		labelled(text, "oldest_wait_ms", "priority", priorities[i],
+			 waiting->oldest_us / RJ_US_PER_MS);
+	}
+	number(text, "accelerators_reserved", owner->backlog.reserved);
+	number(text, "accelerators_reserved_free",
+	       owner->backlog.reserved_free);
+	number(text, "accelerators_promised", owner->backlog.promised);
+	write_fleet(text, owner, now_us);
 }
 
 /*
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -27,6 +27,8 @@
 /* Nor by knowledge of workers and operators that is older than this part of
  * the bound on what it decides; the rest is for the order's way. */
 #define PUBLISHED_AGE_PERCENT 80
+/* What waits is logged so often at most. */
+#define BACKLOG_NOTE_US RJ_US_PER_S
 /* Jobs with times are looked through for those that have come due so often;
  * an occurrence begins so much late at most. */
 #define ROUNDS_CHECK_US (40 * RJ_US_PER_MS)
@@ -417,6 +419,17 @@
 	return plan->effort * EFFORT_NS * 100 / strength / 1000;
 }
 
+/* Keep what a plan leaves waiting for the metrics, and log it now and then. */
+static void note_backlog(struct rj_cell_owner *owner,
+			 const struct rj_cell_plan *plan)
+{
+	rj_cell_backlog_sum(plan, &owner->backlog);
+	if (!plan->waiting || owner->now_us < owner->backlog_due_us)
+		return;
+	owner->backlog_due_us = owner->now_us + BACKLOG_NOTE_US;
+	rj_cell_backlog_note(&owner->backlog);
+}
+
 /* Plan, and note what was decided. */
 static void plan_work(struct rj_cell_owner *owner)
 {
@@ -434,6 +447,7 @@
 	owner->counters.plans++;
 	owner->counters.plan_effort_max =
 		MAX(owner->counters.plan_effort_max, plan.effort);
+	note_backlog(owner, &plan);
 	rj_cell_starts_begin(owner, &plan);
 	for (guint i = 0; i < plan.stops->len; i++)
 		rj_cell_ends_stop_run(owner, plan.stops->pdata[i],
--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -73,6 +73,7 @@
 
 	g_array_append_val(plan->starts, choice);
 	rj_cell_usage_add(&plan->usage, &used);
+	plan->held[rj_cell_work_class(task->round->work)] += used.accelerators;
 	if (worker->domain && !task->round->work->def->priority)
 		worker->domain->urgent +=
 			rj_cell_task_step(task)->each.accelerators;
@@ -363,8 +364,7 @@
 }
 
 /* Place the waiting tasks of a step: a gang as a whole, others singly. */
-static void place_unit(struct rj_cell_plan *plan,
-		       const struct rj_cell_unit *unit)
+static void place_unit(struct rj_cell_plan *plan, struct rj_cell_unit *unit)
 {
 	const struct rj_cell_def *def = unit->work->def;
 	const struct rj_cell_step *step = &def->steps[unit->step];
@@ -383,13 +383,17 @@
 		if (rj_cell_unit_waits(plan, &unit->round->tasks[i]))
 			tasks[count++] = &unit->round->tasks[i];
 	if (step->gang) {
-		if (!place_tasks(plan, unit, tasks, count))
+		if (place_tasks(plan, unit, tasks, count))
+			unit->started = count;
+		else
 			plan->waiting += count;
 	} else {
-		for (uint32_t i = start_plain(plan, unit, tasks, count);
-		     i < count; i++) {
-			if (place_tasks(plan, unit, &tasks[i], 1))
+		unit->started = start_plain(plan, unit, tasks, count);
+		for (uint32_t i = unit->started; i < count; i++) {
+			if (place_tasks(plan, unit, &tasks[i], 1)) {
+				unit->started++;
 				continue;
+			}
 			/* That it is choosy says nothing of the others. */
 			if (rj_cell_place_wants_sound(plan, tasks[i])) {
 				plan->waiting++;
--- a/src/libradishjunction/cell/cell_rooms.c
+++ b/src/libradishjunction/cell/cell_rooms.c
@@ -216,6 +216,8 @@
 	if (worker->domain)
 		worker->domain->urgent += worker->held_by[0];
 	add_worker(&plan->usage, worker);
+	for (uint32_t i = 0; i < RJ_CELL_PRIORITIES; i++)
+		plan->held[i] += worker->held_by[i];
 	plan->room_count++;
 }
 
--- a/src/libradishjunction/cell/cell_starts.c
+++ b/src/libradishjunction/cell/cell_starts.c
@@ -33,10 +33,8 @@
 		run, rj_cell_advice_ticket(task->round, task->step,
 					   choice->worker, owner->now_us));
 	if (!work->started)
-		rj_latency_add(
-			&owner->counters.waits[MIN(work->def->priority,
-						   RJ_CELL_PRIORITIES - 1)],
-			owner->now_us - work->accepted_us);
+		rj_latency_add(&owner->counters.waits[rj_cell_work_class(work)],
+			       owner->now_us - work->accepted_us);
 	work->started = true;
 	if (!work->began_us)
 		work->began_us = owner->now_us;
--- a/src/libradishjunction/cell/cell_work.c
+++ b/src/libradishjunction/cell/cell_work.c
@@ -53,6 +53,14 @@
 	return work;
 }
 
+/*
+ * The place of a job among the priorities that are counted apart.
+ */
+uint32_t rj_cell_work_class(const struct rj_cell_work *work)
+{
+	return MIN(work->def->priority, RJ_CELL_PRIORITIES - 1);
+}
+
 /*
  * Begin an occurrence: all its tasks wait.
  */
@@ -199,9 +207,9 @@
 /* The worker's sum over runs of this run's priority; its job is known. */
 static uint32_t *held_by(const struct rj_cell_run *run)
 {
-	uint32_t priority = run->task->round->work->def->priority;
+	uint32_t class = rj_cell_work_class(run->task->round->work);
 
-	return &run->worker->held_by[MIN(priority, RJ_CELL_PRIORITIES - 1)];
+	return &run->worker->held_by[class];
 }
 
 /* The worker's count of runs of this kind. */
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -15,6 +15,7 @@
 #define RADISHJUNCTION_PRIVATE_CELL_OWNER_H
 
 #include "private/cell_advice.h"
+#include "private/cell_backlog.h"
 #include "private/cell_failure.h"
 #include "private/cell_fleet.h"
 #include "private/cell_forecast.h"
@@ -88,6 +89,8 @@
 	bool plan_wanted;
 	uint64_t plan_due_us; /* without other events */
 	uint64_t plan_from_us; /* no earlier */
+	struct rj_cell_backlog backlog; /* as the last plan left it */
+	uint64_t backlog_due_us; /* when it is logged */
 	uint32_t writes_open; /* records on their way into the logs */
 	bool write_failed; /* one of the present flush was not stored */
 	uint64_t watch_due_us; /* when busy workers are visited */
--- a/src/libradishjunction/include/private/cell_place.h
+++ b/src/libradishjunction/include/private/cell_place.h
@@ -17,6 +17,7 @@
 	uint64_t order_us;
 	uint64_t waiting_us; /* since when */
 	uint32_t waiting; /* tasks */
+	uint32_t started; /* of these, by this plan */
 	bool far; /* may run away from its data */
 	bool advised; /* an outside policy says which workers may run it */
 	bool guaranteed; /* its account has a right to the room at once */
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -100,6 +100,7 @@
 	GArray *racks; /* struct rj_cell_rack_rooms, domains take turns */
 	GArray *ranges; /* struct rj_cell_range: each rack, in room order */
 	struct rj_cell_usage usage; /* with what this plan starts */
+	uint64_t held[RJ_CELL_PRIORITIES]; /* accelerators, likewise */
 	GArray *units;
 	uint32_t promises; /* groups of others that have room promised */
 	uint32_t urgent_promises; /* urgent groups that have */
--- a/src/test_libradishjunction/test_cell_load.c
+++ b/src/test_libradishjunction/test_cell_load.c
@@ -83,6 +83,33 @@
 	g_assert_cmpuint(f->world.wasted_us, <, 32 * 6 * S);
 }
 
+/* What the owner's last plan has left waiting and idle. */
+static const struct rj_cell_backlog *backlog_of(struct cell_world *world)
+{
+	return &world->nodes[cell_world_owner(world)].node.owner.backlog;
+}
+
+/*
+ * Load: more bulk work than the site holds.
+ * Operators see what waits, for how long, and that no room is left.
+ */
+static void test_backlog_is_shown(struct cell_fixture *f, const void *data)
+{
+	const struct rj_cell_backlog *backlog;
+
+	fill_with_bulk(&f->world, 10, false, 20 * S);
+	backlog = backlog_of(&f->world);
+	g_assert_cmpuint(backlog->workers, ==, site.workers);
+	g_assert_cmpuint(backlog->usage.accelerators.used, ==,
+			 backlog->usage.accelerators.all);
+	g_assert_cmpuint(backlog->classes[2].held, ==,
+			 backlog->usage.accelerators.all);
+	g_assert_cmpuint(backlog->classes[2].tasks, ==, 2 * 24);
+	g_assert_cmpuint(backlog->classes[2].oldest_us, >, S);
+	g_assert_cmpuint(backlog->classes[1].tasks, ==, 0);
+	g_assert_cmpuint(backlog->reserved, ==, 0);
+}
+
 /*
  * Load: urgent gangs come one after the other while bulk work is never short.
  * After the first ones racks are kept for them: the later gangs begin at once
@@ -391,6 +418,7 @@
 	g_test_init(&argc, &argv, NULL);
 	ADD("guaranteed", test_guaranteed_gang_on_a_full_site);
 	ADD("kept", test_later_gangs_find_kept_racks);
+	ADD("backlog", test_backlog_is_shown);
 	ADD("saves", test_work_that_saves_is_stopped_first);
 	ADD("wide", test_wide_gang_among_small_tasks);
 	ADD("overload", test_overload_is_turned_away_at_once);
