--- a/src/test_libradishjunction/test_cell_load.c
+++ b/src/test_libradishjunction/test_cell_load.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "support/cell_fixture.h"
+#include "support/cell_load.h"
 
 /* 24 workers of eight accelerators in six racks, three nodes. */
 #define SITE                                                     \
@@ -19,47 +20,6 @@
 /* Work that serves may be over its bound for so long on end. */
 #define HARM_US (4 * S)
 
-/* Hand one job in, at a node that changes. */
-static struct cell_client_job *hand_in(struct cell_world *world,
-				       const char *queue, const char *account,
-				       const struct rj_cell_step *step,
-				       uint64_t work_us)
-{
-	struct cell_client_job *job =
-		cell_world_job(world, queue, account, step, 1, work_us);
-
-	cell_world_submit(world, world->job_count % world->plan.nodes, job);
-	return job;
-}
-
-/* Let time pass while clients ask for their jobs. */
-static void follow(struct cell_world *world, uint64_t for_us)
-{
-	for (uint64_t ran_us = 0; ran_us < for_us; ran_us += 100 * MS) {
-		cell_world_run(world, 100 * MS);
-		for (guint i = 0; i < world->job_list->len; i++) {
-			struct cell_client_job *job = world->job_list->pdata[i];
-
-			if (job->accepted && !job->ended_us)
-				cell_world_ask(world, i % world->plan.nodes,
-					       job);
-		}
-	}
-}
-
-/* Hand in bulk jobs of 24 tasks with one accelerator each; eight of them
- * fill the site. */
-static void fill_with_bulk(struct cell_world *world, uint32_t jobs, bool saves,
-			   uint64_t work_us)
-{
-	struct rj_cell_step step = cell_world_step(24, 1, 6000);
-
-	step.checkpoints = saves;
-	for (uint32_t i = 0; i < jobs; i++)
-		hand_in(world, "bulk", "b", &step, work_us);
-	follow(world, 2 * S);
-}
-
 /*
  * Load: the site is full of bulk work that does not save its progress when a
  * lesson's gang comes that is within its account's guarantee.
@@ -74,9 +34,9 @@
 
 	step.gang = true;
 	step.one_rack = true;
-	fill_with_bulk(&f->world, 8, false, 60 * S);
-	job = hand_in(&f->world, "urgent", "a", &step, 2500 * MS);
-	follow(&f->world, 4 * S);
+	cell_load_fill(&f->world, 8, false, 60 * S);
+	job = cell_load_hand_in(&f->world, "urgent", "a", &step, 2500 * MS);
+	cell_load_follow(&f->world, 4 * S);
 	g_assert_cmpuint(job->begun_us, !=, 0);
 	g_assert_cmpuint(job->begun_us - job->accepted_us, <, RECLAIM_US);
 	/* 32 tasks that had run for at most 6 s. */
@@ -97,7 +57,7 @@
 {
 	const struct rj_cell_backlog *backlog;
 
-	fill_with_bulk(&f->world, 10, false, 20 * S);
+	cell_load_fill(&f->world, 10, false, 20 * S);
 	backlog = backlog_of(&f->world);
 	g_assert_cmpuint(backlog->workers, ==, site.workers);
 	g_assert_cmpuint(backlog->usage.accelerators.used, ==,
@@ -124,14 +84,14 @@
 
 	step.gang = true;
 	step.one_rack = true;
-	fill_with_bulk(&f->world, 8, false, 10 * S);
+	cell_load_fill(&f->world, 8, false, 10 * S);
 	for (uint32_t i = 0; i < 8; i++) {
 		if (i == 4)
 			wasted_us = f->world.wasted_us;
-		job = hand_in(&f->world, "urgent", i % 2 ? "a" : "b", &step,
-			      2500 * MS);
-		follow(&f->world, 3 * S);
-		fill_with_bulk(&f->world, 5, false, 10 * S);
+		job = cell_load_hand_in(&f->world, "urgent", i % 2 ? "a" : "b",
+					&step, 2500 * MS);
+		cell_load_follow(&f->world, 3 * S);
+		cell_load_fill(&f->world, 5, false, 10 * S);
 	}
 	g_assert_cmpuint(job->begun_us - job->accepted_us, <, 500 * MS);
 	g_assert_cmpuint(f->world.wasted_us, ==, wasted_us);
@@ -148,10 +108,10 @@
 	struct rj_cell_step step = cell_world_step(2, 8, 2500);
 
 	step.gang = true;
-	fill_with_bulk(&f->world, 4, true, 12 * S);
-	fill_with_bulk(&f->world, 4, false, 12 * S);
-	hand_in(&f->world, "urgent", "a", &step, 2500 * MS);
-	follow(&f->world, 40 * S);
+	cell_load_fill(&f->world, 4, true, 12 * S);
+	cell_load_fill(&f->world, 4, false, 12 * S);
+	cell_load_hand_in(&f->world, "urgent", "a", &step, 2500 * MS);
+	cell_load_follow(&f->world, 40 * S);
 	for (guint i = 0; i < f->world.job_list->len; i++) {
 		const struct cell_client_job *job = f->world.job_list->pdata[i];
 
@@ -175,11 +135,11 @@
 	struct cell_client_job *job;
 
 	wide.gang = true;
-	fill_with_bulk(&f->world, 8, false, 6 * S);
-	job = hand_in(&f->world, "normal", "a", &wide, 6 * S);
+	cell_load_fill(&f->world, 8, false, 6 * S);
+	job = cell_load_hand_in(&f->world, "normal", "a", &wide, 6 * S);
 	for (uint32_t i = 0; i < 20; i++) {
-		hand_in(&f->world, "bulk", "b", &small, 6 * S);
-		follow(&f->world, 600 * MS);
+		cell_load_hand_in(&f->world, "bulk", "b", &small, 6 * S);
+		cell_load_follow(&f->world, 600 * MS);
 	}
 	g_assert_cmpuint(job->begun_us, !=, 0);
 	g_assert_cmpuint(job->begun_us - job->accepted_us, <, 12 * S);
@@ -201,16 +161,16 @@
 	uint32_t late = 0;
 	uint32_t accepted = 0;
 
-	fill_with_bulk(&f->world, 4, false, 6 * S);
-	follow(&f->world, 6 * S); /* run times have been learnt */
+	cell_load_fill(&f->world, 4, false, 6 * S);
+	cell_load_follow(&f->world, 6 * S); /* run times have been learnt */
 	for (uint32_t i = 0; i < 120; i++) {
-		hand_in(&f->world, "bulk", "b", &step, 6 * S);
-		follow(&f->world, 300 * MS);
+		cell_load_hand_in(&f->world, "bulk", "b", &step, 6 * S);
+		cell_load_follow(&f->world, 300 * MS);
 	}
-	urgent = hand_in(&f->world, "urgent", "a", &urgent_step, S);
+	urgent = cell_load_hand_in(&f->world, "urgent", "a", &urgent_step, S);
 	cell_world_run(&f->world, 50 * MS);
 	g_assert_true(urgent->accepted);
-	follow(&f->world, 80 * S);
+	cell_load_follow(&f->world, 80 * S);
 	for (guint i = 0; i < f->world.job_list->len; i++) {
 		const struct cell_client_job *job = f->world.job_list->pdata[i];
 		/* Three times the objective of the bulk queue. */
@@ -242,10 +202,10 @@
 	for (uint32_t i = 0; i < 4; i++)
 		f->world.workers[i * 5].fails_all = true;
 	for (uint32_t i = 0; i < 60; i++) {
-		hand_in(&f->world, "normal", "a", &step, S);
-		follow(&f->world, 100 * MS);
+		cell_load_hand_in(&f->world, "normal", "a", &step, S);
+		cell_load_follow(&f->world, 100 * MS);
 	}
-	follow(&f->world, 10 * S);
+	cell_load_follow(&f->world, 10 * S);
 	for (guint i = 0; i < f->world.job_list->len; i++)
 		g_assert_cmpint(
 			((struct cell_client_job *)f->world.job_list->pdata[i])
@@ -265,8 +225,8 @@
 
 	for (uint32_t i = 0; i < 4; i++)
 		f->world.workers[i].stands_still = true;
-	job = hand_in(&f->world, "normal", "a", &step, 2 * S);
-	follow(&f->world, 12 * S);
+	job = cell_load_hand_in(&f->world, "normal", "a", &step, 2 * S);
+	cell_load_follow(&f->world, 12 * S);
 	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
 }
 
@@ -284,8 +244,8 @@
 
 	for (uint32_t i = 0; i < site.workers; i += 2)
 		f->world.workers[i].never_ends = true;
-	job = hand_in(&f->world, "normal", "a", &step, 2 * S);
-	follow(&f->world, 20 * S);
+	job = cell_load_hand_in(&f->world, "normal", "a", &step, 2 * S);
+	cell_load_follow(&f->world, 20 * S);
 	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
 }
 
@@ -297,7 +257,7 @@
 
 	step.perpetual = true;
 	step.target_ms = 100;
-	return hand_in(world, "normal", "a", &step, S);
+	return cell_load_hand_in(world, "normal", "a", &step, S);
 }
 
 /*
@@ -309,8 +269,8 @@
 {
 	struct cell_client_job *job = serve_users(&f->world, 4);
 
-	fill_with_bulk(&f->world, 6, true, 3 * S);
-	follow(&f->world, 12 * S);
+	cell_load_fill(&f->world, 6, true, 3 * S);
+	cell_load_follow(&f->world, 12 * S);
 	g_assert_cmpuint(job->begun_us, !=, 0);
 	g_assert_cmpuint(f->world.harmed_us, ==, 0);
 }
@@ -326,10 +286,10 @@
 {
 	struct cell_client_job *job;
 
-	fill_with_bulk(&f->world, 8, true, 20 * S);
+	cell_load_fill(&f->world, 8, true, 20 * S);
 	job = serve_users(&f->world, 4);
-	fill_with_bulk(&f->world, 2, true, 20 * S);
-	follow(&f->world, 20 * S);
+	cell_load_fill(&f->world, 2, true, 20 * S);
+	cell_load_follow(&f->world, 20 * S);
 	g_assert_cmpuint(job->begun_us, !=, 0);
 	g_assert_cmpuint(f->world.harmed_us, >, 0);
 	g_assert_cmpuint(f->world.harmed_us, <, HARM_US);
@@ -351,12 +311,13 @@
 	for (uint32_t i = 0; i < 40; i++) {
 		for (uint32_t j = 0; i == 10 && j < 4; j++)
 			f->world.workers[j * 5].fails_all = true;
-		hand_in(&f->world, "bulk", "b", &single, 2 * S);
+		cell_load_hand_in(&f->world, "bulk", "b", &single, 2 * S);
 		if (i % 3 == 0)
-			hand_in(&f->world, "normal", "a", &wide, 4 * S);
-		follow(&f->world, 300 * MS);
+			cell_load_hand_in(&f->world, "normal", "a", &wide,
+					  4 * S);
+		cell_load_follow(&f->world, 300 * MS);
 	}
-	follow(&f->world, 20 * S);
+	cell_load_follow(&f->world, 20 * S);
 	for (guint i = 0; i < f->world.job_list->len; i++)
 		g_assert_cmpint(
 			((struct cell_client_job *)f->world.job_list->pdata[i])
@@ -372,9 +333,9 @@
 	struct rj_cell_step step =
 		cell_world_step(1, 8, (uint32_t)(work_us / MS));
 	struct cell_client_job *job =
-		hand_in(world, "normal", "a", &step, work_us);
+		cell_load_hand_in(world, "normal", "a", &step, work_us);
 
-	follow(world, S);
+	cell_load_follow(world, S);
 	*worker = cell_world_busy_worker(world);
 	cell_world_worker_drain(world, *worker, 1600);
 	return job;
@@ -394,7 +355,7 @@
 	cell_world_run(&f->world, 1600 * MS);
 	cell_world_worker_kill(&f->world, worker);
 	g_assert_cmpuint(job->starts, ==, 2);
-	follow(&f->world, 9 * S);
+	cell_load_follow(&f->world, 9 * S);
 	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
 }
 
@@ -408,7 +369,7 @@
 	uint32_t worker;
 	struct cell_client_job *job = run_on_leaving(&f->world, 2 * S, &worker);
 
-	follow(&f->world, 1600 * MS);
+	cell_load_follow(&f->world, 1600 * MS);
 	g_assert_cmpuint(job->starts, ==, 1);
 	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
 }
