cell: failures of gang members that nobody has seen outlast an owner

Cause: a member fails on a worker that is cut off, another member's end tells of the gang's, and the owner keeps the possible failure in memory alone (unseen). Class: a count that a decision depends on was not part of the state that is handed over.

Change: the progress record names, behind all else, what is unseen of each gang; a successor takes it to count until every lease of its predecessors must have lapsed. Records without unseen ends are the same bytes as before, and earlier versions do not read that far.

--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -275,6 +275,22 @@
 	worker->listed = true;
 }
 
+/* Ends that a former owner did not see count no longer than until `lapsed_us`,
+ * when every lease that it gave has lapsed. */
+static void bound_unseen(const struct rj_cell_work *work, uint64_t lapsed_us)
+{
+	const struct rj_list *at;
+
+	for (at = work->rounds.next; at != &work->rounds; at = at->next) {
+		struct rj_cell_round *round =
+			RJ_CONTAINER(at, struct rj_cell_round, link);
+
+		for (uint32_t i = 0; i < work->def->task_count; i++)
+			round->tasks[i].unseen_until_us =
+				MIN(round->tasks[i].unseen_until_us, lapsed_us);
+	}
+}
+
 /*
  * Nothing is known of workers that a former owner has used until they
  * answer; it may renew their leases for `renewals_us` from now.
@@ -283,12 +299,16 @@
 {
 	uint64_t lease_us = rj_cell_lease_longest_us(owner->terms.lease_max_ms *
 						     RJ_US_PER_MS);
+	uint64_t lapsed_us = owner->now_us + renewals_us + lease_us;
 	struct rj_list *at;
 	struct rj_list *next;
 
 	RJ_FOR_EACH (at, next, &owner->fleet.workers)
 		RJ_CONTAINER(at, struct rj_cell_worker, link)->lapsed_us =
-			owner->now_us + renewals_us + lease_us;
+			lapsed_us;
+	RJ_FOR_EACH (at, next, &owner->works)
+		bound_unseen(RJ_CONTAINER(at, struct rj_cell_work, link),
+			     lapsed_us);
 }
 
 /*
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -144,6 +144,32 @@
 	}
 }
 
+/*
+ * What nobody has listed of gangs, behind all else up to the end of the
+ * record, a row for each gang: earlier versions do not read that far.
+ */
+static void write_unseen(struct rj_packer *out, const struct rj_cell_work *work)
+{
+	const struct rj_list *at;
+
+	for (at = work->rounds.next; at != &work->rounds; at = at->next) {
+		const struct rj_cell_round *round =
+			RJ_CONTAINER(at, struct rj_cell_round, link);
+
+		for (uint32_t i = 0; i < work->def->task_count; i++) {
+			const struct rj_cell_task *task = &round->tasks[i];
+
+			if (!task->unseen || task->done)
+				continue;
+			rj_pack_number(out, round->number);
+			rj_pack_number(out, i);
+			rj_pack_number(out, task->failed_run);
+			rj_pack_number(out, task->unseen);
+			rj_pack_number(out, task->unseen_run);
+		}
+	}
+}
+
 /*
  * The progress of a job, as it is kept in the log; a talloc child of `mem`.
  */
@@ -170,6 +196,7 @@
 			rj_pack_text(&out, worker->id);
 		}
 		write_rounds(&out, work, &table);
+		write_unseen(&out, work);
 	}
 	g_ptr_array_free(table.workers, TRUE);
 	g_hash_table_destroy(table.index);
@@ -296,6 +323,47 @@
 	}
 }
 
+/* A task of an occurrence under way, by its place in the job; or NULL. */
+static struct rj_cell_task *task_at(const struct rj_cell_work *work,
+				    uint32_t number, uint32_t place)
+{
+	const struct rj_list *at;
+
+	for (at = work->rounds.next; at != &work->rounds; at = at->next) {
+		struct rj_cell_round *round =
+			RJ_CONTAINER(at, struct rj_cell_round, link);
+
+		if (round->number == number && place < work->def->task_count)
+			return &round->tasks[place];
+	}
+	return NULL;
+}
+
+/* What write_unseen wrote. Until when it counts is for the owner to say, who
+ * knows how long leases last. */
+static void read_unseen(struct rj_unpacker *in, struct rj_cell_work *work)
+{
+	while (!in->bad && in->offset < in->length) {
+		uint32_t round = (uint32_t)rj_unpack_number(in, "unseen_round",
+							    UINT32_MAX);
+		uint32_t place = (uint32_t)rj_unpack_number(in, "unseen_task",
+							    UINT32_MAX);
+		struct rj_cell_task *task = task_at(work, round, place);
+
+		if (!task) {
+			rj_unpack_fail(in, "unseen_task");
+			return;
+		}
+		task->failed_run = (uint32_t)rj_unpack_number(in, "failed_run",
+							      UINT32_MAX);
+		task->unseen =
+			(uint32_t)rj_unpack_number(in, "unseen", UINT32_MAX);
+		task->unseen_run = (uint32_t)rj_unpack_number(in, "unseen_run",
+							      UINT32_MAX);
+		task->unseen_until_us = RJ_NEVER_US;
+	}
+}
+
 /*
  * Take the progress of a job over from the log into `work`, which has none
  * yet. Its runs are noted at their workers, as taken but not seen there.
@@ -328,6 +396,7 @@
 					rj_cell_fleet_obtain(fleet, id));
 		}
 		read_rounds(&in, work, workers, now_us);
+		read_unseen(&in, work);
 	}
 	work->rounds_begun = begun;
 	g_ptr_array_free(workers, TRUE);
--- a/src/test_libradishjunction/test_cell_reach.c
+++ b/src/test_libradishjunction/test_cell_reach.c
@@ -390,6 +390,57 @@
 	}
 }
 
+/* Let the first member of a job's gang fail in a moment. Returns its worker. */
+static uint32_t fail_first_member(struct cell_world *world,
+				  const struct cell_client_job *job)
+{
+	char *name = g_strdup_printf("%s.0.0.0", job->id);
+	struct cell_fake_run *run = NULL;
+	uint32_t worker = 0;
+
+	for (uint32_t i = 0; i < world->plan.workers && !run; i++) {
+		run = cell_fake_run_of(&world->workers[i], name);
+		worker = i;
+	}
+	g_assert_nonnull(run);
+	run->fails_at_us = run->done_us + 500 * MS;
+	g_free(name);
+	return worker;
+}
+
+/* A failure that a former owner did not see, as its worker was cut off, is
+ * one attempt too many once its successor hears of it. */
+static void test_unseen_failures_outlast_an_owner(struct cell_fixture *f,
+						  const void *data)
+{
+	struct cell_world *world = &f->world;
+	struct rj_cell_step step = cell_world_step(2, 8, 8000);
+	uint32_t owner = (uint32_t)cell_world_owner(world);
+	struct cell_client_job *job;
+	uint32_t worker;
+
+	step.gang = true;
+	job = cell_world_job(world, "normal", "a", &step, 1, 8 * S);
+	cell_world_submit(world, other_node(world), job);
+	cell_world_run(world, 500 * MS);
+	worker = fail_first_member(world, job);
+	cell_world_worker_cut(world, worker, true);
+	for (uint32_t i = 0; i < 400 && job->starts < 4; i++)
+		cell_world_run(world, 10 * MS);
+	g_assert_cmpuint(job->starts, ==, 4);
+	cell_world_kill(world, owner);
+	cell_world_run(world, TAKEOVER_MAX_US);
+	g_assert_cmpint(cell_world_owner(world), >=, 0);
+	cell_world_worker_cut(world, worker, false);
+	cell_world_run(world, S);
+	(void)fail_first_member(world, job);
+	cell_world_run(world, 4 * S);
+	cell_world_ask(world, (uint32_t)cell_world_owner(world), job);
+	cell_world_run(world, 100 * MS);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_FAILED);
+	g_assert_cmpuint(job->starts, ==, 4);
+}
+
 /* An owner is replaced because an append to the progress log gets no answer,
  * though it lives and everybody can read the jobs' log. */
 static void test_an_owner_shows_its_life(struct cell_fixture *f,
@@ -515,6 +566,8 @@
 	ADD("stopped_member", test_a_stopped_member_ends_no_other);
 	CELL_TEST("/cell_reach/unseen_failure", &two_attempts,
 		  test_unseen_failures_count);
+	CELL_TEST("/cell_reach/unseen_outlasts", &two_attempts,
+		  test_unseen_failures_outlast_an_owner);
 	ADD("progress_fenced", test_a_former_owner_stores_no_progress);
 	ADD("busy_log", test_a_busy_log_is_taken_over);
 	g_test_add_func("/cell_reach/come_back", test_when_to_come_back);
