cell: overdue work of each priority has a share that others do not take

Cause: strict order by priority with room reserved for urgent work and promised to gangs that wait, and no bound on how long work behind them waits. What did begin was stopped at once, as work that has just begun costs nothing to stop. Class: starvation, by reservations that nothing takes back.

Change: work that has waited for half of the slack of its objective may take what its priority lacks of an eighth of the cell ahead of normal work and its promises, and only urgent work stops what is within that share. The share is measured in the kind of room of which the priority holds most. Overdue work that only some workers may run may enter racks that are reserved.

--- a/src/libradishjunction/cell/cell_backlog.c
+++ b/src/libradishjunction/cell/cell_backlog.c
@@ -16,7 +16,7 @@
 	if (unit->started >= unit->waiting)
 		return;
 	class->tasks += unit->waiting - unit->started;
-	if (plan->now_us > unit->work->late_us)
+	if (unit->too_late)
 		class->late_tasks += unit->waiting - unit->started;
 	class->oldest_us =
 		MAX(class->oldest_us, plan->now_us - unit->waiting_us);
@@ -50,7 +50,7 @@
 	for (uint32_t i = 0; i < plan->room_count; i++)
 		add_room(backlog, &plan->rooms[i]);
 	for (uint32_t i = 0; i < RJ_CELL_PRIORITIES; i++)
-		backlog->classes[i].held = plan->held[i];
+		backlog->classes[i].held = plan->held[i].accelerators;
 	backlog->usage = plan->usage;
 	backlog->workers = plan->room_count;
 	backlog->urgent =
--- a/src/libradishjunction/cell/cell_place.c
+++ b/src/libradishjunction/cell/cell_place.c
@@ -38,6 +38,14 @@
 		return;
 	for (uint32_t i = 0; i < plan->room_count; i++)
 		plan->rooms[i].siblings = 0;
+	for (guint i = 0; i < plan->starts->len; i++) {
+		const struct rj_cell_choice *choice =
+			&g_array_index(plan->starts, struct rj_cell_choice, i);
+
+		if (choice->task->round == unit->round &&
+		    choice->task->step == unit->step)
+			choice->worker->room->siblings++;
+	}
 	for (uint32_t i = 0; i < def->steps[unit->step].task_count; i++) {
 		const struct rj_list *runs =
 			&unit->round->tasks[first + i].runs;
@@ -416,9 +424,12 @@
 
 		*before->worker->room = *before;
 	}
-	for (guint i = 0; i < trial->victims->len; i++)
-		((struct rj_cell_run *)trial->victims->pdata[i])->victim =
-			false;
+	for (guint i = 0; i < trial->victims->len; i++) {
+		struct rj_cell_run *run = trial->victims->pdata[i];
+
+		run->victim = false;
+		rj_cell_plan_retain(trial->plan, run);
+	}
 	g_array_free(trial->changes, TRUE);
 	g_ptr_array_free(trial->workers, TRUE);
 	g_ptr_array_free(trial->victims, TRUE);
@@ -559,7 +570,9 @@
 	for (guint i = 0; i < trial->victims->len; i++) {
 		struct rj_cell_run *run = trial->victims->pdata[i];
 
+		run->victim = false;
 		run->why = RJ_CELL_WHY_RECLAIMED;
 		g_ptr_array_add(trial->plan->stops, run);
 	}
+	g_ptr_array_set_size(trial->victims, 0);
 }
--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #include "private/cell_place.h"
+#include "private/cell_share.h"
 #include "private/cell_shortage.h"
 #include "private/cell_units.h"
 
@@ -23,7 +24,8 @@
  * to wait for more than the next ends. */
 #define URGENT_PROMISES_MAX 16
 /*
- * Searches for work to stop that found too little, in one plan, and the pause
+ * Searches for room in a share, or for work to stop, that found too little, in
+ * one plan, and the pause
  * before the same group searches again. Such a search changes nothing, so that
  * leaving it out only delays the next.
  */
@@ -72,8 +74,9 @@
 		rj_cell_step_counted(rj_cell_task_step(task));
 
 	g_array_append_val(plan->starts, choice);
+	task->planned = true;
 	rj_cell_usage_add(&plan->usage, &used);
-	plan->held[rj_cell_work_class(task->round->work)] += used.accelerators;
+	rj_cell_plan_hold(plan, task->round->work, &used);
 	if (worker->domain && !task->round->work->def->priority)
 		worker->domain->urgent +=
 			rj_cell_task_step(task)->each.accelerators;
@@ -363,48 +366,152 @@
 	return placed;
 }
 
-/* Place the waiting tasks of a step: a gang as a whole, others singly. */
+/* The tasks of a step that wait and that this plan has not started. Returns
+ * how many. */
+static uint32_t collect_waiting(const struct rj_cell_plan *plan,
+				const struct rj_cell_unit *unit,
+				struct rj_cell_task **tasks)
+{
+	const struct rj_cell_def *def = unit->work->def;
+	uint32_t first = rj_cell_def_first_task(def, unit->step);
+	uint32_t count = 0;
+
+	for (uint32_t i = first; i < first + def->steps[unit->step].task_count;
+	     i++)
+		if (rj_cell_unit_waits(plan, &unit->round->tasks[i]))
+			tasks[count++] = &unit->round->tasks[i];
+	return count;
+}
+
+/* Place a gang as a whole. */
+static void place_gang(struct rj_cell_plan *plan, struct rj_cell_unit *unit,
+		       struct rj_cell_task **tasks, uint32_t count)
+{
+	if (place_tasks(plan, unit, tasks, count))
+		unit->started = count;
+	else
+		plan->waiting += count;
+}
+
+/* Place tasks singly, until one that stands for the others finds no room. */
+static void place_singly(struct rj_cell_plan *plan, struct rj_cell_unit *unit,
+			 struct rj_cell_task **tasks, uint32_t count)
+{
+	uint32_t placed = start_plain(plan, unit, tasks, count);
+
+	unit->started += placed;
+	for (uint32_t i = placed; i < count; i++) {
+		if (place_tasks(plan, unit, &tasks[i], 1)) {
+			unit->started++;
+			continue;
+		}
+		/* That it is choosy says nothing of the others. */
+		if (rj_cell_place_wants_sound(plan, tasks[i])) {
+			plan->waiting++;
+			continue;
+		}
+		plan->waiting += count - i;
+		if (unit->work->def->priority)
+			break;
+	}
+}
+
+/* Place the waiting tasks of a step. */
 static void place_unit(struct rj_cell_plan *plan, struct rj_cell_unit *unit)
 {
 	const struct rj_cell_def *def = unit->work->def;
 	const struct rj_cell_step *step = &def->steps[unit->step];
-	uint32_t first = rj_cell_def_first_task(def, unit->step);
 	struct rj_cell_task **tasks;
-	uint32_t count = 0;
+	uint32_t count;
 
+	rj_cell_unit_set_reserved(plan, unit);
 	if (def->priority &&
 	    rj_cell_shortage_is_known(plan, unit, 1, RJ_CELL_NOW)) {
-		plan->waiting += unit->waiting;
+		plan->waiting += unit->waiting - unit->started;
 		return;
 	}
 	rj_cell_place_count_siblings(plan, unit);
 	tasks = talloc_array(NULL, struct rj_cell_task *, step->task_count);
-	for (uint32_t i = first; i < first + step->task_count; i++)
-		if (rj_cell_unit_waits(plan, &unit->round->tasks[i]))
-			tasks[count++] = &unit->round->tasks[i];
-	if (step->gang) {
-		if (place_tasks(plan, unit, tasks, count))
-			unit->started = count;
-		else
-			plan->waiting += count;
-	} else {
-		unit->started = start_plain(plan, unit, tasks, count);
-		for (uint32_t i = unit->started; i < count; i++) {
-			if (place_tasks(plan, unit, &tasks[i], 1)) {
-				unit->started++;
-				continue;
-			}
-			/* That it is choosy says nothing of the others. */
-			if (rj_cell_place_wants_sound(plan, tasks[i])) {
-				plan->waiting++;
-				continue;
-			}
-			plan->waiting += count - i;
-			if (def->priority)
-				break;
-		}
+	count = collect_waiting(plan, unit, tasks);
+	if (step->gang && count)
+		place_gang(plan, unit, tasks, count);
+	else
+		place_singly(plan, unit, tasks, count);
+	talloc_free(tasks);
+}
+
+/* Start those of some tasks that find a place now. Returns how many. */
+static uint32_t start_free(struct rj_cell_plan *plan,
+			   const struct rj_cell_unit *unit,
+			   struct rj_cell_task **tasks, uint32_t count)
+{
+	uint32_t first = start_plain(plan, unit, tasks, count);
+	uint32_t started = first;
+
+	for (uint32_t i = first; i < count; i++) {
+		if (attempt_free(plan, unit, &tasks[i], 1, RJ_CELL_NOW))
+			started++;
+		/* That it is choosy says nothing of the others. */
+		else if (!rj_cell_place_wants_sound(plan, tasks[i]))
+			break;
 	}
+	return started;
+}
+
+/*
+ * Start what the share of its priority has room for of an overdue step. A gang
+ * may exceed it, as it starts whole or not at all. Returns whether anything
+ * starts.
+ */
+static bool place_in_share(struct rj_cell_plan *plan, struct rj_cell_unit *unit,
+			   uint32_t tasks_max)
+{
+	const struct rj_cell_step *step = &unit->work->def->steps[unit->step];
+	struct rj_cell_task **tasks;
+	uint32_t count;
+
+	rj_cell_place_count_siblings(plan, unit);
+	tasks = talloc_array(NULL, struct rj_cell_task *, step->task_count);
+	count = collect_waiting(plan, unit, tasks);
+	if (!step->gang)
+		unit->started =
+			start_free(plan, unit, tasks, MIN(count, tasks_max));
+	else if (attempt_free(plan, unit, tasks, count, RJ_CELL_NOW))
+		unit->started = count;
 	talloc_free(tasks);
+	return unit->started;
+}
+
+/*
+ * Start overdue work of priorities that hold less than their share.
+ *
+ * Load that it answers: work that goes first and never ends, and holds or is
+ * promised all that comes free; the work behind it would starve.
+ */
+static void place_shares(struct rj_cell_plan *plan, guint from)
+{
+	uint32_t futile = 0;
+
+	for (guint i = from; i < plan->units->len && futile < FUTILE_MAX; i++) {
+		struct rj_cell_unit *unit =
+			&g_array_index(plan->units, struct rj_cell_unit, i);
+		uint32_t tasks_max = rj_cell_share_tasks(
+			plan, &unit->work->def->steps[unit->step], unit->work);
+
+		rj_cell_unit_set_reserved(plan, unit);
+		if (unit->overdue && tasks_max &&
+		    !rj_cell_shortage_is_known(plan, unit, 1, RJ_CELL_NOW) &&
+		    !place_in_share(plan, unit, tasks_max))
+			futile++;
+	}
+}
+
+/* The plan has been made: its starts are told from what waits by their runs. */
+static void forget_planned(struct rj_cell_plan *plan)
+{
+	for (guint i = 0; i < plan->starts->len; i++)
+		g_array_index(plan->starts, struct rj_cell_choice, i)
+			.task->planned = false;
 }
 
 /*
@@ -412,6 +519,8 @@
  */
 void rj_cell_plan_make(struct rj_cell_plan *plan)
 {
+	bool shared = false;
+
 	rj_cell_units_gather(plan);
 	/* Most plans follow an end that nobody waited for. */
 	if (!plan->units->len)
@@ -421,7 +530,11 @@
 		struct rj_cell_unit *unit =
 			&g_array_index(plan->units, struct rj_cell_unit, i);
 
-		rj_cell_unit_set_reserved(plan, unit);
+		if (unit->work->def->priority && !shared) {
+			place_shares(plan, i);
+			shared = true;
+		}
 		place_unit(plan, unit);
 	}
+	forget_planned(plan);
 }
--- a/src/libradishjunction/cell/cell_reclaim.c
+++ b/src/libradishjunction/cell/cell_reclaim.c
@@ -3,6 +3,7 @@
 
 #include "private/cell_place.h"
 #include "private/cell_release.h"
+#include "private/cell_share.h"
 
 /* An accelerator counts as so many cores when work lost is weighed; so the
  * users price it. */
@@ -49,24 +50,28 @@
 	return cores_milli(step) * lost_ms / 1000;
 }
 
-/* Whether the work of one job gives way to that of a unit: by priority, and
- * to guaranteed work also what others have beyond their guarantees. */
-static bool gives_way(const struct rj_cell_work *work,
+/* Whether the work of one job gives way to that of a unit: by priority, but
+ * for the share that only urgent work may stop; and to guaranteed work also
+ * what others have beyond their guarantees. */
+static bool gives_way(const struct rj_cell_plan *plan,
+		      const struct rj_cell_work *work,
 		      const struct rj_cell_unit *unit)
 {
 	if (work->def->priority > unit->work->def->priority)
-		return true;
+		return !unit->work->def->priority ||
+		       !rj_cell_share_protects(plan, work);
 	return unit->guaranteed && !work->guaranteed;
 }
 
 /* Whether a run may be stopped for the work of a unit. */
-static bool may_stop(const struct rj_cell_run *run,
+static bool may_stop(const struct rj_cell_plan *plan,
+		     const struct rj_cell_run *run,
 		     const struct rj_cell_unit *unit)
 {
 	return run->task && !run->why && run->state != RJ_CELL_RUN_STOPPING &&
 	       run->state != RJ_CELL_RUN_INTENDED &&
 	       run->state != RJ_CELL_RUN_STARTING &&
-	       gives_way(run->task->round->work, unit) &&
+	       gives_way(plan, run->task->round->work, unit) &&
 	       !rj_cell_task_step(run->task)->perpetual;
 }
 
@@ -91,10 +96,11 @@
 }
 
 /* Whether a run may be stopped for a unit, and is not going to be. */
-static bool is_candidate(const struct rj_cell_release *release,
+static bool is_candidate(const struct rj_cell_plan *plan,
+			 const struct rj_cell_release *release,
 			 const struct rj_cell_unit *unit)
 {
-	return !release->run->victim && may_stop(release->run, unit);
+	return !release->run->victim && may_stop(plan, release->run, unit);
 }
 
 /*
@@ -117,12 +123,12 @@
 
 	for (at = releases->by_time; at < end && at->left_us < ENDS_SOON_US;
 	     at++)
-		if (is_candidate(at, unit))
+		if (is_candidate(plan, at, unit))
 			rj_cell_demand_give(&have, &at->run->held);
 	end = releases->by_loss + releases->count;
 	for (at = releases->by_loss;
 	     at < end && !rj_cell_demand_fits(want, &have); at++) {
-		if (at->left_us < ENDS_SOON_US || !is_candidate(at, unit))
+		if (at->left_us < ENDS_SOON_US || !is_candidate(plan, at, unit))
 			continue;
 		rj_cell_demand_give(&have, &at->run->held);
 		loss_milli += at->loss_milli;
@@ -138,6 +144,7 @@
 	struct rj_cell_room *room = run->worker->room;
 
 	run->victim = true;
+	rj_cell_plan_release(trial->plan, run);
 	g_ptr_array_add(trial->victims, run);
 	if (!room)
 		return;
@@ -187,7 +194,7 @@
 	/* The last sum is of several priorities. */
 	for (uint32_t i = MIN(from, RJ_CELL_PRIORITIES - 1);
 	     i < RJ_CELL_PRIORITIES; i++)
-		sum += room->worker->held_by[i];
+		sum += room->worker->held_by[i].accelerators;
 	return sum >= want;
 }
 
--- a/src/libradishjunction/cell/cell_rooms.c
+++ b/src/libradishjunction/cell/cell_rooms.c
@@ -24,6 +24,61 @@
 /* Gathering a room takes so many times as long as weighing it. */
 #define GATHER_EFFORT 4
 
+/* Add what some runs hold. */
+static void hold(struct rj_cell_held *held, const struct rj_cell_demand *demand)
+{
+	held->cpu_milli += demand->cpu_milli;
+	held->memory_mb += demand->memory_mb;
+	held->accelerators += demand->accelerators;
+}
+
+/*
+ * A task of a job is started.
+ */
+void rj_cell_plan_hold(struct rj_cell_plan *plan,
+		       const struct rj_cell_work *work,
+		       const struct rj_cell_demand *demand)
+{
+	hold(&plan->held[rj_cell_work_class(work)], demand);
+}
+
+/* What the priority of a run holds, or NULL: it is not on one of the plan's
+ * rooms, or its job is not known. */
+static struct rj_cell_held *held_by(struct rj_cell_plan *plan,
+				    const struct rj_cell_run *run)
+{
+	if (!run->task || !run->worker->room)
+		return NULL;
+	return &plan->held[rj_cell_work_class(run->task->round->work)];
+}
+
+/*
+ * A run is not stopped after all, and counts as held again.
+ */
+void rj_cell_plan_retain(struct rj_cell_plan *plan,
+			 const struct rj_cell_run *run)
+{
+	struct rj_cell_held *held = held_by(plan, run);
+
+	if (held)
+		hold(held, &run->held);
+}
+
+/*
+ * A run is stopped, and does not count as held any more.
+ */
+void rj_cell_plan_release(struct rj_cell_plan *plan,
+			  const struct rj_cell_run *run)
+{
+	struct rj_cell_held *held = held_by(plan, run);
+
+	if (!held)
+		return;
+	held->cpu_milli -= run->held.cpu_milli;
+	held->memory_mb -= run->held.memory_mb;
+	held->accelerators -= run->held.accelerators;
+}
+
 /* What is left of a capacity. */
 static struct rj_cell_demand room_of(const struct rj_cell_worker *worker)
 {
@@ -34,7 +89,7 @@
 }
 
 /* Room that comes free when what is stopping has gone. */
-static void add_stopping(struct rj_cell_room *room)
+static void add_stopping(struct rj_cell_plan *plan, struct rj_cell_room *room)
 {
 	const struct rj_list *at;
 
@@ -43,8 +98,10 @@
 		const struct rj_cell_run *run =
 			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
 
-		if (run->state == RJ_CELL_RUN_STOPPING)
-			rj_cell_demand_give(&room->soon, &run->held);
+		if (run->state != RJ_CELL_RUN_STOPPING)
+			continue;
+		rj_cell_demand_give(&room->soon, &run->held);
+		rj_cell_plan_release(plan, run);
 	}
 }
 
@@ -212,12 +269,12 @@
 	room->serving = worker->serving;
 	room->filling = worker->filling;
 	room->soon = room->now;
-	add_stopping(room);
 	if (worker->domain)
-		worker->domain->urgent += worker->held_by[0];
+		worker->domain->urgent += worker->held_by[0].accelerators;
 	add_worker(&plan->usage, worker);
 	for (uint32_t i = 0; i < RJ_CELL_PRIORITIES; i++)
-		plan->held[i] += worker->held_by[i];
+		hold(&plan->held[i], &worker->held_by[i]);
+	add_stopping(plan, room);
 	plan->room_count++;
 }
 
--- a/src/libradishjunction/cell/cell_units.c
+++ b/src/libradishjunction/cell/cell_units.c
@@ -15,6 +15,10 @@
  */
 #define RESERVED_WAIT_US (2 * RJ_US_PER_S)
 #define RESERVED_USED_PERCENT 55
+/* Work that is not urgent and has waited for this part of the time that its
+ * objective leaves has a claim on the share of its priority. */
+#define OVERDUE_PERCENT 50
+
 /* Work goes in this order, whatever its priority. */
 enum tier {
 	TIER_GUARANTEED, /* its account has a right to the room at once */
@@ -28,7 +32,8 @@
 bool rj_cell_unit_waits(const struct rj_cell_plan *plan,
 			const struct rj_cell_task *task)
 {
-	return !task->done && task->runs.next == &task->runs &&
+	return !task->done && !task->planned &&
+	       task->runs.next == &task->runs &&
 	       plan->now_us >= task->not_before_us;
 }
 
@@ -135,9 +140,16 @@
 	       plan->now_us - unit->waiting_us >= RESERVED_WAIT_US;
 }
 
+/* Whether only some workers may run a step, however much room others have. */
+static bool is_confined(const struct rj_cell_unit *unit)
+{
+	return unit->work->def->steps[unit->step].label[0] || unit->advised;
+}
+
 /*
  * Say what a step may use of what is reserved for urgent work: all of it if it
- * is urgent, and the open part if it can be stopped at no loss.
+ * is urgent, or overdue and bound to some workers; the open part if it can be
+ * stopped at no loss.
  */
 void rj_cell_unit_set_reserved(const struct rj_cell_plan *plan,
 			       struct rj_cell_unit *unit)
@@ -145,7 +157,8 @@
 	const struct rj_cell_def *def = unit->work->def;
 	const struct rj_cell_step *step = &def->steps[unit->step];
 
-	unit->into_exclusive = !def->priority || is_idle(plan, unit);
+	unit->into_exclusive = !def->priority || is_idle(plan, unit) ||
+			       (unit->overdue && is_confined(unit));
 	unit->into_reserved =
 		unit->into_exclusive || (step->checkpoints && !step->perpetual);
 }
@@ -168,6 +181,41 @@
 	       head->failures + head->unseen >= def->attempts_max;
 }
 
+/* For how long a step could have been served. */
+static uint64_t age_of(const struct rj_cell_plan *plan,
+		       const struct rj_cell_unit *unit)
+{
+	return plan->now_us - unit->work->accepted_us;
+}
+
+/* In which tier a step of a job goes. */
+static enum tier tier_of(const struct rj_cell_unit *unit, uint64_t age_us)
+{
+	const struct rj_cell_work *work = unit->work;
+
+	if (unit->guaranteed)
+		return TIER_GUARANTEED;
+	if (age_us > work->late_us - work->accepted_us)
+		return TIER_HOPELESS;
+	return TIER_USEFUL;
+}
+
+/* Note how work that is not urgent stands against its objective. */
+static void set_standing(struct rj_cell_plan *plan, struct rj_cell_unit *unit,
+			 uint64_t age_us)
+{
+	const struct rj_cell_work *work = unit->work;
+	uint64_t chain_us =
+		rj_cell_forecast_chain_ms(plan->forecast, work->def) *
+		RJ_US_PER_MS;
+	uint64_t objective_us = work->objective_us - work->accepted_us;
+	uint64_t slack_us = objective_us - MIN(objective_us, chain_us);
+
+	if (!work->def->priority || unit->tier == TIER_HOPELESS)
+		return;
+	unit->overdue = age_us * 100 >= slack_us * OVERDUE_PERCENT;
+}
+
 /* Note the waiting tasks of one step. */
 static void add_unit(struct rj_cell_plan *plan, struct rj_cell_round *round,
 		     uint32_t step)
@@ -180,6 +228,7 @@
 	struct rj_cell_unit unit = { .work = work,
 				     .round = round,
 				     .step = step };
+	uint64_t age_us;
 
 	unit.waiting = count_waiting(plan, round, step, &unit.waiting_us);
 	if (!unit.waiting || may_be_used_up(plan, round, step))
@@ -190,13 +239,11 @@
 	unit.advised = queue && queue->advised;
 	unit.far = may_be_far(plan, &work->def->steps[step], unit.waiting_us);
 	unit.guaranteed = work->guaranteed;
-	if (unit.guaranteed)
-		unit.tier = TIER_GUARANTEED;
-	else if (plan->now_us > work->late_us)
-		unit.tier = TIER_HOPELESS;
-	else
-		unit.tier = TIER_USEFUL;
+	age_us = age_of(plan, &unit);
+	unit.tier = tier_of(&unit, age_us);
+	unit.too_late = unit.tier == TIER_HOPELESS;
 	unit.order_us = work->accepted_us;
+	set_standing(plan, &unit, age_us);
 	g_array_append_val(plan->units, unit);
 }
 
--- a/src/libradishjunction/cell/cell_work.c
+++ b/src/libradishjunction/cell/cell_work.c
@@ -205,7 +205,7 @@
 }
 
 /* The worker's sum over runs of this run's priority; its job is known. */
-static uint32_t *held_by(const struct rj_cell_run *run)
+static struct rj_cell_demand *held_by(const struct rj_cell_run *run)
 {
 	uint32_t class = rj_cell_work_class(run->task->round->work);
 
@@ -243,7 +243,7 @@
 	rj_cell_demand_give(&worker->held, &run->held);
 	(*count_of(run))++;
 	if (run->task)
-		*held_by(run) += run->held.accelerators;
+		rj_cell_demand_give(held_by(run), &run->held);
 	if (worker->watch != RJ_CELL_WATCH_BUSY)
 		rj_cell_worker_watch(worker, RJ_CELL_WATCH_BUSY);
 }
@@ -258,7 +258,7 @@
 	rj_cell_demand_take(&worker->held, &run->held);
 	(*count_of(run))--;
 	if (run->task)
-		*held_by(run) -= run->held.accelerators;
+		rj_cell_demand_take(held_by(run), &run->held);
 	rj_list_remove(&run->in_worker);
 	rj_list_remove(&run->in_task);
 	talloc_free(run);
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -99,8 +99,8 @@
 	uint64_t seen_told; /* ... may have been forgotten by the worker */
 	struct rj_list runs;
 	struct rj_cell_demand held; /* by all runs */
-	/* Accelerators held by runs of jobs, by their priority. */
-	uint32_t held_by[RJ_CELL_PRIORITIES];
+	/* By runs of jobs, by their priority. */
+	struct rj_cell_demand held_by[RJ_CELL_PRIORITIES];
 	uint32_t serving; /* runs that serve users of their own, with a bound */
 	uint32_t filling; /* all others */
 	uint64_t harmed_until_us; /* nothing is put beside what serves there */
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -66,6 +66,13 @@
 	uint64_t all;
 };
 
+/* What the runs of one priority hold. */
+struct rj_cell_held {
+	uint64_t cpu_milli;
+	uint64_t memory_mb;
+	uint64_t accelerators;
+};
+
 /* The sums over all rooms. */
 struct rj_cell_usage {
 	struct rj_cell_share_used cpu;
@@ -100,7 +107,9 @@
 	GArray *racks; /* struct rj_cell_rack_rooms, domains take turns */
 	GArray *ranges; /* struct rj_cell_range: each rack, in room order */
 	struct rj_cell_usage usage; /* with what this plan starts */
-	uint64_t held[RJ_CELL_PRIORITIES]; /* accelerators, likewise */
+	/* By each priority on the plan's rooms, with what this plan starts and
+	 * without what is stopping. */
+	struct rj_cell_held held[RJ_CELL_PRIORITIES];
 	GArray *units;
 	uint32_t promises; /* groups of others that have room promised */
 	uint32_t urgent_promises; /* urgent groups that have */
@@ -115,6 +124,13 @@
 void rj_cell_plan_gather_rooms(struct rj_cell_plan *plan);
 void rj_cell_plan_note_freed(struct rj_cell_plan *plan,
 			     const struct rj_cell_room *room);
+void rj_cell_plan_hold(struct rj_cell_plan *plan,
+		       const struct rj_cell_work *work,
+		       const struct rj_cell_demand *demand);
+void rj_cell_plan_retain(struct rj_cell_plan *plan,
+			 const struct rj_cell_run *run);
+void rj_cell_plan_release(struct rj_cell_plan *plan,
+			  const struct rj_cell_run *run);
 void rj_cell_usage_add(struct rj_cell_usage *usage,
 		       const struct rj_cell_demand *used);
 uint32_t rj_cell_usage_percent(const struct rj_cell_usage *usage);
--- a/src/libradishjunction/include/private/cell_work.h
+++ b/src/libradishjunction/include/private/cell_work.h
@@ -98,6 +98,7 @@
 	struct rj_list runs;
 	uint64_t waiting_us; /* since when it waits, once its turn has come */
 	uint64_t not_before_us;
+	bool planned; /* the plan that is being made starts it */
 	uint64_t search_due_us; /* of work to stop for it; of its gang */
 	char avoid[RJ_NAME_BYTES]; /* the worker of its last failure, */
 	uint64_t avoid_until_us; /* for a while */
--- a/src/test_libradishjunction/support/cell_load.c
+++ b/src/test_libradishjunction/support/cell_load.c
@@ -68,19 +68,30 @@
 }
 
 /*
- * Let streams of jobs come for a while, with clients that ask for them.
+ * Let streams of jobs come for a while, with clients that ask for them, and
+ * call `check` (may be NULL) now and then.
  */
 void cell_load_play(struct cell_world *world,
 		    const struct cell_load_stream *streams, uint32_t count,
-		    uint64_t for_us)
+		    uint64_t for_us, void (*check)(struct cell_world *world))
 {
 	for (uint64_t ran_us = 0; ran_us < for_us; ran_us += PLAY_STEP_US) {
 		for (uint32_t i = 0; i < count; i++)
 			hand_in_due(world, &streams[i], ran_us);
 		cell_load_follow(world, PLAY_STEP_US);
+		if (check)
+			check(world);
 	}
 }
 
+/*
+ * What the owner's last plan has left waiting and idle.
+ */
+const struct rj_cell_backlog *cell_load_backlog(const struct cell_world *world)
+{
+	return &world->nodes[cell_world_owner(world)].node.owner.backlog;
+}
+
 /* When a job should have ended, after it was sent. */
 static uint64_t objective_of(const struct cell_world *world,
 			     const struct cell_client_job *job)
--- a/src/test_libradishjunction/support/cell_load.h
+++ b/src/test_libradishjunction/support/cell_load.h
@@ -28,7 +28,8 @@
 		    uint64_t work_us);
 void cell_load_play(struct cell_world *world,
 		    const struct cell_load_stream *streams, uint32_t count,
-		    uint64_t for_us);
+		    uint64_t for_us, void (*check)(struct cell_world *world));
+const struct rj_cell_backlog *cell_load_backlog(const struct cell_world *world);
 uint32_t cell_load_earned_percent(const struct cell_world *world,
 				  const char *queue, uint64_t sent_before_us);
 
--- a/src/test_libradishjunction/test_cell_load.c
+++ b/src/test_libradishjunction/test_cell_load.c
@@ -43,12 +43,6 @@
 	g_assert_cmpuint(f->world.wasted_us, <, 32 * 6 * S);
 }
 
-/* What the owner's last plan has left waiting and idle. */
-static const struct rj_cell_backlog *backlog_of(struct cell_world *world)
-{
-	return &world->nodes[cell_world_owner(world)].node.owner.backlog;
-}
-
 /*
  * Load: more bulk work than the site holds.
  * Operators see what waits, for how long, and that no room is left.
@@ -58,7 +52,7 @@
 	const struct rj_cell_backlog *backlog;
 
 	cell_load_fill(&f->world, 10, false, 20 * S);
-	backlog = backlog_of(&f->world);
+	backlog = cell_load_backlog(&f->world);
 	g_assert_cmpuint(backlog->workers, ==, site.workers);
 	g_assert_cmpuint(backlog->usage.accelerators.used, ==,
 			 backlog->usage.accelerators.all);
--- a/src/test_libradishjunction/test_cell_starvation.c
+++ b/src/test_libradishjunction/test_cell_starvation.c
@@ -44,15 +44,146 @@
 	};
 	uint64_t begin_us = f->world.now_us;
 
-	cell_load_play(&f->world, streams, G_N_ELEMENTS(streams), 75 * S);
+	cell_load_play(&f->world, streams, G_N_ELEMENTS(streams), 75 * S, NULL);
 	g_assert_cmpuint(
 		cell_load_earned_percent(&f->world, "bulk", begin_us + 45 * S),
 		>=, FLOOR_PERCENT);
 }
 
+/*
+ * Load: more normal work than the site holds, and a little batch work.
+ * Guards against batch work that gets no room for as long as others wait.
+ */
+static void test_a_share_outlasts_an_overload(struct cell_fixture *f,
+					      const void *data)
+{
+	const struct cell_load_stream streams[] = {
+		{ "normal", "a", gang_of(6, 4, 6000), 6 * S, 600 * MS, 0, 0 },
+		{ "bulk", "b", cell_world_step(16, 1, 9000), 9 * S, 3600 * MS,
+		  0, 0 },
+	};
+	uint64_t begin_us = f->world.now_us;
+
+	cell_load_play(&f->world, streams, G_N_ELEMENTS(streams), 90 * S, NULL);
+	g_assert_cmpuint(
+		cell_load_earned_percent(&f->world, "bulk", begin_us + 54 * S),
+		>=, FLOOR_PERCENT);
+}
+
+/*
+ * Load: more normal work than the site holds, and batch tasks that are kept on
+ * workers of their own.
+ * Guards against two of them on one worker when a plan starts some within the
+ * share and the others after it.
+ */
+static void test_a_share_keeps_tasks_apart(struct cell_fixture *f,
+					   const void *data)
+{
+	struct cell_load_stream streams[] = {
+		{ "normal", "a", gang_of(3, 4, 6000), 6 * S, 700 * MS, 0, 0 },
+		{ "bulk", "b", cell_world_step(20, 1, 6000), 6 * S, 2 * S, 0,
+		  0 },
+	};
+
+	streams[1].step.per_worker_max = 1;
+	cell_load_play(&f->world, streams, G_N_ELEMENTS(streams), 60 * S, NULL);
+}
+
+/* More normal work than the site holds, without an end. */
+static const struct cell_load_stream *overload(void)
+{
+	static struct cell_load_stream stream;
+
+	stream = (struct cell_load_stream){
+		.queue = "normal",
+		.account = "a",
+		.step = gang_of(6, 4, 6000),
+		.work_us = 6 * S,
+		.every_us = 600 * MS,
+	};
+	return &stream;
+}
+
+/*
+ * Load: more normal work than the site holds, and a batch job.
+ * Guards against batch tasks that are stopped as soon as they begin, since
+ * what has just begun is cheap to stop.
+ */
+static void test_work_within_its_share_is_not_stopped(struct cell_fixture *f,
+						      const void *data)
+{
+	const struct cell_load_stream normal = {
+		"normal", "a", gang_of(1, 8, 6000), 6 * S, 200 * MS, 0, 0
+	};
+	struct rj_cell_step step = cell_world_step(8, 1, 6000);
+	struct cell_client_job *job;
+
+	cell_load_play(&f->world, &normal, 1, 10 * S, NULL);
+	job = cell_load_hand_in(&f->world, "bulk", "b", &step, 6 * S);
+	cell_load_play(&f->world, &normal, 1, 40 * S, NULL);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
+	g_assert_cmpuint(job->starts, ==, job->def->task_count);
+}
+
+/*
+ * Load: batch work that needs cores alone fills the site when normal work
+ * comes.
+ * Guards against a share that counts accelerators alone, and so never ends.
+ */
+static void test_a_share_counts_all_kinds_of_room(struct cell_fixture *f,
+						  const void *data)
+{
+	struct rj_cell_step batch = { .task_count = 192,
+				      .each = { 8000, 1000, 0 },
+				      .estimate_ms = 30000,
+				      .checkpoints = true };
+	struct rj_cell_step normal = { .task_count = 4,
+				       .each = { 32000, 1000, 0 },
+				       .estimate_ms = 6000 };
+	struct cell_client_job *job;
+
+	(void)cell_load_hand_in(&f->world, "bulk", "b", &batch, 30 * S);
+	cell_load_follow(&f->world, 2 * S);
+	job = cell_load_hand_in(&f->world, "normal", "a", &normal, 6 * S);
+	cell_load_follow(&f->world, 10 * S);
+	g_assert_cmpuint(job->begun_us, !=, 0);
+}
+
+/*
+ * Load: batch work that must run in the rack that is reserved first, under
+ * more normal work than the site holds.
+ * Guards against work that waits for ever beside idle workers, since no other
+ * may run it.
+ */
+static void test_confined_work_enters_a_reserved_rack(struct cell_fixture *f,
+						      const void *data)
+{
+	struct rj_cell_step urgent = gang_of(1, 1, 500);
+	struct rj_cell_step step = cell_world_step(4, 1, 6000);
+	struct cell_client_job *job;
+
+	(void)cell_load_hand_in(&f->world, "urgent", "a", &urgent, 500 * MS);
+	cell_load_play(&f->world, overload(), 1, 10 * S, NULL);
+	g_strlcpy(step.label, f->world.workers[0].said.rack,
+		  sizeof(step.label));
+	job = cell_load_hand_in(&f->world, "bulk", "b", &step, 6 * S);
+	cell_load_play(&f->world, overload(), 1, 25 * S, NULL);
+	g_assert_cmpuint(job->begun_us, !=, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	CELL_TEST("/cell_starvation/share", &site, test_batch_work_has_a_share);
+	CELL_TEST("/cell_starvation/overload", &site,
+		  test_a_share_outlasts_an_overload);
+	CELL_TEST("/cell_starvation/apart", &site,
+		  test_a_share_keeps_tasks_apart);
+	CELL_TEST("/cell_starvation/not_stopped", &site,
+		  test_work_within_its_share_is_not_stopped);
+	CELL_TEST("/cell_starvation/cores", &site,
+		  test_a_share_counts_all_kinds_of_room);
+	CELL_TEST("/cell_starvation/confined", &site,
+		  test_confined_work_enters_a_reserved_rack);
 	return g_test_run();
 }
