cell: racks reserved for urgent work yield to work that misses its objective

Change: while work that is not urgent, and that any worker may run, cannot meet its objective any more, no more is reserved than urgent work holds and one gang more.

Evidence: cell_starvation/reserved fails without it (128 reserved, 72 held).

--- a/src/libradishjunction/cell/cell_rooms.c
+++ b/src/libradishjunction/cell/cell_rooms.c
@@ -166,7 +166,8 @@
  * Load that it answers: bursts of urgent gangs, of which half must be in one
  * rack, over a site that longer work has filled. Without it each of them
  * stopped work that does not save its progress. Whole racks are reserved, as
- * room that is spread over all racks holds no gang.
+ * room that is spread over all racks holds no gang. While other work misses its
+ * objective, no more is reserved than urgent work uses, and one gang more.
  */
 static void reserve_racks(struct rj_cell_plan *plan)
 {
@@ -177,6 +178,11 @@
 
 	if (!plan->forecast->urgent_us)
 		return;
+	if (plan->misses_objective) {
+		need = MIN(need,
+			   (double)plan->held[0].accelerators + RESERVED_EXTRA);
+		exclusive = MIN(exclusive, (double)plan->held[0].accelerators);
+	}
 	for (guint i = 0; i < count && need > 0; i++) {
 		double reserved = reserve_rack(
 			plan,
--- a/src/libradishjunction/cell/cell_units.c
+++ b/src/libradishjunction/cell/cell_units.c
@@ -214,6 +214,7 @@
 	if (!work->def->priority || unit->tier == TIER_HOPELESS)
 		return;
 	unit->overdue = age_us * 100 >= slack_us * OVERDUE_PERCENT;
+	plan->misses_objective |= age_us >= slack_us && !is_confined(unit);
 }
 
 /* Note the waiting tasks of one step. */
--- a/src/test_libradishjunction/test_cell_starvation.c
+++ b/src/test_libradishjunction/test_cell_starvation.c
@@ -89,6 +89,42 @@
 	cell_load_play(&f->world, streams, G_N_ELEMENTS(streams), 60 * S, NULL);
 }
 
+/* When normal work of 6 s, on workers of different speeds, has waited for this
+ * long it misses its objective. */
+#define NORMAL_SLACK_US (20 * S)
+/* What stays reserved beside what urgent work uses: one gang more, and the
+ * rest of the rack that it begins. */
+#define RESERVED_SPARE (16 + 32)
+
+/* While normal work misses its objective no more is reserved than needed. */
+static void check_reserved(struct cell_world *world)
+{
+	const struct rj_cell_backlog *backlog = cell_load_backlog(world);
+
+	if (backlog->classes[1].oldest_us > NORMAL_SLACK_US)
+		g_assert_cmpuint(backlog->reserved, <=,
+				 backlog->classes[0].held + RESERVED_SPARE);
+}
+
+/*
+ * Load: urgent and normal gangs that need three quarters of the site; for the
+ * urgent ones twice is reserved of what they use.
+ * Guards against racks that stay reserved and idle while other work misses its
+ * objective.
+ */
+static void test_idle_reservations_yield(struct cell_fixture *f,
+					 const void *data)
+{
+	const struct cell_load_stream streams[] = {
+		{ "urgent", "a", gang_of(4, 4, 2500), 2500 * MS, 700 * MS, 0,
+		  0 },
+		{ "normal", "a", gang_of(3, 4, 6000), 6 * S, 800 * MS, 0, 0 },
+	};
+
+	cell_load_play(&f->world, streams, G_N_ELEMENTS(streams), 75 * S,
+		       check_reserved);
+}
+
 /* More normal work than the site holds, without an end. */
 static const struct cell_load_stream *overload(void)
 {
@@ -179,6 +215,8 @@
 		  test_a_share_outlasts_an_overload);
 	CELL_TEST("/cell_starvation/apart", &site,
 		  test_a_share_keeps_tasks_apart);
+	CELL_TEST("/cell_starvation/reserved", &site,
+		  test_idle_reservations_yield);
 	CELL_TEST("/cell_starvation/not_stopped", &site,
 		  test_work_within_its_share_is_not_stopped);
 	CELL_TEST("/cell_starvation/cores", &site,
