cell: occurrences and lasting tasks are not late by their job's age

A job with times that is due long after it was accepted, and a task that lasts and lost its worker, were taken to be hopelessly late, since the age was that of the job, and went behind all other work: 0 of 4 tasks of either began again on a full site.

Change: an occurrence ages from when it is due, a task that lasts from when it waits, and never hopelessly.

Evidence: cell_starvation/scheduled and /lasting fail without it.

--- a/src/libradishjunction/cell/cell_units.c
+++ b/src/libradishjunction/cell/cell_units.c
@@ -181,11 +181,20 @@
 	       head->failures + head->unseen >= def->attempts_max;
 }
 
-/* For how long a step could have been served. */
+/*
+ * For how long a step could have been served: since its job was accepted or its
+ * occurrence was due; of what lasts, since its tasks wait.
+ */
 static uint64_t age_of(const struct rj_cell_plan *plan,
 		       const struct rj_cell_unit *unit)
 {
-	return plan->now_us - unit->work->accepted_us;
+	const struct rj_cell_work *work = unit->work;
+	uint64_t due_us =
+		work->accepted_us + rj_cell_round_due_after_us(unit->round);
+
+	if (work->def->steps[unit->step].perpetual)
+		due_us = unit->waiting_us;
+	return plan->now_us - MIN(plan->now_us, due_us);
 }
 
 /* In which tier a step of a job goes. */
@@ -195,7 +204,8 @@
 
 	if (unit->guaranteed)
 		return TIER_GUARANTEED;
-	if (age_us > work->late_us - work->accepted_us)
+	if (!work->def->steps[unit->step].perpetual &&
+	    age_us > work->late_us - work->accepted_us)
 		return TIER_HOPELESS;
 	return TIER_USEFUL;
 }
--- a/src/libradishjunction/cell/cell_work.c
+++ b/src/libradishjunction/cell/cell_work.c
@@ -96,6 +96,19 @@
 	return round;
 }
 
+/*
+ * How long after its job was accepted an occurrence is due, in microseconds.
+ */
+uint64_t rj_cell_round_due_after_us(const struct rj_cell_round *round)
+{
+	const struct rj_cell_def *def = round->work->def;
+	uint64_t due_ms = def->first_run_ms + round->number * def->interval_ms;
+
+	if (!def->repeats)
+		return 0;
+	return (due_ms - MIN(due_ms, def->accepted_ms)) * RJ_US_PER_MS;
+}
+
 /*
  * Whether the turn of a step has come: all steps before it have ended.
  */
--- a/src/libradishjunction/include/private/cell_work.h
+++ b/src/libradishjunction/include/private/cell_work.h
@@ -145,6 +145,7 @@
 struct rj_cell_round *rj_cell_work_begin_round(struct rj_cell_work *work,
 					       uint32_t number);
 uint32_t rj_cell_work_class(const struct rj_cell_work *work);
+uint64_t rj_cell_round_due_after_us(const struct rj_cell_round *round);
 bool rj_cell_round_ready(const struct rj_cell_round *round, uint32_t step);
 void rj_cell_round_task_done(struct rj_cell_task *task);
 struct rj_cell_task *rj_cell_task_head(struct rj_cell_task *task);
--- a/src/test_libradishjunction/test_cell_starvation.c
+++ b/src/test_libradishjunction/test_cell_starvation.c
@@ -185,6 +185,57 @@
 	g_assert_cmpuint(job->begun_us, !=, 0);
 }
 
+/*
+ * Load: a batch job that is due long after it was accepted, under more normal
+ * work than the site holds.
+ * Guards against occurrences that are taken to be late before they are due.
+ */
+static void test_a_scheduled_job_is_not_late_early(struct cell_fixture *f,
+						   const void *data)
+{
+	struct rj_cell_step step = cell_world_step(4, 1, 2000);
+	struct cell_client_job *job =
+		cell_world_job(&f->world, "bulk", "b", &step, 1, 2 * S);
+
+	job->def->repeats = 1;
+	job->def->first_run_ms = cell_world_wall_ms(&f->world) + 45000;
+	job->def->interval_ms = 1000;
+	cell_world_submit(&f->world, 0, job);
+	cell_load_play(&f->world, overload(), 1, 75 * S, NULL);
+	g_assert_cmpint(job->shown, ==, RJ_CELL_JOB_COMPLETED);
+}
+
+/*
+ * Load: batch work that lasts loses a worker, under more normal work than the
+ * site holds.
+ * Guards against tasks that are taken to be late as their job has run for
+ * long.
+ */
+static void test_lasting_work_is_started_again(struct cell_fixture *f,
+					       const void *data)
+{
+	struct rj_cell_step step = cell_world_step(4, 1, 1000);
+	struct cell_client_job *job;
+
+	step.perpetual = true;
+	job = cell_load_hand_in(&f->world, "bulk", "b", &step, S);
+	cell_load_follow(&f->world, S);
+	g_assert_cmpuint(job->starts, ==, 4);
+	cell_load_play(&f->world, overload(), 1, 45 * S, NULL);
+	g_assert_cmpuint(job->starts, ==, 4);
+	for (uint32_t i = 0; i < site.workers; i++)
+		for (guint j = 0; j < f->world.workers[i].runs->len; j++)
+			if (g_str_has_prefix(
+				    cell_fake_row_at(&f->world.workers[i], j)
+					    .name,
+				    job->id)) {
+				cell_world_worker_kill(&f->world, i);
+				break;
+			}
+	cell_load_play(&f->world, overload(), 1, 30 * S, NULL);
+	g_assert_cmpuint(job->starts, ==, 8);
+}
+
 /*
  * Load: batch work that must run in the rack that is reserved first, under
  * more normal work than the site holds.
@@ -221,6 +272,10 @@
 		  test_work_within_its_share_is_not_stopped);
 	CELL_TEST("/cell_starvation/cores", &site,
 		  test_a_share_counts_all_kinds_of_room);
+	CELL_TEST("/cell_starvation/scheduled", &site,
+		  test_a_scheduled_job_is_not_late_early);
+	CELL_TEST("/cell_starvation/lasting", &site,
+		  test_lasting_work_is_started_again);
 	CELL_TEST("/cell_starvation/confined", &site,
 		  test_confined_work_enters_a_reserved_rack);
 	return g_test_run();
