cell: work that can still be in time goes before work of its priority that is late

Change: within a priority that is not urgent what has begun goes first, then what can still meet its objective, then what is late; late work goes first again when three fifths of the time have passed in which it is of use.

--- a/src/libradishjunction/cell/cell_units.c
+++ b/src/libradishjunction/cell/cell_units.c
@@ -18,6 +18,9 @@
 /* Work that is not urgent and has waited for this part of the time that its
  * objective leaves has a claim on the share of its priority. */
 #define OVERDUE_PERCENT 50
+/* Work that has not begun when this part of the time has passed in which it is
+ * of any use does not make way for other work of its priority any more. */
+#define LAST_CHANCE_PERCENT 60
 
 /* Work goes in this order, whatever its priority. */
 enum tier {
@@ -26,6 +29,13 @@
 	TIER_HOPELESS, /* too late; it only has to end some day */
 };
 
+/* Work of one priority that is not urgent goes in this order. */
+enum standing {
+	STANDING_FIRST, /* it has begun, or must begin to be of any use */
+	STANDING_IN_TIME, /* it can still meet its objective */
+	STANDING_LATE,
+};
+
 /*
  * Whether a task waits for room.
  */
@@ -210,7 +220,12 @@
 	return TIER_USEFUL;
 }
 
-/* Note how work that is not urgent stands against its objective. */
+/*
+ * Note how work that is not urgent stands against its objective.
+ *
+ * Load that it answers: more work of a priority than the cell can serve for a
+ * while. In the order of acceptance all of it would end late.
+ */
 static void set_standing(struct rj_cell_plan *plan, struct rj_cell_unit *unit,
 			 uint64_t age_us)
 {
@@ -220,8 +235,17 @@
 		RJ_US_PER_MS;
 	uint64_t objective_us = work->objective_us - work->accepted_us;
 	uint64_t slack_us = objective_us - MIN(objective_us, chain_us);
+	uint64_t late_us = work->late_us - work->accepted_us;
 
-	if (!work->def->priority || unit->tier == TIER_HOPELESS)
+	if (!work->def->priority)
+		return;
+	if (work->started || age_us * 100 >= late_us * LAST_CHANCE_PERCENT)
+		unit->standing = STANDING_FIRST;
+	else if (age_us <= slack_us)
+		unit->standing = STANDING_IN_TIME;
+	else
+		unit->standing = STANDING_LATE;
+	if (unit->tier == TIER_HOPELESS)
 		return;
 	unit->overdue = age_us * 100 >= slack_us * OVERDUE_PERCENT;
 	plan->misses_objective |= age_us >= slack_us && !is_confined(unit);
@@ -285,7 +309,8 @@
 	}
 }
 
-/* Useful work first, by priority, then in the order of acceptance. */
+/* Useful work first, by priority, then by its standing, then in the order of
+ * acceptance. */
 static gint by_order(gconstpointer a, gconstpointer b)
 {
 	const struct rj_cell_unit *left = a;
@@ -297,6 +322,8 @@
 		return left->work->def->priority < right->work->def->priority ?
 			       -1 :
 			       1;
+	if (left->standing != right->standing)
+		return left->standing < right->standing ? -1 : 1;
 	if (left->order_us != right->order_us)
 		return left->order_us < right->order_us ? -1 : 1;
 	return strcmp(left->work->def->id, right->work->def->id);
--- a/src/libradishjunction/include/private/cell_place.h
+++ b/src/libradishjunction/include/private/cell_place.h
@@ -14,6 +14,7 @@
 	struct rj_cell_round *round;
 	uint32_t step;
 	uint32_t tier; /* lower tiers go first */
+	uint32_t standing; /* within its priority; lower ones go first */
 	bool too_late; /* its caller has given up on it */
 	bool overdue; /* goes first while its priority is below its share */
 	uint64_t order_us;
--- a/src/test_libradishjunction/test_cell_starvation.c
+++ b/src/test_libradishjunction/test_cell_starvation.c
@@ -125,6 +125,59 @@
 		       check_reserved);
 }
 
+/* A gang that takes the whole site, handed in while another runs. */
+static struct cell_client_job *whole_site(struct cell_world *world,
+					  const char *queue, uint64_t work_us)
+{
+	struct rj_cell_step step =
+		gang_of(site.workers, 8, (uint32_t)(work_us / MS));
+
+	return cell_load_hand_in(world, queue, "a", &step, work_us);
+}
+
+/* How fast the slowest fake worker is. */
+#define SLOWEST_PERCENT 80
+
+/* Two jobs wait, the second for 2 s, for a site that comes free when the first
+ * has waited for `wait_us`. Returns whether the first one begins first. */
+static bool older_begins_first(struct cell_world *world, uint64_t wait_us)
+{
+	struct cell_client_job *older;
+	struct cell_client_job *younger;
+
+	(void)whole_site(world, "urgent",
+			 (wait_us + 500 * MS) * SLOWEST_PERCENT / 100);
+	cell_load_follow(world, 500 * MS);
+	older = whole_site(world, "normal", S);
+	cell_load_follow(world, wait_us - 2 * S);
+	younger = whole_site(world, "normal", S);
+	cell_load_follow(world, 6 * S);
+	g_assert_cmpint(older->shown, ==, RJ_CELL_JOB_COMPLETED);
+	g_assert_cmpint(younger->shown, ==, RJ_CELL_JOB_COMPLETED);
+	return older->begun_us < younger->begun_us;
+}
+
+/*
+ * Load: two jobs of 1 s, objective 4 s, of no use after 12 s. One is late when
+ * the site comes free, and the other can still end in time.
+ * Guards against a queue in which all are late because the first one is.
+ */
+static void test_work_that_can_be_in_time_goes_first(struct cell_fixture *f,
+						     const void *data)
+{
+	g_assert_false(older_begins_first(&f->world, 5 * S));
+}
+
+/*
+ * Load: the same, and the late one will soon be of no use.
+ * Guards against late work that makes way until nobody wants it.
+ */
+static void test_late_work_keeps_its_last_chance(struct cell_fixture *f,
+						 const void *data)
+{
+	g_assert_true(older_begins_first(&f->world, 8 * S));
+}
+
 /* More normal work than the site holds, without an end. */
 static const struct cell_load_stream *overload(void)
 {
@@ -268,6 +321,10 @@
 		  test_a_share_keeps_tasks_apart);
 	CELL_TEST("/cell_starvation/reserved", &site,
 		  test_idle_reservations_yield);
+	CELL_TEST("/cell_starvation/in_time", &site,
+		  test_work_that_can_be_in_time_goes_first);
+	CELL_TEST("/cell_starvation/last_chance", &site,
+		  test_late_work_keeps_its_last_chance);
 	CELL_TEST("/cell_starvation/not_stopped", &site,
 		  test_work_within_its_share_is_not_stopped);
 	CELL_TEST("/cell_starvation/cores", &site,
