cell: two gangs at a time are promised room

Up to 150 of 384 accelerators stood promised to four gangs that waited for the rest of theirs, beside 300 batch tasks. Two gangs are promised room now.

--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -11,7 +11,7 @@
 
 /* Gangs of lower priority that room is promised to at a time. More would
  * leave too much of it idle. */
-#define PROMISES_MAX 4
+#define PROMISES_MAX 2
 /* Urgent work that has no right to its room may throw away so many times its
  * own work: it is worth about ten times as much a core-second, half of which
  * is left for the wait of those that it stops. */
