cell: reservations yield to work that waits for room, not to all that is late

Cause: any task past the slack of its job made all reservations of the cell yield, also one that had just failed and was about to start again on a site with room. Urgent gangs then had to stop others.

Change: only work that has waited for 2 s counts, as where reserved racks are opened because much is idle.

--- a/src/libradishjunction/cell/cell_units.c
+++ b/src/libradishjunction/cell/cell_units.c
@@ -248,7 +248,9 @@
 	if (unit->tier == TIER_HOPELESS)
 		return;
 	unit->overdue = age_us * 100 >= slack_us * OVERDUE_PERCENT;
-	plan->misses_objective |= age_us >= slack_us && !is_confined(unit);
+	plan->misses_objective |=
+		age_us >= slack_us && !is_confined(unit) &&
+		plan->now_us - unit->waiting_us >= RESERVED_WAIT_US;
 }
 
 /* Note the waiting tasks of one step. */
