--- a/src/libradishjunction/include/private/cell_backlog.h
+++ b/src/libradishjunction/include/private/cell_backlog.h
@@ -28,7 +28,7 @@
 	uint32_t reserved;
 	uint32_t exclusive;
 	uint32_t reserved_free; /* of these, in no use */
-	uint32_t promised; /* free, and promised to gangs that wait */
+	uint32_t promised; /* to gangs that wait; some of it is still in use */
 	uint32_t urgent; /* in use by urgent work on average, of late */
 };
 
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -110,8 +110,8 @@
 	/* By each priority on the plan's rooms, with what this plan starts and
 	 * without what is stopping. */
 	struct rj_cell_held held[RJ_CELL_PRIORITIES];
-	/* Some work that is not urgent and that any worker may run cannot meet
-	 * its objective any more. */
+	/* Some work that is not urgent, that any worker may run and that has
+	 * waited for room cannot meet its objective any more. */
 	bool misses_objective;
 	GArray *units;
 	uint32_t promises; /* groups of others that have room promised */
