cell: urgent tasks go to workers with a fast pace, learnt from gangs

Placement did not know paces. Excluded: the wait (median 17 ms), failed attempts, several racks. Change: a pure module learns paces, with variances, from the progress of the members of a gang against each other and against the estimate of the queue, whose error is learnt too. Urgent tasks rank workers by pace, and avoid those known to be slow while others have capacity. The place line of the log has the pace that decided.

--- a/src/libradishjunction/cell/cell_completions.c
+++ b/src/libradishjunction/cell/cell_completions.c
@@ -4,6 +4,7 @@
 #include <talloc.h>
 
 #include "private/cell_owner.h"
+#include "private/cell_run_pace.h"
 #include "private/log_event.h"
 
 const char *const rj_cell_completion_string[RJ_CELL_COMPLETION_COUNT] = {
@@ -439,9 +440,10 @@
 					    job->job_spec->queue,
 					    owner->now_us - run->placed_us);
 	if (job->state < RJ_CELL_JOB_COMPLETED && !task->done) {
-		if (end == RJ_CELL_COMPLETION_DONE)
+		if (end == RJ_CELL_COMPLETION_DONE) {
+			rj_cell_run_pace_learn(owner, run);
 			mark_done(owner, task);
-		else if (end == RJ_CELL_COMPLETION_FAILED)
+		} else if (end == RJ_CELL_COMPLETION_FAILED)
 			record_failure(owner, task, run);
 		else
 			task->losses++;
--- a/src/libradishjunction/cell/cell_fleet.c
+++ b/src/libradishjunction/cell/cell_fleet.c
@@ -77,6 +77,7 @@
 	rj_list_init(&worker->in_poll_state);
 	rj_list_init(&worker->in_order_queue);
 	rj_list_init(&worker->in_unstored);
+	rj_cell_pace_init(&worker->pace);
 	rj_list_init(&worker->in_rack);
 	rj_list_append(&fleet->workers, &worker->link);
 	rj_cell_worker_set_poll_state(worker, RJ_CELL_POLL_STATE_IDLE);
--- a/src/libradishjunction/cell/cell_forecast.c
+++ b/src/libradishjunction/cell/cell_forecast.c
@@ -19,6 +19,7 @@
 struct mean {
 	double ms;
 	uint32_t samples;
+	struct rj_cell_estimate_error estimate_error;
 };
 
 /*
@@ -50,6 +51,7 @@
 	if (mean)
 		return mean;
 	mean = g_new0(struct mean, 1);
+	rj_cell_estimate_error_init(&mean->estimate_error);
 	g_hash_table_insert(forecast->means, g_strdup(queue), mean);
 	return mean;
 }
@@ -181,6 +183,16 @@
 	return total_us > ran_us ? total_us - ran_us : total_us / 2;
 }
 
+/*
+ * Returns the error of a queue's estimates, for updates.
+ */
+struct rj_cell_estimate_error *
+rj_cell_forecast_estimate_error(struct rj_cell_forecast *forecast,
+				const char *queue)
+{
+	return &obtain_mean(forecast, queue)->estimate_error;
+}
+
 /* Returns the urgent demand, decayed to `now_us`. */
 static double decayed_urgent(const struct rj_cell_forecast *forecast,
 			     uint64_t now_us)
--- a/src/libradishjunction/cell/cell_place.c
+++ b/src/libradishjunction/cell/cell_place.c
@@ -10,11 +10,12 @@
 /* Lowest bits of the parts of a placement's cost, see placement_cost. Bits 0 to
  * 31 are the memory left over, in MB. */
 #define COST_ACCELERATORS_BIT 32 /* accelerators left over */
-#define COST_RESERVED_BIT 46 /* see wrong_reservation */
-#define COST_WARMUP_BIT 47 /* worker is slow after its start */
-#define COST_REMOTE_BIT 48 /* away from the task's data */
-#define COST_UNPROVEN_BIT 49 /* see is_unproven */
-#define COST_INTERFERENCE_BIT 50 /* latency-bound runs beside others */
+#define COST_PACE_BIT 46 /* rj_cell_pace_rank of urgent tasks' workers */
+#define COST_RESERVED_BIT 50 /* see wrong_reservation */
+#define COST_WARMUP_BIT 51 /* worker is slow after its start */
+#define COST_REMOTE_BIT 52 /* away from the task's data */
+#define COST_UNPROVEN_BIT 53 /* see is_unproven */
+#define COST_INTERFERENCE_BIT 54 /* latency-bound runs beside others */
 
 /* Counts a run of the step being placed in step_runs of its worker. */
 static void count_step_run(const struct rj_cell_run *run)
@@ -119,6 +120,8 @@
 
 	if (options->domain && worker->domain != options->domain)
 		return false;
+	if (options->avoid_slow && rj_cell_pace_is_slow(&worker->pace))
+		return false;
 	if ((plan_worker->reserved && !group->may_use_reserved) ||
 	    (plan_worker->exclusive && !group->may_use_exclusive))
 		return false;
@@ -274,6 +277,8 @@
  * - memory left over, as large tasks need half a worker;
  * - accelerators left over, so that small tasks fill workers in use and whole
  *   workers stay free for gangs;
+ * - urgent tasks go to workers with a fast pace, as a gang ends with its
+ *   slowest member;
  * - reserved workers are for urgent tasks, the others for all other tasks;
  * - workers that are slow after their start;
  * - racks away from the task's data;
@@ -298,12 +303,17 @@
 	bool warming_up = plan->now_us < plan_worker->worker->cold_until_us;
 	bool disturbs = step->target_ms ? plan_worker->other_runs :
 					  plan_worker->latency_runs;
+	uint64_t pace_rank =
+		group->job->job_spec->priority ?
+			0 :
+			rj_cell_pace_rank(&plan_worker->worker->pace);
 
 	return ((uint64_t)disturbs << COST_INTERFERENCE_BIT) |
 	       ((uint64_t)unproven << COST_UNPROVEN_BIT) |
 	       ((uint64_t)remote << COST_REMOTE_BIT) |
 	       ((uint64_t)warming_up << COST_WARMUP_BIT) |
 	       ((uint64_t)wrong_reservation << COST_RESERVED_BIT) |
+	       (pace_rank << COST_PACE_BIT) |
 	       (left_over << COST_ACCELERATORS_BIT) |
 	       (available->memory_mb - step->each.memory_mb);
 }
--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -180,22 +180,17 @@
 }
 
 /* Places a group and commits the placement. With RJ_CELL_HORIZON_NOW its tasks
- * start; those of urgent groups in the best_domain, if there is one. */
+ * start. */
 static bool place_and_commit(struct rj_cell_plan *plan,
 			     const struct rj_cell_task_group *group,
 			     struct rj_cell_task **tasks, uint32_t count,
 			     const struct rj_cell_placement_options *options)
 {
-	struct rj_cell_placement_options resolved = *options;
 	struct rj_cell_placement placement;
 	bool placed;
 
-	if (!group->job->job_spec->priority &&
-	    options->horizon == RJ_CELL_HORIZON_NOW)
-		resolved.domain =
-			best_domain(plan, group, tasks, count, options);
 	rj_cell_placement_init(&placement, plan);
-	placed = place_tentatively(plan, group, tasks, count, &resolved,
+	placed = place_tentatively(plan, group, tasks, count, options,
 				   &placement);
 	for (uint32_t i = 0;
 	     placed && options->horizon == RJ_CELL_HORIZON_NOW && i < count;
@@ -207,6 +202,29 @@
 	return placed;
 }
 
+/*
+ * Starts an urgent group now: off the workers known to be slow if that is
+ * possible, and in the best domain.
+ *
+ * A gang ends with its slowest member, and urgent work has no time to lose.
+ */
+static bool start_urgent(struct rj_cell_plan *plan,
+			 const struct rj_cell_task_group *group,
+			 struct rj_cell_task **tasks, uint32_t count)
+{
+	struct rj_cell_placement_options options = {
+		.horizon = RJ_CELL_HORIZON_NOW, .avoid_slow = true
+	};
+
+	options.domain = best_domain(plan, group, tasks, count, &options);
+	if (!options.domain) {
+		options.avoid_slow = false;
+		options.domain =
+			best_domain(plan, group, tasks, count, &options);
+	}
+	return place_and_commit(plan, group, tasks, count, &options);
+}
+
 /* Returns the work that urgent tasks may discard, in core-milliseconds; no limit
  * for guaranteed tasks within reclaim_ms of their job's acceptance. */
 static uint64_t loss_allowed(const struct rj_cell_plan *plan,
@@ -243,7 +261,9 @@
 
 	if (rj_cell_shortage_is_known(plan, group, count, horizon))
 		return false;
-	if (place_and_commit(plan, group, tasks, count, &options))
+	if (!group->job->job_spec->priority && horizon == RJ_CELL_HORIZON_NOW ?
+		    start_urgent(plan, group, tasks, count) :
+		    place_and_commit(plan, group, tasks, count, &options))
 		return true;
 	if (are_uniform(plan, tasks, count))
 		rj_cell_shortage_record(plan, group, count, horizon);
--- a/src/libradishjunction/cell/cell_run_health.c
+++ b/src/libradishjunction/cell/cell_run_health.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include "private/cell_calls.h"
+#include "private/cell_run_pace.h"
 #include "private/log_event.h"
 
 /* A run whose percentage does not rise for this long is stalled. Even at a
@@ -62,6 +63,7 @@
 	    !rj_cell_failure_is_early(owner->now_us - run->placed_us))
 		run->worker->healthy_us = run->placed_us;
 	run->percent = row->percent;
+	rj_cell_run_pace_report(run, owner->now_us);
 	run->listed_us = owner->now_us;
 	if (!rj_cell_run_has_latency_target(run) ||
 	    row->measurement <= rj_cell_task_step(run->task)->target_ms)
--- a/src/libradishjunction/cell/cell_starts.c
+++ b/src/libradishjunction/cell/cell_starts.c
@@ -50,7 +50,12 @@
 		RJ_LOG_TEXT("worker", choice->worker->id),
 		RJ_LOG_AGE_MS("heard_ms",
 			      owner->now_us - choice->worker->answered_us),
-		RJ_LOG_AGE_MS("waited_ms", owner->now_us - task->waiting_us));
+		RJ_LOG_AGE_MS("waited_ms", owner->now_us - task->waiting_us),
+		RJ_LOG_NUMBER("pace_percent",
+			      rj_cell_pace_percent(&choice->worker->pace)),
+		RJ_LOG_NUMBER(
+			"pace_known_percent",
+			rj_cell_pace_known_percent(&choice->worker->pace)));
 }
 
 /* Gives all members of a gang the same run number. */
--- a/src/libradishjunction/include/private/cell_active_job.h
+++ b/src/libradishjunction/include/private/cell_active_job.h
@@ -75,6 +75,12 @@
 	uint32_t percent;
 	uint64_t listed_us; /* when the worker last reported it */
 	uint64_t progress_us; /* when `percent` last rose */
+	/* Progress from which its pace is measured, and the latest one before
+	 * it was complete; both 0: not reported. */
+	uint64_t pace_from_us;
+	uint32_t pace_from_percent;
+	uint64_t pace_until_us;
+	uint32_t pace_until_percent;
 	uint64_t slow_us; /* over its latency target since then; 0: it is not */
 	char checkpoint[RJ_CELL_CHECKPOINT_BYTES]; /* restored at its start */
 	char saved[RJ_CELL_CHECKPOINT_BYTES]; /* last one saved by this run */
--- a/src/libradishjunction/include/private/cell_forecast.h
+++ b/src/libradishjunction/include/private/cell_forecast.h
@@ -13,6 +13,7 @@
 #include <glib.h>
 
 #include "private/cell_active_job.h"
+#include "private/cell_pace.h"
 
 struct rj_cell_forecast {
 	GHashTable *means; /* queue name -> struct mean */
@@ -37,6 +38,9 @@
 uint64_t rj_cell_forecast_remaining_us(const struct rj_cell_forecast *forecast,
 				       const struct rj_cell_run *run,
 				       uint64_t now_us);
+struct rj_cell_estimate_error *
+rj_cell_forecast_estimate_error(struct rj_cell_forecast *forecast,
+				const char *queue);
 void rj_cell_forecast_record_urgent(struct rj_cell_forecast *forecast,
 				    const struct rj_cell_job_spec *spec,
 				    uint64_t now_us);
--- a/src/libradishjunction/include/private/cell_place.h
+++ b/src/libradishjunction/include/private/cell_place.h
@@ -43,6 +43,7 @@
 	enum rj_cell_horizon horizon;
 	const struct rj_cell_domain *domain; /* NULL: anywhere */
 	const struct rj_cell_plan_rack *rack; /* NULL: anywhere */
+	bool avoid_slow; /* not on workers known to be slow */
 	bool may_preempt;
 	uint64_t max_loss_milli; /* core-milliseconds, by preemption */
 };
