--- a/src/libradishjunction/cell/cell_pace.c
+++ b/src/libradishjunction/cell/cell_pace.c
@@ -16,7 +16,7 @@
 #define OUTLIER_LOG_RATIO 1.386
 /* A worker is slow if it takes this much longer than the typical one, and its
  * standard deviation more. */
-#define SLOW_RATIO 1.12
+#define SLOW_RATIO 1.04
 /* Initial variance of a queue's estimates: off by a factor of two. */
 #define ESTIMATE_VARIANCE 0.5
 /* Lower limit of that variance. */
