cell_pace: one report makes no worker fast, and an impossible one none slow

Change: deviations are clamped to a factor of 1.8; a member that claims more time than its gang took is ignored; a worker ranks as fast from two samples on.

--- a/src/libradishjunction/cell/cell_pace.c
+++ b/src/libradishjunction/cell/cell_pace.c
@@ -6,14 +6,21 @@
 /* Variance of the paces of workers of which nothing is known: their times
  * differ by a factor of 1.5. */
 #define UNKNOWN_VARIANCE 0.16
-/* Variance of a sample. Far above that of honest progress reports, so that one
- * false report does not make a worker slow. */
+/* Variance of a sample. */
 #define SAMPLE_VARIANCE 0.04
 /* Lower limit of a pace's variance, so that a pace that changes is followed. */
 #define KNOWN_VARIANCE 0.01
 /* Samples that are off by more than a factor of 4 are ignored: workers do not
  * differ by that much. */
 #define OUTLIER_LOG_RATIO 1.386
+/* A sample moves a pace as if it were off by at most this, a factor of 1.8, so
+ * that one false report does not make a known worker slow. */
+#define DEVIATION_LOG_RATIO_MAX 0.6
+/* A worker without this many samples is not taken for a fast one. */
+#define FAST_SAMPLES_MIN 2
+/* No member takes longer than its gang; its progress is known to a few
+ * percent. */
+#define DURATION_LOG_SLACK 0.1
 /* A worker is slow if it takes this much longer than the typical one, and its
  * standard deviation more. */
 #define SLOW_RATIO 1.04
@@ -44,6 +51,7 @@
 {
 	pace->log_ratio = 0;
 	pace->variance = UNKNOWN_VARIANCE;
+	pace->samples = 0;
 }
 
 /*
@@ -100,13 +108,18 @@
 {
 	struct belief before = { sample->pace->log_ratio,
 				 sample->pace->variance };
-	struct belief shown = { sample->log_time - work.mean,
-				work.variance + SAMPLE_VARIANCE };
+	double deviation = sample->log_time - work.mean - before.mean;
+	struct belief shown = {
+		before.mean + CLAMP(deviation, -DEVIATION_LOG_RATIO_MAX,
+				    DEVIATION_LOG_RATIO_MAX),
+		work.variance + SAMPLE_VARIANCE,
+	};
 	struct belief after = combine(before, shown);
 	struct rj_cell_pace pace = { after.mean,
-				     MAX(after.variance, KNOWN_VARIANCE) };
+				     MAX(after.variance, KNOWN_VARIANCE),
+				     sample->pace->samples + 1 };
 
-	if (fabs(shown.mean - before.mean) > OUTLIER_LOG_RATIO)
+	if (fabs(deviation) > OUTLIER_LOG_RATIO)
 		return *sample->pace;
 	return pace;
 }
@@ -126,18 +139,13 @@
 	error->samples++;
 }
 
-/*
- * Learns from one gang the paces of the workers on which it has run, and the
- * error of its estimate. `log_estimate` is the logarithm of the estimated time,
- * in the unit of the samples' times.
- */
-void rj_cell_pace_learn(const struct rj_cell_pace_sample *samples,
-			uint32_t count, double log_estimate,
-			struct rj_cell_estimate_error *error)
+/* Learns from samples that are possible. */
+static void learn(const struct rj_cell_pace_sample *samples, uint32_t count,
+		  double log_estimate, struct rj_cell_estimate_error *error)
 {
 	struct belief estimated = { log_estimate + error->mean,
 				    error->variance };
-	struct belief work = { 0, INFINITY };
+	struct belief work;
 	struct rj_cell_pace *after;
 
 	if (!count)
@@ -155,6 +163,29 @@
 	g_free(after);
 }
 
+/*
+ * Learns from one gang the paces of the workers on which it has run, and the
+ * error of its estimate. `log_duration` and `log_estimate` are the logarithms of
+ * the gang's time and of its estimate, in the unit of the samples' times. A
+ * sample above the duration is a false report, and is ignored; INFINITY means
+ * that the duration is not known.
+ */
+void rj_cell_pace_learn(const struct rj_cell_pace_sample *samples,
+			uint32_t count, double log_duration,
+			double log_estimate,
+			struct rj_cell_estimate_error *error)
+{
+	struct rj_cell_pace_sample *possible =
+		g_new(struct rj_cell_pace_sample, MAX(count, 1));
+	uint32_t possible_count = 0;
+
+	for (uint32_t i = 0; i < count; i++)
+		if (samples[i].log_time <= log_duration + DURATION_LOG_SLACK)
+			possible[possible_count++] = samples[i];
+	learn(possible, possible_count, log_estimate, error);
+	g_free(possible);
+}
+
 /*
  * Returns the time that a worker takes for some work, in percent of the typical
  * worker's.
@@ -178,9 +209,13 @@
  */
 uint32_t rj_cell_pace_rank(const struct rj_cell_pace *pace)
 {
-	double steps = pace->log_ratio / RANK_LOG_STEP + RANK_TYPICAL;
+	double steps = pace->log_ratio / RANK_LOG_STEP;
+
+	if (pace->samples < FAST_SAMPLES_MIN)
+		steps = MAX(steps, 0);
 
-	return (uint32_t)CLAMP(lround(steps), 0, RJ_CELL_PACE_RANK_MAX);
+	return (uint32_t)CLAMP(lround(steps) + RANK_TYPICAL, 0,
+			       RJ_CELL_PACE_RANK_MAX);
 }
 
 /*
--- a/src/libradishjunction/cell/cell_run_pace.c
+++ b/src/libradishjunction/cell/cell_run_pace.c
@@ -117,16 +117,19 @@
 {
 	const struct rj_cell_step *step = rj_cell_task_step(done->task);
 	const struct rj_cell_job *job = done->task->occurrence->job;
+	double log_duration = INFINITY;
 	GArray *samples;
 
 	if (!step->gang || step->perpetual || !step->estimate_ms || job->split)
 		return;
 	samples = g_array_new(FALSE, FALSE, sizeof(struct rj_cell_pace_sample));
+	if (is_begin_known(done) && owner->now_us > done->placed_us)
+		log_duration = log((double)(owner->now_us - done->placed_us));
 	if (add_reported(samples, owner, done) && !samples->len &&
-	    is_begin_known(done))
-		add_sample(samples, owner, done,
-			   (double)(owner->now_us - done->placed_us));
+	    isfinite(log_duration))
+		add_sample(samples, owner, done, exp(log_duration));
 	rj_cell_pace_learn((const void *)samples->data, samples->len,
+			   log_duration,
 			   log((double)step->estimate_ms * RJ_US_PER_MS),
 			   rj_cell_forecast_estimate_error(
 				   &owner->forecast, job->job_spec->queue));
--- a/src/libradishjunction/include/private/cell_pace.h
+++ b/src/libradishjunction/include/private/cell_pace.h
@@ -25,6 +25,7 @@
 	 * 0: slower. */
 	double log_ratio;
 	double variance;
+	uint32_t samples;
 };
 
 /* How far the estimates of one queue are off, as a natural logarithm. */
@@ -43,7 +44,8 @@
 void rj_cell_pace_init(struct rj_cell_pace *pace);
 void rj_cell_estimate_error_init(struct rj_cell_estimate_error *error);
 void rj_cell_pace_learn(const struct rj_cell_pace_sample *samples,
-			uint32_t count, double log_estimate,
+			uint32_t count, double log_duration,
+			double log_estimate,
 			struct rj_cell_estimate_error *error);
 uint32_t rj_cell_pace_rank(const struct rj_cell_pace *pace);
 uint32_t rj_cell_pace_percent(const struct rj_cell_pace *pace);
--- a/src/test_libradishjunction/test_cell_pace.c
+++ b/src/test_libradishjunction/test_cell_pace.c
@@ -24,7 +24,8 @@
 		samples[i].pace = &paces[i];
 		samples[i].log_time = log(WORK_US * ratios[i]);
 	}
-	rj_cell_pace_learn(samples, count, log(estimate_us), error);
+	rj_cell_pace_learn(samples, count, log(WORK_US * SLOW_RATIO),
+			   log(estimate_us), error);
 	g_free(samples);
 }
 
@@ -110,6 +111,26 @@
 	}
 }
 
+/* Guards against an unknown worker that attracts urgent work by its first
+ * report, and against one that gets none because of an impossible report. */
+static void test_first_report_is_checked(void)
+{
+	/* The gang's duration is that of the longest plausible member. */
+	const double ratios[] = { 3.0, 1.0, 0.4 };
+	struct rj_cell_pace paces[3];
+	struct rj_cell_pace unknown;
+	struct rj_cell_estimate_error error;
+
+	rj_cell_pace_init(&unknown);
+	rj_cell_estimate_error_init(&error);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(paces); i++)
+		rj_cell_pace_init(&paces[i]);
+	learn_gang(paces, ratios, 3, WORK_US, &error);
+	g_assert_cmpuint(rj_cell_pace_known_percent(&paces[0]), ==, 0);
+	g_assert_cmpuint(rj_cell_pace_rank(&paces[2]), ==,
+			 rj_cell_pace_rank(&unknown));
+}
+
 /* Guards against workers without history that are preferred or avoided. */
 static void test_unknown_worker_counts_as_typical(void)
 {
@@ -181,6 +202,8 @@
 			test_reliable_estimates_show_a_slow_worker);
 	g_test_add_func("/cell_pace/false_report",
 			test_one_false_report_changes_little);
+	g_test_add_func("/cell_pace/first_report",
+			test_first_report_is_checked);
 	g_test_add_func("/cell_pace/unknown",
 			test_unknown_worker_counts_as_typical);
 	CELL_TEST("/cell_pace/urgent_small", &small_site,
