cell: few instances try to acquire the cell, however many there are

Cause: each of 585 instances appended an ownership record: 435 within a second of the fleet's start, hundreds after an outage. The delays were spread evenly over 256 ms and counted from the owner's last record, so that all of them had passed when an instance first looked; tries grow with instances x answer time. Change: delays count from when an instance becomes a candidate, are distributed exponentially towards the end of a window of 12 answers of the log, and differ by token; the window follows the measured answer. A successor loads the workers' entries while it loads progress.

--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "private/cell_acquire.h"
 #include "private/log_event.h"
 
 /* Long-poll durations. They keep the age of the data well below the limit for
@@ -30,11 +31,6 @@
  * while the log is slow.
  */
 #define OWNER_TIMEOUT_US (900 * RJ_US_PER_MS)
-/* Instances try to acquire the cell one after the other, each with a delay that
- * depends on its name. Each first reads the log to its end, which takes about
- * 6 ms, and then sees an earlier candidate's record. */
-#define STAGGER_STEPS 32
-#define STAGGER_STEP_US (8 * RJ_US_PER_MS)
 /*
  * The owner's load grows with the number of workers, so a strong instance
  * should own the cell: one with 1.5 times the strength takes it from a weaker
@@ -51,6 +47,12 @@
 /* Pause of an instance between two attempts to acquire the cell. */
 #define ACQUIRE_RETRY_US (300 * RJ_US_PER_MS)
 
+/* Whether this instance owns the cell or is taking it over. */
+static bool is_owner(const struct rj_cell_node *node)
+{
+	return node->owner.active || node->owner.taking_over;
+}
+
 /* Handles a record of the workers' log: a heartbeat or a deletion. */
 static void fleet_record(void *private_data,
 			 const struct rj_cell_record *record)
@@ -63,7 +65,7 @@
 				      node->fleet.confirmed_us :
 				      0;
 
-	if (!node->owner.active)
+	if (!is_owner(node))
 		return;
 	node->owner.now_us = node->fleet.now_us;
 	if (!record->value.length) {
@@ -93,7 +95,7 @@
 {
 	struct rj_cell_node *node = private_data;
 
-	if (!node->owner.active)
+	if (!is_owner(node))
 		return;
 	node->owner.now_us = node->fleet.now_us;
 	rj_cell_polls_fleet_loaded(&node->owner);
@@ -284,12 +286,6 @@
 	       !strcmp(node->ownership.record.name, node->options.name);
 }
 
-/* Whether this instance owns the cell or is taking it over. */
-static bool is_owner(const struct rj_cell_node *node)
-{
-	return node->owner.active || node->owner.taking_over;
-}
-
 /* Gives up ownership. Decisions that are not stored are dropped; clients have
  * not seen them. */
 static void step_down(struct rj_cell_node *node, const char *reason)
@@ -342,6 +338,9 @@
 			       node->ownership.record.epoch, node->now_us,
 			       node->wall_ms);
 	node->jobs.pause_us = OWNER_JOBS_PAUSE_US;
+	/* The entries of a large fleet take many pages, so they are read while
+	 * the jobs' progress is. */
+	rj_cell_log_reader_start(&node->fleet, node->now_us);
 }
 
 /* Completes the takeover. The progress of all jobs has been loaded. */
@@ -350,7 +349,6 @@
 	rj_cell_takeover_stop(&node->takeover);
 	rj_cell_owner_complete_takeover(&node->owner, former_renewals_us(node),
 					node->now_us, node->wall_ms);
-	rj_cell_log_reader_start(&node->fleet, node->now_us);
 }
 
 /* Handles the end of a read of the jobs' log: steps down if another instance
@@ -385,12 +383,10 @@
 		       const struct rj_cell_node_options *options)
 {
 	char producer[RJ_NAME_BYTES * 2];
-	uint64_t slot = rj_hash64_string(options->name, 0) % STAGGER_STEPS;
 
 	memset(node, 0, sizeof(*node));
 	node->mem = mem;
 	node->options = *options;
-	node->stagger_us = (uint32_t)(slot * STAGGER_STEP_US);
 	rj_cell_cordons_init(&node->cordons);
 	rj_cell_view_init(&node->view, mem);
 	rj_cell_log_reader_init(&node->jobs, mem, options->store,
@@ -442,6 +438,13 @@
 	rj_cell_log_reader_start(&node->jobs, now_us);
 }
 
+/* Returns this instance's delay before it acquires the cell. */
+static uint64_t acquire_delay_us(const struct rj_cell_node *node)
+{
+	return rj_cell_acquire_delay_us(node->options.name,
+					node->ownership.token, node->answer_us);
+}
+
 /* The outcome is not final: ownership is decided by the record read from the
  * log. */
 static void acquire_done(void *private_data,
@@ -450,8 +453,7 @@
 	struct rj_cell_node *node = private_data;
 
 	node->acquiring = false;
-	node->acquire_due_us =
-		reply->now_us + ACQUIRE_RETRY_US + node->stagger_us;
+	node->acquire_due_us = reply->now_us + ACQUIRE_RETRY_US;
 	rj_log_event("acquire",
 		     RJ_LOG_TEXT("outcome",
 				 rj_cell_store_status_string[reply->status]),
@@ -507,20 +509,26 @@
 	       other * STRENGTH_RATIO_DENOMINATOR;
 }
 
-/* How long the owner may write nothing before this instance acquires the
- * cell. */
+/* Whether the owner was an earlier incarnation of this instance. */
+static bool was_owner(const struct rj_cell_node *node)
+{
+	const struct rj_cell_owner_record *record = &node->ownership.record;
+
+	return node->ownership.known &&
+	       !strcmp(record->name, node->options.name) &&
+	       record->incarnation != node->options.incarnation;
+}
+
+/* How long the owner may write nothing before it is considered failed. */
 static uint64_t owner_timeout_us(const struct rj_cell_node *node)
 {
 	const struct rj_cell_owner_record *record = &node->ownership.record;
-	uint64_t timeout_us = OWNER_TIMEOUT_US + node->stagger_us;
+	uint64_t timeout_us = 0;
 
-	/* The owner was an earlier incarnation of this instance. */
-	if (node->ownership.known &&
-	    !strcmp(record->name, node->options.name) &&
-	    record->incarnation != node->options.incarnation)
+	if (was_owner(node))
 		return 0;
-	if (!node->ownership.known || record->leaving)
-		timeout_us = node->stagger_us / 4;
+	if (node->ownership.known && !record->leaving)
+		timeout_us = OWNER_TIMEOUT_US;
 	if (node->ownership.known &&
 	    is_weaker(node->options.strength, record->strength))
 		timeout_us += WEAKER_DELAY_US;
@@ -528,21 +536,27 @@
 }
 
 /* Whether the owner has timed out or is too weak compared to this instance. */
-static bool should_acquire(const struct rj_cell_node *node)
+static bool should_replace_owner(const struct rj_cell_node *node)
 {
 	uint64_t since_seen_us = node->now_us - node->ownership.seen_us;
 
 	if (node->ownership.known &&
 	    is_weaker(node->ownership.record.strength,
 		      node->options.strength) &&
-	    node->now_us >=
-		    node->started_us + STRONGER_UPTIME_US + node->stagger_us)
+	    node->now_us >= node->started_us + STRONGER_UPTIME_US)
 		return true;
 	return since_seen_us >= owner_timeout_us(node);
 }
 
-/* Acquires the cell if the end of the log has been reached and the owner still
- * has to be replaced. */
+/* Whether this instance's delay has passed since it became a candidate. */
+static bool has_waited(const struct rj_cell_node *node)
+{
+	return was_owner(node) ||
+	       node->now_us >= node->candidate_us + acquire_delay_us(node);
+}
+
+/* Acquires the cell if the end of the log has been reached, the owner still has
+ * to be replaced, and it is this instance's turn. */
 static void probe_done(struct rj_cell_sync *sync, bool reached)
 {
 	struct rj_cell_node *node =
@@ -550,24 +564,29 @@
 
 	node->probing = false;
 	node->now_us = node->jobs.now_us;
+	node->answer_us = node->now_us - sync->since_us;
 	if (!reached) {
 		node->acquire_due_us = node->now_us + ACQUIRE_RETRY_US;
 		return;
 	}
 	if (is_owner(node) || node->acquiring || node->draining ||
-	    !should_acquire(node))
+	    !should_replace_owner(node) || !has_waited(node))
 		return;
 	rj_log_event("owner_silent",
 		     RJ_LOG_TEXT("instance", node->ownership.record.name),
 		     RJ_LOG_NUMBER("token", node->ownership.token),
 		     RJ_LOG_NUMBER("strength", node->ownership.record.strength),
 		     RJ_LOG_AGE_MS("silent_ms",
-				   node->now_us - node->ownership.seen_us));
+				   node->now_us - node->ownership.seen_us),
+		     RJ_LOG_AGE_MS("answer_ms", node->answer_us),
+		     RJ_LOG_AGE_MS("delay_ms", acquire_delay_us(node)));
 	write_owner(node);
 }
 
 /*
- * Begins to acquire the cell if its owner has failed or is too weak.
+ * Begins to acquire the cell if its owner has failed or is too weak. The
+ * instance reads the log to its end when it becomes a candidate, which also
+ * shows how fast the log answers, and again after its delay.
  *
  * An instance that is partitioned from the log would mistake its own lack of
  * data for a failed owner; it therefore reads the log to its end before it
@@ -577,8 +596,16 @@
 {
 	if (is_owner(node) || node->acquiring || node->probing ||
 	    node->draining || !node->jobs.caught_up || !node->config ||
-	    node->now_us < node->acquire_due_us || !should_acquire(node))
+	    node->now_us < node->acquire_due_us)
+		return;
+	if (!should_replace_owner(node)) {
+		node->candidate_us = 0;
+		return;
+	}
+	if (node->candidate_us && !has_waited(node))
 		return;
+	if (!node->candidate_us)
+		node->candidate_us = node->now_us;
 	node->probing = true;
 	rj_cell_log_reader_sync(&node->jobs, &node->probe, node->now_us);
 }
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -328,9 +328,13 @@
 	struct rj_list *at;
 	struct rj_list *next;
 
-	RJ_FOR_EACH (at, next, &owner->fleet.workers)
-		RJ_CONTAINER(at, struct rj_cell_worker, link)
-			->lease_expired_us = expired_us;
+	RJ_FOR_EACH (at, next, &owner->fleet.workers) {
+		struct rj_cell_worker *worker =
+			RJ_CONTAINER(at, struct rj_cell_worker, link);
+
+		if (worker->runs.next != &worker->runs)
+			worker->lease_expired_us = expired_us;
+	}
 	RJ_FOR_EACH (at, next, &owner->jobs)
 		bound_unreported_ends(
 			RJ_CONTAINER(at, struct rj_cell_job, link), expired_us);
--- a/src/libradishjunction/include/private/cell_node.h
+++ b/src/libradishjunction/include/private/cell_node.h
@@ -55,8 +55,9 @@
 	uint64_t started_us;
 	bool acquiring; /* an ownership record is being appended */
 	uint64_t acquire_due_us;
-	/* Added to this instance's delays before acquiring. */
-	uint32_t stagger_us;
+	uint64_t answer_us; /* duration of the last probe */
+	/* Since when the owner has to be replaced; 0: it does not. */
+	uint64_t candidate_us;
 	bool draining;
 	uint64_t now_us;
 	uint64_t wall_ms;
