--- a/src/test_libradishjunction/test_cell_path.c
+++ b/src/test_libradishjunction/test_cell_path.c
@@ -386,6 +386,57 @@
 	g_assert_cmpuint(job->starts, ==, 0);
 }
 
+/* Returns an instance that is neither the owner nor `other`. */
+static uint32_t third_node(const struct cell_sim *sim, uint32_t other)
+{
+	for (uint32_t i = 0; i < sim->options.nodes; i++)
+		if ((int)i != cell_sim_owner(sim) && i != other)
+			return i;
+	g_assert_not_reached();
+}
+
+/* Guards against a job that is not found at another instance than the one that
+ * accepted it, while no owner has published its state. */
+static void test_unpublished_job_is_found(struct cell_fixture *f,
+					  const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(1, 1, 2000);
+	uint32_t owner = (uint32_t)cell_sim_owner(&f->sim);
+	uint32_t node = owner ? 0 : 1;
+	uint32_t third = third_node(&f->sim, node);
+	struct cell_client_job *job =
+		cell_sim_job_new(&f->sim, "normal", "a", &step, 1, 2000 * MS);
+
+	cell_sim_node_kill(&f->sim, owner);
+	cell_sim_submit(&f->sim, node, job);
+	cell_sim_run(&f->sim, 30 * MS);
+	g_assert_true(job->accepted);
+	cell_sim_query(&f->sim, third, job);
+	cell_sim_run(&f->sim, 100 * MS);
+	g_assert_true(job->has_state);
+	g_assert_false(job->not_found);
+}
+
+/* Guards against an instance that follows the log of requests for good once a
+ * client has asked for a job that does not exist. */
+static void test_missing_job_is_looked_up_once(struct cell_fixture *f,
+					       const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(1, 1, 2000);
+	uint32_t node = cell_sim_owner(&f->sim) ? 0 : 1;
+	struct cell_client_job *job =
+		cell_sim_job_new(&f->sim, "normal", "a", &step, 1, 2000 * MS);
+
+	job->accepted = true;
+	cell_sim_query(&f->sim, node, job);
+	cell_sim_run(&f->sim, 200 * MS);
+	g_assert_true(job->not_found);
+	g_assert_cmpint(f->sim.nodes[node].node.requests.state, ==,
+			RJ_CELL_LOG_READER_IDLE);
+	job->accepted = false;
+	job->not_found = false;
+}
+
 #define ADD(name, function) CELL_TEST("/cell_path/" name, &small, function)
 
 int main(int argc, char **argv)
@@ -401,6 +452,8 @@
 	ADD("unknown", test_unknown_job_is_not_found);
 	ADD("refusals", test_refusals_are_not_repeated_at_once);
 	ADD("occurrences", test_occurrences_start_when_due);
+	ADD("unpublished", test_unpublished_job_is_found);
+	ADD("missing", test_missing_job_is_looked_up_once);
 	ADD("only_worker", test_only_matching_worker_is_retried);
 	ADD("all_power", test_task_lost_in_a_power_failure);
 	ADD("left", test_worker_deregisters_after_a_partition);
--- a/src/test_libradishjunction/test_cell_scale.c
+++ b/src/test_libradishjunction/test_cell_scale.c
@@ -2,6 +2,9 @@
  * Cost of an owner in a large fleet: it follows the load, not the number of
  * workers.
  */
+#include <string.h>
+#include <talloc.h>
+
 #include "support/cell_sim.h"
 
 #define LARGE_WORKERS 3000
@@ -221,6 +224,58 @@
 	g_free(sim);
 }
 
+/* Length of the description in a large job spec. */
+#define SPEC_BYTES 3000
+
+/* Submits large jobs to one instance, and checks what each idle instance reads
+ * meanwhile. */
+static void assert_idle_instances_read_no_specs(uint32_t nodes)
+{
+	const struct cell_sim_options options = {
+		.seed = 5,
+		.nodes = nodes,
+		.workers = 48,
+		.rack_workers = 12,
+		.capacity = { 64000, 64000, 8 },
+		.guaranteed = 64,
+	};
+	struct cell_sim *sim = g_new0(struct cell_sim, 1);
+	struct rj_cell_step step = cell_sim_plain_step(4, 1, 1000);
+	uint64_t before[CELL_SIM_NODES_MAX];
+	uint32_t caller;
+
+	cell_sim_init(sim, &options);
+	cell_sim_run(sim, 5 * S);
+	caller = cell_sim_owner(sim) ? 0 : 1;
+	memcpy(before, sim->log.read_bytes, sizeof(before));
+	for (uint32_t i = 0; i < JOB_COUNT; i++) {
+		struct cell_client_job *job =
+			cell_sim_job_new(sim, "normal", "a", &step, 1, S);
+
+		job->spec->spec = talloc_zero_size(job->spec, SPEC_BYTES + 1);
+		memset((char *)job->spec->spec, 's', SPEC_BYTES);
+		cell_sim_submit(sim, caller, job);
+		cell_sim_run(sim, 200 * MS);
+	}
+	cell_sim_run(sim, 10 * S);
+	for (uint32_t i = 0; i < nodes; i++)
+		if ((int)i != cell_sim_owner(sim))
+			g_assert_cmpuint(sim->log.read_bytes[i] - before[i], <,
+					 JOB_COUNT * JOB_BYTES_MAX);
+	g_assert_cmpuint(sim->starts, ==, 4 * JOB_COUNT);
+	g_assert_cmpuint(sim->violations->len, ==, 0);
+	cell_sim_finish(sim);
+	g_free(sim);
+}
+
+/* Guards against a log whose read throughput is used up by instances that all
+ * read the specs of all jobs. */
+static void test_idle_instances_read_no_specs(void)
+{
+	assert_idle_instances_read_no_specs(4);
+	assert_idle_instances_read_no_specs(12);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -235,5 +290,6 @@
 	g_test_add_func("/cell_scale/apart",
 			test_many_tasks_on_separate_workers);
 	g_test_add_func("/cell_scale/progress", test_only_owners_read_progress);
+	g_test_add_func("/cell_scale/specs", test_idle_instances_read_no_specs);
 	return g_test_run();
 }
