--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -271,6 +271,8 @@
 		return;
 	}
 	entry = rj_cell_view_apply(&node->view, record, node->jobs.now_us);
+	if (entry && kind == RJ_CELL_RECORD_JOB_SPEC)
+		entry->spec_in_jobs_log = true;
 	if (entry && node->owner.active && kind != RJ_CELL_RECORD_STATE) {
 		node->owner.now_us = node->jobs.now_us;
 		rj_cell_owner_update_job(&node->owner, entry);
--- a/src/libradishjunction/cell/cell_view.c
+++ b/src/libradishjunction/cell/cell_view.c
@@ -211,8 +211,8 @@
 }
 
 /*
- * Frees the specs of all jobs, which only an owner needs. No job may be active
- * in the owner.
+ * Frees the specs of jobs, which only an owner needs, unless they can't be
+ * loaded again. No job may be active in the owner.
  */
 void rj_cell_view_drop_specs(struct rj_cell_view *view)
 {
@@ -224,7 +224,8 @@
 			RJ_CONTAINER(at, struct rj_cell_view_entry, link);
 
 		assert(!entry->job);
-		TALLOC_FREE(entry->job_spec);
+		if (!entry->spec_in_jobs_log)
+			TALLOC_FREE(entry->job_spec);
 	}
 }
 
--- a/src/libradishjunction/include/private/cell_view.h
+++ b/src/libradishjunction/include/private/cell_view.h
@@ -18,7 +18,10 @@
 	/* NULL until it is read, after the job has ended, and in instances that
 	 * do not own the cell. */
 	struct rj_cell_job_spec *job_spec;
-	bool accepted; /* its spec is or was in the log */
+	/* The previous version stored its spec in the jobs' log, which is not
+	 * loaded again at a takeover. */
+	bool spec_in_jobs_log;
+	bool accepted; /* its spec is or was in a log */
 	bool state_published; /* the owner has stored a state of it */
 	bool cancelled; /* a cancellation request is in the log */
 	struct rj_cell_summary summary; /* what callers may see */
