cell: a successor publishes the former owner's queue loads until it has loaded the jobs

Cause: pending jobs are counted by the owner since specs have a log of their own; a successor's heartbeats during the takeover said that none were pending, and all instances told callers so. Change: until the jobs are loaded, the heartbeat repeats the queue loads of the former owner's last one. Test /cell_path/pending: 0 where 4 are pending before, 4 throughout now.

--- a/src/libradishjunction/cell/cell_flush.c
+++ b/src/libradishjunction/cell/cell_flush.c
@@ -176,7 +176,12 @@
 	run->recording = true;
 }
 
-/* Adds the owner's heartbeat, with the load of the queues. */
+/*
+ * Adds the owner's heartbeat, with the load of the queues.
+ *
+ * An owner that has not loaded the jobs yet would publish that none are pending,
+ * which callers at all instances would be told.
+ */
 static void add_heartbeat(struct rj_cell_owner *owner)
 {
 	struct rj_cell_owner_heartbeat heartbeat = {
@@ -185,7 +190,13 @@
 	};
 	struct rj_bytes value;
 
-	rj_cell_admit_queues(owner, &heartbeat);
+	if (owner->active) {
+		rj_cell_admit_queues(owner, &heartbeat);
+	} else {
+		heartbeat = owner->former_heartbeat;
+		heartbeat.incarnation = owner->incarnation;
+		heartbeat.number = owner->heartbeat_number - 1;
+	}
 	value = rj_cell_owner_heartbeat_encode(owner->mem, &heartbeat);
 	add_record(owner, RJ_CELL_RECORD_HEARTBEAT, "", value, NULL);
 	talloc_free((void *)value.data);
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -358,6 +358,7 @@
 			&node->owner.forecast,
 			node->frontend.heartbeat.queue_loads[i].queue,
 			node->frontend.heartbeat.queue_loads[i].mean_ms);
+	node->owner.former_heartbeat = node->frontend.heartbeat;
 	rj_cell_takeover_begin(&node->takeover, node->ownership.token,
 			       node->ownership.record.epoch, node->now_us,
 			       node->wall_ms);
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -103,6 +103,9 @@
 	struct rj_cell_rate_limit retry_poll_limit; /* unreachable, with runs */
 	uint64_t retention_check_due_us; /* next check for expired jobs */
 	uint64_t heartbeat_due_us;
+	/* The newest one of the former owner, set by the node at a takeover:
+	 * until the jobs are loaded, its queue loads are published on. */
+	struct rj_cell_owner_heartbeat former_heartbeat;
 	uint32_t heartbeat_number;
 	/* Each log is known completely up to these times. */
 	uint64_t requests_read_us;
--- a/src/test_libradishjunction/test_cell_path.c
+++ b/src/test_libradishjunction/test_cell_path.c
@@ -437,6 +437,45 @@
 	job->not_found = false;
 }
 
+/* Number of pending jobs that a node tells its callers. */
+static uint32_t pending_at(const struct cell_sim *sim, uint32_t node,
+			   const char *queue)
+{
+	const struct rj_cell_owner_heartbeat *heartbeat =
+		&sim->nodes[node].node.frontend.heartbeat;
+
+	for (uint32_t i = 0; i < heartbeat->queue_load_count; i++)
+		if (!strcmp(heartbeat->queue_loads[i].queue, queue))
+			return heartbeat->queue_loads[i].pending;
+	return 0;
+}
+
+/* Guards against a successor that reports no pending jobs before it has loaded
+ * them. */
+static void test_pending_jobs_are_known_in_a_takeover(struct cell_fixture *f,
+						      const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(12, 8, 20000);
+	uint32_t owner = (uint32_t)cell_sim_owner(&f->sim);
+	uint32_t node = owner ? 0 : 1;
+
+	for (uint32_t i = 0; i < 5; i++) {
+		cell_sim_submit(&f->sim, node,
+				cell_sim_job_new(&f->sim, "normal", "a", &step,
+						 1, 20 * S));
+		cell_sim_run(&f->sim, 100 * MS);
+	}
+	cell_sim_run(&f->sim, 2 * S);
+	g_assert_cmpuint(pending_at(&f->sim, node, "normal"), ==, 4);
+	f->sim.log.latency_us = 100 * MS;
+	cell_sim_node_kill(&f->sim, owner);
+	for (uint32_t i = 0; i < 500; i++) {
+		cell_sim_run(&f->sim, 10 * MS);
+		g_assert_cmpuint(pending_at(&f->sim, node, "normal"), ==, 4);
+	}
+	g_assert_cmpint(cell_sim_owner(&f->sim), >=, 0);
+}
+
 #define ADD(name, function) CELL_TEST("/cell_path/" name, &small, function)
 
 int main(int argc, char **argv)
@@ -453,6 +492,7 @@
 	ADD("refusals", test_refusals_are_not_repeated_at_once);
 	ADD("occurrences", test_occurrences_start_when_due);
 	ADD("unpublished", test_unpublished_job_is_found);
+	ADD("pending", test_pending_jobs_are_known_in_a_takeover);
 	ADD("missing", test_missing_job_is_looked_up_once);
 	ADD("only_worker", test_only_matching_worker_is_retried);
 	ADD("all_power", test_task_lost_in_a_power_failure);
