--- a/src/libradishjunction/include/private/cell_node.h
+++ b/src/libradishjunction/include/private/cell_node.h
@@ -72,6 +72,7 @@
 			uint64_t wall_ms);
 void rj_cell_node_advance(struct rj_cell_node *node, uint64_t now_us,
 			  uint64_t wall_ms);
+bool rj_cell_node_is_owner(const struct rj_cell_node *node);
 bool rj_cell_node_ready(const struct rj_cell_node *node, uint64_t now_us);
 void rj_cell_node_drain(struct rj_cell_node *node, uint64_t now_us);
 bool rj_cell_node_drained(const struct rj_cell_node *node);
