--- a/src/libradishjunction/cell/cell_pace.c
+++ b/src/libradishjunction/cell/cell_pace.c
@@ -88,18 +88,16 @@
 	return work;
 }
 
-/* Returns the logarithm of a gang's work by its estimate and by all samples but
- * number `excluded`. */
-static struct belief work_without(const struct rj_cell_pace_sample *samples,
-				  uint32_t count, uint32_t excluded,
-				  struct belief estimated)
+/* Returns `all` without one of the independent estimates that it combines. */
+static struct belief without(struct belief all, struct belief one)
 {
-	struct belief work = estimated;
+	double precision = 1 / all.variance - 1 / one.variance;
+	struct belief rest = {
+		(all.mean / all.variance - one.mean / one.variance) / precision,
+		1 / precision,
+	};
 
-	for (uint32_t i = 0; i < count; i++)
-		if (i != excluded)
-			work = combine(work, work_of(&samples[i]));
-	return work;
+	return rest;
 }
 
 /* Returns the pace of a sample's worker, given the gang's work. */
@@ -146,6 +144,7 @@
 	struct belief estimated = { log_estimate + error->mean,
 				    error->variance };
 	struct belief work;
+	struct belief all;
 	struct rj_cell_pace *after;
 
 	if (!count)
@@ -153,10 +152,11 @@
 	work = work_of(&samples[0]);
 	for (uint32_t i = 1; i < count; i++)
 		work = combine(work, work_of(&samples[i]));
+	all = combine(work, estimated);
 	after = g_new(struct rj_cell_pace, count);
 	for (uint32_t i = 0; i < count; i++)
-		after[i] = corrected(&samples[i], work_without(samples, count,
-							       i, estimated));
+		after[i] = corrected(&samples[i],
+				     without(all, work_of(&samples[i])));
 	for (uint32_t i = 0; i < count; i++)
 		*samples[i].pace = after[i];
 	learn_error(error, work.mean - log_estimate);
