cell_log_reader: the age of a log is the reader's real lag

Callers saw nothing served, and accepted work lost, near 10,000 workers: nothing starts while the workers' log has not been read completely within 3.2 s, and at 6,700 records a second a reader that was late once needs many reads to reach the end again. Until then its age grew by a second a second, though it was 1 to 2 s behind.

Each answer reports the end of the log; once that has been passed, the log is known up to the time at which the read was sent. This holds at any rate and needs no read that reaches the end.

--- a/src/libradishjunction/cell/cell_log_reader.c
+++ b/src/libradishjunction/cell/cell_log_reader.c
@@ -1,6 +1,7 @@
 #include "private/cell_log_reader.h"
 
 #include <assert.h>
+#include <glib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -76,9 +77,8 @@
 	return call;
 }
 
-/* Ends the syncs that a read sent at `sent_us` covers: those that began no
- * later. */
-static void end_syncs(struct rj_cell_log_reader *reader, uint64_t sent_us,
+/* Ends the syncs that began no later than `until_us`. */
+static void end_syncs(struct rj_cell_log_reader *reader, uint64_t until_us,
 		      bool reached)
 {
 	struct rj_list *at;
@@ -88,7 +88,7 @@
 		struct rj_cell_sync *sync =
 			RJ_CONTAINER(at, struct rj_cell_sync, link);
 
-		if (sync->since_us > sent_us)
+		if (sync->since_us > until_us)
 			continue;
 		rj_list_remove(at);
 		sync->done(sync, reached);
@@ -145,6 +145,38 @@
 		reader->next = reply->next;
 }
 
+/*
+ * Records the end of the log that the answer to a read reported, and confirms
+ * the log up to the latest reported end that has been passed.
+ *
+ * Guards against an age that grows with the time since the end was last
+ * reached: at a high rate of records a reader may be a fraction of a second
+ * behind all the time.
+ */
+static void confirm(struct rj_cell_log_reader *reader, uint64_t sent_us,
+		    uint64_t end)
+{
+	uint32_t passed = 0;
+
+	if (reader->next >= end) {
+		reader->confirmed_us = MAX(reader->confirmed_us, sent_us);
+		reader->mark_count = 0;
+		return;
+	}
+	while (passed < reader->mark_count &&
+	       reader->marks[passed].end <= reader->next) {
+		reader->confirmed_us = MAX(reader->confirmed_us,
+					   reader->marks[passed].sent_us);
+		passed++;
+	}
+	reader->mark_count -= passed;
+	memmove(reader->marks, &reader->marks[passed],
+		reader->mark_count * sizeof(reader->marks[0]));
+	if (reader->mark_count < RJ_CELL_LOG_READER_MARKS)
+		reader->marks[reader->mark_count++] =
+			(struct rj_cell_log_mark){ end, sent_us };
+}
+
 /* Loads again, because the records at the current offset have expired. */
 static void reload(struct rj_cell_log_reader *reader)
 {
@@ -179,17 +211,15 @@
 	} else {
 		record_success(reader);
 		take_records(reader, reply);
+		confirm(reader, call->sent_us, reply->end);
 		reached = reader->next >= reply->end;
-		if (reached && call->sent_us > reader->confirmed_us)
-			reader->confirmed_us = call->sent_us;
 		if (reached)
 			reader->caught_up = true;
 		if (!call->immediate)
 			reader->due_us =
 				reached ? reader->now_us + reader->pause_us :
 					  reader->now_us;
-		if (reached)
-			end_syncs(reader, call->sent_us, true);
+		end_syncs(reader, reader->confirmed_us, true);
 	}
 	reader->ops->progress(reader->private_data, reader);
 	/* Syncs added while the immediate read was in flight need another
@@ -294,6 +324,7 @@
 	reader->generation++;
 	reader->caught_up = false;
 	reader->first_page_loaded = false;
+	reader->mark_count = 0;
 	reader->poll_in_flight = false;
 	reader->immediate_in_flight = false;
 	reader->due_us = 0;
--- a/src/libradishjunction/include/private/cell_log_reader.h
+++ b/src/libradishjunction/include/private/cell_log_reader.h
@@ -30,14 +30,24 @@
 	void (*load_end)(void *private_data);
 };
 
-/* A wait for the end of the log: `done` is called when a read that was sent
- * after the wait began has reached the end (true), or has failed (false). */
+/* A wait for the end of the log: `done` is called when all records appended
+ * before the wait began are known (true), or a read has failed (false). */
 struct rj_cell_sync {
 	struct rj_list link;
 	uint64_t since_us;
 	void (*done)(struct rj_cell_sync *sync, bool reached);
 };
 
+/* Number of reported ends that a reader keeps until it has passed them. */
+#define RJ_CELL_LOG_READER_MARKS 8
+
+/* The end of the log, as the answer to a read reported it: all records appended
+ * before the read was sent are before this offset. */
+struct rj_cell_log_mark {
+	uint64_t end;
+	uint64_t sent_us;
+};
+
 struct rj_cell_log_reader {
 	struct rj_cell_store *store;
 	enum rj_cell_topic topic;
@@ -58,6 +68,9 @@
 	bool immediate_in_flight;
 	uint64_t due_us; /* time of the next read */
 	uint64_t confirmed_us; /* all records appended before this are known */
+	/* Reported ends that have not been passed, the oldest first. */
+	struct rj_cell_log_mark marks[RJ_CELL_LOG_READER_MARKS];
+	uint32_t mark_count;
 	uint64_t answered_us; /* last answer of the store to a read */
 	uint64_t known_end; /* the log is known to extend to this offset */
 	uint64_t known_us; /* when known_end was set, or last read for */
