http_client: bounded turns, and no call is lost whose answer has arrived

The store's answers to the owner's appends and reads waited behind thousands of events of workers' connections (appends 0.3 to 0.9 s, reads lost after 1.9 s), as all sockets were served in the order in which they became ready. And timers go before sockets, so that after a stall calls counted as lost whose answers had arrived: 3,122 in a second at 10,000 workers.

All sockets of a client are in one epoll set of their own, of which a turn of the loop serves 32: the store waits for one batch, however many workers there are. An epoll call returns 32 events in place of one.

http_client/stall fails before (lost) and passes; http_client/turn guards the bound of a turn.

--- a/src/libradishjunction/http_client.c
+++ b/src/libradishjunction/http_client.c
@@ -2,7 +2,9 @@
 
 #include <assert.h>
 #include <string.h>
+#include <sys/epoll.h>
 #include <talloc.h>
+#include <unistd.h>
 
 #include "private/buffer.h"
 #include "private/clock.h"
@@ -20,6 +22,12 @@
 /* Handles kept for reuse: an owner completes about as many calls at a time. */
 #define IDLE_HANDLES_MAX 64
 
+/* Sockets served in one turn of the event loop. */
+#define SOCKETS_PER_TURN 32
+/* Delay of transfers that are past their deadline while sockets that are ready
+ * have not been served. */
+#define DRAIN_RETRY_US (2 * RJ_US_PER_MS)
+
 const char *const rj_http_outcome_string[RJ_HTTP_OUTCOME_COUNT] = {
 	[RJ_HTTP_ANSWERED] = "answered",
 	[RJ_HTTP_NOT_SENT] = "not_sent",
@@ -29,6 +37,7 @@
 struct transfer {
 	struct rj_list link; /* in the client's `transfers` */
 	struct rj_http_client *client;
+	uint64_t timeout_us;
 	uint64_t deadline_us;
 	GSequenceIter *deadline_iter;
 	CURL *easy;
@@ -79,6 +88,30 @@
 	return 0;
 }
 
+/* Earliest first. */
+static gint compare_deadlines(gconstpointer a, gconstpointer b, gpointer unused)
+{
+	const struct transfer *left = a;
+	const struct transfer *right = b;
+
+	return left->deadline_us < right->deadline_us ? -1 :
+	       left->deadline_us > right->deadline_us ? 1 :
+							0;
+}
+
+/*
+ * Start the time limit for the response, as the request is being sent.
+ *
+ * Guards against counting the time in which a request waited for this process,
+ * or for a connection, against the server.
+ */
+static void restart_deadline(struct transfer *transfer)
+{
+	transfer->deadline_us = rj_clock_now_us() + transfer->timeout_us;
+	g_sequence_sort_changed(transfer->deadline_iter, compare_deadlines,
+				NULL);
+}
+
 /*
  * libcurl read callback: copy the next part of the body.
  *
@@ -95,6 +128,8 @@
 	size_t left = transfer->length - transfer->sent;
 	size_t part = size * count < left ? size * count : left;
 
+	if (!transfer->sent)
+		restart_deadline(transfer);
 	memcpy(buffer, transfer->body + transfer->sent, part);
 	transfer->sent += part;
 	return part;
@@ -159,20 +194,45 @@
 	}
 }
 
-static void arm_deadlines(struct rj_http_client *client);
-
-/* Earliest first. */
-static gint compare_deadlines(gconstpointer a, gconstpointer b, gpointer unused)
+/*
+ * Pass the events of a bounded number of sockets to libcurl, and finish
+ * completed transfers.
+ *
+ * An error of a socket counts as an event of either kind, so that libcurl finds
+ * out about a refused connection at once.
+ */
+static void serve_sockets(struct rj_http_client *client)
 {
-	const struct transfer *left = a;
-	const struct transfer *right = b;
-
-	return left->deadline_us < right->deadline_us ? -1 :
-	       left->deadline_us > right->deadline_us ? 1 :
-							0;
+	struct epoll_event events[SOCKETS_PER_TURN];
+	uint64_t now_us = rj_clock_now_us();
+	int count = epoll_wait(client->epoll_fd, events, SOCKETS_PER_TURN, 0);
+
+	for (int i = 0; i < count; i++) {
+		uint32_t ready = events[i].events;
+		int mask = 0;
+		int running;
+
+		if (ready & (EPOLLIN | EPOLLERR | EPOLLHUP))
+			mask |= CURL_CSELECT_IN;
+		if (ready & (EPOLLOUT | EPOLLERR | EPOLLHUP))
+			mask |= CURL_CSELECT_OUT;
+		curl_multi_socket_action(client->multi, events[i].data.fd, mask,
+					 &running);
+	}
+	if (count < SOCKETS_PER_TURN)
+		client->drained_us = now_us;
+	report_completed(client);
 }
 
-/* Report the transfers whose deadline has passed as failed. */
+static void arm_deadlines(struct rj_http_client *client);
+
+/*
+ * Report the transfers whose deadline has passed as failed.
+ *
+ * Guards against failing transfers whose responses have arrived while this
+ * process was busy: a deadline counts only once all sockets that were ready
+ * after it have been served.
+ */
 static void deadline_due(struct tevent_context *ev, struct tevent_timer *timer,
 			 struct timeval now, void *private_data)
 {
@@ -181,11 +241,12 @@
 
 	client->deadline_timer = NULL;
 	client->deadline_us = RJ_NEVER_US;
+	serve_sockets(client);
 	while (!g_sequence_is_empty(client->deadlines)) {
 		struct transfer *first = g_sequence_get(
 			g_sequence_get_begin_iter(client->deadlines));
 
-		if (first->deadline_us > now_us)
+		if (first->deadline_us > MIN(now_us, client->drained_us))
 			break;
 		finish_transfer(first, CURLE_OPERATION_TIMEDOUT);
 	}
@@ -204,6 +265,7 @@
 {
 	const struct transfer *first;
 	uint64_t now_us;
+	uint64_t delay_us;
 
 	if (g_sequence_is_empty(client->deadlines))
 		return;
@@ -213,65 +275,46 @@
 	now_us = rj_clock_now_us();
 	TALLOC_FREE(client->deadline_timer);
 	client->deadline_us = first->deadline_us;
-	client->deadline_timer = tevent_add_timer(
-		client->ev, client->mem,
-		rj_clock_timeval_in(first->deadline_us > now_us ?
-					    first->deadline_us - now_us :
-					    0),
-		deadline_due, client);
+	delay_us = first->deadline_us > now_us ? first->deadline_us - now_us :
+						 DRAIN_RETRY_US;
+	client->deadline_timer = tevent_add_timer(client->ev, client->mem,
+						  rj_clock_timeval_in(delay_us),
+						  deadline_due, client);
 	assert(client->deadline_timer);
 }
 
-/* Pass the events of a socket to libcurl and finish completed transfers. */
-static void socket_ready(struct tevent_context *ev, struct tevent_fd *fde,
-			 uint16_t flags, void *private_data)
+/* A socket of the client is ready. */
+static void sockets_ready(struct tevent_context *ev, struct tevent_fd *fde,
+			  uint16_t flags, void *private_data)
 {
-	struct rj_http_client *client = private_data;
-	int mask = 0;
-	int running;
-
-	if (flags & TEVENT_FD_READ)
-		mask |= CURL_CSELECT_IN;
-	if (flags & TEVENT_FD_WRITE)
-		mask |= CURL_CSELECT_OUT;
-	curl_multi_socket_action(client->multi, (int)tevent_fd_get_tag(fde),
-				 mask, &running);
-	report_completed(client);
+	serve_sockets(private_data);
 }
 
-/*
- * libcurl socket callback: watch a socket for the requested events.
- *
- * TEVENT_FD_READ is always set with TEVENT_FD_WRITE. Guards against detecting
- * a refused connection late: tevent reports errors only to readers, and
- * libcurl waits only for writability until it is connected, so it would detect
- * the failure by its own timer 200 ms later.
- */
+/* libcurl socket callback: watch a socket for the requested events. A socket
+ * that is watched already has a non-NULL `socket_data`. */
 static int socket_callback(CURL *easy, curl_socket_t fd, int what,
 			   void *private_data, void *socket_data)
 {
 	struct rj_http_client *client = private_data;
-	struct tevent_fd *fde = socket_data;
-	uint16_t flags = 0;
+	struct epoll_event event = { .data.fd = fd };
+	int status;
 
 	if (what == CURL_POLL_REMOVE) {
-		talloc_free(fde);
+		/* A socket that libcurl has closed is not in the set. */
+		(void)epoll_ctl(client->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
 		curl_multi_assign(client->multi, fd, NULL);
 		return 0;
 	}
 	if (what & CURL_POLL_IN)
-		flags |= TEVENT_FD_READ;
+		event.events |= EPOLLIN;
 	if (what & CURL_POLL_OUT)
-		flags |= TEVENT_FD_WRITE | TEVENT_FD_READ;
-	if (fde) {
-		tevent_fd_set_flags(fde, flags);
-		return 0;
-	}
-	fde = tevent_add_fd(client->ev, client->mem, fd, flags, socket_ready,
-			    client);
-	assert(fde);
-	tevent_fd_set_tag(fde, (uint64_t)fd);
-	curl_multi_assign(client->multi, fd, fde);
+		event.events |= EPOLLOUT;
+	status = epoll_ctl(client->epoll_fd,
+			   socket_data ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd,
+			   &event);
+	assert(!status);
+	(void)status;
+	curl_multi_assign(client->multi, fd, client);
 	return 0;
 }
 
@@ -347,16 +390,28 @@
 			struct tevent_context *ev, const char *instance,
 			uint32_t host_connections_max, struct rj_error *err)
 {
+	struct tevent_fd *fde;
+
 	memset(client, 0, sizeof(*client));
 	client->ev = ev;
 	rj_list_init(&client->transfers);
 	client->multi = curl_multi_init();
-	if (!client->multi)
-		return rj_error_set(
-			err, RJ_ERR_IO,
-			"http client: out of memory; free some memory");
+	client->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	if (!client->multi || client->epoll_fd < 0) {
+		curl_multi_cleanup(client->multi);
+		client->multi = NULL;
+		if (client->epoll_fd >= 0)
+			close(client->epoll_fd);
+		return rj_error_set(err, RJ_ERR_IO,
+				    "http client: out of memory or "
+				    "descriptors; free some memory, or raise "
+				    "the limit of open files");
+	}
 	client->mem = talloc_named_const(mem, 0, "http client");
-	assert(client->mem);
+	fde = tevent_add_fd(ev, client->mem, client->epoll_fd, TEVENT_FD_READ,
+			    sockets_ready, client);
+	assert(client->mem && fde);
+	(void)fde;
 	client->deadlines = g_sequence_new(NULL);
 	client->deadline_us = RJ_NEVER_US;
 	client->idle_handles =
@@ -459,6 +514,7 @@
 	transfer->done = request->done;
 	transfer->private_data = talloc_steal(transfer, request->private_data);
 	transfer->easy = acquire_handle(client);
+	transfer->timeout_us = request->timeout_us;
 	transfer->deadline_us = rj_clock_now_us() + request->timeout_us;
 	transfer->deadline_iter = g_sequence_insert_sorted(
 		client->deadlines, transfer, compare_deadlines, NULL);
@@ -502,4 +558,5 @@
 	client->multi = NULL;
 	curl_slist_free_all(client->headers);
 	TALLOC_FREE(client->mem);
+	close(client->epoll_fd);
 }
--- a/src/libradishjunction/include/private/http_client.h
+++ b/src/libradishjunction/include/private/http_client.h
@@ -5,6 +5,10 @@
  * `rj_http_client_send` leads to exactly one call of `done`, never before
  * `rj_http_client_send` has returned; `rj_http_client_finish` cancels open
  * requests without calling `done`. `done` must not finish the client.
+ *
+ * A turn of the loop serves a bounded number of the client's sockets, so that
+ * other sources of events wait for a bounded time, however many requests are
+ * open.
  */
 #ifndef RADISHJUNCTION_PRIVATE_HTTP_CLIENT_H
 #define RADISHJUNCTION_PRIVATE_HTTP_CLIENT_H
@@ -39,7 +43,9 @@
 	const char *url;
 	const char *body; /* may be empty; copied */
 	size_t length;
-	uint64_t timeout_us; /* from now until the complete response */
+	/* Until the body is sent, and again from then until the complete
+	 * response. */
+	uint64_t timeout_us;
 	size_t response_max_bytes; /* a longer response counts as lost */
 	const char *const *headers; /* added to the client's; "Name: value" */
 	uint32_t header_count;
@@ -53,6 +59,9 @@
 	CURLM *multi;
 	struct curl_slist *headers;
 	struct tevent_timer *timer;
+	int epoll_fd; /* all sockets of this client */
+	/* The last time at which no socket was left that was ready. */
+	uint64_t drained_us;
 	struct rj_list transfers;
 	GSequence *deadlines; /* open transfers, earliest deadline first */
 	struct tevent_timer *deadline_timer;
--- a/src/test_libradishjunction/test_http_client.c
+++ b/src/test_libradishjunction/test_http_client.c
@@ -7,11 +7,16 @@
 #include <unistd.h>
 
 #include "http_server.h"
+#include "private/clock.h"
 #include "private/http_client.h"
 
 #define LONG_US (60 * RJ_US_PER_S)
 #define SHORT_US (20 * RJ_US_PER_MS)
 #define ANSWER_MAX_BYTES 64
+/* Calls of which the answers arrive at the same time, and the most of them that
+ * a turn of the loop may take. */
+#define PARALLEL_CALLS 100
+#define PARALLEL_PER_TURN_MAX 32
 
 /* How the server handles the next requests. */
 enum behaviour { ANSWER, CLOSE, KEEP, ANSWER_LONG };
@@ -228,6 +233,132 @@
 	close(fd);
 }
 
+static const char whole_answer[] = "HTTP/1.1 200 OK\r\n"
+				   "Content-Length: 2\r\n\r\n{}";
+
+/* Answers the request, and keeps the process busy until the call's deadline has
+ * passed. */
+static void answer_before_a_stall(struct tevent_context *ev,
+				  struct tevent_fd *fde, uint16_t flags,
+				  void *private_data)
+{
+	int fd = (int)tevent_fd_get_tag(fde);
+	uint64_t until_us = rj_clock_now_us() + 2 * SHORT_US;
+	char request[1024];
+
+	g_assert_cmpint(recv(fd, request, sizeof(request), 0), >, 0);
+	g_assert_cmpint(write(fd, whole_answer, sizeof(whole_answer) - 1), >,
+			0);
+	while (rj_clock_now_us() < until_us)
+		;
+	talloc_free(fde);
+	close(fd);
+}
+
+/* Connections of which the request has been received. */
+struct waiting_calls {
+	int fds[PARALLEL_CALLS];
+	uint32_t count;
+};
+
+static void note_request(struct tevent_context *ev, struct tevent_fd *fde,
+			 uint16_t flags, void *private_data)
+{
+	struct waiting_calls *calls = private_data;
+	int fd = (int)tevent_fd_get_tag(fde);
+	char request[1024];
+
+	g_assert_cmpint(recv(fd, request, sizeof(request), 0), >, 0);
+	calls->fds[calls->count++] = fd;
+	talloc_free(fde);
+}
+
+/* A server of which a test handles each connection. */
+struct raw_server {
+	struct rj_address address;
+	int fd;
+	struct tevent_fd *listener;
+	tevent_fd_handler_t handler; /* of a connection with a request */
+	void *private_data;
+};
+
+static void accept_raw(struct tevent_context *ev, struct tevent_fd *fde,
+		       uint16_t flags, void *private_data)
+{
+	struct raw_server *server = private_data;
+	int fd = accept(server->fd, NULL, NULL);
+	struct tevent_fd *connection =
+		tevent_add_fd(ev, ev, fd, TEVENT_FD_READ, server->handler,
+			      server->private_data);
+
+	g_assert_nonnull(connection);
+	tevent_fd_set_tag(connection, (uint64_t)fd);
+}
+
+static void raw_server_init(struct raw_server *server,
+			    struct tevent_context *ev,
+			    tevent_fd_handler_t handler, void *private_data)
+{
+	server->fd = bound_socket(&server->address);
+	server->handler = handler;
+	server->private_data = private_data;
+	g_assert_cmpint(listen(server->fd, PARALLEL_CALLS), ==, 0);
+	server->listener = tevent_add_fd(ev, ev, server->fd, TEVENT_FD_READ,
+					 accept_raw, server);
+	g_assert_nonnull(server->listener);
+}
+
+static void raw_server_finish(struct raw_server *server)
+{
+	talloc_free(server->listener);
+	close(server->fd);
+}
+
+/* Guards against calls that count as lost though their answers have arrived
+ * while this process was busy. */
+static void test_answer_before_a_stall_counts(struct fixture *fixture,
+					      gconstpointer data)
+{
+	struct raw_server server;
+
+	raw_server_init(&server, fixture->ev, answer_before_a_stall, NULL);
+	post_to(fixture, &server.address, "one", SHORT_US);
+	wait_for(fixture, 1);
+	assert_outcome(fixture, RJ_HTTP_ANSWERED);
+	raw_server_finish(&server);
+}
+
+/* Guards against thousands of answers from workers before which the store's
+ * answers have to wait. */
+static void test_a_turn_takes_a_bounded_number(struct fixture *fixture,
+					       gconstpointer data)
+{
+	struct waiting_calls calls = { .count = 0 };
+	struct raw_server server;
+
+	rj_http_client_set_host_connections_max(&fixture->client,
+						PARALLEL_CALLS);
+	raw_server_init(&server, fixture->ev, note_request, &calls);
+	for (uint32_t i = 0; i < PARALLEL_CALLS; i++)
+		post_to(fixture, &server.address, "one", LONG_US);
+	while (calls.count < PARALLEL_CALLS)
+		tevent_loop_once(fixture->ev);
+	for (uint32_t i = 0; i < PARALLEL_CALLS; i++)
+		g_assert_cmpint(write(calls.fds[i], whole_answer,
+				      sizeof(whole_answer) - 1),
+				>, 0);
+	while (fixture->ended < PARALLEL_CALLS) {
+		uint32_t ended = fixture->ended;
+
+		tevent_loop_once(fixture->ev);
+		g_assert_cmpuint(fixture->ended - ended, <=,
+				 PARALLEL_PER_TURN_MAX);
+	}
+	for (uint32_t i = 0; i < PARALLEL_CALLS; i++)
+		close(calls.fds[i]);
+	raw_server_finish(&server);
+}
+
 /* Accepts the one connection; its request is read when it arrives. */
 static void take_connection(struct tevent_context *ev, struct tevent_fd *fde,
 			    uint16_t flags, void *private_data)
@@ -350,6 +481,8 @@
 	add("/http_client/too_long", test_answer_that_is_too_long_is_lost);
 	add("/http_client/refused", test_refused_connect_is_not_sent);
 	add("/http_client/cut", test_answer_cut_short_is_lost);
+	add("/http_client/stall", test_answer_before_a_stall_counts);
+	add("/http_client/turn", test_a_turn_takes_a_bounded_number);
 	add("/http_server/limit", test_connection_above_the_limit_is_closed);
 	add("/http_server/gone", test_disconnected_client_frees_its_connection);
 	return g_test_run();
