owner: heartbeats that report nothing new are compared, not decoded

Nearly all repeat the worker's last entry but for the sequence number and the clock.

The adapter compares an entry with the last one that was decoded, passing over these two numbers; whatever else differs is decoded as before, and so is every entry of a worker that drains, is cold or was restarted.

platform_wire/repeated checks both kinds.

--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -36,6 +36,33 @@
 	return node->owner.active || node->owner.taking_over;
 }
 
+/* Applies a heartbeat that reports nothing new. Returns false if the record has
+ * to be decoded. */
+static bool repeated_heartbeat(struct rj_cell_node *node,
+			       struct rj_cell_worker *worker,
+			       const struct rj_cell_record *record,
+			       uint64_t written_us)
+{
+	uint64_t clock_ms;
+
+	if (!rj_cell_owner_repeats_heartbeat(worker) ||
+	    !node->options.codec->is_same_worker(worker->entry, record->value,
+						 &clock_ms))
+		return false;
+	rj_cell_owner_repeat_heartbeat(&node->owner, worker, clock_ms,
+				       written_us);
+	return true;
+}
+
+/* Keeps the encoded entry of a worker, to recognize heartbeats that repeat
+ * it. */
+static void keep_entry(struct rj_cell_worker *worker, struct rj_bytes entry)
+{
+	talloc_free((void *)worker->entry.data);
+	worker->entry.data = talloc_memdup(worker, entry.data, entry.length);
+	worker->entry.length = entry.length;
+}
+
 /* Handles a record of the workers' log: a heartbeat or a deletion. */
 static void fleet_record(void *private_data,
 			 const struct rj_cell_record *record)
@@ -43,6 +70,7 @@
 	struct rj_cell_node *node = private_data;
 	struct rj_cell_heartbeat heartbeat;
 	struct rj_error err = { .message = "the worker's name is too long" };
+	struct rj_cell_worker *worker;
 	/* Records passed on by a load can be of any age. */
 	uint64_t written_us = node->fleet.state == RJ_CELL_LOG_READER_READING ?
 				      node->fleet.confirmed_us :
@@ -55,6 +83,9 @@
 		rj_cell_owner_update_worker(&node->owner, record->key, NULL, 0);
 		return;
 	}
+	worker = rj_cell_fleet_find(&node->owner.fleet, record->key);
+	if (worker && repeated_heartbeat(node, worker, record, written_us))
+		return;
 	if (strlen(record->key) >= RJ_NAME_BYTES ||
 	    node->options.codec->decode_worker(record->value, &heartbeat,
 					       &err)) {
@@ -65,6 +96,8 @@
 	}
 	rj_cell_owner_update_worker(&node->owner, record->key, &heartbeat,
 				    written_us);
+	keep_entry(rj_cell_fleet_find(&node->owner.fleet, record->key),
+		   record->value);
 }
 
 /* For readers that need no action after a read. */
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -303,6 +303,33 @@
 	worker->listed = true;
 }
 
+/*
+ * Whether a heartbeat with the same content as the worker's last one changes
+ * nothing but the worker's clock and the age of its entry.
+ */
+bool rj_cell_owner_repeats_heartbeat(const struct rj_cell_worker *worker)
+{
+	const struct rj_cell_heartbeat *heartbeat = &worker->heartbeat;
+
+	return worker->listed && worker->entry.length && !heartbeat->draining &&
+	       !heartbeat->cold_left_ms &&
+	       (!worker->incarnation || !heartbeat->incarnation ||
+		worker->incarnation == heartbeat->incarnation);
+}
+
+/*
+ * Applies such a heartbeat; see rj_cell_owner_update_worker.
+ */
+void rj_cell_owner_repeat_heartbeat(struct rj_cell_owner *owner,
+				    struct rj_cell_worker *worker,
+				    uint64_t clock_ms, uint64_t written_us)
+{
+	worker->heartbeat.clock_ms = clock_ms;
+	worker->written_us = written_us;
+	worker->cold_until_us = owner->now_us;
+	rj_cell_polls_accept_heartbeat(owner, worker);
+}
+
 /* Limits how long the tasks of a job wait for completions that former owners
  * did not see. */
 static void bound_unreported_ends(const struct rj_cell_job *job,
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -80,6 +80,10 @@
 	struct rj_list in_unstored;
 	char id[RJ_NAME_BYTES];
 	struct rj_cell_heartbeat heartbeat;
+	/* The encoded entry that `heartbeat` was decoded from. Entries that
+	 * differ from it only in what each heartbeat changes do not replace
+	 * it. */
+	struct rj_bytes entry;
 	const char *service; /* from its heartbeat, interned */
 	bool listed; /* its log entry exists */
 	uint64_t written_us; /* the entry was written after this; 0: unknown */
--- a/src/test_libradishjunction/support/cell_sim.c
+++ b/src/test_libradishjunction/support/cell_sim.c
@@ -142,6 +142,23 @@
 	return 0;
 }
 
+/* Compares a worker's entry with an earlier one but for the clock; see struct
+ * rj_cell_codec. */
+static bool is_same_worker(struct rj_bytes earlier, struct rj_bytes text,
+			   uint64_t *clock_ms)
+{
+	struct rj_cell_heartbeat a;
+	struct rj_cell_heartbeat b;
+
+	if (earlier.length != sizeof(a) || text.length != sizeof(b))
+		return false;
+	memcpy(&a, earlier.data, sizeof(a));
+	memcpy(&b, text.data, sizeof(b));
+	*clock_ms = b.clock_ms;
+	a.clock_ms = b.clock_ms;
+	return !memcmp(&a, &b, sizeof(a));
+}
+
 /* Queues: name, path prefix, priority, objective. */
 static const struct {
 	const char *name;
@@ -221,6 +238,7 @@
 	.classify = classify,
 	.decode_config = decode_config,
 	.decode_worker = decode_worker,
+	.is_same_worker = is_same_worker,
 };
 
 /*
--- a/src/test_libradishjunction/test_platform_wire.c
+++ b/src/test_libradishjunction/test_platform_wire.c
@@ -192,6 +192,47 @@
 							  &heartbeat, &err));
 }
 
+/* Guards against a heartbeat that reports something new and is taken for one
+ * that repeats the last. */
+static void test_repeated_heartbeats(void)
+{
+#define ENTRY(state, clock, labels, sequence)                           \
+	"{\"Service\":\"s\",\"State\":\"" state "\",\"ClockMs\":" clock \
+	",\"Labels\":[" labels "],\"Sequence\":" sequence "}"
+	static const char first[] = ENTRY("ready", "99", "\"a\"", "4");
+	static const struct {
+		const char *text;
+		bool same;
+		uint64_t clock_ms;
+	} entries[] = {
+		{ ENTRY("ready", "99", "\"a\"", "4"), true, 99 },
+		{ ENTRY("ready", "1700", "\"a\"", "15"), true, 1700 },
+		{ ENTRY("draining", "100", "\"a\"", "5"), false, 0 },
+		{ ENTRY("ready", "100", "\"b\"", "5"), false, 0 },
+		{ ENTRY("ready", "100", "\"a\",\"b\"", "5"), false, 0 },
+		{ ENTRY("ready", "100.5", "\"a\"", "5"), false, 0 },
+		{ ENTRY("ready", "\"100\"", "\"a\"", "5"), false, 0 },
+		{ ENTRY("ready", "", "\"a\"", "5"), false, 0 },
+		{ ENTRY("ready", "12345678901234567890", "\"a\"", "5"), false,
+		  0 },
+		{ ENTRY("ready", "100", "\"a\"", "5") "x", false, 0 },
+		{ "{\"Service\":\"s\",\"State\":\"ready\",\"ClockMs\":9", false,
+		  0 },
+		{ "", false, 0 },
+	};
+#undef ENTRY
+
+	for (guint i = 0; i < G_N_ELEMENTS(entries); i++) {
+		uint64_t clock_ms;
+		bool same = platform_wire_is_same_worker(
+			bytes_of(first), bytes_of(entries[i].text), &clock_ms);
+
+		g_assert_cmpint(same, ==, entries[i].same);
+		if (same)
+			g_assert_cmpuint(clock_ms, ==, entries[i].clock_ms);
+	}
+}
+
 /* Records are encoded and decoded unchanged, and a body that is truncated
  * within a record is rejected at every length. */
 static void test_records_round_trip(void)
@@ -316,6 +357,7 @@
 	g_test_add_func("/platform_wire/job", test_job);
 	g_test_add_func("/platform_wire/bad_jobs", test_invalid_jobs);
 	g_test_add_func("/platform_wire/config", test_config);
+	g_test_add_func("/platform_wire/repeated", test_repeated_heartbeats);
 	g_test_add_func("/platform_wire/published", test_classify_key);
 	g_test_add_func("/platform_wire/broken_config", test_invalid_config);
 	g_test_add_func("/platform_wire/entries", test_worker_entries);
