owner: calls to workers go through a window, and a large fleet's heartbeats count as contact

Callers of a fleet near 10,000 workers saw accepted work lost and next to nothing served. Whenever starts were allowed, all that waited was sent in one turn: 1,300 starts and 1,500 probes, of which 1,000 to 3,000 timed out. Each failure marked a worker as silent, opened a connection and led to another plan, and the log's answers waited behind all of it. As a fleet came up, each worker that registered was polled at once, 2,300 a second, though nothing ran.

- At most 64 starts, stops, probes and polls that are answered at once wait for their answers; the rest goes out as answers arrive.
A call leaves the window after 150 ms, so that workers that do not answer cannot close it.
Nothing is planned while it is full, as a plan could not be sent, and would go before what is more urgent.
- In a fleet too large to poll, a worker's entry counts as contact until the next but one is due, so that neither its registration nor the first start there needs a poll of its own.

The wait in our own queues is bounded by the window times the cost of a call, whatever the size of the fleet or of the processor.

cell_call_window/burst fails without the window (1,500 calls open where 64 are allowed), /registering without the rule of contact (1,050 polls where 300 are allowed).

--- a/src/libradishjunction/cell/cell_calls.c
+++ b/src/libradishjunction/cell/cell_calls.c
@@ -43,6 +43,15 @@
 	return call;
 }
 
+/*
+ * Counts a call in the owner's window until it is answered.
+ */
+void rj_cell_call_enter_window(struct rj_cell_call_context *call)
+{
+	call->in_window = true;
+	rj_cell_call_window_sent(&call->owner->call_window, call->sent_us);
+}
+
 /*
  * Finds the run of a worker by name and number; NULL if there is none.
  */
@@ -139,6 +148,10 @@
 	if (call->generation != owner->generation || !owner->active)
 		return NULL;
 	owner->now_us = reply->now_us;
+	owner->counters.answers[reply->status]++;
+	if (call->in_window)
+		rj_cell_call_window_answered(&owner->call_window,
+					     call->sent_us);
 	worker = rj_cell_fleet_find(&owner->fleet, call->worker);
 	if (worker)
 		rj_cell_worker_record_contact(
--- a/src/libradishjunction/cell/cell_metrics.c
+++ b/src/libradishjunction/cell/cell_metrics.c
@@ -94,7 +94,17 @@
 	write_number(text, "starts", counters->starts);
 	write_number(text, "stops", counters->stops);
 	write_number(text, "polls", counters->polls);
+	write_number(text, "probes", counters->probes);
+	for (int i = 0; i < RJ_CELL_ORDER_STATUS_COUNT; i++)
+		write_labelled(text, "call_answers", "answer",
+			       rj_cell_order_status_string[i],
+			       counters->answers[i]);
 	write_number(text, "plans", counters->plans);
+	for (int i = RJ_CELL_PLAN_ALLOWED + 1; i < RJ_CELL_PLAN_BLOCK_COUNT;
+	     i++)
+		write_labelled(text, "plans_prevented", "why",
+			       rj_cell_plan_block_string[i],
+			       counters->plan_blocks[i]);
 	write_number(text, "plan_effort_max", counters->plan_effort_max);
 	write_number(text, "jobs_completed", counters->completed);
 	write_number(text, "jobs_failed", counters->failed);
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -162,12 +162,15 @@
 				       .ticket = run->ticket ? run->ticket : "",
 				       .token = owner->token };
 	struct rj_cell_order_done done;
+	struct rj_cell_call_context *call;
 
 	start.deadline_ms = rj_cell_call_next_deadline(owner, worker);
 	if (!start.deadline_ms)
 		return;
 	done.call = start_done;
-	done.private_data = rj_cell_call_new(owner, worker, run);
+	call = rj_cell_call_new(owner, worker, run);
+	rj_cell_call_enter_window(call);
+	done.private_data = call;
 	run->start_in_flight = true;
 	run->order_tries++;
 	owner->counters.starts++;
@@ -210,6 +213,7 @@
 static void send_stop(struct rj_cell_owner *owner, struct rj_cell_run *run)
 {
 	struct rj_cell_order_done done;
+	struct rj_cell_call_context *call;
 
 	if (!run->order_tries)
 		rj_log_event("stop", RJ_LOG_TEXT("task", run->name),
@@ -217,7 +221,9 @@
 			     RJ_LOG_TEXT("worker", run->worker->id),
 			     RJ_LOG_TEXT("why", run->reason));
 	done.call = stop_done;
-	done.private_data = rj_cell_call_new(owner, run->worker, run);
+	call = rj_cell_call_new(owner, run->worker, run);
+	rj_cell_call_enter_window(call);
+	done.private_data = call;
 	run->stop_in_flight = true;
 	run->order_tries++;
 	owner->counters.stops++;
@@ -301,7 +307,9 @@
 		if (!needs_order(run))
 			continue;
 		if (owner->now_us >= run->order_due_us &&
-		    worker->heartbeat.address.port)
+		    worker->heartbeat.address.port &&
+		    rj_cell_call_window_has_room(&owner->call_window,
+						 owner->now_us))
 			send_order(owner, run);
 		more |= needs_order(run);
 	}
@@ -326,8 +334,9 @@
 }
 
 /*
- * Sends all due orders. Of thousands of runs only a few begin or end between
- * two calls, so only workers with an order to be sent are visited.
+ * Sends the due orders as far as the call window has room. Of thousands of runs
+ * only a few begin or end between two calls, so only workers with an order to be
+ * sent are visited.
  */
 static void send_orders(struct rj_cell_owner *owner)
 {
@@ -338,6 +347,9 @@
 		struct rj_cell_worker *worker =
 			RJ_CONTAINER(at, struct rj_cell_worker, in_order_queue);
 
+		if (!rj_cell_call_window_has_room(&owner->call_window,
+						  owner->now_us))
+			break;
 		if (!send_worker_orders(owner, worker))
 			rj_list_remove(&worker->in_order_queue);
 	}
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -297,7 +297,7 @@
 		/* While all entries are being loaded,
 		 * rj_cell_polls_fleet_loaded schedules the first polls. */
 		if (written_us)
-			rj_cell_polls_schedule_now(owner, worker);
+			rj_cell_polls_worker_listed(owner, worker);
 		owner->plan_wanted = true;
 	}
 	worker->listed = true;
@@ -392,6 +392,8 @@
 	owner->fenced = false;
 	owner->release_pending = false;
 	owner->released_us = 0;
+	owner->activity.advanced_us = 0;
+	memset(&owner->call_window, 0, sizeof(owner->call_window));
 	owner->generation++;
 	owner->token = token;
 	owner->now_us = now_us;
@@ -613,15 +615,41 @@
 			owner->limits.cordon_ms);
 }
 
+/*
+ * Returns what prevents a plan now. What a plan starts could not be sent before
+ * the call window has room, and would go before more urgent work that arrives
+ * meanwhile.
+ */
+static enum rj_cell_plan_block plan_block(const struct rj_cell_owner *owner)
+{
+	if (owner->writes_pending)
+		return RJ_CELL_PLAN_BLOCK_APPEND;
+	if (!rj_cell_owner_may_start(owner))
+		return RJ_CELL_PLAN_BLOCK_LOG_AGE;
+	if (owner->now_us < owner->plan_not_before_us)
+		return RJ_CELL_PLAN_BLOCK_PAUSE;
+	if (!rj_cell_call_window_has_room(&owner->call_window, owner->now_us))
+		return RJ_CELL_PLAN_BLOCK_WINDOW;
+	return RJ_CELL_PLAN_ALLOWED;
+}
+
+/* Makes a plan, unless something prevents it. */
+static void try_plan(struct rj_cell_owner *owner)
+{
+	enum rj_cell_plan_block block = plan_block(owner);
+
+	owner->counters.plan_blocks[block]++;
+	if (block == RJ_CELL_PLAN_ALLOWED)
+		make_plan(owner);
+}
+
 /* Begins due occurrences, makes a plan if one is due and new work may start,
  * and removes the keys of expired jobs. */
 static void begin_and_plan(struct rj_cell_owner *owner)
 {
 	begin_due_occurrences(owner);
-	if ((owner->plan_wanted || owner->now_us >= owner->plan_due_us) &&
-	    !owner->writes_pending && rj_cell_owner_may_start(owner) &&
-	    owner->now_us >= owner->plan_not_before_us)
-		make_plan(owner);
+	if (owner->plan_wanted || owner->now_us >= owner->plan_due_us)
+		try_plan(owner);
 	rj_cell_flush_expired(owner);
 }
 
@@ -638,8 +666,10 @@
 	owner->wall_ms = wall_ms;
 	if (rj_cell_fleet_apply_cordons(&owner->fleet))
 		owner->plan_wanted = true;
-	if (owner->active)
+	if (owner->active) {
+		rj_cell_activity_advanced(owner);
 		begin_and_plan(owner);
+	}
 	rj_cell_flush(owner);
 	if (owner->active)
 		rj_cell_orders_tick(owner);
--- a/src/libradishjunction/cell/cell_polls.c
+++ b/src/libradishjunction/cell/cell_polls.c
@@ -343,6 +343,21 @@
 	talloc_free(call);
 }
 
+/* Whether a poll of a worker may wait for a completion: the worker has answered
+ * this owner, and its last call. */
+static bool may_wait(const struct rj_cell_worker *worker)
+{
+	return worker->incarnation && worker->answers;
+}
+
+/* Whether the call window allows to poll a worker now. */
+static bool window_allows(const struct rj_cell_owner *owner,
+			  const struct rj_cell_worker *worker)
+{
+	return may_wait(worker) ||
+	       rj_cell_call_window_has_room(&owner->call_window, owner->now_us);
+}
+
 /* Requests the lists of a worker, and renews the leases of its runs. */
 static void send_poll(struct rj_cell_owner *owner,
 		      struct rj_cell_worker *worker)
@@ -363,7 +378,7 @@
 	 */
 	if (worker->answers)
 		poll.stored_position = worker->stored_position;
-	if (worker->incarnation && worker->answers)
+	if (may_wait(worker))
 		poll.wait_ms =
 			MIN(POLL_WAIT_MS, owner->limits.lease_max_ms /
 						  POLL_WAIT_LEASE_DIVISOR);
@@ -373,11 +388,12 @@
 	 * elsewhere. It gets no deadline until it has answered, so that its
 	 * leases expire.
 	 */
-	if (worker->incarnation && worker->answers &&
-	    worker->runs.next != &worker->runs)
+	if (may_wait(worker) && worker->runs.next != &worker->runs)
 		poll.deadline_ms = rj_cell_call_next_deadline(owner, worker);
 	call = rj_cell_call_new(owner, worker, NULL);
 	call->stored_position = poll.stored_position;
+	if (!poll.wait_ms)
+		rj_cell_call_enter_window(call);
 	done.call = poll_done;
 	done.private_data = call;
 	worker->poll_in_flight = true;
@@ -417,6 +433,15 @@
 	return true;
 }
 
+/*
+ * Whether the fleet is too large to poll each of its workers often, so that
+ * heartbeats are trusted.
+ */
+bool rj_cell_polls_fleet_is_large(const struct rj_cell_owner *owner)
+{
+	return owner->fleet.count > POLLED_FLEET_MAX;
+}
+
 /*
  * Decides from a worker's heartbeat whether it may get work before it has
  * answered any call, and if so takes its clock from the heartbeat.
@@ -429,7 +454,7 @@
 void rj_cell_polls_accept_heartbeat(struct rj_cell_owner *owner,
 				    struct rj_cell_worker *worker)
 {
-	if (owner->fleet.count <= POLLED_FLEET_MAX || worker->incarnation ||
+	if (!rj_cell_polls_fleet_is_large(owner) || worker->incarnation ||
 	    worker->poll_failures || !worker->heartbeat.clock_ms)
 		return;
 	worker->answers = true;
@@ -456,7 +481,7 @@
 
 		if (!worker->listed)
 			continue;
-		if (owner->fleet.count > POLLED_FLEET_MAX)
+		if (rj_cell_polls_fleet_is_large(owner))
 			rj_cell_polls_accept_heartbeat(owner, worker);
 		else
 			rj_cell_polls_schedule_now(owner, worker);
@@ -475,14 +500,28 @@
 		rj_cell_worker_set_poll_state(worker, RJ_CELL_POLL_STATE_BUSY);
 }
 
+/*
+ * Handles the first entry of a worker, or a change of its drain state.
+ *
+ * Guards against thousands of polls as a large fleet comes up: there the
+ * heartbeat of a new worker is trusted.
+ */
+void rj_cell_polls_worker_listed(struct rj_cell_owner *owner,
+				 struct rj_cell_worker *worker)
+{
+	if (!rj_cell_polls_fleet_is_large(owner) || worker->incarnation)
+		rj_cell_polls_schedule_now(owner, worker);
+}
+
 /*
  * Polls a worker that holds runs or unstored completions, if a poll is due and
- * the retry limit allows it.
+ * the limits allow it.
  */
 void rj_cell_polls_poll_busy(struct rj_cell_owner *owner,
 			     struct rj_cell_worker *worker)
 {
-	if (worker->poll_in_flight || owner->now_us < worker->poll_due_us)
+	if (worker->poll_in_flight || owner->now_us < worker->poll_due_us ||
+	    !window_allows(owner, worker))
 		return;
 	if (worker->poll_failures && !take_token(&owner->retry_poll_limit))
 		return;
@@ -510,7 +549,8 @@
 			rj_cell_fleet_drop(&owner->fleet, worker);
 			continue;
 		}
-		if (owner->now_us < worker->poll_due_us)
+		if (owner->now_us < worker->poll_due_us ||
+		    !window_allows(owner, worker))
 			break;
 		(void)take_token(&owner->idle_poll_limit);
 		rj_cell_worker_set_poll_state(worker,
@@ -526,7 +566,7 @@
  */
 void rj_cell_polls_tick(struct rj_cell_owner *owner)
 {
-	uint32_t per_s = owner->fleet.count > POLLED_FLEET_MAX ?
+	uint32_t per_s = rj_cell_polls_fleet_is_large(owner) ?
 				 LARGE_FLEET_IDLE_POLLS_PER_S :
 				 IDLE_POLLS_PER_S;
 
--- a/src/libradishjunction/cell/cell_reachability.c
+++ b/src/libradishjunction/cell/cell_reachability.c
@@ -19,9 +19,27 @@
 /* Several times the round trip between failure domains. */
 #define PROBE_TIMEOUT_MS 150
 
+/* Entries in the log are written at an interval of a third of their expiry: one
+ * shows contact until the next but one is due. */
+#define HEARTBEAT_CONFIRMATION(expiry_us) ((expiry_us)*2 / 3)
+
+/* Whether the worker, by itself, is as reachable as its failure domain. */
+static bool is_as_reachable_as_domain(const struct rj_cell_owner *owner,
+				      const struct rj_cell_worker *worker)
+{
+	uint64_t expiry_us = owner->limits.entry_expiry_ms * RJ_US_PER_MS;
+
+	if (owner->now_us <= worker->answered_us + POLL_CONFIRMATION_US)
+		return true;
+	return rj_cell_polls_fleet_is_large(owner) &&
+	       owner->now_us <=
+		       worker->written_us + HEARTBEAT_CONFIRMATION(expiry_us);
+}
+
 /*
  * Whether a start may be sent to the worker: it has answered recently, or its
- * failure domain has.
+ * failure domain has, and a recent poll or, in a large fleet, its entry in the
+ * log shows that it is not alone unreachable there.
  *
  * In a large domain hundreds of starts a second would otherwise each wait for a
  * probe. Domains are cut off as a whole, so a recent answer of any worker shows
@@ -38,7 +56,7 @@
 	if (owner->now_us <= worker->answered_us + confirmation_us)
 		return true;
 	return worker->answers && worker->domain &&
-	       owner->now_us <= worker->answered_us + POLL_CONFIRMATION_US &&
+	       is_as_reachable_as_domain(owner, worker) &&
 	       owner->now_us <= worker->domain->answered_us + confirmation_us;
 }
 
@@ -70,8 +88,8 @@
 }
 
 /*
- * Sends a probe to a worker, unless one is pending. A plan is requested once it
- * is answered or has timed out.
+ * Sends a probe to a worker, unless one is pending or the call window is full. A
+ * plan is requested once it is answered or has timed out.
  */
 void rj_cell_reachability_probe(struct rj_cell_owner *owner,
 				struct rj_cell_worker *worker)
@@ -80,10 +98,15 @@
 				     .stored_position = worker->stored_position,
 				     .timeout_ms = PROBE_TIMEOUT_MS };
 	struct rj_cell_order_done done = { probe_done, NULL };
+	struct rj_cell_call_context *call;
 
-	if (worker->probe_in_flight)
+	if (worker->probe_in_flight ||
+	    !rj_cell_call_window_has_room(&owner->call_window, owner->now_us))
 		return;
 	worker->probe_in_flight = true;
-	done.private_data = rj_cell_call_new(owner, worker, NULL);
+	call = rj_cell_call_new(owner, worker, NULL);
+	rj_cell_call_enter_window(call);
+	owner->counters.probes++;
+	done.private_data = call;
 	owner->workers->ops->poll(owner->workers, worker, &poll, done);
 }
--- a/src/libradishjunction/include/private/cell_calls.h
+++ b/src/libradishjunction/include/private/cell_calls.h
@@ -20,6 +20,7 @@
 	char worker[RJ_NAME_BYTES];
 	char *name; /* of the run; NULL for polls */
 	uint32_t number;
+	bool in_window; /* counted in the owner's call window */
 	uint64_t
 		stored_position; /* polls: completions acknowledged up to here */
 };
@@ -28,6 +29,7 @@
 rj_cell_call_new(struct rj_cell_owner *owner,
 		 const struct rj_cell_worker *worker,
 		 const struct rj_cell_run *run);
+void rj_cell_call_enter_window(struct rj_cell_call_context *call);
 struct rj_cell_run *rj_cell_call_find_run(const struct rj_cell_worker *worker,
 					  const char *name, uint32_t number);
 void rj_cell_call_update_clock(struct rj_cell_worker *worker,
@@ -44,6 +46,7 @@
 			 const struct rj_cell_order_reply *reply);
 void rj_cell_call_other_incarnation(struct rj_cell_owner *owner,
 				    struct rj_cell_worker *worker);
+bool rj_cell_polls_fleet_is_large(const struct rj_cell_owner *owner);
 void rj_cell_polls_poll_busy(struct rj_cell_owner *owner,
 			     struct rj_cell_worker *worker);
 void rj_cell_polls_tick(struct rj_cell_owner *owner);
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -15,6 +15,8 @@
 #ifndef RADISHJUNCTION_PRIVATE_CELL_OWNER_H
 #define RADISHJUNCTION_PRIVATE_CELL_OWNER_H
 
+#include "private/cell_activity.h"
+#include "private/cell_call_window.h"
 #include "private/cell_advice.h"
 #include "private/cell_backlog.h"
 #include "private/cell_failure.h"
@@ -43,15 +45,19 @@
 	/* From acceptance of a job to its first start. */
 	struct rj_latency first_start_waits[RJ_CELL_PRIORITY_CLASSES];
 	struct rj_latency start_latency; /* accepted starts only */
+	uint64_t polls;
+	uint64_t plans;
 	uint64_t starts;
 	uint64_t stops;
-	uint64_t polls;
+	uint64_t probes;
+	uint64_t answers[RJ_CELL_ORDER_STATUS_COUNT]; /* to any call */
+	/* Checks for a plan that was due, by outcome. */
+	uint64_t plan_blocks[RJ_CELL_PLAN_BLOCK_COUNT];
 	uint64_t completions[RJ_CELL_COMPLETION_COUNT];
 	uint64_t completed;
 	uint64_t failed;
 	uint64_t takeovers;
 	uint64_t resignations;
-	uint64_t plans;
 	uint64_t plan_effort_max; /* largest effort of one plan */
 };
 
@@ -104,6 +110,8 @@
 	bool write_failed; /* by a record of the present flush */
 	uint64_t busy_check_due_us;
 	uint64_t occurrence_check_due_us;
+	/* Starts, stops, probes, and polls that are answered at once. */
+	struct rj_cell_call_window call_window;
 	struct rj_cell_rate_limit idle_poll_limit; /* idle workers */
 	struct rj_cell_rate_limit retry_poll_limit; /* unreachable, with runs */
 	uint64_t retention_check_due_us; /* next check for expired jobs */
@@ -119,6 +127,8 @@
 	uint64_t now_us;
 	uint64_t wall_ms; /* Unix time */
 	struct rj_cell_owner_counters counters;
+	struct rj_cell_owner_counters logged_counters; /* at the last event */
+	struct rj_cell_activity activity;
 };
 
 void rj_cell_owner_init(struct rj_cell_owner *owner, void *mem,
@@ -172,6 +182,8 @@
 void rj_cell_polls_accept_heartbeat(struct rj_cell_owner *owner,
 				    struct rj_cell_worker *worker);
 void rj_cell_polls_fleet_loaded(struct rj_cell_owner *owner);
+void rj_cell_polls_worker_listed(struct rj_cell_owner *owner,
+				 struct rj_cell_worker *worker);
 void rj_cell_polls_schedule_now(struct rj_cell_owner *owner,
 				struct rj_cell_worker *worker);
 void rj_cell_completions_end_gang_runs(struct rj_cell_owner *owner,
--- a/src/test_libradishjunction/support/cell_fake_orders.c
+++ b/src/test_libradishjunction/support/cell_fake_orders.c
@@ -30,6 +30,7 @@
 	struct rj_cell_order_done done;
 	struct rj_cell_start start;
 	struct rj_cell_poll poll;
+	bool counted; /* among the open calls of the simulation */
 	bool delayed; /* executed late, and not answered */
 	uint64_t until_us; /* end of a poll's wait */
 	struct rj_cell_order_reply reply;
@@ -41,6 +42,9 @@
 	struct order *order = data;
 	struct cell_sim_node *node = order->node;
 
+	if (order->counted)
+		node->sim->open_calls--;
+	order->counted = false;
 	if (!cell_sim_node_is_current(node, order->node_incarnation)) {
 		talloc_free(order);
 		return;
@@ -324,12 +328,17 @@
 	struct cell_sim *sim = order->node->sim;
 	struct cell_fake_worker *worker = order->worker;
 
+	order->counted = !order->poll.wait_ms;
+	if (order->counted)
+		sim->open_calls++;
+	sim->open_calls_max = MAX(sim->open_calls_max, sim->open_calls);
 	if (order->kind != ORDER_POLL && worker->delayed_percent &&
 	    cell_sim_random(sim, 100) < worker->delayed_percent) {
 		struct order *delayed =
 			talloc_memdup(sim->mem, order, sizeof(*order));
 
 		delayed->delayed = true;
+		delayed->counted = false;
 		/* An order executed late must not reach a later incarnation of
 		 * its worker. */
 		delayed->worker_incarnation = worker->incarnation;
--- a/src/test_libradishjunction/support/cell_sim.h
+++ b/src/test_libradishjunction/support/cell_sim.h
@@ -167,6 +167,10 @@
 	uint64_t refused_starts;
 	uint64_t advice_requests; /* calls of the advisor */
 	bool advisor_unreachable; /* it does not answer */
+	/* Calls to workers without an answer, but for polls that wait for a
+	 * completion, and their highest number. */
+	uint32_t open_calls;
+	uint32_t open_calls_max;
 	uint64_t wasted_us; /* progress of runs that did not succeed */
 	uint64_t over_target_max_us; /* longest time over a latency target */
 };
--- /dev/null
+++ b/src/test_libradishjunction/test_cell_call_window.c
@@ -0,0 +1,136 @@
+/*
+ * Tests of the window of calls, and of an owner that sends through it.
+ */
+#include <talloc.h>
+
+#include "support/cell_sim.h"
+
+/* Calls of an owner that may wait for their answers: 64 calls of 0.4 ms each, on
+ * half a core, delay other events by 26 ms. */
+#define OPEN_CALLS_MAX 64
+/* Polls of 900 workers that register within 3 s: a large fleet is polled at 50 a
+ * second. */
+#define POLLS_MAX 300
+
+/* Sends as many calls as have room. */
+static uint32_t fill(struct rj_cell_call_window *window, uint64_t now_us)
+{
+	uint32_t sent = 0;
+
+	while (rj_cell_call_window_has_room(window, now_us)) {
+		rj_cell_call_window_sent(window, now_us);
+		sent++;
+	}
+	return sent;
+}
+
+/* Answers make room for as many calls, also after the window has wrapped. */
+static void test_answers_make_room(void)
+{
+	struct rj_cell_call_window window = { 0 };
+
+	for (uint64_t now_us = S; now_us < 2 * S; now_us += 37 * MS) {
+		g_assert_cmpuint(fill(&window, now_us), ==,
+				 RJ_CELL_CALL_WINDOW);
+		for (uint32_t i = 0; i < 10; i++)
+			rj_cell_call_window_answered(&window, now_us);
+		g_assert_cmpuint(fill(&window, now_us + MS), ==, 10);
+		for (uint32_t i = 0; i < RJ_CELL_CALL_WINDOW; i++)
+			rj_cell_call_window_answered(&window, now_us);
+		for (uint32_t i = 0; i < 10; i++)
+			rj_cell_call_window_answered(&window, now_us + MS);
+	}
+}
+
+/* Guards against a window that unreachable workers keep closed. */
+static void test_unanswered_calls_leave_the_window(void)
+{
+	struct rj_cell_call_window window = { 0 };
+
+	g_assert_cmpuint(fill(&window, S), ==, RJ_CELL_CALL_WINDOW);
+	g_assert_cmpuint(fill(&window, S + RJ_CELL_CALL_WINDOW_AGE_US / 2), ==,
+			 0);
+	g_assert_cmpuint(fill(&window, S + 2 * RJ_CELL_CALL_WINDOW_AGE_US), ==,
+			 RJ_CELL_CALL_WINDOW);
+	/* An answer that comes too late makes no room. */
+	rj_cell_call_window_answered(&window, S);
+	g_assert_false(rj_cell_call_window_has_room(
+		&window, S + 2 * RJ_CELL_CALL_WINDOW_AGE_US));
+}
+
+/* Starts a site with one node and 2,500 workers. */
+static struct cell_sim *large_sim(void)
+{
+	const struct cell_sim_options options = {
+		.seed = 5,
+		.nodes = 1,
+		.workers = 2500,
+		.rack_workers = 20,
+		.capacity = { 64000, 64000, 8 },
+		.guaranteed = 64,
+	};
+	struct cell_sim *sim = g_new0(struct cell_sim, 1);
+
+	cell_sim_init(sim, &options);
+	return sim;
+}
+
+/*
+ * Guards against a burst of calls behind which the answers of the log wait: the
+ * owner then loses track of the logs, starts nothing, and sends the next burst
+ * when it has caught up.
+ */
+static void test_a_burst_of_tasks_is_sent_by_and_by(void)
+{
+	struct cell_sim *sim = large_sim();
+	struct rj_cell_step step = cell_sim_plain_step(500, 8, 60000);
+	struct cell_client_job *jobs[4];
+
+	cell_sim_run(sim, 5 * S);
+	for (guint i = 0; i < G_N_ELEMENTS(jobs); i++) {
+		jobs[i] =
+			cell_sim_job_new(sim, "normal", "a", &step, 1, 60 * S);
+		cell_sim_submit(sim, 0, jobs[i]);
+	}
+	sim->open_calls_max = 0;
+	cell_sim_run(sim, 4 * S);
+	for (guint i = 0; i < G_N_ELEMENTS(jobs); i++)
+		g_assert_cmpuint(jobs[i]->starts, ==, 500);
+	g_assert_cmpuint(sim->open_calls_max, <=, OPEN_CALLS_MAX);
+	cell_sim_finish(sim);
+	g_free(sim);
+}
+
+/* Guards against thousands of polls as the workers of a large fleet register
+ * one after the other, while nothing runs. */
+static void test_registering_workers_are_not_polled_at_once(void)
+{
+	struct cell_sim *sim = large_sim();
+	const struct rj_cell_owner *owner = &sim->nodes[0].node.owner;
+	uint64_t polls;
+
+	for (uint32_t i = 1600; i < 2500; i++)
+		cell_sim_worker_kill(sim, i);
+	cell_sim_run(sim, 20 * S);
+	polls = owner->counters.polls;
+	for (uint32_t i = 1600; i < 2500; i++)
+		cell_sim_worker_start(sim, i);
+	cell_sim_run(sim, 3 * S);
+	g_assert_cmpuint(owner->fleet.count, ==, 2500);
+	g_assert_cmpuint(owner->counters.polls - polls, <, POLLS_MAX);
+	cell_sim_finish(sim);
+	g_free(sim);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/cell_call_window/answers", test_answers_make_room);
+	g_test_add_func("/cell_call_window/unanswered",
+			test_unanswered_calls_leave_the_window);
+	g_test_add_func("/cell_call_window/burst",
+			test_a_burst_of_tasks_is_sent_by_and_by);
+	g_test_add_func("/cell_call_window/registering",
+			test_registering_workers_are_not_polled_at_once);
+	return g_test_run();
+}
