core: a forwarded guaranteed job returns to the instance that has come to own its rack

Cause, from the transcript of: d0-n0 forwards the job to d0-n1, which owns the rack (20.544 s). The rack comes to d0-n0; d0-n1 hands the job back, three times at each of 23.063, 25.125 and 25.216 s, and d0-n0 refuses it, as it has forwarded it. d0-n1 serves it without owning the rack: it cannot reclaim capacity, and loses its leases to jobs of d0-n0 (25.061, 25.151), until it finds a shape at 29.183.

Change: an instance that owns a guaranteed shape for a job takes the job back from the peer that it was forwarded to. Instances that disagree on the owner refuse the job as before, so that it does not go round.

--- a/src/libradishjunction/core/filters/repeat.c
+++ b/src/libradishjunction/core/filters/repeat.c
@@ -49,6 +49,25 @@
 				RJ_REASON_IN_PROGRESS, 0, NULL);
 }
 
+/*
+ * Takes a job back from the peer that it was forwarded to, which now waits for
+ * it here. Neither has started it.
+ *
+ * Guards against a guaranteed job whose rack comes to this instance after the
+ * forward: the peer can no longer reclaim capacity for it.
+ */
+static enum rj_filter_verdict take_back(struct rj_core_state *core,
+					const struct rj_submission *submission,
+					struct rj_job *job)
+{
+	rj_core_log(core, RJ_LOG_ROUTE, RJ_REASON_OWNER, job, core->name);
+	rj_job_add_waiter(job, submission->request_id, submission->peer,
+			  submission->forward_id);
+	job->hops++; /* prevents forwarding it again */
+	rj_filters_resubmit(job);
+	return RJ_FILTER_HANDLED;
+}
+
 /*
  * Refuses a repeat that waits, of a job that was forwarded only to be accepted:
  * the peer's answer will not be the job's outcome. When the caller retries, the
@@ -80,6 +99,10 @@
 		rj_job_answer_waiters(job, &job->final);
 		return RJ_FILTER_HANDLED;
 	}
+	if (submission->peer && job->state == RJ_JOB_FORWARDED &&
+	    !strcmp(submission->peer, job->peer) &&
+	    rj_route_owns_guarantee(core, submission))
+		return take_back(core, submission, job);
 	if (submission->peer && job->state == RJ_JOB_FORWARDED)
 		return refuse_forward_loop(core, submission);
 	if (job->state == RJ_JOB_FORWARDED && !job->spec.wait &&
--- a/src/libradishjunction/core/filters/route.c
+++ b/src/libradishjunction/core/filters/route.c
@@ -58,6 +58,18 @@
 	       guarantee_owner(job->core, &submission);
 }
 
+/*
+ * Whether this instance owns a guaranteed shape that the job may claim.
+ */
+bool rj_route_owns_guarantee(struct rj_core_state *core,
+			     const struct rj_submission *submission)
+{
+	uint32_t rack = guaranteed_rack(core, submission);
+
+	return rack != UINT32_MAX &&
+	       !rj_ownership_owner(core, rj_racks_key(core, rack));
+}
+
 /*
  * Returns the peer with the shortest queue among the owners of racks with
  * enough free capacity. If a rack of this instance has enough, sets `*here` and
--- a/src/libradishjunction/include/private/filters.h
+++ b/src/libradishjunction/include/private/filters.h
@@ -65,6 +65,8 @@
 
 /* filters/route.c */
 bool rj_route_prefers_peer(const struct rj_job *job);
+bool rj_route_owns_guarantee(struct rj_core_state *core,
+			     const struct rj_submission *submission);
 
 /* filters/chain.c */
 void rj_filters_request(struct rj_core_state *core,
