owner: a plan starts a bounded number of tasks; polls of a large fleet follow the completions

- Polls that are answered at once have a window of their own, so that the workers that a new owner polls do not delay starts and plans.
- A worker of a large fleet is left alone for half of the time until the first of its runs is expected to end, at most an eighth of the lease: its polls follow its completions and its lease.

--- a/src/libradishjunction/cell/cell_activity.c
+++ b/src/libradishjunction/cell/cell_activity.c
@@ -13,6 +13,12 @@
 	[RJ_CELL_PLAN_BLOCK_WINDOW] = "window",
 };
 
+/* Returns the age of a log that is known up to `read_us` (0: not yet read). */
+static uint64_t age_us(const struct rj_cell_owner *owner, uint64_t read_us)
+{
+	return read_us ? owner->now_us - read_us : RJ_NEVER_US;
+}
+
 /* Logs what the owner has done since the last such event. */
 static void log_activity(const struct rj_cell_owner *owner)
 {
@@ -39,9 +45,9 @@
 		RJ_LOG_AGE_MS("append_ms", MAX(owner->writer.took_us,
 					       owner->progress_writer.took_us)),
 		RJ_LOG_AGE_MS("requests_age_ms",
-			      owner->now_us - owner->requests_read_us),
+			      age_us(owner, owner->requests_read_us)),
 		RJ_LOG_AGE_MS("workers_age_ms",
-			      owner->now_us - owner->workers_read_us),
+			      age_us(owner, owner->workers_read_us)),
 		RJ_LOG_AGE_MS("gap_ms", activity->gap_max_us));
 #undef SINCE
 #undef ANSWERS
--- a/src/libradishjunction/cell/cell_call_window.c
+++ b/src/libradishjunction/cell/cell_call_window.c
@@ -1,9 +1,21 @@
 #include "private/cell_call_window.h"
 
+#include <string.h>
+
 /* All periods but the present one make up the age. */
 #define PERIOD_US \
 	(RJ_CELL_CALL_WINDOW_AGE_US / (RJ_CELL_CALL_WINDOW_PERIODS - 1))
 
+/*
+ * Initializes an empty window of `limit` calls.
+ */
+void rj_cell_call_window_init(struct rj_cell_call_window *window,
+			      uint32_t limit)
+{
+	memset(window, 0, sizeof(*window));
+	window->limit = limit;
+}
+
 /*
  * Whether a call may be sent now.
  */
@@ -17,7 +29,7 @@
 		if (window->periods[i].number + RJ_CELL_CALL_WINDOW_PERIODS >
 		    present)
 			open += window->periods[i].open;
-	return open < RJ_CELL_CALL_WINDOW;
+	return open < window->limit;
 }
 
 /*
--- a/src/libradishjunction/cell/cell_calls.c
+++ b/src/libradishjunction/cell/cell_calls.c
@@ -44,12 +44,13 @@
 }
 
 /*
- * Counts a call in the owner's window until it is answered.
+ * Counts a call in a window of the owner until it is answered.
  */
-void rj_cell_call_enter_window(struct rj_cell_call_context *call)
+void rj_cell_call_enter_window(struct rj_cell_call_context *call,
+			       struct rj_cell_call_window *window)
 {
-	call->in_window = true;
-	rj_cell_call_window_sent(&call->owner->call_window, call->sent_us);
+	call->window = window;
+	rj_cell_call_window_sent(window, call->sent_us);
 }
 
 /*
@@ -149,9 +150,8 @@
 		return NULL;
 	owner->now_us = reply->now_us;
 	owner->counters.answers[reply->status]++;
-	if (call->in_window)
-		rj_cell_call_window_answered(&owner->call_window,
-					     call->sent_us);
+	if (call->window)
+		rj_cell_call_window_answered(call->window, call->sent_us);
 	worker = rj_cell_fleet_find(&owner->fleet, call->worker);
 	if (worker)
 		rj_cell_worker_record_contact(
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -169,7 +169,7 @@
 		return;
 	done.call = start_done;
 	call = rj_cell_call_new(owner, worker, run);
-	rj_cell_call_enter_window(call);
+	rj_cell_call_enter_window(call, &owner->order_window);
 	done.private_data = call;
 	run->start_in_flight = true;
 	run->order_tries++;
@@ -222,7 +222,7 @@
 			     RJ_LOG_TEXT("why", run->reason));
 	done.call = stop_done;
 	call = rj_cell_call_new(owner, run->worker, run);
-	rj_cell_call_enter_window(call);
+	rj_cell_call_enter_window(call, &owner->order_window);
 	done.private_data = call;
 	run->stop_in_flight = true;
 	run->order_tries++;
@@ -308,7 +308,7 @@
 			continue;
 		if (owner->now_us >= run->order_due_us &&
 		    worker->heartbeat.address.port &&
-		    rj_cell_call_window_has_room(&owner->call_window,
+		    rj_cell_call_window_has_room(&owner->order_window,
 						 owner->now_us))
 			send_order(owner, run);
 		more |= needs_order(run);
@@ -334,7 +334,7 @@
 }
 
 /*
- * Sends the due orders as far as the call window has room. Of thousands of runs
+ * Sends the due orders as far as the order window has room. Of thousands of runs
  * only a few begin or end between two calls, so only workers with an order to be
  * sent are visited.
  */
@@ -343,13 +343,16 @@
 	struct rj_list *at;
 	struct rj_list *next;
 
+	owner->orders_wait = false;
 	RJ_FOR_EACH (at, next, &owner->fleet.order_queue) {
 		struct rj_cell_worker *worker =
 			RJ_CONTAINER(at, struct rj_cell_worker, in_order_queue);
 
-		if (!rj_cell_call_window_has_room(&owner->call_window,
-						  owner->now_us))
+		if (!rj_cell_call_window_has_room(&owner->order_window,
+						  owner->now_us)) {
+			owner->orders_wait = true;
 			break;
+		}
 		if (!send_worker_orders(owner, worker))
 			rj_list_remove(&worker->in_order_queue);
 	}
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -16,6 +16,10 @@
 /* The pause after a plan is at least this many times its estimated duration,
  * which leaves most of the time for polls, orders and heartbeats. */
 #define PLAN_IDLE_FACTOR 2
+/* Tasks that one plan starts. What is planned later may be more urgent, so it
+ * must not wait for more than the orders of one plan; a few windows of them keep
+ * orders in flight while the next intents are being stored. */
+#define PLAN_STARTS_MAX (4 * RJ_CELL_ORDER_WINDOW)
 /* Time to evaluate one worker in a plan, on a whole core. */
 #define EFFORT_UNIT_NS 20
 /* Maximum time between plans: without other events, waiting time alone changes
@@ -393,7 +397,9 @@
 	owner->release_pending = false;
 	owner->released_us = 0;
 	owner->activity.advanced_us = 0;
-	memset(&owner->call_window, 0, sizeof(owner->call_window));
+	owner->orders_wait = false;
+	rj_cell_call_window_init(&owner->order_window, RJ_CELL_ORDER_WINDOW);
+	rj_cell_call_window_init(&owner->poll_window, RJ_CELL_POLL_WINDOW);
 	owner->generation++;
 	owner->token = token;
 	owner->now_us = now_us;
@@ -547,6 +553,7 @@
 	plan.failures = owner->failure_burst;
 	plan.reclaim_ms = owner->limits.reclaim_ms;
 	plan.now_us = owner->now_us;
+	plan.starts_max = PLAN_STARTS_MAX;
 	rj_cell_plan_make(&plan);
 	owner->counters.plans++;
 	owner->counters.plan_effort_max =
@@ -556,7 +563,7 @@
 	for (guint i = 0; i < plan.stops->len; i++)
 		rj_cell_completions_stop_run(owner, plan.stops->pdata[i],
 					     RJ_CELL_WHY_RECLAIMED);
-	owner->plan_wanted = false;
+	owner->plan_wanted = plan.truncated;
 	rj_cell_advice_ask(owner, &plan);
 	owner->plan_due_us =
 		MIN(plan.next_retry_us, owner->now_us + PLAN_INTERVAL_MAX_US);
@@ -616,9 +623,8 @@
 }
 
 /*
- * Returns what prevents a plan now. What a plan starts could not be sent before
- * the call window has room, and would go before more urgent work that arrives
- * meanwhile.
+ * Returns what prevents a plan now. What a plan starts would be sent after the
+ * orders that wait already, and before more urgent work that arrives meanwhile.
  */
 static enum rj_cell_plan_block plan_block(const struct rj_cell_owner *owner)
 {
@@ -628,7 +634,7 @@
 		return RJ_CELL_PLAN_BLOCK_LOG_AGE;
 	if (owner->now_us < owner->plan_not_before_us)
 		return RJ_CELL_PLAN_BLOCK_PAUSE;
-	if (!rj_cell_call_window_has_room(&owner->call_window, owner->now_us))
+	if (owner->orders_wait)
 		return RJ_CELL_PLAN_BLOCK_WINDOW;
 	return RJ_CELL_PLAN_ALLOWED;
 }
--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -68,6 +68,15 @@
 	TALLOC_FREE(plan->workers);
 }
 
+/* Returns how many more tasks the plan may start. A gang may exceed it, as it
+ * starts whole. */
+static uint32_t starts_left(const struct rj_cell_plan *plan)
+{
+	if (!plan->starts_max)
+		return UINT32_MAX;
+	return plan->starts_max - MIN(plan->starts_max, plan->starts->len);
+}
+
 /* Starts a task on a worker in this plan. */
 static void add_start(struct rj_cell_plan *plan, struct rj_cell_task *task,
 		      struct rj_cell_worker *worker)
@@ -403,6 +412,7 @@
 	struct rj_cell_placement placement;
 	uint32_t placed;
 
+	uniform = MIN(uniform, starts_left(plan));
 	if (!uniform)
 		return 0;
 	rj_cell_placement_init(&placement, plan);
@@ -454,6 +464,10 @@
 
 	group->started_tasks += placed;
 	for (uint32_t i = placed; i < count; i++) {
+		if (!starts_left(plan)) {
+			plan->waiting_tasks += count - i;
+			break;
+		}
 		if (place_tasks(plan, group, &tasks[i], 1)) {
 			group->started_tasks++;
 			continue;
@@ -503,7 +517,7 @@
 	uint32_t first = start_uniform(plan, group, tasks, count);
 	uint32_t started = first;
 
-	for (uint32_t i = first; i < count; i++) {
+	for (uint32_t i = first; i < count && starts_left(plan); i++) {
 		if (place_without_preemption(plan, group, &tasks[i], 1,
 					     RJ_CELL_HORIZON_NOW))
 			started++;
@@ -593,6 +607,10 @@
 		struct rj_cell_task_group *group = &g_array_index(
 			plan->task_groups, struct rj_cell_task_group, i);
 
+		if (!starts_left(plan)) {
+			plan->truncated = true;
+			break;
+		}
 		if (group->job->job_spec->priority && !overdue_placed) {
 			place_overdue(plan, i);
 			overdue_placed = true;
--- a/src/libradishjunction/cell/cell_polls.c
+++ b/src/libradishjunction/cell/cell_polls.c
@@ -36,6 +36,12 @@
  * workers. */
 #define IDLE_POLLS_PER_S 300
 #define IDLE_POLL_BURST 450
+/* In a large fleet a worker is left alone for this part of the time until the
+ * first of its runs is expected to end, in percent, and for at most the lease
+ * divided by this: together with the wait of a poll that leaves two polls before
+ * the lease expires. */
+#define QUIET_PERCENT 50
+#define QUIET_LEASE_DIVISOR 8
 /* Largest fleet in which an instance can keep a connection to each worker. In a
  * larger one polls open new connections, so idle workers are polled less often,
  * and each is assumed to be as its heartbeat reports until the first order to
@@ -261,6 +267,39 @@
 					   owner->now_us);
 }
 
+/*
+ * Returns how long a worker that has just answered need not be polled, as none
+ * of its runs is expected to end.
+ *
+ * Guards against a cost that follows the number of busy workers: a poll that
+ * waits ends without a completion most of the time.
+ */
+static uint64_t quiet_us(const struct rj_cell_owner *owner,
+			 const struct rj_cell_worker *worker)
+{
+	uint64_t quiet_max_us =
+		owner->limits.lease_max_ms * RJ_US_PER_MS / QUIET_LEASE_DIVISOR;
+	const struct rj_list *at;
+
+	if (!rj_cell_polls_fleet_is_large(owner) ||
+	    worker->runs.next == &worker->runs)
+		return 0;
+	for (at = worker->runs.next; at != &worker->runs; at = at->next) {
+		const struct rj_cell_run *run =
+			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
+		uint64_t remaining_us;
+
+		if (run->state != RJ_CELL_RUN_PLACED &&
+		    run->state != RJ_CELL_RUN_LISTED)
+			return 0;
+		remaining_us = rj_cell_forecast_remaining_us(
+			&owner->forecast, run, owner->now_us);
+		quiet_max_us =
+			MIN(quiet_max_us, remaining_us * QUIET_PERCENT / 100);
+	}
+	return quiet_max_us;
+}
+
 /* Handles the lists in the answer to a poll. */
 static void process_poll(struct rj_cell_owner *owner,
 			 struct rj_cell_worker *worker,
@@ -284,6 +323,8 @@
 	if (worker->applied_position > worker->stored_position ||
 	    waits_for_lease(owner, worker))
 		worker->poll_due_us += POLL_UNSTORED_DELAY_US;
+	else
+		worker->poll_due_us += quiet_us(owner, worker);
 }
 
 /*
@@ -350,12 +391,12 @@
 	return worker->incarnation && worker->answers;
 }
 
-/* Whether the call window allows to poll a worker now. */
+/* Whether the poll window allows to poll a worker now. */
 static bool window_allows(const struct rj_cell_owner *owner,
 			  const struct rj_cell_worker *worker)
 {
 	return may_wait(worker) ||
-	       rj_cell_call_window_has_room(&owner->call_window, owner->now_us);
+	       rj_cell_call_window_has_room(&owner->poll_window, owner->now_us);
 }
 
 /* Requests the lists of a worker, and renews the leases of its runs. */
@@ -393,7 +434,7 @@
 	call = rj_cell_call_new(owner, worker, NULL);
 	call->stored_position = poll.stored_position;
 	if (!poll.wait_ms)
-		rj_cell_call_enter_window(call);
+		rj_cell_call_enter_window(call, &owner->poll_window);
 	done.call = poll_done;
 	done.private_data = call;
 	worker->poll_in_flight = true;
--- a/src/libradishjunction/cell/cell_reachability.c
+++ b/src/libradishjunction/cell/cell_reachability.c
@@ -88,7 +88,7 @@
 }
 
 /*
- * Sends a probe to a worker, unless one is pending or the call window is full. A
+ * Sends a probe to a worker, unless one is pending or the order window is full. A
  * plan is requested once it is answered or has timed out.
  */
 void rj_cell_reachability_probe(struct rj_cell_owner *owner,
@@ -101,11 +101,11 @@
 	struct rj_cell_call_context *call;
 
 	if (worker->probe_in_flight ||
-	    !rj_cell_call_window_has_room(&owner->call_window, owner->now_us))
+	    !rj_cell_call_window_has_room(&owner->order_window, owner->now_us))
 		return;
 	worker->probe_in_flight = true;
 	call = rj_cell_call_new(owner, worker, NULL);
-	rj_cell_call_enter_window(call);
+	rj_cell_call_enter_window(call, &owner->order_window);
 	owner->counters.probes++;
 	done.private_data = call;
 	owner->workers->ops->poll(owner->workers, worker, &poll, done);
--- a/src/libradishjunction/include/private/cell_activity.h
+++ b/src/libradishjunction/include/private/cell_activity.h
@@ -15,7 +15,7 @@
 	RJ_CELL_PLAN_BLOCK_APPEND, /* changes are being stored */
 	RJ_CELL_PLAN_BLOCK_LOG_AGE, /* a log was not read recently enough */
 	RJ_CELL_PLAN_BLOCK_PAUSE, /* the pause after the last plan */
-	RJ_CELL_PLAN_BLOCK_WINDOW, /* the call window is full */
+	RJ_CELL_PLAN_BLOCK_WINDOW, /* orders wait for room in their window */
 	RJ_CELL_PLAN_BLOCK_COUNT
 };
 
--- a/src/libradishjunction/include/private/cell_calls.h
+++ b/src/libradishjunction/include/private/cell_calls.h
@@ -20,7 +20,7 @@
 	char worker[RJ_NAME_BYTES];
 	char *name; /* of the run; NULL for polls */
 	uint32_t number;
-	bool in_window; /* counted in the owner's call window */
+	struct rj_cell_call_window *window; /* of the owner; NULL: none */
 	uint64_t
 		stored_position; /* polls: completions acknowledged up to here */
 };
@@ -29,7 +29,8 @@
 rj_cell_call_new(struct rj_cell_owner *owner,
 		 const struct rj_cell_worker *worker,
 		 const struct rj_cell_run *run);
-void rj_cell_call_enter_window(struct rj_cell_call_context *call);
+void rj_cell_call_enter_window(struct rj_cell_call_context *call,
+			       struct rj_cell_call_window *window);
 struct rj_cell_run *rj_cell_call_find_run(const struct rj_cell_worker *worker,
 					  const char *name, uint32_t number);
 void rj_cell_call_update_clock(struct rj_cell_worker *worker,
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -110,8 +110,9 @@
 	bool write_failed; /* by a record of the present flush */
 	uint64_t busy_check_due_us;
 	uint64_t occurrence_check_due_us;
-	/* Starts, stops, probes, and polls that are answered at once. */
-	struct rj_cell_call_window call_window;
+	struct rj_cell_call_window order_window; /* starts, stops, probes */
+	bool orders_wait; /* for room in the window, as of the last tick */
+	struct rj_cell_call_window poll_window; /* answered at once */
 	struct rj_cell_rate_limit idle_poll_limit; /* idle workers */
 	struct rj_cell_rate_limit retry_poll_limit; /* unreachable, with runs */
 	uint64_t retention_check_due_us; /* next check for expired jobs */
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -107,6 +107,10 @@
 	uint32_t reclaim_ms; /* guaranteed jobs start within this time */
 	uint64_t now_us;
 	/* outputs; `reason` is set in the runs to be stopped */
+	/* The plan starts no further tasks once it has started this many; 0: no
+	 * limit. */
+	uint32_t starts_max;
+	bool truncated; /* tasks were left to the next plan by that */
 	GArray *starts; /* struct rj_cell_planned_start */
 	GPtrArray *stops; /* struct rj_cell_run */
 	uint32_t waiting_tasks; /* ready tasks that were not placed */
