--- a/src/test_libradishjunction/support/cell_sim.c
+++ b/src/test_libradishjunction/support/cell_sim.c
@@ -142,21 +142,21 @@
 	return 0;
 }
 
-/* Compares a worker's entry with an earlier one but for the clock; see struct
- * rj_cell_codec. */
+/* Compares the bytes of a worker's entry with those of an earlier one, but for
+ * the clock; see struct rj_cell_codec. */
 static bool is_same_worker(struct rj_bytes earlier, struct rj_bytes text,
 			   uint64_t *clock_ms)
 {
-	struct rj_cell_heartbeat a;
-	struct rj_cell_heartbeat b;
+	size_t clock_at = offsetof(struct rj_cell_heartbeat, clock_ms);
+	size_t rest_at = clock_at + sizeof(*clock_ms);
 
-	if (earlier.length != sizeof(a) || text.length != sizeof(b))
+	if (earlier.length != sizeof(struct rj_cell_heartbeat) ||
+	    text.length != earlier.length)
 		return false;
-	memcpy(&a, earlier.data, sizeof(a));
-	memcpy(&b, text.data, sizeof(b));
-	*clock_ms = b.clock_ms;
-	a.clock_ms = b.clock_ms;
-	return !memcmp(&a, &b, sizeof(a));
+	memcpy(clock_ms, text.data + clock_at, sizeof(*clock_ms));
+	return !memcmp(earlier.data, text.data, clock_at) &&
+	       !memcmp(earlier.data + rest_at, text.data + rest_at,
+		       text.length - rest_at);
 }
 
 /* Queues: name, path prefix, priority, objective. */
