--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -38,19 +38,19 @@
 
 /* Applies a heartbeat that reports nothing new. Returns false if the record has
  * to be decoded. */
-static bool repeated_heartbeat(struct rj_cell_node *node,
-			       struct rj_cell_worker *worker,
-			       const struct rj_cell_record *record,
-			       uint64_t written_us)
+static bool apply_same_heartbeat(struct rj_cell_node *node,
+				 struct rj_cell_worker *worker,
+				 const struct rj_cell_record *record,
+				 uint64_t written_us)
 {
 	uint64_t clock_ms;
 
-	if (!rj_cell_owner_repeats_heartbeat(worker) ||
+	if (!rj_cell_owner_may_compare_heartbeat(worker) ||
 	    !node->options.codec->is_same_worker(worker->entry, record->value,
 						 &clock_ms))
 		return false;
-	rj_cell_owner_repeat_heartbeat(&node->owner, worker, clock_ms,
-				       written_us);
+	rj_cell_owner_apply_same_heartbeat(&node->owner, worker, clock_ms,
+					   written_us);
 	return true;
 }
 
@@ -84,7 +84,7 @@
 		return;
 	}
 	worker = rj_cell_fleet_find(&node->owner.fleet, record->key);
-	if (worker && repeated_heartbeat(node, worker, record, written_us))
+	if (worker && apply_same_heartbeat(node, worker, record, written_us))
 		return;
 	if (strlen(record->key) >= RJ_NAME_BYTES ||
 	    node->options.codec->decode_worker(record->value, &heartbeat,
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -308,10 +308,11 @@
 }
 
 /*
- * Whether a heartbeat with the same content as the worker's last one changes
- * nothing but the worker's clock and the age of its entry.
+ * Whether it is enough to compare a worker's heartbeat with its last entry: one
+ * with the same content changes only the worker's clock and the age of the
+ * entry.
  */
-bool rj_cell_owner_repeats_heartbeat(const struct rj_cell_worker *worker)
+bool rj_cell_owner_may_compare_heartbeat(const struct rj_cell_worker *worker)
 {
 	const struct rj_cell_heartbeat *heartbeat = &worker->heartbeat;
 
@@ -322,11 +323,12 @@
 }
 
 /*
- * Applies such a heartbeat; see rj_cell_owner_update_worker.
+ * Applies a heartbeat with the same content as the worker's last entry, if that
+ * may be compared; otherwise see rj_cell_owner_update_worker.
  */
-void rj_cell_owner_repeat_heartbeat(struct rj_cell_owner *owner,
-				    struct rj_cell_worker *worker,
-				    uint64_t clock_ms, uint64_t written_us)
+void rj_cell_owner_apply_same_heartbeat(struct rj_cell_owner *owner,
+					struct rj_cell_worker *worker,
+					uint64_t clock_ms, uint64_t written_us)
 {
 	worker->heartbeat.clock_ms = clock_ms;
 	worker->written_us = written_us;
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -165,10 +165,10 @@
 void rj_cell_owner_update_worker(struct rj_cell_owner *owner, const char *id,
 				 const struct rj_cell_heartbeat *heartbeat,
 				 uint64_t written_us);
-bool rj_cell_owner_repeats_heartbeat(const struct rj_cell_worker *worker);
-void rj_cell_owner_repeat_heartbeat(struct rj_cell_owner *owner,
-				    struct rj_cell_worker *worker,
-				    uint64_t clock_ms, uint64_t written_us);
+bool rj_cell_owner_may_compare_heartbeat(const struct rj_cell_worker *worker);
+void rj_cell_owner_apply_same_heartbeat(struct rj_cell_owner *owner,
+					struct rj_cell_worker *worker,
+					uint64_t clock_ms, uint64_t written_us);
 void rj_cell_owner_advance(struct rj_cell_owner *owner, uint64_t now_us,
 			   uint64_t wall_ms);
 
