--- a/src/test_libradishjunction/test_http_client.c
+++ b/src/test_libradishjunction/test_http_client.c
@@ -359,18 +359,6 @@
 	raw_server_finish(&server);
 }
 
-/* Accepts the one connection; its request is read when it arrives. */
-static void take_connection(struct tevent_context *ev, struct tevent_fd *fde,
-			    uint16_t flags, void *private_data)
-{
-	int fd = accept((int)tevent_fd_get_tag(fde), NULL, NULL);
-	struct tevent_fd *connection =
-		tevent_add_fd(ev, ev, fd, TEVENT_FD_READ, answer_half, NULL);
-
-	g_assert_nonnull(connection);
-	tevent_fd_set_tag(connection, (uint64_t)fd);
-}
-
 /*
  * An answer that is cut by the end of the connection must be reported as lost,
  * not passed on as a whole result.
@@ -378,20 +366,13 @@
 static void test_answer_cut_short_is_lost(struct fixture *fixture,
 					  gconstpointer data)
 {
-	struct rj_address address;
-	struct tevent_fd *listener;
-	int fd = bound_socket(&address);
+	struct raw_server server;
 
-	g_assert_cmpint(listen(fd, 1), ==, 0);
-	listener = tevent_add_fd(fixture->ev, fixture->ev, fd, TEVENT_FD_READ,
-				 take_connection, NULL);
-	g_assert_nonnull(listener);
-	tevent_fd_set_tag(listener, (uint64_t)fd);
-	post_to(fixture, &address, "one", LONG_US);
+	raw_server_init(&server, fixture->ev, answer_half, NULL);
+	post_to(fixture, &server.address, "one", LONG_US);
 	wait_for(fixture, 1);
 	assert_outcome(fixture, RJ_HTTP_LOST);
-	talloc_free(listener);
-	close(fd);
+	raw_server_finish(&server);
 }
 
 /* Opens an idle connection to the server. */
