cell_log_reader: the age of a lagging reader stays near its lag

A reader that stays behind keeps the ends that it was told; with eight of them, the first eight of a lag were kept and the later ones dropped, so that the age grew to twice the lag: 2.8 s for a lag of 1.5 s, where nothing starts beyond 3.2 s. At twice the fleet the limit would have come at half the lag.

Now the mark that leaves the smallest gap is dropped, so that they span any lag at any rate of reads. cell_log_reader/lasting fails before (2.82 s where 2 s are allowed) and passes; /lag is unchanged.

--- a/src/libradishjunction/cell/cell_log_reader.c
+++ b/src/libradishjunction/cell/cell_log_reader.c
@@ -145,6 +145,28 @@
 		reader->next = reply->next;
 }
 
+/* Returns the time between the marks before and after one. */
+static uint64_t gap_without(const struct rj_cell_log_reader *reader,
+			    uint32_t index)
+{
+	return reader->marks[index + 1].sent_us -
+	       reader->marks[index - 1].sent_us;
+}
+
+/* Drops the mark that leaves the smallest gap, so that the others stay spread
+ * over the lag of the reader, however long it is and however often it reads. */
+static void drop_mark(struct rj_cell_log_reader *reader)
+{
+	uint32_t least = 1;
+
+	for (uint32_t i = 2; i + 1 < reader->mark_count; i++)
+		if (gap_without(reader, i) < gap_without(reader, least))
+			least = i;
+	reader->mark_count--;
+	memmove(&reader->marks[least], &reader->marks[least + 1],
+		(reader->mark_count - least) * sizeof(reader->marks[0]));
+}
+
 /*
  * Records the end of the log that the answer to a read reported, and confirms
  * the log up to the latest reported end that has been passed.
@@ -172,9 +194,10 @@
 	reader->mark_count -= passed;
 	memmove(reader->marks, &reader->marks[passed],
 		reader->mark_count * sizeof(reader->marks[0]));
-	if (reader->mark_count < RJ_CELL_LOG_READER_MARKS)
-		reader->marks[reader->mark_count++] =
-			(struct rj_cell_log_mark){ end, sent_us };
+	if (reader->mark_count == RJ_CELL_LOG_READER_MARKS)
+		drop_mark(reader);
+	reader->marks[reader->mark_count++] =
+		(struct rj_cell_log_mark){ end, sent_us };
 }
 
 /* Loads again, because the records at the current offset have expired. */
--- a/src/libradishjunction/include/private/cell_log_reader.h
+++ b/src/libradishjunction/include/private/cell_log_reader.h
@@ -38,7 +38,8 @@
 	void (*done)(struct rj_cell_sync *sync, bool reached);
 };
 
-/* Number of reported ends that a reader keeps until it has passed them. */
+/* Reported ends that a reader keeps until it has passed them. The age of its
+ * data is known to about the lag of the reader divided by half of this. */
 #define RJ_CELL_LOG_READER_MARKS 8
 
 /* The end of the log, as the answer to a read reported it: all records appended
--- a/src/test_libradishjunction/test_cell_log_reader.c
+++ b/src/test_libradishjunction/test_cell_log_reader.c
@@ -139,6 +139,19 @@
 	g_assert_cmpuint(log.taken, >, 3600 * 24);
 }
 
+/* Guards against an age of twice the lag, when a reader that stays behind reads
+ * more often than it can keep the ends that it was told. */
+static void test_age_follows_a_lasting_lag(void)
+{
+	struct fake_log log = { .per_s = 13300,
+				.answer_us = 30 * MS,
+				.stall_at_us = 5 * S };
+
+	/* 0.25 % above the rate: the lag of 1.5 s lasts for minutes. */
+	g_assert_cmpuint(longest_age_us(&log, 10 * S, 60 * S), <, 2 * S);
+	g_assert_cmpuint(log.taken, >, 13200 * 57);
+}
+
 /* Guards against an age that is lower than the lag of a reader that falls
  * behind for good: 4,000 of 8,000 records a second are read. */
 static void test_age_grows_with_the_lag(void)
@@ -152,6 +165,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/cell_log_reader/lag", test_age_is_the_real_lag);
+	g_test_add_func("/cell_log_reader/lasting",
+			test_age_follows_a_lasting_lag);
 	g_test_add_func("/cell_log_reader/behind", test_age_grows_with_the_lag);
 	return g_test_run();
 }
