http_client: a call without an answer ends on a client that is never done with its sockets

A client that always has 32 or more that are ready never gets that far, so that a call to a worker which has left would never end, and its tasks never run elsewhere.

The tests of one call to a raw server share a function; their checks are unchanged.

--- a/src/libradishjunction/http_client.c
+++ b/src/libradishjunction/http_client.c
@@ -227,26 +227,36 @@
 static void arm_deadlines(struct rj_http_client *client);
 
 /*
- * Report the transfers whose deadline has passed as failed.
+ * Whether a transfer has failed because its deadline has passed.
  *
- * Guards against failing transfers whose responses have arrived while this
- * process was busy: a deadline counts only once all sockets that were ready
- * after it have been served.
+ * Its response may have arrived while this process was busy, so a deadline
+ * counts only once all sockets that were ready after it have been served. A
+ * client that never gets that far waits for one more time limit.
  */
+static bool has_expired(const struct transfer *transfer, uint64_t now_us)
+{
+	if (now_us < transfer->deadline_us)
+		return false;
+	return transfer->deadline_us <= transfer->client->drained_us ||
+	       now_us >= transfer->deadline_us + transfer->timeout_us;
+}
+
+/* Report the transfers that have expired as failed. */
 static void deadline_due(struct tevent_context *ev, struct tevent_timer *timer,
 			 struct timeval now, void *private_data)
 {
 	struct rj_http_client *client = private_data;
-	uint64_t now_us = rj_clock_now_us();
+	uint64_t now_us;
 
 	client->deadline_timer = NULL;
 	client->deadline_us = RJ_NEVER_US;
 	serve_sockets(client);
+	now_us = rj_clock_now_us();
 	while (!g_sequence_is_empty(client->deadlines)) {
 		struct transfer *first = g_sequence_get(
 			g_sequence_get_begin_iter(client->deadlines));
 
-		if (first->deadline_us > MIN(now_us, client->drained_us))
+		if (!has_expired(first, now_us))
 			break;
 		finish_transfer(first, CURLE_OPERATION_TIMEDOUT);
 	}
--- a/src/libradishjunction/include/private/http_client.h
+++ b/src/libradishjunction/include/private/http_client.h
@@ -43,8 +43,9 @@
 	const char *url;
 	const char *body; /* may be empty; copied */
 	size_t length;
-	/* Until the body is sent, and again from then until the complete
-	 * response. */
+	/* From now until the body is sent, if there is one, and again from then
+	 * until the complete response. While the client is behind with its
+	 * sockets, a response may take as long once more. */
 	uint64_t timeout_us;
 	size_t response_max_bytes; /* a longer response counts as lost */
 	const char *const *headers; /* added to the client's; "Name: value" */
--- a/src/test_libradishjunction/test_http_client.c
+++ b/src/test_libradishjunction/test_http_client.c
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <errno.h>
 #include <glib.h>
 #include <netinet/in.h>
 #include <string.h>
@@ -17,6 +18,8 @@
  * a turn of the loop may take. */
 #define PARALLEL_CALLS 100
 #define PARALLEL_PER_TURN_MAX 32
+/* Bound for a call of SHORT_US on a busy client, with time for a slow machine. */
+#define BUSY_LOST_MAX_US (2 * RJ_US_PER_S)
 
 /* How the server handles the next requests. */
 enum behaviour { ANSWER, CLOSE, KEEP, ANSWER_LONG };
@@ -89,8 +92,9 @@
 	}
 }
 
-static void post_to(struct fixture *fixture, const struct rj_address *address,
-		    const char *body, uint64_t timeout_us)
+static void send_call(struct fixture *fixture, const struct rj_address *address,
+		      const char *body, uint64_t timeout_us,
+		      size_t response_max_bytes)
 {
 	struct fixture **data = talloc(NULL, struct fixture *);
 	struct rj_http_request send = {
@@ -98,7 +102,7 @@
 		.body = body,
 		.length = strlen(body),
 		.timeout_us = timeout_us,
-		.response_max_bytes = ANSWER_MAX_BYTES,
+		.response_max_bytes = response_max_bytes,
 		.done = done,
 		.private_data = data,
 	};
@@ -108,6 +112,12 @@
 	rj_http_client_send(&fixture->client, &send);
 }
 
+static void post_to(struct fixture *fixture, const struct rj_address *address,
+		    const char *body, uint64_t timeout_us)
+{
+	send_call(fixture, address, body, timeout_us, ANSWER_MAX_BYTES);
+}
+
 static void post(struct fixture *fixture, const char *body, uint64_t timeout_us)
 {
 	post_to(fixture, &fixture->server.address, body, timeout_us);
@@ -314,18 +324,87 @@
 	close(server->fd);
 }
 
+/* Makes one call, which `handler` answers, and checks its outcome. */
+static void check_raw_call(struct fixture *fixture, tevent_fd_handler_t handler,
+			   uint64_t timeout_us, enum rj_http_outcome outcome)
+{
+	struct raw_server server;
+
+	raw_server_init(&server, fixture->ev, handler, NULL);
+	post_to(fixture, &server.address, "one", timeout_us);
+	wait_for(fixture, 1);
+	assert_outcome(fixture, outcome);
+	raw_server_finish(&server);
+}
+
 /* Guards against calls that count as lost though their answers have arrived
  * while this process was busy. */
 static void test_answer_before_a_stall_counts(struct fixture *fixture,
 					      gconstpointer data)
 {
-	struct raw_server server;
+	check_raw_call(fixture, answer_before_a_stall, SHORT_US,
+		       RJ_HTTP_ANSWERED);
+}
 
-	raw_server_init(&server, fixture->ev, answer_before_a_stall, NULL);
-	post_to(fixture, &server.address, "one", SHORT_US);
-	wait_for(fixture, 1);
-	assert_outcome(fixture, RJ_HTTP_ANSWERED);
-	raw_server_finish(&server);
+/* Sends as much of an endless answer as the connection takes. */
+static void send_endless(struct tevent_context *ev, struct tevent_fd *fde,
+			 uint16_t flags, void *private_data)
+{
+	static const char part[256];
+	int fd = (int)tevent_fd_get_tag(fde);
+
+	if (send(fd, part, sizeof(part), MSG_DONTWAIT | MSG_NOSIGNAL) < 0 &&
+	    errno != EAGAIN)
+		talloc_free(fde);
+}
+
+/* Sends the head of an endless answer, and goes on with its body. */
+static void begin_endless_answer(struct tevent_context *ev,
+				 struct tevent_fd *fde, uint16_t flags,
+				 void *private_data)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\n"
+				   "Content-Length: 1000000000\r\n\r\n";
+	int fd = (int)tevent_fd_get_tag(fde);
+	struct waiting_calls *calls = private_data;
+	char request[1024];
+
+	g_assert_cmpint(recv(fd, request, sizeof(request), 0), >, 0);
+	g_assert_cmpint(write(fd, head, sizeof(head) - 1), >, 0);
+	calls->fds[calls->count++] = fd;
+	talloc_free(fde);
+	fde = tevent_add_fd(ev, ev, fd, TEVENT_FD_WRITE, send_endless, NULL);
+	g_assert_nonnull(fde);
+	tevent_fd_set_tag(fde, (uint64_t)fd);
+}
+
+/* Guards against a call without an answer that never ends while the client is
+ * never done with its sockets. */
+static void test_a_busy_client_loses_a_call(struct fixture *fixture,
+					    gconstpointer data)
+{
+	struct waiting_calls calls = { .count = 0 };
+	struct raw_server endless;
+	struct rj_address silent;
+	int fd = bound_socket(&silent);
+	uint64_t until_us;
+
+	g_assert_cmpint(listen(fd, 1), ==, 0);
+	rj_http_client_set_host_connections_max(&fixture->client,
+						PARALLEL_CALLS);
+	raw_server_init(&endless, fixture->ev, begin_endless_answer, &calls);
+	for (uint32_t i = 0; i < PARALLEL_CALLS; i++)
+		send_call(fixture, &endless.address, "one", LONG_US, SIZE_MAX);
+	while (calls.count < PARALLEL_CALLS)
+		tevent_loop_once(fixture->ev);
+	post_to(fixture, &silent, "one", SHORT_US);
+	until_us = rj_clock_now_us() + BUSY_LOST_MAX_US;
+	while (!fixture->ended && rj_clock_now_us() < until_us)
+		tevent_loop_once(fixture->ev);
+	g_assert_cmpuint(fixture->ended, ==, 1);
+	assert_outcome(fixture, RJ_HTTP_LOST);
+	raw_server_finish(&endless);
+	close(fd);
 }
 
 /* Guards against thousands of answers from workers before which the store's
@@ -366,13 +445,7 @@
 static void test_answer_cut_short_is_lost(struct fixture *fixture,
 					  gconstpointer data)
 {
-	struct raw_server server;
-
-	raw_server_init(&server, fixture->ev, answer_half, NULL);
-	post_to(fixture, &server.address, "one", LONG_US);
-	wait_for(fixture, 1);
-	assert_outcome(fixture, RJ_HTTP_LOST);
-	raw_server_finish(&server);
+	check_raw_call(fixture, answer_half, LONG_US, RJ_HTTP_LOST);
 }
 
 /* Opens an idle connection to the server. */
@@ -463,6 +536,7 @@
 	add("/http_client/refused", test_refused_connect_is_not_sent);
 	add("/http_client/cut", test_answer_cut_short_is_lost);
 	add("/http_client/stall", test_answer_before_a_stall_counts);
+	add("/http_client/busy", test_a_busy_client_loses_a_call);
 	add("/http_client/turn", test_a_turn_takes_a_bounded_number);
 	add("/http_server/limit", test_connection_above_the_limit_is_closed);
 	add("/http_server/gone", test_disconnected_client_frees_its_connection);
