--- a/src/libradishjunction/core/filters/repeat.c
+++ b/src/libradishjunction/core/filters/repeat.c
@@ -50,12 +50,22 @@
 }
 
 /*
- * Takes a job back from the peer that it was forwarded to, which now waits for
- * it here. Neither has started it.
+ * Whether a forwarded job is to be served here when the peer that it was
+ * forwarded to sends it back: this instance owns a guaranteed shape for it.
  *
  * Guards against a guaranteed job whose rack comes to this instance after the
  * forward: the peer can no longer reclaim capacity for it.
  */
+static bool is_handed_back(struct rj_core_state *core,
+			   const struct rj_submission *submission,
+			   const struct rj_job *job)
+{
+	return !strcmp(submission->peer, job->peer) && !core->stopping &&
+	       !job->cancelled && rj_route_owns_guarantee(core, submission);
+}
+
+/* Serves a job here that was handed back. The peer, which has not started it,
+ * waits for it now. */
 static enum rj_filter_verdict take_back(struct rj_core_state *core,
 					const struct rj_submission *submission,
 					struct rj_job *job)
@@ -99,12 +109,10 @@
 		rj_job_answer_waiters(job, &job->final);
 		return RJ_FILTER_HANDLED;
 	}
-	if (submission->peer && job->state == RJ_JOB_FORWARDED &&
-	    !strcmp(submission->peer, job->peer) &&
-	    rj_route_owns_guarantee(core, submission))
-		return take_back(core, submission, job);
 	if (submission->peer && job->state == RJ_JOB_FORWARDED)
-		return refuse_forward_loop(core, submission);
+		return is_handed_back(core, submission, job) ?
+			       take_back(core, submission, job) :
+			       refuse_forward_loop(core, submission);
 	if (job->state == RJ_JOB_FORWARDED && !job->spec.wait &&
 	    submission->spec.wait)
 		return refuse_pending_acceptance(core, submission);
