owner: orders that wait, and tasks that a plan leaves, are always noticed

Whether orders wait was recorded only between workers, so that a plan was allowed when the window had filled within the last worker of the queue; and a plan that reached its limit within the last step did not ask for the next one. Both are found by reading; other events make up for them in the tests. The limit of a plan stands with its inputs.

--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -289,6 +289,15 @@
 		send_start(owner, run);
 }
 
+/* Whether the order window has room. If not, records that orders wait for it. */
+static bool has_room(struct rj_cell_owner *owner)
+{
+	if (rj_cell_call_window_has_room(&owner->order_window, owner->now_us))
+		return true;
+	owner->orders_wait = true;
+	return false;
+}
+
 /* Sends the due orders for the runs of a worker. Returns whether more are to be
  * sent later. */
 static bool send_worker_orders(struct rj_cell_owner *owner,
@@ -307,9 +316,7 @@
 		if (!needs_order(run))
 			continue;
 		if (owner->now_us >= run->order_due_us &&
-		    worker->heartbeat.address.port &&
-		    rj_cell_call_window_has_room(&owner->order_window,
-						 owner->now_us))
+		    worker->heartbeat.address.port && has_room(owner))
 			send_order(owner, run);
 		more |= needs_order(run);
 	}
@@ -348,11 +355,8 @@
 		struct rj_cell_worker *worker =
 			RJ_CONTAINER(at, struct rj_cell_worker, in_order_queue);
 
-		if (!rj_cell_call_window_has_room(&owner->order_window,
-						  owner->now_us)) {
-			owner->orders_wait = true;
+		if (!has_room(owner))
 			break;
-		}
 		if (!send_worker_orders(owner, worker))
 			rj_list_remove(&worker->in_order_queue);
 	}
--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -68,13 +68,18 @@
 	TALLOC_FREE(plan->workers);
 }
 
-/* Returns how many more tasks the plan may start. A gang may exceed it, as it
+/* Returns how many of `count` tasks the plan may still start, and records
+ * whether some are left to the next plan. A gang may exceed the limit, as it
  * starts whole. */
-static uint32_t starts_left(const struct rj_cell_plan *plan)
+static uint32_t limit_starts(struct rj_cell_plan *plan, uint32_t count)
 {
-	if (!plan->starts_max)
-		return UINT32_MAX;
-	return plan->starts_max - MIN(plan->starts_max, plan->starts->len);
+	uint32_t left =
+		plan->starts_max - MIN(plan->starts_max, plan->starts->len);
+
+	if (!plan->starts_max || count <= left)
+		return count;
+	plan->truncated = true;
+	return left;
 }
 
 /* Starts a task on a worker in this plan. */
@@ -412,7 +417,7 @@
 	struct rj_cell_placement placement;
 	uint32_t placed;
 
-	uniform = MIN(uniform, starts_left(plan));
+	uniform = limit_starts(plan, uniform);
 	if (!uniform)
 		return 0;
 	rj_cell_placement_init(&placement, plan);
@@ -464,7 +469,7 @@
 
 	group->started_tasks += placed;
 	for (uint32_t i = placed; i < count; i++) {
-		if (!starts_left(plan)) {
+		if (!limit_starts(plan, 1)) {
 			plan->waiting_tasks += count - i;
 			break;
 		}
@@ -517,7 +522,7 @@
 	uint32_t first = start_uniform(plan, group, tasks, count);
 	uint32_t started = first;
 
-	for (uint32_t i = first; i < count && starts_left(plan); i++) {
+	for (uint32_t i = first; i < count && limit_starts(plan, 1); i++) {
 		if (place_without_preemption(plan, group, &tasks[i], 1,
 					     RJ_CELL_HORIZON_NOW))
 			started++;
@@ -607,10 +612,8 @@
 		struct rj_cell_task_group *group = &g_array_index(
 			plan->task_groups, struct rj_cell_task_group, i);
 
-		if (!starts_left(plan)) {
-			plan->truncated = true;
+		if (!limit_starts(plan, 1))
 			break;
-		}
 		if (group->job->job_spec->priority && !overdue_placed) {
 			place_overdue(plan, i);
 			overdue_placed = true;
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -106,11 +106,12 @@
 	struct rj_cell_failure_burst failures;
 	uint32_t reclaim_ms; /* guaranteed jobs start within this time */
 	uint64_t now_us;
-	/* outputs; `reason` is set in the runs to be stopped */
 	/* The plan starts no further tasks once it has started this many; 0: no
 	 * limit. */
 	uint32_t starts_max;
-	bool truncated; /* tasks were left to the next plan by that */
+	/* outputs; `reason` is set in the runs to be stopped */
+	/* `starts_max` has left tasks to the next plan. */
+	bool truncated;
 	GArray *starts; /* struct rj_cell_planned_start */
 	GPtrArray *stops; /* struct rj_cell_run */
 	uint32_t waiting_tasks; /* ready tasks that were not placed */
