owner: names and files as a newcomer reads them; no decision changes

The size from which heartbeats are trusted stands once, in the fleet. The delay of polls, the long poll and the comparison of entries have the field's names. Counters, includes and the inputs of a plan stand where they belong.

--- a/src/libradishjunction/cell/cell_activity.c
+++ b/src/libradishjunction/cell/cell_activity.c
@@ -27,21 +27,23 @@
 	const struct rj_cell_owner_counters *before = &owner->logged_counters;
 
 #define SINCE(field) (now->field - before->field)
-#define ANSWERS(status) (now->answers[status] - before->answers[status])
-#define BLOCKS(block) (now->plan_blocks[block] - before->plan_blocks[block])
 	rj_log_event(
 		"owner_activity", RJ_LOG_NUMBER("starts", SINCE(starts)),
 		RJ_LOG_NUMBER("stops", SINCE(stops)),
 		RJ_LOG_NUMBER("polls", SINCE(polls)),
 		RJ_LOG_NUMBER("probes", SINCE(probes)),
-		RJ_LOG_NUMBER("ok", ANSWERS(RJ_CELL_ORDER_OK)),
-		RJ_LOG_NUMBER("lost", ANSWERS(RJ_CELL_ORDER_LOST)),
-		RJ_LOG_NUMBER("unsent", ANSWERS(RJ_CELL_ORDER_UNSENT)),
+		RJ_LOG_NUMBER("ok", SINCE(answers[RJ_CELL_ORDER_OK])),
+		RJ_LOG_NUMBER("lost", SINCE(answers[RJ_CELL_ORDER_LOST])),
+		RJ_LOG_NUMBER("unsent", SINCE(answers[RJ_CELL_ORDER_UNSENT])),
 		RJ_LOG_NUMBER("plans", SINCE(plans)),
-		RJ_LOG_NUMBER("wait_append", BLOCKS(RJ_CELL_PLAN_BLOCK_APPEND)),
-		RJ_LOG_NUMBER("wait_log", BLOCKS(RJ_CELL_PLAN_BLOCK_LOG_AGE)),
-		RJ_LOG_NUMBER("wait_pause", BLOCKS(RJ_CELL_PLAN_BLOCK_PAUSE)),
-		RJ_LOG_NUMBER("wait_window", BLOCKS(RJ_CELL_PLAN_BLOCK_WINDOW)),
+		RJ_LOG_NUMBER("wait_append",
+			      SINCE(plan_blocks[RJ_CELL_PLAN_BLOCK_APPEND])),
+		RJ_LOG_NUMBER("wait_log",
+			      SINCE(plan_blocks[RJ_CELL_PLAN_BLOCK_LOG_AGE])),
+		RJ_LOG_NUMBER("wait_pause",
+			      SINCE(plan_blocks[RJ_CELL_PLAN_BLOCK_PAUSE])),
+		RJ_LOG_NUMBER("wait_window",
+			      SINCE(plan_blocks[RJ_CELL_PLAN_BLOCK_WINDOW])),
 		RJ_LOG_AGE_MS("append_ms", MAX(owner->writer.took_us,
 					       owner->progress_writer.took_us)),
 		RJ_LOG_AGE_MS("requests_age_ms",
@@ -50,8 +52,6 @@
 			      age_us(owner, owner->workers_read_us)),
 		RJ_LOG_AGE_MS("gap_ms", activity->gap_max_us));
 #undef SINCE
-#undef ANSWERS
-#undef BLOCKS
 }
 
 /*
--- a/src/libradishjunction/cell/cell_fleet.c
+++ b/src/libradishjunction/cell/cell_fleet.c
@@ -4,6 +4,11 @@
 #include <string.h>
 #include <talloc.h>
 
+/* Largest fleet in which an instance can keep a connection to each worker. In a
+ * larger one polls open new connections, so idle workers are polled less often,
+ * and each is assumed to be as its heartbeat reports until the first order to
+ * it. */
+#define POLLED_FLEET_MAX 1500
 /* A worker's clock may run slow by this much. */
 #define CLOCK_SLOW_PERCENT 2
 /* Covers the time that a worker's answer was in transit. */
@@ -254,6 +259,41 @@
 	rj_list_append(&worker->rack->workers, &worker->in_rack);
 }
 
+/*
+ * Whether the fleet is too large to poll each of its workers often. Heartbeats
+ * are then trusted until the first order to a worker.
+ */
+bool rj_cell_fleet_is_large(const struct rj_cell_fleet *fleet)
+{
+	return fleet->count > POLLED_FLEET_MAX;
+}
+
+/*
+ * Whether an entry of the worker need not be decoded if it has the same content
+ * as the one that is kept: such an entry changes only the worker's clock and the
+ * time of the last heartbeat.
+ */
+bool rj_cell_worker_entry_is_comparable(const struct rj_cell_worker *worker)
+{
+	const struct rj_cell_heartbeat *heartbeat = &worker->heartbeat;
+
+	return worker->listed && worker->entry.length && !heartbeat->draining &&
+	       !heartbeat->cold_left_ms &&
+	       (!worker->incarnation || !heartbeat->incarnation ||
+		worker->incarnation == heartbeat->incarnation);
+}
+
+/*
+ * Keeps a copy of the entry that the worker's heartbeat was decoded from.
+ */
+void rj_cell_worker_keep_entry(struct rj_cell_worker *worker,
+			       struct rj_bytes entry)
+{
+	talloc_free((void *)worker->entry.data);
+	worker->entry.data = talloc_memdup(worker, entry.data, entry.length);
+	worker->entry.length = entry.length;
+}
+
 /*
  * Changes a worker's poll state and appends it to that state's list.
  */
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -38,31 +38,22 @@
 
 /* Applies a heartbeat that reports nothing new. Returns false if the record has
  * to be decoded. */
-static bool apply_same_heartbeat(struct rj_cell_node *node,
-				 struct rj_cell_worker *worker,
-				 const struct rj_cell_record *record,
-				 uint64_t written_us)
+static bool refresh_worker(struct rj_cell_node *node,
+			   struct rj_cell_worker *worker,
+			   const struct rj_cell_record *record,
+			   uint64_t written_us)
 {
 	uint64_t clock_ms;
 
-	if (!rj_cell_owner_may_compare_heartbeat(worker) ||
-	    !node->options.codec->is_same_worker(worker->entry, record->value,
-						 &clock_ms))
+	if (!rj_cell_worker_entry_is_comparable(worker) ||
+	    !node->options.codec->is_same_entry(worker->entry, record->value,
+						&clock_ms))
 		return false;
-	rj_cell_owner_apply_same_heartbeat(&node->owner, worker, clock_ms,
-					   written_us);
+	rj_cell_owner_refresh_worker(&node->owner, worker, clock_ms,
+				     written_us);
 	return true;
 }
 
-/* Keeps the encoded entry of a worker, to recognize heartbeats that repeat
- * it. */
-static void keep_entry(struct rj_cell_worker *worker, struct rj_bytes entry)
-{
-	talloc_free((void *)worker->entry.data);
-	worker->entry.data = talloc_memdup(worker, entry.data, entry.length);
-	worker->entry.length = entry.length;
-}
-
 /* Handles a record of the workers' log: a heartbeat or a deletion. */
 static void fleet_record(void *private_data,
 			 const struct rj_cell_record *record)
@@ -84,7 +75,7 @@
 		return;
 	}
 	worker = rj_cell_fleet_find(&node->owner.fleet, record->key);
-	if (worker && apply_same_heartbeat(node, worker, record, written_us))
+	if (worker && refresh_worker(node, worker, record, written_us))
 		return;
 	if (strlen(record->key) >= RJ_NAME_BYTES ||
 	    node->options.codec->decode_worker(record->value, &heartbeat,
@@ -96,8 +87,9 @@
 	}
 	rj_cell_owner_update_worker(&node->owner, record->key, &heartbeat,
 				    written_us);
-	keep_entry(rj_cell_fleet_find(&node->owner.fleet, record->key),
-		   record->value);
+	rj_cell_worker_keep_entry(
+		rj_cell_fleet_find(&node->owner.fleet, record->key),
+		record->value);
 }
 
 /* For readers that need no action after a read. */
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -308,27 +308,12 @@
 }
 
 /*
- * Whether it is enough to compare a worker's heartbeat with its last entry: one
- * with the same content changes only the worker's clock and the age of the
- * entry.
+ * Applies a heartbeat that has the same content as the worker's last entry, in
+ * place of rj_cell_owner_update_worker; see rj_cell_worker_entry_is_comparable.
  */
-bool rj_cell_owner_may_compare_heartbeat(const struct rj_cell_worker *worker)
-{
-	const struct rj_cell_heartbeat *heartbeat = &worker->heartbeat;
-
-	return worker->listed && worker->entry.length && !heartbeat->draining &&
-	       !heartbeat->cold_left_ms &&
-	       (!worker->incarnation || !heartbeat->incarnation ||
-		worker->incarnation == heartbeat->incarnation);
-}
-
-/*
- * Applies a heartbeat with the same content as the worker's last entry, if that
- * may be compared; otherwise see rj_cell_owner_update_worker.
- */
-void rj_cell_owner_apply_same_heartbeat(struct rj_cell_owner *owner,
-					struct rj_cell_worker *worker,
-					uint64_t clock_ms, uint64_t written_us)
+void rj_cell_owner_refresh_worker(struct rj_cell_owner *owner,
+				  struct rj_cell_worker *worker,
+				  uint64_t clock_ms, uint64_t written_us)
 {
 	worker->heartbeat.clock_ms = clock_ms;
 	worker->written_us = written_us;
--- a/src/libradishjunction/cell/cell_polls.c
+++ b/src/libradishjunction/cell/cell_polls.c
@@ -36,17 +36,13 @@
  * workers. */
 #define IDLE_POLLS_PER_S 300
 #define IDLE_POLL_BURST 450
-/* In a large fleet a worker is left alone for this part of the time until the
- * first of its runs is expected to end, in percent, and for at most the lease
- * divided by this: together with the wait of a poll that leaves two polls before
- * the lease expires. */
-#define QUIET_PERCENT 50
-#define QUIET_LEASE_DIVISOR 8
-/* Largest fleet in which an instance can keep a connection to each worker. In a
- * larger one polls open new connections, so idle workers are polled less often,
- * and each is assumed to be as its heartbeat reports until the first order to
- * it. */
-#define POLLED_FLEET_MAX 1500
+/* Delay of the next poll of a busy worker in a large fleet: this part of the time
+ * until the first of its runs is expected to end, in percent, and at most the
+ * lease divided by this, so that with the wait of a poll two polls may be lost
+ * before the lease expires. */
+#define POLL_DELAY_PERCENT 50
+#define POLL_DELAY_LEASE_DIVISOR 8
+/* The same in a large fleet; see rj_cell_fleet_is_large. */
 #define LARGE_FLEET_IDLE_POLLS_PER_S 50
 
 /* Stops a listed run that the owner does not know, and counts its allocation
@@ -268,20 +264,19 @@
 }
 
 /*
- * Returns how long a worker that has just answered need not be polled, as none
- * of its runs is expected to end.
+ * Returns the delay of the next poll of a worker that has just answered.
  *
- * Guards against a cost that follows the number of busy workers: a poll that
- * waits ends without a completion most of the time.
+ * In a large fleet most polls would end without a completion. They are fewer if
+ * a worker is not polled while none of its runs is expected to end.
  */
-static uint64_t quiet_us(const struct rj_cell_owner *owner,
-			 const struct rj_cell_worker *worker)
+static uint64_t poll_delay_us(const struct rj_cell_owner *owner,
+			      const struct rj_cell_worker *worker)
 {
-	uint64_t quiet_max_us =
-		owner->limits.lease_max_ms * RJ_US_PER_MS / QUIET_LEASE_DIVISOR;
+	uint64_t delay_us = owner->limits.lease_max_ms * RJ_US_PER_MS /
+			    POLL_DELAY_LEASE_DIVISOR;
 	const struct rj_list *at;
 
-	if (!rj_cell_polls_fleet_is_large(owner) ||
+	if (!rj_cell_fleet_is_large(&owner->fleet) ||
 	    worker->runs.next == &worker->runs)
 		return 0;
 	for (at = worker->runs.next; at != &worker->runs; at = at->next) {
@@ -294,10 +289,10 @@
 			return 0;
 		remaining_us = rj_cell_forecast_remaining_us(
 			&owner->forecast, run, owner->now_us);
-		quiet_max_us =
-			MIN(quiet_max_us, remaining_us * QUIET_PERCENT / 100);
+		delay_us =
+			MIN(delay_us, remaining_us * POLL_DELAY_PERCENT / 100);
 	}
-	return quiet_max_us;
+	return delay_us;
 }
 
 /* Handles the lists in the answer to a poll. */
@@ -324,7 +319,7 @@
 	    waits_for_lease(owner, worker))
 		worker->poll_due_us += POLL_UNSTORED_DELAY_US;
 	else
-		worker->poll_due_us += quiet_us(owner, worker);
+		worker->poll_due_us += poll_delay_us(owner, worker);
 }
 
 /*
@@ -386,7 +381,7 @@
 
 /* Whether a poll of a worker may wait for a completion: the worker has answered
  * this owner, and its last call. */
-static bool may_wait(const struct rj_cell_worker *worker)
+static bool may_long_poll(const struct rj_cell_worker *worker)
 {
 	return worker->incarnation && worker->answers;
 }
@@ -395,7 +390,7 @@
 static bool window_allows(const struct rj_cell_owner *owner,
 			  const struct rj_cell_worker *worker)
 {
-	return may_wait(worker) ||
+	return may_long_poll(worker) ||
 	       rj_cell_call_window_has_room(&owner->poll_window, owner->now_us);
 }
 
@@ -419,7 +414,7 @@
 	 */
 	if (worker->answers)
 		poll.stored_position = worker->stored_position;
-	if (may_wait(worker))
+	if (may_long_poll(worker))
 		poll.wait_ms =
 			MIN(POLL_WAIT_MS, owner->limits.lease_max_ms /
 						  POLL_WAIT_LEASE_DIVISOR);
@@ -429,7 +424,7 @@
 	 * elsewhere. It gets no deadline until it has answered, so that its
 	 * leases expire.
 	 */
-	if (may_wait(worker) && worker->runs.next != &worker->runs)
+	if (may_long_poll(worker) && worker->runs.next != &worker->runs)
 		poll.deadline_ms = rj_cell_call_next_deadline(owner, worker);
 	call = rj_cell_call_new(owner, worker, NULL);
 	call->stored_position = poll.stored_position;
@@ -474,15 +469,6 @@
 	return true;
 }
 
-/*
- * Whether the fleet is too large to poll each of its workers often, so that
- * heartbeats are trusted.
- */
-bool rj_cell_polls_fleet_is_large(const struct rj_cell_owner *owner)
-{
-	return owner->fleet.count > POLLED_FLEET_MAX;
-}
-
 /*
  * Decides from a worker's heartbeat whether it may get work before it has
  * answered any call, and if so takes its clock from the heartbeat.
@@ -495,7 +481,7 @@
 void rj_cell_polls_accept_heartbeat(struct rj_cell_owner *owner,
 				    struct rj_cell_worker *worker)
 {
-	if (!rj_cell_polls_fleet_is_large(owner) || worker->incarnation ||
+	if (!rj_cell_fleet_is_large(&owner->fleet) || worker->incarnation ||
 	    worker->poll_failures || !worker->heartbeat.clock_ms)
 		return;
 	worker->answers = true;
@@ -522,7 +508,7 @@
 
 		if (!worker->listed)
 			continue;
-		if (rj_cell_polls_fleet_is_large(owner))
+		if (rj_cell_fleet_is_large(&owner->fleet))
 			rj_cell_polls_accept_heartbeat(owner, worker);
 		else
 			rj_cell_polls_schedule_now(owner, worker);
@@ -550,7 +536,7 @@
 void rj_cell_polls_worker_listed(struct rj_cell_owner *owner,
 				 struct rj_cell_worker *worker)
 {
-	if (!rj_cell_polls_fleet_is_large(owner) || worker->incarnation)
+	if (!rj_cell_fleet_is_large(&owner->fleet) || worker->incarnation)
 		rj_cell_polls_schedule_now(owner, worker);
 }
 
@@ -607,7 +593,7 @@
  */
 void rj_cell_polls_tick(struct rj_cell_owner *owner)
 {
-	uint32_t per_s = rj_cell_polls_fleet_is_large(owner) ?
+	uint32_t per_s = rj_cell_fleet_is_large(&owner->fleet) ?
 				 LARGE_FLEET_IDLE_POLLS_PER_S :
 				 IDLE_POLLS_PER_S;
 
--- a/src/libradishjunction/cell/cell_reachability.c
+++ b/src/libradishjunction/cell/cell_reachability.c
@@ -19,21 +19,23 @@
 /* Several times the round trip between failure domains. */
 #define PROBE_TIMEOUT_MS 150
 
-/* Entries in the log are written at an interval of a third of their expiry: one
- * shows contact until the next but one is due. */
-#define HEARTBEAT_CONFIRMATION(expiry_us) ((expiry_us)*2 / 3)
+/* Heartbeats in the time in which an entry of the log expires, and how many of
+ * their intervals an entry shows that its worker is reachable. */
+#define EXPIRY_HEARTBEATS 3
+#define HEARTBEAT_CONFIRMATIONS 2
 
 /* Whether the worker, by itself, is as reachable as its failure domain. */
 static bool is_as_reachable_as_domain(const struct rj_cell_owner *owner,
 				      const struct rj_cell_worker *worker)
 {
-	uint64_t expiry_us = owner->limits.entry_expiry_ms * RJ_US_PER_MS;
+	uint64_t heartbeat_us = owner->limits.entry_expiry_ms * RJ_US_PER_MS /
+				EXPIRY_HEARTBEATS;
 
 	if (owner->now_us <= worker->answered_us + POLL_CONFIRMATION_US)
 		return true;
-	return rj_cell_polls_fleet_is_large(owner) &&
-	       owner->now_us <=
-		       worker->written_us + HEARTBEAT_CONFIRMATION(expiry_us);
+	return rj_cell_fleet_is_large(&owner->fleet) &&
+	       owner->now_us <= worker->written_us +
+					heartbeat_us * HEARTBEAT_CONFIRMATIONS;
 }
 
 /*
--- a/src/libradishjunction/include/private/cell_call_window.h
+++ b/src/libradishjunction/include/private/cell_call_window.h
@@ -16,7 +16,10 @@
 
 #include "radishjunction/types.h"
 
-/* Starts, stops and probes that may wait for their answers. */
+/* Starts, stops and probes that may wait for their answers. An event of this
+ * process waits for at most as many calls, so the limit does not depend on the
+ * size of the fleet; it has to exceed the calls that an instance makes in a round
+ * trip between failure domains. */
 #define RJ_CELL_ORDER_WINDOW 64
 /* Polls that are answered at once and may wait for their answers. Their window
  * is separate, so that the workers that a new owner polls do not delay starts. */
--- a/src/libradishjunction/include/private/cell_calls.h
+++ b/src/libradishjunction/include/private/cell_calls.h
@@ -47,7 +47,6 @@
 			 const struct rj_cell_order_reply *reply);
 void rj_cell_call_other_incarnation(struct rj_cell_owner *owner,
 				    struct rj_cell_worker *worker);
-bool rj_cell_polls_fleet_is_large(const struct rj_cell_owner *owner);
 void rj_cell_polls_poll_busy(struct rj_cell_owner *owner,
 			     struct rj_cell_worker *worker);
 void rj_cell_polls_tick(struct rj_cell_owner *owner);
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -180,6 +180,10 @@
 void rj_cell_worker_record_contact(struct rj_cell_worker *worker,
 				   uint64_t sent_us, bool answered,
 				   uint64_t now_us);
+bool rj_cell_fleet_is_large(const struct rj_cell_fleet *fleet);
+bool rj_cell_worker_entry_is_comparable(const struct rj_cell_worker *worker);
+void rj_cell_worker_keep_entry(struct rj_cell_worker *worker,
+			       struct rj_bytes entry);
 bool rj_cell_worker_cordoned(const struct rj_cell_worker *worker);
 bool rj_cell_worker_schedulable(const struct rj_cell_worker *worker);
 bool rj_cell_worker_usable(const struct rj_cell_worker *worker,
--- a/src/libradishjunction/include/private/cell_frontend.h
+++ b/src/libradishjunction/include/private/cell_frontend.h
@@ -93,8 +93,8 @@
 	/* Whether a worker's entry differs from an earlier valid one at most in
 	 * what each heartbeat changes; if so, sets the worker's clock (0: not
 	 * reported). */
-	bool (*is_same_worker)(struct rj_bytes earlier, struct rj_bytes text,
-			       uint64_t *clock_ms);
+	bool (*is_same_entry)(struct rj_bytes earlier, struct rj_bytes text,
+			      uint64_t *clock_ms);
 };
 
 struct rj_cell_frontend_counters {
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -16,9 +16,9 @@
 #define RADISHJUNCTION_PRIVATE_CELL_OWNER_H
 
 #include "private/cell_activity.h"
-#include "private/cell_call_window.h"
 #include "private/cell_advice.h"
 #include "private/cell_backlog.h"
+#include "private/cell_call_window.h"
 #include "private/cell_failure.h"
 #include "private/cell_fleet.h"
 #include "private/cell_forecast.h"
@@ -45,19 +45,19 @@
 	/* From acceptance of a job to its first start. */
 	struct rj_latency first_start_waits[RJ_CELL_PRIORITY_CLASSES];
 	struct rj_latency start_latency; /* accepted starts only */
-	uint64_t polls;
-	uint64_t plans;
 	uint64_t starts;
 	uint64_t stops;
+	uint64_t polls;
 	uint64_t probes;
 	uint64_t answers[RJ_CELL_ORDER_STATUS_COUNT]; /* to any call */
-	/* Checks for a plan that was due, by outcome. */
-	uint64_t plan_blocks[RJ_CELL_PLAN_BLOCK_COUNT];
 	uint64_t completions[RJ_CELL_COMPLETION_COUNT];
 	uint64_t completed;
 	uint64_t failed;
 	uint64_t takeovers;
 	uint64_t resignations;
+	uint64_t plans;
+	/* Checks for a plan that was due, by outcome. */
+	uint64_t plan_blocks[RJ_CELL_PLAN_BLOCK_COUNT];
 	uint64_t plan_effort_max; /* largest effort of one plan */
 };
 
@@ -128,8 +128,9 @@
 	uint64_t now_us;
 	uint64_t wall_ms; /* Unix time */
 	struct rj_cell_owner_counters counters;
-	struct rj_cell_owner_counters logged_counters; /* at the last event */
 	struct rj_cell_activity activity;
+	/* As of the last log event about the activity. */
+	struct rj_cell_owner_counters logged_counters;
 };
 
 void rj_cell_owner_init(struct rj_cell_owner *owner, void *mem,
@@ -165,10 +166,9 @@
 void rj_cell_owner_update_worker(struct rj_cell_owner *owner, const char *id,
 				 const struct rj_cell_heartbeat *heartbeat,
 				 uint64_t written_us);
-bool rj_cell_owner_may_compare_heartbeat(const struct rj_cell_worker *worker);
-void rj_cell_owner_apply_same_heartbeat(struct rj_cell_owner *owner,
-					struct rj_cell_worker *worker,
-					uint64_t clock_ms, uint64_t written_us);
+void rj_cell_owner_refresh_worker(struct rj_cell_owner *owner,
+				  struct rj_cell_worker *worker,
+				  uint64_t clock_ms, uint64_t written_us);
 void rj_cell_owner_advance(struct rj_cell_owner *owner, uint64_t now_us,
 			   uint64_t wall_ms);
 
--- a/src/test_libradishjunction/support/cell_sim.c
+++ b/src/test_libradishjunction/support/cell_sim.c
@@ -144,8 +144,8 @@
 
 /* Compares the bytes of a worker's entry with those of an earlier one, but for
  * the clock; see struct rj_cell_codec. */
-static bool is_same_worker(struct rj_bytes earlier, struct rj_bytes text,
-			   uint64_t *clock_ms)
+static bool is_same_entry(struct rj_bytes earlier, struct rj_bytes text,
+			  uint64_t *clock_ms)
 {
 	size_t clock_at = offsetof(struct rj_cell_heartbeat, clock_ms);
 	size_t rest_at = clock_at + sizeof(*clock_ms);
@@ -238,7 +238,7 @@
 	.classify = classify,
 	.decode_config = decode_config,
 	.decode_worker = decode_worker,
-	.is_same_worker = is_same_worker,
+	.is_same_entry = is_same_entry,
 };
 
 /*
--- a/src/test_libradishjunction/test_cell_call_window.c
+++ b/src/test_libradishjunction/test_cell_call_window.c
@@ -86,7 +86,7 @@
  * owner then loses track of the logs, starts nothing, and sends the next burst
  * when it has caught up.
  */
-static void test_a_burst_of_tasks_is_sent_by_and_by(void)
+static void test_a_burst_of_tasks_is_paced(void)
 {
 	struct cell_sim *sim = large_sim();
 	struct rj_cell_step step = cell_sim_plain_step(500, 8, 60000);
@@ -202,7 +202,7 @@
 	g_test_add_func("/cell_call_window/unanswered",
 			test_unanswered_calls_leave_the_window);
 	g_test_add_func("/cell_call_window/burst",
-			test_a_burst_of_tasks_is_sent_by_and_by);
+			test_a_burst_of_tasks_is_paced);
 	g_test_add_func("/cell_call_window/plan",
 			test_a_plan_starts_a_bounded_number);
 	g_test_add_func("/cell_call_window/busy",
--- a/src/test_libradishjunction/test_platform_wire.c
+++ b/src/test_libradishjunction/test_platform_wire.c
@@ -224,7 +224,7 @@
 
 	for (guint i = 0; i < G_N_ELEMENTS(entries); i++) {
 		uint64_t clock_ms;
-		bool same = platform_wire_is_same_worker(
+		bool same = platform_wire_is_same_entry(
 			bytes_of(first), bytes_of(entries[i].text), &clock_ms);
 
 		g_assert_cmpint(same, ==, entries[i].same);
