--- a/src/test_libradishjunction/support/cell_sim.h
+++ b/src/test_libradishjunction/support/cell_sim.h
@@ -230,6 +230,8 @@
 void cell_log_put(struct cell_sim *sim, enum rj_cell_topic topic,
 		  const char *key, const void *value, size_t length);
 extern const struct rj_cell_store_ops cell_log_ops;
+extern const struct rj_cell_codec cell_sim_codec;
+const char *cell_sim_queue_prefix(const char *queue);
 void cell_workers_init(struct cell_sim *sim);
 void cell_workers_finish(struct cell_sim *sim);
 extern const struct rj_cell_workers_ops cell_workers_ops;
--- a/src/test_soak/process.c
+++ b/src/test_soak/process.c
@@ -85,25 +85,15 @@
 	return true;
 }
 
-/*
- * The status of soak_process_has_ended; 0 while the program runs.
- */
-int soak_process_exit_status(const struct soak_process *process)
-{
-	int status = 0;
-
-	(void)soak_process_has_ended(process, &status);
-	return status;
-}
-
 /*
  * Describes the state of the program for a report: "not started", "ended with N"
- * (see soak_process_exit_status) or "running, state S", S as in /proc. The
+ * (see soak_process_has_ended) or "running, state S", S as in /proc. The
  * caller frees the text.
  */
 char *soak_process_describe(const struct soak_process *process)
 {
-	int status = soak_process_exit_status(process);
+	int status = 0;
+	bool ended = soak_process_has_ended(process, &status);
 	char *path;
 	char *stat = NULL;
 	char *text;
@@ -111,7 +101,7 @@
 
 	if (!process->pid)
 		return g_strdup("not started");
-	if (status || process->output_closed)
+	if (ended || process->output_closed)
 		return g_strdup_printf("ended with %d", status);
 	path = g_strdup_printf("/proc/%d/stat", (int)process->pid);
 	(void)g_file_get_contents(path, &stat, NULL, NULL);
--- a/src/test_soak/process.h
+++ b/src/test_soak/process.h
@@ -28,7 +28,6 @@
 void soak_process_start(struct soak_process *process, struct tevent_context *ev,
 			const char *const *argv, const char *log_path);
 bool soak_process_has_ended(const struct soak_process *process, int *status);
-int soak_process_exit_status(const struct soak_process *process);
 char *soak_process_describe(const struct soak_process *process);
 void soak_process_drain(struct soak_process *process);
 void soak_process_signal(const struct soak_process *process, int signal_number);
