--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -539,6 +539,8 @@
 	plan.forecast = &owner->forecast;
 	plan.failures = owner->failure_burst;
 	plan.reclaim_ms = owner->limits.reclaim_ms;
+	plan.stop_ms = owner->limits.stop_ms;
+	plan.features = owner->limits.features;
 	plan.now_us = owner->now_us;
 	plan.starts_max = PLAN_STARTS_MAX;
 	rj_cell_plan_make(&plan);
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -14,6 +14,7 @@
 #include "private/cell_config.h"
 #include "private/cell_cordon.h"
 #include "private/cell_pace.h"
+#include "private/cell_worker_history.h"
 #include "private/cell_active_job.h"
 
 /* What a worker reports about itself in the workers' log. */
@@ -129,6 +130,7 @@
 	 * protect its runs that have one. */
 	uint64_t exclusive_until_us;
 	struct rj_cell_pace pace; /* of its present incarnation */
+	struct rj_cell_worker_history history;
 	/* Health, derived from the runs on it. */
 	uint32_t bad_streak; /* consecutive runs that failed or stalled */
 	uint64_t suspect_until_us;
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -20,6 +20,7 @@
 #include "private/cell_backlog.h"
 #include "private/cell_call_window.h"
 #include "private/cell_failure.h"
+#include "private/cell_features.h"
 #include "private/cell_fleet.h"
 #include "private/cell_forecast.h"
 #include "private/cell_lease_bounds.h"
@@ -39,6 +40,7 @@
 	uint32_t drain_ms;
 	uint32_t cordon_ms; /* the same in a cordoned failure domain */
 	uint32_t stop_ms; /* a run ends within this after its stop */
+	struct rj_cell_features features;
 };
 
 struct rj_cell_owner_counters {
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -17,6 +17,7 @@
 #include <glib.h>
 
 #include "private/cell_failure.h"
+#include "private/cell_features.h"
 #include "private/cell_fleet.h"
 #include "private/cell_forecast.h"
 
@@ -105,6 +106,8 @@
 	const struct rj_cell_forecast *forecast;
 	struct rj_cell_failure_burst failures;
 	uint32_t reclaim_ms; /* guaranteed jobs start within this time */
+	uint32_t stop_ms; /* a run ends within this after its stop */
+	struct rj_cell_features features;
 	uint64_t now_us;
 	/* The plan starts no further tasks once it has started this many; 0: no
 	 * limit. */
--- a/src/test_libradishjunction/support/cell_sim.c
+++ b/src/test_libradishjunction/support/cell_sim.c
@@ -224,6 +224,7 @@
 	options.limits.revoke_ms = sim->options.revoke_ms;
 	options.limits.drain_ms = DRAIN_MS;
 	options.limits.stop_ms = STOP_MS;
+	options.limits.features = sim->options.features;
 	options.limits.cordon_ms = CORDON_MS;
 	options.limits.entry_expiry_ms =
 		CELL_SIM_HEARTBEAT_MS * CELL_SIM_ENTRY_HEARTBEATS;
--- a/src/test_libradishjunction/support/cell_sim.h
+++ b/src/test_libradishjunction/support/cell_sim.h
@@ -141,6 +141,7 @@
 	uint32_t attempts_max; /* 0: 4 */
 	uint32_t revoke_ms; /* 0: 5,000 */
 	uint64_t gang_break_us; /* from a member's end to the others' */
+	struct rj_cell_features features;
 };
 
 struct cell_sim {
--- a/src/test_libradishjunction/test_platform_settings.c
+++ b/src/test_libradishjunction/test_platform_settings.c
@@ -4,6 +4,7 @@
  */
 #include <glib.h>
 #include <glib/gstdio.h>
+#include <string.h>
 
 #include "adapters.h"
 
@@ -63,6 +64,36 @@
 	g_assert_cmpuint(settings.limits.entry_expiry_ms, ==, 4500);
 }
 
+#define REQUIRED                                                       \
+	"\"cpu_share\":\"\",\"cpu_speed\":\"\",\"grace_s\":\"\","      \
+	"\"descriptors_max\":\"\",\"link_mbps\":\"\","                 \
+	"\"lease_max_ms\":\"\",\"status_s\":\"\",\"reclaim_ms\":\"\"," \
+	"\"revoke_ms\":\"\",\"drain_ms\":\"\",\"cordon_ms\":\"\","     \
+	"\"stop_ms\":\"\",\"heartbeat_ms\":\"\""
+
+/* Guards against optional decisions in a deployment that does not call for
+ * them. */
+static void test_features_are_called_for(void)
+{
+	const struct rj_cell_features none = { 0 };
+	struct platform_settings settings;
+	struct rj_error err;
+
+	g_assert_cmpint(load(REQUIRED, &settings, &err), ==, 0);
+	g_assert_cmpint(memcmp(&settings.limits.features, &none, sizeof(none)),
+			==, 0);
+	g_assert_cmpint(load(REQUIRED ",\"policies\":\"base,healthy,tenants\","
+				      "\"restore_ms\":\"600\","
+				      "\"snapshot_ms\":\"1000\"",
+			     &settings, &err),
+			==, 0);
+	g_assert_false(settings.limits.features.worker_history);
+	g_assert_true(settings.limits.features.account_shares);
+	g_assert_false(settings.limits.features.admission_forecast);
+	g_assert_cmpuint(settings.limits.features.restore_ms, ==, 600);
+	g_assert_cmpuint(settings.limits.features.snapshot_ms, ==, 1000);
+}
+
 /* The error for an invalid number names the field and the remedy. */
 static void test_invalid_number(void)
 {
@@ -88,5 +119,7 @@
 	g_test_add_func("/platform_settings/fractions",
 			test_fractions_and_empty_values);
 	g_test_add_func("/platform_settings/bad", test_invalid_number);
+	g_test_add_func("/platform_settings/features",
+			test_features_are_called_for);
 	return g_test_run();
 }
