cell: work that is not urgent preempts once it has to, and not the same task again

Change: cell_preemption.c. Where the settings state restore_ms, a group that is not urgent preempts once half of its slack is used, not a task that has lost two runs; the cost of a stop counts the restore and the stop. Without the setting nothing changes.

--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #include "private/cell_place.h"
+#include "private/cell_preemption.h"
 #include "private/cell_share.h"
 #include "private/cell_shortage.h"
 #include "private/cell_task_groups.h"
@@ -16,10 +17,8 @@
  * work. A core-second of theirs is worth about ten times as much; more than
  * half of that is left for the delay of the preempted jobs. */
 #define URGENT_LOSS_FACTOR 4
-/* Jobs that are not urgent may preempt lower priorities once they have waited
- * this long, if that discards at most one part in PREEMPTION_LOSS_DIVISOR of
- * their own work. */
-#define PREEMPTION_WAIT_US RJ_US_PER_S
+/* Jobs that are not urgent may preempt lower priorities if that discards at most
+ * one part in this of their own work. */
 #define PREEMPTION_LOSS_DIVISOR 8
 /* Maximum number of urgent groups that get a promise in one plan. Later groups
  * could only be promised capacity that is free after the next completions. */
@@ -356,7 +355,7 @@
 		rj_cell_reclaim_group_cost_milli(plan, group, count) /
 		PREEMPTION_LOSS_DIVISOR;
 
-	if (plan->now_us - group->waiting_since_us >= PREEMPTION_WAIT_US &&
+	if (rj_cell_preemption_is_due(plan, group) &&
 	    (place_without_preemption(plan, group, tasks, count,
 				      RJ_CELL_HORIZON_STOPS) ||
 	     place_with_preemption(plan, group, tasks, count, max_loss_milli)))
--- a/src/libradishjunction/cell/cell_reclaim.c
+++ b/src/libradishjunction/cell/cell_reclaim.c
@@ -2,14 +2,12 @@
 #include <talloc.h>
 
 #include "private/cell_place.h"
+#include "private/cell_preemption.h"
 #include "private/cell_release.h"
 #include "private/cell_share.h"
 
 /* Cores that an accelerator counts as in lost work, by the users' prices. */
 #define ACCELERATOR_CORES 8
-/* Work lost by stopping a task with checkpoints: the time of a restart from
- * one. */
-#define CHECKPOINT_RESTORE_MS 300
 /* Urgent runs are preempted last: a core-second of theirs is worth this many
  * times as much. */
 #define URGENT_LOSS_WEIGHT 10
@@ -46,13 +44,8 @@
 			       const struct rj_cell_run *run)
 {
 	const struct rj_cell_step *step = rj_cell_task_step(run->task);
-	uint64_t elapsed_ms =
-		(plan->now_us - MIN(plan->now_us, run->placed_us)) /
-		RJ_US_PER_MS;
 
-	if (step->checkpoints && elapsed_ms > CHECKPOINT_RESTORE_MS)
-		elapsed_ms = CHECKPOINT_RESTORE_MS;
-	return cores_milli(step) * elapsed_ms / 1000;
+	return cores_milli(step) * rj_cell_preemption_lost_ms(plan, run) / 1000;
 }
 
 /* Whether a job may be preempted for a group: if its priority is lower, except
@@ -78,6 +71,7 @@
 	       run->state != RJ_CELL_RUN_INTENDED &&
 	       run->state != RJ_CELL_RUN_STARTING &&
 	       yields_to(plan, run->task->occurrence->job, group) &&
+	       !rj_cell_preemption_protects(plan, run, group) &&
 	       !rj_cell_task_step(run->task)->perpetual;
 }
 
