--- a/src/libradishjunction/cell/cell_forecast.c
+++ b/src/libradishjunction/cell/cell_forecast.c
@@ -15,13 +15,6 @@
 /* Progress below this does not predict the remaining time. */
 #define PROGRESS_MIN_PERCENT 15
 
-/* Mean run time of the tasks of one queue. */
-struct mean {
-	double ms;
-	uint32_t samples;
-	struct rj_cell_estimate_error estimate_error;
-};
-
 /*
  * Initializes a forecast without samples.
  */
@@ -43,14 +36,16 @@
 }
 
 /* Returns the mean of a queue; adds an empty one if there is none. */
-static struct mean *obtain_mean(struct rj_cell_forecast *forecast,
-				const char *queue)
+static struct rj_cell_queue_mean *obtain_mean(struct rj_cell_forecast *forecast,
+					      const char *queue)
 {
-	struct mean *mean = g_hash_table_lookup(forecast->means, queue);
+	struct rj_cell_queue_mean *mean =
+		g_hash_table_lookup(forecast->means, queue);
 
 	if (mean)
 		return mean;
-	mean = g_new0(struct mean, 1);
+	mean = g_new0(struct rj_cell_queue_mean, 1);
+	g_strlcpy(mean->queue, queue, sizeof(mean->queue));
 	rj_cell_estimate_error_init(&mean->estimate_error);
 	g_hash_table_insert(forecast->means, g_strdup(queue), mean);
 	return mean;
@@ -62,7 +57,7 @@
 void rj_cell_forecast_record_run(struct rj_cell_forecast *forecast,
 				 const char *queue, uint64_t ran_us)
 {
-	struct mean *mean = obtain_mean(forecast, queue);
+	struct rj_cell_queue_mean *mean = obtain_mean(forecast, queue);
 	double ms = (double)ran_us / RJ_US_PER_MS;
 	double weight = 1.0 / (mean->samples + 1);
 
@@ -79,7 +74,7 @@
 void rj_cell_forecast_seed(struct rj_cell_forecast *forecast, const char *queue,
 			   uint32_t mean_ms)
 {
-	struct mean *mean = obtain_mean(forecast, queue);
+	struct rj_cell_queue_mean *mean = obtain_mean(forecast, queue);
 
 	if (!mean_ms || mean->samples)
 		return;
@@ -94,7 +89,8 @@
 uint32_t rj_cell_forecast_mean_ms(const struct rj_cell_forecast *forecast,
 				  const char *queue)
 {
-	const struct mean *mean = g_hash_table_lookup(forecast->means, queue);
+	const struct rj_cell_queue_mean *mean =
+		g_hash_table_lookup(forecast->means, queue);
 
 	return mean && mean->samples ? (uint32_t)mean->ms : 0;
 }
@@ -193,16 +189,20 @@
 	return &obtain_mean(forecast, queue)->estimate_error;
 }
 
+/* Returns what is left at `now_us` of the urgent demand of `at_us`. */
+static double decayed(double accelerators, uint64_t at_us, uint64_t now_us)
+{
+	uint64_t age_us = now_us > at_us ? now_us - at_us : 0;
+
+	return accelerators * exp(-(double)age_us / (double)URGENT_DECAY_US);
+}
+
 /* Returns the urgent demand, decayed to `now_us`. */
 static double decayed_urgent(const struct rj_cell_forecast *forecast,
 			     uint64_t now_us)
 {
-	uint64_t age_us = now_us > forecast->urgent_updated_us ?
-				  now_us - forecast->urgent_updated_us :
-				  0;
-
-	return forecast->urgent_accelerators *
-	       exp(-(double)age_us / (double)URGENT_DECAY_US);
+	return decayed(forecast->urgent_accelerators,
+		       forecast->urgent_updated_us, now_us);
 }
 
 /*
@@ -235,3 +235,50 @@
 {
 	return decayed_urgent(forecast, now_us);
 }
+
+/*
+ * Copies what is learnt of at most `max` queues. Returns their number.
+ */
+uint32_t rj_cell_forecast_export(const struct rj_cell_forecast *forecast,
+				 struct rj_cell_queue_mean *means, uint32_t max)
+{
+	GHashTableIter iter;
+	gpointer mean;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, forecast->means);
+	while (count < max && g_hash_table_iter_next(&iter, NULL, &mean))
+		means[count++] = *(const struct rj_cell_queue_mean *)mean;
+	return count;
+}
+
+/*
+ * Replaces what is learnt of a queue by what a former owner has exported, as
+ * far as that has samples.
+ */
+void rj_cell_forecast_import(struct rj_cell_forecast *forecast,
+			     const struct rj_cell_queue_mean *mean)
+{
+	struct rj_cell_queue_mean *own = obtain_mean(forecast, mean->queue);
+
+	if (mean->samples) {
+		own->ms = mean->ms;
+		own->samples = mean->samples;
+	}
+	if (mean->estimate_error.samples)
+		own->estimate_error = mean->estimate_error;
+}
+
+/*
+ * Takes over the urgent demand of `at_us` from a former owner. It includes jobs
+ * that this owner has recorded as well, so the larger of both applies.
+ */
+void rj_cell_forecast_import_urgent(struct rj_cell_forecast *forecast,
+				    double accelerators, uint64_t at_us,
+				    uint64_t now_us)
+{
+	forecast->urgent_accelerators =
+		MAX(decayed_urgent(forecast, now_us),
+		    decayed(accelerators, at_us, now_us));
+	forecast->urgent_updated_us = now_us;
+}
--- a/src/libradishjunction/include/private/cell_forecast.h
+++ b/src/libradishjunction/include/private/cell_forecast.h
@@ -15,8 +15,17 @@
 #include "private/cell_active_job.h"
 #include "private/cell_pace.h"
 
+/* What is learnt of one queue. */
+struct rj_cell_queue_mean {
+	char queue[RJ_NAME_BYTES];
+	double ms; /* mean run time of its tasks */
+	uint32_t samples;
+	struct rj_cell_estimate_error estimate_error;
+};
+
 struct rj_cell_forecast {
-	GHashTable *means; /* queue name -> struct mean */
+	/* queue name -> struct rj_cell_queue_mean */
+	GHashTable *means;
 	double urgent_accelerators; /* used by urgent jobs, decaying average */
 	uint64_t urgent_updated_us; /* last update of urgent_accelerators */
 };
@@ -47,5 +56,13 @@
 double
 rj_cell_forecast_urgent_accelerators(const struct rj_cell_forecast *forecast,
 				     uint64_t now_us);
+uint32_t rj_cell_forecast_export(const struct rj_cell_forecast *forecast,
+				 struct rj_cell_queue_mean *means,
+				 uint32_t max);
+void rj_cell_forecast_import(struct rj_cell_forecast *forecast,
+			     const struct rj_cell_queue_mean *mean);
+void rj_cell_forecast_import_urgent(struct rj_cell_forecast *forecast,
+				    double accelerators, uint64_t at_us,
+				    uint64_t now_us);
 
 #endif
--- a/src/test_libradishjunction/support/fuzz_targets.c
+++ b/src/test_libradishjunction/support/fuzz_targets.c
@@ -6,6 +6,7 @@
 
 #include "private/caller_json.h"
 #include "private/cell_record.h"
+#include "private/cell_snapshot.h"
 #include "private/peer_codec.h"
 #include "private/worker_wire.h"
 #include "radishjunction/config.h"
@@ -253,6 +254,45 @@
 	talloc_free(mem);
 }
 
+/* Decodes a record of a snapshot, which is refused and left empty, or survives
+ * encoding and decoding. */
+static void check_snapshot(void *mem, struct rj_bytes bytes)
+{
+	const struct rj_cell_snapshot_reader reader = { 7, 1700000000000,
+							3600 * RJ_US_PER_S };
+	struct rj_cell_snapshot snapshot;
+	struct rj_cell_snapshot again;
+
+	if (rj_cell_snapshot_decode(mem, bytes, &reader, &snapshot) !=
+	    RJ_CELL_SNAPSHOT_ACCEPTED) {
+		assert(!snapshot.worker_count && !snapshot.workers);
+		return;
+	}
+	for (uint32_t i = 0; i < snapshot.worker_count; i++)
+		assert(snapshot.workers[i].pace.variance > 0);
+	bytes = rj_cell_snapshot_encode(mem, &snapshot, reader.now_us);
+	assert(rj_cell_snapshot_decode(mem, bytes, &reader, &again) ==
+	       RJ_CELL_SNAPSHOT_ACCEPTED);
+	assert(again.worker_count == snapshot.worker_count &&
+	       again.queue_count == snapshot.queue_count &&
+	       again.account_count == snapshot.account_count);
+}
+
+/*
+ * A record of a snapshot; the bytes are also taken as its payload, as few of
+ * them have a valid checksum.
+ */
+static void fuzz_cell_snapshot(const uint8_t *data, size_t length)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_bytes bytes = { data, (uint32_t)length };
+
+	check_snapshot(mem, bytes);
+	check_snapshot(mem,
+		       rj_cell_snapshot_seal(mem, 7, 1700000000000, bytes));
+	talloc_free(mem);
+}
+
 const struct fuzz_target fuzz_targets[] = {
 	{ "config", fuzz_config },
 	{ "settings", fuzz_settings },
@@ -266,6 +306,7 @@
 	{ "platformentry", fuzz_platform_entry },
 	{ "platformanswer", fuzz_platform_answer },
 	{ "cellrecord", fuzz_cell_record },
+	{ "cellsnapshot", fuzz_cell_snapshot },
 	{ NULL, NULL },
 };
 
