cell_task_groups: a task that has never run waits since its job was accepted

Cause: after a takeover each task began to wait anew, so its turn for reserved or remote workers came later with each owner. When a step became ready that depends on others is not stored, so its tasks wait since the successor's first plan as before.

--- a/src/libradishjunction/cell/cell_task_groups.c
+++ b/src/libradishjunction/cell/cell_task_groups.c
@@ -49,6 +49,27 @@
 	       plan->now_us >= task->not_before_us;
 }
 
+/*
+ * Returns since when a task that is ready for the first time since its last run
+ * waits. One that has never run and depends on no step has waited since its job
+ * was accepted or its occurrence was due.
+ *
+ * Guards against tasks that start to wait anew with each owner: their turn for
+ * reserved or remote workers would not come while owners are replaced.
+ */
+static uint64_t ready_since_us(const struct rj_cell_plan *plan,
+			       const struct rj_cell_task *task)
+{
+	const struct rj_cell_job *job = task->occurrence->job;
+	uint64_t due_us = job->accepted_us +
+			  rj_cell_occurrence_due_after_us(task->occurrence);
+
+	if (!plan->features.snapshot_ms || task->run || task->failures ||
+	    job->job_spec->steps[task->step].after_count)
+		return plan->now_us;
+	return CLAMP(due_us, 1, plan->now_us);
+}
+
 /* Counts the waiting tasks of a step and sets since when the first of them
  * waits. Returns 0 for a gang while a member runs or may not start yet. */
 static uint32_t count_waiting(struct rj_cell_plan *plan,
@@ -73,7 +94,7 @@
 			continue;
 		}
 		if (!task->waiting_us)
-			task->waiting_us = plan->now_us;
+			task->waiting_us = ready_since_us(plan, task);
 		if (task->waiting_us < *since_us)
 			*since_us = task->waiting_us;
 		waiting++;
