cell_handover: the owner stores what it has learnt for its successor

Change: workers are divided into 64 shards by a hash of their id. A shard is added to an append to the log of progress once it has changed noticeably, at most every snapshot_ms, and again after 30 s without a change, as records older than 60 s are refused. At most 16 KiB are appended in any second, the parts written longest ago first. A row is applied once the incarnation of its worker is known. Rows of workers that an owner has not met are stored again by it for 60 s, so that they outlast two takeovers in a row. Without the setting nothing is written or read.

--- a/src/libradishjunction/cell/cell_flush.c
+++ b/src/libradishjunction/cell/cell_flush.c
@@ -378,6 +378,7 @@
 	}
 	if (owner->release_pending)
 		add_release(owner);
+	rj_cell_handover_write(&owner->handover);
 	RJ_FOR_EACH (at, next, &owner->fleet.unstored) {
 		struct rj_cell_worker *worker =
 			RJ_CONTAINER(at, struct rj_cell_worker, in_unstored);
--- a/src/libradishjunction/cell/cell_metrics.c
+++ b/src/libradishjunction/cell/cell_metrics.c
@@ -78,6 +78,20 @@
 	write_number(text, "workers_usable", usable);
 }
 
+/* Writes the figures of the snapshot, if the deployment calls for one. */
+static void write_snapshot(GString *text, const struct rj_cell_owner *owner)
+{
+	const struct rj_cell_handover *handover = &owner->handover;
+
+	if (!owner->limits.features.snapshot_ms)
+		return;
+	write_number(text, "snapshot_bytes", handover->counters.bytes);
+	write_number(text, "snapshot_records", handover->counters.records);
+	write_number(text, "snapshot_refused", handover->counters.refused);
+	if (owner->active)
+		write_number(text, "paces_known", handover->paces_known);
+}
+
 /* Writes the counters; the gauges only while this node is the owner. */
 static void write_owner(GString *text, const struct rj_cell_owner *owner,
 			uint64_t now_us)
@@ -118,6 +132,7 @@
 				 priorities[i], text);
 	rj_latency_write(&counters->start_latency, "radishjunction_order_ms",
 			 "order", "start", text);
+	write_snapshot(text, owner);
 	if (!owner->active)
 		return;
 	for (int i = 0; i < RJ_CELL_PRIORITY_CLASSES; i++) {
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -60,6 +60,7 @@
 	rj_list_init(&owner->jobs);
 	rj_list_init(&owner->dirty_jobs);
 	rj_cell_forecast_init(&owner->forecast);
+	rj_cell_handover_init(&owner->handover, owner);
 	rj_cell_lease_bounds_init(&owner->leases);
 	owner->ended_jobs = g_ptr_array_new_with_free_func(g_free);
 	rj_cell_writer_init(&owner->writer, mem, store, RJ_CELL_TOPIC_JOBS,
@@ -283,6 +284,7 @@
 		rj_cell_polls_schedule_now(owner, worker);
 	}
 	rj_cell_worker_apply_heartbeat(worker, heartbeat);
+	rj_cell_handover_worker_listed(&owner->handover, worker);
 	worker->written_us = written_us;
 	worker->departure_us = 0;
 	worker->cold_until_us =
@@ -394,6 +396,7 @@
 	owner->writes_pending = 0;
 	owner->heartbeat_due_us = now_us;
 	rj_cell_fleet_init(&owner->fleet, owner->mem, owner->cordons);
+	rj_cell_handover_begin(&owner->handover);
 	rj_cell_writer_open(&owner->writer, epoch, 1, now_us);
 	rj_cell_writer_open(&owner->progress_writer, epoch, 0, now_us);
 }
@@ -422,6 +425,7 @@
 	owner->advice_pending = false;
 	rj_cell_polls_reset_limits(owner);
 	owner->counters.takeovers++;
+	rj_cell_handover_complete_queues(&owner->handover);
 	RJ_FOR_EACH (at, next, &owner->view->entries) {
 		struct rj_cell_view_entry *entry =
 			RJ_CONTAINER(at, struct rj_cell_view_entry, link);
@@ -432,6 +436,7 @@
 		rj_cell_owner_update_job(owner, entry);
 	}
 	rj_cell_view_drop_progress(owner->view);
+	rj_cell_handover_complete(&owner->handover);
 	bound_former_leases(owner, former, leases_until_us);
 	rj_log_event("own", RJ_LOG_NUMBER("token", owner->token),
 		     RJ_LOG_NUMBER("former_token", former->token),
@@ -489,6 +494,7 @@
 {
 	rj_cell_owner_resign(owner, "finish");
 	rj_cell_forecast_finish(&owner->forecast);
+	rj_cell_handover_finish(&owner->handover);
 	rj_cell_lease_bounds_finish(&owner->leases);
 	g_ptr_array_free(owner->ended_jobs, TRUE);
 }
--- a/src/libradishjunction/cell/cell_polls.c
+++ b/src/libradishjunction/cell/cell_polls.c
@@ -216,6 +216,7 @@
 	worker->acknowledged_position = 0;
 	worker->bad_streak = 0;
 	rj_cell_pace_init(&worker->pace);
+	rj_cell_handover_worker_met(&owner->handover, worker);
 	/* From now on only this owner's orders extend leases, so no lease ends
 	 * later than one that starts now. */
 	worker->lease_deadline_ms =
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -21,6 +21,7 @@
 	[RJ_CELL_RECORD_STATE] = 't',	 [RJ_CELL_RECORD_CANCEL] = 'c',
 	[RJ_CELL_RECORD_OWNER] = 'o',	 [RJ_CELL_RECORD_HEARTBEAT] = 'b',
 	[RJ_CELL_RECORD_FENCE] = 'f',	 [RJ_CELL_RECORD_LEASE_BOUNDS] = 'o',
+	[RJ_CELL_RECORD_SNAPSHOT] = 'n',
 };
 
 /* How a task is encoded. */
@@ -31,7 +32,8 @@
 };
 
 /*
- * Builds the key of a record; `id` is a job id, or "".
+ * Builds the key of a record; `id` is a job id, the number of a part of the
+ * snapshot, or "".
  */
 void rj_cell_record_key(char key[RJ_CELL_KEY_BYTES],
 			enum rj_cell_record_kind kind, const char *id)
@@ -40,6 +42,14 @@
 	g_strlcpy(key + 1, id, RJ_CELL_KEY_BYTES - 1);
 }
 
+/* Length of the keys of one kind. */
+static size_t key_length(enum rj_cell_record_kind kind)
+{
+	if (kind <= RJ_CELL_RECORD_CANCEL)
+		return RJ_CELL_KEY_BYTES - 1;
+	return kind == RJ_CELL_RECORD_SNAPSHOT ? RJ_CELL_PART_ID_BYTES : 1;
+}
+
 /*
  * Parses a key. Returns 0, or -1 for an unknown key.
  */
@@ -47,10 +57,8 @@
 			const char **id)
 {
 	for (int i = 0; i < RJ_CELL_RECORD_KIND_COUNT; i++) {
-		bool of_job = i <= RJ_CELL_RECORD_CANCEL;
-
 		if (key[0] != key_prefix[i] ||
-		    strlen(key) != (of_job ? RJ_CELL_KEY_BYTES - 1 : 1))
+		    strlen(key) != key_length((enum rj_cell_record_kind)i))
 			continue;
 		*kind = (enum rj_cell_record_kind)i;
 		*id = key + 1;
--- a/src/libradishjunction/cell/cell_takeover.c
+++ b/src/libradishjunction/cell/cell_takeover.c
@@ -33,6 +33,8 @@
 	/* The key of RJ_CELL_RECORD_LEASE_BOUNDS. */
 	if (kind == RJ_CELL_RECORD_OWNER)
 		leases_record(takeover, record);
+	if (kind == RJ_CELL_RECORD_SNAPSHOT)
+		rj_cell_handover_read(&takeover->owner->handover, id, record);
 	if (kind != RJ_CELL_RECORD_PROGRESS)
 		return;
 	rj_cell_view_keep_progress(takeover->owner->view, id, record->value);
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -23,6 +23,7 @@
 #include "private/cell_features.h"
 #include "private/cell_fleet.h"
 #include "private/cell_forecast.h"
+#include "private/cell_handover.h"
 #include "private/cell_lease_bounds.h"
 #include "private/cell_view.h"
 #include "private/cell_workers.h"
@@ -101,6 +102,7 @@
 	struct rj_list dirty_jobs; /* jobs with changes that are not stored */
 	GPtrArray *ended_jobs; /* ids of jobs whose keys may be removed */
 	struct rj_cell_forecast forecast;
+	struct rj_cell_handover handover;
 	struct rj_cell_failure_burst failure_burst;
 	uint32_t strength; /* of the instance, in hundredths of a core */
 	bool plan_wanted;
--- a/src/libradishjunction/include/private/cell_record.h
+++ b/src/libradishjunction/include/private/cell_record.h
@@ -14,6 +14,9 @@
 
 #define RJ_CELL_KEY_BYTES (RJ_CELL_ID_BYTES + 1)
 #define RJ_CELL_QUEUE_LOADS_MAX 32
+/* Two hexadecimal digits that number a part of the snapshot, and the
+ * terminating zero. */
+#define RJ_CELL_PART_ID_BYTES 3
 
 enum rj_cell_record_kind {
 	RJ_CELL_RECORD_JOB_SPEC,
@@ -31,6 +34,9 @@
 	 * there: so the bounds vanish when such an owner, which keeps none,
 	 * takes over. */
 	RJ_CELL_RECORD_LEASE_BOUNDS,
+	/* A part of what the owner has learnt, in the log of progress; its id
+	 * is the number of the part. Earlier versions skip the key. */
+	RJ_CELL_RECORD_SNAPSHOT,
 	RJ_CELL_RECORD_KIND_COUNT
 };
 
--- /dev/null
+++ b/src/test_libradishjunction/test_cell_snapshot.c
@@ -0,0 +1,483 @@
+/*
+ * What an owner has learnt, handed to its successor: the records, replays in
+ * which the owner ends, and the bytes that a large fleet takes.
+ */
+#include <math.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "private/cell_snapshot.h"
+#include "support/cell_fixture.h"
+#include "support/cell_load.h"
+
+#define NOW_US (3600 * S)
+#define WALL_MS 1700000000000
+#define TOKEN 7
+
+/* Encodes a record with one row of each kind, as written at NOW_US. */
+static struct rj_bytes example(void *mem)
+{
+	struct rj_cell_snapshot_worker worker = {
+		.id = "w1",
+		.incarnation = 1700000000123,
+		.pace = { -0.4701, 0.0123, 17 },
+		.history = { 1.25, 64.5, NOW_US - 3 * S, NOW_US + 90 * S },
+	};
+	struct rj_cell_queue_mean queue = {
+		"urgent", 2512.5, 40, { 0.7, 0.25, 9 }
+	};
+	struct rj_cell_snapshot_account account = { "acme", 390000 };
+	const struct rj_cell_snapshot snapshot = { TOKEN,   WALL_MS, 1,
+						   &worker, 1,	     &queue,
+						   212,	    1,	     &account };
+
+	return rj_cell_snapshot_encode(mem, &snapshot, NOW_US);
+}
+
+/* Decodes a record, and checks that a refused one leaves nothing behind. */
+static enum rj_cell_snapshot_status decode(struct rj_bytes bytes,
+					   uint64_t token, uint64_t wall_ms,
+					   uint64_t now_us, void *mem,
+					   struct rj_cell_snapshot *snapshot)
+{
+	const struct rj_cell_snapshot_reader reader = { token, wall_ms,
+							now_us };
+	enum rj_cell_snapshot_status status =
+		rj_cell_snapshot_decode(mem, bytes, &reader, snapshot);
+
+	g_assert_true(status == RJ_CELL_SNAPSHOT_ACCEPTED ||
+		      (!snapshot->workers && !snapshot->worker_count));
+	return status;
+}
+
+/* Guards against figures that a successor reads with another value or time. */
+static void test_round_trip(void)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_bytes bytes = example(mem);
+	struct rj_bytes again;
+	struct rj_cell_snapshot read;
+
+	g_assert_cmpint(decode(bytes, TOKEN, WALL_MS, NOW_US, mem, &read), ==,
+			RJ_CELL_SNAPSHOT_ACCEPTED);
+	g_assert_cmpfloat_with_epsilon(read.workers[0].pace.log_ratio, -0.4701,
+				       1e-6);
+	g_assert_cmpfloat_with_epsilon(read.workers[0].history.bad_ends, 1.25,
+				       1e-6);
+	g_assert_cmpfloat_with_epsilon(read.queues[0].ms, 2512.5, 1e-6);
+	g_assert_cmpuint(read.accounts[0].use_ppm, ==, 390000);
+	again = rj_cell_snapshot_encode(mem, &read, NOW_US);
+	g_assert_cmpmem(again.data, again.length, bytes.data, bytes.length);
+	/* Read 10 s later, by another clock. */
+	g_assert_cmpint(decode(bytes, TOKEN + 1, WALL_MS + 10000, 5 * NOW_US,
+			       mem, &read),
+			==, RJ_CELL_SNAPSHOT_ACCEPTED);
+	g_assert_cmpuint(read.workers[0].history.updated_us, ==,
+			 5 * NOW_US - 13 * S);
+	g_assert_cmpuint(read.workers[0].history.probation_until_us, ==,
+			 5 * NOW_US + 80 * S);
+	talloc_free(mem);
+}
+
+/* Guards against a record that is damaged, torn, of another version or of
+ * another time, and of which a part is applied. */
+static void test_refusals(void)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_bytes bytes = example(mem);
+	uint8_t *copy = talloc_memdup(mem, bytes.data, bytes.length);
+	struct rj_bytes changed = { copy, bytes.length };
+	struct rj_cell_snapshot read;
+
+	g_assert_cmpint(decode(bytes, TOKEN, WALL_MS + 60000, 1, mem, &read),
+			==, RJ_CELL_SNAPSHOT_ACCEPTED);
+	g_assert_cmpint(decode(bytes, TOKEN, WALL_MS + 60001, 1, mem, &read),
+			==, RJ_CELL_SNAPSHOT_OLD);
+	g_assert_cmpint(decode(bytes, TOKEN, WALL_MS - 60001, 1, mem, &read),
+			==, RJ_CELL_SNAPSHOT_OLD);
+	g_assert_cmpint(decode(bytes, TOKEN - 1, WALL_MS, 1, mem, &read), ==,
+			RJ_CELL_SNAPSHOT_HIGHER_TOKEN);
+	for (uint32_t i = 0; i < bytes.length; i++) {
+		const struct rj_bytes torn = { bytes.data, i };
+
+		copy[i] ^= 0x03;
+		g_assert_cmpint(decode(changed, TOKEN, WALL_MS, 1, mem, &read),
+				==,
+				i ? RJ_CELL_SNAPSHOT_DAMAGED :
+				    RJ_CELL_SNAPSHOT_OTHER_VERSION);
+		copy[i] = bytes.data[i];
+		g_assert_cmpint(decode(torn, TOKEN, WALL_MS, 1, mem, &read), ==,
+				RJ_CELL_SNAPSHOT_DAMAGED);
+	}
+	talloc_free(mem);
+}
+
+static const struct cell_sim_options site = {
+	.seed = 11,
+	.nodes = 3,
+	.workers = 48,
+	.rack_workers = 12,
+	.capacity = { 64000, 64000, 8 },
+	.guaranteed = 64,
+	.features = { .snapshot_ms = 1000 },
+};
+
+static const struct cell_sim_options site_without = {
+	.seed = 11,
+	.nodes = 3,
+	.workers = 48,
+	.rack_workers = 12,
+	.capacity = { 64000, 64000, 8 },
+	.guaranteed = 64,
+};
+
+/* Runs gangs that show the paces of all workers. */
+static void run_gangs(struct cell_sim *sim, uint64_t for_us)
+{
+	struct cell_load_stream streams[] = {
+		{ "urgent", "a", cell_sim_plain_step(5, 8, 2100), 2100 * MS,
+		  500 * MS, 0, 0 },
+		{ "normal", "a", cell_sim_plain_step(8, 8, 6000), 6 * S, 3 * S,
+		  0, 0 },
+	};
+
+	streams[0].step.gang = true;
+	streams[1].step.gang = true;
+	cell_load_run_streams(sim, streams, G_N_ELEMENTS(streams), for_us,
+			      NULL);
+}
+
+static struct rj_cell_owner *owner_of(struct cell_sim *sim)
+{
+	int index = cell_sim_owner(sim);
+
+	g_assert_cmpint(index, >=, 0);
+	return &sim->nodes[index].node.owner;
+}
+
+static uint32_t samples_of(struct cell_sim *sim, uint32_t worker)
+{
+	const struct rj_cell_worker *found = rj_cell_fleet_find(
+		&owner_of(sim)->fleet, sim->workers[worker].id);
+
+	return found ? found->pace.samples : 0;
+}
+
+/* Kills the owner, changes what it has left, and returns once another instance
+ * has the cell. */
+static void replace_owner(struct cell_sim *sim,
+			  void (*change)(struct cell_sim *sim))
+{
+	cell_sim_node_kill(sim, (uint32_t)cell_sim_owner(sim));
+	if (change)
+		change(sim);
+	for (int i = 0; i < 100 && cell_sim_owner(sim) < 0; i++)
+		cell_sim_run(sim, 100 * MS);
+	g_assert_cmpint(cell_sim_owner(sim), >=, 0);
+}
+
+/* Runs gangs, replaces the owner, and returns which percentage of the paces
+ * known before is known to the successor. */
+static uint32_t paces_kept_percent(struct cell_sim *sim)
+{
+	uint32_t before[48];
+	uint32_t known = 0;
+	uint32_t kept = 0;
+
+	run_gangs(sim, 40 * S);
+	for (uint32_t i = 0; i < site.workers; i++)
+		before[i] = samples_of(sim, i);
+	replace_owner(sim, NULL);
+	for (uint32_t i = 0; i < site.workers; i++) {
+		known += before[i] > 0;
+		kept += before[i] && samples_of(sim, i);
+	}
+	g_assert_cmpuint(known, >=, site.workers / 2);
+	return kept * 100 / known;
+}
+
+/*
+ * Load: gangs on workers of different paces; the owner is killed, and soon
+ * after it its successor.
+ * Guards against a successor that has to learn everything anew.
+ */
+static void test_paces_outlive_the_owner(struct cell_fixture *f,
+					 const void *data)
+{
+	const struct rj_cell_snapshot_account account = { "acme", 390000 };
+	const struct rj_cell_owner *owner;
+	uint32_t accounts = 0;
+	uint64_t at_us = 0;
+
+	rj_cell_handover_set_accounts(&owner_of(&f->sim)->handover, &account,
+				      1);
+	g_assert_cmpuint(paces_kept_percent(&f->sim), >=, 80);
+	owner = owner_of(&f->sim);
+	g_assert_cmpuint(owner->handover.counters.refused, ==, 0);
+	g_assert_cmpfloat(rj_cell_forecast_urgent_accelerators(&owner->forecast,
+							       owner->now_us),
+			  >, 0);
+	g_assert_cmpstr(
+		rj_cell_handover_accounts(&owner->handover, &accounts, &at_us)
+			->name,
+		==, "acme");
+	cell_sim_run(&f->sim, S);
+	replace_owner(&f->sim, NULL);
+	g_assert_cmpuint(owner_of(&f->sim)->handover.paces_read, >=,
+			 site.workers * 4 / 5);
+}
+
+/* Guards against a replay that shows nothing: without the feature the paces are
+ * lost, and nothing is written. */
+static void test_without_the_feature(struct cell_fixture *f, const void *data)
+{
+	g_assert_cmpuint(paces_kept_percent(&f->sim), <, 20);
+	g_assert_cmpuint(owner_of(&f->sim)->handover.counters.records, ==, 0);
+}
+
+/* Starts all instances but the owner again, with another setting. */
+static void restart_others(struct cell_sim *sim, uint32_t snapshot_ms)
+{
+	int owner = cell_sim_owner(sim);
+
+	sim->options.features.snapshot_ms = snapshot_ms;
+	for (uint32_t i = 0; i < site.nodes; i++)
+		if ((int)i != owner) {
+			cell_sim_node_kill(sim, i);
+			cell_sim_node_start(sim, i);
+		}
+	cell_sim_run(sim, 2 * S);
+	g_assert_cmpint(cell_sim_owner(sim), ==, owner);
+}
+
+/*
+ * Load: gangs; the successor does not call for snapshots, and the log has keys
+ * that no version knows. Its own successor does again.
+ * Guards against a takeover that fails at records of another version, and
+ * against records that are lost with it.
+ */
+static void test_owner_without_the_feature_between(struct cell_fixture *f,
+						   const void *data)
+{
+	static const char *const keys[] = { "n41", "n0041", "z00" };
+
+	run_gangs(&f->sim, 40 * S);
+	for (guint i = 0; i < G_N_ELEMENTS(keys); i++)
+		cell_log_put(&f->sim, RJ_CELL_TOPIC_PROGRESS, keys[i], "x", 1);
+	restart_others(&f->sim, 0);
+	replace_owner(&f->sim, NULL);
+	g_assert_cmpuint(owner_of(&f->sim)->handover.rows_read, ==, 0);
+	restart_others(&f->sim, site.features.snapshot_ms);
+	g_assert_cmpuint(owner_of(&f->sim)->handover.counters.records, ==, 0);
+	replace_owner(&f->sim, NULL);
+	g_assert_cmpuint(owner_of(&f->sim)->handover.counters.refused, ==, 0);
+	g_assert_cmpuint(owner_of(&f->sim)->handover.paces_read, >=,
+			 site.workers / 2);
+}
+
+/* Removes each second shard, tears one in eight, and restarts a worker. */
+static void damage(struct cell_sim *sim)
+{
+	GPtrArray *log = sim->log.records[RJ_CELL_TOPIC_PROGRESS];
+	const guint count = log->len;
+
+	for (guint i = 0; i < count; i++) {
+		const struct cell_log_record *record = log->pdata[i];
+		guint64 part = g_ascii_strtoull(record->key + 1, NULL, 16);
+		gsize length;
+		const void *value;
+
+		if (record->key[0] != 'n' || (part % 2 == 0 && part % 8 != 4))
+			continue;
+		value = g_bytes_get_data(record->value, &length);
+		cell_log_put(sim, RJ_CELL_TOPIC_PROGRESS, record->key, value,
+			     part % 2 ? 0 : length - 5);
+	}
+	cell_sim_worker_kill(sim, 0);
+	cell_sim_worker_start(sim, 0);
+}
+
+/*
+ * Load: gangs; the owner ends between two shards, some records are torn, and a
+ * worker restarts before the successor has met it.
+ * Guards against shards that are lost with others, and against a pace that is
+ * taken for that of another incarnation.
+ */
+static void test_each_shard_is_valid_by_itself(struct cell_fixture *f,
+					       const void *data)
+{
+	struct cell_sim *sim = &f->sim;
+	const struct rj_cell_handover *handover;
+	uint32_t known = 0;
+
+	run_gangs(sim, 40 * S);
+	g_assert_cmpuint(samples_of(sim, 0), >, 0);
+	replace_owner(sim, damage);
+	handover = &owner_of(sim)->handover;
+	for (uint32_t i = 0; i < site.workers; i++)
+		known += samples_of(sim, i) > 0;
+	g_assert_cmpuint(handover->counters.refused, >, 0);
+	g_assert_cmpuint(known, >, 0);
+	g_assert_cmpuint(known + 1, >=, handover->paces_read);
+	g_assert_cmpuint(samples_of(sim, 0), ==, 0);
+}
+
+/*
+ * Load: gangs, while the store is slow, refuses all calls of the owner for
+ * 0.5 s and drops the appends to the log of progress for 3 s.
+ * Guards against an owner that waits for its snapshot or stops storing it.
+ */
+static void test_store_is_slow_or_refuses(struct cell_fixture *f,
+					  const void *data)
+{
+	struct cell_sim *sim = &f->sim;
+	int owner = cell_sim_owner(sim);
+
+	run_gangs(sim, 10 * S);
+	sim->log.latency_us = 250 * MS;
+	run_gangs(sim, 10 * S);
+	sim->log.latency_us = 4 * MS;
+	sim->log.modes[owner] = CELL_LOG_REFUSING;
+	run_gangs(sim, 500 * MS);
+	sim->log.modes[owner] = CELL_LOG_AVAILABLE;
+	run_gangs(sim, 5 * S);
+	sim->log.progress_unreachable = true;
+	run_gangs(sim, 3 * S);
+	sim->log.progress_unreachable = false;
+	g_assert_cmpint(cell_sim_owner(sim), ==, owner);
+	g_assert_cmpuint(paces_kept_percent(sim), >=, 80);
+}
+
+/*
+ * Load: none for a minute before the owner ends.
+ * Guards against a snapshot that is too old because nothing else was appended.
+ */
+static void test_idle_owner_refreshes(struct cell_fixture *f, const void *data)
+{
+	run_gangs(&f->sim, 30 * S);
+	cell_sim_run(&f->sim, 80 * S);
+	replace_owner(&f->sim, NULL);
+	g_assert_cmpuint(owner_of(&f->sim)->handover.counters.refused, ==, 0);
+	g_assert_cmpuint(owner_of(&f->sim)->handover.paces_read, >=,
+			 site.workers / 2);
+}
+
+/*
+ * Load: a job waits on a full site for 8 s, then the owner is replaced.
+ * Guards against a wait that begins anew with each owner.
+ */
+static void test_waits_outlive_the_owner(struct cell_fixture *f,
+					 const void *data)
+{
+	const struct cell_sim_options *options = data;
+	struct rj_cell_step step = cell_sim_plain_step(8, 8, 6000);
+	uint64_t wait_us;
+
+	cell_load_fill(&f->sim, 17, false, 60 * S);
+	cell_load_submit(&f->sim, "normal", "a", &step, 6 * S);
+	cell_load_run(&f->sim, 8 * S);
+	replace_owner(&f->sim, NULL);
+	cell_sim_run(&f->sim, S);
+	wait_us = cell_load_backlog(&f->sim)->classes[1].longest_wait_us;
+	if (options->features.snapshot_ms)
+		g_assert_cmpuint(wait_us, >=, 8 * S);
+	else
+		g_assert_cmpuint(wait_us, <, 4 * S);
+}
+
+static const struct cell_sim_options large_site = {
+	.seed = 11,
+	.nodes = 2,
+	.workers = 8000,
+	.rack_workers = 20,
+	.capacity = { 64000, 64000, 8 },
+	.guaranteed = 64,
+	.features = { .snapshot_ms = 1000 },
+};
+
+/* Changes the pace of each worker noticeably. */
+static void change_paces(struct rj_cell_fleet *fleet, uint32_t samples)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &fleet->workers) {
+		struct rj_cell_worker *worker =
+			RJ_CONTAINER(at, struct rj_cell_worker, link);
+		double seed = (double)(worker->heartbeat.incarnation + samples);
+
+		worker->pace =
+			(struct rj_cell_pace){ 0.4 * sin(seed), 0.02, samples };
+	}
+}
+
+/* Returns the bytes of snapshot that were appended after the first `*from`
+ * records of the log, and moves `*from` to its end. */
+static uint32_t snapshot_bytes(const struct cell_sim *sim, guint *from)
+{
+	const GPtrArray *log = sim->log.records[RJ_CELL_TOPIC_PROGRESS];
+	uint32_t bytes = 0;
+
+	for (; *from < log->len; (*from)++) {
+		const struct cell_log_record *record = log->pdata[*from];
+
+		if (record->key[0] == 'n')
+			bytes += (uint32_t)(strlen(record->key) +
+					    g_bytes_get_size(record->value));
+	}
+	return bytes;
+}
+
+/*
+ * Load: 8,000 workers whose paces all change every second.
+ * Guards against a snapshot that takes the bytes of other records, and against
+ * shards that are never written.
+ */
+static void test_large_fleet_keeps_to_the_budget(struct cell_fixture *f,
+						 const void *data)
+{
+	struct cell_sim *sim = &f->sim;
+	uint32_t last_second[10] = { 0 };
+	uint32_t known = 0;
+	guint from = 0;
+
+	for (uint32_t i = 0; i < 400; i++) {
+		uint32_t sum = 0;
+
+		if (i % 10 == 0)
+			change_paces(&owner_of(sim)->fleet, i / 10 + 1);
+		cell_sim_run(sim, 100 * MS);
+		last_second[i % 10] = snapshot_bytes(sim, &from);
+		for (uint32_t j = 0; j < 10; j++)
+			sum += last_second[j];
+		g_assert_cmpuint(sum, <=, RJ_CELL_HANDOVER_BYTES_PER_S);
+	}
+	replace_owner(sim, NULL);
+	cell_sim_run(sim, 3 * S); /* The workers' entries take many pages. */
+	for (uint32_t i = 0; i < large_site.workers; i++)
+		known += samples_of(sim, i) > 0;
+	g_assert_cmpuint(known, >=, large_site.workers * 8 / 10);
+	g_assert_cmpuint(owner_of(sim)->handover.age_us, <, 40 * S);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/cell_snapshot/round_trip", test_round_trip);
+	g_test_add_func("/cell_snapshot/refusals", test_refusals);
+	CELL_TEST("/cell_snapshot/paces", &site, test_paces_outlive_the_owner);
+	CELL_TEST("/cell_snapshot/off", &site_without,
+		  test_without_the_feature);
+	CELL_TEST("/cell_snapshot/between", &site,
+		  test_owner_without_the_feature_between);
+	CELL_TEST("/cell_snapshot/shards", &site,
+		  test_each_shard_is_valid_by_itself);
+	CELL_TEST("/cell_snapshot/store", &site, test_store_is_slow_or_refuses);
+	CELL_TEST("/cell_snapshot/idle", &site, test_idle_owner_refreshes);
+	CELL_TEST("/cell_snapshot/waits", &site, test_waits_outlive_the_owner);
+	CELL_TEST("/cell_snapshot/waits_off", &site_without,
+		  test_waits_outlive_the_owner);
+	CELL_TEST("/cell_snapshot/budget", &large_site,
+		  test_large_fleet_keeps_to_the_budget);
+	return g_test_run();
+}
