cell_handover: the budget is used up with shards of any size

Cause: of 10,000 workers two shards of 6 KiB fit into a second, and the next ones were tried with the append after it, 1.2 s after the first: the oldest part was 37.6 s old. Change: when a part does not fit, the next one is tried as soon as bytes of the last second are free again. Exposure is stored in tenths of a second, which drop no decision.

--- a/src/libradishjunction/cell/cell_handover.c
+++ b/src/libradishjunction/cell/cell_handover.c
@@ -475,8 +475,24 @@
 	       MIN(used, RJ_CELL_HANDOVER_BYTES_PER_S);
 }
 
-/* Returns the slot of the present append, that of one that was made more than a
- * second ago; NULL if there is none. */
+/* Returns when the oldest of the appends within the last second no longer
+ * counts. */
+static uint64_t budget_due_us(const struct rj_cell_handover *handover)
+{
+	uint64_t now_us = handover->owner->now_us;
+	uint64_t due_us = now_us + RJ_US_PER_S;
+
+	for (uint32_t i = 0; i < RJ_CELL_HANDOVER_APPENDS; i++) {
+		uint64_t until_us = handover->appends[i].at_us + RJ_US_PER_S;
+
+		if (handover->appends[i].bytes && now_us < until_us)
+			due_us = MIN(due_us, until_us);
+	}
+	return due_us;
+}
+
+/* Returns the slot for the present append: that of the oldest one, which was
+ * made more than a second ago. */
 static struct rj_cell_handover_append *
 obtain_append(struct rj_cell_handover *handover)
 {
@@ -486,8 +502,7 @@
 	for (uint32_t i = 1; i < RJ_CELL_HANDOVER_APPENDS; i++)
 		if (handover->appends[i].at_us < oldest->at_us)
 			oldest = &handover->appends[i];
-	if (oldest->bytes && now_us < oldest->at_us + RJ_US_PER_S)
-		return NULL;
+	assert(!oldest->bytes || now_us >= oldest->at_us + RJ_US_PER_S);
 	oldest->at_us = now_us;
 	oldest->bytes = 0;
 	return oldest;
@@ -566,35 +581,45 @@
 			   (struct rj_cell_write_done){ write_done, write });
 }
 
-/* Adds the parts that are due and fit, those that have waited longest first. */
+/* Adds one part to the present append if it fits. Returns whether it did. */
+static bool try_part(struct rj_cell_handover *handover,
+		     const struct contents *contents, uint32_t part,
+		     struct rj_cell_handover_append *append)
+{
+	struct rj_bytes value = encode_part(handover, contents, part);
+	char id[RJ_CELL_PART_ID_BYTES];
+	char key[RJ_CELL_KEY_BYTES];
+	size_t bytes;
+	bool fits;
+
+	(void)g_snprintf(id, sizeof(id), "%02x", part);
+	rj_cell_record_key(key, RJ_CELL_RECORD_SNAPSHOT, id);
+	bytes = strlen(key) + value.length;
+	fits = bytes <= budget(handover);
+	if (fits) {
+		add_part(handover, part, contents->digests[part], key, value);
+		append->bytes += bytes;
+		handover->counters.bytes += bytes;
+	}
+	talloc_free((void *)value.data);
+	return fits;
+}
+
+/* Adds the parts that are due and fit, those that were written the longest ago
+ * first. Sets when the next ones may be added. */
 static void add_parts(struct rj_cell_handover *handover,
 		      const struct contents *contents)
 {
-	size_t left = budget(handover);
 	struct rj_cell_handover_append *append = obtain_append(handover);
 	int part;
 
-	while (append && (part = next_part(handover, contents)) >= 0) {
-		char id[RJ_CELL_PART_ID_BYTES];
-		char key[RJ_CELL_KEY_BYTES];
-		struct rj_bytes value =
-			encode_part(handover, contents, (uint32_t)part);
-		size_t bytes;
-
-		(void)g_snprintf(id, sizeof(id), "%02x", part);
-		rj_cell_record_key(key, RJ_CELL_RECORD_SNAPSHOT, id);
-		bytes = strlen(key) + value.length;
-		if (bytes <= left) {
-			add_part(handover, (uint32_t)part,
-				 contents->digests[part], key, value);
-			append->bytes += bytes;
-			handover->counters.bytes += bytes;
+	handover->due_us = handover->owner->now_us + WRITE_INTERVAL_US;
+	while ((part = next_part(handover, contents)) >= 0)
+		if (!try_part(handover, contents, (uint32_t)part, append)) {
+			handover->due_us =
+				MAX(handover->due_us, budget_due_us(handover));
+			return;
 		}
-		talloc_free((void *)value.data);
-		if (bytes > left)
-			break;
-		left = budget(handover);
-	}
 }
 
 /* Logs at intervals what was written since the last such event. */
@@ -651,7 +676,6 @@
 		return;
 	}
 	add_parts(handover, contents);
-	handover->due_us = now_us + WRITE_INTERVAL_US;
 }
 
 /*
--- a/src/libradishjunction/cell/cell_snapshot.c
+++ b/src/libradishjunction/cell/cell_snapshot.c
@@ -18,7 +18,8 @@
 /* Units of the encoded numbers; the digits that they drop do not change a
  * decision. */
 #define PACE_UNIT 1e-4
-#define HISTORY_UNIT 1e-2
+#define BAD_ENDS_UNIT 1e-2
+#define EXPOSURE_UNIT_S 1e-1
 #define MEAN_UNIT_MS 1e-1
 #define HISTORY_TIME_UNIT_US (100 * RJ_US_PER_MS)
 /* Largest absolute value of a logarithm: factors of 20,000. */
@@ -107,8 +108,8 @@
 	write_signed(out, worker->pace.log_ratio, PACE_UNIT, LOG_MAX);
 	write_variance(out, worker->pace.variance);
 	rj_pack_number(out, worker->pace.samples);
-	write_real(out, history->bad_ends, HISTORY_UNIT, HISTORY_MAX);
-	write_real(out, history->exposure_s, HISTORY_UNIT, HISTORY_MAX);
+	write_real(out, history->bad_ends, BAD_ENDS_UNIT, HISTORY_MAX);
+	write_real(out, history->exposure_s, EXPOSURE_UNIT_S, HISTORY_MAX);
 	write_duration(out, history->updated_us,
 		       history->updated_us ? now_us : 0);
 	write_duration(out, now_us, history->probation_until_us);
@@ -136,9 +137,9 @@
 	worker->pace.samples =
 		(uint32_t)rj_unpack_number(in, "samples", UINT32_MAX);
 	history->bad_ends =
-		read_real(in, "bad_ends", HISTORY_UNIT, HISTORY_MAX);
+		read_real(in, "bad_ends", BAD_ENDS_UNIT, HISTORY_MAX);
 	history->exposure_s =
-		read_real(in, "exposure", HISTORY_UNIT, HISTORY_MAX);
+		read_real(in, "exposure", EXPOSURE_UNIT_S, HISTORY_MAX);
 	history->updated_us = time_before_us(
 		now_us, age_us + read_duration_us(in, "updated"));
 	if (history->bad_ends <= 0 && history->exposure_s <= 0)
