cell_handover: keys that are no number and queues without samples are skipped

Cause: a key such as 'nzz' was read as part 0, and the part with queues was written before any run had completed. Change: the id must be a number; only queues with samples are exported.

--- a/src/libradishjunction/cell/cell_forecast.c
+++ b/src/libradishjunction/cell/cell_forecast.c
@@ -237,18 +237,23 @@
 }
 
 /*
- * Copies what is learnt of at most `max` queues. Returns their number.
+ * Copies what is learnt of at most `max` queues that have samples. Returns their
+ * number.
  */
 uint32_t rj_cell_forecast_export(const struct rj_cell_forecast *forecast,
 				 struct rj_cell_queue_mean *means, uint32_t max)
 {
 	GHashTableIter iter;
-	gpointer mean;
+	gpointer value;
 	uint32_t count = 0;
 
 	g_hash_table_iter_init(&iter, forecast->means);
-	while (count < max && g_hash_table_iter_next(&iter, NULL, &mean))
-		means[count++] = *(const struct rj_cell_queue_mean *)mean;
+	while (count < max && g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct rj_cell_queue_mean *mean = value;
+
+		if (mean->samples || mean->estimate_error.samples)
+			means[count++] = *mean;
+	}
 	return count;
 }
 
--- a/src/libradishjunction/cell/cell_handover.c
+++ b/src/libradishjunction/cell/cell_handover.c
@@ -136,13 +136,14 @@
 	const struct rj_cell_snapshot_reader reader = { owner->token,
 							owner->wall_ms,
 							owner->now_us };
-	unsigned long part = strtoul(id, NULL, 16);
+	char *end;
+	unsigned long part = strtoul(id, &end, 16);
 	struct rj_cell_snapshot *snapshot;
 	enum rj_cell_snapshot_status status;
 	uint64_t age_us;
 
 	/* A load that begins anew passes records on again. */
-	if (!is_enabled(handover) || part >= RJ_CELL_HANDOVER_PARTS ||
+	if (!is_enabled(handover) || *end || part >= RJ_CELL_HANDOVER_PARTS ||
 	    handover->parts[part].read)
 		return;
 	snapshot = talloc_zero(owner->mem, struct rj_cell_snapshot);
