cell: rejected callers are accepted in the order of their first rejection

Cause: a queue that rejects for backlog and accepts again takes whoever retries first, so that a caller that was rejected first may wait longest.

The owner merges the records into one list by first rejection and announces in its heartbeat whose turn it is. An instance accepts announced ids although the queue rejects, and rejects others while any are announced.

--- a/src/libradishjunction/cell/cell_flush.c
+++ b/src/libradishjunction/cell/cell_flush.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #include "private/cell_admit.h"
+#include "private/cell_returns.h"
 #include "private/log_event.h"
 
 /* Interval of the owner's heartbeats. Other instances take over once they have
@@ -228,6 +229,7 @@
 
 	if (owner->active) {
 		rj_cell_admit_queues(owner, &heartbeat);
+		rj_cell_returns_announce(owner, &heartbeat);
 	} else {
 		heartbeat = owner->former_heartbeat;
 		heartbeat.incarnation = owner->incarnation;
--- a/src/libradishjunction/cell/cell_frontend.c
+++ b/src/libradishjunction/cell/cell_frontend.c
@@ -26,6 +26,10 @@
 /* Maximum age of the owner's heartbeat for its backlog to count; one is written
  * every 0.4 s. */
 #define HEARTBEAT_AGE_MAX_US (3 * RJ_US_PER_S)
+/* Retry delay of callers whose place in the order of return is kept. */
+#define RETURN_DELAY_MIN_MS 1000
+#define RETURN_DELAY_SPREAD_MS 1000
+#define RETURN_DELAY_UNIT_MS 1000
 /*
  * Keys are accepted while the configuration is younger than this part of the
  * revocation bound promised to operators. The rest covers the time until a
@@ -101,6 +105,7 @@
 	frontend->codec = codec;
 	frontend->revoke_ms = revoke_ms;
 	rj_list_init(&frontend->requests);
+	rj_cell_rejections_init(&frontend->rejections);
 }
 
 /*
@@ -434,12 +439,76 @@
 	       (uint32_t)(rj_hash64_string(id, 0) % (retry_after_ms / 2 + 1));
 }
 
-/* Stores a new job, or rejects it at once if it would not be served in time. */
-static void submit(struct request *request, const struct rj_cell_queue *queue)
+/*
+ * Returns the retry delay of a caller whose place in the order is kept. It is
+ * spread less than others, as those that were rejected together should return in
+ * their order, and lasts whole seconds, as callers are told no fractions.
+ */
+static uint32_t return_delay(const char *id, uint32_t retry_after_ms)
+{
+	uint32_t delay_ms = MAX(retry_after_ms, RETURN_DELAY_MIN_MS);
+
+	delay_ms +=
+		(uint32_t)(rj_hash64_string(id, 0) % RETURN_DELAY_SPREAD_MS);
+	return (delay_ms + RETURN_DELAY_UNIT_MS - 1) / RETURN_DELAY_UNIT_MS *
+	       RETURN_DELAY_UNIT_MS;
+}
+
+/*
+ * Rejects a submission unless its turn has come, and keeps the rejection. Returns
+ * whether the call has been answered.
+ *
+ * Load: many callers are rejected and retry at any instance. The owner announces
+ * those who are next; all others wait for as long as any are announced, even if
+ * the queue accepts meanwhile.
+ */
+static bool reject_out_of_turn(struct request *request,
+			       const struct rj_cell_queue *queue,
+			       const struct rj_cell_queue_load *load)
+{
+	struct rj_cell_frontend *frontend = request->frontend;
+	uint64_t wall_ms = request->call->wall_ms;
+	uint32_t delay_ms = 0;
+	enum rj_cell_turn turn =
+		rj_cell_rejections_turn(&frontend->heartbeat, request->id,
+					queue->name, wall_ms, &delay_ms);
+
+	if (turn == RJ_CELL_TURN_OWN ||
+	    (turn == RJ_CELL_TURN_NONE && !load->refuse))
+		return false;
+	if (turn != RJ_CELL_TURN_EARLY)
+		delay_ms = rj_cell_rejections_add(
+			&frontend->rejections, request->id, queue->name,
+			wall_ms,
+			return_delay(request->id, load->retry_after_ms));
+	answer_verdict(request, RJ_CELL_VERDICT_BUSY,
+		       load->refuse ? "backlog" : "not_in_turn", delay_ms);
+	return true;
+}
+
+/* Whether the queue rejects a submission, which has then been answered. */
+static bool reject(struct request *request, const struct rj_cell_queue *queue)
 {
 	struct rj_cell_frontend *frontend = request->frontend;
 	const struct rj_cell_queue_load *load =
 		find_queue_load(frontend, queue);
+
+	if (!load ||
+	    frontend->now_us > frontend->heartbeat_us + HEARTBEAT_AGE_MAX_US)
+		return false;
+	if (frontend->return_order)
+		return reject_out_of_turn(request, queue, load);
+	if (!load->refuse)
+		return false;
+	answer_verdict(request, RJ_CELL_VERDICT_BUSY, "backlog",
+		       spread_retry(request->id, load->retry_after_ms));
+	return true;
+}
+
+/* Stores a new job, or rejects it at once if it would not be served in time. */
+static void submit(struct request *request, const struct rj_cell_queue *queue)
+{
+	struct rj_cell_frontend *frontend = request->frontend;
 	struct rj_cell_job_spec *job_spec;
 	struct rj_bytes value;
 	struct rj_error err;
@@ -459,12 +528,8 @@
 			       0);
 		return;
 	}
-	if (load && load->refuse &&
-	    frontend->now_us <= frontend->heartbeat_us + HEARTBEAT_AGE_MAX_US) {
-		answer_verdict(request, RJ_CELL_VERDICT_BUSY, "backlog",
-			       spread_retry(request->id, load->retry_after_ms));
+	if (reject(request, queue))
 		return;
-	}
 	set_terms(job_spec, request, queue);
 	value = rj_cell_job_spec_encode(request, job_spec);
 	store(request, RJ_CELL_RECORD_JOB_SPEC, value);
--- a/src/libradishjunction/cell/cell_metrics.c
+++ b/src/libradishjunction/cell/cell_metrics.c
@@ -137,6 +137,24 @@
 	write_fleet(text, owner, now_us);
 }
 
+/* Writes the rejections that this instance keeps and, of the owner, the order of
+ * return. */
+static void write_return_order(GString *text, const struct rj_cell_node *node)
+{
+	const struct rj_cell_return_order *order = &node->owner.return_order;
+	const struct rj_cell_return_counters *counters = &order->counters;
+
+	if (!node->options.limits.features.return_order)
+		return;
+	write_number(text, "rejections_kept",
+		     node->frontend.rejections.list.count);
+	write_number(text, "returns_waiting",
+		     node->owner.active ? g_hash_table_size(order->by_id) : 0);
+	write_number(text, "returns_announced", counters->announced);
+	write_number(text, "returns_in_turn", counters->in_turn);
+	write_number(text, "returns_expired", counters->expired);
+}
+
 /*
  * Appends all metrics to `text`, one per line.
  */
@@ -162,4 +180,5 @@
 	write_appends(text, "owner", &node->owner.writer);
 	write_appends(text, "owner_progress", &node->owner.progress_writer);
 	write_owner(text, &node->owner, now_us);
+	write_return_order(text, node);
 }
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #include "private/cell_candidate.h"
+#include "private/cell_returns.h"
 #include "private/log_event.h"
 
 /* Long-poll durations. They keep the age of the data well below the limit for
@@ -297,6 +298,8 @@
 	struct rj_cell_view_entry *entry =
 		rj_cell_view_apply(&node->view, record, node->requests.now_us);
 
+	if (!entry && rj_cell_node_is_owner(node))
+		rj_cell_returns_read(&node->owner, record, node->wall_ms);
 	if (!entry || !node->owner.active)
 		return;
 	node->owner.now_us = node->requests.now_us;
@@ -444,6 +447,7 @@
 	rj_cell_frontend_init(&node->frontend, mem, &node->view, &node->jobs,
 			      &node->requests, &node->configs, &node->writer,
 			      options->codec, options->limits.revoke_ms);
+	node->frontend.return_order = options->limits.features.return_order;
 	rj_cell_owner_init(&node->owner, mem, options->name,
 			   options->incarnation, &node->view, options->store,
 			   options->workers, &options->limits);
@@ -510,6 +514,10 @@
 	rj_cell_log_reader_tick(&node->jobs, now_us);
 	rj_cell_log_reader_tick(&node->requests, now_us);
 	rj_cell_log_reader_tick(&node->fleet, now_us);
+	rj_cell_rejections_tick(&node->frontend.rejections, &node->writer,
+				&node->view, node->options.name,
+				node->frontend.heartbeat.rejections_interval_ms,
+				now_us, wall_ms);
 	rj_cell_writer_tick(&node->writer, now_us);
 	rj_cell_frontend_tick(&node->frontend, now_us);
 	node->owner.requests_read_us = node->requests.confirmed_us;
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -7,6 +7,7 @@
 
 #include "private/cell_flush.h"
 #include "private/cell_plan.h"
+#include "private/cell_returns.h"
 #include "private/cell_starts.h"
 #include "private/log_event.h"
 
@@ -61,6 +62,7 @@
 	rj_list_init(&owner->dirty_jobs);
 	rj_cell_forecast_init(&owner->forecast);
 	rj_cell_lease_bounds_init(&owner->leases);
+	rj_cell_return_order_init(&owner->return_order);
 	owner->ended_jobs = g_ptr_array_new_with_free_func(g_free);
 	rj_cell_writer_init(&owner->writer, mem, store, RJ_CELL_TOPIC_JOBS,
 			    "owner");
@@ -221,6 +223,7 @@
 						       entry->job_spec,
 						       owner->now_us);
 		log_job_taken(entry);
+		rj_cell_returns_accepted(owner, entry->job_spec);
 	}
 	if (entry->cancelled && !entry->job->cancelled) {
 		entry->job->cancelled = true;
@@ -394,6 +397,7 @@
 	owner->writes_pending = 0;
 	owner->heartbeat_due_us = now_us;
 	rj_cell_fleet_init(&owner->fleet, owner->mem, owner->cordons);
+	rj_cell_returns_begin(owner);
 	rj_cell_writer_open(&owner->writer, epoch, 1, now_us);
 	rj_cell_writer_open(&owner->progress_writer, epoch, 0, now_us);
 }
@@ -490,6 +494,7 @@
 	rj_cell_owner_resign(owner, "finish");
 	rj_cell_forecast_finish(&owner->forecast);
 	rj_cell_lease_bounds_finish(&owner->leases);
+	rj_cell_return_order_finish(&owner->return_order);
 	g_ptr_array_free(owner->ended_jobs, TRUE);
 }
 
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -14,13 +14,18 @@
 #define OWNER_FORMAT_NO_EPOCH 2
 #define OWNER_FORMAT 3
 #define HEARTBEAT_FORMAT 2
+/* What follows the fixed fields of a heartbeat, by its tag; a reader skips tags
+ * that it does not know. */
+#define HEARTBEAT_TAG_RETURN_ORDER 1
+#define HEARTBEAT_BLOCK_BYTES_MAX 65536
 
 /* First character of a key. */
 static const char key_prefix[RJ_CELL_RECORD_KIND_COUNT] = {
-	[RJ_CELL_RECORD_JOB_SPEC] = 'j', [RJ_CELL_RECORD_PROGRESS] = 's',
-	[RJ_CELL_RECORD_STATE] = 't',	 [RJ_CELL_RECORD_CANCEL] = 'c',
-	[RJ_CELL_RECORD_OWNER] = 'o',	 [RJ_CELL_RECORD_HEARTBEAT] = 'b',
-	[RJ_CELL_RECORD_FENCE] = 'f',	 [RJ_CELL_RECORD_LEASE_BOUNDS] = 'o',
+	[RJ_CELL_RECORD_JOB_SPEC] = 'j',   [RJ_CELL_RECORD_PROGRESS] = 's',
+	[RJ_CELL_RECORD_STATE] = 't',	   [RJ_CELL_RECORD_CANCEL] = 'c',
+	[RJ_CELL_RECORD_OWNER] = 'o',	   [RJ_CELL_RECORD_HEARTBEAT] = 'b',
+	[RJ_CELL_RECORD_FENCE] = 'f',	   [RJ_CELL_RECORD_LEASE_BOUNDS] = 'o',
+	[RJ_CELL_RECORD_REJECTIONS] = 'r',
 };
 
 /* How a task is encoded. */
@@ -40,6 +45,25 @@
 	g_strlcpy(key + 1, id, RJ_CELL_KEY_BYTES - 1);
 }
 
+/*
+ * Builds the key of the rejections of an instance.
+ */
+void rj_cell_record_instance_key(char key[RJ_CELL_INSTANCE_KEY_BYTES],
+				 const char *instance)
+{
+	key[0] = key_prefix[RJ_CELL_RECORD_REJECTIONS];
+	g_strlcpy(key + 1, instance, RJ_NAME_BYTES);
+}
+
+/* Whether a key of a kind may have this length. */
+static bool is_key_length(enum rj_cell_record_kind kind, size_t length)
+{
+	if (kind == RJ_CELL_RECORD_REJECTIONS)
+		return length > 1 && length < RJ_CELL_INSTANCE_KEY_BYTES;
+	return length ==
+	       (kind <= RJ_CELL_RECORD_CANCEL ? RJ_CELL_KEY_BYTES - 1 : 1);
+}
+
 /*
  * Parses a key. Returns 0, or -1 for an unknown key.
  */
@@ -47,10 +71,8 @@
 			const char **id)
 {
 	for (int i = 0; i < RJ_CELL_RECORD_KIND_COUNT; i++) {
-		bool of_job = i <= RJ_CELL_RECORD_CANCEL;
-
 		if (key[0] != key_prefix[i] ||
-		    strlen(key) != (of_job ? RJ_CELL_KEY_BYTES - 1 : 1))
+		    !is_key_length((enum rj_cell_record_kind)i, strlen(key)))
 			continue;
 		*kind = (enum rj_cell_record_kind)i;
 		*id = key + 1;
@@ -460,6 +482,69 @@
 	return rj_unpack_finish(&in, err);
 }
 
+/* Encodes the announced submissions, if there is anything to tell. */
+static void write_return_order(struct rj_packer *out, void *mem,
+			       const struct rj_cell_owner_heartbeat *heartbeat)
+{
+	struct rj_packer block;
+	struct rj_bytes bytes;
+
+	if (!heartbeat->announced_count && !heartbeat->rejections_interval_ms)
+		return;
+	rj_pack_init(&block);
+	rj_pack_number(&block, heartbeat->rejections_interval_ms);
+	rj_pack_number(&block, heartbeat->announced_count);
+	for (uint32_t i = 0; i < heartbeat->announced_count; i++) {
+		rj_pack_number(&block, heartbeat->announced[i].id);
+		rj_pack_number(&block, heartbeat->announced[i].due_ms);
+		rj_pack_number(&block, heartbeat->announced[i].queue);
+	}
+	bytes = rj_pack_finish(&block, mem);
+	rj_pack_number(out, HEARTBEAT_TAG_RETURN_ORDER);
+	rj_pack_data(out, bytes.data, bytes.length);
+	talloc_free((void *)bytes.data);
+}
+
+/* Decodes the output of write_return_order. */
+static void read_return_order(struct rj_unpacker *in, struct rj_bytes bytes,
+			      struct rj_cell_owner_heartbeat *heartbeat)
+{
+	struct rj_unpacker block;
+	struct rj_error err;
+
+	rj_unpack_init(&block, bytes);
+	heartbeat->rejections_interval_ms =
+		(uint32_t)rj_unpack_number(&block, "interval", UINT32_MAX);
+	heartbeat->announced_count = (uint32_t)rj_unpack_number(
+		&block, "announced", RJ_CELL_ANNOUNCED_MAX);
+	for (uint32_t i = 0; i < heartbeat->announced_count; i++) {
+		struct rj_cell_announced *announced = &heartbeat->announced[i];
+
+		announced->id = rj_unpack_number(&block, "id", UINT64_MAX);
+		announced->due_ms = rj_unpack_number(&block, "due", UINT64_MAX);
+		announced->queue = (uint32_t)rj_unpack_number(
+			&block, "queue", RJ_CELL_QUEUE_LOADS_MAX);
+		if (announced->queue >= heartbeat->queue_load_count)
+			rj_unpack_fail(&block, "queue");
+	}
+	if (rj_unpack_finish(&block, &err))
+		rj_unpack_fail(in, "announced");
+}
+
+/* Decodes the blocks that follow the fixed fields of a heartbeat. */
+static void read_blocks(struct rj_unpacker *in,
+			struct rj_cell_owner_heartbeat *heartbeat)
+{
+	while (rj_unpack_has_more(in)) {
+		uint64_t tag = rj_unpack_number(in, "tag", UINT32_MAX);
+		struct rj_bytes block =
+			rj_unpack_data(in, "block", HEARTBEAT_BLOCK_BYTES_MAX);
+
+		if (tag == HEARTBEAT_TAG_RETURN_ORDER && !in->bad_field)
+			read_return_order(in, block, heartbeat);
+	}
+}
+
 /*
  * Encodes an owner's heartbeat as a talloc child of `mem`.
  */
@@ -487,6 +572,7 @@
 	/* Earlier versions do not read what follows the queues. */
 	rj_pack_number(&out, heartbeat->term_token);
 	rj_pack_number(&out, heartbeat->term_ms);
+	write_return_order(&out, mem, heartbeat);
 	return rj_pack_finish(&out, mem);
 }
 
@@ -528,5 +614,6 @@
 		heartbeat->term_ms =
 			rj_unpack_number(&in, "term_ms", UINT64_MAX);
 	}
+	read_blocks(&in, heartbeat);
 	return rj_unpack_finish(&in, err);
 }
--- a/src/libradishjunction/include/private/cell_frontend.h
+++ b/src/libradishjunction/include/private/cell_frontend.h
@@ -13,6 +13,7 @@
 #include "private/cell_config.h"
 #include "private/cell_log_availability.h"
 #include "private/cell_log_reader.h"
+#include "private/cell_rejections.h"
 #include "private/cell_view.h"
 #include "private/cell_writer.h"
 #include "private/latency.h"
@@ -114,6 +115,9 @@
 	struct rj_cell_owner_heartbeat heartbeat; /* newest one of the owner */
 	uint64_t heartbeat_us; /* when it was read; 0: none yet */
 	uint32_t revoke_ms; /* a removed key may be accepted for this long */
+	/* Rejected callers are accepted in order; set by the node. */
+	bool return_order;
+	struct rj_cell_rejections rejections;
 	struct rj_cell_log_availability log_availability; /* with the log */
 	struct rj_list requests;
 	uint32_t open;
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -24,6 +24,7 @@
 #include "private/cell_fleet.h"
 #include "private/cell_forecast.h"
 #include "private/cell_lease_bounds.h"
+#include "private/cell_return_order.h"
 #include "private/cell_view.h"
 #include "private/cell_workers.h"
 #include "private/cell_writer.h"
@@ -102,6 +103,9 @@
 	GPtrArray *ended_jobs; /* ids of jobs whose keys may be removed */
 	struct rj_cell_forecast forecast;
 	struct rj_cell_failure_burst failure_burst;
+	struct rj_cell_return_order return_order;
+	/* The former owner's announcements have been taken over. */
+	bool announcements_resumed;
 	uint32_t strength; /* of the instance, in hundredths of a core */
 	bool plan_wanted;
 	uint64_t plan_due_us; /* without other events */
--- a/src/libradishjunction/include/private/cell_record.h
+++ b/src/libradishjunction/include/private/cell_record.h
@@ -13,7 +13,10 @@
 #include "private/cell_active_job.h"
 
 #define RJ_CELL_KEY_BYTES (RJ_CELL_ID_BYTES + 1)
+/* Of a record that is keyed by the name of an instance. */
+#define RJ_CELL_INSTANCE_KEY_BYTES (RJ_NAME_BYTES + 1)
 #define RJ_CELL_QUEUE_LOADS_MAX 32
+#define RJ_CELL_ANNOUNCED_MAX 32
 
 enum rj_cell_record_kind {
 	RJ_CELL_RECORD_JOB_SPEC,
@@ -31,6 +34,9 @@
 	 * there: so the bounds vanish when such an owner, which keeps none,
 	 * takes over. */
 	RJ_CELL_RECORD_LEASE_BOUNDS,
+	/* The submissions that an instance has rejected, in the log of
+	 * requests; its id is the name of the instance. */
+	RJ_CELL_RECORD_REJECTIONS,
 	RJ_CELL_RECORD_KIND_COUNT
 };
 
@@ -55,6 +61,13 @@
 	uint32_t pending; /* jobs of which no task has started */
 };
 
+/* A rejected submission whose turn it is. */
+struct rj_cell_announced {
+	uint64_t id; /* of the job */
+	uint64_t due_ms; /* when its delay has passed, Unix time */
+	uint32_t queue; /* index of its queue's load */
+};
+
 struct rj_cell_owner_heartbeat {
 	uint64_t incarnation; /* of the owner */
 	uint32_t number; /* rises by one */
@@ -64,6 +77,13 @@
 	uint64_t term_ms;
 	uint32_t queue_load_count;
 	struct rj_cell_queue_load queue_loads[RJ_CELL_QUEUE_LOADS_MAX];
+	/* Submissions that are accepted although their queue rejects others,
+	 * the next one first. */
+	uint32_t announced_count;
+	struct rj_cell_announced announced[RJ_CELL_ANNOUNCED_MAX];
+	/* Minimum time between two records of rejections of an instance; 0: the
+	 * default. */
+	uint32_t rejections_interval_ms;
 };
 
 /* The part of a job's progress that callers may see. */
@@ -74,6 +94,8 @@
 
 void rj_cell_record_key(char key[RJ_CELL_KEY_BYTES],
 			enum rj_cell_record_kind kind, const char *id);
+void rj_cell_record_instance_key(char key[RJ_CELL_INSTANCE_KEY_BYTES],
+				 const char *instance);
 int rj_cell_record_kind(const char *key, enum rj_cell_record_kind *kind,
 			const char **id);
 struct rj_bytes rj_cell_progress_encode(void *mem,
--- a/src/test_libradishjunction/support/cell_sim.c
+++ b/src/test_libradishjunction/support/cell_sim.c
@@ -430,8 +430,10 @@
 		break;
 	case RJ_CELL_VERDICT_BUSY:
 	case RJ_CELL_VERDICT_UNAVAILABLE:
-		if (base->verb == RJ_CELL_VERB_SUBMIT)
+		if (base->verb == RJ_CELL_VERB_SUBMIT) {
 			job->refusals++;
+			job->retry_after_ms = answer->retry_after_ms;
+		}
 		break;
 	case RJ_CELL_VERDICT_CANCELLED:
 		if (!job->cancelled)
--- a/src/test_libradishjunction/support/cell_sim.h
+++ b/src/test_libradishjunction/support/cell_sim.h
@@ -31,6 +31,7 @@
 	struct rj_cell_job_spec *spec;
 	uint32_t submissions;
 	uint32_t refusals; /* submissions answered "not accepted" */
+	uint32_t retry_after_ms; /* told with the last refusal */
 	uint32_t starts; /* of its tasks, on workers */
 	bool accepted;
 	bool cancel_sent;
