--- a/src/libradishjunction/cell/cell_frontend.c
+++ b/src/libradishjunction/cell/cell_frontend.c
@@ -473,6 +473,12 @@
 		rj_cell_rejections_turn(&frontend->heartbeat, request->id,
 					queue->name, wall_ms, &delay_ms);
 
+	if (turn == RJ_CELL_TURN_OWN) {
+		delay_ms = rj_cell_rejections_left_ms(&frontend->rejections,
+						      request->id, wall_ms);
+		if (delay_ms)
+			turn = RJ_CELL_TURN_EARLY;
+	}
 	if (turn == RJ_CELL_TURN_OWN ||
 	    (turn == RJ_CELL_TURN_NONE && !load->refuse))
 		return false;
--- a/src/libradishjunction/cell/cell_rejections.c
+++ b/src/libradishjunction/cell/cell_rejections.c
@@ -223,6 +223,36 @@
 	return i;
 }
 
+/* Returns how much of the delay of a rejection is left; 0 if it has passed or is
+ * about to. */
+static uint32_t delay_left_ms(const struct rj_cell_rejection *rejection,
+			      uint64_t wall_ms)
+{
+	uint64_t due_ms = rejection->last_ms + rejection->delay_ms;
+
+	return wall_ms + RJ_CELL_REJECTION_EARLY_MS < due_ms ?
+		       (uint32_t)MIN(due_ms - wall_ms, rejection->delay_ms) :
+		       0;
+}
+
+/*
+ * Returns how long a submission still has to wait after its last rejection by
+ * this instance.
+ *
+ * Guards against a caller that was rejected just before it was announced, and
+ * that does not wait for its delay: the owner does not know of it yet.
+ */
+uint32_t rj_cell_rejections_left_ms(struct rj_cell_rejections *rejections,
+				    const char *id, uint64_t wall_ms)
+{
+	const struct rj_cell_rejection *rejection = NULL;
+	uint64_t number;
+
+	if (rj_cell_rejection_id(id, &number))
+		rejection = find(&rejections->list, number);
+	return rejection ? delay_left_ms(rejection, wall_ms) : 0;
+}
+
 /*
  * Keeps the rejection of a submission, unless there are too many older ones.
  * Returns the delay to tell its caller: `delay_ms`, or for a retry that comes
@@ -245,11 +275,10 @@
 	prune(list, NULL, wall_ms);
 	rejection = find(list, number);
 	if (rejection) {
-		uint64_t due_ms = rejection->last_ms + rejection->delay_ms;
+		uint32_t left_ms = delay_left_ms(rejection, wall_ms);
 
-		if (wall_ms + RJ_CELL_REJECTION_EARLY_MS < due_ms)
-			return (uint32_t)MIN(due_ms - wall_ms,
-					     rejection->delay_ms);
+		if (left_ms)
+			return left_ms;
 		rejection->last_ms = MAX(wall_ms, rejection->first_ms);
 		rejection->delay_ms = delay_ms;
 		rejections->changed = true;
--- a/src/libradishjunction/cell/cell_return_order.c
+++ b/src/libradishjunction/cell/cell_return_order.c
@@ -14,14 +14,19 @@
 /* Of one queue, so that no queue takes the whole list. */
 #define QUEUE_ANNOUNCED_MAX (RJ_CELL_ANNOUNCED_MAX / 2)
 /*
- * A queue that accepts for this long while submissions are announced and none of
- * its jobs waits for its first start has more capacity than turns fill, and is
- * opened to all.
+ * Only so many submissions of a queue, the first in the order, are announced; if
+ * all of them are away, the queue is held for them.
  *
- * Guards against capacity that is idle because announced callers do not return,
- * or because the list of announcements is too short for the rate of jobs.
+ * Guards against a submission that was rejected late and told to return soon,
+ * while those before it were told to return later.
  */
-#define OPEN_AFTER_MS 1000
+#define QUEUE_AHEAD_MAX 32
+/* A queue that accepts for this long although as many submissions are announced
+ * as may be is opened to all: the list is too short for the rate of jobs. */
+#define OPEN_AFTER_MS 2000
+/* A queue is also opened after as many callers in a row as this have not
+ * returned: they do not retry, and waiting for them would waste capacity. */
+#define OPEN_AFTER_LOSSES 8
 /* Without a heartbeat for this long the store or the owner was stalled, and
  * callers may have been turned away for another reason than backlog. */
 #define STALL_MS 1500
@@ -135,9 +140,11 @@
 	entry->announced = announced;
 	if (announced) {
 		queue->outstanding++;
+		order->outstanding++;
 		order->counters.announced++;
 	} else {
 		queue->outstanding--;
+		order->outstanding--;
 	}
 }
 
@@ -191,6 +198,16 @@
 	g_sequence_sort_changed(entry->at, by_order, NULL);
 }
 
+/* Records that the caller of an entry has returned. */
+static void record_return(struct rj_cell_return_order *order,
+			  const struct rj_cell_return_entry *entry)
+{
+	struct rj_cell_return_queue *queue = obtain_queue(order, entry->queue);
+
+	if (queue)
+		queue->losses = 0;
+}
+
 /*
  * Applies the last rejection of an entry by one instance. One that came early is
  * ignored, so that frequent retries change nothing.
@@ -198,11 +215,13 @@
  * An entry that had lost its turn gets it back if its caller returned in time,
  * and the record came late; otherwise it starts anew.
  */
-static void apply_last(struct rj_cell_return_entry *entry, uint64_t last_ms,
+static void apply_last(struct rj_cell_return_order *order,
+		       struct rj_cell_return_entry *entry, uint64_t last_ms,
 		       uint64_t delay_ms)
 {
 	if (last_ms + RJ_CELL_REJECTION_EARLY_MS < entry->due_ms)
 		return;
+	record_return(order, entry);
 	if (entry->lost_ms &&
 	    last_ms > entry->due_ms + RJ_CELL_RETURN_WITHIN_MS) {
 		entry->floor_ms = last_ms;
@@ -228,7 +247,7 @@
 	if (wall_ms > first_ms + RJ_CELL_REJECTION_AGE_MAX_MS)
 		return;
 	if (entry) {
-		apply_last(entry, last_ms, rejection->delay_ms);
+		apply_last(order, entry, last_ms, rejection->delay_ms);
 		first_ms = MAX(first_ms, entry->floor_ms);
 		if (first_ms >= entry->first_ms)
 			return;
@@ -289,6 +308,7 @@
 	if (!entry)
 		return false;
 	*accepted = *entry;
+	record_return(order, entry);
 	if (entry->announced) {
 		order->counters.in_turn++;
 		widen(order, entry->queue);
@@ -317,8 +337,12 @@
 static void lose_turn(struct rj_cell_return_order *order,
 		      struct rj_cell_return_entry *entry, uint64_t wall_ms)
 {
+	struct rj_cell_return_queue *queue = obtain_queue(order, entry->queue);
+
 	entry->lost_ms = wall_ms;
 	order->counters.expired++;
+	if (queue)
+		queue->losses++;
 	if (!entry->announced)
 		return;
 	set_announced(order, entry, false);
@@ -362,21 +386,29 @@
 	return i;
 }
 
-/* Updates a queue by its present forecast. */
-static void update_queue(struct rj_cell_return_queue *queue,
-			 const struct rj_cell_queue_load *load,
-			 uint64_t wall_ms)
+/*
+ * Updates a queue by its present forecast, and opens it to all if turns would
+ * keep it from using its capacity.
+ *
+ * Guards against callers that are rejected although there is capacity for them:
+ * because nothing waits any more, because the announced ones do not return, or
+ * because more jobs are completed than can be announced.
+ */
+static void update_queue(struct rj_cell_return_queue *queue, bool rejects,
+			 bool backlogged, uint64_t wall_ms)
 {
-	queue->rejects = load->refuse;
-	if (queue->rejects) {
+	queue->rejects = rejects;
+	if (rejects) {
 		queue->window = 1;
 		queue->open = false;
 	}
-	if (queue->rejects || load->pending || !queue->outstanding)
-		queue->idle_since_ms = 0;
-	else if (!queue->idle_since_ms)
-		queue->idle_since_ms = wall_ms;
-	else if (wall_ms > queue->idle_since_ms + OPEN_AFTER_MS)
+	if (queue->window < QUEUE_ANNOUNCED_MAX)
+		queue->full_since_ms = 0;
+	else if (!queue->full_since_ms)
+		queue->full_since_ms = wall_ms;
+	else if (wall_ms > queue->full_since_ms + OPEN_AFTER_MS)
+		queue->open = true;
+	if (!rejects && (!backlogged || queue->losses >= OPEN_AFTER_LOSSES))
 		queue->open = true;
 }
 
@@ -384,32 +416,45 @@
  * any more. */
 static void update_queues(struct rj_cell_return_order *order,
 			  const struct rj_cell_owner_heartbeat *heartbeat,
-			  uint64_t wall_ms)
+			  uint32_t backlogged, uint64_t wall_ms)
 {
 	for (uint32_t i = order->queue_count; i-- > 0;) {
 		struct rj_cell_return_queue *queue = &order->queues[i];
-		uint32_t at = load_index(heartbeat, queue->name);
 
-		if (at < heartbeat->queue_load_count)
-			update_queue(queue, &heartbeat->queue_loads[at],
-				     wall_ms);
-		else if (!queue->outstanding)
+		queue->passed = 0;
+		queue->next = NULL;
+		if (!queue->outstanding && load_index(heartbeat, queue->name) ==
+						   heartbeat->queue_load_count)
 			*queue = order->queues[--order->queue_count];
 	}
+	for (uint32_t i = 0; i < heartbeat->queue_load_count; i++) {
+		const struct rj_cell_queue_load *load =
+			&heartbeat->queue_loads[i];
+		struct rj_cell_return_queue *queue =
+			obtain_queue(order, load->queue);
+
+		if (queue)
+			update_queue(queue, load->refuse, backlogged >> i & 1,
+				     wall_ms);
+	}
 }
 
-/* Whether an entry may be announced now. */
+/* Whether an entry may be announced now. Call it for all entries in their order.
+ * Remembers of each queue which of the first entries returns next. */
 static bool is_next(struct rj_cell_return_order *order,
-		    const struct rj_cell_return_entry *entry, uint64_t wall_ms)
+		    struct rj_cell_return_entry *entry, uint64_t wall_ms)
 {
-	const struct rj_cell_return_queue *queue;
+	struct rj_cell_return_queue *queue = obtain_queue(order, entry->queue);
 
-	if (entry->announced || entry->lost_ms ||
-	    entry->due_ms > wall_ms + ANNOUNCE_AHEAD_MS)
+	if (!queue || entry->lost_ms || queue->passed++ >= QUEUE_AHEAD_MAX)
 		return false;
-	queue = obtain_queue(order, entry->queue);
-	return queue && !queue->rejects && !queue->open &&
-	       queue->outstanding < queue->window;
+	if (!queue->next || entry->due_ms < queue->next->due_ms)
+		queue->next = entry;
+	return !entry->announced &&
+	       entry->due_ms <= wall_ms + ANNOUNCE_AHEAD_MS &&
+	       !queue->rejects && !queue->open &&
+	       queue->outstanding < queue->window &&
+	       order->outstanding < RJ_CELL_ANNOUNCED_MAX;
 }
 
 /* Adds an announced entry to the heartbeat, or withdraws it. */
@@ -430,9 +475,35 @@
 		(struct rj_cell_announced){ entry->id, entry->due_ms, at };
 }
 
+/*
+ * Adds to the heartbeat, for each queue that accepts while none is announced, the
+ * submission that returns next, however long it takes.
+ *
+ * Guards against callers that retry all the time and would be accepted while all
+ * those before them are away. As the queue has a backlog, no capacity is idle
+ * meanwhile.
+ */
+static void hold_queues(const struct rj_cell_return_order *order,
+			struct rj_cell_owner_heartbeat *heartbeat)
+{
+	for (uint32_t i = 0; i < order->queue_count; i++) {
+		const struct rj_cell_return_queue *queue = &order->queues[i];
+		uint32_t at = load_index(heartbeat, queue->name);
+
+		if (queue->rejects || queue->open || queue->outstanding ||
+		    !queue->next || at == heartbeat->queue_load_count ||
+		    heartbeat->announced_count == RJ_CELL_ANNOUNCED_MAX)
+			continue;
+		heartbeat->announced[heartbeat->announced_count++] =
+			(struct rj_cell_announced){ queue->next->id,
+						    queue->next->due_ms, at };
+	}
+}
+
 /*
  * Fills the heartbeat with the submissions whose turn it is. The loads of the
- * queues must be set.
+ * queues must be set; `backlogged` has the bit of each load whose queue has jobs
+ * that wait, so that none of its capacity is idle.
  *
  * Load: many callers were rejected, and the forecast of their queue has some
  * capacity again. Each queue begins with one announcement, and widens to more as
@@ -441,7 +512,7 @@
  */
 void rj_cell_return_order_announce(struct rj_cell_return_order *order,
 				   struct rj_cell_owner_heartbeat *heartbeat,
-				   uint64_t wall_ms)
+				   uint32_t backlogged, uint64_t wall_ms)
 {
 	uint32_t interval_ms =
 		g_hash_table_size(order->written) * 1000 / RECORDS_PER_S;
@@ -454,16 +525,15 @@
 	order->announced_ms = wall_ms;
 	heartbeat->rejections_interval_ms = interval_ms;
 	heartbeat->announced_count = 0;
-	update_queues(order, heartbeat, wall_ms);
+	update_queues(order, heartbeat, backlogged, wall_ms);
 	expire(order, interval_ms, wall_ms);
-	for (entry = first_entry(order);
-	     entry && heartbeat->announced_count < RJ_CELL_ANNOUNCED_MAX;
-	     entry = next_entry(entry)) {
+	for (entry = first_entry(order); entry; entry = next_entry(entry)) {
 		if (is_next(order, entry, wall_ms))
 			set_announced(order, entry, true);
 		if (entry->announced)
 			write_entry(order, entry, heartbeat);
 	}
+	hold_queues(order, heartbeat);
 }
 
 /*
--- a/src/libradishjunction/cell/cell_returns.c
+++ b/src/libradishjunction/cell/cell_returns.c
@@ -1,7 +1,12 @@
 #include "private/cell_returns.h"
 
+#include <string.h>
+
 #include "private/log_event.h"
 
+/* A queue has a backlog when one of its jobs has waited for this long. */
+#define BACKLOG_WAIT_US RJ_US_PER_S
+
 /*
  * Empties the list before the log of requests is loaded. Call it when a takeover
  * begins.
@@ -91,6 +96,37 @@
 	rj_cell_return_order_forget_record(&owner->return_order, instance);
 }
 
+/* Whether a job has waited for its first start for so long that its queue has a
+ * backlog. */
+static bool is_backlogged(const struct rj_cell_owner *owner,
+			  const struct rj_cell_job *job)
+{
+	return !job->started && !job->cancelled && !job->job_spec->repeats &&
+	       job->state == RJ_CELL_JOB_QUEUED &&
+	       owner->now_us >= job->accepted_us + BACKLOG_WAIT_US;
+}
+
+/* Returns the bits of the loads whose queue has a backlog. */
+static uint32_t find_backlogs(const struct rj_cell_owner *owner,
+			      const struct rj_cell_owner_heartbeat *heartbeat)
+{
+	const struct rj_list *at;
+	uint32_t backlogged = 0;
+
+	for (at = owner->jobs.next; at != &owner->jobs; at = at->next) {
+		const struct rj_cell_job *job =
+			RJ_CONTAINER(at, struct rj_cell_job, link);
+		const char *queue = job->job_spec->queue;
+
+		if (!is_backlogged(owner, job))
+			continue;
+		for (uint32_t i = 0; i < heartbeat->queue_load_count; i++)
+			if (!strcmp(heartbeat->queue_loads[i].queue, queue))
+				backlogged |= UINT32_C(1) << i;
+	}
+	return backlogged;
+}
+
 /* Logs the order of return if it has changed since `former`. */
 static void log_order(const struct rj_cell_return_order *order,
 		      const struct rj_cell_return_counters *former,
@@ -127,6 +163,7 @@
 					    &owner->former_heartbeat);
 	owner->announcements_resumed = true;
 	rj_cell_return_order_announce(&owner->return_order, heartbeat,
+				      find_backlogs(owner, heartbeat),
 				      owner->wall_ms);
 	log_order(&owner->return_order, &former, heartbeat);
 	remove_old_record(owner);
--- a/src/libradishjunction/include/private/cell_rejections.h
+++ b/src/libradishjunction/include/private/cell_rejections.h
@@ -68,6 +68,8 @@
 rj_cell_rejections_turn(const struct rj_cell_owner_heartbeat *heartbeat,
 			const char *id, const char *queue, uint64_t wall_ms,
 			uint32_t *early_ms);
+uint32_t rj_cell_rejections_left_ms(struct rj_cell_rejections *rejections,
+				    const char *id, uint64_t wall_ms);
 void rj_cell_rejections_init(struct rj_cell_rejections *rejections);
 uint32_t rj_cell_rejections_add(struct rj_cell_rejections *rejections,
 				const char *id, const char *queue,
--- a/src/libradishjunction/include/private/cell_return_order.h
+++ b/src/libradishjunction/include/private/cell_return_order.h
@@ -41,10 +41,14 @@
 	bool rejects; /* as of the last heartbeat */
 	uint32_t window; /* submissions that may be announced at once */
 	uint32_t outstanding; /* announced and not accepted yet */
-	/* Since when it accepts and none of its jobs waits, although some are
-	 * announced; 0: it does not. */
-	uint64_t idle_since_ms;
+	uint64_t
+		full_since_ms; /* the window is the widest since; 0: it is not */
+	uint32_t losses; /* callers in a row that have not returned */
 	bool open; /* to all, until it rejects again */
+	/* During one heartbeat: entries seen, and of the first ones the one
+	 * that returns next. */
+	uint32_t passed;
+	const struct rj_cell_return_entry *next;
 };
 
 struct rj_cell_return_counters {
@@ -59,6 +63,7 @@
 	GHashTable *written; /* instance -> time of its newest record */
 	struct rj_cell_return_queue queues[RJ_CELL_QUEUE_LOADS_MAX];
 	uint32_t queue_count;
+	uint32_t outstanding; /* of all queues */
 	uint64_t announced_ms; /* last heartbeat */
 	uint64_t keep_until_ms; /* nothing loses its turn before this */
 	struct rj_cell_return_counters counters;
@@ -79,7 +84,7 @@
 				 const struct rj_cell_owner_heartbeat *former);
 void rj_cell_return_order_announce(struct rj_cell_return_order *order,
 				   struct rj_cell_owner_heartbeat *heartbeat,
-				   uint64_t wall_ms);
+				   uint32_t backlogged, uint64_t wall_ms);
 const char *
 rj_cell_return_order_old_record(const struct rj_cell_return_order *order,
 				uint64_t wall_ms);
