--- a/src/test_libradishjunction/support/fuzz_targets.c
+++ b/src/test_libradishjunction/support/fuzz_targets.c
@@ -6,6 +6,7 @@
 
 #include "private/caller_json.h"
 #include "private/cell_record.h"
+#include "private/cell_rejections.h"
 #include "private/peer_codec.h"
 #include "private/worker_wire.h"
 #include "radishjunction/config.h"
@@ -244,12 +245,14 @@
 	struct rj_cell_owner_record owner;
 	struct rj_cell_summary summary;
 	struct rj_cell_owner_heartbeat heartbeat;
+	struct rj_cell_rejection_list rejections;
 	struct rj_error err;
 
 	rj_cell_job_spec_decode(mem, bytes, &err);
 	rj_cell_summary_decode(bytes, &summary, &err);
 	rj_cell_owner_decode(bytes, &owner, &err);
 	rj_cell_owner_heartbeat_decode(bytes, &heartbeat, &err);
+	rj_cell_rejections_decode(bytes, &rejections, &err);
 	talloc_free(mem);
 }
 
