--- a/src/libradishjunction/cell/cell_return_order.c
+++ b/src/libradishjunction/cell/cell_return_order.c
@@ -166,8 +166,8 @@
 	g_hash_table_remove(order->by_id, &entry->id);
 }
 
-/* Adds an entry, in place of the youngest one if there is no room. Returns NULL
- * if it would be the youngest itself. */
+/* Adds an entry, in place of the last one if there is no room. Returns NULL if it
+ * would be the last one itself. */
 static struct rj_cell_return_entry *
 add_entry(struct rj_cell_return_order *order, uint64_t id, uint64_t first_ms)
 {
