account shares: order and preemption follow the shares of accounts

Cause: an account that sends ten times its share takes the cell for as long as it does. Brought about in a replay of 24 workers with the feature off: the other account, which asks for a fifth of the site, had 21 of 30 jobs rejected, and its accepted ones waited 23.6 s (gangs) and 32.5 s (single tasks) on average, against 0.03 s when the first account sends its share.

Each job keeps what its runs are allocated, so that a plan's walk over the jobs gives the sums. An account is over its share while its share exceeds its entitlement and an account within its own waits. Then its groups go after those of accounts within their share in the same tier and priority, and its runs count half when a plan chooses what to preempt.

--- a/src/libradishjunction/cell/cell_active_job.c
+++ b/src/libradishjunction/cell/cell_active_job.c
@@ -254,8 +254,32 @@
 			       &worker->in_order_queue);
 }
 
+/* Adds the resources of a run to the allocation of its job, which must be
+ * known. */
+static void add_to_job(const struct rj_cell_run *run)
+{
+	struct rj_cell_allocation *allocated =
+		&run->task->occurrence->job->allocated;
+
+	allocated->cpu_milli += run->allocated.cpu_milli;
+	allocated->memory_mb += run->allocated.memory_mb;
+	allocated->accelerators += run->allocated.accelerators;
+}
+
+/* Undoes add_to_job. */
+static void subtract_from_job(const struct rj_cell_run *run)
+{
+	struct rj_cell_allocation *allocated =
+		&run->task->occurrence->job->allocated;
+
+	allocated->cpu_milli -= run->allocated.cpu_milli;
+	allocated->memory_mb -= run->allocated.memory_mb;
+	allocated->accelerators -= run->allocated.accelerators;
+}
+
 /*
- * Links a run to its worker and adds its resources to the worker's allocation.
+ * Links a run to its worker and adds its resources to the allocations of the
+ * worker and of its job.
  */
 void rj_cell_run_allocate(struct rj_cell_run *run)
 {
@@ -264,8 +288,10 @@
 	rj_list_append(&worker->runs, &run->in_worker);
 	rj_cell_demand_add(&worker->allocated, &run->allocated);
 	(*run_counter(run))++;
-	if (run->task)
+	if (run->task) {
 		rj_cell_demand_add(class_allocation(run), &run->allocated);
+		add_to_job(run);
+	}
 	if (worker->poll_state != RJ_CELL_POLL_STATE_BUSY)
 		rj_cell_worker_set_poll_state(worker, RJ_CELL_POLL_STATE_BUSY);
 }
@@ -279,8 +305,10 @@
 
 	rj_cell_demand_subtract(&worker->allocated, &run->allocated);
 	(*run_counter(run))--;
-	if (run->task)
+	if (run->task) {
 		rj_cell_demand_subtract(class_allocation(run), &run->allocated);
+		subtract_from_job(run);
+	}
 	rj_list_remove(&run->in_worker);
 	rj_list_remove(&run->in_task);
 	talloc_free(run);
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -393,6 +393,7 @@
 	owner->wall_ms = wall_ms;
 	owner->writes_pending = 0;
 	owner->heartbeat_due_us = now_us;
+	memset(&owner->account_shares, 0, sizeof(owner->account_shares));
 	rj_cell_fleet_init(&owner->fleet, owner->mem, owner->cordons);
 	rj_cell_writer_open(&owner->writer, epoch, 1, now_us);
 	rj_cell_writer_open(&owner->progress_writer, epoch, 0, now_us);
@@ -527,6 +528,22 @@
 	rj_cell_backlog_log(&owner->backlog);
 }
 
+/* Keeps the capacity that a plan has summed up for the shares of accounts, and
+ * logs which accounts went over or came within theirs. */
+static void record_account_shares(struct rj_cell_owner *owner,
+				  const struct rj_cell_plan *plan)
+{
+	const struct rj_cell_allocation capacity = {
+		plan->usage.cpu.total, plan->usage.memory.total,
+		plan->usage.accelerators.total
+	};
+
+	if (!plan->account_shares)
+		return;
+	rj_cell_account_shares_set_capacity(&owner->account_shares, &capacity);
+	rj_cell_account_shares_log(&owner->account_shares, owner->now_us);
+}
+
 /* Makes a plan and carries out its starts and stops. */
 static void make_plan(struct rj_cell_owner *owner)
 {
@@ -541,6 +558,8 @@
 	plan.reclaim_ms = owner->limits.reclaim_ms;
 	plan.stop_ms = owner->limits.stop_ms;
 	plan.features = owner->limits.features;
+	if (plan.features.account_shares)
+		plan.account_shares = &owner->account_shares;
 	plan.now_us = owner->now_us;
 	plan.starts_max = PLAN_STARTS_MAX;
 	rj_cell_plan_make(&plan);
@@ -548,6 +567,7 @@
 	owner->counters.plan_effort_max =
 		MAX(owner->counters.plan_effort_max, plan.effort);
 	record_backlog(owner, &plan);
+	record_account_shares(owner, &plan);
 	rj_cell_starts_begin(owner, &plan);
 	for (guint i = 0; i < plan.stops->len; i++)
 		rj_cell_completions_stop_run(owner, plan.stops->pdata[i],
--- a/src/libradishjunction/cell/cell_reclaim.c
+++ b/src/libradishjunction/cell/cell_reclaim.c
@@ -13,6 +13,9 @@
 /* Urgent runs are preempted last: a core-second of theirs is worth this many
  * times as much. */
 #define URGENT_LOSS_WEIGHT 10
+/* Runs of accounts over their share are preempted first: their loss counts as
+ * one part in this many. */
+#define OVER_SHARE_LOSS_DIVISOR 2
 /* Runs expected to complete within this are waited for: stopping a run takes as
  * long. */
 #define PREEMPTION_DELAY_US (400 * RJ_US_PER_MS)
@@ -98,6 +101,8 @@
 	loss_milli =
 		run_loss_milli(plan, run) * (step->gang ? step->task_count : 1);
 	loss_milli *= 1 + run->task->losses;
+	if (rj_cell_job_over_share(run->task->occurrence->job))
+		loss_milli /= OVER_SHARE_LOSS_DIVISOR;
 	return run->task->occurrence->job->job_spec->priority ?
 		       loss_milli :
 		       loss_milli * URGENT_LOSS_WEIGHT;
--- a/src/libradishjunction/cell/cell_task_groups.c
+++ b/src/libradishjunction/cell/cell_task_groups.c
@@ -299,6 +299,8 @@
 	group.expired = group.tier == TIER_EXPIRED;
 	group.accepted_us = job->accepted_us;
 	set_rank(plan, &group, age_us);
+	if (!group.expired)
+		rj_cell_account_shares_add_waiting(job);
 	g_array_append_val(plan->task_groups, group);
 }
 
@@ -314,6 +316,9 @@
 		struct rj_list *occurrence_at;
 		struct rj_list *occurrence_next;
 
+		if (plan->account_shares)
+			rj_cell_account_shares_add_job(plan->account_shares,
+						       job);
 		if (job->state >= RJ_CELL_JOB_COMPLETED || job->cancelled)
 			continue;
 		job->guaranteed = is_guaranteed(plan, job);
@@ -331,7 +336,14 @@
 	}
 }
 
-/* Orders by tier, priority, rank and time of acceptance. */
+/*
+ * Orders by tier, priority, whether the account is within its share, rank, how
+ * far it is over its share, and time of acceptance.
+ *
+ * Guards against an account that floods a queue: its backlog always has jobs
+ * that will soon be too late or have started, and with their rank they would
+ * take all capacity ahead of the first jobs of others.
+ */
 static gint by_order(gconstpointer a, gconstpointer b)
 {
 	const struct rj_cell_task_group *left = a;
@@ -344,19 +356,43 @@
 				       right->job->job_spec->priority ?
 			       -1 :
 			       1;
+	if (!left->share_excess_milli != !right->share_excess_milli)
+		return left->share_excess_milli ? 1 : -1;
 	if (left->rank != right->rank)
 		return left->rank < right->rank ? -1 : 1;
+	if (left->share_excess_milli != right->share_excess_milli)
+		return left->share_excess_milli < right->share_excess_milli ?
+			       -1 :
+			       1;
 	if (left->accepted_us != right->accepted_us)
 		return left->accepted_us < right->accepted_us ? -1 : 1;
 	return strcmp(left->job->job_spec->id, right->job->job_spec->id);
 }
 
+/* Updates the shares of the accounts, and sets the groups' excess. */
+static void apply_account_shares(struct rj_cell_plan *plan)
+{
+	rj_cell_account_shares_update(plan->account_shares, plan->config,
+				      plan->now_us);
+	for (guint i = 0; i < plan->task_groups->len; i++) {
+		struct rj_cell_task_group *group = &g_array_index(
+			plan->task_groups, struct rj_cell_task_group, i);
+
+		group->share_excess_milli =
+			rj_cell_job_share_excess_milli(group->job);
+	}
+}
+
 /*
  * Gathers the steps whose tasks wait for capacity, in the order of placement.
  */
 void rj_cell_task_groups_gather(struct rj_cell_plan *plan)
 {
 	sum_urgent_needs(plan);
+	if (plan->account_shares)
+		rj_cell_account_shares_begin(plan->account_shares);
 	gather_task_groups(plan);
+	if (plan->account_shares)
+		apply_account_shares(plan);
 	g_array_sort(plan->task_groups, by_order);
 }
--- a/src/libradishjunction/include/private/cell_active_job.h
+++ b/src/libradishjunction/include/private/cell_active_job.h
@@ -48,6 +48,14 @@
  * all higher numbers. */
 #define RJ_CELL_PRIORITY_CLASSES 3
 
+/* Resources allocated to several runs. */
+struct rj_cell_allocation {
+	uint64_t cpu_milli;
+	uint64_t memory_mb;
+	uint64_t accelerators;
+};
+
+struct rj_cell_account_share;
 struct rj_cell_worker;
 struct rj_cell_task;
 
@@ -144,6 +152,9 @@
 	bool started; /* a task has started */
 	/* Within its account's guarantee, according to the plan. */
 	bool guaranteed;
+	struct rj_cell_allocation allocated; /* by its runs */
+	/* Of its account, as of the last plan; NULL: not known. */
+	struct rj_cell_account_share *share;
 	uint32_t occurrences_begun;
 	uint32_t occurrences_done;
 	struct rj_list occurrences; /* started and not done */
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -15,6 +15,7 @@
 #ifndef RADISHJUNCTION_PRIVATE_CELL_OWNER_H
 #define RADISHJUNCTION_PRIVATE_CELL_OWNER_H
 
+#include "private/cell_account_shares.h"
 #include "private/cell_activity.h"
 #include "private/cell_advice.h"
 #include "private/cell_backlog.h"
@@ -102,6 +103,7 @@
 	GPtrArray *ended_jobs; /* ids of jobs whose keys may be removed */
 	struct rj_cell_forecast forecast;
 	struct rj_cell_failure_burst failure_burst;
+	struct rj_cell_account_shares account_shares; /* of this term */
 	uint32_t strength; /* of the instance, in hundredths of a core */
 	bool plan_wanted;
 	uint64_t plan_due_us; /* without other events */
--- a/src/libradishjunction/include/private/cell_place.h
+++ b/src/libradishjunction/include/private/cell_place.h
@@ -16,6 +16,9 @@
 	/* 0: guaranteed, 1: normal, 2: expired; lower tiers go first. */
 	uint32_t tier;
 	uint32_t rank; /* within its priority; lower ranks go first */
+	/* By how much its account exceeds its share, in thousandths of it; 0:
+	 * it does not, or no account within its share waits. */
+	uint32_t share_excess_milli;
 	bool expired; /* too late to be of use to its client */
 	bool overdue; /* goes first while its priority is below its share */
 	uint64_t accepted_us;
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -16,6 +16,7 @@
 
 #include <glib.h>
 
+#include "private/cell_account_shares.h"
 #include "private/cell_failure.h"
 #include "private/cell_features.h"
 #include "private/cell_fleet.h"
@@ -78,13 +79,6 @@
 	uint64_t total;
 };
 
-/* Resources allocated to the runs of one priority class. */
-struct rj_cell_allocation {
-	uint64_t cpu_milli;
-	uint64_t memory_mb;
-	uint64_t accelerators;
-};
-
 /* Sums over all workers of the plan. */
 struct rj_cell_usage {
 	struct rj_cell_utilization cpu;
@@ -108,6 +102,8 @@
 	uint32_t reclaim_ms; /* guaranteed jobs start within this time */
 	uint32_t stop_ms; /* a run ends within this after its stop */
 	struct rj_cell_features features;
+	/* Updated by the plan; NULL: it ignores the shares of accounts. */
+	struct rj_cell_account_shares *account_shares;
 	uint64_t now_us;
 	/* The plan starts no further tasks once it has started this many; 0: no
 	 * limit. */
