admission: accounts within their share are accepted by queues that reject

Cause: in a flood of one account a queue rejects the jobs of all, 21 of 30 of an account that asks for a fifth of the site.

Change: cell_account_admission decides for each account from the queue's forecast, the account's part of the work ahead and what it can count on: its entitlement, and beyond its share what the others leave of theirs. Where work of higher priorities waits, no more than the minimum share of the priority. The owner's heartbeat names at most 32 rejected accounts with a retry delay each, in a section that earlier versions do not read; if they cannot all be named, the queue treats all accounts alike. Heartbeats without rejected accounts are as before.

--- a/src/libradishjunction/cell/cell_admit.c
+++ b/src/libradishjunction/cell/cell_admit.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "private/cell_account_admission.h"
+
 /*
  * Percentage of the capacity from which a wait is computed. Fragmentation by
  * racks and gangs leaves some capacity idle, so that forecasts are accurate to
@@ -56,6 +58,18 @@
 	}
 }
 
+/*
+ * Whether a job is served before or with a new job of this priority, and is
+ * neither cancelled nor too late.
+ */
+bool rj_cell_admit_is_ahead(const struct rj_cell_owner *owner,
+			    const struct rj_cell_job *job, uint32_t priority)
+{
+	return job->job_spec->priority <= priority && !job->cancelled &&
+	       job->state < RJ_CELL_JOB_COMPLETED &&
+	       owner->now_us <= job->late_us;
+}
+
 /* Returns the remaining work of all jobs that are served before or with a new
  * job of this priority, without those that are cancelled or too late. */
 static struct load load_ahead(const struct rj_cell_owner *owner,
@@ -68,9 +82,7 @@
 		const struct rj_cell_job *job =
 			RJ_CONTAINER(at, struct rj_cell_job, link);
 
-		if (job->job_spec->priority <= priority && !job->cancelled &&
-		    job->state < RJ_CELL_JOB_COMPLETED &&
-		    owner->now_us <= job->late_us)
+		if (rj_cell_admit_is_ahead(owner, job, priority))
 			add_job(&load, owner, job);
 	}
 	return load;
@@ -118,6 +130,16 @@
 		       capacity->schedulable * USABLE_WORKERS_MIN_PERCENT;
 }
 
+/*
+ * Returns the retry delay after a rejection of a job that would be too late by
+ * `excess_ms`.
+ */
+uint32_t rj_cell_admit_retry_after_ms(double excess_ms)
+{
+	return (uint32_t)CLAMP(excess_ms, RETRY_AFTER_MIN_MS,
+			       RETRY_AFTER_MAX_MS);
+}
+
 /* Refuses new jobs of a queue, with a retry delay. */
 static void refuse(struct rj_cell_queue_load *queue_load,
 		   uint32_t retry_after_ms)
@@ -156,7 +178,7 @@
 }
 
 /*
- * Decides whether one queue accepts jobs.
+ * Decides whether one queue, the next one of the heartbeat, accepts jobs.
  *
  * Guards against sustained overload: jobs accepted then complete too late to be
  * of use and take capacity from jobs that are still in time, and their callers
@@ -164,13 +186,16 @@
  */
 static void evaluate_queue(const struct rj_cell_owner *owner,
 			   const struct rj_cell_queue *queue,
-			   struct rj_cell_queue_load *queue_load)
+			   struct rj_cell_owner_heartbeat *heartbeat)
 {
+	struct rj_cell_queue_load *queue_load =
+		&heartbeat->queue_loads[heartbeat->queue_load_count];
 	struct capacity capacity;
 	double late_ms =
 		RJ_CELL_LATE_FACTOR *
 		((double)queue_load->mean_ms * queue->stretch_milli / 1000 +
 		 queue->latency_ms);
+	double wait_ms;
 	double excess_ms;
 
 	sum_workers(owner, queue->service, &capacity);
@@ -178,12 +203,14 @@
 		refuse(queue_load, CORDONED_RETRY_AFTER_MS);
 	if (!has_enough_workers(&capacity))
 		return;
-	excess_ms = forecast_wait_ms(owner, queue, &capacity.total) +
-		    queue_load->mean_ms - late_ms;
+	wait_ms = forecast_wait_ms(owner, queue, &capacity.total);
+	excess_ms = wait_ms + queue_load->mean_ms - late_ms;
 	if (excess_ms > 0)
-		refuse(queue_load,
-		       (uint32_t)CLAMP(excess_ms, RETRY_AFTER_MIN_MS,
-				       RETRY_AFTER_MAX_MS));
+		refuse(queue_load, rj_cell_admit_retry_after_ms(excess_ms));
+	if (owner->limits.features.account_shares)
+		rj_cell_account_admission_add_queue(
+			owner, queue->priority, wait_ms,
+			late_ms - queue_load->mean_ms, heartbeat);
 }
 
 /* Counts by queue the jobs that have not started, without those that run at a
@@ -221,6 +248,8 @@
 	GHashTable *pending = count_pending(owner);
 
 	heartbeat->queue_load_count = 0;
+	heartbeat->queues_by_share = 0;
+	heartbeat->refused_account_count = 0;
 	for (uint32_t i = 0;
 	     config && i < config->queue_count &&
 	     heartbeat->queue_load_count < RJ_CELL_QUEUE_LOADS_MAX;
@@ -238,7 +267,7 @@
 		memcpy(queue_load->queue, config->queues[i].name,
 		       sizeof(queue_load->queue));
 		if (queue_load->mean_ms)
-			evaluate_queue(owner, &config->queues[i], queue_load);
+			evaluate_queue(owner, &config->queues[i], heartbeat);
 		heartbeat->queue_load_count++;
 	}
 	g_hash_table_destroy(pending);
--- a/src/libradishjunction/cell/cell_frontend.c
+++ b/src/libradishjunction/cell/cell_frontend.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "private/cell_account_admission.h"
 #include "private/log_event.h"
 
 /* Wait of a client that does not announce one. */
@@ -434,6 +435,36 @@
 	       (uint32_t)(rj_hash64_string(id, 0) % (retry_after_ms / 2 + 1));
 }
 
+/*
+ * Whether a job of the request's account would not be served in time, by the
+ * owner's forecast. If so, the call has been answered.
+ */
+static bool refuse_by_load(struct request *request,
+			   const struct rj_cell_queue_load *load)
+{
+	struct rj_cell_frontend *frontend = request->frontend;
+	const struct rj_cell_owner_heartbeat *heartbeat = &frontend->heartbeat;
+	uint32_t retry_after_ms = 0;
+	bool named;
+
+	if (!load || !load->refuse ||
+	    frontend->now_us > frontend->heartbeat_us + HEARTBEAT_AGE_MAX_US)
+		return false;
+	if (!rj_cell_account_admission_refuses(
+		    heartbeat, (uint32_t)(load - heartbeat->queue_loads),
+		    request->account, &retry_after_ms)) {
+		frontend->counters.accepted_within_share++;
+		return false;
+	}
+	named = retry_after_ms != 0;
+	if (!named)
+		retry_after_ms = load->retry_after_ms;
+	answer_verdict(request, RJ_CELL_VERDICT_BUSY,
+		       named ? "account_backlog" : "backlog",
+		       spread_retry(request->id, retry_after_ms));
+	return true;
+}
+
 /* Stores a new job, or rejects it at once if it would not be served in time. */
 static void submit(struct request *request, const struct rj_cell_queue *queue)
 {
@@ -459,12 +490,8 @@
 			       0);
 		return;
 	}
-	if (load && load->refuse &&
-	    frontend->now_us <= frontend->heartbeat_us + HEARTBEAT_AGE_MAX_US) {
-		answer_verdict(request, RJ_CELL_VERDICT_BUSY, "backlog",
-			       spread_retry(request->id, load->retry_after_ms));
+	if (refuse_by_load(request, load))
 		return;
-	}
 	set_terms(job_spec, request, queue);
 	value = rj_cell_job_spec_encode(request, job_spec);
 	store(request, RJ_CELL_RECORD_JOB_SPEC, value);
--- a/src/libradishjunction/cell/cell_metrics.c
+++ b/src/libradishjunction/cell/cell_metrics.c
@@ -40,6 +40,8 @@
 	for (int i = 0; i < RJ_CELL_VERB_COUNT; i++)
 		write_labelled(text, "calls", "call", rj_cell_verb_string[i],
 			       frontend->counters.calls[i]);
+	write_number(text, "accepted_within_share",
+		     frontend->counters.accepted_within_share);
 	for (int i = 0; i < RJ_CELL_VERDICT_COUNT; i++)
 		if (frontend->counters.answers[i].count)
 			rj_latency_write(&frontend->counters.answers[i],
@@ -135,6 +137,9 @@
 		     owner->backlog.reserved_free);
 	write_number(text, "accelerators_promised", owner->backlog.promised);
 	write_fleet(text, owner, now_us);
+	if (owner->limits.features.account_shares)
+		rj_cell_account_shares_write_metrics(&owner->account_shares,
+						     text);
 }
 
 /*
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -14,6 +14,17 @@
 #define OWNER_FORMAT_NO_EPOCH 2
 #define OWNER_FORMAT 3
 #define HEARTBEAT_FORMAT 2
+/* Maximum length of a section that follows the fields of a heartbeat. */
+#define SECTION_BYTES_MAX 8192
+
+/*
+ * Sections that follow the fields of a heartbeat, each as its number and its
+ * encoded fields. A reader skips sections that it does not know, so that
+ * instances of different versions and settings may run side by side.
+ */
+enum heartbeat_section {
+	SECTION_REFUSED_ACCOUNTS = 1,
+};
 
 /* First character of a key. */
 static const char key_prefix[RJ_CELL_RECORD_KIND_COUNT] = {
@@ -460,6 +471,78 @@
 	return rj_unpack_finish(&in, err);
 }
 
+/* Encodes the accounts that queues reject, unless all queues treat all accounts
+ * alike. */
+static void
+write_refused_accounts(struct rj_packer *out, void *mem,
+		       const struct rj_cell_owner_heartbeat *heartbeat)
+{
+	struct rj_packer section;
+	struct rj_bytes value;
+
+	if (!heartbeat->queues_by_share)
+		return;
+	rj_pack_init(&section);
+	rj_pack_number(&section, heartbeat->queues_by_share);
+	rj_pack_number(&section, heartbeat->refused_account_count);
+	for (uint32_t i = 0; i < heartbeat->refused_account_count; i++) {
+		const struct rj_cell_refused_account *refused =
+			&heartbeat->refused_accounts[i];
+
+		rj_pack_text(&section, refused->account);
+		rj_pack_number(&section, refused->queues);
+		rj_pack_number(&section, refused->retry_after_ms);
+	}
+	value = rj_pack_finish(&section, mem);
+	rj_pack_number(out, SECTION_REFUSED_ACCOUNTS);
+	rj_pack_data(out, value.data, value.length);
+	talloc_free((void *)value.data);
+}
+
+/* Decodes the output of write_refused_accounts. If that fails, all queues treat
+ * all accounts alike. */
+static void read_refused_accounts(struct rj_bytes bytes,
+				  struct rj_cell_owner_heartbeat *heartbeat)
+{
+	struct rj_unpacker in;
+	struct rj_error err;
+
+	rj_unpack_init(&in, bytes);
+	heartbeat->queues_by_share =
+		(uint32_t)rj_unpack_number(&in, "queues", UINT32_MAX);
+	heartbeat->refused_account_count = (uint32_t)rj_unpack_number(
+		&in, "accounts", RJ_CELL_REFUSED_MAX);
+	for (uint32_t i = 0; i < heartbeat->refused_account_count; i++) {
+		struct rj_cell_refused_account *refused =
+			&heartbeat->refused_accounts[i];
+
+		rj_unpack_text(&in, "account", refused->account,
+			       sizeof(refused->account));
+		refused->queues =
+			(uint32_t)rj_unpack_number(&in, "queues", UINT32_MAX);
+		refused->retry_after_ms = (uint32_t)rj_unpack_number(
+			&in, "retry_after_ms", UINT32_MAX);
+	}
+	if (!rj_unpack_finish(&in, &err))
+		return;
+	heartbeat->queues_by_share = 0;
+	heartbeat->refused_account_count = 0;
+}
+
+/* Decodes the sections of a heartbeat. */
+static void read_sections(struct rj_unpacker *in,
+			  struct rj_cell_owner_heartbeat *heartbeat)
+{
+	while (rj_unpack_has_more(in)) {
+		uint64_t number = rj_unpack_number(in, "section", UINT64_MAX);
+		struct rj_bytes section =
+			rj_unpack_data(in, "section", SECTION_BYTES_MAX);
+
+		if (!in->bad_field && number == SECTION_REFUSED_ACCOUNTS)
+			read_refused_accounts(section, heartbeat);
+	}
+}
+
 /*
  * Encodes an owner's heartbeat as a talloc child of `mem`.
  */
@@ -487,6 +570,7 @@
 	/* Earlier versions do not read what follows the queues. */
 	rj_pack_number(&out, heartbeat->term_token);
 	rj_pack_number(&out, heartbeat->term_ms);
+	write_refused_accounts(&out, mem, heartbeat);
 	return rj_pack_finish(&out, mem);
 }
 
@@ -528,5 +612,6 @@
 		heartbeat->term_ms =
 			rj_unpack_number(&in, "term_ms", UINT64_MAX);
 	}
+	read_sections(&in, heartbeat);
 	return rj_unpack_finish(&in, err);
 }
--- a/src/libradishjunction/include/private/cell_admit.h
+++ b/src/libradishjunction/include/private/cell_admit.h
@@ -12,5 +12,8 @@
 
 void rj_cell_admit_queues(const struct rj_cell_owner *owner,
 			  struct rj_cell_owner_heartbeat *heartbeat);
+bool rj_cell_admit_is_ahead(const struct rj_cell_owner *owner,
+			    const struct rj_cell_job *job, uint32_t priority);
+uint32_t rj_cell_admit_retry_after_ms(double excess_ms);
 
 #endif
--- a/src/libradishjunction/include/private/cell_frontend.h
+++ b/src/libradishjunction/include/private/cell_frontend.h
@@ -100,6 +100,8 @@
 struct rj_cell_frontend_counters {
 	uint64_t calls[RJ_CELL_VERB_COUNT];
 	struct rj_latency answers[RJ_CELL_VERDICT_COUNT];
+	/* Jobs of accounts within their share, at queues that reject others. */
+	uint64_t accepted_within_share;
 };
 
 struct rj_cell_frontend {
--- a/src/libradishjunction/include/private/cell_record.h
+++ b/src/libradishjunction/include/private/cell_record.h
@@ -14,6 +14,7 @@
 
 #define RJ_CELL_KEY_BYTES (RJ_CELL_ID_BYTES + 1)
 #define RJ_CELL_QUEUE_LOADS_MAX 32
+#define RJ_CELL_REFUSED_MAX 32
 
 enum rj_cell_record_kind {
 	RJ_CELL_RECORD_JOB_SPEC,
@@ -55,6 +56,13 @@
 	uint32_t pending; /* jobs of which no task has started */
 };
 
+/* An account that queues reject although they accept others. */
+struct rj_cell_refused_account {
+	char account[RJ_NAME_BYTES];
+	uint32_t queues; /* bit i: queue_loads[i] rejects it */
+	uint32_t retry_after_ms;
+};
+
 struct rj_cell_owner_heartbeat {
 	uint64_t incarnation; /* of the owner */
 	uint32_t number; /* rises by one */
@@ -64,6 +72,11 @@
 	uint64_t term_ms;
 	uint32_t queue_load_count;
 	struct rj_cell_queue_load queue_loads[RJ_CELL_QUEUE_LOADS_MAX];
+	/* Bit i: queue_loads[i] rejects only accounts that are listed with
+	 * it. */
+	uint32_t queues_by_share;
+	uint32_t refused_account_count;
+	struct rj_cell_refused_account refused_accounts[RJ_CELL_REFUSED_MAX];
 };
 
 /* The part of a job's progress that callers may see. */
