--- a/src/libradishjunction/cell/cell_account_admission.c
+++ b/src/libradishjunction/cell/cell_account_admission.c
@@ -73,6 +73,16 @@
 	return work;
 }
 
+/* Returns the row of a job's account. */
+static uint32_t row_of(const struct rj_cell_account_shares *shares,
+		       const struct rj_cell_job *job)
+{
+	if (!job->share)
+		return rj_cell_account_shares_find(shares,
+						   job->job_spec->account);
+	return (uint32_t)(job->share - shares->rows);
+}
+
 /* Sums up the work that is served before or with a new job of a priority. */
 static void sum_work(const struct rj_cell_owner *owner, uint32_t priority,
 		     struct work *work)
@@ -89,8 +99,7 @@
 		if (!rj_cell_admit_is_ahead(owner, job, priority))
 			continue;
 		remaining = job_work(owner, job);
-		row = rj_cell_account_shares_find(&owner->account_shares,
-						  job->job_spec->account);
+		row = row_of(&owner->account_shares, job);
 		work->ahead[row] += remaining;
 		work->total_ahead += remaining;
 		if (job->job_spec->priority < priority)
--- a/src/libradishjunction/cell/cell_account_shares.c
+++ b/src/libradishjunction/cell/cell_account_shares.c
@@ -91,6 +91,24 @@
 		memset(&row->allocated, 0, sizeof(row->allocated));
 		row->waits = false;
 	}
+	shares->has_free_row = false;
+	for (uint32_t i = 0; i < RJ_CELL_ACCOUNTS_MAX; i++)
+		shares->has_free_row |= !shares->rows[i].used;
+}
+
+/* Whether the row that a job had in the last plan is still the right one. That
+ * of the other accounts is as long as no row comes free. */
+static bool keeps_row(const struct rj_cell_account_shares *shares,
+		      const struct rj_cell_job *job)
+{
+	const struct rj_cell_account_share *other =
+		&shares->rows[RJ_CELL_ACCOUNTS_OTHER];
+
+	if (!job->share || !job->share->used)
+		return false;
+	return job->share == other ?
+		       !shares->has_free_row :
+		       is_row_of(shares, job->share, job->job_spec->account);
 }
 
 /*
@@ -100,10 +118,8 @@
 void rj_cell_account_shares_add_job(struct rj_cell_account_shares *shares,
 				    struct rj_cell_job *job)
 {
-	const char *account = job->job_spec->account;
-
-	if (!job->share || !is_row_of(shares, job->share, account))
-		job->share = obtain_row(shares, account);
+	if (!keeps_row(shares, job))
+		job->share = obtain_row(shares, job->job_spec->account);
 	job->share->allocated.cpu_milli += job->allocated.cpu_milli;
 	job->share->allocated.memory_mb += job->allocated.memory_mb;
 	job->share->allocated.accelerators += job->allocated.accelerators;
--- a/src/libradishjunction/cell/cell_task_groups.c
+++ b/src/libradishjunction/cell/cell_task_groups.c
@@ -369,7 +369,8 @@
 	return strcmp(left->job->job_spec->id, right->job->job_spec->id);
 }
 
-/* Updates the shares of the accounts, and sets the groups' excess. */
+/* Updates the shares of the accounts, and sets the groups' excess. Guaranteed
+ * groups go first whatever the share of their account. */
 static void apply_account_shares(struct rj_cell_plan *plan)
 {
 	rj_cell_account_shares_update(plan->account_shares, plan->config,
@@ -378,8 +379,9 @@
 		struct rj_cell_task_group *group = &g_array_index(
 			plan->task_groups, struct rj_cell_task_group, i);
 
-		group->share_excess_milli =
-			rj_cell_job_share_excess_milli(group->job);
+		if (!group->guaranteed)
+			group->share_excess_milli =
+				rj_cell_job_share_excess_milli(group->job);
 	}
 }
 
--- a/src/libradishjunction/include/private/cell_account_shares.h
+++ b/src/libradishjunction/include/private/cell_account_shares.h
@@ -51,6 +51,7 @@
 struct rj_cell_account_shares {
 	struct rj_cell_account_share rows[RJ_CELL_ACCOUNT_ROWS];
 	struct rj_cell_allocation capacity; /* of the usable workers */
+	bool has_free_row; /* when the present plan began */
 	uint64_t updated_us; /* 0: not yet */
 };
 
