admission: an account whose work is nearly all that is ahead waits as the queue

Cause: a queue may reject for other reasons than its forecast wait alone, for example a decision that is held for some seconds. An account that is alone was then accepted by its own wait, which is the queue's.

Change: a queue that rejects also rejects accounts whose wait is that of the queue, with no shorter delay than its own.

--- a/src/libradishjunction/cell/cell_account_admission.c
+++ b/src/libradishjunction/cell/cell_account_admission.c
@@ -11,6 +11,9 @@
  * priority.
  */
 #define BACKLOG_RUNS 2
+/* An account that waits for this part of the queue's wait counts as waiting for
+ * as long; the rest is for rounding. */
+#define QUEUE_WAIT_PART 0.99
 
 /* Remaining work in parts of the cell times milliseconds. */
 struct work {
@@ -165,7 +168,11 @@
 				     available));
 }
 
-/* Returns the retry delay of an account; 0 if the queue accepts its jobs. */
+/*
+ * Returns the retry delay of an account; 0 if the queue accepts its jobs. A
+ * queue that rejects jobs rejects those of an account that waits for as long as
+ * the queue says, whatever its reason: nearly all work ahead is the account's.
+ */
 static uint32_t retry_after_ms(const struct evaluation *evaluation,
 			       uint32_t row)
 {
@@ -175,15 +182,20 @@
 		&owner->account_shares.rows[row];
 	bool over = share->used &&
 		    rj_cell_account_share_was_over(share, owner->now_us);
-	double excess_ms;
+	uint32_t delay_ms = 0;
+	double wait_ms;
 
 	if (!queue_load->refuse && !over)
 		return 0;
-	excess_ms = account_wait_ms(evaluation, row, over) -
-		    evaluation->wait_max_ms;
-	if (excess_ms > 0)
-		return rj_cell_admit_retry_after_ms(excess_ms);
-	return over ? queue_load->retry_after_ms : 0;
+	wait_ms = account_wait_ms(evaluation, row, over);
+	if (wait_ms > evaluation->wait_max_ms)
+		delay_ms = rj_cell_admit_retry_after_ms(
+			wait_ms - evaluation->wait_max_ms);
+	if (queue_load->refuse &&
+	    (over ||
+	     (wait_ms > 0 && wait_ms >= evaluation->wait_ms * QUEUE_WAIT_PART)))
+		delay_ms = MAX(delay_ms, queue_load->retry_after_ms);
+	return delay_ms;
 }
 
 /* Adds an account that a queue rejects. Returns false if there is no room. */
