--- a/src/libradishjunction/cell/cell_frontend.c
+++ b/src/libradishjunction/cell/cell_frontend.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "private/cell_account_admission.h"
 #include "private/log_event.h"
 
 /* Wait of a client that does not announce one. */
@@ -454,6 +455,32 @@
 	       RETURN_DELAY_UNIT_MS;
 }
 
+/*
+ * Whether the owner's forecast rejects jobs of a request's account. If so, sets
+ * the delay after which the caller may retry, and the reason.
+ */
+static bool is_refused_by_load(struct request *request,
+			       const struct rj_cell_queue_load *load,
+			       uint32_t *retry_after_ms, const char **reason)
+{
+	struct rj_cell_frontend *frontend = request->frontend;
+	const struct rj_cell_owner_heartbeat *heartbeat = &frontend->heartbeat;
+
+	*retry_after_ms = 0;
+	if (!load->refuse)
+		return false;
+	if (!rj_cell_account_admission_refuses(
+		    heartbeat, (uint32_t)(load - heartbeat->queue_loads),
+		    request->account, retry_after_ms)) {
+		frontend->counters.accepted_within_share++;
+		return false;
+	}
+	*reason = *retry_after_ms ? "account_backlog" : "backlog";
+	if (!*retry_after_ms)
+		*retry_after_ms = load->retry_after_ms;
+	return true;
+}
+
 /*
  * Rejects a submission unless its turn has come, and keeps the rejection. Returns
  * whether the call has been answered.
@@ -463,8 +490,8 @@
  * the queue accepts meanwhile.
  */
 static bool reject_out_of_turn(struct request *request,
-			       const struct rj_cell_queue *queue,
-			       const struct rj_cell_queue_load *load)
+			       const struct rj_cell_queue *queue, bool refused,
+			       uint32_t retry_after_ms, const char *reason)
 {
 	struct rj_cell_frontend *frontend = request->frontend;
 	uint64_t wall_ms = request->call->wall_ms;
@@ -479,35 +506,43 @@
 		if (delay_ms)
 			turn = RJ_CELL_TURN_EARLY;
 	}
-	if (turn == RJ_CELL_TURN_OWN ||
-	    (turn == RJ_CELL_TURN_NONE && !load->refuse))
+	if (turn == RJ_CELL_TURN_OWN || (turn == RJ_CELL_TURN_NONE && !refused))
 		return false;
 	if (turn != RJ_CELL_TURN_EARLY)
 		delay_ms = rj_cell_rejections_add(
 			&frontend->rejections, request->id, queue->name,
-			wall_ms,
-			return_delay(request->id, load->retry_after_ms));
+			wall_ms, return_delay(request->id, retry_after_ms));
 	answer_verdict(request, RJ_CELL_VERDICT_BUSY,
-		       load->refuse ? "backlog" : "not_in_turn", delay_ms);
+		       refused ? reason : "not_in_turn", delay_ms);
 	return true;
 }
 
-/* Whether the queue rejects a submission, which has then been answered. */
+/* Whether the queue rejects a submission, which has then been answered. A queue
+ * that rejects others accepts an account within its share out of turn. */
 static bool reject(struct request *request, const struct rj_cell_queue *queue)
 {
 	struct rj_cell_frontend *frontend = request->frontend;
 	const struct rj_cell_queue_load *load =
 		find_queue_load(frontend, queue);
+	const char *reason = NULL;
+	uint32_t retry_after_ms;
+	bool refused;
 
 	if (!load ||
 	    frontend->now_us > frontend->heartbeat_us + HEARTBEAT_AGE_MAX_US)
 		return false;
+	refused = is_refused_by_load(request, load, &retry_after_ms, &reason);
+	if (load->refuse && !refused)
+		return false;
 	if (frontend->return_order)
-		return reject_out_of_turn(request, queue, load);
-	if (!load->refuse)
+		return reject_out_of_turn(request, queue, refused,
+					  refused ? retry_after_ms :
+						    load->retry_after_ms,
+					  reason);
+	if (!refused)
 		return false;
-	answer_verdict(request, RJ_CELL_VERDICT_BUSY, "backlog",
-		       spread_retry(request->id, load->retry_after_ms));
+	answer_verdict(request, RJ_CELL_VERDICT_BUSY, reason,
+		       spread_retry(request->id, retry_after_ms));
 	return true;
 }
 
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -17,15 +17,16 @@
 /* What follows the fixed fields of a heartbeat, by its tag; a reader skips tags
  * that it does not know. */
 #define HEARTBEAT_TAG_RETURN_ORDER 1
+#define HEARTBEAT_TAG_REFUSED_ACCOUNTS 2
 #define HEARTBEAT_BLOCK_BYTES_MAX 65536
 
 /* First character of a key. */
 static const char key_prefix[RJ_CELL_RECORD_KIND_COUNT] = {
-	[RJ_CELL_RECORD_JOB_SPEC] = 'j',   [RJ_CELL_RECORD_PROGRESS] = 's',
-	[RJ_CELL_RECORD_STATE] = 't',	   [RJ_CELL_RECORD_CANCEL] = 'c',
-	[RJ_CELL_RECORD_OWNER] = 'o',	   [RJ_CELL_RECORD_HEARTBEAT] = 'b',
-	[RJ_CELL_RECORD_FENCE] = 'f',	   [RJ_CELL_RECORD_LEASE_BOUNDS] = 'o',
-	[RJ_CELL_RECORD_SNAPSHOT] = 'n',   [RJ_CELL_RECORD_REJECTIONS] = 'r',
+	[RJ_CELL_RECORD_JOB_SPEC] = 'j', [RJ_CELL_RECORD_PROGRESS] = 's',
+	[RJ_CELL_RECORD_STATE] = 't',	 [RJ_CELL_RECORD_CANCEL] = 'c',
+	[RJ_CELL_RECORD_OWNER] = 'o',	 [RJ_CELL_RECORD_HEARTBEAT] = 'b',
+	[RJ_CELL_RECORD_FENCE] = 'f',	 [RJ_CELL_RECORD_LEASE_BOUNDS] = 'o',
+	[RJ_CELL_RECORD_SNAPSHOT] = 'n', [RJ_CELL_RECORD_REJECTIONS] = 'r',
 };
 
 /* How a task is encoded. */
@@ -534,6 +535,64 @@
 		rj_unpack_fail(in, "announced");
 }
 
+/* Encodes the accounts that queues reject, unless all queues treat all accounts
+ * alike. */
+static void
+write_refused_accounts(struct rj_packer *out, void *mem,
+		       const struct rj_cell_owner_heartbeat *heartbeat)
+{
+	struct rj_packer block;
+	struct rj_bytes value;
+
+	if (!heartbeat->queues_by_share)
+		return;
+	rj_pack_init(&block);
+	rj_pack_number(&block, heartbeat->queues_by_share);
+	rj_pack_number(&block, heartbeat->refused_account_count);
+	for (uint32_t i = 0; i < heartbeat->refused_account_count; i++) {
+		const struct rj_cell_refused_account *refused =
+			&heartbeat->refused_accounts[i];
+
+		rj_pack_text(&block, refused->account);
+		rj_pack_number(&block, refused->queues);
+		rj_pack_number(&block, refused->retry_after_ms);
+	}
+	value = rj_pack_finish(&block, mem);
+	rj_pack_number(out, HEARTBEAT_TAG_REFUSED_ACCOUNTS);
+	rj_pack_data(out, value.data, value.length);
+	talloc_free((void *)value.data);
+}
+
+/* Decodes the output of write_refused_accounts. If that fails, all queues treat
+ * all accounts alike. */
+static void read_refused_accounts(struct rj_bytes bytes,
+				  struct rj_cell_owner_heartbeat *heartbeat)
+{
+	struct rj_unpacker in;
+	struct rj_error err;
+
+	rj_unpack_init(&in, bytes);
+	heartbeat->queues_by_share =
+		(uint32_t)rj_unpack_number(&in, "queues", UINT32_MAX);
+	heartbeat->refused_account_count = (uint32_t)rj_unpack_number(
+		&in, "accounts", RJ_CELL_REFUSED_MAX);
+	for (uint32_t i = 0; i < heartbeat->refused_account_count; i++) {
+		struct rj_cell_refused_account *refused =
+			&heartbeat->refused_accounts[i];
+
+		rj_unpack_text(&in, "account", refused->account,
+			       sizeof(refused->account));
+		refused->queues =
+			(uint32_t)rj_unpack_number(&in, "queues", UINT32_MAX);
+		refused->retry_after_ms = (uint32_t)rj_unpack_number(
+			&in, "retry_after_ms", UINT32_MAX);
+	}
+	if (!rj_unpack_finish(&in, &err))
+		return;
+	heartbeat->queues_by_share = 0;
+	heartbeat->refused_account_count = 0;
+}
+
 /* Decodes the blocks that follow the fixed fields of a heartbeat. */
 static void read_blocks(struct rj_unpacker *in,
 			struct rj_cell_owner_heartbeat *heartbeat)
@@ -545,6 +604,8 @@
 
 		if (tag == HEARTBEAT_TAG_RETURN_ORDER && !in->bad_field)
 			read_return_order(in, block, heartbeat);
+		if (tag == HEARTBEAT_TAG_REFUSED_ACCOUNTS && !in->bad_field)
+			read_refused_accounts(block, heartbeat);
 	}
 }
 
@@ -576,6 +637,7 @@
 	rj_pack_number(&out, heartbeat->term_token);
 	rj_pack_number(&out, heartbeat->term_ms);
 	write_return_order(&out, mem, heartbeat);
+	write_refused_accounts(&out, mem, heartbeat);
 	return rj_pack_finish(&out, mem);
 }
 
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -15,6 +15,7 @@
 #ifndef RADISHJUNCTION_PRIVATE_CELL_OWNER_H
 #define RADISHJUNCTION_PRIVATE_CELL_OWNER_H
 
+#include "private/cell_account_shares.h"
 #include "private/cell_activity.h"
 #include "private/cell_advice.h"
 #include "private/cell_backlog.h"
@@ -108,6 +109,7 @@
 	struct rj_cell_return_order return_order;
 	/* The former owner's announcements have been taken over. */
 	bool announcements_resumed;
+	struct rj_cell_account_shares account_shares; /* of this term */
 	uint32_t strength; /* of the instance, in hundredths of a core */
 	bool plan_wanted;
 	uint64_t plan_due_us; /* without other events */
--- a/src/libradishjunction/include/private/cell_record.h
+++ b/src/libradishjunction/include/private/cell_record.h
@@ -20,6 +20,7 @@
  * terminating zero. */
 #define RJ_CELL_PART_ID_BYTES 3
 #define RJ_CELL_ANNOUNCED_MAX 32
+#define RJ_CELL_REFUSED_MAX 32
 
 enum rj_cell_record_kind {
 	RJ_CELL_RECORD_JOB_SPEC,
@@ -74,6 +75,13 @@
 	uint32_t queue; /* index of its queue's load */
 };
 
+/* An account that queues reject although they accept others. */
+struct rj_cell_refused_account {
+	char account[RJ_NAME_BYTES];
+	uint32_t queues; /* bit i: queue_loads[i] rejects it */
+	uint32_t retry_after_ms;
+};
+
 struct rj_cell_owner_heartbeat {
 	uint64_t incarnation; /* of the owner */
 	uint32_t number; /* rises by one */
@@ -90,6 +98,11 @@
 	/* Minimum time between two records of rejections of an instance; 0: the
 	 * default. */
 	uint32_t rejections_interval_ms;
+	/* Bit i: queue_loads[i] rejects only accounts that are listed with
+	 * it. */
+	uint32_t queues_by_share;
+	uint32_t refused_account_count;
+	struct rj_cell_refused_account refused_accounts[RJ_CELL_REFUSED_MAX];
 };
 
 /* The part of a job's progress that callers may see. */
