--- a/src/libradishjunction/cell/cell_handover.c
+++ b/src/libradishjunction/cell/cell_handover.c
@@ -59,6 +59,7 @@
 	/* The last part. */
 	struct rj_cell_snapshot last;
 	struct rj_cell_queue_mean queues[RJ_CELL_SNAPSHOT_QUEUES_MAX];
+	struct rj_cell_account_use accounts[RJ_CELL_SNAPSHOT_ACCOUNTS_MAX];
 };
 
 static bool is_enabled(const struct rj_cell_handover *handover)
@@ -121,8 +122,6 @@
 	TALLOC_FREE(handover->former);
 	handover->former = snapshot;
 	handover->former_us = now_us - MIN(now_us, age_us);
-	rj_cell_handover_set_accounts(handover, snapshot->accounts,
-				      snapshot->account_count);
 }
 
 /*
@@ -222,6 +221,10 @@
 		rj_cell_forecast_import_urgent(
 			&owner->forecast, handover->former->urgent_accelerators,
 			handover->former_us, owner->now_us);
+	if (handover->former && owner->limits.features.account_shares)
+		rj_cell_account_shares_import(
+			&owner->account_shares, handover->former->accounts,
+			handover->former->account_count, handover->former_us);
 	RJ_FOR_EACH (at, next, &owner->fleet.workers)
 		rj_cell_handover_worker_listed(
 			handover,
@@ -416,8 +419,11 @@
 	last->urgent_accelerators =
 		(uint32_t)lround(rj_cell_forecast_urgent_accelerators(
 			&owner->forecast, owner->now_us));
-	last->accounts = handover->accounts;
-	last->account_count = handover->account_count;
+	last->accounts = contents->accounts;
+	if (owner->limits.features.account_shares)
+		last->account_count = rj_cell_account_shares_export(
+			&owner->account_shares, contents->accounts,
+			RJ_CELL_SNAPSHOT_ACCOUNTS_MAX);
 	if (!last->queue_count && !last->urgent_accelerators &&
 	    !last->account_count)
 		return;
@@ -704,32 +710,3 @@
 	log_written(handover);
 	g_array_free(contents.sources, TRUE);
 }
-
-/*
- * Sets the use of the accounts that is stored from now on; at most
- * RJ_CELL_SNAPSHOT_ACCOUNTS_MAX of them.
- */
-void rj_cell_handover_set_accounts(
-	struct rj_cell_handover *handover,
-	const struct rj_cell_snapshot_account *accounts, uint32_t count)
-{
-	handover->account_count = MIN(count, RJ_CELL_SNAPSHOT_ACCOUNTS_MAX);
-	if (handover->account_count)
-		memcpy(handover->accounts, accounts,
-		       handover->account_count * sizeof(*accounts));
-}
-
-/*
- * Returns the use of the accounts that a former owner has stored, and when it
- * did so by this owner's clock; NULL if none was read.
- */
-const struct rj_cell_snapshot_account *
-rj_cell_handover_accounts(const struct rj_cell_handover *handover,
-			  uint32_t *count, uint64_t *at_us)
-{
-	if (!handover->former)
-		return NULL;
-	*count = handover->former->account_count;
-	*at_us = handover->former_us;
-	return handover->former->accounts;
-}
--- a/src/libradishjunction/cell/cell_snapshot.c
+++ b/src/libradishjunction/cell/cell_snapshot.c
@@ -193,7 +193,7 @@
 	rj_pack_number(&out, snapshot->urgent_accelerators);
 	rj_pack_number(&out, snapshot->account_count);
 	for (uint32_t i = 0; i < snapshot->account_count; i++) {
-		rj_pack_text(&out, snapshot->accounts[i].name);
+		rj_pack_text(&out, snapshot->accounts[i].account);
 		rj_pack_number(&out, snapshot->accounts[i].use_ppm);
 	}
 	return rj_pack_finish(&out, mem);
@@ -292,11 +292,10 @@
 		sizeof(*snapshot->accounts), &snapshot->account_count);
 	for (uint32_t i = 0; i < snapshot->account_count && !in.bad_field;
 	     i++) {
-		struct rj_cell_snapshot_account *account =
-			&snapshot->accounts[i];
+		struct rj_cell_account_use *account = &snapshot->accounts[i];
 
-		rj_unpack_text(&in, "account", account->name,
-			       sizeof(account->name));
+		rj_unpack_text(&in, "account", account->account,
+			       sizeof(account->account));
 		account->use_ppm =
 			(uint32_t)rj_unpack_number(&in, "use", UINT32_MAX);
 	}
--- a/src/libradishjunction/include/private/cell_handover.h
+++ b/src/libradishjunction/include/private/cell_handover.h
@@ -66,9 +66,6 @@
 	/* The last part as it was read; NULL: it was not. */
 	struct rj_cell_snapshot *former;
 	uint64_t former_us; /* when it was written, by this owner's clock */
-	/* Use of the accounts, as of the last call or as it was read. */
-	uint32_t account_count;
-	struct rj_cell_snapshot_account accounts[RJ_CELL_SNAPSHOT_ACCOUNTS_MAX];
 	uint32_t appending; /* records without an outcome */
 	uint64_t due_us; /* nothing is written before this */
 	/* Until then the parts that are due wait for an append that is made
@@ -95,11 +92,5 @@
 void rj_cell_handover_worker_met(struct rj_cell_handover *handover,
 				 struct rj_cell_worker *worker);
 void rj_cell_handover_write(struct rj_cell_handover *handover);
-void rj_cell_handover_set_accounts(
-	struct rj_cell_handover *handover,
-	const struct rj_cell_snapshot_account *accounts, uint32_t count);
-const struct rj_cell_snapshot_account *
-rj_cell_handover_accounts(const struct rj_cell_handover *handover,
-			  uint32_t *count, uint64_t *at_us);
 
 #endif
--- a/src/libradishjunction/include/private/cell_snapshot.h
+++ b/src/libradishjunction/include/private/cell_snapshot.h
@@ -10,6 +10,7 @@
 #ifndef RADISHJUNCTION_PRIVATE_CELL_SNAPSHOT_H
 #define RADISHJUNCTION_PRIVATE_CELL_SNAPSHOT_H
 
+#include "private/cell_account_shares.h"
 #include "private/cell_forecast.h"
 #include "private/cell_worker_history.h"
 
@@ -27,11 +28,6 @@
 	struct rj_cell_worker_history history;
 };
 
-struct rj_cell_snapshot_account {
-	char name[RJ_NAME_BYTES];
-	uint32_t use_ppm; /* of the cell, in millionths */
-};
-
 struct rj_cell_snapshot {
 	uint64_t token; /* of the owner that wrote it */
 	uint64_t wall_ms; /* when, as Unix time by its clock */
@@ -41,7 +37,7 @@
 	struct rj_cell_queue_mean *queues;
 	uint32_t urgent_accelerators; /* recent urgent demand */
 	uint32_t account_count;
-	struct rj_cell_snapshot_account *accounts;
+	struct rj_cell_account_use *accounts;
 };
 
 /* What a reader knows when it decodes a record. */
