reclaim: runs of jobs past their last useful time yield to work in time

With admission_forecast, a run whose job is too late to be of use is stopped first and at no loss by any group that is in time. Before, a lower or equal priority could not stop it, so that an overload kept capacity on results that nobody could use. Guaranteed, scheduled and perpetual work is not meant, and a task that has lost three runs is protected by the usual rules, so that it cannot be stopped for ever.

The accelerators of such runs are summed up by worker once in a plan, so that the search for victims still skips workers that have none.

--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -608,6 +608,7 @@
 	if (!plan->task_groups->len)
 		return;
 	rj_cell_plan_gather_workers(plan);
+	rj_cell_reclaim_sum_expired(plan);
 	for (guint i = 0; i < plan->task_groups->len; i++) {
 		struct rj_cell_task_group *group = &g_array_index(
 			plan->task_groups, struct rj_cell_task_group, i);
--- a/src/libradishjunction/cell/cell_reclaim.c
+++ b/src/libradishjunction/cell/cell_reclaim.c
@@ -16,6 +16,9 @@
 /* Runs expected to complete within this are waited for: stopping a run takes as
  * long. */
 #define PREEMPTION_DELAY_US (400 * RJ_US_PER_MS)
+/* A task of a job that is too late to be of use is stopped at no loss only while
+ * it has lost fewer runs than this. Otherwise it could be stopped for ever. */
+#define EXPIRED_LOSSES_MAX 3
 /* Cost of choosing victims on a worker, relative to evaluating it. */
 #define CHOOSE_VICTIMS_EFFORT 6
 
@@ -55,6 +58,54 @@
 	return cores_milli(step) * elapsed_ms / 1000;
 }
 
+/*
+ * Whether a run holds capacity of which nobody has a use: its job is too late,
+ * neither guaranteed its capacity nor run at set times, and the task has not
+ * been stopped too often.
+ */
+static bool is_expired(const struct rj_cell_plan *plan,
+		       const struct rj_cell_run *run)
+{
+	const struct rj_cell_job *job = run->task->occurrence->job;
+
+	return plan->features.admission_forecast &&
+	       plan->now_us > job->late_us && !job->guaranteed &&
+	       !job->job_spec->repeats &&
+	       !rj_cell_task_step(run->task)->perpetual &&
+	       run->task->losses < EXPIRED_LOSSES_MAX;
+}
+
+/* Adds the accelerators of a run to its worker's sum, if it is expired. */
+static void add_expired(struct rj_cell_run *run, void *private_data)
+{
+	const struct rj_cell_plan *plan = private_data;
+
+	if (run->worker->plan_worker && is_expired(plan, run))
+		run->worker->plan_worker->expired_accelerators +=
+			run->allocated.accelerators;
+}
+
+/*
+ * Sums up for each worker the accelerators of runs that hold them for nothing.
+ *
+ * Guards against long plans: without the sum every worker would have to be
+ * evaluated for such runs.
+ */
+void rj_cell_reclaim_sum_expired(struct rj_cell_plan *plan)
+{
+	const struct rj_list *at;
+
+	if (!plan->features.admission_forecast)
+		return;
+	for (at = plan->jobs->next; at != plan->jobs; at = at->next) {
+		const struct rj_cell_job *job =
+			RJ_CONTAINER(at, struct rj_cell_job, link);
+
+		if (plan->now_us > job->late_us && job->started)
+			rj_cell_job_each_run(job, add_expired, plan);
+	}
+}
+
 /* Whether a job may be preempted for a group: if its priority is lower, except
  * that only urgent groups preempt a priority below its share. Guaranteed groups
  * also preempt jobs beyond their accounts' guarantees. */
@@ -77,14 +128,16 @@
 	       run->state != RJ_CELL_RUN_STOPPING &&
 	       run->state != RJ_CELL_RUN_INTENDED &&
 	       run->state != RJ_CELL_RUN_STARTING &&
-	       yields_to(plan, run->task->occurrence->job, group) &&
+	       (yields_to(plan, run->task->occurrence->job, group) ||
+		(is_expired(plan, run) && !group->expired)) &&
 	       !rj_cell_task_step(run->task)->perpetual;
 }
 
 /*
  * Returns the loss of stopping a run in core-milliseconds, over all members of
  * a gang, as they stop together. Each run of the task that was stopped or
- * lost raises it, so that a task is not preempted again and again.
+ * lost raises it, so that a task is not preempted again and again. A run that
+ * is too late to be of use is stopped at no loss.
  */
 uint64_t rj_cell_reclaim_loss(const struct rj_cell_plan *plan,
 			      const struct rj_cell_run *run)
@@ -92,7 +145,7 @@
 	const struct rj_cell_step *step;
 	uint64_t loss_milli;
 
-	if (!run->task)
+	if (!run->task || is_expired(plan, run))
 		return 0;
 	step = rj_cell_task_step(run->task);
 	loss_milli =
@@ -207,7 +260,8 @@
 static bool may_reclaim(const struct rj_cell_plan_worker *plan_worker,
 			const struct rj_cell_task_group *group, uint32_t demand)
 {
-	uint32_t sum = plan_worker->free_after_stops.accelerators;
+	uint32_t sum = plan_worker->free_after_stops.accelerators +
+		       plan_worker->expired_accelerators;
 	uint32_t from =
 		group->guaranteed ? 0 : group->job->job_spec->priority + 1;
 
--- a/src/libradishjunction/include/private/cell_place.h
+++ b/src/libradishjunction/include/private/cell_place.h
@@ -119,6 +119,7 @@
 	struct rj_cell_plan *plan, struct rj_cell_placement *placement,
 	const struct rj_cell_task_group *group, struct rj_cell_task *task,
 	const struct rj_cell_placement_options *options);
+void rj_cell_reclaim_sum_expired(struct rj_cell_plan *plan);
 uint64_t rj_cell_reclaim_loss(const struct rj_cell_plan *plan,
 			      const struct rj_cell_run *run);
 uint64_t
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -38,6 +38,9 @@
 	struct rj_cell_demand free_after_stops;
 	/* Capacity that is not free yet and is promised to waiting groups. */
 	struct rj_cell_demand promised;
+	/* Held by runs of jobs that are too late to be of use; an upper
+	 * bound. */
+	uint32_t expired_accelerators;
 	/* Runs on this worker of the step being placed, if the step limits
 	 * them. */
 	uint32_t step_runs;
