admit: admission by the measured service rate

With admission_forecast, a queue rejects jobs by what the cell really completes. Today's forecast divides the work ahead by 80 % of the cell, which is wrong on a full cell: reservations, promises, fragmentation, stops and broken gangs leave less.

While tasks of a class wait, the resources that the classes hold are averaged; of the work done with them the share that is lost is subtracted. A queue without a recent backlog of its class, or whose jobs have all started, is never rejected, and urgent queues are not while some account is within its guarantee. In the first 3 s of a term today's forecast applies.

--- a/src/libradishjunction/cell/cell_admit.c
+++ b/src/libradishjunction/cell/cell_admit.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "private/cell_admission_forecast.h"
+
 /*
  * Percentage of the capacity from which a wait is computed. Fragmentation by
  * racks and gangs leaves some capacity idle, so that forecasts are accurate to
@@ -156,14 +158,16 @@
 }
 
 /*
- * Decides whether one queue accepts jobs.
+ * Decides whether one queue accepts jobs. `work` is that of all jobs by class,
+ * with the feature admission_forecast.
  *
  * Guards against sustained overload: jobs accepted then complete too late to be
  * of use and take capacity from jobs that are still in time, and their callers
  * learn of it only after minutes.
  */
-static void evaluate_queue(const struct rj_cell_owner *owner,
+static void evaluate_queue(struct rj_cell_owner *owner,
 			   const struct rj_cell_queue *queue,
+			   const struct rj_cell_service_load *work,
 			   struct rj_cell_queue_load *queue_load)
 {
 	struct capacity capacity;
@@ -176,6 +180,11 @@
 	sum_workers(owner, queue->service, &capacity);
 	if (capacity.cordoned && !capacity.schedulable)
 		refuse(queue_load, CORDONED_RETRY_AFTER_MS);
+	if (owner->limits.features.admission_forecast &&
+	    rj_cell_admission_forecast_decide(owner, queue,
+					      has_enough_workers(&capacity),
+					      late_ms, work, queue_load))
+		return;
 	if (!has_enough_workers(&capacity))
 		return;
 	excess_ms = forecast_wait_ms(owner, queue, &capacity.total) +
@@ -214,12 +223,15 @@
  * decision of each queue that has pending jobs or tasks with a known run time.
  * A successor takes the run times over.
  */
-void rj_cell_admit_queues(const struct rj_cell_owner *owner,
+void rj_cell_admit_queues(struct rj_cell_owner *owner,
 			  struct rj_cell_owner_heartbeat *heartbeat)
 {
 	const struct rj_cell_config *config = owner->config;
 	GHashTable *pending = count_pending(owner);
+	struct rj_cell_service_load work[RJ_CELL_PRIORITY_CLASSES] = { { 0 } };
 
+	if (owner->limits.features.admission_forecast)
+		rj_cell_admission_forecast_sum_work(owner, work);
 	heartbeat->queue_load_count = 0;
 	for (uint32_t i = 0;
 	     config && i < config->queue_count &&
@@ -238,7 +250,8 @@
 		memcpy(queue_load->queue, config->queues[i].name,
 		       sizeof(queue_load->queue));
 		if (queue_load->mean_ms)
-			evaluate_queue(owner, &config->queues[i], queue_load);
+			evaluate_queue(owner, &config->queues[i], work,
+				       queue_load);
 		heartbeat->queue_load_count++;
 	}
 	g_hash_table_destroy(pending);
--- a/src/libradishjunction/cell/cell_completions.c
+++ b/src/libradishjunction/cell/cell_completions.c
@@ -5,6 +5,7 @@
 
 #include "private/cell_owner.h"
 #include "private/cell_run_pace.h"
+#include "private/cell_admission_forecast.h"
 #include "private/log_event.h"
 
 const char *const rj_cell_completion_string[RJ_CELL_COMPLETION_COUNT] = {
@@ -435,6 +436,7 @@
 	occurrence = task->occurrence;
 	job = occurrence->job;
 	job->runs_lost += end != RJ_CELL_COMPLETION_DONE;
+	rj_cell_admission_forecast_observe_end(owner, run, end);
 	record_checkpoint(task, saved && saved[0] ? saved : run->saved);
 	if (end == RJ_CELL_COMPLETION_DONE && run->placed_us && !run->adopted &&
 	    !run->checkpoint[0])
--- a/src/libradishjunction/cell/cell_metrics.c
+++ b/src/libradishjunction/cell/cell_metrics.c
@@ -5,6 +5,10 @@
 /* Shown if an age is unknown. */
 #define UNKNOWN_AGE -1
 
+static const char *const priority_class_string[RJ_CELL_PRIORITY_CLASSES] = {
+	"0", "1", "2+"
+};
+
 static void write_number(GString *text, const char *name, uint64_t value)
 {
 	g_string_append_printf(text, "radishjunction_%s %" PRIu64 "\n", name,
@@ -37,6 +41,8 @@
 			   const struct rj_cell_frontend *frontend)
 {
 	write_number(text, "requests_open", frontend->open);
+	write_number(text, "rejections",
+		     frontend->counters.answers[RJ_CELL_VERDICT_BUSY].count);
 	for (int i = 0; i < RJ_CELL_VERB_COUNT; i++)
 		write_labelled(text, "calls", "call", rj_cell_verb_string[i],
 			       frontend->counters.calls[i]);
@@ -78,13 +84,37 @@
 	write_number(text, "workers_usable", usable);
 }
 
+/* Writes the decisions on the queues, of which there are 32 at most. */
+static void write_admission(GString *text, const struct rj_cell_owner *owner,
+			    uint64_t now_us)
+{
+	const struct rj_cell_service_rate *rate = &owner->service_rate;
+
+	if (!owner->limits.features.admission_forecast)
+		return;
+	for (uint32_t i = 0; i < RJ_CELL_PRIORITY_CLASSES; i++)
+		write_labelled(
+			text, "useful_percent", "priority",
+			priority_class_string[i],
+			(uint64_t)(100 * rj_cell_service_rate_useful_share(
+						 rate, i, now_us)));
+	for (uint32_t i = 0; i < rate->decision_count; i++) {
+		const struct rj_cell_service_decision *decision =
+			&rate->decisions[i];
+
+		write_labelled(text, "forecast_wait_ms", "queue",
+			       decision->queue, (uint64_t)decision->wait_ms);
+		write_labelled(text, "queue_rejects", "queue", decision->queue,
+			       decision->rejects);
+		write_labelled(text, "queue_decision_changes", "queue",
+			       decision->queue, decision->changes);
+	}
+}
+
 /* Writes the counters; the gauges only while this node is the owner. */
 static void write_owner(GString *text, const struct rj_cell_owner *owner,
 			uint64_t now_us)
 {
-	static const char *const priorities[RJ_CELL_PRIORITY_CLASSES] = {
-		"0", "1", "2+"
-	};
 	const struct rj_cell_owner_counters *counters = &owner->counters;
 
 	write_number(text, "owner", owner->active);
@@ -115,7 +145,7 @@
 	for (int i = 0; i < RJ_CELL_PRIORITY_CLASSES; i++)
 		rj_latency_write(&counters->first_start_waits[i],
 				 "radishjunction_first_start_ms", "priority",
-				 priorities[i], text);
+				 priority_class_string[i], text);
 	rj_latency_write(&counters->start_latency, "radishjunction_order_ms",
 			 "order", "start", text);
 	if (!owner->active)
@@ -124,16 +154,17 @@
 		const struct rj_cell_backlog_class *waiting =
 			&owner->backlog.classes[i];
 
-		write_labelled(text, "tasks_waiting", "priority", priorities[i],
-			       waiting->tasks);
+		write_labelled(text, "tasks_waiting", "priority",
+			       priority_class_string[i], waiting->tasks);
 		write_labelled(text, "oldest_wait_ms", "priority",
-			       priorities[i],
+			       priority_class_string[i],
 			       waiting->longest_wait_us / RJ_US_PER_MS);
 	}
 	write_number(text, "accelerators_reserved", owner->backlog.reserved);
 	write_number(text, "accelerators_reserved_free",
 		     owner->backlog.reserved_free);
 	write_number(text, "accelerators_promised", owner->backlog.promised);
+	write_admission(text, owner, now_us);
 	write_fleet(text, owner, now_us);
 }
 
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -8,6 +8,7 @@
 #include "private/cell_flush.h"
 #include "private/cell_plan.h"
 #include "private/cell_starts.h"
+#include "private/cell_admission_forecast.h"
 #include "private/log_event.h"
 
 /* Minimum time between plans, so that one plan handles runs that complete
@@ -220,6 +221,7 @@
 			rj_cell_forecast_record_urgent(&owner->forecast,
 						       entry->job_spec,
 						       owner->now_us);
+		rj_cell_admission_forecast_observe_job(owner, entry->job);
 		log_job_taken(entry);
 	}
 	if (entry->cancelled && !entry->job->cancelled) {
@@ -420,6 +422,7 @@
 	owner->now_us = now_us;
 	owner->wall_ms = wall_ms;
 	owner->advice_pending = false;
+	rj_cell_service_rate_init(&owner->service_rate);
 	rj_cell_polls_reset_limits(owner);
 	owner->counters.takeovers++;
 	RJ_FOR_EACH (at, next, &owner->view->entries) {
@@ -521,6 +524,7 @@
 			   const struct rj_cell_plan *plan)
 {
 	rj_cell_backlog_sum(plan, &owner->backlog);
+	rj_cell_admission_forecast_observe_plan(owner, plan);
 	if (!plan->waiting_tasks || owner->now_us < owner->backlog_log_due_us)
 		return;
 	owner->backlog_log_due_us = owner->now_us + BACKLOG_LOG_INTERVAL_US;
--- a/src/libradishjunction/cell/cell_share.c
+++ b/src/libradishjunction/cell/cell_share.c
@@ -1,14 +1,11 @@
 #include "private/cell_share.h"
 
-/* The share of a priority is one part in this many of each resource. */
-#define SHARE_DIVISOR 8
-
 /* Returns how many tasks that take `each` of a resource fit into the rest of
  * the share; the last one may exceed it. */
 static uint64_t tasks_below_share(uint64_t allocated, uint64_t total,
 				  uint64_t each)
 {
-	uint64_t share = total / SHARE_DIVISOR;
+	uint64_t share = total / RJ_CELL_SHARE_DIVISOR;
 
 	if (!total)
 		return UINT32_MAX;
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -24,6 +24,7 @@
 #include "private/cell_fleet.h"
 #include "private/cell_forecast.h"
 #include "private/cell_lease_bounds.h"
+#include "private/cell_service_rate.h"
 #include "private/cell_view.h"
 #include "private/cell_workers.h"
 #include "private/cell_writer.h"
@@ -101,6 +102,7 @@
 	struct rj_list dirty_jobs; /* jobs with changes that are not stored */
 	GPtrArray *ended_jobs; /* ids of jobs whose keys may be removed */
 	struct rj_cell_forecast forecast;
+	struct rj_cell_service_rate service_rate; /* of the present term */
 	struct rj_cell_failure_burst failure_burst;
 	uint32_t strength; /* of the instance, in hundredths of a core */
 	bool plan_wanted;
--- a/src/libradishjunction/include/private/cell_share.h
+++ b/src/libradishjunction/include/private/cell_share.h
@@ -12,6 +12,9 @@
 
 #include "private/cell_plan.h"
 
+/* The share of a priority is one part in this many of each resource. */
+#define RJ_CELL_SHARE_DIVISOR 8
+
 uint32_t rj_cell_share_free_tasks(const struct rj_cell_plan *plan,
 				  const struct rj_cell_step *step,
 				  const struct rj_cell_job *job);
