plan: a step stops many runs of jobs past their time in one plan

Single tasks that are not urgent stopped one run in a plan and then waited for its end, so that a step of 39 tasks took some 16 s to get capacity that others held for nothing. Now up to 32 tasks of a step stop such runs in one plan.

--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -28,6 +28,9 @@
  * and of those for runs to preempt. Further searches are left to later plans,
  * as each evaluates all workers. */
 #define FAILED_SEARCHES_MAX 8
+/* Maximum number of tasks of a step that stop runs of jobs past their time in one
+ * plan, besides the first task that waits. Each evaluates all workers. */
+#define EXPIRED_PREEMPTIONS_MAX 32
 /* Delay before a group that found no runs to preempt searches again. A failed
  * search changes nothing, so that skipping one only delays the next. */
 #define SEARCH_RETRY_US (100 * RJ_US_PER_MS)
@@ -458,6 +461,26 @@
 		plan->waiting_tasks += count;
 }
 
+/*
+ * Finds capacity for tasks that are not urgent from runs of jobs that are too
+ * late to be of use.
+ *
+ * Otherwise each plan would stop one such run for a step of many tasks.
+ */
+static void preempt_expired(struct rj_cell_plan *plan,
+			    const struct rj_cell_task_group *group,
+			    struct rj_cell_task **tasks, uint32_t count)
+{
+	count = MIN(count, MIN(plan->expired_runs, EXPIRED_PREEMPTIONS_MAX));
+	if (plan->now_us - group->waiting_since_us < PREEMPTION_WAIT_US)
+		return;
+	for (uint32_t i = 0; i < count; i++)
+		if (!place_without_preemption(plan, group, &tasks[i], 1,
+					      RJ_CELL_HORIZON_STOPS) &&
+		    !place_with_preemption(plan, group, &tasks[i], 1, 0))
+			break;
+}
+
 /* Places tasks one by one. Tasks that are not urgent stop at the first one
  * without capacity, unless it alone needs a healthy worker; urgent ones are all
  * tried, as preemption may differ for each. */
@@ -483,8 +506,11 @@
 			continue;
 		}
 		plan->waiting_tasks += count - i;
-		if (group->job->job_spec->priority)
+		if (group->job->job_spec->priority) {
+			preempt_expired(plan, group, &tasks[i + 1],
+					count - i - 1);
 			break;
+		}
 	}
 }
 
--- a/src/libradishjunction/cell/cell_reclaim.c
+++ b/src/libradishjunction/cell/cell_reclaim.c
@@ -75,18 +75,23 @@
 	       run->task->losses < EXPIRED_LOSSES_MAX;
 }
 
-/* Adds the accelerators of a run to its worker's sum, if it is expired. */
+/* Counts a run if it is expired, and adds its accelerators to its worker's
+ * sum. */
 static void add_expired(struct rj_cell_run *run, void *private_data)
 {
-	const struct rj_cell_plan *plan = private_data;
+	struct rj_cell_plan *plan = private_data;
 
-	if (run->worker->plan_worker && is_expired(plan, run))
-		run->worker->plan_worker->expired_accelerators +=
-			run->allocated.accelerators;
+	if (!run->worker->plan_worker || run->state == RJ_CELL_RUN_STOPPING ||
+	    !is_expired(plan, run))
+		return;
+	plan->expired_runs++;
+	run->worker->plan_worker->expired_accelerators +=
+		run->allocated.accelerators;
 }
 
 /*
- * Sums up for each worker the accelerators of runs that hold them for nothing.
+ * Counts the runs that hold capacity for nothing, and sums up their accelerators
+ * for each worker.
  *
  * Guards against long plans: without the sum every worker would have to be
  * evaluated for such runs.
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -145,6 +145,9 @@
 	GHashTable *urgent_needs;
 	GArray *shortages; /* struct rj_cell_shortage */
 	uint32_t failed_searches; /* for runs to preempt */
+	/* Runs of jobs that are too late to be of use and may be stopped for
+	 * others. */
+	uint32_t expired_runs;
 	uint64_t effort; /* unit: the evaluation of one worker */
 };
 
