test: replays of admission by the service rate and of jobs past their time

Removing the limit of stops, the preemption of such runs or the exception for scheduled jobs fails test_cell_service_rate.

--- a/src/test_libradishjunction/test_cell_service_rate.c
+++ b/src/test_libradishjunction/test_cell_service_rate.c
@@ -15,6 +15,7 @@
 static const struct cell_sim_options site = {
 	SITE, .features = { .admission_forecast = true }
 };
+static const struct cell_sim_options without_feature = { SITE };
 
 /* The three kinds of work. */
 #define URGENT_STEP step_of(5, 2, 2, 2500, true)
@@ -121,9 +122,216 @@
 	g_assert_cmpuint(tally_of(&f->sim, "bulk").accepted, >, 30);
 }
 
+/*
+ * Load: half of what the site can run, with bursts of each kind.
+ * Guards against jobs that are rejected though they would be served in time.
+ */
+static void test_bursts_are_accepted(struct cell_fixture *f, const void *data)
+{
+	const struct cell_load_stream streams[] = {
+		{ "urgent", "a", URGENT_STEP, 2500 * MS, S, 0, 0 },
+		{ "normal", "a", NORMAL_STEP, 6800 * MS, 8 * S, 0, 0 },
+		{ "bulk", "b", BATCH_STEP, 6100 * MS, 8 * S, 0, 0 },
+		{ "normal", "a", NORMAL_STEP, 6800 * MS, 700 * MS, 20 * S,
+		  26 * S },
+		{ "bulk", "b", BATCH_STEP, 6100 * MS, 700 * MS, 60 * S,
+		  66 * S },
+		{ "urgent", "b", URGENT_STEP, 2500 * MS, 300 * MS, 100 * S,
+		  106 * S },
+		{ "normal", "a", NORMAL_STEP, 6800 * MS, 700 * MS, 100 * S,
+		  106 * S },
+	};
+
+	cell_load_run_streams(&f->sim, streams, G_N_ELEMENTS(streams), 150 * S,
+			      NULL);
+	cell_load_run(&f->sim, 60 * S);
+	g_assert_cmpuint(tally_of(&f->sim, "urgent").rejected, ==, 0);
+	g_assert_cmpuint(tally_of(&f->sim, "normal").rejected, ==, 0);
+	g_assert_cmpuint(tally_of(&f->sim, "bulk").rejected, ==, 0);
+	assert_served(&f->sim, "normal");
+	assert_served(&f->sim, "bulk");
+}
+
+/* Returns the owner's decision on a queue. */
+static const struct rj_cell_service_decision *
+decision_on(const struct cell_sim *sim, const char *queue)
+{
+	const struct rj_cell_service_rate *rate = &owner_of(sim)->service_rate;
+
+	for (uint32_t i = 0; i < rate->decision_count; i++)
+		if (!strcmp(rate->decisions[i].queue, queue))
+			return &rate->decisions[i];
+	return NULL;
+}
+
+/*
+ * Load: normal jobs for more than a minute, all at once.
+ * Guards against a forecast that follows a burst late, and against a retry
+ * delay after which the caller is rejected again.
+ */
+static void test_burst_is_rejected_until_retry(struct cell_fixture *f,
+					       const void *data)
+{
+	const struct rj_cell_step step = NORMAL_STEP;
+	const struct rj_cell_service_decision *decision;
+	struct cell_client_job *job;
+	uint64_t retry_us;
+
+	(void)cell_load_submit(&f->sim, "normal", "a", &step, 6800 * MS);
+	cell_load_run(&f->sim, 12 * S);
+	for (uint32_t i = 0; i < 20; i++)
+		(void)cell_load_submit(&f->sim, "normal", "a", &step,
+				       6800 * MS);
+	cell_load_run(&f->sim, 2 * S);
+	decision = decision_on(&f->sim, "normal");
+	g_assert_true(decision->rejects);
+	retry_us = decision->retry_after_ms * MS;
+	g_assert_cmpuint(retry_us, <, 20 * S);
+	cell_load_run(&f->sim, retry_us + 2 * S);
+	g_assert_false(decision_on(&f->sim, "normal")->rejects);
+	job = cell_load_submit(&f->sim, "normal", "a", &step, 6800 * MS);
+	cell_load_run(&f->sim, 60 * S);
+	g_assert_true(job->accepted);
+	assert_served(&f->sim, "normal");
+}
+
+/*
+ * Load: three times what the site can run; the owner is killed.
+ * Guards against a successor that rejects by what it has not measured, and
+ * against one that accepts everything.
+ */
+static void test_successor_measures_again(struct cell_fixture *f,
+					  const void *data)
+{
+	run_overload(&f->sim, 40 * S, NULL);
+	g_assert_cmpuint(decision_on(&f->sim, "normal")->changes, >, 0);
+	cell_sim_node_kill(&f->sim, (uint32_t)cell_sim_owner(&f->sim));
+	while (cell_sim_owner(&f->sim) < 0)
+		cell_sim_run(&f->sim, 100 * MS);
+	run_overload(&f->sim, 1 * S, NULL);
+	g_assert_cmpint(
+		rj_cell_service_rate_basis(&owner_of(&f->sim)->service_rate, 1,
+					   f->sim.now_us),
+		==, RJ_CELL_SERVICE_UNMEASURED);
+	run_overload(&f->sim, 5 * S, NULL);
+	g_assert_cmpuint(decision_on(&f->sim, "normal")->changes, >, 0);
+}
+
+/*
+ * Load: more urgent jobs of one account than the site can run, then of both.
+ * Guards against the rejection of an account that is within its guarantee.
+ */
+static void test_guaranteed_job_is_accepted(struct cell_fixture *f,
+					    const void *data)
+{
+	const struct cell_load_stream flood = {
+		"urgent",  "b",	     step_of(8, 4, 2, 2500, true),
+		2500 * MS, 300 * MS, 0,
+		0
+	};
+	struct cell_load_stream other = flood;
+	const struct rj_cell_step small = step_of(2, 4, 2, 2500, true);
+	struct cell_client_job *job;
+
+	cell_load_run_streams(&f->sim, &flood, 1, 20 * S, NULL);
+	job = cell_load_submit(&f->sim, "urgent", "a", &small, 2500 * MS);
+	cell_sim_run(&f->sim, 100 * MS);
+	g_assert_true(job->accepted);
+	other.account = "a";
+	cell_load_run_streams(&f->sim, &other, 1, 6 * S, NULL);
+	g_assert_true(decision_on(&f->sim, "urgent")->rejects);
+}
+
+/*
+ * Load: a job that takes long past its last useful time, one that runs at a set
+ * time and a perpetual one fill the site; jobs in time arrive.
+ * Guards against capacity that is held for results of no use, and against tasks
+ * that are stopped again and again for other jobs.
+ */
+static void test_job_past_its_time_yields(struct cell_fixture *f,
+					  const void *data)
+{
+	const struct cell_load_stream in_time = {
+		"normal", "a", step_of(16, 1, 2, 2000, false), 2 * S, 4 * S,
+		0,	  0
+	};
+	const struct rj_cell_step late_step = cell_sim_plain_step(32, 1, 2000);
+	struct rj_cell_step step = cell_sim_plain_step(80, 1, 2000);
+	struct cell_client_job *late;
+	struct cell_client_job *scheduled;
+	struct cell_client_job *perpetual;
+	struct cell_client_job *job;
+
+	late = cell_load_submit(&f->sim, "normal", "b", &late_step, 60 * S);
+	scheduled = cell_sim_job_new(&f->sim, "normal", "b", &step, 1, 90 * S);
+	scheduled->spec->repeats = 1;
+	scheduled->spec->first_run_ms = cell_sim_wall_ms(&f->sim);
+	scheduled->spec->interval_ms = 1000;
+	cell_sim_submit(&f->sim, 0, scheduled);
+	step.perpetual = true;
+	perpetual = cell_load_submit(&f->sim, "normal", "b", &step, 90 * S);
+	cell_load_run(&f->sim, 24 * S);
+	job = cell_load_submit(&f->sim, "bulk", "a", &in_time.step, 2 * S);
+	cell_load_run(&f->sim, 3 * S);
+	g_assert_cmpuint(job->begun_us, !=, 0);
+	cell_load_run_streams(&f->sim, &in_time, 1, 60 * S, NULL);
+	assert_served(&f->sim, "bulk");
+	g_assert_cmpuint(scheduled->starts, ==, 80);
+	g_assert_cmpuint(perpetual->starts, ==, 80);
+	g_test_message("starts of the late job: %u", late->starts);
+	/* Each task is stopped for them three times at most. */
+	g_assert_cmpuint(late->starts, <=, 4 * 32);
+	cell_load_run(&f->sim, 90 * S);
+	g_assert_cmpint(late->state, ==, RJ_CELL_JOB_COMPLETED);
+}
+
+/* Starts and times of the jobs of a replay, as one number. */
+static uint64_t digest(const struct cell_sim *sim)
+{
+	uint64_t hash = sim->starts;
+
+	for (guint i = 0; i < sim->job_list->len; i++) {
+		const struct cell_client_job *job = sim->job_list->pdata[i];
+		const uint64_t figures[] = { job->starts, job->refusals,
+					     job->begun_us, job->ended_us };
+
+		for (uint32_t j = 0; j < G_N_ELEMENTS(figures); j++)
+			hash = (hash ^ figures[j]) * 0x100000001b3;
+	}
+	return hash;
+}
+
+/* Of the replay below, by the version before the feature. */
+#define OFF_DIGEST 0x5ef64fd21649d04e
+
+/*
+ * Load: three times what the site can run, without the feature; the owner is
+ * killed.
+ * Guards against decisions that change without the setting. A change that is
+ * meant to alter placements updates the digest.
+ */
+static void test_off_is_as_before(struct cell_fixture *f, const void *data)
+{
+	run_overload(&f->sim, 60 * S, NULL);
+	cell_sim_node_kill(&f->sim, (uint32_t)cell_sim_owner(&f->sim));
+	run_overload(&f->sim, 60 * S, NULL);
+	g_assert_cmphex(digest(&f->sim), ==, OFF_DIGEST);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	CELL_TEST("/cell_service_rate/overload", &site, test_overload);
+	CELL_TEST("/cell_service_rate/bursts", &site, test_bursts_are_accepted);
+	CELL_TEST("/cell_service_rate/retry", &site,
+		  test_burst_is_rejected_until_retry);
+	CELL_TEST("/cell_service_rate/successor", &site,
+		  test_successor_measures_again);
+	CELL_TEST("/cell_service_rate/guaranteed", &site,
+		  test_guaranteed_job_is_accepted);
+	CELL_TEST("/cell_service_rate/expired", &site,
+		  test_job_past_its_time_yields);
+	CELL_TEST("/cell_service_rate/off", &without_feature,
+		  test_off_is_as_before);
 	return g_test_run();
 }
