admit: a queue whose jobs start at once is not rejected

A backlog of wide jobs that cannot be placed made the queue reject small jobs for which capacity was free. A job that starts within 300 ms of its acceptance now keeps its queue open for a second.

--- a/src/libradishjunction/cell/cell_admission_forecast.c
+++ b/src/libradishjunction/cell/cell_admission_forecast.c
@@ -17,6 +17,11 @@
 #define CHECKPOINT_RESTORE_US (300 * RJ_US_PER_MS)
 /* Jobs accepted longer ago are found by a takeover and did not arrive now. */
 #define ARRIVAL_AGE_MAX_US (2 * RJ_US_PER_S)
+/* A job that starts within this has not waited for capacity: its record takes
+ * some 20 ms, and urgent jobs for which runs are stopped 0.4 s. */
+#define PROMPT_START_MAX_US (300 * RJ_US_PER_MS)
+/* A queue of which a job has started so within this has capacity for more. */
+#define PROMPT_START_AGE_MAX_US RJ_US_PER_S
 /* Cores, in thousandths, that an accelerator counts as, by the users' prices. */
 #define ACCELERATOR_CORES_MILLI 8000.0
 
@@ -229,6 +234,23 @@
 					    &work, owner->now_us);
 }
 
+/*
+ * Records that the first task of a job starts.
+ */
+void rj_cell_admission_forecast_observe_start(struct rj_cell_owner *owner,
+					      const struct rj_cell_job *job)
+{
+	struct rj_cell_service_decision *decision;
+
+	if (!owner->limits.features.admission_forecast ||
+	    owner->now_us > job->accepted_us + PROMPT_START_MAX_US)
+		return;
+	decision = rj_cell_service_rate_decision(&owner->service_rate,
+						 job->job_spec->queue);
+	if (decision)
+		decision->prompt_start_us = owner->now_us;
+}
+
 /*
  * Records the work of a run that has ended, and how much of it is lost. Of a
  * run that was adopted the time is not known.
@@ -297,17 +319,29 @@
 	return found;
 }
 
-/* Tells on what the decision on a queue can be based. A queue whose jobs have
- * all started has capacity for more of them. */
+/* Whether capacity is free for jobs of a queue, though its class has a backlog:
+ * all have started, or one has just started without waiting. */
+static bool has_free_capacity(const struct rj_cell_owner *owner,
+			      const struct rj_cell_service_decision *decision,
+			      const struct rj_cell_queue_load *queue_load)
+{
+	return !queue_load->pending ||
+	       (decision->prompt_start_us &&
+		owner->now_us <=
+			decision->prompt_start_us + PROMPT_START_AGE_MAX_US);
+}
+
+/* Tells on what the decision on a queue can be based. */
 static enum rj_cell_service_basis
 basis_of(const struct rj_cell_owner *owner, const struct rj_cell_queue *queue,
-	 uint32_t class, const struct rj_cell_queue_load *queue_load)
+	 uint32_t class, const struct rj_cell_service_decision *decision,
+	 const struct rj_cell_queue_load *queue_load)
 {
 	enum rj_cell_service_basis basis = rj_cell_service_rate_basis(
 		&owner->service_rate, class, owner->now_us);
 
 	if (basis == RJ_CELL_SERVICE_MEASURED &&
-	    (!queue_load->pending ||
+	    (has_free_capacity(owner, decision, queue_load) ||
 	     (!queue->priority && has_unused_guarantee(owner))))
 		return RJ_CELL_SERVICE_NO_BACKLOG;
 	return basis;
@@ -370,7 +404,7 @@
 	if (!decision)
 		return false;
 	if (has_enough_workers)
-		basis = basis_of(owner, queue, class, queue_load);
+		basis = basis_of(owner, queue, class, decision, queue_load);
 	if (basis == RJ_CELL_SERVICE_MEASURED)
 		wait_ms = rj_cell_service_rate_wait_ms(
 			&owner->service_rate, class, work, owner->now_us);
--- a/src/libradishjunction/cell/cell_service_rate.c
+++ b/src/libradishjunction/cell/cell_service_rate.c
@@ -366,7 +366,7 @@
 			    enum rj_cell_service_basis basis, double wait_ms,
 			    double limit_ms)
 {
-	bool rejected = decision->known && decision->rejects;
+	bool rejected = decision->rejects;
 	double accept_ms = limit_ms * ACCEPT_PERCENT / 100;
 
 	decision->basis = basis;
@@ -380,7 +380,6 @@
 					RETRY_AFTER_MIN_MS,
 					RETRY_AFTER_MAX_MS) :
 			0;
-	decision->known = true;
 	decision->changes += decision->rejects != rejected;
 	return decision->rejects != rejected;
 }
--- a/src/libradishjunction/cell/cell_starts.c
+++ b/src/libradishjunction/cell/cell_starts.c
@@ -2,6 +2,7 @@
 
 #include <talloc.h>
 
+#include "private/cell_admission_forecast.h"
 #include "private/cell_reachability.h"
 #include "private/log_event.h"
 
@@ -33,10 +34,12 @@
 	run->ticket = talloc_strdup(
 		run, rj_cell_advice_ticket(task->occurrence, task->step,
 					   choice->worker, owner->now_us));
-	if (!job->started)
+	if (!job->started) {
 		rj_latency_add(&owner->counters.first_start_waits
 					[rj_cell_job_priority_class(job)],
 			       owner->now_us - job->accepted_us);
+		rj_cell_admission_forecast_observe_start(owner, job);
+	}
 	job->started = true;
 	if (!job->first_start_us)
 		job->first_start_us = owner->now_us;
--- a/src/libradishjunction/include/private/cell_admission_forecast.h
+++ b/src/libradishjunction/include/private/cell_admission_forecast.h
@@ -16,6 +16,8 @@
 					     const struct rj_cell_plan *plan);
 void rj_cell_admission_forecast_observe_job(struct rj_cell_owner *owner,
 					    const struct rj_cell_job *job);
+void rj_cell_admission_forecast_observe_start(struct rj_cell_owner *owner,
+					      const struct rj_cell_job *job);
 void rj_cell_admission_forecast_observe_end(struct rj_cell_owner *owner,
 					    const struct rj_cell_run *run,
 					    enum rj_cell_completion end);
--- a/src/libradishjunction/include/private/cell_service_rate.h
+++ b/src/libradishjunction/include/private/cell_service_rate.h
@@ -61,13 +61,14 @@
 /* The admission decision on one queue. */
 struct rj_cell_service_decision {
 	char queue[RJ_NAME_BYTES];
-	bool known; /* the queue was evaluated in this term */
 	bool rejects;
 	enum rj_cell_service_basis basis;
 	double wait_ms; /* forecast for a new job; 0 unless measured */
 	double limit_ms; /* longest wait with which a job is of use */
 	uint32_t retry_after_ms; /* time until the queue accepts; 0: now */
 	uint64_t changes; /* of `rejects` in this term */
+	/* When a job of the queue started last without waiting; 0: never. */
+	uint64_t prompt_start_us;
 };
 
 struct rj_cell_service_rate {
--- a/src/test_libradishjunction/test_cell_service_rate.c
+++ b/src/test_libradishjunction/test_cell_service_rate.c
@@ -217,6 +217,33 @@
 	g_assert_cmpuint(decision_on(&f->sim, "normal")->changes, >, 0);
 }
 
+/*
+ * Load: a task of some accelerators on each worker, wide jobs of tasks that need
+ * whole workers, and small jobs that fit beside them.
+ * Guards against small jobs that are rejected for a backlog of others, though
+ * capacity is free for them.
+ */
+static void test_job_with_free_capacity_is_accepted(struct cell_fixture *f,
+						    const void *data)
+{
+	const struct cell_load_stream streams[] = {
+		{ "bulk", "b", cell_sim_plain_step(39, 8, 2000), 2 * S,
+		  500 * MS, 0, 0 },
+		{ "bulk", "b", cell_sim_plain_step(2, 1, 2000), 2 * S, 500 * MS,
+		  0, 0 },
+	};
+	struct rj_cell_step lasting = cell_sim_plain_step(24, 4, 1000);
+
+	lasting.perpetual = true;
+	lasting.per_worker_max = 1;
+	(void)cell_load_submit(&f->sim, "bulk", "a", &lasting, S);
+	cell_load_run(&f->sim, 2 * S);
+	cell_load_run_streams(&f->sim, streams, G_N_ELEMENTS(streams), 60 * S,
+			      NULL);
+	g_assert_cmpuint(owner_of(&f->sim)->backlog.classes[2].tasks, >, 1000);
+	g_assert_cmpuint(tally_of(&f->sim, "bulk").rejected, ==, 0);
+}
+
 /*
  * Load: more urgent jobs of one account than the site can run, then of both.
  * Guards against the rejection of an account that is within its guarantee.
@@ -327,6 +354,8 @@
 		  test_burst_is_rejected_until_retry);
 	CELL_TEST("/cell_service_rate/successor", &site,
 		  test_successor_measures_again);
+	CELL_TEST("/cell_service_rate/free_capacity", &site,
+		  test_job_with_free_capacity_is_accepted);
 	CELL_TEST("/cell_service_rate/guaranteed", &site,
 		  test_guaranteed_job_is_accepted);
 	CELL_TEST("/cell_service_rate/expired", &site,
