service rate: no plans are no evidence; unit tests

While the log is slow no plans are made; a backlog that was seen before then counted as gone after a second, and queues accepted for a while. The age of a backlog is now measured up to the last plan.

--- a/src/libradishjunction/cell/cell_service_rate.c
+++ b/src/libradishjunction/cell/cell_service_rate.c
@@ -94,17 +94,27 @@
 	return exp(-(double)age_us / (double)constant_us);
 }
 
+/* Whether no task of a class has waited in the last plans up to `observed_us`.
+ * Without plans, as while the log is slow, nothing has changed. */
+static bool has_gap(const struct rj_cell_service_class *class,
+		    uint64_t observed_us)
+{
+	return !class->short_until_us ||
+	       observed_us > class->short_until_us + SHORT_GAP_MAX_US;
+}
+
 /* Updates the averages of one class whose tasks wait. After a time without a
  * backlog, what was held then says nothing about the present load. */
 static void observe_class(
 	struct rj_cell_service_class *class,
 	const struct rj_cell_service_sample samples[RJ_CELL_PRIORITY_CLASSES],
-	uint64_t since_us, uint64_t now_us)
+	uint64_t observed_us, uint64_t now_us)
 {
+	uint64_t since_us =
+		MAX(observed_us, now_us - MIN(now_us, SAMPLE_INTERVAL_MAX_US));
 	double weight = 1 - decay(since_us, now_us, HELD_DECAY_US);
 
-	if (!class->short_until_us ||
-	    now_us > class->short_until_us + SHORT_GAP_MAX_US) {
+	if (has_gap(class, observed_us)) {
 		class->short_since_us = now_us;
 		weight = 1;
 	}
@@ -133,19 +143,15 @@
 	const struct rj_cell_service_sample samples[RJ_CELL_PRIORITY_CLASSES],
 	const struct rj_cell_service_load *total, uint64_t now_us)
 {
-	uint64_t since_us = rate->observed_us;
-
 	if (!rate->observed_since_us)
 		rate->observed_since_us = now_us;
-	since_us = MAX(since_us, now_us - MIN(now_us, SAMPLE_INTERVAL_MAX_US));
-	rate->observed_us = now_us;
-	if (!total)
-		return;
-	rate->total = *total;
-	for (uint32_t i = 0; i < RJ_CELL_PRIORITY_CLASSES; i++)
+	if (total)
+		rate->total = *total;
+	for (uint32_t i = 0; total && i < RJ_CELL_PRIORITY_CLASSES; i++)
 		if (samples[i].waits)
-			observe_class(&rate->classes[i], samples, since_us,
-				      now_us);
+			observe_class(&rate->classes[i], samples,
+				      rate->observed_us, now_us);
+	rate->observed_us = now_us;
 }
 
 /*
@@ -215,8 +221,7 @@
 	if (!rate->observed_since_us ||
 	    now_us < rate->observed_since_us + TERM_MIN_US)
 		return RJ_CELL_SERVICE_UNMEASURED;
-	if (!figures->short_until_us ||
-	    now_us > figures->short_until_us + SHORT_GAP_MAX_US ||
+	if (has_gap(figures, rate->observed_us) ||
 	    figures->short_until_us < figures->short_since_us + SHORT_MIN_US)
 		return RJ_CELL_SERVICE_NO_BACKLOG;
 	return RJ_CELL_SERVICE_MEASURED;
--- a/src/test_libradishjunction/test_cell_service_rate.c
+++ b/src/test_libradishjunction/test_cell_service_rate.c
@@ -34,6 +34,96 @@
 	return step;
 }
 
+/* Observes plans for a time, in which what the classes hold is constant. */
+static void observe(struct rj_cell_service_rate *rate, uint64_t *now_us,
+		    uint64_t for_us, double normal, double batch)
+{
+	const struct rj_cell_service_load total = { 768000, 1536000, 192 };
+	const struct rj_cell_service_sample samples[] = {
+		{ .held = { 0 } },
+		{ normal > 0, { 0, 0, normal } },
+		{ batch > 0, { 0, 0, batch } },
+	};
+
+	for (uint64_t end_us = *now_us + for_us; *now_us < end_us;
+	     *now_us += 100 * MS)
+		rj_cell_service_rate_observe(rate, samples, &total, *now_us);
+}
+
+/* Guards against a rate that is trusted too early, that outlasts its backlog, or
+ * that follows a burst of the classes that go first for longer than it lasts. */
+static void test_rate_follows_the_backlog(void)
+{
+	struct rj_cell_service_load work[RJ_CELL_PRIORITY_CLASSES] = {
+		{ 0 }, { 0, 0, 100e3 }, { 0, 0, 1000e3 }
+	};
+	struct rj_cell_service_load arrival = { 0, 0, 144e3 };
+	struct rj_cell_service_rate rate;
+	uint64_t now_us = 100 * S;
+	double wait_ms;
+
+	rj_cell_service_rate_init(&rate);
+	observe(&rate, &now_us, 2 * S, 50, 0);
+	g_assert_cmpint(rj_cell_service_rate_basis(&rate, 1, now_us), ==,
+			RJ_CELL_SERVICE_UNMEASURED);
+	observe(&rate, &now_us, 2 * S, 50, 0);
+	g_assert_cmpint(rj_cell_service_rate_basis(&rate, 1, now_us), ==,
+			RJ_CELL_SERVICE_MEASURED);
+	g_assert_cmpint(rj_cell_service_rate_basis(&rate, 2, now_us), ==,
+			RJ_CELL_SERVICE_NO_BACKLOG);
+	wait_ms = rj_cell_service_rate_wait_ms(&rate, 1, work, now_us);
+	g_assert_cmpfloat_with_epsilon(wait_ms, 2000, 1);
+	/* As much is lost again as done. */
+	rj_cell_service_rate_record_end(&rate, 1, 1e12, 1e12, now_us);
+	wait_ms = rj_cell_service_rate_wait_ms(&rate, 1, work, now_us);
+	g_assert_cmpfloat_with_epsilon(wait_ms, 4000, 10);
+	rj_cell_service_rate_record_end(&rate, 1, 0, 1e15, now_us);
+	wait_ms = rj_cell_service_rate_wait_ms(&rate, 1, work, now_us);
+	g_assert_cmpfloat_with_epsilon(wait_ms, 4000, 10);
+	/* No plan for some time changes nothing, plans without waiting tasks
+	 * do. */
+	g_assert_cmpint(rj_cell_service_rate_basis(&rate, 1, now_us + 5 * S),
+			==, RJ_CELL_SERVICE_MEASURED);
+	observe(&rate, &now_us, 1200 * MS, 0, 0);
+	g_assert_cmpint(rj_cell_service_rate_basis(&rate, 1, now_us), ==,
+			RJ_CELL_SERVICE_NO_BACKLOG);
+	/* Normal jobs arrive as fast as they are served, and end. */
+	rj_cell_service_rate_init(&rate);
+	for (uint32_t i = 0; i < 100; i++) {
+		rj_cell_service_rate_record_arrival(&rate, 1, &arrival, now_us);
+		observe(&rate, &now_us, S, 144, 24);
+	}
+	wait_ms = rj_cell_service_rate_wait_ms(&rate, 2, work, now_us);
+	g_assert_cmpfloat(wait_ms, >, 20000);
+	observe(&rate, &now_us, 2 * S, 144, 24);
+	wait_ms = rj_cell_service_rate_wait_ms(&rate, 2, work, now_us);
+	g_assert_cmpfloat(wait_ms, <, 15000);
+}
+
+/* Guards against a decision that changes with each small change of the forecast,
+ * and against a retry delay after which the queue still rejects. */
+static void test_decision_has_a_hysteresis(void)
+{
+	struct rj_cell_service_decision decision = { .queue = "normal" };
+
+	g_assert_false(rj_cell_service_decide(
+		&decision, RJ_CELL_SERVICE_MEASURED, 39e3, 40e3));
+	g_assert_true(rj_cell_service_decide(
+		&decision, RJ_CELL_SERVICE_MEASURED, 48e3, 40e3));
+	g_assert_cmpuint(decision.retry_after_ms, ==, 10000);
+	g_assert_false(rj_cell_service_decide(
+		&decision, RJ_CELL_SERVICE_MEASURED, 39e3, 40e3));
+	g_assert_true(decision.rejects);
+	g_assert_true(rj_cell_service_decide(
+		&decision, RJ_CELL_SERVICE_MEASURED, 48e3 - 10000, 40e3));
+	(void)rj_cell_service_decide(&decision, RJ_CELL_SERVICE_MEASURED, 1e9,
+				     40e3);
+	g_assert_cmpuint(decision.retry_after_ms, ==, 20000);
+	g_assert_true(rj_cell_service_decide(
+		&decision, RJ_CELL_SERVICE_NO_BACKLOG, 1e9, 40e3));
+	g_assert_cmpuint(decision.changes, ==, 4);
+}
+
 /* What became of the jobs of a queue. */
 struct tally {
 	uint32_t sent;
@@ -49,7 +139,8 @@
 	for (guint i = 0; i < sim->job_list->len; i++) {
 		const struct cell_client_job *job = sim->job_list->pdata[i];
 		const struct rj_cell_queue *terms = rj_cell_config_queue(
-			sim->nodes[0].node.config, job->spec->queue);
+			sim->nodes[cell_sim_owner(sim)].node.config,
+			job->spec->queue);
 		uint64_t late_us =
 			job->sent_us +
 			RJ_CELL_LATE_FACTOR *
@@ -348,6 +439,10 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/cell_service_rate/rate",
+			test_rate_follows_the_backlog);
+	g_test_add_func("/cell_service_rate/decision",
+			test_decision_has_a_hysteresis);
 	CELL_TEST("/cell_service_rate/overload", &site, test_overload);
 	CELL_TEST("/cell_service_rate/bursts", &site, test_bursts_are_accepted);
 	CELL_TEST("/cell_service_rate/retry", &site,
