service rate: runs of a former owner that end well count as useful

After a takeover the runs that ended first were those that were stopped or lost; the useful share fell to a half for some 8 s, and normal jobs were rejected.

--- a/src/libradishjunction/cell/cell_admission_forecast.c
+++ b/src/libradishjunction/cell/cell_admission_forecast.c
@@ -251,23 +251,37 @@
 		decision->prompt_start_us = owner->now_us;
 }
 
+/* Returns for how long a run has run. Of a run that was adopted and is done that
+ * is the expected run time; its begin is not known. */
+static uint64_t ran_for_us(const struct rj_cell_owner *owner,
+			   const struct rj_cell_run *run,
+			   enum rj_cell_completion end)
+{
+	const struct rj_cell_task *task = run->task;
+
+	if (run->adopted && end == RJ_CELL_COMPLETION_DONE)
+		return (uint64_t)task_ms(owner, task->occurrence->job,
+					 task->step) *
+		       RJ_US_PER_MS;
+	return owner->now_us - MIN(owner->now_us, run->placed_us);
+}
+
 /*
- * Records the work of a run that has ended, and how much of it is lost. Of a
- * run that was adopted the time is not known.
+ * Records the work of a run that has ended, and how much of it is lost.
  */
 void rj_cell_admission_forecast_observe_end(struct rj_cell_owner *owner,
 					    const struct rj_cell_run *run,
 					    enum rj_cell_completion end)
 {
 	const struct rj_cell_step *step = rj_cell_task_step(run->task);
-	uint64_t ran_us = owner->now_us - MIN(owner->now_us, run->placed_us);
+	uint64_t ran_us = ran_for_us(owner, run, end);
 	uint64_t lost_us = end == RJ_CELL_COMPLETION_DONE ? 0 : ran_us;
 	double cores_milli =
 		run->allocated.cpu_milli +
 		ACCELERATOR_CORES_MILLI * run->allocated.accelerators;
 
 	if (!owner->limits.features.admission_forecast || !run->placed_us ||
-	    run->adopted || step->perpetual)
+	    step->perpetual)
 		return;
 	if (step->checkpoints)
 		lost_us = MIN(lost_us, CHECKPOINT_RESTORE_US);
