--- a/src/libradishjunction/cell/cell_admit.c
+++ b/src/libradishjunction/cell/cell_admit.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "private/cell_account_admission.h"
+#include "private/cell_admission_forecast.h"
 
 /*
  * Percentage of the capacity from which a wait is computed. Fragmentation by
@@ -177,15 +178,33 @@
 	return wait * 100 / USABLE_CAPACITY_PERCENT;
 }
 
+/* Decides which accounts a queue accepts, after a decision by the service
+ * rate. */
+static void add_account_admission(struct rj_cell_owner *owner,
+				  const struct rj_cell_queue *queue,
+				  struct rj_cell_owner_heartbeat *heartbeat)
+{
+	const struct rj_cell_service_decision *decision =
+		rj_cell_service_rate_decision(&owner->service_rate,
+					      queue->name);
+
+	if (owner->limits.features.account_shares)
+		rj_cell_account_admission_add_queue(
+			owner, queue->priority, decision->wait_ms,
+			decision->limit_ms, heartbeat);
+}
+
 /*
- * Decides whether one queue, the next one of the heartbeat, accepts jobs.
+ * Decides whether one queue, the next one of the heartbeat, accepts jobs. `work`
+ * is that of all jobs by class, with the feature admission_forecast.
  *
  * Guards against sustained overload: jobs accepted then complete too late to be
  * of use and take capacity from jobs that are still in time, and their callers
  * learn of it only after minutes.
  */
-static void evaluate_queue(const struct rj_cell_owner *owner,
+static void evaluate_queue(struct rj_cell_owner *owner,
 			   const struct rj_cell_queue *queue,
+			   const struct rj_cell_service_load *work,
 			   struct rj_cell_owner_heartbeat *heartbeat)
 {
 	struct rj_cell_queue_load *queue_load =
@@ -201,6 +220,13 @@
 	sum_workers(owner, queue->service, &capacity);
 	if (capacity.cordoned && !capacity.schedulable)
 		refuse(queue_load, CORDONED_RETRY_AFTER_MS);
+	if (owner->limits.features.admission_forecast &&
+	    rj_cell_admission_forecast_decide(owner, queue,
+					      has_enough_workers(&capacity),
+					      late_ms, work, queue_load)) {
+		add_account_admission(owner, queue, heartbeat);
+		return;
+	}
 	if (!has_enough_workers(&capacity))
 		return;
 	wait_ms = forecast_wait_ms(owner, queue, &capacity.total);
@@ -241,12 +267,15 @@
  * decision of each queue that has pending jobs or tasks with a known run time.
  * A successor takes the run times over.
  */
-void rj_cell_admit_queues(const struct rj_cell_owner *owner,
+void rj_cell_admit_queues(struct rj_cell_owner *owner,
 			  struct rj_cell_owner_heartbeat *heartbeat)
 {
 	const struct rj_cell_config *config = owner->config;
 	GHashTable *pending = count_pending(owner);
+	struct rj_cell_service_load work[RJ_CELL_PRIORITY_CLASSES] = { { 0 } };
 
+	if (owner->limits.features.admission_forecast)
+		rj_cell_admission_forecast_sum_work(owner, work);
 	heartbeat->queue_load_count = 0;
 	heartbeat->queues_by_share = 0;
 	heartbeat->refused_account_count = 0;
@@ -267,7 +296,8 @@
 		memcpy(queue_load->queue, config->queues[i].name,
 		       sizeof(queue_load->queue));
 		if (queue_load->mean_ms)
-			evaluate_queue(owner, &config->queues[i], heartbeat);
+			evaluate_queue(owner, &config->queues[i], work,
+				       heartbeat);
 		heartbeat->queue_load_count++;
 	}
 	g_hash_table_destroy(pending);
--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -27,6 +27,9 @@
  * and of those for runs to preempt. Further searches are left to later plans,
  * as each evaluates all workers. */
 #define FAILED_SEARCHES_MAX 8
+/* Maximum number of tasks of a step that stop runs of jobs past their time in one
+ * plan, besides the first task that waits. Each evaluates all workers. */
+#define EXPIRED_PREEMPTIONS_MAX 32
 /* Delay before a group that found no runs to preempt searches again. A failed
  * search changes nothing, so that skipping one only delays the next. */
 #define SEARCH_RETRY_US (100 * RJ_US_PER_MS)
@@ -351,11 +354,14 @@
 				const struct rj_cell_task_group *group,
 				struct rj_cell_task **tasks, uint32_t count)
 {
+	bool is_due = rj_cell_preemption_is_due(plan, group);
 	uint64_t max_loss_milli =
-		rj_cell_reclaim_group_cost_milli(plan, group, count) /
-		PREEMPTION_LOSS_DIVISOR;
+		is_due ? rj_cell_reclaim_group_cost_milli(plan, group, count) /
+				 PREEMPTION_LOSS_DIVISOR :
+			 0;
 
-	if (rj_cell_preemption_is_due(plan, group) &&
+	if ((is_due || (plan->expired_runs &&
+			rj_cell_preemption_has_waited(plan, group))) &&
 	    (place_without_preemption(plan, group, tasks, count,
 				      RJ_CELL_HORIZON_STOPS) ||
 	     place_with_preemption(plan, group, tasks, count, max_loss_milli)))
@@ -457,6 +463,26 @@
 		plan->waiting_tasks += count;
 }
 
+/*
+ * Finds capacity for tasks that are not urgent from runs of jobs that are too
+ * late to be of use.
+ *
+ * Otherwise each plan would stop one such run for a step of many tasks.
+ */
+static void preempt_expired(struct rj_cell_plan *plan,
+			    const struct rj_cell_task_group *group,
+			    struct rj_cell_task **tasks, uint32_t count)
+{
+	count = MIN(count, MIN(plan->expired_runs, EXPIRED_PREEMPTIONS_MAX));
+	if (!rj_cell_preemption_has_waited(plan, group))
+		return;
+	for (uint32_t i = 0; i < count; i++)
+		if (!place_without_preemption(plan, group, &tasks[i], 1,
+					      RJ_CELL_HORIZON_STOPS) &&
+		    !place_with_preemption(plan, group, &tasks[i], 1, 0))
+			break;
+}
+
 /* Places tasks one by one. Tasks that are not urgent stop at the first one
  * without capacity, unless it alone needs a healthy worker; urgent ones are all
  * tried, as preemption may differ for each. */
@@ -482,8 +508,11 @@
 			continue;
 		}
 		plan->waiting_tasks += count - i;
-		if (group->job->job_spec->priority)
+		if (group->job->job_spec->priority) {
+			preempt_expired(plan, group, &tasks[i + 1],
+					count - i - 1);
 			break;
+		}
 	}
 }
 
@@ -607,6 +636,7 @@
 	if (!plan->task_groups->len)
 		return;
 	rj_cell_plan_gather_workers(plan);
+	rj_cell_reclaim_sum_expired(plan);
 	for (guint i = 0; i < plan->task_groups->len; i++) {
 		struct rj_cell_task_group *group = &g_array_index(
 			plan->task_groups, struct rj_cell_task_group, i);
--- a/src/libradishjunction/cell/cell_preemption.c
+++ b/src/libradishjunction/cell/cell_preemption.c
@@ -9,7 +9,17 @@
 #define LOSSES_MAX 2
 
 /*
- * Whether a group that is not urgent may stop runs of lower priorities.
+ * Whether a group that is not urgent has waited for long enough to stop runs at
+ * no loss.
+ */
+bool rj_cell_preemption_has_waited(const struct rj_cell_plan *plan,
+				   const struct rj_cell_task_group *group)
+{
+	return plan->now_us - group->waiting_since_us >= PREEMPTION_WAIT_US;
+}
+
+/*
+ * Whether a group that is not urgent may stop runs of lower priorities at a loss.
  *
  * With the feature it may once half of its slack is used: until then, runs that
  * complete by themselves may make room, and what it would stop would lose its
@@ -20,7 +30,7 @@
 {
 	if (plan->features.restore_ms && !group->overdue)
 		return false;
-	return plan->now_us - group->waiting_since_us >= PREEMPTION_WAIT_US;
+	return rj_cell_preemption_has_waited(plan, group);
 }
 
 /*
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -27,6 +27,7 @@
 #include "private/cell_handover.h"
 #include "private/cell_lease_bounds.h"
 #include "private/cell_return_order.h"
+#include "private/cell_service_rate.h"
 #include "private/cell_view.h"
 #include "private/cell_workers.h"
 #include "private/cell_writer.h"
@@ -105,6 +106,7 @@
 	GPtrArray *ended_jobs; /* ids of jobs whose keys may be removed */
 	struct rj_cell_forecast forecast;
 	struct rj_cell_handover handover;
+	struct rj_cell_service_rate service_rate; /* of the present term */
 	struct rj_cell_failure_burst failure_burst;
 	struct rj_cell_return_order return_order;
 	/* The former owner's announcements have been taken over. */
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -39,6 +39,9 @@
 	struct rj_cell_demand free_after_stops;
 	/* Capacity that is not free yet and is promised to waiting groups. */
 	struct rj_cell_demand promised;
+	/* Held by runs of jobs that are too late to be of use; an upper
+	 * bound. */
+	uint32_t expired_accelerators;
 	/* Runs on this worker of the step being placed, if the step limits
 	 * them. */
 	uint32_t step_runs;
@@ -138,6 +141,9 @@
 	GHashTable *urgent_needs;
 	GArray *shortages; /* struct rj_cell_shortage */
 	uint32_t failed_searches; /* for runs to preempt */
+	/* Runs of jobs that are too late to be of use and may be stopped for
+	 * others. */
+	uint32_t expired_runs;
 	uint64_t effort; /* unit: the evaluation of one worker */
 };
 
--- a/src/libradishjunction/include/private/cell_preemption.h
+++ b/src/libradishjunction/include/private/cell_preemption.h
@@ -13,6 +13,8 @@
 
 #include "private/cell_place.h"
 
+bool rj_cell_preemption_has_waited(const struct rj_cell_plan *plan,
+				   const struct rj_cell_task_group *group);
 bool rj_cell_preemption_is_due(const struct rj_cell_plan *plan,
 			       const struct rj_cell_task_group *group);
 bool rj_cell_preemption_protects(const struct rj_cell_plan *plan,
