--- a/src/libradishjunction/cell/cell_admission_forecast.c
+++ b/src/libradishjunction/cell/cell_admission_forecast.c
@@ -12,6 +12,10 @@
  * slow workers take.
  */
 #define USABLE_TIME_PERCENT 65
+/* The measured wait counts up to this multiple of the estimate from all capacity:
+ * a burst of urgent work, some 6 s, holds capacity that others get back long
+ * before a forecast of a minute has passed. */
+#define ESTIMATE_FACTOR 1.5
 /* Work that is lost by stopping a task with checkpoints: the time of a restart
  * from one. */
 #define CHECKPOINT_RESTORE_US (300 * RJ_US_PER_MS)
@@ -389,8 +393,9 @@
 
 /*
  * Decides whether a queue accepts jobs, whose results are of no use after
- * `late_ms`. `work` is that of all jobs by class. Returns false if too little is
- * measured for a decision.
+ * `late_ms`. `estimate_ms` is the wait of a new job by the capacity of all workers,
+ * `work` that of all jobs by class. Returns false if too little is measured for a
+ * decision.
  *
  * Guards against an overload of several times the capacity: what reservations,
  * stops and failures leave is less than a fixed part of the cell, so that jobs
@@ -398,7 +403,7 @@
  */
 bool rj_cell_admission_forecast_decide(
 	struct rj_cell_owner *owner, const struct rj_cell_queue *queue,
-	bool has_enough_workers, double late_ms,
+	bool has_enough_workers, double late_ms, double estimate_ms,
 	const struct rj_cell_service_load work[RJ_CELL_PRIORITY_CLASSES],
 	struct rj_cell_queue_load *queue_load)
 {
@@ -420,8 +425,10 @@
 	if (has_enough_workers)
 		basis = basis_of(owner, queue, class, decision, queue_load);
 	if (basis == RJ_CELL_SERVICE_MEASURED)
-		wait_ms = rj_cell_service_rate_wait_ms(
-			&owner->service_rate, class, work, owner->now_us);
+		wait_ms = MIN(rj_cell_service_rate_wait_ms(&owner->service_rate,
+							   class, work,
+							   owner->now_us),
+			      ESTIMATE_FACTOR * estimate_ms);
 	if (rj_cell_service_decide(decision, basis, wait_ms, MAX(limit_ms, 0)))
 		log_decision(owner, class, decision, &work[class]);
 	if (decision->rejects) {
--- a/src/libradishjunction/cell/cell_admit.c
+++ b/src/libradishjunction/cell/cell_admit.c
@@ -221,9 +221,10 @@
 	if (capacity.cordoned && !capacity.schedulable)
 		refuse(queue_load, CORDONED_RETRY_AFTER_MS);
 	if (owner->limits.features.admission_forecast &&
-	    rj_cell_admission_forecast_decide(owner, queue,
-					      has_enough_workers(&capacity),
-					      late_ms, work, queue_load)) {
+	    rj_cell_admission_forecast_decide(
+		    owner, queue, has_enough_workers(&capacity), late_ms,
+		    forecast_wait_ms(owner, queue, &capacity.total), work,
+		    queue_load)) {
 		add_account_admission(owner, queue, heartbeat);
 		return;
 	}
--- a/src/libradishjunction/include/private/cell_admission_forecast.h
+++ b/src/libradishjunction/include/private/cell_admission_forecast.h
@@ -26,7 +26,7 @@
 	struct rj_cell_service_load work[RJ_CELL_PRIORITY_CLASSES]);
 bool rj_cell_admission_forecast_decide(
 	struct rj_cell_owner *owner, const struct rj_cell_queue *queue,
-	bool has_enough_workers, double late_ms,
+	bool has_enough_workers, double late_ms, double estimate_ms,
 	const struct rj_cell_service_load work[RJ_CELL_PRIORITY_CLASSES],
 	struct rj_cell_queue_load *queue_load);
 
