account shares: a queue that accepts jobs rejects no account; victims cost their full loss

Change: accounts are named only by queues that reject. Half of the loss counts in the choice among victims, all of it against the limit of a placement.

--- a/src/libradishjunction/cell/cell_account_admission.c
+++ b/src/libradishjunction/cell/cell_account_admission.c
@@ -185,15 +185,12 @@
 	uint32_t delay_ms = 0;
 	double wait_ms;
 
-	if (!queue_load->refuse && !over)
-		return 0;
 	wait_ms = account_wait_ms(evaluation, row, over);
 	if (wait_ms > evaluation->wait_max_ms)
 		delay_ms = rj_cell_admit_retry_after_ms(
 			wait_ms - evaluation->wait_max_ms);
-	if (queue_load->refuse &&
-	    (over ||
-	     (wait_ms > 0 && wait_ms >= evaluation->wait_ms * QUEUE_WAIT_PART)))
+	if (over ||
+	    (wait_ms > 0 && wait_ms >= evaluation->wait_ms * QUEUE_WAIT_PART))
 		delay_ms = MAX(delay_ms, queue_load->retry_after_ms);
 	return delay_ms;
 }
@@ -220,30 +217,14 @@
 	return true;
 }
 
-/* Whether any account has been over its share in the last seconds. */
-static bool is_contended(const struct rj_cell_owner *owner)
-{
-	for (uint32_t i = 0; i < RJ_CELL_ACCOUNT_ROWS; i++) {
-		const struct rj_cell_account_share *share =
-			&owner->account_shares.rows[i];
-
-		if (share->used &&
-		    rj_cell_account_share_was_over(share, owner->now_us))
-			return true;
-	}
-	return false;
-}
-
-/* Names the accounts that the queue rejects in the heartbeat, and sets the
- * longest retry delay; 0: none. Returns false if they cannot all be named. */
+/* Names the accounts that the queue rejects in the heartbeat. Returns false if
+ * they cannot all be named. */
 static bool name_refused(const struct evaluation *evaluation, uint32_t queue,
-			 struct rj_cell_owner_heartbeat *heartbeat,
-			 uint32_t *longest_ms)
+			 struct rj_cell_owner_heartbeat *heartbeat)
 {
 	const struct rj_cell_account_share *rows =
 		evaluation->owner->account_shares.rows;
 
-	*longest_ms = 0;
 	if (retry_after_ms(evaluation, RJ_CELL_ACCOUNTS_OTHER))
 		return false;
 	for (uint32_t i = 0; i < RJ_CELL_ACCOUNTS_MAX; i++) {
@@ -253,21 +234,19 @@
 			continue;
 		if (!add_account(heartbeat, rows[i].account, queue, delay_ms))
 			return false;
-		*longest_ms = MAX(*longest_ms, delay_ms);
 	}
 	return true;
 }
 
 /*
- * Decides for which accounts the heartbeat's next queue rejects jobs; its load
- * says whether it would reject all of them. A job waits for `wait_ms` by the
+ * Decides for which accounts the heartbeat's next queue rejects jobs, if its load
+ * says that it rejects them. A job waits for `wait_ms` by the
  * queue's forecast, and is of no use after `wait_max_ms`. If the rejected
  * accounts cannot all be named, the queue treats all accounts alike: those not
  * named would be accepted without a limit.
  *
  * Guards against an account that floods a queue and so has the few jobs of
- * others rejected, and against jobs of that account that are accepted and then
- * wait behind those of the others until they are of no use.
+ * others rejected.
  */
 void rj_cell_account_admission_add_queue(
 	const struct rj_cell_owner *owner, uint32_t priority, double wait_ms,
@@ -280,22 +259,16 @@
 					 .wait_ms = wait_ms,
 					 .wait_max_ms = wait_max_ms };
 	const struct work *work = &evaluation.work;
-	uint32_t longest_ms;
 
-	if (wait_max_ms < 0 || (!queue_load->refuse && !is_contended(owner)))
+	if (wait_max_ms < 0 || !queue_load->refuse)
 		return;
 	sum_work(owner, priority, &evaluation.work);
 	evaluation.limited =
 		time_ms(&evaluation,
 			work->total_ahead - work->total_same_priority) >
 		(double)queue_load->mean_ms * BACKLOG_RUNS;
-	if (!name_refused(&evaluation, queue, heartbeat, &longest_ms) ||
-	    (!queue_load->refuse && !longest_ms))
-		return;
-	if (!queue_load->refuse)
-		queue_load->retry_after_ms = longest_ms;
-	queue_load->refuse = true;
-	heartbeat->queues_by_share |= 1U << queue;
+	if (name_refused(&evaluation, queue, heartbeat))
+		heartbeat->queues_by_share |= 1U << queue;
 }
 
 /*
--- a/src/libradishjunction/cell/cell_reclaim.c
+++ b/src/libradishjunction/cell/cell_reclaim.c
@@ -11,8 +11,8 @@
 /* Urgent runs are preempted last: a core-second of theirs is worth this many
  * times as much. */
 #define URGENT_LOSS_WEIGHT 10
-/* Runs of accounts over their share are preempted first: their loss counts as
- * one part in this many. */
+/* Runs of accounts over their share are preempted before others: for that choice
+ * their loss counts as one part in this many. */
 #define OVER_SHARE_LOSS_DIVISOR 2
 /* Runs expected to complete within this are waited for: stopping a run takes as
  * long. */
@@ -153,13 +153,22 @@
 	loss_milli =
 		run_loss_milli(plan, run) * (step->gang ? step->task_count : 1);
 	loss_milli *= 1 + run->task->losses;
-	if (rj_cell_job_over_share(run->task->occurrence->job))
-		loss_milli /= OVER_SHARE_LOSS_DIVISOR;
 	return run->task->occurrence->job->job_spec->priority ?
 		       loss_milli :
 		       loss_milli * URGENT_LOSS_WEIGHT;
 }
 
+/*
+ * Returns the loss of stopping a run, for the choice among victims.
+ */
+uint64_t rj_cell_reclaim_order(const struct rj_cell_run *run,
+			       uint64_t loss_milli)
+{
+	return run->task && rj_cell_job_over_share(run->task->occurrence->job) ?
+		       loss_milli / OVER_SHARE_LOSS_DIVISOR :
+		       loss_milli;
+}
+
 /* Whether a run may be stopped for a group and is not a victim yet. */
 static bool is_candidate(const struct rj_cell_plan *plan,
 			 const struct rj_cell_release *release,
@@ -169,17 +178,23 @@
 	       is_preemptible(plan, release->run, group);
 }
 
+/* Cost of making room on one worker, in core-milliseconds; both UINT64_MAX if
+ * that is not possible. */
+struct stop_cost {
+	uint64_t loss_milli; /* that counts against the limit of a placement */
+	uint64_t order_milli; /* by which workers are compared */
+};
+
 /*
- * Chooses the runs of one worker whose stop frees `demand` at the least loss,
+ * Chooses the runs of one worker whose stop frees `demand` at the least cost,
  * and adds them to `chosen` unless that is NULL. Runs about to complete are
- * waited for at no loss. Returns the loss in core-milliseconds, or UINT64_MAX
- * if there are not enough.
+ * waited for at no loss.
  */
-static uint64_t choose_victims(struct rj_cell_plan *plan,
-			       const struct rj_cell_task_group *group,
-			       const struct rj_cell_plan_worker *plan_worker,
-			       const struct rj_cell_demand *demand,
-			       GPtrArray *chosen)
+static struct stop_cost
+choose_victims(struct rj_cell_plan *plan,
+	       const struct rj_cell_task_group *group,
+	       const struct rj_cell_plan_worker *plan_worker,
+	       const struct rj_cell_demand *demand, GPtrArray *chosen)
 {
 	const struct rj_cell_releases *releases =
 		rj_cell_releases_get(plan, plan_worker);
@@ -187,7 +202,7 @@
 		releases->by_time + releases->count;
 	const struct rj_cell_release *release;
 	struct rj_cell_demand available = plan_worker->free_after_stops;
-	uint64_t loss_milli = 0;
+	struct stop_cost cost = { 0, 0 };
 
 	for (release = releases->by_time;
 	     release < releases_end &&
@@ -204,12 +219,14 @@
 		    !is_candidate(plan, release, group))
 			continue;
 		rj_cell_demand_add(&available, &release->run->allocated);
-		loss_milli += release->loss_milli;
+		cost.loss_milli += release->loss_milli;
+		cost.order_milli += release->order_milli;
 		if (chosen)
 			g_ptr_array_add(chosen, release->run);
 	}
-	return rj_cell_demand_fits(demand, &available) ? loss_milli :
-							 UINT64_MAX;
+	if (!rj_cell_demand_fits(demand, &available))
+		cost.loss_milli = cost.order_milli = UINT64_MAX;
+	return cost;
 }
 
 /* Marks a run as a victim and counts its capacity as free after stops. */
@@ -291,14 +308,13 @@
 	struct rj_cell_plan_worker *plan_worker;
 	struct rj_cell_worker_iterator iterator;
 	uint64_t budget_milli = options->max_loss_milli - placement->loss_milli;
-	uint64_t best_loss_milli =
-		budget_milli < UINT64_MAX ? budget_milli + 1 : budget_milli;
+	struct stop_cost best_cost = { 0, UINT64_MAX };
 	GPtrArray *victims;
 
 	rj_cell_worker_iterator_init(&iterator, plan, options, &demand);
-	while (best_loss_milli &&
+	while (best_cost.order_milli &&
 	       (plan_worker = rj_cell_worker_iterator_next(&iterator))) {
-		uint64_t loss_milli;
+		struct stop_cost cost;
 
 		if (!may_reclaim(plan_worker, group, demand.accelerators) ||
 		    !rj_cell_demand_fits(
@@ -308,12 +324,12 @@
 					       options))
 			continue;
 		plan->effort += CHOOSE_VICTIMS_EFFORT;
-		loss_milli =
-			choose_victims(plan, group, plan_worker, &demand, NULL);
-		if (loss_milli >= best_loss_milli)
+		cost = choose_victims(plan, group, plan_worker, &demand, NULL);
+		if (cost.loss_milli > budget_milli ||
+		    cost.order_milli >= best_cost.order_milli)
 			continue;
 		best = plan_worker;
-		best_loss_milli = loss_milli;
+		best_cost = cost;
 	}
 	if (!best)
 		return NULL;
@@ -322,6 +338,6 @@
 	for (guint i = 0; i < victims->len; i++)
 		add_victim(placement, victims->pdata[i]);
 	g_ptr_array_free(victims, TRUE);
-	placement->loss_milli += best_loss_milli;
+	placement->loss_milli += best_cost.loss_milli;
 	return best;
 }
--- a/src/libradishjunction/cell/cell_release.c
+++ b/src/libradishjunction/cell/cell_release.c
@@ -21,15 +21,15 @@
 							  0;
 }
 
-/* Orders by loss, ascending. */
+/* Orders by the loss by which victims are chosen, ascending. */
 static int compare_loss(const void *a, const void *b)
 {
 	const struct rj_cell_release *left = a;
 	const struct rj_cell_release *right = b;
 
-	return left->loss_milli < right->loss_milli ? -1 :
-	       left->loss_milli > right->loss_milli ? 1 :
-						      0;
+	return left->order_milli < right->order_milli ? -1 :
+	       left->order_milli > right->order_milli ? 1 :
+							0;
 }
 
 /* Lists the runs of one worker in both orders. */
@@ -62,6 +62,8 @@
 		release->remaining_us = rj_cell_forecast_remaining_us(
 			plan->forecast, run, plan->now_us);
 		release->loss_milli = rj_cell_reclaim_loss(plan, run);
+		release->order_milli =
+			rj_cell_reclaim_order(run, release->loss_milli);
 	}
 	memcpy(releases->by_loss, releases->by_time,
 	       releases->count * sizeof(*releases->by_loss));
--- a/src/libradishjunction/include/private/cell_account_admission.h
+++ b/src/libradishjunction/include/private/cell_account_admission.h
@@ -1,8 +1,6 @@
 /*
  * Admission by account. A queue that rejects jobs for its backlog still accepts
- * those of accounts within their share, as far as their entitlement serves. A
- * queue that accepts jobs rejects those of accounts over their share for which
- * the accounts within theirs leave too little capacity.
+ * those of accounts within their share, as far as their entitlement serves.
  *
  * The owner evaluates each queue with `rj_cell_account_admission_add_queue`,
  * which names the rejected accounts in its heartbeat; the frontends apply that
--- a/src/libradishjunction/include/private/cell_place.h
+++ b/src/libradishjunction/include/private/cell_place.h
@@ -125,6 +125,8 @@
 void rj_cell_reclaim_sum_expired(struct rj_cell_plan *plan);
 uint64_t rj_cell_reclaim_loss(const struct rj_cell_plan *plan,
 			      const struct rj_cell_run *run);
+uint64_t rj_cell_reclaim_order(const struct rj_cell_run *run,
+			       uint64_t loss_milli);
 uint64_t
 rj_cell_reclaim_group_cost_milli(const struct rj_cell_plan *plan,
 				 const struct rj_cell_task_group *group,
--- a/src/libradishjunction/include/private/cell_release.h
+++ b/src/libradishjunction/include/private/cell_release.h
@@ -15,6 +15,9 @@
 	struct rj_cell_run *run;
 	uint64_t remaining_us; /* expected time to completion */
 	uint64_t loss_milli; /* core-milliseconds lost if it is stopped */
+	/* By which victims are chosen, the lowest first: the loss, but less for
+	 * accounts over their share. */
+	uint64_t order_milli;
 };
 
 /* The runs of one worker that are not being stopped. */
