cell: placement weighs the history of workers and racks

Cause: a wide gang ends when any one member ends badly. Placement does not distinguish a worker that flaps, that has just returned or that fails part of what it starts from any other, so gangs keep breaking on the same workers.

Change: the owner records bad ends and exposure of workers and racks, both with exponential decay (cell_worker_evidence.c), and the plan ranks each worker once by the probability that it loses a run (cell_worker_history.c). The rank orders candidates between pace and reservation, at the highest rank also before the reservation; urgent gangs, and gangs that prefer one rack, first try without risky workers. Without the setting worker_history nothing is recorded and every rank is 0.

--- a/src/libradishjunction/cell/cell_calls.c
+++ b/src/libradishjunction/cell/cell_calls.c
@@ -3,6 +3,7 @@
 #include <talloc.h>
 
 #include "private/cell_calls.h"
+#include "private/cell_worker_evidence.h"
 #include "private/log_event.h"
 
 const char *const rj_cell_order_status_string[RJ_CELL_ORDER_STATUS_COUNT] = {
@@ -127,6 +128,10 @@
 	if (worker->answers == answers)
 		return;
 	worker->answers = answers;
+	if (answers)
+		rj_cell_worker_evidence_regained(owner, worker);
+	else
+		rj_cell_worker_evidence_silent(owner, worker);
 	rj_log_event(answers ? "worker_regained" : "worker_silent",
 		     RJ_LOG_TEXT("worker", worker->id),
 		     RJ_LOG_TEXT("why", rj_cell_order_status_string[status]),
--- a/src/libradishjunction/cell/cell_completions.c
+++ b/src/libradishjunction/cell/cell_completions.c
@@ -5,6 +5,7 @@
 
 #include "private/cell_owner.h"
 #include "private/cell_run_pace.h"
+#include "private/cell_worker_evidence.h"
 #include "private/log_event.h"
 
 const char *const rj_cell_completion_string[RJ_CELL_COMPLETION_COUNT] = {
@@ -432,6 +433,7 @@
 	 */
 	run->state = RJ_CELL_RUN_STOPPING;
 	update_worker_health(owner, run, end);
+	rj_cell_worker_evidence_run_ended(owner, run, end);
 	occurrence = task->occurrence;
 	job = occurrence->job;
 	job->runs_lost += end != RJ_CELL_COMPLETION_DONE;
--- a/src/libradishjunction/cell/cell_fleet.c
+++ b/src/libradishjunction/cell/cell_fleet.c
@@ -13,6 +13,11 @@
 #define CLOCK_SLOW_PERCENT 2
 /* Covers the time that a worker's answer was in transit. */
 #define ANSWER_SLACK_US (50 * RJ_US_PER_MS)
+/* Number of histories kept of workers that were dropped, about 150 KB. */
+#define DEPARTED_MAX 1024
+/* A failure domain was cut off if calls to several racks got no answer and none
+ * of its workers answered for this long. */
+#define CUT_MIN_US (300 * RJ_US_PER_MS)
 
 /*
  * Initializes an empty fleet. `cordons` may be NULL.
@@ -31,6 +36,8 @@
 	rj_list_init(&fleet->unstored);
 	fleet->racks = g_ptr_array_new();
 	fleet->domains = g_ptr_array_new();
+	fleet->departed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 /*
@@ -47,6 +54,8 @@
 						struct rj_cell_worker, link));
 	g_hash_table_destroy(fleet->by_id);
 	fleet->by_id = NULL;
+	g_hash_table_destroy(fleet->departed);
+	fleet->departed = NULL;
 	g_ptr_array_free(fleet->racks, TRUE);
 	fleet->racks = NULL;
 	g_ptr_array_free(fleet->domains, TRUE);
@@ -63,6 +72,49 @@
 	return g_hash_table_lookup(fleet->by_id, id);
 }
 
+/* Whether a history says as little as none. */
+static gboolean is_unknown(gpointer id, gpointer history, gpointer now_us)
+{
+	return !rj_cell_worker_history_is_known(history,
+						*(const uint64_t *)now_us);
+}
+
+/*
+ * Keeps the history of a worker that is dropped without notice.
+ *
+ * A worker that is away for longer than its entry lasts would otherwise return
+ * as one of which nothing is known. A worker that flaps does so repeatedly.
+ */
+static void keep_history(struct rj_cell_fleet *fleet,
+			 const struct rj_cell_worker *worker)
+{
+	const struct rj_cell_worker_history *history = &worker->history;
+	uint64_t now_us = MAX(history->updated_us, history->silent_us);
+
+	if (worker->heartbeat.draining || worker->deregistered_us ||
+	    !rj_cell_worker_history_is_known(history, now_us))
+		return;
+	if (g_hash_table_size(fleet->departed) >= DEPARTED_MAX)
+		g_hash_table_foreach_remove(fleet->departed, is_unknown,
+					    &now_us);
+	if (g_hash_table_size(fleet->departed) < DEPARTED_MAX)
+		g_hash_table_replace(fleet->departed, g_strdup(worker->id),
+				     g_memdup2(history, sizeof(*history)));
+}
+
+/* Gives a worker the history that was kept of it. */
+static void restore_history(struct rj_cell_fleet *fleet,
+			    struct rj_cell_worker *worker)
+{
+	const struct rj_cell_worker_history *history =
+		g_hash_table_lookup(fleet->departed, worker->id);
+
+	if (!history)
+		return;
+	worker->history = *history;
+	g_hash_table_remove(fleet->departed, worker->id);
+}
+
 /*
  * Returns the worker with this id. One that is unknown is created with an empty
  * heartbeat, so it has no address yet.
@@ -88,6 +140,7 @@
 	rj_cell_worker_set_poll_state(worker, RJ_CELL_POLL_STATE_IDLE);
 	g_hash_table_insert(fleet->by_id, worker->id, worker);
 	fleet->count++;
+	restore_history(fleet, worker);
 	return worker;
 }
 
@@ -100,6 +153,7 @@
 	while (worker->runs.next != &worker->runs)
 		rj_cell_run_free(RJ_CONTAINER(worker->runs.next,
 					      struct rj_cell_run, in_worker));
+	keep_history(fleet, worker);
 	rj_list_remove(&worker->link);
 	rj_list_remove(&worker->in_poll_state);
 	rj_list_remove(&worker->in_order_queue);
@@ -209,6 +263,30 @@
 	return rack->workers.next != &rack->workers;
 }
 
+/* Records an answer of a failure domain, which may be the first one after it
+ * was cut off. */
+static void record_answer(struct rj_cell_domain *domain, uint64_t now_us)
+{
+	if (domain->several_racks_lost &&
+	    now_us >= domain->answered_us + CUT_MIN_US) {
+		domain->cut_from_us = domain->answered_us;
+		domain->cut_until_us = now_us;
+	}
+	domain->answered_us = now_us;
+	domain->lost_rack = NULL;
+	domain->several_racks_lost = false;
+}
+
+/* Records that a call to a worker of a failure domain got no answer. */
+static void record_lost_call(struct rj_cell_domain *domain,
+			     const struct rj_cell_rack *rack, uint64_t sent_us)
+{
+	domain->lost_call_us = MAX(domain->lost_call_us, sent_us);
+	if (!domain->lost_rack)
+		domain->lost_rack = rack;
+	domain->several_racks_lost |= domain->lost_rack != rack;
+}
+
 /*
  * Records that a call sent at `sent_us` was answered or lost.
  */
@@ -223,9 +301,9 @@
 	if (!domain)
 		return;
 	if (answered)
-		domain->answered_us = now_us;
-	else if (sent_us > domain->lost_call_us)
-		domain->lost_call_us = sent_us;
+		record_answer(domain, now_us);
+	else
+		record_lost_call(domain, worker->rack, sent_us);
 }
 
 /* Whether no worker of a failure domain has answered since the latest lost call
@@ -252,6 +330,10 @@
 	    strcmp(worker->service, heartbeat->service) != 0)
 		worker->service = g_intern_string(heartbeat->service);
 	worker->heartbeat = *heartbeat;
+	if (heartbeat->draining)
+		worker->history.leaving_incarnation =
+			heartbeat->incarnation ? heartbeat->incarnation :
+						 worker->incarnation;
 	if (!rack_changed)
 		return;
 	rj_list_remove(&worker->in_rack);
@@ -374,3 +456,15 @@
 	       worker->clock_ms && now_us >= worker->suspect_until_us &&
 	       !is_unreachable(worker->domain);
 }
+
+/*
+ * Returns the rank of a worker by the probability that it loses a run, for
+ * members of gangs or for single tasks; see rj_cell_worker_history_rank.
+ */
+uint32_t rj_cell_worker_rank(const struct rj_cell_worker *worker, bool gang,
+			     uint64_t now_us)
+{
+	return rj_cell_worker_history_rank(
+		&worker->history, worker->rack ? &worker->rack->history : NULL,
+		gang, now_us);
+}
--- a/src/libradishjunction/cell/cell_metrics.c
+++ b/src/libradishjunction/cell/cell_metrics.c
@@ -65,6 +65,7 @@
 	const struct rj_list *at;
 	uint32_t listed = 0;
 	uint32_t usable = 0;
+	uint32_t by_rank[RJ_CELL_HISTORY_RANK_MAX + 1] = { 0 };
 
 	for (at = owner->fleet.workers.next; at != &owner->fleet.workers;
 	     at = at->next) {
@@ -73,9 +74,17 @@
 
 		listed += worker->listed;
 		usable += rj_cell_worker_usable(worker, now_us);
+		if (worker->listed)
+			by_rank[rj_cell_worker_rank(worker, true, now_us)]++;
 	}
 	write_number(text, "workers_listed", listed);
 	write_number(text, "workers_usable", usable);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(by_rank); i++) {
+		char rank[] = { (char)('0' + i), '\0' };
+
+		write_labelled(text, "workers_by_rank", "rank", rank,
+			       by_rank[i]);
+	}
 }
 
 /* Writes the counters; the gauges only while this node is the owner. */
@@ -112,6 +121,10 @@
 		write_labelled(text, "run_ends", "end",
 			       rj_cell_completion_string[i],
 			       counters->completions[i]);
+	for (int i = 0; i < RJ_CELL_BAD_END_COUNT; i++)
+		write_labelled(text, "worker_bad_ends", "kind",
+			       rj_cell_bad_end_string[i],
+			       counters->bad_ends[i]);
 	for (int i = 0; i < RJ_CELL_PRIORITY_CLASSES; i++)
 		rj_latency_write(&counters->first_start_waits[i],
 				 "radishjunction_first_start_ms", "priority",
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -4,6 +4,7 @@
 
 #include "private/cell_calls.h"
 #include "private/cell_evacuate.h"
+#include "private/cell_worker_evidence.h"
 #include "private/log_event.h"
 
 /* Delay before an order without an answer is sent again. */
@@ -139,6 +140,8 @@
 		break;
 	default:
 		suspend_worker(owner, worker, reply->status);
+		if (reply->status == RJ_CELL_ORDER_UNHEALTHY)
+			rj_cell_worker_evidence_refused(owner, worker);
 		if (reply->status == RJ_CELL_ORDER_TICKET_INVALID)
 			rj_cell_advice_invalidate(run->task, worker);
 		if (run->order_tries > 1)
--- a/src/libradishjunction/cell/cell_place.c
+++ b/src/libradishjunction/cell/cell_place.c
@@ -11,11 +11,13 @@
  * 31 are the memory left over, in MB. */
 #define COST_ACCELERATORS_BIT 32 /* accelerators left over */
 #define COST_PACE_BIT 46 /* rj_cell_pace_rank of urgent tasks' workers */
-#define COST_RESERVED_BIT 50 /* see wrong_reservation */
-#define COST_WARMUP_BIT 51 /* worker is slow after its start */
-#define COST_REMOTE_BIT 52 /* away from the task's data */
-#define COST_UNPROVEN_BIT 53 /* see is_unproven */
-#define COST_INTERFERENCE_BIT 54 /* latency-bound runs beside others */
+#define COST_RISK_BIT 50 /* see risk_rank */
+#define COST_RESERVED_BIT 52 /* see wrong_reservation */
+#define COST_HIGHEST_RISK_BIT 53 /* a worker of the highest rank */
+#define COST_WARMUP_BIT 54 /* worker is slow after its start */
+#define COST_REMOTE_BIT 55 /* away from the task's data */
+#define COST_UNPROVEN_BIT 56 /* see is_unproven */
+#define COST_INTERFERENCE_BIT 57 /* latency-bound runs beside others */
 
 /* Counts a run of the step being placed in step_runs of its worker. */
 static void count_step_run(const struct rj_cell_run *run)
@@ -122,6 +124,8 @@
 		return false;
 	if (options->avoid_slow && rj_cell_pace_is_slow(&worker->pace))
 		return false;
+	if (options->avoid_risky && plan_worker->risky)
+		return false;
 	if ((plan_worker->reserved && !group->may_use_reserved) ||
 	    (plan_worker->exclusive && !group->may_use_exclusive))
 		return false;
@@ -271,6 +275,33 @@
 	       !rj_cell_failure_is_healthy(&plan->failures, worker->healthy_us);
 }
 
+/* Whether a task loses little with a run: it resumes from a checkpoint, no
+ * other tasks end with it, and a failed run is not one of its last attempts. */
+static bool loses_little(struct rj_cell_task *task)
+{
+	const struct rj_cell_step *step = rj_cell_task_step(task);
+
+	return step->checkpoints && !step->gang && !task->failures;
+}
+
+/*
+ * Returns the rank of a worker for a task by what is at risk there, from 0 to
+ * RJ_CELL_HISTORY_RANK_MAX. Tasks that lose little go first to the risky
+ * workers, which leaves the others to gangs, but not to those of the highest
+ * rank: a worker that fails all it starts always has free capacity.
+ */
+static uint64_t risk_rank(const struct rj_cell_plan_worker *plan_worker,
+			  struct rj_cell_task *task)
+{
+	uint32_t rank =
+		rj_cell_plan_worker_rank(plan_worker, rj_cell_task_step(task));
+
+	if (!loses_little(task) ||
+	    plan_worker->gang_rank == RJ_CELL_HISTORY_RANK_MAX)
+		return rank;
+	return plan_worker->gang_rank ? 0 : 1;
+}
+
 /*
  * Returns the cost of placing a task on a worker. Its parts, the least weight
  * first:
@@ -279,7 +310,9 @@
  *   workers stay free for gangs;
  * - urgent tasks go to workers with a fast pace, as a gang ends with its
  *   slowest member;
+ * - workers that may lose the run, by their history;
  * - reserved workers are for urgent tasks, the others for all other tasks;
+ * - workers that are most likely to lose the run;
  * - workers that are slow after their start;
  * - racks away from the task's data;
  * - workers that may fail the task again: one that fails each run at once
@@ -307,13 +340,16 @@
 		group->job->job_spec->priority ?
 			0 :
 			rj_cell_pace_rank(&plan_worker->worker->pace);
+	uint64_t risk = risk_rank(plan_worker, task);
+	bool highest_risk = risk == RJ_CELL_HISTORY_RANK_MAX;
 
 	return ((uint64_t)disturbs << COST_INTERFERENCE_BIT) |
 	       ((uint64_t)unproven << COST_UNPROVEN_BIT) |
 	       ((uint64_t)remote << COST_REMOTE_BIT) |
 	       ((uint64_t)warming_up << COST_WARMUP_BIT) |
+	       ((uint64_t)highest_risk << COST_HIGHEST_RISK_BIT) |
 	       ((uint64_t)wrong_reservation << COST_RESERVED_BIT) |
-	       (pace_rank << COST_PACE_BIT) |
+	       (risk << COST_RISK_BIT) | (pace_rank << COST_PACE_BIT) |
 	       (left_over << COST_ACCELERATORS_BIT) |
 	       (available->memory_mb - step->each.memory_mb);
 }
--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -217,22 +217,33 @@
 }
 
 /*
- * Starts an urgent group now: off the workers known to be slow if that is
- * possible, and in the best domain.
+ * Starts an urgent group now, in the best domain: if possible off the workers
+ * known to be slow and off those that are likely to lose a member, else off
+ * either kind, the slow ones first.
  *
- * A gang ends with its slowest member, and urgent work has no time to lose.
+ * A gang ends with its slowest member and with the first that is lost, and
+ * urgent work has no time to lose.
  */
 static bool start_urgent(struct rj_cell_plan *plan,
 			 const struct rj_cell_task_group *group,
 			 struct rj_cell_task **tasks, uint32_t count)
 {
+	static const struct {
+		bool avoid_slow;
+		bool avoid_risky;
+	} tries[] = { { true, true },
+		      { true, false },
+		      { false, true },
+		      { false, false } };
 	struct rj_cell_placement_options options = {
-		.horizon = RJ_CELL_HORIZON_NOW, .avoid_slow = true
+		.horizon = RJ_CELL_HORIZON_NOW
 	};
 
-	options.domain = best_domain(plan, group, tasks, count, &options);
-	if (!options.domain) {
-		options.avoid_slow = false;
+	for (guint i = 0; i < G_N_ELEMENTS(tries) && !options.domain; i++) {
+		if (tries[i].avoid_risky && !plan->risky_workers)
+			continue;
+		options.avoid_slow = tries[i].avoid_slow;
+		options.avoid_risky = tries[i].avoid_risky;
 		options.domain =
 			best_domain(plan, group, tasks, count, &options);
 	}
@@ -263,6 +274,38 @@
 	return true;
 }
 
+/* Starts a gang that is not urgent and prefers one rack now, off the workers
+ * that are likely to lose a member if that is possible. Its rack is the first
+ * that has capacity, whatever the risk; within racks, and for other groups, the
+ * cost of a placement weighs it. */
+static bool start_off_risky(struct rj_cell_plan *plan,
+			    const struct rj_cell_task_group *group,
+			    struct rj_cell_task **tasks, uint32_t count)
+{
+	const struct rj_cell_step *step = rj_cell_task_step(tasks[0]);
+	const struct rj_cell_placement_options options = {
+		.horizon = RJ_CELL_HORIZON_NOW, .avoid_risky = true
+	};
+
+	return plan->risky_workers && step->gang && step->one_rack &&
+	       place_and_commit(plan, group, tasks, count, &options);
+}
+
+/* Starts a group now. */
+static bool start_now(struct rj_cell_plan *plan,
+		      const struct rj_cell_task_group *group,
+		      struct rj_cell_task **tasks, uint32_t count)
+{
+	const struct rj_cell_placement_options options = {
+		.horizon = RJ_CELL_HORIZON_NOW
+	};
+
+	if (!group->job->job_spec->priority)
+		return start_urgent(plan, group, tasks, count);
+	return start_off_risky(plan, group, tasks, count) ||
+	       place_and_commit(plan, group, tasks, count, &options);
+}
+
 /* Places a group without preemption, unless a shortage already shows that there
  * is no capacity. */
 static bool place_without_preemption(struct rj_cell_plan *plan,
@@ -275,8 +318,8 @@
 
 	if (rj_cell_shortage_is_known(plan, group, count, horizon))
 		return false;
-	if (!group->job->job_spec->priority && horizon == RJ_CELL_HORIZON_NOW ?
-		    start_urgent(plan, group, tasks, count) :
+	if (horizon == RJ_CELL_HORIZON_NOW ?
+		    start_now(plan, group, tasks, count) :
 		    place_and_commit(plan, group, tasks, count, &options))
 		return true;
 	if (are_uniform(plan, tasks, count))
--- a/src/libradishjunction/cell/cell_plan_workers.c
+++ b/src/libradishjunction/cell/cell_plan_workers.c
@@ -301,6 +301,36 @@
 		plan_worker->worker->heartbeat.capacity.accelerators;
 }
 
+/* Ranks a worker by its history, once for all tasks of the plan. */
+static void rank_worker(struct rj_cell_plan *plan,
+			struct rj_cell_plan_worker *plan_worker)
+{
+	const struct rj_cell_worker *worker = plan_worker->worker;
+
+	if (!plan->features.worker_history)
+		return;
+	plan_worker->gang_rank =
+		rj_cell_worker_rank(worker, true, plan->now_us);
+	/* The rank for gangs is never lower. */
+	if (!plan_worker->gang_rank)
+		return;
+	plan_worker->rank = rj_cell_worker_rank(worker, false, plan->now_us);
+	plan_worker->risky =
+		plan_worker->gang_rank >= RJ_CELL_HISTORY_RANK_RISKY ||
+		rj_cell_worker_history_on_probation(&worker->history,
+						    plan->now_us);
+	plan->risky_workers += plan_worker->risky;
+}
+
+/*
+ * Returns the rank of a worker for the tasks of a step.
+ */
+uint32_t rj_cell_plan_worker_rank(const struct rj_cell_plan_worker *plan_worker,
+				  const struct rj_cell_step *step)
+{
+	return step->gang ? plan_worker->gang_rank : plan_worker->rank;
+}
+
 /* Adds a worker to the plan, if it is usable. */
 static void add_plan_worker(struct rj_cell_plan *plan,
 			    struct rj_cell_worker *worker)
@@ -317,6 +347,7 @@
 	plan_worker->latency_runs = worker->latency_runs;
 	plan_worker->other_runs = worker->other_runs;
 	plan_worker->free_after_stops = plan_worker->free_now;
+	rank_worker(plan, plan_worker);
 	if (worker->domain)
 		worker->domain->urgent +=
 			worker->allocated_by_class[0].accelerators;
--- a/src/libradishjunction/cell/cell_polls.c
+++ b/src/libradishjunction/cell/cell_polls.c
@@ -5,6 +5,7 @@
 
 #include "private/cell_calls.h"
 #include "private/cell_run_health.h"
+#include "private/cell_worker_evidence.h"
 #include "private/log_event.h"
 
 /* How long a worker may delay its answer to a poll until a run completes; the
@@ -209,6 +210,7 @@
 		     RJ_LOG_NUMBER("incarnation", reply->incarnation),
 		     RJ_LOG_NUMBER("before", worker->incarnation),
 		     RJ_LOG_NUMBER("rows", reply->row_count));
+	rj_cell_worker_evidence_restarted(owner, worker, worker->incarnation);
 	worker->incarnation = reply->incarnation;
 	worker->stored_position = 0;
 	worker->applied_position = 0;
--- a/src/libradishjunction/cell/cell_starts.c
+++ b/src/libradishjunction/cell/cell_starts.c
@@ -55,7 +55,10 @@
 			      rj_cell_pace_percent(&choice->worker->pace)),
 		RJ_LOG_NUMBER(
 			"pace_known_percent",
-			rj_cell_pace_known_percent(&choice->worker->pace)));
+			rj_cell_pace_known_percent(&choice->worker->pace)),
+		RJ_LOG_NUMBER("rank", rj_cell_plan_worker_rank(
+					      choice->worker->plan_worker,
+					      rj_cell_task_step(task))));
 }
 
 /* Gives all members of a gang the same run number. */
--- a/src/libradishjunction/include/private/cell_active_job.h
+++ b/src/libradishjunction/include/private/cell_active_job.h
@@ -153,6 +153,10 @@
 	/* Logged when the job ends. */
 	uint64_t first_start_us; /* 0: none, or by an earlier owner */
 	uint32_t runs_lost; /* runs that ended without completing their task */
+	/* Changes of the worker on which its tasks failed, and the hash of the
+	 * last one's id. */
+	uint32_t failed_workers;
+	uint32_t failed_on;
 	bool split; /* a gang that prefers one rack was placed on several */
 	void *entry; /* its struct rj_cell_view_entry */
 };
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -51,6 +51,8 @@
 struct rj_cell_rack {
 	char name[RJ_NAME_BYTES];
 	struct rj_list workers;
+	struct rj_cell_worker_history history;
+	struct rj_cell_silence_burst silence; /* the latest one */
 };
 
 /* A failure domain. */
@@ -59,6 +61,13 @@
 	bool cordoned; /* by operators: no task starts there */
 	uint64_t answered_us; /* last answer of any of its workers */
 	uint64_t lost_call_us; /* when the latest unanswered call was sent */
+	/* Rack of the first lost call since the last answer, and whether calls
+	 * to other racks were lost too. */
+	const struct rj_cell_rack *lost_rack;
+	bool several_racks_lost;
+	/* The latest time for which it was cut off; 0: none. */
+	uint64_t cut_from_us;
+	uint64_t cut_until_us;
 	/* For the current plan: */
 	/* Accelerators that urgent jobs use, or get by planned starts. */
 	uint32_t urgent;
@@ -156,6 +165,9 @@
 	const struct rj_cell_cordons *cordons;
 	/* `cordons->changes` when they were last copied to the domains. */
 	uint64_t cordon_changes;
+	/* Id -> struct rj_cell_worker_history, of workers that were dropped
+	 * without notice and may return; at most DEPARTED_MAX. */
+	GHashTable *departed;
 };
 
 void rj_cell_fleet_init(struct rj_cell_fleet *fleet, void *mem,
@@ -190,5 +202,7 @@
 bool rj_cell_worker_schedulable(const struct rj_cell_worker *worker);
 bool rj_cell_worker_usable(const struct rj_cell_worker *worker,
 			   uint64_t now_us);
+uint32_t rj_cell_worker_rank(const struct rj_cell_worker *worker, bool gang,
+			     uint64_t now_us);
 
 #endif
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -53,6 +53,7 @@
 	uint64_t probes;
 	uint64_t answers[RJ_CELL_ORDER_STATUS_COUNT]; /* to any call */
 	uint64_t completions[RJ_CELL_COMPLETION_COUNT];
+	uint64_t bad_ends[RJ_CELL_BAD_END_COUNT];
 	uint64_t completed;
 	uint64_t failed;
 	uint64_t takeovers;
--- a/src/libradishjunction/include/private/cell_place.h
+++ b/src/libradishjunction/include/private/cell_place.h
@@ -44,6 +44,7 @@
 	const struct rj_cell_domain *domain; /* NULL: anywhere */
 	const struct rj_cell_plan_rack *rack; /* NULL: anywhere */
 	bool avoid_slow; /* not on workers known to be slow */
+	bool avoid_risky; /* not on workers that are likely to lose it */
 	bool may_preempt;
 	uint64_t max_loss_milli; /* core-milliseconds, by preemption */
 };
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -43,6 +43,11 @@
 	uint32_t step_runs;
 	uint32_t latency_runs; /* runs with a latency target */
 	uint32_t other_runs;
+	/* By its history, see rj_cell_worker_rank; 0 unless the deployment
+	 * calls for `worker_history`. */
+	uint32_t rank; /* for single tasks */
+	uint32_t gang_rank;
+	bool risky; /* on probation, or likely to lose a gang's member */
 };
 
 /* Upper bounds of the free capacity of a range: the most on one worker, for
@@ -124,6 +129,7 @@
 	struct rj_cell_plan_worker *workers;
 	struct rj_cell_releases *releases; /* of each worker, on demand */
 	uint32_t worker_count;
+	uint32_t risky_workers;
 	GArray *racks; /* struct rj_cell_plan_rack, domains interleaved */
 	GArray *ranges; /* struct rj_cell_worker_range, in worker order */
 	struct rj_cell_usage usage; /* includes the starts of this plan */
@@ -148,6 +154,8 @@
 void rj_cell_plan_init(struct rj_cell_plan *plan);
 void rj_cell_plan_make(struct rj_cell_plan *plan);
 void rj_cell_plan_gather_workers(struct rj_cell_plan *plan);
+uint32_t rj_cell_plan_worker_rank(const struct rj_cell_plan_worker *plan_worker,
+				  const struct rj_cell_step *step);
 void rj_cell_plan_raise_bounds(struct rj_cell_plan *plan,
 			       const struct rj_cell_plan_worker *plan_worker);
 void rj_cell_plan_add_allocation(struct rj_cell_plan *plan,
