--- a/src/libradishjunction/cell/cell_fleet.c
+++ b/src/libradishjunction/cell/cell_fleet.c
@@ -15,9 +15,11 @@
 #define ANSWER_SLACK_US (50 * RJ_US_PER_MS)
 /* Number of histories kept of workers that were dropped, about 150 KB. */
 #define DEPARTED_MAX 1024
-/* A failure domain was cut off if calls to several racks got no answer and none
- * of its workers answered for this long. */
+/* A failure domain was cut off if none of its workers answered for this long
+ * while calls to several racks were lost. If only calls to one rack were, it is
+ * longer than any other worker takes to answer a poll. */
 #define CUT_MIN_US (300 * RJ_US_PER_MS)
+#define CUT_ONE_RACK_MIN_US (1800 * RJ_US_PER_MS)
 
 /*
  * Initializes an empty fleet. `cordons` may be NULL.
@@ -267,8 +269,11 @@
  * was cut off. */
 static void record_answer(struct rj_cell_domain *domain, uint64_t now_us)
 {
-	if (domain->several_racks_lost &&
-	    now_us >= domain->answered_us + CUT_MIN_US) {
+	uint64_t cut_min_us =
+		domain->several_racks_lost ? CUT_MIN_US : CUT_ONE_RACK_MIN_US;
+
+	if (domain->lost_rack && domain->answered_us &&
+	    now_us >= domain->answered_us + cut_min_us) {
 		domain->cut_from_us = domain->answered_us;
 		domain->cut_until_us = now_us;
 	}
--- a/src/libradishjunction/cell/cell_worker_evidence.c
+++ b/src/libradishjunction/cell/cell_worker_evidence.c
@@ -11,9 +11,10 @@
 /* Failures of one task after which it is at fault. Each is on another worker,
  * see rj_cell_completions_avoid_worker. */
 #define TASK_FAULT_FAILURES 2
-/* How long after a cut the silence of a worker is found that a long poll hid:
- * its wait, its timeout and a retry. */
-#define CUT_DETECTION_US (3 * RJ_US_PER_S)
+/* Longest time after which the silence of a worker is found that is polled
+ * without a break: the wait of a long poll, its timeout and a retry. Idle workers
+ * of a large fleet may have answered long before. */
+#define SILENCE_DETECTION_US (3 * RJ_US_PER_S)
 
 static bool is_enabled(const struct rj_cell_owner *owner)
 {
@@ -57,7 +58,7 @@
 {
 	return domain && domain->cut_until_us &&
 	       silent_us >= domain->cut_from_us &&
-	       silent_us <= domain->cut_until_us + CUT_DETECTION_US;
+	       silent_us <= domain->cut_until_us + SILENCE_DETECTION_US;
 }
 
 /*
@@ -76,10 +77,10 @@
 	burst = &rack->silence;
 	if (burst->settled || !rj_cell_silence_burst_is_rack(burst) ||
 	    !rj_cell_silence_burst_is_over(burst, owner->now_us) ||
-	    !rj_cell_silence_burst_is_over(burst, worker->domain->answered_us))
+	    worker->domain->answered_us <= burst->found_us)
 		return;
 	burst->settled = true;
-	if (was_cut_off(worker->domain, burst->first_us))
+	if (was_cut_off(worker->domain, burst->found_us))
 		return;
 	rj_cell_worker_history_record_rack(&rack->history, owner->now_us);
 	rj_log_event("rack_history", RJ_LOG_TEXT("rack", rack->name),
@@ -178,12 +179,28 @@
 	    worker->deregistered_us)
 		return;
 	worker->history.silent_us = owner->now_us;
+	worker->history.silent_from_us =
+		MAX(worker->answered_us, owner->now_us - SILENCE_DETECTION_US);
 	settle_burst(owner, worker);
 	if (worker->rack)
 		rj_cell_silence_burst_add(&worker->rack->silence,
+					  worker->history.silent_from_us,
 					  owner->now_us);
 }
 
+/* Returns what a silence that ends now shows of its worker. */
+static enum rj_cell_bad_end kind_of_silence(const struct rj_cell_owner *owner,
+					    const struct rj_cell_worker *worker,
+					    uint64_t silent_us)
+{
+	if (rj_cell_silence_is_short(silent_us, owner->now_us))
+		return RJ_CELL_BAD_END_LOST_CALL;
+	if (worker->lease_expired_us > silent_us &&
+	    worker->lease_expired_us < owner->now_us)
+		return RJ_CELL_BAD_END_EXPIRED;
+	return RJ_CELL_BAD_END_SILENT;
+}
+
 /*
  * Records that a worker answers again.
  */
@@ -191,23 +208,20 @@
 				      struct rj_cell_worker *worker)
 {
 	uint64_t silent_us = worker->history.silent_us;
-	bool lease_expired = worker->lease_expired_us > silent_us &&
-			     worker->lease_expired_us < owner->now_us;
+	double share = 1;
 
 	if (!is_enabled(owner) || !silent_us)
 		return;
 	worker->history.silent_us = 0;
 	settle_burst(owner, worker);
-	if (was_cut_off(worker->domain, silent_us))
+	if (was_cut_off(worker->domain, silent_us)) {
 		rj_cell_worker_history_excuse(&worker->history, owner->now_us);
-	else if (!rj_cell_silence_is_short(silent_us, owner->now_us))
-		record(owner, worker,
-		       lease_expired ? RJ_CELL_BAD_END_EXPIRED :
-				       RJ_CELL_BAD_END_SILENT,
-		       worker->rack ?
-			       rj_cell_silence_burst_share(
-				       &worker->rack->silence, silent_us) :
-			       1);
+		return;
+	}
+	if (worker->rack)
+		share = rj_cell_silence_burst_share(
+			&worker->rack->silence, worker->history.silent_from_us);
+	record(owner, worker, kind_of_silence(owner, worker, silent_us), share);
 }
 
 /*
--- a/src/libradishjunction/cell/cell_worker_history.c
+++ b/src/libradishjunction/cell/cell_worker_history.c
@@ -7,6 +7,7 @@
 
 const char *const rj_cell_bad_end_string[RJ_CELL_BAD_END_COUNT] = {
 	[RJ_CELL_BAD_END_FAILED] = "failed",
+	[RJ_CELL_BAD_END_LOST_CALL] = "lost_call",
 	[RJ_CELL_BAD_END_FAILED_EARLY] = "failed_early",
 	[RJ_CELL_BAD_END_REFUSED] = "refused",
 	[RJ_CELL_BAD_END_SILENT] = "silent",
@@ -31,7 +32,7 @@
 /* With less evidence than this against a worker and its rack, the rank is 0
  * whatever their exposure is. */
 #define RANK_1_BAD_ENDS_MIN 0.4
-/* Worker-level evidence counts once within this time: one fault shows in all
+/* Other evidence than a failed run or a lost call counts once within this time: one fault shows in all
  * starts and runs of the worker. */
 #define EPISODE_US RJ_US_PER_S
 /* A silence that is shorter is one lost call. */
@@ -41,22 +42,29 @@
 #define PROBATION_US (4 * RJ_US_PER_S)
 #define PROBATION_MAX_US (32 * RJ_US_PER_S)
 #define PROBATION_REST_US RJ_US_PER_S
-/* Workers of a rack that become silent within this time have one cause, if they
- * are at least this many. Two of 20 may coincide by chance. */
+/* Workers of a rack that become silent within this time of the first one found
+ * have one cause, if they are at least this many. Two of 20 may coincide by
+ * chance. */
 #define BURST_US RJ_US_PER_S
 #define BURST_WORKERS_MIN 3
+/* Time in which the silence of all of them is found: the wait of a long poll,
+ * its timeout and a retry. */
+#define BURST_DETECTION_US (3 * RJ_US_PER_S)
 
 /* Weights of evidence. Up to a twentieth of tasks fail by themselves, rarely
- * early and rarely two in a row on one worker. */
-static const double weight_single[RJ_CELL_BAD_END_COUNT] = {
-	[RJ_CELL_BAD_END_FAILED] = 0.35, [RJ_CELL_BAD_END_FAILED_EARLY] = 0.5,
-	[RJ_CELL_BAD_END_REFUSED] = 0.6, [RJ_CELL_BAD_END_SILENT] = 1,
-	[RJ_CELL_BAD_END_EXPIRED] = 1,	 [RJ_CELL_BAD_END_RESTARTED] = 1,
-};
-static const double weight_repeated[RJ_CELL_BAD_END_COUNT] = {
-	[RJ_CELL_BAD_END_FAILED] = 0.7,	 [RJ_CELL_BAD_END_FAILED_EARLY] = 1,
-	[RJ_CELL_BAD_END_REFUSED] = 0.6, [RJ_CELL_BAD_END_SILENT] = 1,
-	[RJ_CELL_BAD_END_EXPIRED] = 1,	 [RJ_CELL_BAD_END_RESTARTED] = 1,
+ * early and rarely two in a row on one worker. A single call may be lost on the
+ * way, but a long poll also hides a silence of up to two seconds. */
+static const struct {
+	double single;
+	double repeated; /* the worker's last run failed too */
+} weights[RJ_CELL_BAD_END_COUNT] = {
+	[RJ_CELL_BAD_END_FAILED] = { 0.35, 0.7 },
+	[RJ_CELL_BAD_END_LOST_CALL] = { 0.35, 0.35 },
+	[RJ_CELL_BAD_END_FAILED_EARLY] = { 0.5, 1 },
+	[RJ_CELL_BAD_END_REFUSED] = { 0.6, 0.6 },
+	[RJ_CELL_BAD_END_SILENT] = { 1, 1 },
+	[RJ_CELL_BAD_END_EXPIRED] = { 1, 1 },
+	[RJ_CELL_BAD_END_RESTARTED] = { 1, 1 },
 };
 
 /* Returns the factor by which a history has decayed since its last update. */
@@ -100,8 +108,8 @@
 }
 
 /*
- * Records a bad end of a worker; returns whether it counts. All kinds but
- * RJ_CELL_BAD_END_FAILED count once in an episode. `repeated` means that the
+ * Records a bad end of a worker; returns whether it counts. All kinds after
+ * RJ_CELL_BAD_END_LOST_CALL count once in an episode. `repeated` means that the
  * worker's last run failed too. `share` is the part of one bad end that falls
  * to the worker: less than 1 if others have the same cause, or if other runs on
  * it went on. A silence or a new incarnation begins a probation period.
@@ -110,15 +118,14 @@
 				   enum rj_cell_bad_end kind, bool repeated,
 				   double share, uint64_t now_us)
 {
-	const double *weights = repeated ? weight_repeated : weight_single;
-
-	if (kind != RJ_CELL_BAD_END_FAILED) {
+	if (kind > RJ_CELL_BAD_END_LOST_CALL) {
 		if (is_same_episode(history, now_us))
 			return false;
 		history->episode_us = now_us;
 	}
 	update(history, now_us);
-	history->bad_ends += weights[kind] * share;
+	history->bad_ends += share * (repeated ? weights[kind].repeated :
+						 weights[kind].single);
 	if (kind >= RJ_CELL_BAD_END_SILENT)
 		begin_probation(history, share, now_us);
 	return true;
@@ -276,18 +283,11 @@
 	return now_us < silent_us + SILENCE_MIN_US;
 }
 
-/*
- * Records that a worker of the rack became silent.
- */
-void rj_cell_silence_burst_add(struct rj_cell_silence_burst *burst,
-			       uint64_t now_us)
+/* Whether a silence since `from_us` has the cause of a burst. */
+static bool belongs(const struct rj_cell_silence_burst *burst, uint64_t from_us)
 {
-	if (!burst->count || now_us >= burst->first_us + BURST_US) {
-		burst->first_us = now_us;
-		burst->count = 0;
-		burst->settled = false;
-	}
-	burst->count++;
+	return from_us < burst->from_us + BURST_US &&
+	       burst->from_us < from_us + BURST_US;
 }
 
 /*
@@ -299,24 +299,42 @@
 }
 
 /*
- * Whether no further worker can belong to a burst.
+ * Whether all workers that belong to a burst have been found.
  */
 bool rj_cell_silence_burst_is_over(const struct rj_cell_silence_burst *burst,
 				   uint64_t now_us)
 {
-	return now_us >= burst->first_us + BURST_US;
+	return now_us >= burst->found_us + BURST_DETECTION_US;
+}
+
+/*
+ * Records that a worker of the rack, which last answered at `from_us`, is found
+ * to be silent now. One that belongs to no burst begins a new one, unless those
+ * of a burst of the rack are still being found.
+ */
+void rj_cell_silence_burst_add(struct rj_cell_silence_burst *burst,
+			       uint64_t from_us, uint64_t now_us)
+{
+	bool open = rj_cell_silence_burst_is_rack(burst) && !burst->settled &&
+		    !rj_cell_silence_burst_is_over(burst, now_us);
+
+	if (!open && !belongs(burst, from_us)) {
+		burst->from_us = from_us;
+		burst->found_us = now_us;
+		burst->count = 0;
+		burst->settled = false;
+	}
+	burst->count += belongs(burst, from_us);
 }
 
 /*
- * Returns the part of one bad end that falls to a worker of the rack that
- * became silent at `silent_us`.
+ * Returns the part of one bad end that falls to a worker of the rack that last
+ * answered at `from_us` before its silence.
  */
 double rj_cell_silence_burst_share(const struct rj_cell_silence_burst *burst,
-				   uint64_t silent_us)
+				   uint64_t from_us)
 {
-	if (!rj_cell_silence_burst_is_rack(burst) ||
-	    silent_us < burst->first_us ||
-	    silent_us >= burst->first_us + BURST_US)
+	if (!rj_cell_silence_burst_is_rack(burst) || !belongs(burst, from_us))
 		return 1;
 	return 1.0 / burst->count;
 }
--- a/src/libradishjunction/include/private/cell_worker_history.h
+++ b/src/libradishjunction/include/private/cell_worker_history.h
@@ -26,6 +26,7 @@
 /* Kinds of evidence against a worker. */
 enum rj_cell_bad_end {
 	RJ_CELL_BAD_END_FAILED, /* a run failed; the task may be at fault */
+	RJ_CELL_BAD_END_LOST_CALL, /* one call to it got no answer */
 	RJ_CELL_BAD_END_FAILED_EARLY, /* a run failed soon after its start */
 	RJ_CELL_BAD_END_REFUSED, /* it refused a start as unhealthy */
 	RJ_CELL_BAD_END_SILENT, /* it did not answer for a time */
@@ -47,7 +48,8 @@
 	uint64_t exposed_until_us; /* end of the exposure counted so far */
 	/* Latest evidence that counted or was excused. */
 	uint64_t episode_us;
-	uint64_t silent_us; /* when it became silent; 0: it is not */
+	uint64_t silent_us; /* when it was found to be silent; 0: it is not */
+	uint64_t silent_from_us; /* its last answer before that */
 	/* Incarnation that gave notice that it leaves; 0: none. */
 	uint64_t leaving_incarnation;
 	uint32_t rank; /* for gangs, as of the last log event about it */
@@ -55,7 +57,8 @@
 
 /* Workers of one rack that became silent within a short time. */
 struct rj_cell_silence_burst {
-	uint64_t first_us;
+	uint64_t from_us; /* last answer of the first one found */
+	uint64_t found_us;
 	uint32_t count;
 	bool settled; /* counted for the rack, or excused */
 };
@@ -84,11 +87,11 @@
 			    bool gang, uint64_t now_us);
 bool rj_cell_silence_is_short(uint64_t silent_us, uint64_t now_us);
 void rj_cell_silence_burst_add(struct rj_cell_silence_burst *burst,
-			       uint64_t now_us);
+			       uint64_t from_us, uint64_t now_us);
 bool rj_cell_silence_burst_is_rack(const struct rj_cell_silence_burst *burst);
 bool rj_cell_silence_burst_is_over(const struct rj_cell_silence_burst *burst,
 				   uint64_t now_us);
 double rj_cell_silence_burst_share(const struct rj_cell_silence_burst *burst,
-				   uint64_t silent_us);
+				   uint64_t from_us);
 
 #endif
