cell: a gang that may be spread over racks keeps to one with a risky worker

Cause: once a gang that prefers one rack may be spread, the first try without risky workers spreads it, and all of it runs slower to avoid a loss that is only likely.

Change: the first try is made only for gangs that may not be spread yet. The start of a silence cannot underflow on a clock that has just begun.

--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -277,7 +277,8 @@
 /* Starts a gang that is not urgent and prefers one rack now, off the workers
  * that are likely to lose a member if that is possible. Its rack is the first
  * that has capacity, whatever the risk; within racks, and for other groups, the
- * cost of a placement weighs it. */
+ * cost of a placement weighs it. One that may be spread over racks is not, as
+ * all of it would run slower to avoid a loss that is only likely. */
 static bool start_off_risky(struct rj_cell_plan *plan,
 			    const struct rj_cell_task_group *group,
 			    struct rj_cell_task **tasks, uint32_t count)
@@ -288,6 +289,7 @@
 	};
 
 	return plan->risky_workers && step->gang && step->one_rack &&
+	       !group->remote_allowed &&
 	       place_and_commit(plan, group, tasks, count, &options);
 }
 
--- a/src/libradishjunction/cell/cell_worker_evidence.c
+++ b/src/libradishjunction/cell/cell_worker_evidence.c
@@ -179,8 +179,10 @@
 	    worker->deregistered_us)
 		return;
 	worker->history.silent_us = owner->now_us;
-	worker->history.silent_from_us =
-		MAX(worker->answered_us, owner->now_us - SILENCE_DETECTION_US);
+	worker->history.silent_from_us = worker->answered_us;
+	if (owner->now_us > worker->answered_us + SILENCE_DETECTION_US)
+		worker->history.silent_from_us =
+			owner->now_us - SILENCE_DETECTION_US;
 	settle_burst(owner, worker);
 	if (worker->rack)
 		rj_cell_silence_burst_add(&worker->rack->silence,
