--- a/src/libradishjunction/cell/cell_snapshot.c
+++ b/src/libradishjunction/cell/cell_snapshot.c
@@ -83,13 +83,15 @@
 	return variance;
 }
 
-/* Encodes the duration from `from_us` to `until_us`, 0 if that is past. */
+/* Encodes the duration from `from_us` to `until_us`, 0 if that is past. One
+ * that a reader would refuse must not make it refuse the whole record. */
 static void write_duration(struct rj_packer *out, uint64_t from_us,
 			   uint64_t until_us)
 {
-	rj_pack_number(out, until_us > from_us ? (until_us - from_us) /
-							 HISTORY_TIME_UNIT_US :
-						 0);
+	uint64_t duration_us = until_us > from_us ? until_us - from_us : 0;
+
+	rj_pack_number(out,
+		       MIN(duration_us / HISTORY_TIME_UNIT_US, UINT32_MAX));
 }
 
 static uint64_t read_duration_us(struct rj_unpacker *in, const char *field)
--- a/src/libradishjunction/include/private/cell_snapshot.h
+++ b/src/libradishjunction/include/private/cell_snapshot.h
@@ -15,8 +15,10 @@
 
 /* A record that was written longer ago is refused. */
 #define RJ_CELL_SNAPSHOT_AGE_MAX_MS (60 * 1000)
-/* Limits of one record. */
-#define RJ_CELL_SNAPSHOT_WORKERS_MAX 4096
+/* Limits of one record. With names and numbers of any length it takes less than
+ * the 256 KiB that the store accepts; a larger one would fail with all others in
+ * its append. */
+#define RJ_CELL_SNAPSHOT_WORKERS_MAX 2048
 #define RJ_CELL_SNAPSHOT_QUEUES_MAX 64
 #define RJ_CELL_SNAPSHOT_ACCOUNTS_MAX 64
 
--- a/src/test_libradishjunction/test_cell_snapshot.c
+++ b/src/test_libradishjunction/test_cell_snapshot.c
@@ -76,6 +76,14 @@
 			 5 * NOW_US - 13 * S);
 	g_assert_cmpuint(read.workers[0].history.probation_until_us, ==,
 			 5 * NOW_US + 80 * S);
+	read.wall_ms = 0;
+	/* Read 40 s later, when the probation has ended, by a clock that began
+	 * after it. */
+	again = rj_cell_snapshot_encode(mem, &read, 5 * NOW_US + 60 * S);
+	g_assert_cmpint(decode(again, TOKEN, 40000, 10 * S, mem, &read), ==,
+			RJ_CELL_SNAPSHOT_ACCEPTED);
+	g_assert_cmpuint(read.workers[0].history.probation_until_us, ==, 0);
+	g_assert_cmpuint(read.workers[0].history.updated_us, ==, 1);
 	talloc_free(mem);
 }
 
@@ -112,6 +120,106 @@
 	talloc_free(mem);
 }
 
+/* Guards against a record that the store does not accept: the progress of jobs
+ * in the same append would not be stored either. */
+static void test_largest_record_is_accepted(void)
+{
+	void *mem = talloc_new(NULL);
+	struct rj_cell_snapshot snapshot = {
+		.token = UINT64_MAX,
+		.wall_ms = WALL_MS,
+		.worker_count = RJ_CELL_SNAPSHOT_WORKERS_MAX,
+		.queue_count = RJ_CELL_SNAPSHOT_QUEUES_MAX,
+		.urgent_accelerators = UINT32_MAX,
+		.account_count = RJ_CELL_SNAPSHOT_ACCOUNTS_MAX,
+	};
+	struct rj_cell_snapshot read;
+	struct rj_bytes bytes;
+
+	snapshot.workers = talloc_zero_array(
+		mem, struct rj_cell_snapshot_worker, snapshot.worker_count);
+	snapshot.queues = talloc_zero_array(mem, struct rj_cell_queue_mean,
+					    snapshot.queue_count);
+	snapshot.accounts = talloc_zero_array(
+		mem, struct rj_cell_snapshot_account, snapshot.account_count);
+	for (uint32_t i = 0; i < snapshot.worker_count; i++) {
+		struct rj_cell_snapshot_worker *worker = &snapshot.workers[i];
+
+		memset(worker->id, 'w', sizeof(worker->id) - 1);
+		worker->incarnation = UINT64_MAX;
+		worker->pace = (struct rj_cell_pace){ -1e9, 1e9, UINT32_MAX };
+		worker->history =
+			(struct rj_cell_worker_history){ 1e9, 1e9, 1,
+							 1000000 * NOW_US };
+	}
+	for (uint32_t i = 0; i < snapshot.queue_count; i++) {
+		struct rj_cell_queue_mean *queue = &snapshot.queues[i];
+
+		memset(queue->queue, 'q', sizeof(queue->queue) - 1);
+		queue->ms = 1e12;
+		queue->samples = UINT32_MAX;
+		queue->estimate_error =
+			(struct rj_cell_estimate_error){ -1e9, 1e9,
+							 UINT32_MAX };
+	}
+	for (uint32_t i = 0; i < snapshot.account_count; i++) {
+		struct rj_cell_snapshot_account *account =
+			&snapshot.accounts[i];
+
+		memset(account->name, 'a', sizeof(account->name) - 1);
+		account->use_ppm = UINT32_MAX;
+	}
+	bytes = rj_cell_snapshot_encode(mem, &snapshot, NOW_US);
+	g_assert_cmpuint(bytes.length, <, 256 * 1024);
+	g_assert_cmpint(decode(bytes, UINT64_MAX, WALL_MS, NOW_US, mem, &read),
+			==, RJ_CELL_SNAPSHOT_ACCEPTED);
+	talloc_free(mem);
+}
+
+/* Guards against a record with a valid checksum whose payload goes on after its
+ * last field: another format, of which a part would be applied. */
+static void test_payload_with_more_is_refused(void)
+{
+	static const uint8_t payload[] = { 0, 0, 0, 0, 0 };
+	void *mem = talloc_new(NULL);
+	struct rj_cell_snapshot read;
+
+	for (uint32_t length = 3; length <= sizeof(payload); length++) {
+		const struct rj_bytes part = { payload, length };
+		struct rj_bytes bytes =
+			rj_cell_snapshot_seal(mem, TOKEN, WALL_MS, part);
+
+		g_assert_cmpint(decode(bytes, TOKEN, WALL_MS, 1, mem, &read),
+				==,
+				length == 4 ? RJ_CELL_SNAPSHOT_ACCEPTED :
+					      RJ_CELL_SNAPSHOT_DAMAGED);
+	}
+	talloc_free(mem);
+}
+
+/* Guards against a variance of 0, by which a pace that is learnt would be
+ * divided. */
+static void test_variance_of_zero_is_refused(void)
+{
+	/* One worker; byte 5 is the variance of its pace. */
+	uint8_t payload[] = { 1, 0xa1, 'w', 5, 0, 0, 3, 0, 0, 0, 0, 0, 0, 0 };
+	const struct rj_bytes part = { payload, sizeof(payload) };
+	void *mem = talloc_new(NULL);
+	struct rj_cell_snapshot read;
+
+	for (uint8_t variance = 0; variance < 2; variance++) {
+		struct rj_bytes bytes;
+
+		payload[5] = variance;
+		bytes = rj_cell_snapshot_seal(mem, TOKEN, WALL_MS, part);
+		g_assert_cmpint(decode(bytes, TOKEN, WALL_MS, 1, mem, &read),
+				==,
+				variance ? RJ_CELL_SNAPSHOT_ACCEPTED :
+					   RJ_CELL_SNAPSHOT_DAMAGED);
+	}
+	talloc_free(mem);
+}
+
 static const struct cell_sim_options site = {
 	.seed = 11,
 	.nodes = 3,
@@ -465,6 +573,12 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/cell_snapshot/round_trip", test_round_trip);
 	g_test_add_func("/cell_snapshot/refusals", test_refusals);
+	g_test_add_func("/cell_snapshot/largest",
+			test_largest_record_is_accepted);
+	g_test_add_func("/cell_snapshot/more",
+			test_payload_with_more_is_refused);
+	g_test_add_func("/cell_snapshot/variance",
+			test_variance_of_zero_is_refused);
 	CELL_TEST("/cell_snapshot/paces", &site, test_paces_outlive_the_owner);
 	CELL_TEST("/cell_snapshot/off", &site_without,
 		  test_without_the_feature);
