cell_handover: snapshot_ms is the interval of appends

Parts were added each 0.4 s whatever the setting; it bounded only how often one part was written. Now an append with parts follows the last one after the larger of 0.4 s and snapshot_ms. Whether a part is due is still checked each 0.4 s.

--- a/src/libradishjunction/cell/cell_handover.c
+++ b/src/libradishjunction/cell/cell_handover.c
@@ -11,7 +11,8 @@
 #include "private/log_event.h"
 
 #define SHARD_SEED 0x5ead
-/* Minimum time between two appends with parts: an owner's heartbeats. */
+/* Minimum time between two appends with parts, whatever the setting: an owner's
+ * heartbeats. Whether a part is due is checked at this interval. */
 #define WRITE_INTERVAL_US (400 * RJ_US_PER_MS)
 /* Parts are added to appends that are made anyway. While the cell is idle there
  * are none; then an append is made for a part that has waited this long. */
@@ -427,22 +428,17 @@
 	talloc_free((void *)bytes.data);
 }
 
-/* Whether a part is to be written: it has changed and was not written lately,
- * or it would soon be too old. */
+/* Whether a part is to be written: it has changed, or it would soon be too
+ * old. */
 static bool is_due(const struct rj_cell_handover *handover,
 		   const struct contents *contents, uint32_t part)
 {
 	const struct rj_cell_handover_part *stored = &handover->parts[part];
 	const struct rj_cell_owner *owner = handover->owner;
 	uint64_t digest = contents->digests[part];
-	uint64_t interval_us =
-		owner->limits.features.snapshot_ms * RJ_US_PER_MS;
 
-	if (digest == stored->digest)
-		return digest &&
-		       owner->now_us >= stored->written_us + REFRESH_US;
-	return !stored->written_us ||
-	       owner->now_us >= stored->written_us + interval_us;
+	return digest != stored->digest ||
+	       (digest && owner->now_us >= stored->written_us + REFRESH_US);
 }
 
 /* Returns the part that is due and was written the longest ago, or -1. */
@@ -606,21 +602,32 @@
 	return fits;
 }
 
+/* Returns the minimum time between two appends with parts. */
+static uint64_t write_interval_us(const struct rj_cell_handover *handover)
+{
+	uint64_t interval_us =
+		handover->owner->limits.features.snapshot_ms * RJ_US_PER_MS;
+
+	return MAX(interval_us, WRITE_INTERVAL_US);
+}
+
 /* Adds the parts that are due and fit, those that were written the longest ago
  * first. Sets when the next ones may be added. */
 static void add_parts(struct rj_cell_handover *handover,
 		      const struct contents *contents)
 {
 	struct rj_cell_handover_append *append = obtain_append(handover);
+	uint64_t now_us = handover->owner->now_us;
+	uint64_t budget_us = 0;
 	int part;
 
-	handover->due_us = handover->owner->now_us + WRITE_INTERVAL_US;
-	while ((part = next_part(handover, contents)) >= 0)
-		if (!try_part(handover, contents, (uint32_t)part, append)) {
-			handover->due_us =
-				MAX(handover->due_us, budget_due_us(handover));
-			return;
-		}
+	while (!budget_us && (part = next_part(handover, contents)) >= 0)
+		if (!try_part(handover, contents, (uint32_t)part, append))
+			budget_us = budget_due_us(handover);
+	handover->due_us =
+		MAX(budget_us,
+		    now_us + (append->bytes ? write_interval_us(handover) :
+					      WRITE_INTERVAL_US));
 }
 
 /* Logs at intervals what was written since the last such event. */
--- a/src/libradishjunction/include/private/cell_handover.h
+++ b/src/libradishjunction/include/private/cell_handover.h
@@ -70,7 +70,7 @@
 	uint32_t account_count;
 	struct rj_cell_snapshot_account accounts[RJ_CELL_SNAPSHOT_ACCOUNTS_MAX];
 	uint32_t appending; /* records without an outcome */
-	uint64_t due_us; /* nothing is written before this */
+	uint64_t due_us; /* nothing is written or checked before this */
 	/* Until then the parts that are due wait for an append that is made
 	 * anyway; 0: none is due. */
 	uint64_t wait_until_us;
--- a/src/test_libradishjunction/test_cell_snapshot.c
+++ b/src/test_libradishjunction/test_cell_snapshot.c
@@ -568,6 +568,58 @@
 	g_assert_cmpuint(owner_of(sim)->handover.age_us, <, 40 * S);
 }
 
+static const struct cell_sim_options rarely_written = {
+	.seed = 11,
+	.nodes = 3,
+	.workers = 48,
+	.rack_workers = 12,
+	.capacity = { 64000, 64000, 8 },
+	.guaranteed = 64,
+	.features = { .snapshot_ms = 7000 },
+};
+
+static const struct cell_sim_options often_written = {
+	.seed = 11,
+	.nodes = 3,
+	.workers = 48,
+	.rack_workers = 12,
+	.capacity = { 64000, 64000, 8 },
+	.guaranteed = 64,
+	.features = { .snapshot_ms = 1 },
+};
+
+/*
+ * Load: all paces change every 0.1 s, and no jobs.
+ * Guards against appends with parts at another interval than the setting's, or
+ * more often than at each heartbeat.
+ */
+static void test_interval(struct cell_fixture *f, const void *data)
+{
+	const struct cell_sim_options *options = data;
+	const uint64_t interval_us =
+		MAX(400 * MS, options->features.snapshot_ms * MS);
+	struct cell_sim *sim = &f->sim;
+	uint64_t last_us = 0;
+	uint32_t writes = 0;
+	guint from = 0;
+
+	run_gangs(sim, S);
+	(void)snapshot_bytes(sim, &from);
+	for (uint32_t i = 0; i < 400; i++) {
+		change_paces(&owner_of(sim)->fleet, i + 1);
+		cell_sim_run(sim, 100 * MS);
+		if (!snapshot_bytes(sim, &from))
+			continue;
+		if (last_us)
+			g_assert_cmpuint(sim->now_us - last_us + 100 * MS, >=,
+					 interval_us);
+		last_us = sim->now_us;
+		writes++;
+	}
+	/* Without jobs, an append is made for parts that wait for 2 s. */
+	g_assert_cmpuint(writes, >=, 40 * S / (interval_us + 2 * S) - 1);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -593,5 +645,7 @@
 		  test_waits_outlive_the_owner);
 	CELL_TEST("/cell_snapshot/budget", &large_site,
 		  test_large_fleet_keeps_to_the_budget);
+	CELL_TEST("/cell_snapshot/interval", &rarely_written, test_interval);
+	CELL_TEST("/cell_snapshot/interval_min", &often_written, test_interval);
 	return g_test_run();
 }
