cell_handover: former state that nobody claims is dropped

- The row of a worker that left the fleet later than 60 s after a takeover without having answered was stored again for the rest of the term.
- The use of accounts that was read was stored again as new by each owner, also without a module that sets it.
- A row that is newer than its worker's entry was dropped as if the worker had restarted.
It is kept until the entry or the answer has its incarnation.

The tests apply rows of workers that are listed and met with the stored incarnation, an older and a newer one.

--- a/src/libradishjunction/cell/cell_handover.c
+++ b/src/libradishjunction/cell/cell_handover.c
@@ -20,8 +20,9 @@
 /* A part without changes is written again after this, as records of twice this
  * age are refused. */
 #define REFRESH_US (RJ_CELL_SNAPSHOT_AGE_MAX_MS / 2 * RJ_US_PER_MS)
-/* How long the rows of workers that are not listed are kept: an owner that is
- * replaced soon stores them again. */
+/* How long the rows of workers that are not listed are kept, so that an owner
+ * that is replaced soon stores them again. Longer than a worker is away that
+ * comes back under its incarnation. */
 #define UNLISTED_ROWS_US (60 * RJ_US_PER_S)
 #define LOG_INTERVAL_US (10 * RJ_US_PER_S)
 
@@ -35,7 +36,7 @@
 /* A worker as a former owner has stored it. */
 struct row {
 	struct rj_cell_snapshot_worker worker;
-	bool history_applied;
+	bool applied;
 };
 
 /* A worker or row to be stored, and its shard. */
@@ -113,6 +114,17 @@
 	handover->rows_read += snapshot->worker_count;
 }
 
+/* Copies the use of the accounts. */
+static void set_accounts(struct rj_cell_handover *handover,
+			 const struct rj_cell_snapshot_account *accounts,
+			 uint32_t count)
+{
+	handover->account_count = MIN(count, RJ_CELL_SNAPSHOT_ACCOUNTS_MAX);
+	if (handover->account_count)
+		memcpy(handover->accounts, accounts,
+		       handover->account_count * sizeof(*accounts));
+}
+
 /* Keeps the part with queues and accounts. */
 static void keep_last_part(struct rj_cell_handover *handover,
 			   struct rj_cell_snapshot *snapshot, uint64_t age_us)
@@ -122,8 +134,7 @@
 	TALLOC_FREE(handover->former);
 	handover->former = snapshot;
 	handover->former_us = now_us - MIN(now_us, age_us);
-	rj_cell_handover_set_accounts(handover, snapshot->accounts,
-				      snapshot->account_count);
+	set_accounts(handover, snapshot->accounts, snapshot->account_count);
 }
 
 /*
@@ -239,9 +250,9 @@
 	struct rj_cell_worker_history *history = &worker->history;
 
 	worker->pace = row->worker.pace;
-	if (row->history_applied)
+	if (row->applied)
 		return;
-	row->history_applied = true;
+	row->applied = true;
 	history->bad_ends += former->bad_ends;
 	history->exposure_s += former->exposure_s;
 	history->updated_us = MAX(history->updated_us, former->updated_us);
@@ -264,7 +275,11 @@
 		apply_row(row, worker);
 		return;
 	}
-	/* It has restarted, perhaps after the row was applied. */
+	/* The entry may be older than the row: the former owner met the worker
+	 * before its new incarnation wrote one. */
+	if (!row->applied)
+		return;
+	/* It has restarted since the row was applied. */
 	rj_cell_pace_init(&worker->pace);
 	g_hash_table_remove(handover->rows, worker->id);
 }
@@ -292,8 +307,8 @@
 				     worker->heartbeat.incarnation;
 }
 
-/* Whether the owner knows the incarnation of the worker of a row, so that the
- * row is applied or void. */
+/* Whether the owner knows an incarnation of the worker of a row, so that the
+ * worker is stored and not the row. */
 static bool is_row_of_known_worker(const struct rj_cell_handover *handover,
 				   const struct row *row)
 {
@@ -303,21 +318,26 @@
 	return worker && incarnation_of(worker);
 }
 
-static gboolean is_of_unknown_worker(gpointer id, gpointer row,
-				     gpointer handover)
+/* Whether no worker with the incarnation of a row is listed. */
+static gboolean is_unclaimed(gpointer id, gpointer row, gpointer handover)
 {
-	return !is_row_of_known_worker(handover, row);
+	return !((const struct row *)row)->applied ||
+	       !is_row_of_known_worker(handover, row);
 }
 
-/* Drops the rows of workers that did not come back. */
-static void drop_old_rows(struct rj_cell_handover *handover)
+/* Drops at intervals the rows of workers that did not come back, and of those
+ * that have left before they answered. Drops the use of accounts that was read
+ * and has not been set since: each owner would store it again as new. */
+static void drop_unclaimed(struct rj_cell_handover *handover)
 {
-	if (!handover->rows_until_us ||
-	    handover->owner->now_us < handover->rows_until_us)
+	uint64_t now_us = handover->owner->now_us;
+
+	if (now_us < handover->rows_until_us)
 		return;
-	handover->rows_until_us = 0;
-	g_hash_table_foreach_remove(handover->rows, is_of_unknown_worker,
-				    handover);
+	handover->rows_until_us = now_us + UNLISTED_ROWS_US;
+	g_hash_table_foreach_remove(handover->rows, is_unclaimed, handover);
+	if (!handover->accounts_set)
+		handover->account_count = 0;
 }
 
 static struct rj_cell_snapshot_worker row_of(const struct source *source)
@@ -542,10 +562,12 @@
 	     i++) {
 		const struct source *source =
 			&g_array_index(contents->sources, struct source, i);
-		const struct rj_cell_snapshot_worker row = row_of(source);
+		struct rj_cell_snapshot_worker row;
 
-		if (source->shard == part)
-			g_array_append_val(rows, row);
+		if (source->shard != part)
+			continue;
+		row = row_of(source);
+		g_array_append_val(rows, row);
 	}
 	snapshot.token = owner->token;
 	snapshot.wall_ms = owner->wall_ms;
@@ -704,7 +726,7 @@
 		return;
 	memset(&contents, 0, sizeof(contents));
 	contents.sources = g_array_new(FALSE, FALSE, sizeof(struct source));
-	drop_old_rows(handover);
+	drop_unclaimed(handover);
 	collect_workers(handover, &contents);
 	collect_last_part(handover, &contents);
 	write_or_wait(handover, &contents, appends);
@@ -714,16 +736,16 @@
 
 /*
  * Sets the use of the accounts that is stored from now on; at most
- * RJ_CELL_SNAPSHOT_ACCOUNTS_MAX of them.
+ * RJ_CELL_SNAPSHOT_ACCOUNTS_MAX of them. What a former owner has stored is
+ * dropped if this is not called within a minute of the takeover, even if no use
+ * has changed.
  */
 void rj_cell_handover_set_accounts(
 	struct rj_cell_handover *handover,
 	const struct rj_cell_snapshot_account *accounts, uint32_t count)
 {
-	handover->account_count = MIN(count, RJ_CELL_SNAPSHOT_ACCOUNTS_MAX);
-	if (handover->account_count)
-		memcpy(handover->accounts, accounts,
-		       handover->account_count * sizeof(*accounts));
+	handover->accounts_set = true;
+	set_accounts(handover, accounts, count);
 }
 
 /*
--- a/src/libradishjunction/include/private/cell_handover.h
+++ b/src/libradishjunction/include/private/cell_handover.h
@@ -60,13 +60,13 @@
 	uint64_t rows_read; /* in this term */
 	uint64_t paces_read; /* those of them with a known pace */
 	uint64_t age_us; /* of the oldest part that was read */
-	/* Rows of workers that are not known by now are dropped then; 0: they
-	 * were. */
+	/* Rows that no worker has claimed by then are dropped. */
 	uint64_t rows_until_us;
 	/* The last part as it was read; NULL: it was not. */
 	struct rj_cell_snapshot *former;
 	uint64_t former_us; /* when it was written, by this owner's clock */
 	/* Use of the accounts, as of the last call or as it was read. */
+	bool accounts_set; /* by a call in this term */
 	uint32_t account_count;
 	struct rj_cell_snapshot_account accounts[RJ_CELL_SNAPSHOT_ACCOUNTS_MAX];
 	uint32_t appending; /* records without an outcome */
--- a/src/test_libradishjunction/test_cell_snapshot.c
+++ b/src/test_libradishjunction/test_cell_snapshot.c
@@ -271,6 +271,166 @@
 	return found ? found->pace.samples : 0;
 }
 
+/* Passes a record with one worker and one account to an owner, as if it had
+ * just been read. */
+static void read_row(struct rj_cell_owner *owner, const char *part,
+		     const char *id, uint64_t incarnation)
+{
+	struct rj_cell_snapshot_worker worker = {
+		.incarnation = incarnation,
+		.pace = { 0.5, 0.02, 3 },
+		.history = { 1, 60, owner->now_us, 0 },
+	};
+	struct rj_cell_snapshot_account account = { "acme", 390000 };
+	const struct rj_cell_snapshot snapshot = { .token = owner->token,
+						   .wall_ms = owner->wall_ms,
+						   .worker_count = 1,
+						   .workers = &worker,
+						   .account_count = 1,
+						   .accounts = &account };
+	struct rj_cell_record record = { 0 };
+
+	g_strlcpy(worker.id, id, sizeof(worker.id));
+	record.value =
+		rj_cell_snapshot_encode(owner->mem, &snapshot, owner->now_us);
+	rj_cell_handover_read(&owner->handover, part, &record);
+	talloc_free((void *)record.value.data);
+}
+
+/* Lists a worker, and checks which of its former samples and bad ends apply. */
+static struct rj_cell_worker *check_listed(struct rj_cell_owner *owner,
+					   const char *id, uint64_t incarnation,
+					   uint32_t samples, double bad_ends)
+{
+	const struct rj_cell_heartbeat heartbeat = { .incarnation =
+							     incarnation };
+	struct rj_cell_worker *worker;
+
+	rj_cell_owner_update_worker(owner, id, &heartbeat, 0);
+	worker = rj_cell_fleet_find(&owner->fleet, id);
+	g_assert_cmpuint(worker->pace.samples, ==, samples);
+	g_assert_cmpfloat_with_epsilon(worker->history.bad_ends, bad_ends,
+				       1e-6);
+	return worker;
+}
+
+/* Reports the first answer of a worker to the handover, and checks which of its
+ * former samples and bad ends apply. */
+static void check_met(struct rj_cell_owner *owner,
+		      struct rj_cell_worker *worker, uint64_t incarnation,
+		      uint32_t samples, double bad_ends)
+{
+	worker->incarnation = incarnation;
+	rj_cell_pace_init(&worker->pace);
+	rj_cell_handover_worker_met(&owner->handover, worker);
+	g_assert_cmpuint(worker->pace.samples, ==, samples);
+	g_assert_cmpfloat_with_epsilon(worker->history.bad_ends, bad_ends,
+				       1e-6);
+	g_assert_null(g_hash_table_lookup(owner->handover.rows, worker->id));
+}
+
+/* Unlists the workers that do not exist, so that the owner drops them. */
+static void unlist_workers_without_address(struct rj_cell_owner *owner)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &owner->fleet.workers) {
+		const struct rj_cell_worker *worker =
+			RJ_CONTAINER(at, struct rj_cell_worker, link);
+
+		if (!worker->heartbeat.address.port)
+			rj_cell_owner_update_worker(owner, worker->id, NULL, 0);
+	}
+}
+
+/*
+ * Load: workers that the successor lists and meets with the stored incarnation,
+ * an older or a newer one.
+ * Guards against rows that are applied to another incarnation, twice, or after
+ * the owner has learnt better, and against rows that are lost because the entry
+ * of a worker is older.
+ */
+static void test_rows_apply_once(struct cell_fixture *f, const void *data)
+{
+	struct rj_cell_owner *owner = owner_of(&f->sim);
+	struct rj_cell_heartbeat heartbeat;
+	struct rj_cell_worker *worker;
+
+	cell_sim_run(&f->sim, S);
+	read_row(owner, "00", "same", 5);
+	(void)check_listed(owner, "same", 5, 3, 1);
+	worker = check_listed(owner, "same", 5, 3, 1);
+	check_met(owner, worker, 5, 3, 1);
+	worker->pace.samples = 9;
+	(void)check_listed(owner, "same", 5, 9, 1);
+
+	read_row(owner, "01", "older_entry", 5);
+	(void)check_listed(owner, "older_entry", 4, 0, 0);
+	(void)check_listed(owner, "older_entry", 5, 3, 1);
+	read_row(owner, "02", "met_first", 5);
+	worker = check_listed(owner, "met_first", 4, 0, 0);
+	check_met(owner, worker, 5, 3, 1);
+
+	read_row(owner, "03", "restarted", 5);
+	(void)check_listed(owner, "restarted", 5, 3, 1);
+	(void)check_listed(owner, "restarted", 6, 0, 1);
+	(void)check_listed(owner, "restarted", 5, 0, 1);
+	read_row(owner, "04", "met_restarted", 5);
+	worker = check_listed(owner, "met_restarted", 5, 3, 1);
+	check_met(owner, worker, 6, 0, 1);
+	read_row(owner, "05", "other", 5);
+	worker = check_listed(owner, "other", 6, 0, 0);
+	check_met(owner, worker, 6, 0, 0);
+
+	/* A worker that has answered before its row is read. */
+	worker = rj_cell_fleet_find(&owner->fleet, f->sim.workers[0].id);
+	g_assert_cmpuint(worker->incarnation, ==,
+			 f->sim.workers[0].incarnation);
+	heartbeat = worker->heartbeat;
+	read_row(owner, "06", worker->id, worker->incarnation);
+	rj_cell_owner_update_worker(owner, worker->id, &heartbeat, 0);
+	g_assert_cmpuint(worker->pace.samples, ==, 0);
+
+	/* Parts that were read already or do not exist. */
+	read_row(owner, "00", "again", 5);
+	(void)check_listed(owner, "again", 5, 0, 0);
+	read_row(owner, "41", "beyond", 5);
+	(void)check_listed(owner, "beyond", 5, 0, 0);
+	read_row(owner, "0z", "no_number", 5);
+	(void)check_listed(owner, "no_number", 5, 0, 0);
+	unlist_workers_without_address(owner);
+}
+
+/*
+ * Load: workers that do not come back, and an account whose use nobody sets.
+ * Guards against rows and uses that each owner stores again as new.
+ */
+static void test_unclaimed_state_is_dropped(struct cell_fixture *f,
+					    const void *data)
+{
+	struct rj_cell_handover *handover = &owner_of(&f->sim)->handover;
+	const struct rj_cell_snapshot_account account = { "acme", 390000 };
+
+	read_row(handover->owner, "00", "gone", 5);
+	read_row(handover->owner, "40", "gone_too", 5);
+	/* Its entry has another incarnation. */
+	read_row(handover->owner, "02", f->sim.workers[0].id, 5);
+	g_assert_cmpuint(g_hash_table_size(handover->rows), ==, 3);
+	cell_sim_run(&f->sim, 50 * S);
+	g_assert_cmpuint(g_hash_table_size(handover->rows), ==, 3);
+	g_assert_cmpuint(handover->account_count, ==, 1);
+	cell_sim_run(&f->sim, 15 * S);
+	g_assert_cmpuint(g_hash_table_size(handover->rows), ==, 0);
+	g_assert_cmpuint(handover->account_count, ==, 0);
+	/* As if a worker had left that was listed and had not answered. */
+	read_row(handover->owner, "01", "left", 5);
+	rj_cell_handover_set_accounts(handover, &account, 1);
+	cell_sim_run(&f->sim, 65 * S);
+	g_assert_cmpuint(g_hash_table_size(handover->rows), ==, 0);
+	g_assert_cmpuint(handover->account_count, ==, 1);
+}
+
 /* Kills the owner, changes what it has left, and returns once another instance
  * has the cell. */
 static void replace_owner(struct cell_sim *sim,
@@ -645,6 +805,9 @@
 		  test_waits_outlive_the_owner);
 	CELL_TEST("/cell_snapshot/budget", &large_site,
 		  test_large_fleet_keeps_to_the_budget);
+	CELL_TEST("/cell_snapshot/rows", &site, test_rows_apply_once);
+	CELL_TEST("/cell_snapshot/unclaimed", &site,
+		  test_unclaimed_state_is_dropped);
 	CELL_TEST("/cell_snapshot/interval", &rarely_written, test_interval);
 	CELL_TEST("/cell_snapshot/interval_min", &often_written, test_interval);
 	return g_test_run();
