--- a/src/test_libradishjunction/test_cell_snapshot.c
+++ b/src/test_libradishjunction/test_cell_snapshot.c
@@ -397,7 +397,7 @@
 	(void)check_listed(owner, "again", 5, 0, 0);
 	read_row(owner, "41", "beyond", 5);
 	(void)check_listed(owner, "beyond", 5, 0, 0);
-	read_row(owner, "0z", "no_number", 5);
+	read_row(owner, "7z", "no_number", 5);
 	(void)check_listed(owner, "no_number", 5, 0, 0);
 	unlist_workers_without_address(owner);
 }
@@ -474,6 +474,7 @@
 {
 	const struct rj_cell_snapshot_account account = { "acme", 390000 };
 	const struct rj_cell_owner *owner;
+	struct rj_cell_queue_mean queue;
 	uint32_t accounts = 0;
 	uint64_t at_us = 0;
 
@@ -482,6 +483,9 @@
 	g_assert_cmpuint(paces_kept_percent(&f->sim), >=, 80);
 	owner = owner_of(&f->sim);
 	g_assert_cmpuint(owner->handover.counters.refused, ==, 0);
+	g_assert_cmpuint(rj_cell_forecast_export(&owner->forecast, &queue, 1),
+			 ==, 1);
+	g_assert_cmpuint(queue.estimate_error.samples, >, 0);
 	g_assert_cmpfloat(rj_cell_forecast_urgent_accelerators(&owner->forecast,
 							       owner->now_us),
 			  >, 0);
@@ -653,6 +657,65 @@
 		g_assert_cmpuint(wait_us, <, 4 * S);
 }
 
+/* Runs until a normal task waits, and returns for how long it does. */
+static uint64_t wait_of_first_normal_task(struct cell_sim *sim)
+{
+	const struct rj_cell_backlog_class *class =
+		&cell_load_backlog(sim)->classes[1];
+
+	for (int i = 0; i < 200 && !class->tasks; i++) {
+		cell_load_run(sim, 100 * MS);
+		class = &cell_load_backlog(sim)->classes[1];
+	}
+	g_assert_cmpuint(class->tasks, >, 0);
+	return class->longest_wait_us;
+}
+
+/*
+ * Load: a gang runs for 8 s on a site that has filled up since, then it ends
+ * because the worker of a member is lost.
+ * Guards against a wait that includes the time for which the task ran.
+ */
+static void test_wait_after_a_run(struct cell_fixture *f, const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(8, 8, 60000);
+	uint32_t worker;
+
+	step.gang = true;
+	cell_load_submit(&f->sim, "normal", "a", &step, 60 * S);
+	cell_load_run(&f->sim, S);
+	worker = cell_sim_busy_worker(&f->sim);
+	cell_load_fill(&f->sim, 17, false, 60 * S);
+	cell_load_run(&f->sim, 6 * S);
+	g_assert_cmpuint(cell_load_backlog(&f->sim)->classes[1].tasks, ==, 0);
+	cell_sim_worker_kill(&f->sim, worker);
+	g_assert_cmpuint(wait_of_first_normal_task(&f->sim), <, S);
+}
+
+/*
+ * Load: a step runs for 6 s on a site that has filled up since; the step that
+ * depends on it finds no room.
+ * Guards against a wait that includes the time before the step was ready.
+ */
+static void test_wait_of_a_dependent_step(struct cell_fixture *f,
+					  const void *data)
+{
+	uint32_t first = 0;
+	struct rj_cell_step steps[2] = { cell_sim_plain_step(8, 8, 6000),
+					 cell_sim_plain_step(40, 8, 6000) };
+
+	steps[1].gang = true;
+	steps[1].after = &first;
+	steps[1].after_count = 1;
+	cell_sim_submit(
+		&f->sim, 0,
+		cell_sim_job_new(&f->sim, "normal", "a", steps, 2, 6 * S));
+	cell_load_run(&f->sim, S);
+	cell_load_fill(&f->sim, 17, false, 60 * S);
+	g_assert_cmpuint(cell_load_backlog(&f->sim)->classes[1].tasks, ==, 0);
+	g_assert_cmpuint(wait_of_first_normal_task(&f->sim), <, S);
+}
+
 static const struct cell_sim_options large_site = {
 	.seed = 11,
 	.nodes = 2,
@@ -728,6 +791,127 @@
 	g_assert_cmpuint(owner_of(sim)->handover.age_us, <, 40 * S);
 }
 
+/*
+ * Load: no jobs; the store refuses the only append with the paces.
+ * Guards against a part that counts as stored and is not written again until it
+ * changes or is refreshed.
+ */
+static void test_refused_parts_are_written_again(struct cell_fixture *f,
+						 const void *data)
+{
+	struct cell_sim *sim = &f->sim;
+	const int owner = cell_sim_owner(sim);
+	const struct rj_cell_handover *handover = &owner_of(sim)->handover;
+
+	cell_sim_run(sim, 5 * S);
+	g_assert_cmpuint(handover->counters.records, ==, 0);
+	change_paces(&owner_of(sim)->fleet, 1);
+	cell_sim_run(sim, 1500 * MS);
+	sim->log.modes[owner] = CELL_LOG_REFUSING;
+	for (int i = 0; i < 100 && !handover->counters.records; i++)
+		cell_sim_run(sim, 10 * MS);
+	g_assert_cmpuint(handover->counters.records, >, 0);
+	cell_sim_run(sim, 50 * MS);
+	g_assert_cmpuint(handover->appending, ==, 0);
+	sim->log.modes[owner] = CELL_LOG_AVAILABLE;
+	cell_sim_run(sim, 5 * S);
+	g_assert_cmpint(cell_sim_owner(sim), ==, owner);
+	replace_owner(sim, NULL);
+	g_assert_cmpuint(owner_of(sim)->handover.paces_read, ==, site.workers);
+}
+
+/*
+ * Load: no jobs, but paces that change, while the appends to the log of progress
+ * are lost for 12 s.
+ * Guards against parts that pile up until the store answers again.
+ */
+static void test_one_append_at_a_time(struct cell_fixture *f, const void *data)
+{
+	struct cell_sim *sim = &f->sim;
+	const int owner = cell_sim_owner(sim);
+	const struct rj_cell_handover *handover = &owner_of(sim)->handover;
+	uint32_t most = 0;
+
+	sim->log.progress_unreachable = true;
+	for (uint32_t i = 0; i < 120; i++) {
+		change_paces(&owner_of(sim)->fleet, i + 1);
+		cell_sim_run(sim, 100 * MS);
+		g_assert_cmpint(cell_sim_owner(sim), ==, owner);
+		most = MAX(most, handover->appending);
+		g_assert_cmpuint(most, <=, RJ_CELL_HANDOVER_PARTS);
+	}
+	g_assert_cmpuint(most, >, 0);
+	sim->log.progress_unreachable = false;
+	cell_sim_run(sim, 5 * S);
+	replace_owner(sim, NULL);
+	g_assert_cmpuint(owner_of(sim)->handover.paces_read, ==, site.workers);
+}
+
+/*
+ * Load: an owner that is replaced before a worker is back.
+ * Guards against rows that are lost with an owner that could not apply them.
+ */
+static void test_rows_of_absent_workers_are_stored(struct cell_fixture *f,
+						   const void *data)
+{
+	read_row(owner_of(&f->sim), "00", "absent", 5);
+	cell_sim_run(&f->sim, 5 * S);
+	replace_owner(&f->sim, NULL);
+	(void)check_listed(owner_of(&f->sim), "absent", 5, 3, 1);
+	unlist_workers_without_address(owner_of(&f->sim));
+}
+
+/* Passes a record with as many workers as fit to an owner, as if it had just
+ * been read. */
+static void read_full_record(struct rj_cell_owner *owner, uint32_t part)
+{
+	struct rj_cell_snapshot snapshot = {
+		.token = owner->token,
+		.wall_ms = owner->wall_ms,
+		.worker_count = RJ_CELL_SNAPSHOT_WORKERS_MAX,
+	};
+	struct rj_cell_record record = { 0 };
+	char id[RJ_CELL_PART_ID_BYTES];
+
+	snapshot.workers =
+		talloc_zero_array(owner->mem, struct rj_cell_snapshot_worker,
+				  snapshot.worker_count);
+	for (uint32_t i = 0; i < snapshot.worker_count; i++) {
+		struct rj_cell_snapshot_worker *worker = &snapshot.workers[i];
+
+		(void)g_snprintf(worker->id, sizeof(worker->id),
+				 "worker-with-a-long-name-%u-%u", part, i);
+		worker->incarnation = UINT64_MAX;
+		worker->pace = (struct rj_cell_pace){ 0.5, 0.02, 3 };
+	}
+	(void)g_snprintf(id, sizeof(id), "%02x", part);
+	record.value =
+		rj_cell_snapshot_encode(owner->mem, &snapshot, owner->now_us);
+	rj_cell_handover_read(&owner->handover, id, &record);
+	talloc_free((void *)record.value.data);
+	talloc_free(snapshot.workers);
+}
+
+/*
+ * Load: 32,000 workers, so that each part is larger than the bytes that may be
+ * appended within a second.
+ * Guards against parts that never fit.
+ */
+static void test_large_parts_are_written(struct cell_fixture *f,
+					 const void *data)
+{
+	struct cell_sim *sim = &f->sim;
+	const struct rj_cell_handover *handover = &owner_of(sim)->handover;
+
+	for (uint32_t part = 0; part < 16; part++)
+		read_full_record(owner_of(sim), part);
+	cell_sim_run(sim, 40 * S);
+	g_assert_cmpuint(handover->counters.records, >, 10);
+	g_assert_cmpuint(handover->counters.records, <=, 40);
+	g_assert_cmpuint(handover->counters.bytes / handover->counters.records,
+			 >, RJ_CELL_HANDOVER_BYTES_PER_S);
+}
+
 static const struct cell_sim_options rarely_written = {
 	.seed = 11,
 	.nodes = 3,
@@ -776,8 +960,10 @@
 		last_us = sim->now_us;
 		writes++;
 	}
-	/* Without jobs, an append is made for parts that wait for 2 s. */
+	/* Without jobs, an append is made for parts that wait for 2 s, and none
+	 * sooner. */
 	g_assert_cmpuint(writes, >=, 40 * S / (interval_us + 2 * S) - 1);
+	g_assert_cmpuint(writes, <=, 40 * S / (2 * S) + 1);
 }
 
 int main(int argc, char **argv)
@@ -803,8 +989,20 @@
 	CELL_TEST("/cell_snapshot/waits", &site, test_waits_outlive_the_owner);
 	CELL_TEST("/cell_snapshot/waits_off", &site_without,
 		  test_waits_outlive_the_owner);
+	CELL_TEST("/cell_snapshot/wait_after_run", &site,
+		  test_wait_after_a_run);
+	CELL_TEST("/cell_snapshot/wait_dependent", &site,
+		  test_wait_of_a_dependent_step);
 	CELL_TEST("/cell_snapshot/budget", &large_site,
 		  test_large_fleet_keeps_to_the_budget);
+	CELL_TEST("/cell_snapshot/refused_parts", &site,
+		  test_refused_parts_are_written_again);
+	CELL_TEST("/cell_snapshot/one_append", &site,
+		  test_one_append_at_a_time);
+	CELL_TEST("/cell_snapshot/absent", &site,
+		  test_rows_of_absent_workers_are_stored);
+	CELL_TEST("/cell_snapshot/large_parts", &site,
+		  test_large_parts_are_written);
 	CELL_TEST("/cell_snapshot/rows", &site, test_rows_apply_once);
 	CELL_TEST("/cell_snapshot/unclaimed", &site,
 		  test_unclaimed_state_is_dropped);
