--- a/src/test_libradishjunction/test_cell_snapshot.c
+++ b/src/test_libradishjunction/test_cell_snapshot.c
@@ -220,6 +220,28 @@
 	talloc_free(mem);
 }
 
+/* Guards against urgent demand that does not decay while nobody owns the cell,
+ * or that counts jobs twice that the successor has adopted. */
+static void test_urgent_demand_is_not_added(void)
+{
+	struct rj_cell_forecast forecast;
+
+	rj_cell_forecast_init(&forecast);
+	rj_cell_forecast_import_urgent(&forecast, 100, NOW_US - 5 * S, NOW_US);
+	g_assert_cmpfloat_with_epsilon(
+		rj_cell_forecast_urgent_accelerators(&forecast, NOW_US),
+		100 * exp(-1), 1e-6);
+	rj_cell_forecast_import_urgent(&forecast, 20, NOW_US, NOW_US);
+	g_assert_cmpfloat_with_epsilon(
+		rj_cell_forecast_urgent_accelerators(&forecast, NOW_US),
+		100 * exp(-1), 1e-6);
+	rj_cell_forecast_import_urgent(&forecast, 50, NOW_US, NOW_US);
+	g_assert_cmpfloat_with_epsilon(
+		rj_cell_forecast_urgent_accelerators(&forecast, NOW_US), 50,
+		1e-6);
+	rj_cell_forecast_finish(&forecast);
+}
+
 static const struct cell_sim_options site = {
 	.seed = 11,
 	.nodes = 3,
@@ -759,6 +781,25 @@
 	return bytes;
 }
 
+/* Checks that the paces of workers are known that were listed before the rows
+ * were read. */
+static void check_listed_paces(const struct rj_cell_fleet *fleet)
+{
+	const struct rj_list *at;
+	uint32_t listed = 0;
+	uint32_t known = 0;
+
+	for (at = fleet->workers.next; at != &fleet->workers; at = at->next) {
+		const struct rj_cell_worker *worker =
+			RJ_CONTAINER(at, struct rj_cell_worker, link);
+
+		listed += worker->heartbeat.incarnation != 0;
+		known += worker->pace.samples > 0;
+	}
+	g_assert_cmpuint(listed, >, 0);
+	g_assert_cmpuint(known, >=, listed * 8 / 10);
+}
+
 /*
  * Load: 8,000 workers whose paces all change every second.
  * Guards against a snapshot that takes the bytes of other records, and against
@@ -784,6 +825,7 @@
 		g_assert_cmpuint(sum, <=, RJ_CELL_HANDOVER_BYTES_PER_S);
 	}
 	replace_owner(sim, NULL);
+	check_listed_paces(&owner_of(sim)->fleet);
 	cell_sim_run(sim, 3 * S); /* The workers' entries take many pages. */
 	for (uint32_t i = 0; i < large_site.workers; i++)
 		known += samples_of(sim, i) > 0;
@@ -791,6 +833,31 @@
 	g_assert_cmpuint(owner_of(sim)->handover.age_us, <, 40 * S);
 }
 
+/*
+ * Load: urgent gangs, all of which have ended when the owner is replaced.
+ * Guards against a successor that knows only the urgent jobs that it adopts.
+ */
+static void test_urgent_demand_outlives_the_owner(struct cell_fixture *f,
+						  const void *data)
+{
+	struct cell_sim *sim = &f->sim;
+	struct cell_load_stream stream = {
+		"urgent", "a",	    cell_sim_plain_step(5, 8, 2000),
+		500 * MS, 200 * MS, 0,
+		0
+	};
+
+	stream.step.gang = true;
+	cell_load_run_streams(sim, &stream, 1, 8 * S, NULL);
+	cell_load_run(sim, 3 * S);
+	replace_owner(sim, NULL);
+	g_assert_true(owner_of(sim)->jobs.next == &owner_of(sim)->jobs);
+	g_assert_cmpfloat(
+		rj_cell_forecast_urgent_accelerators(&owner_of(sim)->forecast,
+						     owner_of(sim)->now_us),
+		>, 1);
+}
+
 /*
  * Load: no jobs; the store refuses the only append with the paces.
  * Guards against a part that counts as stored and is not written again until it
@@ -861,6 +928,39 @@
 	unlist_workers_without_address(owner_of(&f->sim));
 }
 
+/*
+ * Load: gangs; an owner that has read all parts is paused and replaced, and has
+ * the cell again after its successor was killed.
+ * Guards against an instance that keeps what it has read for a former term, and
+ * reads nothing for the next one.
+ */
+static void test_owner_of_two_terms(struct cell_fixture *f, const void *data)
+{
+	struct cell_sim *sim = &f->sim;
+	const int first = cell_sim_owner(sim);
+	uint32_t known = 0;
+
+	for (uint32_t part = 0; part < RJ_CELL_HANDOVER_SHARDS; part++) {
+		char id[RJ_CELL_PART_ID_BYTES];
+
+		(void)g_snprintf(id, sizeof(id), "%02x", part);
+		read_row(owner_of(sim), id, id, 5);
+	}
+	run_gangs(sim, 30 * S);
+	cell_sim_node_pause(sim, (uint32_t)first, 12 * S);
+	cell_sim_run(sim, 15 * S);
+	g_assert_cmpint(cell_sim_owner(sim), !=, first);
+	for (uint32_t i = 0; i < site.nodes; i++)
+		if ((int)i != first)
+			cell_sim_node_kill(sim, i);
+	for (int i = 0; i < 100 && cell_sim_owner(sim) < 0; i++)
+		cell_sim_run(sim, 100 * MS);
+	g_assert_cmpint(cell_sim_owner(sim), ==, first);
+	for (uint32_t i = 0; i < site.workers; i++)
+		known += samples_of(sim, i) > 0;
+	g_assert_cmpuint(known, >=, site.workers / 2);
+}
+
 /* Passes a record with as many workers as fit to an owner, as if it had just
  * been read. */
 static void read_full_record(struct rj_cell_owner *owner, uint32_t part)
@@ -977,6 +1077,8 @@
 			test_payload_with_more_is_refused);
 	g_test_add_func("/cell_snapshot/variance",
 			test_variance_of_zero_is_refused);
+	g_test_add_func("/cell_snapshot/urgent_sum",
+			test_urgent_demand_is_not_added);
 	CELL_TEST("/cell_snapshot/paces", &site, test_paces_outlive_the_owner);
 	CELL_TEST("/cell_snapshot/off", &site_without,
 		  test_without_the_feature);
@@ -995,12 +1097,15 @@
 		  test_wait_of_a_dependent_step);
 	CELL_TEST("/cell_snapshot/budget", &large_site,
 		  test_large_fleet_keeps_to_the_budget);
+	CELL_TEST("/cell_snapshot/urgent", &site,
+		  test_urgent_demand_outlives_the_owner);
 	CELL_TEST("/cell_snapshot/refused_parts", &site,
 		  test_refused_parts_are_written_again);
 	CELL_TEST("/cell_snapshot/one_append", &site,
 		  test_one_append_at_a_time);
 	CELL_TEST("/cell_snapshot/absent", &site,
 		  test_rows_of_absent_workers_are_stored);
+	CELL_TEST("/cell_snapshot/two_terms", &site, test_owner_of_two_terms);
 	CELL_TEST("/cell_snapshot/large_parts", &site,
 		  test_large_parts_are_written);
 	CELL_TEST("/cell_snapshot/rows", &site, test_rows_apply_once);
