--- a/src/libradishjunction/cell/cell_account_shares.c
+++ b/src/libradishjunction/cell/cell_account_shares.c
@@ -408,23 +408,27 @@
 }
 
 /*
- * Copies the use of the accounts that are tracked by name, at most `max`.
- * Returns how many.
+ * Copies the use at `now_us` of the accounts that are tracked by name, at most
+ * `max`. Returns how many. A cell without work makes no plans that would update
+ * the rows, so those that have been idle for too long are left out here too.
  */
 uint32_t
 rj_cell_account_shares_export(const struct rj_cell_account_shares *shares,
-			      struct rj_cell_account_use *uses, uint32_t max)
+			      struct rj_cell_account_use *uses, uint32_t max,
+			      uint64_t now_us)
 {
+	uint64_t elapsed_us = now_us - MIN(now_us, shares->updated_us);
+	double kept = exp(-(double)elapsed_us / (double)USE_DECAY_US);
 	uint32_t count = 0;
 
 	for (uint32_t i = 0; i < RJ_CELL_ACCOUNTS_MAX && count < max; i++) {
 		const struct rj_cell_account_share *row = &shares->rows[i];
 
-		if (!row->used)
+		if (!row->used || now_us >= row->active_us + ROW_IDLE_US)
 			continue;
 		memcpy(uses[count].account, row->account,
 		       sizeof(uses[count].account));
-		uses[count++].use_ppm = to_ppm(row->use);
+		uses[count++].use_ppm = to_ppm(row->use * kept);
 	}
 	return count;
 }
--- a/src/libradishjunction/cell/cell_handover.c
+++ b/src/libradishjunction/cell/cell_handover.c
@@ -11,7 +11,8 @@
 #include "private/log_event.h"
 
 #define SHARD_SEED 0x5ead
-/* Minimum time between two appends with parts: an owner's heartbeats. */
+/* Minimum time between two appends with parts, whatever the setting: an owner's
+ * heartbeats. Whether a part is due is checked at this interval. */
 #define WRITE_INTERVAL_US (400 * RJ_US_PER_MS)
 /* Parts are added to appends that are made anyway. While the cell is idle there
  * are none; then an append is made for a part that has waited this long. */
@@ -19,8 +20,9 @@
 /* A part without changes is written again after this, as records of twice this
  * age are refused. */
 #define REFRESH_US (RJ_CELL_SNAPSHOT_AGE_MAX_MS / 2 * RJ_US_PER_MS)
-/* How long the rows of workers that are not listed are kept: an owner that is
- * replaced soon stores them again. */
+/* How long the rows of workers that are not listed are kept, so that an owner
+ * that is replaced soon stores them again. Longer than a worker is away that
+ * comes back under its incarnation. */
 #define UNLISTED_ROWS_US (60 * RJ_US_PER_S)
 #define LOG_INTERVAL_US (10 * RJ_US_PER_S)
 
@@ -34,7 +36,7 @@
 /* A worker as a former owner has stored it. */
 struct row {
 	struct rj_cell_snapshot_worker worker;
-	bool history_applied;
+	bool applied;
 };
 
 /* A worker or row to be stored, and its shard. */
@@ -241,9 +243,9 @@
 	struct rj_cell_worker_history *history = &worker->history;
 
 	worker->pace = row->worker.pace;
-	if (row->history_applied)
+	if (row->applied)
 		return;
-	row->history_applied = true;
+	row->applied = true;
 	history->bad_ends += former->bad_ends;
 	history->exposure_s += former->exposure_s;
 	history->updated_us = MAX(history->updated_us, former->updated_us);
@@ -266,7 +268,11 @@
 		apply_row(row, worker);
 		return;
 	}
-	/* It has restarted, perhaps after the row was applied. */
+	/* The entry may be older than the row: the former owner met the worker
+	 * before its new incarnation wrote one. */
+	if (!row->applied)
+		return;
+	/* It has restarted since the row was applied. */
 	rj_cell_pace_init(&worker->pace);
 	g_hash_table_remove(handover->rows, worker->id);
 }
@@ -294,8 +300,8 @@
 				     worker->heartbeat.incarnation;
 }
 
-/* Whether the owner knows the incarnation of the worker of a row, so that the
- * row is applied or void. */
+/* Whether the owner knows an incarnation of the worker of a row, so that the
+ * worker is stored and not the row. */
 static bool is_row_of_known_worker(const struct rj_cell_handover *handover,
 				   const struct row *row)
 {
@@ -305,21 +311,24 @@
 	return worker && incarnation_of(worker);
 }
 
-static gboolean is_of_unknown_worker(gpointer id, gpointer row,
-				     gpointer handover)
+/* Whether no worker with the incarnation of a row is listed. */
+static gboolean is_unclaimed(gpointer id, gpointer row, gpointer handover)
 {
-	return !is_row_of_known_worker(handover, row);
+	return !((const struct row *)row)->applied ||
+	       !is_row_of_known_worker(handover, row);
 }
 
-/* Drops the rows of workers that did not come back. */
-static void drop_old_rows(struct rj_cell_handover *handover)
+/* Drops at intervals the rows of workers that did not come back, and of those
+ * that have left before they answered: each owner would store them again as
+ * new. */
+static void drop_unclaimed(struct rj_cell_handover *handover)
 {
-	if (!handover->rows_until_us ||
-	    handover->owner->now_us < handover->rows_until_us)
+	uint64_t now_us = handover->owner->now_us;
+
+	if (now_us < handover->rows_until_us)
 		return;
-	handover->rows_until_us = 0;
-	g_hash_table_foreach_remove(handover->rows, is_of_unknown_worker,
-				    handover);
+	handover->rows_until_us = now_us + UNLISTED_ROWS_US;
+	g_hash_table_foreach_remove(handover->rows, is_unclaimed, handover);
 }
 
 static struct rj_cell_snapshot_worker row_of(const struct source *source)
@@ -423,7 +432,7 @@
 	if (owner->limits.features.account_shares)
 		last->account_count = rj_cell_account_shares_export(
 			&owner->account_shares, contents->accounts,
-			RJ_CELL_SNAPSHOT_ACCOUNTS_MAX);
+			RJ_CELL_SNAPSHOT_ACCOUNTS_MAX, owner->now_us);
 	if (!last->queue_count && !last->urgent_accelerators &&
 	    !last->account_count)
 		return;
@@ -433,22 +442,17 @@
 	talloc_free((void *)bytes.data);
 }
 
-/* Whether a part is to be written: it has changed and was not written lately,
- * or it would soon be too old. */
+/* Whether a part is to be written: it has changed, or it would soon be too
+ * old. */
 static bool is_due(const struct rj_cell_handover *handover,
 		   const struct contents *contents, uint32_t part)
 {
 	const struct rj_cell_handover_part *stored = &handover->parts[part];
 	const struct rj_cell_owner *owner = handover->owner;
 	uint64_t digest = contents->digests[part];
-	uint64_t interval_us =
-		owner->limits.features.snapshot_ms * RJ_US_PER_MS;
 
-	if (digest == stored->digest)
-		return digest &&
-		       owner->now_us >= stored->written_us + REFRESH_US;
-	return !stored->written_us ||
-	       owner->now_us >= stored->written_us + interval_us;
+	return digest != stored->digest ||
+	       (digest && owner->now_us >= stored->written_us + REFRESH_US);
 }
 
 /* Returns the part that is due and was written the longest ago, or -1. */
@@ -552,10 +556,12 @@
 	     i++) {
 		const struct source *source =
 			&g_array_index(contents->sources, struct source, i);
-		const struct rj_cell_snapshot_worker row = row_of(source);
+		struct rj_cell_snapshot_worker row;
 
-		if (source->shard == part)
-			g_array_append_val(rows, row);
+		if (source->shard != part)
+			continue;
+		row = row_of(source);
+		g_array_append_val(rows, row);
 	}
 	snapshot.token = owner->token;
 	snapshot.wall_ms = owner->wall_ms;
@@ -612,21 +618,32 @@
 	return fits;
 }
 
+/* Returns the minimum time between two appends with parts. */
+static uint64_t write_interval_us(const struct rj_cell_handover *handover)
+{
+	uint64_t interval_us =
+		handover->owner->limits.features.snapshot_ms * RJ_US_PER_MS;
+
+	return MAX(interval_us, WRITE_INTERVAL_US);
+}
+
 /* Adds the parts that are due and fit, those that were written the longest ago
  * first. Sets when the next ones may be added. */
 static void add_parts(struct rj_cell_handover *handover,
 		      const struct contents *contents)
 {
 	struct rj_cell_handover_append *append = obtain_append(handover);
+	uint64_t now_us = handover->owner->now_us;
+	uint64_t budget_us = 0;
 	int part;
 
-	handover->due_us = handover->owner->now_us + WRITE_INTERVAL_US;
-	while ((part = next_part(handover, contents)) >= 0)
-		if (!try_part(handover, contents, (uint32_t)part, append)) {
-			handover->due_us =
-				MAX(handover->due_us, budget_due_us(handover));
-			return;
-		}
+	while (!budget_us && (part = next_part(handover, contents)) >= 0)
+		if (!try_part(handover, contents, (uint32_t)part, append))
+			budget_us = budget_due_us(handover);
+	handover->due_us =
+		MAX(budget_us,
+		    now_us + (append->bytes ? write_interval_us(handover) :
+					      WRITE_INTERVAL_US));
 }
 
 /* Logs at intervals what was written since the last such event. */
@@ -703,7 +720,7 @@
 		return;
 	memset(&contents, 0, sizeof(contents));
 	contents.sources = g_array_new(FALSE, FALSE, sizeof(struct source));
-	drop_old_rows(handover);
+	drop_unclaimed(handover);
 	collect_workers(handover, &contents);
 	collect_last_part(handover, &contents);
 	write_or_wait(handover, &contents, appends);
--- a/src/libradishjunction/include/private/cell_account_shares.h
+++ b/src/libradishjunction/include/private/cell_account_shares.h
@@ -84,7 +84,8 @@
 	const struct rj_cell_account_shares *shares, GString *text);
 uint32_t
 rj_cell_account_shares_export(const struct rj_cell_account_shares *shares,
-			      struct rj_cell_account_use *uses, uint32_t max);
+			      struct rj_cell_account_use *uses, uint32_t max,
+			      uint64_t now_us);
 void rj_cell_account_shares_import(struct rj_cell_account_shares *shares,
 				   const struct rj_cell_account_use *uses,
 				   uint32_t count, uint64_t now_us);
--- a/src/libradishjunction/include/private/cell_handover.h
+++ b/src/libradishjunction/include/private/cell_handover.h
@@ -60,14 +60,13 @@
 	uint64_t rows_read; /* in this term */
 	uint64_t paces_read; /* those of them with a known pace */
 	uint64_t age_us; /* of the oldest part that was read */
-	/* Rows of workers that are not known by now are dropped then; 0: they
-	 * were. */
+	/* Rows that no worker has claimed by then are dropped. */
 	uint64_t rows_until_us;
 	/* The last part as it was read; NULL: it was not. */
 	struct rj_cell_snapshot *former;
 	uint64_t former_us; /* when it was written, by this owner's clock */
 	uint32_t appending; /* records without an outcome */
-	uint64_t due_us; /* nothing is written before this */
+	uint64_t due_us; /* nothing is written or checked before this */
 	/* Until then the parts that are due wait for an append that is made
 	 * anyway; 0: none is due. */
 	uint64_t wait_until_us;
--- a/src/test_libradishjunction/test_cell_account_shares.c
+++ b/src/test_libradishjunction/test_cell_account_shares.c
@@ -314,8 +314,8 @@
 				       0.001);
 	g_assert_cmpfloat_with_epsilon(rows[2].entitlement, 0.3, 1e-9);
 	g_assert_false(rj_cell_job_over_share(jobs[0]));
-	g_assert_cmpuint(rj_cell_account_shares_export(&shares, uses, 4), ==,
-			 3);
+	g_assert_cmpuint(
+		rj_cell_account_shares_export(&shares, uses, 4, 41 * S), ==, 3);
 	memset(&shares, 0, sizeof(shares));
 	rj_cell_account_shares_import(&shares, uses, 3, 50 * S);
 	g_assert_cmpfloat_with_epsilon(rows[0].use, 0.076, 0.001);
--- a/src/test_libradishjunction/test_platform_settings.c
+++ b/src/test_libradishjunction/test_platform_settings.c
@@ -90,6 +90,14 @@
 	g_assert_false(settings.limits.features.worker_history);
 	g_assert_true(settings.limits.features.account_shares);
 	g_assert_false(settings.limits.features.admission_forecast);
+	g_assert_cmpint(load(REQUIRED ",\"admission_forecast\":\"on\"",
+			     &settings, &err),
+			==, 0);
+	g_assert_true(settings.limits.features.admission_forecast);
+	g_assert_cmpint(load(REQUIRED ",\"restore_ms\":\"600\","
+				      "\"snapshot_ms\":\"1000\"",
+			     &settings, &err),
+			==, 0);
 	g_assert_cmpuint(settings.limits.features.restore_ms, ==, 600);
 	g_assert_cmpuint(settings.limits.features.snapshot_ms, ==, 1000);
 }
