account shares: jobs that no plan has counted reject no account

Cause: the work of an account whose first job was accepted after the last plan counted for the row of all further accounts, which has no entitlement: a queue that rejects jobs then rejected all accounts alike until the next plan, as it rejected an account that had been idle. A queue whose rejected accounts could not all be named left those it had named in the heartbeat, so that the queues after it had no room and rejected all accounts as well. Change: such work counts for no account before the next plan, and the names of a queue are taken back. An account that can count on no capacity is rejected also where the limit of the wait is 0.

--- a/src/libradishjunction/cell/cell_account_admission.c
+++ b/src/libradishjunction/cell/cell_account_admission.c
@@ -11,6 +11,8 @@
  * priority.
  */
 #define BACKLOG_RUNS 2
+/* Excess of the wait of an account that can count on no capacity. */
+#define NO_CAPACITY_EXCESS_MS 1000
 /* An account that waits for this part of the queue's wait counts as waiting for
  * as long; the rest is for rounding. */
 #define QUEUE_WAIT_PART 0.99
@@ -76,14 +78,25 @@
 	return work;
 }
 
-/* Returns the row of a job's account. */
+/*
+ * Returns the row of a job's account; RJ_CELL_ACCOUNT_ROWS if the account has no
+ * entitlement yet, as no plan has counted a job of it.
+ *
+ * Guards against the rejection of such an account, or of all accounts, until the
+ * next plan.
+ */
 static uint32_t row_of(const struct rj_cell_account_shares *shares,
 		       const struct rj_cell_job *job)
 {
-	if (!job->share)
-		return rj_cell_account_shares_find(shares,
-						   job->job_spec->account);
-	return (uint32_t)(job->share - shares->rows);
+	uint32_t row;
+
+	if (job->share)
+		return (uint32_t)(job->share - shares->rows);
+	row = rj_cell_account_shares_find(shares, job->job_spec->account);
+	return row != RJ_CELL_ACCOUNTS_OTHER &&
+			       shares->rows[row].entitlement > 0 ?
+		       row :
+		       RJ_CELL_ACCOUNT_ROWS;
 }
 
 /* Sums up the work that is served before or with a new job of a priority. */
@@ -96,19 +109,20 @@
 	for (at = owner->jobs.next; at != &owner->jobs; at = at->next) {
 		const struct rj_cell_job *job =
 			RJ_CONTAINER(at, struct rj_cell_job, link);
+		bool same_priority = job->job_spec->priority == priority;
 		double remaining;
 		uint32_t row;
 
 		if (!rj_cell_admit_is_ahead(owner, job, priority))
 			continue;
 		remaining = job_work(owner, job);
-		row = row_of(&owner->account_shares, job);
-		work->ahead[row] += remaining;
 		work->total_ahead += remaining;
-		if (job->job_spec->priority < priority)
+		work->total_same_priority += same_priority ? remaining : 0;
+		row = row_of(&owner->account_shares, job);
+		if (row == RJ_CELL_ACCOUNT_ROWS)
 			continue;
-		work->same_priority[row] += remaining;
-		work->total_same_priority += remaining;
+		work->ahead[row] += remaining;
+		work->same_priority[row] += same_priority ? remaining : 0;
 	}
 }
 
@@ -137,14 +151,16 @@
 	return MAX(left, 0);
 }
 
-/* Returns the time that some work takes with a part of the cell. */
+/* Returns the time that some work takes with a part of the cell; without any,
+ * more than a job may wait. */
 static double time_with_part_ms(const struct evaluation *evaluation,
 				double work, double available)
 {
 	if (work <= 0)
 		return 0;
 	return available > 0 ? time_ms(evaluation, work) / available :
-			       RJ_CELL_LATE_FACTOR * evaluation->wait_max_ms;
+			       RJ_CELL_LATE_FACTOR * evaluation->wait_max_ms +
+				       NO_CAPACITY_EXCESS_MS;
 }
 
 /*
@@ -169,9 +185,10 @@
 }
 
 /*
- * Returns the retry delay of an account; 0 if the queue accepts its jobs. A
- * queue that rejects jobs rejects those of an account that waits for as long as
- * the queue says, whatever its reason: nearly all work ahead is the account's.
+ * Returns the retry delay of an account at a queue that rejects jobs; 0 if it
+ * accepts those of the account. Besides accounts whose own work is too much, it
+ * rejects those over their share and those that wait for as long as the queue
+ * says: nearly all work ahead is theirs.
  */
 static uint32_t retry_after_ms(const struct evaluation *evaluation,
 			       uint32_t row)
@@ -218,12 +235,14 @@
 }
 
 /* Names the accounts that the queue rejects in the heartbeat. Returns false if
- * they cannot all be named. */
+ * they cannot all be named; the heartbeat is then as before, as queues that
+ * follow need the room. */
 static bool name_refused(const struct evaluation *evaluation, uint32_t queue,
 			 struct rj_cell_owner_heartbeat *heartbeat)
 {
 	const struct rj_cell_account_share *rows =
 		evaluation->owner->account_shares.rows;
+	const struct rj_cell_owner_heartbeat before = *heartbeat;
 
 	if (retry_after_ms(evaluation, RJ_CELL_ACCOUNTS_OTHER))
 		return false;
@@ -232,18 +251,20 @@
 
 		if (!delay_ms)
 			continue;
-		if (!add_account(heartbeat, rows[i].account, queue, delay_ms))
+		if (!add_account(heartbeat, rows[i].account, queue, delay_ms)) {
+			*heartbeat = before;
 			return false;
+		}
 	}
 	return true;
 }
 
 /*
- * Decides for which accounts the heartbeat's next queue rejects jobs, if its load
- * says that it rejects them. A job waits for `wait_ms` by the
- * queue's forecast, and is of no use after `wait_max_ms`. If the rejected
- * accounts cannot all be named, the queue treats all accounts alike: those not
- * named would be accepted without a limit.
+ * Decides for which accounts the heartbeat's next queue rejects jobs, if its
+ * load says that it rejects them. A job waits for `wait_ms` by the queue's
+ * forecast, and is of no use after `wait_max_ms`. If the rejected accounts
+ * cannot all be named, the queue treats all accounts alike: those not named
+ * would be accepted without a limit.
  *
  * Guards against an account that floods a queue and so has the few jobs of
  * others rejected.
--- a/src/test_libradishjunction/test_cell_account_shares.c
+++ b/src/test_libradishjunction/test_cell_account_shares.c
@@ -345,6 +345,128 @@
 	talloc_free(mem);
 }
 
+/* Tasks that take a second of the whole site. */
+static const struct rj_cell_step admission_step = { .task_count = 100,
+						    .each = { 0, 0, 1 },
+						    .estimate_ms = 1000 };
+
+/* Creates an owner that knows the accounts "a0", "a1" and so on, all of them
+ * within their share. */
+static struct rj_cell_owner *create_owner(uint32_t accounts)
+{
+	struct rj_cell_owner *owner = talloc_zero(NULL, struct rj_cell_owner);
+
+	rj_list_init(&owner->jobs);
+	rj_cell_forecast_init(&owner->forecast);
+	owner->account_shares.capacity.accelerators = 100;
+	for (uint32_t i = 0; i < accounts; i++) {
+		struct rj_cell_account_share *row =
+			&owner->account_shares.rows[i];
+
+		row->used = true;
+		row->entitlement = 1.0 / accounts;
+		(void)g_snprintf(row->account, RJ_NAME_BYTES, "a%u", i);
+	}
+	return owner;
+}
+
+/* Adds an accepted job of an account; a plan has counted it if `counted`. */
+static void add_accepted(struct rj_cell_owner *owner, const char *account,
+			 uint32_t priority, bool counted)
+{
+	struct rj_cell_job_spec *spec =
+		talloc_zero(owner, struct rj_cell_job_spec);
+	struct rj_cell_account_shares *shares = &owner->account_shares;
+	struct rj_cell_job *job;
+
+	g_strlcpy(spec->account, account, sizeof(spec->account));
+	spec->priority = priority;
+	spec->step_count = 1;
+	spec->steps =
+		talloc_memdup(spec, &admission_step, sizeof(admission_step));
+	spec->task_count = admission_step.task_count;
+	job = rj_cell_job_new(owner, spec);
+	(void)rj_cell_job_begin_occurrence(job, 0);
+	job->late_us = UINT64_MAX;
+	if (counted)
+		job->share = &shares->rows[rj_cell_account_shares_find(
+			shares, account)];
+	rj_list_append(&owner->jobs, &job->link);
+}
+
+/* Evaluates the next queue of a heartbeat, which rejects jobs. */
+static void add_queue(const struct rj_cell_owner *owner, uint32_t priority,
+		      struct rj_cell_owner_heartbeat *heartbeat)
+{
+	struct rj_cell_queue_load *load =
+		&heartbeat->queue_loads[heartbeat->queue_load_count];
+
+	load->refuse = true;
+	load->mean_ms = 1000;
+	load->retry_after_ms = 2000;
+	rj_cell_account_admission_add_queue(owner, priority, 40000, 30000,
+					    heartbeat);
+	heartbeat->queue_load_count++;
+}
+
+static void destroy_owner(struct rj_cell_owner *owner)
+{
+	rj_cell_forecast_finish(&owner->forecast);
+	talloc_free(owner);
+}
+
+/* Guards against an account that is rejected because no plan has counted its
+ * first job yet, and against the rejection of all accounts for that reason. */
+static void test_job_before_the_next_plan(void)
+{
+	struct rj_cell_owner_heartbeat heartbeat = { 0 };
+	struct rj_cell_owner *owner = create_owner(2);
+	uint32_t retry_ms = 0;
+
+	owner->account_shares.rows[1].entitlement = 0; /* idle so far */
+	for (uint32_t i = 0; i < 20; i++)
+		add_accepted(owner, "a0", 2, i % 2 == 0);
+	add_accepted(owner, "a1", 2, false);
+	add_accepted(owner, "new", 2, false);
+	add_queue(owner, 2, &heartbeat);
+	g_assert_true(rj_cell_account_admission_refuses(&heartbeat, 0, "a0",
+							&retry_ms));
+	g_assert_cmpuint(retry_ms, >=, 2000);
+	g_assert_false(rj_cell_account_admission_refuses(&heartbeat, 0, "a1",
+							 &retry_ms));
+	g_assert_false(rj_cell_account_admission_refuses(&heartbeat, 0, "new",
+							 &retry_ms));
+	destroy_owner(owner);
+}
+
+/* Load: more accounts send too much batch work than a heartbeat names.
+ * Guards against a queue that has no room left to name one, and so rejects all
+ * accounts. */
+static void test_queue_after_one_that_names_too_many(void)
+{
+	const uint32_t accounts = RJ_CELL_REFUSED_MAX + 8;
+	struct rj_cell_owner_heartbeat heartbeat = { 0 };
+	struct rj_cell_owner *owner = create_owner(accounts);
+	char last[RJ_NAME_BYTES];
+	uint32_t retry_ms = 0;
+
+	for (uint32_t i = 0; i < accounts; i++) {
+		(void)g_snprintf(last, sizeof(last), "a%u", i);
+		add_accepted(owner, last, 2, true);
+	}
+	add_accepted(owner, last, 1, true);
+	add_queue(owner, 2, &heartbeat);
+	add_queue(owner, 1, &heartbeat);
+	g_assert_cmpuint(heartbeat.queues_by_share, ==, 1U << 1);
+	g_assert_true(rj_cell_account_admission_refuses(&heartbeat, 0, "a0",
+							&retry_ms));
+	g_assert_false(rj_cell_account_admission_refuses(&heartbeat, 1, "a0",
+							 &retry_ms));
+	g_assert_true(rj_cell_account_admission_refuses(&heartbeat, 1, last,
+							&retry_ms));
+	destroy_owner(owner);
+}
+
 /* Decodes a heartbeat; returns whether queue 1, which rejects jobs, rejects
  * those of account "b". */
 static bool refuses_b(struct rj_bytes value)
@@ -405,6 +527,10 @@
 			test_shares_and_entitlements);
 	g_test_add_func("/cell_account_shares/other",
 			test_further_accounts_are_summed);
+	g_test_add_func("/cell_account_shares/before_plan",
+			test_job_before_the_next_plan);
+	g_test_add_func("/cell_account_shares/names",
+			test_queue_after_one_that_names_too_many);
 	g_test_add_func("/cell_account_shares/versions",
 			test_heartbeats_of_other_versions);
 	return g_test_run();
