--- a/src/test_libradishjunction/test_cell_preemption.c
+++ b/src/test_libradishjunction/test_cell_preemption.c
@@ -57,7 +57,6 @@
 
 	run_gangs_over_batch(&f->sim);
 	g_assert_cmpuint(f->sim.wasted_us, <=, wasted_without_us() / 2);
-	g_assert_cmpuint(f->sim.wasted_us, <=, wasted_without_us() / 2);
 	g_assert_cmpuint(cell_load_utility_percent(&f->sim, "normal",
 						   evaluated_until_us),
 			 >=, NORMAL_UTILITY_MIN_PERCENT);
