admission forecast: the log line has the estimate that limits the wait

The wait counts up to 1.5 times the estimate by all capacity; the line had every input but that one. Comments of the service rate are made clearer.

--- a/src/libradishjunction/cell/cell_admission_forecast.c
+++ b/src/libradishjunction/cell/cell_admission_forecast.c
@@ -12,9 +12,9 @@
  * slow workers take.
  */
 #define USABLE_TIME_PERCENT 65
-/* The measured wait counts up to this multiple of the estimate from all capacity:
- * a burst of urgent work, some 6 s, holds capacity that others get back long
- * before a forecast of a minute has passed. */
+/* The measured wait counts up to this multiple of the estimate from all
+ * capacity: forecasts reach a minute ahead, and what a burst of urgent work
+ * holds is free again after some 6 s. */
 #define ESTIMATE_FACTOR 1.5
 /* Work that is lost by stopping a task with checkpoints: the time of a restart
  * from one. */
@@ -368,7 +368,8 @@
 /* Logs that a queue begins or ceases to reject jobs. */
 static void log_decision(const struct rj_cell_owner *owner, uint32_t class,
 			 const struct rj_cell_service_decision *decision,
-			 const struct rj_cell_service_load *work)
+			 const struct rj_cell_service_load *work,
+			 double estimate_ms)
 {
 	const struct rj_cell_service_rate *rate = &owner->service_rate;
 	const struct rj_cell_service_load *held =
@@ -386,6 +387,7 @@
 		RJ_LOG_NUMBER("useful_percent",
 			      100 * rj_cell_service_rate_useful_share(
 					    rate, class, owner->now_us)),
+		RJ_LOG_NUMBER("estimate_ms", estimate_ms),
 		RJ_LOG_NUMBER("wait_ms", decision->wait_ms),
 		RJ_LOG_NUMBER("limit_ms", decision->limit_ms),
 		RJ_LOG_NUMBER("retry_ms", decision->retry_after_ms));
@@ -393,9 +395,9 @@
 
 /*
  * Decides whether a queue accepts jobs, whose results are of no use after
- * `late_ms`. `estimate_ms` is the wait of a new job by the capacity of all workers,
- * `work` that of all jobs by class. Returns false if too little is measured for a
- * decision.
+ * `late_ms`. `estimate_ms` is the wait of a new job by the capacity of all
+ * workers; `work` is the remaining work of all jobs by class. Returns false if
+ * too little is measured for a decision.
  *
  * Guards against an overload of several times the capacity: what reservations,
  * stops and failures leave is less than a fixed part of the cell, so that jobs
@@ -430,7 +432,7 @@
 							   owner->now_us),
 			      ESTIMATE_FACTOR * estimate_ms);
 	if (rj_cell_service_decide(decision, basis, wait_ms, MAX(limit_ms, 0)))
-		log_decision(owner, class, decision, &work[class]);
+		log_decision(owner, class, decision, &work[class], estimate_ms);
 	if (decision->rejects) {
 		queue_load->refuse = true;
 		queue_load->retry_after_ms = decision->retry_after_ms;
--- a/src/libradishjunction/cell/cell_service_rate.c
+++ b/src/libradishjunction/cell/cell_service_rate.c
@@ -289,8 +289,8 @@
 				URGENT_CAPACITY_PERCENT / 100);
 }
 
-/* Returns the wait of a class behind the work of the classes that go first,
- * with what those will be sent of late. */
+/* Returns the wait of a class behind the work of the classes that go first, if
+ * those are sent as much as in the last seconds. */
 static double wait_behind_ms(const struct rj_cell_service_rate *rate,
 			     uint32_t class,
 			     const struct rj_cell_service_load *work,
@@ -323,9 +323,10 @@
  * class completes. `work` is that of all jobs by class; the class must be
  * RJ_CELL_SERVICE_MEASURED.
  *
- * A class that is not urgent gets the longer of what it holds now and what the classes that go
- * first leave: under a lasting overload of those it gets its minimum share,
- * after their burst the whole cell.
+ * For classes below the first two it is the shorter one of the times with what
+ * the class holds now and with what the classes that go first leave: under a
+ * lasting overload of those it gets its minimum share, after their burst the
+ * whole cell.
  */
 double rj_cell_service_rate_wait_ms(
 	const struct rj_cell_service_rate *rate, uint32_t class,
