account shares: an urgent queue rejects the account that floods it

Cause: with admission_forecast an urgent queue rejected nobody while any account was within its guarantee, and since queues that accept name no accounts, nothing else rejected the flood of another one. Change: with account_shares, too, the urgent queue decides by its measured wait; accounts within their guarantee are never named. Where those to be rejected cannot all be named, it accepts all, as before.

--- a/src/libradishjunction/cell/cell_account_admission.c
+++ b/src/libradishjunction/cell/cell_account_admission.c
@@ -26,12 +26,15 @@
 	/* Of all accounts. */
 	double total_ahead;
 	double total_same_priority;
+	/* Accelerators that the urgent jobs of each account need. */
+	uint64_t urgent_need[RJ_CELL_ACCOUNT_ROWS];
 };
 
 /* A queue that is evaluated, and the forecast of a new job of its. */
 struct evaluation {
 	const struct rj_cell_owner *owner;
 	const struct rj_cell_queue_load *queue_load;
+	uint32_t priority; /* of its jobs */
 	double wait_ms; /* whatever its account */
 	double wait_max_ms; /* it is of no use after a longer wait */
 	struct work work;
@@ -99,6 +102,21 @@
 		       RJ_CELL_ACCOUNT_ROWS;
 }
 
+/* Returns the accelerators that an urgent job needs; 0 for other jobs. */
+static uint64_t urgent_need(const struct rj_cell_job *job)
+{
+	const struct rj_cell_job_spec *spec = job->job_spec;
+	uint64_t need = 0;
+
+	if (spec->priority || job->cancelled ||
+	    job->state >= RJ_CELL_JOB_COMPLETED)
+		return 0;
+	for (uint32_t i = 0; i < spec->step_count; i++)
+		need += (uint64_t)spec->steps[i].task_count *
+			spec->steps[i].each.accelerators;
+	return need;
+}
+
 /* Sums up the work that is served before or with a new job of a priority. */
 static void sum_work(const struct rj_cell_owner *owner, uint32_t priority,
 		     struct work *work)
@@ -110,15 +128,16 @@
 		const struct rj_cell_job *job =
 			RJ_CONTAINER(at, struct rj_cell_job, link);
 		bool same_priority = job->job_spec->priority == priority;
+		uint32_t row = row_of(&owner->account_shares, job);
 		double remaining;
-		uint32_t row;
 
+		if (row < RJ_CELL_ACCOUNT_ROWS)
+			work->urgent_need[row] += urgent_need(job);
 		if (!rj_cell_admit_is_ahead(owner, job, priority))
 			continue;
 		remaining = job_work(owner, job);
 		work->total_ahead += remaining;
 		work->total_same_priority += same_priority ? remaining : 0;
-		row = row_of(&owner->account_shares, job);
 		if (row == RJ_CELL_ACCOUNT_ROWS)
 			continue;
 		work->ahead[row] += remaining;
@@ -184,11 +203,30 @@
 				     available));
 }
 
+/* Whether a job of the queue is within the guarantee of its account: the urgent
+ * jobs of the account need less. */
+static bool is_within_guarantee(const struct evaluation *evaluation,
+				uint32_t row)
+{
+	const struct rj_cell_owner *owner = evaluation->owner;
+	const struct rj_cell_account *account =
+		owner->config && row != RJ_CELL_ACCOUNTS_OTHER ?
+			rj_cell_config_account(
+				owner->config,
+				owner->account_shares.rows[row].account) :
+			NULL;
+
+	return !evaluation->priority && account &&
+	       evaluation->work.urgent_need[row] <
+		       account->guaranteed_accelerators;
+}
+
 /*
  * Returns the retry delay of an account at a queue that rejects jobs; 0 if it
  * accepts those of the account. Besides accounts whose own work is too much, it
  * rejects those over their share and those that wait for as long as the queue
- * says: nearly all work ahead is theirs.
+ * says: nearly all work ahead is theirs. Urgent work within a guarantee is
+ * accepted in any case.
  */
 static uint32_t retry_after_ms(const struct evaluation *evaluation,
 			       uint32_t row)
@@ -202,6 +240,8 @@
 	uint32_t delay_ms = 0;
 	double wait_ms;
 
+	if (is_within_guarantee(evaluation, row))
+		return 0;
 	wait_ms = account_wait_ms(evaluation, row, over);
 	if (wait_ms > evaluation->wait_max_ms)
 		delay_ms = rj_cell_admit_retry_after_ms(
@@ -277,6 +317,7 @@
 	struct rj_cell_queue_load *queue_load = &heartbeat->queue_loads[queue];
 	struct evaluation evaluation = { .owner = owner,
 					 .queue_load = queue_load,
+					 .priority = priority,
 					 .wait_ms = wait_ms,
 					 .wait_max_ms = wait_max_ms };
 	const struct work *work = &evaluation.work;
--- a/src/libradishjunction/cell/cell_admission_forecast.c
+++ b/src/libradishjunction/cell/cell_admission_forecast.c
@@ -314,12 +314,11 @@
 }
 
 /*
- * Whether some account's urgent jobs need less than its guarantee.
- *
- * A queue accepts jobs of all accounts or of none, and work within a guarantee
- * must not be rejected.
+ * Whether some account's urgent jobs need less than its guarantee. Work within a
+ * guarantee must not be rejected.
  */
-static bool has_unused_guarantee(const struct rj_cell_owner *owner)
+bool rj_cell_admission_forecast_has_unused_guarantee(
+	const struct rj_cell_owner *owner)
 {
 	const struct rj_cell_config *config = owner->config;
 	GHashTable *needs = g_hash_table_new(g_str_hash, g_str_equal);
@@ -349,6 +348,15 @@
 			decision->prompt_start_us + PROMPT_START_AGE_MAX_US);
 }
 
+/* Whether an urgent queue accepts jobs for the sake of an account within its
+ * guarantee, as it cannot accept those of this account alone. */
+static bool accepts_for_guarantee(const struct rj_cell_owner *owner,
+				  const struct rj_cell_queue *queue)
+{
+	return !queue->priority && !owner->limits.features.account_shares &&
+	       rj_cell_admission_forecast_has_unused_guarantee(owner);
+}
+
 /* Tells on what the decision on a queue can be based. */
 static enum rj_cell_service_basis
 basis_of(const struct rj_cell_owner *owner, const struct rj_cell_queue *queue,
@@ -360,7 +368,7 @@
 
 	if (basis == RJ_CELL_SERVICE_MEASURED &&
 	    (has_free_capacity(owner, decision, queue_load) ||
-	     (!queue->priority && has_unused_guarantee(owner))))
+	     accepts_for_guarantee(owner, queue)))
 		return RJ_CELL_SERVICE_NO_BACKLOG;
 	return basis;
 }
--- a/src/libradishjunction/cell/cell_admit.c
+++ b/src/libradishjunction/cell/cell_admit.c
@@ -178,8 +178,11 @@
 	return wait * 100 / USABLE_CAPACITY_PERCENT;
 }
 
-/* Decides which accounts a queue accepts, after a decision by the service
- * rate. */
+/*
+ * Decides which accounts a queue accepts, after a decision by the service rate.
+ * An urgent queue that cannot name those that it rejects accepts all while an
+ * account is within its guarantee.
+ */
 static void add_account_admission(struct rj_cell_owner *owner,
 				  const struct rj_cell_queue *queue,
 				  struct rj_cell_owner_heartbeat *heartbeat)
@@ -187,11 +190,16 @@
 	const struct rj_cell_service_decision *decision =
 		rj_cell_service_rate_decision(&owner->service_rate,
 					      queue->name);
+	uint32_t index = heartbeat->queue_load_count;
 
-	if (owner->limits.features.account_shares)
-		rj_cell_account_admission_add_queue(
-			owner, queue->priority, decision->wait_ms,
-			decision->limit_ms, heartbeat);
+	if (!owner->limits.features.account_shares || !decision->rejects)
+		return;
+	rj_cell_account_admission_add_queue(owner, queue->priority,
+					    decision->wait_ms,
+					    decision->limit_ms, heartbeat);
+	if (!queue->priority && !(heartbeat->queues_by_share & 1U << index) &&
+	    rj_cell_admission_forecast_has_unused_guarantee(owner))
+		heartbeat->queue_loads[index].refuse = false;
 }
 
 /*
--- a/src/test_libradishjunction/test_cell_service_rate.c
+++ b/src/test_libradishjunction/test_cell_service_rate.c
@@ -15,6 +15,9 @@
 static const struct cell_sim_options site = {
 	SITE, .features = { .admission_forecast = true }
 };
+static const struct cell_sim_options shared_site = {
+	SITE, .features = { .admission_forecast = true, .account_shares = true }
+};
 static const struct cell_sim_options without_feature = { SITE };
 
 /* The three kinds of work. */
@@ -308,6 +311,32 @@
 	g_assert_true(decision_on(&f->sim, "urgent")->rejects);
 }
 
+/*
+ * Load: one account sends more urgent jobs than the site can run, another one
+ * fewer than its guarantee serves.
+ * Guards against jobs of the first one that are accepted and served too late, as
+ * the queue must accept those of the other.
+ */
+static void test_urgent_flood_is_rejected(struct cell_fixture *f,
+					  const void *data)
+{
+	const struct cell_load_stream streams[] = {
+		{ "urgent", "a", URGENT_STEP, 2500 * MS, 100 * MS, 0, 60 * S },
+		{ "urgent", "b", URGENT_STEP, 2500 * MS, 2 * S, 0, 60 * S },
+	};
+
+	cell_load_run_streams(&f->sim, streams, G_N_ELEMENTS(streams), 90 * S,
+			      NULL);
+	for (guint i = 0; i < f->sim.job_list->len; i++) {
+		const struct cell_client_job *job = f->sim.job_list->pdata[i];
+
+		if (!strcmp(job->spec->account, "b"))
+			g_assert_cmpuint(job->refusals, ==, 0);
+	}
+	g_assert_cmpuint(tally_of(&f->sim, "urgent").accepted, >, 350);
+	assert_served(&f->sim, "urgent");
+}
+
 /*
  * Load: a job that takes long past its last useful time, one that runs at a set
  * time and a perpetual one fill the site; jobs in time arrive.
@@ -396,6 +425,8 @@
 		  test_job_with_free_capacity_is_accepted);
 	CELL_TEST("/cell_service_rate/guaranteed", &site,
 		  test_guaranteed_job_is_accepted);
+	CELL_TEST("/cell_service_rate/urgent_flood", &shared_site,
+		  test_urgent_flood_is_rejected);
 	CELL_TEST("/cell_service_rate/expired", &site,
 		  test_job_past_its_time_yields);
 	CELL_TEST("/cell_service_rate/off", &without_feature,
