worker history: bounded probation, one episode per restart, exact bursts of a rack

- The length of a probation overflowed after some 42 returns within a minute, and a worker that restarts each second had none.
- A restart that ends a short silence counted as a lost call as well and gave rank 2 at once.
It counts as one restart.
- A worker that became silent several times within a second counted several times for the burst of its rack.
- The size of a rack is kept instead of counted at each silence, which took time in proportion to the fleet where workers name no rack.
These workers are in no rack now: a cut of one failure domain counted against all.
- Test: a tenth of a site's workers that flap independently make no rack risky.

--- a/src/libradishjunction/cell/cell_fleet.c
+++ b/src/libradishjunction/cell/cell_fleet.c
@@ -146,6 +146,15 @@
 	return worker;
 }
 
+/* Removes a worker from its rack, if it has one. */
+static void leave_rack(struct rj_cell_worker *worker)
+{
+	rj_list_remove(&worker->in_rack);
+	if (worker->rack)
+		worker->rack->worker_count--;
+	worker->rack = NULL;
+}
+
 /*
  * Removes a worker and frees its runs.
  */
@@ -160,7 +169,7 @@
 	rj_list_remove(&worker->in_poll_state);
 	rj_list_remove(&worker->in_order_queue);
 	rj_list_remove(&worker->in_unstored);
-	rj_list_remove(&worker->in_rack);
+	leave_rack(worker);
 	g_hash_table_remove(fleet->by_id, worker->id);
 	fleet->count--;
 	talloc_free(worker);
@@ -341,8 +350,9 @@
 						 worker->incarnation;
 	if (!rack_changed)
 		return;
-	rj_list_remove(&worker->in_rack);
+	leave_rack(worker);
 	worker->rack = get_or_create_rack(worker->fleet, heartbeat->rack);
+	worker->rack->worker_count++;
 	rj_list_append(&worker->rack->workers, &worker->in_rack);
 }
 
--- a/src/libradishjunction/cell/cell_polls.c
+++ b/src/libradishjunction/cell/cell_polls.c
@@ -210,7 +210,6 @@
 		     RJ_LOG_NUMBER("incarnation", reply->incarnation),
 		     RJ_LOG_NUMBER("before", worker->incarnation),
 		     RJ_LOG_NUMBER("rows", reply->row_count));
-	rj_cell_worker_evidence_restarted(owner, worker, worker->incarnation);
 	worker->incarnation = reply->incarnation;
 	worker->stored_position = 0;
 	worker->applied_position = 0;
@@ -308,6 +307,9 @@
 	worker->poll_failures = 0;
 	worker->deregistered_us = 0;
 	worker->abandoned_us = 0;
+	if (worker->incarnation != reply->incarnation)
+		rj_cell_worker_evidence_restarted(owner, worker,
+						  worker->incarnation);
 	rj_cell_call_set_answering(owner, worker, true, reply->status);
 	if (worker->incarnation != reply->incarnation)
 		accept_incarnation(owner, worker, reply);
--- a/src/libradishjunction/cell/cell_worker_evidence.c
+++ b/src/libradishjunction/cell/cell_worker_evidence.c
@@ -61,14 +61,11 @@
 	       silent_us <= domain->cut_until_us + SILENCE_DETECTION_US;
 }
 
-static uint32_t count_workers(const struct rj_cell_rack *rack)
+/* Returns the rack of a worker, or NULL. Workers that name none are not in one
+ * rack: a fault of some would count against all. */
+static struct rj_cell_rack *rack_of(const struct rj_cell_worker *worker)
 {
-	const struct rj_list *at;
-	uint32_t count = 0;
-
-	for (at = rack->workers.next; at != &rack->workers; at = at->next)
-		count++;
-	return count;
+	return worker->rack && worker->rack->name[0] ? worker->rack : NULL;
 }
 
 /*
@@ -79,7 +76,7 @@
 static void settle_burst(struct rj_cell_owner *owner,
 			 const struct rj_cell_worker *worker)
 {
-	struct rj_cell_rack *rack = worker->rack;
+	struct rj_cell_rack *rack = rack_of(worker);
 	struct rj_cell_silence_burst *burst;
 
 	if (!rack || !worker->domain)
@@ -95,6 +92,7 @@
 	rj_cell_worker_history_record_rack(&rack->history, owner->now_us);
 	rj_log_event("rack_history", RJ_LOG_TEXT("rack", rack->name),
 		     RJ_LOG_NUMBER("workers", burst->count),
+		     RJ_LOG_NUMBER("rack_workers", burst->rack_workers),
 		     RJ_LOG_NUMBER("bad_ends_milli",
 				   lround(rack->history.bad_ends * 1000)),
 		     RJ_LOG_TEXT("why", "silent"));
@@ -154,7 +152,7 @@
 	if (run->placed_us) {
 		rj_cell_worker_history_expose(&worker->history, run->placed_us,
 					      owner->now_us);
-		if (worker->rack)
+		if (rack_of(worker))
 			rj_cell_worker_history_expose(&worker->rack->history,
 						      run->placed_us,
 						      owner->now_us);
@@ -177,6 +175,21 @@
 		record(owner, worker, RJ_CELL_BAD_END_REFUSED, 1);
 }
 
+/* Counts the silence of a worker for the burst of its rack, once if it becomes
+ * silent several times during the burst. */
+static void add_to_burst(struct rj_cell_worker *worker, uint64_t former_from_us,
+			 uint64_t now_us)
+{
+	struct rj_cell_rack *rack = rack_of(worker);
+
+	if (!rack ||
+	    (former_from_us &&
+	     rj_cell_silence_burst_belongs(&rack->silence, former_from_us)))
+		return;
+	rj_cell_silence_burst_add(&rack->silence, rack->worker_count,
+				  worker->history.silent_from_us, now_us);
+}
+
 /*
  * Records that a worker does not answer any more. One that has given notice
  * that it leaves is not to blame. The silence counts at its end, when its
@@ -185,6 +198,8 @@
 void rj_cell_worker_evidence_silent(struct rj_cell_owner *owner,
 				    struct rj_cell_worker *worker)
 {
+	uint64_t former_from_us = worker->history.silent_from_us;
+
 	if (!is_enabled(owner) || worker->heartbeat.draining ||
 	    worker->deregistered_us)
 		return;
@@ -194,10 +209,7 @@
 		worker->history.silent_from_us =
 			owner->now_us - SILENCE_DETECTION_US;
 	settle_burst(owner, worker);
-	if (worker->rack)
-		rj_cell_silence_burst_add(
-			&worker->rack->silence, count_workers(worker->rack),
-			worker->history.silent_from_us, owner->now_us);
+	add_to_burst(worker, former_from_us, owner->now_us);
 }
 
 /* Returns what a silence that ends now shows of its worker. */
@@ -213,16 +225,16 @@
 	return RJ_CELL_BAD_END_SILENT;
 }
 
-/*
- * Records that a worker answers again.
- */
-void rj_cell_worker_evidence_regained(struct rj_cell_owner *owner,
-				      struct rj_cell_worker *worker)
+/* Records the end of a worker's silence, if it was silent. With a restart a
+ * short one is no lost call; both are one episode. */
+static void end_silence(struct rj_cell_owner *owner,
+			struct rj_cell_worker *worker, bool restarted)
 {
 	uint64_t silent_us = worker->history.silent_us;
+	enum rj_cell_bad_end kind;
 	double share = 1;
 
-	if (!is_enabled(owner) || !silent_us)
+	if (!silent_us)
 		return;
 	worker->history.silent_us = 0;
 	settle_burst(owner, worker);
@@ -230,25 +242,41 @@
 		rj_cell_worker_history_excuse(&worker->history, owner->now_us);
 		return;
 	}
-	if (worker->rack)
+	if (rack_of(worker))
 		share = rj_cell_silence_burst_share(
 			&worker->rack->silence, worker->history.silent_from_us);
-	record(owner, worker, kind_of_silence(owner, worker, silent_us), share);
+	kind = kind_of_silence(owner, worker, silent_us);
+	if (restarted && kind == RJ_CELL_BAD_END_LOST_CALL)
+		kind = RJ_CELL_BAD_END_RESTARTED;
+	record(owner, worker, kind, share);
+}
+
+/*
+ * Records that a worker answers again.
+ */
+void rj_cell_worker_evidence_regained(struct rj_cell_owner *owner,
+				      struct rj_cell_worker *worker)
+{
+	if (is_enabled(owner))
+		end_silence(owner, worker, false);
 }
 
 /*
  * Records that a worker answers under another incarnation than
- * `former_incarnation`; 0: it had not answered before.
+ * `former_incarnation`; 0: it had not answered before. Call it before
+ * rj_cell_worker_evidence_regained.
  */
 void rj_cell_worker_evidence_restarted(struct rj_cell_owner *owner,
 				       struct rj_cell_worker *worker,
 				       uint64_t former_incarnation)
 {
+	bool restarted =
+		former_incarnation &&
+		former_incarnation != worker->history.leaving_incarnation;
+
 	if (!is_enabled(owner))
 		return;
-	/* In a large fleet a heartbeat ends a silence. */
-	rj_cell_worker_evidence_regained(owner, worker);
-	if (former_incarnation &&
-	    former_incarnation != worker->history.leaving_incarnation)
+	end_silence(owner, worker, restarted);
+	if (restarted)
 		record(owner, worker, RJ_CELL_BAD_END_RESTARTED, 1);
 }
--- a/src/libradishjunction/cell/cell_worker_history.c
+++ b/src/libradishjunction/cell/cell_worker_history.c
@@ -34,8 +34,8 @@
 #define RANK_1_BAD_ENDS_MIN 0.4
 /* A worker that has been silent for longer is not expected to return. */
 #define ABSENCE_MAX_US (600 * RJ_US_PER_S)
-/* Other evidence than a failed run or a lost call counts once within this time: one fault shows in all
- * starts and runs of the worker. */
+/* Other evidence than a failed run or a lost call counts once within this time:
+ * one fault shows in all starts and runs of the worker. */
 #define EPISODE_US RJ_US_PER_S
 /* A silence that is shorter is one lost call. */
 #define SILENCE_MIN_US (400 * RJ_US_PER_MS)
@@ -45,8 +45,9 @@
 #define PROBATION_MAX_US (32 * RJ_US_PER_S)
 #define PROBATION_REST_US RJ_US_PER_S
 /* Workers of a rack that become silent within this time of the first one found
- * have one cause, if they are at least this many and this part of the rack. Some
- * of 20 coincide by chance when a tenth of a site's workers flap. */
+ * have one cause if they are at least this many, and at least this part of the
+ * rack: when a tenth of a site's workers flap, three in a rack of 20 coincide by
+ * chance. */
 #define BURST_US RJ_US_PER_S
 #define BURST_RACK_PERCENT 50
 #define BURST_WORKERS_MIN 3
@@ -101,9 +102,10 @@
 static void begin_probation(struct rj_cell_worker_history *history,
 			    double share, uint64_t now_us)
 {
-	double factor = exp2(history->returns);
+	/* Many returns exceed the range of an integer. */
 	uint64_t period_us =
-		MIN((uint64_t)(PROBATION_US * factor), PROBATION_MAX_US);
+		(uint64_t)MIN(PROBATION_US * exp2(history->returns),
+			      (double)PROBATION_MAX_US);
 
 	history->returns += share;
 	history->probation_until_us =
@@ -290,8 +292,11 @@
 	return now_us < silent_us + SILENCE_MIN_US;
 }
 
-/* Whether a silence since `from_us` has the cause of a burst. */
-static bool belongs(const struct rj_cell_silence_burst *burst, uint64_t from_us)
+/*
+ * Whether a silence since `from_us` has the cause of a burst.
+ */
+bool rj_cell_silence_burst_belongs(const struct rj_cell_silence_burst *burst,
+				   uint64_t from_us)
 {
 	return from_us < burst->from_us + BURST_US &&
 	       burst->from_us < from_us + BURST_US;
@@ -317,8 +322,9 @@
 
 /*
  * Records that a worker of a rack of `rack_workers`, which last answered at
- * `from_us`, is found to be silent now. One that belongs to no burst begins a new one, unless those
- * of a burst of the rack are still being found.
+ * `from_us`, is found to be silent now. One that belongs to no burst begins a
+ * new one, unless those of a burst of the rack are still being found. Call it
+ * once for each worker of a burst.
  */
 void rj_cell_silence_burst_add(struct rj_cell_silence_burst *burst,
 			       uint32_t rack_workers, uint64_t from_us,
@@ -327,14 +333,14 @@
 	bool open = rj_cell_silence_burst_is_rack(burst) && !burst->settled &&
 		    !rj_cell_silence_burst_is_over(burst, now_us);
 
-	if (!open && !belongs(burst, from_us)) {
+	if (!open && !rj_cell_silence_burst_belongs(burst, from_us)) {
 		burst->from_us = from_us;
 		burst->found_us = now_us;
 		burst->count = 0;
 		burst->settled = false;
 	}
 	burst->rack_workers = rack_workers;
-	burst->count += belongs(burst, from_us);
+	burst->count += rj_cell_silence_burst_belongs(burst, from_us);
 }
 
 /*
@@ -344,7 +350,8 @@
 double rj_cell_silence_burst_share(const struct rj_cell_silence_burst *burst,
 				   uint64_t from_us)
 {
-	if (!rj_cell_silence_burst_is_rack(burst) || !belongs(burst, from_us))
+	if (!rj_cell_silence_burst_is_rack(burst) ||
+	    !rj_cell_silence_burst_belongs(burst, from_us))
 		return 1;
 	return 1.0 / burst->count;
 }
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -51,6 +51,7 @@
 struct rj_cell_rack {
 	char name[RJ_NAME_BYTES];
 	struct rj_list workers;
+	uint32_t worker_count;
 	struct rj_cell_worker_history history;
 	struct rj_cell_silence_burst silence; /* the latest one */
 };
--- a/src/libradishjunction/include/private/cell_worker_history.h
+++ b/src/libradishjunction/include/private/cell_worker_history.h
@@ -87,6 +87,8 @@
 			    const struct rj_cell_worker_history *rack,
 			    bool gang, uint64_t now_us);
 bool rj_cell_silence_is_short(uint64_t silent_us, uint64_t now_us);
+bool rj_cell_silence_burst_belongs(const struct rj_cell_silence_burst *burst,
+				   uint64_t from_us);
 void rj_cell_silence_burst_add(struct rj_cell_silence_burst *burst,
 			       uint32_t rack_workers, uint64_t from_us,
 			       uint64_t now_us);
--- a/src/test_libradishjunction/test_cell_worker_history.c
+++ b/src/test_libradishjunction/test_cell_worker_history.c
@@ -114,6 +114,24 @@
 	g_assert_false(rj_cell_worker_history_on_probation(&history, now_us));
 }
 
+/* Guards against a worker that restarts so often that the length of its
+ * probation overflows, and that gets gangs between two restarts. */
+static void test_many_returns(void)
+{
+	struct rj_cell_worker_history history = { 0 };
+	uint64_t now_us = START_US;
+
+	for (uint32_t i = 0; i < 200; i++, now_us += S) {
+		(void)rj_cell_worker_history_record(
+			&history, RJ_CELL_BAD_END_RESTARTED, false, 1, now_us);
+		g_assert_cmpuint(history.probation_until_us, >=,
+				 now_us + 4 * S);
+		g_assert_cmpuint(history.probation_until_us, <=,
+				 now_us + 32 * S);
+	}
+	g_assert_cmpuint(history.probation_until_us, ==, now_us + 31 * S);
+}
+
 static struct rj_cell_owner *owner_of(struct cell_sim *sim)
 {
 	return &sim->nodes[cell_sim_owner(sim)].node.owner;
@@ -264,6 +282,58 @@
 	g_assert_cmpuint(count_ranked(&f->sim), ==, 10);
 }
 
+/* A tenth of the site's workers; four are in one rack. */
+static const uint32_t flapping[] = { 4, 21, 23, 26, 28, 55 };
+
+/* Cuts off these workers for 3 s at a time, each at its own intervals. */
+static void flap(struct cell_sim *sim)
+{
+	static const uint32_t interval_ticks[] = { 67, 47, 53, 59, 61, 71 };
+	uint64_t tick = sim->now_us / (100 * MS);
+
+	for (guint i = 0; i < G_N_ELEMENTS(flapping); i++)
+		cell_sim_worker_partition(sim, flapping[i],
+					  tick % interval_ticks[i] < 30);
+}
+
+/* Guards against a rack that counts as risky, and workers that count for less,
+ * because some of its workers flap and are silent at once by chance. */
+static void test_independent_silence(struct cell_fixture *f, const void *data)
+{
+	const struct rj_cell_fleet *fleet = &owner_of(&f->sim)->fleet;
+
+	for (uint32_t second = 0; second < 90; second++) {
+		run_load(&f->sim, S, flap);
+		for (guint i = 0; i < fleet->racks->len; i++) {
+			const struct rj_cell_rack *rack =
+				fleet->racks->pdata[i];
+
+			g_assert_cmpfloat(rack->history.bad_ends, ==, 0);
+		}
+	}
+	for (guint i = 0; i < G_N_ELEMENTS(flapping); i++)
+		g_assert_cmpfloat(
+			worker_of(&f->sim, flapping[i])->history.bad_ends, >,
+			3);
+	g_assert_cmpuint(count_ranked(&f->sim), ==, G_N_ELEMENTS(flapping));
+}
+
+/* Guards against one restart that counts twice, as it also ends a short
+ * silence. */
+static void test_quick_restart(struct cell_fixture *f, const void *data)
+{
+	cell_sim_worker_kill(&f->sim, 0);
+	for (uint32_t i = 0; i < 1000 && worker_of(&f->sim, 0)->answers; i++)
+		cell_load_run(&f->sim, 10 * MS);
+	cell_sim_worker_start(&f->sim, 0);
+	cell_load_run(&f->sim, 2 * S);
+	g_assert_cmpfloat(worker_of(&f->sim, 0)->history.bad_ends, >, 0.9);
+	g_assert_cmpfloat(worker_of(&f->sim, 0)->history.bad_ends, <=, 1);
+	g_assert_cmpuint(
+		rj_cell_worker_rank(worker_of(&f->sim, 0), true, f->sim.now_us),
+		==, 1);
+}
+
 /* Guards against a gang that waits although only risky workers have capacity
  * for it: they are avoided, not forbidden. */
 static void test_not_forbidden(struct cell_fixture *f, const void *data)
@@ -329,10 +399,14 @@
 	g_test_add_func("/cell_worker_history/starts", test_failing_starts);
 	g_test_add_func("/cell_worker_history/own_failures", test_own_failures);
 	g_test_add_func("/cell_worker_history/probation", test_probation);
+	g_test_add_func("/cell_worker_history/returns", test_many_returns);
 	CELL_TEST("/cell_worker_history/gangs", &site, test_gangs);
 	CELL_TEST("/cell_worker_history/quiet", &site, test_quiet_day);
 	CELL_TEST("/cell_worker_history/domain", &site, test_partition);
 	CELL_TEST("/cell_worker_history/rack", &site, test_rack);
+	CELL_TEST("/cell_worker_history/independent", &site,
+		  test_independent_silence);
+	CELL_TEST("/cell_worker_history/restart", &site, test_quick_restart);
 	CELL_TEST("/cell_worker_history/allowed", &site, test_not_forbidden);
 	CELL_TEST("/cell_worker_history/absence", &site, test_absence);
 	CELL_TEST("/cell_worker_history/job", &site, test_job_at_fault);
