order of return: no turn is lost right after a takeover

- Callers that were turned away for want of an owner or of the log lost their turn at the successor, which saw no stall.
- An announcement that cannot be read made the whole heartbeat invalid, as if there were no owner; now nobody is announced.
- A full list of rejections took the names of further queues.

--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -509,8 +509,9 @@
 	talloc_free((void *)bytes.data);
 }
 
-/* Decodes the output of write_return_order. */
-static void read_return_order(struct rj_unpacker *in, struct rj_bytes bytes,
+/* Decodes the output of write_return_order. If that fails, nobody is
+ * announced. */
+static void read_return_order(struct rj_bytes bytes,
 			      struct rj_cell_owner_heartbeat *heartbeat)
 {
 	struct rj_unpacker block;
@@ -531,8 +532,10 @@
 		if (announced->queue >= heartbeat->queue_load_count)
 			rj_unpack_fail(&block, "queue");
 	}
-	if (rj_unpack_finish(&block, &err))
-		rj_unpack_fail(in, "announced");
+	if (!rj_unpack_finish(&block, &err))
+		return;
+	heartbeat->rejections_interval_ms = 0;
+	heartbeat->announced_count = 0;
 }
 
 /* Encodes the accounts that queues reject, unless all queues treat all accounts
@@ -603,7 +606,7 @@
 			rj_unpack_data(in, "block", HEARTBEAT_BLOCK_BYTES_MAX);
 
 		if (tag == HEARTBEAT_TAG_RETURN_ORDER && !in->bad_field)
-			read_return_order(in, block, heartbeat);
+			read_return_order(block, heartbeat);
 		if (tag == HEARTBEAT_TAG_REFUSED_ACCOUNTS && !in->bad_field)
 			read_refused_accounts(block, heartbeat);
 	}
--- a/src/libradishjunction/cell/cell_rejections.c
+++ b/src/libradishjunction/cell/cell_rejections.c
@@ -284,9 +284,11 @@
 		rejections->changed = true;
 		return delay_ms;
 	}
+	/* A queue is added only together with its first rejection. */
+	if (list->count == RJ_CELL_REJECTIONS_MAX)
+		return delay_ms;
 	index = queue_index(list, queue);
-	if (list->count == RJ_CELL_REJECTIONS_MAX ||
-	    index == RJ_CELL_REJECTION_QUEUES_MAX)
+	if (index == RJ_CELL_REJECTION_QUEUES_MAX)
 		return delay_ms;
 	list->rejections[list->count++] =
 		(struct rj_cell_rejection){ number, wall_ms, wall_ms, delay_ms,
--- a/src/libradishjunction/cell/cell_return_order.c
+++ b/src/libradishjunction/cell/cell_return_order.c
@@ -319,11 +319,14 @@
 
 /*
  * Keeps the announcements of the former owner, whose callers may be on their
- * way.
+ * way. As after a stall, nothing loses its turn for some seconds: between the
+ * owners callers may have been turned away for another reason than backlog.
  */
 void rj_cell_return_order_resume(struct rj_cell_return_order *order,
-				 const struct rj_cell_owner_heartbeat *former)
+				 const struct rj_cell_owner_heartbeat *former,
+				 uint64_t wall_ms)
 {
+	order->keep_until_ms = wall_ms + AFTER_STALL_MS;
 	for (uint32_t i = 0; i < former->announced_count; i++) {
 		struct rj_cell_return_entry *entry =
 			find(order, former->announced[i].id);
--- a/src/libradishjunction/cell/cell_returns.c
+++ b/src/libradishjunction/cell/cell_returns.c
@@ -160,7 +160,8 @@
 		return;
 	if (!owner->announcements_resumed)
 		rj_cell_return_order_resume(&owner->return_order,
-					    &owner->former_heartbeat);
+					    &owner->former_heartbeat,
+					    owner->wall_ms);
 	owner->announcements_resumed = true;
 	rj_cell_return_order_announce(&owner->return_order, heartbeat,
 				      find_backlogs(owner, heartbeat),
--- a/src/libradishjunction/include/private/cell_return_order.h
+++ b/src/libradishjunction/include/private/cell_return_order.h
@@ -81,7 +81,8 @@
 				 uint64_t id,
 				 struct rj_cell_return_entry *accepted);
 void rj_cell_return_order_resume(struct rj_cell_return_order *order,
-				 const struct rj_cell_owner_heartbeat *former);
+				 const struct rj_cell_owner_heartbeat *former,
+				 uint64_t wall_ms);
 void rj_cell_return_order_announce(struct rj_cell_return_order *order,
 				   struct rj_cell_owner_heartbeat *heartbeat,
 				   uint32_t backlogged, uint64_t wall_ms);
--- a/src/test_libradishjunction/test_cell_return_order.c
+++ b/src/test_libradishjunction/test_cell_return_order.c
@@ -393,7 +393,7 @@
 	rj_cell_return_order_begin(&f->order);
 	reject(f, "n1", 2, 1000, 3000);
 	former.announced[0].id = 2;
-	rj_cell_return_order_resume(&f->order, &former);
+	rj_cell_return_order_resume(&f->order, &former, START_MS + 4800);
 	f->heartbeat.queue_loads[0].refuse = true;
 	g_assert_cmpuint(announce(f, 5200), ==, 2);
 	/* It came just before its announcement: the queue is held for it. */
@@ -404,6 +404,23 @@
 			 START_MS + 5500 + DELAY_MS);
 }
 
+/*
+ * Guards against callers that lose their turn because they were turned away
+ * while the cell had no owner, and against turns that are then kept for good.
+ */
+static void test_list_after_takeover(struct list_fixture *f, const void *data)
+{
+	const struct rj_cell_owner_heartbeat former = { 0 };
+
+	reject(f, "n0", 1, 0, 0);
+	rj_cell_return_order_resume(&f->order, &former, START_MS + 12000);
+	g_assert_cmpuint(announce(f, 12000), ==, 1);
+	g_assert_cmpuint(f->heartbeat.announced[0].id, ==, 1);
+	for (uint64_t at_ms = 12400; at_ms < 17000; at_ms += 400)
+		g_assert_cmpuint(announce(f, at_ms), ==, 1);
+	g_assert_cmpuint(announce(f, 17200), ==, 0);
+}
+
 /*
  * Guards against a list, or records in the log, that grow without a bound, and
  * against records that many instances write more often than the owner follows.
@@ -542,6 +559,11 @@
 	g_assert_cmpint(turn_of(&copy, "abd", 5000), ==, RJ_CELL_TURN_OTHERS);
 	g_strlcpy(copy.queue_loads[0].queue, "urgent", RJ_NAME_BYTES);
 	g_assert_cmpint(turn_of(&copy, "abd", 5000), ==, RJ_CELL_TURN_NONE);
+	/* A block that cannot be read announces nobody. */
+	heartbeat.announced[0].queue = 1;
+	bytes = rj_cell_owner_heartbeat_encode(mem, &heartbeat);
+	g_assert_false(rj_cell_owner_heartbeat_decode(bytes, &copy, &err));
+	g_assert_cmpint(turn_of(&copy, "abd", 5000), ==, RJ_CELL_TURN_NONE);
 	talloc_free(mem);
 }
 
@@ -560,6 +582,7 @@
 	LIST_TEST("order", test_list_announces_in_order);
 	LIST_TEST("absent", test_list_drops_absent_callers);
 	LIST_TEST("merge", test_list_merges_rejections);
+	LIST_TEST("takeover", test_list_after_takeover);
 	LIST_TEST("bounds", test_list_is_bounded);
 	LIST_TEST("open", test_list_opens_queues);
 	g_test_add_func("/cell_return_order/instance",
