--- a/src/libradishjunction/cell/cell_fleet.c
+++ b/src/libradishjunction/cell/cell_fleet.c
@@ -348,6 +348,8 @@
 		worker->history.leaving_incarnation =
 			heartbeat->incarnation ? heartbeat->incarnation :
 						 worker->incarnation;
+	else if (heartbeat->incarnation == worker->history.leaving_incarnation)
+		worker->history.leaving_incarnation = 0; /* it stays */
 	if (!rack_changed)
 		return;
 	leave_rack(worker);
--- a/src/test_libradishjunction/test_cell_worker_history.c
+++ b/src/test_libradishjunction/test_cell_worker_history.c
@@ -374,6 +374,23 @@
 	g_assert_cmpuint(count_ranked(&f->sim), ==, 1);
 }
 
+/* Guards against a worker that withdraws its notice, restarts later and is not
+ * blamed. */
+static void test_notice_withdrawn(struct cell_fixture *f, const void *data)
+{
+	cell_sim_worker_drain(&f->sim, 1, 20000);
+	cell_load_run(&f->sim, 2 * S);
+	g_assert_true(worker_of(&f->sim, 1)->heartbeat.draining);
+	f->sim.workers[1].reported.draining = false;
+	f->sim.workers[1].reported.drain_left_ms = 0;
+	cell_load_run(&f->sim, 4 * S);
+	g_assert_false(worker_of(&f->sim, 1)->heartbeat.draining);
+	cell_sim_worker_kill(&f->sim, 1);
+	cell_sim_worker_start(&f->sim, 1);
+	cell_load_run(&f->sim, 3 * S);
+	g_assert_cmpfloat(worker_of(&f->sim, 1)->history.bad_ends, >, 0.8);
+}
+
 /* Guards against a job that fails wherever it runs and makes risky workers of
  * the whole site. */
 static void test_job_at_fault(struct cell_fixture *f, const void *data)
@@ -409,6 +426,7 @@
 	CELL_TEST("/cell_worker_history/restart", &site, test_quick_restart);
 	CELL_TEST("/cell_worker_history/allowed", &site, test_not_forbidden);
 	CELL_TEST("/cell_worker_history/absence", &site, test_absence);
+	CELL_TEST("/cell_worker_history/notice", &site, test_notice_withdrawn);
 	CELL_TEST("/cell_worker_history/job", &site, test_job_at_fault);
 	return g_test_run();
 }
