--- a/src/test_soak/cluster.c
+++ b/src/test_soak/cluster.c
@@ -168,7 +168,9 @@
 		"\"lease_max_ms\":\"6000\",\"status_s\":\"120\","
 		"\"reclaim_ms\":\"2900\",\"revoke_ms\":\"5000\","
 		"\"drain_ms\":\"2000\",\"cordon_ms\":\"5000\",\"stop_ms\":\"400\","
-		"\"heartbeat_ms\":\"500\"}",
+		"\"heartbeat_ms\":\"500\",\"restore_ms\":\"300\","
+		"\"snapshot_ms\":\"400\",\"admission_forecast\":\"on\","
+		"\"policies\":\"health,tenants\"}",
 		instance->name, instance->log_proxy.port);
 
 	if (!g_file_set_contents(instance->settings, text, -1, NULL))
