--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -17,9 +17,6 @@
  * work. A core-second of theirs is worth about ten times as much; more than
  * half of that is left for the delay of the preempted jobs. */
 #define URGENT_LOSS_FACTOR 4
-/* Jobs that are not urgent may preempt lower priorities if that discards at most
- * one part in this of their own work. */
-#define PREEMPTION_LOSS_DIVISOR 8
 /* Maximum number of urgent groups that get a promise in one plan. Later groups
  * could only be promised capacity that is free after the next completions. */
 #define URGENT_PROMISES_MAX 16
@@ -399,14 +396,11 @@
 				const struct rj_cell_task_group *group,
 				struct rj_cell_task **tasks, uint32_t count)
 {
-	bool is_due = rj_cell_preemption_is_due(plan, group);
-	uint64_t max_loss_milli =
-		is_due ? rj_cell_reclaim_group_cost_milli(plan, group, count) /
-				 PREEMPTION_LOSS_DIVISOR :
-			 0;
+	uint64_t max_loss_milli = rj_cell_preemption_max_loss_milli(
+		plan, group,
+		rj_cell_reclaim_group_cost_milli(plan, group, count));
 
-	if ((is_due || (plan->expired_runs &&
-			rj_cell_preemption_has_waited(plan, group))) &&
+	if (rj_cell_preemption_has_waited(plan, group) &&
 	    (place_without_preemption(plan, group, tasks, count,
 				      RJ_CELL_HORIZON_STOPS) ||
 	     place_with_preemption(plan, group, tasks, count, max_loss_milli)))
--- a/src/libradishjunction/cell/cell_preemption.c
+++ b/src/libradishjunction/cell/cell_preemption.c
@@ -2,6 +2,11 @@
 
 /* Work that is not urgent preempts after waiting for this long, at the least. */
 #define PREEMPTION_WAIT_US RJ_US_PER_S
+/* Parts of its own work that such work may discard by preemption: one in this
+ * many, and one in EARLY_LOSS_DIVISOR while it can wait. That allows to stop runs
+ * which resume from a checkpoint within a few tenths of a second. */
+#define LOSS_DIVISOR 8
+#define EARLY_LOSS_DIVISOR 32
 /* Restart time from a checkpoint where the deployment does not state one. */
 #define DEFAULT_RESTORE_MS 300
 /* A task that has lost this many runs is stopped for urgent or guaranteed work
@@ -19,18 +24,20 @@
 }
 
 /*
- * Whether a group that is not urgent may stop runs of lower priorities at a loss.
+ * Returns the work that a group that is not urgent may discard by preemption, in
+ * core-milliseconds, if its own work is `work_milli`.
  *
- * With the feature it may once half of its slack is used: until then, runs that
- * complete by themselves may make room, and what it would stop would lose its
- * work for nothing.
+ * With the feature it is less until half of the group's slack is used: until
+ * then runs that complete by themselves may make room.
  */
-bool rj_cell_preemption_is_due(const struct rj_cell_plan *plan,
-			       const struct rj_cell_task_group *group)
+uint64_t
+rj_cell_preemption_max_loss_milli(const struct rj_cell_plan *plan,
+				  const struct rj_cell_task_group *group,
+				  uint64_t work_milli)
 {
-	if (plan->features.restore_ms && !group->overdue)
-		return false;
-	return rj_cell_preemption_has_waited(plan, group);
+	bool can_wait = plan->features.restore_ms && !group->overdue;
+
+	return work_milli / (can_wait ? EARLY_LOSS_DIVISOR : LOSS_DIVISOR);
 }
 
 /*
--- a/src/libradishjunction/include/private/cell_preemption.h
+++ b/src/libradishjunction/include/private/cell_preemption.h
@@ -15,8 +15,10 @@
 
 bool rj_cell_preemption_has_waited(const struct rj_cell_plan *plan,
 				   const struct rj_cell_task_group *group);
-bool rj_cell_preemption_is_due(const struct rj_cell_plan *plan,
-			       const struct rj_cell_task_group *group);
+uint64_t
+rj_cell_preemption_max_loss_milli(const struct rj_cell_plan *plan,
+				  const struct rj_cell_task_group *group,
+				  uint64_t work_milli);
 bool rj_cell_preemption_protects(const struct rj_cell_plan *plan,
 				 const struct rj_cell_run *run,
 				 const struct rj_cell_task_group *group);
