--- a/scripts/users.bash
+++ b/scripts/users.bash
@@ -24,6 +24,8 @@
 		-e 's/{{Limits.MaxFds}}/4096/' \
 		-e 's/{{Limits.LinkMbps}}/1000/' \
 		-e 's/{{HeartbeatMs}}/500/' \
+		-e 's/{{Bounds.RestoreMs}}/300/' \
+		-e 's/{{Policies}}/health,tenants/' \
 		deploy/settings.json >"$work_dir/$1.json"
 }
 
