review: one accepted job of many occurrences stops the whole site

A job with RepeatCount 70,000, all due, is accepted. Its progress is one record of 290,162 bytes, more than RecordBytes. The owner takes the refusal for a lost answer and repeats the append for ever; nothing of any job starts any more.

The stand-in of the store now refuses records and calls that are too large.

--- a/review/1/case.c
+++ b/review/1/case.c
@@ -1,94 +1,77 @@
 /*
- * Many small subtasks of one job run on a worker that is cut off for five
- * seconds and runs on. More than 500 of them end `done` behind the cut.
+ * A job that runs its step 70,000 times is accepted. What the owner stores of
+ * it does not fit a record of the store. Jobs of another queue, which goes
+ * first, are accepted after it.
  */
 #include "../standin/standin.h"
 
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define SUBTASKS 1200
 #define WORKERS 6
-#define CUT_MS 5000
-#define FIRST_END_MS 3000
-#define ENDS_SPREAD_MS 1500
-#define PATIENCE_MS 60000
-#define JOB "/lohu930/5c0e7a21d94b36f8"
+#define TASK_MS 1500
+#define BEFORE 5
+#define AFTER 20
+#define PAUSE_MS 500
+#define REPEATS 70000
+/* The bounds of the rule LOST. */
+#define FINISH_MS 14000
+#define IDLE_MS 3000
 #define HOST "nony24.example"
 #define KEY "d4a3hwrr6x73d3zji9n7"
-
-/* An end `done`, and whether it was taken note of. */
-struct done {
-	char task[STANDIN_NAME_BYTES];
-	int64_t number;
-	int64_t at_ms;
-	const struct standin_worker *worker;
-	bool taken;
-};
-
-struct begun {
-	char task[STANDIN_NAME_BYTES];
-	int64_t number;
-	int64_t at_ms;
-	const struct standin_worker *worker;
+#define LARGE "/lohu930/5c0e7a21d94b36f8"
+
+/* A small job, of one subtask. */
+struct job {
+	char id[20];
+	bool accepted;
+	size_t starts;
+	size_t done;
 };
 
-static struct done dones[SUBTASKS * 8];
-static size_t done_count;
-static struct begun begins[SUBTASKS * 8];
-static size_t begin_count;
+static struct job jobs[BEFORE + AFTER];
+static size_t large_starts;
+static size_t all_starts;
 
 static int64_t duration_ms(const char *task, int64_t number)
 {
-	uint32_t hash = 2166136261U;
-
+	(void)task;
 	(void)number;
-	while (*task)
-		hash = (hash ^ (unsigned char)*task++) * 16777619U;
-	return FIRST_END_MS + hash % ENDS_SPREAD_MS;
+	return TASK_MS;
+}
+
+static struct job *find_job(const char *task)
+{
+	for (size_t i = 0; i < BEFORE + AFTER; i++)
+		if (!strncmp(jobs[i].id, task, 16))
+			return &jobs[i];
+	return NULL;
 }
 
 static void on_start(struct standin_worker *worker, const char *task,
 		     int64_t number, const json_t *body)
 {
-	struct begun *begun = &begins[begin_count];
+	struct job *job = find_job(task);
 
+	(void)worker;
+	(void)number;
 	(void)body;
-	if (begin_count == sizeof(begins) / sizeof(begins[0]))
-		return;
-	begin_count++;
-	snprintf(begun->task, sizeof(begun->task), "%s", task);
-	begun->number = number;
-	begun->at_ms = standin_now_ms();
-	begun->worker = worker;
+	all_starts++;
+	if (job)
+		job->starts++;
+	else
+		large_starts++;
 }
 
 static void on_end(struct standin_worker *worker, const struct standin_end *end,
 		   bool taken)
 {
-	struct done *done = &dones[done_count];
-
-	if (strcmp(end->how, "done") != 0)
-		return;
-	if (taken) {
-		for (size_t i = 0; i < done_count; i++)
-			if (dones[i].worker == worker &&
-			    dones[i].number == end->number &&
-			    !strcmp(dones[i].task, end->task))
-				/* Not if the lease lapsed between the two. */
-				dones[i].taken =
-					worker->lapsed_at_ms <= end->at_ms;
-		return;
-	}
-	if (done_count == sizeof(dones) / sizeof(dones[0]))
-		return;
-	done_count++;
-	snprintf(done->task, sizeof(done->task), "%s", end->task);
-	done->number = end->number;
-	done->at_ms = end->at_ms;
-	done->worker = worker;
+	struct job *job = find_job(end->task);
+
+	(void)worker;
+	if (job && !taken && !strcmp(end->how, "done"))
+		job->done++;
 }
 
 static json_t *config(void)
@@ -98,7 +81,11 @@
 		"\"nony24.example\",\"PathPrefix\":\"/lohu930/\",\"Kind\":"
 		"\"mutating\",\"TimeoutMs\":3000,\"TargetLatencyMs\":3000,"
 		"\"Priority\":2,\"Service\":\"render\",\"MaxAttempts\":4,"
-		"\"Stretch\":3.0,\"Public\":false}],\"Services\":[{\"Name\":"
+		"\"Stretch\":3.0,\"Public\":false},{\"Name\":\"r-zzyyjsg\","
+		"\"Host\":\"nony24.example\",\"PathPrefix\":\"/pufi791/\","
+		"\"Kind\":\"mutating\",\"TimeoutMs\":3000,\"TargetLatencyMs\":"
+		"250,\"Priority\":0,\"Service\":\"render\",\"MaxAttempts\":4,"
+		"\"Stretch\":1.5,\"Public\":false}],\"Services\":[{\"Name\":"
 		"\"render\",\"EnforceLimits\":false}],\"Limits\":{"
 		"\"MaxBodyBytes\":262144},\"Tenants\":[{\"Name\":\"kaje80\","
 		"\"ApiKeys\":[\"d4a3hwrr6x73d3zji9n7\"],\"Guaranteed\":{"
@@ -106,45 +93,68 @@
 		0, NULL);
 }
 
-/* Returns the worker with the most runs. */
-static struct standin_worker *busiest(void)
+/* Hands in small jobs, each at the next instance. */
+static void submit_jobs(const struct standin_entry *entries, size_t from,
+			size_t count)
 {
-	struct standin_worker *worker = &standin_workers[0];
+	for (size_t i = from; i < from + count; i++) {
+		char path[64];
+		int status;
+
+		snprintf(jobs[i].id, sizeof(jobs[i].id), "%016zx", i + 1);
+		snprintf(path, sizeof(path), "/pufi791/%s", jobs[i].id);
+		status = standin_call(
+			entries[i % 3].callers_port, "POST", path, HOST, KEY,
+			"{\"Spec\":\"(text)\",\"Steps\":[{\"Count\":1,"
+			"\"Cpu\":15000,\"MemMb\":44000,\"Gpu\":1,"
+			"\"EstimateMs\":1500}]}",
+			NULL, 0);
+		jobs[i].accepted = status == 200;
+		standin_record("client: POST %s: %d", path, status);
+		standin_sleep_ms(PAUSE_MS);
+	}
+}
+
+/* Returns whether the job of 70,000 runs was accepted. */
+static bool submit_large(const struct standin_entry *entries)
+{
+	char body[512];
+	int status;
+
+	snprintf(body, sizeof(body),
+		 "{\"Spec\":\"sketch previews\",\"Steps\":[{\"Count\":1,"
+		 "\"Cpu\":100,\"MemMb\":10,\"EstimateMs\":1500}],"
+		 "\"RepeatCount\":%d,\"FirstRunMs\":%lld}",
+		 REPEATS, (long long)standin_unix_ms());
+	status = standin_call(entries[0].callers_port, "POST", LARGE, HOST, KEY,
+			      body, NULL, 0);
+	standin_record("client: POST %s, %d runs, all due now: %d", LARGE,
+		       REPEATS, status);
+	return status == 200;
+}
+
+/* The processor in use on all workers, in thousandths of a core. */
+static int64_t cpu_in_use(void)
+{
+	int64_t sum = 0;
 
 	pthread_mutex_lock(&standin_lock);
-	for (size_t i = 1; i < standin_worker_count; i++)
-		if (standin_workers[i].run_count > worker->run_count)
-			worker = &standin_workers[i];
+	for (size_t i = 0; i < standin_worker_count; i++)
+		for (size_t j = 0; j < standin_workers[i].run_count; j++)
+			sum += find_job(standin_workers[i].runs[j].task) ?
+				       15000 :
+				       100;
 	pthread_mutex_unlock(&standin_lock);
-	return worker;
+	return sum;
 }
 
-/* Counts the starts after an end `done` that is taken note of. */
-static size_t count_twice(void)
+/* Counts the accepted small jobs that have never begun. */
+static size_t count_idle(void)
 {
 	size_t count = 0;
 
-	pthread_mutex_lock(&standin_lock);
-	for (size_t i = 0; i < begin_count; i++)
-		for (size_t j = 0; j < done_count; j++) {
-			if (!dones[j].taken ||
-			    begins[i].at_ms <= dones[j].at_ms ||
-			    strcmp(begins[i].task, dones[j].task) != 0)
-				continue;
-			if (count++ < 10)
-				standin_record(
-					"TWICE %s: run %lld done on %s %lld ms "
-					"before run %lld starts on %s",
-					dones[j].task,
-					(long long)dones[j].number,
-					dones[j].worker->id,
-					(long long)(begins[i].at_ms -
-						    dones[j].at_ms),
-					(long long)begins[i].number,
-					begins[i].worker->id);
-			break;
-		}
-	pthread_mutex_unlock(&standin_lock);
+	for (size_t i = 0; i < BEFORE + AFTER; i++)
+		count += jobs[i].accepted && !jobs[i].starts;
 	return count;
 }
 
@@ -152,11 +162,11 @@
 {
 	static const char *const zones[] = { "lhr-gulberg", "lhr-johar",
 					     "lhr-dha" };
-	char body[256];
-	int64_t until_ms = standin_now_ms() + PATIENCE_MS;
-	struct standin_worker *worker;
-	size_t ends = 0;
-	size_t twice;
+	size_t accepted = 0;
+	size_t done = 0;
+	size_t lost = BEFORE + AFTER;
+	char path[64];
+	char body[256] = "";
 
 	standin_plan.duration_ms = duration_ms;
 	standin_plan.on_start = on_start;
@@ -170,42 +180,40 @@
 		if (standin_start_entry(&entries[i], zones[i], zones[i]))
 			return 2;
 	standin_sleep_ms(2000);
-	snprintf(body, sizeof(body),
-		 "{\"Spec\":\"sketch previews\",\"Steps\":[{\"Count\":%d,"
-		 "\"Cpu\":100,\"MemMb\":100,\"EstimateMs\":5500}]}",
-		 SUBTASKS);
-	if (standin_call(entries[0].callers_port, "POST", JOB, HOST, KEY, body,
-			 NULL, 0) != 200)
+	submit_jobs(entries, 0, BEFORE);
+	if (standin_trouble() && !submit_large(entries))
 		return 2;
-	standin_record("client: job accepted");
-	while (begin_count < SUBTASKS && standin_now_ms() < until_ms)
-		standin_sleep_ms(20);
-	worker = busiest();
-	standin_record("%zu starts; %zu runs on %s", begin_count,
-		       worker->run_count, worker->id);
-	if (standin_trouble()) {
-		standin_cut(worker, true);
-		standin_sleep_ms(CUT_MS);
-		ends = worker->end_count;
-		standin_record("%zu ends wait on %s", ends, worker->id);
-		standin_cut(worker, false);
+	submit_jobs(entries, BEFORE, AFTER);
+	standin_record("the traffic ends");
+	standin_sleep_ms(FINISH_MS);
+	/* A job is lost that has nothing running all the while, with less than
+	 * half of the capacity in use. */
+	for (int64_t ms = 0; ms <= IDLE_MS; ms += 100) {
+		size_t idle = count_idle();
+
+		if (cpu_in_use() * 2 >= WORKERS * 128000)
+			idle = 0;
+		lost = idle < lost ? idle : lost;
+		standin_sleep_ms(100);
+	}
+	for (size_t i = 0; i < BEFORE + AFTER; i++) {
+		accepted += jobs[i].accepted;
+		done += jobs[i].done;
 	}
-	do {
-		standin_sleep_ms(200);
-		if (standin_call(entries[1].callers_port, "GET", JOB, HOST, KEY,
-				 NULL, body, sizeof(body)) != 200)
-			body[0] = 0;
-	} while (!strstr(body, "completed") && standin_now_ms() < until_ms);
-	standin_sleep_ms(3000);
-	standin_record("client: the job is shown as %s", body);
-	twice = count_twice();
+	snprintf(path, sizeof(path), "/pufi791/%s",
+		 jobs[BEFORE + AFTER - 1].id);
+	(void)standin_call(entries[1].callers_port, "GET", path, HOST, KEY,
+			   NULL, body, sizeof(body));
+	standin_record("client: GET %s: %s", path, body);
 	standin_record(
-		"%zu starts of %d subtasks, %zu after an end `done` that "
-		"was taken note of",
-		begin_count, SUBTASKS, twice);
-	if (!strstr(body, "completed"))
+		"%zu small jobs accepted, %zu done, %zu never begun; %zu "
+		"starts in all, %zu of the job of %d runs; %lld "
+		"thousandths of a core in use",
+		accepted, done, lost, all_starts, large_starts, REPEATS,
+		(long long)cpu_in_use());
+	if (accepted < BEFORE || done < BEFORE)
 		return 2;
-	return twice ? 1 : 0;
+	return lost ? 1 : 0;
 }
 
 int main(void)
--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -435,6 +435,25 @@
 	}
 }
 
+/* Whether the records of a body are within the limits of the store. */
+static bool has_allowed_size(const struct request *request)
+{
+	size_t at = 0;
+	size_t sum = 0;
+
+	while (at + 5 <= request->length) {
+		uint32_t size;
+
+		memcpy(&size, request->body + at, sizeof(size));
+		size = ntohl(size);
+		if (size > STANDIN_RECORD_BYTES)
+			return false;
+		sum += size;
+		at += 4 + size;
+	}
+	return sum <= STANDIN_CALL_BYTES;
+}
+
 static void handle_append(const struct request *request, struct reply *reply)
 {
 	char name[64];
@@ -448,6 +467,13 @@
 	query_text(request, "Topic", name, sizeof(name));
 	query_text(request, "ProducerId", id, sizeof(id));
 	topic = topic_of(name);
+	if (!has_allowed_size(request)) {
+		standin_record("store: refuses a record that is too large: %zu "
+			       "bytes in the call",
+			       request->length);
+		reply_bytes(reply, 400, "{}", 2);
+		return;
+	}
 	if (id[0]) {
 		producer = producer_of(name, id);
 		if (epoch < producer->epoch) {
