cell_writer: an append that the store rejects for its contents is not repeated

Cause: the answer 400 to an append counted as a lost answer. The owner repeats such an append until its outcome is known, which here is never, and everything else waits behind it. The same stood for submissions: one that the store rejects took all others of its append along. Excluded: the owner being too busy for plans; the store sees one append of 290,162 bytes every 0.5 s, and a job of twelve tasks whose record is rejected has the same effect.

The writer splits a rejected append until it has found the record, and stores the others. The caller of a rejected submission is answered 400. A job whose progress is rejected is suspended and stored again each second; until then workers keep the completions of its runs, as a successor would start the tasks again otherwise.

--- a/src/libradishjunction/cell/cell_active_job.c
+++ b/src/libradishjunction/cell/cell_active_job.c
@@ -33,6 +33,8 @@
 	rj_cell_job_each_run(job, free_run, NULL);
 	rj_list_remove(&job->link);
 	rj_list_remove(&job->in_dirty);
+	rj_list_remove(&job->in_unstorable);
+	rj_cell_unsaved_ends_finish(&job->unsaved_ends);
 	return 0;
 }
 
@@ -49,6 +51,7 @@
 	job->job_spec = job_spec;
 	rj_list_init(&job->link);
 	rj_list_init(&job->in_dirty);
+	rj_list_init(&job->in_unstorable);
 	rj_list_init(&job->occurrences);
 	talloc_set_destructor(job, job_destructor);
 	return job;
--- a/src/libradishjunction/cell/cell_flush.c
+++ b/src/libradishjunction/cell/cell_flush.c
@@ -11,6 +11,9 @@
 /* Interval of the owner's heartbeats. Other instances take over once they have
  * read nothing from the owner for 0.9 s or more, see cell_node.c. */
 #define HEARTBEAT_INTERVAL_US (400 * RJ_US_PER_MS)
+/* Delay before a job is stored again whose record the log rejected as
+ * invalid. */
+#define INVALID_RETRY_US RJ_US_PER_S
 /* Interval between checks for ended jobs whose retention has expired. */
 #define RETENTION_CHECK_INTERVAL_US (5 * RJ_US_PER_S)
 
@@ -52,6 +55,28 @@
 	rj_cell_run_schedule_order(run, owner->now_us);
 }
 
+/* Returns up to which position the completions of a worker may be acknowledged:
+ * all that the last flush covered, but for those of jobs that could not be
+ * stored. */
+static uint64_t saved_position(const struct rj_cell_owner *owner,
+			       const struct rj_cell_worker *worker)
+{
+	uint64_t position = worker->storing_position;
+	const struct rj_list *at;
+
+	for (at = owner->unstorable_jobs.next; at != &owner->unstorable_jobs;
+	     at = at->next) {
+		const struct rj_cell_job *job =
+			RJ_CONTAINER(at, struct rj_cell_job, in_unstorable);
+		uint64_t first =
+			rj_cell_unsaved_ends_first(&job->unsaved_ends, worker);
+
+		if (first && first <= position)
+			position = first - 1;
+	}
+	return position;
+}
+
 /* Acknowledges to workers all completions whose effects are stored, now that no
  * write is pending. */
 static void acknowledge_completions(struct rj_cell_owner *owner)
@@ -62,9 +87,10 @@
 	RJ_FOR_EACH (at, next, &owner->fleet.unstored) {
 		struct rj_cell_worker *worker =
 			RJ_CONTAINER(at, struct rj_cell_worker, in_unstored);
+		uint64_t position = saved_position(owner, worker);
 
-		if (worker->storing_position > worker->stored_position) {
-			worker->stored_position = worker->storing_position;
+		if (position > worker->stored_position) {
+			worker->stored_position = position;
 			worker->poll_due_us = owner->now_us;
 		}
 		if (worker->stored_position >= worker->applied_position)
@@ -85,6 +111,43 @@
 	}
 }
 
+/* Frees a run that is only intended. */
+static void withdraw_intent(struct rj_cell_run *run, void *unused)
+{
+	if (run->state == RJ_CELL_RUN_INTENDED)
+		rj_cell_run_free(run);
+}
+
+/*
+ * Suspends a job whose progress the log has rejected as invalid: its intents are
+ * withdrawn and nothing is started until its record is sent again, which may be
+ * accepted by then. All other jobs go on.
+ */
+static void suspend_job(struct rj_cell_owner *owner, struct rj_cell_job *job)
+{
+	rj_log_event("job_unstorable", RJ_LOG_TEXT("job", job->job_spec->id),
+		     RJ_LOG_TEXT("account", job->job_spec->account),
+		     RJ_LOG_NUMBER("begun", job->occurrences_begun),
+		     RJ_LOG_NUMBER("done", job->occurrences_done));
+	rj_cell_job_each_run(job, withdraw_intent, NULL);
+	job->store_due_us = owner->now_us + INVALID_RETRY_US;
+	if (job->in_unstorable.next == &job->in_unstorable)
+		rj_list_append(&owner->unstorable_jobs, &job->in_unstorable);
+	rj_cell_owner_mark_dirty(owner, job);
+}
+
+/* Handles the outcome of a job's progress record. */
+static void progress_done(struct rj_cell_owner *owner, struct rj_cell_job *job,
+			  enum rj_cell_write_outcome outcome)
+{
+	rj_cell_unsaved_ends_append_end(&job->unsaved_ends,
+					outcome == RJ_CELL_WRITE_STORED);
+	if (outcome == RJ_CELL_WRITE_INVALID)
+		suspend_job(owner, job);
+	else if (outcome == RJ_CELL_WRITE_STORED)
+		rj_list_remove(&job->in_unstorable);
+}
+
 /* Handles the outcome of the record that releases the cell: one that was not
  * stored is repeated. */
 static void release_done(struct rj_cell_owner *owner,
@@ -116,6 +179,8 @@
 					     outcome == RJ_CELL_WRITE_STORED,
 					     owner->now_us);
 	entry = write->id[0] ? rj_cell_view_find(owner->view, write->id) : NULL;
+	if (entry && entry->job && write->kind == RJ_CELL_RECORD_PROGRESS)
+		progress_done(owner, entry->job, outcome);
 	if (outcome == RJ_CELL_WRITE_STORED && entry) {
 		apply_record(owner, write, entry);
 	} else if (outcome == RJ_CELL_WRITE_NOT_STORED) {
@@ -123,7 +188,8 @@
 		if (entry && entry->job)
 			rj_cell_owner_mark_dirty(owner, entry->job);
 		owner->heartbeat_due_us = owner->now_us;
-	} else if (outcome != RJ_CELL_WRITE_STORED) {
+	} else if (outcome != RJ_CELL_WRITE_STORED &&
+		   outcome != RJ_CELL_WRITE_INVALID) {
 		owner->fenced = true;
 	}
 	if (!owner->writes_pending && !owner->fenced && !owner->write_failed)
@@ -281,6 +347,7 @@
 	struct rj_bytes value;
 
 	rj_cell_job_each_run(job, mark_recording, NULL);
+	rj_cell_unsaved_ends_append_begin(&job->unsaved_ends);
 	value = rj_cell_progress_encode(owner->mem, job);
 	add_record(owner, &owner->progress_writer, RJ_CELL_RECORD_PROGRESS,
 		   job->job_spec->id, value, NULL);
@@ -370,6 +437,8 @@
 		struct rj_cell_job *job =
 			RJ_CONTAINER(at, struct rj_cell_job, in_dirty);
 
+		if (owner->now_us < job->store_due_us)
+			continue;
 		job->dirty = false;
 		rj_list_remove(&job->in_dirty);
 		add_job(owner, job);
--- a/src/libradishjunction/cell/cell_frontend.c
+++ b/src/libradishjunction/cell/cell_frontend.c
@@ -267,6 +267,11 @@
 			       "stored", 0);
 	else if (outcome == RJ_CELL_WRITE_NOT_STORED)
 		answer_unavailable(request, "log_refused");
+	else if (outcome == RJ_CELL_WRITE_INVALID)
+		answer_verdict(request, RJ_CELL_VERDICT_MALFORMED,
+			       "job: the log does not accept its record; send "
+			       "a smaller job",
+			       0);
 	else
 		answer_verdict(request, RJ_CELL_VERDICT_UNKNOWN, "log_unknown",
 			       0);
--- a/src/libradishjunction/cell/cell_log_reader.c
+++ b/src/libradishjunction/cell/cell_log_reader.c
@@ -23,6 +23,7 @@
 const char *const rj_cell_store_status_string[RJ_CELL_STORE_STATUS_COUNT] = {
 	[RJ_CELL_STORE_OK] = "ok",
 	[RJ_CELL_STORE_REFUSED] = "refused",
+	[RJ_CELL_STORE_INVALID] = "invalid",
 	[RJ_CELL_STORE_FENCED] = "fenced",
 	[RJ_CELL_STORE_SEQUENCE] = "sequence",
 	[RJ_CELL_STORE_EXPIRED] = "gone",
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -61,6 +61,7 @@
 	owner->limits = *limits;
 	rj_list_init(&owner->jobs);
 	rj_list_init(&owner->dirty_jobs);
+	rj_list_init(&owner->unstorable_jobs);
 	rj_cell_forecast_init(&owner->forecast);
 	rj_cell_handover_init(&owner->handover, owner);
 	rj_cell_lease_bounds_init(&owner->leases);
--- a/src/libradishjunction/cell/cell_polls.c
+++ b/src/libradishjunction/cell/cell_polls.c
@@ -169,6 +169,22 @@
 	}
 }
 
+/* Records that a completion is not stored yet; `run` is NULL if it is not known
+ * at the worker. */
+static void add_unsaved_end(struct rj_cell_owner *owner,
+			    const struct rj_cell_worker *worker,
+			    const struct rj_cell_run *run,
+			    const struct rj_cell_completion_report *row)
+{
+	const struct rj_cell_task *task =
+		run ? run->task :
+		      rj_cell_owner_find_task(owner, row->name, NULL);
+
+	if (task)
+		rj_cell_unsaved_ends_add(&task->occurrence->job->unsaved_ends,
+					 worker, row->position);
+}
+
 /* Applies the completions that the owner has not seen yet. */
 static void process_completions(struct rj_cell_owner *owner,
 				struct rj_cell_worker *worker,
@@ -183,6 +199,7 @@
 			continue;
 		worker->applied_position = row->position;
 		run = rj_cell_call_find_run(worker, row->name, row->number);
+		add_unsaved_end(owner, worker, run, row);
 		if (run)
 			rj_cell_completions_apply(owner, run, row->end,
 						  row->saved);
--- a/src/libradishjunction/cell/cell_writer.c
+++ b/src/libradishjunction/cell/cell_writer.c
@@ -166,6 +166,17 @@
 		rj_cell_writer_flush(writer, writer->now_us);
 }
 
+/* Number of records in the batch. */
+static uint32_t batch_count(const struct rj_cell_writer *writer)
+{
+	const struct rj_list *at;
+	uint32_t count = 0;
+
+	for (at = writer->sent.next; at != &writer->sent; at = at->next)
+		count++;
+	return count;
+}
+
 /* Schedules a retry of the batch with the same sequence number. */
 static void retry_later(struct rj_cell_writer *writer)
 {
@@ -189,6 +200,47 @@
 	complete_batch(writer, RJ_CELL_WRITE_UNKNOWN);
 }
 
+/* Moves the second half of the batch back to the waiting records, in order. */
+static void return_second_half(struct rj_cell_writer *writer, uint32_t count)
+{
+	struct rj_list *before = writer->waiting.next;
+
+	for (uint32_t i = count / 2; i < count; i++) {
+		struct rj_list *last = writer->sent.prev;
+
+		rj_list_remove(last);
+		rj_list_append(before, last);
+		before = last;
+	}
+}
+
+/*
+ * Handles a batch that the log rejects as invalid: a single record is dropped,
+ * a larger batch is sent in two halves.
+ *
+ * Guards against one record that is never accepted: all others would wait
+ * behind it.
+ */
+static void split_batch(struct rj_cell_writer *writer)
+{
+	struct write *first =
+		RJ_CONTAINER(writer->sent.next, struct write, link);
+	uint32_t count = batch_count(writer);
+
+	if (count > 1) {
+		return_second_half(writer, count);
+		writer->tries = 0;
+		send_batch(writer);
+		return;
+	}
+	rj_log_event("append_invalid",
+		     RJ_LOG_TEXT("producer", writer->producer),
+		     RJ_LOG_TEXT("key", first->key),
+		     RJ_LOG_NUMBER("bytes", first->value.length));
+	writer->invalid++;
+	complete_batch(writer, RJ_CELL_WRITE_INVALID);
+}
+
 /* Whether a status shows that the store is serving this instance. */
 static bool is_answer(enum rj_cell_store_status status)
 {
@@ -202,7 +254,8 @@
  *
  * An append whose answer was lost may still be carried out, so a later refusal
  * applies only to its own attempt. Such a batch is repeated until the log
- * confirms it; the sequence number prevents a duplicate.
+ * confirms it; the sequence number prevents a duplicate. Contents that are
+ * invalid were so in every attempt.
  */
 static void append_done(void *private_data,
 			const struct rj_cell_store_reply *reply)
@@ -231,6 +284,9 @@
 	case RJ_CELL_STORE_SEQUENCE:
 		renew_epoch(writer);
 		break;
+	case RJ_CELL_STORE_INVALID:
+		split_batch(writer);
+		break;
 	case RJ_CELL_STORE_REFUSED:
 		writer->refused++;
 		if (!writer->uncertain) {
--- a/src/libradishjunction/include/private/cell_active_job.h
+++ b/src/libradishjunction/include/private/cell_active_job.h
@@ -12,6 +12,7 @@
 #include <glib.h>
 
 #include "private/cell_job_spec.h"
+#include "private/cell_unsaved_ends.h"
 #include "private/list.h"
 
 /* Buffer size for the longest checkpoint name that a worker reports, with the
@@ -149,6 +150,12 @@
 	bool cancelled; /* cancellation requested; its runs are being stopped */
 	bool dirty; /* has changes that are not stored */
 	struct rj_list in_dirty; /* in the owner's list of dirty jobs */
+	/* Its progress is not stored, and none of its tasks is started, before
+	 * this. */
+	uint64_t store_due_us;
+	/* In the owner's list of jobs whose last record was invalid. */
+	struct rj_list in_unstorable;
+	struct rj_cell_unsaved_ends unsaved_ends;
 	bool started; /* a task has started */
 	/* Within its account's guarantee, according to the plan. */
 	bool guaranteed;
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -104,6 +104,8 @@
 	const struct rj_cell_term_clock *term_clock;
 	struct rj_list jobs;
 	struct rj_list dirty_jobs; /* jobs with changes that are not stored */
+	/* Jobs whose last record the log has rejected as invalid. */
+	struct rj_list unstorable_jobs;
 	GPtrArray *ended_jobs; /* ids of jobs whose keys may be removed */
 	struct rj_cell_forecast forecast;
 	struct rj_cell_handover handover;
--- a/src/libradishjunction/include/private/cell_store.h
+++ b/src/libradishjunction/include/private/cell_store.h
@@ -31,6 +31,9 @@
 enum rj_cell_store_status {
 	RJ_CELL_STORE_OK,
 	RJ_CELL_STORE_REFUSED, /* nothing was done: overloaded or unavailable */
+	/* Nothing was done, and a repeat would get the same answer: the store
+	 * does not accept the contents of the call. */
+	RJ_CELL_STORE_INVALID,
 	RJ_CELL_STORE_FENCED, /* a producer with a higher epoch has written */
 	/* Not the next sequence number of this producer. */
 	RJ_CELL_STORE_SEQUENCE,
--- a/src/libradishjunction/include/private/cell_writer.h
+++ b/src/libradishjunction/include/private/cell_writer.h
@@ -3,7 +3,9 @@
  * added meanwhile go into the next append.
  *
  * An append whose answer was lost is repeated with the same sequence number,
- * which the log deduplicates, until its outcome is known.
+ * which the log deduplicates, until its outcome is known. One that the log
+ * rejects as invalid is split until the record is found that causes it; the
+ * others are stored.
  *
  * `rj_cell_writer_open` sets the epoch; `rj_cell_writer_add` takes any number
  * of records, each of which ends in one call of `done`; call
@@ -20,6 +22,8 @@
 enum rj_cell_write_outcome {
 	RJ_CELL_WRITE_STORED,
 	RJ_CELL_WRITE_NOT_STORED, /* and never will be */
+	/* Not stored; the log would reject the same record again. */
+	RJ_CELL_WRITE_INVALID,
 	RJ_CELL_WRITE_UNKNOWN, /* abandoned; it may be in the log */
 	RJ_CELL_WRITE_FENCED, /* not stored: another producer has taken over */
 };
@@ -61,6 +65,7 @@
 	struct rj_latency appends; /* latency of successful appends */
 	uint64_t lost; /* number of missing or malformed answers */
 	uint64_t refused; /* number of refusals by the store */
+	uint64_t invalid; /* number of records that were rejected as invalid */
 };
 
 void rj_cell_writer_init(struct rj_cell_writer *writer, void *mem,
--- a/src/test_libradishjunction/support/cell_fake_log.c
+++ b/src/test_libradishjunction/support/cell_fake_log.c
@@ -10,6 +10,11 @@
 /* Number of a producer's last appends whose answers are kept for repeats. */
 #define REPEATS_MAX 5
 #define PAGE_RECORDS 40
+/* Of a record, and of all records of one append. */
+#define RECORD_MAX_BYTES (256 * 1024)
+#define CALL_MAX_BYTES (2 * 1024 * 1024)
+/* Before the key of a record: the length of the key. */
+#define KEY_LENGTH_BYTES 1
 /* A call without an answer times out after this, as in the adapters. */
 #define TIMEOUT_US (900 * MS)
 
@@ -48,6 +53,7 @@
 	sim->log.producers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sim->log.latency_us = 4 * MS;
+	sim->log.record_max_bytes = RECORD_MAX_BYTES;
 }
 
 /*
@@ -285,6 +291,25 @@
 	return producer;
 }
 
+/* Whether the log rejects an append for its records. */
+static bool is_invalid(const struct cell_log *log, const struct call *call)
+{
+	uint64_t sum = 0;
+
+	for (uint32_t i = 0; i < call->append.count; i++) {
+		const struct rj_cell_record *record = &call->records[i];
+		uint64_t bytes = KEY_LENGTH_BYTES + strlen(record->key) +
+				 record->value.length;
+
+		sum += bytes;
+		if (bytes > log->record_max_bytes ||
+		    (log->invalid_key &&
+		     !strcmp(record->key, log->invalid_key)))
+			return true;
+	}
+	return sum > CALL_MAX_BYTES;
+}
+
 /* Applies an append. */
 static enum rj_cell_store_status apply(struct cell_sim *sim, struct call *call)
 {
@@ -301,6 +326,8 @@
 	status = check_sequence(call, producer);
 	if (status != RJ_CELL_STORE_OK)
 		return status;
+	if (is_invalid(&sim->log, call))
+		return RJ_CELL_STORE_INVALID;
 	for (uint32_t i = 0; i < append->count; i++)
 		cell_log_put(sim, append->topic, call->records[i].key,
 			     call->records[i].value.data,
--- a/src/test_libradishjunction/support/cell_sim.h
+++ b/src/test_libradishjunction/support/cell_sim.h
@@ -71,6 +71,8 @@
 	bool reads_unreachable[RJ_CELL_TOPIC_COUNT]; /* reads get no answer */
 	uint32_t lost_answer_percent; /* appends applied, but not answered */
 	uint64_t apply_delay_us; /* of unanswered appends; 0: none */
+	uint32_t record_max_bytes; /* appends with longer records are invalid */
+	const char *invalid_key; /* and appends with this key; or NULL */
 	enum cell_log_mode modes[CELL_SIM_NODES_MAX];
 	uint64_t first_retained[RJ_CELL_TOPIC_COUNT]; /* earlier ones expired */
 	uint64_t no_wakeup_until_us; /* appends wake no long poll */
--- a/src/test_libradishjunction/test_platform_calls.c
+++ b/src/test_libradishjunction/test_platform_calls.c
@@ -152,7 +152,10 @@
 	g_assert_cmpint(append(f, 503, ""), ==, RJ_CELL_STORE_REFUSED);
 	g_assert_cmpint(append(f, 429, ""), ==, RJ_CELL_STORE_REFUSED);
 	g_assert_cmpint(append(f, 507, ""), ==, RJ_CELL_STORE_REFUSED);
-	g_assert_cmpint(append(f, 400, ""), ==, RJ_CELL_STORE_MALFORMED);
+	g_assert_cmpint(append(f, 500, ""), ==, RJ_CELL_STORE_MALFORMED);
+	g_assert_cmpint(append(f, 400, ""), ==, RJ_CELL_STORE_INVALID);
+	g_assert_cmpint(append(f, 403, ""), ==, RJ_CELL_STORE_INVALID);
+	g_assert_cmpint(append(f, 413, ""), ==, RJ_CELL_STORE_INVALID);
 }
 
 /*
