cell_progress: the progress of a job keeps within one record of the log

Cause: all occurrences that are due begin at once, and the record has a byte or more for each of their tasks. Excluded: growth by runs; the first record, before any start, has the full length.

Change: an occurrence begins as far as the estimated record has room for its tasks (some 8,900 open ones of one task). A record that is too long all the same is stored without checkpoints, then without intents that are not stored. Jobs that can never fit are answered 400 at once. The limits of a record and of an append come from the settings; the writer sends nothing that exceeds them, and lease bounds keep to them. The format stays, so that earlier versions read all records, and a record that one of them has filled is finished.

--- a/src/libradishjunction/cell/cell_active_job.c
+++ b/src/libradishjunction/cell/cell_active_job.c
@@ -97,11 +97,24 @@
 		}
 	}
 	rj_list_append(&job->occurrences, &occurrence->link);
+	job->occurrences_open++;
+	job->tasks_open += job_spec->task_count;
 	if (number >= job->occurrences_begun)
 		job->occurrences_begun = number + 1;
 	return occurrence;
 }
 
+/*
+ * Frees an occurrence whose tasks are all done and have no runs left.
+ */
+void rj_cell_occurrence_free(struct rj_cell_occurrence *occurrence)
+{
+	assert(!occurrence->steps_left);
+	occurrence->job->occurrences_open--;
+	rj_list_remove(&occurrence->link);
+	talloc_free(occurrence);
+}
+
 /*
  * When an occurrence is due, in microseconds after its job was accepted.
  */
@@ -141,6 +154,7 @@
 
 	assert(!task->done && occurrence->left[task->step]);
 	task->done = true;
+	occurrence->job->tasks_open--;
 	if (!--occurrence->left[task->step])
 		occurrence->steps_left--;
 }
--- a/src/libradishjunction/cell/cell_completions.c
+++ b/src/libradishjunction/cell/cell_completions.c
@@ -5,6 +5,7 @@
 
 #include "private/cell_admission_forecast.h"
 #include "private/cell_owner.h"
+#include "private/cell_progress.h"
 #include "private/cell_run_pace.h"
 #include "private/cell_worker_evidence.h"
 #include "private/log_event.h"
@@ -131,8 +132,9 @@
 }
 
 /*
- * Begins the due occurrences of a job: all whose time has come, or the only one
- * of a job that is not repeated.
+ * Begins the due occurrences of a job: all whose time has come and for whose
+ * progress the job's record has room, or the only one of a job that is not
+ * repeated.
  */
 void rj_cell_completions_begin_occurrences(struct rj_cell_owner *owner,
 					   struct rj_cell_job *job)
@@ -144,7 +146,8 @@
 	       (!spec->repeats ||
 		owner->wall_ms >=
 			spec->first_run_ms +
-				job->occurrences_begun * spec->interval_ms)) {
+				job->occurrences_begun * spec->interval_ms) &&
+	       rj_cell_progress_has_room(job, owner->limits.record_max_bytes)) {
 		rj_cell_job_begin_occurrence(job, job->occurrences_begun);
 		owner->plan_wanted = true;
 	}
@@ -179,10 +182,8 @@
 			rj_cell_completions_close_job(owner, job,
 						      RJ_CELL_JOB_COMPLETED);
 	}
-	if (has_no_runs(occurrence)) {
-		rj_list_remove(&occurrence->link);
-		talloc_free(occurrence);
-	}
+	if (has_no_runs(occurrence))
+		rj_cell_occurrence_free(occurrence);
 }
 
 /* Marks a task as done, or its whole gang. */
--- a/src/libradishjunction/cell/cell_flush.c
+++ b/src/libradishjunction/cell/cell_flush.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #include "private/cell_admit.h"
+#include "private/cell_progress.h"
 #include "private/cell_returns.h"
 #include "private/log_event.h"
 
@@ -131,6 +132,7 @@
 		     RJ_LOG_NUMBER("done", job->occurrences_done));
 	rj_cell_job_each_run(job, withdraw_intent, NULL);
 	job->store_due_us = owner->now_us + INVALID_RETRY_US;
+	job->start_due_us = job->store_due_us;
 	if (job->in_unstorable.next == &job->in_unstorable)
 		rj_list_append(&owner->unstorable_jobs, &job->in_unstorable);
 	rj_cell_owner_mark_dirty(owner, job);
@@ -331,7 +333,7 @@
 {
 	struct rj_bytes value = rj_cell_lease_bounds_encode(
 		&owner->leases, owner->mem, owner->name, owner->token,
-		&owner->fleet, owner->now_us);
+		&owner->fleet, owner->limits.record_max_bytes, owner->now_us);
 
 	add_record(owner, &owner->progress_writer, RJ_CELL_RECORD_LEASE_BOUNDS,
 		   "", value, NULL);
@@ -344,11 +346,11 @@
 {
 	const struct rj_cell_view_entry *entry = job->entry;
 	struct rj_cell_summary summary = { job->state, job->started };
-	struct rj_bytes value;
+	struct rj_bytes value = rj_cell_progress_encode_within(
+		owner->mem, job, owner->limits.record_max_bytes, owner->now_us);
 
 	rj_cell_job_each_run(job, mark_recording, NULL);
 	rj_cell_unsaved_ends_append_begin(&job->unsaved_ends);
-	value = rj_cell_progress_encode(owner->mem, job);
 	add_record(owner, &owner->progress_writer, RJ_CELL_RECORD_PROGRESS,
 		   job->job_spec->id, value, NULL);
 	talloc_free((void *)value.data);
--- a/src/libradishjunction/cell/cell_frontend.c
+++ b/src/libradishjunction/cell/cell_frontend.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "private/cell_account_admission.h"
+#include "private/cell_progress.h"
 #include "private/log_event.h"
 
 /* Wait of a client that does not announce one. */
@@ -569,7 +570,9 @@
 	}
 	job_spec =
 		frontend->codec->decode_job(request, request->call->body, &err);
-	if (!job_spec) {
+	if (!job_spec ||
+	    rj_cell_progress_check(job_spec, frontend->writer->record_max_bytes,
+				   &err)) {
 		answer_verdict(request, RJ_CELL_VERDICT_MALFORMED, err.message,
 			       0);
 		return;
--- a/src/libradishjunction/cell/cell_lease_bounds.c
+++ b/src/libradishjunction/cell/cell_lease_bounds.c
@@ -11,9 +11,10 @@
  * does: the owner of a large fleet would do little else. */
 #define RECORD_INTERVAL_US (40 * RJ_US_PER_MS)
 #define RECORD_INTERVAL_PER_WORKER_US 10
-/* Maximum length of the list of workers; the store accepts 256 KiB per
- * record. Workers beyond it share one bound. */
+/* Maximum length of the list of workers, and what the log's limit of a record
+ * leaves to the other fields. Workers beyond it share one bound. */
 #define WORKERS_BYTES_MAX (240 * 1024)
+#define FIELDS_BYTES 512
 /* Encoded length of an entry besides the worker's id: the length of the id and
  * a 64-bit number. */
 #define ENTRY_BYTES_MAX 11
@@ -285,10 +286,19 @@
 	return (time_us - bounds->begun_us) / RJ_US_PER_MS + 1;
 }
 
-/* Collects the workers to be listed, up to the maximum length of the list. The
- * bounds of the rest go into `others_us`. */
+/* Maximum length of the list of workers in a record of the log. */
+static size_t list_max_bytes(uint32_t record_max_bytes)
+{
+	if (!record_max_bytes)
+		return WORKERS_BYTES_MAX;
+	return MIN(WORKERS_BYTES_MAX,
+		   record_max_bytes - MIN(record_max_bytes, FIELDS_BYTES));
+}
+
+/* Collects the workers to be listed, up to `max_bytes`. The bounds of the rest go
+ * into `others_us`. */
 static void collect(struct rj_cell_lease_bounds *bounds,
-		    const struct rj_cell_fleet *fleet)
+		    const struct rj_cell_fleet *fleet, size_t max_bytes)
 {
 	const struct rj_list *busy =
 		&fleet->by_poll_state[RJ_CELL_POLL_STATE_BUSY];
@@ -302,7 +312,7 @@
 		if (!is_to_be_listed(worker))
 			continue;
 		bytes += strlen(worker->id) + ENTRY_BYTES_MAX;
-		if (bytes > WORKERS_BYTES_MAX) {
+		if (bytes > max_bytes) {
 			bounds->others_us = MAX(bounds->others_us,
 						worker->lease_expired_us);
 			continue;
@@ -313,13 +323,14 @@
 }
 
 /*
- * Encodes a record as a talloc child of `mem`. Its workers get no leases until
- * a later record is stored.
+ * Encodes a record of at most `record_max_bytes` (0: no limit) as a talloc child
+ * of `mem`. Its workers get no leases until a later record is stored.
  */
 struct rj_bytes rj_cell_lease_bounds_encode(struct rj_cell_lease_bounds *bounds,
 					    void *mem, const char *owner,
 					    uint64_t token,
 					    const struct rj_cell_fleet *fleet,
+					    uint32_t record_max_bytes,
 					    uint64_t now_us)
 {
 	struct rj_packer out;
@@ -330,7 +341,7 @@
 	assert(!bounds->appending);
 	bounds->appending =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	collect(bounds, fleet);
+	collect(bounds, fleet, list_max_bytes(record_max_bytes));
 	bounds->wanted = false;
 	bounds->incomplete = false;
 	bounds->due_us = now_us + MAX(RECORD_INTERVAL_US,
--- a/src/libradishjunction/cell/cell_metrics.c
+++ b/src/libradishjunction/cell/cell_metrics.c
@@ -64,6 +64,8 @@
 		       writer->lost);
 	write_labelled(text, "appends_refused", "producer", producer,
 		       writer->refused);
+	write_labelled(text, "records_invalid", "producer", producer,
+		       writer->invalid);
 }
 
 /* Counts the listed and the usable workers. */
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -444,6 +444,9 @@
 			 options->incarnation);
 	rj_cell_writer_init(&node->writer, mem, options->store,
 			    RJ_CELL_TOPIC_REQUESTS, producer);
+	rj_cell_writer_set_limits(&node->writer,
+				  options->limits.record_max_bytes,
+				  options->limits.append_max_bytes);
 	rj_cell_frontend_init(&node->frontend, mem, &node->view, &node->jobs,
 			      &node->requests, &node->configs, &node->writer,
 			      options->codec, options->limits.revoke_ms);
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -71,6 +71,11 @@
 			    "owner");
 	rj_cell_writer_init(&owner->progress_writer, mem, store,
 			    RJ_CELL_TOPIC_PROGRESS, "owner");
+	rj_cell_writer_set_limits(&owner->writer, limits->record_max_bytes,
+				  limits->append_max_bytes);
+	rj_cell_writer_set_limits(&owner->progress_writer,
+				  limits->record_max_bytes,
+				  limits->append_max_bytes);
 }
 
 /*
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -85,10 +85,11 @@
 	return -1;
 }
 
-/* Workers of a job's runs, each encoded once. */
+/* What all tasks of a job share: the workers of its runs, each encoded once. */
 struct worker_table {
 	GPtrArray *workers; /* struct rj_cell_worker */
 	GHashTable *index; /* worker -> its index + 1 */
+	bool with_checkpoints; /* of tasks */
 };
 
 /* Adds the worker of a run to the table. */
@@ -131,7 +132,7 @@
 	rj_pack_number(out, TASK_DETAILS);
 	rj_pack_number(out, task->run);
 	rj_pack_number(out, task->failures);
-	rj_pack_text(out, task->checkpoint);
+	rj_pack_text(out, table->with_checkpoints ? task->checkpoint : "");
 	rj_pack_number(out, count_runs(task));
 	for (at = task->runs.next; at != &task->runs; at = at->next) {
 		const struct rj_cell_run *run =
@@ -202,13 +203,17 @@
 }
 
 /*
- * Encodes the progress of a job as a talloc child of `mem`.
+ * Encodes the progress of a job as a talloc child of `mem`. Without its
+ * checkpoints it is shorter, and tasks that a successor starts again begin from
+ * the start.
  */
 struct rj_bytes rj_cell_progress_encode(void *mem,
-					const struct rj_cell_job *job)
+					const struct rj_cell_job *job,
+					bool with_checkpoints)
 {
 	struct worker_table table = { g_ptr_array_new(),
-				      g_hash_table_new(NULL, NULL) };
+				      g_hash_table_new(NULL, NULL),
+				      with_checkpoints };
 	struct rj_packer out;
 
 	rj_pack_init(&out);
@@ -340,7 +345,7 @@
 static void read_occurrences(struct rj_unpacker *in, struct rj_cell_job *job,
 			     GPtrArray *workers, uint64_t now_us)
 {
-	uint32_t count = (uint32_t)rj_unpack_number(in, "rounds", UINT16_MAX);
+	uint32_t count = (uint32_t)rj_unpack_number(in, "rounds", UINT32_MAX);
 
 	for (uint32_t i = 0; i < count && !in->bad_field; i++) {
 		uint32_t number =
--- a/src/libradishjunction/cell/cell_task_groups.c
+++ b/src/libradishjunction/cell/cell_task_groups.c
@@ -341,7 +341,7 @@
 			rj_cell_account_shares_add_job(plan->account_shares,
 						       job);
 		if (job->state >= RJ_CELL_JOB_COMPLETED || job->cancelled ||
-		    plan->now_us < job->store_due_us)
+		    plan->now_us < job->start_due_us)
 			continue;
 		job->guaranteed = is_guaranteed(plan, job);
 		RJ_FOR_EACH (occurrence_at, occurrence_next,
--- a/src/libradishjunction/cell/cell_writer.c
+++ b/src/libradishjunction/cell/cell_writer.c
@@ -11,9 +11,13 @@
  * answers within 4 ms, or 0.25 s when it is slow. */
 #define RETRY_US (60 * RJ_US_PER_MS)
 #define RETRY_MAX_US (480 * RJ_US_PER_MS)
-/* The store accepts 2 MiB per call and 256 KiB per record. */
+/* Limits of an append, besides those of the log. */
 #define BATCH_BYTES (1024 * 1024)
 #define BATCH_RECORDS 512
+/* Length of a record in an append besides its key and value: its own length,
+ * and that of the key. */
+#define FRAME_BYTES 4
+#define KEY_LENGTH_BYTES 1
 
 /* A record that is waiting or being appended. */
 struct write {
@@ -45,6 +49,31 @@
 	rj_list_init(&writer->sent);
 }
 
+/*
+ * Sets the limits of the log; see struct rj_cell_limits.
+ */
+void rj_cell_writer_set_limits(struct rj_cell_writer *writer,
+			       uint32_t record_max_bytes,
+			       uint32_t append_max_bytes)
+{
+	writer->record_max_bytes = record_max_bytes;
+	writer->append_max_bytes = append_max_bytes;
+}
+
+/*
+ * Returns the maximum length of a value under a key of `key_length` bytes in a
+ * record of at most `record_max_bytes`; 0 stands for no limit.
+ */
+uint32_t rj_cell_writer_value_max_bytes(uint32_t record_max_bytes,
+					size_t key_length)
+{
+	size_t rest = KEY_LENGTH_BYTES + key_length;
+
+	if (!record_max_bytes)
+		return UINT32_MAX;
+	return record_max_bytes > rest ? record_max_bytes - (uint32_t)rest : 0;
+}
+
 /*
  * Writes under `epoch` from now on, starting with sequence number `sequence`.
  */
@@ -91,6 +120,53 @@
 	}
 }
 
+/* Whether a record is too long for the log. */
+static bool is_too_long(const struct rj_cell_writer *writer,
+			const struct write *write)
+{
+	return write->value.length >
+	       rj_cell_writer_value_max_bytes(writer->record_max_bytes,
+					      strlen(write->key));
+}
+
+/* Logs and counts a record that the log does not accept. */
+static void record_invalid(struct rj_cell_writer *writer,
+			   const struct write *write)
+{
+	rj_log_event("record_invalid",
+		     RJ_LOG_TEXT("producer", writer->producer),
+		     RJ_LOG_TEXT("key", write->key),
+		     RJ_LOG_NUMBER("bytes", write->value.length));
+	writer->invalid++;
+}
+
+/* Moves the waiting records that are too long to `invalid`. */
+static void take_too_long(struct rj_cell_writer *writer,
+			  struct rj_list *invalid)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	rj_list_init(invalid);
+	RJ_FOR_EACH (at, next, &writer->waiting) {
+		struct write *write = RJ_CONTAINER(at, struct write, link);
+
+		if (!is_too_long(writer, write))
+			continue;
+		record_invalid(writer, write);
+		rj_list_remove(at);
+		rj_list_append(invalid, at);
+	}
+}
+
+/* Maximum length of one append, with all that the store counts. */
+static size_t batch_max_bytes(const struct rj_cell_writer *writer)
+{
+	return writer->append_max_bytes ?
+		       MIN(BATCH_BYTES, writer->append_max_bytes) :
+		       BATCH_BYTES;
+}
+
 /* Moves waiting records into the batch, up to the limits of one call. */
 static void fill_batch(struct rj_cell_writer *writer)
 {
@@ -102,8 +178,9 @@
 		struct write *write =
 			RJ_CONTAINER(writer->waiting.next, struct write, link);
 
-		bytes += strlen(write->key) + write->value.length;
-		if (count && bytes > BATCH_BYTES)
+		bytes += FRAME_BYTES + KEY_LENGTH_BYTES + strlen(write->key) +
+			 write->value.length;
+		if (count && bytes > batch_max_bytes(writer))
 			break;
 		rj_list_remove(&write->link);
 		rj_list_append(&writer->sent, &write->link);
@@ -233,11 +310,7 @@
 		send_batch(writer);
 		return;
 	}
-	rj_log_event("append_invalid",
-		     RJ_LOG_TEXT("producer", writer->producer),
-		     RJ_LOG_TEXT("key", first->key),
-		     RJ_LOG_NUMBER("bytes", first->value.length));
-	writer->invalid++;
+	record_invalid(writer, first);
 	complete_batch(writer, RJ_CELL_WRITE_INVALID);
 }
 
@@ -332,7 +405,14 @@
  */
 void rj_cell_writer_flush(struct rj_cell_writer *writer, uint64_t now_us)
 {
+	struct rj_list invalid;
+
 	writer->now_us = now_us;
+	if (!writer->open || rj_cell_writer_busy(writer))
+		return;
+	take_too_long(writer, &invalid);
+	complete_writes(&invalid, RJ_CELL_WRITE_INVALID);
+	/* What these completions have added may have been sent by them. */
 	if (!writer->open || rj_cell_writer_busy(writer) ||
 	    writer->waiting.next == &writer->waiting)
 		return;
--- a/src/libradishjunction/include/private/cell_active_job.h
+++ b/src/libradishjunction/include/private/cell_active_job.h
@@ -150,9 +150,10 @@
 	bool cancelled; /* cancellation requested; its runs are being stopped */
 	bool dirty; /* has changes that are not stored */
 	struct rj_list in_dirty; /* in the owner's list of dirty jobs */
-	/* Its progress is not stored, and none of its tasks is started, before
-	 * this. */
-	uint64_t store_due_us;
+	uint64_t store_due_us; /* its progress is not stored before this */
+	uint64_t start_due_us; /* none of its tasks is started before this */
+	/* Its last record was too long, so that something was left out. */
+	bool trimmed;
 	/* In the owner's list of jobs whose last record was invalid. */
 	struct rj_list in_unstorable;
 	struct rj_cell_unsaved_ends unsaved_ends;
@@ -164,7 +165,9 @@
 	struct rj_cell_account_share *share;
 	uint32_t occurrences_begun;
 	uint32_t occurrences_done;
-	struct rj_list occurrences; /* started and not done */
+	struct rj_list occurrences; /* begun and not done */
+	uint32_t occurrences_open; /* number of these */
+	uint32_t tasks_open; /* their tasks that are not done */
 	uint64_t accepted_us; /* by this node's clock, approximate */
 	uint64_t objective_us; /* when it should complete */
 	uint64_t late_us; /* its result is of no use after this */
@@ -183,6 +186,7 @@
 				    const struct rj_cell_job_spec *job_spec);
 struct rj_cell_occurrence *rj_cell_job_begin_occurrence(struct rj_cell_job *job,
 							uint32_t number);
+void rj_cell_occurrence_free(struct rj_cell_occurrence *occurrence);
 uint32_t rj_cell_job_priority_class(const struct rj_cell_job *job);
 uint64_t
 rj_cell_occurrence_due_after_us(const struct rj_cell_occurrence *occurrence);
--- a/src/libradishjunction/include/private/cell_lease_bounds.h
+++ b/src/libradishjunction/include/private/cell_lease_bounds.h
@@ -95,6 +95,7 @@
 					    void *mem, const char *owner,
 					    uint64_t token,
 					    const struct rj_cell_fleet *fleet,
+					    uint32_t record_max_bytes,
 					    uint64_t now_us);
 void rj_cell_lease_bounds_written(struct rj_cell_lease_bounds *bounds,
 				  struct rj_cell_fleet *fleet, bool stored,
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -44,6 +44,10 @@
 	uint32_t drain_ms;
 	uint32_t cordon_ms; /* the same in a cordoned failure domain */
 	uint32_t stop_ms; /* a run ends within this after its stop */
+	/* What the log accepts: bytes of a record with its key, and of all
+	 * records of one append; 0: no limit. */
+	uint32_t record_max_bytes;
+	uint32_t append_max_bytes;
 	struct rj_cell_features features;
 };
 
--- a/src/libradishjunction/include/private/cell_record.h
+++ b/src/libradishjunction/include/private/cell_record.h
@@ -118,7 +118,8 @@
 int rj_cell_record_kind(const char *key, enum rj_cell_record_kind *kind,
 			const char **id);
 struct rj_bytes rj_cell_progress_encode(void *mem,
-					const struct rj_cell_job *job);
+					const struct rj_cell_job *job,
+					bool with_checkpoints);
 int rj_cell_progress_summary(struct rj_bytes bytes,
 			     struct rj_cell_summary *summary,
 			     struct rj_error *err);
--- a/src/libradishjunction/include/private/cell_writer.h
+++ b/src/libradishjunction/include/private/cell_writer.h
@@ -5,7 +5,7 @@
  * An append whose answer was lost is repeated with the same sequence number,
  * which the log deduplicates, until its outcome is known. One that the log
  * rejects as invalid is split until the record is found that causes it; the
- * others are stored.
+ * others are stored. A record that is known to be too long is not sent.
  *
  * `rj_cell_writer_open` sets the epoch; `rj_cell_writer_add` takes any number
  * of records, each of which ends in one call of `done`; call
@@ -41,6 +41,9 @@
 	enum rj_cell_topic topic;
 	void *mem;
 	char producer[RJ_NAME_BYTES * 2];
+	/* See struct rj_cell_limits. */
+	uint32_t record_max_bytes;
+	uint32_t append_max_bytes;
 	uint64_t epoch;
 	uint64_t sequence; /* of the next append */
 	uint32_t generation; /* answers to an earlier generation are ignored */
@@ -71,6 +74,11 @@
 void rj_cell_writer_init(struct rj_cell_writer *writer, void *mem,
 			 struct rj_cell_store *store, enum rj_cell_topic topic,
 			 const char *producer);
+void rj_cell_writer_set_limits(struct rj_cell_writer *writer,
+			       uint32_t record_max_bytes,
+			       uint32_t append_max_bytes);
+uint32_t rj_cell_writer_value_max_bytes(uint32_t record_max_bytes,
+					size_t key_length);
 void rj_cell_writer_open(struct rj_cell_writer *writer, uint64_t epoch,
 			 uint64_t sequence, uint64_t now_us);
 void rj_cell_writer_add(struct rj_cell_writer *writer, const char *key,
--- a/src/test_libradishjunction/support/cell_fake_log.c
+++ b/src/test_libradishjunction/support/cell_fake_log.c
@@ -10,9 +10,6 @@
 /* Number of a producer's last appends whose answers are kept for repeats. */
 #define REPEATS_MAX 5
 #define PAGE_RECORDS 40
-/* Of a record, and of all records of one append. */
-#define RECORD_MAX_BYTES (256 * 1024)
-#define CALL_MAX_BYTES (2 * 1024 * 1024)
 /* Before the key of a record: the length of the key. */
 #define KEY_LENGTH_BYTES 1
 /* A call without an answer times out after this, as in the adapters. */
@@ -53,7 +50,7 @@
 	sim->log.producers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sim->log.latency_us = 4 * MS;
-	sim->log.record_max_bytes = RECORD_MAX_BYTES;
+	sim->log.record_max_bytes = sim->options.record_max_bytes;
 }
 
 /*
@@ -307,7 +304,7 @@
 		     !strcmp(record->key, log->invalid_key)))
 			return true;
 	}
-	return sum > CALL_MAX_BYTES;
+	return sum > CELL_SIM_APPEND_MAX_BYTES;
 }
 
 /* Applies an append. */
--- a/src/test_libradishjunction/support/cell_sim.c
+++ b/src/test_libradishjunction/support/cell_sim.c
@@ -224,6 +224,8 @@
 	options.limits.revoke_ms = sim->options.revoke_ms;
 	options.limits.drain_ms = DRAIN_MS;
 	options.limits.stop_ms = STOP_MS;
+	options.limits.record_max_bytes = sim->options.record_max_bytes;
+	options.limits.append_max_bytes = CELL_SIM_APPEND_MAX_BYTES;
 	options.limits.features = sim->options.features;
 	options.limits.cordon_ms = CORDON_MS;
 	options.limits.entry_expiry_ms =
@@ -287,6 +289,8 @@
 		sim->options.attempts_max = ATTEMPTS_MAX;
 	if (!options->lease_max_ms)
 		sim->options.lease_max_ms = LEASE_MAX_MS;
+	if (!sim->options.record_max_bytes)
+		sim->options.record_max_bytes = CELL_SIM_RECORD_MAX_BYTES;
 	if (!options->revoke_ms)
 		sim->options.revoke_ms = REVOKE_MS;
 	sim->mem = talloc_named_const(NULL, 0, "cell simulation");
--- a/src/test_libradishjunction/support/cell_sim.h
+++ b/src/test_libradishjunction/support/cell_sim.h
@@ -20,6 +20,9 @@
  * before the log drops a worker's entry. */
 #define CELL_SIM_HEARTBEAT_MS 1500
 #define CELL_SIM_ENTRY_HEARTBEATS 3
+/* Limits of the log. */
+#define CELL_SIM_RECORD_MAX_BYTES (256 * 1024)
+#define CELL_SIM_APPEND_MAX_BYTES (2 * 1024 * 1024)
 #define MS RJ_US_PER_MS
 #define S RJ_US_PER_S
 
@@ -144,6 +147,7 @@
 	uint32_t attempts_max; /* 0: 4 */
 	uint32_t revoke_ms; /* 0: 5,000 */
 	uint64_t gang_break_us; /* from a member's end to the others' */
+	uint32_t record_max_bytes; /* of the log; 0: 256 KiB */
 	struct rj_cell_features features;
 };
 
--- a/src/test_libradishjunction/test_cell_leases.c
+++ b/src/test_libradishjunction/test_cell_leases.c
@@ -259,7 +259,7 @@
 	struct rj_bytes bytes;
 
 	g_assert_true(rj_cell_lease_bounds_due(bounds, false, now_us));
-	bytes = rj_cell_lease_bounds_encode(bounds, NULL, "n0", 5, fleet,
+	bytes = rj_cell_lease_bounds_encode(bounds, NULL, "n0", 5, fleet, 0,
 					    now_us);
 	g_assert_cmpint(rj_cell_lease_record_decode(bytes, &record, &err), ==,
 			0);
--- a/src/test_libradishjunction/test_cell_store_limits.c
+++ b/src/test_libradishjunction/test_cell_store_limits.c
@@ -5,9 +5,14 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "private/cell_progress.h"
+#include "private/cell_record.h"
 #include "support/cell_fixture.h"
 #include "support/cell_load.h"
 
+/* Length of a record in a log whose limit is low. */
+#define SHORT_RECORD_BYTES 4096
+
 /* Twelve workers with eight accelerators each in three racks; three nodes. */
 static const struct cell_sim_options small = {
 	.seed = 1,
@@ -18,6 +23,17 @@
 	.guaranteed = 32,
 };
 
+/* The same with a log that accepts short records only. */
+static const struct cell_sim_options short_records = {
+	.seed = 2,
+	.nodes = 3,
+	.workers = 12,
+	.rack_workers = 4,
+	.capacity = { 64000, 64000, 8 },
+	.guaranteed = 32,
+	.record_max_bytes = SHORT_RECORD_BYTES,
+};
+
 /* Submits a job of four tasks of one second. */
 static struct cell_client_job *submit_small(struct cell_sim *sim,
 					    const char *queue)
@@ -119,6 +135,179 @@
 	g_free(key);
 }
 
+/* Submits a job of one task whose occurrences are all due. */
+static struct cell_client_job *submit_repeated(struct cell_sim *sim,
+					       uint32_t repeats)
+{
+	struct rj_cell_step step = cell_sim_plain_step(1, 1, 500);
+	struct cell_client_job *job =
+		cell_sim_job_new(sim, "bulk", "b", &step, 1, 500 * MS);
+
+	job->spec->repeats = repeats;
+	job->spec->first_run_ms = cell_sim_wall_ms(sim);
+	cell_sim_submit(sim, 0, job);
+	return job;
+}
+
+/* Number of records that the log has rejected on all nodes. */
+static uint64_t count_invalid(const struct cell_sim *sim)
+{
+	uint64_t count = 0;
+
+	for (uint32_t i = 0; i < sim->options.nodes; i++)
+		count += sim->nodes[i].node.owner.progress_writer.invalid +
+			 sim->nodes[i].node.owner.writer.invalid +
+			 sim->nodes[i].node.writer.invalid;
+	return count;
+}
+
+/* More occurrences of a job are due than a record can hold: it completes, and
+ * urgent jobs are not held up. */
+static void test_more_occurrences_than_a_record_holds(struct cell_fixture *f,
+						      const void *data)
+{
+	struct cell_client_job *large = submit_repeated(&f->sim, 1200);
+
+	cell_load_run(&f->sim, S);
+	g_assert_true(large->accepted);
+	for (uint32_t i = 0; i < 5; i++) {
+		struct cell_client_job *job = submit_small(&f->sim, "urgent");
+
+		cell_load_run(&f->sim, 2 * S);
+		g_assert_cmpint(job->state, ==, RJ_CELL_JOB_COMPLETED);
+	}
+	cell_load_run(&f->sim, 10 * S);
+	g_assert_cmpint(large->state, ==, RJ_CELL_JOB_COMPLETED);
+	g_assert_cmpuint(large->starts, ==, 1200);
+	g_assert_cmpuint(count_invalid(&f->sim), ==, 0);
+	cell_sim_check_final(&f->sim);
+}
+
+/* An earlier version has stored a job with nearly all occurrences open that a
+ * record holds: its successor completes it. */
+static void test_a_full_record_is_taken_over(struct cell_fixture *f,
+					     const void *data)
+{
+	struct cell_client_job *large = submit_repeated(&f->sim, 800);
+
+	cell_load_run(&f->sim, S);
+	g_assert_true(large->accepted);
+	for (uint32_t i = 0; i < f->sim.options.nodes; i++)
+		cell_sim_node_kill(&f->sim, i);
+	f->sim.options.record_max_bytes = SHORT_RECORD_BYTES;
+	f->sim.log.record_max_bytes = SHORT_RECORD_BYTES;
+	for (uint32_t i = 0; i < f->sim.options.nodes; i++)
+		cell_sim_node_start(&f->sim, i);
+	cell_load_run(&f->sim, 20 * S);
+	g_assert_cmpint(large->state, ==, RJ_CELL_JOB_COMPLETED);
+	g_assert_cmpuint(large->starts, ==, 800);
+	cell_sim_check_final(&f->sim);
+}
+
+/* Jobs whose tasks would never fit a record are rejected at once: a step that
+ * is too wide, and too many occurrences that never complete. */
+static void test_a_job_that_never_fits_is_rejected(struct cell_fixture *f,
+						   const void *data)
+{
+	struct rj_cell_step wide = cell_sim_plain_step(400, 1, 1000);
+	struct rj_cell_step perpetual = cell_sim_plain_step(10, 0, 1000);
+	struct cell_client_job *jobs[2];
+
+	perpetual.perpetual = true;
+	jobs[0] = cell_sim_job_new(&f->sim, "bulk", "b", &wide, 1, S);
+	jobs[1] = cell_sim_job_new(&f->sim, "bulk", "b", &perpetual, 1, S);
+	jobs[1]->spec->repeats = 100;
+	for (uint32_t i = 0; i < G_N_ELEMENTS(jobs); i++)
+		cell_sim_submit(&f->sim, 0, jobs[i]);
+	cell_load_run(&f->sim, 4 * S);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(jobs); i++) {
+		g_assert_false(jobs[i]->accepted);
+		g_assert_cmpuint(jobs[i]->starts, ==, 0);
+	}
+}
+
+/* Creates a job with one step, its first occurrence, and an intent of each task
+ * on a worker of its own. */
+static struct rj_cell_job *new_intended_job(void *mem,
+					    struct rj_cell_fleet *fleet,
+					    const struct rj_cell_step *step)
+{
+	struct rj_cell_job_spec *spec =
+		talloc_zero(mem, struct rj_cell_job_spec);
+	struct rj_cell_occurrence *occurrence;
+	struct rj_cell_job *job;
+
+	spec->steps = talloc_memdup(spec, step, sizeof(*step));
+	spec->step_count = 1;
+	spec->task_count = step->task_count;
+	job = rj_cell_job_new(mem, spec);
+	occurrence = rj_cell_job_begin_occurrence(job, 0);
+	for (uint32_t i = 0; i < spec->task_count; i++) {
+		char *id = talloc_asprintf(spec, "worker-%u", i);
+
+		occurrence->tasks[i].run = 1;
+		(void)rj_cell_run_new(rj_cell_fleet_obtain(fleet, id),
+				      &occurrence->tasks[i], 1);
+	}
+	return job;
+}
+
+static void count_run(struct rj_cell_run *run, void *private_data)
+{
+	(*(uint32_t *)private_data)++;
+}
+
+static uint32_t run_count(const struct rj_cell_job *job)
+{
+	uint32_t count = 0;
+
+	rj_cell_job_each_run(job, count_run, &count);
+	return count;
+}
+
+/* A record is too long with the checkpoints of its tasks, and without them with
+ * all intents: checkpoints are left out, then intents are withdrawn, of a gang
+ * all or none. */
+static void test_a_long_record_is_trimmed(void)
+{
+	struct rj_cell_step step = cell_sim_plain_step(100, 1, 1000);
+	struct rj_cell_fleet fleet;
+	struct rj_cell_cordons cordons;
+	struct rj_cell_job *job;
+	struct rj_bytes value;
+	void *mem = talloc_new(NULL);
+
+	rj_cell_cordons_init(&cordons);
+	rj_cell_fleet_init(&fleet, mem, &cordons);
+	job = new_intended_job(mem, &fleet, &step);
+	for (uint32_t i = 0; i < 100; i++)
+		g_strlcpy(RJ_CONTAINER(job->occurrences.next,
+				       struct rj_cell_occurrence, link)
+				  ->tasks[i]
+				  .checkpoint,
+			  "0123456789abcdef", RJ_CELL_CHECKPOINT_BYTES);
+	value = rj_cell_progress_encode_within(mem, job, SHORT_RECORD_BYTES, S);
+	g_assert_cmpuint(value.length, >, 3000);
+	value = rj_cell_progress_encode_within(mem, job, 3000, S);
+	g_assert_cmpuint(value.length, <, 3000);
+	g_assert_cmpuint(run_count(job), ==, 100);
+	g_assert_cmpuint(job->start_due_us, ==, 0);
+	value = rj_cell_progress_encode_within(mem, job, 1500, S);
+	g_assert_cmpuint(value.length, <, 1500);
+	g_assert_cmpuint(run_count(job), >, 25);
+	g_assert_cmpuint(run_count(job), <, 100);
+	g_assert_cmpuint(job->start_due_us, >, S);
+	step.gang = true;
+	job = new_intended_job(mem, &fleet, &step);
+	value = rj_cell_progress_encode_within(mem, job, 1500, S);
+	g_assert_cmpuint(value.length, <, 1500);
+	g_assert_cmpuint(run_count(job), ==, 0);
+	talloc_free(job);
+	rj_cell_fleet_finish(&fleet);
+	rj_cell_cordons_finish(&cordons);
+	talloc_free(mem);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -128,5 +317,13 @@
 		  test_unstorable_ends_are_not_acknowledged);
 	CELL_TEST("/cell/store_limits/rejected_submission", &small,
 		  test_a_rejected_submission_spares_others);
+	CELL_TEST("/cell/store_limits/occurrences", &short_records,
+		  test_more_occurrences_than_a_record_holds);
+	CELL_TEST("/cell/store_limits/takeover", &small,
+		  test_a_full_record_is_taken_over);
+	CELL_TEST("/cell/store_limits/never_fits", &short_records,
+		  test_a_job_that_never_fits_is_rejected);
+	g_test_add_func("/cell/store_limits/trimmed",
+			test_a_long_record_is_trimmed);
 	return g_test_run();
 }
