cell_polls: a full list of completions is not taken for the whole

Cause: a worker lists 500 completions in an answer, the rest once these are acknowledged. The owner took runs that an answer lists neither as running nor as completed for lost. After a takeover the same list decided which starts are sent again. Excluded: leases that lapse during the partition (no run ends before the first answer).

Change: the adapter tells that an answer has as many completions as fit; nothing is taken for lost then, and the next answer follows once they are stored.

--- a/src/libradishjunction/cell/cell_polls.c
+++ b/src/libradishjunction/cell/cell_polls.c
@@ -135,7 +135,10 @@
 }
 
 /*
- * Ends the runs that the worker should list and does not.
+ * Ends the runs that the worker should list and does not. It lists neither runs
+ * that have ended nor, while it has more completions than an answer holds, all
+ * of these: then none is taken for lost. Acknowledged completions make room for
+ * the others.
  *
  * A run whose start order has not been answered must not be taken for lost, so
  * a list counts only if it was requested after the answer. Adopted runs are
@@ -149,6 +152,8 @@
 	struct rj_list *at;
 	struct rj_list *next;
 
+	if (reply->more_completions)
+		return;
 	RJ_FOR_EACH (at, next, &worker->runs) {
 		struct rj_cell_run *run =
 			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
--- a/src/libradishjunction/include/private/cell_workers.h
+++ b/src/libradishjunction/include/private/cell_workers.h
@@ -70,8 +70,10 @@
 	uint64_t incarnation; /* polls: of the worker */
 	const struct rj_cell_run_report *rows;
 	uint32_t row_count;
+	/* Completions that were not acknowledged, the first ones first. */
 	const struct rj_cell_completion_report *completions;
 	uint32_t completion_count;
+	bool more_completions; /* the worker may have further ones */
 };
 
 /* Completion callback of an operation. */
--- a/src/standin_users/worker.c
+++ b/src/standin_users/worker.c
@@ -12,6 +12,8 @@
 #define CONNECTIONS_MAX 64
 #define LEASE_MAX_MS 6000
 #define RACK_WORKERS 4
+/* Completions that an answer lists. */
+#define COMPLETIONS_MAX 500
 /* A stalled run reports at most this progress. */
 #define STALLED_PERCENT_MAX 60
 
@@ -62,6 +64,17 @@
 	send_answer(exchange, 409, json_pack("{s:s}", "Reason", reason));
 }
 
+/* Returns the first completions, as many as an answer holds. */
+static json_t *first_completions(const struct standin_worker *worker)
+{
+	json_t *rows = json_array();
+
+	for (size_t i = 0;
+	     i < MIN(json_array_size(worker->finished), COMPLETIONS_MAX); i++)
+		json_array_append(rows, json_array_get(worker->finished, i));
+	return rows;
+}
+
 /* Answers a poll with the lists of runs and completions. */
 static void answer_poll(struct standin_worker *worker,
 			struct rj_http_exchange *exchange)
@@ -88,9 +101,9 @@
 					CLAMP(percent, 0, percent_max), 0));
 	}
 	send_answer(exchange, 200,
-		    json_pack("{s:I,s:o,s:O}", "born",
+		    json_pack("{s:I,s:o,s:o}", "born",
 			      (json_int_t)worker->incarnation, "Running", rows,
-			      "Finished", worker->finished));
+			      "Finished", first_completions(worker)));
 }
 
 /* Drops a waiting poll whose client has disconnected. */
--- a/src/test_libradishjunction/support/cell_fake_orders.c
+++ b/src/test_libradishjunction/support/cell_fake_orders.c
@@ -9,6 +9,8 @@
 
 #define LATENCY_US (3 * MS)
 #define TIMEOUT_US (700 * MS)
+/* Completions in an answer. */
+#define COMPLETIONS_MAX 500
 /* Delay of an order that is executed late. */
 #define DELAY_MIN_MS 2000
 #define DELAY_SPREAD_MS 6000
@@ -119,11 +121,11 @@
 static void list_completions(struct order *order)
 {
 	struct cell_fake_worker *worker = order->worker;
-	struct rj_cell_completion_report *completions =
-		talloc_zero_array(order, struct rj_cell_completion_report,
-				  worker->completions->len);
+	guint count = MIN(worker->completions->len, COMPLETIONS_MAX);
+	struct rj_cell_completion_report *completions = talloc_zero_array(
+		order, struct rj_cell_completion_report, count);
 
-	for (guint i = 0; i < worker->completions->len; i++) {
+	for (guint i = 0; i < count; i++) {
 		struct cell_fake_completion *completion = &g_array_index(
 			worker->completions, struct cell_fake_completion, i);
 
@@ -135,7 +137,8 @@
 			talloc_strdup(order, completion->checkpoint);
 	}
 	order->reply.completions = completions;
-	order->reply.completion_count = worker->completions->len;
+	order->reply.completion_count = count;
+	order->reply.more_completions = count == COMPLETIONS_MAX;
 }
 
 /* Answers a poll with runs and completions. */
--- a/src/test_libradishjunction/test_platform_wire.c
+++ b/src/test_libradishjunction/test_platform_wire.c
@@ -320,6 +320,31 @@
 	talloc_free(mem);
 }
 
+/* An answer with as many completions as a worker lists at once may not have all
+ * of them; a shorter one has. */
+static void test_a_full_list_of_completions(void)
+{
+	for (uint32_t count = 499; count <= 500; count++) {
+		GString *body = g_string_new("{\"ClockMs\":1,\"born\":17,"
+					     "\"Running\":[],\"Finished\":[");
+		struct rj_cell_order_reply reply = { 0 };
+		char reason[RJ_NAME_BYTES];
+		void *mem = talloc_new(NULL);
+
+		for (uint32_t i = 1; i <= count; i++)
+			g_string_append_printf(
+				body, "%s[%u,\"a.0.0.%u\",1,\"done\",\"\"]",
+				i > 1 ? "," : "", i, i);
+		g_string_append(body, "]}");
+		g_assert_false(platform_wire_decode_order_reply(
+			mem, body->str, body->len, &reply, reason));
+		g_assert_cmpuint(reply.completion_count, ==, count);
+		g_assert_cmpint(reply.more_completions, ==, count == 500);
+		g_string_free(body, TRUE);
+		talloc_free(mem);
+	}
+}
+
 /* A request to the policy service, and its valid and invalid answers. */
 static void test_advice(void)
 {
@@ -364,6 +389,8 @@
 	g_test_add_func("/platform_wire/records", test_records_round_trip);
 	g_test_add_func("/platform_wire/newest", test_newest_records);
 	g_test_add_func("/platform_wire/lists", test_worker_lists);
+	g_test_add_func("/platform_wire/full_list",
+			test_a_full_list_of_completions);
 	g_test_add_func("/platform_wire/advice", test_advice);
 	return g_test_run();
 }
