http_server: an error message may end within a character

Cause: the JSON library quotes the text near the fault, cut within a character; an error answer with it cannot be encoded, and rj_http_exchange_error asserts that it can.

Change: the message is made valid UTF-8 first. Test: http_server/error fails before (assertion).

--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -2,6 +2,7 @@
 
 #include <assert.h>
 #include <errno.h>
+#include <glib.h>
 #include <jansson.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -316,13 +317,17 @@
 void rj_http_exchange_error(struct rj_http_exchange *request,
 			    unsigned int status, const char *message)
 {
-	json_t *object = json_pack("{s:s}", "error", message);
+	/* A message may quote a part of the request that ends within a
+	 * character, which JSON cannot hold. */
+	char *valid = g_utf8_make_valid(message, -1);
+	json_t *object = json_pack("{s:s}", "error", valid);
 	char *text = json_dumps(object, JSON_COMPACT);
 
 	assert(text);
 	rj_http_exchange_answer(request, status, text, strlen(text));
 	free(text);
 	json_decref(object);
+	g_free(valid);
 }
 
 /*
--- a/src/test_libradishjunction/test_http_server.c
+++ b/src/test_libradishjunction/test_http_server.c
@@ -1,5 +1,6 @@
 /* Tests how a server that is about to stop ends its connections. */
 #include <glib.h>
+#include <jansson.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -13,6 +14,7 @@
 	struct rj_http_client client;
 	struct rj_http_exchange *request; /* waits for its answer */
 	uint32_t answered;
+	char body[256]; /* of the last answer */
 };
 
 /* Stores the request; the test answers it. */
@@ -55,6 +57,9 @@
 	struct fixture *f = *(struct fixture **)private_data;
 
 	g_assert_cmpint(result->outcome, ==, RJ_HTTP_ANSWERED);
+	g_assert_cmpuint(result->length, <, sizeof(f->body));
+	memcpy(f->body, result->body, result->length);
+	f->body[result->length] = 0;
 	f->answered++;
 }
 
@@ -68,7 +73,7 @@
 					.body = "{}",
 					.length = 2,
 					.timeout_us = 60 * RJ_US_PER_S,
-					.response_max_bytes = 64,
+					.response_max_bytes = 256,
 					.done = done,
 					.private_data = self };
 
@@ -111,6 +116,22 @@
 	g_assert_cmpuint(f->server.requests, ==, 0);
 }
 
+/* An error message that quotes half of a character does not end the server; the
+ * client gets JSON. */
+static void test_an_error_quotes_half_a_character(struct fixture *f,
+						  gconstpointer data)
+{
+	json_t *answer;
+
+	send_one(f);
+	rj_http_exchange_error(f->request, MHD_HTTP_BAD_REQUEST,
+			       "body: invalid escape near '\"a\\\xc3'");
+	RUN_UNTIL(f->ev, f->answered == 1);
+	answer = json_loads(f->body, 0, NULL);
+	g_assert_true(json_is_string(json_object_get(answer, "error")));
+	json_decref(answer);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -118,5 +139,7 @@
 		   test_answers_are_sent_before_the_end, tear_down);
 	g_test_add("/http_server/elsewhere", struct fixture, NULL, set_up,
 		   test_draining_server_closes_connections, tear_down);
+	g_test_add("/http_server/error", struct fixture, NULL, set_up,
+		   test_an_error_quotes_half_a_character, tear_down);
 	return g_test_run();
 }
