--- a/src/test_libradishjunction/test_platform_calls.c
+++ b/src/test_libradishjunction/test_platform_calls.c
@@ -20,6 +20,7 @@
 	struct rj_http_server server;
 	struct script script;
 	char path[512]; /* of the last request, with its main arguments */
+	char after[64]; /* its argument of this name */
 	char target[64]; /* its Target-Instance header */
 	char body[512];
 	struct platform_store store;
@@ -36,12 +37,14 @@
 	const char *topic = rj_http_exchange_argument(exchange, "Topic");
 	const char *epoch = rj_http_exchange_argument(exchange, "epoch");
 	const char *sequence = rj_http_exchange_argument(exchange, "Sequence");
+	const char *after = rj_http_exchange_argument(exchange, "After");
 	const char *target =
 		rj_http_exchange_header(exchange, "Target-Instance");
 
 	(void)g_snprintf(f->path, sizeof(f->path), "%s %s %s %s",
 			 exchange->path, topic ? topic : "-",
 			 epoch ? epoch : "-", sequence ? sequence : "-");
+	g_strlcpy(f->after, after ? after : "", sizeof(f->after));
 	g_strlcpy(f->target, target ? target : "", sizeof(f->target));
 	g_strlcpy(f->body, exchange->body.data, sizeof(f->body));
 	if (!f->script.status)
@@ -198,6 +201,19 @@
 	g_assert_cmpint(read_once(f, 200), ==, RJ_CELL_STORE_MALFORMED);
 }
 
+/* Another writer's key ends a page of newest records: the next page is requested
+ * after the whole key. */
+static void test_page_after_a_foreign_key(struct fixture *f, const void *data)
+{
+	f->script = (struct script){ 404, "" };
+	f->store.store.ops->newest(
+		&f->store.store, RJ_CELL_TOPIC_WORKERS, "a&part=1 %41/é+#",
+		(struct rj_cell_store_done){ store_done, f });
+	wait_done(f);
+	g_assert_cmpstr(f->path, ==, "/-/log-newest keyed.servers - -");
+	g_assert_cmpstr(f->after, ==, "a&part=1 %41/é+#");
+}
+
 /* Orders a start; the worker answers with `status` and `body`. */
 static enum rj_cell_order_status start(struct fixture *f, unsigned int status,
 				       const char *body)
@@ -262,6 +278,7 @@
 	ADD("broken", test_append_connection_lost);
 	ADD("unsent", test_append_not_sent);
 	ADD("read", test_read_answers);
+	ADD("page", test_page_after_a_foreign_key);
 	ADD("worker", test_worker_answers);
 	return g_test_run();
 }
