cell_lease_bounds: an owner without the log grants leases no longer than an outage of it needs

Cause: leases were granted for 10 s without the log, whatever their length. Leases of 10 s so outlived an outage of 20 s, where the longest has 9 s, and a successor waited as long for workers that it did not reach.

Change: 16 s less a lease, between 2 and 10 s: 6 s where leases last 10 s, 10 s as before where they last 6 s. The time is stored with the lease bounds, behind the fields that earlier versions read; without it a successor waits 10 s.

Tests: leases/worker_left fails before; leases/isolated_owner, /outage and /grants hold the other side. The term clock's test checks the same times under the new names.

--- a/src/libradishjunction/cell/cell_lease_bounds.c
+++ b/src/libradishjunction/cell/cell_lease_bounds.c
@@ -6,6 +6,11 @@
 #include "private/pack.h"
 
 #define LEASE_RECORD_FORMAT 1
+/* Sum of the time in which leases are granted without a record and of a lease:
+ * the 9 s for which the log may be unavailable, an interval of renewals, and the
+ * time to renew all leases after it. */
+#define LEASES_OUTLIVE_LOG_US (16 * RJ_US_PER_S)
+#define GRANTS_MIN_US (2 * RJ_US_PER_S)
 /* Minimum time between two records, so that workers that answer together after
  * a takeover share one. It grows with the list, as the time to encode one
  * does: the owner of a large fleet would do little else. */
@@ -33,23 +38,27 @@
 	    (token == clock->token &&
 	     ms < rj_cell_term_clock_ms(clock, token, now_us)))
 		return;
-	if (token != clock->token)
-		clock->leases_until_us = 0;
+	if (token != clock->token) {
+		clock->ended_us = 0;
+		clock->released = false;
+	}
 	clock->token = token;
 	clock->ms = ms;
 	clock->read_us = now_us;
 }
 
 /*
- * Records that the owner of the term grants no lease after `leases_until_us`,
- * as an ownership record with the higher `token` has been read. The earliest
- * such time applies.
+ * Ends the term, as an ownership record with the higher `token` has been read:
+ * the last record of its owner was read at `ended_us`, and released the cell or
+ * did not. The first such record counts.
  */
 void rj_cell_term_clock_end(struct rj_cell_term_clock *clock, uint64_t token,
-			    uint64_t leases_until_us)
+			    uint64_t ended_us, bool released)
 {
-	if (token > clock->token && !clock->leases_until_us)
-		clock->leases_until_us = leases_until_us;
+	if (token <= clock->token || clock->ended_us)
+		return;
+	clock->ended_us = ended_us;
+	clock->released = released;
 }
 
 /*
@@ -64,6 +73,23 @@
 	return clock->ms + (now_us - clock->read_us) / RJ_US_PER_MS;
 }
 
+/*
+ * Returns how long an owner grants leases of `lease_max_ms` after its last
+ * record.
+ *
+ * It does not stop at once, as the log may be unavailable to all instances: its
+ * last leases have to outlive that. It does not go on for longer, as a successor
+ * that does not reach a worker waits for these leases to expire.
+ */
+uint64_t rj_cell_lease_grants_us(uint32_t lease_max_ms)
+{
+	uint64_t lease_us = lease_max_ms * RJ_US_PER_MS;
+
+	return CLAMP(LEASES_OUTLIVE_LOG_US -
+			     MIN(LEASES_OUTLIVE_LOG_US, lease_us),
+		     GRANTS_MIN_US, RJ_CELL_FORMER_GRANTS_US);
+}
+
 /*
  * Decodes the output of rj_cell_lease_bounds_encode into an initialized or
  * zeroed record, whose former contents are freed. Returns 0, or -1 with `err`;
@@ -97,6 +123,10 @@
 		g_hash_table_replace(record->workers, g_strdup(id),
 				     GSIZE_TO_POINTER(ms + 1));
 	}
+	record->grants_ms = RJ_CELL_FORMER_GRANTS_US / RJ_US_PER_MS;
+	if (in.offset < in.length)
+		record->grants_ms =
+			rj_unpack_number(&in, "grants_ms", record->grants_ms);
 	if (rj_unpack_finish(&in, err)) {
 		rj_cell_lease_record_finish(record);
 		return -1;
@@ -162,9 +192,11 @@
 				uint64_t granted_until_us, uint64_t now_us)
 {
 	const struct rj_list *at;
+	uint64_t grants_us = bounds->grants_us;
 
 	rj_cell_lease_bounds_finish(bounds);
 	rj_cell_lease_bounds_init(bounds);
+	bounds->grants_us = grants_us;
 	bounds->begun_us = now_us;
 	bounds->wanted = true;
 	bounds->unreported_us = granted_until_us;
@@ -361,6 +393,9 @@
 			       term_time_ms(bounds, *(uint64_t *)bound_us));
 		add_bound(bounds->listed, id, *(uint64_t *)bound_us);
 	}
+	/* Earlier versions do not read this. */
+	if (bounds->grants_us)
+		rj_pack_number(&out, bounds->grants_us / RJ_US_PER_MS);
 	return rj_pack_finish(&out, mem);
 }
 
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -229,11 +229,10 @@
 	node->ownership.record = owner;
 	node->ownership.token = record->offset + 1;
 	/* `seen_us` is still of the former owner. */
-	rj_cell_term_clock_end(
-		&node->term_clock, node->ownership.token,
-		owner.leaving ? node->jobs.now_us + RJ_CELL_RELEASED_LEASES_US :
-				node->ownership.seen_us +
-					RJ_CELL_LOG_UNAVAILABLE_MAX_US);
+	rj_cell_term_clock_end(&node->term_clock, node->ownership.token,
+			       owner.leaving ? node->jobs.now_us :
+					       node->ownership.seen_us,
+			       owner.leaving);
 	rj_log_event("owner_seen", RJ_LOG_TEXT("instance", owner.name),
 		     RJ_LOG_NUMBER("token", node->ownership.token),
 		     RJ_LOG_NUMBER("leaving", owner.leaving));
@@ -343,13 +342,15 @@
 				const struct rj_cell_lease_record *record)
 {
 	const struct rj_cell_term_clock *clock = &node->term_clock;
+	uint64_t grants_us = record->known ? record->grants_ms * RJ_US_PER_MS :
+					     RJ_CELL_FORMER_GRANTS_US;
 
 	if (record->known && !strcmp(record->owner, node->options.name))
 		return node->now_us;
-	if (record->known && record->token == clock->token &&
-	    clock->leases_until_us)
-		return clock->leases_until_us;
-	return node->now_us + RJ_CELL_LOG_UNAVAILABLE_MAX_US;
+	if (!record->known || record->token != clock->token || !clock->ended_us)
+		return node->now_us + grants_us;
+	return clock->ended_us +
+	       (clock->released ? RJ_CELL_RELEASED_GRANTS_US : grants_us);
 }
 
 /* Starts a takeover. The log has been read up to the own ownership record. */
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -65,6 +65,7 @@
 	rj_cell_forecast_init(&owner->forecast);
 	rj_cell_handover_init(&owner->handover, owner);
 	rj_cell_lease_bounds_init(&owner->leases);
+	owner->leases.grants_us = rj_cell_lease_grants_us(limits->lease_max_ms);
 	rj_cell_return_order_init(&owner->return_order);
 	owner->ended_jobs = g_ptr_array_new_with_free_func(g_free);
 	rj_cell_writer_init(&owner->writer, mem, store, RJ_CELL_TOPIC_JOBS,
@@ -85,11 +86,10 @@
 bool rj_cell_owner_may_grant(struct rj_cell_owner *owner,
 			     const struct rj_cell_worker *worker)
 {
-	if (owner->now_us >
-	    owner->writer.stored_us + RJ_CELL_LOG_UNAVAILABLE_MAX_US)
+	if (owner->now_us > owner->writer.stored_us + owner->leases.grants_us)
 		return false;
 	if (owner->released_us &&
-	    owner->now_us > owner->released_us + RJ_CELL_RELEASED_LEASES_US)
+	    owner->now_us > owner->released_us + RJ_CELL_RELEASED_GRANTS_US)
 		return false;
 	return rj_cell_lease_bounds_allow(&owner->leases, worker,
 					  owner->now_us);
--- a/src/libradishjunction/include/private/cell_lease_bounds.h
+++ b/src/libradishjunction/include/private/cell_lease_bounds.h
@@ -24,13 +24,23 @@
 
 #include "private/cell_fleet.h"
 
+/* How long owners of earlier versions, which do not record it, grant leases
+ * after their last record. */
+#define RJ_CELL_FORMER_GRANTS_US (10 * RJ_US_PER_S)
+/* How long an owner grants leases after it has released the cell. They outlast a
+ * takeover by a lease; if that takes longer, runs are lost, but none is
+ * doubled. */
+#define RJ_CELL_RELEASED_GRANTS_US (2 * RJ_US_PER_S)
+
 /* The clock of the last term that was published. */
 struct rj_cell_term_clock {
 	uint64_t token; /* of its owner; 0: none was published */
 	uint64_t ms;
 	uint64_t read_us; /* when `ms` was read */
-	/* Its owner grants no lease after this; 0: not known yet. */
-	uint64_t leases_until_us;
+	/* When the last record of its owner was read before that of the next
+	 * one; 0: there is no next one. */
+	uint64_t ended_us;
+	bool released; /* its owner has released the cell */
 };
 
 /* The record of a former owner. */
@@ -44,9 +54,14 @@
 	/* Completions that were not reported are waited for until then. */
 	uint64_t unreported_ms;
 	GHashTable *workers; /* id -> milliseconds, plus one */
+	/* How long its owner grants leases after its last record. */
+	uint64_t grants_ms;
 };
 
 struct rj_cell_lease_bounds {
+	/* Leases are granted until this long after the owner's last record. Set
+	 * once; a successor reads it. */
+	uint64_t grants_us;
 	uint64_t begun_us; /* the term began */
 	bool recorded; /* a record of this term is stored */
 	bool wanted; /* a worker waits for a record without it */
@@ -64,10 +79,12 @@
 void rj_cell_term_clock_read(struct rj_cell_term_clock *clock, uint64_t token,
 			     uint64_t ms, uint64_t now_us);
 void rj_cell_term_clock_end(struct rj_cell_term_clock *clock, uint64_t token,
-			    uint64_t leases_until_us);
+			    uint64_t ended_us, bool released);
 uint64_t rj_cell_term_clock_ms(const struct rj_cell_term_clock *clock,
 			       uint64_t token, uint64_t now_us);
 
+uint64_t rj_cell_lease_grants_us(uint32_t lease_max_ms);
+
 int rj_cell_lease_record_decode(struct rj_bytes bytes,
 				struct rj_cell_lease_record *record,
 				struct rj_error *err);
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -157,19 +157,6 @@
 			struct rj_cell_view *view, struct rj_cell_store *store,
 			struct rj_cell_workers *workers,
 			const struct rj_cell_limits *limits);
-/*
- * How long an owner that cannot write the log keeps renewing leases. It starts
- * nothing meanwhile, and keeps existing runs because the log may be unavailable
- * to all instances. After this the leases expire, so that a successor that
- * cannot reach some workers knows when nothing runs there any more. The
- * platform's log is unavailable for 9 s at most.
- */
-#define RJ_CELL_LOG_UNAVAILABLE_MAX_US (10 * RJ_US_PER_S)
-/* How long an owner grants leases after it has released the cell. They outlast a
- * takeover by a lease; if that takes longer, runs are lost, but none is
- * doubled. */
-#define RJ_CELL_RELEASED_LEASES_US (2 * RJ_US_PER_S)
-
 void rj_cell_owner_begin_takeover(struct rj_cell_owner *owner, uint64_t token,
 				  uint64_t epoch, uint64_t now_us,
 				  uint64_t wall_ms);
--- a/src/test_libradishjunction/test_cell_leases.c
+++ b/src/test_libradishjunction/test_cell_leases.c
@@ -11,6 +11,7 @@
 #include "support/cell_load.h"
 
 #define LEASE_MS 6000
+#define LONG_LEASE_MS 10000
 static const struct cell_sim_options site = {
 	.seed = 1,
 	.nodes = 4,
@@ -21,6 +22,19 @@
 	.lease_max_ms = LEASE_MS,
 };
 
+/* The same with leases of 10 s, which are granted for 6 s without the log. */
+static const struct cell_sim_options long_leases = {
+	.seed = 1,
+	.nodes = 4,
+	.workers = 12,
+	.rack_workers = 4,
+	.capacity = { 64000, 64000, 8 },
+	.guaranteed = 32,
+	.lease_max_ms = LONG_LEASE_MS,
+};
+#define LONG_LEASE_GRANTS_US (6 * S)
+#define LONG_EXPIRY_MAX_US ((LONG_LEASE_MS * 102 / 100 + 1000) * MS)
+
 /* A lease by the slowest clock, and one second to notice and start again. */
 #define EXPIRY_MAX_US ((LEASE_MS * 102 / 100 + 1000) * MS)
 /* Time for a takeover and for the new owner's first polls. */
@@ -90,7 +104,7 @@
 	cell_load_run(&f->sim, TAKEOVER_US);
 	kill_owner(&f->sim);
 	expect_restart(&f->sim, job,
-		       released_us + RJ_CELL_RELEASED_LEASES_US +
+		       released_us + RJ_CELL_RELEASED_GRANTS_US +
 			       EXPIRY_MAX_US);
 }
 
@@ -111,13 +125,100 @@
 	leave_reachable(&f->sim, worker, owner);
 	/* Until just before the stored bound: the first owner's renewals and a
 	 * lease. */
-	cell_load_run(&f->sim, RJ_CELL_LOG_UNAVAILABLE_MAX_US);
+	cell_load_run(&f->sim, RJ_CELL_FORMER_GRANTS_US);
 	f->sim.log.progress_unreachable = false;
 	kill_owner(&f->sim);
 	cell_load_run(&f->sim, 15 * S);
 	g_assert_cmpuint(job->starts, ==, 2);
 }
 
+/* Isolates the owner and a worker with the job's run: they reach each other, but
+ * neither the log nor any other node. Returns the worker. */
+static uint32_t isolate_owner(struct cell_sim *sim)
+{
+	uint32_t worker = cell_sim_busy_worker(sim);
+	int owner = cell_sim_owner(sim);
+
+	leave_reachable(sim, worker, owner);
+	sim->log.modes[owner] = CELL_LOG_UNREACHABLE;
+	return worker;
+}
+
+/* Guards against a task that waits for 20 s for its worker, which left while it
+ * was isolated together with the owner. */
+static void test_worker_leaves_with_an_isolated_owner(struct cell_fixture *f,
+						      const void *data)
+{
+	struct cell_client_job *job = start_job(&f->sim);
+	uint64_t isolated_us = f->sim.now_us;
+	uint32_t worker = isolate_owner(&f->sim);
+
+	cell_load_run(&f->sim, 2 * S);
+	cell_sim_worker_kill(&f->sim, worker);
+	expect_restart(&f->sim, job,
+		       isolated_us + LONG_LEASE_GRANTS_US + LONG_EXPIRY_MAX_US);
+}
+
+/* Guards against a second run of a task beside its first one, under leases that
+ * an isolated owner grants for as long as it may. */
+static void test_isolated_owner_stops_in_time(struct cell_fixture *f,
+					      const void *data)
+{
+	struct cell_client_job *job = start_job(&f->sim);
+	uint64_t isolated_us = f->sim.now_us;
+
+	isolate_owner(&f->sim);
+	expect_restart(&f->sim, job,
+		       isolated_us + LONG_LEASE_GRANTS_US + LONG_EXPIRY_MAX_US);
+	g_assert_cmpuint(f->sim.now_us, >, isolated_us + LONG_LEASE_GRANTS_US);
+}
+
+/* Guards against runs whose leases expire in the longest outage of the log. */
+static void test_leases_outlive_an_outage(struct cell_fixture *f,
+					  const void *data)
+{
+	struct cell_client_job *job = start_job(&f->sim);
+
+	for (uint32_t i = 0; i < f->sim.options.nodes; i++)
+		f->sim.log.modes[i] = CELL_LOG_UNREACHABLE;
+	cell_load_run(&f->sim, 9 * S);
+	for (uint32_t i = 0; i < f->sim.options.nodes; i++)
+		f->sim.log.modes[i] = CELL_LOG_AVAILABLE;
+	cell_load_run(&f->sim, 5 * S);
+	g_assert_cmpuint(job->starts, ==, 1);
+}
+
+/* An owner of an earlier version does not record how long it grants leases, and
+ * does so for longer: its successor waits for that. */
+static void test_grants_of_an_earlier_version(void)
+{
+	struct rj_cell_lease_record record = { 0 };
+	struct rj_packer out;
+	struct rj_error err;
+	struct rj_bytes bytes;
+
+	g_assert_cmpuint(rj_cell_lease_grants_us(6000), ==, 10 * S);
+	g_assert_cmpuint(rj_cell_lease_grants_us(10000), ==, 6 * S);
+	g_assert_cmpuint(rj_cell_lease_grants_us(60000), ==, 2 * S);
+	for (uint32_t recorded = 0; recorded < 2; recorded++) {
+		rj_pack_init(&out);
+		rj_pack_number(&out, 1);
+		rj_pack_number(&out, 5);
+		rj_pack_text(&out, "n0");
+		for (uint32_t i = 0; i < 3; i++)
+			rj_pack_number(&out, 0);
+		if (recorded)
+			rj_pack_number(&out, 6000);
+		bytes = rj_pack_finish(&out, NULL);
+		g_assert_cmpint(
+			rj_cell_lease_record_decode(bytes, &record, &err), ==,
+			0);
+		g_assert_cmpuint(record.grants_ms, ==, recorded ? 6000 : 10000);
+		talloc_free((void *)bytes.data);
+	}
+	rj_cell_lease_record_finish(&record);
+}
+
 /* Guards against leases that expire although each owner reaches the worker. */
 static void test_leases_are_renewed_after_a_takeover(struct cell_fixture *f,
 						     const void *data)
@@ -158,13 +259,15 @@
 	g_assert_cmpuint(rj_cell_term_clock_ms(&clock, 7, 12 * S), ==, 3000);
 	g_assert_cmpuint(rj_cell_term_clock_ms(&clock, 9, 12 * S), ==, 0);
 	/* The first sign of the end applies, and only to this term. */
-	rj_cell_term_clock_end(&clock, 7, 20 * S);
-	g_assert_cmpuint(clock.leases_until_us, ==, 0);
-	rj_cell_term_clock_end(&clock, 8, 21 * S);
-	rj_cell_term_clock_end(&clock, 9, 25 * S);
-	g_assert_cmpuint(clock.leases_until_us, ==, 21 * S);
+	rj_cell_term_clock_end(&clock, 7, 20 * S, false);
+	g_assert_cmpuint(clock.ended_us, ==, 0);
+	rj_cell_term_clock_end(&clock, 8, 21 * S, true);
+	rj_cell_term_clock_end(&clock, 9, 25 * S, false);
+	g_assert_cmpuint(clock.ended_us, ==, 21 * S);
+	g_assert_true(clock.released);
 	rj_cell_term_clock_read(&clock, 9, 0, 26 * S);
-	g_assert_cmpuint(clock.leases_until_us, ==, 0);
+	g_assert_cmpuint(clock.ended_us, ==, 0);
+	g_assert_false(clock.released);
 	rj_cell_term_clock_read(&clock, 7, 90000, 27 * S);
 	g_assert_cmpuint(clock.token, ==, 9);
 }
@@ -385,6 +488,13 @@
 		  test_released_owner_renews_no_leases);
 	CELL_TEST("/leases/unstored_record", &site,
 		  test_leases_wait_for_the_record);
+	CELL_TEST("/leases/worker_left", &long_leases,
+		  test_worker_leaves_with_an_isolated_owner);
+	CELL_TEST("/leases/isolated_owner", &long_leases,
+		  test_isolated_owner_stops_in_time);
+	CELL_TEST("/leases/outage", &long_leases,
+		  test_leases_outlive_an_outage);
+	g_test_add_func("/leases/grants", test_grants_of_an_earlier_version);
 	CELL_TEST("/leases/renewed", &site,
 		  test_leases_are_renewed_after_a_takeover);
 	g_test_add_func("/leases/earlier_version",
--- a/src/test_libradishjunction/test_late_vanished.c
+++ b/src/test_libradishjunction/test_late_vanished.c
@@ -16,7 +16,7 @@
 
 /* No run of a former owner outlasts its renewals and a lease, by the slowest
  * clock; one second for the takeover and the next start. */
-#define RESTART_MAX_US (RJ_CELL_LOG_UNAVAILABLE_MAX_US + 6200 * MS + S)
+#define RESTART_MAX_US (RJ_CELL_FORMER_GRANTS_US + 6200 * MS + S)
 /* The first successor fails after this. */
 #define SECOND_TAKEOVER_US (8 * S)
 
