cell_job_spec: a job keeps the policy of its queue after the queue is removed

Cause: whether the queue has a policy was looked up in the newest configuration, unlike its other terms, which the spec of the job records.

Change: the spec records it, behind what earlier versions read. If a worker rejects a start for its ticket, the policy is asked for that job too, which serves specs of earlier versions.

--- a/src/libradishjunction/cell/cell_frontend.c
+++ b/src/libradishjunction/cell/cell_frontend.c
@@ -417,6 +417,7 @@
 	job_spec->attempts_max = queue->attempts_max;
 	job_spec->stretch_milli = queue->stretch_milli;
 	job_spec->latency_ms = queue->latency_ms;
+	job_spec->advised = queue->advised;
 	job_spec->accepted_ms = request->call->wall_ms;
 }
 
--- a/src/libradishjunction/cell/cell_job_spec.c
+++ b/src/libradishjunction/cell/cell_job_spec.c
@@ -141,6 +141,8 @@
 	rj_pack_number(&out, job_spec->step_count);
 	for (uint32_t i = 0; i < job_spec->step_count; i++)
 		write_step(&out, &job_spec->steps[i]);
+	/* Earlier versions neither write nor read what follows. */
+	rj_pack_bool(&out, job_spec->advised);
 	return rj_pack_finish(&out, mem);
 }
 
@@ -196,6 +198,8 @@
 					    job_spec->step_count);
 	for (uint32_t i = 0; i < job_spec->step_count; i++)
 		read_step(&in, job_spec, &job_spec->steps[i]);
+	if (in.offset < in.length)
+		job_spec->advised = rj_unpack_bool(&in, "advised");
 	if (rj_unpack_finish(&in, err) ||
 	    rj_cell_job_spec_check(job_spec, err)) {
 		talloc_free(job_spec);
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -142,8 +142,10 @@
 		suspend_worker(owner, worker, reply->status);
 		if (reply->status == RJ_CELL_ORDER_UNHEALTHY)
 			rj_cell_worker_evidence_refused(owner, worker);
-		if (reply->status == RJ_CELL_ORDER_TICKET_INVALID)
+		if (reply->status == RJ_CELL_ORDER_TICKET_INVALID) {
 			rj_cell_advice_invalidate(run->task, worker);
+			run->task->occurrence->job->ticket_wanted = true;
+		}
 		if (run->order_tries > 1)
 			rj_cell_completions_stop_run(owner, run, "no_answer");
 		else
--- a/src/libradishjunction/cell/cell_task_groups.c
+++ b/src/libradishjunction/cell/cell_task_groups.c
@@ -308,10 +308,12 @@
 	    may_have_used_all_attempts(plan, occurrence, step))
 		return;
 	/* After a queue has been removed, its jobs use the service in their
-	 * specs. */
+	 * specs, and their steps still have a policy. Earlier versions did not
+	 * record that; a worker tells. */
 	group.service = g_intern_string(queue ? queue->service :
 						job->job_spec->service);
-	group.advised = queue && queue->advised;
+	group.advised = job->job_spec->advised || job->ticket_wanted ||
+			(queue && queue->advised);
 	group.remote_allowed = may_run_remote(plan, &job->job_spec->steps[step],
 					      group.waiting_since_us);
 	group.guaranteed = job->guaranteed;
--- a/src/libradishjunction/include/private/cell_active_job.h
+++ b/src/libradishjunction/include/private/cell_active_job.h
@@ -158,6 +158,7 @@
 	struct rj_list in_unstorable;
 	struct rj_cell_unsaved_ends unsaved_ends;
 	bool started; /* a task has started */
+	bool ticket_wanted; /* a worker rejected a start for its ticket */
 	/* Within its account's guarantee, according to the plan. */
 	bool guaranteed;
 	struct rj_cell_allocation allocated; /* by its runs */
--- a/src/libradishjunction/include/private/cell_job_spec.h
+++ b/src/libradishjunction/include/private/cell_job_spec.h
@@ -63,6 +63,8 @@
 	uint64_t first_run_ms; /* Unix time; 0: at once */
 	uint64_t interval_ms;
 	uint32_t repeats; /* occurrences; 0: runs once, at once */
+	/* The queue had a policy when it accepted the job. */
+	bool advised;
 	struct rj_cell_step *steps;
 	uint32_t step_count;
 	uint32_t task_count; /* of all steps */
--- a/src/test_libradishjunction/test_cell_advice.c
+++ b/src/test_libradishjunction/test_cell_advice.c
@@ -92,6 +92,80 @@
 	g_assert_cmpint(job->state, ==, RJ_CELL_JOB_COMPLETED);
 }
 
+/* Removes the advised queue from the configuration of all nodes. */
+static void remove_queue(struct cell_sim *sim)
+{
+	for (uint32_t i = 0; i < sim->options.nodes; i++) {
+		struct rj_cell_config *config = sim->nodes[i].node.config;
+
+		for (uint32_t j = 0; j < config->queue_count; j++)
+			if (config->queues[j].advised)
+				g_strlcpy(config->queues[j].name, "removed",
+					  RJ_NAME_BYTES);
+	}
+}
+
+/* Submits a job of two steps, and removes its queue while the first one runs;
+ * `recorded` is false if an earlier version has accepted it. */
+static void check_removed_queue(struct cell_fixture *f, bool recorded)
+{
+	uint32_t first = 0;
+	struct rj_cell_step steps[2] = { cell_sim_plain_step(2, 2, 1000),
+					 cell_sim_plain_step(2, 2, 1000) };
+	const struct rj_cell_node *owner =
+		&f->sim.nodes[cell_sim_owner(&f->sim)].node;
+	struct cell_client_job *job;
+
+	steps[1].after = &first;
+	steps[1].after_count = 1;
+	job = cell_sim_job_new(&f->sim, "advised", "a", steps, 2, 2 * S);
+	cell_sim_submit(&f->sim, 0, job);
+	run_with_queries(f, job, 1);
+	g_assert_cmpuint(job->starts, ==, 2);
+	if (!recorded)
+		rj_cell_view_find(&owner->view, job->id)->job_spec->advised =
+			false;
+	remove_queue(&f->sim);
+	run_with_queries(f, job, 10);
+	g_assert_cmpint(job->state, ==, RJ_CELL_JOB_COMPLETED);
+	if (recorded)
+		g_assert_cmpuint(f->sim.refused_starts, ==, 0);
+}
+
+/* Guards against an accepted job that stands still once its queue is removed:
+ * its starts would carry no ticket. */
+static void test_removed_queue(struct cell_fixture *f, const void *data)
+{
+	check_removed_queue(f, true);
+}
+
+/* The same for a job that an earlier version has accepted. */
+static void test_removed_queue_of_an_earlier_version(struct cell_fixture *f,
+						     const void *data)
+{
+	check_removed_queue(f, false);
+}
+
+/* Earlier versions write no flag at the end of a spec. */
+static void test_spec_of_an_earlier_version(struct cell_fixture *f,
+					    const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(2, 2, 1000);
+	struct cell_client_job *job =
+		cell_sim_job_new(&f->sim, "advised", "a", &step, 1, S);
+	struct rj_cell_job_spec *decoded;
+	struct rj_bytes bytes;
+	struct rj_error err;
+
+	job->spec->advised = true;
+	bytes = rj_cell_job_spec_encode(f->sim.mem, job->spec);
+	decoded = rj_cell_job_spec_decode(f->sim.mem, bytes, &err);
+	g_assert_true(decoded && decoded->advised);
+	bytes.length--;
+	decoded = rj_cell_job_spec_decode(f->sim.mem, bytes, &err);
+	g_assert_true(decoded && !decoded->advised);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -99,5 +173,10 @@
 		  test_gang_runs_on_allowed_workers);
 	CELL_TEST("/cell_advice/renewed", &site, test_tickets_are_renewed);
 	CELL_TEST("/cell_advice/silent", &site, test_unreachable_advisor);
+	CELL_TEST("/cell_advice/removed", &site, test_removed_queue);
+	CELL_TEST("/cell_advice/removed_earlier", &site,
+		  test_removed_queue_of_an_earlier_version);
+	CELL_TEST("/cell_advice/earlier_spec", &site,
+		  test_spec_of_an_earlier_version);
 	return g_test_run();
 }
