cell_fleet: no start on a worker whose entry is of a former incarnation

Cause: a restart is seen by an answer of the worker and by its entry in the workers' log. Where the answer came first, the owner used the kind, rack and capacity of the former entry until it had read the new one.

Change: a worker is schedulable only if its entry is of the incarnation that answered last.

--- a/src/libradishjunction/cell/cell_fleet.c
+++ b/src/libradishjunction/cell/cell_fleet.c
@@ -454,13 +454,24 @@
 }
 
 /*
- * Whether tasks may still start on a worker: it is listed, not draining, and
- * its failure domain is not cordoned.
+ * Whether a worker's entry is of the incarnation that has answered last. After a
+ * restart of the worker its kind, rack and capacity may be others, and its answer
+ * may be read before its new entry.
+ */
+static bool has_current_entry(const struct rj_cell_worker *worker)
+{
+	return !worker->incarnation || !worker->heartbeat.incarnation ||
+	       worker->incarnation == worker->heartbeat.incarnation;
+}
+
+/*
+ * Whether tasks may still start on a worker: its present incarnation is listed
+ * and not draining, and its failure domain is not cordoned.
  */
 bool rj_cell_worker_schedulable(const struct rj_cell_worker *worker)
 {
 	return worker->listed && !worker->heartbeat.draining &&
-	       !rj_cell_worker_cordoned(worker);
+	       has_current_entry(worker) && !rj_cell_worker_cordoned(worker);
 }
 
 /*
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -251,9 +251,12 @@
  */
 static void cancel_start(struct rj_cell_owner *owner, struct rj_cell_run *run)
 {
-	const char *reason = rj_cell_worker_cordoned(run->worker) ?
-				     "cordoned" :
-				     "worker_leaves";
+	const char *reason = "worker_restarted";
+
+	if (rj_cell_worker_cordoned(run->worker))
+		reason = "cordoned";
+	else if (!run->worker->listed || run->worker->heartbeat.draining)
+		reason = "worker_leaves";
 
 	if (run->order_tries) {
 		rj_cell_completions_stop_run(owner, run, reason);
--- a/src/test_libradishjunction/test_cell_reach.c
+++ b/src/test_libradishjunction/test_cell_reach.c
@@ -8,6 +8,7 @@
 #include "private/cell_reachability.h"
 #include "support/cell_fake.h"
 #include "support/cell_fixture.h"
+#include "support/cell_load.h"
 
 /* Bound for the takeover from a killed owner. */
 #define TAKEOVER_MAX_US (1350 * MS)
@@ -562,6 +563,37 @@
 	g_assert_cmpuint(job->starts, ==, 200);
 }
 
+/* Guards against a task that needs a kind of worker and starts on one of another
+ * kind: the workers have restarted as that kind, and answer before the owner has
+ * read their new entries. */
+static void test_workers_restart_as_another_kind(struct cell_fixture *f,
+						 const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(4, 1, 1000);
+	struct cell_client_job *job;
+
+	g_strlcpy(step.label, "a", sizeof(step.label));
+	for (uint32_t i = 0; i < f->sim.options.workers; i++) {
+		cell_sim_worker_kill(&f->sim, i);
+		g_strlcpy(f->sim.workers[i].reported.kind, "b", RJ_NAME_BYTES);
+	}
+	job = submit_job(&f->sim, 0, &step);
+	cell_sim_run(&f->sim, 3 * S);
+	f->sim.log.reads_unreachable[RJ_CELL_TOPIC_WORKERS] = true;
+	for (uint32_t i = 0; i < f->sim.options.workers; i++)
+		cell_sim_worker_start(&f->sim, i);
+	cell_sim_run(&f->sim, 1300 * MS);
+	f->sim.log.reads_unreachable[RJ_CELL_TOPIC_WORKERS] = false;
+	cell_sim_run(&f->sim, 4 * S);
+	g_assert_true(job->accepted);
+	g_assert_cmpuint(job->starts, ==, 0);
+	cell_sim_worker_kill(&f->sim, 0);
+	g_strlcpy(f->sim.workers[0].reported.kind, "a", RJ_NAME_BYTES);
+	cell_sim_worker_start(&f->sim, 0);
+	cell_load_run(&f->sim, 6 * S);
+	g_assert_cmpint(job->state, ==, RJ_CELL_JOB_COMPLETED);
+}
+
 #define ADD(name, function) CELL_TEST("/cell_reach/" name, &site, function)
 
 int main(int argc, char **argv)
@@ -589,5 +621,6 @@
 	ADD("progress_fenced", test_a_former_owner_stores_no_progress);
 	ADD("busy_log", test_takeover_of_a_busy_log);
 	g_test_add_func("/cell_reach/come_back", test_retry_after);
+	ADD("kind", test_workers_restart_as_another_kind);
 	return g_test_run();
 }
