cell_admit: the pending jobs of all queues are published

Cause: the heartbeat's table of queue loads has 32 rows, and a queue that is not in it counts as empty.

Change: further queues with pending jobs follow in blocks that earlier versions skip, up to half a record of the log, and are kept through a takeover. An account admission without a decision, which a 33rd queue may have, is left out.

Test: cell_path/pending_of_many_queues (300 queues, a takeover) fails before: 0 where 3 are pending.

--- a/src/libradishjunction/cell/cell_admit.c
+++ b/src/libradishjunction/cell/cell_admit.c
@@ -20,6 +20,12 @@
 /* Short, as a cordon may be lifted at any time. */
 #define CORDONED_RETRY_AFTER_MS 3000
 
+/* Maximum length of the pending jobs of queues that the table of loads does not
+ * hold, also half of the log's limit of a record, and of one row besides its
+ * name. */
+#define FURTHER_PENDING_BYTES_MAX (128 * 1024)
+#define PENDING_ROW_BYTES 8
+
 /* Resources, or resources multiplied by milliseconds. */
 struct load {
 	double cpu_milli;
@@ -192,7 +198,8 @@
 					      queue->name);
 	uint32_t index = heartbeat->queue_load_count;
 
-	if (!owner->limits.features.account_shares || !decision->rejects)
+	if (!owner->limits.features.account_shares || !decision ||
+	    !decision->rejects)
 		return;
 	rj_cell_account_admission_add_queue(owner, queue->priority,
 					    decision->wait_ms,
@@ -271,10 +278,29 @@
 	return counts;
 }
 
+/* Adds the pending jobs of a queue for which the heartbeat's table of loads has
+ * no row left, as far as the record has room. */
+static void add_further_pending(const struct rj_cell_owner *owner,
+				const char *queue, uint32_t pending,
+				struct rj_cell_owner_heartbeat *heartbeat,
+				size_t *bytes)
+{
+	size_t max_bytes = owner->limits.record_max_bytes ?
+				   owner->limits.record_max_bytes / 2 :
+				   FURTHER_PENDING_BYTES_MAX;
+
+	if (!pending)
+		return;
+	*bytes += strlen(queue) + PENDING_ROW_BYTES;
+	if (*bytes <= MIN(max_bytes, FURTHER_PENDING_BYTES_MAX))
+		rj_cell_owner_heartbeat_set_pending(heartbeat, queue, pending);
+}
+
 /*
  * Fills the heartbeat with the pending jobs, the mean run time and the admission
- * decision of each queue that has pending jobs or tasks with a known run time.
- * A successor takes the run times over.
+ * decision of each queue that has pending jobs or tasks with a known run time;
+ * of those that the table of loads cannot hold, with the pending jobs only. A
+ * successor takes the run times over.
  */
 void rj_cell_admit_queues(struct rj_cell_owner *owner,
 			  struct rj_cell_owner_heartbeat *heartbeat)
@@ -282,24 +308,28 @@
 	const struct rj_cell_config *config = owner->config;
 	GHashTable *pending = count_pending(owner);
 	struct rj_cell_service_load work[RJ_CELL_PRIORITY_CLASSES] = { { 0 } };
+	size_t further_bytes = 0;
 
 	if (owner->limits.features.admission_forecast)
 		rj_cell_admission_forecast_sum_work(owner, work);
 	heartbeat->queue_load_count = 0;
 	heartbeat->queues_by_share = 0;
 	heartbeat->refused_account_count = 0;
-	for (uint32_t i = 0;
-	     config && i < config->queue_count &&
-	     heartbeat->queue_load_count < RJ_CELL_QUEUE_LOADS_MAX;
-	     i++) {
+	for (uint32_t i = 0; config && i < config->queue_count; i++) {
 		struct rj_cell_queue_load *queue_load =
 			&heartbeat->queue_loads[heartbeat->queue_load_count];
+		uint32_t count = GPOINTER_TO_UINT(
+			g_hash_table_lookup(pending, config->queues[i].name));
 
+		if (heartbeat->queue_load_count == RJ_CELL_QUEUE_LOADS_MAX) {
+			add_further_pending(owner, config->queues[i].name,
+					    count, heartbeat, &further_bytes);
+			continue;
+		}
 		memset(queue_load, 0, sizeof(*queue_load));
 		queue_load->mean_ms = rj_cell_forecast_mean_ms(
 			&owner->forecast, config->queues[i].name);
-		queue_load->pending = GPOINTER_TO_UINT(
-			g_hash_table_lookup(pending, config->queues[i].name));
+		queue_load->pending = count;
 		if (!queue_load->mean_ms && !queue_load->pending)
 			continue;
 		memcpy(queue_load->queue, config->queues[i].name,
--- a/src/libradishjunction/cell/cell_flush.c
+++ b/src/libradishjunction/cell/cell_flush.c
@@ -299,7 +299,8 @@
 		rj_cell_admit_queues(owner, &heartbeat);
 		rj_cell_returns_announce(owner, &heartbeat);
 	} else {
-		heartbeat = owner->former_heartbeat;
+		rj_cell_owner_heartbeat_copy(&heartbeat,
+					     &owner->former_heartbeat);
 		heartbeat.incarnation = owner->incarnation;
 		heartbeat.number = owner->heartbeat_number - 1;
 	}
@@ -308,6 +309,7 @@
 	add_record(owner, &owner->writer, RJ_CELL_RECORD_HEARTBEAT, "", value,
 		   NULL);
 	talloc_free((void *)value.data);
+	rj_cell_owner_heartbeat_finish(&heartbeat);
 	owner->heartbeat_due_us = owner->now_us + HEARTBEAT_INTERVAL_US;
 }
 
--- a/src/libradishjunction/cell/cell_frontend.c
+++ b/src/libradishjunction/cell/cell_frontend.c
@@ -590,13 +590,12 @@
 static void query_queue(struct request *request,
 			const struct rj_cell_queue *queue)
 {
-	const struct rj_cell_queue_load *load =
-		find_queue_load(request->frontend, queue);
-	const struct rj_cell_answer reply = { .verdict =
-						      RJ_CELL_VERDICT_PENDING,
-					      .pending =
-						      load ? load->pending : 0,
-					      .reason = "counted" };
+	const struct rj_cell_answer reply = {
+		.verdict = RJ_CELL_VERDICT_PENDING,
+		.pending = rj_cell_owner_heartbeat_pending(
+			&request->frontend->heartbeat, queue->name),
+		.reason = "counted"
+	};
 
 	answer(request, &reply);
 }
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -250,6 +250,7 @@
 			     RJ_LOG_TEXT("error", err.message));
 		return;
 	}
+	rj_cell_owner_heartbeat_finish(&node->frontend.heartbeat);
 	node->frontend.heartbeat = heartbeat;
 	node->frontend.heartbeat_us = node->jobs.now_us;
 	rj_cell_term_clock_read(&node->term_clock, heartbeat.term_token,
@@ -363,7 +364,9 @@
 			&node->owner.forecast,
 			node->frontend.heartbeat.queue_loads[i].queue,
 			node->frontend.heartbeat.queue_loads[i].mean_ms);
-	node->owner.former_heartbeat = node->frontend.heartbeat;
+	rj_cell_owner_heartbeat_finish(&node->owner.former_heartbeat);
+	rj_cell_owner_heartbeat_copy(&node->owner.former_heartbeat,
+				     &node->frontend.heartbeat);
 	rj_cell_takeover_begin(&node->takeover, node->ownership.token,
 			       node->ownership.record.epoch, node->now_us,
 			       node->wall_ms);
@@ -578,6 +581,8 @@
 	rj_cell_frontend_finish(&node->frontend);
 	rj_cell_takeover_stop(&node->takeover);
 	rj_cell_owner_finish(&node->owner);
+	rj_cell_owner_heartbeat_finish(&node->owner.former_heartbeat);
+	rj_cell_owner_heartbeat_finish(&node->frontend.heartbeat);
 	rj_cell_writer_close(&node->writer);
 	rj_cell_log_reader_stop(&node->jobs);
 	rj_cell_log_reader_stop(&node->requests);
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -18,7 +18,11 @@
  * that it does not know. */
 #define HEARTBEAT_TAG_RETURN_ORDER 1
 #define HEARTBEAT_TAG_REFUSED_ACCOUNTS 2
+/* May occur several times. */
+#define HEARTBEAT_TAG_FURTHER_PENDING 3
 #define HEARTBEAT_BLOCK_BYTES_MAX 65536
+/* Queues in one block of pending jobs. */
+#define HEARTBEAT_PENDING_ROWS_MAX 256
 
 /* First character of a key. */
 static const char key_prefix[RJ_CELL_RECORD_KIND_COUNT] = {
@@ -601,6 +605,68 @@
 	heartbeat->refused_account_count = 0;
 }
 
+/* Adds a block to a heartbeat. */
+static void write_pending_block(struct rj_packer *out, void *mem,
+				struct rj_packer *block)
+{
+	struct rj_bytes value = rj_pack_finish(block, mem);
+
+	rj_pack_number(out, HEARTBEAT_TAG_FURTHER_PENDING);
+	rj_pack_data(out, value.data, value.length);
+	talloc_free((void *)value.data);
+}
+
+/* Encodes the pending jobs of further queues, in blocks that earlier versions
+ * can skip. */
+static void
+write_further_pending(struct rj_packer *out, void *mem,
+		      const struct rj_cell_owner_heartbeat *heartbeat)
+{
+	struct rj_packer block;
+	GHashTableIter each;
+	gpointer queue;
+	gpointer pending;
+	uint32_t rows = 0;
+
+	if (!heartbeat->further_pending)
+		return;
+	g_hash_table_iter_init(&each, heartbeat->further_pending);
+	while (g_hash_table_iter_next(&each, &queue, &pending)) {
+		if (!rows)
+			rj_pack_init(&block);
+		rj_pack_text(&block, queue);
+		rj_pack_number(&block, GPOINTER_TO_UINT(pending));
+		rows = (rows + 1) % HEARTBEAT_PENDING_ROWS_MAX;
+		if (!rows)
+			write_pending_block(out, mem, &block);
+	}
+	if (rows)
+		write_pending_block(out, mem, &block);
+}
+
+/* Decodes one block of write_further_pending; its rows up to one that is
+ * malformed count. */
+static void read_further_pending(struct rj_bytes bytes,
+				 struct rj_cell_owner_heartbeat *heartbeat)
+{
+	struct rj_unpacker in;
+	struct rj_error err;
+
+	rj_unpack_init(&in, bytes);
+	while (rj_unpack_has_more(&in)) {
+		char queue[RJ_NAME_BYTES];
+		uint32_t pending;
+
+		rj_unpack_text(&in, "queue", queue, sizeof(queue));
+		pending =
+			(uint32_t)rj_unpack_number(&in, "pending", UINT32_MAX);
+		if (!in.bad_field)
+			rj_cell_owner_heartbeat_set_pending(heartbeat, queue,
+							    pending);
+	}
+	(void)rj_unpack_finish(&in, &err);
+}
+
 /* Decodes the blocks that follow the fixed fields of a heartbeat. */
 static void read_blocks(struct rj_unpacker *in,
 			struct rj_cell_owner_heartbeat *heartbeat)
@@ -614,9 +680,62 @@
 			read_return_order(block, heartbeat);
 		if (tag == HEARTBEAT_TAG_REFUSED_ACCOUNTS && !in->bad_field)
 			read_refused_accounts(block, heartbeat);
+		if (tag == HEARTBEAT_TAG_FURTHER_PENDING && !in->bad_field)
+			read_further_pending(block, heartbeat);
 	}
 }
 
+/*
+ * Copies a heartbeat into an empty one.
+ */
+void rj_cell_owner_heartbeat_copy(struct rj_cell_owner_heartbeat *to,
+				  const struct rj_cell_owner_heartbeat *from)
+{
+	*to = *from;
+	if (to->further_pending)
+		g_hash_table_ref(to->further_pending);
+}
+
+/*
+ * Frees what a heartbeat holds; it is empty then.
+ */
+void rj_cell_owner_heartbeat_finish(struct rj_cell_owner_heartbeat *heartbeat)
+{
+	if (heartbeat->further_pending)
+		g_hash_table_unref(heartbeat->further_pending);
+	memset(heartbeat, 0, sizeof(*heartbeat));
+}
+
+/*
+ * Sets the pending jobs of a queue that is not among the queue loads.
+ */
+void rj_cell_owner_heartbeat_set_pending(
+	struct rj_cell_owner_heartbeat *heartbeat, const char *queue,
+	uint32_t pending)
+{
+	if (!heartbeat->further_pending)
+		heartbeat->further_pending = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, NULL);
+	g_hash_table_replace(heartbeat->further_pending, g_strdup(queue),
+			     GUINT_TO_POINTER(pending));
+}
+
+/*
+ * Returns the number of pending jobs of any queue.
+ */
+uint32_t
+rj_cell_owner_heartbeat_pending(const struct rj_cell_owner_heartbeat *heartbeat,
+				const char *queue)
+{
+	for (uint32_t i = 0; i < heartbeat->queue_load_count; i++)
+		if (!strcmp(heartbeat->queue_loads[i].queue, queue))
+			return heartbeat->queue_loads[i].pending;
+	if (!heartbeat->further_pending)
+		return 0;
+	return GPOINTER_TO_UINT(
+		g_hash_table_lookup(heartbeat->further_pending, queue));
+}
+
 /*
  * Encodes an owner's heartbeat as a talloc child of `mem`.
  */
@@ -646,6 +765,7 @@
 	rj_pack_number(&out, heartbeat->term_ms);
 	write_return_order(&out, mem, heartbeat);
 	write_refused_accounts(&out, mem, heartbeat);
+	write_further_pending(&out, mem, heartbeat);
 	return rj_pack_finish(&out, mem);
 }
 
@@ -688,5 +808,8 @@
 			rj_unpack_number(&in, "term_ms", UINT64_MAX);
 	}
 	read_blocks(&in, heartbeat);
-	return rj_unpack_finish(&in, err);
+	if (!rj_unpack_finish(&in, err))
+		return 0;
+	rj_cell_owner_heartbeat_finish(heartbeat);
+	return -1;
 }
--- a/src/libradishjunction/include/private/cell_record.h
+++ b/src/libradishjunction/include/private/cell_record.h
@@ -82,6 +82,8 @@
 	uint32_t retry_after_ms;
 };
 
+/* What an owner publishes regularly. A zeroed struct is empty; it is copied with
+ * rj_cell_owner_heartbeat_copy and ended with _finish. */
 struct rj_cell_owner_heartbeat {
 	uint64_t incarnation; /* of the owner */
 	uint32_t number; /* rises by one */
@@ -91,6 +93,9 @@
 	uint64_t term_ms;
 	uint32_t queue_load_count;
 	struct rj_cell_queue_load queue_loads[RJ_CELL_QUEUE_LOADS_MAX];
+	/* Pending jobs of queues that are not in `queue_loads`, by name; NULL:
+	 * none. Holds a reference. */
+	GHashTable *further_pending;
 	/* Submissions that are accepted although their queue rejects others,
 	 * the next one first. */
 	uint32_t announced_count;
@@ -136,6 +141,15 @@
 int rj_cell_owner_decode(struct rj_bytes bytes,
 			 struct rj_cell_owner_record *owner,
 			 struct rj_error *err);
+void rj_cell_owner_heartbeat_copy(struct rj_cell_owner_heartbeat *to,
+				  const struct rj_cell_owner_heartbeat *from);
+void rj_cell_owner_heartbeat_finish(struct rj_cell_owner_heartbeat *heartbeat);
+void rj_cell_owner_heartbeat_set_pending(
+	struct rj_cell_owner_heartbeat *heartbeat, const char *queue,
+	uint32_t pending);
+uint32_t
+rj_cell_owner_heartbeat_pending(const struct rj_cell_owner_heartbeat *heartbeat,
+				const char *queue);
 struct rj_bytes
 rj_cell_owner_heartbeat_encode(void *mem,
 			       const struct rj_cell_owner_heartbeat *heartbeat);
--- a/src/test_libradishjunction/support/cell_sim_codec.c
+++ b/src/test_libradishjunction/support/cell_sim_codec.c
@@ -65,6 +65,12 @@
  */
 const char *cell_sim_queue_prefix(const char *queue)
 {
+	static char extra[RJ_NAME_BYTES];
+
+	if (queue[0] == 'q') {
+		(void)g_snprintf(extra, sizeof(extra), "/%s/", queue);
+		return extra;
+	}
 	for (uint32_t i = 0; i < G_N_ELEMENTS(queues); i++)
 		if (!strcmp(queues[i].name, queue))
 			return queues[i].prefix;
@@ -82,6 +88,28 @@
 	return RJ_CELL_PUBLISHED_CORDON;
 }
 
+/* Sets the queue with an index in the configuration; the extra ones are like the
+ * last one of every site, but without a policy. */
+static void set_queue(struct rj_cell_queue *queue, uint32_t index,
+		      uint32_t attempts_max)
+{
+	uint32_t model = MIN(index, G_N_ELEMENTS(queues) - 1);
+
+	g_strlcpy(queue->name, queues[model].name, RJ_NAME_BYTES);
+	if (index >= G_N_ELEMENTS(queues))
+		(void)g_snprintf(queue->name, RJ_NAME_BYTES, "q%u",
+				 index - (uint32_t)G_N_ELEMENTS(queues));
+	g_strlcpy(queue->host, "host", sizeof(queue->host));
+	g_strlcpy(queue->prefix, cell_sim_queue_prefix(queue->name),
+		  sizeof(queue->prefix));
+	g_strlcpy(queue->service, "render", RJ_NAME_BYTES);
+	queue->priority = queues[model].priority;
+	queue->attempts_max = attempts_max;
+	queue->stretch_milli = queues[model].stretch_milli;
+	queue->latency_ms = queues[model].latency_ms;
+	queue->advised = !strcmp(queue->name, "advised");
+}
+
 /* Decodes a configuration, of which only the fields encoded by cell_sim_publish
  * vary. */
 static struct rj_cell_config *decode_config(void *mem, struct rj_bytes text,
@@ -90,6 +118,7 @@
 	struct rj_cell_config *config = talloc_zero(mem, struct rj_cell_config);
 	struct rj_unpacker in;
 	uint32_t attempts_max;
+	uint32_t extra;
 	char api_key[RJ_NAME_BYTES];
 
 	rj_unpack_init(&in, text);
@@ -109,23 +138,12 @@
 			&in, "guaranteed", UINT32_MAX);
 	}
 	attempts_max = (uint32_t)rj_unpack_number(&in, "attempts", UINT32_MAX);
+	extra = (uint32_t)rj_unpack_number(&in, "extra_queues", UINT16_MAX);
+	config->queue_count = G_N_ELEMENTS(queues) + extra;
 	config->queues = talloc_zero_array(config, struct rj_cell_queue,
-					   G_N_ELEMENTS(queues));
-	config->queue_count = G_N_ELEMENTS(queues);
-	for (uint32_t i = 0; i < config->queue_count; i++) {
-		struct rj_cell_queue *queue = &config->queues[i];
-
-		g_strlcpy(queue->name, queues[i].name, RJ_NAME_BYTES);
-		g_strlcpy(queue->host, "host", sizeof(queue->host));
-		g_strlcpy(queue->prefix, queues[i].prefix,
-			  sizeof(queue->prefix));
-		g_strlcpy(queue->service, "render", RJ_NAME_BYTES);
-		queue->priority = queues[i].priority;
-		queue->attempts_max = attempts_max;
-		queue->stretch_milli = queues[i].stretch_milli;
-		queue->latency_ms = queues[i].latency_ms;
-		queue->advised = !strcmp(queue->name, "advised");
-	}
+					   config->queue_count);
+	for (uint32_t i = 0; i < config->queue_count; i++)
+		set_queue(&config->queues[i], i, attempts_max);
 	if (rj_unpack_finish(&in, err))
 		TALLOC_FREE(config);
 	return config;
@@ -154,6 +172,7 @@
 	rj_pack_number(&out, sim->options.guaranteed);
 	rj_pack_number(&out, sim->options.guaranteed);
 	rj_pack_number(&out, sim->options.attempts_max);
+	rj_pack_number(&out, sim->options.extra_queues);
 	text = rj_pack_finish(&out, sim->mem);
 	cell_log_put(sim, RJ_CELL_TOPIC_CONFIG, CONFIG_KEY, text.data,
 		     text.length);
--- a/src/test_libradishjunction/test_cell_path.c
+++ b/src/test_libradishjunction/test_cell_path.c
@@ -17,6 +17,18 @@
 	.guaranteed = 32,
 };
 
+/* The same with more queues than a heartbeat has rows of loads. */
+static const struct cell_sim_options many_queues = {
+	.seed = 1,
+	.nodes = 3,
+	.workers = 12,
+	.rack_workers = 4,
+	.capacity = { 64000, 64000, 8 },
+	.guaranteed = 32,
+	.extra_queues = 300,
+};
+#define PENDING_JOBS 3
+
 /* Advances the time while the clients query each job. */
 static void run_with_queries(struct cell_sim *sim, uint64_t for_us)
 {
@@ -441,13 +453,8 @@
 static uint32_t pending_at(const struct cell_sim *sim, uint32_t node,
 			   const char *queue)
 {
-	const struct rj_cell_owner_heartbeat *heartbeat =
-		&sim->nodes[node].node.frontend.heartbeat;
-
-	for (uint32_t i = 0; i < heartbeat->queue_load_count; i++)
-		if (!strcmp(heartbeat->queue_loads[i].queue, queue))
-			return heartbeat->queue_loads[i].pending;
-	return 0;
+	return rj_cell_owner_heartbeat_pending(
+		&sim->nodes[node].node.frontend.heartbeat, queue);
 }
 
 /* Guards against a successor that reports no pending jobs before it has loaded
@@ -478,6 +485,49 @@
 
 #define ADD(name, function) CELL_TEST("/cell_path/" name, &small, function)
 
+/* Checks the pending jobs of all extra queues at all nodes but one. */
+static void check_pending(const struct cell_sim *sim, uint32_t except)
+{
+	for (uint32_t i = 0; i < sim->options.extra_queues; i++) {
+		char queue[RJ_NAME_BYTES];
+
+		(void)g_snprintf(queue, sizeof(queue), "q%u", i);
+		for (uint32_t node = 0; node < sim->options.nodes; node++)
+			if (node != except)
+				g_assert_cmpuint(pending_at(sim, node, queue),
+						 ==, PENDING_JOBS);
+	}
+}
+
+/* Guards against queues whose pending jobs callers are not told, as there are
+ * more queues than the heartbeat's table of loads holds, also in a takeover. */
+static void test_pending_jobs_of_many_queues(struct cell_fixture *f,
+					     const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(1, 8, 1000);
+	uint32_t owner = (uint32_t)cell_sim_owner(&f->sim);
+
+	for (uint32_t i = 0; i < f->sim.options.workers; i++)
+		cell_sim_worker_kill(&f->sim, i);
+	for (uint32_t i = 0; i < f->sim.options.extra_queues * PENDING_JOBS;
+	     i++) {
+		char queue[RJ_NAME_BYTES];
+
+		(void)g_snprintf(queue, sizeof(queue), "q%u", i / PENDING_JOBS);
+		cell_sim_submit(
+			&f->sim, 0,
+			cell_sim_job_new(&f->sim, queue, "a", &step, 1, S));
+	}
+	cell_sim_run(&f->sim, 3 * S);
+	check_pending(&f->sim, f->sim.options.nodes);
+	cell_sim_node_kill(&f->sim, owner);
+	for (uint32_t i = 0; i < 30; i++) {
+		cell_sim_run(&f->sim, 100 * MS);
+		check_pending(&f->sim, owner);
+	}
+	g_assert_cmpint(cell_sim_owner(&f->sim), >=, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -501,5 +551,7 @@
 	g_test_add_func("/cell_path/short_leases",
 			test_short_leases_and_bounds);
 	ADD("upgrade", test_ended_before_an_upgrade);
+	CELL_TEST("/cell_path/pending_of_many_queues", &many_queues,
+		  test_pending_jobs_of_many_queues);
 	return g_test_run();
 }
