cell_active_job: checkpoints of any length

Cause: runs and tasks kept checkpoints in buffers of 40 bytes.

Change: they are strings of any length. The record of progress leaves out longer ones, which earlier versions could not read: after a takeover such a task begins from the start.

Test: cell_load/long_checkpoints fails with checkpoints that are cut.

--- a/src/libradishjunction/cell/cell_active_job.c
+++ b/src/libradishjunction/cell/cell_active_job.c
@@ -209,6 +209,18 @@
 	return NULL;
 }
 
+/*
+ * Sets the checkpoint from which the next run of a task starts; NULL or "" for
+ * none.
+ */
+void rj_cell_task_set_checkpoint(struct rj_cell_task *task,
+				 const char *checkpoint)
+{
+	TALLOC_FREE(task->checkpoint);
+	if (checkpoint && checkpoint[0])
+		task->checkpoint = talloc_strdup(task->occurrence, checkpoint);
+}
+
 /*
  * Creates a run of a task and allocates its resources on the worker.
  */
@@ -225,7 +237,7 @@
 	run->allocated = rj_cell_step_allocation(rj_cell_task_step(task));
 	rj_cell_task_name(task, name, sizeof(name));
 	run->name = talloc_strdup(run, name);
-	memcpy(run->checkpoint, task->checkpoint, sizeof(run->checkpoint));
+	run->checkpoint = talloc_strdup(run, task->checkpoint);
 	rj_list_append(&task->runs, &run->in_task);
 	rj_cell_run_allocate(run);
 	return run;
--- a/src/libradishjunction/cell/cell_completions.c
+++ b/src/libradishjunction/cell/cell_completions.c
@@ -210,11 +210,10 @@
 	struct rj_cell_task *first = rj_cell_task_head(task);
 	uint32_t count = step->gang ? step->task_count : 1;
 
-	if (!saved[0] || !step->checkpoints)
+	if (!saved || !step->checkpoints)
 		return;
 	for (uint32_t i = 0; i < count; i++)
-		g_strlcpy(first[i].checkpoint, saved,
-			  sizeof(first[i].checkpoint));
+		rj_cell_task_set_checkpoint(&first[i], saved);
 }
 
 /*
@@ -442,7 +441,7 @@
 	rj_cell_admission_forecast_observe_end(owner, run, end);
 	record_checkpoint(task, saved && saved[0] ? saved : run->saved);
 	if (end == RJ_CELL_COMPLETION_DONE && run->placed_us && !run->adopted &&
-	    !run->checkpoint[0])
+	    !run->checkpoint)
 		rj_cell_forecast_record_run(&owner->forecast,
 					    job->job_spec->queue,
 					    owner->now_us - run->placed_us);
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -163,7 +163,9 @@
 	struct rj_cell_start start = { .name = run->name,
 				       .number = run->number,
 				       .spec = job_spec->spec,
-				       .checkpoint = run->checkpoint,
+				       .checkpoint = run->checkpoint ?
+							     run->checkpoint :
+							     "",
 				       .ticket = run->ticket ? run->ticket : "",
 				       .token = owner->token };
 	struct rj_cell_order_done done;
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -33,6 +33,9 @@
 	[RJ_CELL_RECORD_SNAPSHOT] = 'n', [RJ_CELL_RECORD_REJECTIONS] = 'r',
 };
 
+/* Buffer size of the longest checkpoint in a record. */
+#define CHECKPOINT_BYTES 40
+
 /* How a task is encoded. */
 enum task_code {
 	TASK_NOT_STARTED, /* no run and no failure so far */
@@ -120,6 +123,15 @@
 	return count;
 }
 
+/* Whether the record of a task has its checkpoint. Earlier versions cannot read
+ * a record with a longer one. */
+static bool is_checkpoint_stored(const struct rj_cell_task *task,
+				 const struct worker_table *table)
+{
+	return table->with_checkpoints && task->checkpoint &&
+	       strlen(task->checkpoint) < CHECKPOINT_BYTES;
+}
+
 static void write_task(struct rj_packer *out, const struct rj_cell_task *task,
 		       const struct worker_table *table)
 {
@@ -136,7 +148,8 @@
 	rj_pack_number(out, TASK_DETAILS);
 	rj_pack_number(out, task->run);
 	rj_pack_number(out, task->failures);
-	rj_pack_text(out, table->with_checkpoints ? task->checkpoint : "");
+	rj_pack_text(out,
+		     is_checkpoint_stored(task, table) ? task->checkpoint : "");
 	rj_pack_number(out, count_runs(task));
 	for (at = task->runs.next; at != &task->runs; at = at->next) {
 		const struct rj_cell_run *run =
@@ -329,6 +342,8 @@
 static void read_task(struct rj_unpacker *in, struct rj_cell_task *task,
 		      GPtrArray *workers, uint64_t now_us)
 {
+	char checkpoint[CHECKPOINT_BYTES];
+
 	switch (rj_unpack_number(in, "task", TASK_DETAILS)) {
 	case TASK_DONE:
 		rj_cell_task_complete(task);
@@ -337,8 +352,9 @@
 		task->run = (uint32_t)rj_unpack_number(in, "run", UINT32_MAX);
 		task->failures =
 			(uint32_t)rj_unpack_number(in, "failures", UINT32_MAX);
-		rj_unpack_text(in, "checkpoint", task->checkpoint,
-			       sizeof(task->checkpoint));
+		rj_unpack_text(in, "checkpoint", checkpoint,
+			       sizeof(checkpoint));
+		rj_cell_task_set_checkpoint(task, checkpoint);
 		read_runs(in, task, workers, now_us);
 		break;
 	default:
--- a/src/libradishjunction/cell/cell_run_health.c
+++ b/src/libradishjunction/cell/cell_run_health.c
@@ -1,6 +1,8 @@
 #include "private/cell_run_health.h"
 
 #include <glib.h>
+#include <string.h>
+#include <talloc.h>
 
 #include "private/cell_calls.h"
 #include "private/cell_run_pace.h"
@@ -70,7 +72,11 @@
 		run->slow_us = 0;
 	else if (!run->slow_us)
 		run->slow_us = owner->now_us;
-	g_strlcpy(run->saved, row->saved, sizeof(run->saved));
+	if (!run->saved || strcmp(run->saved, row->saved) != 0) {
+		TALLOC_FREE(run->saved);
+		if (row->saved[0])
+			run->saved = talloc_strdup(run, row->saved);
+	}
 }
 
 /* Whether a run may stop making progress: a finished gang member waits for the
--- a/src/libradishjunction/cell/cell_run_pace.c
+++ b/src/libradishjunction/cell/cell_run_pace.c
@@ -12,7 +12,7 @@
  * a run that was adopted or has restored a checkpoint. */
 static bool is_begin_known(const struct rj_cell_run *run)
 {
-	return run->placed_us && !run->adopted && !run->checkpoint[0];
+	return run->placed_us && !run->adopted && !run->checkpoint;
 }
 
 /*
--- a/src/libradishjunction/include/private/cell_active_job.h
+++ b/src/libradishjunction/include/private/cell_active_job.h
@@ -15,10 +15,6 @@
 #include "private/cell_unsaved_ends.h"
 #include "private/list.h"
 
-/* Buffer size for the longest checkpoint name that a worker reports, with the
- * terminating zero byte. */
-#define RJ_CELL_CHECKPOINT_BYTES 40
-
 enum rj_cell_job_state {
 	RJ_CELL_JOB_QUEUED, /* accepted, no task has started */
 	RJ_CELL_JOB_RUNNING,
@@ -91,8 +87,8 @@
 	uint64_t pace_until_us;
 	uint32_t pace_until_percent;
 	uint64_t slow_us; /* over its latency target since then; 0: it is not */
-	char checkpoint[RJ_CELL_CHECKPOINT_BYTES]; /* restored at its start */
-	char saved[RJ_CELL_CHECKPOINT_BYTES]; /* last one saved by this run */
+	char *checkpoint; /* restored at its start, or NULL */
+	char *saved; /* last one saved by this run, or NULL */
 	/* On an unreachable worker, it counts as ended from then on because its
 	 * gang has ended; 0: not set. */
 	uint64_t ended_by_us;
@@ -116,7 +112,7 @@
 	uint64_t unreported_until_us;
 	uint32_t failed_run; /* number of the last failed run */
 	uint32_t losses; /* runs that ended for other reasons */
-	char checkpoint[RJ_CELL_CHECKPOINT_BYTES];
+	char *checkpoint; /* last one saved, or NULL */
 	struct rj_list runs;
 	/* When it became ready to run; 0: not since its last run ended. */
 	uint64_t waiting_us;
@@ -201,6 +197,8 @@
 struct rj_cell_task *rj_cell_job_find_task(struct rj_cell_job *job,
 					   uint32_t occurrence, uint32_t step,
 					   uint32_t index);
+void rj_cell_task_set_checkpoint(struct rj_cell_task *task,
+				 const char *checkpoint);
 struct rj_cell_run *rj_cell_run_new(struct rj_cell_worker *worker,
 				    struct rj_cell_task *task, uint32_t number);
 bool rj_cell_run_has_latency_target(const struct rj_cell_run *run);
--- a/src/test_libradishjunction/support/cell_fake.h
+++ b/src/test_libradishjunction/support/cell_fake.h
@@ -12,6 +12,9 @@
 /* Time from a stop order to the end of the run. */
 #define CELL_FAKE_STOP_DELAY_US (150 * MS)
 
+/* Buffer size of a checkpoint: a number of hexadecimal digits. */
+#define CELL_FAKE_CHECKPOINT_BYTES 128
+
 struct cell_fake_run {
 	char *name;
 	uint32_t number;
@@ -22,7 +25,7 @@
 	uint64_t progress_us;
 	uint64_t fails_at_us; /* value of progress_us; 0: never */
 	bool checkpoints;
-	char checkpoint[RJ_CELL_CHECKPOINT_BYTES];
+	char checkpoint[CELL_FAKE_CHECKPOINT_BYTES];
 	uint64_t started_us;
 	uint64_t stop_at_us; /* end after a stop order; 0: none */
 	uint64_t break_at_us; /* end after another member's; 0: none */
@@ -38,7 +41,7 @@
 	char name[64];
 	uint32_t number;
 	enum rj_cell_completion outcome;
-	char checkpoint[RJ_CELL_CHECKPOINT_BYTES];
+	char checkpoint[CELL_FAKE_CHECKPOINT_BYTES];
 	uint64_t ended_us;
 };
 
--- a/src/test_libradishjunction/support/cell_fake_workers.c
+++ b/src/test_libradishjunction/support/cell_fake_workers.c
@@ -11,6 +11,7 @@
 
 #define TICK_US (20 * MS)
 #define GANG_FORM_TIMEOUT_US (3 * S)
+#define CHECKPOINT_DIGITS 16
 #define CHECKPOINT_INTERVAL_US (2 * S)
 /* Racks are assigned to this many failure domains in turn. */
 #define DOMAINS 3
@@ -92,8 +93,20 @@
 	g_free(run);
 }
 
-/* Ends a run; its completion is listed until it is acknowledged. The name of a
- * checkpoint is the progress in microseconds, in hexadecimal. */
+/* Saves a checkpoint of a run, whose name is the progress in microseconds, in
+ * hexadecimal. */
+static void set_checkpoint(const struct cell_sim *sim,
+			   struct cell_fake_run *run, uint64_t progress_us)
+{
+	(void)g_snprintf(run->checkpoint, sizeof(run->checkpoint),
+			 "%0*" G_GINT64_MODIFIER "x",
+			 sim->options.checkpoint_digits ?
+				 sim->options.checkpoint_digits :
+				 CHECKPOINT_DIGITS,
+			 progress_us);
+}
+
+/* Ends a run; its completion is listed until it is acknowledged. */
 static void complete_run(struct cell_sim *sim, struct cell_fake_worker *worker,
 			 struct cell_fake_run *run,
 			 enum rj_cell_completion outcome)
@@ -107,9 +120,7 @@
 
 	g_strlcpy(completion.name, run->name, sizeof(completion.name));
 	if (outcome == RJ_CELL_COMPLETION_STOPPED && run->checkpoints)
-		(void)g_snprintf(run->checkpoint, sizeof(run->checkpoint),
-				 "%016" G_GINT64_MODIFIER "x",
-				 run->progress_us);
+		set_checkpoint(sim, run, run->progress_us);
 	g_strlcpy(completion.checkpoint, run->checkpoint,
 		  sizeof(completion.checkpoint));
 	g_array_append_val(worker->completions, completion);
@@ -260,11 +271,9 @@
 	if (!worker->stalled)
 		run->progress_us += (uint64_t)(TICK_US * worker->speed);
 	if (run->checkpoints && run->progress_us / CHECKPOINT_INTERVAL_US)
-		(void)g_snprintf(
-			run->checkpoint, sizeof(run->checkpoint),
-			"%016" G_GINT64_MODIFIER "x",
-			(uint64_t)(run->progress_us / CHECKPOINT_INTERVAL_US *
-				   CHECKPOINT_INTERVAL_US));
+		set_checkpoint(sim, run,
+			       run->progress_us / CHECKPOINT_INTERVAL_US *
+				       CHECKPOINT_INTERVAL_US);
 	if (run->fails_at_us && run->progress_us >= run->fails_at_us) {
 		complete_run_and_gang(sim, worker, run,
 				      RJ_CELL_COMPLETION_FAILED);
--- a/src/test_libradishjunction/test_cell_load.c
+++ b/src/test_libradishjunction/test_cell_load.c
@@ -13,6 +13,10 @@
 	.seed = 7, .nodes = 3, .workers = 24, .rack_workers = 4, \
 	.capacity = { 64000, 64000, 8 }, .guaranteed = 64
 static const struct cell_sim_options site = { SITE };
+/* The same site; checkpoints have long names. */
+static const struct cell_sim_options long_checkpoints = { SITE,
+							  .checkpoint_digits =
+								  64 };
 /* The same site; a task may fail once. */
 static const struct cell_sim_options two_attempts = { SITE, .attempts_max = 2 };
 /* Bound from the acceptance of a guaranteed job to its start: the site's
@@ -379,6 +383,30 @@
 	g_assert_cmpint(job->state, ==, RJ_CELL_JOB_COMPLETED);
 }
 
+/*
+ * Load: as above, with a task that saves checkpoints whose names have 64
+ * characters.
+ * Guards against a task that starts elsewhere with a part of its checkpoint's
+ * name.
+ */
+static void test_long_checkpoints_are_restored(struct cell_fixture *f,
+					       const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(1, 8, 12000);
+	struct cell_client_job *job;
+	uint32_t worker;
+
+	step.checkpoints = true;
+	job = cell_load_submit(&f->sim, "normal", "a", &step, 12 * S);
+	cell_load_run(&f->sim, 6 * S);
+	worker = cell_sim_busy_worker(&f->sim);
+	cell_sim_worker_drain(&f->sim, worker, 1600);
+	cell_load_run(&f->sim, 3 * S);
+	g_assert_cmpuint(job->starts, ==, 2);
+	cell_load_run(&f->sim, 9 * S);
+	g_assert_cmpint(job->state, ==, RJ_CELL_JOB_COMPLETED);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -394,6 +422,8 @@
 	ADD("still", test_stalled_tasks_are_moved);
 	ADD("never_ends", test_unreported_completions_are_moved);
 	ADD("short_notice", test_task_moves_off_a_draining_worker);
+	CELL_TEST("/cell_load/long_checkpoints", &long_checkpoints,
+		  test_long_checkpoints_are_restored);
 	ADD("ends_in_time", test_task_that_ends_before_the_drain_stays);
 	ADD("apart", test_serving_tasks_are_isolated);
 	ADD("beside", test_serving_tasks_on_a_full_site);
--- a/src/test_libradishjunction/test_cell_store_limits.c
+++ b/src/test_libradishjunction/test_cell_store_limits.c
@@ -281,11 +281,11 @@
 	rj_cell_fleet_init(&fleet, mem, &cordons);
 	job = new_intended_job(mem, &fleet, &step);
 	for (uint32_t i = 0; i < 100; i++)
-		g_strlcpy(RJ_CONTAINER(job->occurrences.next,
-				       struct rj_cell_occurrence, link)
-				  ->tasks[i]
-				  .checkpoint,
-			  "0123456789abcdef", RJ_CELL_CHECKPOINT_BYTES);
+		rj_cell_task_set_checkpoint(
+			&RJ_CONTAINER(job->occurrences.next,
+				      struct rj_cell_occurrence, link)
+				 ->tasks[i],
+			"0123456789abcdef");
 	value = rj_cell_progress_encode_within(mem, job, SHORT_RECORD_BYTES, S);
 	g_assert_cmpuint(value.length, >, 3000);
 	value = rj_cell_progress_encode_within(mem, job, 3000, S);
