cell_active_job: runs are found by an index

Cause: an answer of a worker with n runs took n x n comparisons, once to find the run of each row and once to find the rows of all runs. A job of very small tasks, which the bound of its record now lets run, has thousands on a worker.

Change: the fleet keeps an index of its runs by worker, name and number; rows mark the runs that they list.

The tests of the cell pass.

--- a/src/libradishjunction/cell/cell_active_job.c
+++ b/src/libradishjunction/cell/cell_active_job.c
@@ -306,6 +306,48 @@
 	allocated->accelerators -= run->allocated.accelerators;
 }
 
+/* Hash of a run in the index. */
+static guint hash_run(gconstpointer key)
+{
+	const struct rj_cell_run *run = key;
+
+	return g_direct_hash(run->worker) ^ run->number ^
+	       (run->name ? g_str_hash(run->name) : 0);
+}
+
+static gboolean is_same_run(gconstpointer key, gconstpointer other_key)
+{
+	const struct rj_cell_run *run = key;
+	const struct rj_cell_run *other = other_key;
+
+	return run->number == other->number && run->worker == other->worker &&
+	       !g_strcmp0(run->name, other->name);
+}
+
+/*
+ * Creates the index of the runs of a fleet, by worker, name and number. Finding
+ * a run takes the same time however many runs a worker has.
+ */
+GHashTable *rj_cell_run_index_new(void)
+{
+	return g_hash_table_new(hash_run, is_same_run);
+}
+
+/*
+ * Finds the run of a worker by name and number; NULL if there is none.
+ */
+struct rj_cell_run *rj_cell_run_find(const struct rj_cell_worker *worker,
+				     const char *name, uint32_t number)
+{
+	const struct rj_cell_run key = {
+		.worker = (struct rj_cell_worker *)worker,
+		.name = (char *)name,
+		.number = number,
+	};
+
+	return g_hash_table_lookup(worker->fleet->runs, &key);
+}
+
 /*
  * Links a run to its worker and adds its resources to the allocations of the
  * worker and of its job.
@@ -315,6 +357,7 @@
 	struct rj_cell_worker *worker = run->worker;
 
 	rj_list_append(&worker->runs, &run->in_worker);
+	g_hash_table_add(worker->fleet->runs, run);
 	rj_cell_demand_add(&worker->allocated, &run->allocated);
 	(*run_counter(run))++;
 	if (run->task) {
@@ -338,6 +381,8 @@
 		rj_cell_demand_subtract(class_allocation(run), &run->allocated);
 		subtract_from_job(run);
 	}
+	if (g_hash_table_lookup(worker->fleet->runs, run) == run)
+		g_hash_table_remove(worker->fleet->runs, run);
 	rj_list_remove(&run->in_worker);
 	rj_list_remove(&run->in_task);
 	talloc_free(run);
--- a/src/libradishjunction/cell/cell_calls.c
+++ b/src/libradishjunction/cell/cell_calls.c
@@ -54,24 +54,6 @@
 	rj_cell_call_window_sent(window, call->sent_us);
 }
 
-/*
- * Finds the run of a worker by name and number; NULL if there is none.
- */
-struct rj_cell_run *rj_cell_call_find_run(const struct rj_cell_worker *worker,
-					  const char *name, uint32_t number)
-{
-	const struct rj_list *at;
-
-	for (at = worker->runs.next; at != &worker->runs; at = at->next) {
-		struct rj_cell_run *run =
-			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
-
-		if (run->number == number && !strcmp(run->name, name))
-			return run;
-	}
-	return NULL;
-}
-
 /*
  * Records the worker's clock from an answer.
  */
--- a/src/libradishjunction/cell/cell_fleet.c
+++ b/src/libradishjunction/cell/cell_fleet.c
@@ -31,6 +31,7 @@
 	fleet->cordons = cordons;
 	fleet->mem = talloc_named_const(mem, 0, "cell fleet");
 	fleet->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	fleet->runs = rj_cell_run_index_new();
 	rj_list_init(&fleet->workers);
 	for (int i = 0; i < RJ_CELL_POLL_STATE_COUNT; i++)
 		rj_list_init(&fleet->by_poll_state[i]);
@@ -56,6 +57,8 @@
 						struct rj_cell_worker, link));
 	g_hash_table_destroy(fleet->by_id);
 	fleet->by_id = NULL;
+	g_hash_table_destroy(fleet->runs);
+	fleet->runs = NULL;
 	g_hash_table_destroy(fleet->departed);
 	fleet->departed = NULL;
 	g_ptr_array_free(fleet->racks, TRUE);
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -88,7 +88,7 @@
 	*worker = rj_cell_call_find_worker(call, reply);
 	if (!*worker)
 		return NULL;
-	return rj_cell_call_find_run(*worker, call->name, call->number);
+	return rj_cell_run_find(*worker, call->name, call->number);
 }
 
 /* Handles the answer to a start. */
--- a/src/libradishjunction/cell/cell_polls.c
+++ b/src/libradishjunction/cell/cell_polls.c
@@ -47,10 +47,10 @@
 #define LARGE_FLEET_IDLE_POLLS_PER_S 50
 
 /* Stops a listed run that the owner does not know, and counts its allocation
- * until it has ended. */
-static void stop_orphan(struct rj_cell_owner *owner,
-			struct rj_cell_worker *worker,
-			const struct rj_cell_run_report *row)
+ * until it has ended. Returns it. */
+static struct rj_cell_run *stop_orphan(struct rj_cell_owner *owner,
+				       struct rj_cell_worker *worker,
+				       const struct rj_cell_run_report *row)
 {
 	struct rj_cell_view_entry *entry = NULL;
 	struct rj_cell_run *run = talloc_zero(NULL, struct rj_cell_run);
@@ -73,6 +73,7 @@
 	rj_list_init(&run->in_task);
 	rj_cell_run_allocate(run);
 	rj_cell_run_schedule_order(run, owner->now_us);
+	return run;
 }
 
 /* Updates the runs that the worker lists, and stops unknown ones. */
@@ -80,28 +81,23 @@
 			 struct rj_cell_worker *worker,
 			 const struct rj_cell_order_reply *reply)
 {
+	const struct rj_list *at;
+
+	for (at = worker->runs.next; at != &worker->runs; at = at->next)
+		RJ_CONTAINER(at, struct rj_cell_run, in_worker)->listed = false;
 	for (uint32_t i = 0; i < reply->row_count; i++) {
 		const struct rj_cell_run_report *row = &reply->rows[i];
 		struct rj_cell_run *run =
-			rj_cell_call_find_run(worker, row->name, row->number);
+			rj_cell_run_find(worker, row->name, row->number);
 
 		if (run)
 			rj_cell_run_health_update(owner, run, row);
 		else
-			stop_orphan(owner, worker, row);
+			run = stop_orphan(owner, worker, row);
+		run->listed = true;
 	}
 }
 
-static bool is_listed(const struct rj_cell_order_reply *reply,
-		      const struct rj_cell_run *run)
-{
-	for (uint32_t i = 0; i < reply->row_count; i++)
-		if (reply->rows[i].number == run->number &&
-		    !strcmp(reply->rows[i].name, run->name))
-			return true;
-	return false;
-}
-
 /*
  * Sends the start of an adopted run again that its worker does not list, as the
  * former owner may have stopped between storing the intent and sending the
@@ -160,7 +156,7 @@
 		bool settled = run->settled_us && run->settled_us < sent_us;
 
 		if (run->state == RJ_CELL_RUN_INTENDED || !settled ||
-		    is_listed(reply, run) || restart_adopted(owner, run))
+		    run->listed || restart_adopted(owner, run))
 			continue;
 		if (!run->reason)
 			run->reason = "not_listed";
@@ -203,7 +199,7 @@
 		if (row->position <= worker->applied_position)
 			continue;
 		worker->applied_position = row->position;
-		run = rj_cell_call_find_run(worker, row->name, row->number);
+		run = rj_cell_run_find(worker, row->name, row->number);
 		add_unsaved_end(owner, worker, run, row);
 		if (run)
 			rj_cell_completions_apply(owner, run, row->end,
--- a/src/libradishjunction/include/private/cell_active_job.h
+++ b/src/libradishjunction/include/private/cell_active_job.h
@@ -68,6 +68,7 @@
 	struct rj_cell_demand allocated;
 	bool adopted; /* started by an earlier owner at an unknown time */
 	bool recording; /* its record is being appended */
+	bool listed; /* in the worker's last answer to a poll */
 	/* When the last order got its final answer; polls sent later show
 	 * whether the run exists. 0: not yet. */
 	uint64_t settled_us;
@@ -201,6 +202,9 @@
 				 const char *checkpoint);
 struct rj_cell_run *rj_cell_run_new(struct rj_cell_worker *worker,
 				    struct rj_cell_task *task, uint32_t number);
+GHashTable *rj_cell_run_index_new(void);
+struct rj_cell_run *rj_cell_run_find(const struct rj_cell_worker *worker,
+				     const char *name, uint32_t number);
 bool rj_cell_run_has_latency_target(const struct rj_cell_run *run);
 void rj_cell_run_schedule_order(struct rj_cell_run *run, uint64_t due_us);
 void rj_cell_run_allocate(struct rj_cell_run *run);
--- a/src/libradishjunction/include/private/cell_calls.h
+++ b/src/libradishjunction/include/private/cell_calls.h
@@ -31,8 +31,6 @@
 		 const struct rj_cell_run *run);
 void rj_cell_call_enter_window(struct rj_cell_call_context *call,
 			       struct rj_cell_call_window *window);
-struct rj_cell_run *rj_cell_call_find_run(const struct rj_cell_worker *worker,
-					  const char *name, uint32_t number);
 void rj_cell_call_update_clock(struct rj_cell_worker *worker,
 			       const struct rj_cell_order_reply *reply);
 uint64_t rj_cell_call_next_deadline(struct rj_cell_owner *owner,
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -151,6 +151,7 @@
 struct rj_cell_fleet {
 	void *mem;
 	GHashTable *by_id;
+	GHashTable *runs; /* index of all runs, see rj_cell_run_find */
 	struct rj_list workers;
 	uint32_t count;
 	/* Each worker is in one list; idle and unreachable workers are in the
