--- a/src/libradishjunction/cell/cell_plan_workers.c
+++ b/src/libradishjunction/cell/cell_plan_workers.c
@@ -339,7 +339,9 @@
 		&plan->workers[plan->worker_count];
 
 	worker->plan_worker = NULL;
-	if (!rj_cell_worker_usable(worker, plan->now_us))
+	if (!rj_cell_worker_usable(worker, plan->now_us) ||
+	    worker->latency_runs + worker->other_runs >=
+		    RJ_CELL_WORKER_RUNS_MAX)
 		return;
 	worker->plan_worker = plan_worker;
 	plan_worker->worker = worker;
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -44,6 +44,10 @@
 	RJ_CELL_POLL_STATE_COUNT
 };
 
+/* Nothing further is placed on a worker with this many runs: the lists of a worker
+ * grow with them, and an answer that is too long counts as lost. */
+#define RJ_CELL_WORKER_RUNS_MAX 16384
+
 struct rj_cell_fleet;
 struct rj_cell_plan_worker;
 
--- a/src/test_libradishjunction/test_cell_load.c
+++ b/src/test_libradishjunction/test_cell_load.c
@@ -407,6 +407,29 @@
 	g_assert_cmpint(job->state, ==, RJ_CELL_JOB_COMPLETED);
 }
 
+/*
+ * Load: tasks so small that thousands fit one worker.
+ * Guards against a worker whose list of runs is too long to be read, so that it
+ * counts as unreachable and its runs are lost.
+ */
+static void test_runs_of_a_worker_are_limited(struct cell_fixture *f,
+					      const void *data)
+{
+	struct rj_cell_step step = { .task_count = 100, .estimate_ms = 1000 };
+	struct cell_sim_node *owner = &f->sim.nodes[cell_sim_owner(&f->sim)];
+	struct cell_client_job *job;
+
+	for (uint32_t i = 0; i < f->sim.options.workers; i++)
+		if (i != 5)
+			rj_cell_fleet_find(&owner->node.owner.fleet,
+					   f->sim.workers[i].id)
+				->other_runs += RJ_CELL_WORKER_RUNS_MAX;
+	job = cell_load_submit(&f->sim, "normal", "a", &step, 5 * S);
+	cell_load_run(&f->sim, 2 * S);
+	g_assert_cmpuint(job->starts, ==, 100);
+	g_assert_cmpuint(f->sim.workers[5].runs->len, ==, 100);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -424,6 +447,7 @@
 	ADD("short_notice", test_task_moves_off_a_draining_worker);
 	CELL_TEST("/cell_load/long_checkpoints", &long_checkpoints,
 		  test_long_checkpoints_are_restored);
+	ADD("runs_of_a_worker", test_runs_of_a_worker_are_limited);
 	ADD("ends_in_time", test_task_that_ends_before_the_drain_stays);
 	ADD("apart", test_serving_tasks_are_isolated);
 	ADD("beside", test_serving_tasks_on_a_full_site);
--- a/src/test_libradishjunction/test_platform_settings.c
+++ b/src/test_libradishjunction/test_platform_settings.c
@@ -102,6 +102,30 @@
 	g_assert_cmpuint(settings.limits.features.snapshot_ms, ==, 1000);
 }
 
+/* Guards against appends that a slow link does not carry before they count as
+ * lost; one record can always be appended. */
+static void test_appends_fit_the_link(void)
+{
+	static const struct {
+		const char *settings;
+		uint32_t append_max_bytes;
+	} cases[] = {
+		{ REQUIRED, 312500 },
+		{ REQUIRED ",\"append_bytes\":\"65536\"", 65536 },
+		{ REQUIRED ",\"record_bytes\":\"1000000\"", 1000004 },
+	};
+	struct platform_settings settings;
+	struct rj_error err;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_assert_cmpint(load(cases[i].settings, &settings, &err), ==,
+				0);
+		g_assert_cmpuint(settings.limits.append_max_bytes, ==,
+				 cases[i].append_max_bytes);
+	}
+	g_assert_cmpuint(settings.limits.record_max_bytes, ==, 1000000);
+}
+
 /* The error for an invalid number names the field and the remedy. */
 static void test_invalid_number(void)
 {
@@ -129,5 +153,6 @@
 	g_test_add_func("/platform_settings/bad", test_invalid_number);
 	g_test_add_func("/platform_settings/features",
 			test_features_are_called_for);
+	g_test_add_func("/platform_settings/append", test_appends_fit_the_link);
 	return g_test_run();
 }
