cell_ended_runs: a replaced owner publishes the ends that it could not store

Cause: the isolated owner goes on to reach the workers of its domain, which report ends to it. It cannot store them, and drops them when it is replaced. After the workers have left nobody else knows of them.

Change: an owner keeps the reported ends that are not stored, and publishes them in the log of requests when it resigns. The owner applies them: a completed task in any case, another end to an adopted run whose worker has not answered in this term.

Tests: leases/completion_seen and leases/stop_seen fail before.

--- a/src/libradishjunction/cell/cell_completions.c
+++ b/src/libradishjunction/cell/cell_completions.c
@@ -507,7 +507,7 @@
  * other completions only failures count.
  */
 void rj_cell_completions_apply_orphan(
-	struct rj_cell_owner *owner, struct rj_cell_worker *worker,
+	struct rj_cell_owner *owner, const char *worker,
 	const struct rj_cell_completion_report *row)
 {
 	struct rj_cell_task *task =
@@ -516,7 +516,7 @@
 
 	rj_log_event("orphan_end", RJ_LOG_TEXT("task", row->name),
 		     RJ_LOG_NUMBER("run", row->number),
-		     RJ_LOG_TEXT("worker", worker->id),
+		     RJ_LOG_TEXT("worker", worker),
 		     RJ_LOG_TEXT("end", rj_cell_completion_string[row->end]));
 	count_unreported_failure(owner, task, row);
 	if (!completes_task(task, row))
--- a/src/libradishjunction/cell/cell_flush.c
+++ b/src/libradishjunction/cell/cell_flush.c
@@ -85,6 +85,7 @@
 	struct rj_list *at;
 	struct rj_list *next;
 
+	rj_cell_ended_runs_stored(&owner->ended_runs);
 	RJ_FOR_EACH (at, next, &owner->fleet.unstored) {
 		struct rj_cell_worker *worker =
 			RJ_CONTAINER(at, struct rj_cell_worker, in_unstored);
@@ -460,6 +461,7 @@
 
 		worker->storing_position = worker->applied_position;
 	}
+	rj_cell_ended_runs_storing(&owner->ended_runs);
 	if (!owner->writes_pending) {
 		acknowledge_completions(owner);
 		return;
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -300,6 +300,8 @@
 
 	if (!entry && rj_cell_node_is_owner(node))
 		rj_cell_returns_read(&node->owner, record, node->wall_ms);
+	if (!entry)
+		rj_cell_ended_runs_read(&node->owner, record);
 	if (!entry || !node->owner.active)
 		return;
 	node->owner.now_us = node->requests.now_us;
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -480,6 +480,8 @@
 		     RJ_LOG_TEXT("why", reason),
 		     RJ_LOG_AGE_MS("stored_ms",
 				   owner->now_us - owner->writer.stored_us));
+	rj_cell_ended_runs_publish(&owner->ended_runs, owner->requests_writer,
+				   owner->name, owner->now_us);
 	owner->active = false;
 	owner->taking_over = false;
 	owner->fenced = false;
@@ -506,6 +508,7 @@
  */
 void rj_cell_owner_finish(struct rj_cell_owner *owner)
 {
+	rj_cell_ended_runs_finish(&owner->ended_runs);
 	rj_cell_owner_resign(owner, "finish");
 	rj_cell_forecast_finish(&owner->forecast);
 	rj_cell_handover_finish(&owner->handover);
--- a/src/libradishjunction/cell/cell_polls.c
+++ b/src/libradishjunction/cell/cell_polls.c
@@ -201,11 +201,13 @@
 		worker->applied_position = row->position;
 		run = rj_cell_run_find(worker, row->name, row->number);
 		add_unsaved_end(owner, worker, run, row);
+		rj_cell_ended_runs_add(&owner->ended_runs, worker->id, row);
 		if (run)
 			rj_cell_completions_apply(owner, run, row->end,
 						  row->saved);
 		else
-			rj_cell_completions_apply_orphan(owner, worker, row);
+			rj_cell_completions_apply_orphan(owner, worker->id,
+							 row);
 	}
 	if (worker->applied_position > worker->stored_position &&
 	    worker->in_unstored.next == &worker->in_unstored)
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -26,11 +26,12 @@
 
 /* First character of a key. */
 static const char key_prefix[RJ_CELL_RECORD_KIND_COUNT] = {
-	[RJ_CELL_RECORD_JOB_SPEC] = 'j', [RJ_CELL_RECORD_PROGRESS] = 's',
-	[RJ_CELL_RECORD_STATE] = 't',	 [RJ_CELL_RECORD_CANCEL] = 'c',
-	[RJ_CELL_RECORD_OWNER] = 'o',	 [RJ_CELL_RECORD_HEARTBEAT] = 'b',
-	[RJ_CELL_RECORD_FENCE] = 'f',	 [RJ_CELL_RECORD_LEASE_BOUNDS] = 'o',
-	[RJ_CELL_RECORD_SNAPSHOT] = 'n', [RJ_CELL_RECORD_REJECTIONS] = 'r',
+	[RJ_CELL_RECORD_JOB_SPEC] = 'j',   [RJ_CELL_RECORD_PROGRESS] = 's',
+	[RJ_CELL_RECORD_STATE] = 't',	   [RJ_CELL_RECORD_CANCEL] = 'c',
+	[RJ_CELL_RECORD_OWNER] = 'o',	   [RJ_CELL_RECORD_HEARTBEAT] = 'b',
+	[RJ_CELL_RECORD_FENCE] = 'f',	   [RJ_CELL_RECORD_LEASE_BOUNDS] = 'o',
+	[RJ_CELL_RECORD_SNAPSHOT] = 'n',   [RJ_CELL_RECORD_REJECTIONS] = 'r',
+	[RJ_CELL_RECORD_ENDED_RUNS] = 'e',
 };
 
 /* Buffer size of the longest checkpoint in a record. */
@@ -55,19 +56,21 @@
 }
 
 /*
- * Builds the key of the rejections of an instance.
+ * Builds the key of a record that is keyed by the name of an instance.
  */
 void rj_cell_record_instance_key(char key[RJ_CELL_INSTANCE_KEY_BYTES],
+				 enum rj_cell_record_kind kind,
 				 const char *instance)
 {
-	key[0] = key_prefix[RJ_CELL_RECORD_REJECTIONS];
+	key[0] = key_prefix[kind];
 	g_strlcpy(key + 1, instance, RJ_NAME_BYTES);
 }
 
 /* Whether a key of a kind may have this length. */
 static bool is_key_length(enum rj_cell_record_kind kind, size_t length)
 {
-	if (kind == RJ_CELL_RECORD_REJECTIONS)
+	if (kind == RJ_CELL_RECORD_REJECTIONS ||
+	    kind == RJ_CELL_RECORD_ENDED_RUNS)
 		return length > 1 && length < RJ_CELL_INSTANCE_KEY_BYTES;
 	if (kind == RJ_CELL_RECORD_SNAPSHOT)
 		return length == RJ_CELL_PART_ID_BYTES;
--- a/src/libradishjunction/cell/cell_rejections.c
+++ b/src/libradishjunction/cell/cell_rejections.c
@@ -332,7 +332,7 @@
 		now_us +
 		MAX(interval_ms, RJ_CELL_REJECTIONS_INTERVAL_MS) * RJ_US_PER_MS;
 	rejections->list.written_ms = wall_ms;
-	rj_cell_record_instance_key(key, instance);
+	rj_cell_record_instance_key(key, RJ_CELL_RECORD_REJECTIONS, instance);
 	value = rj_cell_rejections_encode(writer->mem, &rejections->list);
 	rj_cell_writer_add(
 		writer, key, value,
--- a/src/libradishjunction/cell/cell_returns.c
+++ b/src/libradishjunction/cell/cell_returns.c
@@ -88,7 +88,7 @@
 
 	if (!instance)
 		return;
-	rj_cell_record_instance_key(key, instance);
+	rj_cell_record_instance_key(key, RJ_CELL_RECORD_REJECTIONS, instance);
 	rj_cell_writer_add(owner->requests_writer, key,
 			   (struct rj_bytes){ NULL, 0 },
 			   (struct rj_cell_write_done){ remove_done, NULL });
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -15,6 +15,7 @@
 #ifndef RADISHJUNCTION_PRIVATE_CELL_OWNER_H
 #define RADISHJUNCTION_PRIVATE_CELL_OWNER_H
 
+#include "private/cell_ended_runs.h"
 #include "private/cell_account_shares.h"
 #include "private/cell_activity.h"
 #include "private/cell_advice.h"
@@ -108,6 +109,7 @@
 	const struct rj_cell_term_clock *term_clock;
 	struct rj_list jobs;
 	struct rj_list dirty_jobs; /* jobs with changes that are not stored */
+	struct rj_cell_ended_runs ended_runs; /* that are not stored */
 	/* Jobs whose last record the log has rejected as invalid. */
 	struct rj_list unstorable_jobs;
 	GPtrArray *ended_jobs; /* ids of jobs whose keys may be removed */
@@ -199,7 +201,7 @@
 			       struct rj_cell_run *run,
 			       enum rj_cell_completion end, const char *saved);
 void rj_cell_completions_apply_orphan(
-	struct rj_cell_owner *owner, struct rj_cell_worker *worker,
+	struct rj_cell_owner *owner, const char *worker,
 	const struct rj_cell_completion_report *row);
 void rj_cell_completions_stop_job(struct rj_cell_owner *owner,
 				  struct rj_cell_job *job, const char *reason);
--- a/src/libradishjunction/include/private/cell_record.h
+++ b/src/libradishjunction/include/private/cell_record.h
@@ -44,6 +44,10 @@
 	/* The submissions that an instance has rejected, in the log of
 	 * requests; its id is the name of the instance. */
 	RJ_CELL_RECORD_REJECTIONS,
+	/* The ends of runs that an instance could not store while it owned the
+	 * cell, in the log of requests; its id is the name of the instance.
+	 * Earlier versions skip the key. */
+	RJ_CELL_RECORD_ENDED_RUNS,
 	RJ_CELL_RECORD_KIND_COUNT
 };
 
@@ -119,6 +123,7 @@
 void rj_cell_record_key(char key[RJ_CELL_KEY_BYTES],
 			enum rj_cell_record_kind kind, const char *id);
 void rj_cell_record_instance_key(char key[RJ_CELL_INSTANCE_KEY_BYTES],
+				 enum rj_cell_record_kind kind,
 				 const char *instance);
 int rj_cell_record_kind(const char *key, enum rj_cell_record_kind *kind,
 			const char **id);
--- a/src/test_libradishjunction/test_cell_leases.c
+++ b/src/test_libradishjunction/test_cell_leases.c
@@ -139,6 +139,8 @@
 	uint32_t worker = cell_sim_busy_worker(sim);
 	int owner = cell_sim_owner(sim);
 
+	for (uint32_t i = 0; i < sim->options.workers; i++)
+		sim->workers[i].partitioned[owner] = i != worker;
 	leave_reachable(sim, worker, owner);
 	sim->log.modes[owner] = CELL_LOG_UNREACHABLE;
 	return worker;
@@ -159,6 +161,59 @@
 		       isolated_us + LONG_LEASE_GRANTS_US + LONG_EXPIRY_MAX_US);
 }
 
+/* Ends the isolation of a node. */
+static void reconnect(struct cell_sim *sim, uint32_t node)
+{
+	for (uint32_t i = 0; i < sim->options.workers; i++)
+		sim->workers[i].partitioned[node] = false;
+	sim->log.modes[node] = CELL_LOG_AVAILABLE;
+}
+
+/* Guards against the loss of a completion that only the isolated owner has seen,
+ * as its worker left before the successor could reach it. */
+static void test_completion_seen_by_an_isolated_owner(struct cell_fixture *f,
+						      const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(1, 8, 4000);
+	uint32_t owner = (uint32_t)cell_sim_owner(&f->sim);
+	struct cell_client_job *job =
+		cell_load_submit(&f->sim, "normal", "a", &step, 4 * S);
+	uint32_t worker;
+
+	cell_load_run(&f->sim, 2 * S);
+	worker = isolate_owner(&f->sim);
+	cell_load_run(&f->sim, 4 * S);
+	cell_sim_worker_kill(&f->sim, worker);
+	reconnect(&f->sim, owner);
+	cell_load_run(&f->sim, 3 * S);
+	g_assert_cmpint(job->state, ==, RJ_CELL_JOB_COMPLETED);
+	g_assert_cmpuint(job->starts, ==, 1);
+}
+
+/* Guards against a task that waits for leases although the isolated owner has
+ * seen its run stop on the worker, which then left. */
+static void test_stop_seen_by_an_isolated_owner(struct cell_fixture *f,
+						const void *data)
+{
+	uint32_t owner = (uint32_t)cell_sim_owner(&f->sim);
+	struct cell_client_job *job = start_job(&f->sim);
+	uint32_t worker = cell_sim_busy_worker(&f->sim);
+	const struct rj_cell_worker *known =
+		rj_cell_fleet_find(&f->sim.nodes[owner].node.owner.fleet,
+				   f->sim.workers[worker].id);
+
+	cell_sim_worker_drain(&f->sim, worker, 1600);
+	while (!known->heartbeat.draining)
+		cell_sim_run(&f->sim, 10 * MS);
+	isolate_owner(&f->sim);
+	g_assert_cmpuint(job->starts, ==, 1);
+	cell_load_run(&f->sim, 3 * S);
+	g_assert_cmpuint(f->sim.workers[worker].runs->len, ==, 0);
+	cell_sim_worker_kill(&f->sim, worker);
+	reconnect(&f->sim, owner);
+	expect_restart(&f->sim, job, f->sim.now_us + 2 * S);
+}
+
 /* Guards against a second run of a task beside its first one, under leases that
  * an isolated owner grants for as long as it may. */
 static void test_isolated_owner_stops_in_time(struct cell_fixture *f,
@@ -492,6 +547,10 @@
 		  test_worker_leaves_with_an_isolated_owner);
 	CELL_TEST("/leases/isolated_owner", &long_leases,
 		  test_isolated_owner_stops_in_time);
+	CELL_TEST("/leases/completion_seen", &long_leases,
+		  test_completion_seen_by_an_isolated_owner);
+	CELL_TEST("/leases/stop_seen", &long_leases,
+		  test_stop_seen_by_an_isolated_owner);
 	CELL_TEST("/leases/outage", &long_leases,
 		  test_leases_outlive_an_outage);
 	g_test_add_func("/leases/grants", test_grants_of_an_earlier_version);
