--- a/src/test_libradishjunction/test_platform_calls.c
+++ b/src/test_libradishjunction/test_platform_calls.c
@@ -201,6 +201,19 @@
 	g_assert_cmpint(read_once(f, 200), ==, RJ_CELL_STORE_MALFORMED);
 }
 
+/* Guards against a record that a slow link cannot carry before it counts as lost:
+ * 256 KiB take 1.05 s on 2 Mbit/s. */
+static void test_timeouts_allow_for_the_link(struct fixture *f,
+					     const void *data)
+{
+	f->store.link_kbps = 2000;
+	g_assert_cmpuint(
+		platform_store_timeout_us(&f->store, RJ_US_PER_S, 256 * 1024),
+		==, RJ_US_PER_S + 2 * 1048576);
+	g_assert_cmpuint(platform_store_timeout_us(&f->store, RJ_US_PER_S, 0),
+			 ==, RJ_US_PER_S);
+}
+
 /* Another writer's key ends a page of newest records: the next page is requested
  * after the whole key. */
 static void test_page_after_a_foreign_key(struct fixture *f, const void *data)
@@ -279,6 +292,7 @@
 	ADD("unsent", test_append_not_sent);
 	ADD("read", test_read_answers);
 	ADD("page", test_page_after_a_foreign_key);
+	ADD("link", test_timeouts_allow_for_the_link);
 	ADD("worker", test_worker_answers);
 	return g_test_run();
 }
