--- a/scripts/users.bash
+++ b/scripts/users.bash
@@ -25,6 +25,8 @@
 		-e 's/{{Limits.LinkMbps}}/1000/' \
 		-e 's/{{HeartbeatMs}}/500/' \
 		-e 's/{{Bounds.RestoreMs}}/300/' \
+		-e 's/{{platform.RecordBytes}}/262144/' \
+		-e 's/{{platform.CallBytes}}/2097152/' \
 		-e 's/{{Policies}}/health,tenants/' \
 		deploy/settings.json >"$work_dir/$1.json"
 }
