cell_guarantee: one module for the guarantees of accounts; log why and for whom a run is stopped

The logs could not tell the hypotheses of the incident apart: place, stop and run_end named neither the guarantee nor the job that a run was stopped for.

Three copies of the sum of urgent needs (plan, admission by the service rate, admission by account) become one module; decisions are as before. place and stop lines get age_ms, guaranteed, needed, limit and config, stop also for and begun; new are the event guarantee (an account begins or ceases to need more than it has), start_late (once a job) with the metric late_starts, and all_began_ms in job_end. Bounded: no line more a task, one a job, one a change of an account.

--- a/src/libradishjunction/cell/cell_account_admission.c
+++ b/src/libradishjunction/cell/cell_account_admission.c
@@ -26,8 +26,6 @@
 	/* Of all accounts. */
 	double total_ahead;
 	double total_same_priority;
-	/* Accelerators that the urgent jobs of each account need. */
-	uint64_t urgent_need[RJ_CELL_ACCOUNT_ROWS];
 };
 
 /* A queue that is evaluated, and the forecast of a new job of its. */
@@ -102,21 +100,6 @@
 		       RJ_CELL_ACCOUNT_ROWS;
 }
 
-/* Returns the accelerators that an urgent job needs; 0 for other jobs. */
-static uint64_t urgent_need(const struct rj_cell_job *job)
-{
-	const struct rj_cell_job_spec *spec = job->job_spec;
-	uint64_t need = 0;
-
-	if (spec->priority || job->cancelled ||
-	    job->state >= RJ_CELL_JOB_COMPLETED)
-		return 0;
-	for (uint32_t i = 0; i < spec->step_count; i++)
-		need += (uint64_t)spec->steps[i].task_count *
-			spec->steps[i].each.accelerators;
-	return need;
-}
-
 /* Sums up the work that is served before or with a new job of a priority. */
 static void sum_work(const struct rj_cell_owner *owner, uint32_t priority,
 		     struct work *work)
@@ -131,8 +114,6 @@
 		uint32_t row = row_of(&owner->account_shares, job);
 		double remaining;
 
-		if (row < RJ_CELL_ACCOUNT_ROWS)
-			work->urgent_need[row] += urgent_need(job);
 		if (!rj_cell_admit_is_ahead(owner, job, priority))
 			continue;
 		remaining = job_work(owner, job);
@@ -209,16 +190,13 @@
 				uint32_t row)
 {
 	const struct rj_cell_owner *owner = evaluation->owner;
-	const struct rj_cell_account *account =
-		owner->config && row != RJ_CELL_ACCOUNTS_OTHER ?
-			rj_cell_config_account(
-				owner->config,
-				owner->account_shares.rows[row].account) :
-			NULL;
-
-	return !evaluation->priority && account &&
-	       evaluation->work.urgent_need[row] <
-		       account->guaranteed_accelerators;
+	struct rj_cell_guarantee guarantee;
+
+	if (evaluation->priority || row == RJ_CELL_ACCOUNTS_OTHER)
+		return false;
+	guarantee = rj_cell_guarantees_get(
+		&owner->guarantees, owner->account_shares.rows[row].account);
+	return rj_cell_guarantee_has_room(&guarantee);
 }
 
 /*
--- a/src/libradishjunction/cell/cell_active_job.c
+++ b/src/libradishjunction/cell/cell_active_job.c
@@ -145,6 +145,25 @@
 	return true;
 }
 
+/*
+ * Records that a worker has started a task at `now_us` (0: not known when), and
+ * whether all tasks of the first step of its job have started.
+ */
+void rj_cell_task_set_begun(struct rj_cell_task *task, uint64_t now_us)
+{
+	struct rj_cell_job *job = task->occurrence->job;
+
+	if (task->begun)
+		return;
+	task->begun = true;
+	if (task->step || task->occurrence->number)
+		return;
+	job->begun =
+		++job->first_tasks_begun == job->job_spec->steps[0].task_count;
+	if (job->begun)
+		job->begun_us = now_us;
+}
+
 /*
  * Marks a task as done; this is final.
  */
@@ -154,6 +173,7 @@
 
 	assert(!task->done && occurrence->left[task->step]);
 	task->done = true;
+	rj_cell_task_set_begun(task, 0);
 	occurrence->job->tasks_open--;
 	if (!--occurrence->left[task->step])
 		occurrence->steps_left--;
--- a/src/libradishjunction/cell/cell_admission_forecast.c
+++ b/src/libradishjunction/cell/cell_admission_forecast.c
@@ -296,46 +296,6 @@
 		cores_milli * (double)lost_us / RJ_US_PER_MS, owner->now_us);
 }
 
-/* Adds the accelerators that an urgent job needs to those of its account. */
-static void add_urgent_need(GHashTable *needs, const struct rj_cell_job *job)
-{
-	const struct rj_cell_job_spec *spec = job->job_spec;
-	guint need =
-		GPOINTER_TO_UINT(g_hash_table_lookup(needs, spec->account));
-
-	if (spec->priority || job->cancelled ||
-	    job->state >= RJ_CELL_JOB_COMPLETED)
-		return;
-	for (uint32_t i = 0; i < spec->step_count; i++)
-		need += spec->steps[i].task_count *
-			spec->steps[i].each.accelerators;
-	g_hash_table_insert(needs, (gpointer)spec->account,
-			    GUINT_TO_POINTER(need));
-}
-
-/*
- * Whether some account's urgent jobs need less than its guarantee. Work within a
- * guarantee must not be rejected.
- */
-bool rj_cell_admission_forecast_has_unused_guarantee(
-	const struct rj_cell_owner *owner)
-{
-	const struct rj_cell_config *config = owner->config;
-	GHashTable *needs = g_hash_table_new(g_str_hash, g_str_equal);
-	const struct rj_list *at;
-	bool found = false;
-
-	for (at = owner->jobs.next; at != &owner->jobs; at = at->next)
-		add_urgent_need(needs,
-				RJ_CONTAINER(at, struct rj_cell_job, link));
-	for (uint32_t i = 0; i < config->account_count && !found; i++)
-		found = GPOINTER_TO_UINT(g_hash_table_lookup(
-				needs, config->accounts[i].name)) <
-			config->accounts[i].guaranteed_accelerators;
-	g_hash_table_destroy(needs);
-	return found;
-}
-
 /* Whether capacity is free for jobs of a queue, though its class has a backlog:
  * all have started, or one has just started without waiting. */
 static bool has_free_capacity(const struct rj_cell_owner *owner,
@@ -354,7 +314,7 @@
 				  const struct rj_cell_queue *queue)
 {
 	return !queue->priority && !owner->limits.features.account_shares &&
-	       rj_cell_admission_forecast_has_unused_guarantee(owner);
+	       rj_cell_guarantees_have_room(&owner->guarantees, owner->config);
 }
 
 /* Tells on what the decision on a queue can be based. */
--- a/src/libradishjunction/cell/cell_admit.c
+++ b/src/libradishjunction/cell/cell_admit.c
@@ -205,7 +205,7 @@
 					    decision->wait_ms,
 					    decision->limit_ms, heartbeat);
 	if (!queue->priority && !(heartbeat->queues_by_share & 1U << index) &&
-	    rj_cell_admission_forecast_has_unused_guarantee(owner))
+	    rj_cell_guarantees_have_room(&owner->guarantees, owner->config))
 		heartbeat->queue_loads[index].refuse = false;
 }
 
@@ -310,6 +310,8 @@
 	struct rj_cell_service_load work[RJ_CELL_PRIORITY_CLASSES] = { { 0 } };
 	size_t further_bytes = 0;
 
+	rj_cell_guarantees_update(&owner->guarantees, &owner->jobs, config,
+				  owner->now_us);
 	if (owner->limits.features.admission_forecast)
 		rj_cell_admission_forecast_sum_work(owner, work);
 	heartbeat->queue_load_count = 0;
--- a/src/libradishjunction/cell/cell_completions.c
+++ b/src/libradishjunction/cell/cell_completions.c
@@ -123,6 +123,9 @@
 			      job->first_start_us ?
 				      job->first_start_us - job->accepted_us :
 				      RJ_NEVER_US),
+		RJ_LOG_AGE_MS("all_began_ms",
+			      job->begun_us ? job->begun_us - job->accepted_us :
+					      RJ_NEVER_US),
 		RJ_LOG_NUMBER("runs_lost", job->runs_lost),
 		RJ_LOG_NUMBER("split", job->split));
 	if (state != RJ_CELL_JOB_COMPLETED)
@@ -437,6 +440,9 @@
 	rj_cell_worker_evidence_run_ended(owner, run, end);
 	occurrence = task->occurrence;
 	job = occurrence->job;
+	/* The answer to its start may still be on its way. */
+	if (end != RJ_CELL_COMPLETION_LOST)
+		rj_cell_task_set_begun(task, owner->now_us);
 	job->runs_lost += end != RJ_CELL_COMPLETION_DONE;
 	rj_cell_admission_forecast_observe_end(owner, run, end);
 	record_checkpoint(task, saved && saved[0] ? saved : run->saved);
--- a/src/libradishjunction/cell/cell_metrics.c
+++ b/src/libradishjunction/cell/cell_metrics.c
@@ -163,6 +163,10 @@
 			       rj_cell_plan_block_string[i],
 			       counters->plan_blocks[i]);
 	write_number(text, "plan_effort_max", counters->plan_effort_max);
+	for (int i = 0; i < 2; i++)
+		write_labelled(text, "late_starts", "guaranteed",
+			       i ? "yes" : "no",
+			       owner->guarantees.late_starts[i]);
 	write_number(text, "jobs_completed", counters->completed);
 	write_number(text, "jobs_failed", counters->failed);
 	for (int i = 0; i < RJ_CELL_COMPLETION_COUNT; i++)
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -118,6 +118,7 @@
 			       owner->now_us - sent_us);
 		run->state = RJ_CELL_RUN_PLACED;
 		run->placed_us = owner->now_us;
+		rj_cell_task_set_begun(run->task, owner->now_us);
 		run->progress_us = owner->now_us;
 		run->settled_us = owner->now_us;
 		break;
@@ -216,6 +217,31 @@
 	}
 }
 
+/* Logs the first stop of a run, with what tells whether its job was within the
+ * guarantee of its account. */
+static void log_stop(const struct rj_cell_owner *owner,
+		     const struct rj_cell_run *run)
+{
+	const struct rj_cell_job *job =
+		run->task ? run->task->occurrence->job : NULL;
+	struct rj_cell_guarantee guarantee = rj_cell_guarantees_get(
+		&owner->guarantees, job ? job->job_spec->account : "");
+
+	rj_log_event(
+		"stop", RJ_LOG_TEXT("task", run->name),
+		RJ_LOG_NUMBER("run", run->number),
+		RJ_LOG_TEXT("worker", run->worker->id),
+		RJ_LOG_TEXT("why", run->reason),
+		RJ_LOG_TEXT("for", run->preempted_for),
+		RJ_LOG_AGE_MS("age_ms", job ? owner->now_us - job->accepted_us :
+					      RJ_NEVER_US),
+		RJ_LOG_NUMBER("begun", job && job->begun),
+		RJ_LOG_NUMBER("guaranteed", job && job->guaranteed),
+		RJ_LOG_NUMBER("needed", guarantee.needed),
+		RJ_LOG_NUMBER("limit", guarantee.limit),
+		RJ_LOG_NUMBER("config", owner->guarantees.config_version));
+}
+
 /* Sends a stop, for the first time or again. */
 static void send_stop(struct rj_cell_owner *owner, struct rj_cell_run *run)
 {
@@ -223,10 +249,7 @@
 	struct rj_cell_call_context *call;
 
 	if (!run->order_tries)
-		rj_log_event("stop", RJ_LOG_TEXT("task", run->name),
-			     RJ_LOG_NUMBER("run", run->number),
-			     RJ_LOG_TEXT("worker", run->worker->id),
-			     RJ_LOG_TEXT("why", run->reason));
+		log_stop(owner, run);
 	done.call = stop_done;
 	call = rj_cell_call_new(owner, run->worker, run);
 	rj_cell_call_enter_window(call, &owner->order_window);
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -67,6 +67,7 @@
 	rj_cell_lease_bounds_init(&owner->leases);
 	owner->leases.grants_us = rj_cell_lease_grants_us(limits->lease_max_ms);
 	rj_cell_return_order_init(&owner->return_order);
+	rj_cell_guarantees_init(&owner->guarantees, limits->reclaim_ms);
 	owner->ended_jobs = g_ptr_array_new_with_free_func(g_free);
 	rj_cell_writer_init(&owner->writer, mem, store, RJ_CELL_TOPIC_JOBS,
 			    "owner");
@@ -514,6 +515,7 @@
 	rj_cell_handover_finish(&owner->handover);
 	rj_cell_lease_bounds_finish(&owner->leases);
 	rj_cell_return_order_finish(&owner->return_order);
+	rj_cell_guarantees_finish(&owner->guarantees);
 	g_ptr_array_free(owner->ended_jobs, TRUE);
 }
 
@@ -582,6 +584,7 @@
 	plan.reclaim_ms = owner->limits.reclaim_ms;
 	plan.stop_ms = owner->limits.stop_ms;
 	plan.features = owner->limits.features;
+	plan.guarantees = &owner->guarantees;
 	if (plan.features.account_shares)
 		plan.account_shares = &owner->account_shares;
 	plan.now_us = owner->now_us;
--- a/src/libradishjunction/cell/cell_place.c
+++ b/src/libradishjunction/cell/cell_place.c
@@ -672,6 +672,9 @@
 
 		run->victim = false;
 		run->reason = RJ_CELL_WHY_RECLAIMED;
+		g_strlcpy(run->preempted_for,
+			  placement->preempting_job->job_spec->id,
+			  sizeof(run->preempted_for));
 		g_ptr_array_add(placement->plan->stops, run);
 	}
 	g_ptr_array_set_size(placement->victims, 0);
--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -45,7 +45,6 @@
 		g_array_new(FALSE, FALSE, sizeof(struct rj_cell_plan_rack));
 	plan->ranges =
 		g_array_new(FALSE, FALSE, sizeof(struct rj_cell_worker_range));
-	plan->urgent_needs = g_hash_table_new(g_str_hash, g_str_equal);
 	plan->task_groups =
 		g_array_new(FALSE, FALSE, sizeof(struct rj_cell_task_group));
 	plan->shortages =
@@ -63,7 +62,6 @@
 	g_array_free(plan->ranges, TRUE);
 	g_array_free(plan->task_groups, TRUE);
 	g_array_free(plan->shortages, TRUE);
-	g_hash_table_destroy(plan->urgent_needs);
 	TALLOC_FREE(plan->workers);
 }
 
--- a/src/libradishjunction/cell/cell_reclaim.c
+++ b/src/libradishjunction/cell/cell_reclaim.c
@@ -335,6 +335,7 @@
 		return NULL;
 	victims = g_ptr_array_new();
 	(void)choose_victims(plan, group, best, &demand, victims);
+	placement->preempting_job = group->job;
 	for (guint i = 0; i < victims->len; i++)
 		add_victim(placement, victims->pdata[i]);
 	g_ptr_array_free(victims, TRUE);
--- a/src/libradishjunction/cell/cell_run_health.c
+++ b/src/libradishjunction/cell/cell_run_health.c
@@ -55,6 +55,8 @@
 		run->progress_us = owner->now_us;
 		if (!run->placed_us)
 			run->placed_us = owner->now_us;
+		if (run->task)
+			rj_cell_task_set_begun(run->task, owner->now_us);
 		if (run->adopted)
 			run->placed_us =
 				estimate_begin_us(owner, run, row->percent);
--- a/src/libradishjunction/cell/cell_starts.c
+++ b/src/libradishjunction/cell/cell_starts.c
@@ -29,6 +29,8 @@
 	struct rj_cell_job *job = task->occurrence->job;
 	struct rj_cell_run *run =
 		rj_cell_run_new(choice->worker, task, task->run + 1);
+	struct rj_cell_guarantee guarantee = rj_cell_guarantees_get(
+		&owner->guarantees, job->job_spec->account);
 
 	task->run = run->number;
 	run->ticket = talloc_strdup(
@@ -54,6 +56,11 @@
 		RJ_LOG_AGE_MS("heard_ms",
 			      owner->now_us - choice->worker->answered_us),
 		RJ_LOG_AGE_MS("waited_ms", owner->now_us - task->waiting_us),
+		RJ_LOG_AGE_MS("age_ms", owner->now_us - job->accepted_us),
+		RJ_LOG_NUMBER("guaranteed", job->guaranteed),
+		RJ_LOG_NUMBER("needed", guarantee.needed),
+		RJ_LOG_NUMBER("limit", guarantee.limit),
+		RJ_LOG_NUMBER("config", owner->guarantees.config_version),
 		RJ_LOG_NUMBER("pace_percent",
 			      rj_cell_pace_percent(&choice->worker->pace)),
 		RJ_LOG_NUMBER(
--- a/src/libradishjunction/cell/cell_task_groups.c
+++ b/src/libradishjunction/cell/cell_task_groups.c
@@ -117,52 +117,6 @@
 	return plan->now_us - since_us >= wait_ms * RJ_US_PER_MS;
 }
 
-/* Whether a job is urgent and has not ended. */
-static bool is_urgent(const struct rj_cell_job *job)
-{
-	return !job->job_spec->priority && !job->cancelled &&
-	       job->state < RJ_CELL_JOB_COMPLETED;
-}
-
-/* Sums up the accelerators that the urgent jobs of each account need. */
-static void sum_urgent_needs(struct rj_cell_plan *plan)
-{
-	const struct rj_list *at;
-
-	for (at = plan->jobs->next; at != plan->jobs; at = at->next) {
-		const struct rj_cell_job *job =
-			RJ_CONTAINER(at, struct rj_cell_job, link);
-		const struct rj_cell_job_spec *spec = job->job_spec;
-		guint needed_accelerators;
-
-		if (!is_urgent(job))
-			continue;
-		needed_accelerators = GPOINTER_TO_UINT(
-			g_hash_table_lookup(plan->urgent_needs, spec->account));
-		for (uint32_t i = 0; i < spec->step_count; i++)
-			needed_accelerators += spec->steps[i].task_count *
-					       spec->steps[i].each.accelerators;
-		g_hash_table_insert(plan->urgent_needs, (gpointer)spec->account,
-				    GUINT_TO_POINTER(needed_accelerators));
-	}
-}
-
-/* Whether a job is guaranteed its capacity: the urgent jobs of its account need
- * no more than the account's guarantee. */
-static bool is_guaranteed(const struct rj_cell_plan *plan,
-			  const struct rj_cell_job *job)
-{
-	const struct rj_cell_account *account =
-		plan->config ? rj_cell_config_account(plan->config,
-						      job->job_spec->account) :
-			       NULL;
-
-	return is_urgent(job) && account &&
-	       GPOINTER_TO_UINT(g_hash_table_lookup(plan->urgent_needs,
-						    account->name)) <=
-		       account->guaranteed_accelerators;
-}
-
 /*
  * Whether usage is low enough to open reserved workers to a step that has
  * waited. Starts of this plan count as used: many runs may complete at once,
@@ -345,7 +299,6 @@
 		if (job->state >= RJ_CELL_JOB_COMPLETED || job->cancelled ||
 		    plan->now_us < job->start_due_us)
 			continue;
-		job->guaranteed = is_guaranteed(plan, job);
 		RJ_FOR_EACH (occurrence_at, occurrence_next,
 			     &job->occurrences) {
 			struct rj_cell_occurrence *occurrence = RJ_CONTAINER(
@@ -414,7 +367,8 @@
  */
 void rj_cell_task_groups_gather(struct rj_cell_plan *plan)
 {
-	sum_urgent_needs(plan);
+	rj_cell_guarantees_update(plan->guarantees, plan->jobs, plan->config,
+				  plan->now_us);
 	if (plan->account_shares)
 		rj_cell_account_shares_begin(plan->account_shares);
 	gather_task_groups(plan);
--- a/src/libradishjunction/include/private/cell_active_job.h
+++ b/src/libradishjunction/include/private/cell_active_job.h
@@ -95,6 +95,7 @@
 	uint64_t ended_by_us;
 	bool victim; /* preempted in the current tentative placement */
 	const char *reason; /* of its stop, for the log */
+	char preempted_for[RJ_CELL_ID_BYTES]; /* job, or "" */
 	char *ticket; /* from the policy service, or NULL */
 };
 
@@ -103,6 +104,7 @@
 	uint32_t step;
 	uint32_t index; /* within the step */
 	bool done;
+	bool begun; /* a worker has started it */
 	uint32_t run; /* highest number of its runs, past ones included */
 	uint32_t failures; /* failed runs; for a gang, kept on its first task */
 	/* Gang: run numbers with a member that counted as ended before its
@@ -158,6 +160,11 @@
 	bool ticket_wanted; /* a worker rejected a start for its ticket */
 	/* Within its account's guarantee, according to the plan. */
 	bool guaranteed;
+	/* All tasks of its first step have started, on workers. */
+	bool begun;
+	uint32_t first_tasks_begun;
+	uint64_t begun_us; /* 0: it has not, or under an earlier owner */
+	bool start_late; /* logged, see rj_cell_guarantees_update */
 	struct rj_cell_allocation allocated; /* by its runs */
 	/* Of its account, as of the last plan; NULL: not known. */
 	struct rj_cell_account_share *share;
@@ -190,6 +197,7 @@
 rj_cell_occurrence_due_after_us(const struct rj_cell_occurrence *occurrence);
 bool rj_cell_occurrence_step_ready(const struct rj_cell_occurrence *occurrence,
 				   uint32_t step);
+void rj_cell_task_set_begun(struct rj_cell_task *task, uint64_t now_us);
 void rj_cell_task_complete(struct rj_cell_task *task);
 struct rj_cell_task *rj_cell_task_head(struct rj_cell_task *task);
 const struct rj_cell_step *rj_cell_task_step(const struct rj_cell_task *task);
--- a/src/libradishjunction/include/private/cell_admission_forecast.h
+++ b/src/libradishjunction/include/private/cell_admission_forecast.h
@@ -24,8 +24,6 @@
 void rj_cell_admission_forecast_sum_work(
 	const struct rj_cell_owner *owner,
 	struct rj_cell_service_load work[RJ_CELL_PRIORITY_CLASSES]);
-bool rj_cell_admission_forecast_has_unused_guarantee(
-	const struct rj_cell_owner *owner);
 bool rj_cell_admission_forecast_decide(
 	struct rj_cell_owner *owner, const struct rj_cell_queue *queue,
 	bool has_enough_workers, double late_ms, double estimate_ms,
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -25,6 +25,7 @@
 #include "private/cell_features.h"
 #include "private/cell_fleet.h"
 #include "private/cell_forecast.h"
+#include "private/cell_guarantee.h"
 #include "private/cell_handover.h"
 #include "private/cell_lease_bounds.h"
 #include "private/cell_return_order.h"
@@ -121,6 +122,7 @@
 	/* The former owner's announcements have been taken over. */
 	bool announcements_resumed;
 	struct rj_cell_account_shares account_shares; /* of this term */
+	struct rj_cell_guarantees guarantees; /* as of the last update */
 	uint32_t strength; /* of the instance, in hundredths of a core */
 	bool plan_wanted;
 	uint64_t plan_due_us; /* without other events */
--- a/src/libradishjunction/include/private/cell_place.h
+++ b/src/libradishjunction/include/private/cell_place.h
@@ -62,6 +62,7 @@
 	GArray *changes; /* struct rj_cell_plan_worker before each change */
 	GPtrArray *workers; /* one for each task */
 	GPtrArray *victims; /* struct rj_cell_run */
+	const struct rj_cell_job *preempting_job; /* NULL: no victims */
 	uint64_t loss_milli; /* core-milliseconds discarded by preemption */
 	/* Delay until all tasks fit, in microseconds; 0 unless the horizon is
 	 * RJ_CELL_HORIZON_COMPLETIONS. */
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -21,6 +21,7 @@
 #include "private/cell_features.h"
 #include "private/cell_fleet.h"
 #include "private/cell_forecast.h"
+#include "private/cell_guarantee.h"
 
 #define RJ_CELL_WHY_RECLAIMED "reclaimed"
 
@@ -110,6 +111,7 @@
 	uint32_t reclaim_ms; /* guaranteed jobs start within this time */
 	uint32_t stop_ms; /* a run ends within this after its stop */
 	struct rj_cell_features features;
+	struct rj_cell_guarantees *guarantees; /* updated by the plan */
 	/* Updated by the plan; NULL: it ignores the shares of accounts. */
 	struct rj_cell_account_shares *account_shares;
 	uint64_t now_us;
@@ -143,8 +145,6 @@
 	GArray *task_groups; /* struct rj_cell_task_group */
 	uint32_t promise_count; /* promises to gangs that are not urgent */
 	uint32_t urgent_promise_count; /* promises to urgent groups */
-	/* Account -> accelerators of its urgent jobs. */
-	GHashTable *urgent_needs;
 	GArray *shortages; /* struct rj_cell_shortage */
 	uint32_t failed_searches; /* for runs to preempt */
 	/* Runs of jobs that are too late to be of use and may be stopped for
