--- a/src/test_libradishjunction/support/cell_check.c
+++ b/src/test_libradishjunction/support/cell_check.c
@@ -254,6 +254,23 @@
 	record_first_step_start(sim, job);
 }
 
+/* Records the time at which all tasks of a job, which has one occurrence, had
+ * ended well. */
+static void record_job_done(struct cell_sim *sim, struct cell_client_job *job)
+{
+	if (job->done_us)
+		return;
+	for (uint32_t i = 0; i < job->spec->step_count; i++) {
+		char *name = g_strdup_printf("%s.0.%u.0", job->id, i);
+		bool done = step_done(job, name, i);
+
+		g_free(name);
+		if (!done)
+			return;
+	}
+	job->done_us = sim->now_us;
+}
+
 /*
  * Records that a run ended on its worker.
  */
@@ -269,8 +286,10 @@
 		return;
 	if (stats->running)
 		stats->running--;
-	if (outcome == RJ_CELL_COMPLETION_DONE)
+	if (outcome == RJ_CELL_COMPLETION_DONE) {
 		stats->done = true;
+		record_job_done(sim, job);
+	}
 	if (outcome == RJ_CELL_COMPLETION_FAILED)
 		stats->failed_runs++;
 }
--- a/src/test_libradishjunction/support/cell_sim.c
+++ b/src/test_libradishjunction/support/cell_sim.c
@@ -10,6 +10,7 @@
 #define TICK_US (20 * MS)
 #define WALL_MS 1700000000000ULL
 #define ATTEMPTS_MAX 4
+#define DEFAULT_ACCOUNTS 2
 #define LEASE_MAX_MS 6000
 /* A removed key is not served after this. */
 #define REVOKE_MS 5000
@@ -306,6 +307,10 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	cell_log_init(sim);
 	cell_workers_init(sim);
+	if (!sim->options.accounts)
+		sim->options.accounts = DEFAULT_ACCOUNTS;
+	for (uint32_t j = 0; j < sim->options.accounts; j++)
+		sim->guaranteed[j] = sim->options.guaranteed;
 	cell_sim_publish(sim, "k1");
 	for (uint32_t i = 0; i < options->nodes; i++) {
 		struct cell_sim_node *node = &sim->nodes[i];
--- a/src/test_libradishjunction/support/cell_sim.h
+++ b/src/test_libradishjunction/support/cell_sim.h
@@ -16,6 +16,7 @@
 
 #define CELL_SIM_NODES_MAX 16
 #define CELL_SIM_WORKERS_MAX 8192
+#define CELL_SIM_ACCOUNTS_MAX 8
 /* Interval of workers' heartbeats, and how many have to be missed in a row
  * before the log drops a worker's entry. */
 #define CELL_SIM_HEARTBEAT_MS 1500
@@ -48,6 +49,7 @@
 	uint64_t accepted_us;
 	uint64_t begun_us; /* all tasks of the first step had started */
 	uint64_t ended_us; /* first answer with a final state */
+	uint64_t done_us; /* all of its tasks had ended well, on workers */
 	/* How the fake workers run its tasks. */
 	uint64_t duration_us; /* of each task at speed 1 */
 	uint32_t failing_runs; /* the first runs of each task, which fail */
@@ -142,6 +144,7 @@
 	uint32_t rack_workers; /* per rack */
 	struct rj_cell_demand capacity;
 	bool enforces_capacity; /* workers reject starts that do not fit */
+	uint32_t accounts; /* "a", "b" and so on; 0: 2 */
 	uint32_t guaranteed; /* accelerators of each account */
 	uint32_t lease_max_ms; /* 0: 6,000 */
 	uint32_t attempts_max; /* 0: 4 */
@@ -169,6 +172,7 @@
 	GPtrArray *job_list;
 	uint32_t job_count;
 	uint64_t config_version;
+	uint32_t guaranteed[CELL_SIM_ACCOUNTS_MAX]; /* in the next one */
 	const char *key; /* of the newest configuration */
 	const char *removed_key; /* removed last, or NULL */
 	uint64_t key_removed_us;
--- a/src/test_libradishjunction/support/cell_sim_codec.c
+++ b/src/test_libradishjunction/support/cell_sim_codec.c
@@ -123,10 +123,12 @@
 
 	rj_unpack_init(&in, text);
 	config->version = rj_unpack_number(&in, "version", UINT64_MAX);
-	config->account_count = 2;
-	config->accounts = talloc_zero_array(config, struct rj_cell_account, 2);
 	rj_unpack_text(&in, "key", api_key, sizeof(api_key));
-	for (uint32_t i = 0; i < 2; i++) {
+	config->account_count = (uint32_t)rj_unpack_number(
+		&in, "accounts", CELL_SIM_ACCOUNTS_MAX);
+	config->accounts = talloc_zero_array(config, struct rj_cell_account,
+					     config->account_count);
+	for (uint32_t i = 0; i < config->account_count; i++) {
 		struct rj_cell_account *account = &config->accounts[i];
 
 		(void)g_snprintf(account->name, RJ_NAME_BYTES, "%c", 'a' + i);
@@ -169,8 +171,9 @@
 	rj_pack_init(&out);
 	rj_pack_number(&out, ++sim->config_version);
 	rj_pack_text(&out, key);
-	rj_pack_number(&out, sim->options.guaranteed);
-	rj_pack_number(&out, sim->options.guaranteed);
+	rj_pack_number(&out, sim->options.accounts);
+	for (uint32_t i = 0; i < sim->options.accounts; i++)
+		rj_pack_number(&out, sim->guaranteed[i]);
 	rj_pack_number(&out, sim->options.attempts_max);
 	rj_pack_number(&out, sim->options.extra_queues);
 	text = rj_pack_finish(&out, sim->mem);
