cell_guarantee: an account has its guarantee at all times, job by job

Cause: whether a job was guaranteed was one decision for all urgent jobs of its account, made anew in each plan. One more job of the account, and none was: running jobs were stopped for the guaranteed work of any other account, and what was stopped might discard only four times its own work. When another job of the account ended, the guarantee was back, but not the time to stop others and start.

A job holds its need from the guarantee, whatever else its account sends; until it has begun nothing takes that away; shortly before its bound it also gets what jobs that may end by then hold. Work within a guarantee has no limit of loss, also after the bound. Urgent jobs beyond it that have not begun are stopped last.

--- a/src/libradishjunction/cell/cell_admit.c
+++ b/src/libradishjunction/cell/cell_admit.c
@@ -311,7 +311,7 @@
 	size_t further_bytes = 0;
 
 	rj_cell_guarantees_update(&owner->guarantees, &owner->jobs, config,
-				  owner->now_us);
+				  &owner->forecast, owner->now_us);
 	if (owner->limits.features.admission_forecast)
 		rj_cell_admission_forecast_sum_work(owner, work);
 	heartbeat->queue_load_count = 0;
--- a/src/libradishjunction/cell/cell_forecast.c
+++ b/src/libradishjunction/cell/cell_forecast.c
@@ -179,6 +179,27 @@
 	return total_us > ran_us ? total_us - ran_us : total_us / 2;
 }
 
+/*
+ * Whether a run may end within `within_us`: by its reported progress or by the
+ * expected run time, whichever is earlier. So may one that has exceeded either.
+ */
+bool rj_cell_forecast_may_end(const struct rj_cell_forecast *forecast,
+			      const struct rj_cell_run *run, uint64_t now_us,
+			      uint64_t within_us)
+{
+	const struct rj_cell_task *task = run->task;
+	uint64_t ran_us = now_us - MIN(now_us, run->placed_us);
+	uint64_t remaining_us;
+
+	if (remaining_by_progress(run, ran_us, &remaining_us) &&
+	    remaining_us <= within_us)
+		return true;
+	return rj_cell_forecast_task_ms(
+		       forecast, task->occurrence->job->job_spec, task->step) *
+		       RJ_US_PER_MS <=
+	       ran_us + within_us;
+}
+
 /*
  * Returns the error of a queue's estimates, for updates.
  */
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -238,6 +238,7 @@
 		RJ_LOG_NUMBER("begun", job && job->begun),
 		RJ_LOG_NUMBER("guaranteed", job && job->guaranteed),
 		RJ_LOG_NUMBER("needed", guarantee.needed),
+		RJ_LOG_NUMBER("held", guarantee.held),
 		RJ_LOG_NUMBER("limit", guarantee.limit),
 		RJ_LOG_NUMBER("config", owner->guarantees.config_version));
 }
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -67,7 +67,8 @@
 	rj_cell_lease_bounds_init(&owner->leases);
 	owner->leases.grants_us = rj_cell_lease_grants_us(limits->lease_max_ms);
 	rj_cell_return_order_init(&owner->return_order);
-	rj_cell_guarantees_init(&owner->guarantees, limits->reclaim_ms);
+	rj_cell_guarantees_init(&owner->guarantees, limits->reclaim_ms,
+				limits->stop_ms);
 	owner->ended_jobs = g_ptr_array_new_with_free_func(g_free);
 	rj_cell_writer_init(&owner->writer, mem, store, RJ_CELL_TOPIC_JOBS,
 			    "owner");
@@ -581,7 +582,6 @@
 	plan.config = owner->config;
 	plan.forecast = &owner->forecast;
 	plan.failures = owner->failure_burst;
-	plan.reclaim_ms = owner->limits.reclaim_ms;
 	plan.stop_ms = owner->limits.stop_ms;
 	plan.features = owner->limits.features;
 	plan.guarantees = &owner->guarantees;
--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -248,14 +248,12 @@
 }
 
 /* Returns the work that urgent tasks may discard, in core-milliseconds; no limit
- * for guaranteed tasks within reclaim_ms of their job's acceptance. */
+ * for guaranteed tasks. */
 static uint64_t loss_allowed(const struct rj_cell_plan *plan,
 			     const struct rj_cell_task_group *group,
 			     uint32_t count)
 {
-	if (group->guaranteed &&
-	    plan->now_us <=
-		    group->job->accepted_us + plan->reclaim_ms * RJ_US_PER_MS)
+	if (group->guaranteed)
 		return UINT64_MAX;
 	return URGENT_LOSS_FACTOR *
 	       rj_cell_reclaim_group_cost_milli(plan, group, count);
--- a/src/libradishjunction/cell/cell_reclaim.c
+++ b/src/libradishjunction/cell/cell_reclaim.c
@@ -11,6 +11,9 @@
 /* Urgent runs are preempted last: a core-second of theirs is worth this many
  * times as much. */
 #define URGENT_LOSS_WEIGHT 10
+/* Among them, those of jobs that still have to begin within their bound are
+ * preempted last: they may have to start again in the time that is left. */
+#define BOUND_AHEAD_LOSS_WEIGHT 10
 /* Runs of accounts over their share are preempted before others: for that choice
  * their loss counts as one part in this many. */
 #define OVER_SHARE_LOSS_DIVISOR 2
@@ -145,17 +148,22 @@
 			      const struct rj_cell_run *run)
 {
 	const struct rj_cell_step *step;
+	const struct rj_cell_job *job;
 	uint64_t loss_milli;
 
 	if (!run->task || is_expired(plan, run))
 		return 0;
+	job = run->task->occurrence->job;
 	step = rj_cell_task_step(run->task);
 	loss_milli =
 		run_loss_milli(plan, run) * (step->gang ? step->task_count : 1);
 	loss_milli *= 1 + run->task->losses;
-	return run->task->occurrence->job->job_spec->priority ?
-		       loss_milli :
-		       loss_milli * URGENT_LOSS_WEIGHT;
+	if (!job->job_spec->priority)
+		loss_milli *= URGENT_LOSS_WEIGHT;
+	if (rj_cell_guarantees_bound_is_ahead(plan->guarantees, job,
+					      plan->now_us))
+		loss_milli *= BOUND_AHEAD_LOSS_WEIGHT;
+	return loss_milli;
 }
 
 /*
--- a/src/libradishjunction/cell/cell_task_groups.c
+++ b/src/libradishjunction/cell/cell_task_groups.c
@@ -271,6 +271,11 @@
 	group.remote_allowed = may_run_remote(plan, &job->job_spec->steps[step],
 					      group.waiting_since_us);
 	group.guaranteed = job->guaranteed;
+	group.bound_near = job->guaranteed &&
+			   rj_cell_guarantees_bound_is_near(plan->guarantees,
+							    job, plan->now_us);
+	/* In time on several racks rather than late on one. */
+	group.remote_allowed |= group.bound_near;
 	age_us = service_age_us(plan, &group);
 	group.tier = tier_of(&group, age_us);
 	group.expired = group.tier == TIER_EXPIRED;
@@ -368,7 +373,7 @@
 void rj_cell_task_groups_gather(struct rj_cell_plan *plan)
 {
 	rj_cell_guarantees_update(plan->guarantees, plan->jobs, plan->config,
-				  plan->now_us);
+				  plan->forecast, plan->now_us);
 	if (plan->account_shares)
 		rj_cell_account_shares_begin(plan->account_shares);
 	gather_task_groups(plan);
--- a/src/libradishjunction/include/private/cell_forecast.h
+++ b/src/libradishjunction/include/private/cell_forecast.h
@@ -44,6 +44,9 @@
 uint64_t
 rj_cell_forecast_critical_path_ms(const struct rj_cell_forecast *forecast,
 				  const struct rj_cell_job_spec *spec);
+bool rj_cell_forecast_may_end(const struct rj_cell_forecast *forecast,
+			      const struct rj_cell_run *run, uint64_t now_us,
+			      uint64_t within_us);
 uint64_t rj_cell_forecast_remaining_us(const struct rj_cell_forecast *forecast,
 				       const struct rj_cell_run *run,
 				       uint64_t now_us);
--- a/src/libradishjunction/include/private/cell_place.h
+++ b/src/libradishjunction/include/private/cell_place.h
@@ -28,6 +28,7 @@
 	bool remote_allowed; /* may run on other racks than its data */
 	bool advised; /* the policy service decides on workers */
 	bool guaranteed; /* its account is guaranteed the capacity */
+	bool bound_near; /* and it has to get it now to begin in time */
 	bool may_use_exclusive; /* see rj_cell_plan_worker */
 	bool may_use_reserved;
 	const char *service; /* interned */
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -108,7 +108,6 @@
 	const struct rj_cell_config *config;
 	const struct rj_cell_forecast *forecast;
 	struct rj_cell_failure_burst failures;
-	uint32_t reclaim_ms; /* guaranteed jobs start within this time */
 	uint32_t stop_ms; /* a run ends within this after its stop */
 	struct rj_cell_features features;
 	struct rj_cell_guarantees *guarantees; /* updated by the plan */
