cell_reclaim: a guaranteed job close to its bound does not wait for runs that are about to end

Callers saw: a guaranteed job waits for seconds on a full site and begins after its bound.

Cause: runs that are expected to end within 0.4 s are waited for at no loss. The expectation is extrapolated from the progress of a run; where it is too early, each plan waits again for the same runs, and finds nothing to stop.

Change: from the time on that a guaranteed job needs to stop others and begin, no run is waited for.

--- a/src/libradishjunction/cell/cell_reclaim.c
+++ b/src/libradishjunction/cell/cell_reclaim.c
@@ -193,10 +193,22 @@
 	uint64_t order_milli; /* by which workers are compared */
 };
 
+/*
+ * Returns up to which remaining time a run is waited for rather than stopped for
+ * a group.
+ *
+ * Guards against guaranteed jobs that begin late: a run that is always expected
+ * to complete soon would be waited for again and again.
+ */
+static uint64_t max_wait_us(const struct rj_cell_task_group *group)
+{
+	return group->bound_near ? 0 : PREEMPTION_DELAY_US;
+}
+
 /*
  * Chooses the runs of one worker whose stop frees `demand` at the least cost,
  * and adds them to `chosen` unless that is NULL. Runs about to complete are
- * waited for at no loss.
+ * waited for at no loss, see max_wait_us.
  */
 static struct stop_cost
 choose_victims(struct rj_cell_plan *plan,
@@ -214,7 +226,7 @@
 
 	for (release = releases->by_time;
 	     release < releases_end &&
-	     release->remaining_us < PREEMPTION_DELAY_US;
+	     release->remaining_us < max_wait_us(group);
 	     release++)
 		if (is_candidate(plan, release, group))
 			rj_cell_demand_add(&available,
@@ -223,7 +235,7 @@
 	for (release = releases->by_loss;
 	     release < releases_end && !rj_cell_demand_fits(demand, &available);
 	     release++) {
-		if (release->remaining_us < PREEMPTION_DELAY_US ||
+		if (release->remaining_us < max_wait_us(group) ||
 		    !is_candidate(plan, release, group))
 			continue;
 		rj_cell_demand_add(&available, &release->run->allocated);
