--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -9,7 +9,7 @@
 WORKERS=12
 JOBS=230
 RUN_MS=60
-JOB="{\"Spec\":\"$RUN_MS\",\"Steps\":[{\"Count\":10,\"Cpu\":1000,\"MemMb\":1000,\"Gpu\":1,\"EstimateMs\":$RUN_MS}]}"
+JOB="{\"Spec\":\"$RUN_MS\",\"Steps\":[{\"Count\":$WORKERS,\"AntiAffinity\":1,\"Cpu\":1000,\"MemMb\":1000,\"Gpu\":1,\"EstimateMs\":$RUN_MS}]}"
 
 start users target/review-2/review-users $WORKERS
 wait_for 10 "the stand-in" grep -qs listening "$work/users.out"
@@ -44,13 +44,13 @@
 		kill -s HUP "${pid_of[proxy]}"
 		note "the store is slow: its answers take 212 ms more"
 	fi
-	for i in $(seq 0 $((WORKERS - 1))); do
-		sleep 0.35
+	for i in $(seq 0 $((2 * WORKERS - 1))); do
+		sleep 0.17
 		[ "$TROUBLE" = 1 ] || continue
-		curl -sf -o /dev/null -X POST "http://$control/restart/$i"
-		note "worker w$i is to crash after its next poll, and to start again after 100 ms"
+		curl -sf -o /dev/null -X POST "http://$control/restart/$((i % WORKERS))"
+		note "worker w$((i % WORKERS)) is to crash after its next poll, and to start again after 100 ms"
 	done
-	sleep 0.4
+	sleep 0.3
 	kill -s USR2 "${pid_of[proxy]}"
 	note "the store is as usual"
 	sleep 3
--- a/review/standin-2/users.c
+++ b/review/standin-2/users.c
@@ -19,7 +19,7 @@
 #include <talloc.h>
 
 #include "private/clock.h"
-#include "standin.h"
+#include "../../src/standin_users/standin.h"
 
 #define WORKERS_MAX 256
 #define STEP_US (5 * RJ_US_PER_MS)
@@ -98,9 +98,9 @@
 	restart->options = worker->server.options;
 	restart->options.address = worker->server.address;
 	rj_http_server_finish(&worker->server);
-	json_object_foreach(worker->running, name, run) event(
-		worker, "end", name,
-		json_integer_value(json_object_get(run, "run")));
+	json_object_foreach(worker->running, name, run)
+		event(worker, "end", name,
+		      json_integer_value(json_object_get(run, "run")));
 	event(worker, "down", "", (long long)worker->incarnation);
 	json_object_clear(worker->running);
 	json_array_clear(worker->finished);
