--- a/review/standin-2/lib.bash
+++ b/review/standin-2/lib.bash
@@ -1,9 +1,8 @@
 # Functions of the review's scripts. To be sourced by a bash script with
-# `set -u` that has set `here`, the folder of the case.
+# `set -u` that has set `here`, the folder of the case, and `record`, its record.txt.
 cd "$here/../.."
 bin=target/bin
 work=$(mktemp -d)
-record=$here/record.txt
 : >"$record"
 declare -A pid_of port_of
 began_ms=$(date +%s%3N)
