http client: requests that only one server process may receive

Cause: a server that restarts at its address is another process, and nothing in a request that libcurl sends tells the two apart. Whoever chooses what to say by an earlier response may say it to the next process: between that response and the next request there is always a gap. Change: a connection ends with the process at its other end. http_connections knows each connection of the client from libcurl's callbacks (socket opened, about to send, socket closed) and what a response over it said of the process. Excluded: checking the identity in the previous response alone (leaves the gap), FRESH_CONNECT for the handshake (closes idle connections at the limit), a multi handle for each worker (memory that grows with the fleet), CURLINFO_ACTIVESOCKET (walks the whole connection cache, and is not set while the request is sent).

--- a/src/libradishjunction/http_client.c
+++ b/src/libradishjunction/http_client.c
@@ -31,6 +31,7 @@
 const char *const rj_http_outcome_string[RJ_HTTP_OUTCOME_COUNT] = {
 	[RJ_HTTP_ANSWERED] = "answered",
 	[RJ_HTTP_NOT_SENT] = "not_sent",
+	[RJ_HTTP_NO_CONNECTION] = "no_connection",
 	[RJ_HTTP_LOST] = "lost",
 };
 
@@ -49,6 +50,10 @@
 	struct rj_buffer response;
 	size_t response_max_bytes;
 	bool too_long;
+	uint64_t identity; /* of the server process; 0: any */
+	bool no_connection; /* none leads to that process */
+	struct rj_http_opened opened; /* the last one for this transfer */
+	struct rj_http_connection_use connection;
 	void (*done)(void *private_data, const struct rj_http_result *result);
 	void *private_data;
 };
@@ -153,6 +158,54 @@
 	return length;
 }
 
+/* libcurl callback: open a socket for a new connection. Nobody knows yet to
+ * which process it will lead. */
+static curl_socket_t open_socket(void *private_data, curlsocktype purpose,
+				 struct curl_sockaddr *address)
+{
+	struct transfer *transfer = private_data;
+
+	if (transfer->identity) {
+		transfer->no_connection = true;
+		return CURL_SOCKET_BAD;
+	}
+	transfer->opened = rj_http_connections_open(
+		&transfer->client->connections, address);
+	return transfer->opened.fd;
+}
+
+/* libcurl callback: close a socket. */
+static int close_socket(void *private_data, curl_socket_t fd)
+{
+	struct rj_http_client *client = private_data;
+
+	return rj_http_connections_close(&client->connections, fd);
+}
+
+/*
+ * libcurl callback: the request is about to be sent over a connection.
+ *
+ * A connection ends with the process at its other end, so that a request cannot
+ * reach a process that was started later at the same address.
+ */
+static int before_request(void *private_data, char *remote_ip, char *local_ip,
+			  int remote_port, int local_port)
+{
+	struct transfer *transfer = private_data;
+	struct rj_http_route route = { .remote_port = (uint32_t)remote_port,
+				       .local_port = (uint32_t)local_port };
+
+	g_strlcpy(route.remote_ip, remote_ip, sizeof(route.remote_ip));
+	transfer->connection = rj_http_connections_use(
+		&transfer->client->connections, &route, &transfer->opened);
+	transfer->opened.number = 0;
+	if (!transfer->identity ||
+	    transfer->connection.identity == transfer->identity)
+		return CURL_PREREQFUNC_OK;
+	transfer->no_connection = true;
+	return CURL_PREREQFUNC_ABORT;
+}
+
 /* Call `done` with the result of a transfer and free the transfer. */
 static void finish_transfer(struct transfer *transfer, CURLcode code)
 {
@@ -167,12 +220,15 @@
 		result.body =
 			transfer->response.data ? transfer->response.data : "";
 		result.length = transfer->response.length;
+	} else if (transfer->no_connection && !transfer->sent) {
+		result.outcome = RJ_HTTP_NO_CONNECTION;
 	} else if (transfer->has_body && !transfer->sent) {
 		/* None of the body was sent, and a server does not act on a
 		 * request without its body. */
 		result.outcome = RJ_HTTP_NOT_SENT;
 	}
 	result.too_long = transfer->too_long;
+	result.connection = transfer->connection;
 	rj_list_remove(&transfer->link);
 	transfer->done(transfer->private_data, &result);
 	talloc_free(transfer);
@@ -426,6 +482,7 @@
 	client->deadline_us = RJ_NEVER_US;
 	client->idle_handles =
 		g_ptr_array_new_with_free_func(curl_easy_cleanup);
+	rj_http_connections_init(&client->connections);
 	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION,
 			  socket_callback);
 	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
@@ -490,6 +547,12 @@
 	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
 	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_S);
 	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_S);
+	curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+	curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, transfer);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, transfer->client);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_request);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, write_response);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
 	if (transfer->has_body) {
@@ -521,6 +584,7 @@
 		talloc_memdup(transfer, request->body, request->length);
 	transfer->length = request->length;
 	transfer->response_max_bytes = request->response_max_bytes;
+	transfer->identity = request->identity;
 	transfer->done = request->done;
 	transfer->private_data = talloc_steal(transfer, request->private_data);
 	transfer->easy = acquire_handle(client);
@@ -534,6 +598,19 @@
 	curl_multi_add_handle(client->multi, transfer->easy);
 }
 
+/*
+ * Record which server process has sent the response to a request. Call it from
+ * `done`. Requests for this process may then use the connection; a process that
+ * is started later at the same address has connections of its own.
+ */
+void rj_http_client_identify(struct rj_http_client *client,
+			     const struct rj_http_result *result,
+			     uint64_t identity)
+{
+	rj_http_connections_identify(&client->connections, &result->connection,
+				     identity);
+}
+
 /*
  * The HTTP URL of `path`, which starts with a slash, at `address`; a talloc
  * child of `mem`.
@@ -566,6 +643,7 @@
 	g_ptr_array_free(client->idle_handles, TRUE);
 	curl_multi_cleanup(client->multi);
 	client->multi = NULL;
+	rj_http_connections_finish(&client->connections);
 	curl_slist_free_all(client->headers);
 	TALLOC_FREE(client->mem);
 	close(client->epoll_fd);
--- a/src/libradishjunction/include/private/http_client.h
+++ b/src/libradishjunction/include/private/http_client.h
@@ -17,6 +17,7 @@
 #include <glib.h>
 #include <tevent.h>
 
+#include "private/http_connections.h"
 #include "private/list.h"
 #include "radishjunction/error.h"
 #include "radishjunction/types.h"
@@ -24,6 +25,9 @@
 enum rj_http_outcome {
 	RJ_HTTP_ANSWERED, /* complete response, with any status */
 	RJ_HTTP_NOT_SENT, /* no byte of the request body was sent */
+	/* Not sent: no idle connection leads to the process that the request
+	 * is meant for. */
+	RJ_HTTP_NO_CONNECTION,
 	RJ_HTTP_LOST, /* no complete response; may have taken effect */
 	RJ_HTTP_OUTCOME_COUNT
 };
@@ -36,6 +40,8 @@
 	const char *body; /* with RJ_HTTP_ANSWERED, freed after `done` */
 	size_t length;
 	bool too_long; /* lost: longer than response_max_bytes */
+	/* Over which it was sent, for rj_http_client_identify. */
+	struct rj_http_connection_use connection;
 };
 
 struct rj_http_request {
@@ -50,6 +56,9 @@
 	size_t response_max_bytes; /* a longer response counts as lost */
 	const char *const *headers; /* added to the client's; "Name: value" */
 	uint32_t header_count;
+	/* Not 0: the request is only sent over a connection that is known to
+	 * lead to this server process, see rj_http_client_identify. */
+	uint64_t identity;
 	void (*done)(void *private_data, const struct rj_http_result *result);
 	void *private_data; /* talloc; taken over, freed after `done` */
 };
@@ -68,6 +77,7 @@
 	struct tevent_timer *deadline_timer;
 	uint64_t deadline_us; /* expiry of deadline_timer */
 	GPtrArray *idle_handles; /* CURL handles kept for reuse */
+	struct rj_http_connections connections;
 };
 
 int rj_http_client_init(struct rj_http_client *client, void *mem,
@@ -81,6 +91,9 @@
 			       const char *header);
 void rj_http_client_send(struct rj_http_client *client,
 			 const struct rj_http_request *request);
+void rj_http_client_identify(struct rj_http_client *client,
+			     const struct rj_http_result *result,
+			     uint64_t identity);
 char *rj_http_url(void *mem, const struct rj_address *address,
 		  const char *path);
 void rj_http_client_finish(struct rj_http_client *client);
