incarnations: what one has said holds for it alone

Cause: a poll acknowledges completions by position, and a worker that restarts under its id counts from 1 again. The owner knew the new incarnation only from the answer to the next poll, which had carried the position of the former one and dropped completions that nobody had seen; the runs were then in neither list and started again. Two hypotheses: (A) the poll is sent before any answer of the new incarnation, with the former position; (B) the append that stores the former incarnation's ends completes after the new one was met and sets its position again. Change: what holds for one incarnation alone (positions, deadlines by its clock, starts chosen for its kind, capacity and ticket, stops) is sent in a call that names the incarnation, and cell_incarnation decides for polls, starts, stops, probes and answers: to whom, what a poll may carry, whose clock an answer shows, which answers come from a former incarnation, and which runs ended with it. The adapter sends such a call over a connection to that process or not at all. A poll without content, such as a probe or that of an idle worker, may be answered by any. Also mended with it, by the same rule: probes sent the position whatever the worker's state; a start whose intent was stored for one incarnation went to the next one; an answer of a former incarnation that was overtaken set the clock and the incarnation back; in a large fleet the first start to a worker trusted the clock of its entry, whoever answered. Test: test_cell_faults has a profile of restarts at once beside a slow log, late and lost calls, answers that overtake each other and takeovers, checked from the callers' and the workers' side.

--- a/src/libradishjunction/cell/cell_calls.c
+++ b/src/libradishjunction/cell/cell_calls.c
@@ -3,6 +3,7 @@
 #include <talloc.h>
 
 #include "private/cell_calls.h"
+#include "private/cell_incarnation.h"
 #include "private/cell_worker_evidence.h"
 #include "private/log_event.h"
 
@@ -54,18 +55,6 @@
 	rj_cell_call_window_sent(window, call->sent_us);
 }
 
-/*
- * Records the worker's clock from an answer.
- */
-void rj_cell_call_update_clock(struct rj_cell_worker *worker,
-			       const struct rj_cell_order_reply *reply)
-{
-	if (!reply->clock_ms)
-		return;
-	worker->clock_ms = reply->clock_ms;
-	worker->clock_at_us = reply->now_us;
-}
-
 /*
  * Returns the deadline for an order, by the worker's clock in milliseconds, and
  * records the longer lease; 0 if leases must not be extended.
@@ -123,8 +112,8 @@
 }
 
 /*
- * Returns the worker of an answered call, and records the contact; NULL if the
- * ownership has changed or the worker is unknown.
+ * Returns the worker of an answered call, and records the contact and its
+ * clock; NULL if the ownership has changed or the worker is unknown.
  */
 struct rj_cell_worker *
 rj_cell_call_find_worker(struct rj_cell_call_context *call,
@@ -140,23 +129,26 @@
 	if (call->window)
 		rj_cell_call_window_answered(call->window, call->sent_us);
 	worker = rj_cell_fleet_find(&owner->fleet, call->worker);
-	if (worker)
-		rj_cell_worker_record_contact(
-			worker, call->sent_us,
-			reply->status != RJ_CELL_ORDER_LOST &&
-				reply->status != RJ_CELL_ORDER_UNSENT,
-			reply->now_us);
+	if (!worker)
+		return NULL;
+	rj_cell_worker_record_contact(worker, call->sent_us,
+				      reply->status != RJ_CELL_ORDER_LOST &&
+					      reply->status !=
+						      RJ_CELL_ORDER_UNSENT,
+				      reply->now_us);
+	rj_cell_incarnation_update_clock(worker, call, reply);
 	return worker;
 }
 
 /*
- * Handles an answer from another incarnation of the worker: all runs of the
- * former one are lost.
+ * Handles a call that was not sent, as another incarnation of the worker has
+ * replaced the one that it was meant for: all runs of this one are lost.
  */
 void rj_cell_call_other_incarnation(struct rj_cell_owner *owner,
-				    struct rj_cell_worker *worker)
+				    struct rj_cell_worker *worker,
+				    uint64_t incarnation)
 {
-	rj_cell_call_set_answering(owner, worker, false,
-				   RJ_CELL_ORDER_OTHER_INCARNATION);
-	rj_cell_call_lose_runs(owner, worker, "worker_reborn");
+	if (incarnation == rj_cell_worker_expected_incarnation(worker))
+		rj_cell_incarnation_changed(owner, worker);
+	rj_cell_incarnation_ended(owner, worker, incarnation);
 }
--- a/src/libradishjunction/cell/cell_fleet.c
+++ b/src/libradishjunction/cell/cell_fleet.c
@@ -456,6 +456,18 @@
 	return worker->domain && worker->domain->cordoned;
 }
 
+/*
+ * Returns the incarnation that a worker is expected to be: the one that has
+ * answered last or, before the first answer, the one that wrote its entry; 0 if
+ * neither is known.
+ */
+uint64_t
+rj_cell_worker_expected_incarnation(const struct rj_cell_worker *worker)
+{
+	return worker->incarnation ? worker->incarnation :
+				     worker->heartbeat.incarnation;
+}
+
 /*
  * Whether a worker's entry is of the incarnation that has answered last. After a
  * restart of the worker its kind, rack and capacity may be others, and its answer
@@ -484,6 +496,7 @@
 bool rj_cell_worker_usable(const struct rj_cell_worker *worker, uint64_t now_us)
 {
 	return rj_cell_worker_schedulable(worker) && worker->answers &&
+	       rj_cell_worker_expected_incarnation(worker) &&
 	       worker->clock_ms && now_us >= worker->suspect_until_us &&
 	       !is_unreachable(worker->domain);
 }
--- a/src/libradishjunction/cell/cell_handover.c
+++ b/src/libradishjunction/cell/cell_handover.c
@@ -293,13 +293,6 @@
 	g_hash_table_remove(handover->rows, worker->id);
 }
 
-/* Returns the incarnation to which the pace of a worker belongs; 0: unknown. */
-static uint64_t incarnation_of(const struct rj_cell_worker *worker)
-{
-	return worker->incarnation ? worker->incarnation :
-				     worker->heartbeat.incarnation;
-}
-
 /* Whether the owner knows an incarnation of the worker of a row, so that the
  * worker is stored and not the row. */
 static bool is_row_of_known_worker(const struct rj_cell_handover *handover,
@@ -308,7 +301,7 @@
 	const struct rj_cell_worker *worker =
 		rj_cell_fleet_find(&handover->owner->fleet, row->worker.id);
 
-	return worker && incarnation_of(worker);
+	return worker && rj_cell_worker_expected_incarnation(worker);
 }
 
 /* Whether no worker with the incarnation of a row is listed. */
@@ -338,7 +331,7 @@
 	if (!source->worker)
 		return source->row->worker;
 	memcpy(row.id, source->worker->id, sizeof(row.id));
-	row.incarnation = incarnation_of(source->worker);
+	row.incarnation = rj_cell_worker_expected_incarnation(source->worker);
 	row.pace = source->worker->pace;
 	row.history = source->worker->history;
 	return row;
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -4,6 +4,7 @@
 
 #include "private/cell_calls.h"
 #include "private/cell_evacuate.h"
+#include "private/cell_incarnation.h"
 #include "private/cell_worker_evidence.h"
 #include "private/log_event.h"
 
@@ -100,12 +101,12 @@
 	struct rj_cell_worker *worker;
 	struct rj_cell_run *run = find_run(call, reply, &worker);
 	uint64_t sent_us = call->sent_us;
+	uint64_t incarnation = call->incarnation;
 
 	talloc_free(call);
 	if (!run)
 		return;
 	run->start_in_flight = false;
-	rj_cell_call_update_clock(worker, reply);
 	if (reply->status == RJ_CELL_ORDER_FENCED) {
 		owner->fenced = true;
 		return;
@@ -128,7 +129,7 @@
 			rj_cell_completions_stop_run(owner, run, "no_answer");
 		break;
 	case RJ_CELL_ORDER_OTHER_INCARNATION:
-		rj_cell_call_other_incarnation(owner, worker);
+		rj_cell_call_other_incarnation(owner, worker, incarnation);
 		break;
 	case RJ_CELL_ORDER_UNSENT:
 		/* An earlier attempt may have arrived. */
@@ -161,7 +162,8 @@
 	struct rj_cell_worker *worker = run->worker;
 	const struct rj_cell_job_spec *job_spec =
 		run->task->occurrence->job->job_spec;
-	struct rj_cell_start start = { .name = run->name,
+	struct rj_cell_start start = { .incarnation = run->incarnation,
+				       .name = run->name,
 				       .number = run->number,
 				       .spec = job_spec->spec,
 				       .checkpoint = run->checkpoint ?
@@ -177,6 +179,7 @@
 		return;
 	done.call = start_done;
 	call = rj_cell_call_new(owner, worker, run);
+	call->incarnation = start.incarnation;
 	rj_cell_call_enter_window(call, &owner->order_window);
 	done.private_data = call;
 	run->start_in_flight = true;
@@ -193,12 +196,12 @@
 	struct rj_cell_owner *owner = call->owner;
 	struct rj_cell_worker *worker;
 	struct rj_cell_run *run = find_run(call, reply, &worker);
+	uint64_t incarnation = call->incarnation;
 
 	talloc_free(call);
 	if (!run)
 		return;
 	run->stop_in_flight = false;
-	rj_cell_call_update_clock(worker, reply);
 	switch (reply->status) {
 	case RJ_CELL_ORDER_OK:
 		run->settled_us = owner->now_us;
@@ -207,7 +210,7 @@
 		owner->fenced = true;
 		break;
 	case RJ_CELL_ORDER_OTHER_INCARNATION:
-		rj_cell_call_other_incarnation(owner, worker);
+		rj_cell_call_other_incarnation(owner, worker, incarnation);
 		break;
 	default:
 		rj_cell_run_schedule_order(run, owner->now_us + ORDER_RETRY_US);
@@ -246,6 +249,10 @@
 /* Sends a stop, for the first time or again. */
 static void send_stop(struct rj_cell_owner *owner, struct rj_cell_run *run)
 {
+	const struct rj_cell_stop stop = { .incarnation = run->incarnation,
+					   .name = run->name,
+					   .number = run->number,
+					   .token = owner->token };
 	struct rj_cell_order_done done;
 	struct rj_cell_call_context *call;
 
@@ -253,13 +260,13 @@
 		log_stop(owner, run);
 	done.call = stop_done;
 	call = rj_cell_call_new(owner, run->worker, run);
+	call->incarnation = stop.incarnation;
 	rj_cell_call_enter_window(call, &owner->order_window);
 	done.private_data = call;
 	run->stop_in_flight = true;
 	run->order_tries++;
 	owner->counters.stops++;
-	owner->workers->ops->stop(owner->workers, run->worker, run->name,
-				  run->number, owner->token, done);
+	owner->workers->ops->stop(owner->workers, run->worker, &stop, done);
 }
 
 /* Whether a run has an order to be sent that is not in flight. */
@@ -293,9 +300,10 @@
 }
 
 /*
- * Cancels the unsent starts of a worker that must not get new work. The owner
+ * Cancels the unsent starts that a worker must not get any more. The owner
  * stores an intent between plan and order, and may have read meanwhile that the
- * worker drains; the start would then arrive long after that was published.
+ * worker drains or has restarted; the start would then arrive long after that
+ * was published.
  */
 static void cancel_unsent_starts(struct rj_cell_owner *owner,
 				 struct rj_cell_worker *worker)
@@ -307,7 +315,8 @@
 			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
 
 		at = at->next;
-		if (run->state != RJ_CELL_RUN_STARTING || run->start_in_flight)
+		if (run->state != RJ_CELL_RUN_STARTING ||
+		    run->start_in_flight || rj_cell_incarnation_may_start(run))
 			continue;
 		cancel_start(owner, run);
 		/* Other members of its gang may have been freed too. */
@@ -341,8 +350,7 @@
 	struct rj_list *at;
 	struct rj_list *next;
 
-	if (!rj_cell_worker_schedulable(worker))
-		cancel_unsent_starts(owner, worker);
+	cancel_unsent_starts(owner, worker);
 	RJ_FOR_EACH (at, next, &worker->runs) {
 		struct rj_cell_run *run =
 			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "private/cell_flush.h"
+#include "private/cell_incarnation.h"
 #include "private/cell_plan.h"
 #include "private/cell_returns.h"
 #include "private/cell_starts.h"
@@ -290,12 +291,9 @@
 	}
 	worker = rj_cell_fleet_obtain(&owner->fleet, id);
 	was_draining = worker->heartbeat.draining;
-	/* After a restart of the worker, send nothing until it has answered. */
 	if (worker->incarnation && heartbeat->incarnation &&
-	    worker->incarnation != heartbeat->incarnation) {
-		worker->answers = false;
-		rj_cell_polls_schedule_now(owner, worker);
-	}
+	    worker->incarnation != heartbeat->incarnation)
+		rj_cell_incarnation_changed(owner, worker);
 	rj_cell_worker_apply_heartbeat(worker, heartbeat);
 	rj_cell_handover_worker_listed(&owner->handover, worker);
 	worker->written_us = written_us;
--- a/src/libradishjunction/cell/cell_polls.c
+++ b/src/libradishjunction/cell/cell_polls.c
@@ -3,7 +3,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "private/cell_calls.h"
+#include "private/cell_incarnation.h"
 #include "private/cell_run_health.h"
 #include "private/cell_worker_evidence.h"
 #include "private/log_event.h"
@@ -59,6 +59,7 @@
 	assert(run);
 	(void)rj_cell_owner_find_task(owner, row->name, &entry);
 	run->worker = worker;
+	run->incarnation = worker->incarnation;
 	run->name = talloc_strdup(run, row->name);
 	run->number = row->number;
 	run->state = RJ_CELL_RUN_STOPPING;
@@ -121,6 +122,7 @@
 	run->adopted = false;
 	run->placed_us = 0;
 	run->settled_us = 0;
+	run->incarnation = run->worker->incarnation;
 	run->state = RJ_CELL_RUN_STARTING;
 	run->order_tries = 0;
 	rj_cell_run_schedule_order(run, owner->now_us);
@@ -214,39 +216,6 @@
 		rj_list_append(&owner->fleet.unstored, &worker->in_unstored);
 }
 
-/*
- * Handles the first answer of a worker or of a new incarnation.
- *
- * This alone does not mean that its runs are lost. Orders name the worker and
- * not its incarnation, so a start that was sent while the worker was
- * unavailable may have reached the new incarnation. The lists in the answer
- * decide.
- */
-static void accept_incarnation(struct rj_cell_owner *owner,
-			       struct rj_cell_worker *worker,
-			       const struct rj_cell_order_reply *reply)
-{
-	rj_log_event("worker_met", RJ_LOG_TEXT("worker", worker->id),
-		     RJ_LOG_NUMBER("incarnation", reply->incarnation),
-		     RJ_LOG_NUMBER("before", worker->incarnation),
-		     RJ_LOG_NUMBER("rows", reply->row_count));
-	worker->incarnation = reply->incarnation;
-	worker->stored_position = 0;
-	worker->applied_position = 0;
-	worker->storing_position = 0;
-	worker->acknowledged_position = 0;
-	worker->bad_streak = 0;
-	rj_cell_pace_init(&worker->pace);
-	rj_cell_handover_worker_met(&owner->handover, worker);
-	/* From now on only this owner's orders extend leases, so no lease ends
-	 * later than one that starts now. */
-	worker->lease_deadline_ms =
-		worker->clock_ms + owner->limits.lease_max_ms;
-	worker->lease_expired_us = 0;
-	rj_cell_worker_extend_lease(worker, worker->lease_deadline_ms);
-	owner->plan_wanted = true;
-}
-
 /*
  * Whether a worker may list completions of abandoned runs. It is then polled
  * like one that holds runs, as it may leave again soon after it is back.
@@ -323,18 +292,20 @@
 			 const struct rj_cell_call_context *call,
 			 const struct rj_cell_order_reply *reply)
 {
-	rj_cell_call_update_clock(worker, reply);
+	bool restarted = worker->incarnation != reply->incarnation;
+
 	worker->poll_failures = 0;
 	worker->deregistered_us = 0;
 	worker->abandoned_us = 0;
-	if (worker->incarnation != reply->incarnation)
+	if (restarted)
 		rj_cell_worker_evidence_restarted(owner, worker,
 						  worker->incarnation);
 	rj_cell_call_set_answering(owner, worker, true, reply->status);
-	if (worker->incarnation != reply->incarnation)
-		accept_incarnation(owner, worker, reply);
+	if (restarted)
+		rj_cell_incarnation_accept(owner, worker, call, reply);
 	else
-		worker->acknowledged_position = call->stored_position;
+		worker->acknowledged_position = MAX(
+			worker->acknowledged_position, call->stored_position);
 	process_completions(owner, worker, reply);
 	process_runs(owner, worker, reply);
 	end_missing_runs(owner, worker, call->sent_us, reply);
@@ -348,22 +319,24 @@
 }
 
 /*
- * Handles the failure of a poll that was sent at `sent_us`.
+ * Handles the failure of a poll.
  *
  * A worker that deregisters ends all its runs. As its deregistration is only
  * inferred from the time at which its entry was removed, the runs are abandoned
  * only after one more poll has failed.
  */
 static void record_poll_failure(struct rj_cell_owner *owner,
-				struct rj_cell_worker *worker, uint64_t sent_us,
+				struct rj_cell_worker *worker,
+				const struct rj_cell_call_context *call,
 				enum rj_cell_order_status status)
 {
 	uint64_t delay_us = POLL_RETRY_US;
 
-	if (worker->deregistered_us && sent_us >= worker->deregistered_us)
+	if (worker->deregistered_us && call->sent_us >= worker->deregistered_us)
 		rj_cell_call_lose_runs(owner, worker, "worker_left");
 	if (status == RJ_CELL_ORDER_OTHER_INCARNATION)
-		rj_cell_call_other_incarnation(owner, worker);
+		rj_cell_call_other_incarnation(owner, worker,
+					       call->incarnation);
 	else
 		rj_cell_call_set_answering(owner, worker, false, status);
 	if (!needs_polling(owner, worker))
@@ -388,11 +361,12 @@
 		owner->fenced = true;
 		goto free_call;
 	}
-	if (reply->status == RJ_CELL_ORDER_OK)
+	if (rj_cell_incarnation_is_former(worker, call, reply))
+		worker->poll_due_us = owner->now_us;
+	else if (reply->status == RJ_CELL_ORDER_OK)
 		process_poll(owner, worker, call, reply);
 	else
-		record_poll_failure(owner, worker, call->sent_us,
-				    reply->status);
+		record_poll_failure(owner, worker, call, reply->status);
 	if (!is_idle(owner, worker))
 		rj_cell_worker_set_poll_state(worker, RJ_CELL_POLL_STATE_BUSY);
 	else if (worker->answers)
@@ -431,27 +405,13 @@
 	struct rj_cell_order_done done;
 	struct rj_cell_call_context *call;
 
-	/*
-	 * An unreachable worker may have been restarted, and its new
-	 * incarnation numbers its completions from one again. Until it has
-	 * answered, nothing is acknowledged, so that no completion is dropped
-	 * unseen.
-	 */
-	if (worker->answers)
-		poll.stored_position = worker->stored_position;
 	if (may_long_poll(worker))
 		poll.wait_ms =
 			MIN(POLL_WAIT_MS, owner->limits.lease_max_ms /
 						  POLL_WAIT_LEASE_DIVISOR);
-	/*
-	 * An unreachable worker may still carry out a poll late, so every
-	 * deadline that was sent delays the time at which its tasks may start
-	 * elsewhere. It gets no deadline until it has answered, so that its
-	 * leases expire.
-	 */
-	if (may_long_poll(worker) && worker->runs.next != &worker->runs)
-		poll.deadline_ms = rj_cell_call_next_deadline(owner, worker);
+	rj_cell_incarnation_address_poll(owner, worker, &poll);
 	call = rj_cell_call_new(owner, worker, NULL);
+	call->incarnation = poll.incarnation;
 	call->stored_position = poll.stored_position;
 	if (!poll.wait_ms)
 		rj_cell_call_enter_window(call, &owner->poll_window);
@@ -507,7 +467,8 @@
 				    struct rj_cell_worker *worker)
 {
 	if (!rj_cell_fleet_is_large(&owner->fleet) || worker->incarnation ||
-	    worker->poll_failures || !worker->heartbeat.clock_ms)
+	    worker->poll_failures || !worker->heartbeat.clock_ms ||
+	    !worker->heartbeat.incarnation)
 		return;
 	worker->answers = true;
 	worker->clock_ms = worker->heartbeat.clock_ms;
--- a/src/libradishjunction/cell/cell_reachability.c
+++ b/src/libradishjunction/cell/cell_reachability.c
@@ -2,7 +2,7 @@
 
 #include <talloc.h>
 
-#include "private/cell_calls.h"
+#include "private/cell_incarnation.h"
 
 /*
  * How long an answer confirms the path to its worker. While the log is slow
@@ -71,22 +71,23 @@
 	struct rj_cell_owner *owner = call->owner;
 	struct rj_cell_worker *worker = rj_cell_call_find_worker(call, reply);
 
-	talloc_free(call);
 	if (!worker)
-		return;
+		goto free_call;
 	worker->probe_in_flight = false;
 	owner->plan_wanted = true;
 	if (reply->status == RJ_CELL_ORDER_FENCED) {
 		owner->fenced = true;
-		return;
+		goto free_call;
 	}
 	if (reply->status != RJ_CELL_ORDER_OK) {
 		rj_cell_call_set_answering(owner, worker, false, reply->status);
-		return;
+		goto free_call;
 	}
-	rj_cell_call_update_clock(worker, reply);
-	if (reply->incarnation != worker->incarnation)
-		worker->poll_due_us = owner->now_us;
+	if (reply->incarnation != worker->incarnation &&
+	    !rj_cell_incarnation_is_former(worker, call, reply))
+		rj_cell_incarnation_changed(owner, worker);
+free_call:
+	talloc_free(call);
 }
 
 /*
@@ -97,7 +98,6 @@
 				struct rj_cell_worker *worker)
 {
 	struct rj_cell_poll poll = { .token = owner->token,
-				     .stored_position = worker->stored_position,
 				     .timeout_ms = PROBE_TIMEOUT_MS };
 	struct rj_cell_order_done done = { probe_done, NULL };
 	struct rj_cell_call_context *call;
--- a/src/libradishjunction/cell/cell_run_health.c
+++ b/src/libradishjunction/cell/cell_run_health.c
@@ -61,6 +61,7 @@
 			run->placed_us =
 				estimate_begin_us(owner, run, row->percent);
 	}
+	run->incarnation = run->worker->incarnation;
 	if (row->percent != run->percent || !run->progress_us)
 		run->progress_us = owner->now_us;
 	if (!run->adopted && run->placed_us > run->worker->healthy_us &&
--- a/src/libradishjunction/cell/cell_starts.c
+++ b/src/libradishjunction/cell/cell_starts.c
@@ -33,6 +33,7 @@
 		&owner->guarantees, job->job_spec->account);
 
 	task->run = run->number;
+	run->incarnation = rj_cell_worker_expected_incarnation(choice->worker);
 	run->ticket = talloc_strdup(
 		run, rj_cell_advice_ticket(task->occurrence, task->step,
 					   choice->worker, owner->now_us));
--- a/src/libradishjunction/include/private/cell_active_job.h
+++ b/src/libradishjunction/include/private/cell_active_job.h
@@ -62,6 +62,9 @@
 	struct rj_list in_task;
 	struct rj_cell_worker *worker;
 	struct rj_cell_task *task; /* NULL: its job is unknown */
+	/* Of the worker, for which it was placed or which has listed it; 0: not
+	 * known, as a former owner has started it. */
+	uint64_t incarnation;
 	char *name; /* as the worker reports it */
 	uint32_t number; /* rises with each start of the task */
 	enum rj_cell_run_state state;
--- a/src/libradishjunction/include/private/cell_calls.h
+++ b/src/libradishjunction/include/private/cell_calls.h
@@ -18,11 +18,12 @@
 	uint32_t generation;
 	uint64_t sent_us;
 	char worker[RJ_NAME_BYTES];
+	uint64_t incarnation; /* of the worker that it is meant for; 0: any */
 	char *name; /* of the run; NULL for polls */
 	uint32_t number;
 	struct rj_cell_call_window *window; /* of the owner; NULL: none */
-	uint64_t
-		stored_position; /* polls: completions acknowledged up to here */
+	/* Polls: completions acknowledged up to here; 0: none. */
+	uint64_t stored_position;
 };
 
 struct rj_cell_call_context *
@@ -31,8 +32,6 @@
 		 const struct rj_cell_run *run);
 void rj_cell_call_enter_window(struct rj_cell_call_context *call,
 			       struct rj_cell_call_window *window);
-void rj_cell_call_update_clock(struct rj_cell_worker *worker,
-			       const struct rj_cell_order_reply *reply);
 uint64_t rj_cell_call_next_deadline(struct rj_cell_owner *owner,
 				    struct rj_cell_worker *worker);
 void rj_cell_call_lose_runs(struct rj_cell_owner *owner,
@@ -44,7 +43,8 @@
 rj_cell_call_find_worker(struct rj_cell_call_context *call,
 			 const struct rj_cell_order_reply *reply);
 void rj_cell_call_other_incarnation(struct rj_cell_owner *owner,
-				    struct rj_cell_worker *worker);
+				    struct rj_cell_worker *worker,
+				    uint64_t incarnation);
 void rj_cell_polls_poll_busy(struct rj_cell_owner *owner,
 			     struct rj_cell_worker *worker);
 void rj_cell_polls_tick(struct rj_cell_owner *owner);
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -107,6 +107,7 @@
 	/* When the owner read that it deregistered; 0: it has not. */
 	uint64_t deregistered_us;
 	uint64_t incarnation; /* as of its last answer; 0: none yet */
+	uint64_t met_us; /* first answer of this incarnation */
 	bool answers; /* the last call to it was answered */
 	uint64_t answered_us; /* last answer to any call */
 	struct rj_cell_domain *domain; /* NULL until it is reported */
@@ -205,6 +206,8 @@
 void rj_cell_worker_keep_entry(struct rj_cell_worker *worker,
 			       struct rj_bytes entry);
 bool rj_cell_worker_cordoned(const struct rj_cell_worker *worker);
+uint64_t
+rj_cell_worker_expected_incarnation(const struct rj_cell_worker *worker);
 bool rj_cell_worker_schedulable(const struct rj_cell_worker *worker);
 bool rj_cell_worker_usable(const struct rj_cell_worker *worker,
 			   uint64_t now_us);
--- a/src/libradishjunction/include/private/cell_workers.h
+++ b/src/libradishjunction/include/private/cell_workers.h
@@ -4,6 +4,10 @@
  *
  * Every operation calls `done` exactly once, and not before it has returned.
  * The reply and all it points to are valid until `done` returns.
+ *
+ * An order that names an incarnation of the worker is carried out by this one,
+ * however late, or by none. If it is known that another one serves the worker,
+ * nothing is sent, and the status is RJ_CELL_ORDER_OTHER_INCARNATION.
  */
 #ifndef RADISHJUNCTION_PRIVATE_CELL_WORKERS_H
 #define RADISHJUNCTION_PRIVATE_CELL_WORKERS_H
@@ -19,7 +23,7 @@
 	RJ_CELL_ORDER_TICKET_INVALID, /* the ticket is missing or expired */
 	RJ_CELL_ORDER_MALFORMED, /* the worker could not parse the order */
 	RJ_CELL_ORDER_UNHEALTHY, /* the worker is unhealthy; nothing was done */
-	/* Another incarnation of the worker answered. */
+	/* Another incarnation serves the worker; nothing was done. */
 	RJ_CELL_ORDER_OTHER_INCARNATION,
 	RJ_CELL_ORDER_UNSENT, /* no connection; nothing was done */
 	RJ_CELL_ORDER_LOST, /* no answer; it may be carried out, even later */
@@ -84,6 +88,7 @@
 };
 
 struct rj_cell_start {
+	uint64_t incarnation; /* of the worker that it is meant for; 0: any */
 	const char *name;
 	uint32_t number;
 	const char *spec;
@@ -93,7 +98,16 @@
 	uint64_t token;
 };
 
+struct rj_cell_stop {
+	uint64_t incarnation; /* as of a start */
+	const char *name;
+	uint32_t number;
+	uint64_t token;
+};
+
 struct rj_cell_poll {
+	/* As of a start; not 0 if the poll has a position or a deadline. */
+	uint64_t incarnation;
 	uint64_t token;
 	/* The worker may discard completions up to here. */
 	uint64_t stored_position;
@@ -112,8 +126,8 @@
 		      const struct rj_cell_start *start,
 		      struct rj_cell_order_done done);
 	void (*stop)(struct rj_cell_workers *workers,
-		     const struct rj_cell_worker *worker, const char *name,
-		     uint32_t number, uint64_t token,
+		     const struct rj_cell_worker *worker,
+		     const struct rj_cell_stop *stop,
 		     struct rj_cell_order_done done);
 	void (*poll)(struct rj_cell_workers *workers,
 		     const struct rj_cell_worker *worker,
--- a/src/test_libradishjunction/support/cell_fake_orders.c
+++ b/src/test_libradishjunction/support/cell_fake_orders.c
@@ -92,8 +92,25 @@
 	}
 	order->reply.status = status;
 	order->reply.clock_ms = cell_fake_clock_ms(sim, order->worker);
-	order->reply.incarnation = order->worker->incarnation;
-	cell_sim_schedule(sim, LATENCY_US, deliver, order);
+	if (order->kind == ORDER_POLL)
+		order->reply.incarnation = order->worker->incarnation;
+	cell_sim_schedule(
+		sim,
+		LATENCY_US +
+			cell_sim_random(
+				sim, (uint32_t)sim->options.answer_spread_us),
+		deliver, order);
+}
+
+/* Answers an order whose incarnation of the worker has been replaced: its
+ * connection is dead, or the process at the other end of a new one is seen to
+ * be another. */
+static void refuse_former(struct order *order)
+{
+	if (!order->delayed && cell_sim_random(order->node->sim, 2))
+		drop_answer(order);
+	else
+		answer(order, RJ_CELL_ORDER_OTHER_INCARNATION);
 }
 
 /* Adds the worker's runs to the reply. */
@@ -314,7 +331,7 @@
 	}
 	if (order->worker_incarnation &&
 	    order->worker_incarnation != worker->incarnation) {
-		answer(order, RJ_CELL_ORDER_OTHER_INCARNATION);
+		refuse_former(order);
 		return;
 	}
 	if (order->kind == ORDER_START)
@@ -335,7 +352,8 @@
 	if (order->counted)
 		sim->open_calls++;
 	sim->open_calls_max = MAX(sim->open_calls_max, sim->open_calls);
-	if (order->kind != ORDER_POLL && worker->delayed_percent &&
+	if ((order->kind != ORDER_POLL || sim->options.delays_polls) &&
+	    worker->delayed_percent &&
 	    cell_sim_random(sim, 100) < worker->delayed_percent) {
 		struct order *delayed =
 			talloc_memdup(sim->mem, order, sizeof(*order));
@@ -344,7 +362,8 @@
 		delayed->counted = false;
 		/* An order executed late must not reach a later incarnation of
 		 * its worker. */
-		delayed->worker_incarnation = worker->incarnation;
+		if (!delayed->worker_incarnation)
+			delayed->worker_incarnation = worker->incarnation;
 		delayed->start.name = talloc_strdup(delayed, order->start.name);
 		delayed->start.ticket = talloc_strdup(
 			delayed,
@@ -393,6 +412,7 @@
 {
 	struct order *order = order_new(workers, worker, ORDER_START, done);
 
+	order->worker_incarnation = start->incarnation;
 	order->start = *start;
 	order->start.name = talloc_strdup(order, start->name);
 	order->start.spec = "";
@@ -402,15 +422,16 @@
 }
 
 static void workers_stop(struct rj_cell_workers *workers,
-			 const struct rj_cell_worker *worker, const char *name,
-			 uint32_t number, uint64_t token,
+			 const struct rj_cell_worker *worker,
+			 const struct rj_cell_stop *stop,
 			 struct rj_cell_order_done done)
 {
 	struct order *order = order_new(workers, worker, ORDER_STOP, done);
 
-	order->start.name = talloc_strdup(order, name);
-	order->start.number = number;
-	order->start.token = token;
+	order->worker_incarnation = stop->incarnation;
+	order->start.name = talloc_strdup(order, stop->name);
+	order->start.number = stop->number;
+	order->start.token = stop->token;
 	send(order);
 }
 
@@ -421,6 +442,10 @@
 {
 	struct order *order = order_new(workers, worker, ORDER_POLL, done);
 
+	/* Only one incarnation may act on these. */
+	g_assert_true(poll->incarnation ||
+		      (!poll->stored_position && !poll->deadline_ms));
+	order->worker_incarnation = poll->incarnation;
 	order->poll = *poll;
 	send(order);
 }
--- a/src/test_libradishjunction/support/cell_faults.c
+++ b/src/test_libradishjunction/support/cell_faults.c
@@ -161,6 +161,22 @@
 			  restart_worker, fault_new(sim, target));
 }
 
+/* Restarts up to four workers almost at once. */
+static void inject_worker_restarts(struct cell_sim *sim)
+{
+	uint32_t count = 1 + cell_sim_random(sim, 4);
+
+	for (uint32_t i = 0; i < count; i++) {
+		uint32_t target = cell_sim_random(sim, sim->options.workers);
+
+		if (!sim->workers[target].up)
+			continue;
+		cell_sim_worker_kill(sim, target);
+		cell_sim_schedule(sim, (5 + cell_sim_random(sim, 150)) * MS,
+				  restart_worker, fault_new(sim, target));
+	}
+}
+
 /* Restores a worker after a fault. */
 static void restore_worker(void *data)
 {
@@ -175,6 +191,18 @@
 	g_free(fault);
 }
 
+/* Makes the log slow, and workers execute orders late. */
+static void inject_slowness(struct cell_sim *sim)
+{
+	uint64_t for_us = (1000 + cell_sim_random(sim, 4000)) * MS;
+	uint32_t target = cell_sim_random(sim, sim->options.workers);
+
+	sim->log.latency_us = (100 + cell_sim_random(sim, 150)) * MS;
+	cell_sim_schedule(sim, for_us, restore_answers, fault_new(sim, 0));
+	sim->workers[target].delayed_percent = 30;
+	cell_sim_schedule(sim, for_us, restore_worker, fault_new(sim, target));
+}
+
 /* Partitions up to three workers from all nodes or from one, or makes them
  * misbehave. */
 static void inject_worker_faults(struct cell_sim *sim)
@@ -293,7 +321,7 @@
 			  restore_reads, fault_new(sim, topic));
 }
 
-static void (*const faults[])(struct cell_sim *) = {
+static void (*const all_faults[])(struct cell_sim *) = {
 	inject_node_kill,     inject_node_kill,	    inject_all_nodes_kill,
 	inject_node_pause,    inject_node_pause,    inject_log_outage,
 	inject_log_outage,    inject_lost_answers,  inject_log_truncation,
@@ -302,6 +330,27 @@
 	inject_worker_drain,  inject_worker_drain,
 };
 
+static void (*const restart_faults[])(struct cell_sim *) = {
+	inject_worker_restarts, inject_worker_restarts, inject_worker_restarts,
+	inject_worker_restarts, inject_slowness,	inject_slowness,
+	inject_node_kill,	inject_node_pause,	inject_lost_answers,
+	inject_worker_faults,
+};
+
+/* Creates a random job of short tasks. */
+static struct cell_client_job *random_short_job(struct cell_sim *sim)
+{
+	struct rj_cell_step step =
+		cell_sim_plain_step(1 + cell_sim_random(sim, 12), 1, 100);
+
+	step.per_worker_max = cell_sim_random(sim, 2);
+	step.checkpoints = cell_sim_random(sim, 2);
+	return cell_sim_job_new(sim,
+				cell_sim_random(sim, 2) ? "urgent" : "bulk",
+				cell_sim_random(sim, 2) ? "a" : "b", &step, 1,
+				(40 + cell_sim_random(sim, 200)) * MS);
+}
+
 /* Creates a random job. */
 static struct cell_client_job *random_job(struct cell_sim *sim)
 {
@@ -343,13 +392,32 @@
 	return job;
 }
 
+/* What a profile injects. */
+struct profile {
+	void (*const *faults)(struct cell_sim *);
+	uint32_t fault_count;
+	uint32_t faults_one_in; /* ticks */
+	struct cell_client_job *(*random_job)(struct cell_sim *sim);
+	uint32_t jobs_one_in; /* ticks */
+	uint64_t answer_spread_us;
+	bool delays_polls;
+};
+
+static const struct profile profiles[CELL_FAULTS_PROFILE_COUNT] = {
+	[CELL_FAULTS_ALL] = { all_faults, G_N_ELEMENTS(all_faults), 14,
+			      random_job, 8, 0, false },
+	[CELL_FAULTS_RESTARTS] = { restart_faults, G_N_ELEMENTS(restart_faults),
+				   5, random_short_job, 1, 40 * MS, true },
+};
+
 /* Acts for the clients in one tick: new jobs, repeated submissions, queries and
  * cancellations; new jobs and cancellations only while faults are injected. */
-static void advance_clients(struct cell_sim *sim, bool inject)
+static void advance_clients(struct cell_sim *sim, const struct profile *profile,
+			    bool inject)
 {
-	if (inject && cell_sim_random(sim, 8) == 0)
+	if (inject && cell_sim_random(sim, profile->jobs_one_in) == 0)
 		cell_sim_submit(sim, cell_sim_random(sim, sim->options.nodes),
-				random_job(sim));
+				profile->random_job(sim));
 	for (guint i = 0; i < sim->job_list->len; i++) {
 		struct cell_client_job *job = sim->job_list->pdata[i];
 		uint32_t node = cell_sim_random(sim, sim->options.nodes);
@@ -369,9 +437,10 @@
 /*
  * Makes one simulated run; `trace` prints its log events.
  */
-void cell_faults_run(uint64_t seed, bool trace,
+void cell_faults_run(enum cell_fault_profile kind, uint64_t seed, bool trace,
 		     struct cell_fault_result *result)
 {
+	const struct profile *profile = &profiles[kind];
 	static const struct cell_sim_options defaults = {
 		.nodes = 4,
 		.workers = 12,
@@ -384,6 +453,8 @@
 	bool cordons;
 
 	options.seed = seed;
+	options.answer_spread_us = profile->answer_spread_us;
+	options.delays_polls = profile->delays_polls;
 	options.enforces_capacity = seed % 3 == 0;
 	cordons = seed % CORDON_SEED_MOD == 1;
 	options.gang_break_us = cordons ? GANG_BREAK_US : 0;
@@ -393,19 +464,20 @@
 	cell_sim_init(sim, &options);
 	cell_sim_run(sim, 3 * S);
 	for (uint32_t i = 0; i < FAULTS_S * S / TICK_US; i++) {
-		if (cell_sim_random(sim, 14) == 0) {
-			faults[cell_sim_random(sim, G_N_ELEMENTS(faults))](sim);
+		if (cell_sim_random(sim, profile->faults_one_in) == 0) {
+			profile->faults[cell_sim_random(
+				sim, profile->fault_count)](sim);
 			result->faults++;
 		}
 		if (cordons && cell_sim_random(sim, 40) == 0)
 			inject_cordon(sim);
 		if (cordons && cell_sim_random(sim, 80) == 0)
 			inject_read_loss(sim);
-		advance_clients(sim, true);
+		advance_clients(sim, profile, true);
 		cell_sim_run(sim, TICK_US);
 	}
 	for (uint32_t i = 0; i < RECOVERY_S * S / TICK_US; i++) {
-		advance_clients(sim, false);
+		advance_clients(sim, profile, false);
 		cell_sim_run(sim, TICK_US);
 	}
 	cell_sim_check_final(sim);
--- a/src/test_libradishjunction/support/cell_faults.h
+++ b/src/test_libradishjunction/support/cell_faults.h
@@ -8,6 +8,15 @@
 
 #include "support/cell_sim.h"
 
+/* What a run injects. */
+enum cell_fault_profile {
+	CELL_FAULTS_ALL,
+	/* Workers restart at once under their ids, beside a slow log, late
+	 * orders and takeovers; short tasks. */
+	CELL_FAULTS_RESTARTS,
+	CELL_FAULTS_PROFILE_COUNT
+};
+
 struct cell_fault_result {
 	uint32_t jobs;
 	uint32_t accepted;
@@ -18,7 +27,7 @@
 	char *first_violation; /* text, or NULL; g_free */
 };
 
-void cell_faults_run(uint64_t seed, bool trace,
+void cell_faults_run(enum cell_fault_profile profile, uint64_t seed, bool trace,
 		     struct cell_fault_result *result);
 
 #endif
--- a/src/test_libradishjunction/support/cell_sim.h
+++ b/src/test_libradishjunction/support/cell_sim.h
@@ -152,6 +152,10 @@
 	uint64_t gang_break_us; /* from a member's end to the others' */
 	uint32_t record_max_bytes; /* of the log; 0: 256 KiB */
 	int checkpoint_digits; /* length of a checkpoint; 0: 16 */
+	uint64_t
+		answer_spread_us; /* workers' answers may overtake each other */
+	bool delays_polls; /* they too may be executed late, see
+			    * delayed_percent */
 	/* Queues "q0", "q1" and so on, besides those of every site. */
 	uint32_t extra_queues;
 	struct rj_cell_features features;
--- a/src/test_libradishjunction/test_cell_faults.c
+++ b/src/test_libradishjunction/test_cell_faults.c
@@ -1,7 +1,7 @@
 /*
  * Checks the users' rules under seeded random fault injection. `--seeds N
  * --from K` runs N seeds from K on, and `--trace K` prints the log events of
- * one seed.
+ * one seed; with `restarts` before these, of the profile of restarts.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -10,9 +10,11 @@
 #include "support/cell_faults.h"
 
 #define SEEDS 60
+#define RESTART_SEEDS 20
 
 /* Runs some seeds; returns how many violated a rule. */
-static uint32_t run_seeds(uint64_t from, uint64_t count, bool verbose)
+static uint32_t run_seeds(enum cell_fault_profile profile, uint64_t from,
+			  uint64_t count, bool verbose)
 {
 	uint32_t broken = 0;
 	uint64_t accepted = 0;
@@ -21,7 +23,7 @@
 	for (uint64_t seed = from; seed < from + count; seed++) {
 		struct cell_fault_result result;
 
-		cell_faults_run(seed, false, &result);
+		cell_faults_run(profile, seed, false, &result);
 		accepted += result.accepted;
 		completed += result.completed;
 		if (result.violations) {
@@ -52,26 +54,43 @@
  */
 static void test_regression_seeds(void)
 {
-	g_assert_cmpuint(run_seeds(16012, 1, false), ==, 0);
-	g_assert_cmpuint(run_seeds(72140, 1, false), ==, 0);
-	g_assert_cmpuint(run_seeds(170013, 1, false), ==, 0);
+	g_assert_cmpuint(run_seeds(CELL_FAULTS_ALL, 16012, 1, false), ==, 0);
+	g_assert_cmpuint(run_seeds(CELL_FAULTS_ALL, 72140, 1, false), ==, 0);
+	g_assert_cmpuint(run_seeds(CELL_FAULTS_ALL, 170013, 1, false), ==, 0);
 }
 
 /* Guards against a violation of the rules in any of the first seeds. */
 static void test_short_run(void)
 {
-	g_assert_cmpuint(run_seeds(1, SEEDS, false), ==, 0);
+	g_assert_cmpuint(run_seeds(CELL_FAULTS_ALL, 1, SEEDS, false), ==, 0);
+}
+
+/* Guards against what one incarnation of a worker has said counting for the
+ * next one. */
+static void test_restarted_workers(void)
+{
+	g_assert_cmpuint(
+		run_seeds(CELL_FAULTS_RESTARTS, 1, RESTART_SEEDS, false), ==,
+		0);
 }
 
 int main(int argc, char **argv)
 {
+	enum cell_fault_profile profile = CELL_FAULTS_ALL;
+
+	if (argc > 1 && !strcmp(argv[1], "restarts")) {
+		profile = CELL_FAULTS_RESTARTS;
+		argc--;
+		argv++;
+	}
 	if (argc == 5 && !strcmp(argv[1], "--seeds"))
-		return run_seeds(strtoull(argv[4], NULL, 10),
+		return run_seeds(profile, strtoull(argv[4], NULL, 10),
 				 strtoull(argv[2], NULL, 10), true) != 0;
 	if (argc == 3 && !strcmp(argv[1], "--trace")) {
 		struct cell_fault_result result;
 
-		cell_faults_run(strtoull(argv[2], NULL, 10), true, &result);
+		cell_faults_run(profile, strtoull(argv[2], NULL, 10), true,
+				&result);
 		printf("%u: %s\n", result.violations,
 		       result.first_violation ? result.first_violation : "");
 		return result.violations != 0;
@@ -79,5 +98,6 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/cell_faults/kept", test_regression_seeds);
 	g_test_add_func("/cell_faults/short", test_short_run);
+	g_test_add_func("/cell_faults/restarts", test_restarted_workers);
 	return g_test_run();
 }
