polls: restart adopted runs only where the worker still suits them

What callers saw: after a takeover a subtask began on a worker without the label in its constraints (ROUTE), if the worker had restarted as another kind since the former owner had chosen it. Cause: a successor sends the start of an adopted run again that its worker does not list (restart_adopted of cell_polls.c), whatever the present incarnation of the worker is. Change: the run is restarted only if the worker's service, label and capacity still allow it; otherwise it is lost and placed anew. Test: in the profile of restarts a third of the workers come back as another kind, and the check looks at labels.

--- a/src/libradishjunction/cell/cell_fleet.c
+++ b/src/libradishjunction/cell/cell_fleet.c
@@ -448,6 +448,17 @@
 		worker->lease_expired_us = lease_expired_us;
 }
 
+/*
+ * Whether a worker has the label that a step requires; an empty one stands for
+ * none.
+ */
+bool rj_cell_worker_has_label(const struct rj_cell_worker *worker,
+			      const char *label)
+{
+	return !label[0] || !strcmp(label, worker->heartbeat.kind) ||
+	       !strcmp(label, worker->heartbeat.rack);
+}
+
 /*
  * Whether the worker's failure domain is known and cordoned.
  */
--- a/src/libradishjunction/cell/cell_place.c
+++ b/src/libradishjunction/cell/cell_place.c
@@ -131,9 +131,7 @@
 		return false;
 	if (worker->service != group->service)
 		return false;
-	if (step->label[0] &&
-	    strcmp(step->label, worker->heartbeat.kind) != 0 &&
-	    strcmp(step->label, worker->heartbeat.rack) != 0)
+	if (!rj_cell_worker_has_label(worker, step->label))
 		return false;
 	if (step->rack[0] && !group->remote_allowed &&
 	    strcmp(step->rack, worker->heartbeat.rack) != 0)
--- a/src/libradishjunction/cell/cell_polls.c
+++ b/src/libradishjunction/cell/cell_polls.c
@@ -99,6 +99,30 @@
 	}
 }
 
+/*
+ * Whether a worker is still one that a run of a former owner could be placed on.
+ * It may have restarted since, as another kind, in another service or with less
+ * capacity; the run counts as allocated.
+ */
+static bool suits_run(const struct rj_cell_owner *owner,
+		      const struct rj_cell_run *run)
+{
+	const struct rj_cell_worker *worker = run->worker;
+	const struct rj_cell_queue *queue =
+		owner->config ?
+			rj_cell_config_queue(
+				owner->config,
+				run->task->occurrence->job->job_spec->queue) :
+			NULL;
+
+	return (!queue || (worker->service &&
+			   !strcmp(queue->service, worker->service))) &&
+	       rj_cell_worker_has_label(worker,
+					rj_cell_task_step(run->task)->label) &&
+	       rj_cell_demand_fits(&worker->allocated,
+				   &worker->heartbeat.capacity);
+}
+
 /*
  * Sends the start of an adopted run again that its worker does not list, as the
  * former owner may have stopped between storing the intent and sending the
@@ -112,7 +136,7 @@
 			    struct rj_cell_run *run)
 {
 	if (!run->adopted || run->state != RJ_CELL_RUN_PLACED || !run->task ||
-	    !rj_cell_worker_schedulable(run->worker))
+	    !rj_cell_worker_schedulable(run->worker) || !suits_run(owner, run))
 		return false;
 	/* No run is needed if the gang is done or the job has ended; a worker
 	 * that has been restarted since does not list the run. */
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -205,6 +205,8 @@
 bool rj_cell_worker_entry_is_comparable(const struct rj_cell_worker *worker);
 void rj_cell_worker_keep_entry(struct rj_cell_worker *worker,
 			       struct rj_bytes entry);
+bool rj_cell_worker_has_label(const struct rj_cell_worker *worker,
+			      const char *label);
 bool rj_cell_worker_cordoned(const struct rj_cell_worker *worker);
 uint64_t
 rj_cell_worker_expected_incarnation(const struct rj_cell_worker *worker);
--- a/src/test_libradishjunction/support/cell_check.c
+++ b/src/test_libradishjunction/support/cell_check.c
@@ -3,7 +3,8 @@
  * message begins with the rule: capacity, twice, order, attempts, unasked,
  * refused, lost, mixed, key, route, cordon, drain. "unasked" is a run that no
  * client asked for or that its job no longer needs, "mixed" a completed job
- * with unfinished tasks, "route" too many tasks of a step on one worker.
+ * with unfinished tasks, "route" a worker of another kind, or too many tasks of
+ * a step on one.
  */
 #include <stdarg.h>
 #include <stdio.h>
@@ -247,6 +248,11 @@
 		cell_sim_violation(
 			sim, "route: %s beside %u on %s", start->name,
 			siblings_on(worker, start->name), worker->id);
+	if (step_info->label[0] &&
+	    strcmp(step_info->label, worker->reported.kind) != 0)
+		cell_sim_violation(sim, "route: %s on %s of kind %s",
+				   start->name, worker->id,
+				   worker->reported.kind);
 	check_cordon(sim, worker, start->name, sent_us);
 	check_drain(sim, worker, start->name, sent_us);
 	check_capacity(sim, worker, step_info, start->name);
--- a/src/test_libradishjunction/support/cell_faults.c
+++ b/src/test_libradishjunction/support/cell_faults.c
@@ -13,6 +13,10 @@
 #define CORDON_SEED_MOD 2
 /* Delay from a gang member's end without success to the end of the others. */
 #define GANG_BREAK_US (190 * MS)
+#define KINDS 2
+
+/* Kinds of workers. */
+static const char *const kinds[KINDS] = { "a", "b" };
 
 /* A fault in progress. */
 struct fault {
@@ -161,7 +165,8 @@
 			  restart_worker, fault_new(sim, target));
 }
 
-/* Restarts up to four workers almost at once. */
+/* Restarts up to four workers almost at once; some come back as another kind.
+ * The first worker of each kind stays one. */
 static void inject_worker_restarts(struct cell_sim *sim)
 {
 	uint32_t count = 1 + cell_sim_random(sim, 4);
@@ -172,6 +177,10 @@
 		if (!sim->workers[target].up)
 			continue;
 		cell_sim_worker_kill(sim, target);
+		if (target >= KINDS && cell_sim_random(sim, 3) == 0)
+			g_strlcpy(sim->workers[target].reported.kind,
+				  kinds[cell_sim_random(sim, KINDS)],
+				  RJ_NAME_BYTES);
 		cell_sim_schedule(sim, (5 + cell_sim_random(sim, 150)) * MS,
 				  restart_worker, fault_new(sim, target));
 	}
@@ -337,7 +346,7 @@
 	inject_worker_faults,
 };
 
-/* Creates a random job of short tasks. */
+/* Creates a random job of short tasks, some of which need a kind of worker. */
 static struct cell_client_job *random_short_job(struct cell_sim *sim)
 {
 	struct rj_cell_step step =
@@ -345,6 +354,9 @@
 
 	step.per_worker_max = cell_sim_random(sim, 2);
 	step.checkpoints = cell_sim_random(sim, 2);
+	if (cell_sim_random(sim, 3) == 0)
+		g_strlcpy(step.label, kinds[cell_sim_random(sim, KINDS)],
+			  sizeof(step.label));
 	return cell_sim_job_new(sim,
 				cell_sim_random(sim, 2) ? "urgent" : "bulk",
 				cell_sim_random(sim, 2) ? "a" : "b", &step, 1,
@@ -462,6 +474,9 @@
 	if (trace)
 		cell_sim_trace(sim);
 	cell_sim_init(sim, &options);
+	for (uint32_t i = 0; kind == CELL_FAULTS_RESTARTS && i < KINDS; i++)
+		g_strlcpy(sim->workers[i].reported.kind, kinds[i],
+			  RJ_NAME_BYTES);
 	cell_sim_run(sim, 3 * S);
 	for (uint32_t i = 0; i < FAULTS_S * S / TICK_US; i++) {
 		if (cell_sim_random(sim, profile->faults_one_in) == 0) {
--- a/src/test_libradishjunction/support/cell_faults.h
+++ b/src/test_libradishjunction/support/cell_faults.h
@@ -11,8 +11,8 @@
 /* What a run injects. */
 enum cell_fault_profile {
 	CELL_FAULTS_ALL,
-	/* Workers restart at once under their ids, beside a slow log, late
-	 * orders and takeovers; short tasks. */
+	/* Workers restart at once under their ids, some as another kind, beside
+	 * a slow log, late orders and takeovers; short tasks. */
 	CELL_FAULTS_RESTARTS,
 	CELL_FAULTS_PROFILE_COUNT
 };
