ended runs: published ends count only if the last owner saw them

What callers saw: a task runs twice at a time, on its worker's new incarnation and elsewhere (TWICE). Cause: an isolated owner publishes the ends that it has seen when it learns that it was replaced. If that is two owners later, the one in between may have sent the same run again to the worker after a restart; the end is of the former incarnation, and the successor, whose worker has not answered yet, takes it for that of the run that goes on. Records of runs do not say on which incarnation they run. Change: a record of ends carries the token of the owner that saw them. An end other than success counts only if that owner was the last one that could grant leases, by the stored lease bounds; nobody has sent the run again since. Earlier versions ignore the token, and their records count for success alone.

--- a/src/libradishjunction/cell/cell_ended_runs.c
+++ b/src/libradishjunction/cell/cell_ended_runs.c
@@ -77,8 +77,10 @@
 	memset(ended, 0, sizeof(*ended));
 }
 
-/* Encodes the ends as a talloc child of `mem`. */
-static struct rj_bytes encode(const struct rj_cell_ended_runs *ended, void *mem)
+/* Encodes the ends as a talloc child of `mem`; they were reported to the owner
+ * with this token. */
+static struct rj_bytes encode(const struct rj_cell_ended_runs *ended, void *mem,
+			      uint64_t token)
 {
 	struct rj_packer out;
 
@@ -94,6 +96,8 @@
 		rj_pack_number(&out, row->end);
 		rj_pack_text(&out, row->saved);
 	}
+	/* Earlier versions do not read this. */
+	rj_pack_number(&out, token);
 	return rj_pack_finish(&out, mem);
 }
 
@@ -105,11 +109,12 @@
 
 /*
  * Publishes the ends that were not stored, and removes them. Call it when the
- * owner resigns.
+ * owner with this token resigns.
  */
 void rj_cell_ended_runs_publish(struct rj_cell_ended_runs *ended,
 				struct rj_cell_writer *writer,
-				const char *instance, uint64_t now_us)
+				const char *instance, uint64_t token,
+				uint64_t now_us)
 {
 	char key[RJ_CELL_INSTANCE_KEY_BYTES];
 	struct rj_bytes value;
@@ -119,7 +124,7 @@
 			     RJ_LOG_NUMBER("ends", ended->rows->len));
 		rj_cell_record_instance_key(key, RJ_CELL_RECORD_ENDED_RUNS,
 					    instance);
-		value = encode(ended, writer->mem);
+		value = encode(ended, writer->mem, token);
 		rj_cell_writer_add(
 			writer, key, value,
 			(struct rj_cell_write_done){ publish_done, NULL });
@@ -143,11 +148,12 @@
  * Applies the end of one run.
  *
  * That a run has completed its task stays true. Any other end counts only for a
- * run that was adopted and whose worker has not answered in this term: one that
- * has answered may have restarted meanwhile and run it under the same number
- * again.
+ * run that was adopted and whose worker has not answered in this term. The worker
+ * may have restarted, and run it under the same number again for this owner or,
+ * unless the end `is_latest`, for one in between.
  */
-static void apply_row(struct rj_cell_owner *owner, const struct row *row)
+static void apply_row(struct rj_cell_owner *owner, const struct row *row,
+		      bool is_latest)
 {
 	const struct rj_cell_completion_report report = { .name = row->name,
 							  .number = row->number,
@@ -157,7 +163,7 @@
 		rj_cell_fleet_find(&owner->fleet, row->worker);
 	struct rj_cell_run *run = NULL;
 
-	if (worker && !worker->incarnation)
+	if (is_latest && worker && !worker->incarnation)
 		run = rj_cell_run_find(worker, row->name, row->number);
 	if (run && run->adopted) {
 		run->reason = "published";
@@ -178,6 +184,8 @@
 	struct rj_unpacker in;
 	struct rj_error err;
 	const char *instance;
+	uint64_t token = 0; /* earlier versions store none */
+	struct row *rows;
 	uint32_t count;
 
 	if (!owner->active || !record->value.length ||
@@ -190,13 +198,15 @@
 	count = (uint32_t)rj_unpack_number(&in, "ends", ROWS_MAX);
 	rj_log_event("ends_read", RJ_LOG_TEXT("instance", instance),
 		     RJ_LOG_NUMBER("ends", count));
-	for (uint32_t i = 0; i < count && !in.bad_field; i++) {
-		struct row row;
-
-		read_row(&in, &row);
-		if (!in.bad_field)
-			apply_row(owner, &row);
-	}
+	rows = g_new0(struct row, count);
+	for (uint32_t i = 0; i < count && !in.bad_field; i++)
+		read_row(&in, &rows[i]);
+	if (!in.bad_field && in.offset < in.length)
+		token = rj_unpack_number(&in, "token", UINT64_MAX);
+	for (uint32_t i = 0; i < count && !in.bad_field; i++)
+		apply_row(owner, &rows[i],
+			  token && token == owner->former_token);
+	g_free(rows);
 	if (rj_unpack_finish(&in, &err))
 		rj_log_event("record_bad", RJ_LOG_TEXT("key", record->key),
 			     RJ_LOG_TEXT("error", err.message));
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -432,6 +432,7 @@
 	assert(owner->taking_over);
 	owner->taking_over = false;
 	owner->active = true;
+	owner->former_token = former->token;
 	owner->requests_read_us = now_us;
 	owner->now_us = now_us;
 	owner->wall_ms = wall_ms;
@@ -481,7 +482,7 @@
 		     RJ_LOG_AGE_MS("stored_ms",
 				   owner->now_us - owner->writer.stored_us));
 	rj_cell_ended_runs_publish(&owner->ended_runs, owner->requests_writer,
-				   owner->name, owner->now_us);
+				   owner->name, owner->token, owner->now_us);
 	owner->active = false;
 	owner->taking_over = false;
 	owner->fenced = false;
--- a/src/libradishjunction/include/private/cell_ended_runs.h
+++ b/src/libradishjunction/include/private/cell_ended_runs.h
@@ -32,7 +32,8 @@
 void rj_cell_ended_runs_stored(struct rj_cell_ended_runs *ended);
 void rj_cell_ended_runs_publish(struct rj_cell_ended_runs *ended,
 				struct rj_cell_writer *writer,
-				const char *instance, uint64_t now_us);
+				const char *instance, uint64_t token,
+				uint64_t now_us);
 void rj_cell_ended_runs_read(struct rj_cell_owner *owner,
 			     const struct rj_cell_record *record);
 void rj_cell_ended_runs_finish(struct rj_cell_ended_runs *ended);
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -100,6 +100,8 @@
 	bool fenced; /* resign after the present event */
 	uint32_t generation; /* replies to earlier ones are ignored */
 	uint64_t token;
+	/* Of the last earlier owner that could grant leases; 0: unknown. */
+	uint64_t former_token;
 	struct rj_cell_writer writer; /* job states and heartbeats */
 	struct rj_cell_writer progress_writer;
 	/* Of the instance, to the log of requests; set by the node. */
--- a/src/test_libradishjunction/test_cell_leases.c
+++ b/src/test_libradishjunction/test_cell_leases.c
@@ -214,6 +214,51 @@
 	expect_restart(&f->sim, job, f->sim.now_us + 2 * S);
 }
 
+/* Guards against a second run of a task beside the one that an owner in between
+ * has sent again under its number, after the worker restarted: the failure that
+ * an isolated owner has seen is of the former incarnation. */
+static void test_failure_seen_before_a_restart(struct cell_fixture *f,
+					       const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(1, 8, 4000);
+	uint32_t owner = (uint32_t)cell_sim_owner(&f->sim);
+	struct cell_client_job *job =
+		cell_load_submit(&f->sim, "normal", "a", &step, 4 * S);
+	uint32_t index;
+	struct cell_fake_worker *worker;
+
+	job->failing_runs = 1;
+	cell_load_run(&f->sim, 500 * MS);
+	index = isolate_owner(&f->sim);
+	worker = &f->sim.workers[index];
+	cell_load_run(&f->sim, 3 * S);
+	g_assert_cmpuint(worker->runs->len, ==, 0);
+	job->failing_runs = 0;
+	job->duration_us = 30 * S;
+	cell_sim_worker_kill(&f->sim, index);
+	cell_sim_worker_start(&f->sim, index);
+	leave_reachable(&f->sim, index, -1);
+	worker->partitioned_from_log = false; /* its new entry is read first */
+	cell_load_run(&f->sim, 2 * S);
+	cell_sim_worker_partition(&f->sim, index, false);
+	worker->partitioned[owner] = true;
+	cell_load_run(&f->sim, 4 * S);
+	g_assert_cmpuint(job->starts, ==, 2);
+	g_assert_cmpuint(worker->runs->len, ==, 1);
+	leave_reachable(&f->sim, index, -1);
+	for (uint32_t i = 0; i < f->sim.options.nodes; i++)
+		if (i != owner && f->sim.nodes[i].node.owner.active)
+			cell_sim_node_kill(&f->sim, i);
+	cell_load_run(&f->sim, TAKEOVER_US);
+	reconnect(&f->sim, owner);
+	worker->partitioned[owner] = true;
+	cell_load_run(&f->sim, S);
+	cell_sim_worker_partition(&f->sim, index, false);
+	cell_load_run(&f->sim, 40 * S);
+	g_assert_cmpuint(job->starts, ==, 2);
+	g_assert_cmpint(job->state, ==, RJ_CELL_JOB_COMPLETED);
+}
+
 /* Guards against a second run of a task beside its first one, under leases that
  * an isolated owner grants for as long as it may. */
 static void test_isolated_owner_stops_in_time(struct cell_fixture *f,
@@ -551,6 +596,8 @@
 		  test_completion_seen_by_an_isolated_owner);
 	CELL_TEST("/leases/stop_seen", &long_leases,
 		  test_stop_seen_by_an_isolated_owner);
+	CELL_TEST("/leases/failure_seen_before_restart", &long_leases,
+		  test_failure_seen_before_a_restart);
 	CELL_TEST("/leases/outage", &long_leases,
 		  test_leases_outlive_an_outage);
 	g_test_add_func("/leases/grants", test_grants_of_an_earlier_version);
