stand-in of the users: each incarnation of a worker has its own clock and connections; soak: workers restart

Cause: after a crash the stand-in's workers kept their clock, which all shared, and their connections. The users' workers start both anew, so that neither process tests nor the soak could show what a restart under the same id does. Change: the clock of a worker begins with its incarnation; a crash closes the listener and all connections, and 100 ms later the next incarnation serves at the same address. The soak restarts up to a quarter of the workers at once, twice as often as it kills all instances.

--- a/src/standin_users/standin.h
+++ b/src/standin_users/standin.h
@@ -3,7 +3,8 @@
  * workers that execute orders by the users' published protocol.
  *
  * Life cycle: `standin_log_init`, then `standin_worker_init` for each worker;
- * all live until the process exits.
+ * all live until the process exits. A worker that crashes serves again under its
+ * id at its address as another incarnation, with a clock and counts of its own.
  */
 #ifndef STANDIN_USERS_STANDIN_H
 #define STANDIN_USERS_STANDIN_H
@@ -53,6 +54,7 @@
 
 /* A worker; it counts the completions of every task for the test's checks. */
 struct standin_worker {
+	void *mem; /* parent of the server */
 	struct standin_log *log;
 	struct rj_http_server server;
 	char id[RJ_NAME_BYTES];
@@ -61,6 +63,7 @@
 	struct standin_faults faults;
 	bool prints_events; /* of runs, to standard output */
 	uint64_t incarnation; /* start time in ms */
+	bool down; /* between two incarnations */
 	uint64_t token; /* highest fencing token */
 	uint64_t lease_until_ms; /* of all runs */
 	json_t *running; /* name -> { run, from_ms, until_ms } */
--- a/src/standin_users/worker.c
+++ b/src/standin_users/worker.c
@@ -16,6 +16,8 @@
 #define COMPLETIONS_MAX 500
 /* A stalled run reports at most this progress. */
 #define STALLED_PERCENT_MAX 60
+/* Time from a crash to the next incarnation. */
+#define DOWN_US (100 * RJ_US_PER_MS)
 
 /* A long poll that waits for a completion. */
 struct waiting_poll {
@@ -26,13 +28,19 @@
 };
 
 /*
- * Returns the time in milliseconds by the clock that all workers share.
+ * Returns the time in milliseconds by the clock of the stand-in.
  */
 uint64_t standin_now_ms(void)
 {
 	return rj_clock_now_us() / RJ_US_PER_MS;
 }
 
+/* Returns the worker's clock, which starts anew in each incarnation. */
+static uint64_t clock_ms(const struct standin_worker *worker)
+{
+	return rj_clock_now_us() / RJ_US_PER_MS - worker->incarnation + 1;
+}
+
 /* Prints an event of a run for a test to read. */
 static void print_event(const struct standin_worker *worker, const char *event,
 			const char *name, json_int_t run, const char *detail)
@@ -46,22 +54,25 @@
 }
 
 /* Sends an answer with the worker's clock; takes `body`. */
-static void send_answer(struct rj_http_exchange *exchange, unsigned int status,
+static void send_answer(const struct standin_worker *worker,
+			struct rj_http_exchange *exchange, unsigned int status,
 			json_t *body)
 {
 	char *text;
 
 	json_object_set_new(body, "ClockMs",
-			    json_integer((json_int_t)standin_now_ms()));
+			    json_integer((json_int_t)clock_ms(worker)));
 	text = rj_wire_text(exchange, body);
 	rj_http_exchange_answer(exchange, status, text, strlen(text));
 	json_decref(body);
 }
 
 /* Rejects an order. */
-static void reject_order(struct rj_http_exchange *exchange, const char *reason)
+static void reject_order(const struct standin_worker *worker,
+			 struct rj_http_exchange *exchange, const char *reason)
 {
-	send_answer(exchange, 409, json_pack("{s:s}", "Reason", reason));
+	send_answer(worker, exchange, 409,
+		    json_pack("{s:s}", "Reason", reason));
 }
 
 /* Returns the first completions, as many as an answer holds. */
@@ -87,7 +98,7 @@
 
 	json_object_foreach(worker->running, name, run)
 	{
-		uint64_t now_ms = standin_now_ms();
+		uint64_t now_ms = clock_ms(worker);
 		json_int_t from =
 			json_integer_value(json_object_get(run, "from_ms"));
 		json_int_t until =
@@ -100,7 +111,7 @@
 					json_object_get(run, "run"), "",
 					CLAMP(percent, 0, percent_max), 0));
 	}
-	send_answer(exchange, 200,
+	send_answer(worker, exchange, 200,
 		    json_pack("{s:I,s:o,s:o}", "born",
 			      (json_int_t)worker->incarnation, "Running", rows,
 			      "Finished", first_completions(worker)));
@@ -123,7 +134,7 @@
 	for (guint i = worker->waiting_polls->len; i > 0; i--) {
 		struct waiting_poll *poll = worker->waiting_polls->pdata[i - 1];
 
-		if (!all && standin_now_ms() < poll->until_ms)
+		if (!all && clock_ms(worker) < poll->until_ms)
 			continue;
 		g_ptr_array_remove_index(worker->waiting_polls, i - 1);
 		*poll->disconnect_hook = NULL;
@@ -138,7 +149,7 @@
 {
 	json_t *run = json_object_get(worker->running, name);
 	json_t *number = json_object_get(run, "run");
-	uint64_t now_ms = standin_now_ms();
+	uint64_t now_ms = clock_ms(worker);
 
 	json_array_append_new(worker->finished,
 			      json_pack("[I,s,O,s,s]",
@@ -162,13 +173,15 @@
  */
 void standin_worker_advance(struct standin_worker *worker)
 {
-	uint64_t now_ms = standin_now_ms();
+	uint64_t now_ms = clock_ms(worker);
 	const char *outcome = worker->faults.fail_runs ? "failed" : "done";
 	bool completed = false;
 	const char *name;
 	json_t *run;
 	void *next;
 
+	if (worker->down)
+		return;
 	if (now_ms > worker->lease_until_ms)
 		worker->lease_expired_ms = now_ms;
 
@@ -197,10 +210,10 @@
 		json_object_get(body, "FencingToken"));
 	uint64_t deadline_ms = (uint64_t)json_integer_value(
 		json_object_get(body, "DeadlineMs"));
-	uint64_t deadline_max_ms = standin_now_ms() + LEASE_MAX_MS;
+	uint64_t deadline_max_ms = clock_ms(worker) + LEASE_MAX_MS;
 
 	if (token < worker->token) {
-		reject_order(exchange, "fence");
+		reject_order(worker, exchange, "fence");
 		return false;
 	}
 	worker->token = token;
@@ -219,7 +232,7 @@
 	json_t *run = json_object_get(worker->running, name);
 	json_int_t last_closed =
 		json_integer_value(json_object_get(worker->closed_runs, name));
-	uint64_t now_ms = standin_now_ms();
+	uint64_t now_ms = clock_ms(worker);
 	uint64_t until_ms = now_ms + g_ascii_strtoull(spec, NULL, 10);
 
 	if (worker->faults.refuse_starts) {
@@ -230,11 +243,11 @@
 	if (!accept_order(worker, exchange, body))
 		return;
 	if (run && json_equal(json_object_get(run, "run"), number)) {
-		send_answer(exchange, 200, json_object());
+		send_answer(worker, exchange, 200, json_object());
 		return;
 	}
 	if (run || json_integer_value(number) <= last_closed) {
-		reject_order(exchange, "old");
+		reject_order(worker, exchange, "old");
 		return;
 	}
 	print_event(worker, "begin", name, json_integer_value(number), spec);
@@ -242,7 +255,7 @@
 			    json_pack("{s:O,s:I,s:I}", "run", number, "from_ms",
 				      (json_int_t)now_ms, "until_ms",
 				      (json_int_t)until_ms));
-	send_answer(exchange, 200, json_object());
+	send_answer(worker, exchange, 200, json_object());
 }
 
 /* Stops a run, or rejects it in advance if its start has not arrived yet. */
@@ -258,7 +271,7 @@
 	else
 		json_object_set(worker->closed_runs, name,
 				json_object_get(body, "RunId"));
-	send_answer(exchange, 200, json_object());
+	send_answer(worker, exchange, 200, json_object());
 	answer_waiting_polls(worker, true);
 }
 
@@ -305,19 +318,55 @@
 	poll = g_new0(struct waiting_poll, 1);
 	poll->worker = worker;
 	poll->exchange = exchange;
-	poll->until_ms = standin_now_ms() + (uint64_t)wait_ms;
+	poll->until_ms = clock_ms(worker) + (uint64_t)wait_ms;
 	poll->disconnect_hook = talloc(exchange, struct waiting_poll *);
 	*poll->disconnect_hook = poll;
 	talloc_set_destructor(poll->disconnect_hook, detach_poll);
 	g_ptr_array_add(worker->waiting_polls, poll);
 }
 
-/* Simulates a crash and restart under the same id: all runs are lost. */
-static void crash(struct standin_worker *worker)
+/* Calls `call` with the worker in `delay_us`. */
+static void call_in(struct standin_worker *worker, uint64_t delay_us,
+		    tevent_timer_handler_t call)
 {
+	struct tevent_timer *timer =
+		tevent_add_timer(worker->log->ev, worker->log->ev,
+				 rj_clock_timeval_in(delay_us), call, worker);
+
+	assert(timer);
+	(void)timer;
+}
+
+/* Serves the worker's address again, as its next incarnation. */
+static void restart(struct tevent_context *ev, struct tevent_timer *timer,
+		    struct timeval now, void *private_data)
+{
+	struct standin_worker *worker = private_data;
+	struct rj_http_server_options options = worker->server.options;
+	struct rj_error err;
+
+	options.address = worker->server.address;
+	worker->down = false;
+	worker->incarnation = standin_now_ms();
+	if (rj_http_server_init(&worker->server, worker->mem, ev, &options,
+				&err))
+		g_error("stand-in: %s", err.message);
+	standin_worker_heartbeat(worker);
+}
+
+/* Ends an incarnation: its connections are closed, and all runs, completions
+ * and counts are lost. */
+static void crash(struct tevent_context *ev, struct tevent_timer *timer,
+		  struct timeval now, void *private_data)
+{
+	struct standin_worker *worker = private_data;
 	const char *name;
 	json_t *run;
 
+	if (worker->down)
+		return;
+	worker->down = true;
+	rj_http_server_finish(&worker->server);
 	json_object_foreach(worker->running, name, run) print_event(
 		worker, "end", name,
 		json_integer_value(json_object_get(run, "run")), "gone");
@@ -328,8 +377,8 @@
 	worker->completion_count = 0;
 	worker->token = 0;
 	worker->lease_until_ms = 0;
-	worker->incarnation = standin_now_ms();
-	answer_waiting_polls(worker, true);
+	worker->lease_expired_ms = 0;
+	call_in(worker, DOWN_US, restart);
 }
 
 /* Sets the worker's faults and its published address. */
@@ -348,10 +397,11 @@
 	if (published_address)
 		g_strlcpy(worker->published_address, published_address,
 			  sizeof(worker->published_address));
+	/* After the answer, as it closes the connection. */
 	if (json_is_true(json_object_get(body, "crash")))
-		crash(worker);
+		call_in(worker, 0, crash);
 	standin_worker_heartbeat(worker);
-	send_answer(exchange, 200, json_object());
+	send_answer(worker, exchange, 200, json_object());
 }
 
 /* Handles an order of an instance, or a call of a test. */
@@ -370,7 +420,7 @@
 	else if (!strcmp(exchange->path, "/standin/fault"))
 		handle_fault(worker, exchange, body);
 	else if (!strcmp(exchange->path, "/standin/done"))
-		send_answer(exchange, 200,
+		send_answer(worker, exchange, 200,
 			    json_deep_copy(worker->completed_counts));
 	else
 		rj_http_exchange_error(exchange, 404, "no such call");
@@ -386,6 +436,9 @@
 	json_t *entry;
 	char *text;
 
+	if (worker->down)
+		return;
+
 	(void)g_snprintf(rack, sizeof(rack), "r%u",
 			 worker->number / RACK_WORKERS);
 	entry = json_pack(
@@ -417,6 +470,7 @@
 	};
 
 	memset(worker, 0, sizeof(*worker));
+	worker->mem = mem;
 	worker->log = log;
 	worker->number = number;
 	worker->incarnation = standin_now_ms();
--- a/src/test_soak/faults.c
+++ b/src/test_soak/faults.c
@@ -271,6 +271,21 @@
 		->worker = worker;
 }
 
+/* Crash up to a quarter of the workers; each serves again at once, under its
+ * id. */
+static void inject_worker_restarts(struct soak *soak)
+{
+	for (uint32_t i = 0; i <= soak_random(soak, 1 + soak->worker_count / 4);
+	     i++) {
+		struct soak_worker *worker = random_worker(soak);
+
+		soak_journal_write(soak, "worker w%d: restart",
+				   (int)(worker - soak->workers));
+		soak_standin_post(soak, &worker->address, "/standin/fault",
+				  "{\"crash\":true}");
+	}
+}
+
 /* Drawn uniformly; repeated entries are more frequent. */
 static void (*const injectors[])(struct soak *) = {
 	inject_kill,
@@ -288,6 +303,8 @@
 	inject_log_fault,
 	inject_worker_fault,
 	inject_worker_fault,
+	inject_worker_restarts,
+	inject_worker_restarts,
 };
 
 /*
