run health: the time without progress follows the run time of a task

It was begun and stopped for ever, and nothing of a job of 48 such tasks ran for 5.9 s at a time on 48 idle workers. Cause: a run whose whole percentage did not rise for 3 s was stopped as stalled and its worker suspected for 6 s. A percent of ten minutes takes 6 s. The stops' reason told it from leases and plans: "stalled", at 0 %. Change: the time without progress is what a percent takes at a seventh of the usual speed, 3 s at least, by the longer one of estimate and queue mean, and 60 s without either; a new checkpoint is progress; a task that stalled on two workers is itself the cause from the third time on, its time doubles with each stall and its workers stay in use. Tasks of up to 43 s are judged as before. Steps that use only what others leave do not make their worker suspect.

--- a/src/libradishjunction/cell/cell_run_health.c
+++ b/src/libradishjunction/cell/cell_run_health.c
@@ -8,10 +8,19 @@
 #include "private/cell_run_pace.h"
 #include "private/log_event.h"
 
-/* A run whose percentage does not rise for this long is stalled. Even at a
- * seventh of the usual speed a task of 11 s advances by a percent in a
- * second. */
+/*
+ * A run that reports no progress for this long is stalled; or for as long as a
+ * percent takes at a seventh of the usual speed, if that is longer. Where
+ * nothing is known of a task's run time, it may be hours.
+ */
 #define STALL_TIMEOUT_US (3 * RJ_US_PER_S)
+#define STALL_SLOWDOWN 7
+#define STALL_UNKNOWN_TIMEOUT_US (60 * RJ_US_PER_S)
+/* A task that has stalled this often, each time on another worker, is itself the
+ * cause, as its estimate may be too low. From then on the timeout doubles with
+ * each stall, up to so many times, so that the task ends after all. */
+#define STALLS_BY_WORKERS_MAX 2
+#define STALL_DOUBLINGS_MAX 12
 /*
  * How long a run may exceed its latency target before the batch runs on its
  * worker, those without a latency target, are stopped. A target may be exceeded
@@ -62,7 +71,9 @@
 				estimate_begin_us(owner, run, row->percent);
 	}
 	run->incarnation = run->worker->incarnation;
-	if (row->percent != run->percent || !run->progress_us)
+	/* A checkpoint is saved after some work, whatever the percentage. */
+	if (row->percent != run->percent || !run->progress_us ||
+	    strcmp(run->saved ? run->saved : "", row->saved) != 0)
 		run->progress_us = owner->now_us;
 	if (!run->adopted && run->placed_us > run->worker->healthy_us &&
 	    !rj_cell_failure_is_early(owner->now_us - run->placed_us))
@@ -92,6 +103,49 @@
 	       (step->gang && run->percent >= RJ_CELL_PERCENT_ALL);
 }
 
+/* Returns how long a run may report no progress: percentages are whole numbers,
+ * and one of them may take minutes. */
+static uint64_t stall_timeout_us(const struct rj_cell_owner *owner,
+				 const struct rj_cell_run *run)
+{
+	const struct rj_cell_task *task = run->task;
+	uint64_t task_ms =
+		MAX(rj_cell_forecast_task_ms(&owner->forecast,
+					     task->occurrence->job->job_spec,
+					     task->step),
+		    rj_cell_task_step(task)->estimate_ms);
+	uint64_t percent_us = task_ms * RJ_US_PER_MS / RJ_CELL_PERCENT_ALL;
+	uint64_t timeout_us =
+		task_ms ? MAX(STALL_TIMEOUT_US, percent_us * STALL_SLOWDOWN) :
+			  STALL_UNKNOWN_TIMEOUT_US;
+
+	return timeout_us << MIN(
+		       task->stalls - MIN(task->stalls, STALLS_BY_WORKERS_MAX),
+		       STALL_DOUBLINGS_MAX);
+}
+
+/* Stops a stalled run. Its worker gets no new work for a while, unless the task
+ * is the cause, or uses only what others leave unused. */
+static void stop_stalled_run(struct rj_cell_owner *owner,
+			     struct rj_cell_run *run)
+{
+	struct rj_cell_worker *worker = run->worker;
+
+	rj_log_event(
+		"run_stalled", RJ_LOG_TEXT("task", run->name),
+		RJ_LOG_TEXT("worker", worker->id),
+		RJ_LOG_NUMBER("percent", run->percent),
+		RJ_LOG_AGE_MS("silent_ms", owner->now_us - run->progress_us),
+		RJ_LOG_NUMBER("stalls", run->task->stalls));
+	if (run->task->stalls < STALLS_BY_WORKERS_MAX &&
+	    !rj_cell_task_step(run->task)->scavenges)
+		worker->suspect_until_us =
+			owner->now_us + STALL_SUSPECT_PERIOD_US;
+	run->task->stalls++;
+	rj_cell_completions_avoid_worker(owner, run->task, worker);
+	rj_cell_completions_stop_run(owner, run, "stalled");
+}
+
 static void check_stalls(struct rj_cell_owner *owner,
 			 struct rj_cell_worker *worker)
 {
@@ -102,17 +156,11 @@
 		struct rj_cell_run *run =
 			RJ_CONTAINER(at, struct rj_cell_run, in_worker);
 
-		if (run->state != RJ_CELL_RUN_LISTED || !run->task ||
-		    may_stall(run) ||
-		    owner->now_us - run->progress_us < STALL_TIMEOUT_US)
-			continue;
-		worker->suspect_until_us =
-			owner->now_us + STALL_SUSPECT_PERIOD_US;
-		rj_cell_completions_avoid_worker(owner, run->task, worker);
-		rj_log_event("run_stalled", RJ_LOG_TEXT("task", run->name),
-			     RJ_LOG_TEXT("worker", worker->id),
-			     RJ_LOG_NUMBER("percent", run->percent));
-		rj_cell_completions_stop_run(owner, run, "stalled");
+		if (run->state == RJ_CELL_RUN_LISTED && run->task &&
+		    !may_stall(run) &&
+		    owner->now_us - run->progress_us >=
+			    stall_timeout_us(owner, run))
+			stop_stalled_run(owner, run);
 	}
 }
 
--- a/src/libradishjunction/include/private/cell_active_job.h
+++ b/src/libradishjunction/include/private/cell_active_job.h
@@ -39,6 +39,10 @@
  * multiple of the objective is of no use to the client. */
 #define RJ_CELL_LATE_FACTOR 3
 
+/* Progress of a finished run; a gang member then waits for the others, and a
+ * perpetual run is at work. */
+#define RJ_CELL_PERCENT_ALL 100
+
 extern const char *const rj_cell_run_state_string[RJ_CELL_RUN_STATE_COUNT];
 
 /* Number of priority classes: one per priority, but the last one also includes
@@ -118,6 +122,7 @@
 	uint64_t unreported_until_us;
 	uint32_t failed_run; /* number of the last failed run */
 	uint32_t losses; /* runs that ended for other reasons */
+	uint32_t stalls; /* runs that this owner stopped as stalled */
 	char *checkpoint; /* last one saved, or NULL */
 	struct rj_list runs;
 	/* When it became ready to run; 0: not since its last run ended. */
--- a/src/libradishjunction/include/private/cell_calls.h
+++ b/src/libradishjunction/include/private/cell_calls.h
@@ -10,9 +10,6 @@
 
 #include "private/cell_owner.h"
 
-/* Progress of a finished run; a gang member then waits for the others. */
-#define RJ_CELL_PERCENT_ALL 100
-
 struct rj_cell_call_context {
 	struct rj_cell_owner *owner;
 	uint32_t generation;
