task groups: perpetual steps that have waited may use reserved workers

What callers saw: perpetual tasks that had been stopped or lost stayed away while workers reserved for urgent jobs were idle (LOST, which for them holds however full the cell is). Cause: reserved racks are closed to work that is not urgent while more than 55 % of the cell is in use. Change: a perpetual step that has waited for 2 s may use them.

--- a/src/libradishjunction/cell/cell_task_groups.c
+++ b/src/libradishjunction/cell/cell_task_groups.c
@@ -117,6 +117,13 @@
 	return plan->now_us - since_us >= wait_ms * RJ_US_PER_MS;
 }
 
+/* Whether a step has waited for workers that are not reserved. */
+static bool has_waited(const struct rj_cell_plan *plan,
+		       const struct rj_cell_task_group *group)
+{
+	return plan->now_us - group->waiting_since_us >= RESERVED_WAIT_US;
+}
+
 /*
  * Whether usage is low enough to open reserved workers to a step that has
  * waited. Starts of this plan count as used: many runs may complete at once,
@@ -127,7 +134,7 @@
 {
 	return rj_cell_usage_percent(&plan->usage) <
 		       RESERVED_USAGE_MAX_PERCENT &&
-	       plan->now_us - group->waiting_since_us >= RESERVED_WAIT_US;
+	       has_waited(plan, group);
 }
 
 /* Whether only some workers may run a step, whatever capacity others have. */
@@ -139,8 +146,9 @@
 
 /*
  * Sets which workers reserved for urgent jobs a step may use: all of them if it
- * is urgent, if usage is low, or if it is overdue and restricted to some
- * workers; those that are not exclusive if it can be preempted at no loss.
+ * is urgent, if usage is low, if it is overdue and restricted to some workers, or
+ * if it is perpetual and has waited, as its tasks have to be at work however full
+ * the cell is; those that are not exclusive if it can be preempted at no loss.
  */
 void rj_cell_task_group_set_reserved(const struct rj_cell_plan *plan,
 				     struct rj_cell_task_group *group)
@@ -150,7 +158,8 @@
 
 	group->may_use_exclusive = !spec->priority ||
 				   has_idle_capacity(plan, group) ||
-				   (group->overdue && is_restricted(group));
+				   (group->overdue && is_restricted(group)) ||
+				   (step->perpetual && has_waited(plan, group));
 	group->may_use_reserved = group->may_use_exclusive ||
 				  (step->checkpoints && !step->perpetual);
 }
@@ -224,8 +233,7 @@
 	uint64_t slack_us = objective_us - MIN(objective_us, critical_path_us);
 	uint64_t late_us = job->late_us - job->accepted_us;
 	bool last_start = age_us * 100 >= late_us * LAST_START_PERCENT;
-	bool waits = !is_restricted(group) &&
-		     plan->now_us - group->waiting_since_us >= RESERVED_WAIT_US;
+	bool waits = !is_restricted(group) && has_waited(plan, group);
 
 	if (!job->job_spec->priority)
 		return;
