reclaim: guaranteed jobs stop perpetual runs, as far as their step may miss them

Cause: is_preemptible of cell_reclaim.c never allowed to stop a perpetual run, and such runs do not end. Searches for the earliest completions counted them as ending after their estimate. Change: a guaranteed group, and no other, may stop perpetual runs; of a step that states how many of its tasks may be unavailable at once, no more than that are, counting those that are away for any reason and those that the same plan stops. Releases never wait for a perpetual run.

--- a/src/libradishjunction/cell/cell_reclaim.c
+++ b/src/libradishjunction/cell/cell_reclaim.c
@@ -123,10 +123,54 @@
 	return group->guaranteed && !job->guaranteed;
 }
 
-/* Whether a run may be stopped for a group. */
-static bool is_preemptible(const struct rj_cell_plan *plan,
+/* Whether a task has a run that is at work: fully started, on a worker that
+ * answers, and not to be stopped. */
+static bool is_at_work(const struct rj_cell_task *task)
+{
+	const struct rj_list *at;
+
+	for (at = task->runs.next; at != &task->runs; at = at->next) {
+		const struct rj_cell_run *run =
+			RJ_CONTAINER(at, struct rj_cell_run, in_task);
+
+		if (run->state == RJ_CELL_RUN_LISTED && !run->victim &&
+		    run->percent >= RJ_CELL_PERCENT_ALL && run->worker->answers)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether a perpetual run may be stopped, beside `others` that are chosen
+ * already. Of a step that states how many of its tasks may be unavailable at
+ * once, no more than that are.
+ */
+static bool may_miss(struct rj_cell_plan *plan, const struct rj_cell_run *run,
+		     uint32_t others)
+{
+	const struct rj_cell_step *step = rj_cell_task_step(run->task);
+	const struct rj_cell_task *first = run->task - run->task->index;
+	uint32_t away = others;
+
+	if (!step->may_miss)
+		return true;
+	if (!is_at_work(run->task))
+		return true; /* it is away already */
+	plan->effort += step->task_count;
+	for (uint32_t i = 0; i < step->task_count; i++)
+		away += !is_at_work(&first[i]);
+	return away < step->may_miss;
+}
+
+/*
+ * Whether a run may be stopped for a group, beside `others` of its worker.
+ * Perpetual runs are stopped for guaranteed groups alone: these hold at all
+ * times, and nothing else would ever end there.
+ */
+static bool is_preemptible(struct rj_cell_plan *plan,
 			   const struct rj_cell_run *run,
-			   const struct rj_cell_task_group *group)
+			   const struct rj_cell_task_group *group,
+			   uint32_t others)
 {
 	return run->task && !run->reason &&
 	       run->state != RJ_CELL_RUN_STOPPING &&
@@ -135,7 +179,8 @@
 	       ((yields_to(plan, run->task->occurrence->job, group) &&
 		 !rj_cell_preemption_protects(plan, run, group)) ||
 		(is_expired(plan, run) && !group->expired)) &&
-	       !rj_cell_task_step(run->task)->perpetual;
+	       (!rj_cell_task_step(run->task)->perpetual ||
+		(group->guaranteed && may_miss(plan, run, others)));
 }
 
 /*
@@ -177,13 +222,15 @@
 		       loss_milli;
 }
 
-/* Whether a run may be stopped for a group and is not a victim yet. */
-static bool is_candidate(const struct rj_cell_plan *plan,
+/* Whether a run may be stopped for a group, beside `others` of its worker, and is
+ * not a victim yet. */
+static bool is_candidate(struct rj_cell_plan *plan,
 			 const struct rj_cell_release *release,
-			 const struct rj_cell_task_group *group)
+			 const struct rj_cell_task_group *group,
+			 uint32_t others)
 {
 	return !release->run->victim &&
-	       is_preemptible(plan, release->run, group);
+	       is_preemptible(plan, release->run, group, others);
 }
 
 /* Cost of making room on one worker, in core-milliseconds; both UINT64_MAX if
@@ -223,12 +270,13 @@
 	const struct rj_cell_release *release;
 	struct rj_cell_demand available = plan_worker->free_after_stops;
 	struct stop_cost cost = { 0, 0 };
+	uint32_t perpetual = 0; /* chosen runs */
 
 	for (release = releases->by_time;
 	     release < releases_end &&
 	     release->remaining_us < max_wait_us(group);
 	     release++)
-		if (is_candidate(plan, release, group))
+		if (is_candidate(plan, release, group, 0))
 			rj_cell_demand_add(&available,
 					   &release->run->allocated);
 	releases_end = releases->by_loss + releases->count;
@@ -236,8 +284,9 @@
 	     release < releases_end && !rj_cell_demand_fits(demand, &available);
 	     release++) {
 		if (release->remaining_us < max_wait_us(group) ||
-		    !is_candidate(plan, release, group))
+		    !is_candidate(plan, release, group, perpetual))
 			continue;
+		perpetual += rj_cell_task_step(release->run->task)->perpetual;
 		rj_cell_demand_add(&available, &release->run->allocated);
 		cost.loss_milli += release->loss_milli;
 		cost.order_milli += release->order_milli;
--- a/src/libradishjunction/cell/cell_release.c
+++ b/src/libradishjunction/cell/cell_release.c
@@ -59,8 +59,11 @@
 		assert(releases->count < capacity);
 		release = &releases->by_time[releases->count++];
 		release->run = run;
-		release->remaining_us = rj_cell_forecast_remaining_us(
-			plan->forecast, run, plan->now_us);
+		release->remaining_us =
+			run->task && rj_cell_task_step(run->task)->perpetual ?
+				RJ_NEVER_US :
+				rj_cell_forecast_remaining_us(
+					plan->forecast, run, plan->now_us);
 		release->loss_milli = rj_cell_reclaim_loss(plan, run);
 		release->order_milli =
 			rj_cell_reclaim_order(run, release->loss_milli);
--- a/src/test_libradishjunction/support/cell_fake.h
+++ b/src/test_libradishjunction/support/cell_fake.h
@@ -25,6 +25,7 @@
 	uint64_t progress_us;
 	uint64_t fails_at_us; /* value of progress_us; 0: never */
 	bool checkpoints;
+	bool perpetual;
 	char checkpoint[CELL_FAKE_CHECKPOINT_BYTES];
 	uint64_t started_us;
 	uint64_t stop_at_us; /* end after a stop order; 0: none */
--- a/src/test_libradishjunction/support/cell_fake_orders.c
+++ b/src/test_libradishjunction/support/cell_fake_orders.c
@@ -128,6 +128,8 @@
 		rows[i].saved = talloc_strdup(order, run->checkpoint);
 		rows[i].percent = (uint32_t)MIN(100, run->progress_us * 100 /
 							     run->duration_us);
+		if (run->perpetual)
+			rows[i].percent = 100;
 		rows[i].measurement = cell_fake_tail_latency_ms(worker, run);
 	}
 	order->reply.rows = rows;
--- a/src/test_libradishjunction/support/cell_fake_workers.c
+++ b/src/test_libradishjunction/support/cell_fake_workers.c
@@ -374,6 +374,7 @@
 		step = &job->spec->steps[step_number];
 		run->allocated = step->each;
 		run->checkpoints = step->checkpoints;
+		run->perpetual = step->perpetual;
 		run->target_ms = step->target_ms;
 		/* Longer than any simulation. */
 		if (step->perpetual && !job->failing_runs)
--- a/src/test_libradishjunction/test_cell_guarantees.c
+++ b/src/test_libradishjunction/test_cell_guarantees.c
@@ -408,6 +408,52 @@
 	g_assert_cmpuint(job->begun_us - job->accepted_us, <, RECLAIM_US);
 }
 
+/*
+ * Load: perpetual tasks of an account hold all accelerators, and another account
+ * claims its guarantee.
+ * Guards against a guarantee that is void beside perpetual tasks, and against
+ * more of them being stopped at once than their step may miss.
+ */
+static void test_perpetual_tasks(void)
+{
+	static const struct {
+		uint32_t may_miss; /* 0: not limited */
+		uint32_t tasks; /* of the guaranteed job */
+		bool begins;
+	} cases[] = { { 0, 8, true },
+		      { 0, 1, true },
+		      { 8, 8, true },
+		      { 2, 2, true },
+		      { 2, 8, false } };
+
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct rj_cell_step step = cell_sim_plain_step(24, 8, 5000);
+		struct cell_fixture f;
+		const struct cell_client_job *fill;
+		const struct cell_client_job *job;
+		uint32_t stopped = 0;
+
+		cell_fixture_setup(&f, &site);
+		step.perpetual = true;
+		step.may_miss = cases[i].may_miss;
+		cell_load_run(&f.sim, 2 * S);
+		fill = cell_load_submit(&f.sim, "bulk", "c", &step, S);
+		cell_load_run(&f.sim, 4 * S);
+		g_assert_cmpuint(fill->starts, ==, 24);
+		job = submit_gang(&f.sim, "a", cases[i].tasks, 8, 2000);
+		cell_load_run(&f.sim, RECLAIM_US);
+		for (uint32_t j = 0; j < site.workers; j++)
+			stopped += !f.sim.workers[j].runs->len;
+		g_assert_cmpint(job->begun_us != 0, ==, cases[i].begins);
+		if (!job->begun_us)
+			g_assert_cmpuint(stopped, <=, cases[i].may_miss);
+		cell_load_run(&f.sim, 8 * S);
+		if (cases[i].begins)
+			g_assert_cmpuint(fill->starts, ==, 24 + cases[i].tasks);
+		cell_fixture_teardown(&f, &site);
+	}
+}
+
 /* Runs what the command line calls for; returns -1 if it is the tests. */
 static int run_command(int argc, char **argv)
 {
@@ -440,6 +486,7 @@
 		  test_later_job_of_the_account);
 	CELL_TEST("/cell_guarantees/takeover", &site, test_takeover);
 	CELL_TEST("/cell_guarantees/lowered", &site, test_lowered_guarantee);
+	g_test_add_func("/cell_guarantees/perpetual", test_perpetual_tasks);
 	g_test_add_func("/cell_guarantees/random", test_random_load);
 	return g_test_run();
 }
