workers: count handshakes

The cost of knowing which incarnation answers was not visible. The adapter counts the calls that it makes to learn where a new connection leads; the metric is radishjunction_worker_handshakes, and owner_activity logs them each second.

--- a/src/libradishjunction/cell/cell_activity.c
+++ b/src/libradishjunction/cell/cell_activity.c
@@ -32,6 +32,8 @@
 		RJ_LOG_NUMBER("stops", SINCE(stops)),
 		RJ_LOG_NUMBER("polls", SINCE(polls)),
 		RJ_LOG_NUMBER("probes", SINCE(probes)),
+		RJ_LOG_NUMBER("handshakes", owner->workers->handshakes -
+						    activity->handshakes),
 		RJ_LOG_NUMBER("ok", SINCE(answers[RJ_CELL_ORDER_OK])),
 		RJ_LOG_NUMBER("lost", SINCE(answers[RJ_CELL_ORDER_LOST])),
 		RJ_LOG_NUMBER("unsent", SINCE(answers[RJ_CELL_ORDER_UNSENT])),
@@ -71,5 +73,6 @@
 	activity->log_due_us = owner->now_us + LOG_INTERVAL_US;
 	log_activity(owner);
 	owner->logged_counters = owner->counters;
+	activity->handshakes = owner->workers->handshakes;
 	activity->gap_max_us = 0;
 }
--- a/src/libradishjunction/cell/cell_metrics.c
+++ b/src/libradishjunction/cell/cell_metrics.c
@@ -152,6 +152,7 @@
 	write_number(text, "stops", counters->stops);
 	write_number(text, "polls", counters->polls);
 	write_number(text, "probes", counters->probes);
+	write_number(text, "worker_handshakes", owner->workers->handshakes);
 	for (int i = 0; i < RJ_CELL_ORDER_STATUS_COUNT; i++)
 		write_labelled(text, "call_answers", "answer",
 			       rj_cell_order_status_string[i],
--- a/src/libradishjunction/include/private/cell_activity.h
+++ b/src/libradishjunction/include/private/cell_activity.h
@@ -22,6 +22,7 @@
 extern const char *const rj_cell_plan_block_string[RJ_CELL_PLAN_BLOCK_COUNT];
 
 struct rj_cell_activity {
+	uint64_t handshakes; /* with workers, as of the last log event */
 	uint64_t log_due_us;
 	uint64_t advanced_us; /* the last time the owner was advanced */
 	uint64_t gap_max_us; /* longest time between two advances */
--- a/src/libradishjunction/include/private/cell_workers.h
+++ b/src/libradishjunction/include/private/cell_workers.h
@@ -137,6 +137,9 @@
 
 struct rj_cell_workers {
 	const struct rj_cell_workers_ops *ops; /* must be the first member */
+	/* Calls that the adapter made to learn to which incarnation a new
+	 * connection leads. */
+	uint64_t handshakes;
 };
 
 #endif
