http client: a handle whose transfer failed is not reused; lost handshakes are repeated

What callers saw: nothing broken; starts of gangs that failed for no reason. Cause: (1) libcurl notes in an easy handle that the body has to be sent again when a kept connection dies. If it may not open another one, as the request is for one process alone, the note stays, curl_easy_reset does not clear it, and the next transfer with the handle fails before it is sent ("rewinding of the data stream failed"). (2) A handshake that a worker loses ended all requests that waited for it, at workers that lose a third of their calls. Change: only handles of transfers that succeeded are kept; a handshake without a response is repeated twice while its requests have time; if it stays lost, they count as lost, as before, and not as not sent. Test: http_identity/lost, "not sent" in place of an answer before.

--- a/src/libradishjunction/http_client.c
+++ b/src/libradishjunction/http_client.c
@@ -52,6 +52,7 @@
 	bool too_long;
 	uint64_t identity; /* of the server process; 0: any */
 	bool no_connection; /* none leads to that process */
+	bool succeeded;
 	struct rj_http_opened opened; /* the last one for this transfer */
 	struct rj_http_connection_use connection;
 	void (*done)(void *private_data, const struct rj_http_result *result);
@@ -71,10 +72,15 @@
 	return easy;
 }
 
-/* Reset the options of a handle and keep it for reuse. */
-static void release_handle(struct rj_http_client *client, CURL *easy)
+/*
+ * Reset the options of a handle and keep it for reuse, unless its transfer did
+ * not succeed. A retry that libcurl has given up leaves the request to rewind
+ * the body behind, which a reset does not clear, and the next transfer fails.
+ */
+static void release_handle(struct rj_http_client *client, CURL *easy,
+			   bool succeeded)
 {
-	if (client->idle_handles->len >= IDLE_HANDLES_MAX) {
+	if (!succeeded || client->idle_handles->len >= IDLE_HANDLES_MAX) {
 		curl_easy_cleanup(easy);
 		return;
 	}
@@ -88,7 +94,7 @@
 	rj_list_remove(&transfer->link);
 	g_sequence_remove(transfer->deadline_iter);
 	curl_multi_remove_handle(transfer->client->multi, transfer->easy);
-	release_handle(transfer->client, transfer->easy);
+	release_handle(transfer->client, transfer->easy, transfer->succeeded);
 	curl_slist_free_all(transfer->headers);
 	return 0;
 }
@@ -212,6 +218,7 @@
 	struct rj_http_result result = { .outcome = RJ_HTTP_LOST };
 	long status = 0;
 
+	transfer->succeeded = code == CURLE_OK;
 	if (code == CURLE_OK) {
 		curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE,
 				  &status);
--- a/src/libradishjunction/http_identity.c
+++ b/src/libradishjunction/http_identity.c
@@ -6,6 +6,13 @@
 
 #include "private/clock.h"
 
+/* A response with a lower status has been carried out. */
+#define STATUS_REFUSED_MIN 300
+/* A handshake without a response is repeated up to this many times in all, if
+ * the first request that waits for it has time left: a server may lose some of
+ * its calls, and repeating this one is harmless. */
+#define HANDSHAKES_MAX 3
+
 /* A process of a server, by an address of a handshake and an identity, for as
  * long as requests wait for a connection to it. */
 struct target {
@@ -13,7 +20,7 @@
 	char *key;
 	uint64_t identity;
 	struct rj_list waiting; /* struct pending */
-	bool in_handshake;
+	uint32_t handshakes; /* sent in a row; 0: none is open */
 };
 
 /* A request until its end. */
@@ -132,9 +139,12 @@
 	free_target(target);
 }
 
+static void send_handshake(struct target *target,
+			   const struct pending *pending);
+
 /*
- * Handles the response to a handshake. One that was refused has had no effect,
- * and so have the requests that wait for it: they end with the same status.
+ * Handles the end of a handshake. If it was refused, or got no response, so do
+ * the requests that wait for it.
  */
 static void handshake_done(void *private_data,
 			   const struct rj_http_result *result)
@@ -142,11 +152,17 @@
 	struct target *target = *(struct target **)private_data;
 	const struct pending *first =
 		RJ_CONTAINER(target->waiting.next, struct pending, link);
-	struct rj_http_result failure = { .outcome = RJ_HTTP_NOT_SENT };
+	struct rj_http_result failure = *result;
 	uint64_t identity = result->outcome == RJ_HTTP_ANSWERED ?
 				    first->handshake.read_identity(result) :
 				    0;
 
+	if (result->outcome != RJ_HTTP_ANSWERED &&
+	    target->handshakes < HANDSHAKES_MAX &&
+	    rj_clock_now_us() < first->expires_us) {
+		send_handshake(target, first);
+		return;
+	}
 	rj_http_client_identify(target->owner->client, result, identity);
 	if (identity == target->identity) {
 		send_waiting(target);
@@ -158,8 +174,8 @@
 		failure.body = "{}";
 		failure.length = strlen(failure.body);
 	} else if (result->outcome == RJ_HTTP_ANSWERED &&
-		   result->status >= 300) {
-		failure = *result;
+		   result->status < STATUS_REFUSED_MIN) {
+		failure.outcome = RJ_HTTP_NOT_SENT;
 	}
 	fail_waiting(target, &failure);
 }
@@ -183,7 +199,7 @@
 	assert(data);
 	*data = target;
 	request.private_data = data;
-	target->in_handshake = true;
+	target->handshakes++;
 	target->owner->handshakes++;
 	rj_http_client_send(target->owner->client, &request);
 }
@@ -208,7 +224,7 @@
 	}
 	target = obtain_target(pending);
 	rj_list_append(&target->waiting, &pending->link);
-	if (!target->in_handshake)
+	if (!target->handshakes)
 		send_handshake(target, pending);
 }
 
--- a/src/test_libradishjunction/test_http_identity.c
+++ b/src/test_libradishjunction/test_http_identity.c
@@ -23,6 +23,7 @@
 	uint64_t process; /* that serves the address */
 	unsigned int handshake_status; /* 0: no answer */
 	bool holds_orders; /* does not answer them */
+	bool drops_orders; /* closes their connections */
 	uint32_t handshakes; /* received */
 	uint32_t orders; /* received by the present process */
 	uint32_t ended; /* requests, and the last result */
@@ -43,7 +44,9 @@
 		return;
 	}
 	f->orders++;
-	if (!f->holds_orders)
+	if (f->drops_orders)
+		rj_http_exchange_abort(exchange);
+	else if (!f->holds_orders)
 		rj_http_exchange_answer(exchange, 200, "", 0);
 }
 
@@ -206,7 +209,7 @@
 	} cases[] = {
 		{ 409, RJ_HTTP_ANSWERED, 409 },
 		{ 503, RJ_HTTP_ANSWERED, 503 },
-		{ 0, RJ_HTTP_NOT_SENT, 0 },
+		{ 0, RJ_HTTP_LOST, 0 },
 	};
 
 	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -219,6 +222,25 @@
 	g_assert_cmpuint(f->orders, ==, 0);
 }
 
+/* Guards against a request that fails before it is sent, as the handle that it
+ * uses still has to repeat the body of a former one. */
+static void test_lost_request_leaves_nothing_behind(struct fixture *f,
+						    gconstpointer data)
+{
+	send_order(f, 1);
+	wait_ended(f, 1);
+	f->drops_orders = true;
+	send_order(f, 1);
+	wait_ended(f, 2);
+	g_assert_cmpint(f->outcome, ==, RJ_HTTP_LOST);
+	f->drops_orders = false;
+	for (uint32_t i = 3; i < 3 + CALLS; i++) {
+		send_order(f, 0);
+		wait_ended(f, i);
+		g_assert_cmpint(f->outcome, ==, RJ_HTTP_ANSWERED);
+	}
+}
+
 #define ADD(name, function)                                              \
 	g_test_add("/http_identity/" name, struct fixture, NULL, set_up, \
 		   function, tear_down)
@@ -232,5 +254,6 @@
 	ADD("restarted", test_restarted_server_gets_nothing);
 	ADD("waiting", test_waiting_requests_are_not_redirected);
 	ADD("failed", test_failed_handshakes);
+	ADD("lost", test_lost_request_leaves_nothing_behind);
 	return g_test_run();
 }
