frontend: store the cancellation of a job that is not in the log yet

What callers saw: a job ran to its end after its cancellation had been answered 410 (UNASKED): its submission had got 504, and the instance repeated its append when the log answered again. Cause: a cancellation of a job in neither log stored nothing, so that nobody who read the submission later could know of it. Change: it is stored before the answer 410; the order of the log decides then. The owner removes it after the time for which the status of ended jobs is kept. The simulation takes 410 for an acknowledged cancellation in all of its runs, which is stricter.

--- a/src/libradishjunction/cell/cell_flush.c
+++ b/src/libradishjunction/cell/cell_flush.c
@@ -490,8 +490,8 @@
 		uint64_t retention_us =
 			owner->limits.status_retention_ms * RJ_US_PER_MS;
 
-		if (entry->job || !entry->ended_us ||
-		    owner->now_us < entry->ended_us + retention_us)
+		if (entry->job || !rj_cell_view_over_us(entry) ||
+		    owner->now_us < rj_cell_view_over_us(entry) + retention_us)
 			continue;
 		add_removal(owner, RJ_CELL_RECORD_PROGRESS, entry->id);
 		add_removal(owner, RJ_CELL_RECORD_STATE, entry->id);
--- a/src/libradishjunction/cell/cell_frontend.c
+++ b/src/libradishjunction/cell/cell_frontend.c
@@ -80,6 +80,7 @@
 	bool answered;
 	bool writing; /* a write refers to it */
 	bool cancels; /* the write is a cancellation */
+	bool not_in_log; /* of a job that is not in the log */
 	struct rj_cell_sync sync;
 	enum sync_step sync_step;
 	bool syncing;
@@ -260,7 +261,10 @@
 		release(request);
 		return;
 	}
-	if (outcome == RJ_CELL_WRITE_STORED)
+	if (outcome == RJ_CELL_WRITE_STORED && request->not_in_log)
+		answer_verdict(request, RJ_CELL_VERDICT_NO_JOB, "not_in_log",
+			       0);
+	else if (outcome == RJ_CELL_WRITE_STORED)
 		answer_verdict(request,
 			       request->call->verb == RJ_CELL_VERB_CANCEL ?
 				       RJ_CELL_VERDICT_CANCELLED :
@@ -293,13 +297,19 @@
 	rj_cell_writer_flush(writer, request->frontend->now_us);
 }
 
-/* Stores a cancellation request, unless the job has ended or has one. */
-static void cancel_known(struct request *request,
-			 struct rj_cell_view_entry *entry)
+/* Stores a cancellation request. */
+static void store_cancellation(struct request *request)
 {
 	/* MessagePack nil; an empty value would delete the key. */
 	struct rj_bytes mark = { (const uint8_t *)"\xc0", 1 };
 
+	store(request, RJ_CELL_RECORD_CANCEL, mark);
+}
+
+/* Stores a cancellation request, unless the job has ended or has one. */
+static void cancel_known(struct request *request,
+			 struct rj_cell_view_entry *entry)
+{
 	if (entry->cancelled || entry->summary.state >= RJ_CELL_JOB_COMPLETED) {
 		answer_verdict(request, RJ_CELL_VERDICT_CANCELLED, "ended", 0);
 		return;
@@ -308,7 +318,24 @@
 		answer_unavailable(request, "log_away");
 		return;
 	}
-	store(request, RJ_CELL_RECORD_CANCEL, mark);
+	store_cancellation(request);
+}
+
+/*
+ * Answers a call about a job that is in neither log.
+ *
+ * A submission without an answer may still be stored, so a cancellation is
+ * stored before its caller is told that there is no such job. It is kept for as
+ * long as the status of a job that has ended.
+ */
+static void answer_not_in_log(struct request *request)
+{
+	if (request->call->verb == RJ_CELL_VERB_CANCEL) {
+		request->not_in_log = true;
+		store_cancellation(request);
+		return;
+	}
+	answer_verdict(request, RJ_CELL_VERDICT_NO_JOB, "not_in_log", 0);
 }
 
 /*
@@ -385,8 +412,7 @@
 	else if (!entry && request->sync_step != SYNC_STATES_AGAIN)
 		sync_step_begin(request, request->sync_step + 1);
 	else if (!entry)
-		answer_verdict(request, RJ_CELL_VERDICT_NO_JOB, "not_in_log",
-			       0);
+		answer_not_in_log(request);
 	else if (request->call->verb == RJ_CELL_VERB_CANCEL)
 		cancel_known(request, entry);
 	else
--- a/src/libradishjunction/cell/cell_view.c
+++ b/src/libradishjunction/cell/cell_view.c
@@ -171,6 +171,15 @@
 		keep_progress(entry, record->value);
 }
 
+/* Applies a cancellation request. */
+static void apply_cancellation(struct rj_cell_view_entry *entry,
+			       uint64_t now_us)
+{
+	entry->cancelled = true;
+	if (!entry->cancelled_us)
+		entry->cancelled_us = now_us;
+}
+
 /*
  * Applies a record of a job. Returns its entry, or NULL if the record is not of
  * a job or removed it.
@@ -198,10 +207,23 @@
 	else if (kind == RJ_CELL_RECORD_PROGRESS)
 		apply_former_progress(entry, record, now_us);
 	else
-		entry->cancelled = true;
+		apply_cancellation(entry, now_us);
 	return entry;
 }
 
+/*
+ * Returns the time from which on the records of a job need not be kept for
+ * longer than its status: its end, or its cancellation if it was not submitted;
+ * 0 if there was neither.
+ */
+uint64_t rj_cell_view_over_us(const struct rj_cell_view_entry *entry)
+{
+	if (entry->ended_us || entry->job_spec ||
+	    rj_cell_view_is_accepted(entry))
+		return entry->ended_us;
+	return entry->cancelled_us;
+}
+
 /*
  * Records that a job's spec is stored.
  */
--- a/src/libradishjunction/include/private/cell_view.h
+++ b/src/libradishjunction/include/private/cell_view.h
@@ -24,6 +24,7 @@
 	bool accepted; /* its spec is or was in a log */
 	bool state_published; /* the owner has stored a state of it */
 	bool cancelled; /* a cancellation request is in the log */
+	uint64_t cancelled_us; /* when it was read, or 0 */
 	struct rj_cell_summary summary; /* what callers may see */
 	struct rj_bytes progress; /* until a takeover has loaded it */
 	bool in_progress_log; /* its progress is in the progress log */
@@ -41,6 +42,7 @@
 
 void rj_cell_view_init(struct rj_cell_view *view, void *mem);
 void rj_cell_view_finish(struct rj_cell_view *view);
+uint64_t rj_cell_view_over_us(const struct rj_cell_view_entry *entry);
 struct rj_cell_view_entry *rj_cell_view_find(const struct rj_cell_view *view,
 					     const char *id);
 struct rj_cell_view_entry *
--- a/src/test_libradishjunction/support/cell_sim.c
+++ b/src/test_libradishjunction/support/cell_sim.c
@@ -468,6 +468,11 @@
 			job->ended_us = sim->now_us;
 		break;
 	case RJ_CELL_VERDICT_NO_JOB:
+		/* Acknowledges a cancellation as well. */
+		if (base->verb == RJ_CELL_VERB_CANCEL && !job->cancelled) {
+			job->cancelled = true;
+			job->cancelled_us = sim->now_us;
+		}
 		if (job->accepted && base->verb == RJ_CELL_VERB_QUERY)
 			job->not_found = true;
 		break;
--- a/src/test_libradishjunction/test_cell_reach.c
+++ b/src/test_libradishjunction/test_cell_reach.c
@@ -141,6 +141,39 @@
 		g_assert_cmpuint(f->sim.workers[i].runs->len, ==, 0);
 }
 
+/* Guards against a job that runs after its cancellation was acknowledged, as its
+ * submission, which got no answer, is stored later; and against records of such
+ * cancellations that are kept for ever. */
+static void test_cancelled_before_it_was_stored(struct cell_fixture *f,
+						const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(1, 1, 2000);
+	uint32_t owner = (uint32_t)cell_sim_owner(&f->sim);
+	uint32_t cut_off = (owner + 1) % site.nodes;
+	uint32_t other = (owner + 2) % site.nodes;
+	struct cell_client_job *job;
+
+	f->sim.log.modes[cut_off] = CELL_LOG_UNREACHABLE;
+	job = submit_job(&f->sim, cut_off, &step);
+	cell_sim_run(&f->sim, 2 * S);
+	g_assert_false(job->accepted);
+	cell_sim_cancel(&f->sim, other, job);
+	cell_sim_run(&f->sim, 500 * MS);
+	g_assert_true(job->cancelled);
+	f->sim.log.modes[cut_off] = CELL_LOG_AVAILABLE;
+	cell_sim_run(&f->sim, 10 * S);
+	g_assert_cmpuint(job->starts, ==, 0);
+	cell_sim_query(&f->sim, other, job);
+	cell_sim_run(&f->sim, 500 * MS);
+	g_assert_cmpint(job->state, ==, RJ_CELL_JOB_CANCELLED);
+
+	job = cell_sim_job_new(&f->sim, "normal", "a", &step, 1, S);
+	cell_sim_cancel(&f->sim, other, job);
+	cell_sim_run(&f->sim, 140 * S);
+	g_assert_true(job->cancelled);
+	g_assert_cmpuint(f->sim.nodes[owner].node.view.count, ==, 0);
+}
+
 /* Guards against urgent jobs that concentrate in the first racks, so that the
  * loss of one failure domain stops all of them. */
 static void test_urgent_jobs_spread_over_domains(struct cell_fixture *f,
@@ -604,6 +637,7 @@
 	ADD("workers_unread", test_unread_workers_stop_all_starts);
 	ADD("completions", test_completions_are_polled_after_a_partition);
 	ADD("late_completion", test_late_completion);
+	ADD("cancelled", test_cancelled_before_it_was_stored);
 	ADD("spread", test_urgent_jobs_spread_over_domains);
 	ADD("log_silent", test_instance_with_unreachable_log);
 	ADD("log_refuses", test_instance_refused_by_the_log);
