lease bounds: a leaving worker is listed with a bound of its own

Cause: an owner stated until when a worker may hold leases only once the worker was unreachable to it. Nobody had stated it for a worker that left together with the owner, so that a successor waited for all leases that the owner might have granted without the log. Change: a worker that announces that it leaves is listed at once, one lease and a second ahead, and gets no lease beyond that; the bound is raised with the owner's heartbeats while it stays. An owner that is cut off stops runs with checkpoints in time, whatever it expects of them, so that it sees and publishes their ends. Test: cell_leases/left_with_owner fails before (not restarted within a lease and 2 s), and /evacuation.

--- a/src/libradishjunction/cell/cell_calls.c
+++ b/src/libradishjunction/cell/cell_calls.c
@@ -62,12 +62,17 @@
 uint64_t rj_cell_call_next_deadline(struct rj_cell_owner *owner,
 				    struct rj_cell_worker *worker)
 {
+	uint64_t clock_ms = rj_cell_worker_clock_ms(worker, owner->now_us);
 	uint64_t deadline_ms;
 
 	if (!worker->clock_ms || !rj_cell_owner_may_grant(owner, worker))
 		return 0;
-	deadline_ms = rj_cell_worker_clock_ms(worker, owner->now_us) +
-		      owner->limits.lease_max_ms;
+	deadline_ms = MIN(clock_ms + owner->limits.lease_max_ms,
+			  rj_cell_worker_deadline_within(
+				  worker, rj_cell_lease_bounds_until_us(
+						  &owner->leases, worker)));
+	if (deadline_ms <= clock_ms)
+		return 0;
 	rj_cell_worker_extend_lease(worker, deadline_ms);
 	return deadline_ms;
 }
--- a/src/libradishjunction/cell/cell_evacuate.c
+++ b/src/libradishjunction/cell/cell_evacuate.c
@@ -4,6 +4,9 @@
 
 /* Time for a stop and its confirmation. */
 #define STOP_LEAD_US (800 * RJ_US_PER_MS)
+/* An owner that has stored nothing for this long is cut off from the log; it
+ * writes heartbeats several times as often. */
+#define CUT_OFF_US (1500 * RJ_US_PER_MS)
 /* Typical error of the forecast end of a run. */
 #define FORECAST_ERROR_US (500 * RJ_US_PER_MS)
 
@@ -16,11 +19,17 @@
  * time. A run that saves checkpoints or is perpetual goes on for as long as it
  * can still be stopped; any other run that cannot end in time is stopped at
  * once, as its further work would be lost.
+ *
+ * An owner that is cut off does not learn whether the worker has left, nor can
+ * its successor. It stops a run that saves checkpoints although that may end in
+ * time: the end that it sees then is known to the successor once it publishes
+ * it.
  */
 bool rj_cell_evacuate_is_due(const struct rj_cell_step *step, uint64_t left_us,
-			     uint64_t now_us, uint64_t departure_us)
+			     uint64_t now_us, uint64_t departure_us,
+			     bool cut_off)
 {
-	if (step->perpetual)
+	if (step->perpetual || (step->checkpoints && cut_off))
 		return now_us + STOP_LEAD_US >= departure_us;
 	if (now_us + left_us <= departure_us + FORECAST_ERROR_US)
 		return false;
@@ -33,6 +42,7 @@
 void rj_cell_evacuate(struct rj_cell_owner *owner,
 		      struct rj_cell_worker *worker)
 {
+	bool cut_off = owner->now_us > owner->writer.stored_us + CUT_OFF_US;
 	struct rj_list *at;
 	struct rj_list *next;
 
@@ -47,7 +57,7 @@
 			    rj_cell_task_step(run->task),
 			    rj_cell_forecast_remaining_us(&owner->forecast, run,
 							  owner->now_us),
-			    owner->now_us, worker->departure_us))
+			    owner->now_us, worker->departure_us, cut_off))
 			rj_cell_completions_stop_run(owner, run,
 						     RJ_CELL_WHY_LEAVES);
 	}
--- a/src/libradishjunction/cell/cell_fleet.c
+++ b/src/libradishjunction/cell/cell_fleet.c
@@ -427,6 +427,24 @@
 	return lease_us * (100 + CLOCK_SLOW_PERCENT) / 100;
 }
 
+/*
+ * Returns the latest deadline, by the worker's clock in milliseconds, of a lease
+ * that surely ends by `until_us` of the owner's clock.
+ */
+uint64_t rj_cell_worker_deadline_within(const struct rj_cell_worker *worker,
+					uint64_t until_us)
+{
+	uint64_t from_us = worker->clock_at_us + ANSWER_SLACK_US;
+
+	if (until_us == RJ_NEVER_US)
+		return UINT64_MAX;
+	if (until_us <= from_us)
+		return 0;
+	return worker->clock_ms + (until_us - from_us) * 100 /
+					  (100 + CLOCK_SLOW_PERCENT) /
+					  RJ_US_PER_MS;
+}
+
 /*
  * Extends the worker's lease to the deadline of an order that is sent; an
  * earlier deadline does not shorten it. Runs on the worker may continue until
--- a/src/libradishjunction/cell/cell_lease_bounds.c
+++ b/src/libradishjunction/cell/cell_lease_bounds.c
@@ -23,6 +23,10 @@
 /* Encoded length of an entry besides the worker's id: the length of the id and
  * a 64-bit number. */
 #define ENTRY_BYTES_MAX 11
+/* A leaving worker is listed with a bound that lies this far beyond the leases
+ * that it gets now, so that they can be renewed until a later record is stored:
+ * some of the owner's heartbeats. */
+#define LEAVING_AHEAD_US (1000 * RJ_US_PER_MS)
 /* Number of failed polls in a row after which a worker counts as
  * unreachable. */
 #define POLL_FAILURES_MIN 2
@@ -193,10 +197,12 @@
 {
 	const struct rj_list *at;
 	uint64_t grants_us = bounds->grants_us;
+	uint64_t lease_us = bounds->lease_us;
 
 	rj_cell_lease_bounds_finish(bounds);
 	rj_cell_lease_bounds_init(bounds);
 	bounds->grants_us = grants_us;
+	bounds->lease_us = lease_us;
 	bounds->begun_us = now_us;
 	bounds->wanted = true;
 	bounds->unreported_us = granted_until_us;
@@ -236,8 +242,22 @@
 }
 
 /*
- * Whether a lease may be granted to the worker now. If only the stored record
- * forbids it, as that lists the worker, requests a record without the worker.
+ * Whether a worker is to be listed while it answers, as it is about to leave. If
+ * the owner is lost or cut off then, the worker may be gone before a successor
+ * reaches it, and the successor would wait for all leases that the owner might
+ * have granted.
+ */
+static bool is_leaving(const struct rj_cell_worker *worker)
+{
+	return worker->heartbeat.draining && worker->incarnation &&
+	       worker->answers;
+}
+
+/*
+ * Whether a lease may be granted to the worker now, see
+ * rj_cell_lease_bounds_until_us. If only the stored record forbids it, as that
+ * lists the worker, requests a record without the worker; if the worker leaves,
+ * one with a later bound in time.
  */
 bool rj_cell_lease_bounds_allow(struct rj_cell_lease_bounds *bounds,
 				const struct rj_cell_worker *worker,
@@ -248,6 +268,12 @@
 	if (!bounds->recorded)
 		return false;
 	bound_us = g_hash_table_lookup(bounds->listed, worker->id);
+	if (is_leaving(worker)) {
+		if (!bound_us || *bound_us < now_us + bounds->lease_us +
+						     LEAVING_AHEAD_US / 2)
+			bounds->incomplete = true;
+		return !bound_us || now_us < *bound_us;
+	}
 	if (!bound_us)
 		return true;
 	/* A worker that has not answered in this term still obeys the former
@@ -257,6 +283,20 @@
 	return false;
 }
 
+/*
+ * Returns the time after which no lease of the worker may end; RJ_NEVER_US if
+ * there is no bound.
+ */
+uint64_t
+rj_cell_lease_bounds_until_us(const struct rj_cell_lease_bounds *bounds,
+			      const struct rj_cell_worker *worker)
+{
+	const uint64_t *bound_us =
+		g_hash_table_lookup(bounds->listed, worker->id);
+
+	return bound_us ? *bound_us : RJ_NEVER_US;
+}
+
 /*
  * Records that completions which no worker has reported are waited for until
  * `until_us`. The change must be stored no later than the job that waits.
@@ -282,6 +322,17 @@
 		bounds->incomplete = true;
 }
 
+/*
+ * Requests a record that lists a worker which has announced that it leaves. The
+ * owner may be cut off together with it the next moment.
+ */
+void rj_cell_lease_bounds_leaving(struct rj_cell_lease_bounds *bounds,
+				  const struct rj_cell_worker *worker)
+{
+	if (worker->runs.next != &worker->runs)
+		bounds->wanted = true;
+}
+
 /*
  * Whether a record is to be written. Workers that have become unreachable are
  * added with the owner's next heartbeat.
@@ -293,12 +344,12 @@
 	       (bounds->wanted || (bounds->incomplete && heartbeat_due));
 }
 
-/* Whether a worker is to be listed: it may hold leases, and either has not
- * answered in this term or is unreachable. */
+/* Whether a worker is to be listed: it may hold leases, and has not answered in
+ * this term, is unreachable, or leaves. */
 static bool is_to_be_listed(const struct rj_cell_worker *worker)
 {
 	return worker->runs.next != &worker->runs &&
-	       (!worker->incarnation ||
+	       (!worker->incarnation || is_leaving(worker) ||
 		(!worker->answers &&
 		 worker->poll_failures >= POLL_FAILURES_MIN));
 }
@@ -309,6 +360,15 @@
 			     g_memdup2(&bound_us, sizeof(bound_us)));
 }
 
+/* Adds a bound to a table, unless it holds an earlier one. */
+static void restrict_bound(GHashTable *table, const char *id, uint64_t bound_us)
+{
+	const uint64_t *known_us = g_hash_table_lookup(table, id);
+
+	if (!known_us || bound_us < *known_us)
+		add_bound(table, id, bound_us);
+}
+
 /* Returns a time of the present term for a record, rounded up. */
 static uint64_t term_time_ms(const struct rj_cell_lease_bounds *bounds,
 			     uint64_t time_us)
@@ -327,10 +387,21 @@
 		   record_max_bytes - MIN(record_max_bytes, FIELDS_BYTES));
 }
 
+/* Returns until when a worker may hold leases if it is listed now. */
+static uint64_t bound_of(const struct rj_cell_lease_bounds *bounds,
+			 const struct rj_cell_worker *worker, uint64_t now_us)
+{
+	if (!is_leaving(worker))
+		return worker->lease_expired_us;
+	return MAX(worker->lease_expired_us,
+		   now_us + bounds->lease_us + LEAVING_AHEAD_US);
+}
+
 /* Collects the workers to be listed, up to `max_bytes`. The bounds of the rest go
  * into `others_us`. */
 static void collect(struct rj_cell_lease_bounds *bounds,
-		    const struct rj_cell_fleet *fleet, size_t max_bytes)
+		    const struct rj_cell_fleet *fleet, size_t max_bytes,
+		    uint64_t now_us)
 {
 	const struct rj_list *busy =
 		&fleet->by_poll_state[RJ_CELL_POLL_STATE_BUSY];
@@ -350,7 +421,7 @@
 			continue;
 		}
 		add_bound(bounds->appending, worker->id,
-			  worker->lease_expired_us);
+			  bound_of(bounds, worker, now_us));
 	}
 }
 
@@ -373,7 +444,7 @@
 	assert(!bounds->appending);
 	bounds->appending =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	collect(bounds, fleet, list_max_bytes(record_max_bytes));
+	collect(bounds, fleet, list_max_bytes(record_max_bytes), now_us);
 	bounds->wanted = false;
 	bounds->incomplete = false;
 	bounds->due_us = now_us + MAX(RECORD_INTERVAL_US,
@@ -391,7 +462,7 @@
 		rj_pack_text(&out, id);
 		rj_pack_number(&out,
 			       term_time_ms(bounds, *(uint64_t *)bound_us));
-		add_bound(bounds->listed, id, *(uint64_t *)bound_us);
+		restrict_bound(bounds->listed, id, *(uint64_t *)bound_us);
 	}
 	/* Earlier versions do not read this. */
 	if (bounds->grants_us)
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -67,6 +67,8 @@
 	rj_cell_handover_init(&owner->handover, owner);
 	rj_cell_lease_bounds_init(&owner->leases);
 	owner->leases.grants_us = rj_cell_lease_grants_us(limits->lease_max_ms);
+	owner->leases.lease_us =
+		rj_cell_lease_max_us(limits->lease_max_ms * RJ_US_PER_MS);
 	rj_cell_return_order_init(&owner->return_order);
 	rj_cell_guarantees_init(&owner->guarantees, limits->reclaim_ms,
 				limits->stop_ms);
@@ -306,6 +308,8 @@
 			heartbeat->drain_left_ms * RJ_US_PER_MS;
 	worker->deregistered_us = 0;
 	rj_cell_polls_accept_heartbeat(owner, worker);
+	if (heartbeat->draining && !was_draining)
+		rj_cell_lease_bounds_leaving(&owner->leases, worker);
 	if (!worker->listed || was_draining != heartbeat->draining) {
 		rj_log_event("worker_listed", RJ_LOG_TEXT("worker", id),
 			     RJ_LOG_TEXT("domain", heartbeat->domain),
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -196,6 +196,8 @@
 uint64_t rj_cell_worker_clock_ms(const struct rj_cell_worker *worker,
 				 uint64_t now_us);
 uint64_t rj_cell_lease_max_us(uint64_t lease_us);
+uint64_t rj_cell_worker_deadline_within(const struct rj_cell_worker *worker,
+					uint64_t until_us);
 void rj_cell_worker_extend_lease(struct rj_cell_worker *worker,
 				 uint64_t deadline_ms);
 void rj_cell_worker_record_contact(struct rj_cell_worker *worker,
--- a/src/libradishjunction/include/private/cell_lease_bounds.h
+++ b/src/libradishjunction/include/private/cell_lease_bounds.h
@@ -62,13 +62,17 @@
 	/* Leases are granted until this long after the owner's last record. Set
 	 * once; a successor reads it. */
 	uint64_t grants_us;
+	/* Longest duration of a lease by the owner's clock. Set once. */
+	uint64_t lease_us;
 	uint64_t begun_us; /* the term began */
 	bool recorded; /* a record of this term is stored */
 	bool wanted; /* a worker waits for a record without it */
-	bool incomplete; /* unreachable workers are not listed yet */
+	/* Unreachable or leaving workers are not listed yet, or not with a
+	 * bound that allows for further leases. */
+	bool incomplete;
 	uint64_t due_us; /* no record is written before this */
 	/* Workers listed in the stored record or in one that may be stored; id
-	 * -> bound in microseconds. */
+	 * -> bound in microseconds, the earlier one if they differ. */
 	GHashTable *listed;
 	/* Workers listed in the record being appended; NULL: none is. */
 	GHashTable *appending;
@@ -102,10 +106,15 @@
 bool rj_cell_lease_bounds_allow(struct rj_cell_lease_bounds *bounds,
 				const struct rj_cell_worker *worker,
 				uint64_t now_us);
+uint64_t
+rj_cell_lease_bounds_until_us(const struct rj_cell_lease_bounds *bounds,
+			      const struct rj_cell_worker *worker);
 void rj_cell_lease_bounds_expect_unreported(struct rj_cell_lease_bounds *bounds,
 					    uint64_t until_us);
 void rj_cell_lease_bounds_unreachable(struct rj_cell_lease_bounds *bounds,
 				      const struct rj_cell_worker *worker);
+void rj_cell_lease_bounds_leaving(struct rj_cell_lease_bounds *bounds,
+				  const struct rj_cell_worker *worker);
 bool rj_cell_lease_bounds_due(const struct rj_cell_lease_bounds *bounds,
 			      bool heartbeat_due, uint64_t now_us);
 struct rj_bytes rj_cell_lease_bounds_encode(struct rj_cell_lease_bounds *bounds,
--- a/src/test_libradishjunction/test_cell_leases.c
+++ b/src/test_libradishjunction/test_cell_leases.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <talloc.h>
 
+#include "private/cell_evacuate.h"
 #include "private/cell_lease_bounds.h"
 #include "private/pack.h"
 #include "support/cell_fixture.h"
@@ -37,6 +38,8 @@
 
 /* A lease by the slowest clock, and one second to notice and start again. */
 #define EXPIRY_MAX_US ((LEASE_MS * 102 / 100 + 1000) * MS)
+/* A leaving worker may hold leases for this much longer than one lasts. */
+#define LEAVING_AHEAD_US S
 /* Time for a takeover and for the new owner's first polls. */
 #define TAKEOVER_US (3 * S)
 
@@ -169,6 +172,60 @@
 	sim->log.modes[node] = CELL_LOG_AVAILABLE;
 }
 
+/* Guards against a task that waits for all leases that a lost owner may have
+ * granted, as its worker left before a successor could reach it. */
+static void test_worker_leaves_as_the_owner_is_lost(struct cell_fixture *f,
+						    const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(1, 8, 30000);
+	struct cell_client_job *job;
+	uint64_t lost_us;
+	uint32_t worker;
+
+	step.checkpoints = true;
+	job = cell_load_submit(&f->sim, "normal", "a", &step, 30 * S);
+	cell_load_run(&f->sim, 2 * S);
+	worker = cell_sim_busy_worker(&f->sim);
+	cell_sim_worker_drain(&f->sim, worker, 4000);
+	cell_load_run(&f->sim, S);
+	g_assert_cmpuint(f->sim.workers[worker].runs->len, ==, 1);
+	lost_us = f->sim.now_us;
+	kill_owner(&f->sim);
+	cell_sim_worker_deregister(&f->sim, worker);
+	expect_restart(&f->sim, job,
+		       lost_us + LONG_EXPIRY_MAX_US + LEAVING_AHEAD_US);
+}
+
+/* Guards against runs that an owner which is cut off lets go on until their
+ * worker has left, as it expects them to end just then. */
+static void test_evacuation_by_an_isolated_owner(void)
+{
+	static const struct {
+		uint64_t now_us;
+		bool checkpoints;
+		bool cut_off;
+		bool due;
+	} cases[] = {
+		{ 9000 * MS, true, false, false },
+		{ 9300 * MS, true, false, false },
+		{ 9000 * MS, true, true, false },
+		{ 9300 * MS, true, true, true },
+		{ 9300 * MS, false, true, false },
+	};
+
+	/* The runs are expected to end as the worker leaves. */
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct rj_cell_step step = { .checkpoints =
+						     cases[i].checkpoints };
+
+		g_assert_cmpint(
+			rj_cell_evacuate_is_due(&step, 10 * S - cases[i].now_us,
+						cases[i].now_us, 10 * S,
+						cases[i].cut_off),
+			==, cases[i].due);
+	}
+}
+
 /* Guards against the loss of a completion that only the isolated owner has seen,
  * as its worker left before the successor could reach it. */
 static void test_completion_seen_by_an_isolated_owner(struct cell_fixture *f,
@@ -590,6 +647,10 @@
 		  test_leases_wait_for_the_record);
 	CELL_TEST("/leases/worker_left", &long_leases,
 		  test_worker_leaves_with_an_isolated_owner);
+	CELL_TEST("/leases/left_with_owner", &long_leases,
+		  test_worker_leaves_as_the_owner_is_lost);
+	g_test_add_func("/leases/evacuation",
+			test_evacuation_by_an_isolated_owner);
 	CELL_TEST("/leases/isolated_owner", &long_leases,
 		  test_isolated_owner_stops_in_time);
 	CELL_TEST("/leases/completion_seen", &long_leases,
