--- a/src/test_libradishjunction/support/cell_sim.h
+++ b/src/test_libradishjunction/support/cell_sim.h
@@ -161,6 +161,14 @@
 	struct rj_cell_features features;
 };
 
+/* Fields of a struct cell_sim_options: a site whose workers have 64 cores and
+ * eight accelerators; each account is guaranteed `accelerators`. */
+#define CELL_SITE(random_seed, node_count, worker_count, per_rack, \
+		  accelerators)                                    \
+	.seed = (random_seed), .nodes = (node_count),              \
+	.workers = (worker_count), .rack_workers = (per_rack),     \
+	.capacity = { 64000, 64000, 8 }, .guaranteed = (accelerators)
+
 struct cell_sim {
 	struct cell_sim_options options;
 	void *mem;
--- a/src/test_libradishjunction/test_cell_advice.c
+++ b/src/test_libradishjunction/test_cell_advice.c
@@ -5,12 +5,7 @@
 #include "support/cell_fixture.h"
 
 static const struct cell_sim_options site = {
-	.seed = 11,
-	.nodes = 3,
-	.workers = 60,
-	.rack_workers = 10,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 64,
+	CELL_SITE(11, 3, 60, 10, 64),
 };
 
 /* Submits a job to the advised queue. */
--- a/src/test_libradishjunction/test_cell_call_window.c
+++ b/src/test_libradishjunction/test_cell_call_window.c
@@ -68,12 +68,7 @@
 static struct cell_sim *large_sim(void)
 {
 	const struct cell_sim_options options = {
-		.seed = 5,
-		.nodes = 1,
-		.workers = 2500,
-		.rack_workers = 20,
-		.capacity = { 64000, 64000, 8 },
-		.guaranteed = 64,
+		CELL_SITE(5, 1, 2500, 20, 64),
 	};
 	struct cell_sim *sim = g_new0(struct cell_sim, 1);
 
--- a/src/test_libradishjunction/test_cell_cordon.c
+++ b/src/test_libradishjunction/test_cell_cordon.c
@@ -11,12 +11,7 @@
 
 /* Twelve workers with eight accelerators each in three racks, each rack a
  * failure domain; three nodes. */
-static const struct cell_sim_options site = { .seed = 5,
-					      .nodes = 3,
-					      .workers = 12,
-					      .rack_workers = 4,
-					      .capacity = { 64000, 64000, 8 },
-					      .guaranteed = 32 };
+static const struct cell_sim_options site = { CELL_SITE(5, 3, 12, 4, 32) };
 
 static const char *const domains[] = { "d0", "d1", "d2" };
 
--- a/src/test_libradishjunction/test_cell_leases.c
+++ b/src/test_libradishjunction/test_cell_leases.c
@@ -14,23 +14,13 @@
 #define LEASE_MS 6000
 #define LONG_LEASE_MS 10000
 static const struct cell_sim_options site = {
-	.seed = 1,
-	.nodes = 4,
-	.workers = 12,
-	.rack_workers = 4,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 32,
+	CELL_SITE(1, 4, 12, 4, 32),
 	.lease_max_ms = LEASE_MS,
 };
 
 /* The same with leases of 10 s, which are granted for 6 s without the log. */
 static const struct cell_sim_options long_leases = {
-	.seed = 1,
-	.nodes = 4,
-	.workers = 12,
-	.rack_workers = 4,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 32,
+	CELL_SITE(1, 4, 12, 4, 32),
 	.lease_max_ms = LONG_LEASE_MS,
 };
 #define LONG_LEASE_GRANTS_US (6 * S)
--- a/src/test_libradishjunction/test_cell_pace.c
+++ b/src/test_libradishjunction/test_cell_pace.c
@@ -146,21 +146,11 @@
 #define UTILITY_MIN_PERCENT 80
 
 static const struct cell_sim_options small_site = {
-	.seed = 11,
-	.nodes = 3,
-	.workers = 48,
-	.rack_workers = 12,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 64,
+	CELL_SITE(11, 3, 48, 12, 64),
 };
 
 static const struct cell_sim_options large_site = {
-	.seed = 11,
-	.nodes = 3,
-	.workers = 192,
-	.rack_workers = 12,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 64,
+	CELL_SITE(11, 3, 192, 12, 64),
 };
 
 /*
--- a/src/test_libradishjunction/test_cell_path.c
+++ b/src/test_libradishjunction/test_cell_path.c
@@ -9,22 +9,12 @@
 
 /* Twelve workers with eight accelerators each in three racks; three nodes. */
 static const struct cell_sim_options small = {
-	.seed = 1,
-	.nodes = 3,
-	.workers = 12,
-	.rack_workers = 4,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 32,
+	CELL_SITE(1, 3, 12, 4, 32),
 };
 
 /* The same with more queues than a heartbeat has rows of loads. */
 static const struct cell_sim_options many_queues = {
-	.seed = 1,
-	.nodes = 3,
-	.workers = 12,
-	.rack_workers = 4,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 32,
+	CELL_SITE(1, 3, 12, 4, 32),
 	.extra_queues = 300,
 };
 #define PENDING_JOBS 3
--- a/src/test_libradishjunction/test_cell_run_health.c
+++ b/src/test_libradishjunction/test_cell_run_health.c
@@ -6,12 +6,7 @@
 #include "support/cell_load.h"
 
 static const struct cell_sim_options site = {
-	.seed = 1,
-	.nodes = 3,
-	.workers = 6,
-	.rack_workers = 3,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 8,
+	CELL_SITE(1, 3, 6, 3, 8),
 };
 
 /* One task, on sound workers or on workers of which the first ones stall. */
--- a/src/test_libradishjunction/test_cell_snapshot.c
+++ b/src/test_libradishjunction/test_cell_snapshot.c
@@ -248,22 +248,12 @@
 }
 
 static const struct cell_sim_options site = {
-	.seed = 11,
-	.nodes = 3,
-	.workers = 48,
-	.rack_workers = 12,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 64,
+	CELL_SITE(11, 3, 48, 12, 64),
 	.features = { .snapshot_ms = 1000, .account_shares = true },
 };
 
 static const struct cell_sim_options site_without = {
-	.seed = 11,
-	.nodes = 3,
-	.workers = 48,
-	.rack_workers = 12,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 64,
+	CELL_SITE(11, 3, 48, 12, 64),
 };
 
 /* Runs gangs that show the paces of all workers. */
@@ -755,12 +745,7 @@
 }
 
 static const struct cell_sim_options large_site = {
-	.seed = 11,
-	.nodes = 2,
-	.workers = 8000,
-	.rack_workers = 20,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 64,
+	CELL_SITE(11, 2, 8000, 20, 64),
 	.features = { .snapshot_ms = 1000 },
 };
 
@@ -1066,22 +1051,12 @@
 }
 
 static const struct cell_sim_options rarely_written = {
-	.seed = 11,
-	.nodes = 3,
-	.workers = 48,
-	.rack_workers = 12,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 64,
+	CELL_SITE(11, 3, 48, 12, 64),
 	.features = { .snapshot_ms = 7000 },
 };
 
 static const struct cell_sim_options often_written = {
-	.seed = 11,
-	.nodes = 3,
-	.workers = 48,
-	.rack_workers = 12,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 64,
+	CELL_SITE(11, 3, 48, 12, 64),
 	.features = { .snapshot_ms = 1 },
 };
 
--- a/src/test_libradishjunction/test_cell_starvation.c
+++ b/src/test_libradishjunction/test_cell_starvation.c
@@ -7,12 +7,7 @@
 
 /* 24 workers with eight accelerators each in six racks; three nodes. */
 static const struct cell_sim_options site = {
-	.seed = 11,
-	.nodes = 3,
-	.workers = 24,
-	.rack_workers = 4,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 64,
+	CELL_SITE(11, 3, 24, 4, 64),
 };
 
 /* Utility that batch jobs receive at least, in percent. */
--- a/src/test_libradishjunction/test_cell_store_limits.c
+++ b/src/test_libradishjunction/test_cell_store_limits.c
@@ -15,22 +15,12 @@
 
 /* Twelve workers with eight accelerators each in three racks; three nodes. */
 static const struct cell_sim_options small = {
-	.seed = 1,
-	.nodes = 3,
-	.workers = 12,
-	.rack_workers = 4,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 32,
+	CELL_SITE(1, 3, 12, 4, 32),
 };
 
 /* The same with a log that accepts short records only. */
 static const struct cell_sim_options short_records = {
-	.seed = 2,
-	.nodes = 3,
-	.workers = 12,
-	.rack_workers = 4,
-	.capacity = { 64000, 64000, 8 },
-	.guaranteed = 32,
+	CELL_SITE(2, 3, 12, 4, 32),
 	.record_max_bytes = SHORT_RECORD_BYTES,
 };
 
