cell check: a label is the kind or the rack of a worker

The check of labels that came with the restarts profile took the kind alone, so that test_cell_path and test_cell_starvation failed, which name racks; both had not been run since. Restarts keep the rack, so the check is as strict on them.

--- a/src/test_libradishjunction/support/cell_check.c
+++ b/src/test_libradishjunction/support/cell_check.c
@@ -249,7 +249,8 @@
 			sim, "route: %s beside %u on %s", start->name,
 			siblings_on(worker, start->name), worker->id);
 	if (step_info->label[0] &&
-	    strcmp(step_info->label, worker->reported.kind) != 0)
+	    strcmp(step_info->label, worker->reported.kind) != 0 &&
+	    strcmp(step_info->label, worker->reported.rack) != 0)
 		cell_sim_violation(sim, "route: %s on %s of kind %s",
 				   start->name, worker->id,
 				   worker->reported.kind);
