--- a/scripts/users.bash
+++ b/scripts/users.bash
@@ -13,7 +13,7 @@
 		-e "s/{{platform.Address|json}}/\"$log_address\"/" \
 		-e 's/{{Limits.CpuShare}}/0.25/' -e 's/{{Limits.Cores}}/1/' \
 		-e 's/{{Commands|json}}/"rpc"/' -e 's/{{Hint}}//' \
-		-e 's/{{Bounds.GraceS}}/6/' \
+		-e "s/{{Bounds.GraceS}}/${GRACE_S:-6}/" \
 		-e 's/{{Bounds.HoldMaxMs}}/6000/' \
 		-e 's/{{Bounds.status_s}}/120/' \
 		-e 's/{{Bounds.ReclaimMs}}/2900/' \
@@ -21,7 +21,8 @@
 		-e 's/{{Bounds.DrainMs}}/2000/' \
 		-e 's/{{Bounds.StopMs}}/400/' \
 		-e 's/{{Bounds.EvacuateMs}}/5000/' \
-		-e 's/{{Limits.MaxFds}}/4096/' \
+		-e "s/{{Limits.MaxFds}}/${DESCRIPTORS:-4096}/" \
+		-e "s/{{Limits.MemoryMb}}/${MACHINE_MB:-260}/" \
 		-e 's/{{Limits.LinkMbps}}/1000/' \
 		-e 's/{{HeartbeatMs}}/500/' \
 		-e 's/{{Bounds.RestoreMs}}/300/' \
