client budget: one budget of memory and connections for all listeners

Callers saw an instance grow until its machine ended it: 1,000 bodies of legal size held short of their end took 350 MB where a small machine has 260.

Cause: each of 1,700 connections could hold 1 MiB, no bound was held for all of them, and the process did not know its machine's memory. A body over the limit was read to its end before it was refused. A listener without a free slot closed each new connection, so that idle ones kept ordinary callers out, and the readiness check too.

Each listener's connections are charged with their headers, framing and receive buffer when it starts, each body as its buffer grows, each answer. A listener whose connections are taken ends the least progressed one. A body that announces too much is refused at its headers, one that is just sent at the byte that exceeds the limit.

--- a/src/libradishjunction/buffer.c
+++ b/src/libradishjunction/buffer.c
@@ -6,6 +6,26 @@
 
 #define INITIAL_CAPACITY_BYTES 1024
 
+/*
+ * Grow the buffer to `capacity` bytes, one of which is the terminating zero.
+ */
+void rj_buffer_reserve(struct rj_buffer *buffer, void *mem, size_t capacity)
+{
+	assert(capacity > buffer->length);
+	buffer->capacity = capacity;
+	buffer->data = talloc_realloc(mem, buffer->data, char, capacity);
+	assert(buffer->data);
+}
+
+/*
+ * Free the contents. The buffer is empty.
+ */
+void rj_buffer_clear(struct rj_buffer *buffer)
+{
+	TALLOC_FREE(buffer->data);
+	memset(buffer, 0, sizeof(*buffer));
+}
+
 /*
  * Append `length` bytes. Appending 0 bytes to an empty buffer makes it a valid
  * empty string.
--- a/src/libradishjunction/include/private/buffer.h
+++ b/src/libradishjunction/include/private/buffer.h
@@ -15,6 +15,8 @@
 	size_t capacity;
 };
 
+void rj_buffer_reserve(struct rj_buffer *buffer, void *mem, size_t capacity);
+void rj_buffer_clear(struct rj_buffer *buffer);
 void rj_buffer_append(struct rj_buffer *buffer, void *mem, const char *data,
 		      size_t length);
 
--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -4,26 +4,107 @@
 #include <errno.h>
 #include <glib.h>
 #include <jansson.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <talloc.h>
 #include <unistd.h>
 
+#include "private/clock.h"
 #include "private/tcp_socket.h"
 
-/* Connections above the limit are accepted and closed at once, so that their
- * clients see a refusal rather than wait in the listen backlog. */
-#define REFUSED_CONNECTIONS_MAX 16
+/* Connections that give way are closed a little later; so many more may be open
+ * meanwhile. */
+#define CLOSING_CONNECTIONS_MAX 16
+/* The library's memory for the headers and framing of a connection, besides the
+ * header limit. */
+#define FRAMING_BYTES (8 * 1024)
+#define HEADERS_DEFAULT_BYTES (16 * 1024)
+/* Bytes that the kernel keeps for a connection that is not read. */
+#define RECEIVE_BUFFER_BYTES (16 * 1024)
+#define BODY_MIN_CAPACITY_BYTES 1024
+#define RETRY_AFTER "1"
+
+/* A connection; the library keeps it with the socket. */
+struct connection {
+	struct rj_client client; /* first member, always */
+	struct rj_http_server *server;
+	struct rj_http_exchange *request; /* NULL: none */
+};
+
+/* Answers in place of the library, which takes no answer before the end of a
+ * body. The connection is closed next. */
+static void send_refusal(int fd, unsigned int status)
+{
+	char text[160];
+	int length = g_snprintf(text, sizeof(text),
+				"HTTP/1.1 %u %s\r\n%sConnection: close\r\n"
+				"Content-Length: 0\r\n\r\n",
+				status, MHD_get_reason_phrase_for(status),
+				status == MHD_HTTP_SERVICE_UNAVAILABLE ?
+					"Retry-After: " RETRY_AFTER "\r\n" :
+					"");
+
+	(void)!send(fd, text, (size_t)length, MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
+/* See struct rj_client: the request is refused, and its body is freed. */
+static void give_way(struct rj_client *client)
+{
+	struct connection *connection = (struct connection *)client;
+
+	if (!connection->request)
+		return;
+	rj_buffer_clear(&connection->request->body);
+	send_refusal(client->fd, MHD_HTTP_SERVICE_UNAVAILABLE);
+}
+
+/* Ensures space for `length` more bytes of a body and charges for it. Returns
+ * 0, or -1 if the budget is exhausted. */
+static int reserve_body(struct rj_http_exchange *request, size_t length)
+{
+	struct rj_buffer *body = &request->body;
+	size_t required = body->length + length + 1;
+	size_t capacity = MAX(2 * body->capacity, BODY_MIN_CAPACITY_BYTES);
+
+	if (required <= body->capacity)
+		return 0;
+	capacity = MAX(required, MIN(capacity, (size_t)request->body_max + 1));
+	if (rj_client_charge(&request->peer->client, capacity - body->capacity))
+		return -1;
+	rj_buffer_reserve(body, request, capacity);
+	return 0;
+}
 
-/* Appends to the body, or sets `too_large` once it exceeds the limit. */
-static void append_body(struct rj_http_exchange *request, const char *data,
-			size_t length)
+/* Appends to the body. Returns 0, or -1 if the request was refused and its
+ * connection is to be closed. */
+static int append_body(struct rj_http_exchange *request, const char *data,
+		       size_t length)
 {
-	if (request->body.length + length >
-	    request->server->options.body_max_bytes)
-		request->too_large = true;
-	if (!request->too_large)
+	struct rj_client *client = &request->peer->client;
+	struct rj_client_listener *listener = client->listener;
+
+	rj_client_received(client, length, rj_clock_now_us());
+	if (client->state == RJ_CLIENT_GIVING_WAY)
+		return -1;
+	if (request->body.length + length > request->body_max) {
+		rj_client_budget_refuse(listener->budget,
+					RJ_CLIENT_REFUSAL_BODY, listener->name);
+		send_refusal(client->fd, MHD_HTTP_CONTENT_TOO_LARGE);
+		return -1;
+	}
+	if (!reserve_body(request, length)) {
 		rj_buffer_append(&request->body, request, data, length);
+		return 0;
+	}
+	/* One that gave way has been answered. */
+	if (client->state != RJ_CLIENT_GIVING_WAY) {
+		rj_client_budget_refuse(listener->budget,
+					RJ_CLIENT_REFUSAL_MEMORY,
+					listener->name);
+		send_refusal(client->fd, MHD_HTTP_SERVICE_UNAVAILABLE);
+	}
+	return -1;
 }
 
 static int request_socket(const struct rj_http_exchange *request)
@@ -81,6 +162,8 @@
 /* Removes a freed request from the list of open requests. */
 static int request_destructor(struct rj_http_exchange *request)
 {
+	request->peer->request = NULL;
+	rj_client_end(&request->peer->client, rj_clock_now_us());
 	rj_list_remove(&request->link);
 	request->server->requests--;
 	if (request->response)
@@ -88,6 +171,14 @@
 	return 0;
 }
 
+/* The connection of a request. */
+static struct connection *connection_of(struct MHD_Connection *connection)
+{
+	return MHD_get_connection_info(connection,
+				       MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+		->socket_context;
+}
+
 /* Creates a request once its headers have been received. */
 static struct rj_http_exchange *request_new(struct rj_http_server *server,
 					    struct MHD_Connection *connection,
@@ -102,13 +193,47 @@
 	request->server = server;
 	server->requests++;
 	request->connection = connection;
+	request->peer = connection_of(connection);
+	request->peer->request = request;
 	request->path = talloc_strdup(request, path);
 	request->method = talloc_strdup(request, method);
+	request->body_max = server->options.body_max_bytes;
 	talloc_set_destructor(request, request_destructor);
 	return request;
 }
 
-/* Passes a complete request to the handler; refuses one that is too large. */
+/* Refuses a request whose headers announce too long a body, or whose path does
+ * not fit the budget. Returns whether it was refused. */
+static bool refuse_announced(struct rj_http_exchange *request)
+{
+	struct rj_client_listener *listener = &request->server->listener;
+	const char *length = rj_http_exchange_header(
+		request, MHD_HTTP_HEADER_CONTENT_LENGTH);
+
+	if (length && strtoull(length, NULL, 10) > request->body_max) {
+		rj_client_budget_refuse(listener->budget,
+					RJ_CLIENT_REFUSAL_BODY, listener->name);
+		rj_http_exchange_close(request);
+		rj_http_exchange_error(request, MHD_HTTP_CONTENT_TOO_LARGE,
+				       "body: too large; send a smaller one");
+		return true;
+	}
+	if (rj_client_charge(&request->peer->client, strlen(request->path))) {
+		rj_client_budget_refuse(listener->budget,
+					RJ_CLIENT_REFUSAL_MEMORY,
+					listener->name);
+		rj_http_exchange_close(request);
+		rj_http_exchange_add_header(
+			request, MHD_HTTP_HEADER_RETRY_AFTER, RETRY_AFTER);
+		rj_http_exchange_error(request, MHD_HTTP_SERVICE_UNAVAILABLE,
+				       "memory: too many requests are open; "
+				       "retry later or ask another instance");
+		return true;
+	}
+	return false;
+}
+
+/* Passes a complete request to the handler. */
 static void handle(struct rj_http_exchange *request)
 {
 	struct rj_http_server *server = request->server;
@@ -116,12 +241,30 @@
 	request->handled = true;
 	rj_list_append(&server->open, &request->link);
 	if (!request->body.data)
-		append_body(request, "", 0);
-	if (request->too_large)
-		rj_http_exchange_error(request, MHD_HTTP_CONTENT_TOO_LARGE,
-				       "body: too large; send a smaller one");
-	else
-		server->options.handle(server->options.private_data, request);
+		rj_buffer_append(&request->body, request, "", 0);
+	server->options.handle(server->options.private_data, request);
+}
+
+/* Hands the answer to the library. */
+static enum MHD_Result queue_answer(struct rj_http_exchange *request)
+{
+	enum MHD_Result queued = MHD_queue_response(
+		request->connection, request->status, request->response);
+
+	MHD_destroy_response(request->response);
+	request->response = NULL;
+	return queued;
+}
+
+/* The headers of a request have been read. */
+static enum MHD_Result begin(struct rj_http_exchange *request)
+{
+	struct rj_client *client = &request->peer->client;
+
+	if (client->state == RJ_CLIENT_GIVING_WAY)
+		return MHD_NO;
+	rj_client_begin(client, rj_clock_now_us());
+	return refuse_announced(request) ? queue_answer(request) : MHD_YES;
 }
 
 /*
@@ -133,31 +276,36 @@
 	       const char *method, const char *version, const char *upload_data,
 	       size_t *upload_data_size, void **con_cls)
 {
+	struct rj_http_server *server = cls;
 	struct rj_http_exchange *request = *con_cls;
-	enum MHD_Result queued;
+	struct rj_client *client;
 
 	if (!request) {
-		*con_cls = request_new(cls, connection, url, method);
-		return MHD_YES;
+		request = request_new(server, connection, url, method);
+		*con_cls = request;
+		return begin(request);
 	}
+	client = &request->peer->client;
 	if (*upload_data_size) {
-		append_body(request, upload_data, *upload_data_size);
+		size_t length = *upload_data_size;
+
 		*upload_data_size = 0;
-		return MHD_YES;
+		return append_body(request, upload_data, length) ? MHD_NO :
+								   MHD_YES;
 	}
-	if (!request->handled)
+	if (client->state == RJ_CLIENT_GIVING_WAY)
+		return MHD_NO;
+	if (!request->handled) {
+		rj_client_complete(client, rj_clock_now_us());
 		handle(request);
+	}
 	if (request->aborted)
 		return MHD_NO;
 	if (!request->response) {
 		suspend(request);
 		return MHD_YES;
 	}
-	queued = MHD_queue_response(connection, request->status,
-				    request->response);
-	MHD_destroy_response(request->response);
-	request->response = NULL;
-	return queued;
+	return queue_answer(request);
 }
 
 /* Frees a request whose answer was sent, or whose connection closed early. */
@@ -169,26 +317,35 @@
 	*con_cls = NULL;
 }
 
+/* Adds a connection to the budget, or removes it. */
 static void connection_changed(void *cls, struct MHD_Connection *connection,
 			       void **socket_context,
 			       enum MHD_ConnectionNotificationCode code)
 {
 	struct rj_http_server *server = cls;
+	struct connection *added;
+	int fd;
 
-	if (code == MHD_CONNECTION_NOTIFY_STARTED)
-		server->connections++;
-	else
+	if (code != MHD_CONNECTION_NOTIFY_STARTED) {
+		if (*socket_context)
+			rj_client_close(*socket_context);
+		TALLOC_FREE(*socket_context);
 		server->connections--;
-}
-
-/* Rejects connections above the limit as soon as they are accepted. */
-static enum MHD_Result accept_policy(void *cls, const struct sockaddr *address,
-				     socklen_t length)
-{
-	const struct rj_http_server *server = cls;
-
-	return server->connections < server->options.connections_max ? MHD_YES :
-								       MHD_NO;
+		return;
+	}
+	server->connections++;
+	fd = MHD_get_connection_info(connection,
+				     MHD_CONNECTION_INFO_CONNECTION_FD)
+		     ->connect_fd;
+	added = talloc_zero(server->mem, struct connection);
+	assert(added);
+	added->server = server;
+	*socket_context = added;
+	if (!rj_client_open(&added->client, &server->listener, fd, give_way,
+			    rj_clock_now_us()))
+		return;
+	TALLOC_FREE(*socket_context);
+	(void)shutdown(fd, SHUT_RDWR);
 }
 
 /*
@@ -201,22 +358,37 @@
 			const struct rj_http_server_options *options,
 			struct rj_error *err)
 {
+	int receive_buffer = RECEIVE_BUFFER_BYTES;
+	uint32_t headers_max = options->headers_max_bytes ?
+				       options->headers_max_bytes :
+				       HEADERS_DEFAULT_BYTES;
 	int fd;
 
 	memset(server, 0, sizeof(*server));
 	server->options = *options;
 	server->ev = ev;
 	rj_list_init(&server->open);
+	rj_client_budget_init(&server->own_budget, UINT64_MAX, UINT32_MAX);
+	rj_client_listener_init(&server->listener,
+				options->budget ? options->budget :
+						  &server->own_budget,
+				options->name ? options->name : "http",
+				options->connections_max);
 	fd = rj_tcp_listen(&options->address, &server->address, err);
 	if (fd < 0)
 		return -1;
+	/* Connections inherit it from the listener. */
+	(void)setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+			 sizeof(receive_buffer));
 	server->mem = talloc_named_const(mem, 0, "http server");
 	assert(server->mem);
 	server->daemon = MHD_start_daemon(
-		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, accept_policy,
-		server, access_handler, server, MHD_OPTION_LISTEN_SOCKET, fd,
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+		access_handler, server, MHD_OPTION_LISTEN_SOCKET, fd,
 		MHD_OPTION_CONNECTION_LIMIT,
-		options->connections_max + REFUSED_CONNECTIONS_MAX,
+		options->connections_max + CLOSING_CONNECTIONS_MAX,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		(size_t)headers_max + FRAMING_BYTES,
 		MHD_OPTION_NOTIFY_COMPLETED, request_completed, server,
 		MHD_OPTION_NOTIFY_CONNECTION, connection_changed, server,
 		MHD_OPTION_END);
@@ -298,6 +470,7 @@
 	request->response = MHD_create_response_from_buffer(
 		length, (void *)text, MHD_RESPMEM_MUST_COPY);
 	assert(request->response);
+	rj_client_charge_answer(&request->peer->client, length);
 	MHD_add_response_header(request->response, MHD_HTTP_HEADER_CONTENT_TYPE,
 				"application/json");
 	if (request->server->draining || request->close_after_answer)
@@ -360,6 +533,15 @@
 	}
 }
 
+/*
+ * Frees the body of a request that its handler no longer needs.
+ */
+void rj_http_exchange_release_body(struct rj_http_exchange *request)
+{
+	rj_buffer_clear(&request->body);
+	rj_client_discharge(&request->peer->client);
+}
+
 /*
  * Makes each further answer close its connection, so that clients move to
  * other instances. All answers have been sent once `requests` is 0.
--- a/src/share/http_server.h
+++ b/src/share/http_server.h
@@ -13,12 +13,14 @@
 #define RADISHJUNCTION_SHARE_HTTP_SERVER_H
 
 #include "private/buffer.h"
+#include "private/client_budget.h"
 #include "private/http_loop.h"
 #include "private/list.h"
 #include "radishjunction/error.h"
 #include "radishjunction/types.h"
 
 struct rj_http_server;
+struct connection;
 
 /* One request, from its headers until its answer is sent. */
 struct rj_http_exchange {
@@ -28,7 +30,8 @@
 	const char *method;
 	const char *path;
 	struct rj_buffer body; /* data is not NULL once handled */
-	bool too_large; /* the body exceeds body_max_bytes */
+	struct connection *peer; /* its connection's share of the budget */
+	uint32_t body_max; /* bytes */
 	bool handled; /* the handler has been called */
 	bool suspended;
 	bool aborted; /* the connection closes without an answer */
@@ -42,7 +45,11 @@
 
 struct rj_http_server_options {
 	struct rj_address address; /* port 0: any free port */
-	uint32_t connections_max; /* further connections are closed */
+	struct rj_client_budget
+		*budget; /* shared by listeners; NULL: no limit */
+	const char *name; /* of the listener, in logs and metrics */
+	uint32_t connections_max; /* above it, connections give way */
+	uint32_t headers_max_bytes; /* 0: the default */
 	uint32_t body_max_bytes;
 	void (*handle)(void *private_data, struct rj_http_exchange *request);
 	void *private_data;
@@ -54,6 +61,8 @@
 	struct tevent_context *ev;
 	struct MHD_Daemon *daemon;
 	struct rj_http_loop loop;
+	struct rj_client_budget own_budget; /* if the options have none */
+	struct rj_client_listener listener;
 	struct rj_address address; /* with the actual port */
 	struct rj_list open; /* handled, not yet answered */
 	uint32_t requests; /* started, answer not yet sent in full */
@@ -77,6 +86,7 @@
 			     size_t length);
 void rj_http_exchange_error(struct rj_http_exchange *request,
 			    unsigned int status, const char *message);
+void rj_http_exchange_release_body(struct rj_http_exchange *request);
 void rj_http_exchange_abort(struct rj_http_exchange *request);
 bool rj_http_exchange_disconnected(const struct rj_http_exchange *request);
 void rj_http_server_abort_open(struct rj_http_server *server,
