http loop: a connection that cannot go on does not take the whole process

Callers got 503 for every submission as long as one connection stayed open; the process used a whole core.

Cause: libmicrohttpd polls a chunked body without end when the line with the size of a chunk does not fit its read buffer, also after the client has closed, and asks to be run again at once. The loop did that by an immediate event, which tevent serves before any descriptor and timer, so that the store's answers were never read.

Change: after eight runs the daemon takes its turn among the ready descriptors; after 64 runs without a callback it is run every 5 ms; after a second the least progressed chunked body that is silent meanwhile gives way.

--- a/src/libradishjunction/client_budget.c
+++ b/src/libradishjunction/client_budget.c
@@ -31,6 +31,7 @@
 	[RJ_CLIENT_REFUSAL_CONNECTIONS] = "connections",
 	[RJ_CLIENT_REFUSAL_BODY] = "body",
 	[RJ_CLIENT_REFUSAL_VALUES] = "values",
+	[RJ_CLIENT_REFUSAL_FRAMING] = "framing",
 };
 
 /*
@@ -219,6 +220,38 @@
 	budget->memory_bytes -= bytes;
 }
 
+/*
+ * Makes the connection give way that keeps a listener's server busy without
+ * progress: of those whose body has no announced length and from which nothing
+ * has come since `silent_since_us`, the one with the least progress.
+ *
+ * The HTTP library polls such a connection without end if the line with the
+ * size of a chunk does not fit its buffer, even after the client has closed.
+ */
+void rj_client_budget_end_stall(struct rj_client_budget *budget,
+				const struct rj_client_listener *listener,
+				uint64_t silent_since_us, uint64_t now_us)
+{
+	struct rj_client *victim = NULL;
+	struct rj_list *at;
+	struct rj_list *next;
+
+	budget->now_us = now_us;
+	RJ_FOR_EACH (at, next, &budget->clients) {
+		struct rj_client *client =
+			RJ_CONTAINER(at, struct rj_client, link);
+
+		if (client->listener != listener || !client->chunked ||
+		    client->state != RJ_CLIENT_RECEIVING ||
+		    client->received_us > silent_since_us)
+			continue;
+		if (gives_way_before(client, victim, false, now_us))
+			victim = client;
+	}
+	if (victim)
+		make_way(victim, RJ_CLIENT_REFUSAL_FRAMING);
+}
+
 /*
  * Appends the budget's metrics.
  */
@@ -314,12 +347,13 @@
 /*
  * The headers of a request are complete; its body is expected.
  */
-void rj_client_begin(struct rj_client *client, uint64_t now_us)
+void rj_client_begin(struct rj_client *client, bool chunked, uint64_t now_us)
 {
 	client->listener->budget->now_us = now_us;
 	if (client->state == RJ_CLIENT_GIVING_WAY)
 		return;
 	client->state = RJ_CLIENT_RECEIVING;
+	client->chunked = chunked;
 	client->begun_us = now_us;
 	client->received_us = now_us;
 }
--- a/src/libradishjunction/http_loop.c
+++ b/src/libradishjunction/http_loop.c
@@ -2,11 +2,21 @@
 
 #include <assert.h>
 #include <string.h>
+#include <sys/eventfd.h>
 #include <talloc.h>
+#include <unistd.h>
 
 #include "private/clock.h"
 #include "radishjunction/types.h"
 
+/* The daemon runs so often in turn, before other events are served. */
+#define BURST_RUNS 8
+/* After so many runs without progress the daemon is run at intervals. */
+#define IDLE_RUNS 64
+#define IDLE_INTERVAL_US (5 * RJ_US_PER_MS)
+/* The daemon has stalled if it asked to be run all the time for this long. */
+#define STALL_US RJ_US_PER_S
+
 static void run_daemon(struct rj_http_loop *loop);
 
 static void kicked(struct tevent_context *ev, struct tevent_immediate *kick,
@@ -34,35 +44,96 @@
 	run_daemon(private_data);
 }
 
-/* Set the timer to the daemon's next timeout, unless it is set earlier. */
-static void arm_timer(struct rj_http_loop *loop)
+/* Set the timer, unless it is set earlier. */
+static void set_timer(struct rj_http_loop *loop, uint64_t in_us)
 {
-	MHD_UNSIGNED_LONG_LONG timeout_ms;
-	uint64_t at_us;
+	uint64_t at_us = rj_clock_now_us() + in_us;
 
-	if (MHD_get_timeout(loop->daemon, &timeout_ms) != MHD_YES)
-		return;
-	if (!timeout_ms) {
-		rj_http_loop_kick(loop);
-		return;
-	}
-	at_us = rj_clock_now_us() + timeout_ms * RJ_US_PER_MS;
 	if (loop->timer && loop->timer_at_us <= at_us)
 		return;
 	talloc_free(loop->timer);
 	loop->timer_at_us = at_us;
 	loop->timer =
 		tevent_add_timer(loop->ev, loop->mem,
-				 rj_clock_timeval_in(timeout_ms * RJ_US_PER_MS),
-				 timer_due, loop);
+				 rj_clock_timeval_in(in_us), timer_due, loop);
 	assert(loop->timer);
 }
 
+/* It is this daemon's turn among all descriptors that are ready. */
+static void turn_due(struct tevent_context *ev, struct tevent_fd *fde,
+		     uint16_t flags, void *private_data)
+{
+	TEVENT_FD_NOT_READABLE(fde);
+	run_daemon(private_data);
+}
+
+/*
+ * Run the daemon after the descriptors that are ready now. An immediate event
+ * would precede them, so that a daemon that always has work would be the only
+ * one that is served.
+ */
+static void run_in_turn(struct rj_http_loop *loop)
+{
+	if (!loop->turn) {
+		loop->turn_fd = eventfd(1, EFD_CLOEXEC | EFD_NONBLOCK);
+		if (loop->turn_fd < 0) {
+			set_timer(loop, RJ_US_PER_MS);
+			return;
+		}
+		loop->turn = tevent_add_fd(loop->ev, loop->mem, loop->turn_fd,
+					   0, turn_due, loop);
+		assert(loop->turn);
+	}
+	TEVENT_FD_READABLE(loop->turn);
+}
+
+/* The daemon asks to be run again at once. */
+static void run_again(struct rj_http_loop *loop)
+{
+	uint64_t now_us = rj_clock_now_us();
+
+	if (!loop->busy_since_us)
+		loop->busy_since_us = now_us;
+	if (loop->stalled && now_us - loop->busy_since_us >= STALL_US) {
+		loop->stalled(loop->private_data, loop->busy_since_us);
+		loop->busy_since_us = now_us;
+	}
+	if (loop->progress != loop->progress_seen) {
+		loop->progress_seen = loop->progress;
+		loop->idle_runs = 0;
+	}
+	loop->idle_runs++;
+	if (loop->idle_runs > IDLE_RUNS)
+		set_timer(loop, IDLE_INTERVAL_US);
+	else if (++loop->burst <= BURST_RUNS)
+		rj_http_loop_kick(loop);
+	else
+		run_in_turn(loop);
+}
+
+/* Plan the daemon's next run, unless it is planned earlier. */
+static void plan_run(struct rj_http_loop *loop)
+{
+	MHD_UNSIGNED_LONG_LONG timeout_ms;
+	bool has_timeout =
+		MHD_get_timeout(loop->daemon, &timeout_ms) == MHD_YES;
+
+	if (has_timeout && !timeout_ms) {
+		run_again(loop);
+		return;
+	}
+	loop->busy_since_us = 0;
+	loop->burst = 0;
+	loop->idle_runs = 0;
+	if (has_timeout)
+		set_timer(loop, timeout_ms * RJ_US_PER_MS);
+}
+
 /* Run the daemon once without blocking and set the timer for its next run. */
 static void run_daemon(struct rj_http_loop *loop)
 {
 	MHD_run(loop->daemon);
-	arm_timer(loop);
+	plan_run(loop);
 }
 
 /*
@@ -85,7 +156,7 @@
 			    epoll_ready, loop);
 	assert(loop->mem && loop->kick && fde);
 	(void)fde;
-	arm_timer(loop);
+	plan_run(loop);
 }
 
 /*
@@ -109,5 +180,9 @@
  */
 void rj_http_loop_finish(struct rj_http_loop *loop)
 {
+	bool has_turn = loop->turn;
+
 	TALLOC_FREE(loop->mem);
+	if (has_turn)
+		close(loop->turn_fd);
 }
--- a/src/libradishjunction/include/private/client_budget.h
+++ b/src/libradishjunction/include/private/client_budget.h
@@ -30,6 +30,7 @@
 	RJ_CLIENT_REFUSAL_CONNECTIONS, /* all connections are taken */
 	RJ_CLIENT_REFUSAL_BODY, /* the body exceeds its limit */
 	RJ_CLIENT_REFUSAL_VALUES, /* the body has too many values */
+	RJ_CLIENT_REFUSAL_FRAMING, /* its framing cannot be processed */
 	RJ_CLIENT_REFUSAL_COUNT
 };
 
@@ -71,6 +72,7 @@
 	int fd;
 	enum rj_client_state state;
 	bool served; /* has had a complete request */
+	bool chunked; /* the request's body has no announced length */
 	uint64_t held_bytes; /* charged for its request */
 	uint64_t begun_us; /* of the request, or of the wait for it */
 	uint64_t received_us; /* when bytes last arrived */
@@ -88,6 +90,9 @@
 void rj_client_budget_refuse(struct rj_client_budget *budget,
 			     enum rj_client_refusal reason,
 			     const char *listener);
+void rj_client_budget_end_stall(struct rj_client_budget *budget,
+				const struct rj_client_listener *listener,
+				uint64_t silent_since_us, uint64_t now_us);
 void rj_client_budget_write(const struct rj_client_budget *budget,
 			    GString *text);
 void rj_client_listener_init(struct rj_client_listener *listener,
@@ -98,7 +103,7 @@
 int rj_client_open(struct rj_client *client,
 		   struct rj_client_listener *listener, int fd,
 		   void (*give_way)(struct rj_client *client), uint64_t now_us);
-void rj_client_begin(struct rj_client *client, uint64_t now_us);
+void rj_client_begin(struct rj_client *client, bool chunked, uint64_t now_us);
 void rj_client_received(struct rj_client *client, uint64_t bytes,
 			uint64_t now_us);
 int rj_client_charge(struct rj_client *client, uint64_t bytes);
--- a/src/libradishjunction/include/private/http_loop.h
+++ b/src/libradishjunction/include/private/http_loop.h
@@ -3,7 +3,9 @@
  *
  * Life cycle: `rj_http_loop_init` with a started daemon; `rj_http_loop_kick`
  * each time a connection is resumed; `rj_http_loop_finish` before the daemon
- * is stopped.
+ * is stopped. The owner counts each callback of the daemon in `progress`, and
+ * may set `stalled`, which is called when the daemon asked to be run without a
+ * pause for a second, and ends the connection that causes it.
  */
 #ifndef RADISHJUNCTION_PRIVATE_HTTP_LOOP_H
 #define RADISHJUNCTION_PRIVATE_HTTP_LOOP_H
@@ -21,6 +23,15 @@
 	uint64_t timer_at_us;
 	struct tevent_immediate *kick; /* runs the daemon soon */
 	bool kicked; /* `kick` is scheduled */
+	struct tevent_fd *turn; /* runs the daemon after other descriptors */
+	int turn_fd; /* always readable; valid if `turn` is set */
+	uint32_t burst; /* runs in turn that precede other events */
+	uint32_t idle_runs; /* without progress */
+	uint64_t progress; /* counted by the owner */
+	uint64_t progress_seen;
+	uint64_t busy_since_us; /* 0: the daemon waits for events */
+	void (*stalled)(void *private_data, uint64_t busy_since_us);
+	void *private_data;
 };
 
 void rj_http_loop_init(struct rj_http_loop *loop, void *mem,
--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -263,7 +263,10 @@
 
 	if (client->state == RJ_CLIENT_GIVING_WAY)
 		return MHD_NO;
-	rj_client_begin(client, rj_clock_now_us());
+	rj_client_begin(client,
+			rj_http_exchange_header(
+				request, MHD_HTTP_HEADER_TRANSFER_ENCODING),
+			rj_clock_now_us());
 	return refuse_announced(request) ? queue_answer(request) : MHD_YES;
 }
 
@@ -280,6 +283,7 @@
 	struct rj_http_exchange *request = *con_cls;
 	struct rj_client *client;
 
+	server->loop.progress++;
 	if (!request) {
 		request = request_new(server, connection, url, method);
 		*con_cls = request;
@@ -326,6 +330,7 @@
 	struct connection *added;
 	int fd;
 
+	server->loop.progress++;
 	if (code != MHD_CONNECTION_NOTIFY_STARTED) {
 		if (*socket_context)
 			rj_client_close(*socket_context);
@@ -348,6 +353,15 @@
 	(void)shutdown(fd, SHUT_RDWR);
 }
 
+/* See struct rj_http_loop. */
+static void stalled(void *private_data, uint64_t busy_since_us)
+{
+	struct rj_http_server *server = private_data;
+
+	rj_client_budget_end_stall(server->listener.budget, &server->listener,
+				   busy_since_us, rj_clock_now_us());
+}
+
 /*
  * Listens on options->address and serves it from `ev`; server->address
  * receives the actual port. Returns 0, or -1 with `err` if the server cannot
@@ -401,6 +415,8 @@
 				    server->address.ip, server->address.port);
 	}
 	rj_http_loop_init(&server->loop, server->mem, ev, server->daemon);
+	server->loop.stalled = stalled;
+	server->loop.private_data = server;
 	return 0;
 }
 
--- a/src/test_libradishjunction/test_client_budget.c
+++ b/src/test_libradishjunction/test_client_budget.c
@@ -54,7 +54,7 @@
 {
 	struct rj_client *client = open_client(f);
 
-	rj_client_begin(client, f->now_us);
+	rj_client_begin(client, false, f->now_us);
 	g_assert_true(receive(f, client, bytes));
 	return client;
 }
@@ -93,7 +93,7 @@
 	rj_client_complete(complete, f.now_us);
 	f.now_us += 60 * SECOND;
 	late = open_client(&f);
-	rj_client_begin(late, f.now_us);
+	rj_client_begin(late, false, f.now_us);
 	g_assert_false(receive(&f, late, KB));
 	g_assert_cmpint(rj_client_budget_hold(&f.budget, 1), ==, -1);
 	g_assert_false(gave_way(complete));
@@ -124,7 +124,7 @@
 
 	set_up(&f, 1, 2);
 	caller = open_client(&f);
-	rj_client_begin(caller, f.now_us);
+	rj_client_begin(caller, false, f.now_us);
 	rj_client_complete(caller, f.now_us);
 	rj_client_end(caller, f.now_us);
 	f.now_us += 10 * SECOND;
@@ -147,7 +147,7 @@
 
 	set_up(&f, 20, CLIENTS_MAX);
 	slow = open_client(&f);
-	rj_client_begin(slow, f.now_us);
+	rj_client_begin(slow, false, f.now_us);
 	for (uint64_t got = 0; got + rate <= BODY_BYTES; got += rate) {
 		f.now_us += SECOND;
 		g_assert_true(receive(&f, slow, rate));
@@ -159,6 +159,33 @@
 	g_assert_cmpint(slow->state, ==, RJ_CLIENT_COMPLETE);
 }
 
+/* A connection that the HTTP library polls without end keeps the process
+ * busy. */
+static void test_only_silent_chunked_bodies_end_a_stall(void)
+{
+	struct fixture f;
+	struct rj_client *announced;
+	struct rj_client *arriving;
+	struct rj_client *silent;
+
+	set_up(&f, 4, CLIENTS_MAX);
+	announced = begin_body(&f, KB);
+	arriving = open_client(&f);
+	rj_client_begin(arriving, true, f.now_us);
+	silent = open_client(&f);
+	rj_client_begin(silent, true, f.now_us);
+	f.now_us += SECOND;
+	rj_client_received(arriving, 1, f.now_us);
+	rj_client_budget_end_stall(&f.budget, &f.listener, f.now_us - 1,
+				   f.now_us);
+	rj_client_budget_end_stall(&f.budget, &f.listener, f.now_us - 1,
+				   f.now_us);
+	g_assert_true(gave_way(silent));
+	g_assert_false(gave_way(announced));
+	g_assert_false(gave_way(arriving));
+	g_assert_cmpuint(f.budget.gave_way[RJ_CLIENT_REFUSAL_FRAMING], ==, 1);
+}
+
 /* A stop waits for a body that has stopped, or cuts off one that arrives. */
 static void test_stop_waits_for_arriving_bodies(void)
 {
@@ -210,6 +237,8 @@
 			test_unproven_connection_gives_way_first);
 	g_test_add_func("/client_budget/slowest",
 			test_slowest_legal_client_is_served);
+	g_test_add_func("/client_budget/stall",
+			test_only_silent_chunked_bodies_end_a_stall);
 	g_test_add_func("/client_budget/stop",
 			test_stop_waits_for_arriving_bodies);
 	g_test_add_func("/client_budget/returned", test_everything_is_returned);
