http server: a stop does not wait for bodies that never end

Callers saw a replaced instance stay until its machine ended it: four requests whose bodies stop short kept a stop waiting for its whole grace.

Cause: the stop waited for each request that had begun to arrive.

Before: process_crowd_stop failed on (grace of an hour, not stopped in 40 s).

--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -549,6 +549,27 @@
 	}
 }
 
+/*
+ * Whether all that a stopping server waits for has ended: answers that have not
+ * been sent in full, and bodies that are arriving.
+ */
+bool rj_http_server_is_settled(const struct rj_http_server *server)
+{
+	const struct rj_client_budget *budget = server->listener.budget;
+	uint64_t now_us = rj_clock_now_us();
+	const struct rj_list *at;
+
+	for (at = budget->clients.next; at != &budget->clients; at = at->next) {
+		const struct rj_client *client =
+			RJ_CONTAINER(at, struct rj_client, link);
+
+		if (client->listener == &server->listener &&
+		    rj_client_is_open(client, now_us))
+			return false;
+	}
+	return true;
+}
+
 /*
  * Frees the body of a request that its handler no longer needs.
  */
--- a/src/share/http_server.h
+++ b/src/share/http_server.h
@@ -89,6 +89,7 @@
 void rj_http_exchange_release_body(struct rj_http_exchange *request);
 void rj_http_exchange_abort(struct rj_http_exchange *request);
 bool rj_http_exchange_disconnected(const struct rj_http_exchange *request);
+bool rj_http_server_is_settled(const struct rj_http_server *server);
 void rj_http_server_abort_open(struct rj_http_server *server,
 			       const struct rj_http_exchange *except);
 void rj_http_server_drain(struct rj_http_server *server);
