frontend: parsed bodies and waiting requests are within the clients' budget

Four bodies of legal size, 262,144 bytes of empty objects, took 20 MB of an instance while they were parsed; what waits for the log was not bounded at all.

Cause: a parsed value needs up to 320 bytes, and nothing counted values; a request that waits keeps its record twice, and kept its body and its decoded job.

The parsed values, the record that is stored and each request are charged to the budget of clients; without room the request is refused with 503 before anything of it is stored.

--- a/src/libradishjunction/cell/cell_frontend.c
+++ b/src/libradishjunction/cell/cell_frontend.c
@@ -7,8 +7,15 @@
 
 #include "private/cell_account_admission.h"
 #include "private/cell_progress.h"
+#include "private/json_values.h"
 #include "private/log_event.h"
 
+/* Memory of a request that waits for the log, besides its record. */
+#define REQUEST_BYTES 1024
+/* A record that is being stored is held twice: encoded, and in the append. */
+#define RECORD_COPIES 2
+/* Retry delay of clients for whose requests there is no memory. */
+#define MEMORY_RETRY_MS 1000
 /* Wait of a client that does not announce one. */
 #define DEFAULT_WAIT_MS 3000
 /* The last answer is sent this long before the client times out. */
@@ -75,6 +82,7 @@
 	struct rj_cell_call *call;
 	char id[RJ_CELL_ID_BYTES];
 	char account[RJ_NAME_BYTES];
+	uint64_t held_bytes; /* charged to the budget of clients */
 	uint64_t received_us;
 	uint64_t due_us; /* the last answer is sent then */
 	bool answered;
@@ -126,6 +134,37 @@
 	       rj_cell_log_reader_age_us(frontend->configs, now_us) < limit_us;
 }
 
+/* Charges memory for a request. Returns 0, or -1 if it does not fit. */
+static int hold(struct request *request, uint64_t bytes)
+{
+	struct rj_client_budget *budget = request->frontend->budget;
+
+	if (!budget)
+		return 0;
+	if (rj_client_budget_hold(budget, bytes)) {
+		rj_client_budget_refuse(budget, RJ_CLIENT_REFUSAL_MEMORY,
+					"frontend");
+		return -1;
+	}
+	request->held_bytes += bytes;
+	return 0;
+}
+
+/* Returns memory that was charged for a request. */
+static void release_held(struct request *request, uint64_t bytes)
+{
+	if (!request->frontend->budget)
+		return;
+	rj_client_budget_release(request->frontend->budget, bytes);
+	request->held_bytes -= bytes;
+}
+
+static int request_destructor(struct request *request)
+{
+	release_held(request, request->held_bytes);
+	return 0;
+}
+
 /* Frees a request once nothing refers to it. */
 static void release(struct request *request)
 {
@@ -198,6 +237,13 @@
 			       request->frontend->now_us));
 }
 
+/* Answers that there is no memory for the request, which never runs. */
+static void answer_no_memory(struct request *request)
+{
+	answer_verdict(request, RJ_CELL_VERDICT_UNAVAILABLE, "client_memory",
+		       MEMORY_RETRY_MS);
+}
+
 /* Parses the last part of the path as a job id. Returns 0, or -1. */
 static int parse_job_id(const char *text, char id[RJ_CELL_ID_BYTES])
 {
@@ -579,13 +625,53 @@
 	return true;
 }
 
+/*
+ * Decodes the body of a submission, within the memory that clients may take.
+ * Returns NULL if the call has been answered.
+ */
+static struct rj_cell_job_spec *decode(struct request *request)
+{
+	struct rj_cell_frontend *frontend = request->frontend;
+	const struct rj_bytes *body = &request->call->body;
+	struct rj_cell_job_spec *job_spec;
+	struct rj_error err;
+	uint64_t parsed_bytes;
+	uint32_t values = 0;
+
+	if (frontend->budget && frontend->codec->count_values)
+		values = frontend->codec->count_values(*body);
+	if (frontend->budget && values > frontend->budget->values_max) {
+		rj_client_budget_refuse(frontend->budget,
+					RJ_CLIENT_REFUSAL_VALUES, "frontend");
+		answer_verdict(request, RJ_CELL_VERDICT_MALFORMED,
+			       "body: more values than a job may have; send "
+			       "fewer",
+			       0);
+		return NULL;
+	}
+	parsed_bytes = body->length + (uint64_t)values * RJ_JSON_VALUE_BYTES;
+	if (hold(request, parsed_bytes)) {
+		answer_no_memory(request);
+		return NULL;
+	}
+	job_spec = frontend->codec->decode_job(request, *body, &err);
+	release_held(request, parsed_bytes);
+	if (!job_spec ||
+	    rj_cell_progress_check(job_spec, frontend->writer->record_max_bytes,
+				   &err)) {
+		answer_verdict(request, RJ_CELL_VERDICT_MALFORMED, err.message,
+			       0);
+		return NULL;
+	}
+	return job_spec;
+}
+
 /* Stores a new job, or rejects it at once if it would not be served in time. */
 static void submit(struct request *request, const struct rj_cell_queue *queue)
 {
 	struct rj_cell_frontend *frontend = request->frontend;
 	struct rj_cell_job_spec *job_spec;
 	struct rj_bytes value;
-	struct rj_error err;
 
 	if (find_accepted(request)) {
 		answer_verdict(request, RJ_CELL_VERDICT_ACCEPTED, "known", 0);
@@ -595,20 +681,18 @@
 		answer_unavailable(request, "log_away");
 		return;
 	}
-	job_spec =
-		frontend->codec->decode_job(request, request->call->body, &err);
-	if (!job_spec ||
-	    rj_cell_progress_check(job_spec, frontend->writer->record_max_bytes,
-				   &err)) {
-		answer_verdict(request, RJ_CELL_VERDICT_MALFORMED, err.message,
-			       0);
+	job_spec = decode(request);
+	if (!job_spec)
 		return;
-	}
 	if (reject(request, queue))
 		return;
 	set_terms(job_spec, request, queue);
 	value = rj_cell_job_spec_encode(request, job_spec);
-	store(request, RJ_CELL_RECORD_JOB_SPEC, value);
+	talloc_free(job_spec);
+	if (hold(request, (uint64_t)value.length * RECORD_COPIES))
+		answer_no_memory(request);
+	else
+		store(request, RJ_CELL_RECORD_JOB_SPEC, value);
 }
 
 /* Answers with the number of pending jobs of a queue, as the owner counts
@@ -710,6 +794,11 @@
 				  RJ_US_PER_MS;
 	rj_list_init(&request->sync.link);
 	rj_list_append(&frontend->requests, &request->link);
+	talloc_set_destructor(request, request_destructor);
+	if (hold(request, REQUEST_BYTES)) {
+		answer_no_memory(request);
+		return;
+	}
 	if (!frontend->config) {
 		answer_unavailable(request, "no_config");
 		return;
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -456,6 +456,7 @@
 	rj_cell_frontend_init(&node->frontend, mem, &node->view, &node->jobs,
 			      &node->requests, &node->configs, &node->writer,
 			      options->codec, options->limits.revoke_ms);
+	node->frontend.budget = options->budget;
 	node->frontend.return_order = options->limits.features.return_order;
 	rj_cell_owner_init(&node->owner, mem, options->name,
 			   options->incarnation, &node->view, options->store,
--- a/src/libradishjunction/include/private/cell_frontend.h
+++ b/src/libradishjunction/include/private/cell_frontend.h
@@ -16,6 +16,7 @@
 #include "private/cell_rejections.h"
 #include "private/cell_view.h"
 #include "private/cell_writer.h"
+#include "private/client_budget.h"
 #include "private/latency.h"
 
 enum rj_cell_verb {
@@ -83,6 +84,9 @@
 	 * id and queue terms. Returns NULL with `err` if it is malformed. */
 	struct rj_cell_job_spec *(*decode_job)(void *mem, struct rj_bytes body,
 					       struct rj_error *err);
+	/* Returns an upper bound of the values in the body of a submission.
+	 * NULL: bodies are not limited. */
+	uint32_t (*count_values)(struct rj_bytes body);
 	/* Decodes a configuration. Returns NULL with `err` if it is
 	 * malformed. */
 	struct rj_cell_config *(*decode_config)(void *mem, struct rj_bytes text,
@@ -113,6 +117,7 @@
 	struct rj_cell_log_reader *configs;
 	struct rj_cell_writer *writer; /* to the log of requests */
 	const struct rj_cell_codec *codec;
+	struct rj_client_budget *budget; /* of clients; NULL: no limit */
 	const struct rj_cell_config *config; /* set by the node */
 	struct rj_cell_owner_heartbeat heartbeat; /* newest one of the owner */
 	uint64_t heartbeat_us; /* when it was read; 0: none yet */
--- a/src/libradishjunction/include/private/cell_node.h
+++ b/src/libradishjunction/include/private/cell_node.h
@@ -23,6 +23,7 @@
 	struct rj_cell_workers *workers;
 	struct rj_cell_advisor *advisor; /* NULL: no policy service */
 	const struct rj_cell_codec *codec;
+	struct rj_client_budget *budget; /* of clients; NULL: no limit */
 };
 
 /* Ownership of the cell according to the log. */
