callers: radishjunctiond keeps to the same budget of clients

400 bodies of 262,144 bytes that stop short took 137 MB of radishjunctiond; a stop waited for them for as long as the idle timeout allows.

Cause: bodies were bounded one by one, never together. Change: the caller interface charges connections, bodies and parsed values to a budget of a third of memory_mb (256 by default). A body over its limit is freed at that byte, its text once it is parsed. A stop waits for bodies that arrive.

--- a/include/radishjunction/http_callers.h
+++ b/include/radishjunction/http_callers.h
@@ -42,6 +42,7 @@
 	struct rj_sink *sink;
 	struct rj_caller_views *views;
 	struct rj_address address; /* port 0: any free one */
+	uint64_t memory_bytes; /* that callers may take */
 	uint32_t body_max_bytes;
 	uint32_t connections_max;
 	uint32_t requests_max; /* open at once */
--- a/include/radishjunction/settings.h
+++ b/include/radishjunction/settings.h
@@ -23,6 +23,7 @@
 	uint32_t peer_count;
 	char peer_key[RJ_TOKEN_BYTES]; /* shared by all instances */
 	uint32_t retention_s; /* of the platform's log */
+	uint32_t memory_mb; /* of the machine, for this daemon */
 	uint32_t body_max_bytes;
 	uint32_t connections_max;
 	uint32_t requests_max; /* open at the same time */
--- a/src/libradishjunction/caller/caller_connections.c
+++ b/src/libradishjunction/caller/caller_connections.c
@@ -14,13 +14,14 @@
  */
 void rj_caller_connections_init(struct rj_caller_connections *connections,
 				void *mem, struct tevent_context *loop,
-				uint32_t max, uint64_t headers_limit_us)
+				struct rj_client_budget *budget, uint32_t max,
+				uint64_t headers_limit_us)
 {
 	memset(connections, 0, sizeof(*connections));
 	rj_list_init(&connections->list);
 	connections->mem = mem;
 	connections->loop = loop;
-	connections->max = max;
+	rj_client_listener_init(&connections->listener, budget, "callers", max);
 	connections->headers_limit_us = headers_limit_us;
 }
 
@@ -72,10 +73,12 @@
 }
 
 /*
- * Add a connection with socket `fd`, which is not taken over.
+ * Add a connection with socket `fd`, which is not taken over. If all are taken,
+ * one with less progress gives way; if none can, the new one is over the limit.
  */
 struct rj_caller_connection *
-rj_caller_connection_open(struct rj_caller_connections *connections, int fd)
+rj_caller_connection_open(struct rj_caller_connections *connections, int fd,
+			  void (*give_way)(struct rj_client *client))
 {
 	struct rj_caller_connection *connection =
 		talloc_zero(connections->mem, struct rj_caller_connection);
@@ -83,7 +86,10 @@
 	assert(connection);
 	connection->connections = connections;
 	connection->fd = fd;
-	connection->over_limit = ++connections->count > connections->max;
+	connections->count++;
+	connection->over_limit =
+		rj_client_open(&connection->client, &connections->listener, fd,
+			       give_way, rj_clock_now_us());
 	rj_list_append(&connections->list, &connection->link);
 	rj_caller_connection_idle(connection);
 	if (!connections->check_timer)
@@ -112,6 +118,8 @@
  */
 void rj_caller_connection_close(struct rj_caller_connection *connection)
 {
+	if (!connection->over_limit)
+		rj_client_close(&connection->client);
 	connection->connections->count--;
 	rj_list_remove(&connection->link);
 	talloc_free(connection);
--- a/src/libradishjunction/caller/caller_request.c
+++ b/src/libradishjunction/caller/caller_request.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "private/caller_json.h"
+#include "private/json_values.h"
 
 #define JOBS_PATH "/v1/jobs"
 #define EXPLAIN_SUFFIX "/explain"
@@ -17,11 +18,15 @@
  * plus or minus half of it. */
 #define BUSY_RETRY_US (1 * RJ_US_PER_S)
 #define JSON_TYPE "application/json"
+#define BODY_MIN_CAPACITY_BYTES 1024
 
 /* Free the text, unless a response has taken it over. */
 static int request_destructor(struct rj_caller_request *request)
 {
 	request->state->open--;
+	request->peer->request = NULL;
+	if (!request->over_limit)
+		rj_client_end(&request->peer->client, rj_clock_now_us());
 	free(request->text);
 	return 0;
 }
@@ -31,7 +36,8 @@
  */
 struct rj_caller_request *
 rj_caller_request_begin(struct rj_http_callers_state *state,
-			struct MHD_Connection *connection, const char *method)
+			struct MHD_Connection *connection,
+			struct rj_caller_connection *peer, const char *method)
 {
 	struct rj_caller_request *request =
 		talloc_zero(state, struct rj_caller_request);
@@ -39,6 +45,9 @@
 	assert(request);
 	request->state = state;
 	request->connection = connection;
+	request->peer = peer;
+	peer->request = request;
+	request->over_limit = peer->over_limit;
 	request->headers_received_us = rj_clock_now_us();
 	request->unkeyed_submission =
 		strcmp(method, MHD_HTTP_METHOD_POST) == 0 &&
@@ -191,22 +200,67 @@
 			request, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
 			RJ_REASON_TOO_LARGE,
 			"headers: above 8192 bytes; send fewer");
-	else if (length && strtoull(length, NULL, 10) > options->body_max_bytes)
+	else if (length &&
+		 strtoull(length, NULL, 10) > options->body_max_bytes) {
+		rj_client_budget_refuse(&request->state->budget,
+					RJ_CLIENT_REFUSAL_BODY, "callers");
 		rj_caller_request_refuse(request, 0, RJ_REASON_TOO_LARGE,
 					 "body: above the limit; send less");
+	}
 	return request->answered;
 }
 
+/* Ensure space for `length` more bytes of the body and charge for it. Returns
+ * 0, or -1 if the budget of callers is exhausted. */
+static int reserve_body(struct rj_caller_request *request, size_t length)
+{
+	struct rj_buffer *body = &request->body;
+	size_t required = body->length + length + 1;
+	size_t max = (size_t)request->state->options.body_max_bytes + 1;
+	size_t capacity = MAX(2 * body->capacity, BODY_MIN_CAPACITY_BYTES);
+
+	if (required <= body->capacity)
+		return 0;
+	capacity = MAX(required, MIN(capacity, max));
+	if (rj_client_charge(&request->peer->client, capacity - body->capacity))
+		return -1;
+	rj_buffer_reserve(body, request, capacity);
+	return 0;
+}
+
 /*
  * Append a piece of the body. From the piece that exceeds the body limit on,
- * pieces are counted and discarded.
+ * nothing is kept. Returns 0, or -1 if there is no memory for it and the
+ * connection is to be closed.
  */
-void rj_caller_request_append_body(struct rj_caller_request *request,
-				   const char *data, size_t length)
+int rj_caller_request_append_body(struct rj_caller_request *request,
+				  const char *data, size_t length)
 {
+	struct rj_client *client = &request->peer->client;
+	uint64_t max = request->state->options.body_max_bytes;
+	bool was_too_long = request->body_received > max;
+
 	request->body_received += length;
-	if (request->body_received <= request->state->options.body_max_bytes)
+	rj_client_received(client, length, rj_clock_now_us());
+	if (client->state == RJ_CLIENT_GIVING_WAY)
+		return -1;
+	if (request->body_received > max) {
+		rj_buffer_clear(&request->body);
+		rj_client_discharge(client);
+		if (!was_too_long)
+			rj_client_budget_refuse(&request->state->budget,
+						RJ_CLIENT_REFUSAL_BODY,
+						"callers");
+		return 0;
+	}
+	if (!reserve_body(request, length)) {
 		rj_buffer_append(&request->body, request, data, length);
+		return 0;
+	}
+	if (client->state != RJ_CLIENT_GIVING_WAY)
+		rj_client_budget_refuse(&request->state->budget,
+					RJ_CLIENT_REFUSAL_MEMORY, "callers");
+	return -1;
 }
 
 /* Copy the caller's token. Returns 0; or -1 if there is no well-formed one and
@@ -283,6 +337,25 @@
 	state->options.sink->deliver(state->options.sink, event);
 }
 
+/* Charge the memory that parsing the body takes. Returns 0, or -1 if the
+ * request was refused. */
+static int hold_parsed(struct rj_caller_request *request, uint64_t *bytes)
+{
+	struct rj_client_budget *budget = &request->state->budget;
+	const struct rj_buffer *body = &request->body;
+	uint32_t values = rj_json_count_values(body->data, body->length);
+
+	/* The text is kept once more, in canonical form. */
+	*bytes = body->length + (uint64_t)values * RJ_JSON_VALUE_BYTES;
+	if (!rj_client_budget_hold(budget, *bytes))
+		return 0;
+	rj_client_budget_refuse(budget, RJ_CLIENT_REFUSAL_MEMORY, "callers");
+	rj_caller_request_refuse(request, 0, RJ_REASON_QUEUE_FULL,
+				 "memory: too many requests are open; retry "
+				 "later or ask another instance");
+	return -1;
+}
+
 /* POST /v1/jobs */
 static void post_job(struct rj_caller_request *request)
 {
@@ -294,6 +367,8 @@
 		.kind = RJ_ANSWER_NOT_RUN,
 		.reason = RJ_REASON_BAD_REQUEST,
 	};
+	uint64_t parsed_bytes;
+	int failed;
 
 	if (read_token(request, core_request->token))
 		return;
@@ -302,14 +377,20 @@
 					 "body: holds a zero byte; send JSON");
 		return;
 	}
+	if (hold_parsed(request, &parsed_bytes))
+		return;
 	rj_error_list_init(&errors, request);
-	if (rj_caller_parse_submit(request, text, &core_request->spec,
-				   &errors)) {
+	failed = rj_caller_parse_submit(request, text, &core_request->spec,
+					&errors);
+	rj_client_budget_release(&request->state->budget, parsed_bytes);
+	if (failed) {
 		g_strlcpy(answer.detail, errors.errors[0].message,
 			  sizeof(answer.detail));
 		rj_caller_request_answer(request, &answer, &errors);
 		return;
 	}
+	/* What was charged for the text now stands for the parsed body. */
+	rj_buffer_clear(&request->body);
 	if (read_key(request, core_request->spec.key))
 		return;
 	core_request->op = RJ_REQUEST_SUBMIT;
@@ -352,6 +433,8 @@
 			       state->connections.count);
 	g_string_append_printf(text, "radishjunction_requests_open %u\n",
 			       g_hash_table_size(state->pending));
+	rj_client_budget_write(&state->budget, text);
+	rj_client_listener_write(&state->connections.listener, text);
 	views->ops->metrics(views, text);
 	set_text(request, MHD_HTTP_OK, strdup(text->str), "text/plain");
 	g_string_free(text, TRUE);
--- a/src/libradishjunction/caller/http_callers.c
+++ b/src/libradishjunction/caller/http_callers.c
@@ -150,27 +150,47 @@
 	struct rj_http_callers_state *state = private_data;
 	struct rj_caller_request *request = *slot;
 
+	state->loop.progress++;
 	if (!request) {
-		request = rj_caller_request_begin(state, connection, method);
-		request->over_limit =
-			connection_context(connection)->over_limit;
-		rj_caller_connection_busy(connection_context(connection));
+		struct rj_caller_connection *peer =
+			connection_context(connection);
+
+		if (!peer->over_limit) {
+			if (peer->client.state == RJ_CLIENT_GIVING_WAY)
+				return MHD_NO;
+			rj_client_begin(
+				&peer->client,
+				MHD_lookup_connection_value(
+					connection, MHD_HEADER_KIND,
+					MHD_HTTP_HEADER_TRANSFER_ENCODING),
+				rj_clock_now_us());
+		}
+		request = rj_caller_request_begin(state, connection, peer,
+						  method);
+		rj_caller_connection_busy(peer);
 		*slot = request;
 		if (rj_caller_request_check_headers(request))
 			return respond(request);
 		return MHD_YES;
 	}
 	if (*upload_length) {
-		rj_caller_request_append_body(request, upload, *upload_length);
+		size_t length = *upload_length;
+
 		*upload_length = 0;
+		if (rj_caller_request_append_body(request, upload, length))
+			return MHD_NO;
 		/* A body sent byte by byte never triggers the idle timeout. */
 		if (rj_clock_now_us() - request->headers_received_us >
 		    state->options.idle_timeout_s * RJ_US_PER_S)
 			return MHD_NO;
 		return MHD_YES;
 	}
-	if (!request->answered)
+	if (!request->answered) {
+		if (request->peer->client.state == RJ_CLIENT_GIVING_WAY)
+			return MHD_NO;
+		rj_client_complete(&request->peer->client, rj_clock_now_us());
 		rj_caller_request_dispatch(request, url, method);
+	}
 	if (request->answered)
 		return respond(request);
 	suspend(request);
@@ -185,17 +205,47 @@
 	rj_caller_connection_idle(connection_context(connection));
 }
 
+/* See struct rj_client. */
+static void give_way(struct rj_client *client)
+{
+	struct rj_caller_connection *connection =
+		(struct rj_caller_connection *)client;
+
+	if (connection->request)
+		rj_buffer_clear(&connection->request->body);
+}
+
+/* See struct rj_http_loop. */
+static void stalled(void *private_data, uint64_t busy_since_us)
+{
+	struct rj_http_callers_state *state = private_data;
+
+	rj_client_budget_end_stall(&state->budget, &state->connections.listener,
+				   busy_since_us, rj_clock_now_us());
+}
+
+/* Run the daemon from the event loop. */
+static void start_loop(struct rj_http_callers_state *state)
+{
+	rj_http_loop_init(&state->loop, state, state->options.loop,
+			  state->daemon);
+	state->loop.stalled = stalled;
+	state->loop.private_data = state;
+}
+
 /* Track connections; one above the limit is marked, to be refused. */
 static void on_connection(void *private_data, struct MHD_Connection *connection,
 			  void **slot, enum MHD_ConnectionNotificationCode code)
 {
 	struct rj_http_callers_state *state = private_data;
 
+	state->loop.progress++;
 	if (code == MHD_CONNECTION_NOTIFY_CLOSED)
 		rj_caller_connection_close(*slot);
 	else
-		*slot = rj_caller_connection_open(
-			&state->connections, connection_socket(connection));
+		*slot = rj_caller_connection_open(&state->connections,
+						  connection_socket(connection),
+						  give_way);
 }
 
 /* See rj_callers_ops. */
@@ -259,6 +309,14 @@
 	g_logv("libmicrohttpd", G_LOG_LEVEL_DEBUG, format, args);
 }
 
+/* Connections of callers: what the options allow, and the budget. */
+static uint32_t connections_max(const struct rj_http_callers_state *state)
+{
+	uint32_t borne = rj_client_budget_connections(&state->budget);
+
+	return MIN(state->options.connections_max, MAX(borne, 1));
+}
+
 /* Start the HTTP daemon on `listener`; on success the daemon owns it. */
 static struct MHD_Daemon *start_daemon(struct rj_http_callers_state *state,
 				       int listener)
@@ -270,7 +328,7 @@
 		NULL, NULL, on_access, state, MHD_OPTION_EXTERNAL_LOGGER,
 		on_library_log, NULL, MHD_OPTION_LISTEN_SOCKET, listener,
 		MHD_OPTION_CONNECTION_LIMIT,
-		(unsigned int)options->connections_max + SPARE_CONNECTIONS,
+		(unsigned int)connections_max(state) + SPARE_CONNECTIONS,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
 		(size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_CONNECTION_TIMEOUT,
 		(unsigned int)options->idle_timeout_s,
@@ -296,13 +354,16 @@
 	assert(state);
 	state->options = *options;
 	state->random = options->seed;
+	rj_client_budget_init(&state->budget, options->memory_bytes,
+			      UINT32_MAX);
 	rj_caller_connections_init(
-		&state->connections, state, options->loop,
-		options->connections_max,
+		&state->connections, state, options->loop, &state->budget,
+		connections_max(state),
 		HEADERS_LIMIT_IDLES * options->idle_timeout_s * RJ_US_PER_S);
 	listener = rj_tcp_listen(&options->address, &state->bound_address, err);
 	if (listener < 0)
 		goto free_state;
+	rj_tcp_limit_receive_buffer(listener);
 	state->daemon = start_daemon(state, listener);
 	if (!state->daemon) {
 		rj_error_set(err, RJ_ERR_IO,
@@ -312,8 +373,7 @@
 	}
 	state->pending = g_hash_table_new(g_int64_hash, g_int64_equal);
 	if (!options->deferred)
-		rj_http_loop_init(&state->loop, state, options->loop,
-				  state->daemon);
+		start_loop(state);
 	callers->base.ops = &http_callers_ops;
 	callers->state = state;
 	return 0;
@@ -337,8 +397,7 @@
 	struct rj_http_callers_state *state = callers->state;
 
 	if (!state->loop.daemon)
-		rj_http_loop_init(&state->loop, state, state->options.loop,
-				  state->daemon);
+		start_loop(state);
 }
 
 /*
@@ -390,11 +449,16 @@
 }
 
 /*
- * The number of requests whose answer has not been sent completely.
+ * The number of requests whose answer has not been sent completely, without
+ * those of whose bodies little has arrived lately.
  */
 uint32_t rj_http_callers_open_requests(const struct rj_http_callers *callers)
 {
-	return callers->state->open;
+	const struct rj_http_callers_state *state = callers->state;
+	uint32_t stalled = rj_client_listener_stalled(
+		&state->connections.listener, rj_clock_now_us());
+
+	return state->open - MIN(stalled, state->open);
 }
 
 /*
--- a/src/libradishjunction/client_budget.c
+++ b/src/libradishjunction/client_budget.c
@@ -451,12 +451,25 @@
 }
 
 /*
- * Whether a stopping server should wait for the client: its request is
- * complete and its answer not yet sent, or its body is arriving.
+ * Returns how many requests a stopping server does not wait for: those that
+ * are not new and of whose bodies little has arrived lately.
  */
-bool rj_client_is_open(const struct rj_client *client, uint64_t now_us)
+uint32_t rj_client_listener_stalled(const struct rj_client_listener *listener,
+				    uint64_t now_us)
 {
-	return client->state == RJ_CLIENT_COMPLETE ||
-	       (client->state == RJ_CLIENT_RECEIVING &&
-		recent_bytes(client, now_us) >= PROGRESS_MIN_BYTES);
+	const struct rj_list *clients = &listener->budget->clients;
+	uint32_t stalled = 0;
+
+	for (const struct rj_list *at = clients->next; at != clients;
+	     at = at->next) {
+		const struct rj_client *client =
+			RJ_CONTAINER(at, struct rj_client, link);
+
+		if (client->listener == listener &&
+		    client->state == RJ_CLIENT_RECEIVING &&
+		    now_us - client->begun_us >= HALF_LIFE_US &&
+		    recent_bytes(client, now_us) < PROGRESS_MIN_BYTES)
+			stalled++;
+	}
+	return stalled;
 }
--- a/src/libradishjunction/include/private/caller_request.h
+++ b/src/libradishjunction/include/private/caller_request.h
@@ -24,6 +24,7 @@
 	struct MHD_Daemon *daemon;
 	struct rj_http_loop loop;
 	bool draining;
+	struct rj_client_budget budget; /* of callers */
 	bool dispatch_stopped; /* the core accepts no more events */
 	struct rj_caller_connections connections;
 	uint64_t random; /* state of the Retry-After jitter */
@@ -36,6 +37,7 @@
 struct rj_caller_request {
 	struct rj_http_callers_state *state;
 	struct MHD_Connection *connection;
+	struct rj_caller_connection *peer;
 	uint64_t id; /* of the core event; 0 if none was delivered */
 	uint64_t headers_received_us;
 	bool unkeyed_submission; /* POST without an idempotency key */
@@ -57,9 +59,10 @@
 
 struct rj_caller_request *
 rj_caller_request_begin(struct rj_http_callers_state *state,
-			struct MHD_Connection *connection, const char *method);
-void rj_caller_request_append_body(struct rj_caller_request *request,
-				   const char *data, size_t length);
+			struct MHD_Connection *connection,
+			struct rj_caller_connection *peer, const char *method);
+int rj_caller_request_append_body(struct rj_caller_request *request,
+				  const char *data, size_t length);
 void rj_caller_request_dispatch(struct rj_caller_request *request,
 				const char *url, const char *method);
 void rj_caller_request_answer(struct rj_caller_request *request,
--- a/src/libradishjunction/include/private/client_budget.h
+++ b/src/libradishjunction/include/private/client_budget.h
@@ -24,6 +24,9 @@
 
 #include "private/list.h"
 
+/* Of the machine's memory, unless settings say otherwise. */
+#define RJ_CLIENT_MEMORY_PERCENT 33
+
 /* Why a client was refused or had to give way. */
 enum rj_client_refusal {
 	RJ_CLIENT_REFUSAL_MEMORY, /* the budget of memory is exhausted */
@@ -98,6 +101,8 @@
 void rj_client_listener_init(struct rj_client_listener *listener,
 			     struct rj_client_budget *budget, const char *name,
 			     uint32_t connections_max);
+uint32_t rj_client_listener_stalled(const struct rj_client_listener *listener,
+				    uint64_t now_us);
 void rj_client_listener_write(const struct rj_client_listener *listener,
 			      GString *text);
 int rj_client_open(struct rj_client *client,
@@ -112,6 +117,5 @@
 void rj_client_complete(struct rj_client *client, uint64_t now_us);
 void rj_client_end(struct rj_client *client, uint64_t now_us);
 void rj_client_close(struct rj_client *client);
-bool rj_client_is_open(const struct rj_client *client, uint64_t now_us);
 
 #endif
--- a/src/libradishjunction/settings.c
+++ b/src/libradishjunction/settings.c
@@ -37,6 +37,8 @@
 	  .size = RJ_TOKEN_BYTES },
 	{ RJ_FIELD(u32, rj_settings, retention_s), .optional = true, .min = 10,
 	  .max = 52 * WEEK_S, .fallback = WEEK_S },
+	{ RJ_FIELD(u32, rj_settings, memory_mb), .optional = true, .min = 64,
+	  .max = 16 * 1024 * 1024, .fallback = 256 },
 	{ RJ_FIELD(u32, rj_settings, body_max_bytes), .optional = true,
 	  .min = 1024, .max = RJ_BODY_MAX_BYTES,
 	  .fallback = RJ_BODY_MAX_BYTES },
--- a/src/libradishjunction/tcp_socket.c
+++ b/src/libradishjunction/tcp_socket.c
@@ -17,6 +17,7 @@
 #define KEEPALIVE_PROBES 3
 #define UNACKNOWLEDGED_MAX_MS 10000
 #define ACCEPT_BACKLOG 128
+#define RECEIVE_BUFFER_BYTES (16 * 1024)
 
 /*
  * Convert an address to a socket address. Returns its length, or 0 if the IP
@@ -154,6 +155,18 @@
 	return fd;
 }
 
+/*
+ * Limit what the kernel keeps of each connection that `listener` accepts from
+ * now on, while it is not read.
+ */
+void rj_tcp_limit_receive_buffer(int listener)
+{
+	int bytes = RECEIVE_BUFFER_BYTES;
+
+	(void)setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &bytes,
+			 sizeof(bytes));
+}
+
 /*
  * Accept one connection. Returns a non-blocking socket, or -1 when no
  * connection is pending or accepting one fails.
--- a/src/radishjunctiond/main.c
+++ b/src/radishjunctiond/main.c
@@ -16,6 +16,7 @@
 #include <time.h>
 
 #include "log_writer.h"
+#include "private/client_budget.h"
 #include "private/clock.h"
 #include "radishjunction/http_platform.h"
 #include "radishjunction/http_workers.h"
@@ -33,6 +34,8 @@
 };
 
 #define ARG_ERRORS_MAX 20
+#define BYTES_PER_MB (1024 * 1024)
+#define PERCENT 100
 /* Time for requests and answers in transit on idle connections; see
  * drain_idle_connections. */
 #define LINGER_US (500 * RJ_US_PER_MS)
@@ -126,6 +129,8 @@
 		.sink = &daemon->runner.sink,
 		.views = &daemon->runner.views,
 		.address = settings->caller_address,
+		.memory_bytes = (uint64_t)settings->memory_mb * BYTES_PER_MB /
+				PERCENT * RJ_CLIENT_MEMORY_PERCENT,
 		.body_max_bytes = settings->body_max_bytes,
 		.connections_max = settings->connections_max,
 		.requests_max = settings->requests_max,
--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -20,8 +20,6 @@
  * header limit. */
 #define FRAMING_BYTES (8 * 1024)
 #define HEADERS_DEFAULT_BYTES (16 * 1024)
-/* Bytes that the kernel keeps for a connection that is not read. */
-#define RECEIVE_BUFFER_BYTES (16 * 1024)
 #define BODY_MIN_CAPACITY_BYTES 1024
 #define RETRY_AFTER "1"
 
@@ -372,7 +370,6 @@
 			const struct rj_http_server_options *options,
 			struct rj_error *err)
 {
-	int receive_buffer = RECEIVE_BUFFER_BYTES;
 	uint32_t headers_max = options->headers_max_bytes ?
 				       options->headers_max_bytes :
 				       HEADERS_DEFAULT_BYTES;
@@ -391,9 +388,7 @@
 	fd = rj_tcp_listen(&options->address, &server->address, err);
 	if (fd < 0)
 		return -1;
-	/* Connections inherit it from the listener. */
-	(void)setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
-			 sizeof(receive_buffer));
+	rj_tcp_limit_receive_buffer(fd);
 	server->mem = talloc_named_const(mem, 0, "http server");
 	assert(server->mem);
 	server->daemon = MHD_start_daemon(
@@ -550,24 +545,13 @@
 }
 
 /*
- * Whether all that a stopping server waits for has ended: answers that have not
- * been sent in full, and bodies that are arriving.
+ * Whether a stopping server has sent all answers, to requests that are complete
+ * or whose bodies are arriving.
  */
 bool rj_http_server_is_settled(const struct rj_http_server *server)
 {
-	const struct rj_client_budget *budget = server->listener.budget;
-	uint64_t now_us = rj_clock_now_us();
-	const struct rj_list *at;
-
-	for (at = budget->clients.next; at != &budget->clients; at = at->next) {
-		const struct rj_client *client =
-			RJ_CONTAINER(at, struct rj_client, link);
-
-		if (client->listener == &server->listener &&
-		    rj_client_is_open(client, now_us))
-			return false;
-	}
-	return true;
+	return server->requests <=
+	       rj_client_listener_stalled(&server->listener, rj_clock_now_us());
 }
 
 /*
--- a/src/test_libradishjunction/test_client_budget.c
+++ b/src/test_libradishjunction/test_client_budget.c
@@ -193,15 +193,19 @@
 	struct rj_client *client;
 
 	set_up(&f, 1, CLIENTS_MAX);
-	client = begin_body(&f, 64 * KB);
-	g_assert_true(rj_client_is_open(client, f.now_us));
+	client = begin_body(&f, 1);
+	g_assert_cmpuint(rj_client_listener_stalled(&f.listener, f.now_us), ==,
+			 0);
 	f.now_us += 10 * SECOND;
-	g_assert_false(rj_client_is_open(client, f.now_us));
+	g_assert_cmpuint(rj_client_listener_stalled(&f.listener, f.now_us), ==,
+			 1);
 	g_assert_true(receive(&f, client, 8 * KB));
-	g_assert_true(rj_client_is_open(client, f.now_us));
+	g_assert_cmpuint(rj_client_listener_stalled(&f.listener, f.now_us), ==,
+			 0);
 	rj_client_complete(client, f.now_us);
 	f.now_us += 10 * SECOND;
-	g_assert_true(rj_client_is_open(client, f.now_us));
+	g_assert_cmpuint(rj_client_listener_stalled(&f.listener, f.now_us), ==,
+			 0);
 }
 
 /* Memory is charged twice, or is not returned. */
