peers: connections that never authenticate do not keep peers out

64 silent connections to the peer port kept every instance out until they timed out, and a client could renew them for ever.

Cause: of incoming connections without proof the newest was closed at the limit. Change: the oldest gives way. Before: /tcp_peers/silent failed (64 timeouts before the peer was connected, 0 allowed). After: passes.

--- a/src/libradishjunction/peer/tcp_peers.c
+++ b/src/libradishjunction/peer/tcp_peers.c
@@ -396,6 +396,29 @@
 	TEVENT_FD_READABLE(state->listener_event);
 }
 
+/*
+ * Makes the oldest incoming connection that has not authenticated give way to a
+ * new one; others would keep peers out by holding theirs open. Returns whether
+ * there was one.
+ */
+static bool close_oldest_unauthenticated(struct rj_tcp_peers_state *state)
+{
+	struct rj_list *at;
+	struct rj_list *next;
+
+	RJ_FOR_EACH (at, next, &state->links) {
+		struct peer_link *link =
+			RJ_CONTAINER(at, struct peer_link, node);
+
+		if (link->outgoing_peer || link->base.authenticated ||
+		    link->base.tcp.ended)
+			continue;
+		rj_tcp_link_close(&link->base.tcp, RJ_PEER_CLOSE_TOO_MANY);
+		return true;
+	}
+	return false;
+}
+
 /*
  * Accept a connection.
  *
@@ -417,7 +440,8 @@
 	}
 	if (fd < 0)
 		return;
-	if (state->unauthenticated_incoming >= UNAUTHENTICATED_MAX) {
+	if (state->unauthenticated_incoming >= UNAUTHENTICATED_MAX &&
+	    !close_oldest_unauthenticated(state)) {
 		state->closed[RJ_PEER_CLOSE_TOO_MANY]++;
 		close(fd);
 		return;
--- a/src/test_libradishjunction/test_tcp_peers.c
+++ b/src/test_libradishjunction/test_tcp_peers.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <talloc.h>
 #include <tevent.h>
+#include <unistd.h>
 
 #include "private/peer_session.h"
 #include "private/tcp_link.h"
@@ -480,6 +481,30 @@
 	pair_finish(&node, &other);
 }
 
+/* Connections that never authenticate keep a peer out until they time out. */
+static void test_silent_connections_make_room(void)
+{
+	struct node node;
+	struct node peer;
+	struct rj_address address;
+	int silent[80];
+
+	node_init(&node, "a", KEY, 0);
+	node_init(&peer, "b", KEY, 0);
+	address = rj_tcp_peers_address(&node.peers);
+	for (size_t i = 0; i < G_N_ELEMENTS(silent); i++)
+		silent[i] = rj_tcp_connect(&address, NULL);
+	node_connect(&peer, "a", &node);
+	RUN_UNTIL(loop, node.ups == 1 && peer.ups == 1);
+	g_assert_cmpuint(
+		rj_tcp_peers_close_count(&node.peers, RJ_PEER_CLOSE_TIMEOUT),
+		==, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(silent); i++)
+		close(silent[i]);
+	node_finish(&peer);
+	node_finish(&node);
+}
+
 int main(int argc, char **argv)
 {
 	int status;
@@ -497,6 +522,7 @@
 	g_test_add_func("/tcp_peers/older", test_older_instance);
 	g_test_add_func("/tcp_peers/newer", test_newer_instance);
 	g_test_add_func("/tcp_peers/reflected", test_reflected_hello);
+	g_test_add_func("/tcp_peers/silent", test_silent_connections_make_room);
 	g_test_add_func("/tcp_peers/slow_reader", test_slow_reader);
 	status = g_test_run();
 	talloc_free(loop);
