--- a/scripts/users.bash
+++ b/scripts/users.bash
@@ -79,7 +79,7 @@
 	log_address=$(grep -o '"log":"[^"]*"' "$work_dir/standin.out" | cut -d'"' -f4)
 	worker_addresses=$(grep -o '"workers":\[.*\]' "$work_dir/standin.out" |
 		grep -o '127.0.0.1:[0-9]*')
-	curl -sf -o "$work_dir/answer" -X POST -d '{"Version":1,"Routes":[{"Name":"q","Host":"h.example","PathPrefix":"/p/","TimeoutMs":3000,"TargetLatencyMs":1000,"Priority":1,"Service":"render","MaxAttempts":4,"Stretch":3.0}],"Services":[{"Name":"render"}],"Limits":{},"Tenants":[{"Name":"t","ApiKeys":["k1"],"Guaranteed":{"Gpu":8}}]}' \
+	curl -sf -o "$work_dir/answer" -X POST -d '{"Version":1,"Routes":[{"Name":"q","Host":"h.example","PathPrefix":"/p/","TimeoutMs":3000,"TargetLatencyMs":1000,"Priority":1,"Service":"render","MaxAttempts":4,"Stretch":3.0}],"Services":[{"Name":"render"}],"Limits":{'${LIMITS:-}'},"Tenants":[{"Name":"t","ApiKeys":["k1"],"Guaranteed":{"Gpu":8}}]}' \
 		"http://$log_address/standin/config"
 }
 
