--- a/src/libradishjunction/client_budget.c
+++ b/src/libradishjunction/client_budget.c
@@ -29,6 +29,7 @@
 const char *const rj_client_refusal_string[RJ_CLIENT_REFUSAL_COUNT] = {
 	[RJ_CLIENT_REFUSAL_MEMORY] = "memory",
 	[RJ_CLIENT_REFUSAL_CONNECTIONS] = "connections",
+	[RJ_CLIENT_REFUSAL_HEADERS] = "headers",
 	[RJ_CLIENT_REFUSAL_BODY] = "body",
 	[RJ_CLIENT_REFUSAL_VALUES] = "values",
 	[RJ_CLIENT_REFUSAL_FRAMING] = "framing",
--- a/src/libradishjunction/include/private/client_budget.h
+++ b/src/libradishjunction/include/private/client_budget.h
@@ -31,6 +31,7 @@
 enum rj_client_refusal {
 	RJ_CLIENT_REFUSAL_MEMORY, /* the budget of memory is exhausted */
 	RJ_CLIENT_REFUSAL_CONNECTIONS, /* all connections are taken */
+	RJ_CLIENT_REFUSAL_HEADERS, /* the headers exceed their limit */
 	RJ_CLIENT_REFUSAL_BODY, /* the body exceeds its limit */
 	RJ_CLIENT_REFUSAL_VALUES, /* the body has too many values */
 	RJ_CLIENT_REFUSAL_FRAMING, /* its framing cannot be processed */
--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -200,35 +200,53 @@
 	return request;
 }
 
-/* Refuses a request whose headers announce too long a body, or whose path does
- * not fit the budget. Returns whether it was refused. */
-static bool refuse_announced(struct rj_http_exchange *request)
+/* MHD iterator: adds the length of one header to `*sum`. */
+static enum MHD_Result add_header(void *sum, enum MHD_ValueKind kind,
+				  const char *name, const char *value)
 {
-	struct rj_client_listener *listener = &request->server->listener;
-	const char *length = rj_http_exchange_header(
-		request, MHD_HTTP_HEADER_CONTENT_LENGTH);
+	*(size_t *)sum += strlen(name) + (value ? strlen(value) : 0);
+	return MHD_YES;
+}
 
-	if (length && strtoull(length, NULL, 10) > request->body_max) {
-		rj_client_budget_refuse(listener->budget,
-					RJ_CLIENT_REFUSAL_BODY, listener->name);
-		rj_http_exchange_close(request);
-		rj_http_exchange_error(request, MHD_HTTP_CONTENT_TOO_LARGE,
-				       "body: too large; send a smaller one");
-		return true;
-	}
-	if (rj_client_charge(&request->peer->client, strlen(request->path))) {
-		rj_client_budget_refuse(listener->budget,
-					RJ_CLIENT_REFUSAL_MEMORY,
-					listener->name);
-		rj_http_exchange_close(request);
+/* Answers a request that is refused at its headers; its connection closes. */
+static void refuse(struct rj_http_exchange *request, unsigned int status,
+		   enum rj_client_refusal reason, const char *message)
+{
+	const struct rj_client_listener *listener = &request->server->listener;
+
+	rj_client_budget_refuse(listener->budget, reason, listener->name);
+	rj_http_exchange_close(request);
+	if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
 		rj_http_exchange_add_header(
 			request, MHD_HTTP_HEADER_RETRY_AFTER, RETRY_AFTER);
-		rj_http_exchange_error(request, MHD_HTTP_SERVICE_UNAVAILABLE,
-				       "memory: too many requests are open; "
-				       "retry later or ask another instance");
-		return true;
-	}
-	return false;
+	rj_http_exchange_error(request, status, message);
+}
+
+/* Refuses a request with too long headers, one that announces too long a body,
+ * or one whose path does not fit the budget. Returns whether it was refused. */
+static bool refuse_at_headers(struct rj_http_exchange *request)
+{
+	const char *length = rj_http_exchange_header(
+		request, MHD_HTTP_HEADER_CONTENT_LENGTH);
+	size_t headers = strlen(request->path);
+
+	MHD_get_connection_values(request->connection, MHD_HEADER_KIND,
+				  add_header, &headers);
+	if (headers > request->server->options.headers_max_bytes)
+		refuse(request, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
+		       RJ_CLIENT_REFUSAL_HEADERS,
+		       "headers: too large; send fewer");
+	else if (length && strtoull(length, NULL, 10) > request->body_max)
+		refuse(request, MHD_HTTP_CONTENT_TOO_LARGE,
+		       RJ_CLIENT_REFUSAL_BODY,
+		       "body: too large; send a smaller one");
+	else if (rj_client_charge(&request->peer->client,
+				  strlen(request->path)))
+		refuse(request, MHD_HTTP_SERVICE_UNAVAILABLE,
+		       RJ_CLIENT_REFUSAL_MEMORY,
+		       "memory: too many requests are open; retry later or "
+		       "ask another instance");
+	return request->response;
 }
 
 /* Passes a complete request to the handler. */
@@ -265,7 +283,7 @@
 			rj_http_exchange_header(
 				request, MHD_HTTP_HEADER_TRANSFER_ENCODING),
 			rj_clock_now_us());
-	return refuse_announced(request) ? queue_answer(request) : MHD_YES;
+	return refuse_at_headers(request) ? queue_answer(request) : MHD_YES;
 }
 
 /*
@@ -370,13 +388,12 @@
 			const struct rj_http_server_options *options,
 			struct rj_error *err)
 {
-	uint32_t headers_max = options->headers_max_bytes ?
-				       options->headers_max_bytes :
-				       HEADERS_DEFAULT_BYTES;
 	int fd;
 
 	memset(server, 0, sizeof(*server));
 	server->options = *options;
+	if (!options->headers_max_bytes)
+		server->options.headers_max_bytes = HEADERS_DEFAULT_BYTES;
 	server->ev = ev;
 	rj_list_init(&server->open);
 	rj_client_budget_init(&server->own_budget, UINT64_MAX, UINT32_MAX);
@@ -397,7 +414,7 @@
 		MHD_OPTION_CONNECTION_LIMIT,
 		options->connections_max + CLOSING_CONNECTIONS_MAX,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		(size_t)headers_max + FRAMING_BYTES,
+		(size_t)server->options.headers_max_bytes + FRAMING_BYTES,
 		MHD_OPTION_NOTIFY_COMPLETED, request_completed, server,
 		MHD_OPTION_NOTIFY_CONNECTION, connection_changed, server,
 		MHD_OPTION_END);
