soak and fuzzer: hostile clients, and the path of requests

Soak: each instance has 40 clients that hold on to it, come back after each refusal, and send what the seed says; an instance is on a machine of 64 MB, and its peak memory is an invariant.

--- a/src/test_crowd/main.c
+++ b/src/test_crowd/main.c
@@ -26,6 +26,8 @@
 #define ERRORS_MAX 8
 /* The crowd has settled once nothing was sent for this long. */
 #define SETTLED_MS 1000
+/* With --again, closed connections are opened again at this interval. */
+#define AGAIN_INTERVAL_MS 500
 
 /* What a crowd sends. A body is `body_bytes` long; a request that stops short
  * lacks its last byte, or its last chunk. */
@@ -88,6 +90,7 @@
 	uint32_t count;
 	uint32_t answers;
 	uint32_t closed;
+	bool again; /* closed connections are opened again */
 };
 
 static volatile sig_atomic_t stopped;
@@ -235,6 +238,14 @@
 	return progress;
 }
 
+/* Opens the connections again that were closed. */
+static void reopen(struct crowd *crowd)
+{
+	for (uint32_t i = 0; i < crowd->count; i++)
+		if (crowd->clients[i].fd < 0)
+			open_client(crowd, &crowd->clients[i]);
+}
+
 static const struct kind *find_kind(const char *name)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++)
@@ -247,6 +258,7 @@
 static void run(struct crowd *crowd)
 {
 	int64_t progress_us = g_get_monotonic_time();
+	int64_t reopened_us = progress_us;
 	bool settled = false;
 
 	crowd->clients = g_new0(struct client, crowd->count);
@@ -259,6 +271,11 @@
 		if (run_once(crowd))
 			progress_us = g_get_monotonic_time();
 		now_us = g_get_monotonic_time();
+		if (crowd->again &&
+		    now_us - reopened_us > AGAIN_INTERVAL_MS * 1000) {
+			reopened_us = now_us;
+			reopen(crowd);
+		}
 		if (settled || now_us - progress_us < SETTLED_MS * 1000)
 			continue;
 		settled = true;
@@ -277,8 +294,9 @@
 	struct arg_int *count = arg_int1(NULL, "count", "N", "connections");
 	struct arg_int *body = arg_int1(NULL, "body", "BYTES", "of a body");
 	struct arg_str *path = arg_str1(NULL, "path", "PATH", "to send to");
+	struct arg_lit *again = arg_lit0(NULL, "again", "reopen connections");
 	struct arg_end *errors = arg_end(ERRORS_MAX);
-	void *table[] = { port, kind, count, body, path, errors };
+	void *table[] = { port, kind, count, body, path, again, errors };
 	struct crowd crowd = { .address = { .sin_family = AF_INET } };
 	int status = EXIT_FAILURE;
 
@@ -292,6 +310,7 @@
 		goto free_table;
 	}
 	signal(SIGTERM, on_term);
+	crowd.again = again->count;
 	crowd.address.sin_port = htons((uint16_t)port->ival[0]);
 	crowd.address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	crowd.count = (uint32_t)count->ival[0];
--- a/src/test_libradishjunction/support/fuzz_targets.c
+++ b/src/test_libradishjunction/support/fuzz_targets.c
@@ -310,6 +310,7 @@
 	{ "platformanswer", fuzz_platform_answer },
 	{ "cellrecord", fuzz_cell_record },
 	{ "cellsnapshot", fuzz_cell_snapshot },
+	{ "requests", fuzz_requests },
 	{ NULL, NULL },
 };
 
--- a/src/test_libradishjunction/support/fuzz_targets.h
+++ b/src/test_libradishjunction/support/fuzz_targets.h
@@ -17,6 +17,7 @@
 };
 
 extern const struct fuzz_target fuzz_targets[]; /* terminated by a NULL name */
+void fuzz_requests(const uint8_t *data, size_t length);
 const struct fuzz_target *fuzz_target_find(const char *name);
 
 #endif
--- a/src/test_soak/cluster.c
+++ b/src/test_soak/cluster.c
@@ -18,6 +18,8 @@
  * the platform does. */
 #define RESTART_DELAY_US (500 * RJ_US_PER_MS)
 #define ANSWER_MAX_BYTES 65536
+#define CROWD_CONNECTIONS "40"
+#define CROWD_BODY_BYTES "262144"
 
 /*
  * A random number below `below`. The sequence depends on the seed alone; which
@@ -137,6 +139,43 @@
 	json_decref(object);
 }
 
+static void ignore_line(void *private_data, const char *line)
+{
+}
+
+/* Start clients that hold on to an instance, and come back after each refusal.
+ * What they send follows from the seed. */
+static void start_crowd(struct soak_instance *instance, uint16_t port)
+{
+	static const char *const kinds[] = { "short",	     "small-chunks",
+					     "whole",	     "announced",
+					     "headers",	     "chunk-extension",
+					     "large-chunks", "values" };
+	struct soak *soak = instance->soak;
+	size_t turn = soak->seed + (size_t)(instance - soak->instances);
+	char *program =
+		g_build_filename(soak->options.programs, "rj-crowd", NULL);
+	char *log = g_strdup_printf("%s/%s-crowd.log", soak->folder,
+				    instance->name);
+	char *to = g_strdup_printf("%u", port);
+	const char *const argv[] = {
+		program,   "--again",
+		"--port",  to,
+		"--kind",  kinds[turn % G_N_ELEMENTS(kinds)],
+		"--count", CROWD_CONNECTIONS,
+		"--body",  CROWD_BODY_BYTES,
+		"--path",  "/p/00000000000000ff",
+		NULL
+	};
+
+	soak_process_kill(&instance->crowd);
+	instance->crowd.on_line = ignore_line;
+	soak_process_start(&instance->crowd, soak->ev, argv, log);
+	g_free(program);
+	g_free(log);
+	g_free(to);
+}
+
 /* Take the ports of an instance from its start event. */
 static void handle_instance_line(void *private_data, const char *line)
 {
@@ -151,6 +190,7 @@
 	instance->ready_port = (uint16_t)json_integer_value(
 		json_object_get(object, "ready_port"));
 	instance->started = true;
+	start_crowd(instance, instance->caller_proxy.target);
 	json_decref(object);
 }
 
@@ -169,9 +209,9 @@
 		"\"reclaim_ms\":\"2900\",\"revoke_ms\":\"5000\","
 		"\"drain_ms\":\"2000\",\"cordon_ms\":\"5000\",\"stop_ms\":\"400\","
 		"\"heartbeat_ms\":\"500\",\"restore_ms\":\"300\","
-		"\"snapshot_ms\":\"400\",\"admission_forecast\":\"on\","
+		"\"memory_mb\":\"%u\",\"snapshot_ms\":\"400\",\"admission_forecast\":\"on\","
 		"\"policies\":\"health,tenants\"}",
-		instance->name, instance->log_proxy.port);
+		instance->name, instance->log_proxy.port, SOAK_MACHINE_MB);
 
 	if (!g_file_set_contents(instance->settings, text, -1, NULL))
 		g_error("%s cannot be written; free some disk space",
@@ -452,6 +492,7 @@
 		struct soak_instance *instance = &soak->instances[i];
 
 		soak_process_kill(&instance->process);
+		soak_process_kill(&instance->crowd);
 		soak_proxy_finish(&instance->caller_proxy);
 		soak_proxy_finish(&instance->log_proxy);
 		g_free(instance->settings);
--- a/src/test_soak/invariants.c
+++ b/src/test_soak/invariants.c
@@ -248,11 +248,31 @@
 			       job->id);
 }
 
+/* Check that an instance has kept to the memory of its machine. */
+static void check_memory(struct soak_instance *instance)
+{
+	char *path = g_strdup_printf("/proc/%d/status", instance->process.pid);
+	char *text = NULL;
+	const char *peak = NULL;
+
+	if (g_file_get_contents(path, &text, NULL, NULL))
+		peak = strstr(text, "VmHWM:");
+	if (peak && strtoul(peak + strlen("VmHWM:"), NULL, 10) >
+			    SOAK_MACHINE_MB * 1024UL)
+		soak_violation(instance->soak,
+			       "memory: %s took %.20s on a machine of %u MB",
+			       instance->name, peak, SOAK_MACHINE_MB);
+	g_free(text);
+	g_free(path);
+}
+
 /*
  * Check what must hold once the cluster has recovered and settled.
  */
 void soak_check_final(struct soak *soak)
 {
+	for (uint32_t i = 0; i < soak->options.instances; i++)
+		check_memory(&soak->instances[i]);
 	for (guint i = 0; i < soak->job_list->len; i++) {
 		struct soak_job *job = soak->job_list->pdata[i];
 		GHashTableIter at;
--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -23,6 +23,8 @@
 #define SOAK_INSTANCES_MAX 256
 #define SOAK_WORKERS_MAX 256
 #define SOAK_ID_BYTES 17
+/* Of the machine of an instance. */
+#define SOAK_MACHINE_MB 64
 #define SOAK_STEPS_MAX 2
 /* Number of failed runs of a task after which its job fails; `MaxAttempts` in
  * the published configuration. */
@@ -42,6 +44,7 @@
 	struct soak_process process;
 	char name[8];
 	char *settings; /* path of its settings file */
+	struct soak_process crowd; /* clients that don't behave */
 	struct soak_proxy caller_proxy; /* callers -> instance */
 	struct soak_proxy log_proxy; /* instance -> log */
 	bool started; /* its start event was read */
