--- a/src/test_libradishjunction/test_platform_settings.c
+++ b/src/test_libradishjunction/test_platform_settings.c
@@ -145,6 +145,38 @@
 	g_assert_nonnull(strstr(err.message, "set a decimal number"));
 }
 
+/* Clients take more memory or descriptors than the machine has for them. */
+static void test_limits_of_clients(void)
+{
+	struct platform_settings settings;
+	struct rj_error err;
+	static const char *const bad[] = { "\"memory_mb\":\"8\"",
+					   "\"client_memory_percent\":\"90\"",
+					   "\"client_values_max\":\"x\"",
+					   "\"client_body_max_bytes\":\"10\"" };
+	static const char required[] =
+		"\"cpu_share\":\"\",\"cpu_speed\":\"\",\"grace_s\":\"\","
+		"\"link_mbps\":\"\",\"lease_max_ms\":\"\",\"status_s\":\"\","
+		"\"reclaim_ms\":\"\",\"revoke_ms\":\"\",\"drain_ms\":\"\","
+		"\"cordon_ms\":\"\",\"stop_ms\":\"\",\"heartbeat_ms\":\"\"";
+	char *text = g_strdup_printf("%s,\"descriptors_max\":\"3075\","
+				     "\"memory_mb\":\"120\"",
+				     required);
+
+	g_assert_cmpint(load(text, &settings, &err), ==, 0);
+	g_assert_cmpuint(settings.client_memory_bytes, <, 40 << 20);
+	g_assert_cmpuint(settings.client_memory_bytes, >, 39 << 20);
+	g_assert_cmpuint(settings.client_connections_max, ==, 1150);
+	g_assert_cmpuint(settings.client_body_max_bytes, ==, 262144);
+	g_free(text);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		text = g_strdup_printf("%s,\"descriptors_max\":\"\",%s",
+				       required, bad[i]);
+		g_assert_cmpint(load(text, &settings, &err), ==, -1);
+		g_free(text);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -154,5 +186,6 @@
 	g_test_add_func("/platform_settings/features",
 			test_features_are_called_for);
 	g_test_add_func("/platform_settings/append", test_appends_fit_the_link);
+	g_test_add_func("/platform_settings/clients", test_limits_of_clients);
 	return g_test_run();
 }
