orders: a run whose start was never sent needs no stop

Cause: the first unsent start ended its run and stopped the rest of the gang; the second one's answer, unsent too, was ignored, as its run was being stopped, and the stop could not reach the worker either. Change: an unsent start ends its run also while that is being stopped, if no other start of it was sent. Before: cell_reach/unsent_gang failed.

--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -111,8 +111,14 @@
 		owner->fenced = true;
 		return;
 	}
-	if (run->state != RJ_CELL_RUN_STARTING)
-		return; /* being stopped; the answer to the stop decides */
+	if (run->state != RJ_CELL_RUN_STARTING) {
+		/* Being stopped: the answer to the stop decides, unless there
+		 * is nothing to stop. */
+		if (reply->status == RJ_CELL_ORDER_UNSENT &&
+		    run->start_tries == 1)
+			abort_start(owner, run, reply->status);
+		return;
+	}
 	switch (reply->status) {
 	case RJ_CELL_ORDER_OK:
 		rj_latency_add(&owner->counters.start_latency,
@@ -184,6 +190,7 @@
 	done.private_data = call;
 	run->start_in_flight = true;
 	run->order_tries++;
+	run->start_tries++;
 	owner->counters.starts++;
 	owner->workers->ops->start(owner->workers, worker, &start, done);
 }
--- a/src/libradishjunction/cell/cell_polls.c
+++ b/src/libradishjunction/cell/cell_polls.c
@@ -149,6 +149,7 @@
 	run->incarnation = run->worker->incarnation;
 	run->state = RJ_CELL_RUN_STARTING;
 	run->order_tries = 0;
+	run->start_tries = 1; /* of the earlier owner */
 	rj_cell_run_schedule_order(run, owner->now_us);
 	rj_log_event("start_again", RJ_LOG_TEXT("task", run->name),
 		     RJ_LOG_NUMBER("run", run->number),
--- a/src/libradishjunction/include/private/cell_active_job.h
+++ b/src/libradishjunction/include/private/cell_active_job.h
@@ -82,6 +82,7 @@
 	bool start_in_flight;
 	bool stop_in_flight;
 	uint32_t order_tries;
+	uint32_t start_tries; /* starts that may have arrived, or were unsent */
 	/* When to send the next order, see rj_cell_run_schedule_order. */
 	uint64_t order_due_us;
 	uint64_t placed_us; /* when the worker accepted it */
--- a/src/test_libradishjunction/test_cell_reach.c
+++ b/src/test_libradishjunction/test_cell_reach.c
@@ -22,6 +22,16 @@
 /* The same site; a task may fail once. */
 static const struct cell_sim_options two_attempts = { SITE, .attempts_max = 2 };
 
+/* Three workers of one rack. */
+static const struct cell_sim_options three_workers = {
+	.seed = 3,
+	.nodes = 3,
+	.workers = 3,
+	.rack_workers = 3,
+	.capacity = { 64000, 64000, 8 },
+	.guaranteed = 24,
+};
+
 /* Partitions the workers of a failure domain from all nodes and the log, or
  * heals the partition. */
 static void partition_domain(struct cell_sim *sim, const char *domain,
@@ -83,6 +93,27 @@
 	}
 }
 
+/* Guards against a gang that waits for a stop of a member whose start, as that
+ * of the others, was never sent. */
+static void test_unsent_gang_is_placed_again(struct cell_fixture *f,
+					     const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(2, 4, 1000);
+	struct cell_client_job *jobs[2];
+
+	step.gang = true;
+	/* Connecting to it fails. */
+	cell_sim_worker_partition(&f->sim, 0, true);
+	for (guint i = 0; i < G_N_ELEMENTS(jobs); i++)
+		jobs[i] = submit_job(&f->sim, 0, &step);
+	cell_sim_run(&f->sim, 1500 * MS);
+	for (guint i = 0; i < G_N_ELEMENTS(jobs); i++)
+		g_assert_cmpuint(jobs[i]->begun_us, !=, 0);
+	g_assert_cmpuint(f->sim.workers[0].runs->len, ==, 0);
+	cell_sim_worker_partition(&f->sim, 0, false);
+	cell_sim_run(&f->sim, 3 * S);
+}
+
 /* Lets a task complete during a partition of its worker; the worker deregisters
  * half a second after the partition has healed. */
 static void complete_behind_partition(struct cell_sim *sim,
@@ -633,6 +664,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD("cut_domain", test_starts_avoid_a_partitioned_domain);
+	CELL_TEST("/cell_reach/unsent_gang", &three_workers,
+		  test_unsent_gang_is_placed_again);
 	ADD("draining", test_starts_on_draining_workers_are_cancelled);
 	ADD("workers_unread", test_unread_workers_stop_all_starts);
 	ADD("completions", test_completions_are_polled_after_a_partition);
