http body: one copy of how both servers keep a body; a refused request gives no way

Both servers charged and grew bodies, and summed headers, in copies of their own. A request that was refused at its headers could still be chosen to give way, and would then have got a second answer beside its first; read in the code, not seen. It counts as complete now.

--- a/src/libradishjunction/caller/caller_request.c
+++ b/src/libradishjunction/caller/caller_request.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "private/caller_json.h"
+#include "private/http_body.h"
 #include "private/json_values.h"
 
 #define JOBS_PATH "/v1/jobs"
@@ -18,7 +19,6 @@
  * plus or minus half of it. */
 #define BUSY_RETRY_US (1 * RJ_US_PER_S)
 #define JSON_TYPE "application/json"
-#define BODY_MIN_CAPACITY_BYTES 1024
 
 /* Free the text, unless a response has taken it over. */
 static int request_destructor(struct rj_caller_request *request)
@@ -166,14 +166,6 @@
 	rj_caller_request_answer(request, &answer, NULL);
 }
 
-/* MHD iterator: add the length of one header to `*sum`. */
-static enum MHD_Result add_header(void *sum, enum MHD_ValueKind kind,
-				  const char *name, const char *value)
-{
-	*(size_t *)sum += strlen(name) + (value ? strlen(value) : 0);
-	return MHD_YES;
-}
-
 /*
  * Refuse a request that is above the connection limit, has too long headers or
  * announces too long a body, before the caller sends the body. Returns whether
@@ -186,10 +178,8 @@
 	const char *length = MHD_lookup_connection_value(
 		request->connection, MHD_HEADER_KIND,
 		MHD_HTTP_HEADER_CONTENT_LENGTH);
-	size_t headers = 0;
+	size_t headers = rj_http_headers_length(request->connection);
 
-	MHD_get_connection_values(request->connection, MHD_HEADER_KIND,
-				  add_header, &headers);
 	if (request->over_limit)
 		rj_caller_request_refuse(
 			request, 0, RJ_REASON_QUEUE_FULL,
@@ -210,24 +200,6 @@
 	return request->answered;
 }
 
-/* Ensure space for `length` more bytes of the body and charge for it. Returns
- * 0, or -1 if the budget of callers is exhausted. */
-static int reserve_body(struct rj_caller_request *request, size_t length)
-{
-	struct rj_buffer *body = &request->body;
-	size_t required = body->length + length + 1;
-	size_t max = (size_t)request->state->options.body_max_bytes + 1;
-	size_t capacity = MAX(2 * body->capacity, BODY_MIN_CAPACITY_BYTES);
-
-	if (required <= body->capacity)
-		return 0;
-	capacity = MAX(required, MIN(capacity, max));
-	if (rj_client_charge(&request->peer->client, capacity - body->capacity))
-		return -1;
-	rj_buffer_reserve(body, request, capacity);
-	return 0;
-}
-
 /*
  * Append a piece of the body. From the piece that exceeds the body limit on,
  * nothing is kept. Returns 0, or -1 if there is no memory for it and the
@@ -237,7 +209,7 @@
 				  const char *data, size_t length)
 {
 	struct rj_client *client = &request->peer->client;
-	uint64_t max = request->state->options.body_max_bytes;
+	uint32_t max = request->state->options.body_max_bytes;
 	bool was_too_long = request->body_received > max;
 
 	request->body_received += length;
@@ -253,10 +225,9 @@
 						"callers");
 		return 0;
 	}
-	if (!reserve_body(request, length)) {
-		rj_buffer_append(&request->body, request, data, length);
+	if (!rj_http_body_append(&request->body, request, client, max, data,
+				 length))
 		return 0;
-	}
 	if (client->state != RJ_CLIENT_GIVING_WAY)
 		rj_client_budget_refuse(&request->state->budget,
 					RJ_CLIENT_REFUSAL_MEMORY, "callers");
--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "private/clock.h"
+#include "private/http_body.h"
 #include "private/tcp_socket.h"
 
 /* Connections that give way are closed a little later; so many more may be open
@@ -20,7 +21,6 @@
  * header limit. */
 #define FRAMING_BYTES (8 * 1024)
 #define HEADERS_DEFAULT_BYTES (16 * 1024)
-#define BODY_MIN_CAPACITY_BYTES 1024
 #define RETRY_AFTER "1"
 
 /* A connection; the library keeps it with the socket. */
@@ -57,23 +57,6 @@
 	send_refusal(client->fd, MHD_HTTP_SERVICE_UNAVAILABLE);
 }
 
-/* Ensures space for `length` more bytes of a body and charges for it. Returns
- * 0, or -1 if the budget is exhausted. */
-static int reserve_body(struct rj_http_exchange *request, size_t length)
-{
-	struct rj_buffer *body = &request->body;
-	size_t required = body->length + length + 1;
-	size_t capacity = MAX(2 * body->capacity, BODY_MIN_CAPACITY_BYTES);
-
-	if (required <= body->capacity)
-		return 0;
-	capacity = MAX(required, MIN(capacity, (size_t)request->body_max + 1));
-	if (rj_client_charge(&request->peer->client, capacity - body->capacity))
-		return -1;
-	rj_buffer_reserve(body, request, capacity);
-	return 0;
-}
-
 /* Appends to the body. Returns 0, or -1 if the request was refused and its
  * connection is to be closed. */
 static int append_body(struct rj_http_exchange *request, const char *data,
@@ -91,10 +74,9 @@
 		send_refusal(client->fd, MHD_HTTP_CONTENT_TOO_LARGE);
 		return -1;
 	}
-	if (!reserve_body(request, length)) {
-		rj_buffer_append(&request->body, request, data, length);
+	if (!rj_http_body_append(&request->body, request, client,
+				 request->body_max, data, length))
 		return 0;
-	}
 	/* One that gave way has been answered. */
 	if (client->state != RJ_CLIENT_GIVING_WAY) {
 		rj_client_budget_refuse(listener->budget,
@@ -200,14 +182,6 @@
 	return request;
 }
 
-/* MHD iterator: adds the length of one header to `*sum`. */
-static enum MHD_Result add_header(void *sum, enum MHD_ValueKind kind,
-				  const char *name, const char *value)
-{
-	*(size_t *)sum += strlen(name) + (value ? strlen(value) : 0);
-	return MHD_YES;
-}
-
 /* Answers a request that is refused at its headers; its connection closes. */
 static void refuse(struct rj_http_exchange *request, unsigned int status,
 		   enum rj_client_refusal reason, const char *message)
@@ -216,6 +190,8 @@
 
 	rj_client_budget_refuse(listener->budget, reason, listener->name);
 	rj_http_exchange_close(request);
+	/* It has its answer, and gets no other by giving way. */
+	rj_client_complete(&request->peer->client, rj_clock_now_us());
 	if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
 		rj_http_exchange_add_header(
 			request, MHD_HTTP_HEADER_RETRY_AFTER, RETRY_AFTER);
@@ -228,10 +204,9 @@
 {
 	const char *length = rj_http_exchange_header(
 		request, MHD_HTTP_HEADER_CONTENT_LENGTH);
-	size_t headers = strlen(request->path);
+	size_t headers = strlen(request->path) +
+			 rj_http_headers_length(request->connection);
 
-	MHD_get_connection_values(request->connection, MHD_HEADER_KIND,
-				  add_header, &headers);
 	if (headers > request->server->options.headers_max_bytes)
 		refuse(request, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
 		       RJ_CLIENT_REFUSAL_HEADERS,
