callers: refused headers are counted

radishjunctiond refused long headers without a counter or an event; every other limit of clients has both. No behaviour of a request changes.

--- a/src/libradishjunction/caller/caller_request.c
+++ b/src/libradishjunction/caller/caller_request.c
@@ -185,13 +185,15 @@
 			request, 0, RJ_REASON_QUEUE_FULL,
 			"connections: all are taken; retry later "
 			"or ask another instance");
-	else if (headers > HEADERS_MAX_BYTES)
+	else if (headers > HEADERS_MAX_BYTES) {
+		rj_client_budget_refuse(&request->state->budget,
+					RJ_CLIENT_REFUSAL_HEADERS, "callers");
 		rj_caller_request_refuse(
 			request, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
 			RJ_REASON_TOO_LARGE,
 			"headers: above 8192 bytes; send fewer");
-	else if (length &&
-		 strtoull(length, NULL, 10) > options->body_max_bytes) {
+	} else if (length &&
+		   strtoull(length, NULL, 10) > options->body_max_bytes) {
 		rj_client_budget_refuse(&request->state->budget,
 					RJ_CLIENT_REFUSAL_BODY, "callers");
 		rj_caller_request_refuse(request, 0, RJ_REASON_TOO_LARGE,
