http identity: requests use a connection that has become idle

Cause: requests for a process that find no idle connection to it wait for a handshake over a new one. If that is slow to open, they all end with it; a connection that is known to lead to the process, and becomes idle when its long poll is answered, was not given to them. Change: when a connection to a process becomes idle, the first request that waits for one is sent over it. Before: http_identity/idle failed.

--- a/src/libradishjunction/http_identity.c
+++ b/src/libradishjunction/http_identity.c
@@ -19,8 +19,9 @@
 	struct rj_http_identity *owner;
 	char *key;
 	uint64_t identity;
-	struct rj_list waiting; /* struct pending */
+	struct rj_list waiting; /* struct pending; empty: all were sent */
 	uint32_t handshakes; /* sent in a row; 0: none is open */
+	uint64_t (*read_identity)(const struct rj_http_result *result);
 };
 
 /* A request until its end. */
@@ -55,13 +56,18 @@
 	talloc_free(pending);
 }
 
+static char *target_key(const char *handshake_url, uint64_t identity)
+{
+	return talloc_asprintf(NULL, "%s %llu", handshake_url,
+			       (unsigned long long)identity);
+}
+
 /* Returns the target of a request, created if there is none. */
 static struct target *obtain_target(const struct pending *pending)
 {
 	struct rj_http_identity *owner = pending->owner;
 	char *key =
-		talloc_asprintf(NULL, "%s %llu", pending->handshake.url,
-				(unsigned long long)pending->request.identity);
+		target_key(pending->handshake.url, pending->request.identity);
 	struct target *target = g_hash_table_lookup(owner->targets, key);
 
 	if (target) {
@@ -73,6 +79,7 @@
 	target->owner = owner;
 	target->key = talloc_steal(target, key);
 	target->identity = pending->request.identity;
+	target->read_identity = pending->handshake.read_identity;
 	rj_list_init(&target->waiting);
 	g_hash_table_insert(owner->targets, target->key, target);
 	return target;
@@ -101,6 +108,28 @@
 	rj_http_client_send(pending->owner->client, &request);
 }
 
+/*
+ * A connection that leads to process `identity` of the server at `handshake_url`
+ * has become idle: the first request that waits for one is sent over it.
+ *
+ * Prevents requests from waiting for the connection of a handshake, which may
+ * take long to open, beside a connection that is known and idle.
+ */
+void rj_http_identity_idle(struct rj_http_identity *identity,
+			   const char *handshake_url, uint64_t process)
+{
+	char *key = target_key(handshake_url, process);
+	struct target *target = g_hash_table_lookup(identity->targets, key);
+	struct pending *first;
+
+	talloc_free(key);
+	if (!target || target->waiting.next == &target->waiting)
+		return;
+	first = RJ_CONTAINER(target->waiting.next, struct pending, link);
+	rj_list_remove(&first->link);
+	try_send(first);
+}
+
 /* Ends all requests that wait for a target with the same result. */
 static void fail_waiting(struct target *target,
 			 const struct rj_http_result *result)
@@ -151,13 +180,16 @@
 {
 	struct target *target = *(struct target **)private_data;
 	const struct pending *first =
-		RJ_CONTAINER(target->waiting.next, struct pending, link);
+		target->waiting.next == &target->waiting ?
+			NULL :
+			RJ_CONTAINER(target->waiting.next, struct pending,
+				     link);
 	struct rj_http_result failure = *result;
 	uint64_t identity = result->outcome == RJ_HTTP_ANSWERED ?
-				    first->handshake.read_identity(result) :
+				    target->read_identity(result) :
 				    0;
 
-	if (result->outcome != RJ_HTTP_ANSWERED &&
+	if (result->outcome != RJ_HTTP_ANSWERED && first &&
 	    target->handshakes < HANDSHAKES_MAX &&
 	    rj_clock_now_us() < first->expires_us) {
 		send_handshake(target, first);
@@ -215,7 +247,14 @@
 	struct target *target;
 
 	if (result->outcome != RJ_HTTP_NO_CONNECTION) {
+		struct rj_http_identity *owner = pending->owner;
+		char *url = talloc_strdup(NULL, pending->handshake.url);
+		uint64_t process = pending->request.identity;
+
 		finish_pending(pending, result);
+		if (result->outcome == RJ_HTTP_ANSWERED)
+			rj_http_identity_idle(owner, url, process);
+		talloc_free(url);
 		return;
 	}
 	if (rj_clock_now_us() >= pending->expires_us) {
--- a/src/libradishjunction/include/private/http_identity.h
+++ b/src/libradishjunction/include/private/http_identity.h
@@ -41,6 +41,8 @@
 void rj_http_identity_send(struct rj_http_identity *identity,
 			   const struct rj_http_request *request,
 			   const struct rj_http_handshake *handshake);
+void rj_http_identity_idle(struct rj_http_identity *identity,
+			   const char *handshake_url, uint64_t process);
 void rj_http_identity_finish(struct rj_http_identity *identity);
 
 #endif
--- a/src/test_libradishjunction/test_http_identity.c
+++ b/src/test_libradishjunction/test_http_identity.c
@@ -23,6 +23,7 @@
 	uint64_t process; /* that serves the address */
 	unsigned int handshake_status; /* 0: no answer */
 	bool holds_orders; /* does not answer them */
+	bool slow_handshakes; /* they may take as long as a request */
 	bool drops_orders; /* closes their connections */
 	uint32_t handshakes; /* received */
 	uint32_t orders; /* received by the present process */
@@ -110,9 +111,11 @@
 static void send_order(struct fixture *f, uint64_t process)
 {
 	struct fixture **data = talloc(NULL, struct fixture *);
-	struct rj_http_handshake handshake = { .body = "{}",
-					       .timeout_us = SHORT_US,
-					       .read_identity = read_identity };
+	struct rj_http_handshake handshake = {
+		.body = "{}",
+		.timeout_us = f->slow_handshakes ? TIMEOUT_US : SHORT_US,
+		.read_identity = read_identity
+	};
 	struct rj_http_request request = { .method = "POST",
 					   .body = "order",
 					   .length = 5,
@@ -241,6 +244,32 @@
 	}
 }
 
+/* Guards against a request that waits for a handshake, which takes long, beside
+ * a connection to its process that has become idle. */
+static void test_idle_connection_is_used(struct fixture *f, gconstpointer data)
+{
+	struct rj_http_exchange *held;
+
+	send_order(f, 1);
+	wait_ended(f, 1);
+	f->holds_orders = true;
+	send_order(f, 1);
+	while (f->orders < 2)
+		tevent_loop_once(f->ev);
+	held = RJ_CONTAINER(f->server.open.next, struct rj_http_exchange, link);
+	f->handshake_status = 0;
+	f->slow_handshakes = true;
+	f->holds_orders = false;
+	send_order(f, 1);
+	while (f->handshakes < 2)
+		tevent_loop_once(f->ev);
+	rj_http_exchange_answer(held, 200, "", 0);
+	wait_ended(f, 3);
+	g_assert_cmpint(f->outcome, ==, RJ_HTTP_ANSWERED);
+	g_assert_cmpuint(f->orders, ==, 3);
+	g_assert_cmpuint(f->handshakes, ==, 2);
+}
+
 #define ADD(name, function)                                              \
 	g_test_add("/http_identity/" name, struct fixture, NULL, set_up, \
 		   function, tear_down)
@@ -254,6 +283,7 @@
 	ADD("restarted", test_restarted_server_gets_nothing);
 	ADD("waiting", test_waiting_requests_are_not_redirected);
 	ADD("failed", test_failed_handshakes);
+	ADD("idle", test_idle_connection_is_used);
 	ADD("lost", test_lost_request_leaves_nothing_behind);
 	return g_test_run();
 }
