--- a/src/libradishjunction/http_identity.c
+++ b/src/libradishjunction/http_identity.c
@@ -179,17 +179,15 @@
 			   const struct rj_http_result *result)
 {
 	struct target *target = *(struct target **)private_data;
+	bool is_awaited = target->waiting.next != &target->waiting;
 	const struct pending *first =
-		target->waiting.next == &target->waiting ?
-			NULL :
-			RJ_CONTAINER(target->waiting.next, struct pending,
-				     link);
+		RJ_CONTAINER(target->waiting.next, struct pending, link);
 	struct rj_http_result failure = *result;
 	uint64_t identity = result->outcome == RJ_HTTP_ANSWERED ?
 				    target->read_identity(result) :
 				    0;
 
-	if (result->outcome != RJ_HTTP_ANSWERED && first &&
+	if (result->outcome != RJ_HTTP_ANSWERED && is_awaited &&
 	    target->handshakes < HANDSHAKES_MAX &&
 	    rj_clock_now_us() < first->expires_us) {
 		send_handshake(target, first);
