--- a/review/standin-3/lib.bash
+++ b/review/standin-3/lib.bash
@@ -3,7 +3,7 @@
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 cd "$ROOT"
 ENTRY=${ENTRY:-target/bin/radishjunction-entry}
-WORLD=target/review-3/rj-world3
+WORLD=${WORLD:-target/review-3/rj-world3}
 HOST="Host: h.example"
 record=$case_dir/record.txt
 work_dir=$(mktemp -d)
@@ -92,6 +92,12 @@
 	give_up "instance $1 does not become ready"
 }
 
+# owner: the name of the instance that has become the owner last.
+owner() {
+	grep -H '"event":"own"' "$work_dir"/?.out | sed 's/.*"t_us":\([0-9]*\),"instance":"\([^"]*\)".*/\1 \2/' |
+		sort -n | tail -1 | cut -d' ' -f2
+}
+
 ctl() { curl -sf -m 2 -o /dev/null -X POST "http://$log/ctl/$1" "${@:2}"; }
 # note TEXT: writes a line into the record; no spaces.
 note() { ctl "note?$1"; }
--- a/review/standin-3/world.c
+++ b/review/standin-3/world.c
@@ -6,13 +6,16 @@
  *   rj-world3 --workers N --record FILE [--config FILE] [--gpu N] [--cpu MILLI]
  *             [--racks N] [--life MS] [--min-life MS] [--seed N] [--zones N]
  *
- * It prints its addresses as one line of JSON and runs until SIGTERM. The
+ * The last worker is of kind "b", the others of kind "a". It prints its addresses as one line of JSON and runs until SIGTERM. The
  * record has one line for each event: milliseconds, event, and what it is
  * about. POST /ctl/... on the log's address changes the behaviour:
  *   /ctl/config            publishes the body as op/config
  *   /ctl/life?ms=N         mean life of lasting runs that begin from now on
  *   /ctl/figure?alone=A&beside=B   tail of a serving run, alone and beside
  *                          runs that fill
+ *   /ctl/refuse?worker=I&on=0|1   worker I answers starts with 503
+ *   /ctl/cut?worker=I&on=0|1   worker I is cut off from the instances
+ *   /ctl/fail?JOB          all runs of a job end as failed, by their own fault
  *   /ctl/policy-moved      the policy service leaves its first address
  *   /ctl/note?TEXT         writes a line into the record
  */
@@ -120,6 +123,8 @@
 	int64_t sequence;
 	int zone;
 	int rack;
+	bool refuses; /* starts, as it is unhealthy */
+	bool cut; /* off from all instances; its runs go on */
 };
 
 struct connection {
@@ -273,9 +278,9 @@
 
 	if (topic->count == topic->capacity) {
 		topic->capacity = topic->capacity * 2 + 64;
-		topic->records = realloc(topic->records,
-					 topic->capacity *
-						 sizeof(*topic->records));
+		topic->records =
+			realloc(topic->records,
+				topic->capacity * sizeof(*topic->records));
 	}
 	record = &topic->records[topic->count++];
 	record->key = strndup(key, key_length);
@@ -464,10 +469,10 @@
 		base64(&value, (unsigned char *)sorted[i]->value,
 		       sorted[i]->length);
 		json_array_append_new(
-			items, json_pack("{s:s,s:s,s:I}", "Key", sorted[i]->key,
-					 "Value", value.data, "Offset",
-					 (json_int_t)(sorted[i] -
-						      topic->records)));
+			items,
+			json_pack("{s:s,s:s,s:I}", "Key", sorted[i]->key,
+				  "Value", value.data, "Offset",
+				  (json_int_t)(sorted[i] - topic->records)));
 		free(value.data);
 	}
 	free(sorted);
@@ -477,6 +482,15 @@
 			      (json_int_t)topic->count));
 }
 
+static void fail_runs(const char *job)
+{
+	note("ctl fail %s", job);
+	for (int i = 0; i < worker_count; i++)
+		for (int j = 0; j < workers[i].run_count; j++)
+			if (!strncmp(workers[i].runs[j].name, job, strlen(job)))
+				workers[i].runs[j].fails_ms = steady_ms();
+}
+
 static void handle_log(struct connection *connection, const char *path,
 		       const char *query, const char *body, size_t length)
 {
@@ -512,6 +526,23 @@
 		note("ctl figure alone=%lld beside=%lld",
 		     (long long)figure_alone, (long long)figure_beside);
 		answer(connection, 200, "{}", 2);
+	} else if (!strcmp(path, "/ctl/refuse")) {
+		uint64_t i = number(query, "worker");
+
+		if (i < (uint64_t)worker_count)
+			workers[i].refuses = number(query, "on");
+		note("ctl refuse %s", query);
+		answer(connection, 200, "{}", 2);
+	} else if (!strcmp(path, "/ctl/cut")) {
+		uint64_t i = number(query, "worker");
+
+		if (i < (uint64_t)worker_count)
+			workers[i].cut = number(query, "on");
+		note("ctl cut %s", query);
+		answer(connection, 200, "{}", 2);
+	} else if (!strcmp(path, "/ctl/fail")) {
+		fail_runs(query);
+		answer(connection, 200, "{}", 2);
 	} else if (!strcmp(path, "/ctl/policy-moved")) {
 		close(policy_listeners[0]);
 		policy_listeners[0] = -1;
@@ -543,14 +574,14 @@
 		char ticket[64];
 
 		snprintf(ticket, sizeof(ticket), "t-%s", json_string_value(id));
-		json_array_append_new(eligible,
-				      json_pack("[s,s]", json_string_value(id),
-						ticket));
+		json_array_append_new(
+			eligible,
+			json_pack("[s,s]", json_string_value(id), ticket));
 	}
 	note("advise %s", json_string_value(json_object_get(request, "Step")));
-	answer_json(connection, 200,
-		    json_pack("{s:o,s:i}", "Eligible", eligible, "ValidMs",
-			      3000));
+	answer_json(
+		connection, 200,
+		json_pack("{s:o,s:i}", "Eligible", eligible, "ValidMs", 3000));
 	json_decref(request);
 }
 
@@ -608,11 +639,11 @@
 		if (run->serves)
 			figure = fills_beside(worker) ? figure_beside :
 							figure_alone;
-		json_array_append_new(
-			running, json_pack("[s,I,s,I,I]", run->name,
-					   (json_int_t)run->number, "",
-					   (json_int_t)percent,
-					   (json_int_t)figure));
+		json_array_append_new(running,
+				      json_pack("[s,I,s,I,I]", run->name,
+						(json_int_t)run->number, "",
+						(json_int_t)percent,
+						(json_int_t)figure));
 	}
 	for (int i = 0; i < worker->end_count && i < LIST_MAX; i++)
 		json_array_append_new(
@@ -633,7 +664,7 @@
 {
 	for (int i = 0; i < CONNECTIONS_MAX; i++)
 		if (connections[i].fd > 0 && connections[i].waits &&
-		    connections[i].worker == worker)
+		    connections[i].worker == worker && !worker->cut)
 			send_lists(&connections[i]);
 }
 
@@ -649,8 +680,8 @@
 	end->number = run->number;
 	end->how = how;
 	*closed_of(worker, run->name) = run->number;
-	note("end %s %s %lld %s", worker->id, run->name,
-	     (long long)run->number, how);
+	note("end %s %s %lld %s", worker->id, run->name, (long long)run->number,
+	     how);
 	*run = worker->runs[--worker->run_count];
 }
 
@@ -712,6 +743,12 @@
 		json_integer_value(json_object_get(order, "RunId"));
 	struct run *run = find_run(worker, name);
 
+	if (worker->refuses) {
+		note("refused %s %s %lld", worker->id, name,
+		     (long long)run_number);
+		answer(connection, 503, "{}", 2);
+		return;
+	}
 	if (run && run->number == run_number) {
 		accept_order(connection);
 		return;
@@ -826,8 +863,9 @@
 		"Service", "render", "Address", address, "Zone", zone,
 		"Version", "1", "Slots", 8, "State", "ready", "ColdLeftMs", 0,
 		"Sequence", (json_int_t)++worker->sequence, "Capacity", "Cpu",
-		cpu_milli, "MemMb", 262144, "Gpu", gpu, "Labels", "a", rack,
-		"born", (json_int_t)worker->born_ms);
+		cpu_milli, "MemMb", 262144, "Gpu", gpu, "Labels",
+		worker == &workers[worker_count - 1] ? "b" : "a", rack, "born",
+		(json_int_t)worker->born_ms);
 	text = json_dumps(entry, JSON_COMPACT);
 	append(topic_of("keyed.servers"), worker->id, strlen(worker->id), text,
 	       strlen(text));
@@ -1002,33 +1040,38 @@
 	int64_t now;
 
 	for (int i = 0; i < CONNECTIONS_MAX; i++) {
-		if (connections[i].fd <= 0)
+		if (connections[i].fd <= 0 ||
+		    (connections[i].worker && connections[i].worker->cut))
 			continue;
 		owners[count] = &connections[i];
 		fds[count++] = (struct pollfd){
 			.fd = connections[i].fd,
-			.events = (short)(POLLIN | (connections[i].out.length ?
-							    POLLOUT :
-							    0))
+			.events = (short)(POLLIN |
+					  (connections[i].out.length ? POLLOUT :
+								       0))
 		};
 	}
 	open = count;
 	fds[count++] = (struct pollfd){ .fd = log_listener, .events = POLLIN };
 	for (int i = 0; i < worker_count; i++)
-		fds[count++] = (struct pollfd){ .fd = workers[i].listener,
-						.events = POLLIN };
+		if (!workers[i].cut)
+			fds[count++] =
+				(struct pollfd){ .fd = workers[i].listener,
+						 .events = POLLIN };
 	for (int i = 0; i < 2; i++)
 		if (policy_listeners[i] > 0)
-			fds[count++] = (struct pollfd){
-				.fd = policy_listeners[i], .events = POLLIN
-			};
+			fds[count++] =
+				(struct pollfd){ .fd = policy_listeners[i],
+						 .events = POLLIN };
 	poll(fds, (nfds_t)count, 5);
 	for (int i = 0; i < open; i++)
 		if (fds[i].revents && owners[i]->fd == fds[i].fd)
 			serve_connection(owners[i], fds[i].revents);
 	accept_connections(log_listener, NULL, -1);
 	for (int i = 0; i < worker_count; i++)
-		accept_connections(workers[i].listener, &workers[i], -1);
+		if (!workers[i].cut)
+			accept_connections(workers[i].listener, &workers[i],
+					   -1);
 	for (int i = 0; i < 2; i++)
 		if (policy_listeners[i] > 0)
 			accept_connections(policy_listeners[i], NULL, i);
@@ -1038,7 +1081,8 @@
 	for (int i = 0; i < CONNECTIONS_MAX; i++) {
 		struct connection *waiting = &connections[i];
 
-		if (waiting->fd <= 0)
+		if (waiting->fd <= 0 ||
+		    (waiting->worker && waiting->worker->cut))
 			continue;
 		if (waiting->waits && now >= waiting->until_ms) {
 			if (waiting->worker)
@@ -1113,7 +1157,6 @@
 	while (!stopping)
 		turn();
 	for (int i = 0; i < worker_count; i++)
-		note("left %s running=%d", workers[i].id,
-		     workers[i].run_count);
+		note("left %s running=%d", workers[i].id, workers[i].run_count);
 	return 0;
 }
