--- a/review/standin-3/lib.bash
+++ b/review/standin-3/lib.bash
@@ -27,16 +27,13 @@
 [ -x "$ENTRY" ] && [ -x "$WORLD" ] ||
 	give_up "run the build of deploy/system.toml and review/build-3.sh first"
 
-# start_world OPTIONS: the log and the workers; sets `log`, `policy`
-# and `policy_next`.
+# start_world OPTIONS: the log and the workers; sets `log`.
 start_world() {
 	"$WORLD" --record "$record" "$@" >"$work_dir/world.out" &
 	pids+=($!)
 	world_pid=$!
 	for _ in $(seq 100); do
 		log=$(grep -o '"log":"[^"]*"' "$work_dir/world.out" | cut -d'"' -f4)
-		policy=$(grep -o '"policy":"[^"]*"' "$work_dir/world.out" | cut -d'"' -f4)
-		policy_next=$(grep -o '"policy_next":"[^"]*"' "$work_dir/world.out" | cut -d'"' -f4)
 		[ -n "$log" ] && return
 		sleep 0.05
 	done
@@ -51,7 +48,7 @@
 		-e 's/{{Ip}}:{{PortRange.0}}/127.0.0.1:0/' \
 		-e "s/{{platform.Address|json}}/\"$log\"/" \
 		-e 's/{{Limits.CpuShare}}/0.25/' -e 's/{{Limits.Cores}}/1/' \
-		-e 's/{{Commands|json}}/"rpc"/' -e "s/{{Hint}}/${hint:-}/" \
+		-e 's/{{Commands|json}}/"rpc"/' -e 's/{{Hint}}//' \
 		-e 's/{{Bounds.GraceS}}/6/' -e 's/{{Bounds.HoldMaxMs}}/6000/' \
 		-e 's/{{Bounds.status_s}}/120/' -e 's/{{Bounds.ReclaimMs}}/2900/' \
 		-e 's/{{Bounds.RevokeMs}}/5000/' -e 's/{{Bounds.DrainMs}}/2000/' \
--- a/review/standin-3/world.c
+++ b/review/standin-3/world.c
@@ -3,20 +3,19 @@
  * scripts of this review. It uses its own HTTP server and no code of the
  * project. One process, one thread; every address is 127.0.0.1.
  *
- *   rj-world3 --workers N --record FILE [--config FILE] [--gpu N] [--cpu MILLI]
- *             [--racks N] [--life MS] [--min-life MS] [--seed N] [--zones N]
+ *   rj-world3 --workers N --record FILE [--gpu N] [--cpu MILLI] [--racks N]
+ *             [--life MS] [--seed N]
  *
- * The last worker is of kind "b", the others of kind "a". It prints its addresses as one line of JSON and runs until SIGTERM. The
- * record has one line for each event: milliseconds, event, and what it is
- * about. POST /ctl/... on the log's address changes the behaviour:
+ * The last worker is of kind "b", the others of kind "a". The program prints its
+ * addresses as one line of JSON and runs until SIGTERM. The record has one line
+ * for each event: milliseconds, event, and what it is about. POST /ctl/... on the
+ * log's address changes the behaviour:
  *   /ctl/config            publishes the body as op/config
- *   /ctl/life?ms=N         mean life of lasting runs that begin from now on
  *   /ctl/figure?alone=A&beside=B   tail of a serving run, alone and beside
  *                          runs that fill
  *   /ctl/refuse?worker=I&on=0|1   worker I answers starts with 503
  *   /ctl/cut?worker=I&on=0|1   worker I is cut off from the instances
  *   /ctl/fail?JOB          all runs of a job end as failed, by their own fault
- *   /ctl/policy-moved      the policy service leaves its first address
  *   /ctl/note?TEXT         writes a line into the record
  */
 #define _GNU_SOURCE
@@ -121,7 +120,6 @@
 	int closed_count;
 	int64_t heartbeat_ms;
 	int64_t sequence;
-	int zone;
 	int rack;
 	bool refuses; /* starts, as it is unhealthy */
 	bool cut; /* off from all instances; its runs go on */
@@ -129,9 +127,7 @@
 
 struct connection {
 	int fd;
-	struct worker *worker; /* NULL: of the log or the policy service */
-	bool policy;
-	int policy_address; /* 0 or 1 */
+	struct worker *worker; /* NULL: of the log */
 	struct buffer in;
 	struct buffer out;
 	/* A call that waits. */
@@ -150,20 +146,16 @@
 static struct connection connections[CONNECTIONS_MAX];
 static int log_listener;
 static int log_port;
-/* The policy service, at its first address and at the one it moves to. */
-static int policy_listeners[2];
-static int policy_ports[2];
 static FILE *record_file;
 static int64_t start_ms;
 static volatile sig_atomic_t stopping;
 static int64_t life_ms;
-static int64_t life_min_ms = 1000;
+static const int64_t life_min_ms = 1000;
 static int64_t figure_alone = 20;
 static int64_t figure_beside = 20;
 static int gpu = 8;
 static int cpu_milli = 64000;
 static int racks = 2;
-static int zones = 1;
 
 static int64_t steady_ms(void)
 {
@@ -516,10 +508,6 @@
 	} else if (!strcmp(path, "/ctl/config")) {
 		append(topic_of("keyed.op"), "config", 6, body, length);
 		answer(connection, 200, "{}", 2);
-	} else if (!strcmp(path, "/ctl/life")) {
-		life_ms = (int64_t)number(query, "ms");
-		note("ctl life %lld", (long long)life_ms);
-		answer(connection, 200, "{}", 2);
 	} else if (!strcmp(path, "/ctl/figure")) {
 		figure_alone = (int64_t)number(query, "alone");
 		figure_beside = (int64_t)number(query, "beside");
@@ -543,15 +531,6 @@
 	} else if (!strcmp(path, "/ctl/fail")) {
 		fail_runs(query);
 		answer(connection, 200, "{}", 2);
-	} else if (!strcmp(path, "/ctl/policy-moved")) {
-		close(policy_listeners[0]);
-		policy_listeners[0] = -1;
-		for (int i = 0; i < CONNECTIONS_MAX; i++)
-			if (connections[i].fd > 0 && connections[i].policy &&
-			    connections[i].policy_address == 0)
-				shutdown(connections[i].fd, SHUT_RDWR);
-		note("ctl policy service no longer at its first address");
-		answer(connection, 200, "{}", 2);
 	} else if (!strcmp(path, "/ctl/note")) {
 		note("%s", query);
 		answer(connection, 200, "{}", 2);
@@ -560,31 +539,6 @@
 	}
 }
 
-/* The policy service: all workers may run all steps. */
-
-static void handle_advise(struct connection *connection, const char *body)
-{
-	json_t *request = json_loads(body, 0, NULL);
-	json_t *eligible = json_array();
-	json_t *id;
-	size_t i;
-
-	json_array_foreach(json_object_get(request, "Workers"), i, id)
-	{
-		char ticket[64];
-
-		snprintf(ticket, sizeof(ticket), "t-%s", json_string_value(id));
-		json_array_append_new(
-			eligible,
-			json_pack("[s,s]", json_string_value(id), ticket));
-	}
-	note("advise %s", json_string_value(json_object_get(request, "Step")));
-	answer_json(
-		connection, 200,
-		json_pack("{s:o,s:i}", "Eligible", eligible, "ValidMs", 3000));
-	json_decref(request);
-}
-
 /* Workers. */
 
 static int64_t clock_ms(const struct worker *worker)
@@ -711,7 +665,7 @@
 	       (int64_t)(-log(1 - part) * (double)(life_ms - life_min_ms));
 }
 
-/* Begins a run. The spec is "lasts", "serves", or a duration in ms. */
+/* Begins a run. The spec is a duration in ms; or "serves" or "crashes". */
 static void begin_run(struct worker *worker, const char *name, int64_t number,
 		      const char *spec)
 {
@@ -727,8 +681,6 @@
 	run->serves = !strncmp(spec, "serves", 6);
 	if (!strncmp(spec, "crashes", 7) && life_ms)
 		run->fails_ms = run->begun_ms + draw_life();
-	if (!strncmp(spec, "advised ", 8))
-		spec += 8;
 	if (spec[0] >= '0' && spec[0] <= '9')
 		run->ends_ms = run->begun_ms + strtoll(spec, NULL, 10);
 	note("start %s %s %lld %s", worker->id, name, (long long)number, spec);
@@ -757,16 +709,6 @@
 		reject(connection, "old");
 		return;
 	}
-	if (!strncmp(spec, "advised", 7)) {
-		const char *ticket =
-			json_string_value(json_object_get(order, "Ticket"));
-
-		if (!ticket || strncmp(ticket, "t-", 2) != 0 ||
-		    strcmp(ticket + 2, worker->id) != 0) {
-			reject(connection, "ticket");
-			return;
-		}
-	}
 	if (steady_ms() >= worker->lease_until_ms) {
 		reject(connection, "late");
 		return;
@@ -851,16 +793,14 @@
 {
 	char address[32];
 	char rack[16];
-	char zone[16];
 	json_t *entry;
 	char *text;
 
 	snprintf(address, sizeof(address), "127.0.0.1:%d", worker->port);
 	snprintf(rack, sizeof(rack), "r%d", worker->rack);
-	snprintf(zone, sizeof(zone), "z%d", worker->zone);
 	entry = json_pack(
 		"{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:{s:i,s:i,s:i},s:[s,s],s:I}",
-		"Service", "render", "Address", address, "Zone", zone,
+		"Service", "render", "Address", address, "Zone", "z0",
 		"Version", "1", "Slots", 8, "State", "ready", "ColdLeftMs", 0,
 		"Sequence", (json_int_t)++worker->sequence, "Capacity", "Cpu",
 		cpu_milli, "MemMb", 262144, "Gpu", gpu, "Labels",
@@ -939,9 +879,7 @@
 	memcpy(body, in->data + head_length, body_length);
 	body[body_length] = 0;
 	drop_front(in, head_length + body_length);
-	if (connection->policy)
-		handle_advise(connection, body);
-	else if (connection->worker)
+	if (connection->worker)
 		handle_worker(connection, path, target, body);
 	else
 		handle_log(connection, path, query ? query : "", body,
@@ -1008,8 +946,7 @@
 	return fd;
 }
 
-static void accept_connections(int listener, struct worker *worker,
-			       int policy_address)
+static void accept_connections(int listener, struct worker *worker)
 {
 	int one = 1;
 	int fd;
@@ -1026,14 +963,12 @@
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 		connections[i].fd = fd;
 		connections[i].worker = worker;
-		connections[i].policy = policy_address >= 0;
-		connections[i].policy_address = policy_address;
 	}
 }
 
 static void turn(void)
 {
-	static struct pollfd fds[CONNECTIONS_MAX + WORKERS_MAX + 3];
+	static struct pollfd fds[CONNECTIONS_MAX + WORKERS_MAX + 1];
 	static struct connection *owners[CONNECTIONS_MAX];
 	int count = 0;
 	int open = 0;
@@ -1058,23 +993,14 @@
 			fds[count++] =
 				(struct pollfd){ .fd = workers[i].listener,
 						 .events = POLLIN };
-	for (int i = 0; i < 2; i++)
-		if (policy_listeners[i] > 0)
-			fds[count++] =
-				(struct pollfd){ .fd = policy_listeners[i],
-						 .events = POLLIN };
 	poll(fds, (nfds_t)count, 5);
 	for (int i = 0; i < open; i++)
 		if (fds[i].revents && owners[i]->fd == fds[i].fd)
 			serve_connection(owners[i], fds[i].revents);
-	accept_connections(log_listener, NULL, -1);
+	accept_connections(log_listener, NULL);
 	for (int i = 0; i < worker_count; i++)
 		if (!workers[i].cut)
-			accept_connections(workers[i].listener, &workers[i],
-					   -1);
-	for (int i = 0; i < 2; i++)
-		if (policy_listeners[i] > 0)
-			accept_connections(policy_listeners[i], NULL, i);
+			accept_connections(workers[i].listener, &workers[i]);
 	for (int i = 0; i < worker_count; i++)
 		advance(&workers[i]);
 	now = steady_ms();
@@ -1121,12 +1047,8 @@
 			cpu_milli = (int)value;
 		else if (!strcmp(name, "--racks"))
 			racks = (int)value;
-		else if (!strcmp(name, "--zones"))
-			zones = (int)value;
 		else if (!strcmp(name, "--life"))
 			life_ms = value;
-		else if (!strcmp(name, "--min-life"))
-			life_min_ms = value;
 		else if (!strcmp(name, "--seed"))
 			srand48(value);
 	}
@@ -1136,11 +1058,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	start_ms = steady_ms();
 	log_listener = listen_free(&log_port);
-	for (int i = 0; i < 2; i++)
-		policy_listeners[i] = listen_free(&policy_ports[i]);
-	printf("{\"log\":\"127.0.0.1:%d\",\"policy\":\"127.0.0.1:%d\","
-	       "\"policy_next\":\"127.0.0.1:%d\",\"workers\":[",
-	       log_port, policy_ports[0], policy_ports[1]);
+	printf("{\"log\":\"127.0.0.1:%d\",\"workers\":[", log_port);
 	for (int i = 0; i < worker_count; i++) {
 		struct worker *worker = &workers[i];
 
@@ -1149,7 +1067,6 @@
 		worker->born_ms = unix_ms();
 		worker->clock_base_ms = steady_ms() - 1000;
 		worker->rack = i % racks;
-		worker->zone = i % zones;
 		printf("%s\"127.0.0.1:%d\"", i ? "," : "", worker->port);
 	}
 	printf("]}\n");
