--- a/review/standin-3/lib.bash
+++ b/review/standin-3/lib.bash
@@ -1,11 +1,10 @@
 # Functions of the scripts of this review; to be sourced by a run.sh that has set
-# `case_dir`. Processes are started with the command of deploy/system.toml.
+# `case_dir` and `record`. Processes are started with the command of deploy/system.toml.
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 cd "$ROOT"
 ENTRY=${ENTRY:-target/bin/radishjunction-entry}
 WORLD=${WORLD:-target/review-3/rj-world3}
 HOST="Host: h.example"
-record=$case_dir/record.txt
 work_dir=$(mktemp -d)
 pids=()
 
