--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,6 +4,7 @@
 # rule CONFIG was broken, 0 if it held, 2 if the case could not run. TROUBLE=0:
 # the new tenant's name has 11 characters.
 case_dir=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
+record=$case_dir/record.txt
 . "$case_dir/../standin-3/lib.bash"
 REVOKE_S=5
 LONG_NAME="associacao-de-oficinas-de-encadernacao-e-gravura-do-vale-do-sul"
