--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -5,8 +5,10 @@
 # the rule LOST was broken, 0 if it held, 2 if the case could not run. TROUBLE=0:
 # nothing is cut off or killed.
 case_dir=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
+record=$case_dir/record.txt
 . "$case_dir/../standin-3/lib.bash"
 WORKERS=7
+job=00000000000000a1
 CUT_S=4
 
 start_world --workers $WORKERS --racks 2
@@ -17,7 +19,9 @@
 submit a /p/00000000000000a1 k1 \
 	'{"Spec":"4000","Steps":[{"Count":2,"Cpu":1000,"MemMb":256,"Gpu":8,"EstimateMs":4000,"Gang":true}]}'
 sleep 1
-cut_worker=$(grep ' start .* 00000000000000a1.0.0.1 ' "$record" | head -1 | cut -d' ' -f3 | tr -d w)
+# The worker of the second member, the subtask ID.K.STEP.INDEX with index 1.
+second=$(printf '%s.%d.%d.%d' "$job" 0 0 1)
+cut_worker=$(grep -F " $second " "$record" | grep -m1 ' start ' | cut -d' ' -f3 | tr -d w)
 [ -n "$cut_worker" ] || give_up "the gang does not start"
 [ "${TROUBLE:-1}" = 0 ] || ctl "cut?worker=$cut_worker&on=1"
 sleep 0.2
