--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,6 +4,7 @@
 # the rule LOST was broken, 0 if it held, 2 if the case could not run. TROUBLE=0:
 # the gang is not handed in.
 case_dir=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
+record=$case_dir/record.txt
 . "$case_dir/../standin-3/lib.bash"
 WORKERS=7
 PLAY_S=${PLAY_S:-40}
