cells: a gang's failure counts once, whichever owners hear of it

Both members failed in one run; the owner that heard the first was killed, and its successor counted the second as a new one.

Cause: the record of a job holds the number of failures, but the run that they belong to only for gangs with unreported ends. A gang also remembered one run only, so that a late end of an earlier one could count again.

Excluded: a second run, and an end that is applied twice: the logs have one run_end for each member.

Change: the runs that make up a gang's failures are kept as a set and stored with their number; so are losses and stalls of a task, which limit preemption and lengthen the stall timeout over its whole life.

--- a/src/libradishjunction/cell/cell_active_job.c
+++ b/src/libradishjunction/cell/cell_active_job.c
@@ -193,6 +193,43 @@
 	return rj_cell_task_step(task)->gang ? task - task->index : task;
 }
 
+/*
+ * Whether a member of the gang has failed in the run with this number, and the
+ * gang's failures include it.
+ */
+bool rj_cell_task_has_failed_in(const struct rj_cell_task *head,
+				uint32_t number)
+{
+	for (uint32_t i = 0; i < head->failed_run_count; i++)
+		if (head->failed_runs[i] == number)
+			return true;
+	return false;
+}
+
+/*
+ * Records that a run of a task, or of the gang of which it is the head, has
+ * failed. Returns whether this is a further failure: members of a gang that
+ * fail in the same run are one failure of the gang.
+ */
+bool rj_cell_task_add_failed_run(struct rj_cell_task *head, uint32_t number)
+{
+	if (!rj_cell_task_step(head)->gang)
+		return true;
+	if (rj_cell_task_has_failed_in(head, number))
+		return false;
+	if (head->failed_run_count == RJ_CELL_FAILED_RUNS_MAX) {
+		head->failed_run_count--;
+		memmove(head->failed_runs, head->failed_runs + 1,
+			head->failed_run_count * sizeof(*head->failed_runs));
+	}
+	head->failed_runs =
+		talloc_realloc(head->occurrence, head->failed_runs, uint32_t,
+			       head->failed_run_count + 1);
+	assert(head->failed_runs);
+	head->failed_runs[head->failed_run_count++] = number;
+	return true;
+}
+
 /*
  * Formats the name under which workers report a task: job, occurrence, step and
  * index.
--- a/src/libradishjunction/cell/cell_completions.c
+++ b/src/libradishjunction/cell/cell_completions.c
@@ -242,12 +242,15 @@
 	const struct rj_cell_step *step = rj_cell_task_step(task);
 	struct rj_cell_task *head = rj_cell_task_head(task);
 	struct rj_cell_job *job = task->occurrence->job;
-
-	/* Members that fail in the same run count as one failure of the
-	 * gang. */
-	if (head->failed_run != run->number)
-		head->failures++;
-	head->failed_run = run->number;
+	bool further = rj_cell_task_add_failed_run(head, run->number);
+
+	head->failures += further;
+	rj_log_event("run_failed", RJ_LOG_TEXT("task", run->name),
+		     RJ_LOG_NUMBER("run", run->number),
+		     RJ_LOG_NUMBER("further", further),
+		     RJ_LOG_NUMBER("failures", head->failures),
+		     RJ_LOG_NUMBER("unreported", head->unreported),
+		     RJ_LOG_NUMBER("attempts", job->job_spec->attempts_max));
 	rj_cell_completions_avoid_worker(owner, task, run->worker);
 	/* A gang starts again once this has passed for all of its members. */
 	task->not_before_us =
@@ -367,7 +370,7 @@
 
 	/* Members of one run count as one failure at most. */
 	if (head->unreported_run != run->number &&
-	    head->failed_run != run->number)
+	    !rj_cell_task_has_failed_in(head, run->number))
 		head->unreported++;
 	head->unreported_run = run->number;
 	head->unreported_until_us =
@@ -495,7 +498,8 @@
 	struct rj_cell_job *job;
 
 	if (!head || row->end != RJ_CELL_COMPLETION_FAILED ||
-	    !head->unreported || head->failed_run == row->number)
+	    !head->unreported ||
+	    !rj_cell_task_add_failed_run(head, row->number))
 		return;
 	head->unreported--;
 	head->failures++;
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -37,6 +37,11 @@
 /* Buffer size of the longest checkpoint in a record. */
 #define CHECKPOINT_BYTES 40
 
+/* In place of a failed run's number, these mark rows of write_histories with
+ * another value. */
+#define ROW_STALLS UINT32_MAX
+#define ROW_LOSSES (UINT32_MAX - 1)
+
 /* How a task is encoded. */
 enum task_code {
 	TASK_NOT_STARTED, /* no run and no failure so far */
@@ -193,13 +198,47 @@
 	}
 }
 
+/* A row of write_task_rows. */
+static void write_row(struct rj_packer *out, const struct rj_cell_task *task,
+		      uint32_t position, uint32_t failed_run,
+		      uint32_t unreported, uint32_t value)
+{
+	rj_pack_number(out, task->occurrence->number);
+	rj_pack_number(out, position);
+	rj_pack_number(out, failed_run);
+	rj_pack_number(out, unreported);
+	rj_pack_number(out, value);
+}
+
+/* Encodes what a task has lost so far, and of which runs the failures of a gang
+ * consist. */
+static void write_history(struct rj_packer *out,
+			  const struct rj_cell_task *task, uint32_t position)
+{
+	uint32_t count = task->failed_run_count;
+
+	if (task->stalls)
+		write_row(out, task, position, ROW_STALLS, 0, task->stalls);
+	if (task->losses)
+		write_row(out, task, position, ROW_LOSSES, 0, task->losses);
+	for (uint32_t i = 0; i + 1 < count; i++)
+		write_row(out, task, position, task->failed_runs[i], 0, 0);
+	if (count || task->unreported)
+		write_row(out, task, position,
+			  count ? task->failed_runs[count - 1] : 0,
+			  task->unreported, task->unreported_run);
+}
+
 /*
- * Encodes the gang failures that no worker has reported yet, one row per gang.
- * They follow all other fields up to the end of the record, which earlier
- * versions do not read.
+ * Encodes what decides the meaning of further ends of a job's tasks, in rows of
+ * five numbers up to the end of the record.
+ *
+ * Earlier versions read the last row of a task as its last failed run and its
+ * unreported failures, and the first versions read none. They take ROW_STALLS
+ * and ROW_LOSSES for a run that does not exist.
  */
-static void write_unreported(struct rj_packer *out,
-			     const struct rj_cell_job *job)
+static void write_histories(struct rj_packer *out,
+			    const struct rj_cell_job *job)
 {
 	const struct rj_list *at;
 
@@ -208,17 +247,9 @@
 		const struct rj_cell_occurrence *occurrence =
 			RJ_CONTAINER(at, struct rj_cell_occurrence, link);
 
-		for (uint32_t i = 0; i < job->job_spec->task_count; i++) {
-			const struct rj_cell_task *task = &occurrence->tasks[i];
-
-			if (!task->unreported || task->done)
-				continue;
-			rj_pack_number(out, occurrence->number);
-			rj_pack_number(out, i);
-			rj_pack_number(out, task->failed_run);
-			rj_pack_number(out, task->unreported);
-			rj_pack_number(out, task->unreported_run);
-		}
+		for (uint32_t i = 0; i < job->job_spec->task_count; i++)
+			if (!occurrence->tasks[i].done)
+				write_history(out, &occurrence->tasks[i], i);
 	}
 }
 
@@ -252,7 +283,7 @@
 			rj_pack_text(&out, worker->id);
 		}
 		write_occurrences(&out, job, &table);
-		write_unreported(&out, job);
+		write_histories(&out, job);
 	}
 	g_ptr_array_free(table.workers, TRUE);
 	g_hash_table_destroy(table.index);
@@ -358,6 +389,8 @@
 		rj_unpack_text(in, "checkpoint", checkpoint,
 			       sizeof(checkpoint));
 		rj_cell_task_set_checkpoint(task, checkpoint);
+		if (task->failures)
+			rj_cell_task_set_begun(task, 0);
 		read_runs(in, task, workers, now_us);
 		break;
 	default:
@@ -401,11 +434,38 @@
 	return NULL;
 }
 
-/* Decodes the output of write_unreported. The owner, which knows the lease
- * duration, limits how long these failures count. */
-static void read_unreported(struct rj_unpacker *in, struct rj_cell_job *job)
+/* Decodes a row of write_history. The owner, which knows the lease duration,
+ * limits how long unreported failures count. */
+static void read_row(struct rj_unpacker *in, struct rj_cell_task *task)
 {
-	while (!in->bad_field && in->offset < in->length) {
+	uint32_t failed_run =
+		(uint32_t)rj_unpack_number(in, "failed_run", UINT32_MAX);
+	uint32_t unreported =
+		(uint32_t)rj_unpack_number(in, "unseen", UINT32_MAX);
+	uint32_t value =
+		(uint32_t)rj_unpack_number(in, "unseen_run", UINT32_MAX);
+
+	switch (failed_run) {
+	case ROW_STALLS:
+		task->stalls = value;
+		return;
+	case ROW_LOSSES:
+		task->losses = value;
+		return;
+	default:
+		break;
+	}
+	if (failed_run)
+		(void)rj_cell_task_add_failed_run(task, failed_run);
+	task->unreported = unreported;
+	task->unreported_run = value;
+	task->unreported_until_us = RJ_NEVER_US;
+}
+
+/* Decodes the output of write_histories. */
+static void read_histories(struct rj_unpacker *in, struct rj_cell_job *job)
+{
+	while (rj_unpack_has_more(in)) {
 		uint32_t occurrence = (uint32_t)rj_unpack_number(
 			in, "unseen_round", UINT32_MAX);
 		uint32_t position = (uint32_t)rj_unpack_number(
@@ -416,13 +476,7 @@
 			rj_unpack_fail(in, "unseen_task");
 			return;
 		}
-		task->failed_run = (uint32_t)rj_unpack_number(in, "failed_run",
-							      UINT32_MAX);
-		task->unreported =
-			(uint32_t)rj_unpack_number(in, "unseen", UINT32_MAX);
-		task->unreported_run = (uint32_t)rj_unpack_number(
-			in, "unseen_run", UINT32_MAX);
-		task->unreported_until_us = RJ_NEVER_US;
+		read_row(in, task);
 	}
 }
 
@@ -459,7 +513,7 @@
 					rj_cell_fleet_obtain(fleet, id));
 		}
 		read_occurrences(&in, job, workers, now_us);
-		read_unreported(&in, job);
+		read_histories(&in, job);
 	}
 	job->occurrences_begun = begun;
 	g_ptr_array_free(workers, TRUE);
--- a/src/libradishjunction/include/private/cell_active_job.h
+++ b/src/libradishjunction/include/private/cell_active_job.h
@@ -56,6 +56,10 @@
 	uint64_t accelerators;
 };
 
+/* Runs of a gang that are remembered as counted failures. Restarts are delayed
+ * more with each failure, so that no member of an earlier run has a lease. */
+#define RJ_CELL_FAILED_RUNS_MAX 64
+
 struct rj_cell_account_share;
 struct rj_cell_worker;
 struct rj_cell_task;
@@ -121,7 +125,10 @@
 	uint32_t unreported_run; /* last such run number */
 	/* Completions of these are waited for until then. */
 	uint64_t unreported_until_us;
-	uint32_t failed_run; /* number of the last failed run */
+	/* Gang: numbers of the runs that count as its failures, the latest ones
+	 * in rising order of counting; NULL: none. */
+	uint32_t *failed_runs;
+	uint32_t failed_run_count;
 	uint32_t losses; /* runs that ended for other reasons */
 	uint32_t stalls; /* runs that this owner stopped as stalled */
 	char *checkpoint; /* last one saved, or NULL */
@@ -209,6 +216,9 @@
 void rj_cell_task_set_begun(struct rj_cell_task *task, uint64_t now_us);
 void rj_cell_task_complete(struct rj_cell_task *task);
 struct rj_cell_task *rj_cell_task_head(struct rj_cell_task *task);
+bool rj_cell_task_has_failed_in(const struct rj_cell_task *head,
+				uint32_t number);
+bool rj_cell_task_add_failed_run(struct rj_cell_task *head, uint32_t number);
 const struct rj_cell_step *rj_cell_task_step(const struct rj_cell_task *task);
 void rj_cell_task_name(const struct rj_cell_task *task, char *name,
 		       size_t size);
--- a/src/test_libradishjunction/support/cell_fake_workers.c
+++ b/src/test_libradishjunction/support/cell_fake_workers.c
@@ -163,16 +163,22 @@
 	return runs;
 }
 
-/* Ends the other members after one ended without success. */
-static void stop_gang(struct cell_sim *sim, const char *gang)
+/* Ends the other members after one ended without success as `outcome`. */
+static void stop_gang(struct cell_sim *sim, const char *gang,
+		      enum rj_cell_completion outcome)
 {
+	bool fails = sim->options.gangs_fail_together &&
+		     outcome == RJ_CELL_COMPLETION_FAILED;
+
 	GPtrArray *workers = g_ptr_array_new();
 	GPtrArray *runs = gang_of(sim, gang, workers);
 
 	for (guint i = 0; i < runs->len; i++) {
 		struct cell_fake_run *run = runs->pdata[i];
 
-		if (!sim->options.gang_break_us)
+		if (fails)
+			complete_run(sim, workers->pdata[i], run, outcome);
+		else if (!sim->options.gang_break_us)
 			complete_run(sim, workers->pdata[i], run,
 				     RJ_CELL_COMPLETION_GANG_BROKEN);
 		else if (!run->break_at_us)
@@ -193,7 +199,7 @@
 
 	complete_run(sim, worker, run, outcome);
 	if (gang && outcome != RJ_CELL_COMPLETION_DONE)
-		stop_gang(sim, gang);
+		stop_gang(sim, gang, outcome);
 	g_free(gang);
 }
 
@@ -505,7 +511,7 @@
 		g_ptr_array_remove_index(worker->runs, 0);
 		run_free(sim, run);
 		if (gang)
-			stop_gang(sim, gang);
+			stop_gang(sim, gang, RJ_CELL_COMPLETION_LOST);
 		g_free(gang);
 	}
 	g_array_set_size(worker->completions, 0);
--- a/src/test_libradishjunction/support/cell_sim.h
+++ b/src/test_libradishjunction/support/cell_sim.h
@@ -150,6 +150,7 @@
 	uint32_t attempts_max; /* 0: 4 */
 	uint32_t revoke_ms; /* 0: 5,000 */
 	uint64_t gang_break_us; /* from a member's end to the others' */
+	bool gangs_fail_together; /* with one member all others fail too */
 	uint32_t record_max_bytes; /* of the log; 0: 256 KiB */
 	int checkpoint_digits; /* length of a checkpoint; 0: 16 */
 	uint64_t
