cells: names of any length, of which no two become one

Cause: every name is kept in 48 bytes, and a longer one was an error: in a configuration for all of it, in a worker's entry (service, zone, labels, id) for the worker, in a job (label, rack, image) for the job, in the settings for the process. The platform sets no such limit. Host and prefix of a route had 256 bytes, a policy's ticket 64.

Change: a name that does not fit is kept as its start and a digest of 128 bits, at the boundary; a text that looks like such a name is treated so too, so that different texts stay different.

Calls that name a worker have its full id. Host, prefix and ticket are strings of their own length.

Looked at besides: checkpoints of 40 characters or more are still not stored, as earlier versions cannot read the record (docs/design/successor-state.md).

--- a/include/radishjunction/types.h
+++ b/include/radishjunction/types.h
@@ -157,6 +157,7 @@
 void rj_digest(uint8_t digest[RJ_DIGEST_BYTES], const struct rj_bytes *parts,
 	       uint32_t count);
 int rj_name_set(char name[RJ_NAME_BYTES], const char *text);
+void rj_name_shorten(char name[RJ_NAME_BYTES], const char *text);
 bool rj_resources_fit(const struct rj_resources *want,
 		      const struct rj_resources *have);
 void rj_resources_add(struct rj_resources *sum, const struct rj_resources *part,
--- a/src/libradishjunction/cell/cell_advice.c
+++ b/src/libradishjunction/cell/cell_advice.c
@@ -20,7 +20,7 @@
 struct decision {
 	uint64_t incarnation; /* of the worker */
 	bool allowed;
-	char ticket[RJ_CELL_TICKET_BYTES];
+	char *ticket;
 	uint64_t valid_until_us; /* of the ticket */
 };
 
@@ -34,6 +34,7 @@
 	uint32_t step;
 	uint32_t count;
 	char workers[RJ_CELL_ADVICE_WORKERS][RJ_NAME_BYTES];
+	const char *listed_ids[RJ_CELL_ADVICE_WORKERS];
 	uint64_t incarnations[RJ_CELL_ADVICE_WORKERS];
 };
 
@@ -86,6 +87,14 @@
 		decision->valid_until_us = 0;
 }
 
+static void free_decision(gpointer private_data)
+{
+	struct decision *decision = private_data;
+
+	g_free(decision->ticket);
+	g_free(decision);
+}
+
 /* Frees all decisions of an occurrence. */
 static int free_decisions(GHashTable ***policy_decisions)
 {
@@ -112,7 +121,7 @@
 	}
 	if (!occurrence->policy_decisions[step])
 		occurrence->policy_decisions[step] = g_hash_table_new_full(
-			g_str_hash, g_str_equal, g_free, g_free);
+			g_str_hash, g_str_equal, g_free, free_decision);
 	return occurrence->policy_decisions[step];
 }
 
@@ -156,8 +165,7 @@
 		decision->allowed = ticket != NULL;
 		decision->valid_until_us =
 			request->sent_us + reply->valid_ms * RJ_US_PER_MS;
-		g_strlcpy(decision->ticket, ticket ? ticket : "",
-			  sizeof(decision->ticket));
+		decision->ticket = g_strdup(ticket ? ticket : "");
 		g_hash_table_insert(policy_decisions,
 				    g_strdup(request->workers[i]), decision);
 	}
@@ -198,6 +206,8 @@
 		       const struct rj_cell_worker *worker)
 {
 	memcpy(request->workers[request->count], worker->id, RJ_NAME_BYTES);
+	request->listed_ids[request->count] =
+		talloc_strdup(request, rj_cell_worker_listed_id(worker));
 	request->incarnations[request->count] = worker->incarnation;
 	return ++request->count < RJ_CELL_ADVICE_WORKERS;
 }
@@ -271,7 +281,6 @@
 			 const struct rj_cell_task_group *group)
 {
 	struct request *request = talloc_zero(owner->mem, struct request);
-	const char *workers[RJ_CELL_ADVICE_WORKERS];
 	char step[STEP_NAME_BYTES];
 
 	assert(request);
@@ -286,13 +295,11 @@
 	memcpy(request->job, group->job->job_spec->id, sizeof(request->job));
 	request->occurrence = group->occurrence->number;
 	request->step = group->step;
-	for (uint32_t i = 0; i < request->count; i++)
-		workers[i] = request->workers[i];
 	(void)g_snprintf(step, sizeof(step), "%s.%u.%u", request->job,
 			 request->occurrence, request->step);
 	owner->advice_pending = true;
 	owner->advisor->ops->ask(
-		owner->advisor, step, workers, request->count,
+		owner->advisor, step, request->listed_ids, request->count,
 		(struct rj_cell_advice_done){ ask_done, request });
 	return true;
 }
--- a/src/libradishjunction/cell/cell_fleet.c
+++ b/src/libradishjunction/cell/cell_fleet.c
@@ -370,6 +370,24 @@
 	return fleet->count > POLLED_FLEET_MAX;
 }
 
+/*
+ * Returns a worker's id as the platform lists it, for calls that name it.
+ */
+const char *rj_cell_worker_listed_id(const struct rj_cell_worker *worker)
+{
+	return worker->long_id ? worker->long_id : worker->id;
+}
+
+/*
+ * Sets a worker's id as the platform lists it.
+ */
+void rj_cell_worker_set_listed_id(struct rj_cell_worker *worker,
+				  const char *listed_id)
+{
+	if (strcmp(rj_cell_worker_listed_id(worker), listed_id) != 0)
+		worker->long_id = talloc_strdup(worker, listed_id);
+}
+
 /*
  * Whether an entry of the worker need not be decoded if it has the same content
  * as the one that is kept: such an entry changes only the worker's clock and the
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -61,8 +61,9 @@
 {
 	struct rj_cell_node *node = private_data;
 	struct rj_cell_heartbeat heartbeat;
-	struct rj_error err = { .message = "the worker's name is too long" };
+	struct rj_error err;
 	struct rj_cell_worker *worker;
+	char id[RJ_NAME_BYTES];
 	/* Records passed on by a load can be of any age. */
 	uint64_t written_us = node->fleet.state == RJ_CELL_LOG_READER_READING ?
 				      node->fleet.confirmed_us :
@@ -71,26 +72,25 @@
 	if (!rj_cell_node_is_owner(node))
 		return;
 	node->owner.now_us = node->fleet.now_us;
+	rj_name_shorten(id, record->key);
 	if (!record->value.length) {
-		rj_cell_owner_update_worker(&node->owner, record->key, NULL, 0);
+		rj_cell_owner_update_worker(&node->owner, id, NULL, 0);
 		return;
 	}
-	worker = rj_cell_fleet_find(&node->owner.fleet, record->key);
+	worker = rj_cell_fleet_find(&node->owner.fleet, id);
 	if (worker && refresh_worker(node, worker, record, written_us))
 		return;
-	if (strlen(record->key) >= RJ_NAME_BYTES ||
-	    node->options.codec->decode_worker(record->value, &heartbeat,
+	if (node->options.codec->decode_worker(record->value, &heartbeat,
 					       &err)) {
 		rj_log_event("worker_entry_bad",
 			     RJ_LOG_TEXT("worker", record->key),
 			     RJ_LOG_TEXT("error", err.message));
 		return;
 	}
-	rj_cell_owner_update_worker(&node->owner, record->key, &heartbeat,
-				    written_us);
-	rj_cell_worker_keep_entry(
-		rj_cell_fleet_find(&node->owner.fleet, record->key),
-		record->value);
+	rj_cell_owner_update_worker(&node->owner, id, &heartbeat, written_us);
+	worker = rj_cell_fleet_find(&node->owner.fleet, id);
+	rj_cell_worker_set_listed_id(worker, record->key);
+	rj_cell_worker_keep_entry(worker, record->value);
 }
 
 /* For readers that need no action after a read. */
@@ -150,10 +150,13 @@
 }
 
 /* Sets or clears the cordon of a failure domain. */
-static void cordon_record(struct rj_cell_node *node, const char *domain,
+static void cordon_record(struct rj_cell_node *node, const char *listed_domain,
 			  const struct rj_cell_record *record)
 {
-	if (!domain[0] || strlen(domain) >= RJ_NAME_BYTES) {
+	char domain[RJ_NAME_BYTES];
+
+	rj_name_shorten(domain, listed_domain);
+	if (!domain[0]) {
 		rj_log_event("cordon_bad", RJ_LOG_TEXT("key", record->key),
 			     RJ_LOG_TEXT("error", "not a valid failure domain "
 						  "name; remove the record"));
--- a/src/libradishjunction/include/private/cell_advice.h
+++ b/src/libradishjunction/include/private/cell_advice.h
@@ -15,14 +15,12 @@
 
 #include "private/cell_fleet.h"
 
-/* Size of the longest ticket of the policy, with its zero. */
-#define RJ_CELL_TICKET_BYTES 64
 /* Workers in one request: the number on which users base a job's objective. */
 #define RJ_CELL_ADVICE_WORKERS 30
 
 /* A worker that may run the step, and its ticket. */
 struct rj_cell_ticket {
-	const char *worker;
+	char worker[RJ_NAME_BYTES];
 	const char *ticket;
 };
 
--- a/src/libradishjunction/include/private/cell_config.h
+++ b/src/libradishjunction/include/private/cell_config.h
@@ -11,8 +11,8 @@
 
 struct rj_cell_queue {
 	char name[RJ_NAME_BYTES];
-	char host[256];
-	char prefix[256]; /* of the path */
+	const char *host;
+	const char *prefix; /* of the path */
 	char service[RJ_NAME_BYTES];
 	uint32_t priority;
 	uint32_t attempts_max;
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -93,7 +93,8 @@
 	struct rj_list in_order_queue;
 	/* In the fleet's list, if completions are not stored. */
 	struct rj_list in_unstored;
-	char id[RJ_NAME_BYTES];
+	char id[RJ_NAME_BYTES]; /* see rj_name_shorten */
+	char *long_id; /* as the platform lists it, or NULL: as `id` */
 	struct rj_cell_heartbeat heartbeat;
 	/* The encoded entry that `heartbeat` was decoded from. Entries that
 	 * differ from it only in what each heartbeat changes do not replace
@@ -204,6 +205,9 @@
 				   uint64_t sent_us, bool answered,
 				   uint64_t now_us);
 bool rj_cell_fleet_is_large(const struct rj_cell_fleet *fleet);
+const char *rj_cell_worker_listed_id(const struct rj_cell_worker *worker);
+void rj_cell_worker_set_listed_id(struct rj_cell_worker *worker,
+				  const char *listed_id);
 bool rj_cell_worker_entry_is_comparable(const struct rj_cell_worker *worker);
 void rj_cell_worker_keep_entry(struct rj_cell_worker *worker,
 			       struct rj_bytes entry);
--- a/src/libradishjunction/types.c
+++ b/src/libradishjunction/types.c
@@ -7,6 +7,12 @@
 #include "radishjunction/action.h"
 #include "radishjunction/core.h"
 
+/* In a shortened name: before the digest, which is in hexadecimal digits. */
+#define NAME_DIGEST_MARK '~'
+#define NAME_DIGEST_CHARS (2 * RJ_DIGEST_BYTES)
+/* Bytes of the text that are left in front of it. */
+#define NAME_START_BYTES (RJ_NAME_BYTES - NAME_DIGEST_CHARS - 2)
+
 const char *const rj_priority_string[RJ_PRIORITY_COUNT] = {
 	[RJ_PRIORITY_URGENT] = "urgent",
 	[RJ_PRIORITY_NORMAL] = "normal",
@@ -273,6 +279,50 @@
 	return 0;
 }
 
+/* Whether a text ends like a shortened name: the mark and a digest. */
+static bool has_name_digest(const char *text, size_t length)
+{
+	const char *digest = text + length - NAME_DIGEST_CHARS;
+
+	return length > NAME_DIGEST_CHARS && digest[-1] == NAME_DIGEST_MARK &&
+	       strspn(digest, "0123456789abcdef") == NAME_DIGEST_CHARS;
+}
+
+/* Returns the length of the longest start of `text` that has at most `max` bytes
+ * and does not end within a character. */
+static size_t start_length(const char *text, size_t max)
+{
+	while (max && ((uint8_t)text[max] & 0xc0) == 0x80)
+		max--;
+	return max;
+}
+
+/*
+ * Copies `text` to `name`. Of a text that does not fit, `name` is the start and
+ * a digest, so that different texts remain different names; so it is of a text
+ * that looks like such a name. An empty text gives an empty name.
+ */
+void rj_name_shorten(char name[RJ_NAME_BYTES], const char *text)
+{
+	size_t length = strlen(text);
+	struct rj_bytes bytes = { (const uint8_t *)text, (uint32_t)length };
+	uint8_t digest[RJ_DIGEST_BYTES];
+	char hex[NAME_DIGEST_CHARS + 1];
+
+	memset(name, 0, RJ_NAME_BYTES);
+	if (length < RJ_NAME_BYTES && !has_name_digest(text, length)) {
+		memcpy(name, text, length);
+		return;
+	}
+	rj_digest(digest, &bytes, 1);
+	sodium_bin2hex(hex, sizeof(hex), digest, sizeof(digest));
+	length = start_length(
+		text, length < NAME_START_BYTES ? length : NAME_START_BYTES);
+	memcpy(name, text, length);
+	name[length] = NAME_DIGEST_MARK;
+	memcpy(name + length + 1, hex, sizeof(hex));
+}
+
 /*
  * Whether `want` is at most `have` in every resource.
  */
--- a/src/test_libradishjunction/support/cell_fake_advice.c
+++ b/src/test_libradishjunction/support/cell_fake_advice.c
@@ -107,8 +107,8 @@
 
 		if (!cell_advice_allows(step, workers[i]))
 			continue;
-		tickets[advice_call->reply.count].worker =
-			talloc_strdup(advice_call, workers[i]);
+		rj_name_shorten(tickets[advice_call->reply.count].worker,
+				workers[i]);
 		tickets[advice_call->reply.count++].ticket = talloc_asprintf(
 			advice_call,
 			"%s/%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT, step,
--- a/src/test_libradishjunction/support/cell_sim_codec.c
+++ b/src/test_libradishjunction/support/cell_sim_codec.c
@@ -90,7 +90,7 @@
 
 /* Sets the queue with an index in the configuration; the extra ones are like the
  * last one of every site, but without a policy. */
-static void set_queue(struct rj_cell_queue *queue, uint32_t index,
+static void set_queue(void *mem, struct rj_cell_queue *queue, uint32_t index,
 		      uint32_t attempts_max)
 {
 	uint32_t model = MIN(index, G_N_ELEMENTS(queues) - 1);
@@ -99,9 +99,8 @@
 	if (index >= G_N_ELEMENTS(queues))
 		(void)g_snprintf(queue->name, RJ_NAME_BYTES, "q%u",
 				 index - (uint32_t)G_N_ELEMENTS(queues));
-	g_strlcpy(queue->host, "host", sizeof(queue->host));
-	g_strlcpy(queue->prefix, cell_sim_queue_prefix(queue->name),
-		  sizeof(queue->prefix));
+	queue->host = "host";
+	queue->prefix = talloc_strdup(mem, cell_sim_queue_prefix(queue->name));
 	g_strlcpy(queue->service, "render", RJ_NAME_BYTES);
 	queue->priority = queues[model].priority;
 	queue->attempts_max = attempts_max;
@@ -145,7 +144,7 @@
 	config->queues = talloc_zero_array(config, struct rj_cell_queue,
 					   config->queue_count);
 	for (uint32_t i = 0; i < config->queue_count; i++)
-		set_queue(&config->queues[i], i, attempts_max);
+		set_queue(config, &config->queues[i], i, attempts_max);
 	if (rj_unpack_finish(&in, err))
 		TALLOC_FREE(config);
 	return config;
