cells: a configuration is applied without the parts that cannot be read

Seen: one field out of range, in any part, and a version is rejected whole: a key that it takes away is accepted for ever, and an instance that restarts answers 503 to all.

Cause: the decoder gave up at the first invalid field. The age by which keys are trusted is that of the last read of the log, so that a version that nobody can apply never ends their use.

Change: what can be read is applied as far as it allows no call that neither it nor the version before allows. A route that is not valid still takes its calls, answered 503, as a route with a shorter prefix may be public. If it is not known which calls routes take, those before stay, with the keys of both versions. A version that cannot be read at all ends the use of keys after the time within which a removal has to take effect.

--- a/src/libradishjunction/cell/cell_config.c
+++ b/src/libradishjunction/cell/cell_config.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 #include <strings.h>
+#include <talloc.h>
 
 /* Compares the host of a call, without its port, with a queue's host. */
 static bool host_is(const char *given, const char *wanted)
@@ -84,3 +85,74 @@
 			return config->services[i].enforces_limits;
 	return false;
 }
+
+/* Whether an account has a key. */
+static bool has_key(const struct rj_cell_account *account, const char *key)
+{
+	for (uint32_t i = 0; account && i < account->key_count; i++)
+		if (!strcmp(account->keys[i], key))
+			return true;
+	return false;
+}
+
+/* Takes away the keys of an account that another version of it lacks. */
+static void keep_common_keys(struct rj_cell_account *account,
+			     const struct rj_cell_account *other)
+{
+	uint32_t kept = 0;
+
+	for (uint32_t i = 0; i < account->key_count; i++)
+		if (has_key(other, account->keys[i]))
+			account->keys[kept++] = account->keys[i];
+	account->key_count = kept;
+}
+
+/* Takes over guarantees that could not be read. */
+static void keep_guarantees(struct rj_cell_config *config,
+			    const struct rj_cell_config *former)
+{
+	for (uint32_t i = 0; i < config->account_count; i++) {
+		struct rj_cell_account *account = &config->accounts[i];
+		const struct rj_cell_account *before =
+			rj_cell_config_account(former, account->name);
+
+		if (account->guarantee_invalid && before)
+			account->guaranteed_accelerators =
+				before->guaranteed_accelerators;
+	}
+}
+
+/*
+ * Returns what is in force after `former` (NULL: nothing) once `config` is read,
+ * and frees the other one.
+ *
+ * If the queues of `config` are not known, those of `former` stay, or there are
+ * none. A key that is new was never allowed to use those of `former`, so that
+ * only the keys that both versions have are accepted.
+ */
+struct rj_cell_config *rj_cell_config_succeed(struct rj_cell_config *former,
+					      struct rj_cell_config *config)
+{
+	if (!former) {
+		if (config->queues_unknown)
+			config->queue_count = 0;
+		return config;
+	}
+	keep_guarantees(config, former);
+	if (!config->queues_unknown) {
+		talloc_free(former);
+		return config;
+	}
+	for (uint32_t i = 0; i < former->account_count; i++) {
+		struct rj_cell_account *account = &former->accounts[i];
+
+		keep_common_keys(account,
+				 rj_cell_config_account(config, account->name));
+	}
+	former->version = config->version;
+	former->invalid_count = config->invalid_count;
+	former->invalid_error = talloc_strdup(former, config->invalid_error);
+	former->queues_unknown = true;
+	talloc_free(config);
+	return former;
+}
--- a/src/libradishjunction/cell/cell_frontend.c
+++ b/src/libradishjunction/cell/cell_frontend.c
@@ -122,7 +122,7 @@
 /*
  * Whether API keys can be trusted. A removed key must not be accepted for
  * longer than promised to operators, however long this instance was partitioned
- * or suspended.
+ * or suspended, or has known only that there is a newer configuration.
  */
 bool rj_cell_frontend_keys_fresh(const struct rj_cell_frontend *frontend,
 				 uint64_t now_us)
@@ -130,6 +130,10 @@
 	uint64_t limit_us = (uint64_t)frontend->revoke_ms * RJ_US_PER_MS *
 			    KEY_FRESH_PERCENT / 100;
 
+	uint64_t unknown_us = frontend->config_unknown_us;
+
+	if (unknown_us && now_us > unknown_us + limit_us)
+		return false;
 	return frontend->config &&
 	       rj_cell_log_reader_age_us(frontend->configs, now_us) < limit_us;
 }
@@ -804,6 +808,10 @@
 		return;
 	}
 	queue = rj_cell_config_route(frontend->config, call->host, call->path);
+	if (queue ? queue->invalid : frontend->config->queues_unknown) {
+		answer_unavailable(request, "queue_invalid");
+		return;
+	}
 	if (!queue) {
 		answer_verdict(request, RJ_CELL_VERDICT_NO_QUEUE, "no_route",
 			       0);
--- a/src/libradishjunction/cell/cell_metrics.c
+++ b/src/libradishjunction/cell/cell_metrics.c
@@ -234,6 +234,10 @@
 {
 	write_number(text, "config_version",
 		     node->config ? node->config->version : 0);
+	write_number(text, "config_invalid_parts",
+		     node->config ? node->config->invalid_count : 0);
+	write_number(text, "config_unreadable",
+		     node->frontend.config_unknown_us != 0);
 	for (guint i = 0; i < node->cordons.cordons->len; i++)
 		write_labelled(text, "cordon_version", "domain",
 			       g_array_index(node->cordons.cordons,
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -130,8 +130,11 @@
 	if (!config) {
 		rj_log_event("config_bad", RJ_LOG_TEXT("key", record->key),
 			     RJ_LOG_TEXT("error", err.message));
+		if (!node->frontend.config_unknown_us)
+			node->frontend.config_unknown_us = node->configs.now_us;
 		return;
 	}
+	node->frontend.config_unknown_us = 0;
 	/* Versions rise; a load may return an older one again. */
 	if (node->config && config->version <= node->config->version) {
 		talloc_free(config);
@@ -141,11 +144,12 @@
 		     RJ_LOG_NUMBER("before",
 				   node->config ? node->config->version : 0),
 		     RJ_LOG_NUMBER("queues", config->queue_count),
-		     RJ_LOG_NUMBER("accounts", config->account_count));
-	talloc_free(node->config);
-	node->config = config;
-	node->frontend.config = config;
-	node->owner.config = config;
+		     RJ_LOG_NUMBER("accounts", config->account_count),
+		     RJ_LOG_NUMBER("invalid", config->invalid_count),
+		     RJ_LOG_TEXT("error", config->invalid_error));
+	node->config = rj_cell_config_succeed(node->config, config);
+	node->frontend.config = node->config;
+	node->owner.config = node->config;
 	node->owner.plan_wanted = true;
 }
 
--- a/src/libradishjunction/include/private/cell_config.h
+++ b/src/libradishjunction/include/private/cell_config.h
@@ -3,6 +3,10 @@
  *
  * An adapter creates one talloc tree per version; the node replaces and frees
  * the previous one. Versions only rise while a process runs.
+ *
+ * A version of which a part cannot be read is applied as far as it allows no
+ * call that neither it nor the version before allows: a key that it takes away
+ * is not accepted any more, whatever else is wrong.
  */
 #ifndef RADISHJUNCTION_PRIVATE_CELL_CONFIG_H
 #define RADISHJUNCTION_PRIVATE_CELL_CONFIG_H
@@ -22,6 +26,8 @@
 	bool open; /* calls need no API key */
 	/* The policy service decides which workers may run its jobs. */
 	bool advised;
+	/* It could not be read. Its calls are not answered by another queue. */
+	bool invalid;
 };
 
 struct rj_cell_service {
@@ -34,6 +40,7 @@
 	const char **keys;
 	uint32_t key_count;
 	uint32_t guaranteed_accelerators; /* for jobs of priority 0 */
+	bool guarantee_invalid; /* it could not be read */
 };
 
 struct rj_cell_config {
@@ -45,8 +52,16 @@
 	struct rj_cell_account *accounts;
 	uint32_t account_count;
 	uint32_t body_max_bytes;
+	/* Parts that could not be read, and what is wrong with the first. */
+	uint32_t invalid_count;
+	const char *invalid_error;
+	/* It is not known which calls the queues take. */
+	bool queues_unknown;
 };
 
+struct rj_cell_config *rj_cell_config_succeed(struct rj_cell_config *former,
+					      struct rj_cell_config *config);
+
 const struct rj_cell_queue *
 rj_cell_config_route(const struct rj_cell_config *config, const char *host,
 		     const char *path);
--- a/src/libradishjunction/include/private/cell_frontend.h
+++ b/src/libradishjunction/include/private/cell_frontend.h
@@ -119,6 +119,9 @@
 	const struct rj_cell_codec *codec;
 	struct rj_client_budget *budget; /* of clients; NULL: no limit */
 	const struct rj_cell_config *config; /* set by the node */
+	/* Set by the node: since when the newest version is one that cannot be
+	 * read at all; 0: it is not. */
+	uint64_t config_unknown_us;
 	struct rj_cell_owner_heartbeat heartbeat; /* newest one of the owner */
 	uint64_t heartbeat_us; /* when it was read; 0: none yet */
 	uint32_t revoke_ms; /* a removed key may be accepted for this long */
