cells: tasks that end in time run on capacity that is promised to a gang

Cause: what is free on the workers of a promise was kept idle until the last of them is free. Excluded by the event backlog: reservations for urgent jobs (0); promised were 40 accelerators, and nobody else waited.

Change: backfill. Tasks start there if twice their run time, the longer of mean and estimate, passes before the promise is due. Runs that were let in so, or whose jobs came after the gang, do not move the time that counts, so that a stream of tasks with wrong estimates delays the gang once; a successor derives the same from the order of acceptance. Tasks of unknown length, perpetual ones, slow and cold workers and racks away from the data are left out. A search that fails evaluates all workers, so that a plan makes eight at most.

--- /dev/null
+++ b/src/libradishjunction/cell/cell_backfill.c
@@ -0,0 +1,149 @@
+#include "private/cell_backfill.h"
+
+#include <string.h>
+
+#include "private/cell_release.h"
+
+/* A task is let in if a promise is due after this multiple of its expected run
+ * time: neither that nor the start of the promised group is certain. */
+#define MARGIN_FACTOR 2
+/* Maximum number of groups of a plan that find no capacity so; each search
+ * evaluates all workers. */
+#define FAILED_SEARCHES_MAX 8
+
+/* Whether a run came after a group that waits: it was let in beside a promise,
+ * or its job was accepted later. */
+static bool came_after(const struct rj_cell_run *run,
+		       const struct rj_cell_task_group *group)
+{
+	return run->backfilled ||
+	       (run->task &&
+		run->task->occurrence->job->accepted_us > group->accepted_us);
+}
+
+/* Returns when a worker has what is promised there, in microseconds from now, if
+ * the runs that came after a group are left out. */
+static uint64_t promise_due_us(struct rj_cell_plan *plan,
+			       const struct rj_cell_plan_worker *plan_worker,
+			       const struct rj_cell_task_group *group)
+{
+	const struct rj_cell_releases *releases =
+		rj_cell_releases_get(plan, plan_worker);
+	struct rj_cell_demand available = plan_worker->free_after_stops;
+	uint64_t due_us = 0;
+
+	for (uint32_t i = 0; i < releases->count; i++)
+		if (came_after(releases->by_time[i].run, group))
+			rj_cell_demand_add(
+				&available,
+				&releases->by_time[i].run->allocated);
+	for (uint32_t i = 0;
+	     i < releases->count &&
+	     !rj_cell_demand_fits(&plan_worker->promised, &available);
+	     i++) {
+		const struct rj_cell_release *release = &releases->by_time[i];
+
+		if (came_after(release->run, group) || release->run->reason)
+			continue;
+		rj_cell_demand_add(&available, &release->run->allocated);
+		due_us = release->remaining_us;
+	}
+	return due_us;
+}
+
+/*
+ * Sets until when the free capacity on the workers of a promise may be used by
+ * other tasks.
+ */
+void rj_cell_backfill_hold(struct rj_cell_plan *plan,
+			   const struct rj_cell_placement *placement,
+			   const struct rj_cell_task_group *group)
+{
+	uint64_t due_us = 0;
+	uint64_t until_us;
+
+	for (guint i = 0; i < placement->workers->len; i++) {
+		const struct rj_cell_worker *worker =
+			placement->workers->pdata[i];
+
+		due_us = MAX(due_us,
+			     promise_due_us(plan, worker->plan_worker, group));
+	}
+	if (due_us == RJ_NEVER_US)
+		return;
+	until_us = plan->now_us + due_us;
+	for (guint i = 0; i < placement->workers->len; i++) {
+		const struct rj_cell_worker *worker =
+			placement->workers->pdata[i];
+		struct rj_cell_plan_worker *plan_worker = worker->plan_worker;
+
+		if (!plan_worker->held_until_us ||
+		    until_us < plan_worker->held_until_us)
+			plan_worker->held_until_us = until_us;
+	}
+	plan->held_longest_us = MAX(plan->held_longest_us, due_us);
+}
+
+/*
+ * Returns how long capacity has to be free of promises for a group's tasks to
+ * start there, in microseconds; 0 if they cannot, as their run time is not known
+ * or no promise is that far off.
+ */
+uint64_t rj_cell_backfill_needs_us(const struct rj_cell_plan *plan,
+				   const struct rj_cell_task_group *group)
+{
+	const struct rj_cell_job_spec *spec = group->job->job_spec;
+	const struct rj_cell_step *step = &spec->steps[group->step];
+	uint64_t task_ms =
+		MAX(rj_cell_forecast_task_ms(plan->forecast, spec, group->step),
+		    step->estimate_ms);
+	uint64_t needs_us = task_ms * RJ_US_PER_MS * MARGIN_FACTOR;
+
+	if (step->perpetual || needs_us > plan->held_longest_us ||
+	    plan->failed_backfills >= FAILED_SEARCHES_MAX)
+		return 0;
+	return needs_us;
+}
+
+/*
+ * Whether a worker runs the tasks of a step at their usual speed.
+ */
+bool rj_cell_backfill_is_eligible(const struct rj_cell_plan *plan,
+				  const struct rj_cell_worker *worker,
+				  const struct rj_cell_step *step)
+{
+	return !rj_cell_pace_is_slow(&worker->pace) &&
+	       plan->now_us >= worker->cold_until_us &&
+	       (!step->rack[0] || !strcmp(step->rack, worker->heartbeat.rack));
+}
+
+/*
+ * Returns the capacity of a worker for tasks that start now: what is free, and
+ * with `backfill_us` what is promised for later than that.
+ */
+struct rj_cell_demand
+rj_cell_backfill_available(const struct rj_cell_plan *plan,
+			   const struct rj_cell_plan_worker *plan_worker,
+			   const struct rj_cell_placement_options *options)
+{
+	struct rj_cell_demand available = plan_worker->free_now;
+
+	if (options->backfill_us &&
+	    plan->now_us + options->backfill_us <= plan_worker->held_until_us)
+		rj_cell_demand_add(&available, &plan_worker->held);
+	return available;
+}
+
+/*
+ * Allocates the capacity of a worker to a task that starts now: first what is
+ * not promised.
+ */
+void rj_cell_backfill_take(struct rj_cell_plan_worker *plan_worker,
+			   const struct rj_cell_demand *demand)
+{
+	struct rj_cell_demand rest = *demand;
+
+	rj_cell_demand_subtract(&rest, &plan_worker->free_now);
+	rj_cell_demand_subtract(&plan_worker->free_now, demand);
+	rj_cell_demand_subtract(&plan_worker->held, &rest);
+}
--- a/src/libradishjunction/cell/cell_place.c
+++ b/src/libradishjunction/cell/cell_place.c
@@ -1,4 +1,5 @@
 #include "private/cell_advice.h"
+#include "private/cell_backfill.h"
 #include "private/cell_candidates.h"
 #include "private/cell_place.h"
 #include "private/cell_release.h"
@@ -147,6 +148,9 @@
 		return false;
 	if (!step->target_ms && plan->now_us < worker->exclusive_until_us)
 		return false;
+	if (options->backfill_us &&
+	    !rj_cell_backfill_is_eligible(plan, worker, step))
+		return false;
 	return !has_max_step_runs(plan_worker, step);
 }
 
@@ -352,6 +356,18 @@
 	       (available->memory_mb - step->each.memory_mb);
 }
 
+/* Returns the capacity of a worker within the options' horizon, now or once the
+ * runs that are being stopped have ended. */
+static struct rj_cell_demand
+available_on(const struct rj_cell_plan *plan,
+	     const struct rj_cell_plan_worker *plan_worker,
+	     const struct rj_cell_placement_options *options)
+{
+	return options->horizon == RJ_CELL_HORIZON_NOW ?
+		       rj_cell_backfill_available(plan, plan_worker, options) :
+		       plan_worker->free_after_stops;
+}
+
 /* Returns the cheapest worker for one task within the options' horizon, or
  * NULL. */
 static struct rj_cell_plan_worker *
@@ -368,18 +384,16 @@
 
 	rj_cell_worker_iterator_init(&iterator, plan, options, &demand);
 	while ((plan_worker = rj_cell_worker_iterator_next(&iterator))) {
-		const struct rj_cell_demand *available =
-			options->horizon == RJ_CELL_HORIZON_NOW ?
-				&plan_worker->free_now :
-				&plan_worker->free_after_stops;
+		struct rj_cell_demand available =
+			available_on(plan, plan_worker, options);
 		uint64_t cost;
 
-		if (!rj_cell_demand_fits(&demand, available) ||
+		if (!rj_cell_demand_fits(&demand, &available) ||
 		    !rj_cell_place_is_eligible(plan, plan_worker, group, task,
 					       options))
 			continue;
 		cost = placement_cost(plan, plan_worker, group, task,
-				      available);
+				      &available);
 		if (best && cost >= best_cost)
 			continue;
 		best = plan_worker;
@@ -461,13 +475,18 @@
 		     enum rj_cell_horizon horizon)
 {
 	struct rj_cell_demand demand = rj_cell_step_allocation(step);
+	struct rj_cell_demand kept = plan_worker->free_now;
 
-	if (horizon == RJ_CELL_HORIZON_COMPLETIONS)
+	if (horizon == RJ_CELL_HORIZON_COMPLETIONS) {
 		rj_cell_demand_add(&plan_worker->promised, &demand);
-	else
+		rj_cell_demand_subtract(&plan_worker->free_now, &demand);
+		rj_cell_demand_subtract(&kept, &plan_worker->free_now);
+		rj_cell_demand_add(&plan_worker->held, &kept);
+	} else {
 		rj_cell_demand_subtract(&plan_worker->free_after_stops,
 					&demand);
-	rj_cell_demand_subtract(&plan_worker->free_now, &demand);
+		rj_cell_backfill_take(plan_worker, &demand);
+	}
 	plan_worker->step_runs++;
 	if (step->target_ms)
 		plan_worker->latency_runs++;
@@ -551,18 +570,16 @@
 			       const struct rj_cell_demand *demand,
 			       const struct rj_cell_placement_options *options)
 {
-	const struct rj_cell_demand *available =
-		options->horizon == RJ_CELL_HORIZON_NOW ?
-			&plan_worker->free_now :
-			&plan_worker->free_after_stops;
+	struct rj_cell_demand available =
+		available_on(plan, plan_worker, options);
 
 	if (has_max_step_runs(plan_worker, rj_cell_task_step(task)))
 		return RJ_NEVER_US;
 	if (options->horizon == RJ_CELL_HORIZON_COMPLETIONS)
 		return ready_delay_us(plan, plan_worker, demand);
-	if (!rj_cell_demand_fits(demand, available))
+	if (!rj_cell_demand_fits(demand, &available))
 		return RJ_NEVER_US;
-	return placement_cost(plan, plan_worker, group, task, available);
+	return placement_cost(plan, plan_worker, group, task, &available);
 }
 
 /*
--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "private/cell_backfill.h"
 #include "private/cell_place.h"
 #include "private/cell_preemption.h"
 #include "private/cell_share.h"
@@ -81,9 +82,9 @@
 
 /* Starts a task on a worker in this plan. */
 static void add_start(struct rj_cell_plan *plan, struct rj_cell_task *task,
-		      struct rj_cell_worker *worker)
+		      struct rj_cell_worker *worker, bool backfills)
 {
-	struct rj_cell_planned_start start = { task, worker };
+	struct rj_cell_planned_start start = { task, worker, backfills };
 	struct rj_cell_demand used =
 		rj_cell_step_allocation(rj_cell_task_step(task));
 
@@ -156,7 +157,9 @@
 
 	if (step->one_rack && count > 1) {
 		resolved.rack = best_rack(plan, group, tasks, count, options);
-		if (!resolved.rack && !group->remote_allowed)
+		/* Spread over several it would run for longer. */
+		if (!resolved.rack &&
+		    (!group->remote_allowed || options->backfill_us))
 			return false;
 	}
 	return rj_cell_place_group(plan, placement, group, tasks, count,
@@ -206,7 +209,10 @@
 	for (uint32_t i = 0;
 	     placed && options->horizon == RJ_CELL_HORIZON_NOW && i < count;
 	     i++)
-		add_start(plan, tasks[i], placement.workers->pdata[i]);
+		add_start(plan, tasks[i], placement.workers->pdata[i],
+			  options->backfill_us != 0);
+	if (placed && options->horizon == RJ_CELL_HORIZON_COMPLETIONS)
+		rj_cell_backfill_hold(plan, &placement, group);
 	if (placed)
 		rj_cell_placement_commit(&placement);
 	rj_cell_placement_finish(&placement);
@@ -406,6 +412,17 @@
 				 &plan->promise_count, GANG_PROMISES_MAX);
 }
 
+/* Finds capacity that comes free later. */
+static void find_capacity(struct rj_cell_plan *plan,
+			  const struct rj_cell_task_group *group,
+			  struct rj_cell_task **tasks, uint32_t count)
+{
+	if (group->job->job_spec->priority)
+		find_capacity_other(plan, group, tasks, count);
+	else
+		find_capacity_urgent(plan, group, tasks, count);
+}
+
 /*
  * Starts a group of tasks now, or finds capacity for it that comes free later.
  * Returns whether it starts now.
@@ -417,10 +434,7 @@
 	if (place_without_preemption(plan, group, tasks, count,
 				     RJ_CELL_HORIZON_NOW))
 		return true;
-	if (group->job->job_spec->priority)
-		find_capacity_other(plan, group, tasks, count);
-	else
-		find_capacity_urgent(plan, group, tasks, count);
+	find_capacity(plan, group, tasks, count);
 	return false;
 }
 
@@ -448,10 +462,11 @@
  */
 static uint32_t start_uniform(struct rj_cell_plan *plan,
 			      const struct rj_cell_task_group *group,
-			      struct rj_cell_task **tasks, uint32_t count)
+			      struct rj_cell_task **tasks, uint32_t count,
+			      uint64_t backfill_us)
 {
 	const struct rj_cell_placement_options now = {
-		.horizon = RJ_CELL_HORIZON_NOW
+		.horizon = RJ_CELL_HORIZON_NOW, .backfill_us = backfill_us
 	};
 	uint32_t uniform = count_uniform(plan, group, tasks, count);
 	struct rj_cell_placement placement;
@@ -464,7 +479,8 @@
 	placed = rj_cell_place_uniform(plan, &placement, group, tasks, uniform,
 				       &now);
 	for (uint32_t i = 0; i < placed; i++)
-		add_start(plan, tasks[i], placement.workers->pdata[i]);
+		add_start(plan, tasks[i], placement.workers->pdata[i],
+			  backfill_us != 0);
 	rj_cell_placement_commit(&placement);
 	rj_cell_placement_finish(&placement);
 	return placed;
@@ -487,15 +503,42 @@
 	return count;
 }
 
+/* Starts tasks of a group on capacity that is promised to others for later, a
+ * gang as a whole. Returns how many. */
+static uint32_t backfill(struct rj_cell_plan *plan,
+			 const struct rj_cell_task_group *group,
+			 struct rj_cell_task **tasks, uint32_t count)
+{
+	const struct rj_cell_placement_options options = {
+		.horizon = RJ_CELL_HORIZON_NOW,
+		.backfill_us = rj_cell_backfill_needs_us(plan, group)
+	};
+	uint32_t started = 0;
+
+	if (!options.backfill_us || !count)
+		return 0;
+	if (!rj_cell_task_step(tasks[0])->gang)
+		started = start_uniform(plan, group, tasks, count,
+					options.backfill_us);
+	else if (place_and_commit(plan, group, tasks, count, &options))
+		started = count;
+	plan->failed_backfills += !started;
+	return started;
+}
+
 /* Places a gang, all of its tasks or none. */
 static void place_gang(struct rj_cell_plan *plan,
 		       struct rj_cell_task_group *group,
 		       struct rj_cell_task **tasks, uint32_t count)
 {
-	if (place_tasks(plan, group, tasks, count))
+	if (place_without_preemption(plan, group, tasks, count,
+				     RJ_CELL_HORIZON_NOW) ||
+	    backfill(plan, group, tasks, count)) {
 		group->started_tasks = count;
-	else
-		plan->waiting_tasks += count;
+		return;
+	}
+	find_capacity(plan, group, tasks, count);
+	plan->waiting_tasks += count;
 }
 
 /*
@@ -525,8 +568,9 @@
 			 struct rj_cell_task_group *group,
 			 struct rj_cell_task **tasks, uint32_t count)
 {
-	uint32_t placed = start_uniform(plan, group, tasks, count);
+	uint32_t placed = start_uniform(plan, group, tasks, count, 0);
 
+	placed += backfill(plan, group, tasks + placed, count - placed);
 	group->started_tasks += placed;
 	for (uint32_t i = placed; i < count; i++) {
 		if (!limit_starts(plan, 1)) {
@@ -561,7 +605,7 @@
 	uint32_t count;
 
 	rj_cell_task_group_set_reserved(plan, group);
-	if (spec->priority &&
+	if (spec->priority && !rj_cell_backfill_needs_us(plan, group) &&
 	    rj_cell_shortage_is_known(plan, group, 1, RJ_CELL_HORIZON_NOW)) {
 		plan->waiting_tasks +=
 			group->waiting_tasks - group->started_tasks;
@@ -582,7 +626,7 @@
 			      const struct rj_cell_task_group *group,
 			      struct rj_cell_task **tasks, uint32_t count)
 {
-	uint32_t first = start_uniform(plan, group, tasks, count);
+	uint32_t first = start_uniform(plan, group, tasks, count, 0);
 	uint32_t started = first;
 
 	for (uint32_t i = first; i < count && limit_starts(plan, 1); i++) {
--- a/src/libradishjunction/cell/cell_starts.c
+++ b/src/libradishjunction/cell/cell_starts.c
@@ -33,6 +33,8 @@
 		&owner->guarantees, job->job_spec->account);
 
 	task->run = run->number;
+	run->backfilled = choice->backfills;
+	owner->counters.backfills += choice->backfills;
 	run->incarnation = rj_cell_worker_expected_incarnation(choice->worker);
 	run->ticket = talloc_strdup(
 		run, rj_cell_advice_ticket(task->occurrence, task->step,
@@ -58,6 +60,7 @@
 			      owner->now_us - choice->worker->answered_us),
 		RJ_LOG_AGE_MS("waited_ms", owner->now_us - task->waiting_us),
 		RJ_LOG_AGE_MS("age_ms", owner->now_us - job->accepted_us),
+		RJ_LOG_NUMBER("backfill", run->backfilled),
 		RJ_LOG_NUMBER("guaranteed", job->guaranteed),
 		RJ_LOG_NUMBER("needed", guarantee.needed),
 		RJ_LOG_NUMBER("held", guarantee.held),
--- a/src/libradishjunction/include/private/cell_active_job.h
+++ b/src/libradishjunction/include/private/cell_active_job.h
@@ -106,6 +106,7 @@
 	 * gang has ended; 0: not set. */
 	uint64_t ended_by_us;
 	bool victim; /* preempted in the current tentative placement */
+	bool backfilled; /* started beside a promise, see cell_backfill.h */
 	const char *reason; /* of its stop, for the log */
 	char preempted_for[RJ_CELL_ID_BYTES]; /* job, or "" */
 	char *ticket; /* from the policy service, or NULL */
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -58,6 +58,7 @@
 	struct rj_latency first_start_waits[RJ_CELL_PRIORITY_CLASSES];
 	struct rj_latency start_latency; /* accepted starts only */
 	uint64_t starts;
+	uint64_t backfills; /* planned starts beside a promise */
 	uint64_t stops;
 	uint64_t polls;
 	uint64_t probes;
--- a/src/libradishjunction/include/private/cell_place.h
+++ b/src/libradishjunction/include/private/cell_place.h
@@ -51,6 +51,8 @@
 	bool avoid_risky; /* not on workers that are likely to lose it */
 	bool may_preempt;
 	uint64_t max_loss_milli; /* core-milliseconds, by preemption */
+	/* Also on capacity that is promised for later than this; 0: no. */
+	uint64_t backfill_us;
 };
 
 /*
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -8,8 +8,9 @@
  *
  * A waiting group whose capacity is not free yet may get a promise: the plan
  * reserves capacity for it on the workers whose runs are expected to complete
- * first. What is free there is kept from tasks that could start now, and later
- * promises come after it.
+ * first. What is free there is kept from tasks that could start now, unless they
+ * are expected to end in time (see cell_backfill.h), and later promises come
+ * after it.
  */
 #ifndef RADISHJUNCTION_PRIVATE_CELL_PLAN_H
 #define RADISHJUNCTION_PRIVATE_CELL_PLAN_H
@@ -40,6 +41,10 @@
 	struct rj_cell_demand free_after_stops;
 	/* Capacity that is not free yet and is promised to waiting groups. */
 	struct rj_cell_demand promised;
+	/* Free now, but kept for these groups, the first of which may start
+	 * then; 0: nothing is kept. */
+	struct rj_cell_demand held;
+	uint64_t held_until_us;
 	/* Held by runs of jobs that are too late to be of use; an upper
 	 * bound. */
 	uint32_t expired_accelerators;
@@ -99,6 +104,7 @@
 struct rj_cell_planned_start {
 	struct rj_cell_task *task;
 	struct rj_cell_worker *worker;
+	bool backfills; /* capacity that is promised to others */
 };
 
 struct rj_cell_plan {
@@ -146,6 +152,9 @@
 	uint32_t urgent_promise_count; /* promises to urgent groups */
 	GArray *shortages; /* struct rj_cell_shortage */
 	uint32_t failed_searches; /* for runs to preempt */
+	/* The promise that is furthest off, from now. */
+	uint64_t held_longest_us;
+	uint32_t failed_backfills;
 	/* Runs of jobs that are too late to be of use and may be stopped for
 	 * others. */
 	uint32_t expired_runs;
