platform: an entry names a worker only by an IP number, a port and a plain id

A key with a line break would add a header to each call to it.

Such an entry is logged as worker_entry_bad.

--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -55,13 +55,25 @@
 	return true;
 }
 
+/* Whether a key of the workers' log can be an id: calls name workers in their
+ * headers and bodies. */
+static bool is_worker_id(const char *key)
+{
+	const char *at = key;
+
+	while (*at && !g_ascii_iscntrl(*at))
+		at++;
+	return key[0] && !*at && g_utf8_validate(key, -1, NULL);
+}
+
 /* Handles a record of the workers' log: a heartbeat or a deletion. */
 static void fleet_record(void *private_data,
 			 const struct rj_cell_record *record)
 {
 	struct rj_cell_node *node = private_data;
 	struct rj_cell_heartbeat heartbeat;
-	struct rj_error err;
+	struct rj_error err = { .message =
+					"the key is not the id of a worker" };
 	struct rj_cell_worker *worker;
 	char id[RJ_NAME_BYTES];
 	/* Records passed on by a load can be of any age. */
@@ -80,7 +92,8 @@
 	worker = rj_cell_fleet_find(&node->owner.fleet, id);
 	if (worker && refresh_worker(node, worker, record, written_us))
 		return;
-	if (node->options.codec->decode_worker(record->value, &heartbeat,
+	if (!is_worker_id(record->key) ||
+	    node->options.codec->decode_worker(record->value, &heartbeat,
 					       &err)) {
 		rj_log_event("worker_entry_bad",
 			     RJ_LOG_TEXT("worker", record->key),
--- /dev/null
+++ b/src/test_libradishjunction/test_foreign_entries.c
@@ -0,0 +1,150 @@
+/*
+ * Entries that another writer leaves among those of the workers: none of them
+ * ends a process or a load of the list, and none names a worker that does not
+ * exist or takes the place of one that does.
+ */
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "support/cell_fixture.h"
+#include "support/cell_load.h"
+#include "wire.h"
+
+/* An entry of a worker with all fields but its address. */
+#define ENTRY(address, more)                                                \
+	"{\"Service\":\"s\",\"Address\":\"" address "\",\"Zone\":\"z\","    \
+	"\"State\":\"ready\",\"Capacity\":{\"Cpu\":1,\"MemMb\":1,"          \
+	"\"Gpu\":1},\"Labels\":[\"a\",\"r\"],\"born\":1,\"ClockMs\":1" more \
+	"}"
+
+static struct rj_bytes bytes_of(const char *text)
+{
+	return (struct rj_bytes){ (const uint8_t *)text,
+				  (uint32_t)strlen(text) };
+}
+
+static bool is_usable(const char *entry)
+{
+	struct rj_cell_heartbeat heartbeat;
+	struct rj_error err;
+
+	return !platform_wire_decode_worker(bytes_of(entry), &heartbeat, &err);
+}
+
+/* Guards against calls, with this owner's token, to an address that is no number
+ * and port, and against names that are looked up. */
+static void test_addresses(void)
+{
+	static const char *const bad[] = {
+		ENTRY(":80", ""),
+		ENTRY("no-such-host:80", ""),
+		ENTRY("[::1:80", ""),
+		ENTRY("127.0.0.1/x?:9", ""),
+		ENTRY("a@127.0.0.1:9", ""),
+		ENTRY("127.0.0.1\\r\\nX: y:9", ""),
+		ENTRY(" 127.0.0.1:9", ""),
+		ENTRY("127.0.0.1: 9", ""),
+		ENTRY("127.0.0.1:+9", ""),
+		ENTRY("127.0.0.1:0", ""),
+		ENTRY("127.0.0.1:65536", ""),
+		ENTRY("127.0.0.1:-1", ""),
+		ENTRY("127.0.0.1:99999999999999999999999", ""),
+		ENTRY("127.0.0.1:9x", ""),
+		ENTRY("127.0.0.1", ""),
+		ENTRY("127.1:9", ""),
+		ENTRY("0x7f000001:9", ""),
+		ENTRY("", ""),
+	};
+
+	g_assert_true(is_usable(ENTRY("127.0.0.1:9", "")));
+	g_assert_true(is_usable(ENTRY("127.0.0.1:65535", "")));
+	for (guint i = 0; i < G_N_ELEMENTS(bad); i++)
+		if (is_usable(bad[i]))
+			g_error("%s", bad[i]);
+}
+
+/* Guards against a stack that is used up by nested values, and against numbers
+ * that are converted to a type that cannot hold them. */
+static void test_nesting_and_numbers(void)
+{
+	static const char *const numbers[] = {
+		"99999999999999999999999999",
+		"1e400",
+		"-1e400",
+		"9223372036854775808",
+		"18446744073709551616",
+		"-1",
+		"1e300",
+	};
+	static const char *const fields[] = { "born", "ClockMs", "Sequence",
+					      "ColdLeftMs",
+					      "DrainRemainingMs" };
+	static const int depths[] = { 2000, 100000, 250000 };
+
+	for (guint i = 0; i < G_N_ELEMENTS(depths); i++) {
+		char *open = g_strnfill((gsize)depths[i], '[');
+		char *close = g_strnfill((gsize)depths[i], ']');
+		char *whole = g_strconcat(open, close, NULL);
+		char *within = g_strdup_printf("{\"Service\":%s,\"Address\":"
+					       "\"127.0.0.1:9\"}",
+					       whole);
+
+		g_assert_false(is_usable(open));
+		g_assert_false(is_usable(whole));
+		g_assert_false(is_usable(within));
+		g_free(open);
+		g_free(close);
+		g_free(whole);
+		g_free(within);
+	}
+	for (guint i = 0; i < G_N_ELEMENTS(numbers); i++)
+		for (guint j = 0; j < G_N_ELEMENTS(fields); j++) {
+			char *entry = g_strdup_printf(
+				"{\"Service\":\"s\",\"Address\":"
+				"\"127.0.0.1:9\",\"State\":\"ready\","
+				"\"Labels\":[\"a\"],\"%s\":%s}",
+				fields[j], numbers[i]);
+
+			/* Not read at all: Sequence. */
+			if (strcmp(fields[j], "Sequence") != 0)
+				g_assert_false(is_usable(entry));
+			g_free(entry);
+		}
+}
+
+static const struct cell_sim_options site = {
+	CELL_SITE(1, 3, 4, 4, 16),
+};
+
+static const struct rj_cell_fleet *fleet_of(struct cell_sim *sim)
+{
+	return &sim->nodes[cell_sim_owner(sim)].node.owner.fleet;
+}
+
+/* Guards against keys that are no ids: one with a line break would add a header
+ * to this owner's calls. */
+static void test_keys_that_are_no_ids(struct cell_fixture *f, const void *data)
+{
+	const struct rj_cell_heartbeat *reported = &f->sim.workers[0].reported;
+
+	cell_log_put(&f->sim, RJ_CELL_TOPIC_WORKERS, "w\r\nX: y", reported,
+		     sizeof(*reported));
+	cell_log_put(&f->sim, RJ_CELL_TOPIC_WORKERS, "", reported,
+		     sizeof(*reported));
+	cell_log_put(&f->sim, RJ_CELL_TOPIC_WORKERS, "w\xff", reported,
+		     sizeof(*reported));
+	cell_log_put(&f->sim, RJ_CELL_TOPIC_WORKERS, "w\x7f", reported,
+		     sizeof(*reported));
+	cell_load_run(&f->sim, S);
+	g_assert_cmpuint(fleet_of(&f->sim)->count, ==, 4);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/foreign_entries/addresses", test_addresses);
+	g_test_add_func("/foreign_entries/values", test_nesting_and_numbers);
+	CELL_TEST("/foreign_entries/ids", &site, test_keys_that_are_no_ids);
+	return g_test_run();
+}
