platform: one odd key does not keep the list of workers from being loaded

Seen by tests: a page of newest records in which one key has a zero byte, bytes that are no UTF-8, half of a surrogate pair, or is no text, is rejected whole, and the load repeats it for ever. An owner that cannot load the list starts nothing. In a read, a key with a zero byte is cut off there, and takes the place of the worker of that name.

Cause: the page is JSON, whose parser rejects all of it for such a string; keys were taken as C strings.

A key with a zero byte is one of another writer.

--- a/src/libradishjunction/cell/cell_log_reader.c
+++ b/src/libradishjunction/cell/cell_log_reader.c
@@ -255,6 +255,14 @@
 	talloc_free(call);
 }
 
+/* Returns the key after which the page that follows begins, or NULL. */
+static const char *last_key(const struct rj_cell_store_reply *reply)
+{
+	if (reply->after)
+		return reply->after;
+	return reply->count ? reply->records[reply->count - 1].key : NULL;
+}
+
 /* Handles a page of newest records. */
 static void newest_done(void *private_data,
 			const struct rj_cell_store_reply *reply)
@@ -283,11 +291,7 @@
 	for (uint32_t i = 0; i < reply->count; i++)
 		reader->ops->record(reader->private_data, &reply->records[i]);
 	talloc_free(reader->after);
-	reader->after =
-		reply->count ?
-			talloc_strdup(reader->mem,
-				      reply->records[reply->count - 1].key) :
-			NULL;
+	reader->after = talloc_strdup(reader->mem, last_key(reply));
 	if (!reply->more || !reply->count) {
 		reader->state = RJ_CELL_LOG_READER_READING;
 		if (reader->ops->load_end)
--- a/src/libradishjunction/include/private/cell_store.h
+++ b/src/libradishjunction/include/private/cell_store.h
@@ -63,6 +63,9 @@
 	const struct rj_cell_record *records;
 	uint32_t count;
 	bool more; /* newest: more keys follow */
+	/* Newest: the key after which the next page begins; NULL: the last
+	 * one. */
+	const char *after;
 };
 
 /* Completion callback of an operation. */
--- a/src/test_libradishjunction/test_foreign_entries.c
+++ b/src/test_libradishjunction/test_foreign_entries.c
@@ -113,6 +113,98 @@
 		}
 }
 
+/* A page of the list with `odd` between two entries. */
+static char *page_with(const char *odd)
+{
+	return g_strdup_printf(
+		"{\"items\":[{\"Key\":\"i-1\",\"Value\":\"YQ==\","
+		"\"Offset\":1},%s,{\"Key\":\"i-2\",\"Value\":\"Yg==\","
+		"\"Offset\":3}],\"HasMore\":true,\"EndOffset\":9}",
+		odd);
+}
+
+/* Guards against a load that never ends, as one key of a page cannot be read:
+ * an owner that cannot load the list of workers starts nothing. */
+static void test_page_with_an_odd_key(void)
+{
+	static const char *const odd[] = {
+		"{\"Key\":\"i-1\\u0000x\",\"Value\":\"\",\"Offset\":2}",
+		"{\"Key\":\"\\udcff\",\"Value\":\"\",\"Offset\":2}",
+		"{\"Key\":\"\\ud800\\\\\",\"Value\":\"\",\"Offset\":2}",
+		"{\"Key\":\"\xff\xfe\",\"Value\":\"\",\"Offset\":2}",
+		"{\"Key\":null,\"Value\":\"\",\"Offset\":2}",
+		"{\"Key\":7,\"Value\":7,\"Offset\":2}",
+		"{\"Value\":\"YQ==\",\"Offset\":2}",
+		"7",
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(odd); i++) {
+		void *mem = talloc_new(NULL);
+		struct rj_cell_store_reply reply = { 0 };
+		char *page = page_with(odd[i]);
+		uint32_t known = 0;
+
+		if (platform_wire_decode_newest(mem, page, strlen(page),
+						&reply))
+			g_error("%s", odd[i]);
+		g_assert_true(reply.more);
+		g_assert_cmpuint(reply.end, ==, 9);
+		for (uint32_t j = 0; j < reply.count; j++) {
+			const char *key = reply.records[j].key;
+
+			if (!strcmp(key, "i-1") || !strcmp(key, "i-2")) {
+				known++;
+				g_assert_cmpuint(reply.records[j].value.length,
+						 ==, 1);
+			}
+		}
+		g_assert_cmpuint(known, ==, 2);
+		g_assert_cmpstr(reply.after, ==, "i-2");
+		g_free(page);
+		talloc_free(mem);
+	}
+}
+
+/* Guards against an odd last key after which the next page is not found: the
+ * load goes on after the last key that is sure. */
+static void test_page_ends_with_an_odd_key(void)
+{
+	static const char page[] =
+		"{\"items\":[{\"Key\":\"i-1\",\"Value\":\"YQ==\","
+		"\"Offset\":1},{\"Key\":\"\xff\",\"Value\":\"\","
+		"\"Offset\":2}],\"HasMore\":true,\"EndOffset\":9}";
+	void *mem = talloc_new(NULL);
+	struct rj_cell_store_reply reply = { 0 };
+
+	g_assert_cmpint(
+		platform_wire_decode_newest(mem, page, strlen(page), &reply),
+		==, 0);
+	g_assert_cmpstr(reply.after, ==, "i-1");
+	talloc_free(mem);
+}
+
+/* Guards against a key that takes the place of a worker's, as both are the same
+ * up to a zero byte. */
+static void test_key_with_a_zero_byte(void)
+{
+	static const char body[] =
+		/* end 2, first retained 0 */
+		"\0\0\0\0\0\0\0\2\0\0\0\0\0\0\0\0"
+		/* length 7, key of 5 bytes, value of 1 */
+		"\0\0\0\7\5i-1\0xv"
+		"\0\0\0\5\3i-1v";
+	void *mem = talloc_new(NULL);
+	struct rj_cell_store_reply reply = { 0 };
+
+	g_assert_cmpint(platform_wire_decode_records(
+				mem, body, sizeof(body) - 1, 0, &reply),
+			==, 0);
+	g_assert_cmpuint(reply.count, ==, 2);
+	g_assert_cmpstr(reply.records[0].key, ==, "");
+	g_assert_cmpstr(reply.records[1].key, ==, "i-1");
+	talloc_free(mem);
+}
+
 static const struct cell_sim_options site = {
 	CELL_SITE(1, 3, 4, 4, 16),
 };
@@ -145,6 +237,11 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/foreign_entries/addresses", test_addresses);
 	g_test_add_func("/foreign_entries/values", test_nesting_and_numbers);
+	g_test_add_func("/foreign_entries/page", test_page_with_an_odd_key);
+	g_test_add_func("/foreign_entries/last_key",
+			test_page_ends_with_an_odd_key);
+	g_test_add_func("/foreign_entries/zero_byte",
+			test_key_with_a_zero_byte);
 	CELL_TEST("/foreign_entries/ids", &site, test_keys_that_are_no_ids);
 	return g_test_run();
 }
