--- a/src/libradishjunction/cell/cell_fleet.c
+++ b/src/libradishjunction/cell/cell_fleet.c
@@ -404,12 +404,16 @@
 }
 
 /*
- * Keeps a copy of the entry that the worker's heartbeat was decoded from.
+ * Keeps a copy of the entry that the worker's heartbeat was decoded from, unless
+ * it is long: other writers may leave long ones.
  */
 void rj_cell_worker_keep_entry(struct rj_cell_worker *worker,
 			       struct rj_bytes entry)
 {
 	talloc_free((void *)worker->entry.data);
+	worker->entry = (struct rj_bytes){ NULL, 0 };
+	if (entry.length > RJ_CELL_ENTRY_KEPT_MAX_BYTES)
+		return;
 	worker->entry.data = talloc_memdup(worker, entry.data, entry.length);
 	worker->entry.length = entry.length;
 }
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -47,6 +47,9 @@
 /* Nothing further is placed on a worker with this many runs: the lists of a worker
  * grow with them, and an answer that is too long counts as lost. */
 #define RJ_CELL_WORKER_RUNS_MAX 16384
+/* Longest entry of a worker that is kept to be compared with the next one; an
+ * entry in use has some 400 bytes. */
+#define RJ_CELL_ENTRY_KEPT_MAX_BYTES 4096
 
 struct rj_cell_fleet;
 struct rj_cell_plan_worker;
--- a/src/test_libradishjunction/test_foreign_entries.c
+++ b/src/test_libradishjunction/test_foreign_entries.c
@@ -232,6 +232,57 @@
 	g_assert_cmpuint(fleet_of(&f->sim)->count, ==, 4);
 }
 
+/* Guards against memory that grows by the entries of others: only short ones are
+ * kept, to be compared with the next. */
+static void test_long_entries_are_not_kept(struct cell_fixture *f,
+					   const void *data)
+{
+	struct rj_cell_worker *worker =
+		rj_cell_fleet_find(fleet_of(&f->sim), "w00");
+	uint8_t *text = g_malloc0(RJ_CELL_ENTRY_KEPT_MAX_BYTES + 1);
+
+	g_assert_cmpuint(worker->entry.length, >, 0);
+	rj_cell_worker_keep_entry(
+		worker,
+		(struct rj_bytes){ text, RJ_CELL_ENTRY_KEPT_MAX_BYTES });
+	g_assert_cmpuint(worker->entry.length, ==,
+			 RJ_CELL_ENTRY_KEPT_MAX_BYTES);
+	rj_cell_worker_keep_entry(
+		worker,
+		(struct rj_bytes){ text, RJ_CELL_ENTRY_KEPT_MAX_BYTES + 1 });
+	g_assert_cmpuint(worker->entry.length, ==, 0);
+	g_assert_false(rj_cell_worker_entry_is_comparable(worker));
+	g_free(text);
+}
+
+/* Guards against numbers in a worker's lists that no type of ours holds: a row
+ * with one is no run or end of ours, and the others count. */
+static void test_rows_of_a_worker(void)
+{
+	static const char body[] =
+		"{\"ClockMs\":5,\"born\":1,\"Running\":["
+		"[\"a.0.0.0\",1e300,\"\",1],"
+		"[\"a.0.0.0\",4294967297,\"\",1],"
+		"[\"a.0.0.0\",-1,\"\",1],"
+		"[\"a.0.0.1\",2,\"\",50,1e300]],\"Finished\":["
+		"[1e300,\"a.0.0.2\",1,\"done\",\"\"],"
+		"[7,\"a.0.0.3\",18446744073709551616.0,\"done\",\"\"],"
+		"[8,\"a.0.0.4\",3,\"done\",\"\"]]}";
+	void *mem = talloc_new(NULL);
+	struct rj_cell_order_reply reply = { 0 };
+	char reason[RJ_NAME_BYTES];
+
+	g_assert_cmpint(platform_wire_decode_order_reply(
+				mem, body, strlen(body), &reply, reason),
+			==, 0);
+	g_assert_cmpuint(reply.row_count, ==, 1);
+	g_assert_cmpstr(reply.rows[0].name, ==, "a.0.0.1");
+	g_assert_cmpuint(reply.rows[0].percent, ==, 50);
+	g_assert_cmpuint(reply.completion_count, ==, 1);
+	g_assert_cmpuint(reply.completions[0].position, ==, 8);
+	talloc_free(mem);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -243,5 +294,8 @@
 	g_test_add_func("/foreign_entries/zero_byte",
 			test_key_with_a_zero_byte);
 	CELL_TEST("/foreign_entries/ids", &site, test_keys_that_are_no_ids);
+	CELL_TEST("/foreign_entries/kept", &site,
+		  test_long_entries_are_not_kept);
+	g_test_add_func("/foreign_entries/rows", test_rows_of_a_worker);
 	return g_test_run();
 }
