cells: a perpetual task that fails does not suspend its worker

Cause: a worker is suspended for 6 s at each failure but the first in a row, and only a run that ends well ends the row. Perpetual runs never do. Excluded: capacity (three quarters free), the delay of a restart (it would take 180 failures of one task); the event backlog has 0 workers.

Change: a late failure of a perpetual run does not count, and such a run that began after the last failure and is at work ends the row. The delay before a restart, 50 ms for each failure of a task's life, is 2 s at most.

Before: cell_starvation/failing has 27 starts of 32 on.

--- a/src/libradishjunction/cell/cell_completions.c
+++ b/src/libradishjunction/cell/cell_completions.c
@@ -23,6 +23,8 @@
 /* Delay before a failed task starts again, per failure so far, to spare a
  * worker or a store with a brief fault. */
 #define FAILURE_BACKOFF_US (50 * RJ_US_PER_MS)
+/* A perpetual task fails any number of times, and has to run again soon. */
+#define FAILURE_BACKOFF_MAX_US (2 * RJ_US_PER_S)
 /*
  * Number of failures in a row after which a worker gets no work for a while. A
  * worker that fails everything it starts would otherwise use up the attempts of
@@ -254,13 +256,16 @@
 	rj_cell_completions_avoid_worker(owner, task, run->worker);
 	/* A gang starts again once this has passed for all of its members. */
 	task->not_before_us =
-		owner->now_us + FAILURE_BACKOFF_US * head->failures;
+		owner->now_us + MIN(FAILURE_BACKOFF_US * head->failures,
+				    FAILURE_BACKOFF_MAX_US);
 	if (!step->perpetual && head->failures >= job->job_spec->attempts_max)
 		rj_cell_completions_close_job(owner, job, RJ_CELL_JOB_FAILED);
 }
 
 /* Updates the failure streak of a worker from the completion of a run there,
- * and marks the worker as suspect if needed. */
+ * and marks the worker as suspect if needed. A perpetual run may fail at any
+ * time and never ends well, so that only its early failure tells of the worker;
+ * see rj_cell_run_health_update for the end of a streak. */
 static void update_worker_health(struct rj_cell_owner *owner,
 				 const struct rj_cell_run *run,
 				 enum rj_cell_completion end)
@@ -271,9 +276,11 @@
 
 	if (end == RJ_CELL_COMPLETION_DONE)
 		worker->bad_streak = 0;
-	if (end != RJ_CELL_COMPLETION_FAILED)
+	if (end != RJ_CELL_COMPLETION_FAILED ||
+	    (!early && rj_cell_task_step(run->task)->perpetual))
 		return;
 	worker->bad_streak++;
+	worker->failed_us = owner->now_us;
 	if (early)
 		rj_cell_failure_record_early(&owner->failure_burst,
 					     owner->now_us);
--- a/src/libradishjunction/cell/cell_run_health.c
+++ b/src/libradishjunction/cell/cell_run_health.c
@@ -50,9 +50,27 @@
 	return owner->now_us > ran_us ? owner->now_us - ran_us : 0;
 }
 
+/* Updates the health of a worker from a run that it lists. */
+static void update_worker_health(const struct rj_cell_owner *owner,
+				 const struct rj_cell_run *run)
+{
+	struct rj_cell_worker *worker = run->worker;
+
+	if (run->adopted ||
+	    rj_cell_failure_is_early(owner->now_us - run->placed_us))
+		return;
+	worker->healthy_us = MAX(worker->healthy_us, run->placed_us);
+	if (run->task && rj_cell_task_step(run->task)->perpetual &&
+	    run->percent >= RJ_CELL_PERCENT_ALL &&
+	    run->placed_us > worker->failed_us)
+		worker->bad_streak = 0;
+}
+
 /*
  * Updates a run from the row in which its worker lists it: state, progress,
- * checkpoint, and since when it has exceeded its latency target.
+ * checkpoint, and since when it has exceeded its latency target. A perpetual run
+ * that is at work, and has begun after the last failure, ends the failure streak
+ * of its worker.
  */
 void rj_cell_run_health_update(struct rj_cell_owner *owner,
 			       struct rj_cell_run *run,
@@ -75,10 +93,8 @@
 	if (row->percent != run->percent || !run->progress_us ||
 	    strcmp(run->saved ? run->saved : "", row->saved) != 0)
 		run->progress_us = owner->now_us;
-	if (!run->adopted && run->placed_us > run->worker->healthy_us &&
-	    !rj_cell_failure_is_early(owner->now_us - run->placed_us))
-		run->worker->healthy_us = run->placed_us;
 	run->percent = row->percent;
+	update_worker_health(owner, run);
 	rj_cell_run_pace_report(run, owner->now_us);
 	run->listed_us = owner->now_us;
 	if (!rj_cell_run_has_latency_target(run) ||
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -151,7 +151,8 @@
 	struct rj_cell_pace pace; /* of its present incarnation */
 	struct rj_cell_worker_history history;
 	/* Health, derived from the runs on it. */
-	uint32_t bad_streak; /* consecutive runs that failed or stalled */
+	uint32_t bad_streak; /* consecutive runs that failed */
+	uint64_t failed_us; /* when the last of them did */
 	uint64_t suspect_until_us;
 	/* Latest start of a run that did not fail early. */
 	uint64_t healthy_us;
--- a/src/test_libradishjunction/test_cell_starvation.c
+++ b/src/test_libradishjunction/test_cell_starvation.c
@@ -346,6 +346,46 @@
 	g_assert_cmpuint(job->starts, ==, 8);
 }
 
+/* Jobs of four perpetual tasks on four workers; each run fails after 6 s, and
+ * each second another job has its turn. */
+#define FAILING_JOBS 10
+#define FAILING_RUN_US (6 * S)
+
+static const struct cell_sim_options small_site = {
+	CELL_SITE(3, 3, 4, 4, 16),
+};
+
+/*
+ * Load: perpetual tasks that fail now and then, on all workers.
+ * Guards against workers that are all suspended for it, so that the tasks are
+ * not started again and nothing else starts.
+ */
+static void test_failing_perpetual_tasks_are_restarted(struct cell_fixture *f,
+						       const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(4, 0, 1000);
+	struct cell_client_job *jobs[FAILING_JOBS];
+	struct cell_client_job *other;
+
+	step.perpetual = true;
+	step.per_worker_max = 1;
+	for (guint i = 0; i < FAILING_JOBS; i++) {
+		jobs[i] = cell_sim_job_new(&f->sim, "normal", "a", &step, 1,
+					   2 * FAILING_RUN_US);
+		jobs[i]->failing_runs = UINT32_MAX;
+		cell_sim_submit(&f->sim, 0, jobs[i]);
+		cell_load_run(&f->sim, S);
+	}
+	cell_load_run(&f->sim, 10 * FAILING_RUN_US);
+	step = cell_sim_plain_step(1, 1, 1000);
+	other = cell_load_submit(&f->sim, "normal", "b", &step, S);
+	cell_load_run(&f->sim, 3 * S);
+	g_assert_cmpint(other->state, ==, RJ_CELL_JOB_COMPLETED);
+	/* Each task has run ten times, or less by the short pauses between. */
+	for (guint i = 0; i < FAILING_JOBS; i++)
+		g_assert_cmpuint(jobs[i]->starts, >=, 8 * 4);
+}
+
 /*
  * Load: a batch job that must run in the rack that is reserved first, and more
  * normal jobs than the site can run.
@@ -393,6 +433,8 @@
 		  test_scheduled_job_is_not_late_before_it_is_due);
 	CELL_TEST("/cell_starvation/lasting", &site,
 		  test_perpetual_job_is_restarted);
+	CELL_TEST("/cell_starvation/failing", &small_site,
+		  test_failing_perpetual_tasks_are_restarted);
 	CELL_TEST("/cell_starvation/confined", &site,
 		  test_confined_job_uses_a_reserved_rack);
 	return g_test_run();
