platform: a policy service that moves is asked at its new address

Cause: changed settings are checked and dropped until a restart.

Change: that address takes effect with the next request.

--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -490,6 +490,16 @@
 			      &node->owner, &node->requests);
 }
 
+/*
+ * Sets the policy service, or NULL for none, from now on.
+ */
+void rj_cell_node_set_advisor(struct rj_cell_node *node,
+			      struct rj_cell_advisor *advisor)
+{
+	node->owner.advisor = advisor;
+	node->owner.plan_wanted = true;
+}
+
 /*
  * Starts to read the logs and to answer clients.
  */
--- a/src/libradishjunction/include/private/cell_node.h
+++ b/src/libradishjunction/include/private/cell_node.h
@@ -69,6 +69,8 @@
 
 void rj_cell_node_init(struct rj_cell_node *node, void *mem,
 		       const struct rj_cell_node_options *options);
+void rj_cell_node_set_advisor(struct rj_cell_node *node,
+			      struct rj_cell_advisor *advisor);
 void rj_cell_node_start(struct rj_cell_node *node, uint64_t now_us,
 			uint64_t wall_ms);
 void rj_cell_node_advance(struct rj_cell_node *node, uint64_t now_us,
--- a/src/test_libradishjunction/test_platform_calls.c
+++ b/src/test_libradishjunction/test_platform_calls.c
@@ -28,6 +28,7 @@
 	bool done;
 	struct rj_cell_store_reply reply;
 	struct rj_cell_order_reply order;
+	bool advised;
 };
 
 /* Records a request and answers it by the script. */
@@ -283,6 +284,46 @@
 	g_test_add("/platform_calls/" name, struct fixture, NULL, setup, \
 		   function, teardown)
 
+static void advice_done(void *private_data,
+			const struct rj_cell_advice_reply *reply)
+{
+	struct fixture *f = private_data;
+
+	f->advised = reply->answered;
+	f->done = true;
+}
+
+/* Asks the policy service about one worker. Returns whether it answered. */
+static bool ask(struct fixture *f, struct platform_advisor *advisor)
+{
+	static const char *const workers[] = { "i-1" };
+
+	advisor->advisor.ops->ask(
+		&advisor->advisor, "a.0.0", workers, 1,
+		(struct rj_cell_advice_done){ advice_done, f });
+	wait_done(f);
+	return f->advised;
+}
+
+/* Guards against requests to the address that the policy service has left. */
+static void test_policy_service_moves(struct fixture *f, const void *data)
+{
+	const struct platform_event_hook hook = { after_event, f };
+	const struct rj_address nobody = { .ip = "127.0.0.1", .port = 1 };
+	struct platform_advisor advisor;
+	struct rj_error err;
+
+	f->script = (struct script){ 200, "{\"Eligible\":[],\"ValidMs\":9}" };
+	g_assert_false(platform_advisor_init(&advisor, f->loop, f->loop,
+					     &nobody, &hook, &err));
+	g_assert_false(ask(f, &advisor));
+	g_assert_cmpuint(advisor.missing, ==, 1);
+	platform_advisor_move(&advisor, &f->server.address);
+	g_assert_true(ask(f, &advisor));
+	g_assert_cmpuint(advisor.missing, ==, 1);
+	platform_advisor_finish(&advisor);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -294,5 +335,6 @@
 	ADD("page", test_page_after_a_foreign_key);
 	ADD("link", test_timeouts_allow_for_the_link);
 	ADD("worker", test_worker_answers);
+	ADD("policy_moves", test_policy_service_moves);
 	return g_test_run();
 }
