--- a/src/test_libradishjunction/test_cell_backfill.c
+++ b/src/test_libradishjunction/test_cell_backfill.c
@@ -66,7 +66,7 @@
 static void test_small_tasks_run_beside_a_promise(struct cell_fixture *f,
 						  const void *data)
 {
-	struct cell_client_job *small[3];
+	struct cell_client_job *small[3] = { NULL };
 
 	(void)keep_busy(&f->sim, 110 * S);
 	submit_gang(&f->sim);
@@ -92,7 +92,7 @@
 	struct cell_client_job *busy = keep_busy(&f->sim, 30 * S);
 	struct cell_client_job *gang = submit_gang(&f->sim);
 	uint32_t begun = 0;
-	struct cell_client_job *small[40];
+	struct cell_client_job *small[40] = { NULL };
 
 	for (guint i = 0; i < G_N_ELEMENTS(small); i++) {
 		cell_load_run(&f->sim, S);
