--- a/src/test_libradishjunction/test_cell_starvation.c
+++ b/src/test_libradishjunction/test_cell_starvation.c
@@ -386,6 +386,30 @@
 		g_assert_cmpuint(jobs[i]->starts, >=, 8 * 4);
 }
 
+/* A perpetual task runs again within 9 s, and each of its runs fails after a
+ * second. */
+#define FAILURES_S 2400
+#define CYCLE_MAX_S 10
+
+/* Guards against a perpetual task whose restarts are delayed more with each
+ * failure of its life. */
+static void test_restarts_are_not_delayed_for_ever(struct cell_fixture *f,
+						   const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(1, 0, 1000);
+	struct cell_client_job *job;
+	uint32_t starts;
+
+	step.perpetual = true;
+	job = cell_sim_job_new(&f->sim, "normal", "a", &step, 1, 2 * S);
+	job->failing_runs = UINT32_MAX;
+	cell_sim_submit(&f->sim, 0, job);
+	cell_sim_run(&f->sim, FAILURES_S * S);
+	starts = job->starts;
+	cell_sim_run(&f->sim, 6 * CYCLE_MAX_S * S);
+	g_assert_cmpuint(job->starts, >=, starts + 6);
+}
+
 /*
  * Load: a batch job that must run in the rack that is reserved first, and more
  * normal jobs than the site can run.
@@ -435,6 +459,8 @@
 		  test_perpetual_job_is_restarted);
 	CELL_TEST("/cell_starvation/failing", &small_site,
 		  test_failing_perpetual_tasks_are_restarted);
+	CELL_TEST("/cell_starvation/restarts", &small_site,
+		  test_restarts_are_not_delayed_for_ever);
 	CELL_TEST("/cell_starvation/confined", &site,
 		  test_confined_job_uses_a_reserved_rack);
 	return g_test_run();
