tests: backfill's first task is checked before it is used

It can't have, but the test now says so.

rj_cell_config_succeed is called rj_cell_config_replace, which is what it does.

--- a/src/libradishjunction/cell/cell_config.c
+++ b/src/libradishjunction/cell/cell_config.c
@@ -130,7 +130,7 @@
  * none. A key that is new was never allowed to use those of `former`, so that
  * only the keys that both versions have are accepted.
  */
-struct rj_cell_config *rj_cell_config_succeed(struct rj_cell_config *former,
+struct rj_cell_config *rj_cell_config_replace(struct rj_cell_config *former,
 					      struct rj_cell_config *config)
 {
 	if (!former) {
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -160,7 +160,7 @@
 		     RJ_LOG_NUMBER("accounts", config->account_count),
 		     RJ_LOG_NUMBER("invalid", config->invalid_count),
 		     RJ_LOG_TEXT("error", config->invalid_error));
-	node->config = rj_cell_config_succeed(node->config, config);
+	node->config = rj_cell_config_replace(node->config, config);
 	node->frontend.config = node->config;
 	node->owner.config = node->config;
 	node->owner.plan_wanted = true;
--- a/src/libradishjunction/include/private/cell_config.h
+++ b/src/libradishjunction/include/private/cell_config.h
@@ -59,7 +59,7 @@
 	bool queues_unknown;
 };
 
-struct rj_cell_config *rj_cell_config_succeed(struct rj_cell_config *former,
+struct rj_cell_config *rj_cell_config_replace(struct rj_cell_config *former,
 					      struct rj_cell_config *config);
 
 const struct rj_cell_queue *
--- a/src/test_libradishjunction/test_cell_backfill.c
+++ b/src/test_libradishjunction/test_cell_backfill.c
@@ -145,6 +145,7 @@
 		g_assert_cmpuint(gang->begun_us, >, 0);
 		g_assert_cmpuint(gang->begun_us - busy->begun_us, <=,
 				 BUSY_US + GANG_DELAY_MAX_US);
+		g_assert_nonnull(first);
 		g_assert_cmpuint(first->starts, >=, 1);
 		cell_fixture_teardown(&f, &site);
 	}
--- a/src/test_libradishjunction/test_config_parts.c
+++ b/src/test_libradishjunction/test_config_parts.c
@@ -43,7 +43,7 @@
 	struct rj_cell_config *config = decode(text);
 
 	g_assert_nonnull(config);
-	return rj_cell_config_succeed(decode(FORMER), config);
+	return rj_cell_config_replace(decode(FORMER), config);
 }
 
 /* Guards against a removed key that stays valid, as another part of the version
@@ -110,7 +110,7 @@
 	g_assert_null(rj_cell_config_key(config, "k1"));
 	talloc_free(config);
 	/* Without a former version no queue is known. */
-	config = rj_cell_config_succeed(NULL, decode(text));
+	config = rj_cell_config_replace(NULL, decode(text));
 	g_assert_true(config->queues_unknown);
 	g_assert_null(rj_cell_config_route(config, "h", "/own/1"));
 	talloc_free(config);
