--- a/src/libradishjunction/cell/cell_frontend.c
+++ b/src/libradishjunction/cell/cell_frontend.c
@@ -129,7 +129,6 @@
 {
 	uint64_t limit_us = (uint64_t)frontend->revoke_ms * RJ_US_PER_MS *
 			    KEY_FRESH_PERCENT / 100;
-
 	uint64_t unknown_us = frontend->config_unknown_us;
 
 	if (unknown_us && now_us > unknown_us + limit_us)
