cells: jobs whose starts are refused count as pending

Cause: count_pending left out each job with `started`, which begin_run sets when a start is decided, before the worker is asked. Nothing takes it back.

Evidence: in the test, 3 jobs wait on workers that refuse; 0 are counted before, 3 now. Without the new row of the record the test fails once the owner is replaced (0 of 3).

Why it works: callers are told the number of jobs of which no task has started. That is now `any_begun`, set by what a worker says: the answer to a start, a run that it lists, an end.

test_record_for_earlier_versions had a gang with two failures of which no task had begun, which cannot be; its head has begun now. It checks the same rows, and any_begun checks those of a job that has not begun.

--- a/src/libradishjunction/cell/cell_active_job.c
+++ b/src/libradishjunction/cell/cell_active_job.c
@@ -156,6 +156,7 @@
 	if (task->begun)
 		return;
 	task->begun = true;
+	job->any_begun = true;
 	if (task->step || task->occurrence->number)
 		return;
 	job->begun =
--- a/src/libradishjunction/cell/cell_admit.c
+++ b/src/libradishjunction/cell/cell_admit.c
@@ -255,8 +255,8 @@
 			late_ms - queue_load->mean_ms, heartbeat);
 }
 
-/* Counts by queue the jobs that have not started, without those that run at a
- * set time. The caller frees the table. */
+/* Counts by queue the jobs of which no worker has started a task, without those
+ * that run at a set time. The caller frees the table. */
 static GHashTable *count_pending(const struct rj_cell_owner *owner)
 {
 	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
@@ -268,8 +268,10 @@
 		const char *queue = job->job_spec->queue;
 		guint count;
 
-		if (job->started || job->cancelled || job->job_spec->repeats ||
-		    job->state != RJ_CELL_JOB_QUEUED)
+		if (job->any_begun || job->cancelled ||
+		    job->job_spec->repeats ||
+		    (job->state != RJ_CELL_JOB_QUEUED &&
+		     job->state != RJ_CELL_JOB_RUNNING))
 			continue;
 		count = GPOINTER_TO_UINT(g_hash_table_lookup(counts, queue));
 		g_hash_table_insert(counts, (gpointer)queue,
--- a/src/libradishjunction/cell/cell_record.c
+++ b/src/libradishjunction/cell/cell_record.c
@@ -42,6 +42,7 @@
 #define ROW_STALLS UINT32_MAX
 #define ROW_LOSSES (UINT32_MAX - 1)
 #define ROW_BACKFILLED (UINT32_MAX - 2) /* the number of such a run */
+#define ROW_NONE_BEGUN (UINT32_MAX - 3) /* of the job; at its first task */
 
 /* How a task is encoded. */
 enum task_code {
@@ -211,6 +212,23 @@
 	rj_pack_number(out, value);
 }
 
+/* Whether a run of a task has ended without its worker having started it, and no
+ * worker has started another task of the job; see count_pending. */
+static bool is_known_not_begun(const struct rj_cell_job *job,
+			       const struct rj_cell_occurrence *occurrence)
+{
+	if (job->any_begun || job->job_spec->repeats)
+		return false;
+	for (uint32_t i = 0; i < job->job_spec->task_count; i++) {
+		const struct rj_cell_task *task = &occurrence->tasks[i];
+
+		if (task->run > 1 ||
+		    (task->run && task->runs.next == &task->runs))
+			return true;
+	}
+	return false;
+}
+
 /* Encodes what a task has lost so far, and of which runs the failures of a gang
  * consist. */
 static void write_history(struct rj_packer *out,
@@ -218,9 +236,13 @@
 {
 	uint32_t count = task->failed_run_count;
 	bool is_head = rj_cell_task_step(task)->gang && !task->index;
-	bool has_rows = task->stalls || task->losses;
+	bool none_begun = !position && is_known_not_begun(task->occurrence->job,
+							  task->occurrence);
+	bool has_rows = none_begun || task->stalls || task->losses;
 	const struct rj_list *at;
 
+	if (none_begun)
+		write_row(out, task, position, ROW_NONE_BEGUN, 0, 0);
 	if (task->stalls)
 		write_row(out, task, position, ROW_STALLS, 0, task->stalls);
 	if (task->losses)
@@ -248,8 +270,8 @@
  * five numbers up to the end of the record.
  *
  * Earlier versions read the last row of a task as its last failed run and its
- * unreported failures, and the first versions read none. They take ROW_STALLS
- * and ROW_LOSSES for a run that does not exist.
+ * unreported failures, and the first versions read none. They take the numbers
+ * of other rows for a run that does not exist.
  */
 static void write_histories(struct rj_packer *out,
 			    const struct rj_cell_job *job)
@@ -483,6 +505,9 @@
 	case ROW_BACKFILLED:
 		set_backfilled(task, value);
 		return;
+	case ROW_NONE_BEGUN:
+		task->occurrence->job->any_begun = false;
+		return;
 	default:
 		break;
 	}
@@ -529,6 +554,8 @@
 	read_summary(&in, PROGRESS_FORMAT, &summary);
 	job->state = summary.state;
 	job->started = summary.started;
+	/* Unless ROW_NONE_BEGUN says otherwise. */
+	job->any_begun = summary.started;
 	begun = (uint32_t)rj_unpack_number(&in, "begun", UINT32_MAX);
 	job->occurrences_done =
 		(uint32_t)rj_unpack_number(&in, "done", UINT32_MAX);
--- a/src/libradishjunction/include/private/cell_active_job.h
+++ b/src/libradishjunction/include/private/cell_active_job.h
@@ -173,10 +173,11 @@
 	/* In the owner's list of jobs whose last record was invalid. */
 	struct rj_list in_unstorable;
 	struct rj_cell_unsaved_ends unsaved_ends;
-	bool started; /* a task has started */
+	bool started; /* the start of a task was decided */
 	bool ticket_wanted; /* a worker rejected a start for its ticket */
 	/* Within its account's guarantee, according to the plan. */
 	bool guaranteed;
+	bool any_begun; /* a worker has started one of its tasks */
 	/* All tasks of its first step have started, on workers. */
 	bool begun;
 	uint32_t first_tasks_begun;
--- a/src/test_libradishjunction/test_cell_path.c
+++ b/src/test_libradishjunction/test_cell_path.c
@@ -473,6 +473,35 @@
 	g_assert_cmpint(cell_sim_owner(&f->sim), >=, 0);
 }
 
+/* Guards against jobs that are not counted as pending while the workers refuse
+ * to start them, also in a takeover. */
+static void test_refused_jobs_are_pending(struct cell_fixture *f,
+					  const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(2, 1, 500);
+	uint32_t owner = (uint32_t)cell_sim_owner(&f->sim);
+	uint32_t node = owner ? 0 : 1;
+
+	for (uint32_t i = 0; i < small.workers; i++)
+		f->sim.workers[i].unhealthy = true;
+	for (uint32_t i = 0; i < PENDING_JOBS; i++)
+		cell_sim_submit(&f->sim, node,
+				cell_sim_job_new(&f->sim, "normal", "a", &step,
+						 1, 500 * MS));
+	cell_sim_run(&f->sim, 3 * S);
+	g_assert_cmpuint(pending_at(&f->sim, node, "normal"), ==, PENDING_JOBS);
+	cell_sim_node_kill(&f->sim, owner);
+	for (uint32_t i = 0; i < 100; i++) {
+		cell_sim_run(&f->sim, 100 * MS);
+		g_assert_cmpuint(pending_at(&f->sim, node, "normal"), ==,
+				 PENDING_JOBS);
+	}
+	for (uint32_t i = 0; i < small.workers; i++)
+		f->sim.workers[i].unhealthy = false;
+	cell_sim_run(&f->sim, 10 * S);
+	g_assert_cmpuint(pending_at(&f->sim, node, "normal"), ==, 0);
+}
+
 #define ADD(name, function) CELL_TEST("/cell_path/" name, &small, function)
 
 /* Checks the pending jobs of all extra queues at all nodes but one. */
@@ -533,6 +562,7 @@
 	ADD("occurrences", test_occurrences_start_when_due);
 	ADD("unpublished", test_unpublished_job_is_found);
 	ADD("pending", test_pending_jobs_are_known_in_a_takeover);
+	ADD("refused_pending", test_refused_jobs_are_pending);
 	ADD("missing", test_missing_job_is_looked_up_once);
 	ADD("only_worker", test_only_matching_worker_is_retried);
 	ADD("all_power", test_task_lost_in_a_power_failure);
--- a/src/test_libradishjunction/test_cell_task_history.c
+++ b/src/test_libradishjunction/test_cell_task_history.c
@@ -261,6 +261,7 @@
 	(void)rj_cell_task_add_failed_run(f->head, 2);
 	f->job->state = RJ_CELL_JOB_RUNNING;
 	f->job->started = true;
+	rj_cell_task_set_begun(f->head, 0);
 	record = rj_cell_progress_encode(f->mem, f->job, true);
 	rj_unpack_init(&in, record);
 	pack_gang(&out, 3, 2);
@@ -292,6 +293,28 @@
 	g_assert_cmpmem(record.data + record.length - 5, 5, "\0\0\0\0\0", 5);
 }
 
+/* Guards against a successor that takes a job whose starts were refused for one
+ * that has begun, or the other way round; and against a row of it that an earlier
+ * version takes for a failed run. */
+static void test_whether_any_task_has_begun(struct record_fixture *f,
+					    const void *data)
+{
+	struct rj_bytes record;
+
+	f->head->run = 1;
+	f->job->state = RJ_CELL_JOB_RUNNING;
+	f->job->started = true;
+	record = rj_cell_progress_encode(f->mem, f->job, true);
+	g_assert_cmpmem(record.data + record.length - 5, 5, "\0\0\0\0\0", 5);
+	decode(f, record);
+	g_assert_false(f->copy->any_begun);
+	talloc_free(f->copy);
+	f->copy = rj_cell_job_new(f->mem, &f->spec);
+	rj_cell_task_set_begun(f->head, 0);
+	decode(f, rj_cell_progress_encode(f->mem, f->job, true));
+	g_assert_true(f->copy->any_begun);
+}
+
 /* The number of remembered failures is limited; the latest ones are kept. */
 static void test_failed_runs_are_limited(struct record_fixture *f,
 					 const void *data)
@@ -322,6 +345,7 @@
 	RECORD_TEST("/task_history/earlier_readers",
 		    test_record_for_earlier_versions);
 	RECORD_TEST("/task_history/last_row", test_last_row_is_known);
+	RECORD_TEST("/task_history/any_begun", test_whether_any_task_has_begun);
 	RECORD_TEST("/task_history/limited", test_failed_runs_are_limited);
 	return g_test_run();
 }
