cell_lease_bounds: leases last at most 8 s

Callers saw: a task whose worker is lost, or has left behind a partition, stands still until its lease has expired, up to 10.2 s where the platform allows leases of 10 s. Cause: owners granted the longest lease that the platform allows. What a lease has to outlive is shorter: a partition of a failure domain (5.8 s) and an interval between two renewals (1.5 s). Change: leases last 8 s at most. The record of the lease bounds states the duration; of a former owner that does not record it, and of a worker that has just been met, the longest lease allowed is assumed, so that versions may take over from each other.

--- a/src/libradishjunction/cell/cell_calls.c
+++ b/src/libradishjunction/cell/cell_calls.c
@@ -67,7 +67,7 @@
 
 	if (!worker->clock_ms || !rj_cell_owner_may_grant(owner, worker))
 		return 0;
-	deadline_ms = MIN(clock_ms + owner->limits.lease_max_ms,
+	deadline_ms = MIN(clock_ms + owner->leases.lease_ms,
 			  rj_cell_worker_deadline_within(
 				  worker, rj_cell_lease_bounds_until_us(
 						  &owner->leases, worker)));
--- a/src/libradishjunction/cell/cell_incarnation.c
+++ b/src/libradishjunction/cell/cell_incarnation.c
@@ -101,8 +101,8 @@
 	rj_cell_pace_init(&worker->pace);
 	rj_cell_handover_worker_met(&owner->handover, worker);
 	rj_cell_incarnation_update_clock(worker, call, reply);
-	/* From now on only this owner's orders extend leases, so no lease ends
-	 * later than one that starts now. */
+	/* From now on only this owner's orders extend leases. A former owner may
+	 * just have granted as long a lease as the platform allows. */
 	worker->lease_deadline_ms =
 		worker->clock_ms + owner->limits.lease_max_ms;
 	worker->lease_expired_us = 0;
--- a/src/libradishjunction/cell/cell_lease_bounds.c
+++ b/src/libradishjunction/cell/cell_lease_bounds.c
@@ -6,6 +6,10 @@
 #include "private/pack.h"
 
 #define LEASE_RECORD_FORMAT 1
+/* Maximum duration of a lease, whatever the platform allows. What is lost with
+ * its worker waits for as long, so a lease only has to outlive a partition of a
+ * failure domain (6 s) and an interval between two renewals. */
+#define LEASE_MAX_MS 8000
 /* Sum of the time in which leases are granted without a record and of a lease:
  * the 9 s for which the log may be unavailable, an interval of renewals, and the
  * time to renew all leases after it. */
@@ -78,16 +82,25 @@
 }
 
 /*
- * Returns how long an owner grants leases of `lease_max_ms` after its last
+ * Returns the duration of the leases that an owner grants, in milliseconds, if
+ * the platform allows `allowed_ms`.
+ */
+uint32_t rj_cell_lease_duration_ms(uint32_t allowed_ms)
+{
+	return MIN(allowed_ms, LEASE_MAX_MS);
+}
+
+/*
+ * Returns how long an owner grants leases of `lease_ms` after its last
  * record.
  *
  * It does not stop at once, as the log may be unavailable to all instances: its
  * last leases have to outlive that. It does not go on for longer, as a successor
  * that does not reach a worker waits for these leases to expire.
  */
-uint64_t rj_cell_lease_grants_us(uint32_t lease_max_ms)
+uint64_t rj_cell_lease_grants_us(uint32_t lease_ms)
 {
-	uint64_t lease_us = lease_max_ms * RJ_US_PER_MS;
+	uint64_t lease_us = lease_ms * RJ_US_PER_MS;
 
 	return CLAMP(LEASES_OUTLIVE_LOG_US -
 			     MIN(LEASES_OUTLIVE_LOG_US, lease_us),
@@ -131,6 +144,9 @@
 	if (in.offset < in.length)
 		record->grants_ms =
 			rj_unpack_number(&in, "grants_ms", record->grants_ms);
+	if (in.offset < in.length)
+		record->lease_ms =
+			rj_unpack_number(&in, "lease_ms", UINT32_MAX);
 	if (rj_unpack_finish(&in, err)) {
 		rj_cell_lease_record_finish(record);
 		return -1;
@@ -198,11 +214,13 @@
 	const struct rj_list *at;
 	uint64_t grants_us = bounds->grants_us;
 	uint64_t lease_us = bounds->lease_us;
+	uint32_t lease_ms = bounds->lease_ms;
 
 	rj_cell_lease_bounds_finish(bounds);
 	rj_cell_lease_bounds_init(bounds);
 	bounds->grants_us = grants_us;
 	bounds->lease_us = lease_us;
+	bounds->lease_ms = lease_ms;
 	bounds->begun_us = now_us;
 	bounds->wanted = true;
 	bounds->unreported_us = granted_until_us;
@@ -465,8 +483,10 @@
 		restrict_bound(bounds->listed, id, *(uint64_t *)bound_us);
 	}
 	/* Earlier versions do not read this. */
-	if (bounds->grants_us)
+	if (bounds->grants_us) {
 		rj_pack_number(&out, bounds->grants_us / RJ_US_PER_MS);
+		rj_pack_number(&out, bounds->lease_ms);
+	}
 	return rj_pack_finish(&out, mem);
 }
 
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -66,9 +66,12 @@
 	rj_cell_forecast_init(&owner->forecast);
 	rj_cell_handover_init(&owner->handover, owner);
 	rj_cell_lease_bounds_init(&owner->leases);
-	owner->leases.grants_us = rj_cell_lease_grants_us(limits->lease_max_ms);
+	owner->leases.lease_ms =
+		rj_cell_lease_duration_ms(limits->lease_max_ms);
+	owner->leases.grants_us =
+		rj_cell_lease_grants_us(owner->leases.lease_ms);
 	owner->leases.lease_us =
-		rj_cell_lease_max_us(limits->lease_max_ms * RJ_US_PER_MS);
+		rj_cell_lease_max_us(owner->leases.lease_ms * RJ_US_PER_MS);
 	rj_cell_return_order_init(&owner->return_order);
 	rj_cell_guarantees_init(&owner->guarantees, limits->reclaim_ms,
 				limits->stop_ms);
@@ -363,8 +366,9 @@
 				const struct rj_cell_lease_record *former,
 				uint64_t leases_until_us)
 {
-	uint64_t lease_us =
-		rj_cell_lease_max_us(owner->limits.lease_max_ms * RJ_US_PER_MS);
+	uint64_t lease_ms = former->lease_ms ? former->lease_ms :
+					       owner->limits.lease_max_ms;
+	uint64_t lease_us = rj_cell_lease_max_us(lease_ms * RJ_US_PER_MS);
 	struct rj_list *at;
 	struct rj_list *next;
 
--- a/src/libradishjunction/cell/cell_polls.c
+++ b/src/libradishjunction/cell/cell_polls.c
@@ -288,7 +288,7 @@
 static uint64_t poll_delay_us(const struct rj_cell_owner *owner,
 			      const struct rj_cell_worker *worker)
 {
-	uint64_t delay_us = owner->limits.lease_max_ms * RJ_US_PER_MS /
+	uint64_t delay_us = owner->leases.lease_ms * RJ_US_PER_MS /
 			    POLL_DELAY_LEASE_DIVISOR;
 	const struct rj_list *at;
 
@@ -432,8 +432,8 @@
 
 	if (may_long_poll(worker))
 		poll.wait_ms =
-			MIN(POLL_WAIT_MS, owner->limits.lease_max_ms /
-						  POLL_WAIT_LEASE_DIVISOR);
+			MIN(POLL_WAIT_MS,
+			    owner->leases.lease_ms / POLL_WAIT_LEASE_DIVISOR);
 	rj_cell_incarnation_address_poll(owner, worker, &poll);
 	call = rj_cell_call_new(owner, worker, NULL);
 	call->incarnation = poll.incarnation;
--- a/src/libradishjunction/include/private/cell_lease_bounds.h
+++ b/src/libradishjunction/include/private/cell_lease_bounds.h
@@ -56,13 +56,19 @@
 	GHashTable *workers; /* id -> milliseconds, plus one */
 	/* How long its owner grants leases after its last record. */
 	uint64_t grants_ms;
+	/* Duration of its leases; 0: not recorded by earlier versions, whose
+	 * leases last as long as the platform allows. */
+	uint64_t lease_ms;
 };
 
 struct rj_cell_lease_bounds {
 	/* Leases are granted until this long after the owner's last record. Set
 	 * once; a successor reads it. */
 	uint64_t grants_us;
-	/* Longest duration of a lease by the owner's clock. Set once. */
+	/* Duration of the leases that are granted, by a worker's clock. Set
+	 * once; a successor reads it. */
+	uint32_t lease_ms;
+	/* The longest such duration by the owner's clock. Set once. */
 	uint64_t lease_us;
 	uint64_t begun_us; /* the term began */
 	bool recorded; /* a record of this term is stored */
@@ -87,7 +93,8 @@
 uint64_t rj_cell_term_clock_ms(const struct rj_cell_term_clock *clock,
 			       uint64_t token, uint64_t now_us);
 
-uint64_t rj_cell_lease_grants_us(uint32_t lease_max_ms);
+uint32_t rj_cell_lease_duration_ms(uint32_t allowed_ms);
+uint64_t rj_cell_lease_grants_us(uint32_t lease_ms);
 
 int rj_cell_lease_record_decode(struct rj_bytes bytes,
 				struct rj_cell_lease_record *record,
--- a/src/test_libradishjunction/test_cell_leases.c
+++ b/src/test_libradishjunction/test_cell_leases.c
@@ -18,13 +18,14 @@
 	.lease_max_ms = LEASE_MS,
 };
 
-/* The same with leases of 10 s, which are granted for 6 s without the log. */
+/* The same where the platform allows 10 s: leases last 8 s, and are granted for
+ * 8 s without the log. */
 static const struct cell_sim_options long_leases = {
 	CELL_SITE(1, 4, 12, 4, 32),
 	.lease_max_ms = LONG_LEASE_MS,
 };
-#define LONG_LEASE_GRANTS_US (6 * S)
-#define LONG_EXPIRY_MAX_US ((LONG_LEASE_MS * 102 / 100 + 1000) * MS)
+#define LONG_LEASE_GRANTS_US (8 * S)
+#define LONG_EXPIRY_MAX_US ((8000 * 102 / 100 + 1000) * MS)
 
 /* A lease by the slowest clock, and one second to notice and start again. */
 #define EXPIRY_MAX_US ((LEASE_MS * 102 / 100 + 1000) * MS)
@@ -83,6 +84,19 @@
 	expect_restart(&f->sim, job, crashed_us + EXPIRY_MAX_US);
 }
 
+/* Guards against a task that waits for its lost worker for as long as the
+ * platform allows a lease to last. */
+static void test_leases_are_shorter_than_allowed(struct cell_fixture *f,
+						 const void *data)
+{
+	struct cell_client_job *job = start_job(&f->sim);
+
+	/* Until the lease that was assumed at the first contact is over. */
+	cell_load_run(&f->sim, 3 * S);
+	cell_sim_worker_kill(&f->sim, cell_sim_busy_worker(&f->sim));
+	expect_restart(&f->sim, job, f->sim.now_us + LONG_EXPIRY_MAX_US);
+}
+
 /* Guards against a task that waits for renewals by an owner that has released
  * the cell, as its worker vanishes during the handover. */
 static void test_released_owner_renews_no_leases(struct cell_fixture *f,
@@ -335,8 +349,8 @@
 	g_assert_cmpuint(job->starts, ==, 1);
 }
 
-/* An owner of an earlier version does not record how long it grants leases, and
- * does so for longer: its successor waits for that. */
+/* An owner of an earlier version does not record how long it grants leases, or
+ * how long these last; both are longer, and its successor waits for that. */
 static void test_grants_of_an_earlier_version(void)
 {
 	struct rj_cell_lease_record record = { 0 };
@@ -347,20 +361,23 @@
 	g_assert_cmpuint(rj_cell_lease_grants_us(6000), ==, 10 * S);
 	g_assert_cmpuint(rj_cell_lease_grants_us(10000), ==, 6 * S);
 	g_assert_cmpuint(rj_cell_lease_grants_us(60000), ==, 2 * S);
-	for (uint32_t recorded = 0; recorded < 2; recorded++) {
+	g_assert_cmpuint(rj_cell_lease_duration_ms(10000), ==, 8000);
+	g_assert_cmpuint(rj_cell_lease_duration_ms(6000), ==, 6000);
+	for (uint32_t recorded = 0; recorded < 3; recorded++) {
 		rj_pack_init(&out);
 		rj_pack_number(&out, 1);
 		rj_pack_number(&out, 5);
 		rj_pack_text(&out, "n0");
 		for (uint32_t i = 0; i < 3; i++)
 			rj_pack_number(&out, 0);
-		if (recorded)
-			rj_pack_number(&out, 6000);
+		for (uint32_t i = 0; i < recorded; i++)
+			rj_pack_number(&out, 6000 + i);
 		bytes = rj_pack_finish(&out, NULL);
 		g_assert_cmpint(
 			rj_cell_lease_record_decode(bytes, &record, &err), ==,
 			0);
 		g_assert_cmpuint(record.grants_ms, ==, recorded ? 6000 : 10000);
+		g_assert_cmpuint(record.lease_ms, ==, recorded > 1 ? 6001 : 0);
 		talloc_free((void *)bytes.data);
 	}
 	rj_cell_lease_record_finish(&record);
@@ -631,6 +648,8 @@
 	g_test_init(&argc, &argv, NULL);
 	CELL_TEST("/leases/unreachable_worker", &site,
 		  test_successor_knows_unreachable_workers);
+	CELL_TEST("/leases/vanished", &long_leases,
+		  test_leases_are_shorter_than_allowed);
 	CELL_TEST("/leases/released_owner", &site,
 		  test_released_owner_renews_no_leases);
 	CELL_TEST("/leases/unstored_record", &site,
