cell_evacuate: an owner that is cut off stops every run in time to see its end

Cause: the isolated owner let runs without checkpoints go on that it expected to end by half a second after the departure, and ordered their stop 0.15 to 0.36 s before the worker was gone. Nobody heard the end, so that there was nothing to publish and the successor waited for the lease. Change: 0.8 s before the departure an owner that is cut off stops every run, whatever it forecasts. The case of the test that let such a run go on was the fault; it is replaced by the opposite one and by three that pin when runs are not stopped. cell_leases/evacuation fails before. Price: a run that would have ended in the last 0.8 s is done again.

--- a/src/libradishjunction/cell/cell_evacuate.c
+++ b/src/libradishjunction/cell/cell_evacuate.c
@@ -21,19 +21,20 @@
  * once, as its further work would be lost.
  *
  * An owner that is cut off does not learn whether the worker has left, nor can
- * its successor. It stops a run that saves checkpoints although that may end in
- * time: the end that it sees then is known to the successor once it publishes
- * it.
+ * its successor. It stops every run in time to see its end, which is known to
+ * the successor once it is published, whatever the forecast: a run whose end
+ * nobody has seen waits for the leases.
  */
 bool rj_cell_evacuate_is_due(const struct rj_cell_step *step, uint64_t left_us,
 			     uint64_t now_us, uint64_t departure_us,
 			     bool cut_off)
 {
-	if (step->perpetual || (step->checkpoints && cut_off))
-		return now_us + STOP_LEAD_US >= departure_us;
-	if (now_us + left_us <= departure_us + FORECAST_ERROR_US)
-		return false;
-	return !step->checkpoints || now_us + STOP_LEAD_US >= departure_us;
+	bool ends_in_time =
+		now_us + left_us <= departure_us + FORECAST_ERROR_US;
+
+	if (now_us + STOP_LEAD_US >= departure_us)
+		return step->perpetual || cut_off || !ends_in_time;
+	return !step->perpetual && !step->checkpoints && !ends_in_time;
 }
 
 /*
--- a/src/test_libradishjunction/test_cell_leases.c
+++ b/src/test_libradishjunction/test_cell_leases.c
@@ -214,7 +214,10 @@
 		{ 9300 * MS, true, false, false },
 		{ 9000 * MS, true, true, false },
 		{ 9300 * MS, true, true, true },
-		{ 9300 * MS, false, true, false },
+		{ 9000 * MS, false, false, false },
+		{ 9300 * MS, false, false, false },
+		{ 9000 * MS, false, true, false },
+		{ 9300 * MS, false, true, true },
 	};
 
 	/* The runs are expected to end as the worker leaves. */
