cells: an ended job's spec is removed before its state

Callers saw: a job that had completed ran once more, two minutes later.

Cause: once the status of a job was no longer kept, its state and its spec were removed by two appends to two logs, and nothing waited for the second. If the instance was lost between them, or that append was refused, the spec stayed without a state. The next owner took it for a new job.

Change: the view notes that it has read the removal of a spec; the state is removed only then, at the next check. A removal that is not read is repeated after a minute. A job whose spec was removed as it ended needs no second removal any more.

Evidence: /cell_path/expired loses all instances at both points.

--- a/src/libradishjunction/cell/cell_flush.c
+++ b/src/libradishjunction/cell/cell_flush.c
@@ -17,6 +17,8 @@
 #define INVALID_RETRY_US RJ_US_PER_S
 /* Interval between checks for ended jobs whose retention has expired. */
 #define RETENTION_CHECK_INTERVAL_US (5 * RJ_US_PER_S)
+/* Delay before a spec is removed again whose removal has not been read. */
+#define SPEC_REMOVAL_RETRY_US (60 * RJ_US_PER_S)
 
 /* Context of a record until it is stored. */
 struct owner_write {
@@ -470,9 +472,23 @@
 	rj_cell_writer_flush(&owner->writer, owner->now_us);
 }
 
+/* Adds the removal of the spec of an ended job, unless one has been added
+ * recently. */
+static void remove_spec(struct rj_cell_owner *owner,
+			struct rj_cell_view_entry *entry)
+{
+	if (owner->now_us < entry->spec_removal_due_us)
+		return;
+	add_request_removal(owner, RJ_CELL_RECORD_JOB_SPEC, entry->id);
+	entry->spec_removal_due_us = owner->now_us + SPEC_REMOVAL_RETRY_US;
+}
+
 /*
  * Removes the keys of jobs that ended longer ago than their status is kept, if
  * a check is due.
+ *
+ * A successor would take a spec without a state for a new job, so the state is
+ * removed only after the removal of the spec has been read from the log.
  */
 void rj_cell_flush_expired(struct rj_cell_owner *owner)
 {
@@ -493,9 +509,12 @@
 		if (entry->job || !rj_cell_view_over_us(entry) ||
 		    owner->now_us < rj_cell_view_over_us(entry) + retention_us)
 			continue;
+		if (!entry->spec_removed) {
+			remove_spec(owner, entry);
+			continue;
+		}
 		add_removal(owner, RJ_CELL_RECORD_PROGRESS, entry->id);
 		add_removal(owner, RJ_CELL_RECORD_STATE, entry->id);
-		add_request_removal(owner, RJ_CELL_RECORD_JOB_SPEC, entry->id);
 		add_request_removal(owner, RJ_CELL_RECORD_CANCEL, entry->id);
 		entry->ended_us = owner->now_us; /* retry later if not stored */
 	}
--- a/src/libradishjunction/cell/cell_view.c
+++ b/src/libradishjunction/cell/cell_view.c
@@ -73,6 +73,7 @@
 {
 	struct rj_error err;
 
+	entry->spec_removed = false;
 	if (entry->job_spec)
 		return;
 	entry->job_spec = rj_cell_job_spec_decode(entry, record->value, &err);
@@ -124,10 +125,12 @@
 
 	if (!entry || entry->job)
 		return;
-	if (kind == RJ_CELL_RECORD_STATE)
+	if (kind == RJ_CELL_RECORD_STATE) {
 		rj_cell_view_drop(view, entry);
-	else if (kind == RJ_CELL_RECORD_JOB_SPEC)
+	} else if (kind == RJ_CELL_RECORD_JOB_SPEC) {
 		TALLOC_FREE(entry->job_spec);
+		entry->spec_removed = true;
+	}
 }
 
 /* Keeps the progress stored by an owner, for the next owner. */
--- a/src/libradishjunction/include/private/cell_view.h
+++ b/src/libradishjunction/include/private/cell_view.h
@@ -30,6 +30,8 @@
 	bool in_progress_log; /* its progress is in the progress log */
 	uint64_t seen_us; /* when its spec was read */
 	uint64_t ended_us; /* when its end was read, or 0 */
+	bool spec_removed; /* its spec has been removed from the log since */
+	uint64_t spec_removal_due_us; /* when to remove it again, if not */
 	struct rj_cell_job *job; /* the owner's state of it, or NULL */
 };
 
--- a/src/test_libradishjunction/test_cell_path.c
+++ b/src/test_libradishjunction/test_cell_path.c
@@ -388,6 +388,57 @@
 	g_assert_cmpuint(job->starts, ==, 0);
 }
 
+/* Kills all instances and starts them again half a second later. */
+static void restart_all(struct cell_sim *sim)
+{
+	for (uint32_t i = 0; i < sim->options.nodes; i++)
+		cell_sim_node_kill(sim, i);
+	cell_sim_run(sim, 500 * MS);
+	for (uint32_t i = 0; i < sim->options.nodes; i++)
+		cell_sim_node_start(sim, i);
+}
+
+/* Whether the newest record of a job's state removes it. */
+static bool is_state_removed(const struct cell_sim *sim,
+			     const struct cell_client_job *job)
+{
+	const GPtrArray *records = sim->log.records[RJ_CELL_TOPIC_JOBS];
+	char key[RJ_CELL_KEY_BYTES];
+
+	rj_cell_record_key(key, RJ_CELL_RECORD_STATE, job->id);
+	for (guint i = records->len; i > 0; i--) {
+		const struct cell_log_record *record = records->pdata[i - 1];
+
+		if (!strcmp(record->key, key))
+			return !record->value;
+	}
+	return false;
+}
+
+/* Guards against a job that has ended and runs again: all instances were lost
+ * before its spec was removed, and again just after its state was. */
+static void test_expired_job_does_not_return(struct cell_fixture *f,
+					     const void *data)
+{
+	struct cell_sim *sim = &f->sim;
+	struct rj_cell_step step = cell_sim_plain_step(1, 1, 500);
+	struct cell_client_job *job =
+		cell_sim_job_new(sim, "normal", "a", &step, 1, 500 * MS);
+
+	cell_sim_submit(sim, 0, job);
+	while (!job->ended_us) {
+		cell_sim_run(sim, 10 * MS);
+		cell_sim_query(sim, (uint32_t)cell_sim_owner(sim), job);
+	}
+	restart_all(sim);
+	cell_sim_run(sim, 100 * S);
+	while (!is_state_removed(sim, job))
+		cell_sim_run(sim, MS);
+	restart_all(sim);
+	cell_sim_run(sim, 10 * S);
+	g_assert_cmpuint(job->starts, ==, 1);
+}
+
 /* Returns an instance that is neither the owner nor `other`. */
 static uint32_t third_node(const struct cell_sim *sim, uint32_t other)
 {
@@ -571,6 +622,7 @@
 	g_test_add_func("/cell_path/short_leases",
 			test_short_leases_and_bounds);
 	ADD("upgrade", test_ended_before_an_upgrade);
+	ADD("expired", test_expired_job_does_not_return);
 	CELL_TEST("/cell_path/pending_of_many_queues", &many_queues,
 		  test_pending_jobs_of_many_queues);
 	return g_test_run();
