cell_ended_runs: ends that are published during a takeover count

Callers saw: a task that had completed ran again, after waiting for leases of up to ten seconds.

Cause: an owner that is replaced publishes the ends that it could not store, as the workers may be gone before its successor asks them. It does so as soon as it reads that it is replaced, and by then the successor has often not finished loading. A successor ignored all that it read before it was active.

Change: a successor keeps the newest owner's ends that it reads while taking over, and applies them when the takeover is completed: the runs are known then, and no worker has answered yet. Older owners' ends are not kept, so that a load does not grow with the number of instances.

Evidence: /leases/completion_in_takeover publishes the end of a task while appends of the successor's fence are lost. Before: the task is still running 3 s after the takeover and starts twice.

--- a/src/libradishjunction/cell/cell_ended_runs.c
+++ b/src/libradishjunction/cell/cell_ended_runs.c
@@ -74,6 +74,8 @@
 {
 	if (ended->rows)
 		g_ptr_array_free(ended->rows, TRUE);
+	if (ended->early)
+		g_ptr_array_free(ended->early, TRUE);
 	memset(ended, 0, sizeof(*ended));
 }
 
@@ -173,6 +175,73 @@
 	}
 }
 
+/* Decodes the output of encode; earlier versions store no token, which is 0
+ * then. Returns the rows, or NULL with `err`. */
+static GPtrArray *decode(struct rj_bytes value, uint64_t *token,
+			 struct rj_error *err)
+{
+	GPtrArray *rows = g_ptr_array_new_with_free_func(g_free);
+	struct rj_unpacker in;
+	uint32_t count;
+
+	*token = 0;
+	rj_unpack_init(&in, value);
+	if (rj_unpack_number(&in, "format", UINT32_MAX) != ENDED_RUNS_FORMAT)
+		rj_unpack_fail(&in, "format");
+	count = (uint32_t)rj_unpack_number(&in, "ends", ROWS_MAX);
+	for (uint32_t i = 0; i < count && !in.bad_field; i++) {
+		struct row *row = g_new0(struct row, 1);
+
+		g_ptr_array_add(rows, row);
+		read_row(&in, row);
+	}
+	if (!in.bad_field && in.offset < in.length)
+		*token = rj_unpack_number(&in, "token", UINT64_MAX);
+	if (!rj_unpack_finish(&in, err))
+		return rows;
+	g_ptr_array_free(rows, TRUE);
+	return NULL;
+}
+
+/* Applies the ends that the owner with this token has published. */
+static void apply_rows(struct rj_cell_owner *owner, const GPtrArray *rows,
+		       uint64_t token)
+{
+	for (guint i = 0; i < rows->len; i++)
+		apply_row(owner, rows->pdata[i],
+			  token && token == owner->former_token);
+}
+
+/* Keeps published ends until the takeover is completed: only those of the
+ * newest owner, which the present one follows. */
+static void keep_early(struct rj_cell_ended_runs *ended, GPtrArray *rows,
+		       uint64_t token)
+{
+	if (ended->early && token < ended->early_token) {
+		g_ptr_array_free(rows, TRUE);
+		return;
+	}
+	if (ended->early)
+		g_ptr_array_free(ended->early, TRUE);
+	ended->early = rows;
+	ended->early_token = token;
+}
+
+/*
+ * Applies the ends that were read during the takeover. Call it when the takeover
+ * is completed.
+ */
+void rj_cell_ended_runs_apply_early(struct rj_cell_owner *owner)
+{
+	GPtrArray *rows = owner->ended_runs.early;
+
+	if (!rows)
+		return;
+	owner->ended_runs.early = NULL;
+	apply_rows(owner, rows, owner->ended_runs.early_token);
+	g_ptr_array_free(rows, TRUE);
+}
+
 /*
  * Applies a record of the log of requests if it holds the ends that a former
  * owner could not store.
@@ -181,33 +250,28 @@
 			     const struct rj_cell_record *record)
 {
 	enum rj_cell_record_kind kind;
-	struct rj_unpacker in;
 	struct rj_error err;
 	const char *instance;
-	uint64_t token = 0; /* earlier versions store none */
-	struct row *rows;
-	uint32_t count;
+	GPtrArray *rows;
+	uint64_t token;
 
-	if (!owner->active || !record->value.length ||
+	if ((!owner->active && !owner->taking_over) || !record->value.length ||
 	    rj_cell_record_kind(record->key, &kind, &instance) ||
 	    kind != RJ_CELL_RECORD_ENDED_RUNS)
 		return;
-	rj_unpack_init(&in, record->value);
-	if (rj_unpack_number(&in, "format", UINT32_MAX) != ENDED_RUNS_FORMAT)
-		rj_unpack_fail(&in, "format");
-	count = (uint32_t)rj_unpack_number(&in, "ends", ROWS_MAX);
-	rj_log_event("ends_read", RJ_LOG_TEXT("instance", instance),
-		     RJ_LOG_NUMBER("ends", count));
-	rows = g_new0(struct row, count);
-	for (uint32_t i = 0; i < count && !in.bad_field; i++)
-		read_row(&in, &rows[i]);
-	if (!in.bad_field && in.offset < in.length)
-		token = rj_unpack_number(&in, "token", UINT64_MAX);
-	for (uint32_t i = 0; i < count && !in.bad_field; i++)
-		apply_row(owner, &rows[i],
-			  token && token == owner->former_token);
-	g_free(rows);
-	if (rj_unpack_finish(&in, &err))
+	rows = decode(record->value, &token, &err);
+	if (!rows) {
 		rj_log_event("record_bad", RJ_LOG_TEXT("key", record->key),
 			     RJ_LOG_TEXT("error", err.message));
+		return;
+	}
+	rj_log_event("ends_read", RJ_LOG_TEXT("instance", instance),
+		     RJ_LOG_NUMBER("ends", rows->len),
+		     RJ_LOG_NUMBER("token", token));
+	if (!owner->active) {
+		keep_early(&owner->ended_runs, rows, token);
+		return;
+	}
+	apply_rows(owner, rows, token);
+	g_ptr_array_free(rows, TRUE);
 }
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -457,6 +457,7 @@
 	rj_cell_view_drop_progress(owner->view);
 	rj_cell_handover_complete(&owner->handover);
 	bound_former_leases(owner, former, leases_until_us);
+	rj_cell_ended_runs_apply_early(owner);
 	rj_log_event("own", RJ_LOG_NUMBER("token", owner->token),
 		     RJ_LOG_NUMBER("former_token", former->token),
 		     RJ_LOG_NUMBER("bounds",
--- a/src/test_libradishjunction/test_cell_leases.c
+++ b/src/test_libradishjunction/test_cell_leases.c
@@ -261,6 +261,31 @@
 	expect_restart(&f->sim, job, f->sim.now_us + 2 * S);
 }
 
+/* Guards against the loss of a completion that the isolated owner publishes while
+ * its successor is still taking over. */
+static void test_completion_published_in_a_takeover(struct cell_fixture *f,
+						    const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(1, 8, 2000);
+	uint32_t owner = (uint32_t)cell_sim_owner(&f->sim);
+	struct cell_client_job *job =
+		cell_load_submit(&f->sim, "normal", "a", &step, 2 * S);
+	uint32_t worker;
+
+	cell_load_run(&f->sim, 1500 * MS);
+	worker = isolate_owner(&f->sim);
+	f->sim.log.progress_unreachable = true;
+	cell_load_run(&f->sim, 2 * S);
+	cell_sim_worker_kill(&f->sim, worker);
+	reconnect(&f->sim, owner);
+	cell_load_run(&f->sim, 2 * S);
+	g_assert_cmpint(cell_sim_owner(&f->sim), ==, -1);
+	f->sim.log.progress_unreachable = false;
+	cell_load_run(&f->sim, 3 * S);
+	g_assert_cmpint(job->state, ==, RJ_CELL_JOB_COMPLETED);
+	g_assert_cmpuint(job->starts, ==, 1);
+}
+
 /* Guards against a second run of a task beside the one that an owner in between
  * has sent again under its number, after the worker restarted: the failure that
  * an isolated owner has seen is of the former incarnation. */
@@ -645,6 +670,8 @@
 		  test_isolated_owner_stops_in_time);
 	CELL_TEST("/leases/completion_seen", &long_leases,
 		  test_completion_seen_by_an_isolated_owner);
+	CELL_TEST("/leases/completion_in_takeover", &long_leases,
+		  test_completion_published_in_a_takeover);
 	CELL_TEST("/leases/stop_seen", &long_leases,
 		  test_stop_seen_by_an_isolated_owner);
 	CELL_TEST("/leases/failure_seen_before_restart", &long_leases,
