cell_takeover: requests are read to the end after the fence

Callers saw: nothing yet; in the simulation a task ran twice at the same time.

Cause: a successor reads the log of requests while its fence of the progress log is being stored, and took "has reached the end once" as complete. If the fence was refused at first, the former owner could read a further job, store the intents of its starts and start it before the fence. If the successor read that job only after it had loaded the progress, it dropped the intents, as it keeps progress beside specs only, and started the tasks again under the same numbers.

Change: after the fence is stored, the log of requests is read to its end again, and the progress is loaded after that. A read that fails is repeated after the reader's delay.

Evidence: /cell_reach/unread_job refuses the first fence of a stronger instance that takes over from a working owner. Before: 2 starts.

--- a/src/libradishjunction/cell/cell_takeover.c
+++ b/src/libradishjunction/cell/cell_takeover.c
@@ -57,6 +57,36 @@
 	.progress = progress_read,
 };
 
+/* Handles the end of the read of the log of requests: loads the progress if it
+ * has reached the end. A read that failed is repeated. */
+static void requests_read(struct rj_cell_sync *sync, bool reached)
+{
+	struct rj_cell_takeover *takeover =
+		RJ_CONTAINER(sync, struct rj_cell_takeover, requests_sync);
+
+	takeover->syncing = false;
+	if (!reached || takeover->state != RJ_CELL_TAKEOVER_WAITING)
+		return;
+	takeover->state = RJ_CELL_TAKEOVER_LOADING;
+	rj_cell_log_reader_start(&takeover->progress,
+				 takeover->requests->now_us);
+}
+
+/*
+ * Reads the log of requests to its end, now that the fence is stored.
+ *
+ * Until then the former owner could store the intents of a job that it had just
+ * read. They would be dropped if the job was read after them, and its tasks
+ * would start a second time.
+ */
+static void read_requests(struct rj_cell_takeover *takeover, uint64_t now_us)
+{
+	takeover->syncing = true;
+	takeover->requests_sync.done = requests_read;
+	rj_cell_log_reader_sync(takeover->requests, &takeover->requests_sync,
+				now_us);
+}
+
 /*
  * Initializes takeovers by `owner`. It and the reader of the log of requests
  * must outlive `takeover`.
@@ -142,11 +172,10 @@
 	if (takeover->state == RJ_CELL_TAKEOVER_FENCING &&
 	    !takeover->fence_pending && now_us >= takeover->fence_due_us)
 		send_fence(takeover, now_us);
-	if (takeover->state == RJ_CELL_TAKEOVER_WAITING &&
-	    takeover->requests->caught_up) {
-		takeover->state = RJ_CELL_TAKEOVER_LOADING;
-		rj_cell_log_reader_start(&takeover->progress, now_us);
-	}
+	if (takeover->state == RJ_CELL_TAKEOVER_WAITING && !takeover->syncing &&
+	    (!takeover->requests->failures ||
+	     now_us >= takeover->requests->due_us))
+		read_requests(takeover, now_us);
 	rj_cell_log_reader_tick(&takeover->progress, now_us);
 }
 
--- a/src/libradishjunction/include/private/cell_takeover.h
+++ b/src/libradishjunction/include/private/cell_takeover.h
@@ -15,8 +15,8 @@
 enum rj_cell_takeover_state {
 	RJ_CELL_TAKEOVER_IDLE,
 	RJ_CELL_TAKEOVER_FENCING, /* the fence is to be sent, or is pending */
-	/* Waits until the log of requests has been read, as progress is kept
-	 * beside the specs of jobs. */
+	/* Waits until the log of requests has been read up to the fence, as
+	 * progress is kept beside the specs of jobs. */
 	RJ_CELL_TAKEOVER_WAITING,
 	RJ_CELL_TAKEOVER_LOADING,
 	RJ_CELL_TAKEOVER_LOADED,
@@ -31,6 +31,8 @@
 	struct rj_cell_log_reader progress;
 	struct rj_cell_lease_record leases; /* of the former owner */
 	struct rj_cell_log_reader *requests; /* started at the takeover */
+	struct rj_cell_sync requests_sync;
+	bool syncing; /* it is pending */
 };
 
 void rj_cell_takeover_init(struct rj_cell_takeover *takeover, void *mem,
--- a/src/test_libradishjunction/test_cell_reach.c
+++ b/src/test_libradishjunction/test_cell_reach.c
@@ -577,6 +577,38 @@
 	g_assert_cmpint(status, ==, RJ_CELL_STORE_FENCED);
 }
 
+/* Guards against a second run of a task beside the one that the former owner has
+ * started: it stored the intent before the fence, of a job that its successor
+ * had not read yet. */
+static void test_intent_of_an_unread_job(struct cell_fixture *f,
+					 const void *data)
+{
+	struct cell_sim *sim = &f->sim;
+	struct rj_cell_step step = cell_sim_plain_step(1, 1, 5000);
+	uint32_t owner = (uint32_t)cell_sim_owner(sim);
+	uint32_t next = (owner + 1) % site.nodes;
+	struct rj_cell_node *successor = &sim->nodes[next].node;
+	struct cell_client_job *job;
+
+	successor->options.strength *= 4;
+	successor->requests.pause_us = S;
+	while (!successor->owner.taking_over)
+		cell_sim_run(sim, MS);
+	/* The log refuses the first attempt of the fence. */
+	sim->log.modes[next] = CELL_LOG_REFUSING;
+	cell_sim_run(sim, 3 * MS);
+	sim->log.modes[next] = CELL_LOG_AVAILABLE;
+	while (!successor->requests.caught_up)
+		cell_sim_run(sim, MS);
+	job = submit_job(sim, (owner + 2) % site.nodes, &step);
+	cell_sim_run(sim, 60 * MS);
+	g_assert_cmpuint(job->starts, ==, 1);
+	g_assert_false(successor->owner.active);
+	cell_sim_run(sim, 3 * S);
+	g_assert_true(successor->owner.active);
+	g_assert_cmpuint(job->starts, ==, 1);
+}
+
 /* Guards against sending a start long after its worker reported that it drains.
  * The start was planned before the report, and storing its intent took long. */
 static void
@@ -686,6 +718,7 @@
 	CELL_TEST("/cell_reach/unseen_outlasts", &two_attempts,
 		  test_unacknowledged_failures_survive_a_takeover);
 	ADD("progress_fenced", test_a_former_owner_stores_no_progress);
+	ADD("unread_job", test_intent_of_an_unread_job);
 	ADD("busy_log", test_takeover_of_a_busy_log);
 	g_test_add_func("/cell_reach/come_back", test_retry_after);
 	ADD("kind", test_workers_restart_as_another_kind);
