standin_users: pages, dropped history and late appends of the log

The stand-in answered each load with one page, kept all records and carried appends out at once, so no test with real processes met what the platform's contract allows. A load now has pages of 40 keys; /standin/trim drops the history but the newest record of each key; in mode "late" appends get no answer and are carried out 3 s later.

--- a/src/standin_users/log.c
+++ b/src/standin_users/log.c
@@ -2,6 +2,7 @@
 #include <assert.h>
 #include <endian.h>
 #include <glib.h>
+#include <stdio.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -12,6 +13,10 @@
 #define BODY_MAX_BYTES (4 * 1024 * 1024)
 #define CONNECTIONS_MAX 256
 #define LENGTH_BYTES 4
+/* Records in a page of newest records; the platform's pages are longer. */
+#define PAGE_RECORDS 40
+/* Delay of the appends that are carried out late. */
+#define LATE_US (3 * RJ_US_PER_S)
 
 /* The last append of a producer to one topic. */
 struct producer {
@@ -21,6 +26,16 @@
 	uint64_t end; /* end offset of the topic after it */
 };
 
+/* The parts of an append that its execution needs. */
+struct append {
+	struct standin_log *log;
+	char *topic;
+	char *producer;
+	uint64_t epoch;
+	uint64_t sequence;
+	GByteArray *body;
+};
+
 /* A long poll that waits for a record. */
 struct waiting_read {
 	struct standin_log *log;
@@ -57,7 +72,8 @@
 			const struct standin_topic *topic, uint64_t from)
 {
 	GByteArray *body = g_byte_array_new();
-	uint64_t header[2] = { htobe64(topic->records->len), 0 };
+	uint64_t header[2] = { htobe64(topic->records->len),
+			       htobe64(topic->first_retained) };
 
 	g_byte_array_append(body, (const guint8 *)header, sizeof(header));
 	for (uint64_t i = from; i < topic->records->len; i++) {
@@ -122,6 +138,14 @@
 	struct waiting_read *read;
 	struct tevent_timer *timer;
 
+	if (from < topic->first_retained) {
+		char *text = talloc_asprintf(
+			exchange, "{\"StartOffset\":%" G_GUINT64_FORMAT "}",
+			topic->first_retained);
+
+		rj_http_exchange_answer(exchange, 410, text, strlen(text));
+		return;
+	}
 	if (from < topic->records->len || !wait_ms) {
 		answer_read(exchange, topic, from);
 		return;
@@ -163,42 +187,66 @@
 	}
 }
 
-/* Answers with the newest record of each key. */
+static gint by_key(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* Returns the row of a page for a record. */
+static json_t *newest_row(const struct standin_record *record, uint64_t offset)
+{
+	char *value =
+		g_base64_encode((const guchar *)record->value, record->length);
+	json_t *row = json_pack("{s:s,s:s,s:I}", "Key", record->key, "Value",
+				value, "Offset", (json_int_t)offset);
+
+	g_free(value);
+	return row;
+}
+
+/* Answers with a page of the newest record of each key, in the order of the
+ * keys. */
 static void handle_newest(struct standin_log *log,
 			  struct rj_http_exchange *exchange)
 {
 	const char *name = rj_http_exchange_argument(exchange, "Topic");
+	const char *after = rj_http_exchange_argument(exchange, "After");
 	struct standin_topic *topic = topic_of(log, name ? name : "");
 	GHashTable *newest = g_hash_table_new(g_str_hash, g_str_equal);
+	GPtrArray *keys = g_ptr_array_new();
 	json_t *items = json_array();
+	bool more = false;
 	json_t *answer;
 	char *text;
 
 	for (guint i = 0; i < topic->records->len; i++) {
 		struct standin_record *record = topic->records->pdata[i];
 
+		if (!g_hash_table_contains(newest, record->key) &&
+		    (!after || strcmp(record->key, after) > 0))
+			g_ptr_array_add(keys, record->key);
 		g_hash_table_insert(newest, record->key, GUINT_TO_POINTER(i));
 	}
-	for (guint i = 0; i < topic->records->len; i++) {
-		struct standin_record *record = topic->records->pdata[i];
-		char *value;
-
-		if (!record->length || GPOINTER_TO_UINT(g_hash_table_lookup(
-					       newest, record->key)) != i)
+	g_ptr_array_sort(keys, by_key);
+	for (guint i = 0; i < keys->len && !more; i++) {
+		guint offset = GPOINTER_TO_UINT(
+			g_hash_table_lookup(newest, keys->pdata[i]));
+		const struct standin_record *record =
+			topic->records->pdata[offset];
+
+		if (!record->length)
 			continue;
-		value = g_base64_encode((const guchar *)record->value,
-					record->length);
-		json_array_append_new(items,
-				      json_pack("{s:s,s:s,s:I}", "Key",
-						record->key, "Value", value,
-						"Offset", (json_int_t)i));
-		g_free(value);
+		more = json_array_size(items) == PAGE_RECORDS;
+		if (!more)
+			json_array_append_new(items,
+					      newest_row(record, offset));
 	}
-	answer = json_pack("{s:o,s:b,s:I}", "items", items, "HasMore", 0,
+	answer = json_pack("{s:o,s:b,s:I}", "items", items, "HasMore", more,
 			   "EndOffset", (json_int_t)topic->records->len);
 	text = rj_wire_text(exchange, answer);
 	rj_http_exchange_answer(exchange, 200, text, strlen(text));
 	json_decref(answer);
+	g_ptr_array_free(keys, TRUE);
 	g_hash_table_destroy(newest);
 }
 
@@ -215,11 +263,11 @@
 
 /* Appends the records in the body of an append. */
 static void append_body(struct standin_log *log, const char *name,
-			const struct rj_buffer *body)
+			const GByteArray *body)
 {
 	size_t position = 0;
 
-	while (position + LENGTH_BYTES < body->length) {
+	while (position + LENGTH_BYTES < body->len) {
 		uint32_t size;
 		uint8_t key_length;
 		char *key;
@@ -228,9 +276,11 @@
 		size = ntohl(size);
 		position += LENGTH_BYTES;
 		key_length = (uint8_t)body->data[position];
-		key = g_strndup(body->data + position + 1, key_length);
+		key = g_strndup((const char *)body->data + position + 1,
+				key_length);
 		standin_log_append(log, name, key,
-				   body->data + position + 1 + key_length,
+				   (const char *)body->data + position + 1 +
+					   key_length,
 				   size - 1 - key_length);
 		g_free(key);
 		position += size;
@@ -255,42 +305,105 @@
 }
 
 /* Appends once per sequence number; rejects older epochs and gaps in the
- * sequence. */
+ * sequence. Returns the status, the end of the topic and the reason. */
+static unsigned int execute(const struct append *append, uint64_t *end,
+			    const char **reason)
+{
+	struct producer *producer =
+		obtain_producer(append->log, append->topic, append->producer);
+	const struct standin_topic *topic =
+		topic_of(append->log, append->topic);
+	bool known = append->epoch == producer->epoch && producer->has_appended;
+
+	*end = topic->records->len;
+	*reason = append->epoch < producer->epoch ? "fenced" : "seq";
+	if (append->epoch < producer->epoch)
+		return 409;
+	if (known && append->sequence == producer->sequence) {
+		*end = producer->end;
+		return 200;
+	}
+	if (known && append->sequence != producer->sequence + 1)
+		return 409;
+	producer->epoch = append->epoch;
+	producer->sequence = append->sequence;
+	producer->has_appended = true;
+	append_body(append->log, append->topic, append->body);
+	producer->end = topic->records->len;
+	*end = producer->end;
+	return 200;
+}
+
+static void free_append(struct append *append)
+{
+	g_free(append->topic);
+	g_free(append->producer);
+	g_byte_array_free(append->body, TRUE);
+	g_free(append);
+}
+
+/* Carries out an append that nobody waits for any more. */
+static void execute_late(struct tevent_context *ev, struct tevent_timer *timer,
+			 struct timeval now, void *private_data)
+{
+	const char *reason;
+	uint64_t end;
+
+	execute(private_data, &end, &reason);
+	free_append(private_data);
+}
+
+/* Handles an append, as the mode says. One that is late gets no answer. */
 static void handle_append(struct standin_log *log,
 			  struct rj_http_exchange *exchange)
 {
 	const char *name = rj_http_exchange_argument(exchange, "Topic");
-	const char *producer_id =
+	const char *producer =
 		rj_http_exchange_argument(exchange, "ProducerId");
-	uint64_t epoch = query_number(exchange, "epoch");
-	uint64_t sequence = query_number(exchange, "Sequence");
-	struct standin_topic *topic = topic_of(log, name ? name : "");
-	struct producer *producer = obtain_producer(
-		log, name ? name : "", producer_id ? producer_id : "");
-
-	if (epoch < producer->epoch) {
-		answer_append(exchange, 409, topic->records->len, "fenced");
+	struct append *append = g_new0(struct append, 1);
+	const char *reason;
+	unsigned int status;
+	uint64_t end;
+
+	append->log = log;
+	append->topic = g_strdup(name ? name : "");
+	append->producer = g_strdup(producer ? producer : "");
+	append->epoch = query_number(exchange, "epoch");
+	append->sequence = query_number(exchange, "Sequence");
+	append->body = g_byte_array_new();
+	g_byte_array_append(append->body, (const guint8 *)exchange->body.data,
+			    (guint)exchange->body.length);
+	if (log->mode == STANDIN_MODE_LATE) {
+		printf("{\"event\":\"late_append\",\"topic\":\"%s\"}\n",
+		       append->topic);
+		fflush(stdout);
+		if (!tevent_add_timer(log->ev, log->ev,
+				      rj_clock_timeval_in(LATE_US),
+				      execute_late, append))
+			free_append(append);
 		return;
 	}
-	if (epoch == producer->epoch && producer->has_appended &&
-	    sequence == producer->sequence) {
-		answer_append(exchange, 200, producer->end, "");
-		return;
-	}
-	if (epoch == producer->epoch && producer->has_appended &&
-	    sequence != producer->sequence + 1) {
-		answer_append(exchange, 409, topic->records->len, "seq");
-		return;
-	}
-	producer->epoch = epoch;
-	producer->sequence = sequence;
-	producer->has_appended = true;
-	append_body(log, name, &exchange->body);
-	producer->end = topic->records->len;
-	if (log->mode == STANDIN_MODE_LOSE_ANSWER)
+	status = execute(append, &end, &reason);
+	if (status == 200 && log->mode == STANDIN_MODE_LOSE_ANSWER)
 		rj_http_exchange_abort(exchange);
 	else
-		answer_append(exchange, 200, producer->end, "");
+		answer_append(exchange, status, end,
+			      status == 200 ? "" : reason);
+	free_append(append);
+}
+
+/* Drops the history of all topics but the newest record of each key. */
+static void handle_trim(struct standin_log *log,
+			struct rj_http_exchange *exchange)
+{
+	GHashTableIter each;
+	gpointer topic;
+
+	g_hash_table_iter_init(&each, log->topics);
+	while (g_hash_table_iter_next(&each, NULL, &topic))
+		((struct standin_topic *)topic)->first_retained =
+			((struct standin_topic *)topic)->records->len;
+	rj_http_exchange_answer(exchange, 200, "{}", 2);
 }
 
 /* Sets how calls are treated from now on. */
@@ -302,6 +415,7 @@
 		[STANDIN_MODE_REFUSE] = "refuse",
 		[STANDIN_MODE_NO_ANSWER] = "silent",
 		[STANDIN_MODE_LOSE_ANSWER] = "lose",
+		[STANDIN_MODE_LATE] = "late",
 	};
 
 	for (int i = 0; i < (int)G_N_ELEMENTS(names); i++)
@@ -336,6 +450,10 @@
 		handle_mode(log, exchange);
 		return;
 	}
+	if (!strcmp(exchange->path, "/standin/trim")) {
+		handle_trim(log, exchange);
+		return;
+	}
 	if (g_str_has_prefix(exchange->path, "/-/") &&
 	    inject_fault(log, exchange))
 		return;
--- a/src/standin_users/standin.h
+++ b/src/standin_users/standin.h
@@ -24,6 +24,7 @@
 
 struct standin_topic {
 	GPtrArray *records; /* struct standin_record */
+	uint64_t first_retained; /* reads of earlier records are rejected */
 };
 
 /* How the log treats calls; set by a test. */
@@ -33,6 +34,8 @@
 	STANDIN_MODE_NO_ANSWER, /* does nothing and does not answer */
 	STANDIN_MODE_LOSE_ANSWER, /* carries out appends without an answer,
 				   * and ignores a third of the other calls */
+	STANDIN_MODE_LATE, /* carries out appends 3 s later, without an
+			    * answer */
 };
 
 struct standin_log {
