--- a/scripts/users.bash
+++ b/scripts/users.bash
@@ -14,7 +14,7 @@
 		-e 's/{{Limits.CpuShare}}/0.25/' -e 's/{{Limits.Cores}}/1/' \
 		-e 's/{{Commands|json}}/"rpc"/' -e 's/{{Hint}}//' \
 		-e "s/{{Bounds.GraceS}}/${GRACE_S:-6}/" \
-		-e 's/{{Bounds.HoldMaxMs}}/6000/' \
+		-e "s/{{Bounds.HoldMaxMs}}/${HOLD_MAX_MS:-6000}/" \
 		-e 's/{{Bounds.status_s}}/120/' \
 		-e 's/{{Bounds.ReclaimMs}}/2900/' \
 		-e 's/{{Bounds.RevokeMs}}/5000/' \
@@ -24,7 +24,7 @@
 		-e "s/{{Limits.MaxFds}}/${DESCRIPTORS:-4096}/" \
 		-e "s/{{Limits.MemoryMb}}/${MACHINE_MB:-260}/" \
 		-e 's/{{Limits.LinkMbps}}/1000/' \
-		-e 's/{{HeartbeatMs}}/500/' \
+		-e "s/{{HeartbeatMs}}/${HEARTBEAT_MS:-500}/" \
 		-e 's/{{Bounds.RestoreMs}}/300/' \
 		-e 's/{{platform.RecordBytes}}/262144/' \
 		-e 's/{{platform.CallBytes}}/2097152/' \
@@ -74,7 +74,9 @@
 # start_users_platform WORKERS: starts the stand-in with that many workers and
 # publishes a configuration; sets `log_address` and `worker_addresses`.
 start_users_platform() {
-	start_process standin "$bin/rj-standin-users" --workers "$1"
+	start_process standin "$bin/rj-standin-users" --workers "$1" --events \
+		--lease-max-ms "${HOLD_MAX_MS:-6000}" \
+		--heartbeat-ms "${HEARTBEAT_MS:-500}"
 	wait_for "the stand-in" is_listening standin
 	log_address=$(grep -o '"log":"[^"]*"' "$work_dir/standin.out" | cut -d'"' -f4)
 	worker_addresses=$(grep -o '"workers":\[.*\]' "$work_dir/standin.out" |
--- a/src/standin_users/main.c
+++ b/src/standin_users/main.c
@@ -11,7 +11,8 @@
 
 #define WORKERS_MAX 2048
 #define STEP_US (20 * RJ_US_PER_MS)
-#define HEARTBEAT_US (500 * RJ_US_PER_MS)
+#define HEARTBEAT_MS 500
+#define LEASE_MAX_MS 6000
 #define ERRORS_MAX 8
 
 /* All workers of this process. */
@@ -41,8 +42,11 @@
 
 	for (uint32_t i = 0; i < fleet->count; i++)
 		standin_worker_heartbeat(&fleet->workers[i]);
-	timer = tevent_add_timer(ev, fleet, rj_clock_timeval_in(HEARTBEAT_US),
-				 beat, fleet);
+	timer = tevent_add_timer(
+		ev, fleet,
+		rj_clock_timeval_in(fleet->workers[0].log->heartbeat_ms *
+				    RJ_US_PER_MS),
+		beat, fleet);
 	assert(timer);
 }
 
@@ -63,10 +67,14 @@
 {
 	struct arg_int *workers =
 		arg_int0(NULL, "workers", "N", "workers, 4 by default");
+	struct arg_int *lease =
+		arg_int0(NULL, "lease-max-ms", "MS", "longest lease");
+	struct arg_int *heartbeat =
+		arg_int0(NULL, "heartbeat-ms", "MS", "between heartbeats");
 	struct arg_lit *events =
 		arg_lit0(NULL, "events", "print the events of runs");
 	struct arg_end *errors = arg_end(ERRORS_MAX);
-	void *table[] = { workers, events, errors };
+	void *table[] = { workers, lease, heartbeat, events, errors };
 	struct tevent_context *ev = tevent_context_init(NULL);
 	struct standin_log *log = talloc_zero(ev, struct standin_log);
 	struct fleet *fleet = talloc_zero(ev, struct fleet);
@@ -79,6 +87,10 @@
 	fleet->count = workers->count ? (uint32_t)workers->ival[0] : 4;
 	if (fleet->count > WORKERS_MAX)
 		fleet->count = WORKERS_MAX;
+	log->lease_max_ms =
+		lease->count ? (uint32_t)lease->ival[0] : LEASE_MAX_MS;
+	log->heartbeat_ms =
+		heartbeat->count ? (uint32_t)heartbeat->ival[0] : HEARTBEAT_MS;
 	if (standin_log_init(log, ev, ev, &err))
 		goto fail;
 	for (uint32_t i = 0; i < fleet->count; i++) {
--- a/src/standin_users/standin.h
+++ b/src/standin_users/standin.h
@@ -4,7 +4,8 @@
  *
  * Life cycle: `standin_log_init`, then `standin_worker_init` for each worker;
  * all live until the process exits. A worker that crashes serves again under its
- * id at its address as another incarnation, with a clock and counts of its own.
+ * id at its address as another incarnation, with a clock and counts of its own;
+ * one that leaves or vanishes does not.
  */
 #ifndef STANDIN_USERS_STANDIN_H
 #define STANDIN_USERS_STANDIN_H
@@ -38,6 +39,8 @@
 struct standin_log {
 	struct tevent_context *ev;
 	enum standin_mode mode;
+	uint32_t lease_max_ms; /* of all workers */
+	uint32_t heartbeat_ms; /* of all workers */
 	struct rj_http_server server;
 	GHashTable *topics; /* name -> struct standin_topic */
 	GHashTable *producers; /* name -> struct producer */
@@ -63,7 +66,9 @@
 	struct standin_faults faults;
 	bool prints_events; /* of runs, to standard output */
 	uint64_t incarnation; /* start time in ms */
-	bool down; /* between two incarnations */
+	bool down; /* between two incarnations, or for good */
+	uint64_t departure_ms; /* announced, by its clock; 0: none */
+	uint64_t heartbeat_count;
 	uint64_t token; /* highest fencing token */
 	uint64_t lease_until_ms; /* of all runs */
 	json_t *running; /* name -> { run, from_ms, until_ms } */
--- a/src/standin_users/worker.c
+++ b/src/standin_users/worker.c
@@ -10,7 +10,6 @@
 
 #define BODY_MAX_BYTES (1024 * 1024)
 #define CONNECTIONS_MAX 64
-#define LEASE_MAX_MS 6000
 #define RACK_WORKERS 4
 /* Completions that an answer lists. */
 #define COMPLETIONS_MAX 500
@@ -18,6 +17,8 @@
 #define STALLED_PERCENT_MAX 60
 /* Time from a crash to the next incarnation. */
 #define DOWN_US (100 * RJ_US_PER_MS)
+/* Heartbeats that are missed before an entry expires. */
+#define EXPIRY_HEARTBEATS 3
 
 /* A long poll that waits for a completion. */
 struct waiting_poll {
@@ -48,8 +49,9 @@
 	if (!worker->prints_events)
 		return;
 	printf("{\"event\":\"%s\",\"worker\":\"%s\",\"task\":\"%s\","
-	       "\"run\":%" JSON_INTEGER_FORMAT ",\"how\":\"%s\"}\n",
-	       event, worker->id, name, run, detail);
+	       "\"run\":%" JSON_INTEGER_FORMAT
+	       ",\"how\":\"%s\",\"t_ms\":%" G_GUINT64_FORMAT "}\n",
+	       event, worker->id, name, run, detail, standin_now_ms());
 	fflush(stdout);
 }
 
@@ -210,7 +212,7 @@
 		json_object_get(body, "FencingToken"));
 	uint64_t deadline_ms = (uint64_t)json_integer_value(
 		json_object_get(body, "DeadlineMs"));
-	uint64_t deadline_max_ms = clock_ms(worker) + LEASE_MAX_MS;
+	uint64_t deadline_max_ms = clock_ms(worker) + worker->log->lease_max_ms;
 
 	if (token < worker->token) {
 		reject_order(worker, exchange, "fence");
@@ -355,17 +357,16 @@
 }
 
 /* Ends an incarnation: its connections are closed, and all runs, completions
- * and counts are lost. */
-static void crash(struct tevent_context *ev, struct tevent_timer *timer,
-		  struct timeval now, void *private_data)
+ * and counts are lost. Returns false if it had ended. */
+static bool end_incarnation(struct standin_worker *worker)
 {
-	struct standin_worker *worker = private_data;
 	const char *name;
 	json_t *run;
 
 	if (worker->down)
-		return;
+		return false;
 	worker->down = true;
+	worker->departure_ms = 0;
 	rj_http_server_finish(&worker->server);
 	json_object_foreach(worker->running, name, run) print_event(
 		worker, "end", name,
@@ -378,7 +379,54 @@
 	worker->token = 0;
 	worker->lease_until_ms = 0;
 	worker->lease_expired_ms = 0;
-	call_in(worker, DOWN_US, restart);
+	return true;
+}
+
+static void crash(struct tevent_context *ev, struct tevent_timer *timer,
+		  struct timeval now, void *private_data)
+{
+	struct standin_worker *worker = private_data;
+
+	if (end_incarnation(worker))
+		call_in(worker, DOWN_US, restart);
+}
+
+static void remove_entry(struct tevent_context *ev, struct tevent_timer *timer,
+			 struct timeval now, void *private_data)
+{
+	struct standin_worker *worker = private_data;
+
+	standin_log_append(worker->log, "keyed.servers", worker->id, NULL, 0);
+}
+
+/* Ends the worker for good. Its entry is removed at once. */
+static void leave(struct tevent_context *ev, struct tevent_timer *timer,
+		  struct timeval now, void *private_data)
+{
+	if (end_incarnation(private_data))
+		remove_entry(ev, timer, now, private_data);
+}
+
+/* Ends the worker for good. Its entry expires. */
+static void vanish(struct tevent_context *ev, struct tevent_timer *timer,
+		   struct timeval now, void *private_data)
+{
+	struct standin_worker *worker = private_data;
+
+	if (end_incarnation(worker))
+		call_in(worker,
+			EXPIRY_HEARTBEATS * worker->log->heartbeat_ms *
+				RJ_US_PER_MS,
+			remove_entry);
+}
+
+/* Announces that the worker leaves in `drain_ms`, or `linger_ms` later. */
+static void announce_departure(struct standin_worker *worker,
+			       json_int_t drain_ms, json_int_t linger_ms)
+{
+	worker->faults.draining = true;
+	worker->departure_ms = clock_ms(worker) + (uint64_t)drain_ms;
+	call_in(worker, (uint64_t)(drain_ms + linger_ms) * RJ_US_PER_MS, leave);
 }
 
 /* Sets the worker's faults and its published address. */
@@ -388,6 +436,8 @@
 	struct standin_faults *faults = &worker->faults;
 	const char *published_address =
 		json_string_value(json_object_get(body, "published"));
+	json_int_t drain_ms =
+		json_integer_value(json_object_get(body, "leaves_in_ms"));
 
 	faults->fail_runs = json_is_true(json_object_get(body, "fails"));
 	faults->stall_runs =
@@ -397,7 +447,13 @@
 	if (published_address)
 		g_strlcpy(worker->published_address, published_address,
 			  sizeof(worker->published_address));
+	if (drain_ms)
+		announce_departure(
+			worker, drain_ms,
+			json_integer_value(json_object_get(body, "linger_ms")));
 	/* After the answer, as it closes the connection. */
+	if (json_is_true(json_object_get(body, "vanish")))
+		call_in(worker, 0, vanish);
 	if (json_is_true(json_object_get(body, "crash")))
 		call_in(worker, 0, crash);
 	standin_worker_heartbeat(worker);
@@ -432,6 +488,7 @@
  */
 void standin_worker_heartbeat(struct standin_worker *worker)
 {
+	uint64_t now_ms = clock_ms(worker);
 	char rack[16];
 	json_t *entry;
 	char *text;
@@ -442,11 +499,20 @@
 	(void)g_snprintf(rack, sizeof(rack), "r%u",
 			 worker->number / RACK_WORKERS);
 	entry = json_pack(
-		"{s:s,s:s,s:s,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I}", "Service",
-		"render", "Address", worker->published_address, "Zone", "z",
-		"State", worker->faults.draining ? "draining" : "ready",
-		"Capacity", "Cpu", 64000, "MemMb", 65536, "Gpu", 8, "Labels",
-		"a", rack, "born", (json_int_t)worker->incarnation);
+		"{s:s,s:s,s:s,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:I}",
+		"Service", "render", "Address", worker->published_address,
+		"Zone", "z", "State",
+		worker->faults.draining ? "draining" : "ready", "Capacity",
+		"Cpu", 64000, "MemMb", 65536, "Gpu", 8, "Labels", "a", rack,
+		"born", (json_int_t)worker->incarnation, "ClockMs",
+		(json_int_t)now_ms, "Sequence",
+		(json_int_t)++worker->heartbeat_count);
+	if (worker->departure_ms)
+		json_object_set_new(
+			entry, "DrainRemainingMs",
+			json_integer(
+				(json_int_t)(MAX(worker->departure_ms, now_ms) -
+					     now_ms)));
 	text = json_dumps(entry, JSON_COMPACT);
 	standin_log_append(worker->log, "keyed.servers", worker->id, text,
 			   strlen(text));
