cells: a successor infers departures from the history of the workers' log

What callers saw: accepted tasks have nothing running for 10.4 to 17.3 s after their worker announced that it leaves, left and removed its entry, while all instances were down (test/process_leaving_workers).

Cause: only an owner that reads an entry and its removal as they happen knows that the removal came too soon to be an expiry. A load passes entries on without a time, and one that was removed before is simply absent, so that a successor waits for the last leases that anyone may have granted (lease_lapsed).

Change: a successor with runs on an unreached worker that drains or has no entry reads the workers' log back by four heartbeats of each worker. The worker's last entry was written after the entries before it; their workers' clocks, as of the successor's first call to them, date these. A removal that was known less than three heartbeats after that is a departure: an expiry takes longer, so a worker that is cut off and runs on is never taken for gone. As before, the runs are lost only after one more poll has failed, and that poll is meant for the incarnation of the entry, as the address may be another worker's. The history is read only where it may help; no record or call is added otherwise.

The stand-in spreads the heartbeats of its workers over the interval, as workers do that start on their own.

Not covered: no instance for longer than three heartbeats after the last entry shows nothing; the leases are waited for.

--- a/src/libradishjunction/cell/cell_incarnation.c
+++ b/src/libradishjunction/cell/cell_incarnation.c
@@ -26,6 +26,9 @@
 				      struct rj_cell_worker *worker,
 				      struct rj_cell_poll *poll)
 {
+	/* Its address may be another worker's by now. */
+	if (!worker->incarnation && !worker->listed)
+		poll->incarnation = worker->heartbeat.incarnation;
 	if (!worker->incarnation || !worker->answers)
 		return;
 	if (worker->stored_position > worker->acknowledged_position)
@@ -93,6 +96,8 @@
 		     RJ_LOG_NUMBER("rows", reply->row_count));
 	worker->incarnation = reply->incarnation;
 	worker->met_us = owner->now_us;
+	worker->met_sent_us = call->sent_us;
+	worker->met_clock_ms = reply->clock_ms;
 	worker->stored_position = 0;
 	worker->applied_position = 0;
 	worker->storing_position = 0;
--- a/src/libradishjunction/cell/cell_log_reader.c
+++ b/src/libradishjunction/cell/cell_log_reader.c
@@ -286,7 +286,7 @@
 	/* Records may be appended between the pages of a load: reading
 	 * continues at the end offset that came with the first page. */
 	if (!reader->first_page_loaded)
-		reader->next = reply->end;
+		reader->next = reader->loaded_end = reply->end;
 	reader->first_page_loaded = true;
 	for (uint32_t i = 0; i < reply->count; i++)
 		reader->ops->record(reader->private_data, &reply->records[i]);
@@ -355,6 +355,8 @@
 	reader->mark_count = 0;
 	reader->poll_in_flight = false;
 	reader->immediate_in_flight = false;
+	reader->history_in_flight = false;
+	reader->history_next = reader->history_end;
 	reader->due_us = 0;
 	TALLOC_FREE(reader->after);
 	end_syncs(reader, RJ_NEVER_US, false);
@@ -389,6 +391,65 @@
 	send_read(reader, true);
 }
 
+/* Handles the answer to a read of earlier records. */
+static void history_done(void *private_data,
+			 const struct rj_cell_store_reply *reply)
+{
+	struct call *call = private_data;
+	struct rj_cell_log_reader *reader = call->reader;
+
+	if (call->generation != reader->generation) {
+		talloc_free(call);
+		return;
+	}
+	reader->now_us = reply->now_us;
+	reader->history_in_flight = false;
+	if (reply->status == RJ_CELL_STORE_OK) {
+		for (uint32_t i = 0; i < reply->count; i++)
+			if (reply->records[i].offset < reader->history_end)
+				reader->ops->history(reader->private_data,
+						     &reply->records[i]);
+		reader->history_next = reply->next > reader->history_next ?
+					       reply->next :
+					       reader->history_end;
+	} else if (reply->status == RJ_CELL_STORE_EXPIRED) {
+		reader->history_next = reader->history_end;
+	} else {
+		reader->history_due_us = reader->now_us + RETRY_MAX_US;
+	}
+	talloc_free(call);
+}
+
+/* Requests earlier records, if any are left to be read back. */
+static void read_history(struct rj_cell_log_reader *reader)
+{
+	struct rj_cell_store_done done = { history_done, NULL };
+
+	if (reader->history_in_flight ||
+	    reader->history_next >= reader->history_end ||
+	    reader->now_us < reader->history_due_us)
+		return;
+	reader->history_in_flight = true;
+	done.private_data = call_new(reader, true);
+	reader->store->ops->read(reader->store, reader->topic,
+				 reader->history_next, 0, done);
+}
+
+/*
+ * Reads the last `count` records before the end of the last load, for
+ * ops->history, beside the records that follow. If some of them have expired,
+ * none is read.
+ */
+void rj_cell_log_reader_read_back(struct rj_cell_log_reader *reader,
+				  uint64_t count)
+{
+	assert(reader->state == RJ_CELL_LOG_READER_READING);
+	reader->history_end = reader->loaded_end;
+	reader->history_next =
+		reader->loaded_end - MIN(reader->loaded_end, count);
+	reader->history_due_us = reader->now_us;
+}
+
 /*
  * Sends the calls that are due.
  */
@@ -396,6 +457,7 @@
 {
 	reader->now_us = now_us;
 	read_known_records(reader);
+	read_history(reader);
 	if (reader->state == RJ_CELL_LOG_READER_IDLE || now_us < reader->due_us)
 		return;
 	if (reader->poll_in_flight)
--- a/src/libradishjunction/cell/cell_node.c
+++ b/src/libradishjunction/cell/cell_node.c
@@ -112,6 +112,48 @@
 {
 }
 
+/* Handles an earlier record of the workers' log. */
+static void fleet_history(void *private_data,
+			  const struct rj_cell_record *record)
+{
+	struct rj_cell_node *node = private_data;
+	const struct rj_cell_codec *codec = node->options.codec;
+	struct rj_cell_heartbeat heartbeat;
+	struct rj_cell_worker *worker;
+	struct rj_error err;
+	char id[RJ_NAME_BYTES];
+	uint64_t clock_ms;
+
+	if (!node->owner.active)
+		return;
+	node->owner.now_us = node->fleet.now_us;
+	rj_name_shorten(id, record->key);
+	worker = rj_cell_fleet_find(&node->owner.fleet, id);
+	if (!worker || !record->value.length)
+		return;
+	if (rj_cell_worker_entry_is_comparable(worker) &&
+	    codec->is_same_entry(worker->entry, record->value, &clock_ms)) {
+		heartbeat = worker->heartbeat;
+		heartbeat.clock_ms = clock_ms;
+	} else if (codec->decode_worker(record->value, &heartbeat, &err)) {
+		return;
+	}
+	rj_cell_departures_read(&node->owner, worker, &heartbeat);
+}
+
+/* Reads the workers' log back, if that may show departures. */
+static void read_fleet_history(struct rj_cell_node *node)
+{
+	uint64_t records;
+
+	if (!node->owner.active ||
+	    node->fleet.state != RJ_CELL_LOG_READER_READING)
+		return;
+	records = rj_cell_departures_begin(&node->owner);
+	if (records)
+		rj_cell_log_reader_read_back(&node->fleet, records);
+}
+
 /* All worker entries have been loaded. */
 static void fleet_load_end(void *private_data)
 {
@@ -121,12 +163,14 @@
 		return;
 	node->owner.now_us = node->fleet.now_us;
 	rj_cell_polls_fleet_loaded(&node->owner);
+	read_fleet_history(node);
 }
 
 static const struct rj_cell_log_reader_ops fleet_ops = {
 	.record = fleet_record,
 	.progress = ignore_progress,
 	.load_end = fleet_load_end,
+	.history = fleet_history,
 };
 
 /* Applies a configuration record if its version is newer. */
@@ -224,10 +268,10 @@
 }
 
 static const struct rj_cell_log_reader_ops operators_ops = {
-	operators_record,
-	ignore_progress,
-	operators_load_begin,
-	operators_load_end,
+	.record = operators_record,
+	.progress = ignore_progress,
+	.load_begin = operators_load_begin,
+	.load_end = operators_load_end,
 };
 
 /* Handles an ownership record; records that are not newer are ignored. */
@@ -406,6 +450,7 @@
 					leases_until_us(node, leases),
 					node->now_us, node->wall_ms);
 	rj_cell_takeover_stop(&node->takeover);
+	read_fleet_history(node);
 }
 
 /* Handles the end of a read of the jobs' log: steps down if another instance
--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -265,6 +265,7 @@
 			  struct rj_cell_worker *worker)
 {
 	worker->listed = false;
+	worker->unlisted_us = owner->now_us;
 	if (has_deregistered(owner, worker)) {
 		worker->deregistered_us = owner->now_us;
 		worker->poll_due_us = owner->now_us;
--- a/src/libradishjunction/cell/cell_polls.c
+++ b/src/libradishjunction/cell/cell_polls.c
@@ -359,6 +359,8 @@
 
 	if (worker->deregistered_us && call->sent_us >= worker->deregistered_us)
 		rj_cell_call_lose_runs(owner, worker, "worker_left");
+	else
+		rj_cell_departures_check(owner, worker);
 	if (status == RJ_CELL_ORDER_OTHER_INCARNATION)
 		rj_cell_call_other_incarnation(owner, worker,
 					       call->incarnation);
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -51,6 +51,7 @@
  * entry in use has some 400 bytes. */
 #define RJ_CELL_ENTRY_KEPT_MAX_BYTES 4096
 
+struct rj_cell_entry_marks;
 struct rj_cell_fleet;
 struct rj_cell_plan_worker;
 
@@ -108,10 +109,17 @@
 	uint64_t written_us; /* the entry was written after this; 0: unknown */
 	uint64_t departure_us; /* it may leave from then on; 0: not announced */
 	uint64_t cold_until_us; /* it runs slowly until then */
+	/* When the owner noticed that its entry is removed; see listed. */
+	uint64_t unlisted_us;
+	/* The entries up to the last one in which it was draining, if that was
+	 * read back; see cell_departure.h. */
+	struct rj_cell_entry_marks *entry_marks;
 	/* When the owner read that it deregistered; 0: it has not. */
 	uint64_t deregistered_us;
 	uint64_t incarnation; /* as of its last answer; 0: none yet */
 	uint64_t met_us; /* first answer of this incarnation */
+	uint64_t met_sent_us; /* when the call to it was sent */
+	uint64_t met_clock_ms; /* the worker's clock in it; 0: not reported */
 	bool answers; /* the last call to it was answered */
 	uint64_t answered_us; /* last answer to any call */
 	struct rj_cell_domain *domain; /* NULL until it is reported */
--- a/src/libradishjunction/include/private/cell_log_reader.h
+++ b/src/libradishjunction/include/private/cell_log_reader.h
@@ -28,6 +28,9 @@
 	/* A load begins, or has passed on all keys. Either may be NULL. */
 	void (*load_begin)(void *private_data);
 	void (*load_end)(void *private_data);
+	/* A record that rj_cell_log_reader_read_back has requested. */
+	void (*history)(void *private_data,
+			const struct rj_cell_record *record);
 };
 
 /* A wait for the end of the log: `done` is called when all records appended
@@ -61,6 +64,12 @@
 	/* Responses to calls of an earlier generation are ignored. */
 	uint32_t generation;
 	uint64_t next; /* offset of the next read */
+	uint64_t loaded_end; /* end of the log as the last load began */
+	/* Offsets of the records to be read back; none if they are equal. */
+	uint64_t history_next;
+	uint64_t history_end;
+	bool history_in_flight;
+	uint64_t history_due_us;
 	char *after; /* loading: last key received, or NULL */
 	bool first_page_loaded; /* loading: the first page has been received */
 	bool caught_up; /* has reached the end since its start */
@@ -94,6 +103,8 @@
 			     struct rj_cell_sync *sync, uint64_t now_us);
 void rj_cell_log_reader_expect(struct rj_cell_log_reader *reader, uint64_t end,
 			       uint64_t now_us);
+void rj_cell_log_reader_read_back(struct rj_cell_log_reader *reader,
+				  uint64_t count);
 uint64_t rj_cell_log_reader_age_us(const struct rj_cell_log_reader *reader,
 				   uint64_t now_us);
 
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -23,6 +23,7 @@
 #include "private/cell_call_window.h"
 #include "private/cell_failure.h"
 #include "private/cell_features.h"
+#include "private/cell_departure.h"
 #include "private/cell_fleet.h"
 #include "private/cell_forecast.h"
 #include "private/cell_guarantee.h"
@@ -108,6 +109,8 @@
 	/* Of the instance, to the log of requests; set by the node. */
 	struct rj_cell_writer *requests_writer;
 	struct rj_cell_fleet fleet;
+	/* Entries of workers that are read back after a takeover. */
+	struct rj_cell_entry_marks entry_marks;
 	struct rj_cell_lease_bounds leases;
 	/* Of the last term that was published; owned by the node. */
 	const struct rj_cell_term_clock *term_clock;
--- a/src/standin_users/main.c
+++ b/src/standin_users/main.c
@@ -19,6 +19,7 @@
 struct fleet {
 	struct standin_worker workers[WORKERS_MAX];
 	uint32_t count;
+	uint32_t next; /* to send a heartbeat */
 };
 
 /* Advances the runs of all workers. */
@@ -34,18 +35,18 @@
 	assert(timer);
 }
 
-/* Sends the heartbeats of all workers. */
+/* Sends the heartbeat of the next worker, so that they are spread over the
+ * interval. */
 static void beat(struct tevent_context *ev, struct tevent_timer *timer,
 		 struct timeval now, void *private_data)
 {
 	struct fleet *fleet = private_data;
+	uint64_t interval_us =
+		fleet->workers[0].log->heartbeat_ms * RJ_US_PER_MS;
 
-	for (uint32_t i = 0; i < fleet->count; i++)
-		standin_worker_heartbeat(&fleet->workers[i]);
+	standin_worker_heartbeat(&fleet->workers[fleet->next++ % fleet->count]);
 	timer = tevent_add_timer(
-		ev, fleet,
-		rj_clock_timeval_in(fleet->workers[0].log->heartbeat_ms *
-				    RJ_US_PER_MS),
+		ev, fleet, rj_clock_timeval_in(interval_us / fleet->count),
 		beat, fleet);
 	assert(timer);
 }
@@ -97,6 +98,7 @@
 		if (standin_worker_init(&fleet->workers[i], ev, log, i, &err))
 			goto fail;
 		fleet->workers[i].prints_events = events->count > 0;
+		standin_worker_heartbeat(&fleet->workers[i]);
 	}
 	step(ev, NULL, tevent_timeval_zero(), fleet);
 	beat(ev, NULL, tevent_timeval_zero(), fleet);
