cells: one lost worker does not make its failure domain unusable

What callers saw: accepted jobs wait for up to 4.3 s, and tasks whose leases have expired for 4.5 s more, while five of six workers are idle; the owner's backlog events say that no worker is usable. No instance and no link has a fault.

Cause: a failure domain counts as unreachable while its latest lost call is newer than its latest answer. A worker that is gone is called every 150 ms for as long as it may hold a lease, and for 15 s after its runs were abandoned if it is still listed; idle workers answer every 1.5 s. So the domain was unusable but for some 150 ms after each answer, which plans, 200 ms apart, mostly missed.

Change: the repeated lost calls of a worker count only until its domain has answered after the first of them was found lost. If the domain is cut off, no answer comes and they count as before, so a cut is noticed as soon as before.

Excluded: guarantees and avoided workers; the backlog events list no held task.

--- a/src/libradishjunction/cell/cell_fleet.c
+++ b/src/libradishjunction/cell/cell_fleet.c
@@ -306,6 +306,10 @@
 
 /*
  * Records that a call sent at `sent_us` was answered or lost.
+ *
+ * A worker that does not answer is called again and again. If its domain has
+ * answered since, its silence is its own: otherwise one dead worker would make
+ * all others of its domain unusable between two of their answers.
  */
 void rj_cell_worker_record_contact(struct rj_cell_worker *worker,
 				   uint64_t sent_us, bool answered,
@@ -313,14 +317,17 @@
 {
 	struct rj_cell_domain *domain = worker->domain;
 
-	if (answered)
+	if (answered) {
 		worker->answered_us = now_us;
-	if (!domain)
-		return;
-	if (answered)
+		worker->unanswered_us = 0;
+	}
+	if (domain && answered)
 		record_answer(domain, now_us);
-	else
+	else if (domain && (!worker->unanswered_us ||
+			    domain->answered_us <= worker->unanswered_us))
 		record_lost_call(domain, worker->rack, sent_us);
+	if (!answered && !worker->unanswered_us)
+		worker->unanswered_us = now_us;
 }
 
 /* Whether no worker of a failure domain has answered since the latest lost call
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -122,6 +122,8 @@
 	uint64_t met_clock_ms; /* the worker's clock in it; 0: not reported */
 	bool answers; /* the last call to it was answered */
 	uint64_t answered_us; /* last answer to any call */
+	/* When the first lost call since then was found lost; 0: none was. */
+	uint64_t unanswered_us;
 	struct rj_cell_domain *domain; /* NULL until it is reported */
 	/* A probe of the network path to it is in flight. */
 	bool probe_in_flight;
--- a/src/test_libradishjunction/test_cell_reach.c
+++ b/src/test_libradishjunction/test_cell_reach.c
@@ -660,12 +660,35 @@
 
 #define ADD(name, function) CELL_TEST("/cell_reach/" name, &site, function)
 
+/* Guards against jobs that wait while other workers of the domain are idle, as a
+ * lost worker is called again and again. */
+static void test_lost_worker_blocks_no_domain(struct cell_fixture *f,
+					      const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(1, 1, 60000);
+	struct rj_cell_step next = cell_sim_plain_step(1, 1, 100);
+
+	(void)cell_load_submit(&f->sim, "normal", "a", &step, 60 * S);
+	cell_load_run(&f->sim, S);
+	cell_sim_worker_kill(&f->sim, cell_sim_busy_worker(&f->sim));
+	cell_load_run(&f->sim, 5 * S);
+	for (int i = 0; i < 8; i++) {
+		struct cell_client_job *job = cell_load_submit(
+			&f->sim, "normal", "a", &next, 100 * MS);
+
+		cell_load_run(&f->sim, 700 * MS);
+		g_assert_cmpuint(job->starts, ==, 1);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD("cut_domain", test_starts_avoid_a_partitioned_domain);
 	CELL_TEST("/cell_reach/unsent_gang", &three_workers,
 		  test_unsent_gang_is_placed_again);
+	CELL_TEST("/cell_reach/lost_worker", &three_workers,
+		  test_lost_worker_blocks_no_domain);
 	ADD("draining", test_starts_on_draining_workers_are_cancelled);
 	ADD("workers_unread", test_unread_workers_stop_all_starts);
 	ADD("completions", test_completions_are_polled_after_a_partition);
