plan: use suspect workers for work that waits beside idle ones

Callers saw: a job stands still for seconds, or for as long as another job fails, while most of the workers' room is free.

Cause: a worker gets no new work for 6 s after two failures in a row, and for 2 s after an early one. Tasks of a job that fails wherever it runs make sound workers suspect faster than these recover: each failure is on another worker, and a perpetual task may fail any number of times.

Evidence: test_failing_job_leaves_workers fails before this change; its job of two tasks does not begin within 4 s though the tasks of the failing job would take a quarter of the site.

Change: a step that has waited for 2 s may use suspect workers while less than 55% of the capacity is in use, theirs included, and a perpetual one always, as with the reserved workers; other workers go first. Plans in which nothing has waited ignore suspect workers as before. A refused start is kept apart from a suspicion: its worker gets none during its pause, so that waiting tasks are not sent there with each plan.

--- a/src/libradishjunction/cell/cell_fleet.c
+++ b/src/libradishjunction/cell/cell_fleet.c
@@ -541,17 +541,29 @@
 }
 
 /*
- * Whether new tasks may be placed on a worker: it is schedulable, it and its
- * failure domain answer, and it is not suspected of failing its tasks.
+ * Whether a worker could take new tasks, be it suspected of failing them: it is
+ * schedulable, it and its failure domain answer, and it has not just refused a
+ * start.
  */
-bool rj_cell_worker_usable(const struct rj_cell_worker *worker, uint64_t now_us)
+bool rj_cell_worker_available(const struct rj_cell_worker *worker,
+			      uint64_t now_us)
 {
 	return rj_cell_worker_schedulable(worker) && worker->answers &&
 	       rj_cell_worker_expected_incarnation(worker) &&
-	       worker->clock_ms && now_us >= worker->suspect_until_us &&
+	       worker->clock_ms && now_us >= worker->refuses_until_us &&
 	       !is_unreachable(worker->domain);
 }
 
+/*
+ * Whether new tasks may be placed on a worker: it is available, and not
+ * suspected of failing its tasks.
+ */
+bool rj_cell_worker_usable(const struct rj_cell_worker *worker, uint64_t now_us)
+{
+	return rj_cell_worker_available(worker, now_us) &&
+	       now_us >= worker->suspect_until_us;
+}
+
 /*
  * Returns the rank of a worker by the probability that it loses a run, for
  * members of gangs or for single tasks; see rj_cell_worker_history_rank.
--- a/src/libradishjunction/cell/cell_orders.c
+++ b/src/libradishjunction/cell/cell_orders.c
@@ -76,8 +76,8 @@
 	if (status == RJ_CELL_ORDER_NO_CAPACITY ||
 	    status == RJ_CELL_ORDER_DEADLINE_PASSED)
 		pause_us = FULL_PAUSE_US;
-	if (owner->now_us + pause_us > worker->suspect_until_us)
-		worker->suspect_until_us = owner->now_us + pause_us;
+	worker->refuses_until_us =
+		MAX(worker->refuses_until_us, owner->now_us + pause_us);
 }
 
 /* Finds the run that an answer is about, and its worker; NULL if either no
--- a/src/libradishjunction/cell/cell_place.c
+++ b/src/libradishjunction/cell/cell_place.c
@@ -17,7 +17,7 @@
 #define COST_HIGHEST_RISK_BIT 53 /* a worker of the highest rank */
 #define COST_WARMUP_BIT 54 /* worker is slow after its start */
 #define COST_REMOTE_BIT 55 /* away from the task's data */
-#define COST_UNPROVEN_BIT 56 /* see is_unproven */
+#define COST_UNPROVEN_BIT 56 /* suspect, or see is_unproven */
 #define COST_INTERFERENCE_BIT 57 /* latency-bound runs beside others */
 
 /* Delay of capacity that a recall frees, so that what is free goes first. */
@@ -133,6 +133,8 @@
 	if ((plan_worker->reserved && !group->may_use_reserved) ||
 	    (plan_worker->exclusive && !group->may_use_exclusive))
 		return false;
+	if (plan_worker->suspect && !group->may_use_suspect)
+		return false;
 	if (worker->service != group->service)
 		return false;
 	if (!rj_cell_worker_has_label(worker, step->label))
@@ -335,7 +337,8 @@
 	uint64_t left_over = available->accelerators - step->each.accelerators;
 	bool remote = step->rack[0] &&
 		      strcmp(step->rack, plan_worker->worker->heartbeat.rack);
-	bool unproven = is_unproven(plan, plan_worker->worker, task);
+	bool unproven = plan_worker->suspect ||
+			is_unproven(plan, plan_worker->worker, task);
 	bool wrong_reservation =
 		plan_worker->reserved != !group->job->job_spec->priority;
 	bool warming_up = plan->now_us < plan_worker->worker->cold_until_us;
--- a/src/libradishjunction/cell/cell_plan_workers.c
+++ b/src/libradishjunction/cell/cell_plan_workers.c
@@ -337,14 +337,17 @@
 {
 	struct rj_cell_plan_worker *plan_worker =
 		&plan->workers[plan->worker_count];
+	bool suspect = plan->now_us < worker->suspect_until_us;
 
 	worker->plan_worker = NULL;
-	if (!rj_cell_worker_usable(worker, plan->now_us) ||
+	if (!rj_cell_worker_available(worker, plan->now_us) ||
+	    (suspect && !plan->has_suspects) ||
 	    worker->latency_runs + worker->other_runs >=
 		    RJ_CELL_WORKER_RUNS_MAX)
 		return;
 	worker->plan_worker = plan_worker;
 	plan_worker->worker = worker;
+	plan_worker->suspect = suspect;
 	plan_worker->free_now = unallocated(worker);
 	plan_worker->latency_runs = worker->latency_runs;
 	plan_worker->other_runs = worker->other_runs;
--- a/src/libradishjunction/cell/cell_shortage.c
+++ b/src/libradishjunction/cell/cell_shortage.c
@@ -24,6 +24,7 @@
 	return step->scavenges == other->scavenges &&
 	       (shortage->may_use_reserved || !group->may_use_reserved) &&
 	       (shortage->may_use_exclusive || !group->may_use_exclusive) &&
+	       (shortage->may_use_suspect || !group->may_use_suspect) &&
 	       (shortage->remote_allowed || !group->remote_allowed) &&
 	       (!other->label[0] || !strcmp(other->label, step->label)) &&
 	       (!other->rack[0] || shortage->remote_allowed ||
@@ -78,6 +79,7 @@
 		.remote_allowed = group->remote_allowed,
 		.may_use_reserved = group->may_use_reserved,
 		.may_use_exclusive = group->may_use_exclusive,
+		.may_use_suspect = group->may_use_suspect,
 		.in_one_rack = needs_one_rack(group, count),
 	};
 
--- a/src/libradishjunction/cell/cell_task_groups.c
+++ b/src/libradishjunction/cell/cell_task_groups.c
@@ -149,6 +149,10 @@
  * is urgent, if usage is low, if it is overdue and restricted to some workers, or
  * if it is perpetual and has waited, as its tasks have to be at work however full
  * the cell is; those that are not exclusive if it can be preempted at no loss.
+ *
+ * Also sets whether it may use workers that are suspected of failing their
+ * tasks. Tasks of a job that fails everywhere make sound workers suspect faster
+ * than these recover, so a step that has waited beside idle ones uses them.
  */
 void rj_cell_task_group_set_reserved(const struct rj_cell_plan *plan,
 				     struct rj_cell_task_group *group)
@@ -162,6 +166,8 @@
 				   (step->perpetual && has_waited(plan, group));
 	group->may_use_reserved = group->may_use_exclusive ||
 				  (step->checkpoints && !step->perpetual);
+	group->may_use_suspect = has_idle_capacity(plan, group) ||
+				 (step->perpetual && has_waited(plan, group));
 }
 
 /*
@@ -289,6 +295,7 @@
 	group.expired = group.tier == TIER_EXPIRED;
 	group.accepted_us = job->accepted_us;
 	set_rank(plan, &group, age_us);
+	plan->has_suspects |= has_waited(plan, &group);
 	if (!group.expired)
 		rj_cell_account_shares_add_waiting(job);
 	g_array_append_val(plan->task_groups, group);
--- a/src/libradishjunction/include/private/cell_fleet.h
+++ b/src/libradishjunction/include/private/cell_fleet.h
@@ -153,7 +153,10 @@
 	/* Health, derived from the runs on it. */
 	uint32_t bad_streak; /* consecutive runs that failed */
 	uint64_t failed_us; /* when the last of them did */
+	/* It is suspected of failing its tasks until then. */
 	uint64_t suspect_until_us;
+	/* It refused a start, and gets none until then. */
+	uint64_t refuses_until_us;
 	/* Latest start of a run that did not fail early. */
 	uint64_t healthy_us;
 };
@@ -221,6 +224,8 @@
 uint64_t
 rj_cell_worker_expected_incarnation(const struct rj_cell_worker *worker);
 bool rj_cell_worker_schedulable(const struct rj_cell_worker *worker);
+bool rj_cell_worker_available(const struct rj_cell_worker *worker,
+			      uint64_t now_us);
 bool rj_cell_worker_usable(const struct rj_cell_worker *worker,
 			   uint64_t now_us);
 uint32_t rj_cell_worker_rank(const struct rj_cell_worker *worker, bool gang,
--- a/src/libradishjunction/include/private/cell_place.h
+++ b/src/libradishjunction/include/private/cell_place.h
@@ -31,6 +31,7 @@
 	bool bound_near; /* and it has to get it now to begin in time */
 	bool may_use_exclusive; /* see rj_cell_plan_worker */
 	bool may_use_reserved;
+	bool may_use_suspect;
 	const char *service; /* interned */
 };
 
--- a/src/libradishjunction/include/private/cell_plan.h
+++ b/src/libradishjunction/include/private/cell_plan.h
@@ -37,6 +37,7 @@
 	 * exceptions see rj_cell_task_group_set_reserved. */
 	bool reserved;
 	bool exclusive; /* closed to all tasks that are not urgent; likewise */
+	bool suspect; /* closed to all that have not waited; likewise */
 	struct rj_cell_demand free_now; /* not allocated */
 	/* Free once the runs that are being stopped have ended. */
 	struct rj_cell_demand free_after_stops;
@@ -137,6 +138,8 @@
 	struct rj_cell_releases *releases; /* of each worker, on demand */
 	uint32_t worker_count;
 	uint32_t risky_workers;
+	/* A group has waited, so that suspect workers are among `workers`. */
+	bool has_suspects;
 	GArray *racks; /* struct rj_cell_plan_rack, domains interleaved */
 	GArray *ranges; /* struct rj_cell_worker_range, in worker order */
 	struct rj_cell_usage usage; /* includes the starts of this plan */
--- a/src/libradishjunction/include/private/cell_shortage.h
+++ b/src/libradishjunction/include/private/cell_shortage.h
@@ -18,6 +18,7 @@
 	bool remote_allowed;
 	bool may_use_reserved;
 	bool may_use_exclusive;
+	bool may_use_suspect;
 	bool in_one_rack;
 };
 
--- a/src/test_libradishjunction/test_cell_starvation.c
+++ b/src/test_libradishjunction/test_cell_starvation.c
@@ -432,6 +432,27 @@
 	g_assert_cmpuint(job->begun_us, !=, 0);
 }
 
+/* A job whose tasks fail wherever they run must not keep sound, idle workers
+ * from other jobs. */
+static void test_failing_job_leaves_workers(struct cell_fixture *f,
+					    const void *data)
+{
+	struct rj_cell_step failing = cell_sim_plain_step(48, 1, 300);
+	const struct rj_cell_step plain = cell_sim_plain_step(2, 8, 500);
+	struct cell_client_job *job;
+
+	failing.perpetual = true;
+	job = cell_load_submit(&f->sim, "normal", "b", &failing, 300 * MS);
+	job->failing_runs = UINT32_MAX;
+	cell_load_run(&f->sim, 4 * S);
+	for (uint32_t i = 0; i < 12; i++) {
+		job = cell_load_submit(&f->sim, "bulk", "a", &plain, 500 * MS);
+		cell_load_run(&f->sim, 4 * S);
+		g_assert_cmpuint(job->begun_us, >, 0);
+		g_assert_cmpuint(job->begun_us, <, job->accepted_us + 3 * S);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -463,5 +484,7 @@
 		  test_restarts_are_not_delayed_for_ever);
 	CELL_TEST("/cell_starvation/confined", &site,
 		  test_confined_job_uses_a_reserved_rack);
+	CELL_TEST("/cell_starvation/failing_job", &site,
+		  test_failing_job_leaves_workers);
 	return g_test_run();
 }
