cells: runs that cannot be stopped for a promise move the time at which it is due

In virtual time a task of 5 s waits beside four idle workers of seven, 32 of 56 accelerators free (test_cell_backfill /backfill/put_off, which fails on; without the gang the task begins at once).

Cause: the time at which a promise is due left out all runs of jobs that were accepted after the group. Such a run that was not let in beside the promise (an urgent one, one of an account that is ahead by its share, an overdue one) is not stopped for it.

Change: only runs that were let in beside a promise are left out; they are stopped once the group can begin.

--- a/src/libradishjunction/cell/cell_backfill.c
+++ b/src/libradishjunction/cell/cell_backfill.c
@@ -14,21 +14,10 @@
  * started and stopped in turn. */
 #define LOSSES_MAX 2
 
-/* Whether a run came after a group that waits: it was let in beside a promise,
- * or its job was accepted later. */
-static bool came_after(const struct rj_cell_run *run,
-		       const struct rj_cell_task_group *group)
-{
-	return run->backfilled ||
-	       (run->task &&
-		run->task->occurrence->job->accepted_us > group->accepted_us);
-}
-
 /* Returns when a worker has what is promised there, in microseconds from now, if
- * the runs that came after a group are left out. */
+ * the runs that were let in beside a promise are left out. */
 static uint64_t promise_due_us(struct rj_cell_plan *plan,
-			       const struct rj_cell_plan_worker *plan_worker,
-			       const struct rj_cell_task_group *group)
+			       const struct rj_cell_plan_worker *plan_worker)
 {
 	const struct rj_cell_releases *releases =
 		rj_cell_releases_get(plan, plan_worker);
@@ -36,7 +25,7 @@
 	uint64_t due_us = 0;
 
 	for (uint32_t i = 0; i < releases->count; i++)
-		if (came_after(releases->by_time[i].run, group))
+		if (releases->by_time[i].run->backfilled)
 			rj_cell_demand_add(
 				&available,
 				&releases->by_time[i].run->allocated);
@@ -46,7 +35,7 @@
 	     i++) {
 		const struct rj_cell_release *release = &releases->by_time[i];
 
-		if (came_after(release->run, group) || release->run->reason)
+		if (release->run->backfilled || release->run->reason)
 			continue;
 		rj_cell_demand_add(&available, &release->run->allocated);
 		due_us = release->remaining_us;
@@ -60,8 +49,7 @@
  * RJ_NEVER_US if it is not known.
  */
 uint64_t rj_cell_backfill_hold(struct rj_cell_plan *plan,
-			       const struct rj_cell_placement *placement,
-			       const struct rj_cell_task_group *group)
+			       const struct rj_cell_placement *placement)
 {
 	uint64_t due_us = 0;
 	uint64_t until_us;
@@ -70,8 +58,7 @@
 		const struct rj_cell_worker *worker =
 			placement->workers->pdata[i];
 
-		due_us = MAX(due_us,
-			     promise_due_us(plan, worker->plan_worker, group));
+		due_us = MAX(due_us, promise_due_us(plan, worker->plan_worker));
 	}
 	if (due_us == RJ_NEVER_US)
 		return due_us;
--- a/src/libradishjunction/cell/cell_plan.c
+++ b/src/libradishjunction/cell/cell_plan.c
@@ -212,7 +212,7 @@
 		add_start(plan, tasks[i], placement.workers->pdata[i],
 			  options->backfill_us != 0);
 	if (placed && options->horizon == RJ_CELL_HORIZON_COMPLETIONS &&
-	    !rj_cell_backfill_hold(plan, &placement, group))
+	    !rj_cell_backfill_hold(plan, &placement))
 		rj_cell_backfill_recall(plan, &placement, group);
 	if (placed)
 		rj_cell_placement_commit(&placement);
--- a/src/libradishjunction/include/private/cell_backfill.h
+++ b/src/libradishjunction/include/private/cell_backfill.h
@@ -3,9 +3,9 @@
  * group for later, if they are expected to end well before that group can start.
  *
  * Load: a gang that waits for one worker for minutes, while others stand idle
- * for it and small tasks wait. The promise is kept: work that came after the group
- * does not move its expected start, and what was let in and outlasts its
- * estimate is stopped then. Part of making a plan; see cell_plan.h.
+ * for it and small tasks wait. The promise is kept: what was let in does not move
+ * the group's expected start, and if it outlasts its estimate it is stopped then.
+ * Part of making a plan; see cell_plan.h.
  */
 #ifndef RADISHJUNCTION_PRIVATE_CELL_BACKFILL_H
 #define RADISHJUNCTION_PRIVATE_CELL_BACKFILL_H
@@ -14,8 +14,7 @@
 #include "private/cell_place.h"
 
 uint64_t rj_cell_backfill_hold(struct rj_cell_plan *plan,
-			       const struct rj_cell_placement *placement,
-			       const struct rj_cell_task_group *group);
+			       const struct rj_cell_placement *placement);
 bool rj_cell_backfill_may_recall(const struct rj_cell_plan *plan,
 				 const struct rj_cell_release *release,
 				 const struct rj_cell_task_group *group);
--- a/src/test_libradishjunction/test_cell_backfill.c
+++ b/src/test_libradishjunction/test_cell_backfill.c
@@ -39,15 +39,14 @@
 
 /* Submits a job of one task, which is of the wrong length if the durations
  * differ. */
-static struct cell_client_job *submit_task(struct cell_sim *sim,
-					   uint32_t accelerators,
-					   uint32_t estimate_ms,
-					   uint64_t duration_us)
+static struct cell_client_job *
+submit_task(struct cell_sim *sim, const char *queue, uint32_t accelerators,
+	    uint32_t estimate_ms, uint64_t duration_us)
 {
 	struct rj_cell_step step =
 		cell_sim_plain_step(1, accelerators, estimate_ms);
 
-	return cell_load_submit(sim, "bulk", "b", &step, duration_us);
+	return cell_load_submit(sim, queue, "b", &step, duration_us);
 }
 
 /* Kills the owner, and starts its node again once another one owns the cell. */
@@ -74,7 +73,7 @@
 	submit_gang(&f->sim);
 	cell_load_run(&f->sim, S);
 	for (guint i = 0; i < G_N_ELEMENTS(small); i++)
-		small[i] = submit_task(&f->sim, 1, 25000, 25 * S);
+		small[i] = submit_task(&f->sim, "bulk", 1, 25000, 25 * S);
 	cell_load_run(&f->sim, 2 * S);
 	for (guint i = 0; i < G_N_ELEMENTS(small); i++)
 		g_assert_cmpuint(small[i]->starts, ==, 1);
@@ -86,6 +85,7 @@
 
 /* A task comes each second; the owner is replaced at times. */
 struct stream {
+	const char *queue;
 	uint32_t accelerators;
 	uint32_t estimate_ms;
 	uint64_t duration_us;
@@ -95,11 +95,15 @@
 
 /* Whole workers, or parts of them; as long as they say, or much longer. */
 static const struct stream streams[] = {
-	{ 1, 12000, 12 * S, 0, 0 },   { 8, 12000, 12 * S, 0, 0 },
-	{ 8, 12000, 20 * S, 0, 0 },   { 1, 8000, 40 * S, 0, 0 },
-	{ 8, 8000, 40 * S, 0, 0 },    { 8, 5000, 120 * S, 0, 0 },
-	{ 8, 8000, 40 * S, 12, 15 },  { 8, 8000, 40 * S, 26, 0 },
-	{ 8, 5000, 120 * S, 20, 10 },
+	{ "bulk", 1, 12000, 12 * S, 0, 0 },
+	{ "bulk", 8, 12000, 12 * S, 0, 0 },
+	{ "bulk", 8, 12000, 20 * S, 0, 0 },
+	{ "bulk", 1, 8000, 40 * S, 0, 0 },
+	{ "bulk", 8, 8000, 40 * S, 0, 0 },
+	{ "bulk", 8, 5000, 120 * S, 0, 0 },
+	{ "bulk", 8, 8000, 40 * S, 12, 15 },
+	{ "bulk", 8, 8000, 40 * S, 26, 0 },
+	{ "bulk", 8, 5000, 120 * S, 20, 10 },
 };
 
 /*
@@ -126,9 +130,9 @@
 			struct cell_client_job *job;
 
 			cell_load_run(&f.sim, S);
-			job = submit_task(&f.sim, stream->accelerators,
-					  stream->estimate_ms,
-					  stream->duration_us);
+			job = submit_task(
+				&f.sim, stream->queue, stream->accelerators,
+				stream->estimate_ms, stream->duration_us);
 			if (!first)
 				first = job;
 			if (next_loss_s &&
@@ -141,7 +145,8 @@
 						0;
 			}
 		}
-		g_test_message("stream %u", i);
+		g_test_message("stream %u: %.1f s", i,
+			       ((double)gang->begun_us - busy->begun_us) / S);
 		g_assert_cmpuint(gang->begun_us, >, 0);
 		g_assert_cmpuint(gang->begun_us - busy->begun_us, <=,
 				 BUSY_US + GANG_DELAY_MAX_US);
@@ -163,8 +168,8 @@
 	(void)keep_busy(&f->sim, BUSY_US);
 	(void)submit_gang(&f->sim);
 	cell_load_run(&f->sim, 8 * S);
-	jobs[0] = submit_task(&f->sim, 1, 12000, 12 * S);
-	jobs[1] = submit_task(&f->sim, 1, 0, BUSY_US);
+	jobs[0] = submit_task(&f->sim, "bulk", 1, 12000, 12 * S);
+	jobs[1] = submit_task(&f->sim, "bulk", 1, 0, BUSY_US);
 	step.perpetual = true;
 	jobs[2] = cell_load_submit(&f->sim, "bulk", "b", &step, 0);
 	cell_load_run(&f->sim, S); /* none of them is overdue yet */
@@ -172,6 +177,33 @@
 		g_assert_cmpuint(jobs[i]->starts, ==, 0);
 }
 
+/* Time in which a task has to begin beside capacity that stands idle. */
+#define IDLE_MAX_US (3 * S)
+
+/*
+ * Load: urgent tasks, accepted after a gang, hold the workers that it waits for
+ * when all earlier runs have ended.
+ * Guards against promises that count as due while nothing can be stopped for
+ * them, and keep the free workers idle.
+ */
+static void test_promise_that_is_put_off(struct cell_fixture *f,
+					 const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(3, 8, 60000);
+	struct cell_client_job *gang;
+	struct cell_client_job *small;
+
+	(void)keep_busy(&f->sim, 10 * S);
+	gang = submit_gang(&f->sim);
+	cell_load_run(&f->sim, S);
+	(void)cell_load_submit(&f->sim, "urgent", "a", &step, 60 * S);
+	cell_load_run(&f->sim, 12 * S);
+	g_assert_cmpuint(gang->begun_us, ==, 0);
+	small = submit_task(&f->sim, "normal", 1, 5000, 5 * S);
+	cell_load_run(&f->sim, IDLE_MAX_US);
+	g_assert_cmpuint(small->starts, ==, 1);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -180,5 +212,6 @@
 	g_test_add_func("/backfill/gang", test_gang_begins_as_soon_as_it_can);
 	CELL_TEST("/backfill/kept_off", &site,
 		  test_tasks_that_keep_off_a_promise);
+	CELL_TEST("/backfill/put_off", &site, test_promise_that_is_put_off);
 	return g_test_run();
 }
