cells: a task that is stopped for a promise does not go ahead of its group

Seen: in virtual time, seven workers, three busy for 30 s, a gang of five, and a task of a whole worker of the same priority each second, which says 8 s and takes 40 s: the gang begins at 137.5 s (30 s are right). test_cell_backfill /backfill/gang, stream 10, fails so on.

Cause: what was let in beside the promise is stopped once the gang can begin. The workers come free one by one, and the task that was stopped first waits again at once. Jobs that have started go first within a priority, so that it took the first free worker, now for good, while the gang needs all of them. The streams of the test were of a lower priority.

Change: a task is not started again within 1.5 s after the stop for a promise. A stop takes some 0.4 s. The order of jobs is left as it is.

--- a/src/libradishjunction/cell/cell_backfill.c
+++ b/src/libradishjunction/cell/cell_backfill.c
@@ -13,6 +13,10 @@
 /* A task that has lost this many runs is not let in again, so that it is not
  * started and stopped in turn. */
 #define LOSSES_MAX 2
+/* A task is not started again within this after its run was stopped for a
+ * promise: the group takes all of its workers at once, so that the first ones
+ * that come free would be taken by the task. */
+#define RECALL_PAUSE_US (1500 * RJ_US_PER_MS)
 
 /* Returns when a worker has what is promised there, in microseconds from now, if
  * the runs that were let in beside a promise are left out. */
@@ -132,6 +136,7 @@
 	if (run->reason)
 		return;
 	run->reason = RJ_CELL_WHY_RECALLED;
+	run->task->not_before_us = plan->now_us + RECALL_PAUSE_US;
 	g_strlcpy(run->preempted_for, group->job->job_spec->id,
 		  sizeof(run->preempted_for));
 	g_ptr_array_add(plan->stops, run);
