http: count whole requests that end without an answer, by cause

A report of a request without an answer could not be told apart: neither the metrics nor the log said whether the client or the process had closed.

--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -3,6 +3,7 @@
 #include <assert.h>
 #include <errno.h>
 #include <glib.h>
+#include <inttypes.h>
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
@@ -23,6 +24,13 @@
 #define HEADERS_DEFAULT_BYTES (16 * 1024)
 #define RETRY_AFTER "1"
 
+const char *const rj_http_unanswered_string[RJ_HTTP_UNANSWERED_COUNT] = {
+	[RJ_HTTP_UNANSWERED_CLIENT_GONE] = "client_gone",
+	[RJ_HTTP_UNANSWERED_SEND_FAILED] = "send_failed",
+	[RJ_HTTP_UNANSWERED_STOPPED] = "stopped",
+	[RJ_HTTP_UNANSWERED_UNREAD] = "unread",
+};
+
 /* A connection; the library keeps it with the socket. */
 struct connection {
 	struct rj_client client; /* first member, always */
@@ -303,15 +311,41 @@
 	return queue_answer(request);
 }
 
+/* Counts a whole request that ended without a complete answer. */
+static void count_unanswered(struct rj_http_server *server,
+			     const struct rj_http_exchange *request)
+{
+	enum rj_http_unanswered why = RJ_HTTP_UNANSWERED_SEND_FAILED;
+
+	if (server->finishing)
+		why = RJ_HTTP_UNANSWERED_STOPPED;
+	else if (request->aborted)
+		why = RJ_HTTP_UNANSWERED_CLIENT_GONE;
+	server->unanswered[why]++;
+}
+
 /* Frees a request whose answer was sent, or whose connection closed early. */
 static void request_completed(void *cls, struct MHD_Connection *connection,
 			      void **con_cls,
 			      enum MHD_RequestTerminationCode code)
 {
-	talloc_free(*con_cls);
+	struct rj_http_exchange *request = *con_cls;
+
+	if (request && request->handled &&
+	    code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		count_unanswered(cls, request);
+	talloc_free(request);
 	*con_cls = NULL;
 }
 
+/* Whether bytes have arrived at a socket and were not read. */
+static bool has_unread(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 /* Adds a connection to the budget, or removes it. */
 static void connection_changed(void *cls, struct MHD_Connection *connection,
 			       void **socket_context,
@@ -322,7 +356,12 @@
 	int fd;
 
 	server->loop.progress++;
+	fd = MHD_get_connection_info(connection,
+				     MHD_CONNECTION_INFO_CONNECTION_FD)
+		     ->connect_fd;
 	if (code != MHD_CONNECTION_NOTIFY_STARTED) {
+		if (has_unread(fd))
+			server->unanswered[RJ_HTTP_UNANSWERED_UNREAD]++;
 		if (*socket_context)
 			rj_client_close(*socket_context);
 		TALLOC_FREE(*socket_context);
@@ -330,9 +369,6 @@
 		return;
 	}
 	server->connections++;
-	fd = MHD_get_connection_info(connection,
-				     MHD_CONNECTION_INFO_CONNECTION_FD)
-		     ->connect_fd;
 	added = talloc_zero(server->mem, struct connection);
 	assert(added);
 	added->server = server;
@@ -555,6 +591,20 @@
 	rj_client_discharge(&request->peer->client);
 }
 
+/*
+ * Appends the server's metrics.
+ */
+void rj_http_server_write(const struct rj_http_server *server, GString *text)
+{
+	for (int i = 0; i < RJ_HTTP_UNANSWERED_COUNT; i++)
+		g_string_append_printf(
+			text,
+			"radishjunction_requests_unanswered{listener=\"%s\","
+			"why=\"%s\"} %" PRIu64 "\n",
+			server->listener.name, rj_http_unanswered_string[i],
+			server->unanswered[i]);
+}
+
 /*
  * Makes each further answer close its connection, so that clients move to
  * other instances. All answers have been sent once `requests` is 0.
@@ -572,6 +622,7 @@
 {
 	if (!server->daemon)
 		return;
+	server->finishing = true;
 	rj_http_server_abort_open(server, NULL);
 	rj_http_loop_finish(&server->loop);
 	MHD_stop_daemon(server->daemon);
--- a/src/share/http_server.h
+++ b/src/share/http_server.h
@@ -22,6 +22,17 @@
 struct rj_http_server;
 struct connection;
 
+/* Why the client of a request that was read whole got no complete answer. */
+enum rj_http_unanswered {
+	RJ_HTTP_UNANSWERED_CLIENT_GONE, /* the client closed its connection */
+	RJ_HTTP_UNANSWERED_SEND_FAILED, /* the connection broke */
+	RJ_HTTP_UNANSWERED_STOPPED, /* the server stopped */
+	RJ_HTTP_UNANSWERED_UNREAD, /* input was unread as the server closed */
+	RJ_HTTP_UNANSWERED_COUNT
+};
+
+extern const char *const rj_http_unanswered_string[RJ_HTTP_UNANSWERED_COUNT];
+
 /* One request, from its headers until its answer is sent. */
 struct rj_http_exchange {
 	struct rj_list link; /* in server->open */
@@ -68,6 +79,8 @@
 	uint32_t requests; /* started, answer not yet sent in full */
 	bool draining; /* each answer closes its connection */
 	uint32_t connections;
+	bool finishing; /* connections are closed whatever they wait for */
+	uint64_t unanswered[RJ_HTTP_UNANSWERED_COUNT];
 };
 
 int rj_http_server_init(struct rj_http_server *server, void *mem,
@@ -92,6 +105,7 @@
 bool rj_http_server_is_settled(const struct rj_http_server *server);
 void rj_http_server_abort_open(struct rj_http_server *server,
 			       const struct rj_http_exchange *except);
+void rj_http_server_write(const struct rj_http_server *server, GString *text);
 void rj_http_server_drain(struct rj_http_server *server);
 void rj_http_server_finish(struct rj_http_server *server);
 
--- a/src/test_libradishjunction/test_http_server.c
+++ b/src/test_libradishjunction/test_http_server.c
@@ -1,13 +1,18 @@
 /* Tests how a server that is about to stop ends its connections. */
 #include <glib.h>
 #include <jansson.h>
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <talloc.h>
+#include <unistd.h>
 
 #include "http_server.h"
 #include "private/http_client.h"
 #include "support/event_loop.h"
 
+#define REQUEST "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}"
+
 struct fixture {
 	struct tevent_context *ev;
 	struct rj_http_server server;
@@ -132,6 +137,49 @@
 	json_decref(answer);
 }
 
+/* Closes a connection by a reset. */
+static void reset_connection(int fd)
+{
+	struct linger at_once = { .l_onoff = 1 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+	close(fd);
+}
+
+/* Sends bytes over a new connection. Returns its socket. */
+static int connect_and_send(struct fixture *f, const char *bytes)
+{
+	struct sockaddr_in to = { .sin_family = AF_INET,
+				  .sin_port = htons(f->server.address.port),
+				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	g_assert_cmpint(connect(fd, (struct sockaddr *)&to, sizeof(to)), ==, 0);
+	g_assert_cmpint(send(fd, bytes, strlen(bytes), 0), ==, strlen(bytes));
+	return fd;
+}
+
+/* A request that ends without an answer is not counted, so that nobody can tell
+ * whether the client or the process closed. */
+static void test_unanswered_requests_are_counted(struct fixture *f,
+						 gconstpointer data)
+{
+	const uint64_t *unanswered = f->server.unanswered;
+	int fd = connect_and_send(f, REQUEST);
+
+	RUN_UNTIL(f->ev, f->request);
+	reset_connection(fd);
+	RUN_UNTIL(f->ev, !f->server.connections);
+	g_assert_cmpuint(unanswered[RJ_HTTP_UNANSWERED_CLIENT_GONE], ==, 1);
+	f->request = NULL;
+	fd = connect_and_send(f, REQUEST);
+	RUN_UNTIL(f->ev, f->request);
+	rj_http_server_finish(&f->server);
+	g_assert_cmpuint(unanswered[RJ_HTTP_UNANSWERED_STOPPED], ==, 1);
+	g_assert_cmpuint(unanswered[RJ_HTTP_UNANSWERED_CLIENT_GONE], ==, 1);
+	close(fd);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -141,5 +189,7 @@
 		   test_draining_server_closes_connections, tear_down);
 	g_test_add("/http_server/error", struct fixture, NULL, set_up,
 		   test_an_error_quotes_half_a_character, tear_down);
+	g_test_add("/http_server/unanswered", struct fixture, NULL, set_up,
+		   test_unanswered_requests_are_counted, tear_down);
 	return g_test_run();
 }
