http: answer clients that close only their sending side

What callers saw: a client that shuts down its sending side after a request, as HTTP/1.1 allows, got no answer whenever the request waited for the log. The connection was closed, while a submission was stored and ran.

Cause: the end of a client's stream was taken for a disconnect, and the exchange was aborted.

Change: an end of stream only marks the connection. If all connections of the listener are taken, marked ones give way to new clients, after idle and incomplete ones. A reset still ends the exchange at once.

--- a/scripts/users.bash
+++ b/scripts/users.bash
@@ -55,6 +55,12 @@
 # job_id NUMBER: prints the number as a job id of 16 hexadecimal digits.
 job_id() { printf '%016x' "$1"; }
 
+# print_request METHOD NUMBER BODY: prints a request for a job as it is sent.
+print_request() {
+	printf '%s /p/%s HTTP/1.1\r\n%s\r\n%s\r\nContent-Length: %d\r\n\r\n%s' \
+		"$1" "$(job_id "$2")" "$HOST" "$KEY" "${#3}" "$3"
+}
+
 # submit_job NUMBER NAME: submits a job with two steps at an instance; fails if
 # it is not accepted. Used with wait_for, so that it is retried as clients do.
 submit_job() {
--- a/src/libradishjunction/client_budget.c
+++ b/src/libradishjunction/client_budget.c
@@ -97,6 +97,8 @@
 	if (for_memory &&
 	    (a->held_bytes > SMALL_BYTES) != (b->held_bytes > SMALL_BYTES))
 		return a->held_bytes > SMALL_BYTES;
+	if (a->may_be_gone != b->may_be_gone)
+		return b->may_be_gone;
 	if (!for_memory && is_unproven(a) != is_unproven(b))
 		return is_unproven(a);
 	b_progress = progress(b, now_us);
@@ -109,7 +111,9 @@
 {
 	if (client->state == RJ_CLIENT_RECEIVING)
 		return !for_memory || client->held_bytes;
-	return client->state == RJ_CLIENT_IDLE && !for_memory;
+	if (client->state == RJ_CLIENT_COMPLETE)
+		return !for_memory && client->may_be_gone;
+	return !for_memory && client->state == RJ_CLIENT_IDLE;
 }
 
 /* Returns the client that gives way next: one that holds a part of a body, or,
@@ -429,6 +433,16 @@
 	client->served = true;
 }
 
+/*
+ * Sets whether the client has closed its sending side and its complete request
+ * has no answer yet. Such a connection gives way after all that are idle or
+ * incomplete.
+ */
+void rj_client_set_may_be_gone(struct rj_client *client, bool may_be_gone)
+{
+	client->may_be_gone = may_be_gone;
+}
+
 /*
  * The request has ended, and what was held for it was freed.
  */
@@ -436,6 +450,7 @@
 {
 	client->listener->budget->now_us = now_us;
 	rj_client_discharge(client);
+	client->may_be_gone = false;
 	if (client->state != RJ_CLIENT_GIVING_WAY)
 		client->state = RJ_CLIENT_IDLE;
 	client->begun_us = now_us;
--- a/src/libradishjunction/include/private/client_budget.h
+++ b/src/libradishjunction/include/private/client_budget.h
@@ -7,7 +7,8 @@
  * charged before it is held. If a charge does not fit, the connection with the
  * least progress gives way: it is marked, its socket is shut down, and
  * `give_way` frees what is held for its request. A request that was received
- * completely never gives way; if nobody can, the charge is refused.
+ * completely gives way only for a new connection, if its client has closed its
+ * sending side; if nobody can give way, the charge is refused.
  *
  * Life cycle: `rj_client_budget_init`; `rj_client_listener_init` for each
  * listener. For each connection `rj_client_open`; for each of its requests
@@ -76,6 +77,7 @@
 	int fd;
 	enum rj_client_state state;
 	bool served; /* has had a complete request */
+	bool may_be_gone; /* it sends nothing more, and waits or is gone */
 	bool chunked; /* the request's body has no announced length */
 	uint64_t held_bytes; /* charged for its request */
 	uint64_t begun_us; /* of the request, or of the wait for it */
@@ -116,6 +118,7 @@
 void rj_client_charge_answer(struct rj_client *client, uint64_t bytes);
 void rj_client_discharge(struct rj_client *client);
 void rj_client_complete(struct rj_client *client, uint64_t now_us);
+void rj_client_set_may_be_gone(struct rj_client *client, bool may_be_gone);
 void rj_client_end(struct rj_client *client, uint64_t now_us);
 void rj_client_close(struct rj_client *client);
 
--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -61,6 +61,10 @@
 
 	if (!connection->request)
 		return;
+	if (connection->request->handled) {
+		rj_http_exchange_abort(connection->request);
+		return;
+	}
 	rj_buffer_clear(&connection->request->body);
 	send_refusal(client->fd, MHD_HTTP_SERVICE_UNAVAILABLE);
 }
@@ -104,8 +108,8 @@
 }
 
 /*
- * Whether the client of an open request has closed its connection. Does not
- * block.
+ * Whether the client of an open request has closed its connection or the
+ * sending side of it. Does not block.
  */
 bool rj_http_exchange_disconnected(const struct rj_http_exchange *request)
 {
@@ -117,24 +121,32 @@
 }
 
 /*
- * Handles a readable socket of a suspended connection: the client has closed
- * it, or has already sent its next request.
+ * Handles a readable socket of a suspended connection, which libmicrohttpd does
+ * not watch: the client has reset it, has closed its sending side, or has
+ * already sent its next request.
  *
- * libmicrohttpd does not watch suspended connections, so without this check
- * the connections of clients that timed out would count against the limit
- * until it is exhausted. A closed connection reads as end of file.
+ * A client that closes only its sending side still reads its answer, and reads
+ * here like one that is gone. The latter would count against the limit of
+ * connections until its answer, so both give way when it is reached.
  */
 static void watch_ready(struct tevent_context *ev, struct tevent_fd *fde,
 			uint16_t flags, void *private_data)
 {
 	struct rj_http_exchange *request = private_data;
+	char byte;
+	ssize_t got = recv(request_socket(request), &byte, sizeof(byte),
+			   MSG_PEEK | MSG_DONTWAIT);
 
+	if (got < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
 	TALLOC_FREE(request->close_watch);
-	if (rj_http_exchange_disconnected(request))
+	if (got < 0)
 		rj_http_exchange_abort(request);
+	else if (!got)
+		rj_client_set_may_be_gone(&request->peer->client, true);
 }
 
-/* Suspends the connection until there is an answer or the client closes it. */
+/* Suspends the connection until there is an answer or the client resets it. */
 static void suspend(struct rj_http_exchange *request)
 {
 	if (request->suspended)
@@ -471,6 +483,7 @@
 	if (!request->suspended)
 		return;
 	request->suspended = false;
+	rj_client_set_may_be_gone(&request->peer->client, false);
 	TALLOC_FREE(request->close_watch);
 	MHD_resume_connection(request->connection);
 	rj_http_loop_kick(&request->server->loop);
--- a/src/test_libradishjunction/test_client_budget.c
+++ b/src/test_libradishjunction/test_client_budget.c
@@ -135,6 +135,30 @@
 	g_assert_false(gave_way(caller));
 }
 
+/* A caller that waits is ended for a new one, though its connection shows no
+ * end, or though another has ended. */
+static void test_waiting_caller_gives_way_last(void)
+{
+	struct fixture f;
+	struct rj_client *waits;
+	struct rj_client *ended;
+	struct rj_client *idle;
+
+	set_up(&f, 1, 3);
+	waits = open_client(&f);
+	rj_client_complete(waits, f.now_us);
+	ended = open_client(&f);
+	rj_client_complete(ended, f.now_us);
+	rj_client_set_may_be_gone(ended, true);
+	idle = open_client(&f);
+	rj_client_complete(open_client(&f), f.now_us);
+	g_assert_true(gave_way(idle));
+	g_assert_false(gave_way(ended));
+	open_client(&f);
+	g_assert_true(gave_way(ended));
+	g_assert_false(gave_way(waits));
+}
+
 /*
  * A legal client is ended for its slow link: 256 KB at 2 Mbit/s, shared with 50
  * others, while a crowd of bodies that stop short takes all memory.
@@ -239,6 +263,8 @@
 			test_small_request_gives_way_last);
 	g_test_add_func("/client_budget/connections",
 			test_unproven_connection_gives_way_first);
+	g_test_add_func("/client_budget/waiting",
+			test_waiting_caller_gives_way_last);
 	g_test_add_func("/client_budget/slowest",
 			test_slowest_legal_client_is_served);
 	g_test_add_func("/client_budget/stall",
