--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -3,6 +3,7 @@
 #include <assert.h>
 #include <errno.h>
 #include <glib.h>
+#include <inttypes.h>
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
@@ -23,6 +24,13 @@
 #define HEADERS_DEFAULT_BYTES (16 * 1024)
 #define RETRY_AFTER "1"
 
+const char *const rj_http_unanswered_string[RJ_HTTP_UNANSWERED_COUNT] = {
+	[RJ_HTTP_UNANSWERED_CLIENT_GONE] = "client_gone",
+	[RJ_HTTP_UNANSWERED_SEND_FAILED] = "send_failed",
+	[RJ_HTTP_UNANSWERED_STOPPED] = "stopped",
+	[RJ_HTTP_UNANSWERED_UNREAD] = "unread",
+};
+
 /* A connection; the library keeps it with the socket. */
 struct connection {
 	struct rj_client client; /* first member, always */
@@ -53,6 +61,10 @@
 
 	if (!connection->request)
 		return;
+	if (connection->request->handled) {
+		rj_http_exchange_abort(connection->request);
+		return;
+	}
 	rj_buffer_clear(&connection->request->body);
 	send_refusal(client->fd, MHD_HTTP_SERVICE_UNAVAILABLE);
 }
@@ -96,8 +108,8 @@
 }
 
 /*
- * Whether the client of an open request has closed its connection. Does not
- * block.
+ * Whether the client of an open request has closed its connection or the
+ * sending side of it. Does not block.
  */
 bool rj_http_exchange_disconnected(const struct rj_http_exchange *request)
 {
@@ -109,24 +121,32 @@
 }
 
 /*
- * Handles a readable socket of a suspended connection: the client has closed
- * it, or has already sent its next request.
+ * Handles a readable socket of a suspended connection, which libmicrohttpd does
+ * not watch: the client has reset it, has closed its sending side, or has
+ * already sent its next request.
  *
- * libmicrohttpd does not watch suspended connections, so without this check
- * the connections of clients that timed out would count against the limit
- * until it is exhausted. A closed connection reads as end of file.
+ * A client that closes only its sending side still reads its answer, and reads
+ * here like one that is gone. The latter would count against the limit of
+ * connections until its answer, so both give way when it is reached.
  */
 static void watch_ready(struct tevent_context *ev, struct tevent_fd *fde,
 			uint16_t flags, void *private_data)
 {
 	struct rj_http_exchange *request = private_data;
+	char byte;
+	ssize_t got = recv(request_socket(request), &byte, sizeof(byte),
+			   MSG_PEEK | MSG_DONTWAIT);
 
+	if (got < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
 	TALLOC_FREE(request->close_watch);
-	if (rj_http_exchange_disconnected(request))
+	if (got < 0)
 		rj_http_exchange_abort(request);
+	else if (!got)
+		rj_client_set_may_be_gone(&request->peer->client, true);
 }
 
-/* Suspends the connection until there is an answer or the client closes it. */
+/* Suspends the connection until there is an answer or the client resets it. */
 static void suspend(struct rj_http_exchange *request)
 {
 	if (request->suspended)
@@ -303,15 +323,41 @@
 	return queue_answer(request);
 }
 
+/* Counts a whole request that ended without a complete answer. */
+static void count_unanswered(struct rj_http_server *server,
+			     const struct rj_http_exchange *request)
+{
+	enum rj_http_unanswered why = RJ_HTTP_UNANSWERED_SEND_FAILED;
+
+	if (server->finishing)
+		why = RJ_HTTP_UNANSWERED_STOPPED;
+	else if (request->aborted)
+		why = RJ_HTTP_UNANSWERED_CLIENT_GONE;
+	server->unanswered[why]++;
+}
+
 /* Frees a request whose answer was sent, or whose connection closed early. */
 static void request_completed(void *cls, struct MHD_Connection *connection,
 			      void **con_cls,
 			      enum MHD_RequestTerminationCode code)
 {
-	talloc_free(*con_cls);
+	struct rj_http_exchange *request = *con_cls;
+
+	if (request && request->handled &&
+	    code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		count_unanswered(cls, request);
+	talloc_free(request);
 	*con_cls = NULL;
 }
 
+/* Whether bytes have arrived at a socket and were not read. */
+static bool has_unread(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 /* Adds a connection to the budget, or removes it. */
 static void connection_changed(void *cls, struct MHD_Connection *connection,
 			       void **socket_context,
@@ -322,7 +368,12 @@
 	int fd;
 
 	server->loop.progress++;
+	fd = MHD_get_connection_info(connection,
+				     MHD_CONNECTION_INFO_CONNECTION_FD)
+		     ->connect_fd;
 	if (code != MHD_CONNECTION_NOTIFY_STARTED) {
+		if (has_unread(fd))
+			server->unanswered[RJ_HTTP_UNANSWERED_UNREAD]++;
 		if (*socket_context)
 			rj_client_close(*socket_context);
 		TALLOC_FREE(*socket_context);
@@ -330,9 +381,6 @@
 		return;
 	}
 	server->connections++;
-	fd = MHD_get_connection_info(connection,
-				     MHD_CONNECTION_INFO_CONNECTION_FD)
-		     ->connect_fd;
 	added = talloc_zero(server->mem, struct connection);
 	assert(added);
 	added->server = server;
@@ -435,6 +483,7 @@
 	if (!request->suspended)
 		return;
 	request->suspended = false;
+	rj_client_set_may_be_gone(&request->peer->client, false);
 	TALLOC_FREE(request->close_watch);
 	MHD_resume_connection(request->connection);
 	rj_http_loop_kick(&request->server->loop);
@@ -555,6 +604,20 @@
 	rj_client_discharge(&request->peer->client);
 }
 
+/*
+ * Appends the server's metrics.
+ */
+void rj_http_server_write(const struct rj_http_server *server, GString *text)
+{
+	for (int i = 0; i < RJ_HTTP_UNANSWERED_COUNT; i++)
+		g_string_append_printf(
+			text,
+			"radishjunction_requests_unanswered{listener=\"%s\","
+			"why=\"%s\"} %" PRIu64 "\n",
+			server->listener.name, rj_http_unanswered_string[i],
+			server->unanswered[i]);
+}
+
 /*
  * Makes each further answer close its connection, so that clients move to
  * other instances. All answers have been sent once `requests` is 0.
@@ -572,6 +635,7 @@
 {
 	if (!server->daemon)
 		return;
+	server->finishing = true;
 	rj_http_server_abort_open(server, NULL);
 	rj_http_loop_finish(&server->loop);
 	MHD_stop_daemon(server->daemon);
