cell_flush: a removed key is not a stored end

Callers saw: a submission answered as accepted, and its job unknown (410) a moment later.

Cause: the cancellation of an id that was never submitted is removed after status_s, together with a state that never existed. The owner applied the stored removal of the state as if it were the published end of a job. Until it read the removal from the log, for up to 0.3 s, it took the id for a known job: a submission was answered without being stored.

Change: removals are applied only when they are read.

Evidence: /cell_path/cancellation_expires submits the id 10 ms after the removal. Before: accepted, then no such job.

--- a/src/libradishjunction/cell/cell_flush.c
+++ b/src/libradishjunction/cell/cell_flush.c
@@ -27,6 +27,7 @@
 	uint32_t generation;
 	enum rj_cell_record_kind kind;
 	char id[RJ_CELL_ID_BYTES]; /* "" unless of a job */
+	bool removes; /* the key */
 	struct rj_cell_summary summary; /* of the job's state */
 };
 
@@ -102,11 +103,14 @@
 	}
 }
 
-/* Applies a stored record about a job. */
+/* Applies a stored record about a job. What a removal changes is applied when it
+ * is read: the id may be of a job that was cancelled and never submitted. */
 static void apply_record(struct rj_cell_owner *owner,
 			 const struct owner_write *write,
 			 struct rj_cell_view_entry *entry)
 {
+	if (write->removes)
+		return;
 	if (write->kind == RJ_CELL_RECORD_STATE) {
 		entry->state_published = true;
 		rj_cell_view_set_summary(entry, &write->summary, owner->now_us);
@@ -221,6 +225,7 @@
 	write->generation = owner->generation;
 	write->kind = kind;
 	g_strlcpy(write->id, id, sizeof(write->id));
+	write->removes = !value.length;
 	if (summary)
 		write->summary = *summary;
 	rj_cell_record_key(key, kind, id);
@@ -233,12 +238,10 @@
 static void add_removal(struct rj_cell_owner *owner,
 			enum rj_cell_record_kind kind, const char *id)
 {
-	const struct rj_cell_summary ended = { RJ_CELL_JOB_COMPLETED, true };
-
 	add_record(owner,
 		   kind == RJ_CELL_RECORD_PROGRESS ? &owner->progress_writer :
 						     &owner->writer,
-		   kind, id, (struct rj_bytes){ NULL, 0 }, &ended);
+		   kind, id, (struct rj_bytes){ NULL, 0 }, NULL);
 }
 
 /* A removed request that was not stored is removed again when the job's
--- a/src/test_libradishjunction/test_cell_path.c
+++ b/src/test_libradishjunction/test_cell_path.c
@@ -439,6 +439,31 @@
 	g_assert_cmpuint(job->starts, ==, 1);
 }
 
+/* Guards against a job that is accepted and not stored: the removal of an earlier
+ * cancellation of its id counted as the end of a job. */
+static void
+test_id_is_submitted_as_its_cancellation_expires(struct cell_fixture *f,
+						 const void *data)
+{
+	struct cell_sim *sim = &f->sim;
+	uint32_t owner = (uint32_t)cell_sim_owner(sim);
+	struct rj_cell_step step = cell_sim_plain_step(1, 1, 500);
+	struct cell_client_job *job =
+		cell_sim_job_new(sim, "normal", "a", &step, 1, 500 * MS);
+
+	cell_sim_cancel(sim, owner, job);
+	cell_sim_run(sim, 100 * S);
+	while (!is_state_removed(sim, job))
+		cell_sim_run(sim, MS);
+	cell_sim_run(sim, 10 * MS);
+	cell_sim_submit(sim, owner, job);
+	cell_sim_run(sim, 5 * S);
+	g_assert_true(job->accepted);
+	cell_sim_query(sim, owner, job);
+	cell_sim_run(sim, S);
+	g_assert_false(job->not_found);
+}
+
 /* Returns an instance that is neither the owner nor `other`. */
 static uint32_t third_node(const struct cell_sim *sim, uint32_t other)
 {
@@ -623,6 +648,8 @@
 			test_short_leases_and_bounds);
 	ADD("upgrade", test_ended_before_an_upgrade);
 	ADD("expired", test_expired_job_does_not_return);
+	ADD("cancellation_expires",
+	    test_id_is_submitted_as_its_cancellation_expires);
 	CELL_TEST("/cell_path/pending_of_many_queues", &many_queues,
 		  test_pending_jobs_of_many_queues);
 	return g_test_run();
