test_cell_faults: work that stands still after departures

Checks in virtual time, on eight nodes and 24 workers, that accepted work which could run does: bursts of workers that announce that they leave, deregister, vanish, or come back under their ids, with kills of the owner and of all nodes at once; lasting, repeated, failing and cancelled jobs; leases of 6 s and 10 s.

--- a/src/test_libradishjunction/support/cell_check.c
+++ b/src/test_libradishjunction/support/cell_check.c
@@ -327,8 +327,29 @@
 		stats->failures_acknowledged++;
 }
 
-/* Whether a task, or a gang as a whole, has used up its attempts. */
-static bool has_exhausted_attempts(struct cell_client_job *job)
+/*
+ * Whether a task could run and does not: the steps that it depends on are done,
+ * and it is not. Sets `runs` to whether it runs.
+ */
+bool cell_check_task_is_due(struct cell_client_job *job, const char *name,
+			    uint32_t step, bool *runs)
+{
+	const struct rj_cell_step *step_info = &job->spec->steps[step];
+	const struct cell_task_stats *stats = task_stats(job, name);
+
+	*runs = stats->running > 0;
+	if (*runs || (stats->done && !step_info->perpetual))
+		return false;
+	for (uint32_t i = 0; i < step_info->after_count; i++)
+		if (!step_done(job, name, step_info->after[i]))
+			return false;
+	return true;
+}
+
+/*
+ * Whether a task, or a gang as a whole, has used up its attempts.
+ */
+bool cell_check_has_exhausted_attempts(struct cell_client_job *job)
 {
 	for (uint32_t i = 0; i < job->spec->step_count; i++) {
 		const struct rj_cell_step *step = &job->spec->steps[i];
@@ -393,7 +414,7 @@
 					rj_cell_job_state_string[job->state] :
 					"never reported");
 		if (job->state == RJ_CELL_JOB_FAILED &&
-		    !has_exhausted_attempts(job))
+		    !cell_check_has_exhausted_attempts(job))
 			cell_sim_violation(sim, "lost: %s has failed", job->id);
 		if (job->state == RJ_CELL_JOB_CANCELLED && !job->cancel_sent)
 			cell_sim_violation(sim, "lost: %s is cancelled",
--- a/src/test_libradishjunction/support/cell_faults.c
+++ b/src/test_libradishjunction/support/cell_faults.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "support/cell_standing.h"
+
 #define FAULTS_S 25
 #define RECOVERY_S 80
 #define TICK_US (100 * MS)
@@ -14,6 +16,13 @@
 /* Delay from a gang member's end without success to the end of the others. */
 #define GANG_BREAK_US (190 * MS)
 #define KINDS 2
+/* Workers that one fault lets leave or lose. */
+#define DEPARTURES_MAX 8
+/* Absence of a worker that does not come back while work recovers. */
+#define AWAY_MAX_MS 36000
+/* Length of a burst, and from one burst to the next. */
+#define BURST_S 2
+#define BURST_INTERVAL_S 40
 
 /* Kinds of workers. */
 static const char *const kinds[KINDS] = { "a", "b" };
@@ -330,6 +339,84 @@
 			  restore_reads, fault_new(sim, topic));
 }
 
+/* Returns a worker after it has left or was lost: soon, or not before the
+ * recovery is over. */
+static void return_later(struct cell_sim *sim, uint32_t target)
+{
+	uint64_t away_ms = cell_sim_random(sim, 3) ?
+				   500 + cell_sim_random(sim, 4500) :
+				   AWAY_MAX_MS;
+
+	cell_sim_schedule(sim, away_ms * MS, replace_worker,
+			  fault_new(sim, target));
+}
+
+/* Ends a worker that has announced it; most deregister. */
+static void leave(void *data)
+{
+	struct fault *fault = data;
+	struct cell_sim *sim = fault->sim;
+	const struct cell_fake_worker *worker = &sim->workers[fault->target];
+
+	if (worker->up && worker->reported.draining) {
+		if (cell_sim_random(sim, 4))
+			cell_sim_worker_deregister(sim, fault->target);
+		else
+			cell_sim_worker_kill(sim, fault->target);
+		return_later(sim, fault->target);
+	}
+	g_free(fault);
+}
+
+/* Lets up to eight workers announce that they leave. */
+static void inject_departures(struct cell_sim *sim)
+{
+	uint32_t count = 1 + cell_sim_random(sim, DEPARTURES_MAX);
+	uint32_t left_ms = 1000 + cell_sim_random(sim, 4000);
+
+	for (uint32_t i = 0; i < count; i++) {
+		uint32_t target = cell_sim_random(sim, sim->options.workers);
+
+		if (!sim->workers[target].up ||
+		    sim->workers[target].reported.draining)
+			continue;
+		cell_sim_worker_drain(sim, target, left_ms);
+		cell_sim_schedule(sim,
+				  (left_ms + cell_sim_random(sim, 1500)) * MS,
+				  leave, fault_new(sim, target));
+	}
+}
+
+/* Ends up to eight workers without notice. */
+static void inject_vanished(struct cell_sim *sim)
+{
+	uint32_t count = 1 + cell_sim_random(sim, DEPARTURES_MAX);
+
+	for (uint32_t i = 0; i < count; i++) {
+		uint32_t target = cell_sim_random(sim, sim->options.workers);
+
+		if (!sim->workers[target].up)
+			continue;
+		cell_sim_worker_kill(sim, target);
+		return_later(sim, target);
+	}
+}
+
+/* Kills all nodes and several workers at once. */
+static void inject_power_loss(struct cell_sim *sim)
+{
+	inject_all_nodes_kill(sim);
+	inject_vanished(sim);
+}
+
+static void (*const departure_faults[])(struct cell_sim *) = {
+	inject_departures, inject_departures,	   inject_departures,
+	inject_vanished,   inject_vanished,	   inject_power_loss,
+	inject_node_kill,  inject_node_kill,	   inject_all_nodes_kill,
+	inject_node_pause, inject_log_outage,	   inject_worker_faults,
+	inject_slowness,   inject_worker_restarts, inject_worker_drain,
+};
+
 static void (*const all_faults[])(struct cell_sim *) = {
 	inject_node_kill,     inject_node_kill,	    inject_all_nodes_kill,
 	inject_node_pause,    inject_node_pause,    inject_log_outage,
@@ -404,6 +491,30 @@
 	return job;
 }
 
+/* Creates a random job, some of which are lasting or repeated. */
+static struct cell_client_job *random_lasting_job(struct cell_sim *sim)
+{
+	struct rj_cell_step step = cell_sim_plain_step(
+		1 + cell_sim_random(sim, 3), 1 + cell_sim_random(sim, 2), 1000);
+	struct cell_client_job *job;
+
+	if (cell_sim_random(sim, 4))
+		return random_job(sim);
+	step.perpetual = cell_sim_random(sim, 2);
+	step.checkpoints = !step.perpetual && cell_sim_random(sim, 2);
+	job = cell_sim_job_new(sim, "normal",
+			       cell_sim_random(sim, 2) ? "a" : "b", &step, 1,
+			       (500 + cell_sim_random(sim, 3000)) * MS);
+	job->failing_runs = cell_sim_random(sim, 3);
+	if (!step.perpetual) {
+		job->spec->repeats = 1 + cell_sim_random(sim, 4);
+		job->spec->first_run_ms =
+			cell_sim_wall_ms(sim) + cell_sim_random(sim, 8000);
+		job->spec->interval_ms = 1000 + cell_sim_random(sim, 9000);
+	}
+	return job;
+}
+
 /* What a profile injects. */
 struct profile {
 	void (*const *faults)(struct cell_sim *);
@@ -413,13 +524,17 @@
 	uint32_t jobs_one_in; /* ticks */
 	uint64_t answer_spread_us;
 	bool delays_polls;
+	uint32_t bursts; /* 0: faults all the time */
 };
 
 static const struct profile profiles[CELL_FAULTS_PROFILE_COUNT] = {
 	[CELL_FAULTS_ALL] = { all_faults, G_N_ELEMENTS(all_faults), 14,
-			      random_job, 8, 0, false },
+			      random_job, 8, 0, false, 0 },
 	[CELL_FAULTS_RESTARTS] = { restart_faults, G_N_ELEMENTS(restart_faults),
-				   5, random_short_job, 1, 40 * MS, true },
+				   5, random_short_job, 1, 40 * MS, true, 0 },
+	[CELL_FAULTS_DEPARTURES] = { departure_faults,
+				     G_N_ELEMENTS(departure_faults), 5,
+				     random_lasting_job, 9, 0, false, 3 },
 };
 
 /* Acts for the clients in one tick: new jobs, repeated submissions, queries and
@@ -446,6 +561,36 @@
 	}
 }
 
+/* Sets the options in which the profile of departures differs. */
+static void set_departure_options(struct cell_sim_options *options)
+{
+	options->nodes = 8;
+	options->workers = 24;
+	options->guaranteed = 64;
+	options->lease_max_ms = options->seed % 2 ? 10000 : 6000;
+	options->features.snapshot_ms = 1000;
+	options->features.worker_history = options->seed % 8 >= 4;
+	options->features.account_shares = options->seed % 8 >= 4;
+}
+
+/* Whether faults are injected `after_us` after the first of them. */
+static bool is_burst(const struct profile *profile, uint64_t after_us)
+{
+	return !profile->bursts || after_us / S % BURST_INTERVAL_S < BURST_S;
+}
+
+/* Cancels the jobs that would run on. */
+static void cancel_perpetual(struct cell_sim *sim)
+{
+	for (guint i = 0; i < sim->job_list->len; i++) {
+		struct cell_client_job *job = sim->job_list->pdata[i];
+
+		if (job->spec->steps[0].perpetual && job->accepted &&
+		    !job->cancelled)
+			cell_sim_cancel(sim, 0, job);
+	}
+}
+
 /*
  * Makes one simulated run; `trace` prints its log events.
  */
@@ -462,9 +607,14 @@
 	};
 	struct cell_sim *sim = g_new0(struct cell_sim, 1);
 	struct cell_sim_options options = defaults;
+	struct cell_standing standing;
+	uint32_t faults_s =
+		profile->bursts ? profile->bursts * BURST_INTERVAL_S : FAULTS_S;
 	bool cordons;
 
 	options.seed = seed;
+	if (kind == CELL_FAULTS_DEPARTURES)
+		set_departure_options(&options);
 	options.answer_spread_us = profile->answer_spread_us;
 	options.delays_polls = profile->delays_polls;
 	options.enforces_capacity = seed % 3 == 0;
@@ -477,21 +627,29 @@
 	for (uint32_t i = 0; kind == CELL_FAULTS_RESTARTS && i < KINDS; i++)
 		g_strlcpy(sim->workers[i].reported.kind, kinds[i],
 			  RJ_NAME_BYTES);
+	cell_standing_init(&standing);
 	cell_sim_run(sim, 3 * S);
-	for (uint32_t i = 0; i < FAULTS_S * S / TICK_US; i++) {
-		if (cell_sim_random(sim, profile->faults_one_in) == 0) {
+	for (uint32_t i = 0; i < faults_s * S / TICK_US; i++) {
+		bool burst = is_burst(profile, i * TICK_US);
+
+		if (burst &&
+		    cell_sim_random(sim, profile->faults_one_in) == 0) {
 			profile->faults[cell_sim_random(
 				sim, profile->fault_count)](sim);
 			result->faults++;
 		}
-		if (cordons && cell_sim_random(sim, 40) == 0)
+		if (burst && cordons && cell_sim_random(sim, 40) == 0)
 			inject_cordon(sim);
-		if (cordons && cell_sim_random(sim, 80) == 0)
+		if (burst && cordons && cell_sim_random(sim, 80) == 0)
 			inject_read_loss(sim);
 		advance_clients(sim, profile, true);
 		cell_sim_run(sim, TICK_US);
+		if (profile->bursts)
+			cell_standing_observe(&standing, sim);
 	}
 	for (uint32_t i = 0; i < RECOVERY_S * S / TICK_US; i++) {
+		if (profile->bursts)
+			cancel_perpetual(sim);
 		advance_clients(sim, profile, false);
 		cell_sim_run(sim, TICK_US);
 	}
@@ -508,6 +666,9 @@
 	result->violations = sim->violations->len;
 	if (sim->violations->len)
 		result->first_violation = g_strdup(sim->violations->pdata[0]);
+	result->longest_us = standing.longest_us;
+	memcpy(result->longest, standing.longest, sizeof(result->longest));
+	cell_standing_finish(&standing);
 	cell_sim_finish(sim);
 	g_free(sim);
 }
--- a/src/test_libradishjunction/support/cell_faults.h
+++ b/src/test_libradishjunction/support/cell_faults.h
@@ -14,6 +14,10 @@
 	/* Workers restart at once under their ids, some as another kind, beside
 	 * a slow log, late orders and takeovers; short tasks. */
 	CELL_FAULTS_RESTARTS,
+	/* Bursts in which workers leave, vanish and come back under their ids
+	 * while owners or all nodes are killed; lasting, repeated and failing
+	 * jobs. Nothing may stand still once the recovery is over. */
+	CELL_FAULTS_DEPARTURES,
 	CELL_FAULTS_PROFILE_COUNT
 };
 
@@ -24,6 +28,9 @@
 	uint32_t faults;
 	uint64_t starts;
 	uint32_t violations;
+	/* Latest time after a fault at which work stood still, and what. */
+	uint64_t longest_us;
+	char longest[64];
 	char *first_violation; /* text, or NULL; g_free */
 };
 
--- a/src/test_libradishjunction/support/cell_sim.h
+++ b/src/test_libradishjunction/support/cell_sim.h
@@ -286,5 +286,8 @@
 struct cell_client_job *cell_check_find_job(struct cell_sim *sim,
 					    const char *name, uint32_t *step,
 					    uint32_t *index);
+bool cell_check_task_is_due(struct cell_client_job *job, const char *name,
+			    uint32_t step, bool *runs);
+bool cell_check_has_exhausted_attempts(struct cell_client_job *job);
 
 #endif
--- a/src/test_libradishjunction/test_cell_faults.c
+++ b/src/test_libradishjunction/test_cell_faults.c
@@ -1,7 +1,7 @@
 /*
  * Checks the users' rules under seeded random fault injection. `--seeds N
  * --from K` runs N seeds from K on, and `--trace K` prints the log events of
- * one seed; with `restarts` before these, of the profile of restarts.
+ * one seed; with `restarts` or `departures` before these, of that profile.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,6 +11,7 @@
 
 #define SEEDS 60
 #define RESTART_SEEDS 20
+#define DEPARTURE_SEEDS 6
 
 /* Runs some seeds; returns how many violated a rule. */
 static uint32_t run_seeds(enum cell_fault_profile profile, uint64_t from,
@@ -19,6 +20,7 @@
 	uint32_t broken = 0;
 	uint64_t accepted = 0;
 	uint64_t completed = 0;
+	uint64_t longest_us = 0;
 
 	for (uint64_t seed = from; seed < from + count; seed++) {
 		struct cell_fault_result result;
@@ -26,6 +28,12 @@
 		cell_faults_run(profile, seed, false, &result);
 		accepted += result.accepted;
 		completed += result.completed;
+		if (verbose && result.longest_us > longest_us)
+			printf("# seed %" G_GUINT64_FORMAT
+			       ": %s stands still %.1f s after a fault\n",
+			       seed, result.longest,
+			       (double)result.longest_us / (double)S);
+		longest_us = MAX(longest_us, result.longest_us);
 		if (result.violations) {
 			broken++;
 			printf("# seed %" G_GUINT64_FORMAT ": %u: %s\n", seed,
@@ -74,12 +82,30 @@
 		0);
 }
 
+/* Guards against work that could run and does not after workers have left, were
+ * lost or came back under their ids and owners were replaced. In seeds 1132, 2043
+ * and 2101 jobs that fail make most workers suspect. */
+static void test_departures(void)
+{
+	static const uint64_t kept[] = { 1132, 2043, 2101 };
+
+	for (guint i = 0; i < G_N_ELEMENTS(kept); i++)
+		g_assert_cmpuint(
+			run_seeds(CELL_FAULTS_DEPARTURES, kept[i], 1, false),
+			==, 0);
+	g_assert_cmpuint(
+		run_seeds(CELL_FAULTS_DEPARTURES, 1, DEPARTURE_SEEDS, false),
+		==, 0);
+}
+
 int main(int argc, char **argv)
 {
 	enum cell_fault_profile profile = CELL_FAULTS_ALL;
 
-	if (argc > 1 && !strcmp(argv[1], "restarts")) {
-		profile = CELL_FAULTS_RESTARTS;
+	if (argc > 1 &&
+	    (!strcmp(argv[1], "restarts") || !strcmp(argv[1], "departures"))) {
+		profile = argv[1][0] == 'r' ? CELL_FAULTS_RESTARTS :
+					      CELL_FAULTS_DEPARTURES;
 		argc--;
 		argv++;
 	}
@@ -99,5 +125,6 @@
 	g_test_add_func("/cell_faults/kept", test_regression_seeds);
 	g_test_add_func("/cell_faults/short", test_short_run);
 	g_test_add_func("/cell_faults/restarts", test_restarted_workers);
+	g_test_add_func("/cell_faults/departures", test_departures);
 	return g_test_run();
 }
