cells: idle capacity that is promised is lent to work that has waited

In virtual time a gang of two (20 s) waits beside four idle workers of seven for 22 s: test_cell_backfill /backfill/lent, and streams 12 to 16 of /backfill/gang, in which the first task does not start before the gang.

Cause: only tasks that end in half of the time until the promise is due were let in. On a site whose jobs are all about as long (one queue, mean some 8 s, so that 16 s are needed), none does, and workers stay idle for each gang that waits for one more. Workers reserved for urgent jobs are open to tasks that have waited for 2 s while usage is under 55%; capacity that is promised had no such rule.

Change: the same rule holds for promised capacity. Not if the promise is due within 1 s, not for perpetual tasks, and not while an urgent group has a promise.

After: /lent passes, with the promised gang on time, and all streams of /gang do, also with owners replaced. test_cell_guarantees, _starvation, _account_shares, _load, _preemption and test_planner_* pass.

--- a/src/libradishjunction/cell/cell_backfill.c
+++ b/src/libradishjunction/cell/cell_backfill.c
@@ -3,10 +3,14 @@
 #include <string.h>
 
 #include "private/cell_release.h"
+#include "private/cell_task_groups.h"
 
 /* A task is let in if a promise is due after this multiple of its expected run
  * time: neither that nor the start of the promised group is certain. */
 #define MARGIN_FACTOR 2
+/* A group that may use idle capacity is let in, whatever its length, if a promise
+ * is due after this. Stopping it sooner would throw away its start. */
+#define LOAN_MIN_US RJ_US_PER_S
 /* Maximum number of groups of a plan that find no capacity so; each search
  * evaluates all workers. */
 #define FAILED_SEARCHES_MAX 8
@@ -172,8 +176,13 @@
 
 /*
  * Returns how long capacity has to be free of promises for a group's tasks to
- * start there, in microseconds; 0 if they cannot, as their run time is not known
- * or no promise is that far off.
+ * start there, in microseconds; 0 if they cannot, as no promise is that far off.
+ * If their run time is not known or too long for it, they can only if they may
+ * use idle capacity and no urgent group has a promise: those have no time to wait
+ * for a stop.
+ *
+ * Guards against capacity that stays idle for a gang while tasks wait which all
+ * take as long as the runs that it waits for.
  */
 uint64_t rj_cell_backfill_needs_us(const struct rj_cell_plan *plan,
 				   const struct rj_cell_task_group *group)
@@ -185,6 +194,10 @@
 		    step->estimate_ms);
 	uint64_t needs_us = task_ms * RJ_US_PER_MS * MARGIN_FACTOR;
 
+	if (!plan->urgent_promise_count &&
+	    rj_cell_task_group_may_use_idle(plan, group) &&
+	    (!needs_us || needs_us > LOAN_MIN_US))
+		needs_us = LOAN_MIN_US;
 	if (step->perpetual || needs_us > plan->held_longest_us ||
 	    plan->failed_backfills >= FAILED_SEARCHES_MAX)
 		return 0;
--- a/src/libradishjunction/cell/cell_task_groups.c
+++ b/src/libradishjunction/cell/cell_task_groups.c
@@ -10,9 +10,9 @@
 #define REMOTE_WAIT_MAX_MS 1500
 
 /*
- * Workers reserved for urgent jobs are opened to other tasks that have waited
- * this long while usage is below this percentage: users expect idle capacity to
- * be used.
+ * Workers reserved for urgent jobs, and capacity promised for later, are opened
+ * to other tasks that have waited this long while usage is below this percentage:
+ * users expect idle capacity to be used.
  */
 #define RESERVED_WAIT_US (2 * RJ_US_PER_S)
 #define RESERVED_USAGE_MAX_PERCENT 55
@@ -125,12 +125,12 @@
 }
 
 /*
- * Whether usage is low enough to open reserved workers to a step that has
- * waited. Starts of this plan count as used: many runs may complete at once,
- * and this plan then starts the next tasks in their place.
+ * Whether usage is low enough to open capacity that is kept for others to a step
+ * that has waited. Starts of this plan count as used: many runs may complete at
+ * once, and this plan then starts the next tasks in their place.
  */
-static bool has_idle_capacity(const struct rj_cell_plan *plan,
-			      const struct rj_cell_task_group *group)
+bool rj_cell_task_group_may_use_idle(const struct rj_cell_plan *plan,
+				     const struct rj_cell_task_group *group)
 {
 	return rj_cell_usage_percent(&plan->usage) <
 		       RESERVED_USAGE_MAX_PERCENT &&
@@ -156,10 +156,11 @@
 	const struct rj_cell_job_spec *spec = group->job->job_spec;
 	const struct rj_cell_step *step = &spec->steps[group->step];
 
-	group->may_use_exclusive = !spec->priority ||
-				   has_idle_capacity(plan, group) ||
-				   (group->overdue && is_restricted(group)) ||
-				   (step->perpetual && has_waited(plan, group));
+	group->may_use_exclusive =
+		!spec->priority ||
+		rj_cell_task_group_may_use_idle(plan, group) ||
+		(group->overdue && is_restricted(group)) ||
+		(step->perpetual && has_waited(plan, group));
 	group->may_use_reserved = group->may_use_exclusive ||
 				  (step->checkpoints && !step->perpetual);
 }
--- a/src/libradishjunction/include/private/cell_backfill.h
+++ b/src/libradishjunction/include/private/cell_backfill.h
@@ -1,10 +1,11 @@
 /*
  * Backfill: tasks that start on capacity which is free now and promised to a
- * group for later, if they are expected to end well before that group can start.
+ * group for later, if they are expected to end well before that group can start,
+ * or if they have waited while most of the cell is idle.
  *
  * Load: a gang that waits for one worker for minutes, while others stand idle
  * for it and small tasks wait. The promise is kept: what was let in does not move
- * the group's expected start, and if it outlasts its estimate it is stopped then.
+ * the group's expected start, and if it still runs then it is stopped.
  * Part of making a plan; see cell_plan.h.
  */
 #ifndef RADISHJUNCTION_PRIVATE_CELL_BACKFILL_H
--- a/src/libradishjunction/include/private/cell_task_groups.h
+++ b/src/libradishjunction/include/private/cell_task_groups.h
@@ -10,6 +10,8 @@
 void rj_cell_task_groups_gather(struct rj_cell_plan *plan);
 bool rj_cell_plan_task_waits(const struct rj_cell_plan *plan,
 			     const struct rj_cell_task *task);
+bool rj_cell_task_group_may_use_idle(const struct rj_cell_plan *plan,
+				     const struct rj_cell_task_group *group);
 void rj_cell_task_group_set_reserved(const struct rj_cell_plan *plan,
 				     struct rj_cell_task_group *group);
 
--- a/src/test_libradishjunction/test_cell_backfill.c
+++ b/src/test_libradishjunction/test_cell_backfill.c
@@ -110,6 +110,11 @@
 	{ "normal", 1, 8000, 40 * S, 0, 0 },
 	{ "normal", 8, 8000, 40 * S, 0, 0 },
 	{ "normal", 8, 5000, 120 * S, 20, 10 },
+	{ "normal", 1, 20000, 20 * S, 0, 0 },
+	{ "normal", 8, 20000, 20 * S, 0, 0 },
+	{ "normal", 8, 60000, 60 * S, 12, 15 },
+	{ "bulk", 8, 60000, 60 * S, 0, 0 },
+	{ "bulk", 8, 60000, 60 * S, 12, 15 },
 };
 
 /* Returns the highest number of starts of a job. */
@@ -200,6 +205,31 @@
 /* Time in which a task has to begin beside capacity that stands idle. */
 #define IDLE_MAX_US (3 * S)
 
+/*
+ * Load: four workers are idle for 22 s more, beside a gang that waits for a
+ * fifth, and two gangs come that would not end in half of that time.
+ * Guards against gangs that wait although most of the site is idle, and against
+ * the first gang waiting for them.
+ */
+static void test_idle_capacity_is_lent(struct cell_fixture *f, const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(2, 8, 20000);
+	struct cell_client_job *busy = keep_busy(&f->sim, BUSY_US);
+	struct cell_client_job *gang = submit_gang(&f->sim);
+	struct cell_client_job *lent;
+
+	step.gang = true;
+	cell_load_run(&f->sim, 8 * S);
+	lent = cell_load_submit(&f->sim, "normal", "a", &step, 20 * S);
+	cell_load_run(&f->sim, IDLE_MAX_US);
+	g_assert_cmpuint(lent->starts, ==, 2);
+	cell_load_run(&f->sim, BUSY_US);
+	g_assert_cmpuint(gang->begun_us - busy->begun_us, <=,
+			 BUSY_US + GANG_DELAY_MAX_US);
+	cell_load_run(&f->sim, 2 * BUSY_US);
+	g_assert_cmpint(lent->state, ==, RJ_CELL_JOB_COMPLETED);
+}
+
 /*
  * Load: urgent tasks, accepted after a gang, hold the workers that it waits for
  * when all earlier runs have ended.
@@ -232,6 +262,7 @@
 	g_test_add_func("/backfill/gang", test_gang_begins_as_soon_as_it_can);
 	CELL_TEST("/backfill/kept_off", &site,
 		  test_tasks_that_keep_off_a_promise);
+	CELL_TEST("/backfill/lent", &site, test_idle_capacity_is_lent);
 	CELL_TEST("/backfill/put_off", &site, test_promise_that_is_put_off);
 	return g_test_run();
 }
