http: no request is closed unread because the listener is full

What callers saw: with all connections of a listener kept open by clients, 20 new clients that connected at once had one answer; 19 connections, and one of a kept connection that had just sent its next request, were closed without one. If all connections waited for answers, every further one was closed without a word.

Cause: a connection whose request had arrived but was not read yet counted as idle, and as unproven if it was new, so that it gave way first to the next new one. A refused connection was shut down without an answer.

Change: a connection with unread bytes does not give way as idle. One that is refused gets 503, and is read until the client closes, as closing a socket with unread bytes resets the connection.

--- a/src/libradishjunction/client_budget.c
+++ b/src/libradishjunction/client_budget.c
@@ -116,6 +116,17 @@
 	return !for_memory && client->state == RJ_CLIENT_IDLE;
 }
 
+/*
+ * Whether bytes have arrived from a client that were not read. Does not block.
+ */
+bool rj_client_has_unread(const struct rj_client *client)
+{
+	char byte;
+
+	return recv(client->fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) >
+	       0;
+}
+
 /* Returns the client that gives way next: one that holds a part of a body, or,
  * with `listener`, one of its connections. NULL if there is none. */
 static struct rj_client *find_victim(struct rj_client_budget *budget,
@@ -132,8 +143,14 @@
 		if (!may_give_way(client, !listener) ||
 		    (listener && client->listener != listener))
 			continue;
-		if (gives_way_before(client, victim, !listener, budget->now_us))
-			victim = client;
+		if (!gives_way_before(client, victim, !listener,
+				      budget->now_us))
+			continue;
+		/* It is not idle: its request has not been read. */
+		if (client->state == RJ_CLIENT_IDLE &&
+		    rj_client_has_unread(client))
+			continue;
+		victim = client;
 	}
 	return victim;
 }
--- a/src/libradishjunction/include/private/client_budget.h
+++ b/src/libradishjunction/include/private/client_budget.h
@@ -111,6 +111,7 @@
 int rj_client_open(struct rj_client *client,
 		   struct rj_client_listener *listener, int fd,
 		   void (*give_way)(struct rj_client *client), uint64_t now_us);
+bool rj_client_has_unread(const struct rj_client *client);
 void rj_client_begin(struct rj_client *client, bool chunked, uint64_t now_us);
 void rj_client_received(struct rj_client *client, uint64_t bytes,
 			uint64_t now_us);
--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -23,6 +23,8 @@
 #define FRAMING_BYTES (8 * 1024)
 #define HEADERS_DEFAULT_BYTES (16 * 1024)
 #define RETRY_AFTER "1"
+/* A refused connection is closed after this time without traffic. */
+#define REFUSED_CLOSE_S 1U
 
 const char *const rj_http_unanswered_string[RJ_HTTP_UNANSWERED_COUNT] = {
 	[RJ_HTTP_UNANSWERED_CLIENT_GONE] = "client_gone",
@@ -295,6 +297,8 @@
 	struct rj_client *client;
 
 	server->loop.progress++;
+	if (!connection_of(connection))
+		return MHD_NO; /* refused */
 	if (!request) {
 		request = request_new(server, connection, url, method);
 		*con_cls = request;
@@ -350,12 +354,16 @@
 	*con_cls = NULL;
 }
 
-/* Whether bytes have arrived at a socket and were not read. */
-static bool has_unread(int fd)
+/*
+ * Refuses a connection for which there is no room. Its socket is still read, as
+ * one that is closed with unread bytes is reset, which may destroy the refusal.
+ */
+static void refuse_connection(struct MHD_Connection *connection, int fd)
 {
-	char byte;
-
-	return recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+	send_refusal(fd, MHD_HTTP_SERVICE_UNAVAILABLE);
+	(void)shutdown(fd, SHUT_WR);
+	MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
+				  REFUSED_CLOSE_S);
 }
 
 /* Adds a connection to the budget, or removes it. */
@@ -372,10 +380,11 @@
 				     MHD_CONNECTION_INFO_CONNECTION_FD)
 		     ->connect_fd;
 	if (code != MHD_CONNECTION_NOTIFY_STARTED) {
-		if (has_unread(fd))
+		added = *socket_context;
+		if (added && rj_client_has_unread(&added->client))
 			server->unanswered[RJ_HTTP_UNANSWERED_UNREAD]++;
-		if (*socket_context)
-			rj_client_close(*socket_context);
+		if (added)
+			rj_client_close(&added->client);
 		TALLOC_FREE(*socket_context);
 		server->connections--;
 		return;
@@ -389,7 +398,7 @@
 			    rj_clock_now_us()))
 		return;
 	TALLOC_FREE(*socket_context);
-	(void)shutdown(fd, SHUT_RDWR);
+	refuse_connection(connection, fd);
 }
 
 /* See struct rj_http_loop. */
--- a/src/test_libradishjunction/test_http_server.c
+++ b/src/test_libradishjunction/test_http_server.c
@@ -180,6 +180,27 @@
 	close(fd);
 }
 
+/* A client that connects while all connections wait for answers is closed with
+ * its request unanswered. */
+static void test_client_without_room_is_told(struct fixture *f,
+					     gconstpointer data)
+{
+	char text[512];
+	int fds[5];
+
+	for (uint32_t i = 0; i < 4; i++) {
+		f->request = NULL;
+		fds[i] = connect_and_send(f, REQUEST);
+		RUN_UNTIL(f->ev, f->request);
+	}
+	fds[4] = connect_and_send(f, REQUEST);
+	RUN_UNTIL(f->ev, recv(fds[4], text, sizeof(text), MSG_DONTWAIT) > 0);
+	g_assert_true(g_str_has_prefix(text, "HTTP/1.1 503"));
+	RUN_UNTIL(f->ev, f->server.connections == 4);
+	for (uint32_t i = 0; i < 5; i++)
+		close(fds[i]);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -191,5 +212,7 @@
 		   test_an_error_quotes_half_a_character, tear_down);
 	g_test_add("/http_server/unanswered", struct fixture, NULL, set_up,
 		   test_unanswered_requests_are_counted, tear_down);
+	g_test_add("/http_server/room", struct fixture, NULL, set_up,
+		   test_client_without_room_is_told, tear_down);
 	return g_test_run();
 }
