--- a/src/libradishjunction/cell/cell_task_groups.c
+++ b/src/libradishjunction/cell/cell_task_groups.c
@@ -159,16 +159,15 @@
 {
 	const struct rj_cell_job_spec *spec = group->job->job_spec;
 	const struct rj_cell_step *step = &spec->steps[group->step];
+	bool may_use_idle = rj_cell_task_group_may_use_idle(plan, group);
+	bool lasting_waited = step->perpetual && has_waited(plan, group);
 
-	group->may_use_exclusive =
-		!spec->priority ||
-		rj_cell_task_group_may_use_idle(plan, group) ||
-		(group->overdue && is_restricted(group)) ||
-		(step->perpetual && has_waited(plan, group));
+	group->may_use_exclusive = !spec->priority || may_use_idle ||
+				   (group->overdue && is_restricted(group)) ||
+				   lasting_waited;
 	group->may_use_reserved = group->may_use_exclusive ||
 				  (step->checkpoints && !step->perpetual);
-	group->may_use_suspect = has_idle_capacity(plan, group) ||
-				 (step->perpetual && has_waited(plan, group));
+	group->may_use_suspect = may_use_idle || lasting_waited;
 }
 
 /*
