soak: workers that leave or are lost for good, and work that stands still

Workers end for good, with the announcement of the users' protocol or without, and another worker serves the address later. A check guards against accepted jobs that stand still: from 14 s after the last fault on, no accepted job may have nothing running for 3 s.

--- a/src/standin_users/standin.h
+++ b/src/standin_users/standin.h
@@ -69,6 +69,10 @@
 	bool down; /* between two incarnations, or for good */
 	uint64_t departure_ms; /* announced, by its clock; 0: none */
 	uint64_t heartbeat_count;
+	/* After its end for good, another worker serves its address; 0: none
+	 * does. */
+	uint64_t replaced_in_ms;
+	uint32_t replacements;
 	uint64_t token; /* highest fencing token */
 	uint64_t lease_until_ms; /* of all runs */
 	json_t *running; /* name -> { run, from_ms, until_ms } */
--- a/src/standin_users/worker.c
+++ b/src/standin_users/worker.c
@@ -391,20 +391,38 @@
 		call_in(worker, DOWN_US, restart);
 }
 
+/* Serves the address of a worker that has ended, as another worker. */
+static void replace(struct tevent_context *ev, struct tevent_timer *timer,
+		    struct timeval now, void *private_data)
+{
+	struct standin_worker *worker = private_data;
+
+	(void)g_snprintf(worker->id, sizeof(worker->id), "w%u.%u",
+			 worker->number, ++worker->replacements);
+	memset(&worker->faults, 0, sizeof(worker->faults));
+	restart(ev, timer, now, worker);
+}
+
 static void remove_entry(struct tevent_context *ev, struct tevent_timer *timer,
 			 struct timeval now, void *private_data)
 {
 	struct standin_worker *worker = private_data;
 
 	standin_log_append(worker->log, "keyed.servers", worker->id, NULL, 0);
+	if (worker->replaced_in_ms)
+		call_in(worker, worker->replaced_in_ms * RJ_US_PER_MS, replace);
 }
 
-/* Ends the worker for good. Its entry is removed at once. */
+/* Ends a worker that has announced it. Its entry is removed at once. */
 static void leave(struct tevent_context *ev, struct tevent_timer *timer,
 		  struct timeval now, void *private_data)
 {
-	if (end_incarnation(private_data))
-		remove_entry(ev, timer, now, private_data);
+	struct standin_worker *worker = private_data;
+
+	/* It may have crashed since. */
+	if (worker->departure_ms && clock_ms(worker) >= worker->departure_ms &&
+	    end_incarnation(worker))
+		remove_entry(ev, timer, now, worker);
 }
 
 /* Ends the worker for good. Its entry expires. */
@@ -424,7 +442,8 @@
 static void announce_departure(struct standin_worker *worker,
 			       json_int_t drain_ms, json_int_t linger_ms)
 {
-	worker->faults.draining = true;
+	if (worker->departure_ms)
+		return;
 	worker->departure_ms = clock_ms(worker) + (uint64_t)drain_ms;
 	call_in(worker, (uint64_t)(drain_ms + linger_ms) * RJ_US_PER_MS, leave);
 }
@@ -444,6 +463,8 @@
 		json_is_true(json_object_get(body, "stands_still"));
 	faults->refuse_starts = json_is_true(json_object_get(body, "sick"));
 	faults->draining = json_is_true(json_object_get(body, "leaving"));
+	worker->replaced_in_ms = (uint64_t)json_integer_value(
+		json_object_get(body, "replaced_in_ms"));
 	if (published_address)
 		g_strlcpy(worker->published_address, published_address,
 			  sizeof(worker->published_address));
@@ -502,9 +523,10 @@
 		"{s:s,s:s,s:s,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:I}",
 		"Service", "render", "Address", worker->published_address,
 		"Zone", "z", "State",
-		worker->faults.draining ? "draining" : "ready", "Capacity",
-		"Cpu", 64000, "MemMb", 65536, "Gpu", 8, "Labels", "a", rack,
-		"born", (json_int_t)worker->incarnation, "ClockMs",
+		worker->faults.draining || worker->departure_ms ? "draining" :
+								  "ready",
+		"Capacity", "Cpu", 64000, "MemMb", 65536, "Gpu", 8, "Labels",
+		"a", rack, "born", (json_int_t)worker->incarnation, "ClockMs",
 		(json_int_t)now_ms, "Sequence",
 		(json_int_t)++worker->heartbeat_count);
 	if (worker->departure_ms)
--- a/src/test_soak/cluster.c
+++ b/src/test_soak/cluster.c
@@ -331,7 +331,9 @@
 		tevent_loop_once(soak->ev);
 		check_exits(soak);
 		soak_callers_tick(soak);
-		if (!soak->recovering)
+		if (soak->recovering)
+			soak_check_progress(soak);
+		else
 			soak_faults_tick(soak);
 	}
 }
@@ -454,6 +456,7 @@
 void soak_cluster_recover(struct soak *soak)
 {
 	soak->recovering = true;
+	soak->calm_us = rj_clock_now_us();
 	soak_journal_write(soak, "calm");
 	soak_standin_post(soak, &soak->log_address, "/standin/mode", "ok");
 	for (uint32_t i = 0; i < soak->worker_count; i++) {
--- a/src/test_soak/faults.c
+++ b/src/test_soak/faults.c
@@ -286,6 +286,29 @@
 	}
 }
 
+/* End up to a quarter of the workers for good, after an announcement or not.
+ * Another worker serves each address later. */
+static void inject_worker_departures(struct soak *soak)
+{
+	for (uint32_t i = 0; i <= soak_random(soak, 1 + soak->worker_count / 4);
+	     i++) {
+		struct soak_worker *worker = random_worker(soak);
+		char *body = soak_random(soak, 2) ?
+				     g_strdup("{\"vanish\":true,"
+					      "\"replaced_in_ms\":2000}") :
+				     g_strdup_printf("{\"leaves_in_ms\":2000,"
+						     "\"linger_ms\":%u,"
+						     "\"replaced_in_ms\":2000}",
+						     soak_random(soak, 2000));
+
+		soak_journal_write(soak, "worker w%d: %s",
+				   (int)(worker - soak->workers), body);
+		soak_standin_post(soak, &worker->address, "/standin/fault",
+				  body);
+		g_free(body);
+	}
+}
+
 /* Drawn uniformly; repeated entries are more frequent. */
 static void (*const injectors[])(struct soak *) = {
 	inject_kill,
@@ -305,6 +328,8 @@
 	inject_worker_fault,
 	inject_worker_restarts,
 	inject_worker_restarts,
+	inject_worker_departures,
+	inject_worker_departures,
 };
 
 /*
--- a/src/test_soak/invariants.c
+++ b/src/test_soak/invariants.c
@@ -14,6 +14,8 @@
  * lost      an accepted job is known and ends; it fails only after a task has
  *           used up its attempts, and is cancelled only on request; every
  *           instance starts
+ * still     some time after the last fault, an accepted job always has a run or
+ *           gets one within seconds
  */
 #include <stdarg.h>
 #include <stdio.h>
@@ -26,6 +28,10 @@
 #define WORKER_ACCELERATORS 8
 /* Every instance must know a job this long after its acceptance. */
 #define VISIBLE_US (3 * RJ_US_PER_S)
+/* This long after the last fault, no accepted job may have nothing running for
+ * the second time. */
+#define PROGRESS_FROM_US (14 * RJ_US_PER_S)
+#define STILL_MAX_US (3 * RJ_US_PER_S)
 
 /*
  * Report a violated invariant on standard error and in the journal, and count
@@ -168,9 +174,12 @@
 	task = get_task(job, name);
 	if (!strcmp(what, "begin")) {
 		check_run_start(job, task, name, step, how);
+		job->running++;
 		update_allocation(soak, worker, &job->steps[step], true);
 	} else if (!strcmp(what, "end")) {
 		task->running--;
+		job->running--;
+		job->idle_us = rj_clock_now_us();
 		task->succeeded |= !strcmp(how, "done");
 		task->failures += !strcmp(how, "failed");
 		update_allocation(soak, worker, &job->steps[step], false);
@@ -192,6 +201,43 @@
 	return false;
 }
 
+/* Whether a job that runs nothing has tasks to be run. */
+static bool has_work_left(struct soak_job *job)
+{
+	if (!job->accepted || job->ended || job->cancel_sent || job->running ||
+	    has_exhausted_attempts(job))
+		return false;
+	for (uint32_t i = 0; i < job->step_count; i++)
+		if (!is_step_done(job, i))
+			return true;
+	return false;
+}
+
+/*
+ * Check that no accepted job stands still, once the faults have ended long ago.
+ */
+void soak_check_progress(struct soak *soak)
+{
+	uint64_t now_us = rj_clock_now_us();
+
+	if (now_us < soak->calm_us + PROGRESS_FROM_US)
+		return;
+	for (guint i = 0; i < soak->job_list->len; i++) {
+		struct soak_job *job = soak->job_list->pdata[i];
+
+		if (job->still ||
+		    now_us < MAX(job->idle_us, job->accepted_us) +
+				     STILL_MAX_US ||
+		    !has_work_left(job))
+			continue;
+		job->still = true;
+		soak_violation(
+			soak, "still: %s has had no run for %.1f s", job->id,
+			(double)(now_us - MAX(job->idle_us, job->accepted_us)) /
+				RJ_US_PER_S);
+	}
+}
+
 /*
  * Check and record the state in an answer to a query sent at `asked_us`.
  */
--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -90,6 +90,9 @@
 	uint64_t last_state_us; /* when it was received */
 	bool ended; /* `last_state` is final */
 	uint32_t runs_started; /* of its tasks */
+	uint32_t running; /* runs in progress */
+	uint64_t idle_us; /* when its last run ended */
+	bool still; /* reported as standing still */
 	GHashTable *tasks; /* name -> struct soak_task */
 };
 
@@ -119,6 +122,7 @@
 	GPtrArray *job_list;
 	uint64_t next_job_us;
 	uint64_t next_fault_us;
+	uint64_t calm_us; /* end of fault injection; 0: not yet */
 	bool recovering; /* no more new jobs, cancellations or faults */
 	uint32_t fault_count; /* injected so far */
 	uint32_t violations;
@@ -156,6 +160,7 @@
 void soak_check_state(struct soak_job *job, const char *state,
 		      uint64_t asked_us);
 void soak_check_unknown(struct soak_job *job, uint64_t asked_us);
+void soak_check_progress(struct soak *soak);
 void soak_check_final(struct soak *soak);
 
 #endif
