http: send the last answers before the process ends

What callers saw: a submission that waited for the log when the grace period ended got no answer, and its connection was closed. It may have been stored.

Cause: at the end of the grace period the node answers all open requests, but the HTTP server was stopped before the library had sent these answers.

Evidence: process_stop_answers fails without the change.

Change: before it closes the connections the server runs the library, without a wait and a bounded number of times, until the answers are sent. Requests that are read meanwhile are told 503, as the node has ended.

--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -23,6 +23,9 @@
 #define FRAMING_BYTES (8 * 1024)
 #define HEADERS_DEFAULT_BYTES (16 * 1024)
 #define RETRY_AFTER "1"
+/* The daemon runs at most so often to send the last answers: each connection may
+ * need a few runs, which take all of them in turn. */
+#define FINISH_RUNS 64
 /* A refused connection is closed after this time without traffic. */
 #define REFUSED_CLOSE_S 1U
 
@@ -255,6 +258,14 @@
 	rj_list_append(&server->open, &request->link);
 	if (!request->body.data)
 		rj_buffer_append(&request->body, request, "", 0);
+	if (server->finishing) {
+		rj_http_exchange_close(request);
+		rj_http_exchange_add_header(
+			request, MHD_HTTP_HEADER_RETRY_AFTER, RETRY_AFTER);
+		rj_http_exchange_error(request, MHD_HTTP_SERVICE_UNAVAILABLE,
+				       "stopping: ask another instance");
+		return;
+	}
 	server->options.handle(server->options.private_data, request);
 }
 
@@ -637,14 +648,19 @@
 }
 
 /*
- * Stops listening and closes all connections; open requests get no answer.
- * Must not be called from within a handler.
+ * Stops listening and closes all connections. Answers that were given are sent
+ * as far as the clients take them without a wait; requests that arrive until
+ * then are refused, and open requests get no answer. Must not be called from
+ * within a handler.
  */
 void rj_http_server_finish(struct rj_http_server *server)
 {
 	if (!server->daemon)
 		return;
 	server->finishing = true;
+	for (int i = 0; i < FINISH_RUNS && !rj_http_server_is_settled(server);
+	     i++)
+		MHD_run(server->daemon);
 	rj_http_server_abort_open(server, NULL);
 	rj_http_loop_finish(&server->loop);
 	MHD_stop_daemon(server->daemon);
--- a/src/share/http_server.h
+++ b/src/share/http_server.h
@@ -79,7 +79,7 @@
 	uint32_t requests; /* started, answer not yet sent in full */
 	bool draining; /* each answer closes its connection */
 	uint32_t connections;
-	bool finishing; /* connections are closed whatever they wait for */
+	bool finishing; /* new requests are refused until connections close */
 	uint64_t unanswered[RJ_HTTP_UNANSWERED_COUNT];
 };
 
