http: a stop waits for requests that have arrived and were not read

What callers saw: an instance that was held up while it stopped closed its connections as soon as it went on. A request on a new connection was reset, one on a kept connection ended without an answer.

Cause: timers run before sockets, so that the stop was due, with no request known, before the requests in the sockets were read.

Excluded: a request whose headers have arrived in part is not waited for.

Change: a stopping server is settled only if no idle connection has unread bytes and no connection waits to be accepted. Bodies are counted as before, so that those that never end are not waited for.

--- a/src/libradishjunction/client_budget.c
+++ b/src/libradishjunction/client_budget.c
@@ -506,3 +506,24 @@
 	}
 	return stalled;
 }
+
+/*
+ * Whether bytes of a new request have arrived at the listener and were not read.
+ * Does not block.
+ */
+bool rj_client_listener_has_unread(const struct rj_client_listener *listener)
+{
+	const struct rj_list *clients = &listener->budget->clients;
+
+	for (const struct rj_list *at = clients->next; at != clients;
+	     at = at->next) {
+		const struct rj_client *client =
+			RJ_CONTAINER(at, struct rj_client, link);
+
+		if (client->listener == listener &&
+		    client->state == RJ_CLIENT_IDLE &&
+		    rj_client_has_unread(client))
+			return true;
+	}
+	return false;
+}
--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <inttypes.h>
 #include <jansson.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -438,6 +439,7 @@
 	if (!options->headers_max_bytes)
 		server->options.headers_max_bytes = HEADERS_DEFAULT_BYTES;
 	server->ev = ev;
+	server->listen_fd = -1;
 	rj_list_init(&server->open);
 	rj_client_budget_init(&server->own_budget, UINT64_MAX, UINT32_MAX);
 	rj_client_listener_init(&server->listener,
@@ -449,6 +451,7 @@
 	if (fd < 0)
 		return -1;
 	rj_tcp_limit_receive_buffer(fd);
+	server->listen_fd = fd;
 	server->mem = talloc_named_const(mem, 0, "http server");
 	assert(server->mem);
 	server->daemon = MHD_start_daemon(
@@ -605,14 +608,27 @@
 	}
 }
 
+/* Whether a connection or bytes have arrived that the library has not taken. */
+static bool has_unread(const struct rj_http_server *server)
+{
+	struct pollfd waiting = { .fd = server->listen_fd, .events = POLLIN };
+
+	return rj_client_listener_has_unread(&server->listener) ||
+	       poll(&waiting, 1, 0) > 0;
+}
+
 /*
- * Whether a stopping server has sent all answers, to requests that are complete
- * or whose bodies are arriving.
+ * Whether a stopping server has sent all answers, to requests that are complete,
+ * whose bodies are arriving, or that have arrived and were not read. A timer that
+ * is due precedes the sockets, so that a process that was held up for a while
+ * may look here before it reads.
  */
 bool rj_http_server_is_settled(const struct rj_http_server *server)
 {
 	return server->requests <=
-	       rj_client_listener_stalled(&server->listener, rj_clock_now_us());
+		       rj_client_listener_stalled(&server->listener,
+						  rj_clock_now_us()) &&
+	       !has_unread(server);
 }
 
 /*
--- a/src/share/http_server.h
+++ b/src/share/http_server.h
@@ -80,6 +80,7 @@
 	bool draining; /* each answer closes its connection */
 	uint32_t connections;
 	bool finishing; /* new requests are refused until connections close */
+	int listen_fd;
 	uint64_t unanswered[RJ_HTTP_UNANSWERED_COUNT];
 };
 
