--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <inttypes.h>
 #include <jansson.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -23,6 +24,9 @@
 #define FRAMING_BYTES (8 * 1024)
 #define HEADERS_DEFAULT_BYTES (16 * 1024)
 #define RETRY_AFTER "1"
+/* The daemon runs at most so often to send the last answers: each connection may
+ * need a few runs, which take all of them in turn. */
+#define FINISH_RUNS 64
 /* A refused connection is closed after this time without traffic. */
 #define REFUSED_CLOSE_S 1U
 
@@ -255,6 +259,14 @@
 	rj_list_append(&server->open, &request->link);
 	if (!request->body.data)
 		rj_buffer_append(&request->body, request, "", 0);
+	if (server->finishing) {
+		rj_http_exchange_close(request);
+		rj_http_exchange_add_header(
+			request, MHD_HTTP_HEADER_RETRY_AFTER, RETRY_AFTER);
+		rj_http_exchange_error(request, MHD_HTTP_SERVICE_UNAVAILABLE,
+				       "stopping: ask another instance");
+		return;
+	}
 	server->options.handle(server->options.private_data, request);
 }
 
@@ -427,6 +439,7 @@
 	if (!options->headers_max_bytes)
 		server->options.headers_max_bytes = HEADERS_DEFAULT_BYTES;
 	server->ev = ev;
+	server->listen_fd = -1;
 	rj_list_init(&server->open);
 	rj_client_budget_init(&server->own_budget, UINT64_MAX, UINT32_MAX);
 	rj_client_listener_init(&server->listener,
@@ -438,6 +451,7 @@
 	if (fd < 0)
 		return -1;
 	rj_tcp_limit_receive_buffer(fd);
+	server->listen_fd = fd;
 	server->mem = talloc_named_const(mem, 0, "http server");
 	assert(server->mem);
 	server->daemon = MHD_start_daemon(
@@ -594,14 +608,27 @@
 	}
 }
 
+/* Whether a connection or bytes have arrived that the library has not taken. */
+static bool has_unread(const struct rj_http_server *server)
+{
+	struct pollfd waiting = { .fd = server->listen_fd, .events = POLLIN };
+
+	return rj_client_listener_has_unread(&server->listener) ||
+	       poll(&waiting, 1, 0) > 0;
+}
+
 /*
- * Whether a stopping server has sent all answers, to requests that are complete
- * or whose bodies are arriving.
+ * Whether a stopping server has sent all answers, to requests that are complete,
+ * whose bodies are arriving, or that have arrived and were not read. A timer that
+ * is due precedes the sockets, so that a process that was held up for a while
+ * may look here before it reads.
  */
 bool rj_http_server_is_settled(const struct rj_http_server *server)
 {
 	return server->requests <=
-	       rj_client_listener_stalled(&server->listener, rj_clock_now_us());
+		       rj_client_listener_stalled(&server->listener,
+						  rj_clock_now_us()) &&
+	       !has_unread(server);
 }
 
 /*
@@ -637,14 +664,19 @@
 }
 
 /*
- * Stops listening and closes all connections; open requests get no answer.
- * Must not be called from within a handler.
+ * Stops listening and closes all connections. Answers that were given are sent
+ * as far as the clients take them without a wait; requests that arrive until
+ * then are refused, and open requests get no answer. Must not be called from
+ * within a handler.
  */
 void rj_http_server_finish(struct rj_http_server *server)
 {
 	if (!server->daemon)
 		return;
 	server->finishing = true;
+	for (int i = 0; i < FINISH_RUNS && !rj_http_server_is_settled(server);
+	     i++)
+		MHD_run(server->daemon);
 	rj_http_server_abort_open(server, NULL);
 	rj_http_loop_finish(&server->loop);
 	MHD_stop_daemon(server->daemon);
