--- a/src/test_libradishjunction/test_cell_backfill.c
+++ b/src/test_libradishjunction/test_cell_backfill.c
@@ -207,9 +207,9 @@
 
 /*
  * Load: four workers are idle for 22 s more, beside a gang that waits for a
- * fifth, and two gangs come that would not end in half of that time.
- * Guards against gangs that wait although most of the site is idle, and against
- * the first gang waiting for them.
+ * fifth, and a gang of two comes that would not end in half of that time.
+ * Guards against a gang that waits although most of the site is idle, and against
+ * the first gang waiting for it.
  */
 static void test_idle_capacity_is_lent(struct cell_fixture *f, const void *data)
 {
