http: a stop refuses new connections before it closes any

What callers saw: a client that opened a connection in the moment in which a stopping instance ended had its request reset.

Cause: connections were accepted until the process ended. One that came after the last look at the sockets was closed with its request.

Open connections are served until they are settled, and one that has just been opened has 200 ms for its first request.

A request that is sent on an idle kept connection as the process closes it can still cross the close on its way.

--- a/src/libradishjunction/client_budget.c
+++ b/src/libradishjunction/client_budget.c
@@ -24,6 +24,8 @@
 /* An incomplete request that has received less than this lately is not waited
  * for. */
 #define PROGRESS_MIN_BYTES 4096
+/* A stop waits so long for the first request of a new connection. */
+#define FIRST_REQUEST_US (200 * RJ_US_PER_MS)
 #define LOG_INTERVAL_US RJ_US_PER_S
 
 const char *const rj_client_refusal_string[RJ_CLIENT_REFUSAL_COUNT] = {
@@ -527,3 +529,25 @@
 	}
 	return false;
 }
+
+/*
+ * Whether a client of the listener has just connected and may be sending its
+ * first request.
+ */
+bool rj_client_listener_has_new(const struct rj_client_listener *listener,
+				uint64_t now_us)
+{
+	const struct rj_list *clients = &listener->budget->clients;
+
+	for (const struct rj_list *at = clients->next; at != clients;
+	     at = at->next) {
+		const struct rj_client *client =
+			RJ_CONTAINER(at, struct rj_client, link);
+
+		if (client->listener == listener && !client->served &&
+		    client->state == RJ_CLIENT_IDLE &&
+		    now_us - client->begun_us < FIRST_REQUEST_US)
+			return true;
+	}
+	return false;
+}
--- a/src/libradishjunction/include/private/client_budget.h
+++ b/src/libradishjunction/include/private/client_budget.h
@@ -106,6 +106,8 @@
 			     uint32_t connections_max);
 uint32_t rj_client_listener_stalled(const struct rj_client_listener *listener,
 				    uint64_t now_us);
+bool rj_client_listener_has_new(const struct rj_client_listener *listener,
+				uint64_t now_us);
 bool rj_client_listener_has_unread(const struct rj_client_listener *listener);
 void rj_client_listener_write(const struct rj_client_listener *listener,
 			      GString *text);
--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -619,16 +619,19 @@
 
 /*
  * Whether a stopping server has sent all answers, to requests that are complete,
- * whose bodies are arriving, or that have arrived and were not read. A timer that
+ * whose bodies are arriving, or that have arrived and were not read, and waits
+ * for no first request of a new connection. A timer that
  * is due precedes the sockets, so that a process that was held up for a while
  * may look here before it reads.
  */
 bool rj_http_server_is_settled(const struct rj_http_server *server)
 {
+	uint64_t now_us = rj_clock_now_us();
+
 	return server->requests <=
-		       rj_client_listener_stalled(&server->listener,
-						  rj_clock_now_us()) &&
-	       !has_unread(server);
+		       rj_client_listener_stalled(&server->listener, now_us) &&
+	       !has_unread(server) &&
+	       !rj_client_listener_has_new(&server->listener, now_us);
 }
 
 /*
@@ -663,6 +666,21 @@
 	server->draining = true;
 }
 
+/*
+ * Refuses new connections from now on; those that are open are served. One that
+ * is neither accepted nor refused would be reset with its request.
+ */
+void rj_http_server_stop_listening(struct rj_http_server *server)
+{
+	if (server->listen_fd < 0)
+		return;
+	for (int i = 0; i < FINISH_RUNS && has_unread(server); i++)
+		MHD_run(server->daemon);
+	MHD_quiesce_daemon(server->daemon);
+	close(server->listen_fd);
+	server->listen_fd = -1;
+}
+
 /*
  * Stops listening and closes all connections. Answers that were given are sent
  * as far as the clients take them without a wait; requests that arrive until
@@ -674,6 +692,7 @@
 	if (!server->daemon)
 		return;
 	server->finishing = true;
+	rj_http_server_stop_listening(server);
 	for (int i = 0; i < FINISH_RUNS && !rj_http_server_is_settled(server);
 	     i++)
 		MHD_run(server->daemon);
--- a/src/share/http_server.h
+++ b/src/share/http_server.h
@@ -80,7 +80,7 @@
 	bool draining; /* each answer closes its connection */
 	uint32_t connections;
 	bool finishing; /* new requests are refused until connections close */
-	int listen_fd;
+	int listen_fd; /* -1: new connections are refused */
 	uint64_t unanswered[RJ_HTTP_UNANSWERED_COUNT];
 };
 
@@ -108,6 +108,7 @@
 			       const struct rj_http_exchange *except);
 void rj_http_server_write(const struct rj_http_server *server, GString *text);
 void rj_http_server_drain(struct rj_http_server *server);
+void rj_http_server_stop_listening(struct rj_http_server *server);
 void rj_http_server_finish(struct rj_http_server *server);
 
 #endif
--- a/src/test_libradishjunction/test_http_server.c
+++ b/src/test_libradishjunction/test_http_server.c
@@ -1,4 +1,5 @@
 /* Tests how a server that is about to stop ends its connections. */
+#include <errno.h>
 #include <glib.h>
 #include <jansson.h>
 #include <netinet/in.h>
@@ -146,15 +147,23 @@
 	close(fd);
 }
 
-/* Sends bytes over a new connection. Returns its socket. */
-static int connect_and_send(struct fixture *f, const char *bytes)
+/* Returns the socket of a new connection, or -1. */
+static int try_to_connect(struct fixture *f)
 {
 	struct sockaddr_in to = { .sin_family = AF_INET,
 				  .sin_port = htons(f->server.address.port),
 				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-	g_assert_cmpint(connect(fd, (struct sockaddr *)&to, sizeof(to)), ==, 0);
+	return connect(fd, (struct sockaddr *)&to, sizeof(to)) ? -1 : fd;
+}
+
+/* Sends bytes over a new connection. Returns its socket. */
+static int connect_and_send(struct fixture *f, const char *bytes)
+{
+	int fd = try_to_connect(f);
+
+	g_assert_cmpint(fd, >=, 0);
 	g_assert_cmpint(send(fd, bytes, strlen(bytes), 0), ==, strlen(bytes));
 	return fd;
 }
@@ -201,6 +210,28 @@
 		close(fds[i]);
 }
 
+/* A client that connects as the server stops is closed with its first request on
+ * the way, or reset by the listener. */
+static void test_new_client_is_served_before_the_end(struct fixture *f,
+						     gconstpointer data)
+{
+	int fd = connect_and_send(f, "");
+
+	g_assert_false(rj_http_server_is_settled(&f->server));
+	RUN_UNTIL(f->ev, f->server.connections == 1);
+	rj_http_server_stop_listening(&f->server);
+	g_assert_false(rj_http_server_is_settled(&f->server));
+	g_assert_cmpint(send(fd, REQUEST, strlen(REQUEST), 0), ==,
+			strlen(REQUEST));
+	RUN_UNTIL(f->ev, f->request);
+	rj_http_exchange_answer(f->request, MHD_HTTP_OK, "{}", 2);
+	RUN_UNTIL(f->ev, rj_http_server_is_settled(&f->server));
+	close(fd);
+	fd = try_to_connect(f);
+	g_assert_cmpint(fd, ==, -1);
+	g_assert_cmpint(errno, ==, ECONNREFUSED);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -214,5 +245,7 @@
 		   test_unanswered_requests_are_counted, tear_down);
 	g_test_add("/http_server/room", struct fixture, NULL, set_up,
 		   test_client_without_room_is_told, tear_down);
+	g_test_add("/http_server/new", struct fixture, NULL, set_up,
+		   test_new_client_is_served_before_the_end, tear_down);
 	return g_test_run();
 }
