http: accept again as soon as a connection has closed

What callers saw: after an instance had had no descriptor left, clients whose connections waited to be accepted had no answer, though others had closed.

Cause: the library stops accepting at its limit, and starts again in the run after the one that closes a connection. Nothing caused that run.

Change: a connection that closes causes one more run of the daemon.

--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -378,6 +378,17 @@
 				  REFUSED_CLOSE_S);
 }
 
+/*
+ * Runs the daemon again after a connection has closed. At its limit of
+ * connections or descriptors the library stops accepting, and starts again not
+ * in the run that closes a connection but in the next one.
+ */
+static void accept_again(struct rj_http_server *server)
+{
+	if (!server->finishing)
+		rj_http_loop_kick(&server->loop);
+}
+
 /* Adds a connection to the budget, or removes it. */
 static void connection_changed(void *cls, struct MHD_Connection *connection,
 			       void **socket_context,
@@ -399,6 +410,7 @@
 			rj_client_close(&added->client);
 		TALLOC_FREE(*socket_context);
 		server->connections--;
+		accept_again(server);
 		return;
 	}
 	server->connections++;
