--- a/src/test_soak/invariants.c
+++ b/src/test_soak/invariants.c
@@ -28,9 +28,9 @@
 #define WORKER_ACCELERATORS 8
 /* Every instance must know a job this long after its acceptance. */
 #define VISIBLE_US (3 * RJ_US_PER_S)
-/* This long after the last fault, no accepted job may have nothing running for
- * the second time. */
+/* From this long after the last fault on, accepted jobs may not stand still. */
 #define PROGRESS_FROM_US (14 * RJ_US_PER_S)
+/* Longest time in which such a job may have nothing running. */
 #define STILL_MAX_US (3 * RJ_US_PER_S)
 
 /*
