http: refused connections are closed after a second, whatever they send

Callers would see: a listener that is closed to everyone. Clients that are refused and go on sending keep the 16 connections beyond the limit for ever, so that nobody else is accepted, also once others have left. Cause: the time-out of a refused connection began anew with each byte. Change: a timer of the connection ends it.

--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -27,8 +27,8 @@
 /* The daemon runs at most so often to send the last answers: each connection may
  * need a few runs, which take all of them in turn. */
 #define FINISH_RUNS 64
-/* A refused connection is closed after this time without traffic. */
-#define REFUSED_CLOSE_S 1U
+/* A refused connection is closed after this time, whatever its client sends. */
+#define REFUSED_CLOSE_US RJ_US_PER_S
 
 const char *const rj_http_unanswered_string[RJ_HTTP_UNANSWERED_COUNT] = {
 	[RJ_HTTP_UNANSWERED_CLIENT_GONE] = "client_gone",
@@ -42,6 +42,7 @@
 	struct rj_client client; /* first member, always */
 	struct rj_http_server *server;
 	struct rj_http_exchange *request; /* NULL: none */
+	bool refused; /* there was no room for it; not in the budget */
 };
 
 /* Answers in place of the library, which takes no answer before the end of a
@@ -309,8 +310,8 @@
 	struct rj_client *client;
 
 	server->loop.progress++;
-	if (!connection_of(connection))
-		return MHD_NO; /* refused */
+	if (connection_of(connection)->refused)
+		return MHD_NO;
 	if (!request) {
 		request = request_new(server, connection, url, method);
 		*con_cls = request;
@@ -366,16 +367,32 @@
 	*con_cls = NULL;
 }
 
+/* Ends the reading of a refused connection; the library closes it then. */
+static void end_refused(struct tevent_context *ev, struct tevent_timer *timer,
+			struct timeval now, void *private_data)
+{
+	const struct connection *connection = private_data;
+
+	(void)shutdown(connection->client.fd, SHUT_RDWR);
+}
+
 /*
- * Refuses a connection for which there is no room. Its socket is still read, as
- * one that is closed with unread bytes is reset, which may destroy the refusal.
+ * Refuses a connection for which there is no room. Its socket is still read for
+ * a while, as one that is closed with unread bytes is reset, which may destroy
+ * the refusal.
  */
-static void refuse_connection(struct MHD_Connection *connection, int fd)
+static void refuse_connection(struct connection *connection, int fd)
 {
+	struct tevent_timer *timer = tevent_add_timer(
+		connection->server->ev, connection,
+		rj_clock_timeval_in(REFUSED_CLOSE_US), end_refused, connection);
+
+	assert(timer);
+	(void)timer;
+	connection->refused = true;
+	connection->client.fd = fd;
 	send_refusal(fd, MHD_HTTP_SERVICE_UNAVAILABLE);
 	(void)shutdown(fd, SHUT_WR);
-	MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
-				  REFUSED_CLOSE_S);
 }
 
 /*
@@ -404,9 +421,9 @@
 		     ->connect_fd;
 	if (code != MHD_CONNECTION_NOTIFY_STARTED) {
 		added = *socket_context;
-		if (added && rj_client_has_unread(&added->client))
+		if (!added->refused && rj_client_has_unread(&added->client))
 			server->unanswered[RJ_HTTP_UNANSWERED_UNREAD]++;
-		if (added)
+		if (!added->refused)
 			rj_client_close(&added->client);
 		TALLOC_FREE(*socket_context);
 		server->connections--;
@@ -421,8 +438,7 @@
 	if (!rj_client_open(&added->client, &server->listener, fd, give_way,
 			    rj_clock_now_us()))
 		return;
-	TALLOC_FREE(*socket_context);
-	refuse_connection(connection, fd);
+	refuse_connection(added, fd);
 }
 
 /* See struct rj_http_loop. */
--- a/src/test_libradishjunction/test_http_server.c
+++ b/src/test_libradishjunction/test_http_server.c
@@ -232,6 +232,42 @@
 	g_assert_cmpint(errno, ==, ECONNREFUSED);
 }
 
+static void set_flag(struct tevent_context *ev, struct tevent_timer *timer,
+		     struct timeval now, void *private_data)
+{
+	*(bool *)private_data = true;
+}
+
+/* Refused clients that go on sending keep the listener from all others. */
+static void test_refused_clients_leave_room(struct fixture *f,
+					    gconstpointer data)
+{
+	int fds[44];
+
+	for (uint32_t i = 0; i < 4; i++) {
+		f->request = NULL;
+		fds[i] = connect_and_send(f, REQUEST);
+		RUN_UNTIL(f->ev, f->request);
+	}
+	for (uint32_t i = 4; i < 44; i++)
+		fds[i] = connect_and_send(f, "P");
+	for (uint32_t round = 0;
+	     round < 6 || (round < 20 && f->server.connections != 4); round++) {
+		bool over = false;
+		struct tevent_timer *timer = tevent_add_timer(
+			f->ev, f->ev, tevent_timeval_current_ofs(0, 400 * 1000),
+			set_flag, &over);
+
+		g_assert_nonnull(timer);
+		RUN_UNTIL(f->ev, over);
+		for (uint32_t i = 4; i < 44; i++)
+			(void)!send(fds[i], "x", 1, MSG_NOSIGNAL);
+	}
+	g_assert_cmpuint(f->server.connections, ==, 4);
+	for (uint32_t i = 0; i < 44; i++)
+		close(fds[i]);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -247,5 +283,7 @@
 		   test_client_without_room_is_told, tear_down);
 	g_test_add("/http_server/new", struct fixture, NULL, set_up,
 		   test_new_client_is_served_before_the_end, tear_down);
+	g_test_add("/http_server/trickle", struct fixture, NULL, set_up,
+		   test_refused_clients_leave_room, tear_down);
 	return g_test_run();
 }
