cell_departure: a worker that has answered may leave unnoticed as well

Cause: the history of the workers' log was read for workers that had not answered. What counts is whether the owner has read a heartbeat since its load, as only that dates the entry. Change: it is read for workers without one, and the entry of a worker that has answered is not replaced by an earlier one. Before: /departure/after_an_answer fails.

--- a/src/libradishjunction/cell/cell_departure.c
+++ b/src/libradishjunction/cell/cell_departure.c
@@ -10,11 +10,11 @@
  * expires, and one as they are not regular. */
 #define HISTORY_HEARTBEATS 4
 
-/* Whether runs of former owners are on a worker that has not answered yet, and
- * that has left or may do so before it is reached. */
+/* Whether runs of former owners are on a worker of which no heartbeat has been
+ * read since the load, and that has left or may do so before one is. */
 static bool may_have_left(const struct rj_cell_worker *worker)
 {
-	return worker->runs.next != &worker->runs && !worker->incarnation &&
+	return worker->runs.next != &worker->runs && !worker->written_us &&
 	       (!worker->listed || worker->heartbeat.draining);
 }
 
@@ -71,7 +71,7 @@
 		return;
 	worker->entry_marks = talloc_memdup(worker, &owner->entry_marks,
 					    sizeof(owner->entry_marks));
-	if (worker->listed)
+	if (worker->listed || worker->incarnation)
 		return;
 	rj_cell_worker_apply_heartbeat(worker, heartbeat);
 	worker->poll_due_us = owner->now_us;
--- a/src/test_libradishjunction/test_cell_departure.c
+++ b/src/test_libradishjunction/test_cell_departure.c
@@ -43,6 +43,15 @@
 	return worker;
 }
 
+/* Ends a worker and removes its entry without writing another one before. */
+static void remove_worker(struct cell_sim *sim, uint32_t worker)
+{
+	cell_sim_worker_kill(sim, worker);
+	sim->workers[worker].listed = false;
+	cell_log_put(sim, RJ_CELL_TOPIC_WORKERS, sim->workers[worker].id, NULL,
+		     0);
+}
+
 /* Guards against a task that waits for leases, as its worker left and removed
  * its entry while nobody owned the cell. */
 static void test_departure_without_an_owner(struct cell_fixture *f,
@@ -73,14 +82,33 @@
 	while (cell_sim_owner(&f->sim) < 0)
 		cell_load_run(&f->sim, 10 * MS);
 	cell_load_run(&f->sim, 100 * MS);
-	cell_sim_worker_kill(&f->sim, worker);
-	f->sim.workers[worker].listed = false;
-	cell_log_put(&f->sim, RJ_CELL_TOPIC_WORKERS, f->sim.workers[worker].id,
-		     NULL, 0);
+	remove_worker(&f->sim, worker);
 	cell_load_run(&f->sim, RESTART_MAX_US);
 	g_assert_cmpuint(job->starts, ==, 2);
 }
 
+/* Guards against a task that waits for leases, as its worker has answered the
+ * successor and leaves before a heartbeat of it is read. */
+static void test_departure_after_an_answer(void)
+{
+	for (uint64_t met_us = 0; met_us <= 800 * MS; met_us += 200 * MS) {
+		struct cell_client_job *job;
+		struct cell_fixture f;
+		uint32_t worker;
+
+		cell_fixture_setup(&f, &site);
+		worker = drain_as_all_are_killed(&f.sim, &job);
+		set_nodes(&f.sim, cell_sim_node_start);
+		while (cell_sim_owner(&f.sim) < 0)
+			cell_load_run(&f.sim, 10 * MS);
+		cell_load_run(&f.sim, met_us);
+		remove_worker(&f.sim, worker);
+		cell_load_run(&f.sim, RESTART_MAX_US);
+		g_assert_cmpuint(job->starts, ==, 2);
+		cell_fixture_teardown(&f, &site);
+	}
+}
+
 /* Guards against a second run of a task, whose draining worker was cut off and
  * goes on as its entry expires. */
 static void test_expiry_is_no_departure(void)
@@ -110,6 +138,8 @@
 		  test_departure_without_an_owner);
 	CELL_TEST("/departure/after_the_load", &site,
 		  test_departure_after_the_load);
+	g_test_add_func("/departure/after_an_answer",
+			test_departure_after_an_answer);
 	g_test_add_func("/departure/expiry", test_expiry_is_no_departure);
 	return g_test_run();
 }
