cell_owner: a short lease of an owner does not hide a longer one before it

Callers would see: a task that runs twice during an upgrade. An owner of an earlier version grants 10 s; the next one, whose leases last 8 s, meets the worker, restarts, and waits for its own leases only. Cause: the record of the bounds states the duration of the owner's leases, but a worker that it has met may hold one of an owner before it. Change: a successor waits for the longest lease allowed from its takeover, at the least. That is later only if the former owner was the same instance or has released the cell. Before: /leases/upgrade has two starts while the first run goes on.

--- a/src/libradishjunction/cell/cell_owner.c
+++ b/src/libradishjunction/cell/cell_owner.c
@@ -370,12 +370,17 @@
 	uint64_t lease_ms = former->lease_ms ? former->lease_ms :
 					       owner->limits.lease_max_ms;
 	uint64_t lease_us = rj_cell_lease_max_us(lease_ms * RJ_US_PER_MS);
+	uint64_t allowed_us =
+		rj_cell_lease_max_us(owner->limits.lease_max_ms * RJ_US_PER_MS);
+	/* An owner before the former one may have granted longer leases until
+	 * that met the worker. */
+	uint64_t until_us =
+		MAX(leases_until_us + lease_us, owner->now_us + allowed_us);
 	struct rj_list *at;
 	struct rj_list *next;
 
 	rj_cell_lease_bounds_begin(&owner->leases, &owner->fleet, former,
-				   owner->term_clock,
-				   leases_until_us + lease_us, owner->now_us);
+				   owner->term_clock, until_us, owner->now_us);
 	RJ_FOR_EACH (at, next, &owner->jobs)
 		bound_unreported_ends(
 			RJ_CONTAINER(at, struct rj_cell_job, link),
--- a/src/test_libradishjunction/test_cell_leases.c
+++ b/src/test_libradishjunction/test_cell_leases.c
@@ -425,6 +425,36 @@
 	g_assert_cmpuint(job->starts, ==, 1);
 }
 
+/* Guards against a second run of a task beside the one that an owner of an earlier
+ * version has granted a long lease: the owner after it met the worker, restarted
+ * and takes its own shorter leases for the longest. */
+static void test_long_lease_of_an_earlier_version(struct cell_fixture *f,
+						  const void *data)
+{
+	struct cell_client_job *job = start_job(&f->sim);
+	uint32_t first = (uint32_t)cell_sim_owner(&f->sim);
+	uint32_t worker = cell_sim_busy_worker(&f->sim);
+	struct rj_cell_lease_bounds *leases =
+		&f->sim.nodes[first].node.owner.leases;
+	int next;
+
+	leases->lease_ms = LONG_LEASE_MS;
+	leases->lease_us = rj_cell_lease_max_us(LONG_LEASE_MS * MS);
+	f->sim.workers[worker].clock_rate = 0.98;
+	cell_load_run(&f->sim, 3 * S);
+	rj_cell_node_drain(&f->sim.nodes[first].node, f->sim.now_us);
+	while ((next = cell_sim_owner(&f->sim)) < 0 || next == (int)first)
+		cell_load_run(&f->sim, 10 * MS);
+	cell_load_run(&f->sim, 40 * MS);
+	leave_reachable(&f->sim, worker, -1);
+	cell_sim_node_kill(&f->sim, (uint32_t)next);
+	cell_sim_node_start(&f->sim, (uint32_t)next);
+	while (f->sim.workers[worker].runs->len)
+		cell_load_run(&f->sim, 20 * MS);
+	g_assert_cmpuint(job->starts, ==, 1);
+	expect_restart(&f->sim, job, f->sim.now_us + 2 * S);
+}
+
 /* Guards against a bound that is taken for a known one although the former
  * owner is of a version that stores none. */
 static void test_earlier_versions_store_no_bounds(void)
@@ -701,6 +731,8 @@
 	CELL_TEST("/leases/outage", &long_leases,
 		  test_leases_outlive_an_outage);
 	g_test_add_func("/leases/grants", test_grants_of_an_earlier_version);
+	CELL_TEST("/leases/upgrade", &long_leases,
+		  test_long_lease_of_an_earlier_version);
 	CELL_TEST("/leases/renewed", &site,
 		  test_leases_are_renewed_after_a_takeover);
 	g_test_add_func("/leases/earlier_version",
