--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -27,8 +27,8 @@
 /* The daemon runs at most so often to send the last answers: each connection may
  * need a few runs, which take all of them in turn. */
 #define FINISH_RUNS 64
-/* A refused connection is closed after this time without traffic. */
-#define REFUSED_CLOSE_S 1U
+/* A refused connection is closed after this time, whatever its client sends. */
+#define REFUSED_CLOSE_US RJ_US_PER_S
 
 const char *const rj_http_unanswered_string[RJ_HTTP_UNANSWERED_COUNT] = {
 	[RJ_HTTP_UNANSWERED_CLIENT_GONE] = "client_gone",
@@ -42,6 +42,7 @@
 	struct rj_client client; /* first member, always */
 	struct rj_http_server *server;
 	struct rj_http_exchange *request; /* NULL: none */
+	bool refused; /* there was no room for it; not in the budget */
 };
 
 /* Answers in place of the library, which takes no answer before the end of a
@@ -309,8 +310,8 @@
 	struct rj_client *client;
 
 	server->loop.progress++;
-	if (!connection_of(connection))
-		return MHD_NO; /* refused */
+	if (connection_of(connection)->refused)
+		return MHD_NO;
 	if (!request) {
 		request = request_new(server, connection, url, method);
 		*con_cls = request;
@@ -366,16 +367,43 @@
 	*con_cls = NULL;
 }
 
+/* Ends the reading of a refused connection; the library closes it then. */
+static void end_refused(struct tevent_context *ev, struct tevent_timer *timer,
+			struct timeval now, void *private_data)
+{
+	const struct connection *connection = private_data;
+
+	(void)shutdown(connection->client.fd, SHUT_RDWR);
+}
+
 /*
- * Refuses a connection for which there is no room. Its socket is still read, as
- * one that is closed with unread bytes is reset, which may destroy the refusal.
+ * Refuses a connection for which there is no room. Its socket is still read for
+ * a while, as one that is closed with unread bytes is reset, which may destroy
+ * the refusal.
  */
-static void refuse_connection(struct MHD_Connection *connection, int fd)
+static void refuse_connection(struct connection *connection, int fd)
 {
+	struct tevent_timer *timer = tevent_add_timer(
+		connection->server->ev, connection,
+		rj_clock_timeval_in(REFUSED_CLOSE_US), end_refused, connection);
+
+	assert(timer);
+	(void)timer;
+	connection->refused = true;
+	connection->client.fd = fd;
 	send_refusal(fd, MHD_HTTP_SERVICE_UNAVAILABLE);
 	(void)shutdown(fd, SHUT_WR);
-	MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
-				  REFUSED_CLOSE_S);
+}
+
+/*
+ * Runs the daemon again after a connection has closed. At its limit of
+ * connections or descriptors the library stops accepting, and starts again not
+ * in the run that closes a connection but in the next one.
+ */
+static void accept_again(struct rj_http_server *server)
+{
+	if (!server->finishing)
+		rj_http_loop_kick(&server->loop);
 }
 
 /* Adds a connection to the budget, or removes it. */
@@ -393,12 +421,13 @@
 		     ->connect_fd;
 	if (code != MHD_CONNECTION_NOTIFY_STARTED) {
 		added = *socket_context;
-		if (added && rj_client_has_unread(&added->client))
+		if (!added->refused && rj_client_has_unread(&added->client))
 			server->unanswered[RJ_HTTP_UNANSWERED_UNREAD]++;
-		if (added)
+		if (!added->refused)
 			rj_client_close(&added->client);
 		TALLOC_FREE(*socket_context);
 		server->connections--;
+		accept_again(server);
 		return;
 	}
 	server->connections++;
@@ -409,8 +438,7 @@
 	if (!rj_client_open(&added->client, &server->listener, fd, give_way,
 			    rj_clock_now_us()))
 		return;
-	TALLOC_FREE(*socket_context);
-	refuse_connection(connection, fd);
+	refuse_connection(added, fd);
 }
 
 /* See struct rj_http_loop. */
@@ -619,16 +647,19 @@
 
 /*
  * Whether a stopping server has sent all answers, to requests that are complete,
- * whose bodies are arriving, or that have arrived and were not read. A timer that
+ * whose bodies are arriving, or that have arrived and were not read, and waits
+ * for no first request of a new connection. A timer that
  * is due precedes the sockets, so that a process that was held up for a while
  * may look here before it reads.
  */
 bool rj_http_server_is_settled(const struct rj_http_server *server)
 {
+	uint64_t now_us = rj_clock_now_us();
+
 	return server->requests <=
-		       rj_client_listener_stalled(&server->listener,
-						  rj_clock_now_us()) &&
-	       !has_unread(server);
+		       rj_client_listener_stalled(&server->listener, now_us) &&
+	       !has_unread(server) &&
+	       !rj_client_listener_has_new(&server->listener, now_us);
 }
 
 /*
@@ -663,6 +694,21 @@
 	server->draining = true;
 }
 
+/*
+ * Refuses new connections from now on; those that are open are served. One that
+ * is neither accepted nor refused would be reset with its request.
+ */
+void rj_http_server_stop_listening(struct rj_http_server *server)
+{
+	if (server->listen_fd < 0)
+		return;
+	for (int i = 0; i < FINISH_RUNS && has_unread(server); i++)
+		MHD_run(server->daemon);
+	MHD_quiesce_daemon(server->daemon);
+	close(server->listen_fd);
+	server->listen_fd = -1;
+}
+
 /*
  * Stops listening and closes all connections. Answers that were given are sent
  * as far as the clients take them without a wait; requests that arrive until
@@ -674,6 +720,7 @@
 	if (!server->daemon)
 		return;
 	server->finishing = true;
+	rj_http_server_stop_listening(server);
 	for (int i = 0; i < FINISH_RUNS && !rj_http_server_is_settled(server);
 	     i++)
 		MHD_run(server->daemon);
