http: nothing comes between the last accept and the close of the listener

What callers saw: of three stops on with new connections all the time, on a busy machine, one reset a request (73,315 requests).

Cause: after the last accept the server looked at each connection and took the listener out of the library's set before it closed it. A connection that came meanwhile was reset.

Change: the listener is taken out first, and what waits is accepted and handed to the library until there is nothing; the close is the next call.

A connection that comes between these two calls is still reset; no test can time it.

--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -684,11 +684,20 @@
  */
 void rj_http_server_stop_listening(struct rj_http_server *server)
 {
+	struct sockaddr_storage from;
+	socklen_t length = sizeof(from);
+	int fd;
+
 	if (server->listen_fd < 0)
 		return;
-	for (int i = 0; i < FINISH_RUNS && has_unread(server); i++)
-		MHD_run(server->daemon);
 	MHD_quiesce_daemon(server->daemon);
+	/* Nothing may come between the last of these and the close. */
+	while ((fd = accept4(server->listen_fd, (struct sockaddr *)&from,
+			     &length, SOCK_CLOEXEC | SOCK_NONBLOCK)) >= 0) {
+		MHD_add_connection(server->daemon, fd, (struct sockaddr *)&from,
+				   length);
+		length = sizeof(from);
+	}
 	close(server->listen_fd);
 	server->listen_fd = -1;
 }
