cell_metrics: how many workers' leases are waited for, and how long

A report of work that stands still can be told apart while it does: leases that are waited for, or capacity that is kept (accelerators_promised, tasks_waiting). Until now only run_end with lease_lapsed said so, afterwards.

--- a/src/libradishjunction/cell/cell_metrics.c
+++ b/src/libradishjunction/cell/cell_metrics.c
@@ -68,6 +68,30 @@
 		       writer->invalid);
 }
 
+/* Counts the workers whose runs wait for their leases to expire, as they do not
+ * answer, and shows the longest wait that is left. */
+static void write_lease_waits(GString *text, const struct rj_cell_owner *owner,
+			      uint64_t now_us)
+{
+	const struct rj_list *at;
+	uint32_t workers = 0;
+	uint64_t longest_us = 0;
+
+	for (at = owner->fleet.workers.next; at != &owner->fleet.workers;
+	     at = at->next) {
+		const struct rj_cell_worker *worker =
+			RJ_CONTAINER(at, struct rj_cell_worker, link);
+
+		if (worker->answers || worker->runs.next == &worker->runs ||
+		    now_us >= worker->lease_expired_us)
+			continue;
+		workers++;
+		longest_us = MAX(longest_us, worker->lease_expired_us - now_us);
+	}
+	write_number(text, "workers_awaiting_lease_end", workers);
+	write_number(text, "lease_wait_max_ms", longest_us / RJ_US_PER_MS);
+}
+
 /* Counts the listed and the usable workers. */
 static void write_fleet(GString *text, const struct rj_cell_owner *owner,
 			uint64_t now_us)
@@ -204,6 +228,7 @@
 	write_number(text, "accelerators_promised", owner->backlog.promised);
 	write_admission(text, owner, now_us);
 	write_fleet(text, owner, now_us);
+	write_lease_waits(text, owner, now_us);
 	if (owner->limits.features.account_shares)
 		rj_cell_account_shares_write_metrics(&owner->account_shares,
 						     text);
--- a/src/share/http_server.c
+++ b/src/share/http_server.c
@@ -648,9 +648,8 @@
 /*
  * Whether a stopping server has sent all answers, to requests that are complete,
  * whose bodies are arriving, or that have arrived and were not read, and waits
- * for no first request of a new connection. A timer that
- * is due precedes the sockets, so that a process that was held up for a while
- * may look here before it reads.
+ * for no first request of a new connection. A timer that is due precedes the
+ * sockets, so a process that was held up may call this before it reads.
  */
 bool rj_http_server_is_settled(const struct rj_http_server *server)
 {
