cell_incarnation: a poll of a lost worker is not tied to an incarnation

Cause: polls of an unlisted worker named the incarnation of its last entry, so that they were not sent to the process at its address. The platform's header names the worker in any case: another one rejects the call, which shows that the former one has ended. Change: such a poll names no incarnation, as before departures were read from the history. The stand-in rejects calls that are meant for another worker. Before: cell_departure/address fails.

--- a/src/libradishjunction/cell/cell_incarnation.c
+++ b/src/libradishjunction/cell/cell_incarnation.c
@@ -26,9 +26,6 @@
 				      struct rj_cell_worker *worker,
 				      struct rj_cell_poll *poll)
 {
-	/* Its address may be another worker's by now. */
-	if (!worker->incarnation && !worker->listed)
-		poll->incarnation = worker->heartbeat.incarnation;
 	if (!worker->incarnation || !worker->answers)
 		return;
 	if (worker->stored_position > worker->acknowledged_position)
--- a/src/standin_users/worker.c
+++ b/src/standin_users/worker.c
@@ -485,10 +485,14 @@
 static void handle(void *private_data, struct rj_http_exchange *exchange)
 {
 	struct standin_worker *worker = private_data;
+	const char *target =
+		rj_http_exchange_header(exchange, "Target-Instance");
 	json_t *body =
 		json_loadb(exchange->body.data, exchange->body.length, 0, NULL);
 
-	if (!strcmp(exchange->path, "/-/run-start"))
+	if (target && strcmp(target, worker->id) != 0)
+		send_answer(worker, exchange, 421, json_object());
+	else if (!strcmp(exchange->path, "/-/run-start"))
 		handle_start(worker, exchange, body);
 	else if (!strcmp(exchange->path, "/-/run-stop"))
 		handle_stop(worker, exchange, body);
--- a/src/test_libradishjunction/support/cell_fake_orders.c
+++ b/src/test_libradishjunction/support/cell_fake_orders.c
@@ -316,7 +316,11 @@
 			talloc_free(order);
 			return;
 		}
-		order->reply.status = RJ_CELL_ORDER_UNSENT;
+		/* A call that names an incarnation is not sent to another. */
+		order->reply.status =
+			worker->address_reused && !order->poll.incarnation ?
+				RJ_CELL_ORDER_OTHER_INCARNATION :
+				RJ_CELL_ORDER_UNSENT;
 		cell_sim_schedule(sim, LATENCY_US, deliver, order);
 		return;
 	}
--- a/src/test_libradishjunction/support/cell_sim.h
+++ b/src/test_libradishjunction/support/cell_sim.h
@@ -97,6 +97,7 @@
 	char id[RJ_NAME_BYTES];
 	struct rj_cell_heartbeat reported;
 	bool up;
+	bool address_reused; /* by another worker, while it is not up */
 	bool listed; /* its entry is in the log */
 	bool partitioned[CELL_SIM_NODES_MAX]; /* calls get no answer */
 	bool partitioned_from_log; /* entry expires, runs go on */
--- a/src/test_libradishjunction/test_cell_departure.c
+++ b/src/test_libradishjunction/test_cell_departure.c
@@ -109,6 +109,30 @@
 	}
 }
 
+/* Guards against a task that waits for leases, as its worker was lost with all
+ * nodes and another worker answers at its address. */
+static void test_address_of_another_worker(struct cell_fixture *f,
+					   const void *data)
+{
+	struct rj_cell_step step = cell_sim_plain_step(1, 8, 60000);
+	struct cell_client_job *job =
+		cell_load_submit(&f->sim, "normal", "a", &step, 60 * S);
+	uint32_t worker;
+
+	cell_load_run(&f->sim, 2 * S);
+	worker = cell_sim_busy_worker(&f->sim);
+	cell_sim_worker_kill(&f->sim, worker);
+	set_nodes(&f->sim, cell_sim_node_kill);
+	set_nodes(&f->sim, cell_sim_node_start);
+	while (f->sim.workers[worker].listed)
+		cell_load_run(&f->sim, 100 * MS);
+	cell_load_run(&f->sim, S);
+	g_assert_cmpuint(job->starts, ==, 1);
+	f->sim.workers[worker].address_reused = true;
+	cell_load_run(&f->sim, S);
+	g_assert_cmpuint(job->starts, ==, 2);
+}
+
 /* Guards against a second run of a task, whose draining worker was cut off and
  * goes on as its entry expires. */
 static void test_expiry_is_no_departure(void)
@@ -140,6 +164,7 @@
 		  test_departure_after_the_load);
 	g_test_add_func("/departure/after_an_answer",
 			test_departure_after_an_answer);
+	CELL_TEST("/departure/address", &site, test_address_of_another_worker);
 	g_test_add_func("/departure/expiry", test_expiry_is_no_departure);
 	return g_test_run();
 }
