--- a/src/libradishjunction/cell/cell_log_reader.c
+++ b/src/libradishjunction/cell/cell_log_reader.c
@@ -210,19 +210,31 @@
 	rj_cell_log_reader_start(reader, reader->now_us);
 }
 
+/* Returns the reader of an answered call, and updates its time; NULL if the call
+ * is of an earlier generation, and was freed. */
+static struct rj_cell_log_reader *
+reader_of_answer(struct call *call, const struct rj_cell_store_reply *reply)
+{
+	struct rj_cell_log_reader *reader = call->reader;
+
+	if (call->generation != reader->generation) {
+		talloc_free(call);
+		return NULL;
+	}
+	reader->now_us = reply->now_us;
+	return reader;
+}
+
 /* Handles the answer to a read. */
 static void read_done(void *private_data,
 		      const struct rj_cell_store_reply *reply)
 {
 	struct call *call = private_data;
-	struct rj_cell_log_reader *reader = call->reader;
+	struct rj_cell_log_reader *reader = reader_of_answer(call, reply);
 	bool reached;
 
-	if (call->generation != reader->generation) {
-		talloc_free(call);
+	if (!reader)
 		return;
-	}
-	reader->now_us = reply->now_us;
 	if (call->immediate)
 		reader->immediate_in_flight = false;
 	else
@@ -268,13 +280,10 @@
 			const struct rj_cell_store_reply *reply)
 {
 	struct call *call = private_data;
-	struct rj_cell_log_reader *reader = call->reader;
+	struct rj_cell_log_reader *reader = reader_of_answer(call, reply);
 
-	if (call->generation != reader->generation) {
-		talloc_free(call);
+	if (!reader)
 		return;
-	}
-	reader->now_us = reply->now_us;
 	reader->poll_in_flight = false;
 	if (reply->status != RJ_CELL_STORE_OK) {
 		record_failure(reader, reply->status);
@@ -396,13 +405,10 @@
 			 const struct rj_cell_store_reply *reply)
 {
 	struct call *call = private_data;
-	struct rj_cell_log_reader *reader = call->reader;
+	struct rj_cell_log_reader *reader = reader_of_answer(call, reply);
 
-	if (call->generation != reader->generation) {
-		talloc_free(call);
+	if (!reader)
 		return;
-	}
-	reader->now_us = reply->now_us;
 	reader->history_in_flight = false;
 	if (reply->status == RJ_CELL_STORE_OK) {
 		for (uint32_t i = 0; i < reply->count; i++)
