--- a/src/libradishjunction/cell/cell_departure.c
+++ b/src/libradishjunction/cell/cell_departure.c
@@ -122,6 +122,7 @@
 	    written_us + owner->limits.entry_expiry_ms * RJ_US_PER_MS)
 		return;
 	worker->deregistered_us = owner->now_us;
+	owner->counters.departures++;
 	rj_log_event("worker_departed", RJ_LOG_TEXT("worker", worker->id),
 		     RJ_LOG_AGE_MS("written_ms", owner->now_us - written_us),
 		     RJ_LOG_AGE_MS("unlisted_ms",
--- a/src/libradishjunction/cell/cell_metrics.c
+++ b/src/libradishjunction/cell/cell_metrics.c
@@ -172,6 +172,7 @@
 	write_number(text, "owner_token", owner->active ? owner->token : 0);
 	write_number(text, "takeovers", counters->takeovers);
 	write_number(text, "resigns", counters->resignations);
+	write_number(text, "departures_inferred", counters->departures);
 	write_number(text, "starts", counters->starts);
 	write_number(text, "backfills", counters->backfills);
 	write_number(text, "stops", counters->stops);
--- a/src/libradishjunction/include/private/cell_owner.h
+++ b/src/libradishjunction/include/private/cell_owner.h
@@ -70,6 +70,7 @@
 	uint64_t failed;
 	uint64_t takeovers;
 	uint64_t resignations;
+	uint64_t departures; /* inferred, see cell_departure.h */
 	uint64_t plans;
 	/* Checks for a plan that was due, by outcome. */
 	uint64_t plan_blocks[RJ_CELL_PLAN_BLOCK_COUNT];
--- a/src/test_libradishjunction/test_cell_leases.c
+++ b/src/test_libradishjunction/test_cell_leases.c
@@ -3,10 +3,12 @@
  * worker that it cannot reach.
  */
 #include <stdio.h>
+#include <string.h>
 #include <talloc.h>
 
 #include "private/cell_evacuate.h"
 #include "private/cell_lease_bounds.h"
+#include "private/cell_metrics.h"
 #include "private/pack.h"
 #include "support/cell_fixture.h"
 #include "support/cell_load.h"
@@ -84,17 +86,38 @@
 	expect_restart(&f->sim, job, crashed_us + EXPIRY_MAX_US);
 }
 
+/* Whether the owner's metrics have this line. */
+static bool has_metric(const struct cell_sim *sim, const char *line)
+{
+	GString *text = g_string_new(NULL);
+	bool found;
+
+	rj_cell_metrics_write(&sim->nodes[cell_sim_owner(sim)].node,
+			      sim->now_us, text);
+	found = strstr(text->str, line) != NULL;
+	g_string_free(text, TRUE);
+	return found;
+}
+
 /* Guards against a task that waits for its lost worker for as long as the
- * platform allows a lease to last. */
+ * platform allows a lease to last, and of which operators see nothing. */
 static void test_leases_are_shorter_than_allowed(struct cell_fixture *f,
 						 const void *data)
 {
+	static const char waits[] =
+		"\nradishjunction_workers_awaiting_lease_end 1\n";
 	struct cell_client_job *job = start_job(&f->sim);
+	uint64_t killed_us;
 
 	/* Until the lease that was assumed at the first contact is over. */
 	cell_load_run(&f->sim, 3 * S);
+	killed_us = f->sim.now_us;
 	cell_sim_worker_kill(&f->sim, cell_sim_busy_worker(&f->sim));
-	expect_restart(&f->sim, job, f->sim.now_us + LONG_EXPIRY_MAX_US);
+	g_assert_false(has_metric(&f->sim, waits));
+	cell_load_run(&f->sim, 3 * S);
+	g_assert_true(has_metric(&f->sim, waits));
+	expect_restart(&f->sim, job, killed_us + LONG_EXPIRY_MAX_US);
+	g_assert_false(has_metric(&f->sim, waits));
 }
 
 /* Guards against a task that waits for renewals by an owner that has released
